feat: add the workspace, shared types and an HTTP client that knows what it sent

Every failed call reports whether a byte was handed to the connection, since "not run" must be true. One connection per call rules out stale connections, late answers and a library's silent second send; the added connect time is to be measured.

--- /dev/null
+++ b/crates/mangocross-http/src/call.rs
@@ -0,0 +1,88 @@
+//! A call to make.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+
+use crate::HttpTimeouts;
+
+/// Method of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HttpMethod {
+    /// Reads.
+    Get,
+    /// Creates or runs.
+    Post,
+    /// Replaces.
+    Put,
+    /// Removes.
+    Delete,
+}
+
+impl HttpMethod {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Get => "GET",
+            Self::Post => "POST",
+            Self::Put => "PUT",
+            Self::Delete => "DELETE",
+        }
+    }
+}
+
+/// A call to one address.
+#[derive(Debug, Clone)]
+pub struct HttpCall {
+    pub(crate) method: HttpMethod,
+    pub(crate) url: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+    pub(crate) timeouts: HttpTimeouts,
+}
+
+impl HttpCall {
+    /// Returns a call without headers and body.
+    ///
+    /// `path` starts with a slash and is already percent-encoded.
+    pub fn new(method: HttpMethod, address: SocketAddr, path: &str) -> Self {
+        Self {
+            method,
+            url: format!("http://{address}{path}"),
+            headers: Vec::new(),
+            body: Vec::new(),
+            timeouts: HttpTimeouts::default(),
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn body(mut self, body: Vec<u8>) -> Self {
+        self.body = body;
+        self
+    }
+
+    /// Sets a JSON body and its content type.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `value` has no JSON form, such as a map with keys that are not text.
+    #[must_use]
+    pub fn json<T: Serialize>(self, value: &T) -> Self {
+        let body = serde_json::to_vec(value).expect("the value has a JSON form");
+        self.header("content-type", "application/json").body(body)
+    }
+
+    /// Sets the time limits.
+    #[must_use]
+    pub fn timeouts(mut self, timeouts: HttpTimeouts) -> Self {
+        self.timeouts = timeouts;
+        self
+    }
+}
--- /dev/null
+++ b/crates/mangocross-http/tests/outcome.rs
@@ -0,0 +1,88 @@
+//! A failed call says truthfully whether any byte was sent.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
+
+use mangocross_http::CallErrorKind;
+use mangocross_http::HttpCall;
+use mangocross_http::HttpClient;
+use mangocross_http::HttpMethod;
+use mangocross_http::HttpTimeouts;
+use mangocross_types::RunOutcome;
+
+#[test]
+fn refused_connection_is_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let call = HttpCall::new(HttpMethod::Post, address, "/x").body(b"{}".to_vec());
+    let error = HttpClient::open().call(call).err().unwrap();
+    assert_eq!(error.outcome, RunOutcome::NotRun);
+    assert_eq!(error.kind, CallErrorKind::Connect);
+}
+
+#[test]
+fn connection_closed_before_answer_is_unknown_and_sent_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 1024];
+        let _ = stream.read(&mut buf).unwrap();
+        drop(stream);
+        listener.set_nonblocking(true).unwrap();
+        thread::sleep(Duration::from_millis(100));
+        listener.accept().is_ok()
+    });
+    let call = HttpCall::new(HttpMethod::Post, address, "/x").body(b"{}".to_vec());
+    let error = HttpClient::open().call(call).err().unwrap();
+    assert_eq!(error.outcome, RunOutcome::Unknown);
+    assert!(!server.join().unwrap(), "the library sent the request twice");
+}
+
+#[test]
+fn silent_server_times_out_as_unknown() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let timeouts = HttpTimeouts::default().idle(Duration::from_millis(50));
+    let call = HttpCall::new(HttpMethod::Get, address, "/x").timeouts(timeouts);
+    let error = HttpClient::open().call(call).err().unwrap();
+    assert_eq!(error.outcome, RunOutcome::Unknown);
+    assert_eq!(error.kind, CallErrorKind::Timeout);
+}
+
+#[test]
+fn body_that_stalls_is_a_timeout() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 1024];
+        let _ = stream.read(&mut buf).unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc").unwrap();
+        stream
+    });
+    let timeouts = HttpTimeouts::default().idle(Duration::from_millis(100));
+    let call = HttpCall::new(HttpMethod::Get, address, "/x").timeouts(timeouts);
+    let answer = HttpClient::open().call(call).unwrap();
+    let error = answer.read_all(100).err().unwrap();
+    assert_eq!(error.kind, CallErrorKind::Timeout);
+    drop(server);
+}
+
+#[test]
+fn cut_body_is_broken() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 1024];
+        let _ = stream.read(&mut buf).unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc").unwrap();
+    });
+    let answer = HttpClient::open().call(HttpCall::new(HttpMethod::Get, address, "/x")).unwrap();
+    assert_eq!(answer.read_all(100).err().unwrap().kind, CallErrorKind::Broken);
+}
--- /dev/null
+++ b/crates/mangocross-types/src/assignment.rs
@@ -0,0 +1,80 @@
+//! Which VMs form which group: one store value for each fabric domain.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::FabricDomain;
+use crate::FencingNumber;
+use crate::GroupId;
+use crate::Incarnation;
+use crate::ModelId;
+use crate::ModelVersion;
+use crate::VmId;
+
+/// Life phase of a placed group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GroupPhase {
+    /// Members are chosen and are loading weights.
+    Loading,
+    /// The group may serve while its proof of completeness is valid.
+    Serving,
+    /// No new work; requests in flight finish.
+    Draining,
+    /// Nothing is in flight; members are being unloaded.
+    Unloading,
+}
+
+/// The members of one group in one incarnation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupAssignment {
+    /// The group.
+    pub group: GroupId,
+    /// Incarnation of this membership.
+    pub incarnation: Incarnation,
+    /// The model served.
+    pub model: ModelId,
+    /// The version of the weights.
+    pub model_version: ModelVersion,
+    /// Members in rank order; rank zero takes the requests.
+    pub members: Vec<VmId>,
+    /// Life phase.
+    pub phase: GroupPhase,
+}
+
+/// Every assignment in one fabric domain, changed only by compare-and-swap.
+///
+/// Stored under the key `domains/{fabric_domain}`. As one value holds all
+/// groups of the domain, no VM can be in two groups: see
+/// `mangocross_coordination`'s check of each new value.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DomainAssignment {
+    /// The fabric domain.
+    pub domain: FabricDomain,
+    /// The coordinator's VM that may write this value.
+    pub owner: Option<VmId>,
+    /// Fencing number of the owner; rises at each takeover.
+    pub fencing_number: FencingNumber,
+    /// Incarnation that the next group formed here receives.
+    pub next_incarnation: Incarnation,
+    /// The placed groups.
+    pub groups: Vec<GroupAssignment>,
+}
+
+impl DomainAssignment {
+    /// Returns an assignment without groups and without an owner.
+    pub fn empty(domain: FabricDomain) -> Self {
+        Self {
+            domain,
+            owner: None,
+            fencing_number: FencingNumber(0),
+            next_incarnation: Incarnation(1),
+            groups: Vec::new(),
+        }
+    }
+
+    /// Returns the store key of a fabric domain's assignment.
+    pub fn key(domain: &FabricDomain) -> String {
+        format!("domains/{domain}")
+    }
+}
--- /dev/null
+++ b/crates/mangocross-types/src/configuration.rs
@@ -0,0 +1,223 @@
+//! The operators' configuration: one document in the platform's store.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::AvailabilityZone;
+use crate::CommandId;
+use crate::CustomerId;
+use crate::FabricDomain;
+use crate::GroupId;
+use crate::GroupSize;
+use crate::ModelId;
+use crate::ModelVersion;
+use crate::Priority;
+use crate::RequestKind;
+use crate::RequestsPerSecond;
+use crate::Revision;
+use crate::ServiceId;
+use crate::VmId;
+
+/// What the operators want of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DesiredState {
+    /// The group should serve.
+    Serving,
+    /// The group should finish its requests and take no new ones, staying loaded.
+    Drained,
+    /// The group should finish its requests and be unloaded.
+    Stopped,
+}
+
+/// A model group that operators asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GroupSpec {
+    /// The group.
+    pub id: GroupId,
+    /// The model.
+    pub model: ModelId,
+    /// The version of the weights.
+    pub model_version: ModelVersion,
+    /// Number of VMs.
+    pub size: GroupSize,
+    /// What the operators want.
+    pub desired: DesiredState,
+    /// The fabric domain that operators chose, if any.
+    #[serde(default)]
+    pub domain: Option<FabricDomain>,
+    /// Customers served; empty means all.
+    #[serde(default)]
+    pub customers: Vec<CustomerId>,
+    /// Request kinds served; empty means all.
+    #[serde(default)]
+    pub kinds: Vec<RequestKind>,
+}
+
+/// A customer and its limits.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CustomerSpec {
+    /// The customer.
+    pub id: CustomerId,
+    /// Limit over all entry VMs.
+    pub requests_per_second: RequestsPerSecond,
+    /// Limit of requests in flight over all entry VMs.
+    pub in_flight_max: u32,
+    /// Added to the priority of the request kind.
+    #[serde(default)]
+    pub priority: Priority,
+}
+
+/// Where requests of a kind go.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum KindTarget {
+    /// To groups that serve a model.
+    Model(ModelId),
+    /// To a plain service.
+    Service(ServiceId),
+}
+
+/// A kind of request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KindSpec {
+    /// The kind.
+    pub id: RequestKind,
+    /// Where requests go.
+    pub target: KindTarget,
+    /// Whether a request may be repeated without a second effect.
+    pub idempotent: bool,
+    /// Priority; a larger number goes first.
+    #[serde(default)]
+    pub priority: Priority,
+    /// Deadline of a request that names none, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+/// A plain service and its backend servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// The service.
+    pub id: ServiceId,
+    /// Addresses of its backend servers; empty means those in the platform's list.
+    #[serde(default)]
+    pub backend_servers: Vec<SocketAddr>,
+}
+
+/// Whether engines check fencing numbers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FenceMode {
+    /// Engines refuse an order with an old fencing number.
+    Honoured,
+    /// Engines ignore fencing numbers.
+    #[default]
+    Ignored,
+}
+
+/// Weights of the policy.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PolicyWeights {
+    /// Cost of one second of group downtime.
+    pub group_downtime: f64,
+    /// Cost of one second of one stranded accelerator.
+    pub stranded_accelerator: f64,
+    /// Loads that the weight store serves at once.
+    pub concurrent_loads: u32,
+    /// Kinds that go before everything else, as in panel weeks.
+    pub first_kinds: Vec<RequestKind>,
+}
+
+impl Default for PolicyWeights {
+    fn default() -> Self {
+        Self {
+            group_downtime: 1.0,
+            stranded_accelerator: 1.0,
+            concurrent_loads: 8,
+            first_kinds: Vec::new(),
+        }
+    }
+}
+
+/// An entry VM that takes part, with the addresses of its processes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryVmSpec {
+    /// The VM.
+    pub vm: VmId,
+    /// Its availability zone.
+    pub availability_zone: AvailabilityZone,
+    /// UDP and TCP address of its coordinator.
+    pub coordinator: SocketAddr,
+}
+
+/// A command that changed the configuration, kept so that a repeat is harmless.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RecentCommand {
+    /// Id of the command.
+    pub id: CommandId,
+    /// Text of the command.
+    pub text: String,
+    /// Revision that the command was based on.
+    pub based_on: Revision,
+}
+
+/// The operators' configuration.
+///
+/// Stored as JSON under [`Configuration::KEY`]; its revision is that of the
+/// store's value and is not part of the document.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Configuration {
+    /// Entry VMs that take part.
+    pub entry_vms: Vec<EntryVmSpec>,
+    /// Model groups.
+    pub groups: Vec<GroupSpec>,
+    /// Customers.
+    pub customers: Vec<CustomerSpec>,
+    /// Request kinds.
+    pub kinds: Vec<KindSpec>,
+    /// Plain services.
+    pub services: Vec<ServiceSpec>,
+    /// VMs that operators sent away; they receive no new work.
+    pub leaving_vms: Vec<VmId>,
+    /// Whether engines check fencing numbers.
+    pub fence_mode: FenceMode,
+    /// Weights of the policy.
+    pub policy: PolicyWeights,
+    /// The newest commands, oldest first.
+    pub recent_commands: Vec<RecentCommand>,
+}
+
+impl Configuration {
+    /// Store key of the document.
+    pub const KEY: &str = "config/current";
+
+    /// Returns the specification of a group.
+    pub fn group(&self, id: &GroupId) -> Option<&GroupSpec> {
+        self.groups.iter().find(|it| it.id == *id)
+    }
+
+    /// Returns the specification of a customer.
+    pub fn customer(&self, id: &CustomerId) -> Option<&CustomerSpec> {
+        self.customers.iter().find(|it| it.id == *id)
+    }
+
+    /// Returns the specification of a request kind.
+    pub fn kind(&self, id: &RequestKind) -> Option<&KindSpec> {
+        self.kinds.iter().find(|it| it.id == *id)
+    }
+
+    /// Returns the specification of a service.
+    pub fn service(&self, id: &ServiceId) -> Option<&ServiceSpec> {
+        self.services.iter().find(|it| it.id == *id)
+    }
+}
--- /dev/null
+++ b/crates/mangocross-types/src/numbers.rs
@@ -0,0 +1,109 @@
+//! Numeric newtypes.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::Snafu;
+
+/// A number could not be read from text.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("`{text}` is not a valid {what}: use a whole number in range"))]
+pub struct NumberError {
+    /// The kind of number that was expected.
+    pub what: &'static str,
+    /// The text that was refused.
+    pub text: String,
+}
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident, $repr:ty, $what:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $repr);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NumberError;
+
+            fn from_str(text: &str) -> Result<Self, NumberError> {
+                let refused = || NumberError { what: $what, text: text.to_owned() };
+                text.parse().map(Self).map_err(|_| refused())
+            }
+        }
+    };
+}
+
+number!(
+    /// Counts the times a group was formed; rises with every new membership.
+    Incarnation,
+    u64,
+    "incarnation"
+);
+number!(
+    /// Fencing number of a fabric domain's owner; rises with every takeover.
+    FencingNumber,
+    u64,
+    "fencing number"
+);
+number!(
+    /// Revision of a value in the platform's store; zero means absent.
+    Revision,
+    u64,
+    "revision"
+);
+number!(
+    /// Position of a member in its group; rank zero takes the requests.
+    Rank,
+    u16,
+    "rank"
+);
+number!(
+    /// Number of VMs in a group.
+    GroupSize,
+    u16,
+    "group size"
+);
+number!(
+    /// Position of a token in an answer, from zero.
+    TokenIndex,
+    u32,
+    "token index"
+);
+number!(
+    /// Priority of a request; a larger number goes first.
+    Priority,
+    u8,
+    "priority"
+);
+number!(
+    /// A request rate for each second.
+    RequestsPerSecond,
+    u32,
+    "request rate"
+);
+
+impl Incarnation {
+    /// Returns the next incarnation.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl FencingNumber {
+    /// Returns the next fencing number.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
--- /dev/null
+++ b/crates/mangocross-types/src/proof.rs
@@ -0,0 +1,42 @@
+//! Proof that a group is complete.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::FencingNumber;
+use crate::GroupId;
+use crate::Incarnation;
+use crate::ModelId;
+use crate::ModelVersion;
+
+/// A coordinator's statement that all members of a group answered a probe and
+/// reported the expected group, incarnation, rank and model version.
+///
+/// `remaining_ms` counts from the moment the statement was written. A receiver
+/// counts it from the moment it *asked*, on its own monotonic clock, so that no
+/// delay in transit can lengthen it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupProof {
+    /// The group.
+    pub group: GroupId,
+    /// The incarnation that was probed.
+    pub incarnation: Incarnation,
+    /// Fencing number of the domain's owner that the prober knew.
+    pub fencing_number: FencingNumber,
+    /// The model.
+    pub model: ModelId,
+    /// The version of the weights.
+    pub model_version: ModelVersion,
+    /// Address of rank zero, which takes the requests.
+    pub address: SocketAddr,
+    /// Time left until the proof expires, in milliseconds.
+    pub remaining_ms: u32,
+    /// Whether new work may be sent; false while draining.
+    pub accepts_new: bool,
+    /// Requests running and waiting at the group, as last reported.
+    pub load: u32,
+    /// Age of `load` in milliseconds.
+    pub load_age_ms: u32,
+}
--- /dev/null
+++ b/crates/mangocross-types/src/report.rs
@@ -0,0 +1,114 @@
+//! What a model engine reports of itself and the orders it takes.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::CommandId;
+use crate::FencingNumber;
+use crate::GroupId;
+use crate::GroupSize;
+use crate::Incarnation;
+use crate::ModelId;
+use crate::ModelVersion;
+use crate::Rank;
+use crate::VmId;
+
+/// What a model engine is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineState {
+    /// In no group.
+    Idle,
+    /// Loading weights for a group.
+    Loading,
+    /// Loaded and able to work in its group.
+    Ready,
+    /// Being taken away by the platform or its operator; takes no new work.
+    Leaving,
+}
+
+/// A model engine's own word about itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendReport {
+    /// The VM of the engine.
+    pub vm: VmId,
+    /// What the engine is doing.
+    pub state: EngineState,
+    /// The group that the engine believes it belongs to.
+    pub group: Option<GroupId>,
+    /// Incarnation of that group.
+    pub incarnation: Incarnation,
+    /// Rank in that group.
+    pub rank: Rank,
+    /// Loaded model version, if any.
+    pub model_version: Option<ModelVersion>,
+    /// Versions whose weights are on the VM, loaded or not.
+    pub cached_versions: Vec<ModelVersion>,
+    /// Requests running now, as of `load_age_ms` ago.
+    pub running: u32,
+    /// Requests waiting, as of `load_age_ms` ago.
+    pub queued: u32,
+    /// Age of the load figures in milliseconds.
+    pub load_age_ms: u64,
+    /// Work units finished since start; a straggler's stands still.
+    pub steps: u64,
+    /// Highest fencing number seen in an order.
+    pub fencing_number: FencingNumber,
+}
+
+/// What an order asks of an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "type")]
+pub enum OrderKind {
+    /// Load weights and join a group.
+    Load {
+        /// The group to join.
+        group: GroupId,
+        /// Incarnation of the group.
+        incarnation: Incarnation,
+        /// Rank in the group.
+        rank: Rank,
+        /// Number of members.
+        size: GroupSize,
+        /// The model.
+        model: ModelId,
+        /// The version to load.
+        model_version: ModelVersion,
+    },
+    /// Leave the group and drop its work, if still in this incarnation.
+    Unload {
+        /// The group to leave.
+        group: GroupId,
+        /// Incarnation to leave; another one stays as it is.
+        incarnation: Incarnation,
+    },
+}
+
+/// An order to an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Id of the order; a repeated id has no second effect.
+    pub order_id: CommandId,
+    /// Fencing number of the owner that gives the order.
+    pub fencing_number: FencingNumber,
+    /// Wall-clock deadline in milliseconds since the Unix epoch, after which
+    /// the engine drops the order.
+    pub deadline_unix_ms: u64,
+    /// What is asked.
+    pub kind: OrderKind,
+}
+
+/// An engine's answer to an order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "type")]
+pub enum OrderAnswer {
+    /// The order was taken.
+    Taken,
+    /// The fencing number is older than one seen before.
+    StaleFence {
+        /// Highest number seen.
+        seen: FencingNumber,
+    },
+    /// The order came after its deadline.
+    Late,
+}
--- /dev/null
+++ b/crates/mangocross-types/src/vm.rs
@@ -0,0 +1,56 @@
+//! The platform's list of VMs.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::AvailabilityZone;
+use crate::FabricDomain;
+use crate::ServiceId;
+use crate::VmId;
+
+/// State of a VM in the platform's list, which lags.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// The platform believes that the VM runs.
+    Live,
+    /// The VM is about to be taken away.
+    Leaving,
+}
+
+/// What runs on a VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "type")]
+pub enum VmRole {
+    /// A model engine in a fabric domain.
+    Engine {
+        /// The fabric domain of the VM.
+        fabric_domain: FabricDomain,
+        /// Accelerators of the VM.
+        accelerators: u16,
+    },
+    /// A plain service.
+    Service {
+        /// The service.
+        service: ServiceId,
+    },
+    /// An entry VM of this system.
+    Entry,
+}
+
+/// One VM in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmListEntry {
+    /// The VM.
+    pub vm: VmId,
+    /// Address of the server that runs on the VM.
+    pub address: SocketAddr,
+    /// Availability zone of the VM.
+    pub availability_zone: AvailabilityZone,
+    /// State as the platform last saw it.
+    pub state: VmState,
+    /// What runs on the VM.
+    pub role: VmRole,
+}
--- /dev/null
+++ b/standins/src/bin/standin-store.rs
@@ -0,0 +1,3 @@
+//! Stand-in for the platform.
+
+fn main() {}
