--- /dev/null
+++ b/bins/mangocross-coordinator/src/coordinator.rs
@@ -0,0 +1,88 @@
+//! Starts the coordinator and stops it.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use mangocross_http::HttpServer;
+use mangocross_http::ServerLimits;
+use mangocross_settings::CoordinatorSettings;
+use mangocross_types::Refusal;
+use mangocross_types::ResultCode;
+use mangocross_types::SystemClock;
+use peer_caller::respond_refusal;
+use peer_entry::FetchServer;
+use peer_entry::PeerKey;
+use peer_entry::PollResponder;
+use peer_entry::PollTiming;
+use peer_entry::Poller;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+use crate::configuration;
+use crate::domains;
+use crate::operators;
+use crate::peers;
+use crate::peers::CoordinatorPeers;
+use crate::placement;
+use crate::platform;
+use crate::probes;
+use crate::state::CoordinatorState;
+
+/// When to come back after a refusal for too many requests.
+const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
+
+/// Runs the coordinator until SIGTERM.
+pub(crate) fn run(settings: CoordinatorSettings) -> Result<(), String> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|it| it.to_string())?;
+    let key: PeerKey = settings.peer_secret.parse()?;
+    let state = Arc::new(CoordinatorState::open(settings, Arc::new(SystemClock)));
+    let settings = &state.settings;
+    let cannot_bind = |it: std::io::Error| format!("an address cannot be bound: {it}");
+
+    let answering = Arc::clone(&state);
+    let _responder =
+        PollResponder::bind(settings.listen, key.clone(), move |it| peers::answer(&answering, it))
+            .map_err(cannot_bind)?;
+    let holding = Arc::clone(&state);
+    let _fetches =
+        FetchServer::bind(settings.listen, key.clone(), move || holding.configuration_document())
+            .map_err(cannot_bind)?;
+    let timing = PollTiming {
+        interval: Duration::from_millis(settings.poll_interval_ms),
+        reply_age_max: Duration::from_millis(settings.vouch_ms),
+    };
+    let polling = Arc::new(CoordinatorPeers::new(Arc::clone(&state)));
+    let _poller = Poller::spawn(settings.poll_from, key, timing, Arc::clone(&state.clock), polling)
+        .map_err(cannot_bind)?;
+    let operating = Arc::clone(&state);
+    let _operators = HttpServer::bind(
+        settings.operator_listen,
+        ServerLimits::default(),
+        move |it| operators::handle(&operating, it),
+        |it| respond_refusal(it, &overloaded(), None),
+    )
+    .map_err(cannot_bind)?;
+
+    for (name, work) in [
+        ("configuration", configuration::run as fn(&Arc<CoordinatorState>)),
+        ("platform", platform::run),
+        ("probes", probes::run),
+        ("domains", domains::run),
+        ("placement", placement::run),
+    ] {
+        let state = Arc::clone(&state);
+        let builder = thread::Builder::new().name(name.into());
+        builder.spawn(move || work(&state)).map_err(|it| it.to_string())?;
+    }
+    log::info!("coordinator answers operators at {}", settings.operator_listen);
+    signals.forever().next();
+    log::info!("planned stop: other coordinators take over");
+    Ok(())
+}
+
+fn overloaded() -> Refusal {
+    let text = "this coordinator handles as many requests as it can; come back later";
+    Refusal::not_run(ResultCode::Overloaded, text).retry_after(OVERLOAD_RETRY)
+}
--- /dev/null
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -0,0 +1,211 @@
+//! What coordinators ask each other, and what they answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::Completeness;
+use mangocross_types::DomainAssignment;
+use mangocross_types::EngineState;
+use mangocross_types::GroupAssignment;
+use mangocross_types::GroupPhase;
+use mangocross_types::GroupProof;
+use mangocross_types::VmId;
+use peer_entry::CustomerUsage;
+use peer_entry::DomainSummary;
+use peer_entry::PeerKey;
+use peer_entry::Poll;
+use peer_entry::PollReply;
+use peer_entry::PollerHandler;
+use peer_entry::ProcessRole;
+use peer_entry::fetch_configuration;
+
+use crate::configuration;
+use crate::domains::owned_domains;
+use crate::state::CoordinatorState;
+use crate::state::LivePeer;
+use crate::state::PollingGateway;
+use crate::state::lock;
+
+/// What this coordinator asks others and what it learns from them.
+pub(crate) struct CoordinatorPeers {
+    state: Arc<CoordinatorState>,
+    fetching: Arc<AtomicBool>,
+}
+
+impl CoordinatorPeers {
+    pub(crate) fn new(state: Arc<CoordinatorState>) -> Self {
+        Self { state, fetching: Arc::new(AtomicBool::new(false)) }
+    }
+
+    /// Fetches the configuration from a coordinator that holds a newer one.
+    fn fetch(&self, from: SocketAddr) {
+        if self.fetching.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        let (state, fetching) = (Arc::clone(&self.state), Arc::clone(&self.fetching));
+        thread::spawn(move || {
+            if let Err(message) = fetch_and_take(&state, from) {
+                log::warn!("configuration was not taken from {from}: {message}");
+            }
+            fetching.store(false, Ordering::SeqCst);
+        });
+    }
+}
+
+fn fetch_and_take(state: &CoordinatorState, from: SocketAddr) -> Result<(), String> {
+    let key: PeerKey = state.settings.peer_secret.parse()?;
+    let document = fetch_configuration(from, &key).map_err(|it| it.to_string())?;
+    configuration::take(state, document.revision, &document.text)
+}
+
+impl PollerHandler for CoordinatorPeers {
+    fn targets(&self) -> Vec<SocketAddr> {
+        self.state.coordinator_addresses()
+    }
+
+    fn poll(&self) -> Poll {
+        Poll {
+            nonce: 0,
+            vm: self.state.settings.vm.clone(),
+            role: ProcessRole::Coordinator,
+            process_id: self.state.process_id,
+            revision: self.state.freshness().in_force(),
+            serving: true,
+            usage: Vec::new(),
+        }
+    }
+
+    fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply) {
+        let behind = {
+            let mut freshness = self.state.freshness();
+            let store_age = reply.store_age_ms.map(|it| Duration::from_millis(it.into()));
+            freshness.peer_said(&reply.vm, reply.revision, store_age, asked_at);
+            reply.revision > freshness.in_force()
+        };
+        if behind {
+            self.fetch(from);
+        }
+        lock(&self.state.leaving).extend(reply.leaving);
+        let peer = LivePeer { asked_at, domains: reply.domains };
+        lock(&self.state.peers).insert(reply.vm, peer);
+    }
+}
+
+/// Answers a poll with everything that this coordinator knows itself.
+pub(crate) fn answer(state: &CoordinatorState, poll: &Poll) -> PollReply {
+    let now = state.clock.now();
+    if poll.role == ProcessRole::Gateway {
+        let gateway =
+            PollingGateway { heard_at: now, revision: poll.revision, usage: poll.usage.clone() };
+        lock(&state.gateways).insert(poll.vm.clone(), gateway);
+    }
+    let (revision, store_age) = {
+        let freshness = state.freshness();
+        (freshness.in_force(), freshness.store_age(now))
+    };
+    let milliseconds = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
+    let mut leaving: Vec<VmId> = lock(&state.leaving).iter().cloned().collect();
+    leaving.extend(state.configuration().leaving_vms.iter().cloned());
+    PollReply {
+        nonce: poll.nonce,
+        vm: state.settings.vm.clone(),
+        process_id: state.process_id,
+        revision,
+        store_age_ms: store_age.map(milliseconds),
+        proofs: proofs(state, now),
+        domains: summaries(state),
+        leaving,
+        usage: usage_of_others(state, &poll.vm),
+    }
+}
+
+fn usage_of_others(state: &CoordinatorState, asker: &VmId) -> Vec<CustomerUsage> {
+    let gateways = lock(&state.gateways);
+    let mut total: Vec<CustomerUsage> = Vec::new();
+    for usage in gateways.iter().filter(|(vm, _)| *vm != asker).flat_map(|(_, it)| &it.usage) {
+        match total.iter_mut().find(|it| it.customer == usage.customer) {
+            Some(sum) => {
+                sum.in_flight += usage.in_flight;
+                sum.demand_per_second += usage.demand_per_second;
+            }
+            None => total.push(usage.clone()),
+        }
+    }
+    total
+}
+
+/// Returns the proofs of all groups in the owned domains.
+fn proofs(state: &CoordinatorState, now: Instant) -> Vec<GroupProof> {
+    let owned = owned_domains(state);
+    let assignments = lock(&state.assignments);
+    let owned = owned.iter().filter_map(|it| assignments.get(it));
+    owned.flat_map(|it| domain_proofs(state, &it.assignment, now)).collect()
+}
+
+fn domain_proofs(
+    state: &CoordinatorState,
+    assignment: &DomainAssignment,
+    now: Instant,
+) -> Vec<GroupProof> {
+    let serving =
+        |it: &&GroupAssignment| matches!(it.phase, GroupPhase::Serving | GroupPhase::Draining);
+    let groups = assignment.groups.iter().filter(serving);
+    groups.filter_map(|it| proof(state, assignment, it, now)).collect()
+}
+
+fn proof(
+    state: &CoordinatorState,
+    assignment: &DomainAssignment,
+    group: &GroupAssignment,
+    now: Instant,
+) -> Option<GroupProof> {
+    let first = group.members.first()?;
+    let engines = lock(&state.engines_by_domain);
+    let address = engines.get(&assignment.domain)?.iter().find(|it| it.vm == *first)?.address;
+    drop(engines);
+    let probes = lock(&state.probes);
+    let remaining = match probes.check(group, now, state.probe_ttl(), state.stall_limit()) {
+        Completeness::Complete { until } => until.duration_since(now),
+        Completeness::Incomplete(_) => Duration::ZERO,
+    };
+    let (asked_at, report) = probes.newest(first)?;
+    let load_age = now.duration_since(asked_at) + Duration::from_millis(report.load_age_ms);
+    Some(GroupProof {
+        group: group.group.clone(),
+        incarnation: group.incarnation,
+        fencing_number: assignment.fencing_number,
+        model: group.model.clone(),
+        model_version: group.model_version.clone(),
+        address,
+        remaining_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
+        accepts_new: group.phase == GroupPhase::Serving,
+        load: report.running + report.queued,
+        load_age_ms: u32::try_from(load_age.as_millis()).unwrap_or(u32::MAX),
+    })
+}
+
+/// Returns the room in the owned domains.
+pub(crate) fn summaries(state: &CoordinatorState) -> Vec<DomainSummary> {
+    let now = state.clock.now();
+    let owned = owned_domains(state);
+    let engines = lock(&state.engines_by_domain);
+    let probes = lock(&state.probes);
+    let summary = |domain| {
+        let vms = engines.get(domain)?;
+        let fresh = vms.iter().filter(|it| !it.leaving);
+        let fresh: Vec<_> =
+            fresh.filter_map(|it| probes.report(&it.vm, now, state.probe_ttl())).collect();
+        let idle = fresh.iter().filter(|it| it.state == EngineState::Idle).count();
+        Some(DomainSummary {
+            domain: domain.clone(),
+            idle_vms: u16::try_from(idle).unwrap_or(u16::MAX),
+            healthy_vms: u16::try_from(fresh.len()).unwrap_or(u16::MAX),
+        })
+    };
+    owned.iter().filter_map(summary).collect()
+}
--- /dev/null
+++ b/bins/mangocross-coordinator/src/probes.rs
@@ -0,0 +1,69 @@
+//! Probes the engines of the fabric domains that this coordinator should own.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use mangocross_http::HttpTimeouts;
+use mangocross_types::VmId;
+
+use crate::domains::owned_domains;
+use crate::state::CoordinatorState;
+use crate::state::lock;
+
+/// Time between looks at which VMs to probe.
+const SCAN_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Keeps one probing thread for each VM of the owned domains.
+///
+/// A thread each, so that a silent engine delays no other probe.
+pub(crate) fn run(state: &Arc<CoordinatorState>) {
+    let mut running: HashMap<VmId, (SocketAddr, Arc<AtomicBool>)> = HashMap::new();
+    loop {
+        let wanted = wanted_engines(state);
+        running.retain(|vm, (address, stop)| {
+            let keep = wanted.get(vm) == Some(address);
+            if !keep {
+                stop.store(true, Ordering::Relaxed);
+            }
+            keep
+        });
+        let known: HashSet<VmId> = running.keys().cloned().collect();
+        for (vm, address) in wanted.into_iter().filter(|(vm, _)| !known.contains(vm)) {
+            let stop = Arc::new(AtomicBool::new(false));
+            running.insert(vm.clone(), (address, Arc::clone(&stop)));
+            let state = Arc::clone(state);
+            thread::spawn(move || probe(&state, &vm, address, &stop));
+        }
+        thread::sleep(SCAN_INTERVAL);
+    }
+}
+
+fn wanted_engines(state: &CoordinatorState) -> HashMap<VmId, SocketAddr> {
+    let owned = owned_domains(state);
+    let engines = lock(&state.engines_by_domain);
+    let wanted = owned.iter().filter_map(|it| engines.get(it)).flatten();
+    wanted.map(|it| (it.vm.clone(), it.address)).collect()
+}
+
+fn probe(state: &CoordinatorState, vm: &VmId, address: SocketAddr, stop: &AtomicBool) {
+    let limit = Duration::from_millis(state.settings.probe_timeout_ms);
+    let timeouts = HttpTimeouts::default().connect(limit).idle(limit).total(limit);
+    let interval = Duration::from_millis(state.settings.probe_interval_ms);
+    while !stop.load(Ordering::Relaxed) {
+        let asked_at = state.clock.now();
+        let result = state.engines.report(address, timeouts);
+        let mut probes = lock(&state.probes);
+        match result {
+            Ok(report) => probes.record_answer(vm, asked_at, report),
+            Err(error) => probes.record_failure(vm, error.to_string()),
+        }
+        drop(probes);
+        thread::sleep(interval);
+    }
+}
--- /dev/null
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -0,0 +1,163 @@
+//! What the coordinator's threads share.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::EngineVm;
+use mangocross_coordination::Freshness;
+use mangocross_coordination::FreshnessBounds;
+use mangocross_coordination::ProbeTable;
+use mangocross_settings::CoordinatorSettings;
+use mangocross_types::Clock;
+use mangocross_types::Configuration;
+use mangocross_types::DomainAssignment;
+use mangocross_types::FabricDomain;
+use mangocross_types::Placements;
+use mangocross_types::Revision;
+use mangocross_types::VmId;
+use peer_engine::EngineClient;
+use peer_entry::ConfigurationDocument;
+use peer_entry::CustomerUsage;
+use peer_entry::DomainSummary;
+use peer_platform::PlatformClient;
+use peer_store::HttpStore;
+use peer_store::Store;
+
+/// A coordinator that answers polls.
+#[derive(Debug, Clone)]
+pub(crate) struct LivePeer {
+    pub(crate) asked_at: Instant,
+    pub(crate) domains: Vec<DomainSummary>,
+}
+
+/// A gateway that polls this coordinator.
+#[derive(Debug, Clone)]
+pub(crate) struct PollingGateway {
+    pub(crate) heard_at: Instant,
+    pub(crate) revision: Revision,
+    pub(crate) usage: Vec<CustomerUsage>,
+}
+
+/// A fabric domain's assignment as last read or written.
+#[derive(Debug, Clone)]
+pub(crate) struct HeldAssignment {
+    pub(crate) assignment: DomainAssignment,
+    pub(crate) revision: Revision,
+}
+
+/// What the coordinator's threads share.
+pub(crate) struct CoordinatorState {
+    pub(crate) settings: CoordinatorSettings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) process_id: u64,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) platform: PlatformClient,
+    pub(crate) engines: EngineClient,
+    configuration: Mutex<(Arc<Configuration>, Arc<str>)>,
+    freshness: Mutex<Freshness>,
+    pub(crate) peers: Mutex<HashMap<VmId, LivePeer>>,
+    pub(crate) gateways: Mutex<HashMap<VmId, PollingGateway>>,
+    pub(crate) engines_by_domain: Mutex<BTreeMap<FabricDomain, Vec<EngineVm>>>,
+    pub(crate) leaving: Mutex<BTreeSet<VmId>>,
+    pub(crate) probes: Mutex<ProbeTable>,
+    pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
+    pub(crate) placements: Mutex<(Placements, Revision)>,
+}
+
+impl CoordinatorState {
+    pub(crate) fn open(settings: CoordinatorSettings, clock: Arc<dyn Clock>) -> Self {
+        let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
+        Self {
+            store: Arc::new(HttpStore::open(settings.store)),
+            platform: PlatformClient::open(settings.platform),
+            engines: EngineClient::open(),
+            settings,
+            clock,
+            process_id: fastrand::u64(..),
+            configuration: Mutex::new((Arc::new(Configuration::default()), Arc::from(""))),
+            freshness: Mutex::new(Freshness::new(bounds)),
+            peers: Mutex::new(HashMap::new()),
+            gateways: Mutex::new(HashMap::new()),
+            engines_by_domain: Mutex::new(BTreeMap::new()),
+            leaving: Mutex::new(BTreeSet::new()),
+            probes: Mutex::new(ProbeTable::default()),
+            assignments: Mutex::new(BTreeMap::new()),
+            placements: Mutex::new((Placements::default(), Revision(0))),
+        }
+    }
+
+    pub(crate) fn configuration(&self) -> Arc<Configuration> {
+        Arc::clone(&lock(&self.configuration).0)
+    }
+
+    pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        lock(&self.freshness)
+    }
+
+    /// Returns the configuration in force, for peers to fetch.
+    pub(crate) fn configuration_document(&self) -> Option<ConfigurationDocument> {
+        let held = lock(&self.configuration);
+        let revision = lock(&self.freshness).in_force();
+        (revision > Revision(0))
+            .then(|| ConfigurationDocument { revision, text: held.1.as_ref().to_owned() })
+    }
+
+    /// Puts a configuration in force unless a newer one already is.
+    pub(crate) fn apply(&self, revision: Revision, configuration: Configuration, text: &str) {
+        let mut held = lock(&self.configuration);
+        let mut freshness = lock(&self.freshness);
+        if revision <= freshness.in_force() {
+            return;
+        }
+        *held = (Arc::new(configuration), Arc::from(text));
+        freshness.applied(revision);
+        log::info!("configuration revision {revision} is in force");
+    }
+
+    /// Returns the coordinators that answered a poll recently, this one included.
+    pub(crate) fn live_coordinators(&self) -> Vec<VmId> {
+        let now = self.clock.now();
+        let age_max = Duration::from_millis(self.settings.proof_ms);
+        let peers = lock(&self.peers);
+        let live = peers.iter().filter(|(_, it)| now.duration_since(it.asked_at) < age_max);
+        let mut live: Vec<VmId> = live.map(|(vm, _)| vm.clone()).collect();
+        live.push(self.settings.vm.clone());
+        live.sort_unstable();
+        live.dedup();
+        live
+    }
+
+    /// Returns the coordinators to poll or to fetch from.
+    pub(crate) fn coordinator_addresses(&self) -> Vec<SocketAddr> {
+        let mut addresses = self.settings.coordinators.clone();
+        let configuration = self.configuration();
+        addresses.extend(configuration.entry_vms.iter().map(|it| it.coordinator));
+        addresses.retain(|it| *it != self.settings.listen);
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// How long an answer to a probe counts.
+    pub(crate) fn probe_ttl(&self) -> Duration {
+        Duration::from_millis(self.settings.proof_ms)
+    }
+
+    /// How long a member with work may make no progress.
+    pub(crate) fn stall_limit(&self) -> Duration {
+        Duration::from_millis(self.settings.stall_ms)
+    }
+}
+
+/// Locks a mutex; each value is whole after every statement that changes it.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -0,0 +1,113 @@
+//! What the gateway asks coordinators and what it learns from them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_operator::check_configuration;
+use peer_entry::CustomerUsage;
+use peer_entry::PeerKey;
+use peer_entry::Poll;
+use peer_entry::PollReply;
+use peer_entry::PollerHandler;
+use peer_entry::ProcessRole;
+use peer_entry::fetch_configuration;
+
+use crate::state::GatewayState;
+use crate::state::lock;
+
+/// Age after which an expired proof is forgotten.
+const EXPIRED_KEPT: Duration = Duration::from_secs(60);
+
+/// What the gateway asks coordinators and what it learns from them.
+pub(crate) struct GatewayPeers {
+    state: Arc<GatewayState>,
+    fetching: Arc<AtomicBool>,
+}
+
+impl GatewayPeers {
+    pub(crate) fn new(state: Arc<GatewayState>) -> Self {
+        Self { state, fetching: Arc::new(AtomicBool::new(false)) }
+    }
+
+    /// Fetches the configuration from a coordinator that holds a newer one.
+    fn fetch(&self, from: SocketAddr) {
+        if self.fetching.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        let (state, fetching) = (Arc::clone(&self.state), Arc::clone(&self.fetching));
+        thread::spawn(move || {
+            if let Err(message) = fetch_and_apply(&state, from) {
+                log::warn!("configuration was not taken from {from}: {message}");
+            }
+            fetching.store(false, Ordering::SeqCst);
+        });
+    }
+}
+
+fn fetch_and_apply(state: &GatewayState, from: SocketAddr) -> Result<(), String> {
+    let key: PeerKey = state.settings.peer_secret.parse()?;
+    let document = fetch_configuration(from, &key).map_err(|it| it.to_string())?;
+    let configuration = serde_json::from_str(&document.text).map_err(|it| it.to_string())?;
+    check_configuration(&configuration).map_err(|it| it.to_string())?;
+    state.apply(document.revision, configuration);
+    Ok(())
+}
+
+impl PollerHandler for GatewayPeers {
+    fn targets(&self) -> Vec<SocketAddr> {
+        let mut targets = self.state.settings.coordinators.clone();
+        let configuration = self.state.configuration();
+        targets.extend(configuration.entry_vms.iter().map(|it| it.coordinator));
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+    }
+
+    fn poll(&self) -> Poll {
+        let usage = self.state.in_flight_by_customer().into_iter();
+        Poll {
+            nonce: 0,
+            vm: self.state.settings.vm.clone(),
+            role: ProcessRole::Gateway,
+            process_id: self.state.process_id,
+            revision: self.state.freshness().in_force(),
+            serving: !self.state.stopping.load(Ordering::SeqCst),
+            usage: usage
+                .map(|(customer, in_flight)| CustomerUsage {
+                    customer,
+                    in_flight,
+                    demand_per_second: 0,
+                })
+                .collect(),
+        }
+    }
+
+    fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply) {
+        let behind = {
+            let mut freshness = self.state.freshness();
+            let store_age = reply.store_age_ms.map(|it| Duration::from_millis(it.into()));
+            freshness.peer_said(&reply.vm, reply.revision, store_age, asked_at);
+            reply.revision > freshness.in_force()
+        };
+        if behind {
+            self.fetch(from);
+        }
+        let mut proofs = lock(&self.state.proofs);
+        for proof in &reply.proofs {
+            proofs.record(proof, asked_at);
+        }
+        proofs.forget_expired(self.state.clock.now(), EXPIRED_KEPT);
+        drop(proofs);
+        let mut leaving = lock(&self.state.leaving);
+        for vm in reply.leaving {
+            if !leaving.contains(&vm) {
+                leaving.push(vm);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bins/mangocross-gateway/src/state.rs
@@ -0,0 +1,152 @@
+//! What the gateway's threads share.
+
+use std::collections::HashMap;
+use std::fmt::Debug;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use mangocross_coordination::Freshness;
+use mangocross_coordination::FreshnessBounds;
+use mangocross_coordination::Permit;
+use mangocross_coordination::ProofTable;
+use mangocross_settings::GatewaySettings;
+use mangocross_types::Clock;
+use mangocross_types::Configuration;
+use mangocross_types::CustomerId;
+use mangocross_types::GroupId;
+use mangocross_types::Refusal;
+use mangocross_types::ResultCode;
+use mangocross_types::Revision;
+use mangocross_types::VmId;
+use peer_engine::EngineClient;
+use peer_service::ServiceClient;
+use peer_store::HttpStore;
+use peer_store::Store;
+
+/// When to come back after a refusal because the configuration may be old.
+const FRESHNESS_RETRY: Duration = Duration::from_secs(2);
+
+/// What the gateway's threads share.
+#[derive(Debug)]
+pub(crate) struct GatewayState {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) process_id: u64,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) engines: EngineClient,
+    pub(crate) services: ServiceClient,
+    pub(crate) stopping: AtomicBool,
+    configuration: Mutex<Arc<Configuration>>,
+    freshness: Mutex<Freshness>,
+    pub(crate) proofs: Mutex<ProofTable>,
+    pub(crate) leaving: Mutex<Vec<VmId>>,
+    in_flight_by_group: Mutex<HashMap<GroupId, u32>>,
+    in_flight_by_customer: Mutex<HashMap<CustomerId, u32>>,
+}
+
+impl GatewayState {
+    pub(crate) fn open(settings: GatewaySettings, clock: Arc<dyn Clock>) -> Result<Self, String> {
+        let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
+        Ok(Self {
+            store: Arc::new(HttpStore::open(settings.store)),
+            settings,
+            clock,
+            process_id: fastrand::u64(..),
+            engines: EngineClient::open(),
+            services: ServiceClient::open(),
+            stopping: AtomicBool::new(false),
+            configuration: Mutex::new(Arc::new(Configuration::default())),
+            freshness: Mutex::new(Freshness::new(bounds)),
+            proofs: Mutex::new(ProofTable::default()),
+            leaving: Mutex::new(Vec::new()),
+            in_flight_by_group: Mutex::new(HashMap::new()),
+            in_flight_by_customer: Mutex::new(HashMap::new()),
+        })
+    }
+
+    pub(crate) fn configuration(&self) -> Arc<Configuration> {
+        Arc::clone(&lock(&self.configuration))
+    }
+
+    pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        lock(&self.freshness)
+    }
+
+    /// Puts a configuration in force unless a newer one already is.
+    pub(crate) fn apply(&self, revision: Revision, configuration: Configuration) {
+        let mut held = lock(&self.configuration);
+        let mut freshness = lock(&self.freshness);
+        if revision <= freshness.in_force() {
+            return;
+        }
+        *held = Arc::new(configuration);
+        freshness.applied(revision);
+        log::info!("configuration revision {revision} is in force");
+    }
+
+    /// Returns why no request may be served now, if so.
+    pub(crate) fn refusal(&self) -> Option<Refusal> {
+        let entry_vms: Vec<VmId> =
+            self.configuration().entry_vms.iter().map(|it| it.vm.clone()).collect();
+        let text = match lock(&self.freshness).permit(&entry_vms, self.clock.now()) {
+            Permit::Serve { .. } => return None,
+            Permit::Behind { newest } => format!("configuration {newest} is not in force here yet"),
+            Permit::Alone { vouching, needed } => format!(
+                "neither the store nor enough entry VMs ({vouching} of {needed}) vouch for the configuration"
+            ),
+        };
+        Some(Refusal::not_run(ResultCode::NotFresh, text).retry_after(FRESHNESS_RETRY))
+    }
+
+    pub(crate) fn in_flight_at(&self, group: &GroupId) -> u32 {
+        lock(&self.in_flight_by_group).get(group).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn in_flight_by_customer(&self) -> HashMap<CustomerId, u32> {
+        lock(&self.in_flight_by_customer).clone()
+    }
+
+    /// Counts a request at a group until the guard is dropped.
+    pub(crate) fn enter_group<'a>(&'a self, group: &GroupId) -> Counted<'a, GroupId> {
+        Counted::new(&self.in_flight_by_group, group.clone())
+    }
+
+    /// Counts a request of a customer until the guard is dropped.
+    pub(crate) fn enter_customer<'a>(&'a self, customer: &CustomerId) -> Counted<'a, CustomerId> {
+        Counted::new(&self.in_flight_by_customer, customer.clone())
+    }
+}
+
+/// Counts one request under a key until dropped.
+pub(crate) struct Counted<'a, K: std::hash::Hash + Eq> {
+    counts: &'a Mutex<HashMap<K, u32>>,
+    key: K,
+}
+
+impl<'a, K: std::hash::Hash + Eq + Clone> Counted<'a, K> {
+    fn new(counts: &'a Mutex<HashMap<K, u32>>, key: K) -> Self {
+        *lock(counts).entry(key.clone()).or_default() += 1;
+        Self { counts, key }
+    }
+}
+
+impl<K: std::hash::Hash + Eq> Drop for Counted<'_, K> {
+    fn drop(&mut self) {
+        let mut counts = lock(self.counts);
+        if let Some(count) = counts.get_mut(&self.key) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.key);
+            }
+        }
+    }
+}
+
+/// Locks a mutex; each value is whole after every statement that changes it.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/mangocross-http/src/lib.rs
+++ b/crates/mangocross-http/src/lib.rs
@@ -1,14 +1,19 @@
-//! HTTP client calls that know whether any byte of a request was sent.
+//! HTTP plumbing: a client that knows whether it sent anything, and a server
+//! with bounded bodies, times and concurrency.
 //!
-//! Each call opens a connection of its own and never sends twice: no pool, no
-//! redirects, no retries. A stale or half-dead connection therefore cannot
-//! answer for another request, and a failed call says truthfully whether the
-//! server can have received anything.
+//! Each client call opens a connection of its own and never sends twice: no
+//! pool, no redirects, no retries. A stale or half-dead connection therefore
+//! cannot answer for another request, and a failed call says truthfully whether
+//! the server can have received anything.
 
 mod answer;
 mod call;
 mod client;
 mod error;
+mod event_stream;
+mod limits;
+mod request;
+mod server;
 mod timeouts;
 mod tracker;
 
@@ -18,4 +23,9 @@
 pub use client::HttpClient;
 pub use error::CallError;
 pub use error::CallErrorKind;
+pub use event_stream::BodyStream;
+pub use limits::ServerLimits;
+pub use request::BodyError;
+pub use request::ServerRequest;
+pub use server::HttpServer;
 pub use timeouts::HttpTimeouts;
--- /dev/null
+++ b/crates/mangocross-http/tests/server.rs
@@ -0,0 +1,95 @@
+//! The server bounds what a caller can hold.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use mangocross_http::HttpCall;
+use mangocross_http::HttpClient;
+use mangocross_http::HttpMethod;
+use mangocross_http::HttpServer;
+use mangocross_http::ServerLimits;
+use mangocross_http::ServerRequest;
+
+fn echo(mut request: ServerRequest) {
+    match request.read_body() {
+        Ok(body) => request.respond(200, &[("x-path", "echo")], body),
+        Err(error) => request.respond(413, &[], error.to_string().into_bytes()),
+    }
+}
+
+fn serve(limits: ServerLimits) -> HttpServer {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    HttpServer::bind(address, limits, echo, |it| it.respond(503, &[], Vec::new())).unwrap()
+}
+
+#[test]
+fn whole_answer_comes_back() {
+    let server = serve(ServerLimits::default());
+    let call = HttpCall::new(HttpMethod::Post, server.address(), "/x").body(b"hello".to_vec());
+    let answer = HttpClient::open().call(call).unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.header("x-path"), Some("echo"));
+    assert_eq!(answer.read_all(100).unwrap(), b"hello");
+}
+
+#[test]
+fn large_body_is_refused() {
+    let server = serve(ServerLimits::default().body_bytes_max(4));
+    let call = HttpCall::new(HttpMethod::Post, server.address(), "/x").body(b"hello".to_vec());
+    assert_eq!(HttpClient::open().call(call).unwrap().status(), 413);
+}
+
+#[test]
+fn slow_header_is_cut_off_and_others_are_served() {
+    let server = serve(ServerLimits::default().read_timeout(Duration::from_millis(200)));
+    let mut slow = TcpStream::connect(server.address()).unwrap();
+    slow.write_all(b"POST /x HTTP/1.1\r\nhost").unwrap();
+    slow.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let mut buf = Vec::new();
+    let closed = slow.read_to_end(&mut buf);
+    assert!(closed.is_ok(), "the connection stayed open");
+    let call = HttpCall::new(HttpMethod::Post, server.address(), "/x").body(b"hi".to_vec());
+    assert_eq!(HttpClient::open().call(call).unwrap().status(), 200);
+}
+
+#[test]
+fn idle_listener_goes_on_accepting() {
+    let server = serve(ServerLimits::default().read_timeout(Duration::from_millis(60)));
+    thread::sleep(Duration::from_millis(400));
+    let call = HttpCall::new(HttpMethod::Post, server.address(), "/x").body(b"hi".to_vec());
+    assert_eq!(HttpClient::open().call(call).unwrap().status(), 200);
+}
+
+#[test]
+fn pieces_arrive_one_by_one() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (sender, receiver) = std::sync::mpsc::channel::<()>();
+    let receiver = std::sync::Mutex::new(receiver);
+    let stream = move |request: ServerRequest| {
+        let mut stream = request.respond_stream(200, &[]).unwrap();
+        stream.write_piece(b"one").unwrap();
+        receiver.lock().unwrap().recv().unwrap();
+        stream.write_piece(b"two").unwrap();
+        stream.finish().unwrap();
+    };
+    let refuse = |it: ServerRequest| it.respond(503, &[], Vec::new());
+    let server = HttpServer::bind(address, ServerLimits::default(), stream, refuse).unwrap();
+    let call = HttpCall::new(HttpMethod::Get, server.address(), "/");
+    let mut answer = HttpClient::open().call(call).unwrap();
+    let mut first = [0; 3];
+    answer.read_exact(&mut first).unwrap();
+    assert_eq!(&first, b"one");
+    sender.send(()).unwrap();
+    assert_eq!(answer.read_all(100).unwrap(), b"two");
+}
+
+#[test]
+fn too_many_requests_are_refused_at_once() {
+    let server = serve(ServerLimits::default().in_flight_max(0));
+    let call = HttpCall::new(HttpMethod::Get, server.address(), "/x");
+    assert_eq!(HttpClient::open().call(call).unwrap().status(), 503);
+}
--- /dev/null
+++ b/crates/mangocross-operator/src/check.rs
@@ -0,0 +1,64 @@
+//! Checks a configuration before it is accepted and before it is loaded.
+
+use std::collections::HashSet;
+use std::fmt::Display;
+use std::hash::Hash;
+
+use mangocross_types::Configuration;
+use mangocross_types::KindTarget;
+use mangocross_types::ResultCode;
+
+use crate::CommandError;
+
+/// Checks a configuration.
+///
+/// # Errors
+///
+/// Names the first thing found that is not valid.
+pub fn check_configuration(configuration: &Configuration) -> Result<(), CommandError> {
+    unique("group", configuration.groups.iter().map(|it| &it.id))?;
+    unique("customer", configuration.customers.iter().map(|it| &it.id))?;
+    unique("request kind", configuration.kinds.iter().map(|it| &it.id))?;
+    unique("service", configuration.services.iter().map(|it| &it.id))?;
+    unique("entry VM", configuration.entry_vms.iter().map(|it| &it.vm))?;
+    for group in &configuration.groups {
+        if group.size.0 == 0 {
+            return Err(invalid(format!("group {} has no members; name at least one", group.id)));
+        }
+    }
+    for kind in &configuration.kinds {
+        if let KindTarget::Service(service) = &kind.target
+            && configuration.service(service).is_none()
+        {
+            let text =
+                format!("request kind {} goes to service {service}, which is not there", kind.id);
+            return Err(invalid(text));
+        }
+        if kind.deadline_ms == 0 {
+            return Err(invalid(format!("request kind {} has a deadline of 0 ms", kind.id)));
+        }
+    }
+    let policy = &configuration.policy;
+    let weights = [policy.group_downtime, policy.stranded_accelerator];
+    if weights.iter().any(|it| !it.is_finite() || *it < 0.0) {
+        return Err(invalid("a policy weight is negative or not a number".into()));
+    }
+    Ok(())
+}
+
+fn unique<'a, T: Display + Eq + Hash + 'a>(
+    what: &str,
+    ids: impl Iterator<Item = &'a T>,
+) -> Result<(), CommandError> {
+    let mut seen = HashSet::new();
+    for id in ids {
+        if !seen.insert(id) {
+            return Err(invalid(format!("{what} {id} is there twice")));
+        }
+    }
+    Ok(())
+}
+
+fn invalid(message: String) -> CommandError {
+    CommandError { code: ResultCode::ConfigurationInvalid, message }
+}
--- /dev/null
+++ b/crates/mangocross-operator/src/wire.rs
@@ -0,0 +1,70 @@
+//! What operators send and receive.
+
+use mangocross_types::CommandId;
+use mangocross_types::Configuration;
+use mangocross_types::ResultCode;
+use mangocross_types::Revision;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A line of the language, or a whole configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorRequest {
+    /// Id of the command; a repeated id has no second effect.
+    pub command_id: CommandId,
+    /// The line; `replace config` goes with `configuration`.
+    pub text: String,
+    /// A whole configuration to put in place.
+    #[serde(default)]
+    pub configuration: Option<Configuration>,
+    /// The revision that the operator read; `None` for the newest.
+    #[serde(default)]
+    pub based_on: Option<Revision>,
+    /// Whether only to check.
+    #[serde(default)]
+    pub dry_run: bool,
+}
+
+/// What a command or query came to.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OperatorAnswer {
+    /// Result code of a failure, or `NotYetInForce`.
+    pub code: Option<ResultCode>,
+    /// Revision of the configuration that the answer is about.
+    pub revision: Revision,
+    /// One sentence.
+    pub message: String,
+    /// Column names of the table.
+    pub columns: Vec<String>,
+    /// Rows of the table.
+    pub rows: Vec<Vec<String>>,
+}
+
+impl OperatorAnswer {
+    /// Returns an answer without a table.
+    pub fn message(revision: Revision, message: impl Into<String>) -> Self {
+        Self {
+            code: None,
+            revision,
+            message: message.into(),
+            columns: Vec::new(),
+            rows: Vec::new(),
+        }
+    }
+
+    /// Sets the result code.
+    #[must_use]
+    pub fn code(mut self, code: ResultCode) -> Self {
+        self.code = Some(code);
+        self
+    }
+
+    /// Sets the table.
+    #[must_use]
+    pub fn table(mut self, columns: &[&str], rows: Vec<Vec<String>>) -> Self {
+        self.columns = columns.iter().map(|it| (*it).to_owned()).collect();
+        self.rows = rows;
+        self
+    }
+}
--- /dev/null
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -0,0 +1,94 @@
+//! Settings of the coordinator.
+
+use std::net::SocketAddr;
+
+use mangocross_types::AvailabilityZone;
+use mangocross_types::VmId;
+use serde::Deserialize;
+
+use crate::Settings;
+
+/// Settings of the coordinator.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CoordinatorSettings {
+    /// This entry VM.
+    pub vm: VmId,
+    /// Availability zone of this entry VM.
+    pub availability_zone: AvailabilityZone,
+    /// UDP and TCP address for gateways and other coordinators.
+    pub listen: SocketAddr,
+    /// UDP address that polls are sent from.
+    pub poll_from: SocketAddr,
+    /// Address for operators.
+    pub operator_listen: SocketAddr,
+    /// Coordinators to start with; the configuration names all of them.
+    pub coordinators: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Secret that the entry VMs share; frames with another one are dropped.
+    pub peer_secret: String,
+    /// Time between polls in milliseconds.
+    #[serde(default = "poll_interval_ms")]
+    pub poll_interval_ms: u64,
+    /// How long a vouch for the configuration counts, in milliseconds.
+    #[serde(default = "vouch_ms")]
+    pub vouch_ms: u64,
+    /// Time between probes of an engine in milliseconds.
+    #[serde(default = "probe_interval_ms")]
+    pub probe_interval_ms: u64,
+    /// Longest wait for an engine's answer to a probe, in milliseconds.
+    #[serde(default = "probe_timeout_ms")]
+    pub probe_timeout_ms: u64,
+    /// How long an answer to a probe counts, in milliseconds.
+    #[serde(default = "proof_ms")]
+    pub proof_ms: u64,
+    /// How long a member with work may make no progress, in milliseconds.
+    #[serde(default = "stall_ms")]
+    pub stall_ms: u64,
+    /// Longest time that an order can be under way, in milliseconds.
+    #[serde(default = "order_deadline_ms")]
+    pub order_deadline_ms: u64,
+}
+
+fn poll_interval_ms() -> u64 {
+    300
+}
+
+fn vouch_ms() -> u64 {
+    6_000
+}
+
+fn probe_interval_ms() -> u64 {
+    500
+}
+
+fn probe_timeout_ms() -> u64 {
+    800
+}
+
+fn proof_ms() -> u64 {
+    2_000
+}
+
+fn stall_ms() -> u64 {
+    3_000
+}
+
+fn order_deadline_ms() -> u64 {
+    2_000
+}
+
+impl Settings for CoordinatorSettings {
+    fn check(&self) -> Result<(), String> {
+        if self.probe_interval_ms == 0 || self.poll_interval_ms == 0 {
+            return Err("an interval is 0; use a positive number".into());
+        }
+        if self.proof_ms < self.probe_interval_ms + self.probe_timeout_ms {
+            return Err("`proof_ms` is less than a probe's interval and timeout; raise it".into());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/mangocross-settings/src/gateway.rs
@@ -0,0 +1,93 @@
+//! Settings of the gateway.
+
+use std::net::SocketAddr;
+
+use mangocross_types::AvailabilityZone;
+use mangocross_types::VmId;
+use serde::Deserialize;
+
+use crate::Settings;
+
+/// Settings of the gateway.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// This entry VM.
+    pub vm: VmId,
+    /// Availability zone of this entry VM.
+    pub availability_zone: AvailabilityZone,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// UDP address that polls are sent from.
+    pub poll_from: SocketAddr,
+    /// Coordinators to start with; the configuration names all of them.
+    pub coordinators: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Secret that the entry VMs share; frames with another one are dropped.
+    pub peer_secret: String,
+    /// Time between polls in milliseconds.
+    #[serde(default = "poll_interval_ms")]
+    pub poll_interval_ms: u64,
+    /// How long a vouch for the configuration counts, in milliseconds.
+    #[serde(default = "vouch_ms")]
+    pub vouch_ms: u64,
+    /// Longest wait for the first token in milliseconds.
+    #[serde(default = "first_token_ms")]
+    pub first_token_ms: u64,
+    /// Longest wait between tokens in milliseconds.
+    #[serde(default = "token_gap_ms")]
+    pub token_gap_ms: u64,
+    /// Largest request body in bytes.
+    #[serde(default = "body_bytes_max")]
+    pub body_bytes_max: usize,
+    /// Most requests handled at once.
+    #[serde(default = "in_flight_max")]
+    pub in_flight_max: usize,
+    /// Longest time for requests in flight to finish at a planned stop, in milliseconds.
+    #[serde(default = "stop_ms")]
+    pub stop_ms: u64,
+}
+
+fn poll_interval_ms() -> u64 {
+    300
+}
+
+fn vouch_ms() -> u64 {
+    6_000
+}
+
+fn first_token_ms() -> u64 {
+    5_000
+}
+
+fn token_gap_ms() -> u64 {
+    2_000
+}
+
+fn body_bytes_max() -> usize {
+    1024 * 1024
+}
+
+fn in_flight_max() -> usize {
+    1024
+}
+
+fn stop_ms() -> u64 {
+    300_000
+}
+
+impl Settings for GatewaySettings {
+    fn check(&self) -> Result<(), String> {
+        if self.coordinators.is_empty() {
+            return Err("`coordinators` is empty; name at least one address".into());
+        }
+        if self.poll_interval_ms == 0 {
+            return Err("`poll_interval_ms` is 0; use a positive number".into());
+        }
+        if self.vouch_ms < 3 * self.poll_interval_ms {
+            return Err("`vouch_ms` is less than three poll intervals; raise it".into());
+        }
+        Ok(())
+    }
+}
--- a/crates/mangocross-settings/src/lib.rs
+++ b/crates/mangocross-settings/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Settings files: JSON with comments, checked before use.
+
+mod coordinator;
+mod error;
+mod gateway;
+mod load;
+
+pub use coordinator::CoordinatorSettings;
+pub use error::SettingsError;
+pub use gateway::GatewaySettings;
+pub use load::Settings;
+pub use load::load;
+pub use load::parse;
--- /dev/null
+++ b/crates/mangocross-settings/src/load.rs
@@ -0,0 +1,82 @@
+//! Reads and checks a settings file.
+
+use std::fs;
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+
+use crate::SettingsError;
+
+/// Edits between an unknown key and a known one that still make a suggestion.
+const SUGGESTION_DISTANCE_MAX: usize = 4;
+
+/// Settings that can check themselves.
+pub trait Settings: DeserializeOwned {
+    /// Returns what is wrong with the values taken together, if anything.
+    fn check(&self) -> Result<(), String>;
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Names the file, the line and what to do.
+pub fn load<T: Settings>(path: &Path) -> Result<T, SettingsError> {
+    let file = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|it| SettingsError {
+        file: file.clone(),
+        line: None,
+        message: format!("cannot be read: {it}"),
+    })?;
+    parse(&file, &text)
+}
+
+/// Checks settings given as text.
+///
+/// # Errors
+///
+/// Names the file, the line and what to do.
+pub fn parse<T: Settings>(file: &str, text: &str) -> Result<T, SettingsError> {
+    let settings: T = json5::from_str(text).map_err(|it| from_json(file, text, &it))?;
+    settings.check().map_err(|message| SettingsError {
+        file: file.to_owned(),
+        line: None,
+        message,
+    })?;
+    Ok(settings)
+}
+
+fn from_json(file: &str, text: &str, error: &json5::Error) -> SettingsError {
+    let mut message = error.to_string();
+    let mut line = error.position().map(|it| it.line + 1);
+    if let Some((unknown, known)) = unknown_field(&message) {
+        line = line_of_key(text, &unknown).or(line);
+        if let Some(near) = nearest(&unknown, &known) {
+            message = format!("unknown key `{unknown}`; did you mean `{near}`?");
+        }
+    }
+    SettingsError { file: file.to_owned(), line, message }
+}
+
+/// Takes the names out of serde's message on an unknown field.
+fn unknown_field(message: &str) -> Option<(String, Vec<String>)> {
+    message.starts_with("unknown field").then_some(())?;
+    let mut names = message.split('`').skip(1).step_by(2).map(str::to_owned);
+    let unknown = names.next()?;
+    Some((unknown, names.collect()))
+}
+
+fn line_of_key(text: &str, key: &str) -> Option<usize> {
+    let quoted = format!("\"{key}\"");
+    let found = text.lines().position(|it| {
+        let code = it.split("//").next().unwrap_or_default().trim_start();
+        code.contains(&quoted) || code.starts_with(key)
+    });
+    found.map(|it| it + 1)
+}
+
+fn nearest(unknown: &str, known: &[String]) -> Option<String> {
+    let distance = |it: &&String| strsim::levenshtein(unknown, it);
+    let near = known.iter().min_by_key(distance)?;
+    (strsim::levenshtein(unknown, near) <= SUGGESTION_DISTANCE_MAX).then(|| near.clone())
+}
--- /dev/null
+++ b/crates/mangocross-telemetry/src/logs.rs
@@ -0,0 +1,69 @@
+//! Logs as JSON lines on standard error.
+
+use std::fmt;
+use std::io;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use log::LevelFilter;
+use log::kv::Error;
+use log::kv::Key;
+use log::kv::Value;
+use log::kv::VisitSource;
+use serde_json::Map;
+
+/// The log level is not known, or logs were started before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogLevelError(String);
+
+impl fmt::Display for LogLevelError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "logs cannot be started: {}; use error, warn, info, debug or trace", self.0)
+    }
+}
+
+impl std::error::Error for LogLevelError {}
+
+/// Starts logging at a level; each line is a JSON object with the process and VM.
+///
+/// # Errors
+///
+/// Fails if the level is not known or logging was started before.
+pub fn init_logs(level: &str, process: &'static str, vm: &str) -> Result<(), LogLevelError> {
+    let level: LevelFilter = level.parse().map_err(|_| LogLevelError(level.to_owned()))?;
+    let vm = vm.to_owned();
+    fern::Dispatch::new()
+        .level(level)
+        .level_for("ureq", LevelFilter::Warn)
+        .level_for("ureq_proto", LevelFilter::Warn)
+        .level_for("tiny_http", LevelFilter::Warn)
+        .format(move |out, message, record| {
+            let mut line = Map::new();
+            line.insert("time_unix_ms".into(), unix_ms().into());
+            line.insert("level".into(), record.level().as_str().to_lowercase().into());
+            line.insert("process".into(), process.into());
+            line.insert("vm".into(), vm.as_str().into());
+            line.insert("target".into(), record.target().into());
+            line.insert("message".into(), message.to_string().into());
+            let _ = record.key_values().visit(&mut Fields(&mut line));
+            out.finish(format_args!("{}", serde_json::Value::Object(line)));
+        })
+        .chain(io::stderr())
+        .apply()
+        .map_err(|it| LogLevelError(it.to_string()))
+}
+
+/// Adds a record's key-value pairs to its line.
+struct Fields<'a>(&'a mut Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.0.insert(key.to_string(), value.to_string().into());
+        Ok(())
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/mangocross-types/src/report.rs
+++ b/crates/mangocross-types/src/report.rs
@@ -27,6 +27,16 @@
     Leaving,
 }
 
+/// What a loaded engine does with new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineRole {
+    /// Takes new requests.
+    Serving,
+    /// Refuses new requests as not run and finishes those it has.
+    Draining,
+}
+
 /// A model engine's own word about itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendReport {
@@ -40,6 +50,8 @@
     pub incarnation: Incarnation,
     /// Rank in that group.
     pub rank: Rank,
+    /// What the engine does with new requests.
+    pub role: EngineRole,
     /// Loaded model version, if any.
     pub model_version: Option<ModelVersion>,
     /// Versions whose weights are on the VM, loaded or not.
@@ -75,6 +87,15 @@
         /// The version to load.
         model_version: ModelVersion,
     },
+    /// Take or refuse new requests, if still in this incarnation.
+    ChangeRole {
+        /// The group.
+        group: GroupId,
+        /// Incarnation that is meant; another one stays as it is.
+        incarnation: Incarnation,
+        /// What to do with new requests.
+        role: EngineRole,
+    },
     /// Leave the group and drop its work, if still in this incarnation.
     Unload {
         /// The group to leave.
--- /dev/null
+++ b/peers/peer-caller/src/event_stream.rs
@@ -0,0 +1,58 @@
+//! Server-sent events.
+
+use std::io;
+
+use mangocross_http::BodyStream;
+use mangocross_http::ServerRequest;
+use mangocross_types::Refusal;
+use mangocross_types::RequestId;
+
+use crate::RefusalBody;
+
+/// An answer as server-sent events.
+pub struct EventStream {
+    body: BodyStream,
+}
+
+impl EventStream {
+    /// Starts the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller is gone.
+    pub fn open(request: ServerRequest, headers: &[(&str, &str)]) -> io::Result<Self> {
+        let mut all = vec![("content-type", "text/event-stream"), ("cache-control", "no-cache")];
+        all.extend_from_slice(headers);
+        Ok(Self { body: request.respond_stream(200, &all)? })
+    }
+
+    /// Sends one event.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller is gone or does not read.
+    pub fn send(&mut self, data: &str) -> io::Result<()> {
+        self.body.write_piece(format!("data: {data}\n\n").as_bytes())
+    }
+
+    /// Sends the end marker: the answer is whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller is gone.
+    pub fn finish(mut self) -> io::Result<()> {
+        self.send("[DONE]")?;
+        self.body.finish()
+    }
+
+    /// Ends the answer with an error: it is not whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller is gone.
+    pub fn fail(mut self, refusal: &Refusal, request_id: &RequestId) -> io::Result<()> {
+        let body = RefusalBody::new(refusal, Some(request_id)).to_json();
+        self.body.write_piece(format!("event: error\ndata: {body}\n\n").as_bytes())?;
+        self.body.finish()
+    }
+}
--- /dev/null
+++ b/peers/peer-engine/src/client.rs
@@ -0,0 +1,129 @@
+//! The client.
+
+use std::net::SocketAddr;
+
+use mangocross_http::HttpAnswer;
+use mangocross_http::HttpCall;
+use mangocross_http::HttpClient;
+use mangocross_http::HttpMethod;
+use mangocross_http::HttpTimeouts;
+use mangocross_types::AttemptId;
+use mangocross_types::BackendReport;
+use mangocross_types::Order;
+use mangocross_types::OrderAnswer;
+use mangocross_types::RunOutcome;
+use serde::Serialize;
+
+use crate::EngineError;
+use crate::EngineErrorKind;
+use crate::GenerateRequest;
+use crate::GenerateStream;
+
+/// Largest answer but a generated one, in bytes.
+const ANSWER_BYTES_MAX: usize = 64 * 1024;
+
+/// Client of model engines.
+#[derive(Debug, Clone)]
+pub struct EngineClient {
+    client: HttpClient,
+}
+
+#[derive(Debug, Serialize)]
+struct CancelBody<'a> {
+    attempt_id: &'a AttemptId,
+}
+
+impl EngineClient {
+    /// Returns a client.
+    pub fn open() -> Self {
+        Self { client: HttpClient::open() }
+    }
+
+    /// Asks an engine for its report.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine does not answer in time or not with a report.
+    pub fn report(
+        &self,
+        address: SocketAddr,
+        timeouts: HttpTimeouts,
+    ) -> Result<BackendReport, EngineError> {
+        let call = HttpCall::new(HttpMethod::Get, address, "/v1/report").timeouts(timeouts);
+        let answer = self.call(call)?;
+        match answer.status() {
+            200 => read(answer),
+            status => Err(refused(status, RunOutcome::Unknown)),
+        }
+    }
+
+    /// Gives an engine an order.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine does not answer in time; the order may then still be carried out.
+    pub fn order(
+        &self,
+        address: SocketAddr,
+        order: &Order,
+        timeouts: HttpTimeouts,
+    ) -> Result<OrderAnswer, EngineError> {
+        let call = HttpCall::new(HttpMethod::Post, address, "/v1/orders").json(order);
+        let answer = self.call(call.timeouts(timeouts))?;
+        match answer.status() {
+            200 | 409 | 410 => read(answer),
+            status => Err(refused(status, RunOutcome::Unknown)),
+        }
+    }
+
+    /// Asks rank zero of a group to generate an answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine cannot be reached, refuses or falls silent before its first
+    /// line. Only a refusal in the engine's own words, or a connection that was never
+    /// used, is [`RunOutcome::NotRun`].
+    pub fn generate(
+        &self,
+        address: SocketAddr,
+        request: &GenerateRequest,
+        timeouts: HttpTimeouts,
+    ) -> Result<GenerateStream, EngineError> {
+        let call = HttpCall::new(HttpMethod::Post, address, "/v1/generate").json(request);
+        let answer = self.call(call.timeouts(timeouts))?;
+        let said_not_run = answer.header("x-run-outcome") == Some(RunOutcome::NotRun.as_str());
+        match answer.status() {
+            200 => Ok(GenerateStream::new(answer, request.attempt_id.clone(), request.resume_from)),
+            status if said_not_run => Err(refused(status, RunOutcome::NotRun)),
+            status => Err(refused(status, RunOutcome::Unknown)),
+        }
+    }
+
+    /// Tells an engine to stop an attempt; the answer does not matter.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine does not answer in time.
+    pub fn cancel(
+        &self,
+        address: SocketAddr,
+        attempt_id: &AttemptId,
+        timeouts: HttpTimeouts,
+    ) -> Result<(), EngineError> {
+        let body = CancelBody { attempt_id };
+        let call = HttpCall::new(HttpMethod::Post, address, "/v1/cancel").json(&body);
+        self.call(call.timeouts(timeouts)).map(drop)
+    }
+
+    fn call(&self, call: HttpCall) -> Result<HttpAnswer, EngineError> {
+        self.client.call(call).map_err(|it| EngineError::from_call(&it))
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(answer: HttpAnswer) -> Result<T, EngineError> {
+    answer.read_json(ANSWER_BYTES_MAX).map_err(|it| EngineError::from_call(&it))
+}
+
+fn refused(status: u16, outcome: RunOutcome) -> EngineError {
+    EngineError::new(EngineErrorKind::Refused, outcome, format!("status {status}"))
+}
--- /dev/null
+++ b/peers/peer-engine/src/error.rs
@@ -0,0 +1,63 @@
+//! Why a call to an engine failed.
+
+use mangocross_http::CallError;
+use mangocross_http::CallErrorKind;
+use mangocross_types::ResultCode;
+use mangocross_types::RunOutcome;
+use snafu::Snafu;
+
+/// Kind of failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineErrorKind {
+    /// The engine could not be reached.
+    Unreachable,
+    /// The engine refused before running the request.
+    Refused,
+    /// The engine fell silent.
+    Silent,
+    /// The answer broke off before its end marker.
+    Broken,
+    /// The answer belongs to another attempt, or its tokens are out of order.
+    Mismatch,
+}
+
+impl EngineErrorKind {
+    /// Returns the result code that callers see.
+    pub fn result_code(self) -> ResultCode {
+        match self {
+            Self::Unreachable => ResultCode::BackendUnreachable,
+            Self::Refused => ResultCode::BackendRefused,
+            Self::Silent => ResultCode::BackendSilent,
+            Self::Broken => ResultCode::BackendBroken,
+            Self::Mismatch => ResultCode::BackendMismatch,
+        }
+    }
+}
+
+/// A failed call to an engine.
+#[derive(Debug, Clone, Snafu)]
+#[snafu(display("engine {kind:?}: {message} (request {outcome})"))]
+pub struct EngineError {
+    /// Kind of failure.
+    pub kind: EngineErrorKind,
+    /// What is known of the call's effect.
+    pub outcome: RunOutcome,
+    /// What happened.
+    pub message: String,
+}
+
+impl EngineError {
+    pub(crate) fn new(kind: EngineErrorKind, outcome: RunOutcome, message: String) -> Self {
+        Self { kind, outcome, message }
+    }
+
+    pub(crate) fn from_call(error: &CallError) -> Self {
+        let kind = match error.kind {
+            CallErrorKind::Connect => EngineErrorKind::Unreachable,
+            CallErrorKind::Timeout => EngineErrorKind::Silent,
+            CallErrorKind::Broken => EngineErrorKind::Broken,
+            CallErrorKind::TooLarge | CallErrorKind::Malformed => EngineErrorKind::Mismatch,
+        };
+        Self::new(kind, error.outcome, error.message.clone())
+    }
+}
--- /dev/null
+++ b/peers/peer-entry/src/fetch.rs
@@ -0,0 +1,180 @@
+//! Fetches the configuration from a coordinator over TCP.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use mangocross_types::Revision;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+
+use crate::frame::PeerKey;
+
+/// Largest frame, in bytes: a store value of a megabyte with its header.
+const FRAME_BYTES_MAX: usize = 1024 * 1024 + 4096;
+/// Time to connect, and for each read and write.
+const IO_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Fetches answered at once.
+const FETCHES_MAX: usize = 64;
+
+/// A configuration with its revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationDocument {
+    /// Revision of the store's value.
+    pub revision: Revision,
+    /// The document as JSON text.
+    pub text: String,
+}
+
+/// Why a fetch failed.
+#[derive(Debug, Snafu)]
+#[snafu(display("configuration could not be fetched from {address}: {message}"))]
+pub struct FetchError {
+    /// The coordinator asked.
+    pub address: SocketAddr,
+    /// What happened.
+    pub message: String,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct FetchRequest {
+    nonce: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct FetchReply {
+    nonce: u64,
+    document: Option<ConfigurationDocument>,
+}
+
+/// Fetches the configuration that a coordinator holds.
+///
+/// # Errors
+///
+/// Fails if the coordinator does not answer in time, holds no configuration, or its frame is
+/// damaged.
+pub fn fetch_configuration(
+    address: SocketAddr,
+    key: &PeerKey,
+) -> Result<ConfigurationDocument, FetchError> {
+    let failed = |message: String| FetchError { address, message };
+    let stream =
+        TcpStream::connect_timeout(&address, IO_TIMEOUT).map_err(|it| failed(it.to_string()))?;
+    let nonce = fastrand::u64(..);
+    let reply: FetchReply = exchange(stream, key, nonce).map_err(|it| failed(it.to_string()))?;
+    if reply.nonce != nonce {
+        return Err(failed("the answer belongs to another question".into()));
+    }
+    reply.document.ok_or_else(|| failed("the coordinator holds no configuration yet".into()))
+}
+
+fn exchange(mut stream: TcpStream, key: &PeerKey, nonce: u64) -> io::Result<FetchReply> {
+    limit_times(&stream)?;
+    write_frame(&mut stream, key, &FetchRequest { nonce })?;
+    read_frame(&mut stream, key)
+}
+
+/// A running answerer of fetches.
+pub struct FetchServer {
+    address: SocketAddr,
+    closed: Arc<AtomicBool>,
+}
+
+impl FetchServer {
+    /// Binds an address and answers fetches with what `document` returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn bind(
+        address: SocketAddr,
+        key: PeerKey,
+        document: impl Fn() -> Option<ConfigurationDocument> + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let closed = Arc::new(AtomicBool::new(false));
+        let closing = Arc::clone(&closed);
+        let document = Arc::new(document);
+        thread::Builder::new().name("fetch-accept".into()).spawn(move || {
+            let running = Arc::new(AtomicUsize::new(0));
+            for stream in listener.incoming() {
+                if closing.load(Ordering::Relaxed) {
+                    return;
+                }
+                let Ok(stream) = stream else { continue };
+                if running.fetch_add(1, Ordering::Relaxed) >= FETCHES_MAX {
+                    running.fetch_sub(1, Ordering::Relaxed);
+                    continue;
+                }
+                let (key, document) = (key.clone(), Arc::clone(&document));
+                let running = Arc::clone(&running);
+                thread::spawn(move || {
+                    if let Err(error) = answer(stream, &key, document.as_ref()) {
+                        log::debug!("fetch could not be answered: {error}");
+                    }
+                    running.fetch_sub(1, Ordering::Relaxed);
+                });
+            }
+        })?;
+        Ok(Self { address, closed })
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for FetchServer {
+    fn drop(&mut self) {
+        self.closed.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect_timeout(&self.address, IO_TIMEOUT);
+    }
+}
+
+fn answer(
+    mut stream: TcpStream,
+    key: &PeerKey,
+    document: &dyn Fn() -> Option<ConfigurationDocument>,
+) -> io::Result<()> {
+    limit_times(&stream)?;
+    let request: FetchRequest = read_frame(&mut stream, key)?;
+    write_frame(&mut stream, key, &FetchReply { nonce: request.nonce, document: document() })
+}
+
+fn limit_times(stream: &TcpStream) -> io::Result<()> {
+    stream.set_read_timeout(Some(IO_TIMEOUT))?;
+    stream.set_write_timeout(Some(IO_TIMEOUT))?;
+    stream.set_nodelay(true)
+}
+
+fn write_frame<T: Serialize>(stream: &mut TcpStream, key: &PeerKey, message: &T) -> io::Result<()> {
+    let frame = key.seal(message);
+    let length = u32::try_from(frame.len()).map_err(io::Error::other)?;
+    stream.write_all(&length.to_be_bytes())?;
+    stream.write_all(&frame)
+}
+
+fn read_frame<T: DeserializeOwned>(stream: &mut TcpStream, key: &PeerKey) -> io::Result<T> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length)?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > FRAME_BYTES_MAX {
+        return Err(io::Error::other(format!("a frame of {length} bytes is too large")));
+    }
+    let mut frame = vec![0; length];
+    stream.read_exact(&mut frame)?;
+    key.open(&frame).map_err(io::Error::other)
+}
--- a/peers/peer-entry/src/lib.rs
+++ b/peers/peer-entry/src/lib.rs
@@ -1,8 +1,23 @@
 //! Messages between the processes of entry VMs: UDP polls and TCP fetches.
 
+mod fetch;
+mod frame;
 mod messages;
+mod poller;
+mod responder;
 
+pub use fetch::ConfigurationDocument;
+pub use fetch::FetchError;
+pub use fetch::FetchServer;
+pub use fetch::fetch_configuration;
+pub use frame::FrameError;
+pub use frame::PeerKey;
 pub use messages::CustomerUsage;
+pub use messages::DomainSummary;
 pub use messages::Poll;
 pub use messages::PollReply;
 pub use messages::ProcessRole;
+pub use poller::PollTiming;
+pub use poller::Poller;
+pub use poller::PollerHandler;
+pub use responder::PollResponder;
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -1,6 +1,7 @@
 //! Messages between entry VMs.
 
 use mangocross_types::CustomerId;
+use mangocross_types::FabricDomain;
 use mangocross_types::GroupProof;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
@@ -66,10 +67,24 @@
     /// Time since the answerer learned from the store that `revision` was the
     /// newest, in milliseconds; `None` if it never did.
     pub store_age_ms: Option<u32>,
-    /// Proofs from the answerer's own probes.
+    /// Proofs from the answerer's own probes; no time left means that the group is
+    /// known to be incomplete.
     pub proofs: Vec<GroupProof>,
+    /// Fabric domains that the answerer probes.
+    pub domains: Vec<DomainSummary>,
     /// VMs that must receive no new work.
     pub leaving: Vec<VmId>,
     /// Use by customer at all other gateways that poll the answerer.
     pub usage: Vec<CustomerUsage>,
 }
+
+/// Room in a fabric domain.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DomainSummary {
+    /// The fabric domain.
+    pub domain: FabricDomain,
+    /// VMs that answer probes and are in no group.
+    pub idle_vms: u16,
+    /// VMs that answer probes.
+    pub healthy_vms: u16,
+}
--- /dev/null
+++ b/peers/peer-entry/src/poller.rs
@@ -0,0 +1,172 @@
+//! Polls coordinators over UDP.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_types::Clock;
+
+use crate::Poll;
+use crate::PollReply;
+use crate::frame::PeerKey;
+
+/// Largest datagram that is received, in bytes.
+const DATAGRAM_BYTES_MAX: usize = 64 * 1024;
+/// Time after which the receiving thread looks whether it should end.
+const WAKE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How often to poll.
+#[derive(Debug, Clone, Copy)]
+pub struct PollTiming {
+    /// Time between polls of the same coordinator.
+    pub interval: Duration,
+    /// Age after which a reply is too old to count.
+    pub reply_age_max: Duration,
+}
+
+/// What a process does with polls and replies.
+pub trait PollerHandler: Send + Sync + 'static {
+    /// Returns the coordinators to poll now.
+    fn targets(&self) -> Vec<SocketAddr>;
+
+    /// Returns the poll to send; its nonce is filled in by the poller.
+    fn poll(&self) -> Poll;
+
+    /// Takes a reply to a poll that was sent at `asked_at`.
+    fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply);
+}
+
+/// A running poller.
+pub struct Poller {
+    closed: Arc<AtomicBool>,
+    dropped_frames: Arc<AtomicU64>,
+}
+
+/// A poll that waits for replies.
+struct Outstanding {
+    to: SocketAddr,
+    asked_at: Instant,
+}
+
+struct Shared {
+    socket: UdpSocket,
+    key: PeerKey,
+    clock: Arc<dyn Clock>,
+    timing: PollTiming,
+    handler: Arc<dyn PollerHandler>,
+    outstanding: Mutex<HashMap<u64, Outstanding>>,
+    closed: Arc<AtomicBool>,
+    dropped_frames: Arc<AtomicU64>,
+}
+
+impl Poller {
+    /// Starts polling from a socket bound to `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound or no thread can be started.
+    pub fn spawn(
+        address: SocketAddr,
+        key: PeerKey,
+        timing: PollTiming,
+        clock: Arc<dyn Clock>,
+        handler: Arc<dyn PollerHandler>,
+    ) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address)?;
+        socket.set_read_timeout(Some(WAKE_INTERVAL))?;
+        let closed = Arc::new(AtomicBool::new(false));
+        let dropped_frames = Arc::new(AtomicU64::new(0));
+        let shared = Arc::new(Shared {
+            socket,
+            key,
+            clock,
+            timing,
+            handler,
+            outstanding: Mutex::new(HashMap::new()),
+            closed: Arc::clone(&closed),
+            dropped_frames: Arc::clone(&dropped_frames),
+        });
+        let sending = Arc::clone(&shared);
+        thread::Builder::new().name("poll-send".into()).spawn(move || sending.send_loop())?;
+        thread::Builder::new().name("poll-receive".into()).spawn(move || shared.receive_loop())?;
+        Ok(Self { closed, dropped_frames })
+    }
+
+    /// Returns the number of frames that were dropped as damaged, unknown or too old.
+    pub fn dropped_frames(&self) -> u64 {
+        self.dropped_frames.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Poller {
+    fn drop(&mut self) {
+        self.closed.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Shared {
+    fn send_loop(&self) {
+        while !self.closed.load(Ordering::Relaxed) {
+            self.forget_old();
+            for to in self.handler.targets() {
+                self.send(to);
+            }
+            thread::sleep(self.timing.interval);
+        }
+    }
+
+    fn send(&self, to: SocketAddr) {
+        let mut poll = self.handler.poll();
+        poll.nonce = fastrand::u64(..);
+        let frame = self.key.seal(&poll);
+        let asked_at = self.clock.now();
+        self.lock().insert(poll.nonce, Outstanding { to, asked_at });
+        if let Err(error) = self.socket.send_to(&frame, to) {
+            log::debug!("poll to {to} could not be sent: {error}");
+        }
+    }
+
+    fn forget_old(&self) {
+        let now = self.clock.now();
+        let age_max = self.timing.reply_age_max;
+        self.lock().retain(|_, it| now.duration_since(it.asked_at) <= age_max);
+    }
+
+    fn receive_loop(&self) {
+        let mut buf = vec![0; DATAGRAM_BYTES_MAX];
+        while !self.closed.load(Ordering::Relaxed) {
+            let Ok((length, from)) = self.socket.recv_from(&mut buf) else { continue };
+            if !self.receive(from, &buf[..length]) {
+                self.dropped_frames.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+
+    fn receive(&self, from: SocketAddr, frame: &[u8]) -> bool {
+        let Ok(reply) = self.key.open::<PollReply>(frame) else { return false };
+        let now = self.clock.now();
+        let asked_at = match self.lock().get(&reply.nonce) {
+            Some(it) if it.to == from => it.asked_at,
+            _ => return false,
+        };
+        if now.duration_since(asked_at) > self.timing.reply_age_max {
+            return false;
+        }
+        self.handler.reply(from, asked_at, reply);
+        true
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, Outstanding>> {
+        self.outstanding.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/peers/peer-entry/src/responder.rs
@@ -0,0 +1,102 @@
+//! Answers polls over UDP.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crate::Poll;
+use crate::PollReply;
+use crate::frame::PeerKey;
+
+/// Largest datagram that is received, in bytes.
+const DATAGRAM_BYTES_MAX: usize = 64 * 1024;
+/// Groups in one datagram, so that it fits a usual network packet.
+const PROOFS_PER_DATAGRAM: usize = 10;
+/// Time after which the thread looks whether it should end.
+const WAKE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A running answerer of polls.
+pub struct PollResponder {
+    address: SocketAddr,
+    closed: Arc<AtomicBool>,
+    dropped_frames: Arc<AtomicU64>,
+}
+
+impl PollResponder {
+    /// Binds an address and answers each poll with what `answer` returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn bind(
+        address: SocketAddr,
+        key: PeerKey,
+        answer: impl Fn(&Poll) -> PollReply + Send + 'static,
+    ) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address)?;
+        socket.set_read_timeout(Some(WAKE_INTERVAL))?;
+        let address = socket.local_addr()?;
+        let closed = Arc::new(AtomicBool::new(false));
+        let dropped_frames = Arc::new(AtomicU64::new(0));
+        let (closing, dropping) = (Arc::clone(&closed), Arc::clone(&dropped_frames));
+        thread::Builder::new()
+            .name("poll-responder".into())
+            .spawn(move || serve(&socket, &key, &answer, &closing, &dropping))?;
+        Ok(Self { address, closed, dropped_frames })
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of frames that were dropped as damaged or unknown.
+    pub fn dropped_frames(&self) -> u64 {
+        self.dropped_frames.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for PollResponder {
+    fn drop(&mut self) {
+        self.closed.store(true, Ordering::Relaxed);
+    }
+}
+
+fn serve(
+    socket: &UdpSocket,
+    key: &PeerKey,
+    answer: &dyn Fn(&Poll) -> PollReply,
+    closed: &AtomicBool,
+    dropped_frames: &AtomicU64,
+) {
+    let mut buf = vec![0; DATAGRAM_BYTES_MAX];
+    while !closed.load(Ordering::Relaxed) {
+        let Ok((length, from)) = socket.recv_from(&mut buf) else { continue };
+        match key.open::<Poll>(&buf[..length]) {
+            Ok(poll) => reply(socket, key, from, answer(&poll)),
+            Err(_) => {
+                dropped_frames.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+/// Sends a reply in parts that each fit a datagram and stand on their own.
+fn reply(socket: &UdpSocket, key: &PeerKey, to: SocketAddr, mut reply: PollReply) {
+    let mut proofs = std::mem::take(&mut reply.proofs);
+    loop {
+        let rest = proofs.split_off(proofs.len().min(PROOFS_PER_DATAGRAM));
+        reply.proofs = proofs;
+        let _ = socket.send_to(&key.seal(&reply), to);
+        if rest.is_empty() {
+            return;
+        }
+        proofs = rest;
+    }
+}
--- /dev/null
+++ b/peers/peer-platform/src/client.rs
@@ -0,0 +1,71 @@
+//! The client.
+
+use std::net::SocketAddr;
+
+use mangocross_http::CallError;
+use mangocross_http::HttpCall;
+use mangocross_http::HttpClient;
+use mangocross_http::HttpMethod;
+use mangocross_http::HttpTimeouts;
+use mangocross_types::VmListEntry;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Largest answer, in bytes: 7,000 VMs at about 250 bytes, with room to grow.
+const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
+
+/// The platform's list of VMs; it lags.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmList {
+    /// The VMs.
+    pub vms: Vec<VmListEntry>,
+    /// Age of the list in milliseconds, as the platform states it.
+    pub age_ms: u64,
+}
+
+/// How busy the weight store is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightStoreLoad {
+    /// Loads being served.
+    pub loads_running: u32,
+    /// Loads served at once at the most.
+    pub loads_max: u32,
+}
+
+/// Client of the platform.
+#[derive(Debug, Clone)]
+pub struct PlatformClient {
+    address: SocketAddr,
+    client: HttpClient,
+}
+
+impl PlatformClient {
+    /// Returns a client of the platform at an address.
+    pub fn open(address: SocketAddr) -> Self {
+        Self { address, client: HttpClient::open() }
+    }
+
+    /// Reads the list of VMs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer in time.
+    pub fn vms(&self) -> Result<VmList, CallError> {
+        self.get("/v1/vms")
+    }
+
+    /// Asks how busy the weight store is.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer in time.
+    pub fn weight_store_load(&self) -> Result<WeightStoreLoad, CallError> {
+        self.get("/v1/weights")
+    }
+
+    fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CallError> {
+        let call = HttpCall::new(HttpMethod::Get, self.address, path);
+        self.client.call(call.timeouts(HttpTimeouts::default()))?.read_json(ANSWER_BYTES_MAX)
+    }
+}
--- a/peers/peer-platform/src/lib.rs
+++ b/peers/peer-platform/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder.
+//! The platform's list of VMs and its weight store.
+
+mod client;
+
+pub use client::PlatformClient;
+pub use client::VmList;
+pub use client::WeightStoreLoad;
--- /dev/null
+++ b/peers/peer-service/src/client.rs
@@ -0,0 +1,132 @@
+//! The client.
+
+use std::net::SocketAddr;
+
+use mangocross_http::CallError;
+use mangocross_http::CallErrorKind;
+use mangocross_http::HttpCall;
+use mangocross_http::HttpClient;
+use mangocross_http::HttpMethod;
+use mangocross_http::HttpTimeouts;
+use mangocross_types::AttemptId;
+use mangocross_types::CustomerId;
+use mangocross_types::RequestId;
+use mangocross_types::ResultCode;
+use mangocross_types::RunOutcome;
+use snafu::Snafu;
+
+/// Largest answer, in bytes.
+const ANSWER_BYTES_MAX: usize = 1024 * 1024;
+
+/// A call to pass through.
+#[derive(Debug, Clone)]
+pub struct ServiceCall {
+    /// Method.
+    pub method: HttpMethod,
+    /// Path and query at the service, with its leading slash.
+    pub path: String,
+    /// Content type of the body, if any.
+    pub content_type: Option<String>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// The caller's request.
+    pub request_id: RequestId,
+    /// This attempt; the service echoes it.
+    pub attempt_id: AttemptId,
+    /// The customer.
+    pub customer: CustomerId,
+    /// The caller's idempotency key, if any.
+    pub idempotency_key: Option<String>,
+}
+
+/// A whole answer of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceAnswer {
+    /// Status.
+    pub status: u16,
+    /// Content type, if any.
+    pub content_type: Option<String>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// A failed call to a service.
+#[derive(Debug, Clone, Snafu)]
+#[snafu(display("{message} (request {outcome})"))]
+pub struct ServiceError {
+    /// Result code that the caller sees.
+    pub code: ResultCode,
+    /// What is known of the call's effect.
+    pub outcome: RunOutcome,
+    /// What happened.
+    pub message: String,
+}
+
+/// Client of plain services.
+#[derive(Debug, Clone)]
+pub struct ServiceClient {
+    client: HttpClient,
+}
+
+impl ServiceClient {
+    /// Returns a client.
+    pub fn open() -> Self {
+        Self { client: HttpClient::open() }
+    }
+
+    /// Passes a call to a backend server, once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server cannot be reached, refuses before running, breaks off, falls
+    /// silent or answers another attempt.
+    pub fn call(
+        &self,
+        address: SocketAddr,
+        call: &ServiceCall,
+        timeouts: HttpTimeouts,
+    ) -> Result<ServiceAnswer, ServiceError> {
+        let answer =
+            self.client.call(http_call(address, call, timeouts)).map_err(|it| from(&it))?;
+        let status = answer.status();
+        if answer.header("x-run-outcome") == Some(RunOutcome::NotRun.as_str()) {
+            let message = format!("the service refused with status {status}");
+            let (code, outcome) = (ResultCode::BackendRefused, RunOutcome::NotRun);
+            return Err(ServiceError { code, outcome, message });
+        }
+        if answer.header("x-attempt-id") != Some(call.attempt_id.as_str()) {
+            let message = "the service answered another attempt".to_owned();
+            let (code, outcome) = (ResultCode::BackendMismatch, RunOutcome::Unknown);
+            return Err(ServiceError { code, outcome, message });
+        }
+        let content_type = answer.header("content-type").map(str::to_owned);
+        let body = answer.read_all(ANSWER_BYTES_MAX).map_err(|it| from(&it))?;
+        Ok(ServiceAnswer { status, content_type, body })
+    }
+}
+
+fn http_call(address: SocketAddr, call: &ServiceCall, timeouts: HttpTimeouts) -> HttpCall {
+    let mut http = HttpCall::new(call.method, address, &call.path)
+        .timeouts(timeouts)
+        .header("x-request-id", call.request_id.as_str())
+        .header("x-attempt-id", call.attempt_id.as_str())
+        .header("x-customer", call.customer.as_str())
+        .body(call.body.clone());
+    if let Some(content_type) = &call.content_type {
+        http = http.header("content-type", content_type);
+    }
+    if let Some(key) = &call.idempotency_key {
+        http = http.header("idempotency-key", key);
+    }
+    http
+}
+
+fn from(error: &CallError) -> ServiceError {
+    let code = match error.kind {
+        CallErrorKind::Connect => ResultCode::BackendUnreachable,
+        CallErrorKind::Timeout => ResultCode::BackendSilent,
+        CallErrorKind::Broken | CallErrorKind::TooLarge => ResultCode::BackendBroken,
+        CallErrorKind::Malformed => ResultCode::BackendMismatch,
+    };
+    ServiceError { code, outcome: error.outcome, message: error.message.clone() }
+}
--- /dev/null
+++ b/standins/src/bin/standin-caller.rs
@@ -0,0 +1,92 @@
+//! A caller: sends one request to a gateway and prints the answer as it comes.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use mangocross_http::HttpCall;
+use mangocross_http::HttpClient;
+use mangocross_http::HttpMethod;
+use mangocross_http::HttpTimeouts;
+
+/// Time for the whole answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Sends one request and prints the answer as it comes.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Arguments {
+    /// Address of the server
+    #[bpaf(argument("ADDRESS"))]
+    to: SocketAddr,
+    /// Method: get, post or put
+    #[bpaf(argument("METHOD"), fallback("get".to_owned()))]
+    method: String,
+    /// Header as NAME=VALUE; may be repeated
+    #[bpaf(argument("NAME=VALUE"))]
+    header: Vec<String>,
+    /// Body
+    #[bpaf(argument("TEXT"), optional)]
+    body: Option<String>,
+    /// Time to wait between reads, in milliseconds
+    #[bpaf(argument("MS"), fallback(30_000))]
+    idle_ms: u64,
+    /// Print the status line and headers too
+    verbose: bool,
+    /// Path
+    #[bpaf(positional("PATH"))]
+    path: String,
+}
+
+fn main() -> ExitCode {
+    match run(&arguments().run()) {
+        Ok(status) if status < 400 => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(2),
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<u16, String> {
+    let method = match arguments.method.as_str() {
+        "post" => HttpMethod::Post,
+        "put" => HttpMethod::Put,
+        _ => HttpMethod::Get,
+    };
+    let idle = Duration::from_millis(arguments.idle_ms);
+    let timeouts = HttpTimeouts::default().idle(idle).total(ANSWER_TIMEOUT);
+    let mut call = HttpCall::new(method, arguments.to, &arguments.path).timeouts(timeouts);
+    for header in &arguments.header {
+        let (name, value) = header.split_once('=').ok_or("write headers as NAME=VALUE")?;
+        call = call.header(name, value);
+    }
+    if let Some(body) = &arguments.body {
+        call = call.body(body.clone().into_bytes());
+    }
+    let mut answer = HttpClient::open().call(call).map_err(|it| it.to_string())?;
+    if arguments.verbose {
+        println!("status {}", answer.status());
+        for (name, value) in answer.headers().iter().filter(|(name, _)| name.starts_with("x-")) {
+            println!("{name}: {value}");
+        }
+    }
+    let status = answer.status();
+    let mut buf = [0; 4096];
+    loop {
+        match answer.read(&mut buf) {
+            Ok(0) => break,
+            Ok(length) => {
+                let _ = std::io::stdout().write_all(&buf[..length]);
+                let _ = std::io::stdout().flush();
+            }
+            Err(error) => return Err(format!("the answer broke off: {error}")),
+        }
+    }
+    println!();
+    Ok(status)
+}
--- /dev/null
+++ b/standins/src/control.rs
@@ -0,0 +1,79 @@
+//! Fault switches and counts that every stand-in has.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use mangocross_http::HttpMethod;
+use mangocross_http::ServerRequest;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Fault switches with counts beside them.
+#[derive(Debug, Default)]
+pub struct Faulty<F> {
+    faults: Mutex<F>,
+    counts: Mutex<BTreeMap<String, u64>>,
+}
+
+impl<F: Clone + Default + Serialize + DeserializeOwned> Faulty<F> {
+    /// Returns the switches as they are now.
+    pub fn get(&self) -> F {
+        lock(&self.faults).clone()
+    }
+
+    /// Replaces the switches.
+    pub fn set(&self, faults: F) {
+        *lock(&self.faults) = faults;
+    }
+
+    /// Adds one to a count.
+    pub fn count(&self, name: &str) {
+        *lock(&self.counts).entry(name.to_owned()).or_default() += 1;
+    }
+
+    /// Returns a count.
+    pub fn counted(&self, name: &str) -> u64 {
+        lock(&self.counts).get(name).copied().unwrap_or_default()
+    }
+
+    /// Answers `/fault` and `/counts`; gives other requests back.
+    pub fn answer(&self, mut request: ServerRequest) -> Option<ServerRequest> {
+        match (request.method(), request.path()) {
+            (Some(HttpMethod::Get), "/fault") => request.respond_json(200, &self.get()),
+            (Some(HttpMethod::Get), "/counts") => {
+                let counts = lock(&self.counts).clone();
+                request.respond_json(200, &counts);
+            }
+            (Some(HttpMethod::Post), "/fault") => match request.read_json::<F>() {
+                Ok(faults) => {
+                    self.set(faults);
+                    request.respond(200, &[], Vec::new());
+                }
+                Err(error) => request.respond(400, &[], error.to_string().into_bytes()),
+            },
+            _ => return Some(request),
+        }
+        None
+    }
+}
+
+/// Locks a mutex; a panic elsewhere does not matter to a stand-in.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Pauses for a number of milliseconds.
+pub(crate) fn pause(milliseconds: u64) {
+    thread::sleep(Duration::from_millis(milliseconds));
+}
+
+/// Keeps the process alive until it is killed.
+pub fn run_until_killed() -> ! {
+    loop {
+        thread::park();
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! Small stand-ins for what is outside the system, with faults that can be
+//! switched on.
+//!
+//! Each stand-in is a server that a test can embed and a binary of its own.
+
+mod control;
+mod engine;
+mod platform;
+mod service;
+mod store;
+
+pub use control::Faulty;
+pub use control::run_until_killed;
+pub use engine::EngineFaults;
+pub use engine::EngineOptions;
+pub use engine::EngineStandin;
+pub use platform::PlatformFaults;
+pub use platform::PlatformStandin;
+pub use service::ServiceFaults;
+pub use service::ServiceStandin;
+pub use store::StoreFaults;
+pub use store::StoreStandin;
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,174 @@
+//! Stand-in for the platform's list of VMs and its weight store.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_http::HttpMethod;
+use mangocross_http::HttpServer;
+use mangocross_http::ServerLimits;
+use mangocross_http::ServerRequest;
+use mangocross_types::VmListEntry;
+use peer_platform::VmList;
+use peer_platform::WeightStoreLoad;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Faulty;
+use crate::control::lock;
+use crate::control::pause;
+
+/// Loads that the weight store serves at once, unless set otherwise.
+const LOADS_MAX_DEFAULT: u32 = 8;
+/// Time that one load takes at the weight store, in milliseconds.
+const LOAD_MS_DEFAULT: u64 = 200;
+
+/// Faults of the platform.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformFaults {
+    /// Answers 503.
+    pub down: bool,
+    /// Waits before each call.
+    pub delay_ms: u64,
+    /// Shows the list as it was this long ago.
+    pub list_lag_ms: u64,
+    /// Loads that the weight store serves at once.
+    pub loads_max: u32,
+    /// Time that one load takes at the weight store.
+    pub load_ms: u64,
+}
+
+impl Default for PlatformFaults {
+    fn default() -> Self {
+        Self {
+            down: false,
+            delay_ms: 0,
+            list_lag_ms: 0,
+            loads_max: LOADS_MAX_DEFAULT,
+            load_ms: LOAD_MS_DEFAULT,
+        }
+    }
+}
+
+/// A running platform.
+pub struct PlatformStandin {
+    server: HttpServer,
+    state: Arc<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// The list with the time of each change, oldest first.
+    lists: Mutex<Vec<(Instant, Vec<VmListEntry>)>>,
+    /// When each running load ends.
+    loads: Mutex<Vec<Instant>>,
+    faults: Faulty<PlatformFaults>,
+}
+
+#[derive(Debug, Serialize)]
+struct Wait {
+    wait_ms: u64,
+}
+
+impl PlatformStandin {
+    /// Binds an address and serves an empty list; `PUT /admin/vms` replaces it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        let state = Arc::new(State::default());
+        let serving = Arc::clone(&state);
+        let server = HttpServer::bind(
+            address,
+            ServerLimits::default(),
+            move |it| serving.serve(it),
+            |it| it.respond(503, &[], b"too many calls".to_vec()),
+        )?;
+        Ok(Self { server, state })
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the fault switches and counts.
+    pub fn faults(&self) -> &Faulty<PlatformFaults> {
+        &self.state.faults
+    }
+
+    /// Replaces the list of VMs.
+    pub fn set_vms(&self, vms: Vec<VmListEntry>) {
+        lock(&self.state.lists).push((Instant::now(), vms));
+    }
+}
+
+impl State {
+    fn serve(&self, request: ServerRequest) {
+        let Some(mut request) = self.faults.answer(request) else { return };
+        let faults = self.faults.get();
+        pause(faults.delay_ms);
+        if faults.down {
+            return request.respond(503, &[], b"the platform is down".to_vec());
+        }
+        match (request.method(), request.path()) {
+            (Some(HttpMethod::Get), "/v1/vms") => request.respond_json(200, &self.list(&faults)),
+            (Some(HttpMethod::Put), "/admin/vms") => match request.read_json() {
+                Ok(vms) => {
+                    lock(&self.lists).push((Instant::now(), vms));
+                    request.respond(200, &[], Vec::new());
+                }
+                Err(error) => request.respond(400, &[], error.to_string().into_bytes()),
+            },
+            (Some(HttpMethod::Get), "/v1/weights") => {
+                let loads_running = self.running_loads();
+                let load = WeightStoreLoad { loads_running, loads_max: faults.loads_max };
+                request.respond_json(200, &load);
+            }
+            (Some(HttpMethod::Post), "/v1/weights/loads") => {
+                let wait_ms = self.start_load(&faults);
+                request.respond_json(200, &Wait { wait_ms });
+            }
+            _ => request.respond(404, &[], b"no such call".to_vec()),
+        }
+    }
+
+    fn list(&self, faults: &PlatformFaults) -> VmList {
+        let lag = Duration::from_millis(faults.list_lag_ms);
+        let lists = lock(&self.lists);
+        let shown = lists.iter().rev().find(|(at, _)| at.elapsed() >= lag);
+        let vms = shown.map(|(_, vms)| vms.clone()).unwrap_or_default();
+        VmList { vms, age_ms: faults.list_lag_ms }
+    }
+
+    fn running_loads(&self) -> u32 {
+        let mut loads = lock(&self.loads);
+        loads.retain(|it| *it > Instant::now());
+        u32::try_from(loads.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Takes a place at the weight store and returns how long the load takes.
+    fn start_load(&self, faults: &PlatformFaults) -> u64 {
+        self.faults.count("loads");
+        let mut loads = lock(&self.loads);
+        let now = Instant::now();
+        loads.retain(|it| *it > now);
+        loads.sort_unstable();
+        let places = faults.loads_max.max(1) as usize;
+        let start = match loads.len().checked_sub(places) {
+            Some(ahead) => {
+                self.faults.count("loads_that_waited");
+                loads[ahead]
+            }
+            None => now,
+        };
+        let end = start + Duration::from_millis(faults.load_ms);
+        loads.push(end);
+        u64::try_from(end.duration_since(now).as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/standins/src/service.rs
@@ -0,0 +1,126 @@
+//! Stand-in for a plain service whose calls have effects.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use mangocross_http::HttpServer;
+use mangocross_http::ServerLimits;
+use mangocross_http::ServerRequest;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Faulty;
+use crate::control::lock;
+use crate::control::pause;
+
+/// Time for which a lost answer keeps its caller waiting, in milliseconds.
+const LOST_ANSWER_MS: u64 = 30_000;
+
+/// Faults of the service.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceFaults {
+    /// Refuses before running.
+    pub refuse: bool,
+    /// Waits before running.
+    pub delay_ms: u64,
+    /// Waits after running, before answering.
+    pub answer_delay_ms: u64,
+    /// Runs and never answers.
+    pub lose_answers: bool,
+    /// Runs and answers with the attempt id of another call.
+    pub swap_answers: bool,
+}
+
+/// A running service that counts the effects of its calls.
+pub struct ServiceStandin {
+    server: HttpServer,
+    state: Arc<State>,
+}
+
+#[derive(Default)]
+struct State {
+    effects: Mutex<BTreeMap<String, u64>>,
+    faults: Faulty<ServiceFaults>,
+}
+
+#[derive(Debug, Serialize)]
+struct Effect<'a> {
+    path: &'a str,
+    effect: u64,
+    body: &'a str,
+}
+
+impl ServiceStandin {
+    /// Binds an address and serves it; `GET /effects` lists how often each body took effect.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        let state = Arc::new(State::default());
+        let serving = Arc::clone(&state);
+        let server = HttpServer::bind(
+            address,
+            ServerLimits::default(),
+            move |it| serving.serve(it),
+            |it| it.respond(503, &[("x-run-outcome", "not_run")], b"too many calls".to_vec()),
+        )?;
+        Ok(Self { server, state })
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the fault switches and counts.
+    pub fn faults(&self) -> &Faulty<ServiceFaults> {
+        &self.state.faults
+    }
+
+    /// Returns how often a body took effect.
+    pub fn effects(&self, body: &str) -> u64 {
+        lock(&self.state.effects).get(body).copied().unwrap_or_default()
+    }
+}
+
+impl State {
+    fn serve(&self, request: ServerRequest) {
+        let Some(mut request) = self.faults.answer(request) else { return };
+        if request.path() == "/effects" {
+            let effects = lock(&self.effects).clone();
+            return request.respond_json(200, &effects);
+        }
+        let faults = self.faults.get();
+        self.faults.count("calls");
+        if faults.refuse {
+            return request.respond(503, &[("x-run-outcome", "not_run")], b"refused".to_vec());
+        }
+        pause(faults.delay_ms);
+        let body = request.read_body().unwrap_or_default();
+        let body = String::from_utf8_lossy(&body).into_owned();
+        let effect = {
+            let mut effects = lock(&self.effects);
+            let effect = effects.entry(body.clone()).or_default();
+            *effect += 1;
+            *effect
+        };
+        self.faults.count("effects");
+        if faults.lose_answers {
+            return pause(LOST_ANSWER_MS);
+        }
+        pause(faults.answer_delay_ms);
+        let attempt = match faults.swap_answers {
+            true => "another".to_owned(),
+            false => request.header("x-attempt-id").unwrap_or_default().to_owned(),
+        };
+        let path = request.path().to_owned();
+        let answer = serde_json::to_vec(&Effect { path: &path, effect, body: &body });
+        let headers = [("content-type", "application/json"), ("x-attempt-id", attempt.as_str())];
+        request.respond(200, &headers, answer.unwrap_or_default());
+    }
+}
