--- /dev/null
+++ b/tests/src/cluster.rs
@@ -0,0 +1,400 @@
+//! A whole system on this machine: embedded stand-ins and real processes.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_http::HttpCall;
+use mangocross_http::HttpClient;
+use mangocross_http::HttpMethod;
+use mangocross_http::HttpTimeouts;
+use mangocross_operator::OperatorAnswer;
+use mangocross_operator::OperatorRequest;
+use mangocross_types::Configuration;
+use mangocross_types::VmId;
+use mangocross_types::VmListEntry;
+use mangocross_types::VmRole;
+use mangocross_types::VmState;
+use standins::EngineOptions;
+use standins::EngineStandin;
+use standins::PlatformStandin;
+use standins::ServiceStandin;
+use standins::StoreStandin;
+
+use crate::Answer;
+use crate::Caller;
+use crate::Outgoing;
+use crate::Process;
+use crate::Relay;
+
+/// Longest wait for something that must come about; far above any time limit of the system.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+/// Time between looks.
+const WAIT_POLL: Duration = Duration::from_millis(50);
+/// Time for an operator's or caller's answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(40);
+/// Largest operators' answer, in bytes.
+const ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+const PORT_STORE: u16 = 7001;
+const PORT_PLATFORM: u16 = 7002;
+const PORT_SERVICE: u16 = 7003;
+const PORT_STORE_RELAY: u16 = 7010;
+const PORT_COORDINATOR: u16 = 7100;
+const PORT_OPERATOR: u16 = 7200;
+const PORT_GATEWAY: u16 = 7300;
+const PORT_ENGINE: u16 = 7400;
+
+/// Clusters started by this test process.
+static CLUSTERS: AtomicU8 = AtomicU8::new(0);
+
+/// What a cluster is made of.
+#[derive(Debug, Clone)]
+pub struct ClusterBuilder {
+    nodes: u16,
+    domains: Vec<u16>,
+    gateway_settings: serde_json::Map<String, serde_json::Value>,
+    coordinator_settings: serde_json::Map<String, serde_json::Value>,
+    engine_options: fn(VmId) -> EngineOptions,
+}
+
+/// A whole system on this machine.
+///
+/// Every cluster has a loopback address of its own, so that tests run side by
+/// side and a restarted process finds its ports free.
+pub struct Cluster {
+    /// The store.
+    pub store: StoreStandin,
+    /// The platform.
+    pub platform: PlatformStandin,
+    /// The plain service `registry`.
+    pub service: ServiceStandin,
+    /// The engines by VM; VMs are `vm-DOMAIN-NUMBER`, domains `domain-NUMBER`, from 1.
+    pub engines: BTreeMap<VmId, EngineStandin>,
+    /// One relay to the store for each node; the node's processes use nothing else.
+    pub store_relays: Vec<Relay>,
+    /// The gateways; node 0 is VM `entry-1`.
+    pub gateways: Vec<Process>,
+    /// The coordinators.
+    pub coordinators: Vec<Process>,
+    ip: Ipv4Addr,
+    directory: PathBuf,
+}
+
+impl ClusterBuilder {
+    /// Returns a builder of a cluster with `nodes` entry VMs and a fabric domain of each size
+    /// given.
+    pub fn new(nodes: u16, domains: &[u16]) -> Self {
+        Self {
+            nodes,
+            domains: domains.to_vec(),
+            gateway_settings: serde_json::Map::new(),
+            coordinator_settings: serde_json::Map::new(),
+            engine_options: EngineOptions::new,
+        }
+    }
+
+    /// Sets one of the gateways' settings.
+    #[must_use]
+    pub fn gateway_setting(mut self, key: &str, value: impl Into<serde_json::Value>) -> Self {
+        self.gateway_settings.insert(key.to_owned(), value.into());
+        self
+    }
+
+    /// Sets one of the coordinators' settings.
+    #[must_use]
+    pub fn coordinator_setting(mut self, key: &str, value: impl Into<serde_json::Value>) -> Self {
+        self.coordinator_settings.insert(key.to_owned(), value.into());
+        self
+    }
+
+    /// Sets the properties of the engines.
+    #[must_use]
+    pub fn engine_options(mut self, options: fn(VmId) -> EngineOptions) -> Self {
+        self.engine_options = options;
+        self
+    }
+
+    /// Starts everything and puts a configuration with two customers and four request kinds in
+    /// place.
+    ///
+    /// Customers are `town` and `bank`. Kinds are `draft` (model `letters`, idempotent), `scenario`
+    /// (model `drills`, idempotent), `status` (service `registry`, idempotent) and `claim`
+    /// (service `registry`, not idempotent).
+    ///
+    /// # Panics
+    ///
+    /// Panics if anything cannot be started.
+    pub fn start(self) -> Cluster {
+        let number = CLUSTERS.fetch_add(1, Ordering::SeqCst);
+        let pid = std::process::id();
+        let ip = Ipv4Addr::new(127, 16 + (pid >> 8) as u8 % 200, pid as u8, 1 + number);
+        let directory = std::env::temp_dir().join(format!("mangocross-{pid}-{number}"));
+        std::fs::create_dir_all(&directory).expect("the test's folder can be made");
+        let at = |port: u16| SocketAddr::from((ip, port));
+        let store = StoreStandin::bind(at(PORT_STORE)).expect("the store starts");
+        let platform = PlatformStandin::bind(at(PORT_PLATFORM)).expect("the platform starts");
+        let service = ServiceStandin::bind(at(PORT_SERVICE)).expect("the service starts");
+        let mut cluster = Cluster {
+            store_relays: Vec::new(),
+            store,
+            platform,
+            service,
+            engines: BTreeMap::new(),
+            gateways: Vec::new(),
+            coordinators: Vec::new(),
+            ip,
+            directory,
+        };
+        self.start_engines(&mut cluster);
+        for node in 0..self.nodes {
+            self.start_node(&mut cluster, node);
+        }
+        cluster.configure(self.nodes);
+        cluster
+    }
+
+    fn start_engines(&self, cluster: &mut Cluster) {
+        let mut port = PORT_ENGINE;
+        for (domain, size) in (1..).zip(&self.domains) {
+            for number in 1..=*size {
+                let vm: VmId = format!("vm-{domain}-{number}").parse().expect("a valid id");
+                let address = SocketAddr::from((cluster.ip, port));
+                let options = (self.engine_options)(vm.clone());
+                let engine = EngineStandin::bind(address, options).expect("the engine starts");
+                cluster.engines.insert(vm, engine);
+                port += 1;
+            }
+        }
+        cluster.platform.set_vms(cluster.listed_vms());
+    }
+
+    fn start_node(&self, cluster: &mut Cluster, node: u16) {
+        let at = |port: u16| SocketAddr::from((cluster.ip, port)).to_string();
+        let relay_address = SocketAddr::from((cluster.ip, PORT_STORE_RELAY + node));
+        let relay = Relay::bind(relay_address, cluster.store.address());
+        let coordinators: Vec<String> =
+            (0..self.nodes).map(|it| at(PORT_COORDINATOR + it)).collect();
+        let common = serde_json::json!({
+            "vm": format!("entry-{}", node + 1),
+            "availability_zone": format!("zone-{}", node % 3 + 1),
+            "poll_from": at(0),
+            "coordinators": coordinators,
+            "store": relay.address().to_string(),
+            "peer_secret": "a secret of the test's own",
+        });
+        let mut coordinator = common.as_object().expect("an object").clone();
+        coordinator.insert("listen".into(), at(PORT_COORDINATOR + node).into());
+        coordinator.insert("operator_listen".into(), at(PORT_OPERATOR + node).into());
+        coordinator.insert("platform".into(), cluster.platform.address().to_string().into());
+        coordinator.extend(self.coordinator_settings.clone());
+        let mut gateway = common.as_object().expect("an object").clone();
+        gateway.insert("listen".into(), at(PORT_GATEWAY + node).into());
+        gateway.extend(self.gateway_settings.clone());
+        let coordinator = cluster.spawn("mangocross-coordinator", node, &coordinator);
+        let gateway = cluster.spawn("mangocross-gateway", node, &gateway);
+        cluster.coordinators.push(coordinator);
+        cluster.gateways.push(gateway);
+        cluster.store_relays.push(relay);
+    }
+}
+
+impl Cluster {
+    /// Returns the address of a node's gateway.
+    pub fn gateway(&self, node: u16) -> SocketAddr {
+        SocketAddr::from((self.ip, PORT_GATEWAY + node))
+    }
+
+    /// Returns the address of a node's coordinator for operators.
+    pub fn operator(&self, node: u16) -> SocketAddr {
+        SocketAddr::from((self.ip, PORT_OPERATOR + node))
+    }
+
+    /// Returns the address of a node's coordinator for its peers.
+    pub fn coordinator(&self, node: u16) -> SocketAddr {
+        SocketAddr::from((self.ip, PORT_COORDINATOR + node))
+    }
+
+    /// Returns an address with a port that nothing of the cluster uses by itself.
+    pub fn address(&self, port: u16) -> SocketAddr {
+        SocketAddr::from((self.ip, port))
+    }
+
+    /// Returns an engine by its VM's name.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such VM.
+    pub fn engine(&self, vm: &str) -> &EngineStandin {
+        &self.engines[&vm.parse::<VmId>().expect("a valid id")]
+    }
+
+    /// Returns the platform's list with all engines live.
+    pub fn listed_vms(&self) -> Vec<VmListEntry> {
+        let entries = self.engines.iter().map(|(vm, engine)| {
+            let domain = vm.as_str().split('-').nth(1).unwrap_or_default();
+            let domain = format!("domain-{domain}").parse().expect("a valid id");
+            VmListEntry {
+                vm: vm.clone(),
+                address: engine.address(),
+                availability_zone: "zone-1".parse().expect("a valid id"),
+                state: VmState::Live,
+                role: VmRole::Engine { fabric_domain: domain, accelerators: 1 },
+            }
+        });
+        entries.collect()
+    }
+
+    /// Sends a line of the operators' language to a node.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal's body, or what the transport said.
+    pub fn operate(&self, node: u16, line: &str) -> Result<OperatorAnswer, String> {
+        self.operate_with(node, &new_request(line))
+    }
+
+    /// Sends a request of an operator to a node.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal's body, or what the transport said.
+    pub fn operate_with(
+        &self,
+        node: u16,
+        request: &OperatorRequest,
+    ) -> Result<OperatorAnswer, String> {
+        let timeouts = HttpTimeouts::default().idle(ANSWER_TIMEOUT).total(ANSWER_TIMEOUT);
+        let call = HttpCall::new(HttpMethod::Post, self.operator(node), "/v1/operator");
+        let call = call.json(request).timeouts(timeouts);
+        let answer = HttpClient::open().call(call).map_err(|it| it.to_string())?;
+        if answer.status() == 200 {
+            return answer.read_json(ANSWER_BYTES_MAX).map_err(|it| it.to_string());
+        }
+        let body = answer.read_all(ANSWER_BYTES_MAX).map_err(|it| it.to_string())?;
+        Err(String::from_utf8_lossy(&body).into_owned())
+    }
+
+    /// Sends a caller's request to a node and reads the whole answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the gateway cannot be reached, breaks off or stalls.
+    pub fn send(&self, node: u16, outgoing: &Outgoing) -> Answer {
+        let caller = Caller::open(ANSWER_TIMEOUT);
+        caller.send(self.gateway(node), outgoing).expect("the gateway answers")
+    }
+
+    /// Starts a group and waits until both its proof and its answers are there on a node.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the group does not serve.
+    pub fn start_group(&self, line: &str, node: u16, probe: &Outgoing) {
+        self.operate(node, line).expect("the group is accepted");
+        self.wait_until(line, || self.send(node, probe).is_whole());
+    }
+
+    /// Waits until something holds.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not come about.
+    pub fn wait_until(&self, what: &str, mut holds: impl FnMut() -> bool) {
+        let deadline = Instant::now() + WAIT_MAX;
+        while !holds() {
+            assert!(Instant::now() < deadline, "waited in vain: {what}\n{}", self.logs());
+            thread::sleep(WAIT_POLL);
+        }
+    }
+
+    /// Returns the ends of all logs, for a failed test.
+    pub fn logs(&self) -> String {
+        let processes = self.coordinators.iter().chain(&self.gateways);
+        let logs = processes.map(|it| {
+            let log = it.logged();
+            let lines: Vec<&str> = log.lines().rev().take(15).collect();
+            lines.into_iter().rev().collect::<Vec<_>>().join("\n")
+        });
+        logs.collect::<Vec<_>>().join("\n---\n")
+    }
+
+    fn configure(&self, nodes: u16) {
+        self.wait_until("the coordinators answer", || {
+            (0..nodes).all(|it| self.operate(it, "show nodes").is_ok())
+        });
+        let entry_vms: Vec<serde_json::Value> = (0..nodes)
+            .map(|it| {
+                serde_json::json!({
+                    "vm": format!("entry-{}", it + 1),
+                    "availability_zone": format!("zone-{}", it % 3 + 1),
+                    "coordinator": self.coordinator(it).to_string(),
+                })
+            })
+            .collect();
+        let configuration = serde_json::json!({
+            "entry_vms": entry_vms,
+            "customers": [
+                {"id": "town", "requests_per_second": 1000, "in_flight_max": 1000},
+                {"id": "bank", "requests_per_second": 1000, "in_flight_max": 1000},
+            ],
+            "kinds": [
+                {"id": "draft", "target": {"model": "letters"}, "idempotent": true, "deadline_ms": 30000},
+                {"id": "scenario", "target": {"model": "drills"}, "idempotent": true, "deadline_ms": 30000},
+                {"id": "status", "target": {"service": "registry"}, "idempotent": true, "deadline_ms": 5000},
+                {"id": "claim", "target": {"service": "registry"}, "idempotent": false, "deadline_ms": 5000},
+            ],
+            "services": [
+                {"id": "registry", "backend_servers": [self.service.address().to_string()]},
+            ],
+        });
+        let configuration: Configuration =
+            serde_json::from_value(configuration).expect("a valid configuration");
+        let mut request = new_request("replace config");
+        request.configuration = Some(configuration);
+        self.operate_with(0, &request).expect("the configuration is accepted");
+        self.wait_until("the gateways are ready", || {
+            (0..nodes).all(|it| {
+                let call = HttpCall::new(HttpMethod::Get, self.gateway(it), "/health/ready");
+                HttpClient::open().call(call).is_ok_and(|it| it.status() == 200)
+            })
+        });
+    }
+
+    fn spawn(
+        &self,
+        program: &str,
+        node: u16,
+        settings: &serde_json::Map<String, serde_json::Value>,
+    ) -> Process {
+        let file = self.directory.join(format!("{program}-{node}.json"));
+        let text = serde_json::to_string_pretty(settings).expect("settings have a JSON form");
+        std::fs::write(&file, text).expect("the settings can be written");
+        Process::spawn(program, &file, &file.with_extension("log"))
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            eprintln!("{}", self.logs());
+        }
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+fn new_request(line: &str) -> OperatorRequest {
+    OperatorRequest {
+        command_id: format!("c-{:032x}", fastrand::u128(..)).parse().expect("a valid id"),
+        text: line.to_owned(),
+        configuration: None,
+        based_on: None,
+        dry_run: false,
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! Harness for tests with real processes: embedded stand-ins, gateways and
+//! coordinators that can be killed and frozen, and a relay whose connections
+//! can be cut or silenced.
+
+mod caller;
+mod cluster;
+mod process;
+mod relay;
+
+pub use caller::Answer;
+pub use caller::Caller;
+pub use caller::Outgoing;
+pub use cluster::Cluster;
+pub use cluster::ClusterBuilder;
+pub use process::Process;
+pub use relay::Relay;
+pub use relay::RelayMode;
--- /dev/null
+++ b/tests/src/relay.rs
@@ -0,0 +1,156 @@
+//! A TCP relay whose connections can be cut or silenced.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+/// What the relay does with its connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayMode {
+    /// Passes everything on.
+    Pass,
+    /// Refuses new connections by closing them at once; those open are cut.
+    Cut,
+    /// Accepts and reads, and passes nothing on in either direction, old connections included.
+    Silent,
+    /// Passes requests on and drops every byte of the answers.
+    DropAnswers,
+}
+
+/// A running relay.
+pub struct Relay {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    target: SocketAddr,
+    mode: Mutex<RelayMode>,
+    /// Connections accepted before this number stay silent for ever.
+    silent_below: AtomicU64,
+    accepted: AtomicU64,
+    open: Mutex<Vec<TcpStream>>,
+}
+
+impl Relay {
+    /// Binds an address and passes connections on to `target`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address cannot be bound.
+    pub fn bind(address: SocketAddr, target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).expect("the relay's address can be bound");
+        let address = listener.local_addr().expect("the relay has an address");
+        let shared = Arc::new(Shared {
+            target,
+            mode: Mutex::new(RelayMode::Pass),
+            silent_below: AtomicU64::new(0),
+            accepted: AtomicU64::new(0),
+            open: Mutex::new(Vec::new()),
+        });
+        let accepting = Arc::clone(&shared);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = Arc::clone(&accepting);
+                thread::spawn(move || shared.relay(stream));
+            }
+        });
+        Self { address, shared }
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what the relay does.
+    pub fn set(&self, mode: RelayMode) {
+        *lock(&self.shared.mode) = mode;
+        if mode == RelayMode::Cut {
+            for stream in lock(&self.shared.open).drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    /// Makes all connections open now silent for good, while new ones work.
+    pub fn forget_open_connections(&self) {
+        let accepted = self.shared.accepted.load(Ordering::SeqCst);
+        self.shared.silent_below.store(accepted, Ordering::SeqCst);
+    }
+
+    /// Returns the number of connections accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.shared.accepted.load(Ordering::SeqCst)
+    }
+}
+
+impl Shared {
+    fn relay(self: &Arc<Self>, caller: TcpStream) {
+        let number = self.accepted.fetch_add(1, Ordering::SeqCst);
+        if self.mode() == RelayMode::Cut {
+            return;
+        }
+        let Ok(server) = TcpStream::connect_timeout(&self.target, Duration::from_secs(1)) else {
+            return;
+        };
+        let _ = caller.set_nodelay(true);
+        let _ = server.set_nodelay(true);
+        let (Ok(from_caller), Ok(from_server)) = (caller.try_clone(), server.try_clone()) else {
+            return;
+        };
+        if let (Ok(one), Ok(other)) = (caller.try_clone(), server.try_clone()) {
+            lock(&self.open).extend([one, other]);
+        }
+        let shared = Arc::clone(self);
+        let answers = thread::spawn(move || shared.copy(number, from_server, caller, true));
+        self.copy(number, from_caller, server, false);
+        let _ = answers.join();
+    }
+
+    fn copy(&self, number: u64, mut from: TcpStream, mut to: TcpStream, answers: bool) {
+        let mut buf = [0; 16 * 1024];
+        loop {
+            let length = match from.read(&mut buf) {
+                Ok(0) | Err(_) => break,
+                Ok(length) => length,
+            };
+            if self.is_silent(number, answers) {
+                continue;
+            }
+            if to.write_all(&buf[..length]).is_err() {
+                break;
+            }
+        }
+        // The end of a silenced connection is not passed on either.
+        if !self.is_silent(number, answers) {
+            let _ = to.shutdown(Shutdown::Write);
+        } else {
+            thread::park();
+        }
+    }
+
+    fn is_silent(&self, number: u64, answers: bool) -> bool {
+        let forgotten = number < self.silent_below.load(Ordering::SeqCst);
+        let mode = self.mode();
+        forgotten || mode == RelayMode::Silent || (answers && mode == RelayMode::DropAnswers)
+    }
+
+    fn mode(&self) -> RelayMode {
+        *lock(&self.mode)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
