--- /dev/null
+++ b/benches/src/sample.rs
@@ -0,0 +1,167 @@
+//! Messages and documents of a given size.
+
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Instant;
+
+use mangocross_coordination::ProbeTable;
+use mangocross_types::BackendReport;
+use mangocross_types::Configuration;
+use mangocross_types::EngineRole;
+use mangocross_types::EngineState;
+use mangocross_types::FencingNumber;
+use mangocross_types::GroupAssignment;
+use mangocross_types::GroupPhase;
+use mangocross_types::GroupProof;
+use mangocross_types::Incarnation;
+use mangocross_types::Rank;
+use mangocross_types::Revision;
+use mangocross_types::VmListEntry;
+use mangocross_types::VmRole;
+use mangocross_types::VmState;
+use peer_entry::CustomerUsage;
+use peer_entry::Poll;
+use peer_entry::PollReply;
+use peer_entry::ProcessRole;
+use serde_json::Value;
+use serde_json::json;
+
+/// Returns the identifier `PREFIX-NUMBER`.
+///
+/// # Panics
+///
+/// Panics if the prefix has a character that is not allowed.
+pub fn id<T: FromStr>(prefix: &str, number: usize) -> T
+where
+    T::Err: Debug,
+{
+    format!("{prefix}-{number:05}").parse().expect("a valid id")
+}
+
+/// Returns a gateway's poll with a number of customers in flight.
+pub fn poll(customers: usize) -> Poll {
+    let usage =
+        |it| CustomerUsage { customer: id("customer", it), in_flight: 70, demand_per_second: 28 };
+    Poll {
+        nonce: u64::MAX,
+        vm: id("entry", 1),
+        role: ProcessRole::Gateway,
+        process_id: u64::MAX,
+        revision: Revision(24_000),
+        serving: true,
+        usage: (0..customers).map(usage).collect(),
+    }
+}
+
+/// Returns a coordinator's reply with a number of proven groups and leaving VMs.
+pub fn reply(groups: usize, leaving: usize) -> PollReply {
+    PollReply {
+        nonce: u64::MAX,
+        vm: id("entry", 1),
+        process_id: u64::MAX,
+        revision: Revision(24_000),
+        store_age_ms: Some(1_000),
+        proofs: (0..groups).map(proof).collect(),
+        domains: Vec::new(),
+        leaving: (0..leaving).map(|it| id("vm", it)).collect(),
+        usage: Vec::new(),
+    }
+}
+
+fn proof(number: usize) -> GroupProof {
+    GroupProof {
+        group: id("group", number),
+        incarnation: Incarnation(1_000),
+        fencing_number: FencingNumber(1_000),
+        model: id("model", 1),
+        model_version: id("version", 1),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_000)),
+        remaining_ms: 2_000,
+        accepts_new: true,
+        load: 100,
+        load_age_ms: 1_000,
+    }
+}
+
+/// Returns a configuration with a number of groups, customers and entry VMs.
+///
+/// # Panics
+///
+/// Panics if the sample no longer matches the configuration's form.
+pub fn configuration(groups: usize, customers: usize, entry_vms: usize) -> Configuration {
+    let group = |it| {
+        json!({"id": format!("group-{it:05}"), "model": "model-00001",
+            "model_version": "version-00001", "size": 16, "desired": "serving"})
+    };
+    let customer = |it| {
+        json!({"id": format!("customer-{it:05}"), "requests_per_second": 1000,
+            "in_flight_max": 1000, "priority": 3})
+    };
+    let entry_vm = |it| {
+        json!({"vm": format!("entry-{it:05}"), "availability_zone": "zone-01",
+            "coordinator": "10.100.100.100:7100"})
+    };
+    let value = json!({
+        "groups": (0..groups).map(group).collect::<Vec<Value>>(),
+        "customers": (0..customers).map(customer).collect::<Vec<Value>>(),
+        "entry_vms": (0..entry_vms).map(entry_vm).collect::<Vec<Value>>(),
+    });
+    serde_json::from_value(value).expect("a configuration")
+}
+
+/// Returns a platform's list with a number of VMs.
+pub fn vm_list(count: usize) -> Vec<VmListEntry> {
+    let entry = |it: usize| VmListEntry {
+        vm: id("vm", it),
+        address: SocketAddr::from(([10, 100, 100, 100], 8_000)),
+        availability_zone: id("zone", it % 10),
+        state: VmState::Live,
+        role: VmRole::Engine { fabric_domain: id("domain", it / 64), accelerators: 1 },
+    };
+    (0..count).map(entry).collect()
+}
+
+/// Returns a group with a number of members.
+pub fn group(number: usize, members: usize) -> GroupAssignment {
+    GroupAssignment {
+        group: id("group", number),
+        incarnation: Incarnation(1),
+        model: id("model", 1),
+        model_version: id("version", 1),
+        members: (0..members).map(|it| id("vm", number * members + it)).collect(),
+        phase: GroupPhase::Serving,
+    }
+}
+
+/// Returns probes that show a group complete.
+pub fn probe_table(group: &GroupAssignment, now: Instant) -> ProbeTable {
+    let mut probes = ProbeTable::default();
+    for (rank, vm) in (0..).map(Rank).zip(&group.members) {
+        probes.record_answer(vm, now, report_of(group, rank));
+    }
+    probes
+}
+
+/// Returns a member's report.
+///
+/// # Panics
+///
+/// Panics if the group has no such rank.
+pub fn report_of(group: &GroupAssignment, rank: Rank) -> BackendReport {
+    BackendReport {
+        vm: group.members[usize::from(rank.0)].clone(),
+        state: EngineState::Ready,
+        group: Some(group.group.clone()),
+        incarnation: group.incarnation,
+        rank,
+        role: EngineRole::Serving,
+        model_version: Some(group.model_version.clone()),
+        cached_versions: vec![group.model_version.clone()],
+        running: 20,
+        queued: 3,
+        load_age_ms: 500,
+        steps: 1_000_000,
+        fencing_number: FencingNumber(7),
+    }
+}
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -62,6 +62,11 @@
         self.child = start(&self.program, &self.settings, &self.log);
     }
 
+    /// Returns the process's id, for reading its use of the machine.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns everything that the process logged.
     pub fn logged(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
@@ -92,9 +97,10 @@
         .unwrap_or_else(|error| panic!("{program} cannot be started: {error}; build it first"))
 }
 
-/// Returns the path of a program beside the running test.
+/// Returns the path of a program in the folder of the running test or benchmark, or the one above.
 fn binary(program: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("the test knows its path");
-    let deps = test.parent().expect("the test is in a folder");
-    deps.parent().expect("the folder has a parent").join(program)
+    let running = std::env::current_exe().expect("the running program knows its path");
+    let folders = running.ancestors().skip(1).take(2);
+    let mut programs = folders.map(|it| it.join(program));
+    programs.find(|it| it.exists()).unwrap_or_else(|| PathBuf::from(program))
 }
