feat(policy): add repair, load order, routing, admission and retry decisions

The daemons need stable interfaces to call. Each decision is pure: state, time and a seed in, a decision out.

--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -13,6 +13,7 @@
 use mangocross_types::GroupSpec;
 use mangocross_types::Placement;
 use mangocross_types::Placements;
+use mangocross_types::PolicyWeights;
 use peer_store::StoreError;
 use peer_store::read_json;
 use peer_store::swap_json;
@@ -56,7 +57,7 @@
     let mut next = Placements::default();
     let wanted = configuration.groups.iter().filter(|it| it.desired != DesiredState::Stopped);
     for spec in wanted {
-        if let Some(domain) = place(spec, current, &mut rooms) {
+        if let Some(domain) = place(spec, current, &mut rooms, &configuration.policy) {
             next.entries.push(Placement { group: spec.id.clone(), domain });
         }
     }
@@ -67,6 +68,7 @@
     spec: &GroupSpec,
     current: &Placements,
     rooms: &mut BTreeMap<FabricDomain, DomainRoom>,
+    weights: &PolicyWeights,
 ) -> Option<FabricDomain> {
     if spec.domain.is_some() {
         return spec.domain.clone();
@@ -75,7 +77,7 @@
         return Some(domain.clone());
     }
     let free: Vec<DomainRoom> = rooms.values().cloned().collect();
-    let domain = choose_domain(spec.size, &free)?.clone();
+    let domain = choose_domain(spec.size, &free, weights)?.clone();
     let room = rooms.get_mut(&domain)?;
     room.idle_vms = room.idle_vms.saturating_sub(spec.size.0);
     Some(domain)
@@ -86,8 +88,7 @@
     for peer in lock(&state.peers).values() {
         all.extend(peer.domains.iter().cloned());
     }
-    let rooms = all
-        .into_iter()
-        .map(|it| (it.domain.clone(), DomainRoom { domain: it.domain, idle_vms: it.idle_vms }));
+    let rooms =
+        all.into_iter().map(|it| (it.domain.clone(), DomainRoom::new(it.domain, it.idle_vms)));
     rooms.collect()
 }
--- a/bins/mangocross-gateway/src/generate.rs
+++ b/bins/mangocross-gateway/src/generate.rs
@@ -138,13 +138,9 @@
         drop(proofs);
         let candidates: Vec<Candidate> = proven
             .iter()
-            .map(|it| Candidate {
-                group: it.group.clone(),
-                own_in_flight: self.state.in_flight_at(&it.group),
-                reported_load: it.load,
-            })
+            .map(|it| Candidate::new(it.group.clone(), self.state.in_flight_at(&it.group), it.load))
             .collect();
-        let chosen = choose_group(&candidates, fastrand::u64(..))?;
+        let chosen = choose_group(&candidates, None, fastrand::u64(..))?;
         proven.iter().find(|it| it.group == chosen.group).cloned()
     }
 
--- /dev/null
+++ b/crates/mangocross-policy/src/admission.rs
@@ -0,0 +1,275 @@
+//! Whether a request is taken or refused, at once and without a call.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_types::Configuration;
+use mangocross_types::CustomerId;
+use mangocross_types::CustomerSpec;
+use mangocross_types::Priority;
+use mangocross_types::Refusal;
+use mangocross_types::RequestKind;
+use mangocross_types::ResultCode;
+
+use crate::fair_level;
+use crate::gateway_share;
+use crate::spread_retry_after;
+
+/// Time over which demand and drain are measured.
+const WINDOW: Duration = Duration::from_secs(1);
+/// Burst of a customer's rate, as time at the full rate.
+const BURST_S: f64 = 1.0;
+/// Share of capacity open to customers above their fair share.
+const OVER_SHARE_CEILING: f64 = 0.8;
+/// Share of capacity open to customers within their fair share.
+const WITHIN_SHARE_CEILING: f64 = 0.95;
+/// Part of a ceiling that the least important requests do not get.
+const PRIORITY_SPAN: f64 = 0.1;
+
+/// A request to decide on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdmissionRequest {
+    /// The customer.
+    pub customer: CustomerId,
+    /// The kind.
+    pub kind: RequestKind,
+    /// Priority that the caller named; it can only lower the configured one.
+    pub priority: Option<Priority>,
+    /// Time left until the deadline.
+    pub deadline: Duration,
+    /// Cost against the customer's rate; one for an ordinary request.
+    pub cost: u32,
+}
+
+/// A customer's use at all other gateways.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OtherUsage {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests asked for in the last second, refused ones included.
+    pub demand_per_second: u32,
+    /// Age of these figures.
+    pub age: Duration,
+}
+
+/// What the decision rests on besides the limiter's own state.
+#[derive(Debug, Clone, Copy)]
+pub struct AdmissionView<'a> {
+    /// The configuration in force.
+    pub configuration: &'a Configuration,
+    /// Use at the other gateways; `None` for a customer when nothing was heard.
+    pub others: &'a BTreeMap<CustomerId, OtherUsage>,
+    /// Age of the newest word from the other gateways, whatever it said.
+    pub news_age: Option<Duration>,
+    /// Gateways that take requests, this one included.
+    pub gateways: u32,
+    /// Own requests in flight that the groups take, over all groups.
+    pub capacity: u32,
+    /// Time within which the first token is expected now.
+    pub expected_first_token: Duration,
+    /// The time.
+    pub now: Instant,
+    /// Random number for spreading.
+    pub seed: u64,
+}
+
+/// The decision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AdmissionDecision {
+    /// Take the request; call [`Admission::finished`] when it has ended.
+    Admit,
+    /// Refuse it now.
+    Refuse(Refusal),
+}
+
+/// One customer at this gateway.
+#[derive(Debug, Clone, Default)]
+struct Customer {
+    in_flight: u32,
+    tokens: f64,
+    refilled: Option<Instant>,
+    window: Window,
+}
+
+/// Counts over the last whole second.
+#[derive(Debug, Clone, Copy, Default)]
+struct Window {
+    started: Option<Instant>,
+    current: u32,
+    last: u32,
+}
+
+impl Window {
+    fn roll(&mut self, now: Instant) {
+        let age = self.started.map(|it| now.saturating_duration_since(it));
+        match age {
+            Some(age) if age < WINDOW => return,
+            Some(age) if age < WINDOW * 2 => self.last = self.current,
+            _ => self.last = 0,
+        }
+        self.current = 0;
+        self.started = Some(now);
+    }
+
+    fn add(&mut self, now: Instant, count: u32) {
+        self.roll(now);
+        self.current = self.current.saturating_add(count);
+    }
+
+    fn per_second(&self) -> u32 {
+        self.last.max(self.current)
+    }
+}
+
+/// The limiter of one gateway.
+#[derive(Debug, Clone, Default)]
+pub struct Admission {
+    customers: BTreeMap<CustomerId, Customer>,
+    drained: Window,
+    refused: Window,
+    in_flight: u32,
+}
+
+impl Admission {
+    /// Decides on a request.
+    pub fn decide(
+        &mut self,
+        request: &AdmissionRequest,
+        view: &AdmissionView<'_>,
+    ) -> AdmissionDecision {
+        let Some(spec) = view.configuration.customer(&request.customer) else {
+            let text = format!("customer {} is not configured", request.customer);
+            return AdmissionDecision::Refuse(Refusal::not_run(ResultCode::UnknownCustomer, text));
+        };
+        self.refill(request, spec, view);
+        match self.objection(request, spec, view) {
+            Some(refusal) => {
+                self.refused.add(view.now, 1);
+                AdmissionDecision::Refuse(refusal)
+            }
+            None => {
+                self.take(request);
+                AdmissionDecision::Admit
+            }
+        }
+    }
+
+    /// Records the end of a request that was admitted.
+    pub fn finished(&mut self, customer: &CustomerId, now: Instant) {
+        self.drained.add(now, 1);
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(customer) = self.customers.get_mut(customer) {
+            customer.in_flight = customer.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Returns a customer's requests in flight and those asked for in the last
+    /// second, for the other gateways.
+    pub fn usage(&mut self, customer: &CustomerId, now: Instant) -> (u32, u32) {
+        let Some(customer) = self.customers.get_mut(customer) else { return (0, 0) };
+        customer.window.roll(now);
+        (customer.in_flight, customer.window.per_second())
+    }
+
+    fn refill(&mut self, request: &AdmissionRequest, spec: &CustomerSpec, view: &AdmissionView) {
+        let customer = self.customers.entry(request.customer.clone()).or_default();
+        customer.window.add(view.now, request.cost);
+        let limit = f64::from(spec.requests_per_second.0);
+        let rate = share(limit, customer, request, view);
+        let burst = (rate * BURST_S).max(1.0);
+        let elapsed = customer.refilled.map(|it| view.now.saturating_duration_since(it));
+        let earned = elapsed.map_or(burst, |it| it.as_secs_f64() * rate);
+        customer.tokens = (customer.tokens + earned).min(burst);
+        customer.refilled = Some(view.now);
+    }
+
+    fn objection(
+        &self,
+        request: &AdmissionRequest,
+        spec: &CustomerSpec,
+        view: &AdmissionView<'_>,
+    ) -> Option<Refusal> {
+        if request.deadline < view.expected_first_token {
+            let text = "the deadline cannot be met now; allow more time or come back later";
+            return Some(self.refusal(ResultCode::DeadlineExceeded, text, view));
+        }
+        let customer = &self.customers[&request.customer];
+        if customer.tokens < f64::from(request.cost) {
+            let text = "the customer's request rate is used up; come back later";
+            return Some(self.refusal(ResultCode::CustomerLimit, text, view));
+        }
+        let in_flight_max = share(f64::from(spec.in_flight_max), customer, request, view).max(1.0);
+        if f64::from(customer.in_flight) + 1.0 > in_flight_max {
+            let text = "the customer has its most requests in flight; come back later";
+            return Some(self.refusal(ResultCode::CustomerLimit, text, view));
+        }
+        if f64::from(self.in_flight) >= self.ceiling(request, view) {
+            let text = "requests of this importance are shed now; come back later";
+            return Some(self.refusal(ResultCode::Overloaded, text, view));
+        }
+        None
+    }
+
+    /// Returns the own requests in flight up to which this request is taken.
+    fn ceiling(&self, request: &AdmissionRequest, view: &AdmissionView<'_>) -> f64 {
+        let capacity = f64::from(view.capacity.max(1));
+        if view.configuration.policy.first_kinds.contains(&request.kind) {
+            return capacity;
+        }
+        let demands: Vec<f64> = self
+            .customers
+            .iter()
+            .map(|(id, it)| f64::from(it.in_flight + u32::from(*id == request.customer)))
+            .filter(|it| *it > 0.0)
+            .collect();
+        let level = fair_level(&demands, capacity * OVER_SHARE_CEILING);
+        let customer = &self.customers[&request.customer];
+        let within = f64::from(customer.in_flight) + 1.0 <= level;
+        let share = if within { WITHIN_SHARE_CEILING } else { OVER_SHARE_CEILING };
+        capacity * (share - PRIORITY_SPAN * (1.0 - importance(request, view)))
+    }
+
+    fn refusal(&self, code: ResultCode, text: &str, view: &AdmissionView<'_>) -> Refusal {
+        let drained_per_second = f64::from(self.drained.per_second().max(1));
+        let waiting = self.refused.per_second();
+        Refusal::not_run(code, text).retry_after(spread_retry_after(
+            waiting,
+            drained_per_second,
+            view.seed,
+        ))
+    }
+
+    fn take(&mut self, request: &AdmissionRequest) {
+        self.in_flight += 1;
+        if let Some(customer) = self.customers.get_mut(&request.customer) {
+            customer.in_flight += 1;
+            customer.tokens -= f64::from(request.cost);
+        }
+    }
+}
+
+fn share(
+    limit: f64,
+    customer: &Customer,
+    request: &AdmissionRequest,
+    view: &AdmissionView<'_>,
+) -> f64 {
+    let others = view.others.get(&request.customer).copied().unwrap_or_default();
+    let own = f64::from(customer.window.per_second());
+    gateway_share(limit, own, others.demand_per_second.into(), view.news_age, view.gateways)
+}
+
+/// Returns the request's place among the configured priorities, from 0 to 1.
+fn importance(request: &AdmissionRequest, view: &AdmissionView<'_>) -> f64 {
+    let configuration = view.configuration;
+    let of_kind = configuration.kind(&request.kind).map_or(0, |it| it.priority.0);
+    let of_customer = configuration.customer(&request.customer).map_or(0, |it| it.priority.0);
+    let configured = u16::from(of_kind) + u16::from(of_customer);
+    let named = request.priority.map_or(configured, |it| configured.min(it.0.into()));
+    let most_of_kinds = configuration.kinds.iter().map(|it| it.priority.0).max().unwrap_or(0);
+    let most_of_customers =
+        configuration.customers.iter().map(|it| it.priority.0).max().unwrap_or(0);
+    let most = u16::from(most_of_kinds) + u16::from(most_of_customers);
+    if most == 0 { 1.0 } else { f64::from(named) / f64::from(most) }
+}
--- a/crates/mangocross-policy/src/lib.rs
+++ b/crates/mangocross-policy/src/lib.rs
@@ -1,12 +1,55 @@
-//! Pure decisions that win the measures: placement, routing, limits, retries.
+//! Pure decisions that win the measures: placement, repair, load order,
+//! routing, limits, retries.
 //!
 //! Nothing here does I/O, reads a clock or starts a thread. Random choices take
 //! a seed from the caller.
 
+mod admission;
+mod backoff;
+mod concurrency;
+mod fair_share;
+mod first_token;
+mod gain;
+mod load_estimate;
+mod load_order;
+mod members;
 mod placement;
+mod prefix_table;
+mod repair;
+mod retry_budget;
 mod routing;
+mod share;
 
+pub use admission::Admission;
+pub use admission::AdmissionDecision;
+pub use admission::AdmissionRequest;
+pub use admission::AdmissionView;
+pub use admission::OtherUsage;
+pub use backoff::full_jitter;
+pub use backoff::spread_retry_after;
+pub use concurrency::ConcurrencyLimit;
+pub use fair_share::fair_level;
+pub use first_token::FirstTokenTimes;
+pub use gain::Gain;
+pub use load_estimate::LoadEstimate;
+pub use load_order::PendingLoad;
+pub use load_order::RunningLoad;
+pub use load_order::choose_loads;
+pub use members::MemberCandidate;
+pub use members::choose_members;
 pub use placement::DomainRoom;
 pub use placement::choose_domain;
+pub use prefix_table::PrefixHash;
+pub use prefix_table::PrefixTable;
+pub use repair::Absence;
+pub use repair::BrokenGroup;
+pub use repair::Donor;
+pub use repair::MissingMember;
+pub use repair::RepairDecision;
+pub use repair::RepairPlan;
+pub use repair::RepairTimes;
+pub use repair::decide_repair;
+pub use retry_budget::RetryBudget;
 pub use routing::Candidate;
 pub use routing::choose_group;
+pub use share::gateway_share;
--- /dev/null
+++ b/crates/mangocross-policy/src/load_order.rs
@@ -0,0 +1,98 @@
+//! Which weights to load next under the weight store's rate.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use mangocross_types::FabricDomain;
+use mangocross_types::GroupId;
+use mangocross_types::VmId;
+
+/// A member that still has to load weights.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PendingLoad {
+    /// The VM.
+    pub vm: VmId,
+    /// Its fabric domain.
+    pub domain: FabricDomain,
+    /// The group that it is to join.
+    pub group: GroupId,
+    /// Loads that the group still lacks, running ones included.
+    pub group_lacks: u16,
+    /// Whether the group lacks members that no load can bring.
+    pub group_blocked: bool,
+    /// Since when the group does not serve.
+    pub down_since: Instant,
+}
+
+/// A load that was ordered and has not been reported done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunningLoad {
+    /// The VM.
+    pub vm: VmId,
+    /// Its fabric domain.
+    pub domain: FabricDomain,
+    /// Whether the VM no longer answers, so that it draws nothing from the store.
+    pub unreachable: bool,
+}
+
+/// Chooses the loads to start now, in order.
+///
+/// Each fabric domain with work has a fair share of the store's rate; what it
+/// does not use goes to the others. Within a domain the group that lacks least
+/// goes first, since it is the first to serve.
+pub fn choose_loads(
+    pending: &[PendingLoad],
+    running: &[RunningLoad],
+    concurrent_loads: u32,
+) -> Vec<VmId> {
+    let mut running_by_domain: BTreeMap<&FabricDomain, u32> = BTreeMap::new();
+    for load in running.iter().filter(|it| !it.unreachable) {
+        *running_by_domain.entry(&load.domain).or_default() += 1;
+    }
+    let busy = running_by_domain.values().sum();
+    let mut free = concurrent_loads.saturating_sub(busy);
+    let mut queues = queues(pending, running);
+    let mut chosen = Vec::new();
+    while free > 0 {
+        let Some(domain) = next_domain(&queues, &running_by_domain) else { break };
+        let Some(load) = queues.get_mut(domain).and_then(Vec::pop) else { break };
+        *running_by_domain.entry(domain).or_default() += 1;
+        chosen.push(load.vm.clone());
+        free -= 1;
+    }
+    chosen
+}
+
+/// Returns each domain's loads, the next one last.
+fn queues<'a>(
+    pending: &'a [PendingLoad],
+    running: &[RunningLoad],
+) -> BTreeMap<&'a FabricDomain, Vec<&'a PendingLoad>> {
+    let mut queues: BTreeMap<&FabricDomain, Vec<&PendingLoad>> = BTreeMap::new();
+    let runs = |vm: &VmId| running.iter().any(|it| it.vm == *vm);
+    for load in pending.iter().filter(|it| !runs(&it.vm)) {
+        queues.entry(&load.domain).or_default().push(load);
+    }
+    for queue in queues.values_mut() {
+        queue.sort_by_key(|it| std::cmp::Reverse(urgency(it)));
+    }
+    queues
+}
+
+/// Smaller goes first.
+fn urgency(load: &PendingLoad) -> (bool, u16, Instant, &GroupId, &VmId) {
+    (load.group_blocked, load.group_lacks, load.down_since, &load.group, &load.vm)
+}
+
+/// Returns the domain with work that has least running.
+fn next_domain<'a>(
+    queues: &BTreeMap<&'a FabricDomain, Vec<&'a PendingLoad>>,
+    running: &BTreeMap<&FabricDomain, u32>,
+) -> Option<&'a FabricDomain> {
+    let with_work = queues.iter().filter_map(|(domain, queue)| {
+        let next = queue.last()?;
+        let running = running.get(domain).copied().unwrap_or_default();
+        Some((next.group_blocked, running, urgency(next), *domain))
+    });
+    with_work.min().map(|(.., domain)| domain)
+}
--- /dev/null
+++ b/crates/mangocross-policy/src/repair.rs
@@ -0,0 +1,280 @@
+//! What to do about a group that lacks members.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_types::FabricDomain;
+use mangocross_types::GroupId;
+use mangocross_types::GroupSize;
+use mangocross_types::PolicyWeights;
+use mangocross_types::VmId;
+
+use crate::DomainRoom;
+use crate::Gain;
+use crate::MemberCandidate;
+use crate::choose_domain;
+use crate::choose_members;
+
+/// Share of the waiting cost that a move must save to be worth its churn.
+const GAIN_SHARE_MIN: f64 = 0.1;
+
+/// Why a member does not work as it should.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Absence {
+    /// It does not answer probes, or reports another group.
+    Missing,
+    /// It works, slower than its peers by this factor.
+    Straggling {
+        /// Time per step against that of its peers; above one.
+        slowdown: f64,
+    },
+    /// It is being taken away and does not come back.
+    Leaving,
+}
+
+/// A member that is missing, slow or leaving.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MissingMember {
+    /// The VM.
+    pub vm: VmId,
+    /// What is wrong.
+    pub absence: Absence,
+    /// Since when.
+    pub since: Instant,
+    /// When it is expected back, if that is known.
+    pub expected_back: Option<Instant>,
+}
+
+/// Another broken group in the same fabric domain whose survivors could be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Donor {
+    /// The group.
+    pub group: GroupId,
+    /// Its healthy members.
+    pub survivors: Vec<MemberCandidate>,
+    /// When it would be complete again without a move; `None` if not in sight.
+    pub complete_at: Option<Instant>,
+}
+
+/// Times that the estimate rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RepairTimes {
+    /// Time to load weights from the weight store, the wait for it included.
+    pub load: Duration,
+    /// Time to load weights that are on the VM.
+    pub warm_load: Duration,
+    /// Time that a VM typically takes to come back.
+    pub restart: Duration,
+}
+
+/// A group that lacks members.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BrokenGroup {
+    /// The group.
+    pub group: GroupId,
+    /// Number of members that it needs.
+    pub size: GroupSize,
+    /// Accelerators of each member.
+    pub accelerators: u16,
+    /// Healthy members.
+    pub survivors: Vec<VmId>,
+    /// Members that are missing, slow or leaving.
+    pub missing: Vec<MissingMember>,
+    /// Idle VMs of the fabric domain.
+    pub spares: Vec<MemberCandidate>,
+    /// Other broken groups of the fabric domain.
+    pub donors: Vec<Donor>,
+    /// Other fabric domains; empty when operators chose the domain.
+    pub other_domains: Vec<DomainRoom>,
+    /// Times that the estimate rests on.
+    pub times: RepairTimes,
+}
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RepairDecision {
+    /// Nothing is missing, or nothing can be done.
+    Nothing,
+    /// Wait for the missing members and decide again at this time.
+    WaitUntil(Instant),
+    /// Form the group anew with these VMs in place of the missing ones.
+    ReplaceWith(Vec<VmId>),
+    /// Form the group anew in another fabric domain.
+    MoveToDomain(FabricDomain),
+    /// Form the group anew with idle VMs and survivors of another broken group,
+    /// which is formed anew later.
+    Merge {
+        /// The group that gives survivors.
+        donor: GroupId,
+        /// The VMs in place of the missing ones, idle ones first.
+        vms: Vec<VmId>,
+    },
+}
+
+/// A decision and what it is expected to save against waiting.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RepairPlan {
+    /// What to do.
+    pub decision: RepairDecision,
+    /// What that saves.
+    pub gain: Gain,
+}
+
+impl RepairPlan {
+    fn nothing(decision: RepairDecision) -> Self {
+        Self { decision, gain: Gain::default() }
+    }
+}
+
+/// Decides what to do about a broken group.
+///
+/// Each move is weighed against waiting, by the operators' weights; one that
+/// saves too little is not made.
+pub fn decide_repair(group: &BrokenGroup, weights: &PolicyWeights, now: Instant) -> RepairPlan {
+    if group.missing.is_empty() {
+        return RepairPlan::nothing(RepairDecision::Nothing);
+    }
+    let wait = waiting(group, now);
+    let moves = [replace(group), merge(group, now), relocate(group, weights)];
+    let best = moves.into_iter().flatten().map(|it| it.plan(group, &wait));
+    let best = best.max_by(|a, b| a.gain.weighted(weights).total_cmp(&b.gain.weighted(weights)));
+    let least = GAIN_SHARE_MIN * wait.cost(group).weighted(weights);
+    match best {
+        Some(plan) if plan.gain.weighted(weights) > least => plan,
+        _ => RepairPlan::nothing(RepairDecision::WaitUntil(now + wait.look_again)),
+    }
+}
+
+/// What waiting costs.
+struct Waiting {
+    /// Time until the group works fully again.
+    time: Duration,
+    /// Share of its work that the group does not do meanwhile.
+    lost_share: f64,
+    /// When to decide again.
+    look_again: Duration,
+}
+
+impl Waiting {
+    fn cost(&self, group: &BrokenGroup) -> Gain {
+        let lost_s = self.time.as_secs_f64() * self.lost_share;
+        let healthy = group.survivors.len() as f64 * f64::from(group.accelerators);
+        Gain { group_downtime_s: lost_s, stranded_accelerator_s: lost_s * healthy }
+    }
+}
+
+fn waiting(group: &BrokenGroup, now: Instant) -> Waiting {
+    let remaining = |it: &MissingMember| remaining(it, &group.times, now);
+    let longest = group.missing.iter().map(remaining).max().unwrap_or_default();
+    let slowest = group.missing.iter().map(|it| match it.absence {
+        Absence::Straggling { slowdown } => 1.0 - 1.0 / slowdown.max(1.0),
+        Absence::Missing | Absence::Leaving => 1.0,
+    });
+    let lost_share = slowest.fold(0.0, f64::max);
+    let reload = if lost_share < 1.0 { Duration::ZERO } else { group.times.warm_load };
+    Waiting { time: longest + reload, lost_share, look_again: longest.max(Duration::from_secs(1)) }
+}
+
+/// Estimates the time until a member is back.
+///
+/// What has lasted longer than usual is expected to last as long again.
+fn remaining(member: &MissingMember, times: &RepairTimes, now: Instant) -> Duration {
+    let elapsed = now.saturating_duration_since(member.since);
+    if member.absence == Absence::Leaving {
+        return times.restart * 4;
+    }
+    match member.expected_back {
+        Some(back) if back > now => back - now,
+        Some(back) => (now - back).max(Duration::from_secs(1)),
+        None if elapsed < times.restart => times.restart - elapsed,
+        None => elapsed,
+    }
+}
+
+/// A move that could be made.
+struct Move {
+    decision: RepairDecision,
+    /// Time without service from now.
+    downtime: Duration,
+    /// Downtime that it adds to another group.
+    others_downtime: Duration,
+    /// Healthy VMs that stay without a group while waiting would have kept them.
+    left_behind: usize,
+    /// Idle VMs that the move puts to work.
+    put_to_work: usize,
+}
+
+impl Move {
+    fn plan(self, group: &BrokenGroup, wait: &Waiting) -> RepairPlan {
+        let cost = wait.cost(group);
+        let downtime_s = self.downtime.as_secs_f64();
+        let wait_s = wait.time.as_secs_f64();
+        let accelerators = f64::from(group.accelerators);
+        let stranded = group.survivors.len().saturating_sub(self.left_behind) as f64 * downtime_s
+            + self.left_behind as f64 * wait_s;
+        let worked = self.put_to_work as f64 * (wait_s - downtime_s).max(0.0);
+        let group_downtime_s =
+            cost.group_downtime_s - downtime_s - self.others_downtime.as_secs_f64();
+        let stranded_accelerator_s =
+            cost.stranded_accelerator_s - (stranded - worked) * accelerators;
+        let gain = Gain { group_downtime_s, stranded_accelerator_s };
+        RepairPlan { decision: self.decision, gain }
+    }
+}
+
+fn replace(group: &BrokenGroup) -> Option<Move> {
+    let vms = choose_members(lacking(group)?, &group.spares)?;
+    let downtime = load_time(&vms, &group.spares, &group.times);
+    let put_to_work = vms.len();
+    let decision = RepairDecision::ReplaceWith(vms);
+    Some(Move { decision, downtime, others_downtime: Duration::ZERO, left_behind: 0, put_to_work })
+}
+
+fn merge(group: &BrokenGroup, now: Instant) -> Option<Move> {
+    let size = lacking(group)?;
+    let usable = |it: &&Donor| it.survivors.len() + group.spares.len() >= usize::from(size.0);
+    // The one that is furthest from complete loses least.
+    let donor = group.donors.iter().filter(usable).max_by_key(|it| {
+        let left = it.complete_at.map(|at| at.saturating_duration_since(now));
+        (left.is_none(), left, it.group.clone())
+    })?;
+    let idle = group.spares.iter().filter(|it| !it.leaving).cloned();
+    let given = donor.survivors.iter().filter(|it| !it.leaving).cloned();
+    let candidates: Vec<MemberCandidate> = idle.chain(given).collect();
+    let vms: Vec<VmId> = candidates.iter().take(size.0.into()).map(|it| it.vm.clone()).collect();
+    if vms.len() < usize::from(size.0) {
+        return None;
+    }
+    let downtime = load_time(&vms, &candidates, &group.times);
+    // The donor then waits for this group's missing members as well.
+    let donor_left = donor.complete_at.map(|at| at.saturating_duration_since(now));
+    let own_left = waiting(group, now).time;
+    let others_downtime = donor_left.map_or(Duration::ZERO, |it| own_left.saturating_sub(it));
+    let decision = RepairDecision::Merge { donor: donor.group.clone(), vms };
+    Some(Move { decision, downtime, others_downtime, left_behind: 0, put_to_work: 0 })
+}
+
+fn relocate(group: &BrokenGroup, weights: &PolicyWeights) -> Option<Move> {
+    let domain = choose_domain(group.size, &group.other_domains, weights)?;
+    let room = group.other_domains.iter().find(|it| it.domain == *domain)?;
+    let warm = room.idle_with_weights >= group.size.0;
+    let downtime = if warm { group.times.warm_load } else { group.times.load };
+    Some(Move {
+        decision: RepairDecision::MoveToDomain(domain.clone()),
+        downtime,
+        others_downtime: Duration::ZERO,
+        left_behind: group.survivors.len(),
+        put_to_work: group.size.0.into(),
+    })
+}
+
+/// Returns the number of VMs that the group needs.
+fn lacking(group: &BrokenGroup) -> Option<GroupSize> {
+    let lacking = usize::from(group.size.0).checked_sub(group.survivors.len())?;
+    (lacking > 0).then_some(GroupSize(u16::try_from(lacking).ok()?))
+}
+
+fn load_time(vms: &[VmId], from: &[MemberCandidate], times: &RepairTimes) -> Duration {
+    let warm = |vm: &VmId| from.iter().any(|it| it.vm == *vm && it.has_weights);
+    if vms.iter().all(warm) { times.warm_load } else { times.load }
+}
--- a/crates/mangocross-policy/src/routing.rs
+++ b/crates/mangocross-policy/src/routing.rs
@@ -1,7 +1,21 @@
 //! Which group a request goes to.
 
+use std::time::Duration;
+
 use mangocross_types::GroupId;
 
+use crate::PrefixHash;
+
+/// Requests that a group may have more than the other choice and still receive
+/// a request whose prefix it holds.
+const AFFINITY_SLACK: u32 = 4;
+/// A group whose first token takes this many times the median is avoided.
+const STRAGGLER_FACTOR: u32 = 3;
+/// First-token times below this are never a straggler's.
+const STRAGGLER_TIME_MIN: Duration = Duration::from_millis(800);
+/// One request in this many may still go to a straggler, so that its recovery is seen.
+const STRAGGLER_PROBE: u64 = 64;
+
 /// A complete group that may take the request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -9,17 +23,105 @@
     pub group: GroupId,
     /// Requests that this gateway has in flight there.
     pub own_in_flight: u32,
-    /// Requests running and waiting there, as last reported.
+    /// Requests running and waiting there: the last report, or better
+    /// [`LoadEstimate::load`](crate::LoadEstimate::load).
     pub reported_load: u32,
+    /// Whether the group is likely to hold the request's prefix.
+    pub holds_prefix: bool,
+    /// Own observed first-token time, if any.
+    pub first_token: Option<Duration>,
+    /// Whether own requests in flight are at the group's concurrency limit.
+    pub at_limit: bool,
+}
+
+impl Candidate {
+    /// Returns a candidate of which only the load is known.
+    pub fn new(group: GroupId, own_in_flight: u32, reported_load: u32) -> Self {
+        Self {
+            group,
+            own_in_flight,
+            reported_load,
+            holds_prefix: false,
+            first_token: None,
+            at_limit: false,
+        }
+    }
+
+    /// Sets whether the group is likely to hold the request's prefix.
+    #[must_use]
+    pub fn holds_prefix(mut self, holds: bool) -> Self {
+        self.holds_prefix = holds;
+        self
+    }
+
+    /// Sets the observed first-token time.
+    #[must_use]
+    pub fn first_token(mut self, time: Option<Duration>) -> Self {
+        self.first_token = time;
+        self
+    }
+
+    /// Sets whether the group is at its concurrency limit.
+    #[must_use]
+    pub fn at_limit(mut self, at_limit: bool) -> Self {
+        self.at_limit = at_limit;
+        self
+    }
+
+    fn load(&self) -> u32 {
+        self.own_in_flight.max(self.reported_load)
+    }
 }
 
-/// Chooses the less loaded of two candidates picked by `seed`.
+/// Chooses a group.
 ///
-/// Reported load lags, so the gateway's own requests in flight count as well.
-pub fn choose_group(candidates: &[Candidate], seed: u64) -> Option<&Candidate> {
+/// Stragglers and groups at their limit are left out while others remain. Of
+/// two choices at random the less loaded one is taken, unless a group that
+/// holds the prefix is loaded little more. A prefix that no group holds goes to
+/// its home group under the same condition, so that each cache keeps its own
+/// part of the prefixes.
+pub fn choose_group(
+    candidates: &[Candidate],
+    prefix: Option<PrefixHash>,
+    seed: u64,
+) -> Option<&Candidate> {
     let mut random = fastrand::Rng::with_seed(seed);
-    let first = candidates.get(random.usize(..candidates.len().max(1)))?;
-    let second = &candidates[random.usize(..candidates.len())];
-    let load = |it: &Candidate| it.own_in_flight.max(it.reported_load);
-    Some(if load(second) < load(first) { second } else { first })
+    let fit = fit(candidates, &mut random);
+    let first = *fit.get(random.usize(..fit.len().max(1)))?;
+    let second = fit[random.usize(..fit.len())];
+    let chosen = if second.load() < first.load() { second } else { first };
+    let Some(prefix) = prefix else { return Some(chosen) };
+    let holder = fit.iter().filter(|it| it.holds_prefix).min_by_key(|it| it.load());
+    let near = holder.copied().or_else(|| home(&fit, prefix));
+    let near = near.filter(|it| it.load() <= chosen.load().saturating_add(AFFINITY_SLACK));
+    Some(near.unwrap_or(chosen))
+}
+
+/// Returns the candidates without stragglers and full groups, if any remain.
+fn fit<'a>(candidates: &'a [Candidate], random: &mut fastrand::Rng) -> Vec<&'a Candidate> {
+    let limit = straggler_limit(candidates);
+    let probe = random.u64(..STRAGGLER_PROBE) == 0;
+    let fast = |it: &&Candidate| probe || it.first_token.is_none_or(|time| time <= limit);
+    let open: Vec<&Candidate> = candidates.iter().filter(|it| !it.at_limit).collect();
+    let open = if open.is_empty() { candidates.iter().collect() } else { open };
+    let fit: Vec<&Candidate> = open.iter().copied().filter(fast).collect();
+    if fit.is_empty() { open } else { fit }
+}
+
+fn straggler_limit(candidates: &[Candidate]) -> Duration {
+    let mut times: Vec<Duration> = candidates.iter().filter_map(|it| it.first_token).collect();
+    times.sort();
+    let median = times.get(times.len().saturating_sub(1) / 2).copied().unwrap_or_default();
+    (median * STRAGGLER_FACTOR).max(STRAGGLER_TIME_MIN)
+}
+
+/// Returns the home of a prefix by rendezvous hashing, the same at each gateway.
+fn home<'a>(fit: &[&'a Candidate], prefix: PrefixHash) -> Option<&'a Candidate> {
+    fit.iter().copied().max_by_key(|it| (rendezvous(&it.group, prefix), &it.group))
+}
+
+fn rendezvous(group: &GroupId, prefix: PrefixHash) -> u64 {
+    let fnv = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    let hash = group.as_str().bytes().fold(0xcbf2_9ce4_8422_2325 ^ prefix.0, fnv);
+    fastrand::Rng::with_seed(hash).u64(..)
 }
--- /dev/null
+++ b/crates/mangocross-policy/src/share.rs
@@ -0,0 +1,31 @@
+//! One gateway's share of a limit that holds over all gateways.
+
+use std::time::Duration;
+
+/// Age after which news of the other gateways no longer counts.
+const NEWS_AGE_MAX: Duration = Duration::from_secs(3);
+
+/// Returns this gateway's share of `limit`.
+///
+/// The limit is divided by demand; what nobody asks for is divided equally, so
+/// that a gateway can take more as its demand rises. Without fresh news of the
+/// others the share is an equal one: then, with `c` of `n` gateways cut off, all
+/// together admit at most `limit * (1 + c / n)`.
+pub fn gateway_share(
+    limit: f64,
+    own_demand: f64,
+    others_demand: f64,
+    news_age: Option<Duration>,
+    gateways: u32,
+) -> f64 {
+    let equal = limit / f64::from(gateways.max(1));
+    let fresh = news_age.is_some_and(|age| age <= NEWS_AGE_MAX);
+    if !fresh {
+        return equal;
+    }
+    let demand = own_demand + others_demand;
+    if demand <= limit {
+        return own_demand + (limit - demand) / f64::from(gateways.max(1));
+    }
+    limit * own_demand / demand
+}
