feat(coordination): add the pure claim machine for requests that run at most once

Claims were single store values without expiry, release or a settled reading of lost answers. Now a shard of claims is one value; begin, finish, release and freeze are pure, and ShardCommit turns a batch of them into reads and compare-and-swaps and says after each reply what comes next.

Ways weighed: shards by digest alone make every value hold the whole retention time; a ring of time windows keeps a value at a minute's claims and makes the window itself the horizon that only rises. Freezing on the holder's behalf was kept, taking over was ruled out.

Found by the exploration: an attempt whose lost write was frozen by a retry before it was read back left its claim frozen for good although it never sent. It now learns that it is overdue and releases.

--- /dev/null
+++ b/crates/mangocross-coordination/src/claim_commit.rs
@@ -0,0 +1,238 @@
+//! Carries out operations on a shard of claims by compare-and-swap.
+
+use mangocross_types::AttemptId;
+use mangocross_types::Revision;
+
+use crate::ClaimDecision;
+use crate::ClaimDigest;
+use crate::ClaimRequest;
+use crate::ClaimShard;
+use crate::ClaimState;
+
+/// Most writes that one commit tries.
+const SWAPS_MAX: u8 = 8;
+/// Most reads that one commit tries.
+const READS_MAX: u8 = 4;
+
+/// An operation on one claim.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum ClaimOperation {
+    /// Claims a key.
+    Begin(ClaimRequest),
+    /// Records how the holder's attempt ended.
+    Finish {
+        /// Digest of the key.
+        key: ClaimDigest,
+        /// The holder.
+        holder: AttemptId,
+        /// The end state.
+        state: ClaimState,
+    },
+    /// Drops the claim of an attempt that sent nothing and never will.
+    Release {
+        /// Digest of the key.
+        key: ClaimDigest,
+        /// The holder.
+        holder: AttemptId,
+        /// Newest revision expected by a write of the claim whose answer was lost.
+        lost_write: Option<Revision>,
+    },
+}
+
+/// What has to be done next for a commit.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum CommitStep {
+    /// Read the shard.
+    Read,
+    /// Write the shard if its revision is the expected one.
+    Swap(ShardSwap),
+    /// The commit has ended.
+    End(CommitEnd),
+}
+
+/// A write of a shard.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ShardSwap {
+    /// The expected revision; zero means absent.
+    pub expected: Revision,
+    /// The shard to write.
+    pub shard: ClaimShard,
+    decisions: Vec<Option<ClaimDecision>>,
+}
+
+/// How a commit ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum CommitEnd {
+    /// The store holds the effect of all operations; one decision for each, `None` but for
+    /// [`ClaimOperation::Begin`].
+    Committed(Vec<Option<ClaimDecision>>),
+    /// The operations may or may not have taken effect.
+    Failed {
+        /// Whether the store was at fault and not the contention at this shard.
+        store_failed: bool,
+        /// Newest revision expected by a write whose answer was lost; without one, no
+        /// operation took effect.
+        lost_write: Option<Revision>,
+    },
+}
+
+/// What the store said.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum StoreReply {
+    /// This copy stands, after a read or a refused write.
+    Stands(ShardCopy),
+    /// The write took effect at this revision.
+    Swapped(Revision),
+    /// A read failed, or a write certainly had no effect.
+    NoEffect,
+    /// A write's answer was lost: it took effect, or may yet, or never will.
+    AnswerLost,
+}
+
+/// A copy of a shard with its revision; an absent shard is empty at revision zero.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct ShardCopy {
+    /// Revision of the value.
+    pub revision: Revision,
+    /// The shard.
+    pub shard: ClaimShard,
+}
+
+/// A batch of operations on one shard on its way into the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ShardCommit {
+    operations: Vec<ClaimOperation>,
+    copy: Option<ShardCopy>,
+    /// Whether the copy was received after the commit began.
+    copy_is_fresh: bool,
+    lost_write: Option<Revision>,
+    swaps_left: u8,
+    reads_left: u8,
+    end: Option<CommitEnd>,
+}
+
+impl ShardCommit {
+    /// Returns a commit that starts from an earlier copy, if there is one.
+    pub fn new(operations: Vec<ClaimOperation>, copy: Option<ShardCopy>) -> Self {
+        Self {
+            operations,
+            copy,
+            copy_is_fresh: false,
+            lost_write: None,
+            swaps_left: SWAPS_MAX,
+            reads_left: READS_MAX,
+            end: None,
+        }
+    }
+
+    /// Returns what has to be done next.
+    ///
+    /// `now_s` is the wall-clock time in seconds since the Unix epoch; it only
+    /// decides when an overdue claim is frozen.
+    pub fn next(&self, now_s: u64) -> CommitStep {
+        if let Some(end) = &self.end {
+            return CommitStep::End(end.clone());
+        }
+        let Some(copy) = &self.copy else { return self.read() };
+        let (shard, decisions) = self.applied(&copy.shard, now_s);
+        if shard != copy.shard || self.may_be_overtaken(copy.revision) {
+            return match self.swaps_left {
+                0 => CommitStep::End(self.failed(self.lost_write.is_some())),
+                _ => CommitStep::Swap(ShardSwap { expected: copy.revision, shard, decisions }),
+            };
+        }
+        match self.copy_is_fresh {
+            true => CommitStep::End(CommitEnd::Committed(decisions)),
+            false => self.read(),
+        }
+    }
+
+    /// Takes in what the store said to a step.
+    pub fn told(&mut self, step: CommitStep, reply: StoreReply) {
+        match (step, reply) {
+            (CommitStep::End(_), _) => {}
+            (CommitStep::Swap(swap), StoreReply::Swapped(revision)) => {
+                self.copy = Some(ShardCopy { revision, shard: swap.shard });
+                self.end = Some(CommitEnd::Committed(swap.decisions));
+            }
+            (CommitStep::Swap(_), StoreReply::Stands(copy)) => {
+                self.swaps_left -= 1;
+                self.stands(copy);
+            }
+            (CommitStep::Swap(swap), StoreReply::AnswerLost) => {
+                self.swaps_left -= 1;
+                self.lost_write = self.lost_write.max(Some(swap.expected));
+                self.copy = None;
+            }
+            (CommitStep::Read, StoreReply::Stands(copy)) => {
+                self.reads_left -= 1;
+                self.stands(copy);
+            }
+            (CommitStep::Read | CommitStep::Swap(_), _) => self.end = Some(self.failed(true)),
+        }
+    }
+
+    /// Returns the newest copy of the shard, for the next commit.
+    pub fn into_copy(self) -> Option<ShardCopy> {
+        self.copy
+    }
+
+    fn read(&self) -> CommitStep {
+        match self.reads_left {
+            0 => CommitStep::End(self.failed(true)),
+            _ => CommitStep::Read,
+        }
+    }
+
+    fn stands(&mut self, copy: ShardCopy) {
+        self.copy = Some(copy);
+        self.copy_is_fresh = true;
+    }
+
+    fn failed(&self, store_failed: bool) -> CommitEnd {
+        CommitEnd::Failed { store_failed, lost_write: self.lost_write }
+    }
+
+    /// Returns whether a write whose answer was lost may take effect on this revision.
+    ///
+    /// Any further write, even of the same shard, rules that out.
+    fn may_be_overtaken(&self, revision: Revision) -> bool {
+        let released = self.operations.iter().filter_map(|it| match it {
+            ClaimOperation::Release { lost_write, .. } => *lost_write,
+            _ => None,
+        });
+        released.chain(self.lost_write).any(|it| it >= revision)
+    }
+
+    fn applied(&self, shard: &ClaimShard, now_s: u64) -> (ClaimShard, Vec<Option<ClaimDecision>>) {
+        let mut shard = shard.clone();
+        let decisions: Vec<_> =
+            self.operations.iter().map(|it| apply(&mut shard, it, now_s)).collect();
+        let pairs = self.operations.iter().zip(decisions);
+        let decisions = pairs.map(|(it, decision)| confirmed(&shard, it, decision)).collect();
+        (shard, decisions)
+    }
+}
+
+fn apply(shard: &mut ClaimShard, operation: &ClaimOperation, now_s: u64) -> Option<ClaimDecision> {
+    match operation {
+        ClaimOperation::Begin(request) => return Some(shard.begin(request, now_s)),
+        ClaimOperation::Finish { key, holder, state } => shard.finish(key, holder, state),
+        ClaimOperation::Release { key, holder, .. } => shard.release(key, holder),
+    }
+    None
+}
+
+/// Withdraws a grant whose claim a later operation of the same batch dropped.
+fn confirmed(
+    shard: &ClaimShard,
+    operation: &ClaimOperation,
+    decision: Option<ClaimDecision>,
+) -> Option<ClaimDecision> {
+    let (ClaimOperation::Begin(request), Some(ClaimDecision::Granted)) = (operation, &decision)
+    else {
+        return decision;
+    };
+    let stands = shard.claim(&request.key).is_some_and(|it| it.holder == request.claim.holder);
+    Some(if stands { ClaimDecision::Granted } else { ClaimDecision::Expired })
+}
--- /dev/null
+++ b/crates/mangocross-coordination/src/claim_grant.rs
@@ -0,0 +1,86 @@
+//! The right to send a claimed request, once and soon.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_types::AttemptId;
+use mangocross_types::CustomerId;
+
+use crate::Claim;
+use crate::ClaimDigest;
+use crate::ClaimKey;
+use crate::ClaimLayout;
+use crate::ClaimRequest;
+use crate::ClaimState;
+
+/// Time after the deadline for which a holder may still record its outcome.
+const FREEZE_MARGIN_S: u64 = 30;
+/// How far ahead of this entry VM's clock a key may have been made, in seconds.
+const AHEAD_MAX_S: u64 = 300;
+
+/// An attempt that asks for a claim, and may send once the claim stands.
+///
+/// The times are taken before the first write, so they count from before any
+/// other attempt can see the claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimGrant {
+    /// The key.
+    pub key: ClaimKey,
+    /// The attempt.
+    pub holder: AttemptId,
+    send_before: Instant,
+    send_before_s: u64,
+    too_far_ahead: bool,
+}
+
+impl ClaimGrant {
+    /// Returns an attempt that may send until `deadline` from now.
+    pub fn new(
+        key: ClaimKey,
+        holder: AttemptId,
+        deadline: Duration,
+        now: Instant,
+        now_s: u64,
+    ) -> Self {
+        Self {
+            too_far_ahead: key.issued_s() > now_s + AHEAD_MAX_S,
+            key,
+            holder,
+            send_before: now + deadline,
+            send_before_s: now_s + deadline.as_secs() + 1,
+        }
+    }
+
+    /// Returns the claim to be made.
+    pub fn request(
+        &self,
+        layout: &ClaimLayout,
+        customer: CustomerId,
+        request: ClaimDigest,
+    ) -> ClaimRequest {
+        ClaimRequest {
+            window: layout.window(&self.key),
+            key: self.key.digest().clone(),
+            too_far_ahead: self.too_far_ahead,
+            claim: Claim {
+                customer,
+                request,
+                holder: self.holder.clone(),
+                freeze_after_s: self.send_before_s + FREEZE_MARGIN_S,
+                state: ClaimState::Held,
+            },
+        }
+    }
+
+    /// Returns whether the request may still be sent; asked right before the send.
+    ///
+    /// Both clocks must agree, since either may stand still while a VM is paused.
+    pub fn may_send(&self, now: Instant, now_s: u64) -> bool {
+        now < self.send_before && now_s <= self.send_before_s
+    }
+
+    /// Returns the time left to send and receive the answer.
+    pub fn time_left(&self, now: Instant) -> Duration {
+        self.send_before.saturating_duration_since(now)
+    }
+}
--- /dev/null
+++ b/crates/mangocross-coordination/src/claim_layout.rs
@@ -0,0 +1,40 @@
+//! Which value of the store holds the claim on a key.
+
+use crate::ClaimKey;
+
+/// Spreads claims over values of the store.
+///
+/// Time is cut into windows by the second in which the key was made, and the
+/// windows share a ring of slots; each slot has several shards. All entry VMs
+/// must use the same layout, so it is no setting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClaimLayout {
+    /// Length of a window in seconds.
+    pub window_s: u64,
+    /// Slots of the ring; a window's claims are kept until the ring comes round.
+    pub slots: u64,
+    /// Shards of a slot.
+    pub shards: u64,
+}
+
+impl ClaimLayout {
+    /// The layout in use: claims are kept for a day.
+    pub const CURRENT: Self = Self { window_s: 60, slots: 1_440, shards: 8 };
+
+    /// Returns the window in which a key was made.
+    pub fn window(&self, key: &ClaimKey) -> u64 {
+        key.issued_s() / self.window_s
+    }
+
+    /// Returns the store key of the shard that holds a key's claim.
+    pub fn store_key(&self, key: &ClaimKey) -> String {
+        let slot = self.window(key) % self.slots;
+        let shard = key.digest().spread_over(self.shards);
+        format!("claims/{slot:04}-{shard:02}")
+    }
+
+    /// Returns for how long claims are kept, in seconds.
+    pub fn retention_s(&self) -> u64 {
+        self.window_s * self.slots
+    }
+}
--- /dev/null
+++ b/crates/mangocross-coordination/tests/claim_exploration.rs
@@ -0,0 +1,289 @@
+//! All interleavings of a few attempts with the same key, with lost store answers, overdue
+//! holders and expiry between any two steps.
+//!
+//! A crash needs no step of its own: an attempt that does nothing from some state on is a
+//! history like any other, and every state is checked.
+
+use std::collections::HashSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::ClaimDecision;
+use mangocross_coordination::ClaimDigest;
+use mangocross_coordination::ClaimGrant;
+use mangocross_coordination::ClaimLayout;
+use mangocross_coordination::ClaimOperation;
+use mangocross_coordination::ClaimState;
+use mangocross_coordination::CommitEnd;
+use mangocross_coordination::CommitStep;
+use mangocross_coordination::RecordedAnswer;
+use mangocross_coordination::ShardCommit;
+use mangocross_coordination::ShardCopy;
+use mangocross_coordination::ShardSwap;
+use mangocross_coordination::StoreReply;
+use mangocross_types::Revision;
+
+const LAYOUT: ClaimLayout = ClaimLayout { window_s: 10, slots: 3, shards: 1 };
+const ISSUED_S: u64 = 100;
+const OVERDUE_S: u64 = 100_000;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Phase {
+    Claiming(ShardCommit),
+    Granted(Option<ShardCopy>),
+    Finishing { commit: ShardCommit, state: ClaimState },
+    Releasing { commit: ShardCommit, lost_write: Option<Revision> },
+    Ended,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Attempt {
+    phase: Phase,
+    sent: bool,
+    told_not_run: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct World {
+    store: ShardCopy,
+    /// Writes whose answers are lost and which may take effect later.
+    delayed: Vec<ShardSwap>,
+    attempts: Vec<Attempt>,
+    faults_left: u8,
+    overdue: bool,
+    expired: bool,
+}
+
+impl World {
+    fn new(attempts: usize, faults_left: u8) -> Self {
+        let attempt = |number: usize| {
+            let grant = grant(number, ISSUED_S);
+            let request = grant.request(&LAYOUT, "town".parse().unwrap(), ClaimDigest::of(&[]));
+            let commit = ShardCommit::new(vec![ClaimOperation::Begin(request)], None);
+            Attempt { phase: Phase::Claiming(commit), sent: false, told_not_run: false }
+        };
+        Self {
+            store: ShardCopy::default(),
+            delayed: Vec::new(),
+            attempts: (0..attempts).map(attempt).collect(),
+            faults_left,
+            overdue: false,
+            expired: false,
+        }
+    }
+
+    fn now_s(&self) -> u64 {
+        if self.overdue { OVERDUE_S } else { ISSUED_S }
+    }
+
+    fn sent(&self) -> usize {
+        self.attempts.iter().filter(|it| it.sent).count()
+    }
+
+    fn check(&self) {
+        assert!(self.sent() <= 1, "sent twice: {self:#?}");
+        for attempt in &self.attempts {
+            assert!(!(attempt.sent && attempt.told_not_run), "not true: {self:#?}");
+        }
+    }
+
+    /// Checks a state in which all attempts have ended and no write is under way.
+    fn check_last(&self) {
+        let ended = self.attempts.iter().all(|it| it.phase == Phase::Ended);
+        if !ended || !self.delayed.is_empty() {
+            return;
+        }
+        let key = grant(0, ISSUED_S).key.digest().clone();
+        let Some(claim) = self.store.shard.claim(&key) else { return };
+        let open = matches!(claim.state, ClaimState::Held | ClaimState::Frozen);
+        assert!(!open, "a claim stayed open though everybody went on to the end: {self:#?}");
+    }
+
+    fn after(&self) -> Vec<Self> {
+        let mut after = Vec::new();
+        for number in 0..self.attempts.len() {
+            self.after_attempt(number, &mut after);
+        }
+        for number in 0..self.delayed.len() {
+            let mut world = self.clone();
+            let swap = world.delayed.remove(number);
+            world.swap(&swap);
+            after.push(world);
+        }
+        if !self.overdue {
+            after.push(Self { overdue: true, ..self.clone() });
+        }
+        if !self.expired && self.store.revision > Revision(0) {
+            after.push(self.expire());
+        }
+        after
+    }
+
+    /// A newer key comes round to the same slot.
+    fn expire(&self) -> Self {
+        let mut world = Self { expired: true, ..self.clone() };
+        let newer = grant(9, ISSUED_S + LAYOUT.retention_s());
+        let request = newer.request(&LAYOUT, "bank".parse().unwrap(), ClaimDigest::of(&[]));
+        assert_eq!(world.store.shard.begin(&request, ISSUED_S), ClaimDecision::Granted);
+        world.store.revision.0 += 1;
+        world
+    }
+
+    fn after_attempt(&self, number: usize, after: &mut Vec<Self>) {
+        match &self.attempts[number].phase {
+            Phase::Granted(copy) => self.after_grant(number, copy, after),
+            Phase::Claiming(commit)
+            | Phase::Finishing { commit, .. }
+            | Phase::Releasing { commit, .. } => self.after_commit(number, commit, after),
+            Phase::Ended => {}
+        }
+    }
+
+    fn after_grant(&self, number: usize, copy: &Option<ShardCopy>, after: &mut Vec<Self>) {
+        let mut gave_up = self.clone();
+        gave_up.attempts[number].told_not_run = true;
+        gave_up.attempts[number].phase = releasing(number, None, copy.clone());
+        after.push(gave_up);
+        let answer = RecordedAnswer::new(200, None, b"done");
+        for state in [ClaimState::Done(answer), ClaimState::Unknown] {
+            let mut world = self.clone();
+            world.attempts[number].sent = true;
+            world.attempts[number].phase = finishing(number, state, copy.clone());
+            after.push(world);
+        }
+    }
+
+    fn after_commit(&self, number: usize, commit: &ShardCommit, after: &mut Vec<Self>) {
+        let step = commit.next(self.now_s());
+        let mut tell = |mut world: Self, fault: bool, reply: StoreReply| {
+            world.faults_left -= u8::from(fault);
+            let now_s = world.now_s();
+            let commit = world.commit_mut(number);
+            commit.told(step.clone(), reply);
+            // The end of a commit is nothing that others can see.
+            if let CommitStep::End(end) = commit.next(now_s) {
+                world.end_commit(number, &end);
+            }
+            after.push(world);
+        };
+        let may_fail = self.faults_left > 0;
+        match &step {
+            CommitStep::Read => {
+                tell(self.clone(), false, StoreReply::Stands(self.store.clone()));
+                if may_fail {
+                    tell(self.clone(), true, StoreReply::NoEffect);
+                }
+            }
+            CommitStep::Swap(swap) => {
+                let mut world = self.clone();
+                let reply = world.swap(swap);
+                tell(world.clone(), false, reply);
+                if may_fail {
+                    tell(world, true, StoreReply::AnswerLost);
+                    let mut delayed = self.clone();
+                    delayed.delayed.push(swap.clone());
+                    tell(delayed, true, StoreReply::AnswerLost);
+                    tell(self.clone(), true, StoreReply::NoEffect);
+                }
+            }
+            CommitStep::End(end) => panic!("a commit ended before it began: {end:?}"),
+        }
+    }
+
+    fn end_commit(&mut self, number: usize, end: &CommitEnd) {
+        let phase = self.attempts[number].phase.clone();
+        let attempt = &mut self.attempts[number];
+        attempt.phase = match (phase, end) {
+            (Phase::Claiming(commit), CommitEnd::Committed(decisions)) => match decisions[0] {
+                Some(ClaimDecision::Granted) => Phase::Granted(commit.into_copy()),
+                Some(ClaimDecision::Overdue) => {
+                    attempt.told_not_run = true;
+                    releasing(number, None, commit.into_copy())
+                }
+                _ => Phase::Ended,
+            },
+            (Phase::Claiming(commit), CommitEnd::Failed { lost_write, .. }) => {
+                attempt.told_not_run = true;
+                match lost_write {
+                    Some(_) => releasing(number, *lost_write, commit.into_copy()),
+                    None => Phase::Ended,
+                }
+            }
+            (Phase::Finishing { commit, state }, CommitEnd::Failed { .. }) => {
+                finishing(number, state, commit.into_copy())
+            }
+            (Phase::Releasing { commit, lost_write }, CommitEnd::Failed { .. }) => {
+                releasing(number, lost_write, commit.into_copy())
+            }
+            _ => Phase::Ended,
+        };
+    }
+
+    fn commit_mut(&mut self, number: usize) -> &mut ShardCommit {
+        match &mut self.attempts[number].phase {
+            Phase::Claiming(commit)
+            | Phase::Finishing { commit, .. }
+            | Phase::Releasing { commit, .. } => commit,
+            phase => panic!("no commit in {phase:?}"),
+        }
+    }
+
+    fn swap(&mut self, swap: &ShardSwap) -> StoreReply {
+        if self.store.revision != swap.expected {
+            return StoreReply::Stands(self.store.clone());
+        }
+        let revision = Revision(swap.expected.0 + 1);
+        self.store = ShardCopy { revision, shard: swap.shard.clone() };
+        StoreReply::Swapped(revision)
+    }
+}
+
+fn grant(number: usize, issued_s: u64) -> ClaimGrant {
+    let key = format!("{issued_s}.booking").parse().unwrap();
+    let holder = format!("a-{number}").parse().unwrap();
+    ClaimGrant::new(key, holder, Duration::from_secs(5), Instant::now(), issued_s)
+}
+
+fn releasing(number: usize, lost_write: Option<Revision>, copy: Option<ShardCopy>) -> Phase {
+    let ClaimGrant { key, holder, .. } = grant(number, ISSUED_S);
+    let release = ClaimOperation::Release { key: key.digest().clone(), holder, lost_write };
+    Phase::Releasing { commit: ShardCommit::new(vec![release], copy), lost_write }
+}
+
+fn finishing(number: usize, state: ClaimState, copy: Option<ShardCopy>) -> Phase {
+    let ClaimGrant { key, holder, .. } = grant(number, ISSUED_S);
+    let key = key.digest().clone();
+    let finish = ClaimOperation::Finish { key, holder, state: state.clone() };
+    Phase::Finishing { commit: ShardCommit::new(vec![finish], copy), state }
+}
+
+fn explore(attempts: usize, faults: u8) -> usize {
+    let first = World::new(attempts, faults);
+    let mut seen = HashSet::from([first.clone()]);
+    let mut open = vec![first];
+    let mut sent = 0;
+    while let Some(world) = open.pop() {
+        world.check();
+        sent = sent.max(world.sent());
+        world.check_last();
+        open.extend(world.after().into_iter().filter(|it| seen.insert(it.clone())));
+    }
+    assert_eq!(sent, 1, "some history sends");
+    println!("{attempts} attempts, {faults} faults: {} states", seen.len());
+    seen.len()
+}
+
+/// Returns the number of faults, one more when many cases are asked for.
+fn faults(in_ci: u8) -> u8 {
+    in_ci + u8::from(std::env::var_os("MANGOCROSS_CASES").is_some())
+}
+
+#[test]
+fn two_attempts_send_at_most_once() {
+    assert!(explore(2, faults(2)) > 1_000);
+}
+
+#[test]
+fn three_attempts_send_at_most_once() {
+    assert!(explore(3, faults(1)) > 1_000);
+}
