feat(claims): commit claims in groups, and settle later what a failed store left open

One compare-and-swap carries all operations that wait for a shard. A claim whose caller gave up, or whose write was lost and cannot be read back, is refused and released in the background; records and releases wait for the store with a spread, doubling pause. While the store fails one claim at a time tries it and the others are refused at once.

--- /dev/null
+++ b/crates/mangocross-claims/src/claim_log.rs
@@ -0,0 +1,257 @@
+//! The claim log.
+
+use std::fmt;
+use std::io;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::ClaimDecision;
+use mangocross_coordination::ClaimDigest;
+use mangocross_coordination::ClaimGrant;
+use mangocross_coordination::ClaimKey;
+use mangocross_coordination::ClaimLayout;
+use mangocross_coordination::ClaimOperation;
+use mangocross_coordination::ClaimState;
+use mangocross_coordination::CommitEnd;
+use mangocross_coordination::ShardCopy;
+use mangocross_types::AttemptId;
+use mangocross_types::Clock;
+use mangocross_types::CustomerId;
+use peer_store::Store;
+
+use crate::ClaimCounts;
+use crate::ClaimError;
+use crate::ClaimLimits;
+use crate::commit;
+use crate::counts::Counters;
+use crate::counts::count;
+use crate::health::StoreHealth;
+use crate::queue::Batch;
+use crate::queue::Queue;
+use crate::queue::Queued;
+use crate::settle::Next;
+use crate::settle::settle;
+use crate::ticket::Ticket;
+use crate::ticket::lock;
+
+/// Longest sleep of a worker without anything to do.
+const IDLE_MAX: Duration = Duration::from_secs(1);
+
+/// Makes, records and releases claims, with many in one write of the store.
+///
+/// Dropping it ends its workers; what is open then stays as the store holds it.
+pub struct ClaimLog {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    store: Arc<dyn Store>,
+    clock: Arc<dyn Clock>,
+    limits: ClaimLimits,
+    layout: ClaimLayout,
+    queue: Mutex<Queue>,
+    changed: Condvar,
+    health: Mutex<StoreHealth>,
+    counters: Counters,
+}
+
+impl ClaimLog {
+    /// Starts the workers of a claim log.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no thread can be started.
+    pub fn spawn(
+        store: Arc<dyn Store>,
+        clock: Arc<dyn Clock>,
+        limits: ClaimLimits,
+    ) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            store,
+            clock,
+            limits,
+            layout: ClaimLayout::CURRENT,
+            queue: Mutex::default(),
+            changed: Condvar::new(),
+            health: Mutex::default(),
+            counters: Counters::default(),
+        });
+        for _ in 0..limits.workers {
+            let shared = Arc::clone(&shared);
+            thread::Builder::new().name("claims".into()).spawn(move || shared.work())?;
+        }
+        Ok(Self { shared })
+    }
+
+    /// Returns the right to send a request with a key until `deadline` from now, which counts
+    /// once [`ClaimLog::begin`] has granted it.
+    pub fn grant(&self, key: ClaimKey, holder: AttemptId, deadline: Duration) -> ClaimGrant {
+        let clock = self.shared.clock.as_ref();
+        ClaimGrant::new(key, holder, deadline, clock.now(), commit::wall_s(clock))
+    }
+
+    /// Returns whether a granted request may still be sent; asked right before the send.
+    pub fn may_send(&self, grant: &ClaimGrant) -> bool {
+        let clock = self.shared.clock.as_ref();
+        grant.may_send(clock.now(), commit::wall_s(clock))
+    }
+
+    /// Claims a key, durably.
+    ///
+    /// # Errors
+    ///
+    /// The claim does not count, whatever the store holds: the attempt must not send. What the
+    /// store may hold of it is released in the background.
+    pub fn begin(
+        &self,
+        grant: &ClaimGrant,
+        customer: &CustomerId,
+        request: ClaimDigest,
+    ) -> Result<ClaimDecision, ClaimError> {
+        let now = self.shared.clock.now();
+        if lock(&self.shared.queue).open() >= self.shared.limits.open_max {
+            return Err(ClaimError::Overloaded);
+        }
+        if !lock(&self.shared.health).admits(now) {
+            return Err(ClaimError::StoreUnavailable);
+        }
+        let request = grant.request(&self.shared.layout, customer.clone(), request);
+        let ticket = Arc::new(Ticket::default());
+        self.shared.push(grant, ClaimOperation::Begin(request), Some(Arc::clone(&ticket)));
+        let limit = self.shared.limits.claim_wait.min(grant.time_left(now));
+        match ticket.wait(limit) {
+            Some(Ok(Some(decision))) => Ok(decision),
+            Some(Err(error)) => Err(error),
+            Some(Ok(None)) | None => Err(ClaimError::TimedOut),
+        }
+    }
+
+    /// Records how a sent request ended.
+    ///
+    /// Returns whether the store holds the record yet; if not, recording goes on.
+    pub fn finish(&self, grant: &ClaimGrant, state: ClaimState) -> bool {
+        let ticket = Arc::new(Ticket::default());
+        self.push_finish(grant, state, Some(Arc::clone(&ticket)));
+        ticket.wait(self.shared.limits.record_wait).is_some_and(|it| it.is_ok())
+    }
+
+    /// Records how a sent request ended, without waiting.
+    pub fn finish_later(&self, grant: &ClaimGrant, state: ClaimState) {
+        self.push_finish(grant, state, None);
+    }
+
+    /// Drops a claim whose request was certainly not sent and never will be, without waiting.
+    pub fn release(&self, grant: ClaimGrant) {
+        let key = grant.key.digest().clone();
+        let holder = grant.holder.clone();
+        let operation = ClaimOperation::Release { key, holder, lost_write: None };
+        self.shared.push(&grant, operation, None);
+    }
+
+    /// Waits until nothing is open, at most `limit`; returns whether nothing is.
+    pub fn flush(&self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        let mut queue = lock(&self.shared.queue);
+        while queue.open() > 0 {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            let waited = self.shared.changed.wait_timeout(queue, left);
+            queue = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        true
+    }
+
+    /// Returns what was done so far.
+    pub fn counts(&self) -> ClaimCounts {
+        let open = lock(&self.shared.queue).open();
+        self.shared.counters.read(open)
+    }
+
+    fn push_finish(&self, grant: &ClaimGrant, state: ClaimState, ticket: Option<Arc<Ticket>>) {
+        let key = grant.key.digest().clone();
+        let holder = grant.holder.clone();
+        self.shared.push(grant, ClaimOperation::Finish { key, holder, state }, ticket);
+    }
+}
+
+impl fmt::Debug for ClaimLog {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ClaimLog").field("counts", &self.counts()).finish_non_exhaustive()
+    }
+}
+
+impl Drop for ClaimLog {
+    fn drop(&mut self) {
+        lock(&self.shared.queue).closed = true;
+        self.shared.changed.notify_all();
+    }
+}
+
+impl Shared {
+    fn push(&self, grant: &ClaimGrant, operation: ClaimOperation, ticket: Option<Arc<Ticket>>) {
+        let store_key = self.layout.store_key(&grant.key).into();
+        lock(&self.queue).push(store_key, Queued { operation, ticket, tries: 0 });
+        self.changed.notify_all();
+    }
+
+    fn work(&self) {
+        while let Some(mut batch) = self.next_batch() {
+            let (store, clock) = (self.store.as_ref(), self.clock.as_ref());
+            let (end, copy) = commit::carry_out(store, clock, &self.counters, &batch);
+            self.note_health(&end);
+            let queued = std::mem::take(&mut batch.queued);
+            count(&self.counters.operations, queued.len());
+            let next = queued.into_iter().enumerate();
+            let next = next.map(|(number, it)| settle(it, &end, number)).collect();
+            self.go_on(&batch, next, copy);
+        }
+    }
+
+    fn next_batch(&self) -> Option<Batch> {
+        let mut queue = lock(&self.queue);
+        loop {
+            if queue.closed {
+                return None;
+            }
+            let now = self.clock.now();
+            if let Some(batch) = queue.take(now) {
+                return Some(batch);
+            }
+            let due = queue.next_due().map_or(IDLE_MAX, |it| it.saturating_duration_since(now));
+            let waited = self.changed.wait_timeout(queue, due.min(IDLE_MAX));
+            queue = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn note_health(&self, end: &CommitEnd) {
+        let mut health = lock(&self.health);
+        match end {
+            CommitEnd::Failed { store_failed: true, .. } => health.failed(self.clock.now()),
+            CommitEnd::Failed { .. } | CommitEnd::Committed(_) => health.succeeded(),
+        }
+    }
+
+    fn go_on(&self, batch: &Batch, next: Vec<Next>, copy: Option<ShardCopy>) {
+        let now = self.clock.now();
+        let mut queue = lock(&self.queue);
+        for next in next {
+            match next {
+                Next::Ended => queue.ended(),
+                Next::Retry(queued) | Next::Release(queued) => {
+                    count(&self.counters.deferred, 1);
+                    queue.defer(Arc::clone(&batch.store_key), queued, now);
+                }
+            }
+        }
+        queue.free(&batch.store_key, copy);
+        drop(queue);
+        self.changed.notify_all();
+    }
+}
--- /dev/null
+++ b/crates/mangocross-claims/src/counts.rs
@@ -0,0 +1,57 @@
+//! What a claim log has done.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+/// What a claim log has done since it was opened.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ClaimCounts {
+    /// Operations carried out.
+    pub operations: u64,
+    /// Batches carried out or given up.
+    pub commits: u64,
+    /// Writes of the store.
+    pub swaps: u64,
+    /// Writes refused because another one came first.
+    pub conflicts: u64,
+    /// Reads of the store.
+    pub reads: u64,
+    /// Calls of the store that failed.
+    pub failures: u64,
+    /// Releases and records that have to wait for the store, each try counted.
+    pub deferred: u64,
+    /// Operations open now.
+    pub open: u64,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+    pub(crate) operations: AtomicU64,
+    pub(crate) commits: AtomicU64,
+    pub(crate) swaps: AtomicU64,
+    pub(crate) conflicts: AtomicU64,
+    pub(crate) reads: AtomicU64,
+    pub(crate) failures: AtomicU64,
+    pub(crate) deferred: AtomicU64,
+}
+
+impl Counters {
+    pub(crate) fn read(&self, open: usize) -> ClaimCounts {
+        let load = |it: &AtomicU64| it.load(Ordering::Relaxed);
+        ClaimCounts {
+            operations: load(&self.operations),
+            commits: load(&self.commits),
+            swaps: load(&self.swaps),
+            conflicts: load(&self.conflicts),
+            reads: load(&self.reads),
+            failures: load(&self.failures),
+            deferred: load(&self.deferred),
+            open: open as u64,
+        }
+    }
+}
+
+/// Adds to a counter.
+pub(crate) fn count(counter: &AtomicU64, by: usize) {
+    counter.fetch_add(by as u64, Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/mangocross-claims/src/lib.rs
@@ -0,0 +1,20 @@
+//! Group commit of claims in the platform's store.
+//!
+//! The decisions are those of `mangocross-coordination`; this crate queues
+//! operations by shard, carries each batch out with one compare-and-swap, and
+//! goes on in the background with what a failed store has left open.
+
+mod commit;
+mod counts;
+mod error;
+mod health;
+mod limits;
+mod claim_log;
+mod queue;
+mod settle;
+mod ticket;
+
+pub use claim_log::ClaimLog;
+pub use counts::ClaimCounts;
+pub use error::ClaimError;
+pub use limits::ClaimLimits;
--- /dev/null
+++ b/crates/mangocross-claims/src/limits.rs
@@ -0,0 +1,27 @@
+//! Limits of a claim log.
+
+use std::time::Duration;
+
+/// Limits of a claim log.
+#[derive(Debug, Clone, Copy)]
+pub struct ClaimLimits {
+    /// Commits carried out at once.
+    pub workers: usize,
+    /// Most operations open at once; claims beyond it are refused.
+    pub open_max: usize,
+    /// Longest wait for a claim; the claim is given up after it.
+    pub claim_wait: Duration,
+    /// Longest wait for an outcome to be recorded; the record goes on after it.
+    pub record_wait: Duration,
+}
+
+impl Default for ClaimLimits {
+    fn default() -> Self {
+        Self {
+            workers: 8,
+            open_max: 8_192,
+            claim_wait: Duration::from_millis(1_500),
+            record_wait: Duration::from_millis(250),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangocross-claims/src/queue.rs
@@ -0,0 +1,128 @@
+//! Operations that wait for their shard.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::ClaimOperation;
+use mangocross_coordination::ShardCopy;
+
+use crate::ticket::Ticket;
+
+/// Most copies of shards kept for the next commit.
+const COPIES_MAX: usize = 32;
+/// First wait before an operation is tried again.
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+/// Longest wait before an operation is tried again.
+const RETRY_LAST: Duration = Duration::from_millis(5_000);
+/// Doublings after which the wait has reached its longest.
+const DOUBLINGS_MAX: u32 = 6;
+
+/// An operation with who waits for it.
+#[derive(Debug, Clone)]
+pub(crate) struct Queued {
+    pub(crate) operation: ClaimOperation,
+    pub(crate) ticket: Option<Arc<Ticket>>,
+    pub(crate) tries: u32,
+}
+
+/// Operations on one shard that one commit carries out.
+#[derive(Debug)]
+pub(crate) struct Batch {
+    pub(crate) store_key: Arc<str>,
+    pub(crate) queued: Vec<Queued>,
+    pub(crate) copy: Option<ShardCopy>,
+}
+
+/// Operations that wait for their shard; one commit at a time for each shard.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    pending: HashMap<Arc<str>, Vec<Queued>>,
+    ready: VecDeque<Arc<str>>,
+    busy: HashSet<Arc<str>>,
+    copies: HashMap<Arc<str>, ShardCopy>,
+    deferred: BTreeMap<(Instant, u64), (Arc<str>, Queued)>,
+    last_deferred: u64,
+    open: usize,
+    pub(crate) closed: bool,
+}
+
+impl Queue {
+    /// Returns the number of operations that have not ended.
+    pub(crate) fn open(&self) -> usize {
+        self.open
+    }
+
+    /// Adds an operation.
+    pub(crate) fn push(&mut self, store_key: Arc<str>, queued: Queued) {
+        self.open += 1;
+        self.enqueue(store_key, queued);
+    }
+
+    /// Puts an operation of a failed commit off.
+    pub(crate) fn defer(&mut self, store_key: Arc<str>, mut queued: Queued, now: Instant) {
+        queued.tries += 1;
+        self.last_deferred += 1;
+        let due = now + retry_wait(queued.tries);
+        self.deferred.insert((due, self.last_deferred), (store_key, queued));
+    }
+
+    /// Notes that an operation has ended.
+    pub(crate) fn ended(&mut self) {
+        self.open -= 1;
+    }
+
+    /// Takes everything that waits for one shard.
+    pub(crate) fn take(&mut self, now: Instant) -> Option<Batch> {
+        while let Some(entry) = self.deferred.first_entry()
+            && entry.key().0 <= now
+        {
+            let (store_key, queued) = entry.remove();
+            self.enqueue(store_key, queued);
+        }
+        let store_key = self.ready.pop_front()?;
+        let queued = self.pending.remove(&store_key).unwrap_or_default();
+        let copy = self.copies.remove(&store_key);
+        self.busy.insert(Arc::clone(&store_key));
+        Some(Batch { store_key, queued, copy })
+    }
+
+    /// Frees a shard after its commit.
+    pub(crate) fn free(&mut self, store_key: &Arc<str>, copy: Option<ShardCopy>) {
+        self.busy.remove(store_key);
+        if self.pending.contains_key(store_key) {
+            self.ready.push_back(Arc::clone(store_key));
+        }
+        if let Some(copy) = copy {
+            if self.copies.len() >= COPIES_MAX {
+                self.copies.clear();
+            }
+            self.copies.insert(Arc::clone(store_key), copy);
+        }
+    }
+
+    /// Returns when the next deferred operation is due.
+    pub(crate) fn next_due(&self) -> Option<Instant> {
+        self.deferred.first_key_value().map(|((due, _), _)| *due)
+    }
+
+    fn enqueue(&mut self, store_key: Arc<str>, queued: Queued) {
+        let waiting = self.pending.entry(Arc::clone(&store_key)).or_default();
+        waiting.push(queued);
+        if waiting.len() == 1 && !self.busy.contains(&store_key) {
+            self.ready.push_back(store_key);
+        }
+    }
+}
+
+/// Returns a wait that doubles with each try, spread so that a returning store
+/// does not meet all at once.
+fn retry_wait(tries: u32) -> Duration {
+    let doublings = tries.saturating_sub(1).min(DOUBLINGS_MAX);
+    let longest = (RETRY_FIRST * 2_u32.pow(doublings)).min(RETRY_LAST);
+    longest.mul_f64(0.5 + fastrand::f64() / 2.0)
+}
--- /dev/null
+++ b/crates/mangocross-claims/src/ticket.rs
@@ -0,0 +1,67 @@
+//! A caller's wait for an operation.
+
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::ClaimDecision;
+
+use crate::ClaimError;
+
+/// What came of an operation; no decision but for a claim.
+pub(crate) type Settled = Result<Option<ClaimDecision>, ClaimError>;
+
+/// A caller's wait for an operation: either it receives the result or it has
+/// given up, never both.
+#[derive(Debug, Default)]
+pub(crate) struct Ticket {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+enum State {
+    #[default]
+    Waiting,
+    Settled(Settled),
+    GivenUp,
+}
+
+impl Ticket {
+    /// Hands over the result; returns whether somebody still waits for it.
+    pub(crate) fn settle(&self, settled: Settled) -> bool {
+        let mut state = lock(&self.state);
+        if matches!(*state, State::GivenUp) {
+            return false;
+        }
+        *state = State::Settled(settled);
+        self.changed.notify_all();
+        true
+    }
+
+    /// Waits for the result; gives up after `limit`.
+    pub(crate) fn wait(&self, limit: Duration) -> Option<Settled> {
+        let deadline = Instant::now() + limit;
+        let mut state = lock(&self.state);
+        loop {
+            if let State::Settled(settled) = &*state {
+                return Some(settled.clone());
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                *state = State::GivenUp;
+                return None;
+            }
+            let waited = self.changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+}
+
+/// Locks a mutex; each value is whole after every statement that changes it.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/mangocross-claims/tests/claim_log.rs
@@ -0,0 +1,318 @@
+//! Claim logs on a store that fails in memory.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_claims::ClaimError;
+use mangocross_claims::ClaimLimits;
+use mangocross_claims::ClaimLog;
+use mangocross_coordination::ClaimDecision;
+use mangocross_coordination::ClaimDigest;
+use mangocross_coordination::ClaimGrant;
+use mangocross_coordination::ClaimState;
+use mangocross_coordination::RecordedAnswer;
+use mangocross_types::ManualClock;
+use mangocross_types::Revision;
+use mangocross_types::SystemClock;
+use peer_store::CasOutcome;
+use peer_store::Entry;
+use peer_store::Store;
+use peer_store::StoreError;
+use peer_store::StoreErrorKind;
+
+const WAIT_MAX: Duration = Duration::from_secs(60);
+
+/// What the store does with a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    /// Refuses every call.
+    Down,
+    /// Carries it out and loses the answer.
+    AnswerLost,
+    /// Loses the answer of a write and refuses the reads after it.
+    AnswerLostThenDown,
+    /// Carries nothing out and loses the answer.
+    RequestLost,
+}
+
+#[derive(Debug, Default)]
+struct Data {
+    entries: BTreeMap<String, Entry>,
+    revision: u64,
+    writes: u64,
+    waiting: usize,
+    closed: bool,
+    fault: Option<Fault>,
+    faults: VecDeque<Fault>,
+}
+
+/// A store in memory with a gate before its writes.
+#[derive(Debug, Default)]
+struct FakeStore {
+    data: Mutex<Data>,
+    changed: Condvar,
+}
+
+impl FakeStore {
+    fn set(&self, fault: Option<Fault>) {
+        self.data.lock().unwrap().fault = fault;
+    }
+
+    fn close_gate(&self, closed: bool) {
+        self.data.lock().unwrap().closed = closed;
+        self.changed.notify_all();
+    }
+
+    fn error(key: &str, kind: StoreErrorKind) -> StoreError {
+        StoreError { kind, key: key.to_owned(), message: "a fault of the test".to_owned() }
+    }
+}
+
+impl Store for FakeStore {
+    fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        let data = self.data.lock().unwrap();
+        if matches!(data.fault, Some(Fault::Down)) {
+            return Err(Self::error(key, StoreErrorKind::Unavailable));
+        }
+        Ok(data.entries.get(key).cloned())
+    }
+
+    fn list(&self, _prefix: &str) -> Result<Vec<Entry>, StoreError> {
+        unreachable!("claims are never listed")
+    }
+
+    fn compare_and_swap(
+        &self,
+        key: &str,
+        expected: Revision,
+        value: &str,
+    ) -> Result<CasOutcome, StoreError> {
+        let mut data = self.data.lock().unwrap();
+        data.waiting += 1;
+        self.changed.notify_all();
+        while data.closed {
+            data = self.changed.wait(data).unwrap();
+        }
+        data.waiting -= 1;
+        data.writes += 1;
+        let fault = data.faults.pop_front().or(data.fault);
+        match fault {
+            Some(Fault::Down) => return Err(Self::error(key, StoreErrorKind::Unavailable)),
+            Some(Fault::RequestLost) => return Err(Self::error(key, StoreErrorKind::AnswerLost)),
+            Some(Fault::AnswerLostThenDown) => data.fault = Some(Fault::Down),
+            Some(Fault::AnswerLost) | None => {}
+        }
+        let current = data.entries.get(key).cloned();
+        if current.as_ref().map_or(Revision(0), |it| it.revision) != expected {
+            return Ok(CasOutcome::Conflict(current));
+        }
+        data.revision += 1;
+        let revision = Revision(data.revision);
+        let entry = Entry { key: key.to_owned(), value: value.to_owned(), revision };
+        data.entries.insert(key.to_owned(), entry);
+        match fault {
+            Some(_) => Err(Self::error(key, StoreErrorKind::AnswerLost)),
+            None => Ok(CasOutcome::Swapped(revision)),
+        }
+    }
+
+    fn watch(
+        &self,
+        _key: &str,
+        _after: Revision,
+        _timeout: Duration,
+    ) -> Result<Option<Entry>, StoreError> {
+        unreachable!("claims are never watched")
+    }
+}
+
+fn open(store: &Arc<FakeStore>, limits: ClaimLimits) -> Arc<ClaimLog> {
+    let store = Arc::clone(store) as Arc<dyn Store>;
+    Arc::new(ClaimLog::spawn(store, Arc::new(SystemClock), limits).unwrap())
+}
+
+/// Waits as long as the machine may need, so that no verdict rests on its speed.
+fn patient() -> ClaimLimits {
+    ClaimLimits { claim_wait: WAIT_MAX, record_wait: WAIT_MAX, ..ClaimLimits::default() }
+}
+
+fn grant(log: &ClaimLog, name: &str, holder: &str) -> ClaimGrant {
+    let key = format!("1796000000.{name}").parse().unwrap();
+    log.grant(key, holder.parse().unwrap(), 2 * WAIT_MAX)
+}
+
+fn begin(log: &ClaimLog, grant: &ClaimGrant) -> Result<ClaimDecision, ClaimError> {
+    log.begin(grant, &"town".parse().unwrap(), ClaimDigest::of(&[b"body"]))
+}
+
+fn done() -> ClaimState {
+    ClaimState::Done(RecordedAnswer::new(200, None, b"booked"))
+}
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + WAIT_MAX;
+    while !holds() {
+        assert!(Instant::now() < deadline, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn recorded_outcome_reaches_a_retry_through_another_log() {
+    let store = Arc::new(FakeStore::default());
+    let (one, other) = (open(&store, patient()), open(&store, patient()));
+    let first = grant(&one, "k", "a-1");
+    assert_eq!(begin(&one, &first), Ok(ClaimDecision::Granted));
+    let second = grant(&other, "k", "a-2");
+    assert_eq!(begin(&other, &second), Ok(ClaimDecision::InProgress));
+    assert!(one.finish(&first, done()));
+    let answer = RecordedAnswer::new(200, None, b"booked");
+    assert_eq!(begin(&other, &second), Ok(ClaimDecision::Ran(answer)));
+}
+
+#[test]
+fn store_that_is_down_refuses_at_once_and_claims_go_on_after_it() {
+    let store = Arc::new(FakeStore::default());
+    let clock = Arc::new(ManualClock::new());
+    clock.advance(Duration::from_secs(1_796_000_000));
+    let claimed = Arc::clone(&store) as Arc<dyn Store>;
+    let log = ClaimLog::spawn(claimed, Arc::clone(&clock) as _, patient()).unwrap();
+    store.set(Some(Fault::Down));
+    for number in 0..50 {
+        let grant = grant(&log, &format!("k{number}"), "a-1");
+        assert_eq!(begin(&log, &grant), Err(ClaimError::StoreUnavailable));
+    }
+    assert_eq!(log.counts().reads, 1, "only the first claim tries the store");
+    store.set(None);
+    clock.advance(Duration::from_secs(1));
+    assert_eq!(begin(&log, &grant(&log, "k0", "a-1")), Ok(ClaimDecision::Granted));
+}
+
+#[test]
+fn lost_answer_is_settled_by_reading_back() {
+    for fault in [Fault::AnswerLost, Fault::RequestLost] {
+        let store = Arc::new(FakeStore::default());
+        let log = open(&store, patient());
+        store.data.lock().unwrap().faults.push_back(fault);
+        let mine = grant(&log, "k", "a-1");
+        assert_eq!(begin(&log, &mine), Ok(ClaimDecision::Granted), "{fault:?}");
+        let other = grant(&log, "k", "a-2");
+        assert_eq!(begin(&log, &other), Ok(ClaimDecision::InProgress), "{fault:?}");
+    }
+}
+
+#[test]
+fn claim_that_cannot_be_read_back_is_refused_and_released_later() {
+    let store = Arc::new(FakeStore::default());
+    let log = open(&store, patient());
+    store.data.lock().unwrap().faults.push_back(Fault::AnswerLostThenDown);
+    let first = grant(&log, "k", "a-1");
+    assert_eq!(begin(&log, &first), Err(ClaimError::AnswerLost));
+    store.set(None);
+    assert!(log.flush(WAIT_MAX));
+    let other = open(&store, patient());
+    let retry = grant(&other, "k", "a-2");
+    assert_eq!(begin(&other, &retry), Ok(ClaimDecision::Granted));
+}
+
+#[test]
+fn claim_that_was_given_up_is_released_when_the_store_comes_back() {
+    let store = Arc::new(FakeStore::default());
+    let limits = ClaimLimits { claim_wait: Duration::from_millis(20), ..patient() };
+    let log = open(&store, limits);
+    store.close_gate(true);
+    let first = grant(&log, "k", "a-1");
+    assert_eq!(begin(&log, &first), Err(ClaimError::TimedOut));
+    store.close_gate(false);
+    assert!(log.flush(WAIT_MAX));
+    let other = open(&store, patient());
+    let retry = grant(&other, "k", "a-2");
+    assert_eq!(begin(&other, &retry), Ok(ClaimDecision::Granted));
+}
+
+#[test]
+fn outcome_is_recorded_when_the_store_comes_back() {
+    let store = Arc::new(FakeStore::default());
+    let limits = ClaimLimits { record_wait: Duration::ZERO, ..patient() };
+    let log = open(&store, limits);
+    let first = grant(&log, "k", "a-1");
+    assert_eq!(begin(&log, &first), Ok(ClaimDecision::Granted));
+    store.set(Some(Fault::Down));
+    assert!(!log.finish(&first, done()));
+    wait_until("the record failed", || log.counts().deferred > 0);
+    store.set(None);
+    assert!(log.flush(WAIT_MAX));
+    let other = open(&store, patient());
+    let retry = grant(&other, "k", "a-2");
+    assert!(matches!(begin(&other, &retry), Ok(ClaimDecision::Ran(_))));
+}
+
+#[test]
+fn waiting_claims_share_a_write() {
+    let store = Arc::new(FakeStore::default());
+    let log = open(&store, patient());
+    store.close_gate(true);
+    let threads: Vec<_> = (0..64)
+        .map(|number| {
+            let log = Arc::clone(&log);
+            thread::spawn(move || {
+                let grant = grant(&log, &format!("k{number}"), &format!("a-{number}"));
+                assert_eq!(begin(&log, &grant), Ok(ClaimDecision::Granted));
+            })
+        })
+        .collect();
+    wait_until("all claims are open", || log.counts().open == 64);
+    store.close_gate(false);
+    threads.into_iter().for_each(|it| it.join().unwrap());
+    let writes = store.data.lock().unwrap().writes;
+    assert!(writes <= 16, "{writes} writes for 64 claims in 8 shards");
+}
+
+#[test]
+fn too_many_open_operations_refuse_at_once() {
+    let store = Arc::new(FakeStore::default());
+    let log = open(&store, ClaimLimits { open_max: 1, ..patient() });
+    store.close_gate(true);
+    let waiting = Arc::clone(&log);
+    let waiter = thread::spawn(move || begin(&waiting, &grant(&waiting, "k1", "a-1")));
+    wait_until("a claim is open", || log.counts().open == 1);
+    assert_eq!(begin(&log, &grant(&log, "k2", "a-2")), Err(ClaimError::Overloaded));
+    store.close_gate(false);
+    assert_eq!(waiter.join().unwrap(), Ok(ClaimDecision::Granted));
+}
+
+#[test]
+fn one_of_many_copies_is_granted_while_answers_are_lost() {
+    let store = Arc::new(FakeStore::default());
+    let mut rng = fastrand::Rng::with_seed(7);
+    for _ in 0..2_000 {
+        let fault = if rng.bool() { Fault::AnswerLost } else { Fault::RequestLost };
+        store.data.lock().unwrap().faults.push_back(fault);
+    }
+    let threads: Vec<_> = (0..4)
+        .map(|number| {
+            let log = open(&store, patient());
+            thread::spawn(move || {
+                let holder = format!("a-{number}");
+                let granted = (0..200).filter(|key| {
+                    let grant = grant(&log, &format!("k{key}"), &holder);
+                    begin(&log, &grant) == Ok(ClaimDecision::Granted)
+                });
+                granted.collect::<Vec<_>>()
+            })
+        })
+        .collect();
+    let granted = threads.into_iter().flat_map(|it| it.join().unwrap());
+    let mut granted: Vec<i32> = granted.collect();
+    granted.sort_unstable();
+    let all = granted.len();
+    granted.dedup();
+    assert_eq!(granted.len(), all, "a key was granted twice");
+    assert!(all > 0);
+}
