--- a/standins/src/bin/standin-caller.rs
+++ b/standins/src/bin/standin-caller.rs
@@ -1,5 +1,7 @@
 //! A caller: sends one request to a gateway and prints the answer as it comes.
 
+use std::io::BufRead;
+use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -7,6 +9,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use mangocross_http::HttpAnswer;
 use mangocross_http::HttpCall;
 use mangocross_http::HttpClient;
 use mangocross_http::HttpMethod;
@@ -34,8 +37,10 @@
     /// Time to wait between reads, in milliseconds
     #[bpaf(argument("MS"), fallback(30_000))]
     idle_ms: u64,
-    /// Print the status line and headers too
+    /// Print the status and the system's headers too
     verbose: bool,
+    /// Of a stream print only the text, as it comes, and how it ended
+    text: bool,
     /// Path
     #[bpaf(positional("PATH"))]
     path: String,
@@ -76,6 +81,9 @@
         }
     }
     let status = answer.status();
+    if arguments.text && status == 200 {
+        return print_text(answer).map(|()| status);
+    }
     let mut buf = [0; 4096];
     loop {
         match answer.read(&mut buf) {
@@ -90,3 +98,27 @@
     println!();
     Ok(status)
 }
+
+/// Prints the text of a stream as it comes, and how the stream ended.
+fn print_text(answer: HttpAnswer) -> Result<(), String> {
+    let mut end = "without its end marker";
+    for line in BufReader::new(answer).lines() {
+        let line = line.map_err(|it| format!("the answer broke off: {it}"))?;
+        if line.starts_with("event: error") {
+            end = "with an error";
+        }
+        let Some(data) = line.strip_prefix("data: ") else { continue };
+        if data == "[DONE]" {
+            end = "whole";
+            continue;
+        }
+        let chunk: serde_json::Value = serde_json::from_str(data).map_err(|it| it.to_string())?;
+        if chunk.get("code").is_some() {
+            print!("{chunk}");
+        }
+        print!("{}", chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+        let _ = std::io::stdout().flush();
+    }
+    println!("(ended {end})");
+    Ok(())
+}
