--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -111,9 +111,10 @@
     pub load_lag_ms: u64,
 }
 
-/// A running engine.
+/// A running engine; clones are handles to the same one.
+#[derive(Clone)]
 pub struct EngineStandin {
-    server: HttpServer,
+    server: Arc<HttpServer>,
     state: Arc<State>,
 }
 
@@ -169,7 +170,7 @@
             move |it| serve(&serving, it),
             |it| it.respond(503, &[("x-run-outcome", "not_run")], b"too many calls".to_vec()),
         )?;
-        Ok(Self { server, state })
+        Ok(Self { server: Arc::new(server), state })
     }
 
     /// Returns the bound address.
@@ -181,6 +182,19 @@
     pub fn faults(&self) -> &Faulty<EngineFaults> {
         &self.state.faults
     }
+
+    /// Forgets everything, as an engine does that is restarted on its VM; its work ends.
+    pub fn restart_empty(&self) {
+        let mut member = lock(&self.state.member);
+        let membership = member.membership + 1;
+        *member = Member::idle();
+        member.membership = membership;
+    }
+
+    /// Returns what the engine reports of itself, faults left aside.
+    pub fn report(&self) -> BackendReport {
+        self.state.report()
+    }
 }
 
 impl Member {
@@ -453,6 +467,11 @@
     }
 }
 
+/// Returns the text of a whole answer to a prompt.
+pub fn expected_text(prompt: &str, tokens: u32) -> String {
+    (0..tokens).map(|it| token_text(prompt, it)).collect()
+}
+
 /// Returns the token at an index; it depends on the prompt and the index only.
 fn token_text(prompt: &str, index: u32) -> String {
     let sum = prompt
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub use engine::EngineFaults;
 pub use engine::EngineOptions;
 pub use engine::EngineStandin;
+pub use engine::expected_text;
 pub use platform::PlatformFaults;
 pub use platform::PlatformStandin;
 pub use service::ServiceFaults;
--- /dev/null
+++ b/tests/src/bin/soak.rs
@@ -0,0 +1,100 @@
+//! Runs the system under traffic and random faults for a while and checks the promises.
+//!
+//! `soak SECONDS SEED`, after a build of the whole workspace.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_tests::Cluster;
+use mangocross_tests::ClusterBuilder;
+use mangocross_tests::Outgoing;
+use mangocross_tests::soak::FaultPlan;
+use mangocross_tests::soak::Record;
+use mangocross_tests::soak::Traffic;
+use mangocross_tests::soak::watch_groups;
+use mangocross_types::GroupId;
+
+/// Groups with their models and sizes.
+const GROUPS: &[(&str, &str, usize)] =
+    &[("letters-1", "letters", 4), ("letters-2", "letters", 3), ("drills-1", "drills", 2)];
+/// Callers of each sort.
+const CALLERS: u32 = 6;
+/// Longest wait for the system to serve again after the last fault.
+const RECOVERY_MAX: Duration = Duration::from_secs(60);
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let number = |index: usize| arguments.get(index).and_then(|it| it.parse::<u64>().ok());
+    let (seconds, seed) = (number(1).unwrap_or(60), number(2).unwrap_or(1));
+    let record = Arc::new(Record::default());
+    let mut cluster = ClusterBuilder::new(3, &[6, 5, 4]).start();
+    start_groups(&cluster);
+    let gateways = (0..3).map(|it| cluster.gateway(it)).collect();
+    let traffic = Traffic::spawn(gateways, Arc::clone(&record), CALLERS, seed);
+    let stop = Arc::new(AtomicBool::new(false));
+    let monitor = watch(&cluster, &record, &stop);
+    let mut plan = FaultPlan::new(seed);
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(seconds) {
+        plan.next(&mut cluster, &record);
+    }
+    await_recovery(&cluster, &record);
+    stop.store(true, Ordering::SeqCst);
+    let _ = monitor.join();
+    traffic.finish(&cluster.service);
+    report(&record, seed)
+}
+
+fn watch(cluster: &Cluster, record: &Arc<Record>, stop: &Arc<AtomicBool>) -> JoinHandle<()> {
+    let sizes: BTreeMap<GroupId, usize> =
+        GROUPS.iter().map(|(group, _, size)| (group.parse().expect("a valid id"), *size)).collect();
+    let (engines, record, stop) = (cluster.engines.clone(), Arc::clone(record), Arc::clone(stop));
+    thread::spawn(move || watch_groups(&engines, &record, &sizes, &stop))
+}
+
+fn start_groups(cluster: &Cluster) {
+    for (group, model, size) in GROUPS {
+        let line = format!("start group {group} model {model} version v1 members {size}");
+        cluster.operate(0, &line).expect("the group is accepted");
+    }
+    for (kind, model) in [("draft", "letters"), ("scenario", "drills")] {
+        let probe = Outgoing::chat("town", kind, model, 2, true);
+        cluster.wait_until("the groups serve", || cluster.send(0, &probe).is_whole());
+    }
+}
+
+/// Waits until every node serves both models again.
+fn await_recovery(cluster: &Cluster, record: &Record) {
+    let deadline = Instant::now() + RECOVERY_MAX;
+    for node in 0..3 {
+        for (kind, model) in [("draft", "letters"), ("scenario", "drills")] {
+            let probe = Outgoing::chat("town", kind, model, 2, true);
+            while !cluster.send(node, &probe).is_whole() {
+                if Instant::now() > deadline {
+                    record.violation("recovery", format!("node {node} does not serve {model}"));
+                    break;
+                }
+                thread::sleep(Duration::from_millis(100));
+            }
+        }
+    }
+}
+
+fn report(record: &Record, seed: u64) -> ExitCode {
+    for (what, count) in record.counts() {
+        println!("{count:6} {what}");
+    }
+    let violations = record.violations();
+    println!("seed {seed}: {} violations", violations.len());
+    for it in &violations {
+        println!("{}: {}", it.promise, it.seen);
+    }
+    if violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -52,6 +52,17 @@
         Self::new("/v1/chat/completions", customer, kind, body.to_string())
     }
 
+    /// Returns a chat completion request with a question of its own.
+    pub fn question(customer: &str, kind: &str, model: &str, max_tokens: u32, text: &str) -> Self {
+        let body = serde_json::json!({
+            "model": model,
+            "stream": true,
+            "max_tokens": max_tokens,
+            "messages": [{"role": "user", "content": text}],
+        });
+        Self::new("/v1/chat/completions", customer, kind, body.to_string())
+    }
+
     /// Returns a call to a plain service, with its path from the service's name on.
     pub fn service(customer: &str, kind: &str, path: &str, body: &str) -> Self {
         Self::new(&format!("/v1/services/{path}"), customer, kind, body.to_owned())
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod process;
 mod relay;
+pub mod soak;
 
 pub use caller::Answer;
 pub use caller::Caller;
--- /dev/null
+++ b/tests/src/soak/faults.rs
@@ -0,0 +1,220 @@
+//! Random faults, one after another and two at a time.
+
+use std::thread;
+use std::time::Duration;
+
+use standins::EngineFaults;
+use standins::PlatformFaults;
+use standins::ServiceFaults;
+use standins::StoreFaults;
+
+use crate::Cluster;
+use crate::RelayMode;
+use crate::soak::Record;
+
+/// Shortest and longest time that a fault lasts, in milliseconds.
+const FAULT_MS: std::ops::Range<u64> = 300..6_000;
+/// Shortest and longest calm between faults, in milliseconds.
+const CALM_MS: std::ops::Range<u64> = 200..2_500;
+
+/// A kind of fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    KillGateway,
+    FreezeGateway,
+    KillCoordinator,
+    FreezeCoordinator,
+    EngineFrozen,
+    EngineRestartedEmpty,
+    EngineStraggler,
+    EngineSilent,
+    EngineCut,
+    EngineSwap,
+    EngineRepeat,
+    DomainDark,
+    StoreDown,
+    StoreLosesAnswers,
+    StoreGarblesAnswers,
+    StoreSlow,
+    StoreCutFromNode,
+    StoreSilentForNode,
+    ServiceLosesAnswers,
+    ServiceSlow,
+    ServiceRefuses,
+    ServiceSwaps,
+    PlatformDown,
+    PlatformLags,
+    DrainAndResume,
+    Move,
+}
+
+const ALL: &[Fault] = &[
+    Fault::KillGateway,
+    Fault::FreezeGateway,
+    Fault::KillCoordinator,
+    Fault::FreezeCoordinator,
+    Fault::EngineFrozen,
+    Fault::EngineRestartedEmpty,
+    Fault::EngineStraggler,
+    Fault::EngineSilent,
+    Fault::EngineCut,
+    Fault::EngineSwap,
+    Fault::EngineRepeat,
+    Fault::DomainDark,
+    Fault::StoreDown,
+    Fault::StoreLosesAnswers,
+    Fault::StoreGarblesAnswers,
+    Fault::StoreSlow,
+    Fault::StoreCutFromNode,
+    Fault::StoreSilentForNode,
+    Fault::ServiceLosesAnswers,
+    Fault::ServiceSlow,
+    Fault::ServiceRefuses,
+    Fault::ServiceSwaps,
+    Fault::PlatformDown,
+    Fault::PlatformLags,
+    Fault::DrainAndResume,
+    Fault::Move,
+];
+
+/// Random faults from a seed.
+pub struct FaultPlan {
+    random: fastrand::Rng,
+}
+
+impl FaultPlan {
+    /// Returns the faults of a seed.
+    pub fn new(seed: u64) -> Self {
+        Self { random: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// Brings about one fault, or two at a time, and ends them.
+    pub fn next(&mut self, cluster: &mut Cluster, record: &Record) {
+        let first = ALL[self.random.usize(..ALL.len())];
+        let second = ALL[self.random.usize(..ALL.len())];
+        let both = self.random.u8(..) < 96;
+        let node = self.random.usize(..cluster.gateways.len());
+        let vm = self.random.usize(..cluster.engines.len());
+        eprintln!(
+            "fault {first:?}{} node {node} vm {vm}",
+            if both { format!(" and {second:?}") } else { String::new() }
+        );
+        record.count(format!("fault: {first:?}"));
+        begin(first, cluster, node, vm);
+        if both {
+            record.count(format!("fault: {second:?}"));
+            begin(second, cluster, node, vm);
+        }
+        thread::sleep(Duration::from_millis(self.random.u64(FAULT_MS)));
+        end(first, cluster, node, vm);
+        if both {
+            end(second, cluster, node, vm);
+        }
+        thread::sleep(Duration::from_millis(self.random.u64(CALM_MS)));
+    }
+}
+
+fn begin(fault: Fault, cluster: &mut Cluster, node: usize, vm: usize) {
+    let store = |faults: StoreFaults| cluster.store.faults().set(faults);
+    let service = |faults: ServiceFaults| cluster.service.faults().set(faults);
+    let platform = |faults: PlatformFaults| cluster.platform.faults().set(faults);
+    match fault {
+        Fault::KillGateway => cluster.gateways[node].kill(),
+        Fault::FreezeGateway => cluster.gateways[node].freeze(),
+        Fault::KillCoordinator => cluster.coordinators[node].kill(),
+        Fault::FreezeCoordinator => cluster.coordinators[node].freeze(),
+        Fault::EngineRestartedEmpty => engine(cluster, vm).restart_empty(),
+        Fault::EngineFrozen
+        | Fault::EngineStraggler
+        | Fault::EngineSilent
+        | Fault::EngineCut
+        | Fault::EngineSwap
+        | Fault::EngineRepeat => engine(cluster, vm).faults().set(engine_faults(fault)),
+        Fault::DomainDark => {
+            set_domain(cluster, vm, &EngineFaults { frozen: true, ..EngineFaults::default() })
+        }
+        Fault::StoreDown => store(StoreFaults { down: true, ..StoreFaults::default() }),
+        Fault::StoreLosesAnswers => {
+            store(StoreFaults { lose_write_answers: true, ..StoreFaults::default() });
+        }
+        Fault::StoreGarblesAnswers => {
+            store(StoreFaults { garble_write_answers: true, ..StoreFaults::default() });
+        }
+        Fault::StoreSlow => store(StoreFaults { delay_ms: 700, ..StoreFaults::default() }),
+        Fault::StoreCutFromNode => cluster.store_relays[node].set(RelayMode::Cut),
+        Fault::StoreSilentForNode => cluster.store_relays[node].set(RelayMode::Silent),
+        Fault::ServiceLosesAnswers => {
+            service(ServiceFaults { lose_answers: true, ..ServiceFaults::default() });
+        }
+        Fault::ServiceSlow => service(ServiceFaults { delay_ms: 900, ..ServiceFaults::default() }),
+        Fault::ServiceRefuses => {
+            service(ServiceFaults { refuse: true, ..ServiceFaults::default() })
+        }
+        Fault::ServiceSwaps => {
+            service(ServiceFaults { swap_answers: true, ..ServiceFaults::default() });
+        }
+        Fault::PlatformDown => platform(PlatformFaults { down: true, ..PlatformFaults::default() }),
+        Fault::PlatformLags => {
+            platform(PlatformFaults { list_lag_ms: 5_000, ..PlatformFaults::default() });
+        }
+        Fault::DrainAndResume => operate(cluster, node, "drain group letters-2"),
+        Fault::Move => operate(cluster, node, "move group drills-1 to domain-3"),
+    }
+}
+
+fn end(fault: Fault, cluster: &mut Cluster, node: usize, vm: usize) {
+    match fault {
+        Fault::KillGateway => cluster.gateways[node].restart(),
+        Fault::KillCoordinator => cluster.coordinators[node].restart(),
+        Fault::FreezeGateway => cluster.gateways[node].thaw(),
+        Fault::FreezeCoordinator => cluster.coordinators[node].thaw(),
+        Fault::DomainDark => set_domain(cluster, vm, &EngineFaults::default()),
+        Fault::StoreCutFromNode | Fault::StoreSilentForNode => {
+            cluster.store_relays[node].set(RelayMode::Pass);
+        }
+        Fault::DrainAndResume => operate(cluster, node, "resume group letters-2"),
+        Fault::Move => operate(cluster, node, "move group drills-1 to domain-2"),
+        _ => {
+            engine(cluster, vm).faults().set(EngineFaults::default());
+            cluster.store.faults().set(StoreFaults::default());
+            cluster.service.faults().set(ServiceFaults::default());
+            cluster.platform.faults().set(PlatformFaults::default());
+        }
+    }
+}
+
+fn engine_faults(fault: Fault) -> EngineFaults {
+    let none = EngineFaults::default();
+    match fault {
+        Fault::EngineFrozen => EngineFaults { frozen: true, ..none },
+        Fault::EngineStraggler => EngineFaults { straggler: true, ..none },
+        Fault::EngineSilent => EngineFaults { silent_after: Some(20), ..none },
+        Fault::EngineCut => EngineFaults { cut_after: Some(20), ..none },
+        Fault::EngineSwap => EngineFaults { swap_after: Some(20), ..none },
+        _ => EngineFaults { repeat_token: Some(20), ..none },
+    }
+}
+
+fn engine(cluster: &Cluster, vm: usize) -> &standins::EngineStandin {
+    cluster.engines.values().nth(vm).expect("the VM is there")
+}
+
+/// Sets the faults of all engines in the domain of a VM.
+fn set_domain(cluster: &Cluster, vm: usize, faults: &EngineFaults) {
+    let name = cluster.engines.keys().nth(vm).expect("the VM is there").to_string();
+    let domain = name.rsplit_once('-').map(|(domain, _)| domain.to_owned()).unwrap_or_default();
+    let in_domain = |it: &&standins::EngineStandin| {
+        it.report().vm.as_str().rsplit_once('-').is_some_and(|(of, _)| of == domain)
+    };
+    for engine in cluster.engines.values().filter(in_domain) {
+        engine.faults().set(faults.clone());
+    }
+}
+
+/// Gives a command through another node; whether it is accepted does not matter here.
+fn operate(cluster: &Cluster, node: usize, line: &str) {
+    let other = (node + 1) % cluster.coordinators.len();
+    if let Err(message) = cluster.operate(u16::try_from(other).unwrap_or_default(), line) {
+        eprintln!("command `{line}`: {message}");
+    }
+}
--- /dev/null
+++ b/tests/src/soak/monitor.rs
@@ -0,0 +1,78 @@
+//! Watches whether a group works while a member is missing.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_types::EngineState;
+use mangocross_types::GroupId;
+use mangocross_types::Incarnation;
+use mangocross_types::Rank;
+use mangocross_types::VmId;
+use standins::EngineStandin;
+
+use crate::soak::Record;
+
+/// Time between looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time that a proof outlives a member, with the time of a request under way.
+const PROOF_TIME_MAX: Duration = Duration::from_secs(4);
+
+type GroupKey = (GroupId, Incarnation);
+
+/// Watches the engines until told to stop.
+///
+/// A group that accepts requests later than a proof can last after a member went missing breaks the
+/// promise. `sizes` gives the members of each group.
+pub fn watch_groups(
+    engines: &BTreeMap<VmId, EngineStandin>,
+    record: &Record,
+    sizes: &BTreeMap<GroupId, usize>,
+    stop: &AtomicBool,
+) {
+    let mut missing_since: BTreeMap<GroupKey, Instant> = BTreeMap::new();
+    let mut accepted: BTreeMap<String, u64> = BTreeMap::new();
+    while !stop.load(Ordering::SeqCst) {
+        let now = Instant::now();
+        let present = present_members(engines);
+        for (key, members) in &present {
+            let size = sizes.get(&key.0).copied().unwrap_or(usize::MAX);
+            if *members >= size {
+                missing_since.remove(key);
+            } else {
+                missing_since.entry(key.clone()).or_insert(now);
+            }
+        }
+        for (vm, engine) in engines {
+            let count = engine.faults().counted("generations");
+            let before = accepted.insert(vm.to_string(), count).unwrap_or(count);
+            let report = engine.report();
+            let Some(group) = report.group.filter(|_| count > before && report.rank == Rank(0))
+            else {
+                continue;
+            };
+            let key = (group, report.incarnation);
+            let missing = missing_since.get(&key).map(|it| now.duration_since(*it));
+            if let Some(missing) = missing.filter(|it| *it > PROOF_TIME_MAX) {
+                let seen = format!("{key:?} took a request {missing:?} after it lost a member");
+                record.violation("complete or silent", seen);
+            }
+        }
+        thread::sleep(LOOK_INTERVAL);
+    }
+}
+
+fn present_members(engines: &BTreeMap<VmId, EngineStandin>) -> BTreeMap<GroupKey, usize> {
+    let mut present = BTreeMap::new();
+    for engine in engines.values() {
+        let report = engine.report();
+        let there = report.state == EngineState::Ready && !engine.faults().get().frozen;
+        if let Some(group) = report.group {
+            *present.entry((group, report.incarnation)).or_default() += usize::from(there);
+        }
+    }
+    present
+}
