feat(benches): compare the policy with a naive version over the same seeded faults

The policy's decisions had no measure.

RepairTimes knows the weight store's rate; MemberCandidate knows slow VMs.

--- a/benches/src/lib.rs
+++ b/benches/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Measurements of mangocross.
+
+pub mod policy;
--- /dev/null
+++ b/benches/src/policy/assignment.rs
@@ -0,0 +1,262 @@
+//! Asks either version of the decisions what to do with the groups of a fleet.
+
+use std::time::Duration;
+
+use mangocross_policy::Absence;
+use mangocross_policy::BrokenGroup;
+use mangocross_policy::DomainRoom;
+use mangocross_policy::Donor;
+use mangocross_policy::MemberCandidate;
+use mangocross_policy::MissingMember;
+use mangocross_policy::PendingLoad;
+use mangocross_policy::RepairDecision;
+use mangocross_policy::RepairTimes;
+use mangocross_policy::RunningLoad;
+use mangocross_policy::choose_domain;
+use mangocross_policy::choose_loads;
+use mangocross_policy::choose_members;
+use mangocross_policy::decide_repair;
+use mangocross_types::FabricDomain;
+use mangocross_types::GroupSize;
+use mangocross_types::VmId;
+
+use super::Rules;
+use super::fleet::Fleet;
+use super::fleet::LOAD_MS;
+use super::fleet::RESTART_MS;
+use super::fleet::Vm;
+use super::fleet::WARM_LOAD_MS;
+
+/// Places every group that has no members.
+pub(crate) fn place_all(fleet: &mut Fleet) {
+    let mut waiting: Vec<usize> =
+        (0..fleet.groups.len()).filter(|it| fleet.groups[*it].members.is_empty()).collect();
+    if fleet.rules == Rules::Project {
+        waiting.sort_by_key(|it| std::cmp::Reverse(fleet.groups[*it].size));
+    }
+    for group in waiting {
+        let size = GroupSize(fleet.groups[group].size);
+        let Some(domain) = find_domain(fleet, size) else { continue };
+        form_in(fleet, group, domain);
+    }
+}
+
+fn form_in(fleet: &mut Fleet, group: usize, domain: usize) {
+    let size = usize::from(fleet.groups[group].size);
+    let idle = fleet.idle(domain);
+    let members = match fleet.rules {
+        Rules::Naive => idle.get(..size).map(<[usize]>::to_vec),
+        Rules::Project => choose_members(GroupSize(size as u16), &candidates(fleet, &idle))
+            .map(|it| numbers(fleet, &it)),
+    };
+    if let Some(members) = members {
+        fleet.form(group, domain, members);
+    }
+}
+
+fn find_domain(fleet: &Fleet, size: GroupSize) -> Option<usize> {
+    let mut all = 0..fleet.domains.len();
+    match fleet.rules {
+        Rules::Naive => all.find(|it| fleet.idle(*it).len() >= usize::from(size.0)),
+        Rules::Project => {
+            let rooms: Vec<DomainRoom> = all.map(|it| room(fleet, it)).collect();
+            choose_domain(size, &rooms, &fleet.weights).map(|it| domain_number(fleet, it))
+        }
+    }
+}
+
+fn room(fleet: &Fleet, domain: usize) -> DomainRoom {
+    let idle = fleet.idle(domain);
+    let warm = idle.iter().filter(|it| fleet.vms[**it].has_weights).count();
+    let groups =
+        fleet.groups.iter().filter(|it| it.domain == Some(domain) && !it.members.is_empty());
+    DomainRoom::new(fleet.domains[domain].clone(), idle.len() as u16)
+        .idle_with_weights(warm as u16)
+        .groups(groups.count() as u16)
+}
+
+/// Decides on every group that lacks a member or has a slow one.
+pub(crate) fn repair_all(fleet: &mut Fleet) {
+    for group in 0..fleet.groups.len() {
+        let Some(domain) = fleet.groups[group].domain else { continue };
+        if fleet.groups[group].members.is_empty() {
+            continue;
+        }
+        match fleet.rules {
+            Rules::Naive => repair_naively(fleet, group, domain),
+            Rules::Project => repair(fleet, group, domain),
+        }
+    }
+}
+
+/// Takes the first idle VMs of the domain, or waits.
+fn repair_naively(fleet: &mut Fleet, group: usize, domain: usize) {
+    let now_ms = fleet.now_ms;
+    let missing = |it: &usize| fleet.vms[*it].is_noticed_missing(now_ms);
+    let (lost, mut members): (Vec<usize>, Vec<usize>) =
+        fleet.groups[group].members.iter().copied().partition(missing);
+    let idle = fleet.idle(domain);
+    if !lost.is_empty() && idle.len() >= lost.len() {
+        members.extend(&idle[..lost.len()]);
+        fleet.form(group, domain, members);
+    }
+}
+
+fn repair(fleet: &mut Fleet, group: usize, domain: usize) {
+    let Some(broken) = broken_group(fleet, group, domain) else { return };
+    let now = fleet.instant(fleet.now_ms);
+    let plan = decide_repair(&broken, &fleet.weights, now);
+    let survivors = numbers(fleet, &broken.survivors);
+    match plan.decision {
+        RepairDecision::Nothing | RepairDecision::WaitUntil(_) => {}
+        RepairDecision::ReplaceWith(vms) => {
+            let members = [survivors, numbers(fleet, &vms)].concat();
+            fleet.form(group, domain, members);
+        }
+        RepairDecision::MoveToDomain(to) => {
+            fleet.release(group);
+            let to = domain_number(fleet, &to);
+            form_in(fleet, group, to);
+        }
+        RepairDecision::Merge { donor, vms } => {
+            let donor = fleet.groups.iter().position(|it| it.id == donor);
+            if let Some(donor) = donor {
+                fleet.release(donor);
+            }
+            let members = [survivors, numbers(fleet, &vms)].concat();
+            fleet.form(group, domain, members);
+        }
+    }
+}
+
+fn broken_group(fleet: &Fleet, group: usize, domain: usize) -> Option<BrokenGroup> {
+    let spec = &fleet.groups[group];
+    let missing: Vec<MissingMember> =
+        spec.members.iter().filter_map(|it| missing_member(fleet, &fleet.vms[*it])).collect();
+    if missing.is_empty() {
+        return None;
+    }
+    let survives = |it: &&usize| !missing.iter().any(|lost| lost.vm == fleet.vms[**it].id);
+    let survivors = spec.members.iter().filter(survives).map(|it| fleet.vms[*it].id.clone());
+    let others = (0..fleet.domains.len()).filter(|it| *it != domain);
+    Some(BrokenGroup {
+        group: spec.id.clone(),
+        size: GroupSize(spec.size),
+        accelerators: 1,
+        survivors: survivors.collect(),
+        spares: candidates(fleet, &fleet.idle(domain)),
+        donors: donors(fleet, group, domain),
+        other_domains: others.map(|it| room(fleet, it)).collect(),
+        times: times(fleet),
+        missing,
+    })
+}
+
+fn missing_member(fleet: &Fleet, vm: &Vm) -> Option<MissingMember> {
+    let now_ms = fleet.now_ms;
+    let (absence, since_ms) = if vm.is_noticed_missing(now_ms) {
+        (Absence::Missing, vm.down_since_ms)
+    } else {
+        let slow = vm.noticed_slowdown(now_ms)?;
+        (Absence::Straggling { slowdown: slow.slowdown }, slow.since_ms)
+    };
+    Some(MissingMember {
+        vm: vm.id.clone(),
+        absence,
+        since: fleet.instant(since_ms),
+        expected_back: vm.announced_back_ms.map(|it| fleet.instant(it)),
+    })
+}
+
+fn donors(fleet: &Fleet, group: usize, domain: usize) -> Vec<Donor> {
+    let now_ms = fleet.now_ms;
+    let others = (0..fleet.groups.len()).filter(|it| *it != group);
+    let donors = others.filter_map(|it| {
+        let other = &fleet.groups[it];
+        let lost: Vec<&Vm> = other.members.iter().map(|it| &fleet.vms[*it]).collect();
+        let (lost, healthy): (Vec<&Vm>, Vec<&Vm>) =
+            lost.into_iter().partition(|it| it.is_noticed_missing(now_ms));
+        if other.domain != Some(domain) || lost.is_empty() {
+            return None;
+        }
+        let back = lost.iter().map(|it| it.announced_back_ms).max().flatten();
+        Some(Donor {
+            group: other.id.clone(),
+            survivors: healthy.into_iter().map(candidate).collect(),
+            complete_at: back.map(|it| fleet.instant(it + WARM_LOAD_MS)),
+        })
+    });
+    donors.collect()
+}
+
+fn times(fleet: &Fleet) -> RepairTimes {
+    let from_store = |it: &&Vm| it.loading.is_some_and(|it| it.from_store);
+    RepairTimes {
+        load: Duration::from_millis(LOAD_MS),
+        concurrent_loads: fleet.weights.concurrent_loads,
+        loads_before: fleet.vms.iter().filter(from_store).count() as u32,
+        warm_load: Duration::from_millis(WARM_LOAD_MS),
+        restart: Duration::from_millis(RESTART_MS),
+    }
+}
+
+/// Returns which of the waiting VMs start a load from the weight store now.
+pub(crate) fn loads(fleet: &Fleet, waiting: &[usize]) -> Vec<usize> {
+    let from_store = |it: &&Vm| it.loading.is_some_and(|it| it.from_store);
+    let running = fleet.vms.iter().filter(from_store);
+    let concurrent = fleet.weights.concurrent_loads;
+    match fleet.rules {
+        Rules::Naive => {
+            let free = (concurrent as usize).saturating_sub(running.count());
+            waiting.iter().copied().take(free).collect()
+        }
+        Rules::Project => {
+            let pending: Vec<PendingLoad> =
+                waiting.iter().map(|it| pending_load(fleet, &fleet.vms[*it])).collect();
+            let running: Vec<RunningLoad> = running
+                .map(|it| RunningLoad {
+                    vm: it.id.clone(),
+                    domain: fleet.domains[it.domain].clone(),
+                    unreachable: !it.is_up(),
+                })
+                .collect();
+            numbers(fleet, &choose_loads(&pending, &running, concurrent))
+        }
+    }
+}
+
+fn pending_load(fleet: &Fleet, vm: &Vm) -> PendingLoad {
+    let group = &fleet.groups[vm.group.expect("a waiting VM is a member")];
+    let members = || group.members.iter().map(|it| &fleet.vms[*it]);
+    PendingLoad {
+        vm: vm.id.clone(),
+        domain: fleet.domains[vm.domain].clone(),
+        group: group.id.clone(),
+        group_lacks: members().filter(|it| !it.ready && !it.has_weights).count() as u16,
+        group_blocked: members().any(|it| !it.is_up()),
+        down_since: fleet.instant(group.down_since_ms),
+    }
+}
+
+fn candidates(fleet: &Fleet, vms: &[usize]) -> Vec<MemberCandidate> {
+    vms.iter().map(|it| candidate(&fleet.vms[*it])).collect()
+}
+
+fn candidate(vm: &Vm) -> MemberCandidate {
+    MemberCandidate {
+        vm: vm.id.clone(),
+        has_weights: vm.has_weights,
+        leaving: false,
+        straggling: false,
+        recent_failures: vm.failures,
+    }
+}
+
+fn numbers(fleet: &Fleet, vms: &[VmId]) -> Vec<usize> {
+    let number = |id: &VmId| fleet.vms.iter().position(|it| it.id == *id);
+    vms.iter().filter_map(number).collect()
+}
+
+fn domain_number(fleet: &Fleet, domain: &FabricDomain) -> usize {
+    fleet.domains.iter().position(|it| it == domain).expect("a domain of the fleet")
+}
--- /dev/null
+++ b/benches/src/policy/gateway.rs
@@ -0,0 +1,217 @@
+//! One gateway in either version.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_policy::Admission;
+use mangocross_policy::AdmissionDecision;
+use mangocross_policy::AdmissionRequest;
+use mangocross_policy::AdmissionView;
+use mangocross_policy::Candidate;
+use mangocross_policy::ConcurrencyLimit;
+use mangocross_policy::FirstTokenTimes;
+use mangocross_policy::LoadEstimate;
+use mangocross_policy::OtherUsage;
+use mangocross_policy::PrefixTable;
+use mangocross_policy::RetryBudget;
+use mangocross_policy::choose_group;
+use mangocross_types::Configuration;
+use mangocross_types::CustomerId;
+use mangocross_types::GroupId;
+
+use super::Rules;
+use super::engine::CACHED_PREFIXES;
+use super::engine::SLOTS;
+use super::traffic::CUSTOMERS;
+use super::traffic::Request;
+use super::traffic::customer_id;
+use super::traffic::kind_id;
+
+/// First-token time that the concurrency limit aims at, below the promised 1.6 s.
+const FIRST_TOKEN_TARGET: Duration = Duration::from_millis(1_000);
+/// When a refused client of the naive version comes back.
+const NAIVE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// One gateway.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    rules: Rules,
+    pub(crate) admission: Admission,
+    pub(crate) others: BTreeMap<CustomerId, OtherUsage>,
+    loads: Vec<LoadEstimate>,
+    times: FirstTokenTimes,
+    prefixes: PrefixTable,
+    budget: RetryBudget,
+    limit: ConcurrencyLimit,
+    in_flight: u32,
+    next: usize,
+    naive: Vec<NaiveLimit>,
+    gateways: u32,
+    random: fastrand::Rng,
+}
+
+/// An equal part of a customer's limits.
+#[derive(Debug, Clone, Copy)]
+struct NaiveLimit {
+    per_second: f64,
+    in_flight_max: f64,
+    tokens: f64,
+    refilled: Option<Instant>,
+    in_flight: u32,
+}
+
+impl Gateway {
+    pub(crate) fn new(
+        rules: Rules,
+        groups: usize,
+        gateways: u32,
+        configuration: &Configuration,
+        seed: u64,
+    ) -> Self {
+        let slots = groups as u32 * SLOTS as u32;
+        let part = |limit: u32| f64::from(limit) / f64::from(gateways);
+        let naive = configuration.customers.iter().map(|it| NaiveLimit {
+            per_second: part(it.requests_per_second.0),
+            in_flight_max: part(it.in_flight_max).max(1.0),
+            tokens: part(it.requests_per_second.0).max(1.0),
+            refilled: None,
+            in_flight: 0,
+        });
+        Self {
+            rules,
+            admission: Admission::default(),
+            others: BTreeMap::new(),
+            loads: vec![LoadEstimate::default(); groups],
+            times: FirstTokenTimes::default(),
+            prefixes: PrefixTable::new(CACHED_PREFIXES),
+            budget: RetryBudget::default(),
+            limit: ConcurrencyLimit::new(slots.div_ceil(gateways), FIRST_TOKEN_TARGET),
+            in_flight: 0,
+            next: seed as usize,
+            naive: naive.collect(),
+            gateways,
+            random: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Decides on a request; returns when to come back if it is refused.
+    pub(crate) fn admit(
+        &mut self,
+        request: &Request,
+        configuration: &Configuration,
+        news_age: Option<Duration>,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        if self.rules == Rules::Naive {
+            return self.naive[request.customer].admit(now).ok_or(NAIVE_RETRY_AFTER);
+        }
+        let asked = AdmissionRequest {
+            customer: customer_id(request.customer),
+            kind: kind_id(request.kind),
+            priority: None,
+            deadline: request.deadline(),
+            cost: 1,
+        };
+        let view = AdmissionView {
+            configuration,
+            others: &self.others,
+            news_age,
+            gateways: self.gateways,
+            capacity: self.limit.get(),
+            expected_first_token: Duration::ZERO,
+            now,
+            seed: self.random.u64(..),
+        };
+        match self.admission.decide(&asked, &view) {
+            AdmissionDecision::Admit => Ok(()),
+            AdmissionDecision::Refuse(refusal) => {
+                Err(refusal.retry_after.unwrap_or(NAIVE_RETRY_AFTER))
+            }
+        }
+    }
+
+    /// Chooses one of the groups that are believed to be complete.
+    pub(crate) fn choose(
+        &mut self,
+        request: &Request,
+        groups: &[(usize, GroupId)],
+    ) -> Option<usize> {
+        if self.rules == Rules::Naive {
+            self.next += 1;
+            return groups.get(self.next % groups.len().max(1)).map(|(number, _)| *number);
+        }
+        let candidates: Vec<Candidate> = groups
+            .iter()
+            .map(|(number, id)| {
+                let load = &self.loads[*number];
+                Candidate::new(id.clone(), load.own_in_flight(), load.load())
+                    .holds_prefix(self.prefixes.holds(id, request.prefix))
+                    .first_token(self.times.get(id))
+            })
+            .collect();
+        let chosen = choose_group(&candidates, Some(request.prefix), self.random.u64(..))?;
+        groups.iter().find(|(_, id)| *id == chosen.group).map(|(number, _)| *number)
+    }
+
+    pub(crate) fn may_retry(&mut self) -> bool {
+        self.rules == Rules::Naive || self.budget.try_retry()
+    }
+
+    pub(crate) fn sent(&mut self, group: usize, id: &GroupId, request: &Request, now: Instant) {
+        self.loads[group].sent(now);
+        self.prefixes.stored(id, request.prefix);
+        self.in_flight += 1;
+    }
+
+    pub(crate) fn first_token(&mut self, id: &GroupId, time: Duration) {
+        self.times.observe(id, time);
+        self.limit.observe(time, self.in_flight);
+    }
+
+    /// Records the end of an attempt.
+    pub(crate) fn ended(&mut self, group: usize, now: Instant) {
+        self.loads[group].finished(now);
+        self.in_flight -= 1;
+    }
+
+    /// Records a group that was lost.
+    pub(crate) fn lost(&mut self, id: &GroupId) {
+        self.prefixes.forget(id);
+        self.times.forget(id);
+    }
+
+    /// Records the end of a request that was admitted.
+    pub(crate) fn finished(&mut self, request: &Request, succeeded: bool, now: Instant) {
+        self.admission.finished(&customer_id(request.customer), now);
+        let naive = &mut self.naive[request.customer];
+        naive.in_flight = naive.in_flight.saturating_sub(1);
+        if succeeded {
+            self.budget.succeeded();
+        }
+    }
+
+    pub(crate) fn reported(&mut self, group: usize, load: u32, measured_at: Instant) {
+        self.loads[group].reported(load, measured_at);
+    }
+
+    /// Returns in-flight requests and demand of each customer.
+    pub(crate) fn usage(&mut self, now: Instant) -> Vec<(u32, u32)> {
+        (0..CUSTOMERS).map(|it| self.admission.usage(&customer_id(it), now)).collect()
+    }
+}
+
+impl NaiveLimit {
+    fn admit(&mut self, now: Instant) -> Option<()> {
+        let elapsed = self.refilled.map(|it| now.saturating_duration_since(it));
+        let earned = elapsed.unwrap_or_default().as_secs_f64() * self.per_second;
+        self.tokens = (self.tokens + earned).min(self.per_second.max(1.0));
+        self.refilled = Some(now);
+        let fits = self.tokens >= 1.0 && f64::from(self.in_flight) + 1.0 <= self.in_flight_max;
+        if fits {
+            self.tokens -= 1.0;
+            self.in_flight += 1;
+        }
+        fits.then_some(())
+    }
+}
--- /dev/null
+++ b/benches/src/policy/mod.rs
@@ -0,0 +1,28 @@
+//! The policy beside a naive version, over the same seeded faults and requests.
+//!
+//! It drives the decisions of `mangocross_policy` with a fake clock. Of the
+//! engines it knows load time, service time and the lag of their reports.
+
+mod assignment;
+mod case;
+mod engine;
+mod fleet;
+mod gateway;
+mod outcome;
+mod requests;
+mod rules;
+mod timeline;
+mod traffic;
+
+pub use case::Case;
+pub use case::Scenario;
+pub use fleet::FleetOutcome;
+pub use fleet::run_fleet;
+pub use outcome::CaseOutcome;
+pub use outcome::Comparison;
+pub use outcome::compare;
+pub use requests::RequestOutcome;
+pub use requests::run_requests;
+pub use rules::Rules;
+pub use rules::User;
+pub use timeline::Timeline;
--- /dev/null
+++ b/benches/src/policy/outcome.rs
@@ -0,0 +1,194 @@
+//! Both versions of a case beside each other, over several seeds.
+
+use mangocross_types::PolicyWeights;
+use serde::Serialize;
+
+use super::Case;
+use super::FleetOutcome;
+use super::RequestOutcome;
+use super::Rules;
+use super::User;
+use super::requests::FIRST_TOKEN_PROMISE_MS;
+use super::run_fleet;
+use super::run_requests;
+use super::traffic::KINDS;
+
+/// A figure over the seeds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Spread {
+    /// Mean.
+    pub mean: f64,
+    /// Smallest.
+    pub min: f64,
+    /// Largest.
+    pub max: f64,
+}
+
+impl Spread {
+    fn of(values: &[f64]) -> Self {
+        Self {
+            mean: values.iter().sum::<f64>() / values.len().max(1) as f64,
+            min: values.iter().copied().fold(f64::INFINITY, f64::min),
+            max: values.iter().copied().fold(f64::NEG_INFINITY, f64::max),
+        }
+    }
+}
+
+/// First-token times of one class of customers and one kind.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct FirstTokenRow {
+    /// Class of customers.
+    pub class: &'static str,
+    /// Kind of request.
+    pub kind: &'static str,
+    /// Half of the first tokens came within this time, over all seeds.
+    pub p50_ms: u64,
+    /// 95 in 100 came within this time, over all seeds.
+    pub p95_ms: u64,
+    /// Share of all requests, refused ones included, whose first token came
+    /// within the promise of the client's first try.
+    pub good_share: f64,
+}
+
+/// One version of a case.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct CaseOutcome {
+    /// Seconds in which groups that should serve did not.
+    pub group_downtime_s: Spread,
+    /// Seconds of service lost to slow members.
+    pub slow_s: Spread,
+    /// Accelerator-seconds in no complete group.
+    pub stranded_accelerator_s: Spread,
+    /// Groups formed anew.
+    pub moves: Spread,
+    /// 95 in 100 first tokens came within this time.
+    pub first_token_p95_ms: Spread,
+    /// Share of first tokens of admitted requests within the promise.
+    pub first_token_kept_share: Spread,
+    /// Share of all requests with a first token within the promise of the first try.
+    pub good_share: Spread,
+    /// Refused tries of large customers.
+    pub refused_large: Spread,
+    /// Refused tries of small customers.
+    pub refused_small: Spread,
+    /// Requests never admitted.
+    pub given_up: Spread,
+    /// Requests admitted without a whole answer.
+    pub failed: Spread,
+    /// Attempts beyond the first one.
+    pub retries: Spread,
+    /// By class of customers and kind.
+    pub first_tokens: Vec<FirstTokenRow>,
+}
+
+/// Both versions of a case at one user's weights.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Comparison {
+    /// Name of the case.
+    pub case: &'static str,
+    /// Name of the user.
+    pub user: &'static str,
+    /// Weight of group downtime.
+    pub weight_group_downtime: f64,
+    /// Weight of stranded accelerators.
+    pub weight_stranded_accelerator: f64,
+    /// The naive version.
+    pub naive: CaseOutcome,
+    /// The project's policy.
+    pub project: CaseOutcome,
+}
+
+impl Comparison {
+    /// Returns the project's group downtime, slow service included, as a share of the naive one's.
+    pub fn downtime_ratio(&self) -> f64 {
+        let downtime = |it: &CaseOutcome| it.group_downtime_s.mean + it.slow_s.mean;
+        ratio(downtime(&self.project), downtime(&self.naive))
+    }
+
+    /// Returns the project's stranded accelerator time as a share of the naive one's.
+    pub fn stranded_ratio(&self) -> f64 {
+        ratio(self.project.stranded_accelerator_s.mean, self.naive.stranded_accelerator_s.mean)
+    }
+}
+
+fn ratio(project: f64, naive: f64) -> f64 {
+    if naive == 0.0 { 1.0 } else { project / naive }
+}
+
+/// Runs both versions of a case over seeds `0..seeds`.
+pub fn compare(case: Case, user: User, seeds: u64) -> Comparison {
+    let weights = user.weights();
+    Comparison {
+        case: case.name(),
+        user: user.name(),
+        weight_group_downtime: weights.group_downtime,
+        weight_stranded_accelerator: weights.stranded_accelerator,
+        naive: run(case, user, Rules::Naive, &weights, seeds),
+        project: run(case, user, Rules::Project, &weights, seeds),
+    }
+}
+
+fn run(case: Case, user: User, rules: Rules, weights: &PolicyWeights, seeds: u64) -> CaseOutcome {
+    let one = |seed| {
+        let fleet = run_fleet(&case.scenario(seed), rules, weights);
+        let requests = run_requests(case, user, rules, &fleet.timelines, seed);
+        (fleet, requests)
+    };
+    summarise(&(0..seeds).map(one).collect::<Vec<_>>())
+}
+
+fn summarise(runs: &[(FleetOutcome, RequestOutcome)]) -> CaseOutcome {
+    let of_fleet = |get: &dyn Fn(&FleetOutcome) -> f64| {
+        Spread::of(&runs.iter().map(|(it, _)| get(it)).collect::<Vec<_>>())
+    };
+    let of_requests = |get: &dyn Fn(&RequestOutcome) -> f64| {
+        Spread::of(&runs.iter().map(|(_, it)| get(it)).collect::<Vec<_>>())
+    };
+    CaseOutcome {
+        group_downtime_s: of_fleet(&|it| it.group_downtime_s),
+        slow_s: of_fleet(&|it| it.slow_s),
+        stranded_accelerator_s: of_fleet(&|it| it.stranded_accelerator_s),
+        moves: of_fleet(&|it| it.moves.into()),
+        first_token_p95_ms: of_requests(&|it| percentile(&it.all_first_token_ms(), 0.95) as f64),
+        first_token_kept_share: of_requests(&kept_share),
+        good_share: of_requests(&RequestOutcome::good_share),
+        refused_large: of_requests(&|it| it.refused_tries[0].into()),
+        refused_small: of_requests(&|it| it.refused_tries[1].into()),
+        given_up: of_requests(&|it| it.given_up.iter().sum::<u32>().into()),
+        failed: of_requests(&|it| it.failed.into()),
+        retries: of_requests(&|it| it.retries.into()),
+        first_tokens: first_token_rows(runs),
+    }
+}
+
+fn kept_share(outcome: &RequestOutcome) -> f64 {
+    let all = outcome.all_first_token_ms();
+    let kept = all.partition_point(|it| *it <= FIRST_TOKEN_PROMISE_MS);
+    kept as f64 / all.len().max(1) as f64
+}
+
+fn first_token_rows(runs: &[(FleetOutcome, RequestOutcome)]) -> Vec<FirstTokenRow> {
+    let mut rows = Vec::new();
+    for (class, class_name) in ["large", "small"].into_iter().enumerate() {
+        for (kind, kind_name) in KINDS.into_iter().enumerate() {
+            let times = runs.iter().flat_map(|(_, it)| &it.first_token_ms[class][kind]);
+            let mut times: Vec<u64> = times.copied().collect();
+            times.sort_unstable();
+            let asked: u32 = runs.iter().map(|(_, it)| it.asked[class][kind]).sum();
+            let good: u32 = runs.iter().map(|(_, it)| it.good[class][kind]).sum();
+            rows.push(FirstTokenRow {
+                class: class_name,
+                kind: kind_name,
+                p50_ms: percentile(&times, 0.5),
+                p95_ms: percentile(&times, 0.95),
+                good_share: f64::from(good) / f64::from(asked.max(1)),
+            });
+        }
+    }
+    rows
+}
+
+fn percentile(sorted: &[u64], share: f64) -> u64 {
+    let place = (sorted.len() as f64 * share) as usize;
+    sorted.get(place.min(sorted.len().saturating_sub(1))).copied().unwrap_or_default()
+}
--- a/crates/mangocross-policy/src/members.rs
+++ b/crates/mangocross-policy/src/members.rs
@@ -15,15 +15,29 @@
     pub has_weights: bool,
     /// Whether the VM is leaving; such a VM is never taken.
     pub leaving: bool,
-    /// Times the VM went missing or straggled lately.
+    /// Whether the VM is slow now; such a VM is never taken.
+    pub straggling: bool,
+    /// Times the VM went missing unannounced or straggled lately; restarts that
+    /// were announced don't count.
     pub recent_failures: u32,
 }
 
+impl MemberCandidate {
+    /// Returns a VM of which nothing is known but that it is idle.
+    pub fn new(vm: VmId) -> Self {
+        Self { vm, has_weights: false, leaving: false, straggling: false, recent_failures: 0 }
+    }
+
+    pub(crate) fn is_fit(&self) -> bool {
+        !self.leaving && !self.straggling
+    }
+}
+
 /// Chooses members, or `None` when there are too few.
 ///
 /// VMs that fail again and again come last, VMs that hold the weights first.
 pub fn choose_members(size: GroupSize, candidates: &[MemberCandidate]) -> Option<Vec<VmId>> {
-    let mut fit: Vec<&MemberCandidate> = candidates.iter().filter(|it| !it.leaving).collect();
+    let mut fit: Vec<&MemberCandidate> = candidates.iter().filter(|it| it.is_fit()).collect();
     fit.sort_by_key(|it| {
         (it.recent_failures >= FAILURES_MAX, !it.has_weights, it.recent_failures, it.vm.clone())
     });
--- a/crates/mangocross-policy/src/repair.rs
+++ b/crates/mangocross-policy/src/repair.rs
@@ -59,14 +59,30 @@
 /// Times that the estimate rests on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RepairTimes {
-    /// Time to load weights from the weight store, the wait for it included.
+    /// Time of one load from the weight store.
     pub load: Duration,
+    /// Loads that the weight store serves at once for this fabric domain.
+    pub concurrent_loads: u32,
+    /// Loads that are running or waiting before those of this group.
+    pub loads_before: u32,
     /// Time to load weights that are on the VM.
     pub warm_load: Duration,
     /// Time that a VM typically takes to come back.
     pub restart: Duration,
 }
 
+impl RepairTimes {
+    /// Returns the time until so many VMs without the weights have loaded them,
+    /// or until those with the weights are ready.
+    fn until_loaded(&self, cold: usize) -> Duration {
+        if cold == 0 {
+            return self.warm_load;
+        }
+        let loads = u32::try_from(cold).unwrap_or(u32::MAX).saturating_add(self.loads_before);
+        self.load * loads.div_ceil(self.concurrent_loads.max(1))
+    }
+}
+
 /// A group that lacks members.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BrokenGroup {
@@ -238,8 +254,8 @@
         let left = it.complete_at.map(|at| at.saturating_duration_since(now));
         (left.is_none(), left, it.group.clone())
     })?;
-    let idle = group.spares.iter().filter(|it| !it.leaving).cloned();
-    let given = donor.survivors.iter().filter(|it| !it.leaving).cloned();
+    let idle = group.spares.iter().filter(|it| it.is_fit()).cloned();
+    let given = donor.survivors.iter().filter(|it| it.is_fit()).cloned();
     let candidates: Vec<MemberCandidate> = idle.chain(given).collect();
     let vms: Vec<VmId> = candidates.iter().take(size.0.into()).map(|it| it.vm.clone()).collect();
     if vms.len() < usize::from(size.0) {
@@ -257,8 +273,8 @@
 fn relocate(group: &BrokenGroup, weights: &PolicyWeights) -> Option<Move> {
     let domain = choose_domain(group.size, &group.other_domains, weights)?;
     let room = group.other_domains.iter().find(|it| it.domain == *domain)?;
-    let warm = room.idle_with_weights >= group.size.0;
-    let downtime = if warm { group.times.warm_load } else { group.times.load };
+    let cold = group.size.0.saturating_sub(room.idle_with_weights);
+    let downtime = group.times.until_loaded(cold.into());
     Some(Move {
         decision: RepairDecision::MoveToDomain(domain.clone()),
         downtime,
@@ -275,6 +291,6 @@
 }
 
 fn load_time(vms: &[VmId], from: &[MemberCandidate], times: &RepairTimes) -> Duration {
-    let warm = |vm: &VmId| from.iter().any(|it| it.vm == *vm && it.has_weights);
-    if vms.iter().all(warm) { times.warm_load } else { times.load }
+    let is_cold = |vm: &&VmId| !from.iter().any(|it| it.vm == **vm && it.has_weights);
+    times.until_loaded(vms.iter().filter(is_cold).count())
 }
