fix(policy): leave slow VMs out of new memberships

Cause: a straggler that was replaced became a spare with weights, the best candidate for the next repair, and came back again and again. Ruled out: the gain's threshold; each single move looked worthwhile.

--- a/benches/src/policy/assignment.rs
+++ b/benches/src/policy/assignment.rs
@@ -247,7 +247,7 @@
         vm: vm.id.clone(),
         has_weights: vm.has_weights,
         leaving: false,
-        straggling: false,
+        straggling: vm.slow.is_some(),
         recent_failures: vm.failures,
     }
 }
