feat(http): let the limit of single reads change while an answer is read

The limits of the first token and of the gaps between tokens differ, and the library takes one value for each call. The connection's wrapper now shortens each wait for input to a limit that the answer holds. Ruled out: a reader thread for each answer (a second thread for each stream) and the shortest limit for the whole call (the first token would be cut off).

A read that timed out can be repeated; the test sends half a chunk before three time-outs and the rest after, and no byte is lost.

--- a/crates/mangocross-http/src/answer.rs
+++ b/crates/mangocross-http/src/answer.rs
@@ -2,12 +2,14 @@
 
 use std::io;
 use std::io::Read;
+use std::time::Duration;
 
 use serde::de::DeserializeOwned;
 use ureq::BodyReader;
 
 use crate::CallError;
 use crate::CallErrorKind;
+use crate::read_limit::ReadLimit;
 
 /// A status, headers and a body that is read as it arrives.
 ///
@@ -16,6 +18,7 @@
     pub(crate) status: u16,
     pub(crate) headers: Vec<(String, String)>,
     pub(crate) body: BodyReader<'static>,
+    pub(crate) read_limit: ReadLimit,
 }
 
 impl HttpAnswer {
@@ -34,6 +37,14 @@
         &self.headers
     }
 
+    /// Sets the longest time for one read, in place of the call's idle limit.
+    ///
+    /// A read that takes longer fails with [`io::ErrorKind::TimedOut`] and may be tried again; no
+    /// byte is lost.
+    pub fn set_read_limit(&self, limit: Duration) {
+        self.read_limit.set(limit);
+    }
+
     /// Reads the whole body.
     ///
     /// # Errors
--- a/crates/mangocross-http/src/client.rs
+++ b/crates/mangocross-http/src/client.rs
@@ -52,7 +52,7 @@
     /// whether a byte was sent. Any status is an answer, not an error.
     pub fn call(&self, call: HttpCall) -> Result<HttpAnswer, CallError> {
         let request = self.request(call)?;
-        tracker::reset();
+        let read_limit = tracker::reset();
         let response = self
             .agent
             .run(request)
@@ -65,7 +65,8 @@
                 Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
             })
             .collect();
-        Ok(HttpAnswer { status: parts.status.as_u16(), headers, body: body.into_reader() })
+        let (status, body) = (parts.status.as_u16(), body.into_reader());
+        Ok(HttpAnswer { status, headers, body, read_limit })
     }
 
     fn request(&self, call: HttpCall) -> Result<Request<ureq::SendBody<'static>>, CallError> {
--- a/crates/mangocross-http/src/lib.rs
+++ b/crates/mangocross-http/src/lib.rs
@@ -12,6 +12,7 @@
 mod error;
 mod event_stream;
 mod limits;
+mod read_limit;
 mod request;
 mod server;
 mod timeouts;
--- a/crates/mangocross-http/src/tracker.rs
+++ b/crates/mangocross-http/src/tracker.rs
@@ -1,6 +1,7 @@
-//! Records whether a call handed any byte to its connection.
+//! Records whether a call handed any byte to its connection, and bounds each of its reads.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 
 use ureq::Error;
 use ureq::unversioned::transport::Buffers;
@@ -9,14 +10,21 @@
 use ureq::unversioned::transport::NextTimeout;
 use ureq::unversioned::transport::Transport;
 
+use crate::read_limit::ReadLimit;
+
 thread_local! {
     /// Whether the call that runs on this thread has sent a byte.
     static BYTES_SENT: Cell<bool> = const { Cell::new(false) };
+    /// Bounds the reads of the connection that the call on this thread opens.
+    static READ_LIMIT: RefCell<ReadLimit> = RefCell::new(ReadLimit::default());
 }
 
-/// Forgets what earlier calls on this thread sent.
-pub(crate) fn reset() {
+/// Forgets what earlier calls on this thread sent, and returns the limit of the next one's reads.
+pub(crate) fn reset() -> ReadLimit {
     BYTES_SENT.set(false);
+    let limit = ReadLimit::default();
+    READ_LIMIT.set(limit.clone());
+    limit
 }
 
 /// Returns whether a byte was sent since [`reset`] on this thread.
@@ -36,14 +44,18 @@
         _details: &ConnectionDetails<'_>,
         chained: Option<In>,
     ) -> Result<Option<Self::Out>, Error> {
-        Ok(chained.map(|inner| TrackingTransport { inner }))
+        Ok(chained.map(|inner| {
+            let limit = READ_LIMIT.with_borrow(ReadLimit::clone);
+            TrackingTransport { inner, limit }
+        }))
     }
 }
 
-/// A connection that records its first write.
+/// A connection that records its first write and bounds its reads.
 #[derive(Debug)]
 pub(crate) struct TrackingTransport<T> {
     inner: T,
+    limit: ReadLimit,
 }
 
 impl<T: Transport> Transport for TrackingTransport<T> {
@@ -57,7 +69,7 @@
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        self.inner.await_input(timeout)
+        self.inner.await_input(self.limit.shorten(timeout))
     }
 
     fn is_open(&mut self) -> bool {
--- a/crates/mangocross-http/tests/outcome.rs
+++ b/crates/mangocross-http/tests/outcome.rs
@@ -86,3 +86,41 @@
     let answer = HttpClient::open().call(HttpCall::new(HttpMethod::Get, address, "/x")).unwrap();
     assert_eq!(answer.read_all(100).err().unwrap().kind, CallErrorKind::Broken);
 }
+
+#[test]
+fn read_goes_on_after_its_limit_without_loss() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, receiver) = std::sync::mpsc::channel::<()>();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 1024];
+        let _ = stream.read(&mut buf).unwrap();
+        // The chunk's length and its first byte come before the pause.
+        stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n6\r\na").unwrap();
+        receiver.recv().unwrap();
+        stream.write_all(b"bcdef\r\n0\r\n\r\n").unwrap();
+    });
+    let mut answer =
+        HttpClient::open().call(HttpCall::new(HttpMethod::Get, address, "/x")).unwrap();
+    answer.set_read_limit(Duration::from_millis(20));
+    let (mut body, mut buf, mut timeouts) = (Vec::new(), [0; 64], 0);
+    loop {
+        match answer.read(&mut buf) {
+            Ok(0) => break,
+            Ok(length) => body.extend_from_slice(&buf[..length]),
+            Err(error) => {
+                assert_eq!(
+                    CallErrorKind::Timeout,
+                    mangocross_http::CallError::from_read(&error).kind
+                );
+                timeouts += 1;
+                if timeouts == 3 {
+                    sender.send(()).unwrap();
+                }
+            }
+        }
+    }
+    assert!(timeouts >= 3);
+    assert_eq!(body, b"abcdef");
+}
