--- /dev/null
+++ b/bins/mangocross-coordinator/src/domain_view.rs
@@ -0,0 +1,75 @@
+//! What this coordinator knows of one fabric domain at one moment.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use mangocross_coordination::DomainInput;
+use mangocross_coordination::EngineVm;
+use mangocross_coordination::HeldAssignment;
+use mangocross_coordination::OrderAuthority;
+use mangocross_coordination::ProbeTable;
+use mangocross_types::Configuration;
+use mangocross_types::FabricDomain;
+use mangocross_types::Placements;
+use mangocross_types::Revision;
+
+use crate::state::CoordinatorState;
+use crate::state::lock;
+
+/// What this coordinator knows of one fabric domain at one moment.
+pub(crate) struct DomainView<'a> {
+    state: &'a CoordinatorState,
+    pub(crate) held: HeldAssignment,
+    pub(crate) engines: Vec<EngineVm>,
+    configuration: Arc<Configuration>,
+    placements: Placements,
+    probes: ProbeTable,
+    pub(crate) now: Instant,
+}
+
+impl<'a> DomainView<'a> {
+    /// Returns the view, unless the assignment, the configuration or the placements are unknown.
+    ///
+    /// A coordinator that has just started knows none of them, and must not take
+    /// groups for unwanted.
+    pub(crate) fn take(state: &'a CoordinatorState, domain: &FabricDomain) -> Option<Self> {
+        let held = lock(&state.assignments).get(domain).cloned()?;
+        let (placements, placements_revision) = lock(&state.placements).clone();
+        if state.freshness().in_force() == Revision(0) || placements_revision == Revision(0) {
+            return None;
+        }
+        let engines = lock(&state.engines_by_domain).get(domain).cloned().unwrap_or_default();
+        let probes = lock(&state.probes).only(engines.iter().map(|it| &it.vm));
+        let configuration = state.configuration();
+        let now = state.clock.now();
+        Some(Self { state, held, engines, configuration, placements, probes, now })
+    }
+
+    /// Returns the input of the decisions.
+    pub(crate) fn input(&self, authority: OrderAuthority) -> DomainInput<'_> {
+        DomainInput {
+            assignment: &self.held.assignment,
+            configuration: &self.configuration,
+            placements: &self.placements,
+            engines: &self.engines,
+            probes: &self.probes,
+            authority,
+            now: self.now,
+            probe_ttl: self.state.probe_ttl(),
+            stall_limit: self.state.stall_limit(),
+            lost_after: self.state.lost_after(),
+            order_lifetime: self.state.order_lifetime(),
+        }
+    }
+
+    /// Returns which orders this process may give.
+    pub(crate) fn authority(&self) -> OrderAuthority {
+        self.held.authority(
+            &self.state.settings.vm,
+            self.state.process_id,
+            self.configuration.fence_mode,
+            self.state.order_lifetime(),
+            self.now,
+        )
+    }
+}
--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -1,51 +1,46 @@
-//! Owns fabric domains: writes their assignments and gives orders.
+//! Owns fabric domains: takes them over and writes their assignments.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
-use mangocross_coordination::DomainInput;
-use mangocross_coordination::EngineVm;
+use mangocross_coordination::HeldAssignment;
+use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::Step;
+use mangocross_coordination::TakeoverBackoff;
 use mangocross_coordination::preferred_owner;
 use mangocross_coordination::reconcile;
 use mangocross_coordination::take_over;
 use mangocross_coordination::validate;
-use mangocross_http::HttpTimeouts;
-use mangocross_types::CommandId;
 use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
-use mangocross_types::FencingNumber;
-use mangocross_types::Order;
-use mangocross_types::OrderKind;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
 use peer_store::StoreError;
 use peer_store::read_json;
 use peer_store::swap_json;
 
+use crate::domain_view::DomainView;
+use crate::orders::OrderGiver;
 use crate::state::CoordinatorState;
-use crate::state::HeldAssignment;
 use crate::state::lock;
 
 /// Time between looks at the owned domains.
 const TICK: Duration = Duration::from_millis(250);
 /// Time between reads of all assignments.
 const READ_INTERVAL: Duration = Duration::from_millis(2_000);
-/// Time before the same order is given again.
-const ORDER_REPEAT: Duration = Duration::from_millis(1_000);
-/// Time for an engine to take an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(2_000);
-
-/// Orders given lately, so that they are not repeated at each tick.
-type GivenOrders = HashMap<VmId, (OrderKind, Instant)>;
+/// First wait before a domain is taken over again from another live coordinator.
+const TAKEOVER_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Looks after the owned domains again and again.
 pub(crate) fn run(state: &Arc<CoordinatorState>) {
-    let mut given = GivenOrders::new();
+    let mut keeper = DomainKeeper {
+        state: Arc::clone(state),
+        orders: OrderGiver::new(Arc::clone(state)),
+        backoffs: HashMap::new(),
+    };
     let mut read_at: Option<Instant> = None;
     loop {
         let now = state.clock.now();
@@ -53,11 +48,7 @@
             read_all(state);
             read_at = Some(now);
         }
-        for domain in owned_domains(state) {
-            if let Err(error) = look_after(state, &domain, &mut given) {
-                log::warn!(domain = domain.as_str(); "assignment was not written: {error}");
-            }
-        }
+        keeper.look_after_all();
         thread::sleep(TICK);
     }
 }
@@ -72,67 +63,139 @@
 
 /// Reads all assignments, so that another coordinator's can be taken over in a store outage.
 fn read_all(state: &CoordinatorState) {
+    let asked_at = state.clock.now();
     let entries = match state.store.list("domains/") {
         Ok(entries) => entries,
         Err(error) => return log::warn!("assignments could not be read: {error}"),
     };
     for entry in entries {
         match serde_json::from_str::<DomainAssignment>(&entry.value) {
-            Ok(assignment) => hold(state, assignment, entry.revision),
+            Ok(assignment) => hold(state, assignment, entry.revision, asked_at),
             Err(error) => log::error!("assignment {} cannot be read: {error}", entry.key),
         }
     }
 }
 
-fn hold(state: &CoordinatorState, assignment: DomainAssignment, revision: Revision) {
-    let mut held = lock(&state.assignments);
-    let known = held.get(&assignment.domain).map_or(Revision(0), |it| it.revision);
-    if revision > known {
-        held.insert(assignment.domain.clone(), HeldAssignment { assignment, revision });
+fn hold(
+    state: &CoordinatorState,
+    assignment: DomainAssignment,
+    revision: Revision,
+    asked_at: Instant,
+) {
+    let domain = assignment.domain.clone();
+    let read = HeldAssignment::new(assignment, revision, asked_at, state.clock.now());
+    let mut all = lock(&state.assignments);
+    match all.get_mut(&domain) {
+        Some(held) => held.update(read),
+        None => drop(all.insert(domain, read)),
     }
 }
 
-fn look_after(
-    state: &Arc<CoordinatorState>,
-    domain: &FabricDomain,
-    given: &mut GivenOrders,
-) -> Result<(), StoreError> {
-    let Some(held) = own(state, domain)? else { return Ok(()) };
-    let engines = lock(&state.engines_by_domain).get(domain).cloned().unwrap_or_default();
-    for step in decide(state, &held.assignment, &engines) {
-        match step {
-            Step::Swap(next) => {
-                write(state, &next, held.revision)?;
+/// Looks after the domains that this coordinator should own.
+struct DomainKeeper {
+    state: Arc<CoordinatorState>,
+    orders: OrderGiver,
+    backoffs: HashMap<FabricDomain, TakeoverBackoff>,
+}
+
+impl DomainKeeper {
+    fn look_after_all(&mut self) {
+        let owned = owned_domains(&self.state);
+        for (_, backoff) in self.backoffs.iter_mut().filter(|(it, _)| !owned.contains(it)) {
+            backoff.not_preferred();
+        }
+        self.orders.begin();
+        for domain in owned {
+            if let Err(error) = self.look_after(&domain) {
+                log::warn!(domain = domain.as_str(); "assignment was not written: {error}");
             }
-            Step::Order { vm, kind } => {
-                let address = engines.iter().find(|it| it.vm == vm).map(|it| it.address);
-                if let Some(address) = address {
-                    give(state, held.assignment.fencing_number, vm, address, kind, given);
-                }
+        }
+    }
+
+    fn look_after(&mut self, domain: &FabricDomain) -> Result<(), StoreError> {
+        let state = Arc::clone(&self.state);
+        if !self.is_owner(domain)? {
+            return Ok(());
+        }
+        let Some(mut view) = DomainView::take(&state, domain) else { return Ok(()) };
+        if self.is_confirmation_needed(&view) {
+            if let Err(error) = confirm(&state, domain) {
+                log::warn!(domain = domain.as_str(); "ownership was not confirmed: {error}");
             }
+            let Some(again) = DomainView::take(&state, domain) else { return Ok(()) };
+            view = again;
         }
+        let authority = view.authority();
+        for step in reconcile(&view.input(authority)) {
+            match step {
+                Step::Swap(next) => write(&state, &next, view.held.revision)?,
+                Step::Order { vm, kind } => self.orders.give(&view, authority, vm, kind),
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether there are orders to give that a confirmed owner alone may give.
+    fn is_confirmation_needed(&self, view: &DomainView<'_>) -> bool {
+        let lifetime = self.state.order_lifetime();
+        let all = OrderAuthority::Full { deadline: view.now };
+        view.held.needs_confirmation(lifetime, view.now)
+            && reconcile(&view.input(all)).iter().any(|it| matches!(it, Step::Order { .. }))
+    }
+
+    /// Returns whether this process is the owner in the store; takes the domain over if it may.
+    fn is_owner(&mut self, domain: &FabricDomain) -> Result<bool, StoreError> {
+        let state = &self.state;
+        let new_backoff = || TakeoverBackoff::new(TAKEOVER_WAIT);
+        let backoff = self.backoffs.entry(domain.clone()).or_insert_with(new_backoff);
+        let now = state.clock.now();
+        let held = lock(&state.assignments).get(domain).cloned();
+        if held.as_ref().is_some_and(|it| it.is_owned_by(&state.settings.vm, state.process_id)) {
+            backoff.owns(now);
+            return Ok(true);
+        }
+        let recorded = held.as_ref().and_then(|it| it.assignment.owner.as_ref());
+        if recorded.is_some() {
+            backoff.other_owns(now, fastrand::u32(..=1_000));
+        }
+        let is_live =
+            |it: &VmId| *it != state.settings.vm && state.live_coordinators().contains(it);
+        if backoff.may_take_over(recorded.is_some_and(is_live), now) {
+            replace_owner(state, domain, held.as_ref())?;
+        }
+        Ok(false)
     }
-    Ok(())
 }
 
-/// Returns the assignment if this coordinator is its owner in the store, taking it over if needed.
-fn own(
+/// Takes a domain over, unless its owner has changed since it was looked at.
+fn replace_owner(
     state: &CoordinatorState,
     domain: &FabricDomain,
-) -> Result<Option<HeldAssignment>, StoreError> {
-    let held = lock(&state.assignments).get(domain).cloned();
-    if let Some(held) = &held
-        && held.assignment.owner.as_ref() == Some(&state.settings.vm)
-    {
-        return Ok(Some(held.clone()));
-    }
+    held: Option<&HeldAssignment>,
+) -> Result<(), StoreError> {
+    let asked_at = state.clock.now();
     let key = DomainAssignment::key(domain);
     let (read, revision) = read_json::<DomainAssignment>(state.store.as_ref(), &key)?;
+    if let Some(read) = &read {
+        hold(state, read.clone(), revision, asked_at);
+        if held.is_none_or(|it| it.assignment.fencing_number != read.fencing_number) {
+            return Ok(());
+        }
+    }
     let read = read.unwrap_or_else(|| DomainAssignment::empty(domain.clone()));
-    let taken = take_over(&read, &state.settings.vm);
-    write(state, &taken, revision)?;
-    log::info!(domain = domain.as_str(); "took over with fencing number {}", taken.fencing_number);
-    Ok(None)
+    let next = take_over(&read, &state.settings.vm, state.process_id);
+    log::info!(domain = domain.as_str(); "taking over with fencing number {}", next.fencing_number);
+    write(state, &next, revision)
+}
+
+/// Asks the store whether the assignment held is still the newest.
+fn confirm(state: &CoordinatorState, domain: &FabricDomain) -> Result<(), StoreError> {
+    let asked_at = state.clock.now();
+    let key = DomainAssignment::key(domain);
+    if let (Some(read), revision) = read_json(state.store.as_ref(), &key)? {
+        hold(state, read, revision, asked_at);
+    }
+    Ok(())
 }
 
 /// Writes an assignment by compare-and-swap; another one that stands is read instead.
@@ -145,79 +208,12 @@
         log::error!(domain = next.domain.as_str(); "a wrong assignment was not written: {error}");
         return Ok(());
     }
+    let asked_at = state.clock.now();
     let key = DomainAssignment::key(&next.domain);
-    let store = state.store.as_ref();
-    if let Some(revision) = swap_json(store, &key, expected, next)? {
-        hold(state, next.clone(), revision);
+    if let Some(revision) = swap_json(state.store.as_ref(), &key, expected, next)? {
+        hold(state, next.clone(), revision, asked_at);
         return Ok(());
     }
     log::info!(domain = next.domain.as_str(); "another coordinator changed the assignment");
-    if let (Some(current), revision) = read_json::<DomainAssignment>(store, &key)? {
-        hold(state, current, revision);
-    }
-    Ok(())
-}
-
-fn decide(
-    state: &CoordinatorState,
-    assignment: &DomainAssignment,
-    engines: &[EngineVm],
-) -> Vec<Step> {
-    let configuration = state.configuration();
-    let placements = lock(&state.placements).0.clone();
-    let probes = lock(&state.probes).clone();
-    reconcile(&DomainInput {
-        assignment,
-        configuration: &configuration,
-        placements: &placements,
-        engines,
-        probes: &probes,
-        now: state.clock.now(),
-        probe_ttl: state.probe_ttl(),
-        stall_limit: state.stall_limit(),
-    })
-}
-
-/// Gives an order on a thread of its own, unless the same one was given lately.
-fn give(
-    state: &Arc<CoordinatorState>,
-    fencing_number: FencingNumber,
-    vm: VmId,
-    address: SocketAddr,
-    kind: OrderKind,
-    given: &mut GivenOrders,
-) {
-    let now = state.clock.now();
-    let lately = given
-        .get(&vm)
-        .is_some_and(|(last, at)| *last == kind && now.duration_since(*at) < ORDER_REPEAT);
-    if lately {
-        return;
-    }
-    given.insert(vm.clone(), (kind.clone(), now));
-    let deadline = Duration::from_millis(state.settings.order_deadline_ms);
-    let order = Order {
-        order_id: new_order_id(),
-        fencing_number,
-        deadline_unix_ms: unix_ms(state, deadline),
-        kind,
-    };
-    let state = Arc::clone(state);
-    thread::spawn(move || {
-        let timeouts = HttpTimeouts::default().total(ORDER_TIMEOUT);
-        match state.engines.order(address, &order, timeouts) {
-            Ok(answer) => log::info!(vm = vm.as_str(); "order {:?}: {answer:?}", order.kind),
-            Err(error) => log::warn!(vm = vm.as_str(); "order {:?} failed: {error}", order.kind),
-        }
-    });
-}
-
-fn new_order_id() -> CommandId {
-    format!("o-{:032x}", fastrand::u128(..)).parse().expect("hexadecimal digits are a valid id")
-}
-
-fn unix_ms(state: &CoordinatorState, from_now: Duration) -> u64 {
-    let wall = state.clock.wall() + from_now;
-    let since = wall.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    confirm(state, &next.domain)
 }
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -9,8 +9,10 @@
 
 mod configuration;
 mod coordinator;
+mod domain_view;
 mod domains;
 mod operators;
+mod orders;
 mod peers;
 mod placement;
 mod platform;
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -9,14 +9,17 @@
 use std::time::Instant;
 
 use mangocross_coordination::Completeness;
+use mangocross_coordination::OrderAuthority;
+use mangocross_coordination::stuck_groups;
 use mangocross_types::DomainAssignment;
-use mangocross_types::EngineState;
+use mangocross_types::FabricDomain;
 use mangocross_types::GroupAssignment;
 use mangocross_types::GroupPhase;
 use mangocross_types::GroupProof;
 use mangocross_types::VmId;
 use peer_entry::CustomerUsage;
 use peer_entry::DomainSummary;
+use peer_entry::LeavingVm;
 use peer_entry::PeerKey;
 use peer_entry::Poll;
 use peer_entry::PollReply;
@@ -25,6 +28,7 @@
 use peer_entry::fetch_configuration;
 
 use crate::configuration;
+use crate::domain_view::DomainView;
 use crate::domains::owned_domains;
 use crate::state::CoordinatorState;
 use crate::state::LivePeer;
@@ -90,7 +94,11 @@
         if behind {
             self.fetch(from);
         }
-        lock(&self.state.leaving).extend(reply.leaving);
+        let mut leaving = lock(&self.state.leaving);
+        for it in &reply.leaving {
+            leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
+        }
+        drop(leaving);
         let peer = LivePeer { asked_at, domains: reply.domains };
         lock(&self.state.peers).insert(reply.vm, peer);
     }
@@ -108,9 +116,6 @@
         let freshness = state.freshness();
         (freshness.in_force(), freshness.store_age(now))
     };
-    let milliseconds = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
-    let mut leaving: Vec<VmId> = lock(&state.leaving).iter().cloned().collect();
-    leaving.extend(state.configuration().leaving_vms.iter().cloned());
     PollReply {
         nonce: poll.nonce,
         vm: state.settings.vm.clone(),
@@ -119,11 +124,23 @@
         store_age_ms: store_age.map(milliseconds),
         proofs: proofs(state, now),
         domains: summaries(state),
-        leaving,
+        leaving: leaving(state, now),
         usage: usage_of_others(state, &poll.vm),
     }
 }
 
+/// Returns the VMs that the platform or the VMs themselves say are leaving.
+fn leaving(state: &CoordinatorState, now: Instant) -> Vec<LeavingVm> {
+    let mut table = lock(&state.leaving);
+    table.forget_old(now);
+    let leaving = table.leaving(now);
+    leaving.map(|(vm, age)| LeavingVm { vm: vm.clone(), age_ms: milliseconds(age) }).collect()
+}
+
+fn milliseconds(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn usage_of_others(state: &CoordinatorState, asker: &VmId) -> Vec<CustomerUsage> {
     let gateways = lock(&state.gateways);
     let mut total: Vec<CustomerUsage> = Vec::new();
@@ -165,6 +182,7 @@
     now: Instant,
 ) -> Option<GroupProof> {
     let first = group.members.first()?;
+    let any_leaving = group.members.iter().any(|it| state.is_leaving(it));
     let engines = lock(&state.engines_by_domain);
     let address = engines.get(&assignment.domain)?.iter().find(|it| it.vm == *first)?.address;
     drop(engines);
@@ -177,35 +195,34 @@
     let load_age = now.duration_since(asked_at) + Duration::from_millis(report.load_age_ms);
     Some(GroupProof {
         group: group.group.clone(),
+        domain: assignment.domain.clone(),
         incarnation: group.incarnation,
         fencing_number: assignment.fencing_number,
         model: group.model.clone(),
         model_version: group.model_version.clone(),
         address,
-        remaining_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
-        accepts_new: group.phase == GroupPhase::Serving,
+        remaining_ms: milliseconds(remaining),
+        accepts_new: group.phase == GroupPhase::Serving && !any_leaving,
         load: report.running + report.queued,
-        load_age_ms: u32::try_from(load_age.as_millis()).unwrap_or(u32::MAX),
+        load_age_ms: milliseconds(load_age),
     })
 }
 
 /// Returns the room in the owned domains.
 pub(crate) fn summaries(state: &CoordinatorState) -> Vec<DomainSummary> {
-    let now = state.clock.now();
-    let owned = owned_domains(state);
-    let engines = lock(&state.engines_by_domain);
-    let probes = lock(&state.probes);
-    let summary = |domain| {
-        let vms = engines.get(domain)?;
-        let fresh = vms.iter().filter(|it| !it.leaving);
-        let fresh: Vec<_> =
-            fresh.filter_map(|it| probes.report(&it.vm, now, state.probe_ttl())).collect();
-        let idle = fresh.iter().filter(|it| it.state == EngineState::Idle).count();
-        Some(DomainSummary {
-            domain: domain.clone(),
-            idle_vms: u16::try_from(idle).unwrap_or(u16::MAX),
-            healthy_vms: u16::try_from(fresh.len()).unwrap_or(u16::MAX),
-        })
-    };
-    owned.iter().filter_map(summary).collect()
+    owned_domains(state).iter().filter_map(|it| summary(state, it)).collect()
+}
+
+fn summary(state: &CoordinatorState, domain: &FabricDomain) -> Option<DomainSummary> {
+    let view = DomainView::take(state, domain)?;
+    let input = view.input(OrderAuthority::None);
+    let count = |it: usize| u16::try_from(it).unwrap_or(u16::MAX);
+    let healthy = view.engines.iter().filter(|it| !it.leaving);
+    let healthy = healthy.filter(|it| input.report(&it.vm).is_some());
+    Some(DomainSummary {
+        domain: domain.clone(),
+        idle_vms: count(input.idle_vms().count()),
+        healthy_vms: count(healthy.count()),
+        stuck_groups: stuck_groups(&input),
+    })
 }
--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -5,20 +5,21 @@
 use std::thread;
 use std::time::Duration;
 
+use mangocross_coordination::DomainState;
+use mangocross_coordination::plan_placements;
 use mangocross_coordination::preferred_owner;
-use mangocross_policy::DomainRoom;
-use mangocross_policy::choose_domain;
-use mangocross_types::DesiredState;
+use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
-use mangocross_types::GroupSpec;
-use mangocross_types::Placement;
 use mangocross_types::Placements;
+use mangocross_types::Revision;
+use peer_entry::DomainSummary;
 use peer_store::StoreError;
 use peer_store::read_json;
 use peer_store::swap_json;
 
 use crate::peers::summaries;
 use crate::state::CoordinatorState;
+use crate::state::LivePeer;
 use crate::state::lock;
 
 /// Time between looks at the placements.
@@ -43,51 +44,33 @@
     if preferred_owner(Placements::KEY, &live) != Some(&state.settings.vm) {
         return Ok(());
     }
+    if state.freshness().in_force() == Revision(0) {
+        return Ok(());
+    }
     let next = decide(state, &read);
-    if next != read && swap_json(store, Placements::KEY, revision, &next)?.is_some() {
+    let is_first = revision == Revision(0);
+    if (is_first || next != read) && swap_json(store, Placements::KEY, revision, &next)?.is_some() {
         log::info!("placements changed");
     }
     Ok(())
 }
 
 fn decide(state: &CoordinatorState, current: &Placements) -> Placements {
-    let configuration = state.configuration();
-    let mut rooms = all_rooms(state);
-    let mut next = Placements::default();
-    let wanted = configuration.groups.iter().filter(|it| it.desired != DesiredState::Stopped);
-    for spec in wanted {
-        if let Some(domain) = place(spec, current, &mut rooms) {
-            next.entries.push(Placement { group: spec.id.clone(), domain });
-        }
-    }
-    next
-}
-
-fn place(
-    spec: &GroupSpec,
-    current: &Placements,
-    rooms: &mut BTreeMap<FabricDomain, DomainRoom>,
-) -> Option<FabricDomain> {
-    if spec.domain.is_some() {
-        return spec.domain.clone();
-    }
-    if let Some(domain) = current.domain_of(&spec.id) {
-        return Some(domain.clone());
-    }
-    let free: Vec<DomainRoom> = rooms.values().cloned().collect();
-    let domain = choose_domain(spec.size, &free)?.clone();
-    let room = rooms.get_mut(&domain)?;
-    room.idle_vms = room.idle_vms.saturating_sub(spec.size.0);
-    Some(domain)
+    let assignments: Vec<DomainAssignment> =
+        lock(&state.assignments).values().map(|it| it.assignment.clone()).collect();
+    plan_placements(&state.configuration(), current, &assignments, &domain_states(state))
 }
 
-fn all_rooms(state: &CoordinatorState) -> BTreeMap<FabricDomain, DomainRoom> {
-    let mut all = summaries(state);
-    for peer in lock(&state.peers).values() {
-        all.extend(peer.domains.iter().cloned());
+/// Returns the newest word on each fabric domain from its prober.
+fn domain_states(state: &CoordinatorState) -> Vec<DomainState> {
+    let now = state.clock.now();
+    let peers: Vec<LivePeer> = lock(&state.peers).values().cloned().collect();
+    let live = peers.iter().filter(|it| now.duration_since(it.asked_at) < state.probe_ttl());
+    let others = live.flat_map(|it| it.domains.iter().cloned());
+    let mut by_domain: BTreeMap<FabricDomain, DomainState> = BTreeMap::new();
+    for it in others.chain(summaries(state)) {
+        let DomainSummary { domain, idle_vms, stuck_groups, .. } = it;
+        by_domain.insert(domain.clone(), DomainState { domain, idle_vms, stuck_groups });
     }
-    let rooms = all
-        .into_iter()
-        .map(|it| (it.domain.clone(), DomainRoom { domain: it.domain, idle_vms: it.idle_vms }));
-    rooms.collect()
+    by_domain.into_values().collect()
 }
--- a/bins/mangocross-coordinator/src/probes.rs
+++ b/bins/mangocross-coordinator/src/probes.rs
@@ -8,9 +8,13 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use mangocross_http::HttpTimeouts;
+use mangocross_types::BackendReport;
+use mangocross_types::EngineState;
 use mangocross_types::VmId;
+use peer_engine::EngineError;
 
 use crate::domains::owned_domains;
 use crate::state::CoordinatorState;
@@ -55,15 +59,33 @@
     let limit = Duration::from_millis(state.settings.probe_timeout_ms);
     let timeouts = HttpTimeouts::default().connect(limit).idle(limit).total(limit);
     let interval = Duration::from_millis(state.settings.probe_interval_ms);
+    lock(&state.probes).forget(vm);
     while !stop.load(Ordering::Relaxed) {
         let asked_at = state.clock.now();
         let result = state.engines.report(address, timeouts);
-        let mut probes = lock(&state.probes);
-        match result {
-            Ok(report) => probes.record_answer(vm, asked_at, report),
-            Err(error) => probes.record_failure(vm, error.to_string()),
+        let answered_at = state.clock.now();
+        if stop.load(Ordering::Relaxed) {
+            return;
         }
-        drop(probes);
+        record(state, vm, asked_at, answered_at, result);
         thread::sleep(interval);
     }
 }
+
+fn record(
+    state: &CoordinatorState,
+    vm: &VmId,
+    asked_at: Instant,
+    answered_at: Instant,
+    result: Result<BackendReport, EngineError>,
+) {
+    match result {
+        Ok(report) => {
+            if report.state == EngineState::Leaving {
+                lock(&state.leaving).said(vm, asked_at);
+            }
+            lock(&state.probes).record_answer(vm, asked_at, answered_at, report);
+        }
+        Err(error) => lock(&state.probes).record_failure(vm, asked_at, error.to_string()),
+    }
+}
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -1,7 +1,6 @@
 //! What the coordinator's threads share.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,11 +13,12 @@
 use mangocross_coordination::EngineVm;
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
+use mangocross_coordination::HeldAssignment;
+use mangocross_coordination::LeavingTable;
 use mangocross_coordination::ProbeTable;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
-use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
 use mangocross_types::Placements;
 use mangocross_types::Revision;
@@ -46,13 +46,6 @@
     pub(crate) usage: Vec<CustomerUsage>,
 }
 
-/// A fabric domain's assignment as last read or written.
-#[derive(Debug, Clone)]
-pub(crate) struct HeldAssignment {
-    pub(crate) assignment: DomainAssignment,
-    pub(crate) revision: Revision,
-}
-
 /// What the coordinator's threads share.
 pub(crate) struct CoordinatorState {
     pub(crate) settings: CoordinatorSettings,
@@ -66,7 +59,7 @@
     pub(crate) peers: Mutex<HashMap<VmId, LivePeer>>,
     pub(crate) gateways: Mutex<HashMap<VmId, PollingGateway>>,
     pub(crate) engines_by_domain: Mutex<BTreeMap<FabricDomain, Vec<EngineVm>>>,
-    pub(crate) leaving: Mutex<BTreeSet<VmId>>,
+    pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) probes: Mutex<ProbeTable>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
     pub(crate) placements: Mutex<(Placements, Revision)>,
@@ -74,6 +67,7 @@
 
 impl CoordinatorState {
     pub(crate) fn open(settings: CoordinatorSettings, clock: Arc<dyn Clock>) -> Self {
+        let leaving_kept = Duration::from_millis(settings.leaving_kept_ms);
         let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
         Self {
             store: Arc::new(HttpStore::open(settings.store)),
@@ -87,7 +81,7 @@
             peers: Mutex::new(HashMap::new()),
             gateways: Mutex::new(HashMap::new()),
             engines_by_domain: Mutex::new(BTreeMap::new()),
-            leaving: Mutex::new(BTreeSet::new()),
+            leaving: Mutex::new(LeavingTable::new(leaving_kept)),
             probes: Mutex::new(ProbeTable::default()),
             assignments: Mutex::new(BTreeMap::new()),
             placements: Mutex::new((Placements::default(), Revision(0))),
@@ -151,6 +145,22 @@
         Duration::from_millis(self.settings.proof_ms)
     }
 
+    /// How long an engine may fail all probes before it is replaced.
+    pub(crate) fn lost_after(&self) -> Duration {
+        Duration::from_millis(self.settings.lost_ms)
+    }
+
+    /// Longest time that an order can be under way.
+    pub(crate) fn order_lifetime(&self) -> Duration {
+        Duration::from_millis(self.settings.order_deadline_ms)
+    }
+
+    /// Returns whether a VM must receive no new work.
+    pub(crate) fn is_leaving(&self, vm: &VmId) -> bool {
+        let now = self.clock.now();
+        lock(&self.leaving).is_leaving(vm, now) || self.configuration().leaving_vms.contains(vm)
+    }
+
     /// How long a member with work may make no progress.
     pub(crate) fn stall_limit(&self) -> Duration {
         Duration::from_millis(self.settings.stall_ms)
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -104,10 +104,9 @@
         proofs.forget_expired(self.state.clock.now(), EXPIRED_KEPT);
         drop(proofs);
         let mut leaving = lock(&self.state.leaving);
-        for vm in reply.leaving {
-            if !leaving.contains(&vm) {
-                leaving.push(vm);
-            }
+        for it in &reply.leaving {
+            leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
         }
+        leaving.forget_old(self.state.clock.now());
     }
 }
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -11,6 +11,7 @@
 
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
+use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProofTable;
 use mangocross_settings::GatewaySettings;
@@ -30,6 +31,9 @@
 /// When to come back after a refusal because the configuration may be old.
 const FRESHNESS_RETRY: Duration = Duration::from_secs(2);
 
+/// How long the word that a VM is leaving counts; longer than the platform's list lags.
+const LEAVING_KEPT: Duration = Duration::from_secs(600);
+
 /// What the gateway's threads share.
 #[derive(Debug)]
 pub(crate) struct GatewayState {
@@ -43,7 +47,7 @@
     configuration: Mutex<Arc<Configuration>>,
     freshness: Mutex<Freshness>,
     pub(crate) proofs: Mutex<ProofTable>,
-    pub(crate) leaving: Mutex<Vec<VmId>>,
+    pub(crate) leaving: Mutex<LeavingTable>,
     in_flight_by_group: Mutex<HashMap<GroupId, u32>>,
     in_flight_by_customer: Mutex<HashMap<CustomerId, u32>>,
 }
@@ -62,7 +66,7 @@
             configuration: Mutex::new(Arc::new(Configuration::default())),
             freshness: Mutex::new(Freshness::new(bounds)),
             proofs: Mutex::new(ProofTable::default()),
-            leaving: Mutex::new(Vec::new()),
+            leaving: Mutex::new(LeavingTable::new(LEAVING_KEPT)),
             in_flight_by_group: Mutex::new(HashMap::new()),
             in_flight_by_customer: Mutex::new(HashMap::new()),
         })
--- a/crates/mangocross-coordination/src/assignment.rs
+++ b/crates/mangocross-coordination/src/assignment.rs
@@ -76,11 +76,16 @@
     Ok(())
 }
 
-/// Makes `owner` the writer, with the next fencing number.
+/// Makes a process on the VM `owner` the writer, with the next fencing number.
 #[must_use]
-pub fn take_over(assignment: &DomainAssignment, owner: &VmId) -> DomainAssignment {
+pub fn take_over(
+    assignment: &DomainAssignment,
+    owner: &VmId,
+    owner_process: u64,
+) -> DomainAssignment {
     let mut next = assignment.clone();
     next.owner = Some(owner.clone());
+    next.owner_process = owner_process;
     next.fencing_number = assignment.fencing_number.next();
     next
 }
--- a/crates/mangocross-coordination/src/completeness.rs
+++ b/crates/mangocross-coordination/src/completeness.rs
@@ -5,12 +5,16 @@
 use std::time::Instant;
 
 use mangocross_types::BackendReport;
+use mangocross_types::EngineRole;
 use mangocross_types::EngineState;
 use mangocross_types::GroupAssignment;
 use mangocross_types::Rank;
 use mangocross_types::VmId;
 use snafu::Snafu;
 
+/// Failed probes in a row before a VM may count as lost.
+const LOST_FAILURES_MIN: u32 = 3;
+
 /// Why a member counts as missing.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum MissingReason {
@@ -81,7 +85,7 @@
 #[derive(Debug, Clone, Default)]
 struct Probed {
     answer: Option<Answer>,
-    failure: Option<String>,
+    failures: Option<Failures>,
 }
 
 #[derive(Debug, Clone)]
@@ -90,28 +94,102 @@
     report: BackendReport,
     /// When `report.steps` last rose, or the member last had no work.
     progressed_at: Instant,
+    /// When the first of the newest answers that all say that the engine drains
+    /// came, if the newest one does.
+    draining_since: Option<Instant>,
+}
+
+/// Failed probes since the last answered one.
+#[derive(Debug, Clone)]
+struct Failures {
+    first_asked_at: Instant,
+    newest_asked_at: Instant,
+    count: u32,
+    message: String,
 }
 
 impl ProbeTable {
-    /// Records an answer to a probe that was sent at `asked_at`.
+    /// Records an answer, received at `answered_at`, to a probe that was sent at `asked_at`.
     ///
-    /// An answer to a probe older than one already answered is ignored.
-    pub fn record_answer(&mut self, vm: &VmId, asked_at: Instant, report: BackendReport) {
+    /// An answer to a probe older than one already settled is ignored.
+    pub fn record_answer(
+        &mut self,
+        vm: &VmId,
+        asked_at: Instant,
+        answered_at: Instant,
+        report: BackendReport,
+    ) {
         let probed = self.by_vm.entry(vm.clone()).or_default();
-        let progressed_at = match &probed.answer {
-            Some(last) if last.asked_at > asked_at => return,
-            Some(last) if report.running > 0 && report.steps == last.report.steps => {
-                last.progressed_at
-            }
+        if probed.settled_at().is_some_and(|it| it > asked_at) {
+            return;
+        }
+        let last = probed.answer.as_ref();
+        let progressed_at = match last {
+            Some(it) if report.running > 0 && report.steps == it.report.steps => it.progressed_at,
             _ => asked_at,
         };
-        probed.answer = Some(Answer { asked_at, report, progressed_at });
-        probed.failure = None;
+        let still_draining = last.filter(|it| is_same_membership(&it.report, &report));
+        let draining_since = still_draining.and_then(|it| it.draining_since);
+        let draining_since = (report.role == EngineRole::Draining)
+            .then(|| draining_since.unwrap_or(answered_at.max(asked_at)));
+        probed.answer = Some(Answer { asked_at, report, progressed_at, draining_since });
+        probed.failures = None;
     }
 
-    /// Records that the newest probe failed.
-    pub fn record_failure(&mut self, vm: &VmId, message: String) {
-        self.by_vm.entry(vm.clone()).or_default().failure = Some(message);
+    /// Records that a probe sent at `asked_at` failed, unless a newer one is already settled.
+    pub fn record_failure(&mut self, vm: &VmId, asked_at: Instant, message: String) {
+        let probed = self.by_vm.entry(vm.clone()).or_default();
+        if probed.settled_at().is_some_and(|it| it > asked_at) {
+            return;
+        }
+        let (first_asked_at, count) = match &probed.failures {
+            Some(it) => (it.first_asked_at, it.count.saturating_add(1)),
+            None => (asked_at, 1),
+        };
+        let newest_asked_at = asked_at;
+        probed.failures = Some(Failures { first_asked_at, newest_asked_at, count, message });
+    }
+
+    /// Returns the probes of some VMs.
+    pub fn only<'a>(&self, vms: impl IntoIterator<Item = &'a VmId>) -> Self {
+        let found = vms.into_iter().filter_map(|vm| self.by_vm.get_key_value(vm));
+        Self { by_vm: found.map(|(vm, it)| (vm.clone(), it.clone())).collect() }
+    }
+
+    /// Forgets a VM, because its probes begin anew.
+    pub fn forget(&mut self, vm: &VmId) {
+        self.by_vm.remove(vm);
+    }
+
+    /// Returns whether a VM failed several probes in a row, sent over `lost_after` or longer.
+    ///
+    /// The time since the last answer does not count: a prober that was paused
+    /// has asked nothing meanwhile.
+    pub fn is_lost(&self, vm: &VmId, lost_after: Duration) -> bool {
+        let failures = self.by_vm.get(vm).and_then(|it| it.failures.as_ref());
+        failures.is_some_and(|it| {
+            let span = it.newest_asked_at.saturating_duration_since(it.first_asked_at);
+            it.count >= LOST_FAILURES_MIN && span >= lost_after
+        })
+    }
+
+    /// Returns whether a group's member refuses new requests and has none.
+    ///
+    /// Load reports lag, so the load must have been measured at least `settle`
+    /// after the first of an unbroken row of answers that said that it drains:
+    /// by then every older order to serve has expired.
+    pub fn is_drained(&self, vm: &VmId, group: &GroupAssignment, settle: Duration) -> bool {
+        let Some(answer) = self.by_vm.get(vm).and_then(|it| it.answer.as_ref()) else {
+            return false;
+        };
+        let report = &answer.report;
+        let measured_at = answer.asked_at.checked_sub(Duration::from_millis(report.load_age_ms));
+        let after_drain = match (measured_at, answer.draining_since) {
+            (Some(measured_at), Some(since)) => measured_at >= since + settle,
+            _ => false,
+        };
+        let idle = report.running == 0 && report.queued == 0;
+        after_drain && idle && is_member(report, group)
     }
 
     /// Returns a VM's newest report unless its newest probe failed or it is older than `ttl`.
@@ -119,7 +197,7 @@
         let probed = self.by_vm.get(vm)?;
         let answer = probed.answer.as_ref()?;
         let fresh = now.duration_since(answer.asked_at) < ttl;
-        (probed.failure.is_none() && fresh).then_some(&answer.report)
+        (probed.failures.is_none() && fresh).then_some(&answer.report)
     }
 
     /// Returns when the newest answered probe of a VM was sent, with its report.
@@ -165,8 +243,8 @@
         stall_limit: Duration,
     ) -> Result<Instant, MissingReason> {
         let probed = self.by_vm.get(vm).ok_or(MissingReason::NeverAnswered)?;
-        if let Some(message) = &probed.failure {
-            return Err(MissingReason::ProbeFailed { message: message.clone() });
+        if let Some(failures) = &probed.failures {
+            return Err(MissingReason::ProbeFailed { message: failures.message.clone() });
         }
         let answer = probed.answer.as_ref().ok_or(MissingReason::NeverAnswered)?;
         let age = now.duration_since(answer.asked_at);
@@ -182,6 +260,23 @@
     }
 }
 
+impl Probed {
+    /// Returns when the newest probe that was answered or failed was sent.
+    fn settled_at(&self) -> Option<Instant> {
+        let answered = self.answer.as_ref().map(|it| it.asked_at);
+        answered.max(self.failures.as_ref().map(|it| it.newest_asked_at))
+    }
+}
+
+/// Returns whether an engine says that it is in this incarnation of a group.
+pub(crate) fn is_member(report: &BackendReport, group: &GroupAssignment) -> bool {
+    report.group.as_ref() == Some(&group.group) && report.incarnation == group.incarnation
+}
+
+fn is_same_membership(one: &BackendReport, other: &BackendReport) -> bool {
+    one.group == other.group && one.incarnation == other.incarnation && one.rank == other.rank
+}
+
 fn check_report(
     group: &GroupAssignment,
     rank: Rank,
--- /dev/null
+++ b/crates/mangocross-coordination/src/placing.rs
@@ -0,0 +1,152 @@
+//! In which fabric domain each group belongs: first placements and moves.
+
+use std::collections::BTreeMap;
+
+use mangocross_policy::DomainRoom;
+use mangocross_policy::choose_domain;
+use mangocross_types::Configuration;
+use mangocross_types::DesiredState;
+use mangocross_types::DomainAssignment;
+use mangocross_types::FabricDomain;
+use mangocross_types::GroupId;
+use mangocross_types::GroupPhase;
+use mangocross_types::GroupSpec;
+use mangocross_types::Placement;
+use mangocross_types::Placements;
+
+/// What a fabric domain's prober says of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DomainState {
+    /// The fabric domain.
+    pub domain: FabricDomain,
+    /// VMs that answer probes and are in no group.
+    pub idle_vms: u16,
+    /// Groups that the domain's idle VMs cannot complete.
+    pub stuck_groups: Vec<GroupId>,
+}
+
+/// Returns the placements that should come next.
+///
+/// A group moves in three steps. It is placed in the new domain while the old
+/// one goes on serving it; once it serves in the new one, the old domain is no
+/// longer named and drains it there; then it is unloaded. A group that its
+/// domain cannot complete is placed elsewhere and given up where it is.
+pub fn plan_placements(
+    configuration: &Configuration,
+    current: &Placements,
+    assignments: &[DomainAssignment],
+    domains: &[DomainState],
+) -> Placements {
+    let mut planner = Planner::new(current, assignments, domains);
+    let is_wanted = |it: &&GroupSpec| it.desired != DesiredState::Stopped;
+    configuration.groups.iter().filter(is_wanted).for_each(|it| planner.keep_room(it));
+    let entries = configuration.groups.iter().filter(is_wanted).filter_map(|it| planner.place(it));
+    Placements { entries: entries.collect() }
+}
+
+struct Planner<'a> {
+    current: &'a Placements,
+    assignments: &'a [DomainAssignment],
+    domains: &'a [DomainState],
+    rooms: BTreeMap<FabricDomain, u16>,
+}
+
+impl<'a> Planner<'a> {
+    fn new(
+        current: &'a Placements,
+        assignments: &'a [DomainAssignment],
+        domains: &'a [DomainState],
+    ) -> Self {
+        let rooms = domains.iter().map(|it| (it.domain.clone(), it.idle_vms)).collect();
+        Self { current, assignments, domains, rooms }
+    }
+
+    fn place(&mut self, spec: &GroupSpec) -> Option<Placement> {
+        let Some(placed) = self.current.of(&spec.id) else {
+            let domain = self.first_domain(spec)?;
+            return Some(Placement { group: spec.id.clone(), domain, moving_from: None });
+        };
+        let placed = self.finish_move(placed);
+        match &spec.domain {
+            Some(chosen) if *chosen == placed.domain => Some(placed),
+            Some(chosen) => Some(self.move_to(spec, placed, chosen)),
+            None => Some(self.leave_stuck(spec, placed)),
+        }
+    }
+
+    /// Returns the domain of a group that was not placed yet.
+    fn first_domain(&mut self, spec: &GroupSpec) -> Option<FabricDomain> {
+        match &spec.domain {
+            Some(chosen) => Some(chosen.clone()),
+            None => self.take_room(spec, None),
+        }
+    }
+
+    /// Lets the old domain of a move go once the group serves in the new one or is gone there.
+    fn finish_move(&self, placed: &Placement) -> Placement {
+        let done = self.phase(&placed.group, &placed.domain) == Some(GroupPhase::Serving);
+        let kept = placed.moving_from.as_ref().filter(|old| {
+            let there = self.phase(&placed.group, old);
+            !done && matches!(there, Some(GroupPhase::Serving | GroupPhase::Draining))
+        });
+        Placement { moving_from: kept.cloned(), ..placed.clone() }
+    }
+
+    /// Moves a group to the domain that operators chose, when there is room.
+    fn move_to(&mut self, spec: &GroupSpec, placed: Placement, chosen: &FabricDomain) -> Placement {
+        let back = placed.moving_from.as_ref() == Some(chosen);
+        if !back && self.take_room_in(spec, chosen).is_none() {
+            return placed;
+        }
+        let serves_here = self.phase(&spec.id, &placed.domain) == Some(GroupPhase::Serving);
+        let moving_from = match placed.moving_from {
+            _ if serves_here => Some(placed.domain),
+            Some(old) if old != *chosen => Some(old),
+            _ => None,
+        };
+        Placement { group: placed.group, domain: chosen.clone(), moving_from }
+    }
+
+    /// Moves a group that its domain cannot complete to one with room.
+    fn leave_stuck(&mut self, spec: &GroupSpec, placed: Placement) -> Placement {
+        let state = self.domains.iter().find(|it| it.domain == placed.domain);
+        if !state.is_some_and(|it| it.stuck_groups.contains(&spec.id)) {
+            return placed;
+        }
+        match self.take_room(spec, Some(&placed.domain)) {
+            Some(domain) => Placement { domain, ..placed },
+            None => placed,
+        }
+    }
+
+    /// Keeps room for a group that is placed and not formed yet.
+    fn keep_room(&mut self, spec: &GroupSpec) {
+        let Some(domain) = self.current.domain_of(&spec.id) else { return };
+        if self.phase(&spec.id, domain).is_none()
+            && let Some(room) = self.rooms.get_mut(domain)
+        {
+            *room = room.saturating_sub(spec.size.0);
+        }
+    }
+
+    fn take_room(&mut self, spec: &GroupSpec, but: Option<&FabricDomain>) -> Option<FabricDomain> {
+        let others = self.rooms.iter().filter(|(domain, _)| Some(*domain) != but);
+        let rooms: Vec<DomainRoom> = others
+            .map(|(domain, idle)| DomainRoom { domain: domain.clone(), idle_vms: *idle })
+            .collect();
+        let domain = choose_domain(spec.size, &rooms)?.clone();
+        self.take_room_in(spec, &domain)?;
+        Some(domain)
+    }
+
+    fn take_room_in(&mut self, spec: &GroupSpec, domain: &FabricDomain) -> Option<()> {
+        let room = self.rooms.get_mut(domain)?;
+        *room = room.checked_sub(spec.size.0)?;
+        Some(())
+    }
+
+    fn phase(&self, group: &GroupId, domain: &FabricDomain) -> Option<GroupPhase> {
+        let assignment = self.assignments.iter().find(|it| it.domain == *domain)?;
+        assignment.groups.iter().find(|it| it.group == *group).map(|it| it.phase)
+    }
+}
--- a/crates/mangocross-coordination/src/proof_table.rs
+++ b/crates/mangocross-coordination/src/proof_table.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_types::FabricDomain;
 use mangocross_types::FencingNumber;
 use mangocross_types::GroupId;
 use mangocross_types::GroupProof;
@@ -17,6 +18,8 @@
 pub struct ProvenGroup {
     /// The group.
     pub group: GroupId,
+    /// The fabric domain.
+    pub domain: FabricDomain,
     /// The proven incarnation.
     pub incarnation: Incarnation,
     /// The model.
@@ -37,22 +40,32 @@
     asked_at: Instant,
 }
 
-/// The newest proof of each group.
+/// A group in one fabric domain.
+///
+/// While a group moves it is in two, and fencing numbers of two domains do not compare.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct PlacedGroup {
+    group: GroupId,
+    domain: FabricDomain,
+}
+
+/// The newest proof of each group in each fabric domain.
 #[derive(Debug, Clone, Default)]
 pub struct ProofTable {
-    by_group: HashMap<GroupId, ProvenGroup>,
+    by_place: HashMap<PlacedGroup, ProvenGroup>,
 }
 
 impl ProofTable {
     /// Takes a proof from the reply to a poll that was sent at `asked_at`.
     ///
-    /// A proof of an older fencing number or incarnation than the one held is
-    /// ignored; so is an older word on the same incarnation. A proof without time
+    /// A proof of an older fencing number or incarnation than the one held from
+    /// the same fabric domain is ignored; so is an older word on the same incarnation. A proof without time
     /// left withdraws the group.
     pub fn record(&mut self, proof: &GroupProof, asked_at: Instant) {
         let rank = |it: &ProvenGroup| (it.fencing_number, it.incarnation, it.asked_at);
         let new = ProvenGroup {
             group: proof.group.clone(),
+            domain: proof.domain.clone(),
             incarnation: proof.incarnation,
             model: proof.model.clone(),
             model_version: proof.model_version.clone(),
@@ -64,26 +77,30 @@
             fencing_number: proof.fencing_number,
             asked_at,
         };
-        match self.by_group.get(&proof.group) {
+        let place = PlacedGroup { group: proof.group.clone(), domain: proof.domain.clone() };
+        match self.by_place.get(&place) {
             Some(held) if rank(held) > rank(&new) => {}
             _ => {
-                self.by_group.insert(proof.group.clone(), new);
+                self.by_place.insert(place, new);
             }
         }
     }
 
     /// Returns the groups that are proven complete at `now`.
     pub fn proven(&self, now: Instant) -> impl Iterator<Item = &ProvenGroup> {
-        self.by_group.values().filter(move |it| now < it.until)
+        self.by_place.values().filter(move |it| now < it.until)
     }
 
     /// Returns a group's proof if it is unexpired at `now`.
+    ///
+    /// Of a group that moves, the proof that accepts new work comes first.
     pub fn get(&self, group: &GroupId, now: Instant) -> Option<&ProvenGroup> {
-        self.by_group.get(group).filter(|it| now < it.until)
+        let proven = self.proven(now).filter(|it| it.group == *group);
+        proven.max_by_key(|it| (it.accepts_new, it.until))
     }
 
     /// Forgets proofs that expired more than `age` ago.
     pub fn forget_expired(&mut self, now: Instant, age: Duration) {
-        self.by_group.retain(|_, it| now < it.until + age);
+        self.by_place.retain(|_, it| now < it.until + age);
     }
 }
--- /dev/null
+++ b/crates/mangocross-coordination/src/takeover_backoff.rs
@@ -0,0 +1,66 @@
+//! When a coordinator may take a fabric domain over.
+//!
+//! Two coordinators that do not see each other both believe that a domain is
+//! theirs. The store lets one of them win at a time; the growing wait gives the
+//! winner time to work before the other one takes over.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Longest factor of the base wait.
+const WAIT_FACTOR_MAX: u32 = 64;
+
+/// Waits of one coordinator before it takes over one fabric domain.
+#[derive(Debug, Clone)]
+pub struct TakeoverBackoff {
+    base: Duration,
+    losses: u32,
+    not_before: Option<Instant>,
+    owned_since: Option<Instant>,
+    wanted_since: Option<Instant>,
+}
+
+impl TakeoverBackoff {
+    /// Returns a state without losses.
+    pub fn new(base: Duration) -> Self {
+        Self { base, losses: 0, not_before: None, owned_since: None, wanted_since: None }
+    }
+
+    /// Records that this coordinator owns the domain at `now`.
+    pub fn owns(&mut self, now: Instant) {
+        let since = *self.owned_since.get_or_insert(now);
+        self.wanted_since = None;
+        if now.saturating_duration_since(since) >= self.base * WAIT_FACTOR_MAX {
+            self.losses = 0;
+        }
+    }
+
+    /// Records that another coordinator owns the domain at `now`.
+    ///
+    /// `jitter_permille` lengthens the wait by up to its double, so that two
+    /// coordinators do not wait alike.
+    pub fn other_owns(&mut self, now: Instant, jitter_permille: u32) {
+        if self.owned_since.take().is_none() {
+            return;
+        }
+        let wait = self.base * 2_u32.saturating_pow(self.losses).min(WAIT_FACTOR_MAX);
+        self.losses = self.losses.saturating_add(1);
+        self.not_before = Some(now + wait + wait * jitter_permille.min(1_000) / 1_000);
+    }
+
+    /// Records that this coordinator should not own the domain.
+    pub fn not_preferred(&mut self) {
+        self.wanted_since = None;
+        self.owned_since = None;
+    }
+
+    /// Decides whether to take over now.
+    ///
+    /// An owner that is not live is replaced at once; from a live one the
+    /// domain is taken only after it was wanted for the base wait.
+    pub fn may_take_over(&mut self, owner_is_live: bool, now: Instant) -> bool {
+        let wanted_since = *self.wanted_since.get_or_insert(now);
+        let waited = !owner_is_live || now.saturating_duration_since(wanted_since) >= self.base;
+        waited && self.not_before.is_none_or(|it| now >= it)
+    }
+}
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -51,6 +51,13 @@
     /// Longest time that an order can be under way, in milliseconds.
     #[serde(default = "order_deadline_ms")]
     pub order_deadline_ms: u64,
+    /// How long an engine may fail all probes before it is replaced, in milliseconds.
+    #[serde(default = "lost_ms")]
+    pub lost_ms: u64,
+    /// How long the platform's or a VM's own word that it is leaving counts, in
+    /// milliseconds; longer than the platform's list lags.
+    #[serde(default = "leaving_kept_ms")]
+    pub leaving_kept_ms: u64,
 }
 
 fn poll_interval_ms() -> u64 {
@@ -81,6 +88,14 @@
     2_000
 }
 
+fn lost_ms() -> u64 {
+    3_000
+}
+
+fn leaving_kept_ms() -> u64 {
+    600_000
+}
+
 impl Settings for CoordinatorSettings {
     fn check(&self) -> Result<(), String> {
         if self.probe_interval_ms == 0 || self.poll_interval_ms == 0 {
--- a/crates/mangocross-types/src/assignment.rs
+++ b/crates/mangocross-types/src/assignment.rs
@@ -53,6 +53,10 @@
     pub domain: FabricDomain,
     /// The coordinator's VM that may write this value.
     pub owner: Option<VmId>,
+    /// Random number that the owner's process chose at its start, so that two
+    /// processes on one VM, one of them paused, never take each other's writes for their own.
+    #[serde(default)]
+    pub owner_process: u64,
     /// Fencing number of the owner; rises at each takeover.
     pub fencing_number: FencingNumber,
     /// Incarnation that the next group formed here receives.
@@ -67,6 +71,7 @@
         Self {
             domain,
             owner: None,
+            owner_process: 0,
             fencing_number: FencingNumber(0),
             next_incarnation: Incarnation(1),
             groups: Vec::new(),
--- a/crates/mangocross-types/src/placements.rs
+++ b/crates/mangocross-types/src/placements.rs
@@ -13,6 +13,9 @@
     pub group: GroupId,
     /// Where it belongs.
     pub domain: FabricDomain,
+    /// Where it goes on serving until it serves in `domain`, during a move.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub moving_from: Option<FabricDomain>,
 }
 
 /// The fabric domain of each group, changed only by compare-and-swap.
@@ -31,6 +34,17 @@
 
     /// Returns where a group belongs.
     pub fn domain_of(&self, group: &GroupId) -> Option<&FabricDomain> {
-        self.entries.iter().find(|it| it.group == *group).map(|it| &it.domain)
+        self.of(group).map(|it| &it.domain)
+    }
+
+    /// Returns the placement of a group.
+    pub fn of(&self, group: &GroupId) -> Option<&Placement> {
+        self.entries.iter().find(|it| it.group == *group)
+    }
+
+    /// Returns whether a group should be loaded in a fabric domain.
+    pub fn includes(&self, group: &GroupId, domain: &FabricDomain) -> bool {
+        self.of(group)
+            .is_some_and(|it| it.domain == *domain || it.moving_from.as_ref() == Some(domain))
     }
 }
--- a/crates/mangocross-types/src/proof.rs
+++ b/crates/mangocross-types/src/proof.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::FabricDomain;
 use crate::FencingNumber;
 use crate::GroupId;
 use crate::Incarnation;
@@ -21,6 +22,8 @@
 pub struct GroupProof {
     /// The group.
     pub group: GroupId,
+    /// The fabric domain; fencing numbers and incarnations of two domains do not compare.
+    pub domain: FabricDomain,
     /// The incarnation that was probed.
     pub incarnation: Incarnation,
     /// Fencing number of the domain's owner that the prober knew.
--- a/peers/peer-entry/src/lib.rs
+++ b/peers/peer-entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub use frame::PeerKey;
 pub use messages::CustomerUsage;
 pub use messages::DomainSummary;
+pub use messages::LeavingVm;
 pub use messages::Poll;
 pub use messages::PollReply;
 pub use messages::ProcessRole;
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -2,6 +2,7 @@
 
 use mangocross_types::CustomerId;
 use mangocross_types::FabricDomain;
+use mangocross_types::GroupId;
 use mangocross_types::GroupProof;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
@@ -51,7 +52,7 @@
 
 /// A coordinator's answer.
 ///
-/// Size: about 60 bytes, 90 for each group that it probes and 20 for each VM
+/// Size: about 60 bytes, 100 for each group that it probes and 25 for each VM
 /// that is leaving. An answer that would not fit a datagram is split; each part
 /// stands on its own.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,11 +74,21 @@
     /// Fabric domains that the answerer probes.
     pub domains: Vec<DomainSummary>,
     /// VMs that must receive no new work.
-    pub leaving: Vec<VmId>,
+    pub leaving: Vec<LeavingVm>,
     /// Use by customer at all other gateways that poll the answerer.
     pub usage: Vec<CustomerUsage>,
 }
 
+/// A VM that must receive no new work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingVm {
+    /// The VM.
+    pub vm: VmId,
+    /// Time since the platform or the VM itself last said so, in milliseconds;
+    /// passing the word on does not make it younger.
+    pub age_ms: u32,
+}
+
 /// Room in a fabric domain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DomainSummary {
@@ -87,4 +98,6 @@
     pub idle_vms: u16,
     /// VMs that answer probes.
     pub healthy_vms: u16,
+    /// Groups that the domain's idle VMs cannot complete.
+    pub stuck_groups: Vec<GroupId>,
 }
