--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -21,6 +21,7 @@
 use mangocross_types::VmRole;
 use mangocross_types::VmState;
 use peer_entry::CustomerUsage;
+use peer_entry::LeavingVm;
 use peer_entry::Poll;
 use peer_entry::PollReply;
 use peer_entry::ProcessRole;
@@ -64,14 +65,19 @@
         store_age_ms: Some(1_000),
         proofs: (0..groups).map(proof).collect(),
         domains: Vec::new(),
-        leaving: (0..leaving).map(|it| id("vm", it)).collect(),
+        leaving: (0..leaving).map(leaving_vm).collect(),
         usage: Vec::new(),
     }
 }
 
+fn leaving_vm(number: usize) -> LeavingVm {
+    LeavingVm { vm: id("vm", number), age_ms: 1_000 }
+}
+
 fn proof(number: usize) -> GroupProof {
     GroupProof {
         group: id("group", number),
+        domain: id("domain", 1),
         incarnation: Incarnation(1_000),
         fencing_number: FencingNumber(1_000),
         model: id("model", 1),
@@ -138,7 +144,7 @@
 pub fn probe_table(group: &GroupAssignment, now: Instant) -> ProbeTable {
     let mut probes = ProbeTable::default();
     for (rank, vm) in (0..).map(Rank).zip(&group.members) {
-        probes.record_answer(vm, now, report_of(group, rank));
+        probes.record_answer(vm, now, now, report_of(group, rank));
     }
     probes
 }
--- a/crates/mangocross/examples/embed.rs
+++ b/crates/mangocross/examples/embed.rs
@@ -31,6 +31,8 @@
 const PROBE_TTL: Duration = Duration::from_secs(2);
 /// How long a member with work may make no progress.
 const STALL_LIMIT: Duration = Duration::from_secs(3);
+/// Random number that a process chooses at its start.
+const OWNER_PROCESS: u64 = 1;
 
 fn main() {
     let clock = ManualClock::new();
@@ -40,7 +42,7 @@
 
     // The assignment goes to the store by compare-and-swap; here it is only a value.
     let empty = DomainAssignment::empty("domain-1".parse().expect("a valid id"));
-    let owned = take_over(&empty, owner);
+    let owned = take_over(&empty, owner, OWNER_PROCESS);
     let members = vec![id("vm-1"), id("vm-2")];
     let formed = form_group(&owned, &wanted(), members).expect("two free VMs are enough");
     let group = &formed.groups[0];
@@ -48,9 +50,9 @@
 
     // Probes count from the moment they were sent.
     let mut probes = ProbeTable::default();
-    probes.record_answer(&group.members[0], clock.now(), report(group, 0));
+    probes.record_answer(&group.members[0], clock.now(), clock.now(), report(group, 0));
     show(&probes, group, &clock);
-    probes.record_answer(&group.members[1], clock.now(), report(group, 1));
+    probes.record_answer(&group.members[1], clock.now(), clock.now(), report(group, 1));
     show(&probes, group, &clock);
 
     // A gateway holds the proof until it expires.
@@ -104,6 +106,7 @@
 fn proof(assignment: &DomainAssignment, group: &GroupAssignment) -> GroupProof {
     GroupProof {
         group: group.group.clone(),
+        domain: assignment.domain.clone(),
         incarnation: group.incarnation,
         fencing_number: assignment.fencing_number,
         model: group.model.clone(),
