feat(gateway): send calls that may not be repeated only under a durable claim

Claims go through the claim log; a right to send ends with the deadline on either clock and is asked right before each send. A claim whose call certainly did not run is released, and another backend server is tried only then. The recorded body is exact, or the refusal 4006 says that it ran and was not kept. 4005 now says unknown: an earlier attempt with that key may have run.

A service's not-run refusal counts only with the echo of the attempt: a refusal of another call must not make a call that may have run look unrun. Idempotent calls are tried up to three times under the deadline, and report not run only if no try can have run.

The whole-path test now makes its key from the clock, as callers must.

--- /dev/null
+++ b/bins/mangocross-gateway/src/backend_servers.rs
@@ -0,0 +1,41 @@
+//! Which backend servers of a plain service may take a call.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mangocross_types::KindTarget;
+use mangocross_types::Refusal;
+use mangocross_types::ResultCode;
+
+use crate::claim::spread;
+use crate::handler::Incoming;
+use crate::state::GatewayState;
+
+/// Shortest time after which to come back when all backend servers are leaving.
+const RETRY_BASE: Duration = Duration::from_millis(1_000);
+
+/// Returns the backend servers for a call to the service called `name`, in random order.
+pub(crate) fn choose(
+    state: &GatewayState,
+    name: &str,
+    incoming: &Incoming,
+) -> Result<Vec<SocketAddr>, Refusal> {
+    let KindTarget::Service(service) = &incoming.kind.target else {
+        let text = format!("request kind {} does not go to a service", incoming.kind.id);
+        return Err(Refusal::not_run(ResultCode::UnknownRoute, text));
+    };
+    if service.as_str() != name {
+        let text = format!("request kind {} goes to service {service}", incoming.kind.id);
+        return Err(Refusal::not_run(ResultCode::UnknownRoute, text));
+    }
+    let specified = incoming.configuration.service(service);
+    let specified = specified.map(|it| it.backend_servers.as_slice()).unwrap_or_default();
+    let mut servers = state.staying_servers(service, specified);
+    if servers.is_empty() {
+        let text = format!("service {service} has no backend server that takes work; come back");
+        let refusal = Refusal::not_run(ResultCode::BackendUnreachable, text);
+        return Err(refusal.retry_after(spread(RETRY_BASE)));
+    }
+    fastrand::shuffle(&mut servers);
+    Ok(servers)
+}
--- a/bins/mangocross-gateway/src/claim.rs
+++ b/bins/mangocross-gateway/src/claim.rs
@@ -1,113 +1,142 @@
-//! Durable claims: a request that may not be repeated is sent at most once.
+//! Claims on idempotency keys, as callers see them.
 
-use mangocross_types::AttemptId;
-use mangocross_types::CustomerId;
+use std::time::Duration;
+
+use mangocross_claims::ClaimError;
+use mangocross_claims::ClaimLog;
+use mangocross_coordination::ClaimDecision;
+use mangocross_coordination::ClaimDigest;
+use mangocross_coordination::ClaimGrant;
+use mangocross_coordination::ClaimKey;
+use mangocross_coordination::ClaimState;
+use mangocross_coordination::RecordedAnswer;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
-use mangocross_types::Revision;
-use peer_store::Store;
-use peer_store::StoreErrorKind;
-use peer_store::read_json;
-use peer_store::swap_json;
-use serde::Deserialize;
-use serde::Serialize;
-
-/// A claim on an idempotency key.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct Claim {
-    customer: CustomerId,
-    body_digest: String,
-    holder: AttemptId,
-    state: ClaimState,
-}
+use mangocross_types::RunOutcome;
+use peer_service::ServiceAnswer;
+use peer_service::ServiceCall;
 
-/// How far the claimed request has come.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum ClaimState {
-    /// The holder may send the request, or has.
-    Held,
-    /// The request ran, with this answer.
-    Done { status: u16, content_type: Option<String>, body: String },
-    /// The request may have run; its answer is not known.
-    Unknown,
-}
+/// Shortest time after which to come back when the store or this entry VM is at fault.
+const RETRY_BASE: Duration = Duration::from_millis(1_000);
 
 /// What a claim allows.
+#[derive(Debug)]
 pub(crate) enum Claimed {
     /// This attempt holds the claim and may send, once.
-    Mine { key: String, claim: Claim, revision: Revision },
+    Mine(ClaimGrant),
     /// The request ran before, with this answer.
-    Replay { status: u16, content_type: Option<String>, body: String },
+    Replay(ServiceAnswer),
 }
 
-/// Claims an idempotency key for an attempt, before any byte is sent.
+/// Claims the idempotency key of a call before any byte of it is sent.
 pub(crate) fn claim(
-    store: &dyn Store,
-    customer: &CustomerId,
-    idempotency_key: &str,
-    body: &[u8],
-    holder: &AttemptId,
+    claims: &ClaimLog,
+    key: &str,
+    call: &ServiceCall,
+    deadline: Duration,
 ) -> Result<Claimed, Refusal> {
-    let key = format!("claims/{}", blake3::hash(idempotency_key.as_bytes()).to_hex());
-    let claim = Claim {
-        customer: customer.clone(),
-        body_digest: blake3::hash(body).to_hex().to_string(),
-        holder: holder.clone(),
-        state: ClaimState::Held,
-    };
-    match swap_json(store, &key, Revision(0), &claim) {
-        Ok(Some(revision)) => return Ok(Claimed::Mine { key, claim, revision }),
-        Ok(None) => {}
-        Err(error) => {
-            let text = format!("the claim could not be stored: {error}");
-            return Err(Refusal::not_run(error.kind.result_code(), text));
-        }
+    let key: ClaimKey =
+        key.parse().map_err(|it| Refusal::not_run(ResultCode::KeyInvalid, format!("{it}")))?;
+    let grant = claims.grant(key, call.attempt_id.clone(), deadline);
+    match claims.begin(&grant, &call.customer, digest(call)) {
+        Ok(ClaimDecision::Granted) => Ok(Claimed::Mine(grant)),
+        Ok(ClaimDecision::Ran(answer)) => replay(&answer).map(Claimed::Replay),
+        Ok(decision) => Err(decision_refusal(&decision)),
+        Err(error) => Err(error_refusal(error)),
     }
-    let (held, _) = read_json::<Claim>(store, &key).map_err(|it| {
-        Refusal::not_run(StoreErrorKind::Unavailable.result_code(), it.to_string())
-    })?;
-    held.map_or_else(|| Err(in_progress()), |it| of_another(it, &claim))
 }
 
-fn of_another(held: Claim, mine: &Claim) -> Result<Claimed, Refusal> {
-    if held.customer != mine.customer {
-        let text = "this idempotency key is in use by another customer; use a new one";
-        return Err(Refusal::not_run(ResultCode::KeyCustomerMismatch, text));
-    }
-    if held.body_digest != mine.body_digest {
-        let text = "this idempotency key was used with another body; use a new one";
-        return Err(Refusal::not_run(ResultCode::KeyBodyMismatch, text));
-    }
-    match held.state {
-        ClaimState::Done { status, content_type, body } => {
-            Ok(Claimed::Replay { status, content_type, body })
+/// Returns the record of an answer.
+pub(crate) fn record(answer: &ServiceAnswer) -> ClaimState {
+    let content_type = answer.content_type.as_deref();
+    ClaimState::Done(RecordedAnswer::new(answer.status, content_type, &answer.body))
+}
+
+/// Returns a random time between `base` and twice `base`.
+pub(crate) fn spread(base: Duration) -> Duration {
+    base + base.mul_f64(fastrand::f64())
+}
+
+fn digest(call: &ServiceCall) -> ClaimDigest {
+    let content_type = call.content_type.as_deref().unwrap_or_default();
+    let method = format!("{:?}", call.method);
+    ClaimDigest::of(&[method.as_bytes(), call.path.as_bytes(), content_type.as_bytes(), &call.body])
+}
+
+fn replay(answer: &RecordedAnswer) -> Result<ServiceAnswer, Refusal> {
+    let Some(body) = answer.body.bytes() else {
+        let text = format!(
+            "the request ran before and was answered with status {}; its body was too large to be kept",
+            answer.status
+        );
+        let mut refusal = Refusal::not_run(ResultCode::AnswerNotKept, text);
+        refusal.outcome = RunOutcome::Ran;
+        return Err(refusal);
+    };
+    Ok(ServiceAnswer {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: body.to_vec(),
+    })
+}
+
+fn decision_refusal(decision: &ClaimDecision) -> Refusal {
+    match decision {
+        ClaimDecision::CustomerMismatch => {
+            let text = "this idempotency key is in use by another customer; use a new one";
+            Refusal::not_run(ResultCode::KeyCustomerMismatch, text)
+        }
+        ClaimDecision::RequestMismatch => {
+            let text = "this idempotency key was used with another request; use a new one";
+            Refusal::not_run(ResultCode::KeyBodyMismatch, text)
+        }
+        ClaimDecision::InProgress => {
+            let text = "an attempt with this key has not ended; come back with the same key";
+            Refusal::unknown(ResultCode::ClaimInProgress, text).retry_after(spread(RETRY_BASE))
         }
-        ClaimState::Held => Err(in_progress()),
-        ClaimState::Unknown => {
+        ClaimDecision::OutcomeUnknown => {
             let text =
-                "the first attempt with this key ended without a known outcome; ask the service";
-            Err(Refusal::unknown(ResultCode::OutcomeUnknown, text))
+                "an attempt with this key may have run and its answer is lost; ask the service";
+            Refusal::unknown(ResultCode::OutcomeUnknown, text)
+        }
+        ClaimDecision::Expired => {
+            let text =
+                "claims on keys of this age are no longer kept; ask the service whether it ran";
+            Refusal::unknown(ResultCode::KeyExpired, text)
+        }
+        ClaimDecision::TooFarAhead => {
+            let text = "the idempotency key was made in the future; correct the clock that made it";
+            Refusal::not_run(ResultCode::KeyInvalid, text)
+        }
+        ClaimDecision::Full => {
+            let text = "too many keys were made in this minute; use a new key";
+            Refusal::not_run(ResultCode::Overloaded, text).retry_after(spread(RETRY_BASE))
         }
+        ClaimDecision::Overdue | ClaimDecision::Granted | ClaimDecision::Ran(_) => overdue(),
     }
 }
 
-fn in_progress() -> Refusal {
-    let text = "an attempt with this key has not ended; come back for its outcome";
-    Refusal::unknown(ResultCode::ClaimInProgress, text)
-        .retry_after(std::time::Duration::from_secs(2))
+/// Returns the refusal of an attempt that ran out of time before it could send.
+pub(crate) fn overdue() -> Refusal {
+    let text = "the deadline passed before the request could be sent; come back with the same key";
+    Refusal::not_run(ResultCode::DeadlineExceeded, text).retry_after(spread(RETRY_BASE))
 }
 
-/// Records how the claimed request ended.
-pub(crate) fn record(
-    store: &dyn Store,
-    key: &str,
-    claim: &Claim,
-    revision: Revision,
-    state: ClaimState,
-) {
-    let ended = Claim { state, ..claim.clone() };
-    if let Err(error) = swap_json(store, key, revision, &ended) {
-        log::warn!("the outcome of {key} was not recorded: {error}");
-    }
+fn error_refusal(error: ClaimError) -> Refusal {
+    let (code, text) = match error {
+        ClaimError::StoreUnavailable => {
+            (ResultCode::StoreUnavailable, "the claim on the key could not be stored")
+        }
+        ClaimError::AnswerLost => {
+            (ResultCode::StoreAnswerLost, "the claim on the key could not be confirmed")
+        }
+        ClaimError::TimedOut => {
+            (ResultCode::StoreUnavailable, "the claim on the key was not stored in time")
+        }
+        ClaimError::Contended | ClaimError::Overloaded => {
+            (ResultCode::Overloaded, "too many claims are made at once")
+        }
+    };
+    let text = format!("{text}, so nothing was sent; come back with the same key");
+    Refusal::not_run(code, text).retry_after(spread(RETRY_BASE))
 }
--- a/bins/mangocross-gateway/src/gateway.rs
+++ b/bins/mangocross-gateway/src/gateway.rs
@@ -26,6 +26,8 @@
 const BALANCER_NOTICE: Duration = Duration::from_secs(2);
 /// Time between looks whether requests are still in flight.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Longest wait at the end of a planned stop for claims to be recorded.
+const CLAIMS_FLUSH: Duration = Duration::from_secs(5);
 /// When to come back after a refusal for too many requests.
 const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
 
@@ -68,6 +70,9 @@
     while server.in_flight() > 0 && state.clock.now() < deadline {
         thread::sleep(STOP_POLL);
     }
+    if !state.claims.flush(CLAIMS_FLUSH) {
+        log::warn!("planned stop: the store does not take the outcome of all claims");
+    }
     log::info!("planned stop: done with {} requests in flight", server.in_flight());
 }
 
--- /dev/null
+++ b/bins/mangocross-gateway/src/idempotent.rs
@@ -0,0 +1,80 @@
+//! Calls that may be repeated: tried on other backend servers until the deadline.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_http::HttpTimeouts;
+use mangocross_types::Refusal;
+use mangocross_types::ResultCode;
+use mangocross_types::RunOutcome;
+use peer_service::ServiceAnswer;
+use peer_service::ServiceCall;
+
+use crate::claim::spread;
+use crate::state::GatewayState;
+
+/// Most tries of one call.
+const TRIES_MAX: u32 = 3;
+/// Shortest pause before another try.
+const PAUSE_BASE: Duration = Duration::from_millis(20);
+/// Shortest time after which to come back when all tries failed.
+const RETRY_BASE: Duration = Duration::from_millis(500);
+
+/// Serves a call that may be repeated.
+pub(crate) fn serve(
+    state: &GatewayState,
+    servers: &[SocketAddr],
+    call: &ServiceCall,
+    deadline: Duration,
+) -> Result<ServiceAnswer, Refusal> {
+    let until = state.clock.now() + deadline;
+    let mut failed = Failed::default();
+    for (tries_left, server) in (1..=TRIES_MAX).rev().zip(servers.iter().cycle()) {
+        let time_left = until.saturating_duration_since(state.clock.now());
+        if time_left.is_zero() {
+            break;
+        }
+        let limit = time_left / tries_left;
+        let timeouts = HttpTimeouts::default().connect(limit).idle(limit).total(limit);
+        match state.services.call(*server, call, timeouts) {
+            Ok(answer) => return Ok(answer),
+            Err(error) => failed.add(error.code, error.outcome, error.message),
+        }
+        if tries_left > 1 {
+            pause(state.clock.now(), until);
+        }
+    }
+    Err(failed.refusal())
+}
+
+/// What is known of all tries together.
+#[derive(Debug, Default)]
+struct Failed {
+    last: Option<(ResultCode, String)>,
+    may_have_run: bool,
+}
+
+impl Failed {
+    fn add(&mut self, code: ResultCode, outcome: RunOutcome, message: String) {
+        self.may_have_run |= outcome != RunOutcome::NotRun;
+        self.last = Some((code, message));
+    }
+
+    /// Returns a refusal that says "not run" only if no try can have run.
+    fn refusal(self) -> Refusal {
+        let (code, message) = self.last.unwrap_or_else(|| {
+            (ResultCode::DeadlineExceeded, "the deadline passed; allow more time".to_owned())
+        });
+        let refusal = match self.may_have_run {
+            true => Refusal::unknown(code, message),
+            false => Refusal::not_run(code, message),
+        };
+        refusal.retry_after(spread(RETRY_BASE))
+    }
+}
+
+fn pause(now: Instant, until: Instant) {
+    thread::sleep(spread(PAUSE_BASE).min(until.saturating_duration_since(now)));
+}
--- a/bins/mangocross-gateway/src/main.rs
+++ b/bins/mangocross-gateway/src/main.rs
@@ -8,9 +8,12 @@
 use mangocross_settings::GatewaySettings;
 
 mod claim;
+mod backend_servers;
 mod gateway;
 mod generate;
 mod handler;
+mod idempotent;
+mod once;
 mod peers;
 mod service;
 mod state;
--- /dev/null
+++ b/bins/mangocross-gateway/src/once.rs
@@ -0,0 +1,87 @@
+//! Calls that may not be repeated: sent by the holder of a claim, at most once.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mangocross_coordination::ClaimGrant;
+use mangocross_coordination::ClaimState;
+use mangocross_http::HttpTimeouts;
+use mangocross_types::Refusal;
+use mangocross_types::RunOutcome;
+use peer_service::ServiceAnswer;
+use peer_service::ServiceCall;
+use peer_service::ServiceError;
+
+use crate::claim;
+use crate::claim::Claimed;
+use crate::claim::spread;
+use crate::state::GatewayState;
+
+/// Most backend servers tried; the next one only after one that certainly ran nothing.
+const SERVERS_MAX: usize = 3;
+/// Shortest time after which to come back when no backend server took the call.
+const RETRY_BASE: Duration = Duration::from_millis(1_000);
+
+/// Serves a call that may not be repeated.
+pub(crate) fn serve(
+    state: &GatewayState,
+    servers: &[SocketAddr],
+    key: &str,
+    call: &ServiceCall,
+    deadline: Duration,
+) -> Result<ServiceAnswer, Refusal> {
+    match claim::claim(&state.claims, key, call, deadline)? {
+        Claimed::Replay(answer) => Ok(answer),
+        Claimed::Mine(grant) => run(state, servers, call, grant),
+    }
+}
+
+fn run(
+    state: &GatewayState,
+    servers: &[SocketAddr],
+    call: &ServiceCall,
+    grant: ClaimGrant,
+) -> Result<ServiceAnswer, Refusal> {
+    match send(state, servers, call, &grant) {
+        Ok(answer) => {
+            if !state.claims.finish(&grant, claim::record(&answer)) {
+                log::warn!(request = call.request_id.as_str(); "the outcome is not recorded yet");
+            }
+            Ok(answer)
+        }
+        Err(refusal) if refusal.outcome == RunOutcome::NotRun => {
+            state.claims.release(grant);
+            Err(refusal)
+        }
+        Err(refusal) => {
+            state.claims.finish_later(&grant, ClaimState::Unknown);
+            Err(refusal)
+        }
+    }
+}
+
+fn send(
+    state: &GatewayState,
+    servers: &[SocketAddr],
+    call: &ServiceCall,
+    grant: &ClaimGrant,
+) -> Result<ServiceAnswer, Refusal> {
+    let mut refusal = claim::overdue();
+    for server in servers.iter().take(SERVERS_MAX) {
+        if !state.claims.may_send(grant) {
+            break;
+        }
+        let time_left = grant.time_left(state.clock.now());
+        let timeouts = HttpTimeouts::default().idle(time_left).total(time_left);
+        match state.services.call(*server, call, timeouts) {
+            Ok(answer) => return Ok(answer),
+            Err(error) if error.outcome == RunOutcome::NotRun => refusal = not_run(error),
+            Err(error) => return Err(Refusal::unknown(error.code, error.message)),
+        }
+    }
+    Err(refusal)
+}
+
+fn not_run(error: ServiceError) -> Refusal {
+    Refusal::not_run(error.code, error.message).retry_after(spread(RETRY_BASE))
+}
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,6 +10,8 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use mangocross_claims::ClaimLimits;
+use mangocross_claims::ClaimLog;
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
 use mangocross_coordination::Permit;
@@ -21,22 +24,25 @@
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
+use mangocross_types::ServiceId;
 use mangocross_types::VmId;
 use peer_engine::EngineClient;
 use peer_service::ServiceClient;
 use peer_store::HttpStore;
-use peer_store::Store;
 
 /// When to come back after a refusal because the configuration may be old.
 const FRESHNESS_RETRY: Duration = Duration::from_secs(2);
 
+/// Time for a call to the store on a claim's way; a caller waits for it.
+const CLAIM_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// What the gateway's threads share.
 #[derive(Debug)]
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) process_id: u64,
-    pub(crate) store: Arc<dyn Store>,
+    pub(crate) claims: ClaimLog,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
     pub(crate) stopping: AtomicBool,
@@ -51,8 +57,10 @@
 impl GatewayState {
     pub(crate) fn open(settings: GatewaySettings, clock: Arc<dyn Clock>) -> Result<Self, String> {
         let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
+        let store = Arc::new(HttpStore::open(settings.store).timeout(CLAIM_CALL_TIMEOUT));
+        let claims = ClaimLog::spawn(store, Arc::clone(&clock), ClaimLimits::default());
         Ok(Self {
-            store: Arc::new(HttpStore::open(settings.store)),
+            claims: claims.map_err(|it| format!("no thread for claims: {it}"))?,
             settings,
             clock,
             process_id: fastrand::u64(..),
@@ -102,6 +110,15 @@
         Some(Refusal::not_run(ResultCode::NotFresh, text).retry_after(FRESHNESS_RETRY))
     }
 
+    /// Returns those backend servers of a service that are not leaving.
+    pub(crate) fn staying_servers(
+        &self,
+        _service: &ServiceId,
+        specified: &[SocketAddr],
+    ) -> Vec<SocketAddr> {
+        specified.to_vec()
+    }
+
     pub(crate) fn in_flight_at(&self, group: &GroupId) -> u32 {
         lock(&self.in_flight_by_group).get(group).copied().unwrap_or_default()
     }
--- a/crates/mangocross-types/src/result_code.rs
+++ b/crates/mangocross-types/src/result_code.rs
@@ -110,6 +110,8 @@
     OutcomeUnknown = 4004, 409;
     /// The idempotency key is older than the retention time.
     KeyExpired = 4005, 422;
+    /// The request ran before; its answer was too large to be kept.
+    AnswerNotKept = 4006, 409;
     /// The platform's store does not answer.
     StoreUnavailable = 5001, 503;
     /// A store write's answer was lost.
--- a/peers/peer-service/src/client.rs
+++ b/peers/peer-service/src/client.rs
@@ -18,6 +18,9 @@
 /// Largest answer, in bytes.
 const ANSWER_BYTES_MAX: usize = 1024 * 1024;
 
+/// Status of a refusal before running.
+const REFUSED_STATUS: u16 = 503;
+
 /// A call to pass through.
 #[derive(Debug, Clone)]
 pub struct ServiceCall {
@@ -89,16 +92,17 @@
         let answer =
             self.client.call(http_call(address, call, timeouts)).map_err(|it| from(&it))?;
         let status = answer.status();
-        if answer.header("x-run-outcome") == Some(RunOutcome::NotRun.as_str()) {
-            let message = format!("the service refused with status {status}");
-            let (code, outcome) = (ResultCode::BackendRefused, RunOutcome::NotRun);
-            return Err(ServiceError { code, outcome, message });
-        }
         if answer.header("x-attempt-id") != Some(call.attempt_id.as_str()) {
             let message = "the service answered another attempt".to_owned();
             let (code, outcome) = (ResultCode::BackendMismatch, RunOutcome::Unknown);
             return Err(ServiceError { code, outcome, message });
         }
+        let says_not_run = answer.header("x-run-outcome") == Some(RunOutcome::NotRun.as_str());
+        if status == REFUSED_STATUS && says_not_run {
+            let message = format!("the service refused with status {status}");
+            let (code, outcome) = (ResultCode::BackendRefused, RunOutcome::NotRun);
+            return Err(ServiceError { code, outcome, message });
+        }
         let content_type = answer.header("content-type").map(str::to_owned);
         let body = answer.read_all(ANSWER_BYTES_MAX).map_err(|it| from(&it))?;
         Ok(ServiceAnswer { status, content_type, body })
--- a/peers/peer-store/src/http_store.rs
+++ b/peers/peer-store/src/http_store.rs
@@ -65,6 +65,13 @@
         Self { address, client: HttpClient::open(), timeouts }
     }
 
+    /// Sets the longest time for each call, watches left out.
+    #[must_use]
+    pub fn timeout(mut self, limit: Duration) -> Self {
+        self.timeouts = self.timeouts.connect(limit).idle(limit).total(limit);
+        self
+    }
+
     fn call(&self, key: &str, call: HttpCall) -> Result<HttpAnswer, StoreError> {
         self.client.call(call).map_err(|it| failed(key, &it))
     }
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -67,7 +67,7 @@
             address,
             ServerLimits::default(),
             move |it| serving.serve(it),
-            |it| it.respond(503, &[("x-run-outcome", "not_run")], b"too many calls".to_vec()),
+            |it| refuse(it, b"too many calls"),
         )?;
         Ok(Self { server, state })
     }
@@ -98,7 +98,7 @@
         let faults = self.faults.get();
         self.faults.count("calls");
         if faults.refuse {
-            return request.respond(503, &[("x-run-outcome", "not_run")], b"refused".to_vec());
+            return refuse(request, b"refused");
         }
         pause(faults.delay_ms);
         let body = request.read_body().unwrap_or_default();
@@ -124,3 +124,10 @@
         request.respond(200, &headers, answer.unwrap_or_default());
     }
 }
+
+/// Refuses a call before running it.
+fn refuse(request: ServerRequest, text: &[u8]) {
+    let attempt = request.header("x-attempt-id").unwrap_or_default().to_owned();
+    let headers = [("x-run-outcome", "not_run"), ("x-attempt-id", attempt.as_str())];
+    request.respond(503, &headers, text.to_vec());
+}
--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use mangocross_http::CallError;
 use mangocross_http::HttpCall;
@@ -158,3 +159,9 @@
         Ok(Answer { status, headers, body })
     }
 }
+
+/// Returns an idempotency key made now; `name` tells keys of the same second apart.
+pub fn new_key(name: &str) -> String {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    format!("{}.{name}", since.unwrap_or_default().as_secs())
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -11,6 +11,7 @@
 pub use caller::Answer;
 pub use caller::Caller;
 pub use caller::Outgoing;
+pub use caller::new_key;
 pub use cluster::Cluster;
 pub use cluster::ClusterBuilder;
 pub use process::Process;
--- a/tests/tests/whole_path.rs
+++ b/tests/tests/whole_path.rs
@@ -2,6 +2,7 @@
 
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
+use mangocross_tests::new_key;
 use mangocross_types::RunOutcome;
 
 #[test]
@@ -12,9 +13,9 @@
     let answer = cluster.send(0, &draft);
     assert!(answer.is_whole());
     assert_eq!(answer.token_indexes(), (0..8).collect::<Vec<_>>());
-    let key = "1796000000.applicant-17";
+    let key = new_key("applicant-17");
     let claim = Outgoing::service("town", "claim", "registry/claims", "a claim")
-        .header("idempotency-key", key);
+        .header("idempotency-key", &key);
     assert_eq!(cluster.send(0, &claim).outcome(), Some(RunOutcome::Ran));
     assert_eq!(cluster.send(1, &claim).outcome(), Some(RunOutcome::Ran));
     assert_eq!(cluster.service.effects("a claim"), 1);
