test(claims): compare what callers are told with effects, under faults and kills at each step

10 tests kill, freeze or cut a gateway before its claim, after it, after the send and before the record, with retries through another gateway; 4 compare outcomes told with the service's counted effects under ten faults. The service stand-in can hold calls before and after running, so that no moment is timed; the gateways reach it through a relay.

--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -19,6 +19,9 @@
 /// Time for which a lost answer keeps its caller waiting, in milliseconds.
 const LOST_ANSWER_MS: u64 = 30_000;
 
+/// Time between looks whether a call is still held, in milliseconds.
+const HOLD_POLL_MS: u64 = 10;
+
 /// Faults of the service.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -27,6 +30,10 @@
     pub refuse: bool,
     /// Waits before running.
     pub delay_ms: u64,
+    /// Waits before running until this is switched off.
+    pub hold: bool,
+    /// Waits after running, before answering, until this is switched off.
+    pub hold_answers: bool,
     /// Waits after running, before answering.
     pub answer_delay_ms: u64,
     /// Runs and never answers.
@@ -89,6 +96,12 @@
 }
 
 impl State {
+    fn wait_while(&self, held: impl Fn(&ServiceFaults) -> bool) {
+        while held(&self.faults.get()) {
+            pause(HOLD_POLL_MS);
+        }
+    }
+
     fn serve(&self, request: ServerRequest) {
         let Some(mut request) = self.faults.answer(request) else { return };
         if request.path() == "/effects" {
@@ -101,6 +114,7 @@
             return refuse(request, b"refused");
         }
         pause(faults.delay_ms);
+        self.wait_while(|it| it.hold);
         let body = request.read_body().unwrap_or_default();
         let body = String::from_utf8_lossy(&body).into_owned();
         let effect = {
@@ -114,6 +128,7 @@
             return pause(LOST_ANSWER_MS);
         }
         pause(faults.answer_delay_ms);
+        self.wait_while(|it| it.hold_answers);
         let attempt = match faults.swap_answers {
             true => "another".to_owned(),
             false => request.header("x-attempt-id").unwrap_or_default().to_owned(),
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -45,6 +45,7 @@
 const PORT_STORE: u16 = 7001;
 const PORT_PLATFORM: u16 = 7002;
 const PORT_SERVICE: u16 = 7003;
+const PORT_SERVICE_RELAY: u16 = 7004;
 const PORT_STORE_RELAY: u16 = 7010;
 const PORT_COORDINATOR: u16 = 7100;
 const PORT_OPERATOR: u16 = 7200;
@@ -75,6 +76,8 @@
     pub platform: PlatformStandin,
     /// The plain service `registry`.
     pub service: ServiceStandin,
+    /// The relay through which the gateways reach the service.
+    pub service_relay: Relay,
     /// The engines by VM; VMs are `vm-DOMAIN-NUMBER`, domains `domain-NUMBER`, from 1.
     pub engines: BTreeMap<VmId, EngineStandin>,
     /// One relay to the store for each node; the node's processes use nothing else.
@@ -141,7 +144,9 @@
         let store = StoreStandin::bind(at(PORT_STORE)).expect("the store starts");
         let platform = PlatformStandin::bind(at(PORT_PLATFORM)).expect("the platform starts");
         let service = ServiceStandin::bind(at(PORT_SERVICE)).expect("the service starts");
+        let service_relay = Relay::bind(at(PORT_SERVICE_RELAY), service.address());
         let mut cluster = Cluster {
+            service_relay,
             store_relays: Vec::new(),
             store,
             platform,
@@ -351,7 +356,7 @@
                 {"id": "claim", "target": {"service": "registry"}, "idempotent": false, "deadline_ms": 5000},
             ],
             "services": [
-                {"id": "registry", "backend_servers": [self.service.address().to_string()]},
+                {"id": "registry", "backend_servers": [self.service_relay.address().to_string()]},
             ],
         });
         let configuration: Configuration =
--- /dev/null
+++ b/tests/tests/at_most_once.rs
@@ -0,0 +1,281 @@
+//! A request that may not be repeated runs at most once, whatever happens to the gateway that
+//! sends it, and a retry through another gateway is told the truth.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Barrier;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use mangocross_http::CallError;
+use mangocross_tests::Answer;
+use mangocross_tests::Caller;
+use mangocross_tests::Cluster;
+use mangocross_tests::ClusterBuilder;
+use mangocross_tests::Outgoing;
+use mangocross_tests::RelayMode;
+use mangocross_tests::new_key;
+use mangocross_types::ResultCode;
+use mangocross_types::RunOutcome;
+use standins::ServiceFaults;
+use standins::StoreFaults;
+
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(40);
+
+fn start() -> Cluster {
+    ClusterBuilder::new(2, &[]).start()
+}
+
+fn claim(name: &str) -> Outgoing {
+    claim_within(name, 20_000)
+}
+
+fn claim_within(name: &str, deadline_ms: u64) -> Outgoing {
+    Outgoing::service("town", "claim", "registry/claims", name)
+        .header("idempotency-key", &new_key(name))
+        .header("x-deadline-ms", &deadline_ms.to_string())
+}
+
+fn send_in_background(
+    gateway: SocketAddr,
+    outgoing: &Outgoing,
+) -> JoinHandle<Result<Answer, CallError>> {
+    let outgoing = outgoing.clone();
+    thread::spawn(move || Caller::open(ANSWER_TIMEOUT).send(gateway, &outgoing))
+}
+
+/// Lets calls arrive at the service and wait there.
+fn hold(cluster: &Cluster) {
+    cluster.service.faults().set(ServiceFaults { hold: true, ..ServiceFaults::default() });
+}
+
+fn code(answer: &Answer) -> Option<ResultCode> {
+    answer.refusal().map(|it| it.code)
+}
+
+fn assert_unknown(answer: &Answer, expected: ResultCode) {
+    assert_eq!(answer.outcome(), Some(RunOutcome::Unknown), "{answer:?}");
+    assert_eq!(code(answer), Some(expected), "{answer:?}");
+}
+
+/// Retries through a gateway until the request ran; nobody may be told otherwise than truly.
+fn retry_until_ran(cluster: &Cluster, node: u16, outgoing: &Outgoing) -> Answer {
+    let mut last = None;
+    cluster.wait_until("the request ran", || {
+        let answer = cluster.send(node, outgoing);
+        let ran = answer.outcome() == Some(RunOutcome::Ran);
+        last = Some(answer);
+        ran
+    });
+    last.expect("an answer")
+}
+
+#[test]
+fn retry_while_the_first_is_slow_waits_for_its_outcome() {
+    let cluster = start();
+    hold(&cluster);
+    let claim = claim("slow");
+    let first = send_in_background(cluster.gateway(0), &claim);
+    cluster.wait_until("the call arrived", || cluster.service.faults().counted("calls") == 1);
+    assert_unknown(&cluster.send(1, &claim), ResultCode::ClaimInProgress);
+    cluster.service.faults().set(ServiceFaults::default());
+    let first = first.join().unwrap().expect("the gateway answers");
+    assert_eq!(first.outcome(), Some(RunOutcome::Ran));
+    let retry = retry_until_ran(&cluster, 1, &claim);
+    assert_eq!((retry.status, &retry.body), (first.status, &first.body));
+    assert_eq!(cluster.service.faults().counted("calls"), 1);
+    assert_eq!(cluster.service.effects("slow"), 1);
+}
+
+#[test]
+fn gateway_killed_after_the_send_leaves_an_unknown_outcome() {
+    let mut cluster = start();
+    hold(&cluster);
+    let claim = claim("killed");
+    let first = send_in_background(cluster.gateway(0), &claim);
+    cluster.wait_until("the call arrived", || cluster.service.faults().counted("calls") == 1);
+    cluster.gateways[0].kill();
+    assert!(first.join().unwrap().is_err());
+    assert_unknown(&cluster.send(1, &claim), ResultCode::ClaimInProgress);
+    cluster.service.faults().set(ServiceFaults::default());
+    cluster.wait_until("the call ran", || cluster.service.effects("killed") == 1);
+    cluster.gateways[0].restart();
+    let ready = |it: &Answer| code(it) != Some(ResultCode::NotFresh);
+    let caller = Caller::open(ANSWER_TIMEOUT);
+    cluster.wait_until("the gateway serves again", || {
+        caller.send(cluster.gateway(0), &claim).is_ok_and(|it| ready(&it))
+    });
+    assert_unknown(&cluster.send(0, &claim), ResultCode::ClaimInProgress);
+    assert_eq!(cluster.service.faults().counted("calls"), 1);
+}
+
+#[test]
+fn gateway_frozen_after_the_send_records_its_outcome_when_it_wakes() {
+    let cluster = start();
+    hold(&cluster);
+    let claim = claim("frozen");
+    let first = send_in_background(cluster.gateway(0), &claim);
+    cluster.wait_until("the call arrived", || cluster.service.faults().counted("calls") == 1);
+    cluster.gateways[0].freeze();
+    cluster.service.faults().set(ServiceFaults::default());
+    cluster.wait_until("the call ran", || cluster.service.effects("frozen") == 1);
+    assert_unknown(&cluster.send(1, &claim), ResultCode::ClaimInProgress);
+    cluster.gateways[0].thaw();
+    let first = first.join().unwrap().expect("the gateway answers");
+    assert_eq!(first.outcome(), Some(RunOutcome::Ran));
+    assert_eq!(retry_until_ran(&cluster, 1, &claim).body, first.body);
+    assert_eq!(cluster.service.effects("frozen"), 1);
+}
+
+#[test]
+fn gateway_cut_from_the_store_before_its_claim_sends_nothing() {
+    let mut cluster = start();
+    for frozen in [true, false] {
+        let name = if frozen { "before-frozen" } else { "before-killed" };
+        let claim = claim(name);
+        let connections = cluster.store_relays[0].accepted();
+        cluster.store_relays[0].set(RelayMode::Silent);
+        let first = send_in_background(cluster.gateway(0), &claim);
+        cluster.wait_until("the store is asked", || {
+            cluster.store_relays[0].accepted() > connections + 1
+        });
+        if frozen {
+            cluster.gateways[0].freeze();
+        } else {
+            cluster.gateways[0].kill();
+        }
+        let retry = retry_until_ran(&cluster, 1, &claim);
+        cluster.store_relays[0].set(RelayMode::Pass);
+        if frozen {
+            cluster.gateways[0].thaw();
+        }
+        if let Ok(first) = first.join().unwrap() {
+            let told = first.outcome().expect("an outcome");
+            let replayed = told == RunOutcome::Ran && first.body == retry.body;
+            assert!(replayed || told != RunOutcome::Ran, "{first:?}");
+        }
+        assert_eq!(cluster.service.effects(name), 1);
+    }
+    assert_eq!(cluster.service.faults().counted("calls"), 2);
+}
+
+#[test]
+fn claim_whose_answer_was_lost_for_good_is_released_and_a_retry_runs() {
+    let cluster = start();
+    let claim = claim("lost");
+    cluster.store_relays[0].set(RelayMode::DropAnswers);
+    let first = cluster.send(0, &claim);
+    assert_eq!(first.outcome(), Some(RunOutcome::NotRun), "{first:?}");
+    assert!(first.refusal().is_some_and(|it| it.retry_after_ms.is_some()), "{first:?}");
+    assert_eq!(cluster.service.effects("lost"), 0);
+    cluster.store_relays[0].set(RelayMode::Pass);
+    retry_until_ran(&cluster, 1, &claim);
+    retry_until_ran(&cluster, 0, &claim);
+    assert_eq!(cluster.service.effects("lost"), 1);
+}
+
+#[test]
+fn outcome_that_could_not_be_recorded_is_unknown_to_others() {
+    let mut cluster = start();
+    cluster.service.faults().set(ServiceFaults { hold_answers: true, ..ServiceFaults::default() });
+    let claim = claim("unrecorded");
+    let first = send_in_background(cluster.gateway(0), &claim);
+    cluster.wait_until("the call ran", || cluster.service.effects("unrecorded") == 1);
+    cluster.store_relays[0].set(RelayMode::Silent);
+    cluster.service.faults().set(ServiceFaults::default());
+    let first = first.join().unwrap().expect("the gateway answers");
+    assert_eq!(first.outcome(), Some(RunOutcome::Ran));
+    cluster.gateways[0].kill();
+    assert_unknown(&cluster.send(1, &claim), ResultCode::ClaimInProgress);
+    assert_eq!(cluster.service.effects("unrecorded"), 1);
+}
+
+#[test]
+fn copies_that_arrive_at_once_run_once() {
+    let cluster = start();
+    let caller = Caller::open(ANSWER_TIMEOUT);
+    for number in 0..20 {
+        let name = format!("copy-{number}");
+        let claim = claim(&name);
+        let together = Arc::new(Barrier::new(4));
+        let copies: Vec<_> = (0..4)
+            .map(|copy| {
+                let (caller, claim) = (caller.clone(), claim.clone());
+                let (together, gateway) = (Arc::clone(&together), cluster.gateway(copy % 2));
+                thread::spawn(move || {
+                    together.wait();
+                    caller.send(gateway, &claim).expect("the gateway answers").outcome()
+                })
+            })
+            .collect();
+        let told: Vec<_> = copies.into_iter().map(|it| it.join().unwrap()).collect();
+        assert!(told.contains(&Some(RunOutcome::Ran)), "{told:?}");
+        assert!(!told.contains(&Some(RunOutcome::NotRun)), "{told:?}");
+        assert_eq!(cluster.service.effects(&name), 1);
+    }
+}
+
+#[test]
+fn key_belongs_to_one_request_of_one_customer() {
+    let cluster = start();
+    let key = new_key("shared");
+    let send = |customer: &str, path: &str, body: &str| {
+        let claim = Outgoing::service(customer, "claim", path, body);
+        cluster.send(1, &claim.header("idempotency-key", &key))
+    };
+    assert_eq!(send("town", "registry/claims", "mine").outcome(), Some(RunOutcome::Ran));
+    let refused = [
+        (send("bank", "registry/claims", "mine"), ResultCode::KeyCustomerMismatch),
+        (send("town", "registry/claims", "other"), ResultCode::KeyBodyMismatch),
+        (send("town", "registry/certificates", "mine"), ResultCode::KeyBodyMismatch),
+    ];
+    for (answer, expected) in refused {
+        assert_eq!(answer.outcome(), Some(RunOutcome::NotRun), "{answer:?}");
+        assert_eq!(code(&answer), Some(expected), "{answer:?}");
+    }
+    assert_eq!(cluster.service.effects("mine"), 1);
+    assert_eq!(cluster.service.effects("other"), 0);
+}
+
+#[test]
+fn service_that_answers_wrongly_or_not_at_all_is_never_called_again() {
+    let cluster = start();
+    let silent = ServiceFaults { lose_answers: true, ..ServiceFaults::default() };
+    let swapped = ServiceFaults { swap_answers: true, ..ServiceFaults::default() };
+    let cases = [
+        ("silent", silent, ResultCode::BackendSilent),
+        ("swapped", swapped, ResultCode::BackendMismatch),
+    ];
+    for (name, faults, expected) in cases {
+        cluster.service.faults().set(faults);
+        let claim = claim_within(name, 2_000);
+        assert_unknown(&cluster.send(0, &claim), expected);
+        cluster.service.faults().set(ServiceFaults::default());
+        cluster.wait_until("the end is recorded", || {
+            code(&cluster.send(1, &claim)) == Some(ResultCode::OutcomeUnknown)
+        });
+        assert_eq!(cluster.service.effects(name), 1);
+    }
+}
+
+#[test]
+fn store_that_loses_or_garbles_answers_leads_to_one_effect() {
+    let cluster = start();
+    let lost = StoreFaults { lose_write_answers: true, ..StoreFaults::default() };
+    let garbled = StoreFaults { garble_write_answers: true, ..StoreFaults::default() };
+    for (name, faults) in [("lost-answer", lost), ("garbled-answer", garbled)] {
+        cluster.store.faults().set(faults);
+        let claim = claim(name);
+        let first = cluster.send(0, &claim);
+        let effects = cluster.service.effects(name);
+        match first.outcome().expect("an outcome") {
+            RunOutcome::Ran => assert_eq!(effects, 1),
+            RunOutcome::NotRun => assert_eq!(effects, 0),
+            RunOutcome::Unknown => panic!("nothing was lost but answers of the store: {first:?}"),
+        }
+        cluster.store.faults().set(StoreFaults::default());
+        retry_until_ran(&cluster, 1, &claim);
+        assert_eq!(cluster.service.effects(name), 1);
+    }
+}
--- /dev/null
+++ b/tests/tests/not_run.rs
@@ -0,0 +1,188 @@
+//! What callers are told of the effect of their requests, compared with the effects counted by
+//! the service, under every fault on the way of a claim.
+
+use mangocross_tests::Cluster;
+use mangocross_tests::ClusterBuilder;
+use mangocross_tests::Outgoing;
+use mangocross_tests::RelayMode;
+use mangocross_tests::new_key;
+use mangocross_types::ResultCode;
+use mangocross_types::RunOutcome;
+use standins::ServiceFaults;
+use standins::StoreFaults;
+
+const SEED: u64 = 42;
+const TRIES: u16 = 2;
+
+/// A fault on the way of a claim.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    None,
+    StoreDown,
+    StoreFrozen,
+    StoreGarbles,
+    StoreCut,
+    StoreAnswersDropped,
+    ServiceRefuses,
+    ServiceSwaps,
+    ServiceSilent,
+    ServiceCut,
+    ServiceAnswersDropped,
+}
+
+/// The faults, and what the first attempt is told under each.
+const FAULTS: &[(Fault, RunOutcome)] = &[
+    (Fault::StoreDown, RunOutcome::NotRun),
+    (Fault::StoreFrozen, RunOutcome::NotRun),
+    (Fault::StoreGarbles, RunOutcome::Ran),
+    (Fault::StoreCut, RunOutcome::NotRun),
+    (Fault::StoreAnswersDropped, RunOutcome::NotRun),
+    (Fault::ServiceRefuses, RunOutcome::NotRun),
+    (Fault::ServiceSwaps, RunOutcome::Unknown),
+    (Fault::ServiceSilent, RunOutcome::Unknown),
+    (Fault::ServiceCut, RunOutcome::Unknown),
+    (Fault::ServiceAnswersDropped, RunOutcome::Unknown),
+];
+
+fn set(cluster: &Cluster, fault: Fault) {
+    let (mut store, mut service) = (StoreFaults::default(), ServiceFaults::default());
+    let (mut store_relay, mut service_relay) = (RelayMode::Pass, RelayMode::Pass);
+    match fault {
+        Fault::None => {}
+        Fault::StoreDown => store.down = true,
+        Fault::StoreFrozen => store.frozen = true,
+        Fault::StoreGarbles => store.garble_write_answers = true,
+        Fault::StoreCut => store_relay = RelayMode::Cut,
+        Fault::StoreAnswersDropped => store_relay = RelayMode::DropAnswers,
+        Fault::ServiceRefuses => service.refuse = true,
+        Fault::ServiceSwaps => service.swap_answers = true,
+        Fault::ServiceSilent => service.lose_answers = true,
+        Fault::ServiceCut => service_relay = RelayMode::Cut,
+        Fault::ServiceAnswersDropped => service_relay = RelayMode::DropAnswers,
+    }
+    cluster.store.faults().set(store);
+    cluster.service.faults().set(service);
+    cluster.store_relays[0].set(store_relay);
+    cluster.service_relay.set(service_relay);
+}
+
+fn claim(body: &str) -> Outgoing {
+    Outgoing::service("town", "claim", "registry/claims", body)
+        .header("idempotency-key", &new_key(body))
+        .header("x-deadline-ms", "2000")
+}
+
+/// Ends all faults and waits until both gateways make claims again.
+fn recover(cluster: &Cluster, name: &str) {
+    set(cluster, Fault::None);
+    for node in 0..2 {
+        let claim = claim(&format!("calm-{name}-{node}"));
+        cluster.wait_until("claims are made again", || {
+            cluster.send(node, &claim).outcome() == Some(RunOutcome::Ran)
+        });
+    }
+}
+
+/// Sends one claim several times, under a fault first and without it then; returns what was
+/// told each time.
+fn send_claim(
+    cluster: &Cluster,
+    fault: Fault,
+    body: &str,
+    random: &mut fastrand::Rng,
+) -> Vec<RunOutcome> {
+    let claim = claim(body);
+    let mut send = |node: u16| cluster.send(node, &claim).outcome().expect("an outcome");
+    set(cluster, fault);
+    let mut told: Vec<RunOutcome> = (0..TRIES).map(|it| send(it % 2)).collect();
+    set(cluster, Fault::None);
+    told.extend((0..TRIES).map(|_| send(random.u16(..2))));
+    told
+}
+
+#[test]
+fn callers_are_told_the_truth_under_every_fault() {
+    let cluster = ClusterBuilder::new(2, &[]).start();
+    let mut random = fastrand::Rng::with_seed(SEED);
+    for (fault, first) in FAULTS {
+        let body = format!("{fault:?}");
+        recover(&cluster, &body);
+        let told = send_claim(&cluster, *fault, &body, &mut random);
+        let effects = cluster.service.effects(&body);
+        println!("{body}: told {told:?}, {effects} effects");
+        assert_eq!(told[0], *first, "{body}: told {told:?}");
+        assert!(effects <= 1, "{body}: {effects} effects, told {told:?}");
+        if told.contains(&RunOutcome::Ran) {
+            assert_eq!(effects, 1, "{body}: told {told:?}");
+        }
+        if told.iter().all(|it| *it == RunOutcome::NotRun) {
+            assert_eq!(effects, 0, "{body}: told {told:?}");
+        }
+    }
+}
+
+#[test]
+fn refusals_without_a_store_say_not_run_and_when_to_come_back() {
+    let cluster = ClusterBuilder::new(1, &[]).start();
+    let faults = [
+        (StoreFaults { down: true, ..StoreFaults::default() }, "down"),
+        (StoreFaults { frozen: true, ..StoreFaults::default() }, "frozen"),
+    ];
+    for (faults, name) in faults {
+        cluster.store.faults().set(faults);
+        let mut returns = Vec::new();
+        for number in 0..8 {
+            let answer = cluster.send(0, &claim(&format!("{name}-{number}")));
+            let refusal = answer.refusal().expect("a refusal");
+            assert_eq!(refusal.outcome, RunOutcome::NotRun, "{refusal:?}");
+            let codes = [ResultCode::StoreUnavailable, ResultCode::StoreAnswerLost];
+            assert!(codes.contains(&refusal.code), "{refusal:?}");
+            assert_eq!(answer.header("x-run-outcome"), Some("not_run"));
+            returns.push(refusal.retry_after_ms.expect("a time to come back"));
+        }
+        returns.sort_unstable();
+        returns.dedup();
+        assert!(returns.len() > 1, "clients come back together: {returns:?}");
+        cluster.store.faults().set(StoreFaults::default());
+        let claim = claim(&format!("{name}-0"));
+        cluster.wait_until("claims are made again", || {
+            cluster.send(0, &claim).outcome() == Some(RunOutcome::Ran)
+        });
+    }
+    assert_eq!(cluster.service.faults().counted("effects"), 2);
+}
+
+#[test]
+fn idempotent_calls_are_tried_again_and_survive_a_store_outage() {
+    let cluster = ClusterBuilder::new(1, &[]).start();
+    cluster.store.faults().set(StoreFaults { down: true, ..StoreFaults::default() });
+    let status = Outgoing::service("town", "status", "registry/status", "place of 17");
+    assert_eq!(cluster.send(0, &status).outcome(), Some(RunOutcome::Ran));
+    cluster.service.faults().set(ServiceFaults { refuse: true, ..ServiceFaults::default() });
+    let calls = cluster.service.faults().counted("calls");
+    let refused = cluster.send(0, &status);
+    assert_eq!(refused.outcome(), Some(RunOutcome::NotRun), "{refused:?}");
+    assert_eq!(cluster.service.faults().counted("calls") - calls, 3);
+    let swapped = ServiceFaults { swap_answers: true, ..ServiceFaults::default() };
+    cluster.service.faults().set(swapped);
+    assert_eq!(cluster.send(0, &status).outcome(), Some(RunOutcome::Unknown));
+}
+
+#[test]
+fn keys_from_elsewhere_are_refused() {
+    let cluster = ClusterBuilder::new(1, &[]).start();
+    let send = |key: Option<&str>| {
+        let claim = Outgoing::service("town", "claim", "registry/claims", "keys");
+        cluster.send(0, &key.into_iter().fold(claim, |it, key| it.header("idempotency-key", key)))
+    };
+    let cases = [
+        (None, ResultCode::KeyMissing),
+        (Some("no-time"), ResultCode::KeyInvalid),
+        (Some("99999999999.future"), ResultCode::KeyInvalid),
+    ];
+    for (key, expected) in cases {
+        let refusal = send(key).refusal().expect("a refusal");
+        assert_eq!((refusal.code, refusal.outcome), (expected, RunOutcome::NotRun), "{refusal:?}");
+    }
+    assert_eq!(cluster.service.effects("keys"), 0);
+}
