--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -110,6 +110,7 @@
                 log::warn!(domain = domain.as_str(); "assignment was not written: {error}");
             }
         }
+        self.orders.end();
     }
 
     fn look_after(&mut self, domain: &FabricDomain) -> Result<(), StoreError> {
--- a/bins/mangocross-coordinator/src/orders.rs
+++ b/bins/mangocross-coordinator/src/orders.rs
@@ -9,15 +9,17 @@
 
 use mangocross_coordination::OrderAuthority;
 use mangocross_http::HttpTimeouts;
+use mangocross_policy::PendingLoad;
+use mangocross_policy::choose_loads;
 use mangocross_types::CommandId;
-use mangocross_types::ModelVersion;
+use mangocross_types::FencingNumber;
+use mangocross_types::GroupId;
 use mangocross_types::Order;
 use mangocross_types::OrderKind;
 use mangocross_types::VmId;
 
 use crate::domain_view::DomainView;
 use crate::state::CoordinatorState;
-use crate::state::lock;
 
 /// Time before the same order is given again.
 const ORDER_REPEAT: Duration = Duration::from_millis(1_000);
@@ -31,6 +33,15 @@
     at: Instant,
 }
 
+/// A load that fetches weights, and waits for its turn at the weight store.
+struct WaitingLoad {
+    load: PendingLoad,
+    address: SocketAddr,
+    lifetime: Duration,
+    fencing_number: FencingNumber,
+    kind: OrderKind,
+}
+
 /// Gives orders, each on a thread of its own, and not the same one at each tick.
 ///
 /// Whether an order was carried out is seen in the reports; an answer that is
@@ -38,23 +49,25 @@
 pub(crate) struct OrderGiver {
     state: Arc<CoordinatorState>,
     given: HashMap<VmId, Given>,
-    /// Fetches of weights that may still be started in this round; unknown until asked.
-    fetches_left: Option<u32>,
+    waiting: Vec<WaitingLoad>,
+    /// Since when each group waits for loads.
+    waiting_since: HashMap<GroupId, Instant>,
 }
 
 impl OrderGiver {
     pub(crate) fn new(state: Arc<CoordinatorState>) -> Self {
-        Self { state, given: HashMap::new(), fetches_left: None }
+        let (given, waiting_since) = (HashMap::new(), HashMap::new());
+        Self { state, given, waiting: Vec::new(), waiting_since }
     }
 
     /// Begins a round over all domains.
     pub(crate) fn begin(&mut self) {
         let now = self.state.clock.now();
         self.given.retain(|_, it| now.saturating_duration_since(it.at) < ORDER_REPEAT);
-        self.fetches_left = None;
+        self.waiting.clear();
     }
 
-    /// Gives an order, unless the same one was given lately or its load has to wait.
+    /// Gives an order, unless the same one was given lately or its load waits for the round's end.
     pub(crate) fn give(
         &mut self,
         view: &DomainView<'_>,
@@ -73,20 +86,65 @@
         if self.given.get(&vm).is_some_and(|it| it.kind == kind) {
             return;
         }
-        if self.must_fetch(&vm, &kind) && !self.take_fetch() {
+        let fencing_number = view.held.assignment.fencing_number;
+        match fetching_group(view, &vm, &kind) {
+            None => self.send(vm, address, lifetime, fencing_number, kind),
+            Some(group) => {
+                let down_since = *self.waiting_since.entry(group.clone()).or_insert(now);
+                let load = PendingLoad {
+                    vm,
+                    domain: view.held.assignment.domain.clone(),
+                    group: group.clone(),
+                    group_lacks: 0,
+                    group_blocked: view.is_stuck(group),
+                    down_since,
+                };
+                let waiting = WaitingLoad { load, address, lifetime, fencing_number, kind };
+                self.waiting.push(waiting);
+            }
+        }
+    }
+
+    /// Gives the loads for which the weight store has room, in the policy's order.
+    pub(crate) fn end(&mut self) {
+        let waits =
+            |group: &GroupId| self.waiting.iter().filter(|it| it.load.group == *group).count();
+        self.waiting_since.retain(|group, _| waits(group) > 0);
+        if self.waiting.is_empty() {
             return;
         }
+        let pending: Vec<PendingLoad> = self
+            .waiting
+            .iter()
+            .map(|it| {
+                let group_lacks = waits(&it.load.group);
+                let group_lacks = u16::try_from(group_lacks).unwrap_or(u16::MAX);
+                PendingLoad { group_lacks, ..it.load.clone() }
+            })
+            .collect();
+        let chosen = choose_loads(&pending, &[], self.free_fetches());
+        for it in std::mem::take(&mut self.waiting) {
+            if chosen.contains(&it.load.vm) {
+                self.send(it.load.vm, it.address, it.lifetime, it.fencing_number, it.kind);
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        vm: VmId,
+        address: SocketAddr,
+        lifetime: Duration,
+        fencing_number: FencingNumber,
+        kind: OrderKind,
+    ) {
         let order = Order {
             order_id: new_order_id(),
-            fencing_number: view.held.assignment.fencing_number,
+            fencing_number,
             deadline_unix_ms: unix_ms(&self.state, lifetime),
             kind: kind.clone(),
         };
-        self.given.insert(vm.clone(), Given { kind, at: now });
-        self.send(vm, address, order);
-    }
-
-    fn send(&self, vm: VmId, address: SocketAddr, order: Order) {
+        self.given.insert(vm.clone(), Given { kind, at: self.state.clock.now() });
         let state = Arc::clone(&self.state);
         thread::spawn(move || {
             let timeouts = HttpTimeouts::default().idle(ORDER_TIMEOUT).total(ORDER_TIMEOUT);
@@ -98,21 +156,6 @@
         });
     }
 
-    /// Returns whether an order makes its engine fetch weights.
-    fn must_fetch(&self, vm: &VmId, kind: &OrderKind) -> bool {
-        let OrderKind::Load { model_version, .. } = kind else { return false };
-        let probes = lock(&self.state.probes);
-        let has = |it: &[ModelVersion]| it.contains(model_version);
-        !probes.newest(vm).is_some_and(|(_, report)| has(&report.cached_versions))
-    }
-
-    /// Takes one of the weight store's free places, if there is one.
-    fn take_fetch(&mut self) -> bool {
-        let left = self.fetches_left.unwrap_or_else(|| self.free_fetches());
-        self.fetches_left = Some(left.saturating_sub(1));
-        left > 0
-    }
-
     /// Asks the weight store for its free places.
     ///
     /// Loads ordered lately may not have reached it, and count as well.
@@ -130,6 +173,18 @@
     }
 }
 
+/// Returns the group for which an order makes its engine fetch weights, if it does.
+fn fetching_group<'a>(
+    view: &DomainView<'_>,
+    vm: &VmId,
+    kind: &'a OrderKind,
+) -> Option<&'a GroupId> {
+    let OrderKind::Load { group, model_version, .. } = kind else { return None };
+    let report = view.report(vm);
+    let cached = report.is_some_and(|it| it.cached_versions.contains(model_version));
+    (!cached).then_some(group)
+}
+
 fn new_order_id() -> CommandId {
     format!("o-{:032x}", fastrand::u128(..)).parse().expect("hexadecimal digits are a valid id")
 }
--- a/crates/mangocross-coordination/src/group_life.rs
+++ b/crates/mangocross-coordination/src/group_life.rs
@@ -1,11 +1,14 @@
 //! The life of the groups in a fabric domain: formed, serving, draining,
 //! unloading, repaired.
 
+use mangocross_policy::MemberCandidate;
+use mangocross_policy::choose_members;
 use mangocross_types::DesiredState;
 use mangocross_types::DomainAssignment;
 use mangocross_types::GroupAssignment;
 use mangocross_types::GroupId;
 use mangocross_types::GroupPhase;
+use mangocross_types::GroupSize;
 use mangocross_types::GroupSpec;
 use mangocross_types::VmId;
 
@@ -122,7 +125,7 @@
     if needed == 0 {
         return None;
     }
-    members.extend(input.idle_vms().take(needed));
+    members.extend(choose_idle(input, spec, needed)?);
     form_group(input.assignment, spec, members).ok()
 }
 
@@ -148,10 +151,25 @@
     if !belongs_here(input, spec) || there || spec.desired != DesiredState::Serving {
         return None;
     }
-    let members: Vec<VmId> = input.idle_vms().take(spec.size.0.into()).collect();
+    let members = choose_idle(input, spec, spec.size.0.into())?;
     form_group(input.assignment, spec, members).ok()
 }
 
+/// Chooses idle VMs, those that hold the weights first; `None` when there are too few.
+fn choose_idle(input: &DomainInput<'_>, spec: &GroupSpec, needed: usize) -> Option<Vec<VmId>> {
+    let has_weights = |vm: &VmId| {
+        input.report(vm).is_some_and(|it| it.cached_versions.contains(&spec.model_version))
+    };
+    let candidates = input.idle_vms().map(|vm| MemberCandidate {
+        has_weights: has_weights(&vm),
+        vm,
+        leaving: false,
+        recent_failures: 0,
+    });
+    let candidates: Vec<MemberCandidate> = candidates.collect();
+    choose_members(GroupSize(u16::try_from(needed).ok()?), &candidates)
+}
+
 fn has_leaving(input: &DomainInput<'_>, group: &GroupAssignment) -> bool {
     group.members.iter().any(|vm| input.is_leaving(vm))
 }
--- a/crates/mangocross-coordination/src/placing.rs
+++ b/crates/mangocross-coordination/src/placing.rs
@@ -13,6 +13,7 @@
 use mangocross_types::GroupSpec;
 use mangocross_types::Placement;
 use mangocross_types::Placements;
+use mangocross_types::PolicyWeights;
 
 /// What a fabric domain's prober says of it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,7 +38,7 @@
     assignments: &[DomainAssignment],
     domains: &[DomainState],
 ) -> Placements {
-    let mut planner = Planner::new(current, assignments, domains);
+    let mut planner = Planner::new(&configuration.policy, current, assignments, domains);
     let is_wanted = |it: &&GroupSpec| it.desired != DesiredState::Stopped;
     configuration.groups.iter().filter(is_wanted).for_each(|it| planner.keep_room(it));
     let entries = configuration.groups.iter().filter(is_wanted).filter_map(|it| planner.place(it));
@@ -45,6 +46,7 @@
 }
 
 struct Planner<'a> {
+    weights: &'a PolicyWeights,
     current: &'a Placements,
     assignments: &'a [DomainAssignment],
     domains: &'a [DomainState],
@@ -53,12 +55,13 @@
 
 impl<'a> Planner<'a> {
     fn new(
+        weights: &'a PolicyWeights,
         current: &'a Placements,
         assignments: &'a [DomainAssignment],
         domains: &'a [DomainState],
     ) -> Self {
         let rooms = domains.iter().map(|it| (it.domain.clone(), it.idle_vms)).collect();
-        Self { current, assignments, domains, rooms }
+        Self { weights, current, assignments, domains, rooms }
     }
 
     fn place(&mut self, spec: &GroupSpec) -> Option<Placement> {
@@ -132,9 +135,11 @@
     fn take_room(&mut self, spec: &GroupSpec, but: Option<&FabricDomain>) -> Option<FabricDomain> {
         let others = self.rooms.iter().filter(|(domain, _)| Some(*domain) != but);
         let rooms: Vec<DomainRoom> = others
-            .map(|(domain, idle)| DomainRoom { domain: domain.clone(), idle_vms: *idle })
+            .map(|(domain, idle)| {
+                DomainRoom::new(domain.clone(), *idle).groups(self.groups_in(domain))
+            })
             .collect();
-        let domain = choose_domain(spec.size, &rooms)?.clone();
+        let domain = choose_domain(spec.size, &rooms, self.weights)?.clone();
         self.take_room_in(spec, &domain)?;
         Some(domain)
     }
@@ -145,6 +150,11 @@
         Some(())
     }
 
+    fn groups_in(&self, domain: &FabricDomain) -> u16 {
+        let groups = self.current.entries.iter().filter(|it| it.domain == *domain).count();
+        u16::try_from(groups).unwrap_or(u16::MAX)
+    }
+
     fn phase(&self, group: &GroupId, domain: &FabricDomain) -> Option<GroupPhase> {
         let assignment = self.assignments.iter().find(|it| it.domain == *domain)?;
         assignment.groups.iter().find(|it| it.group == *group).map(|it| it.phase)
