test(coordination): check invariants over random histories

Coordinators that pause, restart, duel and lose answers, engines that freeze, restart and lag, a store that goes down, and a gateway, all under logical time. Every stored value has no VM in two groups; every unexpired proof is of members that all were there within its time to live; no order of an older owner is carried out; no order cuts off a request of a group whose engines work; once all is well the wanted groups serve.

--- a/bins/mangocross-coordinator/src/orders.rs
+++ b/bins/mangocross-coordinator/src/orders.rs
@@ -6,6 +6,8 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use mangocross_coordination::OrderAuthority;
 use mangocross_http::HttpTimeouts;
@@ -37,7 +39,7 @@
 struct WaitingLoad {
     load: PendingLoad,
     address: SocketAddr,
-    lifetime: Duration,
+    deadline_unix_ms: u64,
     fencing_number: FencingNumber,
     kind: OrderKind,
 }
@@ -75,12 +77,15 @@
         vm: VmId,
         kind: OrderKind,
     ) {
+        // The wall clock comes first, so that a pause after it shortens the order's life.
+        let wall = self.state.clock.wall();
         let now = self.state.clock.now();
         let lifetime = match authority {
             OrderAuthority::None => return,
             OrderAuthority::IdleOnly => self.state.order_lifetime(),
             OrderAuthority::Full { deadline } => deadline.saturating_duration_since(now),
         };
+        let deadline_unix_ms = unix_ms(wall + lifetime);
         let address = view.engines.iter().find(|it| it.vm == vm).map(|it| it.address);
         let (Some(address), false) = (address, lifetime.is_zero()) else { return };
         if self.given.get(&vm).is_some_and(|it| it.kind == kind) {
@@ -88,7 +93,7 @@
         }
         let fencing_number = view.held.assignment.fencing_number;
         match fetching_group(view, &vm, &kind) {
-            None => self.send(vm, address, lifetime, fencing_number, kind),
+            None => self.send(vm, address, deadline_unix_ms, fencing_number, kind),
             Some(group) => {
                 let down_since = *self.waiting_since.entry(group.clone()).or_insert(now);
                 let load = PendingLoad {
@@ -99,7 +104,7 @@
                     group_blocked: view.is_stuck(group),
                     down_since,
                 };
-                let waiting = WaitingLoad { load, address, lifetime, fencing_number, kind };
+                let waiting = WaitingLoad { load, address, deadline_unix_ms, fencing_number, kind };
                 self.waiting.push(waiting);
             }
         }
@@ -125,7 +130,7 @@
         let chosen = choose_loads(&pending, &[], self.free_fetches());
         for it in std::mem::take(&mut self.waiting) {
             if chosen.contains(&it.load.vm) {
-                self.send(it.load.vm, it.address, it.lifetime, it.fencing_number, it.kind);
+                self.send(it.load.vm, it.address, it.deadline_unix_ms, it.fencing_number, it.kind);
             }
         }
     }
@@ -134,14 +139,14 @@
         &mut self,
         vm: VmId,
         address: SocketAddr,
-        lifetime: Duration,
+        deadline_unix_ms: u64,
         fencing_number: FencingNumber,
         kind: OrderKind,
     ) {
         let order = Order {
             order_id: new_order_id(),
             fencing_number,
-            deadline_unix_ms: unix_ms(&self.state, lifetime),
+            deadline_unix_ms,
             kind: kind.clone(),
         };
         self.given.insert(vm.clone(), Given { kind, at: self.state.clock.now() });
@@ -189,8 +194,7 @@
     format!("o-{:032x}", fastrand::u128(..)).parse().expect("hexadecimal digits are a valid id")
 }
 
-fn unix_ms(state: &CoordinatorState, from_now: Duration) -> u64 {
-    let wall = state.clock.wall() + from_now;
-    let since = wall.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+fn unix_ms(wall: SystemTime) -> u64 {
+    let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/mangocross-coordination/tests/histories.rs
@@ -0,0 +1,50 @@
+//! Invariants over random histories of coordinators, engines and a store.
+//!
+//! `MANGOCROSS_CASES` sets the number of histories of each test; a failure names its seed.
+
+mod world;
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use mangocross_types::FenceMode;
+use world::Faults;
+use world::World;
+
+/// Histories of each test, unless set otherwise.
+const CASES_DEFAULT: u64 = 200;
+/// Threads that run histories.
+const THREADS: u64 = 4;
+
+fn cases() -> u64 {
+    std::env::var("MANGOCROSS_CASES").ok().and_then(|it| it.parse().ok()).unwrap_or(CASES_DEFAULT)
+}
+
+fn check(engines: bool) {
+    let (requests, takeovers) = (AtomicU64::new(0), AtomicU64::new(0));
+    let run = |seed| {
+        let fence_mode = if seed % 2 == 0 { FenceMode::Honoured } else { FenceMode::Ignored };
+        let mut world = World::new(seed, Faults { engines, fence_mode });
+        world.run();
+        requests.fetch_add(world.requests, Ordering::Relaxed);
+        takeovers.fetch_add(world.takeovers, Ordering::Relaxed);
+    };
+    thread::scope(|scope| {
+        for first in 0..THREADS {
+            scope.spawn(move || (first..cases()).step_by(THREADS as usize).for_each(run));
+        }
+    });
+    println!("{} histories: {requests:?} requests, {takeovers:?} takeovers", cases());
+    assert!(requests.into_inner() > cases(), "the histories hold hardly any request");
+}
+
+#[test]
+fn orders_and_stops_cut_off_nothing_while_engines_work() {
+    check(false);
+}
+
+#[test]
+fn proofs_and_assignments_hold_while_engines_fail() {
+    check(true);
+}
--- /dev/null
+++ b/crates/mangocross-coordination/tests/world/engine.rs
@@ -0,0 +1,159 @@
+//! A model engine that obeys orders, with the times at which it was in which group.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_types::BackendReport;
+use mangocross_types::EngineRole;
+use mangocross_types::EngineState;
+use mangocross_types::FencingNumber;
+use mangocross_types::GroupId;
+use mangocross_types::Incarnation;
+use mangocross_types::ModelVersion;
+use mangocross_types::OrderKind;
+use mangocross_types::Rank;
+use mangocross_types::VmId;
+
+use super::Order;
+
+/// An engine.
+pub(crate) struct Engine {
+    pub(crate) report: BackendReport,
+    pub(crate) membership: u64,
+    pub(crate) frozen_until: Option<Instant>,
+    pub(crate) has_failed: bool,
+    pub(crate) leaving: bool,
+    loads: Vec<(Instant, u32)>,
+    /// Each ready membership with its first and, once over, its last moment.
+    ready: Vec<(BackendReport, Instant, Option<Instant>)>,
+}
+
+/// What an order did.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Effect {
+    None,
+    Loading,
+    /// It ended the work of this many requests of this incarnation.
+    Cut(u32, Incarnation),
+}
+
+impl Engine {
+    pub(crate) fn new(vm: VmId) -> Self {
+        let report = BackendReport {
+            vm,
+            state: EngineState::Idle,
+            group: None,
+            incarnation: Incarnation(0),
+            rank: Rank(0),
+            role: EngineRole::Serving,
+            model_version: None,
+            cached_versions: Vec::new(),
+            running: 0,
+            queued: 0,
+            load_age_ms: 0,
+            steps: 0,
+            fencing_number: FencingNumber(0),
+        };
+        Self {
+            report,
+            membership: 0,
+            frozen_until: None,
+            has_failed: false,
+            leaving: false,
+            loads: Vec::new(),
+            ready: Vec::new(),
+        }
+    }
+
+    /// Reports with load figures of an older time.
+    pub(crate) fn report(&self, now: Instant, lag: Duration) -> BackendReport {
+        let shown = self.loads.iter().rev().find(|(at, _)| *at + lag <= now);
+        let mut report = self.report.clone();
+        report.running = shown.map_or(0, |(_, running)| *running);
+        report.load_age_ms = lag.as_millis() as u64;
+        report
+    }
+
+    pub(crate) fn change_running(&mut self, by: i32, now: Instant) {
+        self.report.running = self.report.running.saturating_add_signed(by);
+        self.report.steps += 1;
+        self.loads.push((now, self.report.running));
+    }
+
+    /// Loses its memory.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        self.has_failed = true;
+        self.leave_group(now);
+        self.report.fencing_number = FencingNumber(0);
+        self.report.cached_versions.clear();
+    }
+
+    pub(crate) fn carry_out(&mut self, order: &Order, now: Instant) -> Effect {
+        self.report.fencing_number = self.report.fencing_number.max(order.fencing_number);
+        match &order.kind {
+            OrderKind::Load { group, incarnation, rank, .. } => {
+                if self.is_in(group, *incarnation) {
+                    return Effect::None;
+                }
+                let cut = self.leave_group(now);
+                self.report.group = Some(group.clone());
+                self.report.incarnation = *incarnation;
+                self.report.rank = *rank;
+                self.report.state = EngineState::Loading;
+                if cut == Effect::None { Effect::Loading } else { cut }
+            }
+            OrderKind::ChangeRole { group, incarnation, role } => {
+                if self.is_in(group, *incarnation) {
+                    self.report.role = *role;
+                }
+                Effect::None
+            }
+            OrderKind::Unload { group, incarnation } if self.is_in(group, *incarnation) => {
+                self.leave_group(now)
+            }
+            OrderKind::Unload { .. } => Effect::None,
+        }
+    }
+
+    pub(crate) fn become_ready(&mut self, version: ModelVersion, now: Instant) {
+        self.report.state = EngineState::Ready;
+        self.report.model_version = Some(version);
+        self.ready.push((self.report.clone(), now, None));
+    }
+
+    pub(crate) fn is_in(&self, group: &GroupId, incarnation: Incarnation) -> bool {
+        self.report.group.as_ref() == Some(group) && self.report.incarnation == incarnation
+    }
+
+    /// Returns whether it was ready with this rank in this incarnation between two moments.
+    pub(crate) fn was_ready(
+        &self,
+        (group, incarnation, rank): (&GroupId, Incarnation, Rank),
+        from: Instant,
+        to: Instant,
+    ) -> bool {
+        self.ready.iter().any(|(it, since, until)| {
+            it.group.as_ref() == Some(group)
+                && it.incarnation == incarnation
+                && it.rank == rank
+                && *since <= to
+                && until.is_none_or(|until| until >= from)
+        })
+    }
+
+    fn leave_group(&mut self, now: Instant) -> Effect {
+        let cut = Effect::Cut(self.report.running, self.report.incarnation);
+        let was_working = self.report.running > 0;
+        if let Some((_, _, until)) = self.ready.last_mut() {
+            until.get_or_insert(now);
+        }
+        self.membership += 1;
+        self.report.group = None;
+        self.report.state = EngineState::Idle;
+        self.report.role = EngineRole::Serving;
+        self.report.model_version = None;
+        self.report.running = 0;
+        self.loads.push((now, 0));
+        if was_working { cut } else { Effect::None }
+    }
+}
--- /dev/null
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -0,0 +1,676 @@
+//! Coordinators, engines, a gateway and a store of one fabric domain under logical time.
+//!
+//! Every message takes time, may be lost, and may arrive long after its sender
+//! was paused, replaced or started anew.
+
+mod engine;
+mod owner;
+
+use std::collections::HashMap;
+use std::fmt::Debug;
+use std::str::FromStr;
+use std::time::Duration;
+use std::time::Instant;
+
+use engine::Effect;
+use engine::Engine;
+use mangocross_coordination::DomainInput;
+use mangocross_coordination::EngineVm;
+use mangocross_coordination::HeldAssignment;
+use mangocross_coordination::OrderAuthority;
+use mangocross_coordination::ProofTable;
+use mangocross_coordination::Step;
+use mangocross_coordination::reconcile;
+use mangocross_coordination::take_over;
+use mangocross_coordination::validate;
+use mangocross_types::BackendReport;
+use mangocross_types::Configuration;
+use mangocross_types::DesiredState;
+use mangocross_types::DomainAssignment;
+use mangocross_types::EngineRole;
+use mangocross_types::EngineState;
+use mangocross_types::FenceMode;
+use mangocross_types::FencingNumber;
+use mangocross_types::GroupId;
+use mangocross_types::GroupPhase;
+use mangocross_types::Incarnation;
+use mangocross_types::OrderKind;
+use mangocross_types::Placements;
+use mangocross_types::Rank;
+use mangocross_types::Revision;
+use mangocross_types::VmId;
+use owner::Owner;
+use owner::ReadFor;
+
+pub(crate) const DOMAIN: &str = "domain-1";
+pub(crate) const PROBE_TTL: Duration = Duration::from_millis(2_000);
+pub(crate) const STALL_LIMIT: Duration = Duration::from_secs(60);
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const LOST_AFTER: Duration = Duration::from_millis(3_000);
+const ORDER_LIFETIME: Duration = Duration::from_millis(2_000);
+const STORE_TIMEOUT: Duration = Duration::from_millis(2_000);
+const STEP: Duration = Duration::from_millis(50);
+const CHAOS: Duration = Duration::from_secs(60);
+const CALM: Duration = Duration::from_secs(90);
+const ENGINES: usize = 7;
+const OWNERS: usize = 3;
+
+/// Parses an identifier.
+pub(crate) fn id<T: FromStr>(text: &str) -> T
+where
+    T::Err: Debug,
+{
+    text.parse().expect("a valid id")
+}
+
+/// An order under way.
+#[derive(Debug, Clone)]
+pub(crate) struct Order {
+    pub(crate) fencing_number: FencingNumber,
+    pub(crate) kind: OrderKind,
+    deadline: Instant,
+    idle_only: bool,
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Tick { owner: usize },
+    ProbeAtEngine { to: Process, engine: usize, asked_at: Instant },
+    ProbeAnswer { to: Process, engine: usize, asked_at: Instant, report: Option<BackendReport> },
+    OrderAtEngine { engine: usize, order: Order },
+    ReadAtStore { to: Process, purpose: ReadFor, asked_at: Instant },
+    ReadAnswer { to: Process, purpose: ReadFor, asked_at: Instant, read: Option<StoreValue> },
+    WriteAtStore { to: Process, asked_at: Instant, next: DomainAssignment, expected: Revision },
+    WriteAnswer { to: Process, asked_at: Instant, read: StoreValue },
+    PollAnswer { to: Process, asked_at: Instant },
+    Request { engine: usize, group: GroupId, incarnation: Incarnation },
+    Finished { engine: usize, membership: u64 },
+    Loaded { engine: usize, membership: u64, version: String },
+    Configured { owner: usize },
+}
+
+/// One run of a coordinator's process; a message to an earlier run is dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Process {
+    owner: usize,
+    process_id: u64,
+}
+
+#[derive(Debug, Clone)]
+struct StoreValue {
+    assignment: Option<DomainAssignment>,
+    revision: Revision,
+}
+
+/// Which faults a history has.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Faults {
+    /// Engines freeze and restart.
+    pub(crate) engines: bool,
+    /// Whether engines check fencing numbers.
+    pub(crate) fence_mode: FenceMode,
+}
+
+/// One history.
+pub(crate) struct World {
+    seed: u64,
+    random: fastrand::Rng,
+    faults: Faults,
+    start: Instant,
+    now: Instant,
+    calm: bool,
+    events: Vec<(Instant, Event)>,
+    store: StoreValue,
+    store_down_until: Option<Instant>,
+    owners: Vec<Owner>,
+    engines: Vec<Engine>,
+    configuration: (u64, Configuration),
+    placements: Placements,
+    gateway: ProofTable,
+    members_of: HashMap<Incarnation, Vec<VmId>>,
+    /// Whether an order was given without a confirmed ownership, which may cost a request.
+    idle_only_taken: bool,
+    pub(crate) requests: u64,
+    pub(crate) takeovers: u64,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, faults: Faults) -> Self {
+        let start = Instant::now() + Duration::from_secs(1_000);
+        let configuration = (1, configuration(faults.fence_mode));
+        let mut world = Self {
+            seed,
+            random: fastrand::Rng::with_seed(seed),
+            faults,
+            start,
+            now: start,
+            calm: false,
+            events: Vec::new(),
+            store: StoreValue { assignment: None, revision: Revision(0) },
+            store_down_until: None,
+            owners: (0..OWNERS).map(|it| Owner::new(it, configuration.clone())).collect(),
+            engines: (0..ENGINES).map(|it| Engine::new(id(&format!("vm-{it}")))).collect(),
+            placements: placements(),
+            configuration,
+            gateway: ProofTable::default(),
+            members_of: HashMap::new(),
+            idle_only_taken: false,
+            requests: 0,
+            takeovers: 0,
+        };
+        for owner in 0..OWNERS {
+            world.after(Duration::ZERO, Event::Tick { owner });
+        }
+        world
+    }
+
+    /// Runs the history: faults for a minute, then none until the wanted groups serve.
+    pub(crate) fn run(&mut self) {
+        while self.now < self.start + CHAOS {
+            self.step();
+            self.disturb();
+        }
+        self.heal();
+        while self.now < self.start + CHAOS + CALM {
+            self.step();
+        }
+        self.check_settled();
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let (now, mut due) = (self.now, Vec::new());
+        self.events.retain(|it| {
+            let later = it.0 > now;
+            if !later {
+                due.push(it.clone());
+            }
+            later
+        });
+        due.sort_by_key(|it| it.0);
+        for (_, event) in due {
+            self.handle(event);
+        }
+        self.work();
+        self.check_proofs();
+    }
+
+    /// Probes, polls and requests.
+    fn work(&mut self) {
+        for owner in 0..OWNERS {
+            let is_due = match self.calm {
+                true => (self.now - self.start).as_millis() % PROBE_INTERVAL.as_millis() == 0,
+                false => self.random.u32(..10) == 0,
+            };
+            if is_due && self.is_awake(owner) {
+                for engine in 0..ENGINES {
+                    let (to, asked_at) = (self.process(owner), self.now);
+                    let delay = self.delay();
+                    self.after(delay, Event::ProbeAtEngine { to, engine, asked_at });
+                }
+            }
+            if self.random.u32(..6) == 0 {
+                let (to, asked_at, delay) = (self.process(owner), self.now, self.delay());
+                self.after(delay, Event::PollAnswer { to, asked_at });
+            }
+        }
+        let proven: Vec<(GroupId, Incarnation)> = self
+            .gateway
+            .proven(self.now)
+            .filter(|it| it.accepts_new)
+            .map(|it| (it.group.clone(), it.incarnation))
+            .collect();
+        for (group, incarnation) in proven {
+            let first = self.members_of[&incarnation][0].clone();
+            let engine = self.engine(&first);
+            if self.random.u32(..4) == 0 {
+                let delay = self.delay();
+                self.after(delay, Event::Request { engine, group, incarnation });
+            }
+        }
+    }
+
+    fn disturb(&mut self) {
+        let chance = |random: &mut fastrand::Rng, one_in: u32| random.u32(..one_in) == 0;
+        let owner = self.random.usize(..OWNERS);
+        let engine = self.random.usize(..ENGINES);
+        if chance(&mut self.random, 60) {
+            let pause = self.between(100, 15_000);
+            self.owners[owner].paused_until = Some(self.now + pause);
+        }
+        if chance(&mut self.random, 40) {
+            self.owners[owner].is_preferred = self.random.bool();
+        }
+        if chance(&mut self.random, 400) {
+            self.owners[owner].restart();
+        }
+        if chance(&mut self.random, 300) {
+            self.store_down_until = Some(self.now + self.between(500, 20_000));
+        }
+        if chance(&mut self.random, 100) {
+            self.change_configuration();
+        }
+        if chance(&mut self.random, 500) && self.engines.iter().filter(|it| it.leaving).count() < 2
+        {
+            self.engines[engine].leaving = true;
+        }
+        if self.faults.engines && chance(&mut self.random, 200) {
+            self.engines[engine].has_failed = true;
+            self.engines[engine].frozen_until = Some(self.now + self.between(500, 20_000));
+        }
+        if self.faults.engines && chance(&mut self.random, 300) {
+            self.engines[engine].restart(self.now);
+        }
+    }
+
+    fn heal(&mut self) {
+        self.calm = true;
+        self.store_down_until = None;
+        for (number, owner) in self.owners.iter_mut().enumerate() {
+            owner.paused_until = None;
+            owner.is_preferred = number == 0;
+        }
+        self.engines.iter_mut().for_each(|it| it.frozen_until = None);
+        self.configuration.0 += 1;
+        self.configuration.1.groups.iter_mut().for_each(|it| it.desired = DesiredState::Serving);
+        self.spread_configuration();
+    }
+
+    fn change_configuration(&mut self) {
+        let group = self.random.usize(..self.configuration.1.groups.len());
+        let states = [DesiredState::Serving, DesiredState::Drained, DesiredState::Stopped];
+        let desired = states[self.random.usize(..states.len())];
+        self.configuration.0 += 1;
+        self.configuration.1.groups[group].desired = desired;
+        self.spread_configuration();
+    }
+
+    fn spread_configuration(&mut self) {
+        for owner in 0..OWNERS {
+            let delay = self.delay();
+            self.after(delay, Event::Configured { owner });
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick { owner } => self.tick(owner),
+            Event::ProbeAtEngine { to, engine, asked_at } => {
+                let lag = self.between(0, 1_500);
+                let answers = self.is_answering(engine) && (self.calm || self.random.u32(..50) > 0);
+                let report = answers.then(|| self.engines[engine].report(self.now, lag));
+                let delay = if answers { self.delay() } else { Duration::from_millis(800) };
+                self.after(delay, Event::ProbeAnswer { to, engine, asked_at, report });
+            }
+            Event::OrderAtEngine { engine, order } => self.order_arrives(engine, &order),
+            Event::ReadAtStore { to, purpose, asked_at } => {
+                let read = self.store_is_up().then(|| self.store.clone());
+                let delay = self.delay();
+                self.after(delay, Event::ReadAnswer { to, purpose, asked_at, read });
+            }
+            Event::WriteAtStore { to, asked_at, next, expected } => {
+                if self.store_is_up() {
+                    self.write(next, expected);
+                    let (read, delay) = (self.store.clone(), self.delay());
+                    if self.random.u32(..10) > 0 {
+                        self.after(delay, Event::WriteAnswer { to, asked_at, read });
+                    }
+                }
+            }
+            Event::Request { engine, group, incarnation } => {
+                self.request(engine, &group, incarnation)
+            }
+            Event::Finished { engine, membership } => {
+                if self.engines[engine].membership == membership {
+                    self.engines[engine].change_running(-1, self.now);
+                }
+            }
+            Event::Loaded { engine, membership, version } => {
+                if self.engines[engine].membership == membership {
+                    self.engines[engine].become_ready(id(&version), self.now);
+                }
+            }
+            Event::Configured { owner } => {
+                self.owners[owner].configuration = self.configuration.clone();
+            }
+            Event::ProbeAnswer { to, .. }
+            | Event::ReadAnswer { to, .. }
+            | Event::WriteAnswer { to, .. }
+            | Event::PollAnswer { to, .. } => self.deliver(to, event),
+        }
+    }
+
+    /// Hands a message to a coordinator, later if it is paused, never to a later run of it.
+    fn deliver(&mut self, to: Process, event: Event) {
+        if self.process(to.owner) != to {
+            return;
+        }
+        if !self.is_awake(to.owner) {
+            return self.after(STEP, event);
+        }
+        let now = self.now;
+        match event {
+            Event::ProbeAnswer { engine, asked_at, report, .. } => {
+                let vm = self.engines[engine].report.vm.clone();
+                let probes = &mut self.owners[to.owner].probes;
+                match report {
+                    Some(report) => probes.record_answer(&vm, asked_at, now, report),
+                    None => probes.record_failure(&vm, asked_at, "no answer".into()),
+                }
+            }
+            Event::ReadAnswer { purpose, asked_at, read, .. } => {
+                self.read_comes_back(to, purpose, asked_at, read);
+            }
+            Event::WriteAnswer { asked_at, read, .. } => {
+                self.owners[to.owner].busy_until = None;
+                self.hold(to.owner, &read, asked_at);
+            }
+            Event::PollAnswer { asked_at, .. } => {
+                for proof in self.owners[to.owner].proofs(now) {
+                    self.gateway.record(&proof, asked_at);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn read_comes_back(
+        &mut self,
+        to: Process,
+        purpose: ReadFor,
+        asked_at: Instant,
+        read: Option<StoreValue>,
+    ) {
+        let before = self.owners[to.owner].held.as_ref().map(|it| it.assignment.fencing_number);
+        if purpose != ReadFor::Memory {
+            self.owners[to.owner].busy_until = None;
+        }
+        self.owners[to.owner].confirmation_failed =
+            purpose == ReadFor::Confirmation && read.is_none();
+        let Some(read) = read else { return };
+        self.hold(to.owner, &read, asked_at);
+        let named = read.assignment.as_ref().map(|it| it.fencing_number);
+        if purpose == ReadFor::Takeover && (named.is_none() || named == before) {
+            let owner = &self.owners[to.owner];
+            let assignment = read.assignment.unwrap_or_else(|| DomainAssignment::empty(id(DOMAIN)));
+            let next = take_over(&assignment, &owner.vm, owner.process_id);
+            self.takeovers += 1;
+            self.send_write(to.owner, next, read.revision);
+        }
+    }
+
+    fn hold(&mut self, owner: usize, read: &StoreValue, asked_at: Instant) {
+        if let Some(assignment) = read.assignment.clone() {
+            self.owners[owner].hold(assignment, read.revision, asked_at, self.now);
+        }
+    }
+
+    fn tick(&mut self, owner: usize) {
+        let again = self.between(200, 400);
+        self.after(again, Event::Tick { owner });
+        if !self.is_awake(owner) || self.owners[owner].busy_until.is_some_and(|it| self.now < it) {
+            return;
+        }
+        self.owners[owner].busy_until = None;
+        if self.random.u32(..6) == 0 {
+            self.send_read(owner, ReadFor::Memory);
+        }
+        let now = self.now;
+        let owner_is_live = !self.calm && self.random.bool();
+        let jitter = self.random.u32(..1_000);
+        let this = &mut self.owners[owner];
+        if !this.is_preferred {
+            return this.backoff.not_preferred();
+        }
+        match this.held.clone() {
+            Some(held) if held.is_owned_by(&this.vm, this.process_id) => {
+                this.backoff.owns(now);
+                self.look_after(owner, &held);
+            }
+            held => {
+                if held.is_some() {
+                    this.backoff.other_owns(now, jitter);
+                }
+                if this.backoff.may_take_over(owner_is_live, now) {
+                    self.send_read(owner, ReadFor::Takeover);
+                }
+            }
+        }
+    }
+
+    fn look_after(&mut self, owner: usize, held: &HeldAssignment) {
+        let this = &self.owners[owner];
+        let authority = held.authority(
+            &this.vm,
+            this.process_id,
+            this.configuration.1.fence_mode,
+            ORDER_LIFETIME,
+            self.now,
+        );
+        let full = OrderAuthority::Full { deadline: self.now };
+        let all = self.decide(owner, held, full);
+        let has_orders = all.iter().any(|it| matches!(it, Step::Order { .. }));
+        if has_orders
+            && held.needs_confirmation(ORDER_LIFETIME, self.now)
+            && !std::mem::take(&mut self.owners[owner].confirmation_failed)
+        {
+            return self.send_read(owner, ReadFor::Confirmation);
+        }
+        for step in self.decide(owner, held, authority) {
+            match step {
+                Step::Swap(next) => self.send_write(owner, next, held.revision),
+                Step::Order { vm, kind } => self.send_order(held, authority, &vm, kind),
+            }
+        }
+    }
+
+    fn decide(&self, owner: usize, held: &HeldAssignment, authority: OrderAuthority) -> Vec<Step> {
+        let engines = self.engines.iter().map(|it| EngineVm {
+            vm: it.report.vm.clone(),
+            address: ([127, 0, 0, 1], 1).into(),
+            leaving: it.leaving,
+            listed: true,
+        });
+        let engines: Vec<EngineVm> = engines.collect();
+        reconcile(&DomainInput {
+            assignment: &held.assignment,
+            configuration: &self.owners[owner].configuration.1,
+            placements: &self.placements,
+            engines: &engines,
+            probes: &self.owners[owner].probes,
+            authority,
+            now: self.now,
+            probe_ttl: PROBE_TTL,
+            stall_limit: STALL_LIMIT,
+            lost_after: LOST_AFTER,
+            order_lifetime: ORDER_LIFETIME,
+        })
+    }
+
+    fn send_order(
+        &mut self,
+        held: &HeldAssignment,
+        authority: OrderAuthority,
+        vm: &VmId,
+        kind: OrderKind,
+    ) {
+        let deadline = match authority {
+            OrderAuthority::Full { deadline } => deadline,
+            _ => self.now + ORDER_LIFETIME,
+        };
+        let order = Order {
+            fencing_number: held.assignment.fencing_number,
+            kind,
+            deadline,
+            idle_only: authority == OrderAuthority::IdleOnly,
+        };
+        let (engine, delay) = (self.engine(vm), self.late_delay());
+        self.after(delay, Event::OrderAtEngine { engine, order });
+    }
+
+    fn order_arrives(&mut self, engine: usize, order: &Order) {
+        let now = self.now;
+        if !self.is_answering(engine) {
+            return self.after(STEP, Event::OrderAtEngine { engine, order: order.clone() });
+        }
+        let this = &mut self.engines[engine];
+        let stale = order.fencing_number < this.report.fencing_number;
+        if now > order.deadline || (stale && self.faults.fence_mode == FenceMode::Honoured) {
+            return;
+        }
+        self.idle_only_taken |= order.idle_only;
+        let excused = self.idle_only_taken && self.faults.fence_mode == FenceMode::Ignored;
+        assert!(
+            !stale || excused,
+            "seed {}: {} carried out {order:?} of an older owner",
+            self.seed,
+            this.report.vm
+        );
+        let effect = this.carry_out(order, now);
+        let membership = this.membership;
+        if let Effect::Cut(requests, incarnation) = effect {
+            let members = self.members_of[&incarnation].clone();
+            let broken = members.iter().any(|it| self.engines[self.engine(it)].has_failed);
+            assert!(
+                broken || excused,
+                "seed {}: {order:?} cut off {requests} requests of incarnation {incarnation}",
+                self.seed
+            );
+        }
+        if let OrderKind::Load { model_version, .. } = &order.kind
+            && self.engines[engine].report.state == EngineState::Loading
+        {
+            let (delay, version) = (self.between(100, 1_500), model_version.to_string());
+            self.after(delay, Event::Loaded { engine, membership, version });
+        }
+    }
+
+    fn request(&mut self, engine: usize, group: &GroupId, incarnation: Incarnation) {
+        let this = &self.engines[engine];
+        let takes = this.is_in(group, incarnation)
+            && this.report.state == EngineState::Ready
+            && this.report.role == EngineRole::Serving
+            && this.report.rank == Rank(0);
+        if takes && self.is_answering(engine) {
+            self.requests += 1;
+            let membership = this.membership;
+            self.engines[engine].change_running(1, self.now);
+            let delay = self.between(100, 6_000);
+            self.after(delay, Event::Finished { engine, membership });
+        }
+    }
+
+    fn send_read(&mut self, owner: usize, purpose: ReadFor) {
+        let (to, asked_at, delay) = (self.process(owner), self.now, self.delay());
+        if purpose != ReadFor::Memory {
+            self.owners[owner].busy_until = Some(self.now + STORE_TIMEOUT);
+        }
+        self.after(delay, Event::ReadAtStore { to, purpose, asked_at });
+    }
+
+    fn send_write(&mut self, owner: usize, next: DomainAssignment, expected: Revision) {
+        let (to, asked_at, delay) = (self.process(owner), self.now, self.late_delay());
+        self.owners[owner].busy_until = Some(self.now + STORE_TIMEOUT);
+        self.after(delay, Event::WriteAtStore { to, asked_at, next, expected });
+    }
+
+    /// Writes by compare-and-swap; every value stored is checked.
+    fn write(&mut self, next: DomainAssignment, expected: Revision) {
+        if self.store.revision != expected {
+            return;
+        }
+        let seed = self.seed;
+        validate(&next).unwrap_or_else(|it| panic!("seed {seed}: {it}"));
+        for group in &next.groups {
+            let known = self.members_of.entry(group.incarnation).or_insert(group.members.clone());
+            assert_eq!(*known, group.members, "seed {seed}: one incarnation, two memberships");
+        }
+        let revision = Revision(self.store.revision.0 + 1);
+        self.store = StoreValue { assignment: Some(next), revision };
+    }
+
+    /// Every unexpired proof is of members that all were there within its time to live.
+    fn check_proofs(&self) {
+        for proof in self.gateway.proven(self.now) {
+            let members = &self.members_of[&proof.incarnation];
+            for (rank, vm) in (0..).map(Rank).zip(members) {
+                let engine = &self.engines[self.engine(vm)];
+                let member = (&proof.group, proof.incarnation, rank);
+                assert!(
+                    engine.was_ready(member, self.now - PROBE_TTL, self.now),
+                    "seed {}: {} is proven without {vm}",
+                    self.seed,
+                    proof.group
+                );
+            }
+        }
+    }
+
+    /// Once all is well again, every wanted group serves, and a gateway knows.
+    fn check_settled(&self) {
+        let assignment = self.store.assignment.as_ref().expect("an assignment was written");
+        for spec in &self.configuration.1.groups {
+            let group = assignment.groups.iter().find(|it| it.group == spec.id);
+            let proven = self.gateway.get(&spec.id, self.now);
+            let serves = group.is_some_and(|it| it.phase == GroupPhase::Serving)
+                && proven.is_some_and(|it| it.accepts_new);
+            assert!(serves, "seed {}: {} does not serve at the end: {group:?}", self.seed, spec.id);
+        }
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.events.push((self.now + delay, event));
+    }
+
+    fn between(&mut self, low_ms: u64, high_ms: u64) -> Duration {
+        Duration::from_millis(self.random.u64(low_ms..=high_ms))
+    }
+
+    fn delay(&mut self) -> Duration {
+        self.between(0, if self.calm { 50 } else { 400 })
+    }
+
+    /// Delay of a message whose sender may be paused just before it goes out.
+    fn late_delay(&mut self) -> Duration {
+        match self.calm || self.random.u32(..5) > 0 {
+            true => self.delay(),
+            false => self.between(0, 8_000),
+        }
+    }
+
+    fn process(&self, owner: usize) -> Process {
+        Process { owner, process_id: self.owners[owner].process_id }
+    }
+
+    fn is_awake(&self, owner: usize) -> bool {
+        self.owners[owner].paused_until.is_none_or(|it| self.now >= it)
+    }
+
+    fn is_answering(&self, engine: usize) -> bool {
+        self.engines[engine].frozen_until.is_none_or(|it| self.now >= it)
+    }
+
+    fn store_is_up(&self) -> bool {
+        self.store_down_until.is_none_or(|it| self.now >= it)
+    }
+
+    fn engine(&self, vm: &VmId) -> usize {
+        self.engines.iter().position(|it| it.report.vm == *vm).expect("a known VM")
+    }
+}
+
+fn configuration(fence_mode: FenceMode) -> Configuration {
+    let group = |number: u32| {
+        serde_json::json!({"id": format!("group-{number}"), "model": "letters",
+            "model_version": "v1", "size": 2, "desired": "serving"})
+    };
+    let groups = [group(1), group(2)];
+    let value = serde_json::json!({"groups": groups, "fence_mode": fence_mode});
+    serde_json::from_value(value).expect("a configuration")
+}
+
+fn placements() -> Placements {
+    let entry = |group: &str| serde_json::json!({"group": group, "domain": DOMAIN});
+    let value = serde_json::json!({"entries": [entry("group-1"), entry("group-2")]});
+    serde_json::from_value(value).expect("placements")
+}
--- /dev/null
+++ b/crates/mangocross-coordination/tests/world/owner.rs
@@ -0,0 +1,111 @@
+//! A coordinator: the daemon's steps around the pure decisions, with a pause between any two.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::Completeness;
+use mangocross_coordination::HeldAssignment;
+use mangocross_coordination::ProbeTable;
+use mangocross_coordination::TakeoverBackoff;
+use mangocross_types::Configuration;
+use mangocross_types::DomainAssignment;
+use mangocross_types::GroupPhase;
+use mangocross_types::GroupProof;
+use mangocross_types::Revision;
+use mangocross_types::VmId;
+
+use super::DOMAIN;
+use super::PROBE_TTL;
+use super::STALL_LIMIT;
+use super::id;
+
+/// What a read of the store is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReadFor {
+    Memory,
+    Takeover,
+    Confirmation,
+}
+
+/// A coordinator.
+pub(crate) struct Owner {
+    pub(crate) vm: VmId,
+    pub(crate) process_id: u64,
+    pub(crate) held: Option<HeldAssignment>,
+    pub(crate) probes: ProbeTable,
+    pub(crate) backoff: TakeoverBackoff,
+    pub(crate) configuration: (u64, Configuration),
+    pub(crate) is_preferred: bool,
+    pub(crate) paused_until: Option<Instant>,
+    /// Until when it waits for the store.
+    pub(crate) busy_until: Option<Instant>,
+    pub(crate) confirmation_failed: bool,
+}
+
+impl Owner {
+    pub(crate) fn new(number: usize, configuration: (u64, Configuration)) -> Self {
+        Self {
+            vm: id(&format!("entry-{number}")),
+            process_id: number as u64 + 1,
+            held: None,
+            probes: ProbeTable::default(),
+            backoff: TakeoverBackoff::new(Duration::from_secs(1)),
+            configuration,
+            is_preferred: number == 0,
+            paused_until: None,
+            busy_until: None,
+            confirmation_failed: false,
+        }
+    }
+
+    /// Starts anew with empty memory.
+    pub(crate) fn restart(&mut self) {
+        self.process_id += 1_000;
+        self.held = None;
+        self.probes = ProbeTable::default();
+        self.backoff = TakeoverBackoff::new(Duration::from_secs(1));
+        self.busy_until = None;
+    }
+
+    pub(crate) fn hold(
+        &mut self,
+        assignment: DomainAssignment,
+        revision: Revision,
+        asked_at: Instant,
+        now: Instant,
+    ) {
+        let read = HeldAssignment::new(assignment, revision, asked_at, now);
+        match &mut self.held {
+            Some(held) => held.update(read),
+            None => self.held = Some(read),
+        }
+    }
+
+    /// Returns the proofs that it would answer a poll with, whoever it believes to be.
+    pub(crate) fn proofs(&self, now: Instant) -> Vec<GroupProof> {
+        let Some(held) = &self.held else { return Vec::new() };
+        let provable = held.assignment.groups.iter();
+        let provable =
+            provable.filter(|it| matches!(it.phase, GroupPhase::Serving | GroupPhase::Draining));
+        let proofs = provable.map(|group| {
+            let remaining = match self.probes.check(group, now, PROBE_TTL, STALL_LIMIT) {
+                Completeness::Complete { until } => until.duration_since(now),
+                Completeness::Incomplete(_) => Duration::ZERO,
+            };
+            GroupProof {
+                group: group.group.clone(),
+                domain: id(DOMAIN),
+                incarnation: group.incarnation,
+                fencing_number: held.assignment.fencing_number,
+                model: group.model.clone(),
+                model_version: group.model_version.clone(),
+                address: ([127, 0, 0, 1], 1).into(),
+                remaining_ms: remaining.as_millis() as u32,
+                accepts_new: group.phase == GroupPhase::Serving,
+                load: 0,
+                load_age_ms: 0,
+            }
+        });
+        proofs.collect()
+    }
+}
