--- a/crates/mangocross-coordination/tests/world/mod.rs
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -199,7 +199,7 @@
     fn work(&mut self) {
         for owner in 0..OWNERS {
             let is_due = match self.calm {
-                true => (self.now - self.start).as_millis() % PROBE_INTERVAL.as_millis() == 0,
+                true => (self.now - self.start).as_millis().is_multiple_of(PROBE_INTERVAL.as_millis()),
                 false => self.random.u32(..10) == 0,
             };
             if is_due && self.is_awake(owner) {
