fix(coordination): keep serving where a group moves from until gateways know the new place

Cause: the leader took the group for gone in its old domain, since its copy of that assignment was up to two seconds old, and it let go of it in the same tick in which the new domain served, before a gateway had polled the new proof. Now the old domain is named until the group has served in the new one for a proof's time to live; nothing new is formed in a domain that is only moved from. Tests with processes for repair, moves, stops, owners that die, freeze or restart, dark domains and leaving VMs.

--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use mangocross_coordination::DomainState;
-use mangocross_coordination::plan_placements;
+use mangocross_coordination::PlacementPlanner;
 use mangocross_coordination::preferred_owner;
 use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
@@ -27,15 +27,16 @@
 
 /// Looks after the placements again and again.
 pub(crate) fn run(state: &Arc<CoordinatorState>) {
+    let mut planner = PlacementPlanner::new(state.probe_ttl());
     loop {
-        if let Err(error) = look_after(state) {
+        if let Err(error) = look_after(state, &mut planner) {
             log::warn!("placements were not read or written: {error}");
         }
         thread::sleep(TICK);
     }
 }
 
-fn look_after(state: &CoordinatorState) -> Result<(), StoreError> {
+fn look_after(state: &CoordinatorState, planner: &mut PlacementPlanner) -> Result<(), StoreError> {
     let store = state.store.as_ref();
     let (read, revision) = read_json::<Placements>(store, Placements::KEY)?;
     let read = read.unwrap_or_default();
@@ -47,7 +48,7 @@
     if state.freshness().in_force() == Revision(0) {
         return Ok(());
     }
-    let next = decide(state, &read);
+    let next = decide(state, planner, &read);
     let is_first = revision == Revision(0);
     if (is_first || next != read) && swap_json(store, Placements::KEY, revision, &next)?.is_some() {
         log::info!("placements changed");
@@ -55,10 +56,15 @@
     Ok(())
 }
 
-fn decide(state: &CoordinatorState, current: &Placements) -> Placements {
+fn decide(
+    state: &CoordinatorState,
+    planner: &mut PlacementPlanner,
+    current: &Placements,
+) -> Placements {
     let assignments: Vec<DomainAssignment> =
         lock(&state.assignments).values().map(|it| it.assignment.clone()).collect();
-    plan_placements(&state.configuration(), current, &assignments, &domain_states(state))
+    let (configuration, domains) = (state.configuration(), domain_states(state));
+    planner.plan(&configuration, current, &assignments, &domains, state.clock.now())
 }
 
 /// Returns the newest word on each fabric domain from its prober.
--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -61,7 +61,7 @@
 pub use leaving::LeavingTable;
 pub use ownership::preferred_owner;
 pub use placing::DomainState;
-pub use placing::plan_placements;
+pub use placing::PlacementPlanner;
 pub use proof_table::ProofTable;
 pub use proof_table::ProvenGroup;
 pub use reconcile::DomainInput;
--- a/crates/mangocross-coordination/src/placing.rs
+++ b/crates/mangocross-coordination/src/placing.rs
@@ -1,6 +1,9 @@
 //! In which fabric domain each group belongs: first placements and moves.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
 
 use mangocross_policy::DomainRoom;
 use mangocross_policy::choose_domain;
@@ -26,23 +29,59 @@
     pub stuck_groups: Vec<GroupId>,
 }
 
-/// Returns the placements that should come next.
+/// Plans the placements, and remembers since when each moved group serves in its new domain.
 ///
 /// A group moves in three steps. It is placed in the new domain while the old
-/// one goes on serving it; once it serves in the new one, the old domain is no
-/// longer named and drains it there; then it is unloaded. A group that its
-/// domain cannot complete is placed elsewhere and given up where it is.
-pub fn plan_placements(
-    configuration: &Configuration,
-    current: &Placements,
-    assignments: &[DomainAssignment],
-    domains: &[DomainState],
-) -> Placements {
-    let mut planner = Planner::new(&configuration.policy, current, assignments, domains);
-    let is_wanted = |it: &&GroupSpec| it.desired != DesiredState::Stopped;
-    configuration.groups.iter().filter(is_wanted).for_each(|it| planner.keep_room(it));
-    let entries = configuration.groups.iter().filter(is_wanted).filter_map(|it| planner.place(it));
-    Placements { entries: entries.collect() }
+/// one goes on serving it; once it has served in the new one for so long that
+/// every gateway knows, the old domain is no longer named and drains it there;
+/// then it is unloaded. A group that its domain cannot complete is placed
+/// elsewhere and given up where it is.
+#[derive(Debug, Clone)]
+pub struct PlacementPlanner {
+    settle: Duration,
+    serving_since: HashMap<GroupId, Instant>,
+}
+
+impl PlacementPlanner {
+    /// Returns a planner that ends a move once the group has served for `settle` in its new domain.
+    pub fn new(settle: Duration) -> Self {
+        Self { settle, serving_since: HashMap::new() }
+    }
+
+    /// Returns the placements that should come next.
+    pub fn plan(
+        &mut self,
+        configuration: &Configuration,
+        current: &Placements,
+        assignments: &[DomainAssignment],
+        domains: &[DomainState],
+        now: Instant,
+    ) -> Placements {
+        let mut planner = Planner::new(&configuration.policy, current, assignments, domains);
+        self.follow_moves(&mut planner, now);
+        let is_wanted = |it: &&GroupSpec| it.desired != DesiredState::Stopped;
+        configuration.groups.iter().filter(is_wanted).for_each(|it| planner.keep_room(it));
+        let entries =
+            configuration.groups.iter().filter(is_wanted).filter_map(|it| planner.place(it));
+        Placements { entries: entries.collect() }
+    }
+
+    /// Tells the planner which moved groups have served long enough in their new domains.
+    fn follow_moves(&mut self, planner: &mut Planner<'_>, now: Instant) {
+        let moves = planner.current.entries.iter().filter(|it| it.moving_from.is_some());
+        let serves = |it: &&Placement| {
+            planner.phase(&it.group, &it.domain) == Some(GroupPhase::Serving)
+                && !planner.is_stuck(&it.group, &it.domain)
+        };
+        let serving: Vec<GroupId> = moves.filter(serves).map(|it| it.group.clone()).collect();
+        self.serving_since.retain(|group, _| serving.contains(group));
+        for group in serving {
+            let since = *self.serving_since.entry(group.clone()).or_insert(now);
+            if now.saturating_duration_since(since) >= self.settle {
+                planner.moved.push(group);
+            }
+        }
+    }
 }
 
 struct Planner<'a> {
@@ -51,6 +90,8 @@
     assignments: &'a [DomainAssignment],
     domains: &'a [DomainState],
     rooms: BTreeMap<FabricDomain, u16>,
+    /// Groups whose moves are done.
+    moved: Vec<GroupId>,
 }
 
 impl<'a> Planner<'a> {
@@ -61,7 +102,7 @@
         domains: &'a [DomainState],
     ) -> Self {
         let rooms = domains.iter().map(|it| (it.domain.clone(), it.idle_vms)).collect();
-        Self { weights, current, assignments, domains, rooms }
+        Self { weights, current, assignments, domains, rooms, moved: Vec::new() }
     }
 
     fn place(&mut self, spec: &GroupSpec) -> Option<Placement> {
@@ -85,14 +126,14 @@
         }
     }
 
-    /// Lets the old domain of a move go once the group serves in the new one or is gone there.
+    /// Lets the old domain of a move go once the group serves in the new one.
+    ///
+    /// Until then the old one is named even if the group is not known to be
+    /// there: assignments are read now and then, and nothing new is formed there.
     fn finish_move(&self, placed: &Placement) -> Placement {
-        let done = self.phase(&placed.group, &placed.domain) == Some(GroupPhase::Serving);
-        let kept = placed.moving_from.as_ref().filter(|old| {
-            let there = self.phase(&placed.group, old);
-            !done && matches!(there, Some(GroupPhase::Serving | GroupPhase::Draining))
-        });
-        Placement { moving_from: kept.cloned(), ..placed.clone() }
+        let moving_from = placed.moving_from.clone();
+        let moving_from = moving_from.filter(|_| !self.moved.contains(&placed.group));
+        Placement { moving_from, ..placed.clone() }
     }
 
     /// Moves a group to the domain that operators chose, when there is room.
@@ -101,19 +142,13 @@
         if !back && self.take_room_in(spec, chosen).is_none() {
             return placed;
         }
-        let serves_here = self.phase(&spec.id, &placed.domain) == Some(GroupPhase::Serving);
-        let moving_from = match placed.moving_from {
-            _ if serves_here => Some(placed.domain),
-            Some(old) if old != *chosen => Some(old),
-            _ => None,
-        };
-        Placement { group: placed.group, domain: chosen.clone(), moving_from }
+        let old = placed.moving_from.filter(|it| it != chosen).unwrap_or(placed.domain);
+        Placement { group: placed.group, domain: chosen.clone(), moving_from: Some(old) }
     }
 
     /// Moves a group that its domain cannot complete to one with room.
     fn leave_stuck(&mut self, spec: &GroupSpec, placed: Placement) -> Placement {
-        let state = self.domains.iter().find(|it| it.domain == placed.domain);
-        if !state.is_some_and(|it| it.stuck_groups.contains(&spec.id)) {
+        if !self.is_stuck(&spec.id, &placed.domain) {
             return placed;
         }
         match self.take_room(spec, Some(&placed.domain)) {
@@ -155,6 +190,11 @@
         u16::try_from(groups).unwrap_or(u16::MAX)
     }
 
+    fn is_stuck(&self, group: &GroupId, domain: &FabricDomain) -> bool {
+        let state = self.domains.iter().find(|it| it.domain == *domain);
+        state.is_some_and(|it| it.stuck_groups.contains(group))
+    }
+
     fn phase(&self, group: &GroupId, domain: &FabricDomain) -> Option<GroupPhase> {
         let assignment = self.assignments.iter().find(|it| it.domain == *domain)?;
         assignment.groups.iter().find(|it| it.group == *group).map(|it| it.phase)
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -89,6 +89,8 @@
 pub struct EngineFaults {
     /// Answers nothing at all.
     pub frozen: bool,
+    /// Fails every call at once, as a VM without its engine.
+    pub dead: bool,
     /// Answers probes and works many times slower, without progress in its report.
     pub straggler: bool,
     /// Says that it is leaving.
@@ -238,7 +240,11 @@
 
 fn serve(state: &Arc<State>, request: ServerRequest) {
     let Some(mut request) = state.faults.answer(request) else { return };
-    if state.faults.get().frozen {
+    let faults = state.faults.get();
+    if faults.dead {
+        return;
+    }
+    if faults.frozen {
         return pause(FROZEN_MS);
     }
     match (request.method(), request.path()) {
--- /dev/null
+++ b/tests/tests/groups.rs
@@ -0,0 +1,239 @@
+//! Groups are complete or silent, are repaired, moved and stopped.
+
+mod group_support;
+
+use std::thread;
+use std::time::Duration;
+
+use group_support::assignment;
+use group_support::owner_of;
+use group_support::placed;
+use group_support::slow_engine;
+use group_support::start_stream;
+use mangocross_tests::ClusterBuilder;
+use mangocross_tests::Outgoing;
+use mangocross_types::EngineState;
+use mangocross_types::GroupPhase;
+use mangocross_types::RunOutcome;
+use mangocross_types::VmState;
+use standins::EngineFaults;
+use standins::StoreFaults;
+
+const START: &str = "start group letters-1 model letters version v1 members 2";
+
+fn draft() -> Outgoing {
+    Outgoing::chat("town", "draft", "letters", 4, true)
+}
+
+fn frozen() -> EngineFaults {
+    EngineFaults { frozen: true, ..EngineFaults::default() }
+}
+
+fn builder(nodes: u16, domains: &[u16]) -> ClusterBuilder {
+    ClusterBuilder::new(nodes, domains)
+        .coordinator_setting("lost_ms", 1_500)
+        .coordinator_setting("order_deadline_ms", 1_000)
+}
+
+#[test]
+fn group_without_spare_is_silent_while_a_member_is_frozen() {
+    let cluster = builder(2, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let first = placed(&cluster, "domain-1").members[0].to_string();
+    let other = placed(&cluster, "domain-1").members[1].to_string();
+    cluster.engine(&other).faults().set(frozen());
+    cluster.wait_until("both nodes refuse", || {
+        (0..2).all(|it| cluster.send(it, &draft()).outcome() == Some(RunOutcome::NotRun))
+    });
+    let ran = cluster.engine(&first).faults().counted("generations");
+    for node in [0, 1, 0, 1] {
+        assert_eq!(cluster.send(node, &draft()).outcome(), Some(RunOutcome::NotRun));
+    }
+    assert_eq!(cluster.engine(&first).faults().counted("generations"), ran);
+    cluster.engine(&other).faults().set(EngineFaults::default());
+    cluster.wait_until("the group serves again", || cluster.send(0, &draft()).is_whole());
+}
+
+#[test]
+fn member_that_comes_back_after_its_place_was_given_away_leaves_the_group() {
+    let cluster = builder(2, &[3]).start();
+    cluster.start_group(START, 0, &draft());
+    let before = placed(&cluster, "domain-1");
+    let gone = before.members[1].to_string();
+    cluster.engine(&gone).faults().set(frozen());
+    cluster.wait_until("the group is formed anew", || {
+        placed(&cluster, "domain-1").incarnation > before.incarnation
+            && cluster.send(0, &draft()).is_whole()
+    });
+    assert!(!placed(&cluster, "domain-1").members.iter().any(|it| it.as_str() == gone));
+    assert!(cluster.engine(&gone).report().group.is_some());
+    cluster.engine(&gone).faults().set(EngineFaults::default());
+    cluster.wait_until("it is idle", || cluster.engine(&gone).report().state == EngineState::Idle);
+    assert!(cluster.send(0, &draft()).is_whole());
+}
+
+#[test]
+fn member_that_restarts_empty_is_loaded_again_in_the_same_incarnation() {
+    let cluster = builder(1, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let before = placed(&cluster, "domain-1");
+    let restarted = cluster.engine(before.members[1].as_str());
+    restarted.restart_empty();
+    cluster.wait_until("it is loaded again", || restarted.report().group.is_some());
+    cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
+    assert_eq!(placed(&cluster, "domain-1").incarnation, before.incarnation);
+}
+
+#[test]
+fn owner_that_wakes_up_changes_nothing_that_was_decided_without_it() {
+    let cluster = builder(3, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let owner = owner_of(&cluster, "domain-1");
+    let number = assignment(&cluster, "domain-1").fencing_number;
+    cluster.coordinators[usize::from(owner)].freeze();
+    let other = (owner + 1) % 3;
+    cluster.wait_until("another one takes over", || {
+        assignment(&cluster, "domain-1").fencing_number > number
+    });
+    cluster.wait_until("it is proven again", || cluster.send(other, &draft()).is_whole());
+    // Not every node has the revision in force while one is frozen; the command stands.
+    let _ = cluster.operate(other, "stop group letters-1");
+    cluster.wait_until("the group is unloaded", || {
+        assignment(&cluster, "domain-1").groups.is_empty()
+            && cluster.engines.values().all(|it| it.report().group.is_none())
+    });
+    cluster.coordinators[usize::from(owner)].thaw();
+    thread::sleep(Duration::from_secs(4));
+    assert!(assignment(&cluster, "domain-1").groups.is_empty());
+    assert!(cluster.engines.values().all(|it| it.report().group.is_none()));
+}
+
+#[test]
+fn group_serves_on_when_its_owner_dies_in_a_store_outage() {
+    let cluster_builder = builder(3, &[3]);
+    let mut cluster = cluster_builder.start();
+    cluster.start_group(START, 0, &draft());
+    thread::sleep(Duration::from_millis(2_500));
+    cluster.store.faults().set(StoreFaults { down: true, ..StoreFaults::default() });
+    let owner = owner_of_before_outage(&cluster);
+    cluster.coordinators[usize::from(owner)].kill();
+    let other = (owner + 1) % 3;
+    cluster.wait_until("another one proves it", || cluster.send(other, &draft()).is_whole());
+    thread::sleep(Duration::from_secs(3));
+    assert!(cluster.send(other, &draft()).is_whole());
+    cluster.store.faults().set(StoreFaults::default());
+    cluster.wait_until("another one owns the domain", || owner_of(&cluster, "domain-1") != owner);
+}
+
+/// The store's stand-in refuses every call in an outage, the test's own too.
+fn owner_of_before_outage(cluster: &mangocross_tests::Cluster) -> u16 {
+    let answer = cluster.operate(0, "why group letters-1").expect("an answer without the store");
+    let text = format!("{answer:?}");
+    let name = text.split("looked after by entry-").nth(1).expect("an owner");
+    name.chars().take_while(char::is_ascii_digit).collect::<String>().parse::<u16>().unwrap() - 1
+}
+
+#[test]
+fn stop_cuts_off_nothing_with_lagging_load_and_a_dying_owner() {
+    let mut cluster = builder(3, &[2]).engine_options(slow_engine).start();
+    cluster.start_group(START, 0, &draft());
+    for engine in cluster.engines.values() {
+        engine.faults().set(EngineFaults { load_lag_ms: 1_500, ..EngineFaults::default() });
+    }
+    let owner = owner_of(&cluster, "domain-1");
+    let other = (owner + 1) % 3;
+    let stream = start_stream(&cluster, other, 200);
+    let _ = cluster.operate(other, "stop group letters-1");
+    cluster.wait_until("it drains", || placed(&cluster, "domain-1").phase == GroupPhase::Draining);
+    cluster.coordinators[usize::from(owner)].kill();
+    let answer = stream.join().expect("the stream was read");
+    assert!(answer.is_whole(), "{}", answer.body);
+    assert_eq!(answer.token_indexes().len(), 200);
+    cluster.wait_until("the engines are idle", || {
+        cluster.engines.values().all(|it| it.report().state == EngineState::Idle)
+    });
+}
+
+#[test]
+fn move_serves_there_before_it_stops_here_and_cuts_off_nothing() {
+    let cluster = builder(2, &[2, 2]).engine_options(slow_engine).start();
+    cluster.start_group(&format!("{START} in domain-1"), 0, &draft());
+    let stream = start_stream(&cluster, 0, 150);
+    cluster.operate(1, "move group letters-1 to domain-2").expect("the move is accepted");
+    cluster.wait_until("it left domain-1", || {
+        let refused = cluster.send(0, &draft());
+        assert!(refused.is_whole(), "a request failed during the move: {}", refused.body);
+        assignment(&cluster, "domain-1").groups.is_empty()
+    });
+    assert!(stream.join().expect("the stream was read").is_whole());
+    assert_eq!(placed(&cluster, "domain-2").phase, GroupPhase::Serving);
+    assert!(cluster.send(1, &draft()).is_whole());
+}
+
+#[test]
+fn group_of_a_dark_domain_is_formed_in_another_one() {
+    let cluster = builder(2, &[2, 2]).start();
+    cluster.start_group(START, 0, &draft());
+    let dark = match assignment(&cluster, "domain-1").groups.is_empty() {
+        true => "vm-2-",
+        false => "vm-1-",
+    };
+    for (_, engine) in cluster.engines.iter().filter(|(vm, _)| vm.as_str().starts_with(dark)) {
+        engine.faults().set(frozen());
+    }
+    cluster.wait_until("it serves elsewhere", || cluster.send(0, &draft()).is_whole());
+}
+
+#[test]
+fn leaving_member_is_drained_out_and_a_list_that_flaps_does_not_bring_it_back() {
+    let cluster = builder(2, &[3]).engine_options(slow_engine).start();
+    cluster.start_group(START, 0, &draft());
+    let before = placed(&cluster, "domain-1");
+    let leaving = before.members[1].clone();
+    let stream = start_stream(&cluster, 0, 100);
+    let mut list = cluster.listed_vms();
+    list.iter_mut().filter(|it| it.vm == leaving).for_each(|it| it.state = VmState::Leaving);
+    cluster.platform.set_vms(list);
+    cluster.wait_until("it drains", || placed(&cluster, "domain-1").phase == GroupPhase::Draining);
+    cluster.platform.set_vms(cluster.listed_vms());
+    assert!(stream.join().expect("the stream was read").is_whole());
+    cluster.wait_until("it is formed anew", || {
+        placed(&cluster, "domain-1").incarnation > before.incarnation
+            && cluster.send(0, &draft()).is_whole()
+    });
+    assert!(!placed(&cluster, "domain-1").members.contains(&leaving));
+    thread::sleep(Duration::from_secs(2));
+    assert!(!placed(&cluster, "domain-1").members.contains(&leaving));
+}
+
+#[test]
+fn late_order_to_an_engine_that_ignores_fences_leaves_no_wrong_member() {
+    let cluster = builder(2, &[3]).start();
+    let late = cluster.engine("vm-1-1");
+    let delayed =
+        EngineFaults { order_delay_ms: 4_000, ignore_deadline: true, ..EngineFaults::default() };
+    late.faults().set(delayed);
+    cluster.operate(0, START).expect("the group is accepted");
+    cluster.wait_until("the order is under way", || late.faults().counted("orders") > 0);
+    cluster.operate(0, "stop group letters-1").expect("the stop is accepted");
+    cluster.wait_until("the late order is carried out", || late.report().group.is_some());
+    late.faults().set(EngineFaults::default());
+    cluster.wait_until("it is unloaded", || late.report().state == EngineState::Idle);
+    cluster.start_group("resume group letters-1", 0, &draft());
+}
+
+#[test]
+fn rolling_restart_of_coordinators_keeps_the_group_serving() {
+    let mut cluster = builder(3, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let incarnation = placed(&cluster, "domain-1").incarnation;
+    for node in 0..3 {
+        cluster.coordinators[node].terminate();
+        cluster.coordinators[node].wait();
+        cluster.coordinators[node].restart();
+        cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
+        thread::sleep(Duration::from_millis(1_500));
+    }
+    cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
+    assert_eq!(placed(&cluster, "domain-1").incarnation, incarnation);
+}
