--- /dev/null
+++ b/bins/mangocross-coordinator/src/changes.rs
@@ -0,0 +1,180 @@
+//! Carries out commands: each changes the configuration in the store once.
+
+use std::time::Duration;
+
+use mangocross_coordination::check_membership;
+use mangocross_operator::OperatorAnswer;
+use mangocross_operator::OperatorRequest;
+use mangocross_operator::check_configuration;
+use mangocross_operator::difference;
+use mangocross_types::Configuration;
+use mangocross_types::EntryVmSpec;
+use mangocross_types::RecentCommand;
+use mangocross_types::Refusal;
+use mangocross_types::ResultCode;
+use mangocross_types::Revision;
+use mangocross_types::RunOutcome;
+use peer_store::StoreError;
+use peer_store::StoreErrorKind;
+use peer_store::read_json;
+use peer_store::swap_json;
+
+use crate::acceptance;
+use crate::configuration;
+use crate::state::CoordinatorState;
+
+/// Commands remembered so that a repeat is harmless.
+const RECENT_COMMANDS_MAX: usize = 128;
+/// When to come back while the store does not answer.
+const STORE_RETRY: Duration = Duration::from_secs(5);
+/// When to come back while the revision before is not in force.
+const MEMBERSHIP_RETRY: Duration = Duration::from_secs(3);
+
+/// The configuration that a command is based on.
+struct Base {
+    configuration: Configuration,
+    revision: Revision,
+    /// Entry VMs of that configuration, if it is known to be accepted.
+    accepted: Option<Vec<EntryVmSpec>>,
+}
+
+/// Carries out a command that turns the configuration into what `next` returns.
+pub(crate) fn carry_out(
+    state: &CoordinatorState,
+    request: &OperatorRequest,
+    next: impl Fn(&Configuration) -> Result<Configuration, Refusal>,
+) -> Result<OperatorAnswer, Refusal> {
+    let base = read(state)?;
+    if let Some(done) = carried_out(&base.configuration, request)? {
+        return Ok(repeated(state, &base, done));
+    }
+    if request.based_on.is_some_and(|it| it != base.revision) {
+        return Err(conflict(&base));
+    }
+    let mut wanted = next(&base.configuration)?;
+    check(&base, &wanted)?;
+    if request.dry_run {
+        return Ok(dry_run(&base, &wanted));
+    }
+    remember(&mut wanted, &base, request);
+    let written = swap_json(state.store.as_ref(), Configuration::KEY, base.revision, &wanted);
+    match written.map_err(|it| write_refusal(&it))? {
+        Some(revision) => {
+            take(state);
+            let accepted = base.accepted.as_deref();
+            Ok(acceptance::wait(state, revision, &wanted.entry_vms, accepted))
+        }
+        None => lost_race(state, request),
+    }
+}
+
+fn read(state: &CoordinatorState) -> Result<Base, Refusal> {
+    let read = read_json::<Configuration>(state.store.as_ref(), Configuration::KEY);
+    let (configuration, revision) = read.map_err(|it| read_refusal(&it))?;
+    let configuration = configuration.unwrap_or_default();
+    let accepted = accepted_entry_vms(state, &configuration, revision);
+    Ok(Base { configuration, revision, accepted })
+}
+
+/// Returns the entry VMs of a configuration if it is accepted and they are all that serve
+/// under it.
+fn accepted_entry_vms(
+    state: &CoordinatorState,
+    configuration: &Configuration,
+    revision: Revision,
+) -> Option<Vec<EntryVmSpec>> {
+    let entry_vms = &configuration.entry_vms;
+    if revision == Revision(0) {
+        return Some(Vec::new());
+    }
+    let accepted = acceptance::check(state, revision, entry_vms, None).is_accepted();
+    (accepted && !entry_vms.is_empty()).then(|| entry_vms.clone())
+}
+
+/// Returns the earlier command with the same id.
+fn carried_out<'a>(
+    configuration: &'a Configuration,
+    request: &OperatorRequest,
+) -> Result<Option<&'a RecentCommand>, Refusal> {
+    let Some(done) = configuration.recent_commands.iter().find(|it| it.id == request.command_id)
+    else {
+        return Ok(None);
+    };
+    if done.text != request.text {
+        let text = format!("command id {} was given to `{}`; use another id", done.id, done.text);
+        return Err(Refusal::not_run(ResultCode::MalformedRequest, text));
+    }
+    Ok(Some(done))
+}
+
+fn repeated(state: &CoordinatorState, base: &Base, done: &RecentCommand) -> OperatorAnswer {
+    log::info!(command = done.id.as_str(); "command was carried out before");
+    take(state);
+    acceptance::wait(state, base.revision, &base.configuration.entry_vms, None)
+}
+
+fn check(base: &Base, wanted: &Configuration) -> Result<(), Refusal> {
+    check_configuration(wanted).map_err(|it| Refusal::not_run(it.code, it.message))?;
+    let before = &base.configuration.entry_vms;
+    check_membership(before, &wanted.entry_vms, base.accepted.is_some()).map_err(|it| {
+        Refusal::not_run(ResultCode::ConfigurationInvalid, it.to_string())
+            .retry_after(MEMBERSHIP_RETRY)
+    })
+}
+
+fn dry_run(base: &Base, wanted: &Configuration) -> OperatorAnswer {
+    let rows = difference(&base.configuration, wanted);
+    let answer = OperatorAnswer::message(base.revision, "valid; nothing was changed");
+    answer.table(&["part", "now", "then"], rows)
+}
+
+fn remember(wanted: &mut Configuration, base: &Base, request: &OperatorRequest) {
+    wanted.recent_commands.clone_from(&base.configuration.recent_commands);
+    wanted.recent_commands.push(RecentCommand {
+        id: request.command_id.clone(),
+        text: request.text.clone(),
+        based_on: base.revision,
+    });
+    let surplus = wanted.recent_commands.len().saturating_sub(RECENT_COMMANDS_MAX);
+    wanted.recent_commands.drain(..surplus);
+}
+
+/// Answers a command whose write found another revision in place.
+fn lost_race(
+    state: &CoordinatorState,
+    request: &OperatorRequest,
+) -> Result<OperatorAnswer, Refusal> {
+    let base = read(state).map_err(|it| Refusal { outcome: RunOutcome::Unknown, ..it })?;
+    // Its write may have taken effect with its answer lost, and another come after it.
+    match carried_out(&base.configuration, request)? {
+        Some(done) => Ok(repeated(state, &base, done)),
+        None => Err(conflict(&base)),
+    }
+}
+
+/// Puts what the store holds in force here, so that others learn of it soon.
+fn take(state: &CoordinatorState) {
+    if let Err(message) = configuration::read(state) {
+        log::warn!("the newest configuration could not be read: {message}");
+    }
+}
+
+fn conflict(base: &Base) -> Refusal {
+    let won = base.configuration.recent_commands.last();
+    let won = won.map(|it| format!("; last came `{}` ({})", it.text, it.id)).unwrap_or_default();
+    let text = format!("the newest revision is {}{won}; read it and decide again", base.revision);
+    Refusal::not_run(ResultCode::RevisionConflict, text)
+}
+
+fn read_refusal(error: &StoreError) -> Refusal {
+    let text = format!("the command was not accepted: {error}; come back when the store answers");
+    Refusal::not_run(ResultCode::StoreUnavailable, text).retry_after(STORE_RETRY)
+}
+
+fn write_refusal(error: &StoreError) -> Refusal {
+    if error.kind != StoreErrorKind::AnswerLost {
+        return read_refusal(error);
+    }
+    let text = format!("the command may have been stored: {error}; send the same command id again");
+    Refusal::unknown(ResultCode::StoreAnswerLost, text).retry_after(STORE_RETRY)
+}
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -7,6 +7,8 @@
 use bpaf::Bpaf;
 use mangocross_settings::CoordinatorSettings;
 
+mod acceptance;
+mod changes;
 mod configuration;
 mod coordinator;
 mod domains;
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -9,6 +9,9 @@
 use std::time::Instant;
 
 use mangocross_coordination::Completeness;
+use mangocross_coordination::Sighting;
+use mangocross_coordination::Vouch;
+use mangocross_coordination::Voucher;
 use mangocross_types::DomainAssignment;
 use mangocross_types::EngineState;
 use mangocross_types::GroupAssignment;
@@ -22,6 +25,7 @@
 use peer_entry::PollReply;
 use peer_entry::PollerHandler;
 use peer_entry::ProcessRole;
+use peer_entry::ReplyStamp;
 use peer_entry::fetch_configuration;
 
 use crate::configuration;
@@ -77,16 +81,31 @@
             revision: self.state.freshness().in_force(),
             serving: true,
             usage: Vec::new(),
+            echo: None,
         }
     }
 
     fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply) {
+        let configuration = self.state.configuration();
+        let voucher = Voucher { vm: reply.vm.clone(), address: from };
         let behind = {
             let mut freshness = self.state.freshness();
-            let store_age = reply.store_age_ms.map(|it| Duration::from_millis(it.into()));
-            freshness.peer_said(&reply.vm, reply.revision, store_age, asked_at);
+            let vouch = Vouch {
+                newest_known: reply.newest_known,
+                established: reply.established,
+                store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
+            };
+            freshness.peer_said(&voucher, vouch, asked_at);
+            freshness.establish(&configuration.entry_vms, &self.state.settings.vm);
             reply.revision > freshness.in_force()
         };
+        let sighting = Sighting {
+            process_id: reply.stamp.process_id,
+            revision: reply.newest_known,
+            asked_at,
+            heard_at: self.state.clock.now(),
+        };
+        lock(&self.state.acceptance).coordinator_said(voucher, reply.established, &sighting);
         if behind {
             self.fetch(from);
         }
@@ -103,20 +122,22 @@
         let gateway =
             PollingGateway { heard_at: now, revision: poll.revision, usage: poll.usage.clone() };
         lock(&state.gateways).insert(poll.vm.clone(), gateway);
+        see_gateway(state, poll, now);
     }
-    let (revision, store_age) = {
+    let (revision, vouch) = {
         let freshness = state.freshness();
-        (freshness.in_force(), freshness.store_age(now))
+        (freshness.in_force(), freshness.vouch(now))
     };
-    let milliseconds = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
     let mut leaving: Vec<VmId> = lock(&state.leaving).iter().cloned().collect();
     leaving.extend(state.configuration().leaving_vms.iter().cloned());
     PollReply {
         nonce: poll.nonce,
         vm: state.settings.vm.clone(),
-        process_id: state.process_id,
+        stamp: ReplyStamp { process_id: state.process_id, uptime_ms: uptime_ms(state, now) },
         revision,
-        store_age_ms: store_age.map(milliseconds),
+        newest_known: vouch.newest_known,
+        established: vouch.established,
+        store_age_ms: vouch.store_age.map(milliseconds_up),
         proofs: proofs(state, now),
         domains: summaries(state),
         leaving,
@@ -124,6 +145,26 @@
     }
 }
 
+/// Records what a gateway has in force, if its poll shows when it was sent.
+fn see_gateway(state: &CoordinatorState, poll: &Poll, now: Instant) {
+    let Some(echo) = poll.echo.filter(|it| it.process_id == state.process_id) else { return };
+    let Some(asked_at) = state.started_at.checked_add(Duration::from_millis(echo.uptime_ms)) else {
+        return;
+    };
+    let sighting =
+        Sighting { process_id: poll.process_id, revision: poll.revision, asked_at, heard_at: now };
+    lock(&state.acceptance).gateway_said(poll.vm.clone(), &sighting);
+}
+
+fn uptime_ms(state: &CoordinatorState, now: Instant) -> u64 {
+    u64::try_from(now.duration_since(state.started_at).as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Rounds up, so that an age passed on from peer to peer never falls behind.
+fn milliseconds_up(age: Duration) -> u32 {
+    u32::try_from(age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
+
 fn usage_of_others(state: &CoordinatorState, asker: &VmId) -> Vec<CustomerUsage> {
     let gateways = lock(&state.gateways);
     let mut total: Vec<CustomerUsage> = Vec::new();
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_coordination::AcceptanceTracker;
 use mangocross_coordination::EngineVm;
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
@@ -58,6 +59,8 @@
     pub(crate) settings: CoordinatorSettings,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) process_id: u64,
+    pub(crate) started_at: Instant,
+    pub(crate) acceptance: Mutex<AcceptanceTracker>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) platform: PlatformClient,
     pub(crate) engines: EngineClient,
@@ -74,6 +77,7 @@
 
 impl CoordinatorState {
     pub(crate) fn open(settings: CoordinatorSettings, clock: Arc<dyn Clock>) -> Self {
+        let started_at = clock.now();
         let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
         Self {
             store: Arc::new(HttpStore::open(settings.store)),
@@ -82,8 +86,10 @@
             settings,
             clock,
             process_id: fastrand::u64(..),
+            started_at,
+            acceptance: Mutex::new(AcceptanceTracker::new(bounds.vouch)),
             configuration: Mutex::new((Arc::new(Configuration::default()), Arc::from(""))),
-            freshness: Mutex::new(Freshness::new(bounds)),
+            freshness: Mutex::new(Freshness::new(bounds, started_at)),
             peers: Mutex::new(HashMap::new()),
             gateways: Mutex::new(HashMap::new()),
             engines_by_domain: Mutex::new(BTreeMap::new()),
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_coordination::Vouch;
+use mangocross_coordination::Voucher;
 use mangocross_operator::check_configuration;
 use peer_entry::CustomerUsage;
 use peer_entry::PeerKey;
@@ -84,14 +86,20 @@
                     demand_per_second: 0,
                 })
                 .collect(),
+            echo: None,
         }
     }
 
     fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply) {
         let behind = {
             let mut freshness = self.state.freshness();
-            let store_age = reply.store_age_ms.map(|it| Duration::from_millis(it.into()));
-            freshness.peer_said(&reply.vm, reply.revision, store_age, asked_at);
+            let voucher = Voucher { vm: reply.vm.clone(), address: from };
+            let vouch = Vouch {
+                newest_known: reply.newest_known,
+                established: reply.established,
+                store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
+            };
+            freshness.peer_said(&voucher, vouch, asked_at);
             reply.revision > freshness.in_force()
         };
         if behind {
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -50,6 +50,7 @@
 
 impl GatewayState {
     pub(crate) fn open(settings: GatewaySettings, clock: Arc<dyn Clock>) -> Result<Self, String> {
+        let now = clock.now();
         let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
         Ok(Self {
             store: Arc::new(HttpStore::open(settings.store)),
@@ -60,7 +61,7 @@
             services: ServiceClient::open(),
             stopping: AtomicBool::new(false),
             configuration: Mutex::new(Arc::new(Configuration::default())),
-            freshness: Mutex::new(Freshness::new(bounds)),
+            freshness: Mutex::new(Freshness::new(bounds, now)),
             proofs: Mutex::new(ProofTable::default()),
             leaving: Mutex::new(Vec::new()),
             in_flight_by_group: Mutex::new(HashMap::new()),
@@ -90,11 +91,16 @@
 
     /// Returns why no request may be served now, if so.
     pub(crate) fn refusal(&self) -> Option<Refusal> {
-        let entry_vms: Vec<VmId> =
-            self.configuration().entry_vms.iter().map(|it| it.vm.clone()).collect();
-        let text = match lock(&self.freshness).permit(&entry_vms, self.clock.now()) {
+        let own = &self.settings.vm;
+        let now = self.clock.now();
+        // Both locks, so that the entry VMs are those of the revision in force.
+        let held = lock(&self.configuration);
+        let permit = lock(&self.freshness).permit(&held.entry_vms, own, now);
+        drop(held);
+        let text = match permit {
             Permit::Serve { .. } => return None,
             Permit::Behind { newest } => format!("configuration {newest} is not in force here yet"),
+            Permit::Unlisted => format!("the configuration in force does not name entry VM {own}"),
             Permit::Alone { vouching, needed } => format!(
                 "neither the store nor enough entry VMs ({vouching} of {needed}) vouch for the configuration"
             ),
--- a/crates/mangocross-coordination/src/freshness.rs
+++ b/crates/mangocross-coordination/src/freshness.rs
@@ -5,20 +5,28 @@
 //! the node *asked*, on its own monotonic clock:
 //!
 //! 1. the store, directly or through a peer that read it;
-//! 2. a majority of the entry VMs, none of which holds a newer revision.
+//! 2. a majority of the coordinators of the entry VMs in the configuration in
+//!    force, none of which knows a newer revision.
 //!
-//! A revision counts as accepted once every node has it in force, or once a
-//! majority has it and the bound has passed since: by then every node that
-//! could still serve has heard of it from one of that majority, or has stopped.
-//! A whole store outage leaves the second way, and stops nothing.
+//! A vouch names the newest revision that the voucher *knows*, whether or not it
+//! holds the document yet. A coordinator that restarted has forgotten what it
+//! vouched for, so it vouches only once it is *established*: the store confirmed
+//! its revision after its start, or a majority of entry VMs, itself not counted,
+//! are established and know nothing newer.
+//!
+//! [`crate::AcceptanceTracker`] is the other half: when a revision is accepted.
 
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_types::EntryVmSpec;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
 
+use crate::Voucher;
+use crate::quorum::majority;
+
 /// Time limits of freshness.
 #[derive(Debug, Clone, Copy)]
 pub struct FreshnessBounds {
@@ -46,23 +54,40 @@
         /// Entry VMs that are needed.
         needed: usize,
     },
+    /// The configuration in force does not name this entry VM.
+    Unlisted,
+}
+
+/// What a coordinator says of the configuration.
+#[derive(Debug, Clone, Copy)]
+pub struct Vouch {
+    /// Newest revision that it knows of.
+    pub newest_known: Revision,
+    /// Whether it is established, so that its word counts.
+    pub established: bool,
+    /// Time since the store confirmed that nothing newer was there.
+    pub store_age: Option<Duration>,
 }
 
 /// What a node knows about the newest revision.
 #[derive(Debug, Clone)]
 pub struct Freshness {
     bounds: FreshnessBounds,
+    started_at: Instant,
+    established: bool,
     in_force: Revision,
     newest_known: Revision,
     store_confirmed_at: Option<Instant>,
-    vouched_at: HashMap<VmId, Instant>,
+    vouched_at: HashMap<Voucher, Instant>,
 }
 
 impl Freshness {
-    /// Returns the state of a node that knows nothing yet.
-    pub fn new(bounds: FreshnessBounds) -> Self {
+    /// Returns the state of a node that started now and knows nothing yet.
+    pub fn new(bounds: FreshnessBounds, started_at: Instant) -> Self {
         Self {
             bounds,
+            started_at,
+            established: false,
             in_force: Revision(0),
             newest_known: Revision(0),
             store_confirmed_at: None,
@@ -81,21 +106,39 @@
         self.newest_known = self.newest_known.max(revision);
         let newest = self.store_confirmed_at.map_or(asked_at, |it| it.max(asked_at));
         self.store_confirmed_at = Some(newest);
+        // What the store said of the time before the start may be older than
+        // what the process that ran here before had vouched for.
+        self.established |= asked_at >= self.started_at;
     }
 
-    /// Records the reply of a peer, which was asked at `asked_at`.
-    pub fn peer_said(
-        &mut self,
-        vm: &VmId,
-        revision: Revision,
-        store_age: Option<Duration>,
-        asked_at: Instant,
-    ) {
-        self.newest_known = self.newest_known.max(revision);
-        let heard = self.vouched_at.entry(vm.clone()).or_insert(asked_at);
-        *heard = (*heard).max(asked_at);
-        if let Some(confirmed_at) = store_age.and_then(|it| asked_at.checked_sub(it)) {
-            self.store_said(revision, confirmed_at);
+    /// Records the reply of a coordinator, which was asked at `asked_at`.
+    pub fn peer_said(&mut self, voucher: &Voucher, vouch: Vouch, asked_at: Instant) {
+        self.newest_known = self.newest_known.max(vouch.newest_known);
+        if vouch.established {
+            let heard = self.vouched_at.entry(voucher.clone()).or_insert(asked_at);
+            *heard = (*heard).max(asked_at);
+        }
+        if let Some(confirmed_at) = vouch.store_age.and_then(|it| asked_at.checked_sub(it)) {
+            self.store_said(vouch.newest_known, confirmed_at);
+        }
+    }
+
+    /// Lets this coordinator vouch once a majority of entry VMs, itself not counted, vouched.
+    pub fn establish(&mut self, entry_vms: &[EntryVmSpec], own: &VmId) {
+        if self.in_force == Revision(0) || self.in_force < self.newest_known {
+            return;
+        }
+        let others = entry_vms.iter().filter(|it| it.vm != *own);
+        let heard = others.filter(|it| self.vouched_at.contains_key(&Voucher::from(*it))).count();
+        self.established |= heard >= majority(entry_vms.len());
+    }
+
+    /// Returns what this coordinator says of the configuration.
+    pub fn vouch(&self, now: Instant) -> Vouch {
+        Vouch {
+            newest_known: self.newest_known,
+            established: self.established,
+            store_age: self.store_confirmed_at.map(|it| now.duration_since(it)),
         }
     }
 
@@ -109,16 +152,15 @@
         self.newest_known
     }
 
-    /// Returns how long ago the store confirmed the newest revision.
-    pub fn store_age(&self, now: Instant) -> Option<Duration> {
-        self.store_confirmed_at.map(|it| now.duration_since(it))
-    }
-
-    /// Decides whether requests may be served, given the entry VMs of the configuration in force.
-    pub fn permit(&self, entry_vms: &[VmId], now: Instant) -> Permit {
+    /// Decides whether requests may be served on entry VM `own`, given the entry VMs of the
+    /// configuration in force.
+    pub fn permit(&self, entry_vms: &[EntryVmSpec], own: &VmId, now: Instant) -> Permit {
         if self.in_force < self.newest_known || self.in_force == Revision(0) {
             return Permit::Behind { newest: self.newest_known };
         }
+        if !entry_vms.is_empty() && entry_vms.iter().all(|it| it.vm != *own) {
+            return Permit::Unlisted;
+        }
         let by_store = self.store_confirmed_at.map(|it| it + self.bounds.vouch);
         let by_peers = self.majority_until(entry_vms);
         match by_store.max(by_peers) {
@@ -131,20 +173,18 @@
     }
 
     /// Returns until when a majority vouches, if it ever did.
-    fn majority_until(&self, entry_vms: &[VmId]) -> Option<Instant> {
-        let mut heard: Vec<Instant> =
-            entry_vms.iter().filter_map(|vm| self.vouched_at.get(vm).copied()).collect();
+    fn majority_until(&self, entry_vms: &[EntryVmSpec]) -> Option<Instant> {
+        let mut heard: Vec<Instant> = self.heard(entry_vms).collect();
         heard.sort_unstable_by(|a, b| b.cmp(a));
-        let decisive = majority(entry_vms.len()).checked_sub(1)?;
+        let decisive = majority(entry_vms.len()) - 1;
         heard.get(decisive).map(|it| *it + self.bounds.vouch)
     }
 
-    fn vouching(&self, entry_vms: &[VmId], now: Instant) -> usize {
-        let heard = entry_vms.iter().filter_map(|vm| self.vouched_at.get(vm));
-        heard.filter(|it| now < **it + self.bounds.vouch).count()
+    fn vouching(&self, entry_vms: &[EntryVmSpec], now: Instant) -> usize {
+        self.heard(entry_vms).filter(|it| now < *it + self.bounds.vouch).count()
     }
-}
 
-fn majority(members: usize) -> usize {
-    members / 2 + 1
+    fn heard<'a>(&'a self, entry_vms: &'a [EntryVmSpec]) -> impl Iterator<Item = Instant> + 'a {
+        entry_vms.iter().filter_map(|it| self.vouched_at.get(&Voucher::from(it)).copied())
+    }
 }
--- /dev/null
+++ b/crates/mangocross-coordination/tests/acceptance.rs
@@ -0,0 +1,158 @@
+//! When a revision counts as accepted, and who vouches.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::AcceptanceCandidate;
+use mangocross_coordination::AcceptanceTracker;
+use mangocross_coordination::Freshness;
+use mangocross_coordination::FreshnessBounds;
+use mangocross_coordination::Permit;
+use mangocross_coordination::Sighting;
+use mangocross_coordination::Vouch;
+use mangocross_coordination::Voucher;
+use mangocross_types::EntryVmSpec;
+use mangocross_types::Revision;
+
+const VOUCH: Duration = Duration::from_millis(1_000);
+const BOUNDS: FreshnessBounds = FreshnessBounds { vouch: VOUCH };
+
+fn entry_vm(number: u16) -> EntryVmSpec {
+    EntryVmSpec {
+        vm: format!("entry-{number}").parse().unwrap(),
+        availability_zone: "zone-1".parse().unwrap(),
+        coordinator: SocketAddr::from(([127, 0, 0, 1], 7_000 + number)),
+    }
+}
+
+fn entry_vms() -> Vec<EntryVmSpec> {
+    (1..=3).map(entry_vm).collect()
+}
+
+fn at(start: Instant, milliseconds: u64) -> Instant {
+    start + Duration::from_millis(milliseconds)
+}
+
+fn sighting(process_id: u64, revision: u64, asked_at: Instant, heard_at: Instant) -> Sighting {
+    Sighting { process_id, revision: Revision(revision), asked_at, heard_at }
+}
+
+fn vouch(newest_known: u64) -> Vouch {
+    Vouch { newest_known: Revision(newest_known), established: true, store_age: None }
+}
+
+fn accepted(tracker: &AcceptanceTracker, now: Instant) -> bool {
+    let entry_vms = entry_vms();
+    let candidate = AcceptanceCandidate {
+        revision: Revision(2),
+        entry_vms: &entry_vms,
+        accepted_base: Some(&entry_vms),
+    };
+    tracker.check(&candidate, now).is_accepted()
+}
+
+fn say(tracker: &mut AcceptanceTracker, number: u16, it: Sighting) {
+    tracker.coordinator_said(Voucher::from(&entry_vm(number)), true, &it);
+}
+
+#[test]
+fn majority_that_held_a_revision_one_after_the_other_does_not_count() {
+    let start = Instant::now();
+    let mut tracker = AcceptanceTracker::new(VOUCH);
+    say(&mut tracker, 1, sighting(1, 2, start, at(start, 10)));
+    // Entry VM 1 may have restarted and forgotten before entry VM 2 learned of the revision.
+    say(&mut tracker, 2, sighting(2, 2, at(start, 100), at(start, 110)));
+    assert!(!accepted(&tracker, at(start, 9_000)));
+    say(&mut tracker, 1, sighting(1, 2, at(start, 120), at(start, 130)));
+    say(&mut tracker, 2, sighting(2, 2, at(start, 120), at(start, 130)));
+    assert!(accepted(&tracker, at(start, 9_000)));
+}
+
+#[test]
+fn another_process_on_the_same_entry_vm_starts_anew() {
+    let start = Instant::now();
+    let mut tracker = AcceptanceTracker::new(VOUCH);
+    say(&mut tracker, 1, sighting(1, 2, start, at(start, 10)));
+    say(&mut tracker, 1, sighting(9, 1, at(start, 190), at(start, 200)));
+    say(&mut tracker, 2, sighting(2, 2, at(start, 90), at(start, 100)));
+    say(&mut tracker, 2, sighting(2, 2, at(start, 190), at(start, 200)));
+    assert!(!accepted(&tracker, at(start, 9_000)));
+}
+
+#[test]
+fn coordinator_that_is_not_established_does_not_count() {
+    let start = Instant::now();
+    let mut tracker = AcceptanceTracker::new(VOUCH);
+    for number in [1, 2] {
+        let voucher = Voucher::from(&entry_vm(number));
+        let it = sighting(number.into(), 2, at(start, 20), at(start, 10));
+        tracker.coordinator_said(voucher, false, &it);
+    }
+    assert!(!accepted(&tracker, at(start, 9_000)));
+}
+
+#[test]
+fn accepted_at_once_when_in_force_at_every_gateway() {
+    let start = Instant::now();
+    let mut tracker = AcceptanceTracker::new(VOUCH);
+    for number in 1..=3 {
+        let it = sighting(number.into(), 2, at(start, 20), at(start, 10));
+        say(&mut tracker, number, it);
+        assert!(!accepted(&tracker, at(start, 30)));
+        tracker.gateway_said(entry_vm(number).vm, &it);
+    }
+    assert!(accepted(&tracker, at(start, 30)));
+}
+
+#[test]
+fn poll_that_was_long_under_way_does_not_show_a_gateway_in_force() {
+    let start = Instant::now();
+    let mut tracker = AcceptanceTracker::new(VOUCH);
+    for number in 1..=3 {
+        say(&mut tracker, number, sighting(number.into(), 2, at(start, 90), at(start, 50)));
+        // Sent at 20 by a gateway that may have restarted since.
+        let late = sighting(number.into(), 2, at(start, 20), at(start, 80));
+        tracker.gateway_said(entry_vm(number).vm, &late);
+    }
+    assert!(!accepted(&tracker, at(start, 100)));
+}
+
+#[test]
+fn voucher_that_only_heard_of_a_newer_revision_names_it() {
+    let start = Instant::now();
+    let mut coordinator = Freshness::new(BOUNDS, start);
+    coordinator.applied(Revision(1));
+    coordinator.store_said(Revision(1), start);
+    let store = Vouch { store_age: Some(Duration::ZERO), ..vouch(2) };
+    coordinator.peer_said(&Voucher::from(&entry_vm(2)), store, start);
+    // It holds revision 1 still, with the store's fresh word for revision 2.
+    let mut gateway = Freshness::new(BOUNDS, start);
+    gateway.applied(Revision(1));
+    gateway.peer_said(&Voucher::from(&entry_vm(1)), coordinator.vouch(start), start);
+    let permit = gateway.permit(&entry_vms(), &entry_vm(1).vm, start);
+    assert_eq!(permit, Permit::Behind { newest: Revision(2) });
+}
+
+#[test]
+fn process_left_at_an_old_address_does_not_vouch() {
+    let start = Instant::now();
+    let mut gateway = Freshness::new(BOUNDS, start);
+    gateway.applied(Revision(1));
+    let old = Voucher { address: entry_vm(7).coordinator, ..Voucher::from(&entry_vm(2)) };
+    gateway.peer_said(&Voucher::from(&entry_vm(1)), vouch(1), start);
+    gateway.peer_said(&old, vouch(1), start);
+    let permit = gateway.permit(&entry_vms(), &entry_vm(1).vm, start);
+    assert_eq!(permit, Permit::Alone { vouching: 1, needed: 2 });
+}
+
+#[test]
+fn entry_vm_that_is_not_named_serves_nothing() {
+    let start = Instant::now();
+    let mut gateway = Freshness::new(BOUNDS, start);
+    gateway.applied(Revision(1));
+    gateway.store_said(Revision(1), start);
+    assert_eq!(gateway.permit(&entry_vms(), &entry_vm(9).vm, start), Permit::Unlisted);
+    let until = start + VOUCH;
+    assert_eq!(gateway.permit(&entry_vms(), &entry_vm(1).vm, start), Permit::Serve { until });
+}
--- /dev/null
+++ b/crates/mangocross-coordination/tests/support/mod.rs
@@ -0,0 +1,503 @@
+//! A model of entry VMs that poll each other, on logical time.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use fastrand::Rng;
+use mangocross_coordination::AcceptanceCandidate;
+use mangocross_coordination::AcceptanceTracker;
+use mangocross_coordination::Freshness;
+use mangocross_coordination::FreshnessBounds;
+use mangocross_coordination::Permit;
+use mangocross_coordination::Sighting;
+use mangocross_coordination::Vouch;
+use mangocross_coordination::Voucher;
+use mangocross_coordination::check_membership;
+use mangocross_types::EntryVmSpec;
+use mangocross_types::Revision;
+use mangocross_types::VmId;
+
+/// Length of a step.
+pub(crate) const STEP: Duration = Duration::from_millis(300);
+/// How long a vouch counts.
+pub(crate) const VOUCH: Duration = Duration::from_millis(3_000);
+
+/// The two processes of one entry VM.
+struct Node {
+    vm: VmId,
+    coordinator: Process,
+    gateway: Process,
+    tracker: AcceptanceTracker,
+    /// Revisions that this coordinator wrote and waits for.
+    written: Vec<Written>,
+    reads_store: bool,
+    hears_peers: bool,
+}
+
+struct Written {
+    revision: Revision,
+    base: Option<Vec<EntryVmSpec>>,
+}
+
+struct Process {
+    id: u64,
+    freshness: Freshness,
+    frozen: bool,
+    /// Stamp of each coordinator's last reply: its process and when it was made.
+    stamps: HashMap<VmId, (u64, Instant)>,
+}
+
+/// A message under way.
+#[derive(Clone)]
+enum Message {
+    Poll {
+        role: Role,
+        process: u64,
+        in_force: Revision,
+        echo: Option<(u64, Instant)>,
+        asked_at: Instant,
+    },
+    Reply {
+        role: Role,
+        process: u64,
+        from_process: u64,
+        vouch: Vouch,
+        in_force: Revision,
+        asked_at: Instant,
+        made_at: Instant,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Role {
+    Coordinator,
+    Gateway,
+}
+
+#[derive(Clone)]
+struct Envelope {
+    due: u32,
+    from: usize,
+    to: usize,
+    message: Message,
+}
+
+/// The whole model.
+pub(crate) struct World {
+    rng: Rng,
+    now: Instant,
+    step: u32,
+    nodes: Vec<Node>,
+    under_way: Vec<Envelope>,
+    /// Every configuration ever stored.
+    documents: BTreeMap<Revision, Vec<EntryVmSpec>>,
+    store_up: bool,
+    accepted: Revision,
+    last_process: u64,
+    changes_membership: bool,
+    pub(crate) served: u32,
+    pub(crate) accepted_count: u32,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, vms: u16, changes_membership: bool) -> Self {
+        let now = Instant::now() + Duration::from_secs(3_600);
+        let mut world = Self {
+            rng: Rng::with_seed(seed),
+            now,
+            step: 0,
+            nodes: Vec::new(),
+            under_way: Vec::new(),
+            documents: BTreeMap::new(),
+            store_up: true,
+            accepted: Revision(0),
+            last_process: 0,
+            changes_membership,
+            served: 0,
+            accepted_count: 0,
+        };
+        for number in 0..vms {
+            let node = world.new_node(number);
+            world.nodes.push(node);
+        }
+        let members = world.nodes.iter().map(spec).collect();
+        world.documents.insert(Revision(1), members);
+        world
+    }
+
+    /// Runs one step with faults.
+    pub(crate) fn step_with_faults(&mut self) -> Result<(), String> {
+        self.fault();
+        if self.rng.u8(..) < 40 {
+            self.write();
+        }
+        self.step()
+    }
+
+    /// Runs one step.
+    pub(crate) fn step(&mut self) -> Result<(), String> {
+        self.step += 1;
+        self.now += STEP;
+        self.deliver();
+        for node in 0..self.nodes.len() {
+            self.read_store(node);
+            self.poll(node, Role::Coordinator);
+            self.poll(node, Role::Gateway);
+        }
+        self.check_acceptance();
+        self.check_service()
+    }
+
+    /// Ends every fault but the store's.
+    pub(crate) fn heal(&mut self) {
+        for node in &mut self.nodes {
+            node.coordinator.frozen = false;
+            node.gateway.frozen = false;
+            node.hears_peers = true;
+            node.reads_store = true;
+        }
+    }
+
+    pub(crate) fn set_store(&mut self, up: bool) {
+        self.store_up = up;
+    }
+
+    pub(crate) fn cut(&mut self, node: usize, store: bool, peers: bool) {
+        self.nodes[node].reads_store = !store;
+        self.nodes[node].hears_peers = !peers;
+    }
+
+    pub(crate) fn restart(&mut self, node: usize) {
+        self.restart_coordinator(node);
+        self.restart_gateway(node);
+    }
+
+    pub(crate) fn serves(&self, node: usize) -> bool {
+        matches!(self.permit(node), Permit::Serve { .. })
+    }
+
+    pub(crate) fn newest_accepted(&self) -> bool {
+        self.accepted == self.newest()
+    }
+
+    /// Writes a configuration through the first coordinator that reaches the store.
+    pub(crate) fn write(&mut self) {
+        let reaching = (0..self.nodes.len()).filter(|it| self.reaches_store(*it));
+        let reaching: Vec<usize> = reaching.collect();
+        let Some(&writer) = self.rng.choice(&reaching) else { return };
+        let base = self.newest();
+        let before = self.documents[&base].clone();
+        let base_accepted = self.is_accepted(writer, base, None);
+        let after = self.next_members(&before);
+        if check_membership(&before, &after, base_accepted).is_err() {
+            return;
+        }
+        let revision = Revision(base.0 + 1);
+        self.documents.insert(revision, after);
+        let base = base_accepted.then_some(before);
+        self.nodes[writer].written.push(Written { revision, base });
+    }
+
+    fn next_members(&mut self, before: &[EntryVmSpec]) -> Vec<EntryVmSpec> {
+        let mut after = before.to_vec();
+        if self.changes_membership && self.rng.bool() {
+            let chosen = spec(&self.nodes[self.rng.usize(..self.nodes.len())]);
+            match after.iter().position(|it| *it == chosen) {
+                Some(index) if after.len() > 1 => drop(after.remove(index)),
+                Some(_) => {}
+                None => after.push(chosen),
+            }
+        }
+        after
+    }
+
+    fn fault(&mut self) {
+        let node = self.rng.usize(..self.nodes.len());
+        match self.rng.u8(..100) {
+            0..3 => self.store_up = !self.store_up,
+            3..8 => self.nodes[node].reads_store ^= true,
+            8..13 => self.nodes[node].hears_peers ^= true,
+            13..18 => self.nodes[node].coordinator.frozen ^= true,
+            18..23 => self.nodes[node].gateway.frozen ^= true,
+            23..27 => self.restart_coordinator(node),
+            27..31 => self.restart_gateway(node),
+            31..33 => self.restart(node),
+            33 => (0..self.nodes.len()).for_each(|it| self.restart(it)),
+            34..38 => self.heal(),
+            _ => {}
+        }
+    }
+
+    fn deliver(&mut self) {
+        let step = self.step;
+        let (due, later) = std::mem::take(&mut self.under_way)
+            .into_iter()
+            .partition(|it: &Envelope| it.due <= step);
+        self.under_way = later;
+        let due: Vec<Envelope> = due;
+        for envelope in due {
+            if !self.nodes[envelope.from].hears_peers && envelope.from != envelope.to {
+                continue;
+            }
+            if !self.nodes[envelope.to].hears_peers && envelope.from != envelope.to {
+                continue;
+            }
+            self.receive(envelope);
+        }
+    }
+
+    fn receive(&mut self, envelope: Envelope) {
+        let now = self.now;
+        let receiver = match &envelope.message {
+            Message::Reply { role: Role::Gateway, .. } => &self.nodes[envelope.to].gateway,
+            _ => &self.nodes[envelope.to].coordinator,
+        };
+        if receiver.frozen {
+            // A frozen process finds its mail when it wakes.
+            let due = self.step + 1;
+            self.under_way.push(Envelope { due, ..envelope });
+            return;
+        }
+        match envelope.message {
+            Message::Poll { role, process, in_force, echo, asked_at } => {
+                let from = self.nodes[envelope.from].vm.clone();
+                let node = &mut self.nodes[envelope.to];
+                let echoed = echo.filter(|(id, _)| *id == node.coordinator.id).map(|(_, at)| at);
+                if let (Role::Gateway, Some(asked_at)) = (role, echoed) {
+                    let sighting = Sighting {
+                        process_id: process,
+                        revision: in_force,
+                        asked_at,
+                        heard_at: now,
+                    };
+                    node.tracker.gateway_said(from, &sighting);
+                }
+                let reply = Message::Reply {
+                    role,
+                    process,
+                    from_process: node.coordinator.id,
+                    vouch: node.coordinator.freshness.vouch(now),
+                    in_force: node.coordinator.freshness.in_force(),
+                    asked_at,
+                    made_at: now,
+                };
+                self.send(envelope.to, envelope.from, reply);
+            }
+            Message::Reply { role, process, from_process, vouch, in_force, asked_at, made_at } => {
+                let voucher = voucher(&self.nodes[envelope.from]);
+                let applies = self.rng.u8(..) < 200;
+                let node = &mut self.nodes[envelope.to];
+                let receiver = match role {
+                    Role::Coordinator => &mut node.coordinator,
+                    Role::Gateway => &mut node.gateway,
+                };
+                let too_old = now.duration_since(asked_at) > VOUCH;
+                if receiver.id != process || too_old {
+                    return;
+                }
+                receiver.freshness.peer_said(&voucher, vouch, asked_at);
+                receiver.stamps.insert(voucher.vm.clone(), (from_process, made_at));
+                if in_force > receiver.freshness.in_force() && applies {
+                    receiver.freshness.applied(in_force);
+                }
+                let in_force = receiver.freshness.in_force();
+                if role == Role::Coordinator {
+                    let own = node.vm.clone();
+                    if let Some(members) = self.documents.get(&in_force) {
+                        node.coordinator.freshness.establish(members, &own);
+                    }
+                    let sighting = Sighting {
+                        process_id: from_process,
+                        revision: vouch.newest_known,
+                        asked_at,
+                        heard_at: now,
+                    };
+                    node.tracker.coordinator_said(voucher, vouch.established, &sighting);
+                }
+            }
+        }
+    }
+
+    fn read_store(&mut self, node: usize) {
+        if !self.reaches_store(node) {
+            return;
+        }
+        let newest = self.newest();
+        let (now, late) = (self.now, self.rng.u32(..3));
+        let coordinator = &mut self.nodes[node].coordinator;
+        let asked_at = now - STEP * late;
+        if late == 0 {
+            coordinator.freshness.applied(newest);
+            coordinator.freshness.store_said(newest, asked_at);
+        }
+    }
+
+    fn poll(&mut self, node: usize, role: Role) {
+        for to in 0..self.nodes.len() {
+            let process = match role {
+                Role::Coordinator => &self.nodes[node].coordinator,
+                Role::Gateway => &self.nodes[node].gateway,
+            };
+            if process.frozen || (role == Role::Coordinator && to == node) {
+                continue;
+            }
+            let message = Message::Poll {
+                role,
+                process: process.id,
+                in_force: process.freshness.in_force(),
+                echo: process.stamps.get(&self.nodes[to].vm).copied(),
+                asked_at: self.now,
+            };
+            self.send(node, to, message);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let delay = match self.rng.u8(..100) {
+            0..5 => return,
+            5..70 => 0,
+            70..95 => self.rng.u32(1..4),
+            _ => self.rng.u32(4..40),
+        };
+        let envelope = Envelope { due: self.step + 1 + delay, from, to, message };
+        if self.rng.u8(..100) < 5 {
+            let due = envelope.due + self.rng.u32(..20);
+            self.under_way.push(Envelope { due, ..envelope.clone() });
+        }
+        self.under_way.push(envelope);
+    }
+
+    fn check_acceptance(&mut self) {
+        for index in 0..self.nodes.len() {
+            let now = self.now;
+            let own = voucher(&self.nodes[index]);
+            let node = &mut self.nodes[index];
+            if node.coordinator.frozen {
+                continue;
+            }
+            let vouch = node.coordinator.freshness.vouch(now);
+            let sighting = Sighting {
+                process_id: node.coordinator.id,
+                revision: vouch.newest_known,
+                asked_at: now,
+                heard_at: now,
+            };
+            node.tracker.coordinator_said(own, vouch.established, &sighting);
+            let written = std::mem::take(&mut node.written);
+            let mut waiting = Vec::new();
+            for it in written {
+                match self.is_accepted(index, it.revision, it.base.as_deref()) {
+                    true => self.accept(it.revision),
+                    false => waiting.push(it),
+                }
+            }
+            self.nodes[index].written = waiting;
+            // A repeated command asks another coordinator.
+            let newest = self.newest();
+            if self.rng.bool() && self.is_accepted(index, newest, None) {
+                self.accept(newest);
+            }
+        }
+    }
+
+    fn accept(&mut self, revision: Revision) {
+        self.accepted_count += 1;
+        self.accepted = self.accepted.max(revision);
+    }
+
+    fn is_accepted(&self, node: usize, revision: Revision, base: Option<&[EntryVmSpec]>) -> bool {
+        let candidate = AcceptanceCandidate {
+            revision,
+            entry_vms: &self.documents[&revision],
+            accepted_base: base,
+        };
+        self.nodes[node].tracker.check(&candidate, self.now).is_accepted()
+    }
+
+    fn check_service(&mut self) -> Result<(), String> {
+        for index in 0..self.nodes.len() {
+            let node = &self.nodes[index];
+            if node.gateway.frozen || !self.serves(index) {
+                continue;
+            }
+            self.served += 1;
+            let in_force = node.gateway.freshness.in_force();
+            if in_force < self.accepted {
+                return Err(format!(
+                    "step {}: {} serves under {in_force} though {} was accepted",
+                    self.step, node.vm, self.accepted
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn permit(&self, node: usize) -> Permit {
+        let node = &self.nodes[node];
+        let empty = Vec::new();
+        let members = self.documents.get(&node.gateway.freshness.in_force()).unwrap_or(&empty);
+        node.gateway.freshness.permit(members, &node.vm, self.now)
+    }
+
+    fn reaches_store(&self, node: usize) -> bool {
+        let node = &self.nodes[node];
+        self.store_up && node.reads_store && !node.coordinator.frozen
+    }
+
+    fn newest(&self) -> Revision {
+        self.documents.keys().next_back().copied().unwrap_or_default()
+    }
+
+    fn new_process(&mut self) -> Process {
+        self.last_process += 1;
+        let bounds = FreshnessBounds { vouch: VOUCH };
+        Process {
+            id: self.last_process,
+            freshness: Freshness::new(bounds, self.now),
+            frozen: false,
+            stamps: HashMap::new(),
+        }
+    }
+
+    fn new_node(&mut self, number: u16) -> Node {
+        Node {
+            vm: format!("entry-{number}").parse().unwrap(),
+            coordinator: self.new_process(),
+            gateway: self.new_process(),
+            tracker: AcceptanceTracker::new(VOUCH),
+            written: Vec::new(),
+            reads_store: true,
+            hears_peers: true,
+        }
+    }
+
+    fn restart_coordinator(&mut self, node: usize) {
+        self.nodes[node].coordinator = self.new_process();
+        self.nodes[node].tracker = AcceptanceTracker::new(VOUCH);
+        self.nodes[node].written.clear();
+    }
+
+    fn restart_gateway(&mut self, node: usize) {
+        self.nodes[node].gateway = self.new_process();
+    }
+}
+
+fn spec(node: &Node) -> EntryVmSpec {
+    EntryVmSpec {
+        vm: node.vm.clone(),
+        availability_zone: "zone-1".parse().unwrap(),
+        coordinator: address(&node.vm),
+    }
+}
+
+fn voucher(node: &Node) -> Voucher {
+    Voucher { vm: node.vm.clone(), address: address(&node.vm) }
+}
+
+fn address(vm: &VmId) -> SocketAddr {
+    let number: u16 = vm.as_str().trim_start_matches("entry-").parse().unwrap();
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + number))
+}
--- /dev/null
+++ b/crates/mangocross-operator/src/difference.rs
@@ -0,0 +1,45 @@
+//! What a change does to a configuration, part by part.
+
+use std::collections::BTreeMap;
+
+use mangocross_types::Configuration;
+use serde_json::Value;
+
+/// Returns the parts that differ, each with its JSON text now and then.
+///
+/// A part is a field, or an object of a list, named by its id. The commands
+/// remembered are left out.
+pub fn difference(now: &Configuration, then: &Configuration) -> Vec<Vec<String>> {
+    let (now, then) = (parts(now), parts(then));
+    let mut names: Vec<&String> = now.keys().chain(then.keys()).collect();
+    names.sort_unstable();
+    names.dedup();
+    let text = |it: Option<&Value>| it.map_or("-".to_owned(), Value::to_string);
+    let changed = names.into_iter().filter(|it| now.get(*it) != then.get(*it));
+    changed.map(|it| vec![it.clone(), text(now.get(it)), text(then.get(it))]).collect()
+}
+
+fn parts(configuration: &Configuration) -> BTreeMap<String, Value> {
+    let mut parts = BTreeMap::new();
+    let Ok(Value::Object(fields)) = serde_json::to_value(configuration) else { return parts };
+    for (field, value) in fields {
+        match value {
+            _ if field == "recent_commands" => {}
+            Value::Array(items) => {
+                parts.extend(items.into_iter().map(|it| (item_name(&field, &it), it)));
+            }
+            Value::Object(inner) => {
+                parts.extend(inner.into_iter().map(|(key, it)| (format!("{field}.{key}"), it)));
+            }
+            other => {
+                parts.insert(field, other);
+            }
+        }
+    }
+    parts
+}
+
+fn item_name(field: &str, item: &Value) -> String {
+    let id = ["id", "vm"].iter().find_map(|it| item.get(it)).or(Some(item));
+    format!("{field} {}", id.and_then(Value::as_str).unwrap_or_default())
+}
--- a/crates/mangocross-operator/src/lib.rs
+++ b/crates/mangocross-operator/src/lib.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod command;
+mod difference;
 mod parse;
 mod wire;
 
@@ -12,6 +13,7 @@
 pub use command::Change;
 pub use command::Command;
 pub use command::Query;
+pub use difference::difference;
 pub use parse::ParseError;
 pub use parse::parse;
 pub use wire::OperatorAnswer;
--- a/peers/peer-entry/src/lib.rs
+++ b/peers/peer-entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub use messages::Poll;
 pub use messages::PollReply;
 pub use messages::ProcessRole;
+pub use messages::ReplyStamp;
 pub use poller::PollTiming;
 pub use poller::Poller;
 pub use poller::PollerHandler;
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -36,6 +36,20 @@
     pub serving: bool,
     /// Use by customer at this gateway.
     pub usage: Vec<CustomerUsage>,
+    /// The newest reply that came from the coordinator asked; filled in by the poller.
+    ///
+    /// It tells the coordinator that this poll was sent after that reply, however long
+    /// the poll was under way.
+    pub echo: Option<ReplyStamp>,
+}
+
+/// When a reply was made, by the clock of the process that made it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplyStamp {
+    /// Random number chosen at the process's start.
+    pub process_id: u64,
+    /// Time since the process's start, in milliseconds.
+    pub uptime_ms: u64,
 }
 
 /// Use of a customer's limits.
@@ -60,12 +74,16 @@
     pub nonce: u64,
     /// The VM that answers.
     pub vm: VmId,
-    /// Random number chosen at the process's start.
-    pub process_id: u64,
-    /// Newest revision of the configuration that the answerer holds.
+    /// When the reply was made, and by which process.
+    pub stamp: ReplyStamp,
+    /// Newest revision of the configuration that can be fetched from the answerer.
     pub revision: Revision,
-    /// Time since the answerer learned from the store that `revision` was the
-    /// newest, in milliseconds; `None` if it never did.
+    /// Newest revision that the answerer knows of.
+    pub newest_known: Revision,
+    /// Whether the answerer vouches that it knows of nothing newer.
+    pub established: bool,
+    /// Time since the store confirmed that nothing newer than `newest_known` was
+    /// there, in milliseconds, rounded up; `None` if it never did.
     pub store_age_ms: Option<u32>,
     /// Proofs from the answerer's own probes; no time left means that the group is
     /// known to be incomplete.
--- a/peers/peer-entry/src/poller.rs
+++ b/peers/peer-entry/src/poller.rs
@@ -6,6 +6,7 @@
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -18,6 +19,7 @@
 
 use crate::Poll;
 use crate::PollReply;
+use crate::ReplyStamp;
 use crate::frame::PeerKey;
 
 /// Largest datagram that is received, in bytes.
@@ -39,7 +41,7 @@
     /// Returns the coordinators to poll now.
     fn targets(&self) -> Vec<SocketAddr>;
 
-    /// Returns the poll to send; its nonce is filled in by the poller.
+    /// Returns the poll to send; its nonce and echo are filled in by the poller.
     fn poll(&self) -> Poll;
 
     /// Takes a reply to a poll that was sent at `asked_at`.
@@ -65,6 +67,7 @@
     timing: PollTiming,
     handler: Arc<dyn PollerHandler>,
     outstanding: Mutex<HashMap<u64, Outstanding>>,
+    stamps: Mutex<HashMap<SocketAddr, ReplyStamp>>,
     closed: Arc<AtomicBool>,
     dropped_frames: Arc<AtomicU64>,
 }
@@ -93,6 +96,7 @@
             timing,
             handler,
             outstanding: Mutex::new(HashMap::new()),
+            stamps: Mutex::new(HashMap::new()),
             closed: Arc::clone(&closed),
             dropped_frames: Arc::clone(&dropped_frames),
         });
@@ -118,7 +122,9 @@
     fn send_loop(&self) {
         while !self.closed.load(Ordering::Relaxed) {
             self.forget_old();
-            for to in self.handler.targets() {
+            let targets = self.handler.targets();
+            lock(&self.stamps).retain(|it, _| targets.contains(it));
+            for to in targets {
                 self.send(to);
             }
             thread::sleep(self.timing.interval);
@@ -128,9 +134,10 @@
     fn send(&self, to: SocketAddr) {
         let mut poll = self.handler.poll();
         poll.nonce = fastrand::u64(..);
+        poll.echo = lock(&self.stamps).get(&to).copied();
         let frame = self.key.seal(&poll);
         let asked_at = self.clock.now();
-        self.lock().insert(poll.nonce, Outstanding { to, asked_at });
+        lock(&self.outstanding).insert(poll.nonce, Outstanding { to, asked_at });
         if let Err(error) = self.socket.send_to(&frame, to) {
             log::debug!("poll to {to} could not be sent: {error}");
         }
@@ -139,7 +146,7 @@
     fn forget_old(&self) {
         let now = self.clock.now();
         let age_max = self.timing.reply_age_max;
-        self.lock().retain(|_, it| now.duration_since(it.asked_at) <= age_max);
+        lock(&self.outstanding).retain(|_, it| now.duration_since(it.asked_at) <= age_max);
     }
 
     fn receive_loop(&self) {
@@ -155,18 +162,19 @@
     fn receive(&self, from: SocketAddr, frame: &[u8]) -> bool {
         let Ok(reply) = self.key.open::<PollReply>(frame) else { return false };
         let now = self.clock.now();
-        let asked_at = match self.lock().get(&reply.nonce) {
+        let asked_at = match lock(&self.outstanding).get(&reply.nonce) {
             Some(it) if it.to == from => it.asked_at,
             _ => return false,
         };
         if now.duration_since(asked_at) > self.timing.reply_age_max {
             return false;
         }
+        lock(&self.stamps).insert(from, reply.stamp);
         self.handler.reply(from, asked_at, reply);
         true
     }
+}
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, Outstanding>> {
-        self.outstanding.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
