--- a/benches/src/bin/capacity.rs
+++ b/benches/src/bin/capacity.rs
@@ -12,13 +12,15 @@
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
 use mangocross_coordination::ProofTable;
+use mangocross_coordination::Vouch;
+use mangocross_coordination::Voucher;
 use mangocross_http::HttpTimeouts;
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Process;
 use mangocross_types::Configuration;
+use mangocross_types::EntryVmSpec;
 use mangocross_types::Rank;
 use mangocross_types::Revision;
-use mangocross_types::VmId;
 use mangocross_types::VmListEntry;
 use peer_engine::EngineClient;
 use serde::Serialize;
@@ -108,15 +110,16 @@
 }
 
 fn permit_time(entry_vms: usize) -> f64 {
-    let mut freshness = Freshness::new(FreshnessBounds { vouch: Duration::from_secs(6) });
-    freshness.applied(Revision(1));
     let now = Instant::now();
-    let vms: Vec<VmId> = (0..entry_vms).map(|it| sample::id("entry", it)).collect();
+    let mut freshness = Freshness::new(FreshnessBounds { vouch: Duration::from_secs(6) }, now);
+    freshness.applied(Revision(1));
+    let vms: Vec<EntryVmSpec> = (0..entry_vms).map(sample::entry_vm).collect();
+    let vouch = Vouch { newest_known: Revision(1), established: true, store_age: None };
     for vm in &vms {
-        freshness.peer_said(vm, Revision(1), None, now);
+        freshness.peer_said(&Voucher::from(vm), vouch, now);
     }
     time(|| {
-        black_box(freshness.permit(&vms, now));
+        black_box(freshness.permit(&vms, &vms[0].vm, now));
     })
 }
 
--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -10,6 +10,7 @@
 use mangocross_types::Configuration;
 use mangocross_types::EngineRole;
 use mangocross_types::EngineState;
+use mangocross_types::EntryVmSpec;
 use mangocross_types::FencingNumber;
 use mangocross_types::GroupAssignment;
 use mangocross_types::GroupPhase;
@@ -24,6 +25,7 @@
 use peer_entry::Poll;
 use peer_entry::PollReply;
 use peer_entry::ProcessRole;
+use peer_entry::ReplyStamp;
 use serde_json::Value;
 use serde_json::json;
 
@@ -51,6 +53,16 @@
         revision: Revision(24_000),
         serving: true,
         usage: (0..customers).map(usage).collect(),
+        echo: Some(stamp()),
+    }
+}
+
+/// Returns the specification of an entry VM.
+pub fn entry_vm(number: usize) -> EntryVmSpec {
+    EntryVmSpec {
+        vm: id("entry", number),
+        availability_zone: id("zone", 1),
+        coordinator: SocketAddr::from(([10, 0, 0, 1], 7_100)),
     }
 }
 
@@ -59,8 +71,10 @@
     PollReply {
         nonce: u64::MAX,
         vm: id("entry", 1),
-        process_id: u64::MAX,
+        stamp: stamp(),
         revision: Revision(24_000),
+        newest_known: Revision(24_000),
+        established: true,
         store_age_ms: Some(1_000),
         proofs: (0..groups).map(proof).collect(),
         domains: Vec::new(),
@@ -69,6 +83,10 @@
     }
 }
 
+fn stamp() -> ReplyStamp {
+    ReplyStamp { process_id: u64::MAX, uptime_ms: 86_400_000 }
+}
+
 fn proof(number: usize) -> GroupProof {
     GroupProof {
         group: id("group", number),
