feat(coordination): remember the newest revision found accepted

A second command right after a first one did not know its base as accepted and waited for the vouch bound.

--- a/crates/mangocross-coordination/src/acceptance.rs
+++ b/crates/mangocross-coordination/src/acceptance.rs
@@ -108,6 +108,8 @@
 #[derive(Debug, Clone)]
 pub struct AcceptanceTracker {
     bound: Duration,
+    /// Newest revision found accepted; that does not change again.
+    accepted: Revision,
     own: Record,
     coordinators: HashMap<Voucher, Record>,
     gateways: HashMap<VmId, Record>,
@@ -127,6 +129,7 @@
     pub fn new(vouch: Duration) -> Self {
         Self {
             bound: vouch + vouch / CLOCK_MARGIN_DIVISOR,
+            accepted: Revision(0),
             own: Record::default(),
             coordinators: HashMap::new(),
             gateways: HashMap::new(),
@@ -153,7 +156,7 @@
     }
 
     /// Decides whether a revision is accepted.
-    pub fn check(&self, candidate: &AcceptanceCandidate<'_>, now: Instant) -> Acceptance {
+    pub fn check(&mut self, candidate: &AcceptanceCandidate<'_>, now: Instant) -> Acceptance {
         let lacking = self.lacking(candidate, now);
         let known_at = if candidate.entry_vms.is_empty() {
             // Without entry VMs only the store vouches.
@@ -163,6 +166,9 @@
         };
         let accepted_at = known_at.map(|it| it + self.bound);
         if accepted_at.is_some_and(|it| it <= now) || self.in_force_everywhere(candidate) {
+            self.accepted = self.accepted.max(candidate.revision);
+        }
+        if candidate.revision <= self.accepted {
             Acceptance::Accepted { lacking }
         } else {
             Acceptance::Pending { accepted_at, lacking }
--- a/crates/mangocross-coordination/tests/acceptance.rs
+++ b/crates/mangocross-coordination/tests/acceptance.rs
@@ -42,7 +42,7 @@
     Vouch { newest_known: Revision(newest_known), established: true, store_age: None }
 }
 
-fn accepted(tracker: &AcceptanceTracker, now: Instant) -> bool {
+fn accepted(tracker: &mut AcceptanceTracker, now: Instant) -> bool {
     let entry_vms = entry_vms();
     let candidate = AcceptanceCandidate {
         revision: Revision(2),
@@ -63,10 +63,10 @@
     say(&mut tracker, 1, sighting(1, 2, start, at(start, 10)));
     // Entry VM 1 may have restarted and forgotten before entry VM 2 learned of the revision.
     say(&mut tracker, 2, sighting(2, 2, at(start, 100), at(start, 110)));
-    assert!(!accepted(&tracker, at(start, 9_000)));
+    assert!(!accepted(&mut tracker, at(start, 9_000)));
     say(&mut tracker, 1, sighting(1, 2, at(start, 120), at(start, 130)));
     say(&mut tracker, 2, sighting(2, 2, at(start, 120), at(start, 130)));
-    assert!(accepted(&tracker, at(start, 9_000)));
+    assert!(accepted(&mut tracker, at(start, 9_000)));
 }
 
 #[test]
@@ -77,7 +77,7 @@
     say(&mut tracker, 1, sighting(9, 1, at(start, 190), at(start, 200)));
     say(&mut tracker, 2, sighting(2, 2, at(start, 90), at(start, 100)));
     say(&mut tracker, 2, sighting(2, 2, at(start, 190), at(start, 200)));
-    assert!(!accepted(&tracker, at(start, 9_000)));
+    assert!(!accepted(&mut tracker, at(start, 9_000)));
 }
 
 #[test]
@@ -89,7 +89,7 @@
         let it = sighting(number.into(), 2, at(start, 20), at(start, 10));
         tracker.coordinator_said(voucher, false, &it);
     }
-    assert!(!accepted(&tracker, at(start, 9_000)));
+    assert!(!accepted(&mut tracker, at(start, 9_000)));
 }
 
 #[test]
@@ -99,10 +99,10 @@
     for number in 1..=3 {
         let it = sighting(number.into(), 2, at(start, 20), at(start, 10));
         say(&mut tracker, number, it);
-        assert!(!accepted(&tracker, at(start, 30)));
+        assert!(!accepted(&mut tracker, at(start, 30)));
         tracker.gateway_said(entry_vm(number).vm, &it);
     }
-    assert!(accepted(&tracker, at(start, 30)));
+    assert!(accepted(&mut tracker, at(start, 30)));
 }
 
 #[test]
@@ -115,7 +115,7 @@
         let late = sighting(number.into(), 2, at(start, 20), at(start, 80));
         tracker.gateway_said(entry_vm(number).vm, &late);
     }
-    assert!(!accepted(&tracker, at(start, 100)));
+    assert!(!accepted(&mut tracker, at(start, 100)));
 }
 
 #[test]
--- a/crates/mangocross-coordination/tests/support/mod.rs
+++ b/crates/mangocross-coordination/tests/support/mod.rs
@@ -408,7 +408,12 @@
         self.accepted = self.accepted.max(revision);
     }
 
-    fn is_accepted(&self, node: usize, revision: Revision, base: Option<&[EntryVmSpec]>) -> bool {
+    fn is_accepted(
+        &mut self,
+        node: usize,
+        revision: Revision,
+        base: Option<&[EntryVmSpec]>,
+    ) -> bool {
         let candidate = AcceptanceCandidate {
             revision,
             entry_vms: &self.documents[&revision],
