--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -53,6 +53,7 @@
         revision: Revision(24_000),
         serving: true,
         usage: (0..customers).map(usage).collect(),
+        failures: Vec::new(),
         echo: Some(stamp()),
     }
 }
--- a/bins/mangocross-coordinator/src/operators.rs
+++ b/bins/mangocross-coordinator/src/operators.rs
@@ -17,9 +17,6 @@
 use crate::queries;
 use crate::state::CoordinatorState;
 
-/// The line that puts a whole configuration in place.
-const REPLACE: &str = "replace config";
-
 /// Answers one request of an operator.
 pub(crate) fn handle(state: &CoordinatorState, mut request: ServerRequest) {
     match (request.method(), request.path()) {
@@ -42,16 +39,17 @@
 }
 
 fn serve(state: &CoordinatorState, request: &OperatorRequest) -> Result<OperatorAnswer, Refusal> {
-    if request.text == REPLACE {
-        let given = request.configuration.as_ref().ok_or_else(|| {
-            Refusal::not_run(ResultCode::MalformedRequest, "`replace config` needs a configuration")
-        })?;
-        return changes::carry_out(state, request, |current| Ok(replaced(current, given)));
-    }
     let command = parse(&request.text)
         .map_err(|it| Refusal::not_run(ResultCode::CommandSyntax, it.message))?;
     match command {
         Command::Query(query) => queries::answer(state, &query),
+        Command::ReplaceConfiguration => {
+            let given = request.configuration.as_ref().ok_or_else(|| {
+                let text = "`replace config` needs a configuration; mangoctl takes it by --file";
+                Refusal::not_run(ResultCode::MalformedRequest, text)
+            })?;
+            changes::carry_out(state, request, |current| Ok(replaced(current, given)))
+        }
         Command::Change(wanted) => changes::carry_out(state, request, |it| applied(it, &wanted)),
     }
 }
--- a/bins/mangocross-coordinator/src/queries.rs
+++ b/bins/mangocross-coordinator/src/queries.rs
@@ -6,10 +6,12 @@
 use mangocross_types::DomainAssignment;
 use mangocross_types::GroupAssignment;
 use mangocross_types::GroupId;
+use mangocross_types::KindTarget;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use mangocross_types::VmId;
 
+use crate::failures;
 use crate::state::CoordinatorState;
 use crate::state::lock;
 
@@ -21,12 +23,17 @@
         Query::ShowGroups => Ok(show_groups(state, answer)),
         Query::ShowVms => Ok(show_vms(state, answer)),
         Query::ShowNodes => Ok(show_nodes(state, answer)),
+        Query::ShowCustomers => Ok(show_customers(state, answer)),
+        Query::ShowKinds => Ok(show_kinds(state, answer)),
+        Query::ShowServices => Ok(show_services(state, answer)),
+        Query::ShowCommands => Ok(show_commands(state, answer)),
         Query::ShowConfiguration => {
             let text = serde_json::to_string_pretty(state.configuration().as_ref());
             Ok(OperatorAnswer::message(revision, text.unwrap_or_default()))
         }
         Query::WhyGroup(group) => why_group(state, group, answer),
         Query::WhyVm(vm) => Ok(why_vm(state, vm, answer)),
+        Query::WhyRequest(request) => failures::why_request(state, request, answer),
     }
 }
 
@@ -73,6 +80,57 @@
     answer.table(&["gateway", "revision in force", "heard"], rows)
 }
 
+fn show_customers(state: &CoordinatorState, answer: OperatorAnswer) -> OperatorAnswer {
+    let configuration = state.configuration();
+    let rows = configuration.customers.iter().map(|it| {
+        vec![
+            it.id.to_string(),
+            it.requests_per_second.to_string(),
+            it.in_flight_max.to_string(),
+            it.priority.to_string(),
+        ]
+    });
+    answer.table(&["customer", "requests per second", "in flight", "priority"], rows.collect())
+}
+
+fn show_kinds(state: &CoordinatorState, answer: OperatorAnswer) -> OperatorAnswer {
+    let configuration = state.configuration();
+    let rows = configuration.kinds.iter().map(|it| {
+        let target = match &it.target {
+            KindTarget::Model(model) => format!("model {model}"),
+            KindTarget::Service(service) => format!("service {service}"),
+        };
+        let idempotent = if it.idempotent { "yes" } else { "no" };
+        vec![
+            it.id.to_string(),
+            target,
+            idempotent.to_owned(),
+            it.priority.to_string(),
+            format!("{} ms", it.deadline_ms),
+        ]
+    });
+    answer.table(&["kind", "goes to", "idempotent", "priority", "deadline"], rows.collect())
+}
+
+fn show_services(state: &CoordinatorState, answer: OperatorAnswer) -> OperatorAnswer {
+    let configuration = state.configuration();
+    let rows = configuration.services.iter().map(|it| {
+        let servers: Vec<String> = it.backend_servers.iter().map(ToString::to_string).collect();
+        let servers = if servers.is_empty() { "listed".to_owned() } else { servers.join(" ") };
+        vec![it.id.to_string(), servers]
+    });
+    answer.table(&["service", "backend servers"], rows.collect())
+}
+
+fn show_commands(state: &CoordinatorState, answer: OperatorAnswer) -> OperatorAnswer {
+    let configuration = state.configuration();
+    let commands = configuration.recent_commands.iter().rev();
+    let rows = commands
+        .map(|it| vec![it.id.to_string(), it.based_on.to_string(), it.text.clone()])
+        .collect();
+    answer.table(&["command id", "based on", "command"], rows)
+}
+
 fn why_group(
     state: &CoordinatorState,
     group: &GroupId,
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -1,7 +1,6 @@
 //! What the coordinator's threads share.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,23 +14,29 @@
 use mangocross_coordination::EngineVm;
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
+use mangocross_coordination::HeldAssignment;
+use mangocross_coordination::LeavingTable;
 use mangocross_coordination::ProbeTable;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
-use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
 use mangocross_types::Placements;
+use mangocross_types::RequestId;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
 use peer_engine::EngineClient;
 use peer_entry::ConfigurationDocument;
 use peer_entry::CustomerUsage;
 use peer_entry::DomainSummary;
+use peer_entry::FetchSource;
+use peer_entry::RequestFailure;
 use peer_platform::PlatformClient;
 use peer_store::HttpStore;
 use peer_store::Store;
 
+use crate::failures::KnownFailures;
+
 /// A coordinator that answers polls.
 #[derive(Debug, Clone)]
 pub(crate) struct LivePeer {
@@ -47,19 +52,13 @@
     pub(crate) usage: Vec<CustomerUsage>,
 }
 
-/// A fabric domain's assignment as last read or written.
-#[derive(Debug, Clone)]
-pub(crate) struct HeldAssignment {
-    pub(crate) assignment: DomainAssignment,
-    pub(crate) revision: Revision,
-}
-
 /// What the coordinator's threads share.
 pub(crate) struct CoordinatorState {
     pub(crate) settings: CoordinatorSettings,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) process_id: u64,
     pub(crate) started_at: Instant,
+    pub(crate) failures: Mutex<KnownFailures>,
     pub(crate) acceptance: Mutex<AcceptanceTracker>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) platform: PlatformClient,
@@ -69,7 +68,7 @@
     pub(crate) peers: Mutex<HashMap<VmId, LivePeer>>,
     pub(crate) gateways: Mutex<HashMap<VmId, PollingGateway>>,
     pub(crate) engines_by_domain: Mutex<BTreeMap<FabricDomain, Vec<EngineVm>>>,
-    pub(crate) leaving: Mutex<BTreeSet<VmId>>,
+    pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) probes: Mutex<ProbeTable>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
     pub(crate) placements: Mutex<(Placements, Revision)>,
@@ -78,6 +77,7 @@
 impl CoordinatorState {
     pub(crate) fn open(settings: CoordinatorSettings, clock: Arc<dyn Clock>) -> Self {
         let started_at = clock.now();
+        let leaving_kept = Duration::from_millis(settings.leaving_kept_ms);
         let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
         Self {
             store: Arc::new(HttpStore::open(settings.store)),
@@ -87,13 +87,14 @@
             clock,
             process_id: fastrand::u64(..),
             started_at,
+            failures: Mutex::new(KnownFailures::default()),
             acceptance: Mutex::new(AcceptanceTracker::new(bounds.vouch)),
             configuration: Mutex::new((Arc::new(Configuration::default()), Arc::from(""))),
             freshness: Mutex::new(Freshness::new(bounds, started_at)),
             peers: Mutex::new(HashMap::new()),
             gateways: Mutex::new(HashMap::new()),
             engines_by_domain: Mutex::new(BTreeMap::new()),
-            leaving: Mutex::new(BTreeSet::new()),
+            leaving: Mutex::new(LeavingTable::new(leaving_kept)),
             probes: Mutex::new(ProbeTable::default()),
             assignments: Mutex::new(BTreeMap::new()),
             placements: Mutex::new((Placements::default(), Revision(0))),
@@ -108,14 +109,6 @@
         lock(&self.freshness)
     }
 
-    /// Returns the configuration in force, for peers to fetch.
-    pub(crate) fn configuration_document(&self) -> Option<ConfigurationDocument> {
-        let held = lock(&self.configuration);
-        let revision = lock(&self.freshness).in_force();
-        (revision > Revision(0))
-            .then(|| ConfigurationDocument { revision, text: held.1.as_ref().to_owned() })
-    }
-
     /// Puts a configuration in force unless a newer one already is.
     pub(crate) fn apply(&self, revision: Revision, configuration: Configuration, text: &str) {
         let mut held = lock(&self.configuration);
@@ -157,12 +150,41 @@
         Duration::from_millis(self.settings.proof_ms)
     }
 
+    /// How long an engine may fail all probes before it is replaced.
+    pub(crate) fn lost_after(&self) -> Duration {
+        Duration::from_millis(self.settings.lost_ms)
+    }
+
+    /// Longest time that an order can be under way.
+    pub(crate) fn order_lifetime(&self) -> Duration {
+        Duration::from_millis(self.settings.order_deadline_ms)
+    }
+
+    /// Returns whether a VM must receive no new work.
+    pub(crate) fn is_leaving(&self, vm: &VmId) -> bool {
+        let now = self.clock.now();
+        lock(&self.leaving).is_leaving(vm, now) || self.configuration().leaving_vms.contains(vm)
+    }
+
     /// How long a member with work may make no progress.
     pub(crate) fn stall_limit(&self) -> Duration {
         Duration::from_millis(self.settings.stall_ms)
     }
 }
 
+impl FetchSource for CoordinatorState {
+    fn configuration(&self) -> Option<ConfigurationDocument> {
+        let held = lock(&self.configuration);
+        let revision = lock(&self.freshness).in_force();
+        (revision > Revision(0))
+            .then(|| ConfigurationDocument { revision, text: held.1.as_ref().to_owned() })
+    }
+
+    fn failure(&self, request: &RequestId) -> Option<RequestFailure> {
+        lock(&self.failures).find(request)
+    }
+}
+
 /// Locks a mutex; each value is whole after every statement that changes it.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/bins/mangocross-gateway/src/generate.rs
+++ b/bins/mangocross-gateway/src/generate.rs
@@ -278,6 +278,7 @@
 
     fn fail(&self, sink: Option<Sink>, refusal: &Refusal) {
         self.log(&format!("failed: {} {}", refusal.code, refusal.message));
+        self.state.record_failure(&self.incoming.id, refusal);
         match sink {
             Some(Sink::Collected { request, .. }) => {
                 respond_refusal(*request, refusal, Some(&self.incoming.id));
--- a/bins/mangocross-gateway/src/main.rs
+++ b/bins/mangocross-gateway/src/main.rs
@@ -8,6 +8,7 @@
 use mangocross_settings::GatewaySettings;
 
 mod claim;
+mod failures;
 mod gateway;
 mod generate;
 mod handler;
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -11,6 +11,7 @@
 
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
+use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProofTable;
 use mangocross_settings::GatewaySettings;
@@ -19,6 +20,7 @@
 use mangocross_types::CustomerId;
 use mangocross_types::GroupId;
 use mangocross_types::Refusal;
+use mangocross_types::RequestId;
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
@@ -27,9 +29,14 @@
 use peer_store::HttpStore;
 use peer_store::Store;
 
+use crate::failures::FailureLog;
+
 /// When to come back after a refusal because the configuration may be old.
 const FRESHNESS_RETRY: Duration = Duration::from_secs(2);
 
+/// How long the word that a VM is leaving counts; longer than the platform's list lags.
+const LEAVING_KEPT: Duration = Duration::from_secs(600);
+
 /// What the gateway's threads share.
 #[derive(Debug)]
 pub(crate) struct GatewayState {
@@ -40,10 +47,11 @@
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
     pub(crate) stopping: AtomicBool,
+    pub(crate) failures: FailureLog,
     configuration: Mutex<Arc<Configuration>>,
     freshness: Mutex<Freshness>,
     pub(crate) proofs: Mutex<ProofTable>,
-    pub(crate) leaving: Mutex<Vec<VmId>>,
+    pub(crate) leaving: Mutex<LeavingTable>,
     in_flight_by_group: Mutex<HashMap<GroupId, u32>>,
     in_flight_by_customer: Mutex<HashMap<CustomerId, u32>>,
 }
@@ -60,10 +68,11 @@
             engines: EngineClient::open(),
             services: ServiceClient::open(),
             stopping: AtomicBool::new(false),
+            failures: FailureLog::default(),
             configuration: Mutex::new(Arc::new(Configuration::default())),
             freshness: Mutex::new(Freshness::new(bounds, now)),
             proofs: Mutex::new(ProofTable::default()),
-            leaving: Mutex::new(Vec::new()),
+            leaving: Mutex::new(LeavingTable::new(LEAVING_KEPT)),
             in_flight_by_group: Mutex::new(HashMap::new()),
             in_flight_by_customer: Mutex::new(HashMap::new()),
         })
@@ -108,6 +117,11 @@
         Some(Refusal::not_run(ResultCode::NotFresh, text).retry_after(FRESHNESS_RETRY))
     }
 
+    /// Remembers what a caller was told, for operators who ask why.
+    pub(crate) fn record_failure(&self, request: &RequestId, refusal: &Refusal) {
+        self.failures.record(request, refusal, self.clock.wall());
+    }
+
     pub(crate) fn in_flight_at(&self, group: &GroupId) -> u32 {
         lock(&self.in_flight_by_group).get(group).copied().unwrap_or_default()
     }
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -2,8 +2,12 @@
 
 use mangocross_types::CustomerId;
 use mangocross_types::FabricDomain;
+use mangocross_types::GroupId;
 use mangocross_types::GroupProof;
+use mangocross_types::RequestId;
+use mangocross_types::ResultCode;
 use mangocross_types::Revision;
+use mangocross_types::RunOutcome;
 use mangocross_types::VmId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -36,6 +40,8 @@
     pub serving: bool,
     /// Use by customer at this gateway.
     pub usage: Vec<CustomerUsage>,
+    /// Requests that failed lately; sent only to the coordinator on the same VM.
+    pub failures: Vec<RequestFailure>,
     /// The newest reply that came from the coordinator asked; filled in by the poller.
     ///
     /// It tells the coordinator that this poll was sent after that reply, however long
@@ -43,6 +49,23 @@
     pub echo: Option<ReplyStamp>,
 }
 
+/// A request that was refused or failed.
+///
+/// Size: at most about 300 bytes; a poll carries a few.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestFailure {
+    /// The request.
+    pub request: RequestId,
+    /// Result code.
+    pub code: ResultCode,
+    /// Whether the request ran.
+    pub outcome: RunOutcome,
+    /// What its caller was told.
+    pub message: String,
+    /// When it failed, as Unix time in milliseconds, for people.
+    pub failed_at_unix_ms: u64,
+}
+
 /// When a reply was made, by the clock of the process that made it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplyStamp {
@@ -65,7 +88,7 @@
 
 /// A coordinator's answer.
 ///
-/// Size: about 60 bytes, 90 for each group that it probes and 20 for each VM
+/// Size: about 60 bytes, 100 for each group that it probes and 25 for each VM
 /// that is leaving. An answer that would not fit a datagram is split; each part
 /// stands on its own.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -91,11 +114,21 @@
     /// Fabric domains that the answerer probes.
     pub domains: Vec<DomainSummary>,
     /// VMs that must receive no new work.
-    pub leaving: Vec<VmId>,
+    pub leaving: Vec<LeavingVm>,
     /// Use by customer at all other gateways that poll the answerer.
     pub usage: Vec<CustomerUsage>,
 }
 
+/// A VM that must receive no new work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingVm {
+    /// The VM.
+    pub vm: VmId,
+    /// Time since the platform or the VM itself last said so, in milliseconds;
+    /// passing the word on does not make it younger.
+    pub age_ms: u32,
+}
+
 /// Room in a fabric domain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DomainSummary {
@@ -105,4 +138,6 @@
     pub idle_vms: u16,
     /// VMs that answer probes.
     pub healthy_vms: u16,
+    /// Groups that the domain's idle VMs cannot complete.
+    pub stuck_groups: Vec<GroupId>,
 }
--- a/peers/peer-entry/src/poller.rs
+++ b/peers/peer-entry/src/poller.rs
@@ -41,8 +41,8 @@
     /// Returns the coordinators to poll now.
     fn targets(&self) -> Vec<SocketAddr>;
 
-    /// Returns the poll to send; its nonce and echo are filled in by the poller.
-    fn poll(&self) -> Poll;
+    /// Returns the poll to send to a coordinator; its nonce and echo are filled in by the poller.
+    fn poll(&self, to: SocketAddr) -> Poll;
 
     /// Takes a reply to a poll that was sent at `asked_at`.
     fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply);
@@ -132,7 +132,7 @@
     }
 
     fn send(&self, to: SocketAddr) {
-        let mut poll = self.handler.poll();
+        let mut poll = self.handler.poll(to);
         poll.nonce = fastrand::u64(..);
         poll.echo = lock(&self.stamps).get(&to).copied();
         let frame = self.key.seal(&poll);
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -291,6 +291,12 @@
         caller.send(self.gateway(node), outgoing).expect("the gateway answers")
     }
 
+    /// Returns whether a node's gateway says that it is ready.
+    pub fn ready(&self, node: u16) -> bool {
+        let call = HttpCall::new(HttpMethod::Get, self.gateway(node), "/health/ready");
+        HttpClient::open().call(call).is_ok_and(|it| it.status() == 200)
+    }
+
     /// Starts a group and waits until both its proof and its answers are there on a node.
     ///
     /// # Panics
@@ -359,12 +365,7 @@
         let mut request = new_request("replace config");
         request.configuration = Some(configuration);
         self.operate_with(0, &request).expect("the configuration is accepted");
-        self.wait_until("the gateways are ready", || {
-            (0..nodes).all(|it| {
-                let call = HttpCall::new(HttpMethod::Get, self.gateway(it), "/health/ready");
-                HttpClient::open().call(call).is_ok_and(|it| it.status() == 200)
-            })
-        });
+        self.wait_until("the gateways are ready", || (0..nodes).all(|it| self.ready(it)));
     }
 
     fn spawn(
