--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -23,7 +23,6 @@
 use mangocross_types::RequestId;
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
-use mangocross_types::VmId;
 use peer_engine::EngineClient;
 use peer_service::ServiceClient;
 use peer_store::HttpStore;
--- /dev/null
+++ b/bins/mangoctl/src/client.rs
@@ -0,0 +1,72 @@
+//! Sends a line to coordinators, one after the other.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mangocross_http::HttpCall;
+use mangocross_http::HttpClient;
+use mangocross_http::HttpMethod;
+use mangocross_http::HttpTimeouts;
+use mangocross_operator::OperatorRequest;
+use mangocross_types::ResultCode;
+use peer_caller::RefusalBody;
+
+use crate::outcome::Outcome;
+
+/// Largest answer, in bytes.
+const ANSWER_BYTES_MAX: usize = 8 * 1024 * 1024;
+/// Time for an answer; a change waits until it is in force.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Sends a line to the coordinators in turn until one settles it.
+///
+/// The command id makes it harmless that an earlier one may have carried it out.
+pub(crate) fn send(coordinators: &[SocketAddr], request: &OperatorRequest) -> Outcome {
+    let mut last = None;
+    for coordinator in coordinators {
+        let outcome = send_to(*coordinator, request);
+        if !outcome.is_worth_another() {
+            return outcome;
+        }
+        last = Some(outcome.after(last));
+    }
+    last.unwrap_or_else(|| Outcome::Unreached(Vec::new()))
+}
+
+fn send_to(coordinator: SocketAddr, request: &OperatorRequest) -> Outcome {
+    match exchange(coordinator, request) {
+        Ok(outcome) => outcome,
+        Err(message) => Outcome::Unreached(vec![format!("{coordinator}: {message}")]),
+    }
+}
+
+fn exchange(coordinator: SocketAddr, request: &OperatorRequest) -> Result<Outcome, String> {
+    let timeouts =
+        HttpTimeouts::default().connect(CONNECT_TIMEOUT).idle(ANSWER_TIMEOUT).total(ANSWER_TIMEOUT);
+    let call = HttpCall::new(HttpMethod::Post, coordinator, "/v1/operator");
+    let answer = HttpClient::open()
+        .call(call.json(request).timeouts(timeouts))
+        .map_err(|it| it.to_string())?;
+    let status = answer.status();
+    if status == 200 {
+        let answer = answer.read_json(ANSWER_BYTES_MAX).map_err(|it| it.to_string())?;
+        return Ok(Outcome::Answered(answer));
+    }
+    let refusal: RefusalBody = answer
+        .read_json(ANSWER_BYTES_MAX)
+        .map_err(|it| format!("status {status} and no refusal: {it}"))?;
+    Ok(Outcome::Refused(refusal))
+}
+
+/// Returns whether another coordinator may do better than one that refused like this.
+pub(crate) fn concerns_one_coordinator(code: ResultCode) -> bool {
+    let codes = [
+        ResultCode::Overloaded,
+        ResultCode::Stopping,
+        ResultCode::StoreUnavailable,
+        ResultCode::StoreAnswerLost,
+    ];
+    codes.contains(&code)
+}
--- /dev/null
+++ b/bins/mangoctl/src/outcome.rs
@@ -0,0 +1,124 @@
+//! What a line came to, for people and for programs.
+
+use std::process::ExitCode;
+
+use mangocross_operator::OperatorAnswer;
+use mangocross_types::RunOutcome;
+use peer_caller::RefusalBody;
+use serde_json::json;
+
+use crate::client::concerns_one_coordinator;
+use crate::table;
+
+/// Exit code of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Exit {
+    /// Done.
+    Done = 0,
+    /// Refused; nothing changed.
+    Refused = 1,
+    /// The line or an argument was not understood.
+    NotUnderstood = 2,
+    /// The change is stored and not yet in force everywhere.
+    NotYetInForce = 3,
+    /// Whether the command took effect is not known, or no coordinator was reached.
+    NotKnown = 4,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+/// What a line came to.
+#[derive(Debug)]
+pub(crate) enum Outcome {
+    /// A coordinator answered.
+    Answered(OperatorAnswer),
+    /// A coordinator refused.
+    Refused(RefusalBody),
+    /// No coordinator answered; what happened at each.
+    Unreached(Vec<String>),
+}
+
+impl Outcome {
+    /// Returns whether to try another coordinator.
+    pub(crate) fn is_worth_another(&self) -> bool {
+        match self {
+            Self::Answered(_) => false,
+            Self::Refused(refusal) => concerns_one_coordinator(refusal.code),
+            Self::Unreached(_) => true,
+        }
+    }
+
+    /// Joins what came of earlier coordinators: what is not known stays not known.
+    pub(crate) fn after(self, earlier: Option<Self>) -> Self {
+        match (earlier, self) {
+            (None, outcome) => outcome,
+            (Some(Self::Unreached(mut messages)), Self::Unreached(more)) => {
+                messages.extend(more);
+                Self::Unreached(messages)
+            }
+            (Some(Self::Refused(refusal)), Self::Unreached(_)) => Self::Refused(refusal),
+            (Some(Self::Refused(earlier)), Self::Refused(later)) => {
+                let unknown = earlier.outcome == RunOutcome::Unknown;
+                Self::Refused(if unknown { earlier } else { later })
+            }
+            (Some(_), outcome) => outcome,
+        }
+    }
+
+    /// Returns the exit code.
+    pub(crate) fn exit(&self) -> Exit {
+        match self {
+            Self::Answered(answer) if answer.code.is_none() => Exit::Done,
+            Self::Answered(_) => Exit::NotYetInForce,
+            Self::Refused(refusal) if refusal.outcome == RunOutcome::Unknown => Exit::NotKnown,
+            Self::Refused(_) => Exit::Refused,
+            Self::Unreached(_) => Exit::NotKnown,
+        }
+    }
+
+    /// Returns the text for people.
+    pub(crate) fn to_text(&self) -> String {
+        match self {
+            Self::Answered(answer) => {
+                let code = answer.code.map(|it| format!("{it}: ")).unwrap_or_default();
+                let table = table::render(&answer.columns, &answer.rows);
+                format!("{code}{}\n{table}", answer.message)
+            }
+            Self::Refused(refusal) => refusal_text(refusal),
+            Self::Unreached(messages) => {
+                let lines: Vec<String> = messages.iter().map(|it| format!("  {it}\n")).collect();
+                format!(
+                    "no coordinator answered; send the same command id again\n{}",
+                    lines.concat()
+                )
+            }
+        }
+    }
+
+    /// Returns the JSON text for programs.
+    pub(crate) fn to_json(&self) -> String {
+        let value = match self {
+            Self::Answered(answer) => json!({ "result": answer }),
+            Self::Refused(refusal) => json!({ "refusal": refusal }),
+            Self::Unreached(messages) => json!({ "unreached": messages }),
+        };
+        format!("{}\n", serde_json::to_string_pretty(&value).unwrap_or_default())
+    }
+}
+
+fn refusal_text(refusal: &RefusalBody) -> String {
+    let verdict = match refusal.outcome {
+        RunOutcome::NotRun => "refused, nothing changed",
+        RunOutcome::Ran => "carried out",
+        RunOutcome::Unknown => "not known whether it took effect",
+    };
+    let again = match refusal.retry_after_ms {
+        Some(milliseconds) => format!("come back in {} s\n", milliseconds.div_ceil(1_000)),
+        None => String::new(),
+    };
+    format!("E{} {}: {verdict}\n{}\n{again}", refusal.code.number(), refusal.name, refusal.message)
+}
