--- a/bins/mangocross-coordinator/src/acceptance.rs
+++ b/bins/mangocross-coordinator/src/acceptance.rs
@@ -16,8 +16,6 @@
 use crate::state::CoordinatorState;
 use crate::state::lock;
 
-/// Longest wait for a change to be accepted.
-const WAIT_MAX: Duration = Duration::from_secs(15);
 /// Time between looks whether a change is accepted.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -50,7 +48,7 @@
     entry_vms: &[EntryVmSpec],
     accepted_base: Option<&[EntryVmSpec]>,
 ) -> OperatorAnswer {
-    let deadline = state.clock.now() + WAIT_MAX;
+    let deadline = state.clock.now() + Duration::from_millis(state.settings.in_force_wait_ms);
     loop {
         let acceptance = check(state, revision, entry_vms, accepted_base);
         if acceptance.is_accepted() || state.clock.now() >= deadline {
--- a/bins/mangoctl/src/main.rs
+++ b/bins/mangoctl/src/main.rs
@@ -75,7 +75,8 @@
         }
     };
     let outcome = client::send(&arguments.coordinator, &request);
-    let text = if arguments.json { outcome.to_json() } else { outcome.to_text() };
+    let text =
+        if arguments.json { outcome.to_json() } else { outcome.to_text(&request.command_id) };
     if arguments.json || matches!(outcome, Outcome::Answered(_)) {
         print!("{text}");
     } else {
--- a/bins/mangoctl/src/outcome.rs
+++ b/bins/mangoctl/src/outcome.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use mangocross_operator::OperatorAnswer;
+use mangocross_types::CommandId;
 use mangocross_types::RunOutcome;
 use peer_caller::RefusalBody;
 use serde_json::json;
@@ -80,8 +81,18 @@
         }
     }
 
-    /// Returns the text for people.
-    pub(crate) fn to_text(&self) -> String {
+    /// Returns the text for people; what is not settled names the id to repeat it with.
+    pub(crate) fn to_text(&self, command_id: &CommandId) -> String {
+        let repeat = match self.exit() {
+            Exit::NotYetInForce | Exit::NotKnown => {
+                format!("to send it again: --command-id {command_id}\n")
+            }
+            Exit::Done | Exit::Refused | Exit::NotUnderstood => String::new(),
+        };
+        self.text() + &repeat
+    }
+
+    fn text(&self) -> String {
         match self {
             Self::Answered(answer) => {
                 let code = answer.code.map(|it| format!("{it}: ")).unwrap_or_default();
@@ -91,10 +102,7 @@
             Self::Refused(refusal) => refusal_text(refusal),
             Self::Unreached(messages) => {
                 let lines: Vec<String> = messages.iter().map(|it| format!("  {it}\n")).collect();
-                format!(
-                    "no coordinator answered; send the same command id again\n{}",
-                    lines.concat()
-                )
+                format!("no coordinator answered\n{}", lines.concat())
             }
         }
     }
--- a/crates/mangocross-operator/src/words.rs
+++ b/crates/mangocross-operator/src/words.rs
@@ -38,14 +38,7 @@
         T::Err: ToString,
     {
         let word = self.next(what)?;
-        word.parse().map_err(|it: T::Err| {
-            let message = it.to_string();
-            if message.contains(word) {
-                ParseError { message }
-            } else {
-                ParseError { message: format!("`{word}` is not a valid {what}: {message}") }
-            }
-        })
+        word.parse().map_err(|error| not_valid(what, word, &error))
     }
 
     /// Takes the next word as a list with commas; `none_word` stands for an empty one.
@@ -61,8 +54,9 @@
         if word == none_word {
             return Ok(Vec::new());
         }
-        let items = word.split(',').map(|it| it.parse().map_err(|e: T::Err| e.to_string()));
-        items.collect::<Result<_, _>>().map_err(|message| ParseError { message })
+        let items =
+            word.split(',').map(|it| it.parse().map_err(|error| not_valid(what, it, &error)));
+        items.collect()
     }
 
     /// Checks that no word is left.
@@ -100,3 +94,11 @@
         ParseError { message }
     }
 }
+
+fn not_valid(what: &str, word: &str, error: &impl ToString) -> ParseError {
+    let message = error.to_string();
+    if message.contains(word) {
+        return ParseError { message };
+    }
+    ParseError { message: format!("`{word}` is not a valid {what}: {message}") }
+}
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -48,6 +48,9 @@
     /// How long a member with work may make no progress, in milliseconds.
     #[serde(default = "stall_ms")]
     pub stall_ms: u64,
+    /// Longest wait of a command for its change to be in force, in milliseconds.
+    #[serde(default = "in_force_wait_ms")]
+    pub in_force_wait_ms: u64,
     /// Longest time that an order can be under way, in milliseconds.
     #[serde(default = "order_deadline_ms")]
     pub order_deadline_ms: u64,
@@ -84,6 +87,10 @@
     3_000
 }
 
+fn in_force_wait_ms() -> u64 {
+    15_000
+}
+
 fn order_deadline_ms() -> u64 {
     2_000
 }
--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -176,3 +176,25 @@
     });
     assert!((0..3).all(|it| revision(&cluster, it) == accepted.revision));
 }
+
+#[test]
+fn change_without_a_majority_is_reported_as_not_yet_in_force() {
+    let cluster = ClusterBuilder::new(3, &[])
+        .coordinator_setting("vouch_ms", VOUCH_MS)
+        .gateway_setting("vouch_ms", VOUCH_MS)
+        .coordinator_setting("in_force_wait_ms", 2 * VOUCH_MS)
+        .start();
+    cluster.coordinators[1].freeze();
+    cluster.coordinators[2].freeze();
+    let command = request("c-alone", "drain vm vm-1-1");
+    let stored = cluster.operate_with(0, &command).expect("the change is stored");
+    assert_eq!(stored.code, Some(ResultCode::NotYetInForce));
+    for missing in ["coordinator of entry-2", "coordinator of entry-3"] {
+        assert!(stored.message.contains(missing), "{}", stored.message);
+    }
+    cluster.coordinators[1].thaw();
+    cluster.coordinators[2].thaw();
+    cluster.wait_until("the repeat finds the change in force", || {
+        cluster.operate_with(0, &command).is_ok_and(|it| it.code.is_none())
+    });
+}
