--- a/bins/mangocross-gateway/src/main.rs
+++ b/bins/mangocross-gateway/src/main.rs
@@ -9,6 +9,7 @@
 
 mod claim;
 mod backend_servers;
+mod failures;
 mod gateway;
 mod generate;
 mod handler;
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -23,14 +23,16 @@
 use mangocross_types::CustomerId;
 use mangocross_types::GroupId;
 use mangocross_types::Refusal;
+use mangocross_types::RequestId;
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
 use mangocross_types::ServiceId;
-use mangocross_types::VmId;
 use peer_engine::EngineClient;
 use peer_service::ServiceClient;
 use peer_store::HttpStore;
 
+use crate::failures::FailureLog;
+
 /// When to come back after a refusal because the configuration may be old.
 const FRESHNESS_RETRY: Duration = Duration::from_secs(2);
 
@@ -49,6 +51,7 @@
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
     pub(crate) stopping: AtomicBool,
+    pub(crate) failures: FailureLog,
     configuration: Mutex<Arc<Configuration>>,
     freshness: Mutex<Freshness>,
     pub(crate) proofs: Mutex<ProofTable>,
@@ -59,6 +62,7 @@
 
 impl GatewayState {
     pub(crate) fn open(settings: GatewaySettings, clock: Arc<dyn Clock>) -> Result<Self, String> {
+        let now = clock.now();
         let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
         let store = Arc::new(HttpStore::open(settings.store).timeout(CLAIM_CALL_TIMEOUT));
         let claims = ClaimLog::spawn(store, Arc::clone(&clock), ClaimLimits::default());
@@ -70,8 +74,9 @@
             engines: EngineClient::open(),
             services: ServiceClient::open(),
             stopping: AtomicBool::new(false),
+            failures: FailureLog::default(),
             configuration: Mutex::new(Arc::new(Configuration::default())),
-            freshness: Mutex::new(Freshness::new(bounds)),
+            freshness: Mutex::new(Freshness::new(bounds, now)),
             proofs: Mutex::new(ProofTable::default()),
             leaving: Mutex::new(LeavingTable::new(LEAVING_KEPT)),
             in_flight_by_group: Mutex::new(HashMap::new()),
@@ -101,11 +106,16 @@
 
     /// Returns why no request may be served now, if so.
     pub(crate) fn refusal(&self) -> Option<Refusal> {
-        let entry_vms: Vec<VmId> =
-            self.configuration().entry_vms.iter().map(|it| it.vm.clone()).collect();
-        let text = match lock(&self.freshness).permit(&entry_vms, self.clock.now()) {
+        let own = &self.settings.vm;
+        let now = self.clock.now();
+        // Both locks, so that the entry VMs are those of the revision in force.
+        let held = lock(&self.configuration);
+        let permit = lock(&self.freshness).permit(&held.entry_vms, own, now);
+        drop(held);
+        let text = match permit {
             Permit::Serve { .. } => return None,
             Permit::Behind { newest } => format!("configuration {newest} is not in force here yet"),
+            Permit::Unlisted => format!("the configuration in force does not name entry VM {own}"),
             Permit::Alone { vouching, needed } => format!(
                 "neither the store nor enough entry VMs ({vouching} of {needed}) vouch for the configuration"
             ),
@@ -122,6 +132,11 @@
         specified.to_vec()
     }
 
+    /// Remembers what a caller was told, for operators who ask why.
+    pub(crate) fn record_failure(&self, request: &RequestId, refusal: &Refusal) {
+        self.failures.record(request, refusal, self.clock.wall());
+    }
+
     pub(crate) fn in_flight_at(&self, group: &GroupId) -> u32 {
         lock(&self.in_flight_by_group).get(group).copied().unwrap_or_default()
     }
--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O, reads a clock or starts a thread.
 
+mod acceptance;
 mod assignment;
 mod claim;
 mod claim_commit;
@@ -12,6 +13,7 @@
 mod completeness;
 mod engine_vm;
 mod freshness;
+mod membership;
 mod group_life;
 mod held_assignment;
 mod leaving;
@@ -19,9 +21,16 @@
 mod ownership;
 mod placing;
 mod proof_table;
+mod quorum;
 mod reconcile;
 mod takeover_backoff;
 
+pub use acceptance::Acceptance;
+pub use acceptance::AcceptanceCandidate;
+pub use acceptance::AcceptanceTracker;
+pub use acceptance::Lacking;
+pub use acceptance::LackingProcess;
+pub use acceptance::Sighting;
 pub use assignment::AssignmentError;
 pub use assignment::form_group;
 pub use assignment::remove_group;
@@ -55,15 +64,19 @@
 pub use freshness::Freshness;
 pub use freshness::FreshnessBounds;
 pub use freshness::Permit;
+pub use freshness::Vouch;
 pub use group_life::stuck_groups;
 pub use held_assignment::HeldAssignment;
 pub use held_assignment::OrderAuthority;
 pub use leaving::LeavingTable;
+pub use membership::MembershipError;
+pub use membership::check_membership;
 pub use ownership::preferred_owner;
 pub use placing::DomainState;
 pub use placing::PlacementPlanner;
 pub use proof_table::ProofTable;
 pub use proof_table::ProvenGroup;
+pub use quorum::Voucher;
 pub use reconcile::DomainInput;
 pub use reconcile::Step;
 pub use reconcile::reconcile;
--- a/tests/tests/not_run.rs
+++ b/tests/tests/not_run.rs
@@ -92,7 +92,7 @@
     random: &mut fastrand::Rng,
 ) -> Vec<RunOutcome> {
     let claim = claim(body);
-    let mut send = |node: u16| cluster.send(node, &claim).outcome().expect("an outcome");
+    let send = |node: u16| cluster.send(node, &claim).outcome().expect("an outcome");
     set(cluster, fault);
     let mut told: Vec<RunOutcome> = (0..TRIES).map(|it| send(it % 2)).collect();
     set(cluster, Fault::None);
