fix(benches): count only recent, unannounced failures against a VM

Cause: an ordinary restart counted as a failure for ever, so that after two of them a cold VM was loaded instead of a warm one. Ruled out: load order and the gain's threshold.

--- a/benches/src/policy/assignment.rs
+++ b/benches/src/policy/assignment.rs
@@ -182,7 +182,7 @@
         let back = lost.iter().map(|it| it.announced_back_ms).max().flatten();
         Some(Donor {
             group: other.id.clone(),
-            survivors: healthy.into_iter().map(candidate).collect(),
+            survivors: healthy.into_iter().map(|it| candidate(fleet, it)).collect(),
             complete_at: back.map(|it| fleet.instant(it + WARM_LOAD_MS)),
         })
     });
@@ -239,16 +239,16 @@
 }
 
 fn candidates(fleet: &Fleet, vms: &[usize]) -> Vec<MemberCandidate> {
-    vms.iter().map(|it| candidate(&fleet.vms[*it])).collect()
+    vms.iter().map(|it| candidate(fleet, &fleet.vms[*it])).collect()
 }
 
-fn candidate(vm: &Vm) -> MemberCandidate {
+fn candidate(fleet: &Fleet, vm: &Vm) -> MemberCandidate {
     MemberCandidate {
         vm: vm.id.clone(),
         has_weights: vm.has_weights,
         leaving: false,
         straggling: vm.slow.is_some(),
-        recent_failures: vm.failures,
+        recent_failures: vm.recent_failures(fleet.now_ms),
     }
 }
 
--- a/benches/src/policy/fleet.rs
+++ b/benches/src/policy/fleet.rs
@@ -24,6 +24,8 @@
 pub(crate) const RESTART_MS: u64 = 110 * SECOND_MS;
 /// Time until a missing or slow member is noticed.
 const DETECT_MS: u64 = SECOND_MS;
+/// How long a failure counts against a VM.
+const RECENT_MS: u64 = 3_600 * SECOND_MS;
 /// Time between decisions while anything is not as it should be.
 const TICK_MS: u64 = SECOND_MS;
 
@@ -55,7 +57,7 @@
     pub(crate) ready: bool,
     pub(crate) loading: Option<Loading>,
     pub(crate) slow: Option<Slow>,
-    pub(crate) failures: u32,
+    pub(crate) failed_at_ms: Vec<u64>,
 }
 
 /// A load that runs.
@@ -83,6 +85,11 @@
         !self.is_up() && now_ms >= self.down_since_ms + DETECT_MS
     }
 
+    pub(crate) fn recent_failures(&self, now_ms: u64) -> u32 {
+        let recent = |it: &&u64| now_ms - **it <= RECENT_MS;
+        self.failed_at_ms.iter().filter(recent).count() as u32
+    }
+
     pub(crate) fn noticed_slowdown(&self, now_ms: u64) -> Option<Slow> {
         self.slow.filter(|it| now_ms >= it.since_ms + DETECT_MS)
     }
@@ -186,7 +193,9 @@
         if !vm.is_up() {
             return;
         }
-        vm.failures += 1;
+        if !matches!(fault.kind, FaultKind::Restart { announced: true, .. }) {
+            vm.failed_at_ms.push(now_ms);
+        }
         if let FaultKind::Straggle { slowdown, for_ms } = fault.kind {
             vm.slow = Some(Slow { slowdown, since_ms: now_ms, until_ms: now_ms + for_ms });
             return;
@@ -265,7 +274,7 @@
         ready: false,
         loading: None,
         slow: None,
-        failures: 0,
+        failed_at_ms: Vec::new(),
     }
 }
 
