fix(policy): let the concurrency limit settle where 95 in 100 first tokens are on time

Cause: the limit started at an equal part of the slots and rose by one for each round, so gateways that a balancer favours shed requests at ordinary load.

--- a/crates/mangocross-policy/src/concurrency.rs
+++ b/crates/mangocross-policy/src/concurrency.rs
@@ -6,23 +6,28 @@
 const LIMIT_MIN: f64 = 1.0;
 /// Most requests in flight at one group from one gateway.
 const LIMIT_MAX: f64 = 512.0;
-/// Share that is kept when a first token comes late.
-const KEPT_WHEN_LATE: f64 = 0.9;
+/// Share of the limit that a late first token takes away.
+const DECREASE: f64 = 0.03;
+/// First tokens on time that weigh as much as a late one: 95 in 100 are on time.
+const ON_TIME_FOR_EACH_LATE: f64 = 19.0;
+/// Rise with each first token on time while none is late.
+const QUICK_RISE: f64 = 0.5;
 
-/// A limit of own requests in flight at one group, found by additive increase
-/// and multiplicative decrease on the first-token time.
+/// A limit of own requests in flight, found from first-token times.
+///
+/// It settles where 95 in 100 first tokens are on time.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ConcurrencyLimit {
     limit: f64,
     target: Duration,
-    since_decrease: u32,
+    since_late: u32,
 }
 
 impl ConcurrencyLimit {
     /// Returns a limit to start from, which keeps first tokens within `target`.
     pub fn new(start: u32, target: Duration) -> Self {
         let limit = f64::from(start).clamp(LIMIT_MIN, LIMIT_MAX);
-        Self { limit, target, since_decrease: 0 }
+        Self { limit, target, since_late: 0 }
     }
 
     /// Returns the limit.
@@ -32,17 +37,22 @@
 
     /// Takes in a first-token time, with the requests in flight when it was sent.
     ///
-    /// The limit rises only when it was used, and falls once for each round of
-    /// requests.
+    /// The limit rises only while it is used.
     pub fn observe(&mut self, first_token: Duration, in_flight: u32) {
-        self.since_decrease = self.since_decrease.saturating_add(1);
         if first_token > self.target {
-            if f64::from(self.since_decrease) >= self.limit {
-                self.limit = (self.limit * KEPT_WHEN_LATE).max(LIMIT_MIN);
-                self.since_decrease = 0;
-            }
-        } else if f64::from(in_flight) * 2.0 >= self.limit {
-            self.limit = (self.limit + 1.0 / self.limit).min(LIMIT_MAX);
+            self.since_late = 0;
+            self.limit = (self.limit * (1.0 - DECREASE)).max(LIMIT_MIN);
+            return;
         }
+        self.since_late = self.since_late.saturating_add(1);
+        if f64::from(in_flight) * 2.0 >= self.limit {
+            self.limit = (self.limit + self.rise()).min(LIMIT_MAX);
+        }
+    }
+
+    fn rise(&self) -> f64 {
+        let slow = self.limit * DECREASE / ON_TIME_FOR_EACH_LATE;
+        let none_late = f64::from(self.since_late) >= self.limit;
+        if none_late { slow.max(QUICK_RISE) } else { slow }
     }
 }
