feat(gateway): resume broken, silent and slow answers at the next token

An answer's state over its attempts is now a pure decision (AnswerProgress), lines are checked apart from the connection (LineChecker), and the pace of the tokens decides when to leave a group (Pace): later than twice the promised first token, twenty times the promised gap, or four times the promised gap in the mean of eight tokens. With another group the answer goes there; a stream that stalls also gets a fresh connection to the same group, as the connection itself may have died; an answer that has begun waits for the next incarnation for a bounded time. Without another way the wait is three times as long, then the caller gets an explicit error. Streams carry comment lines in long gaps.

Before: one limit for both waits (5 s), a group was never tried again, and an answer that ran in part and then found no group said 'unknown'. Hedging (two attempts at once) was ruled out: it doubles the load exactly when groups are slow.

Kinds that go to a model must be idempotent, as generation takes no claim.

Seen red with the mechanism off: attempt check, token order, end count, idempotence, leaving a straggler, cancel, return over a fresh connection, outcome, wait for the next incarnation, silence.

--- /dev/null
+++ b/bins/mangocross-gateway/src/choosing.rs
@@ -0,0 +1,72 @@
+//! Which complete group takes an attempt.
+
+use mangocross_coordination::AnswerProgress;
+use mangocross_coordination::ProvenGroup;
+use mangocross_policy::Candidate;
+use mangocross_policy::choose_group;
+use mangocross_types::DesiredState;
+use mangocross_types::ModelId;
+
+use crate::handler::Incoming;
+use crate::state::GatewayState;
+use crate::state::lock;
+
+/// Chooses a group with an unexpired proof of completeness, preferably one that was not tried yet.
+pub(crate) fn choose(
+    state: &GatewayState,
+    incoming: &Incoming,
+    model: &ModelId,
+    progress: &AnswerProgress,
+) -> Option<ProvenGroup> {
+    let (untried, tried) = eligible(state, incoming, model, progress);
+    let proven = match untried.is_empty() && progress.may_return() {
+        true => tried,
+        false => untried,
+    };
+    let candidates: Vec<Candidate> = proven
+        .iter()
+        .map(|it| Candidate {
+            group: it.group.clone(),
+            own_in_flight: state.in_flight_at(&it.group),
+            reported_load: it.load,
+        })
+        .collect();
+    let chosen = choose_group(&candidates, fastrand::u64(..))?;
+    proven.iter().find(|it| it.group == chosen.group).cloned()
+}
+
+/// Returns whether there is a group that was not tried yet.
+pub(crate) fn has_untried(
+    state: &GatewayState,
+    incoming: &Incoming,
+    model: &ModelId,
+    progress: &AnswerProgress,
+) -> bool {
+    !eligible(state, incoming, model, progress).0.is_empty()
+}
+
+/// Returns the groups that may serve a request: those not tried yet, and those tried.
+fn eligible(
+    state: &GatewayState,
+    incoming: &Incoming,
+    model: &ModelId,
+    progress: &AnswerProgress,
+) -> (Vec<ProvenGroup>, Vec<ProvenGroup>) {
+    let proofs = lock(&state.proofs);
+    let proven = proofs.proven(state.clock.now());
+    let serving = proven.filter(|it| may_serve(it, incoming, model)).cloned();
+    serving.partition(|it| progress.is_untried(&it.group, it.incarnation))
+}
+
+fn may_serve(group: &ProvenGroup, incoming: &Incoming, model: &ModelId) -> bool {
+    let Some(spec) = incoming.configuration.group(&group.group) else { return false };
+    let for_customer =
+        spec.customers.is_empty() || spec.customers.contains(&incoming.headers.customer);
+    let for_kind = spec.kinds.is_empty() || spec.kinds.contains(&incoming.kind.id);
+    group.accepts_new
+        && group.model == *model
+        && spec.model_version == group.model_version
+        && spec.desired == DesiredState::Serving
+        && for_customer
+        && for_kind
+}
--- /dev/null
+++ b/bins/mangocross-gateway/src/delivery.rs
@@ -0,0 +1,154 @@
+//! Brings an answer to its caller, streamed or whole.
+
+use std::io;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::ProvenGroup;
+use mangocross_http::ServerRequest;
+use mangocross_types::Refusal;
+use mangocross_types::RunOutcome;
+use mangocross_types::TokenIndex;
+use peer_caller::ChatRequest;
+use peer_caller::EventStream;
+use peer_caller::respond_refusal;
+use peer_engine::FinishReason;
+
+use crate::handler::Incoming;
+
+/// Largest answer that is collected before it is sent, in bytes.
+const COLLECTED_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// Brings an answer to its caller.
+pub(crate) struct Delivery<'a> {
+    incoming: &'a Incoming,
+    chat: &'a ChatRequest,
+    sink: Sink,
+    keep_alive: Duration,
+    written_at: Instant,
+}
+
+/// Where the answer goes.
+enum Sink {
+    /// Not started, or collected until it is whole.
+    Collected { request: Box<ServerRequest>, text: String },
+    /// Streamed.
+    Stream(EventStream),
+    /// The caller is gone.
+    Gone,
+}
+
+impl<'a> Delivery<'a> {
+    pub(crate) fn new(
+        request: ServerRequest,
+        incoming: &'a Incoming,
+        chat: &'a ChatRequest,
+        keep_alive: Duration,
+        now: Instant,
+    ) -> Self {
+        let sink = Sink::Collected { request: Box::new(request), text: String::new() };
+        Self { incoming, chat, sink, keep_alive, written_at: now }
+    }
+
+    /// Delivers one token.
+    pub(crate) fn token(
+        &mut self,
+        group: &ProvenGroup,
+        token_index: TokenIndex,
+        text: &str,
+        now: Instant,
+    ) -> io::Result<()> {
+        if self.chat.stream {
+            self.start(group)?;
+        }
+        self.written_at = now;
+        match &mut self.sink {
+            Sink::Gone => Err(gone()),
+            Sink::Stream(stream) => {
+                stream.send(&self.chat.chunk(&self.incoming.id, token_index, text, None))
+            }
+            Sink::Collected { text: collected, .. } => {
+                if collected.len() + text.len() > COLLECTED_BYTES_MAX {
+                    return Err(io::Error::other("the answer is too large to be collected"));
+                }
+                collected.push_str(text);
+                Ok(())
+            }
+        }
+    }
+
+    /// Writes a sign of life if nothing was written for a while; fails if the caller is gone.
+    pub(crate) fn keep_alive(&mut self, now: Instant) -> io::Result<()> {
+        if now.duration_since(self.written_at) < self.keep_alive {
+            return Ok(());
+        }
+        self.written_at = now;
+        match &mut self.sink {
+            Sink::Gone => Err(gone()),
+            Sink::Stream(stream) => stream.keep_alive(),
+            Sink::Collected { .. } => Ok(()),
+        }
+    }
+
+    /// Ends a whole answer.
+    pub(crate) fn finish(self, tokens: TokenIndex, reason: FinishReason) {
+        let reason = match reason {
+            FinishReason::Stop => "stop",
+            FinishReason::Length => "length",
+        };
+        match self.sink {
+            Sink::Stream(mut stream) => {
+                let last = self.chat.chunk(&self.incoming.id, tokens, "", Some(reason));
+                let _ = stream.send(&last).and_then(|()| stream.finish());
+            }
+            Sink::Collected { request, text } => {
+                let id = &self.incoming.id;
+                let body = self.chat.completion(id, &text, tokens.0, reason);
+                let headers = [
+                    ("content-type", "application/json"),
+                    ("x-request-id", id.as_str()),
+                    ("x-run-outcome", RunOutcome::Ran.as_str()),
+                ];
+                request.respond(200, &headers, body.into_bytes());
+            }
+            Sink::Gone => {}
+        }
+    }
+
+    /// Ends an answer that is not whole.
+    pub(crate) fn fail(self, refusal: &Refusal) {
+        match self.sink {
+            Sink::Collected { request, .. } => {
+                respond_refusal(*request, refusal, Some(&self.incoming.id));
+            }
+            Sink::Stream(stream) => {
+                let _ = stream.fail(refusal, &self.incoming.id);
+            }
+            Sink::Gone => {}
+        }
+    }
+
+    /// Starts the stream unless it was started before.
+    fn start(&mut self, group: &ProvenGroup) -> io::Result<()> {
+        let request = match std::mem::replace(&mut self.sink, Sink::Gone) {
+            Sink::Collected { request, .. } => request,
+            started => {
+                self.sink = started;
+                return Ok(());
+            }
+        };
+        let incarnation = group.incarnation.to_string();
+        let headers = [
+            ("x-request-id", self.incoming.id.as_str()),
+            ("x-group", group.group.as_str()),
+            ("x-incarnation", incarnation.as_str()),
+            ("x-run-outcome", RunOutcome::Ran.as_str()),
+        ];
+        self.sink = Sink::Stream(EventStream::open(*request, &headers)?);
+        Ok(())
+    }
+}
+
+fn gone() -> io::Error {
+    io::Error::other("the caller is gone")
+}
--- a/bins/mangocross-gateway/src/main.rs
+++ b/bins/mangocross-gateway/src/main.rs
@@ -7,11 +7,15 @@
 use bpaf::Bpaf;
 use mangocross_settings::GatewaySettings;
 
+mod attempt;
+mod choosing;
 mod claim;
+mod delivery;
 mod gateway;
 mod generate;
 mod handler;
 mod peers;
+mod retry_after;
 mod service;
 mod state;
 
--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O, reads a clock or starts a thread.
 
+mod answer_progress;
 mod assignment;
 mod completeness;
 mod freshness;
@@ -9,6 +10,7 @@
 mod proof_table;
 mod reconcile;
 
+pub use answer_progress::AnswerProgress;
 pub use assignment::AssignmentError;
 pub use assignment::form_group;
 pub use assignment::remove_group;
--- a/crates/mangocross-operator/src/check.rs
+++ b/crates/mangocross-operator/src/check.rs
@@ -34,6 +34,13 @@
                 format!("request kind {} goes to service {service}, which is not there", kind.id);
             return Err(invalid(text));
         }
+        if matches!(kind.target, KindTarget::Model(_)) && !kind.idempotent {
+            let text = format!(
+                "request kind {} goes to a model and is not idempotent; only kinds that go to a service may be",
+                kind.id
+            );
+            return Err(invalid(text));
+        }
         if kind.deadline_ms == 0 {
             return Err(invalid(format!("request kind {} has a deadline of 0 ms", kind.id)));
         }
--- a/crates/mangocross-settings/src/gateway.rs
+++ b/crates/mangocross-settings/src/gateway.rs
@@ -32,12 +32,31 @@
     /// How long a vouch for the configuration counts, in milliseconds.
     #[serde(default = "vouch_ms")]
     pub vouch_ms: u64,
-    /// Longest wait for the first token in milliseconds.
+    /// Wait for the first token, in milliseconds, after which another group is tried if there is
+    /// one: twice the promised 1.6 s.
     #[serde(default = "first_token_ms")]
     pub first_token_ms: u64,
-    /// Longest wait between tokens in milliseconds.
+    /// Wait between tokens, in milliseconds, after which another group is tried if there is one:
+    /// twenty times the promised 74 ms.
     #[serde(default = "token_gap_ms")]
     pub token_gap_ms: u64,
+    /// Mean wait over eight tokens, in milliseconds, above which another group is tried if there
+    /// is one: four times the promised 74 ms.
+    #[serde(default = "token_gap_mean_ms")]
+    pub token_gap_mean_ms: u64,
+    /// Factor on the waits above after which an engine counts as silent, with or without another
+    /// group.
+    #[serde(default = "patience")]
+    pub patience: u32,
+    /// Longest wait for another complete group once an answer has begun, in milliseconds.
+    #[serde(default = "resume_wait_ms")]
+    pub resume_wait_ms: u64,
+    /// Time between signs of life on a stream without tokens, in milliseconds.
+    #[serde(default = "keep_alive_ms")]
+    pub keep_alive_ms: u64,
+    /// Most tokens that a request may ask for.
+    #[serde(default = "max_tokens_max")]
+    pub max_tokens_max: u32,
     /// Largest request body in bytes.
     #[serde(default = "body_bytes_max")]
     pub body_bytes_max: usize,
@@ -47,6 +66,10 @@
     /// Longest time for requests in flight to finish at a planned stop, in milliseconds.
     #[serde(default = "stop_ms")]
     pub stop_ms: u64,
+    /// Time at a planned stop during which requests are still served, so that the balancer can
+    /// notice, in milliseconds.
+    #[serde(default = "notice_ms")]
+    pub notice_ms: u64,
 }
 
 fn poll_interval_ms() -> u64 {
@@ -58,10 +81,34 @@
 }
 
 fn first_token_ms() -> u64 {
-    5_000
+    2 * 1_600
 }
 
 fn token_gap_ms() -> u64 {
+    20 * 74
+}
+
+fn token_gap_mean_ms() -> u64 {
+    4 * 74
+}
+
+fn patience() -> u32 {
+    3
+}
+
+fn resume_wait_ms() -> u64 {
+    5_000
+}
+
+fn keep_alive_ms() -> u64 {
+    1_000
+}
+
+fn max_tokens_max() -> u32 {
+    32_768
+}
+
+fn notice_ms() -> u64 {
     2_000
 }
 
@@ -88,6 +135,17 @@
         if self.vouch_ms < 3 * self.poll_interval_ms {
             return Err("`vouch_ms` is less than three poll intervals; raise it".into());
         }
+        let waits = [
+            ("first_token_ms", self.first_token_ms),
+            ("token_gap_ms", self.token_gap_ms),
+            ("token_gap_mean_ms", self.token_gap_mean_ms),
+            ("patience", self.patience.into()),
+            ("keep_alive_ms", self.keep_alive_ms),
+            ("max_tokens_max", self.max_tokens_max.into()),
+        ];
+        if let Some((name, _)) = waits.iter().find(|(_, value)| *value == 0) {
+            return Err(format!("`{name}` is 0; use a positive number"));
+        }
         Ok(())
     }
 }
--- a/peers/peer-caller/src/event_stream.rs
+++ b/peers/peer-caller/src/event_stream.rs
@@ -35,6 +35,15 @@
         self.body.write_piece(format!("data: {data}\n\n").as_bytes())
     }
 
+    /// Sends a comment, so that both ends notice a connection that has died.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller is gone or does not read.
+    pub fn keep_alive(&mut self) -> io::Result<()> {
+        self.body.write_piece(b": keep-alive\n\n")
+    }
+
     /// Sends the end marker: the answer is whole.
     ///
     /// # Errors
--- a/peers/peer-engine/src/client.rs
+++ b/peers/peer-engine/src/client.rs
@@ -18,6 +18,7 @@
 use crate::EngineErrorKind;
 use crate::GenerateRequest;
 use crate::GenerateStream;
+use crate::LineChecker;
 
 /// Largest answer but a generated one, in bytes.
 const ANSWER_BYTES_MAX: usize = 64 * 1024;
@@ -93,7 +94,7 @@
         let answer = self.call(call.timeouts(timeouts))?;
         let said_not_run = answer.header("x-run-outcome") == Some(RunOutcome::NotRun.as_str());
         match answer.status() {
-            200 => Ok(GenerateStream::new(answer, request.attempt_id.clone(), request.resume_from)),
+            200 => Ok(GenerateStream::new(answer, LineChecker::new(request))),
             status if said_not_run => Err(refused(status, RunOutcome::NotRun)),
             status => Err(refused(status, RunOutcome::Unknown)),
         }
--- a/peers/peer-engine/src/lib.rs
+++ b/peers/peer-engine/src/lib.rs
@@ -3,6 +3,7 @@
 mod client;
 mod error;
 mod generate;
+mod line_checker;
 mod stream;
 
 pub use client::EngineClient;
@@ -11,5 +12,6 @@
 pub use generate::FinishReason;
 pub use generate::GenerateLine;
 pub use generate::GenerateRequest;
-pub use stream::GenerateEvent;
+pub use line_checker::GenerateEvent;
+pub use line_checker::LineChecker;
 pub use stream::GenerateStream;
--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -66,6 +66,16 @@
         }
     }
 
+    /// Returns the call of this request to a gateway.
+    pub fn call(&self, gateway: SocketAddr, timeout: Duration) -> HttpCall {
+        let timeouts = HttpTimeouts::default().idle(timeout).total(timeout);
+        let mut call = HttpCall::new(HttpMethod::Post, gateway, &self.path).timeouts(timeouts);
+        for (name, value) in &self.headers {
+            call = call.header(name, value);
+        }
+        call.body(self.body.clone().into_bytes())
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: &str, value: &str) -> Self {
@@ -136,12 +146,7 @@
     ///
     /// Fails if the gateway cannot be reached, or breaks off or stalls.
     pub fn send(&self, gateway: SocketAddr, outgoing: &Outgoing) -> Result<Answer, CallError> {
-        let timeouts = HttpTimeouts::default().idle(self.timeout).total(self.timeout);
-        let mut call = HttpCall::new(HttpMethod::Post, gateway, &outgoing.path).timeouts(timeouts);
-        for (name, value) in &outgoing.headers {
-            call = call.header(name, value);
-        }
-        let answer = self.client.call(call.body(outgoing.body.clone().into_bytes()))?;
+        let answer = self.client.call(outgoing.call(gateway, self.timeout))?;
         let (status, headers) = (answer.status(), answer.headers().to_vec());
         let body = String::from_utf8_lossy(&answer.read_all(ANSWER_BYTES_MAX)?).into_owned();
         Ok(Answer { status, headers, body })
--- /dev/null
+++ b/tests/tests/answers.rs
@@ -0,0 +1,190 @@
+//! Each caller receives the whole answer to its own request, or an explicit error.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mangocross_http::HttpAnswer;
+use mangocross_http::HttpClient;
+use mangocross_tests::Cluster;
+use mangocross_tests::ClusterBuilder;
+use mangocross_tests::Outgoing;
+use mangocross_tests::Relay;
+use mangocross_types::ResultCode;
+use mangocross_types::RunOutcome;
+use standins::EngineFaults;
+
+const GROUP_1: &str = "start group letters-1 model letters version v1 members 1 in domain-1";
+const GROUP_2: &str = "start group letters-2 model letters version v1 members 1 in domain-2";
+/// Requests sent until the faulty engine has taken one, at most.
+const REQUESTS_MAX: usize = 60;
+
+fn draft(max_tokens: u32) -> Outgoing {
+    Outgoing::chat("town", "draft", "letters", max_tokens, true)
+}
+
+/// Starts a gateway before two groups of one member each.
+fn two_groups(builder: ClusterBuilder) -> Cluster {
+    let cluster = builder.start();
+    cluster.start_group(GROUP_1, 0, &draft(1));
+    cluster.operate(0, GROUP_2).unwrap();
+    cluster.wait_until("the second group answers", || {
+        cluster.send(0, &draft(1));
+        cluster.engine("vm-2-1").faults().counted("generations") > 0
+    });
+    cluster
+}
+
+/// Sends requests until the first group's engine, which has a fault, took one; all must be whole.
+fn all_are_whole(cluster: &Cluster, faults: EngineFaults) {
+    let reference = cluster.send(0, &draft(20)).text();
+    let faulty = cluster.engine("vm-1-1").faults();
+    let before = faulty.counted("generations");
+    faulty.set(faults.clone());
+    for _ in 0..REQUESTS_MAX {
+        let answer = cluster.send(0, &draft(20));
+        assert!(answer.is_whole(), "{faults:?}: {answer:?}");
+        assert_eq!(answer.token_indexes(), (0..20).collect::<Vec<_>>(), "{faults:?}");
+        assert_eq!(answer.text(), reference, "{faults:?}");
+        if faulty.counted("generations") > before {
+            faulty.set(EngineFaults::default());
+            return;
+        }
+    }
+    panic!("no request went to the faulty engine");
+}
+
+#[test]
+fn broken_stream_resumes_at_another_group() {
+    let cluster = two_groups(ClusterBuilder::new(1, &[1, 1]));
+    let after = Some(7);
+    all_are_whole(&cluster, EngineFaults { cut_after: after, ..EngineFaults::default() });
+    all_are_whole(&cluster, EngineFaults { swap_after: after, ..EngineFaults::default() });
+    all_are_whole(&cluster, EngineFaults { repeat_token: after, ..EngineFaults::default() });
+    all_are_whole(&cluster, EngineFaults { skip_token: after, ..EngineFaults::default() });
+}
+
+#[test]
+fn silent_engine_is_left_for_another_group() {
+    let cluster = two_groups(ClusterBuilder::new(1, &[1, 1]));
+    all_are_whole(&cluster, EngineFaults { silent_after: Some(7), ..EngineFaults::default() });
+    all_are_whole(&cluster, EngineFaults { silent_after: Some(0), ..EngineFaults::default() });
+}
+
+#[test]
+fn straggler_is_left_for_another_group() {
+    let builder = ClusterBuilder::new(1, &[1, 1]).gateway_setting("token_gap_mean_ms", 100);
+    let cluster = two_groups(builder);
+    all_are_whole(&cluster, EngineFaults { straggler: true, ..EngineFaults::default() });
+    let cancels = || cluster.engine("vm-1-1").faults().counted("cancels");
+    cluster.wait_until("the straggler is told to stop", || cancels() > 0);
+}
+
+#[test]
+fn broken_stream_without_another_group_ends_in_an_error() {
+    let cluster = ClusterBuilder::new(1, &[1]).start();
+    cluster.start_group(GROUP_1, 0, &draft(1));
+    let cut = EngineFaults { cut_after: Some(3), ..EngineFaults::default() };
+    cluster.engine("vm-1-1").faults().set(cut);
+    let answer = cluster.send(0, &draft(20));
+    assert!(!answer.is_whole());
+    assert_eq!(answer.token_indexes(), (0..3).collect::<Vec<_>>());
+    let refusal = answer.refusal().expect("an error event");
+    assert_eq!(refusal.code, ResultCode::BackendBroken);
+    assert_eq!(refusal.outcome, RunOutcome::Ran);
+    assert!(refusal.retry_after_ms.is_some());
+}
+
+#[test]
+fn refusal_before_the_first_token_is_truthful() {
+    let cluster = ClusterBuilder::new(1, &[1]).start();
+    let answer = cluster.send(0, &draft(20));
+    assert_eq!(answer.refusal().map(|it| it.code), Some(ResultCode::NoCompleteGroup));
+    assert_eq!(answer.outcome(), Some(RunOutcome::NotRun));
+    assert!(answer.header("retry-after").is_some());
+    cluster.start_group(GROUP_1, 0, &draft(1));
+    let cut = EngineFaults { cut_after: Some(0), ..EngineFaults::default() };
+    cluster.engine("vm-1-1").faults().set(cut);
+    let answer = cluster.send(0, &draft(20));
+    assert_eq!(answer.status, 502);
+    assert_eq!(answer.outcome(), Some(RunOutcome::Unknown));
+}
+
+#[test]
+fn silence_without_another_group_ends_in_an_error_before_the_deadline() {
+    let builder = ClusterBuilder::new(1, &[1]).gateway_setting("first_token_ms", 200);
+    let cluster = builder.start();
+    cluster.start_group(GROUP_1, 0, &draft(1));
+    let silent = EngineFaults { silent_after: Some(0), ..EngineFaults::default() };
+    cluster.engine("vm-1-1").faults().set(silent);
+    let answer = cluster.send(0, &draft(20));
+    let refusal = answer.refusal().expect("a refusal");
+    assert_eq!(refusal.code, ResultCode::BackendSilent);
+    assert_eq!(refusal.outcome, RunOutcome::Unknown);
+}
+
+#[test]
+fn answer_resumes_at_the_next_incarnation_of_its_group() {
+    let cluster = ClusterBuilder::new(1, &[2]).start();
+    cluster.start_group(GROUP_1, 0, &draft(1));
+    let generations = |it: &str| cluster.engine(it).faults().counted("generations");
+    let serving = if generations("vm-1-1") > 0 { "vm-1-1" } else { "vm-1-2" };
+    let silent = EngineFaults { silent_after: Some(5), ..EngineFaults::default() };
+    cluster.engine(serving).faults().set(silent.clone());
+    let before = generations(serving);
+    let answer = std::thread::scope(|scope| {
+        let sending = scope.spawn(|| cluster.send(0, &draft(20)));
+        cluster.wait_until("the answer has begun", || generations(serving) > before);
+        cluster.engine(serving).faults().set(EngineFaults { frozen: true, ..silent });
+        sending.join().unwrap()
+    });
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(answer.token_indexes(), (0..20).collect::<Vec<_>>());
+}
+
+#[test]
+fn connection_that_goes_silent_is_replaced_by_a_fresh_one() {
+    let cluster = ClusterBuilder::new(1, &[1]).start();
+    let relay = Relay::bind(cluster.address(7_900), cluster.engine("vm-1-1").address());
+    let mut listed = cluster.listed_vms();
+    listed[0].address = relay.address();
+    cluster.platform.set_vms(listed);
+    cluster.start_group(GROUP_1, 0, &draft(1));
+    let (mut answer, mut body) = (open(cluster.gateway(0), &draft(400)), Vec::new());
+    read_tokens(&mut answer, &mut body, 3);
+    relay.forget_open_connections();
+    answer.read_to_end(&mut body).unwrap();
+    let body = String::from_utf8(body).unwrap();
+    assert!(body.contains("data: [DONE]\n"), "{body}");
+    let indexes: Vec<u64> = body
+        .lines()
+        .filter_map(|it| it.split_once("\"token_index\":")?.1.split('}').next()?.parse().ok())
+        .collect();
+    assert_eq!(indexes[..400], (0..400).collect::<Vec<_>>());
+}
+
+#[test]
+fn attempt_of_a_caller_that_went_away_is_cancelled() {
+    let cluster = ClusterBuilder::new(1, &[1]).start();
+    cluster.start_group(GROUP_1, 0, &draft(1));
+    let mut answer = open(cluster.gateway(0), &draft(30_000));
+    read_tokens(&mut answer, &mut Vec::new(), 1);
+    drop(answer);
+    let counted = |it: &str| cluster.engine("vm-1-1").faults().counted(it);
+    cluster.wait_until("the engine is told to stop", || counted("cancels") > 0);
+}
+
+/// Starts a request whose answer the test reads itself.
+fn open(gateway: SocketAddr, outgoing: &Outgoing) -> HttpAnswer {
+    HttpClient::open().call(outgoing.call(gateway, Duration::from_secs(40))).unwrap()
+}
+
+/// Reads until a number of tokens has come.
+fn read_tokens(answer: &mut HttpAnswer, body: &mut Vec<u8>, count: usize) {
+    let mut buf = [0; 1024];
+    while String::from_utf8_lossy(body).matches("token_index").count() < count {
+        let length = answer.read(&mut buf).unwrap();
+        assert!(length > 0, "the answer ended early");
+        body.extend_from_slice(&buf[..length]);
+    }
+}
