--- a/bins/mangocross-gateway/src/choosing.rs
+++ b/bins/mangocross-gateway/src/choosing.rs
@@ -25,13 +25,9 @@
     };
     let candidates: Vec<Candidate> = proven
         .iter()
-        .map(|it| Candidate {
-            group: it.group.clone(),
-            own_in_flight: state.in_flight_at(&it.group),
-            reported_load: it.load,
-        })
+        .map(|it| Candidate::new(it.group.clone(), state.in_flight_at(&it.group), it.load))
         .collect();
-    let chosen = choose_group(&candidates, fastrand::u64(..))?;
+    let chosen = choose_group(&candidates, None, fastrand::u64(..))?;
     proven.iter().find(|it| it.group == chosen.group).cloned()
 }
 
@@ -55,7 +51,7 @@
     let proofs = lock(&state.proofs);
     let proven = proofs.proven(state.clock.now());
     let serving = proven.filter(|it| may_serve(it, incoming, model)).cloned();
-    serving.partition(|it| progress.is_untried(&it.group, it.incarnation))
+    serving.partition(|it| progress.is_untried(it))
 }
 
 fn may_serve(group: &ProvenGroup, incoming: &Incoming, model: &ModelId) -> bool {
--- a/bins/mangocross-gateway/src/generate.rs
+++ b/bins/mangocross-gateway/src/generate.rs
@@ -83,7 +83,7 @@
         let mut refusal = no_group();
         while progress.may_begin() && self.state.clock.now() < self.deadline {
             let Some(group) = self.choose(&progress, &mut delivery) else { break };
-            progress.begin(group.group.clone(), group.incarnation);
+            progress.begin(&group);
             let attempt = Attempt {
                 state: self.state,
                 incoming: self.incoming,
--- a/crates/mangocross-coordination/src/answer_progress.rs
+++ b/crates/mangocross-coordination/src/answer_progress.rs
@@ -1,10 +1,31 @@
 //! How far the answer to one request has come, over all its attempts.
 
+use mangocross_types::FabricDomain;
 use mangocross_types::GroupId;
 use mangocross_types::Incarnation;
 use mangocross_types::RunOutcome;
 use mangocross_types::TokenIndex;
 
+use crate::ProvenGroup;
+
+/// A group that was tried; while it moves, two fabric domains hold an incarnation of it each.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct TriedGroup {
+    group: GroupId,
+    domain: FabricDomain,
+    incarnation: Incarnation,
+}
+
+impl TriedGroup {
+    fn of(group: &ProvenGroup) -> Self {
+        Self {
+            group: group.group.clone(),
+            domain: group.domain.clone(),
+            incarnation: group.incarnation,
+        }
+    }
+}
+
 /// How far the answer to one request has come, over all its attempts.
 ///
 /// Every token is delivered once and in order. An attempt that fails is followed by another one
@@ -15,7 +36,7 @@
 pub struct AnswerProgress {
     idempotent: bool,
     attempts_max: u32,
-    tried: Vec<(GroupId, Incarnation)>,
+    tried: Vec<TriedGroup>,
     next: TokenIndex,
     outcome: RunOutcome,
     last_outcome: RunOutcome,
@@ -63,8 +84,8 @@
     }
 
     /// Returns whether an incarnation of a group has not been tried.
-    pub fn is_untried(&self, group: &GroupId, incarnation: Incarnation) -> bool {
-        !self.tried.iter().any(|(tried, of)| tried == group && *of == incarnation)
+    pub fn is_untried(&self, group: &ProvenGroup) -> bool {
+        !self.tried.contains(&TriedGroup::of(group))
     }
 
     /// Returns whether a group that was tried may be tried again over a fresh connection.
@@ -75,8 +96,8 @@
     }
 
     /// Records the start of an attempt.
-    pub fn begin(&mut self, group: GroupId, incarnation: Incarnation) {
-        self.tried.push((group, incarnation));
+    pub fn begin(&mut self, group: &ProvenGroup) {
+        self.tried.push(TriedGroup::of(group));
     }
 
     /// Records a token of the current attempt; returns whether it is the next one to deliver.
--- a/tests/tests/answers_histories.rs
+++ b/tests/tests/answers_histories.rs
@@ -4,8 +4,15 @@
 //! `MANGOCROSS_CASES=1000000 cargo test -p mangocross-tests --release --test answers_histories`
 //! runs many more histories; a failure names its seed.
 
+use std::net::SocketAddr;
+use std::time::Instant;
+
 use mangocross_coordination::AnswerProgress;
+use mangocross_coordination::ProofTable;
+use mangocross_coordination::ProvenGroup;
 use mangocross_types::AttemptId;
+use mangocross_types::FencingNumber;
+use mangocross_types::GroupProof;
 use mangocross_types::Incarnation;
 use mangocross_types::Priority;
 use mangocross_types::RunOutcome;
@@ -39,6 +46,26 @@
     format!("a-{number}").parse().unwrap()
 }
 
+/// Returns a proven group, from a table that has just heard of it.
+fn group() -> ProvenGroup {
+    let proof = GroupProof {
+        group: "g-1".parse().unwrap(),
+        domain: "d-1".parse().unwrap(),
+        incarnation: Incarnation(1),
+        fencing_number: FencingNumber(1),
+        model: "m-1".parse().unwrap(),
+        model_version: "v1".parse().unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        remaining_ms: 1_000,
+        accepts_new: true,
+        load: 0,
+        load_age_ms: 0,
+    };
+    let (mut table, now) = (ProofTable::default(), Instant::now());
+    table.record(&proof, now);
+    table.get(&proof.group, now).unwrap().clone()
+}
+
 fn request(number: u32, max_tokens: u32, resume_from: TokenIndex) -> GenerateRequest {
     GenerateRequest {
         request_id: "r-1".parse().unwrap(),
@@ -114,7 +141,7 @@
     while progress.may_begin() {
         number += 1;
         let request = request(number, max_tokens, progress.next());
-        progress.begin(request.group.clone(), request.incarnation);
+        progress.begin(&group());
         if random.u8(..8) == 0 {
             progress.failed(RunOutcome::NotRun);
             continue;
@@ -186,7 +213,7 @@
         let mut progress = AnswerProgress::new(false, ATTEMPTS_MAX);
         let mut may_have_run = 0;
         while progress.may_begin() {
-            progress.begin("g-1".parse().unwrap(), Incarnation(1));
+            progress.begin(&group());
             if random.bool() {
                 progress.failed(RunOutcome::NotRun);
             } else {
