--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O, reads a clock or starts a thread.
 
 mod acceptance;
+mod answer_progress;
 mod assignment;
 mod claim;
 mod claim_commit;
@@ -31,6 +32,7 @@
 pub use acceptance::Lacking;
 pub use acceptance::LackingProcess;
 pub use acceptance::Sighting;
+pub use answer_progress::AnswerProgress;
 pub use assignment::AssignmentError;
 pub use assignment::form_group;
 pub use assignment::remove_group;
