--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -38,7 +38,7 @@
     pub answer_delay_ms: u64,
     /// Runs and never answers.
     pub lose_answers: bool,
-    /// Runs and answers with the attempt id of another call.
+    /// Answers, or refuses, with the attempt id of another call.
     pub swap_answers: bool,
 }
 
@@ -74,7 +74,7 @@
             address,
             ServerLimits::default(),
             move |it| serving.serve(it),
-            |it| refuse(it, b"too many calls"),
+            |it| refuse(it, &ServiceFaults::default(), b"too many calls"),
         )?;
         Ok(Self { server, state })
     }
@@ -111,7 +111,7 @@
         let faults = self.faults.get();
         self.faults.count("calls");
         if faults.refuse {
-            return refuse(request, b"refused");
+            return refuse(request, &faults, b"refused");
         }
         pause(faults.delay_ms);
         self.wait_while(|it| it.hold);
@@ -129,10 +129,7 @@
         }
         pause(faults.answer_delay_ms);
         self.wait_while(|it| it.hold_answers);
-        let attempt = match faults.swap_answers {
-            true => "another".to_owned(),
-            false => request.header("x-attempt-id").unwrap_or_default().to_owned(),
-        };
+        let attempt = echo(&request, &faults);
         let path = request.path().to_owned();
         let answer = serde_json::to_vec(&Effect { path: &path, effect, body: &body });
         let headers = [("content-type", "application/json"), ("x-attempt-id", attempt.as_str())];
@@ -140,9 +137,17 @@
     }
 }
 
+/// Returns the attempt id to answer with.
+fn echo(request: &ServerRequest, faults: &ServiceFaults) -> String {
+    match faults.swap_answers {
+        true => "another".to_owned(),
+        false => request.header("x-attempt-id").unwrap_or_default().to_owned(),
+    }
+}
+
 /// Refuses a call before running it.
-fn refuse(request: ServerRequest, text: &[u8]) {
-    let attempt = request.header("x-attempt-id").unwrap_or_default().to_owned();
+fn refuse(request: ServerRequest, faults: &ServiceFaults, text: &[u8]) {
+    let attempt = echo(&request, faults);
     let headers = [("x-run-outcome", "not_run"), ("x-attempt-id", attempt.as_str())];
     request.respond(503, &headers, text.to_vec());
 }
--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -8,6 +8,8 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use mangocross_coordination::ClaimKey;
+use mangocross_coordination::ClaimLayout;
 use mangocross_http::CallError;
 use mangocross_tests::Answer;
 use mangocross_tests::Caller;
@@ -18,6 +20,9 @@
 use mangocross_tests::new_key;
 use mangocross_types::ResultCode;
 use mangocross_types::RunOutcome;
+use peer_store::HttpStore;
+use peer_store::read_json;
+use peer_store::swap_json;
 use standins::ServiceFaults;
 use standins::StoreFaults;
 
@@ -279,3 +284,30 @@
         assert_eq!(cluster.service.effects(name), 1);
     }
 }
+
+#[test]
+fn expired_key_is_refused_and_nobody_says_that_it_did_not_run() {
+    let cluster = start();
+    let key = new_key("expired");
+    let claim = Outgoing::service("town", "claim", "registry/claims", "expired")
+        .header("idempotency-key", &key);
+    assert_eq!(cluster.send(0, &claim).outcome(), Some(RunOutcome::Ran));
+    raise_window(&cluster, &key);
+    for node in 0..2 {
+        assert_unknown(&cluster.send(node, &claim), ResultCode::KeyExpired);
+    }
+    assert_eq!(cluster.service.effects("expired"), 1);
+}
+
+/// Does what a key does that was made when the ring of windows came round.
+fn raise_window(cluster: &Cluster, key: &str) {
+    let layout = ClaimLayout::CURRENT;
+    let key: ClaimKey = key.parse().unwrap();
+    let store = HttpStore::open(cluster.store.address());
+    let (shard, revision) =
+        read_json::<serde_json::Value>(&store, &layout.store_key(&key)).unwrap();
+    assert_eq!(shard.unwrap()["window"], layout.window(&key));
+    let newer = serde_json::json!({"window": layout.window(&key) + layout.slots, "claims": {}});
+    let swapped = swap_json(&store, &layout.store_key(&key), revision, &newer);
+    assert!(swapped.unwrap().is_some());
+}
--- a/tests/tests/not_run.rs
+++ b/tests/tests/not_run.rs
@@ -24,6 +24,7 @@
     StoreCut,
     StoreAnswersDropped,
     ServiceRefuses,
+    ServiceRefusesAnother,
     ServiceSwaps,
     ServiceSilent,
     ServiceCut,
@@ -38,6 +39,7 @@
     (Fault::StoreCut, RunOutcome::NotRun),
     (Fault::StoreAnswersDropped, RunOutcome::NotRun),
     (Fault::ServiceRefuses, RunOutcome::NotRun),
+    (Fault::ServiceRefusesAnother, RunOutcome::Unknown),
     (Fault::ServiceSwaps, RunOutcome::Unknown),
     (Fault::ServiceSilent, RunOutcome::Unknown),
     (Fault::ServiceCut, RunOutcome::Unknown),
@@ -55,6 +57,7 @@
         Fault::StoreCut => store_relay = RelayMode::Cut,
         Fault::StoreAnswersDropped => store_relay = RelayMode::DropAnswers,
         Fault::ServiceRefuses => service.refuse = true,
+        Fault::ServiceRefusesAnother => (service.refuse, service.swap_answers) = (true, true),
         Fault::ServiceSwaps => service.swap_answers = true,
         Fault::ServiceSilent => service.lose_answers = true,
         Fault::ServiceCut => service_relay = RelayMode::Cut,
@@ -92,7 +95,7 @@
     random: &mut fastrand::Rng,
 ) -> Vec<RunOutcome> {
     let claim = claim(body);
-    let mut send = |node: u16| cluster.send(node, &claim).outcome().expect("an outcome");
+    let send = |node: u16| cluster.send(node, &claim).outcome().expect("an outcome");
     set(cluster, fault);
     let mut told: Vec<RunOutcome> = (0..TRIES).map(|it| send(it % 2)).collect();
     set(cluster, Fault::None);
