--- a/benches/src/lib.rs
+++ b/benches/src/lib.rs
@@ -1,5 +1,7 @@
-//! Measurements: slopes of cost by size, printed for the documentation.
+//! Measurements, printed for the documentation: slopes of cost by size, and
+//! the policy beside a naive version.
 
 pub mod fit;
 pub mod machine;
+pub mod policy;
 pub mod sample;
--- a/bins/mangocross-gateway/src/service.rs
+++ b/bins/mangocross-gateway/src/service.rs
@@ -28,7 +28,10 @@
 pub(crate) fn handle(state: &GatewayState, mut request: ServerRequest, incoming: &Incoming) {
     match serve(state, &mut request, incoming) {
         Ok(answer) => respond(request, incoming, answer),
-        Err(refusal) => respond_refusal(request, &refusal, Some(&incoming.id)),
+        Err(refusal) => {
+            state.record_failure(&incoming.id, &refusal);
+            respond_refusal(request, &refusal, Some(&incoming.id));
+        }
     }
 }
 
--- a/crates/mangocross-operator/src/lib.rs
+++ b/crates/mangocross-operator/src/lib.rs
@@ -3,16 +3,25 @@
 mod apply;
 mod check;
 mod command;
+mod difference;
 mod parse;
+mod suggest;
 mod wire;
+mod words;
 
 pub use apply::CommandError;
 pub use apply::apply;
 pub use check::check_configuration;
+pub use command::Audience;
 pub use command::Change;
 pub use command::Command;
+pub use command::CustomerChange;
+pub use command::KindChange;
+pub use command::PolicyChange;
 pub use command::Query;
+pub use difference::difference;
 pub use parse::ParseError;
+pub use parse::USAGE;
 pub use parse::parse;
 pub use wire::OperatorAnswer;
 pub use wire::OperatorRequest;
--- a/crates/mangocross-operator/src/parse.rs
+++ b/crates/mangocross-operator/src/parse.rs
@@ -1,12 +1,17 @@
 //! Reads a line of the language.
 
-use std::str::FromStr;
-
+use mangocross_types::FenceMode;
+use mangocross_types::KindTarget;
 use snafu::Snafu;
 
 use crate::Change;
 use crate::Command;
 use crate::Query;
+use crate::command::Audience;
+use crate::command::CustomerChange;
+use crate::command::KindChange;
+use crate::command::PolicyChange;
+use crate::words::Words;
 
 /// A line that could not be read.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -16,60 +21,218 @@
     pub message: String,
 }
 
+/// Every form of a line, as help shows it.
+pub const USAGE: &[&str] = &[
+    "show groups|vms|nodes|customers|kinds|services|config|commands",
+    "why group GROUP | why vm VM | why request ID",
+    "start group GROUP model MODEL version VERSION members N [in DOMAIN] [for customers A,B|all] [for kinds X,Y|all]",
+    "drain group GROUP | resume group GROUP | stop group GROUP | remove group GROUP",
+    "move group GROUP to DOMAIN",
+    "set group GROUP [for customers A,B|all] [for kinds X,Y|all]",
+    "set customer CUSTOMER [requests-per-second N] [in-flight N] [priority N]",
+    "set kind KIND [idempotent|non-idempotent] [priority N] [deadline-ms N] [model MODEL | service SERVICE]",
+    "set service SERVICE servers ADDRESS,ADDRESS|listed",
+    "set policy [group-downtime X] [stranded-accelerator X] [concurrent-loads N] [first-kinds X,Y|none]",
+    "set fence honoured|ignored",
+    "remove customer CUSTOMER | remove kind KIND | remove service SERVICE | remove node VM",
+    "drain vm VM | resume vm VM",
+    "replace config",
+];
+
 /// Reads a line.
 ///
 /// # Errors
 ///
 /// Says which word is wrong and what may stand there.
+///
+/// # Examples
+///
+/// ```
+/// use mangocross_operator::parse;
+///
+/// assert!(parse("show groups").is_ok());
+/// let error = parse("show gruops").unwrap_err();
+/// assert!(error.message.contains("did you mean `groups`"));
+/// ```
 pub fn parse(line: &str) -> Result<Command, ParseError> {
-    let words: Vec<&str> = line.split_whitespace().collect();
-    match words.as_slice() {
-        ["show", "groups"] => Ok(Command::Query(Query::ShowGroups)),
-        ["show", "vms"] => Ok(Command::Query(Query::ShowVms)),
-        ["show", "nodes"] => Ok(Command::Query(Query::ShowNodes)),
-        ["show", "config"] => Ok(Command::Query(Query::ShowConfiguration)),
-        ["why", "group", group] => Ok(Command::Query(Query::WhyGroup(id(group)?))),
-        ["why", "vm", vm] => Ok(Command::Query(Query::WhyVm(id(vm)?))),
-        ["start", "group", group, rest @ ..] => start_group(group, rest),
-        ["drain", "group", group] => Ok(Command::Change(Change::DrainGroup(id(group)?))),
-        ["resume", "group", group] => Ok(Command::Change(Change::ResumeGroup(id(group)?))),
-        ["stop", "group", group] => Ok(Command::Change(Change::StopGroup(id(group)?))),
-        ["move", "group", group, "to", domain] => {
-            Ok(Command::Change(Change::MoveGroup { group: id(group)?, domain: id(domain)? }))
+    let mut words = Words::new(line);
+    let verbs =
+        ["show", "why", "start", "drain", "resume", "stop", "move", "set", "remove", "replace"];
+    let command = match words.one_of(&verbs)? {
+        "show" => Command::Query(show(&mut words)?),
+        "why" => Command::Query(why(&mut words)?),
+        "replace" => {
+            words.one_of(&["config"])?;
+            Command::ReplaceConfiguration
+        }
+        verb => Command::Change(change(verb, &mut words)?),
+    };
+    words.end()?;
+    Ok(command)
+}
+
+fn show(words: &mut Words<'_>) -> Result<Query, ParseError> {
+    let what = ["groups", "vms", "nodes", "customers", "kinds", "services", "config", "commands"];
+    Ok(match words.one_of(&what)? {
+        "groups" => Query::ShowGroups,
+        "vms" => Query::ShowVms,
+        "nodes" => Query::ShowNodes,
+        "customers" => Query::ShowCustomers,
+        "kinds" => Query::ShowKinds,
+        "services" => Query::ShowServices,
+        "config" => Query::ShowConfiguration,
+        _ => Query::ShowCommands,
+    })
+}
+
+fn why(words: &mut Words<'_>) -> Result<Query, ParseError> {
+    Ok(match words.one_of(&["group", "vm", "request"])? {
+        "group" => Query::WhyGroup(words.value("group id")?),
+        "vm" => Query::WhyVm(words.value("VM id")?),
+        _ => Query::WhyRequest(words.value("request id")?),
+    })
+}
+
+fn change(verb: &str, words: &mut Words<'_>) -> Result<Change, ParseError> {
+    match verb {
+        "start" => {
+            words.one_of(&["group"])?;
+            start_group(words)
+        }
+        "drain" => Ok(match words.one_of(&["group", "vm"])? {
+            "group" => Change::DrainGroup(words.value("group id")?),
+            _ => Change::DrainVm(words.value("VM id")?),
+        }),
+        "resume" => Ok(match words.one_of(&["group", "vm"])? {
+            "group" => Change::ResumeGroup(words.value("group id")?),
+            _ => Change::ResumeVm(words.value("VM id")?),
+        }),
+        "stop" => {
+            words.one_of(&["group"])?;
+            Ok(Change::StopGroup(words.value("group id")?))
+        }
+        "move" => {
+            words.one_of(&["group"])?;
+            let group = words.value("group id")?;
+            words.one_of(&["to"])?;
+            Ok(Change::MoveGroup { group, domain: words.value("fabric domain")? })
         }
-        ["drain", "vm", vm] => Ok(Command::Change(Change::DrainVm(id(vm)?))),
-        ["resume", "vm", vm] => Ok(Command::Change(Change::ResumeVm(id(vm)?))),
-        [] => Err(unknown("the line is empty")),
-        _ => Err(unknown(&format!("`{line}` is not known"))),
+        "set" => set(words),
+        _ => remove(words),
     }
 }
 
-fn start_group(group: &str, rest: &[&str]) -> Result<Command, ParseError> {
-    let ["model", model, "version", version, "members", size, end @ ..] = rest else {
-        return Err(unknown("write start group G model M version V members N [in DOMAIN]"));
-    };
-    let domain = match end {
-        [] => None,
-        ["in", domain] => Some(id(domain)?),
-        _ => return Err(unknown("after the members only `in DOMAIN` may stand")),
-    };
-    Ok(Command::Change(Change::StartGroup {
-        group: id(group)?,
-        model: id(model)?,
-        model_version: id(version)?,
-        size: id(size)?,
-        domain,
-    }))
+fn start_group(words: &mut Words<'_>) -> Result<Change, ParseError> {
+    let group = words.value("group id")?;
+    words.one_of(&["model"])?;
+    let model = words.value("model")?;
+    words.one_of(&["version"])?;
+    let model_version = words.value("model version")?;
+    words.one_of(&["members"])?;
+    let size = words.value("group size")?;
+    let mut domain = None;
+    let mut audience = Audience::default();
+    while let Some(option) = words.option(&["in", "for"])? {
+        match option {
+            "in" => domain = Some(words.value("fabric domain")?),
+            _ => audience_part(words, &mut audience)?,
+        }
+    }
+    Ok(Change::StartGroup { group, model, model_version, size, domain, audience })
 }
 
-fn id<T: FromStr>(word: &str) -> Result<T, ParseError>
-where
-    T::Err: ToString,
-{
-    word.parse().map_err(|it: T::Err| ParseError { message: it.to_string() })
+fn audience_part(words: &mut Words<'_>, audience: &mut Audience) -> Result<(), ParseError> {
+    match words.one_of(&["customers", "kinds"])? {
+        "customers" => audience.customers = Some(words.list("list of customers", "all")?),
+        _ => audience.kinds = Some(words.list("list of request kinds", "all")?),
+    }
+    Ok(())
+}
+
+fn set(words: &mut Words<'_>) -> Result<Change, ParseError> {
+    match words.one_of(&["group", "customer", "kind", "service", "policy", "fence"])? {
+        "group" => set_group(words),
+        "customer" => set_customer(words),
+        "kind" => set_kind(words),
+        "service" => {
+            let service = words.value("service")?;
+            words.one_of(&["servers"])?;
+            let backend_servers = words.list("list of addresses", "listed")?;
+            Ok(Change::SetService { service, backend_servers })
+        }
+        "policy" => set_policy(words),
+        _ => Ok(Change::SetFence(match words.one_of(&["honoured", "ignored"])? {
+            "honoured" => FenceMode::Honoured,
+            _ => FenceMode::Ignored,
+        })),
+    }
+}
+
+fn set_group(words: &mut Words<'_>) -> Result<Change, ParseError> {
+    let group = words.value("group id")?;
+    let mut audience = Audience::default();
+    words.one_of(&["for"])?;
+    audience_part(words, &mut audience)?;
+    while words.option(&["for"])?.is_some() {
+        audience_part(words, &mut audience)?;
+    }
+    Ok(Change::SetGroup { group, audience })
+}
+
+fn set_customer(words: &mut Words<'_>) -> Result<Change, ParseError> {
+    let customer = words.value("customer")?;
+    let mut settings = CustomerChange::default();
+    while let Some(option) = words.option(&["requests-per-second", "in-flight", "priority"])? {
+        match option {
+            "requests-per-second" => {
+                settings.requests_per_second = Some(words.value("request rate")?);
+            }
+            "in-flight" => settings.in_flight_max = Some(words.value("number of requests")?),
+            _ => settings.priority = Some(words.value("priority")?),
+        }
+    }
+    Ok(Change::SetCustomer { customer, settings })
+}
+
+fn set_kind(words: &mut Words<'_>) -> Result<Change, ParseError> {
+    let kind = words.value("request kind")?;
+    let mut settings = KindChange::default();
+    let options = ["idempotent", "non-idempotent", "priority", "deadline-ms", "model", "service"];
+    while let Some(option) = words.option(&options)? {
+        match option {
+            "idempotent" => settings.idempotent = Some(true),
+            "non-idempotent" => settings.idempotent = Some(false),
+            "priority" => settings.priority = Some(words.value("priority")?),
+            "deadline-ms" => settings.deadline_ms = Some(words.value("deadline")?),
+            "model" => settings.target = Some(KindTarget::Model(words.value("model")?)),
+            _ => settings.target = Some(KindTarget::Service(words.value("service")?)),
+        }
+    }
+    Ok(Change::SetKind { kind, settings })
+}
+
+fn set_policy(words: &mut Words<'_>) -> Result<Change, ParseError> {
+    let mut settings = PolicyChange::default();
+    let options = ["group-downtime", "stranded-accelerator", "concurrent-loads", "first-kinds"];
+    while let Some(option) = words.option(&options)? {
+        match option {
+            "group-downtime" => settings.group_downtime = Some(words.value("weight")?),
+            "stranded-accelerator" => {
+                settings.stranded_accelerator = Some(words.value("weight")?);
+            }
+            "concurrent-loads" => settings.concurrent_loads = Some(words.value("number of loads")?),
+            _ => settings.first_kinds = Some(words.list("list of request kinds", "none")?),
+        }
+    }
+    Ok(Change::SetPolicy(settings))
 }
 
-fn unknown(message: &str) -> ParseError {
-    let verbs = "show, why, start, drain, resume, stop, move";
-    ParseError { message: format!("{message}; a line starts with one of {verbs}") }
+fn remove(words: &mut Words<'_>) -> Result<Change, ParseError> {
+    Ok(match words.one_of(&["group", "customer", "kind", "service", "node"])? {
+        "group" => Change::RemoveGroup(words.value("group id")?),
+        "customer" => Change::RemoveCustomer(words.value("customer")?),
+        "kind" => Change::RemoveKind(words.value("request kind")?),
+        "service" => Change::RemoveService(words.value("service")?),
+        _ => Change::RemoveNode(words.value("VM id")?),
+    })
 }
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -48,9 +48,19 @@
     /// How long a member with work may make no progress, in milliseconds.
     #[serde(default = "stall_ms")]
     pub stall_ms: u64,
+    /// Longest wait of a command for its change to be in force, in milliseconds.
+    #[serde(default = "in_force_wait_ms")]
+    pub in_force_wait_ms: u64,
     /// Longest time that an order can be under way, in milliseconds.
     #[serde(default = "order_deadline_ms")]
     pub order_deadline_ms: u64,
+    /// How long an engine may fail all probes before it is replaced, in milliseconds.
+    #[serde(default = "lost_ms")]
+    pub lost_ms: u64,
+    /// How long the platform's or a VM's own word that it is leaving counts, in
+    /// milliseconds; longer than the platform's list lags.
+    #[serde(default = "leaving_kept_ms")]
+    pub leaving_kept_ms: u64,
 }
 
 fn poll_interval_ms() -> u64 {
@@ -77,10 +87,22 @@
     3_000
 }
 
+fn in_force_wait_ms() -> u64 {
+    15_000
+}
+
 fn order_deadline_ms() -> u64 {
     2_000
 }
 
+fn lost_ms() -> u64 {
+    3_000
+}
+
+fn leaving_kept_ms() -> u64 {
+    600_000
+}
+
 impl Settings for CoordinatorSettings {
     fn check(&self) -> Result<(), String> {
         if self.probe_interval_ms == 0 || self.poll_interval_ms == 0 {
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -2,8 +2,12 @@
 
 use mangocross_types::CustomerId;
 use mangocross_types::FabricDomain;
+use mangocross_types::GroupId;
 use mangocross_types::GroupProof;
+use mangocross_types::RequestId;
+use mangocross_types::ResultCode;
 use mangocross_types::Revision;
+use mangocross_types::RunOutcome;
 use mangocross_types::VmId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -36,6 +40,39 @@
     pub serving: bool,
     /// Use by customer at this gateway.
     pub usage: Vec<CustomerUsage>,
+    /// Requests that failed lately; sent only to the coordinator on the same VM.
+    pub failures: Vec<RequestFailure>,
+    /// The newest reply that came from the coordinator asked; filled in by the poller.
+    ///
+    /// It tells the coordinator that this poll was sent after that reply, however long
+    /// the poll was under way.
+    pub echo: Option<ReplyStamp>,
+}
+
+/// A request that was refused or failed.
+///
+/// Size: at most about 300 bytes; a poll carries a few.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestFailure {
+    /// The request.
+    pub request: RequestId,
+    /// Result code.
+    pub code: ResultCode,
+    /// Whether the request ran.
+    pub outcome: RunOutcome,
+    /// What its caller was told.
+    pub message: String,
+    /// When it failed, as Unix time in milliseconds, for people.
+    pub failed_at_unix_ms: u64,
+}
+
+/// When a reply was made, by the clock of the process that made it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplyStamp {
+    /// Random number chosen at the process's start.
+    pub process_id: u64,
+    /// Time since the process's start, in milliseconds.
+    pub uptime_ms: u64,
 }
 
 /// Use of a customer's limits.
@@ -51,7 +88,7 @@
 
 /// A coordinator's answer.
 ///
-/// Size: about 60 bytes, 90 for each group that it probes and 20 for each VM
+/// Size: about 60 bytes, 100 for each group that it probes and 25 for each VM
 /// that is leaving. An answer that would not fit a datagram is split; each part
 /// stands on its own.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,12 +97,16 @@
     pub nonce: u64,
     /// The VM that answers.
     pub vm: VmId,
-    /// Random number chosen at the process's start.
-    pub process_id: u64,
-    /// Newest revision of the configuration that the answerer holds.
+    /// When the reply was made, and by which process.
+    pub stamp: ReplyStamp,
+    /// Newest revision of the configuration that can be fetched from the answerer.
     pub revision: Revision,
-    /// Time since the answerer learned from the store that `revision` was the
-    /// newest, in milliseconds; `None` if it never did.
+    /// Newest revision that the answerer knows of.
+    pub newest_known: Revision,
+    /// Whether the answerer vouches that it knows of nothing newer.
+    pub established: bool,
+    /// Time since the store confirmed that nothing newer than `newest_known` was
+    /// there, in milliseconds, rounded up; `None` if it never did.
     pub store_age_ms: Option<u32>,
     /// Proofs from the answerer's own probes; no time left means that the group is
     /// known to be incomplete.
@@ -73,11 +114,21 @@
     /// Fabric domains that the answerer probes.
     pub domains: Vec<DomainSummary>,
     /// VMs that must receive no new work.
-    pub leaving: Vec<VmId>,
+    pub leaving: Vec<LeavingVm>,
     /// Use by customer at all other gateways that poll the answerer.
     pub usage: Vec<CustomerUsage>,
 }
 
+/// A VM that must receive no new work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingVm {
+    /// The VM.
+    pub vm: VmId,
+    /// Time since the platform or the VM itself last said so, in milliseconds;
+    /// passing the word on does not make it younger.
+    pub age_ms: u32,
+}
+
 /// Room in a fabric domain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DomainSummary {
@@ -87,4 +138,6 @@
     pub idle_vms: u16,
     /// VMs that answer probes.
     pub healthy_vms: u16,
+    /// Groups that the domain's idle VMs cannot complete.
+    pub stuck_groups: Vec<GroupId>,
 }
--- a/tests/src/relay.rs
+++ b/tests/src/relay.rs
@@ -1,5 +1,6 @@
 //! A TCP relay whose connections can be cut or silenced.
 
+use std::collections::HashMap;
 use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
@@ -14,6 +15,10 @@
 use std::thread;
 use std::time::Duration;
 
+/// Time for which a silenced connection stays open after one side ended it; longer than any time
+/// limit of the system.
+const SILENCE_KEPT: Duration = Duration::from_secs(60);
+
 /// What the relay does with its connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayMode {
@@ -39,7 +44,8 @@
     /// Connections accepted before this number stay silent for ever.
     silent_below: AtomicU64,
     accepted: AtomicU64,
-    open: Mutex<Vec<TcpStream>>,
+    /// Both ends of each open connection, by its number.
+    open: Mutex<HashMap<u64, [TcpStream; 2]>>,
 }
 
 impl Relay {
@@ -56,7 +62,7 @@
             mode: Mutex::new(RelayMode::Pass),
             silent_below: AtomicU64::new(0),
             accepted: AtomicU64::new(0),
-            open: Mutex::new(Vec::new()),
+            open: Mutex::new(HashMap::new()),
         });
         let accepting = Arc::clone(&shared);
         thread::spawn(move || {
@@ -77,7 +83,7 @@
     pub fn set(&self, mode: RelayMode) {
         *lock(&self.shared.mode) = mode;
         if mode == RelayMode::Cut {
-            for stream in lock(&self.shared.open).drain(..) {
+            for stream in lock(&self.shared.open).values().flatten() {
                 let _ = stream.shutdown(Shutdown::Both);
             }
         }
@@ -110,12 +116,13 @@
             return;
         };
         if let (Ok(one), Ok(other)) = (caller.try_clone(), server.try_clone()) {
-            lock(&self.open).extend([one, other]);
+            lock(&self.open).insert(number, [one, other]);
         }
         let shared = Arc::clone(self);
         let answers = thread::spawn(move || shared.copy(number, from_server, caller, true));
         self.copy(number, from_caller, server, false);
         let _ = answers.join();
+        lock(&self.open).remove(&number);
     }
 
     fn copy(&self, number: u64, mut from: TcpStream, mut to: TcpStream, answers: bool) {
@@ -132,12 +139,11 @@
                 break;
             }
         }
-        // The end of a silenced connection is not passed on either.
-        if !self.is_silent(number, answers) {
-            let _ = to.shutdown(Shutdown::Write);
-        } else {
-            thread::park();
+        // The end of a silenced connection is not passed on, so the other side is not told.
+        if self.is_silent(number, answers) {
+            thread::sleep(SILENCE_KEPT);
         }
+        let _ = to.shutdown(Shutdown::Write);
     }
 
     fn is_silent(&self, number: u64, answers: bool) -> bool {
