feat(gateway): take backend servers of plain services from the platform's list, without leaving ones

Coordinators pass on the service VMs of the list; a gateway drops those that the platform, the VMs or the operators say are leaving, also where the operators wrote addresses. An address belongs to the VM listed last.

--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -71,6 +71,7 @@
 /// Returns a coordinator's reply with a number of proven groups and leaving VMs.
 pub fn reply(groups: usize, leaving: usize) -> PollReply {
     PollReply {
+        service_servers: Vec::new(),
         nonce: u64::MAX,
         vm: id("entry", 1),
         stamp: stamp(),
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -150,6 +150,7 @@
         domains: summaries(state),
         leaving: leaving(state, now),
         usage: usage_of_others(state, &poll.vm),
+        service_servers: lock(&state.service_servers).clone(),
     }
 }
 
--- a/bins/mangocross-coordinator/src/platform.rs
+++ b/bins/mangocross-coordinator/src/platform.rs
@@ -9,8 +9,10 @@
 use mangocross_coordination::EngineVm;
 use mangocross_types::FabricDomain;
 use mangocross_types::VmId;
+use mangocross_types::VmListEntry;
 use mangocross_types::VmRole;
 use mangocross_types::VmState;
+use peer_entry::ServiceServer;
 use peer_platform::VmList;
 
 use crate::state::CoordinatorState;
@@ -48,10 +50,16 @@
             listed: true,
         });
     }
+    *lock(&state.service_servers) = list.vms.iter().filter_map(service_server).collect();
     keep_unlisted_members(state, &mut by_domain);
     *lock(&state.engines_by_domain) = by_domain;
 }
 
+fn service_server(entry: &VmListEntry) -> Option<ServiceServer> {
+    let VmRole::Service { service } = &entry.role else { return None };
+    Some(ServiceServer { service: service.clone(), vm: entry.vm.clone(), address: entry.address })
+}
+
 /// Keeps the VMs that the list no longer names and that are members of a group.
 ///
 /// The list may be wrong; a member that still answers probes still works.
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -31,6 +31,7 @@
 use peer_entry::DomainSummary;
 use peer_entry::FetchSource;
 use peer_entry::RequestFailure;
+use peer_entry::ServiceServer;
 use peer_platform::PlatformClient;
 use peer_store::HttpStore;
 use peer_store::Store;
@@ -68,6 +69,7 @@
     pub(crate) peers: Mutex<HashMap<VmId, LivePeer>>,
     pub(crate) gateways: Mutex<HashMap<VmId, PollingGateway>>,
     pub(crate) engines_by_domain: Mutex<BTreeMap<FabricDomain, Vec<EngineVm>>>,
+    pub(crate) service_servers: Mutex<Vec<ServiceServer>>,
     pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) probes: Mutex<ProbeTable>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
@@ -94,6 +96,7 @@
             peers: Mutex::new(HashMap::new()),
             gateways: Mutex::new(HashMap::new()),
             engines_by_domain: Mutex::new(BTreeMap::new()),
+            service_servers: Mutex::new(Vec::new()),
             leaving: Mutex::new(LeavingTable::new(leaving_kept)),
             probes: Mutex::new(ProbeTable::default()),
             assignments: Mutex::new(BTreeMap::new()),
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -128,5 +128,11 @@
             leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
         }
         leaving.forget_old(self.state.clock.now());
+        drop(leaving);
+        let mut servers = lock(&self.state.service_servers);
+        for it in reply.service_servers {
+            servers.listed(it.vm, it.service, it.address, asked_at);
+        }
+        servers.forget_old(self.state.clock.now());
     }
 }
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -17,6 +17,7 @@
 use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProofTable;
+use mangocross_coordination::ServiceTable;
 use mangocross_settings::GatewaySettings;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
@@ -27,6 +28,7 @@
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
 use mangocross_types::ServiceId;
+use mangocross_types::VmId;
 use peer_engine::EngineClient;
 use peer_service::ServiceClient;
 use peer_store::HttpStore;
@@ -38,6 +40,8 @@
 
 /// How long the word that a VM is leaving counts; longer than the platform's list lags.
 const LEAVING_KEPT: Duration = Duration::from_secs(600);
+/// Time after which a backend server that no coordinator lists any more is forgotten.
+const SERVER_KEPT: Duration = Duration::from_secs(30);
 /// Time for a call to the store on a claim's way; a caller waits for it.
 const CLAIM_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -56,6 +60,7 @@
     freshness: Mutex<Freshness>,
     pub(crate) proofs: Mutex<ProofTable>,
     pub(crate) leaving: Mutex<LeavingTable>,
+    pub(crate) service_servers: Mutex<ServiceTable>,
     in_flight_by_group: Mutex<HashMap<GroupId, u32>>,
     in_flight_by_customer: Mutex<HashMap<CustomerId, u32>>,
 }
@@ -79,6 +84,7 @@
             freshness: Mutex::new(Freshness::new(bounds, now)),
             proofs: Mutex::new(ProofTable::default()),
             leaving: Mutex::new(LeavingTable::new(LEAVING_KEPT)),
+            service_servers: Mutex::new(ServiceTable::new(SERVER_KEPT)),
             in_flight_by_group: Mutex::new(HashMap::new()),
             in_flight_by_customer: Mutex::new(HashMap::new()),
         })
@@ -126,10 +132,15 @@
     /// Returns those backend servers of a service that are not leaving.
     pub(crate) fn staying_servers(
         &self,
-        _service: &ServiceId,
+        service: &ServiceId,
         specified: &[SocketAddr],
     ) -> Vec<SocketAddr> {
-        specified.to_vec()
+        let now = self.clock.now();
+        let configuration = self.configuration();
+        let leaving = lock(&self.leaving);
+        let is_leaving =
+            |vm: &VmId| leaving.is_leaving(vm, now) || configuration.leaving_vms.contains(vm);
+        lock(&self.service_servers).staying(service, specified, is_leaving, now)
     }
 
     /// Remembers what a caller was told, for operators who ask why.
--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -25,6 +25,7 @@
 mod quorum;
 mod reconcile;
 mod takeover_backoff;
+mod service_table;
 
 pub use acceptance::Acceptance;
 pub use acceptance::AcceptanceCandidate;
@@ -82,4 +83,5 @@
 pub use reconcile::DomainInput;
 pub use reconcile::Step;
 pub use reconcile::reconcile;
+pub use service_table::ServiceTable;
 pub use takeover_backoff::TakeoverBackoff;
--- /dev/null
+++ b/crates/mangocross-coordination/src/service_table.rs
@@ -0,0 +1,79 @@
+//! Backend servers of plain services, as the platform's list names them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_types::ServiceId;
+use mangocross_types::VmId;
+
+/// Backend servers of plain services by VM, each with when it was last listed.
+#[derive(Debug, Clone)]
+pub struct ServiceTable {
+    kept: Duration,
+    servers: BTreeMap<VmId, ListedServer>,
+}
+
+#[derive(Debug, Clone)]
+struct ListedServer {
+    service: ServiceId,
+    address: SocketAddr,
+    listed_at: Instant,
+}
+
+impl ServiceTable {
+    /// Returns an empty table that keeps a server for `kept` after it was last listed.
+    pub fn new(kept: Duration) -> Self {
+        Self { kept, servers: BTreeMap::new() }
+    }
+
+    /// Records that a server was listed; older news changes nothing.
+    pub fn listed(&mut self, vm: VmId, service: ServiceId, address: SocketAddr, at: Instant) {
+        if self.servers.get(&vm).is_some_and(|it| it.listed_at > at) {
+            return;
+        }
+        self.servers.insert(vm, ListedServer { service, address, listed_at: at });
+    }
+
+    /// Forgets servers that are no longer listed.
+    pub fn forget_old(&mut self, now: Instant) {
+        let kept = self.kept;
+        self.servers.retain(|_, it| now.saturating_duration_since(it.listed_at) < kept);
+    }
+
+    /// Returns the servers of a service that take new work.
+    ///
+    /// These are the `specified` ones, or all listed ones if none is specified, without those on
+    /// VMs that are leaving.
+    pub fn staying(
+        &self,
+        service: &ServiceId,
+        specified: &[SocketAddr],
+        is_leaving: impl Fn(&VmId) -> bool,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let mut servers = match specified {
+            [] => self.listed_servers(service, now),
+            _ => specified.to_vec(),
+        };
+        servers.retain(|it| !self.is_address_leaving(*it, &is_leaving));
+        servers.sort_unstable();
+        servers.dedup();
+        servers
+    }
+
+    fn listed_servers(&self, service: &ServiceId, now: Instant) -> Vec<SocketAddr> {
+        let listed = self.servers.values().filter(|it| it.service == *service);
+        let listed = listed.filter(|it| now.saturating_duration_since(it.listed_at) < self.kept);
+        listed.map(|it| it.address).collect()
+    }
+
+    /// Returns whether the VM that had the address last is leaving; of two listed together, one
+    /// that is leaving decides.
+    fn is_address_leaving(&self, address: SocketAddr, is_leaving: impl Fn(&VmId) -> bool) -> bool {
+        let holders = self.servers.iter().filter(|(_, it)| it.address == address);
+        let newest = holders.map(|(vm, it)| (it.listed_at, is_leaving(vm))).max();
+        newest.is_some_and(|(_, leaving)| leaving)
+    }
+}
--- a/peers/peer-entry/src/lib.rs
+++ b/peers/peer-entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub use messages::ProcessRole;
 pub use messages::ReplyStamp;
 pub use messages::RequestFailure;
+pub use messages::ServiceServer;
 pub use poller::PollTiming;
 pub use poller::Poller;
 pub use poller::PollerHandler;
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -1,5 +1,7 @@
 //! Messages between entry VMs.
 
+use std::net::SocketAddr;
+
 use mangocross_types::CustomerId;
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupId;
@@ -8,6 +10,7 @@
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
 use mangocross_types::RunOutcome;
+use mangocross_types::ServiceId;
 use mangocross_types::VmId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -88,8 +91,8 @@
 
 /// A coordinator's answer.
 ///
-/// Size: about 60 bytes, 100 for each group that it probes and 25 for each VM
-/// that is leaving. An answer that would not fit a datagram is split; each part
+/// Size: about 60 bytes, 100 for each group that it probes, 25 for each VM that
+/// is leaving and 30 for each backend server of a plain service. An answer that would not fit a datagram is split; each part
 /// stands on its own.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PollReply {
@@ -117,6 +120,19 @@
     pub leaving: Vec<LeavingVm>,
     /// Use by customer at all other gateways that poll the answerer.
     pub usage: Vec<CustomerUsage>,
+    /// Backend servers of plain services in the platform's list.
+    pub service_servers: Vec<ServiceServer>,
+}
+
+/// A backend server of a plain service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceServer {
+    /// The service.
+    pub service: ServiceId,
+    /// The VM.
+    pub vm: VmId,
+    /// Address of the server.
+    pub address: SocketAddr,
 }
 
 /// A VM that must receive no new work.
