fix(gateway): do not hold one lock while taking another when a poll is made

The guard of the freshness in the literal of a poll lived until the whole literal was built, which asks for the configuration; a request takes the two locks the other way round. Both threads then waited for good: one caller of one test run got no answer within 40 s. Ruled out: claims (bounded waits, no log of a refusal) and the calls to the service (bounded by the deadline).

The new test polls every millisecond: red before (a caller got nothing for 2 s), green in 6 runs after.

--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -79,12 +79,14 @@
 
     fn poll(&self, to: SocketAddr) -> Poll {
         let usage = self.state.in_flight_by_customer().into_iter();
+        // A guard in the literal below would be held while other locks are taken.
+        let revision = self.state.freshness().in_force();
         Poll {
             nonce: 0,
             vm: self.state.settings.vm.clone(),
             role: ProcessRole::Gateway,
             process_id: self.state.process_id,
-            revision: self.state.freshness().in_force(),
+            revision,
             serving: !self.state.stopping.load(Ordering::SeqCst),
             usage: usage
                 .map(|(customer, in_flight)| CustomerUsage {
