--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -196,6 +196,24 @@
     assert_eq!(cluster.service.effects("unrecorded"), 1);
 }
 
+#[test]
+fn planned_stop_waits_until_the_outcome_is_recorded() {
+    let mut cluster = ClusterBuilder::new(2, &[]).gateway_setting("notice_ms", 1).start();
+    cluster.service.faults().set(ServiceFaults { hold_answers: true, ..ServiceFaults::default() });
+    let claim = claim("stopped");
+    let first = send_in_background(cluster.gateway(0), &claim);
+    cluster.wait_until("the call ran", || cluster.service.effects("stopped") == 1);
+    cluster.store_relays[0].set(RelayMode::Silent);
+    cluster.service.faults().set(ServiceFaults::default());
+    let first = first.join().unwrap().expect("the gateway answers");
+    assert_eq!(first.outcome(), Some(RunOutcome::Ran));
+    cluster.gateways[0].terminate();
+    cluster.store_relays[0].set(RelayMode::Pass);
+    assert!(cluster.gateways[0].wait());
+    let retry = cluster.send(1, &claim);
+    assert_eq!((retry.outcome(), &retry.body), (Some(RunOutcome::Ran), &first.body));
+}
+
 #[test]
 fn copies_that_arrive_at_once_run_once() {
     let cluster = start();
