--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -71,6 +71,7 @@
 /// Returns a coordinator's reply with a number of proven groups and leaving VMs.
 pub fn reply(groups: usize, leaving: usize) -> PollReply {
     PollReply {
+        service_servers: Vec::new(),
         nonce: u64::MAX,
         vm: id("entry", 1),
         stamp: stamp(),
@@ -81,6 +82,7 @@
         placements_revision: Revision(24_000),
         proofs: (0..groups).map(proof).collect(),
         domains: Vec::new(),
+        service_servers: Vec::new(),
         leaving: (0..leaving).map(leaving_vm).collect(),
         usage: Vec::new(),
     }
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -29,6 +29,7 @@
 use peer_entry::PollerHandler;
 use peer_entry::ProcessRole;
 use peer_entry::ReplyStamp;
+use peer_entry::ServiceServer;
 use peer_entry::fetch_configuration;
 
 use crate::configuration;
@@ -153,9 +154,15 @@
         domains: if for_gateway { Vec::new() } else { summaries(state) },
         leaving: leaving(state, now),
         usage: if for_gateway { usage_of_others(state, &poll.vm) } else { Vec::new() },
+        service_servers: service_servers(state, for_gateway),
     }
 }
 
+/// Returns the backend servers of plain services; only gateways send to them.
+fn service_servers(state: &CoordinatorState, for_gateway: bool) -> Vec<ServiceServer> {
+    if for_gateway { lock(&state.service_servers).clone() } else { Vec::new() }
+}
+
 /// Records what a gateway has in force, if its poll shows when it was sent.
 fn see_gateway(state: &CoordinatorState, poll: &Poll, now: Instant) {
     let Some(echo) = poll.echo.filter(|it| it.process_id == state.process_id) else { return };
