fix(coordination): count a takeover that was lost before it was seen as owned

Cause: a loss counted only once the owner had looked at its domain as its own; two coordinators that replaced each other between two looks never backed off. A store that is not there is no loss, so an outage does not lengthen the wait.

Proofs in any order of arrival, per domain, and the age of the word on a leaving VM have tests.

--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -162,7 +162,7 @@
         let is_live =
             |it: &VmId| *it != state.settings.vm && state.live_coordinators().contains(it);
         if backoff.may_take_over(recorded.is_some_and(is_live), now) {
-            replace_owner(state, domain, held.as_ref())?;
+            replace_owner(state, domain, held.as_ref()).inspect_err(|_| backoff.store_failed())?;
         }
         Ok(false)
     }
--- a/crates/mangocross-coordination/src/takeover_backoff.rs
+++ b/crates/mangocross-coordination/src/takeover_backoff.rs
@@ -54,13 +54,23 @@
         self.owned_since = None;
     }
 
-    /// Decides whether to take over now.
+    /// Records that the store was not there for a takeover, which is no loss.
+    pub fn store_failed(&mut self) {
+        self.owned_since = None;
+    }
+
+    /// Decides whether to take over now; a takeover that fails counts as a loss.
     ///
     /// An owner that is not live is replaced at once; from a live one the
     /// domain is taken only after it was wanted for the base wait.
     pub fn may_take_over(&mut self, owner_is_live: bool, now: Instant) -> bool {
         let wanted_since = *self.wanted_since.get_or_insert(now);
         let waited = !owner_is_live || now.saturating_duration_since(wanted_since) >= self.base;
-        waited && self.not_before.is_none_or(|it| now >= it)
+        let may = waited && self.not_before.is_none_or(|it| now >= it);
+        if may {
+            // What is lost before it was ever seen as owned is lost all the same.
+            self.owned_since.get_or_insert(now);
+        }
+        may
     }
 }
--- /dev/null
+++ b/crates/mangocross-coordination/tests/ownership.rs
@@ -0,0 +1,87 @@
+//! Who owns a fabric domain, and which orders it may give.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::HeldAssignment;
+use mangocross_coordination::OrderAuthority;
+use mangocross_coordination::TakeoverBackoff;
+use mangocross_coordination::take_over;
+use mangocross_types::DomainAssignment;
+use mangocross_types::FenceMode;
+use mangocross_types::Revision;
+use mangocross_types::VmId;
+
+const LIFETIME: Duration = Duration::from_secs(2);
+
+fn vm(name: &str) -> VmId {
+    name.parse().expect("a valid id")
+}
+
+fn held(process_id: u64, at: Instant) -> HeldAssignment {
+    let empty = DomainAssignment::empty("domain-1".parse().expect("a valid id"));
+    HeldAssignment::new(take_over(&empty, &vm("entry-1"), process_id), Revision(1), at, at)
+}
+
+fn authority(held: &HeldAssignment, fence_mode: FenceMode, now: Instant) -> OrderAuthority {
+    held.authority(&vm("entry-1"), 7, fence_mode, LIFETIME, now)
+}
+
+#[test]
+fn process_started_anew_on_the_same_vm_is_not_the_owner() {
+    let now = Instant::now();
+    assert!(held(7, now).is_owned_by(&vm("entry-1"), 7));
+    assert!(!held(6, now).is_owned_by(&vm("entry-1"), 7));
+    assert_eq!(authority(&held(6, now), FenceMode::Honoured, now), OrderAuthority::None);
+}
+
+#[test]
+fn new_owner_waits_until_no_older_order_is_under_way() {
+    let now = Instant::now();
+    let mut held = held(7, now);
+    assert_eq!(authority(&held, FenceMode::Ignored, now), OrderAuthority::None);
+    assert_ne!(authority(&held, FenceMode::Honoured, now), OrderAuthority::None);
+    let later = now + LIFETIME;
+    held.update(HeldAssignment::new(held.assignment.clone(), Revision(2), later, later));
+    let deadline = later + LIFETIME;
+    assert_eq!(authority(&held, FenceMode::Ignored, later), OrderAuthority::Full { deadline });
+}
+
+#[test]
+fn owner_that_wakes_up_gives_no_full_order_before_the_store_confirms_it() {
+    let now = Instant::now();
+    let mut held = held(7, now);
+    let woken = now + Duration::from_secs(600);
+    assert_eq!(authority(&held, FenceMode::Honoured, woken), OrderAuthority::IdleOnly);
+    // An answer that was asked for before the pause confirms nothing.
+    held.update(HeldAssignment::new(held.assignment.clone(), Revision(1), now, woken));
+    assert_eq!(authority(&held, FenceMode::Honoured, woken), OrderAuthority::IdleOnly);
+    held.update(HeldAssignment::new(held.assignment.clone(), Revision(1), woken, woken));
+    assert!(matches!(authority(&held, FenceMode::Honoured, woken), OrderAuthority::Full { .. }));
+}
+
+/// Two coordinators that do not see each other both want a domain for an hour.
+#[test]
+fn duel_leaves_each_winner_time_to_work() {
+    let start = Instant::now();
+    let mut random = fastrand::Rng::with_seed(5);
+    let mut backoffs = [0, 1].map(|_| TakeoverBackoff::new(Duration::from_secs(1)));
+    let (mut owner, mut takeovers) = (None, 0);
+    for tick in 0..14_400 {
+        let now = start + Duration::from_millis(250) * tick;
+        for (me, backoff) in backoffs.iter_mut().enumerate() {
+            if owner == Some(me) {
+                backoff.owns(now);
+                continue;
+            }
+            if owner.is_some() {
+                backoff.other_owns(now, random.u32(..1_000));
+            }
+            if backoff.may_take_over(false, now) {
+                owner = Some(me);
+                takeovers += 1;
+            }
+        }
+    }
+    assert!(takeovers < 120, "{takeovers} takeovers in an hour");
+}
--- /dev/null
+++ b/crates/mangocross-coordination/tests/proofs.rs
@@ -0,0 +1,81 @@
+//! The proofs that a gateway holds, under replies in any order, and the leaving table.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::LeavingTable;
+use mangocross_coordination::ProofTable;
+use mangocross_types::GroupId;
+use mangocross_types::GroupProof;
+use mangocross_types::VmId;
+
+fn proof(domain: &str, fencing_number: u64, incarnation: u64, remaining_ms: u32) -> GroupProof {
+    serde_json::from_value(serde_json::json!({
+        "group": "letters-1", "domain": domain, "incarnation": incarnation,
+        "fencing_number": fencing_number, "model": "letters", "model_version": "v1",
+        "address": "127.0.0.1:1", "remaining_ms": remaining_ms, "accepts_new": true,
+        "load": 0, "load_age_ms": 0,
+    }))
+    .expect("a proof")
+}
+
+fn group() -> GroupId {
+    "letters-1".parse().expect("a valid id")
+}
+
+/// Whatever the order of arrival, the newest word of the newest owner stands.
+#[test]
+fn order_of_arrival_does_not_matter() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut words = [
+        (proof("domain-1", 1, 1, 2_000), at(0)),
+        (proof("domain-1", 1, 2, 2_000), at(900)),
+        (proof("domain-1", 2, 2, 0), at(300)),
+        (proof("domain-1", 2, 2, 2_000), at(100)),
+        (proof("domain-1", 2, 2, 2_000), at(200)),
+    ];
+    let mut random = fastrand::Rng::with_seed(3);
+    for _ in 0..200 {
+        random.shuffle(&mut words);
+        let mut table = ProofTable::default();
+        for (word, asked_at) in words.iter().chain(&words[..2]) {
+            table.record(word, *asked_at);
+        }
+        assert!(table.get(&group(), at(301)).is_none(), "a withdrawn proof came back: {words:?}");
+    }
+}
+
+#[test]
+fn proof_from_a_new_domain_is_not_judged_by_the_old_ones_number() {
+    let now = Instant::now();
+    let mut table = ProofTable::default();
+    table.record(&proof("domain-1", 90, 40, 2_000), now);
+    table.record(&proof("domain-2", 1, 1, 2_000), now);
+    assert_eq!(table.proven(now).count(), 2);
+    table.record(&proof("domain-1", 90, 40, 0), now);
+    let left = table.get(&group(), now).expect("the new domain's proof stands");
+    assert_eq!(left.domain.as_str(), "domain-2");
+}
+
+/// Two nodes that tell each other for ever do not keep a word alive.
+#[test]
+fn word_on_a_leaving_vm_is_not_renewed_by_passing_it_on() {
+    let start = Instant::now() + Duration::from_secs(3_600);
+    let kept = Duration::from_secs(600);
+    let vm: VmId = "vm-1".parse().expect("a valid id");
+    let mut tables = [LeavingTable::new(kept), LeavingTable::new(kept)];
+    tables[0].said(&vm, start);
+    for second in 1..700 {
+        let now = start + Duration::from_secs(second);
+        for (from, to) in [(0, 1), (1, 0)] {
+            let told: Vec<(VmId, Duration)> =
+                tables[from].leaving(now).map(|(vm, age)| (vm.clone(), age)).collect();
+            for (vm, age) in told {
+                tables[to].peer_said(&vm, age, now);
+            }
+        }
+        let leaving = second < 600;
+        assert!(tables.iter().all(|it| it.is_leaving(&vm, now) == leaving), "second {second}");
+    }
+}
--- a/crates/mangocross-coordination/tests/world/mod.rs
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -216,12 +216,13 @@
                 self.after(delay, Event::PollAnswer { to, asked_at });
             }
         }
-        let proven: Vec<(GroupId, Incarnation)> = self
+        let mut proven: Vec<(GroupId, Incarnation)> = self
             .gateway
             .proven(self.now)
             .filter(|it| it.accepts_new)
             .map(|it| (it.group.clone(), it.incarnation))
             .collect();
+        proven.sort();
         for (group, incarnation) in proven {
             let first = self.members_of[&incarnation][0].clone();
             let engine = self.engine(&first);
@@ -389,7 +390,9 @@
         }
         self.owners[to.owner].confirmation_failed =
             purpose == ReadFor::Confirmation && read.is_none();
-        let Some(read) = read else { return };
+        let Some(read) = read else {
+            return self.owners[to.owner].backoff.store_failed();
+        };
         self.hold(to.owner, &read, asked_at);
         let named = read.assignment.as_ref().map(|it| it.fencing_number);
         if purpose == ReadFor::Takeover && (named.is_none() || named == before) {
