fix(coordination): judge a drain only by what was seen after it began

Cause: a group that was drained, resumed and drained again between two probes was unloaded on a report from the first drain. The owner now remembers when each group came to its phase; only an answer asked for one order lifetime later, when no older order to serve is under way, counts as the start of the drain, and the load must have been measured after it. In the same way a group is removed only once its members were seen outside it after every order to load has expired, so that a late one cannot take a VM out of its next group.

--- a/bins/mangocross-coordinator/src/domain_view.rs
+++ b/bins/mangocross-coordinator/src/domain_view.rs
@@ -52,7 +52,7 @@
     /// Returns the input of the decisions.
     pub(crate) fn input(&self, authority: OrderAuthority) -> DomainInput<'_> {
         DomainInput {
-            assignment: &self.held.assignment,
+            held: &self.held,
             configuration: &self.configuration,
             placements: &self.placements,
             engines: &self.engines,
--- a/crates/mangocross-coordination/src/completeness.rs
+++ b/crates/mangocross-coordination/src/completeness.rs
@@ -1,6 +1,7 @@
 //! Whether every member of a group answers and reports what is expected.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,6 +16,9 @@
 /// Failed probes in a row before a VM may count as lost.
 const LOST_FAILURES_MIN: u32 = 3;
 
+/// Answers that say that an engine drains, kept for each; they must span the lag of load reports.
+const DRAINING_ANSWERS_MAX: usize = 128;
+
 /// Why a member counts as missing.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum MissingReason {
@@ -94,9 +98,15 @@
     report: BackendReport,
     /// When `report.steps` last rose, or the member last had no work.
     progressed_at: Instant,
-    /// When the first of the newest answers that all say that the engine drains
-    /// came, if the newest one does.
-    draining_since: Option<Instant>,
+    /// The newest answers that all say that the engine drains, oldest first.
+    draining: VecDeque<DrainingAnswer>,
+}
+
+/// An answer that said that the engine drains.
+#[derive(Debug, Clone, Copy)]
+struct DrainingAnswer {
+    asked_at: Instant,
+    answered_at: Instant,
 }
 
 /// Failed probes since the last answered one.
@@ -128,11 +138,14 @@
             Some(it) if report.running > 0 && report.steps == it.report.steps => it.progressed_at,
             _ => asked_at,
         };
-        let still_draining = last.filter(|it| is_same_membership(&it.report, &report));
-        let draining_since = still_draining.and_then(|it| it.draining_since);
-        let draining_since = (report.role == EngineRole::Draining)
-            .then(|| draining_since.unwrap_or(answered_at.max(asked_at)));
-        probed.answer = Some(Answer { asked_at, report, progressed_at, draining_since });
+        let mut draining = VecDeque::new();
+        if report.role == EngineRole::Draining {
+            let before = last.filter(|it| is_same_membership(&it.report, &report));
+            draining = before.map(|it| it.draining.clone()).unwrap_or_default();
+            draining.drain(..draining.len().saturating_sub(DRAINING_ANSWERS_MAX - 1));
+            draining.push_back(DrainingAnswer { asked_at, answered_at });
+        }
+        probed.answer = Some(Answer { asked_at, report, progressed_at, draining });
         probed.failures = None;
     }
 
@@ -175,17 +188,18 @@
 
     /// Returns whether a group's member refuses new requests and has none.
     ///
-    /// Load reports lag, so the load must have been measured at least `settle`
-    /// after the first of an unbroken row of answers that said that it drains:
-    /// by then every older order to serve has expired.
-    pub fn is_drained(&self, vm: &VmId, group: &GroupAssignment, settle: Duration) -> bool {
+    /// `settled_at` is when every older order to serve has expired. From the first
+    /// answer asked for later that says that the member drains, it takes nothing
+    /// new. Load reports lag, so the load must have been measured after that answer.
+    pub fn is_drained(&self, vm: &VmId, group: &GroupAssignment, settled_at: Instant) -> bool {
         let Some(answer) = self.by_vm.get(vm).and_then(|it| it.answer.as_ref()) else {
             return false;
         };
         let report = &answer.report;
         let measured_at = answer.asked_at.checked_sub(Duration::from_millis(report.load_age_ms));
-        let after_drain = match (measured_at, answer.draining_since) {
-            (Some(measured_at), Some(since)) => measured_at >= since + settle,
+        let drains = answer.draining.iter().find(|it| it.asked_at >= settled_at);
+        let after_drain = match (measured_at, drains) {
+            (Some(measured_at), Some(drains)) => measured_at >= drains.answered_at,
             _ => false,
         };
         let idle = report.running == 0 && report.queued == 0;
--- a/crates/mangocross-coordination/src/group_life.rs
+++ b/crates/mangocross-coordination/src/group_life.rs
@@ -22,7 +22,7 @@
 
 /// Returns the next assignment to write, if one is due.
 pub(crate) fn next_assignment(input: &DomainInput<'_>) -> Option<DomainAssignment> {
-    let changed = input.assignment.groups.iter().find_map(|it| next_of_group(input, it));
+    let changed = input.assignment().groups.iter().find_map(|it| next_of_group(input, it));
     changed.or_else(|| input.configuration.groups.iter().find_map(|it| form_new(input, it)))
 }
 
@@ -37,20 +37,20 @@
         return false;
     }
     let idle = input.idle_vms().count();
-    match input.assignment.groups.iter().find(|it| it.group == spec.id) {
+    match input.assignment().groups.iter().find(|it| it.group == spec.id) {
         Some(group) => idle < group.members.iter().filter(|it| is_out(input, it)).count(),
         None => idle < usize::from(spec.size.0),
     }
 }
 
 fn belongs_here(input: &DomainInput<'_>, spec: &GroupSpec) -> bool {
-    input.placements.domain_of(&spec.id) == Some(&input.assignment.domain)
+    input.placements.domain_of(&spec.id) == Some(&input.assignment().domain)
 }
 
 /// Returns the group's specification if the group should be loaded in this domain.
 fn wanted<'a>(input: &DomainInput<'a>, group: &GroupAssignment) -> Option<&'a GroupSpec> {
     let spec = input.configuration.group(&group.group)?;
-    let here = input.placements.includes(&group.group, &input.assignment.domain);
+    let here = input.placements.includes(&group.group, &input.assignment().domain);
     let same = spec.model == group.model
         && spec.model_version == group.model_version
         && usize::from(spec.size.0) == group.members.len();
@@ -73,7 +73,7 @@
         GroupPhase::Unloading => return next_of_unwanted(input, group),
         GroupPhase::Serving | GroupPhase::Draining => return None,
     };
-    set_phase(input.assignment, &group.group, phase).ok()
+    set_phase(input.assignment(), &group.group, phase).ok()
 }
 
 fn next_of_unwanted(input: &DomainInput<'_>, group: &GroupAssignment) -> Option<DomainAssignment> {
@@ -81,12 +81,12 @@
         GroupPhase::Loading => GroupPhase::Unloading,
         GroupPhase::Serving => GroupPhase::Draining,
         GroupPhase::Draining if may_unload(input, group) => GroupPhase::Unloading,
-        GroupPhase::Unloading if !is_reported(input, group) => {
-            return Some(remove_group(input.assignment, &group.group));
+        GroupPhase::Unloading if is_unloaded(input, group) => {
+            return Some(remove_group(input.assignment(), &group.group));
         }
         GroupPhase::Draining | GroupPhase::Unloading => return None,
     };
-    set_phase(input.assignment, &group.group, phase).ok()
+    set_phase(input.assignment(), &group.group, phase).ok()
 }
 
 /// Forms a drained group anew without its leaving members, or releases the others.
@@ -99,7 +99,7 @@
         return None;
     }
     let formed = belongs_here(input, spec).then(|| repair(input, group, spec)).flatten();
-    formed.or_else(|| set_phase(input.assignment, &group.group, GroupPhase::Unloading).ok())
+    formed.or_else(|| set_phase(input.assignment(), &group.group, GroupPhase::Unloading).ok())
 }
 
 /// Forms the group anew without the members that cannot come back.
@@ -126,7 +126,7 @@
         return None;
     }
     members.extend(choose_idle(input, spec, needed)?);
-    form_group(input.assignment, spec, members).ok()
+    form_group(input.assignment(), spec, members).ok()
 }
 
 /// Returns whether a member cannot go on: lost, or leaving.
@@ -147,12 +147,12 @@
 }
 
 fn form_new(input: &DomainInput<'_>, spec: &GroupSpec) -> Option<DomainAssignment> {
-    let there = input.assignment.groups.iter().any(|it| it.group == spec.id);
+    let there = input.assignment().groups.iter().any(|it| it.group == spec.id);
     if !belongs_here(input, spec) || there || spec.desired != DesiredState::Serving {
         return None;
     }
     let members = choose_idle(input, spec, spec.size.0.into())?;
-    form_group(input.assignment, spec, members).ok()
+    form_group(input.assignment(), spec, members).ok()
 }
 
 /// Chooses idle VMs, those that hold the weights first; `None` when there are too few.
@@ -183,13 +183,19 @@
     let Some(first) = group.members.first() else { return true };
     let broken =
         |vm: &VmId| input.is_lost(vm) || input.report(vm).is_some_and(|it| !is_member(it, group));
-    let drained = input.report(first).is_some()
-        && input.probes.is_drained(first, group, input.order_lifetime);
+    let is_drained = |settled_at| input.probes.is_drained(first, group, settled_at);
+    let drained = input.report(first).is_some() && input.settled_at(group).is_some_and(is_drained);
     drained || group.members.iter().any(broken)
 }
 
-/// Returns whether any member still reports the group.
-fn is_reported(input: &DomainInput<'_>, group: &GroupAssignment) -> bool {
-    let mut reports = group.members.iter().filter_map(|vm| input.report(vm));
-    reports.any(|it| is_member(it, group))
+/// Returns whether no member is in the group or can still be brought into it by an order.
+fn is_unloaded(input: &DomainInput<'_>, group: &GroupAssignment) -> bool {
+    let Some(settled_at) = input.settled_at(group) else { return false };
+    let has_left = |vm: &VmId| match input.probes.newest(vm) {
+        Some((asked_at, report)) if input.report(vm).is_some() => {
+            asked_at >= settled_at && !is_member(report, group)
+        }
+        _ => input.is_lost(vm),
+    };
+    input.now >= settled_at && group.members.iter().all(has_left)
 }
--- a/crates/mangocross-coordination/src/held_assignment.rs
+++ b/crates/mangocross-coordination/src/held_assignment.rs
@@ -1,10 +1,14 @@
 //! A fabric domain's assignment as last read or written, and what it permits.
 
+use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
 use mangocross_types::DomainAssignment;
 use mangocross_types::FenceMode;
+use mangocross_types::GroupAssignment;
+use mangocross_types::GroupPhase;
+use mangocross_types::Incarnation;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
 
@@ -33,6 +37,15 @@
     confirmed_at: Instant,
     /// When this fencing number was first seen in the store.
     owner_seen_at: Instant,
+    /// When each group was first seen in its phase under this fencing number.
+    phases_seen_at: HashMap<Incarnation, PhaseSeen>,
+}
+
+/// A phase with the time at which it was first seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PhaseSeen {
+    phase: GroupPhase,
+    at: Instant,
 }
 
 impl HeldAssignment {
@@ -45,7 +58,25 @@
         asked_at: Instant,
         answered_at: Instant,
     ) -> Self {
-        Self { assignment, revision, confirmed_at: asked_at, owner_seen_at: answered_at }
+        let seen = assignment
+            .groups
+            .iter()
+            .map(|it| (it.incarnation, PhaseSeen { phase: it.phase, at: answered_at }));
+        let phases_seen_at = seen.collect();
+        Self {
+            assignment,
+            revision,
+            confirmed_at: asked_at,
+            owner_seen_at: answered_at,
+            phases_seen_at,
+        }
+    }
+
+    /// Returns when a group was first seen in its phase, by this owner.
+    ///
+    /// A new owner starts anew: it cannot know what was ordered meanwhile.
+    pub fn phase_seen_at(&self, group: &GroupAssignment) -> Option<Instant> {
+        self.phases_seen_at.get(&group.incarnation).map(|it| it.at)
     }
 
     /// Takes what the store named later, or in an answer that another one overtook.
@@ -57,6 +88,10 @@
         }
         if read.assignment.fencing_number == self.assignment.fencing_number {
             read.owner_seen_at = self.owner_seen_at;
+            for (incarnation, seen) in &mut read.phases_seen_at {
+                let before = self.phases_seen_at.get(incarnation);
+                *seen = *before.filter(|it| it.phase == seen.phase).unwrap_or(seen);
+            }
         }
         if read.revision == self.revision {
             read.confirmed_at = read.confirmed_at.max(self.confirmed_at);
--- a/crates/mangocross-coordination/src/orders.rs
+++ b/crates/mangocross-coordination/src/orders.rs
@@ -26,7 +26,7 @@
 
 fn all_orders<'a>(input: &DomainInput<'a>) -> impl Iterator<Item = Step> + use<'a> {
     let input = *input;
-    let groups = input.assignment.groups.iter().flat_map(move |it| group_orders(&input, it));
+    let groups = input.assignment().groups.iter().flat_map(move |it| group_orders(&input, it));
     groups.chain(residue_orders(input))
 }
 
@@ -34,8 +34,9 @@
 fn is_superseded(input: &DomainInput<'_>) -> bool {
     let mut reports = input.engines.iter().filter_map(|it| input.report(&it.vm));
     reports.any(|it| {
-        let later_group = it.group.is_some() && it.incarnation >= input.assignment.next_incarnation;
-        later_group || it.fencing_number > input.assignment.fencing_number
+        let later_group =
+            it.group.is_some() && it.incarnation >= input.assignment().next_incarnation;
+        later_group || it.fencing_number > input.assignment().fencing_number
     })
 }
 
--- a/crates/mangocross-coordination/src/reconcile.rs
+++ b/crates/mangocross-coordination/src/reconcile.rs
@@ -14,6 +14,7 @@
 
 use crate::Completeness;
 use crate::EngineVm;
+use crate::HeldAssignment;
 use crate::OrderAuthority;
 use crate::ProbeTable;
 use crate::group_life;
@@ -23,7 +24,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct DomainInput<'a> {
     /// The assignment as last read or written.
-    pub assignment: &'a DomainAssignment,
+    pub held: &'a HeldAssignment,
     /// The configuration in force.
     pub configuration: &'a Configuration,
     /// Where groups belong.
@@ -71,6 +72,16 @@
 }
 
 impl<'a> DomainInput<'a> {
+    /// Returns the assignment as last read or written.
+    pub(crate) fn assignment(&self) -> &'a DomainAssignment {
+        &self.held.assignment
+    }
+
+    /// Returns when every order has expired that was given before a group came to its phase.
+    pub(crate) fn settled_at(&self, group: &GroupAssignment) -> Option<Instant> {
+        self.held.phase_seen_at(group).map(|it| it + self.order_lifetime)
+    }
+
     /// Returns a VM's newest report, if its newest probe was answered lately.
     pub fn report(&self, vm: &VmId) -> Option<&'a BackendReport> {
         self.probes.report(vm, self.now, self.probe_ttl)
@@ -96,7 +107,7 @@
     }
 
     pub(crate) fn is_assigned(&self, vm: &VmId) -> bool {
-        self.assignment.groups.iter().any(|it| it.members.contains(vm))
+        self.assignment().groups.iter().any(|it| it.members.contains(vm))
     }
 
     /// Returns the VMs that say that they are in no group, and are in none.
--- a/crates/mangocross-coordination/tests/world/mod.rs
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -478,7 +478,7 @@
         });
         let engines: Vec<EngineVm> = engines.collect();
         reconcile(&DomainInput {
-            assignment: &held.assignment,
+            held,
             configuration: &self.owners[owner].configuration.1,
             placements: &self.placements,
             engines: &engines,
