--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -8,7 +8,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_coordination::Vouch;
+use mangocross_coordination::Voucher;
 use mangocross_operator::check_configuration;
+use mangocross_types::EntryVmSpec;
 use peer_entry::CustomerUsage;
 use peer_entry::PeerKey;
 use peer_entry::Poll;
@@ -34,6 +37,12 @@
         Self { state, fetching: Arc::new(AtomicBool::new(false)) }
     }
 
+    fn is_own_coordinator(&self, address: SocketAddr) -> bool {
+        let configuration = self.state.configuration();
+        let own = |it: &&EntryVmSpec| it.vm == self.state.settings.vm;
+        configuration.entry_vms.iter().find(own).is_some_and(|it| it.coordinator == address)
+    }
+
     /// Fetches the configuration from a coordinator that holds a newer one.
     fn fetch(&self, from: SocketAddr) {
         if self.fetching.swap(true, Ordering::SeqCst) {
@@ -68,7 +77,7 @@
         targets
     }
 
-    fn poll(&self) -> Poll {
+    fn poll(&self, to: SocketAddr) -> Poll {
         let usage = self.state.in_flight_by_customer().into_iter();
         Poll {
             nonce: 0,
@@ -84,14 +93,25 @@
                     demand_per_second: 0,
                 })
                 .collect(),
+            failures: if self.is_own_coordinator(to) {
+                self.state.failures.take()
+            } else {
+                Vec::new()
+            },
+            echo: None,
         }
     }
 
     fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply) {
         let behind = {
             let mut freshness = self.state.freshness();
-            let store_age = reply.store_age_ms.map(|it| Duration::from_millis(it.into()));
-            freshness.peer_said(&reply.vm, reply.revision, store_age, asked_at);
+            let voucher = Voucher { vm: reply.vm.clone(), address: from };
+            let vouch = Vouch {
+                newest_known: reply.newest_known,
+                established: reply.established,
+                store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
+            };
+            freshness.peer_said(&voucher, vouch, asked_at);
             reply.revision > freshness.in_force()
         };
         if behind {
--- /dev/null
+++ b/tests/tests/configuration.rs
@@ -0,0 +1,200 @@
+//! A configuration that was accepted is in force everywhere and stays so.
+
+use std::thread;
+use std::time::Duration;
+
+use mangocross_operator::OperatorRequest;
+use mangocross_tests::Answer;
+use mangocross_tests::Cluster;
+use mangocross_tests::ClusterBuilder;
+use mangocross_tests::Outgoing;
+use mangocross_tests::RelayMode;
+use mangocross_types::ResultCode;
+use mangocross_types::Revision;
+use mangocross_types::RunOutcome;
+use standins::StoreFaults;
+
+/// How long a vouch counts in these tests, in milliseconds.
+const VOUCH_MS: u64 = 1_500;
+/// Time after which no vouch from before counts.
+const VOUCHES_OVER: Duration = Duration::from_millis(2 * VOUCH_MS);
+
+fn start(nodes: u16) -> Cluster {
+    ClusterBuilder::new(nodes, &[])
+        .coordinator_setting("vouch_ms", VOUCH_MS)
+        .gateway_setting("vouch_ms", VOUCH_MS)
+        .start()
+}
+
+fn status(cluster: &Cluster, node: u16) -> Answer {
+    cluster.send(node, &Outgoing::service("town", "status", "registry/status", ""))
+}
+
+fn serves(cluster: &Cluster, node: u16) -> bool {
+    status(cluster, node).outcome() == Some(RunOutcome::Ran)
+}
+
+fn code(answer: &Answer) -> Option<ResultCode> {
+    answer.refusal().map(|it| it.code)
+}
+
+fn request(id: &str, text: &str) -> OperatorRequest {
+    OperatorRequest {
+        command_id: id.parse().expect("a valid id"),
+        text: text.to_owned(),
+        configuration: None,
+        based_on: None,
+        dry_run: false,
+    }
+}
+
+fn revision(cluster: &Cluster, node: u16) -> Revision {
+    cluster.operate(node, "show config").expect("the coordinator answers").revision
+}
+
+fn set_store(cluster: &Cluster, faults: StoreFaults) {
+    cluster.store.faults().set(faults);
+}
+
+#[test]
+fn loser_of_a_race_is_told_what_won() {
+    let cluster = start(2);
+    let newest = revision(&cluster, 0);
+    let first = OperatorRequest { based_on: Some(newest), ..request("c-first", "drain vm vm-1-1") };
+    let second =
+        OperatorRequest { based_on: Some(newest), ..request("c-second", "drain vm vm-1-2") };
+    let won = cluster.operate_with(0, &first).expect("the first command is accepted");
+    let lost = cluster.operate_with(1, &second).expect_err("the second command is refused");
+    assert!(lost.contains("6002") && lost.contains("drain vm vm-1-1"), "{lost}");
+    assert!(lost.contains("c-first") && lost.contains(&won.revision.to_string()), "{lost}");
+}
+
+#[test]
+fn repeated_command_is_harmless_after_a_lost_answer_of_the_store() {
+    let cluster = start(3);
+    let command = request("c-once", "drain vm vm-1-1");
+    set_store(&cluster, StoreFaults { lose_write_answers: true, ..StoreFaults::default() });
+    let written = cluster.operate_with(0, &command).expect("read back and accepted");
+    set_store(&cluster, StoreFaults::default());
+    let repeated = cluster.operate_with(1, &command).expect("a repeat is accepted");
+    assert_eq!(repeated.revision, written.revision);
+    assert_eq!((repeated.code, written.code), (None, None));
+    let other = cluster.operate_with(1, &request("c-once", "drain vm vm-1-2"));
+    assert!(other.expect_err("another text is refused").contains("drain vm vm-1-1"));
+}
+
+#[test]
+fn command_whose_outcome_was_unknown_is_finished_by_its_repeat() {
+    let cluster = start(3);
+    let command = request("c-unknown", "drain vm vm-1-1");
+    let before = revision(&cluster, 0);
+    set_store(&cluster, StoreFaults { lose_write_answers: true, ..StoreFaults::default() });
+    let told = thread::scope(|scope| {
+        let told = scope.spawn(|| cluster.operate_with(0, &command));
+        cluster.wait_until("the write took effect", || revision(&cluster, 1) > before);
+        cluster.store_relays[0].set(RelayMode::Cut);
+        told.join().expect("the operator's thread ends")
+    });
+    let told = told.expect_err("the coordinator cannot know");
+    assert!(told.contains("5002") && told.contains("unknown"), "{told}");
+    set_store(&cluster, StoreFaults::default());
+    let repeated = cluster.operate_with(1, &command).expect("the repeat is accepted");
+    assert_eq!(repeated.code, None);
+    assert_eq!(revision(&cluster, 1), repeated.revision);
+}
+
+#[test]
+fn node_cut_from_the_store_goes_on_by_the_vouches_of_its_peers() {
+    let cluster = start(3);
+    cluster.store_relays[0].set(RelayMode::Cut);
+    thread::sleep(VOUCHES_OVER);
+    assert!(serves(&cluster, 0));
+    // It also takes a change that it cannot read from the store.
+    let answer = cluster.operate(1, "drain vm vm-1-1").expect("the change is accepted");
+    assert_eq!(answer.code, None);
+    cluster.wait_until("the node has the change", || revision(&cluster, 0) == answer.revision);
+}
+
+#[test]
+fn node_that_hears_neither_store_nor_peers_stops_and_comes_back() {
+    let cluster = start(3);
+    cluster.store_relays[0].set(RelayMode::Cut);
+    cluster.coordinators[1].freeze();
+    cluster.coordinators[2].freeze();
+    cluster
+        .wait_until("the node stops", || code(&status(&cluster, 0)) == Some(ResultCode::NotFresh));
+    assert_eq!(status(&cluster, 0).outcome(), Some(RunOutcome::NotRun));
+    cluster.coordinators[1].thaw();
+    cluster.coordinators[2].thaw();
+    cluster.wait_until("the node serves again", || serves(&cluster, 0));
+}
+
+#[test]
+fn whole_store_outage_stops_neither_service_nor_restarts_and_accepts_no_command() {
+    let mut cluster = start(3);
+    set_store(&cluster, StoreFaults { down: true, ..StoreFaults::default() });
+    thread::sleep(VOUCHES_OVER);
+    assert!((0..3).all(|it| serves(&cluster, it)));
+    let refused = cluster.operate(0, "drain vm vm-1-1").expect_err("no command is accepted");
+    assert!(refused.contains("5001") && refused.contains("not_run"), "{refused}");
+    cluster.coordinators[0].restart();
+    cluster.gateways[0].restart();
+    cluster.wait_until("the restarted node serves", || cluster.ready(0) && serves(&cluster, 0));
+    set_store(&cluster, StoreFaults::default());
+    cluster.operate(0, "drain vm vm-1-1").expect("commands are accepted again");
+}
+
+#[test]
+fn frozen_gateway_serves_nothing_under_the_configuration_it_slept_through() {
+    let cluster = start(3);
+    cluster.gateways[2].freeze();
+    let answer = cluster.operate(0, "remove kind status").expect("the change is accepted");
+    assert_eq!(answer.code, None);
+    assert!(answer.message.contains("gateway of entry-3"), "{}", answer.message);
+    cluster.gateways[2].thaw();
+    for _ in 0..20 {
+        let told = status(&cluster, 2);
+        assert_eq!(told.outcome(), Some(RunOutcome::NotRun), "{told:?}");
+    }
+    cluster.wait_until("the change is in force there", || {
+        code(&status(&cluster, 2)) == Some(ResultCode::UnknownKind)
+    });
+}
+
+#[test]
+fn all_nodes_replaced_at_once_serve_under_the_newest_configuration() {
+    let mut cluster = start(3);
+    let accepted = cluster.operate(0, "drain vm vm-1-1").expect("the change is accepted");
+    for process in cluster.coordinators.iter_mut().chain(&mut cluster.gateways) {
+        process.kill();
+    }
+    for process in cluster.coordinators.iter_mut().chain(&mut cluster.gateways) {
+        process.restart();
+    }
+    cluster.wait_until("all nodes serve", || {
+        (0..3).all(|it| cluster.ready(it) && serves(&cluster, it))
+    });
+    assert!((0..3).all(|it| revision(&cluster, it) == accepted.revision));
+}
+
+#[test]
+fn change_without_a_majority_is_reported_as_not_yet_in_force() {
+    let cluster = ClusterBuilder::new(3, &[])
+        .coordinator_setting("vouch_ms", VOUCH_MS)
+        .gateway_setting("vouch_ms", VOUCH_MS)
+        .coordinator_setting("in_force_wait_ms", 2 * VOUCH_MS)
+        .start();
+    cluster.coordinators[1].freeze();
+    cluster.coordinators[2].freeze();
+    let command = request("c-alone", "drain vm vm-1-1");
+    let stored = cluster.operate_with(0, &command).expect("the change is stored");
+    assert_eq!(stored.code, Some(ResultCode::NotYetInForce));
+    for missing in ["coordinator of entry-2", "coordinator of entry-3"] {
+        assert!(stored.message.contains(missing), "{}", stored.message);
+    }
+    cluster.coordinators[1].thaw();
+    cluster.coordinators[2].thaw();
+    cluster.wait_until("the repeat finds the change in force", || {
+        cluster.operate_with(0, &command).is_ok_and(|it| it.code.is_none())
+    });
+}
