feat(coordination): repair, wait or merge as the policy decides

The owner asks mangocross-policy about each group that lacks members: wait for them, take idle VMs, or take the survivors of another group of the domain that lost a member for good, in one swap. A leaving member is replaced without weighing, since it does not come back. New settings expected_load_ms and expected_restart_ms carry the two times that the choice rests on; lost_ms must not be less than order_deadline_ms, so that every order to a lost VM has expired when it is replaced.

--- a/bins/mangocross-coordinator/src/domain_view.rs
+++ b/bins/mangocross-coordinator/src/domain_view.rs
@@ -63,6 +63,7 @@
             stall_limit: self.state.stall_limit(),
             lost_after: self.state.lost_after(),
             order_lifetime: self.state.order_lifetime(),
+            repair_times: self.state.repair_times(&self.configuration.policy),
         }
     }
 
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -17,11 +17,13 @@
 use mangocross_coordination::HeldAssignment;
 use mangocross_coordination::LeavingTable;
 use mangocross_coordination::ProbeTable;
+use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
 use mangocross_types::FabricDomain;
 use mangocross_types::Placements;
+use mangocross_types::PolicyWeights;
 use mangocross_types::RequestId;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
@@ -37,6 +39,9 @@
 
 use crate::failures::KnownFailures;
 
+/// Expected time to load weights that are on the VM already.
+const WARM_LOAD: Duration = Duration::from_secs(1);
+
 /// A coordinator that answers polls.
 #[derive(Debug, Clone)]
 pub(crate) struct LivePeer {
@@ -160,6 +165,17 @@
         Duration::from_millis(self.settings.order_deadline_ms)
     }
 
+    /// Times that the choice between repair and waiting rests on.
+    pub(crate) fn repair_times(&self, weights: &PolicyWeights) -> RepairTimes {
+        RepairTimes {
+            load: Duration::from_millis(self.settings.expected_load_ms),
+            concurrent_loads: weights.concurrent_loads,
+            loads_before: 0,
+            warm_load: WARM_LOAD,
+            restart: Duration::from_millis(self.settings.expected_restart_ms),
+        }
+    }
+
     /// Returns whether a VM must receive no new work.
     pub(crate) fn is_leaving(&self, vm: &VmId) -> bool {
         let now = self.clock.now();
--- a/crates/mangocross-coordination/src/completeness.rs
+++ b/crates/mangocross-coordination/src/completeness.rs
@@ -186,6 +186,11 @@
         })
     }
 
+    /// Returns when the first of a VM's failed probes in a row was sent.
+    pub fn failing_since(&self, vm: &VmId) -> Option<Instant> {
+        self.by_vm.get(vm)?.failures.as_ref().map(|it| it.first_asked_at)
+    }
+
     /// Returns whether a group's member refuses new requests and has none.
     ///
     /// `settled_at` is when every older order to serve has expired. From the first
--- a/crates/mangocross-coordination/src/group_life.rs
+++ b/crates/mangocross-coordination/src/group_life.rs
@@ -1,23 +1,22 @@
 //! The life of the groups in a fabric domain: formed, serving, draining,
 //! unloading, repaired.
 
-use mangocross_policy::MemberCandidate;
-use mangocross_policy::choose_members;
 use mangocross_types::DesiredState;
 use mangocross_types::DomainAssignment;
 use mangocross_types::GroupAssignment;
 use mangocross_types::GroupId;
 use mangocross_types::GroupPhase;
-use mangocross_types::GroupSize;
 use mangocross_types::GroupSpec;
 use mangocross_types::VmId;
 
 use crate::Completeness;
 use crate::DomainInput;
-use crate::MissingReason;
 use crate::completeness::is_member;
 use crate::form_group;
 use crate::remove_group;
+use crate::repair::choose_idle;
+use crate::repair::is_out;
+use crate::repair::repair;
 use crate::set_phase;
 
 /// Returns the next assignment to write, if one is due.
@@ -63,9 +62,9 @@
     let complete = matches!(input.check(group), Completeness::Complete { .. });
     let phase = match group.phase {
         GroupPhase::Loading if complete => GroupPhase::Serving,
-        GroupPhase::Loading => return repair(input, group, spec),
+        GroupPhase::Loading => return repair_here(input, group, spec),
         GroupPhase::Serving if !takes_new => GroupPhase::Draining,
-        GroupPhase::Serving if !complete => return repair(input, group, spec),
+        GroupPhase::Serving if !complete => return repair_here(input, group, spec),
         GroupPhase::Draining if takes_new => GroupPhase::Serving,
         GroupPhase::Draining if spec.desired == DesiredState::Serving => {
             return replace_leaving(input, group, spec);
@@ -98,52 +97,17 @@
     if !may_unload(input, group) {
         return None;
     }
-    let formed = belongs_here(input, spec).then(|| repair(input, group, spec)).flatten();
-    formed.or_else(|| set_phase(input.assignment(), &group.group, GroupPhase::Unloading).ok())
+    repair_here(input, group, spec)
+        .or_else(|| set_phase(input.assignment(), &group.group, GroupPhase::Unloading).ok())
 }
 
-/// Forms the group anew without the members that cannot come back.
-///
-/// A member that is silent and not yet lost may come back, so it is waited for.
-fn repair(
+/// Repairs a group, unless it is only here until it serves in another domain.
+fn repair_here(
     input: &DomainInput<'_>,
     group: &GroupAssignment,
     spec: &GroupSpec,
 ) -> Option<DomainAssignment> {
-    if !belongs_here(input, spec) {
-        return None;
-    }
-    let (out, mut members): (Vec<VmId>, Vec<VmId>) =
-        group.members.iter().cloned().partition(|vm| is_out(input, vm));
-    let stragglers = stragglers(input, group);
-    let undecided = members.iter().any(|vm| input.report(vm).is_none() && !stragglers.contains(vm));
-    if undecided {
-        return None;
-    }
-    members.retain(|vm| !stragglers.contains(vm));
-    let needed = out.len() + stragglers.len();
-    if needed == 0 {
-        return None;
-    }
-    members.extend(choose_idle(input, spec, needed)?);
-    form_group(input.assignment(), spec, members).ok()
-}
-
-/// Returns whether a member cannot go on: lost, or leaving.
-fn is_out(input: &DomainInput<'_>, vm: &VmId) -> bool {
-    input.is_lost(vm) || input.is_leaving(vm)
-}
-
-fn stragglers(input: &DomainInput<'_>, group: &GroupAssignment) -> Vec<VmId> {
-    let Completeness::Incomplete(missing) = input.check(group) else { return Vec::new() };
-    let slow = missing.into_iter().filter(|it| is_straggler(input, &it.reason));
-    slow.map(|it| it.vm).collect()
-}
-
-/// Returns whether a member has stood still for so long that it is replaced.
-fn is_straggler(input: &DomainInput<'_>, reason: &MissingReason) -> bool {
-    let MissingReason::Straggler { stalled_ms } = reason else { return false };
-    *stalled_ms >= (input.stall_limit + input.lost_after).as_millis()
+    belongs_here(input, spec).then(|| repair(input, group, spec)).flatten()
 }
 
 fn form_new(input: &DomainInput<'_>, spec: &GroupSpec) -> Option<DomainAssignment> {
@@ -155,22 +119,6 @@
     form_group(input.assignment(), spec, members).ok()
 }
 
-/// Chooses idle VMs, those that hold the weights first; `None` when there are too few.
-fn choose_idle(input: &DomainInput<'_>, spec: &GroupSpec, needed: usize) -> Option<Vec<VmId>> {
-    let has_weights = |vm: &VmId| {
-        input.report(vm).is_some_and(|it| it.cached_versions.contains(&spec.model_version))
-    };
-    let candidates = input.idle_vms().map(|vm| MemberCandidate {
-        has_weights: has_weights(&vm),
-        vm,
-        leaving: false,
-        straggling: false,
-        recent_failures: 0,
-    });
-    let candidates: Vec<MemberCandidate> = candidates.collect();
-    choose_members(GroupSize(u16::try_from(needed).ok()?), &candidates)
-}
-
 fn has_leaving(input: &DomainInput<'_>, group: &GroupAssignment) -> bool {
     group.members.iter().any(|vm| input.is_leaving(vm))
 }
--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -24,6 +24,7 @@
 mod proof_table;
 mod quorum;
 mod reconcile;
+mod repair;
 mod takeover_backoff;
 
 pub use acceptance::Acceptance;
--- a/crates/mangocross-coordination/src/reconcile.rs
+++ b/crates/mangocross-coordination/src/reconcile.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_policy::RepairTimes;
 use mangocross_types::BackendReport;
 use mangocross_types::Configuration;
 use mangocross_types::DomainAssignment;
@@ -45,6 +46,8 @@
     pub lost_after: Duration,
     /// Longest time that an order can be under way.
     pub order_lifetime: Duration,
+    /// Times that the choice between repair and waiting rests on.
+    pub repair_times: RepairTimes,
 }
 
 /// A step of the owner.
--- /dev/null
+++ b/crates/mangocross-coordination/src/repair.rs
@@ -0,0 +1,142 @@
+//! Forms a group anew that lacks members, as the policy decides.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_policy::Absence;
+use mangocross_policy::BrokenGroup;
+use mangocross_policy::Donor;
+use mangocross_policy::MemberCandidate;
+use mangocross_policy::MissingMember as PolicyMissingMember;
+use mangocross_policy::RepairDecision;
+use mangocross_policy::choose_members;
+use mangocross_policy::decide_repair;
+use mangocross_types::DomainAssignment;
+use mangocross_types::GroupAssignment;
+use mangocross_types::GroupPhase;
+use mangocross_types::GroupSize;
+use mangocross_types::GroupSpec;
+use mangocross_types::VmId;
+
+use crate::Completeness;
+use crate::DomainInput;
+use crate::MissingReason;
+use crate::form_group;
+use crate::remove_group;
+
+/// Returns the assignment in which a group is formed anew without the members
+/// that do not work, if that is better than to wait for them.
+///
+/// A member that is silent and not yet lost may come back, so it is waited for.
+pub(crate) fn repair(
+    input: &DomainInput<'_>,
+    group: &GroupAssignment,
+    spec: &GroupSpec,
+) -> Option<DomainAssignment> {
+    let missing = missing_members(input, group);
+    let is_missing = |vm: &VmId| missing.iter().any(|it| it.vm == *vm);
+    let survivors: Vec<VmId> = group.members.iter().filter(|vm| !is_missing(vm)).cloned().collect();
+    if missing.is_empty() || survivors.iter().any(|vm| input.report(vm).is_none()) {
+        return None;
+    }
+    let members = |vms: Vec<VmId>| survivors.iter().cloned().chain(vms).collect();
+    // A leaving VM does not come back, so there is nothing to wait for.
+    if missing.iter().any(|it| it.absence == Absence::Leaving) {
+        let vms = choose_idle(input, spec, missing.len())?;
+        return form_group(input.assignment(), spec, members(vms)).ok();
+    }
+    let broken = BrokenGroup {
+        group: group.group.clone(),
+        size: spec.size,
+        accelerators: 1,
+        survivors: survivors.clone(),
+        missing,
+        spares: candidates(input, spec, input.idle_vms()),
+        donors: donors(input, group, spec),
+        other_domains: Vec::new(),
+        times: input.repair_times,
+    };
+    match decide_repair(&broken, &input.configuration.policy, input.now).decision {
+        RepairDecision::ReplaceWith(vms) => form_group(input.assignment(), spec, members(vms)).ok(),
+        RepairDecision::Merge { donor, vms } => {
+            form_group(&remove_group(input.assignment(), &donor), spec, members(vms)).ok()
+        }
+        RepairDecision::Nothing
+        | RepairDecision::WaitUntil(_)
+        | RepairDecision::MoveToDomain(_) => None,
+    }
+}
+
+/// Chooses idle VMs, those that hold the weights first; `None` when there are too few.
+pub(crate) fn choose_idle(
+    input: &DomainInput<'_>,
+    spec: &GroupSpec,
+    needed: usize,
+) -> Option<Vec<VmId>> {
+    let size = GroupSize(u16::try_from(needed).ok()?);
+    choose_members(size, &candidates(input, spec, input.idle_vms()))
+}
+
+/// Returns whether a member cannot go on: lost, or leaving.
+pub(crate) fn is_out(input: &DomainInput<'_>, vm: &VmId) -> bool {
+    input.is_lost(vm) || input.is_leaving(vm)
+}
+
+fn candidates(
+    input: &DomainInput<'_>,
+    spec: &GroupSpec,
+    vms: impl Iterator<Item = VmId>,
+) -> Vec<MemberCandidate> {
+    let has_weights = |vm: &VmId| {
+        input.report(vm).is_some_and(|it| it.cached_versions.contains(&spec.model_version))
+    };
+    let candidates =
+        vms.map(|vm| MemberCandidate { has_weights: has_weights(&vm), ..MemberCandidate::new(vm) });
+    candidates.collect()
+}
+
+/// Returns the members that are lost, leaving or stand still.
+fn missing_members(input: &DomainInput<'_>, group: &GroupAssignment) -> Vec<PolicyMissingMember> {
+    let stalled = stalled_since(input, group);
+    let missing = group.members.iter().filter_map(|vm| {
+        let (absence, since) = if input.is_leaving(vm) {
+            (Absence::Leaving, input.now)
+        } else if input.is_lost(vm) {
+            (Absence::Missing, input.probes.failing_since(vm).unwrap_or(input.now))
+        } else {
+            let (_, since) = stalled.iter().find(|(it, _)| it == vm)?;
+            (Absence::Missing, *since)
+        };
+        Some(PolicyMissingMember { vm: vm.clone(), absence, since, expected_back: None })
+    });
+    missing.collect()
+}
+
+/// Returns the members that have stood still for so long that they are replaced.
+fn stalled_since(input: &DomainInput<'_>, group: &GroupAssignment) -> Vec<(VmId, Instant)> {
+    let Completeness::Incomplete(missing) = input.check(group) else { return Vec::new() };
+    let limit = input.stall_limit + input.lost_after;
+    let stalled = missing.into_iter().filter_map(|it| {
+        let MissingReason::Straggler { stalled_ms } = it.reason else { return None };
+        let stalled = Duration::from_millis(u64::try_from(stalled_ms).ok()?);
+        (stalled >= limit).then(|| Some((it.vm, input.now.checked_sub(stalled)?))).flatten()
+    });
+    stalled.collect()
+}
+
+/// Returns the other groups of the same model version that lost a member for good.
+///
+/// None of their requests can finish, so taking their survivors cuts off nothing.
+fn donors(input: &DomainInput<'_>, group: &GroupAssignment, spec: &GroupSpec) -> Vec<Donor> {
+    let others = input.assignment().groups.iter().filter(|it| {
+        let formed = matches!(it.phase, GroupPhase::Loading | GroupPhase::Serving);
+        formed && it.group != group.group && it.members.iter().any(|vm| input.is_lost(vm))
+    });
+    let donors = others.map(|it| {
+        let works = |vm: &&VmId| !is_out(input, vm) && input.report(vm).is_some();
+        let survivors = it.members.iter().filter(works).cloned();
+        let survivors = candidates(input, spec, survivors);
+        Donor { group: it.group.clone(), survivors, complete_at: None }
+    });
+    donors.collect()
+}
--- /dev/null
+++ b/crates/mangocross-coordination/tests/reconcile.rs
@@ -0,0 +1,255 @@
+//! What an owner does about members that are silent, lost, leaving or slow.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::DomainInput;
+use mangocross_coordination::DomainState;
+use mangocross_coordination::EngineVm;
+use mangocross_coordination::HeldAssignment;
+use mangocross_coordination::OrderAuthority;
+use mangocross_coordination::PlacementPlanner;
+use mangocross_coordination::ProbeTable;
+use mangocross_coordination::Step;
+use mangocross_coordination::reconcile;
+use mangocross_coordination::stuck_groups;
+use mangocross_policy::RepairTimes;
+use mangocross_types::BackendReport;
+use mangocross_types::Configuration;
+use mangocross_types::DomainAssignment;
+use mangocross_types::GroupPhase;
+use mangocross_types::Placements;
+use mangocross_types::Revision;
+use mangocross_types::VmId;
+use serde_json::json;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn vm(number: usize) -> VmId {
+    format!("vm-{number}").parse().expect("a valid id")
+}
+
+/// Two groups of two on VMs 0 to 3 that serve, as seen by their owner.
+struct Fixture {
+    start: Instant,
+    now: Instant,
+    held: HeldAssignment,
+    engines: Vec<EngineVm>,
+    probes: ProbeTable,
+}
+
+impl Fixture {
+    /// Returns a domain with a number of VMs.
+    fn new(vms: usize) -> Self {
+        let group = |number: usize| {
+            json!({"group": format!("group-{number}"), "incarnation": number + 1, "model": "letters",
+                "model_version": "v1", "phase": "serving",
+                "members": [vm(2 * number), vm(2 * number + 1)]})
+        };
+        let assignment: DomainAssignment = serde_json::from_value(json!({
+            "domain": "domain-1", "owner": "entry-1", "fencing_number": 1, "next_incarnation": 9,
+            "groups": [group(0), group(1)],
+        }))
+        .expect("an assignment");
+        let start = Instant::now() + Duration::from_secs(100);
+        let engine = |number| EngineVm {
+            vm: vm(number),
+            address: ([127, 0, 0, 1], 1).into(),
+            leaving: false,
+            listed: true,
+        };
+        let held = HeldAssignment::new(assignment, Revision(1), start, start);
+        let engines = (0..vms).map(engine).collect();
+        Self { start, now: start, held, engines, probes: ProbeTable::default() }
+    }
+
+    /// Probes all VMs for a while; those given fail.
+    fn probe(&mut self, milliseconds: u32, failing: &[usize]) {
+        for _ in 0..milliseconds / 500 {
+            self.now += 500 * MS;
+            for number in 0..self.engines.len() {
+                match failing.contains(&number) {
+                    true => self.probes.record_failure(&vm(number), self.now, "silent".into()),
+                    false => {
+                        let report = report(number);
+                        self.probes.record_answer(&vm(number), self.now, self.now, report);
+                    }
+                }
+            }
+        }
+    }
+
+    fn input<'a>(
+        &'a self,
+        configuration: &'a Configuration,
+        placements: &'a Placements,
+    ) -> DomainInput<'a> {
+        DomainInput {
+            held: &self.held,
+            configuration,
+            placements,
+            engines: &self.engines,
+            probes: &self.probes,
+            authority: OrderAuthority::Full { deadline: self.now + 2_000 * MS },
+            now: self.now,
+            probe_ttl: 2_000 * MS,
+            stall_limit: 3_000 * MS,
+            lost_after: 3_000 * MS,
+            order_lifetime: 2_000 * MS,
+            repair_times: RepairTimes {
+                load: Duration::from_secs(60),
+                concurrent_loads: 8,
+                loads_before: 0,
+                warm_load: Duration::from_secs(1),
+                restart: Duration::from_secs(180),
+            },
+        }
+    }
+
+    fn steps(&self) -> Vec<Step> {
+        reconcile(&self.input(&configuration(), &placements()))
+    }
+
+    /// Returns the groups after the swap that is due, by their members.
+    fn swapped(&self) -> Option<Vec<(String, GroupPhase, Vec<VmId>)>> {
+        let Step::Swap(next) = self.steps().into_iter().next()? else { return None };
+        let groups = next.groups.into_iter();
+        Some(groups.map(|it| (it.group.to_string(), it.phase, it.members)).collect())
+    }
+}
+
+fn report(number: usize) -> BackendReport {
+    let in_group = number < 4;
+    serde_json::from_value(json!({
+        "vm": vm(number), "state": if in_group { "ready" } else { "idle" },
+        "group": in_group.then(|| format!("group-{}", number / 2)),
+        "incarnation": if in_group { number / 2 + 1 } else { 0 }, "rank": number % 2,
+        "role": "serving", "model_version": in_group.then_some("v1"),
+        "cached_versions": [], "running": 0, "queued": 0, "load_age_ms": 0, "steps": 0,
+        "fencing_number": 1,
+    }))
+    .expect("a report")
+}
+
+fn configuration() -> Configuration {
+    let group = |number: usize| {
+        json!({"id": format!("group-{number}"), "model": "letters", "model_version": "v1",
+            "size": 2, "desired": "serving"})
+    };
+    serde_json::from_value(json!({"groups": [group(0), group(1)]})).expect("a configuration")
+}
+
+fn placements() -> Placements {
+    let entry = |group: &str| json!({"group": group, "domain": "domain-1"});
+    serde_json::from_value(json!({"entries": [entry("group-0"), entry("group-1")]}))
+        .expect("placements")
+}
+
+#[test]
+fn new_owner_that_has_probed_only_some_members_changes_nothing() {
+    let mut domain = Fixture::new(6);
+    assert_eq!(domain.steps(), Vec::new());
+    domain.probes.record_answer(&vm(0), domain.now, domain.now, report(0));
+    domain.probes.record_answer(&vm(4), domain.now, domain.now, report(4));
+    domain.probes.record_answer(&vm(5), domain.now, domain.now, report(5));
+    assert_eq!(domain.steps(), Vec::new());
+}
+
+#[test]
+fn prober_that_was_paused_for_ten_minutes_replaces_nobody() {
+    let mut domain = Fixture::new(6);
+    domain.probe(1_000, &[]);
+    domain.now += Duration::from_secs(600);
+    // The probe that was under way fails; the next ones of most VMs are answered.
+    domain.probes.record_failure(&vm(1), domain.start + 1_100 * MS, "timed out".into());
+    domain.probe(500, &[1]);
+    assert_eq!(domain.swapped(), None);
+    domain.probe(500, &[]);
+    assert_eq!(domain.steps(), Vec::new());
+}
+
+#[test]
+fn silent_member_is_waited_for_and_a_lost_one_is_replaced() {
+    let mut domain = Fixture::new(6);
+    domain.probe(1_000, &[]);
+    domain.probe(2_500, &[1]);
+    assert_eq!(domain.swapped(), None);
+    domain.probe(1_500, &[1]);
+    let groups = domain.swapped().expect("the group is formed anew");
+    let members = &groups.iter().find(|it| it.0 == "group-0").expect("it is there").2;
+    assert_eq!(*members, [vm(0), vm(4)]);
+}
+
+#[test]
+fn survivors_of_two_broken_groups_form_one() {
+    let mut domain = Fixture::new(4);
+    domain.probe(1_000, &[]);
+    domain.probe(4_000, &[1, 3]);
+    let groups = domain.swapped().expect("one group is formed anew");
+    assert_eq!(groups.len(), 1);
+    assert_eq!(groups[0].2, [vm(0), vm(2)]);
+}
+
+#[test]
+fn group_with_a_leaving_member_drains_and_is_stuck_without_a_spare() {
+    let mut domain = Fixture::new(4);
+    domain.probe(1_000, &[]);
+    domain.engines[1].leaving = true;
+    let groups = domain.swapped().expect("the group drains");
+    assert_eq!((groups[0].1, groups[1].1), (GroupPhase::Draining, GroupPhase::Serving));
+    assert_eq!(groups[0].2, [vm(0), vm(1)]);
+    let stuck = stuck_groups(&domain.input(&configuration(), &placements()));
+    assert_eq!(stuck.iter().map(ToString::to_string).collect::<Vec<_>>(), ["group-0"]);
+}
+
+#[test]
+fn unconfirmed_owner_stays_silent_once_an_engine_knows_a_later_one() {
+    let mut domain = Fixture::new(4);
+    domain.probe(500, &[]);
+    let mut empty = report(5);
+    empty.vm = vm(1);
+    domain.probes.record_answer(&vm(1), domain.now, domain.now, empty);
+    let (configuration, placements) = (configuration(), placements());
+    let unconfirmed = |domain: &Fixture| {
+        let input = domain.input(&configuration, &placements);
+        reconcile(&DomainInput { authority: OrderAuthority::IdleOnly, ..input }).len()
+    };
+    assert_eq!(unconfirmed(&domain), 1);
+    let mut later = report(2);
+    later.fencing_number.0 = 2;
+    domain.probes.record_answer(&vm(2), domain.now, domain.now, later);
+    assert_eq!(unconfirmed(&domain), 0);
+}
+
+#[test]
+fn move_names_the_old_domain_until_the_new_one_has_served_for_a_while() {
+    let settle = 2_000 * MS;
+    let mut planner = PlacementPlanner::new(settle);
+    let mut wanted = configuration();
+    wanted.groups.truncate(1);
+    wanted.groups[0].domain = Some("domain-2".parse().expect("a valid id"));
+    let here = Fixture::new(4).held.assignment;
+    let room = |idle_vms| DomainState {
+        domain: "domain-2".parse().expect("a valid id"),
+        idle_vms,
+        stuck_groups: Vec::new(),
+    };
+    let now = Instant::now();
+    let mut plan = |current: &Placements, assignments: &[DomainAssignment], idle, now| {
+        let next = planner.plan(&wanted, current, assignments, &[room(idle)], now);
+        let entry = next.entries[0].clone();
+        let old = entry.moving_from.map(|it| it.to_string());
+        (next, entry.domain.to_string(), old)
+    };
+    let (_, domain, _) = plan(&placements(), std::slice::from_ref(&here), 1, now);
+    assert_eq!(domain, "domain-1", "there is no room yet");
+    let (moving, domain, old) = plan(&placements(), std::slice::from_ref(&here), 2, now);
+    assert_eq!((domain.as_str(), old.as_deref()), ("domain-2", Some("domain-1")));
+    let there =
+        DomainAssignment { domain: "domain-2".parse().expect("a valid id"), ..here.clone() };
+    let both = [here, there];
+    let (_, _, old) = plan(&moving, &both, 0, now);
+    assert_eq!(old.as_deref(), Some("domain-1"));
+    let (_, _, old) = plan(&moving, &both, 0, now + settle);
+    assert_eq!(old, None);
+}
--- a/crates/mangocross-coordination/tests/world/mod.rs
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -23,6 +23,7 @@
 use mangocross_coordination::reconcile;
 use mangocross_coordination::take_over;
 use mangocross_coordination::validate;
+use mangocross_policy::RepairTimes;
 use mangocross_types::BackendReport;
 use mangocross_types::Configuration;
 use mangocross_types::DesiredState;
@@ -489,6 +490,13 @@
             stall_limit: STALL_LIMIT,
             lost_after: LOST_AFTER,
             order_lifetime: ORDER_LIFETIME,
+            repair_times: RepairTimes {
+                load: Duration::from_secs(60),
+                concurrent_loads: 8,
+                loads_before: 0,
+                warm_load: Duration::from_secs(1),
+                restart: Duration::from_secs(180),
+            },
         })
     }
 
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -57,6 +57,12 @@
     /// How long an engine may fail all probes before it is replaced, in milliseconds.
     #[serde(default = "lost_ms")]
     pub lost_ms: u64,
+    /// Expected time of one load from the weight store, in milliseconds.
+    #[serde(default = "expected_load_ms")]
+    pub expected_load_ms: u64,
+    /// Expected time that a VM takes to come back, in milliseconds.
+    #[serde(default = "expected_restart_ms")]
+    pub expected_restart_ms: u64,
     /// How long the platform's or a VM's own word that it is leaving counts, in
     /// milliseconds; longer than the platform's list lags.
     #[serde(default = "leaving_kept_ms")]
@@ -99,6 +105,14 @@
     3_000
 }
 
+fn expected_load_ms() -> u64 {
+    60_000
+}
+
+fn expected_restart_ms() -> u64 {
+    180_000
+}
+
 fn leaving_kept_ms() -> u64 {
     600_000
 }
@@ -111,6 +125,9 @@
         if self.proof_ms < self.probe_interval_ms + self.probe_timeout_ms {
             return Err("`proof_ms` is less than a probe's interval and timeout; raise it".into());
         }
+        if self.lost_ms < self.order_deadline_ms {
+            return Err("`lost_ms` is less than `order_deadline_ms`; raise it".into());
+        }
         Ok(())
     }
 }
