feat(coordinator): say what a group and a VM wait for

`why group` names each domain of a moving group, leaving and lost members, a domain without room, what a drain waits for, and why an owner gives no orders yet; `why vm` names who said that a VM leaves. Tests with processes: a member that restarts in a store outage is loaded again, loads keep to the weight store's rate, why names the causes and an operators' resume takes a drained VM back at once.

--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -22,6 +22,7 @@
 mod probes;
 mod queries;
 mod state;
+mod why;
 
 /// Owns fabric domains, proves groups complete and answers operators.
 #[derive(Debug, Clone, Bpaf)]
--- a/bins/mangocross-coordinator/src/queries.rs
+++ b/bins/mangocross-coordinator/src/queries.rs
@@ -1,6 +1,5 @@
 //! Answers questions about what is serving, where and why.
 
-use mangocross_coordination::Completeness;
 use mangocross_operator::OperatorAnswer;
 use mangocross_operator::Query;
 use mangocross_types::DomainAssignment;
@@ -8,12 +7,12 @@
 use mangocross_types::GroupId;
 use mangocross_types::KindTarget;
 use mangocross_types::Refusal;
-use mangocross_types::ResultCode;
 use mangocross_types::VmId;
 
 use crate::failures;
 use crate::state::CoordinatorState;
 use crate::state::lock;
+use crate::why;
 
 /// Answers one question.
 pub(crate) fn answer(state: &CoordinatorState, query: &Query) -> Result<OperatorAnswer, Refusal> {
@@ -31,8 +30,8 @@
             let text = serde_json::to_string_pretty(state.configuration().as_ref());
             Ok(OperatorAnswer::message(revision, text.unwrap_or_default()))
         }
-        Query::WhyGroup(group) => why_group(state, group, answer),
-        Query::WhyVm(vm) => Ok(why_vm(state, vm, answer)),
+        Query::WhyGroup(group) => why::why_group(state, group, answer),
+        Query::WhyVm(vm) => Ok(why::why_vm(state, vm, answer)),
         Query::WhyRequest(request) => failures::why_request(state, request, answer),
     }
 }
@@ -131,64 +130,6 @@
     answer.table(&["command id", "based on", "command"], rows)
 }
 
-fn why_group(
-    state: &CoordinatorState,
-    group: &GroupId,
-    answer: OperatorAnswer,
-) -> Result<OperatorAnswer, Refusal> {
-    let configuration = state.configuration();
-    let spec = configuration.group(group).ok_or_else(|| {
-        let text = format!("there is no group {group}; `show groups` lists them");
-        Refusal::not_run(ResultCode::NotFound, text)
-    })?;
-    let mut reasons = vec![format!("operators want it {:?}", spec.desired).to_lowercase()];
-    match lock(&state.placements).0.domain_of(group) {
-        None => reasons.push(format!("no fabric domain has {} idle VMs", spec.size)),
-        Some(domain) => reasons.push(format!("it belongs in fabric domain {domain}")),
-    }
-    if let Some((assignment, placed)) = find(state, group) {
-        reasons.push(format!(
-            "incarnation {} is {:?} in {}, looked after by {}",
-            placed.incarnation,
-            placed.phase,
-            assignment.domain,
-            assignment.owner.as_ref().map_or("nobody", VmId::as_str),
-        ));
-        reasons.extend(missing(state, &assignment, &placed));
-    }
-    let rows = reasons.into_iter().map(|it| vec![it]).collect();
-    Ok(answer.table(&["reason"], rows))
-}
-
-fn missing(
-    state: &CoordinatorState,
-    assignment: &DomainAssignment,
-    group: &GroupAssignment,
-) -> Vec<String> {
-    if assignment.owner.as_ref() != Some(&state.settings.vm) {
-        return vec!["ask its owner for the state of its members".to_owned()];
-    }
-    let probes = lock(&state.probes);
-    match probes.check(group, state.clock.now(), state.probe_ttl(), state.stall_limit()) {
-        Completeness::Complete { .. } => vec!["every member is there".to_owned()],
-        Completeness::Incomplete(missing) => {
-            missing.iter().map(|it| format!("member {} {}", it.vm, it.reason)).collect()
-        }
-    }
-}
-
-fn why_vm(state: &CoordinatorState, vm: &VmId, answer: OperatorAnswer) -> OperatorAnswer {
-    let engines = lock(&state.engines_by_domain).clone();
-    let listed = engines.values().flatten().find(|it| it.vm == *vm);
-    let reason = match (listed, group_of(state, vm)) {
-        (None, _) => "the platform's list does not name it".to_owned(),
-        (Some(it), None) if it.leaving => "it is leaving and receives no new work".to_owned(),
-        (Some(_), None) => "it is idle: no group that is wanted needs it".to_owned(),
-        (Some(_), Some(group)) => format!("it is a member of group {group}"),
-    };
-    answer.table(&["reason"], vec![vec![reason]])
-}
-
 fn find(state: &CoordinatorState, group: &GroupId) -> Option<(DomainAssignment, GroupAssignment)> {
     let assignments = lock(&state.assignments);
     assignments.values().find_map(|it| {
--- a/crates/mangocross-coordination/src/reconcile.rs
+++ b/crates/mangocross-coordination/src/reconcile.rs
@@ -95,17 +95,18 @@
     }
 
     /// Returns whether the platform, the operators or the VM itself say that it is leaving.
-    pub(crate) fn is_leaving(&self, vm: &VmId) -> bool {
+    pub fn is_leaving(&self, vm: &VmId) -> bool {
         let says_so = self.report(vm).is_some_and(|it| it.state == EngineState::Leaving);
         says_so || self.engine(vm).is_some_and(|it| it.leaving)
     }
 
     /// Returns whether a VM is gone: unknown here, or silent for too long.
-    pub(crate) fn is_lost(&self, vm: &VmId) -> bool {
+    pub fn is_lost(&self, vm: &VmId) -> bool {
         self.engine(vm).is_none() || self.probes.is_lost(vm, self.lost_after)
     }
 
-    pub(crate) fn check(&self, group: &GroupAssignment) -> Completeness {
+    /// Decides whether a group is complete.
+    pub fn check(&self, group: &GroupAssignment) -> Completeness {
         self.probes.check(group, self.now, self.probe_ttl, self.stall_limit)
     }
 
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -63,6 +63,7 @@
     gateway_settings: serde_json::Map<String, serde_json::Value>,
     coordinator_settings: serde_json::Map<String, serde_json::Value>,
     engine_options: fn(VmId) -> EngineOptions,
+    weight_store: bool,
 }
 
 /// A whole system on this machine.
@@ -100,6 +101,7 @@
             gateway_settings: serde_json::Map::new(),
             coordinator_settings: serde_json::Map::new(),
             engine_options: EngineOptions::new,
+            weight_store: false,
         }
     }
 
@@ -124,6 +126,13 @@
         self
     }
 
+    /// Makes the engines fetch weights from the platform's weight store.
+    #[must_use]
+    pub fn weight_store(mut self) -> Self {
+        self.weight_store = true;
+        self
+    }
+
     /// Starts everything and puts a configuration with two customers and four request kinds in
     /// place.
     ///
@@ -171,7 +180,10 @@
             for number in 1..=*size {
                 let vm: VmId = format!("vm-{domain}-{number}").parse().expect("a valid id");
                 let address = SocketAddr::from((cluster.ip, port));
-                let options = (self.engine_options)(vm.clone());
+                let mut options = (self.engine_options)(vm.clone());
+                if self.weight_store {
+                    options.weight_store = Some(cluster.platform.address());
+                }
                 let engine = EngineStandin::bind(address, options).expect("the engine starts");
                 cluster.engines.insert(vm, engine);
                 port += 1;
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -17,6 +17,7 @@
 use mangocross_types::RunOutcome;
 use mangocross_types::VmState;
 use standins::EngineFaults;
+use standins::PlatformFaults;
 use standins::StoreFaults;
 
 const START: &str = "start group letters-1 model letters version v1 members 2";
@@ -237,3 +238,47 @@
     cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
     assert_eq!(placed(&cluster, "domain-1").incarnation, incarnation);
 }
+
+#[test]
+fn member_that_restarts_in_a_store_outage_is_loaded_again() {
+    let cluster = builder(2, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let member = placed(&cluster, "domain-1").members[1].to_string();
+    cluster.store.faults().set(StoreFaults { down: true, ..StoreFaults::default() });
+    cluster.engine(&member).restart_empty();
+    cluster.wait_until("it is loaded", || cluster.engine(&member).report().group.is_some());
+    cluster.wait_until("the group serves", || cluster.send(1, &draft()).is_whole());
+}
+
+#[test]
+fn loads_keep_to_the_weight_stores_rate() {
+    let cluster = builder(1, &[4]).weight_store().start();
+    let faults = PlatformFaults { loads_max: 1, load_ms: 300, ..PlatformFaults::default() };
+    cluster.platform.faults().set(faults);
+    cluster.start_group(START, 0, &draft());
+    cluster.start_group("start group letters-2 model letters version v1 members 2", 0, &draft());
+    cluster.wait_until("all are loaded", || {
+        cluster.engines.values().all(|it| it.report().state == EngineState::Ready)
+    });
+    assert_eq!(cluster.platform.faults().counted("loads"), 4);
+    assert_eq!(cluster.platform.faults().counted("loads_that_waited"), 0);
+}
+
+#[test]
+fn why_names_what_a_group_waits_for() {
+    let cluster = builder(1, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let member = placed(&cluster, "domain-1").members[1].to_string();
+    let says = |line: &str, text: &str| {
+        let answer = cluster.operate(0, line).expect("an answer");
+        serde_json::to_string(&answer).expect("JSON").contains(text)
+    };
+    cluster.operate(0, &format!("drain vm {member}")).expect("the drain is accepted");
+    cluster.wait_until("the group says why", || {
+        says("why group letters-1", &format!("member {member} is leaving"))
+            && says("why group letters-1", "too few idle VMs")
+    });
+    assert!(says(&format!("why vm {member}"), "as operators said"));
+    cluster.operate(0, &format!("resume vm {member}")).expect("the resume is accepted");
+    cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
+}
