--- a/crates/mangocross-coordination/tests/reconcile.rs
+++ b/crates/mangocross-coordination/tests/reconcile.rs
@@ -16,7 +16,9 @@
 use mangocross_policy::RepairTimes;
 use mangocross_types::BackendReport;
 use mangocross_types::Configuration;
+use mangocross_types::DesiredState;
 use mangocross_types::DomainAssignment;
+use mangocross_types::EngineRole;
 use mangocross_types::GroupPhase;
 use mangocross_types::Placements;
 use mangocross_types::Revision;
@@ -253,3 +255,41 @@
     let (_, _, old) = plan(&moving, &both, 0, now + settle);
     assert_eq!(old, None);
 }
+
+/// Rank zero drains from the start on; its load is zero all the time, as measured with a lag.
+fn unloaded_at(first_draining_ms: u32, load_lag_ms: u64) -> Option<u32> {
+    let mut domain = Fixture::new(4);
+    let mut wanted = configuration();
+    wanted.groups[0].desired = DesiredState::Stopped;
+    let mut assignment = domain.held.assignment.clone();
+    assignment.groups[0].phase = GroupPhase::Draining;
+    let start = domain.start;
+    // Half a second of answers before the group came to its phase.
+    domain.held = HeldAssignment::new(assignment, Revision(2), start, start + 500 * MS);
+    for elapsed_ms in (0..20_000).step_by(100) {
+        domain.now = start + elapsed_ms * MS;
+        for number in 0..4 {
+            let mut report = report(number);
+            report.load_age_ms = load_lag_ms;
+            if number < 2 && elapsed_ms >= first_draining_ms {
+                report.role = EngineRole::Draining;
+            }
+            let (asked_at, answered_at) = (domain.now, domain.now + 50 * MS);
+            domain.probes.record_answer(&vm(number), asked_at, answered_at, report);
+        }
+        let steps = reconcile(&domain.input(&wanted, &placements()));
+        if elapsed_ms > 500 && matches!(steps.first(), Some(Step::Swap(_))) {
+            return Some(elapsed_ms);
+        }
+    }
+    None
+}
+
+/// The phase is seen at 0.5 s, orders live for 2 s, probes go out every 0.1 s.
+#[test]
+fn load_counts_only_when_measured_after_the_drain_is_settled() {
+    assert_eq!(unloaded_at(0, 0), Some(2_600));
+    assert_eq!(unloaded_at(6_000, 0), Some(6_100));
+    assert_eq!(unloaded_at(6_000, 3_000), Some(9_100));
+    assert_eq!(unloaded_at(30_000, 0), None);
+}
--- a/crates/mangocross-coordination/tests/world/mod.rs
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -300,7 +300,7 @@
         match event {
             Event::Tick { owner } => self.tick(owner),
             Event::ProbeAtEngine { to, engine, asked_at } => {
-                let lag = self.between(0, 1_500);
+                let lag = self.between(0, 4_000);
                 let answers = self.is_answering(engine) && (self.calm || self.random.u32(..50) > 0);
                 let report = answers.then(|| self.engines[engine].report(self.now, lag));
                 let delay = if answers { self.delay() } else { Duration::from_millis(800) };
