--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -12,6 +12,7 @@
 use group_support::start_stream;
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
+use mangocross_tests::RelayMode;
 use mangocross_types::EngineState;
 use mangocross_types::GroupPhase;
 use mangocross_types::RunOutcome;
@@ -282,3 +283,43 @@
     cluster.operate(0, &format!("resume vm {member}")).expect("the resume is accepted");
     cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
 }
+
+#[test]
+fn straggler_is_replaced_by_a_spare() {
+    let cluster = builder(1, &[3]).coordinator_setting("stall_ms", 1_000).start();
+    cluster.start_group(START, 0, &draft());
+    let before = placed(&cluster, "domain-1");
+    let slow = before.members[0].clone();
+    let faults = EngineFaults { straggler: true, ..EngineFaults::default() };
+    cluster.engine(slow.as_str()).faults().set(faults);
+    let stream = start_stream(&cluster, 0, 100);
+    cluster.wait_until("it is replaced", || {
+        let placed = placed(&cluster, "domain-1");
+        placed.incarnation > before.incarnation && !placed.members.contains(&slow)
+    });
+    cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
+    drop(stream);
+}
+
+#[test]
+fn leaving_vm_gets_no_new_work_through_a_node_that_is_cut_from_the_store() {
+    let cluster = builder(3, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let first = placed(&cluster, "domain-1").members[0].clone();
+    let cut = (owner_of(&cluster, "domain-1") + 1) % 3;
+    cluster.store_relays[usize::from(cut)].set(RelayMode::Cut);
+    assert!(cluster.send(cut, &draft()).is_whole());
+    let faults = EngineFaults { leaving: true, ..EngineFaults::default() };
+    cluster.engine(first.as_str()).faults().set(faults);
+    cluster.wait_until("every node refuses", || {
+        (0..3).all(|it| cluster.send(it, &draft()).outcome() == Some(RunOutcome::NotRun))
+    });
+    let ran = cluster.engine(first.as_str()).faults().counted("generations");
+    // The VM's own word stays in force when it is no longer repeated.
+    cluster.engine(first.as_str()).faults().set(EngineFaults::default());
+    for round in 0..8 {
+        thread::sleep(Duration::from_millis(250));
+        assert_eq!(cluster.send(round % 3, &draft()).outcome(), Some(RunOutcome::NotRun));
+    }
+    assert_eq!(cluster.engine(first.as_str()).faults().counted("generations"), ran);
+}
