fix(coordinator): act only on the newest configuration

Cause: an owner or a placement leader that held an older revision took a group that was started since for unwanted, dropped its placement and drained it.

--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -115,7 +115,7 @@
 
     fn look_after(&mut self, domain: &FabricDomain) -> Result<(), StoreError> {
         let state = Arc::clone(&self.state);
-        if !self.is_owner(domain)? {
+        if !self.is_owner(domain)? || !state.has_newest_configuration() {
             return Ok(());
         }
         let Some(mut view) = DomainView::take(&state, domain) else { return Ok(()) };
--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -45,7 +45,7 @@
     if preferred_owner(Placements::KEY, &live) != Some(&state.settings.vm) {
         return Ok(());
     }
-    if state.freshness().in_force() == Revision(0) {
+    if state.freshness().in_force() == Revision(0) || !state.has_newest_configuration() {
         return Ok(());
     }
     let next = decide(state, planner, &read);
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -16,6 +16,7 @@
 use mangocross_coordination::FreshnessBounds;
 use mangocross_coordination::HeldAssignment;
 use mangocross_coordination::LeavingTable;
+use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
 use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
@@ -176,6 +177,16 @@
         }
     }
 
+    /// Returns whether the configuration held may be acted on.
+    ///
+    /// Under an old one, a group that was started since would count as unwanted.
+    pub(crate) fn has_newest_configuration(&self) -> bool {
+        let entry_vms = self.configuration().entry_vms.clone();
+        let now = self.clock.now();
+        let permit = self.freshness().permit(&entry_vms, &self.settings.vm, now);
+        matches!(permit, Permit::Serve { .. } | Permit::Unlisted)
+    }
+
     /// Returns whether a VM must receive no new work.
     pub(crate) fn is_leaving(&self, vm: &VmId) -> bool {
         let now = self.clock.now();
--- a/crates/mangocross-coordination/tests/ownership.rs
+++ b/crates/mangocross-coordination/tests/ownership.rs
@@ -47,6 +47,29 @@
     assert_eq!(authority(&held, FenceMode::Ignored, later), OrderAuthority::Full { deadline });
 }
 
+#[test]
+fn orders_expire_a_lifetime_after_the_confirmation_however_late_they_are_given() {
+    let now = Instant::now();
+    let deadline = now + LIFETIME;
+    for later in [0, 300, 900] {
+        let given_at = now + Duration::from_millis(later);
+        let authority = authority(&held(7, now), FenceMode::Honoured, given_at);
+        assert_eq!(authority, OrderAuthority::Full { deadline });
+    }
+}
+
+#[test]
+fn answer_that_another_one_overtook_changes_nothing() {
+    let now = Instant::now();
+    let mut newest = held(7, now);
+    newest.update(HeldAssignment::new(newest.assignment.clone(), Revision(5), now, now));
+    let mut older = newest.assignment.clone();
+    older.owner = Some(vm("entry-2"));
+    newest.update(HeldAssignment::new(older, Revision(4), now, now));
+    assert_eq!(newest.revision, Revision(5));
+    assert!(newest.is_owned_by(&vm("entry-1"), 7));
+}
+
 #[test]
 fn owner_that_wakes_up_gives_no_full_order_before_the_store_confirms_it() {
     let now = Instant::now();
