feat(coordination): move a broken group only when loading elsewhere beats waiting

The owner asks the policy, as if there were room elsewhere, whether a group that its domain cannot complete should be formed in another one; the leader, which knows the room, moves only those. Test: group_is_moved_only_when_loading_elsewhere_beats_waiting.

--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -13,7 +13,7 @@
 use mangocross_coordination::Sighting;
 use mangocross_coordination::Vouch;
 use mangocross_coordination::Voucher;
-use mangocross_coordination::stuck_groups;
+use mangocross_coordination::groups_to_move;
 use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupAssignment;
@@ -267,6 +267,6 @@
         domain: domain.clone(),
         idle_vms: count(input.idle_vms().count()),
         healthy_vms: count(healthy.count()),
-        stuck_groups: stuck_groups(&input),
+        stuck_groups: groups_to_move(&input),
     })
 }
--- a/crates/mangocross-coordination/src/group_life.rs
+++ b/crates/mangocross-coordination/src/group_life.rs
@@ -17,6 +17,7 @@
 use crate::repair::choose_idle;
 use crate::repair::is_out;
 use crate::repair::repair;
+use crate::repair::should_move;
 use crate::set_phase;
 
 /// Returns the next assignment to write, if one is due.
@@ -31,6 +32,16 @@
     stuck.map(|it| it.id.clone()).collect()
 }
 
+/// Returns the groups that belong here and that should be formed in another domain with room.
+pub fn groups_to_move(input: &DomainInput<'_>) -> Vec<GroupId> {
+    let stuck = input.configuration.groups.iter().filter(|it| is_stuck(input, it));
+    let to_move = stuck.filter(|spec| {
+        let group = input.assignment().groups.iter().find(|it| it.group == spec.id);
+        group.is_none_or(|it| should_move(input, it, spec))
+    });
+    to_move.map(|it| it.id.clone()).collect()
+}
+
 fn is_stuck(input: &DomainInput<'_>, spec: &GroupSpec) -> bool {
     if !belongs_here(input, spec) || spec.desired != DesiredState::Serving {
         return false;
--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -68,6 +68,7 @@
 pub use freshness::FreshnessBounds;
 pub use freshness::Permit;
 pub use freshness::Vouch;
+pub use group_life::groups_to_move;
 pub use group_life::stuck_groups;
 pub use held_assignment::HeldAssignment;
 pub use held_assignment::OrderAuthority;
--- a/crates/mangocross-coordination/src/placing.rs
+++ b/crates/mangocross-coordination/src/placing.rs
@@ -25,7 +25,7 @@
     pub domain: FabricDomain,
     /// VMs that answer probes and are in no group.
     pub idle_vms: u16,
-    /// Groups that the domain's idle VMs cannot complete.
+    /// Groups that should be formed in another domain with room.
     pub stuck_groups: Vec<GroupId>,
 }
 
--- a/crates/mangocross-coordination/src/repair.rs
+++ b/crates/mangocross-coordination/src/repair.rs
@@ -5,6 +5,7 @@
 
 use mangocross_policy::Absence;
 use mangocross_policy::BrokenGroup;
+use mangocross_policy::DomainRoom;
 use mangocross_policy::Donor;
 use mangocross_policy::MemberCandidate;
 use mangocross_policy::MissingMember as PolicyMissingMember;
@@ -45,17 +46,7 @@
         let vms = choose_idle(input, spec, missing.len())?;
         return form_group(input.assignment(), spec, members(vms)).ok();
     }
-    let broken = BrokenGroup {
-        group: group.group.clone(),
-        size: spec.size,
-        accelerators: 1,
-        survivors: survivors.clone(),
-        missing,
-        spares: candidates(input, spec, input.idle_vms()),
-        donors: donors(input, group, spec),
-        other_domains: Vec::new(),
-        times: input.repair_times,
-    };
+    let broken = broken_group(input, group, spec, missing, Vec::new());
     match decide_repair(&broken, &input.configuration.policy, input.now).decision {
         RepairDecision::ReplaceWith(vms) => form_group(input.assignment(), spec, members(vms)).ok(),
         RepairDecision::Merge { donor, vms } => {
@@ -67,6 +58,46 @@
     }
 }
 
+/// Returns whether a group that its domain cannot complete should be formed elsewhere.
+///
+/// The owner knows the members and not the room elsewhere, so it decides as if
+/// there were some; the placement leader, which knows the room, moves the group.
+pub(crate) fn should_move(
+    input: &DomainInput<'_>,
+    group: &GroupAssignment,
+    spec: &GroupSpec,
+) -> bool {
+    let missing = missing_members(input, group);
+    if missing.iter().any(|it| it.absence == Absence::Leaving) {
+        return true;
+    }
+    let elsewhere = DomainRoom::new(input.assignment().domain.clone(), spec.size.0);
+    let broken = broken_group(input, group, spec, missing, vec![elsewhere]);
+    let plan = decide_repair(&broken, &input.configuration.policy, input.now);
+    matches!(plan.decision, RepairDecision::MoveToDomain(_))
+}
+
+fn broken_group(
+    input: &DomainInput<'_>,
+    group: &GroupAssignment,
+    spec: &GroupSpec,
+    missing: Vec<PolicyMissingMember>,
+    other_domains: Vec<DomainRoom>,
+) -> BrokenGroup {
+    let works = |vm: &&VmId| !missing.iter().any(|it| it.vm == **vm);
+    BrokenGroup {
+        group: group.group.clone(),
+        size: spec.size,
+        accelerators: 1,
+        survivors: group.members.iter().filter(works).cloned().collect(),
+        missing,
+        spares: candidates(input, spec, input.idle_vms()),
+        donors: donors(input, group, spec),
+        other_domains,
+        times: input.repair_times,
+    }
+}
+
 /// Chooses idle VMs, those that hold the weights first; `None` when there are too few.
 pub(crate) fn choose_idle(
     input: &DomainInput<'_>,
--- a/crates/mangocross-coordination/tests/reconcile.rs
+++ b/crates/mangocross-coordination/tests/reconcile.rs
@@ -11,6 +11,7 @@
 use mangocross_coordination::PlacementPlanner;
 use mangocross_coordination::ProbeTable;
 use mangocross_coordination::Step;
+use mangocross_coordination::groups_to_move;
 use mangocross_coordination::reconcile;
 use mangocross_coordination::stuck_groups;
 use mangocross_policy::RepairTimes;
@@ -256,6 +257,21 @@
     assert_eq!(old, None);
 }
 
+/// A member is lost and there is no spare; whether to move depends on the expected times.
+#[test]
+fn group_is_moved_only_when_loading_elsewhere_beats_waiting() {
+    let mut domain = Fixture::new(4);
+    domain.probe(1_000, &[]);
+    domain.probe(4_000, &[1]);
+    let (configuration, placements) = (configuration(), placements());
+    let input = domain.input(&configuration, &placements);
+    assert_eq!(groups_to_move(&input).len(), 1);
+    let load = Duration::from_secs(600);
+    let repair_times = RepairTimes { load, ..input.repair_times };
+    assert_eq!(groups_to_move(&DomainInput { repair_times, ..input }).len(), 0);
+    assert_eq!(stuck_groups(&input).len(), 1);
+}
+
 /// Rank zero drains from the start on; its load is zero all the time, as measured with a lag.
 fn unloaded_at(first_draining_ms: u32, load_lag_ms: u64) -> Option<u32> {
     let mut domain = Fixture::new(4);
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -138,6 +138,6 @@
     pub idle_vms: u16,
     /// VMs that answer probes.
     pub healthy_vms: u16,
-    /// Groups that the domain's idle VMs cannot complete.
+    /// Groups that should be formed in another domain with room.
     pub stuck_groups: Vec<GroupId>,
 }
