--- a/crates/mangocross-coordination/tests/reconcile.rs
+++ b/crates/mangocross-coordination/tests/reconcile.rs
@@ -309,3 +309,30 @@
     assert_eq!(unloaded_at(6_000, 3_000), Some(9_100));
     assert_eq!(unloaded_at(30_000, 0), None);
 }
+
+/// A load that was ordered before the group came to be unloaded may arrive for one lifetime.
+#[test]
+fn group_is_removed_only_after_late_loads_have_expired() {
+    let mut domain = Fixture::new(4);
+    let mut wanted = configuration();
+    wanted.groups[0].desired = DesiredState::Stopped;
+    let mut assignment = domain.held.assignment.clone();
+    assignment.groups[0].phase = GroupPhase::Unloading;
+    domain.held = HeldAssignment::new(assignment, Revision(2), domain.start, domain.start);
+    let mut removed_at = None;
+    for elapsed_ms in (0..4_000_u32).step_by(100) {
+        domain.now = domain.start + elapsed_ms * MS;
+        let probed = if elapsed_ms % 700 == 0 { 0..4 } else { 0..0 };
+        for number in probed {
+            let mut report = report(if number < 2 { number + 4 } else { number });
+            report.vm = vm(number);
+            domain.probes.record_answer(&vm(number), domain.now, domain.now, report);
+        }
+        let steps = reconcile(&domain.input(&wanted, &placements()));
+        if matches!(steps.first(), Some(Step::Swap(_))) {
+            removed_at = Some(elapsed_ms);
+            break;
+        }
+    }
+    assert_eq!(removed_at, Some(2_100));
+}
