perf(coordinator): keep the store's read rate constant as coordinators are added

Each coordinator read all assignments every 2 s and the placements every 0.5 s, so the rate at the store grew with their number. By calculation, at 350 coordinators: 175 lists and 700 reads a second before, about 10 and 50 after; not measured.

--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -29,8 +29,10 @@
 
 /// Time between looks at the owned domains.
 const TICK: Duration = Duration::from_millis(250);
-/// Time between reads of all assignments.
+/// Time between reads of all assignments by a coordinator alone.
 const READ_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Time between reads of all assignments by any two coordinators.
+const READ_SPACING: Duration = Duration::from_millis(100);
 /// First wait before a domain is taken over again from another live coordinator.
 const TAKEOVER_WAIT: Duration = Duration::from_millis(1_000);
 
@@ -44,7 +46,8 @@
     let mut read_at: Option<Instant> = None;
     loop {
         let now = state.clock.now();
-        if read_at.is_none_or(|it| now.duration_since(it) >= READ_INTERVAL) {
+        let interval = state.read_interval(READ_INTERVAL, READ_SPACING);
+        if read_at.is_none_or(|it| now.duration_since(it) >= interval) {
             read_all(state);
             read_at = Some(now);
         }
--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -7,7 +7,6 @@
 
 use mangocross_coordination::DomainState;
 use mangocross_coordination::PlacementPlanner;
-use mangocross_coordination::preferred_owner;
 use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
 use mangocross_types::Placements;
@@ -22,8 +21,10 @@
 use crate::state::LivePeer;
 use crate::state::lock;
 
-/// Time between looks at the placements.
+/// Time between looks at the placements by a coordinator alone.
 const TICK: Duration = Duration::from_millis(500);
+/// Time between looks at the placements by any two coordinators.
+const SPACING: Duration = Duration::from_millis(20);
 
 /// Looks after the placements again and again.
 pub(crate) fn run(state: &Arc<CoordinatorState>) {
@@ -32,7 +33,7 @@
         if let Err(error) = look_after(state, &mut planner) {
             log::warn!("placements were not read or written: {error}");
         }
-        thread::sleep(TICK);
+        thread::sleep(state.read_interval(TICK, SPACING));
     }
 }
 
@@ -41,8 +42,7 @@
     let (read, revision) = read_json::<Placements>(store, Placements::KEY)?;
     let read = read.unwrap_or_default();
     *lock(&state.placements) = (read.clone(), revision);
-    let live = state.live_coordinators();
-    if preferred_owner(Placements::KEY, &live) != Some(&state.settings.vm) {
+    if !state.is_placement_leader() {
         return Ok(());
     }
     if state.freshness().in_force() == Revision(0) || !state.has_newest_configuration() {
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -18,6 +18,7 @@
 use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
+use mangocross_coordination::preferred_owner;
 use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_types::Clock;
@@ -140,6 +141,24 @@
         live
     }
 
+    /// Returns whether this coordinator decides where groups belong.
+    pub(crate) fn is_placement_leader(&self) -> bool {
+        let live = self.live_coordinators();
+        preferred_owner(Placements::KEY, &live) == Some(&self.settings.vm)
+    }
+
+    /// Returns the time between reads that all coordinators make.
+    ///
+    /// It grows with their number, so that the store sees a constant rate; the
+    /// placement leader reads as often as alone.
+    pub(crate) fn read_interval(&self, alone: Duration, for_each: Duration) -> Duration {
+        if self.is_placement_leader() {
+            return alone;
+        }
+        let live = u32::try_from(self.live_coordinators().len()).unwrap_or(u32::MAX);
+        alone.max(for_each * live)
+    }
+
     /// Returns the coordinators to poll or to fetch from.
     pub(crate) fn coordinator_addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = self.settings.coordinators.clone();
