--- /dev/null
+++ b/crates/mangocross-coordination/tests/probes.rs
@@ -0,0 +1,44 @@
+//! The probes of a member, under answers in any order.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::ProbeTable;
+use mangocross_types::BackendReport;
+use mangocross_types::VmId;
+
+fn report(steps: u64) -> BackendReport {
+    serde_json::from_value(serde_json::json!({
+        "vm": "vm-1", "state": "idle", "group": null, "incarnation": 0, "rank": 0,
+        "role": "serving", "model_version": null, "cached_versions": [], "running": 0,
+        "queued": 0, "load_age_ms": 0, "steps": steps, "fencing_number": 0,
+    }))
+    .expect("a report")
+}
+
+/// A probe sent this many milliseconds after the start, and whether it is answered.
+type Sent = (u64, bool);
+
+/// Whatever the order of arrival, the table shows what the newest probe came to.
+#[test]
+fn newest_probe_stands_whatever_the_order_of_arrival() {
+    let (start, vm) = (Instant::now(), "vm-1".parse::<VmId>().expect("a valid id"));
+    let ttl = Duration::from_secs(10);
+    let mut random = fastrand::Rng::with_seed(11);
+    for _ in 0..500 {
+        let mut sent: Vec<Sent> = (0..6).map(|it| (it * 500, random.bool())).collect();
+        let (newest, is_answered) = sent[5];
+        random.shuffle(&mut sent);
+        let mut table = ProbeTable::default();
+        let received = start + Duration::from_secs(4);
+        for (sent_ms, answered) in &sent {
+            let asked_at = start + Duration::from_millis(*sent_ms);
+            match answered {
+                true => table.record_answer(&vm, asked_at, received, report(*sent_ms)),
+                false => table.record_failure(&vm, asked_at, "silent".into()),
+            }
+        }
+        let shown = table.report(&vm, received, ttl).map(|it| it.steps);
+        assert_eq!(shown, is_answered.then_some(newest), "{sent:?}");
+    }
+}
