--- a/bins/mangocross-coordinator/src/domain_view.rs
+++ b/bins/mangocross-coordinator/src/domain_view.rs
@@ -52,7 +52,7 @@
     /// Returns the input of the decisions.
     pub(crate) fn input(&self, authority: OrderAuthority) -> DomainInput<'_> {
         DomainInput {
-            assignment: &self.held.assignment,
+            held: &self.held,
             configuration: &self.configuration,
             placements: &self.placements,
             engines: &self.engines,
@@ -63,6 +63,7 @@
             stall_limit: self.state.stall_limit(),
             lost_after: self.state.lost_after(),
             order_lifetime: self.state.order_lifetime(),
+            repair_times: self.state.repair_times(&self.configuration.policy),
         }
     }
 
--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -8,7 +8,6 @@
 
 use mangocross_coordination::DomainState;
 use mangocross_coordination::PlacementPlanner;
-use mangocross_coordination::preferred_owner;
 use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
 use mangocross_types::Placements;
@@ -25,8 +24,10 @@
 
 /// Time between looks at the placements.
 const TICK: Duration = Duration::from_millis(500);
-/// Time between reads of the placements when no peer tells of a newer revision.
+/// Time between reads of the placements by a coordinator alone, when none tells of a newer revision.
 const READ_INTERVAL: Duration = Duration::from_millis(5_000);
+/// Time between such reads by any two coordinators.
+const READ_SPACING: Duration = Duration::from_millis(20);
 
 /// Looks after the placements again and again.
 pub(crate) fn run(state: &Arc<CoordinatorState>) {
@@ -34,7 +35,8 @@
     let mut read_at: Option<Instant> = None;
     loop {
         let now = state.clock.now();
-        let is_due = read_at.is_none_or(|it| now.duration_since(it) >= READ_INTERVAL);
+        let interval = state.read_interval(READ_INTERVAL, READ_SPACING);
+        let is_due = read_at.is_none_or(|it| now.duration_since(it) >= interval);
         if is_due || lock(&state.placements).1 < state.placements_known() {
             match read(state) {
                 Ok(()) => read_at = Some(now),
@@ -60,11 +62,10 @@
 }
 
 fn look_after(state: &CoordinatorState, planner: &mut PlacementPlanner) -> Result<(), StoreError> {
-    let live = state.live_coordinators();
-    if preferred_owner(Placements::KEY, &live) != Some(&state.settings.vm) {
+    if !state.is_placement_leader() {
         return Ok(());
     }
-    if state.freshness().in_force() == Revision(0) {
+    if state.freshness().in_force() == Revision(0) || !state.has_newest_configuration() {
         return Ok(());
     }
     let (current, revision) = lock(&state.placements).clone();
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -18,12 +18,16 @@
 use mangocross_coordination::FreshnessBounds;
 use mangocross_coordination::HeldAssignment;
 use mangocross_coordination::LeavingTable;
+use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
+use mangocross_coordination::preferred_owner;
+use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
 use mangocross_types::FabricDomain;
 use mangocross_types::Placements;
+use mangocross_types::PolicyWeights;
 use mangocross_types::RequestId;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
@@ -40,6 +44,9 @@
 
 use crate::failures::KnownFailures;
 
+/// Expected time to load weights that are on the VM already.
+const WARM_LOAD: Duration = Duration::from_secs(1);
+
 /// A coordinator that answers polls.
 #[derive(Debug, Clone)]
 pub(crate) struct LivePeer {
@@ -151,6 +158,24 @@
         live
     }
 
+    /// Returns whether this coordinator decides where groups belong.
+    pub(crate) fn is_placement_leader(&self) -> bool {
+        let live = self.live_coordinators();
+        preferred_owner(Placements::KEY, &live) == Some(&self.settings.vm)
+    }
+
+    /// Returns the time between reads that all coordinators make.
+    ///
+    /// It grows with their number, so that the store sees a constant rate; the
+    /// placement leader reads as often as alone.
+    pub(crate) fn read_interval(&self, alone: Duration, for_each: Duration) -> Duration {
+        if self.is_placement_leader() {
+            return alone;
+        }
+        let live = u32::try_from(self.live_coordinators().len()).unwrap_or(u32::MAX);
+        alone.max(for_each * live)
+    }
+
     /// Returns the coordinators to poll or to fetch from.
     pub(crate) fn coordinator_addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = self.settings.coordinators.clone();
@@ -177,6 +202,27 @@
         Duration::from_millis(self.settings.order_deadline_ms)
     }
 
+    /// Times that the choice between repair and waiting rests on.
+    pub(crate) fn repair_times(&self, weights: &PolicyWeights) -> RepairTimes {
+        RepairTimes {
+            load: Duration::from_millis(self.settings.expected_load_ms),
+            concurrent_loads: weights.concurrent_loads,
+            loads_before: 0,
+            warm_load: WARM_LOAD,
+            restart: Duration::from_millis(self.settings.expected_restart_ms),
+        }
+    }
+
+    /// Returns whether the configuration held may be acted on.
+    ///
+    /// Under an old one, a group that was started since would count as unwanted.
+    pub(crate) fn has_newest_configuration(&self) -> bool {
+        let entry_vms = self.configuration().entry_vms.clone();
+        let now = self.clock.now();
+        let permit = self.freshness().permit(&entry_vms, &self.settings.vm, now);
+        matches!(permit, Permit::Serve { .. } | Permit::Unlisted)
+    }
+
     /// Returns whether a VM must receive no new work.
     pub(crate) fn is_leaving(&self, vm: &VmId) -> bool {
         let now = self.clock.now();
--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -24,6 +24,7 @@
 mod proof_table;
 mod quorum;
 mod reconcile;
+mod repair;
 mod takeover_backoff;
 mod service_table;
 
@@ -68,6 +69,7 @@
 pub use freshness::FreshnessBounds;
 pub use freshness::Permit;
 pub use freshness::Vouch;
+pub use group_life::groups_to_move;
 pub use group_life::stuck_groups;
 pub use held_assignment::HeldAssignment;
 pub use held_assignment::OrderAuthority;
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -12,11 +12,13 @@
 use group_support::start_stream;
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
+use mangocross_tests::RelayMode;
 use mangocross_types::EngineState;
 use mangocross_types::GroupPhase;
 use mangocross_types::RunOutcome;
 use mangocross_types::VmState;
 use standins::EngineFaults;
+use standins::PlatformFaults;
 use standins::StoreFaults;
 
 const START: &str = "start group letters-1 model letters version v1 members 2";
@@ -237,3 +239,87 @@
     cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
     assert_eq!(placed(&cluster, "domain-1").incarnation, incarnation);
 }
+
+#[test]
+fn member_that_restarts_in_a_store_outage_is_loaded_again() {
+    let cluster = builder(2, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let member = placed(&cluster, "domain-1").members[1].to_string();
+    cluster.store.faults().set(StoreFaults { down: true, ..StoreFaults::default() });
+    cluster.engine(&member).restart_empty();
+    cluster.wait_until("it is loaded", || cluster.engine(&member).report().group.is_some());
+    cluster.wait_until("the group serves", || cluster.send(1, &draft()).is_whole());
+}
+
+#[test]
+fn loads_keep_to_the_weight_stores_rate() {
+    let cluster = builder(1, &[4]).weight_store().start();
+    let faults = PlatformFaults { loads_max: 1, load_ms: 300, ..PlatformFaults::default() };
+    cluster.platform.faults().set(faults);
+    cluster.start_group(START, 0, &draft());
+    cluster.start_group("start group letters-2 model letters version v1 members 2", 0, &draft());
+    cluster.wait_until("all are loaded", || {
+        cluster.engines.values().all(|it| it.report().state == EngineState::Ready)
+    });
+    assert_eq!(cluster.platform.faults().counted("loads"), 4);
+    assert_eq!(cluster.platform.faults().counted("loads_that_waited"), 0);
+}
+
+#[test]
+fn why_names_what_a_group_waits_for() {
+    let cluster = builder(1, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let member = placed(&cluster, "domain-1").members[1].to_string();
+    let says = |line: &str, text: &str| {
+        let answer = cluster.operate(0, line).expect("an answer");
+        serde_json::to_string(&answer).expect("JSON").contains(text)
+    };
+    cluster.operate(0, &format!("drain vm {member}")).expect("the drain is accepted");
+    cluster.wait_until("the group says why", || {
+        says("why group letters-1", &format!("member {member} is leaving"))
+            && says("why group letters-1", "too few idle VMs")
+    });
+    assert!(says(&format!("why vm {member}"), "as operators said"));
+    cluster.operate(0, &format!("resume vm {member}")).expect("the resume is accepted");
+    cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
+}
+
+#[test]
+fn straggler_is_replaced_by_a_spare() {
+    let cluster = builder(1, &[3]).coordinator_setting("stall_ms", 1_000).start();
+    cluster.start_group(START, 0, &draft());
+    let before = placed(&cluster, "domain-1");
+    let slow = before.members[0].clone();
+    let faults = EngineFaults { straggler: true, ..EngineFaults::default() };
+    cluster.engine(slow.as_str()).faults().set(faults);
+    let stream = start_stream(&cluster, 0, 100);
+    cluster.wait_until("it is replaced", || {
+        let placed = placed(&cluster, "domain-1");
+        placed.incarnation > before.incarnation && !placed.members.contains(&slow)
+    });
+    cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
+    drop(stream);
+}
+
+#[test]
+fn leaving_vm_gets_no_new_work_through_a_node_that_is_cut_from_the_store() {
+    let cluster = builder(3, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let first = placed(&cluster, "domain-1").members[0].clone();
+    let cut = (owner_of(&cluster, "domain-1") + 1) % 3;
+    cluster.store_relays[usize::from(cut)].set(RelayMode::Cut);
+    assert!(cluster.send(cut, &draft()).is_whole());
+    let faults = EngineFaults { leaving: true, ..EngineFaults::default() };
+    cluster.engine(first.as_str()).faults().set(faults);
+    cluster.wait_until("every node refuses", || {
+        (0..3).all(|it| cluster.send(it, &draft()).outcome() == Some(RunOutcome::NotRun))
+    });
+    let ran = cluster.engine(first.as_str()).faults().counted("generations");
+    // The VM's own word stays in force when it is no longer repeated.
+    cluster.engine(first.as_str()).faults().set(EngineFaults::default());
+    for round in 0..8 {
+        thread::sleep(Duration::from_millis(250));
+        assert_eq!(cluster.send(round % 3, &draft()).outcome(), Some(RunOutcome::NotRun));
+    }
+    assert_eq!(cluster.engine(first.as_str()).faults().counted("generations"), ran);
+}
