fix(peer-entry): end an exchange in time however slowly its bytes come

A time limit for each read let a connection that trickles hold one of 64 places for ever. The frozen gateway's test now wakes it while nobody can tell it of the change: red with the gateway's freshness check switched off, which it was not before.

--- a/peers/peer-entry/src/fetch.rs
+++ b/peers/peer-entry/src/fetch.rs
@@ -22,11 +22,14 @@
 
 use crate::RequestFailure;
 use crate::frame::PeerKey;
+use crate::timed_stream::TimedStream;
 
 /// Largest frame, in bytes: a store value of a megabyte with its header.
 const FRAME_BYTES_MAX: usize = 1024 * 1024 + 4096;
-/// Time to connect, and for each read and write.
-const IO_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for a whole exchange, however slowly its bytes come.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Fetches answered at once.
 const FETCHES_MAX: usize = 64;
 
@@ -116,8 +119,8 @@
 }
 
 fn exchange(address: SocketAddr, key: &PeerKey, request: &FetchRequest) -> io::Result<FetchReply> {
-    let mut stream = TcpStream::connect_timeout(&address, IO_TIMEOUT)?;
-    limit_times(&stream)?;
+    let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?;
+    let mut stream = TimedStream::new(stream, EXCHANGE_TIMEOUT)?;
     write_frame(&mut stream, key, request)?;
     read_frame(&mut stream, key)
 }
@@ -176,12 +179,12 @@
 impl Drop for FetchServer {
     fn drop(&mut self) {
         self.closed.store(true, Ordering::Relaxed);
-        let _ = TcpStream::connect_timeout(&self.address, IO_TIMEOUT);
+        let _ = TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT);
     }
 }
 
-fn answer(mut stream: TcpStream, key: &PeerKey, source: &dyn FetchSource) -> io::Result<()> {
-    limit_times(&stream)?;
+fn answer(stream: TcpStream, key: &PeerKey, source: &dyn FetchSource) -> io::Result<()> {
+    let mut stream = TimedStream::new(stream, EXCHANGE_TIMEOUT)?;
     let request: FetchRequest = read_frame(&mut stream, key)?;
     let (document, failure) = match &request.wanted {
         Wanted::Configuration => (source.configuration(), None),
@@ -190,20 +193,18 @@
     write_frame(&mut stream, key, &FetchReply { nonce: request.nonce, document, failure })
 }
 
-fn limit_times(stream: &TcpStream) -> io::Result<()> {
-    stream.set_read_timeout(Some(IO_TIMEOUT))?;
-    stream.set_write_timeout(Some(IO_TIMEOUT))?;
-    stream.set_nodelay(true)
-}
-
-fn write_frame<T: Serialize>(stream: &mut TcpStream, key: &PeerKey, message: &T) -> io::Result<()> {
+fn write_frame<T: Serialize>(
+    stream: &mut TimedStream,
+    key: &PeerKey,
+    message: &T,
+) -> io::Result<()> {
     let frame = key.seal(message);
     let length = u32::try_from(frame.len()).map_err(io::Error::other)?;
     stream.write_all(&length.to_be_bytes())?;
     stream.write_all(&frame)
 }
 
-fn read_frame<T: DeserializeOwned>(stream: &mut TcpStream, key: &PeerKey) -> io::Result<T> {
+fn read_frame<T: DeserializeOwned>(stream: &mut TimedStream, key: &PeerKey) -> io::Result<T> {
     let mut length = [0; 4];
     stream.read_exact(&mut length)?;
     let length = u32::from_be_bytes(length) as usize;
--- a/peers/peer-entry/src/lib.rs
+++ b/peers/peer-entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod messages;
 mod poller;
 mod responder;
+mod timed_stream;
 
 pub use fetch::ConfigurationDocument;
 pub use fetch::FetchError;
--- /dev/null
+++ b/peers/peer-entry/tests/frames.rs
@@ -0,0 +1,318 @@
+//! Frames that are damaged, foreign, replayed or late, and connections that fall silent.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_types::Clock;
+use mangocross_types::ManualClock;
+use mangocross_types::RequestId;
+use mangocross_types::Revision;
+use peer_entry::ConfigurationDocument;
+use peer_entry::FetchServer;
+use peer_entry::FetchSource;
+use peer_entry::PeerKey;
+use peer_entry::Poll;
+use peer_entry::PollReply;
+use peer_entry::PollResponder;
+use peer_entry::PollTiming;
+use peer_entry::Poller;
+use peer_entry::PollerHandler;
+use peer_entry::ProcessRole;
+use peer_entry::ReplyStamp;
+use peer_entry::RequestFailure;
+use peer_entry::fetch_configuration;
+use peer_entry::fetch_failure;
+
+/// Longest wait for something that must come about.
+const WAIT_MAX: Duration = Duration::from_secs(30);
+/// Time after which nothing more is expected.
+const SETTLE: Duration = Duration::from_millis(300);
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn key(secret: &str) -> PeerKey {
+    secret.parse().expect("a long enough secret")
+}
+
+fn own_key() -> PeerKey {
+    key("the secret of these tests")
+}
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + WAIT_MAX;
+    while !holds() {
+        assert!(Instant::now() < deadline, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn reply_to(poll: &Poll) -> PollReply {
+    PollReply {
+        nonce: poll.nonce,
+        vm: "entry-1".parse().expect("a valid id"),
+        stamp: ReplyStamp { process_id: 7, uptime_ms: 70 },
+        revision: Revision(3),
+        newest_known: Revision(3),
+        established: true,
+        store_age_ms: None,
+        proofs: Vec::new(),
+        domains: Vec::new(),
+        leaving: Vec::new(),
+        usage: Vec::new(),
+    }
+}
+
+/// Polls one coordinator and keeps what it hears.
+struct Listener {
+    target: SocketAddr,
+    heard: Mutex<Vec<(Instant, Revision)>>,
+}
+
+impl PollerHandler for Listener {
+    fn targets(&self) -> Vec<SocketAddr> {
+        vec![self.target]
+    }
+
+    fn poll(&self, _to: SocketAddr) -> Poll {
+        Poll {
+            nonce: 0,
+            vm: "entry-2".parse().expect("a valid id"),
+            role: ProcessRole::Gateway,
+            process_id: 9,
+            revision: Revision(2),
+            serving: true,
+            usage: Vec::new(),
+            failures: Vec::new(),
+            echo: None,
+        }
+    }
+
+    fn reply(&self, _from: SocketAddr, asked_at: Instant, reply: PollReply) {
+        self.heard.lock().expect("no test panics here").push((asked_at, reply.revision));
+    }
+}
+
+/// A poller with a clock of the test's own and a relay before its coordinator.
+struct Bench {
+    poller: Poller,
+    listener: Arc<Listener>,
+    clock: Arc<ManualClock>,
+    relay: UdpSocket,
+    responder: PollResponder,
+}
+
+impl Bench {
+    fn open(interval: Duration, coordinator_key: PeerKey) -> Self {
+        let responder = PollResponder::bind(any_port(), coordinator_key, reply_to).expect("binds");
+        let relay = UdpSocket::bind(any_port()).expect("binds");
+        relay.set_read_timeout(Some(WAIT_MAX)).expect("a time limit");
+        let target = relay.local_addr().expect("an address");
+        let listener = Arc::new(Listener { target, heard: Mutex::new(Vec::new()) });
+        let clock = Arc::new(ManualClock::new());
+        let timing = PollTiming { interval, reply_age_max: Duration::from_secs(5) };
+        let poller = Poller::spawn(
+            any_port(),
+            own_key(),
+            timing,
+            Arc::clone(&clock) as Arc<dyn Clock>,
+            Arc::clone(&listener) as Arc<dyn PollerHandler>,
+        )
+        .expect("binds");
+        Self { poller, listener, clock, relay, responder }
+    }
+
+    /// Takes the next poll and where it came from.
+    fn poll(&self) -> (Vec<u8>, SocketAddr) {
+        loop {
+            let (frame, from) = self.receive();
+            if from != self.responder.address() {
+                return (frame, from);
+            }
+        }
+    }
+
+    /// Passes a poll on and takes the coordinator's reply.
+    fn answer(&self, poll: &[u8]) -> Vec<u8> {
+        self.relay.send_to(poll, self.responder.address()).expect("sent");
+        loop {
+            let (frame, from) = self.receive();
+            if from == self.responder.address() {
+                return frame;
+            }
+        }
+    }
+
+    fn receive(&self) -> (Vec<u8>, SocketAddr) {
+        let mut buf = [0; 2048];
+        let (length, from) = self.relay.recv_from(&mut buf).expect("a frame comes");
+        (buf[..length].to_vec(), from)
+    }
+
+    fn heard(&self) -> Vec<(Instant, Revision)> {
+        self.listener.heard.lock().expect("no test panics here").clone()
+    }
+}
+
+#[test]
+fn damaged_and_foreign_frames_are_dropped_and_counted() {
+    let bench = Bench::open(Duration::from_secs(3_600), own_key());
+    let (poll, _) = bench.poll();
+    let send = |frame: &[u8]| {
+        let before = bench.responder.dropped_frames();
+        bench.relay.send_to(frame, bench.responder.address()).expect("sent");
+        wait_until("the frame is counted", || bench.responder.dropped_frames() > before);
+    };
+    for index in 0..poll.len() {
+        let mut damaged = poll.clone();
+        damaged[index] ^= 1 << (index % 8);
+        send(&damaged);
+    }
+    for length in [0, 1, 16, 17, poll.len() - 1] {
+        send(&poll[..length]);
+    }
+    let mut longer = poll.clone();
+    longer.push(0);
+    send(&longer);
+    send(&[0xff; 20_000]);
+    // The responder still answers.
+    assert!(!bench.answer(&poll).is_empty());
+}
+
+#[test]
+fn reply_with_another_key_is_dropped_and_counted() {
+    let bench = Bench::open(Duration::from_secs(3_600), own_key());
+    let (poll, poller) = bench.poll();
+    let reply = bench.answer(&poll);
+    let mut damaged = reply.clone();
+    *damaged.last_mut().expect("a body") ^= 1;
+    bench.relay.send_to(&damaged, poller).expect("sent");
+    wait_until("the reply is counted", || bench.poller.dropped_frames() == 1);
+    assert!(bench.heard().is_empty());
+    let foreign = PollResponder::bind(any_port(), key("another secret, long enough"), reply_to);
+    let foreign = foreign.expect("binds");
+    bench.relay.send_to(&poll, foreign.address()).expect("sent");
+    wait_until("the poll is counted", || foreign.dropped_frames() == 1);
+}
+
+#[test]
+fn replayed_reply_counts_from_when_its_poll_was_sent() {
+    let bench = Bench::open(Duration::from_secs(3_600), own_key());
+    let sent_at = bench.clock.now();
+    let (poll, poller) = bench.poll();
+    let reply = bench.answer(&poll);
+    for count in 1..=3 {
+        bench.relay.send_to(&reply, poller).expect("sent");
+        wait_until("the reply is heard", || bench.heard().len() == count);
+        bench.clock.advance(Duration::from_secs(1));
+    }
+    assert!(bench.heard().iter().all(|(asked_at, _)| *asked_at == sent_at));
+}
+
+#[test]
+fn reply_that_is_too_old_or_comes_from_elsewhere_is_dropped_and_counted() {
+    let bench = Bench::open(Duration::from_secs(3_600), own_key());
+    let (poll, poller) = bench.poll();
+    let reply = bench.answer(&poll);
+    let elsewhere = UdpSocket::bind(any_port()).expect("binds");
+    elsewhere.send_to(&reply, poller).expect("sent");
+    wait_until("the reply from elsewhere is counted", || bench.poller.dropped_frames() == 1);
+    bench.clock.advance(Duration::from_secs(6));
+    bench.relay.send_to(&reply, poller).expect("sent");
+    wait_until("the old reply is counted", || bench.poller.dropped_frames() == 2);
+    assert!(bench.heard().is_empty());
+}
+
+#[test]
+fn poll_echoes_the_stamp_of_the_newest_reply() {
+    let echoes = Arc::new(Mutex::new(Vec::new()));
+    let seen = Arc::clone(&echoes);
+    let responder = PollResponder::bind(any_port(), own_key(), move |poll| {
+        seen.lock().expect("no test panics here").push(poll.echo);
+        reply_to(poll)
+    });
+    let target = responder.as_ref().expect("binds").address();
+    let listener = Arc::new(Listener { target, heard: Mutex::new(Vec::new()) });
+    let timing =
+        PollTiming { interval: Duration::from_millis(20), reply_age_max: Duration::from_secs(5) };
+    let clock = Arc::new(ManualClock::new());
+    let _poller = Poller::spawn(any_port(), own_key(), timing, clock, listener).expect("binds");
+    wait_until("an echo comes", || {
+        let echoes = echoes.lock().expect("no test panics here");
+        echoes.last().copied().flatten() == Some(ReplyStamp { process_id: 7, uptime_ms: 70 })
+    });
+    assert_eq!(echoes.lock().expect("no test panics here").first(), Some(&None));
+}
+
+/// Holds a configuration of the largest size that the store takes.
+struct Source;
+
+impl FetchSource for Source {
+    fn configuration(&self) -> Option<ConfigurationDocument> {
+        Some(ConfigurationDocument { revision: Revision(3), text: "x".repeat(1024 * 1024) })
+    }
+
+    fn failure(&self, _request: &RequestId) -> Option<RequestFailure> {
+        None
+    }
+}
+
+#[test]
+fn silent_connections_end_and_others_are_served_meanwhile() {
+    let server = FetchServer::bind(any_port(), own_key(), Arc::new(Source)).expect("binds");
+    let mut silent: Vec<TcpStream> =
+        (0..8).map(|_| TcpStream::connect(server.address()).expect("connects")).collect();
+    let mut slow = TcpStream::connect(server.address()).expect("connects");
+    slow.write_all(&[0, 0]).expect("sent");
+    let document = fetch_configuration(server.address(), &own_key()).expect("is served");
+    assert_eq!((document.revision, document.text.len()), (Revision(3), 1024 * 1024));
+    let request: RequestId = "r-1".parse().expect("a valid id");
+    assert_eq!(fetch_failure(server.address(), &own_key(), &request).expect("is served"), None);
+    silent.push(slow);
+    for stream in &mut silent {
+        stream.set_read_timeout(Some(WAIT_MAX)).expect("a time limit");
+        assert_eq!(stream.read(&mut [0; 1]).expect("the server closes it"), 0);
+    }
+}
+
+#[test]
+fn connection_that_trickles_ends() {
+    let server = FetchServer::bind(any_port(), own_key(), Arc::new(Source)).expect("binds");
+    let mut stream = TcpStream::connect(server.address()).expect("connects");
+    stream.write_all(&100_000_u32.to_be_bytes()).expect("sent");
+    wait_until("the server closes it", || {
+        thread::sleep(SETTLE);
+        stream.write_all(&[1]).is_err()
+    });
+}
+
+#[test]
+fn fetch_from_a_silent_coordinator_ends_with_an_error() {
+    let listener = TcpListener::bind(any_port()).expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let _held = thread::spawn(move || {
+        let held = listener.accept();
+        thread::sleep(WAIT_MAX * 2);
+        drop(held);
+    });
+    assert!(fetch_configuration(address, &own_key()).is_err());
+}
+
+#[test]
+fn frame_that_claims_to_be_too_large_is_refused() {
+    let server = FetchServer::bind(any_port(), own_key(), Arc::new(Source)).expect("binds");
+    let mut stream = TcpStream::connect(server.address()).expect("connects");
+    stream.write_all(&u32::MAX.to_be_bytes()).expect("sent");
+    stream.set_read_timeout(Some(WAIT_MAX)).expect("a time limit");
+    assert_eq!(stream.read(&mut [0; 1]).expect("the server closes it"), 0);
+}
--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -8,6 +8,7 @@
 use mangocross_tests::Cluster;
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
+use mangocross_tests::Process;
 use mangocross_tests::RelayMode;
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
@@ -151,11 +152,14 @@
     let answer = cluster.operate(0, "remove kind status").expect("the change is accepted");
     assert_eq!(answer.code, None);
     assert!(answer.message.contains("gateway of entry-3"), "{}", answer.message);
+    // Nobody can tell the gateway of the change when it wakes.
+    cluster.coordinators.iter().for_each(Process::freeze);
     cluster.gateways[2].thaw();
     for _ in 0..20 {
         let told = status(&cluster, 2);
-        assert_eq!(told.outcome(), Some(RunOutcome::NotRun), "{told:?}");
+        assert_eq!(code(&told), Some(ResultCode::NotFresh), "{told:?}");
     }
+    cluster.coordinators.iter().for_each(Process::thaw);
     cluster.wait_until("the change is in force there", || {
         code(&status(&cluster, 2)) == Some(ResultCode::UnknownKind)
     });
