--- a/bins/mangocross-coordinator/src/domain_view.rs
+++ b/bins/mangocross-coordinator/src/domain_view.rs
@@ -8,10 +8,14 @@
 use mangocross_coordination::HeldAssignment;
 use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::ProbeTable;
+use mangocross_coordination::stuck_groups;
+use mangocross_types::BackendReport;
 use mangocross_types::Configuration;
 use mangocross_types::FabricDomain;
+use mangocross_types::GroupId;
 use mangocross_types::Placements;
 use mangocross_types::Revision;
+use mangocross_types::VmId;
 
 use crate::state::CoordinatorState;
 use crate::state::lock;
@@ -62,6 +66,16 @@
         }
     }
 
+    /// Returns a VM's newest report, if its newest probe was answered lately.
+    pub(crate) fn report(&self, vm: &VmId) -> Option<&BackendReport> {
+        self.probes.report(vm, self.now, self.state.probe_ttl())
+    }
+
+    /// Returns whether the domain's VMs cannot complete a group.
+    pub(crate) fn is_stuck(&self, group: &GroupId) -> bool {
+        stuck_groups(&self.input(OrderAuthority::None)).contains(group)
+    }
+
     /// Returns which orders this process may give.
     pub(crate) fn authority(&self) -> OrderAuthority {
         self.held.authority(
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,6 +10,8 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use mangocross_claims::ClaimLimits;
+use mangocross_claims::ClaimLog;
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
 use mangocross_coordination::LeavingTable;
@@ -23,10 +26,10 @@
 use mangocross_types::RequestId;
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
+use mangocross_types::ServiceId;
 use peer_engine::EngineClient;
 use peer_service::ServiceClient;
 use peer_store::HttpStore;
-use peer_store::Store;
 
 use crate::failures::FailureLog;
 
@@ -35,6 +38,8 @@
 
 /// How long the word that a VM is leaving counts; longer than the platform's list lags.
 const LEAVING_KEPT: Duration = Duration::from_secs(600);
+/// Time for a call to the store on a claim's way; a caller waits for it.
+const CLAIM_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// What the gateway's threads share.
 #[derive(Debug)]
@@ -42,7 +47,7 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) process_id: u64,
-    pub(crate) store: Arc<dyn Store>,
+    pub(crate) claims: ClaimLog,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
     pub(crate) stopping: AtomicBool,
@@ -59,8 +64,10 @@
     pub(crate) fn open(settings: GatewaySettings, clock: Arc<dyn Clock>) -> Result<Self, String> {
         let now = clock.now();
         let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
+        let store = Arc::new(HttpStore::open(settings.store).timeout(CLAIM_CALL_TIMEOUT));
+        let claims = ClaimLog::spawn(store, Arc::clone(&clock), ClaimLimits::default());
         Ok(Self {
-            store: Arc::new(HttpStore::open(settings.store)),
+            claims: claims.map_err(|it| format!("no thread for claims: {it}"))?,
             settings,
             clock,
             process_id: fastrand::u64(..),
@@ -116,6 +123,15 @@
         Some(Refusal::not_run(ResultCode::NotFresh, text).retry_after(FRESHNESS_RETRY))
     }
 
+    /// Returns those backend servers of a service that are not leaving.
+    pub(crate) fn staying_servers(
+        &self,
+        _service: &ServiceId,
+        specified: &[SocketAddr],
+    ) -> Vec<SocketAddr> {
+        specified.to_vec()
+    }
+
     /// Remembers what a caller was told, for operators who ask why.
     pub(crate) fn record_failure(&self, request: &RequestId, refusal: &Refusal) {
         self.failures.record(request, refusal, self.clock.wall());
--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O, reads a clock or starts a thread.
 
 mod acceptance;
+mod answer_progress;
 mod assignment;
 mod claim;
 mod claim_commit;
@@ -31,6 +32,7 @@
 pub use acceptance::Lacking;
 pub use acceptance::LackingProcess;
 pub use acceptance::Sighting;
+pub use answer_progress::AnswerProgress;
 pub use assignment::AssignmentError;
 pub use assignment::form_group;
 pub use assignment::remove_group;
@@ -73,7 +75,7 @@
 pub use membership::check_membership;
 pub use ownership::preferred_owner;
 pub use placing::DomainState;
-pub use placing::plan_placements;
+pub use placing::PlacementPlanner;
 pub use proof_table::ProofTable;
 pub use proof_table::ProvenGroup;
 pub use quorum::Voucher;
