--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -7,6 +7,11 @@
 use serde::Deserialize;
 
 use crate::Settings;
+use crate::range::PROBE_INTERVAL_MS;
+use crate::range::TIME_MS;
+use crate::range::check_secret;
+use crate::range::check_vouching;
+use crate::range::within;
 
 /// Settings of the coordinator.
 #[derive(Debug, Clone, Deserialize)]
@@ -105,9 +110,19 @@
 
 impl Settings for CoordinatorSettings {
     fn check(&self) -> Result<(), String> {
-        if self.probe_interval_ms == 0 || self.poll_interval_ms == 0 {
-            return Err("an interval is 0; use a positive number".into());
-        }
+        check_secret(&self.peer_secret)?;
+        check_vouching(self.vouch_ms, self.poll_interval_ms)?;
+        within("probe_interval_ms", self.probe_interval_ms, PROBE_INTERVAL_MS)?;
+        let times = [
+            ("probe_timeout_ms", self.probe_timeout_ms),
+            ("proof_ms", self.proof_ms),
+            ("stall_ms", self.stall_ms),
+            ("in_force_wait_ms", self.in_force_wait_ms),
+            ("order_deadline_ms", self.order_deadline_ms),
+            ("lost_ms", self.lost_ms),
+            ("leaving_kept_ms", self.leaving_kept_ms),
+        ];
+        times.iter().try_for_each(|(name, value)| within(name, *value, TIME_MS))?;
         if self.proof_ms < self.probe_interval_ms + self.probe_timeout_ms {
             return Err("`proof_ms` is less than a probe's interval and timeout; raise it".into());
         }
--- a/crates/mangocross-settings/src/gateway.rs
+++ b/crates/mangocross-settings/src/gateway.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 
 use crate::Settings;
+use crate::range::check_secret;
+use crate::range::check_vouching;
 
 /// Settings of the gateway.
 #[derive(Debug, Clone, Deserialize)]
@@ -129,12 +131,8 @@
         if self.coordinators.is_empty() {
             return Err("`coordinators` is empty; name at least one address".into());
         }
-        if self.poll_interval_ms == 0 {
-            return Err("`poll_interval_ms` is 0; use a positive number".into());
-        }
-        if self.vouch_ms < 3 * self.poll_interval_ms {
-            return Err("`vouch_ms` is less than three poll intervals; raise it".into());
-        }
+        check_secret(&self.peer_secret)?;
+        check_vouching(self.vouch_ms, self.poll_interval_ms)?;
         let waits = [
             ("first_token_ms", self.first_token_ms),
             ("token_gap_ms", self.token_gap_ms),
--- a/crates/mangocross-settings/src/lib.rs
+++ b/crates/mangocross-settings/src/lib.rs
@@ -4,6 +4,7 @@
 mod error;
 mod gateway;
 mod load;
+mod range;
 
 pub use coordinator::CoordinatorSettings;
 pub use error::SettingsError;
--- a/crates/mangocross-settings/src/load.rs
+++ b/crates/mangocross-settings/src/load.rs
@@ -40,7 +40,7 @@
     let settings: T = json5::from_str(text).map_err(|it| from_json(file, text, &it))?;
     settings.check().map_err(|message| SettingsError {
         file: file.to_owned(),
-        line: None,
+        line: message.split('`').nth(1).and_then(|it| line_of_key(text, it)),
         message,
     })?;
     Ok(settings)
@@ -51,9 +51,10 @@
     let mut line = error.position().map(|it| it.line + 1);
     if let Some((unknown, known)) = unknown_field(&message) {
         line = line_of_key(text, &unknown).or(line);
-        if let Some(near) = nearest(&unknown, &known) {
-            message = format!("unknown key `{unknown}`; did you mean `{near}`?");
-        }
+        message = match nearest(&unknown, &known) {
+            Some(near) => format!("unknown key `{unknown}`; did you mean `{near}`?"),
+            None => format!("unknown key `{unknown}`; the keys are {}", known.join(", ")),
+        };
     }
     SettingsError { file: file.to_owned(), line, message }
 }
@@ -70,7 +71,8 @@
     let quoted = format!("\"{key}\"");
     let found = text.lines().position(|it| {
         let code = it.split("//").next().unwrap_or_default().trim_start();
-        code.contains(&quoted) || code.starts_with(key)
+        let bare = code.strip_prefix(key).is_some_and(|it| it.trim_start().starts_with(':'));
+        code.contains(&quoted) || bare
     });
     found.map(|it| it + 1)
 }
--- /dev/null
+++ b/crates/mangocross-settings/src/range.rs
@@ -0,0 +1,44 @@
+//! Ranges of settings.
+
+use std::ops::RangeInclusive;
+
+/// Shortest peer secret, in characters.
+const SECRET_CHARS_MIN: usize = 16;
+/// Times between polls, in milliseconds.
+pub(crate) const POLL_INTERVAL_MS: RangeInclusive<u64> = 10..=5_000;
+/// How long a vouch may count, in milliseconds: changes must be in force within 19 s.
+pub(crate) const VOUCH_MS: RangeInclusive<u64> = 100..=15_000;
+/// Times between probes, in milliseconds.
+pub(crate) const PROBE_INTERVAL_MS: RangeInclusive<u64> = 10..=10_000;
+/// Other times, in milliseconds: up to an hour.
+pub(crate) const TIME_MS: RangeInclusive<u64> = 1..=3_600_000;
+/// Polls that may be lost before a vouch runs out.
+const POLLS_PER_VOUCH: u64 = 3;
+
+/// Checks that a setting is in its range.
+pub(crate) fn within(name: &str, value: u64, range: RangeInclusive<u64>) -> Result<(), String> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    Err(format!("`{name}` is {value}; use {} to {}", range.start(), range.end()))
+}
+
+/// Checks the settings by which a node knows that its configuration is in force.
+pub(crate) fn check_vouching(vouch_ms: u64, poll_interval_ms: u64) -> Result<(), String> {
+    within("poll_interval_ms", poll_interval_ms, POLL_INTERVAL_MS)?;
+    within("vouch_ms", vouch_ms, VOUCH_MS)?;
+    if vouch_ms < POLLS_PER_VOUCH * poll_interval_ms {
+        return Err("`vouch_ms` is less than three poll intervals; raise it".into());
+    }
+    Ok(())
+}
+
+/// Checks the secret that the entry VMs share.
+pub(crate) fn check_secret(secret: &str) -> Result<(), String> {
+    if secret.chars().count() < SECRET_CHARS_MIN {
+        return Err(format!(
+            "`peer_secret` is too short; use {SECRET_CHARS_MIN} characters or more"
+        ));
+    }
+    Ok(())
+}
