feat(coordinator): enter the own VM among the entry VMs, one at a time

Entry VMs were named by operators only. A coordinator now enters its own line by compare-and-swap, on an accepted revision, once; a VM that operators removed while it runs stays out until restarted. A whole configuration that names no entry VMs keeps those in place.

--- a/bins/mangocross-coordinator/src/coordinator.rs
+++ b/bins/mangocross-coordinator/src/coordinator.rs
@@ -29,6 +29,7 @@
 use crate::placement;
 use crate::platform;
 use crate::probes;
+use crate::registration;
 use crate::state::CoordinatorState;
 
 /// When to come back after a refusal for too many requests.
@@ -66,6 +67,7 @@
 
     for (name, work) in [
         ("configuration", configuration::run as fn(&Arc<CoordinatorState>)),
+        ("registration", registration::run),
         ("platform", platform::run),
         ("probes", probes::run),
         ("domains", domains::run),
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -21,6 +21,7 @@
 mod platform;
 mod probes;
 mod queries;
+mod registration;
 mod state;
 
 /// Owns fabric domains, proves groups complete and answers operators.
--- /dev/null
+++ b/bins/mangocross-coordinator/src/registration.rs
@@ -0,0 +1,76 @@
+//! Enters this VM among the entry VMs of the configuration.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use mangocross_coordination::Registration;
+use mangocross_coordination::register;
+use mangocross_operator::OperatorRequest;
+use mangocross_types::CommandId;
+use mangocross_types::Configuration;
+use mangocross_types::EntryVmSpec;
+use mangocross_types::Revision;
+
+use crate::changes;
+use crate::state::CoordinatorState;
+
+/// Shortest time between looks at the own line.
+const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Random time added, so that VMs that start together do not write together.
+const JITTER_MS: u64 = 1_000;
+
+/// Looks after the own line until it was there once.
+///
+/// An operator who removes this VM while it runs is not overruled; after a
+/// restart it enters again.
+pub(crate) fn run(state: &Arc<CoordinatorState>) {
+    loop {
+        thread::sleep(LOOK_INTERVAL + Duration::from_millis(fastrand::u64(..JITTER_MS)));
+        if state.freshness().in_force() == Revision(0) {
+            // The operators put the first configuration in place.
+            continue;
+        }
+        if register(&state.configuration().entry_vms, &own_line(state)) == Registration::Listed {
+            return;
+        }
+        match changes::carry_out(state, &request(state), |it| Ok(entered(state, it))) {
+            Ok(answer) => log::info!("entered the configuration: {}", answer.message),
+            Err(refusal) => log::info!("not entered yet: {}", refusal.message),
+        }
+    }
+}
+
+fn entered(state: &CoordinatorState, current: &Configuration) -> Configuration {
+    let mut next = current.clone();
+    match register(&current.entry_vms, &own_line(state)) {
+        Registration::Listed => {}
+        Registration::Enter(entry_vms) | Registration::Leave(entry_vms) => {
+            next.entry_vms = entry_vms;
+        }
+    }
+    next
+}
+
+fn own_line(state: &CoordinatorState) -> EntryVmSpec {
+    let settings = &state.settings;
+    EntryVmSpec {
+        vm: settings.vm.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        coordinator: settings.listen,
+    }
+}
+
+fn request(state: &CoordinatorState) -> OperatorRequest {
+    OperatorRequest {
+        command_id: new_command_id(),
+        text: format!("register node {} at {}", state.settings.vm, state.settings.listen),
+        configuration: None,
+        based_on: None,
+        dry_run: false,
+    }
+}
+
+fn new_command_id() -> CommandId {
+    format!("c-{:032x}", fastrand::u128(..)).parse().expect("hexadecimal digits are a valid id")
+}
--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -24,6 +24,7 @@
 mod proof_table;
 mod quorum;
 mod reconcile;
+mod registration;
 mod takeover_backoff;
 
 pub use acceptance::Acceptance;
@@ -82,4 +83,6 @@
 pub use reconcile::DomainInput;
 pub use reconcile::Step;
 pub use reconcile::reconcile;
+pub use registration::Registration;
+pub use registration::register;
 pub use takeover_backoff::TakeoverBackoff;
--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -10,6 +10,8 @@
 use mangocross_tests::Outgoing;
 use mangocross_tests::Process;
 use mangocross_tests::RelayMode;
+use mangocross_types::Configuration;
+use mangocross_types::EntryVmSpec;
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
 use mangocross_types::RunOutcome;
@@ -202,3 +204,52 @@
         cluster.operate_with(0, &command).is_ok_and(|it| it.code.is_none())
     });
 }
+
+#[test]
+fn removed_entry_vm_stops_and_enters_again_when_restarted() {
+    let mut cluster = start(3);
+    let removed = cluster.operate(0, "remove node entry-3").expect("the change is accepted");
+    assert_eq!(removed.code, None);
+    assert_eq!(code(&status(&cluster, 2)), Some(ResultCode::NotFresh));
+    assert!(serves(&cluster, 0) && serves(&cluster, 1));
+    // Two entry VMs are left: the next may go, and the last may not.
+    cluster.operate(0, "remove node entry-2").expect("the change is accepted");
+    let refused = cluster.operate(0, "remove node entry-1").expect_err("one must be left");
+    assert!(refused.contains("6003"), "{refused}");
+    for node in [1, 2] {
+        cluster.coordinators[node].restart();
+    }
+    cluster.wait_until("both entered and serve", || {
+        (0..3).all(|it| cluster.ready(it) && serves(&cluster, it))
+    });
+    let answer = cluster.operate(0, "drain vm vm-1-1").expect("the change is accepted");
+    assert_eq!(answer.code, None);
+}
+
+#[test]
+fn whole_configuration_keeps_the_entry_vms_unless_it_names_its_own() {
+    let cluster = start(3);
+    let replace = |entry_vms: Option<Vec<EntryVmSpec>>| {
+        let current = cluster.operate(0, "show config").expect("the coordinator answers");
+        let mut configuration: Configuration =
+            serde_json::from_str(&current.message).expect("a configuration");
+        configuration.entry_vms = entry_vms.unwrap_or_default();
+        let id = format!("c-{}", fastrand::u64(..));
+        let line = OperatorRequest {
+            configuration: Some(configuration),
+            ..request(&id, "replace config")
+        };
+        cluster.operate_with(0, &line)
+    };
+    let named = |it: u16| EntryVmSpec {
+        vm: format!("entry-{it}").parse().expect("a valid id"),
+        availability_zone: "zone-1".parse().expect("a valid id"),
+        coordinator: cluster.coordinator(it - 1),
+    };
+    assert_eq!(replace(None).expect("accepted").code, None);
+    assert!((0..3).all(|it| serves(&cluster, it)));
+    let refused = replace(Some(vec![named(1)])).expect_err("two would go at once");
+    assert!(refused.contains("one at a time"), "{refused}");
+    assert_eq!(replace(Some(vec![named(1), named(2)])).expect("accepted").code, None);
+    assert_eq!(code(&status(&cluster, 2)), Some(ResultCode::NotFresh));
+}
