feat(coordinator): let two coordinators of each zone read the configuration

Each coordinator read the whole document once a second: at 350 entry VMs 350 calls a second, with the document each time. Two of each zone now ask whether there is a newer revision, six times within the time that a vouch counts; the others take their word and read themselves once it is old. A watch without waiting is that question: one that waits may miss a change, so its silence proves nothing. Waits after failures grow to four times and are spread. A document that cannot be put in force is still known as newer, so that nothing older is vouched for.

--- a/bins/mangocross-coordinator/src/configuration.rs
+++ b/bins/mangocross-coordinator/src/configuration.rs
@@ -4,36 +4,60 @@
 use std::thread;
 use std::time::Duration;
 
+use mangocross_coordination::read_backoff;
+use mangocross_coordination::reads_store;
 use mangocross_operator::check_configuration;
 use mangocross_types::Configuration;
 use mangocross_types::Revision;
 
 use crate::state::CoordinatorState;
 
-/// Time between reads of the configuration.
-const READ_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Reads within the time that a vouch counts.
+const READS_PER_VOUCH: u32 = 6;
+/// Part of the time that a vouch counts after which others are not waited for.
+const RELY_DIVISOR: u32 = 2;
 
-/// Reads the configuration again and again.
+/// Reads the configuration again and again, if it falls to this coordinator.
 pub(crate) fn run(state: &Arc<CoordinatorState>) {
+    let interval = Duration::from_millis(state.settings.vouch_ms) / READS_PER_VOUCH;
+    let mut failures = 0;
     loop {
-        if let Err(message) = read(state) {
-            log::warn!("configuration could not be read from the store: {message}");
+        if falls_to(state) {
+            match read(state) {
+                Ok(()) => failures = 0,
+                Err(message) => {
+                    failures += 1;
+                    log::warn!("configuration could not be read from the store: {message}");
+                }
+            }
         }
-        thread::sleep(READ_INTERVAL);
+        thread::sleep(read_backoff(interval, failures, fastrand::u32(..=1_000)));
     }
 }
 
-/// Reads the configuration once and puts it in force if it is newer.
+fn falls_to(state: &CoordinatorState) -> bool {
+    let configuration = state.configuration();
+    let store_age = state.freshness().vouch(state.clock.now()).store_age;
+    let limit = Duration::from_millis(state.settings.vouch_ms) / RELY_DIVISOR;
+    let live = state.live_coordinators();
+    reads_store(&configuration.entry_vms, &state.settings.vm, &live, store_age, limit)
+}
+
+/// Asks the store for a newer configuration and puts it in force.
+///
+/// A watch without waiting compares revisions only. One that waits may miss a
+/// change, so its silence would prove nothing.
 pub(crate) fn read(state: &CoordinatorState) -> Result<(), String> {
     let asked_at = state.clock.now();
-    let entry = state.store.get(Configuration::KEY).map_err(|it| it.to_string())?;
-    let Some(entry) = entry else {
-        state.freshness().store_said(Revision(0), asked_at);
+    let in_force = state.freshness().in_force();
+    let newer = state.store.watch(Configuration::KEY, in_force, Duration::ZERO);
+    let Some(entry) = newer.map_err(|it| it.to_string())? else {
+        state.freshness().store_said(in_force, asked_at);
         return Ok(());
     };
-    take(state, entry.revision, &entry.value)?;
+    // Known even if it cannot be put in force, so that nothing older is vouched for.
     state.freshness().store_said(entry.revision, asked_at);
-    Ok(())
+    take(state, entry.revision, &entry.value)
 }
 
 /// Checks a configuration and puts it in force if it is newer.
--- /dev/null
+++ b/crates/mangocross-coordination/tests/readers.rs
@@ -0,0 +1,71 @@
+//! Which coordinators read the store, and how they come back after an outage.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mangocross_coordination::read_backoff;
+use mangocross_coordination::reads_store;
+use mangocross_types::EntryVmSpec;
+use mangocross_types::VmId;
+
+const LIMIT: Duration = Duration::from_secs(3);
+const FRESH: Option<Duration> = Some(Duration::from_secs(1));
+
+fn fleet(vms: u16, zones: u16) -> Vec<EntryVmSpec> {
+    let entry_vm = |number: u16| EntryVmSpec {
+        vm: format!("entry-{number}").parse().unwrap(),
+        availability_zone: format!("zone-{}", number % zones).parse().unwrap(),
+        coordinator: SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 7_100)),
+    };
+    (0..vms).map(entry_vm).collect()
+}
+
+fn readers(entry_vms: &[EntryVmSpec], live: &[VmId], age: Option<Duration>) -> Vec<VmId> {
+    let reads = |it: &&EntryVmSpec| reads_store(entry_vms, &it.vm, live, age, LIMIT);
+    entry_vms.iter().filter(reads).map(|it| it.vm.clone()).collect()
+}
+
+fn all(entry_vms: &[EntryVmSpec]) -> Vec<VmId> {
+    entry_vms.iter().map(|it| it.vm.clone()).collect()
+}
+
+#[test]
+fn two_of_each_zone_read() {
+    let entry_vms = fleet(350, 10);
+    let readers = readers(&entry_vms, &all(&entry_vms), FRESH);
+    assert_eq!(readers.len(), 20);
+    for zone in 0..10 {
+        let name = format!("zone-{zone}");
+        let in_zone = entry_vms.iter().filter(|it| it.availability_zone.as_str() == name);
+        assert_eq!(in_zone.filter(|it| readers.contains(&it.vm)).count(), 2);
+    }
+}
+
+#[test]
+fn readers_that_are_gone_are_replaced() {
+    let entry_vms = fleet(30, 3);
+    let before = readers(&entry_vms, &all(&entry_vms), FRESH);
+    let live: Vec<VmId> = all(&entry_vms).into_iter().filter(|it| !before.contains(it)).collect();
+    let now = readers(&entry_vms, &live, FRESH);
+    assert_eq!(now.iter().filter(|it| live.contains(it)).count(), 6);
+}
+
+#[test]
+fn every_coordinator_reads_once_the_word_of_others_is_old() {
+    let entry_vms = fleet(30, 3);
+    for age in [None, Some(LIMIT)] {
+        assert_eq!(readers(&entry_vms, &all(&entry_vms), age).len(), 30);
+    }
+    let stranger: VmId = "entry-99".parse().unwrap();
+    assert!(reads_store(&entry_vms, &stranger, &all(&entry_vms), FRESH, LIMIT));
+}
+
+#[test]
+fn waits_grow_to_a_limit_and_are_spread() {
+    let base = Duration::from_secs(1);
+    assert_eq!(read_backoff(base, 0, 500), base);
+    assert_eq!(read_backoff(base, 1, 500), base * 2);
+    assert_eq!(read_backoff(base, 30, 500), base * 4);
+    assert_eq!(read_backoff(base, 2, 0), base * 2);
+    assert_eq!(read_backoff(base, 2, 1_000), base * 6);
+}
