--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -120,7 +120,12 @@
             leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
         }
         drop(leaving);
-        let peer = LivePeer { asked_at, domains: reply.domains };
+        let peer = LivePeer {
+            asked_at,
+            newest_known: reply.newest_known,
+            established: reply.established,
+            domains: reply.domains,
+        };
         lock(&self.state.peers).insert(reply.vm, peer);
     }
 }
--- a/bins/mangocross-coordinator/src/queries.rs
+++ b/bins/mangocross-coordinator/src/queries.rs
@@ -1,5 +1,7 @@
 //! Answers questions about what is serving, where and why.
 
+use std::time::Instant;
+
 use mangocross_coordination::Completeness;
 use mangocross_operator::OperatorAnswer;
 use mangocross_operator::Query;
@@ -9,6 +11,7 @@
 use mangocross_types::KindTarget;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
+use mangocross_types::Revision;
 use mangocross_types::VmId;
 
 use crate::failures;
@@ -70,14 +73,27 @@
 
 fn show_nodes(state: &CoordinatorState, answer: OperatorAnswer) -> OperatorAnswer {
     let now = state.clock.now();
-    let gateways = lock(&state.gateways);
-    let rows = gateways.iter().map(|(vm, it)| {
-        let heard = now.duration_since(it.heard_at).as_millis();
-        vec![vm.to_string(), it.revision.to_string(), format!("{heard} ms ago")]
-    });
-    let mut rows: Vec<Vec<String>> = rows.collect();
+    let row = |vm: &VmId, process: &str, revision: Revision, word: &str, heard_at: Instant| {
+        let heard = format!("{} ms ago", now.duration_since(heard_at).as_millis());
+        vec![vm.to_string(), process.to_owned(), revision.to_string(), word.to_owned(), heard]
+    };
+    let own = state.freshness().vouch(now);
+    let vouches = |established: bool| if established { "vouches" } else { "starting" };
+    let mut rows = vec![row(
+        &state.settings.vm,
+        "coordinator",
+        own.newest_known,
+        vouches(own.established),
+        now,
+    )];
+    for (vm, it) in lock(&state.peers).iter() {
+        rows.push(row(vm, "coordinator", it.newest_known, vouches(it.established), it.asked_at));
+    }
+    for (vm, it) in lock(&state.gateways).iter() {
+        rows.push(row(vm, "gateway", it.revision, "in force", it.heard_at));
+    }
     rows.sort();
-    answer.table(&["gateway", "revision in force", "heard"], rows)
+    answer.table(&["entry vm", "process", "revision", "state", "heard"], rows)
 }
 
 fn show_customers(state: &CoordinatorState, answer: OperatorAnswer) -> OperatorAnswer {
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -45,6 +45,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct LivePeer {
     pub(crate) asked_at: Instant,
+    pub(crate) newest_known: Revision,
+    pub(crate) established: bool,
     pub(crate) domains: Vec<DomainSummary>,
 }
 
