--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -21,6 +21,7 @@
 mod platform;
 mod probes;
 mod queries;
+mod registration;
 mod state;
 mod why;
 
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -68,7 +68,8 @@
 
 fn fetch_and_take(state: &CoordinatorState, from: SocketAddr) -> Result<(), String> {
     let key: PeerKey = state.settings.peer_secret.parse()?;
-    let document = fetch_configuration(from, &key).map_err(|it| it.to_string())?;
+    let document =
+        fetch_configuration(from, &key, &state.document()).map_err(|it| it.to_string())?;
     configuration::take(state, document.revision, &document.text)
 }
 
@@ -121,7 +122,12 @@
             leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
         }
         drop(leaving);
-        let peer = LivePeer { asked_at, domains: reply.domains };
+        let peer = LivePeer {
+            asked_at,
+            newest_known: reply.newest_known,
+            established: reply.established,
+            domains: reply.domains,
+        };
         lock(&self.state.peers).insert(reply.vm, peer);
     }
 }
--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -8,7 +8,10 @@
 use mangocross_tests::Cluster;
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
+use mangocross_tests::Process;
 use mangocross_tests::RelayMode;
+use mangocross_types::Configuration;
+use mangocross_types::EntryVmSpec;
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
 use mangocross_types::RunOutcome;
@@ -151,11 +154,14 @@
     let answer = cluster.operate(0, "remove kind status").expect("the change is accepted");
     assert_eq!(answer.code, None);
     assert!(answer.message.contains("gateway of entry-3"), "{}", answer.message);
+    // Nobody can tell the gateway of the change when it wakes.
+    cluster.coordinators.iter().for_each(Process::freeze);
     cluster.gateways[2].thaw();
     for _ in 0..20 {
         let told = status(&cluster, 2);
-        assert_eq!(told.outcome(), Some(RunOutcome::NotRun), "{told:?}");
+        assert_eq!(code(&told), Some(ResultCode::NotFresh), "{told:?}");
     }
+    cluster.coordinators.iter().for_each(Process::thaw);
     cluster.wait_until("the change is in force there", || {
         code(&status(&cluster, 2)) == Some(ResultCode::UnknownKind)
     });
@@ -198,3 +204,52 @@
         cluster.operate_with(0, &command).is_ok_and(|it| it.code.is_none())
     });
 }
+
+#[test]
+fn removed_entry_vm_stops_and_enters_again_when_restarted() {
+    let mut cluster = start(3);
+    let removed = cluster.operate(0, "remove node entry-3").expect("the change is accepted");
+    assert_eq!(removed.code, None);
+    assert_eq!(code(&status(&cluster, 2)), Some(ResultCode::NotFresh));
+    assert!(serves(&cluster, 0) && serves(&cluster, 1));
+    // Two entry VMs are left: the next may go, and the last may not.
+    cluster.operate(0, "remove node entry-2").expect("the change is accepted");
+    let refused = cluster.operate(0, "remove node entry-1").expect_err("one must be left");
+    assert!(refused.contains("6003"), "{refused}");
+    for node in [1, 2] {
+        cluster.coordinators[node].restart();
+    }
+    cluster.wait_until("both entered and serve", || {
+        (0..3).all(|it| cluster.ready(it) && serves(&cluster, it))
+    });
+    let answer = cluster.operate(0, "drain vm vm-1-1").expect("the change is accepted");
+    assert_eq!(answer.code, None);
+}
+
+#[test]
+fn whole_configuration_keeps_the_entry_vms_unless_it_names_its_own() {
+    let cluster = start(3);
+    let replace = |entry_vms: Option<Vec<EntryVmSpec>>| {
+        let current = cluster.operate(0, "show config").expect("the coordinator answers");
+        let mut configuration: Configuration =
+            serde_json::from_str(&current.message).expect("a configuration");
+        configuration.entry_vms = entry_vms.unwrap_or_default();
+        let id = format!("c-{}", fastrand::u64(..));
+        let line = OperatorRequest {
+            configuration: Some(configuration),
+            ..request(&id, "replace config")
+        };
+        cluster.operate_with(0, &line)
+    };
+    let named = |it: u16| EntryVmSpec {
+        vm: format!("entry-{it}").parse().expect("a valid id"),
+        availability_zone: "zone-1".parse().expect("a valid id"),
+        coordinator: cluster.coordinator(it - 1),
+    };
+    assert_eq!(replace(None).expect("accepted").code, None);
+    assert!((0..3).all(|it| serves(&cluster, it)));
+    let refused = replace(Some(vec![named(1)])).expect_err("two would go at once");
+    assert!(refused.contains("one at a time"), "{refused}");
+    assert_eq!(replace(Some(vec![named(1), named(2)])).expect("accepted").code, None);
+    assert_eq!(code(&status(&cluster, 2)), Some(ResultCode::NotFresh));
+}
