feat(policy): route by own requests in flight first, and give each prefix two homes

Cause: two random choices by lagging load queued requests that round robin did not, and taking the least loaded holder of a prefix sent each gateway's requests to the same group until the next report. Kept: fewest own in flight, margin 3, two homes within a load of 2.

--- a/crates/mangocross-policy/src/routing.rs
+++ b/crates/mangocross-policy/src/routing.rs
@@ -6,9 +6,14 @@
 
 use crate::PrefixHash;
 
-/// Requests that a group may have more than the other choice and still receive
-/// a request whose prefix it holds.
-const AFFINITY_SLACK: u32 = 4;
+/// Own requests in flight that a home of the prefix may have more than the other choice.
+const AFFINITY_OWN_SLACK: u32 = 0;
+/// Load that a home of the prefix may have more than the other choice.
+const AFFINITY_LOAD_SLACK: u32 = 2;
+/// Home groups of each prefix.
+const HOMES: usize = 2;
+/// Difference of lagging loads below which they say nothing.
+const LAG_MARGIN: u32 = 3;
 /// A group whose first token takes this many times the median is avoided.
 const STRAGGLER_FACTOR: u32 = 3;
 /// First-token times below this are never a straggler's.
@@ -75,11 +80,12 @@
 
 /// Chooses a group.
 ///
-/// Stragglers and groups at their limit are left out while others remain. Of
-/// two choices at random the less loaded one is taken, unless a group that
-/// holds the prefix is loaded little more. A prefix that no group holds goes to
-/// its home group under the same condition, so that each cache keeps its own
-/// part of the prefixes.
+/// Stragglers and groups at their limit are left out while others remain. Own
+/// requests in flight are exact, so the groups with the fewest come first; of
+/// two of them at random the second is taken if its load, which is lagging, is
+/// clearly lower. Each prefix has a few home groups, the same at each gateway,
+/// so that each cache keeps its own part of the prefixes; a home is taken
+/// instead if it is loaded little more.
 pub fn choose_group(
     candidates: &[Candidate],
     prefix: Option<PrefixHash>,
@@ -87,14 +93,22 @@
 ) -> Option<&Candidate> {
     let mut random = fastrand::Rng::with_seed(seed);
     let fit = fit(candidates, &mut random);
-    let first = *fit.get(random.usize(..fit.len().max(1)))?;
-    let second = fit[random.usize(..fit.len())];
-    let chosen = if second.load() < first.load() { second } else { first };
-    let Some(prefix) = prefix else { return Some(chosen) };
-    let holder = fit.iter().filter(|it| it.holds_prefix).min_by_key(|it| it.load());
-    let near = holder.copied().or_else(|| home(&fit, prefix));
-    let near = near.filter(|it| it.load() <= chosen.load().saturating_add(AFFINITY_SLACK));
-    Some(near.unwrap_or(chosen))
+    let chosen = least_loaded(&fit, &mut random)?;
+    let home = prefix.and_then(|it| home(&fit, it));
+    let is_near = |it: &&Candidate| {
+        it.own_in_flight <= chosen.own_in_flight + AFFINITY_OWN_SLACK
+            && it.load() <= chosen.load().saturating_add(AFFINITY_LOAD_SLACK)
+    };
+    Some(home.filter(is_near).unwrap_or(chosen))
+}
+
+fn least_loaded<'a>(fit: &[&'a Candidate], random: &mut fastrand::Rng) -> Option<&'a Candidate> {
+    let least = fit.iter().map(|it| it.own_in_flight).min()?;
+    let few: Vec<&Candidate> = fit.iter().copied().filter(|it| it.own_in_flight == least).collect();
+    let first = few[random.usize(..few.len())];
+    let second = few[random.usize(..few.len())];
+    let clearly_less = second.load().saturating_add(LAG_MARGIN) < first.load();
+    Some(if clearly_less { second } else { first })
 }
 
 /// Returns the candidates without stragglers and full groups, if any remain.
@@ -115,9 +129,12 @@
     (median * STRAGGLER_FACTOR).max(STRAGGLER_TIME_MIN)
 }
 
-/// Returns the home of a prefix by rendezvous hashing, the same at each gateway.
+/// Returns the better one of a prefix's homes, found by rendezvous hashing.
 fn home<'a>(fit: &[&'a Candidate], prefix: PrefixHash) -> Option<&'a Candidate> {
-    fit.iter().copied().max_by_key(|it| (rendezvous(&it.group, prefix), &it.group))
+    let mut ranked: Vec<&Candidate> = fit.to_vec();
+    ranked.sort_by_key(|it| std::cmp::Reverse((rendezvous(&it.group, prefix), &it.group)));
+    let homes = ranked.into_iter().take(HOMES);
+    homes.min_by_key(|it| (it.own_in_flight, !it.holds_prefix))
 }
 
 fn rendezvous(group: &GroupId, prefix: PrefixHash) -> u64 {
