feat(policy): hold limits over all gateways by what each knew of the others

Now only what was free at the last news is divided, and a gateway above its part by demand does not refill. Bound: limit * (1 + c/n), a quarter more in flight and one for each gateway; for the rate a second's burst and three for each gateway.

Seen red with the limit not divided (4824 of 1073.5), a full limit when cut off, the present count as base, shares off and turned round, first kinds off, no spread, no deadline check. 3,000 cases of each history passed.

--- a/crates/mangocross-policy/src/admission.rs
+++ b/crates/mangocross-policy/src/admission.rs
@@ -14,16 +14,21 @@
 
 use crate::fair_level;
 use crate::gateway_share;
+use crate::share::is_fresh;
 use crate::spread_retry_after;
 
 /// Time over which demand and drain are measured.
 const WINDOW: Duration = Duration::from_secs(1);
 /// Burst of a customer's rate, as time at the full rate.
 const BURST_S: f64 = 1.0;
+/// Smallest burst at one gateway, in requests.
+const BURST_MIN: f64 = 3.0;
 /// Share of capacity open to customers above their fair share.
 const OVER_SHARE_CEILING: f64 = 0.8;
 /// Share of capacity open to customers within their fair share.
 const WITHIN_SHARE_CEILING: f64 = 0.95;
+/// Share of capacity open to other kinds while some kinds go first.
+const BESIDE_FIRST_CEILING: f64 = 0.75;
 /// Part of a ceiling that the least important requests do not get.
 const PRIORITY_SPAN: f64 = 0.1;
 
@@ -87,6 +92,9 @@
 #[derive(Debug, Clone, Default)]
 struct Customer {
     in_flight: u32,
+    /// As it was when each of the last two seconds ended, the older one first;
+    /// the others know one of them.
+    in_flight_before: [u32; 2],
     tokens: f64,
     refilled: Option<Instant>,
     window: Window,
@@ -101,15 +109,17 @@
 }
 
 impl Window {
-    fn roll(&mut self, now: Instant) {
+    /// Begins a new second if the present one is over; returns whether it did.
+    fn roll(&mut self, now: Instant) -> bool {
         let age = self.started.map(|it| now.saturating_duration_since(it));
         match age {
-            Some(age) if age < WINDOW => return,
+            Some(age) if age < WINDOW => return false,
             Some(age) if age < WINDOW * 2 => self.last = self.current,
             _ => self.last = 0,
         }
         self.current = 0;
         self.started = Some(now);
+        true
     }
 
     fn add(&mut self, now: Instant, count: u32) {
@@ -117,11 +127,45 @@
         self.current = self.current.saturating_add(count);
     }
 
+    /// Returns the count of the last whole second, or the present one's if larger.
     fn per_second(&self) -> u32 {
         self.last.max(self.current)
     }
 }
 
+impl Customer {
+    fn roll(&mut self, now: Instant) {
+        if self.window.roll(now) {
+            self.in_flight_before = [self.in_flight_before[1], self.in_flight];
+        }
+    }
+
+    /// Returns this gateway's part of the customer's rate.
+    fn rate_share(&self, limit: f64, others: &OtherUsage, view: &AdmissionView<'_>) -> f64 {
+        let (own, others) = (self.window.last.into(), others.demand_per_second.into());
+        gateway_share(limit, own, others, view.news_age, view.gateways)
+    }
+
+    /// Returns this gateway's part of the customer's requests in flight.
+    ///
+    /// Only what was free when the others last reported is divided, so that no
+    /// two gateways take the same place. Once all are used, a gateway with more
+    /// than its part by demand does not refill.
+    fn in_flight_share(&self, limit: f64, others: &OtherUsage, view: &AdmissionView<'_>) -> f64 {
+        let before = self.in_flight_before[0].min(self.in_flight_before[1]);
+        let (own, known) = (before.into(), others.in_flight.into());
+        if own + known < limit || !is_fresh(view.news_age) {
+            return gateway_share(limit, own, known, view.news_age, view.gateways);
+        }
+        let own = f64::from(self.window.last);
+        let known = f64::from(others.demand_per_second);
+        let scale = limit / f64::max(own + known, 1.0);
+        let by_demand =
+            gateway_share(limit, own * scale, known * scale, view.news_age, view.gateways);
+        by_demand.min(before.into())
+    }
+}
+
 /// The limiter of one gateway.
 #[derive(Debug, Clone, Default)]
 pub struct Admission {
@@ -168,16 +212,17 @@
     /// second, for the other gateways.
     pub fn usage(&mut self, customer: &CustomerId, now: Instant) -> (u32, u32) {
         let Some(customer) = self.customers.get_mut(customer) else { return (0, 0) };
-        customer.window.roll(now);
-        (customer.in_flight, customer.window.per_second())
+        customer.roll(now);
+        (customer.in_flight, customer.window.last)
     }
 
     fn refill(&mut self, request: &AdmissionRequest, spec: &CustomerSpec, view: &AdmissionView) {
         let customer = self.customers.entry(request.customer.clone()).or_default();
+        customer.roll(view.now);
         customer.window.add(view.now, request.cost);
         let limit = f64::from(spec.requests_per_second.0);
-        let rate = share(limit, customer, request, view);
-        let burst = (rate * BURST_S).max(1.0);
+        let rate = customer.rate_share(limit, &others(request, view), view);
+        let burst = (rate * BURST_S).max(BURST_MIN);
         let elapsed = customer.refilled.map(|it| view.now.saturating_duration_since(it));
         let earned = elapsed.map_or(burst, |it| it.as_secs_f64() * rate);
         customer.tokens = (customer.tokens + earned).min(burst);
@@ -199,12 +244,13 @@
             let text = "the customer's request rate is used up; come back later";
             return Some(self.refusal(ResultCode::CustomerLimit, text, view));
         }
-        let in_flight_max = share(f64::from(spec.in_flight_max), customer, request, view).max(1.0);
+        let limit = f64::from(spec.in_flight_max);
+        let in_flight_max = customer.in_flight_share(limit, &others(request, view), view).max(1.0);
         if f64::from(customer.in_flight) + 1.0 > in_flight_max {
             let text = "the customer has its most requests in flight; come back later";
             return Some(self.refusal(ResultCode::CustomerLimit, text, view));
         }
-        if f64::from(self.in_flight) >= self.ceiling(request, view) {
+        if f64::from(self.in_flight + 1) > self.ceiling(request, view).max(1.0) {
             let text = "requests of this importance are shed now; come back later";
             return Some(self.refusal(ResultCode::Overloaded, text, view));
         }
@@ -214,20 +260,23 @@
     /// Returns the own requests in flight up to which this request is taken.
     fn ceiling(&self, request: &AdmissionRequest, view: &AdmissionView<'_>) -> f64 {
         let capacity = f64::from(view.capacity.max(1));
-        if view.configuration.policy.first_kinds.contains(&request.kind) {
+        let first_kinds = &view.configuration.policy.first_kinds;
+        if first_kinds.contains(&request.kind) {
             return capacity;
         }
+        let open = if first_kinds.is_empty() { 1.0 } else { BESIDE_FIRST_CEILING };
         let demands: Vec<f64> = self
             .customers
             .iter()
             .map(|(id, it)| f64::from(it.in_flight + u32::from(*id == request.customer)))
             .filter(|it| *it > 0.0)
             .collect();
-        let level = fair_level(&demands, capacity * OVER_SHARE_CEILING);
+        let taken = f64::from(self.in_flight + 1).min(capacity);
+        let level = fair_level(&demands, taken * OVER_SHARE_CEILING).max(1.0);
         let customer = &self.customers[&request.customer];
         let within = f64::from(customer.in_flight) + 1.0 <= level;
         let share = if within { WITHIN_SHARE_CEILING } else { OVER_SHARE_CEILING };
-        capacity * (share - PRIORITY_SPAN * (1.0 - importance(request, view)))
+        capacity * open * (share - PRIORITY_SPAN * (1.0 - importance(request, view)))
     }
 
     fn refusal(&self, code: ResultCode, text: &str, view: &AdmissionView<'_>) -> Refusal {
@@ -249,15 +298,8 @@
     }
 }
 
-fn share(
-    limit: f64,
-    customer: &Customer,
-    request: &AdmissionRequest,
-    view: &AdmissionView<'_>,
-) -> f64 {
-    let others = view.others.get(&request.customer).copied().unwrap_or_default();
-    let own = f64::from(customer.window.per_second());
-    gateway_share(limit, own, others.demand_per_second.into(), view.news_age, view.gateways)
+fn others(request: &AdmissionRequest, view: &AdmissionView<'_>) -> OtherUsage {
+    view.others.get(&request.customer).copied().unwrap_or_default()
 }
 
 /// Returns the request's place among the configured priorities, from 0 to 1.
--- a/crates/mangocross-policy/src/concurrency.rs
+++ b/crates/mangocross-policy/src/concurrency.rs
@@ -45,7 +45,7 @@
             return;
         }
         self.since_late = self.since_late.saturating_add(1);
-        if f64::from(in_flight) * 2.0 >= self.limit {
+        if f64::from(in_flight) * 3.0 >= self.limit {
             self.limit = (self.limit + self.rise()).min(LIMIT_MAX);
         }
     }
--- a/crates/mangocross-policy/src/share.rs
+++ b/crates/mangocross-policy/src/share.rs
@@ -7,10 +7,11 @@
 
 /// Returns this gateway's share of `limit`.
 ///
-/// The limit is divided by demand; what nobody asks for is divided equally, so
-/// that a gateway can take more as its demand rises. Without fresh news of the
-/// others the share is an equal one: then, with `c` of `n` gateways cut off, all
-/// together admit at most `limit * (1 + c / n)`.
+/// The limit is divided by demand, as the others know it; what nobody asks for is
+/// divided equally, so that a gateway can take more as its demand rises and all
+/// together take no more than the limit. Without fresh news of the others the
+/// share is an equal one: then, with `c` of `n` gateways cut off, all together
+/// admit at most `limit * (1 + c / n)`.
 pub fn gateway_share(
     limit: f64,
     own_demand: f64,
@@ -19,8 +20,7 @@
     gateways: u32,
 ) -> f64 {
     let equal = limit / f64::from(gateways.max(1));
-    let fresh = news_age.is_some_and(|age| age <= NEWS_AGE_MAX);
-    if !fresh {
+    if !is_fresh(news_age) {
         return equal;
     }
     let demand = own_demand + others_demand;
@@ -29,3 +29,8 @@
     }
     limit * own_demand / demand
 }
+
+/// Returns whether news of the other gateways still counts.
+pub(crate) fn is_fresh(news_age: Option<Duration>) -> bool {
+    news_age.is_some_and(|age| age <= NEWS_AGE_MAX)
+}
