--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -10,6 +10,7 @@
 use mangocross_types::Configuration;
 use mangocross_types::EngineRole;
 use mangocross_types::EngineState;
+use mangocross_types::EntryVmSpec;
 use mangocross_types::FencingNumber;
 use mangocross_types::GroupAssignment;
 use mangocross_types::GroupPhase;
@@ -21,9 +22,11 @@
 use mangocross_types::VmRole;
 use mangocross_types::VmState;
 use peer_entry::CustomerUsage;
+use peer_entry::LeavingVm;
 use peer_entry::Poll;
 use peer_entry::PollReply;
 use peer_entry::ProcessRole;
+use peer_entry::ReplyStamp;
 use serde_json::Value;
 use serde_json::json;
 
@@ -51,6 +54,17 @@
         revision: Revision(24_000),
         serving: true,
         usage: (0..customers).map(usage).collect(),
+        failures: Vec::new(),
+        echo: Some(stamp()),
+    }
+}
+
+/// Returns the specification of an entry VM.
+pub fn entry_vm(number: usize) -> EntryVmSpec {
+    EntryVmSpec {
+        vm: id("entry", number),
+        availability_zone: id("zone", 1),
+        coordinator: SocketAddr::from(([10, 0, 0, 1], 7_100)),
     }
 }
 
@@ -59,19 +73,30 @@
     PollReply {
         nonce: u64::MAX,
         vm: id("entry", 1),
-        process_id: u64::MAX,
+        stamp: stamp(),
         revision: Revision(24_000),
+        newest_known: Revision(24_000),
+        established: true,
         store_age_ms: Some(1_000),
         proofs: (0..groups).map(proof).collect(),
         domains: Vec::new(),
-        leaving: (0..leaving).map(|it| id("vm", it)).collect(),
+        leaving: (0..leaving).map(leaving_vm).collect(),
         usage: Vec::new(),
     }
 }
 
+fn stamp() -> ReplyStamp {
+    ReplyStamp { process_id: u64::MAX, uptime_ms: 86_400_000 }
+}
+
+fn leaving_vm(number: usize) -> LeavingVm {
+    LeavingVm { vm: id("vm", number), age_ms: 1_000 }
+}
+
 fn proof(number: usize) -> GroupProof {
     GroupProof {
         group: id("group", number),
+        domain: id("domain", 1),
         incarnation: Incarnation(1_000),
         fencing_number: FencingNumber(1_000),
         model: id("model", 1),
@@ -138,7 +163,7 @@
 pub fn probe_table(group: &GroupAssignment, now: Instant) -> ProbeTable {
     let mut probes = ProbeTable::default();
     for (rank, vm) in (0..).map(Rank).zip(&group.members) {
-        probes.record_answer(vm, now, report_of(group, rank));
+        probes.record_answer(vm, now, now, report_of(group, rank));
     }
     probes
 }
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -7,10 +7,15 @@
 use bpaf::Bpaf;
 use mangocross_settings::CoordinatorSettings;
 
+mod acceptance;
+mod changes;
 mod configuration;
 mod coordinator;
+mod domain_view;
 mod domains;
+mod failures;
 mod operators;
+mod orders;
 mod peers;
 mod placement;
 mod platform;
--- a/bins/mangocross-gateway/src/handler.rs
+++ b/bins/mangocross-gateway/src/handler.rs
@@ -61,6 +61,7 @@
         }
         Err(refusal) => {
             log::info!(request = id.as_str(), code = refusal.code.number(); "refused: {}", refusal.message);
+            state.record_failure(&id, &refusal);
             respond_refusal(request, &refusal, Some(&id));
         }
     }
--- a/bins/mangocross-gateway/src/main.rs
+++ b/bins/mangocross-gateway/src/main.rs
@@ -7,11 +7,19 @@
 use bpaf::Bpaf;
 use mangocross_settings::GatewaySettings;
 
+mod attempt;
+mod choosing;
 mod claim;
+mod backend_servers;
+mod failures;
+mod delivery;
 mod gateway;
 mod generate;
 mod handler;
+mod idempotent;
+mod once;
 mod peers;
+mod retry_after;
 mod service;
 mod state;
 
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,8 +10,11 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use mangocross_claims::ClaimLimits;
+use mangocross_claims::ClaimLog;
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
+use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProofTable;
 use mangocross_settings::GatewaySettings;
@@ -19,50 +23,62 @@
 use mangocross_types::CustomerId;
 use mangocross_types::GroupId;
 use mangocross_types::Refusal;
+use mangocross_types::RequestId;
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
-use mangocross_types::VmId;
+use mangocross_types::ServiceId;
 use peer_engine::EngineClient;
 use peer_service::ServiceClient;
 use peer_store::HttpStore;
-use peer_store::Store;
+
+use crate::failures::FailureLog;
 
 /// When to come back after a refusal because the configuration may be old.
 const FRESHNESS_RETRY: Duration = Duration::from_secs(2);
 
+/// How long the word that a VM is leaving counts; longer than the platform's list lags.
+const LEAVING_KEPT: Duration = Duration::from_secs(600);
+/// Time for a call to the store on a claim's way; a caller waits for it.
+const CLAIM_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// What the gateway's threads share.
 #[derive(Debug)]
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) process_id: u64,
-    pub(crate) store: Arc<dyn Store>,
+    pub(crate) claims: ClaimLog,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
     pub(crate) stopping: AtomicBool,
+    pub(crate) failures: FailureLog,
     configuration: Mutex<Arc<Configuration>>,
     freshness: Mutex<Freshness>,
     pub(crate) proofs: Mutex<ProofTable>,
-    pub(crate) leaving: Mutex<Vec<VmId>>,
+    pub(crate) leaving: Mutex<LeavingTable>,
     in_flight_by_group: Mutex<HashMap<GroupId, u32>>,
     in_flight_by_customer: Mutex<HashMap<CustomerId, u32>>,
 }
 
 impl GatewayState {
     pub(crate) fn open(settings: GatewaySettings, clock: Arc<dyn Clock>) -> Result<Self, String> {
+        let now = clock.now();
         let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
+        let store = Arc::new(HttpStore::open(settings.store).timeout(CLAIM_CALL_TIMEOUT));
+        let claims = ClaimLog::spawn(store, Arc::clone(&clock), ClaimLimits::default());
         Ok(Self {
-            store: Arc::new(HttpStore::open(settings.store)),
+            claims: claims.map_err(|it| format!("no thread for claims: {it}"))?,
             settings,
             clock,
             process_id: fastrand::u64(..),
             engines: EngineClient::open(),
             services: ServiceClient::open(),
             stopping: AtomicBool::new(false),
+            failures: FailureLog::default(),
             configuration: Mutex::new(Arc::new(Configuration::default())),
-            freshness: Mutex::new(Freshness::new(bounds)),
+            freshness: Mutex::new(Freshness::new(bounds, now)),
             proofs: Mutex::new(ProofTable::default()),
-            leaving: Mutex::new(Vec::new()),
+            leaving: Mutex::new(LeavingTable::new(LEAVING_KEPT)),
             in_flight_by_group: Mutex::new(HashMap::new()),
             in_flight_by_customer: Mutex::new(HashMap::new()),
         })
@@ -90,11 +106,16 @@
 
     /// Returns why no request may be served now, if so.
     pub(crate) fn refusal(&self) -> Option<Refusal> {
-        let entry_vms: Vec<VmId> =
-            self.configuration().entry_vms.iter().map(|it| it.vm.clone()).collect();
-        let text = match lock(&self.freshness).permit(&entry_vms, self.clock.now()) {
+        let own = &self.settings.vm;
+        let now = self.clock.now();
+        // Both locks, so that the entry VMs are those of the revision in force.
+        let held = lock(&self.configuration);
+        let permit = lock(&self.freshness).permit(&held.entry_vms, own, now);
+        drop(held);
+        let text = match permit {
             Permit::Serve { .. } => return None,
             Permit::Behind { newest } => format!("configuration {newest} is not in force here yet"),
+            Permit::Unlisted => format!("the configuration in force does not name entry VM {own}"),
             Permit::Alone { vouching, needed } => format!(
                 "neither the store nor enough entry VMs ({vouching} of {needed}) vouch for the configuration"
             ),
@@ -102,6 +123,20 @@
         Some(Refusal::not_run(ResultCode::NotFresh, text).retry_after(FRESHNESS_RETRY))
     }
 
+    /// Returns those backend servers of a service that are not leaving.
+    pub(crate) fn staying_servers(
+        &self,
+        _service: &ServiceId,
+        specified: &[SocketAddr],
+    ) -> Vec<SocketAddr> {
+        specified.to_vec()
+    }
+
+    /// Remembers what a caller was told, for operators who ask why.
+    pub(crate) fn record_failure(&self, request: &RequestId, refusal: &Refusal) {
+        self.failures.record(request, refusal, self.clock.wall());
+    }
+
     pub(crate) fn in_flight_at(&self, group: &GroupId) -> u32 {
         lock(&self.in_flight_by_group).get(group).copied().unwrap_or_default()
     }
--- /dev/null
+++ b/crates/mangocross-operator/src/words.rs
@@ -0,0 +1,104 @@
+//! The words of a line, taken one by one.
+
+use std::str::FromStr;
+
+use crate::ParseError;
+use crate::suggest::hint;
+
+/// The words of a line, taken one by one.
+pub(crate) struct Words<'a> {
+    rest: std::vec::IntoIter<&'a str>,
+    /// The words taken so far.
+    taken: Vec<&'a str>,
+}
+
+impl<'a> Words<'a> {
+    pub(crate) fn new(line: &'a str) -> Self {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        Self { rest: words.into_iter(), taken: Vec::new() }
+    }
+
+    /// Takes the next word, which must be one of those known.
+    pub(crate) fn one_of(&mut self, known: &[&'static str]) -> Result<&'static str, ParseError> {
+        let word = self.next(&known.join(", "))?;
+        known.iter().find(|it| **it == word).copied().ok_or_else(|| self.unknown(word, known))
+    }
+
+    /// Takes the next word, if there is one, which must be one of those known.
+    pub(crate) fn option(
+        &mut self,
+        known: &[&'static str],
+    ) -> Result<Option<&'static str>, ParseError> {
+        if self.rest.as_slice().is_empty() { Ok(None) } else { self.one_of(known).map(Some) }
+    }
+
+    /// Takes the next word as a value.
+    pub(crate) fn value<T: FromStr>(&mut self, what: &str) -> Result<T, ParseError>
+    where
+        T::Err: ToString,
+    {
+        let word = self.next(what)?;
+        word.parse().map_err(|error| not_valid(what, word, &error))
+    }
+
+    /// Takes the next word as a list with commas; `none_word` stands for an empty one.
+    pub(crate) fn list<T: FromStr>(
+        &mut self,
+        what: &str,
+        none_word: &str,
+    ) -> Result<Vec<T>, ParseError>
+    where
+        T::Err: ToString,
+    {
+        let word = self.next(what)?;
+        if word == none_word {
+            return Ok(Vec::new());
+        }
+        let items =
+            word.split(',').map(|it| it.parse().map_err(|error| not_valid(what, it, &error)));
+        items.collect()
+    }
+
+    /// Checks that no word is left.
+    pub(crate) fn end(&mut self) -> Result<(), ParseError> {
+        match self.rest.next() {
+            None => Ok(()),
+            Some(word) => Err(ParseError {
+                message: format!("`{word}` is too much after `{}`", self.taken.join(" ")),
+            }),
+        }
+    }
+
+    fn next(&mut self, expected: &str) -> Result<&'a str, ParseError> {
+        let word = self.rest.next().ok_or_else(|| {
+            let message = if self.taken.is_empty() {
+                format!("the line is empty; write one of: {expected}")
+            } else {
+                format!("after `{}` write: {expected}", self.taken.join(" "))
+            };
+            ParseError { message }
+        })?;
+        self.taken.push(word);
+        Ok(word)
+    }
+
+    fn unknown(&self, word: &str, known: &[&'static str]) -> ParseError {
+        let hint = hint(word, known.iter().copied());
+        let before = &self.taken[..self.taken.len() - 1];
+        let place = match before {
+            [] => "at the start".to_owned(),
+            _ => format!("after `{}`", before.join(" ")),
+        };
+        let message =
+            format!("`{word}` is not known {place}{hint}; write one of: {}", known.join(", "));
+        ParseError { message }
+    }
+}
+
+fn not_valid(what: &str, word: &str, error: &impl ToString) -> ParseError {
+    let message = error.to_string();
+    if message.contains(word) {
+        return ParseError { message };
+    }
+    ParseError { message: format!("`{word}` is not a valid {what}: {message}") }
+}
--- a/peers/peer-entry/src/fetch.rs
+++ b/peers/peer-entry/src/fetch.rs
@@ -1,4 +1,4 @@
-//! Fetches the configuration from a coordinator over TCP.
+//! Fetches from a coordinator over TCP what does not fit a datagram.
 
 use std::io;
 use std::io::Read;
@@ -13,12 +13,14 @@
 use std::thread;
 use std::time::Duration;
 
+use mangocross_types::RequestId;
 use mangocross_types::Revision;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 
+use crate::RequestFailure;
 use crate::frame::PeerKey;
 
 /// Largest frame, in bytes: a store value of a megabyte with its header.
@@ -39,7 +41,7 @@
 
 /// Why a fetch failed.
 #[derive(Debug, Snafu)]
-#[snafu(display("configuration could not be fetched from {address}: {message}"))]
+#[snafu(display("nothing could be fetched from {address}: {message}"))]
 pub struct FetchError {
     /// The coordinator asked.
     pub address: SocketAddr,
@@ -50,12 +52,29 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct FetchRequest {
     nonce: u64,
+    wanted: Wanted,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Wanted {
+    Configuration,
+    Failure(RequestId),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 struct FetchReply {
     nonce: u64,
     document: Option<ConfigurationDocument>,
+    failure: Option<RequestFailure>,
+}
+
+/// What a coordinator answers fetches with.
+pub trait FetchSource: Send + Sync + 'static {
+    /// Returns the configuration that it holds.
+    fn configuration(&self) -> Option<ConfigurationDocument>;
+
+    /// Returns the failure of a request at its VM's gateway.
+    fn failure(&self, request: &RequestId) -> Option<RequestFailure>;
 }
 
 /// Fetches the configuration that a coordinator holds.
@@ -68,20 +87,38 @@
     address: SocketAddr,
     key: &PeerKey,
 ) -> Result<ConfigurationDocument, FetchError> {
+    let reply = fetch(address, key, Wanted::Configuration)?;
+    let message = "the coordinator holds no configuration yet".to_owned();
+    reply.document.ok_or(FetchError { address, message })
+}
+
+/// Fetches the failure of a request, if the coordinator remembers one.
+///
+/// # Errors
+///
+/// Fails if the coordinator does not answer in time or its frame is damaged.
+pub fn fetch_failure(
+    address: SocketAddr,
+    key: &PeerKey,
+    request: &RequestId,
+) -> Result<Option<RequestFailure>, FetchError> {
+    Ok(fetch(address, key, Wanted::Failure(request.clone()))?.failure)
+}
+
+fn fetch(address: SocketAddr, key: &PeerKey, wanted: Wanted) -> Result<FetchReply, FetchError> {
     let failed = |message: String| FetchError { address, message };
-    let stream =
-        TcpStream::connect_timeout(&address, IO_TIMEOUT).map_err(|it| failed(it.to_string()))?;
-    let nonce = fastrand::u64(..);
-    let reply: FetchReply = exchange(stream, key, nonce).map_err(|it| failed(it.to_string()))?;
-    if reply.nonce != nonce {
+    let request = FetchRequest { nonce: fastrand::u64(..), wanted };
+    let reply = exchange(address, key, &request).map_err(|it| failed(it.to_string()))?;
+    if reply.nonce != request.nonce {
         return Err(failed("the answer belongs to another question".into()));
     }
-    reply.document.ok_or_else(|| failed("the coordinator holds no configuration yet".into()))
+    Ok(reply)
 }
 
-fn exchange(mut stream: TcpStream, key: &PeerKey, nonce: u64) -> io::Result<FetchReply> {
+fn exchange(address: SocketAddr, key: &PeerKey, request: &FetchRequest) -> io::Result<FetchReply> {
+    let mut stream = TcpStream::connect_timeout(&address, IO_TIMEOUT)?;
     limit_times(&stream)?;
-    write_frame(&mut stream, key, &FetchRequest { nonce })?;
+    write_frame(&mut stream, key, request)?;
     read_frame(&mut stream, key)
 }
 
@@ -92,7 +129,7 @@
 }
 
 impl FetchServer {
-    /// Binds an address and answers fetches with what `document` returns.
+    /// Binds an address and answers fetches from a source.
     ///
     /// # Errors
     ///
@@ -100,13 +137,12 @@
     pub fn bind(
         address: SocketAddr,
         key: PeerKey,
-        document: impl Fn() -> Option<ConfigurationDocument> + Send + Sync + 'static,
+        source: Arc<dyn FetchSource>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let closed = Arc::new(AtomicBool::new(false));
         let closing = Arc::clone(&closed);
-        let document = Arc::new(document);
         thread::Builder::new().name("fetch-accept".into()).spawn(move || {
             let running = Arc::new(AtomicUsize::new(0));
             for stream in listener.incoming() {
@@ -118,10 +154,10 @@
                     running.fetch_sub(1, Ordering::Relaxed);
                     continue;
                 }
-                let (key, document) = (key.clone(), Arc::clone(&document));
+                let (key, source) = (key.clone(), Arc::clone(&source));
                 let running = Arc::clone(&running);
                 thread::spawn(move || {
-                    if let Err(error) = answer(stream, &key, document.as_ref()) {
+                    if let Err(error) = answer(stream, &key, source.as_ref()) {
                         log::debug!("fetch could not be answered: {error}");
                     }
                     running.fetch_sub(1, Ordering::Relaxed);
@@ -144,14 +180,14 @@
     }
 }
 
-fn answer(
-    mut stream: TcpStream,
-    key: &PeerKey,
-    document: &dyn Fn() -> Option<ConfigurationDocument>,
-) -> io::Result<()> {
+fn answer(mut stream: TcpStream, key: &PeerKey, source: &dyn FetchSource) -> io::Result<()> {
     limit_times(&stream)?;
     let request: FetchRequest = read_frame(&mut stream, key)?;
-    write_frame(&mut stream, key, &FetchReply { nonce: request.nonce, document: document() })
+    let (document, failure) = match &request.wanted {
+        Wanted::Configuration => (source.configuration(), None),
+        Wanted::Failure(id) => (None, source.failure(id)),
+    };
+    write_frame(&mut stream, key, &FetchReply { nonce: request.nonce, document, failure })
 }
 
 fn limit_times(stream: &TcpStream) -> io::Result<()> {
