fix(policy): count a slow member as working when it is weighed against a spare

Cause: putting a spare to work was counted as a gain although the slow member then stands idle, so that a member slowed by a twentieth was replaced; a new test of it was red before. Ruled out: the threshold of the gain, which is kept.

Tests of placement, members, load order, repair and retries; 100,000 groups of any kind showed no move without a gain and no VM that is leaving or slow.

--- a/crates/mangocross-policy/src/repair.rs
+++ b/crates/mangocross-policy/src/repair.rs
@@ -174,7 +174,8 @@
 impl Waiting {
     fn cost(&self, group: &BrokenGroup) -> Gain {
         let lost_s = self.time.as_secs_f64() * self.lost_share;
-        let healthy = group.survivors.len() as f64 * f64::from(group.accelerators);
+        let healthy = (group.survivors.len() + stragglers(group)) as f64;
+        let healthy = healthy * f64::from(group.accelerators);
         Gain { group_downtime_s: lost_s, stranded_accelerator_s: lost_s * healthy }
     }
 }
@@ -226,7 +227,8 @@
         let downtime_s = self.downtime.as_secs_f64();
         let wait_s = wait.time.as_secs_f64();
         let accelerators = f64::from(group.accelerators);
-        let stranded = group.survivors.len().saturating_sub(self.left_behind) as f64 * downtime_s
+        let healthy = group.survivors.len() + stragglers(group);
+        let stranded = healthy.saturating_sub(self.left_behind) as f64 * downtime_s
             + self.left_behind as f64 * wait_s;
         let worked = self.put_to_work as f64 * (wait_s - downtime_s).max(0.0);
         let group_downtime_s =
@@ -241,7 +243,8 @@
 fn replace(group: &BrokenGroup) -> Option<Move> {
     let vms = choose_members(lacking(group)?, &group.spares)?;
     let downtime = load_time(&vms, &group.spares, &group.times);
-    let put_to_work = vms.len();
+    // A slow member works as well until it is replaced.
+    let put_to_work = vms.len().saturating_sub(stragglers(group));
     let decision = RepairDecision::ReplaceWith(vms);
     Some(Move { decision, downtime, others_downtime: Duration::ZERO, left_behind: 0, put_to_work })
 }
@@ -279,11 +282,16 @@
         decision: RepairDecision::MoveToDomain(domain.clone()),
         downtime,
         others_downtime: Duration::ZERO,
-        left_behind: group.survivors.len(),
+        left_behind: group.survivors.len() + stragglers(group),
         put_to_work: group.size.0.into(),
     })
 }
 
+fn stragglers(group: &BrokenGroup) -> usize {
+    let is_slow = |it: &&MissingMember| matches!(it.absence, Absence::Straggling { .. });
+    group.missing.iter().filter(is_slow).count()
+}
+
 /// Returns the number of VMs that the group needs.
 fn lacking(group: &BrokenGroup) -> Option<GroupSize> {
     let lacking = usize::from(group.size.0).checked_sub(group.survivors.len())?;
