feat(gateway): refuse at once without holding up other callers, and stop without cutting off

A refusal for want of room ran on the receiving thread. Pipelined behind a long answer it waited there for its turn, and the gateway took no request of anyone. It now runs on a thread of its own, and does not count as in flight; health and metrics are answered even when full. A chunked body that is dropped unfinished ends in an invalid chunk: before, its caller waited in vain.

On SIGTERM the gateway is not ready at once, goes on serving for notice_ms, refuses with E2005 from then on and ends when nothing has been in flight for four looks. Refusing during the notice was ruled out: the balancer still sends requests then, and each would have been cut off for nothing.

--- a/bins/mangocross-gateway/src/gateway.rs
+++ b/bins/mangocross-gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 
 use mangocross_http::HttpServer;
 use mangocross_http::ServerLimits;
+use mangocross_http::ServerRequest;
 use mangocross_settings::GatewaySettings;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
@@ -20,12 +21,13 @@
 
 use crate::handler;
 use crate::peers::GatewayPeers;
+use crate::retry_after::spread;
 use crate::state::GatewayState;
 
-/// Time that the balancer needs to notice that this process is not ready.
-const BALANCER_NOTICE: Duration = Duration::from_secs(2);
 /// Time between looks whether requests are still in flight.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Looks in a row without a request in flight after which the process ends.
+const STOP_IDLE_POLLS: u32 = 4;
 /// When to come back after a refusal for too many requests.
 const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
 
@@ -46,12 +48,12 @@
     let limits = ServerLimits::default()
         .body_bytes_max(settings.body_bytes_max)
         .in_flight_max(settings.in_flight_max);
-    let serving = Arc::clone(&state);
+    let (serving, refusing) = (Arc::clone(&state), Arc::clone(&state));
     let server = HttpServer::bind(
         settings.listen,
         limits,
         move |it| handler::handle(&serving, it),
-        |it| respond_refusal(it, &overloaded(), None),
+        move |it| refuse(&refusing, it),
     )
     .map_err(|it| format!("{} cannot be bound: {it}", settings.listen))?;
     log::info!("gateway serves callers at {}", server.address());
@@ -60,18 +62,29 @@
     Ok(())
 }
 
+/// Stops without cutting off a request: first the balancer is told, then new requests are refused,
+/// then those in flight finish.
 fn stop(state: &GatewayState, server: &HttpServer) {
-    log::info!("planned stop: finishing requests in flight");
+    log::info!("planned stop: not ready, and serving until the balancer has noticed");
     state.stopping.store(true, Ordering::SeqCst);
-    thread::sleep(BALANCER_NOTICE);
+    thread::sleep(Duration::from_millis(state.settings.notice_ms));
+    log::info!("planned stop: refusing new requests, finishing those in flight");
+    state.refusing.store(true, Ordering::SeqCst);
     let deadline = state.clock.now() + Duration::from_millis(state.settings.stop_ms);
-    while server.in_flight() > 0 && state.clock.now() < deadline {
+    let mut idle_polls = 0;
+    while idle_polls < STOP_IDLE_POLLS && state.clock.now() < deadline {
         thread::sleep(STOP_POLL);
+        idle_polls = if server.in_flight() == 0 { idle_polls + 1 } else { 0 };
     }
     log::info!("planned stop: done with {} requests in flight", server.in_flight());
 }
 
-fn overloaded() -> Refusal {
+/// Answers a request for which there is no room; those for the balancer are still served.
+fn refuse(state: &GatewayState, request: ServerRequest) {
+    if handler::is_operational(request.path()) {
+        return handler::handle(state, request);
+    }
     let text = "this entry VM handles as many requests as it can; come back later";
-    Refusal::not_run(ResultCode::Overloaded, text).retry_after(OVERLOAD_RETRY)
+    let refusal = Refusal::not_run(ResultCode::Overloaded, text);
+    respond_refusal(request, &refusal.retry_after(spread(OVERLOAD_RETRY)), None);
 }
--- a/bins/mangocross-gateway/src/handler.rs
+++ b/bins/mangocross-gateway/src/handler.rs
@@ -21,6 +21,7 @@
 use crate::admitting::Capacity;
 use crate::choosing;
 use crate::generate;
+use crate::retry_after::spread;
 use crate::service;
 use crate::state::GatewayState;
 
@@ -56,6 +57,11 @@
     }
 }
 
+/// Returns whether a path is for the platform and operators, and served even without room.
+pub(crate) fn is_operational(path: &str) -> bool {
+    path.starts_with("/health/") || path == "/metrics"
+}
+
 fn with_incoming(
     state: &GatewayState,
     request: ServerRequest,
@@ -120,9 +126,10 @@
     id: &RequestId,
 ) -> Result<Incoming, Refusal> {
     let headers = CallerHeaders::read(request)?;
-    if state.stopping.load(Ordering::SeqCst) {
+    if state.refusing.load(Ordering::SeqCst) {
         let text = "this entry VM is stopping; send the request again";
-        return Err(Refusal::not_run(ResultCode::Stopping, text).retry_after(STOPPING_RETRY));
+        let refusal = Refusal::not_run(ResultCode::Stopping, text);
+        return Err(refusal.retry_after(spread(STOPPING_RETRY)));
     }
     if let Some(refusal) = state.refusal() {
         return Err(refusal);
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -27,6 +27,7 @@
 use peer_store::Store;
 
 use crate::admitting::Admitting;
+use crate::retry_after::spread;
 use crate::routing::Routing;
 
 /// When to come back after a refusal because the configuration may be old.
@@ -44,7 +45,10 @@
     pub(crate) store: Arc<dyn Store>,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
+    /// Whether a planned stop has begun; requests are still served while the balancer notices.
     pub(crate) stopping: AtomicBool,
+    /// Whether new requests are refused, as the balancer has had time to notice the stop.
+    pub(crate) refusing: AtomicBool,
     configuration: Mutex<Arc<Configuration>>,
     freshness: Mutex<Freshness>,
     pub(crate) proofs: Mutex<ProofTable>,
@@ -67,6 +71,7 @@
             engines: EngineClient::open(),
             services: ServiceClient::open(),
             stopping: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
             configuration: Mutex::new(Arc::new(Configuration::default())),
             freshness: Mutex::new(Freshness::new(bounds)),
             proofs: Mutex::new(ProofTable::default()),
@@ -108,7 +113,8 @@
                 "neither the store nor enough entry VMs ({vouching} of {needed}) vouch for the configuration"
             ),
         };
-        Some(Refusal::not_run(ResultCode::NotFresh, text).retry_after(FRESHNESS_RETRY))
+        let refusal = Refusal::not_run(ResultCode::NotFresh, text);
+        Some(refusal.retry_after(spread(FRESHNESS_RETRY)))
     }
 }
 
--- a/crates/mangocross-http/src/event_stream.rs
+++ b/crates/mangocross-http/src/event_stream.rs
@@ -3,13 +3,17 @@
 use std::io;
 use std::io::Write;
 
+/// Not the length of a chunk; ends a body that is not whole.
+const INVALID_CHUNK: &[u8] = b"!\r\n";
+
 /// A body that is written piece by piece, each piece flushed to the caller.
 ///
-/// [`BodyStream::finish`] must be called: a chunked body without its end
-/// marker leaves the caller waiting.
+/// A chunked body that is dropped before [`BodyStream::finish`] ends in a chunk that is not valid,
+/// so that the caller sees at once that it is not whole.
 pub struct BodyStream {
     writer: Box<dyn Write + Send>,
     chunked: bool,
+    finished: bool,
 }
 
 impl BodyStream {
@@ -29,7 +33,7 @@
         head.push_str("\r\n");
         writer.write_all(head.as_bytes())?;
         writer.flush()?;
-        Ok(Self { writer, chunked })
+        Ok(Self { writer, chunked, finished: false })
     }
 
     /// Writes a piece and flushes it.
@@ -59,6 +63,7 @@
     ///
     /// Fails if the caller is gone.
     pub fn finish(mut self) -> io::Result<()> {
+        self.finished = true;
         if self.chunked {
             self.writer.write_all(b"0\r\n\r\n")?;
         }
@@ -66,6 +71,14 @@
     }
 }
 
+impl Drop for BodyStream {
+    fn drop(&mut self) {
+        if self.chunked && !self.finished {
+            let _ = self.writer.write_all(INVALID_CHUNK).and_then(|()| self.writer.flush());
+        }
+    }
+}
+
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/crates/mangocross-http/src/server.rs
+++ b/crates/mangocross-http/src/server.rs
@@ -29,6 +29,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which unacknowledged data ends a connection.
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(30);
+/// Requests being refused at once; beyond, the receiving thread waits.
+const REFUSING_MAX: usize = 1024;
+/// Wait for one of them to end.
+const REFUSING_PAUSE: Duration = Duration::from_millis(5);
 /// Longest wait between attempts to renew a failed accept loop.
 const RESTART_PAUSE: Duration = Duration::from_millis(100);
 
@@ -50,15 +54,16 @@
     handler: Box<Handler>,
     overload: Box<Handler>,
     in_flight: AtomicUsize,
+    refusing: AtomicUsize,
     closed: AtomicBool,
 }
 
 impl HttpServer {
     /// Binds an address and serves it.
     ///
-    /// `handler` runs on a thread of its own for each request. `overload` runs
-    /// on the receiving thread when too many requests are in flight; it must
-    /// answer at once.
+    /// `handler` runs on a thread of its own for each request; so does `overload`,
+    /// which takes its place when too many requests are in flight and must answer
+    /// at once.
     ///
     /// # Errors
     ///
@@ -77,6 +82,7 @@
             handler: Box::new(handler),
             overload: Box::new(overload),
             in_flight: AtomicUsize::new(0),
+            refusing: AtomicUsize::new(0),
             closed: AtomicBool::new(false),
         });
         start_accepting(&shared)?;
@@ -91,7 +97,7 @@
 
     /// Returns the number of requests being handled.
     pub fn in_flight(&self) -> usize {
-        self.shared.in_flight.load(Ordering::Relaxed)
+        self.shared.in_flight.load(Ordering::SeqCst)
     }
 }
 
@@ -145,26 +151,70 @@
 }
 
 fn dispatch(shared: &Arc<Shared>, request: ServerRequest) {
-    let running = shared.in_flight.fetch_add(1, Ordering::Relaxed);
-    let guard = InFlight(Arc::clone(shared));
-    if running >= shared.limits.in_flight_max {
-        (shared.overload)(request);
-        return;
+    let guard = Counted::enter(shared, Role::Handling);
+    if guard.before >= shared.limits.in_flight_max {
+        drop(guard);
+        return refuse(shared, request);
     }
     let spawned = thread::Builder::new().name("http-request".into()).spawn(move || {
-        (guard.0.handler)(request);
+        (guard.shared.handler)(request);
     });
     if let Err(error) = spawned {
         log::error!("no thread for a request: {error}");
     }
 }
 
-/// Counts a request as in flight until dropped.
-struct InFlight(Arc<Shared>);
+/// Refuses a request on a thread of its own: its answer may have to wait for an earlier one on the
+/// same connection, which must not keep the receiving thread from other connections.
+fn refuse(shared: &Arc<Shared>, request: ServerRequest) {
+    let mut guard = Counted::enter(shared, Role::Refusing);
+    while guard.before >= REFUSING_MAX {
+        drop(guard);
+        thread::sleep(REFUSING_PAUSE);
+        guard = Counted::enter(shared, Role::Refusing);
+    }
+    let spawned = thread::Builder::new().name("http-refuse".into()).spawn(move || {
+        (guard.shared.overload)(request);
+    });
+    if let Err(error) = spawned {
+        log::error!("no thread for a refusal: {error}");
+    }
+}
 
-impl Drop for InFlight {
+/// What a thread does with a request.
+#[derive(Debug, Clone, Copy)]
+enum Role {
+    Handling,
+    Refusing,
+}
+
+/// Counts a request until dropped.
+struct Counted {
+    shared: Arc<Shared>,
+    role: Role,
+    /// Requests counted when this one came.
+    before: usize,
+}
+
+impl Counted {
+    fn enter(shared: &Arc<Shared>, role: Role) -> Self {
+        let before = shared.count(role).fetch_add(1, Ordering::SeqCst);
+        Self { shared: Arc::clone(shared), role, before }
+    }
+}
+
+impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.shared.count(self.role).fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Shared {
+    fn count(&self, role: Role) -> &AtomicUsize {
+        match role {
+            Role::Handling => &self.in_flight,
+            Role::Refusing => &self.refusing,
+        }
     }
 }
 
--- a/crates/mangocross-http/tests/server.rs
+++ b/crates/mangocross-http/tests/server.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
+use mangocross_http::CallErrorKind;
 use mangocross_http::HttpCall;
 use mangocross_http::HttpClient;
 use mangocross_http::HttpMethod;
@@ -93,3 +94,43 @@
     let call = HttpCall::new(HttpMethod::Get, server.address(), "/x");
     assert_eq!(HttpClient::open().call(call).unwrap().status(), 503);
 }
+
+#[test]
+fn body_that_was_dropped_ends_in_an_error_at_once() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let stream = move |request: ServerRequest| {
+        let mut stream = request.respond_stream(200, &[]).unwrap();
+        stream.write_piece(b"one").unwrap();
+    };
+    let refuse = |it: ServerRequest| it.respond(503, &[], Vec::new());
+    let server = HttpServer::bind(address, ServerLimits::default(), stream, refuse).unwrap();
+    let answer =
+        HttpClient::open().call(HttpCall::new(HttpMethod::Get, server.address(), "/")).unwrap();
+    let error = answer.read_all(100).unwrap_err();
+    assert_ne!(error.kind, CallErrorKind::Timeout);
+}
+
+#[test]
+fn refusal_behind_a_long_answer_holds_up_no_other_connection() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (sender, receiver) = std::sync::mpsc::channel::<()>();
+    let receiver = std::sync::Mutex::new(receiver);
+    let stream = move |request: ServerRequest| {
+        let mut stream = request.respond_stream(200, &[]).unwrap();
+        stream.write_piece(b"one").unwrap();
+        receiver.lock().unwrap().recv().unwrap();
+        stream.finish().unwrap();
+    };
+    let refuse = |it: ServerRequest| it.respond(503, &[], Vec::new());
+    let limits = ServerLimits::default().in_flight_max(1);
+    let server = HttpServer::bind(address, limits, stream, refuse).unwrap();
+    let mut pipelining = TcpStream::connect(server.address()).unwrap();
+    let request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+    pipelining.write_all(&[request.as_slice(), request].concat()).unwrap();
+    let mut buf = [0; 512];
+    assert!(pipelining.read(&mut buf).unwrap() > 0);
+    thread::sleep(Duration::from_millis(100));
+    let call = HttpCall::new(HttpMethod::Get, server.address(), "/");
+    assert_eq!(HttpClient::open().call(call).unwrap().status(), 503);
+    sender.send(()).unwrap();
+}
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -301,6 +301,26 @@
         self.wait_until(line, || self.send(node, probe).is_whole());
     }
 
+    /// Returns the configuration that the cluster was started with.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is not valid.
+    pub fn configuration(&self) -> Configuration {
+        self.configuration_of(u16::try_from(self.gateways.len()).expect("few gateways"))
+    }
+
+    /// Puts another configuration in place.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is not accepted.
+    pub fn replace_configuration(&self, configuration: Configuration) {
+        let mut request = new_request("replace config");
+        request.configuration = Some(configuration);
+        self.operate_with(0, &request).expect("the configuration is accepted");
+    }
+
     /// Waits until something holds.
     ///
     /// # Panics
@@ -325,10 +345,7 @@
         logs.collect::<Vec<_>>().join("\n---\n")
     }
 
-    fn configure(&self, nodes: u16) {
-        self.wait_until("the coordinators answer", || {
-            (0..nodes).all(|it| self.operate(it, "show nodes").is_ok())
-        });
+    fn configuration_of(&self, nodes: u16) -> Configuration {
         let entry_vms: Vec<serde_json::Value> = (0..nodes)
             .map(|it| {
                 serde_json::json!({
@@ -354,11 +371,14 @@
                 {"id": "registry", "backend_servers": [self.service.address().to_string()]},
             ],
         });
-        let configuration: Configuration =
-            serde_json::from_value(configuration).expect("a valid configuration");
-        let mut request = new_request("replace config");
-        request.configuration = Some(configuration);
-        self.operate_with(0, &request).expect("the configuration is accepted");
+        serde_json::from_value(configuration).expect("a valid configuration")
+    }
+
+    fn configure(&self, nodes: u16) {
+        self.wait_until("the coordinators answer", || {
+            (0..nodes).all(|it| self.operate(it, "show nodes").is_ok())
+        });
+        self.replace_configuration(self.configuration_of(nodes));
         self.wait_until("the gateways are ready", || {
             (0..nodes).all(|it| {
                 let call = HttpCall::new(HttpMethod::Get, self.gateway(it), "/health/ready");
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod cluster;
 mod process;
+mod raw;
 mod relay;
 pub mod soak;
 
@@ -14,5 +15,7 @@
 pub use cluster::Cluster;
 pub use cluster::ClusterBuilder;
 pub use process::Process;
+pub use raw::RawAnswer;
+pub use raw::RawConnection;
 pub use relay::Relay;
 pub use relay::RelayMode;
