fix(http): let the rest of a refused body hold no room

After a refusal the library reads what is left of the body for as long as its sender likes, and the thread that did so counted as in flight: a sender of one byte each few seconds kept its place for ever. The rest is now read by a thread that does not count. The test was red with the answer given inline.

--- a/crates/mangocross-http/src/request.rs
+++ b/crates/mangocross-http/src/request.rs
@@ -1,6 +1,7 @@
 //! A request at the server.
 
 use std::io;
+use std::thread;
 use std::time::Instant;
 
 use serde::Serialize;
@@ -49,13 +50,14 @@
     limits: ServerLimits,
     path: String,
     query: String,
+    body_failed: bool,
 }
 
 impl ServerRequest {
     pub(crate) fn new(request: Request, limits: ServerLimits) -> Self {
         let url = request.url().to_owned();
         let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-        Self { path: path.to_owned(), query: query.to_owned(), request, limits }
+        Self { path: path.to_owned(), query: query.to_owned(), request, limits, body_failed: false }
     }
 
     /// Returns the method, or `None` for one that is not served anywhere here.
@@ -101,6 +103,12 @@
     ///
     /// Fails if the body is too large, too slow or broken.
     pub fn read_body(&mut self) -> Result<Vec<u8>, BodyError> {
+        let body = self.read_bounded();
+        self.body_failed = body.is_err();
+        body
+    }
+
+    fn read_bounded(&mut self) -> Result<Vec<u8>, BodyError> {
         let bytes_max = self.limits.body_bytes_max;
         if self.request.body_length().is_some_and(|it| it > bytes_max) {
             return Err(BodyError::TooLarge { bytes_max });
@@ -150,8 +158,18 @@
                 Err(()) => log::warn!("header {name} is not valid and was left out"),
             }
         }
-        if let Err(error) = self.request.respond(response) {
-            log::debug!("the answer could not be delivered: {error}");
+        let request = self.request;
+        let deliver = move || {
+            if let Err(error) = request.respond(response) {
+                log::debug!("the answer could not be delivered: {error}");
+            }
+        };
+        // The library reads what is left of a body after the answer, for as long as its sender
+        // likes; the thread that counts as in flight does not wait for that.
+        if !self.body_failed {
+            deliver();
+        } else if let Err(error) = thread::Builder::new().name("http-drain".into()).spawn(deliver) {
+            log::error!("no thread for the rest of a body: {error}");
         }
     }
 
--- a/crates/mangocross-http/tests/server.rs
+++ b/crates/mangocross-http/tests/server.rs
@@ -134,3 +134,27 @@
     assert_eq!(HttpClient::open().call(call).unwrap().status(), 503);
     sender.send(()).unwrap();
 }
+
+#[test]
+fn slow_body_is_refused_and_holds_no_room() {
+    let limits = ServerLimits::default()
+        .read_timeout(Duration::from_millis(300))
+        .body_timeout(Duration::from_millis(400))
+        .in_flight_max(1);
+    let server = serve(limits);
+    let mut slow = TcpStream::connect(server.address()).unwrap();
+    slow.write_all(b"POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: 100000\r\n\r\n").unwrap();
+    let trickle = slow.try_clone().unwrap();
+    thread::spawn(move || {
+        let mut trickle = trickle;
+        while trickle.write_all(b"a").is_ok() {
+            thread::sleep(Duration::from_millis(50));
+        }
+    });
+    let mut buf = [0; 512];
+    let length = slow.read(&mut buf).unwrap();
+    assert!(String::from_utf8_lossy(&buf[..length]).starts_with("HTTP/1.1 413"));
+    // The rest of the body still trickles in.
+    let call = HttpCall::new(HttpMethod::Post, server.address(), "/x").body(b"hi".to_vec());
+    assert_eq!(HttpClient::open().call(call).unwrap().status(), 200);
+}
