--- a/bins/mangocross-coordinator/src/coordinator.rs
+++ b/bins/mangocross-coordinator/src/coordinator.rs
@@ -12,6 +12,7 @@
 use mangocross_types::SystemClock;
 use peer_caller::respond_refusal;
 use peer_entry::FetchServer;
+use peer_entry::FetchSource;
 use peer_entry::PeerKey;
 use peer_entry::PollResponder;
 use peer_entry::PollTiming;
@@ -45,10 +46,8 @@
     let _responder =
         PollResponder::bind(settings.listen, key.clone(), move |it| peers::answer(&answering, it))
             .map_err(cannot_bind)?;
-    let holding = Arc::clone(&state);
-    let _fetches =
-        FetchServer::bind(settings.listen, key.clone(), move || holding.configuration_document())
-            .map_err(cannot_bind)?;
+    let source = Arc::clone(&state) as Arc<dyn FetchSource>;
+    let _fetches = FetchServer::bind(settings.listen, key.clone(), source).map_err(cannot_bind)?;
     let timing = PollTiming {
         interval: Duration::from_millis(settings.poll_interval_ms),
         reply_age_max: Duration::from_millis(settings.vouch_ms),
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_coordination::AcceptanceTracker;
 use mangocross_coordination::EngineVm;
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
@@ -21,16 +22,21 @@
 use mangocross_types::Configuration;
 use mangocross_types::FabricDomain;
 use mangocross_types::Placements;
+use mangocross_types::RequestId;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
 use peer_engine::EngineClient;
 use peer_entry::ConfigurationDocument;
 use peer_entry::CustomerUsage;
 use peer_entry::DomainSummary;
+use peer_entry::FetchSource;
+use peer_entry::RequestFailure;
 use peer_platform::PlatformClient;
 use peer_store::HttpStore;
 use peer_store::Store;
 
+use crate::failures::KnownFailures;
+
 /// A coordinator that answers polls.
 #[derive(Debug, Clone)]
 pub(crate) struct LivePeer {
@@ -51,6 +57,9 @@
     pub(crate) settings: CoordinatorSettings,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) process_id: u64,
+    pub(crate) started_at: Instant,
+    pub(crate) failures: Mutex<KnownFailures>,
+    pub(crate) acceptance: Mutex<AcceptanceTracker>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) platform: PlatformClient,
     pub(crate) engines: EngineClient,
@@ -67,6 +76,7 @@
 
 impl CoordinatorState {
     pub(crate) fn open(settings: CoordinatorSettings, clock: Arc<dyn Clock>) -> Self {
+        let started_at = clock.now();
         let leaving_kept = Duration::from_millis(settings.leaving_kept_ms);
         let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
         Self {
@@ -76,8 +86,11 @@
             settings,
             clock,
             process_id: fastrand::u64(..),
+            started_at,
+            failures: Mutex::new(KnownFailures::default()),
+            acceptance: Mutex::new(AcceptanceTracker::new(bounds.vouch)),
             configuration: Mutex::new((Arc::new(Configuration::default()), Arc::from(""))),
-            freshness: Mutex::new(Freshness::new(bounds)),
+            freshness: Mutex::new(Freshness::new(bounds, started_at)),
             peers: Mutex::new(HashMap::new()),
             gateways: Mutex::new(HashMap::new()),
             engines_by_domain: Mutex::new(BTreeMap::new()),
@@ -96,14 +109,6 @@
         lock(&self.freshness)
     }
 
-    /// Returns the configuration in force, for peers to fetch.
-    pub(crate) fn configuration_document(&self) -> Option<ConfigurationDocument> {
-        let held = lock(&self.configuration);
-        let revision = lock(&self.freshness).in_force();
-        (revision > Revision(0))
-            .then(|| ConfigurationDocument { revision, text: held.1.as_ref().to_owned() })
-    }
-
     /// Puts a configuration in force unless a newer one already is.
     pub(crate) fn apply(&self, revision: Revision, configuration: Configuration, text: &str) {
         let mut held = lock(&self.configuration);
@@ -167,6 +172,19 @@
     }
 }
 
+impl FetchSource for CoordinatorState {
+    fn configuration(&self) -> Option<ConfigurationDocument> {
+        let held = lock(&self.configuration);
+        let revision = lock(&self.freshness).in_force();
+        (revision > Revision(0))
+            .then(|| ConfigurationDocument { revision, text: held.1.as_ref().to_owned() })
+    }
+
+    fn failure(&self, request: &RequestId) -> Option<RequestFailure> {
+        lock(&self.failures).find(request)
+    }
+}
+
 /// Locks a mutex; each value is whole after every statement that changes it.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/bins/mangocross-gateway/src/gateway.rs
+++ b/bins/mangocross-gateway/src/gateway.rs
@@ -28,6 +28,8 @@
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// Looks in a row without a request in flight after which the process ends.
 const STOP_IDLE_POLLS: u32 = 4;
+/// Longest wait at the end of a planned stop for claims to be recorded.
+const CLAIMS_FLUSH: Duration = Duration::from_secs(5);
 /// When to come back after a refusal for too many requests.
 const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
 
@@ -76,6 +78,9 @@
         thread::sleep(STOP_POLL);
         idle_polls = if server.in_flight() == 0 { idle_polls + 1 } else { 0 };
     }
+    if !state.claims.flush(CLAIMS_FLUSH) {
+        log::warn!("planned stop: the store does not take the outcome of all claims");
+    }
     log::info!("planned stop: done with {} requests in flight", server.in_flight());
 }
 
--- a/bins/mangocross-gateway/src/generate.rs
+++ b/bins/mangocross-gateway/src/generate.rs
@@ -37,7 +37,10 @@
 pub(crate) fn handle(state: &GatewayState, mut request: ServerRequest, incoming: &Incoming) {
     let chat = match read_chat(state, &mut request, incoming) {
         Ok(chat) => chat,
-        Err(refusal) => return respond_refusal(request, &refusal, Some(&incoming.id)),
+        Err(refusal) => {
+            state.record_failure(&incoming.id, &refusal);
+            return respond_refusal(request, &refusal, Some(&incoming.id));
+        }
     };
     let now = state.clock.now();
     let keep_alive = Duration::from_millis(state.settings.keep_alive_ms);
@@ -123,7 +126,9 @@
         }
         refusal.outcome = progress.outcome();
         self.log(&format!("failed: {} {}", refusal.code, refusal.message));
-        delivery.fail(&refusal.retry_after(spread(NO_GROUP_RETRY)));
+        let refusal = refusal.retry_after(spread(NO_GROUP_RETRY));
+        self.state.record_failure(&self.incoming.id, &refusal);
+        delivery.fail(&refusal);
     }
 
     /// Takes a retry out of the budget; one after an attempt that certainly did not run is free.
--- a/bins/mangocross-gateway/src/handler.rs
+++ b/bins/mangocross-gateway/src/handler.rs
@@ -73,15 +73,16 @@
             let admitted = take(state, &incoming);
             match admitted {
                 Ok(_admitted) => handler(state, request, &incoming),
-                Err(refusal) => refuse(request, &refusal, &id),
+                Err(refusal) => refuse(state, request, &refusal, &id),
             }
         }
-        Err(refusal) => refuse(request, &refusal, &id),
+        Err(refusal) => refuse(state, request, &refusal, &id),
     }
 }
 
-fn refuse(request: ServerRequest, refusal: &Refusal, id: &RequestId) {
+fn refuse(state: &GatewayState, request: ServerRequest, refusal: &Refusal, id: &RequestId) {
     log::info!(request = id.as_str(), code = refusal.code.number(); "refused: {}", refusal.message);
+    state.record_failure(id, refusal);
     respond_refusal(request, refusal, Some(id));
 }
 
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -8,7 +8,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_coordination::Vouch;
+use mangocross_coordination::Voucher;
 use mangocross_operator::check_configuration;
+use mangocross_types::EntryVmSpec;
 use peer_entry::PeerKey;
 use peer_entry::Poll;
 use peer_entry::PollReply;
@@ -33,6 +36,12 @@
         Self { state, fetching: Arc::new(AtomicBool::new(false)) }
     }
 
+    fn is_own_coordinator(&self, address: SocketAddr) -> bool {
+        let configuration = self.state.configuration();
+        let own = |it: &&EntryVmSpec| it.vm == self.state.settings.vm;
+        configuration.entry_vms.iter().find(own).is_some_and(|it| it.coordinator == address)
+    }
+
     /// Fetches the configuration from a coordinator that holds a newer one.
     fn fetch(&self, from: SocketAddr) {
         if self.fetching.swap(true, Ordering::SeqCst) {
@@ -67,7 +76,7 @@
         targets
     }
 
-    fn poll(&self) -> Poll {
+    fn poll(&self, to: SocketAddr) -> Poll {
         let configuration = self.state.configuration();
         let usage = self.state.admitting.usage(&configuration, self.state.clock.now());
         Poll {
@@ -78,14 +87,25 @@
             revision: self.state.freshness().in_force(),
             serving: !self.state.stopping.load(Ordering::SeqCst),
             usage,
+            failures: if self.is_own_coordinator(to) {
+                self.state.failures.take()
+            } else {
+                Vec::new()
+            },
+            echo: None,
         }
     }
 
     fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply) {
         let behind = {
             let mut freshness = self.state.freshness();
-            let store_age = reply.store_age_ms.map(|it| Duration::from_millis(it.into()));
-            freshness.peer_said(&reply.vm, reply.revision, store_age, asked_at);
+            let voucher = Voucher { vm: reply.vm.clone(), address: from };
+            let vouch = Vouch {
+                newest_known: reply.newest_known,
+                established: reply.established,
+                store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
+            };
+            freshness.peer_said(&voucher, vouch, asked_at);
             reply.revision > freshness.in_force()
         };
         if behind {
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! What the gateway's threads share.
 
 use std::fmt::Debug;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -8,6 +9,8 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use mangocross_claims::ClaimLimits;
+use mangocross_claims::ClaimLog;
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
 use mangocross_coordination::LeavingTable;
@@ -18,15 +21,16 @@
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
 use mangocross_types::Refusal;
+use mangocross_types::RequestId;
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
-use mangocross_types::VmId;
+use mangocross_types::ServiceId;
 use peer_engine::EngineClient;
 use peer_service::ServiceClient;
 use peer_store::HttpStore;
-use peer_store::Store;
 
 use crate::admitting::Admitting;
+use crate::failures::FailureLog;
 use crate::retry_after::spread;
 use crate::routing::Routing;
 
@@ -35,6 +39,8 @@
 
 /// How long the word that a VM is leaving counts; longer than the platform's list lags.
 const LEAVING_KEPT: Duration = Duration::from_secs(600);
+/// Time for a call to the store on a claim's way; a caller waits for it.
+const CLAIM_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// What the gateway's threads share.
 #[derive(Debug)]
@@ -42,13 +48,14 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) process_id: u64,
-    pub(crate) store: Arc<dyn Store>,
+    pub(crate) claims: ClaimLog,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
     /// Whether a planned stop has begun; requests are still served while the balancer notices.
     pub(crate) stopping: AtomicBool,
     /// Whether new requests are refused, as the balancer has had time to notice the stop.
     pub(crate) refusing: AtomicBool,
+    pub(crate) failures: FailureLog,
     configuration: Mutex<Arc<Configuration>>,
     freshness: Mutex<Freshness>,
     pub(crate) proofs: Mutex<ProofTable>,
@@ -60,11 +67,14 @@
 
 impl GatewayState {
     pub(crate) fn open(settings: GatewaySettings, clock: Arc<dyn Clock>) -> Result<Self, String> {
+        let now = clock.now();
         let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
         let first_token_target = Duration::from_millis(settings.first_token_ms) / 2;
         let routing = Routing::new(settings.group_in_flight_start, first_token_target);
+        let store = Arc::new(HttpStore::open(settings.store).timeout(CLAIM_CALL_TIMEOUT));
+        let claims = ClaimLog::spawn(store, Arc::clone(&clock), ClaimLimits::default());
         Ok(Self {
-            store: Arc::new(HttpStore::open(settings.store)),
+            claims: claims.map_err(|it| format!("no thread for claims: {it}"))?,
             settings,
             clock,
             process_id: fastrand::u64(..),
@@ -72,8 +82,9 @@
             services: ServiceClient::open(),
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
+            failures: FailureLog::default(),
             configuration: Mutex::new(Arc::new(Configuration::default())),
-            freshness: Mutex::new(Freshness::new(bounds)),
+            freshness: Mutex::new(Freshness::new(bounds, now)),
             proofs: Mutex::new(ProofTable::default()),
             leaving: Mutex::new(LeavingTable::new(LEAVING_KEPT)),
             admitting: Admitting::default(),
@@ -104,11 +115,16 @@
 
     /// Returns why no request may be served now, if so.
     pub(crate) fn refusal(&self) -> Option<Refusal> {
-        let entry_vms: Vec<VmId> =
-            self.configuration().entry_vms.iter().map(|it| it.vm.clone()).collect();
-        let text = match lock(&self.freshness).permit(&entry_vms, self.clock.now()) {
+        let own = &self.settings.vm;
+        let now = self.clock.now();
+        // Both locks, so that the entry VMs are those of the revision in force.
+        let held = lock(&self.configuration);
+        let permit = lock(&self.freshness).permit(&held.entry_vms, own, now);
+        drop(held);
+        let text = match permit {
             Permit::Serve { .. } => return None,
             Permit::Behind { newest } => format!("configuration {newest} is not in force here yet"),
+            Permit::Unlisted => format!("the configuration in force does not name entry VM {own}"),
             Permit::Alone { vouching, needed } => format!(
                 "neither the store nor enough entry VMs ({vouching} of {needed}) vouch for the configuration"
             ),
@@ -116,6 +132,20 @@
         let refusal = Refusal::not_run(ResultCode::NotFresh, text);
         Some(refusal.retry_after(spread(FRESHNESS_RETRY)))
     }
+
+    /// Returns those backend servers of a service that are not leaving.
+    pub(crate) fn staying_servers(
+        &self,
+        _service: &ServiceId,
+        specified: &[SocketAddr],
+    ) -> Vec<SocketAddr> {
+        specified.to_vec()
+    }
+
+    /// Remembers what a caller was told, for operators who ask why.
+    pub(crate) fn record_failure(&self, request: &RequestId, refusal: &Refusal) {
+        self.failures.record(request, refusal, self.clock.wall());
+    }
 }
 
 /// Locks a mutex; each value is whole after every statement that changes it.
