feat(telemetry): count and trace callers' requests

Metrics come from OpenTelemetry instruments: requests by customer, kind, outcome and code, retries, first-token and token-gap histograms whose bounds hold the promised times, requests in flight, proofs held, revisions, readiness and dropped frames. An exporter of our own keeps them as text for GET /metrics and writes the totals to the log once an interval.

Spans cover the caller's request, admission, claim, service call and each attempt; traceparent is taken in and passed on to engines and services, whose side makes the last hop. A span exporter of our own writes JSON lines beside the log, from a queue of bounded length. One request in a hundred is traced unless the caller decides.

A request whose deadline has already passed now gets E2004, not E2003, and deadlines are bounded by an hour as for services.

--- a/bins/mangocross-gateway/src/attempt.rs
+++ b/bins/mangocross-gateway/src/attempt.rs
@@ -79,10 +79,20 @@
         let request = self.request(progress);
         let pace = Pace::new(self.limits(), started);
         let timeouts = self.timeouts(progress);
-        let end = match self.state.engines.generate(self.group.address, &request, timeouts) {
+        let span = self.state.tracing.step("attempt", &self.incoming.span);
+        span.set("attempt_id", request.attempt_id.to_string());
+        span.set("group", self.group.group.to_string());
+        span.set("resume_from", i64::from(request.resume_from.0));
+        let (address, traceparent) = (self.group.address, span.traceparent());
+        let started_stream =
+            self.state.engines.generate(address, &request, traceparent.as_deref(), timeouts);
+        let end = match started_stream {
             Ok(stream) => self.relay(stream, pace, started, progress, delivery),
             Err(error) => AttemptEnd::Failed(failure(error)),
         };
+        if let AttemptEnd::Failed(refusal) | AttemptEnd::Left(refusal) = &end {
+            span.fail(refusal.code.to_string());
+        }
         let may_run = match &end {
             AttemptEnd::Whole(_) => false,
             AttemptEnd::Failed(refusal) | AttemptEnd::Left(refusal) => {
@@ -104,7 +114,7 @@
         progress: &mut AnswerProgress,
         delivery: &mut Delivery<'_>,
     ) -> AttemptEnd {
-        let mut has_token = false;
+        let (mut has_token, mut token_at) = (false, started);
         loop {
             let event = match stream.next_event(READ_WAIT) {
                 Ok(event) => event,
@@ -114,9 +124,14 @@
             match event {
                 Some(GenerateEvent::Token { token_index, text }) => {
                     pace.token(now);
-                    if !has_token {
+                    let since = now.duration_since(token_at);
+                    token_at = now;
+                    if has_token {
+                        self.state.metrics.token_gap(since);
+                    } else {
                         has_token = true;
-                        self.observe_first_token(now.duration_since(started));
+                        self.state.metrics.first_token(since);
+                        self.observe_first_token(since);
                     }
                     if progress.token(token_index)
                         && delivery.token(self.group, token_index, &text, now).is_err()
--- a/bins/mangocross-gateway/src/gateway.rs
+++ b/bins/mangocross-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use signal_hook::iterator::Signals;
 
 use crate::handler;
+use crate::metrics;
 use crate::peers::GatewayPeers;
 use crate::retry_after::spread;
 use crate::state::GatewayState;
@@ -45,8 +46,10 @@
     };
     let peers = Arc::new(GatewayPeers::new(Arc::clone(&state)));
     let clock = Arc::clone(&state.clock);
-    let _poller = Poller::spawn(settings.poll_from, key, timing, clock, peers)
+    let poller = Poller::spawn(settings.poll_from, key, timing, clock, peers)
         .map_err(|it| format!("{} cannot be bound: {it}", settings.poll_from))?;
+    let poller = Arc::new(poller);
+    metrics::observe(&state, &poller);
     let limits = ServerLimits::default()
         .body_bytes_max(settings.body_bytes_max)
         .in_flight_max(settings.in_flight_max);
@@ -81,6 +84,7 @@
     if !state.claims.flush(CLAIMS_FLUSH) {
         log::warn!("planned stop: the store does not take the outcome of all claims");
     }
+    state.tracing.close();
     log::info!("planned stop: done with {} requests in flight", server.in_flight());
 }
 
--- a/bins/mangocross-gateway/src/generate.rs
+++ b/bins/mangocross-gateway/src/generate.rs
@@ -28,6 +28,8 @@
 
 /// Attempts for one request, the first one included.
 const ATTEMPTS_MAX: u32 = 4;
+/// Longest deadline that a caller can ask for.
+const DEADLINE_MAX: Duration = Duration::from_secs(3_600);
 /// When to come back after a refusal because no group is complete.
 const NO_GROUP_RETRY: Duration = Duration::from_secs(1);
 /// Time between looks for another group once an answer has begun.
@@ -38,6 +40,7 @@
     let chat = match read_chat(state, &mut request, incoming) {
         Ok(chat) => chat,
         Err(refusal) => {
+            incoming.ended(state, refusal.outcome, Some(refusal.code));
             state.record_failure(&incoming.id, &refusal);
             return respond_refusal(request, &refusal, Some(&incoming.id));
         }
@@ -47,6 +50,7 @@
     let delivery = Delivery::new(request, incoming, &chat, keep_alive, now);
     let deadline = incoming.headers.deadline;
     let deadline = deadline.unwrap_or(Duration::from_millis(incoming.kind.deadline_ms));
+    let deadline = deadline.min(DEADLINE_MAX);
     let prefix = prefix_hash(&chat.prompt());
     let answer = Answer { state, incoming, chat: &chat, prefix, deadline: now + deadline };
     answer.run(delivery);
@@ -92,6 +96,9 @@
         let mut refusal = no_group();
         while progress.may_begin() && self.state.clock.now() < self.deadline {
             let Some(group) = self.choose(&progress, &mut delivery) else { break };
+            if progress.attempts() > 0 {
+                self.state.metrics.retried();
+            }
             progress.begin(&group);
             let attempt = Attempt {
                 state: self.state,
@@ -104,10 +111,14 @@
             match attempt.run(&mut progress, &mut delivery) {
                 AttemptEnd::Whole(reason) => {
                     lock(&self.state.retry_budget).succeeded();
+                    self.incoming.ended(self.state, RunOutcome::Ran, None);
                     delivery.finish(progress.next(), reason);
                     return self.log(&format!("answered in {} attempts", progress.attempts()));
                 }
-                AttemptEnd::CallerGone => return self.log("the caller is gone"),
+                AttemptEnd::CallerGone => {
+                    self.incoming.ended(self.state, RunOutcome::Unknown, None);
+                    return self.log("the caller is gone");
+                }
                 AttemptEnd::Left(failure) => {
                     self.log(&format!("group {} was left: {}", group.group, failure.message));
                     progress.failed(failure.outcome);
@@ -124,9 +135,14 @@
                 }
             }
         }
+        if progress.attempts() == 0 && self.state.clock.now() >= self.deadline {
+            let text = "the deadline had passed before an attempt; allow more time";
+            refusal = Refusal::not_run(ResultCode::DeadlineExceeded, text);
+        }
         refusal.outcome = progress.outcome();
         self.log(&format!("failed: {} {}", refusal.code, refusal.message));
         let refusal = refusal.retry_after(spread(NO_GROUP_RETRY));
+        self.incoming.ended(self.state, refusal.outcome, Some(refusal.code));
         self.state.record_failure(&self.incoming.id, &refusal);
         delivery.fail(&refusal);
     }
--- a/bins/mangocross-gateway/src/handler.rs
+++ b/bins/mangocross-gateway/src/handler.rs
@@ -8,12 +8,14 @@
 use mangocross_http::HttpMethod;
 use mangocross_http::ServerRequest;
 use mangocross_policy::AdmissionRequest;
+use mangocross_telemetry::Span;
 use mangocross_types::Configuration;
 use mangocross_types::KindSpec;
 use mangocross_types::KindTarget;
 use mangocross_types::Refusal;
 use mangocross_types::RequestId;
 use mangocross_types::ResultCode;
+use mangocross_types::RunOutcome;
 use peer_caller::CallerHeaders;
 use peer_caller::respond_refusal;
 
@@ -37,6 +39,23 @@
     pub(crate) headers: CallerHeaders,
     pub(crate) kind: KindSpec,
     pub(crate) configuration: Arc<Configuration>,
+    pub(crate) span: Span,
+}
+
+impl Incoming {
+    /// Records what the caller was told; `code` is `None` for an answer.
+    pub(crate) fn ended(
+        &self,
+        state: &GatewayState,
+        outcome: RunOutcome,
+        code: Option<ResultCode>,
+    ) {
+        state.metrics.ended(Some(self), outcome, code);
+        self.span.set("outcome", outcome.as_str());
+        if let Some(code) = code {
+            self.span.fail(code.to_string());
+        }
+    }
 }
 
 /// Handles one request from its headers to its last byte.
@@ -44,6 +63,10 @@
     match (request.method(), request.path()) {
         (Some(HttpMethod::Get), "/health/live") => request.respond(200, &[], b"live\n".to_vec()),
         (Some(HttpMethod::Get), "/health/ready") => respond_ready(state, request),
+        (Some(HttpMethod::Get), "/metrics") => {
+            let headers = [("content-type", "text/plain; version=0.0.4")];
+            request.respond(200, &headers, state.metrics.text().into_bytes());
+        }
         (Some(HttpMethod::Post), "/v1/chat/completions") => {
             with_incoming(state, request, generate::handle);
         }
@@ -70,13 +93,21 @@
     let id = new_request_id();
     match admit(state, &request, &id) {
         Ok(incoming) => {
+            let step = state.tracing.step("admission", &incoming.span);
             let admitted = take(state, &incoming);
+            drop(step);
             match admitted {
                 Ok(_admitted) => handler(state, request, &incoming),
-                Err(refusal) => refuse(state, request, &refusal, &id),
+                Err(refusal) => {
+                    incoming.ended(state, refusal.outcome, Some(refusal.code));
+                    refuse(state, request, &refusal, &id);
+                }
             }
         }
-        Err(refusal) => refuse(state, request, &refusal, &id),
+        Err(refusal) => {
+            state.metrics.ended(None, refusal.outcome, Some(refusal.code));
+            refuse(state, request, &refusal, &id);
+        }
     }
 }
 
@@ -144,7 +175,11 @@
         let text = format!("request kind {} is not configured", headers.kind);
         Refusal::not_run(ResultCode::UnknownKind, text)
     })?;
-    Ok(Incoming { id: id.clone(), headers, kind, configuration })
+    let span = state.tracing.request("caller_request", headers.traceparent.as_deref());
+    span.set("request_id", id.to_string());
+    span.set("customer", headers.customer.to_string());
+    span.set("kind", kind.id.to_string());
+    Ok(Incoming { id: id.clone(), headers, kind, configuration, span })
 }
 
 fn respond_ready(state: &GatewayState, request: ServerRequest) {
--- a/bins/mangocross-gateway/src/main.rs
+++ b/bins/mangocross-gateway/src/main.rs
@@ -18,6 +18,7 @@
 mod generate;
 mod handler;
 mod idempotent;
+mod metrics;
 mod once;
 mod peers;
 mod retry_after;
--- a/bins/mangocross-gateway/src/once.rs
+++ b/bins/mangocross-gateway/src/once.rs
@@ -6,6 +6,7 @@
 use mangocross_coordination::ClaimGrant;
 use mangocross_coordination::ClaimState;
 use mangocross_http::HttpTimeouts;
+use mangocross_telemetry::Span;
 use mangocross_types::Refusal;
 use mangocross_types::RunOutcome;
 use peer_service::ServiceAnswer;
@@ -29,8 +30,12 @@
     key: &str,
     call: &ServiceCall,
     deadline: Duration,
+    span: &Span,
 ) -> Result<ServiceAnswer, Refusal> {
-    match claim::claim(&state.claims, key, call, deadline)? {
+    let step = state.tracing.step("claim", span);
+    let claimed = claim::claim(&state.claims, key, call, deadline);
+    drop(step);
+    match claimed? {
         Claimed::Replay(answer) => Ok(answer),
         Claimed::Mine(grant) => run(state, servers, call, grant),
     }
--- a/bins/mangocross-gateway/src/service.rs
+++ b/bins/mangocross-gateway/src/service.rs
@@ -27,8 +27,12 @@
 /// Serves a call to a plain service.
 pub(crate) fn handle(state: &GatewayState, mut request: ServerRequest, incoming: &Incoming) {
     match serve(state, &mut request, incoming) {
-        Ok(answer) => respond(request, incoming, answer),
+        Ok(answer) => {
+            incoming.ended(state, RunOutcome::Ran, None);
+            respond(request, incoming, answer);
+        }
         Err(refusal) => {
+            incoming.ended(state, refusal.outcome, Some(refusal.code));
             state.record_failure(&incoming.id, &refusal);
             respond_refusal(request, &refusal, Some(&incoming.id));
         }
@@ -42,7 +46,9 @@
 ) -> Result<ServiceAnswer, Refusal> {
     let name = request.path().trim_start_matches(PATH_PREFIX).split('/').next();
     let servers = backend_servers::choose(state, name.unwrap_or_default(), incoming)?;
-    let call = read_call(request, incoming)?;
+    let step = state.tracing.step("service_call", &incoming.span);
+    let mut call = read_call(request, incoming)?;
+    call.traceparent = step.traceparent();
     let deadline = incoming.headers.deadline;
     let deadline = deadline.unwrap_or(Duration::from_millis(incoming.kind.deadline_ms));
     let deadline = deadline.min(DEADLINE_MAX);
@@ -53,7 +59,7 @@
         let text = format!("request kind {} needs an idempotency key", incoming.kind.id);
         return Err(Refusal::not_run(ResultCode::KeyMissing, text));
     };
-    once::serve(state, &servers, key, &call, deadline)
+    once::serve(state, &servers, key, &call, deadline, &step)
 }
 
 fn read_call(request: &mut ServerRequest, incoming: &Incoming) -> Result<ServiceCall, Refusal> {
@@ -76,6 +82,7 @@
         attempt_id: new_attempt_id(),
         customer: incoming.headers.customer.clone(),
         idempotency_key: incoming.headers.idempotency_key.clone(),
+        traceparent: None,
     })
 }
 
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -18,6 +18,7 @@
 use mangocross_coordination::ProofTable;
 use mangocross_policy::RetryBudget;
 use mangocross_settings::GatewaySettings;
+use mangocross_telemetry::Tracing;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
 use mangocross_types::Refusal;
@@ -31,6 +32,7 @@
 
 use crate::admitting::Admitting;
 use crate::failures::FailureLog;
+use crate::metrics::GatewayMetrics;
 use crate::retry_after::spread;
 use crate::routing::Routing;
 
@@ -51,6 +53,8 @@
     pub(crate) claims: ClaimLog,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) tracing: Tracing,
     /// Whether a planned stop has begun; requests are still served while the balancer notices.
     pub(crate) stopping: AtomicBool,
     /// Whether new requests are refused, as the balancer has had time to notice the stop.
@@ -73,6 +77,9 @@
         let routing = Routing::new(settings.group_in_flight_start, first_token_target);
         let store = Arc::new(HttpStore::open(settings.store).timeout(CLAIM_CALL_TIMEOUT));
         let claims = ClaimLog::spawn(store, Arc::clone(&clock), ClaimLimits::default());
+        let metrics = GatewayMetrics::open(Duration::from_millis(settings.metrics_log_ms));
+        let vm = settings.vm.as_str();
+        let tracing = Tracing::open("mangocross-gateway", vm, settings.trace_share);
         Ok(Self {
             claims: claims.map_err(|it| format!("no thread for claims: {it}"))?,
             settings,
@@ -80,6 +87,8 @@
             process_id: fastrand::u64(..),
             engines: EngineClient::open(),
             services: ServiceClient::open(),
+            metrics,
+            tracing,
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             failures: FailureLog::default(),
--- a/crates/mangocross-settings/src/gateway.rs
+++ b/crates/mangocross-settings/src/gateway.rs
@@ -70,6 +70,12 @@
     /// Longest time for requests in flight to finish at a planned stop, in milliseconds.
     #[serde(default = "stop_ms")]
     pub stop_ms: u64,
+    /// Share of requests without a trace decision of their own that are traced, from 0 to 1.
+    #[serde(default = "trace_share")]
+    pub trace_share: f64,
+    /// Time between totals of the metrics in the log, in milliseconds.
+    #[serde(default = "metrics_log_ms")]
+    pub metrics_log_ms: u64,
     /// Time at a planned stop during which requests are still served, so that the balancer can
     /// notice, in milliseconds.
     #[serde(default = "notice_ms")]
@@ -116,6 +122,14 @@
     256
 }
 
+fn trace_share() -> f64 {
+    0.01
+}
+
+fn metrics_log_ms() -> u64 {
+    60_000
+}
+
 fn notice_ms() -> u64 {
     2_000
 }
@@ -149,8 +163,12 @@
             ("token_gap_mean_ms", self.token_gap_mean_ms),
             ("patience", self.patience.into()),
             ("keep_alive_ms", self.keep_alive_ms),
+            ("metrics_log_ms", self.metrics_log_ms),
             ("max_tokens_max", self.max_tokens_max.into()),
         ];
+        if !(0.0..=1.0).contains(&self.trace_share) {
+            return Err("`trace_share` must be from 0 to 1".into());
+        }
         if let Some((name, _)) = waits.iter().find(|(_, value)| *value == 0) {
             return Err(format!("`{name}` is 0; use a positive number"));
         }
--- a/crates/mangocross-telemetry/src/lib.rs
+++ b/crates/mangocross-telemetry/src/lib.rs
@@ -1,6 +1,13 @@
 //! Logs, metrics and traces of the processes.
 
 mod logs;
+mod metrics;
+mod metrics_text;
+mod span_lines;
+mod tracing;
 
 pub use logs::LogLevelError;
 pub use logs::init_logs;
+pub use metrics::Metrics;
+pub use tracing::Span;
+pub use tracing::Tracing;
--- /dev/null
+++ b/crates/mangocross-telemetry/src/metrics.rs
@@ -0,0 +1,97 @@
+//! Metrics, read as text or from the log.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::metrics::PeriodicReader;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry_sdk::metrics::Temporality;
+use opentelemetry_sdk::metrics::data::ResourceMetrics;
+use opentelemetry_sdk::metrics::exporter::PushMetricExporter;
+
+use crate::metrics_text::render;
+
+/// By how much a collection may come early and still go to the log.
+const LOG_SLACK: Duration = Duration::from_millis(50);
+
+/// The metrics of a process.
+///
+/// They are collected on an interval, and whenever [`Metrics::text`] is called.
+#[derive(Debug)]
+pub struct Metrics {
+    provider: SdkMeterProvider,
+    text: Arc<Mutex<String>>,
+}
+
+impl Metrics {
+    /// Starts collecting; each interval, the totals go to the log.
+    pub fn open(interval: Duration) -> Self {
+        let text = Arc::new(Mutex::new(String::new()));
+        let logged_at = Mutex::new(Instant::now());
+        let exporter = TextExporter { text: Arc::clone(&text), interval, logged_at };
+        let reader = PeriodicReader::builder(exporter).with_interval(interval).build();
+        let provider = SdkMeterProvider::builder().with_reader(reader).build();
+        Self { provider, text }
+    }
+
+    /// Returns the meter that the process's instruments come from.
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("mangocross")
+    }
+
+    /// Collects all metrics and returns them as text, one value a line.
+    pub fn text(&self) -> String {
+        if let Err(error) = self.provider.force_flush() {
+            log::warn!("metrics could not be collected: {error}");
+        }
+        self.text.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// Keeps the newest metrics as text.
+#[derive(Debug)]
+struct TextExporter {
+    text: Arc<Mutex<String>>,
+    interval: Duration,
+    logged_at: Mutex<Instant>,
+}
+
+impl TextExporter {
+    /// Writes the totals to the log once an interval, however often they are collected.
+    fn log(&self, text: &str) {
+        let now = Instant::now();
+        let mut logged_at = self.logged_at.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.duration_since(*logged_at) + LOG_SLACK >= self.interval {
+            *logged_at = now;
+            let values: Vec<&str> = text.lines().filter(|it| !it.starts_with('#')).collect();
+            log::info!(target: "metrics", "{}", values.join("; "));
+        }
+    }
+}
+
+impl PushMetricExporter for TextExporter {
+    async fn export(&self, metrics: &ResourceMetrics) -> OTelSdkResult {
+        let text = render(metrics);
+        self.log(&text);
+        *self.text.lock().unwrap_or_else(PoisonError::into_inner) = text;
+        Ok(())
+    }
+
+    fn force_flush(&self) -> OTelSdkResult {
+        Ok(())
+    }
+
+    fn shutdown_with_timeout(&self, _timeout: Duration) -> OTelSdkResult {
+        Ok(())
+    }
+
+    fn temporality(&self) -> Temporality {
+        Temporality::Cumulative
+    }
+}
--- /dev/null
+++ b/crates/mangocross-telemetry/src/tracing.rs
@@ -0,0 +1,100 @@
+//! Traces: a span for each hop, written as JSON lines.
+
+use std::collections::HashMap;
+
+use opentelemetry::Context;
+use opentelemetry::KeyValue;
+use opentelemetry::Value;
+use opentelemetry::propagation::TextMapPropagator;
+use opentelemetry::trace::Status;
+use opentelemetry::trace::TraceContextExt;
+use opentelemetry::trace::Tracer;
+use opentelemetry::trace::TracerProvider;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use opentelemetry_sdk::trace::Sampler;
+use opentelemetry_sdk::trace::SdkTracer;
+use opentelemetry_sdk::trace::SdkTracerProvider;
+
+use crate::span_lines::SpanLines;
+
+/// Header that carries the trace from hop to hop.
+const TRACEPARENT: &str = "traceparent";
+
+/// Starts the spans of a process.
+#[derive(Debug)]
+pub struct Tracing {
+    provider: SdkTracerProvider,
+    tracer: SdkTracer,
+}
+
+/// One hop of a request; it ends when dropped.
+#[derive(Debug)]
+pub struct Span {
+    context: Context,
+}
+
+impl Tracing {
+    /// Starts tracing a share of the requests that bring no decision of their own, from 0 to 1.
+    ///
+    /// Spans wait in a queue of bounded length and are written by a thread of their own; when the
+    /// queue is full, spans are dropped.
+    pub fn open(process: &'static str, vm: &str, share: f64) -> Self {
+        let sampler = Sampler::ParentBased(Box::new(Sampler::TraceIdRatioBased(share)));
+        let provider = SdkTracerProvider::builder()
+            .with_sampler(sampler)
+            .with_batch_exporter(SpanLines::new(process, vm))
+            .build();
+        let tracer = provider.tracer("mangocross");
+        Self { provider, tracer }
+    }
+
+    /// Starts the span of a request that came with the given `traceparent`, if any.
+    pub fn request(&self, name: &'static str, traceparent: Option<&str>) -> Span {
+        let header = traceparent.map(|it| (TRACEPARENT.to_owned(), it.to_owned()));
+        let headers: HashMap<String, String> = header.into_iter().collect();
+        let parent = TraceContextPropagator::new().extract_with_context(&Context::new(), &headers);
+        self.start(name, &parent)
+    }
+
+    /// Starts the span of a step within another one.
+    pub fn step(&self, name: &'static str, parent: &Span) -> Span {
+        self.start(name, &parent.context)
+    }
+
+    /// Writes the spans that wait, at the end of the process.
+    pub fn close(&self) {
+        if let Err(error) = self.provider.shutdown() {
+            log::warn!("some spans were not written: {error}");
+        }
+    }
+
+    fn start(&self, name: &'static str, parent: &Context) -> Span {
+        let span = self.tracer.start_with_context(name, parent);
+        Span { context: parent.with_span(span) }
+    }
+}
+
+impl Span {
+    /// Adds an attribute.
+    pub fn set(&self, key: &'static str, value: impl Into<Value>) {
+        self.context.span().set_attribute(KeyValue::new(key, value));
+    }
+
+    /// Marks the hop as failed.
+    pub fn fail(&self, message: String) {
+        self.context.span().set_status(Status::error(message));
+    }
+
+    /// Returns the `traceparent` for the next hop.
+    pub fn traceparent(&self) -> Option<String> {
+        let mut headers = HashMap::new();
+        TraceContextPropagator::new().inject_context(&self.context, &mut headers);
+        headers.remove(TRACEPARENT)
+    }
+}
+
+impl Drop for Span {
+    fn drop(&mut self) {
+        self.context.span().end();
+    }
+}
--- a/peers/peer-engine/src/client.rs
+++ b/peers/peer-engine/src/client.rs
@@ -88,9 +88,13 @@
         &self,
         address: SocketAddr,
         request: &GenerateRequest,
+        traceparent: Option<&str>,
         timeouts: HttpTimeouts,
     ) -> Result<GenerateStream, EngineError> {
-        let call = HttpCall::new(HttpMethod::Post, address, "/v1/generate").json(request);
+        let mut call = HttpCall::new(HttpMethod::Post, address, "/v1/generate").json(request);
+        if let Some(traceparent) = traceparent {
+            call = call.header("traceparent", traceparent);
+        }
         let answer = self.call(call.timeouts(timeouts))?;
         let said_not_run = answer.header("x-run-outcome") == Some(RunOutcome::NotRun.as_str());
         match answer.status() {
--- a/peers/peer-service/src/client.rs
+++ b/peers/peer-service/src/client.rs
@@ -40,6 +40,8 @@
     pub customer: CustomerId,
     /// The caller's idempotency key, if any.
     pub idempotency_key: Option<String>,
+    /// Trace context for the service, if any.
+    pub traceparent: Option<String>,
 }
 
 /// A whole answer of a service.
@@ -122,6 +124,9 @@
     if let Some(key) = &call.idempotency_key {
         http = http.header("idempotency-key", key);
     }
+    if let Some(traceparent) = &call.traceparent {
+        http = http.header("traceparent", traceparent);
+    }
     http
 }
 
