--- a/bins/mangocross-gateway/src/generate.rs
+++ b/bins/mangocross-gateway/src/generate.rs
@@ -7,9 +7,11 @@
 use mangocross_coordination::AnswerProgress;
 use mangocross_coordination::ProvenGroup;
 use mangocross_http::ServerRequest;
+use mangocross_policy::PrefixHash;
 use mangocross_types::KindTarget;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
+use mangocross_types::RunOutcome;
 use peer_caller::ChatRequest;
 use peer_caller::respond_refusal;
 
@@ -20,10 +22,14 @@
 use crate::handler::Incoming;
 use crate::handler::body_refusal;
 use crate::retry_after::spread;
+use crate::routing::prefix_hash;
 use crate::state::GatewayState;
+use crate::state::lock;
 
 /// Attempts for one request, the first one included.
 const ATTEMPTS_MAX: u32 = 4;
+/// Longest deadline that a caller can ask for.
+const DEADLINE_MAX: Duration = Duration::from_secs(3_600);
 /// When to come back after a refusal because no group is complete.
 const NO_GROUP_RETRY: Duration = Duration::from_secs(1);
 /// Time between looks for another group once an answer has begun.
@@ -33,14 +39,20 @@
 pub(crate) fn handle(state: &GatewayState, mut request: ServerRequest, incoming: &Incoming) {
     let chat = match read_chat(state, &mut request, incoming) {
         Ok(chat) => chat,
-        Err(refusal) => return respond_refusal(request, &refusal, Some(&incoming.id)),
+        Err(refusal) => {
+            incoming.ended(state, refusal.outcome, Some(refusal.code));
+            state.record_failure(&incoming.id, &refusal);
+            return respond_refusal(request, &refusal, Some(&incoming.id));
+        }
     };
     let now = state.clock.now();
     let keep_alive = Duration::from_millis(state.settings.keep_alive_ms);
     let delivery = Delivery::new(request, incoming, &chat, keep_alive, now);
     let deadline = incoming.headers.deadline;
     let deadline = deadline.unwrap_or(Duration::from_millis(incoming.kind.deadline_ms));
-    let answer = Answer { state, incoming, chat: &chat, deadline: now + deadline };
+    let deadline = deadline.min(DEADLINE_MAX);
+    let prefix = prefix_hash(&chat.prompt());
+    let answer = Answer { state, incoming, chat: &chat, prefix, deadline: now + deadline };
     answer.run(delivery);
 }
 
@@ -74,6 +86,7 @@
     state: &'a GatewayState,
     incoming: &'a Incoming,
     chat: &'a ChatRequest,
+    prefix: PrefixHash,
     deadline: Instant,
 }
 
@@ -83,34 +96,62 @@
         let mut refusal = no_group();
         while progress.may_begin() && self.state.clock.now() < self.deadline {
             let Some(group) = self.choose(&progress, &mut delivery) else { break };
+            if progress.attempts() > 0 {
+                self.state.metrics.retried();
+            }
             progress.begin(&group);
             let attempt = Attempt {
                 state: self.state,
                 incoming: self.incoming,
                 chat: self.chat,
+                prefix: self.prefix,
                 group: &group,
                 deadline: self.deadline,
             };
             match attempt.run(&mut progress, &mut delivery) {
                 AttemptEnd::Whole(reason) => {
+                    lock(&self.state.retry_budget).succeeded();
+                    self.incoming.ended(self.state, RunOutcome::Ran, None);
                     delivery.finish(progress.next(), reason);
                     return self.log(&format!("answered in {} attempts", progress.attempts()));
                 }
-                AttemptEnd::CallerGone => return self.log("the caller is gone"),
+                AttemptEnd::CallerGone => {
+                    self.incoming.ended(self.state, RunOutcome::Unknown, None);
+                    return self.log("the caller is gone");
+                }
+                AttemptEnd::Left(failure) => {
+                    self.log(&format!("group {} was left: {}", group.group, failure.message));
+                    progress.failed(failure.outcome);
+                    refusal = failure;
+                }
                 AttemptEnd::Failed(failure) => {
                     self.log(&format!("attempt at group {} failed: {failure:?}", group.group));
                     progress.failed(failure.outcome);
+                    let paid = self.may_retry(&failure);
                     refusal = failure;
+                    if !paid {
+                        break;
+                    }
                 }
             }
         }
+        if progress.attempts() == 0 && self.state.clock.now() >= self.deadline {
+            let text = "the deadline had passed before an attempt; allow more time";
+            refusal = Refusal::not_run(ResultCode::DeadlineExceeded, text);
+        }
         refusal.outcome = progress.outcome();
         self.log(&format!("failed: {} {}", refusal.code, refusal.message));
         let refusal = refusal.retry_after(spread(NO_GROUP_RETRY));
+        self.incoming.ended(self.state, refusal.outcome, Some(refusal.code));
         self.state.record_failure(&self.incoming.id, &refusal);
         delivery.fail(&refusal);
     }
 
+    /// Takes a retry out of the budget; one after an attempt that certainly did not run is free.
+    fn may_retry(&self, failure: &Refusal) -> bool {
+        failure.outcome == RunOutcome::NotRun || lock(&self.state.retry_budget).try_retry()
+    }
+
     /// Chooses a group; an answer that has begun waits a while for one.
     ///
     /// A request without a first token is given up at once, so that its caller knows.
@@ -123,8 +164,10 @@
         let until = self.deadline.min(self.state.clock.now() + wait);
         loop {
             let model = &self.chat.model;
-            if let Some(group) = choosing::choose(self.state, self.incoming, model, progress) {
-                return Some(group);
+            let (state, incoming) = (self.state, self.incoming);
+            let group = choosing::choose(state, incoming, model, self.prefix, progress);
+            if group.is_some() {
+                return group;
             }
             let now = self.state.clock.now();
             if !progress.has_begun() || now >= until || delivery.keep_alive(now).is_err() {
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -12,7 +12,6 @@
 use mangocross_coordination::Voucher;
 use mangocross_operator::check_configuration;
 use mangocross_types::EntryVmSpec;
-use peer_entry::CustomerUsage;
 use peer_entry::PeerKey;
 use peer_entry::Poll;
 use peer_entry::PollReply;
@@ -79,7 +78,8 @@
     }
 
     fn poll(&self, to: SocketAddr) -> Poll {
-        let usage = self.state.in_flight_by_customer().into_iter();
+        let configuration = self.state.configuration();
+        let usage = self.state.admitting.usage(&configuration, self.state.clock.now());
         // A guard in the literal below would be held while other locks are taken.
         let revision = self.state.freshness().in_force();
         Poll {
@@ -89,13 +89,7 @@
             process_id: self.state.process_id,
             revision,
             serving: !self.state.stopping.load(Ordering::SeqCst),
-            usage: usage
-                .map(|(customer, in_flight)| CustomerUsage {
-                    customer,
-                    in_flight,
-                    demand_per_second: 0,
-                })
-                .collect(),
+            usage,
             failures: if self.is_own_coordinator(to) {
                 self.state.failures.take()
             } else {
@@ -120,6 +114,7 @@
         if behind {
             self.fetch(from);
         }
+        self.state.admitting.heard(reply.usage, asked_at);
         let mut proofs = lock(&self.state.proofs);
         for proof in &reply.proofs {
             proofs.record(proof, asked_at);
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -1,6 +1,5 @@
 //! What the gateway's threads share.
 
-use std::collections::HashMap;
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,11 +17,11 @@
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProofTable;
 use mangocross_coordination::ServiceTable;
+use mangocross_policy::RetryBudget;
 use mangocross_settings::GatewaySettings;
+use mangocross_telemetry::Tracing;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
-use mangocross_types::CustomerId;
-use mangocross_types::GroupId;
 use mangocross_types::Refusal;
 use mangocross_types::RequestId;
 use mangocross_types::ResultCode;
@@ -34,7 +33,11 @@
 use peer_service::ServiceClient;
 use peer_store::HttpStore;
 
+use crate::admitting::Admitting;
 use crate::failures::FailureLog;
+use crate::metrics::GatewayMetrics;
+use crate::retry_after::spread;
+use crate::routing::Routing;
 
 /// When to come back after a refusal because the configuration may be old.
 const FRESHNESS_RETRY: Duration = Duration::from_secs(2);
@@ -55,23 +58,34 @@
     pub(crate) claims: ClaimLog,
     pub(crate) engines: EngineClient,
     pub(crate) services: ServiceClient,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) tracing: Tracing,
+    /// Whether a planned stop has begun; requests are still served while the balancer notices.
     pub(crate) stopping: AtomicBool,
+    /// Whether new requests are refused, as the balancer has had time to notice the stop.
+    pub(crate) refusing: AtomicBool,
     pub(crate) failures: FailureLog,
     configuration: Mutex<(Arc<Configuration>, Arc<str>)>,
     freshness: Mutex<Freshness>,
     pub(crate) proofs: Mutex<ProofTable>,
     pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) service_servers: Mutex<ServiceTable>,
-    in_flight_by_group: Mutex<HashMap<GroupId, u32>>,
-    in_flight_by_customer: Mutex<HashMap<CustomerId, u32>>,
+    pub(crate) admitting: Admitting,
+    pub(crate) routing: Routing,
+    pub(crate) retry_budget: Mutex<RetryBudget>,
 }
 
 impl GatewayState {
     pub(crate) fn open(settings: GatewaySettings, clock: Arc<dyn Clock>) -> Result<Self, String> {
         let now = clock.now();
         let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
+        let first_token_target = Duration::from_millis(settings.first_token_ms) / 2;
+        let routing = Routing::new(settings.group_in_flight_start, first_token_target);
         let store = Arc::new(HttpStore::open(settings.store).timeout(CLAIM_CALL_TIMEOUT));
         let claims = ClaimLog::spawn(store, Arc::clone(&clock), ClaimLimits::default());
+        let metrics = GatewayMetrics::open(Duration::from_millis(settings.metrics_log_ms));
+        let vm = settings.vm.as_str();
+        let tracing = Tracing::open("mangocross-gateway", vm, settings.trace_share);
         Ok(Self {
             claims: claims.map_err(|it| format!("no thread for claims: {it}"))?,
             settings,
@@ -79,15 +93,19 @@
             process_id: fastrand::u64(..),
             engines: EngineClient::open(),
             services: ServiceClient::open(),
+            metrics,
+            tracing,
             stopping: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
             failures: FailureLog::default(),
             configuration: Mutex::new((Arc::new(Configuration::default()), Arc::from(""))),
             freshness: Mutex::new(Freshness::new(bounds, now)),
             proofs: Mutex::new(ProofTable::default()),
             leaving: Mutex::new(LeavingTable::new(LEAVING_KEPT)),
             service_servers: Mutex::new(ServiceTable::new(SERVER_KEPT)),
-            in_flight_by_group: Mutex::new(HashMap::new()),
-            in_flight_by_customer: Mutex::new(HashMap::new()),
+            admitting: Admitting::default(),
+            routing,
+            retry_budget: Mutex::new(RetryBudget::default()),
         })
     }
 
@@ -134,7 +152,8 @@
                 "neither the store nor enough entry VMs ({vouching} of {needed}) vouch for the configuration"
             ),
         };
-        Some(Refusal::not_run(ResultCode::NotFresh, text).retry_after(FRESHNESS_RETRY))
+        let refusal = Refusal::not_run(ResultCode::NotFresh, text);
+        Some(refusal.retry_after(spread(FRESHNESS_RETRY)))
     }
 
     /// Returns those backend servers of a service that are not leaving.
@@ -155,49 +174,6 @@
     pub(crate) fn record_failure(&self, request: &RequestId, refusal: &Refusal) {
         self.failures.record(request, refusal, self.clock.wall());
     }
-
-    pub(crate) fn in_flight_at(&self, group: &GroupId) -> u32 {
-        lock(&self.in_flight_by_group).get(group).copied().unwrap_or_default()
-    }
-
-    pub(crate) fn in_flight_by_customer(&self) -> HashMap<CustomerId, u32> {
-        lock(&self.in_flight_by_customer).clone()
-    }
-
-    /// Counts a request at a group until the guard is dropped.
-    pub(crate) fn enter_group<'a>(&'a self, group: &GroupId) -> Counted<'a, GroupId> {
-        Counted::new(&self.in_flight_by_group, group.clone())
-    }
-
-    /// Counts a request of a customer until the guard is dropped.
-    pub(crate) fn enter_customer<'a>(&'a self, customer: &CustomerId) -> Counted<'a, CustomerId> {
-        Counted::new(&self.in_flight_by_customer, customer.clone())
-    }
-}
-
-/// Counts one request under a key until dropped.
-pub(crate) struct Counted<'a, K: std::hash::Hash + Eq> {
-    counts: &'a Mutex<HashMap<K, u32>>,
-    key: K,
-}
-
-impl<'a, K: std::hash::Hash + Eq + Clone> Counted<'a, K> {
-    fn new(counts: &'a Mutex<HashMap<K, u32>>, key: K) -> Self {
-        *lock(counts).entry(key.clone()).or_default() += 1;
-        Self { counts, key }
-    }
-}
-
-impl<K: std::hash::Hash + Eq> Drop for Counted<'_, K> {
-    fn drop(&mut self) {
-        let mut counts = lock(self.counts);
-        if let Some(count) = counts.get_mut(&self.key) {
-            *count -= 1;
-            if *count == 0 {
-                counts.remove(&self.key);
-            }
-        }
-    }
 }
 
 /// Locks a mutex; each value is whole after every statement that changes it.
