fix(coordination): count a vouch no longer than its coordinator waits for it

A gateway with a longer vouch_ms than the coordinator that accepts could serve on after acceptance; replies carry the coordinator's own value now. A repeated id of a whole document is told from one with another document by its hash. Seen red: vouch_counts_no_longer_than_its_voucher_waits_for_it with the own bound only.

--- a/benches/src/bin/capacity.rs
+++ b/benches/src/bin/capacity.rs
@@ -114,7 +114,12 @@
     let mut freshness = Freshness::new(FreshnessBounds { vouch: Duration::from_secs(6) }, now);
     freshness.applied(Revision(1));
     let vms: Vec<EntryVmSpec> = (0..entry_vms).map(sample::entry_vm).collect();
-    let vouch = Vouch { newest_known: Revision(1), established: true, store_age: None };
+    let vouch = Vouch {
+        newest_known: Revision(1),
+        established: true,
+        store_age: None,
+        bound: Duration::from_secs(6),
+    };
     for vm in &vms {
         freshness.peer_said(&Voucher::from(vm), vouch, now);
     }
--- a/bins/mangocross-coordinator/src/changes.rs
+++ b/bins/mangocross-coordinator/src/changes.rs
@@ -25,6 +25,8 @@
 
 /// Commands remembered so that a repeat is harmless.
 const RECENT_COMMANDS_MAX: usize = 128;
+/// Digits of the hash by which a document is remembered.
+const DOCUMENT_HASH_DIGITS: usize = 16;
 /// When to come back while the store does not answer.
 const STORE_RETRY: Duration = Duration::from_secs(5);
 /// When to come back while the revision before is not in force.
@@ -100,7 +102,7 @@
     else {
         return Ok(None);
     };
-    if done.text != request.text {
+    if done.text != remembered_text(request) {
         let text = format!("command id {} was given to `{}`; use another id", done.id, done.text);
         return Err(Refusal::not_run(ResultCode::MalformedRequest, text));
     }
@@ -132,13 +134,25 @@
     wanted.recent_commands.clone_from(&base.configuration.recent_commands);
     wanted.recent_commands.push(RecentCommand {
         id: request.command_id.clone(),
-        text: request.text.clone(),
+        text: remembered_text(request),
         based_on: base.revision,
     });
     let surplus = wanted.recent_commands.len().saturating_sub(RECENT_COMMANDS_MAX);
     wanted.recent_commands.drain(..surplus);
 }
 
+/// Returns the line as it is remembered: a document that came with it is named by its hash.
+fn remembered_text(request: &OperatorRequest) -> String {
+    match &request.configuration {
+        None => request.text.clone(),
+        Some(document) => {
+            let text = serde_json::to_string(document).unwrap_or_default();
+            let hash = blake3::hash(text.as_bytes()).to_hex();
+            format!("{} {}", request.text, &hash[..DOCUMENT_HASH_DIGITS])
+        }
+    }
+}
+
 /// Answers a command whose write found another revision in place.
 fn lost_race(
     state: &CoordinatorState,
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -100,6 +100,7 @@
                 newest_known: reply.newest_known,
                 established: reply.established,
                 store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
+                bound: Duration::from_millis(reply.vouch_ms.into()),
             };
             freshness.peer_said(&voucher, vouch, asked_at);
             freshness.establish(&configuration.entry_vms, &self.state.settings.vm);
@@ -151,6 +152,7 @@
         revision,
         newest_known: vouch.newest_known,
         established: vouch.established,
+        vouch_ms: milliseconds(vouch.bound),
         store_age_ms: vouch.store_age.map(milliseconds_up),
         proofs: proofs(state, now),
         domains: summaries(state),
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -111,6 +111,7 @@
                 newest_known: reply.newest_known,
                 established: reply.established,
                 store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
+                bound: Duration::from_millis(reply.vouch_ms.into()),
             };
             freshness.peer_said(&voucher, vouch, asked_at);
             reply.revision > freshness.in_force()
--- a/crates/mangocross-coordination/src/freshness.rs
+++ b/crates/mangocross-coordination/src/freshness.rs
@@ -67,6 +67,8 @@
     pub established: bool,
     /// Time since the store confirmed that nothing newer was there.
     pub store_age: Option<Duration>,
+    /// How long the coordinator waits for vouches to run out; a vouch counts no longer than that.
+    pub bound: Duration,
 }
 
 /// What a node knows about the newest revision.
@@ -78,7 +80,8 @@
     in_force: Revision,
     newest_known: Revision,
     store_confirmed_at: Option<Instant>,
-    vouched_at: HashMap<Voucher, Instant>,
+    store_until: Option<Instant>,
+    vouched_until: HashMap<Voucher, Instant>,
 }
 
 impl Freshness {
@@ -91,7 +94,8 @@
             in_force: Revision(0),
             newest_known: Revision(0),
             store_confirmed_at: None,
-            vouched_at: HashMap::new(),
+            store_until: None,
+            vouched_until: HashMap::new(),
         }
     }
 
@@ -103,9 +107,13 @@
 
     /// Records that the store named `revision` as the newest, when asked at `asked_at`.
     pub fn store_said(&mut self, revision: Revision, asked_at: Instant) {
+        self.store_confirmed(revision, asked_at, self.bounds.vouch);
+    }
+
+    fn store_confirmed(&mut self, revision: Revision, asked_at: Instant, bound: Duration) {
         self.newest_known = self.newest_known.max(revision);
-        let newest = self.store_confirmed_at.map_or(asked_at, |it| it.max(asked_at));
-        self.store_confirmed_at = Some(newest);
+        self.store_confirmed_at = self.store_confirmed_at.max(Some(asked_at));
+        self.store_until = self.store_until.max(Some(asked_at + bound));
         // What the store said of the time before the start may be older than
         // what the process that ran here before had vouched for.
         self.established |= asked_at >= self.started_at;
@@ -114,12 +122,14 @@
     /// Records the reply of a coordinator, which was asked at `asked_at`.
     pub fn peer_said(&mut self, voucher: &Voucher, vouch: Vouch, asked_at: Instant) {
         self.newest_known = self.newest_known.max(vouch.newest_known);
+        let bound = self.bounds.vouch.min(vouch.bound);
         if vouch.established {
-            let heard = self.vouched_at.entry(voucher.clone()).or_insert(asked_at);
-            *heard = (*heard).max(asked_at);
+            let until = asked_at + bound;
+            let vouched = self.vouched_until.entry(voucher.clone()).or_insert(until);
+            *vouched = (*vouched).max(until);
         }
         if let Some(confirmed_at) = vouch.store_age.and_then(|it| asked_at.checked_sub(it)) {
-            self.store_said(vouch.newest_known, confirmed_at);
+            self.store_confirmed(vouch.newest_known, confirmed_at, bound);
         }
     }
 
@@ -129,7 +139,8 @@
             return;
         }
         let others = entry_vms.iter().filter(|it| it.vm != *own);
-        let heard = others.filter(|it| self.vouched_at.contains_key(&Voucher::from(*it))).count();
+        let heard =
+            others.filter(|it| self.vouched_until.contains_key(&Voucher::from(*it))).count();
         self.established |= heard >= majority(entry_vms.len());
     }
 
@@ -139,6 +150,7 @@
             newest_known: self.newest_known,
             established: self.established,
             store_age: self.store_confirmed_at.map(|it| now.duration_since(it)),
+            bound: self.bounds.vouch,
         }
     }
 
@@ -161,9 +173,7 @@
         if !entry_vms.is_empty() && entry_vms.iter().all(|it| it.vm != *own) {
             return Permit::Unlisted;
         }
-        let by_store = self.store_confirmed_at.map(|it| it + self.bounds.vouch);
-        let by_peers = self.majority_until(entry_vms);
-        match by_store.max(by_peers) {
+        match self.store_until.max(self.majority_until(entry_vms)) {
             Some(until) if now < until => Permit::Serve { until },
             _ => Permit::Alone {
                 vouching: self.vouching(entry_vms, now),
@@ -174,17 +184,17 @@
 
     /// Returns until when a majority vouches, if it ever did.
     fn majority_until(&self, entry_vms: &[EntryVmSpec]) -> Option<Instant> {
-        let mut heard: Vec<Instant> = self.heard(entry_vms).collect();
-        heard.sort_unstable_by(|a, b| b.cmp(a));
+        let mut vouched: Vec<Instant> = self.vouched(entry_vms).collect();
+        vouched.sort_unstable_by(|a, b| b.cmp(a));
         let decisive = majority(entry_vms.len()) - 1;
-        heard.get(decisive).map(|it| *it + self.bounds.vouch)
+        vouched.get(decisive).copied()
     }
 
     fn vouching(&self, entry_vms: &[EntryVmSpec], now: Instant) -> usize {
-        self.heard(entry_vms).filter(|it| now < *it + self.bounds.vouch).count()
+        self.vouched(entry_vms).filter(|it| now < *it).count()
     }
 
-    fn heard<'a>(&'a self, entry_vms: &'a [EntryVmSpec]) -> impl Iterator<Item = Instant> + 'a {
-        entry_vms.iter().filter_map(|it| self.vouched_at.get(&Voucher::from(it)).copied())
+    fn vouched<'a>(&'a self, entry_vms: &'a [EntryVmSpec]) -> impl Iterator<Item = Instant> + 'a {
+        entry_vms.iter().filter_map(|it| self.vouched_until.get(&Voucher::from(it)).copied())
     }
 }
--- a/crates/mangocross-coordination/tests/acceptance.rs
+++ b/crates/mangocross-coordination/tests/acceptance.rs
@@ -39,7 +39,7 @@
 }
 
 fn vouch(newest_known: u64) -> Vouch {
-    Vouch { newest_known: Revision(newest_known), established: true, store_age: None }
+    Vouch { newest_known: Revision(newest_known), established: true, store_age: None, bound: VOUCH }
 }
 
 fn accepted(tracker: &mut AcceptanceTracker, now: Instant) -> bool {
@@ -156,3 +156,19 @@
     let until = start + VOUCH;
     assert_eq!(gateway.permit(&entry_vms(), &entry_vm(1).vm, start), Permit::Serve { until });
 }
+
+#[test]
+fn vouch_counts_no_longer_than_its_voucher_waits_for_it() {
+    let start = Instant::now();
+    let mut gateway = Freshness::new(FreshnessBounds { vouch: 10 * VOUCH }, start);
+    gateway.applied(Revision(1));
+    for number in [1, 2] {
+        let said = Vouch { store_age: Some(Duration::ZERO), ..vouch(1) };
+        gateway.peer_said(&Voucher::from(&entry_vm(number)), said, start);
+    }
+    let own = entry_vm(1).vm;
+    let until = start + VOUCH;
+    assert_eq!(gateway.permit(&entry_vms(), &own, start), Permit::Serve { until });
+    let permit = gateway.permit(&entry_vms(), &own, until);
+    assert_eq!(permit, Permit::Alone { vouching: 0, needed: 2 });
+}
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -105,6 +105,8 @@
     pub newest_known: Revision,
     /// Whether the answerer vouches that it knows of nothing newer.
     pub established: bool,
+    /// How long the answerer waits for vouches to run out, in milliseconds.
+    pub vouch_ms: u32,
     /// Time since the store confirmed that nothing newer than `newest_known` was
     /// there, in milliseconds, rounded up; `None` if it never did.
     pub store_age_ms: Option<u32>,
--- a/peers/peer-entry/tests/frames.rs
+++ b/peers/peer-entry/tests/frames.rs
@@ -65,6 +65,7 @@
         revision: Revision(3),
         newest_known: Revision(3),
         established: true,
+        vouch_ms: 6_000,
         store_age_ms: None,
         proofs: Vec::new(),
         domains: Vec::new(),
--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -253,3 +253,21 @@
     assert_eq!(replace(Some(vec![named(1), named(2)])).expect("accepted").code, None);
     assert_eq!(code(&status(&cluster, 2)), Some(ResultCode::NotFresh));
 }
+
+#[test]
+fn repeated_id_with_another_document_is_refused() {
+    let cluster = start(2);
+    let current = cluster.operate(0, "show config").expect("the coordinator answers");
+    let document: Configuration = serde_json::from_str(&current.message).expect("a configuration");
+    let first = OperatorRequest {
+        configuration: Some(document.clone()),
+        ..request("c-whole", "replace config")
+    };
+    let accepted = cluster.operate_with(0, &first).expect("accepted");
+    let repeated = cluster.operate_with(1, &first).expect("a repeat is accepted");
+    assert_eq!(repeated.revision, accepted.revision);
+    let other = Configuration { customers: Vec::new(), ..document };
+    let second = OperatorRequest { configuration: Some(other), ..first };
+    let refused = cluster.operate_with(0, &second).expect_err("another document is refused");
+    assert!(refused.contains("use another id"), "{refused}");
+}
