--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -23,6 +23,7 @@
 mod queries;
 mod registration;
 mod state;
+mod why;
 
 /// Owns fabric domains, proves groups complete and answers operators.
 #[derive(Debug, Clone, Bpaf)]
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -8,6 +8,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,12 +19,16 @@
 use mangocross_coordination::FreshnessBounds;
 use mangocross_coordination::HeldAssignment;
 use mangocross_coordination::LeavingTable;
+use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
+use mangocross_coordination::preferred_owner;
+use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
 use mangocross_types::FabricDomain;
 use mangocross_types::Placements;
+use mangocross_types::PolicyWeights;
 use mangocross_types::RequestId;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
@@ -32,12 +38,15 @@
 use peer_entry::DomainSummary;
 use peer_entry::FetchSource;
 use peer_entry::RequestFailure;
+use peer_entry::ServiceServer;
 use peer_platform::PlatformClient;
 use peer_store::HttpStore;
 use peer_store::Store;
 
 use crate::failures::KnownFailures;
 
+/// Expected time to load weights that are on the VM already.
+const WARM_LOAD: Duration = Duration::from_secs(1);
 /// Earlier texts of the configuration that are remembered.
 const EARLIER_KEPT_MAX: usize = 16;
 
@@ -76,10 +85,12 @@
     pub(crate) peers: Mutex<HashMap<VmId, LivePeer>>,
     pub(crate) gateways: Mutex<HashMap<VmId, PollingGateway>>,
     pub(crate) engines_by_domain: Mutex<BTreeMap<FabricDomain, Vec<EngineVm>>>,
+    pub(crate) service_servers: Mutex<Vec<ServiceServer>>,
     pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) probes: Mutex<ProbeTable>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
     pub(crate) placements: Mutex<(Placements, Revision)>,
+    placements_known: AtomicU64,
 }
 
 impl CoordinatorState {
@@ -103,10 +114,12 @@
             peers: Mutex::new(HashMap::new()),
             gateways: Mutex::new(HashMap::new()),
             engines_by_domain: Mutex::new(BTreeMap::new()),
+            service_servers: Mutex::new(Vec::new()),
             leaving: Mutex::new(LeavingTable::new(leaving_kept)),
             probes: Mutex::new(ProbeTable::default()),
             assignments: Mutex::new(BTreeMap::new()),
             placements: Mutex::new((Placements::default(), Revision(0))),
+            placements_known: AtomicU64::new(0),
         }
     }
 
@@ -142,6 +155,16 @@
         log::info!("configuration revision {revision} is in force");
     }
 
+    /// Returns the newest revision of the placements that this coordinator knows of.
+    pub(crate) fn placements_known(&self) -> Revision {
+        Revision(self.placements_known.load(Ordering::SeqCst))
+    }
+
+    /// Records that a revision of the placements exists.
+    pub(crate) fn heard_of_placements(&self, revision: Revision) {
+        self.placements_known.fetch_max(revision.0, Ordering::SeqCst);
+    }
+
     /// Returns the coordinators that answered a poll recently, this one included.
     pub(crate) fn live_coordinators(&self) -> Vec<VmId> {
         let now = self.clock.now();
@@ -155,6 +178,24 @@
         live
     }
 
+    /// Returns whether this coordinator decides where groups belong.
+    pub(crate) fn is_placement_leader(&self) -> bool {
+        let live = self.live_coordinators();
+        preferred_owner(Placements::KEY, &live) == Some(&self.settings.vm)
+    }
+
+    /// Returns the time between reads that all coordinators make.
+    ///
+    /// It grows with their number, so that the store sees a constant rate; the
+    /// placement leader reads as often as alone.
+    pub(crate) fn read_interval(&self, alone: Duration, for_each: Duration) -> Duration {
+        if self.is_placement_leader() {
+            return alone;
+        }
+        let live = u32::try_from(self.live_coordinators().len()).unwrap_or(u32::MAX);
+        alone.max(for_each * live)
+    }
+
     /// Returns the coordinators to poll or to fetch from.
     pub(crate) fn coordinator_addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = self.settings.coordinators.clone();
@@ -181,6 +222,27 @@
         Duration::from_millis(self.settings.order_deadline_ms)
     }
 
+    /// Times that the choice between repair and waiting rests on.
+    pub(crate) fn repair_times(&self, weights: &PolicyWeights) -> RepairTimes {
+        RepairTimes {
+            load: Duration::from_millis(self.settings.expected_load_ms),
+            concurrent_loads: weights.concurrent_loads,
+            loads_before: 0,
+            warm_load: WARM_LOAD,
+            restart: Duration::from_millis(self.settings.expected_restart_ms),
+        }
+    }
+
+    /// Returns whether the configuration held may be acted on.
+    ///
+    /// Under an old one, a group that was started since would count as unwanted.
+    pub(crate) fn has_newest_configuration(&self) -> bool {
+        let entry_vms = self.configuration().entry_vms.clone();
+        let now = self.clock.now();
+        let permit = self.freshness().permit(&entry_vms, &self.settings.vm, now);
+        matches!(permit, Permit::Serve { .. } | Permit::Unlisted)
+    }
+
     /// Returns whether a VM must receive no new work.
     pub(crate) fn is_leaving(&self, vm: &VmId) -> bool {
         let now = self.clock.now();
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -80,12 +80,14 @@
 
     fn poll(&self, to: SocketAddr) -> Poll {
         let usage = self.state.in_flight_by_customer().into_iter();
+        // A guard in the literal below would be held while other locks are taken.
+        let revision = self.state.freshness().in_force();
         Poll {
             nonce: 0,
             vm: self.state.settings.vm.clone(),
             role: ProcessRole::Gateway,
             process_id: self.state.process_id,
-            revision: self.state.freshness().in_force(),
+            revision,
             serving: !self.state.stopping.load(Ordering::SeqCst),
             usage: usage
                 .map(|(customer, in_flight)| CustomerUsage {
@@ -130,5 +132,11 @@
             leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
         }
         leaving.forget_old(self.state.clock.now());
+        drop(leaving);
+        let mut servers = lock(&self.state.service_servers);
+        for it in reply.service_servers {
+            servers.listed(it.vm, it.service, it.address, asked_at);
+        }
+        servers.forget_old(self.state.clock.now());
     }
 }
--- a/peers/peer-entry/tests/frames.rs
+++ b/peers/peer-entry/tests/frames.rs
@@ -67,6 +67,8 @@
         established: true,
         vouch_ms: 6_000,
         store_age_ms: None,
+        placements_revision: Revision(9),
+        service_servers: Vec::new(),
         proofs: Vec::new(),
         domains: Vec::new(),
         leaving: Vec::new(),
