test(configuration): set the poll interval that the short vouches need

The defaults became longer, and the settings of these tests were refused: three polls must fit a vouch.

--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -19,14 +19,21 @@
 
 /// How long a vouch counts in these tests, in milliseconds.
 const VOUCH_MS: u64 = 1_500;
+/// Time between polls in these tests, in milliseconds.
+const POLL_INTERVAL_MS: u64 = 300;
 /// Time after which no vouch from before counts.
 const VOUCHES_OVER: Duration = Duration::from_millis(2 * VOUCH_MS);
 
-fn start(nodes: u16) -> Cluster {
+fn builder(nodes: u16) -> ClusterBuilder {
     ClusterBuilder::new(nodes, &[])
         .coordinator_setting("vouch_ms", VOUCH_MS)
+        .coordinator_setting("poll_interval_ms", POLL_INTERVAL_MS)
         .gateway_setting("vouch_ms", VOUCH_MS)
-        .start()
+        .gateway_setting("poll_interval_ms", POLL_INTERVAL_MS)
+}
+
+fn start(nodes: u16) -> Cluster {
+    builder(nodes).start()
 }
 
 fn status(cluster: &Cluster, node: u16) -> Answer {
@@ -185,11 +192,7 @@
 
 #[test]
 fn change_without_a_majority_is_reported_as_not_yet_in_force() {
-    let cluster = ClusterBuilder::new(3, &[])
-        .coordinator_setting("vouch_ms", VOUCH_MS)
-        .gateway_setting("vouch_ms", VOUCH_MS)
-        .coordinator_setting("in_force_wait_ms", 2 * VOUCH_MS)
-        .start();
+    let cluster = builder(3).coordinator_setting("in_force_wait_ms", 2 * VOUCH_MS).start();
     cluster.coordinators[1].freeze();
     cluster.coordinators[2].freeze();
     let command = request("c-alone", "drain vm vm-1-1");
