--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -101,6 +101,7 @@
                 newest_known: reply.newest_known,
                 established: reply.established,
                 store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
+                bound: Duration::from_millis(reply.vouch_ms.into()),
             };
             freshness.peer_said(&voucher, vouch, asked_at);
             freshness.establish(&configuration.entry_vms, &self.state.settings.vm);
@@ -154,6 +155,7 @@
         revision,
         newest_known: vouch.newest_known,
         established: vouch.established,
+        vouch_ms: milliseconds(vouch.bound),
         store_age_ms: vouch.store_age.map(milliseconds_up),
         placements_revision: state.placements_known(),
         proofs: if for_gateway { proofs(state, now) } else { Vec::new() },
