--- a/crates/mangocross-claims/tests/claim_log.rs
+++ b/crates/mangocross-claims/tests/claim_log.rs
@@ -137,6 +137,17 @@
     Arc::new(ClaimLog::spawn(store, Arc::new(SystemClock), limits).unwrap())
 }
 
+fn manual_clock() -> Arc<ManualClock> {
+    let clock = ManualClock::new();
+    clock.advance(Duration::from_secs(1_796_000_000));
+    Arc::new(clock)
+}
+
+fn open_at(store: &Arc<FakeStore>, clock: &Arc<ManualClock>) -> ClaimLog {
+    let store = Arc::clone(store) as Arc<dyn Store>;
+    ClaimLog::spawn(store, Arc::clone(clock) as _, patient()).unwrap()
+}
+
 /// Waits as long as the machine may need, so that no verdict rests on its speed.
 fn patient() -> ClaimLimits {
     ClaimLimits { claim_wait: WAIT_MAX, record_wait: WAIT_MAX, ..ClaimLimits::default() }
@@ -179,10 +190,8 @@
 #[test]
 fn store_that_is_down_refuses_at_once_and_claims_go_on_after_it() {
     let store = Arc::new(FakeStore::default());
-    let clock = Arc::new(ManualClock::new());
-    clock.advance(Duration::from_secs(1_796_000_000));
-    let claimed = Arc::clone(&store) as Arc<dyn Store>;
-    let log = ClaimLog::spawn(claimed, Arc::clone(&clock) as _, patient()).unwrap();
+    let clock = manual_clock();
+    let log = open_at(&store, &clock);
     store.set(Some(Fault::Down));
     for number in 0..50 {
         let grant = grant(&log, &format!("k{number}"), "a-1");
@@ -236,6 +245,38 @@
     assert_eq!(begin(&other, &retry), Ok(ClaimDecision::Granted));
 }
 
+#[test]
+fn holder_that_wakes_after_ten_minutes_sends_nothing_and_frees_its_frozen_claim() {
+    let store = Arc::new(FakeStore::default());
+    let clock = manual_clock();
+    let (paused, other) = (open_at(&store, &clock), open_at(&store, &clock));
+    let first = grant(&paused, "k", "a-1");
+    assert_eq!(begin(&paused, &first), Ok(ClaimDecision::Granted));
+    assert!(paused.may_send(&first));
+    clock.advance(Duration::from_secs(600));
+    let second = grant(&other, "k", "a-2");
+    assert_eq!(begin(&other, &second), Ok(ClaimDecision::OutcomeUnknown));
+    assert!(!paused.may_send(&first));
+    paused.release(first);
+    assert!(paused.flush(WAIT_MAX));
+    let third = grant(&other, "k", "a-3");
+    assert_eq!(begin(&other, &third), Ok(ClaimDecision::Granted));
+}
+
+#[test]
+fn holder_that_sent_records_its_outcome_over_a_frozen_claim() {
+    let store = Arc::new(FakeStore::default());
+    let clock = manual_clock();
+    let (paused, other) = (open_at(&store, &clock), open_at(&store, &clock));
+    let first = grant(&paused, "k", "a-1");
+    assert_eq!(begin(&paused, &first), Ok(ClaimDecision::Granted));
+    clock.advance(Duration::from_secs(600));
+    let second = grant(&other, "k", "a-2");
+    assert_eq!(begin(&other, &second), Ok(ClaimDecision::OutcomeUnknown));
+    assert!(paused.finish(&first, done()));
+    assert!(matches!(begin(&other, &second), Ok(ClaimDecision::Ran(_))));
+}
+
 #[test]
 fn outcome_is_recorded_when_the_store_comes_back() {
     let store = Arc::new(FakeStore::default());
