--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -71,7 +71,6 @@
 /// Returns a coordinator's reply with a number of proven groups and leaving VMs.
 pub fn reply(groups: usize, leaving: usize) -> PollReply {
     PollReply {
-        service_servers: Vec::new(),
         nonce: u64::MAX,
         vm: id("entry", 1),
         stamp: stamp(),
@@ -79,8 +78,10 @@
         newest_known: Revision(24_000),
         established: true,
         store_age_ms: Some(1_000),
+        placements_revision: Revision(24_000),
         proofs: (0..groups).map(proof).collect(),
         domains: Vec::new(),
+        service_servers: Vec::new(),
         leaving: (0..leaving).map(leaving_vm).collect(),
         usage: Vec::new(),
     }
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -2,11 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,12 +19,16 @@
 use mangocross_coordination::FreshnessBounds;
 use mangocross_coordination::HeldAssignment;
 use mangocross_coordination::LeavingTable;
+use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
+use mangocross_coordination::preferred_owner;
+use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
 use mangocross_types::FabricDomain;
 use mangocross_types::Placements;
+use mangocross_types::PolicyWeights;
 use mangocross_types::RequestId;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
@@ -38,10 +45,17 @@
 
 use crate::failures::KnownFailures;
 
+/// Expected time to load weights that are on the VM already.
+const WARM_LOAD: Duration = Duration::from_secs(1);
+/// Earlier texts of the configuration that are remembered.
+const EARLIER_KEPT_MAX: usize = 16;
+
 /// A coordinator that answers polls.
 #[derive(Debug, Clone)]
 pub(crate) struct LivePeer {
     pub(crate) asked_at: Instant,
+    pub(crate) newest_known: Revision,
+    pub(crate) established: bool,
     pub(crate) domains: Vec<DomainSummary>,
 }
 
@@ -65,6 +79,8 @@
     pub(crate) platform: PlatformClient,
     pub(crate) engines: EngineClient,
     configuration: Mutex<(Arc<Configuration>, Arc<str>)>,
+    /// Texts that were in force before, oldest first, for peers that hold one of them.
+    earlier: Mutex<VecDeque<(Revision, Arc<str>)>>,
     freshness: Mutex<Freshness>,
     pub(crate) peers: Mutex<HashMap<VmId, LivePeer>>,
     pub(crate) gateways: Mutex<HashMap<VmId, PollingGateway>>,
@@ -74,6 +90,7 @@
     pub(crate) probes: Mutex<ProbeTable>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
     pub(crate) placements: Mutex<(Placements, Revision)>,
+    placements_known: AtomicU64,
 }
 
 impl CoordinatorState {
@@ -92,6 +109,7 @@
             failures: Mutex::new(KnownFailures::default()),
             acceptance: Mutex::new(AcceptanceTracker::new(bounds.vouch)),
             configuration: Mutex::new((Arc::new(Configuration::default()), Arc::from(""))),
+            earlier: Mutex::new(VecDeque::new()),
             freshness: Mutex::new(Freshness::new(bounds, started_at)),
             peers: Mutex::new(HashMap::new()),
             gateways: Mutex::new(HashMap::new()),
@@ -101,6 +119,7 @@
             probes: Mutex::new(ProbeTable::default()),
             assignments: Mutex::new(BTreeMap::new()),
             placements: Mutex::new((Placements::default(), Revision(0))),
+            placements_known: AtomicU64::new(0),
         }
     }
 
@@ -112,6 +131,13 @@
         lock(&self.freshness)
     }
 
+    /// Returns the configuration in force as it is stored.
+    pub(crate) fn document(&self) -> ConfigurationDocument {
+        let held = lock(&self.configuration);
+        let revision = lock(&self.freshness).in_force();
+        ConfigurationDocument { revision, text: held.1.as_ref().to_owned() }
+    }
+
     /// Puts a configuration in force unless a newer one already is.
     pub(crate) fn apply(&self, revision: Revision, configuration: Configuration, text: &str) {
         let mut held = lock(&self.configuration);
@@ -119,11 +145,26 @@
         if revision <= freshness.in_force() {
             return;
         }
-        *held = (Arc::new(configuration), Arc::from(text));
+        let before = std::mem::replace(&mut *held, (Arc::new(configuration), Arc::from(text)));
+        let mut earlier = lock(&self.earlier);
+        earlier.push_back((freshness.in_force(), before.1));
+        let surplus = earlier.len().saturating_sub(EARLIER_KEPT_MAX);
+        earlier.drain(..surplus);
+        drop(earlier);
         freshness.applied(revision);
         log::info!("configuration revision {revision} is in force");
     }
 
+    /// Returns the newest revision of the placements that this coordinator knows of.
+    pub(crate) fn placements_known(&self) -> Revision {
+        Revision(self.placements_known.load(Ordering::SeqCst))
+    }
+
+    /// Records that a revision of the placements exists.
+    pub(crate) fn heard_of_placements(&self, revision: Revision) {
+        self.placements_known.fetch_max(revision.0, Ordering::SeqCst);
+    }
+
     /// Returns the coordinators that answered a poll recently, this one included.
     pub(crate) fn live_coordinators(&self) -> Vec<VmId> {
         let now = self.clock.now();
@@ -137,6 +178,24 @@
         live
     }
 
+    /// Returns whether this coordinator decides where groups belong.
+    pub(crate) fn is_placement_leader(&self) -> bool {
+        let live = self.live_coordinators();
+        preferred_owner(Placements::KEY, &live) == Some(&self.settings.vm)
+    }
+
+    /// Returns the time between reads that all coordinators make.
+    ///
+    /// It grows with their number, so that the store sees a constant rate; the
+    /// placement leader reads as often as alone.
+    pub(crate) fn read_interval(&self, alone: Duration, for_each: Duration) -> Duration {
+        if self.is_placement_leader() {
+            return alone;
+        }
+        let live = u32::try_from(self.live_coordinators().len()).unwrap_or(u32::MAX);
+        alone.max(for_each * live)
+    }
+
     /// Returns the coordinators to poll or to fetch from.
     pub(crate) fn coordinator_addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = self.settings.coordinators.clone();
@@ -163,6 +222,27 @@
         Duration::from_millis(self.settings.order_deadline_ms)
     }
 
+    /// Times that the choice between repair and waiting rests on.
+    pub(crate) fn repair_times(&self, weights: &PolicyWeights) -> RepairTimes {
+        RepairTimes {
+            load: Duration::from_millis(self.settings.expected_load_ms),
+            concurrent_loads: weights.concurrent_loads,
+            loads_before: 0,
+            warm_load: WARM_LOAD,
+            restart: Duration::from_millis(self.settings.expected_restart_ms),
+        }
+    }
+
+    /// Returns whether the configuration held may be acted on.
+    ///
+    /// Under an old one, a group that was started since would count as unwanted.
+    pub(crate) fn has_newest_configuration(&self) -> bool {
+        let entry_vms = self.configuration().entry_vms.clone();
+        let now = self.clock.now();
+        let permit = self.freshness().permit(&entry_vms, &self.settings.vm, now);
+        matches!(permit, Permit::Serve { .. } | Permit::Unlisted)
+    }
+
     /// Returns whether a VM must receive no new work.
     pub(crate) fn is_leaving(&self, vm: &VmId) -> bool {
         let now = self.clock.now();
@@ -177,10 +257,13 @@
 
 impl FetchSource for CoordinatorState {
     fn configuration(&self) -> Option<ConfigurationDocument> {
-        let held = lock(&self.configuration);
-        let revision = lock(&self.freshness).in_force();
-        (revision > Revision(0))
-            .then(|| ConfigurationDocument { revision, text: held.1.as_ref().to_owned() })
+        Some(self.document()).filter(|it| it.revision > Revision(0))
+    }
+
+    fn earlier(&self, revision: Revision) -> Option<Arc<str>> {
+        let earlier = lock(&self.earlier);
+        let found = earlier.iter().find(|(held, _)| *held == revision && revision > Revision(0));
+        found.map(|(_, text)| Arc::clone(text))
     }
 
     fn failure(&self, request: &RequestId) -> Option<RequestFailure> {
--- a/crates/mangocross-coordination/tests/world/mod.rs
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -23,6 +23,7 @@
 use mangocross_coordination::reconcile;
 use mangocross_coordination::take_over;
 use mangocross_coordination::validate;
+use mangocross_policy::RepairTimes;
 use mangocross_types::BackendReport;
 use mangocross_types::Configuration;
 use mangocross_types::DesiredState;
@@ -216,12 +217,13 @@
                 self.after(delay, Event::PollAnswer { to, asked_at });
             }
         }
-        let proven: Vec<(GroupId, Incarnation)> = self
+        let mut proven: Vec<(GroupId, Incarnation)> = self
             .gateway
             .proven(self.now)
             .filter(|it| it.accepts_new)
             .map(|it| (it.group.clone(), it.incarnation))
             .collect();
+        proven.sort();
         for (group, incarnation) in proven {
             let first = self.members_of[&incarnation][0].clone();
             let engine = self.engine(&first);
@@ -298,7 +300,7 @@
         match event {
             Event::Tick { owner } => self.tick(owner),
             Event::ProbeAtEngine { to, engine, asked_at } => {
-                let lag = self.between(0, 1_500);
+                let lag = self.between(0, 4_000);
                 let answers = self.is_answering(engine) && (self.calm || self.random.u32(..50) > 0);
                 let report = answers.then(|| self.engines[engine].report(self.now, lag));
                 let delay = if answers { self.delay() } else { Duration::from_millis(800) };
@@ -389,7 +391,9 @@
         }
         self.owners[to.owner].confirmation_failed =
             purpose == ReadFor::Confirmation && read.is_none();
-        let Some(read) = read else { return };
+        let Some(read) = read else {
+            return self.owners[to.owner].backoff.store_failed();
+        };
         self.hold(to.owner, &read, asked_at);
         let named = read.assignment.as_ref().map(|it| it.fencing_number);
         if purpose == ReadFor::Takeover && (named.is_none() || named == before) {
@@ -475,7 +479,7 @@
         });
         let engines: Vec<EngineVm> = engines.collect();
         reconcile(&DomainInput {
-            assignment: &held.assignment,
+            held,
             configuration: &self.owners[owner].configuration.1,
             placements: &self.placements,
             engines: &engines,
@@ -486,6 +490,13 @@
             stall_limit: STALL_LIMIT,
             lost_after: LOST_AFTER,
             order_lifetime: ORDER_LIFETIME,
+            repair_times: RepairTimes {
+                load: Duration::from_secs(60),
+                concurrent_loads: 8,
+                loads_before: 0,
+                warm_load: Duration::from_secs(1),
+                restart: Duration::from_secs(180),
+            },
         })
     }
 
--- a/peers/peer-entry/src/lib.rs
+++ b/peers/peer-entry/src/lib.rs
@@ -1,11 +1,14 @@
 //! Messages between the processes of entry VMs: UDP polls and TCP fetches.
 
+mod delta;
 mod fetch;
 mod frame;
 mod messages;
 mod poller;
 mod responder;
+mod timed_stream;
 
+pub use delta::Delta;
 pub use fetch::ConfigurationDocument;
 pub use fetch::FetchError;
 pub use fetch::FetchServer;
