test(configuration): name the poll interval that the short vouches of these tests need

The coordinators' default went from 300 ms to 750 ms, and settings must let a vouch outlast three polls, so with vouches of 1,500 ms no coordinator started: 11 tests waited in vain. They name the interval they were written for; green.

--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -17,6 +17,8 @@
 use mangocross_types::RunOutcome;
 use standins::StoreFaults;
 
+/// Time between polls in these tests, in milliseconds; a vouch must outlast three of them.
+const POLL_INTERVAL_MS: u64 = 300;
 /// How long a vouch counts in these tests, in milliseconds.
 const VOUCH_MS: u64 = 1_500;
 /// Time after which no vouch from before counts.
@@ -24,6 +26,7 @@
 
 fn start(nodes: u16) -> Cluster {
     ClusterBuilder::new(nodes, &[])
+        .coordinator_setting("poll_interval_ms", POLL_INTERVAL_MS)
         .coordinator_setting("vouch_ms", VOUCH_MS)
         .gateway_setting("vouch_ms", VOUCH_MS)
         .start()
@@ -186,6 +189,7 @@
 #[test]
 fn change_without_a_majority_is_reported_as_not_yet_in_force() {
     let cluster = ClusterBuilder::new(3, &[])
+        .coordinator_setting("poll_interval_ms", POLL_INTERVAL_MS)
         .coordinator_setting("vouch_ms", VOUCH_MS)
         .gateway_setting("vouch_ms", VOUCH_MS)
         .coordinator_setting("in_force_wait_ms", 2 * VOUCH_MS)
