--- a/bins/mangocross-gateway/src/main.rs
+++ b/bins/mangocross-gateway/src/main.rs
@@ -7,6 +7,7 @@
 use bpaf::Bpaf;
 use mangocross_settings::GatewaySettings;
 
+mod admitting;
 mod attempt;
 mod choosing;
 mod claim;
@@ -17,9 +18,11 @@
 mod generate;
 mod handler;
 mod idempotent;
+mod metrics;
 mod once;
 mod peers;
 mod retry_after;
+mod routing;
 mod service;
 mod state;
 
