--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -29,8 +29,10 @@
 
 /// Time between looks at the owned domains.
 const TICK: Duration = Duration::from_millis(250);
-/// Time between reads of all assignments.
-const READ_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Time between reads of all assignments by a coordinator alone.
+const READ_INTERVAL: Duration = Duration::from_millis(5_000);
+/// Time between reads of all assignments by any two coordinators.
+const READ_SPACING: Duration = Duration::from_millis(100);
 /// First wait before a domain is taken over again from another live coordinator.
 const TAKEOVER_WAIT: Duration = Duration::from_millis(1_000);
 
@@ -44,7 +46,8 @@
     let mut read_at: Option<Instant> = None;
     loop {
         let now = state.clock.now();
-        if read_at.is_none_or(|it| now.duration_since(it) >= READ_INTERVAL) {
+        let interval = state.read_interval(READ_INTERVAL, READ_SPACING);
+        if read_at.is_none_or(|it| now.duration_since(it) >= interval) {
             read_all(state);
             read_at = Some(now);
         }
@@ -115,7 +118,7 @@
 
     fn look_after(&mut self, domain: &FabricDomain) -> Result<(), StoreError> {
         let state = Arc::clone(&self.state);
-        if !self.is_owner(domain)? {
+        if !self.is_owner(domain)? || !state.has_newest_configuration() {
             return Ok(());
         }
         let Some(mut view) = DomainView::take(&state, domain) else { return Ok(()) };
@@ -162,7 +165,7 @@
         let is_live =
             |it: &VmId| *it != state.settings.vm && state.live_coordinators().contains(it);
         if backoff.may_take_over(recorded.is_some_and(is_live), now) {
-            replace_owner(state, domain, held.as_ref())?;
+            replace_owner(state, domain, held.as_ref()).inspect_err(|_| backoff.store_failed())?;
         }
         Ok(false)
     }
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -21,7 +21,9 @@
 mod platform;
 mod probes;
 mod queries;
+mod registration;
 mod state;
+mod why;
 
 /// Owns fabric domains, proves groups complete and answers operators.
 #[derive(Debug, Clone, Bpaf)]
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -13,7 +13,7 @@
 use mangocross_coordination::Sighting;
 use mangocross_coordination::Vouch;
 use mangocross_coordination::Voucher;
-use mangocross_coordination::stuck_groups;
+use mangocross_coordination::groups_to_move;
 use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupAssignment;
@@ -29,6 +29,7 @@
 use peer_entry::PollerHandler;
 use peer_entry::ProcessRole;
 use peer_entry::ReplyStamp;
+use peer_entry::ServiceServer;
 use peer_entry::fetch_configuration;
 
 use crate::configuration;
@@ -67,7 +68,8 @@
 
 fn fetch_and_take(state: &CoordinatorState, from: SocketAddr) -> Result<(), String> {
     let key: PeerKey = state.settings.peer_secret.parse()?;
-    let document = fetch_configuration(from, &key).map_err(|it| it.to_string())?;
+    let document =
+        fetch_configuration(from, &key, &state.document()).map_err(|it| it.to_string())?;
     configuration::take(state, document.revision, &document.text)
 }
 
@@ -114,12 +116,18 @@
         if behind {
             self.fetch(from);
         }
+        self.state.heard_of_placements(reply.placements_revision);
         let mut leaving = lock(&self.state.leaving);
         for it in &reply.leaving {
             leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
         }
         drop(leaving);
-        let peer = LivePeer { asked_at, domains: reply.domains };
+        let peer = LivePeer {
+            asked_at,
+            newest_known: reply.newest_known,
+            established: reply.established,
+            domains: reply.domains,
+        };
         lock(&self.state.peers).insert(reply.vm, peer);
     }
 }
@@ -138,6 +146,7 @@
         let freshness = state.freshness();
         (freshness.in_force(), freshness.vouch(now))
     };
+    let for_gateway = poll.role == ProcessRole::Gateway;
     PollReply {
         nonce: poll.nonce,
         vm: state.settings.vm.clone(),
@@ -146,13 +155,20 @@
         newest_known: vouch.newest_known,
         established: vouch.established,
         store_age_ms: vouch.store_age.map(milliseconds_up),
-        proofs: proofs(state, now),
-        domains: summaries(state),
+        placements_revision: state.placements_known(),
+        proofs: if for_gateway { proofs(state, now) } else { Vec::new() },
+        domains: if for_gateway { Vec::new() } else { summaries(state) },
         leaving: leaving(state, now),
-        usage: usage_of_others(state, &poll.vm),
+        usage: if for_gateway { usage_of_others(state, &poll.vm) } else { Vec::new() },
+        service_servers: service_servers(state, for_gateway),
     }
 }
 
+/// Returns the backend servers of plain services; only gateways send to them.
+fn service_servers(state: &CoordinatorState, for_gateway: bool) -> Vec<ServiceServer> {
+    if for_gateway { lock(&state.service_servers).clone() } else { Vec::new() }
+}
+
 /// Records what a gateway has in force, if its poll shows when it was sent.
 fn see_gateway(state: &CoordinatorState, poll: &Poll, now: Instant) {
     let Some(echo) = poll.echo.filter(|it| it.process_id == state.process_id) else { return };
@@ -267,6 +283,6 @@
         domain: domain.clone(),
         idle_vms: count(input.idle_vms().count()),
         healthy_vms: count(healthy.count()),
-        stuck_groups: stuck_groups(&input),
+        stuck_groups: groups_to_move(&input),
     })
 }
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -59,10 +59,11 @@
 
 fn fetch_and_apply(state: &GatewayState, from: SocketAddr) -> Result<(), String> {
     let key: PeerKey = state.settings.peer_secret.parse()?;
-    let document = fetch_configuration(from, &key).map_err(|it| it.to_string())?;
+    let document =
+        fetch_configuration(from, &key, &state.document()).map_err(|it| it.to_string())?;
     let configuration = serde_json::from_str(&document.text).map_err(|it| it.to_string())?;
     check_configuration(&configuration).map_err(|it| it.to_string())?;
-    state.apply(document.revision, configuration);
+    state.apply(document.revision, configuration, &document.text);
     Ok(())
 }
 
@@ -79,12 +80,14 @@
     fn poll(&self, to: SocketAddr) -> Poll {
         let configuration = self.state.configuration();
         let usage = self.state.admitting.usage(&configuration, self.state.clock.now());
+        // A guard in the literal below would be held while other locks are taken.
+        let revision = self.state.freshness().in_force();
         Poll {
             nonce: 0,
             vm: self.state.settings.vm.clone(),
             role: ProcessRole::Gateway,
             process_id: self.state.process_id,
-            revision: self.state.freshness().in_force(),
+            revision,
             serving: !self.state.stopping.load(Ordering::SeqCst),
             usage,
             failures: if self.is_own_coordinator(to) {
@@ -123,5 +126,11 @@
             leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
         }
         leaving.forget_old(self.state.clock.now());
+        drop(leaving);
+        let mut servers = lock(&self.state.service_servers);
+        for it in reply.service_servers {
+            servers.listed(it.vm, it.service, it.address, asked_at);
+        }
+        servers.forget_old(self.state.clock.now());
     }
 }
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -16,6 +16,7 @@
 use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProofTable;
+use mangocross_coordination::ServiceTable;
 use mangocross_policy::RetryBudget;
 use mangocross_settings::GatewaySettings;
 use mangocross_telemetry::Tracing;
@@ -26,7 +27,9 @@
 use mangocross_types::ResultCode;
 use mangocross_types::Revision;
 use mangocross_types::ServiceId;
+use mangocross_types::VmId;
 use peer_engine::EngineClient;
+use peer_entry::ConfigurationDocument;
 use peer_service::ServiceClient;
 use peer_store::HttpStore;
 
@@ -41,6 +44,8 @@
 
 /// How long the word that a VM is leaving counts; longer than the platform's list lags.
 const LEAVING_KEPT: Duration = Duration::from_secs(600);
+/// Time after which a backend server that no coordinator lists any more is forgotten.
+const SERVER_KEPT: Duration = Duration::from_secs(30);
 /// Time for a call to the store on a claim's way; a caller waits for it.
 const CLAIM_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -60,10 +65,11 @@
     /// Whether new requests are refused, as the balancer has had time to notice the stop.
     pub(crate) refusing: AtomicBool,
     pub(crate) failures: FailureLog,
-    configuration: Mutex<Arc<Configuration>>,
+    configuration: Mutex<(Arc<Configuration>, Arc<str>)>,
     freshness: Mutex<Freshness>,
     pub(crate) proofs: Mutex<ProofTable>,
     pub(crate) leaving: Mutex<LeavingTable>,
+    pub(crate) service_servers: Mutex<ServiceTable>,
     pub(crate) admitting: Admitting,
     pub(crate) routing: Routing,
     pub(crate) retry_budget: Mutex<RetryBudget>,
@@ -92,10 +98,11 @@
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             failures: FailureLog::default(),
-            configuration: Mutex::new(Arc::new(Configuration::default())),
+            configuration: Mutex::new((Arc::new(Configuration::default()), Arc::from(""))),
             freshness: Mutex::new(Freshness::new(bounds, now)),
             proofs: Mutex::new(ProofTable::default()),
             leaving: Mutex::new(LeavingTable::new(LEAVING_KEPT)),
+            service_servers: Mutex::new(ServiceTable::new(SERVER_KEPT)),
             admitting: Admitting::default(),
             routing,
             retry_budget: Mutex::new(RetryBudget::default()),
@@ -103,21 +110,28 @@
     }
 
     pub(crate) fn configuration(&self) -> Arc<Configuration> {
-        Arc::clone(&lock(&self.configuration))
+        Arc::clone(&lock(&self.configuration).0)
     }
 
     pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
         lock(&self.freshness)
     }
 
+    /// Returns the configuration in force as it is stored.
+    pub(crate) fn document(&self) -> ConfigurationDocument {
+        let held = lock(&self.configuration);
+        let revision = lock(&self.freshness).in_force();
+        ConfigurationDocument { revision, text: held.1.as_ref().to_owned() }
+    }
+
     /// Puts a configuration in force unless a newer one already is.
-    pub(crate) fn apply(&self, revision: Revision, configuration: Configuration) {
+    pub(crate) fn apply(&self, revision: Revision, configuration: Configuration, text: &str) {
         let mut held = lock(&self.configuration);
         let mut freshness = lock(&self.freshness);
         if revision <= freshness.in_force() {
             return;
         }
-        *held = Arc::new(configuration);
+        *held = (Arc::new(configuration), Arc::from(text));
         freshness.applied(revision);
         log::info!("configuration revision {revision} is in force");
     }
@@ -128,7 +142,7 @@
         let now = self.clock.now();
         // Both locks, so that the entry VMs are those of the revision in force.
         let held = lock(&self.configuration);
-        let permit = lock(&self.freshness).permit(&held.entry_vms, own, now);
+        let permit = lock(&self.freshness).permit(&held.0.entry_vms, own, now);
         drop(held);
         let text = match permit {
             Permit::Serve { .. } => return None,
@@ -145,10 +159,15 @@
     /// Returns those backend servers of a service that are not leaving.
     pub(crate) fn staying_servers(
         &self,
-        _service: &ServiceId,
+        service: &ServiceId,
         specified: &[SocketAddr],
     ) -> Vec<SocketAddr> {
-        specified.to_vec()
+        let now = self.clock.now();
+        let configuration = self.configuration();
+        let leaving = lock(&self.leaving);
+        let is_leaving =
+            |vm: &VmId| leaving.is_leaving(vm, now) || configuration.leaving_vms.contains(vm);
+        lock(&self.service_servers).staying(service, specified, is_leaving, now)
     }
 
     /// Remembers what a caller was told, for operators who ask why.
--- a/crates/mangocross-coordination/src/reconcile.rs
+++ b/crates/mangocross-coordination/src/reconcile.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_policy::RepairTimes;
 use mangocross_types::BackendReport;
 use mangocross_types::Configuration;
 use mangocross_types::DomainAssignment;
@@ -14,6 +15,7 @@
 
 use crate::Completeness;
 use crate::EngineVm;
+use crate::HeldAssignment;
 use crate::OrderAuthority;
 use crate::ProbeTable;
 use crate::group_life;
@@ -23,7 +25,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct DomainInput<'a> {
     /// The assignment as last read or written.
-    pub assignment: &'a DomainAssignment,
+    pub held: &'a HeldAssignment,
     /// The configuration in force.
     pub configuration: &'a Configuration,
     /// Where groups belong.
@@ -44,6 +46,8 @@
     pub lost_after: Duration,
     /// Longest time that an order can be under way.
     pub order_lifetime: Duration,
+    /// Times that the choice between repair and waiting rests on.
+    pub repair_times: RepairTimes,
 }
 
 /// A step of the owner.
@@ -71,6 +75,16 @@
 }
 
 impl<'a> DomainInput<'a> {
+    /// Returns the assignment as last read or written.
+    pub(crate) fn assignment(&self) -> &'a DomainAssignment {
+        &self.held.assignment
+    }
+
+    /// Returns when every order has expired that was given before a group came to its phase.
+    pub(crate) fn settled_at(&self, group: &GroupAssignment) -> Option<Instant> {
+        self.held.phase_seen_at(group).map(|it| it + self.order_lifetime)
+    }
+
     /// Returns a VM's newest report, if its newest probe was answered lately.
     pub fn report(&self, vm: &VmId) -> Option<&'a BackendReport> {
         self.probes.report(vm, self.now, self.probe_ttl)
@@ -81,22 +95,23 @@
     }
 
     /// Returns whether the platform, the operators or the VM itself say that it is leaving.
-    pub(crate) fn is_leaving(&self, vm: &VmId) -> bool {
+    pub fn is_leaving(&self, vm: &VmId) -> bool {
         let says_so = self.report(vm).is_some_and(|it| it.state == EngineState::Leaving);
         says_so || self.engine(vm).is_some_and(|it| it.leaving)
     }
 
     /// Returns whether a VM is gone: unknown here, or silent for too long.
-    pub(crate) fn is_lost(&self, vm: &VmId) -> bool {
+    pub fn is_lost(&self, vm: &VmId) -> bool {
         self.engine(vm).is_none() || self.probes.is_lost(vm, self.lost_after)
     }
 
-    pub(crate) fn check(&self, group: &GroupAssignment) -> Completeness {
+    /// Decides whether a group is complete.
+    pub fn check(&self, group: &GroupAssignment) -> Completeness {
         self.probes.check(group, self.now, self.probe_ttl, self.stall_limit)
     }
 
     pub(crate) fn is_assigned(&self, vm: &VmId) -> bool {
-        self.assignment.groups.iter().any(|it| it.members.contains(vm))
+        self.assignment().groups.iter().any(|it| it.members.contains(vm))
     }
 
     /// Returns the VMs that say that they are in no group, and are in none.
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -7,6 +7,11 @@
 use serde::Deserialize;
 
 use crate::Settings;
+use crate::range::PROBE_INTERVAL_MS;
+use crate::range::TIME_MS;
+use crate::range::check_secret;
+use crate::range::check_vouching;
+use crate::range::within;
 
 /// Settings of the coordinator.
 #[derive(Debug, Clone, Deserialize)]
@@ -57,6 +62,12 @@
     /// How long an engine may fail all probes before it is replaced, in milliseconds.
     #[serde(default = "lost_ms")]
     pub lost_ms: u64,
+    /// Expected time of one load from the weight store, in milliseconds.
+    #[serde(default = "expected_load_ms")]
+    pub expected_load_ms: u64,
+    /// Expected time that a VM takes to come back, in milliseconds.
+    #[serde(default = "expected_restart_ms")]
+    pub expected_restart_ms: u64,
     /// How long the platform's or a VM's own word that it is leaving counts, in
     /// milliseconds; longer than the platform's list lags.
     #[serde(default = "leaving_kept_ms")]
@@ -64,7 +75,7 @@
 }
 
 fn poll_interval_ms() -> u64 {
-    300
+    750
 }
 
 fn vouch_ms() -> u64 {
@@ -72,7 +83,7 @@
 }
 
 fn probe_interval_ms() -> u64 {
-    500
+    1_000
 }
 
 fn probe_timeout_ms() -> u64 {
@@ -80,7 +91,7 @@
 }
 
 fn proof_ms() -> u64 {
-    2_000
+    2_500
 }
 
 fn stall_ms() -> u64 {
@@ -99,18 +110,39 @@
     3_000
 }
 
+fn expected_load_ms() -> u64 {
+    60_000
+}
+
+fn expected_restart_ms() -> u64 {
+    180_000
+}
+
 fn leaving_kept_ms() -> u64 {
     600_000
 }
 
 impl Settings for CoordinatorSettings {
     fn check(&self) -> Result<(), String> {
-        if self.probe_interval_ms == 0 || self.poll_interval_ms == 0 {
-            return Err("an interval is 0; use a positive number".into());
-        }
+        check_secret(&self.peer_secret)?;
+        check_vouching(self.vouch_ms, self.poll_interval_ms)?;
+        within("probe_interval_ms", self.probe_interval_ms, PROBE_INTERVAL_MS)?;
+        let times = [
+            ("probe_timeout_ms", self.probe_timeout_ms),
+            ("proof_ms", self.proof_ms),
+            ("stall_ms", self.stall_ms),
+            ("in_force_wait_ms", self.in_force_wait_ms),
+            ("order_deadline_ms", self.order_deadline_ms),
+            ("lost_ms", self.lost_ms),
+            ("leaving_kept_ms", self.leaving_kept_ms),
+        ];
+        times.iter().try_for_each(|(name, value)| within(name, *value, TIME_MS))?;
         if self.proof_ms < self.probe_interval_ms + self.probe_timeout_ms {
             return Err("`proof_ms` is less than a probe's interval and timeout; raise it".into());
         }
+        if self.lost_ms < self.order_deadline_ms {
+            return Err("`lost_ms` is less than `order_deadline_ms`; raise it".into());
+        }
         Ok(())
     }
 }
--- a/peers/peer-entry/src/lib.rs
+++ b/peers/peer-entry/src/lib.rs
@@ -1,11 +1,14 @@
 //! Messages between the processes of entry VMs: UDP polls and TCP fetches.
 
+mod delta;
 mod fetch;
 mod frame;
 mod messages;
 mod poller;
 mod responder;
+mod timed_stream;
 
+pub use delta::Delta;
 pub use fetch::ConfigurationDocument;
 pub use fetch::FetchError;
 pub use fetch::FetchServer;
@@ -22,6 +25,7 @@
 pub use messages::ProcessRole;
 pub use messages::ReplyStamp;
 pub use messages::RequestFailure;
+pub use messages::ServiceServer;
 pub use poller::PollTiming;
 pub use poller::Poller;
 pub use poller::PollerHandler;
--- a/tests/tests/at_most_once.rs
+++ b/tests/tests/at_most_once.rs
@@ -8,6 +8,8 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use mangocross_coordination::ClaimKey;
+use mangocross_coordination::ClaimLayout;
 use mangocross_http::CallError;
 use mangocross_tests::Answer;
 use mangocross_tests::Caller;
@@ -18,6 +20,9 @@
 use mangocross_tests::new_key;
 use mangocross_types::ResultCode;
 use mangocross_types::RunOutcome;
+use peer_store::HttpStore;
+use peer_store::read_json;
+use peer_store::swap_json;
 use standins::ServiceFaults;
 use standins::StoreFaults;
 
@@ -191,6 +196,24 @@
     assert_eq!(cluster.service.effects("unrecorded"), 1);
 }
 
+#[test]
+fn planned_stop_waits_until_the_outcome_is_recorded() {
+    let mut cluster = ClusterBuilder::new(2, &[]).gateway_setting("notice_ms", 1).start();
+    cluster.service.faults().set(ServiceFaults { hold_answers: true, ..ServiceFaults::default() });
+    let claim = claim("stopped");
+    let first = send_in_background(cluster.gateway(0), &claim);
+    cluster.wait_until("the call ran", || cluster.service.effects("stopped") == 1);
+    cluster.store_relays[0].set(RelayMode::Silent);
+    cluster.service.faults().set(ServiceFaults::default());
+    let first = first.join().unwrap().expect("the gateway answers");
+    assert_eq!(first.outcome(), Some(RunOutcome::Ran));
+    cluster.gateways[0].terminate();
+    cluster.store_relays[0].set(RelayMode::Pass);
+    assert!(cluster.gateways[0].wait());
+    let retry = cluster.send(1, &claim);
+    assert_eq!((retry.outcome(), &retry.body), (Some(RunOutcome::Ran), &first.body));
+}
+
 #[test]
 fn copies_that_arrive_at_once_run_once() {
     let cluster = start();
@@ -279,3 +302,30 @@
         assert_eq!(cluster.service.effects(name), 1);
     }
 }
+
+#[test]
+fn expired_key_is_refused_and_nobody_says_that_it_did_not_run() {
+    let cluster = start();
+    let key = new_key("expired");
+    let claim = Outgoing::service("town", "claim", "registry/claims", "expired")
+        .header("idempotency-key", &key);
+    assert_eq!(cluster.send(0, &claim).outcome(), Some(RunOutcome::Ran));
+    raise_window(&cluster, &key);
+    for node in 0..2 {
+        assert_unknown(&cluster.send(node, &claim), ResultCode::KeyExpired);
+    }
+    assert_eq!(cluster.service.effects("expired"), 1);
+}
+
+/// Does what a key does that was made when the ring of windows came round.
+fn raise_window(cluster: &Cluster, key: &str) {
+    let layout = ClaimLayout::CURRENT;
+    let key: ClaimKey = key.parse().unwrap();
+    let store = HttpStore::open(cluster.store.address());
+    let (shard, revision) =
+        read_json::<serde_json::Value>(&store, &layout.store_key(&key)).unwrap();
+    assert_eq!(shard.unwrap()["window"], layout.window(&key));
+    let newer = serde_json::json!({"window": layout.window(&key) + layout.slots, "claims": {}});
+    let swapped = swap_json(&store, &layout.store_key(&key), revision, &newer);
+    assert!(swapped.unwrap().is_some());
+}
