fix(coordinator): read assignments when a peer tells of a newer one

Cause: since assignments are read every five seconds in place of two, the coordinator that is preferred after an owner's death may hold an assignment from before the group was formed; in a store outage it can then prove nothing, and the group falls silent. Ruled out: the poll interval, and who reads the configuration. The shorter interval alone would only make it rarer.

--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -80,6 +80,7 @@
         vouch_ms: 6_000,
         store_age_ms: Some(1_000),
         placements_revision: Revision(24_000),
+        assignments_revision: Revision(24_000),
         proofs: (0..groups).map(proof).collect(),
         domains: Vec::new(),
         service_servers: Vec::new(),
--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -29,8 +29,10 @@
 
 /// Time between looks at the owned domains.
 const TICK: Duration = Duration::from_millis(250);
-/// Time between reads of all assignments by a coordinator alone.
+/// Time between reads of all assignments by a coordinator alone, when none tells of a newer one.
 const READ_INTERVAL: Duration = Duration::from_millis(5_000);
+/// Least time between reads of all assignments by a coordinator alone.
+const READ_INTERVAL_MIN: Duration = Duration::from_millis(500);
 /// Time between reads of all assignments by any two coordinators.
 const READ_SPACING: Duration = Duration::from_millis(100);
 /// First wait before a domain is taken over again from another live coordinator.
@@ -46,7 +48,8 @@
     let mut read_at: Option<Instant> = None;
     loop {
         let now = state.clock.now();
-        let interval = state.read_interval(READ_INTERVAL, READ_SPACING);
+        let alone = if knows_of_newer(state) { READ_INTERVAL_MIN } else { READ_INTERVAL };
+        let interval = state.read_interval(alone, READ_SPACING);
         if read_at.is_none_or(|it| now.duration_since(it) >= interval) {
             read_all(state);
             read_at = Some(now);
@@ -64,6 +67,12 @@
     engines.keys().filter(own).cloned().collect()
 }
 
+/// Returns whether a peer knows of an assignment newer than all that are held here.
+fn knows_of_newer(state: &CoordinatorState) -> bool {
+    let held = lock(&state.assignments).values().map(|it| it.revision).max();
+    held.unwrap_or_default() < state.assignments_known.newest()
+}
+
 /// Reads all assignments, so that another coordinator's can be taken over in a store outage.
 fn read_all(state: &CoordinatorState) {
     let asked_at = state.clock.now();
@@ -86,6 +95,7 @@
     asked_at: Instant,
 ) {
     let domain = assignment.domain.clone();
+    state.assignments_known.heard(revision);
     let read = HeldAssignment::new(assignment, revision, asked_at, state.clock.now());
     let mut all = lock(&state.assignments);
     match all.get_mut(&domain) {
--- /dev/null
+++ b/bins/mangocross-coordinator/src/known_revision.rs
@@ -0,0 +1,22 @@
+//! The newest revision of a value that this process has heard of.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use mangocross_types::Revision;
+
+/// The newest revision of a value that this process has heard of, from the store or from a peer.
+#[derive(Debug, Default)]
+pub(crate) struct KnownRevision(AtomicU64);
+
+impl KnownRevision {
+    /// Records that a revision exists.
+    pub(crate) fn heard(&self, revision: Revision) {
+        self.0.fetch_max(revision.0, Ordering::SeqCst);
+    }
+
+    /// Returns the newest revision heard of; zero if none.
+    pub(crate) fn newest(&self) -> Revision {
+        Revision(self.0.load(Ordering::SeqCst))
+    }
+}
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -14,6 +14,7 @@
 mod domain_view;
 mod domains;
 mod failures;
+mod known_revision;
 mod operators;
 mod orders;
 mod peers;
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -117,7 +117,8 @@
         if behind {
             self.fetch(from);
         }
-        self.state.heard_of_placements(reply.placements_revision);
+        self.state.placements_known.heard(reply.placements_revision);
+        self.state.assignments_known.heard(reply.assignments_revision);
         let mut leaving = lock(&self.state.leaving);
         for it in &reply.leaving {
             leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
@@ -157,7 +158,8 @@
         established: vouch.established,
         vouch_ms: milliseconds(vouch.bound),
         store_age_ms: vouch.store_age.map(milliseconds_up),
-        placements_revision: state.placements_known(),
+        placements_revision: state.placements_known.newest(),
+        assignments_revision: state.assignments_known.newest(),
         proofs: if for_gateway { proofs(state, now) } else { Vec::new() },
         domains: if for_gateway { Vec::new() } else { summaries(state) },
         leaving: leaving(state, now),
--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -37,7 +37,7 @@
         let now = state.clock.now();
         let interval = state.read_interval(READ_INTERVAL, READ_SPACING);
         let is_due = read_at.is_none_or(|it| now.duration_since(it) >= interval);
-        if is_due || lock(&state.placements).1 < state.placements_known() {
+        if is_due || lock(&state.placements).1 < state.placements_known.newest() {
             match read(state) {
                 Ok(()) => read_at = Some(now),
                 Err(error) => log::warn!("placements were not read: {error}"),
@@ -58,7 +58,7 @@
 
 fn hold(state: &CoordinatorState, placements: Placements, revision: Revision) {
     *lock(&state.placements) = (placements, revision);
-    state.heard_of_placements(revision);
+    state.placements_known.heard(revision);
 }
 
 fn look_after(state: &CoordinatorState, planner: &mut PlacementPlanner) -> Result<(), StoreError> {
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -8,8 +8,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -44,6 +42,7 @@
 use peer_store::Store;
 
 use crate::failures::KnownFailures;
+use crate::known_revision::KnownRevision;
 
 /// Expected time to load weights that are on the VM already.
 const WARM_LOAD: Duration = Duration::from_secs(1);
@@ -90,7 +89,8 @@
     pub(crate) probes: Mutex<ProbeTable>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
     pub(crate) placements: Mutex<(Placements, Revision)>,
-    placements_known: AtomicU64,
+    pub(crate) placements_known: KnownRevision,
+    pub(crate) assignments_known: KnownRevision,
 }
 
 impl CoordinatorState {
@@ -119,7 +119,8 @@
             probes: Mutex::new(ProbeTable::default()),
             assignments: Mutex::new(BTreeMap::new()),
             placements: Mutex::new((Placements::default(), Revision(0))),
-            placements_known: AtomicU64::new(0),
+            placements_known: KnownRevision::default(),
+            assignments_known: KnownRevision::default(),
         }
     }
 
@@ -155,16 +156,6 @@
         log::info!("configuration revision {revision} is in force");
     }
 
-    /// Returns the newest revision of the placements that this coordinator knows of.
-    pub(crate) fn placements_known(&self) -> Revision {
-        Revision(self.placements_known.load(Ordering::SeqCst))
-    }
-
-    /// Records that a revision of the placements exists.
-    pub(crate) fn heard_of_placements(&self, revision: Revision) {
-        self.placements_known.fetch_max(revision.0, Ordering::SeqCst);
-    }
-
     /// Returns the coordinators that answered a poll recently, this one included.
     pub(crate) fn live_coordinators(&self) -> Vec<VmId> {
         let now = self.clock.now();
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -118,6 +118,8 @@
     pub proofs: Vec<GroupProof>,
     /// Newest revision of the placements that the answerer knows.
     pub placements_revision: Revision,
+    /// Newest revision of any fabric domain's assignment that the answerer knows.
+    pub assignments_revision: Revision,
     /// Fabric domains that the answerer probes; told to coordinators only.
     pub domains: Vec<DomainSummary>,
     /// VMs that must receive no new work.
--- a/peers/peer-entry/tests/frames.rs
+++ b/peers/peer-entry/tests/frames.rs
@@ -68,6 +68,7 @@
         vouch_ms: 6_000,
         store_age_ms: None,
         placements_revision: Revision(9),
+        assignments_revision: Revision(8),
         service_servers: Vec::new(),
         proofs: Vec::new(),
         domains: Vec::new(),
