refactor: hold the configuration and its freshness once, under one lock, for both daemons

Cause: both daemons had the same code for the command line, for fetching a newer configuration and for putting it in force, with two locks whose order had already caused a deadlock. Now mangocross-node holds them under one lock.

--- a/bins/mangocross-coordinator/src/acceptance.rs
+++ b/bins/mangocross-coordinator/src/acceptance.rs
@@ -27,7 +27,7 @@
     accepted_base: Option<&[EntryVmSpec]>,
 ) -> Acceptance {
     let now = state.clock.now();
-    let vouch = state.freshness().vouch(now);
+    let vouch = state.node.vouch(now);
     let mut tracker = lock(&state.acceptance);
     let own = Voucher { vm: state.settings.vm.clone(), address: state.settings.listen };
     let sighting = Sighting {
--- a/bins/mangocross-coordinator/src/configuration.rs
+++ b/bins/mangocross-coordinator/src/configuration.rs
@@ -6,9 +6,7 @@
 
 use mangocross_coordination::read_backoff;
 use mangocross_coordination::reads_store;
-use mangocross_operator::check_configuration;
 use mangocross_types::Configuration;
-use mangocross_types::Revision;
 
 use crate::state::CoordinatorState;
 
@@ -37,7 +35,7 @@
 
 fn falls_to(state: &CoordinatorState) -> bool {
     let configuration = state.configuration();
-    let store_age = state.freshness().vouch(state.clock.now()).store_age;
+    let store_age = state.node.vouch(state.clock.now()).store_age;
     let limit = Duration::from_millis(state.settings.vouch_ms) / RELY_DIVISOR;
     let live = state.live_coordinators();
     reads_store(&configuration.entry_vms, &state.settings.vm, &live, store_age, limit)
@@ -49,24 +47,13 @@
 /// change, so its silence would prove nothing.
 pub(crate) fn read(state: &CoordinatorState) -> Result<(), String> {
     let asked_at = state.clock.now();
-    let in_force = state.freshness().in_force();
+    let in_force = state.node.in_force();
     let newer = state.store.watch(Configuration::KEY, in_force, Duration::ZERO);
     let Some(entry) = newer.map_err(|it| it.to_string())? else {
-        state.freshness().store_said(in_force, asked_at);
+        state.node.store_said(in_force, asked_at);
         return Ok(());
     };
     // Known even if it cannot be put in force, so that nothing older is vouched for.
-    state.freshness().store_said(entry.revision, asked_at);
-    take(state, entry.revision, &entry.value)
-}
-
-/// Checks a configuration and puts it in force if it is newer.
-pub(crate) fn take(state: &CoordinatorState, revision: Revision, text: &str) -> Result<(), String> {
-    if revision <= state.freshness().in_force() {
-        return Ok(());
-    }
-    let configuration: Configuration = serde_json::from_str(text).map_err(|it| it.to_string())?;
-    check_configuration(&configuration).map_err(|it| it.to_string())?;
-    state.apply(revision, configuration, text);
-    Ok(())
+    state.node.store_said(entry.revision, asked_at);
+    state.node.take(entry.revision, &entry.value)
 }
--- a/bins/mangocross-coordinator/src/coordinator.rs
+++ b/bins/mangocross-coordinator/src/coordinator.rs
@@ -39,7 +39,7 @@
 pub(crate) fn run(settings: CoordinatorSettings) -> Result<(), String> {
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|it| it.to_string())?;
     let key: PeerKey = settings.peer_secret.parse()?;
-    let state = Arc::new(CoordinatorState::open(settings, Arc::new(SystemClock)));
+    let state = Arc::new(CoordinatorState::open(settings, key.clone(), Arc::new(SystemClock)));
     let settings = &state.settings;
     let cannot_bind = |it: std::io::Error| format!("an address cannot be bound: {it}");
 
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -2,9 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,16 +20,13 @@
 use peer_entry::CustomerUsage;
 use peer_entry::DomainSummary;
 use peer_entry::LeavingVm;
-use peer_entry::PeerKey;
 use peer_entry::Poll;
 use peer_entry::PollReply;
 use peer_entry::PollerHandler;
 use peer_entry::ProcessRole;
 use peer_entry::ReplyStamp;
 use peer_entry::ServiceServer;
-use peer_entry::fetch_configuration;
 
-use crate::configuration;
 use crate::domain_view::DomainView;
 use crate::domains::owned_domains;
 use crate::state::CoordinatorState;
@@ -43,34 +37,12 @@
 /// What this coordinator asks others and what it learns from them.
 pub(crate) struct CoordinatorPeers {
     state: Arc<CoordinatorState>,
-    fetching: Arc<AtomicBool>,
 }
 
 impl CoordinatorPeers {
     pub(crate) fn new(state: Arc<CoordinatorState>) -> Self {
-        Self { state, fetching: Arc::new(AtomicBool::new(false)) }
+        Self { state }
     }
-
-    /// Fetches the configuration from a coordinator that holds a newer one.
-    fn fetch(&self, from: SocketAddr) {
-        if self.fetching.swap(true, Ordering::SeqCst) {
-            return;
-        }
-        let (state, fetching) = (Arc::clone(&self.state), Arc::clone(&self.fetching));
-        thread::spawn(move || {
-            if let Err(message) = fetch_and_take(&state, from) {
-                log::warn!("configuration was not taken from {from}: {message}");
-            }
-            fetching.store(false, Ordering::SeqCst);
-        });
-    }
-}
-
-fn fetch_and_take(state: &CoordinatorState, from: SocketAddr) -> Result<(), String> {
-    let key: PeerKey = state.settings.peer_secret.parse()?;
-    let document =
-        fetch_configuration(from, &key, &state.document()).map_err(|it| it.to_string())?;
-    configuration::take(state, document.revision, &document.text)
 }
 
 impl PollerHandler for CoordinatorPeers {
@@ -84,7 +56,7 @@
             vm: self.state.settings.vm.clone(),
             role: ProcessRole::Coordinator,
             process_id: self.state.process_id,
-            revision: self.state.freshness().in_force(),
+            revision: self.state.node.in_force(),
             serving: true,
             usage: Vec::new(),
             failures: Vec::new(),
@@ -93,19 +65,17 @@
     }
 
     fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply) {
-        let configuration = self.state.configuration();
         let voucher = Voucher { vm: reply.vm.clone(), address: from };
         let behind = {
-            let mut freshness = self.state.freshness();
             let vouch = Vouch {
                 newest_known: reply.newest_known,
                 established: reply.established,
                 store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
                 bound: Duration::from_millis(reply.vouch_ms.into()),
             };
-            freshness.peer_said(&voucher, vouch, asked_at);
-            freshness.establish(&configuration.entry_vms, &self.state.settings.vm);
-            reply.revision > freshness.in_force()
+            self.state.node.peer_said(&voucher, vouch, asked_at);
+            self.state.node.establish();
+            reply.revision > self.state.node.in_force()
         };
         let sighting = Sighting {
             process_id: reply.stamp.process_id,
@@ -115,7 +85,7 @@
         };
         lock(&self.state.acceptance).coordinator_said(voucher, reply.established, &sighting);
         if behind {
-            self.fetch(from);
+            self.state.node.fetch(from);
         }
         self.state.placements_known.heard(reply.placements_revision);
         self.state.assignments_known.heard(reply.assignments_revision);
@@ -145,8 +115,8 @@
         lock(&state.failures).extend(&poll.failures);
     }
     let (revision, vouch) = {
-        let freshness = state.freshness();
-        (freshness.in_force(), freshness.vouch(now))
+        let in_force = state.node.in_force();
+        (in_force, state.node.vouch(now))
     };
     let for_gateway = poll.role == ProcessRole::Gateway;
     PollReply {
--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -65,7 +65,7 @@
     if !state.is_placement_leader() {
         return Ok(());
     }
-    if state.freshness().in_force() == Revision(0) || !state.has_newest_configuration() {
+    if state.node.in_force() == Revision(0) || !state.has_newest_configuration() {
         return Ok(());
     }
     let (current, revision) = lock(&state.placements).clone();
--- a/bins/mangocross-coordinator/src/queries.rs
+++ b/bins/mangocross-coordinator/src/queries.rs
@@ -19,7 +19,7 @@
 
 /// Answers one question.
 pub(crate) fn answer(state: &CoordinatorState, query: &Query) -> Result<OperatorAnswer, Refusal> {
-    let revision = state.freshness().in_force();
+    let revision = state.node.in_force();
     let answer = OperatorAnswer::message(revision, format!("configuration revision {revision}"));
     match query {
         Query::ShowGroups => Ok(show_groups(state, answer)),
@@ -76,7 +76,7 @@
         let heard = format!("{} ms ago", now.duration_since(heard_at).as_millis());
         vec![vm.to_string(), process.to_owned(), revision.to_string(), word.to_owned(), heard]
     };
-    let own = state.freshness().vouch(now);
+    let own = state.node.vouch(now);
     let vouches = |established: bool| if established { "vouches" } else { "starting" };
     let mut rows = vec![row(
         &state.settings.vm,
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,13 +12,12 @@
 
 use mangocross_coordination::AcceptanceTracker;
 use mangocross_coordination::EngineVm;
-use mangocross_coordination::Freshness;
-use mangocross_coordination::FreshnessBounds;
 use mangocross_coordination::HeldAssignment;
 use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
 use mangocross_coordination::preferred_owner;
+use mangocross_node::NodeConfiguration;
 use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_types::Clock;
@@ -35,6 +33,7 @@
 use peer_entry::CustomerUsage;
 use peer_entry::DomainSummary;
 use peer_entry::FetchSource;
+use peer_entry::PeerKey;
 use peer_entry::RequestFailure;
 use peer_entry::ServiceServer;
 use peer_platform::PlatformClient;
@@ -46,8 +45,6 @@
 
 /// Expected time to load weights that are on the VM already.
 const WARM_LOAD: Duration = Duration::from_secs(1);
-/// Earlier texts of the configuration that are remembered.
-const EARLIER_KEPT_MAX: usize = 16;
 
 /// A coordinator that answers polls.
 #[derive(Debug, Clone)]
@@ -77,10 +74,8 @@
     pub(crate) store: Arc<dyn Store>,
     pub(crate) platform: PlatformClient,
     pub(crate) engines: EngineClient,
-    configuration: Mutex<(Arc<Configuration>, Arc<str>)>,
+    pub(crate) node: Arc<NodeConfiguration>,
     /// Texts that were in force before, oldest first, for peers that hold one of them.
-    earlier: Mutex<VecDeque<(Revision, Arc<str>)>>,
-    freshness: Mutex<Freshness>,
     pub(crate) peers: Mutex<HashMap<VmId, LivePeer>>,
     pub(crate) gateways: Mutex<HashMap<VmId, PollingGateway>>,
     pub(crate) engines_by_domain: Mutex<BTreeMap<FabricDomain, Vec<EngineVm>>>,
@@ -94,10 +89,11 @@
 }
 
 impl CoordinatorState {
-    pub(crate) fn open(settings: CoordinatorSettings, clock: Arc<dyn Clock>) -> Self {
+    pub(crate) fn open(settings: CoordinatorSettings, key: PeerKey, clock: Arc<dyn Clock>) -> Self {
         let started_at = clock.now();
         let leaving_kept = Duration::from_millis(settings.leaving_kept_ms);
-        let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
+        let vouch = Duration::from_millis(settings.vouch_ms);
+        let node = NodeConfiguration::open(settings.vm.clone(), key, vouch, started_at);
         Self {
             store: Arc::new(HttpStore::open(settings.store)),
             platform: PlatformClient::open(settings.platform),
@@ -107,10 +103,8 @@
             process_id: fastrand::u64(..),
             started_at,
             failures: Mutex::new(KnownFailures::default()),
-            acceptance: Mutex::new(AcceptanceTracker::new(bounds.vouch)),
-            configuration: Mutex::new((Arc::new(Configuration::default()), Arc::from(""))),
-            earlier: Mutex::new(VecDeque::new()),
-            freshness: Mutex::new(Freshness::new(bounds, started_at)),
+            acceptance: Mutex::new(AcceptanceTracker::new(vouch)),
+            node: Arc::new(node),
             peers: Mutex::new(HashMap::new()),
             gateways: Mutex::new(HashMap::new()),
             engines_by_domain: Mutex::new(BTreeMap::new()),
@@ -125,35 +119,7 @@
     }
 
     pub(crate) fn configuration(&self) -> Arc<Configuration> {
-        Arc::clone(&lock(&self.configuration).0)
-    }
-
-    pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
-        lock(&self.freshness)
-    }
-
-    /// Returns the configuration in force as it is stored.
-    pub(crate) fn document(&self) -> ConfigurationDocument {
-        let held = lock(&self.configuration);
-        let revision = lock(&self.freshness).in_force();
-        ConfigurationDocument { revision, text: held.1.as_ref().to_owned() }
-    }
-
-    /// Puts a configuration in force unless a newer one already is.
-    pub(crate) fn apply(&self, revision: Revision, configuration: Configuration, text: &str) {
-        let mut held = lock(&self.configuration);
-        let mut freshness = lock(&self.freshness);
-        if revision <= freshness.in_force() {
-            return;
-        }
-        let before = std::mem::replace(&mut *held, (Arc::new(configuration), Arc::from(text)));
-        let mut earlier = lock(&self.earlier);
-        earlier.push_back((freshness.in_force(), before.1));
-        let surplus = earlier.len().saturating_sub(EARLIER_KEPT_MAX);
-        earlier.drain(..surplus);
-        drop(earlier);
-        freshness.applied(revision);
-        log::info!("configuration revision {revision} is in force");
+        self.node.current()
     }
 
     /// Returns the coordinators that answered a poll recently, this one included.
@@ -228,9 +194,7 @@
     ///
     /// Under an old one, a group that was started since would count as unwanted.
     pub(crate) fn has_newest_configuration(&self) -> bool {
-        let entry_vms = self.configuration().entry_vms.clone();
-        let now = self.clock.now();
-        let permit = self.freshness().permit(&entry_vms, &self.settings.vm, now);
+        let permit = self.node.permit(self.clock.now());
         matches!(permit, Permit::Serve { .. } | Permit::Unlisted)
     }
 
@@ -248,13 +212,11 @@
 
 impl FetchSource for CoordinatorState {
     fn configuration(&self) -> Option<ConfigurationDocument> {
-        Some(self.document()).filter(|it| it.revision > Revision(0))
+        Some(self.node.document()).filter(|it| it.revision > Revision(0))
     }
 
     fn earlier(&self, revision: Revision) -> Option<Arc<str>> {
-        let earlier = lock(&self.earlier);
-        let found = earlier.iter().find(|(held, _)| *held == revision && revision > Revision(0));
-        found.map(|(_, text)| Arc::clone(text))
+        self.node.earlier(revision)
     }
 
     fn failure(&self, request: &RequestId) -> Option<RequestFailure> {
--- a/bins/mangocross-gateway/src/main.rs
+++ b/bins/mangocross-gateway/src/main.rs
@@ -1,11 +1,9 @@
 //! The gateway: takes callers' requests and passes them to complete groups and
 //! plain services.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
-use bpaf::Bpaf;
-use mangocross_settings::GatewaySettings;
+use mangocross_node::run_daemon;
 
 mod admitting;
 mod attempt;
@@ -26,44 +24,10 @@
 mod service;
 mod state;
 
-/// Takes callers' requests and passes them to complete groups and plain services.
-#[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, version)]
-struct Arguments {
-    /// Settings file, JSON with comments
-    #[bpaf(argument("FILE"))]
-    settings: PathBuf,
-    /// Check the settings and exit
-    check: bool,
-    /// Log level: error, warn, info, debug or trace
-    #[bpaf(argument("LEVEL"), fallback("info".to_owned()), display_fallback)]
-    log_level: String,
-}
+/// Line of the program's help.
+const SUMMARY: &str =
+    "Takes callers' requests and passes them to complete groups and plain services";
 
 fn main() -> ExitCode {
-    let arguments = arguments().run();
-    let settings: GatewaySettings = match mangocross_settings::load(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(error) => return fail(&error.to_string()),
-    };
-    if arguments.check {
-        println!("{}: valid", arguments.settings.display());
-        return ExitCode::SUCCESS;
-    }
-    if let Err(error) = mangocross_telemetry::init_logs(
-        &arguments.log_level,
-        "mangocross-gateway",
-        settings.vm.as_str(),
-    ) {
-        return fail(&error.to_string());
-    }
-    match gateway::run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(&error),
-    }
-}
-
-fn fail(message: &str) -> ExitCode {
-    eprintln!("{message}");
-    ExitCode::FAILURE
+    run_daemon("mangocross-gateway", SUMMARY, gateway::run)
 }
--- a/bins/mangocross-gateway/src/metrics.rs
+++ b/bins/mangocross-gateway/src/metrics.rs
@@ -116,9 +116,9 @@
     gauge("proofs_held", "Groups proven complete here", |it| {
         lock(&it.proofs).proven(it.clock.now()).count() as u64
     });
-    gauge("configuration_revision", "Revision in force here", |it| it.freshness().in_force().0);
+    gauge("configuration_revision", "Revision in force here", |it| it.node.in_force().0);
     gauge("configuration_revision_known", "Newest revision heard of", |it| {
-        it.freshness().newest_known().0
+        it.node.newest_known().0
     });
     gauge("ready", "Whether requests are served here", |it| u64::from(it.refusal().is_none()));
     let poller = Arc::downgrade(poller);
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -2,22 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use mangocross_coordination::Vouch;
 use mangocross_coordination::Voucher;
-use mangocross_operator::check_configuration;
 use mangocross_types::EntryVmSpec;
-use peer_entry::PeerKey;
 use peer_entry::Poll;
 use peer_entry::PollReply;
 use peer_entry::PollerHandler;
 use peer_entry::ProcessRole;
-use peer_entry::fetch_configuration;
 
 use crate::state::GatewayState;
 use crate::state::lock;
@@ -28,12 +23,11 @@
 /// What the gateway asks coordinators and what it learns from them.
 pub(crate) struct GatewayPeers {
     state: Arc<GatewayState>,
-    fetching: Arc<AtomicBool>,
 }
 
 impl GatewayPeers {
     pub(crate) fn new(state: Arc<GatewayState>) -> Self {
-        Self { state, fetching: Arc::new(AtomicBool::new(false)) }
+        Self { state }
     }
 
     fn is_own_coordinator(&self, address: SocketAddr) -> bool {
@@ -41,30 +35,6 @@
         let own = |it: &&EntryVmSpec| it.vm == self.state.settings.vm;
         configuration.entry_vms.iter().find(own).is_some_and(|it| it.coordinator == address)
     }
-
-    /// Fetches the configuration from a coordinator that holds a newer one.
-    fn fetch(&self, from: SocketAddr) {
-        if self.fetching.swap(true, Ordering::SeqCst) {
-            return;
-        }
-        let (state, fetching) = (Arc::clone(&self.state), Arc::clone(&self.fetching));
-        thread::spawn(move || {
-            if let Err(message) = fetch_and_apply(&state, from) {
-                log::warn!("configuration was not taken from {from}: {message}");
-            }
-            fetching.store(false, Ordering::SeqCst);
-        });
-    }
-}
-
-fn fetch_and_apply(state: &GatewayState, from: SocketAddr) -> Result<(), String> {
-    let key: PeerKey = state.settings.peer_secret.parse()?;
-    let document =
-        fetch_configuration(from, &key, &state.document()).map_err(|it| it.to_string())?;
-    let configuration = serde_json::from_str(&document.text).map_err(|it| it.to_string())?;
-    check_configuration(&configuration).map_err(|it| it.to_string())?;
-    state.apply(document.revision, configuration, &document.text);
-    Ok(())
 }
 
 impl PollerHandler for GatewayPeers {
@@ -81,7 +51,7 @@
         let configuration = self.state.configuration();
         let usage = self.state.admitting.usage(&configuration, self.state.clock.now());
         // A guard in the literal below would be held while other locks are taken.
-        let revision = self.state.freshness().in_force();
+        let revision = self.state.node.in_force();
         Poll {
             nonce: 0,
             vm: self.state.settings.vm.clone(),
@@ -101,7 +71,6 @@
 
     fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply) {
         let behind = {
-            let mut freshness = self.state.freshness();
             let voucher = Voucher { vm: reply.vm.clone(), address: from };
             let vouch = Vouch {
                 newest_known: reply.newest_known,
@@ -109,11 +78,11 @@
                 store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
                 bound: Duration::from_millis(reply.vouch_ms.into()),
             };
-            freshness.peer_said(&voucher, vouch, asked_at);
-            reply.revision > freshness.in_force()
+            self.state.node.peer_said(&voucher, vouch, asked_at);
+            reply.revision > self.state.node.in_force()
         };
         if behind {
-            self.fetch(from);
+            self.state.node.fetch(from);
         }
         self.state.admitting.heard(reply.usage, asked_at);
         let mut proofs = lock(&self.state.proofs);
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -11,12 +11,11 @@
 
 use mangocross_claims::ClaimLimits;
 use mangocross_claims::ClaimLog;
-use mangocross_coordination::Freshness;
-use mangocross_coordination::FreshnessBounds;
 use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProofTable;
 use mangocross_coordination::ServiceTable;
+use mangocross_node::NodeConfiguration;
 use mangocross_policy::RetryBudget;
 use mangocross_settings::GatewaySettings;
 use mangocross_telemetry::Tracing;
@@ -25,11 +24,9 @@
 use mangocross_types::Refusal;
 use mangocross_types::RequestId;
 use mangocross_types::ResultCode;
-use mangocross_types::Revision;
 use mangocross_types::ServiceId;
 use mangocross_types::VmId;
 use peer_engine::EngineClient;
-use peer_entry::ConfigurationDocument;
 use peer_service::ServiceClient;
 use peer_store::HttpStore;
 
@@ -65,8 +62,7 @@
     /// Whether new requests are refused, as the balancer has had time to notice the stop.
     pub(crate) refusing: AtomicBool,
     pub(crate) failures: FailureLog,
-    configuration: Mutex<(Arc<Configuration>, Arc<str>)>,
-    freshness: Mutex<Freshness>,
+    pub(crate) node: Arc<NodeConfiguration>,
     pub(crate) proofs: Mutex<ProofTable>,
     pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) service_servers: Mutex<ServiceTable>,
@@ -77,8 +73,9 @@
 
 impl GatewayState {
     pub(crate) fn open(settings: GatewaySettings, clock: Arc<dyn Clock>) -> Result<Self, String> {
-        let now = clock.now();
-        let bounds = FreshnessBounds { vouch: Duration::from_millis(settings.vouch_ms) };
+        let key = settings.peer_secret.parse()?;
+        let vouch = Duration::from_millis(settings.vouch_ms);
+        let node = NodeConfiguration::open(settings.vm.clone(), key, vouch, clock.now());
         let first_token_target = Duration::from_millis(settings.first_token_ms) / 2;
         let routing = Routing::new(settings.group_in_flight_start, first_token_target);
         let store = Arc::new(HttpStore::open(settings.store).timeout(CLAIM_CALL_TIMEOUT));
@@ -98,8 +95,7 @@
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             failures: FailureLog::default(),
-            configuration: Mutex::new((Arc::new(Configuration::default()), Arc::from(""))),
-            freshness: Mutex::new(Freshness::new(bounds, now)),
+            node: Arc::new(node),
             proofs: Mutex::new(ProofTable::default()),
             leaving: Mutex::new(LeavingTable::new(LEAVING_KEPT)),
             service_servers: Mutex::new(ServiceTable::new(SERVER_KEPT)),
@@ -110,41 +106,13 @@
     }
 
     pub(crate) fn configuration(&self) -> Arc<Configuration> {
-        Arc::clone(&lock(&self.configuration).0)
-    }
-
-    pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
-        lock(&self.freshness)
-    }
-
-    /// Returns the configuration in force as it is stored.
-    pub(crate) fn document(&self) -> ConfigurationDocument {
-        let held = lock(&self.configuration);
-        let revision = lock(&self.freshness).in_force();
-        ConfigurationDocument { revision, text: held.1.as_ref().to_owned() }
-    }
-
-    /// Puts a configuration in force unless a newer one already is.
-    pub(crate) fn apply(&self, revision: Revision, configuration: Configuration, text: &str) {
-        let mut held = lock(&self.configuration);
-        let mut freshness = lock(&self.freshness);
-        if revision <= freshness.in_force() {
-            return;
-        }
-        *held = (Arc::new(configuration), Arc::from(text));
-        freshness.applied(revision);
-        log::info!("configuration revision {revision} is in force");
+        self.node.current()
     }
 
     /// Returns why no request may be served now, if so.
     pub(crate) fn refusal(&self) -> Option<Refusal> {
         let own = &self.settings.vm;
-        let now = self.clock.now();
-        // Both locks, so that the entry VMs are those of the revision in force.
-        let held = lock(&self.configuration);
-        let permit = lock(&self.freshness).permit(&held.0.entry_vms, own, now);
-        drop(held);
-        let text = match permit {
+        let text = match self.node.permit(self.clock.now()) {
             Permit::Serve { .. } => return None,
             Permit::Behind { newest } => format!("configuration {newest} is not in force here yet"),
             Permit::Unlisted => format!("the configuration in force does not name entry VM {own}"),
--- /dev/null
+++ b/crates/mangocross-node/src/lib.rs
@@ -0,0 +1,8 @@
+//! What both daemons of an entry VM share: the command line and the
+//! configuration in force.
+
+mod command_line;
+mod configuration;
+
+pub use command_line::run_daemon;
+pub use configuration::NodeConfiguration;
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -123,6 +123,10 @@
 }
 
 impl Settings for CoordinatorSettings {
+    fn vm(&self) -> &VmId {
+        &self.vm
+    }
+
     fn check(&self) -> Result<(), String> {
         check_secret(&self.peer_secret)?;
         check_vouching(self.vouch_ms, self.poll_interval_ms)?;
--- a/crates/mangocross-settings/src/gateway.rs
+++ b/crates/mangocross-settings/src/gateway.rs
@@ -149,6 +149,10 @@
 }
 
 impl Settings for GatewaySettings {
+    fn vm(&self) -> &VmId {
+        &self.vm
+    }
+
     fn check(&self) -> Result<(), String> {
         if self.coordinators.is_empty() {
             return Err("`coordinators` is empty; name at least one address".into());
--- a/crates/mangocross-settings/src/load.rs
+++ b/crates/mangocross-settings/src/load.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::path::Path;
 
+use mangocross_types::VmId;
 use serde::de::DeserializeOwned;
 
 use crate::SettingsError;
@@ -12,6 +13,9 @@
 
 /// Settings that can check themselves.
 pub trait Settings: DeserializeOwned {
+    /// Returns the entry VM that the settings are for.
+    fn vm(&self) -> &VmId;
+
     /// Returns what is wrong with the values taken together, if anything.
     fn check(&self) -> Result<(), String>;
 }
