--- a/standins/src/bin/standin-engine.rs
+++ b/standins/src/bin/standin-engine.rs
@@ -7,7 +7,7 @@
 use mangocross_types::VmId;
 use standins::EngineOptions;
 use standins::EngineStandin;
-use standins::run_until_killed;
+use standins::serve_until_killed;
 
 /// Stand-in for a model engine.
 #[derive(Debug, Clone, Bpaf)]
@@ -45,11 +45,5 @@
         weight_store: arguments.weight_store,
         honours_fence: arguments.honours_fence,
     };
-    match EngineStandin::bind(arguments.listen, options) {
-        Ok(_standin) => run_until_killed(),
-        Err(error) => {
-            eprintln!("{} cannot be bound: {error}", arguments.listen);
-            ExitCode::FAILURE
-        }
-    }
+    serve_until_killed(arguments.listen, EngineStandin::bind(arguments.listen, options))
 }
--- a/standins/src/bin/standin-store.rs
+++ b/standins/src/bin/standin-store.rs
@@ -1,28 +1,10 @@
-//! Stand-in for the store, as a process.
+//! Stand-in for the platform's store, as a process.
 
-use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use bpaf::Bpaf;
 use standins::StoreStandin;
-use standins::run_until_killed;
-
-/// Stand-in for the store.
-#[derive(Debug, Clone, Bpaf)]
-#[bpaf(options)]
-struct Arguments {
-    /// Address to listen on
-    #[bpaf(argument("ADDRESS"))]
-    listen: SocketAddr,
-}
+use standins::run_standin;
 
 fn main() -> ExitCode {
-    let arguments = arguments().run();
-    match StoreStandin::bind(arguments.listen) {
-        Ok(_standin) => run_until_killed(),
-        Err(error) => {
-            eprintln!("{} cannot be bound: {error}", arguments.listen);
-            ExitCode::FAILURE
-        }
-    }
+    run_standin("Stand-in for the platform's store", StoreStandin::bind)
 }
--- a/standins/src/control.rs
+++ b/standins/src/control.rs
@@ -1,12 +1,17 @@
 //! Fault switches and counts that every stand-in has.
 
 use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
 
+use bpaf::Bpaf;
+use bpaf::Parser;
 use mangocross_http::HttpMethod;
 use mangocross_http::ServerRequest;
 use serde::Serialize;
@@ -71,9 +76,31 @@
     thread::sleep(Duration::from_millis(milliseconds));
 }
 
-/// Keeps the process alive until it is killed.
-pub fn run_until_killed() -> ! {
-    loop {
-        thread::park();
+#[derive(Debug, Clone, Bpaf)]
+struct Arguments {
+    /// Address to listen on
+    #[bpaf(argument("ADDRESS"))]
+    listen: SocketAddr,
+}
+
+/// Runs a stand-in that needs an address only, as a process.
+pub fn run_standin<T>(
+    summary: &'static str,
+    bind: impl FnOnce(SocketAddr) -> io::Result<T>,
+) -> ExitCode {
+    let arguments = arguments().to_options().descr(summary).run();
+    serve_until_killed(arguments.listen, bind(arguments.listen))
+}
+
+/// Keeps a bound stand-in alive until the process is killed.
+pub fn serve_until_killed<T>(address: SocketAddr, bound: io::Result<T>) -> ExitCode {
+    match bound {
+        Ok(_standin) => loop {
+            thread::park();
+        },
+        Err(error) => {
+            eprintln!("{address} cannot be bound: {error}");
+            ExitCode::FAILURE
+        }
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,7 +10,8 @@
 mod store;
 
 pub use control::Faulty;
-pub use control::run_until_killed;
+pub use control::run_standin;
+pub use control::serve_until_killed;
 pub use engine::EngineFaults;
 pub use engine::EngineOptions;
 pub use engine::EngineStandin;
