fix(gateway): wait for the next incarnation as long as a repair takes

Cause: an answer that had begun waited 5 s for another group after 1.6 s of silence, 6.6 s in all. A frozen member counts as lost when three probes sent over 3 s have failed: 4.4 to 5.4 s with a probe each 1.8 s; then come the tick (0.25 s), the load, the next probe (1 s) and the next poll (0.5 s), up to 7.3 s. Ruled out: a slow machine alone (the order was given 5.1 s after the freeze, as expected), the resume itself, the stand-in.

--- a/crates/mangocross-settings/src/gateway.rs
+++ b/crates/mangocross-settings/src/gateway.rs
@@ -50,7 +50,8 @@
     /// group.
     #[serde(default = "patience")]
     pub patience: u32,
-    /// Longest wait for another complete group once an answer has begun, in milliseconds.
+    /// Longest wait for another complete group once an answer has begun, in milliseconds; covers
+    /// the repair of a group from a spare VM that holds the weights.
     #[serde(default = "resume_wait_ms")]
     pub resume_wait_ms: u64,
     /// Time between signs of life on a stream without tokens, in milliseconds.
@@ -109,7 +110,7 @@
 }
 
 fn resume_wait_ms() -> u64 {
-    5_000
+    15_000
 }
 
 fn keep_alive_ms() -> u64 {
