feat(operators): know operators by their keys, and name them

Cause: whoever reached a coordinator's address could stop groups, and the loser of a race was told which command won, not whose it was. Weighed: a shared secret of all operators (names nobody), client certificates (no TLS in this system; the platform's network carries plain HTTP), the peers' keyed hash over each request (a form of its own that no usual client speaks).

Without keys everything is as before, and the log says so at the start.

--- a/bins/mangocross-coordinator/src/changes.rs
+++ b/bins/mangocross-coordinator/src/changes.rs
@@ -9,6 +9,7 @@
 use mangocross_operator::difference;
 use mangocross_types::Configuration;
 use mangocross_types::EntryVmSpec;
+use mangocross_types::OperatorId;
 use mangocross_types::RecentCommand;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
@@ -40,9 +41,10 @@
     accepted: Option<Vec<EntryVmSpec>>,
 }
 
-/// Carries out a command that turns the configuration into what `next` returns.
+/// Carries out an operator's command that turns the configuration into what `next` returns.
 pub(crate) fn carry_out(
     state: &CoordinatorState,
+    operator: Option<&OperatorId>,
     request: &OperatorRequest,
     next: impl Fn(&Configuration) -> Result<Configuration, Refusal>,
 ) -> Result<OperatorAnswer, Refusal> {
@@ -58,7 +60,7 @@
     if request.dry_run {
         return Ok(dry_run(&base, &wanted));
     }
-    remember(&mut wanted, &base, request);
+    remember(&mut wanted, &base, operator, request);
     let written = swap_json(state.store.as_ref(), Configuration::KEY, base.revision, &wanted);
     match written.map_err(|it| write_refusal(&it))? {
         Some(revision) => {
@@ -130,12 +132,18 @@
     answer.table(&["part", "now", "then"], rows)
 }
 
-fn remember(wanted: &mut Configuration, base: &Base, request: &OperatorRequest) {
+fn remember(
+    wanted: &mut Configuration,
+    base: &Base,
+    operator: Option<&OperatorId>,
+    request: &OperatorRequest,
+) {
     wanted.recent_commands.clone_from(&base.configuration.recent_commands);
     wanted.recent_commands.push(RecentCommand {
         id: request.command_id.clone(),
         text: remembered_text(request),
         based_on: base.revision,
+        operator: operator.cloned(),
     });
     let surplus = wanted.recent_commands.len().saturating_sub(RECENT_COMMANDS_MAX);
     wanted.recent_commands.drain(..surplus);
@@ -175,11 +183,16 @@
 
 fn conflict(base: &Base) -> Refusal {
     let won = base.configuration.recent_commands.last();
-    let won = won.map(|it| format!("; last came `{}` ({})", it.text, it.id)).unwrap_or_default();
+    let won = won.map(|it| format!("; last came {}", described(it))).unwrap_or_default();
     let text = format!("the newest revision is {}{won}; read it and decide again", base.revision);
     Refusal::not_run(ResultCode::RevisionConflict, text)
 }
 
+fn described(command: &RecentCommand) -> String {
+    let by = command.operator.as_ref().map(|it| format!(" by {it}")).unwrap_or_default();
+    format!("`{}` ({}){by}", command.text, command.id)
+}
+
 fn read_refusal(error: &StoreError) -> Refusal {
     let text = format!("the command was not accepted: {error}; come back when the store answers");
     Refusal::not_run(ResultCode::StoreUnavailable, text).retry_after(STORE_RETRY)
--- a/bins/mangocross-coordinator/src/coordinator.rs
+++ b/bins/mangocross-coordinator/src/coordinator.rs
@@ -78,6 +78,9 @@
         builder.spawn(move || work(&state)).map_err(|it| it.to_string())?;
     }
     log::info!("coordinator answers operators at {}", settings.operator_listen);
+    if state.operators.is_open() {
+        log::warn!("no `operator_keys` are set: whoever reaches this address may give commands");
+    }
     signals.forever().next();
     log::info!("planned stop: other coordinators take over");
     Ok(())
--- a/bins/mangocross-coordinator/src/operators.rs
+++ b/bins/mangocross-coordinator/src/operators.rs
@@ -9,6 +9,7 @@
 use mangocross_operator::apply;
 use mangocross_operator::parse;
 use mangocross_types::Configuration;
+use mangocross_types::OperatorId;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use peer_caller::respond_refusal;
@@ -21,15 +22,9 @@
 pub(crate) fn handle(state: &CoordinatorState, mut request: ServerRequest) {
     match (request.method(), request.path()) {
         (Some(HttpMethod::Get), "/health/live") => request.respond(200, &[], b"live\n".to_vec()),
-        (Some(HttpMethod::Post), "/v1/operator") => match request.read_json::<OperatorRequest>() {
-            Ok(body) => match serve(state, &body) {
-                Ok(answer) => request.respond_json(200, &answer),
-                Err(refusal) => respond_refusal(request, &refusal, None),
-            },
-            Err(error) => {
-                let refusal = Refusal::not_run(ResultCode::MalformedRequest, error.to_string());
-                respond_refusal(request, &refusal, None);
-            }
+        (Some(HttpMethod::Post), "/v1/operator") => match serve(state, &mut request) {
+            Ok(answer) => request.respond_json(200, &answer),
+            Err(refusal) => respond_refusal(request, &refusal, None),
         },
         _ => {
             let text = "operators send POST /v1/operator";
@@ -38,7 +33,19 @@
     }
 }
 
-fn serve(state: &CoordinatorState, request: &OperatorRequest) -> Result<OperatorAnswer, Refusal> {
+fn serve(state: &CoordinatorState, request: &mut ServerRequest) -> Result<OperatorAnswer, Refusal> {
+    let operator = state.operators.admit(request.header("authorization"))?;
+    let request: OperatorRequest = request
+        .read_json()
+        .map_err(|it| Refusal::not_run(ResultCode::MalformedRequest, it.to_string()))?;
+    carry_out(state, operator.as_ref(), &request)
+}
+
+fn carry_out(
+    state: &CoordinatorState,
+    operator: Option<&OperatorId>,
+    request: &OperatorRequest,
+) -> Result<OperatorAnswer, Refusal> {
     let command = parse(&request.text)
         .map_err(|it| Refusal::not_run(ResultCode::CommandSyntax, it.message))?;
     match command {
@@ -48,9 +55,11 @@
                 let text = "`replace config` needs a configuration; mangoctl takes it by --file";
                 Refusal::not_run(ResultCode::MalformedRequest, text)
             })?;
-            changes::carry_out(state, request, |current| Ok(replaced(current, given)))
+            changes::carry_out(state, operator, request, |it| Ok(replaced(it, given)))
+        }
+        Command::Change(wanted) => {
+            changes::carry_out(state, operator, request, |it| applied(it, &wanted))
         }
-        Command::Change(wanted) => changes::carry_out(state, request, |it| applied(it, &wanted)),
     }
 }
 
--- a/bins/mangocross-coordinator/src/queries.rs
+++ b/bins/mangocross-coordinator/src/queries.rs
@@ -8,6 +8,8 @@
 use mangocross_types::GroupAssignment;
 use mangocross_types::GroupId;
 use mangocross_types::KindTarget;
+use mangocross_types::OperatorId;
+use mangocross_types::RecentCommand;
 use mangocross_types::Refusal;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
@@ -140,10 +142,11 @@
 fn show_commands(state: &CoordinatorState, answer: OperatorAnswer) -> OperatorAnswer {
     let configuration = state.configuration();
     let commands = configuration.recent_commands.iter().rev();
-    let rows = commands
-        .map(|it| vec![it.id.to_string(), it.based_on.to_string(), it.text.clone()])
-        .collect();
-    answer.table(&["command id", "based on", "command"], rows)
+    let row = |it: &RecentCommand| {
+        let operator = it.operator.as_ref().map_or("-", OperatorId::as_str);
+        vec![it.id.to_string(), it.based_on.to_string(), operator.to_owned(), it.text.clone()]
+    };
+    answer.table(&["command id", "based on", "operator", "command"], commands.map(row).collect())
 }
 
 fn find(state: &CoordinatorState, group: &GroupId) -> Option<(DomainAssignment, GroupAssignment)> {
--- a/bins/mangocross-coordinator/src/registration.rs
+++ b/bins/mangocross-coordinator/src/registration.rs
@@ -34,7 +34,7 @@
         if register(&state.configuration().entry_vms, &own_line(state)) == Registration::Listed {
             return;
         }
-        match changes::carry_out(state, &request(state), |it| Ok(entered(state, it))) {
+        match changes::carry_out(state, None, &request(state), |it| Ok(entered(state, it))) {
             Ok(answer) => log::info!("entered the configuration: {}", answer.message),
             Err(refusal) => log::info!("not entered yet: {}", refusal.message),
         }
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -18,6 +18,7 @@
 use mangocross_coordination::ProbeTable;
 use mangocross_coordination::preferred_owner;
 use mangocross_node::NodeConfiguration;
+use mangocross_operator::OperatorAccess;
 use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_types::Clock;
@@ -67,6 +68,7 @@
 pub(crate) struct CoordinatorState {
     pub(crate) settings: CoordinatorSettings,
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) operators: OperatorAccess,
     pub(crate) process_id: u64,
     pub(crate) started_at: Instant,
     pub(crate) failures: Mutex<KnownFailures>,
@@ -93,11 +95,13 @@
         let started_at = clock.now();
         let leaving_kept = Duration::from_millis(settings.leaving_kept_ms);
         let vouch = Duration::from_millis(settings.vouch_ms);
+        let keys = settings.operator_keys.iter().map(|it| (it.operator.clone(), it.key.clone()));
         let node = NodeConfiguration::open(settings.vm.clone(), key, vouch, started_at);
         Self {
             store: Arc::new(HttpStore::open(settings.store)),
             platform: PlatformClient::open(settings.platform),
             engines: EngineClient::open(),
+            operators: OperatorAccess::new(keys),
             settings,
             clock,
             process_id: fastrand::u64(..),
--- a/bins/mangoctl/src/client.rs
+++ b/bins/mangoctl/src/client.rs
@@ -23,10 +23,14 @@
 /// Sends a line to the coordinators in turn until one settles it.
 ///
 /// The command id makes it harmless that an earlier one may have carried it out.
-pub(crate) fn send(coordinators: &[SocketAddr], request: &OperatorRequest) -> Outcome {
+pub(crate) fn send(
+    coordinators: &[SocketAddr],
+    key: Option<&str>,
+    request: &OperatorRequest,
+) -> Outcome {
     let mut last = None;
     for coordinator in coordinators {
-        let outcome = send_to(*coordinator, request);
+        let outcome = send_to(*coordinator, key, request);
         if !outcome.is_worth_another() {
             return outcome;
         }
@@ -35,17 +39,24 @@
     last.unwrap_or_else(|| Outcome::Unreached(Vec::new()))
 }
 
-fn send_to(coordinator: SocketAddr, request: &OperatorRequest) -> Outcome {
-    match exchange(coordinator, request) {
+fn send_to(coordinator: SocketAddr, key: Option<&str>, request: &OperatorRequest) -> Outcome {
+    match exchange(coordinator, key, request) {
         Ok(outcome) => outcome,
         Err(message) => Outcome::Unreached(vec![format!("{coordinator}: {message}")]),
     }
 }
 
-fn exchange(coordinator: SocketAddr, request: &OperatorRequest) -> Result<Outcome, String> {
+fn exchange(
+    coordinator: SocketAddr,
+    key: Option<&str>,
+    request: &OperatorRequest,
+) -> Result<Outcome, String> {
     let timeouts =
         HttpTimeouts::default().connect(CONNECT_TIMEOUT).idle(ANSWER_TIMEOUT).total(ANSWER_TIMEOUT);
-    let call = HttpCall::new(HttpMethod::Post, coordinator, "/v1/operator");
+    let mut call = HttpCall::new(HttpMethod::Post, coordinator, "/v1/operator");
+    if let Some(key) = key {
+        call = call.header("authorization", &format!("Bearer {key}"));
+    }
     let answer = HttpClient::open()
         .call(call.json(request).timeouts(timeouts))
         .map_err(|it| it.to_string())?;
@@ -63,6 +74,7 @@
 /// Returns whether another coordinator may do better than one that refused like this.
 pub(crate) fn concerns_one_coordinator(code: ResultCode) -> bool {
     let codes = [
+        ResultCode::OperatorUnknown,
         ResultCode::Overloaded,
         ResultCode::Stopping,
         ResultCode::StoreUnavailable,
--- a/bins/mangoctl/src/main.rs
+++ b/bins/mangoctl/src/main.rs
@@ -47,6 +47,9 @@
     /// Configuration file for `replace config`, JSON with comments
     #[bpaf(argument("FILE"), optional)]
     file: Option<PathBuf>,
+    /// File with your key, if the coordinators ask for one
+    #[bpaf(env("MANGOCTL_KEY_FILE"), argument("FILE"), optional)]
+    key_file: Option<PathBuf>,
     /// A query or command, such as `show groups`
     #[bpaf(
         positional("WORDS"),
@@ -74,7 +77,14 @@
             return Exit::NotUnderstood.into();
         }
     };
-    let outcome = client::send(&arguments.coordinator, &request);
+    let key = match arguments.key_file.as_deref().map(read_key).transpose() {
+        Ok(key) => key,
+        Err(message) => {
+            eprintln!("{message}");
+            return Exit::NotUnderstood.into();
+        }
+    };
+    let outcome = client::send(&arguments.coordinator, key.as_deref(), &request);
     let text =
         if arguments.json { outcome.to_json() } else { outcome.to_text(&request.command_id) };
     if arguments.json || matches!(outcome, Outcome::Answered(_)) {
@@ -116,6 +126,11 @@
     json5::from_str(&text).map_err(|it| format!("{}: {it}", path.display()))
 }
 
+fn read_key(path: &Path) -> Result<String, String> {
+    let text = std::fs::read_to_string(path).map_err(|it| format!("{}: {it}", path.display()))?;
+    Ok(text.trim().to_owned())
+}
+
 fn new_command_id() -> CommandId {
     format!("c-{:032x}", fastrand::u128(..)).parse().expect("hexadecimal digits are a valid id")
 }
--- a/crates/mangocross-operator/src/lib.rs
+++ b/crates/mangocross-operator/src/lib.rs
@@ -1,5 +1,6 @@
 //! The operators' query and command language.
 
+mod access;
 mod apply;
 mod check;
 mod command;
@@ -9,6 +10,7 @@
 mod wire;
 mod words;
 
+pub use access::OperatorAccess;
 pub use apply::CommandError;
 pub use apply::apply;
 pub use check::check_configuration;
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -6,7 +6,9 @@
 use mangocross_types::VmId;
 use serde::Deserialize;
 
+use crate::OperatorKey;
 use crate::Settings;
+use crate::operator_key::check_operator_keys;
 use crate::range::PROBE_INTERVAL_MS;
 use crate::range::TIME_MS;
 use crate::range::check_secret;
@@ -27,6 +29,10 @@
     pub poll_from: SocketAddr,
     /// Address for operators.
     pub operator_listen: SocketAddr,
+    /// Keys of the operators; whoever has none of them is refused. Without any key, whoever
+    /// reaches the address may give commands.
+    #[serde(default)]
+    pub operator_keys: Vec<OperatorKey>,
     /// Coordinators to start with; the configuration names all of them.
     pub coordinators: Vec<SocketAddr>,
     /// Address of the platform's store.
@@ -128,7 +134,8 @@
     }
 
     fn check(&self) -> Result<(), String> {
-        check_secret(&self.peer_secret)?;
+        check_secret("peer_secret", &self.peer_secret)?;
+        check_operator_keys(&self.operator_keys)?;
         check_vouching(self.vouch_ms, self.poll_interval_ms)?;
         within("probe_interval_ms", self.probe_interval_ms, PROBE_INTERVAL_MS)?;
         let times = [
--- a/crates/mangocross-settings/src/gateway.rs
+++ b/crates/mangocross-settings/src/gateway.rs
@@ -158,7 +158,7 @@
         if self.coordinators.is_empty() {
             return Err("`coordinators` is empty; name at least one address".into());
         }
-        check_secret(&self.peer_secret)?;
+        check_secret("peer_secret", &self.peer_secret)?;
         check_vouching(self.vouch_ms, self.poll_interval_ms)?;
         let waits = [
             ("first_token_ms", self.first_token_ms),
--- a/crates/mangocross-settings/src/lib.rs
+++ b/crates/mangocross-settings/src/lib.rs
@@ -4,6 +4,7 @@
 mod error;
 mod gateway;
 mod load;
+mod operator_key;
 mod range;
 
 pub use coordinator::CoordinatorSettings;
@@ -12,3 +13,4 @@
 pub use load::Settings;
 pub use load::load;
 pub use load::parse;
+pub use operator_key::OperatorKey;
--- a/crates/mangocross-settings/src/range.rs
+++ b/crates/mangocross-settings/src/range.rs
@@ -2,7 +2,7 @@
 
 use std::ops::RangeInclusive;
 
-/// Shortest peer secret, in characters.
+/// Shortest secret, in characters.
 const SECRET_CHARS_MIN: usize = 16;
 /// Times between polls, in milliseconds.
 pub(crate) const POLL_INTERVAL_MS: RangeInclusive<u64> = 1..=5_000;
@@ -33,12 +33,10 @@
     Ok(())
 }
 
-/// Checks the secret that the entry VMs share.
-pub(crate) fn check_secret(secret: &str) -> Result<(), String> {
+/// Checks the length of a secret.
+pub(crate) fn check_secret(name: &str, secret: &str) -> Result<(), String> {
     if secret.chars().count() < SECRET_CHARS_MIN {
-        return Err(format!(
-            "`peer_secret` is too short; use {SECRET_CHARS_MIN} characters or more"
-        ));
+        return Err(format!("`{name}` is too short; use {SECRET_CHARS_MIN} characters or more"));
     }
     Ok(())
 }
--- a/crates/mangocross-settings/tests/settings.rs
+++ b/crates/mangocross-settings/tests/settings.rs
@@ -118,3 +118,21 @@
     let error = mangocross_settings::load::<GatewaySettings>(path).expect_err("no such file");
     assert!(error.to_string().contains("/nowhere/gateway.json"), "{error}");
 }
+
+#[test]
+fn operator_keys_are_long_enough_and_stand_once() {
+    let with_keys = |keys: &str| with(COORDINATOR, &format!("\"operator_keys\": [{keys}],"));
+    let ana = r#"{"operator": "ana", "key": "abcdefghijklmnop"}"#;
+    parse::<CoordinatorSettings>("coordinator.json", &with_keys(ana)).expect("valid");
+    let short = ana.replace("mnop", "");
+    let spaced = ana.replace("mnop", "m op");
+    for (keys, complaint) in [
+        (short, "too short"),
+        (spaced, "visible ASCII"),
+        (format!("{ana}, {}", ana.replace("ana", "ben")), "stands twice"),
+        (ana.replace("\"ana\"", "\"a na\""), "not a valid operator"),
+    ] {
+        let error = coordinator_error(&with_keys(&keys)).to_string();
+        assert!(error.contains(complaint), "{error}");
+    }
+}
--- a/crates/mangocross-types/src/configuration.rs
+++ b/crates/mangocross-types/src/configuration.rs
@@ -13,6 +13,7 @@
 use crate::GroupSize;
 use crate::ModelId;
 use crate::ModelVersion;
+use crate::OperatorId;
 use crate::Priority;
 use crate::RequestKind;
 use crate::RequestsPerSecond;
@@ -168,6 +169,9 @@
     pub text: String,
     /// Revision that the command was based on.
     pub based_on: Revision,
+    /// Who gave it, if the coordinator knows its operators.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operator: Option<OperatorId>,
 }
 
 /// The operators' configuration.
--- a/crates/mangocross-types/src/ids.rs
+++ b/crates/mangocross-types/src/ids.rs
@@ -131,6 +131,11 @@
     AttemptId,
     "attempt id"
 );
+text_id!(
+    /// An operator, as the coordinators' settings name it.
+    OperatorId,
+    "operator"
+);
 text_id!(
     /// One operator command; a repeated id is the same command.
     CommandId,
--- a/crates/mangocross-types/src/result_code.rs
+++ b/crates/mangocross-types/src/result_code.rs
@@ -128,6 +128,8 @@
     NotFound = 6004, 404;
     /// The change is stored and not yet in force everywhere.
     NotYetInForce = 6005, 202;
+    /// The operator's key is missing or not known.
+    OperatorUnknown = 6006, 401;
     /// The settings file is not valid.
     SettingsInvalid = 7001, 500;
     /// An internal error.
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -64,6 +64,7 @@
     coordinator_settings: serde_json::Map<String, serde_json::Value>,
     engine_options: fn(VmId) -> EngineOptions,
     weight_store: bool,
+    operator_key: Option<String>,
 }
 
 /// A whole system on this machine.
@@ -89,6 +90,7 @@
     pub coordinators: Vec<Process>,
     ip: Ipv4Addr,
     directory: PathBuf,
+    operator_key: Option<String>,
 }
 
 impl ClusterBuilder {
@@ -102,6 +104,7 @@
             coordinator_settings: serde_json::Map::new(),
             engine_options: EngineOptions::new,
             weight_store: false,
+            operator_key: None,
         }
     }
 
@@ -119,6 +122,16 @@
         self
     }
 
+    /// Gives operators keys, the first of which the cluster's own commands are sent with.
+    #[must_use]
+    pub fn operator_keys(mut self, keys: &[(&str, &str)]) -> Self {
+        self.operator_key = keys.first().map(|(_, key)| (*key).to_owned());
+        let line =
+            |(operator, key): &(&str, &str)| serde_json::json!({"operator": operator, "key": key});
+        let lines: Vec<serde_json::Value> = keys.iter().map(line).collect();
+        self.coordinator_setting("operator_keys", lines)
+    }
+
     /// Sets the properties of the engines.
     #[must_use]
     pub fn engine_options(mut self, options: fn(VmId) -> EngineOptions) -> Self {
@@ -165,6 +178,7 @@
             coordinators: Vec::new(),
             ip,
             directory,
+            operator_key: self.operator_key.clone(),
         };
         self.start_engines(&mut cluster);
         for node in 0..self.nodes {
@@ -286,10 +300,27 @@
         &self,
         node: u16,
         request: &OperatorRequest,
+    ) -> Result<OperatorAnswer, String> {
+        self.operate_as(self.operator_key.as_deref(), node, request)
+    }
+
+    /// Sends an operator's request with a key to a node.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal's body, or what the transport said.
+    pub fn operate_as(
+        &self,
+        key: Option<&str>,
+        node: u16,
+        request: &OperatorRequest,
     ) -> Result<OperatorAnswer, String> {
         let timeouts = HttpTimeouts::default().idle(ANSWER_TIMEOUT).total(ANSWER_TIMEOUT);
         let call = HttpCall::new(HttpMethod::Post, self.operator(node), "/v1/operator");
-        let call = call.json(request).timeouts(timeouts);
+        let mut call = call.json(request).timeouts(timeouts);
+        if let Some(key) = key {
+            call = call.header("authorization", &format!("Bearer {key}"));
+        }
         let answer = HttpClient::open().call(call).map_err(|it| it.to_string())?;
         if answer.status() == 200 {
             return answer.read_json(ANSWER_BYTES_MAX).map_err(|it| it.to_string());
--- a/tests/tests/operators.rs
+++ b/tests/tests/operators.rs
@@ -72,3 +72,29 @@
         });
     }
 }
+
+#[test]
+fn operator_without_a_known_key_is_refused_and_the_winner_is_named() {
+    let keys = [("ana", "the first key of ana"), ("ben", "the only key of ben")];
+    let keys = keys.map(|(operator, key)| (operator, key.replace(' ', "-")));
+    let keys = keys.each_ref().map(|(operator, key)| (*operator, key.as_str()));
+    let cluster = ClusterBuilder::new(1, &[]).operator_keys(&keys).start();
+    let revision = cluster.operate(0, "show config").expect("a known key").revision;
+    let request = |id: &str, priority: u32| OperatorRequest {
+        command_id: id.parse().expect("a valid id"),
+        text: format!("set customer town priority {priority}"),
+        configuration: None,
+        based_on: Some(revision),
+        dry_run: false,
+    };
+    for key in [None, Some("a-key-of-nobody"), Some("")] {
+        let refused = cluster.operate_as(key, 0, &request("c-1", 1)).expect_err("no known key");
+        assert!(refused.contains("6006"), "{refused}");
+    }
+    cluster.operate_as(Some(keys[1].1), 0, &request("c-2", 2)).expect("the key of ben");
+    let lost = cluster.operate_as(Some(keys[0].1), 0, &request("c-3", 3)).expect_err("too late");
+    assert!(lost.contains("by ben"), "{lost}");
+    let listed = cluster.operate(0, "show commands").expect("a list").rows;
+    assert!(listed.iter().all(|it| !it.contains(&"c-1".to_owned())), "{listed:?}");
+    assert!(listed.iter().any(|it| it.contains(&"ben".to_owned())), "{listed:?}");
+}
