feat(benches): measure downtime after faults with real processes

A first version with one sender for each gateway showed no downtime for a frozen first member, since all senders were waiting.

--- /dev/null
+++ b/benches/src/failover/case.rs
@@ -0,0 +1,148 @@
+//! The faults that are brought about.
+
+use mangocross_tests::Cluster;
+use mangocross_types::DomainAssignment;
+use mangocross_types::GroupAssignment;
+use mangocross_types::VmId;
+use peer_store::HttpStore;
+use peer_store::read_json;
+use standins::EngineFaults;
+use standins::StoreFaults;
+
+/// The group that the faults strike.
+const GROUP: &str = "letters-1";
+
+/// A fault, or two at once, under traffic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultCase {
+    /// A member's engine is gone; its VM refuses connections.
+    MemberDead,
+    /// A member answers nothing.
+    MemberFrozen,
+    /// The member that takes the requests answers nothing.
+    FirstMemberFrozen,
+    /// A member's engine was restarted and holds nothing.
+    MemberRestarted,
+    /// A member works many times slower than the others.
+    MemberStraggling,
+    /// No VM of the group's fabric domain answers.
+    DomainDark,
+    /// The coordinator that looks after the group is killed.
+    OwnerKilled,
+    /// That coordinator is killed, and a member freezes.
+    OwnerKilledAndMemberFrozen,
+    /// That coordinator pauses, and a member freezes.
+    OwnerFrozenAndMemberFrozen,
+    /// The gateway of one entry VM is killed.
+    GatewayKilled,
+    /// The store is down for 5 s, and a member freezes.
+    StoreDownAndMemberFrozen,
+    /// An operator drains the VM of a member.
+    VmDrained,
+    /// An operator moves the group to another fabric domain.
+    GroupMoved,
+}
+
+impl FaultCase {
+    /// All cases.
+    pub const ALL: &[Self] = &[
+        Self::MemberDead,
+        Self::MemberFrozen,
+        Self::FirstMemberFrozen,
+        Self::MemberRestarted,
+        Self::MemberStraggling,
+        Self::DomainDark,
+        Self::OwnerKilled,
+        Self::OwnerKilledAndMemberFrozen,
+        Self::OwnerFrozenAndMemberFrozen,
+        Self::GatewayKilled,
+        Self::StoreDownAndMemberFrozen,
+        Self::VmDrained,
+        Self::GroupMoved,
+    ];
+
+    /// Returns the gateway that callers no longer use, as the platform's balancer would see it.
+    pub fn lost_gateway(self) -> Option<u16> {
+        (self == Self::GatewayKilled).then_some(0)
+    }
+
+    /// Brings the fault about.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the group is not placed or a command is refused.
+    pub fn begin(self, cluster: &mut Cluster) {
+        let placed = placed(cluster);
+        let last = &placed.group.members.last().expect("the group has members").clone();
+        let first = &placed.group.members[0].clone();
+        let frozen = EngineFaults { frozen: true, ..EngineFaults::default() };
+        match self {
+            Self::MemberDead => {
+                set(cluster, last, EngineFaults { dead: true, ..EngineFaults::default() });
+            }
+            Self::MemberFrozen => set(cluster, last, frozen),
+            Self::FirstMemberFrozen => set(cluster, first, frozen),
+            Self::MemberRestarted => cluster.engine(last.as_str()).restart_empty(),
+            Self::MemberStraggling => {
+                set(cluster, first, EngineFaults { straggler: true, ..EngineFaults::default() });
+            }
+            Self::DomainDark => {
+                let in_domain = |it: &&VmId| it.as_str().starts_with("vm-1-");
+                let vms: Vec<VmId> = cluster.engines.keys().filter(in_domain).cloned().collect();
+                vms.iter().for_each(|it| set(cluster, it, frozen.clone()));
+            }
+            Self::OwnerKilled => cluster.coordinators[placed.owner].kill(),
+            Self::OwnerKilledAndMemberFrozen => {
+                cluster.coordinators[placed.owner].kill();
+                set(cluster, last, frozen);
+            }
+            Self::OwnerFrozenAndMemberFrozen => {
+                cluster.coordinators[placed.owner].freeze();
+                set(cluster, last, frozen);
+            }
+            Self::GatewayKilled => cluster.gateways[0].kill(),
+            Self::StoreDownAndMemberFrozen => {
+                cluster.store.faults().set(StoreFaults { down: true, ..StoreFaults::default() });
+                set(cluster, last, frozen);
+            }
+            Self::VmDrained => command(cluster, &format!("drain vm {last}")),
+            Self::GroupMoved => command(cluster, &format!("move group {GROUP} to domain-2")),
+        }
+    }
+
+    /// Ends what does not last until the measurement ends.
+    pub fn end(self, cluster: &mut Cluster) {
+        match self {
+            Self::StoreDownAndMemberFrozen => cluster.store.faults().set(StoreFaults::default()),
+            Self::OwnerFrozenAndMemberFrozen => {
+                cluster.coordinators.iter().for_each(|it| it.thaw())
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Where the group is, and the node of the coordinator that looks after it.
+struct Placed {
+    group: GroupAssignment,
+    owner: usize,
+}
+
+fn placed(cluster: &Cluster) -> Placed {
+    let domain = "domain-1".parse().expect("a valid id");
+    let store = HttpStore::open(cluster.store.address());
+    let read = read_json::<DomainAssignment>(&store, &DomainAssignment::key(&domain));
+    let assignment = read.expect("the store answers").0.expect("the domain has an assignment");
+    let owner = assignment.owner.expect("the domain has an owner");
+    let number: usize = owner.as_str().trim_start_matches("entry-").parse().expect("a number");
+    let group = assignment.groups.into_iter().next().expect("the domain has a group");
+    Placed { group, owner: number - 1 }
+}
+
+fn set(cluster: &Cluster, vm: &VmId, faults: EngineFaults) {
+    cluster.engine(vm.as_str()).faults().set(faults);
+}
+
+fn command(cluster: &Cluster, line: &str) {
+    cluster.operate(0, line).expect("the command is accepted");
+}
--- /dev/null
+++ b/benches/src/failover/sampler.rs
@@ -0,0 +1,143 @@
+//! Short requests, one after another, that show whether a group serves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_tests::Caller;
+use mangocross_tests::Outgoing;
+use mangocross_types::RunOutcome;
+
+/// Time between requests of one sender.
+const INTERVAL: Duration = Duration::from_millis(200);
+/// Senders for each gateway, so that a request that waits does not keep others from being sent.
+const SENDERS: u32 = 4;
+/// The promised time to the first token; a group whose answers take longer counts as down.
+const FIRST_TOKEN_MAX: Duration = Duration::from_millis(1_600);
+/// Longest wait for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Tokens of each request.
+const TOKENS: u32 = 2;
+
+/// What came of one request.
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    started_at: Instant,
+    ended_at: Instant,
+    /// `None` for a whole answer.
+    failure: Option<RunOutcome>,
+}
+
+/// What came of all requests.
+#[derive(Debug, Clone, Default)]
+pub struct Samples(Vec<Sample>);
+
+/// Sends requests through each gateway until stopped.
+pub struct Sampler {
+    stop: Arc<AtomicBool>,
+    samples: Arc<Mutex<Samples>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Sampler {
+    /// Starts sending.
+    pub fn spawn(gateways: &[SocketAddr]) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let samples = Arc::new(Mutex::new(Samples::default()));
+        let spawn = |gateway: &SocketAddr| {
+            let (gateway, stop, samples) = (*gateway, Arc::clone(&stop), Arc::clone(&samples));
+            thread::spawn(move || send(gateway, &stop, &samples))
+        };
+        let threads = gateways.iter().flat_map(|it| (0..SENDERS).map(|_| spawn(it))).collect();
+        Self { stop, samples, threads }
+    }
+
+    /// Returns what came of the requests that have ended.
+    pub fn samples(&self) -> Samples {
+        self.samples.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Stops sending and returns what came of all requests.
+    pub fn finish(self) -> Samples {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        self.samples.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+fn send(gateway: SocketAddr, stop: &AtomicBool, samples: &Mutex<Samples>) {
+    let outgoing = Outgoing::chat("town", "draft", "letters", TOKENS, true);
+    let caller = Caller::open(ANSWER_TIMEOUT);
+    while !stop.load(Ordering::Relaxed) {
+        let started_at = Instant::now();
+        let failure = match caller.send(gateway, &outgoing) {
+            Ok(answer) if answer.is_whole() => None,
+            Ok(answer) => Some(answer.outcome().unwrap_or(RunOutcome::Unknown)),
+            Err(_) => Some(RunOutcome::Unknown),
+        };
+        let sample = Sample { started_at, ended_at: Instant::now(), failure };
+        samples.lock().unwrap_or_else(PoisonError::into_inner).0.push(sample);
+        thread::sleep(INTERVAL);
+    }
+}
+
+impl Sample {
+    fn is_late(&self) -> bool {
+        self.ended_at.duration_since(self.started_at) > FIRST_TOKEN_MAX
+    }
+
+    /// Returns until when this request shows the group as down, if it does.
+    fn down_until(&self) -> Option<Instant> {
+        match self.failure {
+            Some(_) => Some(self.started_at),
+            None => self.is_late().then_some(self.ended_at),
+        }
+    }
+}
+
+impl Samples {
+    /// Returns the time from a fault to the last moment at which a request was started that failed,
+    /// or at which an answer came later than promised.
+    ///
+    /// Zero if there was neither.
+    pub fn downtime(&self, fault_at: Instant) -> Duration {
+        let ends = self.after(fault_at).filter_map(Sample::down_until);
+        ends.map(|it| it.saturating_duration_since(fault_at)).max().unwrap_or_default()
+    }
+
+    /// Returns how many whole answers came later than promised after a fault.
+    pub fn late(&self, fault_at: Instant) -> usize {
+        self.after(fault_at).filter(|it| it.failure.is_none() && it.is_late()).count()
+    }
+
+    /// Returns the longest wait for a whole answer after a fault.
+    pub fn longest_answer(&self, fault_at: Instant) -> Duration {
+        let whole = self.after(fault_at).filter(|it| it.failure.is_none());
+        whole.map(|it| it.ended_at.duration_since(it.started_at)).max().unwrap_or_default()
+    }
+
+    /// Returns how many requests failed after a fault with an outcome.
+    pub fn failed(&self, fault_at: Instant, outcome: RunOutcome) -> usize {
+        self.after(fault_at).filter(|it| it.failure == Some(outcome)).count()
+    }
+
+    /// Returns whether all requests that were started in the time before now were answered whole.
+    pub fn is_calm_for(&self, time: Duration) -> bool {
+        let recent = |it: &&Sample| it.started_at.elapsed() < time;
+        self.0.iter().filter(recent).all(|it| it.down_until().is_none())
+            && self.0.last().is_some_and(|it| it.started_at.elapsed() < time)
+    }
+
+    fn after(&self, fault_at: Instant) -> impl Iterator<Item = &Sample> {
+        self.0.iter().filter(move |it| it.ended_at >= fault_at)
+    }
+}
--- /dev/null
+++ b/benches/src/failover/streams.rs
@@ -0,0 +1,36 @@
+//! Long streams that are under way when a fault strikes.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use mangocross_tests::Caller;
+use mangocross_tests::Outgoing;
+
+/// Longest wait for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(90);
+
+/// Streams under way.
+pub struct Streams(Vec<JoinHandle<bool>>);
+
+impl Streams {
+    /// Opens one stream of some tokens through each gateway.
+    pub fn spawn(gateways: &[SocketAddr], tokens: u32) -> Self {
+        let spawn = |gateway: &SocketAddr| {
+            let gateway = *gateway;
+            thread::spawn(move || {
+                let outgoing = Outgoing::chat("bank", "draft", "letters", tokens, true);
+                let answer = Caller::open(ANSWER_TIMEOUT).send(gateway, &outgoing);
+                let expected: Vec<u64> = (0..u64::from(tokens)).collect();
+                answer.is_ok_and(|it| it.is_whole() && it.token_indexes() == expected)
+            })
+        };
+        Self(gateways.iter().map(spawn).collect())
+    }
+
+    /// Waits until all have ended and returns how many were whole, each token once.
+    pub fn finish(self) -> usize {
+        self.0.into_iter().filter_map(|it| it.join().ok()).filter(|it| *it).count()
+    }
+}
