fix(gateway): stop waiting for a first token when the group's proof is gone

Cause: a request that was sent to a group whose first member froze waited up to 9.6 s for the answer's headers (3.2 s with another group), although the proof of completeness had run out after 2 s; the header wait was one blocking read that looked at nothing else. Now that wait is cut into steps of 100 ms, and is given up once the group is not proven any more and 1.48 s (the limit between later tokens) have passed; then another group is tried, or the caller is told at once when to come back.

--- a/benches/src/bin/overhead.rs
+++ b/benches/src/bin/overhead.rs
@@ -242,7 +242,7 @@
     };
     let mut recorder = Recorder::new();
     let mut stream =
-        client.generate(engine, &request, None, timeouts()).expect("the engine answers");
+        client.generate(engine, &request, None, timeouts(), || true).expect("the engine answers");
     loop {
         match stream.next_event(STREAM_TIMEOUT).expect("the answer is whole") {
             Some(GenerateEvent::Token { .. }) => recorder.token(),
--- a/crates/mangocross-http/src/call.rs
+++ b/crates/mangocross-http/src/call.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::HttpTimeouts;
+use crate::keep_waiting::KeepWaiting;
 
 /// Method of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,6 +39,7 @@
     pub(crate) headers: Vec<(String, String)>,
     pub(crate) body: Vec<u8>,
     pub(crate) timeouts: HttpTimeouts,
+    pub(crate) keep_waiting: Option<KeepWaiting>,
 }
 
 impl HttpCall {
@@ -51,6 +53,7 @@
             headers: Vec::new(),
             body: Vec::new(),
             timeouts: HttpTimeouts::default(),
+            keep_waiting: None,
         }
     }
 
@@ -85,4 +88,12 @@
         self.timeouts = timeouts;
         self
     }
+
+    /// Ends the call as timed out once `keep_waiting` returns false before the answer's headers
+    /// are there; it is asked about ten times a second.
+    #[must_use]
+    pub fn wait_while(mut self, keep_waiting: impl Fn() -> bool + Send + Sync + 'static) -> Self {
+        self.keep_waiting = Some(KeepWaiting::new(keep_waiting));
+        self
+    }
 }
--- a/crates/mangocross-http/src/client.rs
+++ b/crates/mangocross-http/src/client.rs
@@ -51,12 +51,12 @@
     /// Fails if the connection cannot be opened, breaks or stalls; the error says
     /// whether a byte was sent. Any status is an answer, not an error.
     pub fn call(&self, call: HttpCall) -> Result<HttpAnswer, CallError> {
+        let keep_waiting = call.keep_waiting.clone();
         let request = self.request(call)?;
-        let read_limit = tracker::reset();
-        let response = self
-            .agent
-            .run(request)
-            .map_err(|it| CallError::from_call(&it, tracker::bytes_sent()))?;
+        let read_limit = tracker::begin(keep_waiting);
+        let response = self.agent.run(request);
+        tracker::headers_are_there();
+        let response = response.map_err(|it| CallError::from_call(&it, tracker::bytes_sent()))?;
         let (parts, body) = response.into_parts();
         let headers = parts
             .headers
--- /dev/null
+++ b/crates/mangocross-http/src/keep_waiting.rs
@@ -0,0 +1,24 @@
+//! Whether a call still waits for its answer's headers.
+
+use std::fmt;
+use std::sync::Arc;
+
+/// Says from time to time whether a call still waits for its answer's headers.
+#[derive(Clone)]
+pub(crate) struct KeepWaiting(Arc<dyn Fn() -> bool + Send + Sync>);
+
+impl KeepWaiting {
+    pub(crate) fn new(keep_waiting: impl Fn() -> bool + Send + Sync + 'static) -> Self {
+        Self(Arc::new(keep_waiting))
+    }
+
+    pub(crate) fn ask(&self) -> bool {
+        (self.0)()
+    }
+}
+
+impl fmt::Debug for KeepWaiting {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeepWaiting")
+    }
+}
--- a/crates/mangocross-http/src/lib.rs
+++ b/crates/mangocross-http/src/lib.rs
@@ -11,6 +11,7 @@
 mod client;
 mod error;
 mod event_stream;
+mod keep_waiting;
 mod limits;
 mod read_limit;
 mod request;
--- a/crates/mangocross-http/tests/outcome.rs
+++ b/crates/mangocross-http/tests/outcome.rs
@@ -3,6 +3,9 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpListener;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
@@ -124,3 +127,39 @@
     assert!(timeouts >= 3);
     assert_eq!(body, b"abcdef");
 }
+
+#[test]
+fn wait_for_headers_ends_when_it_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let asked = AtomicU32::new(0);
+    let call = HttpCall::new(HttpMethod::Post, address, "/x")
+        .body(b"{}".to_vec())
+        .wait_while(move || asked.fetch_add(1, Ordering::Relaxed) < 2);
+    let error = HttpClient::open().call(call).err().unwrap();
+    assert_eq!(error.outcome, RunOutcome::Unknown);
+    assert_eq!(error.kind, CallErrorKind::Timeout);
+    drop(listener);
+}
+
+#[test]
+fn answer_that_is_waited_for_in_steps_is_whole() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (asked, waited) = mpsc::channel();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 1024]).unwrap();
+        waited.iter().take(3).for_each(drop);
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-le").unwrap();
+        waited.iter().take(2).for_each(drop);
+        stream.write_all(b"ngth: 2\r\n\r\nok").unwrap();
+    });
+    let call = HttpCall::new(HttpMethod::Get, address, "/x").wait_while(move || {
+        let _ = asked.send(());
+        true
+    });
+    let answer = HttpClient::open().call(call).unwrap();
+    assert_eq!(answer.read_all(10).unwrap(), b"ok");
+    server.join().unwrap();
+}
--- a/crates/mangocross-policy/src/pace.rs
+++ b/crates/mangocross-policy/src/pace.rs
@@ -61,9 +61,15 @@
         self.marks.push_back(now);
     }
 
+    /// Returns whether the first token has been waited for longer than is sensible for a group
+    /// that is no longer proven complete: as long as for a later token.
+    pub fn is_too_long_without_proof(&self, now: Instant) -> bool {
+        !self.has_token && self.waited(now) >= self.limits.token_gap
+    }
+
     /// Returns what the pace asks for.
     pub fn verdict(&self, now: Instant) -> PaceVerdict {
-        let waited = self.marks.back().map_or(Duration::ZERO, |it| now.duration_since(*it));
+        let waited = self.waited(now);
         let limit = self.gap_limit();
         if waited >= limit * self.limits.patience {
             return PaceVerdict::Silent;
@@ -76,6 +82,10 @@
         }
     }
 
+    fn waited(&self, now: Instant) -> Duration {
+        self.marks.back().map_or(Duration::ZERO, |it| now.duration_since(*it))
+    }
+
     fn gap_limit(&self) -> Duration {
         if self.has_token { self.limits.token_gap } else { self.limits.first_token }
     }
--- a/peers/peer-engine/src/client.rs
+++ b/peers/peer-engine/src/client.rs
@@ -79,6 +79,8 @@
 
     /// Asks rank zero of a group to generate an answer.
     ///
+    /// Before the answer begins, the call ends as soon as `keep_waiting` returns false.
+    ///
     /// # Errors
     ///
     /// Fails if the engine cannot be reached, refuses or falls silent before its first
@@ -90,12 +92,13 @@
         request: &GenerateRequest,
         traceparent: Option<&str>,
         timeouts: HttpTimeouts,
+        keep_waiting: impl Fn() -> bool + Send + Sync + 'static,
     ) -> Result<GenerateStream, EngineError> {
         let mut call = HttpCall::new(HttpMethod::Post, address, "/v1/generate").json(request);
         if let Some(traceparent) = traceparent {
             call = call.header("traceparent", traceparent);
         }
-        let answer = self.call(call.timeouts(timeouts))?;
+        let answer = self.call(call.timeouts(timeouts).wait_while(keep_waiting))?;
         let said_not_run = answer.header("x-run-outcome") == Some(RunOutcome::NotRun.as_str());
         match answer.status() {
             200 => Ok(GenerateStream::new(answer, LineChecker::new(request))),
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -6,6 +6,7 @@
 
 use mangocross_http::HttpAnswer;
 use mangocross_http::HttpClient;
+use mangocross_tests::Answer;
 use mangocross_tests::Cluster;
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
@@ -133,6 +134,22 @@
     assert_eq!(refusal.outcome, RunOutcome::Unknown);
 }
 
+/// The wait for a first token is longer than the deadline here, so that only the lost proof ends it.
+#[test]
+fn request_without_a_first_token_leaves_a_group_that_lost_its_proof() {
+    let builder = ClusterBuilder::new(1, &[1, 1]).gateway_setting("first_token_ms", 60_000);
+    let cluster = two_groups(builder);
+    let group = |answer: &Answer| answer.header("x-group").map(str::to_owned);
+    let goes_to_first =
+        |it: &u32| group(&cluster.send(0, &question(*it))).as_deref() == Some("letters-1");
+    let number = (0..REQUESTS_MAX).find(goes_to_first).expect("a question for the first group");
+    let frozen = EngineFaults { frozen: true, ..EngineFaults::default() };
+    cluster.engine("vm-1-1").faults().set(frozen);
+    let answer = cluster.send(0, &question(number));
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(group(&answer).as_deref(), Some("letters-2"));
+}
+
 #[test]
 fn answer_resumes_at_the_next_incarnation_of_its_group() {
     let builder = ClusterBuilder::new(1, &[2]).gateway_setting("resume_wait_ms", 30_000);
--- a/tests/tests/gateway_telemetry.rs
+++ b/tests/tests/gateway_telemetry.rs
@@ -82,7 +82,8 @@
     };
     let traceparent = format!("00-{TRACE_ID}-{CALLER_SPAN_ID}-01");
     let timeouts = HttpTimeouts::default();
-    let answer = EngineClient::open().generate(address, &request, Some(&traceparent), timeouts);
+    let answer =
+        EngineClient::open().generate(address, &request, Some(&traceparent), timeouts, || true);
     assert!(answer.is_err());
     let head = engine.join().unwrap();
     assert!(head.contains(&format!("traceparent: {traceparent}")), "{head:?}");
