fix(benches): let the group of the failover benchmark move

Cause: it was started in a named domain, and an operator's choice of domain is kept; with that domain dark it was down for the whole 60 s. The cases now ask the store where the group is.

--- a/benches/src/bin/failover.rs
+++ b/benches/src/bin/failover.rs
@@ -19,7 +19,7 @@
 use standins::EngineOptions;
 
 /// The group: four members, two spare VMs beside them, six VMs in another fabric domain.
-const GROUP: &str = "start group letters-1 model letters version v1 members 4 in domain-1";
+const GROUP: &str = "start group letters-1 model letters version v1 members 4";
 const DOMAINS: &[u16] = &[6, 6];
 /// Entry VMs.
 const NODES: u16 = 3;
--- a/benches/src/failover/case.rs
+++ b/benches/src/failover/case.rs
@@ -87,7 +87,8 @@
                 set(cluster, first, EngineFaults { straggler: true, ..EngineFaults::default() });
             }
             Self::DomainDark => {
-                let in_domain = |it: &&VmId| it.as_str().starts_with("vm-1-");
+                let prefix = format!("vm-{}-", placed.domain);
+                let in_domain = |it: &&VmId| it.as_str().starts_with(&prefix);
                 let vms: Vec<VmId> = cluster.engines.keys().filter(in_domain).cloned().collect();
                 vms.iter().for_each(|it| set(cluster, it, frozen.clone()));
             }
@@ -106,7 +107,10 @@
                 set(cluster, last, frozen);
             }
             Self::VmDrained => command(cluster, &format!("drain vm {last}")),
-            Self::GroupMoved => command(cluster, &format!("move group {GROUP} to domain-2")),
+            Self::GroupMoved => {
+                let other = 3 - placed.domain;
+                command(cluster, &format!("move group {GROUP} to domain-{other}"));
+            }
         }
     }
 
@@ -122,21 +126,27 @@
     }
 }
 
-/// Where the group is, and the node of the coordinator that looks after it.
+/// Where the group is.
 struct Placed {
     group: GroupAssignment,
+    /// Number of its fabric domain, 1 or 2.
+    domain: u16,
+    /// Node of the coordinator that looks after it.
     owner: usize,
 }
 
 fn placed(cluster: &Cluster) -> Placed {
-    let domain = "domain-1".parse().expect("a valid id");
     let store = HttpStore::open(cluster.store.address());
-    let read = read_json::<DomainAssignment>(&store, &DomainAssignment::key(&domain));
-    let assignment = read.expect("the store answers").0.expect("the domain has an assignment");
-    let owner = assignment.owner.expect("the domain has an owner");
-    let number: usize = owner.as_str().trim_start_matches("entry-").parse().expect("a number");
-    let group = assignment.groups.into_iter().next().expect("the domain has a group");
-    Placed { group, owner: number - 1 }
+    let find = |domain: u16| {
+        let key = DomainAssignment::key(&format!("domain-{domain}").parse().expect("a valid id"));
+        let read = read_json::<DomainAssignment>(&store, &key).expect("the store answers");
+        let assignment = read.0?;
+        let owner = assignment.owner.expect("the domain has an owner");
+        let owner: usize = owner.as_str().trim_start_matches("entry-").parse().expect("a number");
+        let group = assignment.groups.into_iter().next()?;
+        Some(Placed { group, domain, owner: owner - 1 })
+    };
+    [1, 2].into_iter().find_map(find).expect("the group is placed")
 }
 
 fn set(cluster: &Cluster, vm: &VmId, faults: EngineFaults) {
