feat(coordinator): add metrics and spans, and count claims by outcome

The coordinator had logs only: which probes, orders and store calls fail, and which groups are incomplete, could be seen by asking alone.

Metrics at the operators' address: probes, orders, store calls, takeovers, groups formed, groups by state, owned domains, dropped frames by reason, leaving VMs, revisions. Spans of operators' lines, joined to the caller's trace context, of store calls within them, of writes and failures, of orders (passed on to engines) and of probes whose result changed. The gateway counts claims by outcome and its store calls for them.

Ruled out: a span for every store read and probe (about thirty a second that say nothing); labels by VM or group (7,000 series at the larger size).

--- a/bins/mangocross-coordinator/src/acceptance.rs
+++ b/bins/mangocross-coordinator/src/acceptance.rs
@@ -48,6 +48,7 @@
     entry_vms: &[EntryVmSpec],
     accepted_base: Option<&[EntryVmSpec]>,
 ) -> OperatorAnswer {
+    let _span = state.tracing.step_since("in_force_wait", state.clock.wall());
     let deadline = state.clock.now() + Duration::from_millis(state.settings.in_force_wait_ms);
     loop {
         let acceptance = check(state, revision, entry_vms, accepted_base);
--- a/bins/mangocross-coordinator/src/coordinator.rs
+++ b/bins/mangocross-coordinator/src/coordinator.rs
@@ -23,6 +23,7 @@
 
 use crate::configuration;
 use crate::domains;
+use crate::metrics;
 use crate::operators;
 use crate::peers;
 use crate::peers::CoordinatorPeers;
@@ -44,7 +45,7 @@
     let cannot_bind = |it: std::io::Error| format!("an address cannot be bound: {it}");
 
     let answering = Arc::clone(&state);
-    let _responder =
+    let responder =
         PollResponder::bind(settings.listen, key.clone(), move |it| peers::answer(&answering, it))
             .map_err(cannot_bind)?;
     let source = Arc::clone(&state) as Arc<dyn FetchSource>;
@@ -54,8 +55,9 @@
         reply_age_max: Duration::from_millis(settings.vouch_ms),
     };
     let polling = Arc::new(CoordinatorPeers::new(Arc::clone(&state)));
-    let _poller = Poller::spawn(settings.poll_from, key, timing, Arc::clone(&state.clock), polling)
+    let poller = Poller::spawn(settings.poll_from, key, timing, Arc::clone(&state.clock), polling)
         .map_err(cannot_bind)?;
+    metrics::observe(&state, responder, poller);
     let operating = Arc::clone(&state);
     let _operators = HttpServer::bind(
         settings.operator_listen,
@@ -80,6 +82,7 @@
     log::info!("coordinator answers operators at {}", settings.operator_listen);
     signals.forever().next();
     log::info!("planned stop: other coordinators take over");
+    state.tracing.close();
     Ok(())
 }
 
--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -142,7 +142,9 @@
         let authority = view.authority();
         for step in reconcile(&view.input(authority)) {
             match step {
-                Step::Swap(next) => write(&state, &next, view.held.revision)?,
+                Step::Swap(next) => {
+                    write(&state, &view.held.assignment, &next, view.held.revision)?
+                }
                 Step::Order { vm, kind } => self.orders.give(&view, authority, vm, kind),
             }
         }
@@ -199,7 +201,7 @@
     let read = read.unwrap_or_else(|| DomainAssignment::empty(domain.clone()));
     let next = take_over(&read, &state.settings.vm, state.process_id);
     log::info!(domain = domain.as_str(); "taking over with fencing number {}", next.fencing_number);
-    write(state, &next, revision)
+    write(state, &read, &next, revision)
 }
 
 /// Asks the store whether the assignment held is still the newest.
@@ -215,6 +217,7 @@
 /// Writes an assignment by compare-and-swap; another one that stands is read instead.
 fn write(
     state: &CoordinatorState,
+    before: &DomainAssignment,
     next: &DomainAssignment,
     expected: Revision,
 ) -> Result<(), StoreError> {
@@ -225,6 +228,7 @@
     let asked_at = state.clock.now();
     let key = DomainAssignment::key(&next.domain);
     if let Some(revision) = swap_json(state.store.as_ref(), &key, expected, next)? {
+        state.metrics.assignment_written(before, next);
         hold(state, next.clone(), revision, asked_at);
         return Ok(());
     }
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -13,6 +13,8 @@
 mod domains;
 mod failures;
 mod known_revision;
+mod metrics;
+mod observed_store;
 mod operators;
 mod orders;
 mod peers;
--- a/bins/mangocross-coordinator/src/operators.rs
+++ b/bins/mangocross-coordinator/src/operators.rs
@@ -21,8 +21,12 @@
 pub(crate) fn handle(state: &CoordinatorState, mut request: ServerRequest) {
     match (request.method(), request.path()) {
         (Some(HttpMethod::Get), "/health/live") => request.respond(200, &[], b"live\n".to_vec()),
+        (Some(HttpMethod::Get), "/metrics") => {
+            let headers = [("content-type", "text/plain; version=0.0.4")];
+            request.respond(200, &headers, state.metrics.text().into_bytes());
+        }
         (Some(HttpMethod::Post), "/v1/operator") => match request.read_json::<OperatorRequest>() {
-            Ok(body) => match serve(state, &body) {
+            Ok(body) => match traced(state, &body, request.header("traceparent")) {
                 Ok(answer) => request.respond_json(200, &answer),
                 Err(refusal) => respond_refusal(request, &refusal, None),
             },
@@ -38,6 +42,29 @@
     }
 }
 
+/// Serves a line within a span of the operator's trace.
+fn traced(
+    state: &CoordinatorState,
+    request: &OperatorRequest,
+    traceparent: Option<&str>,
+) -> Result<OperatorAnswer, Refusal> {
+    let span = state.tracing.request("operator_request", traceparent);
+    span.set("command_id", request.command_id.to_string());
+    span.set("text", request.text.clone());
+    let entered = span.enter();
+    let result = serve(state, request);
+    drop(entered);
+    let code = match &result {
+        Ok(answer) => answer.code,
+        Err(refusal) => Some(refusal.code),
+    };
+    if let Some(code) = code {
+        span.fail(code.to_string());
+    }
+    state.metrics.operator_told(code.map_or(0, ResultCode::number));
+    result
+}
+
 fn serve(state: &CoordinatorState, request: &OperatorRequest) -> Result<OperatorAnswer, Refusal> {
     let command = parse(&request.text)
         .map_err(|it| Refusal::not_run(ResultCode::CommandSyntax, it.message))?;
--- a/bins/mangocross-coordinator/src/orders.rs
+++ b/bins/mangocross-coordinator/src/orders.rs
@@ -17,6 +17,7 @@
 use mangocross_types::FencingNumber;
 use mangocross_types::GroupId;
 use mangocross_types::Order;
+use mangocross_types::OrderAnswer;
 use mangocross_types::OrderKind;
 use mangocross_types::VmId;
 
@@ -28,6 +29,9 @@
 /// Time for an engine to take an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Name of the result of an order that was taken.
+const TAKEN: &str = "taken";
+
 /// An order given lately.
 #[derive(Debug)]
 struct Given {
@@ -152,12 +156,7 @@
         self.given.insert(vm.clone(), Given { kind, at: self.state.clock.now() });
         let state = Arc::clone(&self.state);
         thread::spawn(move || {
-            let timeouts = HttpTimeouts::default().idle(ORDER_TIMEOUT).total(ORDER_TIMEOUT);
-            let kind = &order.kind;
-            match state.engines.order(address, &order, timeouts) {
-                Ok(answer) => log::info!(vm = vm.as_str(); "order {kind:?}: {answer:?}"),
-                Err(error) => log::warn!(vm = vm.as_str(); "order {kind:?} failed: {error}"),
-            }
+            give(&state, &vm, address, &order);
         });
     }
 
@@ -178,6 +177,46 @@
     }
 }
 
+/// Gives one order, within a span that the engine may go on with.
+fn give(state: &CoordinatorState, vm: &VmId, address: SocketAddr, order: &Order) {
+    let (kind, name) = (&order.kind, kind_name(&order.kind));
+    let span = state.tracing.step_since("order", state.clock.wall());
+    span.set("vm", vm.to_string());
+    span.set("order_id", order.order_id.to_string());
+    span.set("kind", name.clone());
+    span.set("fencing_number", order.fencing_number.to_string());
+    let timeouts = HttpTimeouts::default().idle(ORDER_TIMEOUT).total(ORDER_TIMEOUT);
+    let traceparent = span.traceparent();
+    let result = match state.engines.order(address, order, traceparent.as_deref(), timeouts) {
+        Ok(answer) => {
+            log::info!(vm = vm.as_str(); "order {kind:?}: {answer:?}");
+            answer_name(&answer)
+        }
+        Err(error) => {
+            log::warn!(vm = vm.as_str(); "order {kind:?} failed: {error}");
+            error.kind.as_str()
+        }
+    };
+    if result != TAKEN {
+        span.fail(result.to_owned());
+    }
+    state.metrics.ordered(&name, result);
+}
+
+/// Returns the name of an order's kind, which is the one on the wire.
+fn kind_name(kind: &OrderKind) -> String {
+    let value = serde_json::to_value(kind).unwrap_or_default();
+    value["type"].as_str().unwrap_or_default().to_owned()
+}
+
+fn answer_name(answer: &OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::Taken => TAKEN,
+        OrderAnswer::StaleFence { .. } => "stale_fence",
+        OrderAnswer::Late => "late",
+    }
+}
+
 /// Returns the group for which an order makes its engine fetch weights, if it does.
 fn fetching_group<'a>(
     view: &DomainView<'_>,
--- a/bins/mangocross-coordinator/src/probes.rs
+++ b/bins/mangocross-coordinator/src/probes.rs
@@ -9,12 +9,17 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use mangocross_http::HttpTimeouts;
 use mangocross_types::BackendReport;
+use mangocross_types::EngineRole;
 use mangocross_types::EngineState;
+use mangocross_types::GroupId;
+use mangocross_types::Incarnation;
 use mangocross_types::VmId;
 use peer_engine::EngineError;
+use peer_engine::EngineErrorKind;
 
 use crate::domains::owned_domains;
 use crate::state::CoordinatorState;
@@ -60,18 +65,77 @@
     let timeouts = HttpTimeouts::default().connect(limit).idle(limit).total(limit);
     let interval = Duration::from_millis(state.settings.probe_interval_ms);
     lock(&state.probes).forget(vm);
+    let mut last: Option<ProbeOutcome> = None;
     while !stop.load(Ordering::Relaxed) {
-        let asked_at = state.clock.now();
+        let (started, asked_at) = (state.clock.wall(), state.clock.now());
         let result = state.engines.report(address, timeouts);
         let answered_at = state.clock.now();
         if stop.load(Ordering::Relaxed) {
             return;
         }
+        let outcome = ProbeOutcome::of(&result);
+        let time = answered_at.duration_since(asked_at);
+        state.metrics.probed(outcome.result(), result.is_ok().then_some(time));
+        if last.as_ref() != Some(&outcome) {
+            trace(state, vm, started, &outcome);
+            last = Some(outcome);
+        }
         record(state, vm, asked_at, answered_at, result);
         thread::sleep(interval);
     }
 }
 
+/// What of a probe's result is worth a span when it changes.
+#[derive(Debug, PartialEq)]
+enum ProbeOutcome {
+    Answered {
+        state: EngineState,
+        role: EngineRole,
+        group: Option<GroupId>,
+        incarnation: Incarnation,
+    },
+    Failed(EngineErrorKind),
+}
+
+impl ProbeOutcome {
+    fn of(result: &Result<BackendReport, EngineError>) -> Self {
+        match result {
+            Ok(report) => Self::Answered {
+                state: report.state,
+                role: report.role,
+                group: report.group.clone(),
+                incarnation: report.incarnation,
+            },
+            Err(error) => Self::Failed(error.kind),
+        }
+    }
+
+    /// Returns the name of the result in metrics.
+    fn result(&self) -> &'static str {
+        match self {
+            Self::Answered { .. } => "answered",
+            Self::Failed(kind) => kind.as_str(),
+        }
+    }
+}
+
+/// Writes the span of a probe that found something new.
+fn trace(state: &CoordinatorState, vm: &VmId, started: SystemTime, outcome: &ProbeOutcome) {
+    let span = state.tracing.step_since("probe", started);
+    span.set("vm", vm.to_string());
+    match outcome {
+        ProbeOutcome::Failed(kind) => span.fail(kind.as_str().to_owned()),
+        ProbeOutcome::Answered { state, role, group, incarnation } => {
+            span.set("state", format!("{state:?}").to_lowercase());
+            span.set("role", format!("{role:?}").to_lowercase());
+            if let Some(group) = group {
+                span.set("group", group.to_string());
+                span.set("incarnation", incarnation.to_string());
+            }
+        }
+    }
+}
+
 fn record(
     state: &CoordinatorState,
     vm: &VmId,
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -20,6 +20,7 @@
 use mangocross_node::NodeConfiguration;
 use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
+use mangocross_telemetry::Tracing;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
 use mangocross_types::FabricDomain;
@@ -42,6 +43,8 @@
 
 use crate::failures::KnownFailures;
 use crate::known_revision::KnownRevision;
+use crate::metrics::CoordinatorMetrics;
+use crate::observed_store::ObservedStore;
 
 /// Expected time to load weights that are on the VM already.
 const WARM_LOAD: Duration = Duration::from_secs(1);
@@ -69,6 +72,8 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) process_id: u64,
     pub(crate) started_at: Instant,
+    pub(crate) metrics: Arc<CoordinatorMetrics>,
+    pub(crate) tracing: Arc<Tracing>,
     pub(crate) failures: Mutex<KnownFailures>,
     pub(crate) acceptance: Mutex<AcceptanceTracker>,
     pub(crate) store: Arc<dyn Store>,
@@ -94,8 +99,18 @@
         let leaving_kept = Duration::from_millis(settings.leaving_kept_ms);
         let vouch = Duration::from_millis(settings.vouch_ms);
         let node = NodeConfiguration::open(settings.vm.clone(), key, vouch, started_at);
+        let metrics_interval = Duration::from_millis(settings.metrics_log_ms);
+        let metrics = Arc::new(CoordinatorMetrics::open(metrics_interval));
+        let vm = settings.vm.as_str();
+        let tracing = Tracing::open("mangocross-coordinator", vm, settings.trace_share);
+        let tracing = Arc::new(tracing);
+        let store = HttpStore::open(settings.store);
+        let (observing, spans) = (Arc::clone(&metrics), Arc::clone(&tracing));
+        let store = ObservedStore::new(store, Arc::clone(&clock), observing, spans);
         Self {
-            store: Arc::new(HttpStore::open(settings.store)),
+            store: Arc::new(store),
+            metrics,
+            tracing,
             platform: PlatformClient::open(settings.platform),
             engines: EngineClient::open(),
             settings,
--- a/bins/mangocross-gateway/src/claim.rs
+++ b/bins/mangocross-gateway/src/claim.rs
@@ -16,6 +16,8 @@
 use peer_service::ServiceAnswer;
 use peer_service::ServiceCall;
 
+use crate::metrics::GatewayMetrics;
+
 /// Shortest time after which to come back when the store or this entry VM is at fault.
 const RETRY_BASE: Duration = Duration::from_millis(1_000);
 
@@ -28,9 +30,10 @@
     Replay(ServiceAnswer),
 }
 
-/// Claims the idempotency key of a call before any byte of it is sent.
+/// Claims the idempotency key of a call before any byte of it is sent, and counts what came of it.
 pub(crate) fn claim(
     claims: &ClaimLog,
+    metrics: &GatewayMetrics,
     key: &str,
     call: &ServiceCall,
     deadline: Duration,
@@ -38,7 +41,9 @@
     let key: ClaimKey =
         key.parse().map_err(|it| Refusal::not_run(ResultCode::KeyInvalid, format!("{it}")))?;
     let grant = claims.grant(key, call.attempt_id.clone(), deadline);
-    match claims.begin(&grant, &call.customer, digest(call)) {
+    let begun = claims.begin(&grant, &call.customer, digest(call));
+    metrics.claimed(outcome_name(&begun));
+    match begun {
         Ok(ClaimDecision::Granted) => Ok(Claimed::Mine(grant)),
         Ok(ClaimDecision::Ran(answer)) => replay(&answer).map(Claimed::Replay),
         Ok(decision) => Err(decision_refusal(&decision)),
@@ -46,6 +51,27 @@
     }
 }
 
+/// Returns the name of a claim's outcome in metrics.
+fn outcome_name(begun: &Result<ClaimDecision, ClaimError>) -> &'static str {
+    match begun {
+        Ok(ClaimDecision::Granted) => "granted",
+        Ok(ClaimDecision::Ran(_)) => "ran_before",
+        Ok(ClaimDecision::InProgress) => "in_progress",
+        Ok(ClaimDecision::OutcomeUnknown) => "outcome_unknown",
+        Ok(ClaimDecision::CustomerMismatch) => "customer_mismatch",
+        Ok(ClaimDecision::RequestMismatch) => "request_mismatch",
+        Ok(ClaimDecision::Expired) => "expired",
+        Ok(ClaimDecision::TooFarAhead) => "too_far_ahead",
+        Ok(ClaimDecision::Full) => "full",
+        Ok(ClaimDecision::Overdue) => "overdue",
+        Err(ClaimError::StoreUnavailable) => "store_unavailable",
+        Err(ClaimError::AnswerLost) => "answer_lost",
+        Err(ClaimError::TimedOut) => "timed_out",
+        Err(ClaimError::Contended) => "contended",
+        Err(ClaimError::Overloaded) => "overloaded",
+    }
+}
+
 /// Returns the record of an answer.
 pub(crate) fn record(answer: &ServiceAnswer) -> ClaimState {
     let content_type = answer.content_type.as_deref();
--- a/bins/mangocross-gateway/src/metrics.rs
+++ b/bins/mangocross-gateway/src/metrics.rs
@@ -1,15 +1,17 @@
 //! The gateway's metrics.
 
 use std::sync::Arc;
-use std::sync::Weak;
 use std::time::Duration;
 
+use mangocross_claims::ClaimCounts;
 use mangocross_telemetry::Metrics;
+use mangocross_telemetry::Sample;
 use mangocross_types::ResultCode;
 use mangocross_types::RunOutcome;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
+use peer_entry::DropReason;
 use peer_entry::Poller;
 
 use crate::handler::Incoming;
@@ -27,6 +29,7 @@
     metrics: Metrics,
     requests: Counter<u64>,
     retries: Counter<u64>,
+    claims: Counter<u64>,
     first_token: Histogram<f64>,
     token_gap: Histogram<f64>,
 }
@@ -35,23 +38,20 @@
     /// Creates the instruments; totals go to the log each interval.
     pub(crate) fn open(interval: Duration) -> Self {
         let metrics = Metrics::open(interval);
-        let meter = metrics.meter();
-        let seconds = |name: &'static str, text: &'static str, bounds: &[f64]| {
-            let histogram = meter.f64_histogram(name).with_description(text);
-            histogram.with_boundaries(bounds.to_vec()).build()
-        };
-        let counter = |name: &'static str, text: &'static str| {
-            meter.u64_counter(name).with_description(text).build()
-        };
         Self {
-            requests: counter("requests", "Requests ended, by what the caller was told"),
-            retries: counter("retries", "Attempts after the first one of a request"),
-            first_token: seconds(
+            requests: metrics.counter("requests", "Requests ended, by what the caller was told"),
+            retries: metrics.counter("retries", "Attempts after the first one of a request"),
+            claims: metrics.counter("claims", "Claims asked for, by what the attempt was told"),
+            first_token: metrics.seconds(
                 "first_token_seconds",
                 "Time from an attempt's start to its first token",
                 &FIRST_TOKEN_BOUNDS_S,
             ),
-            token_gap: seconds("token_gap_seconds", "Time between tokens", &TOKEN_GAP_BOUNDS_S),
+            token_gap: metrics.seconds(
+                "token_gap_seconds",
+                "Time between tokens",
+                &TOKEN_GAP_BOUNDS_S,
+            ),
             metrics,
         }
     }
@@ -85,6 +85,11 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts a claim that was asked for.
+    pub(crate) fn claimed(&self, outcome: &'static str) {
+        self.claims.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the time to a first token.
     pub(crate) fn first_token(&self, time: Duration) {
         self.first_token.record(time.as_secs_f64(), &[]);
@@ -98,16 +103,11 @@
 
 /// Adds what is read from the state whenever metrics are collected.
 pub(crate) fn observe(state: &Arc<GatewayState>, poller: &Arc<Poller>) {
-    let meter = state.metrics.metrics.meter();
+    let metrics = &state.metrics.metrics;
     let gauge = |name: &'static str, text: &'static str, read: fn(&GatewayState) -> u64| {
         let state = Arc::downgrade(state);
-        let gauge = meter.u64_observable_gauge(name).with_description(text);
-        let observe = move |it: &dyn opentelemetry::metrics::AsyncInstrument<u64>| {
-            if let Some(state) = Weak::upgrade(&state) {
-                it.observe(read(&state), &[]);
-            }
-        };
-        gauge.with_callback(observe).build();
+        let read = move || state.upgrade().map(|it| Sample::new(read(&it))).into_iter().collect();
+        metrics.gauge(name, text, read);
     };
     gauge("requests_in_flight", "Requests taken and not ended", |it| {
         let usage = it.admitting.usage(&it.configuration(), it.clock.now());
@@ -121,14 +121,40 @@
         it.node.newest_known().0
     });
     gauge("ready", "Whether requests are served here", |it| u64::from(it.refusal().is_none()));
+    gauge("claim_operations_open", "Claims, records and releases that wait for the store", |it| {
+        it.claims.counts().open
+    });
+    let claiming = Arc::downgrade(state);
+    metrics.total("claim_store_calls", "Calls of the store for claims, by kind and outcome", {
+        move || {
+            claiming.upgrade().map(|it| claim_store_calls(&it.claims.counts())).unwrap_or_default()
+        }
+    });
+    let claiming = Arc::downgrade(state);
+    metrics.total("claim_operations_deferred", "Records and releases put off, each try counted", {
+        move || {
+            let counts = claiming.upgrade().map(|it| it.claims.counts());
+            counts.map(|it| Sample::new(it.deferred)).into_iter().collect()
+        }
+    });
     let poller = Arc::downgrade(poller);
-    let dropped = meter.u64_observable_counter("frames_dropped");
-    dropped
-        .with_description("Frames of other entry VMs that were damaged, unknown or too old")
-        .with_callback(move |it| {
-            if let Some(poller) = poller.upgrade() {
-                it.observe(poller.dropped_frames(), &[]);
-            }
-        })
-        .build();
+    let text = "Frames of other entry VMs that were dropped, by reason";
+    metrics.total("frames_dropped", text, move || {
+        poller.upgrade().map(|it| dropped_frames(&it)).unwrap_or_default()
+    });
+}
+
+fn claim_store_calls(counts: &ClaimCounts) -> Vec<Sample> {
+    let written = counts.swaps.saturating_sub(counts.conflicts);
+    vec![
+        Sample::new(counts.reads).label("kind", "read").label("outcome", "ok"),
+        Sample::new(written).label("kind", "write").label("outcome", "ok"),
+        Sample::new(counts.conflicts).label("kind", "write").label("outcome", "conflict"),
+        Sample::new(counts.failures).label("kind", "any").label("outcome", "failed"),
+    ]
+}
+
+fn dropped_frames(poller: &Poller) -> Vec<Sample> {
+    let count = |it: DropReason| Sample::new(poller.dropped_for(it)).label("reason", it.as_str());
+    DropReason::ALL.map(count).into()
 }
--- a/bins/mangocross-gateway/src/once.rs
+++ b/bins/mangocross-gateway/src/once.rs
@@ -33,7 +33,7 @@
     span: &Span,
 ) -> Result<ServiceAnswer, Refusal> {
     let step = state.tracing.step("claim", span);
-    let claimed = claim::claim(&state.claims, key, call, deadline);
+    let claimed = claim::claim(&state.claims, &state.metrics, key, call, deadline);
     drop(step);
     match claimed? {
         Claimed::Replay(answer) => Ok(answer),
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -10,6 +10,7 @@
 use crate::range::PROBE_INTERVAL_MS;
 use crate::range::TIME_MS;
 use crate::range::check_secret;
+use crate::range::check_share;
 use crate::range::check_vouching;
 use crate::range::within;
 
@@ -72,6 +73,13 @@
     /// milliseconds; longer than the platform's list lags.
     #[serde(default = "leaving_kept_ms")]
     pub leaving_kept_ms: u64,
+    /// Share of what operators ask and of what the coordinator does by itself that is traced,
+    /// from 0 to 1, where no trace decision came with it.
+    #[serde(default = "trace_share")]
+    pub trace_share: f64,
+    /// Time between totals of the metrics in the log, in milliseconds.
+    #[serde(default = "metrics_log_ms")]
+    pub metrics_log_ms: u64,
 }
 
 fn poll_interval_ms() -> u64 {
@@ -122,6 +130,14 @@
     600_000
 }
 
+fn trace_share() -> f64 {
+    1.0
+}
+
+fn metrics_log_ms() -> u64 {
+    60_000
+}
+
 impl Settings for CoordinatorSettings {
     fn vm(&self) -> &VmId {
         &self.vm
@@ -139,11 +155,13 @@
             ("order_deadline_ms", self.order_deadline_ms),
             ("lost_ms", self.lost_ms),
             ("leaving_kept_ms", self.leaving_kept_ms),
+            ("metrics_log_ms", self.metrics_log_ms),
         ];
         times.iter().try_for_each(|(name, value)| within(name, *value, TIME_MS))?;
         if self.proof_ms < self.probe_interval_ms + self.probe_timeout_ms {
             return Err("`proof_ms` is less than a probe's interval and timeout; raise it".into());
         }
+        check_share("trace_share", self.trace_share)?;
         if self.lost_ms < self.order_deadline_ms {
             return Err("`lost_ms` is less than `order_deadline_ms`; raise it".into());
         }
--- a/crates/mangocross-settings/src/gateway.rs
+++ b/crates/mangocross-settings/src/gateway.rs
@@ -8,6 +8,7 @@
 
 use crate::Settings;
 use crate::range::check_secret;
+use crate::range::check_share;
 use crate::range::check_vouching;
 
 /// Settings of the gateway.
@@ -168,9 +169,7 @@
             ("metrics_log_ms", self.metrics_log_ms),
             ("max_tokens_max", self.max_tokens_max.into()),
         ];
-        if !(0.0..=1.0).contains(&self.trace_share) {
-            return Err("`trace_share` must be from 0 to 1".into());
-        }
+        check_share("trace_share", self.trace_share)?;
         if let Some((name, _)) = waits.iter().find(|(_, value)| *value == 0) {
             return Err(format!("`{name}` is 0; use a positive number"));
         }
--- a/crates/mangocross-settings/src/range.rs
+++ b/crates/mangocross-settings/src/range.rs
@@ -23,6 +23,14 @@
     Err(format!("`{name}` is {value}; use {} to {}", range.start(), range.end()))
 }
 
+/// Checks that a setting is a share.
+pub(crate) fn check_share(name: &str, value: f64) -> Result<(), String> {
+    if (0.0..=1.0).contains(&value) {
+        return Ok(());
+    }
+    Err(format!("`{name}` must be from 0 to 1"))
+}
+
 /// Checks the settings by which a node knows that its configuration is in force.
 pub(crate) fn check_vouching(vouch_ms: u64, poll_interval_ms: u64) -> Result<(), String> {
     within("poll_interval_ms", poll_interval_ms, POLL_INTERVAL_MS)?;
--- a/crates/mangocross-telemetry/src/metrics.rs
+++ b/crates/mangocross-telemetry/src/metrics.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use opentelemetry::metrics::AsyncInstrument;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::error::OTelSdkResult;
@@ -15,6 +18,7 @@
 use opentelemetry_sdk::metrics::data::ResourceMetrics;
 use opentelemetry_sdk::metrics::exporter::PushMetricExporter;
 
+use crate::Sample;
 use crate::metrics_text::render;
 
 /// By how much a collection may come early and still go to the log.
@@ -40,11 +44,51 @@
         Self { provider, text }
     }
 
-    /// Returns the meter that the process's instruments come from.
-    pub fn meter(&self) -> Meter {
+    fn meter(&self) -> Meter {
         self.provider.meter("mangocross")
     }
 
+    /// Creates a counter.
+    pub fn counter(&self, name: &'static str, text: &'static str) -> Counter<u64> {
+        self.meter().u64_counter(name).with_description(text).build()
+    }
+
+    /// Creates a histogram of times, with the upper bounds of its buckets in seconds.
+    pub fn seconds(
+        &self,
+        name: &'static str,
+        text: &'static str,
+        bounds_s: &[f64],
+    ) -> Histogram<f64> {
+        let meter = self.meter();
+        let histogram = meter.f64_histogram(name).with_description(text);
+        histogram.with_boundaries(bounds_s.to_vec()).build()
+    }
+
+    /// Adds a gauge that is read whenever metrics are collected.
+    pub fn gauge(
+        &self,
+        name: &'static str,
+        text: &'static str,
+        read: impl Fn() -> Vec<Sample> + Send + Sync + 'static,
+    ) {
+        let meter = self.meter();
+        let gauge = meter.u64_observable_gauge(name).with_description(text);
+        gauge.with_callback(move |it| observe(it, read())).build();
+    }
+
+    /// Adds a total, which only rises, that is read whenever metrics are collected.
+    pub fn total(
+        &self,
+        name: &'static str,
+        text: &'static str,
+        read: impl Fn() -> Vec<Sample> + Send + Sync + 'static,
+    ) {
+        let meter = self.meter();
+        let total = meter.u64_observable_counter(name).with_description(text);
+        total.with_callback(move |it| observe(it, read())).build();
+    }
+
     /// Collects all metrics and returns them as text, one value a line.
     pub fn text(&self) -> String {
         if let Err(error) = self.provider.force_flush() {
@@ -54,6 +98,12 @@
     }
 }
 
+fn observe(instrument: &dyn AsyncInstrument<u64>, samples: Vec<Sample>) {
+    for it in samples {
+        instrument.observe(it.value, &it.labels);
+    }
+}
+
 /// Keeps the newest metrics as text.
 #[derive(Debug)]
 struct TextExporter {
--- /dev/null
+++ b/crates/mangocross-telemetry/src/sample.rs
@@ -0,0 +1,24 @@
+//! A value that is read when metrics are collected.
+
+use opentelemetry::KeyValue;
+
+/// A value that is read when metrics are collected.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sample {
+    pub(crate) value: u64,
+    pub(crate) labels: Vec<KeyValue>,
+}
+
+impl Sample {
+    /// Returns a value without labels.
+    pub fn new(value: u64) -> Self {
+        Self { value, labels: Vec::new() }
+    }
+
+    /// Adds a label.
+    #[must_use]
+    pub fn label(mut self, key: &'static str, value: &'static str) -> Self {
+        self.labels.push(KeyValue::new(key, value));
+        self
+    }
+}
--- a/crates/mangocross-telemetry/src/tracing.rs
+++ b/crates/mangocross-telemetry/src/tracing.rs
@@ -1,8 +1,10 @@
 //! Traces: a span for each hop, written as JSON lines.
 
 use std::collections::HashMap;
+use std::time::SystemTime;
 
 use opentelemetry::Context;
+use opentelemetry::ContextGuard;
 use opentelemetry::KeyValue;
 use opentelemetry::Value;
 use opentelemetry::propagation::TextMapPropagator;
@@ -27,6 +29,12 @@
     tracer: SdkTracer,
 }
 
+/// Makes a span the thread's current one until dropped.
+#[must_use]
+pub struct EnteredSpan {
+    _guard: ContextGuard,
+}
+
 /// One hop of a request; it ends when dropped.
 #[derive(Debug)]
 pub struct Span {
@@ -61,6 +69,21 @@
         self.start(name, &parent.context)
     }
 
+    /// Starts the span of a step that began at `started`, within the thread's current span.
+    ///
+    /// Without a current span it begins a trace of its own.
+    pub fn step_since(&self, name: &'static str, started: SystemTime) -> Span {
+        let parent = Context::current();
+        let builder = self.tracer.span_builder(name).with_start_time(started);
+        let span = self.tracer.build_with_context(builder, &parent);
+        Span { context: parent.with_span(span) }
+    }
+
+    /// Returns whether the thread has a current span.
+    pub fn has_current_span(&self) -> bool {
+        Context::current().has_active_span()
+    }
+
     /// Writes the spans that wait, at the end of the process.
     pub fn close(&self) {
         if let Err(error) = self.provider.shutdown() {
@@ -80,6 +103,11 @@
         self.context.span().set_attribute(KeyValue::new(key, value));
     }
 
+    /// Makes this the thread's current span.
+    pub fn enter(&self) -> EnteredSpan {
+        EnteredSpan { _guard: self.context.clone().attach() }
+    }
+
     /// Marks the hop as failed.
     pub fn fail(&self, message: String) {
         self.context.span().set_status(Status::error(message));
--- a/peers/peer-engine/src/client.rs
+++ b/peers/peer-engine/src/client.rs
@@ -67,9 +67,13 @@
         &self,
         address: SocketAddr,
         order: &Order,
+        traceparent: Option<&str>,
         timeouts: HttpTimeouts,
     ) -> Result<OrderAnswer, EngineError> {
-        let call = HttpCall::new(HttpMethod::Post, address, "/v1/orders").json(order);
+        let mut call = HttpCall::new(HttpMethod::Post, address, "/v1/orders").json(order);
+        if let Some(traceparent) = traceparent {
+            call = call.header("traceparent", traceparent);
+        }
         let answer = self.call(call.timeouts(timeouts))?;
         match answer.status() {
             200 | 409 | 410 => read(answer),
--- a/peers/peer-engine/src/error.rs
+++ b/peers/peer-engine/src/error.rs
@@ -22,6 +22,17 @@
 }
 
 impl EngineErrorKind {
+    /// Returns the name of the kind in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+            Self::Broken => "broken",
+            Self::Mismatch => "mismatch",
+        }
+    }
+
     /// Returns the result code that callers see.
     pub fn result_code(self) -> ResultCode {
         match self {
--- /dev/null
+++ b/peers/peer-entry/src/drops.rs
@@ -0,0 +1,70 @@
+//! Why frames were dropped, counted.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use crate::FrameError;
+
+/// Why a frame was dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DropReason {
+    /// Shorter than a frame's header.
+    Short,
+    /// Another version of the frames.
+    Version,
+    /// Damaged, or made with another key.
+    Tag,
+    /// Not the message expected.
+    Body,
+    /// No answer to a poll of this process, or from another address than asked.
+    Unasked,
+    /// The answer took longer than it counts.
+    TooOld,
+}
+
+impl DropReason {
+    /// All reasons.
+    pub const ALL: [Self; 6] =
+        [Self::Short, Self::Version, Self::Tag, Self::Body, Self::Unasked, Self::TooOld];
+
+    /// Returns the name of the reason in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Short => "short",
+            Self::Version => "version",
+            Self::Tag => "tag",
+            Self::Body => "body",
+            Self::Unasked => "unasked",
+            Self::TooOld => "too_old",
+        }
+    }
+}
+
+impl From<FrameError> for DropReason {
+    fn from(error: FrameError) -> Self {
+        match error {
+            FrameError::Short => Self::Short,
+            FrameError::Version { .. } => Self::Version,
+            FrameError::Tag => Self::Tag,
+            FrameError::Body => Self::Body,
+        }
+    }
+}
+
+/// Dropped frames by reason.
+#[derive(Debug, Default)]
+pub(crate) struct DropCounters([AtomicU64; DropReason::ALL.len()]);
+
+impl DropCounters {
+    pub(crate) fn count(&self, reason: DropReason) {
+        self.0[reason as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn get(&self, reason: DropReason) -> u64 {
+        self.0[reason as usize].load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn total(&self) -> u64 {
+        DropReason::ALL.into_iter().map(|it| self.get(it)).sum()
+    }
+}
--- a/peers/peer-entry/src/lib.rs
+++ b/peers/peer-entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages between the processes of entry VMs: UDP polls and TCP fetches.
 
 mod delta;
+mod drops;
 mod fetch;
 mod frame;
 mod messages;
@@ -9,6 +10,7 @@
 mod timed_stream;
 
 pub use delta::Delta;
+pub use drops::DropReason;
 pub use fetch::ConfigurationDocument;
 pub use fetch::FetchError;
 pub use fetch::FetchServer;
--- a/peers/peer-entry/src/poller.rs
+++ b/peers/peer-entry/src/poller.rs
@@ -9,7 +9,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -17,9 +16,11 @@
 
 use mangocross_types::Clock;
 
+use crate::DropReason;
 use crate::Poll;
 use crate::PollReply;
 use crate::ReplyStamp;
+use crate::drops::DropCounters;
 use crate::frame::PeerKey;
 
 /// Largest datagram that is received, in bytes.
@@ -51,7 +52,7 @@
 /// A running poller.
 pub struct Poller {
     closed: Arc<AtomicBool>,
-    dropped_frames: Arc<AtomicU64>,
+    drops: Arc<DropCounters>,
 }
 
 /// A poll that waits for replies.
@@ -69,7 +70,7 @@
     outstanding: Mutex<HashMap<u64, Outstanding>>,
     stamps: Mutex<HashMap<SocketAddr, ReplyStamp>>,
     closed: Arc<AtomicBool>,
-    dropped_frames: Arc<AtomicU64>,
+    drops: Arc<DropCounters>,
 }
 
 impl Poller {
@@ -88,7 +89,7 @@
         let socket = UdpSocket::bind(address)?;
         socket.set_read_timeout(Some(WAKE_INTERVAL))?;
         let closed = Arc::new(AtomicBool::new(false));
-        let dropped_frames = Arc::new(AtomicU64::new(0));
+        let drops = Arc::new(DropCounters::default());
         let shared = Arc::new(Shared {
             socket,
             key,
@@ -98,17 +99,22 @@
             outstanding: Mutex::new(HashMap::new()),
             stamps: Mutex::new(HashMap::new()),
             closed: Arc::clone(&closed),
-            dropped_frames: Arc::clone(&dropped_frames),
+            drops: Arc::clone(&drops),
         });
         let sending = Arc::clone(&shared);
         thread::Builder::new().name("poll-send".into()).spawn(move || sending.send_loop())?;
         thread::Builder::new().name("poll-receive".into()).spawn(move || shared.receive_loop())?;
-        Ok(Self { closed, dropped_frames })
+        Ok(Self { closed, drops })
     }
 
     /// Returns the number of frames that were dropped as damaged, unknown or too old.
     pub fn dropped_frames(&self) -> u64 {
-        self.dropped_frames.load(Ordering::Relaxed)
+        self.drops.total()
+    }
+
+    /// Returns the number of frames that were dropped for a reason.
+    pub fn dropped_for(&self, reason: DropReason) -> u64 {
+        self.drops.get(reason)
     }
 }
 
@@ -153,25 +159,25 @@
         let mut buf = vec![0; DATAGRAM_BYTES_MAX];
         while !self.closed.load(Ordering::Relaxed) {
             let Ok((length, from)) = self.socket.recv_from(&mut buf) else { continue };
-            if !self.receive(from, &buf[..length]) {
-                self.dropped_frames.fetch_add(1, Ordering::Relaxed);
+            if let Err(reason) = self.receive(from, &buf[..length]) {
+                self.drops.count(reason);
             }
         }
     }
 
-    fn receive(&self, from: SocketAddr, frame: &[u8]) -> bool {
-        let Ok(reply) = self.key.open::<PollReply>(frame) else { return false };
+    fn receive(&self, from: SocketAddr, frame: &[u8]) -> Result<(), DropReason> {
+        let reply = self.key.open::<PollReply>(frame)?;
         let now = self.clock.now();
         let asked_at = match lock(&self.outstanding).get(&reply.nonce) {
             Some(it) if it.to == from => it.asked_at,
-            _ => return false,
+            _ => return Err(DropReason::Unasked),
         };
         if now.duration_since(asked_at) > self.timing.reply_age_max {
-            return false;
+            return Err(DropReason::TooOld);
         }
         lock(&self.stamps).insert(from, reply.stamp);
         self.handler.reply(from, asked_at, reply);
-        true
+        Ok(())
     }
 }
 
--- a/peers/peer-entry/src/responder.rs
+++ b/peers/peer-entry/src/responder.rs
@@ -5,13 +5,14 @@
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use crate::DropReason;
 use crate::Poll;
 use crate::PollReply;
+use crate::drops::DropCounters;
 use crate::frame::PeerKey;
 
 /// Largest datagram that is received, in bytes.
@@ -25,7 +26,7 @@
 pub struct PollResponder {
     address: SocketAddr,
     closed: Arc<AtomicBool>,
-    dropped_frames: Arc<AtomicU64>,
+    drops: Arc<DropCounters>,
 }
 
 impl PollResponder {
@@ -43,12 +44,12 @@
         socket.set_read_timeout(Some(WAKE_INTERVAL))?;
         let address = socket.local_addr()?;
         let closed = Arc::new(AtomicBool::new(false));
-        let dropped_frames = Arc::new(AtomicU64::new(0));
-        let (closing, dropping) = (Arc::clone(&closed), Arc::clone(&dropped_frames));
+        let drops = Arc::new(DropCounters::default());
+        let (closing, dropping) = (Arc::clone(&closed), Arc::clone(&drops));
         thread::Builder::new()
             .name("poll-responder".into())
             .spawn(move || serve(&socket, &key, &answer, &closing, &dropping))?;
-        Ok(Self { address, closed, dropped_frames })
+        Ok(Self { address, closed, drops })
     }
 
     /// Returns the bound address.
@@ -58,7 +59,12 @@
 
     /// Returns the number of frames that were dropped as damaged or unknown.
     pub fn dropped_frames(&self) -> u64 {
-        self.dropped_frames.load(Ordering::Relaxed)
+        self.drops.total()
+    }
+
+    /// Returns the number of frames that were dropped for a reason.
+    pub fn dropped_for(&self, reason: DropReason) -> u64 {
+        self.drops.get(reason)
     }
 }
 
@@ -73,16 +79,14 @@
     key: &PeerKey,
     answer: &dyn Fn(&Poll) -> PollReply,
     closed: &AtomicBool,
-    dropped_frames: &AtomicU64,
+    drops: &DropCounters,
 ) {
     let mut buf = vec![0; DATAGRAM_BYTES_MAX];
     while !closed.load(Ordering::Relaxed) {
         let Ok((length, from)) = socket.recv_from(&mut buf) else { continue };
         match key.open::<Poll>(&buf[..length]) {
             Ok(poll) => reply(socket, key, from, answer(&poll)),
-            Err(_) => {
-                dropped_frames.fetch_add(1, Ordering::Relaxed);
-            }
+            Err(error) => drops.count(error.into()),
         }
     }
 }
--- a/peers/peer-store/src/error.rs
+++ b/peers/peer-store/src/error.rs
@@ -15,6 +15,15 @@
 }
 
 impl StoreErrorKind {
+    /// Returns the name of the kind in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unavailable => "unavailable",
+            Self::AnswerLost => "answer_lost",
+            Self::Malformed => "malformed",
+        }
+    }
+
     /// Returns the result code that callers and operators see.
     pub fn result_code(self) -> ResultCode {
         match self {
