--- a/bins/mangocross-coordinator/src/operators.rs
+++ b/bins/mangocross-coordinator/src/operators.rs
@@ -22,6 +22,10 @@
 pub(crate) fn handle(state: &CoordinatorState, mut request: ServerRequest) {
     match (request.method(), request.path()) {
         (Some(HttpMethod::Get), "/health/live") => request.respond(200, &[], b"live\n".to_vec()),
+        (Some(HttpMethod::Get), "/metrics") => {
+            let headers = [("content-type", "text/plain; version=0.0.4")];
+            request.respond(200, &headers, state.metrics.text().into_bytes());
+        }
         (Some(HttpMethod::Post), "/v1/operator") => match serve(state, &mut request) {
             Ok(answer) => request.respond_json(200, &answer),
             Err(refusal) => respond_refusal(request, &refusal, None),
@@ -35,10 +39,37 @@
 
 fn serve(state: &CoordinatorState, request: &mut ServerRequest) -> Result<OperatorAnswer, Refusal> {
     let operator = state.operators.admit(request.header("authorization"))?;
-    let request: OperatorRequest = request
+    let line: OperatorRequest = request
         .read_json()
         .map_err(|it| Refusal::not_run(ResultCode::MalformedRequest, it.to_string()))?;
-    carry_out(state, operator.as_ref(), &request)
+    traced(state, operator.as_ref(), &line, request.header("traceparent"))
+}
+
+/// Carries out a line within a span of the operator's trace.
+fn traced(
+    state: &CoordinatorState,
+    operator: Option<&OperatorId>,
+    request: &OperatorRequest,
+    traceparent: Option<&str>,
+) -> Result<OperatorAnswer, Refusal> {
+    let span = state.tracing.request("operator_request", traceparent);
+    span.set("command_id", request.command_id.to_string());
+    span.set("text", request.text.clone());
+    if let Some(operator) = operator {
+        span.set("operator", operator.to_string());
+    }
+    let entered = span.enter();
+    let result = carry_out(state, operator, request);
+    drop(entered);
+    let code = match &result {
+        Ok(answer) => answer.code,
+        Err(refusal) => Some(refusal.code),
+    };
+    if let Some(code) = code {
+        span.fail(code.to_string());
+    }
+    state.metrics.operator_told(code.map_or(0, ResultCode::number));
+    result
 }
 
 fn carry_out(
