feat(coordinator): preload weights on idle VMs

A lost member was replaced by an idle VM that had to fetch the weights first, so most of a repair's downtime was one cold load (60 s against 10 s warm). Idle VMs now fetch the version that their domain's groups use, once nothing in the domain loads: new orders `preload` and `cancel_preload`, engine state `preloading`. Owners together leave half of the weight store's places to groups, and a load that finds none ends a preload. A preloaded VM is in no assignment and reports no group.

Ruled out: preloads as steps of `reconcile`, since a pending one would make the owner ask the store for confirmation every second; taking every free place, since loads of a domain that comes back would wait; agreement between owners on places.

--- a/benches/src/bin/policy.rs
+++ b/benches/src/bin/policy.rs
@@ -48,6 +48,10 @@
             it.downtime_ratio(),
             it.stranded_ratio(),
         );
+        println!(
+            "  over the {} seeds under which both place all groups: {:.2}, stranded {:.2}",
+            it.all_placed.seeds, it.all_placed.downtime_ratio, it.all_placed.stranded_ratio,
+        );
         print_outcome("naive", &it.naive);
         print_outcome("project", &it.project);
     }
--- a/benches/src/policy/assignment.rs
+++ b/benches/src/policy/assignment.rs
@@ -9,15 +9,20 @@
 use mangocross_policy::MemberCandidate;
 use mangocross_policy::MissingMember;
 use mangocross_policy::PendingLoad;
+use mangocross_policy::PreloadNeed;
+use mangocross_policy::PreloadSpare;
 use mangocross_policy::RepairDecision;
 use mangocross_policy::RepairTimes;
 use mangocross_policy::RunningLoad;
 use mangocross_policy::choose_domain;
 use mangocross_policy::choose_loads;
 use mangocross_policy::choose_members;
+use mangocross_policy::choose_preloads;
 use mangocross_policy::decide_repair;
+use mangocross_policy::preload_places;
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupSize;
+use mangocross_types::ModelVersion;
 use mangocross_types::VmId;
 
 use super::Rules;
@@ -190,7 +195,7 @@
 }
 
 fn times(fleet: &Fleet) -> RepairTimes {
-    let from_store = |it: &&Vm| it.loading.is_some_and(|it| it.from_store);
+    let from_store = |it: &&Vm| !it.is_preloading() && it.loading.is_some_and(|it| it.from_store);
     RepairTimes {
         load: Duration::from_millis(LOAD_MS),
         concurrent_loads: fleet.weights.concurrent_loads,
@@ -225,6 +230,35 @@
     }
 }
 
+/// Returns the idle VMs that start to fetch weights ahead of need.
+pub(crate) fn preloads(fleet: &Fleet) -> Vec<usize> {
+    if fleet.rules == Rules::Naive {
+        return Vec::new();
+    }
+    let from_store = |it: &&Vm| it.loading.is_some_and(|it| it.from_store);
+    let running = fleet.vms.iter().filter(from_store).count() as u32;
+    let concurrent = fleet.weights.concurrent_loads;
+    let free = concurrent.saturating_sub(running);
+    let places = preload_places(free, concurrent, 1, fleet.now_ms);
+    let cold = (0..fleet.domains.len()).flat_map(|it| cold_spares(fleet, it));
+    cold.take(places as usize).collect()
+}
+
+/// Returns the idle VMs of a domain that should hold the weights and do not.
+fn cold_spares(fleet: &Fleet, domain: usize) -> Vec<usize> {
+    let version: ModelVersion = "v1".parse().expect("a valid id");
+    let spare = |it: usize| {
+        let vm = &fleet.vms[it];
+        let cached_versions = if vm.has_weights { vec![version.clone()] } else { Vec::new() };
+        PreloadSpare { vm: vm.id.clone(), cached_versions }
+    };
+    let spares: Vec<PreloadSpare> = fleet.idle(domain).into_iter().map(spare).collect();
+    let needs = [PreloadNeed { model_version: version.clone(), members: 1 }];
+    let chosen: Vec<VmId> = choose_preloads(&needs, &spares).into_iter().map(|it| it.vm).collect();
+    let idle = numbers(fleet, &chosen).into_iter();
+    idle.filter(|it| !fleet.vms[*it].is_preloading()).collect()
+}
+
 fn pending_load(fleet: &Fleet, vm: &Vm) -> PendingLoad {
     let group = &fleet.groups[vm.group.expect("a waiting VM is a member")];
     let members = || group.members.iter().map(|it| &fleet.vms[*it]);
--- a/benches/src/policy/fleet.rs
+++ b/benches/src/policy/fleet.rs
@@ -40,6 +40,8 @@
     pub stranded_accelerator_s: f64,
     /// Groups formed anew after the start.
     pub moves: u32,
+    /// Groups without room in any fabric domain at the start.
+    pub unplaced_groups: usize,
     /// Service of each group.
     pub timelines: Vec<Timeline>,
 }
@@ -80,6 +82,11 @@
         self.back_at_ms.is_none()
     }
 
+    /// Returns whether it fetches weights that no group needs from it yet.
+    pub(crate) fn is_preloading(&self) -> bool {
+        self.group.is_none() && self.loading.is_some()
+    }
+
     /// Returns whether the fault has lasted long enough to be noticed.
     pub(crate) fn is_noticed_missing(&self, now_ms: u64) -> bool {
         !self.is_up() && now_ms >= self.down_since_ms + DETECT_MS
@@ -225,7 +232,7 @@
             vm.slow = vm.slow.filter(|it| it.until_ms > now_ms);
             if vm.loading.is_some_and(|it| it.until_ms <= now_ms) {
                 vm.loading = None;
-                vm.ready = true;
+                vm.ready = vm.group.is_some();
                 vm.has_weights = true;
             }
         }
@@ -242,13 +249,33 @@
         }
         let waiting: Vec<usize> =
             (0..self.vms.len()).filter(|it| to_load(&self.vms[*it])).collect();
-        for vm in assignment::loads(self, &waiting) {
-            let until_ms = now_ms + LOAD_MS;
-            self.vms[vm].loading = Some(Loading { until_ms, from_store: true });
+        let loads = assignment::loads(self, &waiting);
+        let left = waiting.len() - loads.len();
+        for vm in loads {
+            self.fetch(vm);
+        }
+        match left {
+            0 => assignment::preloads(self).into_iter().for_each(|it| self.fetch(it)),
+            left => self.cancel_preloads(left),
         }
     }
 
+    fn fetch(&mut self, vm: usize) {
+        let until_ms = self.now_ms + LOAD_MS;
+        self.vms[vm].loading = Some(Loading { until_ms, from_store: true });
+    }
+
+    /// Gives preloads up, so that as many loads find a place at the next tick.
+    fn cancel_preloads(&mut self, loads: usize) {
+        let preloading = self.vms.iter_mut().filter(|it| it.is_preloading());
+        preloading.take(loads).for_each(|it| it.loading = None);
+    }
+
     fn is_steady(&self) -> bool {
+        !self.vms.iter().any(Vm::is_preloading) && self.groups_are_steady()
+    }
+
+    fn groups_are_steady(&self) -> bool {
         self.groups.iter().all(|it| self.serves(it) && self.slowdown(it) == 1.0)
     }
 
@@ -287,6 +314,7 @@
         slow_s: 0.0,
         stranded_accelerator_s: 0.0,
         moves: 0,
+        unplaced_groups: fleet.groups.iter().filter(|it| it.members.is_empty()).count(),
         timelines: vec![Timeline::default(); fleet.groups.len()],
     };
     let mut faults = scenario.faults.as_slice();
--- a/benches/src/policy/mod.rs
+++ b/benches/src/policy/mod.rs
@@ -18,6 +18,7 @@
 pub use case::Scenario;
 pub use fleet::FleetOutcome;
 pub use fleet::run_fleet;
+pub use outcome::AllPlaced;
 pub use outcome::CaseOutcome;
 pub use outcome::Comparison;
 pub use outcome::compare;
--- a/benches/src/policy/outcome.rs
+++ b/benches/src/policy/outcome.rs
@@ -96,48 +96,91 @@
     pub naive: CaseOutcome,
     /// The project's policy.
     pub project: CaseOutcome,
+    /// The ratios without the seeds under which a version left a group without a place.
+    pub all_placed: AllPlaced,
+}
+
+/// Ratios over the seeds under which both versions placed all groups at the start.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct AllPlaced {
+    /// Number of such seeds.
+    pub seeds: usize,
+    /// Group downtime, slow service included, as a share of the naive one's.
+    pub downtime_ratio: f64,
+    /// Stranded accelerator time as a share of the naive one's.
+    pub stranded_ratio: f64,
 }
 
 impl Comparison {
     /// Returns the project's group downtime, slow service included, as a share of the naive one's.
     pub fn downtime_ratio(&self) -> f64 {
-        let downtime = |it: &CaseOutcome| it.group_downtime_s.mean + it.slow_s.mean;
-        ratio(downtime(&self.project), downtime(&self.naive))
+        downtime_ratio(&self.naive, &self.project)
     }
 
     /// Returns the project's stranded accelerator time as a share of the naive one's.
     pub fn stranded_ratio(&self) -> f64 {
-        ratio(self.project.stranded_accelerator_s.mean, self.naive.stranded_accelerator_s.mean)
+        stranded_ratio(&self.naive, &self.project)
     }
 }
 
+fn downtime_ratio(naive: &CaseOutcome, project: &CaseOutcome) -> f64 {
+    let downtime = |it: &CaseOutcome| it.group_downtime_s.mean + it.slow_s.mean;
+    ratio(downtime(project), downtime(naive))
+}
+
+fn stranded_ratio(naive: &CaseOutcome, project: &CaseOutcome) -> f64 {
+    ratio(project.stranded_accelerator_s.mean, naive.stranded_accelerator_s.mean)
+}
+
 fn ratio(project: f64, naive: f64) -> f64 {
     if naive == 0.0 { 1.0 } else { project / naive }
 }
 
+/// A run of one version over one seed.
+type Run = (FleetOutcome, RequestOutcome);
+
 /// Runs both versions of a case over seeds `0..seeds`.
 pub fn compare(case: Case, user: User, seeds: u64) -> Comparison {
     let weights = user.weights();
+    let naive = run(case, user, Rules::Naive, &weights, seeds);
+    let project = run(case, user, Rules::Project, &weights, seeds);
     Comparison {
         case: case.name(),
         user: user.name(),
         weight_group_downtime: weights.group_downtime,
         weight_stranded_accelerator: weights.stranded_accelerator,
-        naive: run(case, user, Rules::Naive, &weights, seeds),
-        project: run(case, user, Rules::Project, &weights, seeds),
+        all_placed: all_placed(&naive, &project),
+        naive: summarise(&naive),
+        project: summarise(&project),
+    }
+}
+
+/// Compares over the seeds under which both versions placed all groups at the start.
+fn all_placed(naive: &[Run], project: &[Run]) -> AllPlaced {
+    let has_all = |it: &Run| it.0.unplaced_groups == 0;
+    let both =
+        naive.iter().zip(project).filter(|(naive, project)| has_all(naive) && has_all(project));
+    let (naive, project): (Vec<Run>, Vec<Run>) =
+        both.map(|(naive, project)| (naive.clone(), project.clone())).unzip();
+    let seeds = naive.len();
+    let (naive, project) = (summarise(&naive), summarise(&project));
+    AllPlaced {
+        seeds,
+        downtime_ratio: downtime_ratio(&naive, &project),
+        stranded_ratio: stranded_ratio(&naive, &project),
     }
 }
 
-fn run(case: Case, user: User, rules: Rules, weights: &PolicyWeights, seeds: u64) -> CaseOutcome {
+fn run(case: Case, user: User, rules: Rules, weights: &PolicyWeights, seeds: u64) -> Vec<Run> {
     let one = |seed| {
         let fleet = run_fleet(&case.scenario(seed), rules, weights);
         let requests = run_requests(case, user, rules, &fleet.timelines, seed);
         (fleet, requests)
     };
-    summarise(&(0..seeds).map(one).collect::<Vec<_>>())
+    (0..seeds).map(one).collect()
 }
 
-fn summarise(runs: &[(FleetOutcome, RequestOutcome)]) -> CaseOutcome {
+fn summarise(runs: &[Run]) -> CaseOutcome {
     let of_fleet = |get: &dyn Fn(&FleetOutcome) -> f64| {
         Spread::of(&runs.iter().map(|(it, _)| get(it)).collect::<Vec<_>>())
     };
@@ -167,7 +210,7 @@
     kept as f64 / all.len().max(1) as f64
 }
 
-fn first_token_rows(runs: &[(FleetOutcome, RequestOutcome)]) -> Vec<FirstTokenRow> {
+fn first_token_rows(runs: &[Run]) -> Vec<FirstTokenRow> {
     let mut rows = Vec::new();
     for (class, class_name) in ["large", "small"].into_iter().enumerate() {
         for (kind, kind_name) in KINDS.into_iter().enumerate() {
--- a/benches/tests/policy.rs
+++ b/benches/tests/policy.rs
@@ -44,9 +44,10 @@
     assert_ratios(Case::Rack, 1.2, 1.0);
 }
 
+/// A tenth less than naive: the place of a VM that restarts is taken by one that holds the weights.
 #[test]
 fn rolling_restart() {
-    assert_ratios(Case::Rolling, 1.0, 1.02);
+    assert_ratios(Case::Rolling, 0.9, 1.02);
 }
 
 /// Re-forming a slow group strands its members for the load, which leaving it
--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -24,6 +24,7 @@
 
 use crate::domain_view::DomainView;
 use crate::orders::OrderGiver;
+use crate::preloads::PreloadGiver;
 use crate::state::CoordinatorState;
 use crate::state::lock;
 
@@ -43,6 +44,7 @@
     let mut keeper = DomainKeeper {
         state: Arc::clone(state),
         orders: OrderGiver::new(Arc::clone(state)),
+        preloads: PreloadGiver::new(Arc::clone(state)),
         backoffs: HashMap::new(),
     };
     let mut read_at: Option<Instant> = None;
@@ -108,6 +110,7 @@
 struct DomainKeeper {
     state: Arc<CoordinatorState>,
     orders: OrderGiver,
+    preloads: PreloadGiver,
     backoffs: HashMap<FabricDomain, TakeoverBackoff>,
 }
 
@@ -118,12 +121,13 @@
             backoff.not_preferred();
         }
         self.orders.begin();
-        for domain in owned {
-            if let Err(error) = self.look_after(&domain) {
+        for domain in &owned {
+            if let Err(error) = self.look_after(domain) {
                 log::warn!(domain = domain.as_str(); "assignment was not written: {error}");
             }
         }
-        self.orders.end();
+        let waiting = self.orders.end();
+        self.preloads.look(&mut self.orders, &owned, &waiting);
     }
 
     fn look_after(&mut self, domain: &FabricDomain) -> Result<(), StoreError> {
@@ -164,7 +168,7 @@
         let backoff = self.backoffs.entry(domain.clone()).or_insert_with(new_backoff);
         let now = state.clock.now();
         let held = lock(&state.assignments).get(domain).cloned();
-        if held.as_ref().is_some_and(|it| it.is_owned_by(&state.settings.vm, state.process_id)) {
+        if state.owns(domain) {
             backoff.owns(now);
             return Ok(true);
         }
@@ -203,7 +207,7 @@
 }
 
 /// Asks the store whether the assignment held is still the newest.
-fn confirm(state: &CoordinatorState, domain: &FabricDomain) -> Result<(), StoreError> {
+pub(crate) fn confirm(state: &CoordinatorState, domain: &FabricDomain) -> Result<(), StoreError> {
     let asked_at = state.clock.now();
     let key = DomainAssignment::key(domain);
     if let (Some(read), revision) = read_json(state.store.as_ref(), &key)? {
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod placement;
 mod platform;
+mod preloads;
 mod probes;
 mod queries;
 mod registration;
--- a/bins/mangocross-coordinator/src/orders.rs
+++ b/bins/mangocross-coordinator/src/orders.rs
@@ -14,6 +14,7 @@
 use mangocross_policy::PendingLoad;
 use mangocross_policy::choose_loads;
 use mangocross_types::CommandId;
+use mangocross_types::EngineState;
 use mangocross_types::FencingNumber;
 use mangocross_types::GroupId;
 use mangocross_types::Order;
@@ -44,6 +45,15 @@
     kind: OrderKind,
 }
 
+/// Places at the weight store.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FetchPlaces {
+    /// Fetches served at once at the most.
+    pub(crate) max: u32,
+    /// Places that are free.
+    pub(crate) free: u32,
+}
+
 /// Gives orders, each on a thread of its own, and not the same one at each tick.
 ///
 /// Whether an order was carried out is seen in the reports; an answer that is
@@ -111,12 +121,14 @@
     }
 
     /// Gives the loads for which the weight store has room, in the policy's order.
-    pub(crate) fn end(&mut self) {
+    ///
+    /// Returns the VMs whose loads still wait.
+    pub(crate) fn end(&mut self) -> Vec<VmId> {
         let waits =
             |group: &GroupId| self.waiting.iter().filter(|it| it.load.group == *group).count();
         self.waiting_since.retain(|group, _| waits(group) > 0);
         if self.waiting.is_empty() {
-            return;
+            return Vec::new();
         }
         let pending: Vec<PendingLoad> = self
             .waiting
@@ -127,12 +139,16 @@
                 PendingLoad { group_lacks, ..it.load.clone() }
             })
             .collect();
-        let chosen = choose_loads(&pending, &[], self.free_fetches());
+        let chosen = choose_loads(&pending, &[], self.fetch_places().free);
+        let mut left = Vec::new();
         for it in std::mem::take(&mut self.waiting) {
             if chosen.contains(&it.load.vm) {
                 self.send(it.load.vm, it.address, it.deadline_unix_ms, it.fencing_number, it.kind);
+            } else {
+                left.push(it.load.vm);
             }
         }
+        left
     }
 
     fn send(
@@ -161,24 +177,31 @@
         });
     }
 
-    /// Asks the weight store for its free places.
+    /// Asks the weight store for its places.
     ///
-    /// Loads ordered lately may not have reached it, and count as well.
-    fn free_fetches(&self) -> u32 {
+    /// Fetches ordered lately may not have reached it, and count as well.
+    pub(crate) fn fetch_places(&self) -> FetchPlaces {
         let max = self.state.configuration().policy.concurrent_loads;
-        let loads = self.given.values().filter(|it| matches!(it.kind, OrderKind::Load { .. }));
-        let lately = u32::try_from(loads.count()).unwrap_or(u32::MAX);
+        let fetches =
+            |it: &&Given| matches!(it.kind, OrderKind::Load { .. } | OrderKind::Preload { .. });
+        let lately = self.given.values().filter(fetches).count();
+        let lately = u32::try_from(lately).unwrap_or(u32::MAX);
         match self.state.platform.weight_store_load() {
-            Ok(load) => max.min(load.loads_max).saturating_sub(load.loads_running.max(lately)),
+            Ok(load) => {
+                let max = max.min(load.loads_max);
+                FetchPlaces { max, free: max.saturating_sub(load.loads_running.max(lately)) }
+            }
             Err(error) => {
                 log::warn!("the weight store's load could not be read: {error}");
-                max.saturating_sub(lately)
+                FetchPlaces { max, free: max.saturating_sub(lately) }
             }
         }
     }
 }
 
-/// Returns the group for which an order makes its engine fetch weights, if it does.
+/// Returns the group for which an order makes its engine take a place at the weight store.
+///
+/// A VM that preloads has one already, which the load takes over.
 fn fetching_group<'a>(
     view: &DomainView<'_>,
     vm: &VmId,
@@ -186,8 +209,10 @@
 ) -> Option<&'a GroupId> {
     let OrderKind::Load { group, model_version, .. } = kind else { return None };
     let report = view.report(vm);
-    let cached = report.is_some_and(|it| it.cached_versions.contains(model_version));
-    (!cached).then_some(group)
+    let has_place = report.is_some_and(|it| {
+        it.state == EngineState::Preloading || it.cached_versions.contains(model_version)
+    });
+    (!has_place).then_some(group)
 }
 
 fn new_order_id() -> CommandId {
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -135,6 +135,13 @@
         live
     }
 
+    /// Returns whether the assignment held names this process as the owner.
+    pub(crate) fn owns(&self, domain: &FabricDomain) -> bool {
+        let assignments = lock(&self.assignments);
+        let held = assignments.get(domain);
+        held.is_some_and(|it| it.is_owned_by(&self.settings.vm, self.process_id))
+    }
+
     /// Returns whether this coordinator decides where groups belong.
     pub(crate) fn is_placement_leader(&self) -> bool {
         let live = self.live_coordinators();
--- a/bins/mangocross-coordinator/src/why.rs
+++ b/bins/mangocross-coordinator/src/why.rs
@@ -8,6 +8,7 @@
 use mangocross_coordination::OrderAuthority;
 use mangocross_operator::OperatorAnswer;
 use mangocross_types::EngineRole;
+use mangocross_types::EngineState;
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupAssignment;
 use mangocross_types::GroupId;
@@ -115,6 +116,9 @@
             Some(group) => {
                 reasons.push(format!("it still reports group {group} and is told to leave it"))
             }
+            None if report.state == EngineState::Preloading => reasons.push(
+                "it is idle and fetches weights that a group here may need from it".to_owned(),
+            ),
             None => reasons.push(
                 "it is idle: no group that is wanted here needs it, or too few others are idle"
                     .to_owned(),
--- a/crates/mangocross-coordination/src/reconcile.rs
+++ b/crates/mangocross-coordination/src/reconcile.rs
@@ -115,11 +115,15 @@
     }
 
     /// Returns the VMs that say that they are in no group, and are in none.
+    ///
+    /// One that preloads is among them: a load for a group displaces a preload.
     pub fn idle_vms(&self) -> impl Iterator<Item = VmId> + use<'a> {
         let input = *self;
         let idle = move |it: &&EngineVm| {
             let report = input.report(&it.vm);
-            let says_idle = report.is_some_and(|it| it.state == EngineState::Idle);
+            let is_idle =
+                |it: EngineState| matches!(it, EngineState::Idle | EngineState::Preloading);
+            let says_idle = report.is_some_and(|it| is_idle(it.state));
             says_idle && it.listed && !it.leaving && !input.is_assigned(&it.vm)
         };
         self.engines.iter().filter(idle).map(|it| it.vm.clone())
--- a/crates/mangocross-coordination/tests/histories.rs
+++ b/crates/mangocross-coordination/tests/histories.rs
@@ -23,20 +23,26 @@
 
 fn check(engines: bool) {
     let (requests, takeovers) = (AtomicU64::new(0), AtomicU64::new(0));
+    let preloads = AtomicU64::new(0);
     let run = |seed| {
         let fence_mode = if seed % 2 == 0 { FenceMode::Honoured } else { FenceMode::Ignored };
         let mut world = World::new(seed, Faults { engines, fence_mode });
         world.run();
         requests.fetch_add(world.requests, Ordering::Relaxed);
         takeovers.fetch_add(world.takeovers, Ordering::Relaxed);
+        preloads.fetch_add(world.preloads, Ordering::Relaxed);
     };
     thread::scope(|scope| {
         for first in 0..THREADS {
             scope.spawn(move || (first..cases()).step_by(THREADS as usize).for_each(run));
         }
     });
-    println!("{} histories: {requests:?} requests, {takeovers:?} takeovers", cases());
+    println!(
+        "{} histories: {requests:?} requests, {takeovers:?} takeovers, {preloads:?} preloads",
+        cases()
+    );
     assert!(requests.into_inner() > cases(), "the histories hold hardly any request");
+    assert!(preloads.into_inner() > cases(), "the histories hold hardly any preload");
 }
 
 #[test]
--- a/crates/mangocross-coordination/tests/world/engine.rs
+++ b/crates/mangocross-coordination/tests/world/engine.rs
@@ -102,6 +102,19 @@
                 self.report.state = EngineState::Loading;
                 if cut == Effect::None { Effect::Loading } else { cut }
             }
+            OrderKind::Preload { .. } => {
+                let is_idle = self.report.group.is_none() && self.report.cached_versions.is_empty();
+                if is_idle {
+                    self.report.state = EngineState::Preloading;
+                }
+                Effect::None
+            }
+            OrderKind::CancelPreload => {
+                if self.report.state == EngineState::Preloading {
+                    self.report.state = EngineState::Idle;
+                }
+                Effect::None
+            }
             OrderKind::ChangeRole { group, incarnation, role } => {
                 if self.is_in(group, *incarnation) {
                     self.report.role = *role;
@@ -115,6 +128,14 @@
         }
     }
 
+    /// Ends a fetch of weights ahead of need, unless an order has displaced it.
+    pub(crate) fn preloaded(&mut self, version: ModelVersion) {
+        if self.report.state == EngineState::Preloading {
+            self.report.state = EngineState::Idle;
+            self.report.cached_versions.push(version);
+        }
+    }
+
     pub(crate) fn become_ready(&mut self, version: ModelVersion, now: Instant) {
         self.report.state = EngineState::Ready;
         self.report.model_version = Some(version);
--- a/crates/mangocross-coordination/tests/world/mod.rs
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -20,6 +20,8 @@
 use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::ProofTable;
 use mangocross_coordination::Step;
+use mangocross_coordination::preload_orders;
+use mangocross_coordination::preloading_vms;
 use mangocross_coordination::reconcile;
 use mangocross_coordination::take_over;
 use mangocross_coordination::validate;
@@ -35,6 +37,7 @@
 use mangocross_types::GroupId;
 use mangocross_types::GroupPhase;
 use mangocross_types::Incarnation;
+use mangocross_types::ModelVersion;
 use mangocross_types::OrderKind;
 use mangocross_types::Placements;
 use mangocross_types::Rank;
@@ -87,6 +90,7 @@
     Request { engine: usize, group: GroupId, incarnation: Incarnation },
     Finished { engine: usize, membership: u64 },
     Loaded { engine: usize, membership: u64, version: String },
+    Preloaded { engine: usize, membership: u64, version: String },
     Configured { owner: usize },
 }
 
@@ -133,6 +137,7 @@
     idle_only_taken: bool,
     pub(crate) requests: u64,
     pub(crate) takeovers: u64,
+    pub(crate) preloads: u64,
 }
 
 impl World {
@@ -158,6 +163,7 @@
             idle_only_taken: false,
             requests: 0,
             takeovers: 0,
+            preloads: 0,
         };
         for owner in 0..OWNERS {
             world.after(Duration::ZERO, Event::Tick { owner });
@@ -334,6 +340,11 @@
                     self.engines[engine].become_ready(id(&version), self.now);
                 }
             }
+            Event::Preloaded { engine, membership, version } => {
+                if self.engines[engine].membership == membership {
+                    self.engines[engine].preloaded(id(&version));
+                }
+            }
             Event::Configured { owner } => {
                 self.owners[owner].configuration = self.configuration.clone();
             }
@@ -468,9 +479,38 @@
                 Step::Order { vm, kind } => self.send_order(held, authority, &vm, kind),
             }
         }
+        if matches!(authority, OrderAuthority::Full { .. }) {
+            self.change_preloads(owner, held, authority);
+        }
+    }
+
+    /// Starts preloads, or gives them up.
+    fn change_preloads(&mut self, owner: usize, held: &HeldAssignment, authority: OrderAuthority) {
+        if self.random.u32(..4) == 0 {
+            let preloading = self.with_input(owner, held, authority, preloading_vms);
+            for vm in preloading {
+                self.send_order(held, authority, &vm, OrderKind::CancelPreload);
+            }
+            return;
+        }
+        for step in self.with_input(owner, held, authority, preload_orders) {
+            if let Step::Order { vm, kind } = step {
+                self.send_order(held, authority, &vm, kind);
+            }
+        }
     }
 
     fn decide(&self, owner: usize, held: &HeldAssignment, authority: OrderAuthority) -> Vec<Step> {
+        self.with_input(owner, held, authority, reconcile)
+    }
+
+    fn with_input<T>(
+        &self,
+        owner: usize,
+        held: &HeldAssignment,
+        authority: OrderAuthority,
+        decide: fn(&DomainInput<'_>) -> T,
+    ) -> T {
         let engines = self.engines.iter().map(|it| EngineVm {
             vm: it.report.vm.clone(),
             address: ([127, 0, 0, 1], 1).into(),
@@ -478,7 +518,7 @@
             listed: true,
         });
         let engines: Vec<EngineVm> = engines.collect();
-        reconcile(&DomainInput {
+        decide(&DomainInput {
             held,
             configuration: &self.owners[owner].configuration.1,
             placements: &self.placements,
@@ -550,6 +590,9 @@
                 self.seed
             );
         }
+        if let OrderKind::Preload { model_version, .. } = &order.kind {
+            self.begin_preload(engine, model_version);
+        }
         if let OrderKind::Load { model_version, .. } = &order.kind
             && self.engines[engine].report.state == EngineState::Loading
         {
@@ -558,6 +601,16 @@
         }
     }
 
+    fn begin_preload(&mut self, engine: usize, version: &ModelVersion) {
+        let this = &self.engines[engine];
+        if this.report.state == EngineState::Preloading {
+            let (membership, version) = (this.membership, version.to_string());
+            let delay = self.between(100, 3_000);
+            self.preloads += 1;
+            self.after(delay, Event::Preloaded { engine, membership, version });
+        }
+    }
+
     fn request(&mut self, engine: usize, group: &GroupId, incarnation: Incarnation) {
         let this = &self.engines[engine];
         let takes = this.is_in(group, incarnation)
--- a/crates/mangocross-types/src/report.rs
+++ b/crates/mangocross-types/src/report.rs
@@ -19,6 +19,8 @@
 pub enum EngineState {
     /// In no group.
     Idle,
+    /// In no group, fetching weights that no group needs from it yet.
+    Preloading,
     /// Loading weights for a group.
     Loading,
     /// Loaded and able to work in its group.
@@ -87,6 +89,19 @@
         /// The version to load.
         model_version: ModelVersion,
     },
+    /// Fetch weights and keep them on the VM without joining a group.
+    ///
+    /// An engine that is in a group, or fetches already, ignores it. A later
+    /// load comes first: one of the same version goes on with this fetch, any
+    /// other ends it.
+    Preload {
+        /// The model.
+        model: ModelId,
+        /// The version to fetch.
+        model_version: ModelVersion,
+    },
+    /// Give up the fetch of a preload; an engine that loads for a group ignores it.
+    CancelPreload,
     /// Take or refuse new requests, if still in this incarnation.
     ChangeRole {
         /// The group.
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -47,6 +47,8 @@
 
 /// Time for which a frozen engine keeps its caller waiting, in milliseconds.
 const FROZEN_MS: u64 = 30_000;
+/// Time between looks at whether a fetch goes on, in milliseconds.
+const FETCH_LOOK_MS: u64 = 10;
 /// Factor by which a straggler is slower.
 const STRAGGLER_FACTOR: u64 = 50;
 /// Requests that an engine runs at once.
@@ -145,6 +147,16 @@
     loads: Vec<(Instant, u32)>,
     /// Rises with each change of membership; ends work of the one before.
     membership: u64,
+    /// The fetch of weights under way.
+    fetch: Option<Fetch>,
+    fetches: u64,
+}
+
+/// A fetch of weights; another one in its place ends it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Fetch {
+    number: u64,
+    model_version: ModelVersion,
 }
 
 #[derive(Debug, Deserialize)]
@@ -188,9 +200,8 @@
     /// Forgets everything, as an engine does that is restarted on its VM; its work ends.
     pub fn restart_empty(&self) {
         let mut member = lock(&self.state.member);
-        let membership = member.membership + 1;
-        *member = Member::idle();
-        member.membership = membership;
+        let (membership, fetches) = (member.membership + 1, member.fetches);
+        *member = Member { membership, fetches, ..Member::idle() };
     }
 
     /// Returns what the engine reports of itself, faults left aside.
@@ -216,9 +227,18 @@
             cancelled: HashSet::new(),
             loads: Vec::new(),
             membership: 0,
+            fetch: None,
+            fetches: 0,
         }
     }
 
+    fn begin_fetch(&mut self, model_version: ModelVersion) -> Fetch {
+        self.fetches += 1;
+        let fetch = Fetch { number: self.fetches, model_version };
+        self.fetch = Some(fetch.clone());
+        fetch
+    }
+
     fn is_in(&self, group: &GroupId, incarnation: Incarnation) -> bool {
         self.group.as_ref() == Some(group) && self.incarnation == incarnation
     }
@@ -311,6 +331,24 @@
             let loading = Arc::clone(state);
             thread::spawn(move || loading.load(membership, model_version));
         }
+        OrderKind::Preload { model_version, .. } => {
+            let is_cached = member.cached_versions.contains(&model_version);
+            if member.group.is_some() || is_cached || member.fetch.is_some() {
+                return;
+            }
+            member.state = EngineState::Preloading;
+            state.faults.count("preloads");
+            let fetch = member.begin_fetch(model_version);
+            let fetching = Arc::clone(state);
+            thread::spawn(move || fetching.fetch(&fetch));
+        }
+        OrderKind::CancelPreload => {
+            if member.state == EngineState::Preloading {
+                state.faults.count("cancelled_preloads");
+                member.state = EngineState::Idle;
+                member.fetch = None;
+            }
+        }
         OrderKind::ChangeRole { group, incarnation, role } => {
             if member.is_in(&group, incarnation) {
                 member.role = role;
@@ -350,31 +388,71 @@
     }
 
     /// Fetches the weights unless they are on the VM, and becomes ready.
+    ///
+    /// A preload of the same version that is under way is waited for.
     fn load(&self, membership: u64, model_version: ModelVersion) {
         self.faults.count("loads");
-        let cached = lock(&self.member).cached_versions.contains(&model_version);
-        if !cached {
-            self.wait_for_weight_store(&model_version);
-            pause(self.options.load_ms);
+        loop {
+            let mut member = lock(&self.member);
+            if member.membership != membership {
+                return;
+            }
+            if member.cached_versions.contains(&model_version) {
+                member.model_version = Some(model_version);
+                member.state = EngineState::Ready;
+                return;
+            }
+            match &member.fetch {
+                Some(fetch) if fetch.model_version == model_version => {
+                    drop(member);
+                    pause(FETCH_LOOK_MS);
+                }
+                _ => {
+                    let fetch = member.begin_fetch(model_version.clone());
+                    drop(member);
+                    self.fetch(&fetch);
+                }
+            }
+        }
+    }
+
+    /// Brings weights onto the VM, unless the fetch is given up meanwhile.
+    fn fetch(&self, fetch: &Fetch) {
+        let waits_ms = self.ask_weight_store(&fetch.model_version) + self.options.load_ms;
+        let until = Instant::now() + Duration::from_millis(waits_ms);
+        while self.is_fetching(fetch) && Instant::now() < until {
+            pause(FETCH_LOOK_MS);
         }
         let mut member = lock(&self.member);
-        if !member.cached_versions.contains(&model_version) {
-            member.cached_versions.push(model_version.clone());
+        if member.fetch.as_ref() != Some(fetch) {
+            drop(member);
+            return self.leave_weight_store();
         }
-        if member.membership == membership {
-            member.model_version = Some(model_version);
-            member.state = EngineState::Ready;
+        member.fetch = None;
+        member.cached_versions.push(fetch.model_version.clone());
+        if member.state == EngineState::Preloading {
+            member.state = EngineState::Idle;
         }
     }
 
-    fn wait_for_weight_store(&self, model_version: &ModelVersion) {
-        let Some(address) = self.options.weight_store else { return };
+    fn is_fetching(&self, fetch: &Fetch) -> bool {
+        lock(&self.member).fetch.as_ref() == Some(fetch)
+    }
+
+    /// Takes a place at the weight store; returns how long the fetch takes there, in milliseconds.
+    fn ask_weight_store(&self, model_version: &ModelVersion) -> u64 {
+        let Some(address) = self.options.weight_store else { return 0 };
         let body = serde_json::json!({"vm": self.options.vm, "model_version": model_version});
         let call = HttpCall::new(HttpMethod::Post, address, "/v1/weights/loads").json(&body);
         let answer = self.client.call(call).and_then(|it| it.read_json::<serde_json::Value>(1024));
-        if let Ok(answer) = answer {
-            pause(answer["wait_ms"].as_u64().unwrap_or_default());
-        }
+        answer.map_or(0, |it| it["wait_ms"].as_u64().unwrap_or_default())
+    }
+
+    /// Gives a place at the weight store back.
+    fn leave_weight_store(&self) {
+        let Some(address) = self.options.weight_store else { return };
+        let path = format!("/v1/weights/loads/{}", self.options.vm);
+        let _ = self.client.call(HttpCall::new(HttpMethod::Delete, address, &path));
     }
 
     fn generate(&self, request: ServerRequest, body: &GenerateRequest) {
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -11,6 +11,7 @@
 use mangocross_http::HttpServer;
 use mangocross_http::ServerLimits;
 use mangocross_http::ServerRequest;
+use mangocross_types::VmId;
 use mangocross_types::VmListEntry;
 use peer_platform::VmList;
 use peer_platform::WeightStoreLoad;
@@ -64,11 +65,22 @@
 struct State {
     /// The list with the time of each change, oldest first.
     lists: Mutex<Vec<(Instant, Vec<VmListEntry>)>>,
-    /// When each running load ends.
-    loads: Mutex<Vec<Instant>>,
+    loads: Mutex<Vec<RunningLoad>>,
     faults: Faulty<PlatformFaults>,
 }
 
+/// A load at the weight store, with the time at which it ends.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct RunningLoad {
+    end: Instant,
+    vm: VmId,
+}
+
+#[derive(Debug, Deserialize)]
+struct LoadBody {
+    vm: VmId,
+}
+
 #[derive(Debug, Serialize)]
 struct Wait {
     wait_ms: u64,
@@ -131,8 +143,17 @@
                 request.respond_json(200, &load);
             }
             (Some(HttpMethod::Post), "/v1/weights/loads") => {
-                let wait_ms = self.start_load(&faults);
-                request.respond_json(200, &Wait { wait_ms });
+                match request.read_json::<LoadBody>() {
+                    Ok(body) => {
+                        let wait_ms = self.start_load(&faults, body.vm);
+                        request.respond_json(200, &Wait { wait_ms });
+                    }
+                    Err(error) => request.respond(400, &[], error.to_string().into_bytes()),
+                }
+            }
+            (Some(HttpMethod::Delete), path) => {
+                self.end_load(path.strip_prefix("/v1/weights/loads/").unwrap_or_default());
+                request.respond(200, &[], Vec::new());
             }
             _ => request.respond(404, &[], b"no such call".to_vec()),
         }
@@ -148,27 +169,37 @@
 
     fn running_loads(&self) -> u32 {
         let mut loads = lock(&self.loads);
-        loads.retain(|it| *it > Instant::now());
+        loads.retain(|it| it.end > Instant::now());
         u32::try_from(loads.len()).unwrap_or(u32::MAX)
     }
 
     /// Takes a place at the weight store and returns how long the load takes.
-    fn start_load(&self, faults: &PlatformFaults) -> u64 {
+    fn start_load(&self, faults: &PlatformFaults, vm: VmId) -> u64 {
         self.faults.count("loads");
         let mut loads = lock(&self.loads);
         let now = Instant::now();
-        loads.retain(|it| *it > now);
+        loads.retain(|it| it.end > now);
         loads.sort_unstable();
         let places = faults.loads_max.max(1) as usize;
         let start = match loads.len().checked_sub(places) {
             Some(ahead) => {
                 self.faults.count("loads_that_waited");
-                loads[ahead]
+                loads[ahead].end
             }
             None => now,
         };
         let end = start + Duration::from_millis(faults.load_ms);
-        loads.push(end);
+        loads.push(RunningLoad { end, vm });
         u64::try_from(end.duration_since(now).as_millis()).unwrap_or(u64::MAX)
     }
+
+    /// Frees the place of the oldest load of a VM, which gave it up.
+    fn end_load(&self, vm: &str) {
+        let mut loads = lock(&self.loads);
+        loads.sort_unstable();
+        if let Some(place) = loads.iter().position(|it| it.vm.as_str() == vm) {
+            self.faults.count("loads_given_up");
+            loads.remove(place);
+        }
+    }
 }
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -265,6 +265,62 @@
     assert_eq!(cluster.platform.faults().counted("loads_that_waited"), 0);
 }
 
+#[test]
+fn spare_fetches_weights_before_it_is_needed_and_serves_in_no_group() {
+    let cluster = builder(1, &[3]).weight_store().start();
+    cluster.start_group(START, 0, &draft());
+    let members = placed(&cluster, "domain-1").members;
+    let spare = cluster.engines.iter().find(|(vm, _)| !members.contains(vm));
+    let (spare_vm, spare) = spare.expect("one VM is in no group");
+    cluster.wait_until("the spare holds the weights", || {
+        let report = spare.report();
+        report.state == EngineState::Idle && !report.cached_versions.is_empty()
+    });
+    assert_eq!((spare.report().group, spare.report().model_version), (None, None));
+    assert_eq!(placed(&cluster, "domain-1").members, members);
+    cluster.engine(members[1].as_str()).faults().set(frozen());
+    cluster.wait_until("the group is formed anew", || {
+        placed(&cluster, "domain-1").members.contains(spare_vm)
+            && cluster.send(0, &draft()).is_whole()
+    });
+    assert_eq!(cluster.platform.faults().counted("loads"), 3);
+}
+
+#[test]
+fn loads_of_a_group_end_a_preload_that_holds_a_place_at_the_weight_store() {
+    let cluster = builder(1, &[3, 2]).weight_store().start();
+    let weights = |loads_max, load_ms| {
+        let faults = PlatformFaults { loads_max, load_ms, ..PlatformFaults::default() };
+        cluster.platform.faults().set(faults);
+    };
+    for vm in ["vm-2-1", "vm-2-2"] {
+        cluster.operate(0, &format!("drain vm {vm}")).expect("it is drained");
+    }
+    // One place alone is never used for a preload.
+    weights(1, 100);
+    cluster.start_group(&format!("{START} in domain-1"), 0, &draft());
+    weights(2, 600_000);
+    let members = placed(&cluster, "domain-1").members;
+    let spare = cluster
+        .engines
+        .iter()
+        .find(|(vm, _)| vm.as_str().starts_with("vm-1") && !members.contains(vm));
+    let (_, spare) = spare.expect("one VM is in no group");
+    cluster.wait_until("the spare preloads", || spare.report().state == EngineState::Preloading);
+    weights(2, 100);
+    for vm in ["vm-2-1", "vm-2-2"] {
+        cluster.operate(0, &format!("resume vm {vm}")).expect("it is resumed");
+    }
+    let second = "start group drills-1 model drills version v2 members 2 in domain-2";
+    let scenario = Outgoing::chat("town", "scenario", "drills", 4, true);
+    cluster.start_group(second, 0, &scenario);
+    assert_eq!(spare.faults().counted("cancelled_preloads"), 1);
+    assert_eq!(spare.report().state, EngineState::Idle);
+    assert!(spare.report().cached_versions.is_empty());
+    assert_eq!(cluster.platform.faults().counted("loads_given_up"), 1);
+    assert_eq!(cluster.platform.faults().counted("loads_that_waited"), 0);
+}
+
 #[test]
 fn why_names_what_a_group_waits_for() {
     let cluster = builder(1, &[2]).start();
