fix(policy): admit small customers' other kinds beside first kinds

Other kinds of customers within their share now go up to nine tenths.

The benchmark's test now bounds the refused tries of small customers by naive.

--- a/benches/tests/policy.rs
+++ b/benches/tests/policy.rs
@@ -103,4 +103,5 @@
         assert!(draft > status);
     }
     assert!(it.project.good_share.mean >= 3.0 * it.naive.good_share.mean);
+    assert!(it.project.refused_small.mean <= it.naive.refused_small.mean);
 }
--- a/crates/mangocross-policy/src/admission.rs
+++ b/crates/mangocross-policy/src/admission.rs
@@ -27,8 +27,10 @@
 const OVER_SHARE_CEILING: f64 = 0.8;
 /// Share of capacity open to customers within their fair share.
 const WITHIN_SHARE_CEILING: f64 = 0.95;
-/// Share of capacity open to other kinds while some kinds go first.
-const BESIDE_FIRST_CEILING: f64 = 0.75;
+/// Share of capacity open to other kinds while some kinds go first: of customers
+/// above their fair share, and of those within it.
+const BESIDE_FIRST_OVER: f64 = 0.75;
+const BESIDE_FIRST_WITHIN: f64 = 0.9;
 /// Part of a ceiling that the least important requests do not get.
 const PRIORITY_SPAN: f64 = 0.1;
 
@@ -264,7 +266,6 @@
         if first_kinds.contains(&request.kind) {
             return capacity;
         }
-        let open = if first_kinds.is_empty() { 1.0 } else { BESIDE_FIRST_CEILING };
         let demands: Vec<f64> = self
             .customers
             .iter()
@@ -275,7 +276,11 @@
         let level = fair_level(&demands, taken * OVER_SHARE_CEILING).max(1.0);
         let customer = &self.customers[&request.customer];
         let within = f64::from(customer.in_flight) + 1.0 <= level;
-        let share = if within { WITHIN_SHARE_CEILING } else { OVER_SHARE_CEILING };
+        let (share, beside_first) = match within {
+            true => (WITHIN_SHARE_CEILING, BESIDE_FIRST_WITHIN),
+            false => (OVER_SHARE_CEILING, BESIDE_FIRST_OVER),
+        };
+        let open = if first_kinds.is_empty() { 1.0 } else { beside_first };
         capacity * open * (share - PRIORITY_SPAN * (1.0 - importance(request, view)))
     }
 
--- a/crates/mangocross-policy/tests/admission.rs
+++ b/crates/mangocross-policy/tests/admission.rs
@@ -268,6 +268,20 @@
     assert_eq!(status + draft, 100);
 }
 
+#[test]
+fn first_kinds_of_a_large_customer_do_not_shed_the_other_kinds_of_a_small_one() {
+    let mut configuration = configuration(100_000, 100_000);
+    configuration.policy.first_kinds = vec!["draft".parse().unwrap()];
+    let mut gateways = Gateways::new(configuration, 1, 100);
+    for (kind, asked) in [("status", 100), ("draft", 10)] {
+        for now_ms in 0..asked {
+            gateways.decide(0, &request("large", kind), now_ms);
+        }
+    }
+    let small = |now_ms| gateways.decide(0, &request("small", "status"), now_ms).is_none();
+    assert_eq!((200..210).map(small).filter(|it| *it).count(), 10);
+}
+
 #[test]
 fn refusals_say_not_run_and_spread_the_return() {
     let mut gateways = Gateways::new(configuration(1, 100), 1, 100);
