test(harness): relay datagrams between entry VMs, and cut, delay, repeat and reorder them

Cause: cuts between a gateway and a coordinator, duels of coordinators, a start that races a move and an owner that dies between the drain and the unload of a repair were proved in the model only, since the harness relayed TCP alone.

`UdpRelay` stands before a coordinator and treats the datagrams of each sender by its own mode. A coordinator behind it is reached at another address than the one it listens at, so `advertise` is a new setting of the coordinator; without it the address listened at is named, as before.

Ruled out: a relay in front of the senders, since they all share the addresses of the configuration.

--- a/bins/mangocross-coordinator/src/acceptance.rs
+++ b/bins/mangocross-coordinator/src/acceptance.rs
@@ -29,7 +29,7 @@
     let now = state.clock.now();
     let vouch = state.node.vouch(now);
     let mut tracker = lock(&state.acceptance);
-    let own = Voucher { vm: state.settings.vm.clone(), address: state.settings.listen };
+    let own = Voucher { vm: state.settings.vm.clone(), address: state.settings.advertised() };
     let sighting = Sighting {
         process_id: state.process_id,
         revision: vouch.newest_known,
--- a/bins/mangocross-coordinator/src/registration.rs
+++ b/bins/mangocross-coordinator/src/registration.rs
@@ -57,14 +57,14 @@
     EntryVmSpec {
         vm: settings.vm.clone(),
         availability_zone: settings.availability_zone.clone(),
-        coordinator: settings.listen,
+        coordinator: settings.advertised(),
     }
 }
 
 fn request(state: &CoordinatorState) -> OperatorRequest {
     OperatorRequest {
         command_id: new_command_id(),
-        text: format!("register node {} at {}", state.settings.vm, state.settings.listen),
+        text: format!("register node {} at {}", state.settings.vm, state.settings.advertised()),
         configuration: None,
         based_on: None,
         dry_run: false,
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -158,7 +158,7 @@
         let mut addresses = self.settings.coordinators.clone();
         let configuration = self.configuration();
         addresses.extend(configuration.entry_vms.iter().map(|it| it.coordinator));
-        addresses.retain(|it| *it != self.settings.listen);
+        addresses.retain(|it| *it != self.settings.advertised());
         addresses.sort_unstable();
         addresses.dedup();
         addresses
--- a/crates/mangocross-coordination/tests/configuration_histories.rs
+++ b/crates/mangocross-coordination/tests/configuration_histories.rs
@@ -49,9 +49,12 @@
         world.set_store(false);
         run(&mut world, 200);
         assert!((0..5).all(|it| world.serves(it)), "seed {seed}: the outage stopped a node");
-        world.restart(0);
-        run(&mut world, 100);
-        assert!((0..5).all(|it| world.serves(it)), "seed {seed}: a restart stopped a node");
+        // Without the store, those that restarted can vouch again only by the word of the others.
+        for node in 0..5 {
+            world.restart(node);
+            run(&mut world, 100);
+            assert!((0..5).all(|it| world.serves(it)), "seed {seed}: a restart stopped a node");
+        }
     }
 }
 
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -23,6 +23,9 @@
     pub availability_zone: AvailabilityZone,
     /// UDP and TCP address for gateways and other coordinators.
     pub listen: SocketAddr,
+    /// Address at which the others reach `listen`, if it is another one.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// UDP address that polls are sent from.
     pub poll_from: SocketAddr,
     /// Address for operators.
@@ -74,6 +77,13 @@
     pub leaving_kept_ms: u64,
 }
 
+impl CoordinatorSettings {
+    /// Returns the address at which gateways and other coordinators reach this one.
+    pub fn advertised(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+}
+
 fn poll_interval_ms() -> u64 {
     750
 }
--- a/peers/peer-entry/tests/frames.rs
+++ b/peers/peer-entry/tests/frames.rs
@@ -263,16 +263,19 @@
     ConfigurationDocument { revision: Revision(0), text: String::new() }
 }
 
-/// Holds a configuration of the largest size that the store takes.
-struct Source;
+/// Largest value of the store, in bytes.
+const STORE_BYTES_MAX: usize = 1024 * 1024;
+
+/// Holds a configuration of so many bytes, and a shorter one before it.
+struct Source(usize);
 
 impl FetchSource for Source {
     fn configuration(&self) -> Option<ConfigurationDocument> {
-        Some(ConfigurationDocument { revision: Revision(3), text: "x".repeat(1024 * 1024) })
+        Some(ConfigurationDocument { revision: Revision(3), text: "x".repeat(self.0) })
     }
 
     fn earlier(&self, revision: Revision) -> Option<Arc<str>> {
-        (revision == Revision(2)).then(|| "x".repeat(1024 * 1024 - 1).into())
+        (revision == Revision(2)).then(|| "x".repeat(self.0 - 1).into())
     }
 
     fn failure(&self, _request: &RequestId) -> Option<RequestFailure> {
@@ -282,14 +285,15 @@
 
 #[test]
 fn silent_connections_end_and_others_are_served_meanwhile() {
-    let server = FetchServer::bind(any_port(), own_key(), Arc::new(Source)).expect("binds");
+    let server =
+        FetchServer::bind(any_port(), own_key(), Arc::new(Source(STORE_BYTES_MAX))).expect("binds");
     let mut silent: Vec<TcpStream> =
         (0..8).map(|_| TcpStream::connect(server.address()).expect("connects")).collect();
     let mut slow = TcpStream::connect(server.address()).expect("connects");
     slow.write_all(&[0, 0]).expect("sent");
     let document =
         fetch_configuration(server.address(), &own_key(), &nothing()).expect("is served");
-    assert_eq!((document.revision, document.text.len()), (Revision(3), 1024 * 1024));
+    assert_eq!((document.revision, document.text.len()), (Revision(3), STORE_BYTES_MAX));
     let request: RequestId = "r-1".parse().expect("a valid id");
     assert_eq!(fetch_failure(server.address(), &own_key(), &request).expect("is served"), None);
     silent.push(slow);
@@ -301,7 +305,8 @@
 
 #[test]
 fn connection_that_trickles_ends() {
-    let server = FetchServer::bind(any_port(), own_key(), Arc::new(Source)).expect("binds");
+    let server =
+        FetchServer::bind(any_port(), own_key(), Arc::new(Source(STORE_BYTES_MAX))).expect("binds");
     let mut stream = TcpStream::connect(server.address()).expect("connects");
     stream.write_all(&100_000_u32.to_be_bytes()).expect("sent");
     wait_until("the server closes it", || {
@@ -324,18 +329,25 @@
 
 #[test]
 fn frame_that_claims_to_be_too_large_is_refused() {
-    let server = FetchServer::bind(any_port(), own_key(), Arc::new(Source)).expect("binds");
+    let server =
+        FetchServer::bind(any_port(), own_key(), Arc::new(Source(STORE_BYTES_MAX))).expect("binds");
     let mut stream = TcpStream::connect(server.address()).expect("connects");
     stream.write_all(&u32::MAX.to_be_bytes()).expect("sent");
     stream.set_read_timeout(Some(WAIT_MAX)).expect("a time limit");
     assert_eq!(stream.read(&mut [0; 1]).expect("the server closes it"), 0);
+    // A frame whose bytes all come and are sound is refused for its size alone.
+    let large = Arc::new(Source(2 * STORE_BYTES_MAX));
+    let server = FetchServer::bind(any_port(), own_key(), large).expect("binds");
+    let refused = fetch_configuration(server.address(), &own_key(), &nothing());
+    assert!(refused.expect_err("the frame is too large").message.contains("too large"));
 }
 
 #[test]
 fn difference_that_does_not_fit_is_replaced_by_the_whole() {
-    let server = FetchServer::bind(any_port(), own_key(), Arc::new(Source)).expect("binds");
+    let server =
+        FetchServer::bind(any_port(), own_key(), Arc::new(Source(STORE_BYTES_MAX))).expect("binds");
     // It claims revision 2 and holds another text.
     let here = ConfigurationDocument { revision: Revision(2), text: "y".to_owned() };
     let document = fetch_configuration(server.address(), &own_key(), &here).expect("is served");
-    assert_eq!(Some(document), Source.configuration());
+    assert_eq!(Some(document), Source(STORE_BYTES_MAX).configuration());
 }
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -386,6 +386,9 @@
             }
         };
         self.faults.count("generations");
+        if body.resume_from > TokenIndex(0) {
+            self.faults.count("resumptions");
+        }
         if let Ok(stream) = request.respond_stream(200, &[("content-type", "application/x-ndjson")])
         {
             let _ = self.send_tokens(stream, body, membership);
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -29,9 +29,11 @@
 
 use crate::Answer;
 use crate::Caller;
+use crate::LinkMode;
 use crate::Outgoing;
 use crate::Process;
 use crate::Relay;
+use crate::UdpRelay;
 
 /// Longest wait for something that must come about; far above any time limit of the system.
 const WAIT_MAX: Duration = Duration::from_secs(60);
@@ -51,6 +53,9 @@
 const PORT_OPERATOR: u16 = 7200;
 const PORT_GATEWAY: u16 = 7300;
 const PORT_ENGINE: u16 = 7400;
+const PORT_COORDINATOR_BEHIND: u16 = 7500;
+const PORT_GATEWAY_POLLS: u16 = 7600;
+const PORT_COORDINATOR_POLLS: u16 = 7700;
 
 /// Clusters started by this test process.
 static CLUSTERS: AtomicU8 = AtomicU8::new(0);
@@ -64,6 +69,16 @@
     coordinator_settings: serde_json::Map<String, serde_json::Value>,
     engine_options: fn(VmId) -> EngineOptions,
     weight_store: bool,
+    peer_relays: bool,
+}
+
+/// A process that polls coordinators, by its node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerProcess {
+    /// A node's gateway.
+    Gateway(u16),
+    /// A node's coordinator.
+    Coordinator(u16),
 }
 
 /// A whole system on this machine.
@@ -87,10 +102,17 @@
     pub gateways: Vec<Process>,
     /// The coordinators.
     pub coordinators: Vec<Process>,
+    peer_relays: Vec<PeerRelay>,
     ip: Ipv4Addr,
     directory: PathBuf,
 }
 
+/// What stands between a coordinator and its peers.
+struct PeerRelay {
+    polls: UdpRelay,
+    _fetches: Relay,
+}
+
 impl ClusterBuilder {
     /// Returns a builder of a cluster with `nodes` entry VMs and a fabric domain of each size
     /// given.
@@ -102,6 +124,7 @@
             coordinator_settings: serde_json::Map::new(),
             engine_options: EngineOptions::new,
             weight_store: false,
+            peer_relays: false,
         }
     }
 
@@ -133,6 +156,13 @@
         self
     }
 
+    /// Puts a relay before each coordinator, so that [`Cluster::link`] can cut it from its peers.
+    #[must_use]
+    pub fn peer_relays(mut self) -> Self {
+        self.peer_relays = true;
+        self
+    }
+
     /// Starts everything and puts a configuration with two customers and four request kinds in
     /// place.
     ///
@@ -163,6 +193,7 @@
             engines: BTreeMap::new(),
             gateways: Vec::new(),
             coordinators: Vec::new(),
+            peer_relays: Vec::new(),
             ip,
             directory,
         };
@@ -214,6 +245,16 @@
         let mut gateway = common.as_object().expect("an object").clone();
         gateway.insert("listen".into(), at(PORT_GATEWAY + node).into());
         gateway.extend(self.gateway_settings.clone());
+        if self.peer_relays {
+            let behind = SocketAddr::from((cluster.ip, PORT_COORDINATOR_BEHIND + node));
+            coordinator.insert("listen".into(), behind.to_string().into());
+            coordinator.insert("advertise".into(), at(PORT_COORDINATOR + node).into());
+            coordinator.insert("poll_from".into(), at(PORT_COORDINATOR_POLLS + node).into());
+            gateway.insert("poll_from".into(), at(PORT_GATEWAY_POLLS + node).into());
+            let polls = UdpRelay::bind(cluster.coordinator(node), behind);
+            let fetches = Relay::bind(cluster.coordinator(node), behind);
+            cluster.peer_relays.push(PeerRelay { polls, _fetches: fetches });
+        }
         let coordinator = cluster.spawn("mangocross-coordinator", node, &coordinator);
         let gateway = cluster.spawn("mangocross-gateway", node, &gateway);
         cluster.coordinators.push(coordinator);
@@ -238,6 +279,41 @@
         SocketAddr::from((self.ip, PORT_COORDINATOR + node))
     }
 
+    /// Sets what happens to the datagrams between a process that polls and a node's coordinator.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the cluster has no [`ClusterBuilder::peer_relays`].
+    pub fn link(&self, from: PeerProcess, to: u16, mode: LinkMode) {
+        self.peer_relays[usize::from(to)].polls.set(self.polls_from(from), mode);
+    }
+
+    /// Sets what happens to the datagrams between two nodes' coordinators.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the cluster has no [`ClusterBuilder::peer_relays`].
+    pub fn link_coordinators(&self, one: u16, other: u16, mode: LinkMode) {
+        self.link(PeerProcess::Coordinator(one), other, mode);
+        self.link(PeerProcess::Coordinator(other), one, mode);
+    }
+
+    /// Delivers once more everything that went between a process and a node's coordinator.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the cluster has no [`ClusterBuilder::peer_relays`].
+    pub fn replay(&self, from: PeerProcess, to: u16) -> usize {
+        self.peer_relays[usize::from(to)].polls.replay(self.polls_from(from))
+    }
+
+    fn polls_from(&self, process: PeerProcess) -> SocketAddr {
+        match process {
+            PeerProcess::Gateway(node) => self.address(PORT_GATEWAY_POLLS + node),
+            PeerProcess::Coordinator(node) => self.address(PORT_COORDINATOR_POLLS + node),
+        }
+    }
+
     /// Returns an address with a port that nothing of the cluster uses by itself.
     pub fn address(&self, port: u16) -> SocketAddr {
         SocketAddr::from((self.ip, port))
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,6 +1,6 @@
 //! Harness for tests with real processes: embedded stand-ins, gateways and
-//! coordinators that can be killed and frozen, and a relay whose connections
-//! can be cut or silenced.
+//! coordinators that can be killed and frozen, and relays that cut and
+//! silence connections, and lose, delay, repeat and reorder datagrams.
 
 mod caller;
 mod cluster;
@@ -8,6 +8,7 @@
 mod raw;
 mod relay;
 pub mod soak;
+mod udp_relay;
 
 pub use caller::Answer;
 pub use caller::Caller;
@@ -15,8 +16,11 @@
 pub use caller::new_key;
 pub use cluster::Cluster;
 pub use cluster::ClusterBuilder;
+pub use cluster::PeerProcess;
 pub use process::Process;
 pub use raw::RawAnswer;
 pub use raw::RawConnection;
 pub use relay::Relay;
 pub use relay::RelayMode;
+pub use udp_relay::LinkMode;
+pub use udp_relay::UdpRelay;
--- /dev/null
+++ b/tests/src/udp_relay.rs
@@ -0,0 +1,184 @@
+//! A UDP relay that loses, delays, repeats and reorders datagrams, for each sender.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+/// Largest datagram, in bytes.
+const DATAGRAM_BYTES_MAX: usize = 64 * 1024;
+/// Newest datagrams of a sender that are kept for a replay.
+const KEPT_MAX: usize = 256;
+
+/// What happens to the datagrams between one sender and the process behind the relay.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LinkMode {
+    /// All are delivered at once.
+    #[default]
+    Pass,
+    /// None is delivered.
+    Cut,
+    /// Those of the sender are delivered, the replies are not.
+    CutReplies,
+    /// Those of the sender are delivered at once, the replies this much later.
+    DelayReplies(Duration),
+    /// All are delivered twice, the second time this much later.
+    Repeat(Duration),
+    /// Every other one is delivered this much later, so that others overtake it.
+    Reorder(Duration),
+}
+
+/// A running relay.
+pub struct UdpRelay {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    /// Where senders reach the process.
+    front: UdpSocket,
+    target: SocketAddr,
+    links: Mutex<HashMap<SocketAddr, Link>>,
+}
+
+/// The datagrams between one sender and the process.
+#[derive(Default)]
+struct Link {
+    mode: LinkMode,
+    /// The socket that the process sees the sender at.
+    back: Option<Arc<UdpSocket>>,
+    count: u64,
+    kept: VecDeque<Datagram>,
+}
+
+#[derive(Clone)]
+struct Datagram {
+    is_reply: bool,
+    bytes: Vec<u8>,
+}
+
+impl LinkMode {
+    /// Returns how much later each copy of a datagram is delivered.
+    fn deliveries(self, is_reply: bool, count: u64) -> Vec<Duration> {
+        match self {
+            Self::Cut => Vec::new(),
+            Self::CutReplies if is_reply => Vec::new(),
+            Self::DelayReplies(delay) if is_reply => vec![delay],
+            Self::Repeat(delay) => vec![Duration::ZERO, delay],
+            Self::Reorder(delay) if count.is_multiple_of(2) => vec![delay],
+            _ => vec![Duration::ZERO],
+        }
+    }
+}
+
+impl UdpRelay {
+    /// Binds an address and passes datagrams on to `target` and its replies back.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address cannot be bound.
+    pub fn bind(address: SocketAddr, target: SocketAddr) -> Self {
+        let front = UdpSocket::bind(address).expect("the relay's address can be bound");
+        let shared = Arc::new(Shared { front, target, links: Mutex::default() });
+        let receiving = Arc::clone(&shared);
+        thread::spawn(move || receiving.receive_from_senders());
+        Self { shared }
+    }
+
+    /// Sets what happens to the datagrams of a sender and the replies to it.
+    pub fn set(&self, sender: SocketAddr, mode: LinkMode) {
+        self.shared.links().entry(sender).or_default().mode = mode;
+    }
+
+    /// Delivers the newest datagrams of a sender and the replies to it once more; returns how many.
+    pub fn replay(&self, sender: SocketAddr) -> usize {
+        let kept = match self.shared.links().get(&sender) {
+            Some(link) => link.kept.clone(),
+            None => VecDeque::new(),
+        };
+        for datagram in &kept {
+            self.shared.deliver(sender, datagram);
+        }
+        kept.len()
+    }
+}
+
+impl Shared {
+    fn receive_from_senders(self: &Arc<Self>) {
+        let mut buf = vec![0; DATAGRAM_BYTES_MAX];
+        loop {
+            let Ok((length, sender)) = self.front.recv_from(&mut buf) else { continue };
+            self.open_back(sender);
+            self.pass(sender, Datagram { is_reply: false, bytes: buf[..length].to_vec() });
+        }
+    }
+
+    /// Opens the socket of a sender that was not seen before.
+    fn open_back(self: &Arc<Self>, sender: SocketAddr) {
+        let mut links = self.links();
+        let link = links.entry(sender).or_default();
+        if link.back.is_some() {
+            return;
+        }
+        let back = UdpSocket::bind(SocketAddr::new(self.target.ip(), 0)).expect("a free port");
+        back.connect(self.target).expect("the target is an address");
+        let back = Arc::new(back);
+        link.back = Some(Arc::clone(&back));
+        let shared = Arc::clone(self);
+        thread::spawn(move || shared.receive_replies(sender, &back));
+    }
+
+    fn receive_replies(self: &Arc<Self>, sender: SocketAddr, back: &UdpSocket) {
+        let mut buf = vec![0; DATAGRAM_BYTES_MAX];
+        loop {
+            // A target that is down makes this fail; it may come back.
+            let Ok(length) = back.recv(&mut buf) else { continue };
+            self.pass(sender, Datagram { is_reply: true, bytes: buf[..length].to_vec() });
+        }
+    }
+
+    /// Delivers a datagram as the sender's mode says.
+    fn pass(self: &Arc<Self>, sender: SocketAddr, datagram: Datagram) {
+        for delay in self.record(sender, &datagram) {
+            if delay.is_zero() {
+                self.deliver(sender, &datagram);
+                continue;
+            }
+            let (shared, datagram) = (Arc::clone(self), datagram.clone());
+            thread::spawn(move || {
+                thread::sleep(delay);
+                shared.deliver(sender, &datagram);
+            });
+        }
+    }
+
+    /// Keeps a datagram for a replay and returns how much later its copies are delivered.
+    fn record(&self, sender: SocketAddr, datagram: &Datagram) -> Vec<Duration> {
+        let mut links = self.links();
+        let link = links.entry(sender).or_default();
+        link.count += 1;
+        link.kept.push_back(datagram.clone());
+        let surplus = link.kept.len().saturating_sub(KEPT_MAX);
+        link.kept.drain(..surplus);
+        link.mode.deliveries(datagram.is_reply, link.count)
+    }
+
+    fn deliver(&self, sender: SocketAddr, datagram: &Datagram) {
+        let back = self.links().get(&sender).and_then(|it| it.back.clone());
+        // A datagram that cannot be sent is lost, as any may be.
+        let _ = match (datagram.is_reply, back) {
+            (true, _) => self.front.send_to(&datagram.bytes, sender),
+            (false, Some(back)) => back.send(&datagram.bytes),
+            (false, None) => Ok(0),
+        };
+    }
+
+    fn links(&self) -> MutexGuard<'_, HashMap<SocketAddr, Link>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -71,6 +71,8 @@
     all_are_whole(&cluster, EngineFaults { swap_after: after, ..EngineFaults::default() });
     all_are_whole(&cluster, EngineFaults { repeat_token: after, ..EngineFaults::default() });
     all_are_whole(&cluster, EngineFaults { skip_token: after, ..EngineFaults::default() });
+    // Each time the other engine was asked for the rest, and not for the whole once more.
+    assert_eq!(cluster.engine("vm-2-1").faults().counted("resumptions"), 4);
 }
 
 #[test]
--- a/tests/tests/group_support/mod.rs
+++ b/tests/tests/group_support/mod.rs
@@ -41,18 +41,20 @@
     number.parse::<u16>().expect("entry VMs are numbered") - 1
 }
 
+/// Returns how many requests the engines have taken.
+pub(crate) fn generations(cluster: &Cluster) -> u64 {
+    cluster.engines.values().map(|it| it.faults().counted("generations")).sum()
+}
+
 /// Starts a long streamed request and waits until an engine runs it.
 pub(crate) fn start_stream(cluster: &Cluster, node: u16, tokens: u32) -> JoinHandle<Answer> {
     let gateway = cluster.gateway(node);
     let outgoing = Outgoing::chat("bank", "draft", "letters", tokens, true);
-    let running = || cluster.engines.values().any(|it| it.faults().counted("generations") > 0);
-    let generations =
-        || -> u64 { cluster.engines.values().map(|it| it.faults().counted("generations")).sum() };
-    assert!(running());
-    let before = generations();
+    let before = generations(cluster);
+    assert!(before > 0);
     let stream = thread::spawn(move || {
         Caller::open(Duration::from_secs(60)).send(gateway, &outgoing).expect("an answer")
     });
-    cluster.wait_until("the stream runs", || generations() > before);
+    cluster.wait_until("the stream runs", || generations(cluster) > before);
     stream
 }
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use group_support::assignment;
+use group_support::generations;
 use group_support::owner_of;
 use group_support::placed;
 use group_support::slow_engine;
@@ -13,10 +14,16 @@
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
 use mangocross_tests::RelayMode;
+use mangocross_types::Configuration;
 use mangocross_types::EngineState;
 use mangocross_types::GroupPhase;
+use mangocross_types::Placements;
 use mangocross_types::RunOutcome;
+use mangocross_types::VmId;
 use mangocross_types::VmState;
+use peer_store::HttpStore;
+use peer_store::read_json;
+use peer_store::swap_json;
 use standins::EngineFaults;
 use standins::PlatformFaults;
 use standins::StoreFaults;
@@ -323,3 +330,42 @@
     }
     assert_eq!(cluster.engine(first.as_str()).faults().counted("generations"), ran);
 }
+
+#[test]
+fn owner_and_leader_decide_nothing_under_an_old_configuration() {
+    let cluster = builder(1, &[6, 6]).start();
+    cluster.start_group(START, 0, &draft());
+    let dark = if assignment(&cluster, "domain-1").groups.is_empty() { 2 } else { 1 };
+    let other = format!("domain-{}", 3 - dark);
+    let second = "start group letters-2 model letters version v1 members 2 in";
+    cluster.operate(0, &format!("{second} {other}")).expect("the group is accepted");
+    cluster.wait_until("the second group serves", || {
+        let groups = assignment(&cluster, &other).groups;
+        groups.iter().any(|it| it.phase == GroupPhase::Serving)
+    });
+    let store = HttpStore::open(cluster.store.address());
+    let (good, revision) = read_json::<serde_json::Value>(&store, Configuration::KEY).unwrap();
+    let unreadable = serde_json::json!({"groups": "none that can be read"});
+    let newer = swap_json(&store, Configuration::KEY, revision, &unreadable).unwrap();
+    let refused = || cluster.send(0, &draft()).outcome() == Some(RunOutcome::NotRun);
+    cluster.wait_until("it is known that there is a newer one", refused);
+    let decided = || {
+        let (placements, _) = read_json::<Placements>(&store, Placements::KEY).unwrap();
+        (assignment(&cluster, &other), placements)
+    };
+    let before = decided();
+    let lost = placed(&cluster, &other).members[1].to_string();
+    let is_lost = |vm: &VmId| vm.as_str() == lost || vm.as_str().starts_with(&format!("vm-{dark}"));
+    for (_, engine) in cluster.engines.iter().filter(|(vm, _)| is_lost(vm)) {
+        engine.faults().set(frozen());
+    }
+    let ran = generations(&cluster);
+    thread::sleep(Duration::from_secs(6));
+    assert_eq!(decided(), before);
+    assert_eq!(generations(&cluster), ran);
+    swap_json(&store, Configuration::KEY, newer.unwrap(), &good).unwrap();
+    cluster.wait_until("the owner and the leader decide", || {
+        let (of_owner, of_leader) = decided();
+        of_owner.groups != before.0.groups && of_leader != before.1
+    });
+}
--- /dev/null
+++ b/tests/tests/partitions.rs
@@ -0,0 +1,199 @@
+//! Processes of entry VMs that are cut from each other, duel, race and die between two steps.
+
+mod group_support;
+
+use std::thread;
+use std::time::Duration;
+
+use group_support::assignment;
+use group_support::generations;
+use group_support::owner_of;
+use group_support::placed;
+use group_support::slow_engine;
+use group_support::start_stream;
+use mangocross_coordination::validate;
+use mangocross_tests::Cluster;
+use mangocross_tests::ClusterBuilder;
+use mangocross_tests::LinkMode;
+use mangocross_tests::Outgoing;
+use mangocross_tests::PeerProcess;
+use mangocross_types::EngineState;
+use mangocross_types::GroupPhase;
+use mangocross_types::RunOutcome;
+use mangocross_types::VmId;
+use mangocross_types::VmState;
+use standins::EngineFaults;
+
+const START: &str = "start group letters-1 model letters version v1 members 2";
+const START_SECOND: &str = "start group letters-2 model letters version v1 members 2";
+/// How long a proof of completeness counts in these tests.
+const PROOF: Duration = Duration::from_millis(2_500);
+
+fn draft() -> Outgoing {
+    Outgoing::chat("town", "draft", "letters", 4, true)
+}
+
+fn frozen() -> EngineFaults {
+    EngineFaults { frozen: true, ..EngineFaults::default() }
+}
+
+fn builder(nodes: u16, domains: &[u16]) -> ClusterBuilder {
+    let proof_ms = u64::try_from(PROOF.as_millis()).expect("a short time");
+    ClusterBuilder::new(nodes, domains)
+        .peer_relays()
+        .coordinator_setting("proof_ms", proof_ms)
+        .coordinator_setting("lost_ms", 1_500)
+        .coordinator_setting("order_deadline_ms", 1_000)
+}
+
+fn refuses(cluster: &Cluster, node: u16) -> bool {
+    cluster.send(node, &draft()).outcome() == Some(RunOutcome::NotRun)
+}
+
+/// Sets what happens to the datagrams between any two of three coordinators.
+fn link_all(cluster: &Cluster, mode: LinkMode) {
+    for (one, other) in [(0, 1), (1, 2), (0, 2)] {
+        cluster.link_coordinators(one, other, mode);
+    }
+}
+
+/// Checks that no VM is in two groups, over both domains and within each.
+fn assert_disjoint(cluster: &Cluster, domains: &[&str]) {
+    let assignments = domains.iter().map(|it| assignment(cluster, it));
+    let mut members: Vec<VmId> = Vec::new();
+    for it in assignments {
+        assert!(validate(&it).is_ok(), "{it:?}");
+        members.extend(it.groups.into_iter().flat_map(|it| it.members));
+    }
+    let all = members.len();
+    members.sort_unstable();
+    members.dedup();
+    assert_eq!(members.len(), all, "a VM is in two groups: {members:?}");
+}
+
+#[test]
+fn gateway_cut_from_the_owner_stops_sending_within_the_proofs_time_and_resumes() {
+    let cluster = builder(3, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let owner = owner_of(&cluster, "domain-1");
+    let (cut, other) = ((owner + 1) % 3, (owner + 2) % 3);
+    cluster.wait_until("all serve", || (0..3).all(|it| cluster.send(it, &draft()).is_whole()));
+    for mode in [LinkMode::Cut, LinkMode::CutReplies, LinkMode::DelayReplies(PROOF)] {
+        cluster.link(PeerProcess::Gateway(cut), owner, mode);
+        // Every proof that the gateway holds now was asked for before.
+        thread::sleep(PROOF);
+        let ran = generations(&cluster);
+        assert!((0..3).all(|_| refuses(&cluster, cut)), "{mode:?}");
+        assert_eq!(generations(&cluster), ran, "{mode:?}");
+        assert!(cluster.send(other, &draft()).is_whole(), "{mode:?}");
+        cluster.link(PeerProcess::Gateway(cut), owner, LinkMode::Pass);
+        cluster.wait_until("it sends again", || cluster.send(cut, &draft()).is_whole());
+    }
+}
+
+#[test]
+fn coordinators_cut_from_each_other_agree_on_one_assignment() {
+    let cluster = builder(3, &[3]).start();
+    cluster.start_group(START, 0, &draft());
+    let before = assignment(&cluster, "domain-1");
+    link_all(&cluster, LinkMode::Cut);
+    let takeovers = |it: u64| assignment(&cluster, "domain-1").fencing_number.0 > it;
+    cluster.wait_until("they duel", || takeovers(before.fencing_number.0 + 2));
+    let gone = before.groups[0].members[1].clone();
+    cluster.engine(gone.as_str()).faults().set(frozen());
+    cluster.wait_until("the group is formed anew", || {
+        assert_disjoint(&cluster, &["domain-1"]);
+        let group = placed(&cluster, "domain-1");
+        !group.members.contains(&gone) && (0..3).all(|it| cluster.send(it, &draft()).is_whole())
+    });
+    cluster.engine(gone.as_str()).faults().set(EngineFaults::default());
+    link_all(&cluster, LinkMode::Pass);
+    cluster.wait_until("one owner stays, and engines are where it says", || {
+        let before = assignment(&cluster, "domain-1");
+        thread::sleep(PROOF);
+        let group = placed(&cluster, "domain-1");
+        let as_assigned = cluster
+            .engines
+            .iter()
+            .all(|(vm, engine)| engine.report().group.is_some() == group.members.contains(vm));
+        as_assigned && assignment(&cluster, "domain-1") == before
+    });
+    assert!((0..3).all(|it| cluster.send(it, &draft()).is_whole()));
+}
+
+#[test]
+fn old_repeated_and_overtaken_frames_bring_back_no_group() {
+    let cluster = builder(2, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    let owner = owner_of(&cluster, "domain-1");
+    let gateway = 1 - owner;
+    let member = placed(&cluster, "domain-1").members[1].to_string();
+    let delay = Duration::from_secs(1);
+    for mode in [LinkMode::Pass, LinkMode::Repeat(delay), LinkMode::Reorder(delay)] {
+        cluster.link(PeerProcess::Gateway(gateway), owner, mode);
+        cluster.wait_until("it serves", || cluster.send(gateway, &draft()).is_whole());
+        cluster.engine(&member).faults().set(frozen());
+        cluster.wait_until("it refuses", || refuses(&cluster, gateway));
+        let ran = generations(&cluster);
+        for _ in 0..20 {
+            assert!(cluster.replay(PeerProcess::Gateway(gateway), owner) > 0);
+            assert!(cluster.replay(PeerProcess::Coordinator(gateway), owner) > 0);
+            assert!(refuses(&cluster, gateway), "{mode:?}");
+            thread::sleep(Duration::from_millis(100));
+        }
+        assert_eq!(generations(&cluster), ran, "{mode:?}");
+        cluster.engine(&member).faults().set(EngineFaults::default());
+    }
+}
+
+#[test]
+fn start_that_races_a_move_puts_no_vm_into_two_groups() {
+    let cluster = builder(3, &[2, 4]).start();
+    cluster.start_group(&format!("{START} in domain-1"), 0, &draft());
+    let accepted = |node: u16, line: &str| {
+        // Of two commands at once one may lose; its operator repeats it.
+        cluster.wait_until("the command is accepted", || cluster.operate(node, line).is_ok());
+    };
+    thread::scope(|scope| {
+        scope.spawn(|| accepted(1, START_SECOND));
+        accepted(0, "move group letters-1 to domain-2");
+    });
+    cluster.wait_until("both serve, one of them moved", || {
+        assert_disjoint(&cluster, &["domain-1", "domain-2"]);
+        assert!(cluster.send(2, &draft()).is_whole(), "a request failed during the move");
+        let serving = |domain: &str, group: &str| {
+            let groups = assignment(&cluster, domain).groups;
+            let mut same = groups.iter().filter(|it| it.group.as_str() == group);
+            same.any(|it| it.phase == GroupPhase::Serving)
+        };
+        let is_started = serving("domain-1", "letters-2") || serving("domain-2", "letters-2");
+        let has_left = !serving("domain-1", "letters-1");
+        is_started && has_left && serving("domain-2", "letters-1")
+    });
+}
+
+#[test]
+fn owner_killed_between_drain_and_unload_of_a_repair_cuts_off_nothing() {
+    let mut cluster = builder(3, &[3]).engine_options(slow_engine).start();
+    cluster.start_group(START, 0, &draft());
+    let before = placed(&cluster, "domain-1");
+    let leaving = before.members[1].clone();
+    let owner = owner_of(&cluster, "domain-1");
+    let other = (owner + 1) % 3;
+    let stream = start_stream(&cluster, other, 200);
+    let mut list = cluster.listed_vms();
+    list.iter_mut().filter(|it| it.vm == leaving).for_each(|it| it.state = VmState::Leaving);
+    cluster.platform.set_vms(list);
+    cluster.wait_until("it drains", || placed(&cluster, "domain-1").phase == GroupPhase::Draining);
+    cluster.coordinators[usize::from(owner)].kill();
+    let answer = stream.join().expect("the stream was read");
+    assert!(answer.is_whole(), "{}", answer.body);
+    assert_eq!(answer.token_indexes().len(), 200);
+    cluster.wait_until("another owner forms it anew", || {
+        let group = placed(&cluster, "domain-1");
+        group.incarnation > before.incarnation && cluster.send(other, &draft()).is_whole()
+    });
+    assert!(!placed(&cluster, "domain-1").members.contains(&leaving));
+    let engine = cluster.engine(leaving.as_str());
+    cluster.wait_until("the leaving VM is idle", || engine.report().state == EngineState::Idle);
+}
