fix(coordination): never put a VM into groups of two fabric domains

Cause: a VM id that the platform lists in another domain than before was an idle VM, or a residue, to the owner of the new one. It ordered the VM out of its healthy group, took it, and the VM stood in two assignments. Two coordinators with lists of different ages could do the same without any move.

An owner now registers the VMs listed in its domain in the domain's assignment, by the same compare-and-swap as all else, then reads all assignments, and uses a VM (or orders a residue to unload) only if no other domain holds it. Of two that register the same VM at once, the later one reads the earlier one's entry, so at most one uses it. A domain drops a VM that is neither listed nor a member by another write, so that a use decided before fails. No clock decides: the times compared are those of one process and say only which of its reads came after which of its writes.

Ruled out: looking at the other assignments held in memory (a check and a write of two values race); a store value with the domain of every VM (grows without end and is written by all owners); one key for each VM (a write for each VM at each formation).

--- a/bins/mangocross-coordinator/src/domain_view.rs
+++ b/bins/mangocross-coordinator/src/domain_view.rs
@@ -8,6 +8,7 @@
 use mangocross_coordination::HeldAssignment;
 use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::ProbeTable;
+use mangocross_coordination::VmHolders;
 use mangocross_coordination::stuck_groups;
 use mangocross_types::BackendReport;
 use mangocross_types::Configuration;
@@ -28,6 +29,7 @@
     configuration: Arc<Configuration>,
     placements: Placements,
     probes: ProbeTable,
+    holders: Arc<VmHolders>,
     pub(crate) now: Instant,
 }
 
@@ -44,9 +46,10 @@
         }
         let engines = lock(&state.engines_by_domain).get(domain).cloned().unwrap_or_default();
         let probes = lock(&state.probes).only(engines.iter().map(|it| &it.vm));
+        let holders = Arc::clone(&lock(&state.vm_holders));
         let configuration = state.configuration();
         let now = state.clock.now();
-        Some(Self { state, held, engines, configuration, placements, probes, now })
+        Some(Self { state, held, engines, configuration, placements, probes, holders, now })
     }
 
     /// Returns the input of the decisions.
@@ -57,6 +60,7 @@
             placements: &self.placements,
             engines: &self.engines,
             probes: &self.probes,
+            holders: &self.holders,
             authority,
             now: self.now,
             probe_ttl: self.state.probe_ttl(),
--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -10,6 +10,7 @@
 use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::Step;
 use mangocross_coordination::TakeoverBackoff;
+use mangocross_coordination::VmHolders;
 use mangocross_coordination::preferred_owner;
 use mangocross_coordination::reconcile;
 use mangocross_coordination::take_over;
@@ -48,7 +49,8 @@
     let mut read_at: Option<Instant> = None;
     loop {
         let now = state.clock.now();
-        let alone = if knows_of_newer(state) { READ_INTERVAL_MIN } else { READ_INTERVAL };
+        let is_due = knows_of_newer(state) || has_unchecked_vms(state);
+        let alone = if is_due { READ_INTERVAL_MIN } else { READ_INTERVAL };
         let interval = state.read_interval(alone, READ_SPACING);
         if read_at.is_none_or(|it| now.duration_since(it) >= interval) {
             read_all(state);
@@ -73,19 +75,36 @@
     held.unwrap_or_default() < state.assignments_known.newest()
 }
 
-/// Reads all assignments, so that another coordinator's can be taken over in a store outage.
+/// Returns whether a VM was registered in an own domain after all assignments were read.
+fn has_unchecked_vms(state: &CoordinatorState) -> bool {
+    let holders = Arc::clone(&lock(&state.vm_holders));
+    let held = lock(&state.assignments);
+    let mut own = held.values().filter(|it| it.is_owned_by(&state.settings.vm, state.process_id));
+    own.any(|it| it.all_registered_at().is_some_and(|at| !holders.is_read_since(at)))
+}
+
+/// Reads all assignments, so that another coordinator's can be taken over in a store outage, and
+/// so that no VM is used that another domain holds.
 fn read_all(state: &CoordinatorState) {
     let asked_at = state.clock.now();
     let entries = match state.store.list("domains/") {
         Ok(entries) => entries,
         Err(error) => return log::warn!("assignments could not be read: {error}"),
     };
-    for entry in entries {
+    let mut read = Vec::new();
+    for entry in &entries {
         match serde_json::from_str::<DomainAssignment>(&entry.value) {
-            Ok(assignment) => hold(state, assignment, entry.revision, asked_at),
+            Ok(assignment) => read.push((assignment, entry.revision)),
             Err(error) => log::error!("assignment {} cannot be read: {error}", entry.key),
         }
     }
+    if read.len() == entries.len() {
+        let holders = VmHolders::new(read.iter().map(|(it, _)| it), asked_at);
+        *lock(&state.vm_holders) = Arc::new(holders);
+    }
+    for (assignment, revision) in read {
+        hold(state, assignment, revision, asked_at);
+    }
 }
 
 fn hold(
--- a/bins/mangocross-coordinator/src/platform.rs
+++ b/bins/mangocross-coordinator/src/platform.rs
@@ -69,6 +69,11 @@
 ) {
     let known = lock(&state.engines_by_domain).clone();
     let assignments = lock(&state.assignments);
+    // A domain that is left without VMs is looked after until it has dropped them.
+    let all = assignments.values().map(|it| &it.assignment);
+    for left in all.filter(|it| it.groups.is_empty() && !it.registered.is_empty()) {
+        by_domain.entry(left.domain.clone()).or_default();
+    }
     for (domain, vms) in known {
         let Some(held) = assignments.get(&domain) else { continue };
         let is_member = |vm: &VmId| held.assignment.groups.iter().any(|it| it.members.contains(vm));
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -16,6 +16,7 @@
 use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
+use mangocross_coordination::VmHolders;
 use mangocross_coordination::preferred_owner;
 use mangocross_node::NodeConfiguration;
 use mangocross_policy::RepairTimes;
@@ -83,6 +84,7 @@
     pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) probes: Mutex<ProbeTable>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
+    pub(crate) vm_holders: Mutex<Arc<VmHolders>>,
     pub(crate) placements: Mutex<(Placements, Revision)>,
     pub(crate) placements_known: KnownRevision,
     pub(crate) assignments_known: KnownRevision,
@@ -112,6 +114,7 @@
             leaving: Mutex::new(LeavingTable::new(leaving_kept)),
             probes: Mutex::new(ProbeTable::default()),
             assignments: Mutex::new(BTreeMap::new()),
+            vm_holders: Mutex::default(),
             placements: Mutex::new((Placements::default(), Revision(0))),
             placements_known: KnownRevision::default(),
             assignments_known: KnownRevision::default(),
--- a/crates/mangocross-coordination/src/group_life.rs
+++ b/crates/mangocross-coordination/src/group_life.rs
@@ -23,7 +23,29 @@
 /// Returns the next assignment to write, if one is due.
 pub(crate) fn next_assignment(input: &DomainInput<'_>) -> Option<DomainAssignment> {
     let changed = input.assignment().groups.iter().find_map(|it| next_of_group(input, it));
-    changed.or_else(|| input.configuration.groups.iter().find_map(|it| form_new(input, it)))
+    changed
+        .or_else(|| register_vms(input))
+        .or_else(|| input.configuration.groups.iter().find_map(|it| form_new(input, it)))
+}
+
+/// Registers the VMs that are listed here, and drops those that are neither listed nor members.
+///
+/// Those that another domain is known to hold wait until it drops them.
+fn register_vms(input: &DomainInput<'_>) -> Option<DomainAssignment> {
+    let assignment = input.assignment();
+    let is_listed = |vm: &VmId| input.engine(vm).is_some_and(|it| it.listed);
+    let is_kept = |vm: &&VmId| is_listed(vm) || input.is_assigned(vm);
+    let is_new = |vm: &&VmId| {
+        !assignment.registered.contains(vm)
+            && !input.holders.is_held_elsewhere(vm, &assignment.domain)
+    };
+    let kept = assignment.registered.iter().filter(is_kept);
+    let listed = input.engines.iter().filter(|it| it.listed).map(|it| &it.vm);
+    let mut registered: Vec<VmId> = kept.chain(listed.filter(is_new)).cloned().collect();
+    registered.sort_unstable();
+    registered.dedup();
+    (registered != assignment.registered)
+        .then(|| DomainAssignment { registered, ..assignment.clone() })
 }
 
 /// Returns the groups that belong here and that the domain's VMs cannot complete.
--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -29,6 +29,7 @@
 mod registration;
 mod takeover_backoff;
 mod service_table;
+mod vm_holders;
 
 pub use acceptance::Acceptance;
 pub use acceptance::AcceptanceCandidate;
@@ -93,3 +94,4 @@
 pub use registration::register;
 pub use service_table::ServiceTable;
 pub use takeover_backoff::TakeoverBackoff;
+pub use vm_holders::VmHolders;
--- a/crates/mangocross-coordination/src/orders.rs
+++ b/crates/mangocross-coordination/src/orders.rs
@@ -84,8 +84,10 @@
 }
 
 /// Orders VMs that belong to no group to leave the one that they report.
+///
+/// A VM that another domain may hold is left alone: its group may be one there.
 fn residue_orders<'a>(input: DomainInput<'a>) -> impl Iterator<Item = Step> + use<'a> {
-    let in_no_group = move |it: &&EngineVm| !input.is_assigned(&it.vm);
+    let in_no_group = move |it: &&EngineVm| !input.is_assigned(&it.vm) && input.may_use(&it.vm);
     input.engines.iter().filter(in_no_group).filter_map(move |it| {
         let report = input.report(&it.vm)?;
         let group = report.group.clone()?;
--- a/crates/mangocross-coordination/src/reconcile.rs
+++ b/crates/mangocross-coordination/src/reconcile.rs
@@ -18,6 +18,7 @@
 use crate::HeldAssignment;
 use crate::OrderAuthority;
 use crate::ProbeTable;
+use crate::VmHolders;
 use crate::group_life;
 use crate::orders;
 
@@ -34,6 +35,8 @@
     pub engines: &'a [EngineVm],
     /// The newest probes.
     pub probes: &'a ProbeTable,
+    /// Which fabric domains hold which VM.
+    pub holders: &'a VmHolders,
     /// Which orders may be given.
     pub authority: OrderAuthority,
     /// The time.
@@ -114,13 +117,21 @@
         self.assignment().groups.iter().any(|it| it.members.contains(vm))
     }
 
-    /// Returns the VMs that say that they are in no group, and are in none.
+    /// Returns whether a VM is this domain's alone, so that it may be used here.
+    pub(crate) fn may_use(&self, vm: &VmId) -> bool {
+        let is_checked = |at| self.holders.is_read_since(at);
+        self.held.registered_at(vm).is_some_and(is_checked)
+            && !self.holders.is_held_elsewhere(vm, &self.assignment().domain)
+    }
+
+    /// Returns the VMs that may be used here, say that they are in no group, and are in none.
     pub fn idle_vms(&self) -> impl Iterator<Item = VmId> + use<'a> {
         let input = *self;
         let idle = move |it: &&EngineVm| {
             let report = input.report(&it.vm);
             let says_idle = report.is_some_and(|it| it.state == EngineState::Idle);
-            says_idle && it.listed && !it.leaving && !input.is_assigned(&it.vm)
+            let is_free = !input.is_assigned(&it.vm) && input.may_use(&it.vm);
+            says_idle && it.listed && !it.leaving && is_free
         };
         self.engines.iter().filter(idle).map(|it| it.vm.clone())
     }
--- a/crates/mangocross-coordination/tests/reconcile.rs
+++ b/crates/mangocross-coordination/tests/reconcile.rs
@@ -11,6 +11,7 @@
 use mangocross_coordination::PlacementPlanner;
 use mangocross_coordination::ProbeTable;
 use mangocross_coordination::Step;
+use mangocross_coordination::VmHolders;
 use mangocross_coordination::groups_to_move;
 use mangocross_coordination::reconcile;
 use mangocross_coordination::stuck_groups;
@@ -39,6 +40,7 @@
     held: HeldAssignment,
     engines: Vec<EngineVm>,
     probes: ProbeTable,
+    holders: VmHolders,
 }
 
 impl Fixture {
@@ -51,7 +53,7 @@
         };
         let assignment: DomainAssignment = serde_json::from_value(json!({
             "domain": "domain-1", "owner": "entry-1", "fencing_number": 1, "next_incarnation": 9,
-            "groups": [group(0), group(1)],
+            "registered": (0..vms).map(vm).collect::<Vec<_>>(), "groups": [group(0), group(1)],
         }))
         .expect("an assignment");
         let start = Instant::now() + Duration::from_secs(100);
@@ -63,7 +65,8 @@
         };
         let held = HeldAssignment::new(assignment, Revision(1), start, start);
         let engines = (0..vms).map(engine).collect();
-        Self { start, now: start, held, engines, probes: ProbeTable::default() }
+        let holders = VmHolders::new([], start);
+        Self { start, now: start, held, engines, probes: ProbeTable::default(), holders }
     }
 
     /// Probes all VMs for a while; those given fail.
@@ -93,6 +96,7 @@
             placements,
             engines: &self.engines,
             probes: &self.probes,
+            holders: &self.holders,
             authority: OrderAuthority::Full { deadline: self.now + 2_000 * MS },
             now: self.now,
             probe_ttl: 2_000 * MS,
--- a/crates/mangocross-coordination/tests/world/mod.rs
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -20,6 +20,7 @@
 use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::ProofTable;
 use mangocross_coordination::Step;
+use mangocross_coordination::VmHolders;
 use mangocross_coordination::reconcile;
 use mangocross_coordination::take_over;
 use mangocross_coordination::validate;
@@ -484,6 +485,7 @@
             placements: &self.placements,
             engines: &engines,
             probes: &self.owners[owner].probes,
+            holders: &VmHolders::new([], self.now),
             authority,
             now: self.now,
             probe_ttl: PROBE_TTL,
--- a/crates/mangocross-types/src/assignment.rs
+++ b/crates/mangocross-types/src/assignment.rs
@@ -61,6 +61,12 @@
     pub fencing_number: FencingNumber,
     /// Incarnation that the next group formed here receives.
     pub next_incarnation: Incarnation,
+    /// The VMs that groups here may be formed with, sorted.
+    ///
+    /// A VM is registered before it is used, so that of two fabric domains that
+    /// are told to have the same VM at most one uses it.
+    #[serde(default)]
+    pub registered: Vec<VmId>,
     /// The placed groups.
     pub groups: Vec<GroupAssignment>,
 }
@@ -74,10 +80,17 @@
             owner_process: 0,
             fencing_number: FencingNumber(0),
             next_incarnation: Incarnation(1),
+            registered: Vec::new(),
             groups: Vec::new(),
         }
     }
 
+    /// Returns the VMs that no other fabric domain may use: those registered and all members.
+    pub fn held_vms(&self) -> impl Iterator<Item = &VmId> {
+        let members = self.groups.iter().flat_map(|it| &it.members);
+        self.registered.iter().chain(members)
+    }
+
     /// Returns the store key of a fabric domain's assignment.
     pub fn key(domain: &FabricDomain) -> String {
         format!("domains/{domain}")
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -20,6 +20,7 @@
 use mangocross_types::Placements;
 use mangocross_types::RunOutcome;
 use mangocross_types::VmId;
+use mangocross_types::VmRole;
 use mangocross_types::VmState;
 use peer_store::HttpStore;
 use peer_store::read_json;
@@ -369,3 +370,27 @@
         of_owner.groups != before.0.groups && of_leader != before.1
     });
 }
+
+#[test]
+fn vm_that_is_listed_in_another_domain_stays_in_its_group_and_is_in_no_other() {
+    let cluster = builder(2, &[2, 1]).start();
+    cluster.start_group(START, 0, &draft());
+    let before = assignment(&cluster, "domain-1").groups;
+    let mut list = cluster.listed_vms();
+    for entry in list.iter_mut().filter(|it| it.vm.as_str() == "vm-1-2") {
+        entry.role = VmRole::Engine { fabric_domain: "domain-2".parse().unwrap(), accelerators: 1 };
+    }
+    cluster.platform.set_vms(list);
+    let second = "start group letters-2 model letters version v1 members 2 in domain-2";
+    cluster.operate(0, second).expect("the group is accepted");
+    for _ in 0..60 {
+        thread::sleep(Duration::from_millis(150));
+        assert!(cluster.send(0, &draft()).is_whole());
+        assert_eq!(assignment(&cluster, "domain-1").groups, before);
+        assert_eq!(assignment(&cluster, "domain-2").groups, []);
+    }
+    // The domain that had the VM gives it up with its group.
+    let _ = cluster.operate(0, "stop group letters-1");
+    cluster.wait_until("the other group serves", || cluster.send(0, &draft()).is_whole());
+    assert_eq!(placed(&cluster, "domain-2").group.as_str(), "letters-2");
+}
