--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -16,6 +16,7 @@
 use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
+use mangocross_coordination::VmHolders;
 use mangocross_coordination::preferred_owner;
 use mangocross_node::NodeConfiguration;
 use mangocross_operator::OperatorAccess;
@@ -90,6 +91,7 @@
     pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) probes: Mutex<ProbeTable>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
+    pub(crate) vm_holders: Mutex<Arc<VmHolders>>,
     pub(crate) placements: Mutex<(Placements, Revision)>,
     pub(crate) placements_known: KnownRevision,
     pub(crate) assignments_known: KnownRevision,
@@ -131,6 +133,7 @@
             leaving: Mutex::new(LeavingTable::new(leaving_kept)),
             probes: Mutex::new(ProbeTable::default()),
             assignments: Mutex::new(BTreeMap::new()),
+            vm_holders: Mutex::default(),
             placements: Mutex::new((Placements::default(), Revision(0))),
             placements_known: KnownRevision::default(),
             assignments_known: KnownRevision::default(),
@@ -184,7 +187,7 @@
         let mut addresses = self.settings.coordinators.clone();
         let configuration = self.configuration();
         addresses.extend(configuration.entry_vms.iter().map(|it| it.coordinator));
-        addresses.retain(|it| *it != self.settings.listen);
+        addresses.retain(|it| *it != self.settings.advertised());
         addresses.sort_unstable();
         addresses.dedup();
         addresses
--- a/crates/mangocross-coordination/tests/world/mod.rs
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -20,6 +20,7 @@
 use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::ProofTable;
 use mangocross_coordination::Step;
+use mangocross_coordination::VmHolders;
 use mangocross_coordination::preload_orders;
 use mangocross_coordination::preloading_vms;
 use mangocross_coordination::reconcile;
@@ -524,6 +525,7 @@
             placements: &self.placements,
             engines: &engines,
             probes: &self.owners[owner].probes,
+            holders: &VmHolders::new([], self.now),
             authority,
             now: self.now,
             probe_ttl: PROBE_TTL,
