--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -10,6 +10,7 @@
 use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::Step;
 use mangocross_coordination::TakeoverBackoff;
+use mangocross_coordination::VmHolders;
 use mangocross_coordination::preferred_owner;
 use mangocross_coordination::reconcile;
 use mangocross_coordination::take_over;
@@ -24,6 +25,7 @@
 
 use crate::domain_view::DomainView;
 use crate::orders::OrderGiver;
+use crate::preloads::PreloadGiver;
 use crate::state::CoordinatorState;
 use crate::state::lock;
 
@@ -43,12 +45,14 @@
     let mut keeper = DomainKeeper {
         state: Arc::clone(state),
         orders: OrderGiver::new(Arc::clone(state)),
+        preloads: PreloadGiver::new(Arc::clone(state)),
         backoffs: HashMap::new(),
     };
     let mut read_at: Option<Instant> = None;
     loop {
         let now = state.clock.now();
-        let alone = if knows_of_newer(state) { READ_INTERVAL_MIN } else { READ_INTERVAL };
+        let is_due = knows_of_newer(state) || has_unchecked_vms(state);
+        let alone = if is_due { READ_INTERVAL_MIN } else { READ_INTERVAL };
         let interval = state.read_interval(alone, READ_SPACING);
         if read_at.is_none_or(|it| now.duration_since(it) >= interval) {
             read_all(state);
@@ -73,19 +77,36 @@
     held.unwrap_or_default() < state.assignments_known.newest()
 }
 
-/// Reads all assignments, so that another coordinator's can be taken over in a store outage.
+/// Returns whether a VM was registered in an own domain after all assignments were read.
+fn has_unchecked_vms(state: &CoordinatorState) -> bool {
+    let holders = Arc::clone(&lock(&state.vm_holders));
+    let held = lock(&state.assignments);
+    let mut own = held.values().filter(|it| it.is_owned_by(&state.settings.vm, state.process_id));
+    own.any(|it| it.all_registered_at().is_some_and(|at| !holders.is_read_since(at)))
+}
+
+/// Reads all assignments, so that another coordinator's can be taken over in a store outage, and
+/// so that no VM is used that another domain holds.
 fn read_all(state: &CoordinatorState) {
     let asked_at = state.clock.now();
     let entries = match state.store.list("domains/") {
         Ok(entries) => entries,
         Err(error) => return log::warn!("assignments could not be read: {error}"),
     };
-    for entry in entries {
+    let mut read = Vec::new();
+    for entry in &entries {
         match serde_json::from_str::<DomainAssignment>(&entry.value) {
-            Ok(assignment) => hold(state, assignment, entry.revision, asked_at),
+            Ok(assignment) => read.push((assignment, entry.revision)),
             Err(error) => log::error!("assignment {} cannot be read: {error}", entry.key),
         }
     }
+    if read.len() == entries.len() {
+        let holders = VmHolders::new(read.iter().map(|(it, _)| it), asked_at);
+        *lock(&state.vm_holders) = Arc::new(holders);
+    }
+    for (assignment, revision) in read {
+        hold(state, assignment, revision, asked_at);
+    }
 }
 
 fn hold(
@@ -108,6 +129,7 @@
 struct DomainKeeper {
     state: Arc<CoordinatorState>,
     orders: OrderGiver,
+    preloads: PreloadGiver,
     backoffs: HashMap<FabricDomain, TakeoverBackoff>,
 }
 
@@ -118,12 +140,13 @@
             backoff.not_preferred();
         }
         self.orders.begin();
-        for domain in owned {
-            if let Err(error) = self.look_after(&domain) {
+        for domain in &owned {
+            if let Err(error) = self.look_after(domain) {
                 log::warn!(domain = domain.as_str(); "assignment was not written: {error}");
             }
         }
-        self.orders.end();
+        let waiting = self.orders.end();
+        self.preloads.look(&mut self.orders, &owned, &waiting);
     }
 
     fn look_after(&mut self, domain: &FabricDomain) -> Result<(), StoreError> {
@@ -142,7 +165,9 @@
         let authority = view.authority();
         for step in reconcile(&view.input(authority)) {
             match step {
-                Step::Swap(next) => write(&state, &next, view.held.revision)?,
+                Step::Swap(next) => {
+                    write(&state, &view.held.assignment, &next, view.held.revision)?
+                }
                 Step::Order { vm, kind } => self.orders.give(&view, authority, vm, kind),
             }
         }
@@ -164,7 +189,7 @@
         let backoff = self.backoffs.entry(domain.clone()).or_insert_with(new_backoff);
         let now = state.clock.now();
         let held = lock(&state.assignments).get(domain).cloned();
-        if held.as_ref().is_some_and(|it| it.is_owned_by(&state.settings.vm, state.process_id)) {
+        if state.owns(domain) {
             backoff.owns(now);
             return Ok(true);
         }
@@ -199,11 +224,11 @@
     let read = read.unwrap_or_else(|| DomainAssignment::empty(domain.clone()));
     let next = take_over(&read, &state.settings.vm, state.process_id);
     log::info!(domain = domain.as_str(); "taking over with fencing number {}", next.fencing_number);
-    write(state, &next, revision)
+    write(state, &read, &next, revision)
 }
 
 /// Asks the store whether the assignment held is still the newest.
-fn confirm(state: &CoordinatorState, domain: &FabricDomain) -> Result<(), StoreError> {
+pub(crate) fn confirm(state: &CoordinatorState, domain: &FabricDomain) -> Result<(), StoreError> {
     let asked_at = state.clock.now();
     let key = DomainAssignment::key(domain);
     if let (Some(read), revision) = read_json(state.store.as_ref(), &key)? {
@@ -215,6 +240,7 @@
 /// Writes an assignment by compare-and-swap; another one that stands is read instead.
 fn write(
     state: &CoordinatorState,
+    before: &DomainAssignment,
     next: &DomainAssignment,
     expected: Revision,
 ) -> Result<(), StoreError> {
@@ -225,6 +251,7 @@
     let asked_at = state.clock.now();
     let key = DomainAssignment::key(&next.domain);
     if let Some(revision) = swap_json(state.store.as_ref(), &key, expected, next)? {
+        state.metrics.assignment_written(before, next);
         hold(state, next.clone(), revision, asked_at);
         return Ok(());
     }
--- a/bins/mangocross-coordinator/src/orders.rs
+++ b/bins/mangocross-coordinator/src/orders.rs
@@ -14,9 +14,11 @@
 use mangocross_policy::PendingLoad;
 use mangocross_policy::choose_loads;
 use mangocross_types::CommandId;
+use mangocross_types::EngineState;
 use mangocross_types::FencingNumber;
 use mangocross_types::GroupId;
 use mangocross_types::Order;
+use mangocross_types::OrderAnswer;
 use mangocross_types::OrderKind;
 use mangocross_types::VmId;
 
@@ -29,6 +31,9 @@
 /// Time for an engine to take an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Name of the result of an order that was taken.
+const TAKEN: &str = "taken";
+
 /// An order given lately.
 #[derive(Debug)]
 struct Given {
@@ -45,6 +50,15 @@
     kind: OrderKind,
 }
 
+/// Places at the weight store.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FetchPlaces {
+    /// Fetches served at once at the most.
+    pub(crate) max: u32,
+    /// Places that are free.
+    pub(crate) free: u32,
+}
+
 /// Gives orders, each on a thread of its own, and not the same one at each tick.
 ///
 /// Whether an order was carried out is seen in the reports; an answer that is
@@ -112,12 +126,14 @@
     }
 
     /// Gives the loads for which the weight store has room, in the policy's order.
-    pub(crate) fn end(&mut self) {
+    ///
+    /// Returns the VMs whose loads still wait.
+    pub(crate) fn end(&mut self) -> Vec<VmId> {
         let waits =
             |group: &GroupId| self.waiting.iter().filter(|it| it.load.group == *group).count();
         self.waiting_since.retain(|group, _| waits(group) > 0);
         if self.waiting.is_empty() {
-            return;
+            return Vec::new();
         }
         let pending: Vec<PendingLoad> = self
             .waiting
@@ -128,12 +144,16 @@
                 PendingLoad { group_lacks, ..it.load.clone() }
             })
             .collect();
-        let chosen = choose_loads(&pending, &[], self.free_fetches());
+        let chosen = choose_loads(&pending, &[], self.fetch_places().free);
+        let mut left = Vec::new();
         for it in std::mem::take(&mut self.waiting) {
             if chosen.contains(&it.load.vm) {
                 self.send(it.load.vm, it.address, it.deadline_unix_ms, it.fencing_number, it.kind);
+            } else {
+                left.push(it.load.vm);
             }
         }
+        left
     }
 
     fn send(
@@ -153,36 +173,76 @@
         self.given.insert(vm.clone(), Given { kind, at: self.state.clock.now() });
         let state = Arc::clone(&self.state);
         thread::spawn(move || {
-            let timeouts = HttpTimeouts::default().idle(ORDER_TIMEOUT).total(ORDER_TIMEOUT);
-            let kind = &order.kind;
-            match state.engines.order(address, &order, timeouts) {
-                Ok(answer) => {
-                    log::info!(vm = vm.as_str(); "order {kind:?}: {answer:?}");
-                    probe_now(&state, &vm);
-                }
-                Err(error) => log::warn!(vm = vm.as_str(); "order {kind:?} failed: {error}"),
-            }
+            give(&state, &vm, address, &order);
         });
     }
 
-    /// Asks the weight store for its free places.
+    /// Asks the weight store for its places.
     ///
-    /// Loads ordered lately may not have reached it, and count as well.
-    fn free_fetches(&self) -> u32 {
+    /// Fetches ordered lately may not have reached it, and count as well.
+    pub(crate) fn fetch_places(&self) -> FetchPlaces {
         let max = self.state.configuration().policy.concurrent_loads;
-        let loads = self.given.values().filter(|it| matches!(it.kind, OrderKind::Load { .. }));
-        let lately = u32::try_from(loads.count()).unwrap_or(u32::MAX);
+        let fetches =
+            |it: &&Given| matches!(it.kind, OrderKind::Load { .. } | OrderKind::Preload { .. });
+        let lately = self.given.values().filter(fetches).count();
+        let lately = u32::try_from(lately).unwrap_or(u32::MAX);
         match self.state.platform.weight_store_load() {
-            Ok(load) => max.min(load.loads_max).saturating_sub(load.loads_running.max(lately)),
+            Ok(load) => {
+                let max = max.min(load.loads_max);
+                FetchPlaces { max, free: max.saturating_sub(load.loads_running.max(lately)) }
+            }
             Err(error) => {
                 log::warn!("the weight store's load could not be read: {error}");
-                max.saturating_sub(lately)
+                FetchPlaces { max, free: max.saturating_sub(lately) }
             }
         }
     }
 }
 
-/// Returns the group for which an order makes its engine fetch weights, if it does.
+/// Gives one order, within a span that the engine may go on with.
+fn give(state: &CoordinatorState, vm: &VmId, address: SocketAddr, order: &Order) {
+    let (kind, name) = (&order.kind, kind_name(&order.kind));
+    let span = state.tracing.step_since("order", state.clock.wall());
+    span.set("vm", vm.to_string());
+    span.set("order_id", order.order_id.to_string());
+    span.set("kind", name.clone());
+    span.set("fencing_number", order.fencing_number.to_string());
+    let timeouts = HttpTimeouts::default().idle(ORDER_TIMEOUT).total(ORDER_TIMEOUT);
+    let traceparent = span.traceparent();
+    let result = match state.engines.order(address, order, traceparent.as_deref(), timeouts) {
+        Ok(answer) => {
+            log::info!(vm = vm.as_str(); "order {kind:?}: {answer:?}");
+            probe_now(state, vm);
+            answer_name(&answer)
+        }
+        Err(error) => {
+            log::warn!(vm = vm.as_str(); "order {kind:?} failed: {error}");
+            error.kind.as_str()
+        }
+    };
+    if result != TAKEN {
+        span.fail(result.to_owned());
+    }
+    state.metrics.ordered(&name, result);
+}
+
+/// Returns the name of an order's kind, which is the one on the wire.
+fn kind_name(kind: &OrderKind) -> String {
+    let value = serde_json::to_value(kind).unwrap_or_default();
+    value["type"].as_str().unwrap_or_default().to_owned()
+}
+
+fn answer_name(answer: &OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::Taken => TAKEN,
+        OrderAnswer::StaleFence { .. } => "stale_fence",
+        OrderAnswer::Late => "late",
+    }
+}
+
+/// Returns the group for which an order makes its engine take a place at the weight store.
+///
+/// A VM that preloads has one already, which the load takes over.
 fn fetching_group<'a>(
     view: &DomainView<'_>,
     vm: &VmId,
@@ -190,8 +250,10 @@
 ) -> Option<&'a GroupId> {
     let OrderKind::Load { group, model_version, .. } = kind else { return None };
     let report = view.report(vm);
-    let cached = report.is_some_and(|it| it.cached_versions.contains(model_version));
-    (!cached).then_some(group)
+    let has_place = report.is_some_and(|it| {
+        it.state == EngineState::Preloading || it.cached_versions.contains(model_version)
+    });
+    (!has_place).then_some(group)
 }
 
 fn new_order_id() -> CommandId {
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -17,11 +17,13 @@
 use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
+use mangocross_coordination::VmHolders;
 use mangocross_coordination::preferred_owner;
 use mangocross_node::NodeConfiguration;
 use mangocross_operator::OperatorAccess;
 use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
+use mangocross_telemetry::Tracing;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
 use mangocross_types::FabricDomain;
@@ -44,6 +46,8 @@
 
 use crate::failures::KnownFailures;
 use crate::known_revision::KnownRevision;
+use crate::metrics::CoordinatorMetrics;
+use crate::observed_store::ObservedStore;
 
 /// Expected time to load weights that are on the VM already.
 const WARM_LOAD: Duration = Duration::from_secs(1);
@@ -72,6 +76,8 @@
     pub(crate) operators: OperatorAccess,
     pub(crate) process_id: u64,
     pub(crate) started_at: Instant,
+    pub(crate) metrics: Arc<CoordinatorMetrics>,
+    pub(crate) tracing: Arc<Tracing>,
     pub(crate) failures: Mutex<KnownFailures>,
     pub(crate) acceptance: Mutex<AcceptanceTracker>,
     pub(crate) store: Arc<dyn Store>,
@@ -88,6 +94,7 @@
     /// The threads that probe, by VM.
     pub(crate) probers: Mutex<HashMap<VmId, Thread>>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
+    pub(crate) vm_holders: Mutex<Arc<VmHolders>>,
     pub(crate) placements: Mutex<(Placements, Revision)>,
     pub(crate) placements_known: KnownRevision,
     pub(crate) assignments_known: KnownRevision,
@@ -100,8 +107,18 @@
         let vouch = Duration::from_millis(settings.vouch_ms);
         let keys = settings.operator_keys.iter().map(|it| (it.operator.clone(), it.key.clone()));
         let node = NodeConfiguration::open(settings.vm.clone(), key, vouch, started_at);
+        let metrics_interval = Duration::from_millis(settings.metrics_log_ms);
+        let metrics = Arc::new(CoordinatorMetrics::open(metrics_interval));
+        let vm = settings.vm.as_str();
+        let tracing = Tracing::open("mangocross-coordinator", vm, settings.trace_share);
+        let tracing = Arc::new(tracing);
+        let store = HttpStore::open(settings.store);
+        let (observing, spans) = (Arc::clone(&metrics), Arc::clone(&tracing));
+        let store = ObservedStore::new(store, Arc::clone(&clock), observing, spans);
         Self {
-            store: Arc::new(HttpStore::open(settings.store)),
+            store: Arc::new(store),
+            metrics,
+            tracing,
             platform: PlatformClient::open(settings.platform),
             engines: EngineClient::open(),
             operators: OperatorAccess::new(keys),
@@ -120,6 +137,7 @@
             probes: Mutex::new(ProbeTable::default()),
             probers: Mutex::new(HashMap::new()),
             assignments: Mutex::new(BTreeMap::new()),
+            vm_holders: Mutex::default(),
             placements: Mutex::new((Placements::default(), Revision(0))),
             placements_known: KnownRevision::default(),
             assignments_known: KnownRevision::default(),
@@ -143,6 +161,13 @@
         live
     }
 
+    /// Returns whether the assignment held names this process as the owner.
+    pub(crate) fn owns(&self, domain: &FabricDomain) -> bool {
+        let assignments = lock(&self.assignments);
+        let held = assignments.get(domain);
+        held.is_some_and(|it| it.is_owned_by(&self.settings.vm, self.process_id))
+    }
+
     /// Returns whether this coordinator decides where groups belong.
     pub(crate) fn is_placement_leader(&self) -> bool {
         let live = self.live_coordinators();
@@ -166,7 +191,7 @@
         let mut addresses = self.settings.coordinators.clone();
         let configuration = self.configuration();
         addresses.extend(configuration.entry_vms.iter().map(|it| it.coordinator));
-        addresses.retain(|it| *it != self.settings.listen);
+        addresses.retain(|it| *it != self.settings.advertised());
         addresses.sort_unstable();
         addresses.dedup();
         addresses
--- a/crates/mangocross-coordination/src/probe_pace.rs
+++ b/crates/mangocross-coordination/src/probe_pace.rs
@@ -47,7 +47,10 @@
     pub fn answered(&mut self, state: EngineState, now: Instant) -> Duration {
         match state {
             EngineState::Loading => self.unsettled(now),
-            EngineState::Idle | EngineState::Ready | EngineState::Leaving => {
+            EngineState::Idle
+            | EngineState::Preloading
+            | EngineState::Ready
+            | EngineState::Leaving => {
                 self.unsettled_since = None;
                 self.usual
             }
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -12,6 +12,7 @@
 use crate::range::PROBE_INTERVAL_MS;
 use crate::range::TIME_MS;
 use crate::range::check_secret;
+use crate::range::check_share;
 use crate::range::check_vouching;
 use crate::range::within;
 
@@ -25,6 +26,9 @@
     pub availability_zone: AvailabilityZone,
     /// UDP and TCP address for gateways and other coordinators.
     pub listen: SocketAddr,
+    /// Address at which the others reach `listen`, if it is another one.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// UDP address that polls are sent from.
     pub poll_from: SocketAddr,
     /// Address for operators.
@@ -78,6 +82,20 @@
     /// milliseconds; longer than the platform's list lags.
     #[serde(default = "leaving_kept_ms")]
     pub leaving_kept_ms: u64,
+    /// Share of what operators ask and of what the coordinator does by itself that is traced,
+    /// from 0 to 1, where no trace decision came with it.
+    #[serde(default = "trace_share")]
+    pub trace_share: f64,
+    /// Time between totals of the metrics in the log, in milliseconds.
+    #[serde(default = "metrics_log_ms")]
+    pub metrics_log_ms: u64,
+}
+
+impl CoordinatorSettings {
+    /// Returns the address at which gateways and other coordinators reach this one.
+    pub fn advertised(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
 }
 
 fn poll_interval_ms() -> u64 {
@@ -128,6 +146,14 @@
     600_000
 }
 
+fn trace_share() -> f64 {
+    1.0
+}
+
+fn metrics_log_ms() -> u64 {
+    60_000
+}
+
 impl Settings for CoordinatorSettings {
     fn vm(&self) -> &VmId {
         &self.vm
@@ -146,11 +172,13 @@
             ("order_deadline_ms", self.order_deadline_ms),
             ("lost_ms", self.lost_ms),
             ("leaving_kept_ms", self.leaving_kept_ms),
+            ("metrics_log_ms", self.metrics_log_ms),
         ];
         times.iter().try_for_each(|(name, value)| within(name, *value, TIME_MS))?;
         if self.proof_ms < self.probe_interval_ms + self.probe_timeout_ms {
             return Err("`proof_ms` is less than a probe's interval and timeout; raise it".into());
         }
+        check_share("trace_share", self.trace_share)?;
         if self.lost_ms < self.order_deadline_ms {
             return Err("`lost_ms` is less than `order_deadline_ms`; raise it".into());
         }
