fix(http): bound request headers in size, lines and time

Cause: tiny_http 0.12 reads a header without a limit; a caller could send 64 MB of one header, or trickle one for ever. Its parser takes no limit and its accept path takes no streams of ours.

The server is now hyper 1, polled by the thread that handles the connection on a blocking socket whose every wait is bounded. No runtime is started, and an answer is written by the thread that makes it, so no piece crosses threads. Headers: 64 KB, 100 lines, 10 s from the first byte. Whoever exceeds them, or sends what cannot be parsed, gets a numbered refusal (431 HeaderTooLarge, new; 408; 400) that says "not run", and the connection closes. Open connections are bounded and refused beyond. A streamed answer to HTTP/1.0 that breaks off ends in a reset, where before it looked whole. Pipelined requests are handled one after another.

--- a/bins/mangocross-coordinator/src/coordinator.rs
+++ b/bins/mangocross-coordinator/src/coordinator.rs
@@ -6,10 +6,12 @@
 
 use mangocross_http::HttpServer;
 use mangocross_http::ServerLimits;
+use mangocross_http::ServerRequest;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use mangocross_types::SystemClock;
+use peer_caller::header_refusal;
 use peer_caller::respond_refusal;
 use peer_entry::FetchServer;
 use peer_entry::FetchSource;
@@ -61,7 +63,7 @@
         settings.operator_listen,
         ServerLimits::default(),
         move |it| operators::handle(&operating, it),
-        |it| respond_refusal(it, &overloaded(), None),
+        refuse,
     )
     .map_err(cannot_bind)?;
 
@@ -83,6 +85,12 @@
     Ok(())
 }
 
+/// Answers a request whose header could not be read, or for which there is no room.
+fn refuse(request: ServerRequest) {
+    let refusal = request.header_error().map_or_else(overloaded, |it| header_refusal(&it));
+    respond_refusal(request, &refusal, None);
+}
+
 fn overloaded() -> Refusal {
     let text = "this coordinator handles as many requests as it can; come back later";
     Refusal::not_run(ResultCode::Overloaded, text).retry_after(OVERLOAD_RETRY)
--- a/bins/mangocross-gateway/src/gateway.rs
+++ b/bins/mangocross-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use mangocross_types::SystemClock;
+use peer_caller::header_refusal;
 use peer_caller::respond_refusal;
 use peer_entry::PollTiming;
 use peer_entry::Poller;
@@ -88,8 +89,14 @@
     log::info!("planned stop: done with {} requests in flight", server.in_flight());
 }
 
-/// Answers a request for which there is no room; those for the balancer are still served.
+/// Answers a request whose header could not be read, or for which there is no room; those for the
+/// balancer are served even so.
 fn refuse(state: &GatewayState, request: ServerRequest) {
+    if let Some(error) = request.header_error() {
+        let refusal = header_refusal(&error);
+        state.metrics.ended(None, refusal.outcome, Some(refusal.code));
+        return respond_refusal(request, &refusal, None);
+    }
     if handler::is_operational(request.path()) {
         return handler::handle(state, request);
     }
--- /dev/null
+++ b/crates/mangocross-http/src/connection.rs
@@ -0,0 +1,303 @@
+//! A caller's connection, driven by the thread that uses it.
+
+use std::io;
+use std::io::Read;
+use std::net::Shutdown;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use snafu::Snafu;
+use socket2::SockRef;
+
+use crate::ServerLimits;
+use crate::exchange::AnswerBody;
+use crate::exchange::Exchange;
+use crate::exchange::ReadEnd;
+use crate::exchange::StreamState;
+use crate::socket::Socket;
+
+/// Longest time for which input is discarded after the last answer on a connection.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Most input discarded after the last answer on a connection, in bytes.
+const DISCARDED_BYTES_MAX: usize = 4 * 1024 * 1024;
+/// Size of one read of discarded input, in bytes.
+const DISCARD_READ_BYTES: usize = 16 * 1024;
+/// Smallest limit of a header that the library takes, in bytes.
+const HEADER_BYTES_LEAST: usize = 8 * 1024;
+/// Polls after which an answer that the library has not taken is given up.
+const WRITE_POLLS_MAX: usize = 16;
+/// Stands for a request whose header cannot be read, so that the library writes its refusal.
+const UNREADABLE_REQUEST: &[u8] = b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n";
+
+/// Why a request's header could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum HeaderError {
+    /// The header is larger than allowed.
+    #[snafu(display(
+        "the header is larger than {bytes_max} bytes or has too many lines; send less"
+    ))]
+    TooLarge {
+        /// The limit in bytes.
+        bytes_max: usize,
+    },
+    /// The sender was too slow.
+    #[snafu(display("the header came too slowly; send it within {limit_ms} ms"))]
+    TooSlow {
+        /// The limit in milliseconds.
+        limit_ms: u128,
+    },
+    /// The header is not valid HTTP/1.
+    #[snafu(display("the header is not valid HTTP/1; send ASCII lines as the protocol asks"))]
+    Malformed,
+}
+
+/// What came next on a connection.
+pub(crate) enum Next {
+    /// A request whose header is whole.
+    Request(Box<Request<Incoming>>),
+    /// A header that cannot be read; nothing more is read from this connection.
+    Unreadable(HeaderError),
+    /// Nothing more.
+    Closed,
+}
+
+/// A caller's connection.
+///
+/// The HTTP library parses and frames; it is polled by the thread that needs progress, on a
+/// blocking socket, so an answer is written by the thread that makes it.
+pub(crate) struct Connection {
+    library: Pin<Box<http1::Connection<Socket, Exchange>>>,
+    exchange: Exchange,
+    stream: Arc<TcpStream>,
+    limits: ServerLimits,
+    /// How the library ended the connection, if it did.
+    ended: Option<Result<(), hyper::Error>>,
+    /// Whether the connection must end without an orderly close.
+    reset: bool,
+}
+
+impl Connection {
+    /// Takes an accepted socket.
+    pub(crate) fn open(stream: TcpStream, limits: ServerLimits) -> Self {
+        Self::with_prefix(Arc::new(stream), limits, &[])
+    }
+
+    /// Returns a request that stands for one whose header cannot be read, and whose answer ends the
+    /// connection.
+    pub(crate) fn replace_unreadable(self) -> Option<(Self, Request<Incoming>)> {
+        let mut replaced = Self::with_prefix(self.stream, self.limits, UNREADABLE_REQUEST);
+        match replaced.next() {
+            Next::Request(request) => Some((replaced, *request)),
+            Next::Unreadable(_) | Next::Closed => None,
+        }
+    }
+
+    fn with_prefix(stream: Arc<TcpStream>, limits: ServerLimits, prefix: &'static [u8]) -> Self {
+        let exchange = Exchange::new();
+        let socket = Socket::new(Arc::clone(&stream), exchange.clone(), limits, prefix);
+        let library = http1::Builder::new()
+            .header_read_timeout(None)
+            .max_buf_size(limits.header_bytes_max.max(HEADER_BYTES_LEAST))
+            .serve_connection(socket, exchange.clone());
+        Self { library: Box::pin(library), exchange, stream, limits, ended: None, reset: false }
+    }
+
+    /// Waits for the next request.
+    pub(crate) fn next(&mut self) -> Next {
+        self.exchange.lock().begin_header();
+        let mut may_read = false;
+        loop {
+            self.poll(may_read);
+            if let Some(request) = self.exchange.lock().take_request() {
+                return Next::Request(Box::new(request));
+            }
+            let over = self.ended.is_some() || self.read_end().is_some();
+            if over || (may_read && self.reads_no_more()) {
+                return self.without_request();
+            }
+            may_read = true;
+        }
+    }
+
+    /// Tells why no request came.
+    fn without_request(&self) -> Next {
+        let bytes_max = self.limits.header_bytes_max;
+        match &self.ended {
+            Some(Err(error)) if error.is_parse_too_large() => {
+                return Next::Unreadable(HeaderError::TooLarge { bytes_max });
+            }
+            Some(Err(error)) if error.is_parse() => {
+                return Next::Unreadable(HeaderError::Malformed);
+            }
+            _ => {}
+        }
+        let state = self.exchange.lock();
+        match state.read_end {
+            Some(ReadEnd::TimedOut) if state.deadline.is_some() => {
+                let limit_ms = self.limits.header_timeout.as_millis();
+                Next::Unreadable(HeaderError::TooSlow { limit_ms })
+            }
+            _ => Next::Closed,
+        }
+    }
+
+    /// Waits for the next part of a request's body; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`io::ErrorKind::TimedOut`] if nothing came in time, and if the connection broke.
+    pub(crate) fn read_body(&mut self, body: &mut Incoming) -> io::Result<Option<Bytes>> {
+        let mut may_read = false;
+        loop {
+            if let Poll::Ready(part) = poll_data(body) {
+                return part;
+            }
+            if self.ended.is_some() || (may_read && self.reads_no_more()) {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            if self.read_end() == Some(ReadEnd::TimedOut) {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            self.poll(may_read);
+            may_read = true;
+        }
+    }
+
+    /// Sets until when the body must be whole.
+    pub(crate) fn set_deadline(&self, deadline: Instant) {
+        self.exchange.lock().deadline = Some(deadline);
+    }
+
+    /// Begins the answer, and writes all of it that is there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller is gone or takes longer than the write time limit.
+    pub(crate) fn answer(&mut self, answer: Response<AnswerBody>) -> io::Result<()> {
+        self.exchange.lock().answer = Some(answer);
+        self.write()
+    }
+
+    /// Returns the body of an answer that is written piece by piece.
+    pub(crate) fn streamed_body(&self) -> AnswerBody {
+        AnswerBody::Streamed(self.exchange.clone())
+    }
+
+    /// Writes one piece of a streamed body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller is gone or takes longer than the write time limit.
+    pub(crate) fn write_piece(&mut self, piece: Bytes) -> io::Result<()> {
+        self.exchange.lock().piece = Some(piece);
+        self.write()
+    }
+
+    /// Ends a streamed body that is whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller is gone.
+    pub(crate) fn finish_stream(&mut self) -> io::Result<()> {
+        self.exchange.lock().stream = StreamState::Finished;
+        self.write()
+    }
+
+    /// Ends a streamed body that is not whole.
+    ///
+    /// A body that ends with its connection is told from a whole one by a reset.
+    pub(crate) fn abort_stream(&mut self, ends_with_connection: bool) {
+        self.exchange.lock().stream = StreamState::Aborted;
+        self.poll(false);
+        if ends_with_connection {
+            self.reset = true;
+            let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+        } else {
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+    }
+
+    /// Closes the connection so that the last answer arrives.
+    ///
+    /// To close a socket with unread input resets the connection and may destroy an answer on its
+    /// way, so input is discarded until the caller closes, within limits.
+    pub(crate) fn close(self) {
+        let at_once = self.reset || self.read_end() == Some(ReadEnd::Eof);
+        if at_once || self.stream.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let deadline = Instant::now() + DISCARD_TIMEOUT;
+        let mut buf = [0; DISCARD_READ_BYTES];
+        let mut discarded_bytes = 0;
+        while discarded_bytes < DISCARDED_BYTES_MAX {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() || self.stream.set_read_timeout(Some(left)).is_err() {
+                return;
+            }
+            match (&*self.stream).read(&mut buf) {
+                Ok(0) | Err(_) => return,
+                Ok(length) => discarded_bytes += length,
+            }
+        }
+    }
+
+    /// Polls until the library has taken and written what there is.
+    fn write(&mut self) -> io::Result<()> {
+        for _ in 0..WRITE_POLLS_MAX {
+            self.poll(false);
+            if let Some(Err(error)) = &self.ended {
+                return Err(io::Error::other(error.to_string()));
+            }
+            if !self.exchange.lock().has_output() {
+                return Ok(());
+            }
+        }
+        Err(io::ErrorKind::BrokenPipe.into())
+    }
+
+    /// Lets the library make progress; it may wait once for input if `may_read`.
+    fn poll(&mut self, may_read: bool) {
+        if self.ended.is_some() {
+            return;
+        }
+        self.exchange.lock().may_read = may_read;
+        let mut context = Context::from_waker(Waker::noop());
+        if let Poll::Ready(ended) = self.library.as_mut().poll(&mut context) {
+            self.ended = Some(ended);
+        }
+    }
+
+    /// Returns whether the library did not use its last permission to read.
+    fn reads_no_more(&self) -> bool {
+        self.exchange.lock().may_read
+    }
+
+    fn read_end(&self) -> Option<ReadEnd> {
+        self.exchange.lock().read_end
+    }
+}
+
+fn poll_data(body: &mut Incoming) -> Poll<io::Result<Option<Bytes>>> {
+    let mut context = Context::from_waker(Waker::noop());
+    match Pin::new(body).poll_frame(&mut context) {
+        Poll::Pending => Poll::Pending,
+        Poll::Ready(None) => Poll::Ready(Ok(None)),
+        Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+            Ok(bytes) => Poll::Ready(Ok(Some(bytes))),
+            Err(_trailers) => Poll::Ready(Ok(None)),
+        },
+        Poll::Ready(Some(Err(error))) => Poll::Ready(Err(io::Error::other(error.to_string()))),
+    }
+}
--- a/crates/mangocross-http/src/lib.rs
+++ b/crates/mangocross-http/src/lib.rs
@@ -1,5 +1,5 @@
 //! HTTP plumbing: a client that knows whether it sent anything, and a server
-//! with bounded bodies, times and concurrency.
+//! with bounded headers, bodies, times and concurrency.
 //!
 //! Each client call opens a connection of its own and never sends twice: no
 //! pool, no redirects, no retries. A stale or half-dead connection therefore
@@ -9,12 +9,16 @@
 mod answer;
 mod call;
 mod client;
+mod connection;
 mod error;
 mod event_stream;
+mod exchange;
+mod held;
 mod limits;
 mod read_limit;
 mod request;
 mod server;
+mod socket;
 mod timeouts;
 mod tracker;
 
@@ -22,6 +26,7 @@
 pub use call::HttpCall;
 pub use call::HttpMethod;
 pub use client::HttpClient;
+pub use connection::HeaderError;
 pub use error::CallError;
 pub use error::CallErrorKind;
 pub use event_stream::BodyStream;
--- a/crates/mangocross-http/src/limits.rs
+++ b/crates/mangocross-http/src/limits.rs
@@ -4,28 +4,41 @@
 
 /// Default time for one read of a request.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Default time for a whole header, from its first byte.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Default time for one write of an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Default time for a whole request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Default size of a request header, in bytes.
+const HEADER_BYTES_MAX: usize = 64 * 1024;
 /// Default size of a request body, in bytes.
 const BODY_BYTES_MAX: usize = 1024 * 1024;
 /// Default number of requests handled at once.
 const IN_FLIGHT_MAX: usize = 1024;
+/// Default number of connections that may be open beside those whose requests are handled.
+const SPARE_CONNECTIONS: usize = 1024;
 
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
     /// Longest time for one read, and the longest idle time of a connection.
     pub read_timeout: Duration,
+    /// Longest time for a whole header, from its first byte.
+    pub header_timeout: Duration,
     /// Longest time for one write.
     pub write_timeout: Duration,
     /// Longest time for a whole body.
     pub body_timeout: Duration,
+    /// Largest header in bytes; the HTTP library takes no less than 8 KiB.
+    pub header_bytes_max: usize,
     /// Largest body in bytes.
     pub body_bytes_max: usize,
-    /// Most requests handled at once; more are answered by the overload handler.
+    /// Most requests handled at once; more are answered by the refusing handler.
     pub in_flight_max: usize,
+    /// Connections that may be open beside those whose requests are handled; requests on further
+    /// ones are answered by the refusing handler, and connections beyond twice as many are closed.
+    pub spare_connections: usize,
 }
 
 impl ServerLimits {
@@ -36,6 +49,13 @@
         self
     }
 
+    /// Sets the longest time for a whole header.
+    #[must_use]
+    pub fn header_timeout(mut self, limit: Duration) -> Self {
+        self.header_timeout = limit;
+        self
+    }
+
     /// Sets the largest body in bytes.
     #[must_use]
     pub fn body_bytes_max(mut self, limit: usize) -> Self {
@@ -56,16 +76,26 @@
         self.in_flight_max = limit;
         self
     }
+
+    /// Sets the number of connections beside those whose requests are handled.
+    #[must_use]
+    pub fn spare_connections(mut self, limit: usize) -> Self {
+        self.spare_connections = limit;
+        self
+    }
 }
 
 impl Default for ServerLimits {
     fn default() -> Self {
         Self {
             read_timeout: READ_TIMEOUT,
+            header_timeout: HEADER_TIMEOUT,
             write_timeout: WRITE_TIMEOUT,
             body_timeout: BODY_TIMEOUT,
+            header_bytes_max: HEADER_BYTES_MAX,
             body_bytes_max: BODY_BYTES_MAX,
             in_flight_max: IN_FLIGHT_MAX,
+            spare_connections: SPARE_CONNECTIONS,
         }
     }
 }
--- a/crates/mangocross-http/src/request.rs
+++ b/crates/mangocross-http/src/request.rs
@@ -1,23 +1,28 @@
 //! A request at the server.
 
 use std::io;
-use std::thread;
 use std::time::Instant;
 
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::Uri;
+use hyper::Version;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
-use tiny_http::Header;
-use tiny_http::Request;
-use tiny_http::Response;
-use tiny_http::StatusCode;
 
 use crate::BodyStream;
+use crate::HeaderError;
 use crate::HttpMethod;
 use crate::ServerLimits;
-
-/// Size of one read of a body, in bytes.
-const READ_BYTES: usize = 16 * 1024;
+use crate::exchange::AnswerBody;
+use crate::held::HeldConnection;
 
 /// Why a request body could not be read.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -46,55 +51,72 @@
 ///
 /// Dropping it unanswered answers with status 500.
 pub struct ServerRequest {
-    request: Request,
+    method: Method,
+    uri: Uri,
+    version: Version,
+    headers: HeaderMap,
+    header_error: Option<HeaderError>,
+    /// Dropped before the connection, which is then told that nobody reads it.
+    body: Incoming,
+    connection: HeldConnection,
     limits: ServerLimits,
-    path: String,
-    query: String,
-    body_failed: bool,
 }
 
 impl ServerRequest {
-    pub(crate) fn new(request: Request, limits: ServerLimits) -> Self {
-        let url = request.url().to_owned();
-        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-        Self { path: path.to_owned(), query: query.to_owned(), request, limits, body_failed: false }
+    pub(crate) fn new(
+        request: Request<Incoming>,
+        header_error: Option<HeaderError>,
+        connection: HeldConnection,
+        limits: ServerLimits,
+    ) -> Self {
+        let (head, body) = request.into_parts();
+        Self {
+            method: head.method,
+            uri: head.uri,
+            version: head.version,
+            headers: head.headers,
+            header_error,
+            body,
+            connection,
+            limits,
+        }
+    }
+
+    /// Returns why the header could not be read; the request then shows nothing else of it.
+    pub fn header_error(&self) -> Option<HeaderError> {
+        self.header_error
     }
 
     /// Returns the method, or `None` for one that is not served anywhere here.
     pub fn method(&self) -> Option<HttpMethod> {
-        match self.request.method() {
-            tiny_http::Method::Get => Some(HttpMethod::Get),
-            tiny_http::Method::Post => Some(HttpMethod::Post),
-            tiny_http::Method::Put => Some(HttpMethod::Put),
-            tiny_http::Method::Delete => Some(HttpMethod::Delete),
+        match self.method {
+            Method::GET => Some(HttpMethod::Get),
+            Method::POST => Some(HttpMethod::Post),
+            Method::PUT => Some(HttpMethod::Put),
+            Method::DELETE => Some(HttpMethod::Delete),
             _ => None,
         }
     }
 
     /// Returns the path without the query, still percent-encoded.
     pub fn path(&self) -> &str {
-        &self.path
+        self.uri.path()
     }
 
     /// Returns the query without its question mark.
     pub fn query(&self) -> &str {
-        &self.query
+        self.uri.query().unwrap_or_default()
     }
 
     /// Returns a query parameter, still percent-encoded.
     pub fn parameter(&self, name: &str) -> Option<&str> {
-        let mut pairs = self.query.split('&').filter_map(|it| it.split_once('='));
+        let mut pairs = self.query().split('&').filter_map(|it| it.split_once('='));
         pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
     }
 
     /// Returns a header; names are compared without case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self
-            .request
-            .headers()
-            .iter()
-            .find(|it| it.field.as_str().as_str().eq_ignore_ascii_case(name));
-        found.map(|it| it.value.as_str())
+        self.headers.get(name)?.to_str().ok()
     }
 
     /// Reads the whole body within the server's limits.
@@ -103,36 +125,25 @@
     ///
     /// Fails if the body is too large, too slow or broken.
     pub fn read_body(&mut self) -> Result<Vec<u8>, BodyError> {
-        let body = self.read_bounded();
-        self.body_failed = body.is_err();
-        body
-    }
-
-    fn read_bounded(&mut self) -> Result<Vec<u8>, BodyError> {
         let bytes_max = self.limits.body_bytes_max;
-        if self.request.body_length().is_some_and(|it| it > bytes_max) {
+        if self.body.size_hint().lower() > bytes_max as u64 {
             return Err(BodyError::TooLarge { bytes_max });
         }
         let limit = self.limits.body_timeout;
-        let too_slow = BodyError::TooSlow { limit_ms: limit.as_millis() };
-        let started = Instant::now();
         let mut body = Vec::new();
-        let mut buf = [0; READ_BYTES];
+        self.connection.set_deadline(Instant::now() + limit);
         loop {
-            let read = match self.request.as_reader().read(&mut buf) {
-                Ok(0) => return Ok(body),
-                Ok(read) => read,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Err(too_slow),
-                Err(error) if error.kind() == io::ErrorKind::TimedOut => return Err(too_slow),
+            match self.connection.read_body(&mut self.body) {
+                Ok(None) => return Ok(body),
+                Ok(Some(part)) => body.extend_from_slice(&part),
+                Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+                    return Err(BodyError::TooSlow { limit_ms: limit.as_millis() });
+                }
                 Err(error) => return Err(BodyError::Broken { message: error.to_string() }),
-            };
-            body.extend_from_slice(&buf[..read]);
+            }
             if body.len() > bytes_max {
                 return Err(BodyError::TooLarge { bytes_max });
             }
-            if started.elapsed() > limit {
-                return Err(too_slow);
-            }
         }
     }
 
@@ -151,25 +162,11 @@
     ///
     /// A caller that is gone is not an error: nobody is left to be told.
     pub fn respond(self, status: u16, headers: &[(&str, &str)], body: Vec<u8>) {
-        let mut response = Response::from_data(body).with_status_code(StatusCode(status));
-        for (name, value) in headers {
-            match Header::from_bytes(name.as_bytes(), value.as_bytes()) {
-                Ok(header) => response.add_header(header),
-                Err(()) => log::warn!("header {name} is not valid and was left out"),
-            }
-        }
-        let request = self.request;
-        let deliver = move || {
-            if let Err(error) = request.respond(response) {
-                log::debug!("the answer could not be delivered: {error}");
-            }
-        };
-        // The library reads what is left of a body after the answer, for as long as its sender
-        // likes; the thread that counts as in flight does not wait for that.
-        if !self.body_failed {
-            deliver();
-        } else if let Err(error) = thread::Builder::new().name("http-drain".into()).spawn(deliver) {
-            log::error!("no thread for the rest of a body: {error}");
+        let Self { body: unread, mut connection, .. } = self;
+        drop(unread);
+        let answer = answer(status, headers, AnswerBody::Whole(body.into()));
+        if let Err(error) = connection.answer(answer) {
+            log::debug!("the answer could not be delivered: {error}");
         }
     }
 
@@ -187,7 +184,27 @@
     ///
     /// Fails if the caller is gone.
     pub fn respond_stream(self, status: u16, headers: &[(&str, &str)]) -> io::Result<BodyStream> {
-        let chunked = *self.request.http_version() >= (1, 1);
-        BodyStream::open(self.request.into_writer(), status, headers, chunked)
+        let Self { body: unread, mut connection, version, .. } = self;
+        drop(unread);
+        let body = connection.start_stream(version < Version::HTTP_11);
+        connection.answer(answer(status, headers, body))?;
+        Ok(BodyStream::new(connection))
+    }
+}
+
+fn answer(status: u16, headers: &[(&str, &str)], body: AnswerBody) -> Response<AnswerBody> {
+    let mut answer = Response::new(body);
+    match status.try_into() {
+        Ok(status) => *answer.status_mut() = status,
+        Err(_) => log::warn!("status {status} is not valid; 200 was sent"),
+    }
+    for (name, value) in headers {
+        match (HeaderName::try_from(*name), HeaderValue::try_from(*value)) {
+            (Ok(name), Ok(value)) => {
+                answer.headers_mut().append(name, value);
+            }
+            _ => log::warn!("header {name} is not valid and was left out"),
+        }
     }
+    answer
 }
--- a/crates/mangocross-http/src/server.rs
+++ b/crates/mangocross-http/src/server.rs
@@ -1,6 +1,7 @@
 //! The server.
 
 use std::io;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -11,15 +12,21 @@
 use std::thread;
 use std::time::Duration;
 
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::body::Incoming;
 use socket2::Domain;
 use socket2::SockRef;
 use socket2::Socket;
 use socket2::TcpKeepalive;
 use socket2::Type;
-use tiny_http::Server;
 
+use crate::HeaderError;
 use crate::ServerLimits;
 use crate::ServerRequest;
+use crate::connection::Connection;
+use crate::connection::Next;
+use crate::held::HeldConnection;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
@@ -29,41 +36,39 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which unacknowledged data ends a connection.
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(30);
-/// Requests being refused at once; beyond, the receiving thread waits.
-const REFUSING_MAX: usize = 1024;
-/// Wait for one of them to end.
-const REFUSING_PAUSE: Duration = Duration::from_millis(5);
-/// Longest wait between attempts to renew a failed accept loop.
-const RESTART_PAUSE: Duration = Duration::from_millis(100);
+/// Wait after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 type Handler = dyn Fn(ServerRequest) + Send + Sync;
 
-/// A running server: a thread for each request, up to a limit.
+/// A running server: a thread for each connection, up to a limit, handles its requests in turn.
 ///
-/// The accepted connections inherit the listener's time limits, keep-alive
+/// The accepted connections inherit the listener's write time limit, keep-alive
 /// probes and limit of unacknowledged data, so a silent caller holds nothing
-/// for ever.
+/// for ever. Dropping the server closes its listener; connections end after the
+/// request that they are at.
 pub struct HttpServer {
     address: SocketAddr,
+    listener: TcpListener,
     shared: Arc<Shared>,
 }
 
 struct Shared {
-    listener: TcpListener,
     limits: ServerLimits,
     handler: Box<Handler>,
-    overload: Box<Handler>,
+    refuse: Box<Handler>,
     in_flight: AtomicUsize,
-    refusing: AtomicUsize,
+    connections: AtomicUsize,
     closed: AtomicBool,
 }
 
 impl HttpServer {
     /// Binds an address and serves it.
     ///
-    /// `handler` runs on a thread of its own for each request; so does `overload`,
-    /// which takes its place when too many requests are in flight and must answer
-    /// at once.
+    /// `handler` runs on the thread of each request's connection. `refuse` takes its place for
+    /// requests that are not to be served, and must answer at once: when too many are in flight or
+    /// too many connections are open, and for headers that could not be read
+    /// ([`ServerRequest::header_error`]).
     ///
     /// # Errors
     ///
@@ -72,22 +77,22 @@
         address: SocketAddr,
         limits: ServerLimits,
         handler: impl Fn(ServerRequest) + Send + Sync + 'static,
-        overload: impl Fn(ServerRequest) + Send + Sync + 'static,
+        refuse: impl Fn(ServerRequest) + Send + Sync + 'static,
     ) -> io::Result<Self> {
         let listener = listen(address, &limits)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
-            listener,
             limits,
             handler: Box::new(handler),
-            overload: Box::new(overload),
+            refuse: Box::new(refuse),
             in_flight: AtomicUsize::new(0),
-            refusing: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             closed: AtomicBool::new(false),
         });
-        start_accepting(&shared)?;
-        keep_accepting(&shared, address);
-        Ok(Self { address, shared })
+        let (accepting, accepted_from) = (Arc::clone(&shared), listener.try_clone()?);
+        let accept = move || accept(&accepting, &accepted_from);
+        thread::Builder::new().name("http-accept".into()).spawn(accept)?;
+        Ok(Self { address, listener, shared })
     }
 
     /// Returns the bound address.
@@ -103,7 +108,9 @@
 
 impl Drop for HttpServer {
     fn drop(&mut self) {
-        self.shared.closed.store(true, Ordering::Relaxed);
+        self.shared.closed.store(true, Ordering::SeqCst);
+        // Wakes the accept loop.
+        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
     }
 }
 
@@ -112,7 +119,6 @@
     socket.set_reuse_address(true)?;
     socket.set_tcp_nodelay(true)?;
     socket.set_write_timeout(Some(limits.write_timeout))?;
-    socket.set_read_timeout(Some(limits.read_timeout))?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))?;
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive)?;
@@ -121,122 +127,152 @@
     Ok(socket.into())
 }
 
-/// Starts an accept loop and the thread that takes its requests.
-///
-/// The library ends its accept loop on any error; the taking thread then
-/// starts another loop and goes on serving the connections it has.
-fn start_accepting(shared: &Arc<Shared>) -> io::Result<()> {
-    let listener = shared.listener.try_clone()?;
-    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-    let shared = Arc::clone(shared);
-    thread::Builder::new().name("http-receive".into()).spawn(move || receive(&shared, &server))?;
-    Ok(())
-}
-
-fn receive(shared: &Arc<Shared>, server: &Server) {
-    let mut accepting = true;
-    while !shared.closed.load(Ordering::Relaxed) {
-        match server.recv() {
-            Ok(request) => dispatch(shared, ServerRequest::new(request, shared.limits)),
-            Err(error) if accepting => {
-                log::warn!("accept loop ended and is started again: {error}");
-                accepting = false;
-                while start_accepting(shared).is_err() {
-                    thread::sleep(RESTART_PAUSE);
-                }
+fn accept(shared: &Arc<Shared>, listener: &TcpListener) {
+    while !shared.closed.load(Ordering::SeqCst) {
+        match listener.accept() {
+            Ok((stream, _)) => dispatch(shared, stream),
+            Err(_) if shared.closed.load(Ordering::SeqCst) => return,
+            Err(error) => {
+                log::warn!("a connection could not be accepted: {error}");
+                thread::sleep(ACCEPT_PAUSE);
             }
-            Err(error) => log::warn!("request could not be received: {error}"),
         }
     }
 }
 
-fn dispatch(shared: &Arc<Shared>, request: ServerRequest) {
-    let guard = Counted::enter(shared, Role::Handling);
-    if guard.before >= shared.limits.in_flight_max {
-        drop(guard);
-        return refuse(shared, request);
+fn dispatch(shared: &Arc<Shared>, stream: TcpStream) {
+    let guard = Counted::enter(shared, Count::Connections);
+    let room = Room::of(guard.before, &shared.limits);
+    if room == Room::None {
+        log::warn!("a connection was closed: {} are open", guard.before);
+        return;
     }
-    let spawned = thread::Builder::new().name("http-request".into()).spawn(move || {
-        (guard.shared.handler)(request);
+    let spawned = thread::Builder::new().name("http-connection".into()).spawn(move || {
+        serve(&guard.shared, Connection::open(stream, guard.shared.limits), room);
     });
     if let Err(error) = spawned {
-        log::error!("no thread for a request: {error}");
+        log::error!("no thread for a connection: {error}");
     }
 }
 
-/// Refuses a request on a thread of its own: its answer may have to wait for an earlier one on the
-/// same connection, which must not keep the receiving thread from other connections.
-fn refuse(shared: &Arc<Shared>, request: ServerRequest) {
-    let mut guard = Counted::enter(shared, Role::Refusing);
-    while guard.before >= REFUSING_MAX {
-        drop(guard);
-        thread::sleep(REFUSING_PAUSE);
-        guard = Counted::enter(shared, Role::Refusing);
+/// Room for a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Room {
+    /// Its requests are handled.
+    Handle,
+    /// Its first request is refused.
+    Refuse,
+    /// It is closed.
+    None,
+}
+
+impl Room {
+    fn of(connections: usize, limits: &ServerLimits) -> Self {
+        let spare = limits.spare_connections;
+        let handled_max = limits.in_flight_max.saturating_add(spare);
+        if connections < handled_max {
+            Self::Handle
+        } else if connections < handled_max.saturating_add(spare) {
+            Self::Refuse
+        } else {
+            Self::None
+        }
     }
-    let spawned = thread::Builder::new().name("http-refuse".into()).spawn(move || {
-        (guard.shared.overload)(request);
-    });
-    if let Err(error) = spawned {
-        log::error!("no thread for a refusal: {error}");
+}
+
+/// Serves the requests of a connection in turn.
+fn serve(shared: &Arc<Shared>, mut connection: Connection, room: Room) {
+    while !shared.closed.load(Ordering::SeqCst) {
+        let next = connection.next();
+        let returned = match next {
+            Next::Request(request) => handle(shared, connection, *request, room),
+            Next::Unreadable(error) => refuse_unreadable(shared, connection, error),
+            Next::Closed => break,
+        };
+        match returned {
+            Some(returned) => connection = returned,
+            None => return,
+        }
+        if room == Room::Refuse {
+            break;
+        }
     }
+    connection.close();
 }
 
-/// What a thread does with a request.
+/// Handles one request; returns the connection, unless a handler lost it.
+fn handle(
+    shared: &Arc<Shared>,
+    connection: Connection,
+    request: Request<Incoming>,
+    room: Room,
+) -> Option<Connection> {
+    let guard = Counted::enter(shared, Count::InFlight);
+    let header_error = check(request.headers()).err();
+    let full = room == Room::Refuse || guard.before >= shared.limits.in_flight_max;
+    let (held, returned) = HeldConnection::new(connection);
+    let request = ServerRequest::new(request, header_error, held, shared.limits);
+    if full || header_error.is_some() {
+        drop(guard);
+        (shared.refuse)(request);
+    } else {
+        (shared.handler)(request);
+        drop(guard);
+    }
+    returned.recv().ok()
+}
+
+/// Refuses a request whose header cannot be read; the connection takes no more requests.
+fn refuse_unreadable(
+    shared: &Shared,
+    connection: Connection,
+    error: HeaderError,
+) -> Option<Connection> {
+    let (connection, request) = connection.replace_unreadable()?;
+    let (held, returned) = HeldConnection::new(connection);
+    (shared.refuse)(ServerRequest::new(request, Some(error), held, shared.limits));
+    returned.recv().ok()
+}
+
+/// Checks that all values can be shown to handlers, which take them as text.
+fn check(headers: &HeaderMap) -> Result<(), HeaderError> {
+    let readable = headers.values().all(|it| it.to_str().is_ok());
+    if readable { Ok(()) } else { Err(HeaderError::Malformed) }
+}
+
+/// What is counted.
 #[derive(Debug, Clone, Copy)]
-enum Role {
-    Handling,
-    Refusing,
+enum Count {
+    Connections,
+    InFlight,
 }
 
-/// Counts a request until dropped.
+/// Counts a connection or request until dropped.
 struct Counted {
     shared: Arc<Shared>,
-    role: Role,
-    /// Requests counted when this one came.
+    count: Count,
+    /// Number counted when this one came.
     before: usize,
 }
 
 impl Counted {
-    fn enter(shared: &Arc<Shared>, role: Role) -> Self {
-        let before = shared.count(role).fetch_add(1, Ordering::SeqCst);
-        Self { shared: Arc::clone(shared), role, before }
+    fn enter(shared: &Arc<Shared>, count: Count) -> Self {
+        let before = shared.count(count).fetch_add(1, Ordering::SeqCst);
+        Self { shared: Arc::clone(shared), count, before }
     }
 }
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.shared.count(self.role).fetch_sub(1, Ordering::SeqCst);
+        self.shared.count(self.count).fetch_sub(1, Ordering::SeqCst);
     }
 }
 
 impl Shared {
-    fn count(&self, role: Role) -> &AtomicUsize {
-        match role {
-            Role::Handling => &self.in_flight,
-            Role::Refusing => &self.refusing,
+    fn count(&self, count: Count) -> &AtomicUsize {
+        match count {
+            Count::Connections => &self.connections,
+            Count::InFlight => &self.in_flight,
         }
     }
 }
-
-/// Connects now and then, so that the listener's read time limit, which
-/// accepted connections inherit, does not end an idle accept loop.
-fn keep_accepting(shared: &Arc<Shared>, address: SocketAddr) {
-    let shared = Arc::downgrade(shared);
-    let target = match address.ip().is_unspecified() {
-        true => SocketAddr::from(([127, 0, 0, 1], address.port())),
-        false => address,
-    };
-    thread::spawn(move || {
-        while let Some(shared) = shared.upgrade() {
-            if shared.closed.load(Ordering::Relaxed) {
-                return;
-            }
-            let pause = shared.limits.read_timeout / 3;
-            drop(shared);
-            thread::sleep(pause);
-            if let Ok(stream) = TcpStream::connect_timeout(&target, pause) {
-                let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-            }
-        }
-    });
-}
--- a/crates/mangocross-http/tests/server.rs
+++ b/crates/mangocross-http/tests/server.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::thread;
@@ -27,6 +28,16 @@
     HttpServer::bind(address, limits, echo, |it| it.respond(503, &[], Vec::new())).unwrap()
 }
 
+fn wait_until(condition: impl Fn() -> bool) {
+    for _ in 0..3_000 {
+        if condition() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("it did not come about");
+}
+
 #[test]
 fn whole_answer_comes_back() {
     let server = serve(ServerLimits::default());
@@ -57,6 +68,64 @@
     assert_eq!(HttpClient::open().call(call).unwrap().status(), 200);
 }
 
+#[test]
+fn header_that_never_ends_is_refused_after_its_time() {
+    let server = serve(ServerLimits::default().header_timeout(Duration::from_millis(300)));
+    let mut slow = TcpStream::connect(server.address()).unwrap();
+    slow.write_all(b"POST /x HTTP/1.1\r\nhost: x\r\nx-slow: ").unwrap();
+    let mut trickle = slow.try_clone().unwrap();
+    thread::spawn(move || {
+        while trickle.write_all(b"a").is_ok() {
+            thread::sleep(Duration::from_millis(20));
+        }
+    });
+    slow.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+    let mut answer = String::new();
+    slow.read_to_string(&mut answer).expect("the connection stayed open");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+}
+
+#[test]
+fn unreadable_headers_are_refused_with_their_reason() {
+    let refuse = |it: ServerRequest| {
+        let reason = format!("{:?}", it.header_error());
+        it.respond(400, &[], reason.into_bytes());
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = HttpServer::bind(address, ServerLimits::default(), echo, refuse).unwrap();
+    let lines = "x-line: a\r\n".repeat(200);
+    for (header, reason) in [
+        (format!("GET / HTTP/1.1\r\n{lines}\r\n"), "TooLarge"),
+        (format!("GET / HTTP/1.1\r\nx-large: {}\r\n\r\n", "a".repeat(1 << 20)), "TooLarge"),
+        ("GET / HTTP/1.1\r\nno colon\r\n\r\n".to_owned(), "Malformed"),
+        ("GET / HTTP/1.1\r\nx-key: \u{e9}\r\nconnection: close\r\n\r\n".to_owned(), "Malformed"),
+    ] {
+        let mut connection = TcpStream::connect(server.address()).unwrap();
+        connection.write_all(header.as_bytes()).unwrap();
+        connection.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+        let mut answer = String::new();
+        connection.read_to_string(&mut answer).expect("the connection stayed open");
+        assert!(answer.starts_with("HTTP/1.1 400"), "{reason}: {answer}");
+        assert!(answer.contains(reason), "{reason}: {answer}");
+    }
+}
+
+#[test]
+fn body_that_waits_to_be_asked_for_is_asked_for() {
+    let server = serve(ServerLimits::default());
+    let mut connection = TcpStream::connect(server.address()).unwrap();
+    let header = "POST /x HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n";
+    connection.write_all(header.as_bytes()).unwrap();
+    let mut asked = [0; 25];
+    connection.read_exact(&mut asked).unwrap();
+    assert_eq!(&asked, b"HTTP/1.1 100 Continue\r\n\r\n");
+    connection.write_all(b"hi").unwrap();
+    connection.shutdown(Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    connection.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("hi"), "{answer}");
+}
+
 #[test]
 fn idle_listener_goes_on_accepting() {
     let server = serve(ServerLimits::default().read_timeout(Duration::from_millis(60)));
@@ -110,6 +179,50 @@
     assert_ne!(error.kind, CallErrorKind::Timeout);
 }
 
+#[test]
+fn dropped_body_of_http_1_0_ends_in_a_reset() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let stream = move |request: ServerRequest| {
+        request.respond_stream(200, &[]).unwrap().write_piece(b"one").unwrap();
+    };
+    let refuse = |it: ServerRequest| it.respond(503, &[], Vec::new());
+    let server = HttpServer::bind(address, ServerLimits::default(), stream, refuse).unwrap();
+    let mut connection = TcpStream::connect(server.address()).unwrap();
+    connection.write_all(b"GET / HTTP/1.0\r\n\r\n").unwrap();
+    connection.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+    let error = connection.read_to_end(&mut Vec::new()).expect_err("taken for a whole body");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
+
+#[test]
+fn connections_are_bounded() {
+    let server = serve(ServerLimits::default().in_flight_max(1).spare_connections(1));
+    let call = || {
+        let call = HttpCall::new(HttpMethod::Post, server.address(), "/x").body(b"hi".to_vec());
+        HttpClient::open().call(call).map(|it| it.status())
+    };
+    let idle = [(); 2].map(|()| {
+        let mut idle = TcpStream::connect(server.address()).unwrap();
+        idle.write_all(b"GET /x HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+        assert!(idle.read(&mut [0; 512]).unwrap() > 0);
+        idle
+    });
+    assert_eq!(call().unwrap(), 503);
+    drop(idle);
+    wait_until(|| call().is_ok_and(|it| it == 200));
+}
+
+#[test]
+fn dropped_server_gives_its_address_back() {
+    let server = serve(ServerLimits::default());
+    let address = server.address();
+    let call = HttpCall::new(HttpMethod::Post, address, "/x").body(b"hi".to_vec());
+    assert_eq!(HttpClient::open().call(call).unwrap().status(), 200);
+    drop(server);
+    let refuse = |it: ServerRequest| it.respond(503, &[], Vec::new());
+    wait_until(|| HttpServer::bind(address, ServerLimits::default(), echo, refuse).is_ok());
+}
+
 #[test]
 fn refusal_behind_a_long_answer_holds_up_no_other_connection() {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/crates/mangocross-telemetry/src/logs.rs
+++ b/crates/mangocross-telemetry/src/logs.rs
@@ -36,7 +36,6 @@
         .level(level)
         .level_for("ureq", LevelFilter::Warn)
         .level_for("ureq_proto", LevelFilter::Warn)
-        .level_for("tiny_http", LevelFilter::Warn)
         .format(move |out, message, record| {
             let mut line = Map::new();
             line.insert("time_unix_ms".into(), unix_ms().into());
--- a/crates/mangocross-types/src/result_code.rs
+++ b/crates/mangocross-types/src/result_code.rs
@@ -76,6 +76,8 @@
     KeyMissing = 1008, 400;
     /// The idempotency key is malformed.
     KeyInvalid = 1009, 400;
+    /// The header is larger than the limit.
+    HeaderTooLarge = 1010, 431;
     /// The customer's limit is used up.
     CustomerLimit = 2001, 429;
     /// The system sheds load.
--- a/peers/peer-caller/src/lib.rs
+++ b/peers/peer-caller/src/lib.rs
@@ -10,4 +10,5 @@
 pub use event_stream::EventStream;
 pub use headers::CallerHeaders;
 pub use refusal::RefusalBody;
+pub use refusal::header_refusal;
 pub use refusal::respond_refusal;
--- a/peers/peer-caller/src/refusal.rs
+++ b/peers/peer-caller/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use mangocross_http::HeaderError;
 use mangocross_http::ServerRequest;
 use mangocross_types::Refusal;
 use mangocross_types::RequestId;
@@ -47,6 +48,16 @@
     }
 }
 
+/// Returns the refusal of a request whose header could not be read.
+pub fn header_refusal(error: &HeaderError) -> Refusal {
+    let code = match error {
+        HeaderError::TooLarge { .. } => ResultCode::HeaderTooLarge,
+        HeaderError::TooSlow { .. } => ResultCode::SlowSender,
+        HeaderError::Malformed => ResultCode::MalformedRequest,
+    };
+    Refusal::not_run(code, error.to_string())
+}
+
 /// Answers a request with a refusal.
 pub fn respond_refusal(request: ServerRequest, refusal: &Refusal, request_id: Option<&RequestId>) {
     let body = RefusalBody::new(refusal, request_id).to_json();
--- a/tests/tests/gateway_input.rs
+++ b/tests/tests/gateway_input.rs
@@ -75,6 +75,11 @@
             chat(&with(&format!("idempotency-key: {}", "k".repeat(300))), &good),
             ResultCode::KeyInvalid,
         ),
+        (
+            "large header",
+            chat(&with(&format!("x-large: {}", "a".repeat(100_000))), &good),
+            ResultCode::HeaderTooLarge,
+        ),
         (
             "unknown customer",
             chat("x-customer: x\r\nx-request-kind: draft\r\n", &good),
