fix(policy): book the returns of refused clients one behind the other

The time told to a refused client rested on the refusals of the last second alone. Clients told to come back before were forgotten, so far more came back than there was room for, were refused again and gave up.

--- a/crates/mangocross-policy/src/admission.rs
+++ b/crates/mangocross-policy/src/admission.rs
@@ -14,6 +14,7 @@
 
 use crate::fair_level;
 use crate::gateway_share;
+use crate::return_schedule::ReturnSchedule;
 use crate::share::is_fresh;
 use crate::spread_retry_after;
 
@@ -98,8 +99,11 @@
     /// the others know one of them.
     in_flight_before: [u32; 2],
     tokens: f64,
+    /// This gateway's part of the customer's rate when it last asked.
+    rate_per_second: f64,
     refilled: Option<Instant>,
     window: Window,
+    returns: ReturnSchedule,
 }
 
 /// Counts over the last whole second.
@@ -168,12 +172,18 @@
     }
 }
 
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Objection {
+    code: ResultCode,
+    text: &'static str,
+}
+
 /// The limiter of one gateway.
 #[derive(Debug, Clone, Default)]
 pub struct Admission {
     customers: BTreeMap<CustomerId, Customer>,
     drained: Window,
-    refused: Window,
     in_flight: u32,
 }
 
@@ -190,9 +200,10 @@
         };
         self.refill(request, spec, view);
         match self.objection(request, spec, view) {
-            Some(refusal) => {
-                self.refused.add(view.now, 1);
-                AdmissionDecision::Refuse(refusal)
+            Some(objection) => {
+                let retry_after = self.retry_after(objection.code, request, view);
+                let refusal = Refusal::not_run(objection.code, objection.text);
+                AdmissionDecision::Refuse(refusal.retry_after(retry_after))
             }
             None => {
                 self.take(request);
@@ -229,6 +240,7 @@
         let earned = elapsed.map_or(burst, |it| it.as_secs_f64() * rate);
         customer.tokens = (customer.tokens + earned).min(burst);
         customer.refilled = Some(view.now);
+        customer.rate_per_second = rate;
     }
 
     fn objection(
@@ -236,25 +248,25 @@
         request: &AdmissionRequest,
         spec: &CustomerSpec,
         view: &AdmissionView<'_>,
-    ) -> Option<Refusal> {
+    ) -> Option<Objection> {
         if request.deadline < view.expected_first_token {
             let text = "the deadline cannot be met now; allow more time or come back later";
-            return Some(self.refusal(ResultCode::DeadlineExceeded, text, view));
+            return Some(Objection { code: ResultCode::DeadlineExceeded, text });
         }
         let customer = &self.customers[&request.customer];
         if customer.tokens < f64::from(request.cost) {
             let text = "the customer's request rate is used up; come back later";
-            return Some(self.refusal(ResultCode::CustomerLimit, text, view));
+            return Some(Objection { code: ResultCode::CustomerLimit, text });
         }
         let limit = f64::from(spec.in_flight_max);
         let in_flight_max = customer.in_flight_share(limit, &others(request, view), view).max(1.0);
         if f64::from(customer.in_flight) + 1.0 > in_flight_max {
             let text = "the customer has its most requests in flight; come back later";
-            return Some(self.refusal(ResultCode::CustomerLimit, text, view));
+            return Some(Objection { code: ResultCode::CustomerLimit, text });
         }
         if f64::from(self.in_flight + 1) > self.ceiling(request, view).max(1.0) {
             let text = "requests of this importance are shed now; come back later";
-            return Some(self.refusal(ResultCode::Overloaded, text, view));
+            return Some(Objection { code: ResultCode::Overloaded, text });
         }
         None
     }
@@ -284,14 +296,27 @@
         capacity * open * (share - PRIORITY_SPAN * (1.0 - importance(request, view)))
     }
 
-    fn refusal(&self, code: ResultCode, text: &str, view: &AdmissionView<'_>) -> Refusal {
+    /// Books the return of a refused client.
+    ///
+    /// What is drained is divided among the customers whose clients wait, so that
+    /// a large customer's returns do not put off a small one's; a customer over
+    /// its own limit has no more than its rate.
+    fn retry_after(
+        &mut self,
+        code: ResultCode,
+        request: &AdmissionRequest,
+        view: &AdmissionView<'_>,
+    ) -> Duration {
         let drained_per_second = f64::from(self.drained.per_second().max(1));
-        let waiting = self.refused.per_second();
-        Refusal::not_run(code, text).retry_after(spread_retry_after(
-            waiting,
-            drained_per_second,
-            view.seed,
-        ))
+        let others = self.customers.iter().filter(|(id, _)| **id != request.customer);
+        let waiting = 1 + others.filter(|(_, it)| it.returns.is_booked(view.now)).count();
+        let fair_per_second = drained_per_second / waiting as f64;
+        let customer = self.customers.entry(request.customer.clone()).or_default();
+        let per_second = match code {
+            ResultCode::CustomerLimit => fair_per_second.min(customer.rate_per_second),
+            _ => fair_per_second,
+        };
+        spread_retry_after(customer.returns.book(per_second, view.now), view.seed)
     }
 
     fn take(&mut self, request: &AdmissionRequest) {
--- a/crates/mangocross-policy/src/lib.rs
+++ b/crates/mangocross-policy/src/lib.rs
@@ -19,6 +19,7 @@
 mod preload;
 mod repair;
 mod retry_budget;
+mod return_schedule;
 mod routing;
 mod share;
 
--- a/crates/mangocross-policy/tests/admission.rs
+++ b/crates/mangocross-policy/tests/admission.rs
@@ -299,6 +299,31 @@
     assert!(times.len() > 100);
 }
 
+/// Returns the times told to so many refused requests of a customer, in milliseconds.
+fn told_ms(gateways: &mut Gateways, customer: &str, count: u64) -> Vec<u128> {
+    let asks =
+        (0..count).filter_map(|it| gateways.decide(0, &request(customer, "draft"), 1_000 + it));
+    asks.filter_map(|it| it.retry_after).map(|it| it.as_millis()).collect()
+}
+
+#[test]
+fn refused_clients_come_back_no_faster_than_requests_end() {
+    let mut gateways = Gateways::new(configuration(100_000, 100_000), 1, 40);
+    let admitted =
+        (0..40).filter(|it| gateways.decide(0, &request("large", "draft"), *it).is_none());
+    let admitted = admitted.count();
+    for _ in 0..10 {
+        gateways.finish(0, "large", 900);
+    }
+    // Ten end a second, and what has ended is taken again before anyone is refused.
+    let told = told_ms(&mut gateways, "large", 200);
+    assert!((100..=200).contains(&told.len()), "{} of {admitted}", told.len());
+    let within = |until_ms: u128| told.iter().filter(|it| **it <= until_ms).count();
+    assert!(within(5_000) <= 75, "{} come back within 5 s", within(5_000));
+    let small = told_ms(&mut gateways, "small", 30);
+    assert!(small.iter().all(|it| *it < 10_000), "{small:?}");
+}
+
 #[test]
 fn deadline_that_cannot_be_met_is_refused_at_once() {
     let mut gateways = Gateways::new(configuration(100, 100), 1, 100);
