feat(policy): route to groups whose caches say that they hold the prefix

A gateway knew prefixes from its own requests only: one of seven, or of 350. The table now takes events of caches (stored, evicted, cleared) with their sequence: a gap makes what was told a guess, another epoch drops it, and an own request since an event stays a guess. Where any near cache said that it holds the prefix, a random near group that is likely to hold it takes the request; without events nothing changes.

--- a/benches/src/bin/policy.rs
+++ b/benches/src/bin/policy.rs
@@ -50,12 +50,13 @@
         );
         print_outcome("naive", &it.naive);
         print_outcome("project", &it.project);
+        print_outcome("no events", &it.without_events);
     }
 }
 
 fn print_outcome(name: &str, it: &CaseOutcome) {
     println!(
-        "  {name:<8} group downtime {:>7.0} s ({:.0}..{:.0})  slow {:>6.0} s  stranded {:>9.0} acc-s ({:.0}..{:.0})  moves {:>5.1}",
+        "  {name:<9} group downtime {:>7.0} s ({:.0}..{:.0})  slow {:>6.0} s  stranded {:>9.0} acc-s ({:.0}..{:.0})  moves {:>5.1}",
         it.group_downtime_s.mean,
         it.group_downtime_s.min,
         it.group_downtime_s.max,
@@ -66,10 +67,12 @@
         it.moves.mean,
     );
     println!(
-        "           first token p95 {:>5.0} ms ({:.0}..{:.0})  within 1.6 s {:.3} of admitted, {:.3} of asked  refused tries {:.0} large {:.0} small  given up {:.0}  failed {:.1}  retries {:.1}",
+        "           first token p50 {:>4.0} ms, p95 {:>5.0} ms ({:.0}..{:.0})  cached {:.3}  within 1.6 s {:.3} of admitted, {:.3} of asked  refused tries {:.0} large {:.0} small  given up {:.0}  failed {:.1}  retries {:.1}",
+        it.first_token_p50_ms.mean,
         it.first_token_p95_ms.mean,
         it.first_token_p95_ms.min,
         it.first_token_p95_ms.max,
+        it.cached_share.mean,
         it.first_token_kept_share.mean,
         it.good_share.mean,
         it.refused_large.mean,
--- a/benches/src/policy/case.rs
+++ b/benches/src/policy/case.rs
@@ -35,15 +35,19 @@
     FlashCrowd,
     /// Drafting goes before everything else, under overload.
     PanelWeek,
+    /// Many more prompt prefixes than the caches hold, while members fail.
+    CachePressure,
     /// Groups of 16, an ordinary day.
     LargeDay,
+    /// Groups of 16, many more prompt prefixes than the caches hold, while members fail.
+    LargePressure,
     /// Groups of 16, two fabric domains go dark.
     LargeDark,
 }
 
 impl Case {
     /// All cases.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 11] = [
         Self::Member,
         Self::Rack,
         Self::Rolling,
@@ -51,8 +55,10 @@
         Self::StoreOutage,
         Self::FlashCrowd,
         Self::PanelWeek,
+        Self::CachePressure,
         Self::LargeDay,
         Self::LargeDark,
+        Self::LargePressure,
     ];
 
     /// Returns the name of the case.
@@ -65,8 +71,10 @@
             Self::StoreOutage => "store-outage",
             Self::FlashCrowd => "flash-crowd",
             Self::PanelWeek => "panel-week",
+            Self::CachePressure => "cache-pressure",
             Self::LargeDay => "large-day",
             Self::LargeDark => "large-dark",
+            Self::LargePressure => "large-pressure",
         }
     }
 
@@ -79,11 +87,14 @@
     pub fn scenario(self, seed: u64) -> Scenario {
         let mut random = fastrand::Rng::with_seed(seed ^ 0x706f_6c69_6379);
         let mut scenario = match self {
-            Self::LargeDay | Self::LargeDark => Scenario::large(),
+            Self::LargeDay | Self::LargeDark | Self::LargePressure => Scenario::large(),
+
             _ => Scenario::today(&mut random),
         };
         scenario.horizon_ms = match self {
-            Self::FlashCrowd | Self::PanelWeek => 5 * MINUTE_MS,
+            Self::FlashCrowd | Self::PanelWeek | Self::CachePressure | Self::LargePressure => {
+                5 * MINUTE_MS
+            }
             Self::Rack | Self::Straggler | Self::StoreOutage => 40 * MINUTE_MS,
             Self::Member | Self::Rolling | Self::LargeDark => 2 * HOUR_MS,
             Self::LargeDay => 24 * HOUR_MS,
@@ -173,7 +184,8 @@
 
     fn add_faults(&mut self, case: Case, random: &mut fastrand::Rng) {
         match case {
-            Case::Member => self.add_members(random),
+            Case::Member => self.add_members(5 * MINUTE_MS, random),
+            Case::CachePressure | Case::LargePressure => self.add_members(30 * SECOND_MS, random),
             Case::Rack => self.add_dark(1, random),
             Case::LargeDark => self.add_dark(2, random),
             Case::Rolling => self.add_rolling(random),
@@ -184,8 +196,7 @@
         }
     }
 
-    fn add_members(&mut self, random: &mut fastrand::Rng) {
-        let step_ms = 5 * MINUTE_MS;
+    fn add_members(&mut self, step_ms: u64, random: &mut fastrand::Rng) {
         for at_ms in (FIRST_FAULT_MS..self.horizon_ms).step_by(step_ms as usize) {
             let vm = random.usize(..self.vms());
             let kind = if random.bool() { failure(random) } else { restart(random) };
--- a/benches/src/policy/engine.rs
+++ b/benches/src/policy/engine.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use mangocross_policy::CacheEvent;
+use mangocross_policy::CacheSequence;
 use mangocross_policy::PrefixHash;
 
 /// Requests that a group runs at once.
@@ -39,6 +41,22 @@
     pub(crate) running: Vec<Attempt>,
     queue: Vec<Attempt>,
     cache: VecDeque<PrefixHash>,
+    /// Requests started, and those whose prefix was cached.
+    pub(crate) starts: u32,
+    pub(crate) hits: u32,
+    /// Rises at each restart of the cache.
+    epoch: u64,
+    /// Events published since then.
+    events: u64,
+    published: Vec<Published>,
+}
+
+/// A cache event with the time at which it came about.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Published {
+    pub(crate) at_ms: u64,
+    pub(crate) sequence: CacheSequence,
+    pub(crate) event: CacheEvent,
 }
 
 impl Engine {
@@ -71,7 +89,10 @@
     }
 
     fn start(&mut self, attempt: Attempt, now_ms: u64, slowdown: f64) -> Started {
-        let prefill_ms = if self.touch(attempt.prefix) { PREFILL_CACHED_MS } else { PREFILL_MS };
+        let cached = self.touch(attempt.prefix, now_ms);
+        self.starts += 1;
+        self.hits += u32::from(cached);
+        let prefill_ms = if cached { PREFILL_CACHED_MS } else { PREFILL_MS };
         let scaled = |ms: u64| (ms as f64 * slowdown) as u64;
         let first_token_ms = now_ms + scaled(prefill_ms);
         let end_ms = first_token_ms + scaled(attempt.tokens * TOKEN_GAP_MS);
@@ -81,16 +102,34 @@
     }
 
     /// Brings a prefix into the cache; returns whether it was there.
-    fn touch(&mut self, prefix: PrefixHash) -> bool {
+    fn touch(&mut self, prefix: PrefixHash, now_ms: u64) -> bool {
         let place = self.cache.iter().position(|it| *it == prefix);
         place.and_then(|it| self.cache.remove(it));
         self.cache.push_back(prefix);
-        if self.cache.len() > CACHED_PREFIXES {
-            self.cache.pop_front();
+        if place.is_none() {
+            self.publish(CacheEvent::Stored(prefix), now_ms);
+        }
+        if self.cache.len() > CACHED_PREFIXES
+            && let Some(dropped) = self.cache.pop_front()
+        {
+            self.publish(CacheEvent::Evicted(dropped), now_ms);
         }
         place.is_some()
     }
 
+    fn publish(&mut self, event: CacheEvent, at_ms: u64) {
+        self.events += 1;
+        let sequence = CacheSequence { epoch: self.epoch, number: self.events };
+        self.published.push(Published { at_ms, sequence, event });
+    }
+
+    /// Takes the events that came about before a time, oldest first.
+    pub(crate) fn take_published(&mut self, before_ms: u64) -> Vec<Published> {
+        let kept = self.published.iter().position(|it| it.at_ms >= before_ms);
+        let rest = self.published.split_off(kept.unwrap_or(self.published.len()));
+        std::mem::replace(&mut self.published, rest)
+    }
+
     /// Removes an attempt that has ended.
     pub(crate) fn end(&mut self, attempt: u64) -> Option<Attempt> {
         let place = self.running.iter().position(|it| it.id == attempt)?;
@@ -98,8 +137,11 @@
     }
 
     /// Loses everything, as when a member goes missing.
-    pub(crate) fn break_down(&mut self) -> Vec<Attempt> {
+    pub(crate) fn break_down(&mut self, now_ms: u64) -> Vec<Attempt> {
         self.cache.clear();
+        self.epoch += 1;
+        self.events = 0;
+        self.publish(CacheEvent::Cleared, now_ms);
         let mut lost = std::mem::take(&mut self.running);
         lost.append(&mut self.queue);
         lost.sort_by_key(|it| it.id);
--- a/benches/src/policy/gateway.rs
+++ b/benches/src/policy/gateway.rs
@@ -22,6 +22,7 @@
 
 use super::Rules;
 use super::engine::CACHED_PREFIXES;
+use super::engine::Published;
 use super::engine::SLOTS;
 use super::traffic::CUSTOMERS;
 use super::traffic::Request;
@@ -146,7 +147,7 @@
             .map(|(number, id)| {
                 let load = &self.loads[*number];
                 Candidate::new(id.clone(), load.own_in_flight(), load.load())
-                    .holds_prefix(self.prefixes.holds(id, request.prefix))
+                    .prefix(self.prefixes.knowledge(id, request.prefix))
                     .first_token(self.times.get(id))
             })
             .collect();
@@ -160,7 +161,7 @@
 
     pub(crate) fn sent(&mut self, group: usize, id: &GroupId, request: &Request, now: Instant) {
         self.loads[group].sent(now);
-        self.prefixes.stored(id, request.prefix);
+        self.prefixes.sent(id, request.prefix, now);
         self.in_flight += 1;
     }
 
@@ -169,6 +170,11 @@
         self.limit.observe(time, self.in_flight);
     }
 
+    /// Takes in a cache event of a group.
+    pub(crate) fn published(&mut self, id: &GroupId, it: &Published, at: Instant) {
+        self.prefixes.published(id, it.sequence, it.event, at);
+    }
+
     /// Records the end of an attempt.
     pub(crate) fn ended(&mut self, group: usize, now: Instant) {
         self.loads[group].finished(now);
--- a/benches/src/policy/outcome.rs
+++ b/benches/src/policy/outcome.rs
@@ -3,6 +3,7 @@
 use mangocross_types::PolicyWeights;
 use serde::Serialize;
 
+use super::CacheNews;
 use super::Case;
 use super::FleetOutcome;
 use super::RequestOutcome;
@@ -61,8 +62,12 @@
     pub stranded_accelerator_s: Spread,
     /// Groups formed anew.
     pub moves: Spread,
+    /// Half of the first tokens came within this time.
+    pub first_token_p50_ms: Spread,
     /// 95 in 100 first tokens came within this time.
     pub first_token_p95_ms: Spread,
+    /// Share of the prefixes of started requests that were in the group's cache.
+    pub cached_share: Spread,
     /// Share of first tokens of admitted requests within the promise.
     pub first_token_kept_share: Spread,
     /// Share of all requests with a first token within the promise of the first try.
@@ -96,6 +101,8 @@
     pub naive: CaseOutcome,
     /// The project's policy.
     pub project: CaseOutcome,
+    /// The project's policy without cache events.
+    pub without_events: CaseOutcome,
 }
 
 impl Comparison {
@@ -123,15 +130,23 @@
         user: user.name(),
         weight_group_downtime: weights.group_downtime,
         weight_stranded_accelerator: weights.stranded_accelerator,
-        naive: run(case, user, Rules::Naive, &weights, seeds),
-        project: run(case, user, Rules::Project, &weights, seeds),
+        naive: run(case, user, Rules::Naive, CacheNews::None, &weights, seeds),
+        project: run(case, user, Rules::Project, CacheNews::Events, &weights, seeds),
+        without_events: run(case, user, Rules::Project, CacheNews::None, &weights, seeds),
     }
 }
 
-fn run(case: Case, user: User, rules: Rules, weights: &PolicyWeights, seeds: u64) -> CaseOutcome {
+fn run(
+    case: Case,
+    user: User,
+    rules: Rules,
+    news: CacheNews,
+    weights: &PolicyWeights,
+    seeds: u64,
+) -> CaseOutcome {
     let one = |seed| {
         let fleet = run_fleet(&case.scenario(seed), rules, weights);
-        let requests = run_requests(case, user, rules, &fleet.timelines, seed);
+        let requests = run_requests(case, user, rules, news, &fleet.timelines, seed);
         (fleet, requests)
     };
     summarise(&(0..seeds).map(one).collect::<Vec<_>>())
@@ -149,6 +164,8 @@
         slow_s: of_fleet(&|it| it.slow_s),
         stranded_accelerator_s: of_fleet(&|it| it.stranded_accelerator_s),
         moves: of_fleet(&|it| it.moves.into()),
+        first_token_p50_ms: of_requests(&|it| percentile(&it.all_first_token_ms(), 0.5) as f64),
+        cached_share: of_requests(&|it| it.cached_share),
         first_token_p95_ms: of_requests(&|it| percentile(&it.all_first_token_ms(), 0.95) as f64),
         first_token_kept_share: of_requests(&kept_share),
         good_share: of_requests(&RequestOutcome::good_share),
--- a/benches/src/policy/requests.rs
+++ b/benches/src/policy/requests.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
+use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,6 +12,7 @@
 use mangocross_types::Configuration;
 use mangocross_types::GroupId;
 
+use super::CacheNews;
 use super::Case;
 use super::Rules;
 use super::Timeline;
@@ -36,6 +38,10 @@
 const REPORT_MS: u64 = SECOND_MS;
 /// Time until an attempt at a group that is gone fails.
 const CONNECT_FAILS_MS: u64 = 20;
+/// Age of a cache event when it reaches the gateways.
+const CACHE_EVENT_LAG_MS: Range<u64> = SECOND_MS..3 * SECOND_MS;
+/// Share of the batches of cache events that are lost.
+const CACHE_EVENT_LOSS: f64 = 0.1;
 /// Attempts for one request, the first one included.
 const ATTEMPTS_MAX: u32 = 3;
 /// Times that a client comes with a request, the first one included.
@@ -61,6 +67,8 @@
     pub failed: u32,
     /// Attempts beyond the first one.
     pub retries: u32,
+    /// Share of the prefixes of started requests that were in the group's cache.
+    pub cached_share: f64,
 }
 
 impl RequestOutcome {
@@ -73,6 +81,7 @@
             given_up: [0; 2],
             failed: 0,
             retries: 0,
+            cached_share: 0.0,
         }
     }
 
@@ -132,8 +141,10 @@
     pushed: u64,
     pending: usize,
     random: fastrand::Rng,
+    news_random: fastrand::Rng,
     outcome: RequestOutcome,
     rules: Rules,
+    news: CacheNews,
 }
 
 /// Runs the requests of a case over groups that serve as `timelines` say.
@@ -141,10 +152,12 @@
     case: Case,
     user: User,
     rules: Rules,
+    news: CacheNews,
     timelines: &[Timeline],
     seed: u64,
 ) -> RequestOutcome {
     let mut run = Run::new(case, user, rules, timelines, seed);
+    run.news = news;
     while let Some(Reverse((at_ms, _, event))) = run.events.pop() {
         run.now_ms = at_ms;
         run.handle(event);
@@ -152,6 +165,9 @@
             break;
         }
     }
+    let (cached, started) =
+        run.engines.iter().fold((0, 0), |sum, it| (sum.0 + it.hits, sum.1 + it.starts));
+    run.outcome.cached_share = f64::from(cached) / f64::from(started.max(1));
     run.outcome
 }
 
@@ -159,7 +175,7 @@
     fn new(case: Case, user: User, rules: Rules, timelines: &'a [Timeline], seed: u64) -> Self {
         let groups = timelines.len();
         let gateways = match case {
-            Case::LargeDay | Case::LargeDark => {
+            Case::LargeDay | Case::LargeDark | Case::LargePressure => {
                 (groups as f64 / GROUPS_FOR_EACH_GATEWAY).round() as usize
             }
             _ => GATEWAYS,
@@ -186,10 +202,12 @@
             pushed: 0,
             pending: requests.len(),
             random: fastrand::Rng::with_seed(seed ^ 0x6761_7465),
+            news_random: fastrand::Rng::with_seed(seed ^ 0x6361_6368),
             outcome: RequestOutcome::new(),
             configuration,
             requests,
             rules,
+            news: CacheNews::None,
         };
         run.seed_events();
         run
@@ -363,7 +381,7 @@
         for gateway in &mut self.gateways {
             gateway.lost(&self.ids[group]);
         }
-        for attempt in self.engines[group].break_down() {
+        for attempt in self.engines[group].break_down(self.now_ms) {
             self.attempts.remove(&attempt.id);
             self.leave_group(attempt.request, group);
             if self.progress[attempt.request].has_first_token {
@@ -405,12 +423,31 @@
             }
         }
         self.hand_out_usage();
+        self.hand_out_cache_events();
         self.snapshot = self.engines.iter().map(Engine::load).collect();
         let now = self.instant(self.now_ms);
         self.usage = self.gateways.iter_mut().map(|it| it.usage(now)).collect();
         self.push(self.now_ms + REPORT_MS, Event::Report);
     }
 
+    /// Hands out each group's cache events, late and with some batches lost.
+    fn hand_out_cache_events(&mut self) {
+        for group in 0..self.engines.len() {
+            let lag_ms = self.news_random.u64(CACHE_EVENT_LAG_MS);
+            let batch = self.engines[group].take_published(self.now_ms.saturating_sub(lag_ms));
+            let lost = self.news_random.f64() < CACHE_EVENT_LOSS;
+            if lost || self.news == CacheNews::None {
+                continue;
+            }
+            for it in &batch {
+                let at = self.instant(it.at_ms);
+                for gateway in &mut self.gateways {
+                    gateway.published(&self.ids[group], it, at);
+                }
+            }
+        }
+    }
+
     fn hand_out_usage(&mut self) {
         for own in 0..self.gateways.len() {
             let mut others = BTreeMap::new();
--- a/benches/src/policy/rules.rs
+++ b/benches/src/policy/rules.rs
@@ -11,6 +11,15 @@
     Project,
 }
 
+/// Which cache events reach the gateways.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CacheNews {
+    /// None: a gateway knows of its own requests only.
+    None,
+    /// All, late and with gaps.
+    Events,
+}
+
 /// Whose weights are used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum User {
--- a/benches/src/policy/traffic.rs
+++ b/benches/src/policy/traffic.rs
@@ -30,6 +30,8 @@
 const AFTER_MS: u64 = 120 * SECOND_MS;
 /// Prompt prefixes of each customer.
 const PREFIXES_FOR_EACH_CUSTOMER: u64 = 6;
+/// Prompt prefixes of each customer where they are many more than the caches hold.
+const MANY_PREFIXES_FOR_EACH_CUSTOMER: u64 = 30;
 /// Mean answer length in tokens.
 const TOKENS_MEAN: f64 = 75.0;
 /// Share of the engines' capacity that is asked for on an ordinary day.
@@ -139,9 +141,13 @@
         it if it < drafts + 0.3 => 1,
         _ => 2,
     };
-    let number =
-        random.u64(..PREFIXES_FOR_EACH_CUSTOMER).min(random.u64(..PREFIXES_FOR_EACH_CUSTOMER));
-    let prefix = PrefixHash(customer as u64 * PREFIXES_FOR_EACH_CUSTOMER + number);
+    let prefixes = match case {
+        Case::CachePressure => MANY_PREFIXES_FOR_EACH_CUSTOMER,
+        Case::LargePressure => 4 * MANY_PREFIXES_FOR_EACH_CUSTOMER,
+        _ => PREFIXES_FOR_EACH_CUSTOMER,
+    };
+    let number = random.u64(..prefixes).min(random.u64(..prefixes));
+    let prefix = PrefixHash(customer as u64 * prefixes + number);
     let tokens = (TOKENS_MEAN * (0.4 + 1.2 * random.f64())) as u64;
     Request { at_ms, customer, kind, prefix, tokens, deadline_ms: 10 * SECOND_MS }
 }
--- a/benches/tests/policy.rs
+++ b/benches/tests/policy.rs
@@ -91,6 +91,19 @@
     assert!(it.project.given_up.mean <= it.naive.given_up.mean);
 }
 
+/// Cache events must bring more requests to cached prefixes, and cost no first token.
+#[test]
+fn cache_events_pay_under_limited_memory() {
+    for (case, seeds) in [(Case::CachePressure, SEEDS), (Case::LargePressure, LARGE_SEEDS)] {
+        let it = compare(case, User::Mwakalinga, seeds);
+        assert_first_tokens(&it);
+        let (with, without) = (&it.project, &it.without_events);
+        assert!(with.cached_share.mean > without.cached_share.mean, "{case}");
+        assert!(without.cached_share.mean > it.naive.cached_share.mean, "{case}");
+        assert!(with.good_share.mean >= it.naive.good_share.mean, "{case}");
+    }
+}
+
 #[test]
 fn panel_week_puts_drafts_first() {
     let it = compare(Case::PanelWeek, User::Cakaren, SEEDS);
--- a/bins/mangocross-gateway/src/routing.rs
+++ b/bins/mangocross-gateway/src/routing.rs
@@ -57,7 +57,7 @@
         load.reported(group.load, group.load_measured_at);
         let own_in_flight = load.own_in_flight();
         Candidate::new(group.group.clone(), own_in_flight, load.load())
-            .holds_prefix(groups.prefixes.holds(&group.group, prefix))
+            .prefix(groups.prefixes.knowledge(&group.group, prefix))
             .first_token(groups.first_tokens.get(&group.group))
             .at_limit(own_in_flight >= limit)
     }
@@ -66,7 +66,7 @@
     pub(crate) fn sent(&self, group: &GroupId, prefix: PrefixHash, now: Instant) -> Sent<'_> {
         let mut groups = lock(&self.groups);
         groups.loads.entry(group.clone()).or_default().sent(now);
-        groups.prefixes.stored(group, prefix);
+        groups.prefixes.sent(group, prefix, now);
         Sent { routing: self, group: group.clone() }
     }
 
--- a/crates/mangocross-policy/src/lib.rs
+++ b/crates/mangocross-policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod backoff;
+mod cache_feed;
 mod concurrency;
 mod fair_share;
 mod first_token;
@@ -28,6 +29,8 @@
 pub use admission::OtherUsage;
 pub use backoff::full_jitter;
 pub use backoff::spread_retry_after;
+pub use cache_feed::CacheFeed;
+pub use cache_feed::PublishedEvent;
 pub use concurrency::ConcurrencyLimit;
 pub use fair_share::fair_level;
 pub use first_token::FirstTokenTimes;
@@ -43,7 +46,10 @@
 pub use pace::PaceVerdict;
 pub use placement::DomainRoom;
 pub use placement::choose_domain;
+pub use prefix_table::CacheEvent;
+pub use prefix_table::CacheSequence;
 pub use prefix_table::PrefixHash;
+pub use prefix_table::PrefixKnowledge;
 pub use prefix_table::PrefixTable;
 pub use repair::Absence;
 pub use repair::BrokenGroup;
--- a/crates/mangocross-policy/src/routing.rs
+++ b/crates/mangocross-policy/src/routing.rs
@@ -1,14 +1,16 @@
 //! Which group a request goes to.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use mangocross_types::GroupId;
 
 use crate::PrefixHash;
+use crate::PrefixKnowledge;
 
-/// Own requests in flight that a home of the prefix may have more than the other choice.
+/// Own requests in flight that a holder or home of the prefix may have more than the other choice.
 const AFFINITY_OWN_SLACK: u32 = 0;
-/// Load that a home of the prefix may have more than the other choice.
+/// Load that a holder or home of the prefix may have more than the other choice.
 const AFFINITY_LOAD_SLACK: u32 = 2;
 /// Home groups of each prefix.
 const HOMES: usize = 2;
@@ -31,8 +33,8 @@
     /// Requests running and waiting there: the last report, or better
     /// [`LoadEstimate::load`](crate::LoadEstimate::load).
     pub reported_load: u32,
-    /// Whether the group is likely to hold the request's prefix.
-    pub holds_prefix: bool,
+    /// What is known about the request's prefix at the group.
+    pub prefix: PrefixKnowledge,
     /// Own observed first-token time, if any.
     pub first_token: Option<Duration>,
     /// Whether own requests in flight are at the group's concurrency limit.
@@ -46,16 +48,16 @@
             group,
             own_in_flight,
             reported_load,
-            holds_prefix: false,
+            prefix: PrefixKnowledge::Unknown,
             first_token: None,
             at_limit: false,
         }
     }
 
-    /// Sets whether the group is likely to hold the request's prefix.
+    /// Sets what is known about the request's prefix at the group.
     #[must_use]
-    pub fn holds_prefix(mut self, holds: bool) -> Self {
-        self.holds_prefix = holds;
+    pub fn prefix(mut self, knowledge: PrefixKnowledge) -> Self {
+        self.prefix = knowledge;
         self
     }
 
@@ -84,8 +86,9 @@
 /// requests in flight are exact, so the groups with the fewest come first; of
 /// two of them at random the second is taken if its load, which is lagging, is
 /// clearly lower. Each prefix has a few home groups, the same at each gateway,
-/// so that each cache keeps its own part of the prefixes; a home is taken
-/// instead if it is loaded little more.
+/// so that each cache keeps its own part of the prefixes. Where caches
+/// publish what they hold, a group that is likely to hold the prefix, and else a
+/// home, is taken instead if it is loaded little more.
 pub fn choose_group(
     candidates: &[Candidate],
     prefix: Option<PrefixHash>,
@@ -94,12 +97,28 @@
     let mut random = fastrand::Rng::with_seed(seed);
     let fit = fit(candidates, &mut random);
     let chosen = least_loaded(&fit, &mut random)?;
-    let home = prefix.and_then(|it| home(&fit, it));
     let is_near = |it: &&Candidate| {
         it.own_in_flight <= chosen.own_in_flight + AFFINITY_OWN_SLACK
             && it.load() <= chosen.load().saturating_add(AFFINITY_LOAD_SLACK)
     };
-    Some(home.filter(is_near).unwrap_or(chosen))
+    let holder = holder(&fit, is_near, &mut random);
+    let home = || prefix.and_then(|it| home(&fit, it)).filter(is_near);
+    Some(holder.or_else(home).unwrap_or(chosen))
+}
+
+/// Returns a near group that is likely to hold the prefix, if the cache of any said so.
+///
+/// It is a random one: if all gateways took the least loaded one, its load would
+/// only be seen when it is too late.
+fn holder<'a>(
+    fit: &[&'a Candidate],
+    is_near: impl Fn(&&'a Candidate) -> bool,
+    random: &mut fastrand::Rng,
+) -> Option<&'a Candidate> {
+    let holds = |it: &&Candidate| it.prefix > PrefixKnowledge::Unknown;
+    let near: Vec<&Candidate> = fit.iter().copied().filter(holds).filter(is_near).collect();
+    let told = near.iter().any(|it| it.prefix == PrefixKnowledge::Told);
+    if told { near.get(random.usize(..near.len())).copied() } else { None }
 }
 
 fn least_loaded<'a>(fit: &[&'a Candidate], random: &mut fastrand::Rng) -> Option<&'a Candidate> {
@@ -132,9 +151,9 @@
 /// Returns the better one of a prefix's homes, found by rendezvous hashing.
 fn home<'a>(fit: &[&'a Candidate], prefix: PrefixHash) -> Option<&'a Candidate> {
     let mut ranked: Vec<&Candidate> = fit.to_vec();
-    ranked.sort_by_key(|it| std::cmp::Reverse((rendezvous(&it.group, prefix), &it.group)));
+    ranked.sort_by_key(|it| Reverse((rendezvous(&it.group, prefix), &it.group)));
     let homes = ranked.into_iter().take(HOMES);
-    homes.min_by_key(|it| (it.own_in_flight, !it.holds_prefix))
+    homes.min_by_key(|it| (it.own_in_flight, Reverse(it.prefix)))
 }
 
 fn rendezvous(group: &GroupId, prefix: PrefixHash) -> u64 {
--- /dev/null
+++ b/crates/mangocross-policy/tests/cache_events.rs
@@ -0,0 +1,160 @@
+//! What is known of prefix caches whose events come late, with gaps, or start anew.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_policy::CacheEvent;
+use mangocross_policy::CacheFeed;
+use mangocross_policy::CacheSequence;
+use mangocross_policy::Candidate;
+use mangocross_policy::PrefixHash;
+use mangocross_policy::PrefixKnowledge;
+use mangocross_policy::PrefixTable;
+use mangocross_policy::PublishedEvent;
+use mangocross_policy::choose_group;
+use mangocross_types::GroupId;
+
+const CACHE_MAX: usize = 4;
+const PREFIXES: u64 = 12;
+
+fn group() -> GroupId {
+    "letters-1".parse().expect("a valid id")
+}
+
+/// A cache that drops the least recently used prefix and publishes what it does.
+struct Cache {
+    held: VecDeque<PrefixHash>,
+    epoch: u64,
+    number: u64,
+    published: Vec<PublishedEvent>,
+}
+
+impl Cache {
+    fn new(epoch: u64, now: Instant) -> Self {
+        let mut cache = Self { held: VecDeque::new(), epoch, number: 0, published: Vec::new() };
+        cache.publish(CacheEvent::Cleared, now);
+        cache
+    }
+
+    fn publish(&mut self, event: CacheEvent, now: Instant) {
+        self.number += 1;
+        let sequence = CacheSequence { epoch: self.epoch, number: self.number };
+        self.published.push(PublishedEvent { sequence, event, published_at: now });
+    }
+
+    fn touch(&mut self, prefix: PrefixHash, now: Instant) {
+        if let Some(place) = self.held.iter().position(|it| *it == prefix) {
+            self.held.remove(place);
+        } else {
+            self.publish(CacheEvent::Stored(prefix), now);
+        }
+        self.held.push_back(prefix);
+        if self.held.len() > CACHE_MAX
+            && let Some(dropped) = self.held.pop_front()
+        {
+            self.publish(CacheEvent::Evicted(dropped), now);
+        }
+    }
+}
+
+fn take(table: &mut PrefixTable, it: &PublishedEvent) {
+    table.published(&group(), it.sequence, it.event, it.published_at);
+}
+
+/// With every event, told means held; after a lost one, nothing is told that came before it.
+#[test]
+fn told_is_never_more_than_the_events_said() {
+    for seed in 0..500 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let (start, mut epoch) = (Instant::now(), 1);
+        let mut cache = Cache::new(epoch, start);
+        let mut table = PrefixTable::new(CACHE_MAX);
+        let mut told_by_events: Vec<PrefixHash> = Vec::new();
+        let (mut lost, mut seen_epoch) = (false, epoch);
+        for step in 0..200 {
+            let now = start + Duration::from_millis(step);
+            if random.u32(..50) == 0 {
+                epoch += 1;
+                cache = Cache::new(epoch, now);
+            }
+            cache.touch(PrefixHash(random.u64(..PREFIXES)), now);
+            for it in std::mem::take(&mut cache.published) {
+                if random.u32(..20) == 0 {
+                    lost = true;
+                    continue;
+                }
+                let anew = std::mem::replace(&mut seen_epoch, it.sequence.epoch) != seen_epoch;
+                if std::mem::take(&mut lost) || anew {
+                    told_by_events.clear();
+                }
+                match it.event {
+                    CacheEvent::Stored(prefix) => told_by_events.push(prefix),
+                    CacheEvent::Evicted(prefix) => told_by_events.retain(|it| *it != prefix),
+                    CacheEvent::Cleared => told_by_events.clear(),
+                }
+                take(&mut table, &it);
+                // An event again, as from a second owner, changes nothing.
+                take(&mut table, &it);
+            }
+            for prefix in (0..PREFIXES).map(PrefixHash) {
+                if table.knowledge(&group(), prefix) == PrefixKnowledge::Told {
+                    assert!(told_by_events.contains(&prefix), "seed {seed} step {step}");
+                    assert!(lost || cache.held.contains(&prefix), "seed {seed} step {step}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn eviction_older_than_an_own_request_leaves_a_guess() {
+    let (start, prefix) = (Instant::now(), PrefixHash(7));
+    let mut cache = Cache::new(1, start);
+    cache.touch(prefix, start);
+    cache.publish(CacheEvent::Evicted(prefix), start + Duration::from_secs(1));
+    let mut table = PrefixTable::new(CACHE_MAX);
+    table.sent(&group(), prefix, start + Duration::from_secs(2));
+    cache.published.iter().for_each(|it| take(&mut table, it));
+    assert_eq!(table.knowledge(&group(), prefix), PrefixKnowledge::Guessed);
+    cache.publish(CacheEvent::Evicted(prefix), start + Duration::from_secs(3));
+    take(&mut table, cache.published.last().expect("an event"));
+    assert_eq!(table.knowledge(&group(), prefix), PrefixKnowledge::Unknown);
+}
+
+#[test]
+fn holder_takes_the_request_only_while_it_is_loaded_little_more() {
+    let [near, far] = [0, 9].map(|load| {
+        let holder = Candidate::new("holder".parse().expect("a valid id"), 0, load);
+        let holder = holder.prefix(PrefixKnowledge::Told);
+        let others = (0..8).map(|it| format!("other-{it}").parse().expect("a valid id"));
+        let others = others.map(|it| Candidate::new(it, 0, 0));
+        let candidates: Vec<Candidate> = others.chain([holder]).collect();
+        let chosen = |seed| choose_group(&candidates, Some(PrefixHash(1)), seed).cloned();
+        (0..100).filter(|it| chosen(*it).is_some_and(|it| it.group.as_str() == "holder")).count()
+    });
+    assert_eq!(near, 100);
+    assert!(far < 100, "{far}");
+}
+
+/// Each event is handed out once; an asker that lost a reply sees the gap, and one that is far
+/// behind gets the newest ones.
+#[test]
+fn feed_hands_out_each_event_once() {
+    let now = Instant::now();
+    let mut cache = Cache::new(1, now);
+    let mut feed = CacheFeed::default();
+    (0..3).for_each(|it| cache.touch(PrefixHash(it), now));
+    cache.published.iter().for_each(|it| feed.take(*it));
+    let first: Vec<PublishedEvent> = feed.after(None).collect();
+    assert_eq!(first, cache.published);
+    let position = feed.newest();
+    assert_eq!(feed.after(position).count(), 0);
+    cache.touch(PrefixHash(3), now);
+    feed.take(*cache.published.last().expect("an event"));
+    feed.take(*cache.published.last().expect("an event"));
+    assert_eq!(feed.after(position).count(), 1);
+    let restarted = Cache::new(2, now);
+    restarted.published.iter().for_each(|it| feed.take(*it));
+    assert_eq!(feed.after(position).collect::<Vec<_>>(), restarted.published);
+}
