--- a/benches/src/policy/outcome.rs
+++ b/benches/src/policy/outcome.rs
@@ -3,6 +3,7 @@
 use mangocross_types::PolicyWeights;
 use serde::Serialize;
 
+use super::CacheNews;
 use super::Case;
 use super::FleetOutcome;
 use super::RequestOutcome;
@@ -61,8 +62,12 @@
     pub stranded_accelerator_s: Spread,
     /// Groups formed anew.
     pub moves: Spread,
+    /// Half of the first tokens came within this time.
+    pub first_token_p50_ms: Spread,
     /// 95 in 100 first tokens came within this time.
     pub first_token_p95_ms: Spread,
+    /// Share of the prefixes of started requests that were in the group's cache.
+    pub cached_share: Spread,
     /// Share of first tokens of admitted requests within the promise.
     pub first_token_kept_share: Spread,
     /// Share of all requests with a first token within the promise of the first try.
@@ -96,6 +101,8 @@
     pub naive: CaseOutcome,
     /// The project's policy.
     pub project: CaseOutcome,
+    /// The project's policy without cache events.
+    pub without_events: CaseOutcome,
     /// The ratios without the seeds under which a version left a group without a place.
     pub all_placed: AllPlaced,
 }
@@ -142,8 +149,9 @@
 /// Runs both versions of a case over seeds `0..seeds`.
 pub fn compare(case: Case, user: User, seeds: u64) -> Comparison {
     let weights = user.weights();
-    let naive = run(case, user, Rules::Naive, &weights, seeds);
-    let project = run(case, user, Rules::Project, &weights, seeds);
+    let naive = run(case, user, Rules::Naive, CacheNews::None, &weights, seeds);
+    let project = run(case, user, Rules::Project, CacheNews::Events, &weights, seeds);
+    let without_events = run(case, user, Rules::Project, CacheNews::None, &weights, seeds);
     Comparison {
         case: case.name(),
         user: user.name(),
@@ -152,6 +160,7 @@
         all_placed: all_placed(&naive, &project),
         naive: summarise(&naive),
         project: summarise(&project),
+        without_events: summarise(&without_events),
     }
 }
 
@@ -171,10 +180,17 @@
     }
 }
 
-fn run(case: Case, user: User, rules: Rules, weights: &PolicyWeights, seeds: u64) -> Vec<Run> {
+fn run(
+    case: Case,
+    user: User,
+    rules: Rules,
+    news: CacheNews,
+    weights: &PolicyWeights,
+    seeds: u64,
+) -> Vec<Run> {
     let one = |seed| {
         let fleet = run_fleet(&case.scenario(seed), rules, weights);
-        let requests = run_requests(case, user, rules, &fleet.timelines, seed);
+        let requests = run_requests(case, user, rules, news, &fleet.timelines, seed);
         (fleet, requests)
     };
     (0..seeds).map(one).collect()
@@ -192,6 +208,8 @@
         slow_s: of_fleet(&|it| it.slow_s),
         stranded_accelerator_s: of_fleet(&|it| it.stranded_accelerator_s),
         moves: of_fleet(&|it| it.moves.into()),
+        first_token_p50_ms: of_requests(&|it| percentile(&it.all_first_token_ms(), 0.5) as f64),
+        cached_share: of_requests(&|it| it.cached_share),
         first_token_p95_ms: of_requests(&|it| percentile(&it.all_first_token_ms(), 0.95) as f64),
         first_token_kept_share: of_requests(&kept_share),
         good_share: of_requests(&RequestOutcome::good_share),
