fix(coordination): outrank the fencing number that a VM brings from another domain

Cause: fencing numbers of two domains do not compare. An engine that honours them and was in a domain with a higher number refuses every order of its new domain, so a group formed with it would load for ever.

A confirmed owner whose engines honour fencing numbers raises its own number above the highest that a usable VM of its domain reports. An unconfirmed one does not, since the number may be that of a later owner. The confirmation is asked for when that or another step depends on it, and not only before orders.

Tests: fencing_number_that_a_vm_brought_from_another_domain_is_outranked (pure), and the moved VM with processes now brings the number 50 along.

--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -168,12 +168,16 @@
         Ok(())
     }
 
-    /// Returns whether there are orders to give that a confirmed owner alone may give.
+    /// Returns whether there are orders, or other steps that a confirmed owner alone may take.
     fn is_confirmation_needed(&self, view: &DomainView<'_>) -> bool {
         let lifetime = self.state.order_lifetime();
         let all = OrderAuthority::Full { deadline: view.now };
-        view.held.needs_confirmation(lifetime, view.now)
-            && reconcile(&view.input(all)).iter().any(|it| matches!(it, Step::Order { .. }))
+        if !view.held.needs_confirmation(lifetime, view.now) {
+            return false;
+        }
+        let steps = reconcile(&view.input(all));
+        steps.iter().any(|it| matches!(it, Step::Order { .. }))
+            || steps != reconcile(&view.input(OrderAuthority::IdleOnly))
     }
 
     /// Returns whether this process is the owner in the store; takes the domain over if it may.
--- a/crates/mangocross-coordination/src/group_life.rs
+++ b/crates/mangocross-coordination/src/group_life.rs
@@ -3,6 +3,7 @@
 
 use mangocross_types::DesiredState;
 use mangocross_types::DomainAssignment;
+use mangocross_types::FenceMode;
 use mangocross_types::GroupAssignment;
 use mangocross_types::GroupId;
 use mangocross_types::GroupPhase;
@@ -11,6 +12,7 @@
 
 use crate::Completeness;
 use crate::DomainInput;
+use crate::OrderAuthority;
 use crate::completeness::is_member;
 use crate::form_group;
 use crate::remove_group;
@@ -25,6 +27,7 @@
     let changed = input.assignment().groups.iter().find_map(|it| next_of_group(input, it));
     changed
         .or_else(|| register_vms(input))
+        .or_else(|| outrank_moved(input))
         .or_else(|| input.configuration.groups.iter().find_map(|it| form_new(input, it)))
 }
 
@@ -48,6 +51,20 @@
         .then(|| DomainAssignment { registered, ..assignment.clone() })
 }
 
+/// Raises the fencing number above one that a VM brought along from another domain.
+///
+/// Engines that honour fencing numbers would refuse every order here else. An
+/// unconfirmed owner leaves the number as it is: a later owner here may have raised it.
+fn outrank_moved(input: &DomainInput<'_>) -> Option<DomainAssignment> {
+    let may_raise = input.configuration.fence_mode == FenceMode::Honoured
+        && matches!(input.authority, OrderAuthority::Full { .. });
+    let own = input.engines.iter().map(|it| &it.vm);
+    let own = own.filter(|vm| input.is_assigned(vm) || input.may_use(vm));
+    let highest = own.filter_map(|vm| input.report(vm)).map(|it| it.fencing_number).max()?;
+    (may_raise && highest > input.assignment().fencing_number)
+        .then(|| DomainAssignment { fencing_number: highest.next(), ..input.assignment().clone() })
+}
+
 /// Returns the groups that belong here and that the domain's VMs cannot complete.
 pub fn stuck_groups(input: &DomainInput<'_>) -> Vec<GroupId> {
     let stuck = input.configuration.groups.iter().filter(|it| is_stuck(input, it));
--- a/crates/mangocross-coordination/tests/reconcile.rs
+++ b/crates/mangocross-coordination/tests/reconcile.rs
@@ -21,6 +21,8 @@
 use mangocross_types::DesiredState;
 use mangocross_types::DomainAssignment;
 use mangocross_types::EngineRole;
+use mangocross_types::FenceMode;
+use mangocross_types::FencingNumber;
 use mangocross_types::GroupPhase;
 use mangocross_types::Placements;
 use mangocross_types::Revision;
@@ -187,6 +189,27 @@
     assert_eq!(*members, [vm(0), vm(4)]);
 }
 
+#[test]
+fn fencing_number_that_a_vm_brought_from_another_domain_is_outranked() {
+    let mut domain = Fixture::new(6);
+    domain.probe(500, &[]);
+    let moved = BackendReport { fencing_number: FencingNumber(7), ..report(5) };
+    domain.probes.record_answer(&vm(5), domain.now, domain.now, moved);
+    let raised = |fence_mode, authority| {
+        let configuration = Configuration { fence_mode, ..configuration() };
+        let placements = placements();
+        let input = DomainInput { authority, ..domain.input(&configuration, &placements) };
+        match reconcile(&input).into_iter().next() {
+            Some(Step::Swap(next)) => Some(next.fencing_number),
+            _ => None,
+        }
+    };
+    let full = OrderAuthority::Full { deadline: domain.now };
+    assert_eq!(raised(FenceMode::Honoured, full), Some(FencingNumber(8)));
+    assert_eq!(raised(FenceMode::Honoured, OrderAuthority::IdleOnly), None);
+    assert_eq!(raised(FenceMode::Ignored, full), None);
+}
+
 #[test]
 fn survivors_of_two_broken_groups_form_one() {
     let mut domain = Fixture::new(4);
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -15,7 +15,10 @@
 use mangocross_tests::Outgoing;
 use mangocross_tests::RelayMode;
 use mangocross_types::Configuration;
+use mangocross_types::DomainAssignment;
 use mangocross_types::EngineState;
+use mangocross_types::FenceMode;
+use mangocross_types::FencingNumber;
 use mangocross_types::GroupPhase;
 use mangocross_types::Placements;
 use mangocross_types::RunOutcome;
@@ -26,6 +29,7 @@
 use peer_store::read_json;
 use peer_store::swap_json;
 use standins::EngineFaults;
+use standins::EngineOptions;
 use standins::PlatformFaults;
 use standins::StoreFaults;
 
@@ -201,12 +205,14 @@
     let before = placed(&cluster, "domain-1");
     let leaving = before.members[1].clone();
     let stream = start_stream(&cluster, 0, 100);
+    let ran = generations(&cluster);
     let mut list = cluster.listed_vms();
     list.iter_mut().filter(|it| it.vm == leaving).for_each(|it| it.state = VmState::Leaving);
     cluster.platform.set_vms(list);
     cluster.wait_until("it drains", || placed(&cluster, "domain-1").phase == GroupPhase::Draining);
     cluster.platform.set_vms(cluster.listed_vms());
     assert!(stream.join().expect("the stream was read").is_whole());
+    assert_eq!(generations(&cluster), ran, "the answer was cut off and resumed");
     cluster.wait_until("it is formed anew", || {
         placed(&cluster, "domain-1").incarnation > before.incarnation
             && cluster.send(0, &draft()).is_whole()
@@ -373,7 +379,10 @@
 
 #[test]
 fn vm_that_is_listed_in_another_domain_stays_in_its_group_and_is_in_no_other() {
-    let cluster = builder(2, &[2, 1]).start();
+    let honours = |vm| EngineOptions { honours_fence: true, ..EngineOptions::new(vm) };
+    let cluster = builder(2, &[2, 1]).engine_options(honours).start();
+    let fence_mode = FenceMode::Honoured;
+    cluster.replace_configuration(Configuration { fence_mode, ..cluster.configuration() });
     cluster.start_group(START, 0, &draft());
     let before = assignment(&cluster, "domain-1").groups;
     let mut list = cluster.listed_vms();
@@ -389,7 +398,12 @@
         assert_eq!(assignment(&cluster, "domain-1").groups, before);
         assert_eq!(assignment(&cluster, "domain-2").groups, []);
     }
-    // The domain that had the VM gives it up with its group.
+    // The domain that had the VM gives it up with its group, and with a higher fencing number.
+    let store = HttpStore::open(cluster.store.address());
+    let key = DomainAssignment::key(&"domain-1".parse().unwrap());
+    let (raised, revision) = read_json::<DomainAssignment>(&store, &key).unwrap();
+    let raised = DomainAssignment { fencing_number: FencingNumber(50), ..raised.unwrap() };
+    assert!(swap_json(&store, &key, revision, &raised).unwrap().is_some());
     let _ = cluster.operate(0, "stop group letters-1");
     cluster.wait_until("the other group serves", || cluster.send(0, &draft()).is_whole());
     assert_eq!(placed(&cluster, "domain-2").group.as_str(), "letters-2");
