test: replay the oldest frames last, and see an answer that was cut off and resumed

Three tests stayed green with a mechanism off, and see it now: - proofs ranked by order of arrival: a replay ended with the newest frame, which put things right; it ends with the oldest now, and proofs outlive their withdrawal there. - proofs counted from their receipt: late replies had not come yet when the gateway was asked. - a leaving member cut out before the drain: the answer resumed at the next incarnation, so it was whole all the same; the engines' requests are counted now.

--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -298,13 +298,14 @@
         self.link(PeerProcess::Coordinator(other), one, mode);
     }
 
-    /// Delivers once more everything that went between a process and a node's coordinator.
+    /// Delivers once more the newest datagrams between a process and a node's coordinator, the
+    /// oldest of them last; returns how many.
     ///
     /// # Panics
     ///
     /// Panics if the cluster has no [`ClusterBuilder::peer_relays`].
-    pub fn replay(&self, from: PeerProcess, to: u16) -> usize {
-        self.peer_relays[usize::from(to)].polls.replay(self.polls_from(from))
+    pub fn replay(&self, from: PeerProcess, to: u16, newest: usize) -> usize {
+        self.peer_relays[usize::from(to)].polls.replay(self.polls_from(from), newest)
     }
 
     fn polls_from(&self, process: PeerProcess) -> SocketAddr {
--- a/tests/src/soak/faults.rs
+++ b/tests/src/soak/faults.rs
@@ -3,6 +3,7 @@
 use std::thread;
 use std::time::Duration;
 
+use mangocross_types::Rank;
 use standins::EngineFaults;
 use standins::PlatformFaults;
 use standins::ServiceFaults;
@@ -15,7 +16,12 @@
 use crate::soak::Record;
 
 /// Shortest and longest time that a fault lasts, in milliseconds.
-const FAULT_MS: std::ops::Range<u64> = 300..9_000;
+const FAULT_MS: std::ops::Range<u64> = 300..6_000;
+/// Shortest and longest time that a member is lost, in milliseconds; the watch of the groups sees
+/// only what lasts longer than a proof of completeness counts.
+const LOSS_MS: std::ops::Range<u64> = 6_000..9_000;
+/// Out of 256 faults, those that take a member from a group and cut a gateway from its owner.
+const LOSSES: u8 = 64;
 /// Shortest and longest calm between faults, in milliseconds.
 const CALM_MS: std::ops::Range<u64> = 200..2_500;
 /// How much later datagrams come that are delayed; longer than a proof of completeness counts.
@@ -106,11 +112,18 @@
 
     /// Brings about one fault, or two at a time, and ends them.
     pub fn next(&mut self, cluster: &mut Cluster, record: &Record) {
-        let first = ALL[self.random.usize(..ALL.len())];
+        let is_loss = self.random.u8(..) < LOSSES;
+        let first = match is_loss {
+            true => Fault::MemberLostAndGatewayCut,
+            false => ALL[self.random.usize(..ALL.len())],
+        };
         let second = ALL[self.random.usize(..ALL.len())];
         let both = self.random.u8(..) < 96;
         let node = self.random.usize(..cluster.gateways.len());
-        let vm = self.random.usize(..cluster.engines.len());
+        let vm = match is_loss {
+            true => self.member(cluster),
+            false => self.random.usize(..cluster.engines.len()),
+        };
         eprintln!(
             "fault {first:?}{} node {node} vm {vm}",
             if both { format!(" and {second:?}") } else { String::new() }
@@ -121,13 +134,22 @@
             record.count(format!("fault: {second:?}"));
             begin(second, cluster, node, vm);
         }
-        thread::sleep(Duration::from_millis(self.random.u64(FAULT_MS)));
+        let lasts_ms = if is_loss { LOSS_MS } else { FAULT_MS };
+        thread::sleep(Duration::from_millis(self.random.u64(lasts_ms)));
         end(first, cluster, node, vm);
         if both {
             end(second, cluster, node, vm);
         }
         thread::sleep(Duration::from_millis(self.random.u64(CALM_MS)));
     }
+
+    /// Returns a VM without which its group is broken and its rank zero works on, if there is one.
+    fn member(&mut self, cluster: &Cluster) -> usize {
+        let reports = cluster.engines.values().map(standins::EngineStandin::report).enumerate();
+        let members = reports.filter(|(_, it)| it.group.is_some() && it.rank != Rank(0));
+        let members: Vec<usize> = members.map(|(number, _)| number).collect();
+        self.random.choice(members).unwrap_or_default()
+    }
 }
 
 fn begin(fault: Fault, cluster: &mut Cluster, node: usize, vm: usize) {
--- a/tests/src/udp_relay.rs
+++ b/tests/src/udp_relay.rs
@@ -95,15 +95,14 @@
         self.shared.links().entry(sender).or_default().mode = mode;
     }
 
-    /// Delivers the newest datagrams of a sender and the replies to it once more; returns how many.
-    pub fn replay(&self, sender: SocketAddr) -> usize {
-        let kept = match self.shared.links().get(&sender) {
-            Some(link) => link.kept.clone(),
-            None => VecDeque::new(),
-        };
-        for datagram in &kept {
-            self.shared.deliver(sender, datagram);
-        }
+    /// Delivers the newest datagrams of a sender and the replies to it once more, the oldest of
+    /// them last; returns how many.
+    pub fn replay(&self, sender: SocketAddr, newest: usize) -> usize {
+        let links = self.shared.links();
+        let kept = links.get(&sender).map(|it| it.kept.iter().rev().take(newest).cloned());
+        let kept: Vec<Datagram> = kept.into_iter().flatten().collect();
+        drop(links);
+        kept.iter().for_each(|it| self.shared.deliver(sender, it));
         kept.len()
     }
 }
--- a/tests/tests/partitions.rs
+++ b/tests/tests/partitions.rs
@@ -150,9 +150,9 @@
         cluster.engine(&member).faults().set(frozen());
         cluster.wait_until("it refuses", || refuses(&cluster, gateway));
         let ran = generations(&cluster);
-        for _ in 0..20 {
-            assert!(cluster.replay(PeerProcess::Gateway(gateway), owner) > 0);
-            assert!(cluster.replay(PeerProcess::Coordinator(gateway), owner) > 0);
+        for newest in 1..=20 {
+            assert!(cluster.replay(PeerProcess::Gateway(gateway), owner, newest) > 0);
+            assert!(cluster.replay(PeerProcess::Coordinator(gateway), owner, newest) > 0);
             assert!(refuses(&cluster, gateway), "{mode:?}");
             thread::sleep(Duration::from_millis(100));
         }
@@ -196,6 +196,7 @@
     let owner = owner_of(&cluster, "domain-1");
     let other = (owner + 1) % 3;
     let stream = start_stream(&cluster, other, 200);
+    let ran = generations(&cluster);
     let mut list = cluster.listed_vms();
     list.iter_mut().filter(|it| it.vm == leaving).for_each(|it| it.state = VmState::Leaving);
     cluster.platform.set_vms(list);
@@ -204,6 +205,7 @@
     let answer = stream.join().expect("the stream was read");
     assert!(answer.is_whole(), "{}", answer.body);
     assert_eq!(answer.token_indexes().len(), 200);
+    assert_eq!(generations(&cluster), ran, "the answer was cut off and resumed");
     cluster.wait_until("another owner forms it anew", || {
         let group = placed(&cluster, "domain-1");
         group.incarnation > before.incarnation && cluster.send(other, &draft()).is_whole()
