--- a/crates/mangocross-policy/tests/estimates.rs
+++ b/crates/mangocross-policy/tests/estimates.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_policy::CacheEvent;
+use mangocross_policy::CacheSequence;
 use mangocross_policy::FirstTokenTimes;
 use mangocross_policy::LoadEstimate;
 use mangocross_policy::PrefixHash;
@@ -73,6 +75,13 @@
 fn prefixes_of_a_group_are_the_last_used_ones_that_it_did_not_drop() {
     fn holds(history: Vec<(u8, u8, u8)>) -> bool {
         let mut table = PrefixTable::new(PREFIXES);
+        let start = Instant::now();
+        let mut number_published = 0;
+        let mut publish = |table: &mut PrefixTable, number: u8, event: CacheEvent| {
+            number_published += 1;
+            let sequence = CacheSequence { epoch: 1, number: number_published };
+            table.published(&group(number), sequence, event, start + Duration::from_secs(1));
+        };
         // Uses of prefixes, oldest first.
         let mut used: Vec<(u8, u64)> = Vec::new();
         history.into_iter().all(|(what, number, prefix)| {
@@ -80,8 +89,9 @@
             used.retain(|it| what % 16 != 0 || it.0 != number);
             match what % 16 {
                 0 => table.forget(&group(number)),
-                1..=3 => table.evicted(&group(number), PrefixHash(prefix)),
-                _ => table.stored(&group(number), PrefixHash(prefix)),
+                1..=3 => publish(&mut table, number, CacheEvent::Evicted(PrefixHash(prefix))),
+                4..=9 => publish(&mut table, number, CacheEvent::Stored(PrefixHash(prefix))),
+                _ => table.sent(&group(number), PrefixHash(prefix), start),
             }
             used.retain(|it| *it != (number, prefix));
             if what % 16 > 3 {
