feat(coordination): replace a silent member after a second where a warm spare is idle

Cause: with weights preloaded on spares a repair takes about a second, and the 3 s for which a member must fail its probes were most of the downtime. Ruled out: a shorter time for all, since a pause of two seconds would then cost a cold load; counting such members as gone for planned stops, which needs the longer time.

--- a/bins/mangocross-coordinator/src/domain_view.rs
+++ b/bins/mangocross-coordinator/src/domain_view.rs
@@ -66,6 +66,7 @@
             probe_ttl: self.state.probe_ttl(),
             stall_limit: self.state.stall_limit(),
             lost_after: self.state.lost_after(),
+            lost_after_with_spare: self.state.lost_after_with_spare(),
             order_lifetime: self.state.order_lifetime(),
             repair_times: self.state.repair_times(&self.configuration.policy),
         }
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -207,6 +207,11 @@
         Duration::from_millis(self.settings.lost_ms)
     }
 
+    /// The same where an idle VM that holds the weights can take its place.
+    pub(crate) fn lost_after_with_spare(&self) -> Duration {
+        Duration::from_millis(self.settings.lost_with_spare_ms)
+    }
+
     /// Longest time that an order can be under way.
     pub(crate) fn order_lifetime(&self) -> Duration {
         Duration::from_millis(self.settings.order_deadline_ms)
--- a/crates/mangocross-coordination/src/reconcile.rs
+++ b/crates/mangocross-coordination/src/reconcile.rs
@@ -47,6 +47,8 @@
     pub stall_limit: Duration,
     /// How long a VM may fail all probes before it is replaced.
     pub lost_after: Duration,
+    /// The same where an idle VM that holds the weights can take its place.
+    pub lost_after_with_spare: Duration,
     /// Longest time that an order can be under way.
     pub order_lifetime: Duration,
     /// Times that the choice between repair and waiting rests on.
--- a/crates/mangocross-coordination/src/repair.rs
+++ b/crates/mangocross-coordination/src/repair.rs
@@ -34,7 +34,7 @@
     group: &GroupAssignment,
     spec: &GroupSpec,
 ) -> Option<DomainAssignment> {
-    let missing = missing_members(input, group);
+    let missing = missing_members(input, group, spec);
     let is_missing = |vm: &VmId| missing.iter().any(|it| it.vm == *vm);
     let survivors: Vec<VmId> = group.members.iter().filter(|vm| !is_missing(vm)).cloned().collect();
     if missing.is_empty() || survivors.iter().any(|vm| input.report(vm).is_none()) {
@@ -67,7 +67,7 @@
     group: &GroupAssignment,
     spec: &GroupSpec,
 ) -> bool {
-    let missing = missing_members(input, group);
+    let missing = missing_members(input, group, spec);
     if missing.iter().any(|it| it.absence == Absence::Leaving) {
         return true;
     }
@@ -127,12 +127,18 @@
 }
 
 /// Returns the members that are lost, leaving or stand still.
-fn missing_members(input: &DomainInput<'_>, group: &GroupAssignment) -> Vec<PolicyMissingMember> {
+fn missing_members(
+    input: &DomainInput<'_>,
+    group: &GroupAssignment,
+    spec: &GroupSpec,
+) -> Vec<PolicyMissingMember> {
+    let lost_after = lost_after(input, group, spec);
+    let is_lost = |vm: &VmId| input.is_lost(vm) || input.probes.is_lost(vm, lost_after);
     let stalled = stalled_since(input, group);
     let missing = group.members.iter().filter_map(|vm| {
         let (absence, since) = if input.is_leaving(vm) {
             (Absence::Leaving, input.now)
-        } else if input.is_lost(vm) {
+        } else if is_lost(vm) {
             (Absence::Missing, input.probes.failing_since(vm).unwrap_or(input.now))
         } else {
             let (_, since) = stalled.iter().find(|(it, _)| it == vm)?;
@@ -143,6 +149,20 @@
     missing.collect()
 }
 
+/// Returns how long members may fail their probes before they are replaced.
+///
+/// Where idle VMs with the weights can take the places of all of them, repair costs little, and a
+/// longer wait for members that may only pause costs more.
+fn lost_after(input: &DomainInput<'_>, group: &GroupAssignment, spec: &GroupSpec) -> Duration {
+    let failing = group.members.iter().filter(|vm| input.probes.failing_since(vm).is_some());
+    let spares = candidates(input, spec, input.idle_vms());
+    let warm = spares.iter().filter(|it| it.has_weights);
+    match warm.count() >= failing.count() {
+        true => input.lost_after_with_spare.min(input.lost_after),
+        false => input.lost_after,
+    }
+}
+
 /// Returns the members that have stood still for so long that they are replaced.
 fn stalled_since(input: &DomainInput<'_>, group: &GroupAssignment) -> Vec<(VmId, Instant)> {
     let Completeness::Incomplete(missing) = input.check(group) else { return Vec::new() };
--- a/crates/mangocross-coordination/tests/moved_vm.rs
+++ b/crates/mangocross-coordination/tests/moved_vm.rs
@@ -150,6 +150,7 @@
             probe_ttl: 10 * MS,
             stall_limit: 10 * MS,
             lost_after: 10 * MS,
+            lost_after_with_spare: 5 * MS,
             order_lifetime: MS,
             repair_times: RepairTimes {
                 load: MS,
--- a/crates/mangocross-coordination/tests/reconcile.rs
+++ b/crates/mangocross-coordination/tests/reconcile.rs
@@ -104,6 +104,7 @@
             probe_ttl: 2_000 * MS,
             stall_limit: 3_000 * MS,
             lost_after: 3_000 * MS,
+            lost_after_with_spare: 1_000 * MS,
             order_lifetime: 2_000 * MS,
             repair_times: RepairTimes {
                 load: Duration::from_secs(60),
@@ -189,6 +190,26 @@
     assert_eq!(*members, [vm(0), vm(4)]);
 }
 
+#[test]
+fn silent_member_is_replaced_sooner_by_a_vm_that_holds_the_weights() {
+    let replaced = |failing: &[usize], warm: &[usize]| {
+        let mut domain = Fixture::new(6);
+        domain.probe(1_000, &[]);
+        domain.probe(2_000, failing);
+        for number in warm {
+            let holds = vec!["v1".parse().expect("a valid version")];
+            let report = BackendReport { cached_versions: holds, ..report(*number) };
+            domain.probes.record_answer(&vm(*number), domain.now, domain.now, report);
+        }
+        let groups = domain.swapped()?;
+        Some(groups.into_iter().find(|it| it.0 == "group-0").expect("it is there").2)
+    };
+    assert_eq!(replaced(&[1], &[]), None);
+    assert_eq!(replaced(&[1], &[5]), Some(vec![vm(0), vm(5)]));
+    assert_eq!(replaced(&[0, 1], &[5]), None);
+    assert_eq!(replaced(&[0, 1], &[4, 5]), Some(vec![vm(4), vm(5)]));
+}
+
 #[test]
 fn fencing_number_that_a_vm_brought_from_another_domain_is_outranked() {
     let mut domain = Fixture::new(6);
--- a/crates/mangocross-coordination/tests/world/mod.rs
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -531,6 +531,7 @@
             probe_ttl: PROBE_TTL,
             stall_limit: STALL_LIMIT,
             lost_after: LOST_AFTER,
+            lost_after_with_spare: LOST_AFTER / 2,
             order_lifetime: ORDER_LIFETIME,
             repair_times: RepairTimes {
                 load: Duration::from_secs(60),
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -72,6 +72,10 @@
     /// How long an engine may fail all probes before it is replaced, in milliseconds.
     #[serde(default = "lost_ms")]
     pub lost_ms: u64,
+    /// The same where an idle VM that holds the weights can take its place, in milliseconds; not
+    /// longer than `lost_ms`.
+    #[serde(default = "lost_with_spare_ms")]
+    pub lost_with_spare_ms: u64,
     /// Expected time of one load from the weight store, in milliseconds.
     #[serde(default = "expected_load_ms")]
     pub expected_load_ms: u64,
@@ -134,6 +138,10 @@
     3_000
 }
 
+fn lost_with_spare_ms() -> u64 {
+    1_000
+}
+
 fn expected_load_ms() -> u64 {
     60_000
 }
@@ -171,6 +179,7 @@
             ("in_force_wait_ms", self.in_force_wait_ms),
             ("order_deadline_ms", self.order_deadline_ms),
             ("lost_ms", self.lost_ms),
+            ("lost_with_spare_ms", self.lost_with_spare_ms),
             ("leaving_kept_ms", self.leaving_kept_ms),
             ("metrics_log_ms", self.metrics_log_ms),
         ];
--- a/tests/src/bin/soak.rs
+++ b/tests/src/bin/soak.rs
@@ -38,7 +38,10 @@
     let (seconds, seed) = (number(1).unwrap_or(60), number(2).unwrap_or(1));
     let record = Arc::new(Record::default());
     let builder = ClusterBuilder::new(3, &[6, 5, 4]).peer_relays();
-    let mut cluster = builder.coordinator_setting("lost_ms", LOST_MS).start();
+    let mut cluster = builder
+        .coordinator_setting("lost_ms", LOST_MS)
+        .coordinator_setting("lost_with_spare_ms", LOST_MS)
+        .start();
     start_groups(&cluster);
     let gateways = (0..3).map(|it| cluster.gateway(it)).collect();
     let traffic = Traffic::spawn(gateways, Arc::clone(&record), CALLERS, seed);
