--- a/benches/src/bin/capacity.rs
+++ b/benches/src/bin/capacity.rs
@@ -37,6 +37,8 @@
 const FAST_POLL_MS: u64 = 5;
 /// Probes of the measured probe loop.
 const PROBES: u32 = 2_000;
+/// Entry VMs of the fleets that are watched.
+const FLEETS: [u16; 4] = [7, 12, 20, 30];
 /// Time for which idle processes are watched.
 const IDLE_WATCH: Duration = Duration::from_secs(10);
 /// Time for groups to load and for the last changes to be told.
@@ -45,7 +47,7 @@
 const DATAGRAM_HEADER_BYTES: usize = 17 + 28;
 
 fn main() {
-    if !std::env::args().any(|it| it == "--only-processes") {
+    if !std::env::args().any(|it| it == "--only-processes" || it == "--only-fleets") {
         message_sizes();
         document_sizes();
         decision_times();
@@ -53,6 +55,8 @@
     }
     if !std::env::args().any(|it| it == "--no-processes") {
         idle_processes();
+    }
+    if !std::env::args().any(|it| it == "--no-processes" || it == "--only-fleets") {
         poll_cost();
     }
 }
@@ -124,6 +128,7 @@
         newest_known: Revision(1),
         established: true,
         store_age: None,
+        majority: None,
         bound: Duration::from_secs(6),
     };
     for vm in &vms {
@@ -158,28 +163,32 @@
     println!("\nProcesses without requests, by entry VMs (8 VMs for each, a group of 4 for each)");
     let mut coordinator_cpu = Vec::new();
     let mut gateway_cpu = Vec::new();
-    let mut traffic = Vec::new();
-    for nodes in [2_u16, 4, 8, 12] {
+    let mut bytes_each = Vec::new();
+    let mut datagrams_each = Vec::new();
+    for nodes in FLEETS {
         let cluster = start_cluster(nodes);
         let before = (cpu(&cluster.coordinators), cpu(&cluster.gateways));
-        let bytes_before = machine::loopback_bytes();
+        let traffic_before = machine::loopback_traffic();
         thread::sleep(IDLE_WATCH);
-        let bytes = (machine::loopback_bytes() - bytes_before) as f64;
-        let bytes_each = bytes / IDLE_WATCH.as_secs_f64() / f64::from(nodes);
+        let traffic = machine::loopback_traffic();
+        let bytes = rate_each(traffic.bytes - traffic_before.bytes, nodes);
+        let datagrams = rate_each(traffic.datagrams - traffic_before.datagrams, nodes);
         let coordinator = percent_each(cpu(&cluster.coordinators) - before.0, nodes);
         let gateway = percent_each(cpu(&cluster.gateways) - before.1, nodes);
         println!(
-            "  {nodes}: coordinator {coordinator:.2}% of a core, {} kB; gateway {gateway:.2}% of a core, {} kB; {bytes_each:.0} bytes a second on loopback",
+            "  {nodes}: coordinator {coordinator:.2}% of a core, {} kB; gateway {gateway:.2}% of a core, {} kB; {bytes:.0} bytes and {datagrams:.1} datagrams a second on loopback",
             largest_kb(&cluster.coordinators),
             largest_kb(&cluster.gateways),
         );
         coordinator_cpu.push((f64::from(nodes), coordinator));
         gateway_cpu.push((f64::from(nodes), gateway));
-        traffic.push((f64::from(nodes), bytes_each));
+        bytes_each.push((f64::from(nodes), bytes));
+        datagrams_each.push((f64::from(nodes), datagrams));
     }
     println!("  coordinator, % of a core: {}", Line::fit(&coordinator_cpu));
     println!("  gateway, % of a core: {}", Line::fit(&gateway_cpu));
-    println!("  bytes a second for each entry VM: {}", Line::fit(&traffic));
+    println!("  bytes a second for each entry VM: {}", Line::fit(&bytes_each));
+    println!("  datagrams a second for each entry VM: {}", Line::fit(&datagrams_each));
 }
 
 /// Starts a cluster with a fabric domain of 8 VMs and a group of 4 for each entry VM.
@@ -225,6 +234,11 @@
     processes.iter().map(|it| machine::resident_kb(it.id())).max().unwrap_or_default()
 }
 
+/// Returns a count during the watch as a rate for each entry VM.
+fn rate_each(count: u64, nodes: u16) -> f64 {
+    count as f64 / IDLE_WATCH.as_secs_f64() / f64::from(nodes)
+}
+
 fn percent_each(used: Duration, nodes: u16) -> f64 {
     100.0 * used.as_secs_f64() / IDLE_WATCH.as_secs_f64() / f64::from(nodes)
 }
--- a/benches/src/machine.rs
+++ b/benches/src/machine.rs
@@ -39,9 +39,25 @@
     line.split_whitespace().next().and_then(|it| it.parse().ok()).unwrap_or_default()
 }
 
-/// Returns the bytes that crossed the loopback device of this network namespace.
-pub fn loopback_bytes() -> u64 {
-    let text = fs::read_to_string("/proc/net/dev").unwrap_or_default();
-    let line = text.lines().find_map(|it| it.trim_start().strip_prefix("lo:")).unwrap_or_default();
-    line.split_whitespace().next().and_then(|it| it.parse().ok()).unwrap_or_default()
+/// What crossed the loopback device of this network namespace.
+#[derive(Debug, Clone, Copy)]
+pub struct Traffic {
+    /// Bytes with headers.
+    pub bytes: u64,
+    /// UDP datagrams received.
+    pub datagrams: u64,
+}
+
+/// Returns what has crossed the loopback device of this network namespace.
+pub fn loopback_traffic() -> Traffic {
+    let devices = fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let loopback = devices.lines().find_map(|it| it.trim_start().strip_prefix("lo:"));
+    let protocols = fs::read_to_string("/proc/net/snmp").unwrap_or_default();
+    let udp = protocols.lines().filter_map(|it| it.strip_prefix("Udp:")).nth(1);
+    Traffic { bytes: first_number(loopback), datagrams: first_number(udp) }
+}
+
+fn first_number(line: Option<&str>) -> u64 {
+    let first = line.and_then(|it| it.split_whitespace().next());
+    first.and_then(|it| it.parse().ok()).unwrap_or_default()
 }
--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -25,6 +25,7 @@
 use peer_entry::LeavingVm;
 use peer_entry::Poll;
 use peer_entry::PollReply;
+use peer_entry::PollScope;
 use peer_entry::ProcessRole;
 use peer_entry::ReplyStamp;
 use serde_json::Value;
@@ -53,6 +54,8 @@
         process_id: u64::MAX,
         revision: Revision(24_000),
         serving: true,
+        scope: PollScope::All,
+        reports: true,
         usage: (0..customers).map(usage).collect(),
         failures: Vec::new(),
         echo: Some(stamp()),
@@ -85,7 +88,10 @@
         domains: Vec::new(),
         service_servers: Vec::new(),
         leaving: (0..leaving).map(leaving_vm).collect(),
-        usage: Vec::new(),
+        usage: None,
+        majority_age_ms: Some(1_000),
+        owners: Vec::new(),
+        gateways: Vec::new(),
     }
 }
 
--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -10,7 +10,6 @@
 use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::Step;
 use mangocross_coordination::TakeoverBackoff;
-use mangocross_coordination::preferred_owner;
 use mangocross_coordination::reconcile;
 use mangocross_coordination::take_over;
 use mangocross_coordination::validate;
@@ -63,7 +62,8 @@
 pub(crate) fn owned_domains(state: &CoordinatorState) -> Vec<FabricDomain> {
     let live = state.live_coordinators();
     let engines = lock(&state.engines_by_domain);
-    let own = |it: &&FabricDomain| preferred_owner(it.as_str(), &live) == Some(&state.settings.vm);
+    let own =
+        |it: &&FabricDomain| state.owners.owner(it, &live).as_ref() == Some(&state.settings.vm);
     engines.keys().filter(own).cloned().collect()
 }
 
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -15,6 +15,7 @@
 mod known_revision;
 mod operators;
 mod orders;
+mod owners;
 mod peers;
 mod placement;
 mod platform;
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -6,11 +6,14 @@
 use std::time::Instant;
 
 use mangocross_coordination::Completeness;
+use mangocross_coordination::GatewayNews;
+use mangocross_coordination::MajorityWord;
 use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::Sighting;
 use mangocross_coordination::Vouch;
 use mangocross_coordination::Voucher;
 use mangocross_coordination::groups_to_move;
+use mangocross_coordination::is_small_fleet;
 use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupAssignment;
@@ -19,9 +22,11 @@
 use mangocross_types::VmId;
 use peer_entry::CustomerUsage;
 use peer_entry::DomainSummary;
+use peer_entry::GatewayReport;
 use peer_entry::LeavingVm;
 use peer_entry::Poll;
 use peer_entry::PollReply;
+use peer_entry::PollScope;
 use peer_entry::PollerHandler;
 use peer_entry::ProcessRole;
 use peer_entry::ReplyStamp;
@@ -29,9 +34,9 @@
 
 use crate::domain_view::DomainView;
 use crate::domains::owned_domains;
+use crate::owners::owners_for;
 use crate::state::CoordinatorState;
 use crate::state::LivePeer;
-use crate::state::PollingGateway;
 use crate::state::lock;
 
 /// What this coordinator asks others and what it learns from them.
@@ -58,6 +63,8 @@
             process_id: self.state.process_id,
             revision: self.state.node.in_force(),
             serving: true,
+            scope: PollScope::All,
+            reports: false,
             usage: Vec::new(),
             failures: Vec::new(),
             echo: None,
@@ -71,6 +78,7 @@
                 newest_known: reply.newest_known,
                 established: reply.established,
                 store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
+                majority: majority(&reply),
                 bound: Duration::from_millis(reply.vouch_ms.into()),
             };
             self.state.node.peer_said(&voucher, vouch, asked_at);
@@ -94,7 +102,11 @@
             leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
         }
         drop(leaving);
+        for report in reply.gateways {
+            take_report(&self.state, report, asked_at);
+        }
         let peer = LivePeer {
+            address: from,
             asked_at,
             newest_known: reply.newest_known,
             established: reply.established,
@@ -108,17 +120,20 @@
 pub(crate) fn answer(state: &CoordinatorState, poll: &Poll) -> PollReply {
     let now = state.clock.now();
     if poll.role == ProcessRole::Gateway {
-        let gateway =
-            PollingGateway { heard_at: now, revision: poll.revision, usage: poll.usage.clone() };
-        lock(&state.gateways).insert(poll.vm.clone(), gateway);
-        see_gateway(state, poll, now);
-        lock(&state.failures).extend(&poll.failures);
+        hear_gateway(state, poll, now);
     }
     let (revision, vouch) = {
         let in_force = state.node.in_force();
         (in_force, state.node.vouch(now))
     };
     let for_gateway = poll.role == ProcessRole::Gateway;
+    let (is_everything, is_relay) = match poll.scope {
+        _ if !for_gateway => (false, false),
+        PollScope::All => (true, false),
+        PollScope::Relay => (true, true),
+        PollScope::Proofs => (false, false),
+    };
+    let is_small = is_small_fleet(&state.configuration().entry_vms);
     PollReply {
         nonce: poll.nonce,
         vm: state.settings.vm.clone(),
@@ -128,30 +143,91 @@
         established: vouch.established,
         vouch_ms: milliseconds(vouch.bound),
         store_age_ms: vouch.store_age.map(milliseconds_up),
+        majority_age_ms: vouch.majority.map(|it| milliseconds_up(it.age)),
         placements_revision: state.placements_known.newest(),
         assignments_revision: state.assignments_known.newest(),
         proofs: if for_gateway { proofs(state, now) } else { Vec::new() },
         domains: if for_gateway { Vec::new() } else { summaries(state) },
         leaving: leaving(state, now),
-        usage: if for_gateway { usage_of_others(state, &poll.vm) } else { Vec::new() },
-        service_servers: service_servers(state, for_gateway),
+        usage: is_everything.then(|| usage_of_others(state, &poll.vm, now)),
+        service_servers: service_servers(state, is_everything),
+        owners: if is_relay { owners_for(state, &poll.vm) } else { Vec::new() },
+        gateways: if for_gateway || is_small { Vec::new() } else { reports(state, now) },
     }
 }
 
 /// Returns the backend servers of plain services; only gateways send to them.
-fn service_servers(state: &CoordinatorState, for_gateway: bool) -> Vec<ServiceServer> {
-    if for_gateway { lock(&state.service_servers).clone() } else { Vec::new() }
+fn service_servers(state: &CoordinatorState, is_everything: bool) -> Vec<ServiceServer> {
+    if is_everything { lock(&state.service_servers).clone() } else { Vec::new() }
+}
+
+/// Takes in what a gateway's poll says of it.
+fn hear_gateway(state: &CoordinatorState, poll: &Poll, now: Instant) {
+    let said_after = said_after(state, poll);
+    if let Some(asked_at) = said_after {
+        let (process_id, revision) = (poll.process_id, poll.revision);
+        let sighting = Sighting { process_id, revision, asked_at, heard_at: now };
+        lock(&state.acceptance).gateway_said(poll.vm.clone(), &sighting);
+    }
+    if poll.reports {
+        let news = GatewayNews {
+            process_id: poll.process_id,
+            revision: poll.revision,
+            said_after,
+            heard_at: now,
+            is_direct: true,
+            said: poll.usage.clone(),
+        };
+        lock(&state.gateways).heard(&poll.vm, news);
+    }
+    lock(&state.failures).extend(&poll.failures);
 }
 
-/// Records what a gateway has in force, if its poll shows when it was sent.
-fn see_gateway(state: &CoordinatorState, poll: &Poll, now: Instant) {
-    let Some(echo) = poll.echo.filter(|it| it.process_id == state.process_id) else { return };
-    let Some(asked_at) = state.started_at.checked_add(Duration::from_millis(echo.uptime_ms)) else {
-        return;
+/// Returns a time after which a poll was sent, if it shows one.
+fn said_after(state: &CoordinatorState, poll: &Poll) -> Option<Instant> {
+    let echo = poll.echo.filter(|it| it.process_id == state.process_id)?;
+    state.started_at.checked_add(Duration::from_millis(echo.uptime_ms))
+}
+
+/// Takes in what a gateway reported to another coordinator, which was asked at `asked_at`.
+///
+/// The age counts from the moment of asking, so that transit never makes the report younger.
+fn take_report(state: &CoordinatorState, report: GatewayReport, asked_at: Instant) {
+    let age = Duration::from_millis(report.age_ms.into());
+    let Some(said_after) = asked_at.checked_sub(age) else { return };
+    let (process_id, revision) = (report.process_id, report.revision);
+    let heard_at = state.clock.now();
+    let sighting = Sighting { process_id, revision, asked_at: said_after, heard_at };
+    lock(&state.acceptance).gateway_said(report.vm.clone(), &sighting);
+    let news = GatewayNews {
+        process_id,
+        revision,
+        said_after: Some(said_after),
+        heard_at: said_after,
+        is_direct: false,
+        said: report.usage,
     };
-    let sighting =
-        Sighting { process_id: poll.process_id, revision: poll.revision, asked_at, heard_at: now };
-    lock(&state.acceptance).gateway_said(poll.vm.clone(), &sighting);
+    lock(&state.gateways).heard(&report.vm, news);
+}
+
+/// Returns what gateways reported here, for the other coordinators.
+fn reports(state: &CoordinatorState, now: Instant) -> Vec<GatewayReport> {
+    let gateways = lock(&state.gateways);
+    let reports = gateways.direct(now).filter_map(|(vm, news)| {
+        Some(GatewayReport {
+            vm: vm.clone(),
+            process_id: news.process_id,
+            revision: news.revision,
+            age_ms: milliseconds_up(now.saturating_duration_since(news.said_after?)),
+            usage: news.said.clone(),
+        })
+    });
+    reports.collect()
+}
+
+fn majority(reply: &PollReply) -> Option<MajorityWord> {
+    let age = Duration::from_millis(reply.majority_age_ms?.into());
+    Some(MajorityWord { revision: reply.revision, age })
 }
 
 fn uptime_ms(state: &CoordinatorState, now: Instant) -> u64 {
@@ -175,10 +251,11 @@
     u32::try_from(age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
 }
 
-fn usage_of_others(state: &CoordinatorState, asker: &VmId) -> Vec<CustomerUsage> {
+fn usage_of_others(state: &CoordinatorState, asker: &VmId, now: Instant) -> Vec<CustomerUsage> {
     let gateways = lock(&state.gateways);
     let mut total: Vec<CustomerUsage> = Vec::new();
-    for usage in gateways.iter().filter(|(vm, _)| *vm != asker).flat_map(|(_, it)| &it.usage) {
+    let others = gateways.current(now).filter(|(vm, _)| *vm != asker);
+    for usage in others.flat_map(|(_, it)| &it.said) {
         match total.iter_mut().find(|it| it.customer == usage.customer) {
             Some(sum) => {
                 sum.in_flight += usage.in_flight;
--- a/bins/mangocross-coordinator/src/queries.rs
+++ b/bins/mangocross-coordinator/src/queries.rs
@@ -88,7 +88,7 @@
     for (vm, it) in lock(&state.peers).iter() {
         rows.push(row(vm, "coordinator", it.newest_known, vouches(it.established), it.asked_at));
     }
-    for (vm, it) in lock(&state.gateways).iter() {
+    for (vm, it) in lock(&state.gateways).all() {
         rows.push(row(vm, "gateway", it.revision, "in force", it.heard_at));
     }
     rows.sort();
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -12,6 +12,7 @@
 
 use mangocross_coordination::AcceptanceTracker;
 use mangocross_coordination::EngineVm;
+use mangocross_coordination::GatewayTable;
 use mangocross_coordination::HeldAssignment;
 use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
@@ -42,27 +43,25 @@
 
 use crate::failures::KnownFailures;
 use crate::known_revision::KnownRevision;
+use crate::owners::ChosenGroups;
+use crate::owners::OwnerTable;
 
 /// Expected time to load weights that are on the VM already.
 const WARM_LOAD: Duration = Duration::from_secs(1);
 
+/// How long a gateway's use of customers' limits counts.
+const GATEWAY_KEPT: Duration = Duration::from_secs(3);
+
 /// A coordinator that answers polls.
 #[derive(Debug, Clone)]
 pub(crate) struct LivePeer {
+    pub(crate) address: SocketAddr,
     pub(crate) asked_at: Instant,
     pub(crate) newest_known: Revision,
     pub(crate) established: bool,
     pub(crate) domains: Vec<DomainSummary>,
 }
 
-/// A gateway that polls this coordinator.
-#[derive(Debug, Clone)]
-pub(crate) struct PollingGateway {
-    pub(crate) heard_at: Instant,
-    pub(crate) revision: Revision,
-    pub(crate) usage: Vec<CustomerUsage>,
-}
-
 /// What the coordinator's threads share.
 pub(crate) struct CoordinatorState {
     pub(crate) settings: CoordinatorSettings,
@@ -77,7 +76,9 @@
     pub(crate) node: Arc<NodeConfiguration>,
     /// Texts that were in force before, oldest first, for peers that hold one of them.
     pub(crate) peers: Mutex<HashMap<VmId, LivePeer>>,
-    pub(crate) gateways: Mutex<HashMap<VmId, PollingGateway>>,
+    pub(crate) gateways: Mutex<GatewayTable<Vec<CustomerUsage>>>,
+    pub(crate) owners: OwnerTable,
+    pub(crate) chosen_groups: ChosenGroups,
     pub(crate) engines_by_domain: Mutex<BTreeMap<FabricDomain, Vec<EngineVm>>>,
     pub(crate) service_servers: Mutex<Vec<ServiceServer>>,
     pub(crate) leaving: Mutex<LeavingTable>,
@@ -106,7 +107,9 @@
             acceptance: Mutex::new(AcceptanceTracker::new(vouch)),
             node: Arc::new(node),
             peers: Mutex::new(HashMap::new()),
-            gateways: Mutex::new(HashMap::new()),
+            gateways: Mutex::new(GatewayTable::new(GATEWAY_KEPT)),
+            owners: OwnerTable::default(),
+            chosen_groups: ChosenGroups::default(),
             engines_by_domain: Mutex::new(BTreeMap::new()),
             service_servers: Mutex::new(Vec::new()),
             leaving: Mutex::new(LeavingTable::new(leaving_kept)),
--- a/bins/mangocross-gateway/src/main.rs
+++ b/bins/mangocross-gateway/src/main.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod once;
 mod peers;
+mod poll_targets;
 mod retry_after;
 mod routing;
 mod service;
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_coordination::MajorityWord;
 use mangocross_coordination::Vouch;
 use mangocross_coordination::Voucher;
 use mangocross_types::EntryVmSpec;
@@ -14,6 +16,7 @@
 use peer_entry::PollerHandler;
 use peer_entry::ProcessRole;
 
+use crate::poll_targets::PollTargets;
 use crate::state::GatewayState;
 use crate::state::lock;
 
@@ -23,11 +26,13 @@
 /// What the gateway asks coordinators and what it learns from them.
 pub(crate) struct GatewayPeers {
     state: Arc<GatewayState>,
+    targets: Mutex<PollTargets>,
 }
 
 impl GatewayPeers {
     pub(crate) fn new(state: Arc<GatewayState>) -> Self {
-        Self { state }
+        let interval = Duration::from_millis(state.settings.poll_interval_ms);
+        Self { state, targets: Mutex::new(PollTargets::new(interval)) }
     }
 
     fn is_own_coordinator(&self, address: SocketAddr) -> bool {
@@ -39,17 +44,25 @@
 
 impl PollerHandler for GatewayPeers {
     fn targets(&self) -> Vec<SocketAddr> {
-        let mut targets = self.state.settings.coordinators.clone();
+        let settings = &self.state.settings;
         let configuration = self.state.configuration();
-        targets.extend(configuration.entry_vms.iter().map(|it| it.coordinator));
-        targets.sort_unstable();
-        targets.dedup();
-        targets
+        let now = self.state.clock.now();
+        lock(&self.targets).next(
+            &configuration.entry_vms,
+            &settings.vm,
+            &settings.coordinators,
+            now,
+        )
     }
 
     fn poll(&self, to: SocketAddr) -> Poll {
         let configuration = self.state.configuration();
-        let usage = self.state.admitting.usage(&configuration, self.state.clock.now());
+        let (scope, reports) = lock(&self.targets).asks(to);
+        let usage = if reports {
+            self.state.admitting.usage(&configuration, self.state.clock.now())
+        } else {
+            Vec::new()
+        };
         // A guard in the literal below would be held while other locks are taken.
         let revision = self.state.node.in_force();
         Poll {
@@ -59,6 +72,8 @@
             process_id: self.state.process_id,
             revision,
             serving: !self.state.stopping.load(Ordering::SeqCst),
+            scope,
+            reports,
             usage,
             failures: if self.is_own_coordinator(to) {
                 self.state.failures.take()
@@ -70,12 +85,14 @@
     }
 
     fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply) {
+        lock(&self.targets).answered(from, &reply.owners, asked_at);
         let behind = {
             let voucher = Voucher { vm: reply.vm.clone(), address: from };
             let vouch = Vouch {
                 newest_known: reply.newest_known,
                 established: reply.established,
                 store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
+                majority: majority(&reply),
                 bound: Duration::from_millis(reply.vouch_ms.into()),
             };
             self.state.node.peer_said(&voucher, vouch, asked_at);
@@ -84,7 +101,9 @@
         if behind {
             self.state.node.fetch(from);
         }
-        self.state.admitting.heard(reply.usage, asked_at);
+        if let Some(usage) = reply.usage {
+            self.state.admitting.heard(usage, asked_at);
+        }
         let mut proofs = lock(&self.state.proofs);
         for proof in &reply.proofs {
             proofs.record(proof, asked_at);
@@ -104,3 +123,8 @@
         servers.forget_old(self.state.clock.now());
     }
 }
+
+fn majority(reply: &PollReply) -> Option<MajorityWord> {
+    let age = Duration::from_millis(reply.majority_age_ms?.into());
+    Some(MajorityWord { revision: reply.revision, age })
+}
--- a/crates/mangocross-coordination/src/freshness.rs
+++ b/crates/mangocross-coordination/src/freshness.rs
@@ -14,6 +14,10 @@
 //! its revision after its start, or a majority of entry VMs, itself not counted,
 //! are established and know nothing newer.
 //!
+//! A coordinator passes on the store's word and that of a majority with their age. Such a word
+//! counts only at a process that started before it was given: a revision may be accepted early
+//! because every gateway had it in force, and a process that starts after that has to learn of it.
+//!
 //! [`crate::AcceptanceTracker`] is the other half: when a revision is accepted.
 
 use std::collections::HashMap;
@@ -67,10 +71,23 @@
     pub established: bool,
     /// Time since the store confirmed that nothing newer was there.
     pub store_age: Option<Duration>,
+    /// What a majority of coordinators told it, if all of them vouched.
+    pub majority: Option<MajorityWord>,
     /// How long the coordinator waits for vouches to run out; a vouch counts no longer than that.
     pub bound: Duration,
 }
 
+/// That a majority of the entry VMs of a revision knew nothing newer.
+///
+/// Like the store's word it tells of a moment, so it may be passed on with its age.
+#[derive(Debug, Clone, Copy)]
+pub struct MajorityWord {
+    /// The revision.
+    pub revision: Revision,
+    /// Time since the first of them was asked.
+    pub age: Duration,
+}
+
 /// What a node knows about the newest revision.
 #[derive(Debug, Clone)]
 pub struct Freshness {
@@ -82,6 +99,8 @@
     store_confirmed_at: Option<Instant>,
     store_until: Option<Instant>,
     vouched_until: HashMap<Voucher, Instant>,
+    /// The newest revision for which a peer passed on a majority's word, and how long that counts.
+    relayed_majority: Option<(Revision, Instant)>,
 }
 
 impl Freshness {
@@ -96,6 +115,7 @@
             store_confirmed_at: None,
             store_until: None,
             vouched_until: HashMap::new(),
+            relayed_majority: None,
         }
     }
 
@@ -113,10 +133,12 @@
     fn store_confirmed(&mut self, revision: Revision, asked_at: Instant, bound: Duration) {
         self.newest_known = self.newest_known.max(revision);
         self.store_confirmed_at = self.store_confirmed_at.max(Some(asked_at));
-        self.store_until = self.store_until.max(Some(asked_at + bound));
-        // What the store said of the time before the start may be older than
-        // what the process that ran here before had vouched for.
-        self.established |= asked_at >= self.started_at;
+        // What the store said of the time before the start may be older than what the process
+        // that ran here before had vouched for, or had in force when a revision was accepted.
+        if asked_at >= self.started_at {
+            self.store_until = self.store_until.max(Some(asked_at + bound));
+            self.established = true;
+        }
     }
 
     /// Records the reply of a coordinator, which was asked at `asked_at`.
@@ -131,6 +153,18 @@
         if let Some(confirmed_at) = vouch.store_age.and_then(|it| asked_at.checked_sub(it)) {
             self.store_confirmed(vouch.newest_known, confirmed_at, bound);
         }
+        if let Some(word) = vouch.majority {
+            self.majority_passed_on(word, asked_at, bound);
+        }
+    }
+
+    /// Records a majority's word; as with the store's, one from before the start does not count.
+    fn majority_passed_on(&mut self, word: MajorityWord, asked_at: Instant, bound: Duration) {
+        let Some(vouched_at) = asked_at.checked_sub(word.age) else { return };
+        if vouched_at >= self.started_at {
+            let passed_on = (word.revision, vouched_at + bound);
+            self.relayed_majority = self.relayed_majority.max(Some(passed_on));
+        }
     }
 
     /// Lets this coordinator vouch once a majority of entry VMs, itself not counted, vouched.
@@ -144,16 +178,28 @@
         self.established |= heard >= majority(entry_vms.len());
     }
 
-    /// Returns what this coordinator says of the configuration.
-    pub fn vouch(&self, now: Instant) -> Vouch {
+    /// Returns what this coordinator says of the configuration, given the entry VMs of the
+    /// configuration in force.
+    pub fn vouch(&self, entry_vms: &[EntryVmSpec], now: Instant) -> Vouch {
         Vouch {
             newest_known: self.newest_known,
             established: self.established,
             store_age: self.store_confirmed_at.map(|it| now.duration_since(it)),
+            majority: self.majority_word(entry_vms, now),
             bound: self.bounds.vouch,
         }
     }
 
+    /// Returns what a majority said of the revision in force, if nothing newer is known here.
+    fn majority_word(&self, entry_vms: &[EntryVmSpec], now: Instant) -> Option<MajorityWord> {
+        if self.in_force < self.newest_known || self.in_force == Revision(0) {
+            return None;
+        }
+        let until = self.majority_until(entry_vms).filter(|it| now < *it)?;
+        let asked_at = until.checked_sub(self.bounds.vouch)?;
+        Some(MajorityWord { revision: self.in_force, age: now.saturating_duration_since(asked_at) })
+    }
+
     /// Returns the revision in force here.
     pub fn in_force(&self) -> Revision {
         self.in_force
@@ -173,7 +219,8 @@
         if !entry_vms.is_empty() && entry_vms.iter().all(|it| it.vm != *own) {
             return Permit::Unlisted;
         }
-        match self.store_until.max(self.majority_until(entry_vms)) {
+        let vouched_until = self.majority_until(entry_vms).max(self.relayed_majority_until());
+        match self.store_until.max(vouched_until) {
             Some(until) if now < until => Permit::Serve { until },
             _ => Permit::Alone {
                 vouching: self.vouching(entry_vms, now),
@@ -190,6 +237,14 @@
         vouched.get(decisive).copied()
     }
 
+    /// Returns until when a majority's word on the revision in force counts that a peer passed on.
+    ///
+    /// The majority is one of the entry VMs of that very revision.
+    fn relayed_majority_until(&self) -> Option<Instant> {
+        let relayed = self.relayed_majority.filter(|(revision, _)| *revision == self.in_force);
+        relayed.map(|(_, until)| until)
+    }
+
     fn vouching(&self, entry_vms: &[EntryVmSpec], now: Instant) -> usize {
         self.vouched(entry_vms).filter(|it| now < *it).count()
     }
--- a/crates/mangocross-coordination/src/ownership.rs
+++ b/crates/mangocross-coordination/src/ownership.rs
@@ -13,7 +13,7 @@
     live.into_iter().max_by_key(|vm| weight(key, vm))
 }
 
-fn weight(key: &str, vm: &VmId) -> u64 {
+pub(crate) fn weight(key: &str, vm: &VmId) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(key.as_bytes());
     hasher.update(&[0]);
--- /dev/null
+++ b/crates/mangocross-coordination/src/poll_plan.rs
@@ -0,0 +1,175 @@
+//! Which coordinators a gateway polls.
+//!
+//! In a small fleet a gateway polls every coordinator. In a larger one its polls
+//! must not grow with the fleet, so it polls
+//!
+//! - a few *relays*, which tell it of the configuration, of leaving VMs and of
+//!   use at other gateways: the coordinator on its own VM first, then one in
+//!   each of the other availability zones by rendezvous hashing; the first that
+//!   answers is told what the gateway itself has to report;
+//! - the owners of the groups chosen for it, of which the relays tell.
+//!
+//! A relay that falls silent is polled on, and the next one besides.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_types::AvailabilityZone;
+use mangocross_types::EntryVmSpec;
+use mangocross_types::GroupId;
+use mangocross_types::GroupSpec;
+use mangocross_types::ModelId;
+use mangocross_types::VmId;
+
+use crate::ownership::weight;
+
+/// Entry VMs up to which everybody polls everybody.
+const SMALL_FLEET_MAX: usize = 9;
+/// Relays that answer and are polled.
+const RELAYS: usize = 3;
+/// Groups of a model that are chosen for a gateway.
+const GROUPS_PER_MODEL: usize = 12;
+/// Gateways for which each group is chosen at the least.
+const GATEWAYS_PER_GROUP: usize = 4;
+
+/// Returns whether a fleet is so small that everybody polls everybody.
+pub fn is_small_fleet(entry_vms: &[EntryVmSpec]) -> bool {
+    entry_vms.len() <= SMALL_FLEET_MAX
+}
+
+/// When each coordinator was first polled, and when it last answered.
+#[derive(Debug, Clone)]
+pub struct AnswerTimes {
+    silence: Duration,
+    polled_since: HashMap<SocketAddr, Instant>,
+    answered: HashMap<SocketAddr, Instant>,
+}
+
+impl AnswerTimes {
+    /// Returns an empty table; a coordinator counts as silent after `silence` without an answer.
+    pub fn new(silence: Duration) -> Self {
+        Self { silence, polled_since: HashMap::new(), answered: HashMap::new() }
+    }
+
+    /// Records who is polled now; others are forgotten.
+    pub fn polled(&mut self, targets: &[SocketAddr], now: Instant) {
+        self.polled_since.retain(|it, _| targets.contains(it));
+        self.answered.retain(|it, _| targets.contains(it));
+        for target in targets {
+            self.polled_since.entry(*target).or_insert(now);
+        }
+    }
+
+    /// Records an answer to a poll that was sent at `asked_at`.
+    pub fn answered(&mut self, from: SocketAddr, asked_at: Instant) {
+        let answered = self.answered.entry(from).or_insert(asked_at);
+        *answered = (*answered).max(asked_at);
+    }
+
+    /// Returns whether a coordinator has answered a poll of late.
+    pub fn is_answering(&self, coordinator: SocketAddr, now: Instant) -> bool {
+        let is_new = |it: &Instant| now.saturating_duration_since(*it) < self.silence;
+        self.answered.get(&coordinator).is_some_and(is_new)
+    }
+
+    /// Returns whether a coordinator has been polled for a while and answers no longer.
+    pub fn is_silent(&self, coordinator: SocketAddr, now: Instant) -> bool {
+        let is_old = |it: &Instant| now.saturating_duration_since(*it) >= self.silence;
+        self.polled_since.get(&coordinator).is_some_and(is_old)
+            && !self.is_answering(coordinator, now)
+    }
+}
+
+/// The coordinators that tell a gateway of everything but proofs, the preferred one first.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayRanking {
+    ranked: Vec<SocketAddr>,
+}
+
+impl RelayRanking {
+    /// Ranks the coordinators of `entry_vms` for the gateway on entry VM `own`.
+    pub fn new(entry_vms: &[EntryVmSpec], own: &VmId) -> Self {
+        let mut by_weight: Vec<&EntryVmSpec> = entry_vms.iter().collect();
+        by_weight.sort_by_cached_key(|it| (it.vm != *own, u64::MAX - weight(own.as_str(), &it.vm)));
+        let mut zones: HashSet<&AvailabilityZone> = HashSet::new();
+        let (first_in_zone, others): (Vec<&EntryVmSpec>, Vec<&EntryVmSpec>) =
+            by_weight.into_iter().partition(|it| zones.insert(&it.availability_zone));
+        let ranked = first_in_zone.into_iter().chain(others).map(|it| it.coordinator);
+        Self { ranked: ranked.collect() }
+    }
+
+    /// Returns the relays to poll: the first ones, until enough of them are not silent.
+    pub fn polled(&self, is_silent: impl Fn(SocketAddr) -> bool) -> Vec<SocketAddr> {
+        let mut polled = Vec::new();
+        let mut answering = 0;
+        for relay in &self.ranked {
+            if answering == RELAYS {
+                break;
+            }
+            polled.push(*relay);
+            answering += usize::from(!is_silent(*relay));
+        }
+        polled
+    }
+
+    /// Returns the relay that the gateway reports to: the first that is not silent.
+    pub fn reporter(&self, is_silent: impl Fn(SocketAddr) -> bool) -> Option<SocketAddr> {
+        self.ranked.iter().copied().find(|it| !is_silent(*it))
+    }
+}
+
+/// Returns the groups whose owners the gateway on entry VM `gateway` polls.
+///
+/// A gateway takes the groups of each model that weigh most for it, so that it has several
+/// to choose from, and a group takes the gateways that weigh most for it, so that each group
+/// is served by some.
+pub fn chosen_groups<'a>(
+    groups: &'a [GroupSpec],
+    entry_vms: &[EntryVmSpec],
+    gateway: &VmId,
+) -> Vec<&'a GroupId> {
+    let own = Key::of(gateway.as_str());
+    let others: Vec<Key> =
+        entry_vms.iter().filter(|it| it.vm != *gateway).map(|it| Key::of(it.vm.as_str())).collect();
+    let mut by_model: HashMap<&ModelId, Vec<(u64, &GroupId)>> = HashMap::new();
+    let mut chosen: Vec<&GroupId> = Vec::new();
+    for group in groups {
+        let key = Key::of(group.id.as_str());
+        let own_weight = key.weight(own);
+        let heavier = others.iter().filter(|it| key.weight(**it) > own_weight);
+        if heavier.take(GATEWAYS_PER_GROUP).count() < GATEWAYS_PER_GROUP {
+            chosen.push(&group.id);
+        }
+        by_model.entry(&group.model).or_default().push((own_weight, &group.id));
+    }
+    for mut of_model in by_model.into_values() {
+        of_model.sort_unstable_by(|a, b| b.cmp(a));
+        chosen.extend(of_model.into_iter().take(GROUPS_PER_MODEL).map(|(_, group)| group));
+    }
+    chosen.sort_unstable();
+    chosen.dedup();
+    chosen
+}
+
+/// A hashed name, of which pairs can be weighed quickly.
+#[derive(Debug, Clone, Copy)]
+struct Key(u64);
+
+impl Key {
+    fn of(name: &str) -> Self {
+        let hash = blake3::hash(name.as_bytes());
+        let (first, _) = hash.as_bytes().split_at(size_of::<u64>());
+        Self(u64::from_be_bytes(first.try_into().expect("eight bytes")))
+    }
+
+    /// Returns the weight of a pair, by the finalizer of splitmix64.
+    fn weight(self, other: Self) -> u64 {
+        let mut mixed = self.0 ^ other.0.rotate_left(32);
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+}
--- a/crates/mangocross-coordination/tests/acceptance.rs
+++ b/crates/mangocross-coordination/tests/acceptance.rs
@@ -8,6 +8,7 @@
 use mangocross_coordination::AcceptanceTracker;
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
+use mangocross_coordination::MajorityWord;
 use mangocross_coordination::Permit;
 use mangocross_coordination::Sighting;
 use mangocross_coordination::Vouch;
@@ -39,7 +40,13 @@
 }
 
 fn vouch(newest_known: u64) -> Vouch {
-    Vouch { newest_known: Revision(newest_known), established: true, store_age: None, bound: VOUCH }
+    Vouch {
+        newest_known: Revision(newest_known),
+        established: true,
+        store_age: None,
+        majority: None,
+        bound: VOUCH,
+    }
 }
 
 fn accepted(tracker: &mut AcceptanceTracker, now: Instant) -> bool {
@@ -129,7 +136,7 @@
     // It holds revision 1 still, with the store's fresh word for revision 2.
     let mut gateway = Freshness::new(BOUNDS, start);
     gateway.applied(Revision(1));
-    gateway.peer_said(&Voucher::from(&entry_vm(1)), coordinator.vouch(start), start);
+    gateway.peer_said(&Voucher::from(&entry_vm(1)), coordinator.vouch(&[], start), start);
     let permit = gateway.permit(&entry_vms(), &entry_vm(1).vm, start);
     assert_eq!(permit, Permit::Behind { newest: Revision(2) });
 }
@@ -172,3 +179,29 @@
     let permit = gateway.permit(&entry_vms(), &own, until);
     assert_eq!(permit, Permit::Alone { vouching: 0, needed: 2 });
 }
+
+#[test]
+fn word_from_before_a_process_started_does_not_let_it_serve() {
+    let start = Instant::now();
+    let started_at = start + VOUCH;
+    let asked_at = started_at + VOUCH / 2;
+    let (before, after) = (VOUCH * 3 / 4, VOUCH / 4);
+    let majority = |revision, age| Some(MajorityWord { revision: Revision(revision), age });
+    let words = [
+        (Vouch { store_age: Some(before), ..vouch(1) }, false),
+        (Vouch { store_age: Some(after), ..vouch(1) }, true),
+        (Vouch { majority: majority(1, before), ..vouch(1) }, false),
+        (Vouch { majority: majority(1, after), ..vouch(1) }, true),
+        // The entry VMs of another revision may be others.
+        (Vouch { majority: majority(2, after), ..vouch(1) }, false),
+    ];
+    for (word, serves) in words {
+        let mut gateway = Freshness::new(BOUNDS, started_at);
+        gateway.applied(Revision(1));
+        gateway.peer_said(&Voucher::from(&entry_vm(1)), word, asked_at);
+        let permit = gateway.permit(&entry_vms(), &entry_vm(1).vm, asked_at);
+        assert_eq!(matches!(permit, Permit::Serve { .. }), serves, "{word:?}: {permit:?}");
+        let ended = gateway.permit(&entry_vms(), &entry_vm(1).vm, asked_at + VOUCH - after);
+        assert!(!matches!(ended, Permit::Serve { .. }), "{word:?} counts too long");
+    }
+}
--- a/crates/mangocross-coordination/tests/configuration_histories.rs
+++ b/crates/mangocross-coordination/tests/configuration_histories.rs
@@ -14,11 +14,11 @@
     asked.and_then(|it| it.parse().ok()).unwrap_or(CASES)
 }
 
-fn explore(changes_membership: bool) {
+fn explore(new_world: impl Fn(u64, u16) -> World) {
     let (mut served, mut accepted) = (0, 0);
     for seed in 0..cases() {
         let vms = 1 + (seed % 7) as u16;
-        let mut world = World::new(seed, vms, changes_membership);
+        let mut world = new_world(seed, vms);
         for _ in 0..STEPS {
             if let Err(message) = world.step_with_faults() {
                 panic!("seed {seed}, {vms} entry VMs: {message}");
@@ -33,18 +33,25 @@
 
 #[test]
 fn no_node_serves_under_a_configuration_older_than_an_accepted_one() {
-    explore(false);
+    explore(|seed, vms| World::new(seed, vms, false));
 }
 
 #[test]
 fn no_node_serves_under_an_older_configuration_while_entry_vms_change() {
-    explore(true);
+    explore(|seed, vms| World::new(seed, vms, true));
+}
+
+#[test]
+fn no_node_serves_under_an_older_configuration_while_gateways_poll_few_coordinators() {
+    explore(|seed, vms| World::sparse(seed, vms, false));
+    explore(|seed, vms| World::sparse(seed, vms, true));
 }
 
 #[test]
 fn nodes_go_on_serving_in_a_whole_store_outage_and_after_restarts_in_it() {
-    for seed in 0..20 {
-        let mut world = World::new(seed, 5, false);
+    let dense = (0..20).map(|seed| (seed, World::new(seed, 5, false)));
+    let sparse = (0..20).map(|seed| (seed, World::sparse(seed, 5, false)));
+    for (seed, mut world) in dense.chain(sparse) {
         run(&mut world, 40);
         world.set_store(false);
         run(&mut world, 200);
--- /dev/null
+++ b/crates/mangocross-coordination/tests/poll_plan.rs
@@ -0,0 +1,111 @@
+//! Which coordinators a gateway of a larger fleet polls.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::AnswerTimes;
+use mangocross_coordination::RelayRanking;
+use mangocross_coordination::chosen_groups;
+use mangocross_types::DesiredState;
+use mangocross_types::EntryVmSpec;
+use mangocross_types::GroupId;
+use mangocross_types::GroupSize;
+use mangocross_types::GroupSpec;
+
+const ENTRY_VMS: u16 = 350;
+const GROUPS: u16 = 438;
+
+fn entry_vms(count: u16, zones: u16) -> Vec<EntryVmSpec> {
+    let entry_vm = |it: u16| EntryVmSpec {
+        vm: format!("entry-{it}").parse().unwrap(),
+        availability_zone: format!("zone-{}", it % zones).parse().unwrap(),
+        coordinator: SocketAddr::from(([127, 0, 0, 1], 7_000 + it)),
+    };
+    (0..count).map(entry_vm).collect()
+}
+
+fn groups(count: u16, model: &str) -> Vec<GroupSpec> {
+    let group = |it: u16| GroupSpec {
+        id: format!("{model}-{it}").parse().unwrap(),
+        model: model.parse().unwrap(),
+        model_version: "v1".parse().unwrap(),
+        size: GroupSize(16),
+        desired: DesiredState::Serving,
+        domain: None,
+        customers: Vec::new(),
+        kinds: Vec::new(),
+    };
+    (0..count).map(group).collect()
+}
+
+#[test]
+fn every_group_has_gateways_and_every_gateway_groups_of_each_model() {
+    let fleet = entry_vms(ENTRY_VMS, 10);
+    let all: Vec<GroupSpec> =
+        groups(GROUPS, "letters").into_iter().chain(groups(3, "drills")).collect();
+    let mut gateways: HashMap<&GroupId, u32> = HashMap::new();
+    for entry_vm in &fleet {
+        let chosen = chosen_groups(&all, &fleet, &entry_vm.vm);
+        let of = |model: &str| chosen.iter().filter(|it| it.as_str().starts_with(model)).count();
+        assert!((12..=40).contains(&of("letters")), "{}: {}", entry_vm.vm, of("letters"));
+        assert_eq!(of("drills"), 3, "{} lacks groups of the small model", entry_vm.vm);
+        chosen.into_iter().for_each(|it| *gateways.entry(it).or_default() += 1);
+    }
+    for group in &all {
+        let count = gateways.get(&group.id).copied().unwrap_or_default();
+        assert!(count >= 4, "{} is polled for by {count} gateways", group.id);
+    }
+}
+
+#[test]
+fn change_of_the_fleet_moves_few_choices() {
+    let (fleet, all) = (entry_vms(ENTRY_VMS, 10), groups(GROUPS, "letters"));
+    let gateway = &fleet[0].vm;
+    let before = chosen_groups(&all, &fleet, gateway);
+    let after = chosen_groups(&all, &fleet[..340], gateway);
+    let kept = before.iter().filter(|it| after.contains(it)).count();
+    assert_eq!(kept, before.len(), "a gateway that stays loses groups to none that leaves");
+    let fewer = chosen_groups(&all[1..], &fleet, gateway);
+    assert!(before.iter().filter(|it| !fewer.contains(it)).count() <= 1);
+}
+
+#[test]
+fn relays_are_the_own_coordinator_and_one_in_each_other_zone() {
+    let fleet = entry_vms(30, 3);
+    for entry_vm in &fleet {
+        let relays = RelayRanking::new(&fleet, &entry_vm.vm).polled(|_| false);
+        assert_eq!(relays[0], entry_vm.coordinator);
+        let mut zones: Vec<u16> = relays.iter().map(|it| (it.port() - 7_000) % 3).collect();
+        zones.sort_unstable();
+        assert_eq!(zones, [0, 1, 2]);
+    }
+}
+
+#[test]
+fn silent_relay_is_polled_on_and_another_one_besides() {
+    let fleet = entry_vms(30, 3);
+    let own = &fleet[4];
+    let ranking = RelayRanking::new(&fleet, &own.vm);
+    let start = Instant::now();
+    let mut times = AnswerTimes::new(Duration::from_secs(2));
+    let mut polled = ranking.polled(|_| false);
+    times.polled(&polled, start);
+    // A process that was paused has heard nobody; it polls few more, not everybody.
+    let later = start + Duration::from_secs(600);
+    polled = ranking.polled(|it| times.is_silent(it, later));
+    assert_eq!(polled.len(), 6);
+    times.polled(&polled, later);
+    for relay in &polled[1..] {
+        times.answered(*relay, later);
+    }
+    let silent = |it| times.is_silent(it, later + Duration::from_millis(500));
+    assert_eq!(ranking.polled(silent).len(), 4);
+    assert_eq!(ranking.polled(silent)[0], own.coordinator);
+    assert_eq!(ranking.reporter(silent), Some(polled[1]));
+    times.answered(own.coordinator, later);
+    let silent = |it| times.is_silent(it, later + Duration::from_millis(500));
+    assert_eq!(ranking.polled(silent).len(), 3);
+    assert_eq!(ranking.reporter(silent), Some(own.coordinator));
+}
--- a/crates/mangocross-coordination/tests/support/mod.rs
+++ b/crates/mangocross-coordination/tests/support/mod.rs
@@ -33,10 +33,20 @@
     tracker: AcceptanceTracker,
     /// Revisions that this coordinator wrote and waits for.
     written: Vec<Written>,
+    /// What gateways reported to this coordinator.
+    reports: BTreeMap<VmId, Report>,
     reads_store: bool,
     hears_peers: bool,
 }
 
+/// What a gateway had in force at some time after `said_after`.
+#[derive(Clone)]
+struct Report {
+    process: u64,
+    in_force: Revision,
+    said_after: Instant,
+}
+
 struct Written {
     revision: Revision,
     base: Option<Vec<EntryVmSpec>>,
@@ -66,6 +76,8 @@
         from_process: u64,
         vouch: Vouch,
         in_force: Revision,
+        /// Gateways that reported to the coordinator, and the age of each report.
+        reports: Vec<(VmId, Report, Duration)>,
         asked_at: Instant,
         made_at: Instant,
     },
@@ -98,6 +110,8 @@
     accepted: Revision,
     last_process: u64,
     changes_membership: bool,
+    /// Whether gateways poll few coordinators, as in a large fleet.
+    is_sparse: bool,
     pub(crate) served: u32,
     pub(crate) accepted_count: u32,
 }
@@ -116,6 +130,7 @@
             accepted: Revision(0),
             last_process: 0,
             changes_membership,
+            is_sparse: false,
             served: 0,
             accepted_count: 0,
         };
@@ -128,6 +143,12 @@
         world
     }
 
+    /// Returns a model in which each gateway polls the coordinators of its own entry VM and of
+    /// one other, and coordinators pass on what gateways report.
+    pub(crate) fn sparse(seed: u64, vms: u16, changes_membership: bool) -> Self {
+        Self { is_sparse: true, ..Self::new(seed, vms, changes_membership) }
+    }
+
     /// Runs one step with faults.
     pub(crate) fn step_with_faults(&mut self) -> Result<(), String> {
         self.fault();
@@ -273,20 +294,38 @@
                         asked_at,
                         heard_at: now,
                     };
-                    node.tracker.gateway_said(from, &sighting);
+                    node.tracker.gateway_said(from.clone(), &sighting);
+                    let report = Report { process, in_force, said_after: asked_at };
+                    node.reports.insert(from, report);
                 }
+                let reports = match role {
+                    Role::Coordinator if self.is_sparse => reports(&self.nodes[envelope.to], now),
+                    _ => Vec::new(),
+                };
+                let members = self.members_at(envelope.to);
+                let node = &self.nodes[envelope.to];
                 let reply = Message::Reply {
                     role,
                     process,
                     from_process: node.coordinator.id,
-                    vouch: node.coordinator.freshness.vouch(now),
+                    vouch: node.coordinator.freshness.vouch(&members, now),
                     in_force: node.coordinator.freshness.in_force(),
+                    reports,
                     asked_at,
                     made_at: now,
                 };
                 self.send(envelope.to, envelope.from, reply);
             }
-            Message::Reply { role, process, from_process, vouch, in_force, asked_at, made_at } => {
+            Message::Reply {
+                role,
+                process,
+                from_process,
+                vouch,
+                in_force,
+                reports,
+                asked_at,
+                made_at,
+            } => {
                 let voucher = voucher(&self.nodes[envelope.from]);
                 let applies = self.rng.u8(..) < 200;
                 let node = &mut self.nodes[envelope.to];
@@ -316,6 +355,15 @@
                         heard_at: now,
                     };
                     node.tracker.coordinator_said(voucher, vouch.established, &sighting);
+                    for (vm, report, age) in reports {
+                        let sighting = Sighting {
+                            process_id: report.process,
+                            revision: report.in_force,
+                            asked_at: asked_at - age,
+                            heard_at: now,
+                        };
+                        node.tracker.gateway_said(vm, &sighting);
+                    }
                 }
             }
         }
@@ -344,6 +392,10 @@
             if process.frozen || (role == Role::Coordinator && to == node) {
                 continue;
             }
+            let is_relay = to == node || to == (node + 1) % self.nodes.len();
+            if self.is_sparse && role == Role::Gateway && !is_relay {
+                continue;
+            }
             let message = Message::Poll {
                 role,
                 process: process.id,
@@ -374,11 +426,12 @@
         for index in 0..self.nodes.len() {
             let now = self.now;
             let own = voucher(&self.nodes[index]);
+            let members = self.members_at(index);
             let node = &mut self.nodes[index];
             if node.coordinator.frozen {
                 continue;
             }
-            let vouch = node.coordinator.freshness.vouch(now);
+            let vouch = node.coordinator.freshness.vouch(&members, now);
             let sighting = Sighting {
                 process_id: node.coordinator.id,
                 revision: vouch.newest_known,
@@ -447,6 +500,12 @@
         node.gateway.freshness.permit(members, &node.vm, self.now)
     }
 
+    /// Returns the entry VMs of the configuration in force at a coordinator.
+    fn members_at(&self, node: usize) -> Vec<EntryVmSpec> {
+        let in_force = self.nodes[node].coordinator.freshness.in_force();
+        self.documents.get(&in_force).cloned().unwrap_or_default()
+    }
+
     fn reaches_store(&self, node: usize) -> bool {
         let node = &self.nodes[node];
         self.store_up && node.reads_store && !node.coordinator.frozen
@@ -474,6 +533,7 @@
             gateway: self.new_process(),
             tracker: AcceptanceTracker::new(VOUCH),
             written: Vec::new(),
+            reports: BTreeMap::new(),
             reads_store: true,
             hears_peers: true,
         }
@@ -483,6 +543,7 @@
         self.nodes[node].coordinator = self.new_process();
         self.nodes[node].tracker = AcceptanceTracker::new(VOUCH);
         self.nodes[node].written.clear();
+        self.nodes[node].reports.clear();
     }
 
     fn restart_gateway(&mut self, node: usize) {
@@ -490,6 +551,11 @@
     }
 }
 
+fn reports(node: &Node, now: Instant) -> Vec<(VmId, Report, Duration)> {
+    let reports = node.reports.iter();
+    reports.map(|(vm, it)| (vm.clone(), it.clone(), now - it.said_after)).collect()
+}
+
 fn spec(node: &Node) -> EntryVmSpec {
     EntryVmSpec {
         vm: node.vm.clone(),
--- a/crates/mangocross-node/src/configuration.rs
+++ b/crates/mangocross-node/src/configuration.rs
@@ -98,7 +98,8 @@
 
     /// Returns what this process says of the configuration.
     pub fn vouch(&self, now: Instant) -> Vouch {
-        self.lock().freshness.vouch(now)
+        let held = self.lock();
+        held.freshness.vouch(&held.configuration.entry_vms, now)
     }
 
     /// Records that the store named `revision` as the newest, when asked at `asked_at`.
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -24,6 +24,17 @@
     Coordinator,
 }
 
+/// How much of what a coordinator knows a gateway wants.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PollScope {
+    /// Everything.
+    All,
+    /// Everything, and who proves the groups chosen for the gateway.
+    Relay,
+    /// The proofs of groups, besides what says how fresh the configuration is.
+    Proofs,
+}
+
 /// A question to a coordinator.
 ///
 /// Size: about 40 bytes and 12 for each customer with requests in flight.
@@ -41,7 +52,11 @@
     pub revision: Revision,
     /// Whether the asker takes new requests.
     pub serving: bool,
-    /// Use by customer at this gateway.
+    /// How much a gateway wants to know.
+    pub scope: PollScope,
+    /// Whether the coordinator asked is to pass on what this poll says of the gateway.
+    pub reports: bool,
+    /// Use by customer at this gateway, if it reports.
     pub usage: Vec<CustomerUsage>,
     /// Requests that failed lately; sent only to the coordinator on the same VM.
     pub failures: Vec<RequestFailure>,
@@ -113,6 +128,9 @@
     /// Time since the store confirmed that nothing newer than `newest_known` was
     /// there, in milliseconds, rounded up; `None` if it never did.
     pub store_age_ms: Option<u32>,
+    /// Time since a majority of the entry VMs of `revision` was asked, all of which vouched, in
+    /// milliseconds, rounded up; `None` if it never was, or something newer is known.
+    pub majority_age_ms: Option<u32>,
     /// Proofs from the answerer's own probes; no time left means that the group is
     /// known to be incomplete. Told to gateways only.
     pub proofs: Vec<GroupProof>,
@@ -124,10 +142,31 @@
     pub domains: Vec<DomainSummary>,
     /// VMs that must receive no new work.
     pub leaving: Vec<LeavingVm>,
-    /// Use by customer at all other gateways that poll the answerer; told to gateways only.
-    pub usage: Vec<CustomerUsage>,
-    /// Backend servers of plain services in the platform's list.
+    /// Use by customer at all other gateways; told to gateways that want everything.
+    pub usage: Option<Vec<CustomerUsage>>,
+    /// Backend servers of plain services in the platform's list; told with the use.
     pub service_servers: Vec<ServiceServer>,
+    /// Coordinators that prove the groups chosen for the asker; told to gateways that ask a relay.
+    pub owners: Vec<SocketAddr>,
+    /// Gateways that report to the answerer; told to coordinators of a large fleet only.
+    pub gateways: Vec<GatewayReport>,
+}
+
+/// What a gateway reported to a coordinator.
+///
+/// Size: about 30 bytes and 17 for each customer with requests in flight.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayReport {
+    /// Its VM.
+    pub vm: VmId,
+    /// Random number chosen at the gateway's start.
+    pub process_id: u64,
+    /// Revision of the configuration that it had in force.
+    pub revision: Revision,
+    /// Time since a moment after which it said so, in milliseconds, rounded up.
+    pub age_ms: u32,
+    /// Use by customer there.
+    pub usage: Vec<CustomerUsage>,
 }
 
 /// A backend server of a plain service.
--- a/peers/peer-entry/tests/frames.rs
+++ b/peers/peer-entry/tests/frames.rs
@@ -23,6 +23,7 @@
 use peer_entry::Poll;
 use peer_entry::PollReply;
 use peer_entry::PollResponder;
+use peer_entry::PollScope;
 use peer_entry::PollTiming;
 use peer_entry::Poller;
 use peer_entry::PollerHandler;
@@ -73,7 +74,10 @@
         proofs: Vec::new(),
         domains: Vec::new(),
         leaving: Vec::new(),
-        usage: Vec::new(),
+        usage: None,
+        majority_age_ms: None,
+        owners: Vec::new(),
+        gateways: Vec::new(),
     }
 }
 
@@ -96,6 +100,8 @@
             process_id: 9,
             revision: Revision(2),
             serving: true,
+            scope: PollScope::All,
+            reports: true,
             usage: Vec::new(),
             failures: Vec::new(),
             echo: None,
--- /dev/null
+++ b/tests/tests/large_fleet.rs
@@ -0,0 +1,86 @@
+//! A fleet in which each gateway polls only a few coordinators.
+
+use std::thread;
+use std::time::Duration;
+
+use mangocross_tests::Cluster;
+use mangocross_tests::ClusterBuilder;
+use mangocross_tests::Outgoing;
+use mangocross_types::RunOutcome;
+use standins::StoreFaults;
+
+/// One more entry VM than those among which everybody polls everybody.
+const NODES: u16 = 10;
+/// How long a vouch counts where it is to run out, in milliseconds.
+const VOUCH_SHORT_MS: u64 = 3_000;
+/// How long a vouch counts where nothing is accepted by waiting for its end, in milliseconds.
+const VOUCH_LONG_MS: u64 = 15_000;
+/// Time between polls, in milliseconds.
+const POLL_INTERVAL_MS: u64 = 300;
+/// Time after which a gateway that starts has turned from everybody to a few coordinators, and
+/// no vouch from before counts.
+const FEW_ARE_POLLED: Duration = Duration::from_millis(6_000 + VOUCH_SHORT_MS);
+
+fn start(vouch_ms: u64, domains: &[u16]) -> Cluster {
+    ClusterBuilder::new(NODES, domains)
+        .coordinator_setting("vouch_ms", vouch_ms)
+        .coordinator_setting("poll_interval_ms", POLL_INTERVAL_MS)
+        .gateway_setting("vouch_ms", vouch_ms)
+        .gateway_setting("poll_interval_ms", POLL_INTERVAL_MS)
+        .start()
+}
+
+fn serves(cluster: &Cluster, node: u16) -> bool {
+    let status = Outgoing::service("town", "status", "registry/status", "");
+    cluster.send(node, &status).outcome() == Some(RunOutcome::Ran)
+}
+
+fn draft() -> Outgoing {
+    Outgoing::chat("town", "draft", "letters", 1, true)
+}
+
+fn start_groups(cluster: &Cluster, groups: u16) {
+    for number in 1..=groups {
+        let line = format!("start group letters-{number} model letters version v1 members 2");
+        cluster.operate(0, &line).expect("the group is accepted");
+    }
+    for node in 0..NODES {
+        cluster.wait_until("every gateway reaches a group", || {
+            cluster.send(node, &draft()).is_whole()
+        });
+    }
+}
+
+#[test]
+fn command_is_in_force_at_once_though_each_gateway_polls_few_coordinators() {
+    let cluster = start(VOUCH_LONG_MS, &[2, 2, 2]);
+    start_groups(&cluster, 3);
+    let answer = cluster.operate(0, "drain vm vm-9-9").expect("the command is accepted");
+    assert_eq!(answer.message, format!("revision {} is in force", answer.revision));
+}
+
+#[test]
+fn gateway_whose_coordinator_died_serves_on_and_reports_to_another() {
+    let mut cluster = start(VOUCH_LONG_MS, &[2, 2, 2]);
+    start_groups(&cluster, 3);
+    cluster.coordinators[0].kill();
+    cluster.wait_until("groups and commands need none of the dead coordinator", || {
+        let answer = cluster.operate(1, "drain vm vm-9-9").expect("the command is stored");
+        let gateway_reported = !answer.message.contains("the gateway of entry-1");
+        gateway_reported && cluster.send(0, &draft()).is_whole()
+    });
+}
+
+#[test]
+fn store_outage_stops_no_gateway_and_no_restart() {
+    let mut cluster = start(VOUCH_SHORT_MS, &[]);
+    cluster.store.faults().set(StoreFaults { down: true, ..StoreFaults::default() });
+    thread::sleep(FEW_ARE_POLLED);
+    for node in 0..NODES {
+        cluster.wait_until("the majority that a relay heard is enough", || serves(&cluster, node));
+    }
+    cluster.gateways[3].restart();
+    thread::sleep(FEW_ARE_POLLED);
+    cluster
+        .wait_until("a gateway starts in the outage", || cluster.ready(3) && serves(&cluster, 3));
+}
