feat(coordinator): read the platform's list at two coordinators of each zone

Every coordinator read the whole list every three seconds: 1.2 MB at 7,000 VMs. Beyond nine entry VMs two of each zone read it, chosen like the readers of the store. Replies name the hash of the list held and its age; whoever holds an older one fetches the difference from the coordinator that named it, and reads the list itself when that fails or no word on the list is newer than six seconds. Words on leaving VMs travel with their ages in every reply as before, so they do not wait for the list. Which VMs count as leaving is now worked out at each look, also when a read fails.

The test kills the six readers of ten and lets a server leave: red with dead readers kept and no age limit. Ruled out: reading anew whenever a peer names another list (the whole list everywhere at every change), changes since a revision (the platform's form has none).

--- a/benches/src/bin/capacity.rs
+++ b/benches/src/bin/capacity.rs
@@ -14,6 +14,7 @@
 use mangocross_coordination::ProofTable;
 use mangocross_coordination::Vouch;
 use mangocross_coordination::Voucher;
+use mangocross_coordination::chosen_groups;
 use mangocross_http::HttpTimeouts;
 use mangocross_tests::Cluster;
 use mangocross_tests::ClusterBuilder;
@@ -65,6 +66,9 @@
     println!("\nMessages between entry VMs, bytes with headers");
     report("poll, by customers in flight", &[0, 10, 20, 40], |it| wire_bytes(&sample::poll(it)));
     report("reply, by groups proven", &[0, 1, 2, 5, 10], |it| wire_bytes(&sample::reply(it, 0)));
+    report("reply to a coordinator of a large fleet, by customers in flight", &[0, 10, 40], |it| {
+        wire_bytes(&sample::peer_reply(it))
+    });
     report("reply, by leaving VMs", &[0, 10, 50, 100], |it| wire_bytes(&sample::reply(0, it)));
 }
 
@@ -95,6 +99,14 @@
         time(|| reply.proofs.iter().for_each(|proof| table.record(proof, now)))
     });
     report("permit to serve, by entry VMs", &[7, 70, 350], permit_time);
+    report("choosing the groups of a gateway, 438 groups, by entry VMs", &[20, 70, 350], |it| {
+        let configuration = sample::configuration(438, 0, it);
+        let (groups, entry_vms) = (&configuration.groups, &configuration.entry_vms);
+        let gateway = &entry_vms[0].vm;
+        time(|| {
+            black_box(chosen_groups(groups, entry_vms, gateway));
+        })
+    });
     report("reading a configuration, by groups", &[10, 100, 438], |it| {
         let text = json_text(&sample::configuration(it, 0, 0));
         time(|| {
--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -22,12 +22,14 @@
 use mangocross_types::VmRole;
 use mangocross_types::VmState;
 use peer_entry::CustomerUsage;
+use peer_entry::GatewayReport;
 use peer_entry::LeavingVm;
 use peer_entry::Poll;
 use peer_entry::PollReply;
 use peer_entry::PollScope;
 use peer_entry::ProcessRole;
 use peer_entry::ReplyStamp;
+use peer_entry::VmListWord;
 use serde_json::Value;
 use serde_json::json;
 
@@ -91,10 +93,25 @@
         usage: None,
         majority_age_ms: Some(1_000),
         owners: Vec::new(),
+        vm_list: None,
         gateways: Vec::new(),
     }
 }
 
+/// Returns a coordinator's reply to another one in a large fleet, with a number of customers in
+/// flight at the gateway that reports to it.
+pub fn peer_reply(customers: usize) -> PollReply {
+    let report = GatewayReport {
+        vm: id("entry", 1),
+        process_id: u64::MAX,
+        revision: Revision(24_000),
+        age_ms: 1_000,
+        usage: poll(customers).usage,
+    };
+    let vm_list = Some(VmListWord { hash: u64::MAX, age_ms: 1_000 });
+    PollReply { vm_list, gateways: vec![report], ..reply(0, 0) }
+}
+
 fn stamp() -> ReplyStamp {
     ReplyStamp { process_id: u64::MAX, uptime_ms: 86_400_000 }
 }
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -12,6 +12,7 @@
 mod domain_view;
 mod domains;
 mod failures;
+mod held_list;
 mod known_revision;
 mod operators;
 mod orders;
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -102,6 +102,9 @@
             leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
         }
         drop(leaving);
+        if let Some(word) = reply.vm_list {
+            self.state.vm_list.heard(from, word, asked_at);
+        }
         for report in reply.gateways {
             take_report(&self.state, report, asked_at);
         }
@@ -152,6 +155,7 @@
         usage: is_everything.then(|| usage_of_others(state, &poll.vm, now)),
         service_servers: service_servers(state, is_everything),
         owners: if is_relay { owners_for(state, &poll.vm) } else { Vec::new() },
+        vm_list: if for_gateway || is_small { None } else { state.vm_list.word(now) },
         gateways: if for_gateway || is_small { Vec::new() } else { reports(state, now) },
     }
 }
@@ -247,7 +251,7 @@
 }
 
 /// Rounds up, so that an age passed on from peer to peer never falls behind.
-fn milliseconds_up(age: Duration) -> u32 {
+pub(crate) fn milliseconds_up(age: Duration) -> u32 {
     u32::try_from(age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
 }
 
--- a/bins/mangocross-coordinator/src/platform.rs
+++ b/bins/mangocross-coordinator/src/platform.rs
@@ -1,12 +1,16 @@
 //! Follows the platform's list of VMs.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use mangocross_coordination as coordination;
 use mangocross_coordination::EngineVm;
+use mangocross_coordination::ListStep;
+use mangocross_coordination::is_small_fleet;
 use mangocross_types::FabricDomain;
 use mangocross_types::VmId;
 use mangocross_types::VmListEntry;
@@ -18,30 +22,69 @@
 use crate::state::CoordinatorState;
 use crate::state::lock;
 
-/// Time between reads of the list.
-const READ_INTERVAL: Duration = Duration::from_millis(3_000);
+/// Time between looks at the list.
+const LOOK_INTERVAL: Duration = Duration::from_millis(3_000);
+/// Age at which a list is read anew by anybody.
+const LIST_AGE_MAX: Duration = Duration::from_millis(6_000);
+/// What readers of the list are chosen by.
+const LIST_KEY: &str = "platform/vms";
 
-/// Reads the list again and again.
+/// Reads the list again and again, or takes its changes from a coordinator that does.
 pub(crate) fn run(state: &Arc<CoordinatorState>) {
     loop {
-        let asked_at = state.clock.now();
-        match state.platform.vms() {
-            Ok(list) => take(state, &list, asked_at),
-            Err(error) => log::warn!("the platform's list could not be read: {error}"),
+        let now = state.clock.now();
+        let step = state.vm_list.next(is_reader(state), LIST_AGE_MAX, now);
+        match step {
+            ListStep::Keep => {}
+            ListStep::Read => read(state),
+            ListStep::Fetch(from) => fetch(state, from),
         }
-        thread::sleep(READ_INTERVAL);
+        take(state, &state.vm_list.vms());
+        thread::sleep(LOOK_INTERVAL);
     }
 }
 
-fn take(state: &CoordinatorState, list: &VmList, asked_at: Instant) {
+/// Returns whether this coordinator reads the list whatever others hold.
+fn is_reader(state: &CoordinatorState) -> bool {
+    let configuration = state.configuration();
+    let (entry_vms, own) = (&configuration.entry_vms, &state.settings.vm);
+    is_small_fleet(entry_vms)
+        || coordination::is_reader(LIST_KEY, entry_vms, own, &state.live_coordinators())
+}
+
+fn read(state: &CoordinatorState) {
+    let asked_at = state.clock.now();
+    match state.platform.vms() {
+        Ok(list) => hear(state, list, asked_at),
+        Err(error) => log::warn!("the platform's list could not be read: {error}"),
+    }
+}
+
+/// Fetches the changes of the list from a coordinator, and reads the list if that fails.
+fn fetch(state: &CoordinatorState, from: SocketAddr) {
+    match state.vm_list.fetch(from, state.clock.now()) {
+        Ok(()) => log::info!("took the changes of the platform's list from {from}"),
+        Err(message) => {
+            log::info!("reading the platform's list, as its changes were not taken: {message}");
+            read(state);
+        }
+    }
+}
+
+fn hear(state: &CoordinatorState, list: VmList, asked_at: Instant) {
     let said_at = asked_at.checked_sub(Duration::from_millis(list.age_ms)).unwrap_or(asked_at);
     let mut leaving = lock(&state.leaving);
     for entry in list.vms.iter().filter(|it| it.state == VmState::Leaving) {
         leaving.said(&entry.vm, said_at);
     }
     drop(leaving);
+    state.vm_list.read(list.vms, asked_at);
+}
+
+/// Takes the VMs of a list, which of them are leaving as it is known by now.
+fn take(state: &CoordinatorState, vms: &[VmListEntry]) {
     let mut by_domain: BTreeMap<FabricDomain, Vec<EngineVm>> = BTreeMap::new();
-    for entry in &list.vms {
+    for entry in vms {
         let VmRole::Engine { fabric_domain, .. } = &entry.role else { continue };
         by_domain.entry(fabric_domain.clone()).or_default().push(EngineVm {
             vm: entry.vm.clone(),
@@ -50,7 +93,7 @@
             listed: true,
         });
     }
-    *lock(&state.service_servers) = list.vms.iter().filter_map(service_server).collect();
+    *lock(&state.service_servers) = vms.iter().filter_map(service_server).collect();
     keep_unlisted_members(state, &mut by_domain);
     *lock(&state.engines_by_domain) = by_domain;
 }
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -15,6 +15,7 @@
 use mangocross_coordination::GatewayTable;
 use mangocross_coordination::HeldAssignment;
 use mangocross_coordination::LeavingTable;
+use mangocross_coordination::ListHash;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
 use mangocross_coordination::preferred_owner;
@@ -34,6 +35,7 @@
 use peer_entry::CustomerUsage;
 use peer_entry::DomainSummary;
 use peer_entry::FetchSource;
+use peer_entry::ListChange;
 use peer_entry::PeerKey;
 use peer_entry::RequestFailure;
 use peer_entry::ServiceServer;
@@ -42,6 +44,7 @@
 use peer_store::Store;
 
 use crate::failures::KnownFailures;
+use crate::held_list::HeldList;
 use crate::known_revision::KnownRevision;
 use crate::owners::ChosenGroups;
 use crate::owners::OwnerTable;
@@ -81,6 +84,7 @@
     pub(crate) chosen_groups: ChosenGroups,
     pub(crate) engines_by_domain: Mutex<BTreeMap<FabricDomain, Vec<EngineVm>>>,
     pub(crate) service_servers: Mutex<Vec<ServiceServer>>,
+    pub(crate) vm_list: HeldList,
     pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) probes: Mutex<ProbeTable>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
@@ -94,7 +98,7 @@
         let started_at = clock.now();
         let leaving_kept = Duration::from_millis(settings.leaving_kept_ms);
         let vouch = Duration::from_millis(settings.vouch_ms);
-        let node = NodeConfiguration::open(settings.vm.clone(), key, vouch, started_at);
+        let node = NodeConfiguration::open(settings.vm.clone(), key.clone(), vouch, started_at);
         Self {
             store: Arc::new(HttpStore::open(settings.store)),
             platform: PlatformClient::open(settings.platform),
@@ -112,6 +116,7 @@
             chosen_groups: ChosenGroups::default(),
             engines_by_domain: Mutex::new(BTreeMap::new()),
             service_servers: Mutex::new(Vec::new()),
+            vm_list: HeldList::open(key),
             leaving: Mutex::new(LeavingTable::new(leaving_kept)),
             probes: Mutex::new(ProbeTable::default()),
             assignments: Mutex::new(BTreeMap::new()),
@@ -225,6 +230,10 @@
     fn failure(&self, request: &RequestId) -> Option<RequestFailure> {
         lock(&self.failures).find(request)
     }
+
+    fn list_change(&self, since: u64) -> Option<ListChange> {
+        self.vm_list.change(ListHash(since), self.clock.now())
+    }
 }
 
 /// Locks a mutex; each value is whole after every statement that changes it.
--- /dev/null
+++ b/crates/mangocross-coordination/src/list_words.rs
@@ -0,0 +1,82 @@
+//! Who reads the platform's list of VMs, and who takes its changes from others.
+//!
+//! The list is long and seldom changes. A few coordinators of each availability
+//! zone read it; the others hear from them, with its age, which list is the
+//! newest, and fetch what changed from whoever holds it. A coordinator that hears
+//! of no list for a while reads it itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Hash of a list's text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ListHash(pub u64);
+
+/// What a coordinator does about the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListStep {
+    /// The list held is the newest.
+    Keep,
+    /// Reads the platform's list.
+    Read,
+    /// Fetches what changed from a coordinator.
+    Fetch(SocketAddr),
+}
+
+/// Which list is held, and which others hold.
+#[derive(Debug, Clone, Default)]
+pub struct ListWords {
+    held: Option<Word>,
+    /// The newest word on another list than the one held.
+    other: Option<(Word, SocketAddr)>,
+}
+
+/// That a list was the platform's at a time.
+#[derive(Debug, Clone, Copy)]
+struct Word {
+    list: ListHash,
+    asked_at: Instant,
+}
+
+impl ListWords {
+    /// Records that a list is held that the platform gave when asked at `asked_at`.
+    pub fn holds(&mut self, list: ListHash, asked_at: Instant) {
+        if self.held.is_none_or(|it| it.asked_at <= asked_at) {
+            self.held = Some(Word { list, asked_at });
+        }
+        self.other = self.other.filter(|(it, _)| it.list != list && it.asked_at > asked_at);
+    }
+
+    /// Records that a coordinator, asked at `asked_at`, held a list of age `age`.
+    ///
+    /// The age counts from the moment of asking, so that transit never makes it younger.
+    pub fn heard(&mut self, from: SocketAddr, list: ListHash, age: Duration, asked_at: Instant) {
+        let Some(asked_at) = asked_at.checked_sub(age) else { return };
+        match &mut self.held {
+            Some(held) if held.list == list => held.asked_at = held.asked_at.max(asked_at),
+            _ => {
+                if self.other.is_none_or(|(it, _)| it.asked_at < asked_at) {
+                    self.other = Some((Word { list, asked_at }, from));
+                }
+            }
+        }
+    }
+
+    /// Returns the list held and its age.
+    pub fn held(&self, now: Instant) -> Option<(ListHash, Duration)> {
+        self.held.map(|it| (it.list, now.saturating_duration_since(it.asked_at)))
+    }
+
+    /// Decides what to do; `limit` is the age at which a list is read anew by anybody.
+    pub fn next(&self, is_reader: bool, limit: Duration, now: Instant) -> ListStep {
+        let Some(held) = self.held else { return ListStep::Read };
+        let newer = self.other.filter(|(it, _)| it.asked_at > held.asked_at);
+        match newer {
+            _ if is_reader => ListStep::Read,
+            Some((_, from)) => ListStep::Fetch(from),
+            None if now.saturating_duration_since(held.asked_at) >= limit => ListStep::Read,
+            None => ListStep::Keep,
+        }
+    }
+}
--- a/crates/mangocross-coordination/src/readers.rs
+++ b/crates/mangocross-coordination/src/readers.rs
@@ -1,7 +1,7 @@
-//! Which coordinators read the configuration from the store.
+//! Which coordinators read the configuration from the store, or the platform's list.
 //!
 //! A read costs the store a call, and the store's rates grow more slowly than
-//! the fleet. A few coordinators of each availability zone read; the others
+//! the fleet; the list is long. A few coordinators of each availability zone read; the others
 //! rely on what these say of the store, and read themselves once that is old.
 
 use std::time::Duration;
@@ -28,15 +28,18 @@
     store_age: Option<Duration>,
     limit: Duration,
 ) -> bool {
+    store_age.is_none_or(|it| it >= limit) || is_reader(Configuration::KEY, entry_vms, own, live)
+}
+
+/// Returns whether this coordinator is one of those of its zone that read `key`; one that is not
+/// listed reads.
+pub fn is_reader(key: &str, entry_vms: &[EntryVmSpec], own: &VmId, live: &[VmId]) -> bool {
     let Some(own_line) = entry_vms.iter().find(|it| it.vm == *own) else { return true };
-    if store_age.is_none_or(|it| it >= limit) {
-        return true;
-    }
     let zone = &own_line.availability_zone;
     let in_zone = entry_vms.iter().filter(|it| it.availability_zone == *zone).map(|it| &it.vm);
     let mut candidates: Vec<&VmId> = in_zone.filter(|it| *it == own || live.contains(it)).collect();
     for _ in 0..READERS_PER_ZONE {
-        match preferred_owner(Configuration::KEY, candidates.iter().copied()).cloned() {
+        match preferred_owner(key, candidates.iter().copied()).cloned() {
             Some(reader) if reader == *own => return true,
             Some(reader) => candidates.retain(|it| **it != reader),
             None => return false,
--- a/peers/peer-entry/src/fetch.rs
+++ b/peers/peer-entry/src/fetch.rs
@@ -64,6 +64,8 @@
     /// The configuration, as a difference from this revision if that is remembered.
     Configuration(Revision),
     Failure(RequestId),
+    /// The platform's list, as a difference from the one with this hash.
+    ListChange(u64),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -71,6 +73,16 @@
     nonce: u64,
     document: Option<SentDocument>,
     failure: Option<RequestFailure>,
+    list_change: Option<ListChange>,
+}
+
+/// How the platform's list changed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListChange {
+    /// Time since the platform was asked and gave the newer list, in milliseconds, rounded up.
+    pub age_ms: u32,
+    /// The difference.
+    pub delta: Delta,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -89,6 +101,12 @@
 
     /// Returns the failure of a request at its VM's gateway.
     fn failure(&self, request: &RequestId) -> Option<RequestFailure>;
+
+    /// Returns how the platform's list changed since the one with this hash, if that is
+    /// remembered.
+    fn list_change(&self, _since: u64) -> Option<ListChange> {
+        None
+    }
 }
 
 /// Fetches the configuration that a coordinator holds, given the one that is here.
@@ -153,6 +171,20 @@
     Ok(fetch(address, key, Wanted::Failure(request.clone()))?.failure)
 }
 
+/// Fetches how the platform's list changed since the one with this hash, if the coordinator
+/// remembers that one.
+///
+/// # Errors
+///
+/// Fails if the coordinator does not answer in time or its frame is damaged.
+pub fn fetch_list_change(
+    address: SocketAddr,
+    key: &PeerKey,
+    since: u64,
+) -> Result<Option<ListChange>, FetchError> {
+    Ok(fetch(address, key, Wanted::ListChange(since))?.list_change)
+}
+
 fn fetch(address: SocketAddr, key: &PeerKey, wanted: Wanted) -> Result<FetchReply, FetchError> {
     let failed = |message: String| FetchError { address, message };
     let request = FetchRequest { nonce: fastrand::u64(..), wanted };
@@ -231,11 +263,14 @@
 fn answer(stream: TcpStream, key: &PeerKey, source: &dyn FetchSource) -> io::Result<()> {
     let mut stream = TimedStream::new(stream, EXCHANGE_TIMEOUT)?;
     let request: FetchRequest = read_frame(&mut stream, key)?;
-    let (document, failure) = match &request.wanted {
-        Wanted::Configuration(have) => (document(source, *have), None),
-        Wanted::Failure(id) => (None, source.failure(id)),
-    };
-    write_frame(&mut stream, key, &FetchReply { nonce: request.nonce, document, failure })
+    let mut reply =
+        FetchReply { nonce: request.nonce, document: None, failure: None, list_change: None };
+    match &request.wanted {
+        Wanted::Configuration(have) => reply.document = document(source, *have),
+        Wanted::Failure(id) => reply.failure = source.failure(id),
+        Wanted::ListChange(since) => reply.list_change = source.list_change(*since),
+    }
+    write_frame(&mut stream, key, &reply)
 }
 
 fn write_frame<T: Serialize>(
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -148,10 +148,21 @@
     pub service_servers: Vec<ServiceServer>,
     /// Coordinators that prove the groups chosen for the asker; told to gateways that ask a relay.
     pub owners: Vec<SocketAddr>,
+    /// The platform's list that the answerer holds; told to coordinators of a large fleet only.
+    pub vm_list: Option<VmListWord>,
     /// Gateways that report to the answerer; told to coordinators of a large fleet only.
     pub gateways: Vec<GatewayReport>,
 }
 
+/// Which list of VMs a coordinator holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmListWord {
+    /// Hash of its text.
+    pub hash: u64,
+    /// Time since the platform was asked and gave this list, in milliseconds, rounded up.
+    pub age_ms: u32,
+}
+
 /// What a gateway reported to a coordinator.
 ///
 /// Size: about 30 bytes and 17 for each customer with requests in flight.
--- a/peers/peer-entry/tests/frames.rs
+++ b/peers/peer-entry/tests/frames.rs
@@ -77,6 +77,7 @@
         usage: None,
         majority_age_ms: None,
         owners: Vec::new(),
+        vm_list: None,
         gateways: Vec::new(),
     }
 }
--- a/tests/tests/large_fleet.rs
+++ b/tests/tests/large_fleet.rs
@@ -3,10 +3,16 @@
 use std::thread;
 use std::time::Duration;
 
+use mangocross_coordination::is_reader;
 use mangocross_tests::Cluster;
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
 use mangocross_types::RunOutcome;
+use mangocross_types::VmId;
+use mangocross_types::VmListEntry;
+use mangocross_types::VmRole;
+use mangocross_types::VmState;
+use standins::ServiceStandin;
 use standins::StoreFaults;
 
 /// One more entry VM than those among which everybody polls everybody.
@@ -17,6 +23,12 @@
 const VOUCH_LONG_MS: u64 = 15_000;
 /// Time between polls, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 300;
+/// What readers of the platform's list are chosen by.
+const LIST_KEY: &str = "platform/vms";
+/// Calls that show that a server receives none; it would receive some with certainty but for one
+/// case in two to the power of this.
+const CALLS: u32 = 20;
+const PORT_SECOND: u16 = 7600;
 /// Time after which a gateway that starts has turned from everybody to a few coordinators, and
 /// no vouch from before counts.
 const FEW_ARE_POLLED: Duration = Duration::from_millis(6_000 + VOUCH_SHORT_MS);
@@ -84,3 +96,52 @@
     cluster
         .wait_until("a gateway starts in the outage", || cluster.ready(3) && serves(&cluster, 3));
 }
+
+fn listed(vm: &str, server: &ServiceStandin, state: VmState) -> VmListEntry {
+    VmListEntry {
+        vm: vm.parse().expect("a valid id"),
+        address: server.address(),
+        availability_zone: "zone-1".parse().expect("a valid id"),
+        state,
+        role: VmRole::Service { service: "registry".parse().expect("a valid id") },
+    }
+}
+
+/// Returns how many of many calls through each gateway a server received.
+fn received(cluster: &Cluster, server: &ServiceStandin) -> u64 {
+    let before = server.faults().counted("calls");
+    for node in 0..NODES {
+        for _ in 0..CALLS {
+            assert!(serves(cluster, node), "the gateway of node {node} refused");
+        }
+    }
+    server.faults().counted("calls") - before
+}
+
+#[test]
+fn leaving_server_receives_no_new_work_though_all_readers_of_the_list_died() {
+    let mut cluster = start(VOUCH_LONG_MS, &[]);
+    let second = ServiceStandin::bind(cluster.address(PORT_SECOND)).expect("the service starts");
+    let first = listed("service-1", &cluster.service, VmState::Live);
+    let list = |state| vec![first.clone(), listed("service-2", &second, state)];
+    cluster.platform.set_vms(list(VmState::Live));
+    let mut configuration = cluster.configuration();
+    configuration.services[0].backend_servers.clear();
+    cluster.replace_configuration(configuration.clone());
+    for node in 0..NODES {
+        cluster.wait_until("the listed servers are known", || serves(&cluster, node));
+    }
+    assert!(received(&cluster, &second) > 0, "the second server is not used");
+    cluster.wait_until("a coordinator that does not read the list takes its changes", || {
+        cluster.coordinators.iter().any(|it| it.logged().contains("took the changes"))
+    });
+    let all: Vec<VmId> = configuration.entry_vms.iter().map(|it| it.vm.clone()).collect();
+    let reads = |vm: &VmId| is_reader(LIST_KEY, &configuration.entry_vms, vm, &all);
+    let readers: Vec<usize> = (0..all.len()).filter(|it| reads(&all[*it])).collect();
+    assert_eq!(readers.len(), 6, "two of each of three zones read");
+    for reader in readers {
+        cluster.coordinators[reader].kill();
+    }
+    cluster.platform.set_vms(list(VmState::Leaving));
+    cluster.wait_until("the second server is left alone", || received(&cluster, &second) == 0);
+}
