fix(coordination): choose groups for gateways by what they serve

The groups chosen for a gateway of a large fleet were the heaviest of each model. A group limited to a customer or a kind was then reached by few gateways, and its callers refused at the others; and groups that were stopped or drained took places. Groups that serve the same model, customers and kinds now count together, and only those that are to serve.

--- a/crates/mangocross-coordination/src/poll_plan.rs
+++ b/crates/mangocross-coordination/src/poll_plan.rs
@@ -18,10 +18,13 @@
 use std::time::Instant;
 
 use mangocross_types::AvailabilityZone;
+use mangocross_types::CustomerId;
+use mangocross_types::DesiredState;
 use mangocross_types::EntryVmSpec;
 use mangocross_types::GroupId;
 use mangocross_types::GroupSpec;
 use mangocross_types::ModelId;
+use mangocross_types::RequestKind;
 use mangocross_types::VmId;
 
 use crate::ownership::weight;
@@ -30,8 +33,8 @@
 const SMALL_FLEET_MAX: usize = 9;
 /// Relays that answer and are polled.
 const RELAYS: usize = 3;
-/// Groups of a model that are chosen for a gateway.
-const GROUPS_PER_MODEL: usize = 12;
+/// Groups that serve the same requests that are chosen for a gateway.
+const GROUPS_PER_CLASS: usize = 12;
 /// Gateways for which each group is chosen at the least.
 const GATEWAYS_PER_GROUP: usize = 4;
 
@@ -123,9 +126,10 @@
 
 /// Returns the groups whose owners the gateway on entry VM `gateway` polls.
 ///
-/// A gateway takes the groups of each model that weigh most for it, so that it has several
-/// to choose from, and a group takes the gateways that weigh most for it, so that each group
-/// is served by some.
+/// Of the groups that serve the same model, customers and kinds, a gateway takes those that weigh
+/// most for it, so that it has several to choose from, and a group takes the gateways that weigh
+/// most for it, so that each group is served by some. Groups that are to take no requests are
+/// left out.
 pub fn chosen_groups<'a>(
     groups: &'a [GroupSpec],
     entry_vms: &[EntryVmSpec],
@@ -134,26 +138,30 @@
     let own = Key::of(gateway.as_str());
     let others: Vec<Key> =
         entry_vms.iter().filter(|it| it.vm != *gateway).map(|it| Key::of(it.vm.as_str())).collect();
-    let mut by_model: HashMap<&ModelId, Vec<(u64, &GroupId)>> = HashMap::new();
+    let mut by_class: HashMap<RequestClass<'_>, Vec<(u64, &GroupId)>> = HashMap::new();
     let mut chosen: Vec<&GroupId> = Vec::new();
-    for group in groups {
+    for group in groups.iter().filter(|it| it.desired == DesiredState::Serving) {
         let key = Key::of(group.id.as_str());
         let own_weight = key.weight(own);
         let heavier = others.iter().filter(|it| key.weight(**it) > own_weight);
         if heavier.take(GATEWAYS_PER_GROUP).count() < GATEWAYS_PER_GROUP {
             chosen.push(&group.id);
         }
-        by_model.entry(&group.model).or_default().push((own_weight, &group.id));
+        let class = (&group.model, &group.customers[..], &group.kinds[..]);
+        by_class.entry(class).or_default().push((own_weight, &group.id));
     }
-    for mut of_model in by_model.into_values() {
-        of_model.sort_unstable_by(|a, b| b.cmp(a));
-        chosen.extend(of_model.into_iter().take(GROUPS_PER_MODEL).map(|(_, group)| group));
+    for mut of_class in by_class.into_values() {
+        of_class.sort_unstable_by(|a, b| b.cmp(a));
+        chosen.extend(of_class.into_iter().take(GROUPS_PER_CLASS).map(|(_, group)| group));
     }
     chosen.sort_unstable();
     chosen.dedup();
     chosen
 }
 
+/// What a group serves: its model, and the customers and kinds that it is limited to.
+type RequestClass<'a> = (&'a ModelId, &'a [CustomerId], &'a [RequestKind]);
+
 /// A hashed name, of which pairs can be weighed quickly.
 #[derive(Debug, Clone, Copy)]
 struct Key(u64);
--- a/crates/mangocross-coordination/tests/poll_plan.rs
+++ b/crates/mangocross-coordination/tests/poll_plan.rs
@@ -59,6 +59,23 @@
     }
 }
 
+#[test]
+fn groups_of_one_customer_are_reached_by_every_gateway_and_stopped_ones_take_no_place() {
+    let fleet = entry_vms(ENTRY_VMS, 10);
+    let mut all = groups(GROUPS, "letters");
+    all[7].customers = vec!["town".parse().unwrap()];
+    all[9].kinds = vec!["draft".parse().unwrap()];
+    for stopped in &mut all[20..] {
+        stopped.desired = DesiredState::Stopped;
+    }
+    for entry_vm in &fleet {
+        let chosen = chosen_groups(&all, &fleet, &entry_vm.vm);
+        assert!(chosen.contains(&&all[7].id) && chosen.contains(&&all[9].id));
+        let serving = chosen.iter().filter(|it| all[..20].iter().any(|group| group.id == ***it));
+        assert!(serving.count() >= 12 && chosen.len() <= 20, "{}: {chosen:?}", entry_vm.vm);
+    }
+}
+
 #[test]
 fn change_of_the_fleet_moves_few_choices() {
     let (fleet, all) = (entry_vms(ENTRY_VMS, 10), groups(GROUPS, "letters"));
