--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -13,8 +13,10 @@
 
 use mangocross_coordination::AcceptanceTracker;
 use mangocross_coordination::EngineVm;
+use mangocross_coordination::GatewayTable;
 use mangocross_coordination::HeldAssignment;
 use mangocross_coordination::LeavingTable;
+use mangocross_coordination::ListHash;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
 use mangocross_coordination::VmHolders;
@@ -37,6 +39,7 @@
 use peer_entry::CustomerUsage;
 use peer_entry::DomainSummary;
 use peer_entry::FetchSource;
+use peer_entry::ListChange;
 use peer_entry::PeerKey;
 use peer_entry::RequestFailure;
 use peer_entry::ServiceServer;
@@ -45,30 +48,29 @@
 use peer_store::Store;
 
 use crate::failures::KnownFailures;
+use crate::held_list::HeldList;
 use crate::known_revision::KnownRevision;
 use crate::metrics::CoordinatorMetrics;
 use crate::observed_store::ObservedStore;
+use crate::owners::ChosenGroups;
+use crate::owners::OwnerTable;
 
 /// Expected time to load weights that are on the VM already.
 const WARM_LOAD: Duration = Duration::from_secs(1);
 
+/// How long a gateway's use of customers' limits counts.
+const GATEWAY_KEPT: Duration = Duration::from_secs(3);
+
 /// A coordinator that answers polls.
 #[derive(Debug, Clone)]
 pub(crate) struct LivePeer {
+    pub(crate) address: SocketAddr,
     pub(crate) asked_at: Instant,
     pub(crate) newest_known: Revision,
     pub(crate) established: bool,
     pub(crate) domains: Vec<DomainSummary>,
 }
 
-/// A gateway that polls this coordinator.
-#[derive(Debug, Clone)]
-pub(crate) struct PollingGateway {
-    pub(crate) heard_at: Instant,
-    pub(crate) revision: Revision,
-    pub(crate) usage: Vec<CustomerUsage>,
-}
-
 /// What the coordinator's threads share.
 pub(crate) struct CoordinatorState {
     pub(crate) settings: CoordinatorSettings,
@@ -86,9 +88,12 @@
     pub(crate) node: Arc<NodeConfiguration>,
     /// Texts that were in force before, oldest first, for peers that hold one of them.
     pub(crate) peers: Mutex<HashMap<VmId, LivePeer>>,
-    pub(crate) gateways: Mutex<HashMap<VmId, PollingGateway>>,
+    pub(crate) gateways: Mutex<GatewayTable<Vec<CustomerUsage>>>,
+    pub(crate) owners: OwnerTable,
+    pub(crate) chosen_groups: ChosenGroups,
     pub(crate) engines_by_domain: Mutex<BTreeMap<FabricDomain, Vec<EngineVm>>>,
     pub(crate) service_servers: Mutex<Vec<ServiceServer>>,
+    pub(crate) vm_list: HeldList,
     pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) probes: Mutex<ProbeTable>,
     /// The threads that probe, by VM.
@@ -106,7 +111,7 @@
         let leaving_kept = Duration::from_millis(settings.leaving_kept_ms);
         let vouch = Duration::from_millis(settings.vouch_ms);
         let keys = settings.operator_keys.iter().map(|it| (it.operator.clone(), it.key.clone()));
-        let node = NodeConfiguration::open(settings.vm.clone(), key, vouch, started_at);
+        let node = NodeConfiguration::open(settings.vm.clone(), key.clone(), vouch, started_at);
         let metrics_interval = Duration::from_millis(settings.metrics_log_ms);
         let metrics = Arc::new(CoordinatorMetrics::open(metrics_interval));
         let vm = settings.vm.as_str();
@@ -130,9 +135,12 @@
             acceptance: Mutex::new(AcceptanceTracker::new(vouch)),
             node: Arc::new(node),
             peers: Mutex::new(HashMap::new()),
-            gateways: Mutex::new(HashMap::new()),
+            gateways: Mutex::new(GatewayTable::new(GATEWAY_KEPT)),
+            owners: OwnerTable::default(),
+            chosen_groups: ChosenGroups::default(),
             engines_by_domain: Mutex::new(BTreeMap::new()),
             service_servers: Mutex::new(Vec::new()),
+            vm_list: HeldList::open(key),
             leaving: Mutex::new(LeavingTable::new(leaving_kept)),
             probes: Mutex::new(ProbeTable::default()),
             probers: Mutex::new(HashMap::new()),
@@ -260,6 +268,10 @@
     fn failure(&self, request: &RequestId) -> Option<RequestFailure> {
         lock(&self.failures).find(request)
     }
+
+    fn list_change(&self, since: u64) -> Option<ListChange> {
+        self.vm_list.change(ListHash(since), self.clock.now())
+    }
 }
 
 /// Locks a mutex; each value is whole after every statement that changes it.
