refactor(coordination): register only VMs outside groups, and read soon while some wait to be checked

Naming each VM as registered and as a member would have nearly doubled what all coordinators read (131 KB at the planned size, by the count of ids). A VM that leaves a group is registered in the same write, so there is no gap. The read that a new VM waits for comes a second after the last one; shared among 350 coordinators it would have come after up to 35 s. docs/DESIGN.md says what was weighed.

--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -34,6 +34,8 @@
 const READ_INTERVAL: Duration = Duration::from_millis(5_000);
 /// Least time between reads of all assignments by a coordinator alone.
 const READ_INTERVAL_MIN: Duration = Duration::from_millis(500);
+/// Time between reads of all assignments while VMs wait for one to be used.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time between reads of all assignments by any two coordinators.
 const READ_SPACING: Duration = Duration::from_millis(100);
 /// First wait before a domain is taken over again from another live coordinator.
@@ -49,9 +51,9 @@
     let mut read_at: Option<Instant> = None;
     loop {
         let now = state.clock.now();
-        let is_due = knows_of_newer(state) || has_unchecked_vms(state);
-        let alone = if is_due { READ_INTERVAL_MIN } else { READ_INTERVAL };
-        let interval = state.read_interval(alone, READ_SPACING);
+        let alone = if knows_of_newer(state) { READ_INTERVAL_MIN } else { READ_INTERVAL };
+        let shared = state.read_interval(alone, READ_SPACING);
+        let interval = if has_unchecked_vms(state) { shared.min(CHECK_INTERVAL) } else { shared };
         if read_at.is_none_or(|it| now.duration_since(it) >= interval) {
             read_all(state);
             read_at = Some(now);
--- a/crates/mangocross-coordination/src/group_life.rs
+++ b/crates/mangocross-coordination/src/group_life.rs
@@ -29,28 +29,42 @@
         .or_else(|| register_vms(input))
         .or_else(|| outrank_moved(input))
         .or_else(|| input.configuration.groups.iter().find_map(|it| form_new(input, it)))
+        .map(|next| keep_vms(input.assignment(), next))
 }
 
-/// Registers the VMs that are listed here, and drops those that are neither listed nor members.
+/// Registers the VMs that are listed here and in no group, and drops those that are not listed.
 ///
 /// Those that another domain is known to hold wait until it drops them.
 fn register_vms(input: &DomainInput<'_>) -> Option<DomainAssignment> {
     let assignment = input.assignment();
-    let is_listed = |vm: &VmId| input.engine(vm).is_some_and(|it| it.listed);
-    let is_kept = |vm: &&VmId| is_listed(vm) || input.is_assigned(vm);
+    let is_listed = |vm: &&VmId| input.engine(vm).is_some_and(|it| it.listed);
     let is_new = |vm: &&VmId| {
-        !assignment.registered.contains(vm)
-            && !input.holders.is_held_elsewhere(vm, &assignment.domain)
+        let is_held = assignment.registered.contains(vm) || input.is_assigned(vm);
+        !is_held && !input.holders.is_held_elsewhere(vm, &assignment.domain)
     };
-    let kept = assignment.registered.iter().filter(is_kept);
+    let kept = assignment.registered.iter().filter(is_listed);
     let listed = input.engines.iter().filter(|it| it.listed).map(|it| &it.vm);
-    let mut registered: Vec<VmId> = kept.chain(listed.filter(is_new)).cloned().collect();
-    registered.sort_unstable();
-    registered.dedup();
+    let registered = sorted(kept.chain(listed.filter(is_new)));
     (registered != assignment.registered)
         .then(|| DomainAssignment { registered, ..assignment.clone() })
 }
 
+/// Keeps the VMs that left a group registered in the same write, and names members only once.
+fn keep_vms(before: &DomainAssignment, mut next: DomainAssignment) -> DomainAssignment {
+    let left = before.groups.iter().flat_map(|it| &it.members);
+    let is_member = |vm: &VmId| next.groups.iter().any(|it| it.members.contains(vm));
+    let held = next.registered.iter().chain(left);
+    next.registered = sorted(held.filter(|vm| !is_member(vm)));
+    next
+}
+
+fn sorted<'a>(vms: impl Iterator<Item = &'a VmId>) -> Vec<VmId> {
+    let mut vms: Vec<VmId> = vms.cloned().collect();
+    vms.sort_unstable();
+    vms.dedup();
+    vms
+}
+
 /// Raises the fencing number above one that a VM brought along from another domain.
 ///
 /// Engines that honour fencing numbers would refuse every order here else. An
--- a/crates/mangocross-coordination/src/held_assignment.rs
+++ b/crates/mangocross-coordination/src/held_assignment.rs
@@ -39,8 +39,8 @@
     owner_seen_at: Instant,
     /// When each group was first seen in its phase under this fencing number.
     phases_seen_at: HashMap<Incarnation, PhaseSeen>,
-    /// When each VM was first seen registered under this fencing number.
-    registered_at: HashMap<VmId, Instant>,
+    /// When each VM was first seen registered or in a group under this fencing number.
+    vms_held_at: HashMap<VmId, Instant>,
 }
 
 /// A phase with the time at which it was first seen.
@@ -65,29 +65,29 @@
             .iter()
             .map(|it| (it.incarnation, PhaseSeen { phase: it.phase, at: answered_at }));
         let phases_seen_at = seen.collect();
-        let registered = assignment.registered.iter();
-        let registered_at = registered.map(|vm| (vm.clone(), answered_at)).collect();
+        let held_vms = assignment.held_vms();
+        let vms_held_at = held_vms.map(|vm| (vm.clone(), answered_at)).collect();
         Self {
             assignment,
             revision,
             confirmed_at: asked_at,
             owner_seen_at: answered_at,
             phases_seen_at,
-            registered_at,
+            vms_held_at,
         }
     }
 
-    /// Returns by when a VM was registered without a gap since.
+    /// Returns by when a VM was registered or in a group here, without a gap since.
     ///
     /// Under one fencing number only one process writes, and it reads a write
     /// back whose answer was lost, so it sees each gap.
-    pub fn registered_at(&self, vm: &VmId) -> Option<Instant> {
-        self.registered_at.get(vm).copied()
+    pub fn vm_held_at(&self, vm: &VmId) -> Option<Instant> {
+        self.vms_held_at.get(vm).copied()
     }
 
     /// Returns by when all registered VMs were.
     pub fn all_registered_at(&self) -> Option<Instant> {
-        self.registered_at.values().max().copied()
+        self.assignment.registered.iter().filter_map(|it| self.vm_held_at(it)).max()
     }
 
     /// Returns when a group was first seen in its phase, by this owner.
@@ -110,8 +110,8 @@
                 let before = self.phases_seen_at.get(incarnation);
                 *seen = *before.filter(|it| it.phase == seen.phase).unwrap_or(seen);
             }
-            for (vm, at) in &mut read.registered_at {
-                *at = self.registered_at.get(vm).copied().unwrap_or(*at);
+            for (vm, at) in &mut read.vms_held_at {
+                *at = self.vms_held_at.get(vm).copied().unwrap_or(*at);
             }
         }
         if read.revision == self.revision {
--- a/crates/mangocross-coordination/src/reconcile.rs
+++ b/crates/mangocross-coordination/src/reconcile.rs
@@ -120,7 +120,7 @@
     /// Returns whether a VM is this domain's alone, so that it may be used here.
     pub(crate) fn may_use(&self, vm: &VmId) -> bool {
         let is_checked = |at| self.holders.is_read_since(at);
-        self.held.registered_at(vm).is_some_and(is_checked)
+        self.held.vm_held_at(vm).is_some_and(is_checked)
             && !self.holders.is_held_elsewhere(vm, &self.assignment().domain)
     }
 
--- a/crates/mangocross-types/src/assignment.rs
+++ b/crates/mangocross-types/src/assignment.rs
@@ -61,7 +61,7 @@
     pub fencing_number: FencingNumber,
     /// Incarnation that the next group formed here receives.
     pub next_incarnation: Incarnation,
-    /// The VMs that groups here may be formed with, sorted.
+    /// The VMs in no group that groups here may be formed with, sorted.
     ///
     /// A VM is registered before it is used, so that of two fabric domains that
     /// are told to have the same VM at most one uses it.
