fix(coordination): let the more cautious of two replies to one poll stand

Cause: a poll that a network delivers twice is answered twice, and both replies count from the same asking. The last to arrive stood, so that a reply written before a member was lost could bring back, for the rest of its proof's time, a group that the other one had withdrawn or that drains. Found by replayed frames between processes.

The one that takes no new work, then the one that expires first, stands now (order_of_arrival_does_not_matter, red before). A coordinator also took an overtaken reply of a peer for its newest, which could make the peer look dead.

--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -100,7 +100,11 @@
             established: reply.established,
             domains: reply.domains,
         };
-        lock(&self.state.peers).insert(reply.vm, peer);
+        let mut peers = lock(&self.state.peers);
+        // A reply that was overtaken says nothing new.
+        if peers.get(&reply.vm).is_none_or(|it| it.asked_at <= asked_at) {
+            peers.insert(reply.vm, peer);
+        }
     }
 }
 
--- a/crates/mangocross-coordination/src/proof_table.rs
+++ b/crates/mangocross-coordination/src/proof_table.rs
@@ -1,5 +1,6 @@
 //! The proofs of completeness that a gateway holds.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -59,10 +60,14 @@
     /// Takes a proof from the reply to a poll that was sent at `asked_at`.
     ///
     /// A proof of an older fencing number or incarnation than the one held from
-    /// the same fabric domain is ignored; so is an older word on the same incarnation. A proof without time
-    /// left withdraws the group.
+    /// the same fabric domain is ignored; so is an older word on the same incarnation. Of two
+    /// replies to one poll, which a network may deliver twice, the more cautious one stands. A proof
+    /// without time left withdraws the group.
     pub fn record(&mut self, proof: &GroupProof, asked_at: Instant) {
-        let rank = |it: &ProvenGroup| (it.fencing_number, it.incarnation, it.asked_at);
+        let rank = |it: &ProvenGroup| {
+            let caution = (!it.accepts_new, Reverse(it.until));
+            (it.fencing_number, it.incarnation, it.asked_at, caution)
+        };
         let new = ProvenGroup {
             group: proof.group.clone(),
             domain: proof.domain.clone(),
--- a/crates/mangocross-coordination/tests/proofs.rs
+++ b/crates/mangocross-coordination/tests/proofs.rs
@@ -32,6 +32,8 @@
         (proof("domain-1", 1, 1, 2_000), at(0)),
         (proof("domain-1", 1, 2, 2_000), at(900)),
         (proof("domain-1", 2, 2, 0), at(300)),
+        // Another reply to the same poll, which came twice.
+        (proof("domain-1", 2, 2, 2_000), at(300)),
         (proof("domain-1", 2, 2, 2_000), at(100)),
         (proof("domain-1", 2, 2, 2_000), at(200)),
     ];
