test: let the next owner decide while the answer still runs

With the drain not waited for, the test of an owner that is killed between drain and unload of a repair stayed green: the answer had ended before the next owner decided.

--- a/tests/tests/partitions.rs
+++ b/tests/tests/partitions.rs
@@ -203,7 +203,8 @@
     let leaving = before.members[1].clone();
     let owner = owner_of(&cluster, "domain-1");
     let other = (owner + 1) % 3;
-    let stream = start_stream(&cluster, other, 200);
+    // Long enough for the next owner to take over and to decide while it runs.
+    let stream = start_stream(&cluster, other, 500);
     let ran = generations(&cluster);
     let mut list = cluster.listed_vms();
     list.iter_mut().filter(|it| it.vm == leaving).for_each(|it| it.state = VmState::Leaving);
@@ -212,7 +213,7 @@
     cluster.coordinators[usize::from(owner)].kill();
     let answer = stream.join().expect("the stream was read");
     assert!(answer.is_whole(), "{}", answer.body);
-    assert_eq!(answer.token_indexes().len(), 200);
+    assert_eq!(answer.token_indexes().len(), 500);
     assert_eq!(generations(&cluster), ran, "the answer was cut off and resumed");
     cluster.wait_until("another owner forms it anew", || {
         let group = placed(&cluster, "domain-1");
