fix(coordinator): place the larger of several new groups first

Groups that start together took room in the order of the configuration, so small ones could leave no domain whole for a large one. Placed groups come first as before, and the entries keep the configuration's order.

--- a/crates/mangocross-coordination/src/placing.rs
+++ b/crates/mangocross-coordination/src/placing.rs
@@ -1,5 +1,6 @@
 //! In which fabric domain each group belongs: first placements and moves.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -61,9 +62,14 @@
         self.follow_moves(&mut planner, now);
         let is_wanted = |it: &&GroupSpec| it.desired != DesiredState::Stopped;
         configuration.groups.iter().filter(is_wanted).for_each(|it| planner.keep_room(it));
-        let entries =
-            configuration.groups.iter().filter(is_wanted).filter_map(|it| planner.place(it));
-        Placements { entries: entries.collect() }
+        let mut entries = Vec::new();
+        for spec in in_order_of_room(configuration.groups.iter().filter(is_wanted), current) {
+            entries.extend(planner.place(spec));
+        }
+        let number =
+            |it: &Placement| configuration.groups.iter().position(|spec| spec.id == it.group);
+        entries.sort_by_key(number);
+        Placements { entries }
     }
 
     /// Tells the planner which moved groups have served long enough in their new domains.
@@ -84,6 +90,17 @@
     }
 }
 
+/// Returns the groups in the order in which they take room: those that are placed
+/// first, then the larger ones, which fewer fabric domains can hold.
+fn in_order_of_room<'a>(
+    groups: impl Iterator<Item = &'a GroupSpec>,
+    current: &Placements,
+) -> Vec<&'a GroupSpec> {
+    let mut groups: Vec<&GroupSpec> = groups.collect();
+    groups.sort_by_key(|it| (current.of(&it.id).is_none(), Reverse(it.size)));
+    groups
+}
+
 struct Planner<'a> {
     weights: &'a PolicyWeights,
     current: &'a Placements,
--- a/crates/mangocross-coordination/tests/reconcile.rs
+++ b/crates/mangocross-coordination/tests/reconcile.rs
@@ -257,6 +257,25 @@
     assert_eq!(old, None);
 }
 
+/// In the order of the configuration the small groups would leave no room for the large one.
+#[test]
+fn groups_that_start_together_take_room_by_size() {
+    let group = |id: &str, size| json!({"id": id, "model": "letters", "model_version": "v1", "size": size, "desired": "serving"});
+    let groups = json!([group("a", 4), group("b", 4), group("c", 8)]);
+    let wanted: Configuration =
+        serde_json::from_value(json!({"groups": groups})).expect("a configuration");
+    let room = |domain: &str, idle_vms| DomainState {
+        domain: domain.parse().expect("a valid id"),
+        idle_vms,
+        stuck_groups: Vec::new(),
+    };
+    let rooms = [room("domain-1", 8), room("domain-2", 8)];
+    let mut planner = PlacementPlanner::new(1_000 * MS);
+    let planned = planner.plan(&wanted, &Placements::default(), &[], &rooms, Instant::now());
+    let ids: Vec<&str> = planned.entries.iter().map(|it| it.group.as_str()).collect();
+    assert_eq!(ids, ["a", "b", "c"]);
+}
+
 /// A member is lost and there is no spare; whether to move depends on the expected times.
 #[test]
 fn group_is_moved_only_when_loading_elsewhere_beats_waiting() {
