feat: carry cache events of engines to gateways

Gateways knew prefixes from their own requests only. Engines publish what their caches store and evict with an epoch and a number; the owner's probe of an engine asks for the events after the last one, and replies to gateways pass each on once to each process, at most 32 in a reply. A lost reply is a gap, which the table takes for what it is.

Weighed: each gateway reading engines (7.4 KB/s for 16 groups, 2,800 calls a second on engines), digests (128 bytes a group in each reply), repeated events.

Measured with capacity: 11 bytes an event in a reply, 64 in an engine's JSON answer.

--- a/benches/src/bin/capacity.rs
+++ b/benches/src/bin/capacity.rs
@@ -62,6 +62,12 @@
     report("poll, by customers in flight", &[0, 10, 20, 40], |it| wire_bytes(&sample::poll(it)));
     report("reply, by groups proven", &[0, 1, 2, 5, 10], |it| wire_bytes(&sample::reply(it, 0)));
     report("reply, by leaving VMs", &[0, 10, 50, 100], |it| wire_bytes(&sample::reply(0, it)));
+    report("reply, by cache events of a group", &[0, 4, 16, 32], |it| {
+        wire_bytes(&sample::reply_with_cache_events(it))
+    });
+    report("answer to a probe, by cache events, JSON", &[0, 4, 16, 32], |it| {
+        json_bytes(&sample::cache_events(it))
+    });
 }
 
 fn document_sizes() {
--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -21,8 +21,15 @@
 use mangocross_types::VmListEntry;
 use mangocross_types::VmRole;
 use mangocross_types::VmState;
+use peer_engine::CacheEvents;
+use peer_engine::NumberedEvent;
+use peer_engine::PrefixEvent;
+use peer_engine::PromptPrefix;
+use peer_entry::CacheChange;
 use peer_entry::CustomerUsage;
+use peer_entry::GroupCacheEvents;
 use peer_entry::LeavingVm;
+use peer_entry::PassedCacheEvent;
 use peer_entry::Poll;
 use peer_entry::PollReply;
 use peer_entry::ProcessRole;
@@ -86,9 +93,32 @@
         service_servers: Vec::new(),
         leaving: (0..leaving).map(leaving_vm).collect(),
         usage: Vec::new(),
+        caches: Vec::new(),
     }
 }
 
+/// Returns a coordinator's reply with a number of cache events of one group.
+pub fn reply_with_cache_events(events: usize) -> PollReply {
+    let event = |it: usize| PassedCacheEvent {
+        number: 1_000_000 + it as u64,
+        age_ms: 1_000,
+        change: CacheChange::Stored(0xdead_beef),
+    };
+    let events = (0..events).map(event).collect();
+    let cache = GroupCacheEvents { group: id("group", 1), epoch: u64::MAX, events };
+    PollReply { caches: vec![cache], ..reply(0, 0) }
+}
+
+/// Returns what an engine answers to a probe about a number of cache events.
+pub fn cache_events(events: usize) -> CacheEvents {
+    let event = |it: usize| NumberedEvent {
+        number: 1_000_000 + it as u64,
+        age_ms: 1_000,
+        event: PrefixEvent::Evicted(PromptPrefix(0xdead_beef)),
+    };
+    CacheEvents { epoch: u64::MAX, events: (0..events).map(event).collect() }
+}
+
 fn stamp() -> ReplyStamp {
     ReplyStamp { process_id: u64::MAX, uptime_ms: 86_400_000 }
 }
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -6,6 +6,7 @@
 use mangocross_node::run_daemon;
 
 mod acceptance;
+mod cache_events;
 mod changes;
 mod configuration;
 mod coordinator;
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -14,11 +14,13 @@
 use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupAssignment;
+use mangocross_types::GroupId;
 use mangocross_types::GroupPhase;
 use mangocross_types::GroupProof;
 use mangocross_types::VmId;
 use peer_entry::CustomerUsage;
 use peer_entry::DomainSummary;
+use peer_entry::GroupCacheEvents;
 use peer_entry::LeavingVm;
 use peer_entry::Poll;
 use peer_entry::PollReply;
@@ -135,9 +137,22 @@
         leaving: leaving(state, now),
         usage: if for_gateway { usage_of_others(state, &poll.vm) } else { Vec::new() },
         service_servers: service_servers(state, for_gateway),
+        caches: if for_gateway { caches(state, poll, now) } else { Vec::new() },
     }
 }
 
+/// Returns the cache events of the owned groups that a gateway was not told yet.
+fn caches(state: &CoordinatorState, poll: &Poll, now: Instant) -> Vec<GroupCacheEvents> {
+    let owned = owned_domains(state);
+    let assignments = lock(&state.assignments);
+    let owned = owned.iter().filter_map(|it| assignments.get(it));
+    let groups = owned.flat_map(|it| &it.assignment.groups);
+    let first = groups.filter_map(|it| Some((it.group.clone(), it.members.first()?.clone())));
+    let first: Vec<(GroupId, VmId)> = first.collect();
+    drop(assignments);
+    lock(&state.caches).news_for(&poll.vm, poll.process_id, &first, now)
+}
+
 /// Returns the backend servers of plain services; only gateways send to them.
 fn service_servers(state: &CoordinatorState, for_gateway: bool) -> Vec<ServiceServer> {
     if for_gateway { lock(&state.service_servers).clone() } else { Vec::new() }
--- a/bins/mangocross-coordinator/src/probes.rs
+++ b/bins/mangocross-coordinator/src/probes.rs
@@ -20,6 +20,7 @@
 use mangocross_types::VmId;
 use peer_engine::EngineError;
 use peer_engine::EngineErrorKind;
+use peer_engine::ProbeAnswer;
 
 use crate::domains::owned_domains;
 use crate::state::CoordinatorState;
@@ -68,11 +69,13 @@
     let mut last: Option<ProbeOutcome> = None;
     while !stop.load(Ordering::Relaxed) {
         let (started, asked_at) = (state.clock.wall(), state.clock.now());
-        let result = state.engines.report(address, timeouts);
+        let position = lock(&state.caches).position(vm);
+        let answer = state.engines.probe(address, position, timeouts);
         let answered_at = state.clock.now();
         if stop.load(Ordering::Relaxed) {
-            return;
+            break;
         }
+        let result = answer.map(|it| take_cache(state, vm, asked_at, it));
         let outcome = ProbeOutcome::of(&result);
         let time = answered_at.duration_since(asked_at);
         state.metrics.probed(outcome.result(), result.is_ok().then_some(time));
@@ -83,6 +86,20 @@
         record(state, vm, asked_at, answered_at, result);
         thread::sleep(interval);
     }
+    lock(&state.caches).forget(vm);
+}
+
+/// Takes in the cache events of an answer and returns its report.
+fn take_cache(
+    state: &CoordinatorState,
+    vm: &VmId,
+    asked_at: Instant,
+    answer: ProbeAnswer,
+) -> BackendReport {
+    if let Some(cache) = &answer.cache {
+        lock(&state.caches).probed(vm, cache, asked_at);
+    }
+    answer.report
 }
 
 /// What of a probe's result is worth a span when it changes.
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -41,6 +41,7 @@
 use peer_store::HttpStore;
 use peer_store::Store;
 
+use crate::cache_events::CacheRelay;
 use crate::failures::KnownFailures;
 use crate::known_revision::KnownRevision;
 use crate::metrics::CoordinatorMetrics;
@@ -87,6 +88,7 @@
     pub(crate) service_servers: Mutex<Vec<ServiceServer>>,
     pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) probes: Mutex<ProbeTable>,
+    pub(crate) caches: Mutex<CacheRelay>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
     pub(crate) placements: Mutex<(Placements, Revision)>,
     pub(crate) placements_known: KnownRevision,
@@ -126,6 +128,7 @@
             service_servers: Mutex::new(Vec::new()),
             leaving: Mutex::new(LeavingTable::new(leaving_kept)),
             probes: Mutex::new(ProbeTable::default()),
+            caches: Mutex::new(CacheRelay::default()),
             assignments: Mutex::new(BTreeMap::new()),
             placements: Mutex::new((Placements::default(), Revision(0))),
             placements_known: KnownRevision::default(),
--- a/bins/mangocross-gateway/src/attempt.rs
+++ b/bins/mangocross-gateway/src/attempt.rs
@@ -75,6 +75,8 @@
         delivery: &mut Delivery<'_>,
     ) -> AttemptEnd {
         let started = self.state.clock.now();
+        let known = self.state.routing.knowledge(&self.group.group, self.prefix);
+        self.state.metrics.attempted(known);
         let _sent = self.state.routing.sent(&self.group.group, self.prefix, started);
         let request = self.request(progress);
         let pace = Pace::new(self.limits(), started);
--- a/bins/mangocross-gateway/src/metrics.rs
+++ b/bins/mangocross-gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mangocross_claims::ClaimCounts;
+use mangocross_policy::PrefixKnowledge;
 use mangocross_telemetry::Metrics;
 use mangocross_telemetry::Sample;
 use mangocross_types::ResultCode;
@@ -30,6 +31,7 @@
     requests: Counter<u64>,
     retries: Counter<u64>,
     claims: Counter<u64>,
+    attempts: Counter<u64>,
     first_token: Histogram<f64>,
     token_gap: Histogram<f64>,
 }
@@ -42,6 +44,8 @@
             requests: metrics.counter("requests", "Requests ended, by what the caller was told"),
             retries: metrics.counter("retries", "Attempts after the first one of a request"),
             claims: metrics.counter("claims", "Claims asked for, by what the attempt was told"),
+            attempts: metrics
+                .counter("attempts", "Attempts at groups, by what was known of the prefix there"),
             first_token: metrics.seconds(
                 "first_token_seconds",
                 "Time from an attempt's start to its first token",
@@ -85,6 +89,16 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts an attempt at a group.
+    pub(crate) fn attempted(&self, prefix: PrefixKnowledge) {
+        let prefix = match prefix {
+            PrefixKnowledge::Unknown => "unknown",
+            PrefixKnowledge::Guessed => "guessed",
+            PrefixKnowledge::Told => "told",
+        };
+        self.attempts.add(1, &[KeyValue::new("prefix", prefix)]);
+    }
+
     /// Counts a claim that was asked for.
     pub(crate) fn claimed(&self, outcome: &'static str) {
         self.claims.add(1, &[KeyValue::new("outcome", outcome)]);
@@ -121,6 +135,9 @@
         it.node.newest_known().0
     });
     gauge("ready", "Whether requests are served here", |it| u64::from(it.refusal().is_none()));
+    gauge("prefixes_told", "Prefixes that caches of groups say they hold", |it| {
+        it.routing.cache_events().told
+    });
     gauge("claim_operations_open", "Claims, records and releases that wait for the store", |it| {
         it.claims.counts().open
     });
@@ -130,12 +147,19 @@
             claiming.upgrade().map(|it| claim_store_calls(&it.claims.counts())).unwrap_or_default()
         }
     });
-    let claiming = Arc::downgrade(state);
-    metrics.total("claim_operations_deferred", "Records and releases put off, each try counted", {
-        move || {
-            let counts = claiming.upgrade().map(|it| it.claims.counts());
-            counts.map(|it| Sample::new(it.deferred)).into_iter().collect()
-        }
+    let total = |name: &'static str, text: &'static str, read: fn(&GatewayState) -> u64| {
+        let state = Arc::downgrade(state);
+        let read = move || state.upgrade().map(|it| Sample::new(read(&it))).into_iter().collect();
+        metrics.total(name, text, read);
+    };
+    total("cache_events", "Cache events of groups that were taken in", |it| {
+        it.routing.cache_events().taken
+    });
+    total("cache_event_gaps", "Times that cache events of a group were missing", |it| {
+        it.routing.cache_events().gaps
+    });
+    total("claim_operations_deferred", "Records and releases put off, each try counted", |it| {
+        it.claims.counts().deferred
     });
     let poller = Arc::downgrade(poller);
     let text = "Frames of other entry VMs that were dropped, by reason";
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -85,6 +85,7 @@
             self.state.node.fetch(from);
         }
         self.state.admitting.heard(reply.usage, asked_at);
+        self.state.routing.published(&reply.caches, asked_at);
         let mut proofs = lock(&self.state.proofs);
         for proof in &reply.proofs {
             proofs.record(proof, asked_at);
--- a/bins/mangocross-gateway/src/routing.rs
+++ b/bins/mangocross-gateway/src/routing.rs
@@ -6,20 +6,24 @@
 use std::time::Instant;
 
 use mangocross_coordination::ProvenGroup;
+use mangocross_policy::CacheEvent;
+use mangocross_policy::CacheSequence;
 use mangocross_policy::Candidate;
 use mangocross_policy::ConcurrencyLimit;
 use mangocross_policy::FirstTokenTimes;
 use mangocross_policy::LoadEstimate;
 use mangocross_policy::PrefixHash;
+use mangocross_policy::PrefixKnowledge;
 use mangocross_policy::PrefixTable;
 use mangocross_types::GroupId;
+use peer_engine::PromptPrefix;
+use peer_entry::CacheChange;
+use peer_entry::GroupCacheEvents;
 
 use crate::state::lock;
 
 /// Prefixes that a group's cache is taken to hold.
 const PREFIXES_FOR_EACH_GROUP: usize = 1_024;
-/// Bytes of a prompt that count as its prefix.
-const PREFIX_BYTES: usize = 512;
 
 /// What this gateway knows of the groups it sends requests to.
 #[derive(Debug)]
@@ -35,6 +39,16 @@
     limits: HashMap<GroupId, ConcurrencyLimit>,
     first_tokens: FirstTokenTimes,
     prefixes: PrefixTable,
+    cache_events: u64,
+}
+
+/// What came of cache events since the start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct CacheEventCounts {
+    pub(crate) taken: u64,
+    pub(crate) gaps: u64,
+    /// Prefixes that caches say they hold now.
+    pub(crate) told: u64,
 }
 
 impl Routing {
@@ -45,6 +59,7 @@
             limits: HashMap::new(),
             first_tokens: FirstTokenTimes::default(),
             prefixes: PrefixTable::new(PREFIXES_FOR_EACH_GROUP),
+            cache_events: 0,
         };
         Self { groups: Mutex::new(groups), limit_start, first_token_target }
     }
@@ -62,6 +77,37 @@
             .at_limit(own_in_flight >= limit)
     }
 
+    /// Takes in the cache events of a reply to a poll that was sent at `asked_at`.
+    pub(crate) fn published(&self, caches: &[GroupCacheEvents], asked_at: Instant) {
+        let mut groups = lock(&self.groups);
+        for cache in caches {
+            for it in &cache.events {
+                let sequence = CacheSequence { epoch: cache.epoch, number: it.number };
+                let age = Duration::from_millis(it.age_ms.into());
+                let published_at = asked_at.checked_sub(age).unwrap_or(asked_at);
+                let event = cache_event(it.change);
+                groups.prefixes.published(&cache.group, sequence, event, published_at);
+                groups.cache_events += 1;
+            }
+        }
+    }
+
+    /// Returns what is known about a prefix at a group.
+    pub(crate) fn knowledge(&self, group: &GroupId, prefix: PrefixHash) -> PrefixKnowledge {
+        lock(&self.groups).prefixes.knowledge(group, prefix)
+    }
+
+    /// Returns what came of cache events.
+    pub(crate) fn cache_events(&self) -> CacheEventCounts {
+        let groups = lock(&self.groups);
+        let prefixes = &groups.prefixes;
+        CacheEventCounts {
+            taken: groups.cache_events,
+            gaps: prefixes.gaps(),
+            told: prefixes.told() as u64,
+        }
+    }
+
     /// Records an attempt at a group; it ends when the guard is dropped.
     pub(crate) fn sent(&self, group: &GroupId, prefix: PrefixHash, now: Instant) -> Sent<'_> {
         let mut groups = lock(&self.groups);
@@ -113,10 +159,15 @@
     }
 }
 
-/// Returns the hash of a prompt's prefix.
+/// Returns the hash of a prompt's prefix, as engines name it.
 pub(crate) fn prefix_hash(prompt: &str) -> PrefixHash {
-    let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
-    let hash = blake3::hash(prefix);
-    let (first, _) = hash.as_bytes().split_at(size_of::<u64>());
-    PrefixHash(u64::from_le_bytes(first.try_into().expect("eight bytes")))
+    PrefixHash(PromptPrefix::of(prompt).0.into())
+}
+
+fn cache_event(change: CacheChange) -> CacheEvent {
+    match change {
+        CacheChange::Stored(prefix) => CacheEvent::Stored(PrefixHash(prefix)),
+        CacheChange::Evicted(prefix) => CacheEvent::Evicted(PrefixHash(prefix)),
+        CacheChange::Cleared => CacheEvent::Cleared,
+    }
 }
--- a/crates/mangocross-policy/src/prefix_table.rs
+++ b/crates/mangocross-policy/src/prefix_table.rs
@@ -132,6 +132,12 @@
         }
     }
 
+    /// Returns how many prefixes caches said that they hold, over all groups.
+    pub fn told(&self) -> usize {
+        let held = self.by_group.values().flat_map(|it| it.held.values());
+        held.filter(|it| it.told).count()
+    }
+
     /// Returns how often events were missing.
     pub fn gaps(&self) -> u64 {
         self.gaps
--- /dev/null
+++ b/peers/peer-engine/src/cache_events.rs
@@ -0,0 +1,83 @@
+//! Wire forms of what an engine's prefix cache publishes.
+
+use std::fmt;
+
+use mangocross_types::BackendReport;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Bytes of a prompt that count as its prefix.
+const PREFIX_BYTES: usize = 512;
+
+/// Hash of a prompt's prefix: the first 4 bytes of BLAKE3 over its first 512 bytes, little-endian.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PromptPrefix(pub u32);
+
+impl PromptPrefix {
+    /// Returns the hash of a prompt's prefix.
+    pub fn of(prompt: &str) -> Self {
+        let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
+        let hash = blake3::hash(prefix);
+        let (first, _) = hash.as_bytes().split_at(size_of::<u32>());
+        Self(u32::from_le_bytes(first.try_into().expect("four bytes")))
+    }
+}
+
+impl fmt::Display for PromptPrefix {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+/// What happened in a prefix cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PrefixEvent {
+    /// A prefix came into the cache.
+    Stored(PromptPrefix),
+    /// A prefix was dropped from the cache.
+    Evicted(PromptPrefix),
+    /// Everything was dropped, as at a restart.
+    Cleared,
+}
+
+/// An event with its place among those of one epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NumberedEvent {
+    /// One more than that of the event before; a gap means that events are missing.
+    pub number: u64,
+    /// Time since the event in milliseconds.
+    pub age_ms: u32,
+    /// What happened.
+    pub event: PrefixEvent,
+}
+
+/// Events that a cache published, oldest first.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvents {
+    /// Random number that the cache chose when it was last started.
+    pub epoch: u64,
+    /// The events.
+    pub events: Vec<NumberedEvent>,
+}
+
+/// From where on events are asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CachePosition {
+    /// Epoch of the newest event held.
+    pub epoch: u64,
+    /// Its number.
+    pub number: u64,
+}
+
+/// An engine's answer to a probe.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeAnswer {
+    /// Its report.
+    #[serde(flatten)]
+    pub report: BackendReport,
+    /// What its prefix cache published since the position asked from, if it publishes.
+    #[serde(default)]
+    pub cache: Option<CacheEvents>,
+}
--- a/peers/peer-engine/src/client.rs
+++ b/peers/peer-engine/src/client.rs
@@ -14,11 +14,13 @@
 use mangocross_types::RunOutcome;
 use serde::Serialize;
 
+use crate::CachePosition;
 use crate::EngineError;
 use crate::EngineErrorKind;
 use crate::GenerateRequest;
 use crate::GenerateStream;
 use crate::LineChecker;
+use crate::ProbeAnswer;
 
 /// Largest answer but a generated one, in bytes.
 const ANSWER_BYTES_MAX: usize = 64 * 1024;
@@ -58,6 +60,29 @@
         }
     }
 
+    /// Asks an engine for its report and what its cache published after a position.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine does not answer in time or not with a report.
+    pub fn probe(
+        &self,
+        address: SocketAddr,
+        after: Option<CachePosition>,
+        timeouts: HttpTimeouts,
+    ) -> Result<ProbeAnswer, EngineError> {
+        let path = match after {
+            Some(it) => format!("/v1/report?cache_epoch={}&cache_after={}", it.epoch, it.number),
+            None => "/v1/report?cache_after=0".to_owned(),
+        };
+        let call = HttpCall::new(HttpMethod::Get, address, &path).timeouts(timeouts);
+        let answer = self.call(call)?;
+        match answer.status() {
+            200 => read(answer),
+            status => Err(refused(status, RunOutcome::Unknown)),
+        }
+    }
+
     /// Gives an engine an order.
     ///
     /// # Errors
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -128,6 +128,43 @@
     pub usage: Vec<CustomerUsage>,
     /// Backend servers of plain services in the platform's list.
     pub service_servers: Vec<ServiceServer>,
+    /// Cache events of the answerer's groups that the asker was not told yet; told to gateways only.
+    pub caches: Vec<GroupCacheEvents>,
+}
+
+/// Events of a group's prefix cache, oldest first.
+///
+/// Size: about 20 bytes and 10 for each event.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupCacheEvents {
+    /// The group.
+    pub group: GroupId,
+    /// Random number that the cache chose when it was last started.
+    pub epoch: u64,
+    /// The events.
+    pub events: Vec<PassedCacheEvent>,
+}
+
+/// An event of a prefix cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PassedCacheEvent {
+    /// One more than that of the event before; a gap means that events are missing.
+    pub number: u64,
+    /// Time since the event in milliseconds.
+    pub age_ms: u32,
+    /// What happened.
+    pub change: CacheChange,
+}
+
+/// What happened in a prefix cache; prefixes are named by their hash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CacheChange {
+    /// A prefix came into the cache.
+    Stored(u64),
+    /// A prefix was dropped from the cache.
+    Evicted(u64),
+    /// Everything was dropped.
+    Cleared,
 }
 
 /// A backend server of a plain service.
--- a/peers/peer-entry/src/responder.rs
+++ b/peers/peer-entry/src/responder.rs
@@ -98,6 +98,7 @@
         let rest = proofs.split_off(proofs.len().min(PROOFS_PER_DATAGRAM));
         reply.proofs = proofs;
         let _ = socket.send_to(&key.seal(&reply), to);
+        reply.caches.clear();
         if rest.is_empty() {
             return;
         }
--- a/peers/peer-entry/tests/frames.rs
+++ b/peers/peer-entry/tests/frames.rs
@@ -74,6 +74,7 @@
         domains: Vec::new(),
         leaving: Vec::new(),
         usage: Vec::new(),
+        caches: Vec::new(),
     }
 }
 
--- a/standins/src/bin/standin-engine.rs
+++ b/standins/src/bin/standin-engine.rs
@@ -31,6 +31,9 @@
     /// Weight store to ask before a load
     #[bpaf(argument("ADDRESS"), optional)]
     weight_store: Option<SocketAddr>,
+    /// Prompt prefixes that the cache holds
+    #[bpaf(argument("N"), fallback(64))]
+    cached_prefixes_max: usize,
     /// Refuse orders with an old fencing number
     honours_fence: bool,
 }
@@ -44,6 +47,7 @@
         token_ms: arguments.token_ms,
         weight_store: arguments.weight_store,
         honours_fence: arguments.honours_fence,
+        cached_prefixes_max: arguments.cached_prefixes_max,
     };
     serve_until_killed(arguments.listen, EngineStandin::bind(arguments.listen, options))
 }
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -35,15 +35,20 @@
 use mangocross_types::ResultCode;
 use mangocross_types::TokenIndex;
 use mangocross_types::VmId;
+use peer_engine::CacheEvents;
+use peer_engine::CachePosition;
 use peer_engine::FinishReason;
 use peer_engine::GenerateLine;
 use peer_engine::GenerateRequest;
+use peer_engine::ProbeAnswer;
+use peer_engine::PromptPrefix;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::Faulty;
 use crate::control::lock;
 use crate::control::pause;
+use crate::prefix_cache::PrefixCache;
 
 /// Time for which a frozen engine keeps its caller waiting, in milliseconds.
 const FROZEN_MS: u64 = 30_000;
@@ -67,6 +72,8 @@
     pub weight_store: Option<SocketAddr>,
     /// Whether old fencing numbers are refused.
     pub honours_fence: bool,
+    /// Prompt prefixes that the cache holds.
+    pub cached_prefixes_max: usize,
 }
 
 impl EngineOptions {
@@ -79,6 +86,7 @@
             token_ms: 5,
             weight_store: None,
             honours_fence: false,
+            cached_prefixes_max: 64,
         }
     }
 }
@@ -111,6 +119,10 @@
     pub ignore_deadline: bool,
     /// Age of the load figures in reports, in milliseconds.
     pub load_lag_ms: u64,
+    /// Age from which on cache events are published, in milliseconds.
+    pub cache_event_lag_ms: u64,
+    /// Publishes one cache event in so many never; zero publishes all.
+    pub cache_event_lose_each: u64,
 }
 
 /// A running engine; clones are handles to the same one.
@@ -123,6 +135,7 @@
 struct State {
     options: EngineOptions,
     member: Mutex<Member>,
+    cache: Mutex<PrefixCache>,
     faults: Faulty<EngineFaults>,
     client: HttpClient,
 }
@@ -159,7 +172,9 @@
     ///
     /// Fails if the address cannot be bound.
     pub fn bind(address: SocketAddr, options: EngineOptions) -> io::Result<Self> {
+        let cache = PrefixCache::new(options.cached_prefixes_max);
         let state = Arc::new(State {
+            cache: Mutex::new(cache),
             options,
             member: Mutex::new(Member::idle()),
             faults: Faulty::default(),
@@ -191,6 +206,7 @@
         let membership = member.membership + 1;
         *member = Member::idle();
         member.membership = membership;
+        lock(&self.state.cache).clear();
     }
 
     /// Returns what the engine reports of itself, faults left aside.
@@ -248,7 +264,11 @@
         return pause(FROZEN_MS);
     }
     match (request.method(), request.path()) {
-        (Some(HttpMethod::Get), "/v1/report") => request.respond_json(200, &state.report()),
+        (Some(HttpMethod::Get), "/v1/report") => {
+            let report = state.report();
+            let cache = state.cache_events(&request);
+            request.respond_json(200, &ProbeAnswer { report, cache });
+        }
         (Some(HttpMethod::Post), "/v1/orders") => match request.read_json() {
             Ok(order) => take_order(state, request, order),
             Err(error) => request.respond(400, &[], error.to_string().into_bytes()),
@@ -296,6 +316,7 @@
                 return;
             }
             member.membership += 1;
+            lock(&state.cache).clear();
             member.group = Some(group);
             member.incarnation = incarnation;
             member.rank = rank;
@@ -349,6 +370,16 @@
         }
     }
 
+    /// Returns what the cache published after the position asked from, if it was asked for.
+    fn cache_events(&self, request: &ServerRequest) -> Option<CacheEvents> {
+        let parameter = |name: &str| request.parameter(name)?.parse::<u64>().ok();
+        let number = parameter("cache_after")?;
+        let after = parameter("cache_epoch").map(|epoch| CachePosition { epoch, number });
+        let faults = self.faults.get();
+        let lag = Duration::from_millis(faults.cache_event_lag_ms);
+        Some(lock(&self.cache).published(after, lag, faults.cache_event_lose_each))
+    }
+
     /// Fetches the weights unless they are on the VM, and becomes ready.
     fn load(&self, membership: u64, model_version: ModelVersion) {
         self.faults.count("loads");
@@ -386,6 +417,7 @@
             }
         };
         self.faults.count("generations");
+        lock(&self.cache).touch(PromptPrefix::of(&body.prompt));
         if let Ok(stream) = request.respond_stream(200, &[("content-type", "application/x-ndjson")])
         {
             let _ = self.send_tokens(stream, body, membership);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 mod control;
 mod engine;
 mod platform;
+mod prefix_cache;
 mod service;
 mod store;
 
--- /dev/null
+++ b/standins/src/prefix_cache.rs
@@ -0,0 +1,94 @@
+//! The prefix cache of a stand-in engine and what it publishes.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use peer_engine::CacheEvents;
+use peer_engine::CachePosition;
+use peer_engine::NumberedEvent;
+use peer_engine::PrefixEvent;
+use peer_engine::PromptPrefix;
+
+/// Events kept for those who ask later; older ones are a gap for them.
+const EVENTS_MAX: usize = 256;
+
+/// A cache that drops the least recently used prefix.
+#[derive(Debug)]
+pub(crate) struct PrefixCache {
+    prefixes_max: usize,
+    held: VecDeque<PromptPrefix>,
+    epoch: u64,
+    number: u64,
+    published: VecDeque<Published>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Published {
+    at: Instant,
+    number: u64,
+    event: PrefixEvent,
+}
+
+impl PrefixCache {
+    pub(crate) fn new(prefixes_max: usize) -> Self {
+        let mut cache = Self {
+            prefixes_max,
+            held: VecDeque::new(),
+            epoch: 0,
+            number: 0,
+            published: VecDeque::new(),
+        };
+        cache.clear();
+        cache
+    }
+
+    /// Drops everything and begins another epoch.
+    pub(crate) fn clear(&mut self) {
+        self.held.clear();
+        self.published.clear();
+        self.epoch = fastrand::u64(..);
+        self.number = 0;
+        self.publish(PrefixEvent::Cleared);
+    }
+
+    /// Brings a prefix into the cache.
+    pub(crate) fn touch(&mut self, prefix: PromptPrefix) {
+        match self.held.iter().position(|it| *it == prefix) {
+            Some(place) => drop(self.held.remove(place)),
+            None => self.publish(PrefixEvent::Stored(prefix)),
+        }
+        self.held.push_back(prefix);
+        if self.held.len() > self.prefixes_max
+            && let Some(dropped) = self.held.pop_front()
+        {
+            self.publish(PrefixEvent::Evicted(dropped));
+        }
+    }
+
+    /// Returns the events after a position that are older than `lag`, without one in `lose_each`.
+    pub(crate) fn published(
+        &self,
+        after: Option<CachePosition>,
+        lag: Duration,
+        lose_each: u64,
+    ) -> CacheEvents {
+        let after = after.filter(|it| it.epoch == self.epoch).map_or(0, |it| it.number);
+        let is_lost = |it: &&Published| lose_each > 0 && it.number.is_multiple_of(lose_each);
+        let shown = self.published.iter().filter(|it| it.number > after && it.at.elapsed() >= lag);
+        let events = shown.filter(|it| !is_lost(it)).map(|it| NumberedEvent {
+            number: it.number,
+            age_ms: u32::try_from(it.at.elapsed().as_millis()).unwrap_or(u32::MAX),
+            event: it.event,
+        });
+        CacheEvents { epoch: self.epoch, events: events.collect() }
+    }
+
+    fn publish(&mut self, event: PrefixEvent) {
+        self.number += 1;
+        if self.published.len() == EVENTS_MAX {
+            self.published.pop_front();
+        }
+        self.published.push_back(Published { at: Instant::now(), number: self.number, event });
+    }
+}
