feat(coordinator): ask the other entry VMs for a failure at the same time

`why request` asked one entry VM after the other: a dark zone of 35 took 35 s, 1 s to connect to each, and frozen ones 3 s each, longer than an operator's answer may take.

64 are asked at once within 5 s in all; the answer names those that did not say, so that "nothing is remembered" is not taken for their word. Ruled out: all at once (350 threads), asking over UDP (a failure's message may not fit, and the answer would need its own retry).

--- a/bins/mangocross-coordinator/src/failures.rs
+++ b/bins/mangocross-coordinator/src/failures.rs
@@ -1,20 +1,25 @@
 //! Requests that failed lately at this VM's gateway, and at those of others.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use mangocross_operator::OperatorAnswer;
 use mangocross_types::Refusal;
 use mangocross_types::RequestId;
 use mangocross_types::ResultCode;
-use peer_entry::PeerKey;
 use peer_entry::RequestFailure;
-use peer_entry::fetch_failure;
+use peer_entry::SearchLimits;
+use peer_entry::search_failure;
 
 use crate::state::CoordinatorState;
 use crate::state::lock;
 
 /// Failures remembered.
 const KEPT_MAX: usize = 2_048;
+/// Bounds of asking the other entry VMs; one that is frozen holds its place for up to 4 s.
+const SEARCH_LIMITS: SearchLimits =
+    SearchLimits { at_once_max: 64, total: Duration::from_millis(5_000) };
 
 /// Requests that failed lately at this VM's gateway.
 #[derive(Debug, Default)]
@@ -43,13 +48,10 @@
     answer: OperatorAnswer,
 ) -> Result<OperatorAnswer, Refusal> {
     let own = lock(&state.failures).find(request);
-    let found = own.map(|it| (state.settings.vm.to_string(), it));
-    let (vm, failure) = found.or_else(|| ask_others(state, request)).ok_or_else(|| {
-        let text = format!(
-            "no failure of request {request} is remembered; it was answered, is older, or its entry VM is gone"
-        );
-        Refusal::not_run(ResultCode::NotFound, text)
-    })?;
+    let (vm, failure) = match own {
+        Some(failure) => (state.settings.vm.to_string(), failure),
+        None => ask_others(state, request)?,
+    };
     let row = vec![
         vm,
         failure.code.to_string(),
@@ -60,15 +62,32 @@
     Ok(answer.table(&["entry vm", "code", "outcome", "told", "unix time ms"], vec![row]))
 }
 
-fn ask_others(state: &CoordinatorState, request: &RequestId) -> Option<(String, RequestFailure)> {
-    let key: PeerKey = state.settings.peer_secret.parse().ok()?;
+/// Returns the failure and the entry VM at whose gateway it happened.
+fn ask_others(
+    state: &CoordinatorState,
+    request: &RequestId,
+) -> Result<(String, RequestFailure), Refusal> {
     let configuration = state.configuration();
     let others = configuration.entry_vms.iter().filter(|it| it.vm != state.settings.vm);
-    others.into_iter().find_map(|it| match fetch_failure(it.coordinator, &key, request) {
-        Ok(failure) => failure.map(|found| (it.vm.to_string(), found)),
-        Err(error) => {
-            log::warn!("{error}");
-            None
-        }
-    })
+    let others: Vec<SocketAddr> = others.map(|it| it.coordinator).collect();
+    let name = |address: SocketAddr| {
+        let entry_vm = configuration.entry_vms.iter().find(|it| it.coordinator == address);
+        entry_vm.map_or_else(|| address.to_string(), |it| it.vm.to_string())
+    };
+    let search = search_failure(&others, state.node.key(), request, SEARCH_LIMITS);
+    match search.found {
+        Some(it) => Ok((name(it.coordinator), it.failure)),
+        None => Err(not_found(request, search.unanswered.into_iter().map(name).collect())),
+    }
+}
+
+fn not_found(request: &RequestId, unanswered: Vec<String>) -> Refusal {
+    let silent = match unanswered.as_slice() {
+        [] => String::new(),
+        names => format!("; these entry VMs did not say: {}", names.join(", ")),
+    };
+    let text = format!(
+        "no failure of request {request} is remembered; it was answered, is older, or its entry VM is gone{silent}"
+    );
+    Refusal::not_run(ResultCode::NotFound, text)
 }
--- a/crates/mangocross-node/src/configuration.rs
+++ b/crates/mangocross-node/src/configuration.rs
@@ -61,6 +61,11 @@
         Self { own, key, held: Mutex::new(held), fetching: AtomicBool::new(false) }
     }
 
+    /// Returns the key of frames between entry VMs.
+    pub fn key(&self) -> &PeerKey {
+        &self.key
+    }
+
     /// Returns the configuration in force.
     pub fn current(&self) -> Arc<Configuration> {
         Arc::clone(&self.lock().configuration)
--- a/peers/peer-entry/src/lib.rs
+++ b/peers/peer-entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod messages;
 mod poller;
 mod responder;
+mod search;
 mod timed_stream;
 
 pub use delta::Delta;
@@ -35,3 +36,7 @@
 pub use poller::Poller;
 pub use poller::PollerHandler;
 pub use responder::PollResponder;
+pub use search::FailureSearch;
+pub use search::FoundFailure;
+pub use search::SearchLimits;
+pub use search::search_failure;
