fix(engine): never fail a probe over cache events

Cache events came in the same answer as the report: an engine with many or malformed events would have failed its probes, and a failed probe withdraws a group. Events only steer routing. An unreadable field counts as none, and a probe asks for at most 128 events (64 bytes each; an answer may have 64 KB).

--- a/peers/peer-engine/src/cache_events.rs
+++ b/peers/peer-engine/src/cache_events.rs
@@ -4,7 +4,9 @@
 
 use mangocross_types::BackendReport;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde_json::Value;
 
 /// Bytes of a prompt that count as its prefix.
 const PREFIX_BYTES: usize = 512;
@@ -78,6 +80,13 @@
     #[serde(flatten)]
     pub report: BackendReport,
     /// What its prefix cache published since the position asked from, if it publishes.
-    #[serde(default)]
+    ///
+    /// One that cannot be read counts as none, so that it never fails a probe.
+    #[serde(default, deserialize_with = "readable")]
     pub cache: Option<CacheEvents>,
 }
+
+fn readable<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<CacheEvents>, D::Error> {
+    let value = Value::deserialize(deserializer)?;
+    Ok(serde_json::from_value(value).unwrap_or_default())
+}
--- a/peers/peer-engine/src/client.rs
+++ b/peers/peer-engine/src/client.rs
@@ -25,6 +25,9 @@
 /// Largest answer but a generated one, in bytes.
 const ANSWER_BYTES_MAX: usize = 64 * 1024;
 
+/// Most cache events in an answer to a probe; far below the largest answer.
+const CACHE_EVENTS_MAX: usize = 128;
+
 /// Client of model engines.
 #[derive(Debug, Clone)]
 pub struct EngineClient {
@@ -71,10 +74,11 @@
         after: Option<CachePosition>,
         timeouts: HttpTimeouts,
     ) -> Result<ProbeAnswer, EngineError> {
-        let path = match after {
-            Some(it) => format!("/v1/report?cache_epoch={}&cache_after={}", it.epoch, it.number),
-            None => "/v1/report?cache_after=0".to_owned(),
+        let after = match after {
+            Some(it) => format!("cache_epoch={}&cache_after={}", it.epoch, it.number),
+            None => "cache_after=0".to_owned(),
         };
+        let path = format!("/v1/report?{after}&cache_max={CACHE_EVENTS_MAX}");
         let call = HttpCall::new(HttpMethod::Get, address, &path).timeouts(timeouts);
         let answer = self.call(call)?;
         match answer.status() {
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -375,9 +375,12 @@
         let parameter = |name: &str| request.parameter(name)?.parse::<u64>().ok();
         let number = parameter("cache_after")?;
         let after = parameter("cache_epoch").map(|epoch| CachePosition { epoch, number });
+        let max = parameter("cache_max").and_then(|it| usize::try_from(it).ok());
         let faults = self.faults.get();
         let lag = Duration::from_millis(faults.cache_event_lag_ms);
-        Some(lock(&self.cache).published(after, lag, faults.cache_event_lose_each))
+        let mut cache = lock(&self.cache).published(after, lag, faults.cache_event_lose_each);
+        cache.events.truncate(max.unwrap_or(usize::MAX));
+        Some(cache)
     }
 
     /// Fetches the weights unless they are on the VM, and becomes ready.
