--- a/bins/mangocross-coordinator/src/operators.rs
+++ b/bins/mangocross-coordinator/src/operators.rs
@@ -9,6 +9,7 @@
 use mangocross_operator::apply;
 use mangocross_operator::parse;
 use mangocross_types::Configuration;
+use mangocross_types::OperatorId;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use peer_caller::respond_refusal;
@@ -25,15 +26,9 @@
             let headers = [("content-type", "text/plain; version=0.0.4")];
             request.respond(200, &headers, state.metrics.text().into_bytes());
         }
-        (Some(HttpMethod::Post), "/v1/operator") => match request.read_json::<OperatorRequest>() {
-            Ok(body) => match traced(state, &body, request.header("traceparent")) {
-                Ok(answer) => request.respond_json(200, &answer),
-                Err(refusal) => respond_refusal(request, &refusal, None),
-            },
-            Err(error) => {
-                let refusal = Refusal::not_run(ResultCode::MalformedRequest, error.to_string());
-                respond_refusal(request, &refusal, None);
-            }
+        (Some(HttpMethod::Post), "/v1/operator") => match serve(state, &mut request) {
+            Ok(answer) => request.respond_json(200, &answer),
+            Err(refusal) => respond_refusal(request, &refusal, None),
         },
         _ => {
             let text = "operators send POST /v1/operator";
@@ -42,17 +37,29 @@
     }
 }
 
-/// Serves a line within a span of the operator's trace.
+fn serve(state: &CoordinatorState, request: &mut ServerRequest) -> Result<OperatorAnswer, Refusal> {
+    let operator = state.operators.admit(request.header("authorization"))?;
+    let line: OperatorRequest = request
+        .read_json()
+        .map_err(|it| Refusal::not_run(ResultCode::MalformedRequest, it.to_string()))?;
+    traced(state, operator.as_ref(), &line, request.header("traceparent"))
+}
+
+/// Carries out a line within a span of the operator's trace.
 fn traced(
     state: &CoordinatorState,
+    operator: Option<&OperatorId>,
     request: &OperatorRequest,
     traceparent: Option<&str>,
 ) -> Result<OperatorAnswer, Refusal> {
     let span = state.tracing.request("operator_request", traceparent);
     span.set("command_id", request.command_id.to_string());
     span.set("text", request.text.clone());
+    if let Some(operator) = operator {
+        span.set("operator", operator.to_string());
+    }
     let entered = span.enter();
-    let result = serve(state, request);
+    let result = carry_out(state, operator, request);
     drop(entered);
     let code = match &result {
         Ok(answer) => answer.code,
@@ -65,7 +72,11 @@
     result
 }
 
-fn serve(state: &CoordinatorState, request: &OperatorRequest) -> Result<OperatorAnswer, Refusal> {
+fn carry_out(
+    state: &CoordinatorState,
+    operator: Option<&OperatorId>,
+    request: &OperatorRequest,
+) -> Result<OperatorAnswer, Refusal> {
     let command = parse(&request.text)
         .map_err(|it| Refusal::not_run(ResultCode::CommandSyntax, it.message))?;
     match command {
@@ -75,9 +86,11 @@
                 let text = "`replace config` needs a configuration; mangoctl takes it by --file";
                 Refusal::not_run(ResultCode::MalformedRequest, text)
             })?;
-            changes::carry_out(state, request, |current| Ok(replaced(current, given)))
+            changes::carry_out(state, operator, request, |it| Ok(replaced(it, given)))
+        }
+        Command::Change(wanted) => {
+            changes::carry_out(state, operator, request, |it| applied(it, &wanted))
         }
-        Command::Change(wanted) => changes::carry_out(state, request, |it| applied(it, &wanted)),
     }
 }
 
--- a/bins/mangocross-coordinator/src/registration.rs
+++ b/bins/mangocross-coordinator/src/registration.rs
@@ -34,7 +34,7 @@
         if register(&state.configuration().entry_vms, &own_line(state)) == Registration::Listed {
             return;
         }
-        match changes::carry_out(state, &request(state), |it| Ok(entered(state, it))) {
+        match changes::carry_out(state, None, &request(state), |it| Ok(entered(state, it))) {
             Ok(answer) => log::info!("entered the configuration: {}", answer.message),
             Err(refusal) => log::info!("not entered yet: {}", refusal.message),
         }
@@ -57,14 +57,14 @@
     EntryVmSpec {
         vm: settings.vm.clone(),
         availability_zone: settings.availability_zone.clone(),
-        coordinator: settings.listen,
+        coordinator: settings.advertised(),
     }
 }
 
 fn request(state: &CoordinatorState) -> OperatorRequest {
     OperatorRequest {
         command_id: new_command_id(),
-        text: format!("register node {} at {}", state.settings.vm, state.settings.listen),
+        text: format!("register node {} at {}", state.settings.vm, state.settings.advertised()),
         configuration: None,
         based_on: None,
         dry_run: false,
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::thread::Thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,8 +17,10 @@
 use mangocross_coordination::LeavingTable;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
+use mangocross_coordination::VmHolders;
 use mangocross_coordination::preferred_owner;
 use mangocross_node::NodeConfiguration;
+use mangocross_operator::OperatorAccess;
 use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_telemetry::Tracing;
@@ -71,6 +74,7 @@
 pub(crate) struct CoordinatorState {
     pub(crate) settings: CoordinatorSettings,
     pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) operators: OperatorAccess,
     pub(crate) process_id: u64,
     pub(crate) started_at: Instant,
     pub(crate) metrics: Arc<CoordinatorMetrics>,
@@ -89,7 +93,10 @@
     pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) probes: Mutex<ProbeTable>,
     pub(crate) caches: Mutex<CacheRelay>,
+    /// The threads that probe, by VM.
+    pub(crate) probers: Mutex<HashMap<VmId, Thread>>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
+    pub(crate) vm_holders: Mutex<Arc<VmHolders>>,
     pub(crate) placements: Mutex<(Placements, Revision)>,
     pub(crate) placements_known: KnownRevision,
     pub(crate) assignments_known: KnownRevision,
@@ -100,6 +107,7 @@
         let started_at = clock.now();
         let leaving_kept = Duration::from_millis(settings.leaving_kept_ms);
         let vouch = Duration::from_millis(settings.vouch_ms);
+        let keys = settings.operator_keys.iter().map(|it| (it.operator.clone(), it.key.clone()));
         let node = NodeConfiguration::open(settings.vm.clone(), key, vouch, started_at);
         let metrics_interval = Duration::from_millis(settings.metrics_log_ms);
         let metrics = Arc::new(CoordinatorMetrics::open(metrics_interval));
@@ -115,6 +123,7 @@
             tracing,
             platform: PlatformClient::open(settings.platform),
             engines: EngineClient::open(),
+            operators: OperatorAccess::new(keys),
             settings,
             clock,
             process_id: fastrand::u64(..),
@@ -129,7 +138,9 @@
             leaving: Mutex::new(LeavingTable::new(leaving_kept)),
             probes: Mutex::new(ProbeTable::default()),
             caches: Mutex::new(CacheRelay::default()),
+            probers: Mutex::new(HashMap::new()),
             assignments: Mutex::new(BTreeMap::new()),
+            vm_holders: Mutex::default(),
             placements: Mutex::new((Placements::default(), Revision(0))),
             placements_known: KnownRevision::default(),
             assignments_known: KnownRevision::default(),
@@ -153,6 +164,13 @@
         live
     }
 
+    /// Returns whether the assignment held names this process as the owner.
+    pub(crate) fn owns(&self, domain: &FabricDomain) -> bool {
+        let assignments = lock(&self.assignments);
+        let held = assignments.get(domain);
+        held.is_some_and(|it| it.is_owned_by(&self.settings.vm, self.process_id))
+    }
+
     /// Returns whether this coordinator decides where groups belong.
     pub(crate) fn is_placement_leader(&self) -> bool {
         let live = self.live_coordinators();
@@ -176,7 +194,7 @@
         let mut addresses = self.settings.coordinators.clone();
         let configuration = self.configuration();
         addresses.extend(configuration.entry_vms.iter().map(|it| it.coordinator));
-        addresses.retain(|it| *it != self.settings.listen);
+        addresses.retain(|it| *it != self.settings.advertised());
         addresses.sort_unstable();
         addresses.dedup();
         addresses
--- a/crates/mangocross-coordination/tests/reconcile.rs
+++ b/crates/mangocross-coordination/tests/reconcile.rs
@@ -11,6 +11,7 @@
 use mangocross_coordination::PlacementPlanner;
 use mangocross_coordination::ProbeTable;
 use mangocross_coordination::Step;
+use mangocross_coordination::VmHolders;
 use mangocross_coordination::groups_to_move;
 use mangocross_coordination::reconcile;
 use mangocross_coordination::stuck_groups;
@@ -20,6 +21,8 @@
 use mangocross_types::DesiredState;
 use mangocross_types::DomainAssignment;
 use mangocross_types::EngineRole;
+use mangocross_types::FenceMode;
+use mangocross_types::FencingNumber;
 use mangocross_types::GroupPhase;
 use mangocross_types::Placements;
 use mangocross_types::Revision;
@@ -39,6 +42,7 @@
     held: HeldAssignment,
     engines: Vec<EngineVm>,
     probes: ProbeTable,
+    holders: VmHolders,
 }
 
 impl Fixture {
@@ -51,7 +55,7 @@
         };
         let assignment: DomainAssignment = serde_json::from_value(json!({
             "domain": "domain-1", "owner": "entry-1", "fencing_number": 1, "next_incarnation": 9,
-            "groups": [group(0), group(1)],
+            "registered": (0..vms).map(vm).collect::<Vec<_>>(), "groups": [group(0), group(1)],
         }))
         .expect("an assignment");
         let start = Instant::now() + Duration::from_secs(100);
@@ -63,7 +67,8 @@
         };
         let held = HeldAssignment::new(assignment, Revision(1), start, start);
         let engines = (0..vms).map(engine).collect();
-        Self { start, now: start, held, engines, probes: ProbeTable::default() }
+        let holders = VmHolders::new([], start);
+        Self { start, now: start, held, engines, probes: ProbeTable::default(), holders }
     }
 
     /// Probes all VMs for a while; those given fail.
@@ -93,6 +98,7 @@
             placements,
             engines: &self.engines,
             probes: &self.probes,
+            holders: &self.holders,
             authority: OrderAuthority::Full { deadline: self.now + 2_000 * MS },
             now: self.now,
             probe_ttl: 2_000 * MS,
@@ -183,6 +189,27 @@
     assert_eq!(*members, [vm(0), vm(4)]);
 }
 
+#[test]
+fn fencing_number_that_a_vm_brought_from_another_domain_is_outranked() {
+    let mut domain = Fixture::new(6);
+    domain.probe(500, &[]);
+    let moved = BackendReport { fencing_number: FencingNumber(7), ..report(5) };
+    domain.probes.record_answer(&vm(5), domain.now, domain.now, moved);
+    let raised = |fence_mode, authority| {
+        let configuration = Configuration { fence_mode, ..configuration() };
+        let placements = placements();
+        let input = DomainInput { authority, ..domain.input(&configuration, &placements) };
+        match reconcile(&input).into_iter().next() {
+            Some(Step::Swap(next)) => Some(next.fencing_number),
+            _ => None,
+        }
+    };
+    let full = OrderAuthority::Full { deadline: domain.now };
+    assert_eq!(raised(FenceMode::Honoured, full), Some(FencingNumber(8)));
+    assert_eq!(raised(FenceMode::Honoured, OrderAuthority::IdleOnly), None);
+    assert_eq!(raised(FenceMode::Ignored, full), None);
+}
+
 #[test]
 fn survivors_of_two_broken_groups_form_one() {
     let mut domain = Fixture::new(4);
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -6,7 +6,9 @@
 use mangocross_types::VmId;
 use serde::Deserialize;
 
+use crate::OperatorKey;
 use crate::Settings;
+use crate::operator_key::check_operator_keys;
 use crate::range::PROBE_INTERVAL_MS;
 use crate::range::TIME_MS;
 use crate::range::check_secret;
@@ -24,10 +26,17 @@
     pub availability_zone: AvailabilityZone,
     /// UDP and TCP address for gateways and other coordinators.
     pub listen: SocketAddr,
+    /// Address at which the others reach `listen`, if it is another one.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// UDP address that polls are sent from.
     pub poll_from: SocketAddr,
     /// Address for operators.
     pub operator_listen: SocketAddr,
+    /// Keys of the operators; whoever has none of them is refused. Without any key, whoever
+    /// reaches the address may give commands.
+    #[serde(default)]
+    pub operator_keys: Vec<OperatorKey>,
     /// Coordinators to start with; the configuration names all of them.
     pub coordinators: Vec<SocketAddr>,
     /// Address of the platform's store.
@@ -82,6 +91,13 @@
     pub metrics_log_ms: u64,
 }
 
+impl CoordinatorSettings {
+    /// Returns the address at which gateways and other coordinators reach this one.
+    pub fn advertised(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.listen)
+    }
+}
+
 fn poll_interval_ms() -> u64 {
     750
 }
@@ -144,7 +160,8 @@
     }
 
     fn check(&self) -> Result<(), String> {
-        check_secret(&self.peer_secret)?;
+        check_secret("peer_secret", &self.peer_secret)?;
+        check_operator_keys(&self.operator_keys)?;
         check_vouching(self.vouch_ms, self.poll_interval_ms)?;
         within("probe_interval_ms", self.probe_interval_ms, PROBE_INTERVAL_MS)?;
         let times = [
--- a/crates/mangocross-types/src/result_code.rs
+++ b/crates/mangocross-types/src/result_code.rs
@@ -76,6 +76,8 @@
     KeyMissing = 1008, 400;
     /// The idempotency key is malformed.
     KeyInvalid = 1009, 400;
+    /// The header is larger than the limit.
+    HeaderTooLarge = 1010, 431;
     /// The customer's limit is used up.
     CustomerLimit = 2001, 429;
     /// The system sheds load.
@@ -128,6 +130,8 @@
     NotFound = 6004, 404;
     /// The change is stored and not yet in force everywhere.
     NotYetInForce = 6005, 202;
+    /// The operator's key is missing or not known.
+    OperatorUnknown = 6006, 401;
     /// The settings file is not valid.
     SettingsInvalid = 7001, 500;
     /// An internal error.
--- a/tests/src/soak/faults.rs
+++ b/tests/src/soak/faults.rs
@@ -3,19 +3,29 @@
 use std::thread;
 use std::time::Duration;
 
+use mangocross_types::Rank;
 use standins::EngineFaults;
 use standins::PlatformFaults;
 use standins::ServiceFaults;
 use standins::StoreFaults;
 
 use crate::Cluster;
+use crate::LinkMode;
+use crate::PeerProcess;
 use crate::RelayMode;
 use crate::soak::Record;
 
 /// Shortest and longest time that a fault lasts, in milliseconds.
 const FAULT_MS: std::ops::Range<u64> = 300..6_000;
+/// Shortest and longest time that a member is lost, in milliseconds; the watch of the groups sees
+/// only what lasts longer than a proof of completeness counts.
+const LOSS_MS: std::ops::Range<u64> = 6_000..9_000;
+/// Out of 256 faults, those that take a member from a group and cut a gateway from its owner.
+const LOSSES: u8 = 64;
 /// Shortest and longest calm between faults, in milliseconds.
 const CALM_MS: std::ops::Range<u64> = 200..2_500;
+/// How much later datagrams come that are delayed; longer than a proof of completeness counts.
+const DATAGRAM_DELAY: Duration = Duration::from_millis(3_000);
 
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +56,12 @@
     PlatformLags,
     DrainAndResume,
     Move,
+    GatewayCut,
+    MemberLostAndGatewayCut,
+    CoordinatorCut,
+    RepliesLate,
+    DatagramsRepeated,
+    DatagramsReordered,
 }
 
 const ALL: &[Fault] = &[
@@ -75,8 +91,32 @@
     Fault::PlatformLags,
     Fault::DrainAndResume,
     Fault::Move,
+    Fault::GatewayCut,
+    Fault::MemberLostAndGatewayCut,
+    Fault::CoordinatorCut,
+    Fault::RepliesLate,
+    Fault::DatagramsRepeated,
+    Fault::DatagramsReordered,
 ];
 
+/// A process that a fault kills or freezes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoppedProcess {
+    Gateway,
+    Coordinator,
+}
+
+impl Fault {
+    /// Returns the process of the node that this fault stops.
+    fn process(self) -> Option<StoppedProcess> {
+        match self {
+            Self::KillGateway | Self::FreezeGateway => Some(StoppedProcess::Gateway),
+            Self::KillCoordinator | Self::FreezeCoordinator => Some(StoppedProcess::Coordinator),
+            _ => None,
+        }
+    }
+}
+
 /// Random faults from a seed.
 pub struct FaultPlan {
     random: fastrand::Rng,
@@ -90,28 +130,46 @@
 
     /// Brings about one fault, or two at a time, and ends them.
     pub fn next(&mut self, cluster: &mut Cluster, record: &Record) {
-        let first = ALL[self.random.usize(..ALL.len())];
+        let is_loss = self.random.u8(..) < LOSSES;
+        let first = match is_loss {
+            true => Fault::MemberLostAndGatewayCut,
+            false => ALL[self.random.usize(..ALL.len())],
+        };
         let second = ALL[self.random.usize(..ALL.len())];
         let both = self.random.u8(..) < 96;
         let node = self.random.usize(..cluster.gateways.len());
-        let vm = self.random.usize(..cluster.engines.len());
-        eprintln!(
-            "fault {first:?}{} node {node} vm {vm}",
-            if both { format!(" and {second:?}") } else { String::new() }
-        );
+        let vm = match is_loss {
+            true => self.member(cluster),
+            false => self.random.usize(..cluster.engines.len()),
+        };
+        // A process that is dead cannot be frozen, nor one that is frozen be restarted.
+        let same_process = first.process().is_some() && first.process() == second.process();
+        let second_node = (node + usize::from(same_process)) % cluster.gateways.len();
+        let with_second = format!(" and {second:?} node {second_node}");
+        let second_text = if both { with_second.as_str() } else { "" };
+        eprintln!("fault {first:?} node {node} vm {vm}{second_text}");
         record.count(format!("fault: {first:?}"));
         begin(first, cluster, node, vm);
         if both {
             record.count(format!("fault: {second:?}"));
-            begin(second, cluster, node, vm);
+            begin(second, cluster, second_node, vm);
         }
-        thread::sleep(Duration::from_millis(self.random.u64(FAULT_MS)));
+        let lasts_ms = if is_loss { LOSS_MS } else { FAULT_MS };
+        thread::sleep(Duration::from_millis(self.random.u64(lasts_ms)));
         end(first, cluster, node, vm);
         if both {
-            end(second, cluster, node, vm);
+            end(second, cluster, second_node, vm);
         }
         thread::sleep(Duration::from_millis(self.random.u64(CALM_MS)));
     }
+
+    /// Returns a VM without which its group is broken and its rank zero works on, if there is one.
+    fn member(&mut self, cluster: &Cluster) -> usize {
+        let reports = cluster.engines.values().map(standins::EngineStandin::report).enumerate();
+        let members = reports.filter(|(_, it)| it.group.is_some() && it.rank != Rank(0));
+        let members: Vec<usize> = members.map(|(number, _)| number).collect();
+        self.random.choice(members).unwrap_or_default()
+    }
 }
 
 fn begin(fault: Fault, cluster: &mut Cluster, node: usize, vm: usize) {
@@ -159,6 +217,15 @@
         }
         Fault::DrainAndResume => operate(cluster, node, "drain group letters-2"),
         Fault::Move => operate(cluster, node, "move group drills-1 to domain-3"),
+        Fault::GatewayCut => link_gateway(cluster, node, LinkMode::Cut),
+        Fault::MemberLostAndGatewayCut => {
+            link_gateway(cluster, node, LinkMode::Cut);
+            engine(cluster, vm).faults().set(engine_faults(Fault::EngineFrozen));
+        }
+        Fault::CoordinatorCut => link_coordinator(cluster, node, LinkMode::Cut),
+        Fault::RepliesLate => link_gateway(cluster, node, LinkMode::DelayReplies(DATAGRAM_DELAY)),
+        Fault::DatagramsRepeated => link_gateway(cluster, node, LinkMode::Repeat(DATAGRAM_DELAY)),
+        Fault::DatagramsReordered => link_gateway(cluster, node, LinkMode::Reorder(DATAGRAM_DELAY)),
     }
 }
 
@@ -174,7 +241,13 @@
         }
         Fault::DrainAndResume => operate(cluster, node, "resume group letters-2"),
         Fault::Move => operate(cluster, node, "move group drills-1 to domain-2"),
+        Fault::CoordinatorCut => link_coordinator(cluster, node, LinkMode::Pass),
+        Fault::GatewayCut
+        | Fault::RepliesLate
+        | Fault::DatagramsRepeated
+        | Fault::DatagramsReordered => link_gateway(cluster, node, LinkMode::Pass),
         _ => {
+            link_gateway(cluster, node, LinkMode::Pass);
             engine(cluster, vm).faults().set(EngineFaults::default());
             cluster.store.faults().set(StoreFaults::default());
             cluster.service.faults().set(ServiceFaults::default());
@@ -195,6 +268,25 @@
     }
 }
 
+/// Sets what happens between a node's gateway and the coordinators of the other nodes.
+fn link_gateway(cluster: &Cluster, node: usize, mode: LinkMode) {
+    let (node, others) = others(cluster, node);
+    others.for_each(|it| cluster.link(PeerProcess::Gateway(node), it, mode));
+}
+
+/// Sets what happens between a node's coordinator and those of the other nodes.
+fn link_coordinator(cluster: &Cluster, node: usize, mode: LinkMode) {
+    let (node, others) = others(cluster, node);
+    others.for_each(|it| cluster.link_coordinators(node, it, mode));
+}
+
+/// Returns the number of a node with those of the others.
+fn others(cluster: &Cluster, node: usize) -> (u16, impl Iterator<Item = u16>) {
+    let number = |it: usize| u16::try_from(it).unwrap_or_default();
+    let (node, nodes) = (number(node), number(cluster.coordinators.len()));
+    (node, (0..nodes).filter(move |it| *it != node))
+}
+
 fn engine(cluster: &Cluster, vm: usize) -> &standins::EngineStandin {
     cluster.engines.values().nth(vm).expect("the VM is there")
 }
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -6,6 +6,7 @@
 
 use mangocross_http::HttpAnswer;
 use mangocross_http::HttpClient;
+use mangocross_tests::Answer;
 use mangocross_tests::Cluster;
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
@@ -71,6 +72,8 @@
     all_are_whole(&cluster, EngineFaults { swap_after: after, ..EngineFaults::default() });
     all_are_whole(&cluster, EngineFaults { repeat_token: after, ..EngineFaults::default() });
     all_are_whole(&cluster, EngineFaults { skip_token: after, ..EngineFaults::default() });
+    // Each time the other engine was asked for the rest, and not for the whole once more.
+    assert_eq!(cluster.engine("vm-2-1").faults().counted("resumptions"), 4);
 }
 
 #[test]
@@ -91,7 +94,8 @@
 
 #[test]
 fn broken_stream_without_another_group_ends_in_an_error() {
-    let cluster = ClusterBuilder::new(1, &[1]).start();
+    let builder = ClusterBuilder::new(1, &[1]).gateway_setting("resume_wait_ms", 1_000);
+    let cluster = builder.start();
     cluster.start_group(GROUP_1, 0, &draft(1));
     let cut = EngineFaults { cut_after: Some(3), ..EngineFaults::default() };
     cluster.engine("vm-1-1").faults().set(cut);
@@ -132,9 +136,26 @@
     assert_eq!(refusal.outcome, RunOutcome::Unknown);
 }
 
+/// The wait for a first token is longer than the deadline here, so that only the lost proof ends it.
+#[test]
+fn request_without_a_first_token_leaves_a_group_that_lost_its_proof() {
+    let builder = ClusterBuilder::new(1, &[1, 1]).gateway_setting("first_token_ms", 60_000);
+    let cluster = two_groups(builder);
+    let group = |answer: &Answer| answer.header("x-group").map(str::to_owned);
+    let goes_to_first =
+        |it: &u32| group(&cluster.send(0, &question(*it))).as_deref() == Some("letters-1");
+    let number = (0..REQUESTS_MAX).find(goes_to_first).expect("a question for the first group");
+    let frozen = EngineFaults { frozen: true, ..EngineFaults::default() };
+    cluster.engine("vm-1-1").faults().set(frozen);
+    let answer = cluster.send(0, &question(number));
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(group(&answer).as_deref(), Some("letters-2"));
+}
+
 #[test]
 fn answer_resumes_at_the_next_incarnation_of_its_group() {
-    let cluster = ClusterBuilder::new(1, &[2]).start();
+    let builder = ClusterBuilder::new(1, &[2]).gateway_setting("resume_wait_ms", 30_000);
+    let cluster = builder.start();
     cluster.start_group(GROUP_1, 0, &draft(1));
     let generations = |it: &str| cluster.engine(it).faults().counted("generations");
     let serving = if generations("vm-1-1") > 0 { "vm-1-1" } else { "vm-1-2" };
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use group_support::assignment;
+use group_support::generations;
 use group_support::owner_of;
 use group_support::placed;
 use group_support::slow_engine;
@@ -13,11 +14,22 @@
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
 use mangocross_tests::RelayMode;
+use mangocross_types::Configuration;
+use mangocross_types::DomainAssignment;
 use mangocross_types::EngineState;
+use mangocross_types::FenceMode;
+use mangocross_types::FencingNumber;
 use mangocross_types::GroupPhase;
+use mangocross_types::Placements;
 use mangocross_types::RunOutcome;
+use mangocross_types::VmId;
+use mangocross_types::VmRole;
 use mangocross_types::VmState;
+use peer_store::HttpStore;
+use peer_store::read_json;
+use peer_store::swap_json;
 use standins::EngineFaults;
+use standins::EngineOptions;
 use standins::PlatformFaults;
 use standins::StoreFaults;
 
@@ -193,12 +205,14 @@
     let before = placed(&cluster, "domain-1");
     let leaving = before.members[1].clone();
     let stream = start_stream(&cluster, 0, 100);
+    let ran = generations(&cluster);
     let mut list = cluster.listed_vms();
     list.iter_mut().filter(|it| it.vm == leaving).for_each(|it| it.state = VmState::Leaving);
     cluster.platform.set_vms(list);
     cluster.wait_until("it drains", || placed(&cluster, "domain-1").phase == GroupPhase::Draining);
     cluster.platform.set_vms(cluster.listed_vms());
     assert!(stream.join().expect("the stream was read").is_whole());
+    assert_eq!(generations(&cluster), ran, "the answer was cut off and resumed");
     cluster.wait_until("it is formed anew", || {
         placed(&cluster, "domain-1").incarnation > before.incarnation
             && cluster.send(0, &draft()).is_whole()
@@ -265,6 +279,62 @@
     assert_eq!(cluster.platform.faults().counted("loads_that_waited"), 0);
 }
 
+#[test]
+fn spare_fetches_weights_before_it_is_needed_and_serves_in_no_group() {
+    let cluster = builder(1, &[3]).weight_store().start();
+    cluster.start_group(START, 0, &draft());
+    let members = placed(&cluster, "domain-1").members;
+    let spare = cluster.engines.iter().find(|(vm, _)| !members.contains(vm));
+    let (spare_vm, spare) = spare.expect("one VM is in no group");
+    cluster.wait_until("the spare holds the weights", || {
+        let report = spare.report();
+        report.state == EngineState::Idle && !report.cached_versions.is_empty()
+    });
+    assert_eq!((spare.report().group, spare.report().model_version), (None, None));
+    assert_eq!(placed(&cluster, "domain-1").members, members);
+    cluster.engine(members[1].as_str()).faults().set(frozen());
+    cluster.wait_until("the group is formed anew", || {
+        placed(&cluster, "domain-1").members.contains(spare_vm)
+            && cluster.send(0, &draft()).is_whole()
+    });
+    assert_eq!(cluster.platform.faults().counted("loads"), 3);
+}
+
+#[test]
+fn loads_of_a_group_end_a_preload_that_holds_a_place_at_the_weight_store() {
+    let cluster = builder(1, &[3, 2]).weight_store().start();
+    let weights = |loads_max, load_ms| {
+        let faults = PlatformFaults { loads_max, load_ms, ..PlatformFaults::default() };
+        cluster.platform.faults().set(faults);
+    };
+    for vm in ["vm-2-1", "vm-2-2"] {
+        cluster.operate(0, &format!("drain vm {vm}")).expect("it is drained");
+    }
+    // One place alone is never used for a preload.
+    weights(1, 100);
+    cluster.start_group(&format!("{START} in domain-1"), 0, &draft());
+    weights(2, 600_000);
+    let members = placed(&cluster, "domain-1").members;
+    let spare = cluster
+        .engines
+        .iter()
+        .find(|(vm, _)| vm.as_str().starts_with("vm-1") && !members.contains(vm));
+    let (_, spare) = spare.expect("one VM is in no group");
+    cluster.wait_until("the spare preloads", || spare.report().state == EngineState::Preloading);
+    weights(2, 100);
+    for vm in ["vm-2-1", "vm-2-2"] {
+        cluster.operate(0, &format!("resume vm {vm}")).expect("it is resumed");
+    }
+    let second = "start group drills-1 model drills version v2 members 2 in domain-2";
+    let scenario = Outgoing::chat("town", "scenario", "drills", 4, true);
+    cluster.start_group(second, 0, &scenario);
+    assert_eq!(spare.faults().counted("cancelled_preloads"), 1);
+    assert_eq!(spare.report().state, EngineState::Idle);
+    assert!(spare.report().cached_versions.is_empty());
+    assert_eq!(cluster.platform.faults().counted("loads_given_up"), 1);
+    assert_eq!(cluster.platform.faults().counted("loads_that_waited"), 0);
+}
+
 #[test]
 fn why_names_what_a_group_waits_for() {
     let cluster = builder(1, &[2]).start();
@@ -323,3 +393,74 @@
     }
     assert_eq!(cluster.engine(first.as_str()).faults().counted("generations"), ran);
 }
+
+#[test]
+fn owner_and_leader_decide_nothing_under_an_old_configuration() {
+    let cluster = builder(1, &[6, 6]).start();
+    cluster.start_group(START, 0, &draft());
+    let dark = if assignment(&cluster, "domain-1").groups.is_empty() { 2 } else { 1 };
+    let other = format!("domain-{}", 3 - dark);
+    let second = "start group letters-2 model letters version v1 members 2 in";
+    cluster.operate(0, &format!("{second} {other}")).expect("the group is accepted");
+    cluster.wait_until("the second group serves", || {
+        let groups = assignment(&cluster, &other).groups;
+        groups.iter().any(|it| it.phase == GroupPhase::Serving)
+    });
+    let store = HttpStore::open(cluster.store.address());
+    let (good, revision) = read_json::<serde_json::Value>(&store, Configuration::KEY).unwrap();
+    let unreadable = serde_json::json!({"groups": "none that can be read"});
+    let newer = swap_json(&store, Configuration::KEY, revision, &unreadable).unwrap();
+    let refused = || cluster.send(0, &draft()).outcome() == Some(RunOutcome::NotRun);
+    cluster.wait_until("it is known that there is a newer one", refused);
+    let decided = || {
+        let (placements, _) = read_json::<Placements>(&store, Placements::KEY).unwrap();
+        (assignment(&cluster, &other), placements)
+    };
+    let before = decided();
+    let lost = placed(&cluster, &other).members[1].to_string();
+    let is_lost = |vm: &VmId| vm.as_str() == lost || vm.as_str().starts_with(&format!("vm-{dark}"));
+    for (_, engine) in cluster.engines.iter().filter(|(vm, _)| is_lost(vm)) {
+        engine.faults().set(frozen());
+    }
+    let ran = generations(&cluster);
+    thread::sleep(Duration::from_secs(6));
+    assert_eq!(decided(), before);
+    assert_eq!(generations(&cluster), ran);
+    swap_json(&store, Configuration::KEY, newer.unwrap(), &good).unwrap();
+    cluster.wait_until("the owner and the leader decide", || {
+        let (of_owner, of_leader) = decided();
+        of_owner.groups != before.0.groups && of_leader != before.1
+    });
+}
+
+#[test]
+fn vm_that_is_listed_in_another_domain_stays_in_its_group_and_is_in_no_other() {
+    let honours = |vm| EngineOptions { honours_fence: true, ..EngineOptions::new(vm) };
+    let cluster = builder(2, &[2, 1]).engine_options(honours).start();
+    let fence_mode = FenceMode::Honoured;
+    cluster.replace_configuration(Configuration { fence_mode, ..cluster.configuration() });
+    cluster.start_group(START, 0, &draft());
+    let before = assignment(&cluster, "domain-1").groups;
+    let mut list = cluster.listed_vms();
+    for entry in list.iter_mut().filter(|it| it.vm.as_str() == "vm-1-2") {
+        entry.role = VmRole::Engine { fabric_domain: "domain-2".parse().unwrap(), accelerators: 1 };
+    }
+    cluster.platform.set_vms(list);
+    let second = "start group letters-2 model letters version v1 members 2 in domain-2";
+    cluster.operate(0, second).expect("the group is accepted");
+    for _ in 0..60 {
+        thread::sleep(Duration::from_millis(150));
+        assert!(cluster.send(0, &draft()).is_whole());
+        assert_eq!(assignment(&cluster, "domain-1").groups, before);
+        assert_eq!(assignment(&cluster, "domain-2").groups, []);
+    }
+    // The domain that had the VM gives it up with its group, and with a higher fencing number.
+    let store = HttpStore::open(cluster.store.address());
+    let key = DomainAssignment::key(&"domain-1".parse().unwrap());
+    let (raised, revision) = read_json::<DomainAssignment>(&store, &key).unwrap();
+    let raised = DomainAssignment { fencing_number: FencingNumber(50), ..raised.unwrap() };
+    assert!(swap_json(&store, &key, revision, &raised).unwrap().is_some());
+    let _ = cluster.operate(0, "stop group letters-1");
+    cluster.wait_until("the other group serves", || cluster.send(0, &draft()).is_whole());
+    assert_eq!(placed(&cluster, "domain-2").group.as_str(), "letters-2");
+}
