--- a/benches/src/bin/capacity.rs
+++ b/benches/src/bin/capacity.rs
@@ -70,6 +70,12 @@
         wire_bytes(&sample::peer_reply(it))
     });
     report("reply, by leaving VMs", &[0, 10, 50, 100], |it| wire_bytes(&sample::reply(0, it)));
+    report("reply, by cache events of a group", &[0, 4, 16, 32], |it| {
+        wire_bytes(&sample::reply_with_cache_events(it))
+    });
+    report("answer to a probe, by cache events, JSON", &[0, 4, 16, 32], |it| {
+        json_bytes(&sample::cache_events(it))
+    });
 }
 
 fn document_sizes() {
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -47,6 +47,7 @@
 use peer_store::HttpStore;
 use peer_store::Store;
 
+use crate::cache_events::CacheRelay;
 use crate::failures::KnownFailures;
 use crate::held_list::HeldList;
 use crate::known_revision::KnownRevision;
@@ -96,6 +97,7 @@
     pub(crate) vm_list: HeldList,
     pub(crate) leaving: Mutex<LeavingTable>,
     pub(crate) probes: Mutex<ProbeTable>,
+    pub(crate) caches: Mutex<CacheRelay>,
     /// The threads that probe, by VM.
     pub(crate) probers: Mutex<HashMap<VmId, Thread>>,
     pub(crate) assignments: Mutex<BTreeMap<FabricDomain, HeldAssignment>>,
@@ -143,6 +145,7 @@
             vm_list: HeldList::open(key),
             leaving: Mutex::new(LeavingTable::new(leaving_kept)),
             probes: Mutex::new(ProbeTable::default()),
+            caches: Mutex::new(CacheRelay::default()),
             probers: Mutex::new(HashMap::new()),
             assignments: Mutex::new(BTreeMap::new()),
             vm_holders: Mutex::default(),
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -104,6 +104,7 @@
         if let Some(usage) = reply.usage {
             self.state.admitting.heard(usage, asked_at);
         }
+        self.state.routing.published(&reply.caches, asked_at);
         let mut proofs = lock(&self.state.proofs);
         for proof in &reply.proofs {
             proofs.record(proof, asked_at);
--- a/peers/peer-engine/src/client.rs
+++ b/peers/peer-engine/src/client.rs
@@ -14,15 +14,20 @@
 use mangocross_types::RunOutcome;
 use serde::Serialize;
 
+use crate::CachePosition;
 use crate::EngineError;
 use crate::EngineErrorKind;
 use crate::GenerateRequest;
 use crate::GenerateStream;
 use crate::LineChecker;
+use crate::ProbeAnswer;
 
 /// Largest answer but a generated one, in bytes.
 const ANSWER_BYTES_MAX: usize = 64 * 1024;
 
+/// Most cache events in an answer to a probe; far below the largest answer.
+const CACHE_EVENTS_MAX: usize = 128;
+
 /// Client of model engines.
 #[derive(Debug, Clone)]
 pub struct EngineClient {
@@ -58,6 +63,30 @@
         }
     }
 
+    /// Asks an engine for its report and what its cache published after a position.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine does not answer in time or not with a report.
+    pub fn probe(
+        &self,
+        address: SocketAddr,
+        after: Option<CachePosition>,
+        timeouts: HttpTimeouts,
+    ) -> Result<ProbeAnswer, EngineError> {
+        let after = match after {
+            Some(it) => format!("cache_epoch={}&cache_after={}", it.epoch, it.number),
+            None => "cache_after=0".to_owned(),
+        };
+        let path = format!("/v1/report?{after}&cache_max={CACHE_EVENTS_MAX}");
+        let call = HttpCall::new(HttpMethod::Get, address, &path).timeouts(timeouts);
+        let answer = self.call(call)?;
+        match answer.status() {
+            200 => read(answer),
+            status => Err(refused(status, RunOutcome::Unknown)),
+        }
+    }
+
     /// Gives an engine an order.
     ///
     /// # Errors
--- a/peers/peer-entry/tests/frames.rs
+++ b/peers/peer-entry/tests/frames.rs
@@ -79,6 +79,7 @@
         owners: Vec::new(),
         vm_list: None,
         gateways: Vec::new(),
+        caches: Vec::new(),
     }
 }
 
