feat(coordinator): hand fabric domains over before a planned stop ends

Cause: SIGTERM ended a coordinator at once. Its groups were proven for up to 2.5 s more, and the others noticed after 2.5 s, so each restart of an entry VM took its groups out of service for about two seconds. Ruled out: longer proofs, a named successor (docs/DESIGN.md). Replies now say that the answerer stops, so others take over at once, while it goes on to probe and prove.

--- a/benches/src/failover/case.rs
+++ b/benches/src/failover/case.rs
@@ -27,6 +27,8 @@
     MemberStraggling,
     /// No VM of the group's fabric domain answers.
     DomainDark,
+    /// The coordinator that looks after the group is told to stop.
+    OwnerStopped,
     /// The coordinator that looks after the group is killed.
     OwnerKilled,
     /// That coordinator is killed, and a member freezes.
@@ -52,6 +54,7 @@
         Self::MemberRestarted,
         Self::MemberStraggling,
         Self::DomainDark,
+        Self::OwnerStopped,
         Self::OwnerKilled,
         Self::OwnerKilledAndMemberFrozen,
         Self::OwnerFrozenAndMemberFrozen,
@@ -92,6 +95,7 @@
                 let vms: Vec<VmId> = cluster.engines.keys().filter(in_domain).cloned().collect();
                 vms.iter().for_each(|it| set(cluster, it, frozen.clone()));
             }
+            Self::OwnerStopped => cluster.coordinators[placed.owner].terminate(),
             Self::OwnerKilled => cluster.coordinators[placed.owner].kill(),
             Self::OwnerKilledAndMemberFrozen => {
                 cluster.coordinators[placed.owner].kill();
--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -89,6 +89,7 @@
         revision: Revision(24_000),
         newest_known: Revision(24_000),
         established: true,
+        stopping: false,
         vouch_ms: 6_000,
         store_age_ms: Some(1_000),
         placements_revision: Revision(24_000),
--- a/bins/mangocross-coordinator/src/coordinator.rs
+++ b/bins/mangocross-coordinator/src/coordinator.rs
@@ -25,6 +25,7 @@
 
 use crate::configuration;
 use crate::domains;
+use crate::handover;
 use crate::metrics;
 use crate::operators;
 use crate::peers;
@@ -87,6 +88,7 @@
     }
     signals.forever().next();
     log::info!("planned stop: other coordinators take over");
+    handover::run(&state, &mut signals);
     state.tracing.close();
     Ok(())
 }
--- a/bins/mangocross-coordinator/src/domains.rs
+++ b/bins/mangocross-coordinator/src/domains.rs
@@ -199,6 +199,9 @@
             backoff.owns(now);
             return Ok(true);
         }
+        if state.is_stopping() {
+            return Ok(false);
+        }
         let recorded = held.as_ref().and_then(|it| it.assignment.owner.as_ref());
         if recorded.is_some() {
             backoff.other_owns(now, fastrand::u32(..=1_000));
--- /dev/null
+++ b/bins/mangocross-coordinator/src/handover.rs
@@ -0,0 +1,51 @@
+//! A planned stop: others take this coordinator's fabric domains over before it ends.
+
+use std::thread;
+use std::time::Duration;
+
+use signal_hook::iterator::Signals;
+
+use crate::state::CoordinatorState;
+use crate::state::lock;
+
+/// Longest wait for other coordinators to take over.
+const TAKEOVER_WAIT_MAX: Duration = Duration::from_secs(10);
+/// Time between looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Waits until other coordinators own this one's fabric domains and gateways know their proofs.
+///
+/// Replies say meanwhile that this coordinator stops, so that the others no longer count on it; it
+/// goes on to probe and prove its groups, which therefore stay in service. A second signal ends the
+/// wait.
+pub(crate) fn run(state: &CoordinatorState, signals: &mut Signals) {
+    let owned_any = owns_any(state);
+    state.stop();
+    let taken_over = || !owns_any(state) || state.live_coordinators().len() == 1;
+    if !wait(signals, TAKEOVER_WAIT_MAX, taken_over) {
+        return log::warn!("no other coordinator took over in time");
+    }
+    if owned_any && !wait(signals, state.probe_ttl(), || false) {
+        log::info!("other coordinators have taken over");
+    }
+}
+
+/// Waits for a condition; returns whether it came about before the limit and any signal.
+fn wait(signals: &mut Signals, limit: Duration, condition: impl Fn() -> bool) -> bool {
+    let looks = limit.as_millis() / LOOK_INTERVAL.as_millis();
+    for _ in 0..looks {
+        if condition() {
+            return true;
+        }
+        if signals.pending().next().is_some() {
+            return false;
+        }
+        thread::sleep(LOOK_INTERVAL);
+    }
+    condition()
+}
+
+fn owns_any(state: &CoordinatorState) -> bool {
+    let own = (&state.settings.vm, state.process_id);
+    lock(&state.assignments).values().any(|it| it.is_owned_by(own.0, own.1))
+}
--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -13,6 +13,7 @@
 mod domain_view;
 mod domains;
 mod failures;
+mod handover;
 mod held_list;
 mod known_revision;
 mod metrics;
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -116,6 +116,7 @@
             newest_known: reply.newest_known,
             established: reply.established,
             domains: reply.domains,
+            stopping: reply.stopping,
         };
         let mut peers = lock(&self.state.peers);
         // A reply that was overtaken says nothing new.
@@ -150,6 +151,7 @@
         revision,
         newest_known: vouch.newest_known,
         established: vouch.established,
+        stopping: state.is_stopping(),
         vouch_ms: milliseconds(vouch.bound),
         store_age_ms: vouch.store_age.map(milliseconds_up),
         majority_age_ms: vouch.majority.map(|it| milliseconds_up(it.age)),
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -7,6 +7,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread::Thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -70,6 +72,7 @@
     pub(crate) newest_known: Revision,
     pub(crate) established: bool,
     pub(crate) domains: Vec<DomainSummary>,
+    pub(crate) stopping: bool,
 }
 
 /// What the coordinator's threads share.
@@ -79,6 +82,7 @@
     pub(crate) operators: OperatorAccess,
     pub(crate) process_id: u64,
     pub(crate) started_at: Instant,
+    stopping: AtomicBool,
     pub(crate) metrics: Arc<CoordinatorMetrics>,
     pub(crate) tracing: Arc<Tracing>,
     pub(crate) failures: Mutex<KnownFailures>,
@@ -133,6 +137,7 @@
             clock,
             process_id: fastrand::u64(..),
             started_at,
+            stopping: AtomicBool::new(false),
             failures: Mutex::new(KnownFailures::default()),
             acceptance: Mutex::new(AcceptanceTracker::new(vouch)),
             node: Arc::new(node),
@@ -159,12 +164,23 @@
         self.node.current()
     }
 
-    /// Returns the coordinators that answered a poll recently, this one included.
+    /// Begins a planned stop: from now on this coordinator takes nothing over.
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Returns the coordinators that answered a poll recently and do not stop, and this one.
     pub(crate) fn live_coordinators(&self) -> Vec<VmId> {
         let now = self.clock.now();
         let age_max = Duration::from_millis(self.settings.proof_ms);
         let peers = lock(&self.peers);
-        let live = peers.iter().filter(|(_, it)| now.duration_since(it.asked_at) < age_max);
+        let is_live = |it: &LivePeer| !it.stopping && now.duration_since(it.asked_at) < age_max;
+        let live = peers.iter().filter(|(_, it)| is_live(it));
         let mut live: Vec<VmId> = live.map(|(vm, _)| vm.clone()).collect();
         live.push(self.settings.vm.clone());
         live.sort_unstable();
@@ -182,7 +198,7 @@
     /// Returns whether this coordinator decides where groups belong.
     pub(crate) fn is_placement_leader(&self) -> bool {
         let live = self.live_coordinators();
-        preferred_owner(Placements::KEY, &live) == Some(&self.settings.vm)
+        !self.is_stopping() && preferred_owner(Placements::KEY, &live) == Some(&self.settings.vm)
     }
 
     /// Returns the time between reads that all coordinators make.
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -123,6 +123,8 @@
     pub newest_known: Revision,
     /// Whether the answerer vouches that it knows of nothing newer.
     pub established: bool,
+    /// Whether the answerer is about to end, so that others take its fabric domains over.
+    pub stopping: bool,
     /// How long the answerer waits for vouches to run out, in milliseconds.
     pub vouch_ms: u32,
     /// Time since the store confirmed that nothing newer than `newest_known` was
--- a/peers/peer-entry/tests/frames.rs
+++ b/peers/peer-entry/tests/frames.rs
@@ -66,6 +66,7 @@
         revision: Revision(3),
         newest_known: Revision(3),
         established: true,
+        stopping: false,
         vouch_ms: 6_000,
         store_age_ms: None,
         placements_revision: Revision(9),
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -2,6 +2,8 @@
 
 mod group_support;
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -11,6 +13,7 @@
 use group_support::placed;
 use group_support::slow_engine;
 use group_support::start_stream;
+use mangocross_tests::Caller;
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
 use mangocross_tests::RelayMode;
@@ -464,3 +467,37 @@
     cluster.wait_until("the other group serves", || cluster.send(0, &draft()).is_whole());
     assert_eq!(placed(&cluster, "domain-2").group.as_str(), "letters-2");
 }
+
+#[test]
+fn planned_stop_of_an_owner_leaves_its_groups_in_service() {
+    let mut cluster = ClusterBuilder::new(2, &[2]).start();
+    cluster.start_group(START, 0, &draft());
+    cluster.wait_until("both gateways serve", || {
+        (0..2).all(|node| cluster.send(node, &draft()).is_whole())
+    });
+    let owner = owner_of(&cluster, "domain-1");
+    let gateways = [cluster.gateway(0), cluster.gateway(1)];
+    let ended = AtomicBool::new(false);
+    let refused = thread::scope(|scope| {
+        let sending = scope.spawn(|| {
+            let caller = Caller::open(Duration::from_secs(30));
+            let send = |it| caller.send(it, &draft()).expect("the gateway answers");
+            let mut refused = Vec::new();
+            while !ended.load(Ordering::Relaxed) {
+                refused.extend(gateways.map(send).into_iter().filter(|it| !it.is_whole()));
+            }
+            refused
+        });
+        cluster.coordinators[usize::from(owner)].terminate();
+        assert!(cluster.coordinators[usize::from(owner)].wait(), "the coordinator ended well");
+        cluster.wait_until("the other coordinator owns the domain", || {
+            owner_of(&cluster, "domain-1") == 1 - owner
+        });
+        cluster.wait_until("both gateways serve without it", || {
+            (0..2).all(|node| cluster.send(node, &draft()).is_whole())
+        });
+        ended.store(true, Ordering::Relaxed);
+        sending.join().expect("the caller ends")
+    });
+    assert!(refused.is_empty(), "{} requests were refused: {:?}", refused.len(), refused.first());
+}
