--- a/crates/mangocross-http/tests/server.rs
+++ b/crates/mangocross-http/tests/server.rs
@@ -194,6 +194,24 @@
     assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
 }
 
+#[test]
+fn caller_that_stops_reading_ends_its_answer() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (sender, ended) = std::sync::mpsc::channel();
+    let stream = move |request: ServerRequest| {
+        let mut stream = request.respond_stream(200, &[]).unwrap();
+        while stream.write_piece(&[b'a'; 64 * 1024]).is_ok() {}
+        sender.send(()).unwrap();
+    };
+    let limits =
+        ServerLimits { write_timeout: Duration::from_millis(200), ..ServerLimits::default() };
+    let refuse = |it: ServerRequest| it.respond(503, &[], Vec::new());
+    let server = HttpServer::bind(address, limits, stream, refuse).unwrap();
+    let mut silent = TcpStream::connect(server.address()).unwrap();
+    silent.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    ended.recv_timeout(Duration::from_secs(60)).expect("the answer is still being written");
+}
+
 #[test]
 fn connections_are_bounded() {
     let server = serve(ServerLimits::default().in_flight_max(1).spare_connections(1));
