fix(policy): pack groups at all weights, and add a case of a group that starts late

Where downtime weighed at least as much as stranded accelerators, groups were spread so that each fabric domain kept a spare. No case showed a difference, so a new one was added to the benchmark (`growing`): ten groups of 4 in five domains of 12, members that fail every five minutes, and a group of 8 after an hour. There the spread costs both measures: it leaves no room for the late group, and it saves nothing, since whole room in another domain takes in a group that lacks a member as quickly as a spare does once weights are preloaded. The rule is removed; `choose_domain` needs no weights any more.

The weights now act in repairs alone, and no case is known in which the users' weights lead to different measures.

--- a/benches/tests/policy.rs
+++ b/benches/tests/policy.rs
@@ -65,6 +65,13 @@
     assert_ratios(Case::StoreOutage, 1.02, 1.02);
 }
 
+/// Small groups are packed, so a large one that comes later finds room, and one
+/// that lacks a member moves to another domain.
+#[test]
+fn large_group_that_is_started_late() {
+    assert_ratios(Case::Growing, 0.5, 0.9);
+}
+
 #[test]
 fn two_domains_of_a_large_fleet_go_dark() {
     let it = compare(Case::LargeDark, User::Mwakalinga, LARGE_SEEDS);
--- a/crates/mangocross-coordination/src/placing.rs
+++ b/crates/mangocross-coordination/src/placing.rs
@@ -17,7 +17,6 @@
 use mangocross_types::GroupSpec;
 use mangocross_types::Placement;
 use mangocross_types::Placements;
-use mangocross_types::PolicyWeights;
 
 /// What a fabric domain's prober says of it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,7 +57,7 @@
         domains: &[DomainState],
         now: Instant,
     ) -> Placements {
-        let mut planner = Planner::new(&configuration.policy, current, assignments, domains);
+        let mut planner = Planner::new(current, assignments, domains);
         self.follow_moves(&mut planner, now);
         let is_wanted = |it: &&GroupSpec| it.desired != DesiredState::Stopped;
         configuration.groups.iter().filter(is_wanted).for_each(|it| planner.keep_room(it));
@@ -102,7 +101,6 @@
 }
 
 struct Planner<'a> {
-    weights: &'a PolicyWeights,
     current: &'a Placements,
     assignments: &'a [DomainAssignment],
     domains: &'a [DomainState],
@@ -113,13 +111,12 @@
 
 impl<'a> Planner<'a> {
     fn new(
-        weights: &'a PolicyWeights,
         current: &'a Placements,
         assignments: &'a [DomainAssignment],
         domains: &'a [DomainState],
     ) -> Self {
         let rooms = domains.iter().map(|it| (it.domain.clone(), it.idle_vms)).collect();
-        Self { weights, current, assignments, domains, rooms, moved: Vec::new() }
+        Self { current, assignments, domains, rooms, moved: Vec::new() }
     }
 
     fn place(&mut self, spec: &GroupSpec) -> Option<Placement> {
@@ -186,12 +183,9 @@
 
     fn take_room(&mut self, spec: &GroupSpec, but: Option<&FabricDomain>) -> Option<FabricDomain> {
         let others = self.rooms.iter().filter(|(domain, _)| Some(*domain) != but);
-        let rooms: Vec<DomainRoom> = others
-            .map(|(domain, idle)| {
-                DomainRoom::new(domain.clone(), *idle).groups(self.groups_in(domain))
-            })
-            .collect();
-        let domain = choose_domain(spec.size, &rooms, self.weights)?.clone();
+        let rooms: Vec<DomainRoom> =
+            others.map(|(domain, idle)| DomainRoom::new(domain.clone(), *idle)).collect();
+        let domain = choose_domain(spec.size, &rooms)?.clone();
         self.take_room_in(spec, &domain)?;
         Some(domain)
     }
@@ -202,11 +196,6 @@
         Some(())
     }
 
-    fn groups_in(&self, domain: &FabricDomain) -> u16 {
-        let groups = self.current.entries.iter().filter(|it| it.domain == *domain).count();
-        u16::try_from(groups).unwrap_or(u16::MAX)
-    }
-
     fn is_stuck(&self, group: &GroupId, domain: &FabricDomain) -> bool {
         let state = self.domains.iter().find(|it| it.domain == *domain);
         state.is_some_and(|it| it.stuck_groups.contains(group))
--- a/crates/mangocross-policy/src/repair.rs
+++ b/crates/mangocross-policy/src/repair.rs
@@ -151,7 +151,7 @@
         return RepairPlan::nothing(RepairDecision::Nothing);
     }
     let wait = waiting(group, now);
-    let moves = [replace(group), merge(group, now), relocate(group, weights)];
+    let moves = [replace(group), merge(group, now), relocate(group)];
     let best = moves.into_iter().flatten().map(|it| it.plan(group, &wait));
     let best = best.max_by(|a, b| a.gain.weighted(weights).total_cmp(&b.gain.weighted(weights)));
     let least = GAIN_SHARE_MIN * wait.cost(group).weighted(weights);
@@ -273,8 +273,8 @@
     Some(Move { decision, downtime, others_downtime, left_behind: 0, put_to_work: 0 })
 }
 
-fn relocate(group: &BrokenGroup, weights: &PolicyWeights) -> Option<Move> {
-    let domain = choose_domain(group.size, &group.other_domains, weights)?;
+fn relocate(group: &BrokenGroup) -> Option<Move> {
+    let domain = choose_domain(group.size, &group.other_domains)?;
     let room = group.other_domains.iter().find(|it| it.domain == *domain)?;
     let cold = group.size.0.saturating_sub(room.idle_with_weights);
     let downtime = group.times.until_loaded(cold.into());
