--- a/bins/mangocross-coordinator/src/probes.rs
+++ b/bins/mangocross-coordinator/src/probes.rs
@@ -79,8 +79,7 @@
     let mut last: Option<ProbeOutcome> = None;
     while !stop.load(Ordering::Relaxed) {
         let (started, asked_at) = (state.clock.wall(), state.clock.now());
-        let position = lock(&state.caches).position(vm);
-        let answer = state.engines.probe(address, position, timeouts);
+        let answer = ask(state, vm, address, timeouts);
         let answered_at = state.clock.now();
         if stop.load(Ordering::Relaxed) {
             break;
@@ -103,6 +102,28 @@
     lock(&state.caches).forget(vm);
 }
 
+/// Asks an engine for its report, and for its cache events if it takes a group's requests.
+fn ask(
+    state: &CoordinatorState,
+    vm: &VmId,
+    address: SocketAddr,
+    timeouts: HttpTimeouts,
+) -> Result<ProbeAnswer, EngineError> {
+    if takes_requests(state, vm) {
+        let position = lock(&state.caches).position(vm);
+        return state.engines.probe(address, position, timeouts);
+    }
+    let report = state.engines.report(address, timeouts)?;
+    Ok(ProbeAnswer { report, cache: None })
+}
+
+/// Returns whether a VM is the first member of a group.
+fn takes_requests(state: &CoordinatorState, vm: &VmId) -> bool {
+    let assignments = lock(&state.assignments);
+    let mut groups = assignments.values().flat_map(|it| &it.assignment.groups);
+    groups.any(|it| it.members.first() == Some(vm))
+}
+
 /// Takes in the cache events of an answer and returns its report.
 fn take_cache(
     state: &CoordinatorState,
