--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -8,6 +8,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread::Thread;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
 use mangocross_coordination::VmHolders;
+use mangocross_coordination::peer_rounds;
 use mangocross_coordination::preferred_owner;
 use mangocross_node::NodeConfiguration;
 use mangocross_operator::OperatorAccess;
@@ -62,7 +64,9 @@
 const WARM_LOAD: Duration = Duration::from_secs(1);
 
 /// How long a gateway's use of customers' limits counts.
-const GATEWAY_KEPT: Duration = Duration::from_secs(3);
+const GATEWAY_KEPT: Duration = Duration::from_secs(6);
+/// Polls of a coordinator that may be lost before it no longer counts as live.
+const LOST_POLLS: u32 = 2;
 
 /// A coordinator that answers polls.
 #[derive(Debug, Clone)]
@@ -87,6 +91,8 @@
     pub(crate) tracing: Arc<Tracing>,
     pub(crate) failures: Mutex<KnownFailures>,
     pub(crate) acceptance: Mutex<AcceptanceTracker>,
+    /// Commands that wait until their change is accepted.
+    pub(crate) waiting_commands: AtomicUsize,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) platform: PlatformClient,
     pub(crate) engines: EngineClient,
@@ -140,6 +146,7 @@
             stopping: AtomicBool::new(false),
             failures: Mutex::new(KnownFailures::default()),
             acceptance: Mutex::new(AcceptanceTracker::new(vouch)),
+            waiting_commands: AtomicUsize::new(0),
             node: Arc::new(node),
             peers: Mutex::new(HashMap::new()),
             gateways: Mutex::new(GatewayTable::new(GATEWAY_KEPT)),
@@ -177,7 +184,7 @@
     /// Returns the coordinators that answered a poll recently and do not stop, and this one.
     pub(crate) fn live_coordinators(&self) -> Vec<VmId> {
         let now = self.clock.now();
-        let age_max = Duration::from_millis(self.settings.proof_ms);
+        let age_max = self.live_age();
         let peers = lock(&self.peers);
         let is_live = |it: &LivePeer| !it.stopping && now.duration_since(it.asked_at) < age_max;
         let live = peers.iter().filter(|(_, it)| is_live(it));
@@ -195,6 +202,26 @@
         held.is_some_and(|it| it.is_owned_by(&self.settings.vm, self.process_id))
     }
 
+    /// Returns the rounds between polls of the same coordinator.
+    ///
+    /// While a command waits all are polled in each, so that it is soon known to be in force.
+    pub(crate) fn peer_rounds(&self) -> usize {
+        if self.waiting_commands.load(Ordering::SeqCst) > 0 { 1 } else { self.usual_rounds() }
+    }
+
+    fn usual_rounds(&self) -> usize {
+        let interval = Duration::from_millis(self.settings.poll_interval_ms);
+        let vouch = Duration::from_millis(self.settings.vouch_ms);
+        peer_rounds(&self.configuration().entry_vms, interval, vouch)
+    }
+
+    /// How long a coordinator's answer shows that it is live.
+    pub(crate) fn live_age(&self) -> Duration {
+        let interval = Duration::from_millis(self.settings.poll_interval_ms);
+        let more_rounds = u32::try_from(self.usual_rounds() - 1).unwrap_or(u32::MAX);
+        self.probe_ttl() + interval * LOST_POLLS * more_rounds
+    }
+
     /// Returns whether this coordinator decides where groups belong.
     pub(crate) fn is_placement_leader(&self) -> bool {
         let live = self.live_coordinators();
