feat(coordinator): poll other coordinators in turns beyond 32 entry VMs

Coordinators still poll every other one, which at 350 entry VMs is 465 polls a second for each. Beyond 32 each is polled every second interval, beyond 64 every third, but never so seldom that a vouch would not outlive three polls. A coordinator counts as live so much longer that two polls may be lost. The readers of the store in the own zone are polled each interval, and everybody is while a command waits to be in force. Safety does not rest on how often anybody polls: all words count from the asking.

Cost: a takeover from a dead coordinator takes one and a half to three seconds more in such fleets. Ruled out for now: polling only the candidates of one's own domains, which needs other ways for the placement leader's view, for acceptance and for establishing after restarts.

A gateway's use counts for six seconds in place of three, since it may arrive that much later.

--- a/bins/mangocross-coordinator/src/acceptance.rs
+++ b/bins/mangocross-coordinator/src/acceptance.rs
@@ -1,5 +1,6 @@
 //! Waits until a change is accepted.
 
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -49,13 +50,16 @@
     accepted_base: Option<&[EntryVmSpec]>,
 ) -> OperatorAnswer {
     let deadline = state.clock.now() + Duration::from_millis(state.settings.in_force_wait_ms);
-    loop {
+    state.waiting_commands.fetch_add(1, Ordering::SeqCst);
+    let acceptance = loop {
         let acceptance = check(state, revision, entry_vms, accepted_base);
         if acceptance.is_accepted() || state.clock.now() >= deadline {
-            return answer(revision, &acceptance);
+            break acceptance;
         }
         thread::sleep(POLL_INTERVAL);
-    }
+    };
+    state.waiting_commands.fetch_sub(1, Ordering::SeqCst);
+    answer(revision, &acceptance)
 }
 
 fn answer(revision: Revision, acceptance: &Acceptance) -> OperatorAnswer {
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,6 +16,8 @@
 use mangocross_coordination::Voucher;
 use mangocross_coordination::groups_to_move;
 use mangocross_coordination::is_small_fleet;
+use mangocross_coordination::zone_readers;
+use mangocross_types::Configuration;
 use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupAssignment;
@@ -42,17 +46,39 @@
 /// What this coordinator asks others and what it learns from them.
 pub(crate) struct CoordinatorPeers {
     state: Arc<CoordinatorState>,
+    round: AtomicUsize,
 }
 
 impl CoordinatorPeers {
     pub(crate) fn new(state: Arc<CoordinatorState>) -> Self {
-        Self { state }
+        Self { state, round: AtomicUsize::new(0) }
+    }
+
+    /// Returns the coordinators that read the store for this one, whose word must stay fresh.
+    fn store_readers(&self) -> Vec<SocketAddr> {
+        let configuration = self.state.configuration();
+        let (entry_vms, own) = (&configuration.entry_vms, &self.state.settings.vm);
+        let live = self.state.live_coordinators();
+        let readers = zone_readers(Configuration::KEY, entry_vms, own, &live);
+        let lines = entry_vms.iter().filter(|it| it.vm != *own && readers.contains(&&it.vm));
+        lines.map(|it| it.coordinator).collect()
     }
 }
 
 impl PollerHandler for CoordinatorPeers {
     fn targets(&self) -> Vec<SocketAddr> {
-        self.state.coordinator_addresses()
+        let mut addresses = self.state.coordinator_addresses();
+        let rounds = self.state.peer_rounds();
+        let round = self.round.fetch_add(1, Ordering::Relaxed);
+        if rounds > 1 {
+            let readers = self.store_readers();
+            let mut index = round;
+            addresses.retain(|it| {
+                index = index.wrapping_add(1);
+                index.is_multiple_of(rounds) || readers.contains(it)
+            });
+        }
+        addresses
     }
 
     fn poll(&self, _to: SocketAddr) -> Poll {
--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -99,7 +99,7 @@
 fn domain_states(state: &CoordinatorState) -> Vec<DomainState> {
     let now = state.clock.now();
     let peers: Vec<LivePeer> = lock(&state.peers).values().cloned().collect();
-    let live = peers.iter().filter(|it| now.duration_since(it.asked_at) < state.probe_ttl());
+    let live = peers.iter().filter(|it| now.duration_since(it.asked_at) < state.live_age());
     let others = live.flat_map(|it| it.domains.iter().cloned());
     let mut by_domain: BTreeMap<FabricDomain, DomainState> = BTreeMap::new();
     for it in others.chain(summaries(state)) {
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -7,6 +7,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,6 +20,7 @@
 use mangocross_coordination::ListHash;
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
+use mangocross_coordination::peer_rounds;
 use mangocross_coordination::preferred_owner;
 use mangocross_node::NodeConfiguration;
 use mangocross_policy::RepairTimes;
@@ -53,7 +56,9 @@
 const WARM_LOAD: Duration = Duration::from_secs(1);
 
 /// How long a gateway's use of customers' limits counts.
-const GATEWAY_KEPT: Duration = Duration::from_secs(3);
+const GATEWAY_KEPT: Duration = Duration::from_secs(6);
+/// Polls of a coordinator that may be lost before it no longer counts as live.
+const LOST_POLLS: u32 = 2;
 
 /// A coordinator that answers polls.
 #[derive(Debug, Clone)]
@@ -73,6 +78,8 @@
     pub(crate) started_at: Instant,
     pub(crate) failures: Mutex<KnownFailures>,
     pub(crate) acceptance: Mutex<AcceptanceTracker>,
+    /// Commands that wait until their change is accepted.
+    pub(crate) waiting_commands: AtomicUsize,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) platform: PlatformClient,
     pub(crate) engines: EngineClient,
@@ -109,6 +116,7 @@
             started_at,
             failures: Mutex::new(KnownFailures::default()),
             acceptance: Mutex::new(AcceptanceTracker::new(vouch)),
+            waiting_commands: AtomicUsize::new(0),
             node: Arc::new(node),
             peers: Mutex::new(HashMap::new()),
             gateways: Mutex::new(GatewayTable::new(GATEWAY_KEPT)),
@@ -133,7 +141,7 @@
     /// Returns the coordinators that answered a poll recently, this one included.
     pub(crate) fn live_coordinators(&self) -> Vec<VmId> {
         let now = self.clock.now();
-        let age_max = Duration::from_millis(self.settings.proof_ms);
+        let age_max = self.live_age();
         let peers = lock(&self.peers);
         let live = peers.iter().filter(|(_, it)| now.duration_since(it.asked_at) < age_max);
         let mut live: Vec<VmId> = live.map(|(vm, _)| vm.clone()).collect();
@@ -143,6 +151,26 @@
         live
     }
 
+    /// Returns the rounds between polls of the same coordinator.
+    ///
+    /// While a command waits all are polled in each, so that it is soon known to be in force.
+    pub(crate) fn peer_rounds(&self) -> usize {
+        if self.waiting_commands.load(Ordering::SeqCst) > 0 { 1 } else { self.usual_rounds() }
+    }
+
+    fn usual_rounds(&self) -> usize {
+        let interval = Duration::from_millis(self.settings.poll_interval_ms);
+        let vouch = Duration::from_millis(self.settings.vouch_ms);
+        peer_rounds(&self.configuration().entry_vms, interval, vouch)
+    }
+
+    /// How long a coordinator's answer shows that it is live.
+    pub(crate) fn live_age(&self) -> Duration {
+        let interval = Duration::from_millis(self.settings.poll_interval_ms);
+        let more_rounds = u32::try_from(self.usual_rounds() - 1).unwrap_or(u32::MAX);
+        self.probe_ttl() + interval * LOST_POLLS * more_rounds
+    }
+
     /// Returns whether this coordinator decides where groups belong.
     pub(crate) fn is_placement_leader(&self) -> bool {
         let live = self.live_coordinators();
--- a/crates/mangocross-coordination/src/poll_plan.rs
+++ b/crates/mangocross-coordination/src/poll_plan.rs
@@ -1,4 +1,4 @@
-//! Which coordinators a gateway polls.
+//! Which coordinators a gateway polls, and how often coordinators poll each other.
 //!
 //! In a small fleet a gateway polls every coordinator. In a larger one its polls
 //! must not grow with the fleet, so it polls
@@ -10,6 +10,8 @@
 //! - the owners of the groups chosen for it, of which the relays tell.
 //!
 //! A relay that falls silent is polled on, and the next one besides.
+//!
+//! Coordinators poll all others, in a large fleet each of them in some rounds only.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -31,6 +33,12 @@
 
 /// Entry VMs up to which everybody polls everybody.
 const SMALL_FLEET_MAX: usize = 9;
+/// Coordinators that a coordinator polls in a round, before it polls each in some rounds only.
+const PEERS_PER_ROUND: usize = 32;
+/// Most rounds between polls of the same coordinator.
+const PEER_ROUNDS_MAX: usize = 3;
+/// Polls of a coordinator within the time that a vouch counts.
+const POLLS_PER_VOUCH: u32 = 3;
 /// Relays that answer and are polled.
 const RELAYS: usize = 3;
 /// Groups that serve the same requests that are chosen for a gateway.
@@ -43,6 +51,19 @@
     entry_vms.len() <= SMALL_FLEET_MAX
 }
 
+/// Returns in which part of its rounds, `interval` apart, a coordinator polls each other one: in
+/// every one, every second or every third.
+///
+/// A vouch counts for `vouch`; however large the fleet, it outlives three polls.
+pub fn peer_rounds(entry_vms: &[EntryVmSpec], interval: Duration, vouch: Duration) -> usize {
+    let wanted = entry_vms.len().div_ceil(PEERS_PER_ROUND).clamp(1, PEER_ROUNDS_MAX);
+    let fits = |rounds: &usize| {
+        let polls = u32::try_from(*rounds).unwrap_or(u32::MAX).saturating_mul(POLLS_PER_VOUCH);
+        interval.saturating_mul(polls) <= vouch
+    };
+    (1..=wanted).rev().find(fits).unwrap_or(1)
+}
+
 /// When each coordinator was first polled, and when it last answered.
 #[derive(Debug, Clone)]
 pub struct AnswerTimes {
--- a/crates/mangocross-coordination/src/readers.rs
+++ b/crates/mangocross-coordination/src/readers.rs
@@ -34,18 +34,28 @@
 /// Returns whether this coordinator is one of those of its zone that read `key`; one that is not
 /// listed reads.
 pub fn is_reader(key: &str, entry_vms: &[EntryVmSpec], own: &VmId, live: &[VmId]) -> bool {
-    let Some(own_line) = entry_vms.iter().find(|it| it.vm == *own) else { return true };
+    let is_listed = entry_vms.iter().any(|it| it.vm == *own);
+    !is_listed || zone_readers(key, entry_vms, own, live).contains(&own)
+}
+
+/// Returns the live coordinators in the zone of `own` that read `key`; none if it is not listed.
+pub fn zone_readers<'a>(
+    key: &str,
+    entry_vms: &'a [EntryVmSpec],
+    own: &VmId,
+    live: &[VmId],
+) -> Vec<&'a VmId> {
+    let Some(own_line) = entry_vms.iter().find(|it| it.vm == *own) else { return Vec::new() };
     let zone = &own_line.availability_zone;
     let in_zone = entry_vms.iter().filter(|it| it.availability_zone == *zone).map(|it| &it.vm);
     let mut candidates: Vec<&VmId> = in_zone.filter(|it| *it == own || live.contains(it)).collect();
+    let mut readers = Vec::new();
     for _ in 0..READERS_PER_ZONE {
-        match preferred_owner(key, candidates.iter().copied()).cloned() {
-            Some(reader) if reader == *own => return true,
-            Some(reader) => candidates.retain(|it| **it != reader),
-            None => return false,
-        }
+        let Some(reader) = preferred_owner(key, candidates.iter().copied()) else { break };
+        let reader = candidates.iter().position(|it| *it == reader).map(|it| candidates.remove(it));
+        readers.extend(reader);
     }
-    false
+    readers
 }
 
 /// Returns the wait after a number of failed reads in a row.
--- a/crates/mangocross-coordination/tests/poll_plan.rs
+++ b/crates/mangocross-coordination/tests/poll_plan.rs
@@ -8,6 +8,7 @@
 use mangocross_coordination::AnswerTimes;
 use mangocross_coordination::RelayRanking;
 use mangocross_coordination::chosen_groups;
+use mangocross_coordination::peer_rounds;
 use mangocross_types::DesiredState;
 use mangocross_types::EntryVmSpec;
 use mangocross_types::GroupId;
@@ -126,3 +127,13 @@
     assert_eq!(ranking.polled(silent).len(), 3);
     assert_eq!(ranking.reporter(silent), Some(own.coordinator));
 }
+
+#[test]
+fn coordinators_poll_each_other_less_often_in_large_fleets_and_a_vouch_outlives_three_polls() {
+    let (interval, vouch) = (Duration::from_millis(750), Duration::from_millis(6_000));
+    let rounds = |vms, vouch| peer_rounds(&entry_vms(vms, 3), interval, vouch);
+    assert_eq!([0, 7, 32].map(|it| rounds(it, vouch)), [1, 1, 1]);
+    assert_eq!([33, 350].map(|it| rounds(it, vouch)), [2, 2]);
+    assert_eq!([33, 64, 65, 350].map(|it| rounds(it, 2 * vouch)), [2, 2, 3, 3]);
+    assert_eq!(rounds(350, vouch / 2), 1);
+}
