--- /dev/null
+++ b/crates/mangocross-coordination/tests/world/checks.rs
@@ -0,0 +1,38 @@
+//! What must hold at every moment, and once the faults are over.
+
+use mangocross_types::GroupPhase;
+use mangocross_types::Rank;
+
+use super::PROBE_TTL;
+use super::World;
+
+impl World {
+    /// Every unexpired proof is of members that all were there within its time to live.
+    pub(super) fn check_proofs(&self) {
+        for proof in self.gateway.proven(self.now) {
+            let members = &self.members_of[&proof.incarnation];
+            for (rank, vm) in (0..).map(Rank).zip(members) {
+                let engine = &self.engines[self.engine(vm)];
+                let member = (&proof.group, proof.incarnation, rank);
+                assert!(
+                    engine.was_ready(member, self.now - PROBE_TTL, self.now),
+                    "seed {}: {} is proven without {vm}",
+                    self.seed,
+                    proof.group
+                );
+            }
+        }
+    }
+
+    /// Once all is well again, every wanted group serves, and a gateway knows.
+    pub(super) fn check_settled(&self) {
+        let assignment = self.store.assignment.as_ref().expect("an assignment was written");
+        for spec in &self.configuration.1.groups {
+            let group = assignment.groups.iter().find(|it| it.group == spec.id);
+            let proven = self.gateway.get(&spec.id, self.now);
+            let serves = group.is_some_and(|it| it.phase == GroupPhase::Serving)
+                && proven.is_some_and(|it| it.accepts_new);
+            assert!(serves, "seed {}: {} does not serve at the end: {group:?}", self.seed, spec.id);
+        }
+    }
+}
--- a/crates/mangocross-coordination/tests/world/mod.rs
+++ b/crates/mangocross-coordination/tests/world/mod.rs
@@ -3,8 +3,12 @@
 //! Every message takes time, may be lost, and may arrive long after its sender
 //! was paused, replaced or started anew.
 
+mod checks;
 mod engine;
 mod owner;
+mod owning;
+mod serving;
+mod storing;
 
 use std::collections::HashMap;
 use std::fmt::Debug;
@@ -12,36 +16,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use engine::Effect;
 use engine::Engine;
-use mangocross_coordination::DomainInput;
-use mangocross_coordination::EngineVm;
-use mangocross_coordination::HeldAssignment;
-use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::ProofTable;
-use mangocross_coordination::Step;
-use mangocross_coordination::VmHolders;
-use mangocross_coordination::preload_orders;
-use mangocross_coordination::preloading_vms;
-use mangocross_coordination::reconcile;
-use mangocross_coordination::take_over;
-use mangocross_coordination::validate;
-use mangocross_policy::RepairTimes;
 use mangocross_types::BackendReport;
 use mangocross_types::Configuration;
 use mangocross_types::DesiredState;
 use mangocross_types::DomainAssignment;
-use mangocross_types::EngineRole;
-use mangocross_types::EngineState;
 use mangocross_types::FenceMode;
 use mangocross_types::FencingNumber;
 use mangocross_types::GroupId;
-use mangocross_types::GroupPhase;
 use mangocross_types::Incarnation;
-use mangocross_types::ModelVersion;
 use mangocross_types::OrderKind;
 use mangocross_types::Placements;
-use mangocross_types::Rank;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
 use owner::Owner;
@@ -390,303 +376,6 @@
         }
     }
 
-    fn read_comes_back(
-        &mut self,
-        to: Process,
-        purpose: ReadFor,
-        asked_at: Instant,
-        read: Option<StoreValue>,
-    ) {
-        let before = self.owners[to.owner].held.as_ref().map(|it| it.assignment.fencing_number);
-        if purpose != ReadFor::Memory {
-            self.owners[to.owner].busy_until = None;
-        }
-        self.owners[to.owner].confirmation_failed =
-            purpose == ReadFor::Confirmation && read.is_none();
-        let Some(read) = read else {
-            return self.owners[to.owner].backoff.store_failed();
-        };
-        self.hold(to.owner, &read, asked_at);
-        let named = read.assignment.as_ref().map(|it| it.fencing_number);
-        if purpose == ReadFor::Takeover && (named.is_none() || named == before) {
-            let owner = &self.owners[to.owner];
-            let assignment = read.assignment.unwrap_or_else(|| DomainAssignment::empty(id(DOMAIN)));
-            let next = take_over(&assignment, &owner.vm, owner.process_id);
-            self.takeovers += 1;
-            self.send_write(to.owner, next, read.revision);
-        }
-    }
-
-    fn hold(&mut self, owner: usize, read: &StoreValue, asked_at: Instant) {
-        if let Some(assignment) = read.assignment.clone() {
-            self.owners[owner].hold(assignment, read.revision, asked_at, self.now);
-        }
-    }
-
-    fn tick(&mut self, owner: usize) {
-        let again = self.between(200, 400);
-        self.after(again, Event::Tick { owner });
-        if !self.is_awake(owner) || self.owners[owner].busy_until.is_some_and(|it| self.now < it) {
-            return;
-        }
-        self.owners[owner].busy_until = None;
-        if self.random.u32(..6) == 0 {
-            self.send_read(owner, ReadFor::Memory);
-        }
-        let now = self.now;
-        let owner_is_live = !self.calm && self.random.bool();
-        let jitter = self.random.u32(..1_000);
-        let this = &mut self.owners[owner];
-        if !this.is_preferred {
-            return this.backoff.not_preferred();
-        }
-        match this.held.clone() {
-            Some(held) if held.is_owned_by(&this.vm, this.process_id) => {
-                this.backoff.owns(now);
-                self.look_after(owner, &held);
-            }
-            held => {
-                if held.is_some() {
-                    this.backoff.other_owns(now, jitter);
-                }
-                if this.backoff.may_take_over(owner_is_live, now) {
-                    self.send_read(owner, ReadFor::Takeover);
-                }
-            }
-        }
-    }
-
-    fn look_after(&mut self, owner: usize, held: &HeldAssignment) {
-        let this = &self.owners[owner];
-        let authority = held.authority(
-            &this.vm,
-            this.process_id,
-            this.configuration.1.fence_mode,
-            ORDER_LIFETIME,
-            self.now,
-        );
-        let full = OrderAuthority::Full { deadline: self.now };
-        let all = self.decide(owner, held, full);
-        let has_orders = all.iter().any(|it| matches!(it, Step::Order { .. }));
-        if has_orders
-            && held.needs_confirmation(ORDER_LIFETIME, self.now)
-            && !std::mem::take(&mut self.owners[owner].confirmation_failed)
-        {
-            return self.send_read(owner, ReadFor::Confirmation);
-        }
-        for step in self.decide(owner, held, authority) {
-            match step {
-                Step::Swap(next) => self.send_write(owner, next, held.revision),
-                Step::Order { vm, kind } => self.send_order(held, authority, &vm, kind),
-            }
-        }
-        if matches!(authority, OrderAuthority::Full { .. }) {
-            self.change_preloads(owner, held, authority);
-        }
-    }
-
-    /// Starts preloads, or gives them up.
-    fn change_preloads(&mut self, owner: usize, held: &HeldAssignment, authority: OrderAuthority) {
-        if self.random.u32(..4) == 0 {
-            let preloading = self.with_input(owner, held, authority, preloading_vms);
-            for vm in preloading {
-                self.send_order(held, authority, &vm, OrderKind::CancelPreload);
-            }
-            return;
-        }
-        for step in self.with_input(owner, held, authority, preload_orders) {
-            if let Step::Order { vm, kind } = step {
-                self.send_order(held, authority, &vm, kind);
-            }
-        }
-    }
-
-    fn decide(&self, owner: usize, held: &HeldAssignment, authority: OrderAuthority) -> Vec<Step> {
-        self.with_input(owner, held, authority, reconcile)
-    }
-
-    fn with_input<T>(
-        &self,
-        owner: usize,
-        held: &HeldAssignment,
-        authority: OrderAuthority,
-        decide: fn(&DomainInput<'_>) -> T,
-    ) -> T {
-        let engines = self.engines.iter().map(|it| EngineVm {
-            vm: it.report.vm.clone(),
-            address: ([127, 0, 0, 1], 1).into(),
-            leaving: it.leaving,
-            listed: true,
-        });
-        let engines: Vec<EngineVm> = engines.collect();
-        decide(&DomainInput {
-            held,
-            configuration: &self.owners[owner].configuration.1,
-            placements: &self.placements,
-            engines: &engines,
-            probes: &self.owners[owner].probes,
-            holders: &VmHolders::new([], self.now),
-            authority,
-            now: self.now,
-            probe_ttl: PROBE_TTL,
-            stall_limit: STALL_LIMIT,
-            lost_after: LOST_AFTER,
-            lost_after_with_spare: LOST_AFTER / 2,
-            order_lifetime: ORDER_LIFETIME,
-            repair_times: RepairTimes {
-                load: Duration::from_secs(60),
-                concurrent_loads: 8,
-                loads_before: 0,
-                warm_load: Duration::from_secs(1),
-                restart: Duration::from_secs(180),
-            },
-        })
-    }
-
-    fn send_order(
-        &mut self,
-        held: &HeldAssignment,
-        authority: OrderAuthority,
-        vm: &VmId,
-        kind: OrderKind,
-    ) {
-        let deadline = match authority {
-            OrderAuthority::Full { deadline } => deadline,
-            _ => self.now + ORDER_LIFETIME,
-        };
-        let order = Order {
-            fencing_number: held.assignment.fencing_number,
-            kind,
-            deadline,
-            idle_only: authority == OrderAuthority::IdleOnly,
-        };
-        let (engine, delay) = (self.engine(vm), self.late_delay());
-        self.after(delay, Event::OrderAtEngine { engine, order });
-    }
-
-    fn order_arrives(&mut self, engine: usize, order: &Order) {
-        let now = self.now;
-        if !self.is_answering(engine) {
-            return self.after(STEP, Event::OrderAtEngine { engine, order: order.clone() });
-        }
-        let this = &mut self.engines[engine];
-        let stale = order.fencing_number < this.report.fencing_number;
-        if now > order.deadline || (stale && self.faults.fence_mode == FenceMode::Honoured) {
-            return;
-        }
-        self.idle_only_taken |= order.idle_only;
-        let excused = self.idle_only_taken && self.faults.fence_mode == FenceMode::Ignored;
-        assert!(
-            !stale || excused,
-            "seed {}: {} carried out {order:?} of an older owner",
-            self.seed,
-            this.report.vm
-        );
-        let effect = this.carry_out(order, now);
-        let membership = this.membership;
-        if let Effect::Cut(requests, incarnation) = effect {
-            let members = self.members_of[&incarnation].clone();
-            let broken = members.iter().any(|it| self.engines[self.engine(it)].has_failed);
-            assert!(
-                broken || excused,
-                "seed {}: {order:?} cut off {requests} requests of incarnation {incarnation}",
-                self.seed
-            );
-        }
-        if let OrderKind::Preload { model_version, .. } = &order.kind {
-            self.begin_preload(engine, model_version);
-        }
-        if let OrderKind::Load { model_version, .. } = &order.kind
-            && self.engines[engine].report.state == EngineState::Loading
-        {
-            let (delay, version) = (self.between(100, 1_500), model_version.to_string());
-            self.after(delay, Event::Loaded { engine, membership, version });
-        }
-    }
-
-    fn begin_preload(&mut self, engine: usize, version: &ModelVersion) {
-        let this = &self.engines[engine];
-        if this.report.state == EngineState::Preloading {
-            let (membership, version) = (this.membership, version.to_string());
-            let delay = self.between(100, 3_000);
-            self.preloads += 1;
-            self.after(delay, Event::Preloaded { engine, membership, version });
-        }
-    }
-
-    fn request(&mut self, engine: usize, group: &GroupId, incarnation: Incarnation) {
-        let this = &self.engines[engine];
-        let takes = this.is_in(group, incarnation)
-            && this.report.state == EngineState::Ready
-            && this.report.role == EngineRole::Serving
-            && this.report.rank == Rank(0);
-        if takes && self.is_answering(engine) {
-            self.requests += 1;
-            let membership = this.membership;
-            self.engines[engine].change_running(1, self.now);
-            let delay = self.between(100, 6_000);
-            self.after(delay, Event::Finished { engine, membership });
-        }
-    }
-
-    fn send_read(&mut self, owner: usize, purpose: ReadFor) {
-        let (to, asked_at, delay) = (self.process(owner), self.now, self.delay());
-        if purpose != ReadFor::Memory {
-            self.owners[owner].busy_until = Some(self.now + STORE_TIMEOUT);
-        }
-        self.after(delay, Event::ReadAtStore { to, purpose, asked_at });
-    }
-
-    fn send_write(&mut self, owner: usize, next: DomainAssignment, expected: Revision) {
-        let (to, asked_at, delay) = (self.process(owner), self.now, self.late_delay());
-        self.owners[owner].busy_until = Some(self.now + STORE_TIMEOUT);
-        self.after(delay, Event::WriteAtStore { to, asked_at, next, expected });
-    }
-
-    /// Writes by compare-and-swap; every value stored is checked.
-    fn write(&mut self, next: DomainAssignment, expected: Revision) {
-        if self.store.revision != expected {
-            return;
-        }
-        let seed = self.seed;
-        validate(&next).unwrap_or_else(|it| panic!("seed {seed}: {it}"));
-        for group in &next.groups {
-            let known = self.members_of.entry(group.incarnation).or_insert(group.members.clone());
-            assert_eq!(*known, group.members, "seed {seed}: one incarnation, two memberships");
-        }
-        let revision = Revision(self.store.revision.0 + 1);
-        self.store = StoreValue { assignment: Some(next), revision };
-    }
-
-    /// Every unexpired proof is of members that all were there within its time to live.
-    fn check_proofs(&self) {
-        for proof in self.gateway.proven(self.now) {
-            let members = &self.members_of[&proof.incarnation];
-            for (rank, vm) in (0..).map(Rank).zip(members) {
-                let engine = &self.engines[self.engine(vm)];
-                let member = (&proof.group, proof.incarnation, rank);
-                assert!(
-                    engine.was_ready(member, self.now - PROBE_TTL, self.now),
-                    "seed {}: {} is proven without {vm}",
-                    self.seed,
-                    proof.group
-                );
-            }
-        }
-    }
-
-    /// Once all is well again, every wanted group serves, and a gateway knows.
-    fn check_settled(&self) {
-        let assignment = self.store.assignment.as_ref().expect("an assignment was written");
-        for spec in &self.configuration.1.groups {
-            let group = assignment.groups.iter().find(|it| it.group == spec.id);
-            let proven = self.gateway.get(&spec.id, self.now);
-            let serves = group.is_some_and(|it| it.phase == GroupPhase::Serving)
-                && proven.is_some_and(|it| it.accepts_new);
-            assert!(serves, "seed {}: {} does not serve at the end: {group:?}", self.seed, spec.id);
-        }
-    }
-
     fn after(&mut self, delay: Duration, event: Event) {
         self.events.push((self.now + delay, event));
     }
--- /dev/null
+++ b/crates/mangocross-coordination/tests/world/owning.rs
@@ -0,0 +1,218 @@
+//! What coordinators do with what they read, and what they decide.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::DomainInput;
+use mangocross_coordination::EngineVm;
+use mangocross_coordination::HeldAssignment;
+use mangocross_coordination::OrderAuthority;
+use mangocross_coordination::Step;
+use mangocross_coordination::VmHolders;
+use mangocross_coordination::preload_orders;
+use mangocross_coordination::preloading_vms;
+use mangocross_coordination::reconcile;
+use mangocross_coordination::take_over;
+use mangocross_policy::RepairTimes;
+use mangocross_types::DomainAssignment;
+use mangocross_types::OrderKind;
+use mangocross_types::VmId;
+
+use super::DOMAIN;
+use super::Event;
+use super::LOST_AFTER;
+use super::ORDER_LIFETIME;
+use super::Order;
+use super::PROBE_TTL;
+use super::Process;
+use super::STALL_LIMIT;
+use super::StoreValue;
+use super::World;
+use super::id;
+use super::owner::ReadFor;
+
+impl World {
+    pub(super) fn read_comes_back(
+        &mut self,
+        to: Process,
+        purpose: ReadFor,
+        asked_at: Instant,
+        read: Option<StoreValue>,
+    ) {
+        let before = self.owners[to.owner].held.as_ref().map(|it| it.assignment.fencing_number);
+        if purpose != ReadFor::Memory {
+            self.owners[to.owner].busy_until = None;
+        }
+        self.owners[to.owner].confirmation_failed =
+            purpose == ReadFor::Confirmation && read.is_none();
+        let Some(read) = read else {
+            return self.owners[to.owner].backoff.store_failed();
+        };
+        self.hold(to.owner, &read, asked_at);
+        let named = read.assignment.as_ref().map(|it| it.fencing_number);
+        if purpose == ReadFor::Takeover && (named.is_none() || named == before) {
+            let owner = &self.owners[to.owner];
+            let assignment = read.assignment.unwrap_or_else(|| DomainAssignment::empty(id(DOMAIN)));
+            let next = take_over(&assignment, &owner.vm, owner.process_id);
+            self.takeovers += 1;
+            self.send_write(to.owner, next, read.revision);
+        }
+    }
+
+    pub(super) fn hold(&mut self, owner: usize, read: &StoreValue, asked_at: Instant) {
+        if let Some(assignment) = read.assignment.clone() {
+            self.owners[owner].hold(assignment, read.revision, asked_at, self.now);
+        }
+    }
+
+    pub(super) fn tick(&mut self, owner: usize) {
+        let again = self.between(200, 400);
+        self.after(again, Event::Tick { owner });
+        if !self.is_awake(owner) || self.owners[owner].busy_until.is_some_and(|it| self.now < it) {
+            return;
+        }
+        self.owners[owner].busy_until = None;
+        if self.random.u32(..6) == 0 {
+            self.send_read(owner, ReadFor::Memory);
+        }
+        let now = self.now;
+        let owner_is_live = !self.calm && self.random.bool();
+        let jitter = self.random.u32(..1_000);
+        let this = &mut self.owners[owner];
+        if !this.is_preferred {
+            return this.backoff.not_preferred();
+        }
+        match this.held.clone() {
+            Some(held) if held.is_owned_by(&this.vm, this.process_id) => {
+                this.backoff.owns(now);
+                self.look_after(owner, &held);
+            }
+            held => {
+                if held.is_some() {
+                    this.backoff.other_owns(now, jitter);
+                }
+                if this.backoff.may_take_over(owner_is_live, now) {
+                    self.send_read(owner, ReadFor::Takeover);
+                }
+            }
+        }
+    }
+
+    pub(super) fn look_after(&mut self, owner: usize, held: &HeldAssignment) {
+        let this = &self.owners[owner];
+        let authority = held.authority(
+            &this.vm,
+            this.process_id,
+            this.configuration.1.fence_mode,
+            ORDER_LIFETIME,
+            self.now,
+        );
+        let full = OrderAuthority::Full { deadline: self.now };
+        let all = self.decide(owner, held, full);
+        let has_orders = all.iter().any(|it| matches!(it, Step::Order { .. }));
+        if has_orders
+            && held.needs_confirmation(ORDER_LIFETIME, self.now)
+            && !std::mem::take(&mut self.owners[owner].confirmation_failed)
+        {
+            return self.send_read(owner, ReadFor::Confirmation);
+        }
+        for step in self.decide(owner, held, authority) {
+            match step {
+                Step::Swap(next) => self.send_write(owner, next, held.revision),
+                Step::Order { vm, kind } => self.send_order(held, authority, &vm, kind),
+            }
+        }
+        if matches!(authority, OrderAuthority::Full { .. }) {
+            self.change_preloads(owner, held, authority);
+        }
+    }
+
+    /// Starts preloads, or gives them up.
+    pub(super) fn change_preloads(
+        &mut self,
+        owner: usize,
+        held: &HeldAssignment,
+        authority: OrderAuthority,
+    ) {
+        if self.random.u32(..4) == 0 {
+            let preloading = self.with_input(owner, held, authority, preloading_vms);
+            for vm in preloading {
+                self.send_order(held, authority, &vm, OrderKind::CancelPreload);
+            }
+            return;
+        }
+        for step in self.with_input(owner, held, authority, preload_orders) {
+            if let Step::Order { vm, kind } = step {
+                self.send_order(held, authority, &vm, kind);
+            }
+        }
+    }
+
+    pub(super) fn decide(
+        &self,
+        owner: usize,
+        held: &HeldAssignment,
+        authority: OrderAuthority,
+    ) -> Vec<Step> {
+        self.with_input(owner, held, authority, reconcile)
+    }
+
+    pub(super) fn with_input<T>(
+        &self,
+        owner: usize,
+        held: &HeldAssignment,
+        authority: OrderAuthority,
+        decide: fn(&DomainInput<'_>) -> T,
+    ) -> T {
+        let engines = self.engines.iter().map(|it| EngineVm {
+            vm: it.report.vm.clone(),
+            address: ([127, 0, 0, 1], 1).into(),
+            leaving: it.leaving,
+            listed: true,
+        });
+        let engines: Vec<EngineVm> = engines.collect();
+        decide(&DomainInput {
+            held,
+            configuration: &self.owners[owner].configuration.1,
+            placements: &self.placements,
+            engines: &engines,
+            probes: &self.owners[owner].probes,
+            holders: &VmHolders::new([], self.now),
+            authority,
+            now: self.now,
+            probe_ttl: PROBE_TTL,
+            stall_limit: STALL_LIMIT,
+            lost_after: LOST_AFTER,
+            lost_after_with_spare: LOST_AFTER / 2,
+            order_lifetime: ORDER_LIFETIME,
+            repair_times: RepairTimes {
+                load: Duration::from_secs(60),
+                concurrent_loads: 8,
+                loads_before: 0,
+                warm_load: Duration::from_secs(1),
+                restart: Duration::from_secs(180),
+            },
+        })
+    }
+
+    pub(super) fn send_order(
+        &mut self,
+        held: &HeldAssignment,
+        authority: OrderAuthority,
+        vm: &VmId,
+        kind: OrderKind,
+    ) {
+        let deadline = match authority {
+            OrderAuthority::Full { deadline } => deadline,
+            _ => self.now + ORDER_LIFETIME,
+        };
+        let order = Order {
+            fencing_number: held.assignment.fencing_number,
+            kind,
+            deadline,
+            idle_only: authority == OrderAuthority::IdleOnly,
+        };
+        let (engine, delay) = (self.engine(vm), self.late_delay());
+        self.after(delay, Event::OrderAtEngine { engine, order });
+    }
+}
--- /dev/null
+++ b/crates/mangocross-coordination/tests/world/storing.rs
@@ -0,0 +1,42 @@
+//! Reads and writes of the store.
+
+use mangocross_coordination::validate;
+use mangocross_types::DomainAssignment;
+use mangocross_types::Revision;
+
+use super::Event;
+use super::STORE_TIMEOUT;
+use super::StoreValue;
+use super::World;
+use super::owner::ReadFor;
+
+impl World {
+    pub(super) fn send_read(&mut self, owner: usize, purpose: ReadFor) {
+        let (to, asked_at, delay) = (self.process(owner), self.now, self.delay());
+        if purpose != ReadFor::Memory {
+            self.owners[owner].busy_until = Some(self.now + STORE_TIMEOUT);
+        }
+        self.after(delay, Event::ReadAtStore { to, purpose, asked_at });
+    }
+
+    pub(super) fn send_write(&mut self, owner: usize, next: DomainAssignment, expected: Revision) {
+        let (to, asked_at, delay) = (self.process(owner), self.now, self.late_delay());
+        self.owners[owner].busy_until = Some(self.now + STORE_TIMEOUT);
+        self.after(delay, Event::WriteAtStore { to, asked_at, next, expected });
+    }
+
+    /// Writes by compare-and-swap; every value stored is checked.
+    pub(super) fn write(&mut self, next: DomainAssignment, expected: Revision) {
+        if self.store.revision != expected {
+            return;
+        }
+        let seed = self.seed;
+        validate(&next).unwrap_or_else(|it| panic!("seed {seed}: {it}"));
+        for group in &next.groups {
+            let known = self.members_of.entry(group.incarnation).or_insert(group.members.clone());
+            assert_eq!(*known, group.members, "seed {seed}: one incarnation, two memberships");
+        }
+        let revision = Revision(self.store.revision.0 + 1);
+        self.store = StoreValue { assignment: Some(next), revision };
+    }
+}
