--- /dev/null
+++ b/standins/src/engine/generating.rs
@@ -0,0 +1,147 @@
+//! How an engine generates answers.
+
+use std::io;
+
+use mangocross_http::BodyStream;
+use mangocross_http::ServerRequest;
+use mangocross_types::EngineRole;
+use mangocross_types::EngineState;
+use mangocross_types::Rank;
+use mangocross_types::Refusal;
+use mangocross_types::ResultCode;
+use mangocross_types::TokenIndex;
+use peer_engine::FinishReason;
+use peer_engine::GenerateLine;
+use peer_engine::GenerateRequest;
+use peer_engine::PromptPrefix;
+
+use super::EngineFaults;
+use super::FROZEN_MS;
+use super::State;
+use crate::control::lock;
+use crate::control::pause;
+
+/// Factor by which a straggler is slower.
+const STRAGGLER_FACTOR: u64 = 50;
+/// Requests that an engine runs at once.
+const RUNNING_MAX: u32 = 256;
+
+impl State {
+    pub(super) fn generate(&self, request: ServerRequest, body: &GenerateRequest) {
+        let membership = match self.admit(body) {
+            Ok(membership) => membership,
+            Err(refusal) => {
+                let answer = serde_json::to_vec(&refusal).unwrap_or_default();
+                return request.respond(409, &[("x-run-outcome", "not_run")], answer);
+            }
+        };
+        self.faults.count("generations");
+        lock(&self.cache).touch(PromptPrefix::of(&body.prompt));
+        if body.resume_from > TokenIndex(0) {
+            self.faults.count("resumptions");
+        }
+        if let Ok(stream) = request.respond_stream(200, &[("content-type", "application/x-ndjson")])
+        {
+            let _ = self.send_tokens(stream, body, membership);
+        }
+        lock(&self.member).change_load(-1);
+    }
+
+    /// Starts running a request if this is the engine that it is meant for.
+    pub(super) fn admit(&self, body: &GenerateRequest) -> Result<u64, Refusal> {
+        let refuse = |text: &str| Err(Refusal::not_run(ResultCode::BackendRefused, text));
+        let mut member = lock(&self.member);
+        if !member.is_in(&body.group, body.incarnation) || member.rank != Rank(0) {
+            return refuse("this engine is not rank zero of that group and incarnation");
+        }
+        if member.state != EngineState::Ready || member.role == EngineRole::Draining {
+            return refuse("this engine takes no new requests now");
+        }
+        if member.running >= RUNNING_MAX {
+            return refuse("this engine is full");
+        }
+        member.change_load(1);
+        Ok(member.membership)
+    }
+
+    pub(super) fn send_tokens(
+        &self,
+        mut stream: BodyStream,
+        body: &GenerateRequest,
+        membership: u64,
+    ) -> io::Result<()> {
+        pause(self.options.first_token_ms);
+        for index in body.resume_from.0..body.max_tokens {
+            let faults = self.faults.get();
+            if faults.silent_after.is_some_and(|it| index >= it) {
+                pause(FROZEN_MS);
+            }
+            let ended = lock(&self.member).membership != membership;
+            if ended || faults.cut_after.is_some_and(|it| index >= it) {
+                return stream.finish();
+            }
+            if lock(&self.member).cancelled.contains(&body.attempt_id) {
+                self.faults.count("cancelled");
+                return stream.finish();
+            }
+            self.send_token(&mut stream, body, index, &faults)?;
+            self.work(&faults);
+        }
+        let end = FinishReason::Length;
+        let attempt_id = body.attempt_id.clone();
+        let tokens = body.max_tokens.max(body.resume_from.0);
+        write_line(&mut stream, &GenerateLine::End { attempt_id, end, tokens })?;
+        stream.finish()
+    }
+
+    pub(super) fn send_token(
+        &self,
+        stream: &mut BodyStream,
+        body: &GenerateRequest,
+        index: u32,
+        faults: &EngineFaults,
+    ) -> io::Result<()> {
+        if faults.skip_token == Some(index) {
+            return Ok(());
+        }
+        let attempt_id = match faults.swap_after {
+            Some(from) if index >= from => "another".parse().expect("a valid id"),
+            _ => body.attempt_id.clone(),
+        };
+        let text = token_text(&body.prompt, index);
+        let line = GenerateLine::Token { attempt_id, token_index: TokenIndex(index), text };
+        write_line(stream, &line)?;
+        if faults.repeat_token == Some(index) {
+            write_line(stream, &line)?;
+        }
+        Ok(())
+    }
+
+    /// Spends the time of a token, and records progress.
+    pub(super) fn work(&self, faults: &EngineFaults) {
+        if faults.straggler {
+            return pause(self.options.token_ms * STRAGGLER_FACTOR);
+        }
+        pause(self.options.token_ms);
+        lock(&self.member).steps += 1;
+    }
+}
+
+/// Returns the token at an index; it depends on the prompt and the index only.
+fn token_text(prompt: &str, index: u32) -> String {
+    let sum = prompt
+        .bytes()
+        .fold(u32::from(index as u16), |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    format!("t{index}.{} ", sum % 1_000)
+}
+
+fn write_line(stream: &mut BodyStream, line: &GenerateLine) -> io::Result<()> {
+    let mut text = serde_json::to_vec(line).map_err(io::Error::other)?;
+    text.push(b'\n');
+    stream.write_piece(&text)
+}
+
+/// Returns the text of a whole answer to a prompt.
+pub fn expected_text(prompt: &str, tokens: u32) -> String {
+    (0..tokens).map(|it| token_text(prompt, it)).collect()
+}
--- /dev/null
+++ b/standins/src/engine/member.rs
@@ -0,0 +1,93 @@
+//! What an engine believes of itself.
+
+use std::collections::HashSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_types::AttemptId;
+use mangocross_types::CommandId;
+use mangocross_types::EngineRole;
+use mangocross_types::EngineState;
+use mangocross_types::FencingNumber;
+use mangocross_types::GroupId;
+use mangocross_types::Incarnation;
+use mangocross_types::ModelVersion;
+use mangocross_types::Rank;
+
+/// What the engine believes of itself.
+pub(super) struct Member {
+    pub(super) state: EngineState,
+    pub(super) group: Option<GroupId>,
+    pub(super) incarnation: Incarnation,
+    pub(super) rank: Rank,
+    pub(super) role: EngineRole,
+    pub(super) model_version: Option<ModelVersion>,
+    pub(super) cached_versions: Vec<ModelVersion>,
+    pub(super) running: u32,
+    pub(super) steps: u64,
+    pub(super) fencing_number: FencingNumber,
+    pub(super) orders_seen: HashSet<CommandId>,
+    pub(super) cancelled: HashSet<AttemptId>,
+    /// Recent load figures with their times, oldest first.
+    pub(super) loads: Vec<(Instant, u32)>,
+    /// Rises with each change of membership; ends work of the one before.
+    pub(super) membership: u64,
+    /// The fetch of weights under way.
+    pub(super) fetch: Option<Fetch>,
+    pub(super) fetches: u64,
+}
+
+/// A fetch of weights; another one in its place ends it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Fetch {
+    pub(super) number: u64,
+    pub(super) model_version: ModelVersion,
+}
+
+impl Member {
+    pub(super) fn idle() -> Self {
+        Self {
+            state: EngineState::Idle,
+            group: None,
+            incarnation: Incarnation(0),
+            rank: Rank(0),
+            role: EngineRole::Serving,
+            model_version: None,
+            cached_versions: Vec::new(),
+            running: 0,
+            steps: 0,
+            fencing_number: FencingNumber(0),
+            orders_seen: HashSet::new(),
+            cancelled: HashSet::new(),
+            loads: Vec::new(),
+            membership: 0,
+            fetch: None,
+            fetches: 0,
+        }
+    }
+
+    pub(super) fn begin_fetch(&mut self, model_version: ModelVersion) -> Fetch {
+        self.fetches += 1;
+        let fetch = Fetch { number: self.fetches, model_version };
+        self.fetch = Some(fetch.clone());
+        fetch
+    }
+
+    pub(super) fn is_in(&self, group: &GroupId, incarnation: Incarnation) -> bool {
+        self.group.as_ref() == Some(group) && self.incarnation == incarnation
+    }
+
+    pub(super) fn change_load(&mut self, by: i32) {
+        self.running = self.running.saturating_add_signed(by);
+        self.loads.push((Instant::now(), self.running));
+        if self.loads.len() > 10_000 {
+            self.loads.drain(..5_000);
+        }
+    }
+
+    pub(super) fn load_as_of(&self, lag_ms: u64) -> u32 {
+        let lag = Duration::from_millis(lag_ms);
+        let shown = self.loads.iter().rev().find(|(at, _)| at.elapsed() >= lag);
+        shown.map_or(0, |(_, load)| *load)
+    }
+}
--- /dev/null
+++ b/standins/src/engine/options.rs
@@ -0,0 +1,75 @@
+//! Properties and faults of an engine.
+
+use std::net::SocketAddr;
+
+use mangocross_types::VmId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Properties of an engine.
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// The VM.
+    pub vm: VmId,
+    /// Time to load weights that are not on the VM, in milliseconds.
+    pub load_ms: u64,
+    /// Time to the first token, in milliseconds.
+    pub first_token_ms: u64,
+    /// Time between tokens, in milliseconds.
+    pub token_ms: u64,
+    /// Weight store to ask before a load, if any.
+    pub weight_store: Option<SocketAddr>,
+    /// Whether old fencing numbers are refused.
+    pub honours_fence: bool,
+    /// Prompt prefixes that the cache holds.
+    pub cached_prefixes_max: usize,
+}
+
+impl EngineOptions {
+    /// Returns the properties of a quick engine.
+    pub fn new(vm: VmId) -> Self {
+        Self {
+            vm,
+            load_ms: 100,
+            first_token_ms: 20,
+            token_ms: 5,
+            weight_store: None,
+            honours_fence: false,
+            cached_prefixes_max: 64,
+        }
+    }
+}
+
+/// Faults of an engine.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineFaults {
+    /// Answers nothing at all.
+    pub frozen: bool,
+    /// Fails every call at once, as a VM without its engine.
+    pub dead: bool,
+    /// Answers probes and works many times slower, without progress in its report.
+    pub straggler: bool,
+    /// Says that it is leaving.
+    pub leaving: bool,
+    /// Goes silent after this many tokens.
+    pub silent_after: Option<u32>,
+    /// Ends the answer without its end marker after this many tokens.
+    pub cut_after: Option<u32>,
+    /// Echoes another attempt from this token on.
+    pub swap_after: Option<u32>,
+    /// Sends this token twice.
+    pub repeat_token: Option<u32>,
+    /// Leaves out this token.
+    pub skip_token: Option<u32>,
+    /// Carries out orders this much later, in milliseconds.
+    pub order_delay_ms: u64,
+    /// Carries out orders after their deadline too.
+    pub ignore_deadline: bool,
+    /// Age of the load figures in reports, in milliseconds.
+    pub load_lag_ms: u64,
+    /// Age from which on cache events are published, in milliseconds.
+    pub cache_event_lag_ms: u64,
+    /// Publishes one cache event in so many never; zero publishes all.
+    pub cache_event_lose_each: u64,
+}
