--- a/bins/mangocross-coordinator/src/main.rs
+++ b/bins/mangocross-coordinator/src/main.rs
@@ -16,6 +16,7 @@
 mod handover;
 mod held_list;
 mod known_revision;
+mod liveness;
 mod metrics;
 mod observed_store;
 mod operators;
@@ -29,6 +30,7 @@
 mod queries;
 mod registration;
 mod state;
+mod times;
 mod why;
 
 /// Line of the program's help.
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -40,9 +40,9 @@
 
 use crate::domain_view::DomainView;
 use crate::domains::owned_domains;
+use crate::liveness::LivePeer;
 use crate::owners::owners_for;
 use crate::state::CoordinatorState;
-use crate::state::LivePeer;
 use crate::state::lock;
 
 /// What this coordinator asks others and what it learns from them.
--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -17,9 +17,9 @@
 use peer_store::read_json;
 use peer_store::swap_json;
 
+use crate::liveness::LivePeer;
 use crate::peers::summaries;
 use crate::state::CoordinatorState;
-use crate::state::LivePeer;
 use crate::state::lock;
 
 /// Time between looks at the placements.
--- a/bins/mangocross-coordinator/src/state.rs
+++ b/bins/mangocross-coordinator/src/state.rs
@@ -9,7 +9,6 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::thread::Thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -23,25 +22,20 @@
 use mangocross_coordination::Permit;
 use mangocross_coordination::ProbeTable;
 use mangocross_coordination::VmHolders;
-use mangocross_coordination::peer_rounds;
-use mangocross_coordination::preferred_owner;
 use mangocross_node::NodeConfiguration;
 use mangocross_operator::OperatorAccess;
-use mangocross_policy::RepairTimes;
 use mangocross_settings::CoordinatorSettings;
 use mangocross_telemetry::Tracing;
 use mangocross_types::Clock;
 use mangocross_types::Configuration;
 use mangocross_types::FabricDomain;
 use mangocross_types::Placements;
-use mangocross_types::PolicyWeights;
 use mangocross_types::RequestId;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
 use peer_engine::EngineClient;
 use peer_entry::ConfigurationDocument;
 use peer_entry::CustomerUsage;
-use peer_entry::DomainSummary;
 use peer_entry::FetchSource;
 use peer_entry::ListChange;
 use peer_entry::PeerKey;
@@ -55,29 +49,14 @@
 use crate::failures::KnownFailures;
 use crate::held_list::HeldList;
 use crate::known_revision::KnownRevision;
+use crate::liveness::LivePeer;
 use crate::metrics::CoordinatorMetrics;
 use crate::observed_store::ObservedStore;
 use crate::owners::ChosenGroups;
 use crate::owners::OwnerTable;
 
-/// Expected time to load weights that are on the VM already.
-const WARM_LOAD: Duration = Duration::from_secs(1);
-
 /// How long a gateway's use of customers' limits counts.
 const GATEWAY_KEPT: Duration = Duration::from_secs(6);
-/// Polls of a coordinator that may be lost before it no longer counts as live.
-const LOST_POLLS: u32 = 2;
-
-/// A coordinator that answers polls.
-#[derive(Debug, Clone)]
-pub(crate) struct LivePeer {
-    pub(crate) address: SocketAddr,
-    pub(crate) asked_at: Instant,
-    pub(crate) newest_known: Revision,
-    pub(crate) established: bool,
-    pub(crate) domains: Vec<DomainSummary>,
-    pub(crate) stopping: bool,
-}
 
 /// What the coordinator's threads share.
 pub(crate) struct CoordinatorState {
@@ -86,7 +65,7 @@
     pub(crate) operators: OperatorAccess,
     pub(crate) process_id: u64,
     pub(crate) started_at: Instant,
-    stopping: AtomicBool,
+    pub(crate) stopping: AtomicBool,
     pub(crate) metrics: Arc<CoordinatorMetrics>,
     pub(crate) tracing: Arc<Tracing>,
     pub(crate) failures: Mutex<KnownFailures>,
@@ -97,7 +76,7 @@
     pub(crate) platform: PlatformClient,
     pub(crate) engines: EngineClient,
     pub(crate) node: Arc<NodeConfiguration>,
-    /// Texts that were in force before, oldest first, for peers that hold one of them.
+    /// Coordinators that answered a poll, by their VM.
     pub(crate) peers: Mutex<HashMap<VmId, LivePeer>>,
     pub(crate) gateways: Mutex<GatewayTable<Vec<CustomerUsage>>>,
     pub(crate) owners: OwnerTable,
@@ -171,30 +150,6 @@
         self.node.current()
     }
 
-    /// Begins a planned stop: from now on this coordinator takes nothing over.
-    pub(crate) fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns whether a planned stop has begun.
-    pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
-    /// Returns the coordinators that answered a poll recently and do not stop, and this one.
-    pub(crate) fn live_coordinators(&self) -> Vec<VmId> {
-        let now = self.clock.now();
-        let age_max = self.live_age();
-        let peers = lock(&self.peers);
-        let is_live = |it: &LivePeer| !it.stopping && now.duration_since(it.asked_at) < age_max;
-        let live = peers.iter().filter(|(_, it)| is_live(it));
-        let mut live: Vec<VmId> = live.map(|(vm, _)| vm.clone()).collect();
-        live.push(self.settings.vm.clone());
-        live.sort_unstable();
-        live.dedup();
-        live
-    }
-
     /// Returns whether the assignment held names this process as the owner.
     pub(crate) fn owns(&self, domain: &FabricDomain) -> bool {
         let assignments = lock(&self.assignments);
@@ -202,44 +157,6 @@
         held.is_some_and(|it| it.is_owned_by(&self.settings.vm, self.process_id))
     }
 
-    /// Returns the rounds between polls of the same coordinator.
-    ///
-    /// While a command waits all are polled in each, so that it is soon known to be in force.
-    pub(crate) fn peer_rounds(&self) -> usize {
-        if self.waiting_commands.load(Ordering::SeqCst) > 0 { 1 } else { self.usual_rounds() }
-    }
-
-    fn usual_rounds(&self) -> usize {
-        let interval = Duration::from_millis(self.settings.poll_interval_ms);
-        let vouch = Duration::from_millis(self.settings.vouch_ms);
-        peer_rounds(&self.configuration().entry_vms, interval, vouch)
-    }
-
-    /// How long a coordinator's answer shows that it is live.
-    pub(crate) fn live_age(&self) -> Duration {
-        let interval = Duration::from_millis(self.settings.poll_interval_ms);
-        let more_rounds = u32::try_from(self.usual_rounds() - 1).unwrap_or(u32::MAX);
-        self.probe_ttl() + interval * LOST_POLLS * more_rounds
-    }
-
-    /// Returns whether this coordinator decides where groups belong.
-    pub(crate) fn is_placement_leader(&self) -> bool {
-        let live = self.live_coordinators();
-        !self.is_stopping() && preferred_owner(Placements::KEY, &live) == Some(&self.settings.vm)
-    }
-
-    /// Returns the time between reads that all coordinators make.
-    ///
-    /// It grows with their number, so that the store sees a constant rate; the
-    /// placement leader reads as often as alone.
-    pub(crate) fn read_interval(&self, alone: Duration, for_each: Duration) -> Duration {
-        if self.is_placement_leader() {
-            return alone;
-        }
-        let live = u32::try_from(self.live_coordinators().len()).unwrap_or(u32::MAX);
-        alone.max(for_each * live)
-    }
-
     /// Returns the coordinators to poll or to fetch from.
     pub(crate) fn coordinator_addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = self.settings.coordinators.clone();
@@ -251,37 +168,6 @@
         addresses
     }
 
-    /// How long an answer to a probe counts.
-    pub(crate) fn probe_ttl(&self) -> Duration {
-        Duration::from_millis(self.settings.proof_ms)
-    }
-
-    /// How long an engine may fail all probes before it is replaced.
-    pub(crate) fn lost_after(&self) -> Duration {
-        Duration::from_millis(self.settings.lost_ms)
-    }
-
-    /// The same where an idle VM that holds the weights can take its place.
-    pub(crate) fn lost_after_with_spare(&self) -> Duration {
-        Duration::from_millis(self.settings.lost_with_spare_ms)
-    }
-
-    /// Longest time that an order can be under way.
-    pub(crate) fn order_lifetime(&self) -> Duration {
-        Duration::from_millis(self.settings.order_deadline_ms)
-    }
-
-    /// Times that the choice between repair and waiting rests on.
-    pub(crate) fn repair_times(&self, weights: &PolicyWeights) -> RepairTimes {
-        RepairTimes {
-            load: Duration::from_millis(self.settings.expected_load_ms),
-            concurrent_loads: weights.concurrent_loads,
-            loads_before: 0,
-            warm_load: WARM_LOAD,
-            restart: Duration::from_millis(self.settings.expected_restart_ms),
-        }
-    }
-
     /// Returns whether the configuration held may be acted on.
     ///
     /// Under an old one, a group that was started since would count as unwanted.
@@ -295,11 +181,6 @@
         let now = self.clock.now();
         lock(&self.leaving).is_leaving(vm, now) || self.configuration().leaving_vms.contains(vm)
     }
-
-    /// How long a member with work may make no progress.
-    pub(crate) fn stall_limit(&self) -> Duration {
-        Duration::from_millis(self.settings.stall_ms)
-    }
 }
 
 impl FetchSource for CoordinatorState {
