--- /dev/null
+++ b/bins/mangocross-coordinator/src/gateways.rs
@@ -0,0 +1,99 @@
+//! What gateways say of themselves, directly and through other coordinators.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::GatewayNews;
+use mangocross_coordination::Sighting;
+use mangocross_types::VmId;
+use peer_entry::CustomerUsage;
+use peer_entry::GatewayReport;
+use peer_entry::Poll;
+
+use crate::peers::milliseconds_up;
+use crate::state::CoordinatorState;
+use crate::state::lock;
+
+/// Takes in what a gateway's poll says of it.
+pub(crate) fn hear_gateway(state: &CoordinatorState, poll: &Poll, now: Instant) {
+    let said_after = said_after(state, poll);
+    if let Some(asked_at) = said_after {
+        let (process_id, revision) = (poll.process_id, poll.revision);
+        let sighting = Sighting { process_id, revision, asked_at, heard_at: now };
+        lock(&state.acceptance).gateway_said(poll.vm.clone(), &sighting);
+    }
+    if poll.reports {
+        let news = GatewayNews {
+            process_id: poll.process_id,
+            revision: poll.revision,
+            said_after,
+            heard_at: now,
+            is_direct: true,
+            said: poll.usage.clone(),
+        };
+        lock(&state.gateways).heard(&poll.vm, news);
+    }
+    lock(&state.failures).extend(&poll.failures);
+}
+
+/// Returns a time after which a poll was sent, if it shows one.
+fn said_after(state: &CoordinatorState, poll: &Poll) -> Option<Instant> {
+    let echo = poll.echo.filter(|it| it.process_id == state.process_id)?;
+    state.started_at.checked_add(Duration::from_millis(echo.uptime_ms))
+}
+
+/// Takes in what a gateway reported to another coordinator, which was asked at `asked_at`.
+///
+/// The age counts from the moment of asking, so that transit never makes the report younger.
+pub(crate) fn take_report(state: &CoordinatorState, report: GatewayReport, asked_at: Instant) {
+    let age = Duration::from_millis(report.age_ms.into());
+    let Some(said_after) = asked_at.checked_sub(age) else { return };
+    let (process_id, revision) = (report.process_id, report.revision);
+    let heard_at = state.clock.now();
+    let sighting = Sighting { process_id, revision, asked_at: said_after, heard_at };
+    lock(&state.acceptance).gateway_said(report.vm.clone(), &sighting);
+    let news = GatewayNews {
+        process_id,
+        revision,
+        said_after: Some(said_after),
+        heard_at: said_after,
+        is_direct: false,
+        said: report.usage,
+    };
+    lock(&state.gateways).heard(&report.vm, news);
+}
+
+/// Returns what gateways reported here, for the other coordinators.
+pub(crate) fn reports(state: &CoordinatorState, now: Instant) -> Vec<GatewayReport> {
+    let gateways = lock(&state.gateways);
+    let reports = gateways.direct(now).filter_map(|(vm, news)| {
+        Some(GatewayReport {
+            vm: vm.clone(),
+            process_id: news.process_id,
+            revision: news.revision,
+            age_ms: milliseconds_up(now.saturating_duration_since(news.said_after?)),
+            usage: news.said.clone(),
+        })
+    });
+    reports.collect()
+}
+
+pub(crate) fn usage_of_others(
+    state: &CoordinatorState,
+    asker: &VmId,
+    now: Instant,
+) -> Vec<CustomerUsage> {
+    let gateways = lock(&state.gateways);
+    let mut total: Vec<CustomerUsage> = Vec::new();
+    let others = gateways.current(now).filter(|(vm, _)| *vm != asker);
+    for usage in others.flat_map(|(_, it)| &it.said) {
+        match total.iter_mut().find(|it| it.customer == usage.customer) {
+            Some(sum) => {
+                sum.in_flight += usage.in_flight;
+                sum.demand_per_second += usage.demand_per_second;
+            }
+            None => total.push(usage.clone()),
+        }
+    }
+    total
+}
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -7,27 +7,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use mangocross_coordination::Completeness;
-use mangocross_coordination::GatewayNews;
 use mangocross_coordination::MajorityWord;
-use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::Sighting;
 use mangocross_coordination::Vouch;
 use mangocross_coordination::Voucher;
-use mangocross_coordination::groups_to_move;
 use mangocross_coordination::is_small_fleet;
 use mangocross_coordination::zone_readers;
 use mangocross_types::Configuration;
-use mangocross_types::DomainAssignment;
-use mangocross_types::FabricDomain;
-use mangocross_types::GroupAssignment;
 use mangocross_types::GroupId;
-use mangocross_types::GroupPhase;
-use mangocross_types::GroupProof;
 use mangocross_types::VmId;
-use peer_entry::CustomerUsage;
-use peer_entry::DomainSummary;
-use peer_entry::GatewayReport;
 use peer_entry::GroupCacheEvents;
 use peer_entry::LeavingVm;
 use peer_entry::Poll;
@@ -38,10 +26,15 @@
 use peer_entry::ReplyStamp;
 use peer_entry::ServiceServer;
 
-use crate::domain_view::DomainView;
 use crate::domains::owned_domains;
+use crate::gateways::hear_gateway;
+use crate::gateways::reports;
+use crate::gateways::take_report;
+use crate::gateways::usage_of_others;
 use crate::liveness::LivePeer;
 use crate::owners::owners_for;
+use crate::proofs::proofs;
+use crate::proofs::summaries;
 use crate::state::CoordinatorState;
 use crate::state::lock;
 
@@ -212,70 +205,6 @@
     if is_everything { lock(&state.service_servers).clone() } else { Vec::new() }
 }
 
-/// Takes in what a gateway's poll says of it.
-fn hear_gateway(state: &CoordinatorState, poll: &Poll, now: Instant) {
-    let said_after = said_after(state, poll);
-    if let Some(asked_at) = said_after {
-        let (process_id, revision) = (poll.process_id, poll.revision);
-        let sighting = Sighting { process_id, revision, asked_at, heard_at: now };
-        lock(&state.acceptance).gateway_said(poll.vm.clone(), &sighting);
-    }
-    if poll.reports {
-        let news = GatewayNews {
-            process_id: poll.process_id,
-            revision: poll.revision,
-            said_after,
-            heard_at: now,
-            is_direct: true,
-            said: poll.usage.clone(),
-        };
-        lock(&state.gateways).heard(&poll.vm, news);
-    }
-    lock(&state.failures).extend(&poll.failures);
-}
-
-/// Returns a time after which a poll was sent, if it shows one.
-fn said_after(state: &CoordinatorState, poll: &Poll) -> Option<Instant> {
-    let echo = poll.echo.filter(|it| it.process_id == state.process_id)?;
-    state.started_at.checked_add(Duration::from_millis(echo.uptime_ms))
-}
-
-/// Takes in what a gateway reported to another coordinator, which was asked at `asked_at`.
-///
-/// The age counts from the moment of asking, so that transit never makes the report younger.
-fn take_report(state: &CoordinatorState, report: GatewayReport, asked_at: Instant) {
-    let age = Duration::from_millis(report.age_ms.into());
-    let Some(said_after) = asked_at.checked_sub(age) else { return };
-    let (process_id, revision) = (report.process_id, report.revision);
-    let heard_at = state.clock.now();
-    let sighting = Sighting { process_id, revision, asked_at: said_after, heard_at };
-    lock(&state.acceptance).gateway_said(report.vm.clone(), &sighting);
-    let news = GatewayNews {
-        process_id,
-        revision,
-        said_after: Some(said_after),
-        heard_at: said_after,
-        is_direct: false,
-        said: report.usage,
-    };
-    lock(&state.gateways).heard(&report.vm, news);
-}
-
-/// Returns what gateways reported here, for the other coordinators.
-fn reports(state: &CoordinatorState, now: Instant) -> Vec<GatewayReport> {
-    let gateways = lock(&state.gateways);
-    let reports = gateways.direct(now).filter_map(|(vm, news)| {
-        Some(GatewayReport {
-            vm: vm.clone(),
-            process_id: news.process_id,
-            revision: news.revision,
-            age_ms: milliseconds_up(now.saturating_duration_since(news.said_after?)),
-            usage: news.said.clone(),
-        })
-    });
-    reports.collect()
-}
-
 fn majority(reply: &PollReply) -> Option<MajorityWord> {
     let age = Duration::from_millis(reply.majority_age_ms?.into());
     Some(MajorityWord { revision: reply.revision, age })
@@ -293,7 +222,7 @@
     leaving.map(|(vm, age)| LeavingVm { vm: vm.clone(), age_ms: milliseconds_up(age) }).collect()
 }
 
-fn milliseconds(duration: Duration) -> u32 {
+pub(crate) fn milliseconds(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
@@ -301,90 +230,3 @@
 pub(crate) fn milliseconds_up(age: Duration) -> u32 {
     u32::try_from(age.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
 }
-
-fn usage_of_others(state: &CoordinatorState, asker: &VmId, now: Instant) -> Vec<CustomerUsage> {
-    let gateways = lock(&state.gateways);
-    let mut total: Vec<CustomerUsage> = Vec::new();
-    let others = gateways.current(now).filter(|(vm, _)| *vm != asker);
-    for usage in others.flat_map(|(_, it)| &it.said) {
-        match total.iter_mut().find(|it| it.customer == usage.customer) {
-            Some(sum) => {
-                sum.in_flight += usage.in_flight;
-                sum.demand_per_second += usage.demand_per_second;
-            }
-            None => total.push(usage.clone()),
-        }
-    }
-    total
-}
-
-/// Returns the proofs of all groups in the owned domains.
-fn proofs(state: &CoordinatorState, now: Instant) -> Vec<GroupProof> {
-    let owned = owned_domains(state);
-    let assignments = lock(&state.assignments);
-    let owned = owned.iter().filter_map(|it| assignments.get(it));
-    owned.flat_map(|it| domain_proofs(state, &it.assignment, now)).collect()
-}
-
-fn domain_proofs(
-    state: &CoordinatorState,
-    assignment: &DomainAssignment,
-    now: Instant,
-) -> Vec<GroupProof> {
-    let serving =
-        |it: &&GroupAssignment| matches!(it.phase, GroupPhase::Serving | GroupPhase::Draining);
-    let groups = assignment.groups.iter().filter(serving);
-    groups.filter_map(|it| proof(state, assignment, it, now)).collect()
-}
-
-fn proof(
-    state: &CoordinatorState,
-    assignment: &DomainAssignment,
-    group: &GroupAssignment,
-    now: Instant,
-) -> Option<GroupProof> {
-    let first = group.members.first()?;
-    let any_leaving = group.members.iter().any(|it| state.is_leaving(it));
-    let engines = lock(&state.engines_by_domain);
-    let address = engines.get(&assignment.domain)?.iter().find(|it| it.vm == *first)?.address;
-    drop(engines);
-    let probes = lock(&state.probes);
-    let remaining = match probes.check(group, now, state.probe_ttl(), state.stall_limit()) {
-        Completeness::Complete { until } => until.duration_since(now),
-        Completeness::Incomplete(_) => Duration::ZERO,
-    };
-    let (asked_at, report) = probes.newest(first)?;
-    let load_age = now.duration_since(asked_at) + Duration::from_millis(report.load_age_ms);
-    Some(GroupProof {
-        group: group.group.clone(),
-        domain: assignment.domain.clone(),
-        incarnation: group.incarnation,
-        fencing_number: assignment.fencing_number,
-        model: group.model.clone(),
-        model_version: group.model_version.clone(),
-        address,
-        remaining_ms: milliseconds(remaining),
-        accepts_new: group.phase == GroupPhase::Serving && !any_leaving,
-        load: report.running + report.queued,
-        load_age_ms: milliseconds(load_age),
-    })
-}
-
-/// Returns the room in the owned domains.
-pub(crate) fn summaries(state: &CoordinatorState) -> Vec<DomainSummary> {
-    owned_domains(state).iter().filter_map(|it| summary(state, it)).collect()
-}
-
-fn summary(state: &CoordinatorState, domain: &FabricDomain) -> Option<DomainSummary> {
-    let view = DomainView::take(state, domain)?;
-    let input = view.input(OrderAuthority::None);
-    let count = |it: usize| u16::try_from(it).unwrap_or(u16::MAX);
-    let healthy = view.engines.iter().filter(|it| !it.leaving);
-    let healthy = healthy.filter(|it| input.report(&it.vm).is_some());
-    Some(DomainSummary {
-        domain: domain.clone(),
-        idle_vms: count(input.idle_vms().count()),
-        healthy_vms: count(healthy.count()),
-        stuck_groups: groups_to_move(&input),
-    })
-}
--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -18,7 +18,7 @@
 use peer_store::swap_json;
 
 use crate::liveness::LivePeer;
-use crate::peers::summaries;
+use crate::proofs::summaries;
 use crate::state::CoordinatorState;
 use crate::state::lock;
 
--- /dev/null
+++ b/bins/mangocross-coordinator/src/proofs.rs
@@ -0,0 +1,91 @@
+//! Proofs and summaries of the owned fabric domains, for those who ask.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::Completeness;
+use mangocross_coordination::OrderAuthority;
+use mangocross_coordination::groups_to_move;
+use mangocross_types::DomainAssignment;
+use mangocross_types::FabricDomain;
+use mangocross_types::GroupAssignment;
+use mangocross_types::GroupPhase;
+use mangocross_types::GroupProof;
+use peer_entry::DomainSummary;
+
+use crate::domain_view::DomainView;
+use crate::domains::owned_domains;
+use crate::peers::milliseconds;
+use crate::state::CoordinatorState;
+use crate::state::lock;
+
+/// Returns the proofs of all groups in the owned domains.
+pub(crate) fn proofs(state: &CoordinatorState, now: Instant) -> Vec<GroupProof> {
+    let owned = owned_domains(state);
+    let assignments = lock(&state.assignments);
+    let owned = owned.iter().filter_map(|it| assignments.get(it));
+    owned.flat_map(|it| domain_proofs(state, &it.assignment, now)).collect()
+}
+
+fn domain_proofs(
+    state: &CoordinatorState,
+    assignment: &DomainAssignment,
+    now: Instant,
+) -> Vec<GroupProof> {
+    let serving =
+        |it: &&GroupAssignment| matches!(it.phase, GroupPhase::Serving | GroupPhase::Draining);
+    let groups = assignment.groups.iter().filter(serving);
+    groups.filter_map(|it| proof(state, assignment, it, now)).collect()
+}
+
+fn proof(
+    state: &CoordinatorState,
+    assignment: &DomainAssignment,
+    group: &GroupAssignment,
+    now: Instant,
+) -> Option<GroupProof> {
+    let first = group.members.first()?;
+    let any_leaving = group.members.iter().any(|it| state.is_leaving(it));
+    let engines = lock(&state.engines_by_domain);
+    let address = engines.get(&assignment.domain)?.iter().find(|it| it.vm == *first)?.address;
+    drop(engines);
+    let probes = lock(&state.probes);
+    let remaining = match probes.check(group, now, state.probe_ttl(), state.stall_limit()) {
+        Completeness::Complete { until } => until.duration_since(now),
+        Completeness::Incomplete(_) => Duration::ZERO,
+    };
+    let (asked_at, report) = probes.newest(first)?;
+    let load_age = now.duration_since(asked_at) + Duration::from_millis(report.load_age_ms);
+    Some(GroupProof {
+        group: group.group.clone(),
+        domain: assignment.domain.clone(),
+        incarnation: group.incarnation,
+        fencing_number: assignment.fencing_number,
+        model: group.model.clone(),
+        model_version: group.model_version.clone(),
+        address,
+        remaining_ms: milliseconds(remaining),
+        accepts_new: group.phase == GroupPhase::Serving && !any_leaving,
+        load: report.running + report.queued,
+        load_age_ms: milliseconds(load_age),
+    })
+}
+
+/// Returns the room in the owned domains.
+pub(crate) fn summaries(state: &CoordinatorState) -> Vec<DomainSummary> {
+    owned_domains(state).iter().filter_map(|it| summary(state, it)).collect()
+}
+
+fn summary(state: &CoordinatorState, domain: &FabricDomain) -> Option<DomainSummary> {
+    let view = DomainView::take(state, domain)?;
+    let input = view.input(OrderAuthority::None);
+    let count = |it: usize| u16::try_from(it).unwrap_or(u16::MAX);
+    let healthy = view.engines.iter().filter(|it| !it.leaving);
+    let healthy = healthy.filter(|it| input.report(&it.vm).is_some());
+    Some(DomainSummary {
+        domain: domain.clone(),
+        idle_vms: count(input.idle_vms().count()),
+        healthy_vms: count(healthy.count()),
+        stuck_groups: groups_to_move(&input),
+    })
+}
