--- /dev/null
+++ b/crates/mangocross-coordination/tests/support/checks.rs
@@ -0,0 +1,82 @@
+//! When a revision is accepted, and what must hold then.
+
+use mangocross_coordination::AcceptanceCandidate;
+use mangocross_coordination::Sighting;
+use mangocross_types::EntryVmSpec;
+use mangocross_types::Revision;
+
+use super::World;
+use super::voucher;
+
+impl World {
+    pub(super) fn check_acceptance(&mut self) {
+        for index in 0..self.nodes.len() {
+            let now = self.now;
+            let own = voucher(&self.nodes[index]);
+            let members = self.members_at(index);
+            let node = &mut self.nodes[index];
+            if node.coordinator.frozen {
+                continue;
+            }
+            let vouch = node.coordinator.freshness.vouch(&members, now);
+            let sighting = Sighting {
+                process_id: node.coordinator.id,
+                revision: vouch.newest_known,
+                asked_at: now,
+                heard_at: now,
+            };
+            node.tracker.coordinator_said(own, vouch.established, &sighting);
+            let written = std::mem::take(&mut node.written);
+            let mut waiting = Vec::new();
+            for it in written {
+                match self.is_accepted(index, it.revision, it.base.as_deref()) {
+                    true => self.accept(it.revision),
+                    false => waiting.push(it),
+                }
+            }
+            self.nodes[index].written = waiting;
+            // A repeated command asks another coordinator.
+            let newest = self.newest();
+            if self.rng.bool() && self.is_accepted(index, newest, None) {
+                self.accept(newest);
+            }
+        }
+    }
+
+    pub(super) fn accept(&mut self, revision: Revision) {
+        self.accepted_count += 1;
+        self.accepted = self.accepted.max(revision);
+    }
+
+    pub(super) fn is_accepted(
+        &mut self,
+        node: usize,
+        revision: Revision,
+        base: Option<&[EntryVmSpec]>,
+    ) -> bool {
+        let candidate = AcceptanceCandidate {
+            revision,
+            entry_vms: &self.documents[&revision],
+            accepted_base: base,
+        };
+        self.nodes[node].tracker.check(&candidate, self.now).is_accepted()
+    }
+
+    pub(super) fn check_service(&mut self) -> Result<(), String> {
+        for index in 0..self.nodes.len() {
+            let node = &self.nodes[index];
+            if node.gateway.frozen || !self.serves(index) {
+                continue;
+            }
+            self.served += 1;
+            let in_force = node.gateway.freshness.in_force();
+            if in_force < self.accepted {
+                return Err(format!(
+                    "step {}: {} serves under {in_force} though {} was accepted",
+                    self.step, node.vm, self.accepted
+                ));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/mangocross-coordination/tests/support/mod.rs
+++ b/crates/mangocross-coordination/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! A model of entry VMs that poll each other, on logical time.
 
+mod checks;
+mod messages;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -7,12 +10,10 @@
 use std::time::Instant;
 
 use fastrand::Rng;
-use mangocross_coordination::AcceptanceCandidate;
 use mangocross_coordination::AcceptanceTracker;
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
 use mangocross_coordination::Permit;
-use mangocross_coordination::Sighting;
 use mangocross_coordination::Vouch;
 use mangocross_coordination::Voucher;
 use mangocross_coordination::check_membership;
@@ -252,247 +253,6 @@
         }
     }
 
-    fn deliver(&mut self) {
-        let step = self.step;
-        let (due, later) = std::mem::take(&mut self.under_way)
-            .into_iter()
-            .partition(|it: &Envelope| it.due <= step);
-        self.under_way = later;
-        let due: Vec<Envelope> = due;
-        for envelope in due {
-            if !self.nodes[envelope.from].hears_peers && envelope.from != envelope.to {
-                continue;
-            }
-            if !self.nodes[envelope.to].hears_peers && envelope.from != envelope.to {
-                continue;
-            }
-            self.receive(envelope);
-        }
-    }
-
-    fn receive(&mut self, envelope: Envelope) {
-        let now = self.now;
-        let receiver = match &envelope.message {
-            Message::Reply { role: Role::Gateway, .. } => &self.nodes[envelope.to].gateway,
-            _ => &self.nodes[envelope.to].coordinator,
-        };
-        if receiver.frozen {
-            // A frozen process finds its mail when it wakes.
-            let due = self.step + 1;
-            self.under_way.push(Envelope { due, ..envelope });
-            return;
-        }
-        match envelope.message {
-            Message::Poll { role, process, in_force, echo, asked_at } => {
-                let from = self.nodes[envelope.from].vm.clone();
-                let node = &mut self.nodes[envelope.to];
-                let echoed = echo.filter(|(id, _)| *id == node.coordinator.id).map(|(_, at)| at);
-                if let (Role::Gateway, Some(asked_at)) = (role, echoed) {
-                    let sighting = Sighting {
-                        process_id: process,
-                        revision: in_force,
-                        asked_at,
-                        heard_at: now,
-                    };
-                    node.tracker.gateway_said(from.clone(), &sighting);
-                    let report = Report { process, in_force, said_after: asked_at };
-                    node.reports.insert(from, report);
-                }
-                let reports = match role {
-                    Role::Coordinator if self.is_sparse => reports(&self.nodes[envelope.to], now),
-                    _ => Vec::new(),
-                };
-                let members = self.members_at(envelope.to);
-                let node = &self.nodes[envelope.to];
-                let reply = Message::Reply {
-                    role,
-                    process,
-                    from_process: node.coordinator.id,
-                    vouch: node.coordinator.freshness.vouch(&members, now),
-                    in_force: node.coordinator.freshness.in_force(),
-                    reports,
-                    asked_at,
-                    made_at: now,
-                };
-                self.send(envelope.to, envelope.from, reply);
-            }
-            Message::Reply {
-                role,
-                process,
-                from_process,
-                vouch,
-                in_force,
-                reports,
-                asked_at,
-                made_at,
-            } => {
-                let voucher = voucher(&self.nodes[envelope.from]);
-                let applies = self.rng.u8(..) < 200;
-                let node = &mut self.nodes[envelope.to];
-                let receiver = match role {
-                    Role::Coordinator => &mut node.coordinator,
-                    Role::Gateway => &mut node.gateway,
-                };
-                let too_old = now.duration_since(asked_at) > VOUCH;
-                if receiver.id != process || too_old {
-                    return;
-                }
-                receiver.freshness.peer_said(&voucher, vouch, asked_at);
-                receiver.stamps.insert(voucher.vm.clone(), (from_process, made_at));
-                if in_force > receiver.freshness.in_force() && applies {
-                    receiver.freshness.applied(in_force);
-                }
-                let in_force = receiver.freshness.in_force();
-                if role == Role::Coordinator {
-                    let own = node.vm.clone();
-                    if let Some(members) = self.documents.get(&in_force) {
-                        node.coordinator.freshness.establish(members, &own);
-                    }
-                    let sighting = Sighting {
-                        process_id: from_process,
-                        revision: vouch.newest_known,
-                        asked_at,
-                        heard_at: now,
-                    };
-                    node.tracker.coordinator_said(voucher, vouch.established, &sighting);
-                    for (vm, report, age) in reports {
-                        let sighting = Sighting {
-                            process_id: report.process,
-                            revision: report.in_force,
-                            asked_at: asked_at - age,
-                            heard_at: now,
-                        };
-                        node.tracker.gateway_said(vm, &sighting);
-                    }
-                }
-            }
-        }
-    }
-
-    fn read_store(&mut self, node: usize) {
-        if !self.reaches_store(node) {
-            return;
-        }
-        let newest = self.newest();
-        let (now, late) = (self.now, self.rng.u32(..3));
-        let coordinator = &mut self.nodes[node].coordinator;
-        let asked_at = now - STEP * late;
-        if late == 0 {
-            coordinator.freshness.applied(newest);
-            coordinator.freshness.store_said(newest, asked_at);
-        }
-    }
-
-    fn poll(&mut self, node: usize, role: Role) {
-        for to in 0..self.nodes.len() {
-            let process = match role {
-                Role::Coordinator => &self.nodes[node].coordinator,
-                Role::Gateway => &self.nodes[node].gateway,
-            };
-            if process.frozen || (role == Role::Coordinator && to == node) {
-                continue;
-            }
-            let is_relay = to == node || to == (node + 1) % self.nodes.len();
-            if self.is_sparse && role == Role::Gateway && !is_relay {
-                continue;
-            }
-            let message = Message::Poll {
-                role,
-                process: process.id,
-                in_force: process.freshness.in_force(),
-                echo: process.stamps.get(&self.nodes[to].vm).copied(),
-                asked_at: self.now,
-            };
-            self.send(node, to, message);
-        }
-    }
-
-    fn send(&mut self, from: usize, to: usize, message: Message) {
-        let delay = match self.rng.u8(..100) {
-            0..5 => return,
-            5..70 => 0,
-            70..95 => self.rng.u32(1..4),
-            _ => self.rng.u32(4..40),
-        };
-        let envelope = Envelope { due: self.step + 1 + delay, from, to, message };
-        if self.rng.u8(..100) < 5 {
-            let due = envelope.due + self.rng.u32(..20);
-            self.under_way.push(Envelope { due, ..envelope.clone() });
-        }
-        self.under_way.push(envelope);
-    }
-
-    fn check_acceptance(&mut self) {
-        for index in 0..self.nodes.len() {
-            let now = self.now;
-            let own = voucher(&self.nodes[index]);
-            let members = self.members_at(index);
-            let node = &mut self.nodes[index];
-            if node.coordinator.frozen {
-                continue;
-            }
-            let vouch = node.coordinator.freshness.vouch(&members, now);
-            let sighting = Sighting {
-                process_id: node.coordinator.id,
-                revision: vouch.newest_known,
-                asked_at: now,
-                heard_at: now,
-            };
-            node.tracker.coordinator_said(own, vouch.established, &sighting);
-            let written = std::mem::take(&mut node.written);
-            let mut waiting = Vec::new();
-            for it in written {
-                match self.is_accepted(index, it.revision, it.base.as_deref()) {
-                    true => self.accept(it.revision),
-                    false => waiting.push(it),
-                }
-            }
-            self.nodes[index].written = waiting;
-            // A repeated command asks another coordinator.
-            let newest = self.newest();
-            if self.rng.bool() && self.is_accepted(index, newest, None) {
-                self.accept(newest);
-            }
-        }
-    }
-
-    fn accept(&mut self, revision: Revision) {
-        self.accepted_count += 1;
-        self.accepted = self.accepted.max(revision);
-    }
-
-    fn is_accepted(
-        &mut self,
-        node: usize,
-        revision: Revision,
-        base: Option<&[EntryVmSpec]>,
-    ) -> bool {
-        let candidate = AcceptanceCandidate {
-            revision,
-            entry_vms: &self.documents[&revision],
-            accepted_base: base,
-        };
-        self.nodes[node].tracker.check(&candidate, self.now).is_accepted()
-    }
-
-    fn check_service(&mut self) -> Result<(), String> {
-        for index in 0..self.nodes.len() {
-            let node = &self.nodes[index];
-            if node.gateway.frozen || !self.serves(index) {
-                continue;
-            }
-            self.served += 1;
-            let in_force = node.gateway.freshness.in_force();
-            if in_force < self.accepted {
-                return Err(format!(
-                    "step {}: {} serves under {in_force} though {} was accepted",
-                    self.step, node.vm, self.accepted
-                ));
-            }
-        }
-        Ok(())
-    }
-
     fn permit(&self, node: usize) -> Permit {
         let node = &self.nodes[node];
         let empty = Vec::new();
