--- a/tests/tests/coordinator_telemetry.rs
+++ b/tests/tests/coordinator_telemetry.rs
@@ -1,10 +1,12 @@
 //! Metrics and spans tell what a coordinator did, also while things fail.
 
 use std::net::UdpSocket;
+use std::time::Duration;
 
 use mangocross_http::HttpCall;
 use mangocross_http::HttpClient;
 use mangocross_http::HttpMethod;
+use mangocross_http::HttpTimeouts;
 use mangocross_operator::OperatorRequest;
 use mangocross_tests::Cluster;
 use mangocross_tests::ClusterBuilder;
@@ -17,6 +19,8 @@
 const TRACE_ID: &str = "4bf92f3577b34da6a3ce929d0e0e4736";
 const OPERATOR_SPAN_ID: &str = "00f067aa0ba902b7";
 const START: &str = "start group letters-1 model letters version v1 members 2";
+/// Longest wait for the answer to a command.
+const COMMAND_TIMEOUT: Duration = Duration::from_secs(40);
 
 fn draft() -> Outgoing {
     Outgoing::chat("town", "draft", "letters", 4, true)
@@ -87,7 +91,9 @@
     };
     let traceparent = format!("00-{TRACE_ID}-{OPERATOR_SPAN_ID}-01");
     let call = HttpCall::new(HttpMethod::Post, cluster.operator(0), "/v1/operator");
-    let call = call.json(&request).header("traceparent", &traceparent);
+    // A command waits until its change is in force, which takes a few polls.
+    let timeouts = HttpTimeouts::default().idle(COMMAND_TIMEOUT).total(COMMAND_TIMEOUT);
+    let call = call.json(&request).header("traceparent", &traceparent).timeouts(timeouts);
     assert_eq!(HttpClient::open().call(call).unwrap().status(), 200);
     cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
     let of_trace = |name: &str| {
