test(policy): repeat older cache events too

Cause: the test repeated the newest event only, so it stayed green with the check of events taken in before switched off. It repeats any event of the same run now: red with that check off, green with it.

--- a/crates/mangocross-policy/tests/cache_events.rs
+++ b/crates/mangocross-policy/tests/cache_events.rs
@@ -71,6 +71,7 @@
         let mut cache = Cache::new(epoch, start);
         let mut table = PrefixTable::new(CACHE_MAX);
         let mut told_by_events: Vec<PrefixHash> = Vec::new();
+        let mut taken = Vec::new();
         let (mut lost, mut seen_epoch) = (false, epoch);
         for step in 0..200 {
             let now = start + Duration::from_millis(step);
@@ -94,8 +95,10 @@
                     CacheEvent::Cleared => told_by_events.clear(),
                 }
                 take(&mut table, &it);
+                taken.retain(|old: &PublishedEvent| old.sequence.epoch == it.sequence.epoch);
+                taken.push(it);
                 // An event again, as from a second owner, changes nothing.
-                take(&mut table, &it);
+                take(&mut table, &taken[random.usize(..taken.len())]);
             }
             for prefix in (0..PREFIXES).map(PrefixHash) {
                 if table.knowledge(&group(), prefix) == PrefixKnowledge::Told {
