--- a/bins/mangocross-coordinator/src/handover.rs
+++ b/bins/mangocross-coordinator/src/handover.rs
@@ -13,36 +13,49 @@
 /// Time between looks.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How a wait ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WaitEnd {
+    Fulfilled,
+    TimedOut,
+    Signalled,
+}
+
 /// Waits until other coordinators own this one's fabric domains and gateways know their proofs.
 ///
 /// Replies say meanwhile that this coordinator stops, so that the others no longer count on it; it
 /// goes on to probe and prove its groups, which therefore stay in service. A second signal ends the
 /// wait.
 pub(crate) fn run(state: &CoordinatorState, signals: &mut Signals) {
-    let owned_any = owns_any(state);
     state.stop();
+    if !owns_any(state) {
+        return;
+    }
     let taken_over = || !owns_any(state) || state.live_coordinators().len() == 1;
-    if !wait(signals, TAKEOVER_WAIT_MAX, taken_over) {
-        return log::warn!("no other coordinator took over in time");
+    match wait(signals, TAKEOVER_WAIT_MAX, taken_over) {
+        WaitEnd::Fulfilled => {}
+        WaitEnd::TimedOut => return log::warn!("no other coordinator took over in time"),
+        WaitEnd::Signalled => return,
     }
-    if owned_any && !wait(signals, state.probe_ttl(), || false) {
+    let never = || false;
+    if wait(signals, state.probe_ttl(), never) == WaitEnd::TimedOut {
         log::info!("other coordinators have taken over");
     }
 }
 
-/// Waits for a condition; returns whether it came about before the limit and any signal.
-fn wait(signals: &mut Signals, limit: Duration, condition: impl Fn() -> bool) -> bool {
+/// Waits for a condition, up to a limit or a signal.
+fn wait(signals: &mut Signals, limit: Duration, condition: impl Fn() -> bool) -> WaitEnd {
     let looks = limit.as_millis() / LOOK_INTERVAL.as_millis();
     for _ in 0..looks {
         if condition() {
-            return true;
+            return WaitEnd::Fulfilled;
         }
         if signals.pending().next().is_some() {
-            return false;
+            return WaitEnd::Signalled;
         }
         thread::sleep(LOOK_INTERVAL);
     }
-    condition()
+    WaitEnd::TimedOut
 }
 
 fn owns_any(state: &CoordinatorState) -> bool {
