--- a/benches/src/failover/case.rs
+++ b/benches/src/failover/case.rs
@@ -1,11 +1,10 @@
 //! The faults that are brought about.
 
 use mangocross_tests::Cluster;
-use mangocross_types::DomainAssignment;
+use mangocross_tests::groups::assignment;
+use mangocross_tests::groups::owner_of;
 use mangocross_types::GroupAssignment;
 use mangocross_types::VmId;
-use peer_store::HttpStore;
-use peer_store::read_json;
 use standins::EngineFaults;
 use standins::StoreFaults;
 
@@ -140,15 +139,10 @@
 }
 
 fn placed(cluster: &Cluster) -> Placed {
-    let store = HttpStore::open(cluster.store.address());
-    let find = |domain: u16| {
-        let key = DomainAssignment::key(&format!("domain-{domain}").parse().expect("a valid id"));
-        let read = read_json::<DomainAssignment>(&store, &key).expect("the store answers");
-        let assignment = read.0?;
-        let owner = assignment.owner.expect("the domain has an owner");
-        let owner: usize = owner.as_str().trim_start_matches("entry-").parse().expect("a number");
-        let group = assignment.groups.into_iter().next()?;
-        Some(Placed { group, domain, owner: owner - 1 })
+    let find = |number: u16| {
+        let domain = format!("domain-{number}");
+        let group = assignment(cluster, &domain).groups.into_iter().next()?;
+        Some(Placed { group, domain: number, owner: usize::from(owner_of(cluster, &domain)) })
     };
     [1, 2].into_iter().find_map(find).expect("the group is placed")
 }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -4,6 +4,8 @@
 
 mod caller;
 mod cluster;
+mod cluster_builder;
+pub mod groups;
 mod process;
 mod raw;
 mod relay;
@@ -15,8 +17,8 @@
 pub use caller::Outgoing;
 pub use caller::new_key;
 pub use cluster::Cluster;
-pub use cluster::ClusterBuilder;
 pub use cluster::PeerProcess;
+pub use cluster_builder::ClusterBuilder;
 pub use process::Process;
 pub use raw::RawAnswer;
 pub use raw::RawConnection;
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -1,22 +1,18 @@
-//! Groups are complete or silent, are repaired, moved and stopped.
+//! Groups are complete or silent, and are repaired.
 
-mod group_support;
-
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
-use group_support::assignment;
-use group_support::generations;
-use group_support::owner_of;
-use group_support::placed;
-use group_support::slow_engine;
-use group_support::start_stream;
-use mangocross_tests::Caller;
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::Outgoing;
-use mangocross_tests::RelayMode;
+use mangocross_tests::groups::START;
+use mangocross_tests::groups::assignment;
+use mangocross_tests::groups::draft;
+use mangocross_tests::groups::frozen;
+use mangocross_tests::groups::generations;
+use mangocross_tests::groups::owner_of;
+use mangocross_tests::groups::placed;
+use mangocross_tests::groups::start_stream;
 use mangocross_types::Configuration;
 use mangocross_types::DomainAssignment;
 use mangocross_types::EngineState;
@@ -27,7 +23,6 @@
 use mangocross_types::RunOutcome;
 use mangocross_types::VmId;
 use mangocross_types::VmRole;
-use mangocross_types::VmState;
 use peer_store::HttpStore;
 use peer_store::read_json;
 use peer_store::swap_json;
@@ -36,16 +31,6 @@
 use standins::PlatformFaults;
 use standins::StoreFaults;
 
-const START: &str = "start group letters-1 model letters version v1 members 2";
-
-fn draft() -> Outgoing {
-    Outgoing::chat("town", "draft", "letters", 4, true)
-}
-
-fn frozen() -> EngineFaults {
-    EngineFaults { frozen: true, ..EngineFaults::default() }
-}
-
 fn builder(nodes: u16, domains: &[u16]) -> ClusterBuilder {
     ClusterBuilder::new(nodes, domains)
         .coordinator_setting("lost_ms", 1_500)
@@ -150,44 +135,6 @@
     name.chars().take_while(char::is_ascii_digit).collect::<String>().parse::<u16>().unwrap() - 1
 }
 
-#[test]
-fn stop_cuts_off_nothing_with_lagging_load_and_a_dying_owner() {
-    let mut cluster = builder(3, &[2]).engine_options(slow_engine).start();
-    cluster.start_group(START, 0, &draft());
-    for engine in cluster.engines.values() {
-        engine.faults().set(EngineFaults { load_lag_ms: 1_500, ..EngineFaults::default() });
-    }
-    let owner = owner_of(&cluster, "domain-1");
-    let other = (owner + 1) % 3;
-    // Longer than a command may wait until it is in force.
-    let stream = start_stream(&cluster, other, 600);
-    let _ = cluster.operate(other, "stop group letters-1");
-    cluster.wait_until("it drains", || placed(&cluster, "domain-1").phase == GroupPhase::Draining);
-    cluster.coordinators[usize::from(owner)].kill();
-    let answer = stream.join().expect("the stream was read");
-    assert!(answer.is_whole(), "{}", answer.body);
-    assert_eq!(answer.token_indexes().len(), 600);
-    cluster.wait_until("the engines are idle", || {
-        cluster.engines.values().all(|it| it.report().state == EngineState::Idle)
-    });
-}
-
-#[test]
-fn move_serves_there_before_it_stops_here_and_cuts_off_nothing() {
-    let cluster = builder(2, &[2, 2]).engine_options(slow_engine).start();
-    cluster.start_group(&format!("{START} in domain-1"), 0, &draft());
-    let stream = start_stream(&cluster, 0, 150);
-    cluster.operate(1, "move group letters-1 to domain-2").expect("the move is accepted");
-    cluster.wait_until("it left domain-1", || {
-        let refused = cluster.send(0, &draft());
-        assert!(refused.is_whole(), "a request failed during the move: {}", refused.body);
-        assignment(&cluster, "domain-1").groups.is_empty()
-    });
-    assert!(stream.join().expect("the stream was read").is_whole());
-    assert_eq!(placed(&cluster, "domain-2").phase, GroupPhase::Serving);
-    assert!(cluster.send(1, &draft()).is_whole());
-}
-
 #[test]
 fn group_of_a_dark_domain_is_formed_in_another_one() {
     let cluster = builder(2, &[2, 2]).start();
@@ -202,30 +149,6 @@
     cluster.wait_until("it serves elsewhere", || cluster.send(0, &draft()).is_whole());
 }
 
-#[test]
-fn leaving_member_is_drained_out_and_a_list_that_flaps_does_not_bring_it_back() {
-    let cluster = builder(2, &[3]).engine_options(slow_engine).start();
-    cluster.start_group(START, 0, &draft());
-    let before = placed(&cluster, "domain-1");
-    let leaving = before.members[1].clone();
-    let stream = start_stream(&cluster, 0, 400);
-    let ran = generations(&cluster);
-    let mut list = cluster.listed_vms();
-    list.iter_mut().filter(|it| it.vm == leaving).for_each(|it| it.state = VmState::Leaving);
-    cluster.platform.set_vms(list);
-    cluster.wait_until("it drains", || placed(&cluster, "domain-1").phase == GroupPhase::Draining);
-    cluster.platform.set_vms(cluster.listed_vms());
-    assert!(stream.join().expect("the stream was read").is_whole());
-    assert_eq!(generations(&cluster), ran, "the answer was cut off and resumed");
-    cluster.wait_until("it is formed anew", || {
-        placed(&cluster, "domain-1").incarnation > before.incarnation
-            && cluster.send(0, &draft()).is_whole()
-    });
-    assert!(!placed(&cluster, "domain-1").members.contains(&leaving));
-    thread::sleep(Duration::from_secs(2));
-    assert!(!placed(&cluster, "domain-1").members.contains(&leaving));
-}
-
 #[test]
 fn late_order_to_an_engine_that_ignores_fences_leaves_no_wrong_member() {
     let cluster = builder(2, &[3]).start();
@@ -242,22 +165,6 @@
     cluster.start_group("resume group letters-1", 0, &draft());
 }
 
-#[test]
-fn rolling_restart_of_coordinators_keeps_the_group_serving() {
-    let mut cluster = builder(3, &[2]).start();
-    cluster.start_group(START, 0, &draft());
-    let incarnation = placed(&cluster, "domain-1").incarnation;
-    for node in 0..3 {
-        cluster.coordinators[node].terminate();
-        cluster.coordinators[node].wait();
-        cluster.coordinators[node].restart();
-        cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
-        thread::sleep(Duration::from_millis(1_500));
-    }
-    cluster.wait_until("the group serves", || cluster.send(0, &draft()).is_whole());
-    assert_eq!(placed(&cluster, "domain-1").incarnation, incarnation);
-}
-
 #[test]
 fn member_that_restarts_in_a_store_outage_is_loaded_again() {
     let cluster = builder(2, &[2]).start();
@@ -375,29 +282,6 @@
     drop(stream);
 }
 
-#[test]
-fn leaving_vm_gets_no_new_work_through_a_node_that_is_cut_from_the_store() {
-    let cluster = builder(3, &[2]).start();
-    cluster.start_group(START, 0, &draft());
-    let first = placed(&cluster, "domain-1").members[0].clone();
-    let cut = (owner_of(&cluster, "domain-1") + 1) % 3;
-    cluster.store_relays[usize::from(cut)].set(RelayMode::Cut);
-    assert!(cluster.send(cut, &draft()).is_whole());
-    let faults = EngineFaults { leaving: true, ..EngineFaults::default() };
-    cluster.engine(first.as_str()).faults().set(faults);
-    cluster.wait_until("every node refuses", || {
-        (0..3).all(|it| cluster.send(it, &draft()).outcome() == Some(RunOutcome::NotRun))
-    });
-    let ran = cluster.engine(first.as_str()).faults().counted("generations");
-    // The VM's own word stays in force when it is no longer repeated.
-    cluster.engine(first.as_str()).faults().set(EngineFaults::default());
-    for round in 0..8 {
-        thread::sleep(Duration::from_millis(250));
-        assert_eq!(cluster.send(round % 3, &draft()).outcome(), Some(RunOutcome::NotRun));
-    }
-    assert_eq!(cluster.engine(first.as_str()).faults().counted("generations"), ran);
-}
-
 #[test]
 fn owner_and_leader_decide_nothing_under_an_old_configuration() {
     let cluster = builder(1, &[6, 6]).start();
@@ -468,37 +352,3 @@
     cluster.wait_until("the other group serves", || cluster.send(0, &draft()).is_whole());
     assert_eq!(placed(&cluster, "domain-2").group.as_str(), "letters-2");
 }
-
-#[test]
-fn planned_stop_of_an_owner_leaves_its_groups_in_service() {
-    let mut cluster = ClusterBuilder::new(2, &[2]).start();
-    cluster.start_group(START, 0, &draft());
-    cluster.wait_until("both gateways serve", || {
-        (0..2).all(|node| cluster.send(node, &draft()).is_whole())
-    });
-    let owner = owner_of(&cluster, "domain-1");
-    let gateways = [cluster.gateway(0), cluster.gateway(1)];
-    let ended = AtomicBool::new(false);
-    let refused = thread::scope(|scope| {
-        let sending = scope.spawn(|| {
-            let caller = Caller::open(Duration::from_secs(30));
-            let send = |it| caller.send(it, &draft()).expect("the gateway answers");
-            let mut refused = Vec::new();
-            while !ended.load(Ordering::Relaxed) {
-                refused.extend(gateways.map(send).into_iter().filter(|it| !it.is_whole()));
-            }
-            refused
-        });
-        cluster.coordinators[usize::from(owner)].terminate();
-        assert!(cluster.coordinators[usize::from(owner)].wait(), "the coordinator ended well");
-        cluster.wait_until("the other coordinator owns the domain", || {
-            owner_of(&cluster, "domain-1") == 1 - owner
-        });
-        cluster.wait_until("both gateways serve without it", || {
-            (0..2).all(|node| cluster.send(node, &draft()).is_whole())
-        });
-        ended.store(true, Ordering::Relaxed);
-        sending.join().expect("the caller ends")
-    });
-    assert!(refused.is_empty(), "{} requests were refused: {:?}", refused.len(), refused.first());
-}
--- a/tests/tests/partitions.rs
+++ b/tests/tests/partitions.rs
@@ -1,23 +1,23 @@
 //! Processes of entry VMs that are cut from each other, duel, race and die between two steps.
 
-mod group_support;
-
 use std::collections::BTreeMap;
 use std::thread;
 use std::time::Duration;
 
-use group_support::assignment;
-use group_support::generations;
-use group_support::owner_of;
-use group_support::placed;
-use group_support::slow_engine;
-use group_support::start_stream;
 use mangocross_coordination::validate;
 use mangocross_tests::Cluster;
 use mangocross_tests::ClusterBuilder;
 use mangocross_tests::LinkMode;
-use mangocross_tests::Outgoing;
 use mangocross_tests::PeerProcess;
+use mangocross_tests::groups::START;
+use mangocross_tests::groups::assignment;
+use mangocross_tests::groups::draft;
+use mangocross_tests::groups::frozen;
+use mangocross_tests::groups::generations;
+use mangocross_tests::groups::owner_of;
+use mangocross_tests::groups::placed;
+use mangocross_tests::groups::slow_engine;
+use mangocross_tests::groups::start_stream;
 use mangocross_types::EngineState;
 use mangocross_types::FencingNumber;
 use mangocross_types::GroupPhase;
@@ -26,19 +26,10 @@
 use mangocross_types::VmState;
 use standins::EngineFaults;
 
-const START: &str = "start group letters-1 model letters version v1 members 2";
 const START_SECOND: &str = "start group letters-2 model letters version v1 members 2";
 /// How long a proof of completeness counts in these tests.
 const PROOF: Duration = Duration::from_millis(2_500);
 
-fn draft() -> Outgoing {
-    Outgoing::chat("town", "draft", "letters", 4, true)
-}
-
-fn frozen() -> EngineFaults {
-    EngineFaults { frozen: true, ..EngineFaults::default() }
-}
-
 fn builder(nodes: u16, domains: &[u16]) -> ClusterBuilder {
     let proof_ms = u64::try_from(PROOF.as_millis()).expect("a short time");
     ClusterBuilder::new(nodes, domains)
