--- a/bins/mangocross-coordinator/src/held_list.rs
+++ b/bins/mangocross-coordinator/src/held_list.rs
@@ -103,7 +103,7 @@
 impl Held {
     /// Puts a list in the place of the one held, unless that is newer.
     fn replace(&mut self, text: &str, vms: Vec<VmListEntry>, asked_at: Instant) {
-        let list = hash(text);
+        let list = ListHash::of(text);
         let before = self.words.held(asked_at).map(|(list, _)| list);
         self.words.holds(list, asked_at);
         let is_taken = self.words.held(asked_at).is_some_and(|(it, _)| it == list);
@@ -115,9 +115,3 @@
         self.vms = vms.into();
     }
 }
-
-fn hash(text: &str) -> ListHash {
-    let hash = blake3::hash(text.as_bytes());
-    let (first, _) = hash.as_bytes().split_at(size_of::<u64>());
-    ListHash(u64::from_be_bytes(first.try_into().expect("eight bytes")))
-}
--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -35,6 +35,7 @@
 mod takeover_backoff;
 mod service_table;
 mod vm_holders;
+mod util;
 
 pub use acceptance::Acceptance;
 pub use acceptance::AcceptanceCandidate;
--- a/crates/mangocross-coordination/src/list_words.rs
+++ b/crates/mangocross-coordination/src/list_words.rs
@@ -9,10 +9,19 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::util::short_hash;
+
 /// Hash of a list's text.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct ListHash(pub u64);
 
+impl ListHash {
+    /// Returns the hash of a list's text.
+    pub fn of(text: &str) -> Self {
+        Self(short_hash(text))
+    }
+}
+
 /// What a coordinator does about the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListStep {
--- a/crates/mangocross-coordination/src/poll_plan.rs
+++ b/crates/mangocross-coordination/src/poll_plan.rs
@@ -30,6 +30,7 @@
 use mangocross_types::VmId;
 
 use crate::ownership::weight;
+use crate::util::short_hash;
 
 /// Entry VMs up to which everybody polls everybody.
 const SMALL_FLEET_MAX: usize = 9;
@@ -189,9 +190,7 @@
 
 impl Key {
     fn of(name: &str) -> Self {
-        let hash = blake3::hash(name.as_bytes());
-        let (first, _) = hash.as_bytes().split_at(size_of::<u64>());
-        Self(u64::from_be_bytes(first.try_into().expect("eight bytes")))
+        Self(short_hash(name))
     }
 
     /// Returns the weight of a pair, by the finalizer of splitmix64.
