refactor(node): read what a reply says of the configuration in one place

Both daemons turned replies into vouches by the same lines, and fetched newer configurations by the same condition. No behaviour is meant to change.

--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -7,9 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use mangocross_coordination::MajorityWord;
 use mangocross_coordination::Sighting;
-use mangocross_coordination::Vouch;
 use mangocross_coordination::Voucher;
 use mangocross_coordination::is_small_fleet;
 use mangocross_coordination::zone_readers;
@@ -93,29 +91,17 @@
     }
 
     fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply) {
-        let voucher = Voucher { vm: reply.vm.clone(), address: from };
-        let behind = {
-            let vouch = Vouch {
-                newest_known: reply.newest_known,
-                established: reply.established,
-                store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
-                majority: majority(&reply),
-                bound: Duration::from_millis(reply.vouch_ms.into()),
-            };
-            self.state.node.peer_said(&voucher, vouch, asked_at);
-            self.state.node.establish();
-            reply.revision > self.state.node.in_force()
-        };
+        self.state.node.peer_said(from, &reply, asked_at);
+        self.state.node.establish();
         let sighting = Sighting {
             process_id: reply.stamp.process_id,
             revision: reply.newest_known,
             asked_at,
             heard_at: self.state.clock.now(),
         };
+        let voucher = Voucher { vm: reply.vm.clone(), address: from };
         lock(&self.state.acceptance).coordinator_said(voucher, reply.established, &sighting);
-        if behind {
-            self.state.node.fetch(from);
-        }
+        self.state.node.follow(from, &reply);
         self.state.placements_known.heard(reply.placements_revision);
         self.state.assignments_known.heard(reply.assignments_revision);
         let mut leaving = lock(&self.state.leaving);
@@ -205,11 +191,6 @@
     if is_everything { lock(&state.service_servers).clone() } else { Vec::new() }
 }
 
-fn majority(reply: &PollReply) -> Option<MajorityWord> {
-    let age = Duration::from_millis(reply.majority_age_ms?.into());
-    Some(MajorityWord { revision: reply.revision, age })
-}
-
 fn uptime_ms(state: &CoordinatorState, now: Instant) -> u64 {
     u64::try_from(now.duration_since(state.started_at).as_millis()).unwrap_or(u64::MAX)
 }
--- a/bins/mangocross-gateway/src/peers.rs
+++ b/bins/mangocross-gateway/src/peers.rs
@@ -7,9 +7,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use mangocross_coordination::MajorityWord;
-use mangocross_coordination::Vouch;
-use mangocross_coordination::Voucher;
 use mangocross_types::EntryVmSpec;
 use peer_entry::Poll;
 use peer_entry::PollReply;
@@ -86,21 +83,8 @@
 
     fn reply(&self, from: SocketAddr, asked_at: Instant, reply: PollReply) {
         lock(&self.targets).answered(from, &reply.owners, asked_at);
-        let behind = {
-            let voucher = Voucher { vm: reply.vm.clone(), address: from };
-            let vouch = Vouch {
-                newest_known: reply.newest_known,
-                established: reply.established,
-                store_age: reply.store_age_ms.map(|it| Duration::from_millis(it.into())),
-                majority: majority(&reply),
-                bound: Duration::from_millis(reply.vouch_ms.into()),
-            };
-            self.state.node.peer_said(&voucher, vouch, asked_at);
-            reply.revision > self.state.node.in_force()
-        };
-        if behind {
-            self.state.node.fetch(from);
-        }
+        self.state.node.peer_said(from, &reply, asked_at);
+        self.state.node.follow(from, &reply);
         if let Some(usage) = reply.usage {
             self.state.admitting.heard(usage, asked_at);
         }
@@ -124,8 +108,3 @@
         servers.forget_old(self.state.clock.now());
     }
 }
-
-fn majority(reply: &PollReply) -> Option<MajorityWord> {
-    let age = Duration::from_millis(reply.majority_age_ms?.into());
-    Some(MajorityWord { revision: reply.revision, age })
-}
--- a/crates/mangocross-node/src/configuration.rs
+++ b/crates/mangocross-node/src/configuration.rs
@@ -14,6 +14,7 @@
 
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
+use mangocross_coordination::MajorityWord;
 use mangocross_coordination::Permit;
 use mangocross_coordination::Vouch;
 use mangocross_coordination::Voucher;
@@ -23,6 +24,7 @@
 use mangocross_types::VmId;
 use peer_entry::ConfigurationDocument;
 use peer_entry::PeerKey;
+use peer_entry::PollReply;
 use peer_entry::fetch_configuration;
 
 /// Earlier texts that are remembered, to answer with differences.
@@ -112,9 +114,18 @@
         self.lock().freshness.store_said(revision, asked_at);
     }
 
-    /// Records the reply of a coordinator, which was asked at `asked_at`.
-    pub fn peer_said(&self, voucher: &Voucher, vouch: Vouch, asked_at: Instant) {
-        self.lock().freshness.peer_said(voucher, vouch, asked_at);
+    /// Records what the reply of the coordinator at `from`, which was asked at `asked_at`, says of
+    /// the configuration.
+    pub fn peer_said(&self, from: SocketAddr, reply: &PollReply, asked_at: Instant) {
+        let voucher = Voucher { vm: reply.vm.clone(), address: from };
+        self.lock().freshness.peer_said(&voucher, vouch_in(reply), asked_at);
+    }
+
+    /// Fetches the newer configuration that a reply of the coordinator at `from` names, if any.
+    pub fn follow(self: &Arc<Self>, from: SocketAddr, reply: &PollReply) {
+        if reply.revision > self.in_force() {
+            self.fetch(from);
+        }
     }
 
     /// Lets this coordinator vouch once a majority of entry VMs, itself not counted, vouched.
@@ -144,7 +155,7 @@
 
     /// Fetches the configuration from a coordinator that holds a newer one, on a thread of its
     /// own; one fetch at a time.
-    pub fn fetch(self: &Arc<Self>, from: SocketAddr) {
+    fn fetch(self: &Arc<Self>, from: SocketAddr) {
         if self.fetching.swap(true, Ordering::SeqCst) {
             return;
         }
@@ -187,3 +198,16 @@
         true
     }
 }
+
+/// Returns what a reply says of the configuration.
+fn vouch_in(reply: &PollReply) -> Vouch {
+    let milliseconds = |it: u32| Duration::from_millis(it.into());
+    let majority = reply.majority_age_ms.map(milliseconds);
+    Vouch {
+        newest_known: reply.newest_known,
+        established: reply.established,
+        store_age: reply.store_age_ms.map(milliseconds),
+        majority: majority.map(|age| MajorityWord { revision: reply.revision, age }),
+        bound: milliseconds(reply.vouch_ms),
+    }
+}
