refactor: call confirmations, reports and states by these names

Words and news stood for a confirmation of the store or a majority, a report that a VM leaves or which list is held, and a gateway's status. No behaviour is meant to change.

--- a/benches/src/policy/mod.rs
+++ b/benches/src/policy/mod.rs
@@ -24,7 +24,7 @@
 pub use outcome::compare;
 pub use requests::RequestOutcome;
 pub use requests::run_requests;
-pub use rules::CacheNews;
+pub use rules::CacheFeedMode;
 pub use rules::Rules;
 pub use rules::User;
 pub use timeline::Timeline;
--- a/benches/src/policy/outcome.rs
+++ b/benches/src/policy/outcome.rs
@@ -3,7 +3,7 @@
 use mangocross_types::PolicyWeights;
 use serde::Serialize;
 
-use super::CacheNews;
+use super::CacheFeedMode;
 use super::Case;
 use super::FleetOutcome;
 use super::RequestOutcome;
@@ -149,9 +149,9 @@
 /// Runs both versions of a case over seeds `0..seeds`.
 pub fn compare(case: Case, user: User, seeds: u64) -> Comparison {
     let weights = user.weights();
-    let naive = run(case, user, Rules::Naive, CacheNews::None, &weights, seeds);
-    let project = run(case, user, Rules::Project, CacheNews::Events, &weights, seeds);
-    let without_events = run(case, user, Rules::Project, CacheNews::None, &weights, seeds);
+    let naive = run(case, user, Rules::Naive, CacheFeedMode::None, &weights, seeds);
+    let project = run(case, user, Rules::Project, CacheFeedMode::Events, &weights, seeds);
+    let without_events = run(case, user, Rules::Project, CacheFeedMode::None, &weights, seeds);
     Comparison {
         case: case.name(),
         user: user.name(),
@@ -184,13 +184,13 @@
     case: Case,
     user: User,
     rules: Rules,
-    news: CacheNews,
+    feed_mode: CacheFeedMode,
     weights: &PolicyWeights,
     seeds: u64,
 ) -> Vec<Run> {
     let one = |seed| {
         let fleet = run_fleet(&case.scenario(seed), rules, weights);
-        let requests = run_requests(case, user, rules, news, &fleet.timelines, seed);
+        let requests = run_requests(case, user, rules, feed_mode, &fleet.timelines, seed);
         (fleet, requests)
     };
     (0..seeds).map(one).collect()
--- a/benches/src/policy/requests.rs
+++ b/benches/src/policy/requests.rs
@@ -12,7 +12,7 @@
 use mangocross_types::Configuration;
 use mangocross_types::GroupId;
 
-use super::CacheNews;
+use super::CacheFeedMode;
 use super::Case;
 use super::Rules;
 use super::Timeline;
@@ -144,7 +144,7 @@
     news_random: fastrand::Rng,
     outcome: RequestOutcome,
     rules: Rules,
-    news: CacheNews,
+    feed_mode: CacheFeedMode,
 }
 
 /// Runs the requests of a case over groups that serve as `timelines` say.
@@ -152,12 +152,12 @@
     case: Case,
     user: User,
     rules: Rules,
-    news: CacheNews,
+    feed_mode: CacheFeedMode,
     timelines: &[Timeline],
     seed: u64,
 ) -> RequestOutcome {
     let mut run = Run::new(case, user, rules, timelines, seed);
-    run.news = news;
+    run.feed_mode = feed_mode;
     while let Some(Reverse((at_ms, _, event))) = run.events.pop() {
         run.now_ms = at_ms;
         run.handle(event);
@@ -207,7 +207,7 @@
             configuration,
             requests,
             rules,
-            news: CacheNews::None,
+            feed_mode: CacheFeedMode::None,
         };
         run.seed_events();
         run
@@ -436,7 +436,7 @@
             let lag_ms = self.news_random.u64(CACHE_EVENT_LAG_MS);
             let batch = self.engines[group].take_published(self.now_ms.saturating_sub(lag_ms));
             let lost = self.news_random.f64() < CACHE_EVENT_LOSS;
-            if lost || self.news == CacheNews::None {
+            if lost || self.feed_mode == CacheFeedMode::None {
                 continue;
             }
             for it in &batch {
--- a/benches/src/policy/rules.rs
+++ b/benches/src/policy/rules.rs
@@ -13,7 +13,7 @@
 
 /// Which cache events reach the gateways.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CacheNews {
+pub enum CacheFeedMode {
     /// None: a gateway knows of its own requests only.
     None,
     /// All, late and with gaps.
--- a/benches/src/sample.rs
+++ b/benches/src/sample.rs
@@ -29,6 +29,7 @@
 use peer_entry::CustomerUsage;
 use peer_entry::GatewayReport;
 use peer_entry::GroupCacheEvents;
+use peer_entry::HeldListReport;
 use peer_entry::LeavingVm;
 use peer_entry::PassedCacheEvent;
 use peer_entry::Poll;
@@ -36,7 +37,6 @@
 use peer_entry::PollScope;
 use peer_entry::ProcessRole;
 use peer_entry::ReplyStamp;
-use peer_entry::VmListWord;
 use serde_json::Value;
 use serde_json::json;
 
@@ -117,7 +117,7 @@
         age_ms: 1_000,
         usage: poll(customers).usage,
     };
-    let vm_list = Some(VmListWord { hash: u64::MAX, age_ms: 1_000 });
+    let vm_list = Some(HeldListReport { hash: u64::MAX, age_ms: 1_000 });
     PollReply { vm_list, gateways: vec![report], ..reply(0, 0) }
 }
 
--- a/bins/mangocross-coordinator/src/cache_events.rs
+++ b/bins/mangocross-coordinator/src/cache_events.rs
@@ -68,7 +68,7 @@
     }
 
     /// Returns what a gateway's process was not told yet of some groups and their first members.
-    pub(crate) fn news_for(
+    pub(crate) fn events_for(
         &mut self,
         gateway: &VmId,
         process_id: u64,
@@ -80,7 +80,7 @@
             *told = ToldGateway { process_id, newest: HashMap::new() };
         }
         let mut room = EVENTS_PER_REPLY;
-        let mut news = Vec::new();
+        let mut by_group = Vec::new();
         for (group, engine) in groups {
             let Some(feed) = self.feeds.get(engine) else { continue };
             let place = told.newest.get(engine).copied();
@@ -89,13 +89,13 @@
             room -= events.len();
             told.newest.insert(engine.clone(), newest);
             let passed = events.iter().map(|it| passed(it, now)).collect();
-            news.push(GroupCacheEvents {
+            by_group.push(GroupCacheEvents {
                 group: group.clone(),
                 epoch: newest.epoch,
                 events: passed,
             });
         }
-        news
+        by_group
     }
 }
 
--- a/bins/mangocross-coordinator/src/gateways.rs
+++ b/bins/mangocross-coordinator/src/gateways.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use mangocross_coordination::GatewayNews;
+use mangocross_coordination::GatewayStatus;
 use mangocross_coordination::Sighting;
 use mangocross_types::VmId;
 use peer_entry::CustomerUsage;
@@ -23,7 +23,7 @@
         lock(&state.acceptance).gateway_said(poll.vm.clone(), &sighting);
     }
     if poll.reports {
-        let news = GatewayNews {
+        let status = GatewayStatus {
             process_id: poll.process_id,
             revision: poll.revision,
             said_after,
@@ -31,7 +31,7 @@
             is_direct: true,
             said: poll.usage.clone(),
         };
-        lock(&state.gateways).heard(&poll.vm, news);
+        lock(&state.gateways).heard(&poll.vm, status);
     }
     lock(&state.failures).extend(&poll.failures);
 }
@@ -52,7 +52,7 @@
     let heard_at = state.clock.now();
     let sighting = Sighting { process_id, revision, asked_at: said_after, heard_at };
     lock(&state.acceptance).gateway_said(report.vm.clone(), &sighting);
-    let news = GatewayNews {
+    let status = GatewayStatus {
         process_id,
         revision,
         said_after: Some(said_after),
@@ -60,19 +60,19 @@
         is_direct: false,
         said: report.usage,
     };
-    lock(&state.gateways).heard(&report.vm, news);
+    lock(&state.gateways).heard(&report.vm, status);
 }
 
 /// Returns what gateways reported here, for the other coordinators.
 pub(crate) fn reports(state: &CoordinatorState, now: Instant) -> Vec<GatewayReport> {
     let gateways = lock(&state.gateways);
-    let reports = gateways.direct(now).filter_map(|(vm, news)| {
+    let reports = gateways.direct(now).filter_map(|(vm, status)| {
         Some(GatewayReport {
             vm: vm.clone(),
-            process_id: news.process_id,
-            revision: news.revision,
-            age_ms: milliseconds_up(now.saturating_duration_since(news.said_after?)),
-            usage: news.said.clone(),
+            process_id: status.process_id,
+            revision: status.revision,
+            age_ms: milliseconds_up(now.saturating_duration_since(status.said_after?)),
+            usage: status.said.clone(),
         })
     });
     reports.collect()
--- a/bins/mangocross-coordinator/src/held_list.rs
+++ b/bins/mangocross-coordinator/src/held_list.rs
@@ -9,12 +9,12 @@
 
 use mangocross_coordination::ListHash;
 use mangocross_coordination::ListStep;
-use mangocross_coordination::ListWords;
+use mangocross_coordination::ListTracker;
 use mangocross_types::VmListEntry;
 use peer_entry::Delta;
+use peer_entry::HeldListReport;
 use peer_entry::ListChange;
 use peer_entry::PeerKey;
-use peer_entry::VmListWord;
 use peer_entry::fetch_list_change;
 
 use crate::peers::milliseconds_up;
@@ -34,7 +34,7 @@
 
 #[derive(Debug, Default)]
 struct Held {
-    words: ListWords,
+    tracker: ListTracker,
     /// The newest comes first.
     texts: VecDeque<(ListHash, Arc<str>)>,
     vms: Arc<[VmListEntry]>,
@@ -57,26 +57,26 @@
     }
 
     /// Records which list a coordinator holds, in its reply to a poll sent at `asked_at`.
-    pub(crate) fn heard(&self, from: SocketAddr, word: VmListWord, asked_at: Instant) {
-        let age = Duration::from_millis(word.age_ms.into());
-        lock(&self.held).words.heard(from, ListHash(word.hash), age, asked_at);
+    pub(crate) fn heard(&self, from: SocketAddr, report: HeldListReport, asked_at: Instant) {
+        let age = Duration::from_millis(report.age_ms.into());
+        lock(&self.held).tracker.heard(from, ListHash(report.hash), age, asked_at);
     }
 
     /// Returns which list is held, for the other coordinators.
-    pub(crate) fn word(&self, now: Instant) -> Option<VmListWord> {
-        let (list, age) = lock(&self.held).words.held(now)?;
-        Some(VmListWord { hash: list.0, age_ms: milliseconds_up(age) })
+    pub(crate) fn report(&self, now: Instant) -> Option<HeldListReport> {
+        let (list, age) = lock(&self.held).tracker.held(now)?;
+        Some(HeldListReport { hash: list.0, age_ms: milliseconds_up(age) })
     }
 
     /// Decides what to do about the list.
     pub(crate) fn next(&self, is_reader: bool, limit: Duration, now: Instant) -> ListStep {
-        lock(&self.held).words.next(is_reader, limit, now)
+        lock(&self.held).tracker.next(is_reader, limit, now)
     }
 
     /// Returns how the list changed since another one, if that is remembered.
     pub(crate) fn change(&self, since: ListHash, now: Instant) -> Option<ListChange> {
         let held = lock(&self.held);
-        let (_, age) = held.words.held(now)?;
+        let (_, age) = held.tracker.held(now)?;
         let newest = held.texts.front().map(|(_, text)| Arc::clone(text))?;
         let older = held.texts.iter().find(|(list, _)| *list == since)?;
         let older = Arc::clone(&older.1);
@@ -104,9 +104,9 @@
     /// Puts a list in the place of the one held, unless that is newer.
     fn replace(&mut self, text: &str, vms: Vec<VmListEntry>, asked_at: Instant) {
         let list = ListHash::of(text);
-        let before = self.words.held(asked_at).map(|(list, _)| list);
-        self.words.holds(list, asked_at);
-        let is_taken = self.words.held(asked_at).is_some_and(|(it, _)| it == list);
+        let before = self.tracker.held(asked_at).map(|(list, _)| list);
+        self.tracker.holds(list, asked_at);
+        let is_taken = self.tracker.held(asked_at).is_some_and(|(it, _)| it == list);
         if !is_taken || before == Some(list) {
             return;
         }
--- a/bins/mangocross-coordinator/src/peers.rs
+++ b/bins/mangocross-coordinator/src/peers.rs
@@ -47,7 +47,7 @@
         Self { state, round: AtomicUsize::new(0) }
     }
 
-    /// Returns the coordinators that read the store for this one, whose word must stay fresh.
+    /// Returns the coordinators that read the store for this one, whose confirmations must stay fresh.
     fn store_readers(&self) -> Vec<SocketAddr> {
         let configuration = self.state.configuration();
         let (entry_vms, own) = (&configuration.entry_vms, &self.state.settings.vm);
@@ -109,8 +109,8 @@
             leaving.peer_said(&it.vm, Duration::from_millis(it.age_ms.into()), asked_at);
         }
         drop(leaving);
-        if let Some(word) = reply.vm_list {
-            self.state.vm_list.heard(from, word, asked_at);
+        if let Some(report) = reply.vm_list {
+            self.state.vm_list.heard(from, report, asked_at);
         }
         for report in reply.gateways {
             take_report(&self.state, report, asked_at);
@@ -168,7 +168,7 @@
         usage: is_everything.then(|| usage_of_others(state, &poll.vm, now)),
         service_servers: service_servers(state, is_everything),
         owners: if is_relay { owners_for(state, &poll.vm) } else { Vec::new() },
-        vm_list: if for_gateway || is_small { None } else { state.vm_list.word(now) },
+        vm_list: if for_gateway || is_small { None } else { state.vm_list.report(now) },
         gateways: if for_gateway || is_small { Vec::new() } else { reports(state, now) },
         caches: if for_gateway { caches(state, poll, now) } else { Vec::new() },
     }
@@ -183,7 +183,7 @@
     let first = groups.filter_map(|it| Some((it.group.clone(), it.members.first()?.clone())));
     let first: Vec<(GroupId, VmId)> = first.collect();
     drop(assignments);
-    lock(&state.caches).news_for(&poll.vm, poll.process_id, &first, now)
+    lock(&state.caches).events_for(&poll.vm, poll.process_id, &first, now)
 }
 
 /// Returns the backend servers of plain services; only gateways send to them.
--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -95,7 +95,7 @@
     planner.plan(&configuration, current, &assignments, &domains, state.clock.now())
 }
 
-/// Returns the newest word on each fabric domain from its prober.
+/// Returns the newest summary of each fabric domain from its prober.
 fn domain_states(state: &CoordinatorState) -> Vec<DomainState> {
     let now = state.clock.now();
     let peers: Vec<LivePeer> = lock(&state.peers).values().cloned().collect();
--- a/bins/mangocross-gateway/src/state.rs
+++ b/bins/mangocross-gateway/src/state.rs
@@ -39,7 +39,7 @@
 /// When to come back after a refusal because the configuration may be old.
 const FRESHNESS_RETRY: Duration = Duration::from_secs(2);
 
-/// How long the word that a VM is leaving counts; longer than the platform's list lags.
+/// How long a report that a VM is leaving counts; longer than the platform's list lags.
 const LEAVING_KEPT: Duration = Duration::from_secs(600);
 /// Time after which a backend server that no coordinator lists any more is forgotten.
 const SERVER_KEPT: Duration = Duration::from_secs(30);
--- a/crates/mangocross-coordination/src/acceptance.rs
+++ b/crates/mangocross-coordination/src/acceptance.rs
@@ -43,7 +43,7 @@
     pub revision: Revision,
     /// When the process was asked; it held the revision at some time after that.
     pub asked_at: Instant,
-    /// When its word arrived; it held the revision at some time before that.
+    /// When its report arrived; it held the revision at some time before that.
     pub heard_at: Instant,
 }
 
--- a/crates/mangocross-coordination/src/freshness.rs
+++ b/crates/mangocross-coordination/src/freshness.rs
@@ -14,9 +14,10 @@
 //! its revision after its start, or a majority of entry VMs, itself not counted,
 //! are established and know nothing newer.
 //!
-//! A coordinator passes on the store's word and that of a majority with their age. Such a word
-//! counts only at a process that started before it was given: a revision may be accepted early
-//! because every gateway had it in force, and a process that starts after that has to learn of it.
+//! A coordinator passes on the store's confirmation and that of a majority with their age. Such a
+//! confirmation counts only at a process that started before it was given: a revision may be
+//! accepted early because every gateway had it in force, and a process that starts after that has to
+//! learn of it.
 //!
 //! [`crate::AcceptanceTracker`] is the other half: when a revision is accepted.
 
@@ -67,21 +68,21 @@
 pub struct Vouch {
     /// Newest revision that it knows of.
     pub newest_known: Revision,
-    /// Whether it is established, so that its word counts.
+    /// Whether it is established, so that its confirmation counts.
     pub established: bool,
     /// Time since the store confirmed that nothing newer was there.
     pub store_age: Option<Duration>,
     /// What a majority of coordinators told it, if all of them vouched.
-    pub majority: Option<MajorityWord>,
+    pub majority: Option<MajorityConfirmation>,
     /// How long the coordinator waits for vouches to run out; a vouch counts no longer than that.
     pub bound: Duration,
 }
 
 /// That a majority of the entry VMs of a revision knew nothing newer.
 ///
-/// Like the store's word it tells of a moment, so it may be passed on with its age.
+/// Like the store's confirmation it tells of a moment, so it may be passed on with its age.
 #[derive(Debug, Clone, Copy)]
-pub struct MajorityWord {
+pub struct MajorityConfirmation {
     /// The revision.
     pub revision: Revision,
     /// Time since the first of them was asked.
@@ -99,7 +100,8 @@
     store_confirmed_at: Option<Instant>,
     store_until: Option<Instant>,
     vouched_until: HashMap<Voucher, Instant>,
-    /// The newest revision for which a peer passed on a majority's word, and how long that counts.
+    /// The newest revision for which a peer passed on a majority's confirmation, and how long that
+    /// counts.
     relayed_majority: Option<(Revision, Instant)>,
 }
 
@@ -153,16 +155,22 @@
         if let Some(confirmed_at) = vouch.store_age.and_then(|it| asked_at.checked_sub(it)) {
             self.store_confirmed(vouch.newest_known, confirmed_at, bound);
         }
-        if let Some(word) = vouch.majority {
-            self.majority_passed_on(word, asked_at, bound);
+        if let Some(confirmation) = vouch.majority {
+            self.majority_passed_on(confirmation, asked_at, bound);
         }
     }
 
-    /// Records a majority's word; as with the store's, one from before the start does not count.
-    fn majority_passed_on(&mut self, word: MajorityWord, asked_at: Instant, bound: Duration) {
-        let Some(vouched_at) = asked_at.checked_sub(word.age) else { return };
+    /// Records a majority's confirmation; as with the store's, one from before the start does not
+    /// count.
+    fn majority_passed_on(
+        &mut self,
+        confirmation: MajorityConfirmation,
+        asked_at: Instant,
+        bound: Duration,
+    ) {
+        let Some(vouched_at) = asked_at.checked_sub(confirmation.age) else { return };
         if vouched_at >= self.started_at {
-            let passed_on = (word.revision, vouched_at + bound);
+            let passed_on = (confirmation.revision, vouched_at + bound);
             self.relayed_majority = self.relayed_majority.max(Some(passed_on));
         }
     }
@@ -191,13 +199,20 @@
     }
 
     /// Returns what a majority said of the revision in force, if nothing newer is known here.
-    fn majority_word(&self, entry_vms: &[EntryVmSpec], now: Instant) -> Option<MajorityWord> {
+    fn majority_word(
+        &self,
+        entry_vms: &[EntryVmSpec],
+        now: Instant,
+    ) -> Option<MajorityConfirmation> {
         if self.in_force < self.newest_known || self.in_force == Revision(0) {
             return None;
         }
         let until = self.majority_until(entry_vms).filter(|it| now < *it)?;
         let asked_at = until.checked_sub(self.bounds.vouch)?;
-        Some(MajorityWord { revision: self.in_force, age: now.saturating_duration_since(asked_at) })
+        Some(MajorityConfirmation {
+            revision: self.in_force,
+            age: now.saturating_duration_since(asked_at),
+        })
     }
 
     /// Returns the revision in force here.
@@ -237,7 +252,8 @@
         vouched.get(decisive).copied()
     }
 
-    /// Returns until when a majority's word on the revision in force counts that a peer passed on.
+    /// Returns until when a majority's confirmation of the revision in force counts that a peer
+    /// passed on.
     ///
     /// The majority is one of the entry VMs of that very revision.
     fn relayed_majority_until(&self) -> Option<Instant> {
--- a/crates/mangocross-coordination/src/gateway_table.rs
+++ b/crates/mangocross-coordination/src/gateway_table.rs
@@ -7,9 +7,9 @@
 use mangocross_types::Revision;
 use mangocross_types::VmId;
 
-/// News of a gateway.
+/// Status of a gateway.
 #[derive(Debug, Clone)]
-pub struct GatewayNews<T> {
+pub struct GatewayStatus<T> {
     /// Random number chosen at the process's start.
     pub process_id: u64,
     /// Revision of the configuration that it had in force.
@@ -18,17 +18,17 @@
     pub said_after: Option<Instant>,
     /// When it is taken to have said so.
     pub heard_at: Instant,
-    /// Whether it reported here, so that this coordinator passes the news on.
+    /// Whether it reported here, so that this coordinator passes the status on.
     pub is_direct: bool,
     /// What else it said.
     pub said: T,
 }
 
-/// The newest news of each gateway.
+/// The newest status of each gateway.
 #[derive(Debug, Clone)]
 pub struct GatewayTable<T> {
     kept: Duration,
-    newest: HashMap<VmId, GatewayNews<T>>,
+    newest: HashMap<VmId, GatewayStatus<T>>,
 }
 
 impl<T> GatewayTable<T> {
@@ -37,26 +37,26 @@
         Self { kept, newest: HashMap::new() }
     }
 
-    /// Records news of the gateway on a VM, unless newer ones are there.
-    pub fn heard(&mut self, vm: &VmId, news: GatewayNews<T>) {
-        if self.newest.get(vm).is_none_or(|it| it.heard_at <= news.heard_at) {
-            self.newest.insert(vm.clone(), news);
+    /// Records the status of the gateway on a VM, unless a newer one is there.
+    pub fn heard(&mut self, vm: &VmId, status: GatewayStatus<T>) {
+        if self.newest.get(vm).is_none_or(|it| it.heard_at <= status.heard_at) {
+            self.newest.insert(vm.clone(), status);
         }
     }
 
-    /// Returns the newest news of each gateway, however old.
-    pub fn all(&self) -> impl Iterator<Item = (&VmId, &GatewayNews<T>)> {
+    /// Returns the newest status of each gateway, however old.
+    pub fn all(&self) -> impl Iterator<Item = (&VmId, &GatewayStatus<T>)> {
         self.newest.iter()
     }
 
-    /// Returns the news that still count.
-    pub fn current(&self, now: Instant) -> impl Iterator<Item = (&VmId, &GatewayNews<T>)> {
+    /// Returns the status of each gateway that still counts.
+    pub fn current(&self, now: Instant) -> impl Iterator<Item = (&VmId, &GatewayStatus<T>)> {
         let kept = self.kept;
         self.newest.iter().filter(move |(_, it)| now.saturating_duration_since(it.heard_at) < kept)
     }
 
-    /// Returns the news that gateways reported here, to be passed on.
-    pub fn direct(&self, now: Instant) -> impl Iterator<Item = (&VmId, &GatewayNews<T>)> {
+    /// Returns the status of each gateway that reported here, to be passed on.
+    pub fn direct(&self, now: Instant) -> impl Iterator<Item = (&VmId, &GatewayStatus<T>)> {
         self.current(now).filter(|(_, it)| it.is_direct)
     }
 }
--- a/crates/mangocross-coordination/src/list_words.rs
+++ b/crates/mangocross-coordination/src/list_tracker.rs
@@ -35,24 +35,24 @@
 
 /// Which list is held, and which others hold.
 #[derive(Debug, Clone, Default)]
-pub struct ListWords {
-    held: Option<Word>,
-    /// The newest word on another list than the one held.
-    other: Option<(Word, SocketAddr)>,
+pub struct ListTracker {
+    held: Option<Confirmation>,
+    /// The newest confirmation of another list than the one held.
+    other: Option<(Confirmation, SocketAddr)>,
 }
 
 /// That a list was the platform's at a time.
 #[derive(Debug, Clone, Copy)]
-struct Word {
+struct Confirmation {
     list: ListHash,
     asked_at: Instant,
 }
 
-impl ListWords {
+impl ListTracker {
     /// Records that a list is held that the platform gave when asked at `asked_at`.
     pub fn holds(&mut self, list: ListHash, asked_at: Instant) {
         if self.held.is_none_or(|it| it.asked_at <= asked_at) {
-            self.held = Some(Word { list, asked_at });
+            self.held = Some(Confirmation { list, asked_at });
         }
         self.other = self.other.filter(|(it, _)| it.list != list && it.asked_at > asked_at);
     }
@@ -66,7 +66,7 @@
             Some(held) if held.list == list => held.asked_at = held.asked_at.max(asked_at),
             _ => {
                 if self.other.is_none_or(|(it, _)| it.asked_at < asked_at) {
-                    self.other = Some((Word { list, asked_at }, from));
+                    self.other = Some((Confirmation { list, asked_at }, from));
                 }
             }
         }
--- a/crates/mangocross-coordination/src/proof_table.rs
+++ b/crates/mangocross-coordination/src/proof_table.rs
@@ -60,7 +60,7 @@
     /// Takes a proof from the reply to a poll that was sent at `asked_at`.
     ///
     /// A proof of an older fencing number or incarnation than the one held from
-    /// the same fabric domain is ignored; so is an older word on the same incarnation. Of two
+    /// the same fabric domain is ignored; so is an older proof of the same incarnation. Of two
     /// replies to one poll, which a network may deliver twice, the more cautious one stands. A proof
     /// without time left withdraws the group.
     pub fn record(&mut self, proof: &GroupProof, asked_at: Instant) {
--- a/crates/mangocross-coordination/src/readers.rs
+++ b/crates/mangocross-coordination/src/readers.rs
@@ -19,7 +19,7 @@
 
 /// Decides whether this coordinator reads the configuration from the store.
 ///
-/// `store_age` is the age of the newest word of the store that it has, by itself
+/// `store_age` is the age of the newest confirmation of the store that it has, by itself
 /// or through others, and `limit` the age at which it no longer waits for others.
 pub fn reads_store(
     entry_vms: &[EntryVmSpec],
--- a/crates/mangocross-coordination/src/service_table.rs
+++ b/crates/mangocross-coordination/src/service_table.rs
@@ -28,7 +28,7 @@
         Self { kept, servers: BTreeMap::new() }
     }
 
-    /// Records that a server was listed; older news changes nothing.
+    /// Records that a server was listed; an older report changes nothing.
     pub fn listed(&mut self, vm: VmId, service: ServiceId, address: SocketAddr, at: Instant) {
         if self.servers.get(&vm).is_some_and(|it| it.listed_at > at) {
             return;
--- a/crates/mangocross-coordination/tests/acceptance.rs
+++ b/crates/mangocross-coordination/tests/acceptance.rs
@@ -8,7 +8,7 @@
 use mangocross_coordination::AcceptanceTracker;
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
-use mangocross_coordination::MajorityWord;
+use mangocross_coordination::MajorityConfirmation;
 use mangocross_coordination::Permit;
 use mangocross_coordination::Sighting;
 use mangocross_coordination::Vouch;
@@ -186,7 +186,7 @@
     let started_at = start + VOUCH;
     let asked_at = started_at + VOUCH / 2;
     let (before, after) = (VOUCH * 3 / 4, VOUCH / 4);
-    let majority = |revision, age| Some(MajorityWord { revision: Revision(revision), age });
+    let majority = |revision, age| Some(MajorityConfirmation { revision: Revision(revision), age });
     let words = [
         (Vouch { store_age: Some(before), ..vouch(1) }, false),
         (Vouch { store_age: Some(after), ..vouch(1) }, true),
--- a/crates/mangocross-coordination/tests/readers.rs
+++ b/crates/mangocross-coordination/tests/readers.rs
@@ -6,7 +6,7 @@
 
 use mangocross_coordination::ListHash;
 use mangocross_coordination::ListStep;
-use mangocross_coordination::ListWords;
+use mangocross_coordination::ListTracker;
 use mangocross_coordination::read_backoff;
 use mangocross_coordination::reads_store;
 use mangocross_types::EntryVmSpec;
@@ -83,20 +83,20 @@
     let start = Instant::now();
     let at = |seconds| start + Duration::from_secs(seconds);
     let (reader, other) = (fleet(2, 1)[0].coordinator, fleet(2, 1)[1].coordinator);
-    let mut words = ListWords::default();
-    assert_eq!(words.next(false, LIST_LIMIT, at(0)), ListStep::Read);
-    words.holds(OLD, at(0));
-    assert_eq!(words.next(true, LIST_LIMIT, at(1)), ListStep::Read);
-    words.heard(reader, OLD, Duration::from_secs(1), at(6));
-    assert_eq!(words.next(false, LIST_LIMIT, at(10)), ListStep::Keep);
-    // An older list than the one held is not fetched, however late its word comes.
-    words.heard(other, NEW, Duration::from_secs(4), at(8));
-    assert_eq!(words.next(false, LIST_LIMIT, at(10)), ListStep::Keep);
-    words.heard(reader, NEW, Duration::from_secs(1), at(9));
-    assert_eq!(words.next(false, LIST_LIMIT, at(10)), ListStep::Fetch(reader));
-    words.holds(NEW, at(9));
-    words.heard(other, OLD, Duration::from_secs(1), at(9));
-    assert_eq!(words.next(false, LIST_LIMIT, at(10)), ListStep::Keep);
+    let mut tracker = ListTracker::default();
+    assert_eq!(tracker.next(false, LIST_LIMIT, at(0)), ListStep::Read);
+    tracker.holds(OLD, at(0));
+    assert_eq!(tracker.next(true, LIST_LIMIT, at(1)), ListStep::Read);
+    tracker.heard(reader, OLD, Duration::from_secs(1), at(6));
+    assert_eq!(tracker.next(false, LIST_LIMIT, at(10)), ListStep::Keep);
+    // An older list than the one held is not fetched, however late its report comes.
+    tracker.heard(other, NEW, Duration::from_secs(4), at(8));
+    assert_eq!(tracker.next(false, LIST_LIMIT, at(10)), ListStep::Keep);
+    tracker.heard(reader, NEW, Duration::from_secs(1), at(9));
+    assert_eq!(tracker.next(false, LIST_LIMIT, at(10)), ListStep::Fetch(reader));
+    tracker.holds(NEW, at(9));
+    tracker.heard(other, OLD, Duration::from_secs(1), at(9));
+    assert_eq!(tracker.next(false, LIST_LIMIT, at(10)), ListStep::Keep);
 }
 
 #[test]
@@ -104,7 +104,7 @@
     let start = Instant::now();
     let at = |seconds| start + Duration::from_secs(seconds);
     let address = fleet(1, 1)[0].coordinator;
-    let (mut one, mut two) = (ListWords::default(), ListWords::default());
+    let (mut one, mut two) = (ListTracker::default(), ListTracker::default());
     one.holds(OLD, at(0));
     two.holds(OLD, at(0));
     for second in 1..=6 {
--- a/crates/mangocross-node/src/configuration.rs
+++ b/crates/mangocross-node/src/configuration.rs
@@ -14,7 +14,7 @@
 
 use mangocross_coordination::Freshness;
 use mangocross_coordination::FreshnessBounds;
-use mangocross_coordination::MajorityWord;
+use mangocross_coordination::MajorityConfirmation;
 use mangocross_coordination::Permit;
 use mangocross_coordination::Vouch;
 use mangocross_coordination::Voucher;
@@ -207,7 +207,7 @@
         newest_known: reply.newest_known,
         established: reply.established,
         store_age: reply.store_age_ms.map(milliseconds),
-        majority: majority.map(|age| MajorityWord { revision: reply.revision, age }),
+        majority: majority.map(|age| MajorityConfirmation { revision: reply.revision, age }),
         bound: milliseconds(reply.vouch_ms),
     }
 }
--- a/crates/mangocross-policy/src/admission.rs
+++ b/crates/mangocross-policy/src/admission.rs
@@ -68,7 +68,7 @@
     pub configuration: &'a Configuration,
     /// Use at the other gateways; `None` for a customer when nothing was heard.
     pub others: &'a BTreeMap<CustomerId, OtherUsage>,
-    /// Age of the newest word from the other gateways, whatever it said.
+    /// Age of the newest report from the other gateways, whatever it said.
     pub news_age: Option<Duration>,
     /// Gateways that take requests, this one included.
     pub gateways: u32,
--- a/crates/mangocross-policy/src/share.rs
+++ b/crates/mangocross-policy/src/share.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-/// Age after which news of the other gateways no longer counts.
+/// Age after which reports of the other gateways no longer count.
 const NEWS_AGE_MAX: Duration = Duration::from_secs(3);
 
 /// Returns this gateway's share of `limit`.
 ///
 /// The limit is divided by demand, as the others know it; what nobody asks for is
 /// divided equally, so that a gateway can take more as its demand rises and all
-/// together take no more than the limit. Without fresh news of the others the
+/// together take no more than the limit. Without fresh reports of the others the
 /// share is an equal one: then, with `c` of `n` gateways cut off, all together
 /// admit at most `limit * (1 + c / n)`.
 pub fn gateway_share(
@@ -30,7 +30,7 @@
     limit * own_demand / demand
 }
 
-/// Returns whether news of the other gateways still counts.
+/// Returns whether reports of the other gateways still count.
 pub(crate) fn is_fresh(news_age: Option<Duration>) -> bool {
     news_age.is_some_and(|age| age <= NEWS_AGE_MAX)
 }
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -82,7 +82,7 @@
     /// Expected time that a VM takes to come back, in milliseconds.
     #[serde(default = "expected_restart_ms")]
     pub expected_restart_ms: u64,
-    /// How long the platform's or a VM's own word that it is leaving counts, in
+    /// How long the platform's or a VM's own report that it is leaving counts, in
     /// milliseconds; longer than the platform's list lags.
     #[serde(default = "leaving_kept_ms")]
     pub leaving_kept_ms: u64,
--- a/crates/mangocross-types/src/report.rs
+++ b/crates/mangocross-types/src/report.rs
@@ -39,7 +39,7 @@
     Draining,
 }
 
-/// A model engine's own word about itself.
+/// A model engine's report of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendReport {
     /// The VM of the engine.
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -151,7 +151,7 @@
     /// Coordinators that prove the groups chosen for the asker; told to gateways that ask a relay.
     pub owners: Vec<SocketAddr>,
     /// The platform's list that the answerer holds; told to coordinators of a large fleet only.
-    pub vm_list: Option<VmListWord>,
+    pub vm_list: Option<HeldListReport>,
     /// Gateways that report to the answerer; told to coordinators of a large fleet only.
     pub gateways: Vec<GatewayReport>,
     /// Cache events of the answerer's groups that the asker was not told yet; told to gateways only.
@@ -160,7 +160,7 @@
 
 /// Which list of VMs a coordinator holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VmListWord {
+pub struct HeldListReport {
     /// Hash of its text.
     pub hash: u64,
     /// Time since the platform was asked and gave this list, in milliseconds, rounded up.
@@ -236,7 +236,7 @@
     /// The VM.
     pub vm: VmId,
     /// Time since the platform or the VM itself last said so, in milliseconds;
-    /// passing the word on does not make it younger.
+    /// passing the report on does not make it younger.
     pub age_ms: u32,
 }
 
