--- /dev/null
+++ b/bins/mangocross-front/src/command_line.rs
@@ -0,0 +1,89 @@
+//! Command line and start of the process.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use bpaf::Bpaf;
+use mangocross_platform::EntryVm;
+use mangocross_platform::SETTINGS_FILE_DEFAULT;
+use mangocross_platform::SETTINGS_FILE_VARIABLE;
+use tokio::task::LocalSet;
+
+use crate::control;
+use crate::front::Front;
+use crate::ingress;
+use crate::leases;
+use crate::peers;
+use crate::planning;
+use crate::ready;
+use crate::settings;
+use crate::stopping;
+use crate::watching;
+
+/// Serves callers on an entry VM and keeps model groups whole.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// Settings file in the platform's format; the default is the one that
+    /// MANGOCROSS_CONFIG names
+    #[bpaf(argument("FILE"))]
+    settings: Option<PathBuf>,
+    /// Check the settings and exit
+    check: bool,
+    /// Log level: error, warn, info, debug or trace
+    #[bpaf(argument("LEVEL"), fallback("info".to_owned()), display_fallback)]
+    log_level: String,
+}
+
+/// Runs the program until it is told to stop.
+pub(crate) fn run() -> ExitCode {
+    let arguments = arguments().run();
+    match start(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(arguments: &Arguments) -> Result<(), String> {
+    let file = arguments.settings.clone().unwrap_or_else(|| {
+        let named = std::env::var_os(SETTINGS_FILE_VARIABLE);
+        named.map_or_else(|| PathBuf::from(SETTINGS_FILE_DEFAULT), PathBuf::from)
+    });
+    let vm = settings::read(&file)?;
+    if arguments.check {
+        println!("{}: valid", file.display());
+        return Ok(());
+    }
+    mangocross_telemetry::init_bounded_logs(&arguments.log_level, "front", &vm.name)
+        .map_err(|it| it.to_string())?;
+    log::info!(
+        version = env!("CARGO_PKG_VERSION"), settings:? = vm;
+        "started"
+    );
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|it| format!("[8101] the event loop cannot start: {it}"))?;
+    LocalSet::new().block_on(&runtime, serve(vm, file))
+}
+
+async fn serve(vm: EntryVm, file: PathBuf) -> Result<(), String> {
+    let front = Rc::new(Front::new(vm));
+    let callers = ingress::bind(Rc::clone(&front)).await?;
+    ready::bind(&front).await?;
+    peers::bind(&front).await?;
+    watching::spawn(&front);
+    leases::spawn(&front);
+    planning::spawn(&front);
+    control::spawn(&front);
+    settings::spawn(&front, file);
+    stopping::wait(&front, callers).await;
+    log::info!("stopped");
+    // The log's thread writes the last lines while the runtime is taken down.
+    tokio::time::sleep(stopping::LAST_LINES).await;
+    Ok(())
+}
--- /dev/null
+++ b/bins/mangocross-front/src/connection.rs
@@ -0,0 +1,145 @@
+//! Follows what a caller's connection is doing.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+
+use hyper::rt::Read;
+use hyper::rt::ReadBufCursor;
+use hyper::rt::Write;
+use hyper_util::rt::TokioIo;
+use mangocross_serving::BootClock;
+use mangocross_serving::CallerLimits;
+use mangocross_serving::Moment;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use crate::clock::SystemBootClock;
+
+/// What a connection is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Rests between requests.
+    Idle,
+    /// Sends the headers of a request.
+    Headers,
+    /// Waits for an answer, or receives one.
+    Request,
+}
+
+/// What is to be done with a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Overdue {
+    /// Nothing.
+    No,
+    /// It rested for too long.
+    Idle,
+    /// Its headers take too long.
+    Headers,
+}
+
+/// What a caller's connection is doing, and since when.
+#[derive(Debug)]
+pub(crate) struct ConnectionState {
+    phase: Cell<Phase>,
+    since: Cell<Moment>,
+    clock: SystemBootClock,
+    /// Asks the connection's task to end it once it rests.
+    pub(crate) close: Notify,
+}
+
+impl ConnectionState {
+    pub(crate) fn new(clock: SystemBootClock) -> Rc<Self> {
+        Rc::new(Self {
+            phase: Cell::new(Phase::Idle),
+            since: Cell::new(clock.now()),
+            clock,
+            close: Notify::new(),
+        })
+    }
+
+    fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.since.set(self.clock.now());
+    }
+
+    fn received(&self) {
+        if self.phase.get() == Phase::Idle {
+            self.enter(Phase::Headers);
+        }
+    }
+
+    /// Records that the headers of a request are complete.
+    pub(crate) fn begin_request(self: &Rc<Self>) -> RequestOnConnection {
+        self.enter(Phase::Request);
+        RequestOnConnection(Rc::clone(self))
+    }
+
+    /// Returns which limit the connection is over.
+    pub(crate) fn overdue(&self, now: Moment, limits: &CallerLimits) -> Overdue {
+        let since = now.since(self.since.get());
+        match self.phase.get() {
+            Phase::Idle if since > limits.idle_timeout => Overdue::Idle,
+            Phase::Headers if since > limits.header_timeout => Overdue::Headers,
+            Phase::Idle | Phase::Headers | Phase::Request => Overdue::No,
+        }
+    }
+}
+
+/// A request in progress on a connection.
+#[derive(Debug)]
+pub(crate) struct RequestOnConnection(Rc<ConnectionState>);
+
+impl Drop for RequestOnConnection {
+    fn drop(&mut self) {
+        self.0.enter(Phase::Idle);
+    }
+}
+
+/// A caller's socket that tells its state of bytes received.
+#[derive(Debug)]
+pub(crate) struct TrackedSocket {
+    inner: TokioIo<TcpStream>,
+    state: Rc<ConnectionState>,
+}
+
+impl TrackedSocket {
+    pub(crate) fn new(stream: TcpStream, state: Rc<ConnectionState>) -> Self {
+        Self { inner: TokioIo::new(stream), state }
+    }
+}
+
+impl Read for TrackedSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            self.state.received();
+        }
+        polled
+    }
+}
+
+impl Write for TrackedSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -0,0 +1,193 @@
+//! Decides what a request is and who may send it.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::header;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use mangocross_platform::CallerHead;
+use mangocross_platform::ForwardHead;
+use mangocross_serving::KeyHolder;
+use mangocross_serving::RouteRule;
+use mangocross_serving::TrafficConfiguration;
+use mangocross_types::Refusal;
+use mangocross_types::ResultCode;
+use mangocross_types::ServiceId;
+use mangocross_types::VmId;
+use tokio::time::Instant;
+
+use crate::connection::RequestOnConnection;
+use crate::front::Front;
+use crate::outcome::RequestRecord;
+use crate::plain;
+use crate::stream;
+use crate::stream_body::AnswerBody;
+
+/// Time after which a caller may come back while this VM cannot check keys.
+const NOT_FRESH_RETRY: Duration = Duration::from_millis(500);
+
+/// A request that is allowed, with what is needed to forward it.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) front: Rc<Front>,
+    pub(crate) configuration: Arc<TrafficConfiguration>,
+    pub(crate) route: Arc<RouteRule>,
+    pub(crate) service: ServiceId,
+    pub(crate) holder: Option<KeyHolder>,
+    pub(crate) head: CallerHead,
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    /// When the caller's wait, or the route's, is over.
+    pub(crate) ends_at: Instant,
+    pub(crate) record: RequestRecord,
+}
+
+impl Call {
+    /// Returns the time that is left.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.ends_at.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns the rank of the request; zero goes first.
+    pub(crate) fn priority(&self) -> u8 {
+        let of_customer = self.holder.as_ref().and_then(|it| it.priority);
+        of_customer.unwrap_or(self.route.priority).min(9)
+    }
+
+    /// Returns the request to a backend server.
+    pub(crate) fn forward(
+        &self,
+        server: &VmId,
+        last_event_id: Option<u64>,
+        priority: Option<u8>,
+    ) -> Request<http_body_util::Full<Bytes>> {
+        let head = ForwardHead {
+            time_left: self.time_left(),
+            server: server.clone(),
+            customer: self.holder.as_ref().map(|it| it.customer.clone()),
+            last_event_id,
+            priority,
+        };
+        let mut request = Request::new(http_body_util::Full::new(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = self.parts.uri.clone();
+        *request.headers_mut() = head.headers(&self.parts.headers);
+        request
+    }
+}
+
+/// Answers a request.
+pub(crate) async fn answer(
+    front: Rc<Front>,
+    request: Request<Incoming>,
+    on_connection: RequestOnConnection,
+) -> Response<AnswerBody> {
+    let record = RequestRecord::new(&front, front.now());
+    let is_stopping = front.is_stopping.get();
+    let (mut response, record) = match admit(front, request, record).await {
+        Ok(call) if call.route.repeat.is_stream() => stream::serve(call).await,
+        Ok(call) => plain::serve(call).await,
+        Err((response, record)) => (response, Some(record)),
+    };
+    if is_stopping {
+        response.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+    }
+    response.map(|it| it.with_guards(record, on_connection))
+}
+
+type Refused = (Response<AnswerBody>, RequestRecord);
+
+/// Finds the route and the customer, and reads the body.
+async fn admit(
+    front: Rc<Front>,
+    request: Request<Incoming>,
+    mut record: RequestRecord,
+) -> Result<Call, Refused> {
+    let (parts, body) = request.into_parts();
+    let head = CallerHead::read(&parts.headers);
+    record.id = head.attempt_id.clone();
+    let refuse = |record: RequestRecord, refusal: Refusal, reason| {
+        Err((record.refuse(&refusal, reason), record))
+    };
+    let is_ambiguous = parts.headers.contains_key(header::TRANSFER_ENCODING)
+        && parts.headers.contains_key(header::CONTENT_LENGTH);
+    if is_ambiguous {
+        let refusal = Refusal::not_run(ResultCode::MalformedRequest, "the body has two lengths");
+        return refuse(record, refusal, "body with two lengths");
+    }
+    let Some(configuration) = front.configuration() else {
+        let refusal = Refusal::not_run(ResultCode::NotFresh, "no configuration is known yet");
+        return refuse(record, refusal.retry_after(NOT_FRESH_RETRY), "no configuration");
+    };
+    record.configuration_version = configuration.version;
+    let is_fresh = front.is_fresh(record.received_at);
+    let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok()).unwrap_or_default();
+    let found = configuration.route(host, parts.uri.path()).cloned();
+    let Some(route) = found else {
+        if !is_fresh {
+            return refuse(record, not_fresh(), "configuration not proved fresh");
+        }
+        let refusal = Refusal::not_run(ResultCode::UnknownRoute, "no route has this host and path");
+        return refuse(record, refusal, "no route");
+    };
+    record.route = Some(Arc::clone(&route.name));
+    let holder = match holder(&configuration, &route, &head, is_fresh) {
+        Ok(it) => it,
+        Err((refusal, reason)) => return refuse(record, refusal, reason),
+    };
+    record.customer = holder.as_ref().map(|it| it.customer.clone());
+    let Some(service) = route.target(fastrand::f64()).cloned() else {
+        let refusal = Refusal::not_run(ResultCode::NoCompleteGroup, "the route has no service");
+        return refuse(record, refusal.retry_after(NOT_FRESH_RETRY), "no service");
+    };
+    let wait = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let ends_at = Instant::now() + wait.saturating_sub(record.age());
+    front.count_request(&service);
+    let limited = Limited::new(body, configuration.limits.body_bytes_max).collect();
+    let body = match tokio::time::timeout_at(ends_at, limited).await {
+        Ok(Ok(it)) => it.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let refusal = Refusal::not_run(ResultCode::BodyTooLarge, "the body is too large");
+            return refuse(record, refusal, "body too large");
+        }
+        Ok(Err(_)) => {
+            let refusal = Refusal::not_run(ResultCode::MalformedRequest, "the body broke off");
+            return refuse(record, refusal, "body broke off");
+        }
+        Err(_) => {
+            let refusal = Refusal::not_run(ResultCode::SlowSender, "the body came too slowly");
+            return refuse(record, refusal, "body too slow");
+        }
+    };
+    Ok(Call { front, configuration, route, service, holder, head, parts, body, ends_at, record })
+}
+
+fn not_fresh() -> Refusal {
+    Refusal::not_run(ResultCode::NotFresh, "the configuration is not proved fresh")
+        .retry_after(NOT_FRESH_RETRY)
+}
+
+/// Returns the holder of the request's key, where the route needs one.
+fn holder(
+    configuration: &TrafficConfiguration,
+    route: &RouteRule,
+    head: &CallerHead,
+    is_fresh: bool,
+) -> Result<Option<KeyHolder>, (Refusal, &'static str)> {
+    if route.is_public || !configuration.needs_keys {
+        return Ok(None);
+    }
+    if !is_fresh {
+        return Err((not_fresh(), "configuration not proved fresh"));
+    }
+    let found = head.key.as_ref().and_then(|it| configuration.keys.get(it));
+    let refusal = || Refusal::not_run(ResultCode::CustomerKeyUnknown, "the key is not known");
+    found.cloned().map(Some).ok_or_else(|| (refusal(), "key not known"))
+}
--- /dev/null
+++ b/bins/mangocross-front/src/front.rs
@@ -0,0 +1,278 @@
+//! What the tasks of the process share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mangocross_platform::EntryVm;
+use mangocross_platform::Promises;
+use mangocross_serving::BackendServer;
+use mangocross_serving::BootClock;
+use mangocross_serving::FailureTable;
+use mangocross_serving::FreshnessProof;
+use mangocross_serving::HeadLoad;
+use mangocross_serving::LoadTable;
+use mangocross_serving::Moment;
+use mangocross_serving::ProgressTable;
+use mangocross_serving::RetryLedger;
+use mangocross_serving::TrafficConfiguration;
+use mangocross_types::ModelId;
+use mangocross_types::Revision;
+use mangocross_types::ServiceId;
+use mangocross_types::VmId;
+use tokio::sync::Notify;
+
+use crate::clock::SystemBootClock;
+use crate::leases::PlannerTerm;
+use crate::log_rate::LogRate;
+use crate::metrics::FrontMetrics;
+use crate::pool::Pool;
+use crate::store::StoreClient;
+
+/// Time for which a server that could not be connected to gets no requests.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(600);
+/// Time for which a suspect group gets no new streams.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(700);
+/// Part of the revocation bound after which this VM asks for no new callers.
+const READY_PART: f64 = 0.55;
+
+/// A key of this system in the store.
+#[derive(Debug, Clone)]
+pub(crate) struct OwnKey {
+    pub(crate) value: Vec<u8>,
+    pub(crate) revision: Revision,
+}
+
+/// What this process believes.
+#[derive(Debug, Default)]
+pub(crate) struct Beliefs {
+    pub(crate) configuration: Option<Arc<TrafficConfiguration>>,
+    pub(crate) freshness: FreshnessProof,
+    pub(crate) servers: BTreeMap<VmId, BackendServer>,
+    /// Servers whose entries were missing when the store came back.
+    pub(crate) missing_since: HashMap<VmId, Moment>,
+    pub(crate) own_keys: BTreeMap<Arc<str>, OwnKey>,
+    pub(crate) peers: HashMap<Arc<str>, SocketAddr>,
+    pub(crate) loads: LoadTable,
+    pub(crate) progress: ProgressTable,
+    pub(crate) failures: FailureTable,
+    pub(crate) retries: HashMap<ServiceId, RetryLedger>,
+    pub(crate) paces: HashMap<VmId, f64>,
+    suspects: HashMap<VmId, Moment>,
+    unreachable: HashMap<VmId, Moment>,
+}
+
+/// The process's state and clients.
+#[derive(Debug)]
+pub(crate) struct Front {
+    pub(crate) vm: EntryVm,
+    pub(crate) clock: SystemBootClock,
+    pub(crate) pool: Pool,
+    pub(crate) store: StoreClient,
+    pub(crate) beliefs: RefCell<Beliefs>,
+    pub(crate) metrics: FrontMetrics,
+    pub(crate) log_rate: LogRate,
+    /// Wakes streams when a group becomes suspect.
+    pub(crate) suspected: Notify,
+    /// Wakes the planner when something that it decides on has changed.
+    pub(crate) changed: Notify,
+    /// Wakes the lease's task when nobody plans.
+    pub(crate) planner_vacant: Notify,
+    pub(crate) planner_term: Cell<Option<PlannerTerm>>,
+    pub(crate) has_traffic: Cell<bool>,
+    pub(crate) is_stopping: Cell<bool>,
+    pub(crate) requests_in_progress: Cell<usize>,
+    promises: Cell<Promises>,
+}
+
+impl Front {
+    pub(crate) fn new(vm: EntryVm) -> Self {
+        Self {
+            promises: Cell::new(vm.promises),
+            clock: SystemBootClock,
+            pool: Pool::default(),
+            store: StoreClient::new(vm.store),
+            beliefs: RefCell::default(),
+            metrics: FrontMetrics::open(),
+            log_rate: LogRate::default(),
+            suspected: Notify::new(),
+            changed: Notify::new(),
+            planner_vacant: Notify::new(),
+            planner_term: Cell::new(None),
+            has_traffic: Cell::new(false),
+            is_stopping: Cell::new(false),
+            requests_in_progress: Cell::new(0),
+            vm,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    pub(crate) fn promises(&self) -> Promises {
+        self.promises.get()
+    }
+
+    pub(crate) fn set_promises(&self, promises: Promises) {
+        self.promises.set(promises);
+    }
+
+    pub(crate) fn configuration(&self) -> Option<Arc<TrafficConfiguration>> {
+        self.beliefs.borrow().configuration.clone()
+    }
+
+    /// Returns whether keys may be trusted in a request received at a moment.
+    pub(crate) fn is_fresh(&self, received_at: Moment) -> bool {
+        match self.promises().revoke_within {
+            Some(bound) => self.beliefs.borrow().freshness.covers(received_at, bound),
+            None => true,
+        }
+    }
+
+    /// Returns why this VM asks for no new callers, if it does not.
+    pub(crate) fn not_ready(&self) -> Option<&'static str> {
+        if self.is_stopping.get() {
+            return Some("stopping");
+        }
+        let beliefs = self.beliefs.borrow();
+        if beliefs.configuration.is_none() {
+            return Some("no configuration");
+        }
+        if beliefs.servers.is_empty() {
+            return Some("no backend servers");
+        }
+        let age = beliefs.freshness.age(self.now()).unwrap_or(Duration::MAX);
+        let bound = self.promises().revoke_within?.mul_f64(READY_PART);
+        (age > bound).then_some("the configuration is not proved fresh")
+    }
+
+    /// Takes one repeat out of this VM's share of a service's budget.
+    pub(crate) fn try_repeat(&self, service: &ServiceId) -> bool {
+        let now = self.now();
+        let bounds = self.promises().retries;
+        let mut beliefs = self.beliefs.borrow_mut();
+        let entry_vms = beliefs.peers.len().max(beliefs.loads.peer_count() + 1);
+        let ledger = beliefs.retries.entry(service.clone()).or_default();
+        ledger.try_repeat(now, &bounds, entry_vms)
+    }
+
+    pub(crate) fn count_request(&self, service: &ServiceId) {
+        let now = self.now();
+        let bounds = self.promises().retries;
+        let mut beliefs = self.beliefs.borrow_mut();
+        beliefs.retries.entry(service.clone()).or_default().requested(now, &bounds);
+        self.has_traffic.set(true);
+    }
+
+    /// Returns the heads that take requests for a model and are not suspect.
+    pub(crate) fn heads(
+        &self,
+        service: &ServiceId,
+        model: Option<&ModelId>,
+        excluded: &[VmId],
+    ) -> Vec<HeadLoad> {
+        let now = self.now();
+        let beliefs = self.beliefs.borrow();
+        let is_open = |it: &&BackendServer| {
+            it.service == *service
+                && model.is_none_or(|model| it.serves(model))
+                && !excluded.contains(&it.vm)
+                && !beliefs.is_suspect(&it.vm, now)
+                && !beliefs.is_unreachable(&it.vm, now)
+        };
+        let open = beliefs.servers.values().filter(is_open);
+        let load = |it: &BackendServer| HeadLoad {
+            vm: it.vm.clone(),
+            in_flight: beliefs.loads.in_flight(&it.vm, now),
+            pace: beliefs.paces.get(&it.vm).copied().unwrap_or(1.0),
+        };
+        open.map(load).collect()
+    }
+
+    /// Marks a head whose streams stand still.
+    pub(crate) fn suspect(&self, head: &VmId) {
+        let now = self.now();
+        self.beliefs.borrow_mut().suspects.insert(head.clone(), now);
+        self.suspected.notify_waiters();
+        self.changed.notify_one();
+    }
+
+    pub(crate) fn is_suspect(&self, vm: &VmId) -> bool {
+        let now = self.now();
+        self.beliefs.borrow().is_suspect(vm, now)
+    }
+
+    pub(crate) fn set_unreachable(&self, vm: &VmId) {
+        let now = self.now();
+        self.beliefs.borrow_mut().unreachable.insert(vm.clone(), now);
+    }
+
+    /// Counts a request that is sent to a server until the guard is dropped.
+    pub(crate) fn sent(self: &Rc<Self>, vm: &VmId, is_stream: bool) -> Sent {
+        let now = self.now();
+        let mut beliefs = self.beliefs.borrow_mut();
+        beliefs.loads.started(vm);
+        if is_stream {
+            beliefs.progress.started(vm, now);
+        }
+        drop(beliefs);
+        Sent { front: Rc::clone(self), vm: vm.clone(), is_stream }
+    }
+}
+
+impl Beliefs {
+    pub(crate) fn suspects(&self, now: Moment) -> Vec<VmId> {
+        let recent = self.suspects.iter().filter(|(_, at)| now.since(**at) < SUSPECT_PAUSE);
+        recent.map(|(vm, _)| vm.clone()).collect()
+    }
+
+    fn is_suspect(&self, vm: &VmId, now: Moment) -> bool {
+        self.suspects.get(vm).is_some_and(|it| now.since(*it) < SUSPECT_PAUSE)
+    }
+
+    pub(crate) fn is_unreachable(&self, vm: &VmId, now: Moment) -> bool {
+        self.unreachable.get(vm).is_some_and(|it| now.since(*it) < UNREACHABLE_PAUSE)
+    }
+
+    /// Forgets what no longer matters.
+    pub(crate) fn expire(&mut self, now: Moment) {
+        self.loads.expire(now);
+        self.suspects.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
+        self.unreachable.retain(|_, it| now.since(*it) < UNREACHABLE_PAUSE);
+        let Self { failures, servers, paces, .. } = self;
+        failures.retain(|vm| servers.contains_key(vm));
+        paces.retain(|vm, _| servers.contains_key(vm));
+    }
+}
+
+/// A request in progress at a server.
+#[derive(Debug)]
+pub(crate) struct Sent {
+    front: Rc<Front>,
+    vm: VmId,
+    is_stream: bool,
+}
+
+impl Sent {
+    /// Records bytes of the answer.
+    pub(crate) fn sign(&self) {
+        let now = self.front.now();
+        self.front.beliefs.borrow_mut().progress.sign(&self.vm, now);
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        let mut beliefs = self.front.beliefs.borrow_mut();
+        beliefs.loads.ended(&self.vm);
+        if self.is_stream {
+            beliefs.progress.ended(&self.vm);
+        }
+    }
+}
--- /dev/null
+++ b/bins/mangocross-front/src/leases.rs
@@ -0,0 +1,129 @@
+//! Keeps this VM's lease, its address and, where it is free, the planner's key.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::StatusCode;
+use mangocross_platform::StoreCall;
+use mangocross_platform::StorePut;
+use mangocross_platform::WriteOutcome;
+use mangocross_serving::Moment;
+use mangocross_types::Revision;
+
+use crate::front::Front;
+use crate::store::CALL_TIMEOUT;
+use crate::store::StoreError;
+
+/// Prefix of the entry VMs' addresses.
+pub(crate) const ENTRY_VMS_PREFIX: &str = "mangocross/entry/";
+/// Key of the entry VM that plans.
+pub(crate) const PLANNER_KEY: &str = "mangocross/planner";
+/// Time that the lease lasts; bounds the time without a planner after a crash.
+const TIME_TO_LIVE: Duration = Duration::from_millis(2000);
+/// Time between renewals; two may be lost.
+const RENEW_INTERVAL: Duration = Duration::from_millis(600);
+/// Spread of the attempts to become the planner, for each entry VM.
+const ELECTION_SPREAD: Duration = Duration::from_millis(8);
+
+/// Keeps the lease for as long as the process runs.
+pub(crate) fn spawn(front: &Rc<Front>) {
+    let front = Rc::clone(front);
+    tokio::task::spawn_local(async move {
+        loop {
+            if let Err(error) = hold(&front).await
+                && front.log_rate.admit("lease lost", front.now()).is_some()
+            {
+                log::warn!(error:% = error; "lease lost");
+            }
+            front.planner_term.set(None);
+            tokio::time::sleep(RENEW_INTERVAL / 3).await;
+        }
+    });
+}
+
+/// The span in which this process may plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct PlannerTerm {
+    /// Revision of the planner's key; a condition of each write.
+    pub(crate) revision: Revision,
+    /// When the lease was last known to hold.
+    pub(crate) confirmed_at: Moment,
+}
+
+impl PlannerTerm {
+    /// Returns whether the lease still holds for certain.
+    pub(crate) fn holds(&self, now: Moment) -> bool {
+        now.since(self.confirmed_at) < TIME_TO_LIVE
+    }
+}
+
+/// Asks for a lease and renews it; returns when it has ended.
+async fn hold(front: &Front) -> Result<(), StoreError> {
+    let (status, body) = front.store.call(StoreCall::lease(TIME_TO_LIVE), CALL_TIMEOUT).await?;
+    if status != StatusCode::OK {
+        return Err(StoreError::Refused { status });
+    }
+    let lease = WriteOutcome::decode_lease(&body)?;
+    publish(front, lease).await?;
+    let mut confirmed_at;
+    loop {
+        confirmed_at = front.now();
+        let (status, _) = front.store.call(StoreCall::renew(lease), RENEW_INTERVAL * 2).await?;
+        if status == StatusCode::NOT_FOUND {
+            return Err(StoreError::Refused { status });
+        }
+        if status == StatusCode::OK {
+            if let Some(term) = front.planner_term.get() {
+                front.planner_term.set(Some(PlannerTerm { confirmed_at, ..term }));
+            }
+        }
+        if front.planner_term.get().is_none() {
+            run_for_planner(front, lease).await?;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(RENEW_INTERVAL) => {}
+            () = front.planner_vacant.notified() => {}
+        }
+        if front.is_stopping.get() {
+            front.planner_term.set(None);
+            front.store.call(StoreCall::end_lease(lease), CALL_TIMEOUT).await?;
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+async fn publish(front: &Front, lease: u64) -> Result<(), StoreError> {
+    let key = format!("{ENTRY_VMS_PREFIX}{}", front.vm.name);
+    let address = format!("{}:{}", front.vm.ip, front.vm.peer_port);
+    let put = StorePut { key, value: address.into_bytes(), lease: Some(lease) };
+    let (status, body) =
+        front.store.call(StoreCall::write(&[], &[put], &[]), CALL_TIMEOUT).await?;
+    match WriteOutcome::decode(status, &body)? {
+        WriteOutcome::Written(_) => Ok(()),
+        _ => Err(StoreError::Refused { status }),
+    }
+}
+
+/// Takes the planner's key if nobody holds it.
+async fn run_for_planner(front: &Front, lease: u64) -> Result<(), StoreError> {
+    let is_vacant = || !front.beliefs.borrow().own_keys.contains_key(PLANNER_KEY);
+    if !is_vacant() || front.configuration().is_none() {
+        return Ok(());
+    }
+    let entry_vms = front.beliefs.borrow().peers.len().max(1) as u32;
+    tokio::time::sleep((ELECTION_SPREAD * entry_vms).mul_f64(fastrand::f64())).await;
+    if !is_vacant() {
+        return Ok(());
+    }
+    let asked_at = front.now();
+    let value = front.vm.name.as_bytes().to_vec();
+    let put = StorePut { key: PLANNER_KEY.to_owned(), value, lease: Some(lease) };
+    let call = StoreCall::write(&[(PLANNER_KEY, Revision(0))], &[put], &[]);
+    let (status, body) = front.store.call(call, CALL_TIMEOUT).await?;
+    if let WriteOutcome::Written(revision) = WriteOutcome::decode(status, &body)? {
+        log::info!(revision = revision.0; "planner's key taken");
+        front.planner_term.set(Some(PlannerTerm { revision, confirmed_at: asked_at }));
+        front.changed.notify_one();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/bins/mangocross-front/src/main.rs
@@ -0,0 +1,30 @@
+//! Serves callers on an entry VM and keeps model groups whole.
+
+mod clock;
+mod command_line;
+mod connection;
+mod control;
+mod dispatch;
+mod front;
+mod ingress;
+mod leases;
+mod log_rate;
+mod metrics;
+mod outcome;
+mod peers;
+mod planning;
+mod plain;
+mod pool;
+mod ready;
+mod settings;
+mod stopping;
+mod store;
+mod stream;
+mod stream_body;
+mod watching;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    command_line::run()
+}
--- /dev/null
+++ b/bins/mangocross-front/src/outcome.rs
@@ -0,0 +1,144 @@
+//! How a caller's request ends, and the line in the log that says so.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use mangocross_platform::refusal_headers;
+use mangocross_serving::Moment;
+use mangocross_types::CustomerId;
+use mangocross_types::Refusal;
+use mangocross_types::ResultCode;
+use mangocross_types::RunOutcome;
+use mangocross_types::VmId;
+
+use crate::front::Front;
+use crate::stream_body::AnswerBody;
+
+/// Follows one request from its head to the end of its answer.
+///
+/// Dropping it writes the request's last line, also where the caller left.
+#[derive(Debug)]
+pub(crate) struct RequestRecord {
+    front: Rc<Front>,
+    pub(crate) id: Option<Arc<str>>,
+    pub(crate) received_at: Moment,
+    pub(crate) route: Option<Arc<str>>,
+    pub(crate) customer: Option<CustomerId>,
+    pub(crate) configuration_version: u64,
+    pub(crate) sent_to: Vec<VmId>,
+    first_byte_after: Cell<Option<Duration>>,
+    status: Cell<Option<u16>>,
+    code: Cell<Option<ResultCode>>,
+    reason: Cell<&'static str>,
+}
+
+impl RequestRecord {
+    pub(crate) fn new(front: &Rc<Front>, received_at: Moment) -> Self {
+        front.requests_in_progress.set(front.requests_in_progress.get() + 1);
+        Self {
+            front: Rc::clone(front),
+            id: None,
+            received_at,
+            route: None,
+            customer: None,
+            configuration_version: 0,
+            sent_to: Vec::new(),
+            first_byte_after: Cell::new(None),
+            status: Cell::new(None),
+            code: Cell::new(None),
+            reason: Cell::new("caller left"),
+        }
+    }
+
+    pub(crate) fn age(&self) -> Duration {
+        self.front.now().since(self.received_at)
+    }
+
+    /// Records that the answer has begun.
+    pub(crate) fn began(&self, status: StatusCode) {
+        self.status.set(Some(status.as_u16()));
+        self.first_byte_after.set(Some(self.age()));
+        self.front.metrics.first_byte(self.age());
+    }
+
+    /// Records that the answer was delivered whole.
+    pub(crate) fn completed(&self) {
+        self.reason.set("answered");
+    }
+
+    /// Records why the answer broke off.
+    pub(crate) fn broke(&self, code: ResultCode, reason: &'static str) {
+        self.code.set(Some(code));
+        self.reason.set(reason);
+    }
+
+    /// Writes a line about a step of this request, bounded in rate.
+    pub(crate) fn step(&self, kind: &'static str, vm: &VmId, detail: &str) {
+        if let Some(left_out) = self.front.log_rate.admit(kind, self.front.now()) {
+            let request = self.id.as_deref().unwrap_or_default();
+            log::info!(
+                request, server:% = vm, detail, age_ms = self.age().as_millis() as u64, left_out;
+                "{kind}"
+            );
+        }
+    }
+
+    /// Returns the caller's answer to a refusal and records it.
+    pub(crate) fn refuse(&self, refusal: &Refusal, reason: &'static str) -> Response<AnswerBody> {
+        let status = refusal.code.http_status();
+        let outcome = match refusal.outcome {
+            RunOutcome::NotRun => "not run",
+            RunOutcome::Ran => "ran",
+            RunOutcome::Unknown => "unknown",
+        };
+        let body = format!(
+            "{{\"code\":{},\"name\":\"{}\",\"outcome\":\"{outcome}\",\"message\":\"{}\"}}\n",
+            refusal.code.number(),
+            refusal.code.name(),
+            refusal.message,
+        );
+        self.status.set(Some(status));
+        self.code.set(Some(refusal.code));
+        self.reason.set(reason);
+        let mut response = Response::new(AnswerBody::whole(Bytes::from(body)));
+        *response.status_mut() =
+            StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        *response.headers_mut() = refusal_headers(self.id.as_deref(), refusal.retry_after);
+        response
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        let front = &self.front;
+        front.requests_in_progress.set(front.requests_in_progress.get().saturating_sub(1));
+        let status = self.status.get().unwrap_or_default();
+        let code = self.code.get().map_or(0, ResultCode::number);
+        front.metrics.ended(status, code);
+        let is_good = code == 0 && (200..300).contains(&status);
+        let kind = if is_good { "request served" } else { "request failed" };
+        let left_out = match front.log_rate.admit(kind, front.now()) {
+            Some(it) => it,
+            // Lines of failed requests are never left out.
+            None if is_good => return,
+            None => 0,
+        };
+        let sent_to: Vec<&str> = self.sent_to.iter().map(VmId::as_str).collect();
+        log::info!(
+            request = self.id.as_deref().unwrap_or_default(),
+            route = self.route.as_deref().unwrap_or_default(),
+            customer = self.customer.as_ref().map(CustomerId::as_str).unwrap_or_default(),
+            status, code, reason = self.reason.get(),
+            sent_to = sent_to.join(" "),
+            first_byte_ms:? = self.first_byte_after.get().map(|it| it.as_millis()),
+            age_ms = self.age().as_millis() as u64,
+            configuration = self.configuration_version, left_out;
+            "{kind}"
+        );
+    }
+}
--- /dev/null
+++ b/bins/mangocross-front/src/pool.rs
@@ -0,0 +1,158 @@
+//! Connections to backend servers and the store.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// Time for a connection to be accepted; addresses are a few milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time without acknowledgement after which the system gives a connection up.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
+/// Longest rest of a connection that is used again; servers close idle ones unannounced.
+const REST_MAX: Duration = Duration::from_millis(700);
+/// Connections that rest for one server.
+const RESTING_MAX: usize = 16;
+
+/// Why a connection could not be made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectError {
+    /// No process listens there.
+    Refused,
+    /// No answer, or the network is unreachable.
+    Unreachable,
+}
+
+/// Why an exchange failed after a connection was there.
+#[derive(Debug)]
+pub(crate) struct ExchangeError(pub(crate) String);
+
+/// A connection; dropping it closes it at once, which ends the server's work.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    address: SocketAddr,
+    is_reused: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    /// Returns whether the connection has served a request before.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Sends a request and returns the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let sent = self.sender.send_request(request).await;
+        sent.map_err(|it| ExchangeError(it.to_string()))
+    }
+}
+
+#[derive(Debug)]
+struct Resting {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Connections that rest between requests.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    resting: RefCell<HashMap<SocketAddr, Vec<Resting>>>,
+}
+
+impl Pool {
+    /// Returns a connection that rests, or a new one.
+    pub(crate) async fn get(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
+        let now = Instant::now();
+        loop {
+            let resting =
+                self.resting.borrow_mut().get_mut(&address).and_then(Vec::pop);
+            let Some(resting) = resting else { return connect(address).await };
+            if resting.until > now && resting.connection.sender.is_ready() {
+                let mut connection = resting.connection;
+                connection.is_reused = true;
+                return Ok(connection);
+            }
+        }
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    ///
+    /// `keeps_idle` is the time for which the server said that it keeps it.
+    pub(crate) async fn put(&self, mut connection: Connection, keeps_idle: Option<Duration>) {
+        // The driver has to see the end of the answer before the connection can be used again.
+        let ready = tokio::time::timeout(Duration::from_millis(50), connection.sender.ready());
+        if !matches!(ready.await, Ok(Ok(()))) {
+            return;
+        }
+        let rest = keeps_idle.map_or(REST_MAX, |it| REST_MAX.min(it / 2));
+        let mut resting = self.resting.borrow_mut();
+        let of_address = resting.entry(connection.address).or_default();
+        if of_address.len() < RESTING_MAX && !rest.is_zero() {
+            of_address.push(Resting { connection, until: Instant::now() + rest });
+        }
+    }
+
+    /// Closes connections that rested for too long.
+    pub(crate) fn expire(&self) {
+        let now = Instant::now();
+        let mut resting = self.resting.borrow_mut();
+        for of_address in resting.values_mut() {
+            of_address.retain(|it| it.until > now);
+        }
+        resting.retain(|_, it| !it.is_empty());
+    }
+}
+
+/// Makes a new connection.
+pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = match connecting.await {
+        Ok(Ok(it)) => it,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            return Err(ConnectError::Refused);
+        }
+        Ok(Err(_)) | Err(_) => return Err(ConnectError::Unreachable),
+    };
+    if let Err(error) = set_options(&stream) {
+        log::debug!(error:% = error, address:% = address; "socket options are not available");
+    }
+    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let (sender, driver) = handshake.map_err(|_| ConnectError::Unreachable)?;
+    let driver = tokio::task::spawn_local(async move {
+        if let Err(error) = driver.await {
+            log::debug!(error:% = error, address:% = address; "connection ended");
+        }
+    });
+    Ok(Connection { sender, driver: driver.abort_handle(), address, is_reused: false })
+}
+
+/// Sets the options of a connection that we made or accepted.
+pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
+}
--- /dev/null
+++ b/bins/mangocross-front/src/ready.rs
@@ -0,0 +1,77 @@
+//! Answers the balancer's questions and serves the metrics.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use mangocross_platform::READY_PATH;
+use tokio::net::TcpListener;
+
+use crate::front::Front;
+
+/// Port and path of the metrics; deploy/system.toml names the same.
+const METRICS_PORT: u16 = 9464;
+const METRICS_PATH: &str = "/metrics";
+
+/// Listens for the balancer and for readers of metrics.
+pub(crate) async fn bind(front: &Rc<Front>) -> Result<(), String> {
+    listen(front, front.vm.ready_listen).await?;
+    listen(front, SocketAddr::new(front.vm.ip, METRICS_PORT)).await
+}
+
+async fn listen(front: &Rc<Front>, address: SocketAddr) -> Result<(), String> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|it| format!("[8102] {address} cannot be bound: {it}"))?;
+    let front = Rc::clone(front);
+    tokio::task::spawn_local(async move {
+        let was_ready = Rc::new(Cell::new(None));
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let front = Rc::clone(&front);
+            let was_ready = Rc::clone(&was_ready);
+            tokio::task::spawn_local(async move {
+                let service = service_fn(|request: Request<Incoming>| {
+                    let response = answer(&front, &was_ready, request.uri().path());
+                    async move { Ok::<_, Infallible>(response) }
+                });
+                let serving =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                if let Err(error) = serving.await {
+                    log::debug!(error:% = error; "connection for readiness ended");
+                }
+            });
+        }
+    });
+    Ok(())
+}
+
+fn answer(front: &Front, was_ready: &Cell<Option<bool>>, path: &str) -> Response<Full<Bytes>> {
+    let (status, body) = match path {
+        READY_PATH => {
+            let reason = front.not_ready();
+            if was_ready.replace(Some(reason.is_none())) != Some(reason.is_none()) {
+                log::info!(is_ready = reason.is_none(), reason:? = reason; "readiness changed");
+            }
+            match reason {
+                None => (StatusCode::OK, String::new()),
+                Some(reason) => (StatusCode::SERVICE_UNAVAILABLE, reason.to_owned()),
+            }
+        }
+        METRICS_PATH => (StatusCode::OK, front.metrics.text(front)),
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/bins/mangocross-front/src/settings.rs
@@ -0,0 +1,53 @@
+//! Reads the settings file, again on SIGHUP and when it changes.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mangocross_platform::EntryVm;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::front::Front;
+
+/// Time between looks at the settings file, which may change without a signal.
+const LOOK_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Reads and checks a settings file.
+pub(crate) fn read(file: &Path) -> Result<EntryVm, String> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file)
+        .map_err(|it| format!("[7101] {name} cannot be read: {it}"))?;
+    EntryVm::decode(&text).map_err(|it| format!("[7102] {name}: {it}"))
+}
+
+/// Takes changed settings on SIGHUP, and within seconds without it.
+pub(crate) fn spawn(front: &Rc<Front>, file: PathBuf) {
+    let front = Rc::clone(front);
+    tokio::task::spawn_local(async move {
+        let mut hangup = match signal(SignalKind::hangup()) {
+            Ok(it) => it,
+            Err(error) => {
+                log::error!(error:% = error; "SIGHUP cannot be received");
+                return;
+            }
+        };
+        let mut look = tokio::time::interval(LOOK_INTERVAL);
+        loop {
+            let is_signal = tokio::select! {
+                _ = hangup.recv() => true,
+                _ = look.tick() => false,
+            };
+            match read(&file) {
+                Ok(vm) if vm.promises != front.promises() => {
+                    log::info!(settings:? = vm, is_signal; "settings reloaded");
+                    front.set_promises(vm.promises);
+                }
+                Ok(_) if is_signal => log::info!("settings reloaded without a change"),
+                Ok(_) => {}
+                Err(error) => log::warn!(error:% = error; "changed settings are not used"),
+            }
+        }
+    });
+}
--- /dev/null
+++ b/bins/mangocross-front/src/store.rs
@@ -0,0 +1,111 @@
+//! The one client of the platform's store.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use mangocross_platform::DecodeError;
+use mangocross_platform::StoreCall;
+use snafu::Snafu;
+
+use crate::pool;
+use crate::pool::Connection;
+
+/// Time for the answer to a call that does not wait; a slow store takes some hundred milliseconds.
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Connections that rest between calls.
+const RESTING_MAX: usize = 4;
+
+/// A call to the store failed.
+#[derive(Debug, Snafu)]
+pub(crate) enum StoreError {
+    /// No connection.
+    #[snafu(display("[5102] the store cannot be reached"))]
+    Unreachable,
+    /// No answer in time; the call may still take effect.
+    #[snafu(display("[5103] the store did not answer within {timeout:?}"))]
+    TimedOut { timeout: Duration },
+    /// The connection broke; the call may still take effect.
+    #[snafu(display("[5104] the connection to the store broke: {reason}"))]
+    Broken { reason: String },
+    /// The store refused the call.
+    #[snafu(display("[5105] the store answered {status}"))]
+    Refused { status: StatusCode },
+    /// The answer is malformed.
+    #[snafu(display("{source}"), context(false))]
+    Malformed { source: DecodeError },
+}
+
+/// Calls the store, on connections of its own.
+#[derive(Debug)]
+pub(crate) struct StoreClient {
+    address: SocketAddr,
+    resting: RefCell<Vec<Connection>>,
+}
+
+impl StoreClient {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self { address, resting: RefCell::default() }
+    }
+
+    /// Makes a call and returns the status and body of its answer.
+    pub(crate) async fn call(
+        &self,
+        call: StoreCall,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let exchange = tokio::time::timeout(timeout, self.exchange(call));
+        match exchange.await {
+            Ok(result) => result,
+            Err(_) => {
+                // Other connections may be silent as well.
+                self.resting.borrow_mut().clear();
+                Err(StoreError::TimedOut { timeout })
+            }
+        }
+    }
+
+    async fn exchange(&self, call: StoreCall) -> Result<(StatusCode, Bytes), StoreError> {
+        let resting = self.resting.borrow_mut().pop();
+        if let Some(connection) = resting {
+            // The store may have closed it meanwhile; a read may be made again.
+            let is_read = call.method == Method::GET;
+            match self.exchange_on(connection, call.clone()).await {
+                Err(StoreError::Broken { .. }) if is_read => {}
+                result => return result,
+            }
+        }
+        let connection = pool::connect(self.address).await;
+        self.exchange_on(connection.map_err(|_| StoreError::Unreachable)?, call).await
+    }
+
+    async fn exchange_on(
+        &self,
+        mut connection: Connection,
+        call: StoreCall,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let request = Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(call.body))
+            .map_err(|it| StoreError::Broken { reason: it.to_string() })?;
+        let broken = |reason: String| StoreError::Broken { reason };
+        let response = connection.send(request).await.map_err(|it| broken(it.0))?;
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(|it| broken(it.to_string()))?;
+        let mut resting = self.resting.borrow_mut();
+        if resting.len() < RESTING_MAX {
+            resting.push(connection);
+        }
+        Ok((status, body.to_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/mangocross-serving/src/admission.rs
@@ -0,0 +1,126 @@
+//! Which group takes a stream, and which streams are refused.
+
+use std::time::Duration;
+
+use mangocross_types::VmId;
+
+use crate::EngineSpec;
+use crate::ModelSpec;
+
+/// Part of the aim that the predicted time to the first event may take.
+const AIM_PART: f64 = 0.85;
+/// Token steps until a group writes its first event; engines write in strides.
+const FIRST_EVENT_STEPS: f64 = 12.0;
+/// Slowness above which a group takes work only if no other has room.
+const SLOW_PACE: f64 = 1.6;
+
+/// A head that takes requests for the model.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HeadLoad {
+    /// The head.
+    pub vm: VmId,
+    /// Requests in progress, over all entry VMs.
+    pub in_flight: u32,
+    /// Slowness that the group reported; one where it is as fast as it should be.
+    pub pace: f64,
+}
+
+/// A stream that looks for a group.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StreamDemand {
+    /// Time to the first event that the caller aims at.
+    pub aim: Duration,
+    /// Time since the caller's request came.
+    pub waited: Duration,
+    /// Prompt tokens.
+    pub prompt_tokens: u32,
+}
+
+/// Predicts the times of one model's groups from the engine's figures.
+#[derive(Debug, Clone, Copy)]
+pub struct GroupTimes {
+    slots: u32,
+    step: Duration,
+    release: Duration,
+    read_per_token: Duration,
+}
+
+impl GroupTimes {
+    /// Derives the times of a full group.
+    pub fn new(engine: &EngineSpec, model: &ModelSpec) -> Self {
+        let step_ms =
+            (engine.step_ms + engine.step_per_request_ms * f64::from(engine.slots)) * model.pace;
+        let read_ms = 1000.0 / engine.read_tokens_per_s.max(1.0) * model.pace;
+        let request_ms = engine.usual_answer_tokens * step_ms;
+        let slots = f64::from(engine.slots.max(1));
+        // Each request also stops the others while its prompt is read.
+        let release_ms = request_ms / slots + engine.usual_prompt_tokens * read_ms;
+        Self {
+            slots: engine.slots,
+            step: Duration::from_secs_f64(step_ms / 1000.0),
+            release: Duration::from_secs_f64(release_ms / 1000.0),
+            read_per_token: Duration::from_secs_f64(read_ms / 1000.0),
+        }
+    }
+
+    /// Returns the mean time between two ends of requests in a full group.
+    pub fn release(&self) -> Duration {
+        self.release
+    }
+
+    /// Returns the requests that a group works on at once.
+    pub fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    /// Predicts the time to the first event of a request that a group takes now.
+    pub fn first_event(&self, in_flight: u32, prompt_tokens: u32, pace: f64) -> Duration {
+        let queued = (in_flight + 1).saturating_sub(self.slots);
+        let read = self.read_per_token * prompt_tokens;
+        let time = self.step.mul_f64(FIRST_EVENT_STEPS) + read + self.release * queued;
+        time.mul_f64(pace.max(1.0))
+    }
+}
+
+/// Where a stream goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// To the group of this head.
+    Send(VmId),
+    /// No group can begin it in time; it may come back after a while.
+    Refuse {
+        /// Time until the group with the least work has room.
+        room_in: Duration,
+    },
+    /// No group serves the model.
+    NoGroup,
+}
+
+/// Chooses the group that begins a stream soonest.
+///
+/// A stream that no group can begin within its aim is refused, so that those
+/// who come while a group is full do not make all later ones late. One that is
+/// past its aim already takes a free place only.
+pub fn admit(
+    times: &GroupTimes,
+    heads: &[HeadLoad],
+    demand: &StreamDemand,
+    late_queue: u32,
+) -> Admission {
+    let rank = |it: &&HeadLoad| {
+        let time = times.first_event(it.in_flight, demand.prompt_tokens, it.pace);
+        (it.pace > SLOW_PACE, time, it.in_flight)
+    };
+    let Some(best) = heads.iter().min_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal))
+    else {
+        return Admission::NoGroup;
+    };
+    let predicted = times.first_event(best.in_flight, demand.prompt_tokens, best.pace);
+    let is_on_time = demand.waited + predicted <= demand.aim.mul_f64(AIM_PART);
+    let has_place = best.in_flight < times.slots + late_queue;
+    if is_on_time || has_place {
+        return Admission::Send(best.vm.clone());
+    }
+    let over = (best.in_flight + 1).saturating_sub(times.slots);
+    Admission::Refuse { room_in: times.release * over }
+}
--- /dev/null
+++ b/crates/mangocross-serving/src/planner/contact.rs
@@ -0,0 +1,89 @@
+//! Whether backend servers answer.
+
+use std::time::Duration;
+
+use crate::Moment;
+
+/// Questions in a row without an answer after which a server counts as lost.
+const MISSES_MAX: u32 = 2;
+/// Slowness above which a server is slow.
+const SLOW_PACE: f64 = 1.8;
+/// Reports in a row that make a server slow.
+const SLOW_REPORTS: u32 = 2;
+/// Time between questions to a server that answers.
+pub(super) const PROBE_INTERVAL: Duration = Duration::from_millis(2500);
+/// Time between questions to a server that does not answer.
+const RETRY_INTERVAL: Duration = Duration::from_millis(800);
+/// Least time between questions to a suspect.
+const SUSPECT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What questions to one server showed.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Contact {
+    asked_at: Option<Moment>,
+    is_asking: bool,
+    is_suspect: bool,
+    misses: u32,
+    has_no_process: bool,
+    slow_reports: u32,
+    pace: f64,
+}
+
+impl Contact {
+    pub(super) fn is_lost(&self) -> bool {
+        self.has_no_process || self.misses >= MISSES_MAX
+    }
+
+    /// Returns whether its connections are refused, which proves that no process runs.
+    pub(super) fn has_no_process(&self) -> bool {
+        self.has_no_process
+    }
+
+    pub(super) fn is_slow(&self) -> bool {
+        self.slow_reports >= SLOW_REPORTS
+    }
+
+    pub(super) fn pace(&self) -> f64 {
+        self.pace.max(1.0)
+    }
+
+    pub(super) fn suspect(&mut self) {
+        self.is_suspect = true;
+    }
+
+    /// Returns whether to ask now, and records the question.
+    pub(super) fn ask(&mut self, now: Moment) -> bool {
+        let age = self.asked_at.map(|it| now.since(it));
+        let interval = if self.is_suspect {
+            SUSPECT_INTERVAL
+        } else if self.is_lost() {
+            RETRY_INTERVAL
+        } else if self.misses > 0 {
+            Duration::ZERO
+        } else {
+            PROBE_INTERVAL
+        };
+        let is_due = !self.is_asking && age.is_none_or(|it| it >= interval);
+        if is_due {
+            self.asked_at = Some(now);
+            self.is_asking = true;
+            self.is_suspect = false;
+        }
+        is_due
+    }
+
+    pub(super) fn answered(&mut self, pace: f64) {
+        let slow_reports = if pace > SLOW_PACE { self.slow_reports + 1 } else { 0 };
+        *self = Self { asked_at: self.asked_at, slow_reports, pace, ..Self::default() };
+    }
+
+    pub(super) fn missed(&mut self) {
+        self.is_asking = false;
+        self.misses += 1;
+    }
+
+    pub(super) fn refused(&mut self) {
+        self.is_asking = false;
+        self.has_no_process = true;
+    }
+}
--- /dev/null
+++ b/crates/mangocross-serving/src/planner/loads.rs
@@ -0,0 +1,40 @@
+//! Bounds on loads from the weight store.
+
+use crate::Moment;
+
+/// Part of the platform's rate that is used.
+const USED_PART: f64 = 0.85;
+/// Loads that may begin at once after a pause.
+const BURST: f64 = 4.0;
+
+/// Loads that may begin, over all VMs.
+#[derive(Debug, Default)]
+pub(super) struct LoadAllowance {
+    tokens: f64,
+    counted_at: Option<Moment>,
+    is_unlimited: bool,
+}
+
+impl LoadAllowance {
+    /// Lifts the bound until the first request of a caller.
+    pub(super) fn set_unlimited(&mut self, is_unlimited: bool) {
+        self.is_unlimited = is_unlimited;
+    }
+
+    pub(super) fn refill(&mut self, now: Moment, loads_per_s: f64) {
+        let since = self.counted_at.map_or(1.0, |it| now.since(it).as_secs_f64());
+        self.counted_at = Some(now);
+        self.tokens = (self.tokens + since * loads_per_s * USED_PART).min(BURST);
+    }
+
+    pub(super) fn try_begin(&mut self) -> bool {
+        if self.is_unlimited {
+            return true;
+        }
+        let may = self.tokens >= 1.0;
+        if may {
+            self.tokens -= 1.0;
+        }
+        may
+    }
+}
--- /dev/null
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -0,0 +1,761 @@
+//! Forms groups, keeps them whole and replaces them.
+
+mod contact;
+mod loads;
+mod packing;
+mod plan;
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mangocross_types::FabricDomain;
+use mangocross_types::GroupId;
+use mangocross_types::Incarnation;
+use mangocross_types::ModelId;
+use mangocross_types::Rank;
+use mangocross_types::Revision;
+use mangocross_types::VmId;
+
+use self::contact::Contact;
+use self::loads::LoadAllowance;
+pub use self::plan::DomainPlan;
+pub use self::plan::PlannedGroup;
+pub use self::plan::PlannedMember;
+use crate::BackendServer;
+use crate::EngineOrder;
+use crate::EngineReport;
+use crate::EngineSpec;
+use crate::MemberPhase;
+use crate::Membership;
+use crate::Moment;
+use crate::OrderOutcome;
+
+/// Time after which an accepted order that shows no effect is given again.
+const EFFECT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after which a refused order is decided anew.
+const REFUSED_RETRY: Duration = Duration::from_millis(120);
+/// Time after which an order without an answer is given again.
+const UNANSWERED_RETRY: Duration = Duration::from_millis(300);
+/// Added to the time after which a head without a member is broken.
+const STALL_MARGIN: Duration = Duration::from_millis(900);
+/// Time that a head has to finish its requests before a member leaves.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Added to four times the loading time of a group that is being formed.
+const FORMING_MARGIN: Duration = Duration::from_secs(8);
+/// Time that a group may be suspect, with all members answering, before it is replaced.
+const SUSPECT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time without suspicion after which a group is trusted again.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(900);
+/// Time that a server's entry may be missing before the server is forgotten.
+const FORGET_UNLISTED: Duration = Duration::from_secs(30);
+
+/// A question for a server's state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Probe {
+    /// The server.
+    pub vm: VmId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// What is to be done next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Ask a server for its state.
+    Probe(Probe),
+    /// Give a server an order.
+    Order {
+        /// The server.
+        vm: VmId,
+        /// Its address.
+        address: SocketAddr,
+        /// The order.
+        order: EngineOrder,
+        /// Orders that the server has accepted so far; it refuses if there were others.
+        orders_accepted: u64,
+    },
+    /// Write a domain's plan, if it is still at the revision.
+    Write {
+        /// The fabric domain.
+        domain: FabricDomain,
+        /// The plan.
+        plan: DomainPlan,
+        /// Revision that the plan was derived from; zero if there was none.
+        expected: Revision,
+        /// What changes, for the log.
+        reasons: Vec<String>,
+    },
+}
+
+#[derive(Debug)]
+struct Known {
+    server: BackendServer,
+    unlisted_at: Option<Moment>,
+    leaving_at: Option<Moment>,
+    contact: Contact,
+}
+
+#[derive(Debug)]
+struct GivenOrder {
+    order: EngineOrder,
+    orders_accepted: u64,
+    given_at: Moment,
+    outcome: Option<OrderOutcome>,
+}
+
+#[derive(Debug, Default)]
+struct HeldPlan {
+    plan: DomainPlan,
+    revision: Revision,
+    is_writing: bool,
+}
+
+/// Names one membership.
+type GroupKey = (GroupId, Incarnation);
+
+#[derive(Debug, Default)]
+struct GroupNotes {
+    seen_at: Option<Moment>,
+    ready: HashSet<VmId>,
+    suspect_since: Option<Moment>,
+    suspect_at: Option<Moment>,
+    has_left: bool,
+    member_left_at: Option<Moment>,
+}
+
+/// Decides on the groups of one engine service.
+///
+/// One entry VM runs it at a time, but safety does not rest on that: plans
+/// change by compare-and-swap, and each order names the number of orders that
+/// the server has accepted so far.
+#[derive(Debug)]
+pub struct GroupPlanner {
+    engine: EngineSpec,
+    stall: Duration,
+    known: BTreeMap<VmId, Known>,
+    plans: BTreeMap<FabricDomain, HeldPlan>,
+    orders: HashMap<VmId, GivenOrder>,
+    notes: HashMap<GroupKey, GroupNotes>,
+    loads: LoadAllowance,
+}
+
+/// What a group needs.
+enum Verdict {
+    Keep,
+    Dissolve(String),
+    Order(Vec<(VmId, EngineOrder)>),
+}
+
+impl GroupPlanner {
+    /// Returns a planner that knows no servers and no plans.
+    ///
+    /// `stall` is the time after which a head without a member is broken.
+    pub fn new(engine: EngineSpec, stall: Duration) -> Self {
+        Self {
+            engine,
+            stall,
+            known: BTreeMap::new(),
+            plans: BTreeMap::new(),
+            orders: HashMap::new(),
+            notes: HashMap::new(),
+            loads: LoadAllowance::default(),
+        }
+    }
+
+    /// Takes newer figures of the engines.
+    pub fn set_engine(&mut self, engine: EngineSpec) {
+        self.engine = engine;
+    }
+
+    /// Lifts the bound on loads until the first request of a caller.
+    pub fn set_loads_unlimited(&mut self, is_unlimited: bool) {
+        self.loads.set_unlimited(is_unlimited);
+    }
+
+    /// Takes a plan as the store holds it.
+    pub fn plan_read(&mut self, domain: FabricDomain, plan: DomainPlan, revision: Revision) {
+        let held = self.plans.entry(domain).or_default();
+        if revision > held.revision {
+            held.plan = plan;
+            held.revision = revision;
+        }
+    }
+
+    /// Records the end of a write; `None` if the store refused it or did not answer.
+    pub fn plan_written(&mut self, domain: &FabricDomain, written: Option<(DomainPlan, Revision)>) {
+        let Some(held) = self.plans.get_mut(domain) else { return };
+        held.is_writing = false;
+        if let Some((plan, revision)) = written {
+            held.plan = plan;
+            held.revision = revision;
+        }
+    }
+
+    /// Records a server's answer to a probe.
+    pub fn probe_answered(&mut self, vm: &VmId, report: EngineReport) {
+        let Some(known) = self.known.get_mut(vm) else { return };
+        known.contact.answered(report.pace);
+        let is_same_life = report.status.born_unix_ms == known.server.engine.born_unix_ms;
+        if !is_same_life || report.status.orders_accepted > known.server.engine.orders_accepted {
+            let domain = known.server.engine.domain.clone();
+            known.server.engine = report.status;
+            known.server.engine.domain = known.server.engine.domain.take().or(domain);
+        } else if known.unlisted_at.is_some() {
+            known.server.engine.membership = report.status.membership;
+        }
+    }
+
+    /// Records a probe without an answer.
+    pub fn probe_missed(&mut self, vm: &VmId, has_no_process: bool) {
+        let Some(known) = self.known.get_mut(vm) else { return };
+        if has_no_process {
+            known.contact.refused();
+        } else {
+            known.contact.missed();
+        }
+    }
+
+    /// Records how an order ended.
+    pub fn order_ended(&mut self, vm: &VmId, outcome: OrderOutcome, now: Moment) {
+        let Some(given) = self.orders.get_mut(vm) else { return };
+        given.outcome = Some(outcome);
+        given.given_at = now;
+        let is_accepted = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Done);
+        if is_accepted && let EngineOrder::Leave { group, incarnation } = &given.order {
+            let key = (group.clone(), *incarnation);
+            let notes = self.notes.entry(key).or_default();
+            notes.member_left_at = notes.member_left_at.or(Some(now));
+            let is_head = self.known.get(vm).is_some_and(|it| {
+                it.server.engine.membership.as_ref().is_some_and(|it| {
+                    it.group == *group && it.incarnation == *incarnation && it.rank == Rank(0)
+                })
+            });
+            notes.has_left |= is_head;
+        }
+        let Some(known) = self.known.get_mut(vm) else { return };
+        if outcome == OrderOutcome::Begun {
+            let accepted = &mut known.server.engine.orders_accepted;
+            *accepted = (*accepted).max(given.orders_accepted + 1);
+        }
+        if matches!(outcome, OrderOutcome::NoProcess) {
+            known.contact.refused();
+        }
+        if matches!(outcome, OrderOutcome::Unknown | OrderOutcome::Refused) {
+            known.contact.suspect();
+        }
+    }
+
+    /// Marks a group whose streams stand still, by its head.
+    pub fn suspect(&mut self, head: &VmId, now: Moment) {
+        let groups = self.plans.values().flat_map(|it| &it.plan.groups);
+        let Some(group) = groups.filter(|it| !it.is_dissolving).find(|it| {
+            it.head().is_some_and(|it| it.vm == *head)
+        }) else {
+            return;
+        };
+        let notes = self.notes.entry((group.group.clone(), group.incarnation)).or_default();
+        let is_new = notes.suspect_at.is_none_or(|it| now.since(it) > SUSPECT_PAUSE);
+        if is_new {
+            notes.suspect_since = Some(now);
+        }
+        notes.suspect_at = Some(now);
+        for vm in group.vms() {
+            if let Some(known) = self.known.get_mut(vm) {
+                known.contact.suspect();
+            }
+        }
+    }
+
+    /// Returns the slowness that a server last reported.
+    pub fn pace(&self, vm: &VmId) -> f64 {
+        self.known.get(vm).map_or(1.0, |it| it.contact.pace())
+    }
+
+    /// Returns the plans by fabric domain.
+    pub fn plans(&self) -> impl Iterator<Item = (&FabricDomain, &DomainPlan)> {
+        self.plans.iter().map(|(domain, it)| (domain, &it.plan))
+    }
+
+    /// Decides what is to be done now, given the servers that the platform lists.
+    pub fn step<'a>(
+        &mut self,
+        listed: impl Iterator<Item = &'a BackendServer>,
+        now: Moment,
+    ) -> Vec<Step> {
+        self.learn(listed, now);
+        self.loads.refill(now, self.engine.loads_per_s);
+        let mut steps = Vec::new();
+        let domains: Vec<FabricDomain> = self.plans.keys().cloned().collect();
+        let mut drafts = Vec::new();
+        for domain in domains {
+            if self.plans[&domain].is_writing {
+                continue;
+            }
+            drafts.push(self.step_groups(&domain, now, &mut steps));
+        }
+        let mut vms = self.vms_by_model(&drafts);
+        for draft in &mut drafts {
+            self.form_groups(draft, &mut vms, now);
+        }
+        for draft in drafts {
+            self.finish(draft, now, &mut steps);
+        }
+        self.probe(now, &mut steps);
+        steps
+    }
+
+    fn learn<'a>(&mut self, listed: impl Iterator<Item = &'a BackendServer>, now: Moment) {
+        let mut seen = HashSet::new();
+        for server in listed {
+            seen.insert(server.vm.clone());
+            if let Some(domain) = &server.engine.domain {
+                self.plans.entry(domain.clone()).or_default();
+            }
+            let Some(known) = self.known.get_mut(&server.vm) else {
+                let known = Known {
+                    server: server.clone(),
+                    unlisted_at: None,
+                    leaving_at: server.is_leaving.then_some(now),
+                    contact: Contact::default(),
+                };
+                self.known.insert(server.vm.clone(), known);
+                continue;
+            };
+            known.unlisted_at = None;
+            if server.is_leaving {
+                known.leaving_at = known.leaving_at.or(Some(now));
+            }
+            let (old, new) = (&known.server.engine, &server.engine);
+            if old.born_unix_ms != new.born_unix_ms {
+                known.contact = Contact::default();
+                known.server = server.clone();
+            } else if new.orders_accepted >= old.orders_accepted && known.server != *server {
+                known.server = server.clone();
+            }
+        }
+        for (vm, known) in &mut self.known {
+            if known.unlisted_at.is_none() && !seen.contains(vm) {
+                known.unlisted_at = Some(now);
+                known.contact.suspect();
+            }
+        }
+        let forget = |it: &Known| it.unlisted_at.is_some_and(|it| now.since(it) > FORGET_UNLISTED);
+        self.known.retain(|_, it| !forget(it));
+    }
+
+    fn membership(&self, vm: &VmId) -> Option<&Membership> {
+        self.known.get(vm)?.server.engine.membership.as_ref()
+    }
+
+    fn phase_in(&self, vm: &VmId, group: &PlannedGroup) -> Option<MemberPhase> {
+        let it = self.membership(vm)?;
+        (it.group == group.group && it.incarnation == group.incarnation).then_some(it.phase)
+    }
+
+    /// Returns whether a VM may become a member: listed, answering, staying, not slow.
+    fn is_usable(&self, known: &Known) -> bool {
+        known.unlisted_at.is_none()
+            && known.leaving_at.is_none()
+            && !known.contact.is_lost()
+            && !known.contact.is_slow()
+    }
+
+    fn free_vms(&self, domain: &FabricDomain, plan: &DomainPlan) -> Vec<VmId> {
+        let in_domain = self
+            .known
+            .values()
+            .filter(|it| it.server.engine.domain.as_ref() == Some(domain) && self.is_usable(it));
+        let free = in_domain.filter(|it| !plan.holds(&it.server.vm) && !self.heads_stray(it));
+        free.map(|it| it.server.vm.clone()).collect()
+    }
+
+    /// Returns whether a server heads a group that no plan names.
+    fn heads_stray(&self, known: &Known) -> bool {
+        known.server.engine.membership.as_ref().is_some_and(|it| {
+            it.rank == Rank(0) && matches!(it.phase, MemberPhase::Open | MemberPhase::Closing)
+        })
+    }
+
+    fn step_groups(&mut self, domain: &FabricDomain, now: Moment, steps: &mut Vec<Step>) -> Draft {
+        let held = &self.plans[domain];
+        let mut draft = Draft {
+            domain: domain.clone(),
+            plan: held.plan.clone(),
+            expected: held.revision,
+            reasons: Vec::new(),
+        };
+        let groups = std::mem::take(&mut draft.plan.groups);
+        let spares = self.free_vms(domain, &held.plan).len();
+        for mut group in groups {
+            if group.is_dissolving {
+                if !self.is_released(&group, now, steps) {
+                    draft.plan.groups.push(group);
+                } else {
+                    draft.reasons.push(format!("{} released", group.group));
+                    self.notes.remove(&(group.group.clone(), group.incarnation));
+                }
+                continue;
+            }
+            match self.judge(&group, spares, now) {
+                Verdict::Keep => {}
+                Verdict::Dissolve(reason) => {
+                    draft.reasons.push(format!("{} dissolved: {reason}", group.group));
+                    group.is_dissolving = true;
+                }
+                Verdict::Order(orders) => {
+                    for (vm, order) in orders {
+                        self.order(&vm, order, now, steps);
+                    }
+                }
+            }
+            draft.plan.groups.push(group);
+        }
+        draft
+    }
+
+    /// Returns whether a group that is given up can no longer serve, so that its members are free.
+    fn is_released(&mut self, group: &PlannedGroup, now: Moment, steps: &mut Vec<Step>) -> bool {
+        let key = (group.group.clone(), group.incarnation);
+        let Some(head) = group.head() else { return true };
+        let leave =
+            EngineOrder::Leave { group: group.group.clone(), incarnation: group.incarnation };
+        let notes = self.notes.entry(key).or_default();
+        if notes.has_left {
+            return true;
+        }
+        let stalled_for = notes.member_left_at.map(|it| now.since(it));
+        if stalled_for.is_some_and(|it| it > self.stall + STALL_MARGIN) {
+            return true;
+        }
+        let Some(known) = self.known.get(&head.vm) else {
+            return self.leave_by_member(group, &leave, now, steps);
+        };
+        let is_reborn = known.server.engine.born_unix_ms != head.born_unix_ms;
+        if is_reborn || known.contact.has_no_process() {
+            return true;
+        }
+        if known.contact.is_lost() {
+            return self.leave_by_member(group, &leave, now, steps);
+        }
+        match self.phase_in(&head.vm, group) {
+            None | Some(MemberPhase::Broken) => true,
+            Some(_) => {
+                self.order(&head.vm, leave, now, steps);
+                false
+            }
+        }
+    }
+
+    /// Breaks a group whose head cannot be reached by taking a member out of it.
+    fn leave_by_member(
+        &mut self,
+        group: &PlannedGroup,
+        leave: &EngineOrder,
+        now: Moment,
+        steps: &mut Vec<Step>,
+    ) -> bool {
+        let members: Vec<VmId> = group.vms().skip(1).cloned().collect();
+        let mut can_ask = false;
+        for vm in members {
+            let Some(known) = self.known.get(&vm) else { continue };
+            if !known.contact.is_lost() {
+                can_ask = true;
+                self.order(&vm, leave.clone(), now, steps);
+            }
+        }
+        // Members that are gone as well left the head standing still before.
+        if !can_ask {
+            let key = (group.group.clone(), group.incarnation);
+            let notes = self.notes.entry(key).or_default();
+            notes.member_left_at = notes.member_left_at.or(Some(now));
+        }
+        false
+    }
+
+    fn judge(&mut self, group: &PlannedGroup, spares: usize, now: Moment) -> Verdict {
+        let key = (group.group.clone(), group.incarnation);
+        let mut orders = Vec::new();
+        let mut ready = 0;
+        let mut has_slow_member = false;
+        let mut leaving_at: Option<Moment> = None;
+        let mut notes = self.notes.remove(&key).unwrap_or_default();
+        let seen_at = *notes.seen_at.get_or_insert(now);
+        let verdict = 'verdict: {
+            for (rank, member) in group.members.iter().enumerate() {
+                let Some(known) = self.known.get(&member.vm) else {
+                    // A new planner has to hear of the servers first.
+                    if now.since(seen_at) < Duration::from_secs(1) {
+                        continue;
+                    }
+                    break 'verdict Verdict::Dissolve(format!("{} is not listed", member.vm));
+                };
+                if known.server.engine.born_unix_ms != member.born_unix_ms {
+                    break 'verdict Verdict::Dissolve(format!("{} was restarted", member.vm));
+                }
+                if known.contact.is_lost() {
+                    break 'verdict Verdict::Dissolve(format!("{} does not answer", member.vm));
+                }
+                if rank == 0 && known.unlisted_at.is_some() {
+                    break 'verdict Verdict::Dissolve(format!("head {} is not listed", member.vm));
+                }
+                leaving_at = leaving_at.max(known.leaving_at);
+                has_slow_member |= known.contact.is_slow();
+                match self.phase_in(&member.vm, group) {
+                    Some(MemberPhase::Broken) => {
+                        break 'verdict Verdict::Dissolve("the head is broken".to_owned());
+                    }
+                    Some(MemberPhase::Joining) => {}
+                    Some(_) => {
+                        ready += 1;
+                        notes.ready.insert(member.vm.clone());
+                    }
+                    None if notes.ready.contains(&member.vm) => {
+                        break 'verdict Verdict::Dissolve(format!("{} has left", member.vm));
+                    }
+                    None => {
+                        let order = EngineOrder::Join {
+                            group: group.group.clone(),
+                            incarnation: group.incarnation,
+                            model: group.model.clone(),
+                            members: group.vms().cloned().collect(),
+                        };
+                        orders.push((member.vm.clone(), order));
+                    }
+                }
+            }
+            let is_whole = ready == group.members.len();
+            let head_phase = group.head().and_then(|it| self.phase_in(&it.vm, group));
+            if let Some(leaving_at) = leaving_at {
+                let is_over = now.since(leaving_at) > CLOSE_TIMEOUT;
+                break 'verdict match head_phase {
+                    Some(MemberPhase::Open) if !is_over => {
+                        let order = EngineOrder::Close {
+                            group: group.group.clone(),
+                            incarnation: group.incarnation,
+                        };
+                        let head = group.head().map(|it| it.vm.clone());
+                        Verdict::Order(head.map(|it| (it, order)).into_iter().collect())
+                    }
+                    Some(MemberPhase::Closing) if !is_over => Verdict::Keep,
+                    _ => Verdict::Dissolve("a member is leaving".to_owned()),
+                };
+            }
+            if has_slow_member && spares > 0 {
+                break 'verdict Verdict::Dissolve("a member is slow".to_owned());
+            }
+            let is_suspect = notes.suspect_at.is_some_and(|it| now.since(it) < SUSPECT_PAUSE);
+            let suspect_for = notes.suspect_since.map(|it| now.since(it)).unwrap_or_default();
+            if is_suspect && suspect_for > SUSPECT_TIMEOUT && !has_slow_member {
+                break 'verdict Verdict::Dissolve("its streams stand still".to_owned());
+            }
+            if is_whole && head_phase == Some(MemberPhase::Ready) {
+                let order = EngineOrder::Open {
+                    group: group.group.clone(),
+                    incarnation: group.incarnation,
+                };
+                let head = group.head().map(|it| it.vm.clone());
+                break 'verdict Verdict::Order(head.map(|it| (it, order)).into_iter().collect());
+            }
+            if !is_whole {
+                let load = self.engine.model(&group.model).map_or(Duration::ZERO, |it| it.load);
+                if now.since(seen_at) > load * 4 + FORMING_MARGIN {
+                    break 'verdict Verdict::Dissolve("forming takes too long".to_owned());
+                }
+            }
+            Verdict::Order(orders)
+        };
+        self.notes.insert(key, notes);
+        verdict
+    }
+
+    /// Gives an order unless the same one is under way.
+    fn order(&mut self, vm: &VmId, order: EngineOrder, now: Moment, steps: &mut Vec<Step>) {
+        let Some(known) = self.known.get(vm) else { return };
+        if let Some(given) = self.orders.get(vm) {
+            let since = now.since(given.given_at);
+            let is_same = given.order == order;
+            let wait = match given.outcome {
+                None => return,
+                Some(OrderOutcome::Begun | OrderOutcome::Done) if is_same => EFFECT_TIMEOUT,
+                Some(OrderOutcome::Begun | OrderOutcome::Done) => Duration::ZERO,
+                Some(OrderOutcome::Refused | OrderOutcome::WrongServer) => REFUSED_RETRY,
+                Some(OrderOutcome::NoProcess | OrderOutcome::Unknown) => UNANSWERED_RETRY,
+            };
+            if since < wait {
+                return;
+            }
+        }
+        if needs_load(&known.server, &order) && !self.loads.try_begin() {
+            return;
+        }
+        let orders_accepted = known.server.engine.orders_accepted;
+        steps.push(Step::Order {
+            vm: vm.clone(),
+            address: known.server.address,
+            order: order.clone(),
+            orders_accepted,
+        });
+        let given = GivenOrder { order, orders_accepted, given_at: now, outcome: None };
+        self.orders.insert(vm.clone(), given);
+    }
+
+    fn vms_by_model(&self, drafts: &[Draft]) -> HashMap<ModelId, usize> {
+        let mut vms = HashMap::new();
+        let is_drafted = |domain: &FabricDomain| drafts.iter().any(|it| it.domain == *domain);
+        let others = self.plans.iter().filter(|(domain, _)| !is_drafted(domain));
+        let plans = others.map(|(_, it)| &it.plan).chain(drafts.iter().map(|it| &it.plan));
+        for group in plans.flat_map(|it| &it.groups).filter(|it| !it.is_dissolving) {
+            *vms.entry(group.model.clone()).or_default() += group.members.len();
+        }
+        vms
+    }
+
+    fn form_groups(&self, draft: &mut Draft, vms: &mut HashMap<ModelId, usize>, _now: Moment) {
+        loop {
+            let free = self.free_vms(&draft.domain, &draft.plan);
+            let Some(model) = packing::next_model(&self.engine, vms, free.len()) else { return };
+            let members = self.choose_members(free, model.size, &model.model);
+            let highest = self.highest_incarnation(&draft.domain);
+            let incarnation = draft.plan.next_incarnation.max(highest + 1);
+            draft.plan.next_incarnation = incarnation + 1;
+            let Ok(group) = format!("{}.{incarnation}", draft.domain).parse::<GroupId>() else {
+                return;
+            };
+            draft.reasons.push(format!("{group} formed for {}", model.model));
+            *vms.entry(model.model.clone()).or_default() += members.len();
+            draft.plan.groups.push(PlannedGroup {
+                group,
+                incarnation: Incarnation(incarnation),
+                model: model.model.clone(),
+                members,
+                is_dissolving: false,
+            });
+        }
+    }
+
+    /// Prefers VMs that need the least time to join.
+    fn choose_members(&self, free: Vec<VmId>, size: usize, model: &ModelId) -> Vec<PlannedMember> {
+        let cost = |vm: &VmId| match self.known.get(vm).map(|it| &it.server.engine) {
+            Some(it) if it.loaded.contains(model) => 0,
+            Some(it) if it.staged.contains(model) => 1,
+            Some(it) if it.staged.is_empty() => 2,
+            _ => 3,
+        };
+        let mut free = free;
+        free.sort_by_key(cost);
+        free.truncate(size);
+        let born = |vm: &VmId| self.known.get(vm).map_or(0, |it| it.server.engine.born_unix_ms);
+        let member = |vm: VmId| PlannedMember { born_unix_ms: born(&vm), vm };
+        free.into_iter().map(member).collect()
+    }
+
+    fn highest_incarnation(&self, domain: &FabricDomain) -> u64 {
+        let in_domain =
+            self.known.values().filter(|it| it.server.engine.domain.as_ref() == Some(domain));
+        let seen = in_domain.filter_map(|it| it.server.engine.membership.as_ref());
+        seen.map(|it| it.incarnation.0).max().unwrap_or_default()
+    }
+
+    fn finish(&mut self, draft: Draft, now: Moment, steps: &mut Vec<Step>) {
+        let held = self.plans.entry(draft.domain.clone()).or_default();
+        if held.plan != draft.plan {
+            held.is_writing = true;
+            steps.push(Step::Write {
+                domain: draft.domain,
+                plan: draft.plan,
+                expected: draft.expected,
+                reasons: draft.reasons,
+            });
+            return;
+        }
+        self.stage_spares(&draft, now, steps);
+        self.end_stray_heads(&draft, now, steps);
+    }
+
+    /// Stages the weights of the domain's models on its spares, the largest model first.
+    fn stage_spares(&mut self, draft: &Draft, now: Moment, steps: &mut Vec<Step>) {
+        let mut models: Vec<&PlannedGroup> = draft.plan.groups.iter().collect();
+        models.sort_by_key(|it| std::cmp::Reverse(it.members.len()));
+        let mut wanted: Vec<ModelId> = Vec::new();
+        for it in models {
+            if !wanted.contains(&it.model) {
+                wanted.push(it.model.clone());
+            }
+        }
+        if wanted.is_empty() {
+            return;
+        }
+        let mut unstaged = Vec::new();
+        let mut staged: HashMap<ModelId, usize> = HashMap::new();
+        for vm in self.free_vms(&draft.domain, &draft.plan) {
+            let held = self.known.get(&vm).map(|it| it.server.engine.staged.clone());
+            let held: Vec<ModelId> = held.unwrap_or_default();
+            match wanted.iter().find(|it| held.contains(it)) {
+                Some(model) if staged.get(model).is_none_or(|it| *it < 2) => {
+                    *staged.entry(model.clone()).or_default() += 1;
+                }
+                _ => unstaged.push(vm),
+            }
+        }
+        for vm in unstaged {
+            let least = wanted.iter().min_by_key(|it| staged.get(it).copied().unwrap_or_default());
+            let Some(model) = least.cloned() else { return };
+            *staged.entry(model.clone()).or_default() += 1;
+            self.order(&vm, EngineOrder::Stage { model }, now, steps);
+        }
+    }
+
+    /// Takes heads out of groups that no plan names.
+    fn end_stray_heads(&mut self, draft: &Draft, now: Moment, steps: &mut Vec<Step>) {
+        let in_domain = self
+            .known
+            .values()
+            .filter(|it| it.server.engine.domain.as_ref() == Some(&draft.domain));
+        let stray = in_domain.filter(|it| {
+            !draft.plan.holds(&it.server.vm) && it.unlisted_at.is_none() && self.heads_stray(it)
+        });
+        let leave = |it: &Known| {
+            let membership = it.server.engine.membership.as_ref()?;
+            let (group, incarnation) = (membership.group.clone(), membership.incarnation);
+            Some((it.server.vm.clone(), EngineOrder::Leave { group, incarnation }))
+        };
+        let orders: Vec<(VmId, EngineOrder)> = stray.filter_map(leave).collect();
+        for (vm, order) in orders {
+            self.order(&vm, order, now, steps);
+        }
+    }
+
+    fn probe(&mut self, now: Moment, steps: &mut Vec<Step>) {
+        for (vm, known) in &mut self.known {
+            if known.server.engine.domain.is_none() {
+                continue;
+            }
+            if known.contact.ask(now) {
+                let address = known.server.address;
+                steps.push(Step::Probe(Probe { vm: vm.clone(), address }));
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Draft {
+    domain: FabricDomain,
+    plan: DomainPlan,
+    expected: Revision,
+    reasons: Vec<String>,
+}
+
+/// Returns whether an order makes a server fetch weights from the weight store.
+fn needs_load(server: &BackendServer, order: &EngineOrder) -> bool {
+    let model = match order {
+        EngineOrder::Join { model, .. } | EngineOrder::Stage { model } => model,
+        EngineOrder::Open { .. } | EngineOrder::Close { .. } | EngineOrder::Leave { .. } => {
+            return false;
+        }
+    };
+    !server.engine.staged.contains(model) && !server.engine.loaded.contains(model)
+}
--- /dev/null
+++ b/crates/mangocross-serving/src/server_choice.rs
@@ -0,0 +1,70 @@
+//! Which backend server of a plain service takes a request.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use mangocross_types::VmId;
+
+use crate::Moment;
+
+/// Weight of the newest outcome in a server's share of failures.
+const NEWEST_WEIGHT: f64 = 0.25;
+/// Requests in progress that a share of failures of one is worth.
+const FAILURE_COST: f64 = 24.0;
+/// Time after which half of what is known of a server's failures is forgotten.
+const FORGET_HALF: Duration = Duration::from_secs(3);
+/// Cost of a server in another availability zone, in requests in progress.
+const OTHER_ZONE_COST: f64 = 0.5;
+
+/// A server that may take a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServerLoad {
+    /// The server.
+    pub vm: VmId,
+    /// Requests in progress.
+    pub in_flight: u32,
+    /// Whether it is in the availability zone of this entry VM.
+    pub is_near: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Failures {
+    share: f64,
+    at: Moment,
+}
+
+/// How often each server failed lately.
+#[derive(Debug, Default)]
+pub struct FailureTable {
+    servers: HashMap<VmId, Failures>,
+}
+
+impl FailureTable {
+    /// Records how a request ended at a server.
+    pub fn record(&mut self, vm: &VmId, has_failed: bool, now: Moment) {
+        let before = self.share(vm, now);
+        let outcome = f64::from(u8::from(has_failed));
+        let share = before + NEWEST_WEIGHT * (outcome - before);
+        self.servers.insert(vm.clone(), Failures { share, at: now });
+    }
+
+    /// Returns the share of failures at a server, which fades with time.
+    pub fn share(&self, vm: &VmId, now: Moment) -> f64 {
+        let Some(it) = self.servers.get(vm) else { return 0.0 };
+        it.share * 0.5_f64.powf(now.since(it.at).as_secs_f64() / FORGET_HALF.as_secs_f64())
+    }
+
+    /// Forgets servers that are no longer listed.
+    pub fn retain(&mut self, is_listed: impl Fn(&VmId) -> bool) {
+        self.servers.retain(|vm, _| is_listed(vm));
+    }
+
+    /// Chooses the server with the least work and the fewest failures.
+    pub fn choose<'a>(&self, servers: &'a [ServerLoad], now: Moment) -> Option<&'a ServerLoad> {
+        let cost = |it: &ServerLoad| {
+            let distance = if it.is_near { 0.0 } else { OTHER_ZONE_COST };
+            f64::from(it.in_flight) + distance + FAILURE_COST * self.share(&it.vm, now)
+        };
+        servers.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    }
+}
--- a/crates/mangocross-telemetry/src/lib.rs
+++ b/crates/mangocross-telemetry/src/lib.rs
@@ -1,5 +1,6 @@
 //! Logs, metrics and traces of the processes.
 
+mod bounded_writer;
 mod logs;
 mod metrics;
 mod metrics_text;
@@ -7,7 +8,9 @@
 mod span_lines;
 mod tracing;
 
+pub use bounded_writer::BoundedWriter;
 pub use logs::LogLevelError;
+pub use logs::init_bounded_logs;
 pub use logs::init_logs;
 pub use metrics::Metrics;
 pub use sample::Sample;
--- a/crates/mangocross-telemetry/src/logs.rs
+++ b/crates/mangocross-telemetry/src/logs.rs
@@ -1,4 +1,4 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines.
 
 use std::fmt;
 use std::io;
@@ -12,6 +12,8 @@
 use log::kv::VisitSource;
 use serde_json::Map;
 
+use crate::bounded_writer::BoundedWriter;
+
 /// The log level is not known, or logs were started before.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogLevelError(String);
@@ -30,6 +32,29 @@
 ///
 /// Fails if the level is not known or logging was started before.
 pub fn init_logs(level: &str, process: &'static str, vm: &str) -> Result<(), LogLevelError> {
+    init_logs_to(level, process, vm, io::stderr().into())
+}
+
+/// Starts logging on standard output without ever waiting for its reader.
+///
+/// # Errors
+///
+/// Fails if the level is not known or logging was started before.
+pub fn init_bounded_logs(
+    level: &str,
+    process: &'static str,
+    vm: &str,
+) -> Result<(), LogLevelError> {
+    let writer: Box<dyn io::Write + Send> = Box::new(BoundedWriter::spawn(io::stdout()));
+    init_logs_to(level, process, vm, writer.into())
+}
+
+fn init_logs_to(
+    level: &str,
+    process: &'static str,
+    vm: &str,
+    output: fern::Output,
+) -> Result<(), LogLevelError> {
     let level: LevelFilter = level.parse().map_err(|_| LogLevelError(level.to_owned()))?;
     let vm = vm.to_owned();
     fern::Dispatch::new()
@@ -47,7 +72,7 @@
             let _ = record.key_values().visit(&mut Fields(&mut line));
             out.finish(format_args!("{}", serde_json::Value::Object(line)));
         })
-        .chain(io::stderr())
+        .chain(output)
         .apply()
         .map_err(|it| LogLevelError(it.to_string()))
 }
@@ -57,7 +82,13 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        self.0.insert(key.to_string(), value.to_string().into());
+        let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(number), _, _) => number.into(),
+            (None, Some(number), _) => number.into(),
+            (None, None, Some(truth)) => truth.into(),
+            _ => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
         Ok(())
     }
 }
--- a/crates/mangocross-types/src/result_code.rs
+++ b/crates/mangocross-types/src/result_code.rs
@@ -78,6 +78,8 @@
     KeyInvalid = 1009, 400;
     /// The header is larger than the limit.
     HeaderTooLarge = 1010, 431;
+    /// The customer's key is missing or not known.
+    CustomerKeyUnknown = 1011, 401;
     /// The customer's limit is used up.
     CustomerLimit = 2001, 429;
     /// The system sheds load.
