--- a/crates/mangocross-serving/src/backend_server.rs
+++ b/crates/mangocross-serving/src/backend_server.rs
@@ -50,8 +50,6 @@
     pub loaded: Vec<ModelId>,
     /// Place in a group.
     pub membership: Option<Membership>,
-    /// Orders that this life of the server has accepted.
-    pub orders_accepted: u64,
     /// Start of this life, in milliseconds of Unix time; tells lives apart.
     pub born_unix_ms: u64,
 }
@@ -90,6 +88,8 @@
 pub struct EngineReport {
     /// State of the engine.
     pub status: EngineStatus,
+    /// Orders that this life of the server has accepted.
+    pub orders_accepted: u64,
     /// Slowness of the engine; above one it is slower than it should be.
     pub pace: f64,
     /// Requests in progress, some hundred milliseconds ago.
--- a/crates/mangocross-serving/src/planner/contact.rs
+++ b/crates/mangocross-serving/src/planner/contact.rs
@@ -15,7 +15,7 @@
 /// Time between questions to a server that does not answer.
 const RETRY_INTERVAL: Duration = Duration::from_millis(800);
 /// Least time between questions to a suspect.
-const SUSPECT_INTERVAL: Duration = Duration::from_millis(250);
+const SUSPECT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What questions to one server showed.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -95,6 +95,8 @@
     server: BackendServer,
     unlisted_at: Option<Moment>,
     leaving_at: Option<Moment>,
+    /// Orders that this life has accepted; not known until it was asked.
+    orders_accepted: Option<u64>,
     contact: Contact,
 }
 
@@ -199,7 +201,8 @@
         let Some(known) = self.known.get_mut(vm) else { return };
         known.contact.answered(report.pace);
         let is_same_life = report.status.born_unix_ms == known.server.engine.born_unix_ms;
-        if !is_same_life || report.status.orders_accepted > known.server.engine.orders_accepted {
+        known.orders_accepted = Some(report.orders_accepted);
+        if !is_same_life {
             let domain = known.server.engine.domain.clone();
             known.server.engine = report.status;
             known.server.engine.domain = known.server.engine.domain.take().or(domain);
@@ -236,15 +239,13 @@
             notes.has_left |= is_head;
         }
         let Some(known) = self.known.get_mut(vm) else { return };
-        if outcome == OrderOutcome::Begun {
-            let accepted = &mut known.server.engine.orders_accepted;
-            *accepted = (*accepted).max(given.orders_accepted + 1);
-        }
-        if matches!(outcome, OrderOutcome::NoProcess) {
-            known.contact.refused();
-        }
-        if matches!(outcome, OrderOutcome::Unknown | OrderOutcome::Refused) {
-            known.contact.suspect();
+        match outcome {
+            OrderOutcome::Begun => known.orders_accepted = Some(given.orders_accepted + 1),
+            OrderOutcome::NoProcess => known.contact.refused(),
+            OrderOutcome::Done
+            | OrderOutcome::Refused
+            | OrderOutcome::WrongServer
+            | OrderOutcome::Unknown => known.orders_accepted = None,
         }
     }
 
@@ -319,6 +320,7 @@
                     server: server.clone(),
                     unlisted_at: None,
                     leaving_at: server.is_leaving.then_some(now),
+                    orders_accepted: None,
                     contact: Contact::default(),
                 };
                 self.known.insert(server.vm.clone(), known);
@@ -331,8 +333,9 @@
             let (old, new) = (&known.server.engine, &server.engine);
             if old.born_unix_ms != new.born_unix_ms {
                 known.contact = Contact::default();
+                known.orders_accepted = None;
                 known.server = server.clone();
-            } else if new.orders_accepted >= old.orders_accepted && known.server != *server {
+            } else if known.server != *server {
                 known.server = server.clone();
             }
         }
@@ -573,7 +576,7 @@
 
     /// Gives an order unless the same one is under way.
     fn order(&mut self, vm: &VmId, order: EngineOrder, now: Moment, steps: &mut Vec<Step>) {
-        let Some(known) = self.known.get(vm) else { return };
+        let Some(known) = self.known.get_mut(vm) else { return };
         if let Some(given) = self.orders.get(vm) {
             let since = now.since(given.given_at);
             let is_same = given.order == order;
@@ -588,10 +591,13 @@
                 return;
             }
         }
+        let Some(orders_accepted) = known.orders_accepted else {
+            known.contact.suspect();
+            return;
+        };
         if needs_load(&known.server, &order) && !self.loads.try_begin() {
             return;
         }
-        let orders_accepted = known.server.engine.orders_accepted;
         steps.push(Step::Order {
             vm: vm.clone(),
             address: known.server.address,
