feat(serving): repair groups in place, share signs of life, settle before forming

Cause: 5 groups of the large model instead of 6, 7 s without a group after a head was lost, groups taken for stalled while their streams only waited.

--- a/bins/mangocross-front/src/control.rs
+++ b/bins/mangocross-front/src/control.rs
@@ -8,9 +8,9 @@
 use crate::front::Front;
 
 /// Time between looks for groups that stand still.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Looks between two expiries.
-const LOOKS_PER_EXPIRY: u32 = 5;
+const LOOKS_PER_EXPIRY: u32 = 10;
 
 /// Starts the periodic work.
 pub(crate) fn spawn(front: &Rc<Front>) {
--- a/bins/mangocross-front/src/front.rs
+++ b/bins/mangocross-front/src/front.rs
@@ -222,7 +222,8 @@
             beliefs.progress.started(vm, now);
         }
         drop(beliefs);
-        Sent { front: Rc::clone(self), vm: vm.clone(), is_stream }
+        let has_begun = Cell::new(false);
+        Sent { front: Rc::clone(self), vm: vm.clone(), is_stream, has_begun }
     }
 }
 
@@ -257,13 +258,18 @@
     front: Rc<Front>,
     vm: VmId,
     is_stream: bool,
+    has_begun: Cell<bool>,
 }
 
 impl Sent {
     /// Records bytes of the answer.
     pub(crate) fn sign(&self) {
         let now = self.front.now();
-        self.front.beliefs.borrow_mut().progress.sign(&self.vm, now);
+        let progress = &mut self.front.beliefs.borrow_mut().progress;
+        progress.sign(&self.vm, now);
+        if !self.has_begun.replace(true) {
+            progress.began(&self.vm);
+        }
     }
 }
 
@@ -272,7 +278,7 @@
         let mut beliefs = self.front.beliefs.borrow_mut();
         beliefs.loads.ended(&self.vm);
         if self.is_stream {
-            beliefs.progress.ended(&self.vm);
+            beliefs.progress.ended(&self.vm, self.has_begun.get());
         }
     }
 }
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -26,6 +26,8 @@
     from: Arc<str>,
     in_flight: Vec<(VmId, u32)>,
     suspects: Vec<VmId>,
+    /// Heads with streams, and the milliseconds since their last signs of life.
+    signs: Vec<(VmId, u32)>,
     has_traffic: bool,
     /// Slowness of engines, from the entry VM that plans.
     paces: Vec<(VmId, f32)>,
@@ -62,6 +64,9 @@
     let in_flight: HashMap<VmId, u32> = message.in_flight.into_iter().collect();
     let mut beliefs = front.beliefs.borrow_mut();
     beliefs.loads.heard(message.from, in_flight, now);
+    for (head, age_ms) in &message.signs {
+        beliefs.progress.sign(head, now.before(Duration::from_millis(u64::from(*age_ms))));
+    }
     if front.planner_term.get().is_none() && !message.paces.is_empty() {
         let paces = message.paces.into_iter().map(|(vm, it)| (vm, f64::from(it)));
         beliefs.paces = paces.collect();
@@ -100,11 +105,14 @@
     let now = front.now();
     let beliefs = front.beliefs.borrow();
     let own = beliefs.loads.own().iter();
+    let signs = beliefs.progress.signs(now);
+    let signs = signs.map(|(vm, age)| (vm.clone(), age.as_millis() as u32));
     let paces = beliefs.paces.iter().map(|(vm, it)| (vm.clone(), *it as f32));
     Message {
         from: Arc::clone(&front.vm.name),
         in_flight: own.map(|(vm, count)| (vm.clone(), *count)).collect(),
         suspects: beliefs.progress.suspects(now).cloned().collect(),
+        signs: signs.collect(),
         has_traffic: front.has_traffic.get(),
         paces: if front.planner_term.get().is_some() { paces.collect() } else { Vec::new() },
     }
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -43,7 +43,7 @@
 /// Least time between two decisions.
 const STEP_PAUSE: Duration = Duration::from_millis(15);
 /// Time for a server's report; engines answer within a few milliseconds.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for the answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -23,7 +23,7 @@
 /// Time without acknowledgement after which the system gives a connection up.
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
 /// Longest rest of a connection that is used again; servers close idle ones unannounced.
-const REST_MAX: Duration = Duration::from_millis(700);
+const REST_MAX: Duration = Duration::from_millis(1200);
 /// Connections that rest for one server.
 const RESTING_MAX: usize = 16;
 
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -29,9 +29,13 @@
 /// Prefix of the operators' keys.
 const OPERATORS_PREFIX: &str = "op/";
 /// Longest wait of one watch; each return proves the configuration fresh.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
+const WATCH_WAIT: Duration = Duration::from_millis(1600);
 /// Added to the wait before a silent watch is given up.
 const WATCH_SLACK: Duration = Duration::from_millis(900);
+/// Pause after changes, in which further ones gather; each call to the store is priced.
+const GATHER_PAUSE: Duration = Duration::from_millis(100);
+/// The same for the planner, which acts on the changes.
+const PLANNER_GATHER_PAUSE: Duration = Duration::from_millis(25);
 /// Pauses between attempts while the store is away.
 const RETRY_PAUSES_MS: std::ops::Range<u64> = 100..350;
 /// Time that servers have to appear again after the store was away.
@@ -90,12 +94,18 @@
         }
         let (changes, revision) = StoreChange::decode(&body)?;
         front.metrics.store_watch(front.now().since(asked_at));
+        let has_changes = !changes.is_empty();
         for it in changes {
             apply(front, it, is_after_outage);
         }
         after = after.max(revision);
         confirm(front, asked_at);
         drop_missing(front);
+        if has_changes {
+            let is_planner = front.planner_term.get().is_some();
+            let pause = if is_planner { PLANNER_GATHER_PAUSE } else { GATHER_PAUSE };
+            tokio::time::sleep(pause).await;
+        }
     }
 }
 
--- a/crates/mangocross-serving/src/moment.rs
+++ b/crates/mangocross-serving/src/moment.rs
@@ -20,6 +20,12 @@
     pub fn since(self, earlier: Self) -> Duration {
         self.0.saturating_sub(earlier.0)
     }
+
+    /// Returns the moment that lies a time before this one.
+    #[must_use]
+    pub fn before(self, by: Duration) -> Self {
+        Self(self.0.saturating_sub(by))
+    }
 }
 
 impl Add<Duration> for Moment {
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -40,7 +40,7 @@
 /// Time after which an order without an answer is given again.
 const UNANSWERED_RETRY: Duration = Duration::from_millis(300);
 /// Added to the time after which a head without a member is broken.
-const STALL_MARGIN: Duration = Duration::from_millis(900);
+const STALL_MARGIN: Duration = Duration::from_millis(500);
 /// Time that a head has to finish its requests before a member leaves.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Added to four times the loading time of a group that is being formed.
@@ -49,6 +49,11 @@
 const SUSPECT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time without suspicion after which a group is trusted again.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(900);
+/// Time without new servers in a domain after which groups are formed.
+///
+/// Servers of a domain come one by one; groups of the first few would leave no
+/// room for a large one.
+const SETTLE_TIME: Duration = Duration::from_millis(900);
 /// Time that a server's entry may be missing before the server is forgotten.
 const FORGET_UNLISTED: Duration = Duration::from_secs(30);
 
@@ -142,12 +147,15 @@
     orders: HashMap<VmId, GivenOrder>,
     notes: HashMap<GroupKey, GroupNotes>,
     loads: LoadAllowance,
+    /// When the latest server of each fabric domain appeared.
+    grown_at: HashMap<FabricDomain, Moment>,
 }
 
 /// What a group needs.
 enum Verdict {
     Keep,
-    Dissolve(String),
+    /// Form the group anew, under its name, without the members that it lost.
+    Replace(String),
     Order(Vec<(VmId, EngineOrder)>),
 }
 
@@ -164,6 +172,7 @@
             orders: HashMap::new(),
             notes: HashMap::new(),
             loads: LoadAllowance::default(),
+            grown_at: HashMap::new(),
         }
     }
 
@@ -324,6 +333,9 @@
                     contact: Contact::default(),
                 };
                 self.known.insert(server.vm.clone(), known);
+                if let Some(domain) = &server.engine.domain {
+                    self.grown_at.insert(domain.clone(), now);
+                }
                 continue;
             };
             known.unlisted_at = None;
@@ -391,7 +403,7 @@
             reasons: Vec::new(),
         };
         let groups = std::mem::take(&mut draft.plan.groups);
-        let spares = self.free_vms(domain, &held.plan).len();
+        let mut spares = self.free_vms(domain, &held.plan);
         for mut group in groups {
             if group.is_dissolving {
                 if !self.is_released(&group, now, steps) {
@@ -402,11 +414,18 @@
                 }
                 continue;
             }
-            match self.judge(&group, spares, now) {
+            match self.judge(&group, spares.len(), now) {
                 Verdict::Keep => {}
-                Verdict::Dissolve(reason) => {
-                    draft.reasons.push(format!("{} dissolved: {reason}", group.group));
-                    group.is_dissolving = true;
+                Verdict::Replace(reason) => {
+                    let is_repaired = self.repair(domain, &mut group, &mut spares);
+                    let next = if is_repaired { "formed anew" } else { "given up" };
+                    draft.reasons.push(format!("{} {next}: {reason}", group.group));
+                    if is_repaired {
+                        let incarnation = self.next_incarnation(domain, &mut draft.plan);
+                        group.incarnation = Incarnation(incarnation);
+                    } else {
+                        group.is_dissolving = true;
+                    }
                 }
                 Verdict::Order(orders) => {
                     for (vm, order) in orders {
@@ -419,6 +438,42 @@
         draft
     }
 
+    /// Replaces the members that a group has lost by spares of its domain.
+    ///
+    /// Survivors join the same group in a new incarnation, which takes them out of
+    /// the old one: an old head that cannot be reached stands still from then on.
+    fn repair(
+        &self,
+        domain: &FabricDomain,
+        group: &mut PlannedGroup,
+        spares: &mut Vec<VmId>,
+    ) -> bool {
+        let stays = |it: &&PlannedMember| {
+            self.known.get(&it.vm).is_some_and(|known| {
+                self.is_usable(known)
+                    && known.server.engine.born_unix_ms == it.born_unix_ms
+                    && known.server.engine.domain.as_ref() == Some(domain)
+            })
+        };
+        let survivors: Vec<PlannedMember> = group.members.iter().filter(stays).cloned().collect();
+        let missing = group.members.len() - survivors.len();
+        if survivors.is_empty() || missing > spares.len() {
+            return false;
+        }
+        let added = self.choose_members(spares.clone(), missing, &group.model);
+        spares.retain(|vm| added.iter().all(|it| it.vm != *vm));
+        group.members = survivors;
+        group.members.extend(added);
+        true
+    }
+
+    /// Returns the incarnation of the next group that a domain forms.
+    fn next_incarnation(&self, domain: &FabricDomain, plan: &mut DomainPlan) -> u64 {
+        let incarnation = plan.next_incarnation.max(self.highest_incarnation(domain) + 1);
+        plan.next_incarnation = incarnation + 1;
+        incarnation
+    }
+
     /// Returns whether a group that is given up can no longer serve, so that its members are free.
     fn is_released(&mut self, group: &PlannedGroup, now: Moment, steps: &mut Vec<Step>) -> bool {
         let key = (group.group.clone(), group.incarnation);
@@ -493,22 +548,22 @@
                     if now.since(seen_at) < Duration::from_secs(1) {
                         continue;
                     }
-                    break 'verdict Verdict::Dissolve(format!("{} is not listed", member.vm));
+                    break 'verdict Verdict::Replace(format!("{} is not listed", member.vm));
                 };
                 if known.server.engine.born_unix_ms != member.born_unix_ms {
-                    break 'verdict Verdict::Dissolve(format!("{} was restarted", member.vm));
+                    break 'verdict Verdict::Replace(format!("{} was restarted", member.vm));
                 }
                 if known.contact.is_lost() {
-                    break 'verdict Verdict::Dissolve(format!("{} does not answer", member.vm));
+                    break 'verdict Verdict::Replace(format!("{} does not answer", member.vm));
                 }
                 if rank == 0 && known.unlisted_at.is_some() {
-                    break 'verdict Verdict::Dissolve(format!("head {} is not listed", member.vm));
+                    break 'verdict Verdict::Replace(format!("head {} is not listed", member.vm));
                 }
                 leaving_at = leaving_at.max(known.leaving_at);
                 has_slow_member |= known.contact.is_slow();
                 match self.phase_in(&member.vm, group) {
                     Some(MemberPhase::Broken) => {
-                        break 'verdict Verdict::Dissolve("the head is broken".to_owned());
+                        break 'verdict Verdict::Replace("the head is broken".to_owned());
                     }
                     Some(MemberPhase::Joining) => {}
                     Some(_) => {
@@ -516,7 +571,7 @@
                         notes.ready.insert(member.vm.clone());
                     }
                     None if notes.ready.contains(&member.vm) => {
-                        break 'verdict Verdict::Dissolve(format!("{} has left", member.vm));
+                        break 'verdict Verdict::Replace(format!("{} has left", member.vm));
                     }
                     None => {
                         let order = EngineOrder::Join {
@@ -543,16 +598,16 @@
                         Verdict::Order(head.map(|it| (it, order)).into_iter().collect())
                     }
                     Some(MemberPhase::Closing) if !is_over => Verdict::Keep,
-                    _ => Verdict::Dissolve("a member is leaving".to_owned()),
+                    _ => Verdict::Replace("a member is leaving".to_owned()),
                 };
             }
             if has_slow_member && spares > 0 {
-                break 'verdict Verdict::Dissolve("a member is slow".to_owned());
+                break 'verdict Verdict::Replace("a member is slow".to_owned());
             }
             let is_suspect = notes.suspect_at.is_some_and(|it| now.since(it) < SUSPECT_PAUSE);
             let suspect_for = notes.suspect_since.map(|it| now.since(it)).unwrap_or_default();
             if is_suspect && suspect_for > SUSPECT_TIMEOUT && !has_slow_member {
-                break 'verdict Verdict::Dissolve("its streams stand still".to_owned());
+                break 'verdict Verdict::Replace("its streams stand still".to_owned());
             }
             if is_whole && head_phase == Some(MemberPhase::Ready) {
                 let order = EngineOrder::Open {
@@ -565,7 +620,7 @@
             if !is_whole {
                 let load = self.engine.model(&group.model).map_or(Duration::ZERO, |it| it.load);
                 if now.since(seen_at) > load * 4 + FORMING_MARGIN {
-                    break 'verdict Verdict::Dissolve("forming takes too long".to_owned());
+                    break 'verdict Verdict::Replace("forming takes too long".to_owned());
                 }
             }
             Verdict::Order(orders)
@@ -619,14 +674,16 @@
         vms
     }
 
-    fn form_groups(&self, draft: &mut Draft, vms: &mut HashMap<ModelId, usize>, _now: Moment) {
+    fn form_groups(&self, draft: &mut Draft, vms: &mut HashMap<ModelId, usize>, now: Moment) {
+        let grown_at = self.grown_at.get(&draft.domain);
+        if grown_at.is_some_and(|it| now.since(*it) < SETTLE_TIME) {
+            return;
+        }
         loop {
             let free = self.free_vms(&draft.domain, &draft.plan);
             let Some(model) = packing::next_model(&self.engine, vms, free.len()) else { return };
             let members = self.choose_members(free, model.size, &model.model);
-            let highest = self.highest_incarnation(&draft.domain);
-            let incarnation = draft.plan.next_incarnation.max(highest + 1);
-            draft.plan.next_incarnation = incarnation + 1;
+            let incarnation = self.next_incarnation(&draft.domain, &mut draft.plan);
             let Ok(group) = format!("{}.{incarnation}", draft.domain).parse::<GroupId>() else {
                 return;
             };
--- a/crates/mangocross-serving/src/planner/packing.rs
+++ b/crates/mangocross-serving/src/planner/packing.rs
@@ -11,6 +11,9 @@
 /// while it is at most this many times better supplied.
 const SUPPLY_RATIO_MAX: f64 = 1.7;
 
+/// VMs that are kept as spares when the neediest model does not fit.
+const SPARES_KEPT: usize = 2;
+
 /// VMs of all groups of a model, over all fabric domains, relative to its share.
 fn supply(model: &ModelSpec, vms: &HashMap<ModelId, usize>) -> f64 {
     let count = vms.get(&model.model).copied().unwrap_or_default();
@@ -31,6 +34,9 @@
     };
     let neediest = engine.models.iter().min_by(order)?;
     let fitting = engine.models.iter().filter(|it| it.size <= free).min_by(order)?;
+    if neediest.size <= free {
+        return Some(neediest);
+    }
     let is_close = supply(fitting, vms) <= supply(neediest, vms) * SUPPLY_RATIO_MAX;
-    (neediest.size <= free || is_close).then_some(fitting)
+    (is_close && fitting.size + SPARES_KEPT <= free).then_some(fitting)
 }
--- a/crates/mangocross-serving/src/progress.rs
+++ b/crates/mangocross-serving/src/progress.rs
@@ -7,23 +7,31 @@
 
 use crate::Moment;
 
-/// Silence of two or more streams after which a group is suspect.
+/// Silence of many streams after which a group is suspect.
 ///
-/// Engines write an event every few token steps, and a pause for a long prompt
-/// takes under 120 ms.
-const SILENCE_OF_MANY: Duration = Duration::from_millis(450);
-/// Silence of a single stream after which its group is suspect.
-const SILENCE_OF_ONE: Duration = Duration::from_millis(800);
+/// Engines write an event every few token steps, and a pause for long prompts
+/// takes under 250 ms.
+const SILENCE_OF_MANY: Duration = Duration::from_millis(350);
+/// Silence of few streams after which their group is suspect.
+const SILENCE_OF_FEW: Duration = Duration::from_millis(600);
+/// Silence after which a group is suspect though none of its streams has begun.
+const SILENCE_BEFORE_FIRST: Duration = Duration::from_millis(1500);
 /// Streams that count as many.
 const MANY_STREAMS: u32 = 3;
 
 #[derive(Debug)]
 struct Progress {
+    /// Streams that have not ended.
     streams: u32,
+    /// Those of them whose first event came.
+    begun: u32,
     last_sign: Moment,
 }
 
-/// When each group last showed a sign of life to this entry VM.
+/// When each group last showed a sign of life.
+///
+/// Signs that other entry VMs saw count as well, so that a group that goes on
+/// with their streams is not suspect.
 #[derive(Debug, Default)]
 pub struct ProgressTable {
     groups: HashMap<VmId, Progress>,
@@ -32,35 +40,49 @@
 impl ProgressTable {
     /// Records a stream that was sent to a head.
     pub fn started(&mut self, head: &VmId, now: Moment) {
-        let first = Progress { streams: 0, last_sign: now };
+        let first = Progress { streams: 0, begun: 0, last_sign: now };
         let group = self.groups.entry(head.clone()).or_insert(first);
-        if group.streams == 0 {
-            group.last_sign = now;
-        }
         group.streams += 1;
     }
 
+    /// Records the first event of a stream.
+    pub fn began(&mut self, head: &VmId) {
+        if let Some(group) = self.groups.get_mut(head) {
+            group.begun += 1;
+        }
+    }
+
     /// Records bytes from a head.
-    pub fn sign(&mut self, head: &VmId, now: Moment) {
+    pub fn sign(&mut self, head: &VmId, at: Moment) {
         if let Some(group) = self.groups.get_mut(head) {
-            group.last_sign = now;
+            group.last_sign = group.last_sign.max(at);
         }
     }
 
     /// Records the end of a stream.
-    pub fn ended(&mut self, head: &VmId) {
+    pub fn ended(&mut self, head: &VmId, has_begun: bool) {
         if let Some(group) = self.groups.get_mut(head) {
             group.streams = group.streams.saturating_sub(1);
+            group.begun = group.begun.saturating_sub(u32::from(has_begun));
             if group.streams == 0 {
                 self.groups.remove(head);
             }
         }
     }
 
+    /// Returns the heads with streams and the ages of their last signs.
+    pub fn signs(&self, now: Moment) -> impl Iterator<Item = (&VmId, Duration)> {
+        self.groups.iter().map(move |(vm, it)| (vm, now.since(it.last_sign)))
+    }
+
     /// Returns the heads whose streams all have been silent for too long.
     pub fn suspects(&self, now: Moment) -> impl Iterator<Item = &VmId> {
         let is_suspect = move |it: &Progress| {
-            let bound = if it.streams >= MANY_STREAMS { SILENCE_OF_MANY } else { SILENCE_OF_ONE };
+            let bound = match it.begun {
+                0 => SILENCE_BEFORE_FIRST,
+                begun if begun < MANY_STREAMS => SILENCE_OF_FEW,
+                _ => SILENCE_OF_MANY,
+            };
             it.streams > 0 && now.since(it.last_sign) > bound
         };
         self.groups.iter().filter(move |(_, it)| is_suspect(it)).map(|(vm, _)| vm)
