--- a/bins/mangocross-front/src/control.rs
+++ b/bins/mangocross-front/src/control.rs
@@ -39,6 +39,6 @@
         if !front.is_suspect(&head) {
             log::warn!(server:% = head; "group suspect: all its streams stand still");
         }
-        front.suspect(&head);
+        front.found_suspect(&head);
     }
 }
--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -33,6 +33,9 @@
 /// Time after which a caller may come back while this VM cannot check keys.
 const NOT_FRESH_RETRY: Duration = Duration::from_millis(500);
 
+/// Time after which a caller may come back to another entry VM.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+
 /// A request that is allowed, with what is needed to forward it.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -90,7 +93,7 @@
     on_connection: RequestOnConnection,
 ) -> Response<AnswerBody> {
     let record = RequestRecord::new(&front, front.now());
-    let is_stopping = front.is_stopping.get();
+    let is_stopping = front.is_stopping();
     let (mut response, record) = match admit(front, request, record).await {
         Ok(call) if call.route.repeat.is_stream() => stream::serve(call).await,
         Ok(call) => plain::serve(call).await,
@@ -149,6 +152,10 @@
     };
     let wait = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let ends_at = Instant::now() + wait.saturating_sub(record.age());
+    if route.repeat.is_stream() && front.is_too_late_for_streams() {
+        let refusal = Refusal::not_run(ResultCode::Stopping, "this entry VM is stopping");
+        return refuse(record, refusal.retry_after(STOPPING_RETRY), "stopping");
+    }
     front.count_request(&service);
     let limited = Limited::new(body, configuration.limits.body_bytes_max).collect();
     let body = match tokio::time::timeout_at(ends_at, limited).await {
--- a/bins/mangocross-front/src/front.rs
+++ b/bins/mangocross-front/src/front.rs
@@ -35,7 +35,13 @@
 use crate::store::StoreClient;
 
 /// Time for which a server that could not be connected to gets no requests.
-const UNREACHABLE_PAUSE: Duration = Duration::from_millis(600);
+pub(crate) const UNREACHABLE_PAUSE: Duration = Duration::from_millis(600);
+/// Time for which a head that did not run a request gets no others; its entry follows.
+pub(crate) const NOT_RUN_PAUSE: Duration = Duration::from_millis(250);
+/// Time after SIGTERM for which streams are taken; longer ones end within the rest of the grace.
+const STREAMS_TAKEN: Duration = Duration::from_millis(2800);
+/// Time for which the other entry VMs are told of a suspect.
+const FOUND_SUSPECT_TOLD: Duration = Duration::from_millis(400);
 /// Time for which a suspect group gets no new streams.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(700);
 /// Part of the revocation bound after which this VM asks for no new callers.
@@ -64,7 +70,10 @@
     pub(crate) retries: HashMap<ServiceId, RetryLedger>,
     pub(crate) paces: HashMap<VmId, f64>,
     suspects: HashMap<VmId, Moment>,
-    unreachable: HashMap<VmId, Moment>,
+    /// Suspects that this VM found by itself.
+    found: HashMap<VmId, Moment>,
+    /// Servers that get no requests, and until when.
+    avoided: HashMap<VmId, Moment>,
 }
 
 /// The process's state and clients.
@@ -81,11 +90,14 @@
     pub(crate) suspected: Notify,
     /// Wakes the planner when something that it decides on has changed.
     pub(crate) changed: Notify,
+    /// Wakes the task that tells the other entry VMs.
+    pub(crate) news: Notify,
     /// Wakes the lease's task when nobody plans.
     pub(crate) planner_vacant: Notify,
     pub(crate) planner_term: Cell<Option<PlannerTerm>>,
     pub(crate) has_traffic: Cell<bool>,
-    pub(crate) is_stopping: Cell<bool>,
+    /// When SIGTERM came.
+    pub(crate) stopping_since: Cell<Option<Moment>>,
     pub(crate) requests_in_progress: Cell<usize>,
     promises: Cell<Promises>,
 }
@@ -102,10 +114,11 @@
             log_rate: LogRate::default(),
             suspected: Notify::new(),
             changed: Notify::new(),
+            news: Notify::new(),
             planner_vacant: Notify::new(),
             planner_term: Cell::new(None),
             has_traffic: Cell::new(false),
-            is_stopping: Cell::new(false),
+            stopping_since: Cell::new(None),
             requests_in_progress: Cell::new(0),
             vm,
         }
@@ -135,9 +148,19 @@
         }
     }
 
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping_since.get().is_some()
+    }
+
+    /// Returns whether a stream that begins now may outlast the grace after SIGTERM.
+    pub(crate) fn is_too_late_for_streams(&self) -> bool {
+        let since = self.stopping_since.get().map(|it| self.now().since(it));
+        since.is_some_and(|it| it > STREAMS_TAKEN)
+    }
+
     /// Returns why this VM asks for no new callers, if it does not.
     pub(crate) fn not_ready(&self) -> Option<&'static str> {
-        if self.is_stopping.get() {
+        if self.is_stopping() {
             return Some("stopping");
         }
         let beliefs = self.beliefs.borrow();
@@ -184,7 +207,7 @@
                 && model.is_none_or(|model| it.serves(model))
                 && !excluded.contains(&it.vm)
                 && !beliefs.is_suspect(&it.vm, now)
-                && !beliefs.is_unreachable(&it.vm, now)
+                && !beliefs.is_avoided(&it.vm, now)
         };
         let open = beliefs.servers.values().filter(is_open);
         let load = |it: &BackendServer| HeadLoad {
@@ -208,9 +231,18 @@
         self.beliefs.borrow().is_suspect(vm, now)
     }
 
-    pub(crate) fn set_unreachable(&self, vm: &VmId) {
+    /// Marks a head that this VM itself found silent, and tells the others.
+    pub(crate) fn found_suspect(&self, head: &VmId) {
         let now = self.now();
-        self.beliefs.borrow_mut().unreachable.insert(vm.clone(), now);
+        self.beliefs.borrow_mut().found.insert(head.clone(), now);
+        self.suspect(head);
+        self.news.notify_one();
+    }
+
+    /// Sends a server no requests for a while.
+    pub(crate) fn avoid(&self, vm: &VmId, pause: Duration) {
+        let until = self.now() + pause;
+        self.beliefs.borrow_mut().avoided.insert(vm.clone(), until);
     }
 
     /// Counts a request that is sent to a server until the guard is dropped.
@@ -237,15 +269,22 @@
         self.suspects.get(vm).is_some_and(|it| now.since(*it) < SUSPECT_PAUSE)
     }
 
-    pub(crate) fn is_unreachable(&self, vm: &VmId, now: Moment) -> bool {
-        self.unreachable.get(vm).is_some_and(|it| now.since(*it) < UNREACHABLE_PAUSE)
+    pub(crate) fn is_avoided(&self, vm: &VmId, now: Moment) -> bool {
+        self.avoided.get(vm).is_some_and(|it| now < *it)
+    }
+
+    /// Returns the suspects that this VM found and that the others are to be told of.
+    pub(crate) fn found_suspects(&self, now: Moment) -> Vec<VmId> {
+        let recent = self.found.iter().filter(|(_, at)| now.since(**at) < FOUND_SUSPECT_TOLD);
+        recent.map(|(vm, _)| vm.clone()).collect()
     }
 
     /// Forgets what no longer matters.
     pub(crate) fn expire(&mut self, now: Moment) {
         self.loads.expire(now);
         self.suspects.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
-        self.unreachable.retain(|_, it| now.since(*it) < UNREACHABLE_PAUSE);
+        self.found.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
+        self.avoided.retain(|_, it| now < *it);
         let Self { failures, servers, paces, .. } = self;
         failures.retain(|vm| servers.contains_key(vm));
         paces.retain(|vm, _| servers.contains_key(vm));
--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -84,7 +84,7 @@
             () = tokio::time::sleep(RENEW_INTERVAL) => {}
             () = front.planner_vacant.notified() => {}
         }
-        if front.is_stopping.get() {
+        if front.is_stopping() {
             front.planner_term.set(None);
             front.store.call(StoreCall::end_lease(lease), CALL_TIMEOUT).await?;
             std::future::pending::<()>().await;
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -90,7 +90,11 @@
             others.map(|(_, it)| *it).collect()
         };
         let interval = INTERVAL_MIN.max(INTERVAL_PER_PEER * peers.len() as u32);
-        tokio::time::sleep(interval.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+        let pause = tokio::time::sleep(interval.mul_f64(0.8 + 0.4 * fastrand::f64()));
+        tokio::select! {
+            () = pause => {}
+            () = front.news.notified() => {}
+        }
         let message = message(&front);
         let Ok(data) = postcard::to_allocvec(&message) else { continue };
         for peer in peers {
@@ -111,7 +115,7 @@
     Message {
         from: Arc::clone(&front.vm.name),
         in_flight: own.map(|(vm, count)| (vm.clone(), *count)).collect(),
-        suspects: beliefs.progress.suspects(now).cloned().collect(),
+        suspects: beliefs.found_suspects(now),
         signs: signs.collect(),
         has_traffic: front.has_traffic.get(),
         paces: if front.planner_term.get().is_some() { paces.collect() } else { Vec::new() },
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -15,6 +15,7 @@
 use mangocross_types::VmId;
 
 use crate::dispatch::Call;
+use crate::front::UNREACHABLE_PAUSE;
 use crate::outcome::RequestRecord;
 use crate::pool;
 use crate::pool::ConnectError;
@@ -120,7 +121,7 @@
         it.service == call.service && !it.is_leaving && !tried.contains(&it.vm)
     });
     let loads: Vec<ServerLoad> = servers
-        .filter(|it| !beliefs.is_unreachable(&it.vm, now))
+        .filter(|it| !beliefs.is_avoided(&it.vm, now))
         .map(|it| ServerLoad {
             vm: it.vm.clone(),
             in_flight: beliefs.loads.in_flight(&it.vm, now),
@@ -184,7 +185,7 @@
 pub(crate) fn failed_to_connect(call: &Call, vm: &VmId, error: ConnectError) {
     let now = call.front.now();
     call.front.beliefs.borrow_mut().failures.record(vm, true, now);
-    call.front.set_unreachable(vm);
+    call.front.avoid(vm, UNREACHABLE_PAUSE);
     let detail = match error {
         ConnectError::Refused => "connection refused",
         ConnectError::Unreachable => "no answer to the connection",
--- a/bins/mangocross-front/src/stopping.rs
+++ b/bins/mangocross-front/src/stopping.rs
@@ -28,9 +28,9 @@
         }
     };
     terminate.recv().await;
-    front.is_stopping.set(true);
-    front.planner_vacant.notify_one();
     let began_at = front.now();
+    front.stopping_since.set(Some(began_at));
+    front.planner_vacant.notify_one();
     log::info!(in_progress = front.requests_in_progress.get(); "stopping");
     tokio::time::sleep(BALANCER_NOTICE).await;
     callers.close_idle();
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 
 use crate::dispatch::Call;
+use crate::front::NOT_RUN_PAUSE;
 use crate::front::Sent;
 use crate::outcome::RequestRecord;
 use crate::plain;
@@ -56,6 +57,12 @@
 const RETURN_MIN: Duration = Duration::from_millis(400);
 const RETURN_SPREAD: Duration = Duration::from_millis(1400);
 
+/// Reasons for which a stream is refused.
+const NO_GROUP: (ResultCode, &str) = (ResultCode::NoCompleteGroup, "no group serves the model");
+const NO_ROOM: (ResultCode, &str) = (ResultCode::Overloaded, "no group has room");
+const NO_BUDGET: (ResultCode, &str) = (ResultCode::RetryBudget, "retry budget used up");
+const UNREACHABLE: (ResultCode, &str) = (ResultCode::NoCompleteGroup, "heads cannot be reached");
+
 /// A stream that a server has begun.
 struct Begun {
     vm: VmId,
@@ -83,27 +90,28 @@
     let mut tried: Vec<VmId> = Vec::new();
     let mut sent = 0;
     let mut connect_failures = 0;
+    let mut may_have_run = false;
     let response = loop {
         let Some(heads) = find(&call, &tried) else {
-            break refused(&call, ResultCode::NoCompleteGroup, "no group serves the model", RETURN_MIN);
+            break ended(&call, may_have_run, NO_GROUP, RETURN_MIN);
         };
         let vm = match choose(&call, &heads, LATE_QUEUE) {
             Admission::Send(vm) => vm,
             Admission::Refuse { room_in } => {
-                break refused(&call, ResultCode::Overloaded, "no group has room", room_in);
+                break ended(&call, may_have_run, NO_ROOM, room_in);
             }
             Admission::NoGroup => {
-                break refused(&call, ResultCode::NoCompleteGroup, "no group serves the model", RETURN_MIN);
+                break ended(&call, may_have_run, NO_GROUP, RETURN_MIN);
             }
         };
         if sent > 0 && !call.front.try_repeat(&call.service) {
-            break ended(&call, sent > 0 && !is_repeatable, "retry budget used up");
+            break ended(&call, may_have_run, NO_BUDGET, RETURN_MIN);
         }
         let Some(connection) = connect(&call, &vm, is_repeatable).await else {
             tried.push(vm);
             connect_failures += 1;
             if connect_failures > CONNECT_FAILURES_MAX {
-                break refused(&call, ResultCode::NoCompleteGroup, "heads cannot be reached", RETURN_MIN);
+                break ended(&call, may_have_run, UNREACHABLE, RETURN_MIN);
             }
             continue;
         };
@@ -118,17 +126,19 @@
             Err(NotBegun::NotRun(reason)) => {
                 call.record.step("not run", &vm, reason);
                 if sent >= call.route.attempts_max {
-                    break refused(&call, ResultCode::BackendRefused, reason, RETURN_MIN);
+                    break ended(&call, may_have_run, (ResultCode::BackendRefused, reason), RETURN_MIN);
                 }
             }
             Err(NotBegun::MayHaveRun(reason, code)) => {
                 call.record.step("attempt failed", &vm, reason);
+                may_have_run = true;
                 if !may_repeat {
                     break call.record.refuse(&Refusal::unknown(code, reason), reason);
                 }
             }
             Err(NotBegun::Failure(begun)) => {
                 call.record.step("attempt failed", &vm, "server answered with a failure");
+                may_have_run = true;
                 if !may_repeat {
                     break failure(&call, begun).await;
                 }
@@ -175,7 +185,7 @@
         Ok(it) => Some(it),
         Err(error) => {
             plain::failed_to_connect(call, vm, error);
-            call.front.suspect(vm);
+            call.front.found_suspect(vm);
             None
         }
     }
@@ -219,7 +229,7 @@
         Ok(it) => it,
         Err(_) => {
             if !is_reused {
-                call.front.suspect(vm);
+                call.front.found_suspect(vm);
             }
             return Err(NotBegun::MayHaveRun("connection broke", ResultCode::BackendBroken));
         }
@@ -232,6 +242,7 @@
         return Err(NotBegun::MayHaveRun(reason, ResultCode::BackendMismatch));
     }
     if head.is_not_run {
+        call.front.avoid(vm, NOT_RUN_PAUSE);
         return Err(NotBegun::NotRun("group is full, broken or no longer there"));
     }
     let begun = Begun { vm: vm.clone(), connection, sent, response, head };
@@ -262,23 +273,21 @@
     }
 }
 
-fn refused(
+/// Ends a stream that no group takes: refused if it has not run, failed otherwise.
+fn ended(
     call: &Call,
-    code: ResultCode,
-    reason: &'static str,
+    may_have_run: bool,
+    (code, reason): (ResultCode, &'static str),
     room_in: Duration,
 ) -> Response<AnswerBody> {
     let spread = RETURN_SPREAD.mul_f64(fastrand::f64());
     let after = (room_in.max(RETURN_MIN) + spread).min(call.time_left() / 3);
-    call.record.refuse(&Refusal::not_run(code, reason).retry_after(after), reason)
-}
-
-fn ended(call: &Call, may_have_run: bool, reason: &'static str) -> Response<AnswerBody> {
-    if may_have_run {
-        call.record.refuse(&Refusal::unknown(ResultCode::RetryBudget, reason), reason)
+    let refusal = if may_have_run {
+        Refusal::unknown(ResultCode::BackendBroken, reason)
     } else {
-        refused(call, ResultCode::RetryBudget, reason, RETURN_MIN)
-    }
+        Refusal::not_run(code, reason)
+    };
+    call.record.refuse(&refusal.retry_after(after), reason)
 }
 
 /// Starts the task that forwards events, and returns the head of the answer.
--- a/crates/mangocross-serving/src/progress.rs
+++ b/crates/mangocross-serving/src/progress.rs
@@ -25,7 +25,9 @@
     streams: u32,
     /// Those of them whose first event came.
     begun: u32,
-    last_sign: Moment,
+    /// Start of the first stream, or the last sign where that was later.
+    silent_since: Moment,
+    last_sign: Option<Moment>,
 }
 
 /// When each group last showed a sign of life.
@@ -40,7 +42,7 @@
 impl ProgressTable {
     /// Records a stream that was sent to a head.
     pub fn started(&mut self, head: &VmId, now: Moment) {
-        let first = Progress { streams: 0, begun: 0, last_sign: now };
+        let first = Progress { streams: 0, begun: 0, silent_since: now, last_sign: None };
         let group = self.groups.entry(head.clone()).or_insert(first);
         group.streams += 1;
     }
@@ -55,7 +57,8 @@
     /// Records bytes from a head.
     pub fn sign(&mut self, head: &VmId, at: Moment) {
         if let Some(group) = self.groups.get_mut(head) {
-            group.last_sign = group.last_sign.max(at);
+            group.last_sign = group.last_sign.max(Some(at));
+            group.silent_since = group.silent_since.max(at);
         }
     }
 
@@ -70,9 +73,9 @@
         }
     }
 
-    /// Returns the heads with streams and the ages of their last signs.
+    /// Returns the heads that showed a sign and its age.
     pub fn signs(&self, now: Moment) -> impl Iterator<Item = (&VmId, Duration)> {
-        self.groups.iter().map(move |(vm, it)| (vm, now.since(it.last_sign)))
+        self.groups.iter().filter_map(move |(vm, it)| Some((vm, now.since(it.last_sign?))))
     }
 
     /// Returns the heads whose streams all have been silent for too long.
@@ -83,7 +86,7 @@
                 begun if begun < MANY_STREAMS => SILENCE_OF_FEW,
                 _ => SILENCE_OF_MANY,
             };
-            it.streams > 0 && now.since(it.last_sign) > bound
+            it.streams > 0 && now.since(it.silent_since) > bound
         };
         self.groups.iter().filter(move |(_, it)| is_suspect(it)).map(|(vm, _)| vm)
     }
