--- a/bins/mangocross-front/src/front.rs
+++ b/bins/mangocross-front/src/front.rs
@@ -72,6 +72,8 @@
     suspects: HashMap<VmId, Moment>,
     /// Suspects that this VM found by itself.
     found: HashMap<VmId, Moment>,
+    /// Heads whose groups the planner is to ask, since connections to them failed.
+    doubted: HashMap<VmId, Moment>,
     /// Servers that get no requests, and until when.
     avoided: HashMap<VmId, Moment>,
 }
@@ -239,6 +241,14 @@
         self.news.notify_one();
     }
 
+    /// Has the planner ask the members of a head's group.
+    pub(crate) fn doubt(&self, head: &VmId) {
+        let now = self.now();
+        self.beliefs.borrow_mut().doubted.insert(head.clone(), now);
+        self.changed.notify_one();
+        self.news.notify_one();
+    }
+
     /// Sends a server no requests for a while.
     pub(crate) fn avoid(&self, vm: &VmId, pause: Duration) {
         let until = self.now() + pause;
@@ -279,11 +289,18 @@
         recent.map(|(vm, _)| vm.clone()).collect()
     }
 
+    /// Returns the heads that this VM doubts.
+    pub(crate) fn doubted(&self, now: Moment) -> Vec<VmId> {
+        let recent = self.doubted.iter().filter(|(_, at)| now.since(**at) < FOUND_SUSPECT_TOLD);
+        recent.map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Forgets what no longer matters.
     pub(crate) fn expire(&mut self, now: Moment) {
         self.loads.expire(now);
         self.suspects.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
         self.found.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
+        self.doubted.retain(|_, it| now.since(*it) < FOUND_SUSPECT_TOLD);
         self.avoided.retain(|_, it| now < *it);
         let Self { failures, servers, paces, .. } = self;
         failures.retain(|vm| servers.contains_key(vm));
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -26,6 +26,8 @@
     from: Arc<str>,
     in_flight: Vec<(VmId, u32)>,
     suspects: Vec<VmId>,
+    /// Heads to which connections failed.
+    doubted: Vec<VmId>,
     /// Heads with streams, and the milliseconds since their last signs of life.
     signs: Vec<(VmId, u32)>,
     has_traffic: bool,
@@ -75,6 +77,11 @@
     if message.has_traffic {
         front.has_traffic.set(true);
     }
+    if front.planner_term.get().is_some() {
+        for head in &message.doubted {
+            front.doubt(head);
+        }
+    }
     for head in message.suspects {
         if !front.is_suspect(&head) {
             front.suspect(&head);
@@ -116,6 +123,7 @@
         from: Arc::clone(&front.vm.name),
         in_flight: own.map(|(vm, count)| (vm.clone(), *count)).collect(),
         suspects: beliefs.found_suspects(now),
+        doubted: beliefs.doubted(now),
         signs: signs.collect(),
         has_traffic: front.has_traffic.get(),
         paces: if front.planner_term.get().is_some() { paces.collect() } else { Vec::new() },
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -95,6 +95,9 @@
         for head in beliefs.suspects(now) {
             planner.suspect(&head, now);
         }
+        for head in beliefs.doubted(now) {
+            planner.doubt(&head);
+        }
         let listed = beliefs.servers.values().filter(|it| it.service == *service);
         let steps = planner.step(listed, now);
         let paces = beliefs.servers.keys().map(|vm| (vm.clone(), planner.pace(vm)));
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -185,7 +185,7 @@
         Ok(it) => Some(it),
         Err(error) => {
             plain::failed_to_connect(call, vm, error);
-            call.front.found_suspect(vm);
+            call.front.doubt(vm);
             None
         }
     }
@@ -229,7 +229,7 @@
         Ok(it) => it,
         Err(_) => {
             if !is_reused {
-                call.front.found_suspect(vm);
+                call.front.doubt(vm);
             }
             return Err(NotBegun::MayHaveRun("connection broke", ResultCode::BackendBroken));
         }
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -260,18 +260,19 @@
 
     /// Marks a group whose streams stand still, by its head.
     pub fn suspect(&mut self, head: &VmId, now: Moment) {
-        let groups = self.plans.values().flat_map(|it| &it.plan.groups);
-        let Some(group) = groups.filter(|it| !it.is_dissolving).find(|it| {
-            it.head().is_some_and(|it| it.vm == *head)
-        }) else {
-            return;
-        };
+        let Some(group) = self.group_of_head(head) else { return };
         let notes = self.notes.entry((group.group.clone(), group.incarnation)).or_default();
         let is_new = notes.suspect_at.is_none_or(|it| now.since(it) > SUSPECT_PAUSE);
         if is_new {
             notes.suspect_since = Some(now);
         }
         notes.suspect_at = Some(now);
+        self.doubt(head);
+    }
+
+    /// Asks all members of a head's group soon.
+    pub fn doubt(&mut self, head: &VmId) {
+        let Some(group) = self.group_of_head(head) else { return };
         for vm in group.vms() {
             if let Some(known) = self.known.get_mut(vm) {
                 known.contact.suspect();
@@ -279,6 +280,14 @@
         }
     }
 
+    fn group_of_head(&self, head: &VmId) -> Option<PlannedGroup> {
+        let mut groups = self.plans.values().flat_map(|it| &it.plan.groups);
+        let is_of_head = |it: &&PlannedGroup| {
+            !it.is_dissolving && it.head().is_some_and(|it| it.vm == *head)
+        };
+        groups.find(is_of_head).cloned()
+    }
+
     /// Returns the slowness that a server last reported.
     pub fn pace(&self, vm: &VmId) -> f64 {
         self.known.get(vm).map_or(1.0, |it| it.contact.pace())
