--- a/bins/mangocross-front/src/front.rs
+++ b/bins/mangocross-front/src/front.rs
@@ -31,6 +31,7 @@
 use crate::leases::PlannerTerm;
 use crate::log_rate::LogRate;
 use crate::metrics::FrontMetrics;
+use crate::peers::PEERS_SMALL_MAX;
 use crate::pool::Pool;
 use crate::store::StoreClient;
 
@@ -45,7 +46,7 @@
 /// Time for which a suspect group gets no new streams.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(700);
 /// Part of the revocation bound after which this VM asks for no new callers.
-const READY_PART: f64 = 0.55;
+const READY_PART: f64 = 0.7;
 
 /// A key of this system in the store.
 #[derive(Debug, Clone)]
@@ -60,6 +61,8 @@
     pub(crate) configuration: Option<Arc<TrafficConfiguration>>,
     pub(crate) freshness: FreshnessProof,
     pub(crate) servers: BTreeMap<VmId, BackendServer>,
+    /// Revisions of the servers' entries or of their removal.
+    pub(crate) server_revisions: HashMap<VmId, Revision>,
     /// Servers whose entries were missing when the store came back.
     pub(crate) missing_since: HashMap<VmId, Moment>,
     pub(crate) own_keys: BTreeMap<Arc<str>, OwnKey>,
@@ -72,6 +75,8 @@
     suspects: HashMap<VmId, Moment>,
     /// Suspects that this VM found by itself.
     found: HashMap<VmId, Moment>,
+    /// Entries of servers that the other entry VMs are to be sent.
+    pub(crate) relayed: Vec<(Revision, BackendServer)>,
     /// Heads whose groups the planner is to ask, since connections to them failed.
     doubted: HashMap<VmId, Moment>,
     /// Servers that get no requests, and until when.
@@ -195,6 +200,11 @@
         self.has_traffic.set(true);
     }
 
+    /// Returns whether counts of other entry VMs come at long intervals only.
+    pub(crate) fn has_old_counts(&self) -> bool {
+        self.beliefs.borrow().peers.len() > PEERS_SMALL_MAX
+    }
+
     /// Returns the heads that take requests for a model and are not suspect.
     pub(crate) fn heads(
         &self,
@@ -241,12 +251,23 @@
         self.news.notify_one();
     }
 
+    /// Passes a server's entry on to the other entry VMs.
+    pub(crate) fn relay(&self, revision: Revision, server: &BackendServer) {
+        if server.engine.domain.is_some() {
+            self.beliefs.borrow_mut().relayed.push((revision, server.clone()));
+            self.news.notify_one();
+        }
+    }
+
     /// Has the planner ask the members of a head's group.
     pub(crate) fn doubt(&self, head: &VmId) {
         let now = self.now();
         self.beliefs.borrow_mut().doubted.insert(head.clone(), now);
-        self.changed.notify_one();
-        self.news.notify_one();
+        if self.planner_term.get().is_some() {
+            self.changed.notify_one();
+        } else {
+            self.news.notify_one();
+        }
     }
 
     /// Sends a server no requests for a while.
@@ -298,6 +319,7 @@
     /// Forgets what no longer matters.
     pub(crate) fn expire(&mut self, now: Moment) {
         self.loads.expire(now);
+        self.progress.expire(now);
         self.suspects.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
         self.found.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
         self.doubted.retain(|_, it| now.since(*it) < FOUND_SUSPECT_TOLD);
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -1,4 +1,8 @@
-//! Messages between entry VMs: requests in progress and suspects.
+//! Messages between entry VMs: requests in progress, suspects, changed servers.
+//!
+//! In small fleets each entry VM tells all others its counts. In large ones each
+//! tells the planner, which adds them up and tells all: two messages for each VM
+//! and interval instead of one for each pair.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -6,32 +10,52 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mangocross_serving::BackendServer;
+use mangocross_types::Revision;
 use mangocross_types::VmId;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
 use crate::front::Front;
+use crate::leases::PLANNER_KEY;
+use crate::watching;
 
-/// Least time between two messages to a peer.
-const INTERVAL_MIN: Duration = Duration::from_millis(100);
-/// Added to the interval for each peer, which bounds the messages that each VM gets.
-const INTERVAL_PER_PEER: Duration = Duration::from_millis(10);
+/// Time between two messages in small fleets.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two messages in large fleets; the planner gets one from each entry VM.
+const INTERVAL_LARGE: Duration = Duration::from_millis(250);
+/// Other entry VMs up to which all tell all.
+pub(crate) const PEERS_SMALL_MAX: usize = 16;
+/// Least time between two messages with news.
+const NEWS_INTERVAL: Duration = Duration::from_millis(30);
 /// Largest message.
 const MESSAGE_BYTES_MAX: usize = 16 << 10;
+/// Servers' entries in one message, which keeps it below the usual size of a packet.
+const ENTRIES_MAX: usize = 5;
 
-/// What an entry VM tells the others.
+/// What an entry VM tells another.
 #[derive(Debug, Serialize, Deserialize)]
-struct Message {
+enum Message {
+    /// Counts of the sender.
+    Counts(Counts),
+    /// Counts of all entry VMs, from the planner.
+    Totals(Counts),
+    /// Heads whose streams stand still, and heads to which connections failed.
+    Doubts { suspects: Vec<VmId>, doubted: Vec<VmId> },
+    /// Entries of servers, from the planner.
+    Entries(Vec<(Revision, BackendServer)>),
+}
+
+/// Requests in progress and what goes with them.
+#[derive(Debug, Serialize, Deserialize)]
+struct Counts {
     from: Arc<str>,
     in_flight: Vec<(VmId, u32)>,
-    suspects: Vec<VmId>,
-    /// Heads to which connections failed.
-    doubted: Vec<VmId>,
-    /// Heads with streams, and the milliseconds since their last signs of life.
+    /// Heads and the milliseconds since their last signs of life.
     signs: Vec<(VmId, u32)>,
     has_traffic: bool,
-    /// Slowness of engines, from the entry VM that plans.
+    /// Slowness of engines, from the planner.
     paces: Vec<(VmId, f32)>,
 }
 
@@ -43,7 +67,8 @@
         .map_err(|it| format!("[8102] {address} cannot be bound for peers: {it}"))?;
     let socket = Rc::new(socket);
     tokio::task::spawn_local(receive(Rc::clone(front), Rc::clone(&socket)));
-    tokio::task::spawn_local(send(Rc::clone(front), socket));
+    tokio::task::spawn_local(send_counts(Rc::clone(front), Rc::clone(&socket)));
+    tokio::task::spawn_local(send_news(Rc::clone(front), socket));
     Ok(())
 }
 
@@ -51,81 +76,145 @@
     let mut buffer = vec![0; MESSAGE_BYTES_MAX];
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
-        let Ok(message) = postcard::from_bytes::<Message>(&buffer[..length]) else {
-            if front.log_rate.admit("message ignored", front.now()).is_some() {
-                log::warn!(from:% = from; "message of a peer cannot be decoded");
+        match postcard::from_bytes(&buffer[..length]) {
+            Ok(Message::Counts(counts)) => take_counts(&front, counts, false),
+            Ok(Message::Totals(counts)) => take_counts(&front, counts, true),
+            Ok(Message::Doubts { suspects, doubted }) => take_doubts(&front, &suspects, &doubted),
+            Ok(Message::Entries(entries)) => {
+                for (revision, server) in entries {
+                    watching::take_server(&front, revision, server);
+                }
             }
-            continue;
-        };
-        take(&front, message);
+            Err(error) => {
+                if front.log_rate.admit("message ignored", front.now()).is_some() {
+                    log::warn!(from:% = from, error:% = error; "message of a peer ignored");
+                }
+            }
+        }
     }
 }
 
-fn take(front: &Front, message: Message) {
+fn take_counts(front: &Front, counts: Counts, are_totals: bool) {
     let now = front.now();
-    let in_flight: HashMap<VmId, u32> = message.in_flight.into_iter().collect();
+    let in_flight: HashMap<VmId, u32> = counts.in_flight.into_iter().collect();
     let mut beliefs = front.beliefs.borrow_mut();
-    beliefs.loads.heard(message.from, in_flight, now);
-    for (head, age_ms) in &message.signs {
+    if are_totals {
+        beliefs.loads.heard_totals(in_flight, now);
+    } else {
+        beliefs.loads.heard(counts.from, in_flight, now);
+    }
+    for (head, age_ms) in &counts.signs {
         beliefs.progress.sign(head, now.before(Duration::from_millis(u64::from(*age_ms))));
     }
-    if front.planner_term.get().is_none() && !message.paces.is_empty() {
-        let paces = message.paces.into_iter().map(|(vm, it)| (vm, f64::from(it)));
+    if front.planner_term.get().is_none() && !counts.paces.is_empty() {
+        let paces = counts.paces.into_iter().map(|(vm, it)| (vm, f64::from(it)));
         beliefs.paces = paces.collect();
     }
-    drop(beliefs);
-    if message.has_traffic {
+    if counts.has_traffic {
         front.has_traffic.set(true);
     }
+}
+
+fn take_doubts(front: &Front, suspects: &[VmId], doubted: &[VmId]) {
     if front.planner_term.get().is_some() {
-        for head in &message.doubted {
+        for head in doubted {
             front.doubt(head);
         }
     }
-    for head in message.suspects {
-        if !front.is_suspect(&head) {
-            front.suspect(&head);
+    for head in suspects {
+        if !front.is_suspect(head) {
+            front.suspect(head);
         }
     }
 }
 
-async fn send(front: Rc<Front>, socket: Rc<UdpSocket>) {
-    loop {
-        let peers: Vec<SocketAddr> = {
-            let beliefs = front.beliefs.borrow();
-            let others = beliefs.peers.iter().filter(|(name, _)| **name != front.vm.name);
-            others.map(|(_, it)| *it).collect()
-        };
-        let interval = INTERVAL_MIN.max(INTERVAL_PER_PEER * peers.len() as u32);
-        let pause = tokio::time::sleep(interval.mul_f64(0.8 + 0.4 * fastrand::f64()));
-        tokio::select! {
-            () = pause => {}
-            () = front.news.notified() => {}
+/// The other entry VMs.
+fn others(front: &Front) -> Vec<SocketAddr> {
+    let beliefs = front.beliefs.borrow();
+    let others = beliefs.peers.iter().filter(|(name, _)| **name != front.vm.name);
+    others.map(|(_, it)| *it).collect()
+}
+
+/// The entry VM that plans, if it is another one.
+fn planner(front: &Front) -> Option<SocketAddr> {
+    let beliefs = front.beliefs.borrow();
+    let name = std::str::from_utf8(&beliefs.own_keys.get(PLANNER_KEY)?.value).ok()?;
+    (name != front.vm.name.as_ref()).then(|| beliefs.peers.get(name).copied())?
+}
+
+fn send(socket: &UdpSocket, message: &Message, to: &[SocketAddr]) {
+    let data = match postcard::to_allocvec(message) {
+        Ok(it) => it,
+        Err(error) => {
+            log::error!(error:% = error; "message cannot be encoded");
+            return;
         }
-        let message = message(&front);
-        let Ok(data) = postcard::to_allocvec(&message) else { continue };
-        for peer in peers {
-            if let Err(error) = socket.try_send_to(&data, peer) {
-                log::debug!(peer:% = peer, error:% = error; "message not sent");
-            }
+    };
+    for peer in to {
+        if let Err(error) = socket.try_send_to(&data, *peer) {
+            log::debug!(peer:% = peer, error:% = error; "message not sent");
+        }
+    }
+}
+
+async fn send_counts(front: Rc<Front>, socket: Rc<UdpSocket>) {
+    loop {
+        let peers = others(&front);
+        let is_large = peers.len() > PEERS_SMALL_MAX;
+        let interval = if is_large { INTERVAL_LARGE } else { INTERVAL };
+        tokio::time::sleep(interval.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+        let is_planner = front.planner_term.get().is_some();
+        if !is_large {
+            send(&socket, &Message::Counts(counts(&front, false)), &peers);
+        } else if is_planner {
+            send(&socket, &Message::Totals(counts(&front, true)), &peers);
+        } else if let Some(planner) = planner(&front) {
+            send(&socket, &Message::Counts(counts(&front, false)), &[planner]);
+            front.beliefs.borrow_mut().loads.reported();
         }
     }
 }
 
-fn message(front: &Front) -> Message {
+fn counts(front: &Front, are_totals: bool) -> Counts {
     let now = front.now();
     let beliefs = front.beliefs.borrow();
-    let own = beliefs.loads.own().iter();
+    let in_flight = match are_totals {
+        true => beliefs.loads.totals(now),
+        false => beliefs.loads.own().clone(),
+    };
     let signs = beliefs.progress.signs(now);
-    let signs = signs.map(|(vm, age)| (vm.clone(), age.as_millis() as u32));
     let paces = beliefs.paces.iter().map(|(vm, it)| (vm.clone(), *it as f32));
-    Message {
+    Counts {
         from: Arc::clone(&front.vm.name),
-        in_flight: own.map(|(vm, count)| (vm.clone(), *count)).collect(),
-        suspects: beliefs.found_suspects(now),
-        doubted: beliefs.doubted(now),
-        signs: signs.collect(),
+        in_flight: in_flight.into_iter().collect(),
+        signs: signs.map(|(vm, age)| (vm.clone(), age.as_millis() as u32)).collect(),
         has_traffic: front.has_traffic.get(),
         paces: if front.planner_term.get().is_some() { paces.collect() } else { Vec::new() },
     }
 }
+
+/// Sends what must not wait for the next counts.
+async fn send_news(front: Rc<Front>, socket: Rc<UdpSocket>) {
+    loop {
+        front.news.notified().await;
+        let now = front.now();
+        let (suspects, doubted, entries) = {
+            let mut beliefs = front.beliefs.borrow_mut();
+            let entries = std::mem::take(&mut beliefs.relayed);
+            (beliefs.found_suspects(now), beliefs.doubted(now), entries)
+        };
+        let peers = others(&front);
+        if !suspects.is_empty() {
+            send(&socket, &Message::Doubts { suspects, doubted: Vec::new() }, &peers);
+        }
+        if !doubted.is_empty()
+            && let Some(planner) = planner(&front)
+        {
+            send(&socket, &Message::Doubts { suspects: Vec::new(), doubted }, &[planner]);
+        }
+        for some in entries.chunks(ENTRIES_MAX) {
+            send(&socket, &Message::Entries(some.to_vec()), &peers);
+        }
+        tokio::time::sleep(NEWS_INTERVAL).await;
+    }
+}
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use mangocross_platform::AnswerHead;
 use mangocross_serving::Admission;
+use mangocross_serving::Comparison;
 use mangocross_serving::EventSplitter;
 use mangocross_serving::GroupTimes;
 use mangocross_serving::HeadLoad;
@@ -171,7 +172,11 @@
         waited: call.record.age(),
         prompt_tokens: call.head.prompt_tokens,
     };
-    admit(&GroupTimes::new(engine, model), heads, &demand, queue)
+    let comparison = match call.front.has_old_counts() {
+        true => Comparison::Two(fastrand::f64(), fastrand::f64()),
+        false => Comparison::All,
+    };
+    admit(&GroupTimes::new(engine, model), heads, &demand, queue, comparison)
 }
 
 async fn connect(call: &Call, vm: &VmId, may_reuse: bool) -> Option<Connection> {
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -14,6 +14,7 @@
 use mangocross_platform::decode_configuration;
 use mangocross_platform::decode_server;
 use mangocross_platform::server_id;
+use mangocross_serving::BackendServer;
 use mangocross_serving::Moment;
 use mangocross_types::Revision;
 
@@ -29,11 +30,15 @@
 /// Prefix of the operators' keys.
 const OPERATORS_PREFIX: &str = "op/";
 /// Longest wait of one watch; each return proves the configuration fresh.
-const WATCH_WAIT: Duration = Duration::from_millis(1600);
+const WATCH_WAIT: Duration = Duration::from_millis(2400);
 /// Added to the wait before a silent watch is given up.
 const WATCH_SLACK: Duration = Duration::from_millis(900);
 /// Pause after changes, in which further ones gather; each call to the store is priced.
 const GATHER_PAUSE: Duration = Duration::from_millis(100);
+/// Added for each other entry VM; the planner passes changes of servers on meanwhile.
+const GATHER_PAUSE_PER_PEER: Duration = Duration::from_millis(11);
+/// Longest such pause; changes have to be in force within seconds.
+const GATHER_PAUSE_MAX: Duration = Duration::from_millis(1100);
 /// The same for the planner, which acts on the changes.
 const PLANNER_GATHER_PAUSE: Duration = Duration::from_millis(25);
 /// Pauses between attempts while the store is away.
@@ -103,7 +108,12 @@
         drop_missing(front);
         if has_changes {
             let is_planner = front.planner_term.get().is_some();
-            let pause = if is_planner { PLANNER_GATHER_PAUSE } else { GATHER_PAUSE };
+            let peers = front.beliefs.borrow().peers.len() as u32;
+            let pause = if is_planner {
+                PLANNER_GATHER_PAUSE
+            } else {
+                (GATHER_PAUSE + GATHER_PAUSE_PER_PEER * peers).min(GATHER_PAUSE_MAX)
+            };
             tokio::time::sleep(pause).await;
         }
     }
@@ -213,18 +223,10 @@
         .and_then(|vm| decode_server(vm, item.value.as_deref().unwrap_or_default()));
     match decoded {
         Ok(server) => {
-            let mut beliefs = front.beliefs.borrow_mut();
-            let is_new = !beliefs.servers.contains_key(&server.vm);
-            let was_leaving = beliefs.servers.get(&server.vm).is_some_and(|it| it.is_leaving);
-            if is_new || server.is_leaving != was_leaving {
-                log::info!(
-                    server:% = server.vm, service:% = server.service, address:% = server.address,
-                    is_leaving = server.is_leaving, revision = item.revision.0;
-                    "backend server seen"
-                );
+            if front.planner_term.get().is_some() {
+                front.relay(item.revision, &server);
             }
-            beliefs.missing_since.remove(&server.vm);
-            beliefs.servers.insert(server.vm.clone(), server);
+            take_server(front, item.revision, server);
         }
         Err(error) => {
             if front.log_rate.admit("entry ignored", front.now()).is_some() {
@@ -239,11 +241,37 @@
     }
 }
 
+/// Takes a server's entry, from the store or from the planner, unless a newer one is known.
+pub(crate) fn take_server(front: &Front, revision: Revision, server: BackendServer) {
+    let mut beliefs = front.beliefs.borrow_mut();
+    let known = beliefs.server_revisions.entry(server.vm.clone()).or_default();
+    if *known >= revision {
+        return;
+    }
+    *known = revision;
+    let is_new = !beliefs.servers.contains_key(&server.vm);
+    let was_leaving = beliefs.servers.get(&server.vm).is_some_and(|it| it.is_leaving);
+    if is_new || server.is_leaving != was_leaving {
+        log::info!(
+            server:% = server.vm, service:% = server.service, address:% = server.address,
+            is_leaving = server.is_leaving, revision = revision.0;
+            "backend server seen"
+        );
+    }
+    beliefs.missing_since.remove(&server.vm);
+    beliefs.servers.insert(server.vm.clone(), server);
+}
+
 fn remove(front: &Front, key: &str, revision: Revision, is_after_outage: bool) {
     let now = front.now();
     let mut beliefs = front.beliefs.borrow_mut();
     if key.starts_with(SERVERS_PREFIX) {
         let Ok(vm) = server_id(key) else { return };
+        let known = beliefs.server_revisions.entry(vm.clone()).or_default();
+        if *known > revision {
+            return;
+        }
+        *known = revision;
         log::info!(server:% = vm, revision = revision.0, is_after_outage; "backend server unlisted");
         if is_after_outage {
             beliefs.missing_since.entry(vm).or_insert(now);
--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -96,6 +96,18 @@
     NoGroup,
 }
 
+/// Which groups a stream is compared between.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Comparison {
+    /// All groups; right where counts are recent.
+    All,
+    /// Two groups at random, by numbers below 1.
+    ///
+    /// Where counts are old, all entry VMs would send to the same group until they
+    /// hear that it is full.
+    Two(f64, f64),
+}
+
 /// Chooses the group that begins a stream soonest.
 ///
 /// A stream that no group can begin within its aim is refused, so that those
@@ -106,15 +118,30 @@
     heads: &[HeadLoad],
     demand: &StreamDemand,
     late_queue: u32,
+    comparison: Comparison,
 ) -> Admission {
-    let rank = |it: &&HeadLoad| {
+    if let Comparison::Two(first, second) = comparison {
+        let at = |draw: f64| heads.get((draw * heads.len() as f64) as usize).cloned();
+        let two: Vec<HeadLoad> = [first, second].into_iter().filter_map(at).collect();
+        let chosen = admit_best(times, &two, demand, late_queue);
+        if matches!(chosen, Admission::Send(_)) {
+            return chosen;
+        }
+    }
+    admit_best(times, heads, demand, late_queue)
+}
+
+fn admit_best(
+    times: &GroupTimes,
+    heads: &[HeadLoad],
+    demand: &StreamDemand,
+    late_queue: u32,
+) -> Admission {
+    let rank = |it: &HeadLoad| {
         let time = times.first_event(it.in_flight, demand.prompt_tokens, it.pace);
         (it.pace > SLOW_PACE, time, it.in_flight)
     };
-    let Some(best) = heads.iter().min_by(|a, b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal))
-    else {
-        return Admission::NoGroup;
-    };
+    let Some(best) = heads.iter().min_by_key(|it| rank(it)) else { return Admission::NoGroup };
     let predicted = times.first_event(best.in_flight, demand.prompt_tokens, best.pace);
     let is_on_time = demand.waited + predicted <= demand.aim.mul_f64(AIM_PART);
     let has_place = best.in_flight < times.slots + late_queue;
--- a/crates/mangocross-serving/src/backend_server.rs
+++ b/crates/mangocross-serving/src/backend_server.rs
@@ -10,9 +10,11 @@
 use mangocross_types::Rank;
 use mangocross_types::ServiceId;
 use mangocross_types::VmId;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// How far a member is in its group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberPhase {
     /// Loads weights.
     Joining,
@@ -27,7 +29,7 @@
 }
 
 /// A backend server's place in a group.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
     /// The group.
     pub group: GroupId,
@@ -40,7 +42,7 @@
 }
 
 /// The part of a backend server's state that orders change.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineStatus {
     /// Fabric domain of the VM.
     pub domain: Option<FabricDomain>,
@@ -55,7 +57,7 @@
 }
 
 /// A backend server as the platform lists it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendServer {
     /// The VM; the platform names each life of a server, mostly anew.
     pub vm: VmId,
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -16,6 +16,7 @@
 mod traffic;
 
 pub use admission::Admission;
+pub use admission::Comparison;
 pub use admission::GroupTimes;
 pub use admission::HeadLoad;
 pub use admission::StreamDemand;
--- a/crates/mangocross-serving/src/load_table.rs
+++ b/crates/mangocross-serving/src/load_table.rs
@@ -26,6 +26,16 @@
 pub struct LoadTable {
     own: HashMap<VmId, u32>,
     peers: HashMap<Arc<str>, PeerCounts>,
+    totals: Option<Totals>,
+    /// Own counts as the entry VM that adds them up knows them.
+    reported: HashMap<VmId, u32>,
+}
+
+/// Counts of all entry VMs, added up by one of them.
+#[derive(Debug)]
+struct Totals {
+    heard_at: Moment,
+    in_flight: HashMap<VmId, u32>,
 }
 
 impl LoadTable {
@@ -54,8 +64,29 @@
         self.peers.insert(peer, PeerCounts { heard_at: now, in_flight });
     }
 
+    /// Takes the counts of all entry VMs together, this one's last report included.
+    pub fn heard_totals(&mut self, in_flight: HashMap<VmId, u32>, now: Moment) {
+        self.totals = Some(Totals { heard_at: now, in_flight });
+    }
+
+    /// Records that the own counts were sent to the entry VM that adds them up.
+    pub fn reported(&mut self) {
+        self.reported.clone_from(&self.own);
+    }
+
+    /// Returns the counts of all entry VMs together, as far as they were heard.
+    pub fn totals(&self, now: Moment) -> HashMap<VmId, u32> {
+        let mut totals = self.own.clone();
+        let recent = self.peers.values().filter(|it| now.since(it.heard_at) < COUNTS_AGE_MAX);
+        for (vm, count) in recent.flat_map(|it| &it.in_flight) {
+            *totals.entry(vm.clone()).or_default() += count;
+        }
+        totals
+    }
+
     /// Forgets entry VMs that have been silent.
     pub fn expire(&mut self, now: Moment) {
+        self.totals.take_if(|it| now.since(it.heard_at) >= COUNTS_AGE_MAX);
         self.peers.retain(|_, it| now.since(it.heard_at) < COUNTS_AGE_MAX);
     }
 
@@ -66,6 +97,14 @@
 
     /// Returns the requests in progress at a server, as far as is known.
     pub fn in_flight(&self, vm: &VmId, now: Moment) -> u32 {
+        if let Some(totals) = &self.totals
+            && now.since(totals.heard_at) < COUNTS_AGE_MAX
+        {
+            let all = totals.in_flight.get(vm).copied().unwrap_or_default();
+            let reported = self.reported.get(vm).copied().unwrap_or_default();
+            let own = self.own.get(vm).copied().unwrap_or_default();
+            return all.saturating_sub(reported) + own;
+        }
         let recent = self.peers.values().filter(|it| now.since(it.heard_at) < COUNTS_AGE_MAX);
         let of_peers: u32 = recent.filter_map(|it| it.in_flight.get(vm)).sum();
         self.own.get(vm).copied().unwrap_or_default() + of_peers
--- a/crates/mangocross-serving/src/planner/contact.rs
+++ b/crates/mangocross-serving/src/planner/contact.rs
@@ -34,6 +34,10 @@
         self.has_no_process || self.misses >= MISSES_MAX
     }
 
+    pub(super) fn is_silent(&self) -> bool {
+        self.misses > 0
+    }
+
     /// Returns whether its connections are refused, which proves that no process runs.
     pub(super) fn has_no_process(&self) -> bool {
         self.has_no_process
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -54,6 +54,10 @@
 /// Servers of a domain come one by one; groups of the first few would leave no
 /// room for a large one.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
+/// Part of the listed servers that may be silent before nothing is decided.
+///
+/// A whole fabric domain is a sixth of the servers in the smallest deployments.
+const CUT_OFF_PART: f64 = 0.35;
 /// Time that a server's entry may be missing before the server is forgotten.
 const FORGET_UNLISTED: Duration = Duration::from_secs(30);
 
@@ -307,6 +311,10 @@
         self.learn(listed, now);
         self.loads.refill(now, self.engine.loads_per_s);
         let mut steps = Vec::new();
+        if self.is_cut_off() {
+            self.probe(now, &mut steps);
+            return steps;
+        }
         let domains: Vec<FabricDomain> = self.plans.keys().cloned().collect();
         let mut drafts = Vec::new();
         for domain in domains {
@@ -370,6 +378,15 @@
         self.known.retain(|_, it| !forget(it));
     }
 
+    /// Returns whether so many servers are silent that the fault is this VM's.
+    fn is_cut_off(&self) -> bool {
+        let listed = self.known.values().filter(|it| it.unlisted_at.is_none());
+        let (silent, all) = listed.fold((0, 0), |(silent, all), it| {
+            (silent + usize::from(it.contact.is_silent()), all + 1)
+        });
+        silent as f64 > CUT_OFF_PART * f64::from(all)
+    }
+
     fn membership(&self, vm: &VmId) -> Option<&Membership> {
         self.known.get(vm)?.server.engine.membership.as_ref()
     }
--- a/crates/mangocross-serving/src/progress.rs
+++ b/crates/mangocross-serving/src/progress.rs
@@ -16,6 +16,8 @@
 const SILENCE_OF_FEW: Duration = Duration::from_millis(600);
 /// Silence after which a group is suspect though none of its streams has begun.
 const SILENCE_BEFORE_FIRST: Duration = Duration::from_millis(1500);
+/// Age after which a sign tells nothing more.
+const SIGN_AGE_MAX: Duration = Duration::from_secs(1);
 /// Streams that count as many.
 const MANY_STREAMS: u32 = 3;
 
@@ -27,7 +29,6 @@
     begun: u32,
     /// Start of the first stream, or the last sign where that was later.
     silent_since: Moment,
-    last_sign: Option<Moment>,
 }
 
 /// When each group last showed a sign of life.
@@ -37,12 +38,14 @@
 #[derive(Debug, Default)]
 pub struct ProgressTable {
     groups: HashMap<VmId, Progress>,
+    /// Last signs of all heads, those without own streams included.
+    signs: HashMap<VmId, Moment>,
 }
 
 impl ProgressTable {
     /// Records a stream that was sent to a head.
     pub fn started(&mut self, head: &VmId, now: Moment) {
-        let first = Progress { streams: 0, begun: 0, silent_since: now, last_sign: None };
+        let first = Progress { streams: 0, begun: 0, silent_since: now };
         let group = self.groups.entry(head.clone()).or_insert(first);
         group.streams += 1;
     }
@@ -56,8 +59,9 @@
 
     /// Records bytes from a head.
     pub fn sign(&mut self, head: &VmId, at: Moment) {
+        let sign = self.signs.entry(head.clone()).or_insert(at);
+        *sign = at.max(*sign);
         if let Some(group) = self.groups.get_mut(head) {
-            group.last_sign = group.last_sign.max(Some(at));
             group.silent_since = group.silent_since.max(at);
         }
     }
@@ -73,9 +77,14 @@
         }
     }
 
-    /// Returns the heads that showed a sign and its age.
+    /// Returns the heads that showed a sign lately, and the ages of the last ones.
     pub fn signs(&self, now: Moment) -> impl Iterator<Item = (&VmId, Duration)> {
-        self.groups.iter().filter_map(move |(vm, it)| Some((vm, now.since(it.last_sign?))))
+        self.signs.iter().map(move |(vm, at)| (vm, now.since(*at)))
+    }
+
+    /// Forgets old signs.
+    pub fn expire(&mut self, now: Moment) {
+        self.signs.retain(|_, at| now.since(*at) < SIGN_AGE_MAX);
     }
 
     /// Returns the heads whose streams all have been silent for too long.
