fix(serving): track heads of earlier incarnations until they are out

Found with it: the planner's link was filled by entries passed on twice and by doubts sent to all, so that it judged sound members silent.

--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -22,6 +22,11 @@
 const TIME_TO_LIVE: Duration = Duration::from_millis(2000);
 /// Time between renewals; two may be lost.
 const RENEW_INTERVAL: Duration = Duration::from_millis(600);
+/// Longest time that an entry VM lets better ones go first.
+const HANDICAP_MAX: Duration = Duration::from_millis(400);
+/// Part of a core, and rate of a link, from which on an entry VM plans with ease.
+const AMPLE_CORE_SHARE: f64 = 0.25;
+const AMPLE_LINK_MBPS: f64 = 100.0;
 /// Spread of the attempts to become the planner, for each entry VM.
 const ELECTION_SPREAD: Duration = Duration::from_millis(8);
 
@@ -104,6 +109,13 @@
     }
 }
 
+/// Returns how long an entry VM with little processor or network lets the others go first.
+fn handicap(front: &Front) -> Duration {
+    let core = (front.vm.core_share / AMPLE_CORE_SHARE).min(1.0);
+    let link = (front.vm.link_mbps / AMPLE_LINK_MBPS).min(1.0);
+    HANDICAP_MAX.mul_f64(1.0 - core.min(link))
+}
+
 /// Takes the planner's key if nobody holds it.
 async fn run_for_planner(front: &Front, lease: u64) -> Result<(), StoreError> {
     let is_vacant = || !front.beliefs.borrow().own_keys.contains_key(PLANNER_KEY);
@@ -111,7 +123,8 @@
         return Ok(());
     }
     let entry_vms = front.beliefs.borrow().peers.len().max(1) as u32;
-    tokio::time::sleep((ELECTION_SPREAD * entry_vms).mul_f64(fastrand::f64())).await;
+    let spread = (ELECTION_SPREAD * entry_vms).mul_f64(fastrand::f64());
+    tokio::time::sleep(handicap(front) + spread).await;
     if !is_vacant() {
         return Ok(());
     }
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -223,10 +223,12 @@
         .and_then(|vm| decode_server(vm, item.value.as_deref().unwrap_or_default()));
     match decoded {
         Ok(server) => {
-            if front.planner_term.get().is_some() {
-                front.relay(item.revision, &server);
+            let is_planner = front.planner_term.get().is_some();
+            let relayed = is_planner.then(|| server.clone());
+            let is_newer = take_server(front, item.revision, server);
+            if let Some(server) = relayed.filter(|_| is_newer) {
+                front.relay(item.revision, server);
             }
-            take_server(front, item.revision, server);
         }
         Err(error) => {
             if front.log_rate.admit("entry ignored", front.now()).is_some() {
@@ -241,12 +243,12 @@
     }
 }
 
-/// Takes a server's entry, from the store or from the planner, unless a newer one is known.
-pub(crate) fn take_server(front: &Front, revision: Revision, server: BackendServer) {
+/// Takes a server's entry, from the store or from the planner, unless it is known already.
+pub(crate) fn take_server(front: &Front, revision: Revision, server: BackendServer) -> bool {
     let mut beliefs = front.beliefs.borrow_mut();
     let known = beliefs.server_revisions.entry(server.vm.clone()).or_default();
     if *known >= revision {
-        return;
+        return false;
     }
     *known = revision;
     let is_new = !beliefs.servers.contains_key(&server.vm);
@@ -260,6 +262,7 @@
     }
     beliefs.missing_since.remove(&server.vm);
     beliefs.servers.insert(server.vm.clone(), server);
+    true
 }
 
 fn remove(front: &Front, key: &str, revision: Revision, is_after_outage: bool) {
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -35,6 +35,7 @@
 pub use moment::BootClock;
 pub use moment::Moment;
 pub use planner::DomainPlan;
+pub use planner::FormerHead;
 pub use planner::GroupPlanner;
 pub use planner::PlannedGroup;
 pub use planner::PlannedMember;
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -22,6 +22,7 @@
 use self::contact::Contact;
 use self::loads::LoadAllowance;
 pub use self::plan::DomainPlan;
+pub use self::plan::FormerHead;
 pub use self::plan::PlannedGroup;
 pub use self::plan::PlannedMember;
 use crate::BackendServer;
@@ -151,6 +152,8 @@
     orders: HashMap<VmId, GivenOrder>,
     notes: HashMap<GroupKey, GroupNotes>,
     loads: LoadAllowance,
+    /// Heads whose streams went on lately.
+    signs: HashSet<VmId>,
     /// When the latest server of each fabric domain appeared.
     grown_at: HashMap<FabricDomain, Moment>,
 }
@@ -176,6 +179,7 @@
             orders: HashMap::new(),
             notes: HashMap::new(),
             loads: LoadAllowance::default(),
+            signs: HashSet::new(),
             grown_at: HashMap::new(),
         }
     }
@@ -262,6 +266,14 @@
         }
     }
 
+    /// Takes the heads that showed a sign of life within a few token steps.
+    ///
+    /// A group moves only while all its members are there, so members of these
+    /// groups are not lost, whatever became of the questions to them.
+    pub fn set_signs(&mut self, heads: HashSet<VmId>) {
+        self.signs = heads;
+    }
+
     /// Marks a group whose streams stand still, by its head.
     pub fn suspect(&mut self, head: &VmId, now: Moment) {
         let Some(group) = self.group_of_head(head) else { return };
@@ -409,7 +421,9 @@
             .known
             .values()
             .filter(|it| it.server.engine.domain.as_ref() == Some(domain) && self.is_usable(it));
-        let free = in_domain.filter(|it| !plan.holds(&it.server.vm) && !self.heads_stray(it));
+        let free = in_domain.filter(|it| {
+            !plan.holds(&it.server.vm) && !self.heads_stray(it) && !is_detained(it, plan)
+        });
         free.map(|it| it.server.vm.clone()).collect()
     }
 
@@ -459,6 +473,9 @@
                     }
                 }
             }
+            if !group.is_dissolving {
+                self.prune_former_heads(&mut group, now, steps);
+            }
             draft.plan.groups.push(group);
         }
         draft
@@ -486,6 +503,10 @@
         if survivors.is_empty() || missing > spares.len() {
             return false;
         }
+        if let Some(head) = group.head().cloned() {
+            let incarnation = group.incarnation;
+            group.former_heads.push(FormerHead { member: head, incarnation });
+        }
         let added = self.choose_members(spares.clone(), missing, &group.model);
         spares.retain(|vm| added.iter().all(|it| it.vm != *vm));
         group.members = survivors;
@@ -502,10 +523,29 @@
 
     /// Returns whether a group that is given up can no longer serve, so that its members are free.
     fn is_released(&mut self, group: &PlannedGroup, now: Moment, steps: &mut Vec<Step>) -> bool {
-        let key = (group.group.clone(), group.incarnation);
-        let Some(head) = group.head() else { return true };
+        let mut heads = group.former_heads.clone();
+        if let Some(head) = group.head().cloned() {
+            heads.push(FormerHead { member: head, incarnation: group.incarnation });
+        }
+        let mut are_out = true;
+        for head in &heads {
+            are_out &= self.is_out(group, head, now, steps);
+        }
+        are_out
+    }
+
+    /// Returns whether a head can no longer take requests, and sees to it that it cannot.
+    fn is_out(
+        &mut self,
+        group: &PlannedGroup,
+        head: &FormerHead,
+        now: Moment,
+        steps: &mut Vec<Step>,
+    ) -> bool {
+        let vm = &head.member.vm;
+        let key = (group.group.clone(), head.incarnation);
         let leave =
-            EngineOrder::Leave { group: group.group.clone(), incarnation: group.incarnation };
+            EngineOrder::Leave { group: group.group.clone(), incarnation: head.incarnation };
         let notes = self.notes.entry(key).or_default();
         if notes.has_left {
             return true;
@@ -514,51 +554,74 @@
         if stalled_for.is_some_and(|it| it > self.stall + STALL_MARGIN) {
             return true;
         }
-        let Some(known) = self.known.get(&head.vm) else {
-            return self.leave_by_member(group, &leave, now, steps);
+        let Some(known) = self.known.get(vm) else {
+            return self.leave_by_member(group, head, &leave, now, steps);
         };
-        let is_reborn = known.server.engine.born_unix_ms != head.born_unix_ms;
+        let is_reborn = known.server.engine.born_unix_ms != head.member.born_unix_ms;
         if is_reborn || known.contact.has_no_process() {
             return true;
         }
-        if known.contact.is_lost() {
-            return self.leave_by_member(group, &leave, now, steps);
+        let phase = known.server.engine.membership.as_ref().and_then(|it| {
+            let is_same = it.group == group.group && it.incarnation == head.incarnation;
+            is_same.then_some(it.phase)
+        });
+        // A membership that was seen to end does not come back under the same incarnation.
+        if matches!(phase, None | Some(MemberPhase::Broken)) {
+            return true;
         }
-        match self.phase_in(&head.vm, group) {
-            None | Some(MemberPhase::Broken) => true,
-            Some(_) => {
-                self.order(&head.vm, leave, now, steps);
-                false
-            }
+        if known.contact.is_lost() {
+            return self.leave_by_member(group, head, &leave, now, steps);
         }
+        self.order(vm, leave, now, steps);
+        false
     }
 
-    /// Breaks a group whose head cannot be reached by taking a member out of it.
+    /// Breaks an incarnation whose head cannot be reached by taking members out of it.
     fn leave_by_member(
         &mut self,
         group: &PlannedGroup,
+        head: &FormerHead,
         leave: &EngineOrder,
         now: Moment,
         steps: &mut Vec<Step>,
     ) -> bool {
-        let members: Vec<VmId> = group.vms().skip(1).cloned().collect();
-        let mut can_ask = false;
-        for vm in members {
-            let Some(known) = self.known.get(&vm) else { continue };
-            if !known.contact.is_lost() {
-                can_ask = true;
-                self.order(&vm, leave.clone(), now, steps);
-            }
-        }
-        // Members that are gone as well left the head standing still before.
-        if !can_ask {
-            let key = (group.group.clone(), group.incarnation);
+        let key = (group.group.clone(), head.incarnation);
+        let of_incarnation = |it: &&Known| {
+            it.server.vm != head.member.vm
+                && it.server.engine.membership.as_ref().is_some_and(|it| {
+                    it.group == group.group && it.incarnation == head.incarnation
+                })
+        };
+        let members = self.known.values().filter(of_incarnation);
+        let reachable: Vec<VmId> = members
+            .filter(|it| !it.contact.is_lost())
+            .map(|it| it.server.vm.clone())
+            .collect();
+        if reachable.is_empty() {
+            // All others have left it, joined again or are gone: it stands still already.
             let notes = self.notes.entry(key).or_default();
             notes.member_left_at = notes.member_left_at.or(Some(now));
         }
+        for vm in reachable {
+            self.order(&vm, leave.clone(), now, steps);
+        }
         false
     }
 
+    /// Drops the former heads that are out of a group.
+    fn prune_former_heads(
+        &mut self,
+        group: &mut PlannedGroup,
+        now: Moment,
+        steps: &mut Vec<Step>,
+    ) {
+        for head in std::mem::take(&mut group.former_heads) {
+            if !self.is_out(group, &head, now, steps) {
+                group.former_heads.push(head);
+            }
+        }
+    }
+
     fn judge(&mut self, group: &PlannedGroup, spares: usize, now: Moment) -> Verdict {
         let key = (group.group.clone(), group.incarnation);
         let mut orders = Vec::new();
@@ -567,6 +630,7 @@
         let mut leaving_at: Option<Moment> = None;
         let mut notes = self.notes.remove(&key).unwrap_or_default();
         let seen_at = *notes.seen_at.get_or_insert(now);
+        let goes_on = group.head().is_some_and(|it| self.signs.contains(&it.vm));
         let verdict = 'verdict: {
             for (rank, member) in group.members.iter().enumerate() {
                 let Some(known) = self.known.get(&member.vm) else {
@@ -579,7 +643,7 @@
                 if known.server.engine.born_unix_ms != member.born_unix_ms {
                     break 'verdict Verdict::Replace(format!("{} was restarted", member.vm));
                 }
-                if known.contact.is_lost() {
+                if known.contact.is_lost() && !goes_on {
                     break 'verdict Verdict::Replace(format!("{} does not answer", member.vm));
                 }
                 if rank == 0 && known.unlisted_at.is_some() {
@@ -720,6 +784,7 @@
                 incarnation: Incarnation(incarnation),
                 model: model.model.clone(),
                 members,
+                former_heads: Vec::new(),
                 is_dissolving: false,
             });
         }
@@ -830,6 +895,13 @@
     }
 }
 
+/// Returns whether a server was a member of an earlier incarnation whose head may still be open.
+fn is_detained(known: &Known, plan: &DomainPlan) -> bool {
+    known.server.engine.membership.as_ref().is_some_and(|membership| {
+        plan.groups.iter().any(|it| it.group == membership.group && !it.former_heads.is_empty())
+    })
+}
+
 #[derive(Debug)]
 struct Draft {
     domain: FabricDomain,
--- a/crates/mangocross-serving/src/planner/plan.rs
+++ b/crates/mangocross-serving/src/planner/plan.rs
@@ -16,6 +16,15 @@
     pub born_unix_ms: u64,
 }
 
+/// A head of an earlier incarnation that may still take requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FormerHead {
+    /// The head.
+    pub member: PlannedMember,
+    /// Incarnation that it headed.
+    pub incarnation: Incarnation,
+}
+
 /// A group as it is planned.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannedGroup {
@@ -27,6 +36,10 @@
     pub model: ModelId,
     /// Members in rank order; the first one is the head.
     pub members: Vec<PlannedMember>,
+    /// Heads of earlier incarnations that are not known to be out of the group.
+    ///
+    /// Until they are, members that the group has lost join no other group.
+    pub former_heads: Vec<FormerHead>,
     /// Whether the group is given up. Its members are free once the head is out of it.
     pub is_dissolving: bool,
 }
