--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -18,7 +18,11 @@
 pub(crate) const ENTRY_VMS_PREFIX: &str = "mangocross/entry/";
 /// Key of the entry VM that plans.
 pub(crate) const PLANNER_KEY: &str = "mangocross/planner";
-/// Time that the lease lasts; bounds the time without a planner after a crash.
+/// Time that an entry VM's address outlasts it.
+const PRESENCE_TIME_TO_LIVE: Duration = Duration::from_millis(7000);
+/// Time between renewals of the address.
+const PRESENCE_RENEW_INTERVAL: Duration = Duration::from_millis(2000);
+/// Time that the planner's lease lasts; bounds the time without a planner after a crash.
 const TIME_TO_LIVE: Duration = Duration::from_millis(2000);
 /// Time between renewals; two may be lost.
 const RENEW_INTERVAL: Duration = Duration::from_millis(600);
@@ -64,37 +68,78 @@
 
 /// Asks for a lease and renews it; returns when it has ended.
 async fn hold(front: &Front) -> Result<(), StoreError> {
-    let (status, body) = front.store.call(StoreCall::lease(TIME_TO_LIVE), CALL_TIMEOUT).await?;
-    if status != StatusCode::OK {
-        return Err(StoreError::Refused { status });
-    }
-    let lease = WriteOutcome::decode_lease(&body)?;
-    publish(front, lease).await?;
-    let mut confirmed_at;
+    let presence = grant(front, PRESENCE_TIME_TO_LIVE).await?;
+    publish(front, presence).await?;
     loop {
-        confirmed_at = front.now();
-        let (status, _) = front.store.call(StoreCall::renew(lease), RENEW_INTERVAL * 2).await?;
-        if status == StatusCode::NOT_FOUND {
-            return Err(StoreError::Refused { status });
-        }
-        if status == StatusCode::OK {
-            if let Some(term) = front.planner_term.get() {
-                front.planner_term.set(Some(PlannerTerm { confirmed_at, ..term }));
+        let renewed_at = front.now();
+        renew(front, presence).await?;
+        while front.now().since(renewed_at) < PRESENCE_RENEW_INTERVAL {
+            if front.is_stopping() {
+                front.store.call(StoreCall::end_lease(presence), CALL_TIMEOUT).await?;
+                std::future::pending::<()>().await;
+            }
+            let planner_lease = run_for_planner(front).await?;
+            if let Some(lease) = planner_lease {
+                hold_planner(front, lease, presence).await?;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(RENEW_INTERVAL) => {}
+                () = front.planner_vacant.notified() => {}
             }
         }
-        if front.planner_term.get().is_none() {
-            run_for_planner(front, lease).await?;
-        }
+    }
+}
+
+async fn grant(front: &Front, time_to_live: Duration) -> Result<u64, StoreError> {
+    let (status, body) = front.store.call(StoreCall::lease(time_to_live), CALL_TIMEOUT).await?;
+    if status != StatusCode::OK {
+        return Err(StoreError::Refused { status });
+    }
+    Ok(WriteOutcome::decode_lease(&body)?)
+}
+
+async fn renew(front: &Front, lease: u64) -> Result<(), StoreError> {
+    let (status, _) = front.store.call(StoreCall::renew(lease), RENEW_INTERVAL * 2).await?;
+    match status {
+        StatusCode::OK => Ok(()),
+        status => Err(StoreError::Refused { status }),
+    }
+}
+
+/// Renews the planner's lease, and the one of the address, until it has ended or the process stops.
+async fn hold_planner(front: &Front, lease: u64, presence: u64) -> Result<(), StoreError> {
+    let mut renewed_at = front.now();
+    let mut presence_renewed_at = renewed_at;
+    while !front.is_stopping() {
         tokio::select! {
             () = tokio::time::sleep(RENEW_INTERVAL) => {}
             () = front.planner_vacant.notified() => {}
         }
-        if front.is_stopping() {
-            front.planner_term.set(None);
-            front.store.call(StoreCall::end_lease(lease), CALL_TIMEOUT).await?;
-            std::future::pending::<()>().await;
+        let asked_at = front.now();
+        if asked_at.since(presence_renewed_at) > PRESENCE_RENEW_INTERVAL {
+            match renew(front, presence).await {
+                Ok(()) => presence_renewed_at = asked_at,
+                Err(error) => log::warn!(error:% = error; "lease of the address not renewed"),
+            }
+        }
+        match renew(front, lease).await {
+            Ok(()) => renewed_at = asked_at,
+            // A full store or a lost answer says nothing of the lease.
+            Err(error) if front.now().since(renewed_at) < TIME_TO_LIVE => {
+                log::warn!(error:% = error; "planner's lease not renewed");
+                if matches!(error, StoreError::Refused { status: StatusCode::NOT_FOUND }) {
+                    return Err(error);
+                }
+            }
+            Err(error) => return Err(error),
         }
+        let term = front.planner_term.get();
+        let confirmed = term.map(|it| PlannerTerm { confirmed_at: renewed_at, ..it });
+        front.planner_term.set(confirmed);
     }
+    front.planner_term.set(None);
+    front.store.call(StoreCall::end_lease(lease), CALL_TIMEOUT).await?;
+    Ok(())
 }
 
 async fn publish(front: &Front, lease: u64) -> Result<(), StoreError> {
@@ -116,27 +161,29 @@
     HANDICAP_MAX.mul_f64(1.0 - core.min(link))
 }
 
-/// Takes the planner's key if nobody holds it.
-async fn run_for_planner(front: &Front, lease: u64) -> Result<(), StoreError> {
+/// Takes the planner's key if nobody holds it; returns the lease that goes with it.
+async fn run_for_planner(front: &Front) -> Result<Option<u64>, StoreError> {
     let is_vacant = || !front.beliefs.borrow().own_keys.contains_key(PLANNER_KEY);
     if !is_vacant() || front.configuration().is_none() {
-        return Ok(());
+        return Ok(None);
     }
     let entry_vms = front.beliefs.borrow().peers.len().max(1) as u32;
     let spread = (ELECTION_SPREAD * entry_vms).mul_f64(fastrand::f64());
     tokio::time::sleep(handicap(front) + spread).await;
     if !is_vacant() {
-        return Ok(());
+        return Ok(None);
     }
     let asked_at = front.now();
+    let lease = grant(front, TIME_TO_LIVE).await?;
     let value = front.vm.name.as_bytes().to_vec();
     let put = StorePut { key: PLANNER_KEY.to_owned(), value, lease: Some(lease) };
     let call = StoreCall::write(&[(PLANNER_KEY, Revision(0))], &[put], &[]);
     let (status, body) = front.store.call(call, CALL_TIMEOUT).await?;
-    if let WriteOutcome::Written(revision) = WriteOutcome::decode(status, &body)? {
-        log::info!(revision = revision.0; "planner's key taken");
-        front.planner_term.set(Some(PlannerTerm { revision, confirmed_at: asked_at }));
-        front.changed.notify_one();
-    }
-    Ok(())
+    let WriteOutcome::Written(revision) = WriteOutcome::decode(status, &body)? else {
+        return Ok(None);
+    };
+    log::info!(revision = revision.0; "planner's key taken");
+    front.planner_term.set(Some(PlannerTerm { revision, confirmed_at: asked_at }));
+    front.changed.notify_one();
+    Ok(Some(lease))
 }
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -36,9 +36,9 @@
 /// Pause after changes, in which further ones gather; each call to the store is priced.
 const GATHER_PAUSE: Duration = Duration::from_millis(100);
 /// Added for each other entry VM; the planner passes changes of servers on meanwhile.
-const GATHER_PAUSE_PER_PEER: Duration = Duration::from_millis(11);
-/// Longest such pause; changes have to be in force within seconds.
-const GATHER_PAUSE_MAX: Duration = Duration::from_millis(1100);
+const GATHER_PAUSE_PER_PEER: Duration = Duration::from_millis(15);
+/// Part of the time to the use of a configuration that the pause may take.
+const GATHER_PART: f64 = 0.42;
 /// The same for the planner, which acts on the changes.
 const PLANNER_GATHER_PAUSE: Duration = Duration::from_millis(25);
 /// Pauses between attempts while the store is away.
@@ -112,7 +112,8 @@
             let pause = if is_planner {
                 PLANNER_GATHER_PAUSE
             } else {
-                (GATHER_PAUSE + GATHER_PAUSE_PER_PEER * peers).min(GATHER_PAUSE_MAX)
+                let longest = front.promises().apply_within.mul_f64(GATHER_PART);
+                (GATHER_PAUSE + GATHER_PAUSE_PER_PEER * peers).min(longest)
             };
             tokio::time::sleep(pause).await;
         }
--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -8,9 +8,11 @@
 use crate::ModelSpec;
 
 /// Part of the aim that the predicted time to the first event may take.
-const AIM_PART: f64 = 0.85;
-/// Token steps until a group writes its first event; engines write in strides.
-const FIRST_EVENT_STEPS: f64 = 12.0;
+const AIM_PART: f64 = 0.95;
+/// Time to a first event beside the passes of the engine: its fixed part, and the network.
+const FIRST_EVENT_BASE: Duration = Duration::from_millis(100);
+/// Passes to a first event: half of the one that runs, and the one that reads the prompt.
+const FIRST_EVENT_PASSES: f64 = 1.5;
 /// Slowness above which a group takes work only if no other has room.
 const SLOW_PACE: f64 = 1.6;
 
@@ -37,48 +39,63 @@
 }
 
 /// Predicts the times of one model's groups from the engine's figures.
+///
+/// An engine works in passes: some token steps for all requests, and the prompts
+/// that came meanwhile. In a steady state each of `n` requests is replaced when
+/// its answer ends, so a token step goes with `n / answer` prompts.
 #[derive(Debug, Clone, Copy)]
 pub struct GroupTimes {
     slots: u32,
-    step: Duration,
-    release: Duration,
-    read_per_token: Duration,
+    stride: f64,
+    step_ms: f64,
+    step_per_request_ms: f64,
+    read_per_token_ms: f64,
+    prompt_tokens: f64,
+    answer_tokens: f64,
 }
 
 impl GroupTimes {
-    /// Derives the times of a full group.
+    /// Derives the times of a model's groups.
     pub fn new(engine: &EngineSpec, model: &ModelSpec) -> Self {
-        let step_ms =
-            (engine.step_ms + engine.step_per_request_ms * f64::from(engine.slots)) * model.pace;
-        let read_ms = 1000.0 / engine.read_tokens_per_s.max(1.0) * model.pace;
-        let request_ms = engine.usual_answer_tokens * step_ms;
-        let slots = f64::from(engine.slots.max(1));
-        // Each request also stops the others while its prompt is read.
-        let release_ms = request_ms / slots + engine.usual_prompt_tokens * read_ms;
         Self {
-            slots: engine.slots,
-            step: Duration::from_secs_f64(step_ms / 1000.0),
-            release: Duration::from_secs_f64(release_ms / 1000.0),
-            read_per_token: Duration::from_secs_f64(read_ms / 1000.0),
+            slots: engine.slots.max(1),
+            stride: f64::from(engine.stride.max(1)),
+            step_ms: engine.step_ms * model.pace,
+            step_per_request_ms: engine.step_per_request_ms * model.pace,
+            read_per_token_ms: 1000.0 / engine.read_tokens_per_s.max(1.0) * model.pace,
+            prompt_tokens: engine.usual_prompt_tokens,
+            answer_tokens: engine.usual_answer_tokens.max(1.0),
         }
     }
 
-    /// Returns the mean time between two ends of requests in a full group.
-    pub fn release(&self) -> Duration {
-        self.release
-    }
-
     /// Returns the requests that a group works on at once.
     pub fn slots(&self) -> u32 {
         self.slots
     }
 
+    /// Returns the mean time for a token of each of `running` requests, prompts included.
+    fn step(&self, running: u32) -> f64 {
+        let running = f64::from(running.min(self.slots));
+        let prompt_ms = self.prompt_tokens * self.read_per_token_ms;
+        self.step_ms
+            + running * self.step_per_request_ms
+            + running * prompt_ms / self.answer_tokens
+    }
+
+    /// Returns the mean time between two ends of requests in a full group.
+    pub fn release(&self) -> Duration {
+        let request_ms = self.answer_tokens * self.step(self.slots);
+        Duration::from_secs_f64(request_ms / f64::from(self.slots) / 1000.0)
+    }
+
     /// Predicts the time to the first event of a request that a group takes now.
     pub fn first_event(&self, in_flight: u32, prompt_tokens: u32, pace: f64) -> Duration {
         let queued = (in_flight + 1).saturating_sub(self.slots);
-        let read = self.read_per_token * prompt_tokens;
-        let time = self.step.mul_f64(FIRST_EVENT_STEPS) + read + self.release * queued;
-        time.mul_f64(pace.max(1.0))
+        let pass_ms = self.stride * self.step(in_flight);
+        let read_ms = self.read_per_token_ms * f64::from(prompt_tokens);
+        let time_ms = FIRST_EVENT_PASSES * pass_ms + read_ms;
+        let time = Duration::from_secs_f64(time_ms / 1000.0) + self.release() * queued;
+        FIRST_EVENT_BASE + time.mul_f64(pace.max(1.0))
     }
 }
 
@@ -149,5 +166,5 @@
         return Admission::Send(best.vm.clone());
     }
     let over = (best.in_flight + 1).saturating_sub(times.slots);
-    Admission::Refuse { room_in: times.release * over }
+    Admission::Refuse { room_in: times.release() * over }
 }
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -444,6 +444,7 @@
         };
         let groups = std::mem::take(&mut draft.plan.groups);
         let mut spares = self.free_vms(domain, &held.plan);
+        let mut has_given_up = Vec::new();
         for mut group in groups {
             if group.is_dissolving {
                 if !self.is_released(&group, now, steps) {
@@ -465,6 +466,7 @@
                         group.incarnation = Incarnation(incarnation);
                     } else {
                         group.is_dissolving = true;
+                        has_given_up.push(group.model.clone());
                     }
                 }
                 Verdict::Order(orders) => {
@@ -478,9 +480,43 @@
             }
             draft.plan.groups.push(group);
         }
+        for model in has_given_up {
+            self.give_up_donor(&mut draft, &model);
+        }
         draft
     }
 
+    /// Gives a group of another model up, where that makes room to form the model again.
+    fn give_up_donor(&self, draft: &mut Draft, model: &ModelId) {
+        let Some(receiver) = self.engine.model(model) else { return };
+        let plans = self.plans.iter().filter(|(domain, _)| **domain != draft.domain);
+        let plans = plans.map(|(_, it)| &it.plan).chain([&draft.plan]);
+        let vms = count_vms(plans);
+        let in_domain = |it: &&Known| it.server.engine.domain.as_ref() == Some(&draft.domain);
+        let usable = self.known.values().filter(in_domain).filter(|it| self.is_usable(it));
+        let kept: HashSet<&VmId> = draft
+            .plan
+            .groups
+            .iter()
+            .filter(|it| !it.is_dissolving)
+            .flat_map(PlannedGroup::vms)
+            .collect();
+        let free = usable.filter(|it| !kept.contains(&it.server.vm)).count();
+        if free >= receiver.size {
+            return;
+        }
+        let donor = draft.plan.groups.iter_mut().find(|it| {
+            let spec = self.engine.model(&it.model);
+            !it.is_dissolving
+                && free + it.members.len() >= receiver.size
+                && spec.is_some_and(|it| packing::may_donate(it, receiver, &vms))
+        });
+        if let Some(donor) = donor {
+            donor.is_dissolving = true;
+            draft.reasons.push(format!("{} given up for {model}", donor.group));
+        }
+    }
+
     /// Replaces the members that a group has lost by spares of its domain.
     ///
     /// Survivors join the same group in a new incarnation, which takes them out of
@@ -754,14 +790,9 @@
     }
 
     fn vms_by_model(&self, drafts: &[Draft]) -> HashMap<ModelId, usize> {
-        let mut vms = HashMap::new();
         let is_drafted = |domain: &FabricDomain| drafts.iter().any(|it| it.domain == *domain);
         let others = self.plans.iter().filter(|(domain, _)| !is_drafted(domain));
-        let plans = others.map(|(_, it)| &it.plan).chain(drafts.iter().map(|it| &it.plan));
-        for group in plans.flat_map(|it| &it.groups).filter(|it| !it.is_dissolving) {
-            *vms.entry(group.model.clone()).or_default() += group.members.len();
-        }
-        vms
+        count_vms(others.map(|(_, it)| &it.plan).chain(drafts.iter().map(|it| &it.plan)))
     }
 
     fn form_groups(&self, draft: &mut Draft, vms: &mut HashMap<ModelId, usize>, now: Moment) {
@@ -769,6 +800,10 @@
         if grown_at.is_some_and(|it| now.since(*it) < SETTLE_TIME) {
             return;
         }
+        // Members of a group that is given up will be free soon.
+        if draft.plan.groups.iter().any(|it| it.is_dissolving && self.has_reachable_head(it)) {
+            return;
+        }
         loop {
             let free = self.free_vms(&draft.domain, &draft.plan);
             let Some(model) = packing::next_model(&self.engine, vms, free.len()) else { return };
@@ -790,6 +825,11 @@
         }
     }
 
+    fn has_reachable_head(&self, group: &PlannedGroup) -> bool {
+        let known = group.head().and_then(|it| self.known.get(&it.vm));
+        known.is_some_and(|it| !it.contact.is_lost() && it.unlisted_at.is_none())
+    }
+
     /// Prefers VMs that need the least time to join.
     fn choose_members(&self, free: Vec<VmId>, size: usize, model: &ModelId) -> Vec<PlannedMember> {
         let cost = |vm: &VmId| match self.known.get(vm).map(|it| &it.server.engine) {
@@ -895,6 +935,15 @@
     }
 }
 
+/// Counts the members of the groups of each model.
+fn count_vms<'a>(plans: impl Iterator<Item = &'a DomainPlan>) -> HashMap<ModelId, usize> {
+    let mut vms = HashMap::new();
+    for group in plans.flat_map(|it| &it.groups).filter(|it| !it.is_dissolving) {
+        *vms.entry(group.model.clone()).or_default() += group.members.len();
+    }
+    vms
+}
+
 /// Returns whether a server was a member of an earlier incarnation whose head may still be open.
 fn is_detained(known: &Known, plan: &DomainPlan) -> bool {
     known.server.engine.membership.as_ref().is_some_and(|membership| {
--- a/crates/mangocross-serving/src/traffic.rs
+++ b/crates/mangocross-serving/src/traffic.rs
@@ -108,6 +108,8 @@
     pub models: Vec<ModelSpec>,
     /// Requests that a group works on at once.
     pub slots: u32,
+    /// Token steps in one pass of the engine.
+    pub stride: u32,
     /// Time of one token step without requests, in milliseconds.
     pub step_ms: f64,
     /// Time that each request adds to a step, in milliseconds.
