revert: giving groups up for a needier model; watches wait for the rest of a pause

A pause and a whole wait together were longer than the age at which a VM asks for no callers, so that machines were not ready by turns (a duty missed).

--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -29,7 +29,7 @@
 pub(crate) const OWN_PREFIX: &str = "mangocross/";
 /// Prefix of the operators' keys.
 const OPERATORS_PREFIX: &str = "op/";
-/// Longest wait of one watch; each return proves the configuration fresh.
+/// Longest wait of one watch, with the pause before it; each return proves the configuration fresh.
 const WATCH_WAIT: Duration = Duration::from_millis(2400);
 /// Added to the wait before a silent watch is given up.
 const WATCH_SLACK: Duration = Duration::from_millis(900);
@@ -86,11 +86,13 @@
     }
     let mut after = after.unwrap_or_default();
     let regained_at = front.now();
+    let mut paused = Duration::ZERO;
     loop {
         let asked_at = front.now();
+        let wait = WATCH_WAIT.saturating_sub(paused);
         is_after_outage &= asked_at.since(regained_at) < RETURN_GRACE;
-        let call = StoreCall::watch("", after, WATCH_WAIT);
-        let answer = front.store.call(call, WATCH_WAIT + WATCH_SLACK).await;
+        let call = StoreCall::watch("", after, wait);
+        let answer = front.store.call(call, wait + WATCH_SLACK).await;
         let (status, body) = answer?;
         match status {
             StatusCode::OK => {}
@@ -106,6 +108,7 @@
         after = after.max(revision);
         confirm(front, asked_at);
         drop_missing(front);
+        paused = Duration::ZERO;
         if has_changes {
             let is_planner = front.planner_term.get().is_some();
             let peers = front.beliefs.borrow().peers.len() as u32;
@@ -116,6 +119,7 @@
                 (GATHER_PAUSE + GATHER_PAUSE_PER_PEER * peers).min(longest)
             };
             tokio::time::sleep(pause).await;
+            paused = pause;
         }
     }
 }
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -444,7 +444,6 @@
         };
         let groups = std::mem::take(&mut draft.plan.groups);
         let mut spares = self.free_vms(domain, &held.plan);
-        let mut has_given_up = Vec::new();
         for mut group in groups {
             if group.is_dissolving {
                 if !self.is_released(&group, now, steps) {
@@ -466,7 +465,6 @@
                         group.incarnation = Incarnation(incarnation);
                     } else {
                         group.is_dissolving = true;
-                        has_given_up.push(group.model.clone());
                     }
                 }
                 Verdict::Order(orders) => {
@@ -480,43 +478,9 @@
             }
             draft.plan.groups.push(group);
         }
-        for model in has_given_up {
-            self.give_up_donor(&mut draft, &model);
-        }
         draft
     }
 
-    /// Gives a group of another model up, where that makes room to form the model again.
-    fn give_up_donor(&self, draft: &mut Draft, model: &ModelId) {
-        let Some(receiver) = self.engine.model(model) else { return };
-        let plans = self.plans.iter().filter(|(domain, _)| **domain != draft.domain);
-        let plans = plans.map(|(_, it)| &it.plan).chain([&draft.plan]);
-        let vms = count_vms(plans);
-        let in_domain = |it: &&Known| it.server.engine.domain.as_ref() == Some(&draft.domain);
-        let usable = self.known.values().filter(in_domain).filter(|it| self.is_usable(it));
-        let kept: HashSet<&VmId> = draft
-            .plan
-            .groups
-            .iter()
-            .filter(|it| !it.is_dissolving)
-            .flat_map(PlannedGroup::vms)
-            .collect();
-        let free = usable.filter(|it| !kept.contains(&it.server.vm)).count();
-        if free >= receiver.size {
-            return;
-        }
-        let donor = draft.plan.groups.iter_mut().find(|it| {
-            let spec = self.engine.model(&it.model);
-            !it.is_dissolving
-                && free + it.members.len() >= receiver.size
-                && spec.is_some_and(|it| packing::may_donate(it, receiver, &vms))
-        });
-        if let Some(donor) = donor {
-            donor.is_dissolving = true;
-            draft.reasons.push(format!("{} given up for {model}", donor.group));
-        }
-    }
-
     /// Replaces the members that a group has lost by spares of its domain.
     ///
     /// Survivors join the same group in a new incarnation, which takes them out of
--- a/crates/mangocross-serving/src/planner/packing.rs
+++ b/crates/mangocross-serving/src/planner/packing.rs
@@ -9,7 +9,7 @@
 
 /// A model that fits is taken instead of the neediest one, which does not fit,
 /// only while it is not better supplied by more than this.
-const SUPPLY_RATIO_MAX: f64 = 1.05;
+const SUPPLY_RATIO_MAX: f64 = 1.7;
 /// VMs that are kept as spares when the neediest model does not fit.
 const SPARES_KEPT: usize = 2;
 
@@ -39,18 +39,3 @@
     let is_close = supply(fitting, vms) <= supply(neediest, vms) * SUPPLY_RATIO_MAX;
     (is_close && fitting.size + SPARES_KEPT <= free).then_some(fitting)
 }
-
-/// Returns whether a group of `donor` may be given up so that one of `receiver` is formed.
-///
-/// After that the donor's model must still be as well supplied as the receiver's is now.
-pub(super) fn may_donate(
-    donor: &ModelSpec,
-    receiver: &ModelSpec,
-    vms: &HashMap<ModelId, usize>,
-) -> bool {
-    let mut after = vms.clone();
-    if let Some(count) = after.get_mut(&donor.model) {
-        *count = count.saturating_sub(donor.size);
-    }
-    donor.model != receiver.model && supply(donor, &after) >= supply(receiver, vms)
-}
