fix(coordination): leave spares to a group that fits in no other domain

Cause: best fit put a group of two beside a group of four in the only domain where the four fit, though two other domains had room; the loss of a member could not be repaired.

--- a/crates/mangocross-coordination/src/placing.rs
+++ b/crates/mangocross-coordination/src/placing.rs
@@ -60,7 +60,10 @@
         let mut planner = Planner::new(current, assignments, domains);
         self.follow_moves(&mut planner, now);
         let is_wanted = |it: &&GroupSpec| it.desired != DesiredState::Stopped;
-        configuration.groups.iter().filter(is_wanted).for_each(|it| planner.keep_room(it));
+        configuration.groups.iter().filter(is_wanted).for_each(|it| {
+            planner.note_place(it);
+            planner.keep_room(it);
+        });
         let mut entries = Vec::new();
         for spec in in_order_of_room(configuration.groups.iter().filter(is_wanted), current) {
             entries.extend(planner.place(spec));
@@ -105,6 +108,8 @@
     assignments: &'a [DomainAssignment],
     domains: &'a [DomainState],
     rooms: BTreeMap<FabricDomain, u16>,
+    /// Where groups are, with their sizes.
+    placed: Vec<(FabricDomain, u16)>,
     /// Groups whose moves are done.
     moved: Vec<GroupId>,
 }
@@ -116,7 +121,7 @@
         domains: &'a [DomainState],
     ) -> Self {
         let rooms = domains.iter().map(|it| (it.domain.clone(), it.idle_vms)).collect();
-        Self { current, assignments, domains, rooms, moved: Vec::new() }
+        Self { current, assignments, domains, rooms, placed: Vec::new(), moved: Vec::new() }
     }
 
     fn place(&mut self, spec: &GroupSpec) -> Option<Placement> {
@@ -171,6 +176,22 @@
         }
     }
 
+    /// Records where a group is placed.
+    fn note_place(&mut self, spec: &GroupSpec) {
+        if let Some(domain) = self.current.domain_of(&spec.id) {
+            self.placed.push((domain.clone(), spec.size.0));
+        }
+    }
+
+    /// Returns whether a domain holds a group that could be repaired in no other one.
+    ///
+    /// Its spares are left to that group where another domain has room.
+    fn is_sole_home(&self, domain: &FabricDomain) -> bool {
+        let others = self.rooms.iter().filter(|(it, _)| *it != domain);
+        let largest = others.map(|(_, idle)| *idle).max().unwrap_or_default();
+        self.placed.iter().any(|(it, size)| it == domain && *size > largest)
+    }
+
     /// Keeps room for a group that is placed and not formed yet.
     fn keep_room(&mut self, spec: &GroupSpec) {
         let Some(domain) = self.current.domain_of(&spec.id) else { return };
@@ -185,8 +206,12 @@
         let others = self.rooms.iter().filter(|(domain, _)| Some(*domain) != but);
         let rooms: Vec<DomainRoom> =
             others.map(|(domain, idle)| DomainRoom::new(domain.clone(), *idle)).collect();
-        let domain = choose_domain(spec.size, &rooms)?.clone();
+        let shared: Vec<DomainRoom> =
+            rooms.iter().filter(|it| !self.is_sole_home(&it.domain)).cloned().collect();
+        let chosen = choose_domain(spec.size, &shared).or_else(|| choose_domain(spec.size, &rooms));
+        let domain = chosen?.clone();
         self.take_room_in(spec, &domain)?;
+        self.placed.push((domain.clone(), spec.size.0));
         Some(domain)
     }
 
--- a/crates/mangocross-coordination/tests/reconcile.rs
+++ b/crates/mangocross-coordination/tests/reconcile.rs
@@ -324,6 +324,28 @@
     assert_eq!(ids, ["a", "b", "c"]);
 }
 
+/// The large group could be repaired in no other domain, so the small one leaves it the spares.
+#[test]
+fn small_group_leaves_spares_to_a_large_one_that_fits_nowhere_else() {
+    let group = |id: &str, size| json!({"id": id, "model": "letters", "model_version": "v1", "size": size, "desired": "serving"});
+    let wanted: Configuration =
+        serde_json::from_value(json!({"groups": [group("large", 4), group("small", 2)]}))
+            .expect("a configuration");
+    let room = |domain: &str, idle_vms| DomainState {
+        domain: domain.parse().expect("a valid id"),
+        idle_vms,
+        stuck_groups: Vec::new(),
+    };
+    let rooms = [room("domain-1", 6), room("domain-2", 3), room("domain-3", 3)];
+    let mut planner = PlacementPlanner::new(1_000 * MS);
+    let planned = planner.plan(&wanted, &Placements::default(), &[], &rooms, Instant::now());
+    let domain = |at: usize| planned.entries[at].domain.as_str();
+    assert_eq!((domain(0), domain(1)), ("domain-1", "domain-2"));
+    let only = [room("domain-1", 6)];
+    let planned = planner.plan(&wanted, &Placements::default(), &[], &only, Instant::now());
+    assert_eq!(planned.entries.len(), 2, "without other room it takes the spares");
+}
+
 /// A member is lost and there is no spare; whether to move depends on the expected times.
 #[test]
 fn group_is_moved_only_when_loading_elsewhere_beats_waiting() {
