--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -454,6 +454,7 @@
                 }
                 continue;
             }
+            let incarnation = group.incarnation;
             match self.judge(&group, spares.len(), now) {
                 Verdict::Keep => {}
                 Verdict::Replace(reason) => {
@@ -473,7 +474,8 @@
                     }
                 }
             }
-            if !group.is_dissolving {
+            // Orders follow the written plan, never a draft.
+            if !group.is_dissolving && group.incarnation == incarnation {
                 self.prune_former_heads(&mut group, now, steps);
             }
             draft.plan.groups.push(group);
--- /dev/null
+++ b/crates/mangocross-serving/tests/admission.rs
@@ -0,0 +1,130 @@
+//! Who waits, who is refused and where streams go under the loads of heavy days.
+
+use std::time::Duration;
+
+use mangocross_serving::Admission;
+use mangocross_serving::Comparison;
+use mangocross_serving::EngineSpec;
+use mangocross_serving::GroupTimes;
+use mangocross_serving::HeadLoad;
+use mangocross_serving::ModelSpec;
+use mangocross_serving::StreamDemand;
+use mangocross_serving::admit;
+
+const SLOTS: u32 = 26;
+
+fn times() -> GroupTimes {
+    let model = ModelSpec {
+        model: "letters".parse().expect("a valid id"),
+        size: 6,
+        share: 1.0,
+        pace: 1.0,
+        load: Duration::from_secs(16),
+        warm: Duration::from_secs(2),
+    };
+    let engine = EngineSpec {
+        models: vec![model.clone()],
+        slots: SLOTS,
+        stride: 6,
+        step_ms: 6.45,
+        step_per_request_ms: 0.0967,
+        read_tokens_per_s: 56_100.0,
+        usual_prompt_tokens: 1_115.0,
+        usual_answer_tokens: 152.0,
+        loads_per_s: 5.5,
+        loads_at_once: 8,
+        form: Duration::from_millis(300),
+    };
+    GroupTimes::new(&engine, &model)
+}
+
+fn head(name: &str, in_flight: u32) -> HeadLoad {
+    HeadLoad { vm: name.parse().expect("a valid id"), in_flight, pace: 1.0 }
+}
+
+fn demand(waited_ms: u64) -> StreamDemand {
+    StreamDemand {
+        aim: Duration::from_millis(400),
+        waited: Duration::from_millis(waited_ms),
+        prompt_tokens: 1_460,
+    }
+}
+
+fn sent_to(admission: &Admission) -> Option<&str> {
+    match admission {
+        Admission::Send(vm) => Some(vm.as_str()),
+        Admission::Refuse { .. } | Admission::NoGroup => None,
+    }
+}
+
+#[test]
+fn least_loaded_group_takes_a_stream() {
+    let heads = [head("a", 20), head("b", 11), head("c", 25)];
+    let admission = admit(&times(), &heads, &demand(0), 0, Comparison::All);
+    assert_eq!(sent_to(&admission), Some("b"));
+}
+
+/// A burst fills all groups: the excess is refused at once, with a time to come back.
+#[test]
+fn burst_beyond_all_places_is_refused_at_once() {
+    let heads = [head("a", SLOTS + 8), head("b", SLOTS + 9)];
+    let Admission::Refuse { room_in } = admit(&times(), &heads, &demand(0), 0, Comparison::All)
+    else {
+        panic!("no group can begin it in time");
+    };
+    assert_eq!(room_in, times().release() * 9);
+}
+
+/// A stream that is past its aim takes a free place and nobody else's time.
+#[test]
+fn late_stream_takes_free_places_only() {
+    let free = [head("a", SLOTS - 1)];
+    assert_eq!(sent_to(&admit(&times(), &free, &demand(900), 0, Comparison::All)), Some("a"));
+    let full = [head("a", SLOTS)];
+    assert_eq!(sent_to(&admit(&times(), &full, &demand(900), 0, Comparison::All)), None);
+    assert_eq!(sent_to(&admit(&times(), &full, &demand(900), 4, Comparison::All)), Some("a"));
+}
+
+/// Several workers are slow: their groups take work only once the others are full.
+#[test]
+fn slow_groups_come_last() {
+    let slow = HeadLoad { pace: 5.0, ..head("slow", 0) };
+    let heads = [slow.clone(), head("sound", 20)];
+    assert_eq!(sent_to(&admit(&times(), &heads, &demand(0), 0, Comparison::All)), Some("sound"));
+}
+
+/// Where counts are old, entry VMs that all know the same still spread their streams.
+#[test]
+fn old_counts_do_not_send_all_streams_to_one_group() {
+    let heads: Vec<HeadLoad> = (0..10).map(|it| head(&format!("g{it}"), 10 + it % 2)).collect();
+    let draws = (0..10).flat_map(|a| (0..10).map(move |b| (f64::from(a) / 10.0, f64::from(b) / 10.0)));
+    let mut taken = std::collections::HashMap::new();
+    for (first, second) in draws {
+        let admission = admit(&times(), &heads, &demand(0), 0, Comparison::Two(first, second));
+        *taken.entry(sent_to(&admission).expect("there is room").to_owned()).or_insert(0) += 1;
+    }
+    assert!(taken.len() >= 5 && taken.values().all(|it| *it <= 25), "{taken:?}");
+}
+
+/// Both groups that were drawn are full, and a third one has room.
+#[test]
+fn two_full_groups_do_not_refuse_for_all() {
+    let heads = [head("a", SLOTS + 9), head("b", SLOTS + 9), head("c", 3)];
+    let admission = admit(&times(), &heads, &demand(0), 0, Comparison::Two(0.0, 0.4));
+    assert_eq!(sent_to(&admission), Some("c"));
+}
+
+#[test]
+fn first_events_come_later_the_fuller_a_group_is() {
+    let mut last = Duration::ZERO;
+    for in_flight in 0..SLOTS + 10 {
+        let predicted = times().first_event(in_flight, 1_460, 1.0);
+        assert!(predicted > last);
+        last = predicted;
+    }
+}
+
+#[test]
+fn no_group_is_told_apart_from_full_groups() {
+    assert_eq!(admit(&times(), &[], &demand(0), 0, Comparison::All), Admission::NoGroup);
+}
--- /dev/null
+++ b/crates/mangocross-serving/tests/beliefs.rs
@@ -0,0 +1,154 @@
+//! What is believed of the configuration, of groups and of servers, and for how long.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mangocross_serving::FailureTable;
+use mangocross_serving::FreshnessProof;
+use mangocross_serving::LoadTable;
+use mangocross_serving::Moment;
+use mangocross_serving::ProgressTable;
+use mangocross_serving::RetryBounds;
+use mangocross_serving::RetryLedger;
+use mangocross_serving::ServerLoad;
+use mangocross_types::VmId;
+
+fn vm(name: &str) -> VmId {
+    name.parse().expect("a valid id")
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::after_boot(Duration::from_millis(ms))
+}
+
+/// The VM was suspended for a minute: timers stood still, the boot clock did not.
+#[test]
+fn keys_are_not_trusted_after_a_suspension() {
+    let bound = Duration::from_secs(5);
+    let mut proof = FreshnessProof::default();
+    assert!(!proof.covers(at(0), bound), "nothing was proved yet");
+    proof.confirm(at(10_000));
+    assert!(proof.covers(at(14_000), bound));
+    assert!(!proof.covers(at(70_000), bound));
+}
+
+/// An answer proves the configuration as of the question, and an older one takes nothing back.
+#[test]
+fn freshness_counts_from_the_question() {
+    let bound = Duration::from_secs(5);
+    let mut proof = FreshnessProof::default();
+    proof.confirm(at(10_000));
+    proof.confirm(at(8_000));
+    assert_eq!(proof.age(at(12_000)), Some(Duration::from_secs(2)));
+    assert!(!proof.covers(at(15_000), bound), "the margin is kept");
+}
+
+/// Streams that only wait for their first event are no sign that a group stands still.
+#[test]
+fn waiting_streams_are_not_taken_for_a_stalled_group() {
+    let mut table = ProgressTable::default();
+    for _ in 0..5 {
+        table.started(&vm("head"), at(0));
+    }
+    assert_eq!(table.suspects(at(1_000)).count(), 0);
+    assert_eq!(table.suspects(at(1_600)).count(), 1);
+}
+
+/// A member was lost: all streams of the group fall silent at once.
+#[test]
+fn group_whose_streams_fall_silent_is_suspect_within_a_few_passes() {
+    let mut table = ProgressTable::default();
+    for _ in 0..3 {
+        table.started(&vm("head"), at(0));
+        table.sign(&vm("head"), at(100));
+        table.began(&vm("head"));
+    }
+    assert_eq!(table.suspects(at(400)).count(), 0);
+    assert_eq!(table.suspects(at(460)).count(), 1);
+}
+
+/// Another entry VM still gets events from the group.
+#[test]
+fn signs_seen_elsewhere_clear_a_group() {
+    let mut table = ProgressTable::default();
+    table.started(&vm("head"), at(0));
+    table.sign(&vm("head"), at(100));
+    table.began(&vm("head"));
+    table.sign(&vm("head"), at(700));
+    assert_eq!(table.suspects(at(1_000)).count(), 0);
+}
+
+/// The start of a stream is not a sign of life that others may be told of.
+#[test]
+fn start_of_a_stream_is_no_sign_of_life() {
+    let mut table = ProgressTable::default();
+    table.started(&vm("head"), at(0));
+    assert_eq!(table.signs(at(10)).count(), 0);
+}
+
+#[test]
+fn counts_of_silent_entry_vms_are_forgotten() {
+    let mut table = LoadTable::default();
+    table.started(&vm("a"));
+    table.heard(Arc::from("entry-2"), HashMap::from([(vm("a"), 4)]), at(0));
+    assert_eq!(table.in_flight(&vm("a"), at(1_000)), 5);
+    assert_eq!(table.in_flight(&vm("a"), at(4_000)), 1);
+    table.expire(at(4_000));
+    assert_eq!(table.peer_count(), 0);
+}
+
+/// Own requests that were reported are part of the totals and count once.
+#[test]
+fn totals_hold_own_requests_once() {
+    let mut table = LoadTable::default();
+    table.started(&vm("a"));
+    table.reported();
+    table.heard_totals(HashMap::from([(vm("a"), 7)]), at(0));
+    assert_eq!(table.in_flight(&vm("a"), at(100)), 7);
+    table.started(&vm("a"));
+    assert_eq!(table.in_flight(&vm("a"), at(100)), 8);
+    table.ended(&vm("a"));
+    table.ended(&vm("a"));
+    assert_eq!(table.in_flight(&vm("a"), at(100)), 6);
+}
+
+/// Seven entry VMs that all spend their shares stay in the bound together.
+#[test]
+fn retries_of_all_entry_vms_stay_in_the_bound() {
+    let bounds = RetryBounds { ratio: 0.2, slack: 130.0, window: Duration::from_secs(10) };
+    let (entry_vms, requests) = (7, 200);
+    let mut repeats = 0;
+    for _ in 0..entry_vms {
+        let mut ledger = RetryLedger::default();
+        for it in 0..requests {
+            ledger.requested(at(it * 10), &bounds);
+        }
+        repeats += (0..1_000).filter(|_| ledger.try_repeat(at(2_000), &bounds, entry_vms)).count();
+    }
+    let allowed = bounds.ratio * (requests * entry_vms as u64) as f64 + bounds.slack;
+    assert!(repeats as f64 <= allowed, "{repeats} repeats, {allowed} allowed");
+    assert!(repeats > 0);
+}
+
+#[test]
+fn retries_come_back_with_the_window() {
+    let bounds = RetryBounds { ratio: 0.0, slack: 5.0, window: Duration::from_secs(10) };
+    let mut ledger = RetryLedger::default();
+    while ledger.try_repeat(at(0), &bounds, 1) {}
+    assert!(!ledger.try_repeat(at(9_000), &bounds, 1));
+    assert!(ledger.try_repeat(at(10_001), &bounds, 1));
+}
+
+/// A server fails most requests while its health check is good.
+#[test]
+fn failing_server_gets_little_and_is_tried_again_later() {
+    let servers = ["grey", "sound"].map(|it| ServerLoad { vm: vm(it), in_flight: 0, is_near: true });
+    let mut table = FailureTable::default();
+    for it in 0..4 {
+        table.record(&vm("grey"), true, at(it * 10));
+    }
+    let busy = [servers[0].clone(), ServerLoad { in_flight: 6, ..servers[1].clone() }];
+    assert_eq!(table.choose(&busy, at(100)).map(|it| &it.vm), Some(&vm("sound")));
+    assert_eq!(table.choose(&busy, at(20_000)).map(|it| &it.vm), Some(&vm("grey")));
+}
--- /dev/null
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -0,0 +1,343 @@
+//! Engines, a store of plans and a clock for tests of the group planner.
+
+use std::collections::BTreeMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use mangocross_serving::BackendServer;
+use mangocross_serving::DomainPlan;
+use mangocross_serving::EngineOrder;
+use mangocross_serving::EngineReport;
+use mangocross_serving::EngineSpec;
+use mangocross_serving::EngineStatus;
+use mangocross_serving::GroupPlanner;
+use mangocross_serving::MemberPhase;
+use mangocross_serving::Membership;
+use mangocross_serving::ModelSpec;
+use mangocross_serving::Moment;
+use mangocross_serving::OrderOutcome;
+use mangocross_serving::Step;
+use mangocross_types::FabricDomain;
+use mangocross_types::GroupId;
+use mangocross_types::Incarnation;
+use mangocross_types::ModelId;
+use mangocross_types::Rank;
+use mangocross_types::Revision;
+use mangocross_types::VmId;
+
+/// Time between two steps of the planner.
+const TICK: Duration = Duration::from_millis(50);
+/// Time after which a head without a member is broken.
+pub const STALL: Duration = Duration::from_secs(6);
+
+/// How an engine can be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// It answers.
+    Answers,
+    /// Its connections hang.
+    Silent,
+    /// Its connections are refused.
+    NoProcess,
+}
+
+/// One engine.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    pub server: BackendServer,
+    pub is_listed: bool,
+    pub reach: Reach,
+    pub pace: f64,
+    pub orders_accepted: u64,
+    /// When the present join is done.
+    pub ready_at: Option<Moment>,
+    /// Members of the group that it joined last.
+    pub members: Vec<VmId>,
+}
+
+/// All engines, the stored plans and the planner.
+#[derive(Debug)]
+pub struct World {
+    pub engines: BTreeMap<VmId, Engine>,
+    pub plans: BTreeMap<FabricDomain, (DomainPlan, Revision)>,
+    pub planner: GroupPlanner,
+    pub now: Moment,
+    pub loads: Vec<Moment>,
+    pub loses_answers_of: HashSet<VmId>,
+    revision: u64,
+    is_store_down: bool,
+}
+
+pub fn vm(name: &str) -> VmId {
+    name.parse().expect("a valid id")
+}
+
+pub fn engine_spec() -> EngineSpec {
+    let model = |name: &str, size, share| ModelSpec {
+        model: name.parse().expect("a valid id"),
+        size,
+        share,
+        pace: 1.0,
+        load: Duration::from_secs(4),
+        warm: Duration::from_millis(800),
+    };
+    EngineSpec {
+        models: vec![model("large", 6, 0.67), model("small", 3, 0.33)],
+        slots: 26,
+        stride: 6,
+        step_ms: 6.45,
+        step_per_request_ms: 0.0967,
+        read_tokens_per_s: 56_100.0,
+        usual_prompt_tokens: 1_115.0,
+        usual_answer_tokens: 152.0,
+        loads_per_s: 5.5,
+        loads_at_once: 8,
+        form: Duration::from_millis(300),
+    }
+}
+
+impl World {
+    /// Returns domains of engines that are in no group.
+    pub fn new(domains: usize, engines: usize) -> Self {
+        let mut this = Self {
+            engines: BTreeMap::new(),
+            plans: BTreeMap::new(),
+            planner: GroupPlanner::new(engine_spec(), STALL),
+            now: Moment::after_boot(Duration::from_secs(100)),
+            loads: Vec::new(),
+            loses_answers_of: HashSet::new(),
+            revision: 0,
+            is_store_down: false,
+        };
+        this.planner.set_loads_unlimited(true);
+        for domain in 0..domains {
+            for number in 0..engines {
+                this.add(domain, number);
+            }
+        }
+        this
+    }
+
+    /// Adds an engine that is in no group.
+    pub fn add(&mut self, domain: usize, number: usize) -> VmId {
+        let id = vm(&format!("e-{domain}-{number}"));
+        let server = BackendServer {
+            vm: id.clone(),
+            service: "models".parse().expect("a valid id"),
+            address: format!("10.0.{domain}.{number}:80").parse().expect("an address"),
+            zone: "zone-a".parse().expect("a valid id"),
+            slots: 26,
+            is_leaving: false,
+            engine: EngineStatus {
+                domain: Some(format!("d{domain}").parse().expect("a valid id")),
+                born_unix_ms: 1_000,
+                ..EngineStatus::default()
+            },
+        };
+        let engine = Engine {
+            server,
+            is_listed: true,
+            reach: Reach::Answers,
+            pace: 1.0,
+            orders_accepted: 0,
+            ready_at: None,
+            members: Vec::new(),
+        };
+        self.engines.insert(id.clone(), engine);
+        id
+    }
+
+    /// Restarts an engine under its id.
+    pub fn restart(&mut self, id: &VmId) {
+        let engine = self.engines.get_mut(id).expect("an engine");
+        engine.server.engine.born_unix_ms += 1;
+        engine.server.engine.membership = None;
+        engine.server.engine.loaded.clear();
+        engine.orders_accepted = 0;
+        engine.ready_at = None;
+        engine.reach = Reach::Answers;
+    }
+
+    /// Lets the store refuse writes, or take them again.
+    pub fn set_store_down(&mut self, is_down: bool) {
+        self.is_store_down = is_down;
+    }
+
+    /// Replaces the planner by one that knows only what the store and the engines say.
+    pub fn new_planner(&mut self) {
+        self.planner = GroupPlanner::new(engine_spec(), STALL);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now = self.now + TICK;
+        self.finish_joins();
+        for (domain, (plan, revision)) in &self.plans {
+            self.planner.plan_read(domain.clone(), plan.clone(), *revision);
+        }
+        let listed: Vec<BackendServer> = self
+            .engines
+            .values()
+            .filter(|it| it.is_listed)
+            .map(|it| it.server.clone())
+            .collect();
+        for step in self.planner.step(listed.iter(), self.now) {
+            self.carry_out(step);
+        }
+        self.check();
+    }
+
+    fn finish_joins(&mut self) {
+        for engine in self.engines.values_mut() {
+            if engine.ready_at.is_some_and(|it| it <= self.now) {
+                engine.ready_at = None;
+                if let Some(membership) = &mut engine.server.engine.membership {
+                    membership.phase = MemberPhase::Ready;
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, step: Step) {
+        match step {
+            Step::Probe(probe) => {
+                let engine = &self.engines[&probe.vm];
+                match engine.reach {
+                    Reach::Answers => {
+                        let report = EngineReport {
+                            status: engine.server.engine.clone(),
+                            orders_accepted: engine.orders_accepted,
+                            pace: engine.pace,
+                            running: 0,
+                            queued: 0,
+                        };
+                        self.planner.probe_answered(&probe.vm, report);
+                    }
+                    Reach::Silent => self.planner.probe_missed(&probe.vm, false),
+                    Reach::NoProcess => self.planner.probe_missed(&probe.vm, true),
+                }
+            }
+            Step::Order { vm, order, orders_accepted, .. } => {
+                let outcome = self.accept(&vm, &order, orders_accepted);
+                let is_lost = self.loses_answers_of.contains(&vm);
+                let outcome = if is_lost { OrderOutcome::Unknown } else { outcome };
+                self.planner.order_ended(&vm, outcome, self.now);
+            }
+            Step::Write { domain, plan, expected, .. } => {
+                let held = self.plans.get(&domain).map_or(Revision(0), |it| it.1);
+                let written = (!self.is_store_down && held == expected).then(|| {
+                    self.revision += 1;
+                    self.plans.insert(domain.clone(), (plan.clone(), Revision(self.revision)));
+                    (plan, Revision(self.revision))
+                });
+                self.planner.plan_written(&domain, written);
+            }
+        }
+    }
+
+    fn accept(&mut self, id: &VmId, order: &EngineOrder, expected: u64) -> OrderOutcome {
+        let spec = engine_spec();
+        let now = self.now;
+        let engine = self.engines.get_mut(id).expect("an engine");
+        match engine.reach {
+            Reach::Answers => {}
+            Reach::Silent => return OrderOutcome::Unknown,
+            Reach::NoProcess => return OrderOutcome::NoProcess,
+        }
+        if engine.orders_accepted != expected {
+            return OrderOutcome::Refused;
+        }
+        let status = &mut engine.server.engine;
+        let is_member = |status: &EngineStatus, group: &GroupId, incarnation: &Incarnation| {
+            status
+                .membership
+                .as_ref()
+                .is_some_and(|it| it.group == *group && it.incarnation == *incarnation)
+        };
+        match order {
+            EngineOrder::Join { group, incarnation, model, members } => {
+                let spec = spec.model(model).expect("a model");
+                let is_near = status.staged.contains(model) || status.loaded.contains(model);
+                if !is_near {
+                    self.loads.push(now);
+                }
+                engine.ready_at = Some(now + if is_near { spec.warm } else { spec.load });
+                engine.members.clone_from(members);
+                let rank = members.iter().position(|it| it == id).expect("a member");
+                status.staged = vec![model.clone()];
+                status.loaded = vec![model.clone()];
+                status.membership = Some(Membership {
+                    group: group.clone(),
+                    incarnation: *incarnation,
+                    rank: Rank(u16::try_from(rank).expect("a small group")),
+                    phase: MemberPhase::Joining,
+                });
+            }
+            EngineOrder::Open { group, incarnation } => {
+                let is_ready =
+                    status.membership.as_ref().is_some_and(|it| it.phase == MemberPhase::Ready);
+                if !is_member(status, group, incarnation) || !is_ready {
+                    return OrderOutcome::Refused;
+                }
+                status.membership.as_mut().expect("a member").phase = MemberPhase::Open;
+            }
+            EngineOrder::Close { group, incarnation } => {
+                if !is_member(status, group, incarnation) {
+                    return OrderOutcome::Refused;
+                }
+                status.membership.as_mut().expect("a member").phase = MemberPhase::Ready;
+            }
+            EngineOrder::Leave { group, incarnation } => {
+                if !is_member(status, group, incarnation) {
+                    return OrderOutcome::Done;
+                }
+                status.membership = None;
+            }
+            EngineOrder::Stage { model } => {
+                self.loads.push(now);
+                status.staged = vec![model.clone()];
+            }
+        }
+        engine.orders_accepted += 1;
+        OrderOutcome::Begun
+    }
+
+    /// Returns the heads of groups that take requests and whose members are all there.
+    pub fn serving(&self, model: &str) -> Vec<VmId> {
+        let model: ModelId = model.parse().expect("a valid id");
+        let is_whole = |it: &&Engine| {
+            it.reach == Reach::Answers
+                && it.server.serves(&model)
+                && it.members.iter().all(|vm| self.is_in_group_of(vm, it))
+        };
+        let heads = self.engines.values().filter(is_whole);
+        heads.map(|it| it.server.vm.clone()).collect()
+    }
+
+    fn is_in_group_of(&self, vm: &VmId, head: &Engine) -> bool {
+        let group = head.server.engine.membership.as_ref();
+        self.engines.get(vm).is_some_and(|it| {
+            let own = it.server.engine.membership.as_ref();
+            it.reach == Reach::Answers
+                && own.map(|it| (&it.group, it.incarnation))
+                    == group.map(|it| (&it.group, it.incarnation))
+        })
+    }
+
+    /// No VM is in two groups of the stored plans.
+    fn check(&self) {
+        let mut seen = HashSet::new();
+        for (plan, _) in self.plans.values() {
+            for vm in plan.groups.iter().flat_map(|it| it.vms()) {
+                assert!(seen.insert(vm.clone()), "{vm} is planned in two groups");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangocross-serving/tests/groups.rs
@@ -0,0 +1,283 @@
+//! Groups are formed, kept whole and replaced under the faults of heavy days.
+
+mod engines;
+
+use std::time::Duration;
+
+use mangocross_serving::MemberPhase;
+use mangocross_types::VmId;
+
+use crate::engines::Reach;
+use crate::engines::STALL;
+use crate::engines::World;
+use crate::engines::engine_spec;
+use crate::engines::vm;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Two domains of eleven, as at the start of a day.
+fn formed() -> World {
+    let mut world = World::new(2, 11);
+    world.run(ms(8_000));
+    assert_eq!((world.serving("large").len(), world.serving("small").len()), (2, 2));
+    world.planner.set_loads_unlimited(false);
+    world.loads.clear();
+    world
+}
+
+/// Returns a member of the group of a head, by rank.
+fn member(world: &World, head: &VmId, rank: usize) -> VmId {
+    world.engines[head].members[rank].clone()
+}
+
+fn lose(world: &mut World, id: &VmId, reach: Reach) {
+    world.engines.get_mut(id).expect("an engine").reach = reach;
+}
+
+/// Servers appear one by one; groups of the first few would leave no room for the large model.
+#[test]
+fn first_groups_wait_until_the_domain_is_complete() {
+    let mut world = World::new(1, 3);
+    for number in 3..11 {
+        world.run(ms(200));
+        world.add(0, number);
+    }
+    world.run(ms(8_000));
+    assert_eq!((world.serving("large").len(), world.serving("small").len()), (1, 1));
+}
+
+#[test]
+fn spares_have_the_weights_of_the_domains_models() {
+    let world = formed();
+    let spares = world.engines.values().filter(|it| it.server.engine.membership.is_none());
+    let staged: Vec<String> =
+        spares.flat_map(|it| &it.server.engine.staged).map(ToString::to_string).collect();
+    assert_eq!(staged.len(), 4);
+    assert_eq!(staged.iter().filter(|it| *it == "large").count(), 2);
+}
+
+#[test]
+fn lost_member_is_replaced_by_a_staged_spare() {
+    let mut world = formed();
+    let head = world.serving("large")[0].clone();
+    let lost = member(&world, &head, 3);
+    lose(&mut world, &lost, Reach::Silent);
+    world.planner.suspect(&head, world.now);
+    world.run(ms(2_500));
+    assert_eq!(world.serving("large").len(), 2);
+    assert!(world.loads.len() <= 1, "only the next spare's weights are loaded");
+}
+
+/// The head is dark: its members form the group anew under another head, without waiting
+/// until it would be broken.
+#[test]
+fn lost_head_is_replaced_in_place() {
+    let mut world = formed();
+    let head = world.serving("large")[0].clone();
+    lose(&mut world, &head, Reach::Silent);
+    world.planner.suspect(&head, world.now);
+    world.run(ms(2_500));
+    assert_eq!(world.serving("large").len(), 2);
+}
+
+/// The head of an earlier incarnation may still be open, cut off from us.
+#[test]
+fn members_join_no_other_group_while_a_former_head_may_be_open() {
+    let mut world = formed();
+    let head = world.serving("small")[0].clone();
+    let domain = world.engines[&head].server.engine.domain.clone();
+    lose(&mut world, &head, Reach::Silent);
+    world.planner.suspect(&head, world.now);
+    world.run(ms(1_500));
+    // Two more are lost, so that the group is given up.
+    let members: Vec<VmId> = world
+        .engines
+        .values()
+        .filter(|it| it.server.engine.domain == domain && it.reach == Reach::Answers)
+        .filter(|it| it.members.len() == 3)
+        .map(|it| it.server.vm.clone())
+        .collect();
+    for it in &members[..2] {
+        lose(&mut world, it, Reach::Silent);
+    }
+    let survivor = &members[2];
+    let group = |world: &World| {
+        world.engines[survivor].server.engine.membership.as_ref().map(|it| it.group.clone())
+    };
+    let before = group(&world);
+    world.run(STALL - ms(1_500));
+    assert!(group(&world).is_none() || group(&world) == before);
+}
+
+/// Many answers are lost on the way: connections break, the group itself goes on.
+#[test]
+fn doubts_alone_replace_no_group() {
+    let mut world = formed();
+    let plans = world.plans.clone();
+    for _ in 0..40 {
+        for head in world.serving("large") {
+            world.planner.doubt(&head);
+        }
+        world.run(ms(50));
+    }
+    assert_eq!(world.plans, plans);
+}
+
+/// The planner's own link is full: a large part of the servers seems silent.
+#[test]
+fn planner_that_is_cut_off_decides_nothing() {
+    let mut world = formed();
+    let plans = world.plans.clone();
+    let cut: Vec<VmId> = world.engines.keys().cloned().collect();
+    for it in &cut {
+        lose(&mut world, it, Reach::Silent);
+    }
+    world.run(ms(4_000));
+    assert_eq!(world.plans, plans);
+    for it in &cut {
+        lose(&mut world, it, Reach::Answers);
+    }
+    world.run(ms(2_000));
+    assert_eq!(world.plans, plans);
+}
+
+/// Probes of a busy machine are late while the group's streams go on.
+#[test]
+fn group_whose_streams_go_on_is_kept() {
+    let mut world = formed();
+    let plans = world.plans.clone();
+    let head = world.serving("large")[0].clone();
+    let slow = member(&world, &head, 2);
+    lose(&mut world, &slow, Reach::Silent);
+    world.planner.set_signs([head].into());
+    world.run(ms(4_000));
+    assert_eq!(world.plans, plans);
+}
+
+#[test]
+fn restarted_member_is_not_taken_for_the_one_that_joined() {
+    let mut world = formed();
+    let head = world.serving("small")[0].clone();
+    let lost = member(&world, &head, 1);
+    world.restart(&lost);
+    world.run(ms(3_000));
+    assert_eq!(world.serving("small").len(), 2);
+    let group = world.engines[&head].server.engine.membership.clone().expect("a member");
+    assert!(group.incarnation.0 > 2, "the group was formed anew");
+}
+
+/// The answers to orders are lost: they may have been carried out or not.
+#[test]
+fn lost_answers_to_orders_delay_and_do_not_duplicate() {
+    let mut world = World::new(1, 11);
+    world.loses_answers_of.extend(world.engines.keys().cloned());
+    world.run(ms(12_000));
+    assert_eq!((world.serving("large").len(), world.serving("small").len()), (1, 1));
+}
+
+/// A member says that it leaves: the group finishes its requests before it is formed anew.
+#[test]
+fn leaving_member_is_replaced_after_the_group_was_closed() {
+    let mut world = formed();
+    let head = world.serving("large")[0].clone();
+    let leaving = member(&world, &head, 4);
+    world.engines.get_mut(&leaving).expect("an engine").server.is_leaving = true;
+    world.run(ms(4_000));
+    assert_eq!(world.serving("large").len(), 2);
+    let serving = world.serving("large");
+    assert!(serving.iter().all(|it| !world.engines[it].members.contains(&leaving)));
+}
+
+/// A slow member slows its whole group; a spare takes its place.
+#[test]
+fn slow_member_is_replaced_where_there_is_a_spare() {
+    let mut world = formed();
+    let head = world.serving("large")[0].clone();
+    let slow = member(&world, &head, 5);
+    world.engines.get_mut(&slow).expect("an engine").pace = 5.0;
+    world.run(ms(9_000));
+    let serving = world.serving("large");
+    assert_eq!(serving.len(), 2);
+    assert!(serving.iter().all(|it| !world.engines[it].members.contains(&slow)));
+}
+
+/// After the first request, loads keep the platform's rate, over all domains.
+#[test]
+fn loads_keep_the_rate() {
+    let mut world = World::new(6, 11);
+    world.planner.set_loads_unlimited(false);
+    world.run(ms(10_000));
+    let (per_s, window) = (engine_spec().loads_per_s, Duration::from_secs(5));
+    let bound = per_s * window.as_secs_f64() * 1.1 + 3.0;
+    for (at, first) in world.loads.iter().enumerate() {
+        let within = world.loads[at..].iter().take_while(|it| it.since(*first) <= window).count();
+        assert!(within as f64 <= bound, "{within} loads within 5 s");
+    }
+    assert!(world.loads.len() > 30);
+}
+
+/// All entry VMs lost power; the next planner goes on with the groups as they are.
+#[test]
+fn next_planner_keeps_the_groups() {
+    let mut world = formed();
+    let plans = world.plans.clone();
+    world.new_planner();
+    world.run(ms(5_000));
+    assert_eq!(world.plans, plans);
+    assert_eq!((world.serving("large").len(), world.serving("small").len()), (2, 2));
+}
+
+/// Nothing changes hands while the store takes no writes.
+#[test]
+fn nothing_is_ordered_without_a_written_plan() {
+    let mut world = formed();
+    let head = world.serving("large")[0].clone();
+    let lost = member(&world, &head, 1);
+    let orders: u64 = world.engines.values().map(|it| it.orders_accepted).sum();
+    world.set_store_down(true);
+    lose(&mut world, &lost, Reach::NoProcess);
+    world.run(ms(3_000));
+    assert_eq!(world.engines.values().map(|it| it.orders_accepted).sum::<u64>(), orders);
+    world.set_store_down(false);
+    world.run(ms(3_000));
+    assert_eq!(world.serving("large").len(), 2);
+}
+
+/// A whole domain goes dark and comes back with new lives of its servers.
+#[test]
+fn dark_domain_is_formed_again_when_it_returns() {
+    let mut world = World::new(4, 11);
+    world.run(ms(8_000));
+    let dark: Vec<VmId> = (0..11).map(|it| vm(&format!("e-0-{it}"))).collect();
+    for it in &dark {
+        lose(&mut world, it, Reach::Silent);
+    }
+    world.run(ms(4_000));
+    for it in &dark {
+        world.engines.get_mut(it).expect("an engine").is_listed = false;
+    }
+    world.run(ms(4_000));
+    for it in &dark {
+        world.restart(it);
+        world.engines.get_mut(it).expect("an engine").is_listed = true;
+    }
+    world.run(ms(12_000));
+    assert_eq!((world.serving("large").len(), world.serving("small").len()), (4, 4));
+}
+
+/// Heads that no plan names are taken out of their groups.
+#[test]
+fn head_that_no_plan_names_is_closed() {
+    let mut world = formed();
+    let head = world.serving("small")[0].clone();
+    let domain = world.engines[&head].server.engine.domain.clone().expect("a domain");
+    let (plan, revision) = world.plans.get_mut(&domain).expect("a plan");
+    plan.groups.retain(|it| it.head().is_some_and(|it| it.vm != head));
+    revision.0 += 100;
+    world.new_planner();
+    world.run(ms(500));
+    let phase = world.engines[&head].server.engine.membership.as_ref().map(|it| it.phase);
+    assert_ne!(phase, Some(MemberPhase::Open));
+}
