--- a/bins/mangocross-front/src/control.rs
+++ b/bins/mangocross-front/src/control.rs
@@ -33,8 +33,7 @@
 
 fn find_suspects(front: &Front) {
     let now = front.now();
-    let suspects: Vec<VmId> =
-        front.beliefs.borrow().progress.suspects(now).cloned().collect();
+    let suspects: Vec<VmId> = front.beliefs.borrow().progress.suspects(now).cloned().collect();
     for head in suspects {
         if !front.is_suspect(&head) {
             log::warn!(server:% = head; "group suspect: all its streams stand still");
--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -97,15 +97,17 @@
     let (mut response, record) = match admit(front, request, record).await {
         Ok(call) if call.route.repeat.is_stream() => stream::serve(call).await,
         Ok(call) => plain::serve(call).await,
-        Err((response, record)) => (response, Some(record)),
+        Err(refused) => (refused.0, Some(refused.1)),
     };
     if is_stopping {
-        response.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
     }
     response.map(|it| it.with_guards(record, on_connection))
 }
 
-type Refused = (Response<AnswerBody>, RequestRecord);
+type Refused = Box<(Response<AnswerBody>, RequestRecord)>;
 
 /// Finds the route and the customer, and reads the body.
 async fn admit(
@@ -117,7 +119,7 @@
     let head = CallerHead::read(&parts.headers);
     record.id = head.attempt_id.clone();
     let refuse = |record: RequestRecord, refusal: Refusal, reason| {
-        Err((record.refuse(&refusal, reason), record))
+        Err(Box::new((record.refuse(&refusal, reason), record)))
     };
     let is_ambiguous = parts.headers.contains_key(header::TRANSFER_ENCODING)
         && parts.headers.contains_key(header::CONTENT_LENGTH);
--- a/bins/mangocross-front/src/ingress.rs
+++ b/bins/mangocross-front/src/ingress.rs
@@ -98,15 +98,12 @@
     }
     let state = ConnectionState::new(front.clock);
     let key = callers.connections.borrow_mut().insert(Rc::clone(&state));
-    let header_bytes_max =
-        front.configuration().map_or(16 << 10, |it| it.limits.header_bytes_max);
+    let header_bytes_max = front.configuration().map_or(16 << 10, |it| it.limits.header_bytes_max);
     let socket = TrackedSocket::new(stream, Rc::clone(&state));
     let service = service_fn(|request: http::Request<Incoming>| {
         let in_progress = state.begin_request();
         let front = Rc::clone(&front);
-        async move {
-            Ok::<_, Infallible>(dispatch::answer(front, request, in_progress).await)
-        }
+        async move { Ok::<_, Infallible>(dispatch::answer(front, request, in_progress).await) }
     });
     // The buffer holds a whole head, and at least what the library needs.
     let connection = http1::Builder::new()
--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -146,8 +146,7 @@
     let key = format!("{ENTRY_VMS_PREFIX}{}", front.vm.name);
     let address = format!("{}:{}", front.vm.ip, front.vm.peer_port);
     let put = StorePut { key, value: address.into_bytes(), lease: Some(lease) };
-    let (status, body) =
-        front.store.call(StoreCall::write(&[], &[put], &[]), CALL_TIMEOUT).await?;
+    let (status, body) = front.store.call(StoreCall::write(&[], &[put], &[]), CALL_TIMEOUT).await?;
     match WriteOutcome::decode(status, &body)? {
         WriteOutcome::Written(_) => Ok(()),
         _ => Err(StoreError::Refused { status }),
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -45,10 +45,8 @@
     }
 
     pub(crate) fn ended(&self, status: u16, code: u16) {
-        let labels = [
-            KeyValue::new("status", i64::from(status)),
-            KeyValue::new("code", i64::from(code)),
-        ];
+        let labels =
+            [KeyValue::new("status", i64::from(status)), KeyValue::new("code", i64::from(code))];
         self.requests.add(1, &labels);
     }
 
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -117,9 +117,10 @@
 fn choose(call: &Call, tried: &[VmId]) -> Option<BackendServer> {
     let now = call.front.now();
     let beliefs = call.front.beliefs.borrow();
-    let servers = beliefs.servers.values().filter(|it| {
-        it.service == call.service && !it.is_leaving && !tried.contains(&it.vm)
-    });
+    let servers = beliefs
+        .servers
+        .values()
+        .filter(|it| it.service == call.service && !it.is_leaving && !tried.contains(&it.vm));
     let loads: Vec<ServerLoad> = servers
         .filter(|it| !beliefs.is_avoided(&it.vm, now))
         .map(|it| ServerLoad {
@@ -205,11 +206,7 @@
 
 /// Refuses if nothing can have run; a request that may be repeated may be refused in any case.
 fn refused_or_unknown(call: &Call, sent: u32, reason: &'static str) -> Response<AnswerBody> {
-    if sent == 0 {
-        refused(call, reason)
-    } else {
-        unknown(call, ResultCode::BackendBroken, reason)
-    }
+    if sent == 0 { refused(call, reason) } else { unknown(call, ResultCode::BackendBroken, reason) }
 }
 
 /// Ends a request whose time is over.
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -88,8 +88,7 @@
     pub(crate) async fn get(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
         let now = Instant::now();
         loop {
-            let resting =
-                self.resting.borrow_mut().get_mut(&address).and_then(Vec::pop);
+            let resting = self.resting.borrow_mut().get_mut(&address).and_then(Vec::pop);
             let Some(resting) = resting else { return connect(address).await };
             if resting.until > now && resting.connection.sender.is_ready() {
                 let mut connection = resting.connection;
--- a/bins/mangocross-front/src/ready.rs
+++ b/bins/mangocross-front/src/ready.rs
@@ -45,8 +45,7 @@
                     let response = answer(&front, &was_ready, request.uri().path());
                     async move { Ok::<_, Infallible>(response) }
                 });
-                let serving =
-                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
                 if let Err(error) = serving.await {
                     log::debug!(error:% = error; "connection for readiness ended");
                 }
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -80,7 +80,7 @@
     /// It may have run.
     MayHaveRun(&'static str, ResultCode),
     /// The server answered with a failure.
-    Failure(Begun),
+    Failure(Box<Begun>),
     /// The time is over.
     TimeOver,
 }
@@ -127,7 +127,12 @@
             Err(NotBegun::NotRun(reason)) => {
                 call.record.step("not run", &vm, reason);
                 if sent >= call.route.attempts_max {
-                    break ended(&call, may_have_run, (ResultCode::BackendRefused, reason), RETURN_MIN);
+                    break ended(
+                        &call,
+                        may_have_run,
+                        (ResultCode::BackendRefused, reason),
+                        RETURN_MIN,
+                    );
                 }
             }
             Err(NotBegun::MayHaveRun(reason, code)) => {
@@ -141,7 +146,7 @@
                 call.record.step("attempt failed", &vm, "server answered with a failure");
                 may_have_run = true;
                 if !may_repeat {
-                    break failure(&call, begun).await;
+                    break failure(&call, *begun).await;
                 }
             }
             Err(NotBegun::TimeOver) => break plain::timed_out(&call, true),
@@ -157,8 +162,7 @@
 }
 
 fn choose(call: &Call, heads: &[HeadLoad], queue: u32) -> Admission {
-    let engine =
-        call.configuration.services.get(&call.service).and_then(|it| it.engine.as_ref());
+    let engine = call.configuration.services.get(&call.service).and_then(|it| it.engine.as_ref());
     let model = engine.and_then(|engine| {
         let named = call.head.model.as_ref().and_then(|it| engine.model(it));
         named.or(engine.models.first()).map(|it| (engine, it))
@@ -181,11 +185,8 @@
 
 async fn connect(call: &Call, vm: &VmId, may_reuse: bool) -> Option<Connection> {
     let address = call.front.beliefs.borrow().servers.get(vm).map(|it| it.address)?;
-    let connection = if may_reuse {
-        call.front.pool.get(address).await
-    } else {
-        pool::connect(address).await
-    };
+    let connection =
+        if may_reuse { call.front.pool.get(address).await } else { pool::connect(address).await };
     match connection {
         Ok(it) => Some(it),
         Err(error) => {
@@ -254,7 +255,7 @@
     if begun.response.status() == StatusCode::OK && begun.head.is_signed {
         Ok(begun)
     } else {
-        Err(NotBegun::Failure(begun))
+        Err(NotBegun::Failure(Box::new(begun)))
     }
 }
 
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -137,7 +137,8 @@
     let mut items: Vec<StoreItem> = Vec::new();
     loop {
         let after = items.last().map(|it| it.key.as_str());
-        let (status, body) = front.store.call(StoreCall::range(prefix, after), CALL_TIMEOUT).await?;
+        let (status, body) =
+            front.store.call(StoreCall::range(prefix, after), CALL_TIMEOUT).await?;
         if status != StatusCode::OK {
             return Err(StoreError::Refused { status });
         }
--- /dev/null
+++ b/bins/mangocross-front/tests/platform/mod.rs
@@ -0,0 +1,249 @@
+//! A small stand-in of the platform: its store, and backend servers of two services.
+
+mod servers;
+mod store;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+pub(crate) use self::servers::Server;
+pub(crate) use self::store::Store;
+
+/// Longest wait for something that is bound to come.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Loopback addresses that were given out, one for each process.
+static NEXT_IP: AtomicU8 = AtomicU8::new(1);
+
+/// Headers of a request with a key that the configuration holds.
+pub(crate) const KEY: &str =
+    "Attempt-Id: a1\r\nModel: m0\r\nToken-Count: 10,5\r\nAuthorization: Bearer k1\r\n";
+
+/// Returns whether an answer bears a server's signature.
+pub(crate) fn is_signed(head: &str) -> bool {
+    head.to_ascii_lowercase().contains("server-seal: ")
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// An HTTP request as the stand-ins read it.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) target: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Request {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(it, _)| it.eq_ignore_ascii_case(name));
+        found.map(|(_, it)| it.as_str())
+    }
+
+    /// Reads a request; `None` at the end of the connection.
+    fn read(stream: &mut TcpStream) -> Option<Self> {
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            if stream.read(&mut byte).ok()? == 0 {
+                return None;
+            }
+            head.push(byte[0]);
+        }
+        let text = String::from_utf8(head).ok()?;
+        let mut lines = text.lines();
+        let mut first = lines.next()?.split(' ');
+        let target = first.nth(1)?.to_owned();
+        let header = |it: &str| {
+            let (name, value) = it.split_once(':')?;
+            Some((name.to_owned(), value.trim().to_owned()))
+        };
+        let headers: Vec<(String, String)> = lines.filter_map(header).collect();
+        let mut this = Self { target, headers, body: Vec::new() };
+        let length = this.header("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+        this.body = vec![0; length];
+        stream.read_exact(&mut this.body).ok()?;
+        Some(this)
+    }
+}
+
+/// Writes an answer with a length.
+pub(crate) fn answer(stream: &mut TcpStream, status: u16, headers: &str, body: &str) {
+    let length = body.len();
+    let text =
+        format!("HTTP/1.1 {status} Status\r\nContent-Length: {length}\r\n{headers}\r\n{body}");
+    let _ = stream.write_all(text.as_bytes());
+}
+
+/// Serves connections until the process ends.
+pub(crate) fn listen(
+    handle: impl Fn(Request, &mut TcpStream) + Send + Sync + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let handle = Arc::new(handle);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let handle = Arc::clone(&handle);
+            thread::spawn(move || {
+                while let Some(request) = Request::read(&mut stream) {
+                    handle(request, &mut stream);
+                }
+            });
+        }
+    });
+    address
+}
+
+/// The program under test.
+#[derive(Debug)]
+pub(crate) struct Front {
+    child: Child,
+    pub(crate) address: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) settings: PathBuf,
+}
+
+impl Front {
+    /// Starts the program on an address of its own, with its log going to `stdout`.
+    pub(crate) fn spawn(store: &Store, revoke_ms: u64, stdout: Stdio) -> Self {
+        let host = NEXT_IP.fetch_add(1, Ordering::Relaxed);
+        let ip = Ipv4Addr::new(127, 7, u8::try_from(std::process::id() % 250).unwrap_or(0), host);
+        let free = || TcpListener::bind((ip, 0)).and_then(|it| it.local_addr()).expect("a port");
+        let (address, ready, peers) = (free(), free(), free());
+        let settings = json!({
+            "node": "front-1", "ip": IpAddr::V4(ip), "zone": "zone-a",
+            "listen": {"front": address, "ready": ready},
+            "internal_ports": [peers.port(), peers.port()], "first_start": true,
+            "limits": {"max_fds": 1024, "memory_mb": 256},
+            "bounds": {"revoke_ms": revoke_ms, "strict_revoke": true, "grace_s": 8, "stall_ms": 6000, "retry_slack": 50},
+            "platform": {"address": store.address},
+        });
+        let name = format!("mangocross-front-{}-{host}.json", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, settings.to_string()).expect("a settings file");
+        let child = Command::new(env!("CARGO_BIN_EXE_mangocross-front"))
+            .arg("--settings")
+            .arg(&path)
+            .stdout(stdout)
+            .spawn()
+            .expect("the program starts");
+        Self { child, address, ready, settings: path }
+    }
+
+    /// Sends SIGTERM.
+    pub(crate) fn terminate(&self) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("it runs");
+    }
+
+    /// Waits for the end of the program; returns whether it was a success.
+    pub(crate) fn ended_well(&mut self) -> bool {
+        self.child.wait().expect("it was started").success()
+    }
+
+    /// Sends a request on a new connection and returns status, head and body.
+    pub(crate) fn call(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &str,
+        body: &str,
+    ) -> (u16, String, String) {
+        call(self.address, method, path, headers, body)
+    }
+
+    /// Repeats a request until it is answered with a status.
+    pub(crate) fn until(&self, status: u16, path: &str, headers: &str) -> String {
+        let began = Instant::now();
+        loop {
+            let (got, _, body) = self.call("POST", path, headers, "{}");
+            if got == status {
+                return body;
+            }
+            assert!(began.elapsed() < PATIENCE, "{path}: {got} instead of {status}: {body}");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// Sends a request on a new connection.
+pub(crate) fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> (u16, String, String) {
+    let exchange = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect(to)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        let length = body.len();
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nContent-Length: {length}\r\n{headers}\r\n{body}"
+        );
+        stream.write_all(text.as_bytes())?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer)?;
+        Ok(String::from_utf8_lossy(&answer).into_owned())
+    };
+    let answer = exchange().unwrap_or_default();
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap_or_default();
+    let status = head.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
+    (status, head.to_owned(), body.to_owned())
+}
+
+/// The operators' configuration, with these keys.
+fn configuration(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({"name": name, "host": "a.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 8000,
+            "target_latency_ms": 400, "priority": 1, "service": service, "max_attempts": 2,
+            "resumable": kind == "streaming", "gap_aim_ms": 250})
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("stream", "/stream/", "streaming", "models"),
+            route("lookup", "/lookup/", "idempotent", "records"),
+            route("booking", "/booking/", "non_idempotent", "records"),
+        ],
+        "services": [
+            {"name": "models", "engine": {"slots": 4, "stride": 6, "step_ms": 6.0, "read_per_s": 50000.0,
+                "models": [{"name": "m0", "size": 2, "share": 1.0, "load_s": 0.2, "warm_s": 0.1}],
+                "usual": {"prompt": 100, "answer": 20}, "loads_per_s": 100.0, "loads_at_once": 8, "form_ms": 10.0}},
+            {"name": "records"},
+        ],
+        "tenants": [{"name": "t1", "api_keys": keys}],
+    })
+}
--- /dev/null
+++ b/bins/mangocross-front/tests/platform/store.rs
@@ -0,0 +1,157 @@
+//! The platform's store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::Value;
+use serde_json::json;
+
+use super::Request;
+use super::answer;
+use super::configuration;
+use super::listen;
+use super::lock;
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, (Vec<u8>, u64)>,
+    history: Vec<Value>,
+    next_lease: u64,
+    is_silent: bool,
+}
+
+/// The store and its address.
+#[derive(Debug, Clone)]
+pub(crate) struct Store {
+    state: Arc<Mutex<State>>,
+    pub(crate) address: SocketAddr,
+}
+
+impl Store {
+    pub(crate) fn spawn() -> Self {
+        let state = Arc::new(Mutex::new(State::default()));
+        let served = Arc::clone(&state);
+        let address = listen(move |request, stream| serve(&served, &request, stream));
+        Self { state, address }
+    }
+
+    /// Writes a value, as operators and servers do.
+    pub(crate) fn put(&self, key: &str, value: &Value) {
+        lock(&self.state).put(key, value.to_string().into_bytes());
+    }
+
+    /// Writes the operators' configuration, with these keys of a customer.
+    pub(crate) fn configure(&self, version: u64, keys: &[&str]) {
+        self.put("op/config", &configuration(version, keys));
+    }
+
+    /// Removes a key.
+    pub(crate) fn remove(&self, key: &str) {
+        let mut state = lock(&self.state);
+        state.items.remove(key);
+        state.revision += 1;
+        let event = json!({"key": key, "revision": state.revision, "removed": true});
+        state.history.push(event);
+    }
+
+    /// Lets the store answer nothing, or answer again.
+    pub(crate) fn set_silent(&self, is_silent: bool) {
+        lock(&self.state).is_silent = is_silent;
+    }
+}
+
+impl State {
+    fn put(&mut self, key: &str, value: Vec<u8>) {
+        self.revision += 1;
+        let event = item(key, &value, self.revision);
+        self.items.insert(key.to_owned(), (value, self.revision));
+        self.history.push(event);
+    }
+}
+
+fn item(key: &str, value: &[u8], revision: u64) -> Value {
+    json!({"key": key, "value": STANDARD.encode(value), "revision": revision, "create_rev": revision, "lease": 0})
+}
+
+fn query(request: &Request, name: &str) -> String {
+    let pairs = request.target.split_once('?').map(|it| it.1).unwrap_or_default();
+    let found = pairs.split('&').filter_map(|it| it.split_once('=')).find(|it| it.0 == name);
+    found.map(|it| it.1.to_owned()).unwrap_or_default()
+}
+
+fn serve(state: &Mutex<State>, request: &Request, stream: &mut TcpStream) {
+    while lock(state).is_silent {
+        thread::sleep(Duration::from_millis(20));
+    }
+    let path = request.target.split('?').next().unwrap_or_default();
+    match path {
+        "/-/kv-range" => {
+            let prefix = query(request, "path_prefix");
+            let state = lock(state);
+            let items = state.items.iter().filter(|(key, _)| key.starts_with(&prefix));
+            let entries: Vec<Value> = items.map(|(key, it)| item(key, &it.0, it.1)).collect();
+            let body =
+                json!({"entries": entries, "has_more": false, "store_revision": state.revision});
+            answer(stream, 200, "", &body.to_string());
+        }
+        "/-/kv-watch" => watch(state, request, stream),
+        "/-/kv-txn" => write(state, request, stream),
+        "/-/kv-lease" => {
+            let mut state = lock(state);
+            state.next_lease += 1;
+            answer(
+                stream,
+                200,
+                "",
+                &json!({"lease": state.next_lease, "ttl_ms": 1000}).to_string(),
+            );
+        }
+        _ => answer(stream, 200, "", "{\"ttl_ms\":1000}"),
+    }
+}
+
+fn watch(state: &Mutex<State>, request: &Request, stream: &mut TcpStream) {
+    let after: u64 = query(request, "after_rev").parse().unwrap_or_default();
+    let wait_ms = query(request, "wait_ms").parse().unwrap_or_default();
+    let end = Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let held = lock(state);
+        let is_later = |it: &&Value| it["revision"].as_u64() > Some(after);
+        let events: Vec<Value> = held.history.iter().filter(is_later).cloned().collect();
+        if !held.is_silent && (!events.is_empty() || Instant::now() >= end) {
+            let body = json!({"events": events, "store_revision": held.revision});
+            answer(stream, 200, "", &body.to_string());
+            return;
+        }
+        drop(held);
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn write(state: &Mutex<State>, request: &Request, stream: &mut TcpStream) {
+    let body: Value = serde_json::from_slice(&request.body).expect("JSON");
+    let mut state = lock(state);
+    let rows = body["expected"].as_array().cloned().unwrap_or_default();
+    let holds = |row: &Value| {
+        let key = row["key"].as_str().unwrap_or_default();
+        state.items.get(key).map_or(0, |it| it.1) == row["revision"].as_u64().unwrap_or_default()
+    };
+    if !rows.iter().all(holds) {
+        answer(stream, 412, "", "{\"entries\":[]}");
+        return;
+    }
+    for put in body["puts"].as_array().cloned().unwrap_or_default() {
+        let value = STANDARD.decode(put["value"].as_str().unwrap_or_default()).expect("base64");
+        state.put(put["key"].as_str().unwrap_or_default(), value);
+    }
+    answer(stream, 200, "", &json!({"revision": state.revision}).to_string());
+}
--- /dev/null
+++ b/bins/mangocross-front/tests/whole_path.rs
@@ -0,0 +1,151 @@
+//! The program between callers and a stand-in of the platform.
+
+mod platform;
+
+use std::process::Stdio;
+
+use crate::platform::Front;
+use crate::platform::KEY;
+use crate::platform::Server;
+use crate::platform::Store;
+
+/// A store with a configuration, four engines and two servers of a plain service.
+fn platform() -> (Store, Vec<Server>, Vec<Server>) {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    // Another writer's entry, which names no server.
+    store.put("servers/odd", &serde_json::json!({"service": 7}));
+    let spawn = |service: &str, names: &[&str]| -> Vec<Server> {
+        names.iter().map(|it| Server::spawn(&store, it, service)).collect()
+    };
+    let engines = spawn("models", &["e1", "e2", "e3", "e4"]);
+    let records = spawn("records", &["r1", "r2"]);
+    (store, engines, records)
+}
+
+fn events(body: &str) -> Vec<&str> {
+    body.lines().filter_map(|it| it.strip_prefix("id: ")).collect()
+}
+
+#[test]
+fn streams_and_plain_requests_are_served() {
+    let (store, _engines, _records) = platform();
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    let body = front.until(200, "/stream/x", KEY);
+    assert_eq!(events(&body), ["1", "2", "3", "4", "5"]);
+    let (status, head, body) = front.call("GET", "/lookup/x", KEY, "");
+    assert_eq!((status, body.as_str()), (200, "the whole body"));
+    assert!(platform::is_signed(&head), "{head}");
+    let (status, ..) = platform::call(front.ready, "GET", "/-/ready", "", "");
+    assert_eq!(status, 200);
+}
+
+#[test]
+fn requests_that_are_not_allowed_are_refused_with_a_number() {
+    let (store, _engines, _records) = platform();
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.until(200, "/lookup/x", KEY);
+    let (status, _, body) = front.call("GET", "/nowhere/x", KEY, "");
+    assert!(status == 404 && body.contains("1006"), "{status} {body}");
+    let wrong = KEY.replace("k1", "k2");
+    let (status, _, body) = front.call("GET", "/lookup/x", &wrong, "");
+    assert!(status == 401 && body.contains("1011"), "{status} {body}");
+    let (status, ..) = front.call("GET", "/lookup/x", &KEY.replace("Authorization", "Other"), "");
+    assert_eq!(status, 401);
+}
+
+/// The head stops in the middle of its third event; another group goes on after the second.
+#[test]
+fn broken_stream_is_resumed_within_one_answer() {
+    let (store, engines, _records) = platform();
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.until(200, "/stream/x", KEY);
+    // Both groups are idle, so the next stream goes to the head that took this one.
+    let head = engines.iter().find(|it| !it.ran().is_empty()).expect("a head");
+    head.break_streams(1);
+    let body = front.until(200, "/stream/x", &KEY.replace("a1", "broken"));
+    assert_eq!(events(&body), ["1", "2", "3", "4", "5"]);
+    let runs = engines.iter().map(|it| it.ran().iter().filter(|it| *it == "broken").count());
+    assert_eq!(runs.filter(|it| *it == 1).count(), 2, "two servers ran it, once each");
+}
+
+/// The request may have run, so the caller is not told that it has not, and it is sent once.
+#[test]
+fn booking_without_an_answer_is_never_sent_again() {
+    let (store, _engines, records) = platform();
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.until(200, "/lookup/x", KEY);
+    for it in &records {
+        it.mute();
+    }
+    let booking = KEY.replace("a1", "booking-1").replace("Model", "Deadline-Ms: 400\r\nModel");
+    let (status, _, body) = front.call("POST", "/booking/x", &booking, "{}");
+    assert!(status == 504 && body.contains("unknown"), "{status} {body}");
+    let runs = records.iter().flat_map(Server::ran).filter(|it| it == "booking-1").count();
+    assert_eq!(runs, 1);
+}
+
+#[test]
+fn revoked_key_is_refused() {
+    let (store, _engines, _records) = platform();
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.until(200, "/lookup/x", KEY);
+    store.configure(4, &["other"]);
+    front.until(401, "/lookup/x", KEY);
+    // An older version that arrives late changes nothing.
+    store.configure(3, &["k1"]);
+    store.configure(5, &["another"]);
+    front.until(200, "/lookup/x", &KEY.replace("k1", "another"));
+    front.until(401, "/lookup/x", KEY);
+}
+
+/// Out of touch with the store, a key may have been taken away: not run, and when to come back.
+#[test]
+fn keys_are_not_trusted_without_the_store() {
+    let (store, _engines, _records) = platform();
+    let front = Front::spawn(&store, 4_000, Stdio::null());
+    front.until(200, "/lookup/x", KEY);
+    store.set_silent(true);
+    let body = front.until(503, "/lookup/x", KEY);
+    assert!(body.contains("2006") && body.contains("not run"), "{body}");
+    store.set_silent(false);
+    front.until(200, "/lookup/x", KEY);
+}
+
+/// A server whose entry was removed gets nothing more.
+#[test]
+fn unlisted_server_gets_no_requests() {
+    let (store, _engines, records) = platform();
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.until(200, "/lookup/x", KEY);
+    store.remove("servers/r1");
+    store.remove("servers/r2");
+    let body = front.until(503, "/lookup/x", KEY);
+    assert!(body.contains("not run"), "{body}");
+    let ran: usize = records.iter().map(|it| it.ran().len()).sum();
+    front.call("GET", "/lookup/x", KEY, "");
+    assert_eq!(records.iter().map(|it| it.ran().len()).sum::<usize>(), ran);
+}
+
+/// Nobody reads the log: the pipe fills and no request waits for it.
+#[test]
+fn unread_log_delays_nothing() {
+    let (store, _engines, _records) = platform();
+    let front = Front::spawn(&store, 60_000, Stdio::piped());
+    front.until(200, "/lookup/x", KEY);
+    for _ in 0..600 {
+        assert_eq!(front.call("GET", "/nowhere/x", KEY, "").0, 404);
+    }
+}
+
+#[test]
+fn sigterm_ends_the_program_after_callers_were_served() {
+    let (store, _engines, _records) = platform();
+    let mut front = Front::spawn(&store, 60_000, Stdio::null());
+    front.until(200, "/lookup/x", KEY);
+    front.terminate();
+    let not_ready = || platform::call(front.ready, "GET", "/-/ready", "", "").0 == 503;
+    while !not_ready() {}
+    assert_eq!(front.call("GET", "/lookup/x", KEY, "").0, 200);
+    assert!(front.ended_well());
+}
--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -77,9 +77,7 @@
     fn step(&self, running: u32) -> f64 {
         let running = f64::from(running.min(self.slots));
         let prompt_ms = self.prompt_tokens * self.read_per_token_ms;
-        self.step_ms
-            + running * self.step_per_request_ms
-            + running * prompt_ms / self.answer_tokens
+        self.step_ms + running * self.step_per_request_ms + running * prompt_ms / self.answer_tokens
     }
 
     /// Returns the mean time between two ends of requests in a full group.
--- a/crates/mangocross-serving/src/backend_server.rs
+++ b/crates/mangocross-serving/src/backend_server.rs
@@ -78,9 +78,11 @@
 impl BackendServer {
     /// Returns whether the server heads a group that takes requests for a model.
     pub fn serves(&self, model: &ModelId) -> bool {
-        let is_open = self.engine.membership.as_ref().is_some_and(|it| {
-            it.rank == Rank(0) && matches!(it.phase, MemberPhase::Open)
-        });
+        let is_open = self
+            .engine
+            .membership
+            .as_ref()
+            .is_some_and(|it| it.rank == Rank(0) && matches!(it.phase, MemberPhase::Open));
         is_open && !self.is_leaving && self.engine.loaded.contains(model)
     }
 }
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -298,9 +298,8 @@
 
     fn group_of_head(&self, head: &VmId) -> Option<PlannedGroup> {
         let mut groups = self.plans.values().flat_map(|it| &it.plan.groups);
-        let is_of_head = |it: &&PlannedGroup| {
-            !it.is_dissolving && it.head().is_some_and(|it| it.vm == *head)
-        };
+        let is_of_head =
+            |it: &&PlannedGroup| !it.is_dissolving && it.head().is_some_and(|it| it.vm == *head);
         groups.find(is_of_head).cloned()
     }
 
@@ -588,17 +587,16 @@
         steps: &mut Vec<Step>,
     ) -> bool {
         let key = (group.group.clone(), head.incarnation);
-        let of_incarnation = |it: &&Known| {
-            it.server.vm != head.member.vm
-                && it.server.engine.membership.as_ref().is_some_and(|it| {
-                    it.group == group.group && it.incarnation == head.incarnation
-                })
-        };
+        let of_incarnation =
+            |it: &&Known| {
+                it.server.vm != head.member.vm
+                    && it.server.engine.membership.as_ref().is_some_and(|it| {
+                        it.group == group.group && it.incarnation == head.incarnation
+                    })
+            };
         let members = self.known.values().filter(of_incarnation);
-        let reachable: Vec<VmId> = members
-            .filter(|it| !it.contact.is_lost())
-            .map(|it| it.server.vm.clone())
-            .collect();
+        let reachable: Vec<VmId> =
+            members.filter(|it| !it.contact.is_lost()).map(|it| it.server.vm.clone()).collect();
         if reachable.is_empty() {
             // All others have left it, joined again or are gone: it stands still already.
             let notes = self.notes.entry(key).or_default();
@@ -611,12 +609,7 @@
     }
 
     /// Drops the former heads that are out of a group.
-    fn prune_former_heads(
-        &mut self,
-        group: &mut PlannedGroup,
-        now: Moment,
-        steps: &mut Vec<Step>,
-    ) {
+    fn prune_former_heads(&mut self, group: &mut PlannedGroup, now: Moment, steps: &mut Vec<Step>) {
         for head in std::mem::take(&mut group.former_heads) {
             if !self.is_out(group, &head, now, steps) {
                 group.former_heads.push(head);
--- a/crates/mangocross-serving/tests/admission.rs
+++ b/crates/mangocross-serving/tests/admission.rs
@@ -97,7 +97,8 @@
 #[test]
 fn old_counts_do_not_send_all_streams_to_one_group() {
     let heads: Vec<HeadLoad> = (0..10).map(|it| head(&format!("g{it}"), 10 + it % 2)).collect();
-    let draws = (0..10).flat_map(|a| (0..10).map(move |b| (f64::from(a) / 10.0, f64::from(b) / 10.0)));
+    let draws =
+        (0..10).flat_map(|a| (0..10).map(move |b| (f64::from(a) / 10.0, f64::from(b) / 10.0)));
     let mut taken = std::collections::HashMap::new();
     for (first, second) in draws {
         let admission = admit(&times(), &heads, &demand(0), 0, Comparison::Two(first, second));
--- a/crates/mangocross-serving/tests/beliefs.rs
+++ b/crates/mangocross-serving/tests/beliefs.rs
@@ -143,7 +143,8 @@
 /// A server fails most requests while its health check is good.
 #[test]
 fn failing_server_gets_little_and_is_tried_again_later() {
-    let servers = ["grey", "sound"].map(|it| ServerLoad { vm: vm(it), in_flight: 0, is_near: true });
+    let servers =
+        ["grey", "sound"].map(|it| ServerLoad { vm: vm(it), in_flight: 0, is_near: true });
     let mut table = FailureTable::default();
     for it in 0..4 {
         table.record(&vm("grey"), true, at(it * 10));
--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -28,11 +28,11 @@
 /// Time between two steps of the planner.
 const TICK: Duration = Duration::from_millis(50);
 /// Time after which a head without a member is broken.
-pub const STALL: Duration = Duration::from_secs(6);
+pub(crate) const STALL: Duration = Duration::from_secs(6);
 
 /// How an engine can be reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reach {
+pub(crate) enum Reach {
     /// It answers.
     Answers,
     /// Its connections hang.
@@ -43,36 +43,36 @@
 
 /// One engine.
 #[derive(Debug, Clone)]
-pub struct Engine {
-    pub server: BackendServer,
-    pub is_listed: bool,
-    pub reach: Reach,
-    pub pace: f64,
-    pub orders_accepted: u64,
+pub(crate) struct Engine {
+    pub(crate) server: BackendServer,
+    pub(crate) is_listed: bool,
+    pub(crate) reach: Reach,
+    pub(crate) pace: f64,
+    pub(crate) orders_accepted: u64,
     /// When the present join is done.
-    pub ready_at: Option<Moment>,
+    pub(crate) ready_at: Option<Moment>,
     /// Members of the group that it joined last.
-    pub members: Vec<VmId>,
+    pub(crate) members: Vec<VmId>,
 }
 
 /// All engines, the stored plans and the planner.
 #[derive(Debug)]
-pub struct World {
-    pub engines: BTreeMap<VmId, Engine>,
-    pub plans: BTreeMap<FabricDomain, (DomainPlan, Revision)>,
-    pub planner: GroupPlanner,
-    pub now: Moment,
-    pub loads: Vec<Moment>,
-    pub loses_answers_of: HashSet<VmId>,
+pub(crate) struct World {
+    pub(crate) engines: BTreeMap<VmId, Engine>,
+    pub(crate) plans: BTreeMap<FabricDomain, (DomainPlan, Revision)>,
+    pub(crate) planner: GroupPlanner,
+    pub(crate) now: Moment,
+    pub(crate) loads: Vec<Moment>,
+    pub(crate) loses_answers_of: HashSet<VmId>,
     revision: u64,
     is_store_down: bool,
 }
 
-pub fn vm(name: &str) -> VmId {
+pub(crate) fn vm(name: &str) -> VmId {
     name.parse().expect("a valid id")
 }
 
-pub fn engine_spec() -> EngineSpec {
+pub(crate) fn engine_spec() -> EngineSpec {
     let model = |name: &str, size, share| ModelSpec {
         model: name.parse().expect("a valid id"),
         size,
@@ -98,7 +98,7 @@
 
 impl World {
     /// Returns domains of engines that are in no group.
-    pub fn new(domains: usize, engines: usize) -> Self {
+    pub(crate) fn new(domains: usize, engines: usize) -> Self {
         let mut this = Self {
             engines: BTreeMap::new(),
             plans: BTreeMap::new(),
@@ -119,7 +119,7 @@
     }
 
     /// Adds an engine that is in no group.
-    pub fn add(&mut self, domain: usize, number: usize) -> VmId {
+    pub(crate) fn add(&mut self, domain: usize, number: usize) -> VmId {
         let id = vm(&format!("e-{domain}-{number}"));
         let server = BackendServer {
             vm: id.clone(),
@@ -148,7 +148,7 @@
     }
 
     /// Restarts an engine under its id.
-    pub fn restart(&mut self, id: &VmId) {
+    pub(crate) fn restart(&mut self, id: &VmId) {
         let engine = self.engines.get_mut(id).expect("an engine");
         engine.server.engine.born_unix_ms += 1;
         engine.server.engine.membership = None;
@@ -159,17 +159,17 @@
     }
 
     /// Lets the store refuse writes, or take them again.
-    pub fn set_store_down(&mut self, is_down: bool) {
+    pub(crate) fn set_store_down(&mut self, is_down: bool) {
         self.is_store_down = is_down;
     }
 
     /// Replaces the planner by one that knows only what the store and the engines say.
-    pub fn new_planner(&mut self) {
+    pub(crate) fn new_planner(&mut self) {
         self.planner = GroupPlanner::new(engine_spec(), STALL);
     }
 
     /// Lets time pass.
-    pub fn run(&mut self, time: Duration) {
+    pub(crate) fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
             self.tick();
@@ -182,12 +182,8 @@
         for (domain, (plan, revision)) in &self.plans {
             self.planner.plan_read(domain.clone(), plan.clone(), *revision);
         }
-        let listed: Vec<BackendServer> = self
-            .engines
-            .values()
-            .filter(|it| it.is_listed)
-            .map(|it| it.server.clone())
-            .collect();
+        let listed: Vec<BackendServer> =
+            self.engines.values().filter(|it| it.is_listed).map(|it| it.server.clone()).collect();
         for step in self.planner.step(listed.iter(), self.now) {
             self.carry_out(step);
         }
@@ -310,7 +306,7 @@
     }
 
     /// Returns the heads of groups that take requests and whose members are all there.
-    pub fn serving(&self, model: &str) -> Vec<VmId> {
+    pub(crate) fn serving(&self, model: &str) -> Vec<VmId> {
         let model: ModelId = model.parse().expect("a valid id");
         let is_whole = |it: &&Engine| {
             it.reach == Reach::Answers
