--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -96,9 +96,6 @@
         }
         let signs = beliefs.progress.signs(now).filter(|(_, age)| *age < SIGN_AGE_MAX);
         planner.set_signs(signs.map(|(vm, _)| vm.clone()).collect());
-        if front.has_traffic.get() {
-            planner.set_in_flight(|vm| beliefs.loads.in_flight(vm, now));
-        }
         for head in beliefs.suspects(now) {
             planner.suspect(&head, now);
         }
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -21,7 +21,6 @@
 
 use self::contact::Contact;
 use self::loads::LoadAllowance;
-use self::packing::Needs;
 pub use self::plan::DomainPlan;
 pub use self::plan::FormerHead;
 pub use self::plan::PlannedGroup;
@@ -56,8 +55,6 @@
 /// Servers of a domain come one by one; groups of the first few would leave no
 /// room for a large one.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
-/// Weight of the newest share of places taken; steps are some ten milliseconds apart.
-const TAKEN_WEIGHT: f64 = 0.03;
 /// Part of the listed servers that may be silent before nothing is decided.
 ///
 /// A whole fabric domain is a sixth of the servers in the smallest deployments.
@@ -155,8 +152,6 @@
     orders: HashMap<VmId, GivenOrder>,
     notes: HashMap<GroupKey, GroupNotes>,
     loads: LoadAllowance,
-    /// Share of the places of each model's groups that requests take, smoothed.
-    taken: HashMap<ModelId, f64>,
     /// Heads whose streams went on lately.
     signs: HashSet<VmId>,
     /// When the latest server of each fabric domain appeared.
@@ -184,7 +179,6 @@
             orders: HashMap::new(),
             notes: HashMap::new(),
             loads: LoadAllowance::default(),
-            taken: HashMap::new(),
             signs: HashSet::new(),
             grown_at: HashMap::new(),
         }
@@ -272,23 +266,6 @@
         }
     }
 
-    /// Takes the requests in progress at the heads, over all entry VMs.
-    pub fn set_in_flight(&mut self, in_flight: impl Fn(&VmId) -> u32) {
-        let slots = self.engine.slots.max(1);
-        for model in &self.engine.models {
-            let open = self.known.values().filter(|it| it.server.serves(&model.model));
-            let (taken, places) = open.fold((0, 0), |(taken, places), it| {
-                (taken + in_flight(&it.server.vm), places + slots)
-            });
-            if places == 0 {
-                continue;
-            }
-            let now = f64::from(taken) / f64::from(places);
-            let smoothed = self.taken.entry(model.model.clone()).or_insert(now);
-            *smoothed += TAKEN_WEIGHT * (now - *smoothed);
-        }
-    }
-
     /// Takes the heads that showed a sign of life within a few token steps.
     ///
     /// A group moves only while all its members are there, so members of these
@@ -357,10 +334,9 @@
             }
             drafts.push(self.step_groups(&domain, now, &mut steps));
         }
-        let mut needs = self.needs(&drafts);
+        let mut vms = self.vms_by_model(&drafts);
         for draft in &mut drafts {
-            self.give_up_donor(draft, &mut needs);
-            self.form_groups(draft, &mut needs, now);
+            self.form_groups(draft, &mut vms, now);
         }
         for draft in drafts {
             self.finish(draft, now, &mut steps);
@@ -772,37 +748,13 @@
         self.orders.insert(vm.clone(), given);
     }
 
-    fn needs(&self, drafts: &[Draft]) -> Needs {
+    fn vms_by_model(&self, drafts: &[Draft]) -> HashMap<ModelId, usize> {
         let is_drafted = |domain: &FabricDomain| drafts.iter().any(|it| it.domain == *domain);
         let others = self.plans.iter().filter(|(domain, _)| !is_drafted(domain));
-        let plans = others.map(|(_, it)| &it.plan).chain(drafts.iter().map(|it| &it.plan));
-        Needs::new(count_vms(plans), self.taken.clone())
-    }
-
-    /// Gives a group up, where its VMs and the free ones then suffice for a model in need.
-    fn give_up_donor(&self, draft: &mut Draft, needs: &mut Needs) {
-        if draft.plan.groups.iter().any(|it| it.is_dissolving) {
-            return;
-        }
-        let free = self.free_vms(&draft.domain, &draft.plan).len();
-        for receiver in &self.engine.models {
-            if free >= receiver.size {
-                continue;
-            }
-            let donor = draft.plan.groups.iter_mut().find(|it| {
-                let spec = self.engine.model(&it.model);
-                free + it.members.len() >= receiver.size
-                    && spec.is_some_and(|it| needs.may_donate(it, receiver))
-            });
-            if let Some(donor) = donor {
-                donor.is_dissolving = true;
-                draft.reasons.push(format!("{} given up for {}", donor.group, receiver.model));
-                return;
-            }
-        }
+        count_vms(others.map(|(_, it)| &it.plan).chain(drafts.iter().map(|it| &it.plan)))
     }
 
-    fn form_groups(&self, draft: &mut Draft, needs: &mut Needs, now: Moment) {
+    fn form_groups(&self, draft: &mut Draft, vms: &mut HashMap<ModelId, usize>, now: Moment) {
         let grown_at = self.grown_at.get(&draft.domain);
         if grown_at.is_some_and(|it| now.since(*it) < SETTLE_TIME) {
             return;
@@ -813,14 +765,14 @@
         }
         loop {
             let free = self.free_vms(&draft.domain, &draft.plan);
-            let Some(model) = needs.next_model(&self.engine, free.len()) else { return };
+            let Some(model) = packing::next_model(&self.engine, vms, free.len()) else { return };
             let members = self.choose_members(free, model.size, &model.model);
             let incarnation = self.next_incarnation(&draft.domain, &mut draft.plan);
             let Ok(group) = format!("{}.{incarnation}", draft.domain).parse::<GroupId>() else {
                 return;
             };
             draft.reasons.push(format!("{group} formed for {}", model.model));
-            needs.add(model);
+            *vms.entry(model.model.clone()).or_default() += members.len();
             draft.plan.groups.push(PlannedGroup {
                 group,
                 incarnation: Incarnation(incarnation),
