--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -29,8 +29,11 @@
 pub(crate) const OWN_PREFIX: &str = "mangocross/";
 /// Prefix of the operators' keys.
 const OPERATORS_PREFIX: &str = "op/";
-/// Longest wait of one watch, with the pause before it; each return proves the configuration fresh.
-const WATCH_WAIT: Duration = Duration::from_millis(2400);
+/// Longest wait of one watch, with the pause before it.
+///
+/// A return proves the configuration as of the question, so that the proof is up
+/// to two waits old before the next one comes.
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
 /// Added to the wait before a silent watch is given up.
 const WATCH_SLACK: Duration = Duration::from_millis(900);
 /// Pause after changes, in which further ones gather; each call to the store is priced.
