--- a/crates/mangocross-serving/src/planner/packing.rs
+++ b/crates/mangocross-serving/src/planner/packing.rs
@@ -9,7 +9,7 @@
 
 /// A model that fits is taken instead of the neediest one, which does not fit,
 /// only while it is not better supplied by more than this.
-const SUPPLY_RATIO_MAX: f64 = 1.7;
+const SUPPLY_RATIO_MAX: f64 = 1.3;
 /// VMs that are kept as spares when the neediest model does not fit.
 const SPARES_KEPT: usize = 2;
 
