--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -49,6 +49,8 @@
     pub(crate) body: Bytes,
     /// When the caller's wait, or the route's, is over.
     pub(crate) ends_at: Instant,
+    /// Time between the caller's first attempt and this one.
+    pub(crate) waited_before: Duration,
     pub(crate) record: RequestRecord,
 }
 
@@ -159,6 +161,10 @@
         return refuse(record, refusal.retry_after(STOPPING_RETRY), "stopping");
     }
     front.count_request(&service);
+    let waited_before = match head.deadline {
+        Some(it) => front.beliefs.borrow_mut().first_attempts.waited(&route.name, it),
+        None => Duration::ZERO,
+    };
     let limited = Limited::new(body, configuration.limits.body_bytes_max).collect();
     let body = match tokio::time::timeout_at(ends_at, limited).await {
         Ok(Ok(it)) => it.to_bytes(),
@@ -175,7 +181,19 @@
             return refuse(record, refusal, "body too slow");
         }
     };
-    Ok(Call { front, configuration, route, service, holder, head, parts, body, ends_at, record })
+    Ok(Call {
+        front,
+        configuration,
+        route,
+        service,
+        holder,
+        head,
+        parts,
+        body,
+        ends_at,
+        waited_before,
+        record,
+    })
 }
 
 fn not_fresh() -> Refusal {
--- a/bins/mangocross-front/src/front.rs
+++ b/bins/mangocross-front/src/front.rs
@@ -14,6 +14,7 @@
 use mangocross_serving::BackendServer;
 use mangocross_serving::BootClock;
 use mangocross_serving::FailureTable;
+use mangocross_serving::FirstAttempts;
 use mangocross_serving::FreshnessProof;
 use mangocross_serving::HeadLoad;
 use mangocross_serving::LoadTable;
@@ -71,6 +72,7 @@
     pub(crate) progress: ProgressTable,
     pub(crate) failures: FailureTable,
     pub(crate) retries: HashMap<ServiceId, RetryLedger>,
+    pub(crate) first_attempts: FirstAttempts,
     pub(crate) paces: HashMap<VmId, f64>,
     suspects: HashMap<VmId, Moment>,
     /// Suspects that this VM found by itself.
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -173,7 +173,7 @@
     };
     let demand = StreamDemand {
         aim: call.route.aim,
-        waited: call.record.age(),
+        waited: call.waited_before + call.record.age(),
         prompt_tokens: call.head.prompt_tokens,
     };
     let comparison = match call.front.has_old_counts() {
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -38,6 +38,8 @@
 const WATCH_SLACK: Duration = Duration::from_millis(900);
 /// Pause after changes, in which further ones gather; each call to the store is priced.
 const GATHER_PAUSE: Duration = Duration::from_millis(100);
+/// The same before the first request of a caller, while all servers appear.
+const START_GATHER_PAUSE: Duration = Duration::from_millis(400);
 /// Added for each other entry VM; the planner passes changes of servers on meanwhile.
 const GATHER_PAUSE_PER_PEER: Duration = Duration::from_millis(15);
 /// Part of the time to the use of a configuration that the pause may take.
@@ -119,7 +121,11 @@
                 PLANNER_GATHER_PAUSE
             } else {
                 let longest = front.promises().apply_within.mul_f64(GATHER_PART);
-                (GATHER_PAUSE + GATHER_PAUSE_PER_PEER * peers).min(longest)
+                let least = match front.has_traffic.get() {
+                    true => GATHER_PAUSE,
+                    false => START_GATHER_PAUSE,
+                };
+                (least + GATHER_PAUSE_PER_PEER * peers).min(longest)
             };
             tokio::time::sleep(pause).await;
             paused = pause;
@@ -219,7 +225,9 @@
                 routes = new.route_count(), keys = new.keys.len();
                 "configuration in force"
             );
-            front.beliefs.borrow_mut().configuration = Some(Arc::new(new));
+            let mut beliefs = front.beliefs.borrow_mut();
+            beliefs.first_attempts.retain(|it| new.has_route(it));
+            beliefs.configuration = Some(Arc::new(new));
         }
         Err(error) => {
             log::error!(error:% = error, revision = item.revision.0; "configuration ignored");
--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -13,6 +13,10 @@
 const FIRST_EVENT_BASE: Duration = Duration::from_millis(100);
 /// Passes to a first event: half of the one that runs, and the one that reads the prompt.
 const FIRST_EVENT_PASSES: f64 = 1.5;
+/// Part of the places that streams past their aim leave to those that can still be in time.
+const KEPT_FROM_LATE: f64 = 0.1;
+/// Part of the places by which counts of other entry VMs may be too low, where they are old.
+const OLD_COUNTS_ERROR: f64 = 0.1;
 /// Slowness above which a group takes work only if no other has room.
 const SLOW_PACE: f64 = 1.6;
 
@@ -32,7 +36,7 @@
 pub struct StreamDemand {
     /// Time to the first event that the caller aims at.
     pub aim: Duration,
-    /// Time since the caller's request came.
+    /// Time since the caller's first attempt.
     pub waited: Duration,
     /// Prompt tokens.
     pub prompt_tokens: u32,
@@ -135,15 +139,19 @@
     late_queue: u32,
     comparison: Comparison,
 ) -> Admission {
+    let error = match comparison {
+        Comparison::All => 0,
+        Comparison::Two(..) => (f64::from(times.slots) * OLD_COUNTS_ERROR) as u32,
+    };
     if let Comparison::Two(first, second) = comparison {
         let at = |draw: f64| heads.get((draw * heads.len() as f64) as usize).cloned();
         let two: Vec<HeadLoad> = [first, second].into_iter().filter_map(at).collect();
-        let chosen = admit_best(times, &two, demand, late_queue);
+        let chosen = admit_best(times, &two, demand, late_queue, error);
         if matches!(chosen, Admission::Send(_)) {
             return chosen;
         }
     }
-    admit_best(times, heads, demand, late_queue)
+    admit_best(times, heads, demand, late_queue, error)
 }
 
 fn admit_best(
@@ -151,15 +159,18 @@
     heads: &[HeadLoad],
     demand: &StreamDemand,
     late_queue: u32,
+    error: u32,
 ) -> Admission {
     let rank = |it: &HeadLoad| {
         let time = times.first_event(it.in_flight, demand.prompt_tokens, it.pace);
         (it.pace > SLOW_PACE, time, it.in_flight)
     };
     let Some(best) = heads.iter().min_by_key(|it| rank(it)) else { return Admission::NoGroup };
-    let predicted = times.first_event(best.in_flight, demand.prompt_tokens, best.pace);
+    let in_flight = best.in_flight + error;
+    let predicted = times.first_event(in_flight, demand.prompt_tokens, best.pace);
     let is_on_time = demand.waited + predicted <= demand.aim.mul_f64(AIM_PART);
-    let has_place = best.in_flight < times.slots + late_queue;
+    let kept = (f64::from(times.slots) * KEPT_FROM_LATE) as u32;
+    let has_place = in_flight + kept < times.slots + late_queue;
     if is_on_time || has_place {
         return Admission::Send(best.vm.clone());
     }
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod backend_server;
 mod event_splitter;
+mod first_attempts;
 mod freshness;
 mod load_table;
 mod moment;
@@ -30,6 +31,7 @@
 pub use backend_server::OrderOutcome;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::EventTooLong;
+pub use first_attempts::FirstAttempts;
 pub use freshness::FreshnessProof;
 pub use load_table::LoadTable;
 pub use moment::BootClock;
--- a/crates/mangocross-serving/src/traffic.rs
+++ b/crates/mangocross-serving/src/traffic.rs
@@ -210,6 +210,11 @@
         self.routes.values().map(HashMap::len).sum()
     }
 
+    /// Returns whether a route has this name.
+    pub fn has_route(&self, name: &str) -> bool {
+        self.routes.values().flat_map(HashMap::values).any(|it| it.name.as_ref() == name)
+    }
+
     /// Finds the route of a host with the longest prefix that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
         let of_host = self.routes.get(host)?;
--- a/crates/mangocross-serving/tests/admission.rs
+++ b/crates/mangocross-serving/tests/admission.rs
@@ -5,6 +5,7 @@
 use mangocross_serving::Admission;
 use mangocross_serving::Comparison;
 use mangocross_serving::EngineSpec;
+use mangocross_serving::FirstAttempts;
 use mangocross_serving::GroupTimes;
 use mangocross_serving::HeadLoad;
 use mangocross_serving::ModelSpec;
@@ -75,14 +76,29 @@
     assert_eq!(room_in, times().release() * 9);
 }
 
-/// A stream that is past its aim takes a free place and nobody else's time.
+/// A stream that is past its aim leaves the last places to those that can still be in time.
 #[test]
 fn late_stream_takes_free_places_only() {
-    let free = [head("a", SLOTS - 1)];
-    assert_eq!(sent_to(&admit(&times(), &free, &demand(900), 0, Comparison::All)), Some("a"));
-    let full = [head("a", SLOTS)];
-    assert_eq!(sent_to(&admit(&times(), &full, &demand(900), 0, Comparison::All)), None);
-    assert_eq!(sent_to(&admit(&times(), &full, &demand(900), 4, Comparison::All)), Some("a"));
+    let admitted = |in_flight, waited_ms, queue| {
+        let heads = [head("a", in_flight)];
+        sent_to(&admit(&times(), &heads, &demand(waited_ms), queue, Comparison::All)).is_some()
+    };
+    assert!(admitted(SLOTS - 4, 900, 0));
+    assert!(!admitted(SLOTS - 1, 900, 0));
+    assert!(admitted(SLOTS - 1, 0, 0), "one that comes for the first time takes the place");
+    assert!(admitted(SLOTS, 900, 4), "a resumed stream may wait at the engine");
+}
+
+/// Callers that were refused come back with what is left of their deadline.
+#[test]
+fn returning_callers_are_told_from_new_ones() {
+    let mut attempts = FirstAttempts::default();
+    let route = std::sync::Arc::from("r-1");
+    let ms = Duration::from_millis;
+    assert_eq!(attempts.waited(&route, ms(8_000)), ms(0));
+    assert_eq!(attempts.waited(&route, ms(6_500)), ms(1_500));
+    attempts.retain(|it| it != "r-1");
+    assert_eq!(attempts.waited(&route, ms(5_000)), ms(0));
 }
 
 /// Several workers are slow: their groups take work only once the others are full.
