fix(serving): keep members cut from the store where there are no spares

Cause: 18 servers cut from the store for 5 s took their groups with them, and a group that was being formed anew was replaced again for the streams of its last incarnation.

--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -492,16 +492,29 @@
         group: &mut PlannedGroup,
         spares: &mut Vec<VmId>,
     ) -> bool {
-        let stays = |it: &&PlannedMember| {
+        let is_kept = |it: &&PlannedMember, is_fit: &dyn Fn(&Known) -> bool| {
             self.known.get(&it.vm).is_some_and(|known| {
-                self.is_usable(known)
+                is_fit(known)
                     && known.server.engine.born_unix_ms == it.born_unix_ms
                     && known.server.engine.domain.as_ref() == Some(domain)
             })
         };
-        let survivors: Vec<PlannedMember> = group.members.iter().filter(stays).cloned().collect();
+        let usable = |it: &Known| self.is_usable(it);
+        let answers = |it: &Known| {
+            it.unlisted_at.is_some() && it.leaving_at.is_none() && !it.contact.is_lost()
+        };
+        let members = || group.members.iter();
+        let mut survivors: Vec<PlannedMember> =
+            members().filter(|it| is_kept(it, &usable)).cloned().collect();
+        if survivors.is_empty() {
+            return false;
+        }
+        // A member that is cut from the store alone still works, though not as the head.
+        let unlisted = members().filter(|it| is_kept(it, &answers)).cloned();
+        let lacking = group.members.len() - survivors.len();
+        survivors.extend(unlisted.take(lacking.saturating_sub(spares.len())));
         let missing = group.members.len() - survivors.len();
-        if survivors.is_empty() || missing > spares.len() {
+        if missing > spares.len() {
             return false;
         }
         if let Some(head) = group.head().cloned() {
@@ -689,9 +702,16 @@
             if has_slow_member && spares > 0 {
                 break 'verdict Verdict::Replace("a member is slow".to_owned());
             }
-            let is_suspect = notes.suspect_at.is_some_and(|it| now.since(it) < SUSPECT_PAUSE);
-            let suspect_for = notes.suspect_since.map(|it| now.since(it)).unwrap_or_default();
-            if is_suspect && suspect_for > SUSPECT_TIMEOUT && !has_slow_member {
+            if head_phase != Some(MemberPhase::Open) {
+                // Only streams that this incarnation took tell anything of it.
+                notes.suspect_since = None;
+                notes.suspect_at = None;
+            }
+            let suspect_for = match (notes.suspect_since, notes.suspect_at) {
+                (Some(since), Some(at)) => at.since(since),
+                _ => Duration::ZERO,
+            };
+            if suspect_for > SUSPECT_TIMEOUT && !has_slow_member {
                 break 'verdict Verdict::Replace("its streams stand still".to_owned());
             }
             if is_whole && head_phase == Some(MemberPhase::Ready) {
--- a/crates/mangocross-serving/tests/groups.rs
+++ b/crates/mangocross-serving/tests/groups.rs
@@ -281,3 +281,34 @@
     let phase = world.engines[&head].server.engine.membership.as_ref().map(|it| it.phase);
     assert_ne!(phase, Some(MemberPhase::Open));
 }
+
+/// Servers are cut from the store alone: their entries lapse while they work on.
+#[test]
+fn members_cut_from_the_store_stay_where_there_are_no_spares() {
+    let mut world = World::new(1, 9);
+    world.run(ms(8_000));
+    let head = world.serving("large")[0].clone();
+    world.engines.get_mut(&head).expect("an engine").is_listed = false;
+    world.run(ms(3_000));
+    let serving = world.serving("large");
+    assert_eq!(serving.len(), 1);
+    assert_ne!(serving[0], head, "requests go to listed heads only");
+    assert!(world.engines[&serving[0]].members.contains(&head));
+}
+
+/// Streams that were sent before a group was formed anew still stand still.
+#[test]
+fn group_that_is_being_formed_is_not_replaced_for_old_streams() {
+    let mut world = formed();
+    let head = world.serving("large")[0].clone();
+    let lost = member(&world, &head, 3);
+    lose(&mut world, &lost, Reach::Silent);
+    for _ in 0..40 {
+        world.planner.suspect(&head, world.now);
+        world.run(ms(50));
+    }
+    world.run(ms(1_000));
+    let group = world.engines[&head].server.engine.membership.clone().expect("a member");
+    assert_eq!(world.serving("large").len(), 2);
+    assert_eq!(group.incarnation.0, 3, "it was formed anew once");
+}
