--- a/bins/mangocross-front/src/command_line.rs
+++ b/bins/mangocross-front/src/command_line.rs
@@ -1,5 +1,6 @@
 //! Command line and start of the process.
 
+use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -19,6 +20,7 @@
 use crate::ready;
 use crate::settings;
 use crate::stopping;
+use crate::story;
 use crate::watching;
 
 /// Serves callers on an entry VM and keeps model groups whole.
@@ -31,6 +33,9 @@
     settings: Option<PathBuf>,
     /// Check the settings and exit
     check: bool,
+    /// Read a log from standard input, print what it tells of a request, and exit
+    #[bpaf(argument("REQUEST"))]
+    story: Option<String>,
     /// Log level: error, warn, info, debug or trace
     #[bpaf(argument("LEVEL"), fallback("info".to_owned()), display_fallback)]
     log_level: String,
@@ -49,6 +54,9 @@
 }
 
 fn start(arguments: &Arguments) -> Result<(), String> {
+    if let Some(request) = &arguments.story {
+        return tell(request);
+    }
     let file = arguments.settings.clone().unwrap_or_else(|| {
         let named = std::env::var_os(SETTINGS_FILE_VARIABLE);
         named.map_or_else(|| PathBuf::from(SETTINGS_FILE_DEFAULT), PathBuf::from)
@@ -71,6 +79,16 @@
     LocalSet::new().block_on(&runtime, serve(vm, file))
 }
 
+fn tell(request: &str) -> Result<(), String> {
+    let is_known = story::tell(request, io::stdin().lock(), &mut io::stdout().lock())
+        .map_err(|it| format!("[7104] the log cannot be read: {it}"))?;
+    if is_known {
+        Ok(())
+    } else {
+        Err(format!("[7103] the log tells nothing of request `{request}`"))
+    }
+}
+
 async fn serve(vm: EntryVm, file: PathBuf) -> Result<(), String> {
     let front = Rc::new(Front::new(vm));
     let callers = ingress::bind(Rc::clone(&front)).await?;
--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -19,6 +19,7 @@
 mod settings;
 mod stopping;
 mod store;
+mod story;
 mod stream;
 mod stream_body;
 mod watching;
--- /dev/null
+++ b/bins/mangocross-front/src/story.rs
@@ -0,0 +1,85 @@
+//! Prints what the log tells of one request.
+
+use std::collections::HashSet;
+use std::io::BufRead;
+use std::io::Write;
+
+use serde_json::Map;
+use serde_json::Value;
+
+/// Time around a request in which lines on its servers belong to its story, in milliseconds.
+const AROUND_MS: u64 = 2000;
+/// Fields that are printed in a place of their own, or tell nothing of the request.
+const LEFT_OUT: [&str; 7] =
+    ["message", "time_unix_ms", "level", "process", "target", "request", "left_out"];
+
+/// A line of the log.
+#[derive(Debug)]
+struct Line(Map<String, Value>);
+
+impl Line {
+    /// Reads a line; what stands before the JSON is passed over.
+    fn read(text: &str) -> Option<Self> {
+        serde_json::from_str(&text[text.find('{')?..]).ok().map(Self)
+    }
+
+    fn text(&self, name: &str) -> &str {
+        self.0.get(name).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    fn time_unix_ms(&self) -> u64 {
+        self.0.get("time_unix_ms").and_then(Value::as_u64).unwrap_or_default()
+    }
+
+    /// Returns whether a line without a request tells of one of these servers.
+    fn names(&self, servers: &HashSet<&str>) -> bool {
+        self.text("request").is_empty()
+            && (servers.contains(self.text("server"))
+                || servers.iter().any(|it| self.text("reasons").contains(it)))
+    }
+
+    fn print(&self, first_ms: u64, output: &mut impl Write) -> std::io::Result<()> {
+        let after_ms = self.time_unix_ms() as i64 - first_ms as i64;
+        write!(output, "{after_ms:>+7} ms  {}", self.text("message"))?;
+        for (name, value) in self.0.iter().filter(|(it, _)| !LEFT_OUT.contains(&it.as_str())) {
+            write!(output, "  {name}={value}")?;
+        }
+        writeln!(output)
+    }
+}
+
+/// Prints the lines of a request, and those that tell of its servers at the time, in order.
+///
+/// Returns whether the request was found.
+///
+/// # Errors
+///
+/// Fails if the log cannot be read or the story cannot be written.
+pub(crate) fn tell(
+    request: &str,
+    log: impl BufRead,
+    output: &mut impl Write,
+) -> std::io::Result<bool> {
+    let mut lines = Vec::new();
+    for text in log.lines() {
+        lines.extend(Line::read(&text?));
+    }
+    let own: Vec<&Line> = lines.iter().filter(|it| it.text("request") == request).collect();
+    let times = || own.iter().map(|it| it.time_unix_ms());
+    let (Some(first_ms), Some(last_ms)) = (times().min(), times().max()) else {
+        return Ok(false);
+    };
+    let servers: HashSet<&str> =
+        own.iter().map(|it| it.text("server")).filter(|it| !it.is_empty()).collect();
+    let is_near = |it: &&Line| {
+        let time_ms = it.time_unix_ms();
+        time_ms + AROUND_MS >= first_ms && time_ms <= last_ms + AROUND_MS
+    };
+    let around = lines.iter().filter(is_near).filter(|it| it.names(&servers));
+    let mut story: Vec<&Line> = own.iter().copied().chain(around).collect();
+    story.sort_by_key(|it| it.time_unix_ms());
+    for line in story {
+        line.print(first_ms, output)?;
+    }
+    Ok(true)
+}
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -108,6 +108,7 @@
                 continue;
             }
             Admission::Refuse { room_in } => {
+                note_refused(&call, &heads);
                 break ended(&call, may_have_run, NO_ROOM, room_in);
             }
             Admission::NoGroup => {
@@ -213,6 +214,14 @@
     call.record.step("stream sent", vm, &detail);
 }
 
+fn note_refused(call: &Call, heads: &[HeadLoad]) {
+    if let Some(least) = heads.iter().min_by_key(|it| it.in_flight) {
+        let (in_flight, waiting) = (least.in_flight, least.waiting);
+        let detail = format!("{in_flight} in flight, {waiting} waiting, {} groups", heads.len());
+        call.record.step("stream refused", &least.vm, &detail);
+    }
+}
+
 /// Sends the request and waits for the head of its answer.
 async fn begin(
     call: &Call,
--- /dev/null
+++ b/bins/mangocross-front/tests/command_line.rs
@@ -0,0 +1,73 @@
+//! What the command line prints and how it ends.
+
+use std::io::Write;
+use std::process::Command;
+use std::process::Stdio;
+
+/// Runs the program with a text on its input; returns its end and what it printed.
+fn run(arguments: &[&str], input: &str) -> (i32, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mangocross-front"))
+        .args(arguments)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut stdin = child.stdin.take().expect("an input");
+    stdin.write_all(input.as_bytes()).expect("it reads");
+    drop(stdin);
+    let output = child.wait_with_output().expect("it ends");
+    let mut text = String::from_utf8(output.stdout).expect("text");
+    text.push_str(&String::from_utf8(output.stderr).expect("text"));
+    (output.status.code().expect("an exit code"), text)
+}
+
+const LOG: &str = r#"
+entry-1 {"message":"stream sent","request":"a1","server":"i-1","detail":"5 in flight, 1 waiting, 6 groups","time_unix_ms":1000,"vm":"entry-1"}
+not a line of the log
+entry-2 {"message":"group suspect","server":"i-1","time_unix_ms":2400,"vm":"entry-2"}
+entry-2 {"message":"group suspect","server":"i-9","time_unix_ms":2400,"vm":"entry-2"}
+entry-1 {"message":"stream broke","request":"a1","server":"i-1","age_ms":1500,"time_unix_ms":2500,"vm":"entry-1"}
+entry-1 {"message":"request failed","request":"a2","status":503,"time_unix_ms":2500,"vm":"entry-1"}
+entry-3 {"message":"plan written","reasons":"[\"g1 formed anew: i-1 does not answer\"]","time_unix_ms":2800,"vm":"entry-3"}
+entry-1 {"message":"request failed","request":"a1","status":200,"code":3003,"time_unix_ms":2501,"vm":"entry-1"}
+"#;
+
+const STORY: &str = r#"     +0 ms  stream sent  detail="5 in flight, 1 waiting, 6 groups"  server="i-1"  vm="entry-1"
+  +1400 ms  group suspect  server="i-1"  vm="entry-2"
+  +1500 ms  stream broke  age_ms=1500  server="i-1"  vm="entry-1"
+  +1501 ms  request failed  code=3003  status=200  vm="entry-1"
+  +1800 ms  plan written  reasons="[\"g1 formed anew: i-1 does not answer\"]"  vm="entry-3"
+"#;
+
+#[test]
+fn story_of_a_request_holds_its_lines_and_those_of_its_servers() {
+    assert_eq!(run(&["--story", "a1"], LOG), (0, STORY.to_owned()));
+}
+
+#[test]
+fn unknown_request_is_said_to_be_unknown() {
+    let (code, text) = run(&["--story", "a7"], LOG);
+    assert_eq!((code, text.as_str()), (1, "[7103] the log tells nothing of request `a7`\n"));
+}
+
+#[test]
+fn broken_settings_are_refused_with_a_number() {
+    let file = std::env::temp_dir().join(format!("front-settings-{}.json", std::process::id()));
+    std::fs::write(&file, "{\"node\": 7}").expect("a file");
+    let (code, text) = run(&["--check", "--settings", &file.display().to_string()], "");
+    std::fs::remove_file(&file).expect("the file is there");
+    assert_eq!(code, 1);
+    assert!(text.contains("[7102]") && text.contains("line 1"), "{text}");
+    let (code, text) = run(&["--check", "--settings", "/nonexistent/file"], "");
+    assert!(code == 1 && text.contains("[7101]"), "{text}");
+}
+
+#[test]
+fn help_names_each_option() {
+    let (code, text) = run(&["--help"], "");
+    assert_eq!(code, 0);
+    for option in ["--settings", "--check", "--log-level", "--story"] {
+        assert!(text.contains(option), "{text}");
+    }
+}
