fix(front): renew the planner's lease through an outage of the store

Cause: after an outage of 8 s nobody planned for 2.8 s more, since the planner had given its lease up and its key stood until it lapsed.

--- a/bins/mangocross-front/src/front.rs
+++ b/bins/mangocross-front/src/front.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Returns whether this VM plans: whether its planner's lease holds for certain.
+    pub(crate) fn is_planner(&self) -> bool {
+        self.planner_term.get().is_some_and(|it| it.holds(self.now()))
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping_since.get().is_some()
     }
@@ -269,7 +274,7 @@
     pub(crate) fn doubt(&self, head: &VmId) {
         let now = self.now();
         self.beliefs.borrow_mut().doubted.insert(head.clone(), now);
-        if self.planner_term.get().is_some() {
+        if self.is_planner() {
             self.changed.notify_one();
         } else {
             self.news.notify_one();
--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -32,7 +32,7 @@
 const AMPLE_CORE_SHARE: f64 = 0.25;
 const AMPLE_LINK_MBPS: f64 = 100.0;
 /// Spread of the attempts to become the planner, for each entry VM.
-const ELECTION_SPREAD: Duration = Duration::from_millis(8);
+const ELECTION_SPREAD: Duration = Duration::from_millis(4);
 
 /// Keeps the lease for as long as the process runs.
 pub(crate) fn spawn(front: &Rc<Front>) {
@@ -124,14 +124,15 @@
         }
         match renew(front, lease).await {
             Ok(()) => renewed_at = asked_at,
-            // A full store or a lost answer says nothing of the lease.
-            Err(error) if front.now().since(renewed_at) < TIME_TO_LIVE => {
-                log::warn!(error:% = error; "planner's lease not renewed");
-                if matches!(error, StoreError::Refused { status: StatusCode::NOT_FOUND }) {
-                    return Err(error);
+            Err(error @ StoreError::Refused { status: StatusCode::NOT_FOUND }) => {
+                return Err(error);
+            }
+            // The lease may outlast an outage of the store; until it is renewed, nothing is planned.
+            Err(error) => {
+                if front.log_rate.admit("planner's lease not renewed", asked_at).is_some() {
+                    log::warn!(error:% = error; "planner's lease not renewed");
                 }
             }
-            Err(error) => return Err(error),
         }
         let term = front.planner_term.get();
         let confirmed = term.map(|it| PlannerTerm { confirmed_at: renewed_at, ..it });
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -107,7 +107,7 @@
     for (head, age_ms) in &counts.signs {
         beliefs.progress.sign(head, now.before(Duration::from_millis(u64::from(*age_ms))));
     }
-    if front.planner_term.get().is_none() && !counts.paces.is_empty() {
+    if !front.is_planner() && !counts.paces.is_empty() {
         let paces = counts.paces.into_iter().map(|(vm, it)| (vm, f64::from(it)));
         beliefs.paces = paces.collect();
     }
@@ -117,7 +117,7 @@
 }
 
 fn take_doubts(front: &Front, suspects: &[VmId], doubted: &[VmId]) {
-    if front.planner_term.get().is_some() {
+    if front.is_planner() {
         for head in doubted {
             front.doubt(head);
         }
@@ -164,7 +164,7 @@
         let is_large = peers.len() > PEERS_SMALL_MAX;
         let interval = if is_large { INTERVAL_LARGE } else { INTERVAL };
         tokio::time::sleep(interval.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
-        let is_planner = front.planner_term.get().is_some();
+        let is_planner = front.is_planner();
         if !is_large {
             send(&socket, &Message::Counts(counts(&front, false)), &peers);
         } else if is_planner {
@@ -190,7 +190,7 @@
         loads: loads.into_iter().collect(),
         signs: signs.map(|(vm, age)| (vm.clone(), age.as_millis() as u32)).collect(),
         has_traffic: front.has_traffic.get(),
-        paces: if front.planner_term.get().is_some() { paces.collect() } else { Vec::new() },
+        paces: if front.is_planner() { paces.collect() } else { Vec::new() },
     }
 }
 
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -115,7 +115,7 @@
         drop_missing(front);
         paused = Duration::ZERO;
         if has_changes {
-            let is_planner = front.planner_term.get().is_some();
+            let is_planner = front.is_planner();
             let peers = front.beliefs.borrow().peers.len() as u32;
             let pause = if is_planner {
                 PLANNER_GATHER_PAUSE
@@ -240,7 +240,7 @@
         .and_then(|vm| decode_server(vm, item.value.as_deref().unwrap_or_default()));
     match decoded {
         Ok(server) => {
-            let is_planner = front.planner_term.get().is_some();
+            let is_planner = front.is_planner();
             let relayed = is_planner.then(|| server.clone());
             let is_newer = take_server(front, item.revision, server);
             if let Some(server) = relayed.filter(|_| is_newer) {
