--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -45,7 +45,7 @@
                 log::warn!(error:% = error; "lease lost");
             }
             front.planner_term.set(None);
-            tokio::time::sleep(RENEW_INTERVAL / 3).await;
+            tokio::time::sleep(RENEW_INTERVAL / 2).await;
         }
     });
 }
