--- a/bins/mangocross-front/src/control.rs
+++ b/bins/mangocross-front/src/control.rs
@@ -7,7 +7,7 @@
 
 use crate::front::Front;
 
-/// Time between looks for groups that stand still.
+/// Time between looks for groups that are stalled.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Looks between two expiries.
 const LOOKS_PER_EXPIRY: u32 = 10;
@@ -36,7 +36,7 @@
     let suspects: Vec<VmId> = front.beliefs.borrow().progress.suspects(now).cloned().collect();
     for head in suspects {
         if !front.is_suspect(&head) {
-            log::warn!(server:% = head; "group suspect: all its streams stand still");
+            log::warn!(server:% = head; "group suspect: all its streams are stalled");
         }
         front.found_suspect(&head);
     }
--- a/bins/mangocross-front/src/front.rs
+++ b/bins/mangocross-front/src/front.rs
@@ -80,7 +80,7 @@
     /// Entries of servers that the other entry VMs are to be sent.
     pub(crate) relayed: Vec<(Revision, BackendServer)>,
     /// Heads whose groups the planner is to ask, since connections to them failed.
-    doubted: HashMap<VmId, Moment>,
+    to_recheck: HashMap<VmId, Moment>,
     /// Servers that get no requests, and until when.
     avoided: HashMap<VmId, Moment>,
 }
@@ -241,7 +241,7 @@
         open.map(load).collect()
     }
 
-    /// Marks a head whose streams stand still.
+    /// Marks a head whose streams are stalled.
     pub(crate) fn suspect(&self, head: &VmId) {
         let now = self.now();
         self.beliefs.borrow_mut().suspects.insert(head.clone(), now);
@@ -271,9 +271,9 @@
     }
 
     /// Has the planner ask the members of a head's group.
-    pub(crate) fn doubt(&self, head: &VmId) {
+    pub(crate) fn recheck(&self, head: &VmId) {
         let now = self.now();
-        self.beliefs.borrow_mut().doubted.insert(head.clone(), now);
+        self.beliefs.borrow_mut().to_recheck.insert(head.clone(), now);
         if self.is_planner() {
             self.changed.notify_one();
         } else {
@@ -321,9 +321,9 @@
         recent.map(|(vm, _)| vm.clone()).collect()
     }
 
-    /// Returns the heads that this VM doubts.
-    pub(crate) fn doubted(&self, now: Moment) -> Vec<VmId> {
-        let recent = self.doubted.iter().filter(|(_, at)| now.since(**at) < FOUND_SUSPECT_TOLD);
+    /// Returns the heads that this VM wants rechecked.
+    pub(crate) fn to_recheck(&self, now: Moment) -> Vec<VmId> {
+        let recent = self.to_recheck.iter().filter(|(_, at)| now.since(**at) < FOUND_SUSPECT_TOLD);
         recent.map(|(vm, _)| vm.clone()).collect()
     }
 
@@ -333,7 +333,7 @@
         self.progress.expire(now);
         self.suspects.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
         self.found.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
-        self.doubted.retain(|_, it| now.since(*it) < FOUND_SUSPECT_TOLD);
+        self.to_recheck.retain(|_, it| now.since(*it) < FOUND_SUSPECT_TOLD);
         self.avoided.retain(|_, it| now < *it);
         let Self { failures, servers, paces, .. } = self;
         failures.retain(|vm| servers.contains_key(vm));
@@ -352,10 +352,10 @@
 
 impl Sent {
     /// Records bytes of the answer.
-    pub(crate) fn sign(&self) {
+    pub(crate) fn progressed(&self) {
         let now = self.front.now();
         let mut beliefs = self.front.beliefs.borrow_mut();
-        beliefs.progress.sign(&self.vm, now);
+        beliefs.progress.progressed(&self.vm, now);
         if !self.has_begun.replace(true) {
             beliefs.progress.began(&self.vm);
             beliefs.loads.began(&self.vm);
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -42,8 +42,8 @@
     Counts(Counts),
     /// Counts of all entry VMs, from the planner.
     Totals(Counts),
-    /// Heads whose streams stand still, and heads to which connections failed.
-    Doubts { suspects: Vec<VmId>, doubted: Vec<VmId> },
+    /// Heads whose streams are stalled, and heads to which connections failed.
+    Suspicions { suspects: Vec<VmId>, to_recheck: Vec<VmId> },
     /// Entries of servers, from the planner.
     Entries(Vec<(Revision, BackendServer)>),
 }
@@ -53,8 +53,8 @@
 struct Counts {
     from: Arc<str>,
     loads: Vec<(VmId, Load)>,
-    /// Heads and the milliseconds since their last signs of life.
-    signs: Vec<(VmId, u32)>,
+    /// Heads and the milliseconds since their last progress.
+    progress: Vec<(VmId, u32)>,
     has_traffic: bool,
     /// Slowness of engines, from the planner.
     paces: Vec<(VmId, f32)>,
@@ -80,7 +80,9 @@
         match postcard::from_bytes(&buffer[..length]) {
             Ok(Message::Counts(counts)) => take_counts(&front, counts, false),
             Ok(Message::Totals(counts)) => take_counts(&front, counts, true),
-            Ok(Message::Doubts { suspects, doubted }) => take_doubts(&front, &suspects, &doubted),
+            Ok(Message::Suspicions { suspects, to_recheck }) => {
+                take_suspicions(&front, &suspects, &to_recheck)
+            }
             Ok(Message::Entries(entries)) => {
                 for (revision, server) in entries {
                     watching::take_server(&front, revision, server);
@@ -104,8 +106,8 @@
     } else {
         beliefs.loads.heard(counts.from, loads, now);
     }
-    for (head, age_ms) in &counts.signs {
-        beliefs.progress.sign(head, now.before(Duration::from_millis(u64::from(*age_ms))));
+    for (head, age_ms) in &counts.progress {
+        beliefs.progress.progressed(head, now.before(Duration::from_millis(u64::from(*age_ms))));
     }
     if !front.is_planner() && !counts.paces.is_empty() {
         let paces = counts.paces.into_iter().map(|(vm, it)| (vm, f64::from(it)));
@@ -116,10 +118,10 @@
     }
 }
 
-fn take_doubts(front: &Front, suspects: &[VmId], doubted: &[VmId]) {
+fn take_suspicions(front: &Front, suspects: &[VmId], to_recheck: &[VmId]) {
     if front.is_planner() {
-        for head in doubted {
-            front.doubt(head);
+        for head in to_recheck {
+            front.recheck(head);
         }
     }
     for head in suspects {
@@ -183,12 +185,12 @@
         true => beliefs.loads.totals(now),
         false => beliefs.loads.own().clone(),
     };
-    let signs = beliefs.progress.signs(now);
+    let progress = beliefs.progress.latest(now);
     let paces = beliefs.paces.iter().map(|(vm, it)| (vm.clone(), *it as f32));
     Counts {
         from: Arc::clone(&front.vm.name),
         loads: loads.into_iter().collect(),
-        signs: signs.map(|(vm, age)| (vm.clone(), age.as_millis() as u32)).collect(),
+        progress: progress.map(|(vm, age)| (vm.clone(), age.as_millis() as u32)).collect(),
         has_traffic: front.has_traffic.get(),
         paces: if front.is_planner() { paces.collect() } else { Vec::new() },
     }
@@ -199,19 +201,19 @@
     loop {
         front.news.notified().await;
         let now = front.now();
-        let (suspects, doubted, entries) = {
+        let (suspects, to_recheck, entries) = {
             let mut beliefs = front.beliefs.borrow_mut();
             let entries = std::mem::take(&mut beliefs.relayed);
-            (beliefs.found_suspects(now), beliefs.doubted(now), entries)
+            (beliefs.found_suspects(now), beliefs.to_recheck(now), entries)
         };
         let peers = others(&front);
         if !suspects.is_empty() {
-            send(&socket, &Message::Doubts { suspects, doubted: Vec::new() }, &peers);
+            send(&socket, &Message::Suspicions { suspects, to_recheck: Vec::new() }, &peers);
         }
-        if !doubted.is_empty()
+        if !to_recheck.is_empty()
             && let Some(planner) = planner(&front)
         {
-            send(&socket, &Message::Doubts { suspects: Vec::new(), doubted }, &[planner]);
+            send(&socket, &Message::Suspicions { suspects: Vec::new(), to_recheck }, &[planner]);
         }
         for some in entries.chunks(ENTRIES_MAX) {
             send(&socket, &Message::Entries(some.to_vec()), &peers);
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -42,8 +42,8 @@
 const STEP_INTERVAL: Duration = Duration::from_millis(60);
 /// Least time between two decisions.
 const STEP_PAUSE: Duration = Duration::from_millis(15);
-/// Age up to which a sign of life shows that a group goes on.
-const SIGN_AGE_MAX: Duration = Duration::from_millis(350);
+/// Age up to which a progress shows that a group goes on.
+const PROGRESS_AGE_MAX: Duration = Duration::from_millis(350);
 /// Time for a server's report; engines answer within a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for the answer to an order.
@@ -94,13 +94,13 @@
                 Err(error) => log::error!(domain:% = domain, error:% = error; "plan unreadable"),
             }
         }
-        let signs = beliefs.progress.signs(now).filter(|(_, age)| *age < SIGN_AGE_MAX);
-        planner.set_signs(signs.map(|(vm, _)| vm.clone()).collect());
+        let progress = beliefs.progress.latest(now).filter(|(_, age)| *age < PROGRESS_AGE_MAX);
+        planner.set_progressing(progress.map(|(vm, _)| vm.clone()).collect());
         for head in beliefs.suspects(now) {
             planner.suspect(&head, now);
         }
-        for head in beliefs.doubted(now) {
-            planner.doubt(&head);
+        for head in beliefs.to_recheck(now) {
+            planner.recheck(&head);
         }
         let listed = beliefs.servers.values().filter(|it| it.service == *service);
         let steps = planner.step(listed, now);
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -38,7 +38,7 @@
 const CONNECT_FAILURES_MAX: u32 = 4;
 /// Silence of one stream, while its group goes on, after which it is resumed elsewhere.
 ///
-/// Callers give a stream up after two seconds.
+/// Callers abandon a stream after two seconds.
 const STREAM_SILENCE_MAX: Duration = Duration::from_millis(1500);
 /// Time for which a broken stream looks for a group with room.
 const RESUME_PATIENCE: Duration = Duration::from_millis(500);
@@ -201,7 +201,7 @@
         Ok(it) => Some(it),
         Err(error) => {
             plain::failed_to_connect(call, vm, error);
-            call.front.doubt(vm);
+            call.front.recheck(vm);
             None
         }
     }
@@ -242,7 +242,7 @@
                 it = &mut sending => break it,
                 () = call.front.suspected.notified() => {
                     if call.front.is_suspect(vm) {
-                        let reason = "group stands still before the first event";
+                        let reason = "group is stalled before the first event";
                         return Err(NotBegun::MayHaveRun(reason, ResultCode::BackendSilent));
                     }
                 }
@@ -254,12 +254,12 @@
         Ok(it) => it,
         Err(_) => {
             if !is_reused {
-                call.front.doubt(vm);
+                call.front.recheck(vm);
             }
             return Err(NotBegun::MayHaveRun("connection broke", ResultCode::BackendBroken));
         }
     };
-    sent.sign();
+    sent.progressed();
     let attempt_id = call.head.attempt_id.as_deref().unwrap_or_default();
     let head = AnswerHead::read(response.status(), response.headers(), attempt_id);
     if !head.is_own {
@@ -392,7 +392,7 @@
                 it = body.frame() => it,
                 () = self.call.front.suspected.notified() => {
                     if self.call.front.is_suspect(&vm) {
-                        return RelayEnd::Broken("group stands still");
+                        return RelayEnd::Broken("group is stalled");
                     }
                     continue;
                 }
@@ -417,7 +417,7 @@
                     return RelayEnd::Complete;
                 }
             };
-            sent.sign();
+            sent.progressed();
             silent_until = Instant::now() + STREAM_SILENCE_MAX;
             let whole = match self.splitter.push(&data) {
                 Ok(it) => it,
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -34,7 +34,7 @@
 /// A return proves the configuration as of the question, so that the proof is up
 /// to two waits old before the next one comes.
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
-/// Added to the wait before a silent watch is given up.
+/// Added to the wait before a silent watch is dissolved.
 const WATCH_SLACK: Duration = Duration::from_millis(900);
 /// Pause after changes, in which further ones gather; each call to the store is priced.
 const GATHER_PAUSE: Duration = Duration::from_millis(100);
--- a/bins/mangocross-front/tests/command_line.rs
+++ b/bins/mangocross-front/tests/command_line.rs
@@ -29,7 +29,7 @@
 entry-2 {"message":"group suspect","server":"i-9","time_unix_ms":2400,"vm":"entry-2"}
 entry-1 {"message":"stream broke","request":"a1","server":"i-1","age_ms":1500,"time_unix_ms":2500,"vm":"entry-1"}
 entry-1 {"message":"request failed","request":"a2","status":503,"time_unix_ms":2500,"vm":"entry-1"}
-entry-3 {"message":"plan written","reasons":"[\"g1 formed anew: i-1 does not answer\"]","time_unix_ms":2800,"vm":"entry-3"}
+entry-3 {"message":"plan written","reasons":"[\"g1 re-formed: i-1 does not answer\"]","time_unix_ms":2800,"vm":"entry-3"}
 entry-1 {"message":"request failed","request":"a1","status":200,"code":3003,"time_unix_ms":2501,"vm":"entry-1"}
 "#;
 
@@ -37,7 +37,7 @@
   +1400 ms  group suspect  server="i-1"  vm="entry-2"
   +1500 ms  stream broke  age_ms=1500  server="i-1"  vm="entry-1"
   +1501 ms  request failed  code=3003  status=200  vm="entry-1"
-  +1800 ms  plan written  reasons="[\"g1 formed anew: i-1 does not answer\"]"  vm="entry-3"
+  +1800 ms  plan written  reasons="[\"g1 re-formed: i-1 does not answer\"]"  vm="entry-3"
 "#;
 
 #[test]
--- a/crates/mangocross-serving/src/planner/forming.rs
+++ b/crates/mangocross-serving/src/planner/forming.rs
@@ -54,7 +54,7 @@
         if grown_at.is_some_and(|it| now.since(*it) < SETTLE_TIME) {
             return;
         }
-        // Members of a group that is given up will be free soon.
+        // Members of a group that is dissolved will be free soon.
         if draft.plan.groups.iter().any(|it| it.is_dissolving && self.has_reachable_head(it)) {
             return;
         }
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -137,7 +137,7 @@
     notes: HashMap<GroupKey, GroupNotes>,
     loads: LoadAllowance,
     /// Heads whose streams went on lately.
-    signs: HashSet<VmId>,
+    progressing: HashSet<VmId>,
     /// When the latest server of each fabric domain appeared.
     grown_at: HashMap<FabricDomain, Moment>,
 }
@@ -155,7 +155,7 @@
             orders: HashMap::new(),
             notes: HashMap::new(),
             loads: LoadAllowance::default(),
-            signs: HashSet::new(),
+            progressing: HashSet::new(),
             grown_at: HashMap::new(),
         }
     }
@@ -242,15 +242,15 @@
         }
     }
 
-    /// Takes the heads that showed a sign of life within a few token steps.
+    /// Takes the heads that showed a progress within a few token steps.
     ///
     /// A group moves only while all its members are there, so members of these
     /// groups are not lost, whatever became of the questions to them.
-    pub fn set_signs(&mut self, heads: HashSet<VmId>) {
-        self.signs = heads;
+    pub fn set_progressing(&mut self, heads: HashSet<VmId>) {
+        self.progressing = heads;
     }
 
-    /// Marks a group whose streams stand still, by its head.
+    /// Marks a group whose streams are stalled, by its head.
     pub fn suspect(&mut self, head: &VmId, now: Moment) {
         let Some(group) = self.group_of_head(head) else { return };
         let notes = self.notes.entry((group.group.clone(), group.incarnation)).or_default();
@@ -259,11 +259,11 @@
             notes.suspect_since = Some(now);
         }
         notes.suspect_at = Some(now);
-        self.doubt(head);
+        self.recheck(head);
     }
 
     /// Asks all members of a head's group soon.
-    pub fn doubt(&mut self, head: &VmId) {
+    pub fn recheck(&mut self, head: &VmId) {
         let Some(group) = self.group_of_head(head) else { return };
         for vm in group.vms() {
             if let Some(known) = self.known.get_mut(vm) {
--- a/crates/mangocross-serving/src/planner/plan.rs
+++ b/crates/mangocross-serving/src/planner/plan.rs
@@ -40,7 +40,7 @@
     ///
     /// Until they are, members that the group has lost join no other group.
     pub former_heads: Vec<FormerHead>,
-    /// Whether the group is given up. Its members are free once the head is out of it.
+    /// Whether the group is dissolved. Its members are free once the head is out of it.
     pub is_dissolving: bool,
 }
 
--- a/crates/mangocross-serving/src/planner/release.rs
+++ b/crates/mangocross-serving/src/planner/release.rs
@@ -1,4 +1,4 @@
-//! Sees to it that groups that are given up, or formed anew, no longer serve.
+//! Sees to it that groups that are dissolved, or re-formed, no longer serve.
 
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 const STALL_MARGIN: Duration = Duration::from_millis(500);
 
 impl GroupPlanner {
-    /// Returns whether a group that is given up can no longer serve, so that its members are free.
+    /// Returns whether a group that is dissolved can no longer serve, so that its members are free.
     pub(super) fn is_released(
         &mut self,
         group: &PlannedGroup,
@@ -98,7 +98,7 @@
         let reachable: Vec<VmId> =
             members.filter(|it| !it.contact.is_lost()).map(|it| it.server.vm.clone()).collect();
         if reachable.is_empty() {
-            // All others have left it, joined again or are gone: it stands still already.
+            // All others have left it, joined again or are gone: it is stalled already.
             let notes = self.notes.entry(key).or_default();
             notes.member_left_at = notes.member_left_at.or(Some(now));
         }
--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -64,7 +64,7 @@
                 Verdict::Keep => {}
                 Verdict::Replace(reason) => {
                     let is_repaired = self.repair(domain, &mut group, &mut spares);
-                    let next = if is_repaired { "formed anew" } else { "given up" };
+                    let next = if is_repaired { "re-formed" } else { "dissolved" };
                     draft.reasons.push(format!("{} {next}: {reason}", group.group));
                     if is_repaired {
                         let incarnation = self.next_incarnation(domain, &mut draft.plan);
@@ -91,7 +91,7 @@
     /// Replaces the members that a group has lost by spares of its domain.
     ///
     /// Survivors join the same group in a new incarnation, which takes them out of
-    /// the old one: an old head that cannot be reached stands still from then on.
+    /// the old one: an old head that cannot be reached is stalled from then on.
     pub(super) fn repair(
         &self,
         domain: &FabricDomain,
@@ -149,7 +149,7 @@
         let mut leaving_at: Option<Moment> = None;
         let mut notes = self.notes.remove(&key).unwrap_or_default();
         let seen_at = *notes.seen_at.get_or_insert(now);
-        let goes_on = group.head().is_some_and(|it| self.signs.contains(&it.vm));
+        let goes_on = group.head().is_some_and(|it| self.progressing.contains(&it.vm));
         let verdict = 'verdict: {
             for (rank, member) in group.members.iter().enumerate() {
                 let Some(known) = self.known.get(&member.vm) else {
@@ -223,7 +223,7 @@
                 _ => Duration::ZERO,
             };
             if suspect_for > SUSPECT_TIMEOUT && !has_slow_member {
-                break 'verdict Verdict::Replace("its streams stand still".to_owned());
+                break 'verdict Verdict::Replace("its streams are stalled".to_owned());
             }
             if is_whole && head_phase == Some(MemberPhase::Ready) {
                 let order = EngineOrder::Open {
--- a/crates/mangocross-serving/src/progress.rs
+++ b/crates/mangocross-serving/src/progress.rs
@@ -1,4 +1,4 @@
-//! Finds groups whose streams all stand still.
+//! Finds groups whose streams all are stalled.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -16,8 +16,8 @@
 const SILENCE_OF_FEW: Duration = Duration::from_millis(600);
 /// Silence after which a group is suspect though none of its streams has begun.
 const SILENCE_BEFORE_FIRST: Duration = Duration::from_millis(1500);
-/// Age after which a sign tells nothing more.
-const SIGN_AGE_MAX: Duration = Duration::from_secs(1);
+/// Age after which progress tells nothing more.
+const PROGRESS_AGE_MAX: Duration = Duration::from_secs(1);
 /// Streams that count as many.
 const MANY_STREAMS: u32 = 3;
 
@@ -27,19 +27,19 @@
     streams: u32,
     /// Those of them whose first event came.
     begun: u32,
-    /// Start of the first stream, or the last sign where that was later.
+    /// Start of the first stream, or the last progress where that was later.
     silent_since: Moment,
 }
 
-/// When each group last showed a sign of life.
+/// When each group last showed a progress.
 ///
 /// Signs that other entry VMs saw count as well, so that a group that goes on
 /// with their streams is not suspect.
 #[derive(Debug, Default)]
 pub struct ProgressTable {
     groups: HashMap<VmId, Progress>,
-    /// Last signs of all heads, those without own streams included.
-    signs: HashMap<VmId, Moment>,
+    /// Last progress of all heads, those without own streams included.
+    latest: HashMap<VmId, Moment>,
 }
 
 impl ProgressTable {
@@ -58,9 +58,9 @@
     }
 
     /// Records bytes from a head.
-    pub fn sign(&mut self, head: &VmId, at: Moment) {
-        let sign = self.signs.entry(head.clone()).or_insert(at);
-        *sign = at.max(*sign);
+    pub fn progressed(&mut self, head: &VmId, at: Moment) {
+        let latest = self.latest.entry(head.clone()).or_insert(at);
+        *latest = at.max(*latest);
         if let Some(group) = self.groups.get_mut(head) {
             group.silent_since = group.silent_since.max(at);
         }
@@ -77,14 +77,14 @@
         }
     }
 
-    /// Returns the heads that showed a sign lately, and the ages of the last ones.
-    pub fn signs(&self, now: Moment) -> impl Iterator<Item = (&VmId, Duration)> {
-        self.signs.iter().map(move |(vm, at)| (vm, now.since(*at)))
+    /// Returns the heads that progressed lately, and the time since.
+    pub fn latest(&self, now: Moment) -> impl Iterator<Item = (&VmId, Duration)> {
+        self.latest.iter().map(move |(vm, at)| (vm, now.since(*at)))
     }
 
-    /// Forgets old signs.
+    /// Forgets old progress.
     pub fn expire(&mut self, now: Moment) {
-        self.signs.retain(|_, at| now.since(*at) < SIGN_AGE_MAX);
+        self.latest.retain(|_, at| now.since(*at) < PROGRESS_AGE_MAX);
     }
 
     /// Returns the heads whose streams all have been silent for too long.
--- a/crates/mangocross-serving/tests/beliefs.rs
+++ b/crates/mangocross-serving/tests/beliefs.rs
@@ -27,7 +27,7 @@
     Load { in_flight, waiting: 0 }
 }
 
-/// The VM was suspended for a minute: timers stood still, the boot clock did not.
+/// The VM was suspended for a minute: timers was stalled, the boot clock did not.
 #[test]
 fn keys_are_not_trusted_after_a_suspension() {
     let bound = Duration::from_secs(5);
@@ -49,7 +49,7 @@
     assert!(!proof.covers(at(15_000), bound), "the margin is kept");
 }
 
-/// Streams that only wait for their first event are no sign that a group stands still.
+/// Streams that only wait for their first event are no sign that a group is stalled.
 #[test]
 fn waiting_streams_are_not_taken_for_a_stalled_group() {
     let mut table = ProgressTable::default();
@@ -66,7 +66,7 @@
     let mut table = ProgressTable::default();
     for _ in 0..3 {
         table.started(&vm("head"), at(0));
-        table.sign(&vm("head"), at(100));
+        table.progressed(&vm("head"), at(100));
         table.began(&vm("head"));
     }
     assert_eq!(table.suspects(at(400)).count(), 0);
@@ -78,18 +78,18 @@
 fn signs_seen_elsewhere_clear_a_group() {
     let mut table = ProgressTable::default();
     table.started(&vm("head"), at(0));
-    table.sign(&vm("head"), at(100));
+    table.progressed(&vm("head"), at(100));
     table.began(&vm("head"));
-    table.sign(&vm("head"), at(700));
+    table.progressed(&vm("head"), at(700));
     assert_eq!(table.suspects(at(1_000)).count(), 0);
 }
 
-/// The start of a stream is not a sign of life that others may be told of.
+/// The start of a stream is not a progress that others may be told of.
 #[test]
-fn start_of_a_stream_is_no_sign_of_life() {
+fn start_of_a_stream_is_no_progress() {
     let mut table = ProgressTable::default();
     table.started(&vm("head"), at(0));
-    assert_eq!(table.signs(at(10)).count(), 0);
+    assert_eq!(table.latest(at(10)).count(), 0);
 }
 
 #[test]
--- a/crates/mangocross-serving/tests/groups.rs
+++ b/crates/mangocross-serving/tests/groups.rs
@@ -91,7 +91,7 @@
     lose(&mut world, &head, Reach::Silent);
     world.planner.suspect(&head, world.now);
     world.run(ms(1_500));
-    // Two more are lost, so that the group is given up.
+    // Two more are lost, so that the group is dissolved.
     let members: Vec<VmId> = world
         .engines
         .values()
@@ -113,12 +113,12 @@
 
 /// Many answers are lost on the way: connections break, the group itself goes on.
 #[test]
-fn doubts_alone_replace_no_group() {
+fn rechecks_alone_replace_no_group() {
     let mut world = formed();
     let plans = world.plans.clone();
     for _ in 0..40 {
         for head in world.serving("large") {
-            world.planner.doubt(&head);
+            world.planner.recheck(&head);
         }
         world.run(ms(50));
     }
@@ -151,7 +151,7 @@
     let head = world.serving("large")[0].clone();
     let slow = member(&world, &head, 2);
     lose(&mut world, &slow, Reach::Silent);
-    world.planner.set_signs([head].into());
+    world.planner.set_progressing([head].into());
     world.run(ms(4_000));
     assert_eq!(world.plans, plans);
 }
@@ -165,7 +165,7 @@
     world.run(ms(3_000));
     assert_eq!(world.serving("small").len(), 2);
     let group = world.engines[&head].server.engine.membership.clone().expect("a member");
-    assert!(group.incarnation.0 > 2, "the group was formed anew");
+    assert!(group.incarnation.0 > 2, "the group was re-formed");
 }
 
 /// The answers to orders are lost: they may have been carried out or not.
@@ -177,7 +177,7 @@
     assert_eq!((world.serving("large").len(), world.serving("small").len()), (1, 1));
 }
 
-/// A member says that it leaves: the group finishes its requests before it is formed anew.
+/// A member says that it leaves: the group finishes its requests before it is re-formed.
 #[test]
 fn leaving_member_is_replaced_after_the_group_was_closed() {
     let mut world = formed();
@@ -296,7 +296,7 @@
     assert!(world.engines[&serving[0]].members.contains(&head));
 }
 
-/// Streams that were sent before a group was formed anew still stand still.
+/// Streams that were sent before a group was re-formed still are stalled.
 #[test]
 fn group_that_is_being_formed_is_not_replaced_for_old_streams() {
     let mut world = formed();
@@ -310,5 +310,5 @@
     world.run(ms(1_000));
     let group = world.engines[&head].server.engine.membership.clone().expect("a member");
     assert_eq!(world.serving("large").len(), 2);
-    assert_eq!(group.incarnation.0, 3, "it was formed anew once");
+    assert_eq!(group.incarnation.0, 3, "it was re-formed once");
 }
