fix(serving): try a refused write of a plan again after 0.3 s

Cause: while the store turned the planner away, each decision wrote the plan again, every 18 ms, with a line in the log each; seen in the story of a failed request. refused_writes_are_not_repeated_at_once bounds it.

--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -145,13 +145,16 @@
             }
             Step::Write { domain, plan, expected, reasons } => {
                 let revision = write(&front, &domain, &plan, expected, term).await;
-                log::info!(
-                    domain:% = domain, expected = expected.0, reasons:? = reasons,
-                    revision:? = revision.map(|it| it.0);
-                    "plan written"
-                );
+                if let Some(revision) = revision {
+                    log::info!(
+                        domain:% = domain, expected = expected.0, reasons:? = reasons,
+                        revision = revision.0;
+                        "plan written"
+                    );
+                }
+                let now = front.now();
                 with(&planners, &service, |it| {
-                    it.plan_written(&domain, revision.map(|it| (plan, it)));
+                    it.plan_written(&domain, revision.map(|it| (plan, it)), now);
                 });
             }
         }
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -43,6 +43,8 @@
 ///
 /// A whole fabric domain is a sixth of the servers in the smallest deployments.
 const CUT_OFF_PART: f64 = 0.35;
+/// Time after which a write that the store did not take is tried again.
+const WRITE_RETRY: Duration = Duration::from_millis(300);
 /// Time that a server's entry may be missing before the server is forgotten.
 const FORGET_UNLISTED: Duration = Duration::from_secs(30);
 
@@ -107,6 +109,8 @@
     plan: DomainPlan,
     revision: Revision,
     is_writing: bool,
+    /// When a write may be tried again after one that failed.
+    retry_at: Option<Moment>,
 }
 
 /// Names one membership.
@@ -180,12 +184,20 @@
     }
 
     /// Records the end of a write; `None` if the store refused it or did not answer.
-    pub fn plan_written(&mut self, domain: &FabricDomain, written: Option<(DomainPlan, Revision)>) {
+    pub fn plan_written(
+        &mut self,
+        domain: &FabricDomain,
+        written: Option<(DomainPlan, Revision)>,
+        now: Moment,
+    ) {
         let Some(held) = self.plans.get_mut(domain) else { return };
         held.is_writing = false;
-        if let Some((plan, revision)) = written {
-            held.plan = plan;
-            held.revision = revision;
+        match written {
+            Some((plan, revision)) => {
+                held.plan = plan;
+                held.revision = revision;
+            }
+            None => held.retry_at = Some(now + WRITE_RETRY),
         }
     }
 
@@ -305,7 +317,8 @@
         let domains: Vec<FabricDomain> = self.plans.keys().cloned().collect();
         let mut drafts = Vec::new();
         for domain in domains {
-            if self.plans[&domain].is_writing {
+            let held = &self.plans[&domain];
+            if held.is_writing || held.retry_at.is_some_and(|it| now < it) {
                 continue;
             }
             drafts.push(self.step_groups(&domain, now, &mut steps));
--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -63,6 +63,8 @@
     pub(crate) planner: GroupPlanner,
     pub(crate) now: Moment,
     pub(crate) loads: Vec<Moment>,
+    /// Writes that the store was asked for.
+    pub(crate) writes: usize,
     pub(crate) loses_answers_of: HashSet<VmId>,
     revision: u64,
     is_store_down: bool,
@@ -105,6 +107,7 @@
             planner: GroupPlanner::new(engine_spec(), STALL),
             now: Moment::after_boot(Duration::from_secs(100)),
             loads: Vec::new(),
+            writes: 0,
             loses_answers_of: HashSet::new(),
             revision: 0,
             is_store_down: false,
@@ -233,7 +236,8 @@
                     self.plans.insert(domain.clone(), (plan.clone(), Revision(self.revision)));
                     (plan, Revision(self.revision))
                 });
-                self.planner.plan_written(&domain, written);
+                self.writes += 1;
+                self.planner.plan_written(&domain, written, self.now);
             }
         }
     }
--- a/crates/mangocross-serving/tests/groups.rs
+++ b/crates/mangocross-serving/tests/groups.rs
@@ -312,3 +312,16 @@
     assert_eq!(world.serving("large").len(), 2);
     assert_eq!(group.incarnation.0, 3, "it was re-formed once");
 }
+
+/// The store turns the planner away: its calls are bounded, however often it decides.
+#[test]
+fn refused_writes_are_not_repeated_at_once() {
+    let mut world = formed();
+    let head = world.serving("large")[0].clone();
+    let lost = member(&world, &head, 1);
+    lose(&mut world, &lost, Reach::NoProcess);
+    world.set_store_down(true);
+    world.writes = 0;
+    world.run(ms(3_000));
+    assert!((2..=10).contains(&world.writes), "{} writes in three seconds", world.writes);
+}
