--- a/bins/mangocross-coordinator/src/why.rs
+++ b/bins/mangocross-coordinator/src/why.rs
@@ -184,7 +184,7 @@
             Some("orders of the owner before may still be under way; no order is given yet".to_owned())
         }
         OrderAuthority::IdleOnly => Some(
-            "the store has not confirmed the owner lately; only idle engines are given orders until it does"
+            "the owner asks the store for a confirmation before its next order; without one, only idle engines are given orders"
                 .to_owned(),
         ),
     }
