test(groups): wait until a preload has its place at the weight store

Cause: the stand-in engine reports Preloading before it asks the weight store for a place. The test went on at that report and shortened the loads of the weight store; an engine that asked after that had a preload of 100 ms instead of 600 s, which ended by itself and so was never cancelled.

Traced: with a pause of 300 ms before the question the test fails in the same line with the same figures (cancelled_preloads 0, wanted 1), and the order to preload on vm-2-1 in the log of the failed run shows that a place was free. Ruled out: the count of free places (orders given lately count as well) and the choice of the preload to end.

Change: the test waits for the third load the weight store has counted. With the pause it passes; three runs without it pass.

--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -231,7 +231,11 @@
         .iter()
         .find(|(vm, _)| vm.as_str().starts_with("vm-1") && !members.contains(vm));
     let (_, spare) = spare.expect("one VM is in no group");
-    cluster.wait_until("the spare preloads", || spare.report().state == EngineState::Preloading);
+    // An engine reports a preload before it has asked the weight store for a place.
+    cluster.wait_until("the spare's preload has a place", || {
+        spare.report().state == EngineState::Preloading
+            && cluster.platform.faults().counted("loads") == 3
+    });
     weights(2, 100);
     for vm in ["vm-2-1", "vm-2-2"] {
         cluster.operate(0, &format!("resume vm {vm}")).expect("it is resumed");
