feat(coordination): move small groups out of the domain that a larger one needs

Cause: a large group that lost a member in the only domain where it fits stayed incomplete for ever when a small group, placed before, held the spares there, though other domains had room for the small one. New groups were already placed apart; those placed before stayed.

Ruled out: forming the large group elsewhere (no other domain has its size) and giving the small one up at once, which would take it out of service. The move that operators use for groups serves them on until the new domain has them.

--- a/crates/mangocross-coordination/src/lib.rs
+++ b/crates/mangocross-coordination/src/lib.rs
@@ -20,6 +20,7 @@
 mod held_assignment;
 mod leaving;
 mod list_tracker;
+mod making_room;
 mod orders;
 mod ownership;
 mod placing;
--- a/crates/mangocross-coordination/src/placing.rs
+++ b/crates/mangocross-coordination/src/placing.rs
@@ -18,6 +18,8 @@
 use mangocross_types::Placement;
 use mangocross_types::Placements;
 
+use crate::making_room::make_room;
+
 /// What a fabric domain's prober says of it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DomainState {
@@ -35,7 +37,8 @@
 /// one goes on serving it; once it has served in the new one for so long that
 /// every gateway knows, the old domain is no longer named and drains it there;
 /// then it is unloaded. A group that its domain cannot complete is placed
-/// elsewhere and given up where it is.
+/// elsewhere and given up where it is; where no other domain has room for it,
+/// smaller groups move out of its way.
 #[derive(Debug, Clone)]
 pub struct PlacementPlanner {
     settle: Duration,
@@ -65,9 +68,11 @@
             planner.keep_room(it);
         });
         let mut entries = Vec::new();
-        for spec in in_order_of_room(configuration.groups.iter().filter(is_wanted), current) {
+        let wanted = in_order_of_room(configuration.groups.iter().filter(is_wanted), current);
+        for spec in &wanted {
             entries.extend(planner.place(spec));
         }
+        make_room(&mut planner, &wanted, &mut entries);
         let number =
             |it: &Placement| configuration.groups.iter().position(|spec| spec.id == it.group);
         entries.sort_by_key(number);
@@ -103,11 +108,14 @@
     groups
 }
 
-struct Planner<'a> {
-    current: &'a Placements,
+/// One round of planning: what is placed, and the room that is left.
+#[derive(Debug, Clone)]
+pub(crate) struct Planner<'a> {
+    pub(crate) current: &'a Placements,
     assignments: &'a [DomainAssignment],
     domains: &'a [DomainState],
-    rooms: BTreeMap<FabricDomain, u16>,
+    /// Idle VMs by domain that no group was given yet.
+    pub(crate) rooms: BTreeMap<FabricDomain, u16>,
     /// Where groups are, with their sizes.
     placed: Vec<(FabricDomain, u16)>,
     /// Groups whose moves are done.
@@ -202,7 +210,11 @@
         }
     }
 
-    fn take_room(&mut self, spec: &GroupSpec, but: Option<&FabricDomain>) -> Option<FabricDomain> {
+    pub(crate) fn take_room(
+        &mut self,
+        spec: &GroupSpec,
+        but: Option<&FabricDomain>,
+    ) -> Option<FabricDomain> {
         let others = self.rooms.iter().filter(|(domain, _)| Some(*domain) != but);
         let rooms: Vec<DomainRoom> =
             others.map(|(domain, idle)| DomainRoom::new(domain.clone(), *idle)).collect();
@@ -221,12 +233,12 @@
         Some(())
     }
 
-    fn is_stuck(&self, group: &GroupId, domain: &FabricDomain) -> bool {
+    pub(crate) fn is_stuck(&self, group: &GroupId, domain: &FabricDomain) -> bool {
         let state = self.domains.iter().find(|it| it.domain == *domain);
         state.is_some_and(|it| it.stuck_groups.contains(group))
     }
 
-    fn phase(&self, group: &GroupId, domain: &FabricDomain) -> Option<GroupPhase> {
+    pub(crate) fn phase(&self, group: &GroupId, domain: &FabricDomain) -> Option<GroupPhase> {
         let assignment = self.assignments.iter().find(|it| it.domain == *domain)?;
         assignment.groups.iter().find(|it| it.group == *group).map(|it| it.phase)
     }
--- /dev/null
+++ b/crates/mangocross-coordination/tests/making_room.rs
@@ -0,0 +1,156 @@
+//! Smaller groups leave the fabric domain that a larger one needs.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_coordination::DomainState;
+use mangocross_coordination::PlacementPlanner;
+use mangocross_types::Configuration;
+use mangocross_types::DomainAssignment;
+use mangocross_types::Placements;
+use serde_json::json;
+
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// Fabric domain `domain-1` with a large group of four and a small one of two on its six VMs.
+struct FullDomain {
+    planner: PlacementPlanner,
+    configuration: Configuration,
+    current: Placements,
+    assignments: Vec<DomainAssignment>,
+    now: Instant,
+}
+
+impl FullDomain {
+    fn new() -> Self {
+        let mut full = Self {
+            planner: PlacementPlanner::new(SETTLE),
+            configuration: configuration(&[("large", 4), ("small", 2)]),
+            current: Placements::default(),
+            assignments: Vec::new(),
+            now: Instant::now(),
+        };
+        full.plan(&[room("domain-1", 6, &[])]);
+        full.assignments = vec![serving("domain-1", &["large", "small"])];
+        full
+    }
+
+    fn plan(&mut self, domains: &[DomainState]) {
+        self.current = self.planner.plan(
+            &self.configuration,
+            &self.current,
+            &self.assignments,
+            domains,
+            self.now,
+        );
+    }
+
+    /// Returns where a group belongs, and which domain it moves out of.
+    fn place(&self, group: &str) -> (&str, Option<&str>) {
+        let placed = self.current.entries.iter().find(|it| it.group.as_str() == group);
+        let placed = placed.expect("the group is placed");
+        (placed.domain.as_str(), placed.moving_from.as_ref().map(|it| it.as_str()))
+    }
+}
+
+fn configuration(groups: &[(&str, u16)]) -> Configuration {
+    let group = |it: &(&str, u16)| {
+        json!({"id": it.0, "model": "letters", "model_version": "v1", "size": it.1,
+            "desired": "serving"})
+    };
+    let groups: Vec<_> = groups.iter().map(group).collect();
+    serde_json::from_value(json!({"groups": groups})).expect("a configuration")
+}
+
+fn room(domain: &str, idle_vms: u16, stuck: &[&str]) -> DomainState {
+    DomainState {
+        domain: domain.parse().expect("a valid id"),
+        idle_vms,
+        stuck_groups: stuck.iter().map(|it| it.parse().expect("a valid id")).collect(),
+    }
+}
+
+fn serving(domain: &str, groups: &[&str]) -> DomainAssignment {
+    let group = |it: &&str| {
+        json!({"group": it, "incarnation": 1, "model": "letters", "model_version": "v1",
+            "members": [], "phase": "serving"})
+    };
+    let groups: Vec<_> = groups.iter().map(group).collect();
+    let mut empty = DomainAssignment::empty(domain.parse().expect("a valid id"));
+    empty.groups = serde_json::from_value(json!(groups)).expect("assigned groups");
+    empty
+}
+
+#[test]
+fn small_group_moves_out_of_the_way_of_a_large_one_that_fits_nowhere_else() {
+    let mut full = FullDomain::new();
+    let stuck = [room("domain-1", 0, &["large"]), room("domain-2", 3, &[])];
+    full.plan(&stuck);
+    assert_eq!(full.place("large"), ("domain-1", None));
+    assert_eq!(full.place("small"), ("domain-2", Some("domain-1")));
+    full.plan(&stuck);
+    assert_eq!(full.place("small"), ("domain-2", Some("domain-1")), "it serves on meanwhile");
+    full.assignments.push(serving("domain-2", &["small"]));
+    full.plan(&stuck);
+    full.now += SETTLE;
+    full.plan(&stuck);
+    assert_eq!(full.place("small"), ("domain-2", None));
+    full.assignments[0] = serving("domain-1", &["large"]);
+    full.plan(&[room("domain-1", 2, &[]), room("domain-2", 1, &[])]);
+    assert_eq!(full.place("large"), ("domain-1", None));
+    assert_eq!(full.place("small"), ("domain-2", None));
+}
+
+#[test]
+fn small_group_stays_where_the_large_one_fits_elsewhere() {
+    let mut full = FullDomain::new();
+    full.plan(&[room("domain-1", 0, &["large"]), room("domain-2", 4, &[])]);
+    assert_eq!(full.place("large"), ("domain-2", None));
+    assert_eq!(full.place("small"), ("domain-1", None));
+}
+
+#[test]
+fn small_group_stays_without_room_elsewhere_and_where_operators_put_it() {
+    let mut full = FullDomain::new();
+    full.plan(&[room("domain-1", 0, &["large"]), room("domain-2", 1, &[])]);
+    assert_eq!(full.place("small"), ("domain-1", None));
+    full.configuration.groups[1].domain = Some("domain-1".parse().expect("a valid id"));
+    full.plan(&[room("domain-1", 0, &["large"]), room("domain-2", 3, &[])]);
+    assert_eq!(full.place("small"), ("domain-1", None));
+}
+
+#[test]
+fn large_group_stays_where_only_larger_ones_could_make_room() {
+    let mut full = FullDomain::new();
+    full.plan(&[room("domain-1", 0, &["small"]), room("domain-2", 1, &[])]);
+    assert_eq!(
+        (full.place("large"), full.place("small")),
+        (("domain-1", None), ("domain-1", None))
+    );
+}
+
+/// `first` and `second` fill one domain, `third` a part of the other; `large` needs four VMs.
+#[test]
+fn groups_leave_the_domain_in_which_the_fewest_vms_have_to_move() {
+    let groups = [("first", 2), ("second", 2), ("third", 1), ("large", 4)];
+    let mut planner = PlacementPlanner::new(SETTLE);
+    let placed = |group: &str, domain: &str| json!({"group": group, "domain": domain});
+    let entries = json!([
+        placed("first", "domain-1"),
+        placed("second", "domain-1"),
+        placed("third", "domain-2"),
+    ]);
+    let current: Placements =
+        serde_json::from_value(json!({"entries": entries})).expect("placements");
+    let assignments = [serving("domain-1", &["first", "second"]), serving("domain-2", &["third"])];
+    let rooms = [room("domain-1", 0, &[]), room("domain-2", 3, &[]), room("domain-3", 2, &[])];
+    let wanted = configuration(&groups);
+    let next = planner.plan(&wanted, &current, &assignments, &rooms, Instant::now());
+    let moving: Vec<(&str, &str)> = next
+        .entries
+        .iter()
+        .filter(|it| it.moving_from.is_some())
+        .map(|it| (it.group.as_str(), it.domain.as_str()))
+        .collect();
+    assert_eq!(moving, [("third", "domain-3")]);
+}
