feat(coordinator): tell which groups wait for VMs, and make room for them

Cause: summaries of domains named only the groups that should be formed in another domain with room; a group that waits because no other domain has its size was in none of them, so nothing moved out of its way.

Summaries carry the incomplete groups as well; frames have version 4. A small group still stays where the large one could be formed elsewhere.

--- a/bins/mangocross-coordinator/src/placement.rs
+++ b/bins/mangocross-coordinator/src/placement.rs
@@ -103,8 +103,9 @@
     let others = live.flat_map(|it| it.domains.iter().cloned());
     let mut by_domain: BTreeMap<FabricDomain, DomainState> = BTreeMap::new();
     for it in others.chain(summaries(state)) {
-        let DomainSummary { domain, idle_vms, stuck_groups, .. } = it;
-        by_domain.insert(domain.clone(), DomainState { domain, idle_vms, stuck_groups });
+        let DomainSummary { domain, idle_vms, stuck_groups, incomplete_groups, .. } = it;
+        let state = DomainState { domain, idle_vms, stuck_groups, incomplete_groups };
+        by_domain.insert(state.domain.clone(), state);
     }
     by_domain.into_values().collect()
 }
--- a/bins/mangocross-coordinator/src/proofs.rs
+++ b/bins/mangocross-coordinator/src/proofs.rs
@@ -6,6 +6,7 @@
 use mangocross_coordination::Completeness;
 use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::groups_to_move;
+use mangocross_coordination::stuck_groups;
 use mangocross_types::DomainAssignment;
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupAssignment;
@@ -87,5 +88,6 @@
         idle_vms: count(input.idle_vms().count()),
         healthy_vms: count(healthy.count()),
         stuck_groups: groups_to_move(&input),
+        incomplete_groups: stuck_groups(&input),
     })
 }
--- a/crates/mangocross-coordination/src/making_room.rs
+++ b/crates/mangocross-coordination/src/making_room.rs
@@ -60,7 +60,8 @@
         Some(placed) => {
             let is_stuck = placed.moving_from.is_none()
                 && planner.current.domain_of(&spec.id) == Some(&placed.domain)
-                && planner.is_stuck(&spec.id, &placed.domain)
+                && planner.is_incomplete(&spec.id, &placed.domain)
+                && !has_room_elsewhere(planner, spec, &placed.domain)
                 && !is_left(&placed.domain);
             is_stuck.then(|| (placed.domain.clone(), LACKING_MIN)).into_iter().collect()
         }
@@ -94,7 +95,7 @@
         let is_settled = placed.domain == *domain
             && placed.moving_from.is_none()
             && planner.phase(&spec.id, domain) == Some(GroupPhase::Serving)
-            && !planner.is_stuck(&spec.id, domain);
+            && !planner.is_incomplete(&spec.id, domain);
         if !is_settled {
             continue;
         }
@@ -104,3 +105,7 @@
     }
     (freed >= lacking).then_some(moves)
 }
+
+fn has_room_elsewhere(planner: &Planner<'_>, spec: &GroupSpec, home: &FabricDomain) -> bool {
+    planner.rooms.iter().any(|(domain, idle)| domain != home && *idle >= spec.size.0)
+}
--- a/crates/mangocross-coordination/src/placing.rs
+++ b/crates/mangocross-coordination/src/placing.rs
@@ -29,6 +29,8 @@
     pub idle_vms: u16,
     /// Groups that should be formed in another domain with room.
     pub stuck_groups: Vec<GroupId>,
+    /// Groups that belong here and that the domain's VMs cannot complete, also those that wait.
+    pub incomplete_groups: Vec<GroupId>,
 }
 
 /// Plans the placements, and remembers since when each moved group serves in its new domain.
@@ -233,11 +235,17 @@
         Some(())
     }
 
-    pub(crate) fn is_stuck(&self, group: &GroupId, domain: &FabricDomain) -> bool {
+    fn is_stuck(&self, group: &GroupId, domain: &FabricDomain) -> bool {
         let state = self.domains.iter().find(|it| it.domain == *domain);
         state.is_some_and(|it| it.stuck_groups.contains(group))
     }
 
+    /// Returns whether a domain cannot complete a group that belongs there.
+    pub(crate) fn is_incomplete(&self, group: &GroupId, domain: &FabricDomain) -> bool {
+        let state = self.domains.iter().find(|it| it.domain == *domain);
+        state.is_some_and(|it| it.incomplete_groups.contains(group))
+    }
+
     pub(crate) fn phase(&self, group: &GroupId, domain: &FabricDomain) -> Option<GroupPhase> {
         let assignment = self.assignments.iter().find(|it| it.domain == *domain)?;
         assignment.groups.iter().find(|it| it.group == *group).map(|it| it.phase)
--- a/crates/mangocross-coordination/tests/making_room.rs
+++ b/crates/mangocross-coordination/tests/making_room.rs
@@ -63,10 +63,12 @@
 }
 
 fn room(domain: &str, idle_vms: u16, stuck: &[&str]) -> DomainState {
+    let stuck: Vec<_> = stuck.iter().map(|it| it.parse().expect("a valid id")).collect();
     DomainState {
         domain: domain.parse().expect("a valid id"),
         idle_vms,
-        stuck_groups: stuck.iter().map(|it| it.parse().expect("a valid id")).collect(),
+        stuck_groups: stuck.clone(),
+        incomplete_groups: stuck,
     }
 }
 
@@ -109,6 +111,16 @@
     assert_eq!(full.place("small"), ("domain-1", None));
 }
 
+/// Waiting for its member may be sooner than forming the large group in the other domain.
+#[test]
+fn small_group_stays_while_the_large_one_waits_and_has_room_elsewhere() {
+    let mut full = FullDomain::new();
+    let waits = DomainState { stuck_groups: Vec::new(), ..room("domain-1", 0, &["large"]) };
+    full.plan(&[waits, room("domain-2", 4, &[])]);
+    assert_eq!(full.place("large"), ("domain-1", None));
+    assert_eq!(full.place("small"), ("domain-1", None));
+}
+
 #[test]
 fn small_group_stays_without_room_elsewhere_and_where_operators_put_it() {
     let mut full = FullDomain::new();
--- a/crates/mangocross-coordination/tests/reconcile.rs
+++ b/crates/mangocross-coordination/tests/reconcile.rs
@@ -284,6 +284,7 @@
         domain: "domain-2".parse().expect("a valid id"),
         idle_vms,
         stuck_groups: Vec::new(),
+        incomplete_groups: Vec::new(),
     };
     let now = Instant::now();
     let mut plan = |current: &Placements, assignments: &[DomainAssignment], idle, now| {
@@ -316,6 +317,7 @@
         domain: domain.parse().expect("a valid id"),
         idle_vms,
         stuck_groups: Vec::new(),
+        incomplete_groups: Vec::new(),
     };
     let rooms = [room("domain-1", 5), room("domain-2", 7)];
     let mut planner = PlacementPlanner::new(1_000 * MS);
@@ -335,6 +337,7 @@
         domain: domain.parse().expect("a valid id"),
         idle_vms,
         stuck_groups: Vec::new(),
+        incomplete_groups: Vec::new(),
     };
     let rooms = [room("domain-1", 6), room("domain-2", 3), room("domain-3", 3)];
     let mut planner = PlacementPlanner::new(1_000 * MS);
--- a/peers/peer-entry/src/frame.rs
+++ b/peers/peer-entry/src/frame.rs
@@ -8,7 +8,7 @@
 use snafu::Snafu;
 
 /// Version of the frames and messages; another one is dropped.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 /// Bytes of the keyed hash that a frame carries.
 const TAG_BYTES: usize = 16;
 /// Bytes before the body.
--- a/peers/peer-entry/src/messages.rs
+++ b/peers/peer-entry/src/messages.rs
@@ -251,4 +251,6 @@
     pub healthy_vms: u16,
     /// Groups that should be formed in another domain with room.
     pub stuck_groups: Vec<GroupId>,
+    /// Groups that belong here and that the domain's VMs cannot complete, also those that wait.
+    pub incomplete_groups: Vec<GroupId>,
 }
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -250,6 +250,36 @@
     assert_eq!(cluster.platform.faults().counted("loads_that_waited"), 0);
 }
 
+/// The large group fits in no other domain, and the small one holds the only spare VM there.
+#[test]
+fn small_group_makes_room_for_the_repair_of_a_large_one() {
+    let cluster = builder(1, &[4, 1]).start();
+    let groups_of = |domain: &str| {
+        let groups = assignment(&cluster, domain).groups;
+        groups.iter().map(|it| (it.group.to_string(), it.phase)).collect::<Vec<_>>()
+    };
+    cluster.operate(0, "drain vm vm-2-1").expect("it is drained");
+    let large = "start group letters-1 model letters version v1 members 3";
+    cluster.start_group(large, 0, &draft());
+    let small = "start group drills-1 model drills version v2 members 1";
+    let scenario = Outgoing::chat("town", "scenario", "drills", 4, true);
+    cluster.start_group(small, 0, &scenario);
+    assert_eq!(groups_of("domain-1").len(), 2);
+    cluster.operate(0, "resume vm vm-2-1").expect("it is resumed");
+    let before = assignment(&cluster, "domain-1").groups;
+    let before = before.iter().find(|it| it.members.len() == 3).expect("the large group");
+    cluster.engine(before.members[1].as_str()).faults().set(frozen());
+    cluster.wait_until("the small group serves in the other domain", || {
+        groups_of("domain-2") == [("drills-1".to_owned(), GroupPhase::Serving)]
+    });
+    assert!(cluster.send(0, &scenario).is_whole(), "it serves on while it moves");
+    cluster.wait_until("the large group is repaired", || {
+        groups_of("domain-1") == [("letters-1".to_owned(), GroupPhase::Serving)]
+            && cluster.send(0, &draft()).is_whole()
+    });
+    assert!(cluster.send(0, &scenario).is_whole());
+}
+
 #[test]
 fn why_names_what_a_group_waits_for() {
     let cluster = builder(1, &[2]).start();
