perf(serving): stage a second model on every host; give a small group up for a larger one

Cause: on the grown deployments 2 to 3 VMs are lost every 3 s.

Change: hosts hold a model beside the one that is loaded, so that any VM joins any group without the weight store; most of it is fetched before the first request. A group that no spare completes takes the members of a group that waits for the weight store, or of a smaller one whose model has enough without it; the rest of those are spares at once. A slow member is replaced by prepared spares only. Members cut from the store alone stay. Staging is remembered, so that it is not ordered twice.

--- /dev/null
+++ b/crates/mangocross-serving/src/planner/donors.rs
@@ -0,0 +1,72 @@
+//! Which group is given up so that another one is whole.
+
+use std::collections::HashMap;
+
+use mangocross_types::GroupId;
+use mangocross_types::ModelId;
+
+use super::GroupPlanner;
+use super::PlannedGroup;
+use super::forming::Draft;
+use crate::MemberPhase;
+
+impl GroupPlanner {
+    /// Chooses the group whose members complete another one, by its place in the plan.
+    ///
+    /// A group that waits for the weight store comes first, if it is not larger. One
+    /// that serves is given up for a larger group only, and only while its model
+    /// keeps at least the supply that the other model would be left with.
+    pub(super) fn choose_donor(
+        &self,
+        draft: &Draft,
+        needy: &GroupId,
+        broken: &[GroupId],
+    ) -> Option<usize> {
+        let groups = &draft.plan.groups;
+        let needy = groups.iter().find(|it| it.group == *needy)?;
+        let lacking = needy.members.iter().filter(|it| !self.stays(it)).count();
+        let vms = self.vms_by_model(std::slice::from_ref(draft));
+        let candidates = groups.iter().enumerate().filter(|(_, it)| {
+            it.group != needy.group
+                && !it.is_dissolving
+                && !broken.contains(&it.group)
+                && self.has_reachable_head(it)
+                && self.prepared_members(it, &needy.model) >= lacking
+        });
+        let size = needy.members.len();
+        let useful = candidates.filter(|(_, it)| {
+            (it.members.len() <= size && self.awaits_load(it))
+                || (it.members.len() < size && self.is_dispensable(it, needy, &vms))
+        });
+        useful.min_by_key(|(_, it)| (!self.awaits_load(it), it.members.len())).map(|(at, _)| at)
+    }
+
+    /// Returns whether a member has not joined and needs the weight store for it.
+    fn awaits_load(&self, group: &PlannedGroup) -> bool {
+        group.members.iter().any(|it| {
+            !self.is_prepared(&it.vm, &group.model)
+                && matches!(self.phase_in(&it.vm, group), None | Some(MemberPhase::Joining))
+        })
+    }
+
+    /// Returns how many members join a group of the model without the weight store.
+    fn prepared_members(&self, group: &PlannedGroup, model: &ModelId) -> usize {
+        let members = group.members.iter().filter(|it| self.stays(it));
+        members.filter(|it| self.is_prepared(&it.vm, model)).count()
+    }
+
+    /// Returns whether a model has enough without a group, compared with another model without its.
+    fn is_dispensable(
+        &self,
+        group: &PlannedGroup,
+        needy: &PlannedGroup,
+        vms: &HashMap<ModelId, usize>,
+    ) -> bool {
+        let supply_without = |it: &PlannedGroup| {
+            let share = self.engine.model(&it.model).map_or(1.0, |it| it.share.max(0.01));
+            let count = vms.get(&it.model).copied().unwrap_or_default();
+            count.saturating_sub(it.members.len()) as f64 / share
+        };
+        group.model != needy.model && supply_without(group) >= supply_without(needy)
+    }
+}
--- a/crates/mangocross-serving/src/planner/forming.rs
+++ b/crates/mangocross-serving/src/planner/forming.rs
@@ -1,4 +1,4 @@
-//! Forms groups of free VMs, and stages weights on the rest.
+//! Forms groups of free VMs.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -27,8 +27,6 @@
 /// Servers of a domain come one by one; groups of the first few would leave no
 /// room for a large one.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
-/// Spares of a domain that keep the weights of one model ready.
-const STAGED_FOR_MODEL_MAX: usize = 2;
 
 /// The plan of a fabric domain while it is decided on.
 #[derive(Debug)]
@@ -57,7 +55,7 @@
             return;
         }
         // Members of a group that is dissolved will be free soon.
-        if draft.plan.groups.iter().any(|it| it.is_dissolving && self.has_reachable_head(it)) {
+        if self.frees_members(&draft.plan) {
             return;
         }
         loop {
@@ -81,6 +79,11 @@
         }
     }
 
+    /// Returns whether members of a group that is dissolved will be free soon.
+    pub(super) fn frees_members(&self, plan: &DomainPlan) -> bool {
+        plan.groups.iter().any(|it| it.is_dissolving && self.has_reachable_head(it))
+    }
+
     pub(super) fn has_reachable_head(&self, group: &PlannedGroup) -> bool {
         let known = group.head().and_then(|it| self.known.get(&it.vm));
         known.is_some_and(|it| !it.contact.is_lost() && it.unlisted_at.is_none())
@@ -126,79 +129,10 @@
             });
             return;
         }
-        self.stage_spares(&draft, now, steps);
+        self.prepare_servers(&draft, now, steps);
         self.end_stray_heads(&draft, now, steps);
     }
 
-    /// Stages the weights of the domain's models on its spares, the largest model first, and
-    /// loads them from there.
-    pub(super) fn stage_spares(&mut self, draft: &Draft, now: Moment, steps: &mut Vec<Step>) {
-        let mut models: Vec<&PlannedGroup> = draft.plan.groups.iter().collect();
-        models.sort_by_key(|it| std::cmp::Reverse(it.members.len()));
-        let mut wanted: Vec<ModelId> = Vec::new();
-        for it in models {
-            if !wanted.contains(&it.model) {
-                wanted.push(it.model.clone());
-            }
-        }
-        if wanted.is_empty() {
-            return;
-        }
-        let mut staged: HashMap<ModelId, usize> = HashMap::new();
-        let (mut unstaged, mut cold) = (Vec::new(), Vec::new());
-        for vm in self.free_vms(&draft.domain, &draft.plan) {
-            let Some(engine) = self.known.get(&vm).map(|it| &it.server.engine) else { continue };
-            let is_held = |it: &&ModelId| engine.loaded.contains(it) || engine.staged.contains(it);
-            let count = |it: &ModelId| staged.get(it).copied().unwrap_or_default();
-            let has_room = |it: &&ModelId| wanted.len() == 1 || count(it) < STAGED_FOR_MODEL_MAX;
-            let held = wanted.iter().filter(is_held).filter(has_room);
-            match held.min_by_key(|it| count(it)) {
-                Some(model) => {
-                    *staged.entry(model.clone()).or_default() += 1;
-                    if !engine.loaded.contains(model) {
-                        cold.push((vm, model.clone()));
-                    }
-                }
-                None => unstaged.push(vm),
-            }
-        }
-        for (vm, model) in cold {
-            self.load_spare(draft, &vm, model, now, steps);
-        }
-        for vm in unstaged {
-            let least = wanted.iter().min_by_key(|it| staged.get(it).copied().unwrap_or_default());
-            let Some(model) = least.cloned() else { return };
-            *staged.entry(model.clone()).or_default() += 1;
-            self.order(&vm, EngineOrder::Stage { model }, now, steps);
-        }
-    }
-
-    /// Lets a spare join a group of its own, which is never opened.
-    ///
-    /// Its weights are loaded from the host then, so that it joins the group of a
-    /// lost member at once. The incarnation is one that the domain has used already:
-    /// a late order of this kind is refused by a server that has joined a planned
-    /// group since.
-    fn load_spare(
-        &mut self,
-        draft: &Draft,
-        vm: &VmId,
-        model: ModelId,
-        now: Moment,
-        steps: &mut Vec<Step>,
-    ) {
-        let Ok(group) = format!("{}.{vm}", draft.domain).parse::<GroupId>() else { return };
-        let last_used = draft.plan.next_incarnation.saturating_sub(1);
-        let incarnation = Incarnation(last_used.max(self.highest_incarnation(&draft.domain)));
-        let is_joining = self.membership(vm).is_some_and(|it| {
-            it.group == group && it.phase == MemberPhase::Joining && it.rank == Rank(0)
-        });
-        if !is_joining {
-            let members = vec![vm.clone()];
-            self.order(vm, EngineOrder::Join { group, incarnation, model, members }, now, steps);
-        }
-    }
-
     /// Takes heads out of groups that no plan names.
     pub(super) fn end_stray_heads(&mut self, draft: &Draft, now: Moment, steps: &mut Vec<Step>) {
         let in_domain = self
--- a/crates/mangocross-serving/src/planner/loads.rs
+++ b/crates/mangocross-serving/src/planner/loads.rs
@@ -6,6 +6,8 @@
 const USED_PART: f64 = 0.85;
 /// Loads that may begin at once after a pause.
 const BURST: f64 = 4.0;
+/// Loads that are kept for groups that lack members.
+const RESERVE: f64 = 2.0;
 
 /// Loads that may begin, over all VMs.
 #[derive(Debug, Default)]
@@ -27,6 +29,11 @@
         self.tokens = (self.tokens + since * loads_per_s * USED_PART).min(BURST);
     }
 
+    /// Returns whether loads that can wait leave enough for those that cannot.
+    pub(super) fn has_reserve(&self) -> bool {
+        self.is_unlimited || self.tokens >= RESERVE + 1.0
+    }
+
     pub(super) fn try_begin(&mut self) -> bool {
         if self.is_unlimited {
             return true;
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -1,11 +1,13 @@
 //! Forms groups, keeps them whole and replaces them.
 
 mod contact;
+mod donors;
 mod forming;
 mod loads;
 mod orders;
 mod packing;
 mod plan;
+mod preparing;
 mod release;
 mod repair;
 
@@ -28,6 +30,7 @@
 pub use self::plan::FormerHead;
 pub use self::plan::PlannedGroup;
 pub use self::plan::PlannedMember;
+use self::preparing::Staging;
 use crate::BackendServer;
 use crate::EngineOrder;
 use crate::EngineReport;
@@ -94,6 +97,8 @@
     /// Orders that this life has accepted; not known until it was asked.
     orders_accepted: Option<u64>,
     contact: Contact,
+    /// The last fetch of weights that this life has begun.
+    staging: Option<Staging>,
 }
 
 #[derive(Debug)]
@@ -244,6 +249,9 @@
             notes.has_left |= is_head;
         }
         let Some(known) = self.known.get_mut(vm) else { return };
+        if is_accepted && let EngineOrder::Stage { model } = &given.order {
+            known.staging = Some(Staging { model: model.clone(), since: now });
+        }
         match outcome {
             OrderOutcome::Begun => known.orders_accepted = Some(given.orders_accepted + 1),
             OrderOutcome::NoProcess => known.contact.refused(),
@@ -348,6 +356,7 @@
                     leaving_at: server.is_leaving.then_some(now),
                     orders_accepted: None,
                     contact: Contact::default(),
+                    staging: None,
                 };
                 self.known.insert(server.vm.clone(), known);
                 if let Some(domain) = &server.engine.domain {
@@ -363,6 +372,7 @@
             if old.born_unix_ms != new.born_unix_ms {
                 known.contact = Contact::default();
                 known.orders_accepted = None;
+                known.staging = None;
                 known.server = server.clone();
             } else if known.server != *server {
                 known.server = server.clone();
--- a/crates/mangocross-serving/src/planner/orders.rs
+++ b/crates/mangocross-serving/src/planner/orders.rs
@@ -61,6 +61,13 @@
         self.orders.insert(vm.clone(), given);
     }
 
+    /// Returns whether an order was given so lately that its effect may not be seen yet.
+    pub(super) fn has_fresh_order(&self, vm: &VmId, now: Moment) -> bool {
+        self.orders
+            .get(vm)
+            .is_some_and(|it| it.outcome.is_none() || now.since(it.given_at) < EFFECT_TIMEOUT)
+    }
+
     pub(super) fn probe(&mut self, now: Moment, steps: &mut Vec<Step>) {
         for (vm, known) in &mut self.known {
             if known.server.engine.domain.is_none() {
--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -1,8 +1,10 @@
 //! Keeps groups whole: decides what each needs, and replaces lost members.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use mangocross_types::FabricDomain;
+use mangocross_types::GroupId;
 use mangocross_types::Incarnation;
 use mangocross_types::VmId;
 
@@ -25,6 +27,15 @@
 /// Time that a group may be suspect, with all members answering, before it is replaced.
 const SUSPECT_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Which spares may take the places of lost members.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SpareUse {
+    /// Those that need nothing from the weight store.
+    Prepared,
+    /// All.
+    All,
+}
+
 /// What a group needs.
 pub(super) enum Verdict {
     Keep,
@@ -48,29 +59,29 @@
             reasons: Vec::new(),
         };
         let groups = std::mem::take(&mut draft.plan.groups);
-        let mut spares = self.free_vms(domain, &held.plan);
-        for mut group in groups {
-            if group.is_dissolving {
-                if !self.is_released(&group, now, steps) {
-                    draft.plan.groups.push(group);
-                } else {
-                    draft.reasons.push(format!("{} released", group.group));
-                    self.notes.remove(&(group.group.clone(), group.incarnation));
-                }
-                continue;
+        let (dissolving, groups): (Vec<_>, Vec<_>) =
+            groups.into_iter().partition(|it| it.is_dissolving);
+        let mut held_plan = held.plan.clone();
+        for group in dissolving {
+            if self.is_released(&group, now, steps) {
+                draft.reasons.push(format!("{} released", group.group));
+                self.notes.remove(&(group.group.clone(), group.incarnation));
+                held_plan.groups.retain(|it| it.group != group.group);
+            } else {
+                draft.plan.groups.push(group);
             }
+        }
+        let mut spares = self.free_vms(domain, &held_plan);
+        let mut broken = Vec::new();
+        for mut group in groups {
             let incarnation = group.incarnation;
-            match self.judge(&group, spares.len(), now) {
+            let prepared = spares.iter().filter(|it| self.is_prepared(it, &group.model)).count();
+            match self.judge(&group, prepared, now) {
                 Verdict::Keep => {}
                 Verdict::Replace(reason) => {
-                    let is_repaired = self.repair(domain, &mut group, &mut spares);
-                    let next = if is_repaired { "re-formed" } else { "dissolved" };
-                    draft.reasons.push(format!("{} {next}: {reason}", group.group));
-                    if is_repaired {
-                        let incarnation = self.next_incarnation(domain, &mut draft.plan);
-                        group.incarnation = Incarnation(incarnation);
-                    } else {
-                        group.is_dissolving = true;
+                    let with = SpareUse::Prepared;
+                    if !self.replace(&mut draft, &mut group, &mut spares, with, &reason) {
+                        broken.push((group.group.clone(), reason));
                     }
                 }
                 Verdict::Order(orders) => {
@@ -85,9 +96,62 @@
             }
             draft.plan.groups.push(group);
         }
+        self.replace_broken(&mut draft, broken, &mut spares);
         draft
     }
 
+    /// Decides on groups that lack members for which no spare is prepared, the largest first.
+    fn replace_broken(
+        &self,
+        draft: &mut Draft,
+        mut broken: Vec<(GroupId, String)>,
+        spares: &mut Vec<VmId>,
+    ) {
+        let size = |draft: &Draft, id: &GroupId| {
+            let group = draft.plan.groups.iter().find(|it| it.group == *id);
+            group.map_or(0, |it| it.members.len())
+        };
+        broken.sort_by_key(|(id, _)| Reverse(size(draft, id)));
+        let ids: Vec<GroupId> = broken.iter().map(|(id, _)| id.clone()).collect();
+        for (id, reason) in broken {
+            // Members of a group that is dissolved will be free soon.
+            if self.frees_members(&draft.plan) {
+                return;
+            }
+            if let Some(donor) = self.choose_donor(draft, &id, &ids) {
+                let donor = &mut draft.plan.groups[donor];
+                donor.is_dissolving = true;
+                draft.reasons.push(format!("{} dissolved: {id} lacks members", donor.group));
+                return;
+            }
+            let Some(at) = draft.plan.groups.iter().position(|it| it.group == id) else { continue };
+            let mut group = draft.plan.groups.remove(at);
+            if !self.replace(draft, &mut group, spares, SpareUse::All, &reason) {
+                draft.reasons.push(format!("{id} dissolved: {reason}"));
+                group.is_dissolving = true;
+            }
+            draft.plan.groups.insert(at, group);
+        }
+    }
+
+    /// Forms a group anew without the members that it lost, if there are spares.
+    fn replace(
+        &self,
+        draft: &mut Draft,
+        group: &mut PlannedGroup,
+        spares: &mut Vec<VmId>,
+        with: SpareUse,
+        reason: &str,
+    ) -> bool {
+        let is_repaired = self.repair(&draft.domain, group, spares, with);
+        if is_repaired {
+            draft.reasons.push(format!("{} re-formed: {reason}", group.group));
+            let incarnation = self.next_incarnation(&draft.domain, &mut draft.plan);
+            group.incarnation = Incarnation(incarnation);
+        }
+        is_repaired
+    }
+
     /// Replaces the members that a group has lost by spares of its domain.
     ///
     /// Survivors join the same group in a new incarnation, which takes them out of
@@ -97,7 +161,12 @@
         domain: &FabricDomain,
         group: &mut PlannedGroup,
         spares: &mut Vec<VmId>,
+        with: SpareUse,
     ) -> bool {
+        let mut usable_spares = spares.clone();
+        if with == SpareUse::Prepared {
+            usable_spares.retain(|it| self.is_prepared(it, &group.model));
+        }
         let is_kept = |it: &&PlannedMember, is_fit: &dyn Fn(&Known) -> bool| {
             self.known.get(&it.vm).is_some_and(|known| {
                 is_fit(known)
@@ -118,22 +187,29 @@
         // A member that is cut from the store alone still works, though not as the head.
         let unlisted = members().filter(|it| is_kept(it, &answers)).cloned();
         let lacking = group.members.len() - survivors.len();
-        survivors.extend(unlisted.take(lacking.saturating_sub(spares.len())));
+        survivors.extend(unlisted.take(lacking));
         let missing = group.members.len() - survivors.len();
-        if missing > spares.len() {
+        if missing > usable_spares.len() {
             return false;
         }
         if let Some(head) = group.head().cloned() {
             let incarnation = group.incarnation;
             group.former_heads.push(FormerHead { member: head, incarnation });
         }
-        let added = self.choose_members(spares.clone(), missing, &group.model);
+        let added = self.choose_members(usable_spares, missing, &group.model);
         spares.retain(|vm| added.iter().all(|it| it.vm != *vm));
         group.members = survivors;
         group.members.extend(added);
         true
     }
 
+    /// Returns whether a member is the server that was planned, and may stay one.
+    pub(super) fn stays(&self, member: &PlannedMember) -> bool {
+        self.known.get(&member.vm).is_some_and(|it| {
+            self.is_usable(it) && it.server.engine.born_unix_ms == member.born_unix_ms
+        })
+    }
+
     /// Returns the incarnation of the next group that a domain forms.
     pub(super) fn next_incarnation(&self, domain: &FabricDomain, plan: &mut DomainPlan) -> u64 {
         let incarnation = plan.next_incarnation.max(self.highest_incarnation(domain) + 1);
@@ -141,7 +217,7 @@
         incarnation
     }
 
-    pub(super) fn judge(&mut self, group: &PlannedGroup, spares: usize, now: Moment) -> Verdict {
+    pub(super) fn judge(&mut self, group: &PlannedGroup, prepared: usize, now: Moment) -> Verdict {
         let key = (group.group.clone(), group.incarnation);
         let mut orders = Vec::new();
         let mut ready = 0;
@@ -210,7 +286,7 @@
                     _ => Verdict::Replace("a member is leaving".to_owned()),
                 };
             }
-            if has_slow_member && spares > 0 {
+            if has_slow_member && prepared > 0 {
                 break 'verdict Verdict::Replace("a member is slow".to_owned());
             }
             if head_phase != Some(MemberPhase::Open) {
--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -279,7 +279,9 @@
                 engine.ready_at = Some(now + time);
                 engine.members.clone_from(members);
                 let rank = members.iter().position(|it| it == id).expect("a member");
-                status.staged = vec![model.clone()];
+                if !is_near {
+                    status.staged = vec![model.clone()];
+                }
                 status.loaded = vec![model.clone()];
                 status.membership = Some(Membership {
                     group: group.clone(),
