fix(serving): bound the fetches that can wait, spares first

Change: after the first request, fetches that can wait take a quarter of the loads at once; spares come first in all domains, then members of smaller groups while fewer than four hosts of a domain hold the largest model. A refused fetch is asked for again after 1.5 s.

--- a/crates/mangocross-serving/src/planner/forming.rs
+++ b/crates/mangocross-serving/src/planner/forming.rs
@@ -117,7 +117,13 @@
         seen.map(|it| it.incarnation.0).max().unwrap_or_default()
     }
 
-    pub(super) fn finish(&mut self, draft: Draft, now: Moment, steps: &mut Vec<Step>) {
+    /// Writes a plan that changed; returns one that did not.
+    pub(super) fn finish(
+        &mut self,
+        draft: Draft,
+        now: Moment,
+        steps: &mut Vec<Step>,
+    ) -> Option<Draft> {
         let held = self.plans.entry(draft.domain.clone()).or_default();
         if held.plan != draft.plan {
             held.is_writing = true;
@@ -127,10 +133,10 @@
                 expected: draft.expected,
                 reasons: draft.reasons,
             });
-            return;
+            return None;
         }
-        self.prepare_servers(&draft, now, steps);
         self.end_stray_heads(&draft, now, steps);
+        Some(draft)
     }
 
     /// Takes heads out of groups that no plan names.
--- a/crates/mangocross-serving/src/planner/loads.rs
+++ b/crates/mangocross-serving/src/planner/loads.rs
@@ -23,6 +23,10 @@
         self.is_unlimited = is_unlimited;
     }
 
+    pub(super) fn is_unlimited(&self) -> bool {
+        self.is_unlimited
+    }
+
     pub(super) fn refill(&mut self, now: Moment, loads_per_s: f64) {
         let since = self.counted_at.map_or(1.0, |it| now.since(it).as_secs_f64());
         self.counted_at = Some(now);
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -25,6 +25,7 @@
 use mangocross_types::VmId;
 
 use self::contact::Contact;
+use self::forming::Draft;
 use self::loads::LoadAllowance;
 pub use self::plan::DomainPlan;
 pub use self::plan::FormerHead;
@@ -237,6 +238,14 @@
         given.outcome = Some(outcome);
         given.given_at = now;
         let is_accepted = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Done);
+        let orders_accepted = given.orders_accepted;
+        let staged = match &given.order {
+            EngineOrder::Stage { model } => Some(model.clone()),
+            EngineOrder::Join { .. }
+            | EngineOrder::Open { .. }
+            | EngineOrder::Close { .. }
+            | EngineOrder::Leave { .. } => None,
+        };
         if is_accepted && let EngineOrder::Leave { group, incarnation } = &given.order {
             let key = (group.clone(), *incarnation);
             let notes = self.notes.entry(key).or_default();
@@ -248,12 +257,16 @@
             });
             notes.has_left |= is_head;
         }
+        let staging = staged.map(|model| {
+            let until = self.staging_until(&model, outcome, now);
+            Staging { model, until }
+        });
         let Some(known) = self.known.get_mut(vm) else { return };
-        if is_accepted && let EngineOrder::Stage { model } = &given.order {
-            known.staging = Some(Staging { model: model.clone(), since: now });
+        if staging.is_some() {
+            known.staging = staging;
         }
         match outcome {
-            OrderOutcome::Begun => known.orders_accepted = Some(given.orders_accepted + 1),
+            OrderOutcome::Begun => known.orders_accepted = Some(orders_accepted + 1),
             OrderOutcome::NoProcess => known.contact.refused(),
             OrderOutcome::Done
             | OrderOutcome::Refused
@@ -335,9 +348,9 @@
         for draft in &mut drafts {
             self.form_groups(draft, &mut vms, now);
         }
-        for draft in drafts {
-            self.finish(draft, now, &mut steps);
-        }
+        let unchanged: Vec<Draft> =
+            drafts.into_iter().filter_map(|it| self.finish(it, now, &mut steps)).collect();
+        self.prepare_servers(&unchanged, now, &mut steps);
         self.probe(now, &mut steps);
         steps
     }
--- a/crates/mangocross-serving/src/planner/preparing.rs
+++ b/crates/mangocross-serving/src/planner/preparing.rs
@@ -17,17 +17,31 @@
 use crate::MemberPhase;
 use crate::ModelSpec;
 use crate::Moment;
+use crate::OrderOutcome;
 
 /// Staging time, as a multiple of the model's loading time, when others load as well.
 const STAGING_FACTOR: f64 = 1.5;
 /// Added to the time after which a host that does not report a model is asked again.
 const STAGING_MARGIN: Duration = Duration::from_millis(1500);
 
-/// A fetch of weights that a host has begun.
+/// VMs of a domain that hold the largest model beside another one.
+const SECOND_MODEL_HOSTS_MIN: usize = 4;
+/// The part of the loads at once that fetches which can wait may take is one in so many.
+const STAGING_PART: usize = 4;
+
+/// Whose hosts fetch a second model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Hosts {
+    Spares,
+    Members,
+}
+
+/// A fetch of weights that a host was asked for.
 #[derive(Debug)]
 pub(super) struct Staging {
     pub(super) model: ModelId,
-    pub(super) since: Moment,
+    /// When the host is asked again if it does not report the model.
+    pub(super) until: Moment,
 }
 
 impl GroupPlanner {
@@ -36,9 +50,15 @@
     /// A VM joins a group of the model that is loaded within a fraction of a second,
     /// and one of the model that is staged within a second or two: each loss is made
     /// good without the weight store, whichever model it hits.
-    pub(super) fn prepare_servers(&mut self, draft: &Draft, now: Moment, steps: &mut Vec<Step>) {
-        self.load_spares(draft, now, steps);
-        self.stage_second_models(draft, now, steps);
+    pub(super) fn prepare_servers(&mut self, drafts: &[Draft], now: Moment, steps: &mut Vec<Step>) {
+        for draft in drafts {
+            self.load_spares(draft, now, steps);
+        }
+        for hosts in [Hosts::Spares, Hosts::Members] {
+            for draft in drafts {
+                self.stage_second_models(draft, hosts, now, steps);
+            }
+        }
     }
 
     /// Loads a model on each spare that has none, the largest model first.
@@ -95,8 +115,20 @@
         self.order(vm, EngineOrder::Join { group, incarnation, model, members }, now, steps);
     }
 
-    /// Stages a model beside the loaded one, on members and on spares.
-    fn stage_second_models(&mut self, draft: &Draft, now: Moment, steps: &mut Vec<Step>) {
+    /// Stages a model beside the loaded one.
+    ///
+    /// Each join leaves the joined model on the host in the place of the other one.
+    /// Before the first request all hosts fetch a second model. Later on, spares do,
+    /// and members of smaller groups while the domain has few VMs for a larger one.
+    fn stage_second_models(
+        &mut self,
+        draft: &Draft,
+        hosts: Hosts,
+        now: Moment,
+        steps: &mut Vec<Step>,
+    ) {
+        let largest = self.engine.models.iter().max_by_key(|it| it.size);
+        let Some(largest) = largest.map(|it| it.model.clone()) else { return };
         let in_domain = self.known.iter().filter(|(_, it)| {
             it.server.engine.domain.as_ref() == Some(&draft.domain)
                 && self.is_usable(it)
@@ -109,7 +141,10 @@
             let engine = &known.server.engine;
             match engine.staged.iter().find(|it| !engine.loaded.contains(it)) {
                 Some(model) => *holders.entry(model.clone()).or_default() += 1,
-                None => lacking.push((vm.clone(), engine.loaded.clone())),
+                None if draft.plan.holds(vm) == (hosts == Hosts::Members) => {
+                    lacking.push((vm.clone(), engine.loaded.clone()));
+                }
+                None => {}
             }
         }
         for (vm, loaded) in lacking {
@@ -117,28 +152,61 @@
             let others = others.filter(|it| !loaded.contains(it));
             let count = |it: &&ModelId| holders.get(it).copied().unwrap_or_default();
             let Some(model) = others.min_by_key(count).cloned() else { continue };
-            if !self.loads.has_reserve() {
+            if !self.may_stage_more(now) {
                 return;
             }
-            *holders.entry(model.clone()).or_default() += 1;
-            self.stage(&vm, model, now, steps);
+            let is_needed = hosts == Hosts::Spares
+                || (model == largest && count(&&model) < SECOND_MODEL_HOSTS_MIN)
+                || self.loads.is_unlimited();
+            if is_needed {
+                *holders.entry(model.clone()).or_default() += 1;
+                self.stage(&vm, model, now, steps);
+            }
+        }
+    }
+
+    /// Returns whether loads that can wait leave enough for those that cannot.
+    fn may_stage_more(&self, now: Moment) -> bool {
+        if self.loads.is_unlimited() {
+            return true;
         }
+        let is_at_it = |it: &&Known| {
+            it.staging.as_ref().is_some_and(|staging| {
+                now < staging.until && !it.server.engine.staged.contains(&staging.model)
+            })
+        };
+        let at_it = self.known.values().filter(is_at_it).count();
+        self.loads.has_reserve() && at_it < (self.engine.loads_at_once / STAGING_PART).max(1)
     }
 
     /// Orders a host to fetch a model, unless it is at it or another order is under way.
     fn stage(&mut self, vm: &VmId, model: ModelId, now: Moment, steps: &mut Vec<Step>) {
-        let time = self.engine.model(&model).map_or(Duration::ZERO, |it| it.load);
-        let timeout = time.mul_f64(STAGING_FACTOR) + STAGING_MARGIN;
-        let is_staging = self
-            .known
-            .get(vm)
-            .and_then(|it| it.staging.as_ref())
-            .is_some_and(|it| it.model == model && now.since(it.since) < timeout);
+        let staging = self.known.get(vm).and_then(|it| it.staging.as_ref());
+        let is_staging = staging.is_some_and(|it| it.model == model && now < it.until);
         if !is_staging && !self.has_fresh_order(vm, now) {
             self.order(vm, EngineOrder::Stage { model }, now, steps);
         }
     }
 
+    /// Returns until when a host is not asked again for a model that it was asked for.
+    pub(super) fn staging_until(
+        &self,
+        model: &ModelId,
+        outcome: OrderOutcome,
+        now: Moment,
+    ) -> Moment {
+        match outcome {
+            OrderOutcome::Begun | OrderOutcome::Done => {
+                let time = self.engine.model(model).map_or(Duration::ZERO, |it| it.load);
+                now + time.mul_f64(STAGING_FACTOR) + STAGING_MARGIN
+            }
+            OrderOutcome::Refused
+            | OrderOutcome::WrongServer
+            | OrderOutcome::NoProcess
+            | OrderOutcome::Unknown => now + STAGING_MARGIN,
+        }
+    }
+
     /// Returns whether a VM joins a group of a model without the weight store.
     pub(super) fn is_prepared(&self, vm: &VmId, model: &ModelId) -> bool {
         self.known.get(vm).is_some_and(|it| {
--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -52,6 +52,8 @@
     pub(crate) reach: Reach,
     pub(crate) pace: f64,
     pub(crate) orders_accepted: u64,
+    /// The model that the host fetches, and when it is there.
+    pub(crate) staging: Option<(ModelId, Moment)>,
     /// When the present join is done.
     pub(crate) ready_at: Option<Moment>,
     /// Members of the group that it joined last.
@@ -69,6 +71,8 @@
     /// Writes that the store was asked for.
     pub(crate) writes: usize,
     pub(crate) loses_answers_of: HashSet<VmId>,
+    /// Whether loads take their full time.
+    pub(crate) has_traffic: bool,
     revision: u64,
     is_store_down: bool,
 }
@@ -112,6 +116,7 @@
             loads: Vec::new(),
             writes: 0,
             loses_answers_of: HashSet::new(),
+            has_traffic: false,
             revision: 0,
             is_store_down: false,
         };
@@ -146,6 +151,7 @@
             reach: Reach::Answers,
             pace: 1.0,
             orders_accepted: 0,
+            staging: None,
             ready_at: None,
             members: Vec::new(),
         };
@@ -198,6 +204,9 @@
 
     fn finish_joins(&mut self) {
         for engine in self.engines.values_mut() {
+            if let Some((model, _)) = engine.staging.take_if(|it| it.1 <= self.now) {
+                engine.server.engine.staged = vec![model];
+            }
             if engine.ready_at.is_some_and(|it| it <= self.now) {
                 engine.ready_at = None;
                 if let Some(membership) = &mut engine.server.engine.membership {
@@ -279,9 +288,7 @@
                 engine.ready_at = Some(now + time);
                 engine.members.clone_from(members);
                 let rank = members.iter().position(|it| it == id).expect("a member");
-                if !is_near {
-                    status.staged = vec![model.clone()];
-                }
+                status.staged = vec![model.clone()];
                 status.loaded = vec![model.clone()];
                 status.membership = Some(Membership {
                     group: group.clone(),
@@ -312,7 +319,9 @@
             }
             EngineOrder::Stage { model } => {
                 self.loads.push(now);
-                status.staged = vec![model.clone()];
+                let time = spec.model(model).expect("a model").load;
+                let time = if self.has_traffic { time } else { time / 10 };
+                engine.staging = Some((model.clone(), now + time));
             }
         }
         engine.orders_accepted += 1;
--- a/crates/mangocross-serving/tests/groups.rs
+++ b/crates/mangocross-serving/tests/groups.rs
@@ -7,6 +7,7 @@
 use mangocross_serving::MemberPhase;
 use mangocross_types::VmId;
 
+use crate::engines::Engine;
 use crate::engines::Reach;
 use crate::engines::STALL;
 use crate::engines::World;
@@ -23,6 +24,7 @@
     world.run(ms(8_000));
     assert_eq!((world.serving("large").len(), world.serving("small").len()), (2, 2));
     world.planner.set_loads_unlimited(false);
+    world.has_traffic = true;
     world.loads.clear();
     world
 }
@@ -100,6 +102,25 @@
     assert!(world.loads.is_empty(), "weights were loaded before");
 }
 
+/// All processes were killed and started again, and hosts hold only the models they serve.
+#[test]
+fn fetches_that_can_wait_leave_the_weight_store_to_others() {
+    let mut world = formed();
+    for engine in world.engines.values_mut() {
+        engine.server.engine.staged.clone_from(&engine.server.engine.loaded);
+    }
+    world.new_planner();
+    let mut most = 0;
+    for _ in 0..200 {
+        world.run(ms(50));
+        most = most.max(world.engines.values().filter(|it| it.staging.is_some()).count());
+    }
+    assert_eq!(most, engine_spec().loads_at_once / 4);
+    let second = |it: &&Engine| it.server.engine.staged != it.server.engine.loaded;
+    let spares = world.spares();
+    assert!(spares.iter().all(second), "spares come first");
+}
+
 /// Losses without an end: the spares of a domain are used up, and new VMs are not prepared yet.
 #[test]
 fn small_group_is_given_up_for_a_large_one_without_spares() {
@@ -157,7 +178,7 @@
         let own = spare.server.engine.membership.as_ref().expect("a group of its own");
         let domain = spare.server.engine.domain.as_ref().expect("a domain");
         assert!(own.incarnation.0 < world.plans[domain].0.next_incarnation);
-        assert_eq!(spare.members, [spare.server.vm.clone()]);
+        assert_eq!(spare.members, std::slice::from_ref(&spare.server.vm));
         assert_ne!(own.phase, MemberPhase::Open);
     }
 }
