test(front): a soak with random faults from outside

Several processes, stand-ins of store and servers, and relays between all of them that delay, cut, silence or drop answers; processes are stopped, woken, killed, asked to stop and started again, in series and overlapping. Callers keep their connections. Checked from what callers and servers saw: one run of a booking at most, true refusals, signed and whole answers, events in order and none twice, attempts within the bound, keys that were taken away, groups that serve only with all members and are never left for another one while their head is open, and that all is served again afterwards.

--- /dev/null
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -0,0 +1,5 @@
+//! The program as a process, between callers and a small stand-in of the platform.
+
+mod platform;
+mod soak;
+mod whole_path;
--- a/bins/mangocross-front/tests/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -1,5 +1,6 @@
 //! A small stand-in of the platform: its store, and backend servers of two services.
 
+mod client;
 mod servers;
 mod store;
 
@@ -10,6 +11,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -27,6 +29,10 @@
 use serde_json::Value;
 use serde_json::json;
 
+pub(crate) use self::client::Client;
+pub(crate) use self::client::Kind;
+pub(crate) use self::client::Outcome;
+pub(crate) use self::servers::EVENTS;
 pub(crate) use self::servers::Server;
 pub(crate) use self::store::Store;
 
@@ -130,34 +136,51 @@
 impl Front {
     /// Starts the program on an address of its own, with its log going to `stdout`.
     pub(crate) fn spawn(store: &Store, revoke_ms: u64, stdout: Stdio) -> Self {
+        Self::spawn_at(store.address, revoke_ms, stdout)
+    }
+
+    /// Starts the program with the store at an address.
+    pub(crate) fn spawn_at(store: SocketAddr, revoke_ms: u64, stdout: Stdio) -> Self {
         let host = NEXT_IP.fetch_add(1, Ordering::Relaxed);
         let ip = Ipv4Addr::new(127, 7, u8::try_from(std::process::id() % 250).unwrap_or(0), host);
         let free = || TcpListener::bind((ip, 0)).and_then(|it| it.local_addr()).expect("a port");
         let (address, ready, peers) = (free(), free(), free());
         let settings = json!({
-            "node": "front-1", "ip": IpAddr::V4(ip), "zone": "zone-a",
+            "node": format!("front-{host}"), "ip": IpAddr::V4(ip), "zone": "zone-a",
             "listen": {"front": address, "ready": ready},
             "internal_ports": [peers.port(), peers.port()], "first_start": true,
             "limits": {"max_fds": 1024, "memory_mb": 256},
             "bounds": {"revoke_ms": revoke_ms, "strict_revoke": true, "grace_s": 8, "stall_ms": 6000, "retry_slack": 50},
-            "platform": {"address": store.address},
+            "platform": {"address": store},
         });
         let name = format!("mangocross-front-{}-{host}.json", std::process::id());
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, settings.to_string()).expect("a settings file");
-        let child = Command::new(env!("CARGO_BIN_EXE_mangocross-front"))
-            .arg("--settings")
-            .arg(&path)
-            .stdout(stdout)
-            .spawn()
-            .expect("the program starts");
+        let child = start(&path, stdout);
         Self { child, address, ready, settings: path }
     }
 
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
+        self.signal(rustix::process::Signal::TERM);
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&self, signal: rustix::process::Signal) {
         let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("it runs");
+        rustix::process::kill_process(pid, signal).expect("it runs");
+    }
+
+    /// Kills the program.
+    pub(crate) fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the program again with its settings, once the last one has ended.
+    pub(crate) fn start_again(&mut self, stdout: Stdio) {
+        let _ = self.child.wait();
+        self.child = start(&self.settings, stdout);
     }
 
     /// Waits for the end of the program; returns whether it was a success.
@@ -198,6 +221,15 @@
     }
 }
 
+fn start(settings: &Path, stdout: Stdio) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_mangocross-front"))
+        .arg("--settings")
+        .arg(settings)
+        .stdout(stdout)
+        .spawn()
+        .expect("the program starts")
+}
+
 /// Sends a request on a new connection.
 pub(crate) fn call(
     to: SocketAddr,
--- a/bins/mangocross-front/tests/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -26,9 +26,17 @@
     items: BTreeMap<String, (Vec<u8>, u64)>,
     history: Vec<Value>,
     next_lease: u64,
+    leases: BTreeMap<u64, Lease>,
     is_silent: bool,
 }
 
+#[derive(Debug)]
+struct Lease {
+    time: Duration,
+    end: Instant,
+    keys: Vec<String>,
+}
+
 /// The store and its address.
 #[derive(Debug, Clone)]
 pub(crate) struct Store {
@@ -56,11 +64,12 @@
 
     /// Removes a key.
     pub(crate) fn remove(&self, key: &str) {
-        let mut state = lock(&self.state);
-        state.items.remove(key);
-        state.revision += 1;
-        let event = json!({"key": key, "revision": state.revision, "removed": true});
-        state.history.push(event);
+        lock(&self.state).remove(key);
+    }
+
+    /// Returns a value as JSON.
+    pub(crate) fn read(&self, key: &str) -> Option<Value> {
+        serde_json::from_slice(&lock(&self.state).items.get(key)?.0).ok()
     }
 
     /// Lets the store answer nothing, or answer again.
@@ -70,6 +79,42 @@
 }
 
 impl State {
+    fn remove(&mut self, key: &str) {
+        self.items.remove(key);
+        self.revision += 1;
+        let event = json!({"key": key, "revision": self.revision, "removed": true});
+        self.history.push(event);
+    }
+
+    /// Ends the leases that were not renewed, with their keys.
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> =
+            self.leases.iter().filter(|(_, it)| it.end < now).map(|(id, _)| *id).collect();
+        for id in ended {
+            self.end(id);
+        }
+    }
+
+    fn end(&mut self, lease: u64) {
+        let keys = self.leases.remove(&lease).map(|it| it.keys).unwrap_or_default();
+        keys.iter().for_each(|key| self.remove(key));
+    }
+
+    fn grant(&mut self, time: Duration) -> u64 {
+        self.next_lease += 1;
+        let lease = Lease { time, end: Instant::now() + time, keys: Vec::new() };
+        self.leases.insert(self.next_lease, lease);
+        self.next_lease
+    }
+
+    /// Returns whether the lease had not ended.
+    fn renew(&mut self, lease: u64) -> bool {
+        let Some(held) = self.leases.get_mut(&lease) else { return false };
+        held.end = Instant::now() + held.time;
+        true
+    }
+
     fn put(&mut self, key: &str, value: Vec<u8>) {
         self.revision += 1;
         let event = item(key, &value, self.revision);
@@ -92,6 +137,7 @@
     while lock(state).is_silent {
         thread::sleep(Duration::from_millis(20));
     }
+    lock(state).expire();
     let path = request.target.split('?').next().unwrap_or_default();
     match path {
         "/-/kv-range" => {
@@ -106,16 +152,21 @@
         "/-/kv-watch" => watch(state, request, stream),
         "/-/kv-txn" => write(state, request, stream),
         "/-/kv-lease" => {
-            let mut state = lock(state);
-            state.next_lease += 1;
-            answer(
-                stream,
-                200,
-                "",
-                &json!({"lease": state.next_lease, "ttl_ms": 1000}).to_string(),
-            );
+            let body: Value = serde_json::from_slice(&request.body).expect("JSON");
+            let ttl_ms = body["ttl_ms"].as_u64().unwrap_or(1000);
+            let lease = lock(state).grant(Duration::from_millis(ttl_ms));
+            answer(stream, 200, "", &json!({"lease": lease, "ttl_ms": ttl_ms}).to_string());
+        }
+        _ => {
+            let id = path.rsplit('/').next().and_then(|it| it.parse().ok()).unwrap_or_default();
+            let is_renewal = path.starts_with("/-/kv-keep/");
+            let is_found = is_renewal && lock(state).renew(id);
+            if !is_renewal {
+                lock(state).end(id);
+            }
+            let status = if is_renewal && !is_found { 404 } else { 200 };
+            answer(stream, status, "", "{}");
         }
-        _ => answer(stream, 200, "", "{\"ttl_ms\":1000}"),
     }
 }
 
@@ -124,7 +175,8 @@
     let wait_ms = query(request, "wait_ms").parse().unwrap_or_default();
     let end = Instant::now() + Duration::from_millis(wait_ms);
     loop {
-        let held = lock(state);
+        let mut held = lock(state);
+        held.expire();
         let is_later = |it: &&Value| it["revision"].as_u64() > Some(after);
         let events: Vec<Value> = held.history.iter().filter(is_later).cloned().collect();
         if !held.is_silent && (!events.is_empty() || Instant::now() >= end) {
@@ -151,7 +203,11 @@
     }
     for put in body["puts"].as_array().cloned().unwrap_or_default() {
         let value = STANDARD.decode(put["value"].as_str().unwrap_or_default()).expect("base64");
-        state.put(put["key"].as_str().unwrap_or_default(), value);
+        let key = put["key"].as_str().unwrap_or_default();
+        state.put(key, value);
+        if let Some(lease) = put["lease"].as_u64().and_then(|it| state.leases.get_mut(&it)) {
+            lease.keys.push(key.to_owned());
+        }
     }
     answer(stream, 200, "", &json!({"revision": state.revision}).to_string());
 }
--- /dev/null
+++ b/bins/mangocross-front/tests/front/soak/deployment.rs
@@ -0,0 +1,197 @@
+//! Programs, stand-ins and the relays between them.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use mangocross_tests::Relay;
+use mangocross_tests::RelayMode;
+
+use crate::platform::Client;
+use crate::platform::Front;
+use crate::platform::Kind;
+use crate::platform::Outcome;
+use crate::platform::Server;
+use crate::platform::Store;
+use crate::platform::lock;
+
+/// Entry VMs.
+pub(super) const FRONTS: usize = 3;
+/// Backend servers that form groups of two.
+const ENGINES: usize = 7;
+/// Servers of the plain service.
+const RECORDS: usize = 3;
+/// Callers at each entry VM.
+const CALLERS_PER_FRONT: usize = 3;
+/// Time within which a key that was taken away is refused.
+pub(super) const REVOKE: Duration = Duration::from_millis(5000);
+/// Time between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(15);
+/// Longest time until all is served, at the start and after the faults.
+const RECOVERY: Duration = Duration::from_secs(30);
+
+/// A configuration and when the store acknowledged it.
+#[derive(Debug, Clone)]
+pub(super) struct Configured {
+    pub(super) keys: Vec<String>,
+    pub(super) acknowledged_at: Instant,
+}
+
+/// All processes and stand-ins.
+pub(super) struct Deployment {
+    pub(super) store: Store,
+    pub(super) fronts: Vec<Front>,
+    pub(super) engines: Vec<Server>,
+    pub(super) records: Vec<Server>,
+    /// Relays in front of the entry VMs, of the store for each of them, and of the servers.
+    pub(super) front_relays: Vec<Relay>,
+    pub(super) store_relays: Vec<Relay>,
+    pub(super) server_relays: Vec<Relay>,
+    pub(super) configured: Arc<Mutex<Vec<Configured>>>,
+}
+
+fn relay_to(target: SocketAddr) -> Relay {
+    Relay::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), target)
+}
+
+impl Deployment {
+    pub(super) fn start() -> Self {
+        let store = Store::spawn();
+        let configured = Arc::new(Mutex::new(Vec::new()));
+        let mut server_relays = Vec::new();
+        let mut spawn = |id: String, service: &str| {
+            let server = Server::spawn_behind(&store, &id, service, |address| {
+                let relay = relay_to(address);
+                let public = relay.address();
+                server_relays.push(relay);
+                public
+            });
+            server.set_event_pause(EVENT_PAUSE);
+            server
+        };
+        let engines = (0..ENGINES).map(|it| spawn(format!("e{it}"), "models")).collect();
+        let records = (0..RECORDS).map(|it| spawn(format!("r{it}"), "records")).collect();
+        let store_relays: Vec<Relay> = (0..FRONTS).map(|_| relay_to(store.address)).collect();
+        let revoke_ms = u64::try_from(REVOKE.as_millis()).expect("a short time");
+        let fronts: Vec<Front> = store_relays
+            .iter()
+            .map(|it| Front::spawn_at(it.address(), revoke_ms, Stdio::null()))
+            .collect();
+        let front_relays = fronts.iter().map(|it| relay_to(it.address)).collect();
+        let this = Self {
+            store,
+            fronts,
+            engines,
+            records,
+            front_relays,
+            store_relays,
+            server_relays,
+            configured,
+        };
+        this.configure(1, &["k1", "k2"]);
+        this
+    }
+
+    /// Writes the operators' configuration.
+    pub(super) fn configure(&self, version: u64, keys: &[&str]) {
+        self.store.configure(version, keys);
+        lock(&self.configured).push(Configured {
+            keys: keys.iter().map(ToString::to_string).collect(),
+            acknowledged_at: Instant::now(),
+        });
+    }
+
+    pub(super) fn wait_until_served(&self) {
+        let unserved = self.unserved_after_faults();
+        assert!(unserved.is_empty(), "before any fault: {unserved:?}");
+    }
+
+    /// Returns the entry VMs and kinds of request that are not served in time.
+    pub(super) fn unserved_after_faults(&self) -> Vec<String> {
+        let began = Instant::now();
+        let mut unserved = Vec::new();
+        for (number, relay) in self.front_relays.iter().enumerate() {
+            for kind in [Kind::Stream, Kind::Lookup, Kind::Booking] {
+                let mut last = None;
+                let is_served = loop {
+                    let attempt = new_attempt();
+                    let outcome = Client::new(relay.address()).send(kind, &attempt, "k1");
+                    let is_served = outcome.status == 200 && outcome.is_whole;
+                    last.replace(outcome);
+                    if is_served || began.elapsed() > RECOVERY {
+                        break is_served;
+                    }
+                    thread::sleep(Duration::from_millis(50));
+                };
+                if !is_served {
+                    unserved.push(format!("entry VM {number} serves no {kind:?}: {last:?}"));
+                }
+            }
+        }
+        unserved
+    }
+
+    /// Starts callers that send one request after another.
+    pub(super) fn start_callers(&self, seed: u64) -> Callers {
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers = self.front_relays.iter().flat_map(|it| [it.address(); CALLERS_PER_FRONT]);
+        let threads = callers.enumerate().map(|(number, address)| {
+            let stop = Arc::clone(&stop);
+            let mut random = fastrand::Rng::with_seed(seed ^ (number as u64 + 1) << 32);
+            thread::spawn(move || {
+                let mut client = Client::new(address);
+                let mut outcomes = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    let kind = match random.u32(0..10) {
+                        0..5 => Kind::Stream,
+                        5..7 => Kind::Lookup,
+                        _ => Kind::Booking,
+                    };
+                    let key = if random.u32(0..3) == 0 { "k2" } else { "k1" };
+                    outcomes.push(client.send(kind, &new_attempt(), key));
+                    thread::sleep(Duration::from_millis(random.u64(1..30)));
+                }
+                outcomes
+            })
+        });
+        let threads = threads.collect();
+        Callers { stop, threads }
+    }
+
+    /// Ends all faults.
+    pub(super) fn heal(&mut self) {
+        let relays = [&self.front_relays, &self.store_relays, &self.server_relays];
+        relays.into_iter().flatten().for_each(|it| it.set(RelayMode::Pass));
+        self.store.set_silent(false);
+        self.engines.iter().chain(&self.records).for_each(|it| it.set_mute(false));
+    }
+}
+
+fn new_attempt() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    format!("s{}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Running callers.
+pub(super) struct Callers {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<Vec<Outcome>>>,
+}
+
+impl Callers {
+    /// Stops the callers and returns how their requests ended.
+    pub(super) fn stop(self) -> Vec<Outcome> {
+        self.stop.store(true, Ordering::Relaxed);
+        let ends = self.threads.into_iter().map(|it| it.join().expect("a caller does not fail"));
+        ends.flatten().collect()
+    }
+}
--- a/bins/mangocross-front/tests/whole_path.rs
+++ b/bins/mangocross-front/tests/front/whole_path.rs
@@ -1,9 +1,8 @@
 //! The program between callers and a stand-in of the platform.
 
-mod platform;
-
 use std::process::Stdio;
 
+use crate::platform;
 use crate::platform::Front;
 use crate::platform::KEY;
 use crate::platform::Server;
--- a/tests/src/relay.rs
+++ b/tests/src/relay.rs
@@ -30,6 +30,8 @@
     Silent,
     /// Passes requests on and drops every byte of the answers.
     DropAnswers,
+    /// Passes everything on, each piece later by this time.
+    Delay(Duration),
 }
 
 /// A running relay.
@@ -135,6 +137,9 @@
             if self.is_silent(number, answers) {
                 continue;
             }
+            if let RelayMode::Delay(time) = self.mode() {
+                thread::sleep(time);
+            }
             if to.write_all(&buf[..length]).is_err() {
                 break;
             }
