fix(front): a server that turns a request away is no attempt; never tell a run as unrun

Cause: attempts were counted by what was sent.

Change: attempts that may have run count for the route's bound, and at most four sends; each one after the first takes from the retry budget. What was sent to a server that may have run it ends as unknown.

--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -23,6 +23,8 @@
 
 /// Longest answer that is kept until it is whole.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
+/// Servers that a request is sent to at most, those that turn it away included.
+pub(crate) const SENDS_MAX: u32 = 4;
 /// Servers that may be unreachable before a request is refused.
 const CONNECT_FAILURES_MAX: u32 = 3;
 /// Part of the aim after which a request that may be repeated is sent to another server.
@@ -42,16 +44,18 @@
     let is_repeatable = call.route.repeat.is_repeatable();
     let mut tried: Vec<VmId> = Vec::new();
     let mut sent = 0;
+    // Attempts that may have run; a server that turns a request away is none.
+    let mut runs = 0;
     let mut connect_failures = 0;
     let response = loop {
         let Some(server) = choose(&call, &tried) else {
-            break refused(&call, "no server of the service answers");
+            break refused_or_unknown(&call, runs, "no server of the service answers");
         };
         if call.time_left().is_zero() {
-            break timed_out(&call, sent > 0);
+            break timed_out(&call, runs > 0);
         }
         if sent > 0 && !call.front.try_repeat(&call.service) {
-            break refused_or_unknown(&call, sent, "retry budget used up");
+            break refused_or_unknown(&call, runs, "retry budget used up");
         }
         let connection = if is_repeatable {
             call.front.pool.get(server.address).await
@@ -65,7 +69,7 @@
                 tried.push(server.vm);
                 connect_failures += 1;
                 if connect_failures > CONNECT_FAILURES_MAX {
-                    break refused_or_unknown(&call, sent, "servers cannot be reached");
+                    break refused_or_unknown(&call, runs, "servers cannot be reached");
                 }
                 continue;
             }
@@ -74,7 +78,7 @@
         tried.push(server.vm.clone());
         call.record.sent_to.push(server.vm.clone());
         call.record.step("request sent", &server.vm, "plain service");
-        let may_repeat = is_repeatable && sent < call.route.attempts_max;
+        let may_repeat = is_repeatable && runs + 1 < call.route.attempts_max;
         let limit = if may_repeat {
             call.route.aim.mul_f64(REPEAT_AFTER_AIM_PART).min(call.time_left())
         } else {
@@ -91,12 +95,13 @@
             }
             Ok(Attempt::NotRun(reason)) => {
                 call.record.step("not run", &server.vm, reason);
-                if sent >= call.route.attempts_max {
-                    break refused(&call, reason);
+                if sent >= SENDS_MAX {
+                    break refused_or_unknown(&call, runs, reason);
                 }
             }
             Ok(Attempt::Failed(reason, code, response)) => {
                 call.record.step("attempt failed", &server.vm, reason);
+                runs += 1;
                 if !may_repeat {
                     call.record.broke(code, reason);
                     break response.unwrap_or_else(|| unknown(&call, code, reason));
@@ -104,6 +109,7 @@
             }
             Err(_) => {
                 call.record.step("attempt timed out", &server.vm, "no answer in time");
+                runs += 1;
                 if !may_repeat {
                     break timed_out(&call, true);
                 }
@@ -204,9 +210,9 @@
     call.record.refuse(&Refusal::unknown(code, reason), reason)
 }
 
-/// Refuses if nothing can have run; a request that may be repeated may be refused in any case.
-fn refused_or_unknown(call: &Call, sent: u32, reason: &'static str) -> Response<AnswerBody> {
-    if sent == 0 { refused(call, reason) } else { unknown(call, ResultCode::BackendBroken, reason) }
+/// Refuses if nothing can have run.
+fn refused_or_unknown(call: &Call, runs: u32, reason: &'static str) -> Response<AnswerBody> {
+    if runs == 0 { refused(call, reason) } else { unknown(call, ResultCode::BackendBroken, reason) }
 }
 
 /// Ends a request whose time is over.
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -27,6 +27,7 @@
 use crate::front::Sent;
 use crate::outcome::RequestRecord;
 use crate::plain;
+use crate::plain::SENDS_MAX;
 use crate::pool;
 use crate::pool::Connection;
 use crate::stream_body::AnswerBody;
@@ -94,11 +95,12 @@
     let is_repeatable = call.route.repeat.is_repeatable();
     let mut tried: Vec<VmId> = Vec::new();
     let mut sent = 0;
+    // Attempts that may have run; a server that turns a stream away is none.
+    let mut runs = 0;
     let mut connect_failures = 0;
-    let mut may_have_run = false;
     let response = loop {
         let Some(heads) = find(&call, &tried) else {
-            break ended(&call, may_have_run, NO_GROUP, RETURN_MIN);
+            break ended(&call, runs > 0, NO_GROUP, RETURN_MIN);
         };
         let vm = match choose(&call, &heads, LATE_QUEUE) {
             Admission::Send(vm) => vm,
@@ -109,20 +111,20 @@
             }
             Admission::Refuse { room_in } => {
                 note_refused(&call, &heads);
-                break ended(&call, may_have_run, NO_ROOM, room_in);
+                break ended(&call, runs > 0, NO_ROOM, room_in);
             }
             Admission::NoGroup => {
-                break ended(&call, may_have_run, NO_GROUP, RETURN_MIN);
+                break ended(&call, runs > 0, NO_GROUP, RETURN_MIN);
             }
         };
         if sent > 0 && !call.front.try_repeat(&call.service) {
-            break ended(&call, may_have_run, NO_BUDGET, RETURN_MIN);
+            break ended(&call, runs > 0, NO_BUDGET, RETURN_MIN);
         }
         let Some(connection) = connect(&call, &vm, is_repeatable).await else {
             tried.push(vm);
             connect_failures += 1;
             if connect_failures > CONNECT_FAILURES_MAX {
-                break ended(&call, may_have_run, UNREACHABLE, RETURN_MIN);
+                break ended(&call, runs > 0, UNREACHABLE, RETURN_MIN);
             }
             continue;
         };
@@ -131,30 +133,26 @@
         call.record.sent_to.push(vm.clone());
         note_sent(&call, &vm, &heads);
         let last_id = call.head.last_event_id;
-        let may_repeat = is_repeatable && sent < call.route.attempts_max;
+        let may_repeat = is_repeatable && runs + 1 < call.route.attempts_max;
         match begin(&call, &vm, connection, last_id, call.priority()).await {
-            Ok(begun) => return relay(call, begun, sent),
+            Ok(begun) => return relay(call, begun, runs + 1),
             Err(NotBegun::NotRun(reason)) => {
                 call.record.step("not run", &vm, reason);
-                if sent >= call.route.attempts_max {
-                    break ended(
-                        &call,
-                        may_have_run,
-                        (ResultCode::BackendRefused, reason),
-                        RETURN_MIN,
-                    );
+                if sent >= SENDS_MAX {
+                    let why = (ResultCode::BackendRefused, reason);
+                    break ended(&call, runs > 0, why, RETURN_MIN);
                 }
             }
             Err(NotBegun::MayHaveRun(reason, code)) => {
                 call.record.step("attempt failed", &vm, reason);
-                may_have_run = true;
+                runs += 1;
                 if !may_repeat {
                     break call.record.refuse(&Refusal::unknown(code, reason), reason);
                 }
             }
             Err(NotBegun::Failure(begun)) => {
                 call.record.step("attempt failed", &vm, "server answered with a failure");
-                may_have_run = true;
+                runs += 1;
                 if !may_repeat {
                     break failure(&call, *begun).await;
                 }
@@ -316,14 +314,14 @@
 }
 
 /// Starts the task that forwards events, and returns the head of the answer.
-fn relay(call: Call, begun: Begun, sent: u32) -> (Response<AnswerBody>, Option<RequestRecord>) {
+fn relay(call: Call, begun: Begun, runs: u32) -> (Response<AnswerBody>, Option<RequestRecord>) {
     let status = begun.response.status();
     let headers = AnswerHead::forwarded(begun.response.headers());
     call.record.began(status);
     let (pieces, received) = mpsc::channel(PIECES_MAX);
     let splitter = EventSplitter::after(call.head.last_event_id);
     let task = tokio::task::spawn_local(async move {
-        let mut relay = Relay { call, pieces, splitter, sent, last_event_at: Instant::now() };
+        let mut relay = Relay { call, pieces, splitter, runs, last_event_at: Instant::now() };
         relay.run(begun).await;
     });
     let mut response = Response::new(AnswerBody::pieces(received, task.abort_handle()));
@@ -349,7 +347,8 @@
     call: Call,
     pieces: Sender<Piece>,
     splitter: EventSplitter,
-    sent: u32,
+    /// Attempts that may have run.
+    runs: u32,
     last_event_at: Instant,
 }
 
@@ -439,13 +438,14 @@
     /// Looks for a group that goes on after the last whole event.
     async fn resume(&mut self, failed: &VmId) -> Option<Begun> {
         let is_allowed =
-            self.call.route.repeat.is_repeatable() && self.sent < self.call.route.attempts_max;
+            self.call.route.repeat.is_repeatable() && self.runs < self.call.route.attempts_max;
         if !is_allowed || !self.call.front.try_repeat(&self.call.service) {
             return None;
         }
         self.splitter.drop_partial();
         let began_at = Instant::now();
         let mut tried = vec![failed.clone()];
+        let mut sent = 0;
         while self.last_event_at.elapsed() < GAP_MAX && !self.call.time_left().is_zero() {
             let queue = match began_at.elapsed() < RESUME_PATIENCE {
                 true => RESUME_QUEUE,
@@ -462,7 +462,7 @@
                 tried.push(vm);
                 continue;
             };
-            self.sent += 1;
+            sent += 1;
             self.call.record.sent_to.push(vm.clone());
             self.call.front.metrics.resume();
             self.call.record.step("stream resumed", &vm, "after the last whole event");
@@ -472,10 +472,16 @@
                 () = self.pieces.closed() => return None,
             };
             match begun {
-                Ok(it) => return Some(it),
-                Err(NotBegun::NotRun(reason)) if self.sent < self.call.route.attempts_max => {
+                Ok(it) => {
+                    self.runs += 1;
+                    return Some(it);
+                }
+                Err(NotBegun::NotRun(reason)) if sent < SENDS_MAX => {
                     self.call.record.step("not run", &vm, reason);
                     tried.push(vm);
+                    if !self.call.front.try_repeat(&self.call.service) {
+                        return None;
+                    }
                 }
                 Err(_) => return None,
             }
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -33,6 +33,8 @@
     breaks_streams: u32,
     /// Requests get no answer.
     is_mute: bool,
+    /// Requests are turned away unrun.
+    is_full: bool,
     /// Starts of the server; its entry tells them apart.
     starts: u64,
     /// Members of the group, the head first.
@@ -94,6 +96,11 @@
         lock(&self.state).ran.clone()
     }
 
+    /// Returns whether it heads a group that is open.
+    pub(crate) fn is_open(&self) -> bool {
+        lock(&self.state).group["state"] == "open"
+    }
+
     /// Lets the next streams stop in the middle of an event.
     pub(crate) fn break_streams(&self, count: u32) {
         lock(&self.state).breaks_streams = count;
@@ -109,6 +116,11 @@
         lock(&self.state).is_mute = is_mute;
     }
 
+    /// Lets the server turn requests away unrun.
+    pub(crate) fn set_full(&self, is_full: bool) {
+        lock(&self.state).is_full = is_full;
+    }
+
     /// Sets the time between two events of a stream.
     pub(crate) fn set_event_pause(&self, pause: Duration) {
         lock(&self.state).event_pause = pause;
@@ -242,9 +254,14 @@
 
     fn run(&self, request: &Request, stream: &mut TcpStream) {
         let attempt = request.header("Attempt-Id").unwrap_or_default().to_owned();
-        if self.service == "models" && lock(&self.state).group["state"] != "open" {
+        let is_closed = |it: &State| self.service == "models" && it.group["state"] != "open";
+        let turns_away = {
+            let state = lock(&self.state);
+            state.is_full || is_closed(&state)
+        };
+        if turns_away {
             let headers = format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n");
-            answer(stream, 503, &headers, "not open");
+            answer(stream, 503, &headers, "turned away");
             return;
         }
         let (breaks, is_mute) = {
--- a/bins/mangocross-front/tests/front/soak/checks.rs
+++ b/bins/mangocross-front/tests/front/soak/checks.rs
@@ -42,9 +42,8 @@
     if runs > ATTEMPTS_MAX {
         return Some("more attempts than the route allows");
     }
-    let says_not_run = outcome.is_whole && NOT_RUN.contains(&outcome.status);
-    if says_not_run && runs > 0 && outcome.kind == Kind::Booking {
-        return Some("a booking that ran was said not to have run");
+    if outcome.is_whole && NOT_RUN.contains(&outcome.status) && runs > 0 {
+        return Some("a request that ran was said not to have run");
     }
     if is_complete && !outcome.is_signed {
         return Some("an answer without a signature");
--- a/bins/mangocross-front/tests/front/whole_path.rs
+++ b/bins/mangocross-front/tests/front/whole_path.rs
@@ -84,6 +84,48 @@
     assert_eq!(runs, 1);
 }
 
+/// One server may have run it, the other one has not: nobody can say that it was not run.
+#[test]
+fn request_that_may_have_run_is_not_told_as_unrun() {
+    let (store, _engines, records) = platform();
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.until(200, "/lookup/x", KEY);
+    let first = |id: &str| records.iter().any(|it| it.ran().iter().any(|it| it == id));
+    for number in 0..20 {
+        records[0].set_mute(true);
+        records[1].set_full(true);
+        let id = format!("lookup-{number}");
+        let headers = KEY.replace("a1", &id).replace("Model", "Deadline-Ms: 2000\r\nModel");
+        let (status, _, body) = front.call("POST", "/lookup/x", &headers, "{}");
+        records[0].set_mute(false);
+        records[1].set_full(false);
+        assert!(status >= 500, "{status} {body}");
+        assert_eq!(body.contains("not run"), !first(&id), "{status} {body}");
+        if first(&id) {
+            return;
+        }
+    }
+    panic!("the silent server got no request");
+}
+
+/// A server that turned a request away did not run it, so it is no attempt.
+#[test]
+fn stream_finds_the_group_with_room() {
+    let (store, engines, _records) = platform();
+    let more = ["e5", "e6", "e7", "e8"].map(|it| Server::spawn(&store, it, "models"));
+    let all = || engines.iter().chain(&more);
+    let heads = || all().filter(|it| it.is_open());
+    for number in 0..4 {
+        let front = Front::spawn(&store, 60_000, Stdio::null());
+        front.until(200, "/stream/x", KEY);
+        while heads().count() < 4 {}
+        heads().enumerate().for_each(|(it, head)| head.set_full(it != number));
+        let (status, _, body) = front.call("POST", "/stream/x", &KEY.replace("a1", "room"), "{}");
+        assert_eq!((status, events(&body).len()), (200, 5), "group {number}: {body}");
+        heads().for_each(|it| it.set_full(false));
+    }
+}
+
 #[test]
 fn revoked_key_is_refused() {
     let (store, _engines, _records) = platform();
