test(front): a member that was ready and is lost since excuses the opening of its group

The rule asks that each member has been ready once; the check asked that its entry still says so. It holds what the rule says now.

--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -202,13 +202,18 @@
                     state.model = order["model"].as_str().map(str::to_owned);
                     state.group = json!({"name": order["group"], "epoch": order["epoch"],
                         "rank": rank, "state": "ready"});
+                    self.store.note_ready(&self.id, &state.group);
                 }
                 Some("open") => {
                     let members = state.members.iter().filter_map(Value::as_str);
                     let entries = members.map(|it| (it.to_owned(), self.entry_of(it, &state)));
                     state.opened_with = entries.collect();
-                    let absent = state.opened_with.iter().find(|(_, it)| !is_in(it, &state.group));
-                    let absent = absent.map(|(it, _)| format!("{} opens without {it}", self.id));
+                    // A member that was ready and is lost since is no fault of the system.
+                    let absent = state
+                        .opened_with
+                        .iter()
+                        .find(|(it, _)| !self.store.was_ready(it, &state.group))
+                        .map(|(it, _)| format!("{} opens without {it}", self.id));
                     state.broken_promises.extend(absent);
                     state.group["state"] = json!("open");
                 }
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -1,6 +1,7 @@
 //! The platform's store.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -28,6 +29,8 @@
     next_lease: u64,
     leases: BTreeMap<u64, Lease>,
     is_silent: bool,
+    /// Servers with the groups that they were ready in, by name and incarnation.
+    memberships: BTreeSet<(String, String)>,
 }
 
 #[derive(Debug)]
@@ -72,6 +75,16 @@
         serde_json::from_slice(&lock(&self.state).items.get(key)?.0).ok()
     }
 
+    /// Notes that a server was ready in a group.
+    pub(crate) fn note_ready(&self, server: &str, group: &Value) {
+        lock(&self.state).memberships.insert((server.to_owned(), membership_of(group)));
+    }
+
+    /// Returns whether a server was ever ready in a group.
+    pub(crate) fn was_ready(&self, server: &str, group: &Value) -> bool {
+        lock(&self.state).memberships.contains(&(server.to_owned(), membership_of(group)))
+    }
+
     /// Lets the store answer nothing, or answer again.
     pub(crate) fn set_silent(&self, is_silent: bool) {
         lock(&self.state).is_silent = is_silent;
@@ -123,6 +136,10 @@
     }
 }
 
+fn membership_of(group: &Value) -> String {
+    format!("{} {}", group["name"], group["epoch"])
+}
+
 fn item(key: &str, value: &[u8], revision: u64) -> Value {
     json!({"key": key, "value": STANDARD.encode(value), "revision": revision, "create_rev": revision, "lease": 0})
 }
