fix(serving): try a slow group before refusing, and say in the log which group decided

Change: a stream that no sound group takes goes to a slow one if that can begin it within the same bounds; the line of a refusal names the deciding group, its slowness, the predicted first event and the aim. A request whose caller left is told as abandoned, also before an answer began.

Test: a slow group with room takes what full ones cannot.

--- a/bins/mangocross-front/src/outcome.rs
+++ b/bins/mangocross-front/src/outcome.rs
@@ -148,10 +148,10 @@
         let code = self.code.get().map_or(0, ResultCode::number);
         front.metrics.ended(status, code);
         let is_good = code == 0 && (200..300).contains(&status);
-        let kind = match (is_good, self.reason.get()) {
-            (true, CALLER_LEFT) => "request abandoned",
-            (true, _) => "request served",
-            (false, _) => "request failed",
+        let kind = match (self.reason.get(), is_good) {
+            (CALLER_LEFT, _) => "request abandoned",
+            (_, true) => "request served",
+            (_, false) => "request failed",
         };
         let is_good = kind == "request served";
         let left_out = match front.log_rate.admit(kind, front.now()) {
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -109,8 +109,8 @@
                 tokio::time::sleep(WAIT_PAUSE).await;
                 continue;
             }
-            Admission::Refuse { room_in } => {
-                note_refused(&call, &heads);
+            Admission::Refuse { room_in, best, first_event_in } => {
+                note_refused(&call, &best, first_event_in, heads.len());
                 break ended(&call, runs > 0, NO_ROOM, room_in);
             }
             Admission::NoGroup => {
@@ -212,12 +212,14 @@
     call.record.step("stream sent", vm, &detail);
 }
 
-fn note_refused(call: &Call, heads: &[HeadLoad]) {
-    if let Some(least) = heads.iter().min_by_key(|it| it.in_flight) {
-        let (in_flight, waiting) = (least.in_flight, least.waiting);
-        let detail = format!("{in_flight} in flight, {waiting} waiting, {} groups", heads.len());
-        call.record.step("stream refused", &least.vm, &detail);
-    }
+fn note_refused(call: &Call, best: &HeadLoad, first_event_in: Duration, groups: usize) {
+    let HeadLoad { vm, in_flight, waiting, pace } = best;
+    let (first_ms, aim_ms) = (first_event_in.as_millis(), call.route.aim.as_millis());
+    let detail = format!(
+        "{in_flight} in flight, {waiting} waiting, slowness {pace:.1}, first event in {first_ms} ms, \
+         aim {aim_ms} ms, {groups} groups"
+    );
+    call.record.step("stream refused", vm, &detail);
 }
 
 /// Sends the request and waits for the head of its answer.
--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -105,14 +105,18 @@
 }
 
 /// Where a stream goes.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Admission {
     /// To the group of this head.
     Send(VmId),
     /// No group can begin it in time; it may come back after a while.
     Refuse {
-        /// Time until the group with the least work has room.
+        /// Time until the group that would begin it soonest has room.
         room_in: Duration,
+        /// That group.
+        best: HeadLoad,
+        /// Predicted time to the first event there.
+        first_event_in: Duration,
     },
     /// No group serves the model.
     NoGroup,
@@ -164,21 +168,30 @@
     late_queue: u32,
     error: u32,
 ) -> Admission {
-    let rank = |it: &HeadLoad| {
-        let time = times.first_event(it, demand.prompt_tokens);
-        (it.pace > SLOW_PACE, time, it.in_flight)
+    let rank = |it: &&HeadLoad| (times.first_event(it, demand.prompt_tokens), it.in_flight);
+    let is_slow = |it: &&HeadLoad| it.pace > SLOW_PACE;
+    let sound = heads.iter().filter(|it| !is_slow(it)).min_by_key(rank);
+    let slow = heads.iter().filter(is_slow).min_by_key(rank);
+    let Some(best) = sound.or(slow) else { return Admission::NoGroup };
+    let predict = |it: &HeadLoad| {
+        let feared = HeadLoad { in_flight: it.in_flight + error, ..it.clone() };
+        times.first_event(&feared, demand.prompt_tokens)
+    };
+    let takes = |it: &&HeadLoad| {
+        let predicted = predict(it);
+        let is_on_time = demand.waited + predicted <= demand.aim.mul_f64(AIM_PART);
+        let kept = (f64::from(times.slots) * KEPT_FROM_LATE) as u32;
+        let is_read_soon = predicted <= demand.aim.mul_f64(LATE_AIM_FACTOR) || late_queue > 0;
+        let has_place = it.in_flight + error + kept < times.slots + late_queue && is_read_soon;
+        is_on_time || has_place
     };
-    let Some(best) = heads.iter().min_by_key(|it| rank(it)) else { return Admission::NoGroup };
-    let in_flight = best.in_flight + error;
-    let feared = HeadLoad { in_flight, ..best.clone() };
-    let predicted = times.first_event(&feared, demand.prompt_tokens);
-    let is_on_time = demand.waited + predicted <= demand.aim.mul_f64(AIM_PART);
-    let kept = (f64::from(times.slots) * KEPT_FROM_LATE) as u32;
-    let is_read_soon = predicted <= demand.aim.mul_f64(LATE_AIM_FACTOR) || late_queue > 0;
-    let has_place = in_flight + kept < times.slots + late_queue && is_read_soon;
-    if is_on_time || has_place {
-        return Admission::Send(best.vm.clone());
+    if let Some(chosen) = [sound, slow].into_iter().flatten().find(takes) {
+        return Admission::Send(chosen.vm.clone());
     }
     let over = (best.in_flight + 1).saturating_sub(times.slots);
-    Admission::Refuse { room_in: times.release() * over }
+    Admission::Refuse {
+        room_in: times.release() * over,
+        best: best.clone(),
+        first_event_in: predict(best),
+    }
 }
--- a/crates/mangocross-serving/tests/admission.rs
+++ b/crates/mangocross-serving/tests/admission.rs
@@ -69,7 +69,7 @@
 #[test]
 fn burst_beyond_all_places_is_refused_at_once() {
     let heads = [head("a", SLOTS + 8), head("b", SLOTS + 9)];
-    let Admission::Refuse { room_in } = admit(&times(), &heads, &demand(0), 0, Comparison::All)
+    let Admission::Refuse { room_in, .. } = admit(&times(), &heads, &demand(0), 0, Comparison::All)
     else {
         panic!("no group can begin it in time");
     };
@@ -101,6 +101,15 @@
     assert_eq!(attempts.waited(&route, ms(5_000)), ms(0));
 }
 
+/// A burst while a server is slow: a group with room takes what would be refused otherwise.
+#[test]
+fn slow_group_takes_what_the_full_ones_cannot() {
+    let heads = [head("full", SLOTS * 2), HeadLoad { pace: 2.0, ..head("slow", 0) }];
+    let short = StreamDemand { prompt_tokens: 674, ..demand(0) };
+    let admission = admit(&times(), &heads, &short, 0, Comparison::All);
+    assert_eq!(sent_to(&admission), Some("slow"));
+}
+
 /// Several workers are slow: their groups take work only once the others are full.
 #[test]
 fn slow_groups_come_last() {
