--- a/bins/mangocross-front/src/command_line.rs
+++ b/bins/mangocross-front/src/command_line.rs
@@ -21,6 +21,7 @@
 use crate::settings;
 use crate::stopping;
 use crate::story;
+use crate::story::Format;
 use crate::watching;
 
 /// Serves callers on an entry VM and keeps model groups whole.
@@ -36,6 +37,8 @@
     /// Read a log from standard input, print what it tells of a request, and exit
     #[bpaf(argument("REQUEST"))]
     story: Option<String>,
+    /// Print the story or the result of the check as JSON, one object a line
+    json: bool,
     /// Log level: error, warn, info, debug or trace
     #[bpaf(argument("LEVEL"), fallback("info".to_owned()), display_fallback)]
     log_level: String,
@@ -55,7 +58,8 @@
 
 fn start(arguments: &Arguments) -> Result<(), String> {
     if let Some(request) = &arguments.story {
-        return tell(request);
+        let format = if arguments.json { Format::Json } else { Format::Text };
+        return tell(request, format);
     }
     let file = arguments.settings.clone().unwrap_or_else(|| {
         let named = std::env::var_os(SETTINGS_FILE_VARIABLE);
@@ -63,7 +67,11 @@
     });
     let vm = settings::read(&file)?;
     if arguments.check {
-        println!("{}: valid", file.display());
+        let name = file.display().to_string();
+        match arguments.json {
+            true => println!("{}", serde_json::json!({"file": name, "valid": true})),
+            false => println!("{name}: valid"),
+        }
         return Ok(());
     }
     mangocross_telemetry::init_bounded_logs(&arguments.log_level, "front", &vm.name)
@@ -79,8 +87,8 @@
     LocalSet::new().block_on(&runtime, serve(vm, file))
 }
 
-fn tell(request: &str) -> Result<(), String> {
-    let is_known = story::tell(request, io::stdin().lock(), &mut io::stdout().lock())
+fn tell(request: &str, format: Format) -> Result<(), String> {
+    let is_known = story::tell(request, format, io::stdin().lock(), &mut io::stdout().lock())
         .map_err(|it| format!("[7104] the log cannot be read: {it}"))?;
     if is_known {
         Ok(())
--- a/bins/mangocross-front/src/story.rs
+++ b/bins/mangocross-front/src/story.rs
@@ -13,6 +13,15 @@
 const LEFT_OUT: [&str; 7] =
     ["message", "time_unix_ms", "level", "process", "target", "request", "left_out"];
 
+/// How a story is printed.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Format {
+    /// For people.
+    Text,
+    /// The lines as they were logged, with `after_ms`, the time since the request's first line.
+    Json,
+}
+
 /// A line of the log.
 #[derive(Debug)]
 struct Line(Map<String, Value>);
@@ -38,8 +47,13 @@
                 || servers.iter().any(|it| self.text("reasons").contains(it)))
     }
 
-    fn print(&self, first_ms: u64, output: &mut impl Write) -> std::io::Result<()> {
+    fn print(&self, first_ms: u64, format: Format, output: &mut impl Write) -> std::io::Result<()> {
         let after_ms = self.time_unix_ms() as i64 - first_ms as i64;
+        if matches!(format, Format::Json) {
+            let mut line = self.0.clone();
+            line.insert("after_ms".to_owned(), after_ms.into());
+            return writeln!(output, "{}", Value::Object(line));
+        }
         write!(output, "{after_ms:>+7} ms  {}", self.text("message"))?;
         for (name, value) in self.0.iter().filter(|(it, _)| !LEFT_OUT.contains(&it.as_str())) {
             write!(output, "  {name}={value}")?;
@@ -57,6 +71,7 @@
 /// Fails if the log cannot be read or the story cannot be written.
 pub(crate) fn tell(
     request: &str,
+    format: Format,
     log: impl BufRead,
     output: &mut impl Write,
 ) -> std::io::Result<bool> {
@@ -79,7 +94,7 @@
     let mut story: Vec<&Line> = own.iter().copied().chain(around).collect();
     story.sort_by_key(|it| it.time_unix_ms());
     for line in story {
-        line.print(first_ms, output)?;
+        line.print(first_ms, format, output)?;
     }
     Ok(true)
 }
--- a/bins/mangocross-front/tests/command_line.rs
+++ b/bins/mangocross-front/tests/command_line.rs
@@ -64,10 +64,42 @@
 }
 
 #[test]
-fn help_names_each_option() {
-    let (code, text) = run(&["--help"], "");
-    assert_eq!(code, 0);
-    for option in ["--settings", "--check", "--log-level", "--story"] {
-        assert!(text.contains(option), "{text}");
-    }
+fn story_and_check_are_printed_as_json() {
+    let (code, text) = run(&["--story", "a1", "--json"], LOG);
+    let lines: Vec<serde_json::Value> =
+        text.lines().map(|it| serde_json::from_str(it).expect("JSON")).collect();
+    let after_ms: Vec<i64> = lines.iter().filter_map(|it| it["after_ms"].as_i64()).collect();
+    assert_eq!((code, after_ms.as_slice()), (0, &[0, 1400, 1500, 1501, 1800][..]));
+    assert_eq!(lines[2]["message"], "stream broke");
+}
+
+const HELP: &str = "Serves callers on an entry VM and keeps model groups whole.
+
+Usage: mangocross-front [--settings=FILE] [--check] [--story=REQUEST] [--json] [--log-level=LEVEL]
+
+Available options:
+        --settings=FILE    Settings file in the platform's format; the default is the one that
+                           MANGOCROSS_CONFIG names
+        --check            Check the settings and exit
+        --story=REQUEST    Read a log from standard input, print what it tells of a request, and
+                           exit
+        --json             Print the story or the result of the check as JSON, one object a line
+        --log-level=LEVEL  Log level: error, warn, info, debug or trace
+                           [default: info]
+    -h, --help             Prints help information
+    -V, --version          Prints version information
+
+";
+
+#[test]
+fn help_is_as_recorded() {
+    assert_eq!(run(&["--help"], ""), (0, HELP.to_owned()));
+}
+
+#[test]
+fn shells_complete_the_options() {
+    let (code, text) = run(&["--bpaf-complete-style-bash"], "");
+    assert!(code == 0 && text.contains("complete"), "{text}");
+    let (_, text) = run(&["--bpaf-complete-rev=8", "--st"], "");
+    assert!(text.contains("--story"), "{text}");
 }
--- a/crates/mangocross-serving/src/planner/preparing.rs
+++ b/crates/mangocross-serving/src/planner/preparing.rs
@@ -23,7 +23,6 @@
 const STAGING_FACTOR: f64 = 1.5;
 /// Added to the time after which a host that does not report a model is asked again.
 const STAGING_MARGIN: Duration = Duration::from_millis(1500);
-
 /// VMs of a domain that hold the largest model beside another one.
 const SECOND_MODEL_HOSTS_MIN: usize = 4;
 /// The part of the loads at once that fetches which can wait may take is one in so many.
@@ -156,7 +155,7 @@
                 return;
             }
             let is_needed = hosts == Hosts::Spares
-                || (model == largest && count(&&model) < SECOND_MODEL_HOSTS_MIN)
+                || (model == largest && count(&&largest) < SECOND_MODEL_HOSTS_MIN)
                 || self.loads.is_unlimited();
             if is_needed {
                 *holders.entry(model.clone()).or_default() += 1;
@@ -170,16 +169,16 @@
         if self.loads.is_unlimited() {
             return true;
         }
-        let is_at_it = |it: &&Known| {
+        let is_fetching = |it: &&Known| {
             it.staging.as_ref().is_some_and(|staging| {
                 now < staging.until && !it.server.engine.staged.contains(&staging.model)
             })
         };
-        let at_it = self.known.values().filter(is_at_it).count();
-        self.loads.has_reserve() && at_it < (self.engine.loads_at_once / STAGING_PART).max(1)
+        let fetching = self.known.values().filter(is_fetching).count();
+        self.loads.has_reserve() && fetching < (self.engine.loads_at_once / STAGING_PART).max(1)
     }
 
-    /// Orders a host to fetch a model, unless it is at it or another order is under way.
+    /// Orders a host to fetch a model, unless it fetches it already or another order is under way.
     fn stage(&mut self, vm: &VmId, model: ModelId, now: Moment, steps: &mut Vec<Step>) {
         let staging = self.known.get(vm).and_then(|it| it.staging.as_ref());
         let is_staging = staging.is_some_and(|it| it.model == model && now < it.until);
--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -61,17 +61,17 @@
         let groups = std::mem::take(&mut draft.plan.groups);
         let (dissolving, groups): (Vec<_>, Vec<_>) =
             groups.into_iter().partition(|it| it.is_dissolving);
-        let mut held_plan = held.plan.clone();
+        let mut remaining = held.plan.clone();
         for group in dissolving {
             if self.is_released(&group, now, steps) {
                 draft.reasons.push(format!("{} released", group.group));
                 self.notes.remove(&(group.group.clone(), group.incarnation));
-                held_plan.groups.retain(|it| it.group != group.group);
+                remaining.groups.retain(|it| it.group != group.group);
             } else {
                 draft.plan.groups.push(group);
             }
         }
-        let mut spares = self.free_vms(domain, &held_plan);
+        let mut spares = self.free_vms(domain, &remaining);
         let mut broken = Vec::new();
         for mut group in groups {
             let incarnation = group.incarnation;
