--- a/crates/mangocross-serving/tests/groups.rs
+++ b/crates/mangocross-serving/tests/groups.rs
@@ -1,6 +1,7 @@
 //! Groups are formed, kept whole and replaced under the faults of heavy days.
 
 mod engines;
+mod figures;
 
 use std::time::Duration;
 
@@ -11,8 +12,8 @@
 use crate::engines::Reach;
 use crate::engines::STALL;
 use crate::engines::World;
-use crate::engines::engine_spec;
 use crate::engines::vm;
+use crate::figures::engine_spec;
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
