--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -54,6 +54,8 @@
     pub(crate) orders_accepted: u64,
     /// The model that the host fetches, and when it is there.
     pub(crate) staging: Option<(ModelId, Moment)>,
+    /// The model of the present join.
+    pub(crate) joining: Option<ModelId>,
     /// When the present join is done.
     pub(crate) ready_at: Option<Moment>,
     /// Members of the group that it joined last.
@@ -128,6 +130,7 @@
             pace: 1.0,
             orders_accepted: 0,
             staging: None,
+            joining: None,
             ready_at: None,
             members: Vec::new(),
         };
@@ -185,6 +188,10 @@
             }
             if engine.ready_at.is_some_and(|it| it <= self.now) {
                 engine.ready_at = None;
+                if let Some(model) = engine.joining.take() {
+                    engine.server.engine.staged = vec![model.clone()];
+                    engine.server.engine.loaded = vec![model];
+                }
                 if let Some(membership) = &mut engine.server.engine.membership {
                     membership.phase = MemberPhase::Ready;
                 }
@@ -264,8 +271,11 @@
                 engine.ready_at = Some(now + time);
                 engine.members.clone_from(members);
                 let rank = members.iter().position(|it| it == id).expect("a member");
-                status.staged = vec![model.clone()];
-                status.loaded = vec![model.clone()];
+                // A model is reported once it is there.
+                let there = if is_near { vec![model.clone()] } else { Vec::new() };
+                status.staged.clone_from(&there);
+                status.loaded = there;
+                engine.joining = Some(model.clone());
                 status.membership = Some(Membership {
                     group: group.clone(),
                     incarnation: *incarnation,
--- a/crates/mangocross-serving/tests/groups.rs
+++ b/crates/mangocross-serving/tests/groups.rs
@@ -139,9 +139,79 @@
     assert_eq!(spares.count(), 4, "its other members are spares");
 }
 
-/// The other model is left with less: the group waits for VMs instead.
+/// Twelve VMs serve the large model and three the small one: that one stays.
 #[test]
 fn group_of_a_scarce_model_is_not_given_up() {
+    let mut world = formed();
+    let small = world.serving("small");
+    let domain_of = |world: &World, vm: &VmId| world.engines[vm].server.engine.domain.clone();
+    let dark = domain_of(&world, &small[1]);
+    let spares: Vec<VmId> = world.spares().iter().map(|it| it.server.vm.clone()).collect();
+    let mut lost = world.engines[&small[1]].members.clone();
+    lost.extend(spares);
+    for it in &lost {
+        lose(&mut world, it, Reach::NoProcess);
+    }
+    world.run(ms(3_000));
+    let mut large = world.serving("large");
+    large.retain(|it| domain_of(&world, it) != dark);
+    let needy = member(&world, &large[0], 2);
+    lose(&mut world, &needy, Reach::NoProcess);
+    world.planner.suspect(&large[0], world.now);
+    world.run(ms(1_500));
+    assert!(world.serving("small").contains(&small[0]), "it serves on");
+}
+
+/// Two groups of a domain lose a member each, and one VM without weights is left.
+#[test]
+fn group_that_waits_for_the_weight_store_completes_another_one() {
+    let mut world = World::new(1, 14);
+    world.run(ms(8_000));
+    world.planner.set_loads_unlimited(false);
+    world.has_traffic = true;
+    let small = world.serving("small");
+    assert_eq!((small.len(), world.serving("large").len()), (2, 1));
+    let spares: Vec<VmId> = world.spares().iter().map(|it| it.server.vm.clone()).collect();
+    for it in &spares {
+        lose(&mut world, it, Reach::NoProcess);
+    }
+    world.run(ms(3_000));
+    world.add(0, 20);
+    for head in &small {
+        let lost = member(&world, head, 1);
+        lose(&mut world, &lost, Reach::NoProcess);
+        world.planner.suspect(head, world.now);
+        world.run(ms(1_000));
+    }
+    assert_eq!(world.serving("small").len(), 1, "one of them is whole without a load");
+}
+
+/// A slow member beside a spare without weights: a load takes the group away for longer.
+#[test]
+fn slow_member_stays_until_a_spare_is_prepared() {
+    let mut world = formed();
+    let head = world.serving("large")[0].clone();
+    let slow = member(&world, &head, 1);
+    let before = world.plans.clone();
+    world.engines.get_mut(&slow).expect("an engine").pace = 5.0;
+    let spares: Vec<VmId> = world.spares().iter().map(|it| it.server.vm.clone()).collect();
+    for _ in 0..16 {
+        for it in &spares {
+            let spare = world.engines.get_mut(it).expect("an engine");
+            spare.staging = None;
+            spare.joining = None;
+            spare.ready_at = None;
+            spare.server.engine.membership = None;
+            spare.server.engine.staged.clear();
+            spare.server.engine.loaded.clear();
+        }
+        world.run(ms(500));
+    }
+    assert_eq!(world.plans, before);
+}
+
+#[test]
+fn large_group_is_not_given_up_for_a_small_one() {
     let mut world = formed();
     for _ in 0..2 {
         let small = world.serving("small")[0].clone();
