fix(front): cut answers of a watch prove nothing and are read on at once

Cause: the store cuts the answer to a watch at 500 changes. The front took each answer as the present state, confirmed the configuration by it and then paused to gather changes (up to 0.84 s with hundreds of entry VMs). At 300 entry VMs and 3,000 servers about 14,000 changes come at the start, so the front was 25 s behind and yet trusted keys and routes as of its last question.

Ruled out: refused reads of the store at the start (none in the log of an entry VM), lost connections to the store.

Test: red before (revoked key served past its bound), green after.

--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -10,6 +10,7 @@
 use mangocross_platform::SERVERS_PREFIX;
 use mangocross_platform::StoreCall;
 use mangocross_platform::StoreChange;
+use mangocross_platform::StoreChanges;
 use mangocross_platform::StoreItem;
 use mangocross_platform::StorePage;
 use mangocross_platform::decode_configuration;
@@ -93,9 +94,10 @@
     let mut after = after.unwrap_or_default();
     let regained_at = front.now();
     let mut paused = Duration::ZERO;
+    let mut may_have_more = false;
     loop {
         let asked_at = front.now();
-        let wait = WATCH_WAIT.saturating_sub(paused);
+        let wait = if may_have_more { Duration::ZERO } else { WATCH_WAIT.saturating_sub(paused) };
         is_after_outage &= asked_at.since(regained_at) < RETURN_GRACE;
         let call = StoreCall::watch("", after, wait);
         let answer = front.store.call(call, wait + WATCH_SLACK).await;
@@ -105,16 +107,21 @@
             StatusCode::GONE => return Ok(()),
             status => return Err(StoreError::Refused { status }),
         }
-        let (changes, revision) = StoreChange::decode(&body)?;
+        let answer = StoreChanges::decode(&body)?;
         front.metrics.store_watch(front.now().since(asked_at));
-        let has_changes = !changes.is_empty();
-        for it in changes {
+        let has_changes = !answer.changes.is_empty();
+        for it in answer.changes {
             apply(front, it, is_after_outage);
         }
-        after = after.max(revision);
+        after = after.max(answer.revision);
+        paused = Duration::ZERO;
+        may_have_more = answer.may_have_more;
+        if may_have_more {
+            // The configuration may be among the changes that are still to be read.
+            continue;
+        }
         confirm(front, asked_at);
         drop_missing(front);
-        paused = Duration::ZERO;
         if has_changes {
             let is_planner = front.is_planner();
             let peers = front.beliefs.borrow().peers.len() as u32;
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -21,6 +21,9 @@
 use super::listen;
 use super::lock;
 
+/// Most changes in the answer to a watch.
+const CHANGES_MAX: usize = 500;
+
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
@@ -195,9 +198,13 @@
         let mut held = lock(state);
         held.expire();
         let is_later = |it: &&Value| it["revision"].as_u64() > Some(after);
-        let events: Vec<Value> = held.history.iter().filter(is_later).cloned().collect();
+        let later = held.history.iter().filter(is_later);
+        let events: Vec<Value> = later.take(CHANGES_MAX).cloned().collect();
         if !held.is_silent && (!events.is_empty() || Instant::now() >= end) {
-            let body = json!({"events": events, "store_revision": held.revision});
+            // An answer that is cut goes on from its last change.
+            let last = events.last().and_then(|it| it["revision"].as_u64());
+            let revision = last.unwrap_or(held.revision);
+            let body = json!({"events": events, "store_revision": revision});
             answer(stream, 200, "", &body.to_string());
             return;
         }
--- a/bins/mangocross-front/tests/front/whole_path.rs
+++ b/bins/mangocross-front/tests/front/whole_path.rs
@@ -1,6 +1,8 @@
 //! The program between callers and a stand-in of the platform.
 
 use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::platform;
 use crate::platform::Front;
@@ -153,6 +155,30 @@
     front.until(200, "/lookup/x", KEY);
 }
 
+/// The change of the keys comes behind many answers that are cut: none of them proves that a key
+/// still holds.
+#[test]
+fn keys_are_not_trusted_behind_a_backlog_of_changes() {
+    const REVOKE: Duration = Duration::from_secs(4);
+    let (store, _engines, _records) = platform();
+    let front = Front::spawn(&store, REVOKE.as_millis() as u64, Stdio::null());
+    front.until(200, "/lookup/x", KEY);
+    for _ in 0..50_000 {
+        store.put("servers/odd", &serde_json::json!({"service": 7}));
+    }
+    store.configure(4, &["other"]);
+    let acknowledged_at = Instant::now();
+    loop {
+        let sent_at = Instant::now();
+        let (status, ..) = front.call("POST", "/lookup/x", KEY, "{}");
+        let is_late = sent_at - acknowledged_at > REVOKE;
+        assert!(status != 200 || !is_late, "served {:?} late", sent_at - acknowledged_at);
+        if status == 401 {
+            return;
+        }
+    }
+}
+
 /// A server whose entry was removed gets nothing more.
 #[test]
 fn unlisted_server_gets_no_requests() {
