feat(telemetry): metrics in the conventions of the text format, groups by state, retries left

Counters end in _total in all processes, as exporters of that format write them. The front's gauges have types and base units: age of the configuration in seconds, groups by state, requests that wait, retries left by service; a histogram of the calls to the store by call and outcome replaces the one of watches. Totals in the log leave out buckets: readers of logs cut lines of 8 kB.

--- a/bins/mangocross-front/src/control.rs
+++ b/bins/mangocross-front/src/control.rs
@@ -1,4 +1,4 @@
-//! Periodic work: suspects, expiry.
+//! Periodic work: suspects, expiry, gauges.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +12,9 @@
 /// Looks between two expiries.
 const LOOKS_PER_EXPIRY: u32 = 10;
 
+/// Looks between two records of the gauges, which the log's totals show too.
+const LOOKS_PER_RECORD: u32 = 100;
+
 /// Starts the periodic work.
 pub(crate) fn spawn(front: &Rc<Front>) {
     let front = Rc::clone(front);
@@ -27,6 +30,9 @@
                 front.beliefs.borrow_mut().expire(front.now());
                 front.pool.expire();
             }
+            if looks % LOOKS_PER_RECORD == 0 {
+                front.metrics.record_levels(&front);
+            }
         }
     });
 }
--- a/bins/mangocross-front/src/front.rs
+++ b/bins/mangocross-front/src/front.rs
@@ -18,11 +18,13 @@
 use mangocross_serving::FreshnessProof;
 use mangocross_serving::HeadLoad;
 use mangocross_serving::LoadTable;
+use mangocross_serving::MemberPhase;
 use mangocross_serving::Moment;
 use mangocross_serving::ProgressTable;
 use mangocross_serving::RetryLedger;
 use mangocross_serving::TrafficConfiguration;
 use mangocross_types::ModelId;
+use mangocross_types::Rank;
 use mangocross_types::Revision;
 use mangocross_types::ServiceId;
 use mangocross_types::VmId;
@@ -113,13 +115,14 @@
 
 impl Front {
     pub(crate) fn new(vm: EntryVm) -> Self {
+        let metrics = FrontMetrics::open();
         Self {
             promises: Cell::new(vm.promises),
             clock: SystemBootClock,
             pool: Pool::default(),
-            store: StoreClient::new(vm.store),
+            store: StoreClient::new(vm.store, metrics.store_calls()),
             beliefs: RefCell::default(),
-            metrics: FrontMetrics::open(),
+            metrics,
             log_rate: LogRate::default(),
             suspected: Notify::new(),
             changed: Notify::new(),
@@ -194,11 +197,21 @@
         let now = self.now();
         let bounds = self.promises().retries;
         let mut beliefs = self.beliefs.borrow_mut();
-        let entry_vms = beliefs.peers.len().max(beliefs.loads.peer_count() + 1);
+        let entry_vms = beliefs.entry_vm_count();
         let ledger = beliefs.retries.entry(service.clone()).or_default();
         ledger.try_repeat(now, &bounds, entry_vms)
     }
 
+    /// Returns how many repeats this VM may still make at each service.
+    pub(crate) fn repeats_left(&self) -> Vec<(ServiceId, f64)> {
+        let now = self.now();
+        let bounds = self.promises().retries;
+        let mut beliefs = self.beliefs.borrow_mut();
+        let entry_vms = beliefs.entry_vm_count();
+        let ledgers = beliefs.retries.iter_mut();
+        ledgers.map(|(service, it)| (service.clone(), it.left(now, &bounds, entry_vms))).collect()
+    }
+
     pub(crate) fn count_request(&self, service: &ServiceId) {
         let now = self.now();
         let bounds = self.promises().retries;
@@ -302,6 +315,27 @@
 }
 
 impl Beliefs {
+    fn entry_vm_count(&self) -> usize {
+        self.peers.len().max(self.loads.peer_count() + 1)
+    }
+
+    /// Returns how many groups are in each state, as their heads say.
+    pub(crate) fn groups_by_phase(&self) -> BTreeMap<&'static str, usize> {
+        let phases = [
+            MemberPhase::Joining,
+            MemberPhase::Ready,
+            MemberPhase::Open,
+            MemberPhase::Closing,
+            MemberPhase::Broken,
+        ];
+        let mut counts: BTreeMap<_, _> = phases.map(|it| (it.name(), 0)).into();
+        let memberships = self.servers.values().filter_map(|it| it.engine.membership.as_ref());
+        for head in memberships.filter(|it| it.rank == Rank(0)) {
+            *counts.entry(head.phase.name()).or_default() += 1;
+        }
+        counts
+    }
+
     pub(crate) fn suspects(&self, now: Moment) -> Vec<VmId> {
         let recent = self.suspects.iter().filter(|(_, at)| now.since(**at) < SUSPECT_PAUSE);
         recent.map(|(vm, _)| vm.clone()).collect()
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -5,6 +5,7 @@
 use mangocross_telemetry::Metrics;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 
 use crate::front::Front;
@@ -25,7 +26,21 @@
     orders: Counter<u64>,
     first_byte: Histogram<f64>,
     gaps: Histogram<f64>,
-    watches: Histogram<f64>,
+    store_calls: Histogram<f64>,
+    levels: Levels,
+}
+
+/// Values as of the moment at which they are read.
+#[derive(Debug)]
+struct Levels {
+    configuration_age: Gauge<f64>,
+    configuration_version: Gauge<f64>,
+    backend_servers: Gauge<f64>,
+    groups: Gauge<f64>,
+    entry_vms: Gauge<f64>,
+    requests_in_progress: Gauge<f64>,
+    requests_waiting: Gauge<f64>,
+    retries_left: Gauge<f64>,
 }
 
 impl FrontMetrics {
@@ -39,7 +54,12 @@
             orders: metrics.counter("front_orders", "orders to servers"),
             first_byte: metrics.seconds("front_first_byte_seconds", "time to an answer", &SECONDS),
             gaps: metrics.seconds("front_event_gap_seconds", "pauses between events", &SECONDS),
-            watches: metrics.seconds("front_store_watch_seconds", "watches of the store", &SECONDS),
+            store_calls: metrics.seconds(
+                "front_store_call_seconds",
+                "calls of the store; a watch waits for changes",
+                &SECONDS,
+            ),
+            levels: Levels::open(&metrics),
             metrics,
         }
     }
@@ -74,23 +94,65 @@
         self.gaps.record(gap.as_secs_f64(), &[]);
     }
 
-    pub(crate) fn store_watch(&self, took: Duration) {
-        self.watches.record(took.as_secs_f64(), &[]);
+    /// Returns the histogram of the calls to the store.
+    pub(crate) fn store_calls(&self) -> Histogram<f64> {
+        self.store_calls.clone()
+    }
+
+    /// Records the gauges as of now.
+    pub(crate) fn record_levels(&self, front: &Front) {
+        self.levels.record(front);
     }
 
     /// Returns all values as text, one a line.
     pub(crate) fn text(&self, front: &Front) -> String {
+        self.record_levels(front);
+        self.metrics.text()
+    }
+}
+
+impl Levels {
+    fn open(metrics: &Metrics) -> Self {
+        Self {
+            configuration_age: metrics.level(
+                "front_configuration_age_seconds",
+                "age of the proof that the configuration is the newest; absent before the first",
+            ),
+            configuration_version: metrics
+                .level("front_configuration_version", "version of the configuration in force"),
+            backend_servers: metrics.level("front_backend_servers", "backend servers listed"),
+            groups: metrics.level("front_groups", "groups by the state that their heads tell"),
+            entry_vms: metrics.level("front_entry_vms", "entry VMs listed, this one included"),
+            requests_in_progress: metrics
+                .level("front_requests_in_progress", "requests of callers in progress"),
+            requests_waiting: metrics.level(
+                "front_requests_waiting",
+                "requests sent from this VM that wait for their first byte",
+            ),
+            retries_left: metrics
+                .level("front_retries_left", "repeats that this VM may still make, by service"),
+        }
+    }
+
+    fn record(&self, front: &Front) {
         let now = front.now();
+        for (service, left) in front.repeats_left() {
+            self.retries_left.record(left, &[KeyValue::new("service", service.to_string())]);
+        }
         let beliefs = front.beliefs.borrow();
-        let age_ms = beliefs.freshness.age(now).map_or(-1, |it| it.as_millis() as i64);
-        let version = beliefs.configuration.as_ref().map_or(0, |it| it.version);
-        format!(
-            "{}front_configuration_age_milliseconds {age_ms}\nfront_configuration_version {version}\n\
-             front_backend_servers {}\nfront_entry_vms {}\nfront_requests_in_progress {}\n",
-            self.metrics.text(),
-            beliefs.servers.len(),
-            beliefs.peers.len(),
-            front.requests_in_progress.get(),
-        )
+        if let Some(age) = beliefs.freshness.age(now) {
+            self.configuration_age.record(age.as_secs_f64(), &[]);
+        }
+        if let Some(configuration) = &beliefs.configuration {
+            self.configuration_version.record(configuration.version as f64, &[]);
+        }
+        self.backend_servers.record(beliefs.servers.len() as f64, &[]);
+        for (state, count) in beliefs.groups_by_phase() {
+            self.groups.record(count as f64, &[KeyValue::new("state", state)]);
+        }
+        self.entry_vms.record(beliefs.peers.len() as f64, &[]);
+        self.requests_in_progress.record(front.requests_in_progress.get() as f64, &[]);
+        let waiting: u32 = beliefs.loads.own().values().map(|it| it.waiting).sum();
+        self.requests_waiting.record(f64::from(waiting), &[]);
     }
 }
--- a/bins/mangocross-front/src/store.rs
+++ b/bins/mangocross-front/src/store.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::Method;
@@ -13,6 +14,8 @@
 use http_body_util::Full;
 use mangocross_platform::DecodeError;
 use mangocross_platform::StoreCall;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Histogram;
 use snafu::Snafu;
 
 use crate::pool;
@@ -48,11 +51,13 @@
 pub(crate) struct StoreClient {
     address: SocketAddr,
     resting: RefCell<Vec<Connection>>,
+    seconds: Histogram<f64>,
 }
 
 impl StoreClient {
-    pub(crate) fn new(address: SocketAddr) -> Self {
-        Self { address, resting: RefCell::default() }
+    /// Creates a client that records the time of each call.
+    pub(crate) fn new(address: SocketAddr, seconds: Histogram<f64>) -> Self {
+        Self { address, resting: RefCell::default(), seconds }
     }
 
     /// Makes a call and returns the status and body of its answer.
@@ -61,15 +66,22 @@
         call: StoreCall,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
+        let kind = call.kind;
+        let began = Instant::now();
         let exchange = tokio::time::timeout(timeout, self.exchange(call));
-        match exchange.await {
-            Ok(result) => result,
-            Err(_) => {
-                // Other connections may be silent as well.
-                self.resting.borrow_mut().clear();
-                Err(StoreError::TimedOut { timeout })
-            }
-        }
+        let result = exchange.await.unwrap_or_else(|_| {
+            // Other connections may be silent as well.
+            self.resting.borrow_mut().clear();
+            Err(StoreError::TimedOut { timeout })
+        });
+        let outcome = match &result {
+            Ok((status, _)) if status.is_success() => "answered",
+            Ok(_) => "refused",
+            Err(_) => "failed",
+        };
+        let labels = [KeyValue::new("call", kind), KeyValue::new("outcome", outcome)];
+        self.seconds.record(began.elapsed().as_secs_f64(), &labels);
+        result
     }
 
     async fn exchange(&self, call: StoreCall) -> Result<(StatusCode, Bytes), StoreError> {
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -1,6 +1,7 @@
 //! The program as a process, between callers and a small stand-in of the platform.
 
 mod log_points;
+mod metrics;
 mod platform;
 mod soak;
 mod whole_path;
--- a/crates/mangocross-serving/src/retry_budget.rs
+++ b/crates/mangocross-serving/src/retry_budget.rs
@@ -38,16 +38,22 @@
 
     /// Takes one repeat out of the budget; returns whether it may be made.
     pub fn try_repeat(&mut self, now: Moment, bounds: &RetryBounds, entry_vms: usize) -> bool {
-        expire(&mut self.requests, now, bounds.window);
-        expire(&mut self.repeats, now, bounds.window);
-        let of_slack = bounds.slack / entry_vms.max(1) as f64;
-        let allowed = USED_PART * (bounds.ratio * self.requests.len() as f64 + of_slack);
-        let may = (self.repeats.len() as f64) + 1.0 <= allowed;
+        let may = self.left(now, bounds, entry_vms) >= 1.0;
         if may {
             self.repeats.push_back(now);
         }
         may
     }
+
+    /// Returns how many repeats this VM may still make, as a fraction too; below zero if the
+    /// requests that allowed them are out of the window.
+    pub fn left(&mut self, now: Moment, bounds: &RetryBounds, entry_vms: usize) -> f64 {
+        expire(&mut self.requests, now, bounds.window);
+        expire(&mut self.repeats, now, bounds.window);
+        let of_slack = bounds.slack / entry_vms.max(1) as f64;
+        let allowed = USED_PART * (bounds.ratio * self.requests.len() as f64 + of_slack);
+        allowed - self.repeats.len() as f64
+    }
 }
 
 fn expire(times: &mut VecDeque<Moment>, now: Moment, window: Duration) {
--- a/crates/mangocross-telemetry/src/metrics.rs
+++ b/crates/mangocross-telemetry/src/metrics.rs
@@ -8,6 +8,7 @@
 
 use opentelemetry::metrics::AsyncInstrument;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
 use opentelemetry::metrics::MeterProvider;
@@ -65,6 +66,11 @@
         histogram.with_boundaries(bounds_s.to_vec()).build()
     }
 
+    /// Creates a gauge that keeps the last value that was recorded.
+    pub fn level(&self, name: &'static str, text: &'static str) -> Gauge<f64> {
+        self.meter().f64_gauge(name).with_description(text).build()
+    }
+
     /// Adds a gauge that is read whenever metrics are collected.
     pub fn gauge(
         &self,
@@ -119,7 +125,9 @@
         let mut logged_at = self.logged_at.lock().unwrap_or_else(PoisonError::into_inner);
         if now.duration_since(*logged_at) + LOG_SLACK >= self.interval {
             *logged_at = now;
-            let values: Vec<&str> = text.lines().filter(|it| !it.starts_with('#')).collect();
+            // Readers of logs cut long lines; the buckets are on the metrics address.
+            let is_logged = |it: &&str| !it.starts_with('#') && !it.contains("_bucket{");
+            let values: Vec<&str> = text.lines().filter(is_logged).collect();
             log::info!(target: "metrics", "{}", values.join("; "));
         }
     }
--- a/crates/mangocross-telemetry/src/metrics_text.rs
+++ b/crates/mangocross-telemetry/src/metrics_text.rs
@@ -10,6 +10,9 @@
 use opentelemetry_sdk::metrics::data::MetricData;
 use opentelemetry_sdk::metrics::data::ResourceMetrics;
 
+/// Ends the names of counters in the text form.
+const TOTAL: &str = "_total";
+
 /// Returns all metrics as text.
 pub(crate) fn render(metrics: &ResourceMetrics) -> String {
     let mut text = String::new();
@@ -20,7 +23,10 @@
 }
 
 fn render_metric(text: &mut String, metric: &Metric) {
-    let name = metric.name().replace('.', "_");
+    let mut name = metric.name().replace('.', "_");
+    if is_counter(metric.data()) && !name.ends_with(TOTAL) {
+        name.push_str(TOTAL);
+    }
     let _ = writeln!(text, "# HELP {name} {}", metric.description());
     match metric.data() {
         AggregatedMetrics::F64(data) => render_data(text, &name, data),
@@ -29,6 +35,15 @@
     }
 }
 
+fn is_counter(data: &AggregatedMetrics) -> bool {
+    match data {
+        AggregatedMetrics::F64(MetricData::Sum(sum)) => sum.is_monotonic(),
+        AggregatedMetrics::U64(MetricData::Sum(sum)) => sum.is_monotonic(),
+        AggregatedMetrics::I64(MetricData::Sum(sum)) => sum.is_monotonic(),
+        _ => false,
+    }
+}
+
 fn render_data<T: Display + Copy>(text: &mut String, name: &str, data: &MetricData<T>) {
     match data {
         MetricData::Gauge(gauge) => {
--- a/tests/tests/cache_events.rs
+++ b/tests/tests/cache_events.rs
@@ -55,8 +55,8 @@
     // Only the first gateway has sent anything, so the second one was told.
     cluster.wait_until("the second gateway is told", || metric(&cluster, 1, "prefixes_told") > 0);
     assert_eq!(group(&cluster.send(1, &question("flat 1"))), first);
-    assert_eq!(metric(&cluster, 1, r#"attempts{prefix="told"}"#), 1);
-    assert_eq!(metric(&cluster, 1, "cache_event_gaps"), 0);
+    assert_eq!(metric(&cluster, 1, r#"attempts_total{prefix="told"}"#), 1);
+    assert_eq!(metric(&cluster, 1, "cache_event_gaps_total"), 0);
     // Events are lost and come late from now on; answers stay whole, and gaps are seen.
     let faults = EngineFaults {
         cache_event_lose_each: 2,
@@ -70,7 +70,7 @@
     cluster.wait_until("a gap is seen", || {
         number += 1;
         group(&cluster.send(0, &question(&format!("flat {number}"))));
-        metric(&cluster, 1, "cache_event_gaps") > 0
+        metric(&cluster, 1, "cache_event_gaps_total") > 0
     });
     // An engine that starts anew publishes another epoch, and is used again.
     let vm = cluster.engines.keys().next().expect("an engine").to_string();
--- a/tests/tests/coordinator_telemetry.rs
+++ b/tests/tests/coordinator_telemetry.rs
@@ -54,29 +54,29 @@
     };
     for name in [
         r#"groups{state="complete"}"#,
-        r#"groups_formed{cause="new"}"#,
-        r#"orders{kind="load",result="taken"}"#,
-        r#"probes{result="answered"}"#,
-        r#"store_calls{kind="compare_and_swap",outcome="written"}"#,
-        r#"operator_requests{code="0"}"#,
+        r#"groups_formed_total{cause="new"}"#,
+        r#"orders_total{kind="load",result="taken"}"#,
+        r#"probes_total{result="answered"}"#,
+        r#"store_calls_total{kind="compare_and_swap",outcome="written"}"#,
+        r#"operator_requests_total{code="0"}"#,
         "domains_owned",
-        "takeovers",
+        "takeovers_total",
         "established",
     ] {
         reaches(name, 1);
     }
     let member = cluster.engines.values().find(|it| it.faults().counted("loads") > 0);
     member.unwrap().faults().set(EngineFaults { dead: true, ..EngineFaults::default() });
-    reaches(r#"groups_formed{cause="repair"}"#, 1);
+    reaches(r#"groups_formed_total{cause="repair"}"#, 1);
     reaches(r#"groups{state="complete"}"#, 1);
-    let failed = |it: &str| it.starts_with("probes{") && !it.contains("answered");
+    let failed = |it: &str| it.starts_with("probes_total{") && !it.contains("answered");
     assert!(metrics(&cluster).lines().any(failed), "{}", metrics(&cluster));
     let outage = StoreFaults { down: true, ..StoreFaults::default() };
     cluster.store.faults().set(outage);
-    reaches(r#"store_calls{kind="watch",outcome="unavailable"}"#, 1);
+    reaches(r#"store_calls_total{kind="watch",outcome="unavailable"}"#, 1);
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     socket.send_to(b"no frame", cluster.coordinator(0)).unwrap();
-    reaches(r#"frames_dropped{of="poll",reason="short"}"#, 1);
+    reaches(r#"frames_dropped_total{of="poll",reason="short"}"#, 1);
 }
 
 #[test]
@@ -130,9 +130,9 @@
     let text = HttpClient::open().call(call).unwrap().read_all(1 << 20).unwrap();
     let text = String::from_utf8(text).unwrap();
     for value in [
-        r#"claims{outcome="granted"} 1"#,
-        r#"claims{outcome="ran_before"} 1"#,
-        r#"claim_store_calls{kind="write",outcome="ok"} 2"#,
+        r#"claims_total{outcome="granted"} 1"#,
+        r#"claims_total{outcome="ran_before"} 1"#,
+        r#"claim_store_calls_total{kind="write",outcome="ok"} 2"#,
     ] {
         assert!(text.contains(value), "{value} is missing in:\n{text}");
     }
--- a/tests/tests/gateway_telemetry.rs
+++ b/tests/tests/gateway_telemetry.rs
@@ -36,8 +36,8 @@
     let call = HttpCall::new(HttpMethod::Get, cluster.gateway(0), "/metrics");
     let text = HttpClient::open().call(call).unwrap().read_all(1 << 20).unwrap();
     let text = String::from_utf8(text).unwrap();
-    let answered = r#"requests{code="0",customer="town",kind="draft",outcome="ran"} "#;
-    let refused = r#"requests{code="1004",customer="",kind="",outcome="not_run"} 1"#;
+    let answered = r#"requests_total{code="0",customer="town",kind="draft",outcome="ran"} "#;
+    let refused = r#"requests_total{code="1004",customer="",kind="",outcome="not_run"} 1"#;
     for value in [answered, refused, "proofs_held 1", "ready 1", "token_gap_seconds_bucket"] {
         assert!(text.contains(value), "{value} is missing in:\n{text}");
     }
