perf(front): a lost store is asked ever less often, by one task, and followed on

Calls are priced, and press on a store that is coming back.

Change: the pause between attempts doubles from 0.3 to 1 s; leases wait until the store is followed again; a store that is back is followed from the last revision, and read anew only if it has dropped that history.

--- a/bins/mangocross-front/src/front.rs
+++ b/bins/mangocross-front/src/front.rs
@@ -107,6 +107,8 @@
     pub(crate) planner_vacant: Notify,
     pub(crate) planner_term: Cell<Option<PlannerTerm>>,
     pub(crate) has_traffic: Cell<bool>,
+    /// Whether the last attempt to follow the store failed.
+    pub(crate) is_store_lost: Cell<bool>,
     /// When SIGTERM came.
     pub(crate) stopping_since: Cell<Option<Moment>>,
     pub(crate) requests_in_progress: Cell<usize>,
@@ -130,6 +132,7 @@
             planner_vacant: Notify::new(),
             planner_term: Cell::new(None),
             has_traffic: Cell::new(false),
+            is_store_lost: Cell::new(false),
             stopping_since: Cell::new(None),
             requests_in_progress: Cell::new(0),
             vm,
--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -27,6 +27,8 @@
 const TIME_TO_LIVE: Duration = Duration::from_millis(2000);
 /// Time between renewals; two may be lost.
 const RENEW_INTERVAL: Duration = Duration::from_millis(600);
+/// Time between looks whether the store was regained.
+const LOST_STORE_LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time that an entry VM lets better ones go first.
 const HANDICAP_MAX: Duration = Duration::from_millis(400);
 /// Part of a core, and rate of a link, from which on an entry VM plans with ease.
@@ -47,6 +49,10 @@
             }
             front.planner_term.set(None);
             tokio::time::sleep(RENEW_INTERVAL / 2).await;
+            // Whoever follows the store finds out when it is back.
+            while front.is_store_lost.get() {
+                tokio::time::sleep(LOST_STORE_LOOK_INTERVAL).await;
+            }
         }
     });
 }
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -48,8 +48,13 @@
 const GATHER_PART: f64 = 0.42;
 /// The same for the planner, which acts on the changes.
 const PLANNER_GATHER_PAUSE: Duration = Duration::from_millis(25);
-/// Pauses between attempts while the store is away.
-const RETRY_PAUSES_MS: std::ops::Range<u64> = 100..350;
+/// Longest pause after the first attempt at a store that is away; doubles with each further one.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Bound on the pause: refused calls press on the store and are priced, and each pause keeps keyed
+/// requests waiting for a proof.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(1000);
+/// Pauses before a page is asked for again that the store refused for the rate of calls.
+const PAGE_PAUSES_MS: std::ops::Range<u64> = 100..350;
 /// Age of the proof at which the configuration is read by itself beside a backlog of changes; with
 /// hundreds of entry VMs these reads take a quarter of the store's calls.
 const BACKLOG_PROOF_AGE: Duration = Duration::from_millis(600);
@@ -69,24 +74,55 @@
 pub(crate) fn spawn(front: &Rc<Front>) {
     let front = Rc::clone(front);
     tokio::task::spawn_local(async move {
-        let mut has_lost_since: Option<Moment> = None;
+        let mut position = Position::default();
         loop {
-            let error = match follow(&front, &mut has_lost_since).await {
+            let error = match follow(&front, &mut position).await {
                 Ok(reason) => {
                     log::info!(reason:? = reason; "reading the store anew");
+                    position.after = None;
                     continue;
                 }
                 Err(it) => it,
             };
-            if has_lost_since.is_none() {
-                has_lost_since = Some(front.now());
+            if position.lost_since.is_none() {
+                position.lost_since = Some(front.now());
+                front.is_store_lost.set(true);
                 log::warn!(error:% = error; "store lost");
             }
-            tokio::time::sleep(Duration::from_millis(fastrand::u64(RETRY_PAUSES_MS))).await;
+            tokio::time::sleep(position.retry_pause()).await;
         }
     });
 }
 
+/// How far the store was followed.
+#[derive(Debug, Default)]
+struct Position {
+    /// Revision up to which changes were taken; `None` before everything was read.
+    after: Option<Revision>,
+    /// When the store was lost, while it is.
+    lost_since: Option<Moment>,
+    /// Attempts since it was lost.
+    attempts: u32,
+}
+
+impl Position {
+    /// Returns the pause before the next attempt, which grows up to a bound.
+    fn retry_pause(&mut self) -> Duration {
+        let longest = RETRY_PAUSE.saturating_mul(1 << self.attempts.min(8)).min(RETRY_PAUSE_MAX);
+        self.attempts += 1;
+        longest.mul_f64(0.5 + 0.5 * fastrand::f64())
+    }
+
+    fn regained(&mut self, front: &Front) {
+        self.attempts = 0;
+        if let Some(since) = self.lost_since.take() {
+            let away_ms = front.now().since(since).as_millis() as u64;
+            front.is_store_lost.set(false);
+            log::info!(away_ms; "store regained");
+        }
+    }
+}
+
 /// Why everything is read anew.
 #[derive(Debug)]
 enum Reread {
@@ -96,30 +132,26 @@
     Settled,
 }
 
-/// Reads everything and follows changes until it is to be read anew.
-async fn follow(front: &Front, lost_since: &mut Option<Moment>) -> Result<Reread, StoreError> {
-    let asked_at = front.now();
-    let mut after = None;
-    let mut is_after_outage = lost_since.is_some();
-    for prefix in [OPERATORS_PREFIX, SERVERS_PREFIX, OWN_PREFIX] {
-        let items = read_range(front, prefix, &mut after).await?;
-        apply_range(front, prefix, items, is_after_outage);
-        if prefix == OPERATORS_PREFIX {
-            confirm(front, asked_at);
-        }
-    }
-    if let Some(since) = lost_since.take() {
-        let away_ms = front.now().since(since).as_millis() as u64;
-        log::info!(away_ms; "store regained");
+/// Follows changes until everything is to be read anew; reads it first if it was not read yet.
+async fn follow(front: &Front, position: &mut Position) -> Result<Reread, StoreError> {
+    let mut is_after_outage = position.lost_since.is_some();
+    let mut after = match position.after {
+        Some(it) => it,
+        None => read_all(front, is_after_outage).await?,
+    };
+    if position.after.is_none() {
+        position.after = Some(after);
+        position.regained(front);
     }
-    let mut after = after.unwrap_or_default();
-    let regained_at = front.now();
+    let mut regained_at = front.now();
     let mut paused = Duration::ZERO;
     let mut may_have_more = false;
     loop {
         let asked_at = front.now();
-        let wait = if may_have_more { Duration::ZERO } else { WATCH_WAIT.saturating_sub(paused) };
-        is_after_outage &= asked_at.since(regained_at) < RETURN_GRACE;
+        let wait = match may_have_more || position.lost_since.is_some() {
+            true => Duration::ZERO,
+            false => WATCH_WAIT.saturating_sub(paused),
+        };
         let call = StoreCall::watch("", after, wait);
         let slack = if may_have_more { CALL_TIMEOUT } else { WATCH_SLACK };
         let answer = front.store.call(call, wait + slack).await;
@@ -129,12 +161,18 @@
             StatusCode::GONE => return Ok(Reread::HistoryGone),
             status => return Err(StoreError::Refused { status }),
         }
+        if position.lost_since.is_some() {
+            position.regained(front);
+            regained_at = front.now();
+        }
+        is_after_outage &= asked_at.since(regained_at) < RETURN_GRACE;
         let answer = StoreChanges::decode(&body)?;
         let has_changes = !answer.changes.is_empty();
         for it in answer.changes {
             apply(front, it, is_after_outage);
         }
         after = after.max(answer.revision);
+        position.after = Some(after);
         paused = Duration::ZERO;
         may_have_more = answer.may_have_more;
         if may_have_more {
@@ -149,22 +187,38 @@
         confirm(front, asked_at);
         drop_missing(front);
         if has_changes {
-            let is_planner = front.is_planner();
-            let peers = front.beliefs.borrow().peers.len() as u32;
-            let pause = if is_planner {
-                PLANNER_GATHER_PAUSE
-            } else {
-                let longest = front.promises().apply_within.mul_f64(GATHER_PART);
-                let least = match front.has_traffic.get() {
-                    true => GATHER_PAUSE,
-                    false => START_GATHER_PAUSE,
-                };
-                (least + GATHER_PAUSE_PER_PEER * peers).min(longest)
-            };
-            tokio::time::sleep(pause).await;
-            paused = pause;
+            paused = gather_pause(front);
+            tokio::time::sleep(paused).await;
+        }
+    }
+}
+
+/// Reads all keys; returns the revision to follow changes from.
+async fn read_all(front: &Front, is_after_outage: bool) -> Result<Revision, StoreError> {
+    let asked_at = front.now();
+    let mut first = None;
+    for prefix in [OPERATORS_PREFIX, SERVERS_PREFIX, OWN_PREFIX] {
+        let items = read_range(front, prefix, &mut first).await?;
+        apply_range(front, prefix, items, is_after_outage);
+        if prefix == OPERATORS_PREFIX {
+            confirm(front, asked_at);
         }
     }
+    Ok(first.unwrap_or_default())
+}
+
+/// Returns the pause after changes, in which further ones gather.
+fn gather_pause(front: &Front) -> Duration {
+    if front.is_planner() {
+        return PLANNER_GATHER_PAUSE;
+    }
+    let peers = front.beliefs.borrow().peers.len() as u32;
+    let longest = front.promises().apply_within.mul_f64(GATHER_PART);
+    let least = match front.has_traffic.get() {
+        true => GATHER_PAUSE,
+        false => START_GATHER_PAUSE,
+    };
+    (least + GATHER_PAUSE_PER_PEER * peers).min(longest)
 }
 
 fn confirm(front: &Front, asked_at: Moment) {
@@ -236,7 +290,7 @@
         attempts += 1;
         if status == StatusCode::TOO_MANY_REQUESTS && attempts < PAGE_ATTEMPTS_MAX {
             // The pages read so far are kept: reading them anew would press on the store further.
-            tokio::time::sleep(Duration::from_millis(fastrand::u64(RETRY_PAUSES_MS))).await;
+            tokio::time::sleep(Duration::from_millis(fastrand::u64(PAGE_PAUSES_MS))).await;
             continue;
         }
         if status != StatusCode::OK {
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -32,6 +32,10 @@
     next_lease: u64,
     leases: BTreeMap<u64, Lease>,
     is_silent: bool,
+    /// Whether all calls are answered 503.
+    is_refusing: bool,
+    /// Calls by path, refused ones included.
+    calls: BTreeMap<String, usize>,
     /// Changes in the answers to all watches.
     changes_told: usize,
     /// Servers with the groups that they were ready in, by name and incarnation.
@@ -90,6 +94,16 @@
         lock(&self.state).memberships.contains(&(server.to_owned(), membership_of(group)))
     }
 
+    /// Lets the store refuse all calls, or serve them again.
+    pub(crate) fn set_refusing(&self, is_refusing: bool) {
+        lock(&self.state).is_refusing = is_refusing;
+    }
+
+    /// Returns how many calls of a path came.
+    pub(crate) fn calls(&self, path: &str) -> usize {
+        lock(&self.state).calls.get(path).copied().unwrap_or_default()
+    }
+
     /// Returns how many changes all watches together were told of.
     pub(crate) fn changes_told(&self) -> usize {
         lock(&self.state).changes_told
@@ -164,8 +178,17 @@
     while lock(state).is_silent {
         thread::sleep(Duration::from_millis(20));
     }
-    lock(state).expire();
     let path = request.target.split('?').next().unwrap_or_default();
+    let is_refused = {
+        let mut state = lock(state);
+        state.expire();
+        *state.calls.entry(path.to_owned()).or_default() += 1;
+        state.is_refusing
+    };
+    if is_refused {
+        answer(stream, 503, "", "{}");
+        return;
+    }
     match path {
         "/-/kv-range" => {
             let prefix = query(request, "path_prefix");
--- a/bins/mangocross-front/tests/front/whole_path.rs
+++ b/bins/mangocross-front/tests/front/whole_path.rs
@@ -155,6 +155,27 @@
     front.until(200, "/lookup/x", KEY);
 }
 
+/// A store that refuses is asked ever less often, and followed on from where it was left.
+#[test]
+fn refusing_store_is_asked_seldom() {
+    const RANGE: &str = "/-/kv-range";
+    let (store, _engines, _records) = platform();
+    let front = Front::spawn(&store, 2_000, Stdio::null());
+    front.until(200, "/lookup/x", KEY);
+    let ranges = store.calls(RANGE);
+    store.set_refusing(true);
+    front.until(503, "/lookup/x", KEY);
+    // Besides, the VM that plans renews its lease, which costs a tenth.
+    let calls = || [RANGE, "/-/kv-watch", "/-/kv-lease"].map(|it| store.calls(it)).iter().sum();
+    let (before, began): (usize, _) = (calls(), Instant::now());
+    std::thread::sleep(Duration::from_secs(4));
+    let (calls, span_s) = (calls() - before, began.elapsed().as_secs_f64());
+    assert!(calls as f64 <= 2.0 + 2.0 * span_s, "{calls} calls in {span_s} s");
+    store.set_refusing(false);
+    front.until(200, "/lookup/x", KEY);
+    assert_eq!(store.calls(RANGE), ranges, "nothing is read anew");
+}
+
 /// The change of the keys comes behind many answers that are cut: none of them proves that a key
 /// still holds.
 #[test]
