perf(front): a store that is new is read by its history

Cause: each of 91 entry VMs read all keys at the start in eight pages; calls are priced.

Change: at the first start of the whole system the changes since revision zero are asked for, one call for up to 500. A store that has dropped them says so, and everything is read as before. The stand-in's restarted processes are no longer told that the system is new.

Test: no range at the first start (red without), ranges after a restart.

--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -74,7 +74,7 @@
 pub(crate) fn spawn(front: &Rc<Front>) {
     let front = Rc::clone(front);
     tokio::task::spawn_local(async move {
-        let mut position = Position::default();
+        let mut position = Position { is_new: front.vm.is_first_start, ..Position::default() };
         loop {
             let error = match follow(&front, &mut position).await {
                 Ok(reason) => {
@@ -103,6 +103,8 @@
     lost_since: Option<Moment>,
     /// Attempts since it was lost.
     attempts: u32,
+    /// Whether the store started together with this process, and was not asked yet.
+    is_new: bool,
 }
 
 impl Position {
@@ -137,12 +139,16 @@
     let mut is_after_outage = position.lost_since.is_some();
     let mut after = match position.after {
         Some(it) => it,
-        None => read_all(front, is_after_outage).await?,
+        // The history of a store that is new holds everything.
+        None if position.is_new => Revision::default(),
+        None => {
+            let it = read_all(front, is_after_outage).await?;
+            position.regained(front);
+            it
+        }
     };
-    if position.after.is_none() {
-        position.after = Some(after);
-        position.regained(front);
-    }
+    position.is_new = false;
+    position.after = Some(after);
     let mut regained_at = front.now();
     let mut paused = Duration::ZERO;
     let mut may_have_more = false;
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -177,9 +177,12 @@
         let _ = self.child.wait();
     }
 
-    /// Starts the program again with its settings, once the last one has ended.
+    /// Starts the program again, once the last one has ended; no longer as a part of a new system.
     pub(crate) fn start_again(&mut self, stdout: Stdio) {
         let _ = self.child.wait();
+        let settings = std::fs::read_to_string(&self.settings).expect("settings");
+        let settings = settings.replace("\"first_start\":true", "\"first_start\":false");
+        std::fs::write(&self.settings, settings).expect("settings");
         self.child = start(&self.settings, stdout);
     }
 
--- a/bins/mangocross-front/tests/front/whole_path.rs
+++ b/bins/mangocross-front/tests/front/whole_path.rs
@@ -155,6 +155,20 @@
     front.until(200, "/lookup/x", KEY);
 }
 
+/// The history of a store that is new holds everything; later on all keys are read.
+#[test]
+fn new_store_is_read_by_its_history() {
+    const RANGE: &str = "/-/kv-range";
+    let (store, _engines, _records) = platform();
+    let mut front = Front::spawn(&store, 60_000, Stdio::null());
+    front.until(200, "/stream/x", KEY);
+    assert_eq!(store.calls(RANGE), 0);
+    front.kill();
+    front.start_again(Stdio::null());
+    front.until(200, "/stream/x", KEY);
+    assert!(store.calls(RANGE) > 0);
+}
+
 /// A store that refuses is asked ever less often, and followed on from where it was left.
 #[test]
 fn refusing_store_is_asked_seldom() {
