perf(front): changes gather for three fifths of the shorter bound

Cause: each answer to a watch with changes is a call of 91 entry VMs, half of all calls on the grown deployments. Configurations and servers that leave need to be known within 3 s there; the pause took 42 in 100 of the first bound and did not heed the second.

Change: 60 in 100 of the shorter one, which leaves 1.2 s to a slow store. The planner, which reads changes at once, passes on entries of plain servers too.

--- a/bins/mangocross-front/src/front.rs
+++ b/bins/mangocross-front/src/front.rs
@@ -280,10 +280,8 @@
 
     /// Passes a server's entry on to the other entry VMs.
     pub(crate) fn relay(&self, revision: Revision, server: BackendServer) {
-        if server.engine.domain.is_some() {
-            self.beliefs.borrow_mut().relayed.push((revision, server));
-            self.news.notify_one();
-        }
+        self.beliefs.borrow_mut().relayed.push((revision, server));
+        self.news.notify_one();
     }
 
     /// Has the planner ask the members of a head's group.
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -44,8 +44,9 @@
 const START_GATHER_PAUSE: Duration = Duration::from_millis(400);
 /// Added for each other entry VM; the planner passes changes of servers on meanwhile.
 const GATHER_PAUSE_PER_PEER: Duration = Duration::from_millis(15);
-/// Part of the time to the use of a configuration that the pause may take.
-const GATHER_PART: f64 = 0.42;
+/// Part that the pause may take of the time to the use of a configuration, and of the time in which
+/// a server that leaves must get nothing more; the rest is for a slow store.
+const GATHER_PART: f64 = 0.6;
 /// The same for the planner, which acts on the changes.
 const PLANNER_GATHER_PAUSE: Duration = Duration::from_millis(25);
 /// Longest pause after the first attempt at a store that is away; doubles with each further one.
@@ -219,7 +220,8 @@
         return PLANNER_GATHER_PAUSE;
     }
     let peers = front.beliefs.borrow().peers.len() as u32;
-    let longest = front.promises().apply_within.mul_f64(GATHER_PART);
+    let promises = front.promises();
+    let longest = promises.apply_within.min(promises.leave_within).mul_f64(GATHER_PART);
     let least = match front.has_traffic.get() {
         true => GATHER_PAUSE,
         false => START_GATHER_PAUSE,
@@ -406,8 +408,9 @@
             let known = front.beliefs.borrow().servers.get(&server.vm).cloned();
             // Only the planner needs the states of members that take no requests.
             let took_requests = known.is_some_and(|it| it.takes_requests());
+            let is_plain = server.engine.domain.is_none();
             let is_relayed = front.is_planner()
-                && (took_requests || server.takes_requests() || server.is_leaving);
+                && (is_plain || took_requests || server.takes_requests() || server.is_leaving);
             let relayed = is_relayed.then(|| server.clone());
             let is_newer = take_server(front, item.revision, server);
             if let Some(server) = relayed.filter(|_| is_newer) {
