feat(front): misspelled settings are named with line and suggestion

A bound under a wrong name had silently its default. The platform's own further keys are passed over. One copy of the nearest known word, in mangocross-types, in place of two; the tests' paths of the store's calls went into the stand-in, as the test of the border asks.

--- a/bins/mangocross-front/src/command_line.rs
+++ b/bins/mangocross-front/src/command_line.rs
@@ -9,6 +9,7 @@
 use mangocross_platform::EntryVm;
 use mangocross_platform::SETTINGS_FILE_DEFAULT;
 use mangocross_platform::SETTINGS_FILE_VARIABLE;
+use serde_json::json;
 use tokio::task::LocalSet;
 
 use crate::control;
@@ -19,6 +20,7 @@
 use crate::planning;
 use crate::ready;
 use crate::settings;
+use crate::settings::ReadSettings;
 use crate::stopping;
 use crate::story;
 use crate::story::Format;
@@ -65,12 +67,17 @@
         let named = std::env::var_os(SETTINGS_FILE_VARIABLE);
         named.map_or_else(|| PathBuf::from(SETTINGS_FILE_DEFAULT), PathBuf::from)
     });
-    let vm = settings::read(&file)?;
+    let ReadSettings { vm, warnings } = settings::read(&file)?;
     if arguments.check {
         let name = file.display().to_string();
         match arguments.json {
-            true => println!("{}", serde_json::json!({"file": name, "valid": true})),
-            false => println!("{name}: valid"),
+            true => {
+                println!("{}", json!({"file": name, "valid": true, "warnings": warnings}));
+            }
+            false => {
+                warnings.iter().for_each(|it| eprintln!("{it}"));
+                println!("{name}: valid");
+            }
         }
         return Ok(());
     }
@@ -80,6 +87,9 @@
         version = env!("CARGO_PKG_VERSION"), settings:? = vm;
         "started"
     );
+    for warning in warnings {
+        log::warn!(warning:% = warning; "settings look wrong");
+    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/bins/mangocross-front/src/settings.rs
+++ b/bins/mangocross-front/src/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use mangocross_platform::EntryVm;
+use mangocross_platform::misspelled_keys;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -14,12 +15,24 @@
 /// Time between looks at the settings file, which may change without a signal.
 const LOOK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Settings and what looks wrong with their file.
+pub(crate) struct ReadSettings {
+    pub(crate) vm: EntryVm,
+    pub(crate) warnings: Vec<String>,
+}
+
 /// Reads and checks a settings file.
-pub(crate) fn read(file: &Path) -> Result<EntryVm, String> {
+pub(crate) fn read(file: &Path) -> Result<ReadSettings, String> {
     let name = file.display();
     let text = std::fs::read_to_string(file)
         .map_err(|it| format!("[7101] {name} cannot be read: {it}"))?;
-    EntryVm::decode(&text).map_err(|it| format!("[7102] {name}: {it}"))
+    let warnings: Vec<String> =
+        misspelled_keys(&text).into_iter().map(|it| format!("{name}: {it}")).collect();
+    let vm = EntryVm::decode(&text).map_err(|it| {
+        let lines = [format!("[7102] {name}: {it}")].into_iter().chain(warnings.clone());
+        lines.collect::<Vec<String>>().join("\n")
+    })?;
+    Ok(ReadSettings { vm, warnings })
 }
 
 /// Takes changed settings on SIGHUP, and within seconds without it.
@@ -39,7 +52,7 @@
                 _ = hangup.recv() => true,
                 _ = look.tick() => false,
             };
-            match read(&file) {
+            match read(&file).map(|it| it.vm) {
                 Ok(vm) if vm.promises != front.promises() => {
                     log::info!(settings:? = vm, is_signal; "settings reloaded");
                     front.set_promises(vm.promises);
--- a/bins/mangocross-front/tests/command_line.rs
+++ b/bins/mangocross-front/tests/command_line.rs
@@ -63,6 +63,37 @@
     assert!(code == 1 && text.contains("[7101]"), "{text}");
 }
 
+const SETTINGS: &str = r#"{
+  "node": "entry-1", "ip": "10.0.0.1", "zone": "zone-a", "region": "region-a",
+  "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+  "internal_ports": [9100],
+  "bounds": {"revok_ms": 4000, "reuse_delay_s": 2, "grace_s": 8},
+  "platform": {"address": "10.0.0.9:80"}
+}"#;
+
+/// A bound under a wrong name would silently have its default.
+#[test]
+fn misspelled_settings_are_named_with_line_and_suggestion() {
+    let name = format!("front-misspelled-{}.json", std::process::id());
+    let file = std::env::temp_dir().join(name);
+    let path = file.display().to_string();
+    let warning = format!("{path}: line 5: `revok_ms` is not read; did you mean `revoke_ms`?");
+    std::fs::write(&file, SETTINGS).expect("a file");
+    let checked = run(&["--check", "--settings", &path], "");
+    assert_eq!(checked, (0, format!("{path}: valid\n{warning}\n")));
+    let (code, text) = run(&["--check", "--json", "--settings", &path], "");
+    let printed: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((code, &printed["warnings"]), (0, &serde_json::json!([warning])));
+    std::fs::write(&file, SETTINGS.replace("\"zone\"", "\"zoen\"")).expect("a file");
+    let (code, text) = run(&["--check", "--settings", &path], "");
+    std::fs::remove_file(&file).expect("the file is there");
+    assert!(
+        code == 1 && text.contains("[7102]") && text.contains("missing field `zone`"),
+        "{text}"
+    );
+    assert!(text.contains("line 2: `zoen` is not read; did you mean `zone`?"), "{text}");
+}
+
 #[test]
 fn story_and_check_are_printed_as_json() {
     let (code, text) = run(&["--story", "a1", "--json"], LOG);
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -34,7 +34,7 @@
     is_silent: bool,
     /// Whether all calls are answered 503.
     is_refusing: bool,
-    /// Calls by path, refused ones included.
+    /// Calls by kind, refused ones included.
     calls: BTreeMap<String, usize>,
     /// Changes in the answers to all watches.
     changes_told: usize,
@@ -99,9 +99,9 @@
         lock(&self.state).is_refusing = is_refusing;
     }
 
-    /// Returns how many calls of a path came.
-    pub(crate) fn calls(&self, path: &str) -> usize {
-        lock(&self.state).calls.get(path).copied().unwrap_or_default()
+    /// Returns how many calls of a kind came.
+    pub(crate) fn calls(&self, kind: &str) -> usize {
+        lock(&self.state).calls.get(kind).copied().unwrap_or_default()
     }
 
     /// Returns how many changes all watches together were told of.
@@ -182,7 +182,8 @@
     let is_refused = {
         let mut state = lock(state);
         state.expire();
-        *state.calls.entry(path.to_owned()).or_default() += 1;
+        let kind = path.strip_prefix("/-/kv-").unwrap_or(path);
+        *state.calls.entry(kind.to_owned()).or_default() += 1;
         state.is_refusing
     };
     if is_refused {
--- a/bins/mangocross-front/tests/front/whole_path.rs
+++ b/bins/mangocross-front/tests/front/whole_path.rs
@@ -158,7 +158,7 @@
 /// The history of a store that is new holds everything; later on all keys are read.
 #[test]
 fn new_store_is_read_by_its_history() {
-    const RANGE: &str = "/-/kv-range";
+    const RANGE: &str = "range";
     let (store, _engines, _records) = platform();
     let mut front = Front::spawn(&store, 60_000, Stdio::null());
     front.until(200, "/stream/x", KEY);
@@ -172,7 +172,7 @@
 /// A store that refuses is asked ever less often, and followed on from where it was left.
 #[test]
 fn refusing_store_is_asked_seldom() {
-    const RANGE: &str = "/-/kv-range";
+    const RANGE: &str = "range";
     let (store, _engines, _records) = platform();
     let front = Front::spawn(&store, 2_000, Stdio::null());
     front.until(200, "/lookup/x", KEY);
@@ -180,7 +180,7 @@
     store.set_refusing(true);
     front.until(503, "/lookup/x", KEY);
     // Besides, the VM that plans renews its lease, which costs a tenth.
-    let calls = || [RANGE, "/-/kv-watch", "/-/kv-lease"].map(|it| store.calls(it)).iter().sum();
+    let calls = || [RANGE, "watch", "lease"].map(|it| store.calls(it)).iter().sum();
     let (before, began): (usize, _) = (calls(), Instant::now());
     std::thread::sleep(Duration::from_secs(4));
     let (calls, span_s) = (calls() - before, began.elapsed().as_secs_f64());
--- a/crates/mangocross-operator/src/apply.rs
+++ b/crates/mangocross-operator/src/apply.rs
@@ -12,6 +12,7 @@
 use mangocross_types::ResultCode;
 use mangocross_types::ServiceId;
 use mangocross_types::ServiceSpec;
+use mangocross_types::hint;
 use snafu::Snafu;
 
 use crate::Change;
@@ -20,7 +21,6 @@
 use crate::command::CustomerChange;
 use crate::command::KindChange;
 use crate::command::PolicyChange;
-use crate::suggest::hint;
 
 /// A change that was refused.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
--- a/crates/mangocross-operator/src/lib.rs
+++ b/crates/mangocross-operator/src/lib.rs
@@ -6,7 +6,6 @@
 mod command;
 mod difference;
 mod parse;
-mod suggest;
 mod wire;
 mod words;
 
--- a/crates/mangocross-operator/src/words.rs
+++ b/crates/mangocross-operator/src/words.rs
@@ -2,8 +2,9 @@
 
 use std::str::FromStr;
 
+use mangocross_types::hint;
+
 use crate::ParseError;
-use crate::suggest::hint;
 
 /// The words of a line, taken one by one.
 pub(crate) struct Words<'a> {
--- a/crates/mangocross-settings/src/load.rs
+++ b/crates/mangocross-settings/src/load.rs
@@ -4,13 +4,11 @@
 use std::path::Path;
 
 use mangocross_types::VmId;
+use mangocross_types::nearest;
 use serde::de::DeserializeOwned;
 
 use crate::SettingsError;
 
-/// Edits between an unknown key and a known one that still make a suggestion.
-const SUGGESTION_DISTANCE_MAX: usize = 4;
-
 /// Settings that can check themselves.
 pub trait Settings: DeserializeOwned {
     /// Returns the entry VM that the settings are for.
@@ -55,7 +53,7 @@
     let mut line = error.position().map(|it| it.line + 1);
     if let Some((unknown, known)) = unknown_field(&message) {
         line = line_of_key(text, &unknown).or(line);
-        message = match nearest(&unknown, &known) {
+        message = match nearest(&unknown, known.iter().map(String::as_str)) {
             Some(near) => format!("unknown key `{unknown}`; did you mean `{near}`?"),
             None => format!("unknown key `{unknown}`; the keys are {}", known.join(", ")),
         };
@@ -80,9 +78,3 @@
     });
     found.map(|it| it + 1)
 }
-
-fn nearest(unknown: &str, known: &[String]) -> Option<String> {
-    let distance = |it: &&String| strsim::levenshtein(unknown, it);
-    let near = known.iter().min_by_key(distance)?;
-    (strsim::levenshtein(unknown, near) <= SUGGESTION_DISTANCE_MAX).then(|| near.clone())
-}
--- a/crates/mangocross-operator/src/suggest.rs
+++ b/crates/mangocross-types/src/nearest.rs
@@ -4,7 +4,15 @@
 const DISTANCE_MAX: usize = 3;
 
 /// Returns the known word that is nearest, if one is near.
-pub(crate) fn nearest<'a>(word: &str, known: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+///
+/// # Examples
+///
+/// ```
+/// let known = ["zone", "store"];
+/// assert_eq!(mangocross_types::nearest("zoen", known.into_iter()), Some("zone"));
+/// assert_eq!(mangocross_types::nearest("address", known.into_iter()), None);
+/// ```
+pub fn nearest<'a>(word: &str, known: impl Iterator<Item = &'a str>) -> Option<&'a str> {
     let distances = known.map(|it| (strsim::damerau_levenshtein(word, it), it));
     let (distance, near) = distances.min_by_key(|(distance, _)| *distance)?;
     let limit = DISTANCE_MAX.min(word.chars().count().saturating_sub(1));
@@ -12,6 +20,6 @@
 }
 
 /// Returns `; did you mean ...`, or nothing.
-pub(crate) fn hint<'a>(word: &str, known: impl Iterator<Item = &'a str>) -> String {
+pub fn hint<'a>(word: &str, known: impl Iterator<Item = &'a str>) -> String {
     nearest(word, known).map(|it| format!("; did you mean `{it}`")).unwrap_or_default()
 }
