--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -98,18 +98,14 @@
     // Attempts that may have run; a server that turns a stream away is none.
     let mut runs = 0;
     let mut connect_failures = 0;
-    // A caller whose attempt broke cannot be told that it has not run, so it is
-    // let in as a broken stream is.
-    let mut queue = LATE_QUEUE;
-    let mut patience = call.route.aim / WAIT_PART;
     let response = loop {
         let Some(heads) = find(&call, &tried) else {
             break ended(&call, runs > 0, NO_GROUP, RETURN_MIN);
         };
-        let vm = match choose(&call, &heads, queue) {
+        let vm = match choose(&call, &heads, LATE_QUEUE) {
             Admission::Send(vm) => vm,
             // Places come free, and prompts are read, within a few passes.
-            Admission::Refuse { .. } if call.record.age() < patience => {
+            Admission::Refuse { .. } if call.record.age() < call.route.aim / WAIT_PART => {
                 tokio::time::sleep(WAIT_PAUSE).await;
                 continue;
             }
@@ -150,8 +146,6 @@
             Err(NotBegun::MayHaveRun(reason, code)) => {
                 call.record.step("attempt failed", &vm, reason);
                 runs += 1;
-                queue = RESUME_QUEUE;
-                patience = call.record.age() + RESUME_PATIENCE;
                 if !may_repeat {
                     break call.record.refuse(&Refusal::unknown(code, reason), reason);
                 }
