--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -1,5 +1,6 @@
 //! Follows the store: configuration, backend servers and keys of this system.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -306,6 +307,7 @@
         }
         attempts = 0;
         if prefix != OPERATORS_PREFIX {
+            // Dozens of pages over a busy link take seconds.
             Box::pin(read_configuration(front, false)).await;
         }
         let page = StorePage::decode(&body)?;
@@ -320,11 +322,12 @@
 
 fn apply_range(front: &Front, prefix: &str, items: Vec<StoreItem>, is_after_outage: bool) {
     let now = front.now();
+    let keys: HashSet<&str> = items.iter().map(|it| it.key.as_str()).collect();
     if prefix == SERVERS_PREFIX {
         let mut beliefs = front.beliefs.borrow_mut();
-        let is_listed = |key: &str| items.iter().any(|it| it.key.strip_prefix(prefix) == Some(key));
+        let listed: HashSet<&str> = keys.iter().filter_map(|it| it.strip_prefix(prefix)).collect();
         let missing: Vec<_> =
-            beliefs.servers.keys().filter(|it| !is_listed(it.as_str())).cloned().collect();
+            beliefs.servers.keys().filter(|it| !listed.contains(it.as_str())).cloned().collect();
         for vm in missing {
             if is_after_outage {
                 beliefs.missing_since.entry(vm).or_insert(now);
@@ -335,7 +338,7 @@
     }
     if prefix == OWN_PREFIX {
         let mut beliefs = front.beliefs.borrow_mut();
-        beliefs.own_keys.retain(|key, _| items.iter().any(|it| it.key == key.as_ref()));
+        beliefs.own_keys.retain(|key, _| keys.contains(key.as_ref()));
     }
     for item in items {
         apply(front, StoreChange::Written(item), is_after_outage);
