fix(front): nothing is planned before the view of the store has caught up

A process could take the planner's key as soon as it knew a configuration. Behind a backlog it saw plans whose groups' members had not yet joined in its view, took their heads for out of the group, and formed new groups of VMs that served.

Ruled out: a plan written over a newer one (the write is conditional on its revision); two planners (the key is one of the conditions).

Change: the planner's key is asked for, and steps are taken, only while the last answer of the store was whole, or everything has just been read.

--- a/bins/mangocross-front/src/front.rs
+++ b/bins/mangocross-front/src/front.rs
@@ -109,6 +109,11 @@
     pub(crate) has_traffic: Cell<bool>,
     /// Whether the last attempt to follow the store failed.
     pub(crate) is_store_lost: Cell<bool>,
+    /// Whether the servers and plans known here are those of the store, but for the last changes.
+    ///
+    /// Until then nothing is planned: the plans may be newer than what is known of the servers, so
+    /// that a group that serves would be taken for one that has ended.
+    pub(crate) is_caught_up: Cell<bool>,
     /// When SIGTERM came.
     pub(crate) stopping_since: Cell<Option<Moment>>,
     pub(crate) requests_in_progress: Cell<usize>,
@@ -133,6 +138,7 @@
             planner_term: Cell::new(None),
             has_traffic: Cell::new(false),
             is_store_lost: Cell::new(false),
+            is_caught_up: Cell::new(false),
             stopping_since: Cell::new(None),
             requests_in_progress: Cell::new(0),
             vm,
--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -171,13 +171,16 @@
 /// Takes the planner's key if nobody holds it; returns the lease that goes with it.
 async fn run_for_planner(front: &Front) -> Result<Option<u64>, StoreError> {
     let is_vacant = || !front.beliefs.borrow().own_keys.contains_key(PLANNER_KEY);
-    if !is_vacant() || front.configuration().is_none() {
+    let may_plan = || {
+        front.is_caught_up.get() && !front.is_store_lost.get() && front.configuration().is_some()
+    };
+    if !is_vacant() || !may_plan() {
         return Ok(None);
     }
     let entry_vms = front.beliefs.borrow().peers.len().max(1) as u32;
     let spread = (ELECTION_SPREAD * entry_vms).mul_f64(fastrand::f64());
     tokio::time::sleep(handicap(front) + spread).await;
-    if !is_vacant() {
+    if !is_vacant() || !may_plan() {
         return Ok(None);
     }
     let asked_at = front.now();
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -68,7 +68,7 @@
                 planners.borrow_mut().clear();
                 log::info!(is_planner = term.is_some(); "planner's term changed");
             }
-            if let Some(revision) = term {
+            if let Some(revision) = term.filter(|_| front.is_caught_up.get()) {
                 plan(&front, &planners, revision);
             }
             // Planning leaves the larger part of the processor to requests.
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -144,8 +144,10 @@
         // The history of a store that is new holds everything.
         None if position.is_new => Revision::default(),
         None => {
+            front.is_caught_up.set(false);
             let it = read_all(front, is_after_outage).await?;
             position.regained(front);
+            front.is_caught_up.set(true);
             it
         }
     };
@@ -183,6 +185,7 @@
         position.after = Some(after);
         paused = Duration::ZERO;
         may_have_more = answer.may_have_more;
+        front.is_caught_up.set(!may_have_more);
         if may_have_more {
             if may_wait(front) {
                 settle(front, after).await?;
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -34,6 +34,8 @@
     is_silent: bool,
     /// Whether all calls are answered 503.
     is_refusing: bool,
+    /// Time that each answer to a watch takes.
+    watch_delay: Duration,
     /// Calls by kind, refused ones included.
     calls: BTreeMap<String, usize>,
     /// Changes in the answers to all watches.
@@ -84,6 +86,11 @@
         serde_json::from_slice(&lock(&self.state).items.get(key)?.0).ok()
     }
 
+    /// Returns whether a key exists.
+    pub(crate) fn holds(&self, key: &str) -> bool {
+        lock(&self.state).items.contains_key(key)
+    }
+
     /// Notes that a server was ready in a group.
     pub(crate) fn note_ready(&self, server: &str, group: &Value) {
         lock(&self.state).memberships.insert((server.to_owned(), membership_of(group)));
@@ -94,6 +101,11 @@
         lock(&self.state).memberships.contains(&(server.to_owned(), membership_of(group)))
     }
 
+    /// Lets each answer to a watch take a while.
+    pub(crate) fn set_watch_delay(&self, delay: Duration) {
+        lock(&self.state).watch_delay = delay;
+    }
+
     /// Lets the store refuse all calls, or serve them again.
     pub(crate) fn set_refusing(&self, is_refusing: bool) {
         lock(&self.state).is_refusing = is_refusing;
@@ -225,6 +237,8 @@
     let after: u64 = query(request, "after_rev").parse().unwrap_or_default();
     let wait_ms = query(request, "wait_ms").parse().unwrap_or_default();
     let end = Instant::now() + Duration::from_millis(wait_ms);
+    let delay = lock(state).watch_delay;
+    thread::sleep(delay);
     loop {
         let mut held = lock(state);
         held.expire();
--- a/bins/mangocross-front/tests/front/whole_path.rs
+++ b/bins/mangocross-front/tests/front/whole_path.rs
@@ -214,6 +214,23 @@
     }
 }
 
+/// Plans that are newer than what is known of the servers would name groups as ended that serve.
+#[test]
+fn nothing_is_planned_behind_a_backlog_of_changes() {
+    const CHANGES: usize = 20_000;
+    let (store, _engines, _records) = platform();
+    for _ in 0..CHANGES {
+        store.put("servers/odd", &serde_json::json!({"service": 7}));
+    }
+    store.set_watch_delay(Duration::from_millis(50));
+    let _front = Front::spawn(&store, 60_000, Stdio::null());
+    let began = Instant::now();
+    while !store.holds("mangocross/planner") {
+        assert!(began.elapsed() < Duration::from_secs(30), "somebody plans in the end");
+    }
+    assert!(store.changes_told() >= CHANGES, "{} changes known", store.changes_told());
+}
+
 /// Before the first request one entry VM follows a burst of changes; the others read what it left.
 #[test]
 fn burst_before_the_first_request_is_followed_once() {
