fix(front): a server told of during a long read of all entries is kept

Cause: a read of all entries takes seconds with thousands of servers. What the planner told of meanwhile was dropped when the older list was taken, and its change, followed later, was ignored as known. The server stayed unknown until its entry changed again; an entry VM that became the planner took its group for one whose head is gone.

Change: a list drops only what is known as of its own revision or an older one, and notes the removal at that revision.

Test: an entry told of while the list is on its way, red before (never known in 20 s).

--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -20,7 +20,9 @@
 use mangocross_serving::BackendServer;
 use mangocross_serving::Moment;
 use mangocross_types::Revision;
+use mangocross_types::VmId;
 
+use crate::front::Beliefs;
 use crate::front::Front;
 use crate::front::OwnKey;
 use crate::leases::ENTRY_VMS_PREFIX;
@@ -210,7 +212,7 @@
     let mut first = None;
     for prefix in [OPERATORS_PREFIX, SERVERS_PREFIX, OWN_PREFIX] {
         let items = read_range(front, prefix, &mut first).await?;
-        apply_range(front, prefix, items, is_after_outage);
+        apply_range(front, prefix, items, first.unwrap_or_default(), is_after_outage);
         if prefix == OPERATORS_PREFIX {
             confirm(front, asked_at);
         }
@@ -253,7 +255,7 @@
         let asked_at = front.now();
         let mut revision = None;
         let items = read_range(front, OPERATORS_PREFIX, &mut revision).await?;
-        apply_range(front, OPERATORS_PREFIX, items, false);
+        apply_range(front, OPERATORS_PREFIX, items, revision.unwrap_or_default(), false);
         confirm(front, asked_at);
         let revision = revision.unwrap_or(seen);
         if revision.0.saturating_sub(seen.0) < SETTLED_CHANGES_MAX {
@@ -278,9 +280,11 @@
     if age.is_some_and(|it| it < BACKLOG_PROOF_AGE) {
         return;
     }
-    match read_range(front, OPERATORS_PREFIX, &mut None).await {
+    let mut revision = None;
+    match read_range(front, OPERATORS_PREFIX, &mut revision).await {
         Ok(items) => {
-            apply_range(front, OPERATORS_PREFIX, items, is_after_outage);
+            let as_of = revision.unwrap_or_default();
+            apply_range(front, OPERATORS_PREFIX, items, as_of, is_after_outage);
             confirm(front, asked_at);
         }
         Err(error) => log::warn!(error:% = error; "configuration not read beside a backlog"),
@@ -323,19 +327,32 @@
     }
 }
 
-fn apply_range(front: &Front, prefix: &str, items: Vec<StoreItem>, is_after_outage: bool) {
+/// Takes the keys of a range, and drops those that were not in it.
+///
+/// `as_of` is the revision from which changes are followed afterwards. What is known
+/// of a later one, from the planner, is newer than the range.
+fn apply_range(
+    front: &Front,
+    prefix: &str,
+    items: Vec<StoreItem>,
+    as_of: Revision,
+    is_after_outage: bool,
+) {
     let now = front.now();
     let keys: HashSet<&str> = items.iter().map(|it| it.key.as_str()).collect();
     if prefix == SERVERS_PREFIX {
         let mut beliefs = front.beliefs.borrow_mut();
         let listed: HashSet<&str> = keys.iter().filter_map(|it| it.strip_prefix(prefix)).collect();
-        let missing: Vec<_> =
-            beliefs.servers.keys().filter(|it| !listed.contains(it.as_str())).cloned().collect();
+        let Beliefs { servers, server_revisions, missing_since, .. } = &mut *beliefs;
+        let is_older = |vm: &VmId| server_revisions.get(vm).is_none_or(|it| *it <= as_of);
+        let is_missing = |vm: &&VmId| !listed.contains(vm.as_str()) && is_older(vm);
+        let missing: Vec<VmId> = servers.keys().filter(is_missing).cloned().collect();
         for vm in missing {
+            server_revisions.insert(vm.clone(), as_of);
             if is_after_outage {
-                beliefs.missing_since.entry(vm).or_insert(now);
+                missing_since.entry(vm).or_insert(now);
             } else {
-                beliefs.servers.remove(&vm);
+                servers.remove(&vm);
             }
         }
     }
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -36,6 +36,8 @@
     is_refusing: bool,
     /// Time that each answer to a watch takes.
     watch_delay: Duration,
+    /// Time after which each range, as it was when it was asked for, is answered.
+    range_delay: Duration,
     /// Calls by kind, refused ones included.
     calls: BTreeMap<String, usize>,
     /// Changes in the answers to all watches.
@@ -106,6 +108,11 @@
         lock(&self.state).watch_delay = delay;
     }
 
+    /// Lets each range be answered late, with what it held before.
+    pub(crate) fn set_range_delay(&self, delay: Duration) {
+        lock(&self.state).range_delay = delay;
+    }
+
     /// Lets the store refuse all calls, or serve them again.
     pub(crate) fn set_refusing(&self, is_refusing: bool) {
         lock(&self.state).is_refusing = is_refusing;
@@ -210,6 +217,9 @@
             let entries: Vec<Value> = items.map(|(key, it)| item(key, &it.0, it.1)).collect();
             let body =
                 json!({"entries": entries, "has_more": false, "store_revision": state.revision});
+            let delay = state.range_delay;
+            drop(state);
+            thread::sleep(delay);
             answer(stream, 200, "", &body.to_string());
         }
         "/-/kv-watch" => watch(state, request, stream),
--- a/bins/mangocross-front/tests/front/whole_path.rs
+++ b/bins/mangocross-front/tests/front/whole_path.rs
@@ -231,6 +231,30 @@
     assert!(store.changes_told() >= CHANGES, "{} changes known", store.changes_told());
 }
 
+/// The planner tells of a server while an older list of all servers is still on its way.
+#[test]
+fn server_told_of_during_a_long_read_is_kept() {
+    let (store, _engines, _records) = platform();
+    let _planner = Front::spawn(&store, 60_000, Stdio::null());
+    while !store.holds("mangocross/planner") {}
+    let mut front = Front::spawn(&store, 60_000, Stdio::null());
+    front.until(200, "/lookup/x", KEY);
+    front.kill();
+    let ranges = store.calls("range");
+    store.set_range_delay(Duration::from_millis(800));
+    front.start_again(Stdio::null());
+    // The operators' keys come first, then the servers.
+    while store.calls("range") < ranges + 2 {}
+    std::thread::sleep(Duration::from_millis(100));
+    let _late = Server::spawn(&store, "r3", "records");
+    while store.calls("range") < ranges + 3 {}
+    store.set_range_delay(Duration::ZERO);
+    let began = Instant::now();
+    while !front.metrics().lines().any(|it| it == "front_backend_servers 7") {
+        assert!(began.elapsed() < Duration::from_secs(20), "the server is not known");
+    }
+}
+
 /// Before the first request one entry VM follows a burst of changes; the others read what it left.
 #[test]
 fn burst_before_the_first_request_is_followed_once() {
