fix(serving): members that are listed are not taken for gone because one VM cannot reach them

Where no member of a dissolved group answered, it was taken for stalled at once, and its VMs were free 6.5 s later.

Change: a group whose members are listed and not proved dead is left alone until they answer or are unlisted.

Test: a group that only the planner cannot reach, red before.

--- a/crates/mangocross-serving/src/planner/release.rs
+++ b/crates/mangocross-serving/src/planner/release.rs
@@ -94,10 +94,16 @@
                         it.group == group.group && it.incarnation == head.incarnation
                     })
             };
-        let members = self.known.values().filter(of_incarnation);
-        let reachable: Vec<VmId> =
-            members.filter(|it| !it.contact.is_lost()).map(|it| it.server.vm.clone()).collect();
-        if reachable.is_empty() {
+        let members: Vec<&Known> = self.known.values().filter(of_incarnation).collect();
+        let reachable: Vec<VmId> = members
+            .iter()
+            .filter(|it| !it.contact.is_lost())
+            .map(|it| it.server.vm.clone())
+            .collect();
+        // A listed server that does not answer this VM may still answer its head.
+        let may_go_on =
+            members.iter().any(|it| it.unlisted_at.is_none() && !it.contact.has_no_process());
+        if !may_go_on {
             // All others have left it, joined again or are gone: it is stalled already.
             let notes = self.notes.entry(key).or_default();
             notes.member_left_at = notes.member_left_at.or(Some(now));
--- a/crates/mangocross-serving/tests/groups.rs
+++ b/crates/mangocross-serving/tests/groups.rs
@@ -520,3 +520,18 @@
     assert!(world.probes <= 12 * 450, "{} questions in 12 s", world.probes);
     assert!(world.probes >= world.engines.len(), "each server is asked");
 }
+
+/// Answers that miss this VM alone prove nothing of a group: its members are listed, and serve.
+#[test]
+fn group_that_only_the_planner_cannot_reach_is_not_taken_apart() {
+    let mut world = World::new(4, 11);
+    world.run(ms(8_000));
+    world.planner.set_loads_unlimited(false);
+    world.has_traffic = true;
+    let head = world.serving("large").remove(0);
+    let members = world.engines[&head].members.clone();
+    members.iter().for_each(|it| lose(&mut world, it, Reach::Silent));
+    world.run(ms(9_000));
+    let is_planned = |vm: &VmId| world.plans.values().any(|(plan, _)| plan.holds(vm));
+    assert!(members.iter().all(is_planned), "members are free while their head is open");
+}
