refactor(front): beliefs take changes in a file of their own; configuration beside a backlog proved

watching.rs follows the store; store_changes.rs, moved from it unchanged, takes what it says into the beliefs.

--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -13,7 +13,7 @@
 use crate::front::Front;
 use crate::store::CALL_TIMEOUT;
 use crate::store::StoreError;
-use crate::watching;
+use crate::store_changes;
 
 /// Prefix of the entry VMs' addresses.
 pub(crate) const ENTRY_VMS_PREFIX: &str = "mangocross/entry/";
@@ -193,7 +193,7 @@
         WriteOutcome::Written(revision) => revision,
         // The changes that name the planner may come much later.
         WriteOutcome::Conflict(items) => {
-            watching::take_keys(front, items);
+            store_changes::take_keys(front, items);
             return Ok(None);
         }
         WriteOutcome::NoLease | WriteOutcome::Unavailable => return Ok(None),
--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -19,6 +19,7 @@
 mod settings;
 mod stopping;
 mod store;
+mod store_changes;
 mod story;
 mod stream;
 mod stream_body;
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -20,7 +20,7 @@
 
 use crate::front::Front;
 use crate::leases::PLANNER_KEY;
-use crate::watching;
+use crate::store_changes;
 
 /// Time between two messages in small fleets.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -85,7 +85,7 @@
             }
             Ok(Message::Entries(entries)) => {
                 for (revision, server) in entries {
-                    watching::take_server(&front, revision, server);
+                    store_changes::take_server(&front, revision, server);
                 }
             }
             Err(error) => {
--- a/bins/mangocross-front/tests/front/whole_path.rs
+++ b/bins/mangocross-front/tests/front/whole_path.rs
@@ -214,6 +214,24 @@
     }
 }
 
+/// A backlog of other changes does not hold the configuration up.
+#[test]
+fn configuration_is_read_beside_a_backlog_of_changes() {
+    const CHANGES: usize = 50_000;
+    let (store, _engines, _records) = platform();
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.until(200, "/lookup/x", KEY);
+    let told = store.changes_told();
+    store.set_watch_delay(Duration::from_millis(50));
+    for _ in 0..CHANGES {
+        store.put("servers/odd", &serde_json::json!({"service": 7}));
+    }
+    store.configure(4, &["other"]);
+    front.until(401, "/lookup/x", KEY);
+    let told = store.changes_told() - told;
+    assert!(told < CHANGES, "all {told} changes were read first");
+}
+
 /// Plans that are newer than what is known of the servers would name groups as ended that serve.
 #[test]
 fn nothing_is_planned_behind_a_backlog_of_changes() {
