fix(front): count the return of entries from the end of a store outage

An entry VM that regained the store took removals read within the next two seconds for entries that had expired in the outage, and used the server for two more seconds, counted from its own read; entries were dropped only with the next answer to a watch, so that the batch delay (1.3 s with 79 entry VMs) came on top. A server that really left in that time got requests beyond drain_ms.

Ruled out: telling removals apart by the revision at the return; leases that go on while the store is away can end just after it, so the revision says nothing of the server. Now one period starts with the first answer after the outage, is never longer than drain_ms less the time of delivery, and its end is checked when a server is chosen.

The tests of the pure part fail with the period counted from the removal.

--- a/bins/mangocross-front/src/control.rs
+++ b/bins/mangocross-front/src/control.rs
@@ -1,4 +1,5 @@
-//! Periodic checks: marks heads of stalled groups, removes expired entries and updates the gauges.
+//! Periodic checks: marks heads of stalled groups, removes missing servers and
+//! expired entries, and updates the gauges.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +27,7 @@
             ticker.tick().await;
             checks += 1;
             mark_stalled_heads(&state);
+            remove_gone_servers(&state);
             if checks % CHECKS_PER_EXPIRY == 0 {
                 state.view.borrow_mut().expire(state.now());
                 state.pool.expire();
@@ -47,3 +49,13 @@
         state.report_suspect(&head);
     }
 }
+
+fn remove_gone_servers(state: &AppState) {
+    let gone = state.view.borrow_mut().remove_gone_servers(state.now());
+    for vm in &gone {
+        log::info!(server:% = vm; "backend server removed after store outage");
+    }
+    if !gone.is_empty() {
+        state.planner_inputs_changed.notify_one();
+    }
+}
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -132,7 +132,7 @@
         .values()
         .filter(|it| it.service == call.service && !it.is_leaving && !tried.contains(&it.vm));
     let loads: Vec<ServerLoad> = servers
-        .filter(|it| !view.is_avoided(&it.vm, now))
+        .filter(|it| view.is_usable(&it.vm, now))
         .map(|it| ServerLoad {
             vm: it.vm.clone(),
             in_flight: view.loads.load(&it.vm, now).in_flight,
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -19,6 +19,7 @@
 use mangocross_serving::LoadTable;
 use mangocross_serving::LongestDeadlines;
 use mangocross_serving::MemberPhase;
+use mangocross_serving::MissingServers;
 use mangocross_serving::Moment;
 use mangocross_serving::ProgressTable;
 use mangocross_serving::RetryBudget;
@@ -69,7 +70,7 @@
     /// Revision of each server's entry or of its removal.
     pub(crate) server_revisions: HashMap<VmId, Revision>,
     /// Servers whose entries were missing after a store outage.
-    pub(crate) missing_since: HashMap<VmId, Moment>,
+    pub(crate) missing: MissingServers,
     /// Values that entry VMs write under mangocross/: plans, the planner's key, addresses.
     pub(crate) entry_vm_keys: BTreeMap<Arc<str>, StoredValue>,
     /// Peer addresses of all listed entry VMs, including this one.
@@ -191,6 +192,18 @@
         since.is_some_and(|it| it > STREAM_ACCEPT_WINDOW)
     }
 
+    /// Records that the store cannot be reached.
+    pub(crate) fn record_store_lost(&self) {
+        self.is_store_lost.set(true);
+        self.view.borrow_mut().missing.record_store_lost();
+    }
+
+    /// Records an answer of the store.
+    pub(crate) fn record_store_answer(&self) {
+        let leave_within = self.bounds().leave_within;
+        self.view.borrow_mut().missing.record_store_answer(self.now(), leave_within);
+    }
+
     /// Returns why this VM is not ready for new callers, or `None` if it is.
     pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
         if self.is_stopping() {
@@ -261,7 +274,7 @@
                 && model.is_none_or(|model| it.serves(model))
                 && !excluded.contains(&it.vm)
                 && !view.is_suspect(&it.vm, now)
-                && !view.is_avoided(&it.vm, now)
+                && view.is_usable(&it.vm, now)
         };
         let open = view.servers.values().filter(is_open);
         let load = |it: &BackendServer| {
@@ -365,8 +378,9 @@
         self.suspects.get(vm).is_some_and(|it| now.since(*it) < SUSPECT_PAUSE)
     }
 
-    pub(crate) fn is_avoided(&self, vm: &VmId, now: Moment) -> bool {
-        self.avoided.get(vm).is_some_and(|it| now < *it)
+    /// Returns whether requests may be sent to a listed server now.
+    pub(crate) fn is_usable(&self, vm: &VmId, now: Moment) -> bool {
+        self.avoided.get(vm).is_none_or(|it| now >= *it) && !self.missing.is_gone(vm, now)
     }
 
     /// Returns the suspects that this VM detected and is to report to the other entry VMs.
@@ -383,6 +397,15 @@
         recent.map(|(vm, _)| vm.clone()).collect()
     }
 
+    /// Removes servers that have not reappeared in time after a store outage.
+    pub(crate) fn remove_gone_servers(&mut self, now: Moment) -> Vec<VmId> {
+        let gone = self.missing.take_gone(now);
+        for vm in &gone {
+            self.servers.remove(vm);
+        }
+        gone
+    }
+
     /// Removes entries that have expired.
     pub(crate) fn expire(&mut self, now: Moment) {
         self.loads.expire(now);
--- a/bins/mangocross-front/src/store_changes.rs
+++ b/bins/mangocross-front/src/store_changes.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::time::Duration;
 
 use log::kv::Value;
 use mangocross_platform::CONFIGURATION_KEY;
@@ -13,7 +12,7 @@
 use mangocross_platform::decode_server;
 use mangocross_platform::server_id;
 use mangocross_serving::BackendServer;
-use mangocross_serving::Moment;
+use mangocross_serving::Removal;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
 
@@ -24,34 +23,23 @@
 use crate::state::StoredValue;
 use crate::watching::ENTRY_VM_KEYS_PREFIX;
 
-/// Time in which servers that were missing after a store outage may reappear.
-pub(crate) const MISSING_SERVER_GRACE: Duration = Duration::from_millis(2000);
-
 /// Applies all keys of a range, and removes known keys that are not in it.
 ///
 /// `as_of` is the revision from which changes are followed afterwards. Entries that
 /// the planner sent with a later revision are newer than the range and stay.
-pub(crate) fn apply_range(
-    state: &AppState,
-    prefix: &str,
-    items: Vec<StoreItem>,
-    as_of: Revision,
-    is_after_outage: bool,
-) {
+pub(crate) fn apply_range(state: &AppState, prefix: &str, items: Vec<StoreItem>, as_of: Revision) {
     let now = state.now();
     let keys: HashSet<&str> = items.iter().map(|it| it.key.as_str()).collect();
     if prefix == SERVERS_PREFIX {
         let mut view = state.view.borrow_mut();
         let listed: HashSet<&str> = keys.iter().filter_map(|it| it.strip_prefix(prefix)).collect();
-        let ClusterView { servers, server_revisions, missing_since, .. } = &mut *view;
+        let ClusterView { servers, server_revisions, missing, .. } = &mut *view;
         let is_older = |vm: &VmId| server_revisions.get(vm).is_none_or(|it| *it <= as_of);
         let is_missing = |vm: &&VmId| !listed.contains(vm.as_str()) && is_older(vm);
-        let missing: Vec<VmId> = servers.keys().filter(is_missing).cloned().collect();
-        for vm in missing {
+        let unlisted: Vec<VmId> = servers.keys().filter(is_missing).cloned().collect();
+        for vm in unlisted {
             server_revisions.insert(vm.clone(), as_of);
-            if is_after_outage {
-                missing_since.entry(vm).or_insert(now);
-            } else {
+            if missing.record_removal(&vm, now) == Removal::Gone {
                 servers.remove(&vm);
             }
         }
@@ -61,7 +49,7 @@
         view.entry_vm_keys.retain(|key, _| keys.contains(key.as_ref()));
     }
     for item in items {
-        apply(state, StoreChange::Written(item), is_after_outage);
+        apply(state, StoreChange::Written(item));
     }
     state.planner_inputs_changed.notify_one();
 }
@@ -70,12 +58,12 @@
 pub(crate) fn apply_keys(state: &AppState, items: Vec<StoreItem>) {
     // Revision zero stands for a key that does not exist.
     for item in items.into_iter().filter(|it| it.revision > Revision(0)) {
-        apply(state, StoreChange::Written(item), false);
+        apply(state, StoreChange::Written(item));
     }
 }
 
 /// Applies one change to the view.
-pub(crate) fn apply(state: &AppState, change: StoreChange, is_after_outage: bool) {
+pub(crate) fn apply(state: &AppState, change: StoreChange) {
     match change {
         StoreChange::Written(item) if item.key == CONFIGURATION_KEY => apply_config(state, &item),
         StoreChange::Written(item) if item.key.starts_with(SERVERS_PREFIX) => upsert(state, &item),
@@ -97,7 +85,7 @@
             }
         }
         StoreChange::Written(_) => {}
-        StoreChange::Removed { key, revision } => remove(state, &key, revision, is_after_outage),
+        StoreChange::Removed { key, revision } => remove(state, &key, revision),
     }
     state.planner_inputs_changed.notify_one();
 }
@@ -176,12 +164,12 @@
             "backend server seen"
         );
     }
-    view.missing_since.remove(&server.vm);
+    view.missing.record_entry(&server.vm);
     view.servers.insert(server.vm.clone(), server);
     true
 }
 
-fn remove(state: &AppState, key: &str, revision: Revision, is_after_outage: bool) {
+fn remove(state: &AppState, key: &str, revision: Revision) {
     let now = state.now();
     let mut view = state.view.borrow_mut();
     if key.starts_with(SERVERS_PREFIX) {
@@ -191,10 +179,11 @@
             return;
         }
         *known = revision;
+        let is_known = view.servers.contains_key(&vm);
+        let is_after_outage =
+            is_known && matches!(view.missing.record_removal(&vm, now), Removal::MayReappear(_));
         log::info!(server:% = vm, revision = revision.0, is_after_outage; "backend server unlisted");
-        if is_after_outage {
-            view.missing_since.entry(vm).or_insert(now);
-        } else {
+        if !is_after_outage {
             view.servers.remove(&vm);
         }
         return;
@@ -210,17 +199,3 @@
         }
     }
 }
-
-/// Removes servers that have not reappeared in time.
-pub(crate) fn remove_missing(state: &AppState) {
-    let now = state.now();
-    let mut view = state.view.borrow_mut();
-    let is_over = |it: &Moment| now.since(*it) >= MISSING_SERVER_GRACE;
-    let gone: Vec<_> =
-        view.missing_since.iter().filter(|(_, it)| is_over(it)).map(|(vm, _)| vm.clone()).collect();
-    for vm in gone {
-        log::info!(server:% = vm; "backend server removed after store outage");
-        view.missing_since.remove(&vm);
-        view.servers.remove(&vm);
-    }
-}
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -16,10 +16,8 @@
 use crate::state::AppState;
 use crate::store::CALL_TIMEOUT;
 use crate::store::StoreError;
-use crate::store_changes::MISSING_SERVER_GRACE;
 use crate::store_changes::apply;
 use crate::store_changes::apply_range;
-use crate::store_changes::remove_missing;
 
 /// Prefix of the store keys that entry VMs write: plans, the planner's key, their addresses.
 pub(crate) const ENTRY_VM_KEYS_PREFIX: &str = "mangocross/";
@@ -85,7 +83,7 @@
             };
             if position.lost_since.is_none() {
                 position.lost_since = Some(state.now());
-                state.is_store_lost.set(true);
+                state.record_store_lost();
                 log::warn!(error:% = error; "store lost");
             }
             tokio::time::sleep(position.next_retry_delay()).await;
@@ -139,14 +137,13 @@
     state: &AppState,
     position: &mut WatchPosition,
 ) -> Result<RereadReason, StoreError> {
-    let mut is_after_outage = position.lost_since.is_some();
     let mut after = match position.after {
         Some(it) => it,
         // The history of a new store contains everything.
         None if position.is_new => Revision::default(),
         None => {
             state.is_caught_up.set(false);
-            let it = read_all(state, is_after_outage).await?;
+            let it = read_all(state).await?;
             position.mark_regained(state);
             state.is_caught_up.set(true);
             it
@@ -154,7 +151,6 @@
     };
     position.is_new = false;
     position.after = Some(after);
-    let mut regained_at = state.now();
     let mut delay = Duration::ZERO;
     let mut may_have_more = false;
     loop {
@@ -172,15 +168,12 @@
             StatusCode::GONE => return Ok(RereadReason::HistoryGone),
             status => return Err(StoreError::Refused { status }),
         }
-        if position.lost_since.is_some() {
-            position.mark_regained(state);
-            regained_at = state.now();
-        }
-        is_after_outage &= asked_at.since(regained_at) < MISSING_SERVER_GRACE;
+        state.record_store_answer();
+        position.mark_regained(state);
         let answer = StoreChanges::decode(&body)?;
         let has_changes = !answer.changes.is_empty();
         for it in answer.changes {
-            apply(state, it, is_after_outage);
+            apply(state, it);
         }
         after = after.max(answer.revision);
         position.after = Some(after);
@@ -193,11 +186,10 @@
                 return Ok(RereadReason::Settled);
             }
             // The configuration may be among the changes that have not been read yet.
-            read_configuration(state, is_after_outage).await;
+            read_configuration(state).await;
             continue;
         }
         confirm_freshness(state, asked_at);
-        remove_missing(state);
         if has_changes {
             delay = batch_delay(state);
             tokio::time::sleep(delay).await;
@@ -206,12 +198,12 @@
 }
 
 /// Reads all keys; returns the revision from which to follow changes.
-async fn read_all(state: &AppState, is_after_outage: bool) -> Result<Revision, StoreError> {
+async fn read_all(state: &AppState) -> Result<Revision, StoreError> {
     let asked_at = state.now();
     let mut first = None;
     for prefix in [OPERATORS_PREFIX, SERVERS_PREFIX, ENTRY_VM_KEYS_PREFIX] {
         let items = read_range(state, prefix, &mut first).await?;
-        apply_range(state, prefix, items, first.unwrap_or_default(), is_after_outage);
+        apply_range(state, prefix, items, first.unwrap_or_default());
         if prefix == OPERATORS_PREFIX {
             confirm_freshness(state, asked_at);
         }
@@ -255,7 +247,7 @@
         let asked_at = state.now();
         let mut revision = None;
         let items = read_range(state, OPERATORS_PREFIX, &mut revision).await?;
-        apply_range(state, OPERATORS_PREFIX, items, revision.unwrap_or_default(), false);
+        apply_range(state, OPERATORS_PREFIX, items, revision.unwrap_or_default());
         confirm_freshness(state, asked_at);
         let revision = revision.unwrap_or(seen);
         if revision.0.saturating_sub(seen.0) < SETTLED_CHANGES_MAX {
@@ -268,13 +260,13 @@
     let end = state.now() + spread;
     while state.now() < end {
         tokio::time::sleep(BACKLOG_READ_AGE.min(end.since(state.now()))).await;
-        read_configuration(state, false).await;
+        read_configuration(state).await;
     }
     Ok(())
 }
 
 /// Reads the configuration separately, so that a backlog of other changes does not delay it.
-async fn read_configuration(state: &AppState, is_after_outage: bool) {
+async fn read_configuration(state: &AppState) {
     let asked_at = state.now();
     let age = state.view.borrow().freshness.age(asked_at);
     if age.is_some_and(|it| it < BACKLOG_READ_AGE) {
@@ -284,7 +276,7 @@
     match read_range(state, OPERATORS_PREFIX, &mut revision).await {
         Ok(items) => {
             let as_of = revision.unwrap_or_default();
-            apply_range(state, OPERATORS_PREFIX, items, as_of, is_after_outage);
+            apply_range(state, OPERATORS_PREFIX, items, as_of);
             confirm_freshness(state, asked_at);
         }
         Err(error) => log::warn!(error:% = error; "configuration read failed during backlog"),
@@ -312,10 +304,11 @@
         if status != StatusCode::OK {
             return Err(StoreError::Refused { status });
         }
+        state.record_store_answer();
         attempts = 0;
         if prefix != OPERATORS_PREFIX {
             // Reading dozens of pages over a busy link takes seconds.
-            Box::pin(read_configuration(state, false)).await;
+            Box::pin(read_configuration(state)).await;
         }
         let page = StorePage::decode(&body)?;
         first.get_or_insert(page.revision);
