feat(front): relays follow the store for the other entry VMs

Cause: each entry VM watched the store every 1.5 s, renewed its address every 2 s and read everything again after troubles.

Change: beyond 16 entry VMs one in 24 (at least three, spread over the zones, the ones with most capacity first) follows the store. The plan is computed from the list of entry VMs, so nothing has to be agreed. The others ask a relay of their zone for the last change of each key since a revision, over TCP on the port between entry VMs. A relay's confirmation of the configuration is passed on with its age and counts from the asker's own moment of asking, so a late or repeated answer proves nothing more. A VM whose relays fail asks the next ones and then the store; if relays have lost the store, about twelve VMs ask it at a time. Only VMs that follow the store themselves plan. Addresses have a lease of 12 s renewed every 4 s, and a VM that the store refuses asks for leases with a growing delay.

--- a/bins/mangocross-front/src/command_line.rs
+++ b/bins/mangocross-front/src/command_line.rs
@@ -18,6 +18,7 @@
 use crate::peers;
 use crate::planning;
 use crate::ready;
+use crate::relay_server;
 use crate::settings;
 use crate::settings::LoadedSettings;
 use crate::state::AppState;
@@ -113,6 +114,7 @@
     let callers = ingress::bind(Rc::clone(&state)).await?;
     ready::bind(&state).await?;
     peers::bind(&state).await?;
+    relay_server::bind(&state).await?;
     watching::spawn(&state);
     leases::spawn(&state);
     planning::spawn(&state);
--- a/bins/mangocross-front/src/control.rs
+++ b/bins/mangocross-front/src/control.rs
@@ -31,6 +31,7 @@
             if checks % CHECKS_PER_EXPIRY == 0 {
                 state.view.borrow_mut().expire(state.now());
                 state.pool.expire();
+                state.relay.keys.borrow_mut().expire(state.now());
             }
             if checks % CHECKS_PER_GAUGE_UPDATE == 0 {
                 state.metrics.record_gauges(&state);
--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -20,22 +20,21 @@
 /// Key that names the entry VM that plans.
 pub(crate) const PLANNER_KEY: &str = "mangocross/planner";
 /// TTL of an entry VM's address; it stays listed that long after a crash.
-const ADDRESS_LEASE_TTL: Duration = Duration::from_millis(7000);
-/// Time between renewals of the address lease.
-const ADDRESS_RENEW_INTERVAL: Duration = Duration::from_millis(2000);
+const ADDRESS_LEASE_TTL: Duration = Duration::from_millis(12_000);
+/// Time between renewals of the address lease; two may be lost.
+const ADDRESS_RENEW_INTERVAL: Duration = Duration::from_millis(4000);
 /// TTL of the planner's lease; limits the time without a planner after a crash.
 const PLANNER_LEASE_TTL: Duration = Duration::from_millis(2000);
 /// Time between renewals of the planner's lease; two may be lost.
 const PLANNER_RENEW_INTERVAL: Duration = Duration::from_millis(600);
+/// Delay before leases are requested again after a lost one; doubles with each failure.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Maximum of that delay, for a VM that the store refuses while it serves the others.
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(3000);
 /// Time between checks whether the store is reachable again.
 const STORE_RECOVERY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum delay before an entry VM with few resources tries to become the planner.
 const ELECTION_DELAY_MAX: Duration = Duration::from_millis(400);
-/// Minimum core share of an entry VM that tries to become the planner without this delay;
-/// its link must also reach `NO_DELAY_LINK_MBPS`.
-const NO_DELAY_CORE_SHARE: f64 = 0.25;
-/// Minimum link rate of such an entry VM, in megabits per second.
-const NO_DELAY_LINK_MBPS: f64 = 100.0;
 /// Random spread of the attempts to become the planner, per entry VM.
 const ELECTION_SPREAD: Duration = Duration::from_millis(4);
 
@@ -43,14 +42,20 @@
 pub(crate) fn spawn(state: &Rc<AppState>) {
     let state = Rc::clone(state);
     tokio::task::spawn_local(async move {
+        let mut failures = 0;
         loop {
+            let began_at = state.now();
             if let Err(error) = maintain_leases(&state).await
                 && state.log_rate.allow("lease lost", state.now()).is_some()
             {
                 log::warn!(error:% = error; "lease lost");
             }
             state.planner_term.set(None);
-            tokio::time::sleep(PLANNER_RENEW_INTERVAL / 2).await;
+            let has_held = state.now().since(began_at) > ADDRESS_RENEW_INTERVAL;
+            failures = if has_held { 0 } else { failures + 1 };
+            let longest = FIRST_RETRY_DELAY.saturating_mul(1 << failures.min(8));
+            let delay = longest.min(RETRY_DELAY_MAX).mul_f64(0.7 + 0.3 * fastrand::f64());
+            tokio::time::sleep(delay).await;
             // The task that follows the store detects when it is reachable again.
             while state.is_store_lost.get() {
                 tokio::time::sleep(STORE_RECOVERY_CHECK_INTERVAL).await;
@@ -161,8 +166,8 @@
 
 async fn publish_address(state: &AppState, lease: u64) -> Result<(), StoreError> {
     let key = format!("{ENTRY_VMS_PREFIX}{}", state.vm.name);
-    let address = format!("{}:{}", state.vm.ip, state.vm.peer_port);
-    let put = StorePut { key, value: address.into_bytes(), lease: Some(lease) };
+    let value = state.listing().to_string().into_bytes();
+    let put = StorePut { key, value, lease: Some(lease) };
     let (status, body) = state.store.call(StoreCall::write(&[], &[put], &[]), CALL_TIMEOUT).await?;
     match WriteOutcome::decode(status, &body)? {
         WriteOutcome::Written(_) => Ok(()),
@@ -170,24 +175,24 @@
     }
 }
 
-/// Returns the delay before this VM tries to become the planner; longer the less processor share or
-/// link rate it has.
+/// Returns the delay before this VM tries to become the planner; longer the less capacity it has.
 fn election_delay(state: &AppState) -> Duration {
-    let core = (state.vm.core_share / NO_DELAY_CORE_SHARE).min(1.0);
-    let link = (state.vm.link_mbps / NO_DELAY_LINK_MBPS).min(1.0);
-    ELECTION_DELAY_MAX.mul_f64(1.0 - core.min(link))
+    ELECTION_DELAY_MAX.mul_f64(1.0 - state.listing().capacity_share())
 }
 
 /// Writes the planner's key if no entry VM holds it; returns the lease of the key.
 async fn try_become_planner(state: &AppState) -> Result<Option<u64>, StoreError> {
     let is_vacant = || !state.view.borrow().entry_vm_keys.contains_key(PLANNER_KEY);
     let may_plan = || {
-        state.is_caught_up.get() && !state.is_store_lost.get() && state.configuration().is_some()
+        state.relay.is_following.get()
+            && state.is_caught_up.get()
+            && !state.is_store_lost.get()
+            && state.configuration().is_some()
     };
     if !is_vacant() || !may_plan() {
         return Ok(None);
     }
-    let entry_vms = state.view.borrow().entry_vm_addresses.len().max(1) as u32;
+    let entry_vms = state.view.borrow().entry_vms.len().max(1) as u32;
     let spread = (ELECTION_SPREAD * entry_vms).mul_f64(fastrand::f64());
     tokio::time::sleep(election_delay(state) + spread).await;
     if !is_vacant() || !may_plan() {
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -39,6 +39,7 @@
     backend_servers: Gauge<f64>,
     groups: Gauge<f64>,
     entry_vms: Gauge<f64>,
+    follows_store: Gauge<f64>,
     requests_in_progress: Gauge<f64>,
     requests_waiting: Gauge<f64>,
     retries_left: Gauge<f64>,
@@ -132,6 +133,10 @@
             backend_servers: metrics.gauge("front_backend_servers", "backend servers listed"),
             groups: metrics.gauge("front_groups", "groups by the state that their heads tell"),
             entry_vms: metrics.gauge("front_entry_vms", "entry VMs listed, this one included"),
+            follows_store: metrics.gauge(
+                "front_follows_store",
+                "1 if this VM follows the store itself and may relay its changes, else 0",
+            ),
             requests_in_progress: metrics
                 .gauge("front_requests_in_progress", "requests of callers in progress"),
             requests_waiting: metrics.gauge(
@@ -159,7 +164,9 @@
         for (phase, count) in view.groups_by_phase() {
             self.groups.record(count as f64, &[KeyValue::new("state", phase)]);
         }
-        self.entry_vms.record(view.entry_vm_addresses.len() as f64, &[]);
+        self.entry_vms.record(view.entry_vms.len() as f64, &[]);
+        let follows_store = state.relay.is_following.get();
+        self.follows_store.record(f64::from(u8::from(follows_store)), &[]);
         self.requests_in_progress.record(state.requests_in_progress.get() as f64, &[]);
         let waiting: u32 = view.loads.local().values().map(|it| it.waiting).sum();
         self.requests_waiting.record(f64::from(waiting), &[]);
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -135,15 +135,15 @@
 /// Returns the addresses of the other entry VMs.
 fn peer_addresses(state: &AppState) -> Vec<SocketAddr> {
     let view = state.view.borrow();
-    let others = view.entry_vm_addresses.iter().filter(|(name, _)| **name != state.vm.name);
-    others.map(|(_, it)| *it).collect()
+    let others = view.entry_vms.iter().filter(|(name, _)| **name != state.vm.name);
+    others.map(|(_, it)| it.address).collect()
 }
 
 /// Returns the address of the planner, if it is another entry VM.
 fn planner_address(state: &AppState) -> Option<SocketAddr> {
     let view = state.view.borrow();
     let name = std::str::from_utf8(&view.entry_vm_keys.get(PLANNER_KEY)?.value).ok()?;
-    (name != state.vm.name.as_ref()).then(|| view.entry_vm_addresses.get(name).copied())?
+    (name != state.vm.name.as_ref()).then(|| view.entry_vms.get(name).map(|it| it.address))?
 }
 
 fn send(socket: &UdpSocket, message: &Message, to: &[SocketAddr]) {
--- /dev/null
+++ b/bins/mangocross-front/src/relay_server.rs
@@ -0,0 +1,139 @@
+//! Answers the questions of other entry VMs for changes of the store.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use mangocross_serving::Moment;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::pool;
+use crate::relay_messages::CHANGES_PATH;
+use crate::relay_messages::QUESTION_BYTES_MAX;
+use crate::relay_messages::RelayAnswer;
+use crate::relay_messages::RelayQuestion;
+use crate::relay_messages::RelayedConfirmation;
+use crate::state::AppState;
+
+/// Maximum time for which a question is held, whatever it asks for.
+const HOLD_MAX: Duration = Duration::from_secs(5);
+/// Age of the last confirmation from which a relay that has lost the store says so.
+const STORE_LOST_AGE: Duration = Duration::from_millis(2000);
+/// Maximum time in which a question must arrive on a new connection.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
+/// Delay after a failed accept, for example for lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Listens for questions of other entry VMs.
+pub(crate) async fn bind(state: &Rc<AppState>) -> Result<(), String> {
+    let address = SocketAddr::new(state.vm.ip, state.vm.peer_port);
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|it| format!("[8102] {address} cannot be bound for relaying: {it}"))?;
+    let state = Rc::clone(state);
+    tokio::task::spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => drop(tokio::task::spawn_local(serve(Rc::clone(&state), stream))),
+                Err(error) => {
+                    if state.log_rate.allow("relay accept failed", state.now()).is_some() {
+                        log::warn!(error:% = error; "entry VM's connection not accepted");
+                    }
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn serve(state: Rc<AppState>, stream: TcpStream) {
+    if let Err(error) = pool::set_options(&stream) {
+        log::debug!(error:% = error; "socket options are not available");
+    }
+    let service = service_fn(|request: Request<Incoming>| {
+        let state = Rc::clone(&state);
+        async move { Ok::<_, Infallible>(respond(&state, request).await) }
+    });
+    if let Err(error) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await
+    {
+        log::debug!(error:% = error; "entry VM's connection ended");
+    }
+}
+
+async fn respond(state: &AppState, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let arrived_at = state.now();
+    if request.uri().path() != CHANGES_PATH {
+        return response(StatusCode::NOT_FOUND, Bytes::new());
+    }
+    let body = Limited::new(request.into_body(), QUESTION_BYTES_MAX).collect();
+    let Ok(Ok(body)) = tokio::time::timeout(QUESTION_TIMEOUT, body).await else {
+        return response(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    let question: RelayQuestion = match postcard::from_bytes(&body.to_bytes()) {
+        Ok(it) => it,
+        Err(error) => {
+            if state.log_rate.allow("question ignored", state.now()).is_some() {
+                log::warn!(error:% = error; "question of an entry VM ignored");
+            }
+            return response(StatusCode::BAD_REQUEST, Bytes::new());
+        }
+    };
+    let answer = answer(state, &question, arrived_at).await;
+    match postcard::to_allocvec(&answer) {
+        Ok(it) => response(StatusCode::OK, Bytes::from(it)),
+        Err(error) => {
+            log::error!(error:% = error; "answer to an entry VM cannot be encoded");
+            response(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
+fn response(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// Waits for changes; answers at once if this VM does not follow the store.
+async fn answer(state: &AppState, question: &RelayQuestion, arrived_at: Moment) -> RelayAnswer {
+    let until = tokio::time::Instant::now() + question.wait.min(HOLD_MAX);
+    loop {
+        let changed = state.relay.changed.notified();
+        if !state.relay.is_following.get() {
+            return RelayAnswer::NotFollowing;
+        }
+        let age = state.view.borrow().freshness.age(state.now());
+        if state.is_store_lost.get() && age.is_none_or(|it| it > STORE_LOST_AGE) {
+            return RelayAnswer::StoreLost;
+        }
+        let is_over = tokio::time::Instant::now() >= until;
+        if is_over || state.relay.keys.borrow().has_changes_since(question.after) {
+            return changes(state, question, arrived_at);
+        }
+        let _ = tokio::time::timeout_at(until, changed).await;
+    }
+}
+
+fn changes(state: &AppState, question: &RelayQuestion, arrived_at: Moment) -> RelayAnswer {
+    let now = state.now();
+    let age = state.view.borrow().freshness.age(now);
+    RelayAnswer::Changes {
+        revision: state.relay.revision.get(),
+        changes: state.relay.keys.borrow().changes_since(question.after),
+        confirmation: age.map(|age| RelayedConfirmation { held: now.since(arrived_at), age }),
+    }
+}
--- /dev/null
+++ b/bins/mangocross-front/src/relay_state.rs
@@ -0,0 +1,73 @@
+//! What this VM passes on of the store.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+
+use mangocross_serving::KeyChange;
+use mangocross_serving::Moment;
+use mangocross_serving::RelayedKeys;
+use mangocross_types::Revision;
+use tokio::sync::Notify;
+
+/// The keys that other entry VMs may ask this one for.
+#[derive(Debug, Default)]
+pub(crate) struct RelayState {
+    /// Whether this VM follows the store itself and knows all keys.
+    ///
+    /// Only such a VM relays, and only such a VM can plan.
+    pub(crate) is_following: Cell<bool>,
+    /// Revision up to which all changes are known.
+    pub(crate) revision: Cell<Revision>,
+    pub(crate) keys: RefCell<RelayedKeys>,
+    /// Whether changes are recorded for other entry VMs.
+    is_recording: Cell<bool>,
+    /// Wakes the tasks that hold questions.
+    pub(crate) changed: Notify,
+}
+
+impl RelayState {
+    /// Starts anew; all keys are about to be recorded.
+    pub(crate) fn restart(&self) {
+        self.is_following.set(false);
+        self.is_recording.set(true);
+        *self.keys.borrow_mut() = RelayedKeys::default();
+        self.changed.notify_waiters();
+    }
+
+    /// Records that this VM no longer follows the store itself.
+    pub(crate) fn stop(&self) {
+        self.is_following.set(false);
+        self.is_recording.set(false);
+        *self.keys.borrow_mut() = RelayedKeys::default();
+        self.changed.notify_waiters();
+    }
+
+    /// Records that removals up to a revision are not known.
+    pub(crate) fn forget_until(&self, revision: Revision) {
+        self.keys.borrow_mut().forget_until(revision);
+    }
+
+    /// Records a change that other entry VMs need.
+    pub(crate) fn record(
+        &self,
+        key: &str,
+        value: Option<&Vec<u8>>,
+        revision: Revision,
+        now: Moment,
+    ) {
+        if self.is_recording.get() {
+            let change = KeyChange { key: key.into(), value: value.cloned(), revision };
+            self.keys.borrow_mut().record(change, now);
+        }
+    }
+
+    /// Records that all changes up to a revision are known.
+    pub(crate) fn advance(&self, revision: Revision) {
+        if !self.is_recording.get() {
+            return;
+        }
+        self.is_following.set(true);
+        self.revision.set(self.revision.get().max(revision));
+        self.changed.notify_waiters();
+    }
+}
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -16,12 +16,14 @@
 use mangocross_serving::ConfigurationFreshness;
 use mangocross_serving::FailureTable;
 use mangocross_serving::HeadLoad;
+use mangocross_serving::ListedEntryVm;
 use mangocross_serving::LoadTable;
 use mangocross_serving::LongestDeadlines;
 use mangocross_serving::MemberPhase;
 use mangocross_serving::MissingServers;
 use mangocross_serving::Moment;
 use mangocross_serving::ProgressTable;
+use mangocross_serving::RelayPlan;
 use mangocross_serving::RetryBudget;
 use mangocross_serving::TrafficConfiguration;
 use mangocross_types::ModelId;
@@ -37,6 +39,7 @@
 use crate::metrics::FrontMetrics;
 use crate::peers::FULL_MESH_PEERS_MAX;
 use crate::pool::Pool;
+use crate::relay_state::RelayState;
 use crate::store::StoreClient;
 
 /// Time for which a server gets no requests after a failed connection.
@@ -73,8 +76,10 @@
     pub(crate) missing: MissingServers,
     /// Values that entry VMs write under mangocross/: plans, the planner's key, addresses.
     pub(crate) entry_vm_keys: BTreeMap<Arc<str>, StoredValue>,
-    /// Peer addresses of all listed entry VMs, including this one.
-    pub(crate) entry_vm_addresses: HashMap<Arc<str>, SocketAddr>,
+    /// All listed entry VMs, including this one.
+    pub(crate) entry_vms: BTreeMap<Arc<str>, ListedEntryVm>,
+    /// When an entry VM was last added to the list or removed from it.
+    pub(crate) entry_vms_changed_at: Moment,
     pub(crate) loads: LoadTable,
     pub(crate) progress: ProgressTable,
     pub(crate) failures: FailureTable,
@@ -101,6 +106,8 @@
     pub(crate) pool: Pool,
     pub(crate) store: StoreClient,
     pub(crate) view: RefCell<ClusterView>,
+    /// What this VM passes on of the store.
+    pub(crate) relay: RelayState,
     pub(crate) metrics: FrontMetrics,
     pub(crate) log_rate: LogRate,
     /// Wakes streams when a group becomes suspect.
@@ -137,6 +144,7 @@
             pool: Pool::default(),
             store: StoreClient::new(vm.store, metrics.store_call_seconds()),
             view: RefCell::default(),
+            relay: RelayState::default(),
             metrics,
             log_rate: LogRate::default(),
             suspect_added: Notify::new(),
@@ -153,6 +161,13 @@
         }
     }
 
+    /// Returns this VM's entry in the list of entry VMs.
+    pub(crate) fn listing(&self) -> ListedEntryVm {
+        let EntryVmSettings { ip, peer_port, zone, core_share, link_mbps, .. } = &self.vm;
+        let address = SocketAddr::new(*ip, *peer_port);
+        ListedEntryVm::new(address, zone.clone(), *core_share, *link_mbps)
+    }
+
     pub(crate) fn now(&self) -> Moment {
         self.clock.now()
     }
@@ -257,7 +272,7 @@
     /// This VM counts too if it is listed: with FULL_MESH_PEERS_MAX others the result is true
     /// although the counts are sent directly.
     pub(crate) fn may_get_counts_via_planner(&self) -> bool {
-        self.view.borrow().entry_vm_addresses.len() > FULL_MESH_PEERS_MAX
+        self.view.borrow().entry_vms.len() > FULL_MESH_PEERS_MAX
     }
 
     /// Returns the heads that accept requests for a model and are not suspect.
@@ -348,8 +363,26 @@
 }
 
 impl ClusterView {
+    /// Returns which entry VMs follow the store for the others.
+    pub(crate) fn relay_plan(&self) -> RelayPlan {
+        RelayPlan::new(self.entry_vms.iter())
+    }
+
+    /// Replaces or adds a listed entry VM.
+    pub(crate) fn list_entry_vm(&mut self, name: Arc<str>, vm: ListedEntryVm, now: Moment) {
+        if self.entry_vms.insert(name, vm.clone()).as_ref() != Some(&vm) {
+            self.entry_vms_changed_at = now;
+        }
+    }
+
+    pub(crate) fn unlist_entry_vm(&mut self, name: &str, now: Moment) {
+        if self.entry_vms.remove(name).is_some() {
+            self.entry_vms_changed_at = now;
+        }
+    }
+
     fn entry_vm_count(&self) -> usize {
-        self.entry_vm_addresses.len().max(self.loads.peer_count() + 1)
+        self.entry_vms.len().max(self.loads.peer_count() + 1)
     }
 
     /// Returns the number of groups in each state, as reported by their heads.
--- a/bins/mangocross-front/src/store_changes.rs
+++ b/bins/mangocross-front/src/store_changes.rs
@@ -21,7 +21,7 @@
 use crate::state::AppState;
 use crate::state::ClusterView;
 use crate::state::StoredValue;
-use crate::watching::ENTRY_VM_KEYS_PREFIX;
+use crate::store_following::ENTRY_VM_KEYS_PREFIX;
 
 /// Applies all keys of a range, and removes known keys that are not in it.
 ///
@@ -46,7 +46,15 @@
     }
     if prefix == ENTRY_VM_KEYS_PREFIX {
         let mut view = state.view.borrow_mut();
-        view.entry_vm_keys.retain(|key, _| keys.contains(key.as_ref()));
+        let is_removed = |key: &Arc<str>| !keys.contains(key.as_ref());
+        let removed: Vec<Arc<str>> =
+            view.entry_vm_keys.keys().filter(|it| is_removed(it)).cloned().collect();
+        for key in removed {
+            view.entry_vm_keys.remove(&key);
+            if let Some(name) = key.strip_prefix(ENTRY_VMS_PREFIX) {
+                view.unlist_entry_vm(name, now);
+            }
+        }
     }
     for item in items {
         apply(state, StoreChange::Written(item));
@@ -68,21 +76,7 @@
         StoreChange::Written(item) if item.key == CONFIGURATION_KEY => apply_config(state, &item),
         StoreChange::Written(item) if item.key.starts_with(SERVERS_PREFIX) => upsert(state, &item),
         StoreChange::Written(item) if item.key.starts_with(ENTRY_VM_KEYS_PREFIX) => {
-            let key: Arc<str> = item.key.into();
-            let stored =
-                StoredValue { value: item.value.unwrap_or_default(), revision: item.revision };
-            let mut view = state.view.borrow_mut();
-            let is_newer =
-                view.entry_vm_keys.get(&key).is_none_or(|it| it.revision < stored.revision);
-            if is_newer {
-                if let Some(name) = key.strip_prefix(ENTRY_VMS_PREFIX)
-                    && let Some(address) =
-                        std::str::from_utf8(&stored.value).ok().and_then(|it| it.parse().ok())
-                {
-                    view.entry_vm_addresses.insert(name.into(), address);
-                }
-                view.entry_vm_keys.insert(key, stored);
-            }
+            apply_entry_vm_key(state, item)
         }
         StoreChange::Written(_) => {}
         StoreChange::Removed { key, revision } => remove(state, &key, revision),
@@ -90,7 +84,30 @@
     state.planner_inputs_changed.notify_one();
 }
 
+/// Applies a value that an entry VM wrote, unless a newer one is known.
+fn apply_entry_vm_key(state: &AppState, item: StoreItem) {
+    let now = state.now();
+    let key: Arc<str> = item.key.into();
+    let stored = StoredValue { value: item.value.unwrap_or_default(), revision: item.revision };
+    // Only the planner needs the plans, and it follows the store itself.
+    if key.starts_with(ENTRY_VMS_PREFIX) || *key == *PLANNER_KEY {
+        state.relay.record(&key, Some(&stored.value), stored.revision, now);
+    }
+    let mut view = state.view.borrow_mut();
+    if view.entry_vm_keys.get(&key).is_some_and(|it| it.revision >= stored.revision) {
+        return;
+    }
+    if let Some(name) = key.strip_prefix(ENTRY_VMS_PREFIX) {
+        match std::str::from_utf8(&stored.value).unwrap_or_default().parse() {
+            Ok(vm) => view.list_entry_vm(name.into(), vm, now),
+            Err(error) => log::warn!(entry_vm = name, error:% = error; "entry VM ignored"),
+        }
+    }
+    view.entry_vm_keys.insert(key, stored);
+}
+
 fn apply_config(state: &AppState, item: &StoreItem) {
+    state.relay.record(&item.key, item.value.as_ref(), item.revision, state.now());
     let value = item.value.as_deref().unwrap_or_default();
     match decode_configuration(value) {
         Ok(new) => {
@@ -123,11 +140,12 @@
             // Only the planner needs the states of members that accept no requests.
             let did_accept_requests = known.is_some_and(|it| it.accepts_requests());
             let is_plain = server.engine.domain.is_none();
-            let is_relayed = state.is_planner()
-                && (is_plain
-                    || did_accept_requests
-                    || server.accepts_requests()
-                    || server.is_leaving);
+            let is_needed_by_all =
+                is_plain || did_accept_requests || server.accepts_requests() || server.is_leaving;
+            if is_needed_by_all {
+                state.relay.record(&item.key, item.value.as_ref(), item.revision, state.now());
+            }
+            let is_relayed = state.is_planner() && is_needed_by_all;
             let relayed = is_relayed.then(|| server.clone());
             let is_newer = apply_server(state, item.revision, server);
             if let Some(server) = relayed.filter(|_| is_newer) {
@@ -141,6 +159,7 @@
             }
             // A server whose entry cannot be decoded must not be used.
             if let Ok(vm) = server_id(&item.key) {
+                state.relay.record(&item.key, item.value.as_ref(), item.revision, state.now());
                 state.view.borrow_mut().servers.remove(&vm);
             }
         }
@@ -171,6 +190,7 @@
 
 fn remove(state: &AppState, key: &str, revision: Revision) {
     let now = state.now();
+    state.relay.record(key, None, revision, now);
     let mut view = state.view.borrow_mut();
     if key.starts_with(SERVERS_PREFIX) {
         let Ok(vm) = server_id(key) else { return };
@@ -188,12 +208,12 @@
         }
         return;
     }
-    if let Some(name) = key.strip_prefix(ENTRY_VMS_PREFIX) {
-        view.entry_vm_addresses.remove(name);
-    }
     let is_older = view.entry_vm_keys.get(key).is_some_and(|it| it.revision < revision);
     if is_older {
         view.entry_vm_keys.remove(key);
+        if let Some(name) = key.strip_prefix(ENTRY_VMS_PREFIX) {
+            view.unlist_entry_vm(name, now);
+        }
         if key == PLANNER_KEY {
             state.lease_wakeup.notify_one();
         }
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -3,5 +3,6 @@
 mod log_points;
 mod metrics;
 mod platform;
+mod relays;
 mod soak;
 mod whole_path;
--- /dev/null
+++ b/bins/mangocross-front/tests/front/relays.rs
@@ -0,0 +1,125 @@
+//! Tests of a fleet in which a few entry VMs follow the store for the others.
+
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::platform::CALLER_HEADERS;
+use crate::platform::Front;
+use crate::platform::Server;
+use crate::platform::Store;
+
+/// Number of entry VMs; beyond 16 some of them relay, also when four have died.
+const ENTRY_VM_COUNT: usize = 22;
+/// Number of entry VMs that follow the store: three relays, and the planner if it is not one of
+/// them.
+const STORE_FOLLOWERS: std::ops::RangeInclusive<usize> = 3..=4;
+/// Maximum wait for an expected state.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+
+fn wait_until(what: &str, is_reached: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !is_reached() {
+        assert!(began.elapsed() < WAIT_MAX, "{what}");
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+fn has_metric(front: &Front, line: &str) -> bool {
+    front.metrics().lines().any(|it| it == line)
+}
+
+fn follows_store(front: &Front) -> bool {
+    has_metric(front, "front_follows_store 1")
+}
+
+/// Starts a store, two servers of a plain service and a fleet whose relays have been chosen.
+fn start_fleet() -> (Store, Vec<Server>, Vec<Front>) {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records")).into();
+    let spawn = |_| Front::spawn(&store, 60_000, Stdio::null());
+    let fronts: Vec<Front> = (0..ENTRY_VM_COUNT).map(spawn).collect();
+    let listed = format!("front_entry_vms {ENTRY_VM_COUNT}");
+    wait_until("all are listed", || fronts.iter().all(|it| has_metric(it, &listed)));
+    wait_until("relays are chosen", || {
+        STORE_FOLLOWERS.contains(&fronts.iter().filter(|it| follows_store(it)).count())
+    });
+    for front in &fronts {
+        front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    }
+    (store, servers, fronts)
+}
+
+fn assert_key_is_in_force(fronts: &[Front], key: &str, old: &str) {
+    let headers = CALLER_HEADERS.replace("k1", key);
+    let old = CALLER_HEADERS.replace("k1", old);
+    for front in fronts {
+        front.wait_for_status(200, "/lookup/x", &headers);
+        assert_eq!(front.call("GET", "/lookup/x", &old, "").0, 401);
+    }
+}
+
+/// The load of watches on the store: followers learn of configurations and servers from relays.
+#[test]
+fn changes_reach_all_entry_vms_through_relays() {
+    let (store, _servers, fronts) = start_fleet();
+    let watches = store.calls("watch");
+    for version in 4..10 {
+        store.configure(version, &[&format!("k{version}")]);
+        let (key, old) = (format!("k{version}"), format!("k{}", version - 1));
+        assert_key_is_in_force(&fronts, &key, if version == 4 { "k1" } else { &old });
+    }
+    let _late = Server::spawn(&store, "r3", "records");
+    wait_until("the new server is known", || {
+        fronts.iter().all(|it| has_metric(it, "front_backend_servers 3"))
+    });
+    store.remove("servers/r3");
+    wait_until("its removal is known", || {
+        fronts.iter().all(|it| has_metric(it, "front_backend_servers 2"))
+    });
+    let watches = store.calls("watch") - watches;
+    let ranges = store.calls("range");
+    assert!(STORE_FOLLOWERS.contains(&fronts.iter().filter(|it| follows_store(it)).count()));
+    assert!(ranges < 4 * ENTRY_VM_COUNT, "{ranges} ranges, {watches} watches");
+}
+
+/// All relays die at once: the others find new ones or follow the store until there are some.
+#[test]
+fn fleet_without_its_relays_learns_of_changes() {
+    let (store, _servers, mut fronts) = start_fleet();
+    let (mut relays, rest): (Vec<Front>, Vec<Front>) = fronts.drain(..).partition(follows_store);
+    relays.iter_mut().for_each(Front::kill);
+    store.configure(4, &["k4"]);
+    assert_key_is_in_force(&rest, "k4", "k1");
+    // The addresses of the dead relays expire, and others take their place.
+    wait_until("there are relays again", || {
+        STORE_FOLLOWERS.contains(&rest.iter().filter(|it| follows_store(it)).count())
+    });
+    store.configure(5, &["k5"]);
+    assert_key_is_in_force(&rest, "k5", "k4");
+}
+
+/// The store is away and comes back: keys are refused for lack of a fresh configuration, and
+/// served again afterwards.
+#[test]
+fn fleet_serves_again_after_the_store_was_away() {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let _servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let spawn = |_| Front::spawn(&store, 5_000, Stdio::null());
+    let fronts: Vec<Front> = (0..ENTRY_VM_COUNT).map(spawn).collect();
+    for front in &fronts {
+        front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    }
+    store.set_refusing(true);
+    for front in &fronts {
+        let body = front.wait_for_status(503, "/lookup/x", CALLER_HEADERS);
+        assert!(body.contains("not run"), "{body}");
+    }
+    store.set_refusing(false);
+    for front in &fronts {
+        front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    }
+}
--- a/crates/mangocross-serving/src/freshness.rs
+++ b/crates/mangocross-serving/src/freshness.rs
@@ -23,6 +23,19 @@
         self.requested_at = self.requested_at.max(Some(requested_at));
     }
 
+    /// Records a confirmation that another entry VM passed on in answer to a question asked at
+    /// `requested_at`.
+    ///
+    /// That VM measures both times on its own boot clock: `held` from the arrival of the question,
+    /// and `age` from its own request to the store, until it answered. The question arrived after
+    /// `requested_at`, so the moment counted here is never later than that request. This holds for
+    /// an answer that is late or arrives twice as well.
+    pub fn confirm_relayed(&mut self, requested_at: Moment, held: Duration, age: Duration) {
+        if let Some(confirmed_at) = (requested_at + held).checked_before(age) {
+            self.confirm(confirmed_at);
+        }
+    }
+
     /// Returns the time since the request of the latest confirmation, if there is one.
     pub fn age(&self, now: Moment) -> Option<Duration> {
         self.requested_at.map(|it| now.since(it))
--- a/crates/mangocross-serving/src/moment.rs
+++ b/crates/mangocross-serving/src/moment.rs
@@ -26,6 +26,11 @@
     pub fn before(self, by: Duration) -> Self {
         Self(self.0.saturating_sub(by))
     }
+
+    /// Returns the moment that lies `by` before this one, unless that is before boot.
+    pub fn checked_before(self, by: Duration) -> Option<Self> {
+        self.0.checked_sub(by).map(Self)
+    }
 }
 
 impl Add<Duration> for Moment {
--- /dev/null
+++ b/crates/mangocross-serving/src/relays/mod.rs
@@ -0,0 +1,14 @@
+//! Which entry VMs follow the store, and how the others learn of its changes from them.
+
+mod listed_entry_vm;
+mod relay_plan;
+mod relayed_keys;
+mod source_choice;
+
+pub use listed_entry_vm::ListedEntryVm;
+pub use relay_plan::RelayPlan;
+pub use relayed_keys::KeyChange;
+pub use relayed_keys::RelayedChanges;
+pub use relayed_keys::RelayedKeys;
+pub use source_choice::Source;
+pub use source_choice::SourceChoice;
--- /dev/null
+++ b/crates/mangocross-serving/src/relays/source_choice.rs
@@ -0,0 +1,117 @@
+//! Chooses from where an entry VM learns of the store's changes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mangocross_types::AvailabilityZone;
+
+use crate::Moment;
+use crate::RelayPlan;
+
+/// Time for which a relay that failed is not asked again.
+const FAILED_RELAY_PAUSE: Duration = Duration::from_secs(4);
+/// Number of relays that are asked before the store, if none of them answers.
+const RELAYS_TRIED_MAX: usize = 4;
+/// Time for which an entry VM that found no relay follows the store itself.
+const STORE_DURATION: Duration = Duration::from_secs(8);
+/// Expected number of entry VMs, besides the relays, that ask a store which the relays have lost,
+/// at any time.
+const LOST_STORE_ASKERS: f64 = 12.0;
+
+/// From where an entry VM learns of the store's changes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// From the store itself.
+    Store,
+    /// From a relay.
+    Relay {
+        /// Name of the relay.
+        name: Arc<str>,
+        /// Address of the relay.
+        address: SocketAddr,
+    },
+}
+
+/// Chooses between the relays and the store, and remembers which relays failed.
+///
+/// A VM that reaches no relay follows the store itself for a while. If relays answer that
+/// they have lost the store, it is probably away for all VMs, so only a few others ask it.
+#[derive(Debug, Default)]
+pub struct SourceChoice {
+    /// When relays failed, or answered that they do not follow the store.
+    failed: HashMap<Arc<str>, Moment>,
+    /// Relays that could not be reached since the last good answer.
+    unreached: usize,
+    /// Relays that had lost the store since the last good answer.
+    store_lost: usize,
+    store_until: Option<Moment>,
+}
+
+impl SourceChoice {
+    /// Returns the source to use now, for an entry VM with this name and zone.
+    ///
+    /// `draw` is a random number in `0.0..1.0`, and `entry_vms` the number of all entry VMs.
+    pub fn choose(
+        &mut self,
+        plan: &RelayPlan,
+        name: &str,
+        zone: &AvailabilityZone,
+        entry_vms: usize,
+        now: Moment,
+        draw: f64,
+    ) -> Source {
+        if plan.follows_store(name) || self.store_until.is_some_and(|it| now < it) {
+            return Source::Store;
+        }
+        self.failed.retain(|_, at| now.since(*at) < FAILED_RELAY_PAUSE);
+        let candidates = plan.candidates(name, zone);
+        let next = candidates.iter().find(|(name, _)| !self.failed.contains_key(name));
+        let tried = self.unreached + self.store_lost;
+        let is_exhausted = next.is_none() || tried >= RELAYS_TRIED_MAX;
+        let asks_store = match self.store_lost {
+            0 => true,
+            _ => draw < LOST_STORE_ASKERS / entry_vms.max(1) as f64,
+        };
+        if is_exhausted && asks_store {
+            return Source::Store;
+        }
+        match next.or(candidates.first()) {
+            Some((name, address)) => Source::Relay { name: Arc::clone(name), address: *address },
+            None => Source::Store,
+        }
+    }
+
+    /// Records an answer of a relay that follows the store.
+    pub fn record_following(&mut self) {
+        self.unreached = 0;
+        self.store_lost = 0;
+    }
+
+    /// Records that a relay could not be reached, or does not act as one.
+    pub fn record_unreached(&mut self, relay: &Arc<str>, now: Moment) {
+        self.failed.insert(Arc::clone(relay), now);
+        self.unreached += 1;
+    }
+
+    /// Records that a relay has lost the store.
+    pub fn record_store_lost(&mut self, relay: &Arc<str>, now: Moment) {
+        self.failed.insert(Arc::clone(relay), now);
+        self.store_lost += 1;
+    }
+
+    /// Returns how many relays had lost the store since the last good answer.
+    pub fn store_lost_answers(&self) -> usize {
+        self.store_lost
+    }
+
+    /// Records that the store answered this VM although no relay could be used.
+    pub fn record_store_answer(&mut self, now: Moment) {
+        if self.unreached + self.store_lost > 0 {
+            self.store_until = Some(now + STORE_DURATION);
+            self.record_following();
+            self.failed.clear();
+        }
+    }
+}
