fix(front): bound what servers without an answer may take, and count only events as progress

Found by tests with a server that sends comments only, an event that never ends and a failure whose body never ends; all three were red before: - any byte counted as progress, so a stream that got a comment now and then was neither resumed nor its group suspect. Only a new event with data is progress now; - the body of a server's failure was collected without a limit of size or time, past the deadline.

TCP_USER_TIMEOUT of callers is 10 s, since it also runs while a caller's window is closed.

The stand-in held its lock during the pause between events, so that reports waited and slow streams looked stalled.

--- a/bins/mangocross-front/src/ingress.rs
+++ b/bins/mangocross-front/src/ingress.rs
@@ -93,7 +93,7 @@
 }
 
 async fn serve(state: Rc<AppState>, callers: Rc<CallerConnections>, stream: TcpStream) {
-    if let Err(error) = pool::set_options(&stream) {
+    if let Err(error) = pool::set_options(&stream, pool::CALLER_USER_TIMEOUT) {
         log::debug!(error:% = error; "socket options are not available");
     }
     let connection_state = ConnectionState::new(state.clock);
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -11,6 +11,7 @@
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use mangocross_platform::ForwardHead;
 use mangocross_platform::StoreCall;
 use mangocross_platform::StorePut;
@@ -48,6 +49,8 @@
 const PROGRESS_AGE_MAX: Duration = Duration::from_millis(350);
 /// Timeout of a probe; engines answer within a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Maximum size of a report or of the answer to an order.
+const REPORT_BYTES_MAX: usize = 1 << 20;
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
 type Planners = Rc<RefCell<HashMap<ServiceId, GroupPlanner>>>;
@@ -263,7 +266,8 @@
     *request.headers_mut() = ForwardHead::control_headers(vm, address);
     let response = connection.send(request).await.map_err(|_| ConnectError::Unreachable)?;
     let status = response.status();
-    let body = response.into_body().collect().await.map_err(|_| ConnectError::Unreachable)?;
+    let body = Limited::new(response.into_body(), REPORT_BYTES_MAX).collect().await;
+    let body = body.map_err(|_| ConnectError::Unreachable)?;
     state.pool.put(connection, None).await;
     Ok((status, body.to_bytes()))
 }
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -20,8 +20,12 @@
 
 /// Connect timeout; servers are a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// TCP_USER_TIMEOUT: time without acknowledgement after which the kernel closes a connection.
-const USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// TCP_USER_TIMEOUT of connections to servers and entry VMs: time without acknowledgement after
+/// which the kernel closes a connection.
+pub(crate) const SERVER_USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// TCP_USER_TIMEOUT of callers' connections. It also counts while a caller does not read and its
+/// window is closed, so it leaves time for a pause.
+pub(crate) const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum idle time of a connection that is reused; servers close idle ones without notice.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Maximum number of idle connections per address.
@@ -140,7 +144,7 @@
         }
         Ok(Err(_)) | Err(_) => return Err(ConnectError::Unreachable),
     };
-    if let Err(error) = set_options(&stream) {
+    if let Err(error) = set_options(&stream, SERVER_USER_TIMEOUT) {
         log::debug!(error:% = error, address:% = address; "socket options are not available");
     }
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
@@ -154,8 +158,8 @@
 }
 
 /// Sets the socket options of an accepted or opened connection.
-pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
+pub(crate) fn set_options(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
--- a/bins/mangocross-front/src/relay_server.rs
+++ b/bins/mangocross-front/src/relay_server.rs
@@ -61,7 +61,7 @@
 }
 
 async fn serve(state: Rc<AppState>, stream: TcpStream) {
-    if let Err(error) = pool::set_options(&stream) {
+    if let Err(error) = pool::set_options(&stream, pool::SERVER_USER_TIMEOUT) {
         log::debug!(error:% = error; "socket options are not available");
     }
     let service = service_fn(|request: Request<Incoming>| {
--- a/bins/mangocross-front/src/store.rs
+++ b/bins/mangocross-front/src/store.rs
@@ -12,6 +12,7 @@
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use mangocross_platform::DecodeError;
 use mangocross_platform::StoreCall;
 use opentelemetry::KeyValue;
@@ -23,6 +24,8 @@
 
 /// Timeout of calls that don't wait for changes; a slow store takes some hundred milliseconds.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Maximum size of an answer; the store sends about 1 MB of values, in base64.
+const ANSWER_BYTES_MAX: usize = 8 << 20;
 /// Maximum number of idle connections.
 const IDLE_CONNECTIONS_MAX: usize = 4;
 
@@ -113,7 +116,8 @@
         let broken = |reason: String| StoreError::Broken { reason };
         let response = connection.send(request).await.map_err(|it| broken(it.0))?;
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(|it| broken(it.to_string()))?;
+        let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX).collect().await;
+        let body = body.map_err(|it| broken(it.to_string()))?;
         let mut idle = self.idle.borrow_mut();
         if idle.len() < IDLE_CONNECTIONS_MAX {
             idle.push(connection);
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -6,6 +6,7 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use mangocross_platform::AnswerHead;
 use mangocross_serving::Admission;
@@ -37,11 +38,9 @@
 const QUEUED_CHUNKS_MAX: usize = 8;
 /// Maximum number of failed connection attempts before a stream is refused.
 const CONNECT_FAILURES_MAX: u32 = 4;
-/// Time without data after which a stream is resumed elsewhere; a stall of its whole group is
-/// usually detected earlier.
-///
-/// Callers abandon a stream after two seconds.
-const STREAM_SILENCE_MAX: Duration = Duration::from_millis(1500);
+/// Time without an event after which a stream is resumed elsewhere, as a share of the time after
+/// which its caller abandons it; a stall of its whole group is usually detected earlier.
+const STREAM_SILENCE_SHARE: f64 = 0.75;
 /// Time after which a resumed stream may use LAST_RESORT_QUEUE_SLOTS instead of RESUME_QUEUE_SLOTS.
 const RESUME_QUEUE_TIME: Duration = Duration::from_millis(500);
 /// Divisor of a stream's target latency that gives its maximum wait for a group with room.
@@ -50,9 +49,11 @@
 const ADMISSION_RETRY_DELAY: Duration = Duration::from_millis(12);
 /// Delay between a resumed stream's attempts to find a group with room.
 const RESUME_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time since the last event after which a stream is no longer resumed; callers abandon it after
-/// two seconds.
-const EVENT_GAP_MAX: Duration = Duration::from_millis(1900);
+/// Time since the last event after which a stream is no longer resumed, as a share of the time
+/// after which its caller abandons it.
+const RESUME_GAP_SHARE: f64 = 0.95;
+/// Maximum size of a server's error, which is buffered until it is complete.
+const FAILURE_BYTES_MAX: usize = 1 << 20;
 /// Queue places beyond a group's slots for streams that exceed their target latency.
 const LATE_QUEUE_SLOTS: u32 = 0;
 /// Queue places beyond a group's slots for resumed streams.
@@ -297,8 +298,9 @@
 async fn forward_failure(call: &Call, started: StartedStream) -> Response<AnswerBody> {
     let status = started.response.status();
     let headers = AnswerHead::forwarded_headers(started.response.headers());
-    match started.response.into_body().collect().await {
-        Ok(body) => {
+    let body = Limited::new(started.response.into_body(), FAILURE_BYTES_MAX).collect();
+    match tokio::time::timeout_at(call.ends_at, body).await {
+        Ok(Ok(body)) => {
             call.record.answer_started(status);
             call.record.answer_failed(ResultCode::BackendBroken, "server failed");
             let mut response = Response::new(AnswerBody::whole(body.to_bytes()));
@@ -306,8 +308,8 @@
             *response.headers_mut() = headers;
             response
         }
-        Err(_) => {
-            let reason = "answer broke off";
+        Ok(Err(_)) | Err(_) => {
+            let reason = "the server's error is too long or broke off";
             call.record.refuse(&Refusal::unknown(ResultCode::BackendBroken, reason), reason)
         }
     }
@@ -407,7 +409,8 @@
     async fn forward(&mut self, started: StartedStream) -> RelayEnd {
         let StartedStream { vm, connection, in_flight, response, answer_head } = started;
         let mut body = response.into_body();
-        let mut silent_until = Instant::now() + STREAM_SILENCE_MAX;
+        let silence_max = self.call.route.event_gap_max.mul_f64(STREAM_SILENCE_SHARE);
+        let mut silent_until = Instant::now() + silence_max;
         loop {
             let frame = tokio::select! {
                 it = body.frame() => it,
@@ -438,23 +441,36 @@
                     return RelayEnd::Complete;
                 }
             };
-            in_flight.record_progress();
-            silent_until = Instant::now() + STREAM_SILENCE_MAX;
             let events = match self.splitter.push(&data) {
                 Ok(it) => it,
                 Err(_) => return RelayEnd::Broken("event too long"),
             };
-            if !events.is_empty() && !self.deliver(events).await {
-                return RelayEnd::CallerLeft;
+            if events.has_content {
+                in_flight.record_progress();
+            }
+            if !events.data.is_empty()
+                && let Some(end) = self.deliver(events.data).await
+            {
+                return end;
+            }
+            // The time that the caller took to read does not count as silence of the server.
+            if events.has_content {
+                silent_until = Instant::now() + silence_max;
             }
         }
     }
 
-    async fn deliver(&mut self, events: Bytes) -> bool {
+    /// Passes events on; waits for a slow caller until the deadline.
+    async fn deliver(&mut self, events: Bytes) -> Option<RelayEnd> {
         let now = Instant::now();
         self.call.state.metrics.record_event_gap(now.duration_since(self.last_event_at));
         self.last_event_at = now;
-        self.chunks.send(Chunk::Data(events)).await.is_ok()
+        let sending = self.chunks.send(Chunk::Data(events));
+        match tokio::time::timeout_at(self.call.ends_at, sending).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(RelayEnd::CallerLeft),
+            Err(_) => Some(RelayEnd::TimeOver),
+        }
     }
 
     /// Resumes the stream after the last complete event on another group.
@@ -468,7 +484,8 @@
         let began_at = Instant::now();
         let mut tried = vec![failed.clone()];
         let mut sent = 0;
-        while self.last_event_at.elapsed() < EVENT_GAP_MAX && !self.call.time_left().is_zero() {
+        let gap_max = self.call.route.event_gap_max.mul_f64(RESUME_GAP_SHARE);
+        while self.last_event_at.elapsed() < gap_max && !self.call.time_left().is_zero() {
             let queue_slots = match began_at.elapsed() < RESUME_QUEUE_TIME {
                 true => RESUME_QUEUE_SLOTS,
                 false => LAST_RESORT_QUEUE_SLOTS,
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -4,5 +4,6 @@
 mod metrics;
 mod platform;
 mod relays;
+mod server_faults;
 mod soak;
 mod whole_path;
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -34,6 +34,7 @@
 pub(crate) use self::client::RequestKind;
 pub(crate) use self::servers::EVENTS;
 pub(crate) use self::servers::Server;
+pub(crate) use self::servers::StreamFault;
 pub(crate) use self::store::Store;
 
 /// Maximum wait for an expected event.
@@ -160,6 +161,11 @@
         Self { child, address, ready, settings: path }
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
         self.signal(rustix::process::Signal::TERM);
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -25,8 +25,23 @@
 /// Number of events in a complete stream.
 pub(crate) const EVENTS: u64 = 5;
 
+/// How the next streams of a server go wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum StreamFault {
+    /// They don't.
+    #[default]
+    None,
+    /// After two events come comments only, one every 200 ms.
+    OnlyComments,
+    /// After two events comes one that never ends.
+    EndlessEvent,
+    /// The answer is a failure whose body never ends.
+    EndlessFailure,
+}
+
 #[derive(Debug, Default)]
 struct State {
+    stream_fault: StreamFault,
     orders: u64,
     group: Value,
     model: Option<String>,
@@ -109,6 +124,11 @@
         lock(&self.state).streams_to_break = count;
     }
 
+    /// Sets how streams go wrong.
+    pub(crate) fn set_stream_fault(&self, fault: StreamFault) {
+        lock(&self.state).stream_fault = fault;
+    }
+
     /// Makes the server run requests without answering them.
     pub(crate) fn withhold_answers(&self) {
         self.set_withholding_answers(true);
@@ -312,10 +332,27 @@
             return;
         }
         let after = request.header("Last-Event-Id").and_then(|it| it.parse().ok()).unwrap_or(0);
-        let head = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n{headers}\r\n");
+        let fault = lock(&self.state).stream_fault;
+        let status = if fault == StreamFault::EndlessFailure { 500 } else { 200 };
+        let head =
+            format!("HTTP/1.1 {status} Status\r\nTransfer-Encoding: chunked\r\n{headers}\r\n");
         let _ = stream.write_all(head.as_bytes());
+        if status == 500 {
+            return write_until_closed(stream, &"x".repeat(10_000), Duration::ZERO);
+        }
         for id in after + 1..=EVENTS {
-            thread::sleep(lock(&self.state).event_pause);
+            match fault {
+                StreamFault::OnlyComments if id == 3 => {
+                    return write_until_closed(stream, ": ping\n\n", Duration::from_millis(200));
+                }
+                StreamFault::EndlessEvent if id == 3 => {
+                    return write_until_closed(stream, "data: x\n", Duration::from_millis(1));
+                }
+                _ => {}
+            }
+            // The lock must not be held meanwhile: reports would wait for it.
+            let pause = lock(&self.state).event_pause;
+            thread::sleep(pause);
             if !self.wait_for_members() {
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 return;
@@ -332,6 +369,14 @@
     }
 }
 
+/// Writes chunks until the other side closes the connection.
+fn write_until_closed(stream: &mut TcpStream, text: &str, pause: Duration) {
+    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+    while stream.write_all(chunk.as_bytes()).is_ok() {
+        thread::sleep(pause);
+    }
+}
+
 /// Returns whether a server is a member of a group or of a later incarnation of it.
 fn is_member(entry: &Value, group: &Value) -> bool {
     let own = &entry["group"];
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -31,6 +31,7 @@
 pub use backend_server::MemberPhase;
 pub use backend_server::Membership;
 pub use backend_server::OrderOutcome;
+pub use event_splitter::CompleteEvents;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::EventTooLong;
 pub use first_attempts::LongestDeadlines;
--- a/crates/mangocross-serving/src/traffic.rs
+++ b/crates/mangocross-serving/src/traffic.rs
@@ -59,6 +59,8 @@
     pub target_latency: Duration,
     /// Target for the longest pause between events.
     pub target_event_gap: Duration,
+    /// Time without an event after which callers abandon a stream.
+    pub event_gap_max: Duration,
     /// Priority; zero is the highest.
     pub priority: u8,
     /// Services that receive the route's requests.
