feat(front): close heads for all entry VMs as soon as the planner knows, and limit first connections by measured times

Change: the planner tells all entry VMs which listed heads do not respond or belong to incarnations that its plan has replaced, at once and with the counts; its word expires after a second. The first connection of a request has a limit from the times of earlier ones (60 to 300 ms, as TCP estimates round-trip times); further ones have the longest. Slowdowns of all engine services are kept, not only those of the last one.

Ruled out: marking unreachable heads suspect for all, which would break streams of groups that only one VM cannot reach.

--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -87,7 +87,18 @@
     publish_address(state, address_lease).await?;
     loop {
         let renewed_at = state.now();
-        renew_lease(state, address_lease).await?;
+        match renew_lease(state, address_lease).await {
+            Ok(()) => {}
+            Err(error @ StoreError::Refused { status: StatusCode::NOT_FOUND }) => {
+                return Err(error);
+            }
+            // The lease goes on if the store does not answer; it is renewed next time.
+            Err(error) => {
+                if state.log_rate.allow("address lease not renewed", renewed_at).is_some() {
+                    log::info!(error:% = error; "address lease not renewed");
+                }
+            }
+        }
         while state.now().since(renewed_at) < ADDRESS_RENEW_INTERVAL {
             if state.is_stopping() {
                 state.store.call(StoreCall::end_lease(address_lease), CALL_TIMEOUT).await?;
--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -2,6 +2,7 @@
 
 mod answer_body;
 mod clock;
+mod closed_heads;
 mod command_line;
 mod connection;
 mod control;
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -46,6 +46,8 @@
     Suspicions { suspects: Vec<VmId>, to_recheck: Vec<VmId> },
     /// Changed entries of servers, relayed by the planner.
     Entries(Vec<(Revision, BackendServer)>),
+    /// All open heads that no longer serve, sent by the planner.
+    ClosedHeads(Vec<VmId>),
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -89,6 +91,12 @@
                     store_changes::apply_server(&state, revision, server);
                 }
             }
+            Ok(Message::ClosedHeads(heads)) => {
+                if !state.is_planner() {
+                    let now = state.now();
+                    state.view.borrow_mut().closed_heads.replace(heads, now);
+                }
+            }
             Err(error) => {
                 if state.log_rate.allow("message ignored", state.now()).is_some() {
                     log::warn!(from:% = from, error:% = error; "peer message ignored");
@@ -180,9 +188,19 @@
             send(&socket, &Message::Counts(build_counts(&state, false)), &[planner]);
             state.view.borrow_mut().loads.mark_reported();
         }
+        if is_planner && let Some(heads) = closed_heads(&state) {
+            send(&socket, &Message::ClosedHeads(heads), &peers);
+        }
     }
 }
 
+/// Returns the open heads that no longer serve, if there are any.
+fn closed_heads(state: &AppState) -> Option<Vec<VmId>> {
+    let view = state.view.borrow();
+    let heads: Vec<VmId> = view.closed_heads.iter().cloned().collect();
+    (!heads.is_empty()).then_some(heads)
+}
+
 fn build_counts(state: &AppState, are_totals: bool) -> Counts {
     let now = state.now();
     let view = state.view.borrow();
@@ -220,6 +238,10 @@
         {
             send(&socket, &Message::Suspicions { suspects: Vec::new(), to_recheck }, &[planner]);
         }
+        if state.is_planner() {
+            let heads = closed_heads(&state).unwrap_or_default();
+            send(&socket, &Message::ClosedHeads(heads), &peers);
+        }
         for chunk in entries.chunks(MESSAGE_ENTRIES_MAX) {
             send(&socket, &Message::Entries(chunk.to_vec()), &peers);
         }
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -60,9 +60,9 @@
             break refuse_or_report_unknown(&call, runs, "retry budget used up");
         }
         let connection = if is_retryable {
-            call.state.pool.get(server.address).await
+            call.state.pool.get(server.address, connect_failures).await
         } else {
-            pool::connect(server.address).await
+            call.state.pool.open(server.address, connect_failures).await
         };
         let connection = match connection {
             Ok(it) => it,
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -49,6 +49,8 @@
 const PROGRESS_AGE_MAX: Duration = Duration::from_millis(350);
 /// Timeout of a probe; engines answer within a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Probes and orders have the longest limit for connections.
+const PROBE_CONNECT_FAILURES: u32 = 1;
 /// Maximum size of a report or of the answer to an order.
 const REPORT_BYTES_MAX: usize = 1 << 20;
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -86,6 +88,8 @@
 fn plan(state: &Rc<AppState>, planners: &Planners, term: Revision) {
     let Some(configuration) = state.configuration() else { return };
     let now = state.now();
+    let mut slowdowns = HashMap::new();
+    let mut closed_heads = Vec::new();
     for (service, engine) in configuration.engines() {
         let mut all = planners.borrow_mut();
         let planner = all
@@ -115,15 +119,22 @@
         }
         let listed = view.servers.values().filter(|it| it.service == *service);
         let actions = planner.next_actions(listed, now);
-        let slowdowns = view.servers.keys().map(|vm| (vm.clone(), planner.slowdown(vm)));
-        let slowdowns: HashMap<VmId, f64> = slowdowns.filter(|(_, it)| *it > 1.0).collect();
+        let slow = view.servers.keys().map(|vm| (vm.clone(), planner.slowdown(vm)));
+        slowdowns.extend(slow.filter(|(_, it)| *it > 1.0));
+        closed_heads.extend(planner.closed_heads());
         drop(view);
-        state.view.borrow_mut().slowdowns = slowdowns;
         drop(all);
         for action in actions {
             execute_action(state, planners, service, term, action);
         }
     }
+    let mut view = state.view.borrow_mut();
+    view.slowdowns = slowdowns;
+    if view.closed_heads.replace(closed_heads, now) {
+        let heads: Vec<&str> = view.closed_heads.iter().map(VmId::as_str).collect();
+        log::info!(heads:? = heads; "closed heads changed");
+        state.peer_updates.notify_one();
+    }
 }
 
 fn execute_action(
@@ -259,7 +270,7 @@
     path: &str,
     body: Bytes,
 ) -> Result<(http::StatusCode, Bytes), ConnectError> {
-    let mut connection = state.pool.get(address).await?;
+    let mut connection = state.pool.get(address, PROBE_CONNECT_FAILURES).await?;
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().map_err(|_| ConnectError::Unreachable)?;
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -1,5 +1,6 @@
 //! Connections to backend servers and the store.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -14,12 +15,11 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use mangocross_serving::ConnectTimes;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// Connect timeout; servers are a few milliseconds away.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// TCP_USER_TIMEOUT of connections to servers and entry VMs: time without acknowledgement after
 /// which the kernel closes a connection.
 pub(crate) const SERVER_USER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -85,15 +85,22 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// Times of connections to servers.
+    connect_times: Cell<ConnectTimes>,
 }
 
 impl Pool {
-    /// Returns an idle connection, or a new one.
-    pub(crate) async fn get(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
+    /// Returns an idle connection, or a new one; `failures` is the number of failed connections of
+    /// the same request.
+    pub(crate) async fn get(
+        &self,
+        address: SocketAddr,
+        failures: u32,
+    ) -> Result<Connection, ConnectError> {
         let now = Instant::now();
         loop {
             let idle = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
-            let Some(idle) = idle else { return connect(address).await };
+            let Some(idle) = idle else { return self.open(address, failures).await };
             if idle.until > now && idle.connection.sender.is_ready() {
                 let mut connection = idle.connection;
                 connection.is_reused = true;
@@ -102,6 +109,20 @@
         }
     }
 
+    /// Opens a new connection to a server.
+    pub(crate) async fn open(
+        &self,
+        address: SocketAddr,
+        failures: u32,
+    ) -> Result<Connection, ConnectError> {
+        let mut times = self.connect_times.get();
+        let began_at = Instant::now();
+        let connection = connect(address, times.limit(failures)).await?;
+        times.record(began_at.elapsed());
+        self.connect_times.set(times);
+        Ok(connection)
+    }
+
     /// Returns a connection to the pool once its answer has been read completely.
     ///
     /// `keep_alive_timeout` is the one that the server announced, if any.
@@ -135,8 +156,11 @@
 }
 
 /// Opens a new connection.
-pub(crate) async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+pub(crate) async fn connect(
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<Connection, ConnectError> {
+    let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
     let stream = match connecting.await {
         Ok(Ok(it)) => it,
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
--- a/bins/mangocross-front/src/relay_client.rs
+++ b/bins/mangocross-front/src/relay_client.rs
@@ -22,6 +22,7 @@
 use crate::relay_messages::RelayAnswer;
 use crate::relay_messages::RelayQuestion;
 
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Added to the time that a question waits before it counts as unanswered.
 const ANSWER_SLACK: Duration = Duration::from_millis(600);
 
@@ -50,7 +51,8 @@
 impl RelayClient {
     /// Connects to a relay.
     pub(crate) async fn open(address: SocketAddr, own_name: Arc<str>) -> Result<Self, RelayError> {
-        let connection = pool::connect(address).await.map_err(|_| RelayError::Unreachable)?;
+        let connection =
+            pool::connect(address, CONNECT_TIMEOUT).await.map_err(|_| RelayError::Unreachable)?;
         Ok(Self { connection, address, own_name })
     }
 
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -34,6 +34,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::SystemBootClock;
+use crate::closed_heads::ClosedHeads;
 use crate::leases::PlannerTerm;
 use crate::log_rate::LogRate;
 use crate::metrics::FrontMetrics;
@@ -87,6 +88,8 @@
     pub(crate) deadlines: LongestDeadlines,
     /// Slowdown factors of engines that are slower than usual.
     pub(crate) slowdowns: HashMap<VmId, f64>,
+    /// Open heads that no longer serve, as the planner last told, and when.
+    pub(crate) closed_heads: ClosedHeads,
     suspects: HashMap<VmId, Moment>,
     /// Suspects that this VM detected itself.
     local_suspects: HashMap<VmId, Moment>,
@@ -413,7 +416,9 @@
 
     /// Returns whether requests may be sent to a listed server now.
     pub(crate) fn is_usable(&self, vm: &VmId, now: Moment) -> bool {
-        self.avoided.get(vm).is_none_or(|it| now >= *it) && !self.missing.is_gone(vm, now)
+        self.avoided.get(vm).is_none_or(|it| now >= *it)
+            && !self.missing.is_gone(vm, now)
+            && !self.closed_heads.contains(vm, now)
     }
 
     /// Returns the suspects that this VM detected and is to report to the other entry VMs.
--- a/bins/mangocross-front/src/store.rs
+++ b/bins/mangocross-front/src/store.rs
@@ -24,6 +24,7 @@
 
 /// Timeout of calls that don't wait for changes; a slow store takes some hundred milliseconds.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum size of an answer; the store sends about 1 MB of values, in base64.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
 /// Maximum number of idle connections.
@@ -97,7 +98,7 @@
                 result => return result,
             }
         }
-        let connection = pool::connect(self.address).await;
+        let connection = pool::connect(self.address, CONNECT_TIMEOUT).await;
         self.exchange_on(connection.map_err(|_| StoreError::Unreachable)?, call).await
     }
 
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -29,7 +29,6 @@
 use crate::outcome::RequestRecord;
 use crate::plain;
 use crate::plain::SENDS_MAX;
-use crate::pool;
 use crate::pool::Connection;
 use crate::state::InFlightGuard;
 use crate::state::NOT_RUN_PAUSE;
@@ -131,7 +130,7 @@
         if sent > 0 && !call.state.try_spend_retry(&call.service) {
             break refuse_or_report_unknown(&call, runs > 0, RETRY_BUDGET_REFUSAL, RETRY_AFTER_MIN);
         }
-        let Some(connection) = connect(&call, &vm, is_retryable).await else {
+        let Some(connection) = connect(&call, &vm, is_retryable, connect_failures).await else {
             tried.push(vm);
             connect_failures += 1;
             if connect_failures > CONNECT_FAILURES_MAX {
@@ -207,10 +206,13 @@
     admit(&GroupTimes::new(engine, model), heads, &demand, queue_slots, comparison)
 }
 
-async fn connect(call: &Call, vm: &VmId, may_reuse: bool) -> Option<Connection> {
+async fn connect(call: &Call, vm: &VmId, may_reuse: bool, failures: u32) -> Option<Connection> {
     let address = call.state.view.borrow().servers.get(vm).map(|it| it.address)?;
-    let connection =
-        if may_reuse { call.state.pool.get(address).await } else { pool::connect(address).await };
+    let connection = if may_reuse {
+        call.state.pool.get(address, failures).await
+    } else {
+        call.state.pool.open(address, failures).await
+    };
     match connection {
         Ok(it) => Some(it),
         Err(error) => {
@@ -497,7 +499,8 @@
                     () = self.chunks.closed() => return None,
                 }
             };
-            let Some(connection) = connect(&self.call, &vm, true).await else {
+            let failures = tried.len() as u32 - 1;
+            let Some(connection) = connect(&self.call, &vm, true, failures).await else {
                 tried.push(vm);
                 continue;
             };
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod backend_server;
+mod connect_times;
 mod event_splitter;
 mod first_attempts;
 mod freshness;
@@ -31,6 +32,7 @@
 pub use backend_server::MemberPhase;
 pub use backend_server::Membership;
 pub use backend_server::OrderOutcome;
+pub use connect_times::ConnectTimes;
 pub use event_splitter::CompleteEvents;
 pub use event_splitter::EventSplitter;
 pub use event_splitter::EventTooLong;
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -1,5 +1,6 @@
 //! Plans model groups: forms, repairs and dissolves them.
 
+mod closed_heads;
 mod donors;
 mod forming;
 mod orders;
