fix(front): a VM that becomes a relay reads all keys; fewer calls at restarts

Found by fleet_without_its_relays_learns_of_changes: a VM that had followed the store only because it found no relay, and then became one itself, went on with the part of the keys that it knew and told its followers that it follows nothing, for ever.

The list of entry VMs is read as it was some seconds ago when a process restarts (a tenth of the price), relays batch changes for 0.6 s and there is one for 30 entry VMs.

--- a/bins/mangocross-front/src/relay_following.rs
+++ b/bins/mangocross-front/src/relay_following.rs
@@ -93,7 +93,7 @@
         }
         position.after = Some(after.max(revision));
         state.is_caught_up.set(true);
-        if state.view.borrow().relay_plan().follows_store(&state.vm.name) {
+        if state.is_relay() {
             return Ok(FollowEnd::SourceChanged);
         }
         delay = if has_changes { BATCH_DELAY } else { Duration::ZERO };
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -200,6 +200,11 @@
         self.planner_term.get().is_some_and(|it| it.is_valid(self.now()))
     }
 
+    /// Returns whether this VM is to follow the store itself, for the others.
+    pub(crate) fn is_relay(&self) -> bool {
+        self.view.borrow().relay_plan().follows_store(&self.vm.name)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping_since.get().is_some()
     }
--- a/bins/mangocross-front/src/store_following.rs
+++ b/bins/mangocross-front/src/store_following.rs
@@ -46,7 +46,7 @@
 /// for a slow store.
 const BATCH_DELAY_RATIO: f64 = 0.6;
 /// Batch delay of a VM that relays to others, which batch the changes again.
-const RELAY_BATCH_DELAY: Duration = Duration::from_millis(400);
+const RELAY_BATCH_DELAY: Duration = Duration::from_millis(600);
 /// Batch delay of the planner, which acts on the changes.
 const PLANNER_BATCH_DELAY: Duration = Duration::from_millis(25);
 /// Range of the delay before a page is requested again that the store refused because of the rate
@@ -134,6 +134,11 @@
         }
         confirm_freshness(state, asked_at);
         state.relay.advance(after);
+        if !state.relay.is_following.get() && state.is_relay() {
+            // Until now this VM only had no relay, and knows a part of the keys.
+            position.after = None;
+            return Ok(FollowEnd::SourceChanged);
+        }
         if position.may_change_source(state) && position.choose_source(state) != Source::Store {
             state.relay.stop();
             return Ok(FollowEnd::SourceChanged);
@@ -146,8 +151,15 @@
 }
 
 /// Reads the list of entry VMs, so that a relay can be chosen.
+///
+/// A list that is some seconds old names mostly the same relays, and costs a tenth. At the very
+/// first start it would be empty.
 pub(crate) async fn read_entry_vms(state: &AppState) -> Result<(), StoreError> {
-    let items = read_range(state, ENTRY_VMS_PREFIX, &mut None).await?;
+    let page_call = match state.vm.is_first_start {
+        true => StoreCall::range,
+        false => StoreCall::stale_range,
+    };
+    let items = read_pages(state, ENTRY_VMS_PREFIX, page_call, &mut None).await?;
     apply_range(state, ENTRY_VMS_PREFIX, items, Revision::default());
     Ok(())
 }
@@ -250,13 +262,23 @@
     state: &AppState,
     prefix: &str,
     first: &mut Option<Revision>,
+) -> Result<Vec<StoreItem>, StoreError> {
+    read_pages(state, prefix, StoreCall::range, first).await
+}
+
+/// Reads all pages of a prefix with the calls that `page_call` makes from the prefix and the last
+/// key of the page before.
+async fn read_pages(
+    state: &AppState,
+    prefix: &str,
+    page_call: fn(&str, Option<&str>) -> StoreCall,
+    first: &mut Option<Revision>,
 ) -> Result<Vec<StoreItem>, StoreError> {
     let mut items: Vec<StoreItem> = Vec::new();
     let mut attempts = 0;
     loop {
         let after = items.last().map(|it| it.key.as_str());
-        let (status, body) =
-            state.store.call(StoreCall::range(prefix, after), CALL_TIMEOUT).await?;
+        let (status, body) = state.store.call(page_call(prefix, after), CALL_TIMEOUT).await?;
         attempts += 1;
         if status == StatusCode::TOO_MANY_REQUESTS && attempts < PAGE_ATTEMPTS_MAX {
             // The pages read so far are kept: reading them again would load the store further.
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -159,11 +159,9 @@
         if state.relay.is_following.get() {
             return;
         }
-        let view = state.view.borrow();
-        let is_relay = view.relay_plan().follows_store(&state.vm.name);
-        let may_plan = !view.entry_vm_keys.contains_key(PLANNER_KEY)
-            && fastrand::f64() < PLANNER_CANDIDATE_SHARE;
-        if is_relay || may_plan {
+        let has_planner = state.view.borrow().entry_vm_keys.contains_key(PLANNER_KEY);
+        let may_plan = !has_planner && fastrand::f64() < PLANNER_CANDIDATE_SHARE;
+        if state.is_relay() || may_plan {
             self.after = None;
         }
     }
--- a/crates/mangocross-serving/src/relays/relay_plan.rs
+++ b/crates/mangocross-serving/src/relays/relay_plan.rs
@@ -12,7 +12,7 @@
 /// Number of entry VMs up to which each follows the store itself.
 const DIRECT_ENTRY_VMS_MAX: usize = 16;
 /// Number of entry VMs for each relay.
-const ENTRY_VMS_PER_RELAY: usize = 24;
+const ENTRY_VMS_PER_RELAY: usize = 30;
 /// Minimum number of relays, so that some may fail at the same time.
 const RELAYS_MIN: usize = 3;
 
