--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -169,6 +169,13 @@
         self.child.id()
     }
 
+    /// Returns the state of the process as the kernel tells it, such as `S (sleeping)`.
+    pub(crate) fn process_state(&self) -> String {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()));
+        let status = status.unwrap_or_default();
+        status.lines().find(|it| it.starts_with("State:")).unwrap_or("State: ended").to_owned()
+    }
+
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
         self.signal(rustix::process::Signal::TERM);
--- a/bins/mangocross-front/tests/front/relays.rs
+++ b/bins/mangocross-front/tests/front/relays.rs
@@ -33,7 +33,11 @@
             .iter()
             .any(|it| line.starts_with(it))
     };
-    let lines = |it: &Front| it.metrics().lines().filter(is_shown).map(str::to_owned).collect();
+    let lines = |front: &Front| {
+        let metrics = front.metrics();
+        let shown = metrics.lines().filter(is_shown).map(str::to_owned);
+        shown.chain([front.process_state()]).collect()
+    };
     fronts.iter().map(lines).collect()
 }
 
