--- a/crates/mangocross-serving/tests/closed_heads.rs
+++ b/crates/mangocross-serving/tests/closed_heads.rs
@@ -89,3 +89,29 @@
     assert_eq!(phase, Some(MemberPhase::Open), "its entry still says so");
     assert!(simulation.planner.closed_heads().contains(&head));
 }
+
+/// The plan cannot be written while the store is away; the dark head is closed all the same.
+#[test]
+fn dark_head_is_closed_without_the_store() {
+    let mut simulation = formed();
+    let head = simulation.serving("large")[0].clone();
+    simulation.set_store_down(true);
+    set_connectivity(&mut simulation, &head, Connectivity::Silent);
+    simulation.planner.probe_group_soon(&head);
+    assert!(run_until_closed(&mut simulation, &head));
+}
+
+/// A member is lost and the group re-formed with its old head, which answers: until it has joined
+/// the new incarnation, it stands still and is closed.
+#[test]
+fn head_of_a_replaced_incarnation_is_closed_until_it_serves_again() {
+    let mut simulation = formed();
+    let head = simulation.serving("large")[0].clone();
+    let member = simulation.engines[&head].members[3].clone();
+    set_connectivity(&mut simulation, &member, Connectivity::NoProcess);
+    simulation.planner.mark_suspect(&head, simulation.now);
+    assert!(run_until_closed(&mut simulation, &head));
+    simulation.run(ms(2_500));
+    assert_eq!(simulation.serving("large").len(), 2);
+    assert!(simulation.planner.closed_heads().is_empty());
+}
--- a/crates/mangocross-serving/tests/relays.rs
+++ b/crates/mangocross-serving/tests/relays.rs
@@ -229,6 +229,29 @@
     }
 }
 
+/// A follower that was away until its relay has forgotten a removal is not told of changes only.
+#[test]
+fn follower_that_was_away_for_long_gets_all_keys() {
+    let change = |key: &str, revision: u64, value: Option<Vec<u8>>| KeyChange {
+        key: key.into(),
+        value,
+        revision: Revision(revision),
+    };
+    let mut keys = RelayedKeys::default();
+    keys.record(change("servers/a", 1, Some(vec![1])), at(0));
+    keys.record(change("servers/b", 2, Some(vec![2])), at(0));
+    keys.record(change("servers/a", 3, None), at(1_000));
+    keys.expire(at(10_000));
+    let answer = keys.changes_since(Revision(2));
+    assert!(!answer.is_complete);
+    assert_eq!(answer.changes, [change("servers/a", 3, None)]);
+    keys.expire(at(60_000));
+    let answer = keys.changes_since(Revision(2));
+    assert!(answer.is_complete, "the removal is no longer known");
+    assert_eq!(answer.changes, [change("servers/b", 2, Some(vec![2]))]);
+    assert!(!keys.changes_since(Revision(3)).is_complete);
+}
+
 /// A VM's boot clock, which differs from the others' by a constant.
 struct Clock(u64);
 
