--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -1,4 +1,4 @@
-//! Messages between entry VMs: requests in progress, suspects, changed servers.
+//! Messages between entry VMs: requests in progress, suspects, closed heads, changed servers.
 //!
 //! With up to FULL_MESH_PEERS_MAX other entry VMs, each sends its counts to all others. With more,
 //! each sends them to the planner, which sends the totals to all: two messages per VM and interval
