feat(front): log why a stream was not resumed, and which limit closed a caller's connection

A stream that broke and could not go on was logged with the break only, so an attempt limit, the retry budget and a lack of room looked alike. A connection that was closed for a limit left no line at all. Both are needed to tell the hypotheses of the lost request apart (docs/incidents/lost-beside-configuration-change.md).

--- a/bins/mangocross-front/src/ingress.rs
+++ b/bins/mangocross-front/src/ingress.rs
@@ -130,9 +130,19 @@
         let Some(configuration) = state.configuration() else { continue };
         let now = state.now();
         for (_, it) in callers.connections.borrow().iter() {
-            match it.overdue(now, &configuration.limits) {
+            let overdue = it.overdue(now, &configuration.limits);
+            match overdue {
                 Overdue::No => {}
-                Overdue::Idle | Overdue::Headers => it.close.notify_one(),
+                Overdue::Idle | Overdue::Headers => {
+                    if let Some(left_out) = state.log_rate.allow("caller's connection closed", now)
+                    {
+                        log::info!(
+                            limit:? = overdue, configuration = configuration.version, left_out;
+                            "caller's connection closed"
+                        );
+                    }
+                    it.close.notify_one();
+                }
             }
         }
     }
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -75,6 +75,9 @@
 const UNREACHABLE_REFUSAL: (ResultCode, &str) =
     (ResultCode::NoCompleteGroup, "heads cannot be reached");
 
+/// Logged if the caller disconnected before the stream could be resumed.
+const CALLER_LEFT: &str = "caller left";
+
 /// A stream for which a server has sent the head of its answer.
 struct StartedStream {
     vm: VmId,
@@ -97,6 +100,17 @@
     TimeOver,
 }
 
+impl StartError {
+    /// Returns the reason for the log.
+    fn reason(&self) -> &'static str {
+        match self {
+            Self::NotRun(reason) | Self::MayHaveRun(reason, _) => reason,
+            Self::Failure(_) => "server answered with a failure",
+            Self::TimeOver => "time is over",
+        }
+    }
+}
+
 /// Serves an event stream.
 pub(crate) async fn serve(mut call: Call) -> (Response<AnswerBody>, Option<RequestRecord>) {
     let is_retryable = call.route.retry_policy.is_retryable();
@@ -477,10 +491,23 @@
 
     /// Resumes the stream after the last complete event on another group.
     async fn resume(&mut self, failed: &VmId) -> Option<StartedStream> {
-        let is_allowed =
-            self.call.route.retry_policy.is_retryable() && self.runs < self.call.route.attempts_max;
-        if !is_allowed || !self.call.state.try_spend_retry(&self.call.service) {
-            return None;
+        let resumed = self.try_resume(failed).await;
+        if let Err(reason) = &resumed {
+            self.call.record.log_step("stream not resumed", failed, reason);
+        }
+        resumed.ok()
+    }
+
+    /// Like `resume`; returns what prevented the resumption if there is none.
+    async fn try_resume(&mut self, failed: &VmId) -> Result<StartedStream, &'static str> {
+        if !self.call.route.retry_policy.is_retryable() {
+            return Err("the stream may run only once");
+        }
+        if self.runs >= self.call.route.attempts_max {
+            return Err("all attempts are used up");
+        }
+        if !self.call.state.try_spend_retry(&self.call.service) {
+            return Err("retry budget used up");
         }
         self.splitter.drop_partial();
         let began_at = Instant::now();
@@ -496,7 +523,7 @@
             let Admission::Send(vm) = choose_head(&self.call, &heads, queue_slots) else {
                 tokio::select! {
                     () = tokio::time::sleep(RESUME_RETRY_DELAY) => continue,
-                    () = self.chunks.closed() => return None,
+                    () = self.chunks.closed() => return Err(CALLER_LEFT),
                 }
             };
             let failures = tried.len() as u32 - 1;
@@ -511,23 +538,23 @@
             let last_id = self.splitter.last_id().or(self.call.caller_head.last_event_id);
             let started = tokio::select! {
                 it = start_attempt(&self.call, &vm, connection, last_id, RESUMED_PRIORITY) => it,
-                () = self.chunks.closed() => return None,
+                () = self.chunks.closed() => return Err(CALLER_LEFT),
             };
             match started {
                 Ok(it) => {
                     self.runs += 1;
-                    return Some(it);
+                    return Ok(it);
                 }
                 Err(StartError::NotRun(reason)) if sent < SENDS_MAX => {
                     self.call.record.log_step("not run", &vm, reason);
                     tried.push(vm);
                     if !self.call.state.try_spend_retry(&self.call.service) {
-                        return None;
+                        return Err("retry budget used up");
                     }
                 }
-                Err(_) => return None,
+                Err(it) => return Err(it.reason()),
             }
         }
-        None
+        Err("no group had room in time")
     }
 }
