test(front): servers that pause for a second, and a shorter idle limit, end requests without an answer

A server that is silent for 1.2 s and goes on costs callers their answers: a stream is cut after two events where no other group has room, a request before its first event and a repeatable request get 502, and the planner re-forms the group, which ends every answer there. A configuration with a shorter idle limit closes connections that became idle under the longer one.

--- /dev/null
+++ b/bins/mangocross-front/tests/front/idle_connections.rs
@@ -0,0 +1,55 @@
+//! Tests of callers' connections that are idle while the configuration changes.
+
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+
+use crate::platform;
+use crate::platform::CALLER_HEADERS;
+use crate::platform::Client;
+use crate::platform::Front;
+use crate::platform::RequestKind;
+use crate::platform::Server;
+use crate::platform::Store;
+
+/// Writes a configuration with an idle limit.
+fn configure(store: &Store, version: u64, keys: &[&str], idle_timeout: Duration) {
+    let mut configuration = platform::configuration(version, keys);
+    configuration["limits"] = serde_json::json!({
+        "max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+        "idle_timeout_ms": idle_timeout.as_millis() as u64,
+    });
+    store.put("op/config", &configuration);
+}
+
+/// Guards against a request that is lost because a new version of the configuration shortens the
+/// time for which its connection, idle before the change, may be idle.
+#[test]
+fn connection_keeps_the_idle_limit_under_which_it_became_idle() {
+    let store = Store::spawn();
+    configure(&store, 3, &["k1"], Duration::from_secs(5));
+    let _servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    let mut client = Client::new(front.address);
+    assert_eq!(client.send(RequestKind::Lookup, "before", "k1").status, 200);
+    configure(&store, 4, &["k1", "k2"], Duration::from_secs(1));
+    front.wait_for_status(200, "/lookup/x", &CALLER_HEADERS.replace("k1", "k2"));
+    thread::sleep(Duration::from_millis(3000));
+    let outcome = client.send(RequestKind::Lookup, "after", "k1");
+    assert_eq!((outcome.status, outcome.is_whole), (200, true));
+}
+
+/// An idle connection is closed once its limit is over.
+#[test]
+fn connection_is_closed_after_its_idle_limit() {
+    let store = Store::spawn();
+    configure(&store, 3, &["k1"], Duration::from_secs(1));
+    let _servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    let mut client = Client::new(front.address);
+    assert_eq!(client.send(RequestKind::Lookup, "before", "k1").status, 200);
+    thread::sleep(Duration::from_millis(4000));
+    assert_eq!(client.send(RequestKind::Lookup, "after", "k1").status, 0);
+}
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the program as a process, between callers and a small stand-in of the platform.
 
+mod idle_connections;
 mod log_points;
 mod metrics;
 mod platform;
 mod relays;
 mod server_faults;
+mod silent_servers;
 mod soak;
 mod whole_path;
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -280,7 +280,7 @@
 }
 
 /// Returns an operators' configuration with these keys.
-fn configuration(version: u64, keys: &[&str]) -> Value {
+pub(crate) fn configuration(version: u64, keys: &[&str]) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({"name": name, "host": "a.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 8000,
             "target_latency_ms": 400, "priority": 1, "service": service, "max_attempts": 2,
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -61,6 +61,8 @@
     opened_with: Vec<(String, Value)>,
     /// Time between two events.
     event_pause: Duration,
+    /// Until when nothing is answered, and no stream goes on.
+    silent_until: Option<Instant>,
     /// Violated guarantees that the server observed.
     violations: Vec<String>,
 }
@@ -149,6 +151,28 @@
         lock(&self.state).event_pause = pause;
     }
 
+    /// Makes the server silent for a while: it accepts connections, but nothing is answered and no
+    /// stream goes on.
+    pub(crate) fn fall_silent(&self, duration: Duration) {
+        lock(&self.state).silent_until = Some(Instant::now() + duration);
+    }
+
+    fn wait_while_silent(&self) {
+        loop {
+            let until = lock(&self.state).silent_until;
+            let rest = until.map(|it| it.saturating_duration_since(Instant::now()));
+            match rest {
+                Some(rest) if !rest.is_zero() => thread::sleep(rest),
+                Some(_) | None => return,
+            }
+        }
+    }
+
+    /// Returns the incarnation of the group that the server is in.
+    pub(crate) fn incarnation(&self) -> Option<u64> {
+        lock(&self.state).group["epoch"].as_u64()
+    }
+
     /// Removes the server's entry, as after a crash.
     pub(crate) fn unlist(&self) {
         lock(&self.state).group = Value::Null;
@@ -191,6 +215,7 @@
     }
 
     fn serve(&self, request: &Request, stream: &mut TcpStream) {
+        self.wait_while_silent();
         match request.target.as_str() {
             "/-/report" => {
                 let status = self.status(&lock(&self.state));
@@ -353,6 +378,7 @@
             // The lock must not be held meanwhile: reports would wait for it.
             let pause = lock(&self.state).event_pause;
             thread::sleep(pause);
+            self.wait_while_silent();
             if !self.wait_for_members() {
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 return;
--- /dev/null
+++ b/crates/mangocross-serving/tests/silent_servers.rs
@@ -0,0 +1,79 @@
+//! The planner and servers that fall silent for a second or so and then go on.
+
+mod engines;
+mod figures;
+
+use std::time::Duration;
+
+use mangocross_types::VmId;
+
+use crate::engines::Connectivity;
+use crate::engines::Simulation;
+
+/// Time for which a sound server may be silent.
+const SILENCE: Duration = Duration::from_millis(1200);
+
+fn formed() -> Simulation {
+    let mut simulation = Simulation::new(2, 11);
+    simulation.run(Duration::from_secs(8));
+    simulation
+}
+
+/// Makes servers silent for `SILENCE`, from when their head's streams stall.
+fn fall_silent(simulation: &mut Simulation, head: &VmId, silent: &[VmId]) {
+    let set = |simulation: &mut Simulation, connectivity| {
+        for vm in silent {
+            simulation.engines.get_mut(vm).expect("an engine").connectivity = connectivity;
+        }
+    };
+    set(simulation, Connectivity::Silent);
+    for _ in 0..SILENCE.as_millis() / 50 {
+        simulation.planner.mark_suspect(head, simulation.now);
+        simulation.run(Duration::from_millis(50));
+    }
+    set(simulation, Connectivity::Answers);
+}
+
+/// Guards against groups that are re-formed, with the loss of all their answers, for a member that
+/// is silent for a moment.
+#[test]
+fn group_with_a_silent_server_is_kept() {
+    for rank in 0..3 {
+        let mut simulation = formed();
+        let plans = simulation.plans.clone();
+        let head = simulation.serving("large")[0].clone();
+        let member = simulation.engines[&head].members[rank].clone();
+        fall_silent(&mut simulation, &head, &[member]);
+        simulation.run(Duration::from_secs(3));
+        assert_eq!(simulation.plans, plans, "rank {rank}");
+    }
+}
+
+/// While a head does not respond, no new requests are sent to it.
+#[test]
+fn silent_head_is_closed_until_it_responds() {
+    let mut simulation = formed();
+    let head = simulation.serving("large")[0].clone();
+    simulation.engines.get_mut(&head).expect("an engine").connectivity = Connectivity::Silent;
+    simulation.planner.mark_suspect(&head, simulation.now);
+    simulation.run(Duration::from_millis(700));
+    assert!(simulation.planner.closed_heads().contains(&head));
+    simulation.engines.get_mut(&head).expect("an engine").connectivity = Connectivity::Answers;
+    simulation.run(Duration::from_millis(1500));
+    assert!(simulation.planner.closed_heads().is_empty());
+}
+
+/// A member that stays silent is replaced.
+#[test]
+fn server_that_stays_silent_is_replaced() {
+    let mut simulation = formed();
+    let head = simulation.serving("large")[0].clone();
+    let member = simulation.engines[&head].members[1].clone();
+    simulation.engines.get_mut(&member).expect("an engine").connectivity = Connectivity::Silent;
+    simulation.planner.mark_suspect(&head, simulation.now);
+    simulation.run(Duration::from_millis(2500));
+    let plans = simulation.plans.values();
+    let is_planned =
+        plans.flat_map(|(it, _)| &it.groups).any(|it| it.vms().any(|it| *it == member));
+    assert!(!is_planned);
+}
