fix(front): an attempt is given up only once another one has an answer

Callers of streams got a cut answer, and callers of repeatable requests a 502, although the server of their request would have answered: one that pauses for a second was given up after 350 ms to 1.5 s (streams) or 1.2 times the target latency (plain services), whether or not another server took the request. With the attempts or the retry budget used up, or no room elsewhere, nothing was left.

Cause: silence was treated as the end of an attempt. It is only a reason to ask another server. Now the silent attempt stays open beside the new one, and the first of the two that sends something new is followed; if no other server takes the request, the silent one is waited for until the caller's deadline. A stream that is silent counts as progressing again only with a new event, so a server that sends comments alone still loses its streams. A resumed stream changes its server with the first new event, no longer with the head of the answer.

Ruled out: longer limits before a server counts as silent. They would keep callers of dead groups waiting and still cut answers after longer pauses.

The stream module is split by role.

--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -7,6 +7,7 @@
 mod connection;
 mod control;
 mod dispatch;
+mod first_answer;
 mod ingress;
 mod leases;
 mod log_rate;
--- a/bins/mangocross-front/src/outcome.rs
+++ b/bins/mangocross-front/src/outcome.rs
@@ -35,7 +35,7 @@
     pub(crate) route: Option<Arc<str>>,
     pub(crate) customer: Option<CustomerId>,
     pub(crate) configuration_version: u64,
-    pub(crate) sent_to: Vec<VmId>,
+    sent_to: RefCell<Vec<VmId>>,
     first_byte_after: Cell<Option<Duration>>,
     status: Cell<Option<u16>>,
     code: Cell<Option<ResultCode>>,
@@ -63,7 +63,7 @@
             route: None,
             customer: None,
             configuration_version: 0,
-            sent_to: Vec::new(),
+            sent_to: RefCell::default(),
             first_byte_after: Cell::new(None),
             status: Cell::new(None),
             code: Cell::new(None),
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Records that the request was sent to a server.
+    pub(crate) fn add_sent_to(&self, vm: &VmId) {
+        self.sent_to.borrow_mut().push(vm.clone());
+    }
+
     pub(crate) fn age(&self) -> Duration {
         self.state.now().since(self.received_at)
     }
@@ -163,7 +168,8 @@
             self.suppressed_steps.take().iter().for_each(|it| self.write_step(it, 0));
         }
         let first_byte_ms = self.first_byte_after.get().map(|it| it.as_millis() as u64);
-        let sent_to: Vec<&str> = self.sent_to.iter().map(VmId::as_str).collect();
+        let sent_to = self.sent_to.take();
+        let sent_to: Vec<&str> = sent_to.iter().map(VmId::as_str).collect();
         log::info!(
             request = self.id.as_deref().unwrap_or_default(),
             route = self.route.as_deref().unwrap_or_default(),
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -1,5 +1,7 @@
 //! Requests to plain services.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,9 +15,12 @@
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use mangocross_types::VmId;
+use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
 use crate::dispatch::Call;
+use crate::first_answer::FirstAnswer;
+use crate::first_answer::first_answer;
 use crate::outcome::RequestRecord;
 use crate::pool;
 use crate::pool::ConnectError;
@@ -32,6 +37,9 @@
 /// Minimum Retry-After of a refused request.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Reason of requests that end with their deadline.
+const TIME_OVER: &str = "time is over";
+
 enum AttemptResult {
     /// The server answered.
     Answered(Response<AnswerBody>),
@@ -41,86 +49,201 @@
     Failed(&'static str, ResultCode, Option<Response<AnswerBody>>),
 }
 
+/// A server and the result of an attempt at it.
+type ServerResult = (VmId, AttemptResult);
+
+/// An attempt that has no result yet; dropping it closes its connection.
+type PendingAttempt<'a> = Pin<Box<dyn Future<Output = ServerResult> + 'a>>;
+
 /// Serves a request from a plain service.
-pub(crate) async fn serve(mut call: Call) -> (Response<AnswerBody>, Option<RequestRecord>) {
-    let is_retryable = call.route.retry_policy.is_retryable();
-    let mut tried: Vec<VmId> = Vec::new();
-    let mut sent = 0;
-    // Attempts that may have run; refused ones don't count.
-    let mut runs = 0;
-    let mut connect_failures = 0;
-    let response = loop {
-        let Some(server) = choose_server(&call, &tried) else {
-            break refuse_or_report_unknown(&call, runs, "no server of the service answers");
-        };
-        if call.time_left().is_zero() {
-            break timeout_response(&call, runs > 0);
+pub(crate) async fn serve(call: Call) -> (Response<AnswerBody>, Option<RequestRecord>) {
+    let response = PlainExchange::new(&call).run().await;
+    (response, Some(call.record))
+}
+
+/// The attempts of one request.
+struct PlainExchange<'a> {
+    call: &'a Call,
+    tried: Vec<VmId>,
+    sent: u32,
+    /// Attempts that may have run; refused ones don't count.
+    runs: u32,
+    connect_failures: u32,
+    /// An attempt whose server is silent.
+    silent: Option<PendingAttempt<'a>>,
+}
+
+impl<'a> PlainExchange<'a> {
+    fn new(call: &'a Call) -> Self {
+        Self { call, tried: Vec::new(), sent: 0, runs: 0, connect_failures: 0, silent: None }
+    }
+
+    async fn run(mut self) -> Response<AnswerBody> {
+        loop {
+            match self.send_next().await {
+                Ok(attempt) => {
+                    if let Some(response) = self.wait(attempt).await {
+                        return response;
+                    }
+                }
+                Err(reason) => return self.end_not_sent(reason).await,
+            }
         }
-        if sent > 0 && !call.state.try_spend_retry(&call.service) {
-            break refuse_or_report_unknown(&call, runs, "retry budget used up");
+    }
+
+    /// Sends the request to the best server that has not been tried.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if there is none.
+    async fn send_next(&mut self) -> Result<PendingAttempt<'a>, &'static str> {
+        let call = self.call;
+        loop {
+            let server =
+                choose_server(call, &self.tried).ok_or("no server of the service answers")?;
+            if call.time_left().is_zero() {
+                return Err(TIME_OVER);
+            }
+            if self.sent > 0 && !call.state.try_spend_retry(&call.service) {
+                return Err("retry budget used up");
+            }
+            self.tried.push(server.vm.clone());
+            let connection = if call.route.retry_policy.is_retryable() {
+                call.state.pool.get(server.address, self.connect_failures).await
+            } else {
+                call.state.pool.open(server.address, self.connect_failures).await
+            };
+            let connection = match connection {
+                Ok(it) => it,
+                Err(error) => {
+                    record_connect_failure(call, &server.vm, error);
+                    self.connect_failures += 1;
+                    if self.connect_failures > CONNECT_FAILURES_MAX {
+                        return Err("servers cannot be reached");
+                    }
+                    continue;
+                }
+            };
+            self.sent += 1;
+            call.record.add_sent_to(&server.vm);
+            call.record.log_step("request sent", &server.vm, "plain service");
+            return Ok(Box::pin(async move {
+                let result = exchange(call, &server, connection).await;
+                (server.vm, result)
+            }));
         }
-        let connection = if is_retryable {
-            call.state.pool.get(server.address, connect_failures).await
-        } else {
-            call.state.pool.open(server.address, connect_failures).await
-        };
-        let connection = match connection {
-            Ok(it) => it,
-            Err(error) => {
-                record_connect_failure(&call, &server.vm, error);
-                tried.push(server.vm);
-                connect_failures += 1;
-                if connect_failures > CONNECT_FAILURES_MAX {
-                    break refuse_or_report_unknown(&call, runs, "servers cannot be reached");
+    }
+
+    /// Waits for the latest attempt and a silent one; returns `None` if another is to be sent.
+    async fn wait(&mut self, mut latest: PendingAttempt<'a>) -> Option<Response<AnswerBody>> {
+        let call = self.call;
+        let is_retryable = call.route.retry_policy.is_retryable();
+        let may_repeat = is_retryable && self.runs + 1 < call.route.attempts_max;
+        let repeat_at = Instant::now() + call.route.target_latency.mul_f64(REPEAT_TARGET_RATIO);
+        loop {
+            let may_send_beside = may_repeat && self.silent.is_none();
+            let until = if may_send_beside { repeat_at.min(call.ends_at) } else { call.ends_at };
+            let first = first_answer(&mut latest, &mut self.silent);
+            let Ok(first) = tokio::time::timeout_at(until, first).await else {
+                if call.time_left().is_zero() {
+                    return Some(timeout_response(call, true));
+                }
+                if let Some(vm) = self.tried.last() {
+                    call.record.log_step("server silent", vm, "another server is asked");
+                    call.state.record_outcome(vm, true);
+                }
+                self.runs += 1;
+                self.silent = Some(latest);
+                return None;
+            };
+            let (vm, result, is_latest) = match first {
+                FirstAnswer::Latest((vm, result)) => (vm, result, true),
+                FirstAnswer::Earlier((vm, result)) => (vm, result, false),
+            };
+            let has_failed = matches!(result, AttemptResult::Failed(..));
+            call.state.record_outcome(&vm, has_failed);
+            match result {
+                AttemptResult::Answered(response) => {
+                    call.record.answer_completed();
+                    return Some(response);
+                }
+                AttemptResult::NotRun(reason) => {
+                    call.record.log_step("not run", &vm, reason);
+                    if !is_latest {
+                        self.runs = self.runs.saturating_sub(1);
+                    } else if self.sent >= SENDS_MAX {
+                        return Some(self.end_not_sent(reason).await);
+                    } else {
+                        return None;
+                    }
+                }
+                AttemptResult::Failed(reason, code, response) => {
+                    call.record.log_step("attempt failed", &vm, reason);
+                    if is_latest {
+                        self.runs += 1;
+                        if may_repeat {
+                            return None;
+                        }
+                        return Some(self.end_failed(reason, code, response).await);
+                    }
                 }
-                continue;
             }
+        }
+    }
+
+    /// Waits for the silent attempt; returns its answer, or `None` if there is none.
+    async fn wait_for_silent(&mut self) -> Option<Response<AnswerBody>> {
+        let call = self.call;
+        let silent = self.silent.take()?;
+        let Ok((vm, result)) = tokio::time::timeout_at(call.ends_at, silent).await else {
+            return Some(timeout_response(call, true));
         };
-        sent += 1;
-        tried.push(server.vm.clone());
-        call.record.sent_to.push(server.vm.clone());
-        call.record.log_step("request sent", &server.vm, "plain service");
-        let may_repeat = is_retryable && runs + 1 < call.route.attempts_max;
-        let limit = if may_repeat {
-            call.route.target_latency.mul_f64(REPEAT_TARGET_RATIO).min(call.time_left())
-        } else {
-            call.time_left()
-        };
-        let attempt = tokio::time::timeout(limit, exchange(&call, &server, connection)).await;
-        let now = call.state.now();
-        let has_failed =
-            !matches!(attempt, Ok(AttemptResult::Answered(_) | AttemptResult::NotRun(_)));
-        call.state.view.borrow_mut().failures.record(&server.vm, has_failed, now);
-        match attempt {
-            Ok(AttemptResult::Answered(response)) => {
+        match result {
+            AttemptResult::Answered(response) => {
+                call.state.record_outcome(&vm, false);
                 call.record.answer_completed();
-                break response;
+                Some(response)
             }
-            Ok(AttemptResult::NotRun(reason)) => {
-                call.record.log_step("not run", &server.vm, reason);
-                if sent >= SENDS_MAX {
-                    break refuse_or_report_unknown(&call, runs, reason);
-                }
+            AttemptResult::NotRun(reason) => {
+                self.runs = self.runs.saturating_sub(1);
+                call.record.log_step("not run", &vm, reason);
+                None
             }
-            Ok(AttemptResult::Failed(reason, code, response)) => {
-                call.record.log_step("attempt failed", &server.vm, reason);
-                runs += 1;
-                if !may_repeat {
-                    call.record.answer_failed(code, reason);
-                    break response
-                        .unwrap_or_else(|| unknown_outcome_response(&call, code, reason));
-                }
-            }
-            Err(_) => {
-                call.record.log_step("attempt timed out", &server.vm, "no answer in time");
-                runs += 1;
-                if !may_repeat {
-                    break timeout_response(&call, true);
-                }
+            AttemptResult::Failed(reason, ..) => {
+                call.record.log_step("attempt failed", &vm, reason);
+                None
             }
         }
-    };
-    (response, Some(call.record))
+    }
+
+    /// Ends the exchange if no other attempt can be sent.
+    async fn end_not_sent(&mut self, reason: &'static str) -> Response<AnswerBody> {
+        if let Some(response) = self.wait_for_silent().await {
+            return response;
+        }
+        if self.call.time_left().is_zero() {
+            return timeout_response(self.call, self.runs > 0);
+        }
+        if self.runs == 0 {
+            refuse(self.call, reason)
+        } else {
+            unknown_outcome_response(self.call, ResultCode::BackendBroken, reason)
+        }
+    }
+
+    /// Ends the exchange after the last attempt failed, with the server's error if it sent one.
+    async fn end_failed(
+        &mut self,
+        reason: &'static str,
+        code: ResultCode,
+        response: Option<Response<AnswerBody>>,
+    ) -> Response<AnswerBody> {
+        if let Some(response) = self.wait_for_silent().await {
+            return response;
+        }
+        self.call.record.answer_failed(code, reason);
+        response.unwrap_or_else(|| unknown_outcome_response(self.call, code, reason))
+    }
 }
 
 /// Chooses among the servers that have not been tried yet.
@@ -202,8 +325,7 @@
 
 /// Records a failed connection to a server, which then gets no requests for a while.
 pub(crate) fn record_connect_failure(call: &Call, vm: &VmId, error: ConnectError) {
-    let now = call.state.now();
-    call.state.view.borrow_mut().failures.record(vm, true, now);
+    call.state.record_outcome(vm, true);
     call.state.avoid(vm, UNREACHABLE_PAUSE);
     let detail = match error {
         ConnectError::Refused => "connection refused",
@@ -226,18 +348,9 @@
     call.record.refuse(&Refusal::unknown(code, reason), reason)
 }
 
-/// Refuses the request if no attempt can have run; otherwise reports an unknown outcome.
-fn refuse_or_report_unknown(call: &Call, runs: u32, reason: &'static str) -> Response<AnswerBody> {
-    if runs == 0 {
-        refuse(call, reason)
-    } else {
-        unknown_outcome_response(call, ResultCode::BackendBroken, reason)
-    }
-}
-
 /// Returns the answer to a request whose deadline has passed.
 pub(crate) fn timeout_response(call: &Call, may_have_run: bool) -> Response<AnswerBody> {
-    let reason = "time is over";
+    let reason = TIME_OVER;
     if may_have_run {
         unknown_outcome_response(call, ResultCode::BackendSilent, reason)
     } else {
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -321,8 +321,19 @@
     }
 
     pub(crate) fn is_suspect(&self, vm: &VmId) -> bool {
-        let now = self.now();
-        self.view.borrow().is_suspect(vm, now)
+        let view = self.view.borrow();
+        view.suspects.contains_key(vm) && view.is_suspect(vm, self.now())
+    }
+
+    /// Waits until a head is suspect.
+    pub(crate) async fn wait_until_suspect(&self, vm: &VmId) {
+        loop {
+            let added = self.suspect_added.notified();
+            if self.is_suspect(vm) {
+                return;
+            }
+            added.await;
+        }
     }
 
     /// Marks a head that this VM found stalled, and reports it to the other entry VMs.
@@ -350,6 +361,12 @@
         }
     }
 
+    /// Records whether a request to a server failed.
+    pub(crate) fn record_outcome(&self, vm: &VmId, has_failed: bool) {
+        let now = self.now();
+        self.view.borrow_mut().failures.record(vm, has_failed, now);
+    }
+
     /// Sends no requests to a server for a while.
     pub(crate) fn avoid(&self, vm: &VmId, pause: Duration) {
         let until = self.now() + pause;
--- /dev/null
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -0,0 +1,125 @@
+//! One attempt of a stream at one server.
+
+use std::future::Future;
+use std::pin::Pin;
+
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use mangocross_platform::AnswerHead;
+use mangocross_types::Refusal;
+use mangocross_types::ResultCode;
+use mangocross_types::VmId;
+
+use crate::answer_body::AnswerBody;
+use crate::dispatch::Call;
+use crate::pool::Connection;
+use crate::state::InFlightGuard;
+use crate::state::NOT_RUN_PAUSE;
+
+/// Maximum size of a server's error, which is buffered until it is complete.
+const FAILURE_BYTES_MAX: usize = 1 << 20;
+
+/// A stream for which a server has sent the head of its answer.
+pub(super) struct StartedStream {
+    pub(super) vm: VmId,
+    pub(super) connection: Connection,
+    pub(super) in_flight: InFlightGuard,
+    pub(super) response: Response<Incoming>,
+    pub(super) answer_head: AnswerHead,
+}
+
+/// Why a server did not start a stream.
+pub(super) enum StartError {
+    /// The server did not run the request.
+    NotRun(&'static str),
+    /// The attempt failed after sending began, for this reason; the caller gets the code if the
+    /// request is not repeated.
+    MayHaveRun(&'static str, ResultCode),
+    /// The server answered with an error.
+    Failure(Box<StartedStream>),
+    /// The deadline has passed.
+    TimeOver,
+}
+
+impl StartError {
+    /// Returns the reason for the log.
+    pub(super) fn reason(&self) -> &'static str {
+        match self {
+            Self::NotRun(reason) | Self::MayHaveRun(reason, _) => reason,
+            Self::Failure(_) => "server answered with a failure",
+            Self::TimeOver => "time is over",
+        }
+    }
+}
+
+/// Server and result of an attempt.
+pub(super) type AttemptResult = (VmId, Result<StartedStream, StartError>);
+
+/// An attempt whose server has not sent the head of its answer yet; dropping it closes its
+/// connection.
+pub(super) type PendingAttempt<'a> = Pin<Box<dyn Future<Output = AttemptResult> + 'a>>;
+
+/// Sends the request and waits for the head of its answer.
+pub(super) async fn start_attempt(
+    call: &Call,
+    vm: &VmId,
+    mut connection: Connection,
+    last_event_id: Option<u64>,
+    priority: u8,
+) -> Result<StartedStream, StartError> {
+    call.state.metrics.count_attempt();
+    let in_flight = call.state.track_in_flight(vm, true);
+    let request = call.backend_request(vm, last_event_id, Some(priority));
+    let is_reused = connection.is_reused();
+    let response = match tokio::time::timeout_at(call.ends_at, connection.send(request)).await {
+        Ok(Ok(it)) => it,
+        Ok(Err(_)) => {
+            if !is_reused {
+                call.state.request_recheck(vm);
+            }
+            return Err(StartError::MayHaveRun("connection broke", ResultCode::BackendBroken));
+        }
+        Err(_) => return Err(StartError::TimeOver),
+    };
+    in_flight.record_progress();
+    let attempt_id = call.caller_head.attempt_id.as_deref().unwrap_or_default();
+    let answer_head = AnswerHead::read(response.status(), response.headers(), attempt_id);
+    if !answer_head.matches_attempt {
+        let reason = "answer to another request";
+        return Err(StartError::MayHaveRun(reason, ResultCode::BackendMismatch));
+    }
+    if answer_head.is_not_run {
+        call.state.avoid(vm, NOT_RUN_PAUSE);
+        return Err(StartError::NotRun("group is full, broken or no longer there"));
+    }
+    let started = StartedStream { vm: vm.clone(), connection, in_flight, response, answer_head };
+    if started.response.status() == StatusCode::OK && started.answer_head.is_signed {
+        Ok(started)
+    } else {
+        Err(StartError::Failure(Box::new(started)))
+    }
+}
+
+/// Forwards a server's error to the caller.
+pub(super) async fn forward_failure(call: &Call, started: StartedStream) -> Response<AnswerBody> {
+    let status = started.response.status();
+    let headers = AnswerHead::forwarded_headers(started.response.headers());
+    let body = Limited::new(started.response.into_body(), FAILURE_BYTES_MAX).collect();
+    match tokio::time::timeout_at(call.ends_at, body).await {
+        Ok(Ok(body)) => {
+            call.record.answer_started(status);
+            call.record.answer_failed(ResultCode::BackendBroken, "server failed");
+            let mut response = Response::new(AnswerBody::whole(body.to_bytes()));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            response
+        }
+        Ok(Err(_)) | Err(_) => {
+            let reason = "the server's error is too long or broke off";
+            call.record.refuse(&Refusal::unknown(ResultCode::BackendBroken, reason), reason)
+        }
+    }
+}
--- /dev/null
+++ b/bins/mangocross-front/src/stream/forwarder.rs
@@ -0,0 +1,271 @@
+//! Forwards the events of a stream, which may move to other servers.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use mangocross_platform::AnswerHead;
+use mangocross_types::ResultCode;
+use mangocross_types::VmId;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::Sender;
+use tokio::time::Instant;
+
+use super::attempt::StartedStream;
+use super::source::Received;
+use super::source::Source;
+use crate::answer_body::AnswerBody;
+use crate::answer_body::Chunk;
+use crate::dispatch::Call;
+
+/// Chunks buffered for a caller that reads slowly.
+const QUEUED_CHUNKS_MAX: usize = 8;
+/// Time without an event after which another server is asked to continue a stream, as a share of
+/// the time after which its caller abandons it; a stall of its whole group is usually detected
+/// earlier.
+const SILENCE_SHARE: f64 = 0.75;
+/// Minimum silence of a stream before a stall of its group concerns it.
+const STALL_SILENCE_MIN: Duration = Duration::from_millis(350);
+
+/// Starts the task that forwards events, and returns the head of the answer; `runs` is the number
+/// of attempts that may have run.
+pub(super) fn spawn(call: Call, started: StartedStream, runs: u32) -> Response<AnswerBody> {
+    let status = started.response.status();
+    let headers = AnswerHead::forwarded_headers(started.response.headers());
+    call.record.answer_started(status);
+    let (chunks, received) = mpsc::channel(QUEUED_CHUNKS_MAX);
+    let last_id = Cell::new(call.caller_head.last_event_id);
+    let runs = Cell::new(runs);
+    let last_event_at = Cell::new(Instant::now());
+    let task = tokio::task::spawn_local(async move {
+        let forwarder = Forwarder { call, chunks, runs, last_id, last_event_at };
+        forwarder.run(started).await;
+    });
+    let mut response = Response::new(AnswerBody::chunks(received, task.abort_handle()));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Why forwarding ended.
+enum End {
+    /// The answer is complete.
+    Complete,
+    /// The server failed, and no other continues the stream.
+    Broken(&'static str),
+    /// The caller's deadline has passed.
+    TimeOver,
+    /// The caller disconnected.
+    CallerLeft,
+}
+
+/// Why forwarding from one server stopped.
+enum Stop {
+    /// The answer has ended.
+    End(End),
+    /// The server or the connection to it failed.
+    Broken(&'static str),
+    /// The server is silent, but its answer may still go on.
+    Silent(&'static str),
+}
+
+/// How a stream goes on.
+enum Next {
+    /// From this server.
+    From(Source),
+    /// From a silent server, since no other continues the stream.
+    Silent(Source),
+    /// Not at all.
+    End(End),
+}
+
+/// Forwards one stream.
+pub(super) struct Forwarder {
+    pub(super) call: Call,
+    chunks: Sender<Chunk>,
+    /// Attempts that may have run.
+    pub(super) runs: Cell<u32>,
+    /// Last complete event that was forwarded.
+    pub(super) last_id: Cell<Option<u64>>,
+    pub(super) last_event_at: Cell<Instant>,
+}
+
+impl Forwarder {
+    async fn run(&self, started: StartedStream) {
+        let mut source = Source::new(started, self.last_id.get());
+        let mut may_move = true;
+        let end = loop {
+            let stop = self.forward(&mut source, may_move).await;
+            let next = match stop {
+                Stop::End(End::Complete) => {
+                    source.finish(&self.call.state.pool).await;
+                    break End::Complete;
+                }
+                Stop::End(end) => break end,
+                Stop::Broken(reason) => {
+                    self.call.record.log_step("stream broke", &source.vm, reason);
+                    self.move_on(source, Some(reason)).await
+                }
+                Stop::Silent(reason) => {
+                    self.call.record.log_step("stream silent", &source.vm, reason);
+                    self.move_on(source, None).await
+                }
+            };
+            match next {
+                Next::From(it) => (source, may_move) = (it, true),
+                Next::Silent(it) => (source, may_move) = (it, false),
+                Next::End(end) => break end,
+            }
+        };
+        match end {
+            End::Complete => {
+                self.call.record.answer_completed();
+                let _ = self.chunks.send(Chunk::End).await;
+            }
+            End::Broken(reason) => {
+                self.call.record.answer_failed(ResultCode::BackendBroken, reason);
+            }
+            End::TimeOver => {
+                self.call.record.answer_failed(ResultCode::DeadlineExceeded, "time is over");
+            }
+            End::CallerLeft => {}
+        }
+    }
+
+    /// Forwards events from a server until it ends, fails or, if the stream may move to another
+    /// server, is silent.
+    async fn forward(&self, source: &mut Source, may_move: bool) -> Stop {
+        let call = &self.call;
+        let vm = source.vm.clone();
+        let mut may_move = may_move;
+        let silence_max = call.route.event_gap_max.mul_f64(SILENCE_SHARE);
+        let mut silent_since = Instant::now();
+        loop {
+            let silent_until = silent_since + silence_max;
+            let wake_at = if may_move { silent_until.min(call.ends_at) } else { call.ends_at };
+            let received = tokio::select! {
+                it = source.receive() => it,
+                () = self.wait_until_stalled(&vm, silent_since), if may_move => {
+                    return Stop::Silent("group is stalled");
+                }
+                () = tokio::time::sleep_until(wake_at) => {
+                    return match call.ends_at <= Instant::now() {
+                        true => Stop::End(End::TimeOver),
+                        false => Stop::Silent("no event for too long"),
+                    };
+                }
+                () = self.chunks.closed() => return Stop::End(End::CallerLeft),
+            };
+            let events = match received {
+                Received::Events(it) => it,
+                Received::End => return Stop::End(End::Complete),
+                Received::Broken(reason) => return Stop::Broken(reason),
+            };
+            if let Some(end) = self.deliver(source, events.data).await {
+                return Stop::End(end);
+            }
+            // The time that the caller took to read does not count as silence of the server.
+            if events.has_content {
+                silent_since = Instant::now();
+                may_move = true;
+            }
+        }
+    }
+
+    /// Continues the stream at another server. A server that has not failed is read meanwhile, and
+    /// the first of the two that sends something new is followed.
+    async fn move_on(&self, source: Source, broken: Option<&'static str>) -> Next {
+        let (mut source, mut broken) = (source, broken);
+        let failed = source.vm.clone();
+        let successor = self.find_successor(&failed);
+        tokio::pin!(successor);
+        loop {
+            let received = tokio::select! {
+                it = &mut successor => match it {
+                    Ok((next, received)) => return self.follow(next, received).await,
+                    Err(reason) => {
+                        self.call.record.log_step("stream not resumed", &failed, reason);
+                        return match broken {
+                            Some(reason) => Next::End(End::Broken(reason)),
+                            None => Next::Silent(source),
+                        };
+                    }
+                },
+                it = source.receive(), if broken.is_none() => it,
+                end = self.wait_for_end() => return Next::End(end),
+            };
+            match received {
+                Received::Events(it) => {
+                    let is_progress = it.has_content || source.last_id() != self.last_id.get();
+                    if let Some(end) = self.deliver(&source, it.data).await {
+                        return Next::End(end);
+                    }
+                    if is_progress {
+                        self.call.record.log_step("silent server goes on", &failed, "");
+                        return Next::From(source);
+                    }
+                }
+                Received::End => {
+                    source.finish(&self.call.state.pool).await;
+                    return Next::End(End::Complete);
+                }
+                Received::Broken(reason) => {
+                    self.call.record.log_step("stream broke", &failed, reason);
+                    broken = Some(reason);
+                }
+            }
+        }
+    }
+
+    /// Goes on with another server, which has sent this first.
+    async fn follow(&self, source: Source, first: Received) -> Next {
+        match first {
+            Received::Events(it) => match self.deliver(&source, it.data).await {
+                Some(end) => Next::End(end),
+                None => Next::From(source),
+            },
+            Received::End => {
+                source.finish(&self.call.state.pool).await;
+                Next::End(End::Complete)
+            }
+            Received::Broken(reason) => Next::End(End::Broken(reason)),
+        }
+    }
+
+    /// Waits until the streams of the server's group are stalled, this one among them.
+    async fn wait_until_stalled(&self, head: &VmId, silent_since: Instant) {
+        loop {
+            self.call.state.wait_until_suspect(head).await;
+            if silent_since.elapsed() >= STALL_SILENCE_MIN {
+                return;
+            }
+            tokio::time::sleep_until(silent_since + STALL_SILENCE_MIN).await;
+        }
+    }
+
+    /// Waits until the caller disconnects or its deadline has passed.
+    async fn wait_for_end(&self) -> End {
+        tokio::select! {
+            () = self.chunks.closed() => End::CallerLeft,
+            () = tokio::time::sleep_until(self.call.ends_at) => End::TimeOver,
+        }
+    }
+
+    /// Passes events on; waits for a slow caller until the deadline.
+    async fn deliver(&self, source: &Source, events: Bytes) -> Option<End> {
+        self.last_id.set(source.last_id());
+        if events.is_empty() {
+            return None;
+        }
+        let now = Instant::now();
+        let gap = now.duration_since(self.last_event_at.replace(now));
+        self.call.state.metrics.record_event_gap(gap);
+        let sending = self.chunks.send(Chunk::Data(events));
+        match tokio::time::timeout_at(self.call.ends_at, sending).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(End::CallerLeft),
+            Err(_) => Some(End::TimeOver),
+        }
+    }
+}
--- /dev/null
+++ b/bins/mangocross-front/src/stream/heads.rs
@@ -0,0 +1,86 @@
+//! Chooses the group for a stream and connects to its head.
+
+use std::time::Duration;
+
+use mangocross_serving::Admission;
+use mangocross_serving::Candidates;
+use mangocross_serving::GroupTimes;
+use mangocross_serving::HeadLoad;
+use mangocross_serving::StreamDemand;
+use mangocross_serving::admit;
+use mangocross_types::VmId;
+
+use crate::dispatch::Call;
+use crate::plain;
+use crate::pool::Connection;
+
+/// Returns the heads that accept requests for the model, or `None` if there are none.
+pub(super) fn find_heads(call: &Call, tried: &[VmId]) -> Option<Vec<HeadLoad>> {
+    let heads = call.state.heads(&call.service, call.caller_head.model.as_ref(), tried);
+    (!heads.is_empty()).then_some(heads)
+}
+
+/// Chooses among the heads; `queue_slots` is the number of queue places that may be used.
+pub(super) fn choose_head(call: &Call, heads: &[HeadLoad], queue_slots: u32) -> Admission {
+    let engine = call.configuration.services.get(&call.service).and_then(|it| it.engine.as_ref());
+    let model = engine.and_then(|engine| {
+        let named = call.caller_head.model.as_ref().and_then(|it| engine.model(it));
+        named.or(engine.models.first()).map(|it| (engine, it))
+    });
+    let Some((engine, model)) = model else {
+        let least = heads.iter().min_by_key(|it| it.in_flight);
+        return least.map_or(Admission::NoGroup, |it| Admission::Send(it.vm.clone()));
+    };
+    let demand = StreamDemand {
+        target_latency: call.route.target_latency,
+        waited: call.waited_before + call.record.age(),
+        prompt_tokens: call.caller_head.prompt_tokens,
+    };
+    let comparison = match call.state.may_get_counts_via_planner() {
+        true => Candidates::RandomTwo(fastrand::f64(), fastrand::f64()),
+        false => Candidates::All,
+    };
+    admit(&GroupTimes::new(engine, model), heads, &demand, queue_slots, comparison)
+}
+
+/// Connects to a head; `failures` is the number of failed connections of the same request.
+pub(super) async fn connect(
+    call: &Call,
+    vm: &VmId,
+    may_reuse: bool,
+    failures: u32,
+) -> Option<Connection> {
+    let address = call.state.view.borrow().servers.get(vm).map(|it| it.address)?;
+    let connection = if may_reuse {
+        call.state.pool.get(address, failures).await
+    } else {
+        call.state.pool.open(address, failures).await
+    };
+    match connection {
+        Ok(it) => Some(it),
+        Err(error) => {
+            plain::record_connect_failure(call, vm, error);
+            call.state.request_recheck(vm);
+            None
+        }
+    }
+}
+
+/// Logs the load on which the choice of a head was based.
+pub(super) fn log_sent(call: &Call, vm: &VmId, heads: &[HeadLoad]) {
+    let load = heads.iter().find(|it| it.vm == *vm);
+    let (in_flight, waiting) = load.map_or((0, 0), |it| (it.in_flight, it.waiting));
+    let detail = format!("{in_flight} in flight, {waiting} waiting, {} groups", heads.len());
+    call.record.log_step("stream sent", vm, &detail);
+}
+
+/// Logs the load for which a stream was refused.
+pub(super) fn log_refused(call: &Call, best: &HeadLoad, first_event_in: Duration, groups: usize) {
+    let HeadLoad { vm, in_flight, waiting, slowdown } = best;
+    let (first_ms, target_ms) = (first_event_in.as_millis(), call.route.target_latency.as_millis());
+    let detail = format!(
+        "{in_flight} in flight, {waiting} waiting, slowdown {slowdown:.1}, first event in {first_ms} ms, \
+         target {target_ms} ms, {groups} groups"
+    );
+    call.record.log_step("stream refused", vm, &detail);
+}
--- /dev/null
+++ b/bins/mangocross-front/src/stream/source.rs
@@ -0,0 +1,73 @@
+//! Reads the events of a stream from one server.
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use mangocross_platform::AnswerHead;
+use mangocross_serving::CompleteEvents;
+use mangocross_serving::EventSplitter;
+use mangocross_types::VmId;
+
+use super::attempt::StartedStream;
+use crate::pool::Connection;
+use crate::pool::Pool;
+use crate::state::InFlightGuard;
+
+/// What a server sent next.
+pub(super) enum Received {
+    /// Data that completed these events, or none yet.
+    Events(CompleteEvents),
+    /// The answer is complete.
+    End,
+    /// The server or the connection to it failed.
+    Broken(&'static str),
+}
+
+/// The answer of one server to a stream.
+pub(super) struct Source {
+    pub(super) vm: VmId,
+    connection: Connection,
+    in_flight: InFlightGuard,
+    body: Incoming,
+    answer_head: AnswerHead,
+    splitter: EventSplitter,
+}
+
+impl Source {
+    /// Reads a started stream, which resumes after the event `last_id` if it is not new.
+    pub(super) fn new(started: StartedStream, last_id: Option<u64>) -> Self {
+        let StartedStream { vm, connection, in_flight, response, answer_head } = started;
+        let splitter = EventSplitter::resuming_after(last_id);
+        Self { vm, connection, in_flight, body: response.into_body(), answer_head, splitter }
+    }
+
+    /// Returns the id of the last complete event.
+    pub(super) fn last_id(&self) -> Option<u64> {
+        self.splitter.last_id()
+    }
+
+    /// Waits for the next data. Dropping the future loses nothing.
+    pub(super) async fn receive(&mut self) -> Received {
+        let data = match self.body.frame().await {
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            Some(Err(_)) => return Received::Broken("answer broke off"),
+            None if self.splitter.is_inside_event() => {
+                return Received::Broken("answer stopped inside an event");
+            }
+            None => return Received::End,
+        };
+        let Ok(events) = self.splitter.push(&data) else {
+            return Received::Broken("event too long");
+        };
+        if events.has_content {
+            self.in_flight.record_progress();
+        }
+        Received::Events(events)
+    }
+
+    /// Returns the connection of a complete answer to the pool, unless the server closes it.
+    pub(super) async fn finish(self, pool: &Pool) {
+        if !self.answer_head.closes {
+            pool.put(self.connection, self.answer_head.idle_timeout).await;
+        }
+    }
+}
