fix(front): a connection keeps the idle limit under which it became idle

Callers lost requests on kept connections when a new version of the configuration shortened the idle limit: the connections were closed by the new limit within half a second, although callers may use them for four fifths of the limit that they know.

Cause: limits of the newest configuration were applied to what had begun under an earlier one. Now the longest idle limit in force since a connection became idle applies to it, and a shorter one from its next request on. When a limit is exceeded, or the process stops, the connection is polled before it is closed, so that a request that has arrived is read first.

Ruled out: a request whose headers are half read at a stop is answered, with and without this change (request_whose_headers_arrive_during_a_stop_is_answered).

connection_keeps_the_idle_limit_under_which_it_became_idle failed before (connection closed without an answer) and passes now.

--- a/bins/mangocross-front/src/connection.rs
+++ b/bins/mangocross-front/src/connection.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use hyper::rt::Read;
 use hyper::rt::ReadBufCursor;
@@ -46,16 +47,23 @@
 pub(crate) struct ConnectionState {
     phase: Cell<Phase>,
     since: Cell<Moment>,
+    /// Longest idle limit that was in force since the connection became idle.
+    idle_timeout: Cell<Duration>,
+    /// Idle limit at the last check.
+    latest_idle_timeout: Cell<Duration>,
     clock: SystemBootClock,
     /// Asks the connection's task to close it as soon as it is idle.
     pub(crate) close: Notify,
 }
 
 impl ConnectionState {
-    pub(crate) fn new(clock: SystemBootClock) -> Rc<Self> {
+    /// Creates the state of a new connection, which is idle.
+    pub(crate) fn new(clock: SystemBootClock, idle_timeout: Duration) -> Rc<Self> {
         Rc::new(Self {
             phase: Cell::new(Phase::Idle),
             since: Cell::new(clock.now()),
+            idle_timeout: Cell::new(idle_timeout),
+            latest_idle_timeout: Cell::new(idle_timeout),
             clock,
             close: Notify::new(),
         })
@@ -63,6 +71,7 @@
 
     fn enter(&self, phase: Phase) {
         self.phase.set(phase);
+        self.idle_timeout.set(self.latest_idle_timeout.get());
         self.since.set(self.clock.now());
     }
 
@@ -79,10 +88,15 @@
     }
 
     /// Returns the time limit that the connection has exceeded.
+    ///
+    /// A caller may know only the idle limit under which the connection became idle, so a shorter
+    /// one applies from the next time on.
     pub(crate) fn overdue(&self, now: Moment, limits: &CallerLimits) -> Overdue {
         let since = now.since(self.since.get());
+        self.latest_idle_timeout.set(limits.idle_timeout);
+        self.idle_timeout.set(self.idle_timeout.get().max(limits.idle_timeout));
         match self.phase.get() {
-            Phase::Idle if since > limits.idle_timeout => Overdue::Idle,
+            Phase::Idle if since > self.idle_timeout.get() => Overdue::Idle,
             Phase::Headers if since > limits.header_timeout => Overdue::Headers,
             Phase::Idle | Phase::Headers | Phase::Request => Overdue::No,
         }
--- a/bins/mangocross-front/src/ingress.rs
+++ b/bins/mangocross-front/src/ingress.rs
@@ -96,9 +96,9 @@
     if let Err(error) = pool::set_options(&stream, pool::CALLER_USER_TIMEOUT) {
         log::debug!(error:% = error; "socket options are not available");
     }
-    let connection_state = ConnectionState::new(state.clock);
+    let limits = state.configuration().map(|it| it.limits).unwrap_or_default();
+    let connection_state = ConnectionState::new(state.clock, limits.idle_timeout);
     let key = callers.connections.borrow_mut().insert(Rc::clone(&connection_state));
-    let header_bytes_max = state.configuration().map_or(16 << 10, |it| it.limits.header_bytes_max);
     let socket = TrackedSocket::new(stream, Rc::clone(&connection_state));
     let service = service_fn(|request: http::Request<Incoming>| {
         let in_progress = connection_state.begin_request();
@@ -107,10 +107,13 @@
     });
     // The buffer must hold a complete request head and have at least hyper's minimum size.
     let connection = http1::Builder::new()
-        .max_buf_size((header_bytes_max + (8 << 10)).max(16 << 10))
+        .max_buf_size((limits.header_bytes_max + (8 << 10)).max(16 << 10))
         .serve_connection(socket, service);
     tokio::pin!(connection);
+    // The connection is polled first, so that a request that has arrived is read before the
+    // connection counts as idle.
     let ended = tokio::select! {
+        biased;
         it = &mut connection => it,
         () = connection_state.close.notified() => {
             connection.as_mut().graceful_shutdown();
--- a/bins/mangocross-front/tests/front/idle_connections.rs
+++ b/bins/mangocross-front/tests/front/idle_connections.rs
@@ -1,5 +1,8 @@
 //! Tests of callers' connections that are idle while the configuration changes.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
 use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
@@ -53,3 +56,23 @@
     thread::sleep(Duration::from_millis(4000));
     assert_eq!(client.send(RequestKind::Lookup, "after", "k1").status, 0);
 }
+
+/// Guards against a request that is lost because the program stops while its headers arrive.
+#[test]
+fn request_whose_headers_arrive_during_a_stop_is_answered() {
+    let store = Store::spawn();
+    configure(&store, 3, &["k1"], Duration::from_secs(15));
+    let _servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    front.terminate();
+    thread::sleep(Duration::from_millis(2000));
+    let mut stream = TcpStream::connect(front.address).expect("a connection");
+    stream.write_all(b"GET /lookup/x HTTP/1.1\r\nHost: a.example\r\n").expect("sent");
+    // The program begins to close idle connections meanwhile.
+    thread::sleep(Duration::from_millis(1000));
+    stream.write_all(format!("{CALLER_HEADERS}\r\n").as_bytes()).expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer that ends");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
