fix(front): half-read headers on a kept connection survive a stop; an earlier idle limit binds for a while

A connection now is asked to close while no headers arrive, and is dropped when they take too long. A connection that became idle just after a shorter idle limit came into force got it at once, before its caller could know; the longest limit of the last four seconds binds now.

--- a/bins/mangocross-front/src/connection.rs
+++ b/bins/mangocross-front/src/connection.rs
@@ -87,6 +87,11 @@
         RequestGuard(Rc::clone(self))
     }
 
+    /// Returns whether the headers of a request are arriving.
+    pub(crate) fn receives_headers(&self) -> bool {
+        self.phase.get() == Phase::Headers
+    }
+
     /// Returns the time limit that the connection has exceeded.
     ///
     /// A caller may know only the idle limit under which the connection became idle, so a shorter
--- a/bins/mangocross-front/src/ingress.rs
+++ b/bins/mangocross-front/src/ingress.rs
@@ -8,6 +8,8 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use mangocross_serving::CallerLimits;
+use mangocross_serving::RecentMaximum;
 use slab::Slab;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -22,6 +24,8 @@
 
 /// Time between checks for connections that exceed a time limit.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after a change in which callers may still go by an earlier idle limit.
+const LIMIT_NOTICE_TIME: Duration = Duration::from_secs(4);
 /// Delay after a failed accept, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Fraction of the process's sockets that callers may use; the rest is for backend servers.
@@ -110,14 +114,21 @@
         .max_buf_size((limits.header_bytes_max + (8 << 10)).max(16 << 10))
         .serve_connection(socket, service);
     tokio::pin!(connection);
-    // The connection is polled first, so that a request that has arrived is read before the
-    // connection counts as idle.
-    let ended = tokio::select! {
-        biased;
-        it = &mut connection => it,
-        () = connection_state.close.notified() => {
+    let ended = loop {
+        // The connection is polled first, so that a request that has arrived is read before the
+        // connection counts as idle.
+        tokio::select! {
+            biased;
+            it = &mut connection => break it,
+            () = connection_state.close.notified() => {}
+        }
+        if !connection_state.receives_headers() {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            break connection.await;
+        }
+        let limits = state.configuration().map(|it| it.limits).unwrap_or_default();
+        if connection_state.overdue(state.now(), &limits) == Overdue::Headers {
+            break Ok(());
         }
     };
     if let Err(error) = ended {
@@ -128,12 +139,15 @@
 
 /// Closes connections that are idle, or receive headers, for longer than allowed.
 async fn close_overdue(state: Rc<AppState>, callers: Rc<CallerConnections>) {
+    let mut idle_timeouts = RecentMaximum::new(LIMIT_NOTICE_TIME);
     loop {
         tokio::time::sleep(OVERDUE_CHECK_INTERVAL).await;
         let Some(configuration) = state.configuration() else { continue };
         let now = state.now();
+        let idle_timeout = idle_timeouts.record(configuration.limits.idle_timeout, now);
+        let limits = CallerLimits { idle_timeout, ..configuration.limits };
         for (_, it) in callers.connections.borrow().iter() {
-            let overdue = it.overdue(now, &configuration.limits);
+            let overdue = it.overdue(now, &limits);
             match overdue {
                 Overdue::No => {}
                 Overdue::Idle | Overdue::Headers => {
--- a/bins/mangocross-front/tests/front/idle_connections.rs
+++ b/bins/mangocross-front/tests/front/idle_connections.rs
@@ -57,7 +57,8 @@
     assert_eq!(client.send(RequestKind::Lookup, "after", "k1").status, 0);
 }
 
-/// Guards against a request that is lost because the program stops while its headers arrive.
+/// Guards against a request that is lost because the program stops while its headers arrive, on a
+/// new connection and on a kept one.
 #[test]
 fn request_whose_headers_arrive_during_a_stop_is_answered() {
     let store = Store::spawn();
@@ -65,14 +66,28 @@
     let _servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
     let front = Front::spawn(&store, 60_000, Stdio::null());
     front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    let connect = || TcpStream::connect(front.address).expect("a connection");
+    let mut kept = connect();
+    let head = "GET /lookup/x HTTP/1.1\r\nHost: a.example\r\n";
+    kept.write_all(format!("{head}{CALLER_HEADERS}\r\n").as_bytes()).expect("sent");
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"the whole body") {
+        let mut byte = [0];
+        kept.read_exact(&mut byte).expect("an answer");
+        answer.push(byte[0]);
+    }
     front.terminate();
     thread::sleep(Duration::from_millis(2000));
-    let mut stream = TcpStream::connect(front.address).expect("a connection");
-    stream.write_all(b"GET /lookup/x HTTP/1.1\r\nHost: a.example\r\n").expect("sent");
+    let mut connections = [connect(), kept];
+    for it in &mut connections {
+        it.write_all(head.as_bytes()).expect("sent");
+    }
     // The program begins to close idle connections meanwhile.
     thread::sleep(Duration::from_millis(1000));
-    stream.write_all(format!("{CALLER_HEADERS}\r\n").as_bytes()).expect("sent");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("an answer that ends");
-    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    for it in &mut connections {
+        it.write_all(format!("{CALLER_HEADERS}\r\n").as_bytes()).expect("sent");
+        let mut answer = String::new();
+        it.read_to_string(&mut answer).expect("an answer that ends");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
 }
