fix(front): count and pay for a resumed attempt when it is sent; search again while a server is silent

An attempt at a second server that failed or was dropped counted for nothing, so a stream could run on more servers than its route allows; the retry budget was spent before there was a server to send to; a successor that broke before its first event ended the stream although attempts were left; and after one search without result a silent stream never looked again. Attempts are counted and paid for just before they are sent, and taken back if the server says that it did not run them; the search goes on after a failed successor, and is repeated while the server stays silent.

--- a/bins/mangocross-front/src/stream/forwarder.rs
+++ b/bins/mangocross-front/src/stream/forwarder.rs
@@ -28,6 +28,9 @@
 /// Minimum silence of a stream before a stall of its group concerns it.
 const STALL_SILENCE_MIN: Duration = Duration::from_millis(350);
 
+/// Time after a failed search before another server is asked again to continue a silent stream.
+const SEARCH_PAUSE: Duration = Duration::from_millis(400);
+
 /// Starts the task that forwards events, and returns the head of the answer; `runs` is the number
 /// of attempts that may have run.
 pub(super) fn spawn(call: Call, started: StartedStream, runs: u32) -> Response<AnswerBody> {
@@ -94,9 +97,9 @@
 impl Forwarder {
     async fn run(&self, started: StartedStream) {
         let mut source = Source::new(started, self.last_id.get());
-        let mut may_move = true;
+        let mut search_from = Instant::now();
         let end = loop {
-            let stop = self.forward(&mut source, may_move).await;
+            let stop = self.forward(&mut source, search_from).await;
             let next = match stop {
                 Stop::End(End::Complete) => {
                     source.finish(&self.call.state.pool).await;
@@ -113,8 +116,11 @@
                 }
             };
             match next {
-                Next::From(it) => (source, may_move) = (it, true),
-                Next::Silent(it) => (source, may_move) = (it, false),
+                Next::From(it) => source = it,
+                Next::Silent(it) => {
+                    source = it;
+                    search_from = Instant::now() + SEARCH_PAUSE;
+                }
                 Next::End(end) => break end,
             }
         };
@@ -133,20 +139,20 @@
         }
     }
 
-    /// Forwards events from a server until it ends, fails or, if the stream may move to another
-    /// server, is silent.
-    async fn forward(&self, source: &mut Source, may_move: bool) -> Stop {
+    /// Forwards events from a server until it ends, fails or, after `search_from` and if the stream
+    /// may move to another server, is silent.
+    async fn forward(&self, source: &mut Source, search_from: Instant) -> Stop {
         let call = &self.call;
         let vm = source.vm.clone();
-        let mut may_move = may_move;
         let silence_max = call.route.event_gap_max.mul_f64(SILENCE_SHARE);
         let mut silent_since = Instant::now();
         loop {
-            let silent_until = silent_since + silence_max;
+            let may_move = self.may_be_continued();
+            let silent_until = (silent_since + silence_max).max(search_from);
             let wake_at = if may_move { silent_until.min(call.ends_at) } else { call.ends_at };
             let received = tokio::select! {
                 it = source.receive() => it,
-                () = self.wait_until_stalled(&vm, silent_since), if may_move => {
+                () = self.wait_until_stalled(&vm, silent_since, search_from), if may_move => {
                     return Stop::Silent("group is stalled");
                 }
                 () = tokio::time::sleep_until(wake_at) => {
@@ -168,7 +174,6 @@
             // The time that the caller took to read does not count as silence of the server.
             if events.has_content {
                 silent_since = Instant::now();
-                may_move = true;
             }
         }
     }
@@ -234,13 +239,14 @@
     }
 
     /// Waits until the streams of the server's group are stalled, this one among them.
-    async fn wait_until_stalled(&self, head: &VmId, silent_since: Instant) {
+    async fn wait_until_stalled(&self, head: &VmId, silent_since: Instant, search_from: Instant) {
+        let earliest = (silent_since + STALL_SILENCE_MIN).max(search_from);
         loop {
             self.call.state.wait_until_suspect(head).await;
-            if silent_since.elapsed() >= STALL_SILENCE_MIN {
+            if earliest <= Instant::now() {
                 return;
             }
-            tokio::time::sleep_until(silent_since + STALL_SILENCE_MIN).await;
+            tokio::time::sleep_until(earliest).await;
         }
     }
 
--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -40,21 +40,10 @@
         &self,
         failed: &VmId,
     ) -> Result<(Source, Received), &'static str> {
-        let route = &self.call.route;
-        if !route.retry_policy.is_retryable() {
-            return Err("the stream may run only once");
-        }
-        if self.runs.get() >= route.attempts_max {
-            return Err("all attempts are used up");
-        }
-        if !self.call.state.try_spend_retry(&self.call.service) {
-            return Err("retry budget used up");
-        }
         let began_at = Instant::now();
         let mut tried = vec![failed.clone()];
         let mut sent = 0;
-        let gap_max = route.event_gap_max.mul_f64(RESUME_GAP_SHARE);
-        while self.last_event_at.get().elapsed() < gap_max && !self.call.time_left().is_zero() {
+        while self.may_search()? {
             let queue_slots = match began_at.elapsed() < RESUME_QUEUE_TIME {
                 true => RESUME_QUEUE_SLOTS,
                 false => LAST_RESORT_QUEUE_SLOTS,
@@ -69,29 +58,59 @@
             let Some(connection) = heads::connect(&self.call, &vm, true, failures).await else {
                 continue;
             };
+            if !self.call.state.try_spend_retry(&self.call.service) {
+                return Err("retry budget used up");
+            }
             sent += 1;
             self.call.record.add_sent_to(&vm);
             self.call.state.metrics.count_resume();
             self.call.record.log_step("stream resumed", &vm, "after the last whole event");
             let last_id = self.last_id.get();
+            // Counted before the answer, since the search may be dropped while it waits for it.
+            self.runs.set(self.runs.get() + 1);
             let started =
                 start_attempt(&self.call, &vm, connection, last_id, RESUMED_PRIORITY).await;
-            match started {
-                Ok(it) => {
-                    self.runs.set(self.runs.get() + 1);
-                    return first_progress(Source::new(it, last_id)).await;
-                }
-                Err(StartError::NotRun(reason)) if sent < SENDS_MAX => {
+            let reason = match started {
+                Ok(it) => match first_progress(Source::new(it, last_id)).await {
+                    Ok(it) => return Ok(it),
+                    Err(reason) => reason,
+                },
+                Err(StartError::NotRun(reason)) => {
+                    self.runs.set(self.runs.get() - 1);
                     self.call.record.log_step("not run", &vm, reason);
-                    if !self.call.state.try_spend_retry(&self.call.service) {
-                        return Err("retry budget used up");
+                    if sent >= SENDS_MAX {
+                        return Err(reason);
                     }
+                    continue;
                 }
-                Err(it) => return Err(it.reason()),
-            }
+                Err(it) => it.reason(),
+            };
+            self.call.record.log_step("attempt failed", &vm, reason);
         }
         Err("no group had room in time")
     }
+
+    /// Returns whether there is time to search for a server that continues the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none may continue it.
+    fn may_search(&self) -> Result<bool, &'static str> {
+        let route = &self.call.route;
+        if !route.retry_policy.is_retryable() {
+            return Err("the stream may run only once");
+        }
+        if self.runs.get() >= route.attempts_max {
+            return Err("all attempts are used up");
+        }
+        let gap_max = route.event_gap_max.mul_f64(RESUME_GAP_SHARE);
+        Ok(self.last_event_at.get().elapsed() < gap_max && !self.call.time_left().is_zero())
+    }
+
+    /// Returns whether another server may still be asked to continue the stream.
+    pub(super) fn may_be_continued(&self) -> bool {
+        self.may_search().unwrap_or(false)
+    }
 }
 
 /// Reads until the first event that the caller has not received, or the end of the answer.
