fix(planner): suspicion has the time of its report and ends with progress

Since streams stay with a silent head, the entry VMs report it for the whole silence, and the planner renewed the suspicion at each of its rounds for 0.7 s more. A sound head with three streams that paused for 1.3 s had its group re-formed ('its streams are stalled'). Reports carry their own time now, a group that progresses is not re-formed for them, an entry VM ignores the suspicion of a head that it sees progress, and one that has paused itself judges nobody in its first round.

--- a/bins/mangocross-front/src/control.rs
+++ b/bins/mangocross-front/src/control.rs
@@ -10,6 +10,8 @@
 
 /// Time between checks for stalled groups.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time since the last check from which a check is too late to judge the silence of servers.
+const LATE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Checks between two removals of expired entries.
 const CHECKS_PER_EXPIRY: u32 = 10;
 
@@ -23,10 +25,16 @@
         let mut ticker = tokio::time::interval(CHECK_INTERVAL);
         ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut checks = 0;
+        let mut checked_at = state.now();
         loop {
             ticker.tick().await;
             checks += 1;
-            mark_stalled_heads(&state);
+            let now = state.now();
+            // After a pause of this process, what servers sent meanwhile has not been read yet.
+            if now.since(checked_at) < LATE_CHECK_INTERVAL {
+                mark_stalled_heads(&state);
+            }
+            checked_at = now;
             remove_gone_servers(&state);
             if checks % CHECKS_PER_EXPIRY == 0 {
                 state.view.borrow_mut().expire(state.now());
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -133,8 +133,10 @@
             state.request_recheck(head);
         }
     }
+    let now = state.now();
     for head in suspects {
-        if !state.is_suspect(head) {
+        let is_progressing = state.view.borrow().progress.is_progressing(head, now);
+        if !is_progressing && !state.is_suspect(head) {
             state.mark_suspect(head);
         }
     }
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -115,8 +115,8 @@
         }
         let progress = view.progress.latest(now).filter(|(_, age)| *age < PROGRESS_AGE_MAX);
         planner.set_progressing_heads(progress.map(|(vm, _)| vm.clone()).collect());
-        for head in view.suspects(now) {
-            planner.mark_suspect(&head, now);
+        for (head, at) in view.suspects(now) {
+            planner.mark_suspect(head, at);
         }
         for head in view.to_recheck(now) {
             planner.probe_group_soon(&head);
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -315,8 +315,11 @@
     /// Marks a head whose streams are stalled as suspect, so that it gets no new ones for a while.
     pub(crate) fn mark_suspect(&self, head: &VmId) {
         let now = self.now();
+        let was_suspect = self.is_suspect(head);
         self.view.borrow_mut().suspects.insert(head.clone(), now);
-        self.suspect_added.notify_waiters();
+        if !was_suspect {
+            self.suspect_added.notify_waiters();
+        }
         self.planner_inputs_changed.notify_one();
     }
 
@@ -427,9 +430,10 @@
         counts
     }
 
-    pub(crate) fn suspects(&self, now: Moment) -> Vec<VmId> {
-        let recent = self.suspects.iter().filter(|(_, at)| now.since(**at) < SUSPECT_PAUSE);
-        recent.map(|(vm, _)| vm.clone()).collect()
+    /// Returns the suspect heads, and when each was last found stalled.
+    pub(crate) fn suspects(&self, now: Moment) -> impl Iterator<Item = (&VmId, Moment)> {
+        let recent = self.suspects.iter().filter(move |(_, at)| now.since(**at) < SUSPECT_PAUSE);
+        recent.map(|(vm, at)| (vm, *at))
     }
 
     fn is_suspect(&self, vm: &VmId, now: Moment) -> bool {
--- a/bins/mangocross-front/tests/front/silent_servers.rs
+++ b/bins/mangocross-front/tests/front/silent_servers.rs
@@ -125,6 +125,29 @@
     assert_eq!(incarnations(&engines), before);
 }
 
+/// Guards against a group that is dissolved because its streams stay with their silent head.
+#[test]
+fn silence_of_a_head_with_several_streams_does_not_dissolve_its_group() {
+    let (_store, engines, front) = start();
+    engines.iter().for_each(|it| it.set_event_pause(Duration::from_millis(300)));
+    let mut streams = vec![open_stream(&front, "first")];
+    let mut answers = vec![read_to_event(&mut streams[0], 1)];
+    let head = only_head_of(&engines, "first");
+    let before: Vec<_> = engines.iter().map(Server::incarnation).collect();
+    for attempt in ["second", "third"] {
+        let mut stream = open_stream(&front, attempt);
+        answers.push(read_to_event(&mut stream, 1));
+        streams.push(stream);
+    }
+    head.fall_silent(SILENCE);
+    for (stream, answer) in streams.iter_mut().zip(&mut answers) {
+        stream.read_to_string(answer).expect("an answer that ends");
+        assert_whole(answer);
+    }
+    thread::sleep(SILENCE);
+    assert_eq!(engines.iter().map(Server::incarnation).collect::<Vec<_>>(), before);
+}
+
 /// Guards against a repeatable request that fails because its server pauses and the repetition is
 /// refused.
 #[test]
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -316,15 +316,18 @@
         self.progressing = heads;
     }
 
-    /// Marks the group of a head as suspect because its streams are stalled.
-    pub fn mark_suspect(&mut self, head: &VmId, now: Moment) {
+    /// Marks the group of a head as suspect because its streams were found stalled.
+    pub fn mark_suspect(&mut self, head: &VmId, at: Moment) {
         let Some(group) = self.group_of_head(head) else { return };
         let state = self.group_states.entry((group.group.clone(), group.incarnation)).or_default();
-        let is_new = state.last_suspected_at.is_none_or(|it| now.since(it) > SUSPICION_EXPIRY);
+        if state.last_suspected_at.is_some_and(|it| at <= it) {
+            return;
+        }
+        let is_new = state.last_suspected_at.is_none_or(|it| at.since(it) > SUSPICION_EXPIRY);
         if is_new {
-            state.first_suspected_at = Some(now);
+            state.first_suspected_at = Some(at);
         }
-        state.last_suspected_at = Some(now);
+        state.last_suspected_at = Some(at);
         self.probe_group_soon(head);
     }
 
--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -318,7 +318,7 @@
                 (Some(since), Some(at)) => at.since(since),
                 _ => Duration::ZERO,
             };
-            if suspected_for > SUSPECT_TIMEOUT && !has_slow_member {
+            if suspected_for > SUSPECT_TIMEOUT && !has_slow_member && !is_progressing {
                 break 'evaluation GroupAction::Reform("its streams are stalled".to_owned());
             }
             if is_whole && head_phase == Some(MemberPhase::Ready) {
--- a/crates/mangocross-serving/src/progress.rs
+++ b/crates/mangocross-serving/src/progress.rs
@@ -82,6 +82,11 @@
         self.latest.iter().map(move |(vm, at)| (vm, now.since(*at)))
     }
 
+    /// Returns whether streams of a head progressed too recently for its group to be stalled.
+    pub fn is_progressing(&self, head: &VmId, now: Moment) -> bool {
+        self.latest.get(head).is_some_and(|at| now.since(*at) < MANY_STREAMS_SILENCE_MAX)
+    }
+
     /// Removes progress records that have expired.
     pub fn expire(&mut self, now: Moment) {
         self.latest.retain(|_, at| now.since(*at) < PROGRESS_AGE_MAX);
