feat(front): log the shared prompt parts and the progress of a stream that breaks

A line on a stream's end names how many deliveries of events its server had made and the parts that its prompt shares with other requests, at most eight. Only with both can a cause in the request be told from load or a fault of the server: at the ends in question, streams that had not got past their start either have a part in common or don't.

--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -36,6 +36,9 @@
 /// Retry-After during shutdown; the caller reaches another entry VM.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Maximum number of a prompt's parts in a log line.
+const LOGGED_PARTS_MAX: usize = 8;
+
 /// An authorized request, with what is needed to forward it.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -66,6 +69,14 @@
         customer_priority.unwrap_or(self.route.priority).min(9)
     }
 
+    /// Describes the break of a stream: why, how far the server had come, and what the prompt shares
+    /// with other requests.
+    pub(crate) fn break_detail(&self, reason: &str, events: u32) -> String {
+        let parts = self.caller_head.shared_parts.iter().take(LOGGED_PARTS_MAX);
+        let parts: Vec<String> = parts.map(ToString::to_string).collect();
+        format!("{reason}; events {events}; shared parts {}", parts.join(" "))
+    }
+
     /// Returns the request to send to a backend server.
     pub(crate) fn backend_request(
         &self,
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -159,7 +159,7 @@
                 }
             }
             Err(StartError::MayHaveRun(reason, code)) => {
-                call.record.log_step("attempt failed", &vm, reason);
+                call.record.log_step("attempt failed", &vm, &call.break_detail(reason, 0));
                 runs += 1;
                 if !may_repeat {
                     break call.record.refuse(&Refusal::unknown(code, reason), reason);
@@ -347,7 +347,8 @@
     let (chunks, received) = mpsc::channel(QUEUED_CHUNKS_MAX);
     let splitter = EventSplitter::resuming_after(call.caller_head.last_event_id);
     let task = tokio::task::spawn_local(async move {
-        let mut relay = Relay { call, chunks, splitter, runs, last_event_at: Instant::now() };
+        let last_event_at = Instant::now();
+        let mut relay = Relay { call, chunks, splitter, runs, last_event_at, events_here: 0 };
         relay.run(started).await;
     });
     let mut response = Response::new(AnswerBody::chunks(received, task.abort_handle()));
@@ -376,6 +377,8 @@
     /// Attempts that may have run.
     runs: u32,
     last_event_at: Instant,
+    /// Deliveries of events by the server that the stream is at.
+    events_here: u32,
 }
 
 impl Relay {
@@ -395,7 +398,8 @@
                     return;
                 }
                 RelayEnd::Broken(reason) => {
-                    self.call.record.log_step("stream broke", &vm, reason);
+                    let detail = self.call.break_detail(reason, self.events_here);
+                    self.call.record.log_step("stream broke", &vm, &detail);
                     match self.resume(&vm).await {
                         Some(it) => started = it,
                         None => {
@@ -411,6 +415,7 @@
     async fn forward(&mut self, started: StartedStream) -> RelayEnd {
         let StartedStream { vm, connection, in_flight, response, answer_head } = started;
         let mut body = response.into_body();
+        self.events_here = 0;
         let silence_max = self.call.route.event_gap_max.mul_f64(STREAM_SILENCE_SHARE);
         let mut silent_until = Instant::now() + silence_max;
         loop {
@@ -448,6 +453,7 @@
                 Err(_) => return RelayEnd::Broken("event too long"),
             };
             if events.has_content {
+                self.events_here += 1;
                 in_flight.record_progress();
             }
             if !events.data.is_empty()
