test(front): a prompt part that crashes servers reaches hardly any more after five (known red)

Twelve engines that crash while they begin to answer a prompt with one shared part and are back as new processes a second later; four entry VMs that get such requests in turn, and sound ones with the same caller and first part. Beside it a guard that holds now: a rare part is served after crashes of several servers that no request caused.

--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the program as a process, between callers and a small stand-in of the platform.
 
+mod crashing_parts;
 mod log_points;
 mod metrics;
 mod platform;
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -1,6 +1,7 @@
 //! A small stand-in of the platform: its store and backend servers of two services.
 
 mod client;
+mod machine;
 mod servers;
 mod store;
 
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -15,11 +15,15 @@
 use super::Request;
 use super::Store;
 use super::answer;
-use super::listen;
 use super::lock;
+use super::machine::Machine;
 
 /// Time for which an engine waits for a missing member before its group is broken.
 const STALL: Duration = Duration::from_millis(6000);
+/// Time from a crash until the server is back.
+const RESTART_TIME: Duration = Duration::from_millis(1000);
+/// Time from the head of an answer until a part of its prompt crashes the server.
+const CRASH_DELAY: Duration = Duration::from_millis(60);
 /// Start time that a server reports in its entry; each restart adds one.
 const FIRST_START_UNIX_MS: u64 = 1000;
 /// Number of events in a complete stream.
@@ -53,6 +57,11 @@
     withholds_answers: bool,
     /// Whether requests are refused without being run.
     is_refusing: bool,
+    /// Shared part of prompts that crashes the server.
+    crashing_part: Option<String>,
+    /// Requests with that part that reached the server.
+    crashing_requests: usize,
+    crashes: u32,
     /// Restarts of the server; its entry shows them as a later start time.
     starts: u64,
     /// Members of the group, the head first.
@@ -74,6 +83,7 @@
     /// Address in the server's entry, at which entry VMs reach it.
     advertised: SocketAddr,
     state: Arc<Mutex<State>>,
+    machine: Arc<Machine>,
 }
 
 impl Server {
@@ -91,7 +101,8 @@
         let state = Arc::new(Mutex::new(State::default()));
         let server_cell = Arc::new(Mutex::new(None::<Self>));
         let served_cell = Arc::clone(&server_cell);
-        let address = listen(move |request, stream| {
+        let machine = Arc::new(Machine::default());
+        let address = machine.listen(move |request, stream| {
             let server = lock(&served_cell).clone();
             if let Some(server) = server {
                 server.serve(&request, stream);
@@ -103,6 +114,7 @@
             store: store.clone(),
             advertised: advertise(address),
             state,
+            machine,
         };
         *lock(&server_cell) = Some(server.clone());
         server.publish();
@@ -165,6 +177,45 @@
         self.publish_state(&state);
     }
 
+    /// Makes requests with this shared part of their prompts crash the server when it begins to
+    /// write the answer.
+    pub(crate) fn set_crashing_part(&self, part: &str) {
+        lock(&self.state).crashing_part = Some(part.to_owned());
+    }
+
+    /// Ends all connections, and starts the server as a new process after a while.
+    pub(crate) fn crash(&self) {
+        if !self.machine.crash() {
+            return;
+        }
+        lock(&self.state).crashes += 1;
+        let server = self.clone();
+        thread::spawn(move || {
+            thread::sleep(RESTART_TIME);
+            server.restart();
+            server.machine.start();
+        });
+    }
+
+    /// Returns how often the server crashed.
+    pub(crate) fn crashes(&self) -> u32 {
+        lock(&self.state).crashes
+    }
+
+    /// Returns the number of requests with the crashing part that reached the server.
+    pub(crate) fn crashing_requests(&self) -> usize {
+        lock(&self.state).crashing_requests
+    }
+
+    /// Returns whether the prompt of a request has the crashing part, except as its last.
+    fn has_crashing_part(&self, request: &Request) -> bool {
+        let parts = request.header("Prompt-Prefix").unwrap_or_default();
+        let shared = parts.rsplit_once(',').map_or("", |it| it.0);
+        let state = lock(&self.state);
+        let is_it = |it: &str| it.split(':').next() == state.crashing_part.as_deref();
+        shared.split(',').any(is_it)
+    }
+
     /// Returns the violated guarantees that the server observed.
     pub(crate) fn violations(&self) -> Vec<String> {
         lock(&self.state).violations.clone()
@@ -300,6 +351,8 @@
 
     fn run(&self, request: &Request, stream: &mut TcpStream) {
         let attempt = request.header("Attempt-Id").unwrap_or_default().to_owned();
+        let crashes = self.has_crashing_part(request);
+        lock(&self.state).crashing_requests += usize::from(crashes);
         let is_closed = |it: &State| self.service == "models" && it.group["state"] != "open";
         let refuses = {
             let state = lock(&self.state);
@@ -337,6 +390,10 @@
         let head =
             format!("HTTP/1.1 {status} Status\r\nTransfer-Encoding: chunked\r\n{headers}\r\n");
         let _ = stream.write_all(head.as_bytes());
+        if crashes {
+            thread::sleep(CRASH_DELAY);
+            return self.crash();
+        }
         if status == 500 {
             return write_until_closed(stream, &"x".repeat(10_000), Duration::ZERO);
         }
@@ -353,6 +410,9 @@
             // The lock must not be held meanwhile: reports would wait for it.
             let pause = lock(&self.state).event_pause;
             thread::sleep(pause);
+            if self.machine.is_down() {
+                return;
+            }
             if !self.wait_for_members() {
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 return;
