fix(front): requests with a prompt part that crashes servers are refused after three crashes

Cause: a break was blamed on the server alone. The stream was resumed or repeated on another server, and nothing was remembered of what had run at the crash, here or on other entry VMs. Class: a retry that carries the cause of the failure with it.

Evidence: a request that is sent to a head with no stream in flight ends it 84 ms after the head of its answer, then the one that it is resumed on; connections made right after an end are refused, never timed out. Ruled out: load (that head had none), the resumption itself (it was a first attempt).

Change: CrashBlame, pure and bounded, counts the crashes at which a shared part was in an answer that had hardly begun. A break counts only if the server then refuses a connection, so cut, reset or silent links blame nobody. Entry VMs exchange crashes over UDP, directly or, beyond 16, through four others at random; one entry VM alone blocks nothing elsewhere.

--- /dev/null
+++ b/bins/mangocross-front/src/blame.rs
@@ -0,0 +1,150 @@
+//! Observes crashes of backend servers and refuses requests that would cause more.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::header;
+use mangocross_serving::CrashReport;
+use mangocross_serving::CrashVerdict;
+use mangocross_serving::ServerProcess;
+use mangocross_types::ResultCode;
+use mangocross_types::VmId;
+
+use crate::dispatch::Call;
+use crate::pool::ConnectError;
+use crate::pool::connect;
+use crate::state::AppState;
+
+/// Number of deliveries of events from which on an answer has got past its start.
+const SOUND_EVENTS: u32 = 3;
+/// Time that a server has to accept a connection after it broke one; a crashed one refuses at once.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Result code and reason of requests with a quarantined part.
+pub(crate) const QUARANTINED_REFUSAL: (ResultCode, &str) =
+    (ResultCode::PromptQuarantined, "a part of the prompt crashes servers");
+/// Minimum Retry-After of requests with a quarantined part.
+pub(crate) const QUARANTINED_RETRY_AFTER: Duration = Duration::from_secs(60);
+
+/// How far a server has come with an answer.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct AnswerStart {
+    /// Deliveries of events by this server.
+    pub(crate) events: u32,
+    /// Whether the end of the answer can be told from the end of its connection.
+    pub(crate) is_delimited: bool,
+}
+
+impl AnswerStart {
+    /// Creates the state of an answer that has begun with these headers.
+    pub(crate) fn new(headers: &HeaderMap) -> Self {
+        let is_delimited = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        Self { events: 0, is_delimited }
+    }
+}
+
+impl Call {
+    fn crash_verdict(&self) -> CrashVerdict {
+        self.state.view.borrow().blame.verdict(&self.caller_head.shared_parts)
+    }
+
+    /// Returns whether the request must not be sent since a part of its prompt crashes servers.
+    pub(crate) fn is_quarantined(&self) -> bool {
+        let CrashVerdict::Quarantined(part) = self.crash_verdict() else { return false };
+        self.state.metrics.count_quarantined();
+        if let Some(left_out) = self.state.log_rate.allow("request quarantined", self.state.now()) {
+            let request = self.record.id.as_deref().unwrap_or_default();
+            log::info!(request, part:% = part, left_out; "request quarantined");
+        }
+        true
+    }
+
+    /// Returns whether the request may be sent to another server after an answer broke.
+    pub(crate) fn may_move(&self) -> bool {
+        self.crash_verdict() == CrashVerdict::Sound
+    }
+
+    /// Records that a server delivered events; the third time proves the prompt's parts sound.
+    pub(crate) fn record_events(&self, start: &mut AnswerStart) {
+        start.events += 1;
+        if start.events == SOUND_EVENTS {
+            self.record_sound();
+        }
+    }
+
+    /// Records the end of an answer: a short one is sound if it is certain to be whole.
+    pub(crate) async fn record_answer_end(&self, vm: &VmId, start: AnswerStart) {
+        match start.is_delimited {
+            true if start.events < SOUND_EVENTS => self.record_sound(),
+            true => {}
+            false => self.record_break(vm, start).await,
+        }
+    }
+
+    fn record_sound(&self) {
+        let (parts, own) = (&self.caller_head.shared_parts, &self.state.vm.name);
+        let now = self.state.now();
+        if self.state.view.borrow_mut().blame.record_sound(parts, own, now) {
+            log::info!(parts = self.logged_parts(); "prompt parts proved sound");
+            self.state.blame_changed.notify_one();
+        }
+    }
+
+    /// Records the break of an answer that had hardly begun, if its server has crashed.
+    pub(crate) async fn record_break(&self, vm: &VmId, start: AnswerStart) {
+        let parts = &self.caller_head.shared_parts;
+        if start.events >= SOUND_EVENTS || !self.state.view.borrow().blame.may_blame(parts) {
+            return;
+        }
+        let found = self.state.view.borrow().servers.get(vm).cloned();
+        let Some(server) = found else { return };
+        let process = ServerProcess { vm: vm.clone(), born_unix_ms: server.engine.born_unix_ms };
+        let own = &self.state.vm.name;
+        let is_known = self.state.view.borrow().blame.has_crash(&process, own);
+        if !is_known {
+            let connected = connect(server.address, CRASH_CHECK_TIMEOUT).await;
+            if !matches!(connected, Err(ConnectError::Refused)) {
+                return;
+            }
+        }
+        let now = self.state.now();
+        if self.state.view.borrow_mut().blame.record_crash(parts, &process, own, now) {
+            if let Some(left_out) = self.state.log_rate.allow("server crashed", now) {
+                let events = start.events;
+                log::warn!(
+                    server:% = vm, request = self.record.id.as_deref().unwrap_or_default(), events,
+                    parts = self.logged_parts(), left_out;
+                    "server crashed at the start of an answer"
+                );
+            }
+            log_quarantine(&self.state);
+            self.state.blame_changed.notify_one();
+        }
+    }
+}
+
+/// Applies another entry VM's report of crashes.
+pub(crate) fn apply_report(state: &AppState, report: CrashReport) {
+    let now = state.now();
+    if state.view.borrow_mut().blame.apply(report, &state.vm.name, now) {
+        log_quarantine(state);
+        state.blame_changed.notify_one();
+    }
+}
+
+/// Returns what to tell the other entry VMs of crashes, if there is anything.
+pub(crate) fn take_report(state: &AppState) -> Option<CrashReport> {
+    let report = state.view.borrow_mut().blame.take_report(state.now());
+    (!report.is_empty()).then_some(report)
+}
+
+/// Logs the quarantined parts if they changed.
+fn log_quarantine(state: &AppState) {
+    let parts: Vec<String> =
+        state.view.borrow().blame.quarantined().map(|it| it.to_string()).collect();
+    let parts = parts.join(" ");
+    if state.logged_quarantine.replace(parts.clone()) != parts {
+        log::warn!(parts = parts.as_str(); "quarantine changed");
+    }
+}
--- a/bins/mangocross-front/src/control.rs
+++ b/bins/mangocross-front/src/control.rs
@@ -30,6 +30,7 @@
             remove_gone_servers(&state);
             if checks % CHECKS_PER_EXPIRY == 0 {
                 state.view.borrow_mut().expire(state.now());
+                state.view.borrow_mut().blame.expire(&state.vm.name, state.now());
                 state.pool.expire();
                 state.relay.keys.borrow_mut().expire(state.now());
             }
--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -72,9 +72,14 @@
     /// Describes the break of a stream: why, how far the server had come, and what the prompt shares
     /// with other requests.
     pub(crate) fn break_detail(&self, reason: &str, events: u32) -> String {
+        format!("{reason}; events {events}; shared parts {}", self.logged_parts())
+    }
+
+    /// Returns the shared parts of the prompt for a log line.
+    pub(crate) fn logged_parts(&self) -> String {
         let parts = self.caller_head.shared_parts.iter().take(LOGGED_PARTS_MAX);
         let parts: Vec<String> = parts.map(ToString::to_string).collect();
-        format!("{reason}; events {events}; shared parts {}", parts.join(" "))
+        parts.join(" ")
     }
 
     /// Returns the request to send to a backend server.
--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -1,6 +1,7 @@
 //! Serves callers on an entry VM and keeps model groups complete.
 
 mod answer_body;
+mod blame;
 mod clock;
 mod closed_heads;
 mod command_line;
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -23,6 +23,7 @@
     requests: Counter<u64>,
     attempts: Counter<u64>,
     resumes: Counter<u64>,
+    quarantined: Counter<u64>,
     probes: Counter<u64>,
     orders: Counter<u64>,
     first_byte: Histogram<f64>,
@@ -40,6 +41,7 @@
     groups: Gauge<f64>,
     entry_vms: Gauge<f64>,
     follows_store: Gauge<f64>,
+    quarantined_parts: Gauge<f64>,
     requests_in_progress: Gauge<f64>,
     requests_waiting: Gauge<f64>,
     retries_left: Gauge<f64>,
@@ -52,6 +54,10 @@
             requests: metrics.counter("front_requests", "requests of callers by status and code"),
             attempts: metrics.counter("front_attempts", "requests sent to backend servers"),
             resumes: metrics.counter("front_resumes", "streams that another group went on with"),
+            quarantined: metrics.counter(
+                "front_quarantined",
+                "requests not sent since a part of their prompt crashes servers",
+            ),
             probes: metrics.counter("front_probes", "questions for a server's state"),
             orders: metrics.counter("front_orders", "orders to servers"),
             first_byte: metrics.seconds_histogram(
@@ -88,6 +94,10 @@
         self.resumes.add(1, &[]);
     }
 
+    pub(crate) fn count_quarantined(&self) {
+        self.quarantined.add(1, &[]);
+    }
+
     pub(crate) fn count_probe(&self) {
         self.probes.add(1, &[]);
     }
@@ -137,6 +147,8 @@
                 "front_follows_store",
                 "1 if this VM follows the store itself and may relay its changes, else 0",
             ),
+            quarantined_parts: metrics
+                .gauge("front_quarantined_parts", "parts of prompts that crash servers"),
             requests_in_progress: metrics
                 .gauge("front_requests_in_progress", "requests of callers in progress"),
             requests_waiting: metrics.gauge(
@@ -168,6 +180,7 @@
         let follows_store = state.relay.is_following.get();
         self.follows_store.record(f64::from(u8::from(follows_store)), &[]);
         self.requests_in_progress.record(state.requests_in_progress.get() as f64, &[]);
+        self.quarantined_parts.record(view.blame.quarantined().len() as f64, &[]);
         let waiting: u32 = view.loads.local().values().map(|it| it.waiting).sum();
         self.requests_waiting.record(f64::from(waiting), &[]);
     }
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -1,4 +1,5 @@
-//! Messages between entry VMs: requests in progress, suspects, closed heads, changed servers.
+//! Messages between entry VMs: requests in progress, suspects, closed heads, changed servers,
+//! crashes.
 //!
 //! With up to FULL_MESH_PEERS_MAX other entry VMs, each sends its counts to all others. With more,
 //! each sends them to the planner, which sends the totals to all: two messages per VM and interval
@@ -11,6 +12,7 @@
 use std::time::Duration;
 
 use mangocross_serving::BackendServer;
+use mangocross_serving::CrashReport;
 use mangocross_serving::Load;
 use mangocross_types::Revision;
 use mangocross_types::VmId;
@@ -18,6 +20,7 @@
 use serde::Serialize;
 use tokio::net::UdpSocket;
 
+use crate::blame;
 use crate::leases::PLANNER_KEY;
 use crate::state::AppState;
 use crate::store_changes;
@@ -28,6 +31,15 @@
 const COUNTS_INTERVAL_VIA_PLANNER: Duration = Duration::from_millis(250);
 /// Number of other entry VMs up to which each sends its counts to all others.
 pub(crate) const FULL_MESH_PEERS_MAX: usize = 16;
+/// Time between two reports of crashes, so that an entry VM that starts learns of them.
+const CRASHES_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time between two reports of crashes while they are news.
+const NEW_CRASHES_INTERVAL: Duration = Duration::from_millis(200);
+/// Reports of crashes at the shorter interval after each change.
+const NEW_CRASHES_REPORTS: u32 = 10;
+/// Number of entry VMs that a report of crashes is sent to if there are more than
+/// FULL_MESH_PEERS_MAX; they pass it on.
+const CRASHES_FAN_OUT: usize = 4;
 /// Minimum time between two messages with updates.
 const UPDATE_INTERVAL_MIN: Duration = Duration::from_millis(30);
 /// Maximum size of a UDP datagram over IPv4. Totals of 600 heads take about 20 kB.
@@ -48,6 +60,8 @@
     Entries(Vec<(Revision, BackendServer)>),
     /// All open heads that no longer serve, sent by the planner.
     ClosedHeads(Vec<VmId>),
+    /// Crashes of servers that the sending entry VM knows of, its own and reported ones.
+    Crashes(CrashReport),
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -72,6 +86,7 @@
     let socket = Rc::new(socket);
     tokio::task::spawn_local(receive(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_counts(Rc::clone(state), Rc::clone(&socket)));
+    tokio::task::spawn_local(send_crashes(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_updates(Rc::clone(state), socket));
     Ok(())
 }
@@ -97,6 +112,7 @@
                     state.view.borrow_mut().closed_heads.replace(heads, now);
                 }
             }
+            Ok(Message::Crashes(report)) => blame::apply_report(&state, report),
             Err(error) => {
                 if state.log_rate.allow("message ignored", state.now()).is_some() {
                     log::warn!(from:% = from, error:% = error; "peer message ignored");
@@ -219,6 +235,29 @@
     }
 }
 
+/// Reports crashes for as long as they count, more often while they are news.
+async fn send_crashes(state: Rc<AppState>, socket: Rc<UdpSocket>) {
+    let mut news_reports = 0;
+    loop {
+        let interval = if news_reports > 0 { NEW_CRASHES_INTERVAL } else { CRASHES_INTERVAL };
+        tokio::select! {
+            () = state.blame_changed.notified() => news_reports = NEW_CRASHES_REPORTS,
+            () = tokio::time::sleep(interval.mul_f64(0.8 + 0.4 * fastrand::f64())) => {
+                news_reports = news_reports.saturating_sub(1);
+            }
+        }
+        if let Some(report) = blame::take_report(&state) {
+            let mut peers = peer_addresses(&state);
+            if peers.len() > FULL_MESH_PEERS_MAX {
+                fastrand::shuffle(&mut peers);
+                peers.truncate(CRASHES_FAN_OUT);
+            }
+            send(&socket, &Message::Crashes(report), &peers);
+        }
+        tokio::time::sleep(UPDATE_INTERVAL_MIN).await;
+    }
+}
+
 /// Sends urgent updates, which don't wait for the next counts.
 async fn send_updates(state: Rc<AppState>, socket: Rc<UdpSocket>) {
     loop {
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -14,6 +14,7 @@
 use mangocross_serving::BackendServer;
 use mangocross_serving::BootClock;
 use mangocross_serving::ConfigurationFreshness;
+use mangocross_serving::CrashBlame;
 use mangocross_serving::FailureTable;
 use mangocross_serving::HeadLoad;
 use mangocross_serving::ListedEntryVm;
@@ -90,6 +91,8 @@
     pub(crate) slowdowns: HashMap<VmId, f64>,
     /// Open heads that no longer serve, as the planner last told, and when.
     pub(crate) closed_heads: ClosedHeads,
+    /// Parts of prompts that crash servers.
+    pub(crate) blame: CrashBlame,
     suspects: HashMap<VmId, Moment>,
     /// Suspects that this VM detected itself.
     local_suspects: HashMap<VmId, Moment>,
@@ -117,6 +120,10 @@
     pub(crate) suspect_added: Notify,
     /// Wakes the planner when its input has changed.
     pub(crate) planner_inputs_changed: Notify,
+    /// Wakes the task that reports crashes to the other entry VMs.
+    pub(crate) blame_changed: Notify,
+    /// Quarantined parts as last logged.
+    pub(crate) logged_quarantine: RefCell<String>,
     /// Wakes the task that sends updates to the other entry VMs.
     pub(crate) peer_updates: Notify,
     /// Wakes the lease task when there is no planner or the process stops.
@@ -152,6 +159,8 @@
             log_rate: LogRate::default(),
             suspect_added: Notify::new(),
             planner_inputs_changed: Notify::new(),
+            blame_changed: Notify::new(),
+            logged_quarantine: RefCell::default(),
             peer_updates: Notify::new(),
             lease_wakeup: Notify::new(),
             planner_term: Cell::new(None),
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -25,6 +25,9 @@
 
 use crate::answer_body::AnswerBody;
 use crate::answer_body::Chunk;
+use crate::blame::AnswerStart;
+use crate::blame::QUARANTINED_REFUSAL;
+use crate::blame::QUARANTINED_RETRY_AFTER;
 use crate::dispatch::Call;
 use crate::outcome::RequestRecord;
 use crate::plain;
@@ -106,6 +109,10 @@
     let mut runs = 0;
     let mut connect_failures = 0;
     let response = loop {
+        if call.is_quarantined() {
+            let retry_after = QUARANTINED_RETRY_AFTER;
+            break refuse_or_report_unknown(&call, runs > 0, QUARANTINED_REFUSAL, retry_after);
+        }
         let Some(heads) = find_heads(&call, &tried) else {
             break refuse_or_report_unknown(&call, runs > 0, NO_GROUP_REFUSAL, RETRY_AFTER_MIN);
         };
@@ -161,7 +168,8 @@
             Err(StartError::MayHaveRun(reason, code)) => {
                 call.record.log_step("attempt failed", &vm, &call.break_detail(reason, 0));
                 runs += 1;
-                if !may_repeat {
+                call.record_break(&vm, AnswerStart::default()).await;
+                if !may_repeat || !call.may_move() {
                     break call.record.refuse(&Refusal::unknown(code, reason), reason);
                 }
             }
@@ -348,7 +356,8 @@
     let splitter = EventSplitter::resuming_after(call.caller_head.last_event_id);
     let task = tokio::task::spawn_local(async move {
         let last_event_at = Instant::now();
-        let mut relay = Relay { call, chunks, splitter, runs, last_event_at, events_here: 0 };
+        let mut relay =
+            Relay { call, chunks, splitter, runs, last_event_at, start: AnswerStart::default() };
         relay.run(started).await;
     });
     let mut response = Response::new(AnswerBody::chunks(received, task.abort_handle()));
@@ -377,8 +386,8 @@
     /// Attempts that may have run.
     runs: u32,
     last_event_at: Instant,
-    /// Deliveries of events by the server that the stream is at.
-    events_here: u32,
+    /// How far the server that the stream is at has come.
+    start: AnswerStart,
 }
 
 impl Relay {
@@ -388,6 +397,7 @@
             let vm = started.vm.clone();
             match self.forward(started).await {
                 RelayEnd::Complete => {
+                    self.call.record_answer_end(&vm, self.start).await;
                     self.call.record.answer_completed();
                     let _ = self.chunks.send(Chunk::End).await;
                     return;
@@ -398,8 +408,9 @@
                     return;
                 }
                 RelayEnd::Broken(reason) => {
-                    let detail = self.call.break_detail(reason, self.events_here);
+                    let detail = self.call.break_detail(reason, self.start.events);
                     self.call.record.log_step("stream broke", &vm, &detail);
+                    self.call.record_break(&vm, self.start).await;
                     match self.resume(&vm).await {
                         Some(it) => started = it,
                         None => {
@@ -414,8 +425,8 @@
 
     async fn forward(&mut self, started: StartedStream) -> RelayEnd {
         let StartedStream { vm, connection, in_flight, response, answer_head } = started;
+        self.start = AnswerStart::new(response.headers());
         let mut body = response.into_body();
-        self.events_here = 0;
         let silence_max = self.call.route.event_gap_max.mul_f64(STREAM_SILENCE_SHARE);
         let mut silent_until = Instant::now() + silence_max;
         loop {
@@ -453,7 +464,7 @@
                 Err(_) => return RelayEnd::Broken("event too long"),
             };
             if events.has_content {
-                self.events_here += 1;
+                self.call.record_events(&mut self.start);
                 in_flight.record_progress();
             }
             if !events.data.is_empty()
@@ -483,8 +494,9 @@
 
     /// Resumes the stream after the last complete event on another group.
     async fn resume(&mut self, failed: &VmId) -> Option<StartedStream> {
-        let is_allowed =
-            self.call.route.retry_policy.is_retryable() && self.runs < self.call.route.attempts_max;
+        let is_allowed = self.call.route.retry_policy.is_retryable()
+            && self.runs < self.call.route.attempts_max
+            && self.call.may_move();
         if !is_allowed || !self.call.state.try_spend_retry(&self.call.service) {
             return None;
         }
@@ -494,6 +506,9 @@
         let mut sent = 0;
         let gap_max = self.call.route.event_gap_max.mul_f64(RESUME_GAP_SHARE);
         while self.last_event_at.elapsed() < gap_max && !self.call.time_left().is_zero() {
+            if !self.call.may_move() {
+                return None;
+            }
             let queue_slots = match began_at.elapsed() < RESUME_QUEUE_TIME {
                 true => RESUME_QUEUE_SLOTS,
                 false => LAST_RESORT_QUEUE_SLOTS,
@@ -531,6 +546,10 @@
                         return None;
                     }
                 }
+                Err(StartError::MayHaveRun(..)) => {
+                    self.call.record_break(&vm, AnswerStart::default()).await;
+                    return None;
+                }
                 Err(_) => return None,
             }
         }
