fix(front): parts with the same crashes are quarantined only together

Where several shared parts of a prompt were at the same crashes and none had been proved sound, the last in the prompt was refused. If another one is the cause, sound requests with the refused part would have been turned away for half an hour, and none of them could clear it. Now requests with all such parts are refused; one with some of them is sent once, and its answer or its crash tells them apart.

--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -180,7 +180,7 @@
         let follows_store = state.relay.is_following.get();
         self.follows_store.record(f64::from(u8::from(follows_store)), &[]);
         self.requests_in_progress.record(state.requests_in_progress.get() as f64, &[]);
-        self.quarantined_parts.record(view.blame.quarantined().len() as f64, &[]);
+        self.quarantined_parts.record(view.blame.quarantined().count() as f64, &[]);
         let waiting: u32 = view.loads.local().values().map(|it| it.waiting).sum();
         self.requests_waiting.record(f64::from(waiting), &[]);
     }
--- a/crates/mangocross-serving/src/crash_blame.rs
+++ b/crates/mangocross-serving/src/crash_blame.rs
@@ -35,7 +35,7 @@
 const REPORTED_MAX: usize = 40;
 
 /// A process of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ServerProcess {
     /// VM of the server.
     pub vm: VmId,
@@ -48,8 +48,6 @@
 pub struct ReportedCrash {
     /// Part that an answer had hardly begun with.
     pub part: PromptPartId,
-    /// Position of the part in its prompt.
-    pub position: u8,
     /// Process that crashed.
     pub server: ServerProcess,
     /// Time since the crash.
@@ -85,14 +83,6 @@
     Quarantined(PromptPartId),
 }
 
-/// Crashes that count against a part.
-#[derive(Debug, Default)]
-struct BlamedPart {
-    /// Last position at which the part stood in a prompt.
-    position: u8,
-    crashes: Vec<Crash>,
-}
-
 #[derive(Debug, Clone)]
 struct Crash {
     server: ServerProcess,
@@ -106,33 +96,39 @@
 /// there are candidates. A part is quarantined if it was a candidate at several crashes of
 /// different processes, apart in time, and no answer with it got past its start. A crash at
 /// which a quarantined part was a candidate is explained by that part and counts against no other.
+/// Of parts that were candidates at the same crashes any may be the cause: requests with all of them
+/// are refused, and one with some of them shows which it is.
 ///
 /// A single entry VM cannot make others quarantine a part: its crashes must have been observed
 /// here or by two entry VMs.
 #[derive(Debug, Default)]
 pub struct CrashBlame {
-    blamed: HashMap<PromptPartId, BlamedPart>,
+    blamed: HashMap<PromptPartId, Vec<Crash>>,
     sound: HashMap<PromptPartId, Moment>,
     /// Sound parts that another entry VM still blames.
     to_clear: BTreeSet<PromptPartId>,
-    quarantined: BTreeSet<PromptPartId>,
+    /// Sets of parts with the same crashes; usually of one part.
+    quarantined: Vec<BTreeSet<PromptPartId>>,
     suspects: BTreeSet<PromptPartId>,
 }
 
 impl CrashBlame {
     /// Returns what the crashes say of a request with these shared parts.
     pub fn verdict(&self, parts: &[PromptPartId]) -> CrashVerdict {
-        let find = |set: &BTreeSet<_>| parts.iter().copied().find(|it| set.contains(it));
-        match (find(&self.quarantined), find(&self.suspects)) {
-            (Some(part), _) => CrashVerdict::Quarantined(part),
-            (None, Some(part)) => CrashVerdict::Suspect(part),
-            (None, None) => CrashVerdict::Sound,
+        let is_refused = |it: &&BTreeSet<_>| it.iter().all(|it| parts.contains(it));
+        let refused = self.quarantined.iter().find(is_refused).and_then(|it| it.first());
+        if let Some(part) = refused {
+            return CrashVerdict::Quarantined(*part);
         }
+        let is_suspect = |it: &&PromptPartId| {
+            self.suspects.contains(it) || self.quarantined.iter().any(|set| set.contains(it))
+        };
+        parts.iter().find(is_suspect).map_or(CrashVerdict::Sound, |it| CrashVerdict::Suspect(*it))
     }
 
     /// Returns the quarantined parts.
-    pub fn quarantined(&self) -> impl ExactSizeIterator<Item = PromptPartId> + '_ {
-        self.quarantined.iter().copied()
+    pub fn quarantined(&self) -> impl Iterator<Item = PromptPartId> + '_ {
+        self.quarantined.iter().flatten().copied()
     }
 
     /// Returns whether any of the parts is not known as sound.
@@ -142,12 +138,12 @@
 
     /// Returns whether `reporter` has recorded the crash of a process.
     pub fn has_crash(&self, server: &ServerProcess, reporter: &str) -> bool {
-        let mut crashes = self.blamed.values().flat_map(|it| &it.crashes);
+        let mut crashes = self.blamed.values().flatten();
         crashes.any(|it| it.server == *server && it.reporters.iter().any(|it| &**it == reporter))
     }
 
-    /// Records that a process crashed while an answer to a prompt with these parts, in this order,
-    /// had hardly begun there. Returns whether that is news.
+    /// Records that a process crashed while an answer to a prompt with these parts had hardly
+    /// begun there. Returns whether that is news.
     pub fn record_crash(
         &mut self,
         parts: &[PromptPartId],
@@ -156,14 +152,10 @@
         now: Moment,
     ) -> bool {
         let mut is_news = false;
-        for (position, part) in parts.iter().enumerate() {
-            if self.sound.contains_key(part) {
-                continue;
-            }
+        for part in parts.iter().filter(|it| !self.sound.contains_key(it)) {
             let reporters = vec![Arc::clone(own)];
             let crash = Crash { server: server.clone(), at: now, reporters };
-            let position = u8::try_from(position).unwrap_or(u8::MAX);
-            is_news |= add(&mut self.blamed, *part, position, crash, now);
+            is_news |= add(&mut self.blamed, *part, crash, now);
         }
         if is_news {
             self.decide(own);
@@ -202,13 +194,13 @@
             }
         }
         for reported in report.crashes.into_iter().take(REPORTED_MAX) {
-            let ReportedCrash { part, position, server, age_ms, reporters } = reported;
+            let ReportedCrash { part, server, age_ms, reporters } = reported;
             if self.sound.contains_key(&part) {
                 is_news |= self.to_clear.insert(part);
                 continue;
             }
             let crash = Crash { server, at: at(age_ms), reporters };
-            is_news |= add(&mut self.blamed, part, position, crash, now);
+            is_news |= add(&mut self.blamed, part, crash, now);
         }
         if is_news {
             self.decide(own);
@@ -220,11 +212,10 @@
     pub fn take_report(&mut self, now: Moment) -> CrashReport {
         let age_ms = |at: Moment| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
         let mut parts: Vec<_> = self.blamed.iter().collect();
-        parts.sort_by_key(|(part, it)| (Reverse(it.crashes.len()), **part));
-        let crashes = parts.into_iter().flat_map(|(part, blamed)| {
-            blamed.crashes.iter().map(|it| ReportedCrash {
+        parts.sort_by_key(|(part, it)| (Reverse(it.len()), **part));
+        let crashes = parts.into_iter().flat_map(|(part, crashes)| {
+            crashes.iter().map(|it| ReportedCrash {
                 part: *part,
-                position: blamed.position,
                 server: it.server.clone(),
                 age_ms: age_ms(it.at),
                 reporters: it.reporters.clone(),
@@ -240,55 +231,59 @@
     pub fn expire(&mut self, own: &Arc<str>, now: Moment) {
         self.sound.retain(|_, at| now.since(*at) < SOUND_KEPT);
         let mut is_changed = false;
-        self.blamed.retain(|_, blamed| {
-            let before = blamed.crashes.len();
-            blamed.crashes.retain(|it| now.since(it.at) < CRASH_KEPT);
-            is_changed |= blamed.crashes.len() != before;
-            !blamed.crashes.is_empty()
+        self.blamed.retain(|_, crashes| {
+            let before = crashes.len();
+            crashes.retain(|it| now.since(it.at) < CRASH_KEPT);
+            is_changed |= crashes.len() != before;
+            !crashes.is_empty()
         });
         if is_changed {
             self.decide(own);
         }
     }
 
-    /// Decides which parts are suspect or quarantined: the one with the most crashes first, so that
-    /// it explains those at which others were candidates too. Among equals it is the one that stands
-    /// last in its prompt, since fewer requests share it.
+    /// Decides which parts are suspect or quarantined: those with the most crashes first, so that
+    /// they explain those at which others were candidates too. Parts with the same crashes are
+    /// quarantined together.
     fn decide(&mut self, own: &Arc<str>) {
         self.quarantined.clear();
         self.suspects.clear();
-        let mut explained: BTreeSet<(&VmId, u64)> = BTreeSet::new();
+        let mut explained: BTreeSet<&ServerProcess> = BTreeSet::new();
         let mut left: Vec<PromptPartId> = self.blamed.keys().copied().collect();
         loop {
             let counts = left.iter().map(|part| {
-                let blamed = &self.blamed[part];
-                let (apart, all) = count_crashes(&blamed.crashes, &explained, own);
-                (apart, all, blamed.position, *part)
+                let (apart, all) = count_crashes(&self.blamed[part], &explained, own);
+                (apart, all, *part)
             });
-            let Some((apart, _, _, part)) = counts.max() else { return };
+            let Some((apart, _, part)) = counts.max() else { return };
             if apart < SUSPECT_CRASHES {
                 return;
             }
-            left.retain(|it| *it != part);
+            let processes = processes(&self.blamed[&part]);
+            let alike =
+                left.extract_if(.., |it| self::processes(&self.blamed[it]) == processes).collect();
             if apart < QUARANTINE_CRASHES {
-                self.suspects.insert(part);
+                self.suspects.extend::<BTreeSet<_>>(alike);
                 continue;
             }
-            self.quarantined.insert(part);
-            let servers = self.blamed[&part].crashes.iter().map(|it| &it.server);
-            explained.extend(servers.map(|it| (&it.vm, it.born_unix_ms)));
+            self.quarantined.push(alike);
+            explained.extend(processes);
         }
     }
 }
 
+fn processes(crashes: &[Crash]) -> BTreeSet<&ServerProcess> {
+    crashes.iter().map(|it| &it.server).collect()
+}
+
 /// Counts the crashes that are not explained, first those apart in time, then all; none if only one
 /// other entry VM reports them.
 fn count_crashes(
     crashes: &[Crash],
-    explained: &BTreeSet<(&VmId, u64)>,
+    explained: &BTreeSet<&ServerProcess>,
     own: &Arc<str>,
 ) -> (usize, usize) {
-    let is_open = |it: &&Crash| !explained.contains(&(&it.server.vm, it.server.born_unix_ms));
+    let is_open = |it: &&Crash| !explained.contains(&it.server);
     let mut open: Vec<&Crash> = crashes.iter().filter(is_open).collect();
     let reporters: BTreeSet<&Arc<str>> = open.iter().flat_map(|it| &it.reporters).collect();
     if reporters.len() < 2 && !reporters.contains(own) {
@@ -309,9 +304,8 @@
 /// Adds a crash that counts against a part, or its reporters if the crash is known. Returns whether
 /// that is news.
 fn add(
-    all: &mut HashMap<PromptPartId, BlamedPart>,
+    all: &mut HashMap<PromptPartId, Vec<Crash>>,
     part: PromptPartId,
-    position: u8,
     crash: Crash,
     now: Moment,
 ) -> bool {
@@ -321,9 +315,7 @@
     if !all.contains_key(&part) && all.len() >= BLAMED_PARTS_MAX {
         forget_least_blamed(all);
     }
-    let blamed = all.entry(part).or_default();
-    blamed.position = blamed.position.max(position);
-    let known = &mut blamed.crashes;
+    let known = all.entry(part).or_default();
     let Some(existing) = known.iter_mut().find(|it| it.server == crash.server) else {
         let has_room = known.len() < CRASHES_PER_PART_MAX;
         if has_room {
@@ -344,9 +336,9 @@
 }
 
 /// Forgets the part that the fewest crashes count against, the one blamed longest ago among equals.
-fn forget_least_blamed(all: &mut HashMap<PromptPartId, BlamedPart>) {
-    let last_at = |it: &BlamedPart| it.crashes.iter().map(|it| it.at).max();
-    let least = all.iter().min_by_key(|(part, it)| (it.crashes.len(), last_at(it), **part));
+fn forget_least_blamed(all: &mut HashMap<PromptPartId, Vec<Crash>>) {
+    let last_at = |it: &[Crash]| it.iter().map(|it| it.at).max();
+    let least = all.iter().min_by_key(|(part, it)| (it.len(), last_at(it), **part));
     if let Some(part) = least.map(|(part, _)| *part) {
         all.remove(&part);
     }
