--- a/bins/mangocross-front/src/stream/forwarder.rs
+++ b/bins/mangocross-front/src/stream/forwarder.rs
@@ -3,9 +3,9 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use mangocross_platform::AnswerHead;
+use mangocross_serving::CompleteEvents;
 use mangocross_types::ResultCode;
 use mangocross_types::VmId;
 use tokio::sync::mpsc;
@@ -101,13 +101,10 @@
         let end = loop {
             let stop = self.forward(&mut source, search_from).await;
             let next = match stop {
-                Stop::End(End::Complete) => {
-                    source.finish(&self.call.state.pool).await;
-                    break End::Complete;
-                }
+                Stop::End(End::Complete) => break self.complete(source).await,
                 Stop::End(end) => break end,
                 Stop::Broken(reason) => {
-                    self.call.record.log_step("stream broke", &source.vm, reason);
+                    self.record_break(&source, reason).await;
                     self.move_on(source, Some(reason)).await
                 }
                 Stop::Silent(reason) => {
@@ -168,11 +165,12 @@
                 Received::End => return Stop::End(End::Complete),
                 Received::Broken(reason) => return Stop::Broken(reason),
             };
-            if let Some(end) = self.deliver(source, events.data).await {
+            let has_content = events.has_content;
+            if let Some(end) = self.deliver(source, events).await {
                 return Stop::End(end);
             }
             // The time that the caller took to read does not count as silence of the server.
-            if events.has_content {
+            if has_content {
                 silent_since = Instant::now();
             }
         }
@@ -203,7 +201,7 @@
             match received {
                 Received::Events(it) => {
                     let is_progress = it.has_content || source.last_id() != self.last_id.get();
-                    if let Some(end) = self.deliver(&source, it.data).await {
+                    if let Some(end) = self.deliver(&mut source, it).await {
                         return Next::End(end);
                     }
                     if is_progress {
@@ -211,12 +209,9 @@
                         return Next::From(source);
                     }
                 }
-                Received::End => {
-                    source.finish(&self.call.state.pool).await;
-                    return Next::End(End::Complete);
-                }
+                Received::End => return Next::End(self.complete(source).await),
                 Received::Broken(reason) => {
-                    self.call.record.log_step("stream broke", &failed, reason);
+                    self.record_break(&source, reason).await;
                     broken = Some(reason);
                 }
             }
@@ -224,20 +219,31 @@
     }
 
     /// Goes on with another server, which has sent this first.
-    async fn follow(&self, source: Source, first: Received) -> Next {
+    async fn follow(&self, mut source: Source, first: Received) -> Next {
         match first {
-            Received::Events(it) => match self.deliver(&source, it.data).await {
+            Received::Events(it) => match self.deliver(&mut source, it).await {
                 Some(end) => Next::End(end),
                 None => Next::From(source),
             },
-            Received::End => {
-                source.finish(&self.call.state.pool).await;
-                Next::End(End::Complete)
-            }
+            Received::End => Next::End(self.complete(source).await),
             Received::Broken(reason) => Next::End(End::Broken(reason)),
         }
     }
 
+    /// Records the end of a complete answer.
+    async fn complete(&self, source: Source) -> End {
+        self.call.record_answer_end(&source.vm, source.start).await;
+        source.finish(&self.call.state.pool).await;
+        End::Complete
+    }
+
+    /// Records that a server's answer broke.
+    async fn record_break(&self, source: &Source, reason: &'static str) {
+        let detail = self.call.break_detail(reason, source.start.events);
+        self.call.record.log_step("stream broke", &source.vm, &detail);
+        self.call.record_break(&source.vm, source.start).await;
+    }
+
     /// Waits until the streams of the server's group are stalled, this one among them.
     async fn wait_until_stalled(&self, head: &VmId, silent_since: Instant, search_from: Instant) {
         let earliest = (silent_since + STALL_SILENCE_MIN).max(search_from);
@@ -259,15 +265,18 @@
     }
 
     /// Passes events on; waits for a slow caller until the deadline.
-    async fn deliver(&self, source: &Source, events: Bytes) -> Option<End> {
+    async fn deliver(&self, source: &mut Source, events: CompleteEvents) -> Option<End> {
         self.last_id.set(source.last_id());
-        if events.is_empty() {
+        if events.has_content {
+            self.call.record_events(&mut source.start);
+        }
+        if events.data.is_empty() {
             return None;
         }
         let now = Instant::now();
         let gap = now.duration_since(self.last_event_at.replace(now));
         self.call.state.metrics.record_event_gap(gap);
-        let sending = self.chunks.send(Chunk::Data(events));
+        let sending = self.chunks.send(Chunk::Data(events.data));
         match tokio::time::timeout_at(self.call.ends_at, sending).await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(End::CallerLeft),
--- a/bins/mangocross-front/src/stream/source.rs
+++ b/bins/mangocross-front/src/stream/source.rs
@@ -8,6 +8,7 @@
 use mangocross_types::VmId;
 
 use super::attempt::StartedStream;
+use crate::blame::AnswerStart;
 use crate::pool::Connection;
 use crate::pool::Pool;
 use crate::state::InFlightGuard;
@@ -25,6 +26,8 @@
 /// The answer of one server to a stream.
 pub(super) struct Source {
     pub(super) vm: VmId,
+    /// How far the answer has come.
+    pub(super) start: AnswerStart,
     connection: Connection,
     in_flight: InFlightGuard,
     body: Incoming,
@@ -37,7 +40,8 @@
     pub(super) fn new(started: StartedStream, last_id: Option<u64>) -> Self {
         let StartedStream { vm, connection, in_flight, response, answer_head } = started;
         let splitter = EventSplitter::resuming_after(last_id);
-        Self { vm, connection, in_flight, body: response.into_body(), answer_head, splitter }
+        let start = AnswerStart::new(response.headers());
+        Self { vm, start, connection, in_flight, body: response.into_body(), answer_head, splitter }
     }
 
     /// Returns the id of the last complete event.
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -16,6 +16,9 @@
 use super::attempt::start_attempt;
 use super::heads;
 use crate::answer_body::AnswerBody;
+use crate::blame::AnswerStart;
+use crate::blame::QUARANTINED_REFUSAL;
+use crate::blame::QUARANTINED_RETRY_AFTER;
 use crate::dispatch::Call;
 use crate::first_answer::FirstAnswer;
 use crate::first_answer::first_answer;
@@ -85,6 +88,10 @@
     /// Sends the request to the best head that has not been tried.
     async fn send_next(&mut self) -> Result<(VmId, PendingAttempt<'a>), NotSent> {
         let call = self.call;
+        if call.is_quarantined() {
+            let (code, reason) = QUARANTINED_REFUSAL;
+            return Err(NotSent { code, reason, retry_after_min: QUARANTINED_RETRY_AFTER });
+        }
         let no_group = || NotSent::new(ResultCode::NoCompleteGroup, "no group serves the model");
         loop {
             let heads = heads::find_heads(call, &self.tried).ok_or_else(no_group)?;
@@ -138,7 +145,7 @@
         let is_retryable = call.route.retry_policy.is_retryable();
         let may_repeat = is_retryable && self.runs + 1 < call.route.attempts_max;
         loop {
-            let may_send_beside = may_repeat && self.silent.is_none();
+            let may_send_beside = may_repeat && self.silent.is_none() && call.may_move();
             let first = tokio::select! {
                 it = first_answer(&mut latest, &mut self.silent) => it,
                 () = call.state.wait_until_suspect(&vm), if may_send_beside => {
@@ -153,7 +160,7 @@
                     return Some(Ok((it, self.runs + 1)));
                 }
                 FirstAnswer::Earlier((vm, Err(error))) => {
-                    self.record_silent_failure(&vm, &error);
+                    self.record_silent_failure(&vm, &error).await;
                     continue;
                 }
                 FirstAnswer::Latest((vm, Err(error))) => (vm, error),
@@ -167,7 +174,15 @@
                     let not_sent = NotSent::new(ResultCode::BackendRefused, reason);
                     return Some(self.end_not_sent(not_sent).await);
                 }
-                StartError::MayHaveRun(..) | StartError::Failure(_) => {
+                StartError::MayHaveRun(reason, _) => {
+                    call.record.log_step("attempt failed", &vm, &call.break_detail(reason, 0));
+                    self.runs += 1;
+                    call.record_break(&vm, AnswerStart::default()).await;
+                    if may_repeat && call.may_move() {
+                        return None;
+                    }
+                }
+                StartError::Failure(_) => {
                     call.record.log_step("attempt failed", &vm, error.reason());
                     self.runs += 1;
                     if may_repeat {
@@ -181,24 +196,28 @@
     }
 
     /// Records the failure of the silent attempt, which has been counted as one that may have run.
-    fn record_silent_failure(&mut self, vm: &VmId, error: &StartError) {
-        let kind = match error {
-            StartError::NotRun(_) => {
+    async fn record_silent_failure(&mut self, vm: &VmId, error: &StartError) {
+        let call = self.call;
+        match error {
+            StartError::NotRun(reason) => {
                 self.runs = self.runs.saturating_sub(1);
-                "not run"
+                call.record.log_step("not run", vm, reason);
             }
-            StartError::MayHaveRun(..) | StartError::Failure(_) | StartError::TimeOver => {
-                "attempt failed"
+            StartError::MayHaveRun(reason, _) => {
+                call.record.log_step("attempt failed", vm, &call.break_detail(reason, 0));
+                call.record_break(vm, AnswerStart::default()).await;
             }
-        };
-        self.call.record.log_step(kind, vm, error.reason());
+            StartError::Failure(_) | StartError::TimeOver => {
+                call.record.log_step("attempt failed", vm, error.reason());
+            }
+        }
     }
 
     /// Waits for the silent attempt; returns its stream, or `None` if there is none.
     async fn wait_for_silent(&mut self) -> Option<StartedStream> {
         let (vm, started): AttemptResult = self.silent.take()?.await;
         if let Err(error) = &started {
-            self.record_silent_failure(&vm, error);
+            self.record_silent_failure(&vm, error).await;
         }
         started.ok()
     }
--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -12,6 +12,7 @@
 use super::heads;
 use super::source::Received;
 use super::source::Source;
+use crate::blame::AnswerStart;
 use crate::plain::SENDS_MAX;
 
 /// Time after which a resumed stream may use LAST_RESORT_QUEUE_SLOTS instead of RESUME_QUEUE_SLOTS.
@@ -73,7 +74,10 @@
             let reason = match started {
                 Ok(it) => match first_progress(Source::new(it, last_id)).await {
                     Ok(it) => return Ok(it),
-                    Err(reason) => reason,
+                    Err((reason, start)) => {
+                        self.call.record_break(&vm, start).await;
+                        reason
+                    }
                 },
                 Err(StartError::NotRun(reason)) => {
                     self.runs.set(self.runs.get() - 1);
@@ -83,7 +87,11 @@
                     }
                     continue;
                 }
-                Err(it) => it.reason(),
+                Err(StartError::MayHaveRun(reason, _)) => {
+                    self.call.record_break(&vm, AnswerStart::default()).await;
+                    reason
+                }
+                Err(it @ (StartError::Failure(_) | StartError::TimeOver)) => it.reason(),
             };
             self.call.record.log_step("attempt failed", &vm, reason);
         }
@@ -103,6 +111,9 @@
         if self.runs.get() >= route.attempts_max {
             return Err("all attempts are used up");
         }
+        if !self.call.may_move() {
+            return Err("a part of the prompt may crash servers");
+        }
         let gap_max = route.event_gap_max.mul_f64(RESUME_GAP_SHARE);
         Ok(self.last_event_at.get().elapsed() < gap_max && !self.call.time_left().is_zero())
     }
@@ -114,12 +125,18 @@
 }
 
 /// Reads until the first event that the caller has not received, or the end of the answer.
-async fn first_progress(mut source: Source) -> Result<(Source, Received), &'static str> {
+///
+/// # Errors
+///
+/// Returns why the answer broke, and how far it had come.
+async fn first_progress(
+    mut source: Source,
+) -> Result<(Source, Received), (&'static str, AnswerStart)> {
     let resumed_after = source.last_id();
     loop {
         match source.receive().await {
             Received::Events(it) if !it.has_content && source.last_id() == resumed_after => {}
-            Received::Broken(reason) => return Err(reason),
+            Received::Broken(reason) => return Err((reason, source.start)),
             received @ (Received::Events(_) | Received::End) => return Ok((source, received)),
         }
     }
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -1,6 +1,7 @@
 //! A small stand-in of the platform: its store and backend servers of two services.
 
 mod client;
+mod machine;
 mod servers;
 mod store;
 
@@ -280,7 +281,7 @@
 }
 
 /// Returns an operators' configuration with these keys.
-pub(crate) fn configuration(version: u64, keys: &[&str]) -> Value {
+fn configuration(version: u64, keys: &[&str]) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({"name": name, "host": "a.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 8000,
             "target_latency_ms": 400, "priority": 1, "service": service, "max_attempts": 2,
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -78,6 +78,16 @@
         self.put("op/config", &configuration(version, keys));
     }
 
+    /// Writes a configuration with a limit on the time for which callers' connections are idle.
+    pub(crate) fn configure_idle_timeout(&self, version: u64, keys: &[&str], limit: Duration) {
+        let mut configuration = configuration(version, keys);
+        configuration["limits"] = serde_json::json!({
+            "max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+            "idle_timeout_ms": limit.as_millis() as u64,
+        });
+        self.put("op/config", &configuration);
+    }
+
     pub(crate) fn remove(&self, key: &str) {
         lock(&self.state).remove(key);
     }
