test(front): a planner that loses the store, over all orders and with processes

SourceChoice::choose takes the VM's name, zone and term in one argument; the term is not used yet. The stand-in of the store gets a second address that refuses reads, and can forget its history.

--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -7,6 +7,7 @@
 use mangocross_serving::Moment;
 use mangocross_serving::Source;
 use mangocross_serving::SourceChoice;
+use mangocross_serving::VmRole;
 use mangocross_types::Revision;
 
 use crate::leases::PLANNER_KEY;
@@ -143,8 +144,12 @@
     pub(crate) fn choose_source(&mut self, state: &AppState) -> Source {
         let view = state.view.borrow();
         let plan = view.relay_plan();
-        let (name, zone, now) = (&state.vm.name, &state.vm.zone, state.now());
-        self.choice.choose(&plan, name, zone, view.entry_vms.len(), now, fastrand::f64())
+        let role = VmRole {
+            name: &state.vm.name,
+            zone: &state.vm.zone,
+            holds_term: state.planner_term.get().is_some(),
+        };
+        self.choice.choose(&plan, role, view.entry_vms.len(), state.now(), fastrand::f64())
     }
 
     /// Returns whether a VM that follows the store itself may change to a relay.
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod log_points;
 mod metrics;
+mod planner_view;
 mod platform;
 mod relays;
 mod server_faults;
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -35,6 +35,7 @@
 pub(crate) use self::servers::EVENTS;
 pub(crate) use self::servers::Server;
 pub(crate) use self::servers::StreamFault;
+pub(crate) use self::store::Entrance;
 pub(crate) use self::store::Store;
 
 /// Maximum wait for an expected event.
@@ -142,6 +143,16 @@
 
     /// Like `spawn`, with the store at an address.
     pub(crate) fn spawn_at(store: SocketAddr, revoke_ms: u64, stdout: Stdio) -> Self {
+        Self::spawn_sized(store, revoke_ms, stdout, 1.0)
+    }
+
+    /// Like `spawn_at`, on a VM with this share of a core.
+    pub(crate) fn spawn_sized(
+        store: SocketAddr,
+        revoke_ms: u64,
+        stdout: Stdio,
+        cpu_share: f64,
+    ) -> Self {
         let host = NEXT_IP.fetch_add(1, Ordering::Relaxed);
         let ip = Ipv4Addr::new(127, 7, u8::try_from(std::process::id() % 250).unwrap_or(0), host);
         // All are bound at the same time, so that no port is chosen twice.
@@ -153,7 +164,7 @@
             "node": format!("front-{host}"), "ip": IpAddr::V4(ip), "zone": "zone-a",
             "listen": {"front": address, "ready": ready},
             "internal_ports": [peers.port(), peers.port()], "first_start": true,
-            "limits": {"max_fds": 1024, "memory_mb": 256},
+            "limits": {"max_fds": 1024, "memory_mb": 256, "cpu_share": cpu_share},
             "bounds": {"revoke_ms": revoke_ms, "strict_revoke": true, "grace_s": 8, "stall_ms": 6000, "retry_slack": 50},
             "platform": {"address": store},
         });
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -119,6 +119,12 @@
         lock(&self.state).group["state"] == "open"
     }
 
+    /// Returns name and incarnation of the open group that the server is the head of.
+    pub(crate) fn open_group(&self) -> Option<(Value, Value)> {
+        let group = &lock(&self.state).group;
+        (group["state"] == "open").then(|| (group["name"].clone(), group["epoch"].clone()))
+    }
+
     /// Makes the next `count` streams break off in the middle of an event.
     pub(crate) fn break_streams(&self, count: u32) {
         lock(&self.state).streams_to_break = count;
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -6,6 +6,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -29,6 +31,8 @@
     revision: u64,
     items: BTreeMap<String, (Vec<u8>, u64)>,
     history: Vec<Value>,
+    /// Revision up to which the history is gone.
+    compacted: u64,
     next_lease: u64,
     leases: BTreeMap<u64, Lease>,
     is_silent: bool,
@@ -60,6 +64,20 @@
     pub(crate) address: SocketAddr,
 }
 
+/// Another address of the store, for one entry VM.
+#[derive(Debug)]
+pub(crate) struct Entrance {
+    pub(crate) address: SocketAddr,
+    is_refusing_reads: Arc<AtomicBool>,
+}
+
+impl Entrance {
+    /// Sets whether ranges and new watches are refused, while leases can be renewed.
+    pub(crate) fn set_refusing_reads(&self, is_refusing: bool) {
+        self.is_refusing_reads.store(is_refusing, Ordering::Relaxed);
+    }
+}
+
 impl Store {
     pub(crate) fn spawn() -> Self {
         let state = Arc::new(Mutex::new(State::default()));
@@ -68,6 +86,35 @@
         Self { state, address }
     }
 
+    /// Serves at another address, too.
+    pub(crate) fn open_entrance(&self) -> Entrance {
+        let is_refusing_reads = Arc::new(AtomicBool::new(false));
+        let (state, is_refusing) = (Arc::clone(&self.state), Arc::clone(&is_refusing_reads));
+        let address = listen(move |request, stream| {
+            let is_read =
+                ["/-/kv-range", "/-/kv-watch"].iter().any(|it| request.target.starts_with(it));
+            match is_read && is_refusing.load(Ordering::Relaxed) {
+                true => answer(stream, 503, "", "{}"),
+                false => serve(&state, &request, stream),
+            }
+        });
+        Entrance { address, is_refusing_reads }
+    }
+
+    /// Forgets the history, so that all watches end and all keys are to be read again.
+    pub(crate) fn compact(&self) {
+        let mut state = lock(&self.state);
+        state.revision += 1;
+        state.compacted = state.revision;
+        state.history.clear();
+    }
+
+    /// Returns a value as text; `None` if the key is missing.
+    pub(crate) fn text(&self, key: &str) -> Option<String> {
+        let state = lock(&self.state);
+        state.items.get(key).map(|(value, _)| String::from_utf8_lossy(value).into_owned())
+    }
+
     /// Writes a value unconditionally and without a lease.
     pub(crate) fn put(&self, key: &str, value: &Value) {
         lock(&self.state).put(key, value.to_string().into_bytes());
@@ -251,6 +298,10 @@
     loop {
         let mut state = lock(state);
         state.expire();
+        if after < state.compacted {
+            answer(stream, 410, "", "{}");
+            return;
+        }
         let is_later = |it: &&Value| it["revision"].as_u64() > Some(after);
         let later = state.history.iter().filter(is_later);
         let events: Vec<Value> = later.take(CHANGES_MAX).cloned().collect();
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -59,6 +59,7 @@
 pub use relays::RelayedKeys;
 pub use relays::Source;
 pub use relays::SourceChoice;
+pub use relays::VmRole;
 pub use retry_budget::RetryBounds;
 pub use retry_budget::RetryBudget;
 pub use server_choice::FailureTable;
--- a/crates/mangocross-serving/src/relays/mod.rs
+++ b/crates/mangocross-serving/src/relays/mod.rs
@@ -12,3 +12,4 @@
 pub use relayed_keys::RelayedKeys;
 pub use source_choice::Source;
 pub use source_choice::SourceChoice;
+pub use source_choice::VmRole;
--- a/crates/mangocross-serving/src/relays/source_choice.rs
+++ b/crates/mangocross-serving/src/relays/source_choice.rs
@@ -34,6 +34,17 @@
     },
 }
 
+/// The entry VM for which a source is chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct VmRole<'a> {
+    /// Name of the VM.
+    pub name: &'a str,
+    /// Availability zone of the VM.
+    pub zone: &'a AvailabilityZone,
+    /// Whether the VM holds the planner's key, valid or not.
+    pub holds_term: bool,
+}
+
 /// Chooses between the relays and the store, and remembers which relays failed.
 ///
 /// A VM that reaches no relay follows the store itself for a while. If relays answer that
@@ -50,18 +61,18 @@
 }
 
 impl SourceChoice {
-    /// Returns the source to use now, for an entry VM with this name and zone.
+    /// Returns the source to use now.
     ///
     /// `draw` is a random number in `0.0..1.0`, and `entry_vms` the number of all entry VMs.
     pub fn choose(
         &mut self,
         plan: &RelayPlan,
-        name: &str,
-        zone: &AvailabilityZone,
+        vm: VmRole<'_>,
         entry_vms: usize,
         now: Moment,
         draw: f64,
     ) -> Source {
+        let VmRole { name, zone, .. } = vm;
         if plan.follows_store(name) || self.store_until.is_some_and(|it| now < it) {
             return Source::Store;
         }
--- a/crates/mangocross-serving/tests/relays.rs
+++ b/crates/mangocross-serving/tests/relays.rs
@@ -15,6 +15,7 @@
 use mangocross_serving::RelayedKeys;
 use mangocross_serving::Source;
 use mangocross_serving::SourceChoice;
+use mangocross_serving::VmRole;
 use mangocross_types::AvailabilityZone;
 use mangocross_types::Revision;
 
@@ -99,7 +100,8 @@
 }
 
 fn choose(choice: &mut SourceChoice, plan: &RelayPlan, now: Moment, draw: f64) -> Source {
-    choice.choose(plan, "front-200", &zone(0), 295, now, draw)
+    let role = VmRole { name: "front-200", zone: &zone(0), holds_term: false };
+    choice.choose(plan, role, 295, now, draw)
 }
 
 /// Relays die: the next ones are asked, then the store.
@@ -131,7 +133,8 @@
         let mut choice = SourceChoice::default();
         for round in 0..6 {
             let now = at(1_000 * round);
-            match choice.choose(&plan, name, &zone(1), 295, now, random.f64()) {
+            let role = VmRole { name, zone: &zone(1), holds_term: false };
+            match choice.choose(&plan, role, 295, now, random.f64()) {
                 Source::Relay { name, .. } => choice.record_store_lost(&name, now),
                 Source::Store => askers += 1,
             }
