fix(front): a planner plans only from a complete, recent view of the store, or gives up its key

Cause: after the loss the choice of the source did not know who plans. A planner that is no relay followed a relay from then on and went on renewing its key. A relay passes on only what followers need: no members that accept no requests, no spares. `is_caught_up` said true all the same, so the planner planned from a part of the keys. A second path led there: `RelayState` stayed as it was when a VM changed to a relay, so the VM counted as one that knows all keys when it came back to the store (`prepare_for_store`, `may_plan`), and answered followers from a view that no longer moved.

Change: - `StoreView` knows what the view is based on (a part, behind, all) and as of when. Only it makes a `CompleteView`, with the age that the store's answers prove; planning and orders take one. It replaces `is_caught_up`. Following a relay ends it at once, and ends relaying. - The holder of the planner's key asks the store alone, and reads all keys if some are missing. Its watches wait for 0.6 s at most, so that their answers prove the age. - After 2.5 s without proof nothing is planned. After 4 s, and if the lease has been renewed all along or for 2 s since an outage, the key is given up, so that a VM that follows the store plans. - A term that was taken while the view was lost is given up at once. - Lines: `planner's view changed` (source, extent, is_complete, age_ms, term), `planner's key given up`, the term in `following ...`, the view's age in `plan written` and `order given`.

--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use log::kv::Value;
 use mangocross_platform::StoreCall;
 use mangocross_platform::StorePut;
 use mangocross_platform::WriteOutcome;
@@ -25,6 +26,8 @@
 const ADDRESS_RENEW_INTERVAL: Duration = Duration::from_millis(4000);
 /// TTL of the planner's lease; limits the time without a planner after a crash.
 const PLANNER_LEASE_TTL: Duration = Duration::from_millis(2000);
+/// Time after the last renewal in which the planner's lease may have survived an outage of the store.
+const PLANNER_LEASE_RETENTION: Duration = Duration::from_millis(8000);
 /// Time between renewals of the planner's lease; two may be lost.
 const PLANNER_RENEW_INTERVAL: Duration = Duration::from_millis(600);
 /// Delay before leases are requested again after a lost one; doubles with each failure.
@@ -78,6 +81,11 @@
     pub(crate) fn is_valid(&self, now: Moment) -> bool {
         now.since(self.confirmed_at) < PLANNER_LEASE_TTL
     }
+
+    /// Returns whether the lease may be renewed once the store is back.
+    pub(crate) fn may_be_held(&self, now: Moment) -> bool {
+        now.since(self.confirmed_at) < PLANNER_LEASE_RETENTION
+    }
 }
 
 /// Publishes this VM's address, renews its lease and becomes the planner if there is none; fails
@@ -134,13 +142,15 @@
     }
 }
 
-/// Renews the planner's lease and the address lease until the former ends or the process stops.
+/// Renews the planner's lease and the address lease until the former ends, this VM no longer follows
+/// the store or the process stops.
 async fn maintain_planner_lease(
     state: &AppState,
     lease: u64,
     address_lease: u64,
 ) -> Result<(), StoreError> {
     let mut renewed_at = state.now();
+    let mut renewed_since = Some(renewed_at);
     let mut address_renewed_at = renewed_at;
     while !state.is_stopping() {
         tokio::select! {
@@ -155,12 +165,16 @@
             }
         }
         match renew_lease(state, lease).await {
-            Ok(()) => renewed_at = asked_at,
+            Ok(()) => {
+                renewed_at = asked_at;
+                renewed_since = renewed_since.or(Some(asked_at));
+            }
             Err(error @ StoreError::Refused { status: StatusCode::NOT_FOUND }) => {
                 return Err(error);
             }
             // The lease may survive a store outage; until it is renewed, nothing is planned.
             Err(error) => {
+                renewed_since = None;
                 if state.log_rate.allow("planner's lease not renewed", asked_at).is_some() {
                     log::warn!(error:% = error; "planner's lease not renewed");
                 }
@@ -169,12 +183,31 @@
         let term = state.planner_term.get();
         let confirmed = term.map(|it| PlannerTerm { confirmed_at: renewed_at, ..it });
         state.planner_term.set(confirmed);
+        if state.store_view.borrow().must_give_up_term(state.now(), renewed_since) {
+            return give_up_term(state, lease).await;
+        }
     }
     state.planner_term.set(None);
     state.store.call(StoreCall::end_lease(lease), CALL_TIMEOUT).await?;
     Ok(())
 }
 
+/// Ends the planner's lease, so that another VM plans.
+async fn give_up_term(state: &AppState, lease: u64) -> Result<(), StoreError> {
+    let term = state.planner_term.take().map_or(Value::null(), |it| Value::from(it.revision.0));
+    {
+        let view = state.store_view.borrow();
+        let age = view.age(state.now());
+        let age_ms = age.map_or(Value::null(), |it| Value::from(it.as_millis() as u64));
+        log::warn!(term, extent = view.extent().name(), age_ms; "planner's key given up");
+    }
+    // Unless it is ended, the lease runs out.
+    if let Err(error) = state.store.call(StoreCall::end_lease(lease), CALL_TIMEOUT).await {
+        log::info!(error:% = error; "planner's lease not ended");
+    }
+    Ok(())
+}
+
 async fn publish_address(state: &AppState, lease: u64) -> Result<(), StoreError> {
     let key = format!("{ENTRY_VMS_PREFIX}{}", state.vm.name);
     let value = state.listing().to_string().into_bytes();
@@ -195,8 +228,7 @@
 async fn try_become_planner(state: &AppState) -> Result<Option<u64>, StoreError> {
     let is_vacant = || !state.view.borrow().entry_vm_keys.contains_key(PLANNER_KEY);
     let may_plan = || {
-        state.relay.is_following.get()
-            && state.is_caught_up.get()
+        state.store_view.borrow().may_take_term(state.now())
             && !state.is_store_lost.get()
             && state.configuration().is_some()
     };
@@ -226,6 +258,11 @@
     };
     log::info!(revision = revision.0; "planner's key taken");
     state.planner_term.set(Some(PlannerTerm { revision, confirmed_at: asked_at }));
+    if !may_plan() {
+        // This VM has lost the store or changed to a relay while the key was written.
+        give_up_term(state, lease).await?;
+        return Ok(None);
+    }
     state.planner_inputs_changed.notify_one();
     Ok(Some(lease))
 }
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use log::kv::Value;
 use mangocross_platform::ForwardHead;
 use mangocross_platform::StoreCall;
 use mangocross_platform::StorePut;
@@ -20,6 +21,7 @@
 use mangocross_platform::encode_order;
 use mangocross_platform::order_outcome;
 use mangocross_platform::report_path;
+use mangocross_serving::CompleteView;
 use mangocross_serving::DomainPlan;
 use mangocross_serving::EngineOrder;
 use mangocross_serving::EngineReport;
@@ -27,6 +29,7 @@
 use mangocross_serving::OrderOutcome;
 use mangocross_serving::PlannerAction;
 use mangocross_serving::Probe;
+use mangocross_serving::ViewExtent;
 use mangocross_types::FabricDomain;
 use mangocross_types::Revision;
 use mangocross_types::ServiceId;
@@ -63,6 +66,7 @@
     tokio::task::spawn_local(async move {
         let planners = Planners::default();
         let mut term = None;
+        let mut logged = None;
         loop {
             let _ =
                 tokio::time::timeout(PLAN_INTERVAL_MAX, state.planner_inputs_changed.notified())
@@ -74,8 +78,10 @@
                 planners.borrow_mut().clear();
                 log::info!(is_planner = term.is_some(); "planner's term changed");
             }
-            if let Some(revision) = term.filter(|_| state.is_caught_up.get()) {
-                plan(&state, &planners, revision);
+            let view = state.complete_view();
+            log_view(&state, &mut logged, view);
+            if let (Some(revision), Some(view)) = (term, view) {
+                plan(&state, &planners, revision, view);
             }
             // Leaves most of the processor to requests.
             let elapsed = state.now().since(now);
@@ -84,8 +90,34 @@
     });
 }
 
+/// What the last line on the planner's view said: its extent, whether it is planned from, the term.
+type LoggedView = (ViewExtent, bool, Option<Revision>);
+
+/// Logs what this VM, which holds or has just lost the planner's key, knows of the store.
+fn log_view(state: &AppState, logged: &mut Option<LoggedView>, complete: Option<CompleteView>) {
+    let now = state.now();
+    let term = state.planner_term.get().map(|it| it.revision);
+    let view = state.store_view.borrow();
+    let new = (view.extent(), complete.is_some(), term);
+    let was_in_term = logged.is_some_and(|(_, _, term)| term.is_some());
+    if *logged == Some(new) || (term.is_none() && !was_in_term) {
+        return;
+    }
+    *logged = Some(new);
+    if let Some(left_out) = state.log_rate.allow("planner's view changed", now) {
+        let source = if state.relay.is_recording() { "store" } else { "relay" };
+        let age_ms = view.age(now).map_or(Value::null(), |it| Value::from(it.as_millis() as u64));
+        let term = term.map_or(Value::null(), |it| Value::from(it.0));
+        log::info!(
+            source, extent = view.extent().name(), is_complete = complete.is_some(), age_ms, term,
+            left_out;
+            "planner's view changed"
+        );
+    }
+}
+
 /// Runs one planning round for each engine service.
-fn plan(state: &Rc<AppState>, planners: &Planners, term: Revision) {
+fn plan(state: &Rc<AppState>, planners: &Planners, term: Revision, complete: CompleteView) {
     let Some(configuration) = state.configuration() else { return };
     let now = state.now();
     let mut slowdowns = HashMap::new();
@@ -125,7 +157,7 @@
         drop(view);
         drop(all);
         for action in actions {
-            execute_action(state, planners, service, term, action);
+            execute_action(state, planners, service, term, complete, action);
         }
     }
     let mut view = state.view.borrow_mut();
@@ -142,6 +174,7 @@
     planners: &Planners,
     service: &ServiceId,
     term: Revision,
+    complete: CompleteView,
     action: PlannerAction,
 ) {
     let state = Rc::clone(state);
@@ -159,20 +192,23 @@
                 });
             }
             PlannerAction::Order { vm, address, order, orders_accepted } => {
+                let view_age_ms = complete.age(state.now()).as_millis() as u64;
                 let outcome = send_order(&state, &vm, address, &order, orders_accepted).await;
                 log::info!(
-                    server:% = vm, order:? = order, orders_accepted, outcome:? = outcome;
+                    server:% = vm, order:? = order, orders_accepted, outcome:? = outcome,
+                    view_age_ms;
                     "order given"
                 );
                 let now = state.now();
                 with_planner(&planners, &service, |it| it.record_order_outcome(&vm, outcome, now));
             }
             PlannerAction::Write { domain, plan, expected, reasons } => {
+                let view_age_ms = complete.age(state.now()).as_millis() as u64;
                 let revision = write_plan(&state, &domain, &plan, expected, term).await;
                 if let Some(revision) = revision {
                     log::info!(
                         domain:% = domain, expected = expected.0, reasons:? = reasons,
-                        revision = revision.0;
+                        revision = revision.0, view_age_ms;
                         "plan written"
                     );
                 }
--- a/bins/mangocross-front/src/relay_following.rs
+++ b/bins/mangocross-front/src/relay_following.rs
@@ -55,6 +55,9 @@
     relay: &Arc<str>,
     address: SocketAddr,
 ) -> Result<FollowEnd, RelayError> {
+    // What was read of the store itself is no longer followed.
+    state.relay.stop();
+    state.store_view.borrow_mut().record_relay();
     let mut client = RelayClient::open(address, Arc::clone(&state.vm.name)).await?;
     let mut delay = Duration::ZERO;
     loop {
@@ -92,8 +95,7 @@
             state.view.borrow_mut().freshness.confirm_relayed(asked_at, it.held, it.age);
         }
         position.after = Some(after.max(revision));
-        state.is_caught_up.set(true);
-        if state.is_relay() {
+        if state.is_relay() || state.holds_term() {
             return Ok(FollowEnd::SourceChanged);
         }
         delay = if has_changes { BATCH_DELAY } else { Duration::ZERO };
--- a/bins/mangocross-front/src/relay_state.rs
+++ b/bins/mangocross-front/src/relay_state.rs
@@ -14,7 +14,7 @@
 pub(crate) struct RelayState {
     /// Whether this VM follows the store itself and knows all keys.
     ///
-    /// Only such a VM relays, and only such a VM can plan.
+    /// Only such a VM relays.
     pub(crate) is_following: Cell<bool>,
     /// Revision up to which all changes are known.
     pub(crate) revision: Cell<Revision>,
@@ -42,6 +42,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns whether this VM follows the store itself, or reads it.
+    pub(crate) fn is_recording(&self) -> bool {
+        self.is_recording.get()
+    }
+
     /// Records that removals up to a revision are not known.
     pub(crate) fn forget_until(&self, revision: Revision) {
         self.keys.borrow_mut().forget_until(revision);
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -13,6 +13,7 @@
 use mangocross_platform::SettingsBounds;
 use mangocross_serving::BackendServer;
 use mangocross_serving::BootClock;
+use mangocross_serving::CompleteView;
 use mangocross_serving::ConfigurationFreshness;
 use mangocross_serving::FailureTable;
 use mangocross_serving::HeadLoad;
@@ -25,6 +26,7 @@
 use mangocross_serving::ProgressTable;
 use mangocross_serving::RelayPlan;
 use mangocross_serving::RetryBudget;
+use mangocross_serving::StoreView;
 use mangocross_serving::TrafficConfiguration;
 use mangocross_types::ModelId;
 use mangocross_types::Rank;
@@ -126,11 +128,8 @@
     pub(crate) has_traffic: Cell<bool>,
     /// Whether the last attempt to follow the store failed.
     pub(crate) is_store_lost: Cell<bool>,
-    /// Whether the servers and plans known here match the store, except for the latest changes.
-    ///
-    /// The planner waits for this: plans newer than the known servers would make a serving group
-    /// look like one that has ended.
-    pub(crate) is_caught_up: Cell<bool>,
+    /// How much of the store's keys is known, and since when that is proven.
+    pub(crate) store_view: RefCell<StoreView>,
     /// When SIGTERM was received.
     pub(crate) stopping_since: Cell<Option<Moment>>,
     pub(crate) requests_in_progress: Cell<usize>,
@@ -157,7 +156,7 @@
             planner_term: Cell::new(None),
             has_traffic: Cell::new(false),
             is_store_lost: Cell::new(false),
-            is_caught_up: Cell::new(false),
+            store_view: RefCell::default(),
             stopping_since: Cell::new(None),
             requests_in_progress: Cell::new(0),
             vm,
@@ -200,6 +199,16 @@
         self.planner_term.get().is_some_and(|it| it.is_valid(self.now()))
     }
 
+    /// Returns whether this VM has the planner's key, or may have it after an outage of the store.
+    pub(crate) fn holds_term(&self) -> bool {
+        self.planner_term.get().is_some_and(|it| it.may_be_held(self.now()))
+    }
+
+    /// Returns the proof that all keys of the store are known.
+    pub(crate) fn complete_view(&self) -> Option<CompleteView> {
+        self.store_view.borrow().complete(self.now())
+    }
+
     /// Returns whether this VM is to follow the store itself, for the others.
     pub(crate) fn is_relay(&self) -> bool {
         self.view.borrow().relay_plan().follows_store(&self.vm.name)
--- a/bins/mangocross-front/src/store_following.rs
+++ b/bins/mangocross-front/src/store_following.rs
@@ -33,6 +33,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
 /// Like `WATCH_WAIT`, for a VM that relays: the time of the question to it comes on top.
 const RELAY_WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// Like `WATCH_WAIT`, for the planner, whose view has to be proven by answers.
+const PLANNER_WATCH_WAIT: Duration = Duration::from_millis(600);
 /// Added to the wait before an unanswered watch times out.
 const WATCH_SLACK: Duration = Duration::from_millis(900);
 /// Delay after changes, to batch further ones; each call to the store is billed.
@@ -74,16 +76,18 @@
         // The history of a new store contains everything.
         None if position.is_new => {
             state.relay.restart();
+            state.store_view.borrow_mut().begin_history();
             Revision::default()
         }
         None => {
-            state.is_caught_up.set(false);
+            state.store_view.borrow_mut().begin_reading();
             state.relay.restart();
+            let asked_at = state.now();
             let it = read_all(state).await?;
             state.relay.forget_until(it);
             state.relay.advance(it);
             position.mark_regained(state);
-            state.is_caught_up.set(true);
+            state.store_view.borrow_mut().record_all_keys(asked_at);
             it
         }
     };
@@ -121,7 +125,7 @@
         position.after = Some(after);
         delay = Duration::ZERO;
         may_have_more = answer.may_have_more;
-        state.is_caught_up.set(!may_have_more);
+        state.store_view.borrow_mut().record_changes(asked_at, may_have_more);
         if may_have_more {
             if can_defer_servers(state) {
                 defer_until_settled(state, after).await?;
@@ -166,6 +170,9 @@
 
 /// Returns how long a watch waits, including the batch delay before it.
 fn watch_wait(state: &AppState) -> Duration {
+    if state.holds_term() {
+        return PLANNER_WATCH_WAIT;
+    }
     match state.view.borrow().relay_plan().relay_count() {
         0 => WATCH_WAIT,
         _ => RELAY_WATCH_WAIT,
@@ -215,7 +222,7 @@
     let view = state.view.borrow();
     let has_planner = view.entry_vm_keys.contains_key(PLANNER_KEY);
     let is_relay = view.relay_plan().relay_count() > 0;
-    has_planner && !is_relay && !state.is_planner() && !state.has_traffic.get()
+    has_planner && !is_relay && !state.holds_term() && !state.has_traffic.get()
 }
 
 /// Reads only the configuration until few keys change or the first request arrives.
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::kv::Value;
 use mangocross_serving::Moment;
 use mangocross_serving::Source;
 use mangocross_serving::SourceChoice;
@@ -42,7 +43,7 @@
         position.read_entry_vms(&state).await;
         loop {
             let source = position.choose_source(&state);
-            position.log_source(&source);
+            position.log_source(&state, &source);
             let end = match &source {
                 Source::Store => {
                     position.prepare_for_store(&state);
@@ -144,29 +145,26 @@
     pub(crate) fn choose_source(&mut self, state: &AppState) -> Source {
         let view = state.view.borrow();
         let plan = view.relay_plan();
-        let role = VmRole {
-            name: &state.vm.name,
-            zone: &state.vm.zone,
-            holds_term: state.planner_term.get().is_some(),
-        };
+        let role =
+            VmRole { name: &state.vm.name, zone: &state.vm.zone, holds_term: state.holds_term() };
         self.choice.choose(&plan, role, view.entry_vms.len(), state.now(), fastrand::f64())
     }
 
     /// Returns whether a VM that follows the store itself may change to a relay.
     pub(crate) fn may_change_source(&self, state: &AppState) -> bool {
         let changed_at = state.view.borrow().entry_vms_changed_at;
-        !state.is_planner() && state.now().since(changed_at) > LIST_SETTLED_TIME
+        !state.holds_term() && state.now().since(changed_at) > LIST_SETTLED_TIME
     }
 
     /// Makes the VM read all keys if it is to relay or to plan; one that merely has no relay goes
     /// on with the changes.
     fn prepare_for_store(&mut self, state: &AppState) {
-        if state.relay.is_following.get() {
+        if state.store_view.borrow().has_all_until_now() {
             return;
         }
         let has_planner = state.view.borrow().entry_vm_keys.contains_key(PLANNER_KEY);
         let may_plan = !has_planner && fastrand::f64() < PLANNER_CANDIDATE_SHARE;
-        if state.is_relay() || may_plan {
+        if state.holds_term() || state.is_relay() || may_plan {
             self.after = None;
         }
     }
@@ -207,11 +205,15 @@
         }
     }
 
-    fn log_source(&mut self, source: &Source) {
+    fn log_source(&mut self, state: &AppState, source: &Source) {
         if self.last_source.as_ref() != Some(source) {
+            let term = state.planner_term.get();
+            let term = term.map_or(Value::null(), |it| Value::from(it.revision.0));
             match source {
-                Source::Store => log::info!("following the store"),
-                Source::Relay { name, .. } => log::info!(relay = **name; "following a relay"),
+                Source::Store => log::info!(term; "following the store"),
+                Source::Relay { name, .. } => {
+                    log::info!(relay = **name, term; "following a relay");
+                }
             }
             self.last_source = Some(source.clone());
         }
--- a/crates/mangocross-serving/src/relays/mod.rs
+++ b/crates/mangocross-serving/src/relays/mod.rs
@@ -4,6 +4,7 @@
 mod relay_plan;
 mod relayed_keys;
 mod source_choice;
+mod store_view;
 
 pub use listed_entry_vm::ListedEntryVm;
 pub use relay_plan::RelayPlan;
@@ -13,3 +14,6 @@
 pub use source_choice::Source;
 pub use source_choice::SourceChoice;
 pub use source_choice::VmRole;
+pub use store_view::CompleteView;
+pub use store_view::StoreView;
+pub use store_view::ViewExtent;
--- a/crates/mangocross-serving/src/relays/source_choice.rs
+++ b/crates/mangocross-serving/src/relays/source_choice.rs
@@ -41,7 +41,7 @@
     pub name: &'a str,
     /// Availability zone of the VM.
     pub zone: &'a AvailabilityZone,
-    /// Whether the VM holds the planner's key, valid or not.
+    /// Whether the VM holds the planner's key; it then asks the store alone.
     pub holds_term: bool,
 }
 
@@ -72,8 +72,8 @@
         now: Moment,
         draw: f64,
     ) -> Source {
-        let VmRole { name, zone, .. } = vm;
-        if plan.follows_store(name) || self.store_until.is_some_and(|it| now < it) {
+        let VmRole { name, zone, holds_term } = vm;
+        if holds_term || plan.follows_store(name) || self.store_until.is_some_and(|it| now < it) {
             return Source::Store;
         }
         self.failed.retain(|_, at| now.since(*at) < FAILED_RELAY_PAUSE);
