fix(front): servers that a relay did not pass on count again once all keys are read

What callers saw: after the relays and the planner had gone, VMs that had followed a relay planned without the members whose entries had not changed since.

Cause: a relay that has read all keys anew answers with a list of all keys that followers need. Members that accept no requests are not among them; the follower took them for removed at the revision of the list, and refused their older entries when it read the store itself.

Change: before the servers' entries are applied that have been read of the store itself, revisions of servers that are not in the view, or missing, are forgotten. The list is newer than their removal.

Test: follower_that_reads_the_store_knows_all_servers_again, red before: the servers were not known within 60 s.

--- a/bins/mangocross-front/src/store_changes.rs
+++ b/bins/mangocross-front/src/store_changes.rs
@@ -62,6 +62,16 @@
     state.planner_inputs_changed.notify_one();
 }
 
+/// Makes entries of servers that are not in the view count again, whatever their revisions.
+///
+/// A relay's list of all keys lacks servers that followers don't need; they were not removed. The
+/// store's own list, which is read afterwards, has them with the revisions of old.
+pub(crate) fn forget_unlisted_servers(state: &AppState) {
+    let mut view = state.view.borrow_mut();
+    let ClusterView { servers, server_revisions, missing, .. } = &mut *view;
+    server_revisions.retain(|vm, _| servers.contains_key(vm) && !missing.is_missing(vm));
+}
+
 /// Applies the keys that the store returned on a conflicting write.
 pub(crate) fn apply_keys(state: &AppState, items: Vec<StoreItem>) {
     // Revision zero stands for a key that does not exist.
--- a/bins/mangocross-front/src/store_following.rs
+++ b/bins/mangocross-front/src/store_following.rs
@@ -19,6 +19,7 @@
 use crate::store::StoreError;
 use crate::store_changes::apply;
 use crate::store_changes::apply_range;
+use crate::store_changes::forget_unlisted_servers;
 use crate::watching::FollowEnd;
 use crate::watching::Position;
 
@@ -185,6 +186,9 @@
     let mut first = None;
     for prefix in [OPERATORS_PREFIX, SERVERS_PREFIX, ENTRY_VM_KEYS_PREFIX] {
         let items = read_range(state, prefix, &mut first).await?;
+        if prefix == SERVERS_PREFIX {
+            forget_unlisted_servers(state);
+        }
         apply_range(state, prefix, items, first.unwrap_or_default());
         if prefix == OPERATORS_PREFIX {
             confirm_freshness(state, asked_at);
--- a/bins/mangocross-front/tests/front/planner_view.rs
+++ b/bins/mangocross-front/tests/front/planner_view.rs
@@ -120,3 +120,29 @@
         assert_eq!(fleet.open_groups(), before);
     }
 }
+
+/// Followers know a part of the servers once their relays have read all keys anew. When the relays
+/// and the planner die, they read all keys themselves, and those that plan must know all members.
+#[test]
+fn follower_that_reads_the_store_knows_all_servers_again() {
+    let mut fleet = Fleet::start();
+    let before = fleet.open_groups();
+    let has_line = |front: &Front, line: &str| front.metrics().lines().any(|it| it == line);
+    let fronts = std::mem::take(&mut fleet.fronts);
+    let (mut relays, rest): (Vec<Front>, Vec<Front>) =
+        fronts.into_iter().partition(|it| has_line(it, "front_follows_store 1"));
+    fleet.store.compact();
+    // Two heads and the plain server.
+    wait_until("followers know a part", || {
+        rest.iter().all(|it| has_line(it, "front_backend_servers 3"))
+    });
+    relays.iter_mut().for_each(Front::kill);
+    wait_until("all servers are known", || {
+        rest.iter().all(|it| has_line(it, "front_backend_servers 6"))
+    });
+    wait_until("there is a planner", || fleet.store.contains_key(PLANNER_KEY));
+    for _ in 0..40 {
+        thread::sleep(Duration::from_millis(100));
+        assert_eq!(fleet.open_groups(), before);
+    }
+}
--- a/crates/mangocross-serving/src/missing_servers.rs
+++ b/crates/mangocross-serving/src/missing_servers.rs
@@ -71,6 +71,11 @@
         self.gone_at.remove(vm);
     }
 
+    /// Returns whether a server's entry is missing.
+    pub fn is_missing(&self, vm: &VmId) -> bool {
+        self.gone_at.contains_key(vm)
+    }
+
     /// Returns whether a server is missing and can no longer be expected to reappear.
     pub fn is_gone(&self, vm: &VmId, now: Moment) -> bool {
         self.gone_at.get(vm).is_some_and(|it| now >= *it)
