--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -4,6 +4,7 @@
 mod idle_connections;
 mod log_points;
 mod metrics;
+mod planner_view;
 mod platform;
 mod relays;
 mod server_faults;
