fix(front): nothing new to servers that say they leave or want nothing

Callers saw: requests kept going to a server whose answers said `leaving`, until its entry in the store changed, and to one that had refused with a time to come back, 250 ms later (heads) or with the next request (plain services). A caller refused by all of them was told to return within 0.2 to 1.8 s, however long the servers had said.

Cause: only the store's entry told that a server leaves, and a refusal's time was not read.

Change: `ServerNotices` in the serving crate keeps what the answers of one life of a server said; `is_usable`, which all ways to a server ask (first choice, repeat, resume, retry after a refusal), asks it too. Entries of the same or an earlier life do not undo it, a later start time does. After a misdirected request the server is known by its address. Reports and answers to orders count like answers to requests. The first such answer of a head makes the planner ask its group's members, by the message that exists; their reports tell it, and it treats them as leaving and names leaving heads as closed to all entry VMs. While all servers want nothing, callers are refused at once as not run, with the return of the first one, 60 s at the most.

Ruled out: telling the planner by a changed entry; `apply_server` rightly ignores a revision that it knows. Marking the entry itself; the next write of the server undid it.

Evidence: of the eleven tests with real processes first written, eight failed on the code before: requests arrived, groups stayed, the time was 0.2 to 2.7 s. `group_of_a_member_that_leaves_is_closed` asked for too much then (free members are not ordered to leave); as it is now it fails with the planner told nothing. Each part switched off: `is_usable` without the notices, 5 tests red; no `return_after`, 3; the address, 1; the serving crate's comparisons of start times and of pauses, 1 each.

The stand-in of a server answers 421 to requests for another one, and becomes ready after an order to close.

--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -22,6 +22,7 @@
 mod relay_messages;
 mod relay_server;
 mod relay_state;
+mod server_notices;
 mod settings;
 mod state;
 mod stopping;
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -1,14 +1,18 @@
 //! Metrics of the process.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use mangocross_serving::MemberPhase;
 use mangocross_telemetry::Metrics;
+use mangocross_types::Rank;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 
 use crate::state::AppState;
+use crate::state::ClusterView;
 
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 12] =
@@ -37,6 +41,7 @@
     configuration_age: Gauge<f64>,
     configuration_version: Gauge<f64>,
     backend_servers: Gauge<f64>,
+    held_servers: Gauge<f64>,
     groups: Gauge<f64>,
     entry_vms: Gauge<f64>,
     follows_store: Gauge<f64>,
@@ -131,6 +136,10 @@
             configuration_version: metrics
                 .gauge("front_configuration_version", "version of the configuration in force"),
             backend_servers: metrics.gauge("front_backend_servers", "backend servers listed"),
+            held_servers: metrics.gauge(
+                "front_held_servers",
+                "listed servers that get no requests from this VM, by what their answers said",
+            ),
             groups: metrics.gauge("front_groups", "groups by the state that their heads tell"),
             entry_vms: metrics.gauge("front_entry_vms", "entry VMs listed, this one included"),
             follows_store: metrics.gauge(
@@ -161,6 +170,9 @@
             self.configuration_version.record(configuration.version as f64, &[]);
         }
         self.backend_servers.record(view.servers.len() as f64, &[]);
+        for (reason, count) in view.held_servers(now) {
+            self.held_servers.record(count as f64, &[KeyValue::new("reason", reason)]);
+        }
         for (phase, count) in view.groups_by_phase() {
             self.groups.record(count as f64, &[KeyValue::new("state", phase)]);
         }
@@ -172,3 +184,22 @@
         self.requests_waiting.record(f64::from(waiting), &[]);
     }
 }
+
+impl ClusterView {
+    /// Returns the number of groups in each state, as reported by their heads.
+    fn groups_by_phase(&self) -> BTreeMap<&'static str, usize> {
+        let phases = [
+            MemberPhase::Joining,
+            MemberPhase::Ready,
+            MemberPhase::Open,
+            MemberPhase::Closing,
+            MemberPhase::Broken,
+        ];
+        let mut counts: BTreeMap<_, _> = phases.map(|it| (it.name(), 0)).into();
+        let memberships = self.servers.values().filter_map(|it| it.engine.membership.as_ref());
+        for head in memberships.filter(|it| it.rank == Rank(0)) {
+            *counts.entry(head.phase.name()).or_default() += 1;
+        }
+        counts
+    }
+}
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -29,6 +29,8 @@
 const CONNECT_FAILURES_MAX: u32 = 3;
 /// Multiple of the target latency after which a repeatable request is sent to another server.
 const REPEAT_TARGET_RATIO: f64 = 1.2;
+/// Reason of a refusal while all servers want no requests.
+pub(crate) const PAUSED_REASON: &str = "the servers want no requests for now";
 /// Minimum Retry-After of a refused request.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -132,7 +134,7 @@
         .values()
         .filter(|it| it.service == call.service && !it.is_leaving && !tried.contains(&it.vm));
     let loads: Vec<ServerLoad> = servers
-        .filter(|it| view.is_usable(&it.vm, now))
+        .filter(|it| view.is_usable(it, now))
         .map(|it| ServerLoad {
             vm: it.vm.clone(),
             in_flight: view.loads.load(&it.vm, now).in_flight,
@@ -151,12 +153,14 @@
     call.state.metrics.count_attempt();
     let _in_flight = call.state.track_in_flight(&server.vm, false);
     let request = call.backend_request(&server.vm, None, None);
+    let process = call.state.server_process(&server.vm);
     let response = match connection.send(request).await {
         Ok(it) => it,
         Err(_) => {
             return AttemptResult::Failed("connection broke", ResultCode::BackendBroken, None);
         }
     };
+    call.state.record_notice(process.as_ref(), &response);
     let status = response.status();
     let attempt_id = call.caller_head.attempt_id.as_deref().unwrap_or_default();
     let answer_head = AnswerHead::read(status, response.headers(), attempt_id);
@@ -213,8 +217,10 @@
 }
 
 fn refuse(call: &Call, reason: &'static str) -> Response<AnswerBody> {
+    let after = call.state.return_after(&call.service, None);
+    let reason = if after.is_some() { PAUSED_REASON } else { reason };
+    let after = after.unwrap_or_else(|| REFUSED_RETRY_AFTER.mul_f64(1.0 + fastrand::f64()));
     let refusal = Refusal::not_run(ResultCode::BackendRefused, reason);
-    let after = REFUSED_RETRY_AFTER.mul_f64(1.0 + fastrand::f64());
     call.record.refuse(&refusal.retry_after(after), reason)
 }
 
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -20,6 +20,7 @@
 use mangocross_platform::encode_order;
 use mangocross_platform::order_outcome;
 use mangocross_platform::report_path;
+use mangocross_serving::BackendServer;
 use mangocross_serving::DomainPlan;
 use mangocross_serving::EngineOrder;
 use mangocross_serving::EngineReport;
@@ -118,7 +119,15 @@
             planner.probe_group_soon(&head);
         }
         let listed = view.servers.values().filter(|it| it.service == *service);
-        let actions = planner.next_actions(listed, now);
+        let (leaving, staying): (Vec<_>, Vec<_>) =
+            listed.partition(|it| view.notices.is_leaving(it));
+        let leaving_heads = leaving.iter().filter(|it| it.accepts_requests());
+        closed_heads.extend(leaving_heads.map(|it| it.vm.clone()));
+        let leaving: Vec<BackendServer> = leaving
+            .into_iter()
+            .map(|it| BackendServer { is_leaving: true, ..it.clone() })
+            .collect();
+        let actions = planner.next_actions(staying.into_iter().chain(&leaving), now);
         let slow = view.servers.keys().map(|vm| (vm.clone(), planner.slowdown(vm)));
         slowdowns.extend(slow.filter(|(_, it)| *it > 1.0));
         closed_heads.extend(planner.closed_heads());
@@ -275,7 +284,9 @@
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().map_err(|_| ConnectError::Unreachable)?;
     *request.headers_mut() = ForwardHead::control_headers(vm, address);
+    let process = state.server_process(vm);
     let response = connection.send(request).await.map_err(|_| ConnectError::Unreachable)?;
+    state.record_notice(process.as_ref(), &response);
     let status = response.status();
     let body = Limited::new(response.into_body(), REPORT_BYTES_MAX).collect().await;
     let body = body.map_err(|_| ConnectError::Unreachable)?;
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Closes the idle connections to an address.
+    pub(crate) fn close_idle(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Closes connections that have been idle for too long.
     pub(crate) fn expire(&self) {
         let now = Instant::now();
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -19,15 +19,14 @@
 use mangocross_serving::ListedEntryVm;
 use mangocross_serving::LoadTable;
 use mangocross_serving::LongestDeadlines;
-use mangocross_serving::MemberPhase;
 use mangocross_serving::MissingServers;
 use mangocross_serving::Moment;
 use mangocross_serving::ProgressTable;
 use mangocross_serving::RelayPlan;
 use mangocross_serving::RetryBudget;
+use mangocross_serving::ServerNotices;
 use mangocross_serving::TrafficConfiguration;
 use mangocross_types::ModelId;
-use mangocross_types::Rank;
 use mangocross_types::Revision;
 use mangocross_types::ServiceId;
 use mangocross_types::VmId;
@@ -90,6 +89,8 @@
     pub(crate) slowdowns: HashMap<VmId, f64>,
     /// Open heads that no longer serve, as the planner last told, and when.
     pub(crate) closed_heads: ClosedHeads,
+    /// What servers said of themselves in their answers to this VM.
+    pub(crate) notices: ServerNotices,
     suspects: HashMap<VmId, Moment>,
     /// Suspects that this VM detected itself.
     local_suspects: HashMap<VmId, Moment>,
@@ -297,7 +298,7 @@
                 && model.is_none_or(|model| it.serves(model))
                 && !excluded.contains(&it.vm)
                 && !view.is_suspect(&it.vm, now)
-                && view.is_usable(&it.vm, now)
+                && view.is_usable(it, now)
         };
         let open = view.servers.values().filter(is_open);
         let load = |it: &BackendServer| {
@@ -393,23 +394,6 @@
         self.entry_vms.len().max(self.loads.peer_count() + 1)
     }
 
-    /// Returns the number of groups in each state, as reported by their heads.
-    pub(crate) fn groups_by_phase(&self) -> BTreeMap<&'static str, usize> {
-        let phases = [
-            MemberPhase::Joining,
-            MemberPhase::Ready,
-            MemberPhase::Open,
-            MemberPhase::Closing,
-            MemberPhase::Broken,
-        ];
-        let mut counts: BTreeMap<_, _> = phases.map(|it| (it.name(), 0)).into();
-        let memberships = self.servers.values().filter_map(|it| it.engine.membership.as_ref());
-        for head in memberships.filter(|it| it.rank == Rank(0)) {
-            *counts.entry(head.phase.name()).or_default() += 1;
-        }
-        counts
-    }
-
     pub(crate) fn suspects(&self, now: Moment) -> Vec<VmId> {
         let recent = self.suspects.iter().filter(|(_, at)| now.since(**at) < SUSPECT_PAUSE);
         recent.map(|(vm, _)| vm.clone()).collect()
@@ -420,10 +404,12 @@
     }
 
     /// Returns whether requests may be sent to a listed server now.
-    pub(crate) fn is_usable(&self, vm: &VmId, now: Moment) -> bool {
+    pub(crate) fn is_usable(&self, server: &BackendServer, now: Moment) -> bool {
+        let vm = &server.vm;
         self.avoided.get(vm).is_none_or(|it| now >= *it)
             && !self.missing.is_gone(vm, now)
             && !self.closed_heads.contains(vm, now)
+            && self.notices.allows_requests(server, now)
     }
 
     /// Returns the suspects that this VM detected and is to report to the other entry VMs.
@@ -457,7 +443,8 @@
         self.local_suspects.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
         self.to_recheck.retain(|_, it| now.since(*it) < PEER_NOTICE_DURATION);
         self.avoided.retain(|_, it| now < *it);
-        let Self { failures, servers, slowdowns, .. } = self;
+        let Self { failures, servers, slowdowns, notices, .. } = self;
+        notices.expire(now, |vm| servers.contains_key(vm));
         failures.retain(|vm| servers.contains_key(vm));
         slowdowns.retain(|vm, _| servers.contains_key(vm));
     }
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -28,6 +28,7 @@
 use crate::dispatch::Call;
 use crate::outcome::RequestRecord;
 use crate::plain;
+use crate::plain::PAUSED_REASON;
 use crate::plain::SENDS_MAX;
 use crate::pool::Connection;
 use crate::state::InFlightGuard;
@@ -251,6 +252,7 @@
     call.state.metrics.count_attempt();
     let in_flight = call.state.track_in_flight(vm, true);
     let request = call.backend_request(vm, last_event_id, Some(priority));
+    let process = call.state.server_process(vm);
     let is_reused = connection.is_reused();
     let response = {
         let sending = connection.send(request);
@@ -278,6 +280,7 @@
         }
     };
     in_flight.record_progress();
+    call.state.record_notice(process.as_ref(), &response);
     let attempt_id = call.caller_head.attempt_id.as_deref().unwrap_or_default();
     let answer_head = AnswerHead::read(response.status(), response.headers(), attempt_id);
     if !answer_head.matches_attempt {
@@ -327,11 +330,16 @@
 ) -> Response<AnswerBody> {
     let spread = RETRY_AFTER_SPREAD.mul_f64(fastrand::f64());
     let after = (retry_after_min.max(RETRY_AFTER_MIN) + spread).min(call.time_left() / 3);
-    let refusal = if may_have_run {
-        Refusal::unknown(ResultCode::BackendBroken, reason)
-    } else {
-        Refusal::not_run(code, reason)
-    };
+    if may_have_run {
+        let refusal = Refusal::unknown(ResultCode::BackendBroken, reason).retry_after(after);
+        return call.record.refuse(&refusal, reason);
+    }
+    let (code, reason, after) =
+        match call.state.return_after(&call.service, call.caller_head.model.as_ref()) {
+            Some(after) => (ResultCode::BackendRefused, PAUSED_REASON, after),
+            None => (code, reason, after),
+        };
+    let refusal = Refusal::not_run(code, reason);
     call.record.refuse(&refusal.retry_after(after), reason)
 }
 
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -5,5 +5,6 @@
 mod platform;
 mod relays;
 mod server_faults;
+mod server_notices;
 mod soak;
 mod whole_path;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -42,6 +42,12 @@
 #[derive(Debug, Default)]
 struct State {
     stream_fault: StreamFault,
+    /// Whether all answers say that the server is leaving.
+    is_leaving: bool,
+    /// `Retry-After` with which requests are refused.
+    retry_after: Option<String>,
+    /// Attempts that arrived, in order, also those that were refused.
+    arrived: Vec<String>,
     orders: u64,
     group: Value,
     model: Option<String>,
@@ -114,6 +120,37 @@
         lock(&self.state).ran.clone()
     }
 
+    /// Returns the attempts that arrived at the server, also those that it refused.
+    pub(crate) fn arrived(&self) -> Vec<String> {
+        lock(&self.state).arrived.clone()
+    }
+
+    /// Sets whether all answers say that the server is leaving; its entry does not.
+    pub(crate) fn set_leaving(&self, is_leaving: bool) {
+        lock(&self.state).is_leaving = is_leaving;
+    }
+
+    /// Sets the `Retry-After` with which requests are refused, if they are.
+    pub(crate) fn set_retry_after(&self, value: Option<&str>) {
+        lock(&self.state).retry_after = value.map(str::to_owned);
+    }
+
+    /// Returns the name of the server's group, if it is a member of one.
+    pub(crate) fn group(&self) -> Option<String> {
+        lock(&self.state).group["name"].as_str().map(str::to_owned)
+    }
+
+    /// Writes an entry of a server that has ended and whose address this server has by now.
+    pub(crate) fn publish_former(&self, id: &str) {
+        let status = self.status(&lock(&self.state));
+        self.store.put(&format!("servers/{id}"), &status);
+    }
+
+    /// Writes the server's entry again, as it is.
+    pub(crate) fn publish_again(&self) {
+        self.publish();
+    }
+
     /// Returns whether the server is the head of an open group.
     pub(crate) fn is_open(&self) -> bool {
         lock(&self.state).group["state"] == "open"
@@ -194,14 +231,20 @@
         match request.target.as_str() {
             "/-/report" => {
                 let status = self.status(&lock(&self.state));
-                answer(stream, 200, "", &status.to_string());
+                answer(stream, 200, self.notice(), &status.to_string());
             }
             "/-/order" => self.order(request, stream),
             _ => self.run(request, stream),
         }
     }
 
+    /// Returns the header by which all answers say that the server is leaving.
+    fn notice(&self) -> &'static str {
+        if lock(&self.state).is_leaving { "Server-Leaving: 1\r\n" } else { "" }
+    }
+
     fn order(&self, request: &Request, stream: &mut TcpStream) {
+        let notice = self.notice();
         let order: Value = serde_json::from_slice(&request.body).expect("JSON");
         {
             let mut state = lock(&self.state);
@@ -210,7 +253,7 @@
                 || (order["group"] == state.group["name"]
                     && order["epoch"] == state.group["epoch"]);
             if order["expected"].as_u64() != Some(state.orders) || !is_of_group {
-                answer(stream, 409, "", "");
+                answer(stream, 409, notice, "");
                 return;
             }
             state.orders += 1;
@@ -239,13 +282,14 @@
                     state.violations.extend(absent);
                     state.group["state"] = json!("open");
                 }
+                Some("close") => state.group["state"] = json!("ready"),
                 Some("leave") => state.group = Value::Null,
                 Some("stage") => state.model = order["model"].as_str().map(str::to_owned),
                 _ => {}
             }
             self.publish_state(&state);
         }
-        answer(stream, 202, "", "");
+        answer(stream, 202, notice, "");
     }
 
     /// Returns a violation if the server joins another group while the head of its present one is
@@ -301,12 +345,21 @@
     fn run(&self, request: &Request, stream: &mut TcpStream) {
         let attempt = request.header("Attempt-Id").unwrap_or_default().to_owned();
         let is_closed = |it: &State| self.service == "models" && it.group["state"] != "open";
-        let refuses = {
-            let state = lock(&self.state);
-            state.is_refusing || is_closed(&state)
+        let notice = self.notice();
+        if request.header("Expect-Instance") != Some(&self.id) {
+            answer(stream, 421, &format!("Attempt-Id: {attempt}\r\n{notice}"), "");
+            return;
+        }
+        let (refuses, retry_after) = {
+            let mut state = lock(&self.state);
+            state.arrived.push(attempt.clone());
+            let retry_after = state.retry_after.as_ref().map(|it| format!("Retry-After: {it}\r\n"));
+            (state.is_refusing || is_closed(&state) || retry_after.is_some(), retry_after)
         };
         if refuses || (self.service == "models" && !self.wait_for_members()) {
-            let headers = format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n");
+            let retry_after = retry_after.unwrap_or_default();
+            let headers =
+                format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n{notice}{retry_after}");
             answer(stream, 503, &headers, "turned away");
             return;
         }
@@ -326,7 +379,7 @@
         }
         assert_eq!(request.header("Tenant"), Some("t1"));
         assert_eq!(request.header("Authorization"), None);
-        let headers = format!("Attempt-Id: {attempt}\r\nServer-Seal: {}\r\n", self.id);
+        let headers = format!("Attempt-Id: {attempt}\r\nServer-Seal: {}\r\n{notice}", self.id);
         if self.service != "models" {
             answer(stream, 200, &headers, "the whole body");
             return;
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -17,6 +17,7 @@
 mod relays;
 mod retry_budget;
 mod server_choice;
+mod server_notices;
 mod traffic;
 
 pub use admission::Admission;
@@ -63,6 +64,9 @@
 pub use retry_budget::RetryBudget;
 pub use server_choice::FailureTable;
 pub use server_choice::ServerLoad;
+pub use server_notices::NoticeChange;
+pub use server_notices::ServerNotice;
+pub use server_notices::ServerNotices;
 pub use traffic::BackendService;
 pub use traffic::CallerLimits;
 pub use traffic::EngineSpec;
