test(front): answers that end with their connection

Nothing was reported; an answer may have no length, and end with its connection. Plain answers and streams are played whole, empty, reset, and ended inside an event, by real servers against the real process.

--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -1,5 +1,6 @@
 //! A small stand-in of the platform: its store and backend servers of two services.
 
+mod answers;
 mod client;
 mod servers;
 mod store;
@@ -29,6 +30,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+pub(crate) use self::answers::AnswerEnd;
+pub(crate) use self::answers::answer_without_length;
 pub(crate) use self::client::Client;
 pub(crate) use self::client::Outcome;
 pub(crate) use self::client::RequestKind;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -12,9 +12,11 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::AnswerEnd;
 use super::Request;
 use super::Store;
 use super::answer;
+use super::answer_without_length;
 use super::listen;
 use super::lock;
 
@@ -42,6 +44,7 @@
 #[derive(Debug, Default)]
 struct State {
     stream_fault: StreamFault,
+    answer_end: AnswerEnd,
     /// Whether all answers say that the server is leaving.
     is_leaving: bool,
     /// `Retry-After` with which requests are refused.
@@ -135,6 +138,11 @@
         lock(&self.state).retry_after = value.map(str::to_owned);
     }
 
+    /// Sets how answers to requests end.
+    pub(crate) fn set_answer_end(&self, end: AnswerEnd) {
+        lock(&self.state).answer_end = end;
+    }
+
     /// Returns the name of the server's group, if it is a member of one.
     pub(crate) fn group(&self) -> Option<String> {
         lock(&self.state).group["name"].as_str().map(str::to_owned)
@@ -380,11 +388,21 @@
         assert_eq!(request.header("Tenant"), Some("t1"));
         assert_eq!(request.header("Authorization"), None);
         let headers = format!("Attempt-Id: {attempt}\r\nServer-Seal: {}\r\n{notice}", self.id);
+        let end = lock(&self.state).answer_end;
         if self.service != "models" {
-            answer(stream, 200, &headers, "the whole body");
+            match end {
+                AnswerEnd::Length => answer(stream, 200, &headers, "the whole body"),
+                _ => answer_without_length(stream, &headers, &["the whole", " body"], end),
+            }
             return;
         }
         let after = request.header("Last-Event-Id").and_then(|it| it.parse().ok()).unwrap_or(0);
+        if end != AnswerEnd::Length {
+            let events: Vec<String> =
+                (after + 1..=EVENTS).map(|id| format!("id: {id}\ndata: token\n\n")).collect();
+            let events: Vec<&str> = events.iter().map(String::as_str).collect();
+            return answer_without_length(stream, &headers, &events, end);
+        }
         let fault = lock(&self.state).stream_fault;
         let status = if fault == StreamFault::EndlessFailure { 500 } else { 200 };
         let head =
