fix(serving): a server that left is used again after its restart

Seen by reading, not by callers: the planner kept that a server is leaving for as long as it knew the id. One that started again under the same id was never a member again.

Change: a new start time ends it, in the entry and in a report (the latter by reading alone: no test shows the case in which the report comes between two entries).

Evidence: `server_that_left_is_used_again_after_its_restart` failed before: no membership 30 s after the restart.

--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -248,6 +248,7 @@
         if !is_same_process {
             let domain = tracked.server.engine.domain.clone();
             tracked.server.engine = report.status;
+            tracked.leaving_at = None;
             tracked.server.engine.domain = tracked.server.engine.domain.take().or(domain);
         } else if tracked.unlisted_at.is_some() {
             tracked.server.engine.membership = report.status.membership;
@@ -424,6 +425,7 @@
                 tracked.health = ServerHealth::default();
                 tracked.orders_accepted = None;
                 tracked.staging = None;
+                tracked.leaving_at = server.is_leaving.then_some(now);
                 tracked.server = server.clone();
             } else if tracked.server != *server {
                 tracked.server = server.clone();
--- a/crates/mangocross-serving/tests/groups.rs
+++ b/crates/mangocross-serving/tests/groups.rs
@@ -382,6 +382,21 @@
     assert!(serving.iter().all(|it| !simulation.engines[it].members.contains(&leaving)));
 }
 
+/// A server that left and starts again under its id is a member like any other.
+#[test]
+fn server_that_left_is_used_again_after_its_restart() {
+    let mut simulation = formed();
+    let head = simulation.serving("large")[0].clone();
+    let leaving = member(&simulation, &head, 4);
+    simulation.engines.get_mut(&leaving).expect("an engine").server.is_leaving = true;
+    simulation.run(ms(4_000));
+    simulation.engines.get_mut(&leaving).expect("an engine").server.is_leaving = false;
+    simulation.restart(&leaving);
+    assert!(simulation.engines[&leaving].server.engine.membership.is_none());
+    simulation.run(ms(30_000));
+    assert!(simulation.engines[&leaving].server.engine.membership.is_some());
+}
+
 /// A slow member slows its whole group and is replaced by a spare.
 #[test]
 fn slow_member_is_replaced_where_there_is_a_spare() {
