perf(front): the end of an answer does not wait for the pool

Callers saw: where a server answers before it has read the whole request, the answer (plain), or its end (streams), came up to 50 ms late.

Cause: a connection goes back to the pool only when it can take a request again, for which `Pool::put` waits, and the answer was handed on after that.

Change: the connection goes back in the background; it is closed after the same 50 ms if it does not become ready.

No test measures time, so none is red for it; `connection_with_an_unsent_body_gets_no_other_request` holds that such a connection gets nothing but the rest of that body; it passed with the old code's order too and was not seen red.

--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -182,7 +182,7 @@
         }
     };
     if !answer_head.closes {
-        call.state.pool.put(connection, answer_head.idle_timeout).await;
+        call.state.recycle(connection, answer_head.idle_timeout);
     }
     let answer = complete_response(call, status, headers, body);
     if status.is_server_error() {
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::state::AppState;
+
 /// TCP_USER_TIMEOUT of connections to servers and entry VMs: time without acknowledgement after
 /// which the kernel closes a connection.
 pub(crate) const SERVER_USER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -160,6 +163,21 @@
     }
 }
 
+impl AppState {
+    /// Returns a connection to the pool in the background: it may still be sending the request, and
+    /// the end of the answer does not wait for that.
+    pub(crate) fn recycle(
+        self: &Rc<Self>,
+        connection: Connection,
+        keep_alive_timeout: Option<Duration>,
+    ) {
+        let state = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            state.pool.put(connection, keep_alive_timeout).await;
+        });
+    }
+}
+
 /// Opens a new connection.
 pub(crate) async fn connect(
     address: SocketAddr,
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -446,7 +446,7 @@
                 }
                 None => {
                     if !answer_head.closes {
-                        self.call.state.pool.put(connection, answer_head.idle_timeout).await;
+                        self.call.state.recycle(connection, answer_head.idle_timeout);
                     }
                     return RelayEnd::Complete;
                 }
--- a/bins/mangocross-front/tests/front/answer_ends.rs
+++ b/bins/mangocross-front/tests/front/answer_ends.rs
@@ -1,8 +1,21 @@
 //! Tests with answers without a length, which end with their connection.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::TcpListener;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use socket2::SockRef;
 
 use crate::platform::AnswerEnd;
 use crate::platform::CALLER_HEADERS;
@@ -143,3 +156,61 @@
         assert!(!body.ends_with(LAST_CHUNK), "{end:?}: {body}");
     }
 }
+
+/// Accepts connections and answers each request as soon as its head is there; reads the rest once
+/// it may. Sends the number of other bytes than the body's that came after the head.
+fn answer_early(listener: TcpListener, may_read: Arc<AtomicBool>, foreign_bytes: Sender<usize>) {
+    for mut stream in listener.incoming().flatten() {
+        let foreign_bytes = foreign_bytes.clone();
+        let may_read = Arc::clone(&may_read);
+        thread::spawn(move || {
+            let mut head = Vec::new();
+            let mut byte = [0];
+            while !head.ends_with(b"\r\n\r\n") {
+                stream.read_exact(&mut byte).expect("a head");
+                head.push(byte[0]);
+            }
+            let answer = "HTTP/1.1 200 OK\r\nAttempt-Id: early\r\nServer-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
+            stream.write_all(answer.as_bytes()).expect("sent");
+            while !may_read.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(20));
+            }
+            let mut rest = Vec::new();
+            // The rest of the body may be cut off.
+            let _ = stream.read_to_end(&mut rest);
+            let _ = foreign_bytes.send(rest.iter().filter(|it| **it != b'x').count());
+        });
+    }
+}
+
+/// Nothing but the rest of the body comes on a connection whose server answered early.
+#[test]
+fn connection_with_an_unsent_body_gets_no_other_request() {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    SockRef::from(&listener).set_recv_buffer_size(4096).expect("a small buffer");
+    let entry = json!({"service": "records", "zone": "zone-a", "slots": 4, "state": "ready",
+        "address": listener.local_addr().expect("an address"), "seq": 1, "born": 7});
+    store.put("servers/r1", &entry);
+    let (sender, foreign_bytes) = mpsc::channel();
+    let may_read = Arc::new(AtomicBool::new(false));
+    let flag = Arc::clone(&may_read);
+    thread::spawn(move || answer_early(listener, flag, sender));
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    let body = "x".repeat(4_000_000);
+    let began_at = Instant::now();
+    while front.call("POST", "/booking/x", &headers("early"), &body).0 != 200 {
+        assert!(began_at.elapsed() < Duration::from_secs(30), "the server is not known");
+        thread::sleep(Duration::from_millis(20));
+    }
+    for path in ["/lookup/x", "/booking/x", "/lookup/x"] {
+        let (status, _, answer) = front.call("POST", path, &headers("early"), &body);
+        assert_eq!((status, answer.as_str()), (200, "body"), "{path}");
+    }
+    drop(front);
+    may_read.store(true, Ordering::Relaxed);
+    for _ in 0..4 {
+        assert_eq!(foreign_bytes.recv_timeout(Duration::from_secs(30)), Ok(0));
+    }
+}
