Merge what servers say in their answers

Carried over to the split stream module: an answer's head is read for what its server says where an attempt gets it, a refusal names the return of the first server at the end of the search, and connections go back to the pool in the background.

--- a/bins/mangocross-front/src/stream/attempt.rs
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -73,6 +73,7 @@
     call.state.metrics.count_attempt();
     let in_flight = call.state.track_in_flight(vm, true);
     let request = call.backend_request(vm, last_event_id, Some(priority));
+    let process = call.state.server_process(vm);
     let is_reused = connection.is_reused();
     let response = match tokio::time::timeout_at(call.ends_at, connection.send(request)).await {
         Ok(Ok(it)) => it,
@@ -85,6 +86,7 @@
         Err(_) => return Err(StartError::TimeOver),
     };
     in_flight.record_progress();
+    call.state.record_notice(process.as_ref(), &response);
     let attempt_id = call.caller_head.attempt_id.as_deref().unwrap_or_default();
     let answer_head = AnswerHead::read(response.status(), response.headers(), attempt_id);
     if !answer_head.matches_attempt {
--- a/bins/mangocross-front/src/stream/forwarder.rs
+++ b/bins/mangocross-front/src/stream/forwarder.rs
@@ -233,7 +233,7 @@
     /// Records the end of a complete answer.
     async fn complete(&self, source: Source) -> End {
         self.call.record_answer_end(&source.vm, source.start).await;
-        source.finish(&self.call.state.pool).await;
+        source.finish(&self.call.state);
         End::Complete
     }
 
--- a/bins/mangocross-front/src/stream/source.rs
+++ b/bins/mangocross-front/src/stream/source.rs
@@ -1,5 +1,7 @@
 //! Reads the events of a stream from one server.
 
+use std::rc::Rc;
+
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use mangocross_platform::AnswerHead;
@@ -10,7 +12,7 @@
 use super::attempt::StartedStream;
 use crate::blame::AnswerStart;
 use crate::pool::Connection;
-use crate::pool::Pool;
+use crate::state::AppState;
 use crate::state::InFlightGuard;
 
 /// What a server sent next.
@@ -69,9 +71,9 @@
     }
 
     /// Returns the connection of a complete answer to the pool, unless the server closes it.
-    pub(super) async fn finish(self, pool: &Pool) {
+    pub(super) fn finish(self, state: &Rc<AppState>) {
         if !self.answer_head.closes {
-            pool.put(self.connection, self.answer_head.idle_timeout).await;
+            state.recycle(self.connection, self.answer_head.idle_timeout);
         }
     }
 }
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -23,6 +23,7 @@
 use crate::first_answer::FirstAnswer;
 use crate::first_answer::first_answer;
 use crate::plain;
+use crate::plain::PAUSED_REASON;
 use crate::plain::SENDS_MAX;
 
 /// Maximum number of failed connection attempts before a stream is refused.
@@ -234,12 +235,16 @@
         }
         let spread = RETRY_AFTER_SPREAD.mul_f64(fastrand::f64());
         let after = (retry_after_min.max(RETRY_AFTER_MIN) + spread).min(call.time_left() / 3);
-        let refusal = if self.runs > 0 {
-            Refusal::unknown(ResultCode::BackendBroken, reason)
-        } else {
-            Refusal::not_run(code, reason)
+        if self.runs > 0 {
+            let refusal = Refusal::unknown(ResultCode::BackendBroken, reason).retry_after(after);
+            return Err(call.record.refuse(&refusal, reason));
+        }
+        let paused = call.state.return_after(&call.service, call.caller_head.model.as_ref());
+        let (code, reason, after) = match paused {
+            Some(after) => (ResultCode::BackendRefused, PAUSED_REASON, after),
+            None => (code, reason, after),
         };
-        Err(call.record.refuse(&refusal.retry_after(after), reason))
+        Err(call.record.refuse(&Refusal::not_run(code, reason).retry_after(after), reason))
     }
 
     /// Ends the search after the last attempt failed.
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod crashing_parts;
 mod idle_connections;
+mod answer_ends;
 mod log_points;
 mod metrics;
 mod planner_view;
@@ -9,5 +10,6 @@
 mod relays;
 mod server_faults;
 mod silent_servers;
+mod server_notices;
 mod soak;
 mod whole_path;
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -19,6 +19,7 @@
 mod relays;
 mod retry_budget;
 mod server_choice;
+mod server_notices;
 mod traffic;
 
 pub use admission::Admission;
@@ -76,6 +77,9 @@
 pub use retry_budget::RetryBudget;
 pub use server_choice::FailureTable;
 pub use server_choice::ServerLoad;
+pub use server_notices::NoticeChange;
+pub use server_notices::ServerNotice;
+pub use server_notices::ServerNotices;
 pub use traffic::BackendService;
 pub use traffic::CallerLimits;
 pub use traffic::EngineSpec;
