--- a/bins/mangocross-front/tests/front/answer_ends.rs
+++ b/bins/mangocross-front/tests/front/answer_ends.rs
@@ -1,7 +1,5 @@
 //! Tests with answers without a length, which end with their connection.
 
-use std::io::Read;
-use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::TcpListener;
 use std::process::Stdio;
@@ -9,7 +7,6 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
-use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -23,6 +20,7 @@
 use crate::platform::Front;
 use crate::platform::Server;
 use crate::platform::Store;
+use crate::platform::answer_early;
 
 /// The last chunk of a complete answer.
 const LAST_CHUNK: &str = "0\r\n\r\n";
@@ -157,32 +155,6 @@
     }
 }
 
-/// Accepts connections and answers each request as soon as its head is there; reads the rest once
-/// it may. Sends the number of other bytes than the body's that came after the head.
-fn answer_early(listener: TcpListener, may_read: Arc<AtomicBool>, foreign_bytes: Sender<usize>) {
-    for mut stream in listener.incoming().flatten() {
-        let foreign_bytes = foreign_bytes.clone();
-        let may_read = Arc::clone(&may_read);
-        thread::spawn(move || {
-            let mut head = Vec::new();
-            let mut byte = [0];
-            while !head.ends_with(b"\r\n\r\n") {
-                stream.read_exact(&mut byte).expect("a head");
-                head.push(byte[0]);
-            }
-            let answer = "HTTP/1.1 200 OK\r\nAttempt-Id: early\r\nServer-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
-            stream.write_all(answer.as_bytes()).expect("sent");
-            while !may_read.load(Ordering::Relaxed) {
-                thread::sleep(Duration::from_millis(20));
-            }
-            let mut rest = Vec::new();
-            // The rest of the body may be cut off.
-            let _ = stream.read_to_end(&mut rest);
-            let _ = foreign_bytes.send(rest.iter().filter(|it| **it != b'x').count());
-        });
-    }
-}
-
 /// Nothing but the rest of the body comes on a connection whose server answered early.
 #[test]
 fn connection_with_an_unsent_body_gets_no_other_request() {
--- a/bins/mangocross-front/tests/front/platform/answers.rs
+++ b/bins/mangocross-front/tests/front/platform/answers.rs
@@ -1,8 +1,15 @@
-//! Answers without a length, which end with their connection.
+//! Answers without a length, which end with their connection, and answers that come early.
 
+use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
+use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Sender;
+use std::thread;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -49,3 +56,33 @@
         let _ = stream.shutdown(Shutdown::Both);
     }
 }
+
+/// Accepts connections and answers each request as soon as its head is there; reads the rest once
+/// it may. Sends the number of other bytes than the body's that came after the head.
+pub(crate) fn answer_early(
+    listener: TcpListener,
+    may_read: Arc<AtomicBool>,
+    foreign_bytes: Sender<usize>,
+) {
+    for mut stream in listener.incoming().flatten() {
+        let foreign_bytes = foreign_bytes.clone();
+        let may_read = Arc::clone(&may_read);
+        thread::spawn(move || {
+            let mut head = Vec::new();
+            let mut byte = [0];
+            while !head.ends_with(b"\r\n\r\n") {
+                stream.read_exact(&mut byte).expect("a head");
+                head.push(byte[0]);
+            }
+            let answer = "HTTP/1.1 200 OK\r\nAttempt-Id: early\r\nServer-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
+            stream.write_all(answer.as_bytes()).expect("sent");
+            while !may_read.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(20));
+            }
+            let mut rest = Vec::new();
+            // The rest of the body may be cut off.
+            let _ = stream.read_to_end(&mut rest);
+            let _ = foreign_bytes.send(rest.iter().filter(|it| **it != b'x').count());
+        });
+    }
+}
