test(front): the stand-in machine closes a connection that its server has ended

The machine kept a copy of each connection, so a server's reset never reached the entry VM: plain_answer_that_is_reset_is_no_answer waited for the route's timeout and got 504.

--- a/bins/mangocross-front/tests/front/platform/machine.rs
+++ b/bins/mangocross-front/tests/front/platform/machine.rs
@@ -22,7 +22,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Machine {
     is_down: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
+    /// Open connections by the callers' addresses.
+    connections: Mutex<Vec<(SocketAddr, TcpStream)>>,
 }
 
 impl Machine {
@@ -48,12 +49,16 @@
                     thread::sleep(ACCEPT_INTERVAL);
                     continue;
                 };
-                lock(&machine.connections).extend(stream.try_clone());
+                let Ok(caller) = stream.peer_addr() else { continue };
+                lock(&machine.connections).extend(stream.try_clone().map(|it| (caller, it)));
+                let machine = Arc::clone(&machine);
                 let handle = Arc::clone(&handle);
                 thread::spawn(move || {
                     while let Some(request) = Request::read(&mut stream) {
                         handle(request, &mut stream);
                     }
+                    // The connection is closed only once no copy of it is left.
+                    lock(&machine.connections).retain(|(it, _)| *it != caller);
                 });
             }
         });
@@ -63,7 +68,7 @@
     /// Closes all connections and refuses new ones until `start`; returns whether it was up.
     pub(super) fn crash(&self) -> bool {
         let was_up = !self.is_down.swap(true, Ordering::SeqCst);
-        for connection in lock(&self.connections).drain(..) {
+        for (_, connection) in lock(&self.connections).drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
         was_up
