test(front): one way to start small deployments; the prompt's header stays with the stand-ins

Four files of tests started the same store, servers and entry VM, two of them waiting in a loop without a pause.

--- a/bins/mangocross-front/tests/front/answer_ends.rs
+++ b/bins/mangocross-front/tests/front/answer_ends.rs
@@ -21,33 +21,15 @@
 use crate::platform::Server;
 use crate::platform::Store;
 use crate::platform::answer_early;
+use crate::platform::start_engines;
+use crate::platform::start_plain;
 
 /// The last chunk of a complete answer.
 const LAST_CHUNK: &str = "0\r\n\r\n";
 
-fn start_plain() -> (Store, [Server; 2], Front) {
-    let store = Store::spawn();
-    store.configure(3, &["k1"]);
-    let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
-    let front = Front::spawn(&store, 60_000, Stdio::null());
-    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
-    while !front.metrics().contains("\nfront_backend_servers 2\n") {
-        thread::sleep(Duration::from_millis(20));
-    }
-    (store, servers, front)
-}
-
 /// Starts four engines, which form two groups; returns them with the head that serves next.
-fn start_engines() -> (Store, Vec<Server>, Server, Front) {
-    let store = Store::spawn();
-    store.configure(3, &["k1"]);
-    let engines: Vec<Server> =
-        ["e1", "e2", "e3", "e4"].iter().map(|it| Server::spawn(&store, it, "models")).collect();
-    let front = Front::spawn(&store, 60_000, Stdio::null());
-    front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
-    while !front.metrics().contains("front_groups{state=\"open\"} 2") {
-        thread::sleep(Duration::from_millis(20));
-    }
+fn start_with_head() -> (Store, Vec<Server>, Server, Front) {
+    let (store, engines, front) = start_engines();
     let head = engines.iter().find(|it| !it.arrived().is_empty()).expect("a head").clone();
     (store, engines, head, front)
 }
@@ -110,7 +92,7 @@
 
 #[test]
 fn streams_that_end_with_their_connection_are_whole() {
-    let (_store, engines, _head, front) = start_engines();
+    let (_store, engines, _head, front) = start_with_head();
     engines.iter().for_each(|it| it.set_answer_end(AnswerEnd::Close));
     for number in 0..8 {
         let attempt = format!("s{number}");
@@ -123,7 +105,7 @@
 
 #[test]
 fn empty_stream_is_whole() {
-    let (_store, engines, _head, front) = start_engines();
+    let (_store, engines, _head, front) = start_with_head();
     engines.iter().for_each(|it| it.set_answer_end(AnswerEnd::Empty));
     let (status, _, body) = front.call("POST", "/stream/x", &headers("empty"), "{}");
     assert_eq!((status, body.as_str()), (200, LAST_CHUNK));
@@ -132,7 +114,7 @@
 #[test]
 fn stream_that_is_reset_or_ends_inside_an_event_is_resumed() {
     for end in [AnswerEnd::Reset, AnswerEnd::InsidePart] {
-        let (_store, engines, head, front) = start_engines();
+        let (_store, engines, head, front) = start_with_head();
         head.set_answer_end(end);
         let (status, _, body) = front.call("POST", "/stream/x", &headers("cut"), "{}");
         assert_eq!((status, event_ids(&body)), (200, all_event_ids()), "{end:?}");
@@ -145,7 +127,7 @@
 #[test]
 fn stream_that_cannot_be_resumed_is_incomplete_for_its_caller() {
     for end in [AnswerEnd::Reset, AnswerEnd::InsidePart] {
-        let (_store, engines, _head, front) = start_engines();
+        let (_store, engines, _head, front) = start_with_head();
         engines.iter().for_each(|it| it.set_answer_end(end));
         let (status, _, body) = front.call("POST", "/stream/x", &headers("cut"), "{}");
         let ids = event_ids(&body);
--- a/bins/mangocross-front/tests/front/crashing_parts.rs
+++ b/bins/mangocross-front/tests/front/crashing_parts.rs
@@ -7,6 +7,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use crate::platform;
 use crate::platform::CALLER_HEADERS;
 use crate::platform::EVENTS;
 use crate::platform::Front;
@@ -29,7 +30,7 @@
 fn headers(shared_parts: &str) -> String {
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let headers = CALLER_HEADERS.replace("a1", &format!("part-{number}"));
-    format!("{headers}Prompt-Prefix: 0a0a0a0a:40,{shared_parts}{number:08x}:300\r\n")
+    headers + &platform::prompt_header(&format!("0a0a0a0a:40,{shared_parts}"), number)
 }
 
 fn crashing_headers() -> String {
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod machine;
 mod servers;
+mod start;
 mod store;
 
 use std::io::Read;
@@ -40,6 +41,9 @@
 pub(crate) use self::servers::EVENTS;
 pub(crate) use self::servers::Server;
 pub(crate) use self::servers::StreamFault;
+pub(crate) use self::start::start_engines;
+pub(crate) use self::start::start_plain;
+pub(crate) use self::start::wait_until;
 pub(crate) use self::store::Entrance;
 pub(crate) use self::store::Store;
 
@@ -53,6 +57,11 @@
 pub(crate) const CALLER_HEADERS: &str =
     "Attempt-Id: a1\r\nModel: m0\r\nToken-Count: 10,5\r\nAuthorization: Bearer k1\r\n";
 
+/// Returns the header that lists a prompt's shared parts, each followed by a comma, and its own part.
+pub(crate) fn prompt_header(shared_parts: &str, own_part: u32) -> String {
+    format!("Prompt-Prefix: {shared_parts}{own_part:08x}:300\r\n")
+}
+
 /// Returns whether an answer has a server's signature.
 pub(crate) fn is_signed(head: &str) -> bool {
     head.to_ascii_lowercase().contains("server-seal: ")
--- /dev/null
+++ b/bins/mangocross-front/tests/front/platform/start.rs
@@ -0,0 +1,51 @@
+//! Starts small deployments: a store, backend servers and an entry VM that knows them all.
+
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::CALLER_HEADERS;
+use super::Front;
+use super::Server;
+use super::Store;
+use super::WAIT_MAX;
+
+/// Time between two checks of a condition.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Starts a store, two servers of a plain service and an entry VM.
+pub(crate) fn start_plain() -> (Store, [Server; 2], Front) {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    wait_for_metric(&front, "front_backend_servers 2");
+    (store, servers, front)
+}
+
+/// Starts a store, four engines, which form two groups, and an entry VM.
+pub(crate) fn start_engines() -> (Store, Vec<Server>, Front) {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let engines: Vec<Server> =
+        ["e1", "e2", "e3", "e4"].iter().map(|it| Server::spawn(&store, it, "models")).collect();
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
+    wait_for_metric(&front, r#"front_groups{state="open"} 2"#);
+    (store, engines, front)
+}
+
+fn wait_for_metric(front: &Front, line: &str) {
+    wait_until(line, || front.metrics().lines().any(|it| it == line));
+}
+
+/// Waits until a condition holds.
+pub(crate) fn wait_until(what: &str, is_reached: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !is_reached() {
+        assert!(began.elapsed() < WAIT_MAX, "not reached: {what}");
+        thread::sleep(CHECK_INTERVAL);
+    }
+}
--- a/bins/mangocross-front/tests/front/server_faults.rs
+++ b/bins/mangocross-front/tests/front/server_faults.rs
@@ -3,28 +3,14 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
 
 use crate::platform::CALLER_HEADERS;
 use crate::platform::EVENTS;
-use crate::platform::Front;
 use crate::platform::Server;
-use crate::platform::Store;
 use crate::platform::StreamFault;
-
-/// Starts a store, four engines, which form two groups, and an entry VM that serves from them.
-fn start() -> (Store, Vec<Server>, Front) {
-    let store = Store::spawn();
-    store.configure(3, &["k1"]);
-    let engines: Vec<Server> =
-        ["e1", "e2", "e3", "e4"].iter().map(|it| Server::spawn(&store, it, "models")).collect();
-    let front = Front::spawn(&store, 60_000, Stdio::null());
-    front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
-    while engines.iter().filter(|it| it.is_open()).count() < 2 {}
-    (store, engines, front)
-}
+use crate::platform::start_engines;
 
 fn event_ids(body: &str) -> Vec<u64> {
     body.lines().filter_map(|it| it.strip_prefix("id: ")?.parse().ok()).collect()
@@ -45,7 +31,7 @@
 /// last event.
 #[test]
 fn stalled_stream_with_comments_is_resumed() {
-    let (_store, engines, front) = start();
+    let (_store, engines, front) = start_engines();
     let head = set_fault(&engines, StreamFault::OnlyComments);
     let (status, _, body) =
         front.call("POST", "/stream/x", &CALLER_HEADERS.replace("a1", "stalled"), "{}");
@@ -56,7 +42,7 @@
 /// An event without end is no progress either, and nothing of it reaches the caller.
 #[test]
 fn stream_with_an_endless_event_is_resumed() {
-    let (_store, engines, front) = start();
+    let (_store, engines, front) = start_engines();
     set_fault(&engines, StreamFault::EndlessEvent);
     let (status, _, body) =
         front.call("POST", "/stream/x", &CALLER_HEADERS.replace("a1", "endless"), "{}");
@@ -76,7 +62,7 @@
 #[test]
 fn endless_failure_ends_by_the_deadline_in_bounded_memory() {
     const MEMORY_KIB_MAX: u64 = 100 << 10;
-    let (_store, engines, front) = start();
+    let (_store, engines, front) = start_engines();
     engines.iter().for_each(|it| it.set_stream_fault(StreamFault::EndlessFailure));
     for number in 0..4 {
         let headers = CALLER_HEADERS.replace("a1", &format!("failure-{number}"));
@@ -94,7 +80,7 @@
 /// with its server.
 #[test]
 fn slow_but_sound_stream_is_left_alone() {
-    let (_store, engines, front) = start();
+    let (_store, engines, front) = start_engines();
     engines.iter().for_each(|it| it.set_event_pause(Duration::from_millis(500)));
     let (status, _, body) =
         front.call("POST", "/stream/x", &CALLER_HEADERS.replace("a1", "slow"), "{}");
@@ -106,7 +92,7 @@
 /// A caller that does not read for three seconds and then goes on has its whole stream.
 #[test]
 fn caller_that_pauses_keeps_its_stream() {
-    let (_store, _engines, front) = start();
+    let (_store, _engines, front) = start_engines();
     let mut stream = TcpStream::connect(front.address).expect("a connection");
     let headers = CALLER_HEADERS.replace("a1", "pausing");
     let text = format!(
--- a/bins/mangocross-front/tests/front/server_notices.rs
+++ b/bins/mangocross-front/tests/front/server_notices.rs
@@ -1,55 +1,19 @@
 //! Tests with servers that say in their answers that they leave, or that they want nothing for a
 //! while.
 
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 use crate::platform::CALLER_HEADERS;
 use crate::platform::Front;
 use crate::platform::Server;
-use crate::platform::Store;
+use crate::platform::start_engines;
+use crate::platform::start_plain;
+use crate::platform::wait_until;
 
 /// Requests that show that a server gets nothing.
 const REQUESTS: usize = 12;
 
-/// Starts a store, two servers of a plain service, of which the first is preferred, and an entry VM.
-fn start_plain() -> (Store, [Server; 2], Front) {
-    let store = Store::spawn();
-    store.configure(3, &["k1"]);
-    let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
-    let front = Front::spawn(&store, 60_000, Stdio::null());
-    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
-    wait_until("both servers are known", || {
-        front.metrics().lines().any(|it| it == "front_backend_servers 2")
-    });
-    (store, servers, front)
-}
-
-/// Starts a store, four engines, which form two groups, and an entry VM.
-fn start_engines() -> (Store, Vec<Server>, Front) {
-    let store = Store::spawn();
-    store.configure(3, &["k1"]);
-    let engines: Vec<Server> =
-        ["e1", "e2", "e3", "e4"].iter().map(|it| Server::spawn(&store, it, "models")).collect();
-    let front = Front::spawn(&store, 60_000, Stdio::null());
-    front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
-    wait_until("two groups serve", || engines.iter().filter(|it| it.is_open()).count() == 2);
-    wait_until("the entry VM knows them", || {
-        front.metrics().lines().any(|it| it == r#"front_groups{state="open"} 2"#)
-    });
-    (store, engines, front)
-}
-
-fn wait_until(what: &str, is_reached: impl Fn() -> bool) {
-    let began_at = Instant::now();
-    while !is_reached() {
-        assert!(began_at.elapsed() < Duration::from_secs(30), "{what}: not reached");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
 fn headers(attempt: &str) -> String {
     CALLER_HEADERS.replace("a1", attempt)
 }
--- a/bins/mangocross-front/tests/front/silent_servers.rs
+++ b/bins/mangocross-front/tests/front/silent_servers.rs
@@ -5,7 +5,6 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
 
@@ -13,23 +12,12 @@
 use crate::platform::EVENTS;
 use crate::platform::Front;
 use crate::platform::Server;
-use crate::platform::Store;
+use crate::platform::start_engines;
+use crate::platform::start_plain;
 
 /// Time for which a server is silent.
 const SILENCE: Duration = Duration::from_millis(1200);
 
-/// Starts a store, four engines, which form two groups, and an entry VM that serves from them.
-fn start() -> (Store, Vec<Server>, Front) {
-    let store = Store::spawn();
-    store.configure(3, &["k1"]);
-    let engines: Vec<Server> =
-        ["e1", "e2", "e3", "e4"].iter().map(|it| Server::spawn(&store, it, "models")).collect();
-    let front = Front::spawn(&store, 60_000, Stdio::null());
-    front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
-    while engines.iter().filter(|it| it.is_open()).count() < 2 {}
-    (store, engines, front)
-}
-
 /// Sends the request of a stream on a new connection.
 fn open_stream(front: &Front, attempt: &str) -> BufReader<TcpStream> {
     let mut stream = TcpStream::connect(front.address).expect("a connection");
@@ -69,7 +57,7 @@
 /// Guards against answers that are cut because their server pauses while no other group has room.
 #[test]
 fn silence_does_not_cut_an_answer_that_no_other_group_can_continue() {
-    let (_store, engines, front) = start();
+    let (_store, engines, front) = start_engines();
     engines.iter().for_each(|it| it.set_event_pause(Duration::from_millis(150)));
     let mut stream = open_stream(&front, "paused");
     let mut answer = read_to_event(&mut stream, 2);
@@ -82,7 +70,7 @@
 /// Guards against requests that fail because their server pauses before the first event.
 #[test]
 fn silence_before_the_first_event_does_not_end_the_request() {
-    let (_store, engines, front) = start();
+    let (_store, engines, front) = start_engines();
     engines.iter().for_each(|it| it.set_event_pause(Duration::from_millis(150)));
     let mut first = open_stream(&front, "begun");
     let mut answer = read_to_event(&mut first, 2);
@@ -99,7 +87,7 @@
 /// A silent server's stream goes on elsewhere where that is possible, each event once.
 #[test]
 fn stream_of_a_silent_server_continues_at_another_group() {
-    let (_store, engines, front) = start();
+    let (_store, engines, front) = start_engines();
     engines.iter().for_each(|it| it.set_event_pause(Duration::from_millis(150)));
     let mut stream = open_stream(&front, "moved");
     let mut answer = read_to_event(&mut stream, 2);
@@ -113,7 +101,7 @@
 /// Guards against groups that are dissolved, with all their answers, because a member pauses.
 #[test]
 fn silence_does_not_dissolve_a_group() {
-    let (_store, engines, front) = start();
+    let (_store, engines, front) = start_engines();
     let incarnations =
         |engines: &[Server]| engines.iter().map(Server::incarnation).collect::<Vec<_>>();
     let before = incarnations(&engines);
@@ -128,7 +116,7 @@
 /// Guards against a group that is dissolved because its streams stay with their silent head.
 #[test]
 fn silence_of_a_head_with_several_streams_does_not_dissolve_its_group() {
-    let (_store, engines, front) = start();
+    let (_store, engines, front) = start_engines();
     engines.iter().for_each(|it| it.set_event_pause(Duration::from_millis(300)));
     let mut streams = vec![open_stream(&front, "first")];
     let mut answers = vec![read_to_event(&mut streams[0], 1)];
@@ -152,11 +140,7 @@
 /// refused.
 #[test]
 fn silence_of_a_plain_server_does_not_end_a_repeatable_request() {
-    let store = Store::spawn();
-    store.configure(3, &["k1"]);
-    let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
-    let front = Front::spawn(&store, 60_000, Stdio::null());
-    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    let (_store, servers, front) = start_plain();
     servers[0].fall_silent(SILENCE);
     servers[1].set_refusing(true);
     let headers = CALLER_HEADERS.replace("a1", "lookup");
