fix(front): a crash is found out although the server still accepts connections for a moment

Callers saw: servers crashed one after the other under one part of their prompts, 32 of them in a failed run of part_that_crashed_five_servers_reaches_hardly_any_more, before the part was refused.

Cause: a break counted as a crash only if the server refused a connection at that very moment. A server whose listening socket is closed a little after its connections accepts it, and the crash was forgotten for good.

Ruled out: a part taken for sound (the requests that crash servers deliver no event and never end), lost reports between entry VMs (each VM saw crashes itself), load (the whole test file beside other work counts 6 or 7 crashes, alone 6 to 12).

Change: breaks without an explanation are kept, and their servers looked at again 40 ms to 3 s later; the crash counts if connections are refused then or the server has started again. Processes and breaks kept are bounded.

--- a/bins/mangocross-front/src/blame.rs
+++ b/bins/mangocross-front/src/blame.rs
@@ -1,9 +1,12 @@
 //! Observes crashes of backend servers and refuses requests that would cause more.
 
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use http::HeaderMap;
 use http::header;
+use mangocross_serving::BrokenStart;
 use mangocross_serving::CrashReport;
 use mangocross_serving::CrashVerdict;
 use mangocross_serving::ServerProcess;
@@ -11,6 +14,7 @@
 use mangocross_types::VmId;
 
 use crate::dispatch::Call;
+use crate::dispatch::logged_parts;
 use crate::pool::ConnectError;
 use crate::pool::connect;
 use crate::state::AppState;
@@ -86,12 +90,13 @@
         let (parts, own) = (&self.caller_head.shared_parts, &self.state.vm.name);
         let now = self.state.now();
         if self.state.view.borrow_mut().blame.record_sound(parts, own, now) {
-            log::info!(parts = self.logged_parts(); "prompt parts proved sound");
+            log::info!(parts = logged_parts(parts); "prompt parts proved sound");
             self.state.blame_changed.notify_one();
         }
     }
 
-    /// Records the break of an answer that had hardly begun, if its server has crashed.
+    /// Records the break of an answer that had hardly begun, if its server has crashed; if that is
+    /// not certain yet, it is found out in the background.
     pub(crate) async fn record_break(&self, vm: &VmId, start: AnswerStart) {
         let parts = &self.caller_head.shared_parts;
         if start.events >= SOUND_EVENTS || !self.state.view.borrow().blame.may_blame(parts) {
@@ -100,28 +105,66 @@
         let found = self.state.view.borrow().servers.get(vm).cloned();
         let Some(server) = found else { return };
         let process = ServerProcess { vm: vm.clone(), born_unix_ms: server.engine.born_unix_ms };
-        let own = &self.state.vm.name;
-        let is_known = self.state.view.borrow().blame.has_crash(&process, own);
-        if !is_known {
-            let connected = connect(server.address, CRASH_CHECK_TIMEOUT).await;
-            if !matches!(connected, Err(ConnectError::Refused)) {
-                return;
-            }
+        let broken = BrokenStart {
+            request: self.record.id.clone().unwrap_or_default(),
+            events: start.events,
+            parts: parts.clone(),
+            at: self.state.now(),
+        };
+        if has_crashed(&self.state, &process, server.address).await {
+            record_crash(&self.state, &process, &broken);
+        } else if self.state.view.borrow_mut().unexplained_breaks.record(&process, broken) {
+            watch_process(Rc::clone(&self.state), process, server.address);
         }
-        let now = self.state.now();
-        if self.state.view.borrow_mut().blame.record_crash(parts, &process, own, now) {
-            if let Some(left_out) = self.state.log_rate.allow("server crashed", now) {
-                let events = start.events;
-                log::warn!(
-                    server:% = vm, request = self.record.id.as_deref().unwrap_or_default(), events,
-                    parts = self.logged_parts(), left_out;
-                    "server crashed at the start of an answer"
-                );
-            }
-            log_quarantine(&self.state);
-            self.state.blame_changed.notify_one();
+    }
+}
+
+/// Returns whether a process has ended: it is known to have crashed, the server has started
+/// again, or nothing listens at its address.
+async fn has_crashed(state: &AppState, process: &ServerProcess, address: SocketAddr) -> bool {
+    let is_known = {
+        let view = state.view.borrow();
+        let now_runs = view.servers.get(&process.vm).map(|it| it.engine.born_unix_ms);
+        view.blame.has_crash(process, &state.vm.name)
+            || now_runs.is_some_and(|it| it > process.born_unix_ms)
+    };
+    is_known || matches!(connect(address, CRASH_CHECK_TIMEOUT).await, Err(ConnectError::Refused))
+}
+
+/// Looks in the background whether a process at which answers broke has crashed.
+fn watch_process(state: Rc<AppState>, process: ServerProcess, address: SocketAddr) {
+    tokio::task::spawn_local(async move {
+        let next_check = |now| state.view.borrow().unexplained_breaks.next_check(&process, now);
+        let mut is_crashed = false;
+        while !is_crashed && let Some(at) = next_check(state.now()) {
+            tokio::time::sleep(at.since(state.now())).await;
+            is_crashed = has_crashed(&state, &process, address).await;
+        }
+        let now = state.now();
+        let breaks = state.view.borrow_mut().unexplained_breaks.take(&process, now);
+        if is_crashed {
+            breaks.iter().for_each(|it| record_crash(&state, &process, it));
         }
+    });
+}
+
+/// Counts a crash against the parts of a prompt whose answer it broke.
+fn record_crash(state: &AppState, process: &ServerProcess, broken: &BrokenStart) {
+    let BrokenStart { request, events, parts, at } = broken;
+    if !state.view.borrow_mut().blame.record_crash(parts, process, &state.vm.name, *at) {
+        return;
+    }
+    let now = state.now();
+    if let Some(left_out) = state.log_rate.allow("server crashed", now) {
+        let found_after_ms = now.since(*at).as_millis() as u64;
+        log::warn!(
+            server:% = process.vm, request = &**request, events, parts = logged_parts(parts),
+            found_after_ms, left_out;
+            "server crashed at the start of an answer"
+        );
     }
+    log_quarantine(state);
+    state.blame_changed.notify_one();
 }
 
 /// Applies another entry VM's report of crashes.
--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -17,6 +17,7 @@
 use mangocross_serving::KeyHolder;
 use mangocross_serving::RouteRule;
 use mangocross_serving::TrafficConfiguration;
+use mangocross_types::PromptPartId;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use mangocross_types::ServiceId;
@@ -57,6 +58,12 @@
     pub(crate) record: RequestRecord,
 }
 
+/// Returns shared parts of a prompt for a log line.
+pub(crate) fn logged_parts(parts: &[PromptPartId]) -> String {
+    let parts: Vec<String> = parts.iter().take(LOGGED_PARTS_MAX).map(ToString::to_string).collect();
+    parts.join(" ")
+}
+
 impl Call {
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
@@ -72,14 +79,10 @@
     /// Describes the break of a stream: why, how far the server had come, and what the prompt shares
     /// with other requests.
     pub(crate) fn break_detail(&self, reason: &str, events: u32) -> String {
-        format!("{reason}; events {events}; shared parts {}", self.logged_parts())
-    }
-
-    /// Returns the shared parts of the prompt for a log line.
-    pub(crate) fn logged_parts(&self) -> String {
-        let parts = self.caller_head.shared_parts.iter().take(LOGGED_PARTS_MAX);
-        let parts: Vec<String> = parts.map(ToString::to_string).collect();
-        parts.join(" ")
+        format!(
+            "{reason}; events {events}; shared parts {}",
+            logged_parts(&self.caller_head.shared_parts)
+        )
     }
 
     /// Returns the request to send to a backend server.
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -29,6 +29,7 @@
 use mangocross_serving::ServerNotices;
 use mangocross_serving::StoreView;
 use mangocross_serving::TrafficConfiguration;
+use mangocross_serving::UnexplainedBreaks;
 use mangocross_types::ModelId;
 use mangocross_types::Revision;
 use mangocross_types::ServiceId;
@@ -94,6 +95,8 @@
     pub(crate) closed_heads: ClosedHeads,
     /// Parts of prompts that crash servers.
     pub(crate) blame: CrashBlame,
+    /// Broken answers whose servers may have crashed.
+    pub(crate) unexplained_breaks: UnexplainedBreaks,
     /// What servers said of themselves in their answers to this VM.
     pub(crate) notices: ServerNotices,
     suspects: HashMap<VmId, Moment>,
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -21,6 +21,7 @@
 mod server_choice;
 mod server_notices;
 mod traffic;
+mod unexplained_breaks;
 
 pub use admission::Admission;
 pub use admission::Candidates;
@@ -89,3 +90,5 @@
 pub use traffic::RouteRule;
 pub use traffic::RouteTarget;
 pub use traffic::TrafficConfiguration;
+pub use unexplained_breaks::BrokenStart;
+pub use unexplained_breaks::UnexplainedBreaks;
