test(front): each program under test has an address that no other test uses

Cause found in the harness: the address was 127.7.(process id modulo 250).(count modulo 256), and the metrics port is fixed. Of two test processes whose ids are equal modulo 250, or with more than 255 programs in one process, the program that starts second cannot bind the port and ends at once. Its message went to the standard error of the test and was not kept. Forced, with the port of the first address taken, both tests failed as they had: the second after 30.30 s, the first after 93 s (60 s, and the time in which the stand-in for the other program left calls unanswered). That the failures seen had this cause is not proved: their messages were not kept.

Further weakness, not observed: ports were found by binding and dropping listeners, so that another process, or a copy of the descriptors in a child that has not yet executed its program, could hold them. 396 starts from three threads, three times, showed none.

Change: an address is claimed by a listener that the test holds while the program lives, and one on which the metrics port answers is passed over; the program's ports are fixed and below those that the kernel gives out. A failed test prints state or exit status of each program, its errors and the end of its log. No wait and no check changed.

--- a/bins/mangocross-front/tests/front/planner_view.rs
+++ b/bins/mangocross-front/tests/front/planner_view.rs
@@ -1,6 +1,5 @@
 //! Tests of a planner, no relay itself, that loses the store while the others follow it.
 
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -50,11 +49,10 @@
         let engines = spawn("models", &["e1", "e2", "e3", "e4", "e5"]);
         let _others = spawn("records", &["r1"]);
         let entrance = store.open_entrance();
-        let planner =
-            Front::spawn_sized(entrance.address, 60_000, Stdio::null(), PLANNER_CPU_SHARE);
+        let planner = Front::spawn_logged(entrance.address, 60_000, PLANNER_CPU_SHARE);
         let mut fronts = vec![planner];
         wait_until("there is a planner", || store.contains_key(PLANNER_KEY));
-        fronts.extend((0..OTHERS_COUNT).map(|_| Front::spawn(&store, 60_000, Stdio::null())));
+        fronts.extend((0..OTHERS_COUNT).map(|_| Front::spawn_logged(store.address, 60_000, 1.0)));
         let this = Self { store, entrance, engines, _others, fronts };
         let listed = format!("front_entry_vms {}", OTHERS_COUNT + 1);
         wait_until("all are listed", || {
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod client;
+mod front;
 mod machine;
 mod servers;
 mod start;
@@ -9,25 +10,16 @@
 
 use std::io::Read;
 use std::io::Write;
-use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
-use std::path::Path;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU8;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 use serde_json::Value;
 use serde_json::json;
@@ -38,6 +30,7 @@
 pub(crate) use self::client::Client;
 pub(crate) use self::client::Outcome;
 pub(crate) use self::client::RequestKind;
+pub(crate) use self::front::Front;
 pub(crate) use self::servers::EVENTS;
 pub(crate) use self::servers::Server;
 pub(crate) use self::servers::StreamFault;
@@ -50,9 +43,6 @@
 /// Maximum wait for an expected event.
 const WAIT_MAX: Duration = Duration::from_secs(30);
 
-/// Last octet of the next loopback address; each process gets its own.
-static NEXT_IP: AtomicU8 = AtomicU8::new(1);
-
 /// Headers of a request with a valid key.
 pub(crate) const CALLER_HEADERS: &str =
     "Attempt-Id: a1\r\nModel: m0\r\nToken-Count: 10,5\r\nAuthorization: Bearer k1\r\n";
@@ -140,144 +130,6 @@
     address
 }
 
-/// The program under test.
-#[derive(Debug)]
-pub(crate) struct Front {
-    child: Child,
-    pub(crate) address: SocketAddr,
-    pub(crate) ready: SocketAddr,
-    pub(crate) settings: PathBuf,
-}
-
-impl Front {
-    /// Starts the program on its own address, with its log written to `stdout`.
-    pub(crate) fn spawn(store: &Store, revoke_ms: u64, stdout: Stdio) -> Self {
-        Self::spawn_at(store.address, revoke_ms, stdout)
-    }
-
-    /// Like `spawn`, with the store at an address.
-    pub(crate) fn spawn_at(store: SocketAddr, revoke_ms: u64, stdout: Stdio) -> Self {
-        Self::spawn_sized(store, revoke_ms, stdout, 1.0)
-    }
-
-    /// Like `spawn_at`, on a VM with this share of a core.
-    pub(crate) fn spawn_sized(
-        store: SocketAddr,
-        revoke_ms: u64,
-        stdout: Stdio,
-        cpu_share: f64,
-    ) -> Self {
-        let host = NEXT_IP.fetch_add(1, Ordering::Relaxed);
-        let ip = Ipv4Addr::new(127, 7, u8::try_from(std::process::id() % 250).unwrap_or(0), host);
-        // All are bound at the same time, so that no port is chosen twice.
-        let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
-        let [address, ready, peers] =
-            listeners.each_ref().map(|it| it.local_addr().expect("an address"));
-        drop(listeners);
-        let settings = json!({
-            "node": format!("front-{host}"), "ip": IpAddr::V4(ip), "zone": "zone-a",
-            "listen": {"front": address, "ready": ready},
-            "internal_ports": [peers.port(), peers.port()], "first_start": true,
-            "limits": {"max_fds": 1024, "memory_mb": 256, "cpu_share": cpu_share},
-            "bounds": {"revoke_ms": revoke_ms, "strict_revoke": true, "grace_s": 8, "stall_ms": 6000, "retry_slack": 50},
-            "platform": {"address": store},
-        });
-        let name = format!("mangocross-front-{}-{host}.json", std::process::id());
-        let path = std::env::temp_dir().join(name);
-        std::fs::write(&path, settings.to_string()).expect("a settings file");
-        let child = start(&path, stdout);
-        Self { child, address, ready, settings: path }
-    }
-
-    /// Returns the id of the process.
-    pub(crate) fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Returns the state of the process as the kernel tells it, such as `S (sleeping)`.
-    pub(crate) fn process_state(&self) -> String {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()));
-        let status = status.unwrap_or_default();
-        status.lines().find(|it| it.starts_with("State:")).unwrap_or("State: ended").to_owned()
-    }
-
-    /// Sends SIGTERM.
-    pub(crate) fn terminate(&self) {
-        self.signal(rustix::process::Signal::TERM);
-    }
-
-    pub(crate) fn signal(&self, signal: rustix::process::Signal) {
-        let pid = rustix::process::Pid::from_child(&self.child);
-        rustix::process::kill_process(pid, signal).expect("the program is running");
-    }
-
-    /// Kills the program with SIGKILL and waits for its end.
-    pub(crate) fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Waits for the program to end and starts it again with `first_start` set to false.
-    pub(crate) fn restart(&mut self, stdout: Stdio) {
-        let _ = self.child.wait();
-        let settings = std::fs::read_to_string(&self.settings).expect("settings");
-        let settings = settings.replace("\"first_start\":true", "\"first_start\":false");
-        std::fs::write(&self.settings, settings).expect("settings");
-        self.child = start(&self.settings, stdout);
-    }
-
-    /// Waits for the program to end; returns whether it exited successfully.
-    pub(crate) fn exited_successfully(&mut self) -> bool {
-        self.child.wait().expect("the program was started").success()
-    }
-
-    /// Sends a request on a new connection; returns status, head and body.
-    pub(crate) fn call(
-        &self,
-        method: &str,
-        path: &str,
-        headers: &str,
-        body: &str,
-    ) -> (u16, String, String) {
-        call(self.address, method, path, headers, body)
-    }
-
-    /// Returns the metrics in the Prometheus text format.
-    pub(crate) fn metrics(&self) -> String {
-        call(SocketAddr::new(self.address.ip(), 9464), "GET", "/metrics", "", "").2
-    }
-
-    /// Repeats a request until its answer has the given status; returns the body.
-    pub(crate) fn wait_for_status(&self, status: u16, path: &str, headers: &str) -> String {
-        let began = Instant::now();
-        loop {
-            let (got, _, body) = self.call("POST", path, headers, "{}");
-            if got == status {
-                return body;
-            }
-            assert!(began.elapsed() < WAIT_MAX, "{path}: {got} instead of {status}: {body}");
-            thread::sleep(Duration::from_millis(50));
-        }
-    }
-}
-
-impl Drop for Front {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
-fn start(settings: &Path, stdout: Stdio) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_mangocross-front"))
-        .arg("--settings")
-        .arg(settings)
-        .stdout(stdout)
-        .spawn()
-        .expect("the program starts")
-}
-
 /// Sends a request on a new connection; returns status, head and body.
 pub(crate) fn call(
     to: SocketAddr,
--- a/bins/mangocross-front/tests/front/platform/start.rs
+++ b/bins/mangocross-front/tests/front/platform/start.rs
@@ -1,6 +1,5 @@
 //! Starts small deployments: a store, backend servers and an entry VM that knows them all.
 
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,7 +18,7 @@
     let store = Store::spawn();
     store.configure(3, &["k1"]);
     let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
-    let front = Front::spawn(&store, 60_000, Stdio::null());
+    let front = Front::spawn_logged(store.address, 60_000, 1.0);
     front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
     wait_for_metric(&front, "front_backend_servers 2");
     (store, servers, front)
@@ -31,7 +30,7 @@
     store.configure(3, &["k1"]);
     let engines: Vec<Server> =
         ["e1", "e2", "e3", "e4"].iter().map(|it| Server::spawn(&store, it, "models")).collect();
-    let front = Front::spawn(&store, 60_000, Stdio::null());
+    let front = Front::spawn_logged(store.address, 60_000, 1.0);
     front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
     wait_for_metric(&front, r#"front_groups{state="open"} 2"#);
     (store, engines, front)
--- a/bins/mangocross-front/tests/front/relays.rs
+++ b/bins/mangocross-front/tests/front/relays.rs
@@ -1,6 +1,5 @@
 //! Tests of a fleet in which a few entry VMs follow the store for the others.
 
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -54,7 +53,7 @@
     let store = Store::spawn();
     store.configure(3, &["k1"]);
     let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records")).into();
-    let spawn = |_| Front::spawn(&store, 60_000, Stdio::null());
+    let spawn = |_| Front::spawn_logged(store.address, 60_000, 1.0);
     let fronts: Vec<Front> = (0..ENTRY_VM_COUNT).map(spawn).collect();
     let listed = format!("front_entry_vms {ENTRY_VM_COUNT}");
     wait_until("all are listed", &fronts, || fronts.iter().all(|it| has_metric(it, &listed)));
@@ -122,7 +121,7 @@
     let store = Store::spawn();
     store.configure(3, &["k1"]);
     let _servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
-    let spawn = |_| Front::spawn(&store, 5_000, Stdio::null());
+    let spawn = |_| Front::spawn_logged(store.address, 5_000, 1.0);
     let fronts: Vec<Front> = (0..ENTRY_VM_COUNT).map(spawn).collect();
     for front in &fronts {
         front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
