test(front): the stand-in engine's groups in a file of their own

Orders and the groups that engines form move to servers/groups.rs as they are; nothing else changes. Ruled out: a second stand-in for each kind of server, since both share the connection handling and the refusals.

--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -1,5 +1,7 @@
 //! Backend servers: engines that form groups, and a plain service.
 
+mod groups;
+
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -20,8 +22,6 @@
 use super::lock;
 use super::machine::Machine;
 
-/// Time for which an engine waits for a missing member before its group is broken.
-const STALL: Duration = Duration::from_millis(6000);
 /// Time from a crash until the server is back.
 const RESTART_TIME: Duration = Duration::from_millis(1000);
 /// Time from the head of an answer until a part of its prompt crashes the server.
@@ -333,105 +333,6 @@
         if lock(&self.state).is_leaving { "Server-Leaving: 1\r\n" } else { "" }
     }
 
-    fn order(&self, request: &Request, stream: &mut TcpStream) {
-        let notice = self.notice();
-        let order: Value = serde_json::from_slice(&request.body).expect("JSON");
-        {
-            let mut state = lock(&self.state);
-            let is_of_group = order["operation"] == "join"
-                || order["operation"] == "stage"
-                || (order["group"] == state.group["name"]
-                    && order["epoch"] == state.group["epoch"]);
-            if order["expected"].as_u64() != Some(state.orders) || !is_of_group {
-                answer(stream, 409, notice, "");
-                return;
-            }
-            state.orders += 1;
-            match order["operation"].as_str() {
-                Some("join") => {
-                    let violation = self.open_group_violation(&state, &order);
-                    state.violations.extend(violation);
-                    let members = order["members"].as_array().cloned().unwrap_or_default();
-                    state.members.clone_from(&members);
-                    let rank = members.iter().position(|it| *it == json!(self.id));
-                    state.model = order["model"].as_str().map(str::to_owned);
-                    state.group = json!({"name": order["group"], "epoch": order["epoch"],
-                        "rank": rank, "state": "ready"});
-                    self.store.note_ready(&self.id, &state.group);
-                }
-                Some("open") => {
-                    let members = state.members.iter().filter_map(Value::as_str);
-                    let entries = members.map(|it| (it.to_owned(), self.entry_of(it, &state)));
-                    state.opened_with = entries.collect();
-                    // A member that was ready once and failed since is not a violation.
-                    let absent = state
-                        .opened_with
-                        .iter()
-                        .find(|(it, _)| !self.store.was_ready(it, &state.group))
-                        .map(|(it, _)| format!("{} opens without {it}", self.id));
-                    state.violations.extend(absent);
-                    state.group["state"] = json!("open");
-                }
-                Some("close") => state.group["state"] = json!("ready"),
-                Some("leave") => state.group = Value::Null,
-                Some("stage") => state.model = order["model"].as_str().map(str::to_owned),
-                _ => {}
-            }
-            self.publish_state(&state);
-        }
-        answer(stream, 202, notice, "");
-    }
-
-    /// Returns a violation if the server joins another group while the head of its present one is
-    /// still open.
-    fn open_group_violation(&self, state: &State, order: &Value) -> Option<String> {
-        if state.group.is_null() || state.group["name"] == order["group"] {
-            return None;
-        }
-        let head = state.members.first()?.as_str()?;
-        let group = match head == self.id {
-            true => state.group.clone(),
-            false => self.store.read(&format!("servers/{head}"))?["group"].clone(),
-        };
-        let is_open = group["state"] == "open"
-            && group["name"] == state.group["name"]
-            && group["epoch"] == state.group["epoch"];
-        is_open.then(|| format!("{} joins {} while {group} serves", self.id, order["group"]))
-    }
-
-    /// Returns the entry of a server; for this server, only its group and start time, from `state`.
-    fn entry_of(&self, id: &str, state: &State) -> Value {
-        if id == self.id {
-            return json!({"group": state.group, "born": FIRST_START_UNIX_MS + state.starts});
-        }
-        self.store.read(&format!("servers/{id}")).unwrap_or_default()
-    }
-
-    /// Waits up to `STALL` while the group lacks a member that it was opened with; returns whether
-    /// it is complete again.
-    fn wait_for_members(&self) -> bool {
-        let end = Instant::now() + STALL;
-        while self.lacks_member() {
-            if Instant::now() > end {
-                lock(&self.state).group["state"] = json!("broken");
-                self.publish();
-                return false;
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-        true
-    }
-
-    /// Returns whether a member has left the group or was restarted since the group opened.
-    fn lacks_member(&self) -> bool {
-        let state = lock(&self.state);
-        let is_missing = |(id, then): &(String, Value)| {
-            let now = self.entry_of(id, &state);
-            now["born"] != then["born"] || !is_member(&now, &state.group)
-        };
-        state.group["state"] == "open" && state.opened_with.iter().any(is_missing)
-    }
-
     fn run(&self, request: &Request, stream: &mut TcpStream) {
         let attempt = request.header("Attempt-Id").unwrap_or_default().to_owned();
         let crashes = self.has_crashing_part(request);
@@ -539,9 +440,3 @@
         thread::sleep(pause);
     }
 }
-
-/// Returns whether a server is a member of a group or of a later incarnation of it.
-fn is_member(entry: &Value, group: &Value) -> bool {
-    let own = &entry["group"];
-    own["name"] == group["name"] && own["epoch"].as_u64() >= group["epoch"].as_u64()
-}
