fix(front): ask a third server while the successor of a stream hangs

A server that is to continue a stream and accepts it, but then sends nothing, was waited for until the caller's deadline: the answer ended there although attempts were left and another group would have continued it.

Cause: the search asked one server after the other and waited for each without an end of its own. A successor that is suspect, or has sent nothing new for 0.35 of the time after which the caller abandons the stream, is now kept beside the next one, and the first that sends something new is followed. None is given up for its silence. Connections are opened while the silent ones are read.

Ruled out: dropping the successor that hangs. It may only be pausing, and the next server may refuse the stream.

successor_that_hangs_is_replaced_while_attempts_are_left failed before with two of five events at the deadline, and passes now. silent_successor_is_waited_for_where_no_other_server_takes_the_stream passed before as well; it fails with two of five events if the silent successor is dropped. The 65 tests of the front pass.

--- a/bins/mangocross-front/src/first_answer.rs
+++ b/bins/mangocross-front/src/first_answer.rs
@@ -1,6 +1,9 @@
-//! Waits for the first answer to two attempts of one request.
+//! Waits for the first answer to several attempts of one request.
 
 use std::future::Future;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::Poll;
 
 /// The attempt that ended first, with its result.
 #[derive(Debug)]
@@ -30,3 +33,20 @@
     }
     first
 }
+
+/// Waits until one of several attempts ends, and removes it; without any it waits forever.
+///
+/// Dropping the future loses nothing.
+pub(crate) async fn first_of<F: Future + Unpin>(attempts: &mut Vec<F>) -> F::Output {
+    let (ended, output) = poll_fn(|cx| {
+        for (at, attempt) in attempts.iter_mut().enumerate() {
+            if let Poll::Ready(it) = Pin::new(attempt).poll(cx) {
+                return Poll::Ready((at, it));
+            }
+        }
+        Poll::Pending
+    })
+    .await;
+    drop(attempts.remove(ended));
+    output
+}
--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -1,5 +1,7 @@
 //! Finds a server that continues a stream whose server failed or is silent.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::time::Duration;
 
 use mangocross_serving::Admission;
@@ -13,7 +15,9 @@
 use super::source::Received;
 use super::source::Source;
 use crate::blame::AnswerStart;
+use crate::first_answer::first_of;
 use crate::plain::SENDS_MAX;
+use crate::pool::Connection;
 
 /// Time after which a resumed stream may use LAST_RESORT_QUEUE_SLOTS instead of RESUME_QUEUE_SLOTS.
 const RESUME_QUEUE_TIME: Duration = Duration::from_millis(500);
@@ -27,13 +31,51 @@
 /// Queue places beyond a group's slots for resumed streams that found no room within
 /// RESUME_QUEUE_TIME.
 const LAST_RESORT_QUEUE_SLOTS: u32 = 16;
+/// Time for which a server that is to continue a stream may send nothing new before another one is
+/// asked, as a share of the time after which the caller abandons the stream.
+const SUCCESSOR_SILENCE_SHARE: f64 = 0.35;
 /// Priority of resumed streams at engines.
 const RESUMED_PRIORITY: u8 = 0;
 
+/// An attempt at a server that is to continue a stream: its answer from the first new event on, or
+/// `None` if it failed. Dropping it closes its connection.
+type PendingSuccessor<'a> = Pin<Box<dyn Future<Output = Option<(Source, Received)>> + 'a>>;
+
+/// An attempt that was sent.
+struct SentAttempt<'a> {
+    vm: VmId,
+    result: PendingSuccessor<'a>,
+}
+
+/// What came first while the stream was to be sent to another server.
+enum Sent<'a> {
+    /// It was sent.
+    Attempt(SentAttempt<'a>),
+    /// A silent server continued it.
+    Resumed(Box<(Source, Received)>),
+    /// It cannot be sent, for this reason.
+    Nothing(&'static str),
+}
+
+/// State of a search for a server that continues a stream.
+struct Search {
+    began_at: Instant,
+    tried: Vec<VmId>,
+    sent: u32,
+}
+
+impl Search {
+    fn new(failed: &VmId) -> Self {
+        Self { began_at: Instant::now(), tried: vec![failed.clone()], sent: 0 }
+    }
+}
+
 impl Forwarder {
     /// Resumes the stream after the last complete event at another server, and waits until that
     /// server has sent something new.
     ///
+    /// A server that stays silent is not given up while others are asked.
+    ///
     /// # Errors
     ///
     /// Returns what prevented the resumption.
@@ -41,61 +83,138 @@
         &self,
         failed: &VmId,
     ) -> Result<(Source, Received), &'static str> {
-        let began_at = Instant::now();
-        let mut tried = vec![failed.clone()];
-        let mut sent = 0;
+        let mut search = Search::new(failed);
+        let mut silent = Vec::new();
+        loop {
+            let mut latest = match self.send_beside(&mut search, &mut silent).await {
+                Sent::Attempt(it) => it,
+                Sent::Resumed(it) => return Ok(*it),
+                Sent::Nothing(reason) if silent.is_empty() => return Err(reason),
+                Sent::Nothing(_) => {
+                    if let Some(it) = first_of(&mut silent).await {
+                        return Ok(it);
+                    }
+                    continue;
+                }
+            };
+            let vm = latest.vm.clone();
+            let is_silent = self.wait_until_silent(&vm);
+            tokio::pin!(is_silent);
+            let resumed = loop {
+                tokio::select! {
+                    biased;
+                    it = first_of(&mut silent) => if it.is_some() {
+                        break it;
+                    },
+                    it = &mut latest.result => break it,
+                    () = &mut is_silent => {
+                        self.call.record.log_step("successor silent", &vm, "");
+                        silent.push(latest.result);
+                        break None;
+                    }
+                }
+            };
+            if let Some(it) = resumed {
+                return Ok(it);
+            }
+        }
+    }
+
+    /// Sends the stream to the next server, beside attempts whose servers are silent.
+    async fn send_beside<'a>(
+        &'a self,
+        search: &mut Search,
+        silent: &mut Vec<PendingSuccessor<'a>>,
+    ) -> Sent<'a> {
+        let sending = self.send_next(search);
+        tokio::pin!(sending);
+        loop {
+            tokio::select! {
+                biased;
+                it = first_of(silent) => if let Some(it) = it {
+                    return Sent::Resumed(Box::new(it));
+                },
+                it = &mut sending => return match it {
+                    Ok(it) => Sent::Attempt(it),
+                    Err(reason) => Sent::Nothing(reason),
+                },
+            }
+        }
+    }
+
+    /// Sends the stream to the best server that has not been tried.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    async fn send_next(&self, search: &mut Search) -> Result<SentAttempt<'_>, &'static str> {
         while self.may_search()? {
-            let queue_slots = match began_at.elapsed() < RESUME_QUEUE_TIME {
+            if search.sent >= SENDS_MAX.max(self.call.route.attempts_max) {
+                return Err("too many servers refused the stream");
+            }
+            let queue_slots = match search.began_at.elapsed() < RESUME_QUEUE_TIME {
                 true => RESUME_QUEUE_SLOTS,
                 false => LAST_RESORT_QUEUE_SLOTS,
             };
-            let heads = heads::find_heads(&self.call, &tried).unwrap_or_default();
+            let heads = heads::find_heads(&self.call, &search.tried).unwrap_or_default();
             let Admission::Send(vm) = heads::choose_head(&self.call, &heads, queue_slots) else {
                 tokio::time::sleep(RESUME_RETRY_DELAY).await;
                 continue;
             };
-            let failures = tried.len() as u32 - 1;
-            tried.push(vm.clone());
+            let failures = search.tried.len() as u32 - 1;
+            search.tried.push(vm.clone());
             let Some(connection) = heads::connect(&self.call, &vm, true, failures).await else {
                 continue;
             };
             if !self.call.state.try_spend_retry(&self.call.service) {
                 return Err("retry budget used up");
             }
-            sent += 1;
+            search.sent += 1;
             self.call.record.add_sent_to(&vm);
             self.call.state.metrics.count_resume();
             self.call.record.log_step("stream resumed", &vm, "after the last whole event");
-            let last_id = self.last_id.get();
             // Counted before the answer, since the search may be dropped while it waits for it.
             self.runs.set(self.runs.get() + 1);
-            let started =
-                start_attempt(&self.call, &vm, connection, last_id, RESUMED_PRIORITY).await;
-            let reason = match started {
-                Ok(it) => match first_progress(Source::new(it, last_id)).await {
-                    Ok(it) => return Ok(it),
-                    Err((reason, start)) => {
-                        self.call.record_break(&vm, start).await;
-                        reason
-                    }
-                },
-                Err(StartError::NotRun(reason)) => {
-                    self.runs.set(self.runs.get() - 1);
-                    self.call.record.log_step("not run", &vm, reason);
-                    if sent >= SENDS_MAX {
-                        return Err(reason);
-                    }
-                    continue;
-                }
-                Err(StartError::MayHaveRun(reason, _)) => {
-                    self.call.record_break(&vm, AnswerStart::default()).await;
+            let result = Box::pin(self.resume_at(vm.clone(), connection));
+            return Ok(SentAttempt { vm, result });
+        }
+        Err("no group had room in time")
+    }
+
+    /// Resumes the stream on a connection to a server; returns `None` if the attempt failed.
+    async fn resume_at(&self, vm: VmId, connection: Connection) -> Option<(Source, Received)> {
+        let last_id = self.last_id.get();
+        let started = start_attempt(&self.call, &vm, connection, last_id, RESUMED_PRIORITY).await;
+        let reason = match started {
+            Ok(it) => match first_progress(Source::new(it, last_id)).await {
+                Ok(it) => return Some(it),
+                Err((reason, start)) => {
+                    self.call.record_break(&vm, start).await;
                     reason
                 }
-                Err(it @ (StartError::Failure(_) | StartError::TimeOver)) => it.reason(),
-            };
-            self.call.record.log_step("attempt failed", &vm, reason);
+            },
+            Err(StartError::NotRun(reason)) => {
+                self.runs.set(self.runs.get() - 1);
+                self.call.record.log_step("not run", &vm, reason);
+                return None;
+            }
+            Err(StartError::MayHaveRun(reason, _)) => {
+                self.call.record_break(&vm, AnswerStart::default()).await;
+                reason
+            }
+            Err(it @ (StartError::Failure(_) | StartError::TimeOver)) => it.reason(),
+        };
+        self.call.record.log_step("attempt failed", &vm, reason);
+        None
+    }
+
+    /// Waits until a server that was asked to continue the stream has been silent for too long.
+    async fn wait_until_silent(&self, vm: &VmId) {
+        let silence_max = self.call.route.event_gap_max.mul_f64(SUCCESSOR_SILENCE_SHARE);
+        tokio::select! {
+            () = self.call.state.wait_until_suspect(vm) => {}
+            () = tokio::time::sleep(silence_max) => {}
         }
-        Err("no group had room in time")
     }
 
     /// Returns whether there is time to search for a server that continues the stream.
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -12,4 +12,5 @@
 mod silent_servers;
 mod server_notices;
 mod soak;
+mod successors;
 mod whole_path;
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -125,14 +125,39 @@
         self.put("op/config", &configuration(version, keys));
     }
 
+    /// Writes a configuration with changes to the usual one.
+    pub(crate) fn configure_with(
+        &self,
+        version: u64,
+        keys: &[&str],
+        change: impl FnOnce(&mut Value),
+    ) {
+        let mut configuration = configuration(version, keys);
+        change(&mut configuration);
+        self.put("op/config", &configuration);
+    }
+
     /// Writes a configuration with a limit on the time for which callers' connections are idle.
     pub(crate) fn configure_idle_timeout(&self, version: u64, keys: &[&str], limit: Duration) {
-        let mut configuration = configuration(version, keys);
-        configuration["limits"] = serde_json::json!({
-            "max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
-            "idle_timeout_ms": limit.as_millis() as u64,
+        self.configure_limits(version, keys, Duration::from_secs(3), limit);
+    }
+
+    /// Writes a configuration with limits on the time for which headers arrive, and for which
+    /// callers' connections are idle.
+    pub(crate) fn configure_limits(
+        &self,
+        version: u64,
+        keys: &[&str],
+        header_timeout: Duration,
+        idle_timeout: Duration,
+    ) {
+        self.configure_with(version, keys, |it| {
+            it["limits"] = json!({
+                "max_header_bytes": 16384, "max_body_bytes": 65536,
+                "header_timeout_ms": header_timeout.as_millis() as u64,
+                "idle_timeout_ms": idle_timeout.as_millis() as u64,
+            });
         });
-        self.put("op/config", &configuration);
     }
 
     pub(crate) fn remove(&self, key: &str) {
