--- a/bins/mangocross-front/tests/front/platform/start.rs
+++ b/bins/mangocross-front/tests/front/platform/start.rs
@@ -43,7 +43,7 @@
     store.configure_with(3, &["k1"], |it| it["routes"][0]["max_attempts"] = attempts_max.into());
     let engines: Vec<Server> =
         (1..=2 * groups).map(|it| Server::spawn(&store, &format!("e{it}"), "models")).collect();
-    let front = Front::spawn(&store, 60_000, Stdio::null());
+    let front = Front::spawn_logged(store.address, 60_000, 1.0);
     front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
     wait_for_metric(&front, &format!(r#"front_groups{{state="open"}} {groups}"#));
     (store, engines, front)
