fix(front): a suspicion from before a stream's last event does not move the stream

A suspicion lasts 700 ms, and a stream counted as stalled 350 ms after its last event while one lasted, however old. So a server that paused once and writes an event every 400 ms or more lost its streams.

Ruled out: the silence of the stream alone (its limit is 1.5 s there).

Change: a stream is stalled only if its group was found stalled after the stream's last event. New streams avoid a suspect group as before.

`each_log_point_has_its_fields` expects the term in `order given`.

--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -334,24 +334,22 @@
     /// Marks a head whose streams are stalled as suspect, so that it gets no new ones for a while.
     pub(crate) fn mark_suspect(&self, head: &VmId) {
         let now = self.now();
-        let was_suspect = self.is_suspect(head);
         self.view.borrow_mut().suspects.insert(head.clone(), now);
-        if !was_suspect {
-            self.suspect_added.notify_waiters();
-        }
+        self.suspect_added.notify_waiters();
         self.planner_inputs_changed.notify_one();
     }
 
     pub(crate) fn is_suspect(&self, vm: &VmId) -> bool {
-        let view = self.view.borrow();
-        view.suspects.contains_key(vm) && view.is_suspect(vm, self.now())
+        self.view.borrow().is_suspect(vm, self.now())
     }
 
-    /// Waits until a head is suspect.
-    pub(crate) async fn wait_until_suspect(&self, vm: &VmId) {
+    /// Waits until a head is found stalled after a moment; an earlier suspicion says nothing of
+    /// what it does since.
+    pub(crate) async fn wait_until_suspect(&self, vm: &VmId, after: Moment) {
         loop {
             let added = self.suspect_added.notified();
-            if self.is_suspect(vm) {
+            let found_at = self.view.borrow().suspects.get(vm).copied();
+            if found_at.is_some_and(|it| it > after) && self.is_suspect(vm) {
                 return;
             }
             added.await;
--- a/bins/mangocross-front/src/stream/forwarder.rs
+++ b/bins/mangocross-front/src/stream/forwarder.rs
@@ -6,6 +6,7 @@
 use http::Response;
 use mangocross_platform::AnswerHead;
 use mangocross_serving::CompleteEvents;
+use mangocross_serving::Moment;
 use mangocross_types::ResultCode;
 use mangocross_types::VmId;
 use tokio::sync::mpsc;
@@ -73,6 +74,20 @@
     Silent(&'static str),
 }
 
+/// The time since the last event of a stream.
+#[derive(Debug, Clone, Copy)]
+struct Silence {
+    since: Instant,
+    /// The same moment on the clock of suspicions.
+    since_boot: Moment,
+}
+
+impl Silence {
+    fn begin(call: &Call) -> Self {
+        Self { since: Instant::now(), since_boot: call.state.now() }
+    }
+}
+
 /// How a stream goes on.
 enum Next {
     /// From this server.
@@ -142,14 +157,14 @@
         let call = &self.call;
         let vm = source.vm.clone();
         let silence_max = call.route.event_gap_max.mul_f64(SILENCE_SHARE);
-        let mut silent_since = Instant::now();
+        let mut silence = Silence::begin(call);
         loop {
             let may_move = self.may_be_continued();
-            let silent_until = (silent_since + silence_max).max(search_from);
+            let silent_until = (silence.since + silence_max).max(search_from);
             let wake_at = if may_move { silent_until.min(call.ends_at) } else { call.ends_at };
             let received = tokio::select! {
                 it = source.receive() => it,
-                () = self.wait_until_stalled(&vm, silent_since, search_from), if may_move => {
+                () = self.wait_until_stalled(&vm, silence, search_from), if may_move => {
                     return Stop::Silent("group is stalled");
                 }
                 () = tokio::time::sleep_until(wake_at) => {
@@ -171,7 +186,7 @@
             }
             // The time that the caller took to read does not count as silence of the server.
             if has_content {
-                silent_since = Instant::now();
+                silence = Silence::begin(call);
             }
         }
     }
@@ -245,10 +260,10 @@
     }
 
     /// Waits until the streams of the server's group are stalled, this one among them.
-    async fn wait_until_stalled(&self, head: &VmId, silent_since: Instant, search_from: Instant) {
-        let earliest = (silent_since + STALL_SILENCE_MIN).max(search_from);
+    async fn wait_until_stalled(&self, head: &VmId, silence: Silence, search_from: Instant) {
+        let earliest = (silence.since + STALL_SILENCE_MIN).max(search_from);
         loop {
-            self.call.state.wait_until_suspect(head).await;
+            self.call.state.wait_until_suspect(head, silence.since_boot).await;
             if earliest <= Instant::now() {
                 return;
             }
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -149,7 +149,7 @@
             let may_send_beside = may_repeat && self.silent.is_none() && call.may_move();
             let first = tokio::select! {
                 it = first_answer(&mut latest, &mut self.silent) => it,
-                () = call.state.wait_until_suspect(&vm), if may_send_beside => {
+                () = call.state.wait_until_suspect(&vm, call.record.received_at), if may_send_beside => {
                     call.record.log_step("server silent", &vm, "before the first event");
                     self.runs += 1;
                     self.silent = Some(latest);
--- a/bins/mangocross-front/tests/front/log_points.rs
+++ b/bins/mangocross-front/tests/front/log_points.rs
@@ -26,7 +26,7 @@
     ("planner's key taken", &["revision"]),
     ("planner's term changed", &["is_planner"]),
     ("plan written", &["domain", "expected", "reasons", "revision"]),
-    ("order given", &["server", "order", "orders_accepted", "outcome"]),
+    ("order given", &["server", "order", "orders_accepted", "outcome", "term"]),
     ("readiness changed", &["is_ready", "reason"]),
     ("stream sent", &["request", "server", "detail", "age_ms", "left_out"]),
     ("request sent", &["request", "server", "detail", "age_ms", "left_out"]),
--- a/bins/mangocross-front/tests/front/silent_servers.rs
+++ b/bins/mangocross-front/tests/front/silent_servers.rs
@@ -17,6 +17,11 @@
 
 /// Time for which a server is silent.
 const SILENCE: Duration = Duration::from_millis(1200);
+/// Time for which a server is silent so that its group is suspect, but no longer than its callers
+/// wait.
+const SHORT_SILENCE: Duration = Duration::from_millis(1000);
+/// Time between two events of a server that is slow, but sound.
+const SLOW_PAUSE: Duration = Duration::from_millis(450);
 
 /// Sends the request of a stream on a new connection.
 fn open_stream(front: &Front, attempt: &str) -> BufReader<TcpStream> {
@@ -98,6 +103,24 @@
     assert_eq!(engines.iter().filter(runs_it).count(), 2);
 }
 
+/// Guards against a second run of a stream whose server paused once, went on and then writes slowly:
+/// the suspicion of the pause is over.
+#[test]
+fn stream_that_goes_on_after_a_silence_stays_with_its_server() {
+    let (_store, engines, front) = start_engines();
+    engines.iter().for_each(|it| it.set_event_pause(SLOW_PAUSE));
+    let mut stream = open_stream(&front, "resumed");
+    let mut answer = read_to_event(&mut stream, 1);
+    let head = only_head_of(&engines, "resumed");
+    head.fall_silent(SHORT_SILENCE);
+    answer.push_str(&read_to_event(&mut stream, 2));
+    engines.iter().for_each(|it| it.set_refusing(false));
+    stream.read_to_string(&mut answer).expect("an answer that ends");
+    assert_whole(&answer);
+    let runs = engines.iter().flat_map(Server::ran).filter(|it| it == "resumed").count();
+    assert_eq!(runs, 1);
+}
+
 /// Guards against groups that are dissolved, with all their answers, because a member pauses.
 #[test]
 fn silence_does_not_dissolve_a_group() {
