fix(front): an engine that wants nothing for a while is not taken for lost

Cause: a question for a report that was answered 503 with Retry-After counted as no answer. After 1.5 s the engine was lost, and a spare took its place although it lived and its streams went on. Usual questions also went on during the time for which it wants nothing.

Ruled out: holding back orders and all questions as well (a group that is to close would wait for its members' load, and a lost member would not be noticed); counting any 503 as a sign of life (without a time it tells nothing of the process's intent and never ends).

Change: a question that is turned away with a time proves the process: no miss. Usual questions wait while the engine wants nothing, 10 s at most; those on which a decision depends go on, once a second if the last one was turned away.

--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -22,6 +22,7 @@
 use mangocross_platform::encode_order;
 use mangocross_platform::order_outcome;
 use mangocross_platform::report_path;
+use mangocross_platform::server_notice;
 use mangocross_serving::BackendServer;
 use mangocross_serving::CompleteView;
 use mangocross_serving::DomainPlan;
@@ -148,6 +149,7 @@
         }
         let progress = view.progress.latest(now).filter(|(_, age)| *age < PROGRESS_AGE_MAX);
         planner.set_progressing_heads(progress.map(|(vm, _)| vm.clone()).collect());
+        planner.set_paused_servers(view.paused_servers(now).cloned().collect());
         for (head, at) in view.suspects(now) {
             planner.mark_suspect(head, at);
         }
@@ -288,11 +290,14 @@
     let exchange =
         exchange(state, vm, address, connection, Method::GET, report_path(), Bytes::new());
     let answer = tokio::time::timeout_at(began_at + PROBE_TIMEOUT, exchange).await;
-    let Ok(Some((status, body))) = answer else {
+    let Ok(Some(Answer { status, pause, body })) = answer else {
         // Only a new connection shows whether the machine can still be reached.
         state.pool.close_idle(address);
         return Err(ProbeFailure::NoAnswer);
     };
+    if pause.is_some() {
+        return Err(ProbeFailure::TurnedAway);
+    }
     match decode_report(&body) {
         Ok(report) if status.is_success() => Ok(report),
         Ok(_) => Err(ProbeFailure::NoAnswer),
@@ -314,7 +319,7 @@
     let (path, body) = encode_order(order, orders_accepted);
     let exchange = call_server(state, vm, address, Method::POST, path, body);
     match tokio::time::timeout(ORDER_TIMEOUT, exchange).await {
-        Ok(Ok((status, _))) => order_outcome(status),
+        Ok(Ok(answer)) => order_outcome(answer.status),
         Ok(Err(ConnectError::Refused)) => OrderOutcome::NoProcess,
         Ok(Err(ConnectError::Unreachable)) | Err(_) => OrderOutcome::Unknown,
     }
@@ -327,13 +332,21 @@
     method: Method,
     path: &str,
     body: Bytes,
-) -> Result<(StatusCode, Bytes), ConnectError> {
+) -> Result<Answer, ConnectError> {
     let connection = state.pool.get(address, PROBE_CONNECT_FAILURES).await?;
     let answer = exchange(state, vm, address, connection, method, path, body).await;
     answer.ok_or(ConnectError::Unreachable)
 }
 
-/// Sends a request to an engine; returns status and body, or `None` without a complete answer.
+/// An engine's answer to a question or an order.
+struct Answer {
+    status: StatusCode,
+    /// Time for which the engine wants nothing, if it turned the request away.
+    pause: Option<Duration>,
+    body: Bytes,
+}
+
+/// Sends a request to an engine; returns `None` without a complete answer.
 async fn exchange(
     state: &AppState,
     vm: &VmId,
@@ -342,7 +355,7 @@
     method: Method,
     path: &str,
     body: Bytes,
-) -> Option<(StatusCode, Bytes)> {
+) -> Option<Answer> {
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().ok()?;
@@ -351,7 +364,8 @@
     let response = connection.send(request).await.ok()?;
     state.record_notice(process.as_ref(), &response);
     let status = response.status();
+    let pause = server_notice(status, response.headers()).pause.filter(|it| !it.is_zero());
     let body = Limited::new(response.into_body(), REPORT_BYTES_MAX).collect().await.ok()?;
     state.pool.put(connection, None).await;
-    Some((status, body.to_bytes()))
+    Some(Answer { status, pause, body: body.to_bytes() })
 }
--- a/bins/mangocross-front/src/server_notices.rs
+++ b/bins/mangocross-front/src/server_notices.rs
@@ -118,11 +118,16 @@
         self.notices.first_return(self.servers.values().filter(is_candidate), now)
     }
 
+    /// Returns the listed servers that want no requests for now.
+    pub(crate) fn paused_servers(&self, now: Moment) -> impl Iterator<Item = &VmId> {
+        let servers = self.servers.values();
+        let paused = servers.filter(move |it| self.notices.pause_left(it, now).is_some());
+        paused.map(|it| &it.vm)
+    }
+
     /// Returns the numbers of listed servers that are leaving, and of those that are paused.
     pub(crate) fn held_servers(&self, now: Moment) -> [(&'static str, usize); 2] {
-        let servers = || self.servers.values();
-        let leaving = servers().filter(|it| self.notices.is_leaving(it)).count();
-        let paused = servers().filter(|it| self.notices.pause_left(it, now).is_some()).count();
-        [("leaving", leaving), ("paused", paused)]
+        let leaving = self.servers.values().filter(|it| self.notices.is_leaving(it)).count();
+        [("leaving", leaving), ("paused", self.paused_servers(now).count())]
     }
 }
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -5,6 +5,7 @@
 mod answer_ends;
 mod log_points;
 mod metrics;
+mod paused_servers;
 mod planner_view;
 mod platform;
 mod relays;
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -42,6 +42,7 @@
 pub(crate) use self::servers::Server;
 pub(crate) use self::servers::StreamFault;
 pub(crate) use self::start::start_engines;
+pub(crate) use self::start::start_engines_of;
 pub(crate) use self::start::start_plain;
 pub(crate) use self::start::wait_until;
 pub(crate) use self::store::Entrance;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -53,9 +53,13 @@
     is_leaving: bool,
     /// `Retry-After` with which requests are refused.
     retry_after: Option<String>,
+    /// Whether orders and questions for reports are turned away like requests.
+    turns_planner_away: bool,
     /// Attempts that arrived, in order, also those that were refused.
     arrived: Vec<String>,
     orders: u64,
+    /// Questions for reports that arrived.
+    reports: usize,
     group: Value,
     model: Option<String>,
     /// Attempts that ran, in order.
@@ -152,6 +156,16 @@
         lock(&self.state).retry_after = value.map(str::to_owned);
     }
 
+    /// Sets whether orders and questions for reports are turned away like requests.
+    pub(crate) fn set_turning_planner_away(&self, turns_away: bool) {
+        lock(&self.state).turns_planner_away = turns_away;
+    }
+
+    /// Returns the number of questions for reports that reached the server.
+    pub(crate) fn reports(&self) -> usize {
+        lock(&self.state).reports
+    }
+
     /// Sets how answers to requests end.
     pub(crate) fn set_answer_end(&self, end: AnswerEnd) {
         lock(&self.state).answer_end = end;
@@ -318,7 +332,12 @@
 
     fn serve(&self, request: &Request, stream: &mut TcpStream) {
         self.wait_while_silent();
+        let is_report = request.target == "/-/report";
+        lock(&self.state).reports += usize::from(is_report);
         match request.target.as_str() {
+            "/-/report" | "/-/order" if lock(&self.state).turns_planner_away => {
+                answer(stream, 503, &format!("{}{}", self.notice(), self.retry_after()), "");
+            }
             "/-/report" => {
                 let status = self.status(&lock(&self.state));
                 answer(stream, 200, self.notice(), &status.to_string());
@@ -333,6 +352,12 @@
         if lock(&self.state).is_leaving { "Server-Leaving: 1\r\n" } else { "" }
     }
 
+    /// Returns the header by which refusals say for how long the server wants nothing.
+    fn retry_after(&self) -> String {
+        let value = lock(&self.state).retry_after.clone();
+        value.map_or_else(String::new, |it| format!("Retry-After: {it}\r\n"))
+    }
+
     fn run(&self, request: &Request, stream: &mut TcpStream) {
         let attempt = request.header("Attempt-Id").unwrap_or_default().to_owned();
         let crashes = self.has_crashing_part(request);
@@ -343,14 +368,13 @@
             answer(stream, 421, &format!("Attempt-Id: {attempt}\r\n{notice}"), "");
             return;
         }
-        let (refuses, retry_after) = {
+        let retry_after = self.retry_after();
+        let refuses = {
             let mut state = lock(&self.state);
             state.arrived.push(attempt.clone());
-            let retry_after = state.retry_after.as_ref().map(|it| format!("Retry-After: {it}\r\n"));
-            (state.is_refusing || is_closed(&state) || retry_after.is_some(), retry_after)
+            state.is_refusing || is_closed(&state) || !retry_after.is_empty()
         };
         if refuses || (self.service == "models" && !self.wait_for_members()) {
-            let retry_after = retry_after.unwrap_or_default();
             let headers =
                 format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n{notice}{retry_after}");
             answer(stream, 503, &headers, "turned away");
--- a/bins/mangocross-front/tests/front/platform/start.rs
+++ b/bins/mangocross-front/tests/front/platform/start.rs
@@ -27,13 +27,18 @@
 
 /// Starts a store, four engines, which form two groups, and an entry VM.
 pub(crate) fn start_engines() -> (Store, Vec<Server>, Front) {
+    start_engines_of(4)
+}
+
+/// Starts a store, engines, which form groups of two, and an entry VM.
+pub(crate) fn start_engines_of(count: usize) -> (Store, Vec<Server>, Front) {
     let store = Store::spawn();
     store.configure(3, &["k1"]);
     let engines: Vec<Server> =
-        ["e1", "e2", "e3", "e4"].iter().map(|it| Server::spawn(&store, it, "models")).collect();
+        (1..=count).map(|number| Server::spawn(&store, &format!("e{number}"), "models")).collect();
     let front = Front::spawn(&store, 60_000, Stdio::null());
     front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
-    wait_for_metric(&front, r#"front_groups{state="open"} 2"#);
+    wait_for_metric(&front, &format!(r#"front_groups{{state="open"}} {}"#, count / 2));
     (store, engines, front)
 }
 
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -165,6 +165,8 @@
     weight_load_limiter: WeightLoadLimiter,
     /// Heads whose streams progressed recently.
     progressing: HashSet<VmId>,
+    /// Servers that want no requests for now.
+    paused: HashSet<VmId>,
     /// When the newest server of each fabric domain appeared.
     newest_server_at: HashMap<FabricDomain, Moment>,
     /// The servers of each fabric domain as of the last decision, in order of their ids.
@@ -185,6 +187,7 @@
             group_states: HashMap::new(),
             weight_load_limiter: WeightLoadLimiter::default(),
             progressing: HashSet::new(),
+            paused: HashSet::new(),
             newest_server_at: HashMap::new(),
             by_domain: HashMap::new(),
         }
@@ -317,6 +320,14 @@
         self.progressing = heads;
     }
 
+    /// Replaces the set of servers that want no requests for now.
+    ///
+    /// Their usual probes wait. Orders, and probes on which a decision depends, are sent all the
+    /// same.
+    pub fn set_paused_servers(&mut self, servers: HashSet<VmId>) {
+        self.paused = servers;
+    }
+
     /// Marks the group of a head as suspect because its streams were found stalled.
     pub fn mark_suspect(&mut self, head: &VmId, at: Moment) {
         let Some(group) = self.group_of_head(head) else { return };
--- a/crates/mangocross-serving/src/planner/orders.rs
+++ b/crates/mangocross-serving/src/planner/orders.rs
@@ -8,6 +8,7 @@
 use super::PlannerAction;
 use super::Probe;
 use super::SentOrder;
+use super::server_health::PAUSED_PROBE_INTERVAL;
 use super::server_health::PROBE_INTERVAL;
 use crate::BackendServer;
 use crate::EngineOrder;
@@ -80,6 +81,8 @@
             if tracked.server.engine.domain.is_none() {
                 continue;
             }
+            let is_paused = self.paused.contains(vm);
+            let interval = if is_paused { interval.max(PAUSED_PROBE_INTERVAL) } else { interval };
             if tracked.health.try_begin_probe(now, interval) {
                 let address = tracked.server.address;
                 actions.push(PlannerAction::Probe(Probe { vm: vm.clone(), address }));
--- a/crates/mangocross-serving/src/planner/server_health.rs
+++ b/crates/mangocross-serving/src/planner/server_health.rs
@@ -15,6 +15,10 @@
 const SLOW_REPORTS: u32 = 2;
 /// Minimum time between probes of a server that responds.
 pub(super) const PROBE_INTERVAL: Duration = Duration::from_millis(2500);
+/// Minimum time between probes of a responding server that wants no requests for now.
+pub(super) const PAUSED_PROBE_INTERVAL: Duration = Duration::from_secs(10);
+/// Minimum time between probes of a server that turned the last one away.
+const TURNED_AWAY_PROBE_INTERVAL: Duration = Duration::from_millis(1000);
 /// Minimum time between probes of a lost server.
 const LOST_PROBE_INTERVAL: Duration = Duration::from_millis(800);
 /// Minimum time between probes of an unresponsive server that is not lost yet.
@@ -31,6 +35,8 @@
     NoConnection,
     /// The connection was established, but no valid answer came: the process may be pausing.
     NoAnswer,
+    /// The server refused to answer for a while, so its process is running.
+    TurnedAway,
 }
 
 /// Probe results of one server.
@@ -45,6 +51,8 @@
     /// Whether the last of these probes found no connection.
     is_unreachable: bool,
     has_no_process: bool,
+    /// Whether the server refused to answer the last probe.
+    is_turned_away: bool,
     slow_reports: u32,
     slowdown: f64,
 }
@@ -99,6 +107,8 @@
             LOST_PROBE_INTERVAL
         } else if self.is_unresponsive() {
             UNRESPONSIVE_PROBE_INTERVAL
+        } else if self.is_probe_urgent && self.is_turned_away {
+            TURNED_AWAY_PROBE_INTERVAL
         } else if self.is_probe_urgent {
             URGENT_PROBE_INTERVAL
         } else if self.misses > 0 {
@@ -122,8 +132,15 @@
 
     pub(super) fn record_failure(&mut self, failure: ProbeFailure) {
         self.is_probing = false;
+        self.is_turned_away = failure == ProbeFailure::TurnedAway;
         match failure {
             ProbeFailure::NoProcess => self.has_no_process = true,
+            ProbeFailure::TurnedAway => {
+                self.misses = 0;
+                self.silent_since = None;
+                self.is_unreachable = false;
+                self.has_no_process = false;
+            }
             ProbeFailure::NoConnection | ProbeFailure::NoAnswer => {
                 self.misses += 1;
                 self.silent_since = self.silent_since.or(self.probed_at);
--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -39,6 +39,8 @@
 pub(crate) enum Connectivity {
     /// Requests are answered.
     Answers,
+    /// Requests are refused with a time for which the engine wants none.
+    TurnsAway,
     /// Connections are accepted, but nothing is answered.
     Pausing,
     /// Connections hang.
@@ -76,6 +78,8 @@
     pub(crate) weight_loads: Vec<Moment>,
     /// Number of probes of engines.
     pub(crate) probes: usize,
+    /// Engines whose answers said that they want nothing for now.
+    pub(crate) paused: HashSet<VmId>,
     /// Number of attempted writes to the store.
     pub(crate) writes: usize,
     /// Engines whose responses to orders are lost.
@@ -100,6 +104,7 @@
             now: Moment::after_boot(Duration::from_secs(100)),
             weight_loads: Vec::new(),
             probes: 0,
+            paused: HashSet::new(),
             writes: 0,
             loses_responses_of: HashSet::new(),
             fetches_at_full_duration: false,
@@ -183,6 +188,7 @@
         }
         let listed: Vec<BackendServer> =
             self.engines.values().filter(|it| it.is_listed).map(|it| it.server.clone()).collect();
+        self.planner.set_paused_servers(self.paused.clone());
         for action in self.planner.next_actions(listed.iter(), self.now) {
             self.execute(action);
         }
@@ -223,6 +229,9 @@
                         };
                         self.planner.record_probe_answer(&probe.vm, report);
                     }
+                    Connectivity::TurnsAway => {
+                        self.planner.record_probe_failure(&probe.vm, ProbeFailure::TurnedAway);
+                    }
                     Connectivity::Pausing => {
                         self.planner.record_probe_failure(&probe.vm, ProbeFailure::NoAnswer);
                     }
@@ -259,7 +268,9 @@
         let engine = self.engines.get_mut(id).expect("an engine");
         match engine.connectivity {
             Connectivity::Answers => {}
-            Connectivity::Pausing | Connectivity::Silent => return OrderOutcome::Unknown,
+            Connectivity::TurnsAway | Connectivity::Pausing | Connectivity::Silent => {
+                return OrderOutcome::Unknown;
+            }
             Connectivity::NoProcess => return OrderOutcome::NoProcess,
         }
         if engine.orders_accepted != expected {
