test(front): each path of a request past a server that leaves or wants nothing

Cause: only the first choice was tested. Repeats, requests after a refusal or 421, after a failed connection, beside a silent attempt, and resumed streams with their last resort were not.

Ruled out: a check again after the connection was opened, since that takes 300 ms at most and the bounds are longer.

Change: a table of what happens to a request at its first server, for both notices and all kinds of request, with the server that wants none as the only other choice.

--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -4,6 +4,7 @@
 mod idle_connections;
 mod answer_ends;
 mod log_points;
+mod held_servers;
 mod metrics;
 mod paused_servers;
 mod planner_view;
