--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -211,8 +211,9 @@
     /// Waits until a server that was asked to continue the stream has been silent for too long.
     async fn wait_until_silent(&self, vm: &VmId) {
         let silence_max = self.call.route.event_gap_max.mul_f64(SUCCESSOR_SILENCE_SHARE);
+        let asked_at = self.call.state.now();
         tokio::select! {
-            () = self.call.state.wait_until_suspect(vm) => {}
+            () = self.call.state.wait_until_suspect(vm, asked_at) => {}
             () = tokio::time::sleep(silence_max) => {}
         }
     }
