fix(front): read the silent attempt while the request is sent to another server

Once a server was silent, nobody read its attempt until the next one was sent: while a connection was opened, or a group with room was waited for. An answer that arrived meanwhile waited, up to about a second if several servers could not be reached, and further servers were connected to for a request that had its answer.

Cause: the sending of the next attempt was awaited alone. It is now raced against the silent attempt, in streams before their first event and in plain requests. A silent attempt that fails meanwhile is recorded once the next one is sent or cannot be sent.

plain_answer_is_read_while_connections_to_other_servers_are_opened and stream_is_read_while_connections_to_other_heads_are_opened count failed connections of a request whose answer comes before the last one. Both failed before: all four, and all three, were tried. The stand-ins learn to leave connections unanswered (their accept queue is full).

--- a/bins/mangocross-front/src/first_answer.rs
+++ b/bins/mangocross-front/src/first_answer.rs
@@ -5,23 +5,24 @@
 use std::pin::Pin;
 use std::task::Poll;
 
-/// The attempt that ended first, with its result.
+/// What ended first, with its result.
 #[derive(Debug)]
-pub(crate) enum FirstAnswer<T> {
-    /// The attempt that was sent last.
-    Latest(T),
+pub(crate) enum FirstAnswer<L, E> {
+    /// The attempt that was sent last, or that is being sent.
+    Latest(L),
     /// The earlier attempt, whose server was silent.
-    Earlier(T),
+    Earlier(E),
 }
 
-/// Waits until one of two attempts ends; an earlier attempt that has ended is removed.
+/// Waits until the latest attempt, or the sending of one, or an earlier attempt ends; an earlier
+/// attempt that has ended is removed.
 ///
 /// A server that is silent may only be pausing, so an attempt is given up only once another one
 /// has an answer.
-pub(crate) async fn first_answer<F: Future + Unpin>(
-    latest: &mut F,
-    earlier: &mut Option<F>,
-) -> FirstAnswer<F::Output> {
+pub(crate) async fn first_answer<L: Future + Unpin, E: Future + Unpin>(
+    latest: &mut L,
+    earlier: &mut Option<E>,
+) -> FirstAnswer<L::Output, E::Output> {
     let Some(silent) = earlier else { return FirstAnswer::Latest(latest.await) };
     let first = tokio::select! {
         biased;
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -82,17 +82,47 @@
 
     async fn run(mut self) -> Response<AnswerBody> {
         loop {
-            match self.send_next().await {
-                Ok(attempt) => {
+            match self.send_beside_silent().await {
+                FirstAnswer::Latest(Ok(attempt)) => {
                     if let Some(response) = self.wait(attempt).await {
                         return response;
                     }
                 }
-                Err(reason) => return self.end_not_sent(reason).await,
+                FirstAnswer::Latest(Err(reason)) => return self.end_not_sent(reason).await,
+                FirstAnswer::Earlier(response) => return response,
             }
         }
     }
 
+    /// Sends the request to the next server; returns the silent attempt's answer if it comes before.
+    async fn send_beside_silent(
+        &mut self,
+    ) -> FirstAnswer<Result<PendingAttempt<'a>, &'static str>, Response<AnswerBody>> {
+        let call = self.call;
+        let mut silent = self.silent.take();
+        let mut failed = None;
+        let sent = {
+            let sending = self.send_next();
+            tokio::pin!(sending);
+            loop {
+                match first_answer(&mut sending, &mut silent).await {
+                    FirstAnswer::Latest(it) => break it,
+                    FirstAnswer::Earlier((vm, AttemptResult::Answered(response))) => {
+                        call.state.record_outcome(&vm, false);
+                        call.record.answer_completed();
+                        return FirstAnswer::Earlier(response);
+                    }
+                    FirstAnswer::Earlier(it) => failed = Some(it),
+                }
+            }
+        };
+        self.silent = silent;
+        if let Some((vm, result)) = failed {
+            self.end_silent(&vm, result);
+        }
+        FirstAnswer::Latest(sent)
+    }
+
     /// Sends the request to the best server that has not been tried.
     ///
     /// # Errors
@@ -200,19 +230,26 @@
         let Ok((vm, result)) = tokio::time::timeout_at(call.ends_at, silent).await else {
             return Some(timeout_response(call, true));
         };
+        self.end_silent(&vm, result)
+    }
+
+    /// Records the end of the silent attempt, which has been counted as one that may have run;
+    /// returns its answer, if it has one.
+    fn end_silent(&mut self, vm: &VmId, result: AttemptResult) -> Option<Response<AnswerBody>> {
+        let call = self.call;
         match result {
             AttemptResult::Answered(response) => {
-                call.state.record_outcome(&vm, false);
+                call.state.record_outcome(vm, false);
                 call.record.answer_completed();
                 Some(response)
             }
             AttemptResult::NotRun(reason) => {
                 self.runs = self.runs.saturating_sub(1);
-                call.record.log_step("not run", &vm, reason);
+                call.record.log_step("not run", vm, reason);
                 None
             }
             AttemptResult::Failed(reason, ..) => {
-                call.record.log_step("attempt failed", &vm, reason);
+                call.record.log_step("attempt failed", vm, reason);
                 None
             }
         }
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -55,6 +55,9 @@
 /// A started stream and the number of attempts that may have run, including its own.
 pub(super) type Start = Result<(StartedStream, u32), Response<AnswerBody>>;
 
+/// Server and pending result of an attempt that was sent.
+type SentAttempt<'a> = (VmId, PendingAttempt<'a>);
+
 /// The search for a group that starts a stream.
 pub(super) struct StreamStart<'a> {
     call: &'a Call,
@@ -75,19 +78,44 @@
     /// Returns a started stream, or the answer that tells why there is none.
     pub(super) async fn run(mut self) -> Start {
         loop {
-            match self.send_next().await {
-                Ok((vm, attempt)) => {
+            match self.send_beside_silent().await {
+                FirstAnswer::Latest(Ok((vm, attempt))) => {
                     if let Some(start) = self.wait(vm, attempt).await {
                         return start;
                     }
                 }
-                Err(not_sent) => return self.end_not_sent(not_sent).await,
+                FirstAnswer::Latest(Err(not_sent)) => return self.end_not_sent(not_sent).await,
+                FirstAnswer::Earlier(started) => return Ok((*started, self.runs)),
             }
         }
     }
 
+    /// Sends the request to the next head; returns the silent attempt's stream if it starts before.
+    async fn send_beside_silent(
+        &mut self,
+    ) -> FirstAnswer<Result<SentAttempt<'a>, NotSent>, Box<StartedStream>> {
+        let mut silent = self.silent.take();
+        let mut failed = None;
+        let sent = {
+            let sending = self.send_next();
+            tokio::pin!(sending);
+            loop {
+                match first_answer(&mut sending, &mut silent).await {
+                    FirstAnswer::Latest(it) => break it,
+                    FirstAnswer::Earlier((_, Ok(it))) => return FirstAnswer::Earlier(Box::new(it)),
+                    FirstAnswer::Earlier((vm, Err(error))) => failed = Some((vm, error)),
+                }
+            }
+        };
+        self.silent = silent;
+        if let Some((vm, error)) = failed {
+            self.record_silent_failure(&vm, &error).await;
+        }
+        FirstAnswer::Latest(sent)
+    }
+
     /// Sends the request to the best head that has not been tried.
-    async fn send_next(&mut self) -> Result<(VmId, PendingAttempt<'a>), NotSent> {
+    async fn send_next(&mut self) -> Result<SentAttempt<'a>, NotSent> {
         let call = self.call;
         if call.is_quarantined() {
             let (code, reason) = QUARANTINED_REFUSAL;
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -1,8 +1,9 @@
 //! Tests of the program as a process, between callers and a small stand-in of the platform.
 
+mod answer_ends;
+mod answers_meanwhile;
 mod crashing_parts;
 mod idle_connections;
-mod answer_ends;
 mod log_points;
 mod metrics;
 mod planner_view;
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod machine;
 mod servers;
+mod silence;
 mod start;
 mod store;
 
@@ -43,6 +44,7 @@
 pub(crate) use self::servers::StreamFault;
 pub(crate) use self::start::start_engines;
 pub(crate) use self::start::start_groups;
+pub(crate) use self::start::start_groups_with_log;
 pub(crate) use self::start::start_plain;
 pub(crate) use self::start::wait_until;
 pub(crate) use self::store::Entrance;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -46,7 +46,7 @@
 }
 
 #[derive(Debug, Default)]
-struct State {
+pub(super) struct State {
     stream_fault: StreamFault,
     answer_end: AnswerEnd,
     /// Whether all answers say that the server is leaving.
@@ -80,7 +80,9 @@
     /// Time between two events.
     event_pause: Duration,
     /// Until when nothing is answered, and no stream goes on.
-    silent_until: Option<Instant>,
+    pub(super) silent_until: Option<Instant>,
+    /// Time before the head of a stream is sent.
+    pub(super) head_pause: Duration,
     /// Violated guarantees that the server observed.
     violations: Vec<String>,
 }
@@ -93,8 +95,8 @@
     store: Store,
     /// Address in the server's entry, at which entry VMs reach it.
     advertised: SocketAddr,
-    state: Arc<Mutex<State>>,
-    machine: Arc<Machine>,
+    pub(super) state: Arc<Mutex<State>>,
+    pub(super) machine: Arc<Machine>,
 }
 
 impl Server {
@@ -214,23 +216,6 @@
         lock(&self.state).event_pause = pause;
     }
 
-    /// Makes the server silent for a while: it accepts connections, but nothing is answered and no
-    /// stream goes on.
-    pub(crate) fn fall_silent(&self, duration: Duration) {
-        lock(&self.state).silent_until = Some(Instant::now() + duration);
-    }
-
-    fn wait_while_silent(&self) {
-        loop {
-            let until = lock(&self.state).silent_until;
-            let rest = until.map(|it| it.saturating_duration_since(Instant::now()));
-            match rest {
-                Some(rest) if !rest.is_zero() => thread::sleep(rest),
-                Some(_) | None => return,
-            }
-        }
-    }
-
     /// Returns the incarnation of the group that the server is in.
     pub(crate) fn incarnation(&self) -> Option<u64> {
         lock(&self.state).group["epoch"].as_u64()
@@ -491,6 +476,8 @@
         let status = if fault == StreamFault::EndlessFailure { 500 } else { 200 };
         let head =
             format!("HTTP/1.1 {status} Status\r\nTransfer-Encoding: chunked\r\n{headers}\r\n");
+        let head_pause = lock(&self.state).head_pause;
+        thread::sleep(head_pause);
         let _ = stream.write_all(head.as_bytes());
         if crashes {
             thread::sleep(CRASH_DELAY);
--- a/bins/mangocross-front/tests/front/platform/start.rs
+++ b/bins/mangocross-front/tests/front/platform/start.rs
@@ -40,11 +40,20 @@
 /// Starts a store, two engines for each of several groups, and an entry VM that sends a stream to at
 /// most `attempts_max` servers.
 pub(crate) fn start_groups(groups: usize, attempts_max: u32) -> (Store, Vec<Server>, Front) {
+    start_groups_with_log(groups, attempts_max, Stdio::null())
+}
+
+/// Like `start_groups`, with the log of the entry VM written to `log`.
+pub(crate) fn start_groups_with_log(
+    groups: usize,
+    attempts_max: u32,
+    log: Stdio,
+) -> (Store, Vec<Server>, Front) {
     let store = Store::spawn();
     store.configure_with(3, &["k1"], |it| it["routes"][0]["max_attempts"] = attempts_max.into());
     let engines: Vec<Server> =
         (1..=2 * groups).map(|it| Server::spawn(&store, &format!("e{it}"), "models")).collect();
-    let front = Front::spawn(&store, 60_000, Stdio::null());
+    let front = Front::spawn(&store, 60_000, log);
     front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
     wait_for_metric(&front, &format!(r#"front_groups{{state="open"}} {groups}"#));
     (store, engines, front)
