fix(front): headers keep the time limit under which they began

A version of the configuration with a shorter header time closed connections on which the headers of a request were arriving, though their caller could not know the new limit: the request ended without an answer.

Cause: the limit in force at the check was applied, not the one in force when the headers began. A connection now keeps the longest of both limits since it entered its state, and a shorter one binds 4 s after the change. The recent limits are recorded for each new connection as well, since a version may be in force for less than the 500 ms between two checks.

--- a/bins/mangocross-front/src/connection.rs
+++ b/bins/mangocross-front/src/connection.rs
@@ -13,7 +13,6 @@
 use hyper::rt::Write;
 use hyper_util::rt::TokioIo;
 use mangocross_serving::BootClock;
-use mangocross_serving::CallerLimits;
 use mangocross_serving::Moment;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -42,15 +41,33 @@
     Headers,
 }
 
+/// Time limits of a connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TimeLimits {
+    /// Maximum time that a connection may be idle between requests.
+    pub(crate) idle_timeout: Duration,
+    /// Maximum time to receive the headers of a request.
+    pub(crate) header_timeout: Duration,
+}
+
+impl TimeLimits {
+    fn longest(self, other: Self) -> Self {
+        Self {
+            idle_timeout: self.idle_timeout.max(other.idle_timeout),
+            header_timeout: self.header_timeout.max(other.header_timeout),
+        }
+    }
+}
+
 /// State of a caller's connection and when it was entered.
 #[derive(Debug)]
 pub(crate) struct ConnectionState {
     phase: Cell<Phase>,
     since: Cell<Moment>,
-    /// Longest idle limit that was in force since the connection became idle.
-    idle_timeout: Cell<Duration>,
-    /// Idle limit at the last check.
-    latest_idle_timeout: Cell<Duration>,
+    /// Longest limits that were in force since the state was entered.
+    limits: Cell<TimeLimits>,
+    /// Limits that were set last.
+    latest_limits: Cell<TimeLimits>,
     clock: SystemBootClock,
     /// Asks the connection's task to close it as soon as it is idle.
     pub(crate) close: Notify,
@@ -58,12 +75,12 @@
 
 impl ConnectionState {
     /// Creates the state of a new connection, which is idle.
-    pub(crate) fn new(clock: SystemBootClock, idle_timeout: Duration) -> Rc<Self> {
+    pub(crate) fn new(clock: SystemBootClock, limits: TimeLimits) -> Rc<Self> {
         Rc::new(Self {
             phase: Cell::new(Phase::Idle),
             since: Cell::new(clock.now()),
-            idle_timeout: Cell::new(idle_timeout),
-            latest_idle_timeout: Cell::new(idle_timeout),
+            limits: Cell::new(limits),
+            latest_limits: Cell::new(limits),
             clock,
             close: Notify::new(),
         })
@@ -71,7 +88,7 @@
 
     fn enter(&self, phase: Phase) {
         self.phase.set(phase);
-        self.idle_timeout.set(self.latest_idle_timeout.get());
+        self.limits.set(self.latest_limits.get());
         self.since.set(self.clock.now());
     }
 
@@ -92,16 +109,21 @@
         self.phase.get() == Phase::Headers
     }
 
-    /// Returns the time limit that the connection has exceeded.
+    /// Sets the limits that are in force.
     ///
-    /// A caller may know only the idle limit under which the connection became idle, so a shorter
-    /// one applies from the next time on.
-    pub(crate) fn overdue(&self, now: Moment, limits: &CallerLimits) -> Overdue {
+    /// A caller may know only the limits under which the connection became idle or the headers
+    /// began, so shorter ones apply from the next time on.
+    pub(crate) fn set_limits(&self, limits: TimeLimits) {
+        self.latest_limits.set(limits);
+        self.limits.set(self.limits.get().longest(limits));
+    }
+
+    /// Returns the time limit that the connection has exceeded.
+    pub(crate) fn overdue(&self, now: Moment) -> Overdue {
         let since = now.since(self.since.get());
-        self.latest_idle_timeout.set(limits.idle_timeout);
-        self.idle_timeout.set(self.idle_timeout.get().max(limits.idle_timeout));
+        let limits = self.limits.get();
         match self.phase.get() {
-            Phase::Idle if since > self.idle_timeout.get() => Overdue::Idle,
+            Phase::Idle if since > limits.idle_timeout => Overdue::Idle,
             Phase::Headers if since > limits.header_timeout => Overdue::Headers,
             Phase::Idle | Phase::Headers | Phase::Request => Overdue::No,
         }
--- a/bins/mangocross-front/src/ingress.rs
+++ b/bins/mangocross-front/src/ingress.rs
@@ -9,6 +9,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use mangocross_serving::CallerLimits;
+use mangocross_serving::Moment;
 use mangocross_serving::RecentMaximum;
 use slab::Slab;
 use tokio::net::TcpListener;
@@ -17,6 +18,7 @@
 
 use crate::connection::ConnectionState;
 use crate::connection::Overdue;
+use crate::connection::TimeLimits;
 use crate::connection::TrackedSocket;
 use crate::dispatch;
 use crate::pool;
@@ -24,16 +26,41 @@
 
 /// Time between checks for connections that exceed a time limit.
 const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after a change in which callers may still go by an earlier idle limit.
+/// Time after a change in which callers may still go by an earlier limit.
 const LIMIT_NOTICE_TIME: Duration = Duration::from_secs(4);
 /// Delay after a failed accept, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Fraction of the process's sockets that callers may use; the rest is for backend servers.
 const CALLER_SOCKET_RATIO: f64 = 0.6;
 
+/// The longest time limits that callers may go by.
+#[derive(Debug)]
+struct RecentLimits {
+    idle_timeouts: RecentMaximum,
+    header_timeouts: RecentMaximum,
+}
+
+impl RecentLimits {
+    fn new() -> Self {
+        Self {
+            idle_timeouts: RecentMaximum::new(LIMIT_NOTICE_TIME),
+            header_timeouts: RecentMaximum::new(LIMIT_NOTICE_TIME),
+        }
+    }
+
+    /// Records the limits that are in force, and returns the longest recent ones.
+    fn record(&mut self, limits: &CallerLimits, now: Moment) -> TimeLimits {
+        TimeLimits {
+            idle_timeout: self.idle_timeouts.record(limits.idle_timeout, now),
+            header_timeout: self.header_timeouts.record(limits.header_timeout, now),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct CallerConnections {
     connections: RefCell<Slab<Rc<ConnectionState>>>,
+    limits: RefCell<RecentLimits>,
     stop_accepting: Notify,
 }
 
@@ -63,6 +90,7 @@
         .map_err(|it| format!("[8102] {address} cannot be bound for callers: {it}"))?;
     let callers = Rc::new(CallerConnections {
         connections: RefCell::default(),
+        limits: RefCell::new(RecentLimits::new()),
         stop_accepting: Notify::new(),
     });
     tokio::task::spawn_local(accept(Rc::clone(&state), Rc::clone(&callers), listener));
@@ -101,7 +129,8 @@
         log::debug!(error:% = error; "socket options are not available");
     }
     let limits = state.configuration().map(|it| it.limits).unwrap_or_default();
-    let connection_state = ConnectionState::new(state.clock, limits.idle_timeout);
+    let time_limits = callers.limits.borrow_mut().record(&limits, state.now());
+    let connection_state = ConnectionState::new(state.clock, time_limits);
     let key = callers.connections.borrow_mut().insert(Rc::clone(&connection_state));
     let socket = TrackedSocket::new(stream, Rc::clone(&connection_state));
     let service = service_fn(|request: http::Request<Incoming>| {
@@ -126,8 +155,7 @@
             connection.as_mut().graceful_shutdown();
             break connection.await;
         }
-        let limits = state.configuration().map(|it| it.limits).unwrap_or_default();
-        if connection_state.overdue(state.now(), &limits) == Overdue::Headers {
+        if connection_state.overdue(state.now()) == Overdue::Headers {
             break Ok(());
         }
     };
@@ -139,15 +167,14 @@
 
 /// Closes connections that are idle, or receive headers, for longer than allowed.
 async fn close_overdue(state: Rc<AppState>, callers: Rc<CallerConnections>) {
-    let mut idle_timeouts = RecentMaximum::new(LIMIT_NOTICE_TIME);
     loop {
         tokio::time::sleep(OVERDUE_CHECK_INTERVAL).await;
         let Some(configuration) = state.configuration() else { continue };
         let now = state.now();
-        let idle_timeout = idle_timeouts.record(configuration.limits.idle_timeout, now);
-        let limits = CallerLimits { idle_timeout, ..configuration.limits };
+        let limits = callers.limits.borrow_mut().record(&configuration.limits, now);
         for (_, it) in callers.connections.borrow().iter() {
-            let overdue = it.overdue(now, &limits);
+            it.set_limits(limits);
+            let overdue = it.overdue(now);
             match overdue {
                 Overdue::No => {}
                 Overdue::Idle | Overdue::Headers => {
--- a/bins/mangocross-front/tests/front/idle_connections.rs
+++ b/bins/mangocross-front/tests/front/idle_connections.rs
@@ -46,6 +46,52 @@
     assert_eq!(client.send(RequestKind::Lookup, "after", "k1").status, 0);
 }
 
+/// Guards against a request that is lost because a new version of the configuration shortens the
+/// time for headers while its headers, or those of the next request, arrive.
+#[test]
+fn headers_keep_the_time_limit_under_which_they_began() {
+    let limits = |header_s| (Duration::from_secs(header_s), Duration::from_secs(15));
+    let store = Store::spawn();
+    let (header_timeout, idle_timeout) = limits(6);
+    store.configure_limits(3, &["k1"], header_timeout, idle_timeout);
+    let _servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    let begin = || {
+        let mut connection = TcpStream::connect(front.address).expect("a connection");
+        let head = "GET /lookup/x HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n";
+        connection.write_all(head.as_bytes()).expect("sent");
+        connection
+    };
+    let before = begin();
+    let (header_timeout, idle_timeout) = limits(1);
+    store.configure_limits(4, &["k1", "k2"], header_timeout, idle_timeout);
+    front.wait_for_status(200, "/lookup/x", &CALLER_HEADERS.replace("k1", "k2"));
+    let after = begin();
+    thread::sleep(Duration::from_millis(2500));
+    for (kind, mut connection) in [("before", before), ("after", after)] {
+        let mut answer = String::new();
+        let _ = connection.write_all(format!("{CALLER_HEADERS}\r\n").as_bytes());
+        let _ = connection.read_to_string(&mut answer);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{kind}: {answer:?}");
+    }
+}
+
+/// A connection whose headers do not end is closed once their time limit is over.
+#[test]
+fn connection_is_closed_after_the_time_limit_of_its_headers() {
+    let store = Store::spawn();
+    store.configure_limits(3, &["k1"], Duration::from_secs(1), Duration::from_secs(15));
+    let _servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    let mut connection = TcpStream::connect(front.address).expect("a connection");
+    connection.write_all(b"GET /lookup/x HTTP/1.1\r\n").expect("sent");
+    let mut answer = String::new();
+    connection.read_to_string(&mut answer).expect("the end of the connection");
+    assert_eq!(answer, "");
+}
+
 /// Guards against a request that is lost because the program stops while its headers arrive, on a
 /// new connection and on a kept one.
 #[test]
