--- a/bins/mangocross-front/tests/front/platform/machine.rs
+++ b/bins/mangocross-front/tests/front/platform/machine.rs
@@ -13,11 +13,17 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 use super::Request;
 use super::lock;
 
 /// Time between checks for new connections.
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+/// Number of new connections that wait to be accepted.
+const ACCEPT_QUEUE: i32 = 128;
+/// Time after which a connection counts as unanswered.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Default)]
 pub(super) struct Machine {
@@ -26,6 +32,10 @@
     listener: Mutex<Option<TcpListener>>,
     /// Time after a crash for which connections are still accepted, and closed.
     listens_on: Mutex<Duration>,
+    /// Whether attempts to connect are to remain unanswered.
+    is_deaf: AtomicBool,
+    /// Connections that fill the queue of those to be accepted, so that further ones are dropped.
+    queued: Mutex<Vec<TcpStream>>,
     /// Open connections by the callers' addresses.
     connections: Mutex<Vec<(SocketAddr, TcpStream)>>,
 }
@@ -67,7 +77,12 @@
         if listener.is_none() && !self.is_down() {
             *listener = TcpListener::bind(address).ok();
         }
-        let stream = accept(listener.as_ref()?)?;
+        let listener = listener.as_ref()?;
+        self.fill_or_clear_queue(listener);
+        if !lock(&self.queued).is_empty() {
+            return None;
+        }
+        let stream = accept(listener)?;
         let caller = stream.peer_addr().ok()?;
         if self.is_down() {
             return None;
@@ -76,6 +91,29 @@
         Some((stream, caller))
     }
 
+    fn fill_or_clear_queue(&self, listener: &TcpListener) {
+        let mut queued = lock(&self.queued);
+        let is_deaf = self.is_deaf.load(Ordering::SeqCst);
+        if is_deaf != queued.is_empty() {
+            return;
+        }
+        queued.clear();
+        let queue = if is_deaf { 0 } else { ACCEPT_QUEUE };
+        let address = listener.local_addr().expect("an address");
+        SockRef::from(listener).listen(queue).expect("a listening socket");
+        while is_deaf && let Ok(it) = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) {
+            queued.push(it);
+        }
+    }
+
+    /// Leaves attempts to connect without an answer, or goes on to accept connections.
+    pub(super) fn set_deaf(&self, is_deaf: bool) {
+        self.is_deaf.store(is_deaf, Ordering::SeqCst);
+        while lock(&self.queued).is_empty() == is_deaf {
+            thread::sleep(ACCEPT_INTERVAL);
+        }
+    }
+
     /// Sets for how long a crashed server still accepts connections, as one does whose listening
     /// process outlives the one that crashed.
     pub(super) fn set_listens_on(&self, duration: Duration) {
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -5,6 +5,7 @@
 mod front;
 mod machine;
 mod servers;
+mod silence;
 mod start;
 mod store;
 
@@ -37,6 +38,7 @@
 pub(crate) use self::start::start_engines;
 pub(crate) use self::start::start_engines_of;
 pub(crate) use self::start::start_groups;
+pub(crate) use self::start::start_groups_with_log;
 pub(crate) use self::start::start_plain;
 pub(crate) use self::start::wait_until;
 pub(crate) use self::store::Entrance;
