--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -18,4 +18,5 @@
 mod server_notices;
 mod soak;
 mod successors;
+mod store_era;
 mod whole_path;
