fix(front): silence of servers is judged as of the last check when this process is late

The check for stalled groups runs every 50 ms and judged silence as of now unless it came 200 ms after the one before. A check that is late by less than that, because the process did not run, judged servers before reading what they had sent meanwhile: with a limit of 600 ms, an event every 500 ms was enough for a suspicion.

Change: `SilenceChecks` decides as of which moment a check judges: now if it is on time, the check before if it is more than 10 ms late, not at all after 200 ms, as before. A process that is always late finds stalled groups a check later.

--- a/bins/mangocross-front/src/control.rs
+++ b/bins/mangocross-front/src/control.rs
@@ -4,14 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mangocross_serving::Moment;
+use mangocross_serving::SilenceChecks;
 use mangocross_types::VmId;
 
 use crate::state::AppState;
 
 /// Time between checks for stalled groups.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time since the last check from which a check is too late to judge the silence of servers.
-const LATE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Checks between two removals of expired entries.
 const CHECKS_PER_EXPIRY: u32 = 10;
 
@@ -25,16 +25,13 @@
         let mut ticker = tokio::time::interval(CHECK_INTERVAL);
         ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut checks = 0;
-        let mut checked_at = state.now();
+        let mut silence_checks = SilenceChecks::new(CHECK_INTERVAL, state.now());
         loop {
             ticker.tick().await;
             checks += 1;
-            let now = state.now();
-            // After a pause of this process, what servers sent meanwhile has not been read yet.
-            if now.since(checked_at) < LATE_CHECK_INTERVAL {
-                mark_stalled_heads(&state);
+            if let Some(judged_at) = silence_checks.next(state.now()) {
+                mark_stalled_heads(&state, judged_at);
             }
-            checked_at = now;
             remove_gone_servers(&state);
             if checks % CHECKS_PER_EXPIRY == 0 {
                 state.view.borrow_mut().expire(state.now());
@@ -49,9 +46,8 @@
     });
 }
 
-fn mark_stalled_heads(state: &AppState) {
-    let now = state.now();
-    let suspects: Vec<VmId> = state.view.borrow().progress.suspects(now).cloned().collect();
+fn mark_stalled_heads(state: &AppState, judged_at: Moment) {
+    let suspects: Vec<VmId> = state.view.borrow().progress.suspects(judged_at).cloned().collect();
     for head in suspects {
         if !state.is_suspect(&head) {
             log::warn!(server:% = head; "group suspect: all its streams are stalled");
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -20,6 +20,7 @@
 mod retry_budget;
 mod server_choice;
 mod server_notices;
+mod silence_checks;
 mod traffic;
 
 pub use admission::Admission;
@@ -80,6 +81,7 @@
 pub use server_notices::NoticeChange;
 pub use server_notices::ServerNotice;
 pub use server_notices::ServerNotices;
+pub use silence_checks::SilenceChecks;
 pub use traffic::BackendService;
 pub use traffic::CallerLimits;
 pub use traffic::EngineSpec;
