--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -1,5 +1,6 @@
 //! Backend servers: engines that form groups, and a plain service.
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -56,6 +57,8 @@
     /// Attempts that arrived, in order, also those that were refused.
     arrived: Vec<String>,
     orders: u64,
+    /// Orders that were carried out, with the times.
+    carried_out: Vec<(Instant, Value)>,
     group: Value,
     model: Option<String>,
     /// Attempts that ran, in order.
@@ -79,6 +82,8 @@
     opened_with: Vec<(String, Value)>,
     /// Time between two events.
     event_pause: Duration,
+    /// Longest time that a stream of an attempt was without an event, by attempt.
+    silences: BTreeMap<String, Duration>,
     /// Until when nothing is answered, and no stream goes on.
     silent_until: Option<Instant>,
     /// Violated guarantees that the server observed.
@@ -214,6 +219,17 @@
         lock(&self.state).event_pause = pause;
     }
 
+    /// Returns the orders that were carried out, in order, with the times.
+    pub(crate) fn carried_out(&self) -> Vec<(Instant, Value)> {
+        lock(&self.state).carried_out.clone()
+    }
+
+    /// Returns the longest time for which a stream of an attempt had no event, at most; on a busy
+    /// machine it exceeds the pause that was set.
+    pub(crate) fn longest_silence(&self, attempt: &str) -> Duration {
+        lock(&self.state).silences.get(attempt).copied().unwrap_or_default()
+    }
+
     /// Makes the server silent for a while: it accepts connections, but nothing is answered and no
     /// stream goes on.
     pub(crate) fn fall_silent(&self, duration: Duration) {
@@ -347,6 +363,7 @@
                 return;
             }
             state.orders += 1;
+            state.carried_out.push((Instant::now(), order.clone()));
             match order["operation"].as_str() {
                 Some("join") => {
                     let violation = self.open_group_violation(&state, &order);
@@ -491,6 +508,7 @@
         let status = if fault == StreamFault::EndlessFailure { 500 } else { 200 };
         let head =
             format!("HTTP/1.1 {status} Status\r\nTransfer-Encoding: chunked\r\n{headers}\r\n");
+        let mut silent_since = Instant::now();
         let _ = stream.write_all(head.as_bytes());
         if crashes {
             thread::sleep(CRASH_DELAY);
@@ -522,7 +540,14 @@
             }
             let event = format!("id: {id}\ndata: token\n\n");
             let event = if breaks && id == 3 { &event[..6] } else { &event };
+            let begun_at = Instant::now();
             let _ = stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
+            let silence = silent_since.elapsed();
+            silent_since = begun_at;
+            let mut state = lock(&self.state);
+            let longest = state.silences.entry(attempt.clone()).or_default();
+            *longest = silence.max(*longest);
+            drop(state);
             if breaks && id == 3 {
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 return;
