--- a/bins/mangocross-front/tests/front/planner_view.rs
+++ b/bins/mangocross-front/tests/front/planner_view.rs
@@ -1,7 +1,9 @@
 //! Tests of a planner, no relay itself, that loses the store while the others follow it.
 
+use std::cell::Cell;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::fleet::Fleet;
 use crate::fleet::GROUP_COUNT;
@@ -11,6 +13,9 @@
 use crate::fleet::wait_until;
 use crate::platform::Front;
 
+/// Time between two compactions of the store's history.
+const COMPACTION_INTERVAL: Duration = Duration::from_secs(5);
+
 /// The planner goes on renewing its key while the store gives it no keys, and what relays pass on
 /// names neither members of groups nor spares: a member that fails afterwards is to be replaced.
 #[test]
@@ -58,9 +63,16 @@
     let before = fleet.open_groups();
     let fronts = std::mem::take(&mut fleet.fronts);
     let (mut relays, rest): (Vec<Front>, Vec<Front>) = fronts.into_iter().partition(follows_store);
-    fleet.store.compact();
-    // Two heads and the plain server.
+    let compacted_at = Cell::new(None::<Instant>);
     wait_until("followers know a part", || {
+        // A follower that finds all relays reading reads the store itself, and knows all servers
+        // when it is back at a relay.
+        let is_over = compacted_at.get().is_none_or(|it| it.elapsed() > COMPACTION_INTERVAL);
+        if is_over && !rest.iter().any(follows_store) {
+            fleet.store.compact();
+            compacted_at.set(Some(Instant::now()));
+        }
+        // Two heads and the plain server.
         rest.iter().all(|it| has_metric(it, "front_backend_servers 3"))
     });
     relays.iter_mut().for_each(Front::kill);
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -2,6 +2,7 @@
 
 mod groups;
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -60,6 +61,8 @@
     orders: u64,
     /// Questions for reports that arrived.
     reports: usize,
+    /// Orders that were carried out, with the times.
+    carried_out: Vec<(Instant, Value)>,
     group: Value,
     model: Option<String>,
     /// Attempts that ran, in order.
@@ -83,6 +86,8 @@
     opened_with: Vec<(String, Value)>,
     /// Time between two events.
     event_pause: Duration,
+    /// Longest time that a stream of an attempt was without an event, by attempt.
+    silences: BTreeMap<String, Duration>,
     /// Until when nothing is answered, and no stream goes on.
     pub(super) silent_until: Option<Instant>,
     /// Time before the head of a stream is sent.
@@ -230,6 +235,17 @@
         lock(&self.state).event_pause = pause;
     }
 
+    /// Returns the orders that were carried out, in order, with the times.
+    pub(crate) fn carried_out(&self) -> Vec<(Instant, Value)> {
+        lock(&self.state).carried_out.clone()
+    }
+
+    /// Returns the longest time for which a stream of an attempt had no event, at most; on a busy
+    /// machine it exceeds the pause that was set.
+    pub(crate) fn longest_silence(&self, attempt: &str) -> Duration {
+        lock(&self.state).silences.get(attempt).copied().unwrap_or_default()
+    }
+
     /// Returns the incarnation of the group that the server is in.
     pub(crate) fn incarnation(&self) -> Option<u64> {
         lock(&self.state).group["epoch"].as_u64()
@@ -408,6 +424,7 @@
             format!("HTTP/1.1 {status} Status\r\nTransfer-Encoding: chunked\r\n{headers}\r\n");
         let head_pause = lock(&self.state).head_pause;
         thread::sleep(head_pause);
+        let mut silent_since = Instant::now();
         let _ = stream.write_all(head.as_bytes());
         if crashes {
             thread::sleep(CRASH_DELAY);
@@ -439,7 +456,14 @@
             }
             let event = format!("id: {id}\ndata: token\n\n");
             let event = if breaks && id == 3 { &event[..6] } else { &event };
+            let begun_at = Instant::now();
             let _ = stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
+            let silence = silent_since.elapsed();
+            silent_since = begun_at;
+            let mut state = lock(&self.state);
+            let longest = state.silences.entry(attempt.clone()).or_default();
+            *longest = silence.max(*longest);
+            drop(state);
             if breaks && id == 3 {
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 return;
--- a/bins/mangocross-front/tests/front/platform/servers/groups.rs
+++ b/bins/mangocross-front/tests/front/platform/servers/groups.rs
@@ -33,6 +33,7 @@
                 return;
             }
             state.orders += 1;
+            state.carried_out.push((Instant::now(), order.clone()));
             match order["operation"].as_str() {
                 Some("join") => {
                     let violation = self.open_group_violation(&state, &order);
