--- a/bins/mangocross-front/tests/front/answers_meanwhile.rs
+++ b/bins/mangocross-front/tests/front/answers_meanwhile.rs
@@ -1,44 +1,16 @@
 //! Tests with answers that come while the request is being sent to another server.
 
-use std::fs::File;
-use std::path::PathBuf;
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
 
 use crate::platform::CALLER_HEADERS;
 use crate::platform::Front;
+use crate::platform::LogFile;
 use crate::platform::Server;
 use crate::platform::Store;
 use crate::platform::start_groups_with_log;
 use crate::platform::wait_until;
 
-/// A file for the log of an entry VM, which is removed in the end.
-struct LogFile(PathBuf);
-
-impl LogFile {
-    fn new(name: &str) -> Self {
-        Self(std::env::temp_dir().join(format!("mangocross-{name}-{}", std::process::id())))
-    }
-
-    fn create(&self) -> Stdio {
-        Stdio::from(File::create(&self.0).expect("a file for the log"))
-    }
-
-    /// Returns the number of lines with this message about a request.
-    fn count(&self, message: &str, request: &str) -> usize {
-        let text = std::fs::read_to_string(&self.0).expect("the log");
-        let wanted = [format!("\"{message}\""), format!("\"{request}\"")];
-        text.lines().filter(|line| wanted.iter().all(|it| line.contains(it))).count()
-    }
-}
-
-impl Drop for LogFile {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
 fn has_run(server: &Server, attempt: &str) -> bool {
     server.ran().iter().any(|it| it == attempt)
 }
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod client;
+mod log_file;
 mod machine;
 mod servers;
 mod silence;
@@ -39,6 +40,7 @@
 pub(crate) use self::client::Client;
 pub(crate) use self::client::Outcome;
 pub(crate) use self::client::RequestKind;
+pub(crate) use self::log_file::LogFile;
 pub(crate) use self::servers::EVENTS;
 pub(crate) use self::servers::Server;
 pub(crate) use self::servers::StreamFault;
@@ -46,6 +48,7 @@
 pub(crate) use self::start::start_groups;
 pub(crate) use self::start::start_groups_with_log;
 pub(crate) use self::start::start_plain;
+pub(crate) use self::start::wait_for_metric;
 pub(crate) use self::start::wait_until;
 pub(crate) use self::store::Entrance;
 pub(crate) use self::store::Store;
@@ -229,6 +232,16 @@
         self.child = start(&self.settings, stdout);
     }
 
+    /// Kills the program and starts it again with changed settings.
+    pub(crate) fn restart_with(&mut self, change: impl FnOnce(&mut Value)) {
+        self.kill();
+        let settings = std::fs::read_to_string(&self.settings).expect("settings");
+        let mut settings: Value = serde_json::from_str(&settings).expect("JSON");
+        change(&mut settings);
+        std::fs::write(&self.settings, settings.to_string()).expect("settings");
+        self.restart(Stdio::null());
+    }
+
     /// Waits for the program to end; returns whether it exited successfully.
     pub(crate) fn exited_successfully(&mut self) -> bool {
         self.child.wait().expect("the program was started").success()
--- a/bins/mangocross-front/tests/front/platform/start.rs
+++ b/bins/mangocross-front/tests/front/platform/start.rs
@@ -59,7 +59,8 @@
     (store, engines, front)
 }
 
-fn wait_for_metric(front: &Front, line: &str) {
+/// Waits until the metrics have a line.
+pub(crate) fn wait_for_metric(front: &Front, line: &str) {
     wait_until(line, || front.metrics().lines().any(|it| it == line));
 }
 
--- a/bins/mangocross-front/tests/front/successors.rs
+++ b/bins/mangocross-front/tests/front/successors.rs
@@ -3,11 +3,14 @@
 use std::thread;
 use std::time::Duration;
 
+use serde_json::json;
+
 use crate::platform::CALLER_HEADERS;
 use crate::platform::EVENTS;
 use crate::platform::Front;
 use crate::platform::Server;
 use crate::platform::start_groups;
+use crate::platform::wait_for_metric;
 use crate::platform::wait_until;
 
 /// Time for which a sound server is silent.
@@ -31,6 +34,10 @@
     engine.ran().iter().filter(|it| *it == attempt).count()
 }
 
+fn all_runs(engines: &[Server], attempt: &str) -> usize {
+    engines.iter().map(|it| runs(it, attempt)).sum()
+}
+
 /// Returns the heads that run an attempt, and the open heads that don't, once there are `count` of
 /// the former.
 fn wait_for_runs<'a>(
@@ -69,7 +76,7 @@
         answer.join().expect("an answer")
     });
     assert_whole(&answer);
-    assert_eq!(engines.iter().map(|it| runs(it, "hanging")).sum::<usize>(), 3);
+    assert_eq!(all_runs(&engines, "hanging"), 3);
 }
 
 /// Guards against giving up a successor that pauses before another one continues the stream.
@@ -88,3 +95,84 @@
     });
     assert_whole(&answer);
 }
+
+/// Guards against a stream that runs on more servers than its route allows, since a successor that
+/// failed is not counted.
+#[test]
+fn successor_that_breaks_counts_as_an_attempt() {
+    let (_store, engines, front) = start_groups(3, 2);
+    break_first_answer_of_each(&engines);
+    let (status, body) = call(&front, "breaking");
+    assert_eq!(status, 200);
+    assert!(!body.ends_with("0\r\n\r\n"), "the answer looks complete: {body}");
+    assert_eq!(all_runs(&engines, "breaking"), 2);
+}
+
+/// Guards against the same for a successor that was dropped because the silent server went on.
+#[test]
+fn successor_that_is_dropped_counts_as_an_attempt() {
+    let (_store, engines, front) = start_groups(3, 2);
+    break_first_answer_of_each(&engines);
+    let (_, body) = thread::scope(|scope| {
+        let answer = scope.spawn(|| call(&front, "dropped"));
+        let (first, others) = wait_for_runs(&engines, "dropped", 1);
+        others.iter().for_each(|it| it.withhold_answers());
+        first[0].fall_silent(SILENCE);
+        answer.join().expect("an answer")
+    });
+    assert!(body.contains("id: 2\n"), "the first server did not go on: {body}");
+    assert!(!body.ends_with("0\r\n\r\n"), "the answer looks complete: {body}");
+    assert_eq!(all_runs(&engines, "dropped"), 2);
+}
+
+/// Guards against a retry that is paid for although no server could be connected to, so that the
+/// next stream that breaks is cut for lack of budget.
+#[test]
+fn retry_without_a_server_is_not_paid_for() {
+    let (_store, engines, mut front) = start_groups(2, 2);
+    // Allows a single retry: each entry VM uses 0.8 of its share.
+    front.restart_with(|it| {
+        it["bounds"]["retry_budget_ratio"] = json!(0.0);
+        it["bounds"]["retry_slack"] = json!(1.5);
+        it["bounds"]["budget_window_s"] = json!(60);
+    });
+    wait_for_metric(&front, r#"front_groups{state="open"} 2"#);
+    break_first_answer_of_each(&engines);
+    thread::scope(|scope| {
+        let answer = scope.spawn(|| call(&front, "alone"));
+        let (_, others) = wait_for_runs(&engines, "alone", 1);
+        others.iter().for_each(|it| it.set_deaf(true));
+        let (_, body) = answer.join().expect("an answer");
+        assert!(!body.ends_with("0\r\n\r\n"), "the answer looks complete: {body}");
+        others.iter().for_each(|it| it.set_deaf(false));
+    });
+    // The group of the deaf head may be re-formed.
+    thread::sleep(Duration::from_secs(1));
+    wait_until("two open heads", || engines.iter().filter(|it| it.is_open()).count() == 2);
+    break_first_answer_of_each(&engines);
+    let answer = thread::scope(|scope| {
+        let answer = scope.spawn(|| call(&front, "paid"));
+        let (_, others) = wait_for_runs(&engines, "paid", 1);
+        others.iter().for_each(|it| it.break_streams(0));
+        answer.join().expect("an answer")
+    });
+    assert_whole(&answer);
+}
+
+/// Guards against a silent stream that is never moved because the first search found no server.
+#[test]
+fn silent_stream_searches_again() {
+    let (_store, engines, front) = start_groups(5, 2);
+    engines.iter().for_each(|it| it.set_event_pause(Duration::from_millis(100)));
+    let answer = thread::scope(|scope| {
+        let answer = scope.spawn(|| call(&front, "searching"));
+        let (first, others) = wait_for_runs(&engines, "searching", 1);
+        others.iter().for_each(|it| it.set_refusing(true));
+        first[0].fall_silent(Duration::from_secs(20));
+        let has_arrived = |it: &&Server| it.arrived().iter().any(|it| it == "searching");
+        wait_until("all refused", || others.iter().all(has_arrived));
+        others.iter().for_each(|it| it.set_refusing(false));
+        answer.join().expect("an answer")
+    });
+    assert_whole(&answer);
+}
