fix(front): a pause of the entry VM is not taken for the silence of its servers

After an entry VM had been stopped for 1.8 s, each of its streams counted as silent and looked for another server, although its events had arrived meanwhile; a plain request whose answer had arrived was sent to a second server.

Cause: after a pause the timers are due at once, and what servers sent is read a little later, by the tasks of the connections. A timer of silence that fires more than 100 ms late now leaves 100 ms to read first (streams, successors, repeatable plain requests).

Ruled out: polling the answer before the timer. Plain requests do so already and were sent to a second server nevertheless: the answer passes through the task of its connection first.

entry_vm_that_pauses_suspects_no_head failed before with 3 silent streams of 3, and fails with 3 suspect groups if late rounds of the check are counted; entry_vm_that_pauses_repeats_no_plain_request failed before with a second server asked. Both pass now, as the other tests of the front do (75).

--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -26,6 +26,7 @@
 mod relay_state;
 mod server_notices;
 mod settings;
+mod silence;
 mod state;
 mod stopping;
 mod store;
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -24,6 +24,7 @@
 use crate::outcome::RequestRecord;
 use crate::pool;
 use crate::pool::ConnectError;
+use crate::silence::wait_for_silence;
 use crate::state::UNREACHABLE_PAUSE;
 
 /// Maximum size of an answer, which is buffered until it is complete.
@@ -174,9 +175,13 @@
         let repeat_at = Instant::now() + call.route.target_latency.mul_f64(REPEAT_TARGET_RATIO);
         loop {
             let may_send_beside = may_repeat && self.silent.is_none();
-            let until = if may_send_beside { repeat_at.min(call.ends_at) } else { call.ends_at };
-            let first = first_answer(&mut latest, &mut self.silent);
-            let Ok(first) = tokio::time::timeout_at(until, first).await else {
+            let first = tokio::select! {
+                biased;
+                it = first_answer(&mut latest, &mut self.silent) => Some(it),
+                () = wait_for_silence(repeat_at), if may_send_beside => None,
+                () = tokio::time::sleep_until(call.ends_at) => None,
+            };
+            let Some(first) = first else {
                 if call.time_left().is_zero() {
                     return Some(timeout_response(call, true));
                 }
--- /dev/null
+++ b/bins/mangocross-front/src/silence.rs
@@ -0,0 +1,20 @@
+//! Waits for the silence of servers.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Delay of a timer from which this process counts as having paused.
+const LATE_WAKE: Duration = Duration::from_millis(100);
+/// Time to read what servers sent during a pause of this process.
+const CATCH_UP_TIME: Duration = Duration::from_millis(100);
+
+/// Waits until a server that sends nothing has been silent until `until`.
+///
+/// After a pause of this process, what servers sent meanwhile has not been read yet.
+pub(crate) async fn wait_for_silence(until: Instant) {
+    tokio::time::sleep_until(until).await;
+    if until.elapsed() > LATE_WAKE {
+        tokio::time::sleep(CATCH_UP_TIME).await;
+    }
+}
--- a/bins/mangocross-front/src/stream/forwarder.rs
+++ b/bins/mangocross-front/src/stream/forwarder.rs
@@ -18,6 +18,7 @@
 use crate::answer_body::AnswerBody;
 use crate::answer_body::Chunk;
 use crate::dispatch::Call;
+use crate::silence::wait_for_silence;
 
 /// Chunks buffered for a caller that reads slowly.
 const QUEUED_CHUNKS_MAX: usize = 8;
@@ -146,18 +147,15 @@
         loop {
             let may_move = self.may_be_continued();
             let silent_until = (silent_since + silence_max).max(search_from);
-            let wake_at = if may_move { silent_until.min(call.ends_at) } else { call.ends_at };
             let received = tokio::select! {
                 it = source.receive() => it,
                 () = self.wait_until_stalled(&vm, silent_since, search_from), if may_move => {
                     return Stop::Silent("group is stalled");
                 }
-                () = tokio::time::sleep_until(wake_at) => {
-                    return match call.ends_at <= Instant::now() {
-                        true => Stop::End(End::TimeOver),
-                        false => Stop::Silent("no event for too long"),
-                    };
+                () = wait_for_silence(silent_until), if may_move => {
+                    return Stop::Silent("no event for too long");
                 }
+                () = tokio::time::sleep_until(call.ends_at) => return Stop::End(End::TimeOver),
                 () = self.chunks.closed() => return Stop::End(End::CallerLeft),
             };
             let events = match received {
--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -18,6 +18,7 @@
 use crate::first_answer::first_of;
 use crate::plain::SENDS_MAX;
 use crate::pool::Connection;
+use crate::silence::wait_for_silence;
 
 /// Time after which a resumed stream may use LAST_RESORT_QUEUE_SLOTS instead of RESUME_QUEUE_SLOTS.
 const RESUME_QUEUE_TIME: Duration = Duration::from_millis(500);
@@ -213,7 +214,7 @@
         let silence_max = self.call.route.event_gap_max.mul_f64(SUCCESSOR_SILENCE_SHARE);
         tokio::select! {
             () = self.call.state.wait_until_suspect(vm) => {}
-            () = tokio::time::sleep(silence_max) => {}
+            () = wait_for_silence(Instant::now() + silence_max) => {}
         }
     }
 
--- a/bins/mangocross-front/tests/front/successors.rs
+++ b/bins/mangocross-front/tests/front/successors.rs
@@ -3,13 +3,17 @@
 use std::thread;
 use std::time::Duration;
 
+use rustix::process::Signal;
 use serde_json::json;
 
 use crate::platform::CALLER_HEADERS;
 use crate::platform::EVENTS;
 use crate::platform::Front;
+use crate::platform::LogFile;
 use crate::platform::Server;
+use crate::platform::Store;
 use crate::platform::start_groups;
+use crate::platform::start_groups_with_log;
 use crate::platform::wait_for_metric;
 use crate::platform::wait_until;
 
@@ -176,3 +180,51 @@
     });
     assert_whole(&answer);
 }
+
+/// Guards against heads that are all taken for silent because the entry VM paused itself.
+#[test]
+fn entry_vm_that_pauses_suspects_no_head() {
+    let log = LogFile::new("self-pause");
+    let (_store, engines, front) = start_groups_with_log(2, 2, log.create());
+    engines.iter().for_each(|it| it.set_event_pause(Duration::from_millis(400)));
+    for number in 0..3 {
+        let attempt = format!("paused-{number}");
+        let answer = thread::scope(|scope| {
+            let answer = scope.spawn(|| call(&front, &attempt));
+            wait_for_runs(&engines, &attempt, 1);
+            thread::sleep(Duration::from_millis(600));
+            front.signal(Signal::STOP);
+            thread::sleep(Duration::from_millis(1800));
+            front.signal(Signal::CONT);
+            answer.join().expect("an answer")
+        });
+        assert_whole(&answer);
+        assert_eq!(all_runs(&engines, &attempt), 1);
+    }
+    assert_eq!(log.count("group suspect: all its streams are stalled", ""), 0);
+    assert_eq!(log.count("stream silent", ""), 0);
+}
+
+/// Guards against a plain request that is repeated because the entry VM paused itself.
+#[test]
+fn entry_vm_that_pauses_repeats_no_plain_request() {
+    let log = LogFile::new("self-pause-plain");
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let front = Front::spawn(&store, 60_000, log.create());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    thread::scope(|scope| {
+        servers.iter().for_each(|it| it.fall_silent(Duration::from_millis(300)));
+        let headers = CALLER_HEADERS.replace("a1", "paused");
+        let front = &front;
+        let answer = scope.spawn(move || front.call("GET", "/lookup/x", &headers, "").0);
+        wait_until("the request is sent", || log.count("request sent", "paused") > 0);
+        front.signal(Signal::STOP);
+        thread::sleep(SILENCE);
+        front.signal(Signal::CONT);
+        assert_eq!(answer.join().expect("an answer"), 200);
+    });
+    assert_eq!(log.count("server silent", "paused"), 0);
+    assert_eq!(all_runs(&servers, "paused"), 1);
+}
