--- a/bins/mangocross-front/tests/front/platform/front.rs
+++ b/bins/mangocross-front/tests/front/platform/front.rs
@@ -144,6 +144,16 @@
         self.child = start(&self.settings, stdout);
     }
 
+    /// Kills the program and starts it again with changed settings.
+    pub(crate) fn restart_with(&mut self, change: impl FnOnce(&mut Value)) {
+        self.kill();
+        let settings = std::fs::read_to_string(&self.settings).expect("settings");
+        let mut settings: Value = serde_json::from_str(&settings).expect("JSON");
+        change(&mut settings);
+        std::fs::write(&self.settings, settings.to_string()).expect("settings");
+        self.restart(Stdio::null());
+    }
+
     /// Waits for the program to end; returns whether it exited successfully.
     pub(crate) fn exited_successfully(&mut self) -> bool {
         self.child.wait().expect("the program was started").success()
