fix(front): a broken stream outlasts refusals and a used-up retry budget

Callers saw: two of five events, then the end of the connection, with an attempt and over a second left, because the other groups were full for a moment or the retry budget allowed its next retry a second later. That is common when a group is lost and all of its streams look for room at once.

A server that refused once was never asked again, four refusals or an empty budget ended the search, and with it an answer that had no server any more. Silent streams searched again, broken ones did not.

Ruled out: a larger budget or more sends; both only move the point at which the answer is cut.

Change: a server that refuses is asked again after its pause. After SENDS_MAX sends there is a pause between two, and the search goes on without a retry in the budget, until the caller is about to abandon the stream. The budget is asked before a connection is opened.

Failed before: broken_stream_asks_again_where_it_was_refused, broken_stream_outlasts_refusals_of_all_groups and broken_stream_waits_for_the_retry_budget, each with two of five events.

--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -274,6 +274,16 @@
         (age > bound).then_some("the configuration is not proved fresh")
     }
 
+    /// Returns whether this VM's share of a service's retry budget allows a retry.
+    pub(crate) fn may_retry(&self, service: &ServiceId) -> bool {
+        let now = self.now();
+        let retry_bounds = self.bounds().retries;
+        let mut view = self.view.borrow_mut();
+        let entry_vms = view.entry_vm_count();
+        let budget = view.retries.entry(service.clone()).or_default();
+        budget.remaining(now, &retry_bounds, entry_vms) >= 1.0
+    }
+
     /// Spends one retry of this VM's share of a service's retry budget.
     pub(crate) fn try_spend_retry(&self, service: &ServiceId) -> bool {
         let now = self.now();
--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -1,7 +1,9 @@
 //! Finds a server that continues a stream whose server failed or is silent.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use mangocross_serving::Admission;
@@ -19,6 +21,7 @@
 use crate::plain::SENDS_MAX;
 use crate::pool::Connection;
 use crate::silence::wait_for_silence;
+use crate::state::NOT_RUN_PAUSE;
 
 /// Time after which a resumed stream may use LAST_RESORT_QUEUE_SLOTS instead of RESUME_QUEUE_SLOTS.
 const RESUME_QUEUE_TIME: Duration = Duration::from_millis(500);
@@ -35,6 +38,8 @@
 /// Time for which a server that is to continue a stream may send nothing new before another one is
 /// asked, as a share of the time after which the caller abandons the stream.
 const SUCCESSOR_SILENCE_SHARE: f64 = 0.35;
+/// What prevents a resumption while no group has room.
+const NO_ROOM: &str = "no group had room in time";
 /// Priority of resumed streams at engines.
 const RESUMED_PRIORITY: u8 = 0;
 
@@ -61,13 +66,23 @@
 /// State of a search for a server that continues a stream.
 struct Search {
     began_at: Instant,
-    tried: Vec<VmId>,
+    /// Servers that are not asked again: they may have run the stream, or could not be reached.
+    tried: Rc<RefCell<Vec<VmId>>>,
+    connect_failures: u32,
     sent: u32,
+    last_sent_at: Instant,
 }
 
 impl Search {
     fn new(failed: &VmId) -> Self {
-        Self { began_at: Instant::now(), tried: vec![failed.clone()], sent: 0 }
+        let now = Instant::now();
+        let tried = Rc::new(RefCell::new(vec![failed.clone()]));
+        Self { began_at: now, tried, connect_failures: 0, sent: 0, last_sent_at: now }
+    }
+
+    /// Returns whether the stream is to be held back, since many servers have refused it.
+    fn is_paused(&self, attempts_max: u32) -> bool {
+        self.sent >= SENDS_MAX.max(attempts_max) && self.last_sent_at.elapsed() < NOT_RUN_PAUSE
     }
 }
 
@@ -149,41 +164,64 @@
     ///
     /// Returns why there is none.
     async fn send_next(&self, search: &mut Search) -> Result<SentAttempt<'_>, &'static str> {
+        let mut reason = NO_ROOM;
         while self.may_search()? {
-            if search.sent >= SENDS_MAX.max(self.call.route.attempts_max) {
-                return Err("too many servers refused the stream");
-            }
             let queue_slots = match search.began_at.elapsed() < RESUME_QUEUE_TIME {
                 true => RESUME_QUEUE_SLOTS,
                 false => LAST_RESORT_QUEUE_SLOTS,
             };
-            let heads = heads::find_heads(&self.call, &search.tried).unwrap_or_default();
-            let Admission::Send(vm) = heads::choose_head(&self.call, &heads, queue_slots) else {
+            // Groups that are full or refuse the stream, and a budget that is used up, may change.
+            let chosen = if search.is_paused(self.call.route.attempts_max) {
+                reason = "too many servers refused the stream";
+                None
+            } else if !self.call.state.may_retry(&self.call.service) {
+                reason = "retry budget used up";
+                None
+            } else {
+                reason = NO_ROOM;
+                let heads = heads::find_heads(&self.call, &search.tried.borrow());
+                match heads::choose_head(&self.call, &heads.unwrap_or_default(), queue_slots) {
+                    Admission::Send(vm) => Some(vm),
+                    Admission::Refuse { .. } | Admission::NoGroup => None,
+                }
+            };
+            let Some(vm) = chosen else {
                 tokio::time::sleep(RESUME_RETRY_DELAY).await;
                 continue;
             };
-            let failures = search.tried.len() as u32 - 1;
-            search.tried.push(vm.clone());
+            let failures = search.connect_failures;
             let Some(connection) = heads::connect(&self.call, &vm, true, failures).await else {
+                search.connect_failures += 1;
+                search.tried.borrow_mut().push(vm);
                 continue;
             };
+            // Another request may have spent the last retry while this one connected.
             if !self.call.state.try_spend_retry(&self.call.service) {
-                return Err("retry budget used up");
+                continue;
             }
+            search.tried.borrow_mut().push(vm.clone());
             search.sent += 1;
+            search.last_sent_at = Instant::now();
             self.call.record.add_sent_to(&vm);
             self.call.state.metrics.count_resume();
             self.call.record.log_step("stream resumed", &vm, "after the last whole event");
             // Counted before the answer, since the search may be dropped while it waits for it.
             self.runs.set(self.runs.get() + 1);
-            let result = Box::pin(self.resume_at(vm.clone(), connection));
+            let tried = Rc::clone(&search.tried);
+            let result = Box::pin(self.resume_at(vm.clone(), connection, tried));
             return Ok(SentAttempt { vm, result });
         }
-        Err("no group had room in time")
+        Err(reason)
     }
 
-    /// Resumes the stream on a connection to a server; returns `None` if the attempt failed.
-    async fn resume_at(&self, vm: VmId, connection: Connection) -> Option<(Source, Received)> {
+    /// Resumes the stream on a connection to a server; returns `None` if the attempt failed. A server
+    /// that refuses the stream is taken out of `tried`.
+    async fn resume_at(
+        &self,
+        vm: VmId,
+        connection: Connection,
+        tried: Rc<RefCell<Vec<VmId>>>,
+    ) -> Option<(Source, Received)> {
         let last_id = self.last_id.get();
         let started = start_attempt(&self.call, &vm, connection, last_id, RESUMED_PRIORITY).await;
         let reason = match started {
@@ -196,6 +234,7 @@
             },
             Err(StartError::NotRun(reason)) => {
                 self.runs.set(self.runs.get() - 1);
+                tried.borrow_mut().retain(|it| *it != vm);
                 self.call.record.log_step("not run", &vm, reason);
                 return None;
             }
--- a/bins/mangocross-front/tests/front/successors.rs
+++ b/bins/mangocross-front/tests/front/successors.rs
@@ -228,3 +228,58 @@
     assert_eq!(log.count("server silent", "paused"), 0);
     assert_eq!(all_runs(&servers, "paused"), 1);
 }
+
+/// Sends a stream whose server breaks while all other groups refuse new requests for a moment.
+fn call_while_groups_refuse(groups: usize) -> (u16, String) {
+    let (_store, engines, front) = start_groups(groups, 2);
+    break_first_answer_of_each(&engines);
+    thread::scope(|scope| {
+        let answer = scope.spawn(|| call(&front, "refused"));
+        let (_, others) = wait_for_runs(&engines, "refused", 1);
+        for it in &others {
+            it.break_streams(0);
+            it.set_refusing(true);
+        }
+        let has_arrived = |it: &&Server| it.arrived().iter().any(|it| it == "refused");
+        wait_until("a refusal", || others.iter().any(|it| has_arrived(&it)));
+        thread::sleep(Duration::from_millis(300));
+        others.iter().for_each(|it| it.set_refusing(false));
+        answer.join().expect("an answer")
+    })
+}
+
+/// Guards against an answer that is cut since a group that refused the stream once is never asked
+/// again, although it has room in time.
+#[test]
+fn broken_stream_asks_again_where_it_was_refused() {
+    assert_whole(&call_while_groups_refuse(2));
+}
+
+/// Guards against an answer that is cut at once since several groups refused the stream.
+#[test]
+fn broken_stream_outlasts_refusals_of_all_groups() {
+    assert_whole(&call_while_groups_refuse(5));
+}
+
+/// Guards against an answer that is cut at once since the retry budget is used up, although it
+/// allows a retry in time.
+#[test]
+fn broken_stream_waits_for_the_retry_budget() {
+    let (_store, engines, mut front) = start_groups(2, 2);
+    front.restart_with(|it| {
+        it["bounds"]["retry_slack"] = json!(1.5);
+        it["bounds"]["budget_window_s"] = json!(1);
+    });
+    front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
+    wait_for_metric(&front, r#"front_groups{state="open"} 2"#);
+    // The requests until now have left the window.
+    thread::sleep(Duration::from_millis(1300));
+    break_first_answer_of_each(&engines);
+    let answers = thread::scope(|scope| {
+        let first = scope.spawn(|| call(&front, "first"));
+        wait_for_runs(&engines, "first", 1);
+        let second = scope.spawn(|| call(&front, "second"));
+        [first, second].map(|it| it.join().expect("an answer"))
+    });
+    answers.iter().for_each(assert_whole);
+}
