fix(front): an attempt that a refusal gives back is used

Callers saw: 502 although an attempt was left and a sound server was there. Whether a request may be sent once more was decided before the wait for its servers; a silent server that then refused the request gave its attempt back to nobody. The error was always on the careful side. Found by a review.

Change: the decision is made where it is used. attempt_that_a_refusal_gives_back_is_used failed before with code 3003.

--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -171,10 +171,10 @@
     async fn wait(&mut self, mut latest: PendingAttempt<'a>) -> Option<Response<AnswerBody>> {
         let call = self.call;
         let is_retryable = call.route.retry_policy.is_retryable();
-        let may_repeat = is_retryable && self.runs + 1 < call.route.attempts_max;
+        let may_run_after = |runs: u32| is_retryable && runs < call.route.attempts_max;
         let repeat_at = Instant::now() + call.route.target_latency.mul_f64(REPEAT_TARGET_RATIO);
         loop {
-            let may_send_beside = may_repeat && self.silent.is_none();
+            let may_send_beside = may_run_after(self.runs + 1) && self.silent.is_none();
             let first = tokio::select! {
                 biased;
                 it = first_answer(&mut latest, &mut self.silent) => Some(it),
@@ -218,7 +218,7 @@
                     call.record.log_step("attempt failed", &vm, reason);
                     if is_latest {
                         self.runs += 1;
-                        if may_repeat {
+                        if may_run_after(self.runs) {
                             return None;
                         }
                         return Some(self.end_failed(reason, code, response).await);
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -172,9 +172,10 @@
     async fn wait(&mut self, vm: VmId, mut latest: PendingAttempt<'a>) -> Option<Start> {
         let call = self.call;
         let is_retryable = call.route.retry_policy.is_retryable();
-        let may_repeat = is_retryable && self.runs + 1 < call.route.attempts_max;
+        let may_run_after = |runs: u32| is_retryable && runs < call.route.attempts_max;
         loop {
-            let may_send_beside = may_repeat && self.silent.is_none() && call.may_move();
+            let may_send_beside =
+                may_run_after(self.runs + 1) && self.silent.is_none() && call.may_move();
             let first = tokio::select! {
                 it = first_answer(&mut latest, &mut self.silent) => it,
                 () = call.state.wait_until_suspect(&vm, call.record.received_at), if may_send_beside => {
@@ -207,14 +208,14 @@
                     call.record.log_step("attempt failed", &vm, &call.break_detail(reason, 0));
                     self.runs += 1;
                     call.record_break(&vm, AnswerStart::default()).await;
-                    if may_repeat && call.may_move() {
+                    if may_run_after(self.runs) && call.may_move() {
                         return None;
                     }
                 }
                 StartError::Failure(_) => {
                     call.record.log_step("attempt failed", &vm, error.reason());
                     self.runs += 1;
-                    if may_repeat {
+                    if may_run_after(self.runs) {
                         return None;
                     }
                 }
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod answer_ends;
 mod answers_meanwhile;
+mod attempts_left;
 mod crashing_parts;
 mod idle_connections;
 mod fleet;
