fix(front): a request is not held past its deadline by connections

One that succeeded late was used without time to answer.

Change: connections for a request end with its deadline, and nothing is sent after it. deadline_ends_the_search_for_a_head_that_can_be_reached failed before (three connections or more).

--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -41,7 +41,7 @@
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Reason of requests that end with their deadline.
-const TIME_OVER: &str = "time is over";
+pub(crate) const TIME_OVER: &str = "time is over";
 
 enum AttemptResult {
     /// The server answered.
@@ -141,11 +141,17 @@
                 return Err("retry budget used up");
             }
             self.tried.push(server.vm.clone());
-            let connection = if call.route.retry_policy.is_retryable() {
-                call.state.pool.get(server.address, self.connect_failures).await
-            } else {
-                call.state.pool.open(server.address, self.connect_failures).await
+            let connecting = async {
+                match call.route.retry_policy.is_retryable() {
+                    true => call.state.pool.get(server.address, self.connect_failures).await,
+                    false => call.state.pool.open(server.address, self.connect_failures).await,
+                }
             };
+            let connected = tokio::time::timeout_at(call.ends_at, connecting).await;
+            if call.time_left().is_zero() {
+                return Err(TIME_OVER);
+            }
+            let connection = connected.map_err(|_| TIME_OVER)?;
             let connection = match connection {
                 Ok(it) => it,
                 Err(error) => {
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -25,6 +25,7 @@
 use crate::plain;
 use crate::plain::PAUSED_REASON;
 use crate::plain::SENDS_MAX;
+use crate::plain::TIME_OVER;
 
 /// Maximum number of failed connection attempts before a stream is refused.
 const CONNECT_FAILURES_MAX: u32 = 4;
@@ -122,6 +123,7 @@
             return Err(NotSent { code, reason, retry_after_min: QUARANTINED_RETRY_AFTER });
         }
         let no_group = || NotSent::new(ResultCode::NoCompleteGroup, "no group serves the model");
+        let time_over = || NotSent::new(ResultCode::Overloaded, TIME_OVER);
         loop {
             let heads = heads::find_heads(call, &self.tried).ok_or_else(no_group)?;
             let vm = match heads::choose_head(call, &heads, LATE_QUEUE_SLOTS) {
@@ -145,7 +147,12 @@
                 return Err(NotSent::new(ResultCode::RetryBudget, "retry budget used up"));
             }
             let may_reuse = call.route.retry_policy.is_retryable();
-            let connection = heads::connect(call, &vm, may_reuse, self.connect_failures).await;
+            let connecting = heads::connect(call, &vm, may_reuse, self.connect_failures);
+            let connected = tokio::time::timeout_at(call.ends_at, connecting).await;
+            if call.time_left().is_zero() {
+                return Err(time_over());
+            }
+            let connection = connected.map_err(|_| time_over())?;
             self.tried.push(vm.clone());
             let Some(connection) = connection else {
                 self.connect_failures += 1;
--- a/bins/mangocross-front/tests/front/attempts_left.rs
+++ b/bins/mangocross-front/tests/front/attempts_left.rs
@@ -6,8 +6,10 @@
 
 use crate::platform::CALLER_HEADERS;
 use crate::platform::Front;
+use crate::platform::LogFile;
 use crate::platform::Server;
 use crate::platform::Store;
+use crate::platform::start_groups_with_log;
 use crate::platform::wait_until;
 
 fn has_run(server: &Server, attempt: &str) -> bool {
@@ -41,3 +43,22 @@
     });
     assert_eq!(status, 200, "{body}");
 }
+
+/// Guards against a request that is held past its deadline while connections are opened.
+#[test]
+fn deadline_ends_the_search_for_a_head_that_can_be_reached() {
+    let log = LogFile::new("late");
+    let (_store, engines, front) = start_groups_with_log(6, 2, log.create());
+    // Connections that are idle for longer are not reused.
+    thread::sleep(Duration::from_millis(1500));
+    engines.iter().for_each(|it| it.set_deaf(true));
+    let headers = format!("{}Deadline-Ms: 200\r\n", CALLER_HEADERS.replace("a1", "late"));
+    let (status, _, body) = front.call("POST", "/stream/x", &headers, "{}");
+    assert_eq!(status, 503, "{body}");
+    assert!(body.contains("time is over"), "{body}");
+    assert!(body.contains("\"not run\""), "{body}");
+    assert!(
+        log.count("server not reached", "late") < 3,
+        "connections are opened after the deadline"
+    );
+}
