fix(planner): a pause of the planner's process is no silence of a server

A server that answered no question for 1.5 s is lost, counted from the first unanswered one. When the planner's process did not run for 1.2 s of these (SIGSTOP, or a VM without a processor), the server's answers were not even asked for; the first decision afterwards took it for lost and dissolved its group, with a server that had been silent for 1.2 s and sound again for more than a second. The planner's lease (2 s) and the age of its view (2.5 s) allow that decision.

Change: when 0.6 s or more pass between two decisions, unanswered questions so far no longer count, and one that is still open counts from then on. Connections that were refused still do: they prove that no process runs. A server that stays silent is lost 1.5 s after the pause.

`silent_server_is_lost_after_a_pause_of_the_planner` guards the other side.

--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod log_points;
 mod metrics;
+mod paused_planner;
 mod planner_term;
 mod planner_view;
 mod platform;
--- a/bins/mangocross-front/tests/front/platform/front.rs
+++ b/bins/mangocross-front/tests/front/platform/front.rs
@@ -92,7 +92,7 @@
         let address = SocketAddr::from((ip, CALLERS_PORT));
         let ready = SocketAddr::from((ip, READY_PORT));
         let settings = json!({
-            "node": format!("front-{host}"), "ip": IpAddr::V4(ip), "zone": "zone-a",
+            "node": name_of(address), "ip": IpAddr::V4(ip), "zone": "zone-a",
             "listen": {"front": address, "ready": ready},
             "internal_ports": [PEERS_PORT, PEERS_PORT], "first_start": true,
             "limits": {"max_fds": 1024, "memory_mb": 256, "cpu_share": cpu_share},
@@ -107,6 +107,11 @@
         Self { child, address, ready, settings: path, _claim: claim }
     }
 
+    /// Returns the name of the VM.
+    pub(crate) fn name(&self) -> String {
+        name_of(self.address)
+    }
+
     /// Returns the id of the process.
     pub(crate) fn pid(&self) -> u32 {
         self.child.id()
@@ -213,6 +218,14 @@
     }
 }
 
+/// Returns the name of the VM with an address.
+fn name_of(address: SocketAddr) -> String {
+    match address.ip() {
+        IpAddr::V4(ip) => format!("front-{}", ip.octets()[3]),
+        IpAddr::V6(ip) => format!("front-{ip}"),
+    }
+}
+
 /// Returns a loopback address that no other test uses, and what keeps it so.
 ///
 /// Other test processes may run, and each starts more than a hundred programs.
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -50,6 +50,8 @@
 /// It exceeds one fabric domain's share, a sixth of the servers in the smallest deployments, so
 /// that the loss of a domain does not count as isolation.
 const SILENT_SHARE_MAX: f64 = 0.35;
+/// Time between two decisions from which the planner's process is taken to have paused.
+const PLANNER_PAUSE_MIN: Duration = Duration::from_millis(600);
 /// Time after which a failed plan write is retried.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Time after which a server that is no longer listed is removed.
@@ -169,6 +171,7 @@
     newest_server_at: HashMap<FabricDomain, Moment>,
     /// The servers of each fabric domain as of the last decision, in order of their ids.
     by_domain: HashMap<FabricDomain, Vec<VmId>>,
+    decided_at: Option<Moment>,
 }
 
 impl GroupPlanner {
@@ -187,6 +190,7 @@
             progressing: HashSet::new(),
             newest_server_at: HashMap::new(),
             by_domain: HashMap::new(),
+            decided_at: None,
         }
     }
 
@@ -366,6 +370,7 @@
         listed: impl Iterator<Item = &'a BackendServer>,
         now: Moment,
     ) -> Vec<PlannerAction> {
+        self.forget_silence_after_pause(now);
         self.update_servers(listed, now);
         self.weight_load_limiter.refill(now, self.engine_spec.loads_per_s);
         let mut actions = Vec::new();
@@ -395,6 +400,14 @@
         actions
     }
 
+    /// Judges servers anew after a pause of this process, in which their answers were not read.
+    fn forget_silence_after_pause(&mut self, now: Moment) {
+        let decided_at = self.decided_at.replace(now);
+        if decided_at.is_some_and(|it| now.since(it) >= PLANNER_PAUSE_MIN) {
+            self.servers.values_mut().for_each(|it| it.health.forget_silence(now));
+        }
+    }
+
     fn update_servers<'a>(&mut self, listed: impl Iterator<Item = &'a BackendServer>, now: Moment) {
         let mut seen = HashSet::new();
         for server in listed {
--- a/crates/mangocross-serving/src/planner/server_health.rs
+++ b/crates/mangocross-serving/src/planner/server_health.rs
@@ -120,6 +120,17 @@
         *self = Self { probed_at: self.probed_at, slow_reports, slowdown, ..Self::default() };
     }
 
+    /// Forgets a silence that this process did not observe to the end, because it did not run.
+    pub(super) fn forget_silence(&mut self, now: Moment) {
+        self.misses = 0;
+        self.silent_since = None;
+        self.is_unreachable = false;
+        if self.is_probing {
+            // The answer may have come meanwhile; a failure counts from now on.
+            self.probed_at = Some(now);
+        }
+    }
+
     pub(super) fn record_failure(&mut self, failure: ProbeFailure) {
         self.is_probing = false;
         match failure {
--- a/crates/mangocross-serving/tests/silent_servers.rs
+++ b/crates/mangocross-serving/tests/silent_servers.rs
@@ -14,6 +14,10 @@
 
 /// Time for which a sound server may be silent.
 const SILENCE: Duration = Duration::from_millis(1200);
+/// Time for which the planner sees the silence of a server before its own process pauses.
+const PLANNER_RUNS: Duration = Duration::from_millis(500);
+/// Pause of the planner's process.
+const PLANNER_PAUSE: Duration = Duration::from_millis(1300);
 
 fn formed() -> Simulation {
     let mut simulation = Simulation::new(2, 11);
@@ -51,6 +55,38 @@
     }
 }
 
+/// Makes a member silent, pauses the planner and lets it go on; returns whether the plans are still
+/// the same a while later.
+fn are_plans_kept_over_a_pause(answers_meanwhile: bool) -> bool {
+    let mut simulation = formed();
+    let plans = simulation.plans.clone();
+    let head = simulation.serving("large")[0].clone();
+    let member = simulation.engines[&head].members[1].clone();
+    simulation.engines.get_mut(&member).expect("an engine").connectivity = Connectivity::Pausing;
+    simulation.planner.mark_suspect(&head, simulation.now);
+    simulation.run(PLANNER_RUNS);
+    simulation.now = simulation.now + PLANNER_PAUSE;
+    if answers_meanwhile {
+        simulation.engines.get_mut(&member).expect("an engine").connectivity =
+            Connectivity::Answers;
+    }
+    simulation.run(Duration::from_secs(4));
+    simulation.plans == plans
+}
+
+/// Guards against groups that are dissolved because the planner's process did not run: the silence
+/// of a member had begun, and the planner saw nothing of its end.
+#[test]
+fn pause_of_the_planner_is_no_silence_of_a_server() {
+    assert!(are_plans_kept_over_a_pause(true));
+}
+
+/// A server that stays silent is still found lost after a pause of the planner.
+#[test]
+fn silent_server_is_lost_after_a_pause_of_the_planner() {
+    assert!(!are_plans_kept_over_a_pause(false));
+}
+
 /// While a head does not respond, no new requests are sent to it.
 #[test]
 fn silent_head_is_closed_until_it_responds() {
