test(front): the head that breaks off is the one that gets the stream

`broken_stream_is_resumed_within_one_answer` failed once in 70 tests at a load of 51 on 8 cores: one server ran the stream, not two. The test breaks the next stream of the head that served the first request, and takes it for the one that serves the next, since both groups are idle. It did not wait for both: if e3's group opens first, it gets the first request, and e1's, which comes first among equals, the next. Change: the first request is sent once both groups are open. No check changed.

--- a/bins/mangocross-front/tests/front/whole_path.rs
+++ b/bins/mangocross-front/tests/front/whole_path.rs
@@ -9,6 +9,7 @@
 use crate::platform::Front;
 use crate::platform::Server;
 use crate::platform::Store;
+use crate::platform::wait_until;
 
 /// Starts a store with a configuration, four engines and two servers of a plain service.
 fn start_platform() -> (Store, Vec<Server>, Vec<Server>) {
@@ -60,7 +61,9 @@
 #[test]
 fn broken_stream_is_resumed_within_one_answer() {
     let (store, engines, _records) = start_platform();
-    let front = Front::spawn(&store, 60_000, Stdio::null());
+    let front = Front::spawn_logged(store.address, 60_000, 1.0);
+    let open = r#"front_groups{state="open"} 2"#;
+    wait_until("both groups are open", || front.metrics().lines().any(|it| it == open));
     front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
     // Both groups are idle, so the next stream goes to the same head as this one.
     let head = engines.iter().find(|it| !it.ran().is_empty()).expect("a head");
