--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -9,6 +9,7 @@
 mod log_points;
 mod held_servers;
 mod metrics;
+mod paused_planner;
 mod planner_term;
 mod paused_servers;
 mod planner_view;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -88,6 +88,8 @@
     event_pause: Duration,
     /// Longest time that a stream of an attempt was without an event, by attempt.
     silences: BTreeMap<String, Duration>,
+    /// Event after which the server falls silent, and for how long.
+    pub(super) silence_after: Option<(u64, Duration)>,
     /// Until when nothing is answered, and no stream goes on.
     pub(super) silent_until: Option<Instant>,
     /// Time before the head of a stream is sent.
@@ -463,6 +465,9 @@
             let mut state = lock(&self.state);
             let longest = state.silences.entry(attempt.clone()).or_default();
             *longest = silence.max(*longest);
+            if let Some((_, duration)) = state.silence_after.take_if(|it| it.0 == id) {
+                state.silent_until = Some(Instant::now() + duration);
+            }
             drop(state);
             if breaks && id == 3 {
                 let _ = stream.shutdown(std::net::Shutdown::Both);
