test(front): the soak plays servers that pause, leave, want nothing or crash because of a prompt

Cause: the soak knew crashed, cut and mute servers only. What servers say of themselves, sound pauses and prompts that crash engines were tested one at a time, never among other faults.

Change: these four, drawn from random numbers of their own so that the faults of older seeds stay what they are. Checks from outside: each answer names its own attempt; nothing reaches a server half a second after an entry VM has passed on its word that it leaves; at most two requests from an entry VM in the time of a refusal; in seeds that are multiples of 5, whose processes and links are sound, no answer is cut. Attempts name the entry VM that they are sent to. The stand-in's check of two groups leaves out heads whose process has ended, as the rule does. Ruled out: the same faults in the old sequence, which would have changed what the regression seeds play.

The checks of leaving and refusing servers have not been seen red yet.

--- a/bins/mangocross-front/tests/front/platform/client.rs
+++ b/bins/mangocross-front/tests/front/platform/client.rs
@@ -45,6 +45,11 @@
     /// Status; zero without an answer.
     pub(crate) status: u16,
     pub(crate) is_signed: bool,
+    /// Attempt that the answer names.
+    pub(crate) named_attempt: Option<String>,
+    /// Signature of the answer if its server says that it leaves.
+    pub(crate) leaving_server: Option<String>,
+    pub(crate) answered_at: Instant,
     pub(crate) body: String,
     /// Whether the answer was received completely.
     pub(crate) is_whole: bool,
@@ -54,12 +59,21 @@
 #[derive(Debug)]
 pub(crate) struct Client {
     to: SocketAddr,
+    /// Header with the parts of the prompt, if any.
+    prompt: String,
     connection: Option<BufReader<TcpStream>>,
 }
 
 impl Client {
     pub(crate) fn new(to: SocketAddr) -> Self {
-        Self { to, connection: None }
+        Self { to, prompt: String::new(), connection: None }
+    }
+
+    /// Sets the shared parts of the prompts, each followed by a comma.
+    #[must_use]
+    pub(crate) fn with_shared_parts(mut self, shared_parts: &str, own_part: u32) -> Self {
+        self.prompt = super::prompt_header(shared_parts, own_part);
+        self
     }
 
     /// Sends a request and reads the answer.
@@ -71,12 +85,16 @@
             sent_at: Instant::now(),
             status: 0,
             is_signed: false,
+            named_attempt: None,
+            leaving_server: None,
+            answered_at: Instant::now(),
             body: String::new(),
             is_whole: false,
         };
         if self.exchange(&mut outcome).is_err() || !outcome.is_whole {
             self.connection = None;
         }
+        outcome.answered_at = Instant::now();
         outcome
     }
 
@@ -88,11 +106,12 @@
         }
         let Some(connection) = &mut self.connection else { return Ok(()) };
         let text = format!(
-            "POST {} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {}\r\nModel: m0\r\nToken-Count: 10,5\r\nDeadline-Ms: {}\r\nAuthorization: Bearer {}\r\nContent-Length: 2\r\n\r\n{{}}",
+            "POST {} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {}\r\nModel: m0\r\nToken-Count: 10,5\r\nDeadline-Ms: {}\r\nAuthorization: Bearer {}\r\nContent-Length: 2\r\n{}\r\n{{}}",
             outcome.kind.path(),
             outcome.attempt,
             DEADLINE.as_millis(),
             outcome.key,
+            self.prompt,
         );
         connection.get_mut().write_all(text.as_bytes())?;
         let mut head = String::new();
@@ -104,6 +123,13 @@
         outcome.status = head.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
         outcome.is_signed = super::is_signed(&head);
         let head = head.to_ascii_lowercase();
+        let header = |name: &str| {
+            let value = head.lines().find_map(|it| it.strip_prefix(name));
+            value.map(|it| it.trim().to_owned())
+        };
+        outcome.named_attempt = header("attempt-id: ");
+        let is_leaving = header("server-leaving: ").as_deref() == Some("1");
+        outcome.leaving_server = header("server-seal: ").filter(|_| is_leaving);
         let length = head.lines().find_map(|it| it.strip_prefix("content-length: "));
         let mut body = Vec::new();
         outcome.is_whole = match length.and_then(|it| it.trim().parse().ok()) {
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -38,6 +38,7 @@
 pub(crate) use self::client::Client;
 pub(crate) use self::client::Outcome;
 pub(crate) use self::client::RequestKind;
+pub(crate) use self::servers::Arrival;
 pub(crate) use self::servers::EVENTS;
 pub(crate) use self::servers::Server;
 pub(crate) use self::servers::StreamFault;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -45,6 +45,17 @@
     EndlessFailure,
 }
 
+/// A request that reached a server.
+#[derive(Debug, Clone)]
+pub(crate) struct Arrival {
+    pub(crate) attempt: String,
+    pub(crate) at: Instant,
+    /// Life of the server, as its answers' signature names it.
+    pub(crate) life: String,
+    /// Time for which the server wants nothing, if it refused the request with one.
+    pub(crate) pause: Option<Duration>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     stream_fault: StreamFault,
@@ -55,8 +66,8 @@
     retry_after: Option<String>,
     /// Whether orders and questions for reports are turned away like requests.
     turns_planner_away: bool,
-    /// Attempts that arrived, in order, also those that were refused.
-    arrived: Vec<String>,
+    /// Requests that arrived, in order, also those that were refused.
+    arrivals: Vec<Arrival>,
     orders: u64,
     /// Questions for reports that arrived.
     reports: usize,
@@ -143,7 +154,12 @@
 
     /// Returns the attempts that arrived at the server, also those that it refused.
     pub(crate) fn arrived(&self) -> Vec<String> {
-        lock(&self.state).arrived.clone()
+        self.arrivals().into_iter().map(|it| it.attempt).collect()
+    }
+
+    /// Returns the requests that arrived at the server, also those that it refused.
+    pub(crate) fn arrivals(&self) -> Vec<Arrival> {
+        lock(&self.state).arrivals.clone()
     }
 
     /// Sets whether all answers say that the server is leaving; its entry does not.
@@ -278,10 +294,12 @@
             return;
         }
         lock(&self.state).crashes += 1;
+        self.store.note_down(&self.id, true);
         let server = self.clone();
         thread::spawn(move || {
             thread::sleep(RESTART_TIME);
             server.restart();
+            server.store.note_down(&server.id, false);
             server.machine.start();
         });
     }
@@ -347,6 +365,11 @@
         }
     }
 
+    /// Returns the name of the server's present life.
+    fn life(&self, state: &State) -> String {
+        format!("{}.{}", self.id, state.starts)
+    }
+
     /// Returns the header by which all answers say that the server is leaving.
     fn notice(&self) -> &'static str {
         if lock(&self.state).is_leaving { "Server-Leaving: 1\r\n" } else { "" }
@@ -371,7 +394,14 @@
         let retry_after = self.retry_after();
         let refuses = {
             let mut state = lock(&self.state);
-            state.arrived.push(attempt.clone());
+            let pause = state.retry_after.as_ref().and_then(|it| it.parse().ok());
+            let arrival = Arrival {
+                attempt: attempt.clone(),
+                at: Instant::now(),
+                life: self.life(&state),
+                pause: pause.and_then(|it| Duration::try_from_secs_f64(it).ok()),
+            };
+            state.arrivals.push(arrival);
             state.is_refusing || is_closed(&state) || !retry_after.is_empty()
         };
         if refuses || (self.service == "models" && !self.wait_for_members()) {
@@ -396,7 +426,8 @@
         }
         assert_eq!(request.header("Tenant"), Some("t1"));
         assert_eq!(request.header("Authorization"), None);
-        let headers = format!("Attempt-Id: {attempt}\r\nServer-Seal: {}\r\n{notice}", self.id);
+        let life = self.life(&lock(&self.state));
+        let headers = format!("Attempt-Id: {attempt}\r\nServer-Seal: {life}\r\n{notice}");
         let end = lock(&self.state).answer_end;
         if self.service != "models" {
             match end {
--- a/bins/mangocross-front/tests/front/platform/servers/groups.rs
+++ b/bins/mangocross-front/tests/front/platform/servers/groups.rs
@@ -82,6 +82,7 @@
         let is_open = group["state"] == "open"
             && group["name"] == state.group["name"]
             && group["epoch"] == state.group["epoch"];
+        let is_open = is_open && !self.store.is_down(head);
         is_open.then(|| format!("{} joins {} while {group} serves", self.id, order["group"]))
     }
 
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -48,6 +48,8 @@
     changes_sent: usize,
     /// Pairs of a server and the name and incarnation of a group in which it was ready.
     memberships: BTreeSet<(String, String)>,
+    /// Servers whose process does not run, whatever their entries say.
+    down: BTreeSet<String>,
 }
 
 #[derive(Debug)]
@@ -154,6 +156,20 @@
         lock(&self.state).memberships.insert((server.to_owned(), membership_of(group)));
     }
 
+    /// Records whether a server's process has ended.
+    pub(crate) fn note_down(&self, server: &str, is_down: bool) {
+        let mut state = lock(&self.state);
+        match is_down {
+            true => state.down.insert(server.to_owned()),
+            false => state.down.remove(server),
+        };
+    }
+
+    /// Returns whether a server's process has ended.
+    pub(crate) fn is_down(&self, server: &str) -> bool {
+        lock(&self.state).down.contains(server)
+    }
+
     /// Returns whether a server was ever ready in a group.
     pub(crate) fn was_ready(&self, server: &str, group: &Value) -> bool {
         lock(&self.state).memberships.contains(&(server.to_owned(), membership_of(group)))
--- a/bins/mangocross-front/tests/front/soak/deployment.rs
+++ b/bins/mangocross-front/tests/front/soak/deployment.rs
@@ -35,6 +35,8 @@
 const CALLERS_PER_FRONT: usize = 3;
 /// Time within which a revoked key must be refused.
 pub(super) const REVOKE: Duration = Duration::from_millis(5000);
+/// Part of prompts that crashes engines.
+const CRASHING_PART: &str = "bad0cafe";
 /// Time between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(15);
 /// Maximum time until all entry VMs serve all request kinds, at the start and after the faults.
@@ -60,6 +62,12 @@
     /// Relays to each backend server.
     pub(super) server_relays: Vec<Relay>,
     pub(super) configured: Arc<Mutex<Vec<ConfiguredKeys>>>,
+    /// Entry VMs that were stopped, killed or asked to stop, and when.
+    pub(super) disrupted_fronts: Vec<(usize, Instant)>,
+    /// Servers whose links were harmed, and when that began.
+    pub(super) harmed_servers: Vec<(usize, Instant)>,
+    /// Callers whose prompts crash servers.
+    pub(super) crashing_callers: Vec<JoinHandle<Outcome>>,
 }
 
 fn relay_to(target: SocketAddr) -> Relay {
@@ -101,7 +109,11 @@
             store_relays,
             server_relays,
             configured,
+            disrupted_fronts: Vec::new(),
+            harmed_servers: Vec::new(),
+            crashing_callers: Vec::new(),
         };
+        this.engines.iter().for_each(|it| it.set_crashing_part(CRASHING_PART));
         this.configure(1, &["k1", "k2"]);
         this
     }
@@ -129,7 +141,7 @@
             for kind in [RequestKind::Stream, RequestKind::Lookup, RequestKind::Booking] {
                 let mut last = None;
                 let is_served = loop {
-                    let attempt = new_attempt();
+                    let attempt = new_attempt(number);
                     let outcome = Client::new(relay.address()).send(kind, &attempt, "k1");
                     let is_served = outcome.status == 200 && outcome.is_whole;
                     last.replace(outcome);
@@ -163,7 +175,7 @@
                         _ => RequestKind::Booking,
                     };
                     let key = if random.u32(0..3) == 0 { "k2" } else { "k1" };
-                    outcomes.push(client.send(kind, &new_attempt(), key));
+                    outcomes.push(client.send(kind, &new_attempt(number / CALLERS_PER_FRONT), key));
                     thread::sleep(Duration::from_millis(random.u64(1..30)));
                 }
                 outcomes
@@ -173,15 +185,30 @@
         Callers { stop, threads }
     }
 
+    /// Sends a stream whose prompt crashes the engines that begin to answer it.
+    pub(super) fn send_crashing_prompt(&mut self, front: usize) {
+        let address = self.front_relays[front].address();
+        let own_part = u32::try_from(self.crashing_callers.len()).unwrap_or_default();
+        let client =
+            Client::new(address).with_shared_parts(&format!("{CRASHING_PART}:25,"), own_part);
+        let attempt = new_attempt(front);
+        self.crashing_callers.push(thread::spawn(move || {
+            let mut client = client;
+            client.send(RequestKind::Stream, &attempt, "k1")
+        }));
+    }
+
     /// Ends the faults of relays, store and servers.
     pub(super) fn clear_faults(&mut self) {
         let relays = [&self.front_relays, &self.store_relays, &self.server_relays];
         relays.into_iter().flatten().for_each(|it| it.set(RelayMode::Pass));
         self.store.set_silent(false);
-        self.engines
-            .iter()
-            .chain(&self.plain_servers)
-            .for_each(|it| it.set_withholding_answers(false));
+        self.engines.iter().chain(&self.plain_servers).for_each(|it| {
+            it.set_withholding_answers(false);
+            it.set_retry_after(None);
+            it.set_turning_planner_away(false);
+            it.set_leaving(false);
+        });
     }
 }
 
@@ -194,9 +221,15 @@
     Stdio::from(file.expect("the log file is opened"))
 }
 
-fn new_attempt() -> String {
+/// Returns a new attempt's id, which begins with the number of the entry VM that it is sent to.
+fn new_attempt(front: usize) -> String {
     static NEXT: AtomicU64 = AtomicU64::new(1);
-    format!("s{}", NEXT.fetch_add(1, Ordering::Relaxed))
+    format!("{front}-{}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Returns the number of the entry VM that an attempt was sent to.
+pub(super) fn front_of(attempt: &str) -> Option<usize> {
+    attempt.split_once('-')?.0.parse().ok()
 }
 
 /// Threads that send requests until they are stopped.
--- a/bins/mangocross-front/tests/front/soak/faults.rs
+++ b/bins/mangocross-front/tests/front/soak/faults.rs
@@ -11,17 +11,28 @@
 use super::deployment::Deployment;
 use super::deployment::FRONT_COUNT;
 use super::deployment::log_output;
+use super::troubles;
+use crate::platform::Server;
 
 /// Maximum time between the starts of two faults.
 const GAP_MAX_MS: u64 = 500;
 /// Maximum duration of a fault.
-const FAULT_MAX_MS: u64 = 2500;
+pub(super) const FAULT_MAX_MS: u64 = 2500;
 /// Delay of a slow link.
 const DELAY: Duration = Duration::from_millis(80);
 
+/// Which faults are injected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Faults {
+    /// All.
+    All,
+    /// Servers that pause or want nothing for a while, with sound processes and links.
+    SoundServers,
+}
+
 /// Action that ends a fault.
 #[derive(Debug, Clone, Copy)]
-enum Recovery {
+pub(super) enum Recovery {
     RestoreFrontRelay(usize),
     RestoreStoreRelay(usize),
     RestoreServerRelay(usize),
@@ -30,19 +41,27 @@
     RestartServer(usize),
     ResumeFront(usize),
     RestartFront(usize),
+    EndPause(usize),
+    EndLeaving(usize),
 }
 
 /// Injects faults for a time, then ends them all and restarts the processes that were stopped.
-pub(super) fn inject(deployment: &mut Deployment, seed: u64, time: Duration) {
+pub(super) fn inject(deployment: &mut Deployment, seed: u64, faults: Faults, time: Duration) {
     let mut random = fastrand::Rng::with_seed(seed);
+    // Of its own, so that the other faults of a seed stay what they are.
+    let mut trouble_random = fastrand::Rng::with_seed(!seed);
     let end = Instant::now() + time;
     let mut pending: Vec<(Instant, Recovery)> = Vec::new();
     let mut version = 1;
     while Instant::now() < end {
         let duration = Duration::from_millis(random.u64(50..FAULT_MAX_MS));
-        if let Some(it) = start_fault(deployment, &mut random, &mut version, &pending) {
+        if faults == Faults::All
+            && let Some(it) = start_fault(deployment, &mut random, &mut version, &pending)
+        {
             pending.push((Instant::now() + duration, it));
         }
+        let started = troubles::start(deployment, &mut trouble_random, faults, &pending);
+        pending.extend(started.map(|(duration, it)| (Instant::now() + duration, it)));
         let next = Instant::now() + Duration::from_millis(random.u64(0..GAP_MAX_MS));
         while Instant::now() < next {
             let now = Instant::now();
@@ -86,12 +105,11 @@
             random,
             Recovery::RestoreStoreRelay,
         )),
-        2 | 3 => Some(degrade_relay(
-            &deployment.server_relays,
-            server,
-            random,
-            Recovery::RestoreServerRelay,
-        )),
+        2 | 3 => {
+            deployment.harmed_servers.push((server, Instant::now()));
+            let relays = &deployment.server_relays;
+            Some(degrade_relay(relays, server, random, Recovery::RestoreServerRelay))
+        }
         4 => {
             deployment.store.set_silent(true);
             Some(Recovery::ResumeStore)
@@ -101,6 +119,7 @@
             Some(Recovery::ResumeAnswers(server))
         }
         6 | 7 => {
+            deployment.harmed_servers.push((engine, Instant::now()));
             deployment.server_relays[engine].set(RelayMode::Cut);
             deployment.engines[engine].unlist();
             Some(Recovery::RestartServer(engine))
@@ -117,14 +136,17 @@
         }
         _ if is_stopped => None,
         10 => {
+            deployment.disrupted_fronts.push((front, Instant::now()));
             deployment.fronts[front].signal(Signal::STOP);
             Some(Recovery::ResumeFront(front))
         }
         11 => {
+            deployment.disrupted_fronts.push((front, Instant::now()));
             deployment.fronts[front].kill();
             Some(Recovery::RestartFront(front))
         }
         _ => {
+            deployment.disrupted_fronts.push((front, Instant::now()));
             deployment.fronts[front].signal(Signal::HUP);
             deployment.fronts[front].terminate();
             Some(Recovery::RestartFront(front))
@@ -163,9 +185,11 @@
         // After SIGTERM the program may still serve; `restart` waits for its end, which frees its
         // addresses.
         Recovery::RestartFront(it) => deployment.fronts[it].restart(log_output(it)),
+        Recovery::EndPause(it) => troubles::end_pause(all_servers(deployment)[it]),
+        Recovery::EndLeaving(it) => troubles::end_leaving(all_servers(deployment)[it]),
     }
 }
 
-fn all_servers(deployment: &Deployment) -> Vec<&crate::platform::Server> {
+pub(super) fn all_servers(deployment: &Deployment) -> Vec<&Server> {
     deployment.engines.iter().chain(&deployment.plain_servers).collect()
 }
--- a/bins/mangocross-front/tests/front/soak/mod.rs
+++ b/bins/mangocross-front/tests/front/soak/mod.rs
@@ -7,16 +7,20 @@
 mod checks;
 mod deployment;
 mod faults;
+mod troubles;
 
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use self::deployment::Deployment;
+use self::faults::Faults;
 
 /// Default time for which faults are injected for each seed, in seconds.
 const SECONDS_DEFAULT: u64 = 6;
 /// Seeds that are run unless `MANGOCROSS_SOAK_SEEDS` is set.
 const SEEDS_DEFAULT: RangeInclusive<u64> = 1..=2;
+/// Seeds that are multiples of this have sound processes and links; one of them is always run.
+const SOUND_SEED: u64 = 5;
 /// Seeds that once failed, each with the defect that they revealed.
 const REGRESSIONS: [(u64, &str); 2] = [
     (124, "a relay continued a connection after dropping some of its bytes"),
@@ -40,9 +44,15 @@
     let mut deployment = Deployment::start();
     deployment.wait_until_served();
     let callers = deployment.start_callers(seed);
-    faults::inject(&mut deployment, seed, Duration::from_secs(seconds()));
+    let faults = if seed.is_multiple_of(SOUND_SEED) { Faults::SoundServers } else { Faults::All };
+    faults::inject(&mut deployment, seed, faults, Duration::from_secs(seconds()));
     let mut violations = deployment.unserved_within_recovery();
-    let outcomes = callers.stop();
+    let mut outcomes = callers.stop();
+    let crashing = deployment.crashing_callers.drain(..);
+    outcomes.extend(crashing.map(|it| it.join().expect("a caller does not fail")));
+    if faults == Faults::SoundServers {
+        violations.extend(checks::cut_answers(&outcomes));
+    }
     violations.extend(checks::violations(&deployment, &outcomes));
     let served = outcomes.iter().filter(|it| it.status == 200 && it.is_whole).count();
     println!(
@@ -56,6 +66,7 @@
 fn soak_keeps_the_promises() {
     let regressions = REGRESSIONS.iter().map(|(seed, _)| *seed);
     let failed: Vec<(u64, Vec<String>)> = regressions
+        .chain([SOUND_SEED])
         .chain(seeds())
         .map(|seed| (seed, run_seed(seed)))
         .filter(|(_, violations)| !violations.is_empty())
