fix(front): only an answer that names its attempt counts on a reused connection

Cause: a server may send a second copy of an answer late, on a connection that is in use again. An answer without an attempt id that says that nothing ran (a copy of a 421 to an order, say) counted as the answer to a request that had run.

Ruled out: no reuse at all (a new connection for each lookup and stream); a pause before reuse (copies come at any time).

Change: on a reused connection an answer counts only if it names the attempt and no header's value holds the beginning of another head. What does not count may have run, as before. New connections are as they were.

Tests: failure_after_a_part_of_a_late_copy_is_no_success failed before (the request was not answered with a failure). With any answer taken for the attempt's own, that one, nobody_gets_a_late_copy_of_another_answer (another request's body, 200) and stream_with_a_late_copy_inside_is_resumed (no events) are red; with bookings on reused connections the second is red (502).

--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -286,7 +286,8 @@
     call.state.record_notice(process.as_ref(), &response);
     let status = response.status();
     let attempt_id = call.caller_head.attempt_id.as_deref().unwrap_or_default();
-    let answer_head = AnswerHead::read(status, response.headers(), attempt_id);
+    let answer_head =
+        AnswerHead::read(status, response.headers(), attempt_id, connection.connection_use());
     if !answer_head.matches_attempt {
         return AttemptResult::Failed(
             "answer to another request",
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use mangocross_platform::ConnectionUse;
 use mangocross_serving::ConnectTimes;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -68,6 +69,11 @@
         self.is_reused
     }
 
+    /// Returns what an answer on the connection may belong to.
+    pub(crate) fn connection_use(&self) -> ConnectionUse {
+        if self.is_reused { ConnectionUse::Reused } else { ConnectionUse::New }
+    }
+
     /// Sends a request and returns the head of its answer.
     pub(crate) async fn send(
         &mut self,
--- a/bins/mangocross-front/src/stream/attempt.rs
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -88,7 +88,9 @@
     in_flight.record_progress();
     call.state.record_notice(process.as_ref(), &response);
     let attempt_id = call.caller_head.attempt_id.as_deref().unwrap_or_default();
-    let answer_head = AnswerHead::read(response.status(), response.headers(), attempt_id);
+    let connection_use = connection.connection_use();
+    let answer_head =
+        AnswerHead::read(response.status(), response.headers(), attempt_id, connection_use);
     if !answer_head.matches_attempt {
         let reason = "answer to another request";
         return Err(StartError::MayHaveRun(reason, ResultCode::BackendMismatch));
--- /dev/null
+++ b/bins/mangocross-front/tests/front/late_copies.rs
@@ -0,0 +1,97 @@
+//! Tests with servers that send a second copy of an answer, late, on a connection that is in use
+//! again.
+
+use std::thread;
+use std::time::Duration;
+
+use crate::platform::CALLER_HEADERS;
+use crate::platform::CopyPart;
+use crate::platform::CopyTime;
+use crate::platform::EVENTS;
+use crate::platform::Front;
+use crate::platform::LateCopy;
+use crate::platform::Server;
+use crate::platform::start_engines;
+use crate::platform::start_plain;
+
+/// Requests of each kind while a server sends copies.
+const REQUESTS: usize = 6;
+/// Time between two requests, in which an idle connection gets the copy.
+const REQUEST_PAUSE: Duration = Duration::from_millis(60);
+
+fn headers(attempt: &str) -> String {
+    CALLER_HEADERS.replace("a1", attempt)
+}
+
+/// Asserts that a request gets its own whole answer.
+fn assert_own_answer(front: &Front, path: &str, attempt: &str, copying: LateCopy) {
+    let (status, head, body) = front.call("POST", path, &headers(attempt), "{}");
+    let what = format!("{copying:?} {path}: {status} {head} {body}");
+    assert_eq!(status, 200, "{what}");
+    assert!(head.to_ascii_lowercase().contains(&format!("attempt-id: {attempt}")), "{what}");
+    assert!(body == format!("the body of {attempt}") || body == "the whole body", "{what}");
+}
+
+/// Guards against answers of other requests, and parts of them, that reach a caller.
+#[test]
+fn nobody_gets_a_late_copy_of_another_answer() {
+    for time in [CopyTime::Idle, CopyTime::BeforeOwn, CopyTime::AfterOwn] {
+        for part in [CopyPart::Whole, CopyPart::InBody, CopyPart::InHeader] {
+            let (_store, [copying, other], front) = start_plain();
+            let copy = LateCopy { time, part };
+            copying.set_late_copy(Some(copy));
+            for number in 0..REQUESTS {
+                for path in ["/lookup/x", "/booking/x"] {
+                    let attempt =
+                        format!("{time:?}-{part:?}-{number}{}", &path[1..3]).to_lowercase();
+                    assert_own_answer(&front, path, &attempt, copy);
+                    let runs = [&copying, &other].map(Server::ran).concat();
+                    let runs = runs.iter().filter(|it| **it == attempt).count();
+                    assert!(runs == 1 || path == "/lookup/x", "{attempt} ran {runs} times");
+                }
+                thread::sleep(REQUEST_PAUSE);
+            }
+            assert!(copying.copies() > 0, "{copy:?} was not played");
+        }
+    }
+}
+
+/// Guards against a failure that reaches its caller as a success, because it follows the beginning
+/// of a late copy of one.
+#[test]
+fn failure_after_a_part_of_a_late_copy_is_no_success() {
+    let (_store, [copying, other], front) = start_plain();
+    assert_eq!(front.call("POST", "/lookup/x", &headers("first"), "{}").0, 200);
+    copying.set_late_copy(Some(LateCopy { time: CopyTime::BeforeOwn, part: CopyPart::InHeader }));
+    copying.set_failing(true);
+    other.set_refusing(true);
+    let before = copying.copies();
+    let (status, _, body) = front.call("POST", "/lookup/x", &headers("third"), "{}");
+    assert!(status >= 500 && !body.contains("not run"), "{status} {body}");
+    assert!(copying.copies() > before, "the copy was not played");
+}
+
+/// Guards against a stream that holds a copy of another answer.
+#[test]
+fn stream_with_a_late_copy_inside_is_resumed() {
+    for time in [CopyTime::BeforeOwn, CopyTime::InsideOwn] {
+        for part in [CopyPart::Whole, CopyPart::InBody, CopyPart::InHeader] {
+            let (_store, engines, front) = start_engines();
+            let head = engines.iter().find(|it| !it.arrived().is_empty()).expect("a head");
+            head.set_late_copy(Some(LateCopy { time, part }));
+            for number in 0..REQUESTS {
+                let attempt = format!("{number}");
+                let (status, _, body) = front.call("POST", "/stream/x", &headers(&attempt), "{}");
+                let ids: Vec<u64> =
+                    body.lines().filter_map(|it| it.strip_prefix("id: ")?.parse().ok()).collect();
+                assert_eq!(
+                    (status, ids),
+                    (200, (1..=EVENTS).collect::<Vec<_>>()),
+                    "{time:?} {part:?}: {body}"
+                );
+                assert!(!body.contains("HTTP/1.1"), "{body}");
+            }
+            assert!(head.copies() > 0, "{time:?} {part:?} was not played");
+        }
+    }
+}
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -3,6 +3,7 @@
 mod crashing_parts;
 mod idle_connections;
 mod answer_ends;
+mod late_copies;
 mod log_points;
 mod held_servers;
 mod metrics;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -1,5 +1,6 @@
 //! Backend servers: engines that form groups, and a plain service.
 
+mod copies;
 mod groups;
 
 use std::io::Write;
@@ -14,6 +15,10 @@
 use serde_json::Value;
 use serde_json::json;
 
+pub(crate) use self::copies::CopyPart;
+pub(crate) use self::copies::CopyTime;
+pub(crate) use self::copies::LateCopy;
+use self::copies::Sent;
 use super::AnswerEnd;
 use super::Request;
 use super::Store;
@@ -96,6 +101,9 @@
     event_pause: Duration,
     /// Until when nothing is answered, and no stream goes on.
     silent_until: Option<Instant>,
+    /// Second copies of earlier answers on the same connection.
+    late_copy: Option<LateCopy>,
+    sent: Sent,
     /// Violated guarantees that the server observed.
     violations: Vec<String>,
 }
@@ -358,7 +366,7 @@
             }
             "/-/report" => {
                 let status = self.status(&lock(&self.state));
-                answer(stream, 200, self.notice(), &status.to_string());
+                self.send(stream, 200, self.notice(), &status.to_string());
             }
             "/-/order" => self.order(request, stream),
             _ => self.run(request, stream),
@@ -407,7 +415,7 @@
         if refuses || (self.service == "models" && !self.wait_for_members()) {
             let headers =
                 format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n{notice}{retry_after}");
-            answer(stream, 503, &headers, "turned away");
+            self.send(stream, 503, &headers, "turned away");
             return;
         }
         let (breaks, withholds_answers) = {
@@ -431,7 +439,9 @@
         let end = lock(&self.state).answer_end;
         if self.service != "models" {
             match end {
-                AnswerEnd::Length => answer(stream, 200, &headers, "the whole body"),
+                AnswerEnd::Length => {
+                    self.send(stream, self.plain_status(), &headers, &self.plain_body(&attempt));
+                }
                 _ => answer_without_length(stream, &headers, &["the whole", " body"], end),
             }
             return;
@@ -445,8 +455,10 @@
         }
         let fault = lock(&self.state).stream_fault;
         let status = if fault == StreamFault::EndlessFailure { 500 } else { 200 };
-        let head =
-            format!("HTTP/1.1 {status} Status\r\nTransfer-Encoding: chunked\r\n{headers}\r\n");
+        let head = format!(
+            "HTTP/1.1 {status} Status\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{headers}\r\n"
+        );
+        self.write_copy(stream, CopyTime::BeforeOwn);
         let _ = stream.write_all(head.as_bytes());
         if crashes {
             thread::sleep(CRASH_DELAY);
@@ -476,6 +488,9 @@
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 return;
             }
+            if id == 3 {
+                self.write_copy(stream, CopyTime::InsideOwn);
+            }
             let event = format!("id: {id}\ndata: token\n\n");
             let event = if breaks && id == 3 { &event[..6] } else { &event };
             let _ = stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
@@ -485,6 +500,7 @@
             }
         }
         let _ = stream.write_all(b"0\r\n\r\n");
+        self.note_sent(stream, format!("{head}0\r\n\r\n"));
     }
 }
 
--- a/bins/mangocross-front/tests/front/platform/servers/groups.rs
+++ b/bins/mangocross-front/tests/front/platform/servers/groups.rs
@@ -12,7 +12,6 @@
 use super::Server;
 use super::State;
 use crate::platform::Request;
-use crate::platform::answer;
 use crate::platform::lock;
 
 /// Time for which an engine waits for a missing member before its group is broken.
@@ -21,6 +20,7 @@
 impl Server {
     pub(super) fn order(&self, request: &Request, stream: &mut TcpStream) {
         let notice = self.notice();
+        self.note_order(stream);
         let order: Value = serde_json::from_slice(&request.body).expect("JSON");
         {
             let mut state = lock(&self.state);
@@ -29,7 +29,8 @@
                 || (order["group"] == state.group["name"]
                     && order["epoch"] == state.group["epoch"]);
             if order["expected"].as_u64() != Some(state.orders) || !is_of_group {
-                answer(stream, 409, notice, "");
+                drop(state);
+                self.send(stream, 409, notice, "");
                 return;
             }
             state.orders += 1;
@@ -65,7 +66,7 @@
             }
             self.publish_state(&state);
         }
-        answer(stream, 202, notice, "");
+        self.send(stream, 202, notice, "");
     }
 
     /// Returns a violation if the server joins another group while the head of its present one is
