fix(front): orders share no connection with earlier answers

Cause: no answer to an order names its order. Orders went out on pooled connections that had carried reports and requests, so a late second copy of an earlier answer counted as the order's own: a report's 200 as 'done', the last order's 202 as 'begun'. An order to leave that counts as done releases the members of a group whose head still serves.

Ruled out: to name orders by an id of our own (servers need not echo it); to believe entries alone (the wait for stalled heads begins with the accepted order).

Change: each order gets a connection of its own, as requests do that may run once only. Questions for reports go on to share connections; one that is answered with an attempt's id on a reused connection has no answer, and the next goes out on a new one.

--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -20,6 +20,7 @@
 use mangocross_platform::WriteOutcome;
 use mangocross_platform::decode_report;
 use mangocross_platform::encode_order;
+use mangocross_platform::names_attempt;
 use mangocross_platform::order_outcome;
 use mangocross_platform::report_path;
 use mangocross_platform::server_notice;
@@ -333,7 +334,8 @@
     path: &str,
     body: Bytes,
 ) -> Result<Answer, ConnectError> {
-    let connection = state.pool.get(address, PROBE_CONNECT_FAILURES).await?;
+    // No answer names its order, so a late copy of an earlier answer must not be possible.
+    let connection = state.pool.open(address, PROBE_CONNECT_FAILURES).await?;
     let answer = exchange(state, vm, address, connection, method, path, body).await;
     answer.ok_or(ConnectError::Unreachable)
 }
@@ -362,6 +364,9 @@
     *request.headers_mut() = ForwardHead::control_headers(vm, address);
     let process = state.server_process(vm);
     let response = connection.send(request).await.ok()?;
+    if connection.is_reused() && names_attempt(response.headers()) {
+        return None;
+    }
     state.record_notice(process.as_ref(), &response);
     let status = response.status();
     let pause = server_notice(status, response.headers()).pause.filter(|it| !it.is_zero());
--- a/bins/mangocross-front/tests/front/late_copies.rs
+++ b/bins/mangocross-front/tests/front/late_copies.rs
@@ -13,6 +13,7 @@
 use crate::platform::Server;
 use crate::platform::start_engines;
 use crate::platform::start_plain;
+use crate::platform::wait_until;
 
 /// Requests of each kind while a server sends copies.
 const REQUESTS: usize = 6;
@@ -95,3 +96,17 @@
         }
     }
 }
+
+/// Guards against a late copy that is taken for the answer to an order, which would then count as
+/// carried out: no answer to an order names it.
+#[test]
+fn orders_share_no_connection_with_earlier_answers() {
+    let (_store, engines, _front) = start_engines();
+    let member = engines.iter().find(|it| !it.is_open()).expect("a member");
+    member.set_leaving(true);
+    let group = member.group();
+    let serves = |it: &Server| it.is_open() && it.group() == group;
+    wait_until("its group is closed", || !engines.iter().any(serves));
+    let used: usize = engines.iter().map(Server::orders_on_used_connections).sum();
+    assert_eq!(used, 0);
+}
