test(front): a planned stop under load

Cause: a stop was tested with one request at a time. Not looked at: bodies half read, answers half sent, kept connections, and callers that still arrive, together.

Change: 96 requests that are cut in their heads (new and kept connections) or bodies, or wait and are being answered, at SIGTERM, the rest sent 0.1 to 2.8 s later around the moment at which idle connections are closed; 12 callers that use their connections until they are closed; 18 new callers until the balancer knows; a silent server. Ruled out: callers that connect later than that, which the balancer does not send.

Red with each guard switched off: no wait for open connections (heads, bodies, streams unanswered or cut), connections dropped instead of ended (streams and bodies), half-read heads closed (a kept connection), no new callers from SIGTERM on (connection refused).

--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -8,6 +8,7 @@
 mod held_servers;
 mod metrics;
 mod paused_servers;
+mod planned_stops;
 mod planner_view;
 mod platform;
 mod relays;
--- a/bins/mangocross-front/tests/front/platform/client.rs
+++ b/bins/mangocross-front/tests/front/platform/client.rs
@@ -76,6 +76,11 @@
         self
     }
 
+    /// Returns whether the next request goes out on the last one's connection.
+    pub(crate) fn is_connected(&self) -> bool {
+        self.connection.is_some()
+    }
+
     /// Sends a request and reads the answer.
     pub(crate) fn send(&mut self, kind: RequestKind, attempt: &str, key: &str) -> Outcome {
         let mut outcome = Outcome {
