--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -1,6 +1,7 @@
 //! Backend servers: engines that form groups, and a plain service.
 
 mod copies;
+mod crashes;
 mod groups;
 
 use std::io::Write;
@@ -27,8 +28,6 @@
 use super::lock;
 use super::machine::Machine;
 
-/// Time from a crash until the server is back.
-const RESTART_TIME: Duration = Duration::from_millis(1000);
 /// Time from the head of an answer until a part of its prompt crashes the server.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 /// Start time that a server reports in its entry; each restart adds one.
@@ -290,47 +289,6 @@
         self.publish_state(&state);
     }
 
-    /// Makes requests with this shared part of their prompts crash the server when it begins to
-    /// write the answer.
-    pub(crate) fn set_crashing_part(&self, part: &str) {
-        lock(&self.state).crashing_part = Some(part.to_owned());
-    }
-
-    /// Ends all connections, and starts the server as a new process after a while.
-    pub(crate) fn crash(&self) {
-        if !self.machine.crash() {
-            return;
-        }
-        lock(&self.state).crashes += 1;
-        self.store.note_down(&self.id, true);
-        let server = self.clone();
-        thread::spawn(move || {
-            thread::sleep(RESTART_TIME);
-            server.restart();
-            server.store.note_down(&server.id, false);
-            server.machine.start();
-        });
-    }
-
-    /// Returns how often the server crashed.
-    pub(crate) fn crashes(&self) -> u32 {
-        lock(&self.state).crashes
-    }
-
-    /// Returns the number of requests with the crashing part that reached the server.
-    pub(crate) fn crashing_requests(&self) -> usize {
-        lock(&self.state).crashing_requests
-    }
-
-    /// Returns whether the prompt of a request has the crashing part, except as its last.
-    fn has_crashing_part(&self, request: &Request) -> bool {
-        let parts = request.header("Prompt-Prefix").unwrap_or_default();
-        let shared = parts.rsplit_once(',').map_or("", |it| it.0);
-        let state = lock(&self.state);
-        let is_it = |it: &str| it.split(':').next() == state.crashing_part.as_deref();
-        shared.split(',').any(is_it)
-    }
-
     /// Returns the violated guarantees that the server observed.
     pub(crate) fn violations(&self) -> Vec<String> {
         lock(&self.state).violations.clone()
