--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -34,7 +34,11 @@
 pub(crate) use self::client::RequestKind;
 pub(crate) use self::front::Front;
 pub(crate) use self::log_file::LogFile;
+pub(crate) use self::servers::Arrival;
+pub(crate) use self::servers::CopyPart;
+pub(crate) use self::servers::CopyTime;
 pub(crate) use self::servers::EVENTS;
+pub(crate) use self::servers::LateCopy;
 pub(crate) use self::servers::Server;
 pub(crate) use self::servers::StreamFault;
 pub(crate) use self::start::start_engines;
@@ -64,6 +68,12 @@
     head.to_ascii_lowercase().contains("server-seal: ")
 }
 
+/// Returns whether an answer names an attempt.
+pub(crate) fn names_attempt(head: &str, attempt: &str) -> bool {
+    let line = format!("attempt-id: {attempt}");
+    head.to_ascii_lowercase().lines().any(|it| it == line)
+}
+
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/bins/mangocross-front/tests/front/successors.rs
+++ b/bins/mangocross-front/tests/front/successors.rs
@@ -241,7 +241,7 @@
             it.set_refusing(true);
         }
         let has_arrived = |it: &&Server| it.arrived().iter().any(|it| it == "refused");
-        wait_until("a refusal", || others.iter().any(|it| has_arrived(&it)));
+        wait_until("a refusal", || others.iter().any(has_arrived));
         thread::sleep(Duration::from_millis(300));
         others.iter().for_each(|it| it.set_refusing(false));
         answer.join().expect("an answer")
