fix(serving): a silent server whose accept queue is full is not taken for a dead machine

A process that pauses leaves connections in its queue. Once that is full, further ones remain unanswered, as at a machine that is gone, and the planner re-formed the group 300 ms after the first failed probe, although the server goes on after about a second.

Cause: only the last probe decided between a pause and an unreachable machine. A probe that established a new connection and got no answer shows that the machine was up while its process was silent already; from then on the limit of a pause applies (1.5 s). A probe on a connection from before shows nothing, and a machine to which no connection succeeds from the first failed probe on is replaced as quickly as before.

Ruled out: waiting for every server to which no connection succeeds. Such a server that goes on after a second still loses its group: a trial with connections unanswered from the start of a silence of 1.2 s had the group re-formed in 2 of 2 runs; the answer itself was whole there.

group_of_a_silent_server_that_accepts_no_more_connections_is_kept failed before at the first rank. silent_head_whose_queue_of_connections_is_full_keeps_its_group, with processes, fails in 1 of 2 runs without the change (incarnations 3, 3 instead of 1, 1) and passed in 3 of 3 with it. kept_connection_does_not_show_that_a_machine_is_up fails if such a probe counts as a connection; server_that_is_lost_while_it_pauses_is_replaced passes either way. The tests of mangocross-serving and the 76 of the front pass.

--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -285,13 +285,17 @@
     };
     let vm = &probe.vm;
     let address = probe.address;
+    let no_answer = match connection.is_reused() {
+        true => ProbeFailure::NoAnswerOnKeptConnection,
+        false => ProbeFailure::NoAnswer,
+    };
     let exchange =
         exchange(state, vm, address, connection, Method::GET, report_path(), Bytes::new());
     let answer = tokio::time::timeout_at(began_at + PROBE_TIMEOUT, exchange).await;
     let Ok(Some((status, body))) = answer else {
         // Only a new connection shows whether the machine can still be reached.
         state.pool.close_idle(address);
-        return Err(ProbeFailure::NoAnswer);
+        return Err(no_answer);
     };
     match decode_report(&body) {
         Ok(report) if status.is_success() => Ok(report),
--- a/bins/mangocross-front/tests/front/platform/silence.rs
+++ b/bins/mangocross-front/tests/front/platform/silence.rs
@@ -36,7 +36,8 @@
         lock(&self.state).silent_until = Some(Instant::now() + duration);
     }
 
-    pub(super) fn wait_while_silent(&self) {
+    /// Waits while the server is silent.
+    pub(crate) fn wait_while_silent(&self) {
         loop {
             let until = lock(&self.state).silent_until;
             let rest = until.map(|it| it.saturating_duration_since(Instant::now()));
--- a/bins/mangocross-front/tests/front/silent_servers.rs
+++ b/bins/mangocross-front/tests/front/silent_servers.rs
@@ -11,9 +11,12 @@
 use crate::platform::CALLER_HEADERS;
 use crate::platform::EVENTS;
 use crate::platform::Front;
+use crate::platform::LogFile;
 use crate::platform::Server;
 use crate::platform::start_engines;
+use crate::platform::start_groups_with_log;
 use crate::platform::start_plain;
+use crate::platform::wait_until;
 
 /// Time for which a server is silent.
 const SILENCE: Duration = Duration::from_millis(1200);
@@ -113,6 +116,29 @@
     assert_eq!(incarnations(&engines), before);
 }
 
+/// Guards against a group that is dissolved because the queue of new connections of its silent head
+/// has become full.
+#[test]
+fn silent_head_whose_queue_of_connections_is_full_keeps_its_group() {
+    let log = LogFile::new("full-queue");
+    let (_store, engines, front) = start_groups_with_log(2, 2, log.create());
+    let before: Vec<_> = engines.iter().map(Server::incarnation).collect();
+    engines.iter().for_each(|it| it.set_event_pause(Duration::from_millis(150)));
+    let mut stream = open_stream(&front, "frozen");
+    let mut answer = read_to_event(&mut stream, 2);
+    let head = only_head_of(&engines, "frozen");
+    let closed_before = log.count("closed heads changed", "");
+    head.fall_silent(SILENCE);
+    wait_until("failed probes", || log.count("closed heads changed", "") > closed_before);
+    head.set_deaf(true);
+    head.wait_while_silent();
+    head.set_deaf(false);
+    stream.read_to_string(&mut answer).expect("an answer that ends");
+    assert_whole(&answer);
+    thread::sleep(SILENCE);
+    assert_eq!(engines.iter().map(Server::incarnation).collect::<Vec<_>>(), before);
+}
+
 /// Guards against a group that is dissolved because its streams stay with their silent head.
 #[test]
 fn silence_of_a_head_with_several_streams_does_not_dissolve_its_group() {
--- a/crates/mangocross-serving/src/planner/server_health.rs
+++ b/crates/mangocross-serving/src/planner/server_health.rs
@@ -29,8 +29,11 @@
     NoProcess,
     /// No connection could be established: the machine is down or cut off.
     NoConnection,
-    /// The connection was established, but no valid answer came: the process may be pausing.
+    /// A new connection was established, but no valid answer came: the process may be pausing.
     NoAnswer,
+    /// No answer came on a connection from before, which does not show whether the machine can
+    /// still be reached.
+    NoAnswerOnKeptConnection,
 }
 
 /// Probe results of one server.
@@ -44,6 +47,9 @@
     silent_since: Option<Moment>,
     /// Whether the last of these probes found no connection.
     is_unreachable: bool,
+    /// Whether one of these probes established a connection: the machine was up, and the process
+    /// did not answer.
+    has_accepted: bool,
     has_no_process: bool,
     slow_reports: u32,
     slowdown: f64,
@@ -59,9 +65,13 @@
 
     /// Returns whether no process is running, the machine is unreachable, or the server has been
     /// unresponsive for so long that its work has to be given up.
+    ///
+    /// The queue of new connections of a process that pauses becomes full, so a machine that was up
+    /// when the process was silent already is not taken for unreachable.
     pub(super) fn is_lost(&self, now: Moment) -> bool {
         let is_over = || self.silent_since.is_some_and(|it| now.since(it) > PAUSE_MAX);
-        self.has_no_process || (self.is_unresponsive() && (self.is_unreachable || is_over()))
+        let is_gone = self.is_unreachable && !self.has_accepted;
+        self.has_no_process || (self.is_unresponsive() && (is_gone || is_over()))
     }
 
     /// Returns whether, since the last response, a probe has failed in another way than by a
@@ -124,10 +134,13 @@
         self.is_probing = false;
         match failure {
             ProbeFailure::NoProcess => self.has_no_process = true,
-            ProbeFailure::NoConnection | ProbeFailure::NoAnswer => {
+            ProbeFailure::NoConnection
+            | ProbeFailure::NoAnswer
+            | ProbeFailure::NoAnswerOnKeptConnection => {
                 self.misses += 1;
                 self.silent_since = self.silent_since.or(self.probed_at);
                 self.is_unreachable = failure == ProbeFailure::NoConnection;
+                self.has_accepted |= failure == ProbeFailure::NoAnswer;
             }
         }
     }
--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -43,6 +43,8 @@
     Pausing,
     /// Connections hang.
     Silent,
+    /// Nothing is answered on connections from before.
+    SilentOnKeptConnections,
     /// Connections are refused.
     NoProcess,
 }
@@ -229,6 +231,10 @@
                     Connectivity::Silent => {
                         self.planner.record_probe_failure(&probe.vm, ProbeFailure::NoConnection);
                     }
+                    Connectivity::SilentOnKeptConnections => {
+                        let failure = ProbeFailure::NoAnswerOnKeptConnection;
+                        self.planner.record_probe_failure(&probe.vm, failure);
+                    }
                     Connectivity::NoProcess => {
                         self.planner.record_probe_failure(&probe.vm, ProbeFailure::NoProcess);
                     }
@@ -259,7 +265,9 @@
         let engine = self.engines.get_mut(id).expect("an engine");
         match engine.connectivity {
             Connectivity::Answers => {}
-            Connectivity::Pausing | Connectivity::Silent => return OrderOutcome::Unknown,
+            Connectivity::Pausing
+            | Connectivity::Silent
+            | Connectivity::SilentOnKeptConnections => return OrderOutcome::Unknown,
             Connectivity::NoProcess => return OrderOutcome::NoProcess,
         }
         if engine.orders_accepted != expected {
--- a/crates/mangocross-serving/tests/silent_servers.rs
+++ b/crates/mangocross-serving/tests/silent_servers.rs
@@ -51,6 +51,33 @@
     }
 }
 
+/// Guards against a group that is re-formed because the queue of new connections of a member that
+/// pauses has become full.
+#[test]
+fn group_of_a_silent_server_that_accepts_no_more_connections_is_kept() {
+    for rank in 0..3 {
+        let mut simulation = formed();
+        let plans = simulation.plans.clone();
+        let head = simulation.serving("large")[0].clone();
+        let member = simulation.engines[&head].members[rank].clone();
+        let phases = [
+            (Connectivity::Pausing, Duration::from_millis(500)),
+            (Connectivity::Silent, SILENCE - Duration::from_millis(500)),
+            (Connectivity::Answers, Duration::from_secs(3)),
+        ];
+        for (connectivity, duration) in phases {
+            simulation.engines.get_mut(&member).expect("an engine").connectivity = connectivity;
+            for _ in 0..duration.as_millis() / 50 {
+                if connectivity != Connectivity::Answers {
+                    simulation.planner.mark_suspect(&head, simulation.now);
+                }
+                simulation.run(Duration::from_millis(50));
+            }
+        }
+        assert_eq!(simulation.plans, plans, "rank {rank}");
+    }
+}
+
 /// While a head does not respond, no new requests are sent to it.
 #[test]
 fn silent_head_is_closed_until_it_responds() {
@@ -78,6 +105,37 @@
     groups.flat_map(|it| it.vms()).any(|it| *it == member)
 }
 
+/// A server that is lost while it pauses is replaced once its pause has lasted too long.
+#[test]
+fn server_that_is_lost_while_it_pauses_is_replaced() {
+    let mut simulation = formed();
+    let head = simulation.serving("large")[0].clone();
+    let member = simulation.engines[&head].members[1].clone();
+    for connectivity in [Connectivity::Pausing, Connectivity::Silent] {
+        simulation.engines.get_mut(&member).expect("an engine").connectivity = connectivity;
+        simulation.planner.mark_suspect(&head, simulation.now);
+        simulation.run(Duration::from_millis(1200));
+    }
+    let groups = simulation.plans.values().flat_map(|(it, _)| &it.groups);
+    assert!(!groups.flat_map(|it| it.vms()).any(|it| *it == member));
+}
+
+/// Guards against a dead machine that is waited for because a probe was sent to it on a connection
+/// from before its death.
+#[test]
+fn kept_connection_does_not_show_that_a_machine_is_up() {
+    let mut simulation = formed();
+    let head = simulation.serving("large")[0].clone();
+    let member = simulation.engines[&head].members[1].clone();
+    simulation.planner.mark_suspect(&head, simulation.now);
+    for connectivity in [Connectivity::SilentOnKeptConnections, Connectivity::Silent] {
+        simulation.engines.get_mut(&member).expect("an engine").connectivity = connectivity;
+        simulation.run(Duration::from_millis(400));
+    }
+    let groups = simulation.plans.values().flat_map(|(it, _)| &it.groups);
+    assert!(!groups.flat_map(|it| it.vms()).any(|it| *it == member));
+}
+
 /// A member that stays silent is replaced, and one that cannot even be connected to at once.
 #[test]
 fn server_that_stays_silent_is_replaced() {
