fix(front): default limits are not taken for limits that callers may go by

Beside other processes at a load of about 120, one of three runs of connection_is_closed_after_its_idle_limit found the connection open after its limit. Without a configuration nothing is recorded now. The failure was not reproduced without load, so that this was its cause is an inference.

--- a/bins/mangocross-front/src/connection.rs
+++ b/bins/mangocross-front/src/connection.rs
@@ -13,6 +13,7 @@
 use hyper::rt::Write;
 use hyper_util::rt::TokioIo;
 use mangocross_serving::BootClock;
+use mangocross_serving::CallerLimits;
 use mangocross_serving::Moment;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -51,6 +52,11 @@
 }
 
 impl TimeLimits {
+    /// Returns the time limits among the limits on callers.
+    pub(crate) fn new(limits: &CallerLimits) -> Self {
+        Self { idle_timeout: limits.idle_timeout, header_timeout: limits.header_timeout }
+    }
+
     fn longest(self, other: Self) -> Self {
         Self {
             idle_timeout: self.idle_timeout.max(other.idle_timeout),
--- a/bins/mangocross-front/src/ingress.rs
+++ b/bins/mangocross-front/src/ingress.rs
@@ -128,8 +128,13 @@
     if let Err(error) = pool::set_options(&stream, pool::CALLER_USER_TIMEOUT) {
         log::debug!(error:% = error; "socket options are not available");
     }
-    let limits = state.configuration().map(|it| it.limits).unwrap_or_default();
-    let time_limits = callers.limits.borrow_mut().record(&limits, state.now());
+    let configuration = state.configuration();
+    let limits = configuration.as_ref().map(|it| it.limits).unwrap_or_default();
+    // Defaults were never announced to callers, so they are not recorded.
+    let time_limits = match configuration {
+        Some(_) => callers.limits.borrow_mut().record(&limits, state.now()),
+        None => TimeLimits::new(&limits),
+    };
     let connection_state = ConnectionState::new(state.clock, time_limits);
     let key = callers.connections.borrow_mut().insert(Rc::clone(&connection_state));
     let socket = TrackedSocket::new(stream, Rc::clone(&connection_state));
