--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -292,13 +292,17 @@
     };
     let vm = &probe.vm;
     let address = probe.address;
+    let no_answer = match connection.is_reused() {
+        true => ProbeFailure::NoAnswerOnKeptConnection,
+        false => ProbeFailure::NoAnswer,
+    };
     let exchange =
         exchange(state, vm, address, connection, Method::GET, report_path(), Bytes::new());
     let answer = tokio::time::timeout_at(began_at + PROBE_TIMEOUT, exchange).await;
     let Ok(Some(Answer { status, pause, body })) = answer else {
         // Only a new connection shows whether the machine can still be reached.
         state.pool.close_idle(address);
-        return Err(ProbeFailure::NoAnswer);
+        return Err(no_answer);
     };
     if pause.is_some() {
         return Err(ProbeFailure::TurnedAway);
