fix(front): entry VMs tell each other of versions that the store has lost

Cause: a VM that had not seen the newest configuration read an older one from the copy, took the store's answer for a proof that it was the newest, and accepted a key that had been taken away.

Ruled out: comparing with versions of the same era. Each answer of the store is newer than all that was seen before; followers of relays, which learn of versions later, would hardly ever be fresh. Refusing until the operator has written: a VM can't tell that from a copy that was up to date.

Change: - ConfigurationNotice, a new variant of the messages between entry VMs: the era that the VM is in, the version that the store has shown it there and the newest version seen in earlier eras. Sent every 0.8 s, and at once after a return and whenever it changes, to all or to four at random that pass it on. Earlier versions of the program ignore it. - An answer of the store confirms nothing while it shows an older version than one seen in an earlier era by any VM.

Not covered: a version that no VM has seen and that is not written again within two seconds, and a process that starts within the two seconds after a return and reads the copy before a notice comes.

--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod control;
 mod dispatch;
+mod entry_vm_list;
 mod first_answer;
 mod ingress;
 mod leases;
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use mangocross_serving::BackendServer;
+use mangocross_serving::ConfigurationNotice;
 use mangocross_serving::CrashReport;
 use mangocross_serving::Load;
 use mangocross_types::Revision;
@@ -39,9 +40,12 @@
 const NEW_CRASHES_INTERVAL: Duration = Duration::from_millis(200);
 /// Reports of crashes at the shorter interval after each change.
 const NEW_CRASHES_REPORTS: u32 = 10;
-/// Number of entry VMs that a report of crashes is sent to if there are more than
-/// FULL_MESH_PEERS_MAX; they pass it on.
-const CRASHES_FAN_OUT: usize = 4;
+/// Number of entry VMs that a message is sent to that they pass on, if there are more than
+/// FULL_MESH_PEERS_MAX.
+const FAN_OUT: usize = 4;
+/// Time between two messages on the versions of the configuration; the first one after a return of
+/// the store to an older copy and one that repeats it arrive before its answers count again.
+const CONFIGURATION_INTERVAL: Duration = Duration::from_millis(800);
 /// Minimum time between two messages with updates.
 const UPDATE_INTERVAL_MIN: Duration = Duration::from_millis(30);
 /// Maximum size of a UDP datagram over IPv4. Totals of 600 heads take about 20 kB.
@@ -66,6 +70,8 @@
     Crashes(CrashReport),
     /// Changed entries of servers, relayed by the planner.
     EntriesOfEra(Vec<(StoreRevision, BackendServer)>),
+    /// Versions of the configuration that exist, also if the store has lost them.
+    Configuration(ConfigurationNotice),
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -91,6 +97,7 @@
     tokio::task::spawn_local(receive(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_counts(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_crashes(Rc::clone(state), Rc::clone(&socket)));
+    tokio::task::spawn_local(send_configuration_notices(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_updates(Rc::clone(state), socket));
     Ok(())
 }
@@ -122,6 +129,11 @@
                     state.view.borrow_mut().closed_heads.replace(heads, now);
                 }
             }
+            Ok(Message::Configuration(notice)) => {
+                if state.view.borrow_mut().freshness.record_notice(notice) {
+                    state.configuration_notice_changed.notify_one();
+                }
+            }
             Ok(Message::Crashes(report)) => blame::apply_report(&state, report),
             Err(error) => {
                 if state.log_rate.allow("message ignored", state.now()).is_some() {
@@ -175,6 +187,16 @@
     others.map(|(_, it)| it.address).collect()
 }
 
+/// Returns the addresses of the other entry VMs, or of some of them if there are many.
+fn some_peer_addresses(state: &AppState) -> Vec<SocketAddr> {
+    let mut peers = peer_addresses(state);
+    if peers.len() > FULL_MESH_PEERS_MAX {
+        fastrand::shuffle(&mut peers);
+        peers.truncate(FAN_OUT);
+    }
+    peers
+}
+
 /// Returns the address of the planner, if it is another entry VM.
 fn planner_address(state: &AppState) -> Option<SocketAddr> {
     let view = state.view.borrow();
@@ -259,12 +281,23 @@
             }
         }
         if let Some(report) = blame::take_report(&state) {
-            let mut peers = peer_addresses(&state);
-            if peers.len() > FULL_MESH_PEERS_MAX {
-                fastrand::shuffle(&mut peers);
-                peers.truncate(CRASHES_FAN_OUT);
-            }
-            send(&socket, &Message::Crashes(report), &peers);
+            send(&socket, &Message::Crashes(report), &some_peer_addresses(&state));
+        }
+        tokio::time::sleep(UPDATE_INTERVAL_MIN).await;
+    }
+}
+
+/// Tells of the versions of the configuration that exist, at once after a return of the store to an
+/// older copy.
+async fn send_configuration_notices(state: Rc<AppState>, socket: Rc<UdpSocket>) {
+    loop {
+        tokio::select! {
+            () = state.configuration_notice_changed.notified() => {}
+            () = tokio::time::sleep(CONFIGURATION_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64())) => {}
+        }
+        let notice = state.view.borrow().freshness.notice();
+        if notice.shown_version.max(notice.former_version).is_some() {
+            send(&socket, &Message::Configuration(notice), &some_peer_addresses(&state));
         }
         tokio::time::sleep(UPDATE_INTERVAL_MIN).await;
     }
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -24,7 +24,6 @@
 use mangocross_serving::MissingServers;
 use mangocross_serving::Moment;
 use mangocross_serving::ProgressTable;
-use mangocross_serving::RelayPlan;
 use mangocross_serving::RetryBudget;
 use mangocross_serving::ServerNotices;
 use mangocross_serving::StoreView;
@@ -84,6 +83,9 @@
     pub(crate) entry_vm_keys: BTreeMap<Arc<str>, StoredValue>,
     /// All listed entry VMs, including this one.
     pub(crate) entry_vms: BTreeMap<Arc<str>, ListedEntryVm>,
+    /// Entry VMs whose addresses went missing around an outage of the store, and until when they are
+    /// listed without.
+    pub(crate) missing_entry_vms: HashMap<Arc<str>, Moment>,
     /// When an entry VM was last added to the list or removed from it.
     pub(crate) entry_vms_changed_at: Moment,
     pub(crate) loads: LoadTable,
@@ -130,6 +132,8 @@
     pub(crate) blame_changed: Notify,
     /// Quarantined parts as last logged.
     pub(crate) logged_quarantine: RefCell<String>,
+    /// Wakes the task that tells the other entry VMs of versions of the configuration.
+    pub(crate) configuration_notice_changed: Notify,
     /// Wakes the task that sends updates to the other entry VMs.
     pub(crate) peer_updates: Notify,
     /// Wakes the lease task when there is no planner or the process stops.
@@ -164,6 +168,7 @@
             planner_inputs_changed: Notify::new(),
             blame_changed: Notify::new(),
             logged_quarantine: RefCell::default(),
+            configuration_notice_changed: Notify::new(),
             peer_updates: Notify::new(),
             lease_wakeup: Notify::new(),
             planner_term: Cell::new(None),
@@ -413,28 +418,6 @@
 }
 
 impl ClusterView {
-    /// Returns which entry VMs follow the store for the others.
-    pub(crate) fn relay_plan(&self) -> RelayPlan {
-        RelayPlan::new(self.entry_vms.iter())
-    }
-
-    /// Replaces or adds a listed entry VM.
-    pub(crate) fn list_entry_vm(&mut self, name: Arc<str>, vm: ListedEntryVm, now: Moment) {
-        if self.entry_vms.insert(name, vm.clone()).as_ref() != Some(&vm) {
-            self.entry_vms_changed_at = now;
-        }
-    }
-
-    pub(crate) fn unlist_entry_vm(&mut self, name: &str, now: Moment) {
-        if self.entry_vms.remove(name).is_some() {
-            self.entry_vms_changed_at = now;
-        }
-    }
-
-    fn entry_vm_count(&self) -> usize {
-        self.entry_vms.len().max(self.loads.peer_count() + 1)
-    }
-
     /// Returns the suspect heads, and when each was last found stalled.
     pub(crate) fn suspects(&self, now: Moment) -> impl Iterator<Item = (&VmId, Moment)> {
         let recent = self.suspects.iter().filter(move |(_, at)| now.since(**at) < SUSPECT_PAUSE);
@@ -479,6 +462,7 @@
 
     /// Removes entries that have expired.
     pub(crate) fn expire(&mut self, now: Moment) {
+        self.unlist_gone_entry_vms(now);
         self.loads.expire(now);
         self.progress.expire(now);
         self.suspects.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
--- a/bins/mangocross-front/src/store_era.rs
+++ b/bins/mangocross-front/src/store_era.rs
@@ -24,13 +24,17 @@
             return;
         }
         view.era = Some(era);
-        let Some(former) = former else { return };
+        let Some(former) = former else {
+            view.freshness.set_first_era(era);
+            return;
+        };
         view.missing.record_new_era(now, leave_within);
-        view.freshness.begin_era(now);
+        view.freshness.begin_era(era, now);
         drop(view);
         self.store_view.borrow_mut().begin_era(now);
         self.metrics.count_new_era();
         log::warn!(era = era.0, former_era = former.0; "store era changed");
+        self.configuration_notice_changed.notify_one();
         self.lease_wakeup.notify_one();
         self.planner_inputs_changed.notify_one();
     }
--- a/bins/mangocross-front/tests/front/store_era.rs
+++ b/bins/mangocross-front/tests/front/store_era.rs
@@ -133,6 +133,46 @@
     returned.join().expect("the store is back");
 }
 
+/// A configuration that another entry VM has seen is lost: one that reads the copy took it for the
+/// newest, and accepted a key that had been taken away.
+#[test]
+fn revoked_key_is_refused_while_the_store_shows_an_older_configuration() {
+    let revoke = Duration::from_millis(4000);
+    let store = Store::spawn();
+    store.configure(3, &["k1", "k2"]);
+    let _servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let entrance = store.open_entrance();
+    let informed = Front::spawn(&store, 4000, Stdio::null());
+    let behind = Front::spawn_at(entrance.address, 4000, Stdio::null());
+    for front in [&informed, &behind] {
+        front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+        wait_until("both are listed", || has_metric(front, "front_entry_vms 2"));
+    }
+    thread::sleep(CALM);
+    entrance.set_refusing_reads(true);
+    // The watch that has begun is not refused.
+    thread::sleep(Duration::from_millis(1700));
+    store.configure(4, &["k2"]);
+    let revoked_at = Instant::now();
+    informed.wait_for_status(401, "/lookup/x", CALLER_HEADERS);
+    // The operator takes longer than usual to write again.
+    let rewritten_after = Duration::from_secs(9);
+    store.return_to_copy(COPY_AGE, SILENCE, rewritten_after);
+    entrance.set_refusing_reads(false);
+    while revoked_at.elapsed() < Duration::from_secs(9) {
+        let since = revoked_at.elapsed();
+        let (status, _, body) = behind.call("POST", "/lookup/x", CALLER_HEADERS, "{}");
+        assert!(status != 200 || since < revoke, "accepted after {since:?}: {body}");
+        let (status, _, body) = informed.call("POST", "/lookup/x", CALLER_HEADERS, "{}");
+        assert!(status != 200, "accepted after {since:?} where it was refused: {body}");
+        thread::sleep(Duration::from_millis(50));
+    }
+    for front in [&informed, &behind] {
+        front.wait_for_status(200, "/lookup/x", &headers("k2"));
+        front.wait_for_status(401, "/lookup/x", CALLER_HEADERS);
+    }
+}
+
 /// The planner's lease is gone, or belongs to another VM that got the same number: it went on
 /// renewing it, and nobody planned.
 #[test]
--- a/crates/mangocross-serving/src/freshness.rs
+++ b/crates/mangocross-serving/src/freshness.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+use mangocross_types::StoreEra;
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::Moment;
 use crate::missing_servers::REAPPEARANCE_TIME;
 
@@ -15,16 +19,29 @@
 ///
 /// A store that came back from an older copy may lack the newest version. Its answers confirm
 /// nothing until operators have had the time to write it again, nor while it shows a version older
-/// than one that any entry VM has seen.
+/// than one that any entry VM saw in an earlier era.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ConfigurationFreshness {
     requested_at: Option<Moment>,
     /// Requests before this moment confirm nothing.
     settled_at: Option<Moment>,
-    /// Newest version that the store has shown in its present era.
+    /// Era of the store that the view of this VM is from.
+    era: StoreEra,
+    /// Newest version that the store has shown in this era.
     shown_version: Option<u64>,
-    /// Newest version that any entry VM has seen.
-    newest_version: Option<u64>,
+    /// Newest version that any entry VM saw in an earlier era.
+    former_version: Option<u64>,
+}
+
+/// What an entry VM tells the others of the versions of the configuration that exist.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationNotice {
+    /// Era of the store that the VM's view is from.
+    pub era: StoreEra,
+    /// Newest version that the store has shown to the VM in this era.
+    pub shown_version: Option<u64>,
+    /// Newest version that any entry VM saw in an earlier era, as far as this one knows.
+    pub former_version: Option<u64>,
 }
 
 impl ConfigurationFreshness {
@@ -32,7 +49,7 @@
     /// `requested_at`.
     pub fn confirm(&mut self, requested_at: Moment) {
         let is_settled = self.settled_at.is_none_or(|it| requested_at >= it);
-        if !is_settled || self.shown_version < self.newest_version {
+        if !is_settled || self.shown_version < self.former_version {
             return;
         }
         self.requested_at = self.requested_at.max(Some(requested_at));
@@ -51,28 +68,39 @@
         }
     }
 
-    /// Records a version that the store showed.
+    /// Records a version that the store showed in its present era.
     pub fn record_shown(&mut self, version: u64) {
         self.shown_version = self.shown_version.max(Some(version));
-        self.record_seen(version);
-    }
-
-    /// Records a version that some entry VM has seen; returns whether it is newer than all others.
-    pub fn record_seen(&mut self, version: u64) -> bool {
-        let is_new = self.newest_version < Some(version);
-        self.newest_version = self.newest_version.max(Some(version));
-        is_new
     }
 
-    /// Returns the newest version that any entry VM has seen, as far as this one knows.
-    pub fn newest_version(&self) -> Option<u64> {
-        self.newest_version
+    /// Records the era of the first answer of the store.
+    pub fn set_first_era(&mut self, era: StoreEra) {
+        self.era = era;
     }
 
     /// Records that the store came back from an older copy, as noticed at `now`.
-    pub fn begin_era(&mut self, now: Moment) {
+    pub fn begin_era(&mut self, era: StoreEra, now: Moment) {
+        self.era = era;
         self.settled_at = Some(now + REAPPEARANCE_TIME);
-        self.shown_version = None;
+        self.former_version = self.former_version.max(self.shown_version.take());
+    }
+
+    /// Returns what to tell the other entry VMs.
+    pub fn notice(&self) -> ConfigurationNotice {
+        let Self { era, shown_version, former_version, .. } = *self;
+        ConfigurationNotice { era, shown_version, former_version }
+    }
+
+    /// Records what another entry VM tells; returns whether the newest version of an earlier era
+    /// changed, so that the others need to know.
+    pub fn record_notice(&mut self, notice: ConfigurationNotice) -> bool {
+        let known = self.former_version;
+        self.former_version = known.max(notice.former_version);
+        // Within an era each answer of the store is newer than all that was seen before.
+        if notice.era < self.era {
+            self.former_version = self.former_version.max(notice.shown_version);
+        }
+        self.former_version != known
     }
 
     /// Returns the time since the request of the latest confirmation, if there is one.
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -46,6 +46,7 @@
 pub use event_splitter::EventTooLong;
 pub use first_attempts::LongestDeadlines;
 pub use freshness::ConfigurationFreshness;
+pub use freshness::ConfigurationNotice;
 pub use load_table::Load;
 pub use load_table::LoadTable;
 pub use missing_servers::MissingServers;
--- a/crates/mangocross-serving/src/missing_servers.rs
+++ b/crates/mangocross-serving/src/missing_servers.rs
@@ -64,9 +64,14 @@
         self.reappear_until = Some(now + REAPPEARANCE_TIME.min(longest));
     }
 
+    /// Returns until when entries may reappear, if the time has not passed.
+    pub fn reappear_until(&self, now: Moment) -> Option<Moment> {
+        self.reappear_until.filter(|it| now < *it)
+    }
+
     /// Records that a server's entry was removed, or is not among all entries.
     pub fn record_removal(&mut self, vm: &VmId, now: Moment) -> Removal {
-        match self.reappear_until.filter(|it| now < *it) {
+        match self.reappear_until(now) {
             Some(until) => {
                 let gone_at = *self.gone_at.entry(vm.clone()).or_insert(until);
                 Removal::MayReappear(gone_at)
