fix(serving): groups whose plan the store has lost are adopted

Cause: a planner that read an older plan took heads that it did not contain for orphans and ordered them to leave, and formed groups that the plan had before anew. An incarnation that the lost plan had given out, and that no server reports yet, was given out again with other members.

Ruled out: keeping the last plan of the era before. Only VMs that followed the store have it, and a server's own word is newer.

Change: a plan is written before the first order, so an open group with an incarnation that the plan has not allocated shows that the plan is older. The planner adds such a group with the members that report it, if all of them do, and writes the plan before any order; planned groups that it replaced or took members from are dissolved, their heads former heads. Incarnations of an era begin at its number times a million, so none of an earlier era is given out again. Planning waits for two seconds after a return, so entries have been written again by then.

Not covered: a group of which a member's entry is still old or missing after these two seconds is ordered to leave as before.

Result: groups_that_a_copy_does_not_know_serve_on (processes) failed before: both groups told to leave.

--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -133,6 +133,7 @@
             .entry(service.clone())
             .or_insert_with(|| GroupPlanner::new(engine.clone(), state.bounds().stall));
         planner.set_engine_spec(engine.clone());
+        planner.set_era(term.era);
         planner.set_weight_loads_unlimited(state.vm.is_first_start && !state.has_traffic.get());
         let view = state.view.borrow();
         for (key, stored) in &view.entry_vm_keys {
--- a/bins/mangocross-front/tests/front/store_era.rs
+++ b/bins/mangocross-front/tests/front/store_era.rs
@@ -202,6 +202,35 @@
     });
 }
 
+/// The copy is older than the groups: they were told to leave, since the plan did not have them.
+#[test]
+fn groups_that_a_copy_does_not_know_serve_on() {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let engines: Vec<Server> =
+        ["e1", "e2", "e3", "e4"].iter().map(|it| Server::spawn(&store, it, "models")).collect();
+    thread::sleep(CALM);
+    let began = Instant::now();
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
+    wait_until("all groups are open", || has_metric(&front, r#"front_groups{state="open"} 2"#));
+    let before = open_groups(&engines);
+    // From before the first plan.
+    let age = began.elapsed() + Duration::from_millis(500);
+    store.return_to_copy(age, Duration::ZERO, REWRITTEN_AFTER);
+    thread::sleep(REWRITTEN_AFTER + Duration::from_millis(500));
+    wait_until("there is a planner", || store.contains_key(PLANNER_KEY));
+    assert_groups_stand(&engines, &before);
+    let member = (0..engines.len()).find(|it| before.iter().all(|(head, ..)| head != it));
+    engines[member.expect("a member")].restart();
+    wait_until("its group is formed again", || {
+        let after = open_groups(&engines);
+        after.len() == before.len() && after != before
+    });
+    let violations: Vec<String> = engines.iter().flat_map(Server::violations).collect();
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
 /// The second return came while all keys were read for the first one.
 #[test]
 fn two_returns_within_a_second_end_with_one_planner_and_the_same_groups() {
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -1,5 +1,6 @@
 //! Plans model groups: forms, repairs and dissolves them.
 
+mod adoption;
 mod closed_heads;
 mod donors;
 mod forming;
@@ -22,6 +23,7 @@
 use mangocross_types::GroupId;
 use mangocross_types::Incarnation;
 use mangocross_types::Rank;
+use mangocross_types::StoreEra;
 use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
 
@@ -169,6 +171,8 @@
     newest_server_at: HashMap<FabricDomain, Moment>,
     /// The servers of each fabric domain as of the last decision, in order of their ids.
     by_domain: HashMap<FabricDomain, Vec<VmId>>,
+    /// Era of the store in which the plans are written.
+    era: StoreEra,
 }
 
 impl GroupPlanner {
@@ -187,6 +191,7 @@
             progressing: HashSet::new(),
             newest_server_at: HashMap::new(),
             by_domain: HashMap::new(),
+            era: StoreEra::default(),
         }
     }
 
@@ -195,6 +200,12 @@
         self.engine_spec = engine_spec;
     }
 
+    /// Sets the era of the store in which the plans are written; no incarnation of an earlier era is
+    /// given out again.
+    pub fn set_era(&mut self, era: StoreEra) {
+        self.era = era;
+    }
+
     /// Sets whether weight loads are unlimited.
     ///
     /// The front sets this when the system starts for the first time, until the first request
--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -15,6 +15,7 @@
 use super::PlannedMember;
 use super::PlannerAction;
 use super::TrackedServer;
+use super::adoption::first_incarnation;
 use super::forming::PlanUpdate;
 use crate::EngineOrder;
 use crate::MemberPhase;
@@ -61,10 +62,13 @@
             expected: stored.revision,
             reasons: Vec::new(),
         };
+        if self.adopt_groups(&mut update) {
+            return update;
+        }
+        let mut remaining = stored.plan.clone();
         let groups = std::mem::take(&mut update.plan.groups);
         let (dissolving, groups): (Vec<_>, Vec<_>) =
             groups.into_iter().partition(|it| it.is_dissolving);
-        let mut remaining = stored.plan.clone();
         for group in dissolving {
             if self.try_release(&group, now, actions) {
                 update.reasons.push(format!("{} released", group.group));
@@ -220,7 +224,10 @@
 
     /// Allocates the incarnation of the next group in a domain.
     pub(super) fn next_incarnation(&self, domain: &FabricDomain, plan: &mut DomainPlan) -> u64 {
-        let incarnation = plan.next_incarnation.max(self.highest_incarnation(domain) + 1);
+        let incarnation = plan
+            .next_incarnation
+            .max(self.highest_incarnation(domain) + 1)
+            .max(first_incarnation(self.era));
         plan.next_incarnation = incarnation + 1;
         incarnation
     }
--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -67,11 +67,14 @@
     pub(crate) members: Vec<VmId>,
 }
 
+/// The stored plans, with their revisions.
+pub(crate) type Plans = BTreeMap<FabricDomain, (DomainPlan, StoreRevision)>;
+
 /// All engines, the stored plans and the planner.
 #[derive(Debug)]
 pub(crate) struct Simulation {
     pub(crate) engines: BTreeMap<VmId, Engine>,
-    pub(crate) plans: BTreeMap<FabricDomain, (DomainPlan, StoreRevision)>,
+    pub(crate) plans: Plans,
     pub(crate) planner: GroupPlanner,
     pub(crate) now: Moment,
     /// When each load from the weight store was started.
