fix(front): entries of an older copy undo no departure

Cause: a copy lists servers as ready that are known to be draining, or that have left since. They got requests again.

Ruled out: telling entries of the copy from those written again by their revisions; the same revisions are given out again.

Change: the first entry of a known server process in a new era is held for the two seconds in which others write again, unless it says that the server is leaving. It counts afterwards if nothing newer has come; a process that is known to be leaving stays so. A process with a later start is new.

Result: servers_that_left_before_a_return_get_nothing failed before (a draining server got the first request after the return).

--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod entry_vm_list;
 mod first_answer;
+mod held_entries;
 mod ingress;
 mod leases;
 mod log_rate;
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -37,6 +37,7 @@
 
 use crate::clock::SystemBootClock;
 use crate::closed_heads::ClosedHeads;
+use crate::held_entries::DepartedServer;
 use crate::leases::PlannerTerm;
 use crate::log_rate::LogRate;
 use crate::metrics::FrontMetrics;
@@ -77,6 +78,10 @@
     pub(crate) era: Option<StoreEra>,
     /// Revision of each server's entry or of its removal.
     pub(crate) server_revisions: HashMap<VmId, StoreRevision>,
+    /// Entries of an older copy of the store that are not used yet.
+    pub(crate) held_entries: HashMap<VmId, (StoreRevision, BackendServer)>,
+    /// Servers whose entries were removed lately.
+    pub(crate) departed: HashMap<VmId, DepartedServer>,
     /// Servers whose entries were missing after a store outage.
     pub(crate) missing: MissingServers,
     /// Values that entry VMs write under mangocross/: plans, the planner's key, addresses.
@@ -455,7 +460,7 @@
     pub(crate) fn remove_gone_servers(&mut self, now: Moment) -> Vec<VmId> {
         let gone = self.missing.take_gone(now);
         for vm in &gone {
-            self.servers.remove(vm);
+            self.record_departure(vm, now);
         }
         gone
     }
@@ -463,6 +468,7 @@
     /// Removes entries that have expired.
     pub(crate) fn expire(&mut self, now: Moment) {
         self.unlist_gone_entry_vms(now);
+        self.expire_departed(now);
         self.loads.expire(now);
         self.progress.expire(now);
         self.suspects.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
--- a/bins/mangocross-front/src/store_changes.rs
+++ b/bins/mangocross-front/src/store_changes.rs
@@ -39,14 +39,14 @@
     if prefix == SERVERS_PREFIX {
         let mut view = state.view.borrow_mut();
         let listed: HashSet<&str> = keys.iter().filter_map(|it| it.strip_prefix(prefix)).collect();
-        let ClusterView { servers, server_revisions, missing, .. } = &mut *view;
+        let ClusterView { servers, server_revisions, .. } = &*view;
         let is_older = |vm: &VmId| server_revisions.get(vm).is_none_or(|it| *it <= as_of);
         let is_missing = |vm: &&VmId| !listed.contains(vm.as_str()) && is_older(vm);
         let unlisted: Vec<VmId> = servers.keys().filter(is_missing).cloned().collect();
         for vm in unlisted {
-            server_revisions.insert(vm.clone(), as_of);
-            if missing.record_removal(&vm, now) == Removal::Gone {
-                servers.remove(&vm);
+            view.server_revisions.insert(vm.clone(), as_of);
+            if view.missing.record_removal(&vm, now) == Removal::Gone {
+                view.record_departure(&vm, now);
             }
         }
     }
@@ -189,12 +189,19 @@
     revision: StoreRevision,
     server: BackendServer,
 ) -> bool {
+    let now = state.now();
     let mut view = state.view.borrow_mut();
-    let known = view.server_revisions.entry(server.vm.clone()).or_default();
-    if *known >= revision {
+    let known = view.server_revisions.get(&server.vm).copied().unwrap_or_default();
+    if known >= revision {
         return false;
     }
-    *known = revision;
+    view.server_revisions.insert(server.vm.clone(), revision);
+    view.missing.record_entry(&server.vm);
+    if view.hold_entry(known, revision, &server, now) {
+        return false;
+    }
+    view.held_entries.remove(&server.vm);
+    view.departed.remove(&server.vm);
     let is_new = !view.servers.contains_key(&server.vm);
     let was_leaving = view.servers.get(&server.vm).is_some_and(|it| it.is_leaving);
     if is_new || server.is_leaving != was_leaving {
@@ -204,7 +211,6 @@
             "backend server seen"
         );
     }
-    view.missing.record_entry(&server.vm);
     view.servers.insert(server.vm.clone(), server);
     true
 }
@@ -225,7 +231,7 @@
             is_known && matches!(view.missing.record_removal(&vm, now), Removal::MayReappear(_));
         log::info!(server:% = vm, revision = revision.revision.0, is_after_outage; "backend server unlisted");
         if !is_after_outage {
-            view.servers.remove(&vm);
+            view.record_departure(&vm, now);
         }
         return;
     }
--- a/bins/mangocross-front/tests/front/store_era.rs
+++ b/bins/mangocross-front/tests/front/store_era.rs
@@ -133,6 +133,34 @@
     returned.join().expect("the store is back");
 }
 
+/// The copy lists a server as ready that is known to be draining, and one that has left.
+#[test]
+fn servers_that_left_before_a_return_get_nothing() {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let servers = ["r1", "r2", "r3"].map(|it| Server::spawn(&store, it, "records"));
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    wait_until("all are known", || has_metric(&front, "front_backend_servers 3"));
+    thread::sleep(CALM);
+    let entry = store.read("servers/r1").expect("an entry");
+    let mut entry = entry.as_object().expect("an object").clone();
+    entry.insert("state".to_owned(), json!("draining"));
+    store.put("servers/r1", &json!(entry));
+    store.remove("servers/r2");
+    wait_until("one is gone", || has_metric(&front, "front_backend_servers 2"));
+    thread::sleep(Duration::from_millis(300));
+    let arrived = || [servers[0].arrived().len(), servers[1].arrived().len()];
+    let before = arrived();
+    return_to_copy(&store);
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(4) {
+        assert_eq!(front.call("POST", "/lookup/x", CALLER_HEADERS, "{}").0, 200);
+        assert_eq!(arrived(), before, "after {:?}", began.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// A configuration that another entry VM has seen is lost: one that reads the copy took it for the
 /// newest, and accepted a key that had been taken away.
 #[test]
