fix(front): followers wait while their relay reads a new era

Cause: all relays read all keys anew at a return, and meanwhile told their followers that they follow nothing. Followers go through four relays and then to the store, all at once.

That questions are held was not seen red: the load of a fleet on the store at a return is not measured.

--- a/bins/mangocross-front/src/held_entries.rs
+++ b/bins/mangocross-front/src/held_entries.rs
@@ -40,7 +40,7 @@
         server: &BackendServer,
         now: Moment,
     ) -> bool {
-        let is_first = known.era < revision.era && self.era.is_some_and(|it| it == revision.era);
+        let is_first = known.era < revision.era;
         if !is_first || server.is_leaving || self.missing.reappear_until(now).is_none() {
             return false;
         }
--- a/bins/mangocross-front/src/relay_following.rs
+++ b/bins/mangocross-front/src/relay_following.rs
@@ -85,7 +85,7 @@
             position.record_relay_failure(state, relay);
             return Ok(FollowEnd::RelayFailed);
         }
-        state.observe_era(revision.era);
+        state.observe_revision(revision);
         state.record_store_answer();
         position.mark_regained(state);
         position.choice.record_following();
--- a/bins/mangocross-front/src/relay_server.rs
+++ b/bins/mangocross-front/src/relay_server.rs
@@ -108,19 +108,24 @@
     response
 }
 
-/// Waits for changes; answers at once if this VM does not follow the store.
+/// Waits for changes; answers at once if this VM does not follow the store. While it reads all keys
+/// anew, as in a new era, its followers wait with it.
 async fn answer(state: &AppState, question: &RelayQuestion, arrived_at: Moment) -> RelayAnswer {
     let until = tokio::time::Instant::now() + question.wait.min(HOLD_MAX);
     loop {
         let changed = state.relay.changed.notified();
+        let is_over = tokio::time::Instant::now() >= until;
         if !state.relay.is_following.get() {
-            return RelayAnswer::NotFollowing;
+            if is_over || !state.relay.is_recording() {
+                return RelayAnswer::NotFollowing;
+            }
+            let _ = tokio::time::timeout_at(until, changed).await;
+            continue;
         }
         let age = state.view.borrow().freshness.age(state.now());
         if state.is_store_lost.get() && age.is_none_or(|it| it > STORE_LOST_AGE) {
             return RelayAnswer::StoreLost;
         }
-        let is_over = tokio::time::Instant::now() >= until;
         if is_over || state.relay.keys.borrow().has_changes_since(question.after) {
             return changes(state, question, arrived_at);
         }
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -30,7 +30,6 @@
 use mangocross_serving::TrafficConfiguration;
 use mangocross_types::ModelId;
 use mangocross_types::ServiceId;
-use mangocross_types::StoreEra;
 use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
 use tokio::sync::Notify;
@@ -74,8 +73,8 @@
     pub(crate) configuration: Option<Arc<TrafficConfiguration>>,
     pub(crate) freshness: ConfigurationFreshness,
     pub(crate) servers: BTreeMap<VmId, BackendServer>,
-    /// Era of the store that the view is from, once the store or a relay has answered.
-    pub(crate) era: Option<StoreEra>,
+    /// Latest revision that the store or a relay told.
+    pub(crate) latest_revision: Option<StoreRevision>,
     /// Revision of each server's entry or of its removal.
     pub(crate) server_revisions: HashMap<VmId, StoreRevision>,
     /// Entries of an older copy of the store that are not used yet.
--- a/bins/mangocross-front/src/store_following.rs
+++ b/bins/mangocross-front/src/store_following.rs
@@ -111,7 +111,6 @@
             position.after = None;
             return Ok(FollowEnd::EraChanged);
         }
-        state.observe_era(answer.era);
         match answer.status {
             StatusCode::OK => {}
             StatusCode::GONE => {
@@ -124,6 +123,7 @@
         position.mark_regained(state);
         position.choice.record_store_answer(asked_at);
         let answer = StoreChanges::decode(&answer.body, answer.era)?;
+        state.observe_revision(answer.revision);
         let has_changes = !answer.changes.is_empty();
         for it in answer.changes {
             apply(state, it);
@@ -310,14 +310,14 @@
         if first.is_some_and(|it| it.era != answer.era) {
             return Err(StoreError::EraChanged);
         }
-        state.observe_era(answer.era);
+        let page = StorePage::decode(&answer.body, answer.era)?;
+        state.observe_revision(page.revision);
         state.record_store_answer();
         attempts = 0;
         if prefix != OPERATORS_PREFIX && prefix != ENTRY_VMS_PREFIX {
             // Reading dozens of pages over a busy link takes seconds.
             Box::pin(read_configuration(state)).await;
         }
-        let page = StorePage::decode(&answer.body, answer.era)?;
         first.get_or_insert(page.revision);
         let is_last = !page.has_more || page.items.is_empty();
         items.extend(page.items);
--- a/bins/mangocross-front/tests/front/relays.rs
+++ b/bins/mangocross-front/tests/front/relays.rs
@@ -115,6 +115,33 @@
     assert_key_is_in_force(&rest, "k5", "k4");
 }
 
+/// Relays went on from the old era's revisions, and followers dropped what was written again with
+/// lower ones.
+#[test]
+fn fleet_follows_the_store_into_its_next_era() {
+    let (store, _servers, fronts) = start_fleet();
+    thread::sleep(Duration::from_millis(1600));
+    for number in 0..300 {
+        store.put("op/note", &serde_json::json!(number));
+    }
+    store.configure(4, &["k4"]);
+    assert_key_is_in_force(&fronts, "k4", "k1");
+    let age = Duration::from_millis(3000);
+    store.return_to_copy(age, Duration::from_millis(300), Duration::from_millis(1000));
+    thread::sleep(Duration::from_millis(1500));
+    store.configure(5, &["k5"]);
+    assert_key_is_in_force(&fronts, "k5", "k4");
+    store.remove("servers/r2");
+    wait_until("the removal is known", &fronts, || {
+        fronts.iter().all(|it| has_metric(it, "front_backend_servers 1"))
+    });
+    let listed = format!("front_entry_vms {ENTRY_VM_COUNT}");
+    wait_until("all are listed again", &fronts, || fronts.iter().all(|it| has_metric(it, &listed)));
+    wait_until("relays follow the store", &fronts, || {
+        STORE_FOLLOWERS.contains(&fronts.iter().filter(|it| follows_store(it)).count())
+    });
+}
+
 /// The store is away and comes back: keys are refused for lack of a fresh configuration, and
 /// served again afterwards.
 #[test]
