fix(front): held entries wait until later changes have been read

Cause: an entry of an older copy counted two seconds after the return by the clock, also if the VM had not read yet what was written in this time. servers_that_left_before_a_return_get_nothing failed once so, in one of three runs beside a load average of 181 on eight cores: a server that had left got a request 1.99 s after the return, its removal was written 1 s after it.

Change: held entries count once an answer of the store, or one that a relay passed on, to a question asked after the two seconds has been applied.

--- a/bins/mangocross-front/src/control.rs
+++ b/bins/mangocross-front/src/control.rs
@@ -62,7 +62,6 @@
 
 fn remove_gone_servers(state: &AppState) {
     let gone = state.view.borrow_mut().remove_gone_servers(state.now());
-    state.view.borrow_mut().apply_held_entries(state.now());
     for vm in &gone {
         log::info!(server:% = vm; "backend server removed after store outage");
     }
--- a/bins/mangocross-front/src/held_entries.rs
+++ b/bins/mangocross-front/src/held_entries.rs
@@ -55,9 +55,11 @@
         is_known
     }
 
-    /// Applies the entries that were held and have not been written again.
-    pub(crate) fn apply_held_entries(&mut self, now: Moment) {
-        if self.held_entries.is_empty() || self.missing.reappear_until(now).is_some() {
+    /// Applies the entries that were held and have not been written again, once all changes up to
+    /// `known_until` are known and servers have had their time by then.
+    pub(crate) fn apply_held_entries(&mut self, known_until: Moment) {
+        let is_over = self.missing.reappear_until(known_until).is_none();
+        if self.held_entries.is_empty() || !is_over {
             return;
         }
         for (vm, (revision, mut server)) in std::mem::take(&mut self.held_entries) {
--- a/bins/mangocross-front/src/relay_following.rs
+++ b/bins/mangocross-front/src/relay_following.rs
@@ -98,7 +98,11 @@
             }
         }
         if let Some(it) = confirmation {
-            state.view.borrow_mut().freshness.confirm_relayed(asked_at, it.held, it.age);
+            let mut view = state.view.borrow_mut();
+            view.freshness.confirm_relayed(asked_at, it.held, it.age);
+            if let Some(asked_at) = (asked_at + it.held).checked_before(it.age) {
+                view.apply_held_entries(asked_at);
+            }
         }
         position.after = Some(after.max(revision));
         if state.is_relay() || state.holds_term() {
--- a/bins/mangocross-front/src/store_following.rs
+++ b/bins/mangocross-front/src/store_following.rs
@@ -144,6 +144,7 @@
             continue;
         }
         confirm_freshness(state, asked_at);
+        state.view.borrow_mut().apply_held_entries(asked_at);
         state.relay.advance(after);
         if !state.relay.is_following.get() && state.is_relay() {
             // Until now this VM only had no relay, and knows a part of the keys.
