--- a/bins/mangocross-front/tests/front/store_era.rs
+++ b/bins/mangocross-front/tests/front/store_era.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::platform::CALLER_HEADERS;
+use crate::platform::EVENTS;
 use crate::platform::Front;
 use crate::platform::Server;
 use crate::platform::Store;
@@ -230,6 +231,33 @@
     });
 }
 
+/// Callers are served while the store is away, comes back without the leases and is read anew.
+#[test]
+fn streams_are_served_through_a_return() {
+    let (store, engines, front) = start_engines();
+    thread::sleep(CALM);
+    let before = open_groups(&engines);
+    write_lost_changes(&store);
+    thread::sleep(Duration::from_millis(300));
+    let returned = {
+        let store = store.clone();
+        thread::spawn(move || return_to_copy(&store))
+    };
+    let began = Instant::now();
+    let mut number = 0;
+    while began.elapsed() < Duration::from_secs(5) {
+        let headers = CALLER_HEADERS.replace("a1", &format!("s{number}"));
+        let (status, _, body) = front.call("POST", "/stream/x", &headers, "{}");
+        assert_eq!(status, 200, "after {:?}: {body}", began.elapsed());
+        assert_eq!(body.matches("data: token").count() as u64, EVENTS, "{body}");
+        number += 1;
+        thread::sleep(Duration::from_millis(20));
+    }
+    returned.join().expect("the store is back");
+    wait_until("there is a planner", || store.contains_key(PLANNER_KEY));
+    assert_groups_stand(&engines, &before);
+}
+
 /// The copy is older than the groups: they were told to leave, since the plan did not have them.
 #[test]
 fn groups_that_a_copy_does_not_know_serve_on() {
