--- a/bins/mangocross-front/src/relay_following.rs
+++ b/bins/mangocross-front/src/relay_following.rs
@@ -85,7 +85,7 @@
             position.record_relay_failure(state, relay);
             return Ok(FollowEnd::RelayFailed);
         }
-        state.observe_era(revision.era);
+        state.observe_revision(revision);
         state.record_store_answer();
         position.mark_regained(state);
         position.choice.record_following();
@@ -98,7 +98,11 @@
             }
         }
         if let Some(it) = confirmation {
-            state.view.borrow_mut().freshness.confirm_relayed(asked_at, it.held, it.age);
+            let mut view = state.view.borrow_mut();
+            view.freshness.confirm_relayed(asked_at, it.held, it.age);
+            if let Some(asked_at) = (asked_at + it.held).checked_before(it.age) {
+                view.apply_held_entries(asked_at);
+            }
         }
         position.after = Some(after.max(revision));
         if state.is_relay() || state.holds_term() {
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -1,5 +1,6 @@
 //! Plans model groups: forms, repairs and dissolves them.
 
+mod adoption;
 mod closed_heads;
 mod donors;
 mod forming;
@@ -22,6 +23,7 @@
 use mangocross_types::GroupId;
 use mangocross_types::Incarnation;
 use mangocross_types::Rank;
+use mangocross_types::StoreEra;
 use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
 
@@ -174,6 +176,8 @@
     /// The servers of each fabric domain as of the last decision, in order of their ids.
     by_domain: HashMap<FabricDomain, Vec<VmId>>,
     decided_at: Option<Moment>,
+    /// Era of the store in which the plans are written.
+    era: StoreEra,
 }
 
 impl GroupPlanner {
@@ -194,6 +198,7 @@
             newest_server_at: HashMap::new(),
             by_domain: HashMap::new(),
             decided_at: None,
+            era: StoreEra::default(),
         }
     }
 
@@ -202,6 +207,12 @@
         self.engine_spec = engine_spec;
     }
 
+    /// Sets the era of the store in which the plans are written; no incarnation of an earlier era is
+    /// given out again.
+    pub fn set_era(&mut self, era: StoreEra) {
+        self.era = era;
+    }
+
     /// Sets whether weight loads are unlimited.
     ///
     /// The front sets this when the system starts for the first time, until the first request
