fix(front): data without events does not put off the end of a silence

A wait for silence that begins after its time counted the time before as a pause of the process, and left 100 ms to read each time. Pieces that come faster than that and are no progress, such as comments, started the wait anew and could put the search for another server off without end.

--- a/bins/mangocross-front/src/silence.rs
+++ b/bins/mangocross-front/src/silence.rs
@@ -13,8 +13,10 @@
 ///
 /// After a pause of this process, what servers sent meanwhile has not been read yet.
 pub(crate) async fn wait_for_silence(until: Instant) {
-    tokio::time::sleep_until(until).await;
-    if until.elapsed() > LATE_WAKE {
+    // A time that has passed before the wait says nothing of a pause during it.
+    let due_at = until.max(Instant::now());
+    tokio::time::sleep_until(due_at).await;
+    if due_at.elapsed() > LATE_WAKE {
         tokio::time::sleep(CATCH_UP_TIME).await;
     }
 }
