test(front): stand-in machines wait for connections without polling

deadline_ends_the_search_for_a_head_that_can_be_reached failed once after that, since its request went out on a connection that a probe had used; it sends one now that may run only once, for which connections are always new. Its checks are the same.

--- a/bins/mangocross-front/tests/front/attempts_left.rs
+++ b/bins/mangocross-front/tests/front/attempts_left.rs
@@ -9,7 +9,7 @@
 use crate::platform::LogFile;
 use crate::platform::Server;
 use crate::platform::Store;
-use crate::platform::start_groups_with_log;
+use crate::platform::wait_for_metric;
 use crate::platform::wait_until;
 
 fn has_run(server: &Server, attempt: &str) -> bool {
@@ -48,9 +48,14 @@
 #[test]
 fn deadline_ends_the_search_for_a_head_that_can_be_reached() {
     let log = LogFile::new("late");
-    let (_store, engines, front) = start_groups_with_log(6, 2, log.create());
-    // Connections that are idle for longer are not reused.
-    thread::sleep(Duration::from_millis(1500));
+    let store = Store::spawn();
+    // Requests that may run only once are sent on new connections.
+    store.configure_with(3, &["k1"], |it| it["routes"][0]["resumable"] = false.into());
+    let engines: Vec<Server> =
+        (1..=12).map(|it| Server::spawn(&store, &format!("e{it}"), "models")).collect();
+    let front = Front::spawn(&store, 60_000, log.create());
+    front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
+    wait_for_metric(&front, r#"front_groups{state="open"} 6"#);
     engines.iter().for_each(|it| it.set_deaf(true));
     let headers = format!("{}Deadline-Ms: 200\r\n", CALLER_HEADERS.replace("a1", "late"));
     let (status, _, body) = front.call("POST", "/stream/x", &headers, "{}");
--- a/bins/mangocross-front/tests/front/platform/machine.rs
+++ b/bins/mangocross-front/tests/front/platform/machine.rs
@@ -1,6 +1,5 @@
 //! A machine whose server process can crash and start again at the same address.
 
-use std::io::ErrorKind;
 use std::net::Ipv4Addr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
@@ -18,8 +17,10 @@
 use super::Request;
 use super::lock;
 
-/// Time between checks for new connections.
-const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+/// Time after which a thread that waits for connections looks at the state of the machine.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time between two looks at the state of a machine that accepts nothing.
+const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Number of new connections that wait to be accepted.
 const ACCEPT_QUEUE: i32 = 128;
 /// Time after which a connection counts as unanswered.
@@ -29,7 +30,7 @@
 pub(super) struct Machine {
     is_down: AtomicBool,
     /// The listening socket, unless the machine is down.
-    listener: Mutex<Option<TcpListener>>,
+    listener: Mutex<Option<Arc<TcpListener>>>,
     /// Time after a crash for which connections are still accepted, and closed.
     listens_on: Mutex<Duration>,
     /// Whether attempts to connect are to remain unanswered.
@@ -46,17 +47,14 @@
         self: &Arc<Self>,
         handle: impl Fn(Request, &mut TcpStream) + Send + Sync + 'static,
     ) -> SocketAddr {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+        let listener = bind((Ipv4Addr::LOCALHOST, 0).into()).expect("a free port");
         let address = listener.local_addr().expect("an address");
-        *lock(&self.listener) = Some(listener);
+        *lock(&self.listener) = Some(Arc::new(listener));
         let handle = Arc::new(handle);
         let machine = Arc::clone(self);
         thread::spawn(move || {
             loop {
-                let Some((mut stream, caller)) = machine.accept(address) else {
-                    thread::sleep(ACCEPT_INTERVAL);
-                    continue;
-                };
+                let Some((mut stream, caller)) = machine.accept(address) else { continue };
                 let machine = Arc::clone(&machine);
                 let handle = Arc::clone(&handle);
                 thread::spawn(move || {
@@ -71,46 +69,48 @@
         address
     }
 
-    /// Accepts a connection if there is one; while the machine is down it is closed at once.
+    /// Waits for a connection for a while; one that comes while the machine is down or deaf is closed.
     fn accept(&self, address: SocketAddr) -> Option<(TcpStream, SocketAddr)> {
-        let mut listener = lock(&self.listener);
-        if listener.is_none() && !self.is_down() {
-            *listener = TcpListener::bind(address).ok();
-        }
-        let listener = listener.as_ref()?;
-        self.fill_or_clear_queue(listener);
-        if !lock(&self.queued).is_empty() {
+        let Some(listener) = self.listener(address).filter(|_| !self.is_deaf()) else {
+            thread::sleep(CHECK_INTERVAL);
             return None;
-        }
-        let stream = accept(listener)?;
-        let caller = stream.peer_addr().ok()?;
-        if self.is_down() {
+        };
+        let (stream, caller) = listener.accept().ok()?;
+        // The timeout of the listening socket is inherited.
+        stream.set_read_timeout(None).ok()?;
+        // No connection is accepted and kept after a crash has closed the others.
+        let _listener = lock(&self.listener);
+        if self.is_down() || self.is_deaf() {
             return None;
         }
         lock(&self.connections).push((caller, stream.try_clone().ok()?));
         Some((stream, caller))
     }
 
-    fn fill_or_clear_queue(&self, listener: &TcpListener) {
-        let mut queued = lock(&self.queued);
-        let is_deaf = self.is_deaf.load(Ordering::SeqCst);
-        if is_deaf != queued.is_empty() {
-            return;
-        }
-        queued.clear();
-        let queue = if is_deaf { 0 } else { ACCEPT_QUEUE };
-        let address = listener.local_addr().expect("an address");
-        SockRef::from(listener).listen(queue).expect("a listening socket");
-        while is_deaf && let Ok(it) = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) {
-            queued.push(it);
+    /// Returns the listening socket, a new one if the machine has started again.
+    fn listener(&self, address: SocketAddr) -> Option<Arc<TcpListener>> {
+        let mut listener = lock(&self.listener);
+        if listener.is_none() && !self.is_down() {
+            *listener = bind(address).ok().map(Arc::new);
         }
+        listener.clone()
+    }
+
+    fn is_deaf(&self) -> bool {
+        self.is_deaf.load(Ordering::SeqCst)
     }
 
     /// Leaves attempts to connect without an answer, or goes on to accept connections.
     pub(super) fn set_deaf(&self, is_deaf: bool) {
         self.is_deaf.store(is_deaf, Ordering::SeqCst);
-        while lock(&self.queued).is_empty() == is_deaf {
-            thread::sleep(ACCEPT_INTERVAL);
+        let mut queued = lock(&self.queued);
+        queued.clear();
+        let Some(listener) = lock(&self.listener).clone() else { return };
+        let queue = if is_deaf { 0 } else { ACCEPT_QUEUE };
+        let address = listener.local_addr().expect("an address");
+        SockRef::from(&*listener).listen(queue).expect("a listening socket");
+        while is_deaf && let Ok(it) = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) {
+            queued.push(it);
         }
     }
 
@@ -124,24 +124,29 @@
     pub(super) fn crash(self: &Arc<Self>) -> bool {
         let was_up = !self.is_down.swap(true, Ordering::SeqCst);
         let listens_on = *lock(&self.listens_on);
-        let mut listener = lock(&self.listener);
-        match listens_on.is_zero() {
-            true => *listener = None,
-            false if was_up => {
-                let machine = Arc::clone(self);
-                thread::spawn(move || {
-                    thread::sleep(listens_on);
-                    *lock(&machine.listener) = None;
-                });
-            }
-            false => {}
+        if listens_on.is_zero() {
+            self.stop_listening();
+        } else if was_up {
+            let machine = Arc::clone(self);
+            thread::spawn(move || {
+                thread::sleep(listens_on);
+                machine.stop_listening();
+            });
         }
+        let _listener = lock(&self.listener);
         for (_, connection) in lock(&self.connections).drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
         was_up
     }
 
+    fn stop_listening(&self) {
+        if let Some(listener) = lock(&self.listener).take() {
+            // The thread that waits for connections has the socket, too.
+            let _ = SockRef::from(&*listener).shutdown(Shutdown::Both);
+        }
+    }
+
     pub(super) fn start(&self) {
         self.is_down.store(false, Ordering::SeqCst);
     }
@@ -151,14 +156,9 @@
     }
 }
 
-fn accept(listener: &TcpListener) -> Option<TcpStream> {
-    listener.set_nonblocking(true).ok()?;
-    match listener.accept() {
-        Ok((stream, _)) => {
-            stream.set_nonblocking(false).ok()?;
-            Some(stream)
-        }
-        Err(error) if error.kind() == ErrorKind::WouldBlock => None,
-        Err(_) => None,
-    }
+/// Listens at an address, with a limit on the time of each wait for a connection.
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    SockRef::from(&listener).set_read_timeout(Some(ACCEPT_TIMEOUT))?;
+    Ok(listener)
 }
