test(front): a deaf stand-in machine accepts no connection that is to fill its queue

The thread that waits for connections accepted the first of them, so one request still got a connection. Deadlines are tested with all heads deaf at the same time.

--- a/bins/mangocross-front/tests/front/attempts_left.rs
+++ b/bins/mangocross-front/tests/front/attempts_left.rs
@@ -56,7 +56,12 @@
     let front = Front::spawn(&store, 60_000, log.create());
     front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
     wait_for_metric(&front, r#"front_groups{state="open"} 6"#);
-    engines.iter().for_each(|it| it.set_deaf(true));
+    // Together, since the planner closes the groups of heads that are deaf for longer.
+    thread::scope(|scope| {
+        for it in &engines {
+            scope.spawn(|| it.set_deaf(true));
+        }
+    });
     let headers = format!("{}Deadline-Ms: 200\r\n", CALLER_HEADERS.replace("a1", "late"));
     let (status, _, body) = front.call("POST", "/stream/x", &headers, "{}");
     assert_eq!(status, 503, "{body}");
--- a/bins/mangocross-front/tests/front/platform/machine.rs
+++ b/bins/mangocross-front/tests/front/platform/machine.rs
@@ -33,6 +33,8 @@
     listener: Mutex<Option<Arc<TcpListener>>>,
     /// Time after a crash for which connections are still accepted, and closed.
     listens_on: Mutex<Duration>,
+    /// Held while connections are waited for.
+    accepting: Mutex<()>,
     /// Whether attempts to connect are to remain unanswered.
     is_deaf: AtomicBool,
     /// Connections that fill the queue of those to be accepted, so that further ones are dropped.
@@ -71,11 +73,15 @@
 
     /// Waits for a connection for a while; one that comes while the machine is down or deaf is closed.
     fn accept(&self, address: SocketAddr) -> Option<(TcpStream, SocketAddr)> {
+        let accepting = lock(&self.accepting);
         let Some(listener) = self.listener(address).filter(|_| !self.is_deaf()) else {
+            drop(accepting);
             thread::sleep(CHECK_INTERVAL);
             return None;
         };
-        let (stream, caller) = listener.accept().ok()?;
+        let accepted = listener.accept();
+        drop(accepting);
+        let (stream, caller) = accepted.ok()?;
         // The timeout of the listening socket is inherited.
         stream.set_read_timeout(None).ok()?;
         // No connection is accepted and kept after a crash has closed the others.
@@ -103,6 +109,8 @@
     /// Leaves attempts to connect without an answer, or goes on to accept connections.
     pub(super) fn set_deaf(&self, is_deaf: bool) {
         self.is_deaf.store(is_deaf, Ordering::SeqCst);
+        // From here on no connection that fills the queue is accepted.
+        let _accepting = lock(&self.accepting);
         let mut queued = lock(&self.queued);
         queued.clear();
         let Some(listener) = lock(&self.listener).clone() else { return };
