--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -22,6 +22,7 @@
 use mangocross_platform::encode_order;
 use mangocross_platform::order_outcome;
 use mangocross_platform::report_path;
+use mangocross_platform::server_notice;
 use mangocross_serving::BackendServer;
 use mangocross_serving::CompleteView;
 use mangocross_serving::DomainPlan;
@@ -34,8 +35,8 @@
 use mangocross_serving::ProbeFailure;
 use mangocross_serving::ViewExtent;
 use mangocross_types::FabricDomain;
-use mangocross_types::Revision;
 use mangocross_types::ServiceId;
+use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
 use tokio::time::Instant;
 
@@ -77,7 +78,7 @@
                 tokio::time::timeout(PLAN_INTERVAL_MAX, state.planner_inputs_changed.notified())
                     .await;
             let now = state.now();
-            let valid_term = state.planner_term.get().filter(|it| it.is_valid(now));
+            let valid_term = state.term().filter(|it| it.is_valid(now));
             if valid_term.map(|it| it.revision) != term {
                 term = valid_term.map(|it| it.revision);
                 planners.borrow_mut().clear();
@@ -96,12 +97,12 @@
 }
 
 /// What the last line on the planner's view said: its extent, whether it is planned from, the term.
-type LoggedView = (ViewExtent, bool, Option<Revision>);
+type LoggedView = (ViewExtent, bool, Option<StoreRevision>);
 
 /// Logs what this VM, which holds or has just lost the planner's key, knows of the store.
 fn log_view(state: &AppState, logged: &mut Option<LoggedView>, complete: Option<CompleteView>) {
     let now = state.now();
-    let term = state.planner_term.get().map(|it| it.revision);
+    let term = state.term().map(|it| it.revision);
     let view = state.store_view.borrow();
     let new = (view.extent(), complete.is_some(), term);
     let was_in_term = logged.is_some_and(|(_, _, term)| term.is_some());
@@ -112,7 +113,7 @@
     if let Some(left_out) = state.log_rate.allow("planner's view changed", now) {
         let source = if state.relay.is_recording() { "store" } else { "relay" };
         let age_ms = view.age(now).map_or(Value::null(), |it| Value::from(it.as_millis() as u64));
-        let term = term.map_or(Value::null(), |it| Value::from(it.0));
+        let term = term.map_or(Value::null(), |it| Value::from(it.revision.0));
         log::info!(
             source, extent = view.extent().name(), is_complete = complete.is_some(), age_ms, term,
             left_out;
@@ -122,7 +123,7 @@
 }
 
 /// Runs one planning round for each engine service.
-fn plan(state: &Rc<AppState>, planners: &Planners, term: Revision, complete: CompleteView) {
+fn plan(state: &Rc<AppState>, planners: &Planners, term: StoreRevision, complete: CompleteView) {
     let Some(configuration) = state.configuration() else { return };
     let now = state.now();
     let mut slowdowns = HashMap::new();
@@ -148,6 +149,7 @@
         }
         let progress = view.progress.latest(now).filter(|(_, age)| *age < PROGRESS_AGE_MAX);
         planner.set_progressing_heads(progress.map(|(vm, _)| vm.clone()).collect());
+        planner.set_paused_servers(view.paused_servers(now).cloned().collect());
         for (head, at) in view.suspects(now) {
             planner.mark_suspect(head, at);
         }
@@ -186,7 +188,7 @@
     state: &Rc<AppState>,
     planners: &Planners,
     service: &ServiceId,
-    term: Revision,
+    term: StoreRevision,
     complete: CompleteView,
     action: PlannerAction,
 ) {
@@ -194,6 +196,9 @@
     let planners = Rc::clone(planners);
     let service = service.clone();
     tokio::task::spawn_local(async move {
+        if state.term().is_none_or(|it| it.revision != term) {
+            return;
+        }
         match action {
             PlannerAction::Probe(probe) => {
                 let answer = probe_server(&state, &probe).await;
@@ -207,7 +212,7 @@
                 let outcome = send_order(&state, &vm, address, &order, orders_accepted).await;
                 log::info!(
                     server:% = vm, order:? = order, orders_accepted, outcome:? = outcome,
-                    view_age_ms;
+                    term = term.revision.0, view_age_ms;
                     "order given"
                 );
                 let now = state.now();
@@ -218,8 +223,8 @@
                 let revision = write_plan(&state, &domain, &plan, expected, term).await;
                 if let Some(revision) = revision {
                     log::info!(
-                        domain:% = domain, expected = expected.0, reasons:? = reasons,
-                        revision = revision.0, view_age_ms;
+                        domain:% = domain, expected = expected.revision.0, reasons:? = reasons,
+                        revision = revision.revision.0, view_age_ms;
                         "plan written"
                     );
                 }
@@ -244,9 +249,9 @@
     state: &AppState,
     domain: &FabricDomain,
     plan: &DomainPlan,
-    expected: Revision,
-    term: Revision,
-) -> Option<Revision> {
+    expected: StoreRevision,
+    term: StoreRevision,
+) -> Option<StoreRevision> {
     let key = format!("{PLANS_PREFIX}{domain}");
     let value = match postcard::to_allocvec(plan) {
         Ok(it) => it,
@@ -255,18 +260,19 @@
             return None;
         }
     };
-    let conditions = [(PLANNER_KEY, term), (key.as_str(), expected)];
+    let conditions = [(PLANNER_KEY, term.revision), (key.as_str(), expected.revision)];
     let put = StorePut { key: key.clone(), value, lease: None };
     let call = StoreCall::write(&conditions, &[put], &[]);
     let outcome = match state.store.call(call, CALL_TIMEOUT).await {
-        Ok((status, body)) => WriteOutcome::decode(status, &body),
+        Ok(it) => WriteOutcome::decode(it.status, &it.body, it.era),
         Err(error) => {
             log::warn!(domain:% = domain, error:% = error; "plan write unconfirmed");
             return None;
         }
     };
     match outcome {
-        Ok(WriteOutcome::Written(revision)) => Some(revision),
+        // In a later era the conditions were met by chance.
+        Ok(WriteOutcome::Written(revision)) if revision.era == term.era => Some(revision),
         other => {
             log::info!(domain:% = domain, outcome:? = other; "plan not written");
             None
@@ -288,11 +294,14 @@
     let exchange =
         exchange(state, vm, address, connection, Method::GET, report_path(), Bytes::new());
     let answer = tokio::time::timeout_at(began_at + PROBE_TIMEOUT, exchange).await;
-    let Ok(Some((status, body))) = answer else {
+    let Ok(Some(Answer { status, pause, body })) = answer else {
         // Only a new connection shows whether the machine can still be reached.
         state.pool.close_idle(address);
         return Err(ProbeFailure::NoAnswer);
     };
+    if pause.is_some() {
+        return Err(ProbeFailure::TurnedAway);
+    }
     match decode_report(&body) {
         Ok(report) if status.is_success() => Ok(report),
         Ok(_) => Err(ProbeFailure::NoAnswer),
@@ -314,7 +323,7 @@
     let (path, body) = encode_order(order, orders_accepted);
     let exchange = call_server(state, vm, address, Method::POST, path, body);
     match tokio::time::timeout(ORDER_TIMEOUT, exchange).await {
-        Ok(Ok((status, _))) => order_outcome(status),
+        Ok(Ok(answer)) => order_outcome(answer.status),
         Ok(Err(ConnectError::Refused)) => OrderOutcome::NoProcess,
         Ok(Err(ConnectError::Unreachable)) | Err(_) => OrderOutcome::Unknown,
     }
@@ -327,13 +336,21 @@
     method: Method,
     path: &str,
     body: Bytes,
-) -> Result<(StatusCode, Bytes), ConnectError> {
+) -> Result<Answer, ConnectError> {
     let connection = state.pool.get(address, PROBE_CONNECT_FAILURES).await?;
     let answer = exchange(state, vm, address, connection, method, path, body).await;
     answer.ok_or(ConnectError::Unreachable)
 }
 
-/// Sends a request to an engine; returns status and body, or `None` without a complete answer.
+/// An engine's answer to a question or an order.
+struct Answer {
+    status: StatusCode,
+    /// Time for which the engine wants nothing, if it turned the request away.
+    pause: Option<Duration>,
+    body: Bytes,
+}
+
+/// Sends a request to an engine; returns `None` without a complete answer.
 async fn exchange(
     state: &AppState,
     vm: &VmId,
@@ -342,7 +359,7 @@
     method: Method,
     path: &str,
     body: Bytes,
-) -> Option<(StatusCode, Bytes)> {
+) -> Option<Answer> {
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().ok()?;
@@ -351,7 +368,8 @@
     let response = connection.send(request).await.ok()?;
     state.record_notice(process.as_ref(), &response);
     let status = response.status();
+    let pause = server_notice(status, response.headers()).pause.filter(|it| !it.is_zero());
     let body = Limited::new(response.into_body(), REPORT_BYTES_MAX).collect().await.ok()?;
     state.pool.put(connection, None).await;
-    Some((status, body.to_bytes()))
+    Some(Answer { status, pause, body: body.to_bytes() })
 }
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -24,15 +24,15 @@
 use mangocross_serving::MissingServers;
 use mangocross_serving::Moment;
 use mangocross_serving::ProgressTable;
-use mangocross_serving::RelayPlan;
 use mangocross_serving::RetryBudget;
 use mangocross_serving::ServerNotices;
 use mangocross_serving::StoreView;
 use mangocross_serving::TrafficConfiguration;
 use mangocross_serving::UnexplainedBreaks;
 use mangocross_types::ModelId;
-use mangocross_types::Revision;
 use mangocross_types::ServiceId;
+use mangocross_types::StoreEra;
+use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
 use tokio::sync::Notify;
 
@@ -65,7 +65,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct StoredValue {
     pub(crate) value: Vec<u8>,
-    pub(crate) revision: Revision,
+    pub(crate) revision: StoreRevision,
 }
 
 /// State of the system as known to this process.
@@ -74,14 +74,19 @@
     pub(crate) configuration: Option<Arc<TrafficConfiguration>>,
     pub(crate) freshness: ConfigurationFreshness,
     pub(crate) servers: BTreeMap<VmId, BackendServer>,
+    /// Era of the store that the view is from, once the store or a relay has answered.
+    pub(crate) era: Option<StoreEra>,
     /// Revision of each server's entry or of its removal.
-    pub(crate) server_revisions: HashMap<VmId, Revision>,
+    pub(crate) server_revisions: HashMap<VmId, StoreRevision>,
     /// Servers whose entries were missing after a store outage.
     pub(crate) missing: MissingServers,
     /// Values that entry VMs write under mangocross/: plans, the planner's key, addresses.
     pub(crate) entry_vm_keys: BTreeMap<Arc<str>, StoredValue>,
     /// All listed entry VMs, including this one.
     pub(crate) entry_vms: BTreeMap<Arc<str>, ListedEntryVm>,
+    /// Entry VMs whose addresses went missing around an outage of the store, and until when they are
+    /// listed without.
+    pub(crate) missing_entry_vms: HashMap<Arc<str>, Moment>,
     /// When an entry VM was last added to the list or removed from it.
     pub(crate) entry_vms_changed_at: Moment,
     pub(crate) loads: LoadTable,
@@ -103,7 +108,7 @@
     /// Suspects that this VM detected itself.
     local_suspects: HashMap<VmId, Moment>,
     /// Server entries that are to be sent to the other entry VMs.
-    pub(crate) relay_queue: Vec<(Revision, BackendServer)>,
+    pub(crate) relay_queue: Vec<(StoreRevision, BackendServer)>,
     /// Heads whose groups the planner is to probe, since connections to them failed.
     to_recheck: HashMap<VmId, Moment>,
     /// Servers that get no requests, and until when.
@@ -130,6 +135,8 @@
     pub(crate) blame_changed: Notify,
     /// Quarantined parts as last logged.
     pub(crate) logged_quarantine: RefCell<String>,
+    /// Wakes the task that tells the other entry VMs of versions of the configuration.
+    pub(crate) configuration_notice_changed: Notify,
     /// Wakes the task that sends updates to the other entry VMs.
     pub(crate) peer_updates: Notify,
     /// Wakes the lease task when there is no planner or the process stops.
@@ -164,6 +171,7 @@
             planner_inputs_changed: Notify::new(),
             blame_changed: Notify::new(),
             logged_quarantine: RefCell::default(),
+            configuration_notice_changed: Notify::new(),
             peer_updates: Notify::new(),
             lease_wakeup: Notify::new(),
             planner_term: Cell::new(None),
@@ -209,12 +217,12 @@
 
     /// Returns whether this VM is the planner, with a lease that is certain to be valid.
     pub(crate) fn is_planner(&self) -> bool {
-        self.planner_term.get().is_some_and(|it| it.is_valid(self.now()))
+        self.term().is_some_and(|it| it.is_valid(self.now()))
     }
 
     /// Returns whether this VM has the planner's key, or may have it after an outage of the store.
     pub(crate) fn holds_term(&self) -> bool {
-        self.planner_term.get().is_some_and(|it| it.may_be_held(self.now()))
+        self.term().is_some_and(|it| it.may_be_held(self.now()))
     }
 
     /// Returns the proof that all keys of the store are known.
@@ -337,24 +345,22 @@
     /// Marks a head whose streams are stalled as suspect, so that it gets no new ones for a while.
     pub(crate) fn mark_suspect(&self, head: &VmId) {
         let now = self.now();
-        let was_suspect = self.is_suspect(head);
         self.view.borrow_mut().suspects.insert(head.clone(), now);
-        if !was_suspect {
-            self.suspect_added.notify_waiters();
-        }
+        self.suspect_added.notify_waiters();
         self.planner_inputs_changed.notify_one();
     }
 
     pub(crate) fn is_suspect(&self, vm: &VmId) -> bool {
-        let view = self.view.borrow();
-        view.suspects.contains_key(vm) && view.is_suspect(vm, self.now())
+        self.view.borrow().is_suspect(vm, self.now())
     }
 
-    /// Waits until a head is suspect.
-    pub(crate) async fn wait_until_suspect(&self, vm: &VmId) {
+    /// Waits until a head is found stalled after a moment; an earlier suspicion says nothing of
+    /// what it does since.
+    pub(crate) async fn wait_until_suspect(&self, vm: &VmId, after: Moment) {
         loop {
             let added = self.suspect_added.notified();
-            if self.is_suspect(vm) {
+            let found_at = self.view.borrow().suspects.get(vm).copied();
+            if found_at.is_some_and(|it| it > after) && self.is_suspect(vm) {
                 return;
             }
             added.await;
@@ -370,7 +376,7 @@
     }
 
     /// Queues a server's entry for the other entry VMs.
-    pub(crate) fn relay_entry(&self, revision: Revision, server: BackendServer) {
+    pub(crate) fn relay_entry(&self, revision: StoreRevision, server: BackendServer) {
         self.view.borrow_mut().relay_queue.push((revision, server));
         self.peer_updates.notify_one();
     }
@@ -413,28 +419,6 @@
 }
 
 impl ClusterView {
-    /// Returns which entry VMs follow the store for the others.
-    pub(crate) fn relay_plan(&self) -> RelayPlan {
-        RelayPlan::new(self.entry_vms.iter())
-    }
-
-    /// Replaces or adds a listed entry VM.
-    pub(crate) fn list_entry_vm(&mut self, name: Arc<str>, vm: ListedEntryVm, now: Moment) {
-        if self.entry_vms.insert(name, vm.clone()).as_ref() != Some(&vm) {
-            self.entry_vms_changed_at = now;
-        }
-    }
-
-    pub(crate) fn unlist_entry_vm(&mut self, name: &str, now: Moment) {
-        if self.entry_vms.remove(name).is_some() {
-            self.entry_vms_changed_at = now;
-        }
-    }
-
-    fn entry_vm_count(&self) -> usize {
-        self.entry_vms.len().max(self.loads.peer_count() + 1)
-    }
-
     /// Returns the suspect heads, and when each was last found stalled.
     pub(crate) fn suspects(&self, now: Moment) -> impl Iterator<Item = (&VmId, Moment)> {
         let recent = self.suspects.iter().filter(move |(_, at)| now.since(**at) < SUSPECT_PAUSE);
@@ -479,6 +463,7 @@
 
     /// Removes entries that have expired.
     pub(crate) fn expire(&mut self, now: Moment) {
+        self.unlist_gone_entry_vms(now);
         self.loads.expire(now);
         self.progress.expire(now);
         self.suspects.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -1,10 +1,15 @@
 //! Tests of the program as a process, between callers and a small stand-in of the platform.
 
+mod answer_ends;
+mod answers_meanwhile;
 mod crashing_parts;
 mod idle_connections;
-mod answer_ends;
+mod fleet;
 mod log_points;
+mod held_servers;
 mod metrics;
+mod planner_term;
+mod paused_servers;
 mod planner_view;
 mod platform;
 mod relays;
@@ -12,4 +17,6 @@
 mod silent_servers;
 mod server_notices;
 mod soak;
+mod successors;
+mod store_era;
 mod whole_path;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -1,5 +1,7 @@
 //! Backend servers: engines that form groups, and a plain service.
 
+mod groups;
+
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -20,8 +22,6 @@
 use super::lock;
 use super::machine::Machine;
 
-/// Time for which an engine waits for a missing member before its group is broken.
-const STALL: Duration = Duration::from_millis(6000);
 /// Time from a crash until the server is back.
 const RESTART_TIME: Duration = Duration::from_millis(1000);
 /// Time from the head of an answer until a part of its prompt crashes the server.
@@ -46,16 +46,20 @@
 }
 
 #[derive(Debug, Default)]
-struct State {
+pub(super) struct State {
     stream_fault: StreamFault,
     answer_end: AnswerEnd,
     /// Whether all answers say that the server is leaving.
     is_leaving: bool,
     /// `Retry-After` with which requests are refused.
     retry_after: Option<String>,
+    /// Whether orders and questions for reports are turned away like requests.
+    turns_planner_away: bool,
     /// Attempts that arrived, in order, also those that were refused.
     arrived: Vec<String>,
     orders: u64,
+    /// Questions for reports that arrived.
+    reports: usize,
     group: Value,
     model: Option<String>,
     /// Attempts that ran, in order.
@@ -80,7 +84,9 @@
     /// Time between two events.
     event_pause: Duration,
     /// Until when nothing is answered, and no stream goes on.
-    silent_until: Option<Instant>,
+    pub(super) silent_until: Option<Instant>,
+    /// Time before the head of a stream is sent.
+    pub(super) head_pause: Duration,
     /// Violated guarantees that the server observed.
     violations: Vec<String>,
 }
@@ -93,8 +99,8 @@
     store: Store,
     /// Address in the server's entry, at which entry VMs reach it.
     advertised: SocketAddr,
-    state: Arc<Mutex<State>>,
-    machine: Arc<Machine>,
+    pub(super) state: Arc<Mutex<State>>,
+    pub(super) machine: Arc<Machine>,
 }
 
 impl Server {
@@ -152,6 +158,16 @@
         lock(&self.state).retry_after = value.map(str::to_owned);
     }
 
+    /// Sets whether orders and questions for reports are turned away like requests.
+    pub(crate) fn set_turning_planner_away(&self, turns_away: bool) {
+        lock(&self.state).turns_planner_away = turns_away;
+    }
+
+    /// Returns the number of questions for reports that reached the server.
+    pub(crate) fn reports(&self) -> usize {
+        lock(&self.state).reports
+    }
+
     /// Sets how answers to requests end.
     pub(crate) fn set_answer_end(&self, end: AnswerEnd) {
         lock(&self.state).answer_end = end;
@@ -214,23 +230,6 @@
         lock(&self.state).event_pause = pause;
     }
 
-    /// Makes the server silent for a while: it accepts connections, but nothing is answered and no
-    /// stream goes on.
-    pub(crate) fn fall_silent(&self, duration: Duration) {
-        lock(&self.state).silent_until = Some(Instant::now() + duration);
-    }
-
-    fn wait_while_silent(&self) {
-        loop {
-            let until = lock(&self.state).silent_until;
-            let rest = until.map(|it| it.saturating_duration_since(Instant::now()));
-            match rest {
-                Some(rest) if !rest.is_zero() => thread::sleep(rest),
-                Some(_) | None => return,
-            }
-        }
-    }
-
     /// Returns the incarnation of the group that the server is in.
     pub(crate) fn incarnation(&self) -> Option<u64> {
         lock(&self.state).group["epoch"].as_u64()
@@ -323,7 +322,12 @@
 
     fn serve(&self, request: &Request, stream: &mut TcpStream) {
         self.wait_while_silent();
+        let is_report = request.target == "/-/report";
+        lock(&self.state).reports += usize::from(is_report);
         match request.target.as_str() {
+            "/-/report" | "/-/order" if lock(&self.state).turns_planner_away => {
+                answer(stream, 503, &format!("{}{}", self.notice(), self.retry_after()), "");
+            }
             "/-/report" => {
                 let status = self.status(&lock(&self.state));
                 answer(stream, 200, self.notice(), &status.to_string());
@@ -338,103 +342,10 @@
         if lock(&self.state).is_leaving { "Server-Leaving: 1\r\n" } else { "" }
     }
 
-    fn order(&self, request: &Request, stream: &mut TcpStream) {
-        let notice = self.notice();
-        let order: Value = serde_json::from_slice(&request.body).expect("JSON");
-        {
-            let mut state = lock(&self.state);
-            let is_of_group = order["operation"] == "join"
-                || order["operation"] == "stage"
-                || (order["group"] == state.group["name"]
-                    && order["epoch"] == state.group["epoch"]);
-            if order["expected"].as_u64() != Some(state.orders) || !is_of_group {
-                answer(stream, 409, notice, "");
-                return;
-            }
-            state.orders += 1;
-            match order["operation"].as_str() {
-                Some("join") => {
-                    let violation = self.open_group_violation(&state, &order);
-                    state.violations.extend(violation);
-                    let members = order["members"].as_array().cloned().unwrap_or_default();
-                    state.members.clone_from(&members);
-                    let rank = members.iter().position(|it| *it == json!(self.id));
-                    state.model = order["model"].as_str().map(str::to_owned);
-                    state.group = json!({"name": order["group"], "epoch": order["epoch"],
-                        "rank": rank, "state": "ready"});
-                    self.store.note_ready(&self.id, &state.group);
-                }
-                Some("open") => {
-                    let members = state.members.iter().filter_map(Value::as_str);
-                    let entries = members.map(|it| (it.to_owned(), self.entry_of(it, &state)));
-                    state.opened_with = entries.collect();
-                    // A member that was ready once and failed since is not a violation.
-                    let absent = state
-                        .opened_with
-                        .iter()
-                        .find(|(it, _)| !self.store.was_ready(it, &state.group))
-                        .map(|(it, _)| format!("{} opens without {it}", self.id));
-                    state.violations.extend(absent);
-                    state.group["state"] = json!("open");
-                }
-                Some("close") => state.group["state"] = json!("ready"),
-                Some("leave") => state.group = Value::Null,
-                Some("stage") => state.model = order["model"].as_str().map(str::to_owned),
-                _ => {}
-            }
-            self.publish_state(&state);
-        }
-        answer(stream, 202, notice, "");
-    }
-
-    /// Returns a violation if the server joins another group while the head of its present one is
-    /// still open.
-    fn open_group_violation(&self, state: &State, order: &Value) -> Option<String> {
-        if state.group.is_null() || state.group["name"] == order["group"] {
-            return None;
-        }
-        let head = state.members.first()?.as_str()?;
-        let group = match head == self.id {
-            true => state.group.clone(),
-            false => self.store.read(&format!("servers/{head}"))?["group"].clone(),
-        };
-        let is_open = group["state"] == "open"
-            && group["name"] == state.group["name"]
-            && group["epoch"] == state.group["epoch"];
-        is_open.then(|| format!("{} joins {} while {group} serves", self.id, order["group"]))
-    }
-
-    /// Returns the entry of a server; for this server, only its group and start time, from `state`.
-    fn entry_of(&self, id: &str, state: &State) -> Value {
-        if id == self.id {
-            return json!({"group": state.group, "born": FIRST_START_UNIX_MS + state.starts});
-        }
-        self.store.read(&format!("servers/{id}")).unwrap_or_default()
-    }
-
-    /// Waits up to `STALL` while the group lacks a member that it was opened with; returns whether
-    /// it is complete again.
-    fn wait_for_members(&self) -> bool {
-        let end = Instant::now() + STALL;
-        while self.lacks_member() {
-            if Instant::now() > end {
-                lock(&self.state).group["state"] = json!("broken");
-                self.publish();
-                return false;
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-        true
-    }
-
-    /// Returns whether a member has left the group or was restarted since the group opened.
-    fn lacks_member(&self) -> bool {
-        let state = lock(&self.state);
-        let is_missing = |(id, then): &(String, Value)| {
-            let now = self.entry_of(id, &state);
-            now["born"] != then["born"] || !is_member(&now, &state.group)
-        };
-        state.group["state"] == "open" && state.opened_with.iter().any(is_missing)
+    /// Returns the header by which refusals say for how long the server wants nothing.
+    fn retry_after(&self) -> String {
+        let value = lock(&self.state).retry_after.clone();
+        value.map_or_else(String::new, |it| format!("Retry-After: {it}\r\n"))
     }
 
     fn run(&self, request: &Request, stream: &mut TcpStream) {
@@ -447,14 +358,13 @@
             answer(stream, 421, &format!("Attempt-Id: {attempt}\r\n{notice}"), "");
             return;
         }
-        let (refuses, retry_after) = {
+        let retry_after = self.retry_after();
+        let refuses = {
             let mut state = lock(&self.state);
             state.arrived.push(attempt.clone());
-            let retry_after = state.retry_after.as_ref().map(|it| format!("Retry-After: {it}\r\n"));
-            (state.is_refusing || is_closed(&state) || retry_after.is_some(), retry_after)
+            state.is_refusing || is_closed(&state) || !retry_after.is_empty()
         };
         if refuses || (self.service == "models" && !self.wait_for_members()) {
-            let retry_after = retry_after.unwrap_or_default();
             let headers =
                 format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n{notice}{retry_after}");
             answer(stream, 503, &headers, "turned away");
@@ -496,6 +406,8 @@
         let status = if fault == StreamFault::EndlessFailure { 500 } else { 200 };
         let head =
             format!("HTTP/1.1 {status} Status\r\nTransfer-Encoding: chunked\r\n{headers}\r\n");
+        let head_pause = lock(&self.state).head_pause;
+        thread::sleep(head_pause);
         let _ = stream.write_all(head.as_bytes());
         if crashes {
             thread::sleep(CRASH_DELAY);
@@ -544,9 +456,3 @@
         thread::sleep(pause);
     }
 }
-
-/// Returns whether a server is a member of a group or of a later incarnation of it.
-fn is_member(entry: &Value, group: &Value) -> bool {
-    let own = &entry["group"];
-    own["name"] == group["name"] && own["epoch"].as_u64() >= group["epoch"].as_u64()
-}
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -22,7 +22,7 @@
 use mangocross_types::GroupId;
 use mangocross_types::Incarnation;
 use mangocross_types::Rank;
-use mangocross_types::Revision;
+use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
 
 use self::forming::PlanUpdate;
@@ -87,7 +87,7 @@
         /// The new plan.
         plan: DomainPlan,
         /// Revision that the plan was derived from; zero if none was stored.
-        expected: Revision,
+        expected: StoreRevision,
         /// Reasons for the changes, for the log.
         reasons: Vec<String>,
     },
@@ -123,7 +123,7 @@
 #[derive(Debug, Default)]
 struct StoredPlan {
     plan: DomainPlan,
-    revision: Revision,
+    revision: StoreRevision,
     is_writing: bool,
     /// Earliest time of the next write after a failed one.
     retry_at: Option<Moment>,
@@ -165,6 +165,8 @@
     weight_load_limiter: WeightLoadLimiter,
     /// Heads whose streams progressed recently.
     progressing: HashSet<VmId>,
+    /// Servers that want no requests for now.
+    paused: HashSet<VmId>,
     /// When the newest server of each fabric domain appeared.
     newest_server_at: HashMap<FabricDomain, Moment>,
     /// The servers of each fabric domain as of the last decision, in order of their ids.
@@ -185,6 +187,7 @@
             group_states: HashMap::new(),
             weight_load_limiter: WeightLoadLimiter::default(),
             progressing: HashSet::new(),
+            paused: HashSet::new(),
             newest_server_at: HashMap::new(),
             by_domain: HashMap::new(),
         }
@@ -204,7 +207,7 @@
     }
 
     /// Returns whether the planner has a domain's plan at this revision or a later one.
-    pub fn has_plan(&self, domain: &FabricDomain, revision: Revision) -> bool {
+    pub fn has_plan(&self, domain: &FabricDomain, revision: StoreRevision) -> bool {
         self.plans.get(domain).is_some_and(|it| it.revision >= revision)
     }
 
@@ -213,7 +216,7 @@
         &mut self,
         domain: FabricDomain,
         plan: DomainPlan,
-        revision: Revision,
+        revision: StoreRevision,
     ) {
         let stored = self.plans.entry(domain).or_default();
         if revision > stored.revision {
@@ -226,7 +229,7 @@
     pub fn record_write_result(
         &mut self,
         domain: &FabricDomain,
-        written: Option<(DomainPlan, Revision)>,
+        written: Option<(DomainPlan, StoreRevision)>,
         now: Moment,
     ) {
         let Some(stored) = self.plans.get_mut(domain) else { return };
@@ -317,6 +320,14 @@
         self.progressing = heads;
     }
 
+    /// Replaces the set of servers that want no requests for now.
+    ///
+    /// Their usual probes wait. Orders, and probes on which a decision depends, are sent all the
+    /// same.
+    pub fn set_paused_servers(&mut self, servers: HashSet<VmId>) {
+        self.paused = servers;
+    }
+
     /// Marks the group of a head as suspect because its streams were found stalled.
     pub fn mark_suspect(&mut self, head: &VmId, at: Moment) {
         let Some(group) = self.group_of_head(head) else { return };
--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -22,6 +22,8 @@
 use mangocross_types::ModelId;
 use mangocross_types::Rank;
 use mangocross_types::Revision;
+use mangocross_types::StoreEra;
+use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
 
 use crate::figures::engine_spec;
@@ -39,6 +41,8 @@
 pub(crate) enum Connectivity {
     /// Requests are answered.
     Answers,
+    /// Requests are refused with a time for which the engine wants none.
+    TurnsAway,
     /// Connections are accepted, but nothing is answered.
     Pausing,
     /// Connections hang.
@@ -69,13 +73,15 @@
 #[derive(Debug)]
 pub(crate) struct Simulation {
     pub(crate) engines: BTreeMap<VmId, Engine>,
-    pub(crate) plans: BTreeMap<FabricDomain, (DomainPlan, Revision)>,
+    pub(crate) plans: BTreeMap<FabricDomain, (DomainPlan, StoreRevision)>,
     pub(crate) planner: GroupPlanner,
     pub(crate) now: Moment,
     /// When each load from the weight store was started.
     pub(crate) weight_loads: Vec<Moment>,
     /// Number of probes of engines.
     pub(crate) probes: usize,
+    /// Engines whose answers said that they want nothing for now.
+    pub(crate) paused: HashSet<VmId>,
     /// Number of attempted writes to the store.
     pub(crate) writes: usize,
     /// Engines whose responses to orders are lost.
@@ -90,6 +96,13 @@
     name.parse().expect("a valid id")
 }
 
+/// Era of the store in all simulations.
+const ERA: StoreEra = StoreEra(1);
+
+fn in_era(revision: u64) -> StoreRevision {
+    StoreRevision { era: ERA, revision: Revision(revision) }
+}
+
 impl Simulation {
     /// Creates fabric domains with engines that are in no group.
     pub(crate) fn new(domains: usize, engines: usize) -> Self {
@@ -100,6 +113,7 @@
             now: Moment::after_boot(Duration::from_secs(100)),
             weight_loads: Vec::new(),
             probes: 0,
+            paused: HashSet::new(),
             writes: 0,
             loses_responses_of: HashSet::new(),
             fetches_at_full_duration: false,
@@ -183,6 +197,7 @@
         }
         let listed: Vec<BackendServer> =
             self.engines.values().filter(|it| it.is_listed).map(|it| it.server.clone()).collect();
+        self.planner.set_paused_servers(self.paused.clone());
         for action in self.planner.next_actions(listed.iter(), self.now) {
             self.execute(action);
         }
@@ -223,6 +238,9 @@
                         };
                         self.planner.record_probe_answer(&probe.vm, report);
                     }
+                    Connectivity::TurnsAway => {
+                        self.planner.record_probe_failure(&probe.vm, ProbeFailure::TurnedAway);
+                    }
                     Connectivity::Pausing => {
                         self.planner.record_probe_failure(&probe.vm, ProbeFailure::NoAnswer);
                     }
@@ -241,11 +259,11 @@
                 self.planner.record_order_outcome(&vm, outcome, self.now);
             }
             PlannerAction::Write { domain, plan, expected, .. } => {
-                let stored = self.plans.get(&domain).map_or(Revision(0), |it| it.1);
+                let stored = self.plans.get(&domain).map_or(StoreRevision::default(), |it| it.1);
                 let written = (!self.is_store_down && stored == expected).then(|| {
                     self.revision += 1;
-                    self.plans.insert(domain.clone(), (plan.clone(), Revision(self.revision)));
-                    (plan, Revision(self.revision))
+                    self.plans.insert(domain.clone(), (plan.clone(), in_era(self.revision)));
+                    (plan, in_era(self.revision))
                 });
                 self.writes += 1;
                 self.planner.record_write_result(&domain, written, self.now);
@@ -259,7 +277,9 @@
         let engine = self.engines.get_mut(id).expect("an engine");
         match engine.connectivity {
             Connectivity::Answers => {}
-            Connectivity::Pausing | Connectivity::Silent => return OrderOutcome::Unknown,
+            Connectivity::TurnsAway | Connectivity::Pausing | Connectivity::Silent => {
+                return OrderOutcome::Unknown;
+            }
             Connectivity::NoProcess => return OrderOutcome::NoProcess,
         }
         if engine.orders_accepted != expected {
