--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -24,6 +24,7 @@
 use crate::outcome::RequestRecord;
 use crate::pool;
 use crate::pool::ConnectError;
+use crate::silence::wait_for_silence;
 use crate::state::UNREACHABLE_PAUSE;
 
 /// Maximum size of an answer, which is buffered until it is complete.
@@ -40,7 +41,7 @@
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Reason of requests that end with their deadline.
-const TIME_OVER: &str = "time is over";
+pub(crate) const TIME_OVER: &str = "time is over";
 
 enum AttemptResult {
     /// The server answered.
@@ -140,11 +141,17 @@
                 return Err("retry budget used up");
             }
             self.tried.push(server.vm.clone());
-            let connection = if call.route.retry_policy.is_retryable() {
-                call.state.pool.get(server.address, self.connect_failures).await
-            } else {
-                call.state.pool.open(server.address, self.connect_failures).await
+            let connecting = async {
+                match call.route.retry_policy.is_retryable() {
+                    true => call.state.pool.get(server.address, self.connect_failures).await,
+                    false => call.state.pool.open(server.address, self.connect_failures).await,
+                }
             };
+            let connected = tokio::time::timeout_at(call.ends_at, connecting).await;
+            if call.time_left().is_zero() {
+                return Err(TIME_OVER);
+            }
+            let connection = connected.map_err(|_| TIME_OVER)?;
             let connection = match connection {
                 Ok(it) => it,
                 Err(error) => {
@@ -170,13 +177,17 @@
     async fn wait(&mut self, mut latest: PendingAttempt<'a>) -> Option<Response<AnswerBody>> {
         let call = self.call;
         let is_retryable = call.route.retry_policy.is_retryable();
-        let may_repeat = is_retryable && self.runs + 1 < call.route.attempts_max;
+        let may_run_after = |runs: u32| is_retryable && runs < call.route.attempts_max;
         let repeat_at = Instant::now() + call.route.target_latency.mul_f64(REPEAT_TARGET_RATIO);
         loop {
-            let may_send_beside = may_repeat && self.silent.is_none();
-            let until = if may_send_beside { repeat_at.min(call.ends_at) } else { call.ends_at };
-            let first = first_answer(&mut latest, &mut self.silent);
-            let Ok(first) = tokio::time::timeout_at(until, first).await else {
+            let may_send_beside = may_run_after(self.runs + 1) && self.silent.is_none();
+            let first = tokio::select! {
+                biased;
+                it = first_answer(&mut latest, &mut self.silent) => Some(it),
+                () = wait_for_silence(repeat_at), if may_send_beside => None,
+                () = tokio::time::sleep_until(call.ends_at) => None,
+            };
+            let Some(first) = first else {
                 if call.time_left().is_zero() {
                     return Some(timeout_response(call, true));
                 }
@@ -213,7 +224,7 @@
                     call.record.log_step("attempt failed", &vm, reason);
                     if is_latest {
                         self.runs += 1;
-                        if may_repeat {
+                        if may_run_after(self.runs) {
                             return None;
                         }
                         return Some(self.end_failed(reason, code, response).await);
@@ -323,7 +334,8 @@
     call.state.record_notice(process.as_ref(), &response);
     let status = response.status();
     let attempt_id = call.caller_head.attempt_id.as_deref().unwrap_or_default();
-    let answer_head = AnswerHead::read(status, response.headers(), attempt_id);
+    let answer_head =
+        AnswerHead::read(status, response.headers(), attempt_id, connection.connection_use());
     if !answer_head.matches_attempt {
         return AttemptResult::Failed(
             "answer to another request",
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -20,6 +20,7 @@
 use mangocross_platform::WriteOutcome;
 use mangocross_platform::decode_report;
 use mangocross_platform::encode_order;
+use mangocross_platform::names_attempt;
 use mangocross_platform::order_outcome;
 use mangocross_platform::report_path;
 use mangocross_platform::server_notice;
@@ -134,6 +135,7 @@
             .entry(service.clone())
             .or_insert_with(|| GroupPlanner::new(engine.clone(), state.bounds().stall));
         planner.set_engine_spec(engine.clone());
+        planner.set_era(term.era);
         planner.set_weight_loads_unlimited(state.vm.is_first_start && !state.has_traffic.get());
         let view = state.view.borrow();
         for (key, stored) in &view.entry_vm_keys {
@@ -291,13 +293,17 @@
     };
     let vm = &probe.vm;
     let address = probe.address;
+    let no_answer = match connection.is_reused() {
+        true => ProbeFailure::NoAnswerOnKeptConnection,
+        false => ProbeFailure::NoAnswer,
+    };
     let exchange =
         exchange(state, vm, address, connection, Method::GET, report_path(), Bytes::new());
     let answer = tokio::time::timeout_at(began_at + PROBE_TIMEOUT, exchange).await;
     let Ok(Some(Answer { status, pause, body })) = answer else {
         // Only a new connection shows whether the machine can still be reached.
         state.pool.close_idle(address);
-        return Err(ProbeFailure::NoAnswer);
+        return Err(no_answer);
     };
     if pause.is_some() {
         return Err(ProbeFailure::TurnedAway);
@@ -337,7 +343,8 @@
     path: &str,
     body: Bytes,
 ) -> Result<Answer, ConnectError> {
-    let connection = state.pool.get(address, PROBE_CONNECT_FAILURES).await?;
+    // No answer names its order, so a late copy of an earlier answer must not be possible.
+    let connection = state.pool.open(address, PROBE_CONNECT_FAILURES).await?;
     let answer = exchange(state, vm, address, connection, method, path, body).await;
     answer.ok_or(ConnectError::Unreachable)
 }
@@ -366,6 +373,9 @@
     *request.headers_mut() = ForwardHead::control_headers(vm, address);
     let process = state.server_process(vm);
     let response = connection.send(request).await.ok()?;
+    if connection.is_reused() && names_attempt(response.headers()) {
+        return None;
+    }
     state.record_notice(process.as_ref(), &response);
     let status = response.status();
     let pause = server_notice(status, response.headers()).pause.filter(|it| !it.is_zero());
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -31,13 +31,13 @@
 use mangocross_serving::UnexplainedBreaks;
 use mangocross_types::ModelId;
 use mangocross_types::ServiceId;
-use mangocross_types::StoreEra;
 use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
 use tokio::sync::Notify;
 
 use crate::clock::SystemBootClock;
 use crate::closed_heads::ClosedHeads;
+use crate::held_entries::DepartedServer;
 use crate::leases::PlannerTerm;
 use crate::log_rate::LogRate;
 use crate::metrics::FrontMetrics;
@@ -74,10 +74,14 @@
     pub(crate) configuration: Option<Arc<TrafficConfiguration>>,
     pub(crate) freshness: ConfigurationFreshness,
     pub(crate) servers: BTreeMap<VmId, BackendServer>,
-    /// Era of the store that the view is from, once the store or a relay has answered.
-    pub(crate) era: Option<StoreEra>,
+    /// Latest revision that the store or a relay told.
+    pub(crate) latest_revision: Option<StoreRevision>,
     /// Revision of each server's entry or of its removal.
     pub(crate) server_revisions: HashMap<VmId, StoreRevision>,
+    /// Entries of an older copy of the store that are not used yet.
+    pub(crate) held_entries: HashMap<VmId, (StoreRevision, BackendServer)>,
+    /// Servers whose entries were removed lately.
+    pub(crate) departed: HashMap<VmId, DepartedServer>,
     /// Servers whose entries were missing after a store outage.
     pub(crate) missing: MissingServers,
     /// Values that entry VMs write under mangocross/: plans, the planner's key, addresses.
@@ -274,6 +278,16 @@
         (age > bound).then_some("the configuration is not proved fresh")
     }
 
+    /// Returns whether this VM's share of a service's retry budget allows a retry.
+    pub(crate) fn may_retry(&self, service: &ServiceId) -> bool {
+        let now = self.now();
+        let retry_bounds = self.bounds().retries;
+        let mut view = self.view.borrow_mut();
+        let entry_vms = view.entry_vm_count();
+        let budget = view.retries.entry(service.clone()).or_default();
+        budget.remaining(now, &retry_bounds, entry_vms) >= 1.0
+    }
+
     /// Spends one retry of this VM's share of a service's retry budget.
     pub(crate) fn try_spend_retry(&self, service: &ServiceId) -> bool {
         let now = self.now();
@@ -456,7 +470,7 @@
     pub(crate) fn remove_gone_servers(&mut self, now: Moment) -> Vec<VmId> {
         let gone = self.missing.take_gone(now);
         for vm in &gone {
-            self.servers.remove(vm);
+            self.record_departure(vm, now);
         }
         gone
     }
@@ -464,6 +478,7 @@
     /// Removes entries that have expired.
     pub(crate) fn expire(&mut self, now: Moment) {
         self.unlist_gone_entry_vms(now);
+        self.expire_departed(now);
         self.loads.expire(now);
         self.progress.expire(now);
         self.suspects.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -2,14 +2,18 @@
 
 mod answer_ends;
 mod answers_meanwhile;
+mod attempts_left;
 mod crashing_parts;
 mod idle_connections;
 mod fleet;
+mod late_copies;
 mod log_points;
 mod held_servers;
 mod metrics;
+mod paused_planner;
 mod planner_term;
 mod paused_servers;
+mod planned_stops;
 mod planner_view;
 mod platform;
 mod relays;
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod client;
 mod front;
+mod log_file;
 mod machine;
 mod servers;
 mod silence;
@@ -32,7 +33,12 @@
 pub(crate) use self::client::Outcome;
 pub(crate) use self::client::RequestKind;
 pub(crate) use self::front::Front;
+pub(crate) use self::log_file::LogFile;
+pub(crate) use self::servers::Arrival;
+pub(crate) use self::servers::CopyPart;
+pub(crate) use self::servers::CopyTime;
 pub(crate) use self::servers::EVENTS;
+pub(crate) use self::servers::LateCopy;
 pub(crate) use self::servers::Server;
 pub(crate) use self::servers::StreamFault;
 pub(crate) use self::start::start_engines;
@@ -40,6 +46,7 @@
 pub(crate) use self::start::start_groups;
 pub(crate) use self::start::start_groups_with_log;
 pub(crate) use self::start::start_plain;
+pub(crate) use self::start::wait_for_metric;
 pub(crate) use self::start::wait_until;
 pub(crate) use self::store::Entrance;
 pub(crate) use self::store::Store;
@@ -61,6 +68,12 @@
     head.to_ascii_lowercase().contains("server-seal: ")
 }
 
+/// Returns whether an answer names an attempt.
+pub(crate) fn names_attempt(head: &str, attempt: &str) -> bool {
+    let line = format!("attempt-id: {attempt}");
+    head.to_ascii_lowercase().lines().any(|it| it == line)
+}
+
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -1,7 +1,10 @@
 //! Backend servers: engines that form groups, and a plain service.
 
+mod copies;
+mod crashes;
 mod groups;
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -14,6 +17,10 @@
 use serde_json::Value;
 use serde_json::json;
 
+pub(crate) use self::copies::CopyPart;
+pub(crate) use self::copies::CopyTime;
+pub(crate) use self::copies::LateCopy;
+use self::copies::Sent;
 use super::AnswerEnd;
 use super::Request;
 use super::Store;
@@ -22,8 +29,6 @@
 use super::lock;
 use super::machine::Machine;
 
-/// Time from a crash until the server is back.
-const RESTART_TIME: Duration = Duration::from_millis(1000);
 /// Time from the head of an answer until a part of its prompt crashes the server.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 /// Start time that a server reports in its entry; each restart adds one.
@@ -45,6 +50,17 @@
     EndlessFailure,
 }
 
+/// A request that reached a server.
+#[derive(Debug, Clone)]
+pub(crate) struct Arrival {
+    pub(crate) attempt: String,
+    pub(crate) at: Instant,
+    /// Life of the server, as its answers' signature names it.
+    pub(crate) life: String,
+    /// Time for which the server wants nothing, if it refused the request with one.
+    pub(crate) pause: Option<Duration>,
+}
+
 #[derive(Debug, Default)]
 pub(super) struct State {
     stream_fault: StreamFault,
@@ -55,11 +71,13 @@
     retry_after: Option<String>,
     /// Whether orders and questions for reports are turned away like requests.
     turns_planner_away: bool,
-    /// Attempts that arrived, in order, also those that were refused.
-    arrived: Vec<String>,
+    /// Requests that arrived, in order, also those that were refused.
+    arrivals: Vec<Arrival>,
     orders: u64,
     /// Questions for reports that arrived.
     reports: usize,
+    /// Orders that were carried out, with the times.
+    carried_out: Vec<(Instant, Value)>,
     group: Value,
     model: Option<String>,
     /// Attempts that ran, in order.
@@ -83,10 +101,17 @@
     opened_with: Vec<(String, Value)>,
     /// Time between two events.
     event_pause: Duration,
+    /// Longest time that a stream of an attempt was without an event, by attempt.
+    silences: BTreeMap<String, Duration>,
+    /// Event after which the server falls silent, and for how long.
+    pub(super) silence_after: Option<(u64, Duration)>,
     /// Until when nothing is answered, and no stream goes on.
     pub(super) silent_until: Option<Instant>,
     /// Time before the head of a stream is sent.
     pub(super) head_pause: Duration,
+    /// Second copies of earlier answers on the same connection.
+    late_copy: Option<LateCopy>,
+    sent: Sent,
     /// Violated guarantees that the server observed.
     violations: Vec<String>,
 }
@@ -145,7 +170,12 @@
 
     /// Returns the attempts that arrived at the server, also those that it refused.
     pub(crate) fn arrived(&self) -> Vec<String> {
-        lock(&self.state).arrived.clone()
+        self.arrivals().into_iter().map(|it| it.attempt).collect()
+    }
+
+    /// Returns the requests that arrived at the server, also those that it refused.
+    pub(crate) fn arrivals(&self) -> Vec<Arrival> {
+        lock(&self.state).arrivals.clone()
     }
 
     /// Sets whether all answers say that the server is leaving; its entry does not.
@@ -230,6 +260,17 @@
         lock(&self.state).event_pause = pause;
     }
 
+    /// Returns the orders that were carried out, in order, with the times.
+    pub(crate) fn carried_out(&self) -> Vec<(Instant, Value)> {
+        lock(&self.state).carried_out.clone()
+    }
+
+    /// Returns the longest time for which a stream of an attempt had no event, at most; on a busy
+    /// machine it exceeds the pause that was set.
+    pub(crate) fn longest_silence(&self, attempt: &str) -> Duration {
+        lock(&self.state).silences.get(attempt).copied().unwrap_or_default()
+    }
+
     /// Returns the incarnation of the group that the server is in.
     pub(crate) fn incarnation(&self) -> Option<u64> {
         lock(&self.state).group["epoch"].as_u64()
@@ -251,50 +292,6 @@
         self.publish_state(&state);
     }
 
-    /// Makes requests with this shared part of their prompts crash the server when it begins to
-    /// write the answer.
-    pub(crate) fn set_crashing_part(&self, part: &str) {
-        lock(&self.state).crashing_part = Some(part.to_owned());
-    }
-
-    /// Sets for how long the server still accepts connections after a crash.
-    pub(crate) fn set_listens_on(&self, duration: Duration) {
-        self.machine.set_listens_on(duration);
-    }
-
-    /// Ends all connections, and starts the server as a new process after a while.
-    pub(crate) fn crash(&self) {
-        if !self.machine.crash() {
-            return;
-        }
-        lock(&self.state).crashes += 1;
-        let server = self.clone();
-        thread::spawn(move || {
-            thread::sleep(RESTART_TIME);
-            server.restart();
-            server.machine.start();
-        });
-    }
-
-    /// Returns how often the server crashed.
-    pub(crate) fn crashes(&self) -> u32 {
-        lock(&self.state).crashes
-    }
-
-    /// Returns the number of requests with the crashing part that reached the server.
-    pub(crate) fn crashing_requests(&self) -> usize {
-        lock(&self.state).crashing_requests
-    }
-
-    /// Returns whether the prompt of a request has the crashing part, except as its last.
-    fn has_crashing_part(&self, request: &Request) -> bool {
-        let parts = request.header("Prompt-Prefix").unwrap_or_default();
-        let shared = parts.rsplit_once(',').map_or("", |it| it.0);
-        let state = lock(&self.state);
-        let is_it = |it: &str| it.split(':').next() == state.crashing_part.as_deref();
-        shared.split(',').any(is_it)
-    }
-
     /// Returns the violated guarantees that the server observed.
     pub(crate) fn violations(&self) -> Vec<String> {
         lock(&self.state).violations.clone()
@@ -330,13 +327,18 @@
             }
             "/-/report" => {
                 let status = self.status(&lock(&self.state));
-                answer(stream, 200, self.notice(), &status.to_string());
+                self.send(stream, 200, self.notice(), &status.to_string());
             }
             "/-/order" => self.order(request, stream),
             _ => self.run(request, stream),
         }
     }
 
+    /// Returns the name of the server's present life.
+    fn life(&self, state: &State) -> String {
+        format!("{}.{}", self.id, state.starts)
+    }
+
     /// Returns the header by which all answers say that the server is leaving.
     fn notice(&self) -> &'static str {
         if lock(&self.state).is_leaving { "Server-Leaving: 1\r\n" } else { "" }
@@ -361,13 +363,20 @@
         let retry_after = self.retry_after();
         let refuses = {
             let mut state = lock(&self.state);
-            state.arrived.push(attempt.clone());
+            let pause = state.retry_after.as_ref().and_then(|it| it.parse().ok());
+            let arrival = Arrival {
+                attempt: attempt.clone(),
+                at: Instant::now(),
+                life: self.life(&state),
+                pause: pause.and_then(|it| Duration::try_from_secs_f64(it).ok()),
+            };
+            state.arrivals.push(arrival);
             state.is_refusing || is_closed(&state) || !retry_after.is_empty()
         };
         if refuses || (self.service == "models" && !self.wait_for_members()) {
             let headers =
                 format!("Attempt-Id: {attempt}\r\nNot-Executed: 1\r\n{notice}{retry_after}");
-            answer(stream, 503, &headers, "turned away");
+            self.send(stream, 503, &headers, "turned away");
             return;
         }
         let (breaks, withholds_answers) = {
@@ -386,11 +395,14 @@
         }
         assert_eq!(request.header("Tenant"), Some("t1"));
         assert_eq!(request.header("Authorization"), None);
-        let headers = format!("Attempt-Id: {attempt}\r\nServer-Seal: {}\r\n{notice}", self.id);
+        let life = self.life(&lock(&self.state));
+        let headers = format!("Attempt-Id: {attempt}\r\nServer-Seal: {life}\r\n{notice}");
         let end = lock(&self.state).answer_end;
         if self.service != "models" {
             match end {
-                AnswerEnd::Length => answer(stream, 200, &headers, "the whole body"),
+                AnswerEnd::Length => {
+                    self.send(stream, self.plain_status(), &headers, &self.plain_body(&attempt));
+                }
                 _ => answer_without_length(stream, &headers, &["the whole", " body"], end),
             }
             return;
@@ -404,10 +416,13 @@
         }
         let fault = lock(&self.state).stream_fault;
         let status = if fault == StreamFault::EndlessFailure { 500 } else { 200 };
-        let head =
-            format!("HTTP/1.1 {status} Status\r\nTransfer-Encoding: chunked\r\n{headers}\r\n");
+        let head = format!(
+            "HTTP/1.1 {status} Status\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{headers}\r\n"
+        );
         let head_pause = lock(&self.state).head_pause;
         thread::sleep(head_pause);
+        let mut silent_since = Instant::now();
+        self.write_copy(stream, CopyTime::BeforeOwn);
         let _ = stream.write_all(head.as_bytes());
         if crashes {
             thread::sleep(CRASH_DELAY);
@@ -437,15 +452,29 @@
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 return;
             }
+            if id == 3 {
+                self.write_copy(stream, CopyTime::InsideOwn);
+            }
             let event = format!("id: {id}\ndata: token\n\n");
             let event = if breaks && id == 3 { &event[..6] } else { &event };
+            let begun_at = Instant::now();
             let _ = stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
+            let silence = silent_since.elapsed();
+            silent_since = begun_at;
+            let mut state = lock(&self.state);
+            let longest = state.silences.entry(attempt.clone()).or_default();
+            *longest = silence.max(*longest);
+            if let Some((_, duration)) = state.silence_after.take_if(|it| it.0 == id) {
+                state.silent_until = Some(Instant::now() + duration);
+            }
+            drop(state);
             if breaks && id == 3 {
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 return;
             }
         }
         let _ = stream.write_all(b"0\r\n\r\n");
+        self.note_sent(stream, format!("{head}0\r\n\r\n"));
     }
 }
 
--- a/bins/mangocross-front/tests/front/platform/silence.rs
+++ b/bins/mangocross-front/tests/front/platform/silence.rs
@@ -36,7 +36,13 @@
         lock(&self.state).silent_until = Some(Instant::now() + duration);
     }
 
-    pub(super) fn wait_while_silent(&self) {
+    /// Makes the server silent for a while once a stream of it has come to an event.
+    pub(crate) fn fall_silent_after(&self, event: u64, duration: Duration) {
+        lock(&self.state).silence_after = Some((event, duration));
+    }
+
+    /// Waits while the server is silent.
+    pub(crate) fn wait_while_silent(&self) {
         loop {
             let until = lock(&self.state).silent_until;
             let rest = until.map(|it| it.saturating_duration_since(Instant::now()));
--- a/bins/mangocross-front/tests/front/store_era.rs
+++ b/bins/mangocross-front/tests/front/store_era.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::platform::CALLER_HEADERS;
+use crate::platform::EVENTS;
 use crate::platform::Front;
 use crate::platform::Server;
 use crate::platform::Store;
@@ -133,6 +134,34 @@
     returned.join().expect("the store is back");
 }
 
+/// The copy lists a server as ready that is known to be draining, and one that has left.
+#[test]
+fn servers_that_left_before_a_return_get_nothing() {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let servers = ["r1", "r2", "r3"].map(|it| Server::spawn(&store, it, "records"));
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    wait_until("all are known", || has_metric(&front, "front_backend_servers 3"));
+    thread::sleep(CALM);
+    let entry = store.read("servers/r1").expect("an entry");
+    let mut entry = entry.as_object().expect("an object").clone();
+    entry.insert("state".to_owned(), json!("draining"));
+    store.put("servers/r1", &json!(entry));
+    store.remove("servers/r2");
+    wait_until("one is gone", || has_metric(&front, "front_backend_servers 2"));
+    thread::sleep(Duration::from_millis(300));
+    let arrived = || [servers[0].arrived().len(), servers[1].arrived().len()];
+    let before = arrived();
+    return_to_copy(&store);
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(4) {
+        assert_eq!(front.call("POST", "/lookup/x", CALLER_HEADERS, "{}").0, 200);
+        assert_eq!(arrived(), before, "after {:?}", began.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// A configuration that another entry VM has seen is lost: one that reads the copy took it for the
 /// newest, and accepted a key that had been taken away.
 #[test]
@@ -202,6 +231,62 @@
     });
 }
 
+/// Callers are served while the store is away, comes back without the leases and is read anew.
+#[test]
+fn streams_are_served_through_a_return() {
+    let (store, engines, front) = start_engines();
+    thread::sleep(CALM);
+    let before = open_groups(&engines);
+    write_lost_changes(&store);
+    thread::sleep(Duration::from_millis(300));
+    let returned = {
+        let store = store.clone();
+        thread::spawn(move || return_to_copy(&store))
+    };
+    let began = Instant::now();
+    let mut number = 0;
+    while began.elapsed() < Duration::from_secs(5) {
+        let headers = CALLER_HEADERS.replace("a1", &format!("s{number}"));
+        let (status, _, body) = front.call("POST", "/stream/x", &headers, "{}");
+        assert_eq!(status, 200, "after {:?}: {body}", began.elapsed());
+        assert_eq!(body.matches("data: token").count() as u64, EVENTS, "{body}");
+        number += 1;
+        thread::sleep(Duration::from_millis(20));
+    }
+    returned.join().expect("the store is back");
+    wait_until("there is a planner", || store.contains_key(PLANNER_KEY));
+    assert_groups_stand(&engines, &before);
+}
+
+/// The copy is older than the groups: they were told to leave, since the plan did not have them.
+#[test]
+fn groups_that_a_copy_does_not_know_serve_on() {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let engines: Vec<Server> =
+        ["e1", "e2", "e3", "e4"].iter().map(|it| Server::spawn(&store, it, "models")).collect();
+    thread::sleep(CALM);
+    let began = Instant::now();
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
+    wait_until("all groups are open", || has_metric(&front, r#"front_groups{state="open"} 2"#));
+    let before = open_groups(&engines);
+    // From before the first plan.
+    let age = began.elapsed() + Duration::from_millis(500);
+    store.return_to_copy(age, Duration::ZERO, REWRITTEN_AFTER);
+    thread::sleep(REWRITTEN_AFTER + Duration::from_millis(500));
+    wait_until("there is a planner", || store.contains_key(PLANNER_KEY));
+    assert_groups_stand(&engines, &before);
+    let member = (0..engines.len()).find(|it| before.iter().all(|(head, ..)| head != it));
+    engines[member.expect("a member")].restart();
+    wait_until("its group is formed again", || {
+        let after = open_groups(&engines);
+        after.len() == before.len() && after != before
+    });
+    let violations: Vec<String> = engines.iter().flat_map(Server::violations).collect();
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
 /// The second return came while all keys were read for the first one.
 #[test]
 fn two_returns_within_a_second_end_with_one_planner_and_the_same_groups() {
--- a/crates/mangocross-serving/src/planner/server_health.rs
+++ b/crates/mangocross-serving/src/planner/server_health.rs
@@ -33,10 +33,13 @@
     NoProcess,
     /// No connection could be established: the machine is down or cut off.
     NoConnection,
-    /// The connection was established, but no valid answer came: the process may be pausing.
+    /// A new connection was established, but no valid answer came: the process may be pausing.
     NoAnswer,
     /// The server refused to answer for a while, so its process is running.
     TurnedAway,
+    /// No answer came on a connection from before, which does not show whether the machine can
+    /// still be reached.
+    NoAnswerOnKeptConnection,
 }
 
 /// Probe results of one server.
@@ -50,6 +53,9 @@
     silent_since: Option<Moment>,
     /// Whether the last of these probes found no connection.
     is_unreachable: bool,
+    /// Whether one of these probes established a connection: the machine was up, and the process
+    /// did not answer.
+    has_accepted: bool,
     has_no_process: bool,
     /// Whether the server refused to answer the last probe.
     is_turned_away: bool,
@@ -67,9 +73,13 @@
 
     /// Returns whether no process is running, the machine is unreachable, or the server has been
     /// unresponsive for so long that its work has to be given up.
+    ///
+    /// The queue of new connections of a process that pauses becomes full, so a machine that was up
+    /// when the process was silent already is not taken for unreachable.
     pub(super) fn is_lost(&self, now: Moment) -> bool {
         let is_over = || self.silent_since.is_some_and(|it| now.since(it) > PAUSE_MAX);
-        self.has_no_process || (self.is_unresponsive() && (self.is_unreachable || is_over()))
+        let is_gone = self.is_unreachable && !self.has_accepted;
+        self.has_no_process || (self.is_unresponsive() && (is_gone || is_over()))
     }
 
     /// Returns whether, since the last response, a probe has failed in another way than by a
@@ -130,6 +140,18 @@
         *self = Self { probed_at: self.probed_at, slow_reports, slowdown, ..Self::default() };
     }
 
+    /// Forgets a silence that this process did not observe to the end, because it did not run.
+    pub(super) fn forget_silence(&mut self, now: Moment) {
+        self.misses = 0;
+        self.silent_since = None;
+        self.is_unreachable = false;
+        self.has_accepted = false;
+        if self.is_probing {
+            // The answer may have come meanwhile; a failure counts from now on.
+            self.probed_at = Some(now);
+        }
+    }
+
     pub(super) fn record_failure(&mut self, failure: ProbeFailure) {
         self.is_probing = false;
         self.is_turned_away = failure == ProbeFailure::TurnedAway;
@@ -139,12 +161,16 @@
                 self.misses = 0;
                 self.silent_since = None;
                 self.is_unreachable = false;
+                self.has_accepted = false;
                 self.has_no_process = false;
             }
-            ProbeFailure::NoConnection | ProbeFailure::NoAnswer => {
+            ProbeFailure::NoConnection
+            | ProbeFailure::NoAnswer
+            | ProbeFailure::NoAnswerOnKeptConnection => {
                 self.misses += 1;
                 self.silent_since = self.silent_since.or(self.probed_at);
                 self.is_unreachable = failure == ProbeFailure::NoConnection;
+                self.has_accepted |= failure == ProbeFailure::NoAnswer;
             }
         }
     }
--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -47,6 +47,8 @@
     Pausing,
     /// Connections hang.
     Silent,
+    /// Nothing is answered on connections from before.
+    SilentOnKeptConnections,
     /// Connections are refused.
     NoProcess,
 }
@@ -69,11 +71,14 @@
     pub(crate) members: Vec<VmId>,
 }
 
+/// The stored plans, with their revisions.
+pub(crate) type Plans = BTreeMap<FabricDomain, (DomainPlan, StoreRevision)>;
+
 /// All engines, the stored plans and the planner.
 #[derive(Debug)]
 pub(crate) struct Simulation {
     pub(crate) engines: BTreeMap<VmId, Engine>,
-    pub(crate) plans: BTreeMap<FabricDomain, (DomainPlan, StoreRevision)>,
+    pub(crate) plans: Plans,
     pub(crate) planner: GroupPlanner,
     pub(crate) now: Moment,
     /// When each load from the weight store was started.
@@ -247,6 +252,10 @@
                     Connectivity::Silent => {
                         self.planner.record_probe_failure(&probe.vm, ProbeFailure::NoConnection);
                     }
+                    Connectivity::SilentOnKeptConnections => {
+                        let failure = ProbeFailure::NoAnswerOnKeptConnection;
+                        self.planner.record_probe_failure(&probe.vm, failure);
+                    }
                     Connectivity::NoProcess => {
                         self.planner.record_probe_failure(&probe.vm, ProbeFailure::NoProcess);
                     }
@@ -277,9 +286,10 @@
         let engine = self.engines.get_mut(id).expect("an engine");
         match engine.connectivity {
             Connectivity::Answers => {}
-            Connectivity::TurnsAway | Connectivity::Pausing | Connectivity::Silent => {
-                return OrderOutcome::Unknown;
-            }
+            Connectivity::TurnsAway
+            | Connectivity::Pausing
+            | Connectivity::Silent
+            | Connectivity::SilentOnKeptConnections => return OrderOutcome::Unknown,
             Connectivity::NoProcess => return OrderOutcome::NoProcess,
         }
         if engine.orders_accepted != expected {
--- a/crates/mangocross-serving/tests/store_eras.rs
+++ b/crates/mangocross-serving/tests/store_eras.rs
@@ -95,8 +95,8 @@
         }
         if !is_silent && random.u8(0..60) == 0 {
             let copied_at_ms = now_ms.saturating_sub(random.u64(0..3000));
-            let copied = store.written.iter().filter(|(_, at)| *at <= copied_at_ms);
-            store.version = copied.last().map_or(0, |(version, _)| *version);
+            let mut copied = store.written.iter().filter(|(_, at)| *at <= copied_at_ms);
+            store.version = copied.next_back().map_or(0, |(version, _)| *version);
             store.era += 1;
             store.silent_until_ms = now_ms + random.u64(0..1000);
             let is_seen = vms.iter().any(|it| it.version == store.newest());
@@ -147,8 +147,8 @@
             }
         }
         let bound_ms = REVOKE_WITHIN.as_millis() as u64;
-        let due = store.written.iter().filter(|(_, at)| at + bound_ms < now_ms);
-        let due = due.last().map_or(0, |(version, _)| *version);
+        let mut due = store.written.iter().filter(|(_, at)| at + bound_ms < now_ms);
+        let due = due.next_back().map_or(0, |(version, _)| *version);
         for (number, vm) in vms.iter().enumerate() {
             if vm.freshness.is_fresh_at(at(now_ms), REVOKE_WITHIN) && vm.version < due {
                 let version = vm.version;
