test(front): a planned stop cuts requests that were accepted late

Callers may come to a stopping VM for longer than the balancer's two checks: where fewer than half of a zone's VMs are in rotation, it sends callers to all of them. Plain requests are accepted until the process exits, 7.5 s after SIGTERM, reach servers, and are cut then without an answer.

Found while looking for ways in which an accepted request gets no answer (LOST).

--- a/bins/mangocross-front/tests/front/planned_stops.rs
+++ b/bins/mangocross-front/tests/front/planned_stops.rs
@@ -36,6 +36,12 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(300);
 /// Time for which a plain server is silent.
 const SILENCE: Duration = Duration::from_millis(1200);
+/// Time between two callers that the balancer sends for as long as the program listens.
+const LATE_CALLER_INTERVAL: Duration = Duration::from_millis(150);
+/// Time that a late caller waits for its answer.
+const LATE_CALLER_DEADLINE: &str = "Deadline-Ms: 3000\r\n";
+/// Time from SIGTERM to SIGKILL.
+const GRACE: Duration = Duration::from_secs(8);
 
 /// A request that is sent in two parts, and its answer.
 struct Halved {
@@ -117,6 +123,23 @@
     })
 }
 
+/// Sends a whole request on a new connection, as a caller that waits for a few seconds; returns its
+/// answer, or `None` if the program no longer listens.
+fn send_late(to: SocketAddr, attempt: String) -> Option<Halved> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    let headers = CALLER_HEADERS.replace("a1", &attempt);
+    let text = format!(
+        "POST /booking/x HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{LATE_CALLER_DEADLINE}Content-Length: 2\r\n{headers}\r\n{{}}"
+    );
+    let _ = stream.write_all(text.as_bytes());
+    let answer = thread::spawn(move || {
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        String::from_utf8_lossy(&answer).into_owned()
+    });
+    Some(Halved { attempt, answer })
+}
+
 /// Returns whether a request was served, or refused by an entry VM that did not run it.
 fn is_answered(answer: &str, has_run: bool) -> bool {
     let is_whole_stream =
@@ -191,3 +214,37 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
     assert!(front.exited_successfully());
 }
+
+/// Requests that were accepted late in a planned stop, for example where most VMs of a zone stop and
+/// the balancer goes on sending callers to all of them, reached servers and were cut at its end.
+#[test]
+fn planned_stop_cuts_no_request_that_was_accepted_late() {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let plain = Server::spawn(&store, "r1", "records");
+    let mut front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+
+    plain.withhold_answers();
+    let to = front.address;
+    front.terminate();
+    let stopping_since = Instant::now();
+    let mut late = Vec::new();
+    while stopping_since.elapsed() < GRACE
+        && let Some(it) = send_late(to, format!("late-{}", late.len()))
+    {
+        late.push(it);
+        thread::sleep(LATE_CALLER_INTERVAL);
+    }
+
+    assert!(late.len() > 10, "{} callers", late.len());
+    let mut cut = Vec::new();
+    for Halved { attempt, answer } in late {
+        let answer = answer.join().expect("a caller does not fail");
+        if answer.is_empty() && plain.ran().contains(&attempt) {
+            cut.push(attempt);
+        }
+    }
+    assert!(cut.is_empty(), "reached the server and got no answer: {cut:?}");
+    assert!(front.exited_successfully());
+}
