fix(front): a stopping VM refuses requests whose deadlines it may not see

Callers that came to a VM 4.5 s or later after SIGTERM got no answer: their requests were accepted, reached a server, and were cut when the process exited at 7.5 s. Streams alone were refused late in a stop.

Cause: the end of the grace period was known, but compared with nothing when a request was accepted. A stream that is repeated with little time left is now taken where it was refused before.

Ruled out: that callers stop coming. The balancer sends callers to all VMs of a zone when fewer than half of them are in rotation.

--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -175,7 +175,7 @@
     };
     let wait = caller_head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let ends_at = Instant::now() + wait.saturating_sub(record.age());
-    if route.retry_policy.is_stream() && state.is_too_late_for_streams() {
+    if state.is_too_late_for(ends_at.saturating_duration_since(Instant::now())) {
         let refusal = Refusal::not_run(ResultCode::Stopping, "this entry VM is stopping");
         return refuse(record, refusal.retry_after(STOPPING_RETRY_AFTER), "stopping");
     }
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -51,8 +51,6 @@
 /// Time for which a head gets no requests after it refused one; by then its updated entry has
 /// usually arrived.
 pub(crate) const NOT_RUN_PAUSE: Duration = Duration::from_millis(250);
-/// Time after SIGTERM in which streams are accepted; long ones end in the rest of the grace period.
-const STREAM_ACCEPT_WINDOW: Duration = Duration::from_millis(2800);
 /// Time for which a suspect or a recheck request is included in updates to other entry VMs.
 const PEER_NOTICE_DURATION: Duration = Duration::from_millis(400);
 /// Time for which a suspect group gets no new streams.
@@ -243,12 +241,6 @@
         self.stopping_since.get().is_some()
     }
 
-    /// Returns whether a stream that starts now may exceed the grace period after SIGTERM.
-    pub(crate) fn is_too_late_for_streams(&self) -> bool {
-        let since = self.stopping_since.get().map(|it| self.now().since(it));
-        since.is_some_and(|it| it > STREAM_ACCEPT_WINDOW)
-    }
-
     /// Records that the store cannot be reached.
     pub(crate) fn record_store_lost(&self) {
         self.is_store_lost.set(true);
--- a/bins/mangocross-front/src/stopping.rs
+++ b/bins/mangocross-front/src/stopping.rs
@@ -11,6 +11,11 @@
 
 /// Time for which the balancer may still send new callers: two failed checks, one per second.
 const BALANCER_DRAIN_DURATION: Duration = Duration::from_millis(2600);
+/// Time after SIGTERM in which all requests are accepted; nearly all end in the rest of the grace
+/// period.
+const ACCEPT_WINDOW: Duration = Duration::from_millis(2800);
+/// Time that the last answer before the exit takes to be sent.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Fraction of the grace period after which the process exits in any case.
 const GRACE_RATIO: f64 = 0.94;
 /// Time between checks for connections that are still open.
@@ -18,6 +23,22 @@
 /// Time for the log thread to write the last lines.
 pub(crate) const LOG_FLUSH_DELAY: Duration = Duration::from_millis(20);
 
+impl AppState {
+    /// Returns whether a request that may take this long is to be refused, since the process may exit
+    /// before its end.
+    pub(crate) fn is_too_late_for(&self, duration: Duration) -> bool {
+        let Some(since) = self.stopping_since.get().map(|it| self.now().since(it)) else {
+            return false;
+        };
+        since > ACCEPT_WINDOW && since + duration + LAST_ANSWER_TIME > exit_after(self)
+    }
+}
+
+/// Returns the time after SIGTERM at which the process exits in any case.
+fn exit_after(state: &AppState) -> Duration {
+    state.bounds().stop_grace.mul_f64(GRACE_RATIO)
+}
+
 /// Waits for SIGTERM, then closes callers' connections as they become idle, until none is left or
 /// most of the grace period is over.
 pub(crate) async fn shut_down_on_sigterm(state: &Rc<AppState>, callers: Rc<CallerConnections>) {
@@ -35,8 +56,8 @@
     log::info!(in_progress = state.requests_in_progress.get(); "stopping");
     tokio::time::sleep(BALANCER_DRAIN_DURATION).await;
     callers.close_idle();
-    let grace = state.bounds().stop_grace.mul_f64(GRACE_RATIO);
-    while callers.count() > 0 && state.now().since(began_at) < grace {
+    let exit_after = exit_after(state);
+    while callers.count() > 0 && state.now().since(began_at) < exit_after {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         callers.close_idle();
     }
