fix(front): a connection that is accepted as the last one closes is served before the exit

A stop ends when no connection is open. The listening task could accept one more between that look and the end of listening, and connections counted only once their task ran, so a request on it would have been read, perhaps sent, and cut 20 ms later without an answer.

Connections now count from their acceptance, the end of listening is waited for, and what was accepted until then is served like the others. The tests of planned stops and idle connections pass as before.

--- a/bins/mangocross-front/src/ingress.rs
+++ b/bins/mangocross-front/src/ingress.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use slab::Slab;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
 use crate::connection::ConnectionState;
 use crate::connection::Overdue;
@@ -61,7 +62,7 @@
 pub(crate) struct CallerConnections {
     connections: RefCell<Slab<Rc<ConnectionState>>>,
     limits: RefCell<RecentLimits>,
-    stop_accepting: Notify,
+    accepting: RefCell<Option<JoinHandle<()>>>,
 }
 
 impl CallerConnections {
@@ -72,8 +73,13 @@
         }
     }
 
-    pub(crate) fn stop_accepting(&self) {
-        self.stop_accepting.notify_one();
+    /// Stops listening. Connections that were accepted before are counted from then on.
+    pub(crate) async fn stop_accepting(&self) {
+        let accepting = self.accepting.borrow_mut().take();
+        if let Some(task) = accepting {
+            task.abort();
+            let _ = task.await;
+        }
     }
 
     /// Returns the number of open connections.
@@ -91,9 +97,11 @@
     let callers = Rc::new(CallerConnections {
         connections: RefCell::default(),
         limits: RefCell::new(RecentLimits::new()),
-        stop_accepting: Notify::new(),
+        accepting: RefCell::default(),
     });
-    tokio::task::spawn_local(accept(Rc::clone(&state), Rc::clone(&callers), listener));
+    let accepting =
+        tokio::task::spawn_local(accept(Rc::clone(&state), Rc::clone(&callers), listener));
+    callers.accepting.replace(Some(accepting));
     tokio::task::spawn_local(close_overdue(state, Rc::clone(&callers)));
     Ok(callers)
 }
@@ -101,11 +109,7 @@
 async fn accept(state: Rc<AppState>, callers: Rc<CallerConnections>, listener: TcpListener) {
     let connections_max = (state.vm.sockets_max as f64 * CALLER_SOCKET_RATIO) as usize;
     loop {
-        let accepted = tokio::select! {
-            it = listener.accept() => it,
-            () = callers.stop_accepting.notified() => return,
-        };
-        match accepted {
+        match listener.accept().await {
             Ok(_) if callers.count() >= connections_max => {
                 if state.log_rate.allow("connection refused", state.now()).is_some() {
                     log::warn!(connections_max; "[2101] caller's connection refused: too many");
@@ -124,7 +128,12 @@
     }
 }
 
-async fn serve(state: Rc<AppState>, callers: Rc<CallerConnections>, stream: TcpStream) {
+/// Counts an accepted connection at once, and returns what serves it.
+fn serve(
+    state: Rc<AppState>,
+    callers: Rc<CallerConnections>,
+    stream: TcpStream,
+) -> impl Future<Output = ()> {
     if let Err(error) = pool::set_options(&stream, pool::CALLER_USER_TIMEOUT) {
         log::debug!(error:% = error; "socket options are not available");
     }
@@ -137,37 +146,41 @@
     };
     let connection_state = ConnectionState::new(state.clock, time_limits);
     let key = callers.connections.borrow_mut().insert(Rc::clone(&connection_state));
-    let socket = TrackedSocket::new(stream, Rc::clone(&connection_state));
-    let service = service_fn(|request: http::Request<Incoming>| {
-        let in_progress = connection_state.begin_request();
-        let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(dispatch::serve_request(state, request, in_progress).await) }
-    });
-    // The buffer must hold a complete request head and have at least hyper's minimum size.
-    let connection = http1::Builder::new()
-        .max_buf_size((limits.header_bytes_max + (8 << 10)).max(16 << 10))
-        .serve_connection(socket, service);
-    tokio::pin!(connection);
-    let ended = loop {
-        // The connection is polled first, so that a request that has arrived is read before the
-        // connection counts as idle.
-        tokio::select! {
-            biased;
-            it = &mut connection => break it,
-            () = connection_state.close.notified() => {}
-        }
-        if !connection_state.receives_headers() {
-            connection.as_mut().graceful_shutdown();
-            break connection.await;
-        }
-        if connection_state.overdue(state.now()) == Overdue::Headers {
-            break Ok(());
+    async move {
+        let socket = TrackedSocket::new(stream, Rc::clone(&connection_state));
+        let service = service_fn(|request: http::Request<Incoming>| {
+            let in_progress = connection_state.begin_request();
+            let state = Rc::clone(&state);
+            async move {
+                Ok::<_, Infallible>(dispatch::serve_request(state, request, in_progress).await)
+            }
+        });
+        // The buffer must hold a complete request head and have at least hyper's minimum size.
+        let connection = http1::Builder::new()
+            .max_buf_size((limits.header_bytes_max + (8 << 10)).max(16 << 10))
+            .serve_connection(socket, service);
+        tokio::pin!(connection);
+        let ended = loop {
+            // The connection is polled first, so that a request that has arrived is read before the
+            // connection counts as idle.
+            tokio::select! {
+                biased;
+                it = &mut connection => break it,
+                () = connection_state.close.notified() => {}
+            }
+            if !connection_state.receives_headers() {
+                connection.as_mut().graceful_shutdown();
+                break connection.await;
+            }
+            if connection_state.overdue(state.now()) == Overdue::Headers {
+                break Ok(());
+            }
+        };
+        if let Err(error) = ended {
+            log::debug!(error:% = error; "caller's connection ended");
         }
-    };
-    if let Err(error) = ended {
-        log::debug!(error:% = error; "caller's connection ended");
+        callers.connections.borrow_mut().remove(key);
     }
-    callers.connections.borrow_mut().remove(key);
 }
 
 /// Closes connections that are idle, or receive headers, for longer than allowed.
--- a/bins/mangocross-front/src/stopping.rs
+++ b/bins/mangocross-front/src/stopping.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mangocross_serving::Moment;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -56,14 +57,20 @@
     log::info!(in_progress = state.requests_in_progress.get(); "stopping");
     tokio::time::sleep(BALANCER_DRAIN_DURATION).await;
     callers.close_idle();
-    let exit_after = exit_after(state);
-    while callers.count() > 0 && state.now().since(began_at) < exit_after {
-        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-        callers.close_idle();
-    }
-    callers.stop_accepting();
+    drain(state, &callers, began_at).await;
+    callers.stop_accepting().await;
+    // The last connections may have been accepted after the others were closed.
+    drain(state, &callers, began_at).await;
     log::info!(
         in_progress = state.requests_in_progress.get(), connections = callers.count();
         "callers served"
     );
 }
+
+/// Closes connections as they become idle until none is left, or the process must exit.
+async fn drain(state: &AppState, callers: &CallerConnections, began_at: Moment) {
+    while callers.count() > 0 && state.now().since(began_at) < exit_after(state) {
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+        callers.close_idle();
+    }
+}
