fix(front): late plain requests are served during a stop, with an answer at the exit at the latest

A plain request is now accepted while four times its target latency, or its deadline if that is sooner, is left before the exit, a stream while its deadline is; and the time that is left bounds what is accepted, so whoever is still without an answer then gets a true one (504, unknown) in place of a cut.

--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -37,6 +37,9 @@
 /// Retry-After during shutdown; the caller reaches another entry VM.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Multiple of its target latency that a plain request takes at the most, with hardly an exception.
+const PLAIN_TARGETS_MAX: u32 = 4;
+
 /// Maximum number of a prompt's parts in a log line.
 const LOGGED_PARTS_MAX: usize = 8;
 
@@ -174,11 +177,18 @@
         return refuse(record, refusal.retry_after(NOT_FRESH_RETRY_AFTER), "no service");
     };
     let wait = caller_head.deadline.unwrap_or(route.timeout).min(route.timeout);
-    let ends_at = Instant::now() + wait.saturating_sub(record.age());
-    if state.is_too_late_for(ends_at.saturating_duration_since(Instant::now())) {
+    let wait = wait.saturating_sub(record.age());
+    let longest = match route.retry_policy.is_stream() {
+        true => wait,
+        false => wait.min(route.target_latency * PLAIN_TARGETS_MAX),
+    };
+    if state.is_too_late_for(longest) {
         let refusal = Refusal::not_run(ResultCode::Stopping, "this entry VM is stopping");
         return refuse(record, refusal.retry_after(STOPPING_RETRY_AFTER), "stopping");
     }
+    // Whoever is accepted gets an answer before the exit.
+    let wait = state.time_until_exit().map_or(wait, |it| it.min(wait));
+    let ends_at = Instant::now() + wait;
     state.count_request(&service);
     let waited_before = match caller_head.deadline {
         Some(it) => state.view.borrow_mut().deadlines.record_and_estimate_elapsed(&route.name, it),
--- a/bins/mangocross-front/src/stopping.rs
+++ b/bins/mangocross-front/src/stopping.rs
@@ -25,13 +25,19 @@
 pub(crate) const LOG_FLUSH_DELAY: Duration = Duration::from_millis(20);
 
 impl AppState {
-    /// Returns whether a request that may take this long is to be refused, since the process may exit
+    /// Returns the time until the last answers are to be sent before the process exits; `None` before
+    /// SIGTERM.
+    pub(crate) fn time_until_exit(&self) -> Option<Duration> {
+        let since = self.now().since(self.stopping_since.get()?);
+        Some(exit_after(self).saturating_sub(since + LAST_ANSWER_TIME))
+    }
+
+    /// Returns whether a request that takes this long is to be refused, since the process may exit
     /// before its end.
     pub(crate) fn is_too_late_for(&self, duration: Duration) -> bool {
-        let Some(since) = self.stopping_since.get().map(|it| self.now().since(it)) else {
-            return false;
-        };
-        since > ACCEPT_WINDOW && since + duration + LAST_ANSWER_TIME > exit_after(self)
+        let since = self.stopping_since.get().map(|it| self.now().since(it));
+        since.is_some_and(|it| it > ACCEPT_WINDOW)
+            && self.time_until_exit().is_some_and(|it| it < duration)
     }
 }
 
