test(front): servers whose entries expire while only the relays have lost the store

What callers see: in a fleet with relays, servers get no requests for up to two seconds after a loss of the store of under two seconds, although they serve.

Servers cannot renew their entries while the store is away, so some expire. A relay has lost the store itself, and uses such servers until their entries reappear. Its followers have not: the relay answered them all the while (it says that it has lost the store from an age of 2 s on), so they take the removals that it passes on for final.

22 entry VMs, a store that refuses calls for 0.8 s, two servers removed meanwhile.

--- a/bins/mangocross-front/tests/front/relays.rs
+++ b/bins/mangocross-front/tests/front/relays.rs
@@ -15,6 +15,12 @@
 /// Number of entry VMs that follow the store: three relays, and the planner if it is not one of
 /// them.
 const STORE_FOLLOWERS: std::ops::RangeInclusive<usize> = 3..=4;
+/// Time after changes in which relays ask nothing; it is over after `LOSS_DELAY`.
+const QUIET_TIME: Duration = Duration::from_millis(200);
+/// Time after which each relay and the planner has lost a store that refuses calls since `QUIET_TIME`.
+const LOSS_DELAY: Duration = Duration::from_millis(700);
+/// Time after an outage in which missing servers are still used.
+const REAPPEARANCE_TIME: Duration = Duration::from_millis(1500);
 /// Maximum wait for an expected state.
 const WAIT_MAX: Duration = Duration::from_secs(60);
 
@@ -160,3 +166,41 @@
         front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
     }
 }
+
+/// Guards against followers that stop using servers whose entries expired while only the relays had
+/// lost the store: they took a removal from a relay for one that had been read in calm.
+#[test]
+fn servers_whose_entries_expire_in_a_short_outage_serve_on_at_followers() {
+    let (store, servers, fronts) = start_fleet();
+    let late = Server::spawn(&store, "r3", "records");
+    let has_servers = |count: usize| {
+        let line = format!("front_backend_servers {count}");
+        move |it: &&Front| has_metric(it, &line)
+    };
+    wait_until("all servers are known", &fronts, || fronts.iter().all(|it| has_servers(3)(&it)));
+    // All relays ask at the same time, so none has been without an answer for long.
+    store.put("op/note", &serde_json::json!(1));
+    thread::sleep(LOSS_DELAY);
+    store.put("op/note", &serde_json::json!(2));
+    thread::sleep(QUIET_TIME);
+    store.set_refusing(true);
+    thread::sleep(LOSS_DELAY);
+    servers[0].unlist();
+    late.unlist();
+    thread::sleep(QUIET_TIME / 2);
+    store.set_refusing(false);
+    let returned_at = Instant::now();
+    loop {
+        let without: Vec<&Front> = fronts.iter().filter(|it| !has_servers(3)(it)).collect();
+        if returned_at.elapsed() > REAPPEARANCE_TIME {
+            break;
+        }
+        assert!(without.is_empty(), "{} of {ENTRY_VM_COUNT}", without.len());
+    }
+    servers[0].publish_again();
+    // The other one does not reappear.
+    wait_until("it is gone", &fronts, || fronts.iter().all(|it| has_servers(2)(&it)));
+    for front in &fronts {
+        front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    }
+}
