feat(front): log servers that a list of all keys lacks

A removal that is read as a change was logged, one that shows in a list of all keys was not, so the log of an entry VM that had read all keys anew did not tell which servers it had stopped using, and whether their entries might reappear. Both go through one function now. The line is the same: `backend server unlisted`.

--- a/bins/mangocross-front/src/store_changes.rs
+++ b/bins/mangocross-front/src/store_changes.rs
@@ -12,6 +12,7 @@
 use mangocross_platform::decode_server;
 use mangocross_platform::server_id;
 use mangocross_serving::BackendServer;
+use mangocross_serving::Moment;
 use mangocross_serving::Removal;
 use mangocross_types::Revision;
 use mangocross_types::StoreRevision;
@@ -44,10 +45,7 @@
         let is_missing = |vm: &&VmId| !listed.contains(vm.as_str()) && is_older(vm);
         let unlisted: Vec<VmId> = servers.keys().filter(is_missing).cloned().collect();
         for vm in unlisted {
-            view.server_revisions.insert(vm.clone(), as_of);
-            if view.missing.record_removal(&vm, now) == Removal::Gone {
-                view.record_departure(&vm, now);
-            }
+            unlist_server(&mut view, &vm, as_of, now);
         }
     }
     if prefix == ENTRY_VM_KEYS_PREFIX {
@@ -215,23 +213,27 @@
     true
 }
 
+/// Stops using a server whose entry was removed, unless the entry may reappear.
+fn unlist_server(view: &mut ClusterView, vm: &VmId, revision: StoreRevision, now: Moment) {
+    view.server_revisions.insert(vm.clone(), revision);
+    let is_known = view.servers.contains_key(vm);
+    let is_after_outage =
+        is_known && matches!(view.missing.record_removal(vm, now), Removal::MayReappear(_));
+    log::info!(server:% = vm, revision = revision.revision.0, is_after_outage; "backend server unlisted");
+    if !is_after_outage {
+        view.record_departure(vm, now);
+    }
+}
+
 fn remove(state: &AppState, key: &str, revision: StoreRevision) {
     let now = state.now();
     state.relay.record(key, None, revision, now);
     let mut view = state.view.borrow_mut();
     if key.starts_with(SERVERS_PREFIX) {
         let Ok(vm) = server_id(key) else { return };
-        let known = view.server_revisions.entry(vm.clone()).or_default();
-        if *known > revision {
-            return;
-        }
-        *known = revision;
-        let is_known = view.servers.contains_key(&vm);
-        let is_after_outage =
-            is_known && matches!(view.missing.record_removal(&vm, now), Removal::MayReappear(_));
-        log::info!(server:% = vm, revision = revision.revision.0, is_after_outage; "backend server unlisted");
-        if !is_after_outage {
-            view.record_departure(&vm, now);
+        let is_older = view.server_revisions.get(&vm).is_none_or(|it| *it <= revision);
+        if is_older {
+            unlist_server(&mut view, &vm, revision, now);
         }
         return;
     }
