test(front): entries that expire before all keys are read anew, a server that leaves one relay's view

What callers see: the same as in the test before, also where the store has dropped its history in the meantime. The relays then read all keys anew, for longer than a follower waits, and followers ask the store themselves.

They look at what the log says of each removal instead of at the number of servers within a time, which is equally strict: a removal that may not reappear is what takes the server out of use at once.

--- a/bins/mangocross-front/tests/front/relays.rs
+++ b/bins/mangocross-front/tests/front/relays.rs
@@ -19,8 +19,9 @@
 const QUIET_TIME: Duration = Duration::from_millis(200);
 /// Time after which each relay and the planner has lost a store that refuses calls since `QUIET_TIME`.
 const LOSS_DELAY: Duration = Duration::from_millis(700);
-/// Time after an outage in which missing servers are still used.
-const REAPPEARANCE_TIME: Duration = Duration::from_millis(1500);
+/// Time in which the store reads a page; the wait of a follower's question is over before all keys
+/// have been read.
+const PAGE_DELAY: Duration = Duration::from_millis(400);
 /// Maximum wait for an expected state.
 const WAIT_MAX: Duration = Duration::from_secs(60);
 
@@ -167,40 +168,106 @@
     }
 }
 
-/// Guards against followers that stop using servers whose entries expired while only the relays had
-/// lost the store: they took a removal from a relay for one that had been read in calm.
-#[test]
-fn servers_whose_entries_expire_in_a_short_outage_serve_on_at_followers() {
-    let (store, servers, fronts) = start_fleet();
-    let late = Server::spawn(&store, "r3", "records");
-    let has_servers = |count: usize| {
-        let line = format!("front_backend_servers {count}");
-        move |it: &&Front| has_metric(it, &line)
-    };
-    wait_until("all servers are known", &fronts, || fronts.iter().all(|it| has_servers(3)(&it)));
-    // All relays ask at the same time, so none has been without an answer for long.
+/// Refuses calls from the time in which no relay asks until each has lost the store, and acts then.
+///
+/// All relays have asked at the same time before, so none has been without an answer for long.
+fn refuse_for_a_moment(store: &Store, set_refusing: impl Fn(bool), act: impl FnOnce()) {
     store.put("op/note", &serde_json::json!(1));
     thread::sleep(LOSS_DELAY);
     store.put("op/note", &serde_json::json!(2));
     thread::sleep(QUIET_TIME);
-    store.set_refusing(true);
+    set_refusing(true);
     thread::sleep(LOSS_DELAY);
-    servers[0].unlist();
-    late.unlist();
+    act();
     thread::sleep(QUIET_TIME / 2);
-    store.set_refusing(false);
-    let returned_at = Instant::now();
-    loop {
-        let without: Vec<&Front> = fronts.iter().filter(|it| !has_servers(3)(it)).collect();
-        if returned_at.elapsed() > REAPPEARANCE_TIME {
-            break;
-        }
-        assert!(without.is_empty(), "{} of {ENTRY_VM_COUNT}", without.len());
-    }
+    set_refusing(false);
+}
+
+/// Returns for each removal of a server's entry that an entry VM has read whether it may reappear.
+fn removals(front: &Front, server: &str) -> impl Iterator<Item = bool> {
+    let lines = front.log_lines();
+    lines
+        .into_iter()
+        .filter(move |it| it["message"] == "backend server unlisted" && it["server"] == server)
+        .map(|it| it["is_after_outage"] == true)
+}
+
+fn assert_expired_servers_serve_on(is_history_gone: bool) {
+    let (store, servers, fronts) = start_fleet();
+    let late = Server::spawn(&store, "r3", "records");
+    let has_servers =
+        |front: &Front, count: usize| has_metric(front, &format!("front_backend_servers {count}"));
+    wait_until("all are known", &fronts, || fronts.iter().all(|it| has_servers(it, 3)));
+    refuse_for_a_moment(
+        &store,
+        |it| store.set_refusing(it),
+        || {
+            servers[0].unlist();
+            late.unlist();
+            if is_history_gone {
+                store.compact();
+                store.set_range_delay(PAGE_DELAY);
+            }
+        },
+    );
+    wait_until("all have read the removals", &fronts, || {
+        fronts.iter().all(|it| removals(it, "r1").chain(removals(it, "r3")).count() >= 2)
+    });
+    let is_misled = |it: &&Front| removals(it, "r1").chain(removals(it, "r3")).any(|it| !it);
+    assert_eq!(
+        fronts.iter().filter(is_misled).count(),
+        0,
+        "of {ENTRY_VM_COUNT} took them for gone"
+    );
     servers[0].publish_again();
     // The other one does not reappear.
-    wait_until("it is gone", &fronts, || fronts.iter().all(|it| has_servers(2)(&it)));
+    wait_until("it is gone", &fronts, || fronts.iter().all(|it| has_servers(it, 2)));
     for front in &fronts {
         front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
     }
 }
+
+/// Guards against followers that stop using servers whose entries expired while only the relays had
+/// lost the store: they took a removal from a relay for one that had been read in calm.
+#[test]
+fn servers_whose_entries_expire_in_a_short_outage_serve_on_at_followers() {
+    assert_expired_servers_serve_on(false);
+}
+
+/// Guards against followers that take such removals for final because their relays, or they
+/// themselves, read all keys anew.
+#[test]
+fn servers_whose_entries_expire_before_all_keys_are_read_serve_on_at_followers() {
+    assert_expired_servers_serve_on(true);
+}
+
+/// Guards against followers that go on using a server that left because their relay alone had lost
+/// the store.
+#[test]
+fn server_that_leaves_while_one_relay_has_lost_the_store_is_gone_for_its_followers() {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let entrance = store.open_entrance();
+    let relay = Front::spawn_logged(entrance.address, 60_000, 1.0);
+    let share = |number: usize| if number < 2 { 1.0 } else { 0.03 };
+    let spawn = |it: usize| Front::spawn_logged(store.address, 60_000, share(it));
+    let others: Vec<Front> = (0..ENTRY_VM_COUNT - 1).map(spawn).collect();
+    let follows_it = |front: &Front| {
+        let lines = front.log_lines();
+        let mut changes = lines.iter().filter(|it| it["target"] == "mangocross_front::watching");
+        changes.next_back().is_some_and(|it| it["relay"] == relay.name())
+    };
+    wait_until("it relays", &others, || {
+        let followers = others.iter().filter(|it| !follows_store(it)).count();
+        followers >= others.len() - STORE_FOLLOWERS.end() && others.iter().any(follows_it)
+    });
+    refuse_for_a_moment(&store, |it| entrance.set_refusing_reads(it), || servers[0].unlist());
+    wait_until("all have read the removal", &others, || {
+        others.iter().chain([&relay]).all(|it| removals(it, "r1").next().is_some())
+    });
+    assert_eq!(removals(&relay, "r1").next(), Some(true), "the relay has lost the store");
+    let is_misled = |it: &&Front| removals(it, "r1").next() == Some(true);
+    let misled: Vec<String> = others.iter().filter(is_misled).map(Front::name).collect();
+    assert!(misled.is_empty(), "{misled:?}");
+}
