fix(front): followers wait for entries to reappear as their relay does

What callers saw: after a loss of the store of under two seconds in a fleet with relays, sound servers got no requests until they had written their entries again.

Cause: whether a removal is final was decided from what the VM itself had seen of the store. A follower sees the store through its relay, and a relay answers as usual until its last proof is 2 s old, so the follower took removals from an outage that it knew nothing of for ones read in calm. An absence in a view counts only as much as the view is proven.

A relay now tells with its answer for how long entries may reappear after its own outage. The follower counts it from its own question, so its period never ends later than the relay's. The relay may be the only one that was without the store, and nothing has expired then: the follower asks the next relay, and waits for entries to reappear only if that one was without the store too, as it did already for relays that say that they have lost it.

The random history of MissingServers includes the relay's periods and stays within the bound on leaving servers.

The form of the relays' answers has a new field, so its path has the next number; the others' relays answer 404 to it while versions are mixed, and followers ask the next one or the store.

--- a/bins/mangocross-front/src/relay_following.rs
+++ b/bins/mangocross-front/src/relay_following.rs
@@ -9,6 +9,7 @@
 use mangocross_platform::StoreChange;
 use mangocross_platform::StoreItem;
 use mangocross_serving::KeyChange;
+use mangocross_serving::Moment;
 use mangocross_types::StoreRevision;
 
 use crate::relay_client::RelayClient;
@@ -67,9 +68,9 @@
             false => QUESTION_WAIT.saturating_sub(delay),
         };
         let after = position.after.unwrap_or_default();
-        let (revision, changes, confirmation) = match client.ask(after, wait).await? {
-            RelayAnswer::Changes { revision, changes, confirmation } => {
-                (revision, changes, confirmation)
+        let (revision, changes, confirmation, outage) = match client.ask(after, wait).await? {
+            RelayAnswer::Changes { revision, changes, confirmation, outage } => {
+                (revision, changes, confirmation, outage)
             }
             RelayAnswer::NotFollowing => {
                 position.record_relay_failure(state, relay);
@@ -87,6 +88,11 @@
         }
         state.observe_revision(revision);
         state.record_store_answer();
+        if let Some(it) = outage.filter(|_| changes.may_remove())
+            && !adopt_outage(state, position, relay, it.reappear_until(asked_at))
+        {
+            return Ok(FollowEnd::RelayLostStore);
+        }
         position.mark_regained(state);
         position.choice.record_following();
         let has_changes = !changes.changes.is_empty();
@@ -113,6 +119,28 @@
     }
 }
 
+/// Lets entries reappear for as long as the relay does; returns false if only this relay is known to
+/// have been without the store: then the next one tells whether the removals are final.
+fn adopt_outage(
+    state: &AppState,
+    position: &mut Position,
+    relay: &Arc<str>,
+    reappear_until: Moment,
+) -> bool {
+    let now = state.now();
+    let leave_within = state.bounds().leave_within;
+    let missing = &mut state.view.borrow_mut().missing;
+    if missing.reappear_until(now).is_some() {
+        return true;
+    }
+    position.choice.record_store_lost(relay, now);
+    let is_away = position.choice.is_store_away();
+    if is_away {
+        missing.record_relayed_period(reappear_until, now, leave_within);
+    }
+    is_away
+}
+
 fn store_change(change: KeyChange) -> StoreChange {
     let KeyChange { key, value, revision } = change;
     let key = key.to_string();
--- a/bins/mangocross-front/src/relay_messages.rs
+++ b/bins/mangocross-front/src/relay_messages.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use mangocross_serving::RelayedChanges;
+use mangocross_serving::RelayedOutage;
 use mangocross_types::StoreRevision;
 use serde::Deserialize;
 use serde::Serialize;
 
 /// Path of questions on the port for traffic between entry VMs, with the version of their form.
-pub(crate) const CHANGES_PATH: &str = "/changes/2";
+pub(crate) const CHANGES_PATH: &str = "/changes/3";
 /// Maximum size of a question.
 pub(crate) const QUESTION_BYTES_MAX: usize = 1 << 10;
 /// Maximum size of an answer; a snapshot with a large configuration takes about 1 MB.
@@ -31,7 +32,7 @@
 pub(crate) enum RelayAnswer {
     /// This VM does not follow the store, or has not read it yet.
     NotFollowing,
-    /// This VM has lost the store.
+    /// This VM has lost the store, or reads it anew after a loss.
     StoreLost,
     /// Changes up to a revision.
     Changes {
@@ -39,6 +40,8 @@
         revision: StoreRevision,
         changes: RelayedChanges,
         confirmation: Option<RelayedConfirmation>,
+        /// Told while entries may reappear that expired while the relay was without the store.
+        outage: Option<RelayedOutage>,
     },
 }
 
--- a/bins/mangocross-front/src/relay_server.rs
+++ b/bins/mangocross-front/src/relay_server.rs
@@ -17,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use mangocross_serving::Moment;
+use mangocross_serving::RelayedOutage;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
@@ -135,10 +136,13 @@
 
 fn changes(state: &AppState, question: &RelayQuestion, arrived_at: Moment) -> RelayAnswer {
     let now = state.now();
-    let age = state.view.borrow().freshness.age(now);
+    let view = state.view.borrow();
+    let age = view.freshness.age(now);
+    let reappear_until = view.missing.reappear_until(now);
     RelayAnswer::Changes {
         revision: state.relay.revision.get(),
         changes: state.relay.keys.borrow().changes_since(question.after),
         confirmation: age.map(|age| RelayedConfirmation { held: now.since(arrived_at), age }),
+        outage: reappear_until.map(|it| RelayedOutage::new(arrived_at, now, it)),
     }
 }
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -67,7 +67,7 @@
                 }
                 Err(StoreError::EraChanged) => position.after = None,
                 // The store may have refused that relay only.
-                Ok(FollowEnd::RelayLostStore) if position.choice.store_lost_answers() < 2 => {}
+                Ok(FollowEnd::RelayLostStore) if !position.choice.is_store_away() => {}
                 Ok(FollowEnd::RelayLostStore) => {
                     position.mark_lost(&state, "relays have lost the store");
                     tokio::time::sleep(position.next_retry_delay()).await;
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -72,6 +72,7 @@
 pub use relays::RelayPlan;
 pub use relays::RelayedChanges;
 pub use relays::RelayedKeys;
+pub use relays::RelayedOutage;
 pub use relays::Source;
 pub use relays::SourceChoice;
 pub use relays::StoreView;
--- a/crates/mangocross-serving/src/missing_servers.rs
+++ b/crates/mangocross-serving/src/missing_servers.rs
@@ -64,6 +64,13 @@
         self.reappear_until = Some(now + REAPPEARANCE_TIME.min(longest));
     }
 
+    /// Records the period of the relay from which the store's changes are learned, and which was
+    /// without the store.
+    pub fn record_relayed_period(&mut self, until: Moment, now: Moment, leave_within: Duration) {
+        let longest = leave_within.saturating_sub(DELIVERY_MARGIN);
+        self.reappear_until = self.reappear_until.max(Some(until.min(now + longest)));
+    }
+
     /// Returns until when entries may reappear, if the time has not passed.
     pub fn reappear_until(&self, now: Moment) -> Option<Moment> {
         self.reappear_until.filter(|it| now < *it)
--- a/crates/mangocross-serving/src/relays/mod.rs
+++ b/crates/mangocross-serving/src/relays/mod.rs
@@ -3,6 +3,7 @@
 mod listed_entry_vm;
 mod relay_plan;
 mod relayed_keys;
+mod relayed_outage;
 mod source_choice;
 mod store_view;
 
@@ -11,6 +12,7 @@
 pub use relayed_keys::KeyChange;
 pub use relayed_keys::RelayedChanges;
 pub use relayed_keys::RelayedKeys;
+pub use relayed_outage::RelayedOutage;
 pub use source_choice::Source;
 pub use source_choice::SourceChoice;
 pub use source_choice::VmRole;
--- a/crates/mangocross-serving/src/relays/relayed_keys.rs
+++ b/crates/mangocross-serving/src/relays/relayed_keys.rs
@@ -35,6 +35,13 @@
     pub is_complete: bool,
 }
 
+impl RelayedChanges {
+    /// Returns whether keys may have been removed.
+    pub fn may_remove(&self) -> bool {
+        self.is_complete || self.changes.iter().any(|it| it.value.is_none())
+    }
+}
+
 /// The last change of each key that entry VMs need.
 ///
 /// An entry VM can start from any revision: it gets the last change of each key that
--- a/crates/mangocross-serving/src/relays/source_choice.rs
+++ b/crates/mangocross-serving/src/relays/source_choice.rs
@@ -14,6 +14,8 @@
 const FAILED_RELAY_PAUSE: Duration = Duration::from_secs(4);
 /// Number of relays that are asked before the store, if none of them answers.
 const RELAYS_TRIED_MAX: usize = 4;
+/// Number of answers of relays that lost the store from which it counts as away for all.
+const LOST_ANSWERS_MIN: usize = 2;
 /// Time for which an entry VM that found no relay follows the store itself.
 const STORE_DURATION: Duration = Duration::from_secs(8);
 /// Expected number of entry VMs, besides the relays, that ask a store which the relays have lost,
@@ -112,9 +114,12 @@
         self.store_lost += 1;
     }
 
-    /// Returns how many relays had lost the store since the last good answer.
-    pub fn store_lost_answers(&self) -> usize {
-        self.store_lost
+    /// Returns whether the store is, or was until lately, away for all, and not only for the relay
+    /// that says so.
+    ///
+    /// Where no other relay can be reached, the second answer of one counts as well.
+    pub fn is_store_away(&self) -> bool {
+        self.store_lost >= LOST_ANSWERS_MIN
     }
 
     /// Records that the store answered this VM although no relay could be used.
--- a/crates/mangocross-serving/tests/missing_servers.rs
+++ b/crates/mangocross-serving/tests/missing_servers.rs
@@ -81,6 +81,30 @@
     assert!(!servers.is_gone(&vm("t"), at(7_000)), "its entry went missing in the second outage");
 }
 
+/// Guards against a follower that takes removals for final which its relay, without the store until
+/// lately, does not.
+#[test]
+fn entry_that_expired_in_an_outage_of_the_relay_may_reappear() {
+    let mut servers = MissingServers::default();
+    servers.record_store_answer(at(0), LEAVE_WITHIN);
+    servers.record_relayed_period(at(2_500), at(1_000), LEAVE_WITHIN);
+    let removal = servers.record_removal(&vm("s"), at(1_000));
+    assert_eq!(removal, Removal::MayReappear(at(2_500)));
+    assert!(servers.is_gone(&vm("s"), at(2_500)), "its relay uses it no longer");
+    assert_eq!(servers.record_removal(&vm("t"), at(2_500)), Removal::Gone);
+}
+
+/// A relay that has been without the store later than the last one ends the period later, none ends
+/// it earlier.
+#[test]
+fn period_of_a_relay_does_not_shorten_another_one() {
+    let mut servers = after_outage(5_000, LEAVE_WITHIN);
+    servers.record_relayed_period(at(5_200), at(5_100), LEAVE_WITHIN);
+    servers.record_removal(&vm("s"), at(5_300));
+    assert!(!servers.is_gone(&vm("s"), at(6_600)));
+    assert!(servers.is_gone(&vm("s"), at(6_700)));
+}
+
 /// Whatever the order of outages and removals, a server whose removal was read gets no request
 /// beyond the bound.
 #[test]
@@ -92,9 +116,13 @@
         let mut now = at(0);
         for step in 0..random.usize(0..40) {
             now = now + Duration::from_millis(random.u64(0..1_500));
-            match random.u8(0..3) {
+            match random.u8(0..4) {
                 0 => servers.record_store_lost(),
                 1 => servers.record_store_answer(now, leave_within),
+                2 => {
+                    let until = now + Duration::from_millis(random.u64(0..4_000));
+                    servers.record_relayed_period(until, now, leave_within);
+                }
                 _ => {
                     let name = vm(&format!("s{step}"));
                     if let Removal::MayReappear(until) = servers.record_removal(&name, now) {
--- a/crates/mangocross-serving/tests/relays.rs
+++ b/crates/mangocross-serving/tests/relays.rs
@@ -13,6 +13,7 @@
 use mangocross_serving::Moment;
 use mangocross_serving::RelayPlan;
 use mangocross_serving::RelayedKeys;
+use mangocross_serving::RelayedOutage;
 use mangocross_serving::Source;
 use mangocross_serving::SourceChoice;
 use mangocross_serving::VmRole;
@@ -370,6 +371,46 @@
     }
 }
 
+/// Questions and answers, late and held: no follower uses a missing server for longer than its relay.
+#[test]
+fn period_in_which_entries_reappear_is_never_longer_at_a_follower() {
+    let mut random = Rng::with_seed(26);
+    for _ in 0..5_000 {
+        let relay_clock = Clock(random.u64(0..1_000_000));
+        let own_clock = Clock(random.u64(0..1_000_000));
+        let end_ms = random.u64(5_000..20_000);
+        let asked_ms = random.u64(0..5_000);
+        let arrived_ms = asked_ms + random.u64(0..3_000);
+        let answered_ms = arrived_ms + random.u64(0..3_000);
+        let on_relay = |true_ms| relay_clock.at(true_ms);
+        let outage =
+            RelayedOutage::new(on_relay(arrived_ms), on_relay(answered_ms), on_relay(end_ms));
+        let until = outage.reappear_until(own_clock.at(asked_ms));
+        let end = own_clock.at(end_ms.max(answered_ms));
+        assert!(until <= end);
+        assert_eq!(end.since(until), Duration::from_millis(arrived_ms - asked_ms));
+    }
+}
+
+/// A removal in an answer, or in a list that lacks a key, is what an outage makes doubtful.
+#[test]
+fn answer_tells_whether_keys_may_have_been_removed() {
+    let change = |key: &str, revision: usize, value: Option<Vec<u8>>| KeyChange {
+        key: key.into(),
+        value,
+        revision: in_era(0, revision),
+    };
+    let mut keys = RelayedKeys::default();
+    keys.record(change("servers/a", 1, Some(vec![1])), at(0));
+    keys.record(change("servers/b", 2, Some(vec![2])), at(0));
+    assert!(!keys.changes_since(in_era(0, 1)).may_remove());
+    keys.record(change("servers/a", 3, None), at(0));
+    assert!(keys.changes_since(in_era(0, 2)).may_remove());
+    assert!(!keys.changes_since(in_era(0, 3)).may_remove());
+    keys.forget_until(in_era(0, 4));
+    assert!(keys.changes_since(in_era(0, 3)).may_remove());
+}
+
 /// A VM that booted a second ago: a confirmation from before its boot proves nothing to it.
 #[test]
 fn confirmation_from_before_the_boot_is_ignored() {
--- a/crates/mangocross-serving/tests/sources.rs
+++ b/crates/mangocross-serving/tests/sources.rs
@@ -77,6 +77,30 @@
     }
 }
 
+/// Guards against a follower that takes the loss of one relay for a loss of the store: another relay
+/// that follows it decides.
+#[test]
+fn store_counts_as_away_only_if_two_relays_were_without_it() {
+    let mut random = Rng::with_seed(261);
+    for _ in 0..500 {
+        let (plan, entry_vms) = random_plan(&mut random);
+        let role = VmRole { name: NAME, zone: &zone(1), holds_term: false };
+        let mut choice = SourceChoice::default();
+        let first = choice.choose(&plan, role, entry_vms, at(0), 1.0);
+        let Source::Relay { name: first, .. } = first else { continue };
+        choice.record_store_lost(&first, at(0));
+        assert!(!choice.is_store_away());
+        let second = choice.choose(&plan, role, entry_vms, at(100), 1.0);
+        let Source::Relay { name: second, .. } = second else { panic!("the store is asked") };
+        assert_ne!(second, first);
+        let mut confirmed = choice;
+        confirmed.record_store_lost(&second, at(100));
+        assert!(confirmed.is_store_away());
+        confirmed.record_following();
+        assert!(!confirmed.is_store_away());
+    }
+}
+
 /// A VM as the front drives the choice and the view: one question in each step.
 struct Vm {
     choice: SourceChoice,
