fix(front): a relay that reads all keys after an outage does not send its followers to the store

What callers saw: as before, where the store has dropped its history by its return.

Cause: relays read all keys anew then, and said that they do not follow the store when a follower had waited for a second. With all relays in that state followers asked the store themselves, had never seen it lost and took the entries that had expired for gone.

A relay in that state now says that it has lost the store. Followers ask the next one, and with the second such answer they have lost the store too, so their own period for missing servers begins with its return. They ask the store less often meanwhile, as in any outage.

--- a/bins/mangocross-front/src/relay_server.rs
+++ b/bins/mangocross-front/src/relay_server.rs
@@ -118,7 +118,10 @@
         let is_over = tokio::time::Instant::now() >= until;
         if !state.relay.is_following.get() {
             if is_over || !state.relay.is_recording() {
-                return RelayAnswer::NotFollowing;
+                return match is_reading_after_outage(state) {
+                    true => RelayAnswer::StoreLost,
+                    false => RelayAnswer::NotFollowing,
+                };
             }
             let _ = tokio::time::timeout_at(until, changed).await;
             continue;
@@ -134,6 +137,13 @@
     }
 }
 
+/// Returns whether this VM reads all keys anew after a loss of the store, so that entries that expired
+/// meanwhile may reappear.
+fn is_reading_after_outage(state: &AppState) -> bool {
+    let may_reappear = || state.view.borrow().missing.reappear_until(state.now()).is_some();
+    state.relay.is_recording() && (state.is_store_lost.get() || may_reappear())
+}
+
 fn changes(state: &AppState, question: &RelayQuestion, arrived_at: Moment) -> RelayAnswer {
     let now = state.now();
     let view = state.view.borrow();
