test(serving): a planner that reaches no server closes no head that is merely silent

What callers would see: streams are refused everywhere although all groups serve, while the planner's own network is at fault.

A planner to which more than 35% of the servers are silent takes itself for isolated and decides nothing. It still tells the other entry VMs every quarter of a second which heads do not answer it, and they send nothing to these for a second. Red on this code: with all servers silent to the planner the list has the sound heads.

--- a/crates/mangocross-serving/tests/closed_heads.rs
+++ b/crates/mangocross-serving/tests/closed_heads.rs
@@ -63,6 +63,31 @@
     assert!(others.into_iter().all(|it| !closed.contains(&it)));
 }
 
+/// Guards against a planner that cannot reach most servers, decides nothing for that reason, and
+/// still tells all entry VMs to send nothing to the heads that do not answer it.
+#[test]
+fn isolated_planner_closes_no_head_that_is_merely_silent() {
+    let mut simulation = formed();
+    let heads = simulation.serving("large");
+    simulation.engines.values_mut().for_each(|it| it.connectivity = Connectivity::Silent);
+    heads.iter().for_each(|it| simulation.planner.probe_group_soon(it));
+    for _ in 0..100 {
+        simulation.run(ms(50));
+        assert!(simulation.planner.closed_heads().is_empty());
+    }
+    // A refused connection proves that no process runs, whatever else is silent.
+    set_connectivity(&mut simulation, &heads[0], Connectivity::NoProcess);
+    simulation.planner.probe_group_soon(&heads[0]);
+    assert!(run_until_closed(&mut simulation, &heads[0]));
+    assert!(!simulation.planner.closed_heads().contains(&heads[1]));
+    // It closes silent heads again once most others answer.
+    simulation.engines.values_mut().for_each(|it| it.connectivity = Connectivity::Answers);
+    simulation.run(ms(5_000));
+    set_connectivity(&mut simulation, &heads[1], Connectivity::Silent);
+    simulation.planner.probe_group_soon(&heads[1]);
+    assert!(run_until_closed(&mut simulation, &heads[1]));
+}
+
 /// A head that only misses the planner's questions while its streams go on stays open.
 #[test]
 fn silent_head_with_progress_is_not_closed() {
