fix(planner): an isolated planner closes no head that is merely silent

What callers would see: no group of a model takes streams for as long as the planner's network is at fault.

Cause: the check that keeps an isolated planner from deciding anything stood in the path to plans and orders only. The list of closed heads, which all entry VMs follow, was built from the same probes without it: heads without streams that went on, and with nothing new sent to them soon all.

While the planner is isolated, silence closes no head. A refused connection does, it proves that no process runs, and so does a plan that has replaced the head's incarnation.

Evidence: isolated_planner_closes_no_head_that_is_merely_silent was red before and passes; all 152 tests of the crate pass.

--- a/crates/mangocross-serving/src/planner/closed_heads.rs
+++ b/crates/mangocross-serving/src/planner/closed_heads.rs
@@ -13,10 +13,16 @@
     ///
     /// The platform removes the entry of a server that ended only after several heartbeats, and
     /// each entry VM that learns of the end by itself loses the time of a failed connection.
+    ///
+    /// To a VM that is isolated, silence shows nothing.
     pub fn closed_heads(&self) -> Vec<VmId> {
+        let is_isolated = self.is_isolated();
         let is_closed = |vm: &VmId, it: &TrackedServer| {
-            let does_not_respond = it.health.is_unresponsive() && !self.progressing.contains(vm);
-            does_not_respond || self.is_replaced(it)
+            let is_ended = match is_isolated {
+                true => it.health.has_no_process(),
+                false => it.health.is_unresponsive(),
+            };
+            (is_ended && !self.progressing.contains(vm)) || self.is_replaced(it)
         };
         let open = self
             .servers
