feat(front): one line for all servers that a list lacks

A line for each server is much at once: a follower that gets all keys from a relay drops all members and spares, which relays do not pass on, thousands in a large deployment. `backend servers not in the list` tells their number and how many of them may reappear.

--- a/bins/mangocross-front/src/store_changes.rs
+++ b/bins/mangocross-front/src/store_changes.rs
@@ -44,8 +44,13 @@
         let is_older = |vm: &VmId| server_revisions.get(vm).is_none_or(|it| *it <= as_of);
         let is_missing = |vm: &&VmId| !listed.contains(vm.as_str()) && is_older(vm);
         let unlisted: Vec<VmId> = servers.keys().filter(is_missing).cloned().collect();
-        for vm in unlisted {
-            unlist_server(&mut view, &vm, as_of, now);
+        let after_outage =
+            unlisted.iter().filter(|vm| unlist_server(&mut view, vm, as_of, now)).count();
+        if !unlisted.is_empty() {
+            log::info!(
+                servers = unlisted.len(), after_outage, revision = as_of.revision.0;
+                "backend servers not in the list"
+            );
         }
     }
     if prefix == ENTRY_VM_KEYS_PREFIX {
@@ -213,16 +218,16 @@
     true
 }
 
-/// Stops using a server whose entry was removed, unless the entry may reappear.
-fn unlist_server(view: &mut ClusterView, vm: &VmId, revision: StoreRevision, now: Moment) {
+/// Stops using a server whose entry was removed, unless the entry may reappear; returns whether it may.
+fn unlist_server(view: &mut ClusterView, vm: &VmId, revision: StoreRevision, now: Moment) -> bool {
     view.server_revisions.insert(vm.clone(), revision);
     let is_known = view.servers.contains_key(vm);
     let is_after_outage =
         is_known && matches!(view.missing.record_removal(vm, now), Removal::MayReappear(_));
-    log::info!(server:% = vm, revision = revision.revision.0, is_after_outage; "backend server unlisted");
     if !is_after_outage {
         view.record_departure(vm, now);
     }
+    is_after_outage
 }
 
 fn remove(state: &AppState, key: &str, revision: StoreRevision) {
@@ -233,7 +238,8 @@
         let Ok(vm) = server_id(key) else { return };
         let is_older = view.server_revisions.get(&vm).is_none_or(|it| *it <= revision);
         if is_older {
-            unlist_server(&mut view, &vm, revision, now);
+            let is_after_outage = unlist_server(&mut view, &vm, revision, now);
+            log::info!(server:% = vm, revision = revision.revision.0, is_after_outage; "backend server unlisted");
         }
         return;
     }
