--- a/bins/mangocross-front/src/relay_server.rs
+++ b/bins/mangocross-front/src/relay_server.rs
@@ -17,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use mangocross_serving::Moment;
+use mangocross_serving::RelayedOutage;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
@@ -117,7 +118,10 @@
         let is_over = tokio::time::Instant::now() >= until;
         if !state.relay.is_following.get() {
             if is_over || !state.relay.is_recording() {
-                return RelayAnswer::NotFollowing;
+                return match is_reading_after_outage(state) {
+                    true => RelayAnswer::StoreLost,
+                    false => RelayAnswer::NotFollowing,
+                };
             }
             let _ = tokio::time::timeout_at(until, changed).await;
             continue;
@@ -133,12 +137,22 @@
     }
 }
 
+/// Returns whether this VM reads all keys anew after a loss of the store, so that entries that expired
+/// meanwhile may reappear.
+fn is_reading_after_outage(state: &AppState) -> bool {
+    let may_reappear = || state.view.borrow().missing.reappear_until(state.now()).is_some();
+    state.relay.is_recording() && (state.is_store_lost.get() || may_reappear())
+}
+
 fn changes(state: &AppState, question: &RelayQuestion, arrived_at: Moment) -> RelayAnswer {
     let now = state.now();
-    let age = state.view.borrow().freshness.age(now);
+    let view = state.view.borrow();
+    let age = view.freshness.age(now);
+    let reappear_until = view.missing.reappear_until(now);
     RelayAnswer::Changes {
         revision: state.relay.revision.get(),
         changes: state.relay.keys.borrow().changes_since(question.after),
         confirmation: age.map(|age| RelayedConfirmation { held: now.since(arrived_at), age }),
+        outage: reappear_until.map(|it| RelayedOutage::new(arrived_at, now, it)),
     }
 }
