test(serving): answers of a group are cut while a member leaves

Cause: the planner re-forms a group at once when the entry of its head is gone ("head ... is not listed"), or, as a new planner, when it does not know a member ("... is not listed"), and 2.5 s after a member said that it leaves. In all three cases the servers go on: one that leaves without notice serves as long as one that says so, and a member stays while its head has work.

The tests fail on the current code, in each case because the head was ordered to join or leave before its answers were complete.

The simulated engines have answers in progress now: a head that is told to close is closing until they are complete, and a head that joins or leaves before is recorded as cut.

--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -67,6 +67,8 @@
     pub(crate) joining: Option<ModelId>,
     /// When the current join is complete.
     pub(crate) ready_at: Option<Moment>,
+    /// When the answers in progress at this head will be complete.
+    pub(crate) answers_until: Option<Moment>,
     /// Members of the group that the engine joined last.
     pub(crate) members: Vec<VmId>,
 }
@@ -89,6 +91,8 @@
     pub(crate) paused: HashSet<VmId>,
     /// Number of attempted writes to the store.
     pub(crate) writes: usize,
+    /// Heads that were ordered to join or leave a group before their answers were complete.
+    pub(crate) cut_heads: Vec<VmId>,
     /// Engines whose responses to orders are lost.
     pub(crate) loses_responses_of: HashSet<VmId>,
     /// Whether fetches take their full time instead of a tenth of it.
@@ -120,6 +124,7 @@
             probes: 0,
             paused: HashSet::new(),
             writes: 0,
+            cut_heads: Vec::new(),
             loses_responses_of: HashSet::new(),
             fetches_at_full_duration: false,
             revision: 0,
@@ -159,6 +164,7 @@
             staging: None,
             joining: None,
             ready_at: None,
+            answers_until: None,
             members: Vec::new(),
         };
         self.engines.insert(id.clone(), engine);
@@ -197,6 +203,7 @@
     fn tick(&mut self) {
         self.now = self.now + TICK;
         self.finish_joins();
+        self.finish_answers();
         for (domain, (plan, revision)) in &self.plans {
             self.planner.apply_stored_plan(domain.clone(), plan.clone(), *revision);
         }
@@ -227,6 +234,19 @@
         }
     }
 
+    fn finish_answers(&mut self) {
+        for engine in self.engines.values_mut() {
+            if engine.answers_until.take_if(|it| *it <= self.now).is_none() {
+                continue;
+            }
+            if let Some(membership) = &mut engine.server.engine.membership
+                && membership.phase == MemberPhase::Closing
+            {
+                membership.phase = MemberPhase::Ready;
+            }
+        }
+    }
+
     fn execute(&mut self, action: PlannerAction) {
         match action {
             PlannerAction::Probe(probe) => {
@@ -314,6 +334,9 @@
                     (false, true) => spec.staged_load_time,
                     (false, false) => spec.load_time,
                 };
+                if engine.answers_until.take().is_some() {
+                    self.cut_heads.push(id.clone());
+                }
                 engine.ready_at = Some(now + time);
                 engine.members.clone_from(members);
                 let rank = members.iter().position(|it| it == id).expect("a member");
@@ -341,13 +364,18 @@
                 if !is_member(status, group, incarnation) {
                     return OrderOutcome::Refused;
                 }
-                status.membership.as_mut().expect("a member").phase = MemberPhase::Ready;
+                let is_busy = engine.answers_until.is_some();
+                status.membership.as_mut().expect("a member").phase =
+                    if is_busy { MemberPhase::Closing } else { MemberPhase::Ready };
             }
             EngineOrder::Leave { group, incarnation } => {
                 if !is_member(status, group, incarnation) {
                     return OrderOutcome::Done;
                 }
                 status.membership = None;
+                if engine.answers_until.take().is_some() {
+                    self.cut_heads.push(id.clone());
+                }
             }
             EngineOrder::Stage { model } => {
                 self.weight_loads.push(now);
--- /dev/null
+++ b/crates/mangocross-serving/tests/leaving_members.rs
@@ -0,0 +1,73 @@
+//! Groups whose members leave, with and without notice, while their heads answer requests.
+
+#[allow(dead_code)]
+mod engines;
+mod figures;
+
+use std::time::Duration;
+
+use mangocross_types::VmId;
+
+use crate::engines::Simulation;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns two fabric domains with all groups formed, and a head that will have completed its
+/// answers after this time.
+fn answering_for(answers_ms: u64) -> (Simulation, VmId) {
+    let mut simulation = Simulation::new(2, 11);
+    simulation.run(ms(8_000));
+    let head = simulation.serving("large").first().expect("a group").clone();
+    let answers_until = simulation.now + ms(answers_ms);
+    simulation.engines.get_mut(&head).expect("an engine").answers_until = Some(answers_until);
+    (simulation, head)
+}
+
+/// Asserts that no answer was cut and that all groups serve; returns their heads.
+fn heads_after_no_cut(simulation: &Simulation) -> Vec<VmId> {
+    assert!(simulation.cut_heads.is_empty(), "answers of {:?} were cut", simulation.cut_heads);
+    let serving = simulation.serving("large");
+    assert_eq!(serving.len(), 2, "the group was re-formed");
+    serving
+}
+
+/// Asserts that no answer was cut and that all groups serve without this member.
+fn assert_replaced_without_a_cut(simulation: &Simulation, left: &VmId) {
+    let heads = heads_after_no_cut(simulation);
+    assert!(heads.iter().all(|it| !simulation.engines[it].members.contains(left)));
+}
+
+/// Guards against answers that are cut because their head leaves without notice: its entry is
+/// removed while it goes on.
+#[test]
+fn head_that_leaves_without_notice_finishes_its_answers() {
+    let (mut simulation, head) = answering_for(2_000);
+    simulation.engines.get_mut(&head).expect("an engine").is_listed = false;
+    simulation.run(ms(5_000));
+    let heads = heads_after_no_cut(&simulation);
+    assert!(!heads.contains(&head), "requests go to listed heads only");
+}
+
+/// Guards against answers that are cut by a new planner, which does not know a member that has left
+/// the list and goes on.
+#[test]
+fn new_planner_lets_a_group_with_an_unlisted_member_finish_its_answers() {
+    let (mut simulation, head) = answering_for(3_000);
+    let leaving = simulation.engines[&head].members[3].clone();
+    simulation.engines.get_mut(&leaving).expect("an engine").is_listed = false;
+    simulation.new_planner();
+    simulation.run(ms(6_000));
+    assert_replaced_without_a_cut(&simulation, &leaving);
+}
+
+/// Guards against answers that are cut although the member that leaves stays as long as they last.
+#[test]
+fn long_answers_are_finished_before_a_leaving_member_is_replaced() {
+    let (mut simulation, head) = answering_for(6_000);
+    let leaving = simulation.engines[&head].members[3].clone();
+    simulation.engines.get_mut(&leaving).expect("an engine").server.is_leaving = true;
+    simulation.run(ms(9_000));
+    assert_replaced_without_a_cut(&simulation, &leaving);
+}
