fix(serving): let a group finish its answers when a server leaves without notice

Cause: a head whose entry is gone, and a member that a new planner does not know, were taken for lost, and the group was re-formed at once. Such a server may leave without notice: it goes on for as long as one that says that it leaves. A belief (not listed, so over) on which what others still use was given up.

The group is closed first, as for a member that says that it leaves, and re-formed when the head has finished or the time for it is over. A head without an entry is probed for its phase, since no entry tells it.

Ruled out: requests to such a head meanwhile, as entry VMs send to listed heads alone; a group whose server is really gone, as it is found lost by its probes, as before.

--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -1,5 +1,6 @@
 //! Maintains groups: evaluates the state of each one and replaces lost members.
 
+use std::borrow::Cow;
 use std::cmp::Reverse;
 use std::time::Duration;
 
@@ -23,6 +24,8 @@
 
 /// Time for a head to finish its requests before a leaving member is replaced.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time after which a new planner has the list of servers.
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Added to four times the model's load time to get the time limit for forming a group.
 const FORMING_MARGIN: Duration = Duration::from_secs(8);
 /// Time after which a suspect group is re-formed even though all members respond.
@@ -243,7 +246,9 @@
         let mut orders = Vec::new();
         let mut ready = 0;
         let mut has_slow_member = false;
+        // A server that leaves, with or without notice, goes on for a while.
         let mut leaving_at: Option<Moment> = None;
+        let mut leaving_reason = Cow::Borrowed("a member is leaving");
         let mut state = self.group_states.remove(&key).unwrap_or_default();
         let seen_at = *state.seen_at.get_or_insert(now);
         let is_progressing = group.head().is_some_and(|it| self.progressing.contains(&it.vm));
@@ -251,10 +256,12 @@
             for (rank, member) in group.members.iter().enumerate() {
                 let Some(tracked) = self.servers.get(&member.vm) else {
                     // A new planner may not have received the list of servers yet.
-                    if now.since(seen_at) < Duration::from_secs(1) {
+                    if now.since(seen_at) < LIST_TIMEOUT {
                         continue;
                     }
-                    break 'evaluation GroupAction::Reform(format!("{} is not listed", member.vm));
+                    leaving_at = leaving_at.max(Some(seen_at + LIST_TIMEOUT));
+                    leaving_reason = Cow::Owned(format!("{} is not listed", member.vm));
+                    continue;
                 };
                 if tracked.server.engine.born_unix_ms != member.born_unix_ms {
                     break 'evaluation GroupAction::Reform(format!("{} was restarted", member.vm));
@@ -266,10 +273,8 @@
                     ));
                 }
                 if rank == 0 && tracked.unlisted_at.is_some() {
-                    break 'evaluation GroupAction::Reform(format!(
-                        "head {} is not listed",
-                        member.vm
-                    ));
+                    leaving_at = leaving_at.max(tracked.unlisted_at);
+                    leaving_reason = Cow::Owned(format!("head {} is not listed", member.vm));
                 }
                 leaving_at = leaving_at.max(tracked.leaving_at);
                 has_slow_member |= tracked.health.is_slow();
@@ -300,6 +305,7 @@
             let head_phase = group.head().and_then(|it| self.phase_in(&it.vm, group));
             if let Some(leaving_at) = leaving_at {
                 let is_overdue = now.since(leaving_at) > CLOSE_TIMEOUT;
+                self.probe_unlisted_head(group);
                 break 'evaluation match head_phase {
                     Some(MemberPhase::Open) if !is_overdue => {
                         let order = EngineOrder::Close {
@@ -310,7 +316,7 @@
                         GroupAction::Order(head.map(|it| (it, order)).into_iter().collect())
                     }
                     Some(MemberPhase::Closing) if !is_overdue => GroupAction::Keep,
-                    _ => GroupAction::Reform("a member is leaving".to_owned()),
+                    _ => GroupAction::Reform(leaving_reason.into_owned()),
                 };
             }
             if has_slow_member && prepared > 0 {
@@ -350,4 +356,14 @@
         self.group_states.insert(key, state);
         action
     }
+
+    /// Makes the next probe of a group's head urgent if nothing else tells its phase.
+    fn probe_unlisted_head(&mut self, group: &PlannedGroup) {
+        let head = group.head().and_then(|it| self.servers.get_mut(&it.vm));
+        if let Some(tracked) = head
+            && tracked.unlisted_at.is_some()
+        {
+            tracked.health.probe_soon();
+        }
+    }
 }
