test(serving): answers of a group that is dissolved for another one are cut

Cause: a group that gives its members to a larger one is dissolved, and its head told to leave while it answers, though all its members work. The test fails on the current code for that reason.

--- a/crates/mangocross-serving/tests/leaving_members.rs
+++ b/crates/mangocross-serving/tests/leaving_members.rs
@@ -1,4 +1,5 @@
-//! Groups whose members leave, with and without notice, while their heads answer requests.
+//! Groups whose members leave, with and without notice, or are needed elsewhere, while their heads
+//! answer requests.
 
 #[allow(dead_code)]
 mod engines;
@@ -8,6 +9,7 @@
 
 use mangocross_types::VmId;
 
+use crate::engines::Connectivity;
 use crate::engines::Simulation;
 
 const fn ms(ms: u64) -> Duration {
@@ -71,3 +73,25 @@
     simulation.run(ms(9_000));
     assert_replaced_without_a_cut(&simulation, &leaving);
 }
+
+/// Guards against answers that are cut because their group is dissolved for a larger one that lacks
+/// members.
+#[test]
+fn group_that_is_dissolved_for_another_one_finishes_its_answers() {
+    let mut simulation = Simulation::new(2, 9);
+    simulation.run(ms(8_000));
+    let head = simulation.serving("large").first().expect("a group").clone();
+    let lost = simulation.engines[&head].members[3].clone();
+    let domain = simulation.engines[&head].server.engine.domain.clone();
+    let donor = simulation
+        .serving("small")
+        .into_iter()
+        .find(|it| simulation.engines[it].server.engine.domain == domain);
+    let donor = donor.expect("a group in the same domain");
+    let answers_until = simulation.now + ms(2_500);
+    simulation.engines.get_mut(&donor).expect("an engine").answers_until = Some(answers_until);
+    simulation.engines.get_mut(&lost).expect("an engine").connectivity = Connectivity::NoProcess;
+    simulation.run(ms(6_000));
+    assert!(simulation.cut_heads.is_empty(), "answers of {:?} were cut", simulation.cut_heads);
+    assert_eq!(simulation.serving("large").len(), 2, "the group was completed");
+}
