fix(serving): let a group finish its answers before it is dissolved for another one

Cause: a group that gives its members to a larger one was told to leave at once, though all its members work.

Its head is closed first, for as long as the head of a leaving member at most, and told to leave when it has finished. A group that lacks a member makes no progress and is not waited for.

Ruled out: a wait for groups that cannot finish; a larger group that waits for long, as the time is bounded.

--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -147,6 +147,8 @@
     first_suspected_at: Option<Moment>,
     /// When the streams were last reported as stalled.
     last_suspected_at: Option<Moment>,
+    /// When the group was first found to be dissolving.
+    dissolving_at: Option<Moment>,
     /// Whether the head has accepted an order to leave.
     head_has_left: bool,
     /// When the head was first known to lack a member; it becomes broken `stall_timeout` later.
--- a/crates/mangocross-serving/src/planner/release.rs
+++ b/crates/mangocross-serving/src/planner/release.rs
@@ -7,8 +7,10 @@
 use super::FormerHead;
 use super::GroupPlanner;
 use super::PlannedGroup;
+use super::PlannedMember;
 use super::PlannerAction;
 use super::TrackedServer;
+use super::repair::CLOSE_TIMEOUT;
 use crate::EngineOrder;
 use crate::MemberPhase;
 use crate::Moment;
@@ -28,6 +30,9 @@
     ) -> bool {
         let mut heads = group.former_heads.clone();
         if let Some(head) = group.head().cloned() {
+            if self.finishes_answers(group, &head.vm, now, actions) {
+                return false;
+            }
             heads.push(FormerHead { member: head, incarnation: group.incarnation });
         }
         let mut are_stopped = true;
@@ -37,6 +42,42 @@
         are_stopped
     }
 
+    /// Returns whether the head of a dissolving group may finish its requests. Closes it first.
+    ///
+    /// A group that lacks a member makes no progress, so it is not waited for.
+    fn finishes_answers(
+        &mut self,
+        group: &PlannedGroup,
+        head: &VmId,
+        now: Moment,
+        actions: &mut Vec<PlannerAction>,
+    ) -> bool {
+        let key = (group.group.clone(), group.incarnation);
+        let dissolving_at =
+            *self.group_states.entry(key).or_default().dissolving_at.get_or_insert(now);
+        let works = |it: &PlannedMember| {
+            self.servers.get(&it.vm).is_some_and(|tracked| {
+                tracked.server.engine.born_unix_ms == it.born_unix_ms
+                    && !tracked.health.is_unresponsive()
+            })
+        };
+        if now.since(dissolving_at) > CLOSE_TIMEOUT || !group.members.iter().all(works) {
+            return false;
+        }
+        match self.phase_in(head, group) {
+            Some(MemberPhase::Open) => {
+                let order = EngineOrder::Close {
+                    group: group.group.clone(),
+                    incarnation: group.incarnation,
+                };
+                self.send_order(head, order, now, actions);
+                true
+            }
+            Some(MemberPhase::Closing) => true,
+            Some(MemberPhase::Joining | MemberPhase::Ready | MemberPhase::Broken) | None => false,
+        }
+    }
+
     /// Returns whether a head can no longer accept requests. If it may, orders it to leave, or its
     /// members if it is unreachable.
     pub(super) fn try_stop_head(
--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -22,8 +22,9 @@
 use crate::MemberPhase;
 use crate::Moment;
 
-/// Time for a head to finish its requests before a leaving member is replaced.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time for a head to finish its requests before its group is re-formed or dissolved although all
+/// members work.
+pub(super) const CLOSE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Time after which a new planner has the list of servers.
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Added to four times the model's load time to get the time limit for forming a group.
