fix(serving): replace a leaving member only when its head has finished

Cause: the planner waited 2.5 s for the head to finish. A member that drains stays while the head has work, for ten seconds at most, so that nothing forced the cut.

The time is 9 s now. A group whose head has finished is re-formed at once, as before, and one whose member goes earlier is found to lack it by its probes. A group that is dissolved for another one still waits 2.5 s at most, since the other one serves nobody meanwhile.

--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -22,9 +22,11 @@
 use crate::MemberPhase;
 use crate::Moment;
 
-/// Time for a head to finish its requests before its group is re-formed or dissolved although all
-/// members work.
+/// Time for a head to finish its requests before its group is dissolved although all members work.
 pub(super) const CLOSE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time for a head to finish its requests before a leaving member is replaced; a member stays for
+/// ten seconds at most while the head has work.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(9);
 /// Time after which a new planner has the list of servers.
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Added to four times the model's load time to get the time limit for forming a group.
@@ -305,7 +307,7 @@
             let is_whole = ready == group.members.len();
             let head_phase = group.head().and_then(|it| self.phase_in(&it.vm, group));
             if let Some(leaving_at) = leaving_at {
-                let is_overdue = now.since(leaving_at) > CLOSE_TIMEOUT;
+                let is_overdue = now.since(leaving_at) > LEAVE_TIMEOUT;
                 self.probe_unlisted_head(group);
                 break 'evaluation match head_phase {
                     Some(MemberPhase::Open) if !is_overdue => {
