test(front): the head that is to fail is the one that serves next

Traced in the log of the program: the first request was served by e3 while e3's group was the only one, e1's was opened 2 ms later, and with both open and equally loaded the stream went to e1, to which no fault was given. The test took the head of the first request for the one that serves next. It now asks with another request once both groups are known; what it checks is the same.

--- a/bins/mangocross-front/tests/front/answer_ends.rs
+++ b/bins/mangocross-front/tests/front/answer_ends.rs
@@ -30,7 +30,11 @@
 /// Starts four engines, which form two groups; returns them with the head that serves next.
 fn start_with_head() -> (Store, Vec<Server>, Server, Front) {
     let (store, engines, front) = start_engines();
-    let head = engines.iter().find(|it| !it.arrived().is_empty()).expect("a head").clone();
+    // The request that ended the start may have been sent before both groups were open.
+    let (status, _, _) = front.call("POST", "/stream/x", &headers("first"), "{}");
+    assert_eq!(status, 200);
+    let has_served = |it: &&Server| it.arrived().iter().any(|it| it == "first");
+    let head = engines.iter().find(has_served).expect("a head").clone();
     (store, engines, head, front)
 }
 
