feat(front): log lines name what a request shares with its repeats, and crashes under plain requests

Nothing in the logs told whether two attempts were the same request, and a plain server that ended under one looked like a lost answer. So the hypotheses on the request that crashes servers could be told apart by route only.

After a plain answer broke off the server is looked at as after the break of a stream, and `server crashed at the start of an answer` is written if its process ended. A request of which nothing was sent, since the connection had closed before, is left out. Crashes under plain requests count against nothing yet.

--- a/bins/mangocross-front/src/blame.rs
+++ b/bins/mangocross-front/src/blame.rs
@@ -6,6 +6,7 @@
 
 use http::HeaderMap;
 use http::header;
+use log::kv::Value;
 use mangocross_serving::BrokenStart;
 use mangocross_serving::CrashReport;
 use mangocross_serving::CrashVerdict;
@@ -16,6 +17,7 @@
 use crate::dispatch::Call;
 use crate::dispatch::logged_parts;
 use crate::pool::ConnectError;
+use crate::pool::ExchangeError;
 use crate::pool::connect;
 use crate::state::AppState;
 
@@ -95,26 +97,34 @@
         }
     }
 
+    /// Records that a request was not answered, unless none of it was sent.
+    pub(crate) async fn record_failed_exchange(&self, vm: &VmId, error: &ExchangeError) {
+        if !error.is_unsent {
+            self.record_break(vm, AnswerStart::default()).await;
+        }
+    }
+
     /// Records the break of an answer that had hardly begun, if its server has crashed; if that is
     /// not certain yet, it is found out in the background.
     pub(crate) async fn record_break(&self, vm: &VmId, start: AnswerStart) {
         let parts = &self.caller_head.shared_parts;
-        if start.events >= SOUND_EVENTS || !self.state.view.borrow().blame.may_blame(parts) {
+        let may_blame = parts.is_empty() || self.state.view.borrow().blame.may_blame(parts);
+        if start.events >= SOUND_EVENTS || !may_blame {
             return;
         }
-        let found = self.state.view.borrow().servers.get(vm).cloned();
-        let Some(server) = found else { return };
-        let process = ServerProcess { vm: vm.clone(), born_unix_ms: server.engine.born_unix_ms };
+        let Some(sent_to) = self.record.last_sent_to(vm) else { return };
+        let Some((process, address)) = sent_to.process else { return };
         let broken = BrokenStart {
             request: self.record.id.clone().unwrap_or_default(),
+            identity: self.record.identity,
             events: start.events,
             parts: parts.clone(),
             at: self.state.now(),
         };
-        if has_crashed(&self.state, &process, server.address).await {
+        if has_crashed(&self.state, &process, address).await {
             record_crash(&self.state, &process, &broken);
         } else if self.state.view.borrow_mut().unexplained_breaks.record(&process, broken) {
-            watch_process(Rc::clone(&self.state), process, server.address);
+            watch_process(Rc::clone(&self.state), process, address);
         }
     }
 }
@@ -150,15 +160,17 @@
 
 /// Counts a crash against the parts of a prompt whose answer it broke.
 fn record_crash(state: &AppState, process: &ServerProcess, broken: &BrokenStart) {
-    let BrokenStart { request, events, parts, at } = broken;
-    if !state.view.borrow_mut().blame.record_crash(parts, process, &state.vm.name, *at) {
+    let BrokenStart { request, identity, events, parts, at } = broken;
+    let is_news = state.view.borrow_mut().blame.record_crash(parts, process, &state.vm.name, *at);
+    if !is_news && !parts.is_empty() {
         return;
     }
+    let identity = identity.as_ref().map_or(Value::null(), Value::from_display);
     let now = state.now();
     if let Some(left_out) = state.log_rate.allow("server crashed", now) {
         let found_after_ms = now.since(*at).as_millis() as u64;
         log::warn!(
-            server:% = process.vm, request = &**request, events, parts = logged_parts(parts),
+            server:% = process.vm, request = &**request, identity, events, parts = logged_parts(parts),
             found_after_ms, left_out;
             "server crashed at the start of an answer"
         );
--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -15,6 +15,7 @@
 use mangocross_platform::CallerHead;
 use mangocross_platform::ForwardHead;
 use mangocross_serving::KeyHolder;
+use mangocross_serving::RequestIdentity;
 use mangocross_serving::RouteRule;
 use mangocross_serving::TrafficConfiguration;
 use mangocross_types::PromptPartId;
@@ -200,6 +201,10 @@
             return refuse(record, refusal, "body too slow");
         }
     };
+    let target = parts.uri.path_and_query().map_or("", |it| it.as_str());
+    let customer = record.customer.as_ref();
+    let identity = RequestIdentity::new(parts.method.as_str(), host, target, customer, &body);
+    record.identity = Some(identity);
     Ok(Call {
         state,
         configuration,
--- a/bins/mangocross-front/src/outcome.rs
+++ b/bins/mangocross-front/src/outcome.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,8 @@
 use log::kv::Value;
 use mangocross_platform::refusal_headers;
 use mangocross_serving::Moment;
+use mangocross_serving::RequestIdentity;
+use mangocross_serving::ServerProcess;
 use mangocross_types::CustomerId;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
@@ -35,7 +38,9 @@
     pub(crate) route: Option<Arc<str>>,
     pub(crate) customer: Option<CustomerId>,
     pub(crate) configuration_version: u64,
-    sent_to: RefCell<Vec<VmId>>,
+    /// What the request shares with its repeats; known once the body has been read.
+    pub(crate) identity: Option<RequestIdentity>,
+    sent_to: RefCell<Vec<SentTo>>,
     first_byte_after: Cell<Option<Duration>>,
     status: Cell<Option<u16>>,
     code: Cell<Option<ResultCode>>,
@@ -44,6 +49,14 @@
     suppressed_steps: RefCell<Vec<RequestStep>>,
 }
 
+/// One sending of a request to a server.
+#[derive(Debug, Clone)]
+pub(crate) struct SentTo {
+    pub(crate) vm: VmId,
+    /// The process that its entry named then, and where it listens.
+    pub(crate) process: Option<(ServerProcess, SocketAddr)>,
+}
+
 /// A step of a request, with the fields of its log line.
 #[derive(Debug)]
 struct RequestStep {
@@ -63,6 +76,7 @@
             route: None,
             customer: None,
             configuration_version: 0,
+            identity: None,
             sent_to: RefCell::default(),
             first_byte_after: Cell::new(None),
             status: Cell::new(None),
@@ -74,7 +88,21 @@
 
     /// Records that the request was sent to a server.
     pub(crate) fn add_sent_to(&self, vm: &VmId) {
-        self.sent_to.borrow_mut().push(vm.clone());
+        let process = self.state.view.borrow().servers.get(vm).map(|it| {
+            let born_unix_ms = it.engine.born_unix_ms;
+            (ServerProcess { vm: vm.clone(), born_unix_ms }, it.address)
+        });
+        let sent_to = SentTo { vm: vm.clone(), process };
+        self.sent_to.borrow_mut().push(sent_to);
+    }
+
+    /// Returns how the request was last sent to a server.
+    pub(crate) fn last_sent_to(&self, vm: &VmId) -> Option<SentTo> {
+        self.sent_to.borrow().iter().rev().find(|it| it.vm == *vm).cloned()
+    }
+
+    fn shown_identity(&self) -> Value<'_> {
+        self.identity.as_ref().map_or(Value::null(), Value::from_display)
     }
 
     pub(crate) fn age(&self) -> Duration {
@@ -113,7 +141,7 @@
         let RequestStep { kind, vm, detail, age } = step;
         let request = self.id.as_deref().unwrap_or_default();
         log::info!(
-            request, server:% = vm, detail = detail.as_str(), age_ms = age.as_millis() as u64,
+            request, identity = self.shown_identity(), server:% = vm, detail = detail.as_str(), age_ms = age.as_millis() as u64,
             left_out;
             "{kind}"
         );
@@ -169,9 +197,10 @@
         }
         let first_byte_ms = self.first_byte_after.get().map(|it| it.as_millis() as u64);
         let sent_to = self.sent_to.take();
-        let sent_to: Vec<&str> = sent_to.iter().map(VmId::as_str).collect();
+        let sent_to: Vec<&str> = sent_to.iter().map(|it| it.vm.as_str()).collect();
         log::info!(
             request = self.id.as_deref().unwrap_or_default(),
+            identity = self.shown_identity(),
             route = self.route.as_deref().unwrap_or_default(),
             customer = self.customer.as_ref().map(CustomerId::as_str).unwrap_or_default(),
             status, code, reason = self.reason.get(),
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
+use crate::blame::AnswerStart;
 use crate::dispatch::Call;
 use crate::first_answer::FirstAnswer;
 use crate::first_answer::first_answer;
@@ -327,7 +328,8 @@
     let process = call.state.server_process(&server.vm);
     let response = match connection.send(request).await {
         Ok(it) => it,
-        Err(_) => {
+        Err(error) => {
+            call.record_failed_exchange(&server.vm, &error).await;
             return AttemptResult::Failed("connection broke", ResultCode::BackendBroken, None);
         }
     };
@@ -350,6 +352,7 @@
     let body = match Limited::new(response.into_body(), ANSWER_BYTES_MAX).collect().await {
         Ok(it) => it.to_bytes(),
         Err(_) => {
+            call.record_break(&server.vm, AnswerStart::default()).await;
             return AttemptResult::Failed("answer broke off", ResultCode::BackendBroken, None);
         }
     };
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -46,7 +46,12 @@
 
 /// Why an exchange on an established connection failed.
 #[derive(Debug)]
-pub(crate) struct ExchangeError(pub(crate) String);
+pub(crate) struct ExchangeError {
+    /// Why, for the log.
+    pub(crate) reason: String,
+    /// Whether it is certain that nothing of the request was sent.
+    pub(crate) is_unsent: bool,
+}
 
 /// A connection; dropping it closes it at once, which stops the server's work on the request.
 #[derive(Debug)]
@@ -80,7 +85,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let sent = self.sender.send_request(request).await;
-        sent.map_err(|it| ExchangeError(it.to_string()))
+        sent.map_err(|it| ExchangeError { reason: it.to_string(), is_unsent: it.is_canceled() })
     }
 }
 
--- a/bins/mangocross-front/src/relay_client.rs
+++ b/bins/mangocross-front/src/relay_client.rs
@@ -81,7 +81,7 @@
             .header(header::HOST, self.address.to_string())
             .body(Full::new(Bytes::from(body)))
             .map_err(|it| malformed(it.to_string()))?;
-        let response = self.connection.send(request).await.map_err(|it| malformed(it.0))?;
+        let response = self.connection.send(request).await.map_err(|it| malformed(it.reason))?;
         let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX).collect().await;
         let body = body.map_err(|it| malformed(it.to_string()))?.to_bytes();
         postcard::from_bytes(&body).map_err(|it| malformed(it.to_string()))
--- a/bins/mangocross-front/src/store.rs
+++ b/bins/mangocross-front/src/store.rs
@@ -149,7 +149,7 @@
             .body(Full::new(call.body))
             .map_err(|it| StoreError::Broken { reason: it.to_string() })?;
         let broken = |reason: String| StoreError::Broken { reason };
-        let response = connection.send(request).await.map_err(|it| broken(it.0))?;
+        let response = connection.send(request).await.map_err(|it| broken(it.reason))?;
         let status = response.status();
         let era = store_era(response.headers());
         let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX).collect().await;
--- a/bins/mangocross-front/tests/front/log_points.rs
+++ b/bins/mangocross-front/tests/front/log_points.rs
@@ -28,8 +28,8 @@
     ("plan written", &["domain", "expected", "reasons", "revision"]),
     ("order given", &["server", "order", "orders_accepted", "outcome", "term"]),
     ("readiness changed", &["is_ready", "reason"]),
-    ("stream sent", &["request", "server", "detail", "age_ms", "left_out"]),
-    ("request sent", &["request", "server", "detail", "age_ms", "left_out"]),
+    ("stream sent", &["request", "identity", "server", "detail", "age_ms", "left_out"]),
+    ("request sent", &["request", "identity", "server", "detail", "age_ms", "left_out"]),
     ("stream broke", &["request", "server", "detail", "age_ms", "left_out"]),
     ("stream resumed", &["request", "server", "detail", "age_ms", "left_out"]),
     ("store lost", &["error"]),
@@ -39,8 +39,9 @@
     ("stopped", &[]),
 ];
 /// Required fields of a request's last line.
-const FINAL_FIELDS: [&str; 10] = [
+const FINAL_FIELDS: [&str; 11] = [
     "request",
+    "identity",
     "route",
     "customer",
     "status",
--- a/crates/mangocross-serving/src/unexplained_breaks.rs
+++ b/crates/mangocross-serving/src/unexplained_breaks.rs
@@ -7,6 +7,7 @@
 use mangocross_types::PromptPartId;
 
 use crate::Moment;
+use crate::RequestIdentity;
 use crate::ServerProcess;
 
 /// Times after a break at which to look again whether its server has crashed. The process that
@@ -28,6 +29,8 @@
 pub struct BrokenStart {
     /// Id of the request.
     pub request: Arc<str>,
+    /// What the request shares with its repeats.
+    pub identity: Option<RequestIdentity>,
     /// Deliveries of events before the break.
     pub events: u32,
     /// Shared parts of the prompt.
@@ -47,7 +50,13 @@
 /// let process = ServerProcess { vm: "s1".parse()?, born_unix_ms: 7 };
 /// let at = Moment::after_boot(Duration::from_secs(60));
 /// let mut breaks = UnexplainedBreaks::default();
-/// let broken = BrokenStart { request: "r1".into(), events: 0, parts: vec!["a1".parse()?], at };
+/// let broken = BrokenStart {
+///     request: "r1".into(),
+///     identity: None,
+///     events: 0,
+///     parts: vec!["a1".parse()?],
+///     at,
+/// };
 /// assert!(breaks.record(&process, broken));
 /// assert!(breaks.next_check(&process, at).is_some_and(|it| it > at));
 /// assert_eq!(breaks.take(&process, at).len(), 1);
--- a/crates/mangocross-serving/tests/unexplained_breaks.rs
+++ b/crates/mangocross-serving/tests/unexplained_breaks.rs
@@ -17,7 +17,7 @@
 
 fn broken(ms: u64) -> BrokenStart {
     let parts = vec!["9".parse().expect("a valid id")];
-    BrokenStart { request: "r1".into(), events: 0, parts, at: at(ms) }
+    BrokenStart { request: "r1".into(), identity: None, events: 0, parts, at: at(ms) }
 }
 
 /// Returns the times of all checks of a process that is not found to have crashed.
