test(front): a request that crashes each plain server reaches server after server (known red)

Three plain servers that crash under one path and body and are back after two seconds, four entry VMs, callers that repeat the request four times a second with new attempts at any entry VM, beside sound requests of the same customer and route. Red on this code: 6, 6 and 7 sends reach servers later than the stable window after the third crash (3 are allowed), 12, 12 and 13 servers crash: for a request that may be repeated, for one that runs once at most, and where one entry VM saw the first crashes alone.

--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -4,6 +4,7 @@
 mod answers_meanwhile;
 mod attempts_left;
 mod crashing_parts;
+mod crashing_requests;
 mod fleet;
 mod held_servers;
 mod idle_connections;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -29,7 +29,7 @@
 use super::lock;
 use super::machine::Machine;
 
-/// Time from the head of an answer until a part of its prompt crashes the server.
+/// Time from the start of a run, or from the head of a stream, until it crashes the server.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
 /// Start time that a server reports in its entry; each restart adds one.
 const FIRST_START_UNIX_MS: u64 = 1000;
@@ -90,7 +90,11 @@
     is_refusing: bool,
     /// Shared part of prompts that crashes the server.
     crashing_part: Option<String>,
-    /// Requests with that part that reached the server.
+    /// Path and body of requests that crash the server.
+    crashing_request: Option<(String, String)>,
+    /// Time from a crash until the server is back.
+    restart_time: Option<Duration>,
+    /// Requests that reached the server and crash it.
     crashing_requests: usize,
     crashes: u32,
     /// Restarts of the server; its entry shows them as a later start time.
@@ -352,7 +356,7 @@
 
     fn run(&self, request: &Request, stream: &mut TcpStream) {
         let attempt = request.header("Attempt-Id").unwrap_or_default().to_owned();
-        let crashes = self.has_crashing_part(request);
+        let crashes = self.is_crashed_by(request);
         lock(&self.state).crashing_requests += usize::from(crashes);
         let is_closed = |it: &State| self.service == "models" && it.group["state"] != "open";
         let notice = self.notice();
@@ -398,6 +402,10 @@
         let life = self.life(&lock(&self.state));
         let headers = format!("Attempt-Id: {attempt}\r\nServer-Seal: {life}\r\n{notice}");
         let end = lock(&self.state).answer_end;
+        if self.service != "models" && crashes {
+            thread::sleep(CRASH_DELAY);
+            return self.crash();
+        }
         if self.service != "models" {
             match end {
                 AnswerEnd::Length => {
