fix(front): a request that crashed three servers is sent to hardly any more, at any entry VM

What callers saw: one request, repeated by its callers at any entry VM, crashed 14 to 16 servers of a plain service, one after the other; callers of the other routes of that service were refused meanwhile.

Cause: the table of causes of crashes knew parts of prompts only, and requests to plain services have none. Nothing connected the crashes, neither within an attempt, which went on to the next server, nor over attempts and entry VMs.

Why this works: `CrashBlame` counts crashes against causes, a shared part of a prompt or the whole request (`CrashCause`). Candidates at a crash are all requests whose answers were not whole, of streams those that had hardly begun. - A crash under a request that was sent after the earlier crash is no common cause, however soon it comes. A message that is repeated late cannot make it seem so. - A whole answer settles the earlier crashes of a request, here and elsewhere; later ones count. Requests that were answered lately are blamed last. - After two crashes a request is sent once, after three not at all (2009, not run; 502 where it ran). - What a single other entry VM reports counts if this VM knows itself that the process has ended: its entry is gone, a later process has its VM or its address, or it refuses connections. A process that is there ten seconds later has not crashed. VMs that know say so in their own reports. - Requests and parts have tables of their own; causes with one crash are forgotten first and told for a minute only.

Ruled out: load after a restart (the first two servers ended under one request each). Not taken: immunity for two minutes after an answer, as parts have it; a request may be answered and crash servers later.

The tests of parts state when a request was sent; what they check is unchanged.

--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use mangocross_platform::CallerHead;
 use mangocross_platform::ForwardHead;
+use mangocross_serving::CrashCause;
 use mangocross_serving::KeyHolder;
 use mangocross_serving::RequestIdentity;
 use mangocross_serving::RouteRule;
@@ -52,6 +53,8 @@
     pub(crate) caller_head: CallerHead,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
+    /// What may crash servers: the request, and the shared parts of its prompt.
+    pub(crate) crash_causes: Vec<CrashCause>,
     /// When the caller's deadline or the route's timeout ends.
     pub(crate) ends_at: Instant,
     /// Time between the caller's first attempt and this one.
@@ -205,6 +208,8 @@
     let customer = record.customer.as_ref();
     let identity = RequestIdentity::new(parts.method.as_str(), host, target, customer, &body);
     record.identity = Some(identity);
+    let parts_of_prompt = caller_head.shared_parts.iter().copied().map(CrashCause::Part);
+    let crash_causes = parts_of_prompt.chain([CrashCause::Request(identity)]).collect();
     Ok(Call {
         state,
         configuration,
@@ -214,6 +219,7 @@
         caller_head,
         parts,
         body,
+        crash_causes,
         ends_at,
         waited_before,
         record,
--- a/bins/mangocross-front/src/held_entries.rs
+++ b/bins/mangocross-front/src/held_entries.rs
@@ -4,6 +4,7 @@
 
 use mangocross_serving::BackendServer;
 use mangocross_serving::Moment;
+use mangocross_serving::ServerProcess;
 use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
 
@@ -75,6 +76,12 @@
         }
     }
 
+    /// Returns whether the entry of a process was removed lately.
+    pub(crate) fn has_departed(&self, process: &ServerProcess) -> bool {
+        let departed = self.departed.get(&process.vm);
+        departed.is_some_and(|it| it.born_unix_ms >= process.born_unix_ms)
+    }
+
     /// Forgets servers that departed long ago.
     pub(crate) fn expire_departed(&mut self, now: Moment) {
         self.departed.retain(|_, it| now.since(it.removed_at) < DEPARTED_RETENTION);
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use mangocross_serving::CrashCause;
 use mangocross_serving::MemberPhase;
 use mangocross_telemetry::Metrics;
 use mangocross_types::Rank;
@@ -48,6 +49,7 @@
     entry_vms: Gauge<f64>,
     follows_store: Gauge<f64>,
     quarantined_parts: Gauge<f64>,
+    quarantined_requests: Gauge<f64>,
     requests_in_progress: Gauge<f64>,
     requests_waiting: Gauge<f64>,
     retries_left: Gauge<f64>,
@@ -62,7 +64,7 @@
             resumes: metrics.counter("front_resumes", "streams that another group went on with"),
             quarantined: metrics.counter(
                 "front_quarantined",
-                "requests not sent since a part of their prompt crashes servers",
+                "requests not sent since they or a part of their prompt crash servers",
             ),
             store_eras: metrics
                 .counter("front_store_eras", "returns of the store to an older copy of itself"),
@@ -165,6 +167,8 @@
             ),
             quarantined_parts: metrics
                 .gauge("front_quarantined_parts", "parts of prompts that crash servers"),
+            quarantined_requests: metrics
+                .gauge("front_quarantined_requests", "requests that crash servers"),
             requests_in_progress: metrics
                 .gauge("front_requests_in_progress", "requests of callers in progress"),
             requests_waiting: metrics.gauge(
@@ -199,7 +203,10 @@
         let follows_store = state.relay.is_following.get();
         self.follows_store.record(f64::from(u8::from(follows_store)), &[]);
         self.requests_in_progress.record(state.requests_in_progress.get() as f64, &[]);
-        self.quarantined_parts.record(view.blame.quarantined().count() as f64, &[]);
+        let (requests, parts): (Vec<_>, Vec<_>) =
+            view.blame.quarantined().partition(CrashCause::is_request);
+        self.quarantined_parts.record(parts.len() as f64, &[]);
+        self.quarantined_requests.record(requests.len() as f64, &[]);
         let waiting: u32 = view.loads.local().values().map(|it| it.waiting).sum();
         self.requests_waiting.record(f64::from(waiting), &[]);
     }
--- a/bins/mangocross-front/src/outcome.rs
+++ b/bins/mangocross-front/src/outcome.rs
@@ -55,6 +55,7 @@
     pub(crate) vm: VmId,
     /// The process that its entry named then, and where it listens.
     pub(crate) process: Option<(ServerProcess, SocketAddr)>,
+    pub(crate) at: Moment,
 }
 
 /// A step of a request, with the fields of its log line.
@@ -92,7 +93,7 @@
             let born_unix_ms = it.engine.born_unix_ms;
             (ServerProcess { vm: vm.clone(), born_unix_ms }, it.address)
         });
-        let sent_to = SentTo { vm: vm.clone(), process };
+        let sent_to = SentTo { vm: vm.clone(), process, at: self.state.now() };
         self.sent_to.borrow_mut().push(sent_to);
     }
 
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -15,6 +15,7 @@
 use mangocross_serving::ConfigurationNotice;
 use mangocross_serving::CrashReport;
 use mangocross_serving::Load;
+use mangocross_serving::PartCrashReport;
 use mangocross_types::Revision;
 use mangocross_types::StoreEra;
 use mangocross_types::StoreRevision;
@@ -66,12 +67,14 @@
     Entries(Vec<(Revision, BackendServer)>),
     /// All open heads that no longer serve, sent by the planner.
     ClosedHeads(Vec<VmId>),
-    /// Crashes of servers that the sending entry VM knows of, its own and reported ones.
-    Crashes(CrashReport),
+    /// Like `CrashCauses` for parts of prompts only; only received, from earlier versions.
+    Crashes(PartCrashReport),
     /// Changed entries of servers, relayed by the planner.
     EntriesOfEra(Vec<(StoreRevision, BackendServer)>),
     /// Versions of the configuration that exist, also if the store has lost them.
     Configuration(ConfigurationNotice),
+    /// Crashes of servers that the sending entry VM knows of, its own and reported ones.
+    CrashCauses(CrashReport),
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -134,7 +137,8 @@
                     state.configuration_notice_changed.notify_one();
                 }
             }
-            Ok(Message::Crashes(report)) => blame::apply_report(&state, report),
+            Ok(Message::Crashes(report)) => blame::apply_report(&state, report.into()),
+            Ok(Message::CrashCauses(report)) => blame::apply_report(&state, report),
             Err(error) => {
                 if state.log_rate.allow("message ignored", state.now()).is_some() {
                     log::warn!(from:% = from, error:% = error; "peer message ignored");
@@ -281,7 +285,7 @@
             }
         }
         if let Some(report) = blame::take_report(&state) {
-            send(&socket, &Message::Crashes(report), &some_peer_addresses(&state));
+            send(&socket, &Message::CrashCauses(report), &some_peer_addresses(&state));
         }
         tokio::time::sleep(UPDATE_INTERVAL_MIN).await;
     }
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -19,6 +19,7 @@
 
 use crate::answer_body::AnswerBody;
 use crate::blame::AnswerStart;
+use crate::blame::QUARANTINED_REASON;
 use crate::dispatch::Call;
 use crate::first_answer::FirstAnswer;
 use crate::first_answer::first_answer;
@@ -133,6 +134,9 @@
     async fn send_next(&mut self) -> Result<PendingAttempt<'a>, &'static str> {
         let call = self.call;
         loop {
+            if call.is_quarantined() {
+                return Err(QUARANTINED_REASON);
+            }
             let server =
                 choose_server(call, &self.tried).ok_or("no server of the service answers")?;
             if call.time_left().is_zero() {
@@ -181,7 +185,8 @@
         let may_run_after = |runs: u32| is_retryable && runs < call.route.attempts_max;
         let repeat_at = Instant::now() + call.route.target_latency.mul_f64(REPEAT_TARGET_RATIO);
         loop {
-            let may_send_beside = may_run_after(self.runs + 1) && self.silent.is_none();
+            let may_send_beside =
+                may_run_after(self.runs + 1) && self.silent.is_none() && call.may_move();
             let first = tokio::select! {
                 biased;
                 it = first_answer(&mut latest, &mut self.silent) => Some(it),
@@ -225,7 +230,7 @@
                     call.record.log_step("attempt failed", &vm, reason);
                     if is_latest {
                         self.runs += 1;
-                        if may_run_after(self.runs) {
+                        if may_run_after(self.runs) && call.may_move() {
                             return None;
                         }
                         return Some(self.end_failed(reason, code, response).await);
@@ -276,7 +281,8 @@
             return timeout_response(self.call, self.runs > 0);
         }
         if self.runs == 0 {
-            refuse(self.call, reason)
+            let refused = self.call.refuse_quarantined();
+            refused.unwrap_or_else(|| refuse(self.call, reason))
         } else {
             unknown_outcome_response(self.call, ResultCode::BackendBroken, reason)
         }
@@ -363,6 +369,7 @@
     if status.is_server_error() {
         return AttemptResult::Failed("server failed", ResultCode::BackendBroken, Some(answer));
     }
+    call.record_whole_answer();
     AttemptResult::Answered(answer)
 }
 
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -102,7 +102,7 @@
     pub(crate) slowdowns: HashMap<VmId, f64>,
     /// Open heads that no longer serve, as the planner last told, and when.
     pub(crate) closed_heads: ClosedHeads,
-    /// Parts of prompts that crash servers.
+    /// Requests and parts of prompts that crash servers.
     pub(crate) blame: CrashBlame,
     /// Broken answers whose servers may have crashed.
     pub(crate) unexplained_breaks: UnexplainedBreaks,
@@ -137,7 +137,7 @@
     pub(crate) planner_inputs_changed: Notify,
     /// Wakes the task that reports crashes to the other entry VMs.
     pub(crate) blame_changed: Notify,
-    /// Quarantined parts as last logged.
+    /// Quarantined requests and parts as last logged.
     pub(crate) logged_quarantine: RefCell<String>,
     /// Wakes the task that tells the other entry VMs of versions of the configuration.
     pub(crate) configuration_notice_changed: Notify,
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -17,7 +17,6 @@
 use super::heads;
 use crate::answer_body::AnswerBody;
 use crate::blame::AnswerStart;
-use crate::blame::QUARANTINED_REFUSAL;
 use crate::blame::QUARANTINED_RETRY_AFTER;
 use crate::dispatch::Call;
 use crate::first_answer::FirstAnswer;
@@ -119,7 +118,7 @@
     async fn send_next(&mut self) -> Result<SentAttempt<'a>, NotSent> {
         let call = self.call;
         if call.is_quarantined() {
-            let (code, reason) = QUARANTINED_REFUSAL;
+            let (code, reason) = call.quarantine_refusal();
             return Err(NotSent { code, reason, retry_after_min: QUARANTINED_RETRY_AFTER });
         }
         let no_group = || NotSent::new(ResultCode::NoCompleteGroup, "no group serves the model");
--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -272,7 +272,7 @@
             return Err("all attempts are used up");
         }
         if !self.call.may_move() {
-            return Err("a part of the prompt may crash servers");
+            return Err("the request may crash servers");
         }
         let gap_max = route.event_gap_max.mul_f64(RESUME_GAP_SHARE);
         Ok(self.last_event_at.get().elapsed() < gap_max && !self.call.time_left().is_zero())
--- a/bins/mangocross-front/tests/front/crashing_requests.rs
+++ b/bins/mangocross-front/tests/front/crashing_requests.rs
@@ -151,13 +151,28 @@
     }
 }
 
+/// Lets an entry VM start anew and checks that it learns of the request from the others.
+fn assert_restarted_entry_vm_refuses(front: &mut Front, servers: &[Server], crashing_path: &str) {
+    let before = crashing_sends(servers);
+    front.kill();
+    front.restart(Stdio::null());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    thread::sleep(STABLE_WINDOW);
+    for _ in 0..10 {
+        let (status, body) = send(front, crashing_path).join().expect("an answer");
+        assert!(status == 503 && body.contains("\"not run\""), "{status} {body}");
+    }
+    assert_eq!(crashing_sends(servers), before);
+}
+
 /// One request crashed 14 to 16 servers, one after the other: it was repeated by entry VMs and
 /// callers, and nothing connected the crashes.
 #[test]
 fn request_that_crashed_three_servers_reaches_hardly_any_more() {
     let path = "/lookup/bad?again=1";
-    let (_store, servers, fronts) = start(path);
+    let (_store, servers, mut fronts) = start(path);
     assert_request_is_quarantined(&servers, &fronts, path, fronts.len());
+    assert_restarted_entry_vm_refuses(&mut fronts[0], &servers, path);
 }
 
 /// A request that runs at most once is not repeated by an entry VM, but its callers send it again
--- a/crates/mangocross-serving/src/crash_blame.rs
+++ b/crates/mangocross-serving/src/crash_blame.rs
@@ -1,4 +1,4 @@
-//! Finds parts of prompts that crash backend servers.
+//! Finds requests and parts of prompts that crash backend servers.
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
@@ -6,33 +6,50 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mangocross_types::PromptPartId;
 use mangocross_types::VmId;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::CrashCause;
+use crate::CrashReport;
 use crate::Moment;
+use crate::ReportedCrash;
+use crate::sound_causes::SoundCauses;
 
-/// Number of crashes, apart in time, after which a part is quarantined.
+/// Number of crashes, apart in time, after which a cause is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
-/// Number of crashes after which a broken request with the part is not sent to another server.
+/// Number of crashes after which a broken request with the cause is not sent to another server.
 const SUSPECT_CRASHES: usize = 2;
-/// Crashes closer to each other than this may have one cause, such as the loss of a rack.
+/// Crashes closer to each other than this may have one cause, such as the loss of a rack, unless the
+/// request was sent after the earlier one.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(150);
-/// Time for which a crash counts against a part.
+/// Time for which a crash counts against a cause.
 const CRASH_KEPT: Duration = Duration::from_secs(30 * 60);
-/// Time for which a part is sound after an answer to a prompt with it got past its start.
-const SOUND_KEPT: Duration = Duration::from_secs(120);
+/// Time for which other entry VMs are told of a cause that few crashes count against.
+const FEW_CRASHES_TOLD: Duration = Duration::from_secs(60);
 /// Maximum number of parts that crashes count against.
 const BLAMED_PARTS_MAX: usize = 64;
-/// Maximum number of crashes kept for a part.
-const CRASHES_PER_PART_MAX: usize = 12;
-/// Maximum number of reporters kept for a crash.
-const REPORTERS_MAX: usize = 3;
-/// Maximum number of parts known as sound.
-const SOUND_PARTS_MAX: usize = 4096;
-/// Maximum number of crashes, and of sound parts, in a report.
+/// Maximum number of requests that crashes count against.
+const BLAMED_REQUESTS_MAX: usize = 512;
+/// Maximum number of crashes kept for a cause.
+const CRASHES_PER_CAUSE_MAX: usize = 12;
+/// Maximum number of reporters, and of confirmers, kept for a crash.
+const WITNESSES_MAX: usize = 3;
+/// Number of entry VMs whose word suffices where a VM knows nothing itself.
+const WITNESSES_NEEDED: usize = 2;
+/// Maximum number of crashes, and of sound causes, in a report.
 const REPORTED_MAX: usize = 40;
+/// Maximum number of crashes of one cause in a report.
+const REPORTED_PER_CAUSE_MAX: usize = 8;
+/// Time between two checks whether a process has ended that another entry VM reports as crashed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after a crash for which the entry of the process may still be there. One that is there
+/// later has not crashed, also if it ends some day.
+const LISTED_FOR: Duration = Duration::from_secs(10);
+/// Time after a crash for which processes are checked of which nothing is known.
+const CHECKED_FOR: Duration = Duration::from_secs(5 * 60);
+/// Maximum number of processes that are checked at a time.
+const CHECKS_MAX: usize = 8;
 
 /// A process of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -43,97 +60,133 @@
     pub born_unix_ms: u64,
 }
 
-/// A crash in a report to another entry VM.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReportedCrash {
-    /// Part that an answer had hardly begun with.
-    pub part: PromptPartId,
-    /// Process that crashed.
-    pub server: ServerProcess,
-    /// Time since the crash.
-    pub age_ms: u32,
-    /// Names of entry VMs that observed it.
-    pub reporters: Vec<Arc<str>>,
+/// What an entry VM knows itself of a process that others report as crashed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ProcessState {
+    /// Nothing.
+    #[default]
+    Unknown,
+    /// Its entry is there, and its address is not a later process's.
+    Listed,
+    /// It has ended.
+    Ended,
 }
 
-/// What an entry VM tells the others about crashes.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// Crashes and the parts that they count against.
-    pub crashes: Vec<ReportedCrash>,
-    /// Parts that others blame and that are sound, and the milliseconds since they proved so.
-    pub sound: Vec<(PromptPartId, u32)>,
+/// The time from sending a request to a server until the answer broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptSpan {
+    /// When the request was sent.
+    pub sent_at: Moment,
+    /// When its answer broke.
+    pub broke_at: Moment,
 }
 
-impl CrashReport {
-    /// Returns whether there is nothing to report.
-    pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.sound.is_empty()
+impl AttemptSpan {
+    fn duration(self) -> Duration {
+        self.broke_at.since(self.sent_at)
     }
 }
 
-/// What crashes say of a request with certain parts.
+/// What crashes say of a request with certain causes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashVerdict {
     /// The request may be sent, and repeated if it breaks.
     Sound,
     /// The request may be sent once.
-    Suspect(PromptPartId),
+    Suspect(CrashCause),
     /// The request must not be sent.
-    Quarantined(PromptPartId),
+    Quarantined(CrashCause),
 }
 
 #[derive(Debug, Clone)]
 struct Crash {
     server: ServerProcess,
-    at: Moment,
+    span: AttemptSpan,
     reporters: Vec<Arc<str>>,
+    confirmers: Vec<Arc<str>>,
+    state: ProcessState,
+    /// When it was last checked whether the process has ended.
+    checked_at: Option<Moment>,
+}
+
+impl Crash {
+    fn new(server: ServerProcess, span: AttemptSpan) -> Self {
+        let (reporters, confirmers) = (Vec::new(), Vec::new());
+        Self { server, span, reporters, confirmers, state: ProcessState::Unknown, checked_at: None }
+    }
+
+    /// Returns whether the crash counts; `has_witnesses` tells whether this VM or several others
+    /// observed a crash that counts against the same cause.
+    fn counts(&self, has_witnesses: bool) -> bool {
+        let witnesses: BTreeSet<_> = self.reporters.iter().chain(&self.confirmers).collect();
+        match self.state {
+            ProcessState::Ended => true,
+            ProcessState::Listed => false,
+            ProcessState::Unknown => has_witnesses || witnesses.len() >= WITNESSES_NEEDED,
+        }
+    }
+
+    /// Adds what else is known of the same crash. Returns whether there is a new witness.
+    fn merge(&mut self, other: Self) -> bool {
+        // A report that was delayed makes all of it seem later than it was.
+        let duration = self.span.duration().min(other.span.duration());
+        let broke_at = self.span.broke_at.min(other.span.broke_at);
+        self.span = AttemptSpan { sent_at: broke_at.before(duration), broke_at };
+        let has_ended = other.state == ProcessState::Ended && self.state != other.state;
+        if has_ended {
+            self.state = ProcessState::Ended;
+        }
+        let has_reporter = add_names(&mut self.reporters, other.reporters);
+        add_names(&mut self.confirmers, other.confirmers) || has_reporter || has_ended
+    }
 }
 
-/// Crashes of servers and the parts of prompts that may have caused them.
+/// Crashes of servers and the requests and parts of prompts that may have caused them.
 ///
-/// When a server crashes, the shared parts of all requests whose answers had hardly begun
-/// there are candidates. A part is quarantined if it was a candidate at several crashes of
-/// different processes, apart in time, and no answer with it got past its start. A crash at
-/// which a quarantined part was a candidate is explained by that part and counts against no other.
-/// Of parts that were candidates at the same crashes any may be the cause: requests with all of them
+/// When a server crashes, all requests whose answers were not complete, or had hardly begun in the
+/// case of streams, and the shared parts of their prompts are candidates. A cause is quarantined if it
+/// was a candidate at several crashes of different processes, without an answer that proves it
+/// sound; the crashes lie apart in time, or the request was sent again after the earlier one. A crash
+/// at which a quarantined cause was a candidate is explained by it and counts against no other.
+/// Of causes that were candidates at the same crashes any may be the one: requests with all of them
 /// are refused, and one with some of them shows which it is.
 ///
-/// A single entry VM cannot make others quarantine a part: its crashes must have been observed
-/// here or by two entry VMs.
+/// A single entry VM cannot make others quarantine a cause: the crashes must have been observed here
+/// or by two entry VMs, or this VM knows itself that the processes have ended.
 #[derive(Debug, Default)]
 pub struct CrashBlame {
-    blamed: HashMap<PromptPartId, Vec<Crash>>,
-    sound: HashMap<PromptPartId, Moment>,
-    /// Sound parts that another entry VM still blames.
-    to_clear: BTreeSet<PromptPartId>,
-    /// Sets of parts with the same crashes; usually of one part.
-    quarantined: Vec<BTreeSet<PromptPartId>>,
-    suspects: BTreeSet<PromptPartId>,
+    blamed: HashMap<CrashCause, Vec<Crash>>,
+    sound: SoundCauses,
+    /// Sound causes that another entry VM still blames.
+    to_clear: BTreeSet<CrashCause>,
+    /// Sets of causes with the same crashes; usually of one cause.
+    quarantined: Vec<BTreeSet<CrashCause>>,
+    suspects: BTreeSet<CrashCause>,
 }
 
 impl CrashBlame {
-    /// Returns what the crashes say of a request with these shared parts.
-    pub fn verdict(&self, parts: &[PromptPartId]) -> CrashVerdict {
-        let is_refused = |it: &&BTreeSet<_>| it.iter().all(|it| parts.contains(it));
-        let refused = self.quarantined.iter().find(is_refused).and_then(|it| it.first());
-        if let Some(part) = refused {
-            return CrashVerdict::Quarantined(*part);
+    /// Returns what the crashes say of a request with these causes.
+    pub fn verdict(&self, causes: &[CrashCause]) -> CrashVerdict {
+        let is_refused = |it: &&BTreeSet<_>| it.iter().all(|it| causes.contains(it));
+        let refused = self.quarantined.iter().find(is_refused).and_then(|it| it.last());
+        if let Some(cause) = refused {
+            return CrashVerdict::Quarantined(*cause);
         }
-        let is_suspect = |it: &&PromptPartId| {
+        let is_suspect = |it: &&CrashCause| {
             self.suspects.contains(it) || self.quarantined.iter().any(|set| set.contains(it))
         };
-        parts.iter().find(is_suspect).map_or(CrashVerdict::Sound, |it| CrashVerdict::Suspect(*it))
+        let suspect = causes.iter().find(is_suspect);
+        suspect.map_or(CrashVerdict::Sound, |it| CrashVerdict::Suspect(*it))
     }
 
-    /// Returns the quarantined parts.
-    pub fn quarantined(&self) -> impl Iterator<Item = PromptPartId> + '_ {
+    /// Returns the quarantined causes.
+    pub fn quarantined(&self) -> impl Iterator<Item = CrashCause> + '_ {
         self.quarantined.iter().flatten().copied()
     }
 
-    /// Returns whether any of the parts is not known as sound.
-    pub fn may_blame(&self, parts: &[PromptPartId]) -> bool {
-        parts.iter().any(|it| !self.sound.contains_key(it))
+    /// Returns whether a crash from now on may count against any of the causes.
+    pub fn may_blame(&self, causes: &[CrashCause]) -> bool {
+        causes.iter().any(|it| it.is_request() || !self.sound.contains(it))
     }
 
     /// Returns whether `reporter` has recorded the crash of a process.
@@ -142,20 +195,23 @@
         crashes.any(|it| it.server == *server && it.reporters.iter().any(|it| &**it == reporter))
     }
 
-    /// Records that a process crashed while an answer to a prompt with these parts had hardly
-    /// begun there. Returns whether that is news.
+    /// Records that a process crashed while the answer to a request with these causes was not
+    /// complete, or had hardly begun. Returns whether that is news.
     pub fn record_crash(
         &mut self,
-        parts: &[PromptPartId],
+        causes: &[CrashCause],
         server: &ServerProcess,
         own: &Arc<str>,
-        now: Moment,
+        span: AttemptSpan,
     ) -> bool {
         let mut is_news = false;
-        for part in parts.iter().filter(|it| !self.sound.contains_key(it)) {
-            let reporters = vec![Arc::clone(own)];
-            let crash = Crash { server: server.clone(), at: now, reporters };
-            is_news |= add(&mut self.blamed, *part, crash, now);
+        for cause in causes {
+            if !self.sound.settles(cause, server, span.broke_at) {
+                let crash = Crash::new(server.clone(), span);
+                let (reporters, state) = (vec![Arc::clone(own)], ProcessState::Ended);
+                let crash = Crash { reporters, state, ..crash };
+                is_news |= add(&mut self.blamed, *cause, crash, span.broke_at);
+            }
         }
         if is_news {
             self.decide(own);
@@ -163,19 +219,25 @@
         is_news
     }
 
-    /// Records that an answer to a prompt with these parts got past its start. Returns whether
-    /// crashes counted against any of them.
-    pub fn record_sound(&mut self, parts: &[PromptPartId], own: &Arc<str>, now: Moment) -> bool {
+    /// Records that a request with these causes was answered, or that its stream got past its start.
+    /// Returns whether crashes counted against any of them.
+    pub fn record_sound(&mut self, causes: &[CrashCause], own: &Arc<str>, now: Moment) -> bool {
         let mut is_news = false;
-        for part in parts {
-            if self.sound.len() >= SOUND_PARTS_MAX && !self.sound.contains_key(part) {
-                forget_oldest_half(&mut self.sound);
+        for cause in causes {
+            let crashes = self.blamed.remove(cause).unwrap_or_default();
+            let is_settled = |it: &&Crash| !cause.is_request() || it.span.broke_at <= now;
+            let cleared: Vec<_> =
+                crashes.iter().filter(is_settled).map(|it| it.server.clone()).collect();
+            let left: Vec<Crash> =
+                crashes.into_iter().filter(|it| !cleared.contains(&it.server)).collect();
+            if !left.is_empty() {
+                self.blamed.insert(*cause, left);
             }
-            self.sound.insert(*part, now);
-            if self.blamed.remove(part).is_some() {
-                self.to_clear.insert(*part);
+            if !cleared.is_empty() {
+                self.to_clear.insert(*cause);
                 is_news = true;
             }
+            self.sound.record(*cause, cleared.into_iter(), now);
         }
         if is_news {
             self.decide(own);
@@ -186,21 +248,23 @@
     /// Applies the report of another entry VM. Returns whether there is something new to tell.
     pub fn apply(&mut self, report: CrashReport, own: &Arc<str>, now: Moment) -> bool {
         let mut is_news = false;
-        let at = |age_ms: u32| now.before(Duration::from_millis(u64::from(age_ms)));
-        for (part, age_ms) in report.sound.into_iter().take(REPORTED_MAX) {
-            let is_recent = Duration::from_millis(u64::from(age_ms)) < SOUND_KEPT;
-            if is_recent && self.blamed.contains_key(&part) {
-                is_news |= self.record_sound(&[part], own, at(age_ms));
+        let at = |age_us: u64| now.before(Duration::from_micros(age_us));
+        for (cause, age_us) in report.sound.into_iter().take(REPORTED_MAX) {
+            let is_recent = SoundCauses::is_recent(Duration::from_micros(age_us));
+            if is_recent && self.blamed.contains_key(&cause) {
+                is_news |= self.record_sound(&[cause], own, at(age_us));
             }
         }
         for reported in report.crashes.into_iter().take(REPORTED_MAX) {
-            let ReportedCrash { part, server, age_ms, reporters } = reported;
-            if self.sound.contains_key(&part) {
-                is_news |= self.to_clear.insert(part);
+            let ReportedCrash { cause, server, sent_age_us, age_us, reporters, confirmers } =
+                reported;
+            let span = AttemptSpan { sent_at: at(sent_age_us.max(age_us)), broke_at: at(age_us) };
+            if self.sound.settles(&cause, &server, span.broke_at) {
+                is_news |= self.to_clear.insert(cause);
                 continue;
             }
-            let crash = Crash { server, at: at(age_ms), reporters };
-            is_news |= add(&mut self.blamed, part, crash, now);
+            let crash = Crash { reporters, confirmers, ..Crash::new(server, span) };
+            is_news |= add(&mut self.blamed, cause, crash, now);
         }
         if is_news {
             self.decide(own);
@@ -208,32 +272,88 @@
         is_news
     }
 
-    /// Returns what to tell the other entry VMs: the parts that most crashes count against first.
+    /// Returns processes that only others report as crashed, for this VM to check whether they have
+    /// ended; each for one answer to [`CrashBlame::record_state`].
+    pub fn take_checks(&mut self, now: Moment) -> Vec<ServerProcess> {
+        let mut checks = BTreeSet::new();
+        let suspected = self.blamed.values_mut().filter(|it| it.len() >= SUSPECT_CRASHES);
+        for crash in suspected.flatten() {
+            let checked_for = match crash.state {
+                ProcessState::Unknown => CHECKED_FOR,
+                ProcessState::Listed => LISTED_FOR,
+                ProcessState::Ended => Duration::ZERO,
+            };
+            let is_open = now.since(crash.span.broke_at) < checked_for;
+            let is_due = crash.checked_at.is_none_or(|it| now.since(it) >= CHECK_INTERVAL);
+            if is_due && is_open && (checks.len() < CHECKS_MAX || checks.contains(&crash.server)) {
+                crash.checked_at = Some(now);
+                checks.insert(crash.server.clone());
+            }
+        }
+        checks.into_iter().collect()
+    }
+
+    /// Records what this VM knows itself of a process. Returns whether there is something new to
+    /// tell.
+    pub fn record_state(
+        &mut self,
+        server: &ServerProcess,
+        state: ProcessState,
+        own: &Arc<str>,
+    ) -> bool {
+        let mut is_changed = false;
+        for crash in self.blamed.values_mut().flatten().filter(|it| it.server == *server) {
+            // A process that has ended stays so, also when its entry is forgotten.
+            if crash.state == state || crash.state == ProcessState::Ended {
+                continue;
+            }
+            crash.state = state;
+            is_changed = true;
+            if state == ProcessState::Ended && !crash.reporters.contains(own) {
+                add_names(&mut crash.confirmers, vec![Arc::clone(own)]);
+            }
+        }
+        if is_changed {
+            self.decide(own);
+        }
+        is_changed && state == ProcessState::Ended
+    }
+
+    /// Returns what to tell the other entry VMs: the causes that most crashes count against first,
+    /// the latest ones of equals.
     pub fn take_report(&mut self, now: Moment) -> CrashReport {
-        let age_ms = |at: Moment| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
-        let mut parts: Vec<_> = self.blamed.iter().collect();
-        parts.sort_by_key(|(part, it)| (Reverse(it.len()), **part));
-        let crashes = parts.into_iter().flat_map(|(part, crashes)| {
-            crashes.iter().map(|it| ReportedCrash {
-                part: *part,
+        let age_us = |at: Moment| u64::try_from(now.since(at).as_micros()).unwrap_or(u64::MAX);
+        let last_at = |it: &[Crash]| it.iter().map(|it| it.span.broke_at).max();
+        let is_told = |it: &[Crash]| {
+            let is_recent = last_at(it).is_some_and(|it| now.since(it) < FEW_CRASHES_TOLD);
+            it.len() >= SUSPECT_CRASHES || is_recent
+        };
+        let mut causes: Vec<_> = self.blamed.iter().filter(|(_, it)| is_told(it)).collect();
+        causes.sort_by_key(|(cause, it)| (Reverse(it.len()), Reverse(last_at(it)), **cause));
+        let crashes = causes.into_iter().flat_map(|(cause, crashes)| {
+            crashes.iter().take(REPORTED_PER_CAUSE_MAX).map(|it| ReportedCrash {
+                cause: *cause,
                 server: it.server.clone(),
-                age_ms: age_ms(it.at),
+                sent_age_us: age_us(it.span.sent_at),
+                age_us: age_us(it.span.broke_at),
                 reporters: it.reporters.clone(),
+                confirmers: it.confirmers.clone(),
             })
         });
         let crashes = crashes.take(REPORTED_MAX).collect();
         let to_clear = std::mem::take(&mut self.to_clear);
-        let sound = to_clear.into_iter().filter_map(|it| Some((it, age_ms(*self.sound.get(&it)?))));
+        let sound =
+            to_clear.into_iter().filter_map(|it| Some((it, age_us(self.sound.proved_at(&it)?))));
         CrashReport { crashes, sound: sound.take(REPORTED_MAX).collect() }
     }
 
     /// Forgets what is too old.
     pub fn expire(&mut self, own: &Arc<str>, now: Moment) {
-        self.sound.retain(|_, at| now.since(*at) < SOUND_KEPT);
+        self.sound.expire(now);
         let mut is_changed = false;
         self.blamed.retain(|_, crashes| {
             let before = crashes.len();
-            crashes.retain(|it| now.since(it.at) < CRASH_KEPT);
+            crashes.retain(|it| now.since(it.span.broke_at) < CRASH_KEPT);
             is_changed |= crashes.len() != before;
             !crashes.is_empty()
         });
@@ -242,29 +362,33 @@
         }
     }
 
-    /// Decides which parts are suspect or quarantined: those with the most crashes first, so that
-    /// they explain those at which others were candidates too. Parts with the same crashes are
+    /// Decides which causes are suspect or quarantined: those with the most crashes first, so that
+    /// they explain those at which others were candidates too. Causes with the same crashes are
     /// quarantined together.
     fn decide(&mut self, own: &Arc<str>) {
         self.quarantined.clear();
         self.suspects.clear();
         let mut explained: BTreeSet<&ServerProcess> = BTreeSet::new();
-        let mut left: Vec<PromptPartId> = self.blamed.keys().copied().collect();
+        let repeated = self.blamed.iter().filter(|(_, it)| it.len() >= SUSPECT_CRASHES);
+        let mut left: Vec<CrashCause> = repeated.map(|(cause, _)| *cause).collect();
         loop {
-            let counts = left.iter().map(|part| {
-                let (apart, all) = count_crashes(&self.blamed[part], &explained, own);
-                (apart, all, *part)
+            let counts = left.iter().map(|cause| {
+                let (apart, all) = count_crashes(&self.blamed[cause], &explained, own);
+                (apart, all, *cause)
             });
-            let Some((apart, _, part)) = counts.max() else { return };
-            if apart < SUSPECT_CRASHES {
+            let counts: Vec<_> = counts.filter(|it| it.0 >= SUSPECT_CRASHES).collect();
+            let Some((apart, _, cause)) = counts.iter().max() else { return };
+            if *apart < QUARANTINE_CRASHES {
+                self.suspects.extend(counts.iter().map(|it| it.2));
                 return;
             }
-            let processes = processes(&self.blamed[&part]);
-            let alike =
+            let processes = processes(&self.blamed[cause]);
+            let mut alike: BTreeSet<CrashCause> =
                 left.extract_if(.., |it| self::processes(&self.blamed[it]) == processes).collect();
-            if apart < QUARANTINE_CRASHES {
-                self.suspects.extend::<BTreeSet<_>>(alike);
-                continue;
+            // Of several requests one is the cause; more likely one that was not answered lately.
+            let is_doubtful = |it: &CrashCause| it.is_request() && !self.sound.contains(it);
+            if alike.iter().any(is_doubtful) {
+                alike.retain(|it| !it.is_request() || is_doubtful(it));
             }
             self.quarantined.push(alike);
             explained.extend(processes);
@@ -276,78 +400,79 @@
     crashes.iter().map(|it| &it.server).collect()
 }
 
-/// Counts the crashes that are not explained, first those apart in time, then all; none if only one
-/// other entry VM reports them.
+/// Counts the crashes that are not explained, first those that no common cause explains, then all.
 fn count_crashes(
     crashes: &[Crash],
     explained: &BTreeSet<&ServerProcess>,
     own: &Arc<str>,
 ) -> (usize, usize) {
-    let is_open = |it: &&Crash| !explained.contains(&it.server);
-    let mut open: Vec<&Crash> = crashes.iter().filter(is_open).collect();
-    let reporters: BTreeSet<&Arc<str>> = open.iter().flat_map(|it| &it.reporters).collect();
-    if reporters.len() < 2 && !reporters.contains(own) {
-        return (0, 0);
-    }
-    open.sort_by_key(|it| it.at);
+    let open = || crashes.iter().filter(|it| !explained.contains(&it.server));
+    let reporters: BTreeSet<&Arc<str>> = open().flat_map(|it| &it.reporters).collect();
+    let has_witnesses = reporters.len() >= WITNESSES_NEEDED || reporters.contains(own);
+    let mut open: Vec<&Crash> = open().filter(|it| it.counts(has_witnesses)).collect();
+    open.sort_by_key(|it| it.span.broke_at);
     let mut apart = 0;
     let mut last_at = None;
     for crash in &open {
-        if last_at.is_none_or(|it| crash.at.since(it) >= COMMON_CAUSE_TIME) {
+        let AttemptSpan { sent_at, broke_at } = crash.span;
+        let is_apart = |it: Moment| broke_at.since(it) >= COMMON_CAUSE_TIME || sent_at > it;
+        if last_at.is_none_or(is_apart) {
             apart += 1;
-            last_at = Some(crash.at);
+            last_at = Some(broke_at);
         }
     }
     (apart, open.len())
 }
 
-/// Adds a crash that counts against a part, or its reporters if the crash is known. Returns whether
-/// that is news.
+/// Adds a crash that counts against a cause, or its witnesses if the crash is known. Returns
+/// whether that is news.
 fn add(
-    all: &mut HashMap<PromptPartId, Vec<Crash>>,
-    part: PromptPartId,
-    crash: Crash,
+    all: &mut HashMap<CrashCause, Vec<Crash>>,
+    cause: CrashCause,
+    mut crash: Crash,
     now: Moment,
 ) -> bool {
-    if now.since(crash.at) >= CRASH_KEPT || crash.reporters.is_empty() {
+    if now.since(crash.span.broke_at) >= CRASH_KEPT || crash.reporters.is_empty() {
         return false;
     }
-    if !all.contains_key(&part) && all.len() >= BLAMED_PARTS_MAX {
-        forget_least_blamed(all);
+    if let Some(known) = all.get_mut(&cause)
+        && let Some(existing) = known.iter_mut().find(|it| it.server == crash.server)
+    {
+        return existing.merge(crash);
     }
-    let known = all.entry(part).or_default();
-    let Some(existing) = known.iter_mut().find(|it| it.server == crash.server) else {
-        let has_room = known.len() < CRASHES_PER_PART_MAX;
-        if has_room {
-            let reporters = crash.reporters.into_iter().take(REPORTERS_MAX).collect();
-            known.push(Crash { reporters, ..crash });
-        }
-        return has_room;
-    };
-    // A report that was delayed makes the crash seem later than it was.
-    existing.at = existing.at.min(crash.at);
-    let before = existing.reporters.len();
-    for reporter in crash.reporters {
-        if existing.reporters.len() < REPORTERS_MAX && !existing.reporters.contains(&reporter) {
-            existing.reporters.push(reporter);
-        }
+    let is_alike = |it: &&CrashCause| it.is_request() == cause.is_request();
+    let most = if cause.is_request() { BLAMED_REQUESTS_MAX } else { BLAMED_PARTS_MAX };
+    if !all.contains_key(&cause) && all.keys().filter(is_alike).count() >= most {
+        forget_least_blamed(all, cause.is_request());
+    }
+    crash.reporters.truncate(WITNESSES_MAX);
+    crash.confirmers.truncate(WITNESSES_MAX);
+    let known = all.entry(cause).or_default();
+    let has_room = known.len() < CRASHES_PER_CAUSE_MAX;
+    if has_room {
+        known.push(crash);
     }
-    existing.reporters.len() > before
+    has_room
 }
 
-/// Forgets the part that the fewest crashes count against, the one blamed longest ago among equals.
-fn forget_least_blamed(all: &mut HashMap<PromptPartId, Vec<Crash>>) {
-    let last_at = |it: &[Crash]| it.iter().map(|it| it.at).max();
-    let least = all.iter().min_by_key(|(part, it)| (it.len(), last_at(it), **part));
-    if let Some(part) = least.map(|(part, _)| *part) {
-        all.remove(&part);
+/// Adds names up to the maximum number. Returns whether there is a new one.
+fn add_names(names: &mut Vec<Arc<str>>, others: Vec<Arc<str>>) -> bool {
+    let before = names.len();
+    for name in others {
+        if names.len() < WITNESSES_MAX && !names.contains(&name) {
+            names.push(name);
+        }
     }
+    names.len() > before
 }
 
-fn forget_oldest_half(sound: &mut HashMap<PromptPartId, Moment>) {
-    let mut times: Vec<Moment> = sound.values().copied().collect();
-    let middle = times.len() / 2;
-    let (_, median, _) = times.select_nth_unstable(middle);
-    let median = *median;
-    sound.retain(|_, at| *at > median);
+/// Forgets the request or the part that the fewest crashes count against, the one blamed longest ago
+/// among equals.
+fn forget_least_blamed(all: &mut HashMap<CrashCause, Vec<Crash>>, are_requests: bool) {
+    let last_at = |it: &[Crash]| it.iter().map(|it| it.span.broke_at).max();
+    let of_kind = all.iter().filter(|(cause, _)| cause.is_request() == are_requests);
+    let least = of_kind.min_by_key(|(cause, it)| (it.len(), last_at(it), **cause));
+    if let Some(cause) = least.map(|(cause, _)| *cause) {
+        all.remove(&cause);
+    }
 }
--- a/crates/mangocross-serving/src/unexplained_breaks.rs
+++ b/crates/mangocross-serving/src/unexplained_breaks.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mangocross_types::PromptPartId;
-
+use crate::AttemptSpan;
+use crate::CrashCause;
 use crate::Moment;
-use crate::RequestIdentity;
 use crate::ServerProcess;
 
 /// Times after a break at which to look again whether its server has crashed. The process that
@@ -24,19 +23,17 @@
 /// Maximum number of breaks kept for a process.
 const BREAKS_PER_PROCESS_MAX: usize = 32;
 
-/// An answer that broke when it had hardly begun.
+/// An answer that broke before it was whole, of a stream when it had hardly begun.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BrokenStart {
     /// Id of the request.
     pub request: Arc<str>,
-    /// What the request shares with its repeats.
-    pub identity: Option<RequestIdentity>,
     /// Deliveries of events before the break.
     pub events: u32,
-    /// Shared parts of the prompt.
-    pub parts: Vec<PromptPartId>,
-    /// When it broke.
-    pub at: Moment,
+    /// What may have crashed the server.
+    pub causes: Vec<CrashCause>,
+    /// When it was sent and when it broke.
+    pub span: AttemptSpan,
 }
 
 /// Answers that broke when they had hardly begun, by the process that sent them, for as long as
@@ -46,16 +43,15 @@
 ///
 /// ```
 /// # use std::time::Duration;
-/// # use mangocross_serving::{BrokenStart, Moment, ServerProcess, UnexplainedBreaks};
+/// # use mangocross_serving::{AttemptSpan, BrokenStart, CrashCause, Moment, ServerProcess, UnexplainedBreaks};
 /// let process = ServerProcess { vm: "s1".parse()?, born_unix_ms: 7 };
 /// let at = Moment::after_boot(Duration::from_secs(60));
 /// let mut breaks = UnexplainedBreaks::default();
 /// let broken = BrokenStart {
 ///     request: "r1".into(),
-///     identity: None,
 ///     events: 0,
-///     parts: vec!["a1".parse()?],
-///     at,
+///     causes: vec![CrashCause::Part("a1".parse()?)],
+///     span: AttemptSpan { sent_at: at, broke_at: at },
 /// };
 /// assert!(breaks.record(&process, broken));
 /// assert!(breaks.next_check(&process, at).is_some_and(|it| it > at));
@@ -86,7 +82,7 @@
 
     /// Returns when to look at a process next; `None` if there is no reason to any more.
     pub fn next_check(&self, process: &ServerProcess, now: Moment) -> Option<Moment> {
-        let last_at = self.by_process.get(process)?.iter().map(|it| it.at).max()?;
+        let last_at = self.by_process.get(process)?.iter().map(|it| it.span.broke_at).max()?;
         CHECK_DELAYS.iter().map(|it| last_at + *it).find(|it| *it > now)
     }
 
@@ -94,7 +90,7 @@
     pub fn take(&mut self, process: &ServerProcess, now: Moment) -> Vec<BrokenStart> {
         let window = CHECK_DELAYS.last().copied().unwrap_or_default();
         let mut breaks = self.by_process.remove(process).unwrap_or_default();
-        breaks.retain(|it| now.since(it.at) <= window);
+        breaks.retain(|it| now.since(it.span.broke_at) <= window);
         breaks
     }
 }
--- a/crates/mangocross-serving/tests/crash_blame.rs
+++ b/crates/mangocross-serving/tests/crash_blame.rs
@@ -4,18 +4,24 @@
 use std::time::Duration;
 
 use fastrand::Rng;
+use mangocross_serving::AttemptSpan;
 use mangocross_serving::CrashBlame;
+use mangocross_serving::CrashCause;
 use mangocross_serving::CrashReport;
 use mangocross_serving::CrashVerdict;
 use mangocross_serving::Moment;
 use mangocross_serving::ServerProcess;
-use mangocross_types::PromptPartId;
 
 /// Time between two crashes that have no common cause.
 const APART_MS: u64 = 300;
 
-fn part(number: u32) -> PromptPartId {
-    format!("{number:x}").parse().expect("a valid id")
+fn part(number: u32) -> CrashCause {
+    CrashCause::Part(format!("{number:x}").parse().expect("a valid id"))
+}
+
+/// Returns a crash under a request that was sent before any other crash.
+fn broke_at(ms: u64) -> AttemptSpan {
+    AttemptSpan { sent_at: at(ms).before(Duration::from_secs(500)), broke_at: at(ms) }
 }
 
 fn server(number: u64) -> ServerProcess {
@@ -33,8 +39,8 @@
 /// Records a crash of another server for each list of parts, apart in time.
 fn crash_with(blame: &mut CrashBlame, crashes: &[&[u32]]) {
     for (index, numbers) in (1..).zip(crashes) {
-        let parts: Vec<PromptPartId> = numbers.iter().copied().map(part).collect();
-        blame.record_crash(&parts, &server(index), &own(), at(index * APART_MS));
+        let parts: Vec<CrashCause> = numbers.iter().copied().map(part).collect();
+        blame.record_crash(&parts, &server(index), &own(), broke_at(index * APART_MS));
     }
 }
 
@@ -66,7 +72,7 @@
 fn streams_that_broke_together_are_one_crash() {
     let mut blame = CrashBlame::default();
     for ms in [0, 1, 2, 400, 900] {
-        blame.record_crash(&[part(9)], &server(1), &own(), at(ms));
+        blame.record_crash(&[part(9)], &server(1), &own(), broke_at(ms));
     }
     assert_eq!(blame.verdict(&[part(9)]), CrashVerdict::Sound);
 }
@@ -76,7 +82,7 @@
 fn crashes_at_the_same_time_count_once() {
     let mut blame = CrashBlame::default();
     for number in 0..12 {
-        blame.record_crash(&[part(9)], &server(number), &own(), at(number * 10));
+        blame.record_crash(&[part(9)], &server(number), &own(), broke_at(number * 10));
     }
     assert_eq!(blame.verdict(&[part(9)]), CrashVerdict::Sound);
 }
@@ -131,7 +137,12 @@
     let mut blame = CrashBlame::default();
     let crash = |blame: &mut CrashBlame, numbers: &[u32], index: u64| {
         for number in numbers {
-            blame.record_crash(&[part(*number)], &server(index), &own(), at(index * APART_MS));
+            blame.record_crash(
+                &[part(*number)],
+                &server(index),
+                &own(),
+                broke_at(index * APART_MS),
+            );
         }
     };
     for index in 1..=3 {
@@ -150,7 +161,7 @@
     let mut other = CrashBlame::default();
     deliver(first.take_report(at(2000)), &mut other, "entry-1", 2000);
     assert_eq!(other.verdict(&[part(9)]), CrashVerdict::Sound);
-    other.record_crash(&[part(9)], &server(50), &Arc::from("entry-1"), at(2500));
+    other.record_crash(&[part(9)], &server(50), &Arc::from("entry-1"), broke_at(2500));
     assert!(is_quarantined(&other, 9), "its own observation agrees");
 }
 
@@ -161,7 +172,7 @@
     crash_with(&mut first, &[&[9], &[9]]);
     let report = first.take_report(at(1000));
     let mut other = CrashBlame::default();
-    other.record_crash(&[part(9)], &server(1), &Arc::from("entry-1"), at(300));
+    other.record_crash(&[part(9)], &server(1), &Arc::from("entry-1"), broke_at(300));
     for delay_ms in [0, 400, 5000, 20_000] {
         deliver(report.clone(), &mut other, "entry-1", 1000 + delay_ms);
     }
@@ -186,7 +197,7 @@
     let mut first = CrashBlame::default();
     crash_with(&mut first, &[&[9], &[9], &[9]]);
     let mut other = CrashBlame::default();
-    other.record_crash(&[part(9)], &server(50), &Arc::from("entry-1"), at(2500));
+    other.record_crash(&[part(9)], &server(50), &Arc::from("entry-1"), broke_at(2500));
     deliver(first.take_report(at(2500)), &mut other, "entry-1", 2500);
     let mut restarted = CrashBlame::default();
     deliver(other.take_report(at(9000)), &mut restarted, "entry-0", 9000);
@@ -210,7 +221,7 @@
 fn least_blamed_part_is_forgotten_first() {
     let mut blame = CrashBlame::default();
     let crash = |blame: &mut CrashBlame, number: u32, index: u64| {
-        blame.record_crash(&[part(number)], &server(index), &own(), at(index * APART_MS));
+        blame.record_crash(&[part(number)], &server(index), &own(), broke_at(index * APART_MS));
     };
     crash(&mut blame, 7, 0);
     crash(&mut blame, 9, 1);
@@ -236,7 +247,7 @@
     for number in 0..20_000 {
         let parts = [part(rng.u32(100..)), part(rng.u32(100..))];
         if rng.bool() {
-            blame.record_crash(&parts, &server(rng.u64(100..)), &own(), at(2000 + number));
+            blame.record_crash(&parts, &server(rng.u64(100..)), &own(), broke_at(2000 + number));
         } else {
             blame.record_sound(&parts, &own(), at(2000 + number));
         }
@@ -254,8 +265,8 @@
     let mut fleet: Vec<CrashBlame> = (0..ENTRY_VMS).map(|_| CrashBlame::default()).collect();
     let names: Vec<Arc<str>> = (0..ENTRY_VMS).map(|it| Arc::from(format!("entry-{it}"))).collect();
     for index in 0..3 {
-        let now = at(index as u64 * APART_MS);
-        fleet[index].record_crash(&[part(9)], &server(index as u64), &names[index], now);
+        let span = broke_at(index as u64 * APART_MS);
+        fleet[index].record_crash(&[part(9)], &server(index as u64), &names[index], span);
     }
     for round in 1..=12 {
         let now = at(1000 + round * 200);
--- a/crates/mangocross-serving/tests/unexplained_breaks.rs
+++ b/crates/mangocross-serving/tests/unexplained_breaks.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use mangocross_serving::AttemptSpan;
 use mangocross_serving::BrokenStart;
+use mangocross_serving::CrashCause;
 use mangocross_serving::Moment;
 use mangocross_serving::ServerProcess;
 use mangocross_serving::UnexplainedBreaks;
@@ -16,8 +18,9 @@
 }
 
 fn broken(ms: u64) -> BrokenStart {
-    let parts = vec!["9".parse().expect("a valid id")];
-    BrokenStart { request: "r1".into(), identity: None, events: 0, parts, at: at(ms) }
+    let causes = vec![CrashCause::Part("9".parse().expect("a valid id"))];
+    let span = AttemptSpan { sent_at: at(ms), broke_at: at(ms) };
+    BrokenStart { request: "r1".into(), events: 0, causes, span }
 }
 
 /// Returns the times of all checks of a process that is not found to have crashed.
--- a/crates/mangocross-types/src/result_code.rs
+++ b/crates/mangocross-types/src/result_code.rs
@@ -96,6 +96,8 @@
     RetryBudget = 2007, 503;
     /// A part of the request's prompt crashed several servers.
     PromptQuarantined = 2008, 503;
+    /// The request crashed several servers.
+    RequestQuarantined = 2009, 503;
     /// The backend server could not be reached.
     BackendUnreachable = 3001, 502;
     /// The backend server refused the request before running it.
