--- a/bins/mangocross-front/tests/front/crashing_requests.rs
+++ b/bins/mangocross-front/tests/front/crashing_requests.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use crate::platform;
+use crate::platform::AnswerEnd;
 use crate::platform::CALLER_HEADERS;
 use crate::platform::Front;
 use crate::platform::Server;
@@ -192,3 +193,54 @@
     let (_store, servers, fronts) = start(path);
     assert_request_is_quarantined(&servers, &fronts, path, 1);
 }
+
+/// Answers that are cut and refusals come from servers that are there:
+/// a request that meets them again and again must not be taken for one that crashes servers.
+#[test]
+fn request_whose_answers_are_lost_is_not_blamed() {
+    let path = "/lookup/unlucky";
+    let (_store, servers, fronts) = start("/lookup/none");
+    let ask = || {
+        for index in 0..12 {
+            assert_not_blamed(&send(&fronts[index % 4], path).join().expect("an answer"));
+        }
+    };
+    for end in [AnswerEnd::Empty, AnswerEnd::Reset, AnswerEnd::InsidePart] {
+        servers.iter().for_each(|it| it.set_answer_end(end));
+        ask();
+    }
+    servers.iter().for_each(|it| it.set_answer_end(AnswerEnd::Length));
+    servers.iter().for_each(|it| it.set_refusing(true));
+    ask();
+    servers.iter().for_each(|it| it.set_refusing(false));
+    thread::sleep(STABLE_WINDOW);
+    for front in &fronts {
+        let (status, body) = send(front, path).join().expect("an answer");
+        assert_eq!(status, 200, "{body}");
+    }
+}
+
+/// All servers end at once, twice, with a sound request at each of them.
+#[test]
+fn request_is_served_after_all_servers_were_lost_at_once() {
+    let path = "/lookup/unlucky";
+    let (_store, servers, fronts) = start("/lookup/none");
+    for _ in 0..2 {
+        servers.iter().for_each(|it| it.set_withholding_answers(true));
+        let calls: Vec<Answer> = (0..8).map(|it| send(&fronts[it % 4], path)).collect();
+        platform::wait_until("a request at each server", || {
+            servers.iter().all(|it| it.ran().len() > 1)
+        });
+        servers.iter().for_each(Server::crash);
+        servers.iter().for_each(|it| it.set_withholding_answers(false));
+        for call in calls {
+            assert_not_blamed(&call.join().expect("an answer"));
+        }
+        thread::sleep(RESTART_TIME);
+        for front in &fronts {
+            front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+            let (status, body) = send(front, path).join().expect("an answer");
+            assert_eq!(status, 200, "{body}");
+        }
+    }
+}
