fix(front): a request that was answered lately is not suspect beside another cause

What callers would see: streams of one caller may all have the same path and body and differ by the parts of their prompts alone. After two engines had crashed under one part, all streams of that caller were suspect as the same request, and were not resumed if they broke, until the next one was answered.

Cause: an answered request was put behind others only where three crashes were behind them, and only behind requests.

Found by reading; `answered_request_is_not_blamed_beside_a_part` was red before.

--- a/crates/mangocross-serving/src/crash_blame.rs
+++ b/crates/mangocross-serving/src/crash_blame.rs
@@ -362,6 +362,12 @@
         }
     }
 
+    /// Returns whether a cause is a request that was answered lately, which is blamed only if nothing
+    /// else was at the same crashes.
+    fn is_answered_request(&self, cause: &CrashCause) -> bool {
+        cause.is_request() && self.sound.contains(cause)
+    }
+
     /// Decides which causes are suspect or quarantined: those with the most crashes first, so that
     /// they explain those at which others were candidates too. Causes with the same crashes are
     /// quarantined together.
@@ -379,16 +385,24 @@
             let counts: Vec<_> = counts.filter(|it| it.0 >= SUSPECT_CRASHES).collect();
             let Some((apart, _, cause)) = counts.iter().max() else { return };
             if *apart < QUARANTINE_CRASHES {
-                self.suspects.extend(counts.iter().map(|it| it.2));
+                let (answered, others): (Vec<CrashCause>, Vec<CrashCause>) =
+                    counts.iter().map(|it| it.2).partition(|it| self.is_answered_request(it));
+                let all_at_another = |it: &CrashCause| {
+                    let processes = processes(&self.blamed[it]);
+                    let is_at_all =
+                        |it: &CrashCause| self::processes(&self.blamed[it]).is_superset(&processes);
+                    others.iter().any(is_at_all)
+                };
+                let answered = answered.into_iter().filter(|it| !all_at_another(it));
+                self.suspects.extend(answered.collect::<Vec<_>>());
+                self.suspects.extend(others);
                 return;
             }
             let processes = processes(&self.blamed[cause]);
             let mut alike: BTreeSet<CrashCause> =
                 left.extract_if(.., |it| self::processes(&self.blamed[it]) == processes).collect();
-            // Of several requests one is the cause; more likely one that was not answered lately.
-            let is_doubtful = |it: &CrashCause| it.is_request() && !self.sound.contains(it);
-            if alike.iter().any(is_doubtful) {
-                alike.retain(|it| !it.is_request() || is_doubtful(it));
+            if !alike.iter().all(|it| self.is_answered_request(it)) {
+                alike.retain(|it| !self.is_answered_request(it));
             }
             self.quarantined.push(alike);
             explained.extend(processes);
--- a/crates/mangocross-serving/tests/request_crashes.rs
+++ b/crates/mangocross-serving/tests/request_crashes.rs
@@ -118,6 +118,20 @@
     assert_eq!(blame.verdict(&[request(2)]), CrashVerdict::Sound);
 }
 
+/// Streams of one caller may all be the same request, told apart by the parts of their prompts alone. One
+/// part crashes engines between two answers; streams without it are sent, and repeated if they break.
+#[test]
+fn answered_request_is_not_blamed_beside_a_part() {
+    let mut blame = CrashBlame::default();
+    blame.record_sound(&[part(1), request(1)], &own(), at(0));
+    crash_in_turn(&mut blame, &[part(1), part(9), request(1)], 1..3);
+    assert_eq!(blame.verdict(&[part(9), request(1)]), CrashVerdict::Suspect(part(9)));
+    assert_eq!(blame.verdict(&[part(1), request(1)]), CrashVerdict::Sound);
+    crash_in_turn(&mut blame, &[part(1), part(9), request(1)], 3..4);
+    assert!(is_quarantined(&blame, part(9)));
+    assert_eq!(blame.verdict(&[part(1), request(1)]), CrashVerdict::Sound);
+}
+
 /// Two requests that were never answered were at the same crashes; the next crash tells them apart.
 #[test]
 fn equally_suspect_requests_are_told_apart_by_a_further_crash() {
