test(serving): answers of a group with a slow member are cut

Cause: the planner re-formed both groups 15 ms before ("a member is slow") while they answered.

The test fails on the current code for that reason.

--- a/crates/mangocross-serving/tests/leaving_members.rs
+++ b/crates/mangocross-serving/tests/leaving_members.rs
@@ -95,3 +95,13 @@
     assert!(simulation.cut_heads.is_empty(), "answers of {:?} were cut", simulation.cut_heads);
     assert_eq!(simulation.serving("large").len(), 2, "the group was completed");
 }
+
+/// Guards against answers that are cut because a spare can replace a slow member of their group.
+#[test]
+fn group_with_a_slow_member_finishes_its_answers() {
+    let (mut simulation, head) = answering_for(6_000);
+    let slow = simulation.engines[&head].members[3].clone();
+    simulation.engines.get_mut(&slow).expect("an engine").slowdown = 5.0;
+    simulation.run(ms(12_000));
+    assert_replaced_without_a_cut(&simulation, &slow);
+}
