fix(serving): let a group finish its answers before a slow member is replaced

What callers saw: answers of a slow group broke off as its slow member was replaced by a spare, those without an attempt left for good.

Cause: the planner re-formed the group at once, though all its members work. A slow group is late, not over.

Ruled out: a wait for as long as for a leaving member, since no member goes and new requests need the group.

--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -147,6 +147,8 @@
     first_suspected_at: Option<Moment>,
     /// When the streams were last reported as stalled.
     last_suspected_at: Option<Moment>,
+    /// When a spare could first replace a slow member.
+    slow_since: Option<Moment>,
     /// When the group was first found to be dissolving.
     dissolving_at: Option<Moment>,
     /// Whether the head has accepted an order to leave.
--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -309,21 +309,14 @@
             if let Some(leaving_at) = leaving_at {
                 let is_overdue = now.since(leaving_at) > LEAVE_TIMEOUT;
                 self.probe_unlisted_head(group);
-                break 'evaluation match head_phase {
-                    Some(MemberPhase::Open) if !is_overdue => {
-                        let order = EngineOrder::Close {
-                            group: group.group.clone(),
-                            incarnation: group.incarnation,
-                        };
-                        let head = group.head().map(|it| it.vm.clone());
-                        GroupAction::Order(head.map(|it| (it, order)).into_iter().collect())
-                    }
-                    Some(MemberPhase::Closing) if !is_overdue => GroupAction::Keep,
-                    _ => GroupAction::Reform(leaving_reason.into_owned()),
-                };
+                let reason = leaving_reason.into_owned();
+                break 'evaluation finish_and_reform(group, head_phase, is_overdue, reason);
             }
             if has_slow_member && prepared > 0 {
-                break 'evaluation GroupAction::Reform("a member is slow".to_owned());
+                let slow_since = *state.slow_since.get_or_insert(now);
+                let is_overdue = now.since(slow_since) > CLOSE_TIMEOUT;
+                let reason = "a member is slow".to_owned();
+                break 'evaluation finish_and_reform(group, head_phase, is_overdue, reason);
             }
             if head_phase != Some(MemberPhase::Open) {
                 // Only streams of this incarnation are evidence against it.
@@ -370,3 +363,23 @@
         }
     }
 }
+
+/// Closes a group that is to be re-formed, and re-forms it when its head has finished or the time
+/// for that is over.
+fn finish_and_reform(
+    group: &PlannedGroup,
+    head_phase: Option<MemberPhase>,
+    is_overdue: bool,
+    reason: String,
+) -> GroupAction {
+    match head_phase {
+        Some(MemberPhase::Open) if !is_overdue => {
+            let order =
+                EngineOrder::Close { group: group.group.clone(), incarnation: group.incarnation };
+            let head = group.head().map(|it| it.vm.clone());
+            GroupAction::Order(head.map(|it| (it, order)).into_iter().collect())
+        }
+        Some(MemberPhase::Closing) if !is_overdue => GroupAction::Keep,
+        _ => GroupAction::Reform(reason),
+    }
+}
