fix(front): starts and continuations of streams share one search

What callers saw: 200 without an event and the end of the connection, since a silent server was given up for the head of another one's answer; 504 at the deadline with an attempt left, since no third server was asked while two hung; 502 with seconds and an attempt left, since a server that was full once, or a retry budget that was empty once, counted for ever; 502 for lack of budget, since a start paid for a retry before there was a connection.

Cause: the search at the start of a stream was another one than that for a continuation, and had none of its mendings. `stream/search.rs` now carries out `ServerSearch` for both; `start.rs` and `successor.rs` hold what differs: the choice of a server, the window, what counts as silence, the answer if there is none.

A start waits for its first new event before its caller gets the head, unless no other attempt can come any more; the event is passed on in the same moment as before. A server that sends its head and then nothing counts as silent after the same times as in the forwarder. A stream that broke before its first event waits for room or a retry up to its deadline, where it got 502 at once. The hooks of the quarantine are asked where they were; a break between head and first event is logged as `attempt failed`, no longer as `stream broke`, and ends in 502 in place of 200 without an event where the request may not move.

Ruled out: that continuations count refusals with the runs before them.

--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -29,8 +29,9 @@
 
 /// Maximum size of an answer, which is buffered until it is complete.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
-/// Maximum number of servers that a request is sent to, including those that refuse it.
-pub(crate) const SENDS_MAX: u32 = 4;
+/// Number of refusals of a stream after which it is refused, or held back for a moment; maximum number
+/// of servers that a plain request is sent to.
+pub(crate) const REFUSALS_MAX: u32 = 4;
 /// Maximum number of failed connection attempts before a request is refused.
 const CONNECT_FAILURES_MAX: u32 = 3;
 /// Multiple of the target latency after which a repeatable request is sent to another server.
@@ -214,7 +215,7 @@
                     call.record.log_step("not run", &vm, reason);
                     if !is_latest {
                         self.runs = self.runs.saturating_sub(1);
-                    } else if self.sent >= SENDS_MAX {
+                    } else if self.sent >= REFUSALS_MAX {
                         return Some(self.end_not_sent(reason).await);
                     } else {
                         return None;
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -2,7 +2,9 @@
 
 mod attempt;
 mod forwarder;
+mod goal;
 mod heads;
+mod search;
 mod source;
 mod start;
 mod successor;
@@ -16,8 +18,9 @@
 
 /// Serves an event stream.
 pub(crate) async fn serve(call: Call) -> (Response<AnswerBody>, Option<RequestRecord>) {
-    match StreamStart::new(&call).run().await {
-        Ok((started, runs)) => (forwarder::spawn(call, started, runs), None),
+    let started = StreamStart::new(&call).run().await;
+    match started {
+        Ok((answer, runs)) => (forwarder::spawn(call, answer, runs), None),
         Err(response) => (response, Some(call.record)),
     }
 }
--- a/bins/mangocross-front/src/stream/attempt.rs
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -1,8 +1,5 @@
 //! One attempt of a stream at one server.
 
-use std::future::Future;
-use std::pin::Pin;
-
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -55,13 +52,6 @@
     }
 }
 
-/// Server and result of an attempt.
-pub(super) type AttemptResult = (VmId, Result<StartedStream, StartError>);
-
-/// An attempt whose server has not sent the head of its answer yet; dropping it closes its
-/// connection.
-pub(super) type PendingAttempt<'a> = Pin<Box<dyn Future<Output = AttemptResult> + 'a>>;
-
 /// Sends the request and waits for the head of its answer.
 pub(super) async fn start_attempt(
     call: &Call,
--- a/bins/mangocross-front/src/stream/forwarder.rs
+++ b/bins/mangocross-front/src/stream/forwarder.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::Response;
-use mangocross_platform::AnswerHead;
+use http::StatusCode;
 use mangocross_serving::CompleteEvents;
 use mangocross_serving::Moment;
 use mangocross_types::ResultCode;
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
 
-use super::attempt::StartedStream;
+use super::search::Answer;
 use super::source::Received;
 use super::source::Source;
 use crate::answer_body::AnswerBody;
@@ -26,18 +26,18 @@
 /// Time without an event after which another server is asked to continue a stream, as a share of
 /// the time after which its caller abandons it; a stall of its whole group is usually detected
 /// earlier.
-const SILENCE_SHARE: f64 = 0.75;
+pub(super) const SILENCE_SHARE: f64 = 0.75;
 /// Minimum silence of a stream before a stall of its group concerns it.
-const STALL_SILENCE_MIN: Duration = Duration::from_millis(350);
+pub(super) const STALL_SILENCE_MIN: Duration = Duration::from_millis(350);
 
 /// Time after a failed search before another server is asked again to continue a silent stream.
 const SEARCH_PAUSE: Duration = Duration::from_millis(400);
 
 /// Starts the task that forwards events, and returns the head of the answer; `runs` is the number
 /// of attempts that may have run.
-pub(super) fn spawn(call: Call, started: StartedStream, runs: u32) -> Response<AnswerBody> {
-    let status = started.response.status();
-    let headers = AnswerHead::forwarded_headers(started.response.headers());
+pub(super) fn spawn(call: Call, (mut source, first): Answer, runs: u32) -> Response<AnswerBody> {
+    let status = StatusCode::OK;
+    let headers = std::mem::take(&mut source.headers);
     call.record.answer_started(status);
     let (chunks, received) = mpsc::channel(QUEUED_CHUNKS_MAX);
     let last_id = Cell::new(call.caller_head.last_event_id);
@@ -45,7 +45,7 @@
     let last_event_at = Cell::new(Instant::now());
     let task = tokio::task::spawn_local(async move {
         let forwarder = Forwarder { call, chunks, runs, last_id, last_event_at };
-        forwarder.run(started).await;
+        forwarder.run((source, first)).await;
     });
     let mut response = Response::new(AnswerBody::chunks(received, task.abort_handle()));
     *response.status_mut() = status;
@@ -111,12 +111,20 @@
 }
 
 impl Forwarder {
-    async fn run(&self, started: StartedStream) {
-        let mut source = Source::new(started, self.last_id.get());
+    async fn run(&self, begun: Answer) {
         let mut search_from = Instant::now();
+        let mut next = self.follow(begun).await;
         let end = loop {
+            let mut source = match next {
+                Next::From(it) => it,
+                Next::Silent(it) => {
+                    search_from = Instant::now() + SEARCH_PAUSE;
+                    it
+                }
+                Next::End(end) => break end,
+            };
             let stop = self.forward(&mut source, search_from).await;
-            let next = match stop {
+            next = match stop {
                 Stop::End(End::Complete) => break self.complete(source).await,
                 Stop::End(end) => break end,
                 Stop::Broken(reason) => {
@@ -128,14 +136,6 @@
                     self.move_on(source, None).await
                 }
             };
-            match next {
-                Next::From(it) => source = it,
-                Next::Silent(it) => {
-                    source = it;
-                    search_from = Instant::now() + SEARCH_PAUSE;
-                }
-                Next::End(end) => break end,
-            }
         };
         match end {
             End::Complete => {
@@ -162,9 +162,10 @@
         loop {
             let may_move = self.may_be_continued();
             let silent_until = (silence.since + silence_max).max(search_from);
+            let stalled_from = (silence.since + STALL_SILENCE_MIN).max(search_from);
             let received = tokio::select! {
                 it = source.receive() => it,
-                () = self.wait_until_stalled(&vm, silence, search_from), if may_move => {
+                () = wait_until_stalled(call, &vm, silence.since_boot, stalled_from), if may_move => {
                     return Stop::Silent("group is stalled");
                 }
                 () = wait_for_silence(silent_until), if may_move => {
@@ -199,7 +200,7 @@
         loop {
             let received = tokio::select! {
                 it = &mut successor => match it {
-                    Ok((next, received)) => return self.follow(next, received).await,
+                    Ok(answer) => return self.follow(answer).await,
                     Err(reason) => {
                         self.call.record.log_step("stream not resumed", &failed, reason);
                         return match broken {
@@ -231,15 +232,16 @@
         }
     }
 
-    /// Goes on with another server, which has sent this first.
-    async fn follow(&self, mut source: Source, first: Received) -> Next {
+    /// Goes on with an answer that has begun.
+    async fn follow(&self, (mut source, first): Answer) -> Next {
         match first {
-            Received::Events(it) => match self.deliver(&mut source, it).await {
+            None => Next::From(source),
+            Some(Received::Events(it)) => match self.deliver(&mut source, it).await {
                 Some(end) => Next::End(end),
                 None => Next::From(source),
             },
-            Received::End => Next::End(self.complete(source).await),
-            Received::Broken(reason) => Next::End(End::Broken(reason)),
+            Some(Received::End) => Next::End(self.complete(source).await),
+            Some(Received::Broken(reason)) => Next::End(End::Broken(reason)),
         }
     }
 
@@ -257,18 +259,6 @@
         self.call.record_break(&source.vm, source.start).await;
     }
 
-    /// Waits until the streams of the server's group are stalled, this one among them.
-    async fn wait_until_stalled(&self, head: &VmId, silence: Silence, search_from: Instant) {
-        let earliest = (silence.since + STALL_SILENCE_MIN).max(search_from);
-        loop {
-            self.call.state.wait_until_suspect(head, silence.since_boot).await;
-            if earliest <= Instant::now() {
-                return;
-            }
-            tokio::time::sleep_until(earliest).await;
-        }
-    }
-
     /// Waits until the caller disconnects or its deadline has passed.
     async fn wait_for_end(&self) -> End {
         tokio::select! {
@@ -297,3 +287,15 @@
         }
     }
 }
+
+/// Waits until the streams of a head's group are found stalled after a moment, but not before
+/// `earliest`.
+pub(super) async fn wait_until_stalled(call: &Call, head: &VmId, after: Moment, earliest: Instant) {
+    loop {
+        call.state.wait_until_suspect(head, after).await;
+        if earliest <= Instant::now() {
+            return;
+        }
+        tokio::time::sleep_until(earliest).await;
+    }
+}
--- a/bins/mangocross-front/src/stream/heads.rs
+++ b/bins/mangocross-front/src/stream/heads.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use mangocross_serving::Admission;
+use mangocross_serving::BackendServer;
 use mangocross_serving::Candidates;
 use mangocross_serving::GroupTimes;
 use mangocross_serving::HeadLoad;
+use mangocross_serving::Obstacle;
+use mangocross_serving::ServerSearch;
 use mangocross_serving::StreamDemand;
 use mangocross_serving::admit;
 use mangocross_types::VmId;
@@ -20,6 +23,21 @@
     (!heads.is_empty()).then_some(heads)
 }
 
+/// Returns why no head can be asked: all have been, or those that are left cannot be used now.
+pub(super) fn no_head(call: &Call, search: &ServerSearch) -> Obstacle {
+    let model = call.caller_head.model.as_ref();
+    let is_left = |it: &BackendServer| {
+        it.service == call.service
+            && it.accepts_requests()
+            && model.is_none_or(|model| it.serves(model))
+            && !search.has_tried(&it.vm)
+    };
+    match call.state.view.borrow().servers.values().any(is_left) {
+        true => Obstacle::NoUsableServer,
+        false => Obstacle::NoServer,
+    }
+}
+
 /// Chooses among the heads; `queue_slots` is the number of queue places that may be used.
 pub(super) fn choose_head(call: &Call, heads: &[HeadLoad], queue_slots: u32) -> Admission {
     let engine = call.configuration.services.get(&call.service).and_then(|it| it.engine.as_ref());
--- a/bins/mangocross-front/src/stream/source.rs
+++ b/bins/mangocross-front/src/stream/source.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use mangocross_platform::AnswerHead;
@@ -30,6 +31,8 @@
     pub(super) vm: VmId,
     /// How far the answer has come.
     pub(super) start: AnswerStart,
+    /// Headers of the answer that are passed on to the caller.
+    pub(super) headers: HeaderMap,
     connection: Connection,
     in_flight: InFlightGuard,
     body: Incoming,
@@ -43,7 +46,9 @@
         let StartedStream { vm, connection, in_flight, response, answer_head } = started;
         let splitter = EventSplitter::resuming_after(last_id);
         let start = AnswerStart::new(response.headers());
-        Self { vm, start, connection, in_flight, body: response.into_body(), answer_head, splitter }
+        let headers = AnswerHead::forwarded_headers(response.headers());
+        let body = response.into_body();
+        Self { vm, start, headers, connection, in_flight, body, answer_head, splitter }
     }
 
     /// Returns the id of the last complete event.
