fix(front): plain requests use the same search for a server

What callers of repeatable requests saw: 504 at the deadline with an attempt left, since one server only was asked beside a silent one; 502 with seconds and an attempt left, since a server that was full once, or a retry budget that was empty once, counted for ever.

Cause: the third copy of the search. `plain.rs` now carries out `ServerSearch`; the choice of a server, the exchange and the answers are as they were.

A request whose server broke waits for a server or a retry up to its deadline. A server's error is passed on at once if no retry is left, also where other servers refused the request afterwards: it is an answer, and waiting for a budget that is used up would hold all callers of a failing service. The outcome of a silent attempt that fails later is recorded for its server, too.

`window` is where a reason not to send the request to another server belongs (`may_move`).

--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -10,8 +10,18 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use mangocross_platform::AnswerHead;
+use mangocross_serving::AttemptFailure;
+use mangocross_serving::AttemptId;
 use mangocross_serving::BackendServer;
+use mangocross_serving::Moment;
+use mangocross_serving::Obstacle;
+use mangocross_serving::SearchEnd;
+use mangocross_serving::SearchLimits;
+use mangocross_serving::SearchPolicy;
+use mangocross_serving::SearchStep;
+use mangocross_serving::SearchWindow;
 use mangocross_serving::ServerLoad;
+use mangocross_serving::ServerSearch;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use mangocross_types::VmId;
@@ -19,21 +29,22 @@
 
 use crate::answer_body::AnswerBody;
 use crate::dispatch::Call;
-use crate::first_answer::FirstAnswer;
-use crate::first_answer::first_answer;
+use crate::first_answer::first_of;
 use crate::outcome::RequestRecord;
-use crate::pool;
 use crate::pool::ConnectError;
+use crate::pool::Connection;
 use crate::silence::wait_for_silence;
+use crate::state::NOT_RUN_PAUSE;
 use crate::state::UNREACHABLE_PAUSE;
 
 /// Maximum size of an answer, which is buffered until it is complete.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
-/// Number of refusals of a stream after which it is refused, or held back for a moment; maximum number
-/// of servers that a plain request is sent to.
+/// Number of refusals of a request after which it is refused, or held back for a moment.
 pub(crate) const REFUSALS_MAX: u32 = 4;
 /// Maximum number of failed connection attempts before a request is refused.
 const CONNECT_FAILURES_MAX: u32 = 3;
+/// Delay between the attempts to send a request again.
+const ASK_AGAIN_DELAY: Duration = Duration::from_millis(50);
 /// Multiple of the target latency after which a repeatable request is sent to another server.
 const REPEAT_TARGET_RATIO: f64 = 1.2;
 /// Reason of a refusal while all servers want no requests.
@@ -53,11 +64,28 @@
     Failed(&'static str, ResultCode, Option<Response<AnswerBody>>),
 }
 
-/// A server and the result of an attempt at it.
-type ServerResult = (VmId, AttemptResult);
-
 /// An attempt that has no result yet; dropping it closes its connection.
-type PendingAttempt<'a> = Pin<Box<dyn Future<Output = ServerResult> + 'a>>;
+type PendingAttempt<'a> = Pin<Box<dyn Future<Output = (AttemptId, VmId, AttemptResult)> + 'a>>;
+
+/// Why the last attempt failed.
+struct LastFailure {
+    reason: &'static str,
+    code: ResultCode,
+    /// The server's error, if it sent one.
+    response: Option<Response<AnswerBody>>,
+}
+
+/// What came first while a connection was opened.
+enum Connected {
+    /// The connection.
+    To(Connection),
+    /// The answer of an earlier attempt.
+    Answered(Box<Response<AnswerBody>>),
+    /// The connection failed.
+    Failed(ConnectError),
+    /// The deadline has passed.
+    TimeOver,
+}
 
 /// Serves a request from a plain service.
 pub(crate) async fn serve(call: Call) -> (Response<AnswerBody>, Option<RequestRecord>) {
@@ -65,262 +93,256 @@
     (response, Some(call.record))
 }
 
-/// The attempts of one request.
+/// Carries out the search for a server that answers one request.
 struct PlainExchange<'a> {
     call: &'a Call,
-    tried: Vec<VmId>,
-    sent: u32,
-    /// Attempts that may have run; refused ones don't count.
-    runs: u32,
-    connect_failures: u32,
-    /// An attempt whose server is silent.
-    silent: Option<PendingAttempt<'a>>,
+    search: ServerSearch,
+    attempts: Vec<PendingAttempt<'a>>,
+    /// The attempt that is not silent, and when it counts as silent.
+    latest: Option<(AttemptId, VmId, Instant)>,
+    last_failure: Option<LastFailure>,
 }
 
 impl<'a> PlainExchange<'a> {
     fn new(call: &'a Call) -> Self {
-        Self { call, tried: Vec::new(), sent: 0, runs: 0, connect_failures: 0, silent: None }
+        let (policy, attempts_max) = match call.route.retry_policy.is_retryable() {
+            true => (SearchPolicy::Repeatable, call.route.attempts_max.max(1)),
+            false => (SearchPolicy::Once, 1),
+        };
+        let search = ServerSearch::new(SearchLimits {
+            policy,
+            attempts_max,
+            refusals_max: REFUSALS_MAX,
+            connect_failures_max: CONNECT_FAILURES_MAX,
+            refusal_pause: NOT_RUN_PAUSE,
+            admission_until: Moment::default(),
+            admission_delay: ASK_AGAIN_DELAY,
+            ask_again_delay: ASK_AGAIN_DELAY,
+        });
+        Self { call, search, attempts: Vec::new(), latest: None, last_failure: None }
     }
 
     async fn run(mut self) -> Response<AnswerBody> {
         loop {
-            match self.send_beside_silent().await {
-                FirstAnswer::Latest(Ok(attempt)) => {
-                    if let Some(response) = self.wait(attempt).await {
-                        return response;
-                    }
-                }
-                FirstAnswer::Latest(Err(reason)) => return self.end_not_sent(reason).await,
-                FirstAnswer::Earlier(response) => return response,
+            // The time now is read after the window, so that a deadline that has passed is not later.
+            let window = self.window();
+            let answer = match self.search.next(self.call.state.now(), &window) {
+                SearchStep::Send => self.send().await,
+                SearchStep::Wait(until) => self.wait(until.since(self.call.state.now())).await,
+                SearchStep::End(end) => return self.end(end),
+            };
+            if let Some(it) = answer {
+                return it;
             }
         }
     }
 
-    /// Sends the request to the next server; returns the silent attempt's answer if it comes before.
-    async fn send_beside_silent(
-        &mut self,
-    ) -> FirstAnswer<Result<PendingAttempt<'a>, &'static str>, Response<AnswerBody>> {
-        let call = self.call;
-        let mut silent = self.silent.take();
-        let mut failed = None;
-        let sent = {
-            let sending = self.send_next();
-            tokio::pin!(sending);
-            loop {
-                match first_answer(&mut sending, &mut silent).await {
-                    FirstAnswer::Latest(it) => break it,
-                    FirstAnswer::Earlier((vm, AttemptResult::Answered(response))) => {
-                        call.state.record_outcome(&vm, false);
-                        call.record.answer_completed();
-                        return FirstAnswer::Earlier(response);
-                    }
-                    FirstAnswer::Earlier(it) => failed = Some(it),
+    /// Returns the time that the search has.
+    fn window(&self) -> SearchWindow {
+        let deadline = self.call.state.now() + self.call.time_left();
+        SearchWindow { deadline, send_until: deadline, may_move: true }
+    }
+
+    /// Waits for the attempts in progress, and for the silence of the latest one.
+    async fn wait(&mut self, time: Duration) -> Option<Response<AnswerBody>> {
+        let asks_beside = self.search.may_ask_beside(&self.window()) && self.latest.is_some();
+        let silent_at = self.latest.as_ref().map_or_else(Instant::now, |it| it.2);
+        tokio::select! {
+            biased;
+            (id, vm, result) = first_of(&mut self.attempts) => self.apply(id, &vm, result),
+            () = wait_for_silence(silent_at), if asks_beside => {
+                if let Some((id, vm, _)) = self.latest.take() {
+                    self.call.record.log_step("server silent", &vm, "another server is asked");
+                    self.call.state.record_outcome(&vm, true);
+                    self.search.silent(id);
                 }
+                None
             }
-        };
-        self.silent = silent;
-        if let Some((vm, result)) = failed {
-            self.end_silent(&vm, result);
+            () = tokio::time::sleep(time) => None,
         }
-        FirstAnswer::Latest(sent)
     }
 
-    /// Sends the request to the best server that has not been tried.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason if there is none.
-    async fn send_next(&mut self) -> Result<PendingAttempt<'a>, &'static str> {
+    /// Sends the request to the next server; returns the answer of an earlier attempt if it comes
+    /// before.
+    async fn send(&mut self) -> Option<Response<AnswerBody>> {
         let call = self.call;
-        loop {
-            let server =
-                choose_server(call, &self.tried).ok_or("no server of the service answers")?;
-            if call.time_left().is_zero() {
-                return Err(TIME_OVER);
-            }
-            if self.sent > 0 && !call.state.try_spend_retry(&call.service) {
-                return Err("retry budget used up");
+        let now = call.state.now();
+        let is_paid = self.search.needs_retry();
+        let chosen = match is_paid && !call.state.may_retry(&call.service) {
+            true => Err(Obstacle::NoRetryLeft),
+            false => choose_server(call, &self.search),
+        };
+        let server = match chosen {
+            Ok(it) => it,
+            Err(obstacle) => {
+                self.search.cannot_send(obstacle, now);
+                return None;
             }
-            self.tried.push(server.vm.clone());
-            let connecting = async {
-                match call.route.retry_policy.is_retryable() {
-                    true => call.state.pool.get(server.address, self.connect_failures).await,
-                    false => call.state.pool.open(server.address, self.connect_failures).await,
-                }
-            };
-            let connected = tokio::time::timeout_at(call.ends_at, connecting).await;
-            if call.time_left().is_zero() {
-                return Err(TIME_OVER);
+        };
+        let connection = match self.connect(&server).await {
+            Connected::To(it) => it,
+            Connected::Answered(it) => return Some(*it),
+            Connected::Failed(error) => {
+                record_connect_failure(call, &server.vm, error);
+                self.search.connect_failed(server.vm);
+                return None;
             }
-            let connection = connected.map_err(|_| TIME_OVER)?;
-            let connection = match connection {
-                Ok(it) => it,
-                Err(error) => {
-                    record_connect_failure(call, &server.vm, error);
-                    self.connect_failures += 1;
-                    if self.connect_failures > CONNECT_FAILURES_MAX {
-                        return Err("servers cannot be reached");
-                    }
-                    continue;
-                }
-            };
-            self.sent += 1;
-            call.record.add_sent_to(&server.vm);
-            call.record.log_step("request sent", &server.vm, "plain service");
-            return Ok(Box::pin(async move {
-                let result = exchange(call, &server, connection).await;
-                (server.vm, result)
-            }));
+            Connected::TimeOver => return None,
+        };
+        let now = call.state.now();
+        if !self.search.may_send(now, &self.window()) {
+            return None;
         }
+        // Another request may have spent the last retry while this one connected.
+        if is_paid && !call.state.try_spend_retry(&call.service) {
+            self.search.cannot_send(Obstacle::NoRetryLeft, now);
+            return None;
+        }
+        let id = self.search.sent(server.vm.clone(), now);
+        call.record.add_sent_to(&server.vm);
+        call.record.log_step("request sent", &server.vm, "plain service");
+        let silent_at = Instant::now() + call.route.target_latency.mul_f64(REPEAT_TARGET_RATIO);
+        self.latest = Some((id, server.vm.clone(), silent_at));
+        self.attempts.push(Box::pin(async move {
+            let result = exchange(call, &server, connection).await;
+            (id, server.vm, result)
+        }));
+        None
     }
 
-    /// Waits for the latest attempt and a silent one; returns `None` if another is to be sent.
-    async fn wait(&mut self, mut latest: PendingAttempt<'a>) -> Option<Response<AnswerBody>> {
+    /// Connects to a server, beside the attempts in progress.
+    async fn connect(&mut self, server: &BackendServer) -> Connected {
         let call = self.call;
-        let is_retryable = call.route.retry_policy.is_retryable();
-        let may_run_after = |runs: u32| is_retryable && runs < call.route.attempts_max;
-        let repeat_at = Instant::now() + call.route.target_latency.mul_f64(REPEAT_TARGET_RATIO);
+        let failures = self.search.connect_failures();
+        let connecting = async {
+            match call.route.retry_policy.is_retryable() {
+                true => call.state.pool.get(server.address, failures).await,
+                false => call.state.pool.open(server.address, failures).await,
+            }
+        };
+        let connecting = tokio::time::timeout_at(call.ends_at, connecting);
+        tokio::pin!(connecting);
         loop {
-            let may_send_beside = may_run_after(self.runs + 1) && self.silent.is_none();
-            let first = tokio::select! {
+            tokio::select! {
                 biased;
-                it = first_answer(&mut latest, &mut self.silent) => Some(it),
-                () = wait_for_silence(repeat_at), if may_send_beside => None,
-                () = tokio::time::sleep_until(call.ends_at) => None,
-            };
-            let Some(first) = first else {
-                if call.time_left().is_zero() {
-                    return Some(timeout_response(call, true));
-                }
-                if let Some(vm) = self.tried.last() {
-                    call.record.log_step("server silent", vm, "another server is asked");
-                    call.state.record_outcome(vm, true);
-                }
-                self.runs += 1;
-                self.silent = Some(latest);
-                return None;
-            };
-            let (vm, result, is_latest) = match first {
-                FirstAnswer::Latest((vm, result)) => (vm, result, true),
-                FirstAnswer::Earlier((vm, result)) => (vm, result, false),
-            };
-            let has_failed = matches!(result, AttemptResult::Failed(..));
-            call.state.record_outcome(&vm, has_failed);
-            match result {
-                AttemptResult::Answered(response) => {
-                    call.record.answer_completed();
-                    return Some(response);
-                }
-                AttemptResult::NotRun(reason) => {
-                    call.record.log_step("not run", &vm, reason);
-                    if !is_latest {
-                        self.runs = self.runs.saturating_sub(1);
-                    } else if self.sent >= REFUSALS_MAX {
-                        return Some(self.end_not_sent(reason).await);
-                    } else {
-                        return None;
-                    }
-                }
-                AttemptResult::Failed(reason, code, response) => {
-                    call.record.log_step("attempt failed", &vm, reason);
-                    if is_latest {
-                        self.runs += 1;
-                        if may_run_after(self.runs) {
-                            return None;
-                        }
-                        return Some(self.end_failed(reason, code, response).await);
+                (id, vm, result) = first_of(&mut self.attempts) => {
+                    if let Some(it) = self.apply(id, &vm, result) {
+                        return Connected::Answered(Box::new(it));
                     }
                 }
+                it = &mut connecting => return match it {
+                    // A connection that fails after the deadline says nothing of the server.
+                    _ if call.time_left().is_zero() => Connected::TimeOver,
+                    Ok(Ok(it)) => Connected::To(it),
+                    Ok(Err(error)) => Connected::Failed(error),
+                    Err(_) => Connected::TimeOver,
+                },
             }
         }
     }
 
-    /// Waits for the silent attempt; returns its answer, or `None` if there is none.
-    async fn wait_for_silent(&mut self) -> Option<Response<AnswerBody>> {
-        let call = self.call;
-        let silent = self.silent.take()?;
-        let Ok((vm, result)) = tokio::time::timeout_at(call.ends_at, silent).await else {
-            return Some(timeout_response(call, true));
-        };
-        self.end_silent(&vm, result)
-    }
-
-    /// Records the end of the silent attempt, which has been counted as one that may have run;
-    /// returns its answer, if it has one.
-    fn end_silent(&mut self, vm: &VmId, result: AttemptResult) -> Option<Response<AnswerBody>> {
+    /// Applies the result of an attempt; returns its answer if it has one.
+    fn apply(
+        &mut self,
+        id: AttemptId,
+        vm: &VmId,
+        result: AttemptResult,
+    ) -> Option<Response<AnswerBody>> {
         let call = self.call;
+        if self.latest.as_ref().is_some_and(|it| it.0 == id) {
+            self.latest = None;
+        }
+        call.state.record_outcome(vm, matches!(result, AttemptResult::Failed(..)));
         match result {
             AttemptResult::Answered(response) => {
-                call.state.record_outcome(vm, false);
                 call.record.answer_completed();
-                Some(response)
+                return Some(response);
             }
             AttemptResult::NotRun(reason) => {
-                self.runs = self.runs.saturating_sub(1);
                 call.record.log_step("not run", vm, reason);
-                None
+                self.search.refused(id, call.state.now());
             }
-            AttemptResult::Failed(reason, ..) => {
+            AttemptResult::Failed(reason, code, response) => {
                 call.record.log_step("attempt failed", vm, reason);
-                None
+                let failure = match response {
+                    Some(_) => AttemptFailure::Answered,
+                    None => AttemptFailure::Broke,
+                };
+                self.search.failed(id, failure);
+                self.last_failure = Some(LastFailure { reason, code, response });
             }
         }
+        None
     }
 
-    /// Ends the exchange if no other attempt can be sent.
-    async fn end_not_sent(&mut self, reason: &'static str) -> Response<AnswerBody> {
-        if let Some(response) = self.wait_for_silent().await {
-            return response;
-        }
-        if self.call.time_left().is_zero() {
-            return timeout_response(self.call, self.runs > 0);
-        }
-        if self.runs == 0 {
-            refuse(self.call, reason)
-        } else {
-            unknown_outcome_response(self.call, ResultCode::BackendBroken, reason)
+    /// Ends the exchange without an answer, with a server's error if the last attempt sent one.
+    fn end(self, end: SearchEnd) -> Response<AnswerBody> {
+        let call = self.call;
+        let obstacle = match end {
+            SearchEnd::TimeOver { may_have_run } => return timeout_response(call, may_have_run),
+            SearchEnd::NotRun(obstacle) => return refuse(call, explain(obstacle)),
+            SearchEnd::Failed(obstacle) => obstacle,
+        };
+        match self.last_failure {
+            Some(LastFailure { reason, code, response: Some(response) }) => {
+                call.record.answer_failed(code, reason);
+                response
+            }
+            Some(LastFailure { reason, code, .. }) if obstacle == Obstacle::AttemptsUsed => {
+                unknown_outcome_response(call, code, reason)
+            }
+            Some(_) | None => {
+                unknown_outcome_response(call, ResultCode::BackendBroken, explain(obstacle))
+            }
         }
     }
+}
 
-    /// Ends the exchange after the last attempt failed, with the server's error if it sent one.
-    async fn end_failed(
-        &mut self,
-        reason: &'static str,
-        code: ResultCode,
-        response: Option<Response<AnswerBody>>,
-    ) -> Response<AnswerBody> {
-        if let Some(response) = self.wait_for_silent().await {
-            return response;
+/// Returns the reason of a request that is not sent.
+fn explain(obstacle: Obstacle) -> &'static str {
+    match obstacle {
+        Obstacle::NoServer | Obstacle::NoUsableServer | Obstacle::NoRoom => {
+            "no server of the service answers"
+        }
+        Obstacle::NoRetryLeft => "retry budget used up",
+        Obstacle::Refused => "server is full or has gone",
+        Obstacle::Unreachable => "servers cannot be reached",
+        Obstacle::AttemptsUsed | Obstacle::MayNotMove | Obstacle::Quarantined => {
+            "the request is sent to no other server"
         }
-        self.call.record.answer_failed(code, reason);
-        response.unwrap_or_else(|| unknown_outcome_response(self.call, code, reason))
     }
 }
 
-/// Chooses among the servers that have not been tried yet.
-fn choose_server(call: &Call, tried: &[VmId]) -> Option<BackendServer> {
+/// Chooses among the servers that may be asked now.
+///
+/// # Errors
+///
+/// Returns why there is none.
+fn choose_server(call: &Call, search: &ServerSearch) -> Result<BackendServer, Obstacle> {
     let now = call.state.now();
+    let excluded = search.excluded(now);
     let view = call.state.view.borrow();
-    let servers = view
-        .servers
-        .values()
-        .filter(|it| it.service == call.service && !it.is_leaving && !tried.contains(&it.vm));
-    let loads: Vec<ServerLoad> = servers
-        .filter(|it| view.is_usable(it, now))
+    let servers =
+        || view.servers.values().filter(|it| it.service == call.service && !it.is_leaving);
+    let loads: Vec<ServerLoad> = servers()
+        .filter(|it| !excluded.contains(&it.vm) && view.is_usable(it, now))
         .map(|it| ServerLoad {
             vm: it.vm.clone(),
             in_flight: view.loads.load(&it.vm, now).in_flight,
             is_same_zone: it.zone == call.state.vm.zone,
         })
         .collect();
-    let chosen = view.failures.choose(&loads, now)?;
-    view.servers.get(&chosen.vm).cloned()
+    let chosen = view.failures.choose(&loads, now).and_then(|it| view.servers.get(&it.vm).cloned());
+    chosen.ok_or_else(|| match servers().any(|it| !search.has_tried(&it.vm)) {
+        true => Obstacle::NoUsableServer,
+        false => Obstacle::NoServer,
+    })
 }
 
 async fn exchange(
     call: &Call,
     server: &BackendServer,
-    mut connection: pool::Connection,
+    mut connection: Connection,
 ) -> AttemptResult {
     call.state.metrics.count_attempt();
     let _in_flight = call.state.track_in_flight(&server.vm, false);
