fix(front): a plain success without the server's signature is not passed on

What callers saw: 200 with a body that no server had signed. A success counts only with the signature; the rule MIXED forbids one without. Streams were checked, plain answers were not.

Cause: `exchange` read the signature and did not use it. Such an answer is now a failed attempt (`BackendMismatch`): a repeatable request goes on to another server, others end in 502, since they may have run.

Ruled out: refusals and failures without a signature are passed on as before; the rule speaks of successes.

--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -369,6 +369,10 @@
     if answer_head.is_not_run {
         return AttemptResult::NotRun("server is full or has gone");
     }
+    if status.is_success() && !answer_head.is_signed {
+        let reason = "success without the server's signature";
+        return AttemptResult::Failed(reason, ResultCode::BackendMismatch, None);
+    }
     let headers = AnswerHead::forwarded_headers(response.headers());
     let body = match Limited::new(response.into_body(), ANSWER_BYTES_MAX).collect().await {
         Ok(it) => it.to_bytes(),
