fix(front): a stream whose server broke after its head may wait in another group's queue

Cause: a start now waits for the first event, so that such a stream is no longer a continuation; it lost the continuation's queue places and priority. It has them again from the first head on.

Ruled out: the same for streams whose server broke before the head: they had neither before.

--- a/bins/mangocross-front/src/stream/goal.rs
+++ b/bins/mangocross-front/src/stream/goal.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Records that a server has sent the head of its answer.
+    pub(super) fn record_head(self) {
+        match self {
+            Self::Start(it) => it.record_head(),
+            Self::Continuation(_) => {}
+        }
+    }
+
     /// Records that a server is silent.
     pub(super) fn record_silence(self, vm: &VmId) {
         match self {
--- a/bins/mangocross-front/src/stream/search.rs
+++ b/bins/mangocross-front/src/stream/search.rs
@@ -207,6 +207,7 @@
         let error = match progress {
             Progress::Begun(it) => return Some((it.0, Some(it.1))),
             Progress::Head(started) => {
+                goal.record_head();
                 let last_id = goal.resumption().0;
                 let source = Source::new(*started, last_id);
                 if self.search.takes_head() {
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -1,5 +1,6 @@
 //! Finds a group that starts a stream.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::time::Duration;
 
@@ -27,6 +28,8 @@
 use super::heads;
 use super::search::Answer;
 use super::search::StreamSearch;
+use super::successor::RESUMED_PRIORITY;
+use super::successor::resume_queue_slots;
 use crate::answer_body::AnswerBody;
 use crate::blame::QUARANTINED_REFUSAL;
 use crate::blame::QUARANTINED_RETRY_AFTER;
@@ -65,11 +68,21 @@
     call: &'a Call,
     heads: RefCell<Vec<HeadLoad>>,
     full: RefCell<Option<FullGroups>>,
+    /// Whether a server has sent the head of its answer, so that the stream counts as resumed.
+    has_head: Cell<bool>,
+    /// Since when another server is looked for after that.
+    resumed_since: Cell<Option<Instant>>,
 }
 
 impl<'a> StreamStart<'a> {
     pub(super) fn new(call: &'a Call) -> Self {
-        Self { call, heads: RefCell::default(), full: RefCell::default() }
+        Self {
+            call,
+            heads: RefCell::default(),
+            full: RefCell::default(),
+            has_head: Cell::new(false),
+            resumed_since: Cell::new(None),
+        }
     }
 
     /// Returns the answer that has begun and the number of attempts that may have run, including its
@@ -115,7 +128,7 @@
         let Some(heads) = heads::find_heads(call, &search.excluded(now)) else {
             return Err(heads::no_head(call, search));
         };
-        let chosen = match heads::choose_head(call, &heads, LATE_QUEUE_SLOTS) {
+        let chosen = match heads::choose_head(call, &heads, self.queue_slots()) {
             Admission::Send(vm) => Ok(vm),
             Admission::Refuse { free_slot_in, best, first_event_in } => {
                 *self.full.borrow_mut() = Some(FullGroups { free_slot_in, best, first_event_in });
@@ -127,8 +140,23 @@
         chosen
     }
 
+    /// Returns the number of queue places that the stream may use.
+    fn queue_slots(&self) -> u32 {
+        if !self.has_head.get() {
+            return LATE_QUEUE_SLOTS;
+        }
+        let since = self.resumed_since.get().unwrap_or_else(Instant::now);
+        self.resumed_since.set(Some(since));
+        resume_queue_slots(since)
+    }
+
     pub(super) fn resumption(&self) -> (Option<u64>, u8) {
-        (self.call.caller_head.last_event_id, self.call.priority())
+        let priority = if self.has_head.get() { RESUMED_PRIORITY } else { self.call.priority() };
+        (self.call.caller_head.last_event_id, priority)
+    }
+
+    pub(super) fn record_head(&self) {
+        self.has_head.set(true);
     }
 
     pub(super) fn record_sent(&self, vm: &VmId) {
--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -39,7 +39,7 @@
 /// asked, as a share of the time after which the caller abandons the stream.
 const SUCCESSOR_SILENCE_SHARE: f64 = 0.35;
 /// Priority of resumed streams at engines.
-const RESUMED_PRIORITY: u8 = 0;
+pub(super) const RESUMED_PRIORITY: u8 = 0;
 
 /// The continuation of a stream.
 pub(super) struct Continuation<'a> {
@@ -99,6 +99,15 @@
     }
 }
 
+/// Returns the queue places that a stream may use which has been looking for another server since a
+/// moment.
+pub(super) fn resume_queue_slots(since: Instant) -> u32 {
+    match since.elapsed() < RESUME_QUEUE_TIME {
+        true => RESUME_QUEUE_SLOTS,
+        false => LAST_RESORT_QUEUE_SLOTS,
+    }
+}
+
 impl Continuation<'_> {
     fn limits(&self) -> SearchLimits {
         let route = &self.forwarder.call.route;
@@ -126,10 +135,7 @@
 
     pub(super) fn choose(&self, search: &ServerSearch, now: Moment) -> Result<VmId, Obstacle> {
         let call = &self.forwarder.call;
-        let queue_slots = match self.began_at.elapsed() < RESUME_QUEUE_TIME {
-            true => RESUME_QUEUE_SLOTS,
-            false => LAST_RESORT_QUEUE_SLOTS,
-        };
+        let queue_slots = resume_queue_slots(self.began_at);
         let heads = heads::find_heads(call, &search.excluded(now)).unwrap_or_default();
         match heads::choose_head(call, &heads, queue_slots) {
             Admission::Send(vm) => Ok(vm),
--- a/bins/mangocross-front/tests/front/one_search.rs
+++ b/bins/mangocross-front/tests/front/one_search.rs
@@ -23,6 +23,10 @@
 /// Time for which a server refuses requests or no retry is left.
 const MOMENT: Duration = Duration::from_millis(400);
 
+/// Streams that fill a group beyond its slots, and how many of them it has at least then.
+const FILLING_STREAMS: usize = 16;
+const FULL_STREAMS: usize = 5;
+
 fn call_stream(front: &Front, attempt: &str) -> (u16, String) {
     let headers = CALLER_HEADERS.replace("a1", attempt);
     let (status, _, body) = front.call("POST", "/stream/x", &headers, "{}");
@@ -272,3 +276,32 @@
     });
     assert_whole(&answer);
 }
+
+/// Guards against a stream that is refused by groups that would queue it, although its first server
+/// broke only after the head of its answer.
+#[test]
+fn stream_that_broke_after_its_head_may_wait_in_the_queue_of_another_group() {
+    let (_store, engines, front) = start_groups(2, 2);
+    let heads: Vec<&Server> = engines.iter().filter(|it| it.is_open()).collect();
+    let (broken, full) = (heads[0], heads[1]);
+    broken.set_refusing(true);
+    full.withhold_answers();
+    thread::scope(|scope| {
+        for number in 0..FILLING_STREAMS {
+            let front = &front;
+            scope.spawn(move || call_stream(front, &format!("filling-{number}")));
+        }
+        wait_until("a full group", || full.ran().len() > FULL_STREAMS);
+        // A head that refused a stream gets none for a moment.
+        thread::sleep(MOMENT);
+        broken.set_refusing(false);
+        broken.set_stream_fault(StreamFault::HeadOnly);
+        let queued = scope.spawn(|| call_stream(&front, "queued"));
+        wait_until("the end of the stream, or its run", || {
+            has_run(full, "queued") || queued.is_finished()
+        });
+        full.set_withholding_answers(false);
+    });
+    assert!(has_run(broken, "queued"), "its first server is another one");
+    assert!(has_run(full, "queued"), "the stream was not queued");
+}
