fix(serving): one spare closes one group with a slow member, and each time anew

What callers would see: no group of a model for seconds where several groups have a slow member and one spare is there, and answers that break off when a member is slow for the second time.

Cause, both since answers are finished before a slow member is replaced: the spare was counted for each group, since a group that is only closed takes none yet; and the time at which the wait began was kept when the member was sound again, so the next wait was over at once.

A spare for which a group is closed now closes no other one, and the wait begins anew when a member is slow anew. Groups that have lost a member take the spare first, as before.

--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -85,11 +85,15 @@
             }
         }
         let mut spares = self.free_vms(domain, &remaining);
+        let mut awaited_spares = 0;
         let mut unrepaired = Vec::new();
         for mut group in groups {
             let incarnation = group.incarnation;
             let prepared = spares.iter().filter(|it| self.is_prepared(it, &group.model)).count();
-            match self.evaluate_group(&group, prepared, now) {
+            // A spare for which a group is closed closes no other one.
+            let action = self.evaluate_group(&group, prepared.saturating_sub(awaited_spares), now);
+            awaited_spares += usize::from(self.is_closed_for_slowness(&group));
+            match action {
                 GroupAction::Keep => {}
                 GroupAction::Reform(reason) => {
                     let spare_use = SpareUse::Prepared;
@@ -254,6 +258,7 @@
         let mut leaving_reason = Cow::Borrowed("a member is leaving");
         let mut state = self.group_states.remove(&key).unwrap_or_default();
         let seen_at = *state.seen_at.get_or_insert(now);
+        let slow_since = state.slow_since.take();
         let is_progressing = group.head().is_some_and(|it| self.progressing.contains(&it.vm));
         let action = 'evaluation: {
             for (rank, member) in group.members.iter().enumerate() {
@@ -313,7 +318,7 @@
                 break 'evaluation finish_and_reform(group, head_phase, is_overdue, reason);
             }
             if has_slow_member && prepared > 0 {
-                let slow_since = *state.slow_since.get_or_insert(now);
+                let slow_since = *state.slow_since.insert(slow_since.unwrap_or(now));
                 let is_overdue = now.since(slow_since) > CLOSE_TIMEOUT;
                 let reason = "a member is slow".to_owned();
                 break 'evaluation finish_and_reform(group, head_phase, is_overdue, reason);
@@ -353,6 +358,12 @@
         action
     }
 
+    /// Returns whether a group finishes its requests so that a spare replaces its slow member.
+    fn is_closed_for_slowness(&self, group: &PlannedGroup) -> bool {
+        let state = self.group_states.get(&(group.group.clone(), group.incarnation));
+        state.is_some_and(|it| it.slow_since.is_some())
+    }
+
     /// Makes the next probe of a group's head urgent if nothing else tells its phase.
     fn probe_unlisted_head(&mut self, group: &PlannedGroup) {
         let head = group.head().and_then(|it| self.servers.get_mut(&it.vm));
--- a/crates/mangocross-serving/tests/leaving_members.rs
+++ b/crates/mangocross-serving/tests/leaving_members.rs
@@ -105,3 +105,60 @@
     simulation.run(ms(12_000));
     assert_replaced_without_a_cut(&simulation, &slow);
 }
+
+/// Guards against groups that are closed for a slow member although the only spare is another
+/// group's.
+#[test]
+fn spare_closes_one_group_with_a_slow_member() {
+    let mut simulation = Simulation::new(1, 16);
+    simulation.run(ms(12_000));
+    let heads = simulation.serving("large");
+    assert_eq!(heads.len(), 2);
+    let answers_until = simulation.now + ms(20_000);
+    for head in &heads {
+        let slow = simulation.engines[head].members[3].clone();
+        simulation.engines.get_mut(head).expect("an engine").answers_until = Some(answers_until);
+        simulation.engines.get_mut(&slow).expect("an engine").slowdown = 5.0;
+    }
+    for _ in 0..160 {
+        simulation.run(ms(50));
+        assert!(!simulation.serving("large").is_empty(), "both groups are closed");
+    }
+}
+
+/// Guards against answers that are cut when a member is slow for the second time.
+#[test]
+fn group_whose_member_is_slow_again_finishes_its_answers() {
+    let mut simulation = Simulation::new(1, 11);
+    simulation.run(ms(12_000));
+    let head = simulation.serving("large").first().expect("a group").clone();
+    let slow = simulation.engines[&head].members[3].clone();
+    let set_slowdown = |simulation: &mut Simulation, slowdown| {
+        simulation.engines.get_mut(&slow).expect("an engine").slowdown = slowdown;
+    };
+    let answer_for = |simulation: &mut Simulation, answers_ms| {
+        let until = simulation.now + ms(answers_ms);
+        simulation.engines.get_mut(&head).expect("an engine").answers_until = Some(until);
+    };
+    let is_open = |simulation: &Simulation| simulation.serving("large").contains(&head);
+    let run_until_closed = |simulation: &mut Simulation, answers_ms| {
+        for _ in 0..200 {
+            if !is_open(simulation) {
+                return;
+            }
+            answer_for(simulation, answers_ms);
+            simulation.run(ms(50));
+        }
+        panic!("the group is not closed");
+    };
+
+    set_slowdown(&mut simulation, 5.0);
+    run_until_closed(&mut simulation, 9_000);
+    set_slowdown(&mut simulation, 1.0);
+    simulation.run(ms(12_000));
+    assert!(is_open(&simulation), "the group serves again");
+    set_slowdown(&mut simulation, 5.0);
+    run_until_closed(&mut simulation, 1_000);
+    simulation.run(ms(4_000));
+    assert!(simulation.cut_heads.is_empty(), "answers of {:?} were cut", simulation.cut_heads);
+}
