fix(front): a server that could not be reached is asked again while something depends on it

What callers saw: a request whose server had broken ended with 502 after milliseconds, with an attempt and seconds left, since one connection to the next server was refused; a broken stream never asked that head again.

Cause: the search took a failed connection for final, where a refusal, a full server and an empty retry budget are taken for momentary. The number of failed connections of a request is bounded as before. What no server has run asks no such server again and is refused at once.

--- a/bins/mangocross-front/src/stream/search.rs
+++ b/bins/mangocross-front/src/stream/search.rs
@@ -143,7 +143,7 @@
             Connected::To(it) => it,
             Connected::Answered(it) => return Some(*it),
             Connected::Failed => {
-                self.search.connect_failed(vm);
+                self.search.connect_failed(vm, call.state.now());
                 return None;
             }
             Connected::TimeOver => return None,
