test(groups): the late order is one that loads a group

Traced in the coordinator's log: the first order to the late engine was a preload, 18 ms before the command was answered; the test took it for the load, and the group was stopped before its load was sent, so no order could make the engine join it. The stand-in now counts orders that load a group apart, and the test waits for one of these.

--- a/standins/src/engine/orders.rs
+++ b/standins/src/engine/orders.rs
@@ -28,6 +28,9 @@
 
 pub(super) fn handle_order(state: &Arc<State>, request: ServerRequest, order: Order) {
     state.faults.increment("orders");
+    if matches!(order.kind, OrderKind::Load { .. }) {
+        state.faults.increment("load_orders");
+    }
     let faults = state.faults.get();
     pause(faults.order_delay_ms);
     if unix_ms() > order.deadline_unix_ms && !faults.ignore_deadline {
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -169,7 +169,8 @@
         EngineFaults { order_delay_ms: 4_000, ignore_deadline: true, ..EngineFaults::default() };
     late.faults().set(delayed);
     cluster.operate(0, START).expect("the group is accepted");
-    cluster.wait_until("the order is in flight", || late.faults().count("orders") > 0);
+    // A preload may be sent before, and loads no group.
+    cluster.wait_until("the order is in flight", || late.faults().count("load_orders") > 0);
     cluster.operate(0, "stop group letters-1").expect("the stop is accepted");
     cluster.wait_until("the late order is carried out", || late.report().group.is_some());
     late.faults().set(EngineFaults::default());
