--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -117,7 +117,6 @@
             refusals_max: REFUSALS_MAX,
             connect_failures_max: CONNECT_FAILURES_MAX,
             refusal_pause: NOT_RUN_PAUSE,
-            unreachable_pause: UNREACHABLE_PAUSE,
             admission_until: Moment::default(),
             admission_delay: ASK_AGAIN_DELAY,
             ask_again_delay: ASK_AGAIN_DELAY,
@@ -188,7 +187,7 @@
             Connected::Answered(it) => return Some(*it),
             Connected::Failed(error) => {
                 record_connect_failure(call, &server.vm, error);
-                self.search.connect_failed(server.vm, call.state.now());
+                self.search.connect_failed(server.vm);
                 return None;
             }
             Connected::TimeOver => return None,
--- a/bins/mangocross-front/src/stream/search.rs
+++ b/bins/mangocross-front/src/stream/search.rs
@@ -144,7 +144,7 @@
             Connected::To(it) => it,
             Connected::Answered(it) => return Some(*it),
             Connected::Failed => {
-                self.search.connect_failed(vm, call.state.now());
+                self.search.connect_failed(vm);
                 return None;
             }
             Connected::TimeOver => return None,
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -38,7 +38,6 @@
 use crate::plain::REFUSALS_MAX;
 use crate::silence::wait_for_silence;
 use crate::state::NOT_RUN_PAUSE;
-use crate::state::UNREACHABLE_PAUSE;
 
 /// Maximum number of failed connection attempts before a stream is refused.
 const CONNECT_FAILURES_MAX: u32 = 4;
@@ -109,7 +108,6 @@
             refusals_max: REFUSALS_MAX,
             connect_failures_max: CONNECT_FAILURES_MAX,
             refusal_pause: NOT_RUN_PAUSE,
-            unreachable_pause: UNREACHABLE_PAUSE,
             admission_until: self.call.record.received_at + admission_wait,
             admission_delay: ADMISSION_RETRY_DELAY,
             ask_again_delay: ASK_AGAIN_DELAY,
--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -22,7 +22,6 @@
 use crate::plain::TIME_OVER;
 use crate::silence::wait_for_silence;
 use crate::state::NOT_RUN_PAUSE;
-use crate::state::UNREACHABLE_PAUSE;
 
 /// Time after which a resumed stream may use LAST_RESORT_QUEUE_SLOTS instead of RESUME_QUEUE_SLOTS.
 const RESUME_QUEUE_TIME: Duration = Duration::from_millis(500);
@@ -116,7 +115,6 @@
             refusals_max: REFUSALS_MAX,
             connect_failures_max: u32::MAX,
             refusal_pause: NOT_RUN_PAUSE,
-            unreachable_pause: UNREACHABLE_PAUSE,
             admission_until: Moment::default(),
             admission_delay: RESUME_RETRY_DELAY,
             ask_again_delay: RESUME_RETRY_DELAY,
--- a/crates/mangocross-serving/src/server_search.rs
+++ b/crates/mangocross-serving/src/server_search.rs
@@ -73,10 +73,8 @@
     sends: u32,
     last_sent_at: Moment,
     connect_failures: u32,
-    /// Servers that may have run the request.
+    /// Servers that may have run the request or could not be reached.
     tried: Vec<VmId>,
-    /// Servers to which no connection could be opened, and when that was found.
-    unreachable: Vec<(VmId, Moment)>,
     refusals: Vec<Refusals>,
     /// Why nothing could be sent the last time, and when that was found.
     obstacle: Option<(Obstacle, Moment)>,
@@ -95,7 +93,6 @@
             last_sent_at: Moment::default(),
             connect_failures: 0,
             tried: Vec::new(),
-            unreachable: Vec::new(),
             refusals: Vec::new(),
             obstacle: None,
         }
@@ -174,10 +171,7 @@
         let is_held_back =
             |it: &&Refusals| !self.asks_again() || now < it.last_at + self.refusal_pause(it.count);
         let refused = self.refusals.iter().filter(is_held_back).map(|it| &it.vm);
-        let is_unreachable =
-            |it: &&(VmId, Moment)| !self.asks_again() || now < it.1 + self.limits.unreachable_pause;
-        let unreachable = self.unreachable.iter().filter(is_unreachable).map(|it| &it.0);
-        self.tried.iter().chain(refused).chain(unreachable).cloned().collect()
+        self.tried.iter().chain(refused).cloned().collect()
     }
 
     /// Returns whether a server is never asked again.
@@ -191,10 +185,9 @@
     }
 
     /// Records that no connection to a server could be opened.
-    pub fn connect_failed(&mut self, vm: VmId, now: Moment) {
+    pub fn connect_failed(&mut self, vm: VmId) {
         self.connect_failures += 1;
-        self.unreachable.retain(|it| it.0 != vm);
-        self.unreachable.push((vm, now));
+        self.tried.push(vm);
         self.obstacle = None;
     }
 
--- a/crates/mangocross-serving/src/server_search/limits.rs
+++ b/crates/mangocross-serving/src/server_search/limits.rs
@@ -30,8 +30,6 @@
     pub connect_failures_max: u32,
     /// Time for which a server that refused the request is not asked again, at first.
     pub refusal_pause: Duration,
-    /// Time for which a server to which no connection could be opened is not asked again.
-    pub unreachable_pause: Duration,
     /// Until when a request that has not been sent waits for room.
     pub admission_until: Moment,
     /// Delay until room is looked for again before `admission_until`.
