fix(front): a follower keeps what a relay that was without the store tells of writes

A follower that hears of its relay's outage asks the next relay before it believes removals, and dropped the whole answer, with the configuration in it. While relays are gone one after the other that adds up. What was written is applied now; only removals wait for the next relay. Entries are compared by revision, so nothing goes back.

--- a/bins/mangocross-front/src/relay_following.rs
+++ b/bins/mangocross-front/src/relay_following.rs
@@ -91,6 +91,9 @@
         if let Some(it) = outage.filter(|_| changes.may_remove())
             && !adopt_outage(state, position, relay, it.reappear_until(asked_at))
         {
+            // What was written holds in any case, a configuration among it.
+            let written = changes.changes.into_iter().filter(|it| it.value.is_some());
+            written.for_each(|it| apply(state, store_change(it)));
             return Ok(FollowEnd::RelayLostStore);
         }
         position.mark_regained(state);
