--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -20,6 +20,7 @@
 mod platform;
 mod relays;
 mod server_faults;
+mod server_limits;
 mod server_notices;
 mod silent_servers;
 mod soak;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -69,6 +69,8 @@
     answer_end: AnswerEnd,
     /// Whether all answers say that the server is leaving.
     is_leaving: bool,
+    /// Requests a second that all answers name as the server's limit.
+    named_limit: Option<String>,
     /// `Retry-After` with which requests are refused.
     retry_after: Option<String>,
     /// Whether orders and questions for reports are turned away like requests.
@@ -191,6 +193,11 @@
         lock(&self.state).is_leaving = is_leaving;
     }
 
+    /// Sets the requests a second that all answers name as the server's limit, if they name one.
+    pub(crate) fn set_named_limit(&self, value: Option<&str>) {
+        lock(&self.state).named_limit = value.map(str::to_owned);
+    }
+
     /// Sets the `Retry-After` with which requests are refused, if they are.
     pub(crate) fn set_retry_after(&self, value: Option<&str>) {
         lock(&self.state).retry_after = value.map(str::to_owned);
@@ -340,7 +347,7 @@
             }
             "/-/report" => {
                 let status = self.status(&lock(&self.state));
-                self.send(stream, 200, self.notice(), &status.to_string());
+                self.send(stream, 200, &self.notice(), &status.to_string());
             }
             "/-/order" => self.order(request, stream),
             _ => self.run(request, stream),
@@ -352,9 +359,12 @@
         format!("{}.{}", self.id, state.starts)
     }
 
-    /// Returns the header by which all answers say that the server is leaving.
-    fn notice(&self) -> &'static str {
-        if lock(&self.state).is_leaving { "Server-Leaving: 1\r\n" } else { "" }
+    /// Returns the headers by which all answers say that the server is leaving, and name its limit.
+    fn notice(&self) -> String {
+        let state = lock(&self.state);
+        let leaving = if state.is_leaving { "Server-Leaving: 1\r\n" } else { "" };
+        let limit = state.named_limit.iter().map(|it| format!("Server-Limit: {it}\r\n"));
+        limit.fold(leaving.to_owned(), |headers, it| headers + &it)
     }
 
     /// Returns the header by which refusals say for how long the server wants nothing.
--- a/bins/mangocross-front/tests/front/platform/servers/groups.rs
+++ b/bins/mangocross-front/tests/front/platform/servers/groups.rs
@@ -19,7 +19,7 @@
 
 impl Server {
     pub(super) fn order(&self, request: &Request, stream: &mut TcpStream) {
-        let notice = self.notice();
+        let notice = &self.notice();
         self.note_order(stream);
         let order: Value = serde_json::from_slice(&request.body).expect("JSON");
         {
