fix(front): a server gets no more than the limit that it names

Callers saw nothing; servers in need got about twice the requests a second that they had named.

Each entry VM reads the limit, tells the others of it, and paces its requests to its share of the callers' requests for the service. A slot that nobody takes is dropped after a second, so idle slots of many VMs do not add up to a burst. Requests wait for a slot as for room in a group, and are refused as not run after that. An answer to a later request that names no limit ends it; answers to the planner's questions begin one at most.

Ruled out: an equal share for each VM, which leaves most of the limit unused where callers sit unevenly, and a bucket per VM, which lets as many requests through at once as there are VMs.

--- a/bins/mangocross-front/src/command_line.rs
+++ b/bins/mangocross-front/src/command_line.rs
@@ -19,6 +19,7 @@
 use crate::planning;
 use crate::ready;
 use crate::relay_server;
+use crate::server_limits;
 use crate::settings;
 use crate::settings::LoadedSettings;
 use crate::state::AppState;
@@ -119,6 +120,7 @@
     leases::spawn(&state);
     planning::spawn(&state);
     control::spawn(&state);
+    server_limits::spawn(&state);
     settings::spawn(&state, file);
     stopping::shut_down_on_sigterm(&state, callers).await;
     log::info!("stopped");
--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -26,6 +26,7 @@
 mod relay_messages;
 mod relay_server;
 mod relay_state;
+mod server_limits;
 mod server_notices;
 mod settings;
 mod silence;
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -157,7 +157,7 @@
             backend_servers: metrics.gauge("front_backend_servers", "backend servers listed"),
             held_servers: metrics.gauge(
                 "front_held_servers",
-                "listed servers that get no requests from this VM, by what their answers said",
+                "listed servers that get no requests from this VM, or few, by what their answers said",
             ),
             groups: metrics.gauge("front_groups", "groups by the state that their heads tell"),
             entry_vms: metrics.gauge("front_entry_vms", "entry VMs listed, this one included"),
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -14,8 +14,10 @@
 use mangocross_serving::BackendServer;
 use mangocross_serving::ConfigurationNotice;
 use mangocross_serving::CrashReport;
+use mangocross_serving::LimitReport;
 use mangocross_serving::Load;
 use mangocross_serving::PartCrashReport;
+use mangocross_serving::RequestCounts;
 use mangocross_types::Revision;
 use mangocross_types::StoreEra;
 use mangocross_types::StoreRevision;
@@ -75,6 +77,8 @@
     Configuration(ConfigurationNotice),
     /// Crashes of servers that the sending entry VM knows of, its own and reported ones.
     CrashCauses(CrashReport),
+    /// Limits that servers have named, and the requests of callers that the limits are shared by.
+    Limits { from: Arc<str>, reports: Vec<LimitReport>, counts: RequestCounts },
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -139,6 +143,9 @@
             }
             Ok(Message::Crashes(report)) => blame::apply_report(&state, report.into()),
             Ok(Message::CrashCauses(report)) => blame::apply_report(&state, report),
+            Ok(Message::Limits { from, reports, counts }) => {
+                state.apply_limits(from, &reports, counts);
+            }
             Err(error) => {
                 if state.log_rate.allow("message ignored", state.now()).is_some() {
                     log::warn!(from:% = from, error:% = error; "peer message ignored");
@@ -236,10 +243,13 @@
         let is_planner = state.is_planner();
         if !is_via_planner {
             send(&socket, &Message::Counts(build_counts(&state, false)), &peers);
+            send_limits(&state, &socket, false, &peers);
         } else if is_planner {
             send(&socket, &Message::Totals(build_counts(&state, true)), &peers);
+            send_limits(&state, &socket, true, &peers);
         } else if let Some(planner) = planner_address(&state) {
             send(&socket, &Message::Counts(build_counts(&state, false)), &[planner]);
+            send_limits(&state, &socket, false, &[planner]);
             state.view.borrow_mut().loads.mark_reported();
         }
         if is_planner && let Some(heads) = closed_heads(&state) {
@@ -248,6 +258,14 @@
     }
 }
 
+/// Tells of servers' limits, if there are any, and of the requests that they are shared by.
+fn send_limits(state: &AppState, socket: &UdpSocket, are_totals: bool, to: &[SocketAddr]) {
+    if let Some((reports, counts)) = state.limits_to_tell(are_totals) {
+        let from = Arc::clone(&state.vm.name);
+        send(socket, &Message::Limits { from, reports, counts }, to);
+    }
+}
+
 /// Returns the open heads that no longer serve, if there are any.
 fn closed_heads(state: &AppState) -> Option<Vec<VmId>> {
     let view = state.view.borrow();
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -13,7 +13,6 @@
 use mangocross_serving::AttemptFailure;
 use mangocross_serving::AttemptId;
 use mangocross_serving::BackendServer;
-use mangocross_serving::Moment;
 use mangocross_serving::Obstacle;
 use mangocross_serving::SearchEnd;
 use mangocross_serving::SearchLimits;
@@ -45,8 +44,13 @@
 pub(crate) const REFUSALS_MAX: u32 = 4;
 /// Maximum number of failed connection attempts before a request is refused.
 const CONNECT_FAILURES_MAX: u32 = 3;
+/// Divisor of a request's target latency that gives its maximum wait for a server whose limit leaves
+/// room.
+pub(crate) const ADMISSION_WAIT_DIVISOR: u32 = 8;
 /// Delay between the attempts to send a request again.
 const ASK_AGAIN_DELAY: Duration = Duration::from_millis(50);
+/// Delay between a request's attempts to find a server whose limit leaves room.
+const ADMISSION_DELAY: Duration = Duration::from_millis(12);
 /// Multiple of the target latency after which a repeatable request is sent to another server.
 const REPEAT_TARGET_RATIO: f64 = 1.2;
 /// Reason of a refusal while all servers want no requests.
@@ -117,8 +121,9 @@
             refusals_max: REFUSALS_MAX,
             connect_failures_max: CONNECT_FAILURES_MAX,
             refusal_pause: NOT_RUN_PAUSE,
-            admission_until: Moment::default(),
-            admission_delay: ASK_AGAIN_DELAY,
+            admission_until: call.record.received_at
+                + call.route.target_latency / ADMISSION_WAIT_DIVISOR,
+            admission_delay: ADMISSION_DELAY,
             ask_again_delay: ASK_AGAIN_DELAY,
         });
         Self { call, search, attempts: Vec::new(), latest: None, last_failure: None }
@@ -182,6 +187,7 @@
                 return None;
             }
         };
+        call.state.spend_limit(&server.vm);
         let connection = match self.connect(&server).await {
             Connected::To(it) => it,
             Connected::Answered(it) => return Some(*it),
@@ -310,9 +316,8 @@
 /// Returns the reason of a request that is not sent.
 fn explain(obstacle: Obstacle) -> &'static str {
     match obstacle {
-        Obstacle::NoServer | Obstacle::NoUsableServer | Obstacle::NoRoom => {
-            "no server of the service answers"
-        }
+        Obstacle::NoServer | Obstacle::NoUsableServer => "no server of the service answers",
+        Obstacle::NoRoom => "the servers take no more requests for now",
         Obstacle::NoRetryLeft => "retry budget used up",
         Obstacle::Refused => "server is full or has gone",
         Obstacle::Unreachable => "servers cannot be reached",
@@ -336,7 +341,9 @@
     let servers =
         || view.servers.values().filter(|it| it.service == call.service && !it.is_leaving);
     let loads: Vec<ServerLoad> = servers()
-        .filter(|it| !excluded.contains(&it.vm) && view.is_usable(it, now))
+        .filter(|it| {
+            !excluded.contains(&it.vm) && view.is_usable(it, now) && view.has_room(it, now)
+        })
         .map(|it| ServerLoad {
             vm: it.vm.clone(),
             in_flight: view.loads.load(&it.vm, now).in_flight,
@@ -344,10 +351,7 @@
         })
         .collect();
     let chosen = view.failures.choose(&loads, now).and_then(|it| view.servers.get(&it.vm).cloned());
-    chosen.ok_or_else(|| match servers().any(|it| !search.has_tried(&it.vm)) {
-        true => Obstacle::NoUsableServer,
-        false => Obstacle::NoServer,
-    })
+    chosen.ok_or_else(|| view.obstacle(servers().filter(|it| !search.has_tried(&it.vm)), now))
 }
 
 async fn exchange(
@@ -367,6 +371,7 @@
         }
     };
     call.state.record_notice(process.as_ref(), &response);
+    call.state.record_limit(process.as_ref(), &response);
     let status = response.status();
     let attempt_id = call.caller_head.attempt_id.as_deref().unwrap_or_default();
     let answer_head =
--- a/bins/mangocross-front/src/server_notices.rs
+++ b/bins/mangocross-front/src/server_notices.rs
@@ -25,17 +25,20 @@
 /// The process that a request is sent to, as it is listed then.
 #[derive(Debug, Clone)]
 pub(crate) struct ServerProcess {
-    vm: VmId,
+    pub(crate) vm: VmId,
     address: SocketAddr,
-    born_unix_ms: u64,
+    pub(crate) born_unix_ms: u64,
+    /// When it was looked up, just before the request.
+    pub(crate) asked_at: Moment,
 }
 
 impl ServerProcess {
-    fn of(server: &BackendServer) -> Self {
+    fn of(server: &BackendServer, asked_at: Moment) -> Self {
         Self {
             vm: server.vm.clone(),
             address: server.address,
             born_unix_ms: server.engine.born_unix_ms,
+            asked_at,
         }
     }
 }
@@ -43,7 +46,8 @@
 impl AppState {
     /// Returns the listed process of a server.
     pub(crate) fn server_process(&self, vm: &VmId) -> Option<ServerProcess> {
-        self.view.borrow().servers.get(vm).map(ServerProcess::of)
+        let now = self.now();
+        self.view.borrow().servers.get(vm).map(|it| ServerProcess::of(it, now))
     }
 
     /// Records what the head of an answer says of the server that sent it.
@@ -57,14 +61,15 @@
                 |it: &&BackendServer| it.address == sent_to.address && it.vm != sent_to.vm;
             let others: Vec<ServerProcess> = {
                 let view = self.view.borrow();
-                view.servers.values().filter(at_address).map(ServerProcess::of).collect()
+                let at_address = view.servers.values().filter(at_address);
+                at_address.map(|it| ServerProcess::of(it, sent_to.asked_at)).collect()
             };
             others.iter().for_each(|it| self.apply_notice(it, notice));
         }
     }
 
     fn apply_notice(&self, server: &ServerProcess, notice: ServerNotice) {
-        let ServerProcess { vm, address, born_unix_ms } = server;
+        let ServerProcess { vm, address, born_unix_ms, .. } = server;
         let now = self.now();
         let change = self.view.borrow_mut().notices.record(vm, *born_unix_ms, notice, now);
         match change {
@@ -125,9 +130,11 @@
         paused.map(|it| &it.vm)
     }
 
-    /// Returns the numbers of listed servers that are leaving, and of those that are paused.
-    pub(crate) fn held_servers(&self, now: Moment) -> [(&'static str, usize); 2] {
+    /// Returns the numbers of listed servers that are leaving, that are paused and that have named a
+    /// limit.
+    pub(crate) fn held_servers(&self, now: Moment) -> [(&'static str, usize); 3] {
         let leaving = self.servers.values().filter(|it| self.notices.is_leaving(it)).count();
-        [("leaving", leaving), ("paused", self.paused_servers(now).count())]
+        let paused = self.paused_servers(now).count();
+        [("leaving", leaving), ("paused", paused), ("limited", self.limited_servers())]
     }
 }
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -24,7 +24,9 @@
 use mangocross_serving::MissingServers;
 use mangocross_serving::Moment;
 use mangocross_serving::ProgressTable;
+use mangocross_serving::RequestShares;
 use mangocross_serving::RetryBudget;
+use mangocross_serving::ServerLimits;
 use mangocross_serving::ServerNotices;
 use mangocross_serving::StoreView;
 use mangocross_serving::TrafficConfiguration;
@@ -106,6 +108,10 @@
     pub(crate) unexplained_breaks: UnexplainedBreaks,
     /// What servers said of themselves in their answers to this VM.
     pub(crate) notices: ServerNotices,
+    /// Limits that servers have named.
+    pub(crate) limits: ServerLimits,
+    /// Requests of the other entry VMs, while servers are limited.
+    pub(crate) shares: RequestShares,
     suspects: HashMap<VmId, Moment>,
     /// Suspects that this VM detected itself.
     local_suspects: HashMap<VmId, Moment>,
@@ -337,6 +343,7 @@
                 && !excluded.contains(&it.vm)
                 && !view.is_suspect(&it.vm, now)
                 && view.is_usable(it, now)
+                && view.has_room(it, now)
         };
         let open = view.servers.values().filter(is_open);
         let load = |it: &BackendServer| {
@@ -480,8 +487,10 @@
         self.local_suspects.retain(|_, it| now.since(*it) < SUSPECT_PAUSE);
         self.to_recheck.retain(|_, it| now.since(*it) < PEER_NOTICE_DURATION);
         self.avoided.retain(|_, it| now < *it);
-        let Self { failures, servers, slowdowns, notices, .. } = self;
+        self.shares.expire(now);
+        let Self { failures, servers, slowdowns, notices, limits, .. } = self;
         notices.expire(now, |vm| servers.contains_key(vm));
+        limits.expire(now, |vm| servers.contains_key(vm));
         failures.retain(|vm| servers.contains_key(vm));
         slowdowns.retain(|vm, _| servers.contains_key(vm));
     }
--- a/bins/mangocross-front/src/stream/attempt.rs
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -77,6 +77,7 @@
     };
     in_flight.record_progress();
     call.state.record_notice(process.as_ref(), &response);
+    call.state.record_limit(process.as_ref(), &response);
     let attempt_id = call.caller_head.attempt_id.as_deref().unwrap_or_default();
     let connection_use = connection.connection_use();
     let answer_head =
--- a/bins/mangocross-front/src/stream/heads.rs
+++ b/bins/mangocross-front/src/stream/heads.rs
@@ -23,19 +23,18 @@
     (!heads.is_empty()).then_some(heads)
 }
 
-/// Returns why no head can be asked: all have been, or those that are left cannot be used now.
+/// Returns why no head can be asked: all have been, or those that are left cannot be used now or take
+/// no more requests.
 pub(super) fn no_head(call: &Call, search: &ServerSearch) -> Obstacle {
     let model = call.caller_head.model.as_ref();
-    let is_left = |it: &BackendServer| {
+    let is_left = |it: &&BackendServer| {
         it.service == call.service
             && it.accepts_requests()
             && model.is_none_or(|model| it.serves(model))
             && !search.has_tried(&it.vm)
     };
-    match call.state.view.borrow().servers.values().any(is_left) {
-        true => Obstacle::NoUsableServer,
-        false => Obstacle::NoServer,
-    }
+    let view = call.state.view.borrow();
+    view.obstacle(view.servers.values().filter(is_left), call.state.now())
 }
 
 /// Chooses among the heads; `queue_slots` is the number of queue places that may be used.
--- a/bins/mangocross-front/src/stream/search.rs
+++ b/bins/mangocross-front/src/stream/search.rs
@@ -140,6 +140,7 @@
                 return None;
             }
         };
+        call.state.spend_limit(&vm);
         let connection = match self.connect(&vm).await {
             Connected::To(it) => it,
             Connected::Answered(it) => return Some(*it),
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -34,6 +34,7 @@
 use crate::blame::QUARANTINED_RETRY_AFTER;
 use crate::dispatch::Call;
 use crate::plain;
+use crate::plain::ADMISSION_WAIT_DIVISOR;
 use crate::plain::PAUSED_REASON;
 use crate::plain::REFUSALS_MAX;
 use crate::silence::wait_for_silence;
@@ -41,8 +42,6 @@
 
 /// Maximum number of failed connection attempts before a stream is refused.
 const CONNECT_FAILURES_MAX: u32 = 4;
-/// Divisor of a stream's target latency that gives its maximum wait for a group with room.
-const ADMISSION_WAIT_DIVISOR: u32 = 8;
 /// Delay between a new stream's attempts to find a group with room: slots often become free, and
 /// prompts are processed within a few passes of an engine.
 const ADMISSION_RETRY_DELAY: Duration = Duration::from_millis(12);
--- a/crates/mangocross-serving/src/retry_budget.rs
+++ b/crates/mangocross-serving/src/retry_budget.rs
@@ -37,6 +37,12 @@
         expire(&mut self.requests, now, bounds.window);
     }
 
+    /// Returns the number of requests from callers in the window.
+    pub fn requests(&mut self, now: Moment, bounds: &RetryBounds) -> usize {
+        expire(&mut self.requests, now, bounds.window);
+        self.requests.len()
+    }
+
     /// Consumes one retry if the budget allows it; returns whether the retry may be sent.
     pub fn try_retry(&mut self, now: Moment, bounds: &RetryBounds, entry_vms: usize) -> bool {
         let is_allowed = self.remaining(now, bounds, entry_vms) >= 1.0;
