test(front): an entry VM that reaches no server, red

One of three entry VMs loses its links to all servers. Two tests fail on the present code, which refuses its callers; the third, that requests are refused at once while all servers are gone, passes and has to go on doing so.

--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -5,6 +5,7 @@
 mod attempts_left;
 mod crashing_parts;
 mod crashing_requests;
+mod cut_entry_vms;
 mod fleet;
 mod held_servers;
 mod idle_connections;
--- a/bins/mangocross-front/tests/front/platform/machine.rs
+++ b/bins/mangocross-front/tests/front/platform/machine.rs
@@ -44,25 +44,35 @@
 }
 
 impl Machine {
-    /// Serves connections in the background, except while the machine is down; returns the address.
+    /// Serves requests in the background, except while the machine is down; returns the address.
     pub(super) fn listen(
         self: &Arc<Self>,
         handle: impl Fn(Request, &mut TcpStream) + Send + Sync + 'static,
+    ) -> SocketAddr {
+        self.listen_with(move |stream| {
+            while let Some(request) = Request::read(stream) {
+                handle(request, stream);
+            }
+        })
+    }
+
+    /// Serves connections in the background, except while the machine is down; returns the address.
+    pub(super) fn listen_with(
+        self: &Arc<Self>,
+        serve: impl Fn(&mut TcpStream) + Send + Sync + 'static,
     ) -> SocketAddr {
         let listener = bind((Ipv4Addr::LOCALHOST, 0).into()).expect("a free port");
         let address = listener.local_addr().expect("an address");
         *lock(&self.listener) = Some(Arc::new(listener));
-        let handle = Arc::new(handle);
+        let serve = Arc::new(serve);
         let machine = Arc::clone(self);
         thread::spawn(move || {
             loop {
                 let Some((mut stream, caller)) = machine.accept(address) else { continue };
                 let machine = Arc::clone(&machine);
-                let handle = Arc::clone(&handle);
+                let serve = Arc::clone(&serve);
                 thread::spawn(move || {
-                    while let Some(request) = Request::read(&mut stream) {
-                        handle(request, &mut stream);
-                    }
+                    serve(&mut stream);
                     // The connection is closed only once no copy of it is left.
                     lock(&machine.connections).retain(|(it, _)| *it != caller);
                 });
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod client;
 mod front;
+mod link;
 mod log_file;
 mod machine;
 mod servers;
@@ -33,6 +34,8 @@
 pub(crate) use self::client::Outcome;
 pub(crate) use self::client::RequestKind;
 pub(crate) use self::front::Front;
+pub(crate) use self::link::Cut;
+pub(crate) use self::link::Link;
 pub(crate) use self::log_file::LogFile;
 pub(crate) use self::servers::Arrival;
 pub(crate) use self::servers::CopyPart;
@@ -49,6 +52,7 @@
 pub(crate) use self::start::wait_for_metric;
 pub(crate) use self::start::wait_until;
 pub(crate) use self::store::Entrance;
+pub(crate) use self::store::Links;
 pub(crate) use self::store::Store;
 
 /// Maximum wait for an expected event.
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -173,6 +173,11 @@
         server
     }
 
+    /// Returns the address in the server's entry.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.advertised
+    }
+
     /// Returns the attempts that the server ran, in order.
     pub(crate) fn ran(&self) -> Vec<String> {
         lock(&self.state).ran.clone()
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -91,6 +91,9 @@
     is_refusing_reads: Arc<AtomicBool>,
 }
 
+/// Addresses at which an entry VM finds servers, by the servers' own addresses.
+pub(crate) type Links = BTreeMap<SocketAddr, SocketAddr>;
+
 impl Entrance {
     /// Sets whether ranges and new watches are refused, while leases can be renewed.
     pub(crate) fn set_refusing_reads(&self, is_refusing: bool) {
@@ -102,12 +105,18 @@
     pub(crate) fn spawn() -> Self {
         let state = Arc::new(Mutex::new(State { era: 1, ..State::default() }));
         let served = Arc::clone(&state);
-        let address = listen(move |request, stream| serve(&served, &request, stream));
+        let address =
+            listen(move |request, stream| serve(&served, &request, stream, &Links::new()));
         Self { state, address }
     }
 
     /// Serves at another address, too.
     pub(crate) fn open_entrance(&self) -> Entrance {
+        self.open_entrance_with(Links::new())
+    }
+
+    /// Like `open_entrance`, with the addresses in servers' entries replaced by those of links.
+    pub(crate) fn open_entrance_with(&self, links: Links) -> Entrance {
         let is_refusing_reads = Arc::new(AtomicBool::new(false));
         let (state, is_refusing) = (Arc::clone(&self.state), Arc::clone(&is_refusing_reads));
         let address = listen(move |request, stream| {
@@ -115,7 +124,7 @@
                 ["/-/kv-range", "/-/kv-watch"].iter().any(|it| request.target.starts_with(it));
             match is_read && is_refusing.load(Ordering::Relaxed) {
                 true => answer(stream, 503, "", "{}"),
-                false => serve(&state, &request, stream),
+                false => serve(&state, &request, stream, &links),
             }
         });
         Entrance { address, is_refusing_reads }
@@ -394,7 +403,22 @@
     answer(stream, status, &format!("Store-Era: {era}\r\n"), body);
 }
 
-fn serve(state: &Mutex<State>, request: &Request, stream: &mut TcpStream) {
+/// Returns an item or an event with the address of a server replaced by that of its link.
+fn through_links(mut item: Value, links: &Links) -> Value {
+    let replaced = || {
+        let value = STANDARD.decode(item["value"].as_str()?).ok()?;
+        let mut entry: Value = serde_json::from_slice(&value).ok()?;
+        let link = links.get(&entry["address"].as_str()?.parse().ok()?)?;
+        entry["address"] = json!(link);
+        Some(STANDARD.encode(entry.to_string()))
+    };
+    if let Some(value) = replaced() {
+        item["value"] = json!(value);
+    }
+    item
+}
+
+fn serve(state: &Mutex<State>, request: &Request, stream: &mut TcpStream, links: &Links) {
     while lock(state).is_silent {
         thread::sleep(Duration::from_millis(20));
     }
@@ -415,7 +439,8 @@
             let prefix = query(request, "path_prefix");
             let state = lock(state);
             let items = state.items.iter().filter(|(key, _)| key.starts_with(&prefix));
-            let entries: Vec<Value> = items.map(|(key, it)| item(key, &it.0, it.1)).collect();
+            let entries = items.map(|(key, it)| through_links(item(key, &it.0, it.1), links));
+            let entries: Vec<Value> = entries.collect();
             let body =
                 json!({"entries": entries, "has_more": false, "store_revision": state.revision});
             let (era, delay) = (state.era, state.range_delay);
@@ -423,7 +448,7 @@
             thread::sleep(delay);
             answer_in(era, stream, 200, &body.to_string());
         }
-        "/-/kv-watch" => watch(state, request, stream),
+        "/-/kv-watch" => watch(state, request, stream, links),
         "/-/kv-txn" => write(state, request, stream),
         "/-/kv-lease" => {
             let body: Value = serde_json::from_slice(&request.body).expect("JSON");
@@ -447,7 +472,7 @@
     }
 }
 
-fn watch(state: &Mutex<State>, request: &Request, stream: &mut TcpStream) {
+fn watch(state: &Mutex<State>, request: &Request, stream: &mut TcpStream, links: &Links) {
     let after: u64 = query(request, "after_rev").parse().unwrap_or_default();
     let wait_ms = query(request, "wait_ms").parse().unwrap_or_default();
     let end = Instant::now() + Duration::from_millis(wait_ms);
@@ -468,6 +493,8 @@
             // The next watch after a truncated answer continues from its last change.
             let last = events.last().and_then(|it| it["revision"].as_u64());
             let revision = last.unwrap_or(state.revision);
+            let events: Vec<Value> =
+                events.into_iter().map(|it| through_links(it, links)).collect();
             let body = json!({"events": events, "store_revision": revision});
             answer_in(state.era, stream, 200, &body.to_string());
             return;
