fix(front): an entry VM that reaches no server passes requests on

Callers of entry VMs that had lost their links to all backend servers got 503 within milliseconds, 0 of 186 first attempts served, while the other VMs served 637 of 641. Nothing in such a VM held that it was itself cut off: each failure counted against one server.

New connections to three servers that fail, with none that succeeds, are a suspicion; it is verified at servers that have not failed. A VM that is cut off passes requests on to another entry VM, which authorizes them itself and passes them on no further; it tells the others, so that none is passed to it. It reports no suspects, crashes or rechecks, plans nothing and gives the planner's key up. Connections to two servers in a row end the state.

Ruled out: leaving the rotation alone, since kept connections stay and the platform uses a whole zone once less than half of it is ready; counting success on kept connections, which live on in some cuts.

--- a/bins/mangocross-front/src/blame.rs
+++ b/bins/mangocross-front/src/blame.rs
@@ -162,12 +162,20 @@
 
 /// Returns whether a process has ended: it is known to have crashed, the server has started
 /// again, or nothing listens at its address.
-async fn has_crashed(state: &AppState, process: &ServerProcess, address: SocketAddr) -> bool {
+async fn has_crashed(state: &Rc<AppState>, process: &ServerProcess, address: SocketAddr) -> bool {
     let is_known = {
         let view = state.view.borrow();
         view.blame.has_crash(process, &state.vm.name) || view.is_replaced(process, address)
     };
-    is_known || matches!(connect(address, CRASH_CHECK_TIMEOUT).await, Err(ConnectError::Refused))
+    is_known || is_refused(state, address).await
+}
+
+/// Returns whether nothing listens at a server's address, as far as this VM can tell.
+async fn is_refused(state: &Rc<AppState>, address: SocketAddr) -> bool {
+    let connected = connect(address, CRASH_CHECK_TIMEOUT).await;
+    state.record_reached(address, connected.is_ok());
+    let is_doubtful = state.view.borrow().reach.is_doubtful();
+    matches!(connected, Err(ConnectError::Refused)) && !is_doubtful
 }
 
 /// Looks in the background whether a process at which answers broke has crashed.
@@ -258,8 +266,7 @@
         let Some(address) = address else { continue };
         let state = Rc::clone(state);
         tokio::task::spawn_local(async move {
-            let connected = connect(address, CRASH_CHECK_TIMEOUT).await;
-            if matches!(connected, Err(ConnectError::Refused)) {
+            if is_refused(&state, address).await {
                 record_process_state(&state, &process, ProcessState::Ended);
             }
         });
--- a/bins/mangocross-front/src/command_line.rs
+++ b/bins/mangocross-front/src/command_line.rs
@@ -20,6 +20,7 @@
 use crate::ready;
 use crate::relay_server;
 use crate::server_limits;
+use crate::server_reach;
 use crate::settings;
 use crate::settings::LoadedSettings;
 use crate::state::AppState;
@@ -121,6 +122,7 @@
     planning::spawn(&state);
     control::spawn(&state);
     server_limits::spawn(&state);
+    server_reach::spawn(&state);
     settings::spawn(&state, file);
     stopping::shut_down_on_sigterm(&state, callers).await;
     log::info!("stopped");
--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -29,6 +29,8 @@
 use crate::answer_body::AnswerBody;
 use crate::connection::RequestGuard;
 use crate::outcome::RequestRecord;
+use crate::peer_forwarding;
+use crate::peer_forwarding::PASSED_ON_BY;
 use crate::plain;
 use crate::state::AppState;
 use crate::stream;
@@ -62,6 +64,8 @@
     pub(crate) ends_at: Instant,
     /// Time between the caller's first attempt and this one.
     pub(crate) waited_before: Duration,
+    /// Whether another entry VM passed the request on to this one.
+    pub(crate) is_passed_on: bool,
     pub(crate) record: RequestRecord,
 }
 
@@ -116,15 +120,31 @@
     }
 }
 
+/// Who sent a request to this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RequestSender {
+    /// A caller.
+    Caller,
+    /// Another entry VM, which reaches no servers.
+    EntryVm,
+}
+
 /// Authorizes a caller's request and serves it from its route's service.
 pub(crate) async fn serve_request(
     state: Rc<AppState>,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
     request_guard: RequestGuard,
+    sender: RequestSender,
 ) -> Response<AnswerBody> {
+    // Only another entry VM may set it.
+    request.headers_mut().remove(&PASSED_ON_BY);
     let record = RequestRecord::new(&state, state.now());
     let is_stopping = state.is_stopping();
-    let (mut response, record) = match authorize_request(state, request, record).await {
+    let (mut response, record) = match authorize_request(state, request, record, sender).await {
+        Ok(call) if call.is_passed_on && call.state.is_cut_off() => {
+            (peer_forwarding::refuse_passed_on(&call.record), Some(call.record))
+        }
+        Ok(call) if call.needs_peer() => peer_forwarding::serve(call).await,
         Ok(call) if call.route.retry_policy.is_stream() => stream::serve(call).await,
         Ok(call) => plain::serve(call).await,
         Err(refused) => (refused.0, Some(refused.1)),
@@ -144,6 +164,7 @@
     state: Rc<AppState>,
     request: Request<Incoming>,
     mut record: RequestRecord,
+    sender: RequestSender,
 ) -> Result<Call, Refused> {
     let (parts, body) = request.into_parts();
     let caller_head = CallerHead::read(&parts.headers);
@@ -195,7 +216,10 @@
     // Whoever is accepted gets an answer before the exit.
     let wait = state.time_until_exit().map_or(wait, |it| it.min(wait));
     let ends_at = Instant::now() + wait;
-    state.count_request(&service);
+    // The entry VM that serves the request counts it.
+    if sender == RequestSender::EntryVm || !state.is_cut_off() {
+        state.count_request(&service);
+    }
     let waited_before = match caller_head.deadline {
         Some(it) => state.view.borrow_mut().deadlines.record_and_estimate_elapsed(&route.name, it),
         None => Duration::ZERO,
@@ -234,6 +258,7 @@
         crash_causes,
         ends_at,
         waited_before,
+        is_passed_on: sender == RequestSender::EntryVm,
         record,
     })
 }
--- a/bins/mangocross-front/src/ingress.rs
+++ b/bins/mangocross-front/src/ingress.rs
@@ -22,6 +22,7 @@
 use crate::connection::TimeLimits;
 use crate::connection::TrackedSocket;
 use crate::dispatch;
+use crate::dispatch::RequestSender;
 use crate::pool;
 use crate::state::AppState;
 
@@ -152,7 +153,9 @@
             let in_progress = connection_state.begin_request();
             let state = Rc::clone(&state);
             async move {
-                Ok::<_, Infallible>(dispatch::serve_request(state, request, in_progress).await)
+                let sender = RequestSender::Caller;
+                let served = dispatch::serve_request(state, request, in_progress, sender);
+                Ok::<_, Infallible>(served.await)
             }
         });
         // The buffer must hold a complete request head and have at least hyper's minimum size.
--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -32,6 +32,8 @@
 const PLANNER_LEASE_RETENTION: Duration = Duration::from_millis(8000);
 /// Time between renewals of the planner's lease; two may be lost.
 const PLANNER_RENEW_INTERVAL: Duration = Duration::from_millis(600);
+/// Time for which the planner keeps its key while it reaches no server.
+const CUT_OFF_TERM_MAX: Duration = Duration::from_millis(600);
 /// Delay before leases are requested again after a lost one; doubles with each failure.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Maximum of that delay, for a VM that the store refuses while it serves the others.
@@ -213,7 +215,8 @@
         let term = state.planner_term.get();
         let confirmed = term.map(|it| PlannerTerm { confirmed_at: renewed_at, ..it });
         state.planner_term.set(confirmed);
-        if state.store_view.borrow().must_give_up_term(state.now(), renewed_since) {
+        let is_useless = state.is_cut_off_for(CUT_OFF_TERM_MAX);
+        if is_useless || state.store_view.borrow().must_give_up_term(state.now(), renewed_since) {
             return give_up_term(state, lease).await;
         }
     }
@@ -260,6 +263,7 @@
     let is_vacant = || !state.view.borrow().entry_vm_keys.contains_key(PLANNER_KEY);
     let may_plan = || {
         state.store_view.borrow().may_take_term(state.now())
+            && !state.is_cut_off()
             && !state.is_store_lost.get()
             && state.configuration().is_some()
     };
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -29,6 +29,7 @@
     attempts: Counter<u64>,
     resumes: Counter<u64>,
     quarantined: Counter<u64>,
+    passed_on: Counter<u64>,
     store_eras: Counter<u64>,
     probes: Counter<u64>,
     orders: Counter<u64>,
@@ -48,6 +49,7 @@
     groups: Gauge<f64>,
     entry_vms: Gauge<f64>,
     follows_store: Gauge<f64>,
+    cut_off: Gauge<f64>,
     quarantined_parts: Gauge<f64>,
     quarantined_requests: Gauge<f64>,
     requests_in_progress: Gauge<f64>,
@@ -66,6 +68,7 @@
                 "front_quarantined",
                 "requests not sent since they or a part of their prompt crash servers",
             ),
+            passed_on: metrics.counter("front_passed_on", "requests passed on to other entry VMs"),
             store_eras: metrics
                 .counter("front_store_eras", "returns of the store to an older copy of itself"),
             probes: metrics.counter("front_probes", "questions for a server's state"),
@@ -108,6 +111,10 @@
         self.quarantined.add(1, &[]);
     }
 
+    pub(crate) fn count_passed_on(&self) {
+        self.passed_on.add(1, &[]);
+    }
+
     pub(crate) fn count_new_era(&self) {
         self.store_eras.add(1, &[]);
     }
@@ -165,6 +172,7 @@
                 "front_follows_store",
                 "1 if this VM follows the store itself and may relay its changes, else 0",
             ),
+            cut_off: metrics.gauge("front_cut_off", "1 if this VM reaches no server, else 0"),
             quarantined_parts: metrics
                 .gauge("front_quarantined_parts", "parts of prompts that crash servers"),
             quarantined_requests: metrics
@@ -202,6 +210,7 @@
         self.entry_vms.record(view.entry_vms.len() as f64, &[]);
         let follows_store = state.relay.is_following.get();
         self.follows_store.record(f64::from(u8::from(follows_store)), &[]);
+        self.cut_off.record(f64::from(u8::from(view.reach.is_cut_off())), &[]);
         self.requests_in_progress.record(state.requests_in_progress.get() as f64, &[]);
         let (requests, parts): (Vec<_>, Vec<_>) =
             view.blame.quarantined().partition(CrashCause::is_request);
--- a/bins/mangocross-front/src/outcome.rs
+++ b/bins/mangocross-front/src/outcome.rs
@@ -121,6 +121,11 @@
         self.reason.set("answered");
     }
 
+    /// Records the end of an answer that another entry VM gave.
+    pub(crate) fn answered_by_peer(&self, reason: &'static str) {
+        self.reason.set(reason);
+    }
+
     /// Records why the answer failed.
     pub(crate) fn answer_failed(&self, code: ResultCode, reason: &'static str) {
         self.code.set(Some(code));
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -28,6 +28,7 @@
 
 use crate::blame;
 use crate::leases::PLANNER_KEY;
+use crate::peer_forwarding;
 use crate::state::AppState;
 use crate::store_changes;
 
@@ -49,6 +50,8 @@
 /// Time between two messages on the versions of the configuration; the first one after a return of
 /// the store to an older copy and one that repeats it arrive before its answers count again.
 const CONFIGURATION_INTERVAL: Duration = Duration::from_millis(800);
+/// Time between two messages of an entry VM that reaches no servers.
+const REACH_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum time between two messages with updates.
 const UPDATE_INTERVAL_MIN: Duration = Duration::from_millis(30);
 /// Maximum size of a UDP datagram over IPv4. Totals of 600 heads take about 20 kB.
@@ -79,6 +82,8 @@
     CrashCauses(CrashReport),
     /// Limits that servers have named, and the requests of callers that the limits are shared by.
     Limits { from: Arc<str>, reports: Vec<LimitReport>, counts: RequestCounts },
+    /// Whether the sending entry VM reaches no servers.
+    Reach { from: Arc<str>, is_cut_off: bool },
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -105,6 +110,7 @@
     tokio::task::spawn_local(send_counts(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_crashes(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_configuration_notices(Rc::clone(state), Rc::clone(&socket)));
+    tokio::task::spawn_local(send_reach(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_updates(Rc::clone(state), socket));
     Ok(())
 }
@@ -143,6 +149,9 @@
             }
             Ok(Message::Crashes(report)) => blame::apply_report(&state, report.into()),
             Ok(Message::CrashCauses(report)) => blame::apply_report(&state, report),
+            Ok(Message::Reach { from, is_cut_off }) => {
+                peer_forwarding::record_peer(&state, from, is_cut_off);
+            }
             Ok(Message::Limits { from, reports, counts }) => {
                 state.apply_limits(from, &reports, counts);
             }
@@ -325,6 +334,20 @@
     }
 }
 
+/// Tells that this VM reaches no servers for as long as that lasts, and its end.
+async fn send_reach(state: Rc<AppState>, socket: Rc<UdpSocket>) {
+    loop {
+        let is_cut_off = state.is_cut_off();
+        tokio::select! {
+            () = state.reach_changed.notified() => {}
+            () = tokio::time::sleep(REACH_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64())), if is_cut_off => {}
+        }
+        let from = Arc::clone(&state.vm.name);
+        let message = Message::Reach { from, is_cut_off: state.is_cut_off() };
+        send(&socket, &message, &some_peer_addresses(&state));
+    }
+}
+
 /// Sends urgent updates, which don't wait for the next counts.
 async fn send_updates(state: Rc<AppState>, socket: Rc<UdpSocket>) {
     loop {
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -32,6 +32,7 @@
 use crate::dispatch::Call;
 use crate::first_answer::first_of;
 use crate::outcome::RequestRecord;
+use crate::peer_forwarding;
 use crate::pool::ConnectError;
 use crate::pool::Connection;
 use crate::silence::wait_for_silence;
@@ -95,8 +96,10 @@
 
 /// Serves a request from a plain service.
 pub(crate) async fn serve(call: Call) -> (Response<AnswerBody>, Option<RequestRecord>) {
-    let response = PlainExchange::new(&call).run().await;
-    (response, Some(call.record))
+    match PlainExchange::new(&call).run().await {
+        Some(response) => (response, Some(call.record)),
+        None => peer_forwarding::serve(call).await,
+    }
 }
 
 /// Carries out the search for a server that answers one request.
@@ -129,17 +132,19 @@
         Self { call, search, attempts: Vec::new(), latest: None, last_failure: None }
     }
 
-    async fn run(mut self) -> Response<AnswerBody> {
+    /// Returns the answer, or `None` if another entry VM is to serve the request.
+    async fn run(mut self) -> Option<Response<AnswerBody>> {
         loop {
             // The time now is read after the window, so that a deadline that has passed is not later.
             let window = self.window();
             let answer = match self.search.next(self.call.state.now(), &window) {
                 SearchStep::Send => self.send().await,
                 SearchStep::Wait(until) => self.wait(until.since(self.call.state.now())).await,
-                SearchStep::End(end) => return self.end(end),
+                SearchStep::End(SearchEnd::NotRun(_)) if self.call.needs_peer() => return None,
+                SearchStep::End(end) => return Some(self.end(end)),
             };
-            if let Some(it) = answer {
-                return it;
+            if answer.is_some() {
+                return answer;
             }
         }
     }
@@ -225,8 +230,8 @@
         let failures = self.search.connect_failures();
         let connecting = async {
             match call.route.retry_policy.is_retryable() {
-                true => call.state.pool.get(server.address, failures).await,
-                false => call.state.pool.open(server.address, failures).await,
+                true => call.state.connection_to(server.address, failures).await,
+                false => call.state.connect_to(server.address, failures).await,
             }
         };
         let connecting = tokio::time::timeout_at(call.ends_at, connecting);
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -87,7 +87,9 @@
             }
             let view = state.complete_view();
             log_view(&state, &mut logged, view);
-            if let (Some(revision), Some(view)) = (term, view) {
+            // What cannot be reached is not planned for.
+            let is_doubtful = state.view.borrow().reach.is_doubtful();
+            if let (Some(revision), Some(view), false) = (term, view, is_doubtful) {
                 plan(&state, &planners, revision, view);
             }
             // Leaves most of the processor to requests.
@@ -204,6 +206,13 @@
         match action {
             PlannerAction::Probe(probe) => {
                 let answer = probe_server(&state, &probe).await;
+                let answer = match answer {
+                    // The fault may be on this side, so the group is left as it is.
+                    Err(_) if state.view.borrow().reach.is_doubtful() => {
+                        Err(ProbeFailure::NoVerdict)
+                    }
+                    it => it,
+                };
                 with_planner(&planners, &service, |it| match answer {
                     Ok(report) => it.record_probe_answer(&probe.vm, report),
                     Err(failure) => it.record_probe_failure(&probe.vm, failure),
@@ -282,14 +291,18 @@
     }
 }
 
-async fn probe_server(state: &AppState, probe: &Probe) -> Result<EngineReport, ProbeFailure> {
+async fn probe_server(state: &Rc<AppState>, probe: &Probe) -> Result<EngineReport, ProbeFailure> {
     state.metrics.count_probe();
     let began_at = Instant::now();
-    let connecting = state.pool.get(probe.address, PROBE_CONNECT_FAILURES);
+    let connecting = state.connection_to(probe.address, PROBE_CONNECT_FAILURES);
     let connection = match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
         Ok(Ok(it)) => it,
         Ok(Err(ConnectError::Refused)) => return Err(ProbeFailure::NoProcess),
-        Ok(Err(ConnectError::Unreachable)) | Err(_) => return Err(ProbeFailure::NoConnection),
+        Ok(Err(ConnectError::Unreachable)) => return Err(ProbeFailure::NoConnection),
+        Err(_) => {
+            state.record_not_reached(probe.address);
+            return Err(ProbeFailure::NoConnection);
+        }
     };
     let vm = &probe.vm;
     let address = probe.address;
@@ -319,7 +332,7 @@
 }
 
 async fn send_order(
-    state: &AppState,
+    state: &Rc<AppState>,
     vm: &VmId,
     address: SocketAddr,
     order: &EngineOrder,
@@ -336,7 +349,7 @@
 }
 
 async fn call_server(
-    state: &AppState,
+    state: &Rc<AppState>,
     vm: &VmId,
     address: SocketAddr,
     method: Method,
@@ -344,7 +357,7 @@
     body: Bytes,
 ) -> Result<Answer, ConnectError> {
     // No answer names its order, so a late copy of an earlier answer must not be possible.
-    let connection = state.pool.open(address, PROBE_CONNECT_FAILURES).await?;
+    let connection = state.connect_to(address, PROBE_CONNECT_FAILURES).await?;
     let answer = exchange(state, vm, address, connection, method, path, body).await;
     answer.ok_or(ConnectError::Unreachable)
 }
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -104,26 +104,21 @@
 }
 
 impl Pool {
-    /// Returns an idle connection, or a new one; `failures` is the number of failed connections of
-    /// the same request.
-    pub(crate) async fn get(
-        &self,
-        address: SocketAddr,
-        failures: u32,
-    ) -> Result<Connection, ConnectError> {
+    /// Returns an idle connection to a server, if there is one.
+    pub(crate) fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         loop {
-            let idle = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
-            let Some(idle) = idle else { return self.open(address, failures).await };
+            let idle = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop)?;
             if idle.until > now && idle.connection.sender.is_ready() {
                 let mut connection = idle.connection;
                 connection.is_reused = true;
-                return Ok(connection);
+                return Some(connection);
             }
         }
     }
 
-    /// Opens a new connection to a server.
+    /// Opens a new connection to a server; `failures` is the number of failed connections of the same
+    /// request.
     pub(crate) async fn open(
         &self,
         address: SocketAddr,
@@ -163,6 +158,11 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn close_all_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes connections that have been idle for too long.
     pub(crate) fn expire(&self) {
         let now = Instant::now();
--- a/bins/mangocross-front/src/relay_server.rs
+++ b/bins/mangocross-front/src/relay_server.rs
@@ -1,4 +1,5 @@
-//! Answers the questions of other entry VMs for changes of the store.
+//! Answers the questions of other entry VMs for changes of the store, and serves requests that they
+//! pass on.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -10,7 +11,6 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -21,6 +21,12 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::answer_body::AnswerBody;
+use crate::connection::ConnectionState;
+use crate::connection::TimeLimits;
+use crate::dispatch;
+use crate::dispatch::RequestSender;
+use crate::peer_forwarding::PASSED_ON_BY;
 use crate::pool;
 use crate::relay_messages::CHANGES_PATH;
 use crate::relay_messages::QUESTION_BYTES_MAX;
@@ -38,7 +44,7 @@
 /// Delay after a failed accept, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Listens for questions of other entry VMs.
+/// Listens for questions and requests of other entry VMs.
 pub(crate) async fn bind(state: &Rc<AppState>) -> Result<(), String> {
     let address = SocketAddr::new(state.vm.ip, state.vm.peer_port);
     let listener = TcpListener::bind(address)
@@ -65,9 +71,21 @@
     if let Err(error) = pool::set_options(&stream, pool::SERVER_USER_TIMEOUT) {
         log::debug!(error:% = error; "socket options are not available");
     }
+    let limits = state.configuration().map(|it| it.limits).unwrap_or_default();
+    let connection_state = ConnectionState::new(state.clock, TimeLimits::new(&limits));
     let service = service_fn(|request: Request<Incoming>| {
         let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(respond(&state, request).await) }
+        let in_progress = connection_state.begin_request();
+        async move {
+            let response = match request.headers().contains_key(&PASSED_ON_BY) {
+                true => {
+                    let sender = RequestSender::EntryVm;
+                    dispatch::serve_request(state, request, in_progress, sender).await
+                }
+                false => respond(&state, request).await.map(AnswerBody::whole),
+            };
+            Ok::<_, Infallible>(response)
+        }
     });
     if let Err(error) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await
     {
@@ -75,7 +93,7 @@
     }
 }
 
-async fn respond(state: &AppState, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn respond(state: &AppState, request: Request<Incoming>) -> Response<Bytes> {
     let arrived_at = state.now();
     if request.uri().path() != CHANGES_PATH {
         return response(StatusCode::NOT_FOUND, Bytes::new());
@@ -103,8 +121,8 @@
     }
 }
 
-fn response(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body));
+fn response(status: StatusCode, body: Bytes) -> Response<Bytes> {
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     response
 }
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -28,6 +28,7 @@
 use mangocross_serving::RetryBudget;
 use mangocross_serving::ServerLimits;
 use mangocross_serving::ServerNotices;
+use mangocross_serving::ServerReach;
 use mangocross_serving::StoreView;
 use mangocross_serving::TrafficConfiguration;
 use mangocross_serving::UnexplainedBreaks;
@@ -112,6 +113,8 @@
     pub(crate) limits: ServerLimits,
     /// Requests of the other entry VMs, while servers are limited.
     pub(crate) shares: RequestShares,
+    /// Whether this VM and the others reach the servers.
+    pub(crate) reach: ServerReach,
     suspects: HashMap<VmId, Moment>,
     /// Suspects that this VM detected itself.
     local_suspects: HashMap<VmId, Moment>,
@@ -145,6 +148,8 @@
     pub(crate) logged_quarantine: RefCell<String>,
     /// Wakes the task that tells the other entry VMs of versions of the configuration.
     pub(crate) configuration_notice_changed: Notify,
+    /// Wakes the task that tells the other entry VMs whether this one reaches servers.
+    pub(crate) reach_changed: Notify,
     /// Wakes the task that sends updates to the other entry VMs.
     pub(crate) peer_updates: Notify,
     /// Wakes the lease task when there is no planner or the process stops.
@@ -182,6 +187,7 @@
             blame_changed: Notify::new(),
             logged_quarantine: RefCell::default(),
             configuration_notice_changed: Notify::new(),
+            reach_changed: Notify::new(),
             peer_updates: Notify::new(),
             lease_wakeup: Notify::new(),
             planner_term: Cell::new(None),
@@ -383,8 +389,12 @@
         }
     }
 
-    /// Marks a head that this VM found stalled, and reports it to the other entry VMs.
+    /// Marks a head that this VM found stalled, and reports it to the other entry VMs unless the fault
+    /// may be on this side.
     pub(crate) fn report_suspect(&self, head: &VmId) {
+        if self.view.borrow().reach.is_doubtful() {
+            return self.mark_suspect(head);
+        }
         let now = self.now();
         self.view.borrow_mut().local_suspects.insert(head.clone(), now);
         self.mark_suspect(head);
@@ -397,8 +407,11 @@
         self.peer_updates.notify_one();
     }
 
-    /// Makes the planner probe the members of a head's group.
+    /// Makes the planner probe the members of a head's group, unless the fault may be on this side.
     pub(crate) fn request_recheck(&self, head: &VmId) {
+        if self.view.borrow().reach.is_doubtful() {
+            return;
+        }
         let now = self.now();
         self.view.borrow_mut().to_recheck.insert(head.clone(), now);
         if self.is_planner() {
@@ -454,6 +467,11 @@
             && self.notices.allows_requests(server, now)
     }
 
+    /// Forgets which servers could not be reached.
+    pub(crate) fn forget_unreachable(&mut self) {
+        self.avoided.clear();
+    }
+
     /// Returns the suspects that this VM detected and is to report to the other entry VMs.
     pub(crate) fn local_suspects(&self, now: Moment) -> Vec<VmId> {
         let recent =
@@ -488,6 +506,7 @@
         self.to_recheck.retain(|_, it| now.since(*it) < PEER_NOTICE_DURATION);
         self.avoided.retain(|_, it| now < *it);
         self.shares.expire(now);
+        self.reach.expire(now);
         let Self { failures, servers, slowdowns, notices, limits, .. } = self;
         notices.expire(now, |vm| servers.contains_key(vm));
         limits.expire(now, |vm| servers.contains_key(vm));
--- a/bins/mangocross-front/src/stream/heads.rs
+++ b/bins/mangocross-front/src/stream/heads.rs
@@ -69,9 +69,9 @@
 ) -> Option<Connection> {
     let address = call.state.view.borrow().servers.get(vm).map(|it| it.address)?;
     let connection = if may_reuse {
-        call.state.pool.get(address, failures).await
+        call.state.connection_to(address, failures).await
     } else {
-        call.state.pool.open(address, failures).await
+        call.state.connect_to(address, failures).await
     };
     match connection {
         Ok(it) => Some(it),
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -61,6 +61,14 @@
     first_event_in: Duration,
 }
 
+/// Why no server has begun a stream.
+pub(super) enum NoAnswer {
+    /// The answer to the caller tells why.
+    Refused(Box<Response<AnswerBody>>),
+    /// This VM reaches no servers; another entry VM is to serve the stream.
+    NeedsPeer,
+}
+
 /// The start of a stream.
 pub(super) struct StreamStart<'a> {
     call: &'a Call,
@@ -85,12 +93,16 @@
 
     /// Returns the answer that has begun and the number of attempts that may have run, including its
     /// own, or the answer that tells why there is none.
-    pub(super) async fn run(&self) -> Result<(Answer, u32), Response<AnswerBody>> {
+    pub(super) async fn run(&self) -> Result<(Answer, u32), NoAnswer> {
         let search = ServerSearch::new(self.limits());
         let mut search = StreamSearch::new(self.call, Goal::Start(self), search);
         match search.run().await {
             Ok(it) => Ok((it, search.runs())),
-            Err(end) => Err(self.end(end, search.take_failure()).await),
+            Err(SearchEnd::NotRun(_)) if self.call.needs_peer() => Err(NoAnswer::NeedsPeer),
+            Err(end) => {
+                let refused = self.end(end, search.take_failure()).await;
+                Err(NoAnswer::Refused(Box::new(refused)))
+            }
         }
     }
 
--- a/crates/mangocross-serving/src/planner/server_health.rs
+++ b/crates/mangocross-serving/src/planner/server_health.rs
@@ -29,6 +29,8 @@
 /// Why a probe failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeFailure {
+    /// Nothing can be said of the server, since the fault may be on this side.
+    NoVerdict,
     /// The connection was refused, which proves that no server process is running.
     NoProcess,
     /// No connection could be established: the machine is down or cut off.
@@ -154,8 +156,12 @@
 
     pub(super) fn record_failure(&mut self, failure: ProbeFailure) {
         self.is_probing = false;
+        if failure == ProbeFailure::NoVerdict {
+            return;
+        }
         self.is_turned_away = failure == ProbeFailure::TurnedAway;
         match failure {
+            ProbeFailure::NoVerdict => {}
             ProbeFailure::NoProcess => self.has_no_process = true,
             ProbeFailure::TurnedAway => {
                 self.misses = 0;
