--- a/bins/mangocross-front/src/store_changes.rs
+++ b/bins/mangocross-front/src/store_changes.rs
@@ -180,7 +180,12 @@
             // A server whose entry cannot be decoded must not be used.
             if let Ok(vm) = server_id(&item.key) {
                 state.relay.record(&item.key, item.value.as_ref(), item.revision, state.now());
-                state.view.borrow_mut().servers.remove(&vm);
+                let mut view = state.view.borrow_mut();
+                let known = view.server_revisions.get(&vm).copied().unwrap_or_default();
+                if known < item.revision {
+                    view.server_revisions.insert(vm.clone(), item.revision);
+                    view.servers.remove(&vm);
+                }
             }
         }
     }
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -12,6 +12,7 @@
 mod late_copies;
 mod log_points;
 mod metrics;
+mod odd_entries;
 mod one_search;
 mod paused_planner;
 mod paused_servers;
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -149,6 +149,11 @@
         lock(&self.state).put(key, value.to_string().into_bytes());
     }
 
+    /// Writes any bytes unconditionally and without a lease.
+    pub(crate) fn put_bytes(&self, key: &str, value: Vec<u8>) {
+        lock(&self.state).put(key, value);
+    }
+
     /// Writes the operators' configuration, with these keys of a customer.
     pub(crate) fn configure(&self, version: u64, keys: &[&str]) {
         self.put("op/config", &configuration(version, keys));
