fix(front): an answer of another type does not continue a stream

Reported by other operators: a stream broke off, the next worker answered with an error, and clients found its text in their stream.

Answers with another status than 200, without the server's signature or that cannot be read never continued a stream. An answer with status 200 and a signature did, whatever its type: an error in JSON or plain text with a blank line in it was passed on as events, and the stream ended as if it were complete.

The answer that continues a stream has the content type of the one that the caller has the head of; any other counts as the server's failure.

--- a/bins/mangocross-front/src/stream/goal.rs
+++ b/bins/mangocross-front/src/stream/goal.rs
@@ -6,6 +6,7 @@
 use mangocross_serving::ServerSearch;
 use mangocross_types::VmId;
 
+use super::attempt::StartedStream;
 use super::start::StreamStart;
 use super::successor::Continuation;
 
@@ -47,6 +48,15 @@
         }
     }
 
+    /// Returns whether an answer may follow what the caller has received: one of another type than
+    /// the stream is an error, whatever its status.
+    pub(super) fn accepts(self, started: &StartedStream) -> bool {
+        match self {
+            Self::Start(_) => true,
+            Self::Continuation(it) => it.accepts(started),
+        }
+    }
+
     /// Records that the stream was sent, and the number of attempts that may have run.
     pub(super) fn record_sent(self, vm: &VmId, runs: u32) {
         match self {
--- a/bins/mangocross-front/src/stream/search.rs
+++ b/bins/mangocross-front/src/stream/search.rs
@@ -168,7 +168,11 @@
         let (last_id, priority) = goal.resumption();
         self.attempts.push(Box::pin(async move {
             let progress = match start_attempt(call, &vm, connection, last_id, priority).await {
-                Ok(it) => Progress::Head(Box::new(it)),
+                Ok(it) if goal.accepts(&it) => Progress::Head(Box::new(it)),
+                Ok(it) => {
+                    let error = StartError::Failure(Box::new(it));
+                    record_failure(call, &vm, error, AnswerStart::default()).await
+                }
                 Err(error) => record_failure(call, &vm, error, AnswerStart::default()).await,
             };
             (id, vm, progress)
--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::header;
 use mangocross_serving::Admission;
 use mangocross_serving::Moment;
 use mangocross_serving::Obstacle;
@@ -13,6 +14,7 @@
 use mangocross_types::VmId;
 use tokio::time::Instant;
 
+use super::attempt::StartedStream;
 use super::forwarder::Forwarder;
 use super::goal::Goal;
 use super::heads;
@@ -141,6 +143,11 @@
         }
     }
 
+    pub(super) fn accepts(&self, started: &StartedStream) -> bool {
+        let content_type = started.response.headers().get(header::CONTENT_TYPE);
+        content_type == self.forwarder.content_type.as_ref()
+    }
+
     pub(super) fn resumption(&self) -> (Option<u64>, u8) {
         (self.forwarder.last_id.get(), RESUMED_PRIORITY)
     }
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -69,6 +69,9 @@
     answer_end: AnswerEnd,
     /// Whether all answers say that the server is leaving.
     is_leaving: bool,
+    /// Head and body that a stream is answered with that is to be resumed; the connection is closed
+    /// after it.
+    resumption_answer: Option<String>,
     /// Requests a second that all answers name as the server's limit.
     named_limit: Option<String>,
     /// `Retry-After` with which requests are refused.
@@ -198,6 +201,12 @@
         lock(&self.state).is_leaving = is_leaving;
     }
 
+    /// Answers streams that are to be resumed with these bytes, in which `ATTEMPT` stands for the
+    /// attempt, and closes the connection.
+    pub(crate) fn set_resumption_answer(&self, answer: &str) {
+        lock(&self.state).resumption_answer = Some(answer.to_owned());
+    }
+
     /// Sets the requests a second that all answers name as the server's limit, if they name one.
     pub(crate) fn set_named_limit(&self, value: Option<&str>) {
         lock(&self.state).named_limit = value.map(str::to_owned);
@@ -443,6 +452,12 @@
             }
             return;
         }
+        let resumption = lock(&self.state).resumption_answer.clone();
+        if let Some(it) = resumption.filter(|_| request.header("Last-Event-Id").is_some()) {
+            let _ = stream.write_all(it.replace("ATTEMPT", &attempt).as_bytes());
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+            return;
+        }
         let after = request.header("Last-Event-Id").and_then(|it| it.parse().ok()).unwrap_or(0);
         if end != AnswerEnd::Length {
             let events: Vec<String> =
--- a/bins/mangocross-front/tests/front/successors.rs
+++ b/bins/mangocross-front/tests/front/successors.rs
@@ -283,3 +283,46 @@
     });
     answers.iter().for_each(assert_whole);
 }
+
+/// Guards against the error of a server that was to continue a stream inside the stream, and against a
+/// stream that ends with it as if it were complete.
+#[test]
+fn error_of_a_successor_is_no_part_of_the_stream() {
+    const OWN: &str = "Attempt-Id: ATTEMPT\r\nServer-Seal: e.1\r\n";
+    const ERROR: &str = "error: overloaded\n\nid: 9\ndata: error\n\n";
+    let with_length = |status: &str, headers: &str| {
+        let length = ERROR.len();
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{ERROR}")
+    };
+    let without_length = |status: &str, headers: &str| {
+        format!("HTTP/1.1 {status}\r\n{headers}Connection: close\r\n\r\n{ERROR}")
+    };
+    let json = format!("{OWN}Content-Type: application/json\r\n");
+    let events = "Attempt-Id: ATTEMPT\r\nContent-Type: text/event-stream\r\n".to_owned();
+    let not_run = format!("{OWN}Not-Executed: 1\r\n");
+    let answers = [
+        with_length("500 Failed", OWN),
+        without_length("500 Failed", OWN),
+        with_length("503 Full", OWN),
+        with_length("503 Full", &not_run),
+        without_length("503 Full", &not_run),
+        with_length("200 OK", &json),
+        without_length("200 OK", &json),
+        with_length("200 OK", OWN),
+        with_length("200 OK", &events),
+        with_length("502 Bad", &events),
+        ERROR.to_owned(),
+        "HTTP/1.1 500 Fai".to_owned(),
+    ];
+    for answer in answers {
+        let (_store, engines, front) = start_groups(2, 2);
+        break_first_answer_of_each(&engines);
+        engines.iter().for_each(|it| it.set_resumption_answer(&answer));
+        let (status, body) = call(&front, "failing");
+        let case = format!("{answer:?}: {status} {body}");
+        let ids: Vec<&str> = body.lines().filter_map(|it| it.strip_prefix("id: ")).collect();
+        assert_eq!((status, ids), (200, vec!["1", "2"]), "{case}");
+        assert!(!body.contains("error") && !body.contains("HTTP/1.1"), "{case}");
+        assert!(!body.ends_with("0\r\n\r\n"), "the stream seems complete: {case}");
+    }
+}
