fix(front): a server that refused a request is asked again on a new connection

Reported by other operators: a faulty worker wrote an earlier refusal once more on a kept connection, and requests that it was running counted as not run.

On a reused connection an answer has to name the attempt. A request that is sent again to the server that refused it, on a connection kept from other requests, passes this check with the copy of its first refusal: it counts as not run, and runs once more elsewhere or is refused. Only requests that may be repeated use kept connections, so nothing ran twice that must not.

The next attempt at such a server opens a new connection.

--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -228,8 +228,9 @@
     async fn connect(&mut self, server: &BackendServer) -> Connected {
         let call = self.call;
         let failures = self.search.connect_failures();
+        let has_refused = self.search.has_refused(&server.vm);
         let connecting = async {
-            match call.route.retry_policy.is_retryable() {
+            match call.route.retry_policy.is_retryable() && !has_refused {
                 true => call.state.connection_to(server.address, failures).await,
                 false => call.state.connect_to(server.address, failures).await,
             }
--- a/bins/mangocross-front/src/stream/search.rs
+++ b/bins/mangocross-front/src/stream/search.rs
@@ -183,7 +183,7 @@
     /// Connects to a server, beside the attempts in progress.
     async fn connect(&mut self, vm: &VmId) -> Connected {
         let call = self.call;
-        let may_reuse = call.route.retry_policy.is_retryable();
+        let may_reuse = call.route.retry_policy.is_retryable() && !self.search.has_refused(vm);
         let connecting = heads::connect(call, vm, may_reuse, self.search.connect_failures());
         let connecting = tokio::time::timeout_at(call.ends_at, connecting);
         tokio::pin!(connecting);
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -69,6 +69,8 @@
     answer_end: AnswerEnd,
     /// Whether all answers say that the server is leaving.
     is_leaving: bool,
+    /// Refusals of streams that are to be resumed, by attempt, if the first one of each is refused.
+    resumption_refusals: Option<BTreeMap<String, String>>,
     /// Head and body that a stream is answered with that is to be resumed; the connection is closed
     /// after it.
     resumption_answer: Option<String>,
@@ -201,6 +203,12 @@
         lock(&self.state).is_leaving = is_leaving;
     }
 
+    /// Refuses the first resumption of each stream; on a connection that was in use before, the next
+    /// one gets the same refusal once more while it runs.
+    pub(crate) fn repeat_refusals_of_resumptions(&self) {
+        lock(&self.state).resumption_refusals = Some(BTreeMap::new());
+    }
+
     /// Answers streams that are to be resumed with these bytes, in which `ATTEMPT` stands for the
     /// attempt, and closes the connection.
     pub(crate) fn set_resumption_answer(&self, answer: &str) {
@@ -397,6 +405,10 @@
             answer(stream, 421, &format!("Attempt-Id: {attempt}\r\n{notice}"), "");
             return;
         }
+        let is_resumption = request.header("Last-Event-Id").is_some();
+        if is_resumption && self.refuses_resumption(&attempt, stream) {
+            return;
+        }
         let retry_after = self.retry_after();
         let refuses = {
             let mut state = lock(&self.state);
@@ -453,7 +465,7 @@
             return;
         }
         let resumption = lock(&self.state).resumption_answer.clone();
-        if let Some(it) = resumption.filter(|_| request.header("Last-Event-Id").is_some()) {
+        if let Some(it) = resumption.filter(|_| is_resumption) {
             let _ = stream.write_all(it.replace("ATTEMPT", &attempt).as_bytes());
             let _ = stream.shutdown(std::net::Shutdown::Both);
             return;
--- a/bins/mangocross-front/tests/front/platform/servers/copies.rs
+++ b/bins/mangocross-front/tests/front/platform/servers/copies.rs
@@ -112,6 +112,26 @@
         }
     }
 
+    /// Refuses the first resumption of a stream, if that is set, and returns whether it did; writes the
+    /// refusal of the first one again on a connection that was in use before.
+    pub(super) fn refuses_resumption(&self, attempt: &str, stream: &mut TcpStream) -> bool {
+        let refusal = format!(
+            "HTTP/1.1 503 Full\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        );
+        let Ok(caller) = stream.peer_addr() else { return false };
+        let (is_first, is_used) = {
+            let mut state = lock(&self.state);
+            let is_used = state.sent.last_answers.contains_key(&caller);
+            let Some(refusals) = &mut state.resumption_refusals else { return false };
+            let earlier = refusals.insert(attempt.to_owned(), refusal.clone());
+            (earlier.is_none(), is_used)
+        };
+        if is_first || is_used {
+            let _ = stream.write_all(refusal.as_bytes());
+        }
+        is_first
+    }
+
     /// Records the last answer on a connection.
     pub(super) fn note_sent(&self, stream: &TcpStream, text: String) {
         if let Ok(caller) = stream.peer_addr() {
--- a/bins/mangocross-front/tests/front/successors.rs
+++ b/bins/mangocross-front/tests/front/successors.rs
@@ -326,3 +326,25 @@
         assert!(!body.ends_with("0\r\n\r\n"), "the stream seems complete: {case}");
     }
 }
+
+/// Guards against an earlier refusal that counts as the answer to a stream which the server runs: a
+/// faulty server writes it once more on a connection from before.
+#[test]
+fn earlier_refusal_is_no_answer_to_the_next_attempt() {
+    let (_store, engines, front) = start_groups(2, 3);
+    let heads: Vec<&Server> = engines.iter().filter(|it| it.is_open()).collect();
+    for number in 0..20 {
+        assert_whole(&call(&front, &format!("warm-{number}")));
+    }
+    heads.iter().for_each(|it| it.repeat_refusals_of_resumptions());
+    break_first_answer_of_each(&engines);
+    let answer = thread::scope(|scope| {
+        let answer = scope.spawn(|| call(&front, "refused"));
+        let (_, others) = wait_for_runs(&engines, "refused", 1);
+        others.iter().for_each(|it| it.break_streams(0));
+        answer.join().expect("an answer")
+    });
+    assert_whole(&answer);
+    let runs = all_runs(&engines, "refused");
+    assert_eq!(runs, 2, "the stream broke at one group and went on at the other");
+}
--- a/crates/mangocross-serving/src/server_search.rs
+++ b/crates/mangocross-serving/src/server_search.rs
@@ -174,6 +174,12 @@
         self.tried.iter().chain(refused).cloned().collect()
     }
 
+    /// Returns whether a server has refused the request. It is asked again on a new connection: on one
+    /// from before, the refusal could come once more and would name the right attempt.
+    pub fn has_refused(&self, vm: &VmId) -> bool {
+        self.refusals.iter().any(|it| it.vm == *vm)
+    }
+
     /// Returns whether a server is never asked again.
     pub fn has_tried(&self, vm: &VmId) -> bool {
         self.tried.contains(vm)
