--- a/bins/mangocross-front/tests/front/cut_entry_vms.rs
+++ b/bins/mangocross-front/tests/front/cut_entry_vms.rs
@@ -2,6 +2,8 @@
 //! VMs reach it.
 
 use std::collections::BTreeSet;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,6 +16,7 @@
 use crate::platform::Links;
 use crate::platform::Server;
 use crate::platform::Store;
+use crate::platform::call;
 use crate::platform::is_signed;
 use crate::platform::wait_for_metric;
 use crate::platform::wait_until;
@@ -33,7 +36,7 @@
     _store: Store,
     servers: Vec<Server>,
     links: Vec<Link>,
-    _others: Vec<Front>,
+    others: Vec<Front>,
     front: Front,
     _entrance: Entrance,
 }
@@ -70,13 +73,22 @@
             wait_for_metric(it, "front_entry_vms 3");
             wait_for_metric(it, "front_backend_servers 7");
         }
-        Self { _store: store, servers, links, _others: others, front, _entrance: entrance }
+        Self { _store: store, servers, links, others, front, _entrance: entrance }
     }
 
     fn cut(&self, how: Cut) {
         self.links.iter().for_each(|it| it.cut(how));
     }
 
+    /// Cuts the links and waits until the entry VM has found out.
+    fn cut_and_wait(&self) {
+        self.cut(Cut::Refused);
+        wait_until("the entry VM knows that it is cut off", || {
+            self.send("/lookup/x", "cut");
+            self.front.metrics().lines().any(|it| it == "front_cut_off 1")
+        });
+    }
+
     fn mend(&self) {
         self.links.iter().for_each(Link::mend);
     }
@@ -191,3 +203,43 @@
     let after: usize = deployment.servers.iter().map(|it| it.ran().len()).sum();
     assert_eq!(before, after);
 }
+
+/// Guards against a stream that seems complete although the entry VM that it came by way of has ended.
+#[test]
+fn stream_of_an_entry_vm_that_ends_is_cut() {
+    let mut deployment = Deployment::start();
+    deployment.servers.iter().for_each(|it| it.set_event_pause(Duration::from_millis(300)));
+    deployment.cut_and_wait();
+    let address = deployment.front.address;
+    let caller = thread::spawn(move || {
+        let headers = CALLER_HEADERS.replace("a1", "passed-on");
+        call(address, "POST", "/stream/x", &headers, "{}")
+    });
+    let has_begun =
+        || deployment.servers.iter().any(|it| it.ran().contains(&"passed-on".to_owned()));
+    wait_until("the stream runs", has_begun);
+    thread::sleep(Duration::from_millis(500));
+    deployment.others.iter_mut().for_each(Front::kill);
+    let (status, _, body) = caller.join().expect("an answer");
+    assert_eq!(status, 200);
+    assert!(body.contains("id: 1") && !body.ends_with("0\r\n\r\n"), "{body}");
+}
+
+/// Guards against work that goes on for a caller who has left.
+#[test]
+fn caller_that_leaves_ends_the_work_at_the_server() {
+    let deployment = Deployment::start();
+    deployment.servers.iter().for_each(|it| it.set_event_pause(Duration::from_millis(200)));
+    deployment.cut_and_wait();
+    let mut caller = TcpStream::connect(deployment.front.address).expect("a connection");
+    let headers = CALLER_HEADERS.replace("a1", "leaving");
+    let request = format!(
+        "POST /stream/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n{headers}\r\n{{}}"
+    );
+    caller.write_all(request.as_bytes()).expect("a request is sent");
+    let has_begun = || deployment.servers.iter().any(|it| it.ran().contains(&"leaving".to_owned()));
+    wait_until("the stream runs", has_begun);
+    drop(caller);
+    let none_in_progress = |it: &Front| it.metrics().contains("front_requests_in_progress 0");
+    wait_until("no entry VM is at work", || deployment.others.iter().all(none_in_progress));
+}
