fix(front): entry VMs that are cut off tell each other which others are

With 44 of 87 entry VMs cut off, 1,258 requests were refused since three others in a row were cut off as well: each tells four others, so that one hears of a third of them before what it heard is too old.

The notices carry what their sender has heard, with its age, and a VM that did not take a request for this reason is remembered.

--- a/bins/mangocross-front/src/peer_forwarding.rs
+++ b/bins/mangocross-front/src/peer_forwarding.rs
@@ -4,7 +4,6 @@
 //! passes it on no further.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +20,8 @@
 use hyper::body::Incoming;
 use mangocross_platform::AnswerHead;
 use mangocross_platform::passed_on_headers;
+use mangocross_serving::ListedEntryVm;
+use mangocross_serving::ReachNotice;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use tokio::sync::mpsc;
@@ -61,6 +62,8 @@
 enum PassedOn {
     /// Its answer, with the connection that the rest of it comes on.
     Answered(Box<(Response<Incoming>, Connection)>),
+    /// It reaches no servers either.
+    CutOff,
     /// It has not taken the request.
     NotTaken(&'static str),
     /// It may have passed the request to a server.
@@ -84,6 +87,13 @@
                 let response = call.record.refuse(&refusal, reason);
                 return (response, Some(call.record));
             }
+            PassedOn::CutOff => {
+                let notice =
+                    ReachNotice { entry_vm: Arc::clone(&name), is_cut_off: true, age_ms: 0 };
+                let now = call.state.now();
+                call.state.view.borrow_mut().reach.record_peer(&notice, now);
+                "cut off as well"
+            }
             PassedOn::NotTaken(reason) => reason,
         };
         log_passed_on(&call, &name, reason);
@@ -115,9 +125,7 @@
         .filter(|(name, _)| **name != state.vm.name && !view.reach.is_peer_cut_off(name, now))
         .collect();
     fastrand::shuffle(&mut peers);
-    let is_near = |it: &(&Arc<str>, &mangocross_serving::ListedEntryVm)| {
-        it.1.zone.as_ref() == Some(&state.vm.zone)
-    };
+    let is_near = |it: &(&Arc<str>, &ListedEntryVm)| it.1.zone.as_ref() == Some(&state.vm.zone);
     // A zone may be cut off as a whole.
     if let Some(nearest) = peers.iter().position(is_near) {
         peers.swap(0, nearest);
@@ -143,7 +151,7 @@
         Err(_) => return PassedOn::Broken("no answer of another entry VM in time"),
     };
     match response.status() {
-        _ if response.headers().contains_key(&CUT_OFF) => PassedOn::NotTaken("cut off as well"),
+        _ if response.headers().contains_key(&CUT_OFF) => PassedOn::CutOff,
         // This VM has found the route and the key, so the other one knows an older configuration.
         StatusCode::UNAUTHORIZED | StatusCode::NOT_FOUND if !is_signed(&response) => {
             PassedOn::NotTaken("another configuration")
@@ -251,9 +259,3 @@
         !self.is_passed_on && self.state.is_cut_off()
     }
 }
-
-/// Marks an entry VM that has said whether it reaches servers.
-pub(crate) fn record_peer(state: &Rc<AppState>, from: Arc<str>, is_cut_off: bool) {
-    let now = state.now();
-    state.view.borrow_mut().reach.record_peer(from, is_cut_off, now);
-}
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -17,6 +17,7 @@
 use mangocross_serving::LimitReport;
 use mangocross_serving::Load;
 use mangocross_serving::PartCrashReport;
+use mangocross_serving::ReachNotice;
 use mangocross_serving::RequestCounts;
 use mangocross_types::Revision;
 use mangocross_types::StoreEra;
@@ -28,7 +29,6 @@
 
 use crate::blame;
 use crate::leases::PLANNER_KEY;
-use crate::peer_forwarding;
 use crate::state::AppState;
 use crate::store_changes;
 
@@ -82,8 +82,8 @@
     CrashCauses(CrashReport),
     /// Limits that servers have named, and the requests of callers that the limits are shared by.
     Limits { from: Arc<str>, reports: Vec<LimitReport>, counts: RequestCounts },
-    /// Whether the sending entry VM reaches no servers.
-    Reach { from: Arc<str>, is_cut_off: bool },
+    /// Whether the sending entry VM and others reach servers.
+    Reach(Vec<ReachNotice>),
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -149,8 +149,10 @@
             }
             Ok(Message::Crashes(report)) => blame::apply_report(&state, report.into()),
             Ok(Message::CrashCauses(report)) => blame::apply_report(&state, report),
-            Ok(Message::Reach { from, is_cut_off }) => {
-                peer_forwarding::record_peer(&state, from, is_cut_off);
+            Ok(Message::Reach(notices)) => {
+                let now = state.now();
+                let mut view = state.view.borrow_mut();
+                notices.iter().for_each(|it| view.reach.record_peer(it, now));
             }
             Ok(Message::Limits { from, reports, counts }) => {
                 state.apply_limits(from, &reports, counts);
@@ -342,9 +344,8 @@
             () = state.reach_changed.notified() => {}
             () = tokio::time::sleep(REACH_INTERVAL.mul_f64(0.8 + 0.4 * fastrand::f64())), if is_cut_off => {}
         }
-        let from = Arc::clone(&state.vm.name);
-        let message = Message::Reach { from, is_cut_off: state.is_cut_off() };
-        send(&socket, &message, &some_peer_addresses(&state));
+        let notices = state.view.borrow().reach.notices(&state.vm.name, state.now());
+        send(&socket, &Message::Reach(notices), &some_peer_addresses(&state));
     }
 }
 
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -106,6 +106,7 @@
 pub use server_notices::ServerNotice;
 pub use server_notices::ServerNotices;
 pub use server_reach::ReachChange;
+pub use server_reach::ReachNotice;
 pub use server_reach::ServerReach;
 pub use server_search::AttemptFailure;
 pub use server_search::AttemptId;
--- a/crates/mangocross-serving/src/server_reach.rs
+++ b/crates/mangocross-serving/src/server_reach.rs
@@ -6,6 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::Moment;
 
 /// Servers to which connections have to fail, with none that succeeds, before the fault is sought on
@@ -33,6 +36,29 @@
     Regained,
 }
 
+/// What an entry VM says of its connection to the servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReachNotice {
+    /// The entry VM that says so.
+    pub entry_vm: Arc<str>,
+    /// Whether it reaches no servers.
+    pub is_cut_off: bool,
+    /// Time since it said so, in milliseconds.
+    pub age_ms: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PeerReach {
+    said_at: Moment,
+    is_cut_off: bool,
+}
+
+impl PeerReach {
+    fn is_recent(self, now: Moment) -> bool {
+        now.since(self.said_at) < PEER_NOTICE_AGE_MAX
+    }
+}
+
 /// Judges from new connections to servers whether this entry VM is cut off from them.
 ///
 /// Only new connections count: those that were opened before a cut may live on. Several servers may
@@ -46,8 +72,8 @@
     cut_since: Option<Moment>,
     /// Servers that were reached since the last failure of a VM that is cut off.
     reached: HashSet<SocketAddr>,
-    /// Other entry VMs that are cut off, and when they last said so.
-    cut_peers: HashMap<Arc<str>, Moment>,
+    /// What other entry VMs last said, and when.
+    peers: HashMap<Arc<str>, PeerReach>,
 }
 
 impl ServerReach {
@@ -67,7 +93,7 @@
         if self.reached.len() < REACHED_SERVERS_MIN.min(listed) {
             return ReachChange::None;
         }
-        *self = Self { cut_peers: std::mem::take(&mut self.cut_peers), ..Self::default() };
+        *self = Self { peers: std::mem::take(&mut self.peers), ..Self::default() };
         self.expire(now);
         ReachChange::Regained
     }
@@ -120,22 +146,39 @@
         self.is_cut_off() || self.is_suspected
     }
 
-    /// Records that another entry VM says whether it is cut off.
-    pub fn record_peer(&mut self, peer: Arc<str>, is_cut_off: bool, now: Moment) {
-        match is_cut_off {
-            true => drop(self.cut_peers.insert(peer, now)),
-            false => drop(self.cut_peers.remove(&peer)),
+    /// Records what another entry VM said, as it told itself or as a third one tells.
+    pub fn record_peer(&mut self, notice: &ReachNotice, now: Moment) {
+        let said_at = now.before(Duration::from_millis(u64::from(notice.age_ms)));
+        let said = PeerReach { said_at, is_cut_off: notice.is_cut_off };
+        let known = self.peers.entry(Arc::clone(&notice.entry_vm)).or_insert(said);
+        if known.said_at < said_at {
+            *known = said;
         }
     }
 
     /// Returns whether another entry VM has lately said that it is cut off.
     pub fn is_peer_cut_off(&self, peer: &str, now: Moment) -> bool {
-        self.cut_peers.get(peer).is_some_and(|it| now.since(*it) < PEER_NOTICE_AGE_MAX)
+        self.peers.get(peer).is_some_and(|it| it.is_cut_off && it.is_recent(now))
+    }
+
+    /// Returns what the entry VM `own` tells the others: its own state, and what it has heard lately.
+    ///
+    /// Where many are cut off, each reaches only some of the others with its own message.
+    pub fn notices(&self, own: &Arc<str>, now: Moment) -> Vec<ReachNotice> {
+        let own =
+            ReachNotice { entry_vm: Arc::clone(own), is_cut_off: self.is_cut_off(), age_ms: 0 };
+        let heard = self.peers.iter().filter(|(_, it)| it.is_recent(now));
+        let heard = heard.map(|(peer, it)| ReachNotice {
+            entry_vm: Arc::clone(peer),
+            is_cut_off: it.is_cut_off,
+            age_ms: now.since(it.said_at).as_millis() as u32,
+        });
+        [own].into_iter().chain(heard).collect()
     }
 
     /// Removes what no longer counts.
     pub fn expire(&mut self, now: Moment) {
         self.failed.retain(|_, it| now.since(*it) < FAILURE_AGE_MAX);
-        self.cut_peers.retain(|_, it| now.since(*it) < PEER_NOTICE_AGE_MAX);
+        self.peers.retain(|_, it| it.is_recent(now));
     }
 }
--- a/crates/mangocross-serving/tests/server_reach.rs
+++ b/crates/mangocross-serving/tests/server_reach.rs
@@ -6,6 +6,7 @@
 
 use mangocross_serving::Moment;
 use mangocross_serving::ReachChange;
+use mangocross_serving::ReachNotice;
 use mangocross_serving::ServerReach;
 
 const LISTED: usize = 12;
@@ -91,12 +92,25 @@
 }
 
 #[test]
-fn peers_that_are_cut_off_are_known_for_a_while() {
+fn newest_word_of_a_peer_counts_for_a_while() {
+    let notice = |peer: &str, is_cut_off, age_ms| ReachNotice {
+        entry_vm: Arc::from(peer),
+        is_cut_off,
+        age_ms,
+    };
     let mut reach = ServerReach::default();
-    reach.record_peer(Arc::from("front-2"), true, at(0));
-    reach.record_peer(Arc::from("front-3"), true, at(0));
-    reach.record_peer(Arc::from("front-3"), false, at(10));
-    assert!(reach.is_peer_cut_off("front-2", at(1_400)));
-    assert!(!reach.is_peer_cut_off("front-2", at(1_500)));
-    assert!(!reach.is_peer_cut_off("front-3", at(10)));
+    reach.record_peer(&notice("front-2", true, 0), at(1_000));
+    reach.record_peer(&notice("front-3", true, 200), at(1_000));
+    reach.record_peer(&notice("front-3", false, 0), at(1_010));
+    // A third VM tells what it heard before.
+    reach.record_peer(&notice("front-3", true, 100), at(1_020));
+    assert!(reach.is_peer_cut_off("front-2", at(2_400)));
+    assert!(!reach.is_peer_cut_off("front-2", at(2_500)));
+    assert!(!reach.is_peer_cut_off("front-3", at(1_020)));
+    let mut told = reach.notices(&Arc::from("front-1"), at(1_100));
+    told.sort_by(|a, b| a.entry_vm.cmp(&b.entry_vm));
+    let expected =
+        [notice("front-1", false, 0), notice("front-2", true, 100), notice("front-3", false, 90)];
+    assert_eq!(told, expected);
+    assert_eq!(reach.notices(&Arc::from("front-1"), at(9_000)), [notice("front-1", false, 0)]);
 }
