test(soak): servers that name limits

A server names a limit of 0, 0.5 or 20.5 requests a second now and then, one that cannot be read, or none.

--- a/bins/mangocross-front/tests/front/soak/deployment.rs
+++ b/bins/mangocross-front/tests/front/soak/deployment.rs
@@ -206,6 +206,7 @@
         self.engines.iter().chain(&self.plain_servers).for_each(|it| {
             it.set_withholding_answers(false);
             it.set_retry_after(None);
+            it.set_named_limit(None);
             it.set_turning_planner_away(false);
             it.set_leaving(false);
         });
--- a/bins/mangocross-front/tests/front/soak/faults.rs
+++ b/bins/mangocross-front/tests/front/soak/faults.rs
@@ -50,6 +50,7 @@
     let mut random = fastrand::Rng::with_seed(seed);
     // Of its own, so that the other faults of a seed stay what they are.
     let mut trouble_random = fastrand::Rng::with_seed(!seed);
+    let mut limit_random = fastrand::Rng::with_seed(seed.rotate_left(32));
     let end = Instant::now() + time;
     let mut pending: Vec<(Instant, Recovery)> = Vec::new();
     let mut version = 1;
@@ -61,6 +62,7 @@
             pending.push((Instant::now() + duration, it));
         }
         let started = troubles::start(deployment, &mut trouble_random, faults, &pending);
+        troubles::vary_limits(deployment, &mut limit_random);
         pending.extend(started.map(|(duration, it)| (Instant::now() + duration, it)));
         let next = Instant::now() + Duration::from_millis(random.u64(0..GAP_MAX_MS));
         while Instant::now() < next {
--- a/bins/mangocross-front/tests/front/soak/troubles.rs
+++ b/bins/mangocross-front/tests/front/soak/troubles.rs
@@ -68,3 +68,15 @@
     server.crash();
     server.set_leaving(false);
 }
+
+/// Makes a server name another limit on its requests, or none, now and then.
+pub(super) fn vary_limits(deployment: &Deployment, random: &mut fastrand::Rng) {
+    const LIMITS: [Option<&str>; 6] =
+        [None, None, Some("0"), Some("0.5"), Some("20.5"), Some("a few")];
+    let servers = all_servers(deployment);
+    let server = servers[random.usize(0..servers.len())];
+    let limit = LIMITS[random.usize(0..LIMITS.len())];
+    if random.u32(0..3) == 0 {
+        server.set_named_limit(limit);
+    }
+}
