fix(front): a relay tells of a lost store while a question waits

A relay tells of the loss once its last confirmation is two seconds old, but it looked at that only when a question came or its wait ended, up to a second (the longest wait of a question) later. It now wakes at that age. The test relay_that_loses_the_store_tells_those_that_wait was red (5.0 s, the whole wait) and passes.

--- a/bins/mangocross-front/src/relay_server.rs
+++ b/bins/mangocross-front/src/relay_server.rs
@@ -145,13 +145,20 @@
             continue;
         }
         let age = state.view.borrow().freshness.age(state.now());
-        if state.is_store_lost.get() && age.is_none_or(|it| it > STORE_LOST_AGE) {
+        let time_until_told = match state.is_store_lost.get() {
+            true => Some(STORE_LOST_AGE.saturating_sub(age.unwrap_or(STORE_LOST_AGE))),
+            false => None,
+        };
+        if time_until_told.is_some_and(|it| it.is_zero()) {
             return RelayAnswer::StoreLost;
         }
         if is_over || state.relay.keys.borrow().has_changes_since(question.after) {
             return changes(state, question, arrived_at);
         }
-        let _ = tokio::time::timeout_at(until, changed).await;
+        // A follower whose relay has lost the store needs time to find another one.
+        let told_at = time_until_told.map(|it| tokio::time::Instant::now() + it);
+        let wake_at = told_at.map_or(until, |it| it.min(until));
+        let _ = tokio::time::timeout_at(wake_at, changed).await;
     }
 }
 
--- a/bins/mangocross-front/tests/front/platform/front.rs
+++ b/bins/mangocross-front/tests/front/platform/front.rs
@@ -112,6 +112,11 @@
         name_of(self.address)
     }
 
+    /// Returns the address for traffic between entry VMs.
+    pub(crate) fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.address.ip(), PEERS_PORT)
+    }
+
     /// Returns the id of the process.
     pub(crate) fn pid(&self) -> u32 {
         self.child.id()
--- a/bins/mangocross-front/tests/front/relays.rs
+++ b/bins/mangocross-front/tests/front/relays.rs
@@ -1,5 +1,8 @@
 //! Tests of a fleet in which a few entry VMs follow the store for the others.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,6 +14,7 @@
 use crate::platform::Front;
 use crate::platform::Server;
 use crate::platform::Store;
+use crate::platform::start_plain;
 
 /// Number of entry VMs; beyond 16 some of them relay, also when four have died.
 const ENTRY_VM_COUNT: usize = 22;
@@ -277,3 +281,30 @@
     let misled: Vec<String> = others.iter().filter(is_misled).map(Front::name).collect();
     assert!(misled.is_empty(), "{misled:?}");
 }
+
+/// Guards against followers that learn of a relay's loss of the store only when their question has
+/// waited to its end, and then apply a configuration too late.
+#[test]
+fn relay_that_loses_the_store_tells_those_that_wait() {
+    /// A question of "t" for changes after revision 10,000 of era 1 that waits for five seconds.
+    const QUESTION: [u8; 7] = [1, b't', 1, 0x90, 0x4e, 5, 0];
+    /// First byte of an answer that tells of the loss.
+    const STORE_LOST: u8 = 1;
+    /// Age of the last confirmation from which a relay tells, and as much again for the test.
+    const TOLD_WITHIN: Duration = Duration::from_millis(4000);
+    let (store, _servers, front) = start_plain();
+    store.set_refusing(true);
+    let began = Instant::now();
+    let mut stream = TcpStream::connect(front.peers()).expect("a connection");
+    let length = QUESTION.len();
+    let head =
+        format!("POST /changes/3 HTTP/1.1\r\nHost: a.example\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all(&[head.as_bytes(), &QUESTION].concat()).expect("a question is sent");
+    let mut answer = [0; 512];
+    let length = stream.read(&mut answer).expect("an answer");
+    let waited = began.elapsed();
+    let text = String::from_utf8_lossy(&answer[..length]);
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    assert_eq!(answer[..length].last(), Some(&STORE_LOST), "{text}");
+    assert!(waited < TOLD_WITHIN, "{waited:?}");
+}
