--- a/bins/mangocross-front/tests/front/soak/deployment.rs
+++ b/bins/mangocross-front/tests/front/soak/deployment.rs
@@ -62,7 +62,8 @@
     /// Relays to each backend server.
     pub(super) server_relays: Vec<Relay>,
     pub(super) configured: Arc<Mutex<Vec<ConfiguredKeys>>>,
-    /// Entry VMs that were stopped, killed or asked to stop, and when.
+    /// Entry VMs that were stopped, killed or asked to stop, or went on or started after that, and
+    /// when. A process may serve for seconds after SIGTERM, and the next one knows nothing of it.
     pub(super) disrupted_fronts: Vec<(usize, Instant)>,
     /// Servers whose links were harmed, and when that began.
     pub(super) harmed_servers: Vec<(usize, Instant)>,
