fix(front): a stream without a content type may be continued by an event stream

The media types are compared, without parameters; where the first answer has none, one that is an event stream or has none goes on as well.

The odd answers of the test are built by the stand-in, which knows the platform's header names; headers of one connection are listed once.

--- a/bins/mangocross-front/src/stream/forwarder.rs
+++ b/bins/mangocross-front/src/stream/forwarder.rs
@@ -3,10 +3,8 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
-use http::header;
 use mangocross_serving::CompleteEvents;
 use mangocross_serving::Moment;
 use mangocross_types::ResultCode;
@@ -18,6 +16,7 @@
 use super::search::Answer;
 use super::source::Received;
 use super::source::Source;
+use super::successor::media_type;
 use crate::answer_body::AnswerBody;
 use crate::answer_body::Chunk;
 use crate::dispatch::Call;
@@ -40,14 +39,14 @@
 pub(super) fn spawn(call: Call, (mut source, first): Answer, runs: u32) -> Response<AnswerBody> {
     let status = StatusCode::OK;
     let headers = std::mem::take(&mut source.headers);
-    let content_type = headers.get(header::CONTENT_TYPE).cloned();
+    let media_type = media_type(&headers);
     call.record.answer_started(status);
     let (chunks, received) = mpsc::channel(QUEUED_CHUNKS_MAX);
     let last_id = Cell::new(call.caller_head.last_event_id);
     let runs = Cell::new(runs);
     let last_event_at = Cell::new(Instant::now());
     let task = tokio::task::spawn_local(async move {
-        let forwarder = Forwarder { call, content_type, chunks, runs, last_id, last_event_at };
+        let forwarder = Forwarder { call, media_type, chunks, runs, last_id, last_event_at };
         forwarder.run((source, first)).await;
     });
     let mut response = Response::new(AnswerBody::chunks(received, task.abort_handle()));
@@ -106,7 +105,7 @@
 pub(super) struct Forwarder {
     pub(super) call: Call,
     /// Type of the answer that the caller has received the head of.
-    pub(super) content_type: Option<HeaderValue>,
+    pub(super) media_type: Option<String>,
     chunks: Sender<Chunk>,
     /// Attempts that may have run.
     pub(super) runs: Cell<u32>,
--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::HeaderMap;
 use http::header;
 use mangocross_serving::Admission;
 use mangocross_serving::Moment;
@@ -40,6 +41,8 @@
 /// Time for which a server that is to continue a stream may send nothing new before another one is
 /// asked, as a share of the time after which the caller abandons the stream.
 const SUCCESSOR_SILENCE_SHARE: f64 = 0.35;
+/// Media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Priority of resumed streams at engines.
 pub(super) const RESUMED_PRIORITY: u8 = 0;
 
@@ -108,6 +111,12 @@
     }
 }
 
+/// Returns the type of an answer without its parameters.
+pub(super) fn media_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    Some(value.split(';').next()?.trim().to_ascii_lowercase())
+}
+
 impl Continuation<'_> {
     fn limits(&self) -> SearchLimits {
         let route = &self.forwarder.call.route;
@@ -144,8 +153,11 @@
     }
 
     pub(super) fn accepts(&self, started: &StartedStream) -> bool {
-        let content_type = started.response.headers().get(header::CONTENT_TYPE);
-        content_type == self.forwarder.content_type.as_ref()
+        let media_type = media_type(started.response.headers());
+        match &self.forwarder.media_type {
+            Some(it) => media_type.as_ref() == Some(it),
+            None => media_type.is_none_or(|it| it == EVENT_STREAM),
+        }
     }
 
     pub(super) fn resumption(&self) -> (Option<u64>, u8) {
--- a/bins/mangocross-front/tests/front/platform/answers.rs
+++ b/bins/mangocross-front/tests/front/platform/answers.rs
@@ -86,3 +86,37 @@
         });
     }
 }
+
+/// An answer that is none to a stream.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OddAnswer {
+    /// Status line; without one, only the body is sent.
+    pub(crate) status: Option<&'static str>,
+    pub(crate) content_type: Option<&'static str>,
+    pub(crate) is_signed: bool,
+    pub(crate) is_not_run: bool,
+    pub(crate) has_length: bool,
+    pub(crate) body: &'static str,
+}
+
+impl OddAnswer {
+    /// Returns the bytes of the answer to an attempt.
+    pub(crate) fn text(&self, attempt: &str) -> String {
+        let Some(status) = self.status else { return self.body.to_owned() };
+        let mut head = format!("HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\n");
+        if let Some(it) = self.content_type {
+            head.push_str(&format!("Content-Type: {it}\r\n"));
+        }
+        if self.is_signed {
+            head.push_str("Server-Seal: e.1\r\n");
+        }
+        if self.is_not_run {
+            head.push_str("Not-Executed: 1\r\n");
+        }
+        match self.has_length {
+            true => head.push_str(&format!("Content-Length: {}\r\n", self.body.len())),
+            false => head.push_str("Connection: close\r\n"),
+        }
+        format!("{head}\r\n{}", self.body)
+    }
+}
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -28,6 +28,7 @@
 use serde_json::json;
 
 pub(crate) use self::answers::AnswerEnd;
+pub(crate) use self::answers::OddAnswer;
 pub(crate) use self::answers::answer_early;
 pub(crate) use self::answers::answer_without_length;
 pub(crate) use self::client::Client;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -22,6 +22,7 @@
 pub(crate) use self::copies::LateCopy;
 use self::copies::Sent;
 use super::AnswerEnd;
+use super::OddAnswer;
 use super::Request;
 use super::Store;
 use super::answer;
@@ -71,9 +72,8 @@
     is_leaving: bool,
     /// Refusals of streams that are to be resumed, by attempt, if the first one of each is refused.
     resumption_refusals: Option<BTreeMap<String, String>>,
-    /// Head and body that a stream is answered with that is to be resumed; the connection is closed
-    /// after it.
-    resumption_answer: Option<String>,
+    /// What a stream is answered with that is to be resumed; the connection is closed after it.
+    resumption_answer: Option<OddAnswer>,
     /// Requests a second that all answers name as the server's limit.
     named_limit: Option<String>,
     /// `Retry-After` with which requests are refused.
@@ -209,10 +209,9 @@
         lock(&self.state).resumption_refusals = Some(BTreeMap::new());
     }
 
-    /// Answers streams that are to be resumed with these bytes, in which `ATTEMPT` stands for the
-    /// attempt, and closes the connection.
-    pub(crate) fn set_resumption_answer(&self, answer: &str) {
-        lock(&self.state).resumption_answer = Some(answer.to_owned());
+    /// Answers streams that are to be resumed with this, and closes the connection.
+    pub(crate) fn set_resumption_answer(&self, answer: OddAnswer) {
+        lock(&self.state).resumption_answer = Some(answer);
     }
 
     /// Sets the requests a second that all answers name as the server's limit, if they name one.
@@ -464,9 +463,9 @@
             }
             return;
         }
-        let resumption = lock(&self.state).resumption_answer.clone();
+        let resumption = lock(&self.state).resumption_answer;
         if let Some(it) = resumption.filter(|_| is_resumption) {
-            let _ = stream.write_all(it.replace("ATTEMPT", &attempt).as_bytes());
+            let _ = stream.write_all(it.text(&attempt).as_bytes());
             let _ = stream.shutdown(std::net::Shutdown::Both);
             return;
         }
--- a/bins/mangocross-front/tests/front/successors.rs
+++ b/bins/mangocross-front/tests/front/successors.rs
@@ -10,6 +10,7 @@
 use crate::platform::EVENTS;
 use crate::platform::Front;
 use crate::platform::LogFile;
+use crate::platform::OddAnswer;
 use crate::platform::Server;
 use crate::platform::Store;
 use crate::platform::start_groups;
@@ -288,36 +289,37 @@
 /// stream that ends with it as if it were complete.
 #[test]
 fn error_of_a_successor_is_no_part_of_the_stream() {
-    const OWN: &str = "Attempt-Id: ATTEMPT\r\nServer-Seal: e.1\r\n";
-    const ERROR: &str = "error: overloaded\n\nid: 9\ndata: error\n\n";
-    let with_length = |status: &str, headers: &str| {
-        let length = ERROR.len();
-        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{ERROR}")
+    const EVENTS_TYPE: Option<&str> = Some("text/event-stream");
+    const JSON_TYPE: Option<&str> = Some("application/json");
+    let plain = OddAnswer {
+        status: Some("500 Failed"),
+        content_type: None,
+        is_signed: true,
+        is_not_run: false,
+        has_length: true,
+        body: "error: overloaded\n\nid: 9\ndata: error\n\n",
     };
-    let without_length = |status: &str, headers: &str| {
-        format!("HTTP/1.1 {status}\r\n{headers}Connection: close\r\n\r\n{ERROR}")
-    };
-    let json = format!("{OWN}Content-Type: application/json\r\n");
-    let events = "Attempt-Id: ATTEMPT\r\nContent-Type: text/event-stream\r\n".to_owned();
-    let not_run = format!("{OWN}Not-Executed: 1\r\n");
+    let full = OddAnswer { status: Some("503 Full"), ..plain };
+    let success = OddAnswer { status: Some("200 OK"), ..plain };
+    let unsigned = OddAnswer { content_type: EVENTS_TYPE, is_signed: false, ..plain };
     let answers = [
-        with_length("500 Failed", OWN),
-        without_length("500 Failed", OWN),
-        with_length("503 Full", OWN),
-        with_length("503 Full", &not_run),
-        without_length("503 Full", &not_run),
-        with_length("200 OK", &json),
-        without_length("200 OK", &json),
-        with_length("200 OK", OWN),
-        with_length("200 OK", &events),
-        with_length("502 Bad", &events),
-        ERROR.to_owned(),
-        "HTTP/1.1 500 Fai".to_owned(),
+        plain,
+        OddAnswer { has_length: false, ..plain },
+        full,
+        OddAnswer { is_not_run: true, ..full },
+        OddAnswer { is_not_run: true, has_length: false, ..full },
+        success,
+        OddAnswer { content_type: JSON_TYPE, ..success },
+        OddAnswer { content_type: JSON_TYPE, has_length: false, ..success },
+        OddAnswer { status: Some("200 OK"), ..unsigned },
+        OddAnswer { status: Some("502 Bad"), ..unsigned },
+        OddAnswer { status: None, ..plain },
+        OddAnswer { status: None, body: "HTTP/1.1 500 Fai", ..plain },
     ];
     for answer in answers {
         let (_store, engines, front) = start_groups(2, 2);
         break_first_answer_of_each(&engines);
-        engines.iter().for_each(|it| it.set_resumption_answer(&answer));
+        engines.iter().for_each(|it| it.set_resumption_answer(answer));
         let (status, body) = call(&front, "failing");
         let case = format!("{answer:?}: {status} {body}");
         let ids: Vec<&str> = body.lines().filter_map(|it| it.strip_prefix("id: ")).collect();
