test(review): a process that starts after a return of the store to a copy accepts a revoked key

Cause: the first era that a process sees is never taken for a new one, and a notice of a later version does not withdraw the confirmation that is in force. Nothing is fixed.

--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -258,6 +258,11 @@
     history: Vec<(u64, String, Option<Item>)>,
     leases: BTreeMap<u64, (Duration, Instant)>,
     next_lease: u64,
+    /// Rises by one when the store comes back from a copy.
+    era: u64,
+    /// Whether the store answers nobody.
+    is_away: bool,
+    copy: Option<(u64, BTreeMap<String, Item>)>,
 }
 
 impl StoreState {
@@ -335,7 +340,7 @@
 impl Store {
     /// Starts a store; `losses` tells which writes are not answered, and when they are carried out.
     pub fn spawn(record: &Record, losses: impl Fn(usize, u64, &Request) -> Option<Duration> + Send + Sync + 'static) -> Self {
-        let state = Arc::new((Mutex::new(StoreState { next_lease: 7000, ..Default::default() }), Condvar::new()));
+        let state = Arc::new((Mutex::new(StoreState { next_lease: 7000, era: 1, ..Default::default() }), Condvar::new()));
         let this = Self { state, losses: Arc::new(losses), writes: Arc::default(), lost: Arc::default(), record: record.clone() };
         let expiring = this.clone();
         thread::spawn(move || loop {
@@ -377,8 +382,13 @@
                                 return;
                             }
                         }
+                        let era = this.era();
                         let (status, body) = this.serve(&request);
-                        answer(&mut stream, status, "Content-Type: application/json\r\nStore-Era: 1\r\n", &body);
+                        if lock(&this.state.0).is_away || this.era() != era {
+                            return;
+                        }
+                        let headers = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+                        answer(&mut stream, status, &headers, &body);
                     }
                 });
             }
@@ -389,6 +399,9 @@
     fn serve(&self, request: &Request) -> (u16, String) {
         let path = request.target.split('?').next().unwrap_or_default().to_owned();
         let mut state = lock(&self.state.0);
+        if state.is_away {
+            return (503, String::new());
+        }
         let answer = if path == "/-/kv-txn" {
             state.transact(&Json::parse(&request.body))
         } else if path == "/-/kv-lease" {
@@ -427,7 +440,11 @@
             let after: u64 = request.query("after_rev").and_then(|it| it.parse().ok()).unwrap_or(0);
             let wait_ms: u64 = request.query("wait_ms").and_then(|it| it.parse().ok()).unwrap_or(0);
             let until = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
+            let era = state.era;
             loop {
+                if state.era != era || after > state.revision {
+                    break (410, "{}".to_owned());
+                }
                 let later = state.history.iter().filter(|it| it.0 > after && it.1.starts_with(&prefix));
                 let events: Vec<String> = later
                     .map(|(revision, key, item)| match item {
@@ -451,7 +468,39 @@
 
     /// Writes a value of an operator or a worker.
     pub fn put(&self, key: &str, value: &str) {
-        lock(&self.state.0).put(key, base64(value.as_bytes()), 0);
+        let mut state = lock(&self.state.0);
+        if !state.is_away {
+            state.put(key, base64(value.as_bytes()), 0);
+        }
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    fn era(&self) -> u64 {
+        lock(&self.state.0).era
+    }
+
+    /// Makes the copy that the store comes back from.
+    pub fn make_copy(&self) {
+        let mut state = lock(&self.state.0);
+        let items = state.items.iter().filter(|it| it.1.lease == 0);
+        let items = items.map(|it| (it.0.clone(), it.1.clone())).collect();
+        state.copy = Some((state.revision, items));
+    }
+
+    /// Answers nobody for a while and comes back from the copy, without any lease.
+    pub fn return_to_copy(&self, silence: Duration) {
+        lock(&self.state.0).is_away = true;
+        self.state.1.notify_all();
+        thread::sleep(silence);
+        let mut state = lock(&self.state.0);
+        let (revision, items) = state.copy.take().expect("a copy");
+        (state.revision, state.items) = (revision, items);
+        state.history.retain(|it| it.0 <= revision);
+        state.leases.clear();
+        state.era += 1;
+        state.is_away = false;
+        drop(state);
         self.state.1.notify_all();
     }
 
@@ -479,7 +528,8 @@
     connections: Mutex<Vec<TcpStream>>,
     /// Seconds at which requests that crash the worker reached it.
     pub crashing: Mutex<Vec<f64>>,
-    pub served: AtomicU64,
+    /// Attempts that ran, with the seconds.
+    pub ran: Mutex<Vec<(f64, String)>>,
 }
 
 /// Time from the start of a request that crashes a worker until the crash.
@@ -505,7 +555,7 @@
             seq: AtomicU64::new(0),
             connections: Mutex::default(),
             crashing: Mutex::default(),
-            served: AtomicU64::new(0),
+            ran: Mutex::default(),
         });
         this.publish();
         let served = Arc::clone(&this);
@@ -571,7 +621,7 @@
                 return;
             }
             thread::sleep(Duration::from_millis(20));
-            self.served.fetch_add(1, Ordering::Relaxed);
+            lock(&self.ran).push((self.record.seconds(), attempt.clone()));
             answer(&mut stream, 200, &format!("Attempt-Id: {attempt}\r\nServer-Seal: {}.1\r\n", self.id), "{}");
         }
     }
@@ -600,6 +650,8 @@
 /// A process of the program under test.
 pub struct Front {
     child: Child,
+    settings: String,
+    log: String,
     pub address: SocketAddr,
     pub ready: SocketAddr,
     pub name: String,
@@ -624,22 +676,32 @@
         );
         let path = format!("{folder}/{name}.json");
         std::fs::write(&path, settings).expect("a settings file");
-        let log = std::fs::File::create(format!("{folder}/{name}.log")).expect("a log");
-        let child = Command::new("target/release/mangocross-front")
-            .env("MANGOCROSS_CONFIG", &path)
-            .stdin(Stdio::null())
-            .stderr(log.try_clone().expect("a log"))
-            .stdout(log)
-            .spawn();
+        let log = format!("{folder}/{name}.log");
         let ip = IpAddr::V4(ip);
         Self {
-            child: child.expect("the program of the deploy file"),
+            child: start(&path, &log),
+            settings: path,
+            log,
             address: SocketAddr::new(ip, 8227),
             ready: SocketAddr::new(ip, 8220),
             name,
         }
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again, which is no longer the first start of the system.
+    pub fn restart(&mut self) {
+        let settings = std::fs::read_to_string(&self.settings).expect("settings");
+        let settings = settings.replace("\"first_start\":true", "\"first_start\":false");
+        std::fs::write(&self.settings, settings).expect("a settings file");
+        self.child = start(&self.settings, &self.log);
+    }
+
     pub fn is_ready(&self) -> bool {
         call(self.ready, "GET", "/-/ready", "", Duration::from_secs(1)).0 == 200
     }
@@ -651,15 +713,34 @@
 
 impl Drop for Front {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
-/// The operator's configuration: two routes to a plain service, one customer.
-pub const CONFIGURATION: &str = r#"{"version":7,"routes":[
+/// Starts the program with the command of the deploy file.
+fn start(settings: &str, log: &str) -> Child {
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(log).expect("a log");
+    Command::new("target/release/mangocross-front")
+        .env("MANGOCROSS_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stderr(log.try_clone().expect("a log"))
+        .stdout(log)
+        .spawn()
+        .expect("the program of the deploy file")
+}
+
+/// The operator's configuration: two routes to a plain service; without a version and customers.
+const CONFIGURATION: &str = r#"{"version":VERSION,"routes":[
 {"name":"lookup","host":"a.example","path_prefix":"/lookup/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"records","max_attempts":2,"public":false},
 {"name":"claim","host":"a.example","path_prefix":"/claim/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"records","max_attempts":1,"public":false}],
 "services":[{"name":"records","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":10000},
-"tenants":[{"name":"t1","api_keys":["k1"]}]}"#;
+"tenants":TENANTS}"#;
+
+/// Returns a configuration with these customers, each with one key.
+pub fn configuration(version: u64, customers: &[(&str, &str)]) -> String {
+    let tenant = |it: &(&str, &str)| format!("{{\"name\":\"{}\",\"api_keys\":[\"{}\"]}}", it.0, it.1);
+    let tenants: Vec<String> = customers.iter().map(tenant).collect();
+    let text = CONFIGURATION.replace("VERSION", &version.to_string());
+    text.replace("TENANTS", &format!("[{}]", tenants.join(",")))
+}
