test(review): a second copy that breaks off in its status line turns a failure into a success

Cause: has_joined_head looks at the values of headers only, so a status line of two answers gives the copy's status with the headers and the body of the real answer. Nothing is fixed.

--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -530,6 +530,24 @@
     pub crashing: Mutex<Vec<f64>>,
     /// Attempts that ran, with the seconds.
     pub ran: Mutex<Vec<(f64, String)>>,
+    /// What the worker does wrong with its answers.
+    pub faults: Mutex<AnswerFaults>,
+}
+
+/// Faults of a worker's answers to lookups.
+#[derive(Default)]
+pub struct AnswerFaults {
+    /// One run in so many ends with the worker's own failure; 0 for none.
+    pub fails_each: u64,
+    /// Before one answer in so many comes the beginning of a second copy of the connection's last
+    /// answer; 0 for none.
+    pub repeats_each: u64,
+    /// Bytes of that copy.
+    pub repeated_bytes: usize,
+    pub runs: u64,
+    pub repeats: u64,
+    /// Status and body of the answer to each attempt.
+    pub answered: Vec<(String, u16, String)>,
 }
 
 /// Time from the start of a request that crashes a worker until the crash.
@@ -556,6 +574,7 @@
             connections: Mutex::default(),
             crashing: Mutex::default(),
             ran: Mutex::default(),
+            faults: Mutex::default(),
         });
         this.publish();
         let served = Arc::clone(&this);
@@ -607,6 +626,7 @@
 
     fn serve(self: Arc<Self>, mut stream: TcpStream) {
         let mut rest = Vec::new();
+        let mut last = String::new();
         while let Some(request) = Request::read(&mut stream, &mut rest) {
             let attempt = request.header("attempt-id").to_owned();
             if request.header("expect-instance") != self.id {
@@ -622,10 +642,38 @@
             }
             thread::sleep(Duration::from_millis(20));
             lock(&self.ran).push((self.record.seconds(), attempt.clone()));
-            answer(&mut stream, 200, &format!("Attempt-Id: {attempt}\r\nServer-Seal: {}.1\r\n", self.id), "{}");
+            let (text, copy) = self.answer_of(&attempt, &last);
+            if let Some(copy) = copy {
+                self.record.note(&format!("worker {}: {:?} comes before the answer to {attempt}", self.id, copy));
+                let _ = stream.write_all(copy.as_bytes());
+            }
+            let _ = stream.write_all(text.as_bytes());
+            last = text;
         }
     }
 
+    /// Returns the answer to an attempt, and what comes before it of a second copy of the last answer.
+    fn answer_of(&self, attempt: &str, last: &str) -> (String, Option<String>) {
+        let mut faults = lock(&self.faults);
+        faults.runs += 1;
+        let is_each = |each: u64| each > 0 && faults.runs.is_multiple_of(each);
+        let has_failed = is_each(faults.fails_each);
+        let is_repeated = is_each(faults.repeats_each) && !last.is_empty();
+        faults.repeats += u64::from(is_repeated);
+        let (status, line, result) = match has_failed {
+            true => (500, "500 Internal Server Error", "failed"),
+            false => (200, "200 OK", "done"),
+        };
+        let body = format!("{{\"attempt\":\"{attempt}\",\"result\":\"{result}\"}}");
+        faults.answered.push((attempt.to_owned(), status, body.clone()));
+        let text = format!(
+            "HTTP/1.1 {line}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}.{}\r\n\r\n{body}",
+            body.len(), self.id, faults.runs
+        );
+        let copy = is_repeated.then(|| last[..faults.repeated_bytes.min(last.len())].to_owned());
+        (text, copy)
+    }
+
     fn crash(self: &Arc<Self>) {
         if !self.is_up.swap(false, Ordering::SeqCst) {
             return;
