test(review): after a return of the store to a copy a member of a stalled group is taken for free

Cause: a group whose plan is lost is adopted only if all of its members report it; otherwise its members, apart from the head, count as free. Nothing is fixed.

--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -476,6 +476,10 @@
         self.state.1.notify_all();
     }
 
+    pub fn is_away(&self) -> bool {
+        lock(&self.state.0).is_away
+    }
+
     fn era(&self) -> u64 {
         lock(&self.state.0).era
     }
@@ -792,3 +796,10 @@
     let text = CONFIGURATION.replace("VERSION", &version.to_string());
     text.replace("TENANTS", &format!("[{}]", tenants.join(",")))
 }
+
+/// The operator's configuration with a service of model workers, one customer.
+pub const MODELS_CONFIGURATION: &str = r#"{"version":7,"routes":[
+{"name":"stream","host":"a.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":8000,"target_latency_ms":400,"priority":1,"service":"models","max_attempts":2,"public":false,"sticky":true,"resumable":true,"gap_aim_ms":250}],
+"services":[{"name":"models","health_path":"/health","max_conns":464,"protocol":"h1","tls":false,"engine":{"slots":8,"kv_capacity_tokens":1000000,"stride":6,"models":[{"name":"m0","size":3,"share":1.0,"pace":1.0,"load_s":4.0,"warm_s":1.1}],"step_ms":6.45,"per_seq_ms":0.0967,"context_per_k":0.00293,"read_per_s":56100.0,"pairs_per_m":0.309,"chunk":2048,"report_lag_ms":200.0,"loads_per_s":5.5,"loads_at_once":8,"delays":[],"usual":{"prompt":100,"answer":100},"keeps":1,"far_x":4.0,"form_ms":300.0}}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":10000},
+"tenants":[{"name":"t1","api_keys":["k1"]}]}"#;
