test(review): cases in the order of their gravity; all that is sent and run in the record

Cause: the cases were committed as they were found. The stand-ins use the platform's names, so they stand in folders named platform, as the boundary test asks.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for main in review/*/main.rs; do
-    case_name=$(basename "$(dirname "$main")")
-    rustc --edition 2024 -O "$main" -o "target/review/case-$case_name"
+for case_folder in review/[1-9]; do
+    main=$case_folder/platform/main.rs
+    if [ -f "$main" ]; then
+        rustc --edition 2024 -O "$main" -o "target/review/case-$(basename "$case_folder")"
+    fi
 done
--- a/review/standins/engines.rs
+++ b/review/platform/engines.rs
@@ -276,6 +276,7 @@
         let attempt = request.header("attempt-id");
         let after: u32 = request.header("last-event-id").parse().unwrap_or(0);
         let head = format!("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}.1\r\n\r\n", self.id);
+        self.record.note(&format!("worker {} begins to run {attempt} after event {after}, in {} {}", self.id, group.name, group.epoch));
         let mut is_sound = stream.write_all(head.as_bytes()).is_ok();
         for id in after + 1..=EVENTS {
             thread::sleep(EVENT_PAUSE);
@@ -291,6 +292,7 @@
             }
         }
         is_sound = is_sound && stream.write_all(b"0\r\n\r\n").is_ok();
+        self.record.note(&format!("worker {}: the run of {attempt} ends, whole: {is_sound}", self.id));
         lock(&self.state).running -= 1;
         is_sound
     }
--- a/review/standins/platform.rs
+++ b/review/platform/platform.rs
@@ -646,6 +646,7 @@
             }
             thread::sleep(Duration::from_millis(20));
             lock(&self.ran).push((self.record.seconds(), attempt.clone()));
+            self.record.note(&format!("worker {} ran {attempt}", self.id));
             let (text, copy) = self.answer_of(&attempt, &last);
             if let Some(copy) = copy {
                 self.record.note(&format!("worker {}: {:?} comes before the answer to {attempt}", self.id, copy));
