--- a/review/platform/platform.rs
+++ b/review/platform/platform.rs
@@ -369,7 +369,9 @@
                     let mut rest = Vec::new();
                     while let Some(request) = Request::read(&mut stream, &mut rest) {
                         if request.method == "POST" && !request.target.starts_with("/-/kv-keep") {
-                            this.writes.fetch_add(1, Ordering::Relaxed);
+                            if request.target == "/-/kv-txn" {
+                                this.writes.fetch_add(1, Ordering::Relaxed);
+                            }
                             let number = writes.fetch_add(1, Ordering::Relaxed) + 1;
                             if let Some(delay) = (this.losses)(place, number, &request) {
                                 this.lost.fetch_add(1, Ordering::Relaxed);
