fix(serving): choose groups by their room within the age of the counts

Cause: with more than 16 other entry VMs the counts of requests in progress are 130 to 500 ms old. Two random groups were compared; if neither admitted a stream, the best of all groups was taken, which is the same one for all entry VMs. In a burst on the deployment of 75 entry VMs one group got up to 95 streams within 0.35 s, of which it finishes 17 in a second, while others had 4 in progress. Nearly all late streams were late for this reason.

Ruled out by traces: returns of refused callers (2 of 157 late streams in the first second of the burst), lost totals (median age 130 ms).

Change: a group is drawn in proportion to what it can take until the counts show it: free slots plus the requests that it completes meanwhile. Two are compared only while under 0.6 of all slots are in use. A group at its slots still accepts what it completes, so that a shortage spreads over all groups.

The draws of the test for old counts are finer (1,600 instead of 100), since the groups no longer have equal parts of the range; its bound of a quarter is the same. The new test fails with the fallback to the best group.

--- a/bins/mangocross-front/src/stream/heads.rs
+++ b/bins/mangocross-front/src/stream/heads.rs
@@ -5,6 +5,7 @@
 use mangocross_serving::Admission;
 use mangocross_serving::BackendServer;
 use mangocross_serving::Candidates;
+use mangocross_serving::Draws;
 use mangocross_serving::GroupTimes;
 use mangocross_serving::HeadLoad;
 use mangocross_serving::Obstacle;
@@ -54,7 +55,7 @@
         prompt_tokens: call.caller_head.prompt_tokens,
     };
     let comparison = match call.state.may_get_counts_via_planner() {
-        true => Candidates::RandomTwo(fastrand::f64(), fastrand::f64()),
+        true => Candidates::Sampled(Draws { first: fastrand::f64(), second: fastrand::f64() }),
         false => Candidates::All,
     };
     admit(&GroupTimes::new(engine, model), heads, &demand, queue_slots, comparison)
--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -21,6 +21,15 @@
 const LATE_LATENCY_FACTOR: f64 = 1.5;
 /// Share of the slots by which stale counts of other entry VMs may be too low.
 const STALE_COUNT_ERROR_SHARE: f64 = 0.1;
+/// Time until a stream that is sent shows in the counts of all entry VMs: half of two report
+/// intervals, and the way.
+const COUNT_HORIZON: Duration = Duration::from_millis(350);
+/// Share of all slots in use above which two groups are no longer compared: with stale counts the
+/// emptier one gets up to twice the streams that it has room for.
+const COMPARED_LOAD_MAX: f64 = 0.6;
+/// Share of a group's slots up to which streams are planned with stale counts. The rest takes up the
+/// scatter of arrivals, which would otherwise wait in the engine's queue.
+const PLANNED_SLOTS_SHARE: f64 = 0.95;
 /// Slowdown above which a group gets streams only if no other group has capacity.
 const PREFERRED_SLOWDOWN_MAX: f64 = 1.6;
 
@@ -129,11 +138,21 @@
 pub enum Candidates {
     /// All groups; suitable if counts are recent.
     All,
-    /// Two random groups, given by random numbers in `0.0..1.0`; all groups if neither admits it.
+    /// The better of two random groups while few slots are in use, else one random group, in
+    /// proportion to what each can take until the counts show it.
     ///
-    /// With stale counts, all entry VMs would otherwise send to the same group until
-    /// updated counts show that it is full.
-    RandomTwo(f64, f64),
+    /// With stale counts, all entry VMs would otherwise send to the same group until updated counts
+    /// show that it is full.
+    Sampled(Draws),
+}
+
+/// Random numbers in `0.0..1.0` for one choice of a group.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Draws {
+    /// Position of the group among the room of all groups.
+    pub first: f64,
+    /// Position of the group that it is compared with.
+    pub second: f64,
 }
 
 /// Chooses the group with the shortest predicted time to the first event.
@@ -153,53 +172,123 @@
 ) -> Admission {
     let count_error = match candidates {
         Candidates::All => 0,
-        Candidates::RandomTwo(..) => (f64::from(times.slots) * STALE_COUNT_ERROR_SHARE) as u32,
+        Candidates::Sampled(_) => (f64::from(times.slots) * STALE_COUNT_ERROR_SHARE) as u32,
     };
-    if let Candidates::RandomTwo(first, second) = candidates {
-        let at = |draw: f64| heads.get((draw * heads.len() as f64) as usize).cloned();
-        let two: Vec<HeadLoad> = [first, second].into_iter().filter_map(at).collect();
-        let chosen = admit_best(times, &two, demand, late_queue, count_error);
-        if matches!(chosen, Admission::Send(_)) {
-            return chosen;
-        }
+    let rules = Rules { times, demand, late_queue, count_error };
+    match candidates {
+        Candidates::All => rules.admit_best(heads),
+        Candidates::Sampled(draws) if late_queue == 0 => match rules.sample(heads, draws) {
+            Some(vm) => Admission::Send(vm),
+            None => rules.refuse(heads),
+        },
+        // Resumed streams are few, and may wait at an engine.
+        Candidates::Sampled(_) => rules.admit_best(heads),
     }
-    admit_best(times, heads, demand, late_queue, count_error)
 }
 
-fn admit_best(
-    times: &GroupTimes,
-    heads: &[HeadLoad],
-    demand: &StreamDemand,
+/// What decides whether a group may take a stream.
+struct Rules<'a> {
+    times: &'a GroupTimes,
+    demand: &'a StreamDemand,
     late_queue: u32,
     count_error: u32,
-) -> Admission {
-    let cost = |it: &&HeadLoad| (times.first_event(it, demand.prompt_tokens), it.in_flight);
-    let is_slow = |it: &&HeadLoad| it.slowdown > PREFERRED_SLOWDOWN_MAX;
-    let normal = heads.iter().filter(|it| !is_slow(it)).min_by_key(cost);
-    let slow = heads.iter().filter(is_slow).min_by_key(cost);
-    let Some(best) = normal.or(slow) else { return Admission::NoGroup };
-    let predict = |it: &HeadLoad| {
-        let assumed = HeadLoad { in_flight: it.in_flight + count_error, ..it.clone() };
-        times.first_event(&assumed, demand.prompt_tokens)
-    };
-    let accepts = |it: &&HeadLoad| {
-        let predicted = predict(it);
+}
+
+impl Rules<'_> {
+    fn predict(&self, head: &HeadLoad) -> Duration {
+        let in_flight = head.in_flight + self.count_error;
+        self.times.first_event(&HeadLoad { in_flight, ..head.clone() }, self.demand.prompt_tokens)
+    }
+
+    fn accepts(&self, head: &HeadLoad) -> bool {
+        let (predicted, demand) = (self.predict(head), self.demand);
         let is_on_time =
             demand.waited + predicted <= demand.target_latency.mul_f64(TARGET_LATENCY_SHARE);
-        let reserved = (f64::from(times.slots) * RESERVED_FROM_LATE_SHARE) as u32;
+        let slots = self.times.slots;
+        let reserved = (f64::from(slots) * RESERVED_FROM_LATE_SHARE) as u32;
         let is_within_late_limit =
-            predicted <= demand.target_latency.mul_f64(LATE_LATENCY_FACTOR) || late_queue > 0;
-        let is_allowed_late = it.in_flight + count_error + reserved < times.slots + late_queue
+            predicted <= demand.target_latency.mul_f64(LATE_LATENCY_FACTOR) || self.late_queue > 0;
+        let is_allowed_late = head.in_flight + self.count_error + reserved
+            < slots + self.late_queue
             && is_within_late_limit;
         is_on_time || is_allowed_late
-    };
-    if let Some(chosen) = [normal, slow].into_iter().flatten().find(accepts) {
-        return Admission::Send(chosen.vm.clone());
     }
-    let excess = (best.in_flight + 1).saturating_sub(times.slots);
-    Admission::Refuse {
-        free_slot_in: times.completion_interval() * excess,
-        best: best.clone(),
-        first_event_in: predict(best),
+
+    /// Returns whether a group whose counts are stale can start the stream in time, or late if that
+    /// leaves the reserved slots free, should it get a slot.
+    fn starts_with_free_slot(&self, head: &HeadLoad) -> bool {
+        let in_flight = head.in_flight.min(self.times.slots.saturating_sub(1));
+        let prompt_tokens = self.demand.prompt_tokens;
+        let predicted =
+            self.times.first_event(&HeadLoad { in_flight, ..head.clone() }, prompt_tokens);
+        let (waited, target) = (self.demand.waited, self.demand.target_latency);
+        let is_on_time = waited + predicted <= target.mul_f64(TARGET_LATENCY_SHARE);
+        let reserved = f64::from(self.times.slots) * RESERVED_FROM_LATE_SHARE;
+        is_on_time
+            || (self.room(head) > reserved && predicted <= target.mul_f64(LATE_LATENCY_FACTOR))
+    }
+
+    /// Returns how many streams a group can take until the counts show them: its free slots and the
+    /// requests that it completes meanwhile.
+    fn room(&self, head: &HeadLoad) -> f64 {
+        let slots = f64::from(self.times.slots);
+        let interval = self.times.completion_interval().mul_f64(head.slowdown.max(1.0));
+        let at_full_load = COUNT_HORIZON.as_secs_f64() / interval.as_secs_f64().max(f64::EPSILON);
+        let completed = at_full_load * (f64::from(head.in_flight) / slots).min(1.0);
+        slots * PLANNED_SLOTS_SHARE - f64::from(head.in_flight) + completed
     }
+
+    /// Chooses a group in proportion to the room of each, the better one of two while few slots are
+    /// in use.
+    fn sample(&self, heads: &[HeadLoad], draws: Draws) -> Option<VmId> {
+        let (slow, normal): (Vec<&HeadLoad>, Vec<&HeadLoad>) = heads
+            .iter()
+            .filter(|it| self.room(it) > 0.0 && self.starts_with_free_slot(it))
+            .partition(|it| is_slow(it));
+        let accepting = if normal.is_empty() { slow } else { normal };
+        let rooms: Vec<f64> = accepting.iter().map(|it| self.room(it)).collect();
+        let total: f64 = rooms.iter().sum();
+        let at = |draw: f64| {
+            let mut left = draw * total;
+            let position = rooms.iter().position(|room| {
+                left -= room;
+                left < 0.0
+            });
+            accepting.get(position.unwrap_or(rooms.len().saturating_sub(1))).copied()
+        };
+        let in_flight: u32 = heads.iter().map(|it| it.in_flight).sum();
+        let load = f64::from(in_flight) / (heads.len().max(1) as f64 * f64::from(self.times.slots));
+        let second = (load <= COMPARED_LOAD_MAX).then_some(draws.second);
+        let drawn = [Some(draws.first), second].into_iter().flatten().filter_map(at);
+        let cost = |it: &&HeadLoad| self.times.first_event(it, self.demand.prompt_tokens);
+        drawn.min_by_key(cost).map(|it| it.vm.clone())
+    }
+
+    fn admit_best(&self, heads: &[HeadLoad]) -> Admission {
+        let prompt_tokens = self.demand.prompt_tokens;
+        let cost = |it: &&HeadLoad| (self.times.first_event(it, prompt_tokens), it.in_flight);
+        let normal = heads.iter().filter(|it| !is_slow(it)).min_by_key(cost);
+        let slow = heads.iter().filter(|it| is_slow(it)).min_by_key(cost);
+        match [normal, slow].into_iter().flatten().find(|it| self.accepts(it)) {
+            Some(chosen) => Admission::Send(chosen.vm.clone()),
+            None => self.refuse(heads),
+        }
+    }
+
+    fn refuse(&self, heads: &[HeadLoad]) -> Admission {
+        let cost = |it: &&HeadLoad| {
+            (is_slow(it), self.times.first_event(it, self.demand.prompt_tokens), it.in_flight)
+        };
+        let Some(best) = heads.iter().min_by_key(cost) else { return Admission::NoGroup };
+        let excess = (best.in_flight + 1).saturating_sub(self.times.slots);
+        Admission::Refuse {
+            free_slot_in: self.times.completion_interval() * excess,
+            best: best.clone(),
+            first_event_in: self.predict(best),
+        }
+    }
+}
+
+fn is_slow(head: &HeadLoad) -> bool {
+    head.slowdown > PREFERRED_SLOWDOWN_MAX
 }
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -34,6 +34,7 @@
 
 pub use admission::Admission;
 pub use admission::Candidates;
+pub use admission::Draws;
 pub use admission::GroupTimes;
 pub use admission::HeadLoad;
 pub use admission::StreamDemand;
--- a/crates/mangocross-serving/tests/admission.rs
+++ b/crates/mangocross-serving/tests/admission.rs
@@ -6,6 +6,7 @@
 
 use mangocross_serving::Admission;
 use mangocross_serving::Candidates;
+use mangocross_serving::Draws;
 use mangocross_serving::GroupTimes;
 use mangocross_serving::HeadLoad;
 use mangocross_serving::LongestDeadlines;
@@ -33,6 +34,10 @@
     }
 }
 
+fn sampled(first: f64, second: f64) -> Candidates {
+    Candidates::Sampled(Draws { first, second })
+}
+
 fn sent_to(admission: &Admission) -> Option<&str> {
     match admission {
         Admission::Send(vm) => Some(vm.as_str()),
@@ -105,25 +110,42 @@
 #[test]
 fn old_counts_do_not_send_all_streams_to_one_group() {
     let heads: Vec<HeadLoad> = (0..10).map(|it| head(&format!("g{it}"), 10 + it % 2)).collect();
-    let draws =
-        (0..10).flat_map(|a| (0..10).map(move |b| (f64::from(a) / 10.0, f64::from(b) / 10.0)));
+    let draw = |it: i32| (f64::from(it) + 0.5) / 40.0;
+    let draws = (0..40).flat_map(|a| (0..40).map(move |b| (draw(a), draw(b))));
     let mut taken = std::collections::HashMap::new();
     for (first, second) in draws {
-        let admission =
-            admit(&times(), &heads, &demand(0), 0, Candidates::RandomTwo(first, second));
+        let admission = admit(&times(), &heads, &demand(0), 0, sampled(first, second));
         *taken.entry(sent_to(&admission).expect("there is capacity").to_owned()).or_insert(0) += 1;
     }
-    assert!(taken.len() >= 5 && taken.values().all(|it| *it <= 25), "{taken:?}");
+    assert!(taken.len() >= 5 && taken.values().all(|it| *it <= 40 * 40 / 4), "{taken:?}");
 }
 
 /// Both randomly chosen groups are full, and a third one has capacity.
 #[test]
 fn full_sample_falls_back_to_all_groups() {
     let heads = [head("a", SLOTS + 9), head("b", SLOTS + 9), head("c", 3)];
-    let admission = admit(&times(), &heads, &demand(0), 0, Candidates::RandomTwo(0.0, 0.4));
+    let admission = admit(&times(), &heads, &demand(0), 0, sampled(0.0, 0.4));
     assert_eq!(sent_to(&admission), Some("c"));
 }
 
+/// A burst fills most groups, so that random pairs of them refuse: streams that go on to all groups
+/// spread over those with free slots. On a large deployment all entry VMs chose the same least loaded
+/// group from the same counts and sent it 89 streams in a second, of which it could finish 17.
+#[test]
+fn streams_whose_sample_is_full_spread_over_free_slots() {
+    let full = (0..30).map(|it| head(&format!("full{it}"), SLOTS + 9));
+    let free = (0..6).map(|it| head(&format!("free{it}"), 10 + it));
+    let heads: Vec<HeadLoad> = full.chain(free).collect();
+    let mut taken = std::collections::HashMap::new();
+    for draw in 0..100 {
+        let candidates = sampled(f64::from(draw) / 100.0, 0.5);
+        let admission = admit(&times(), &heads, &demand(0), 0, candidates);
+        *taken.entry(sent_to(&admission).expect("there is capacity").to_owned()).or_insert(0) += 1;
+    }
+    assert!(taken.len() == 6 && taken.values().all(|it| (8..=30).contains(it)), "{taken:?}");
+    assert!(taken["free0"] > taken["free5"], "more streams where more slots are free: {taken:?}");
+}
+
 #[test]
 fn first_events_come_later_the_fuller_a_group_is() {
     let mut last = Duration::ZERO;
