--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -4,6 +4,7 @@
 mod blame;
 mod clock;
 mod closed_heads;
+mod cold_servers;
 mod command_line;
 mod connection;
 mod control;
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use mangocross_serving::BackendServer;
+use mangocross_serving::ColdReport;
 use mangocross_serving::ConfigurationNotice;
 use mangocross_serving::CrashReport;
 use mangocross_serving::LimitReport;
@@ -58,6 +59,8 @@
 const MESSAGE_BYTES_MAX: usize = 65_507;
 /// Maximum number of server entries per message, so that it fits into a usual network packet.
 const MESSAGE_ENTRIES_MAX: usize = 5;
+/// Maximum number of cold servers per message, for the same reason.
+const MESSAGE_COLD_MAX: usize = 30;
 
 /// A message between entry VMs.
 #[derive(Debug, Serialize, Deserialize)]
@@ -84,6 +87,8 @@
     Limits { from: Arc<str>, reports: Vec<LimitReport>, counts: RequestCounts },
     /// Whether the sending entry VM and others reach servers.
     Reach(Vec<ReachNotice>),
+    /// Servers that have said that they are cold.
+    Cold(Vec<ColdReport>),
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -157,6 +162,7 @@
             Ok(Message::Limits { from, reports, counts }) => {
                 state.apply_limits(from, &reports, counts);
             }
+            Ok(Message::Cold(reports)) => state.apply_cold_reports(&reports),
             Err(error) => {
                 if state.log_rate.allow("message ignored", state.now()).is_some() {
                     log::warn!(from:% = from, error:% = error; "peer message ignored");
@@ -354,12 +360,16 @@
     loop {
         state.peer_updates.notified().await;
         let now = state.now();
-        let (suspects, to_recheck, entries) = {
+        let (suspects, to_recheck, entries, cold) = {
             let mut view = state.view.borrow_mut();
             let entries = std::mem::take(&mut view.relay_queue);
-            (view.local_suspects(now), view.to_recheck(now), entries)
+            (view.local_suspects(now), view.to_recheck(now), entries, view.cold.take_reports())
         };
         let peers = peer_addresses(&state);
+        // Before the entries, so that a cold head is known to be cold when it is first used.
+        for chunk in cold.chunks(MESSAGE_COLD_MAX) {
+            send(&socket, &Message::Cold(chunk.to_vec()), &peers);
+        }
         if !suspects.is_empty() {
             send(&socket, &Message::Suspicions { suspects, to_recheck: Vec::new() }, &peers);
         }
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -212,6 +212,7 @@
             self.search.cannot_send(Obstacle::NoRetryLeft, now);
             return None;
         }
+        call.state.record_sent_to_cold(&server.vm);
         let id = self.search.sent(server.vm.clone(), now);
         call.record.add_sent_to(&server.vm);
         call.record.log_step("request sent", &server.vm, "plain service");
--- a/bins/mangocross-front/src/server_limits.rs
+++ b/bins/mangocross-front/src/server_limits.rs
@@ -32,6 +32,7 @@
         loop {
             tokio::time::sleep(REFRESH_INTERVAL).await;
             state.refresh_limits();
+            state.refresh_cold();
         }
     });
 }
@@ -104,7 +105,9 @@
     /// Records that a request is about to be sent to a server.
     pub(crate) fn spend_limit(&self, vm: &VmId) {
         let now = self.now();
-        self.view.borrow_mut().limits.record_request(vm, now);
+        let mut view = self.view.borrow_mut();
+        view.limits.record_request(vm, now);
+        view.cold.record_request(vm, now);
     }
 
     fn own_requests(&self) -> RequestCounts {
@@ -144,9 +147,9 @@
 }
 
 impl ClusterView {
-    /// Returns whether a server's limit leaves room for a request of this entry VM.
+    /// Returns whether a server's limit, and the one of cold servers, leave room for a request of this entry VM.
     pub(crate) fn has_room(&self, server: &BackendServer, now: Moment) -> bool {
-        self.limits.has_room(server, now)
+        self.limits.has_room(server, now) && self.cold.has_room(server, now)
     }
 
     /// Returns why a request cannot be sent to any of the servers that it has not tried.
--- a/bins/mangocross-front/src/server_notices.rs
+++ b/bins/mangocross-front/src/server_notices.rs
@@ -52,6 +52,7 @@
 
     /// Records what the head of an answer says of the server that sent it.
     pub(crate) fn record_notice<B>(&self, sent_to: Option<&ServerProcess>, answer: &Response<B>) {
+        self.record_cold_answer(sent_to, answer);
         let notice = server_notice(answer.status(), answer.headers());
         let Some(sent_to) = sent_to.filter(|_| notice != ServerNotice::default()) else { return };
         self.apply_notice(sent_to, notice);
@@ -130,11 +131,12 @@
         paused.map(|it| &it.vm)
     }
 
-    /// Returns the numbers of listed servers that are leaving, that are paused and that have named a
-    /// limit.
-    pub(crate) fn held_servers(&self, now: Moment) -> [(&'static str, usize); 3] {
+    /// Returns the numbers of listed servers that are leaving, that are paused, that have named a
+    /// limit and that are cold.
+    pub(crate) fn held_servers(&self, now: Moment) -> [(&'static str, usize); 4] {
         let leaving = self.servers.values().filter(|it| self.notices.is_leaving(it)).count();
         let paused = self.paused_servers(now).count();
-        [("leaving", leaving), ("paused", paused), ("limited", self.limited_servers())]
+        let (limited, cold) = (self.limited_servers(), self.cold_servers(now));
+        [("leaving", leaving), ("paused", paused), ("limited", limited), ("cold", cold)]
     }
 }
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -13,6 +13,7 @@
 use mangocross_platform::SettingsBounds;
 use mangocross_serving::BackendServer;
 use mangocross_serving::BootClock;
+use mangocross_serving::ColdServers;
 use mangocross_serving::CompleteView;
 use mangocross_serving::ConfigurationFreshness;
 use mangocross_serving::CrashBlame;
@@ -111,6 +112,8 @@
     pub(crate) notices: ServerNotices,
     /// Limits that servers have named.
     pub(crate) limits: ServerLimits,
+    /// Servers that take few requests after their start.
+    pub(crate) cold: ColdServers,
     /// Requests of the other entry VMs, while servers are limited.
     pub(crate) shares: RequestShares,
     /// Whether this VM and the others reach the servers.
@@ -507,6 +510,7 @@
         self.avoided.retain(|_, it| now < *it);
         self.shares.expire(now);
         self.reach.expire(now);
+        self.cold.expire(now);
         let Self { failures, servers, slowdowns, notices, limits, .. } = self;
         notices.expire(now, |vm| servers.contains_key(vm));
         limits.expire(now, |vm| servers.contains_key(vm));
--- a/bins/mangocross-front/src/store_changes.rs
+++ b/bins/mangocross-front/src/store_changes.rs
@@ -8,6 +8,7 @@
 use mangocross_platform::SERVERS_PREFIX;
 use mangocross_platform::StoreChange;
 use mangocross_platform::StoreItem;
+use mangocross_platform::cold_remaining;
 use mangocross_platform::decode_configuration;
 use mangocross_platform::decode_server;
 use mangocross_platform::server_id;
@@ -143,6 +144,8 @@
             let mut view = state.view.borrow_mut();
             view.deadlines.retain(|it| new.has_route(it));
             view.configuration = Some(Arc::new(new));
+            drop(view);
+            state.refresh_cold();
         }
         Err(error) => {
             log::error!(error:% = error, revision = item.revision.revision.0; "configuration ignored");
@@ -156,6 +159,10 @@
         .and_then(|vm| decode_server(vm, item.value.as_deref().unwrap_or_default()));
     match decoded {
         Ok(server) => {
+            if let Some(left) = item.value.as_deref().and_then(cold_remaining) {
+                let process = (&server.vm, server.engine.born_unix_ms);
+                state.record_cold_entry(process, left, item.revision);
+            }
             let known = state.view.borrow().servers.get(&server.vm).cloned();
             // Only the planner needs the states of members that accept no requests.
             let did_accept_requests = known.is_some_and(|it| it.accepts_requests());
@@ -219,6 +226,7 @@
             "backend server seen"
         );
     }
+    view.record_listed_process(&server.vm, server.engine.born_unix_ms, now);
     view.servers.insert(server.vm.clone(), server);
     true
 }
--- a/bins/mangocross-front/src/stream/search.rs
+++ b/bins/mangocross-front/src/stream/search.rs
@@ -159,6 +159,7 @@
             self.search.cannot_send(Obstacle::NoRetryLeft, now);
             return None;
         }
+        call.state.record_sent_to_cold(&vm);
         let id = self.search.sent(vm.clone(), now);
         call.record.add_sent_to(&vm);
         goal.record_sent(&vm, self.search.runs());
--- /dev/null
+++ b/bins/mangocross-front/tests/front/cold_servers.rs
@@ -0,0 +1,107 @@
+//! Tests with servers that take few requests for a while after their start.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::platform::CALLER_HEADERS;
+use crate::platform::Front;
+use crate::platform::Server;
+use crate::platform::Store;
+use crate::platform::wait_for_metric;
+
+/// Entry VMs that send to the same servers.
+const FRONT_COUNT: usize = 3;
+/// Requests a second that a cold server takes.
+const COLD_PER_S: f64 = 4.0;
+/// Requests that may arrive at a cold server in any second: one and a half times as many, and five.
+const ALLOWED: usize = 11;
+/// Time for which a server is cold.
+const COLD_TIME: Duration = Duration::from_secs(4);
+/// Time after which each entry VM knows that a server is cold.
+const NOTICE_TIME: Duration = Duration::from_millis(500);
+/// Time after which entry VMs that start have quotas of the requests to cold servers.
+const SETTLING_TIME: Duration = Duration::from_millis(3500);
+/// Time between two requests of a caller.
+const CALLER_PAUSE: Duration = Duration::from_millis(20);
+
+/// Returns the highest number of requests in any second within a span.
+fn busiest_second(server: &Server, begin: Instant, end: Instant) -> usize {
+    let in_span = |it: &Instant| (begin..end).contains(it);
+    let times: Vec<Instant> = server.arrivals().iter().map(|it| it.at).filter(in_span).collect();
+    let counts = times.iter().enumerate().map(|(first, begin)| {
+        let within = |it: &&Instant| it.duration_since(*begin) <= Duration::from_secs(1);
+        times[first..].iter().take_while(within).count()
+    });
+    counts.max().unwrap_or_default()
+}
+
+/// Sends requests to each entry VM until a moment; returns the statuses.
+fn send_until(fronts: &[Front], end: Instant) -> Vec<u16> {
+    thread::scope(|scope| {
+        let callers: Vec<_> = fronts
+            .iter()
+            .map(|front| {
+                scope.spawn(move || {
+                    let mut statuses = Vec::new();
+                    while Instant::now() < end {
+                        let attempt = format!("a-{}-{}", front.name(), statuses.len());
+                        let headers = CALLER_HEADERS.replace("a1", &attempt);
+                        statuses.push(front.call("POST", "/lookup/x", &headers, "{}").0);
+                        thread::sleep(CALLER_PAUSE);
+                    }
+                    statuses
+                })
+            })
+            .collect();
+        callers.into_iter().flat_map(|it| it.join().expect("a caller")).collect()
+    })
+}
+
+/// Starts entry VMs and two plain servers, one of which becomes cold while requests are sent.
+fn check(make_cold: impl FnOnce(&Server)) {
+    let store = Store::spawn();
+    store.configure_with(3, &["k1"], |it| {
+        it["services"][1]["cold_start_s"] = json!(COLD_TIME.as_secs());
+        it["services"][1]["cold_per_s"] = json!(COLD_PER_S);
+    });
+    let [cold, other] = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let fronts: Vec<Front> =
+        (0..FRONT_COUNT).map(|_| Front::spawn_logged(store.address, 60_000, 1.0)).collect();
+    for it in &fronts {
+        wait_for_metric(it, &format!("front_entry_vms {FRONT_COUNT}"));
+        wait_for_metric(it, "front_backend_servers 2");
+    }
+    thread::sleep(SETTLING_TIME);
+    make_cold(&cold);
+    let began = Instant::now();
+    let statuses = send_until(&fronts, began + COLD_TIME + Duration::from_secs(2));
+    assert!(statuses.iter().all(|it| *it == 200), "the other server takes the rest");
+    let (known, end) = (began + NOTICE_TIME, began + COLD_TIME);
+    let busiest = busiest_second(&cold, known, end);
+    assert!(busiest <= ALLOWED, "{busiest} requests in a second at a cold server");
+    assert!(busiest > 0, "the cold server is used");
+    assert!(other.arrivals().len() > cold.arrivals().len());
+    let afterwards = busiest_second(&cold, end, end + Duration::from_secs(2));
+    assert!(afterwards > ALLOWED, "{afterwards} requests in a second when it is warm");
+}
+
+/// Guards against a burst at a server whose entry says that it is cold.
+#[test]
+fn cold_server_by_its_entry_gets_few_requests() {
+    check(|it| it.set_cold_in_entry(COLD_TIME));
+}
+
+/// Guards against a burst at a server that says in its answers only that it is cold again.
+#[test]
+fn cold_server_by_its_answers_gets_few_requests() {
+    check(|it| it.set_cold_in_answers(COLD_TIME));
+}
+
+/// Guards against a burst at a process that has just started and does not say that it is cold.
+#[test]
+fn new_process_gets_few_requests() {
+    check(Server::start_now);
+}
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -1,5 +1,6 @@
 //! Backend servers: engines that form groups, and a plain service.
 
+mod cold;
 mod copies;
 mod crashes;
 mod groups;
@@ -76,6 +77,8 @@
     resumption_answer: Option<OddAnswer>,
     /// Requests a second that all answers name as the server's limit.
     named_limit: Option<String>,
+    /// For how long and how the server says that it is cold.
+    cold: cold::Coldness,
     /// `Retry-After` with which requests are refused.
     retry_after: Option<String>,
     /// Whether orders and questions for reports are turned away like requests.
@@ -341,11 +344,13 @@
     fn status(&self, state: &State) -> Value {
         let models: Vec<Value> =
             state.model.iter().map(|it| json!({"name": it, "version": 1})).collect();
-        json!({"service": self.service, "address": self.advertised, "zone": "zone-a", "slots": 4,
+        let mut status = json!({"service": self.service, "address": self.advertised, "zone": "zone-a", "slots": 4,
             "state": "ready", "seq": state.orders, "born": FIRST_START_UNIX_MS + state.starts,
             "models": models,
             "domain": if self.service == "models" { json!("d0") } else { Value::Null },
-            "staged": state.model.iter().collect::<Vec<_>>(), "group": state.group})
+            "staged": state.model.iter().collect::<Vec<_>>(), "group": state.group});
+        state.cold.add_to(&mut status);
+        status
     }
 
     fn publish(&self) {
@@ -385,7 +390,7 @@
         let state = lock(&self.state);
         let leaving = if state.is_leaving { "Server-Leaving: 1\r\n" } else { "" };
         let limit = state.named_limit.iter().map(|it| format!("Server-Limit: {it}\r\n"));
-        limit.fold(leaving.to_owned(), |headers, it| headers + &it)
+        limit.chain(state.cold.header()).fold(leaving.to_owned(), |headers, it| headers + &it)
     }
 
     /// Returns the header by which refusals say for how long the server wants nothing.
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod backend_server;
+mod cold_servers;
 mod connect_times;
 mod crash_blame;
 mod crash_cause;
@@ -45,6 +46,10 @@
 pub use backend_server::MemberPhase;
 pub use backend_server::Membership;
 pub use backend_server::OrderOutcome;
+pub use cold_servers::ColdReport;
+pub use cold_servers::ColdRule;
+pub use cold_servers::ColdServer;
+pub use cold_servers::ColdServers;
 pub use connect_times::ConnectTimes;
 pub use crash_blame::AttemptSpan;
 pub use crash_blame::CrashBlame;
@@ -120,6 +125,7 @@
 pub use silence_checks::SilenceChecks;
 pub use traffic::BackendService;
 pub use traffic::CallerLimits;
+pub use traffic::ColdStart;
 pub use traffic::EngineSpec;
 pub use traffic::KeyHolder;
 pub use traffic::ModelSpec;
--- a/crates/mangocross-serving/src/traffic.rs
+++ b/crates/mangocross-serving/src/traffic.rs
@@ -137,6 +137,15 @@
     }
 }
 
+/// How long and how much a service's servers are limited after their start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time for which a server is cold.
+    pub duration: Duration,
+    /// Requests per second that a cold server takes.
+    pub per_s: f64,
+}
+
 /// Connection limit of a service and, if it serves models, its engines.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BackendService {
@@ -144,6 +153,8 @@
     pub connections_max: u32,
     /// Engine specification, if the service serves models.
     pub engine: Option<EngineSpec>,
+    /// Limit on new servers, if they have one.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Limits on the requests and connections of callers.
