--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -49,8 +49,10 @@
     Silent,
     /// Nothing is answered on connections from before.
     SilentOnKeptConnections,
-    /// Connections are refused.
+    /// Connections are refused, because no process is running.
     NoProcess,
+    /// Something in between refuses the connections; the process is running.
+    Refuses,
 }
 
 /// A simulated engine.
@@ -71,6 +73,30 @@
     pub(crate) answers_until: Option<Moment>,
     /// Members of the group that the engine joined last.
     pub(crate) members: Vec<VmId>,
+    /// Since when the engine, as a head, has lacked a member.
+    pub(crate) incomplete_since: Option<Moment>,
+}
+
+impl Engine {
+    /// Returns whether the server process is running.
+    pub(crate) fn is_running(&self) -> bool {
+        self.connectivity != Connectivity::NoProcess
+    }
+
+    /// Returns whether the engine is an open or closing head.
+    pub(crate) fn is_active_head(&self) -> bool {
+        self.server.engine.membership.as_ref().is_some_and(|it| {
+            it.rank == Rank(0) && matches!(it.phase, MemberPhase::Open | MemberPhase::Closing)
+        })
+    }
+
+    /// Returns whether the engine is in the same incarnation of a group as another one.
+    fn is_in_group_of(&self, other: &Self) -> bool {
+        let incarnation = |it: &Self| {
+            it.server.engine.membership.as_ref().map(|it| (it.group.clone(), it.incarnation))
+        };
+        incarnation(self).is_some_and(|it| Some(it) == incarnation(other))
+    }
 }
 
 /// The stored plans, with their revisions.
@@ -93,6 +119,8 @@
     pub(crate) writes: usize,
     /// Heads that were ordered to join or leave a group before their answers were complete.
     pub(crate) cut_heads: Vec<VmId>,
+    /// Engines that joined another group while the head of their group was open or closing.
+    pub(crate) early_joins: Vec<VmId>,
     /// Engines whose responses to orders are lost.
     pub(crate) loses_responses_of: HashSet<VmId>,
     /// Whether fetches take their full time instead of a tenth of it.
@@ -125,6 +153,7 @@
             paused: HashSet::new(),
             writes: 0,
             cut_heads: Vec::new(),
+            early_joins: Vec::new(),
             loses_responses_of: HashSet::new(),
             fetches_at_full_duration: false,
             revision: 0,
@@ -166,6 +195,7 @@
             ready_at: None,
             answers_until: None,
             members: Vec::new(),
+            incomplete_since: None,
         };
         self.engines.insert(id.clone(), engine);
         id
@@ -204,6 +234,7 @@
         self.now = self.now + TICK;
         self.finish_joins();
         self.finish_answers();
+        self.break_incomplete_heads();
         for (domain, (plan, revision)) in &self.plans {
             self.planner.apply_stored_plan(domain.clone(), plan.clone(), *revision);
         }
@@ -247,6 +278,43 @@
         }
     }
 
+    /// Breaks heads that have lacked a member for `STALL_TIMEOUT`.
+    fn break_incomplete_heads(&mut self) {
+        let is_incomplete = |it: &Engine| {
+            it.is_active_head() && !it.members.iter().all(|vm| self.is_working_member(vm, it))
+        };
+        let incomplete: HashSet<VmId> = self
+            .engines
+            .values()
+            .filter(|it| is_incomplete(it))
+            .map(|it| it.server.vm.clone())
+            .collect();
+        for (vm, engine) in &mut self.engines {
+            if !incomplete.contains(vm) {
+                engine.incomplete_since = None;
+                continue;
+            }
+            let since = *engine.incomplete_since.get_or_insert(self.now);
+            if self.now.since(since) >= STALL_TIMEOUT
+                && let Some(membership) = &mut engine.server.engine.membership
+            {
+                membership.phase = MemberPhase::Broken;
+            }
+        }
+    }
+
+    /// Returns whether the process of a member of a head's group runs and has not left the group.
+    fn is_working_member(&self, vm: &VmId, head: &Engine) -> bool {
+        self.engines.get(vm).is_some_and(|it| it.is_running() && it.is_in_group_of(head))
+    }
+
+    /// Returns whether the head of an engine's group is open or closing.
+    fn has_active_head(&self, engine: &Engine) -> bool {
+        self.engines
+            .values()
+            .any(|it| it.is_running() && it.is_active_head() && engine.is_in_group_of(it))
+    }
+
     fn execute(&mut self, action: PlannerAction) {
         match action {
             PlannerAction::Probe(probe) => {
@@ -276,7 +344,7 @@
                         let failure = ProbeFailure::NoAnswerOnKeptConnection;
                         self.planner.record_probe_failure(&probe.vm, failure);
                     }
-                    Connectivity::NoProcess => {
+                    Connectivity::NoProcess | Connectivity::Refuses => {
                         self.planner.record_probe_failure(&probe.vm, ProbeFailure::NoProcess);
                     }
                 }
@@ -303,6 +371,10 @@
     fn accept(&mut self, id: &VmId, order: &EngineOrder, expected: u64) -> OrderOutcome {
         let spec = engine_spec();
         let now = self.now;
+        let engine = &self.engines[id];
+        let own = engine.server.engine.membership.as_ref().map(|it| &it.group);
+        let joins_another = matches!(order, EngineOrder::Join { group, .. } if own != Some(group));
+        let is_early = joins_another && self.has_active_head(engine);
         let engine = self.engines.get_mut(id).expect("an engine");
         match engine.connectivity {
             Connectivity::Answers => {}
@@ -310,7 +382,7 @@
             | Connectivity::Pausing
             | Connectivity::Silent
             | Connectivity::SilentOnKeptConnections => return OrderOutcome::Unknown,
-            Connectivity::NoProcess => return OrderOutcome::NoProcess,
+            Connectivity::NoProcess | Connectivity::Refuses => return OrderOutcome::NoProcess,
         }
         if engine.orders_accepted != expected {
             return OrderOutcome::Refused;
@@ -322,6 +394,9 @@
                 .as_ref()
                 .is_some_and(|it| it.group == *group && it.incarnation == *incarnation)
         };
+        if is_early {
+            self.early_joins.push(id.clone());
+        }
         match order {
             EngineOrder::Join { group, incarnation, model, members } => {
                 let spec = spec.model(model).expect("a model");
@@ -413,13 +488,9 @@
     }
 
     fn is_in_group_of(&self, vm: &VmId, head: &Engine) -> bool {
-        let group = head.server.engine.membership.as_ref();
-        self.engines.get(vm).is_some_and(|it| {
-            let own = it.server.engine.membership.as_ref();
-            it.connectivity == Connectivity::Answers
-                && own.map(|it| (&it.group, it.incarnation))
-                    == group.map(|it| (&it.group, it.incarnation))
-        })
+        self.engines
+            .get(vm)
+            .is_some_and(|it| it.connectivity == Connectivity::Answers && it.is_in_group_of(head))
     }
 
     /// Asserts that no VM is in two groups of the stored plans.
