fix(planner): a refused connection is no proof that a process has ended

Root cause: a refused connection counted as proof of the end of a server process, and whatever lies between may forge it. The group of a live head behind resets was dissolved and counted as released at once, and its members joined another group while it was open. Class: an end is inferred from something that an intermediary can produce.

What counts as an end now (`TrackedServer::has_ended`): connections are refused and the platform has removed the server's entry, which it does after three heartbeats of silence. The other proofs stay: another start time of the process, the head's own word in its entry (broken or in no such group), an accepted order to leave, and the time of a break (`stall_ms` and the margin after a member has left). A refused connection still makes a server lost for repairs at once. `NoProcess` is renamed to `ConnectionRefused`, which is what it says.

The same cause elsewhere: - planner/release.rs `try_stop_head`: mended (refused connections free members). - planner/release.rs `order_members_to_leave`: mended. Refused members counted as gone, so a silent head with live members was taken for broken after the stall time. An unlisted member that responds counted as gone before it had left, too. - planner/server_health.rs `is_lost`, `is_unresponsive`: kept.

A restarted process ends the wait at its first answer. A crashed member that is not the head waits for nothing.

--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -297,7 +297,7 @@
     let connecting = state.connection_to(probe.address, PROBE_CONNECT_FAILURES);
     let connection = match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
         Ok(Ok(it)) => it,
-        Ok(Err(ConnectError::Refused)) => return Err(ProbeFailure::NoProcess),
+        Ok(Err(ConnectError::Refused)) => return Err(ProbeFailure::ConnectionRefused),
         Ok(Err(ConnectError::Unreachable)) => return Err(ProbeFailure::NoConnection),
         Err(_) => {
             state.record_not_reached(probe.address);
@@ -343,7 +343,7 @@
     let exchange = call_server(state, vm, address, Method::POST, path, body);
     match tokio::time::timeout(ORDER_TIMEOUT, exchange).await {
         Ok(Ok(answer)) => order_outcome(answer.status),
-        Ok(Err(ConnectError::Refused)) => OrderOutcome::NoProcess,
+        Ok(Err(ConnectError::Refused)) => OrderOutcome::ConnectionRefused,
         Ok(Err(ConnectError::Unreachable)) | Err(_) => OrderOutcome::Unknown,
     }
 }
--- a/crates/mangocross-serving/src/backend_server.rs
+++ b/crates/mangocross-serving/src/backend_server.rs
@@ -171,8 +171,8 @@
     Refused,
     /// The address now belongs to another server.
     WrongServer,
-    /// The connection was refused, so no process is listening.
-    NoProcess,
+    /// The connection was refused, so the order did not reach the engine.
+    ConnectionRefused,
     /// No response; the order may still be carried out later.
     Unknown,
 }
--- a/crates/mangocross-serving/src/planner/closed_heads.rs
+++ b/crates/mangocross-serving/src/planner/closed_heads.rs
@@ -19,7 +19,7 @@
         let is_isolated = self.is_isolated();
         let is_closed = |vm: &VmId, it: &TrackedServer| {
             let is_ended = match is_isolated {
-                true => it.health.has_no_process(),
+                true => it.health.refuses_connections(),
                 false => it.health.is_unresponsive(),
             };
             (is_ended && !self.progressing.contains(vm)) || self.is_replaced(it)
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -112,6 +112,16 @@
     staging: Option<StageOrder>,
 }
 
+impl TrackedServer {
+    /// Returns whether the server process has ended: it refuses connections, and the platform has
+    /// removed its entry, as it does after three heartbeats of silence.
+    ///
+    /// A refused connection alone may come from anything between this VM and the server.
+    fn has_ended(&self) -> bool {
+        self.unlisted_at.is_some() && self.health.refuses_connections()
+    }
+}
+
 /// The latest order to a server.
 #[derive(Debug)]
 struct SentOrder {
@@ -287,7 +297,7 @@
 
     /// Records the outcome of the latest order to a server.
     ///
-    /// Unless the order was begun or no process was running, the number of orders that the
+    /// Unless the order was begun or the connection was refused, the number of orders that the
     /// server has accepted is unknown until the next probe.
     pub fn record_order_outcome(&mut self, vm: &VmId, outcome: OrderOutcome, now: Moment) {
         let Some(sent) = self.orders.get_mut(vm) else { return };
@@ -323,7 +333,9 @@
         }
         match outcome {
             OrderOutcome::Begun => tracked.orders_accepted = Some(orders_accepted + 1),
-            OrderOutcome::NoProcess => tracked.health.record_failure(ProbeFailure::NoProcess),
+            OrderOutcome::ConnectionRefused => {
+                tracked.health.record_failure(ProbeFailure::ConnectionRefused)
+            }
             OrderOutcome::Done
             | OrderOutcome::Refused
             | OrderOutcome::WrongServer
--- a/crates/mangocross-serving/src/planner/orders.rs
+++ b/crates/mangocross-serving/src/planner/orders.rs
@@ -43,7 +43,9 @@
                 Some(OrderOutcome::Begun | OrderOutcome::Done) if is_same => EFFECT_TIMEOUT,
                 Some(OrderOutcome::Begun | OrderOutcome::Done) => Duration::ZERO,
                 Some(OrderOutcome::Refused | OrderOutcome::WrongServer) => REFUSED_RETRY_DELAY,
-                Some(OrderOutcome::NoProcess | OrderOutcome::Unknown) => UNANSWERED_RETRY_DELAY,
+                Some(OrderOutcome::ConnectionRefused | OrderOutcome::Unknown) => {
+                    UNANSWERED_RETRY_DELAY
+                }
             };
             if since < wait {
                 return;
--- a/crates/mangocross-serving/src/planner/preparing.rs
+++ b/crates/mangocross-serving/src/planner/preparing.rs
@@ -211,7 +211,7 @@
             }
             OrderOutcome::Refused
             | OrderOutcome::WrongServer
-            | OrderOutcome::NoProcess
+            | OrderOutcome::ConnectionRefused
             | OrderOutcome::Unknown => now + STAGING_MARGIN,
         }
     }
--- a/crates/mangocross-serving/src/planner/release.rs
+++ b/crates/mangocross-serving/src/planner/release.rs
@@ -103,7 +103,7 @@
             return self.order_members_to_leave(group, head, &leave, now, actions);
         };
         let was_restarted = tracked.server.engine.born_unix_ms != head.member.born_unix_ms;
-        if was_restarted || tracked.health.has_no_process() {
+        if was_restarted || tracked.has_ended() {
             return true;
         }
         let phase = tracked.server.engine.membership.as_ref().and_then(|it| {
@@ -148,9 +148,10 @@
             .filter(|it| !it.health.is_unresponsive())
             .map(|it| it.server.vm.clone())
             .collect();
-        // A listed server that does not respond to this VM may still be connected to its head.
+        // A listed server that does not respond to this VM, or to which connections are refused, may
+        // still be connected to its head.
         let may_still_serve =
-            members.iter().any(|it| it.unlisted_at.is_none() && !it.health.has_no_process());
+            members.iter().any(|it| it.unlisted_at.is_none() || !it.health.is_unresponsive());
         if !may_still_serve {
             // All other members have left, joined another incarnation or stopped, so the head
             // already lacks a member.
--- a/crates/mangocross-serving/src/planner/server_health.rs
+++ b/crates/mangocross-serving/src/planner/server_health.rs
@@ -31,8 +31,9 @@
 pub enum ProbeFailure {
     /// Nothing can be said of the server, since the fault may be on this side.
     NoVerdict,
-    /// The connection was refused, which proves that no server process is running.
-    NoProcess,
+    /// The connection was refused: no server process is running, or something in between resets
+    /// connections to it.
+    ConnectionRefused,
     /// No connection could be established: the machine is down or cut off.
     NoConnection,
     /// A new connection was established, but no valid answer came: the process may be pausing.
@@ -58,7 +59,7 @@
     /// Whether one of these probes established a connection: the machine was up, and the process
     /// did not answer.
     has_accepted: bool,
-    has_no_process: bool,
+    refuses_connections: bool,
     /// Whether the server refused to answer the last probe.
     is_turned_away: bool,
     slow_reports: u32,
@@ -66,14 +67,14 @@
 }
 
 impl ServerHealth {
-    /// Returns whether no process is running or several consecutive probes got no response.
+    /// Returns whether connections are refused or several consecutive probes got no response.
     ///
     /// The server should get nothing new, but it may only be pausing.
     pub(super) fn is_unresponsive(&self) -> bool {
-        self.has_no_process || self.misses >= MISSES_MAX
+        self.refuses_connections || self.misses >= MISSES_MAX
     }
 
-    /// Returns whether no process is running, the machine is unreachable, or the server has been
+    /// Returns whether connections are refused, the machine is unreachable, or the server has been
     /// unresponsive for so long that its work has to be given up.
     ///
     /// The queue of new connections of a process that pauses becomes full, so a machine that was up
@@ -81,7 +82,7 @@
     pub(super) fn is_lost(&self, now: Moment) -> bool {
         let is_over = || self.silent_since.is_some_and(|it| now.since(it) > PAUSE_MAX);
         let is_gone = self.is_unreachable && !self.has_accepted;
-        self.has_no_process || (self.is_unresponsive() && (is_gone || is_over()))
+        self.refuses_connections || (self.is_unresponsive() && (is_gone || is_over()))
     }
 
     /// Returns whether, since the last response, a probe has failed in another way than by a
@@ -90,9 +91,11 @@
         self.misses > 0
     }
 
-    /// Returns whether connections are refused, which proves that no server process is running.
-    pub(super) fn has_no_process(&self) -> bool {
-        self.has_no_process
+    /// Returns whether a connection has been refused since the last response.
+    ///
+    /// This does not prove that the process has ended.
+    pub(super) fn refuses_connections(&self) -> bool {
+        self.refuses_connections
     }
 
     pub(super) fn is_slow(&self) -> bool {
@@ -162,13 +165,13 @@
         self.is_turned_away = failure == ProbeFailure::TurnedAway;
         match failure {
             ProbeFailure::NoVerdict => {}
-            ProbeFailure::NoProcess => self.has_no_process = true,
+            ProbeFailure::ConnectionRefused => self.refuses_connections = true,
             ProbeFailure::TurnedAway => {
                 self.misses = 0;
                 self.silent_since = None;
                 self.is_unreachable = false;
                 self.has_accepted = false;
-                self.has_no_process = false;
+                self.refuses_connections = false;
             }
             ProbeFailure::NoConnection
             | ProbeFailure::NoAnswer
--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -281,7 +281,9 @@
     /// Breaks heads that have lacked a member for `STALL_TIMEOUT`.
     fn break_incomplete_heads(&mut self) {
         let is_incomplete = |it: &Engine| {
-            it.is_active_head() && !it.members.iter().all(|vm| self.is_working_member(vm, it))
+            it.is_running()
+                && it.is_active_head()
+                && !it.members.iter().all(|vm| self.is_working_member(vm, it))
         };
         let incomplete: HashSet<VmId> = self
             .engines
@@ -345,7 +347,8 @@
                         self.planner.record_probe_failure(&probe.vm, failure);
                     }
                     Connectivity::NoProcess | Connectivity::Refuses => {
-                        self.planner.record_probe_failure(&probe.vm, ProbeFailure::NoProcess);
+                        self.planner
+                            .record_probe_failure(&probe.vm, ProbeFailure::ConnectionRefused);
                     }
                 }
             }
@@ -382,7 +385,9 @@
             | Connectivity::Pausing
             | Connectivity::Silent
             | Connectivity::SilentOnKeptConnections => return OrderOutcome::Unknown,
-            Connectivity::NoProcess | Connectivity::Refuses => return OrderOutcome::NoProcess,
+            Connectivity::NoProcess | Connectivity::Refuses => {
+                return OrderOutcome::ConnectionRefused;
+            }
         }
         if engine.orders_accepted != expected {
             return OrderOutcome::Refused;
--- a/crates/mangocross-serving/tests/refused_connections.rs
+++ b/crates/mangocross-serving/tests/refused_connections.rs
@@ -112,7 +112,7 @@
             if simulation.engines[&vm].connectivity == Connectivity::Answers {
                 match random.u8(0..4) {
                     0 => simulation.restart(&vm),
-                    _ => set(&mut simulation, &[vm.clone()], Connectivity::Refuses),
+                    _ => set(&mut simulation, std::slice::from_ref(&vm), Connectivity::Refuses),
                 }
                 refused.push((vm, step + random.usize(4..16)));
             }
