--- a/crates/mangocross-serving/tests/engines/mod.rs
+++ b/crates/mangocross-serving/tests/engines/mod.rs
@@ -73,6 +73,8 @@
     pub(crate) answers_until: Option<Moment>,
     /// Members of the group that the engine joined last.
     pub(crate) members: Vec<VmId>,
+    /// The highest incarnation that the server process has joined.
+    pub(crate) highest_incarnation: Incarnation,
     /// Since when the engine, as a head, has lacked a member.
     pub(crate) incomplete_since: Option<Moment>,
 }
@@ -195,6 +197,7 @@
             ready_at: None,
             answers_until: None,
             members: Vec::new(),
+            highest_incarnation: Incarnation(0),
             incomplete_since: None,
         };
         self.engines.insert(id.clone(), engine);
@@ -208,6 +211,7 @@
         engine.server.engine.membership = None;
         engine.server.engine.loaded.clear();
         engine.orders_accepted = 0;
+        engine.highest_incarnation = Incarnation(0);
         engine.ready_at = None;
         engine.connectivity = Connectivity::Answers;
     }
@@ -399,6 +403,11 @@
                 .as_ref()
                 .is_some_and(|it| it.group == *group && it.incarnation == *incarnation)
         };
+        if matches!(order, EngineOrder::Join { incarnation, .. }
+            if *incarnation < engine.highest_incarnation)
+        {
+            return OrderOutcome::Refused;
+        }
         if is_early {
             self.early_joins.push(id.clone());
         }
@@ -419,6 +428,7 @@
                 }
                 engine.ready_at = Some(now + time);
                 engine.members.clone_from(members);
+                engine.highest_incarnation = *incarnation;
                 let rank = members.iter().position(|it| it == id).expect("a member");
                 // A model is reported as soon as its weights are on the VM.
                 let reported = if is_local { vec![model.clone()] } else { Vec::new() };
--- a/crates/mangocross-serving/tests/lost_plans.rs
+++ b/crates/mangocross-serving/tests/lost_plans.rs
@@ -151,3 +151,142 @@
         assert!(heads.len() >= 2 && heads.iter().all(are_open), "seed {seed}: {heads:?}");
     }
 }
+
+/// Returns two small groups, of which the second has a spare that joined it after the copy, and the
+/// plans of the copy.
+fn repaired_since_the_copy() -> (Simulation, engines::Plans, [VmId; 2]) {
+    let mut simulation = Simulation::new(1, 14);
+    simulation.run(ms(8_000));
+    let heads = simulation.serving("small");
+    let spares: Vec<VmId> = simulation.spares().iter().map(|it| it.server.vm.clone()).collect();
+    assert_eq!((heads.len(), spares.len()), (2, 2));
+    end(&mut simulation, &spares[0]);
+    simulation.engines.get_mut(&spares[0]).expect("an engine").is_listed = false;
+    simulation.run(ms(1_000));
+    let copy = simulation.plans.clone();
+    crash(&mut simulation, &heads[1], 2);
+    simulation.run(ms(3_000));
+    expire_entries(&mut simulation);
+    let serving = simulation.serving("small");
+    assert_eq!((serving.len(), simulation.plans == copy), (2, false));
+    (simulation, copy, [serving[0].clone(), serving[1].clone()])
+}
+
+/// Crashes a member of a head's group for good.
+fn crash(simulation: &mut Simulation, head: &VmId, rank: usize) {
+    let lost = simulation.engines[head].members[rank].clone();
+    end(simulation, &lost);
+}
+
+fn end(simulation: &mut Simulation, vm: &VmId) {
+    let engine = simulation.engines.get_mut(vm).expect("an engine");
+    engine.connectivity = Connectivity::NoProcess;
+}
+
+/// Removes the entries of servers that have ended.
+fn expire_entries(simulation: &mut Simulation) {
+    for engine in simulation.engines.values_mut() {
+        engine.is_listed &= engine.connectivity != Connectivity::NoProcess;
+    }
+}
+
+/// Guards against a member of a group without a plan that counts as free because another member was
+/// lost beside the return of the store: it would join another group while its head stands still.
+#[test]
+fn members_of_an_incomplete_group_without_a_plan_are_not_free() {
+    let (mut simulation, copy, heads) = repaired_since_the_copy();
+    crash(&mut simulation, &heads[0], 2);
+    crash(&mut simulation, &heads[1], 1);
+    // Its entry is that of the copy.
+    let lost = simulation.engines[&heads[1]].members[1].clone();
+    let entry = &mut simulation.engines.get_mut(&lost).expect("an engine").server.engine;
+    entry.membership.as_mut().expect("a member").incarnation.0 -= 1;
+    lose_plans(&mut simulation, 1, copy);
+    simulation.run(ms(3_600));
+    expire_entries(&mut simulation);
+    simulation.run(ms(12_000));
+    assert!(simulation.early_joins.is_empty(), "{:?}", simulation.early_joins);
+    assert_eq!(simulation.serving("small").len(), 1, "the members serve again");
+}
+
+/// Guards against the same where the platform doesn't list the head, which lives on: its entry is
+/// not written again yet, and the planner has no address of it.
+#[test]
+fn members_of_an_unknown_head_are_not_free() {
+    let (mut simulation, copy, heads) = repaired_since_the_copy();
+    crash(&mut simulation, &heads[0], 2);
+    let head = simulation.engines.get_mut(&heads[1]).expect("an engine");
+    head.is_listed = false;
+    head.connectivity = Connectivity::Silent;
+    lose_plans(&mut simulation, 1, copy);
+    simulation.run(ms(3_600));
+    expire_entries(&mut simulation);
+    simulation.run(ms(12_000));
+    assert!(simulation.early_joins.is_empty(), "{:?}", simulation.early_joins);
+    assert_eq!(simulation.serving("small").len(), 1, "the members serve again");
+}
+
+/// Guards against a sound group that is dissolved because a member's entry is written again later
+/// than those of the others.
+#[test]
+fn group_without_a_plan_serves_on_while_an_entry_is_missing() {
+    let (mut simulation, copy, heads) = repaired_since_the_copy();
+    let late = simulation.engines[&heads[1]].members[2].clone();
+    let before = simulation.engines[&heads[1]].server.engine.membership.clone();
+    simulation.engines.get_mut(&late).expect("an engine").is_listed = false;
+    lose_plans(&mut simulation, 1, copy);
+    simulation.run(ms(700));
+    simulation.engines.get_mut(&late).expect("an engine").is_listed = true;
+    simulation.run(ms(5_000));
+    assert_eq!(simulation.engines[&heads[1]].server.engine.membership, before);
+    assert!(simulation.serving("small").contains(&heads[1]));
+    assert!(simulation.early_joins.is_empty(), "{:?}", simulation.early_joins);
+}
+
+/// Servers crash before and after returns of the store to plans of any age; some come back.
+#[test]
+fn no_member_joins_another_group_early_after_a_return_to_a_copy() {
+    for seed in 0..40 {
+        let mut random = Rng::with_seed(seed);
+        let mut simulation = Simulation::new(1, 14);
+        simulation.run(ms(8_000));
+        let mut copies = vec![simulation.plans.clone()];
+        for era in 1..5 {
+            let entries = simulation.engines.clone();
+            for _ in 0..3 {
+                for head in heads(&simulation) {
+                    if random.u8(0..3) == 0 {
+                        let rank = random.usize(0..simulation.engines[&head].members.len());
+                        crash(&mut simulation, &head, rank);
+                    }
+                }
+                copies.push(simulation.plans.clone());
+                simulation.run(ms(random.u64(0..60) * 50));
+            }
+            // Servers that have ended don't write their entries again.
+            for (vm, engine) in &mut simulation.engines {
+                if engine.connectivity == Connectivity::NoProcess {
+                    engine.server = entries[vm].server.clone();
+                }
+            }
+            lose_plans(&mut simulation, era, copies[random.usize(0..copies.len())].clone());
+            simulation.run(ms(3_600));
+            expire_entries(&mut simulation);
+            simulation.run(ms(random.u64(0..200) * 50));
+            let lost: Vec<VmId> = simulation
+                .engines
+                .iter()
+                .filter(|(_, it)| it.connectivity == Connectivity::NoProcess)
+                .map(|(vm, _)| vm.clone())
+                .collect();
+            for vm in &lost {
+                simulation.restart(vm);
+                simulation.engines.get_mut(vm).expect("an engine").is_listed = true;
+            }
+            simulation.run(ms(4_000));
+        }
+        simulation.run(ms(20_000));
+        assert!(simulation.early_joins.is_empty(), "seed {seed}: {:?}", simulation.early_joins);
+        assert!(heads(&simulation).len() >= 3, "seed {seed}: groups serve again");
+    }
+}
