--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -7,6 +7,7 @@
 mod command_line;
 mod connection;
 mod control;
+mod demand;
 mod dispatch;
 mod entry_vm_list;
 mod first_answer;
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -5,6 +5,7 @@
 
 use mangocross_serving::CrashCause;
 use mangocross_serving::MemberPhase;
+use mangocross_serving::StreamClass;
 use mangocross_telemetry::Metrics;
 use mangocross_types::Rank;
 use opentelemetry::KeyValue;
@@ -30,6 +31,7 @@
     resumes: Counter<u64>,
     quarantined: Counter<u64>,
     passed_on: Counter<u64>,
+    not_admitted: Counter<u64>,
     store_eras: Counter<u64>,
     probes: Counter<u64>,
     orders: Counter<u64>,
@@ -55,6 +57,8 @@
     requests_in_progress: Gauge<f64>,
     requests_waiting: Gauge<f64>,
     retries_left: Gauge<f64>,
+    capacity_short: Gauge<f64>,
+    admission_ratio: Gauge<f64>,
 }
 
 impl FrontMetrics {
@@ -69,6 +73,10 @@
                 "requests not sent since they or a part of their prompt crash servers",
             ),
             passed_on: metrics.counter("front_passed_on", "requests passed on to other entry VMs"),
+            not_admitted: metrics.counter(
+                "front_not_admitted",
+                "streams refused at once since other streams need the capacity",
+            ),
             store_eras: metrics
                 .counter("front_store_eras", "returns of the store to an older copy of itself"),
             probes: metrics.counter("front_probes", "questions for a server's state"),
@@ -115,6 +123,15 @@
         self.passed_on.add(1, &[]);
     }
 
+    pub(crate) fn count_not_admitted(&self, class: StreamClass, reason: &'static str) {
+        let labels = [
+            KeyValue::new("priority", i64::from(class.priority)),
+            KeyValue::new("timing", class.timing.name()),
+            KeyValue::new("reason", reason),
+        ];
+        self.not_admitted.add(1, &labels);
+    }
+
     pub(crate) fn count_new_era(&self) {
         self.store_eras.add(1, &[]);
     }
@@ -185,6 +202,12 @@
             ),
             retries_left: metrics
                 .gauge("front_retries_left", "repeats that this VM may still make, by service"),
+            capacity_short: metrics.gauge(
+                "front_capacity_short",
+                "1 if the streams for a model exceed the capacity of its groups, else 0",
+            ),
+            admission_ratio: metrics
+                .gauge("front_admission_ratio", "share of a class's streams that is admitted"),
         }
     }
 
@@ -216,6 +239,16 @@
             view.blame.quarantined().partition(CrashCause::is_request);
         self.quarantined_parts.record(parts.len() as f64, &[]);
         self.quarantined_requests.record(requests.len() as f64, &[]);
+        for (model, it) in view.competition.recent(now) {
+            let model = KeyValue::new("model", model.model.to_string());
+            let is_short = f64::from(u8::from(it.ratios().is_short));
+            self.capacity_short.record(is_short, std::slice::from_ref(&model));
+            for (class, ratio) in it.ratios().classes() {
+                let priority = KeyValue::new("priority", i64::from(class.priority));
+                let timing = KeyValue::new("timing", class.timing.name());
+                self.admission_ratio.record(ratio, &[model.clone(), priority, timing]);
+            }
+        }
         let waiting: u32 = view.loads.local().values().map(|it| it.waiting).sum();
         self.requests_waiting.record(f64::from(waiting), &[]);
     }
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -14,6 +14,7 @@
 use mangocross_serving::BackendServer;
 use mangocross_serving::ConfigurationNotice;
 use mangocross_serving::CrashReport;
+use mangocross_serving::DemandReport;
 use mangocross_serving::LimitReport;
 use mangocross_serving::Load;
 use mangocross_serving::PartCrashReport;
@@ -84,6 +85,8 @@
     Limits { from: Arc<str>, reports: Vec<LimitReport>, counts: RequestCounts },
     /// Whether the sending entry VM and others reach servers.
     Reach(Vec<ReachNotice>),
+    /// Streams by model, class and customer: those of the sending entry VM, or of all.
+    Demand { from: Arc<str>, are_totals: bool, report: DemandReport },
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -157,6 +160,9 @@
             Ok(Message::Limits { from, reports, counts }) => {
                 state.apply_limits(from, &reports, counts);
             }
+            Ok(Message::Demand { from, are_totals, report }) => {
+                state.apply_demand(from, are_totals, report);
+            }
             Err(error) => {
                 if state.log_rate.allow("message ignored", state.now()).is_some() {
                     log::warn!(from:% = from, error:% = error; "peer message ignored");
@@ -255,12 +261,15 @@
         if !is_via_planner {
             send(&socket, &Message::Counts(build_counts(&state, false)), &peers);
             send_limits(&state, &socket, false, &peers);
+            send_demand(&state, &socket, false, &peers);
         } else if is_planner {
             send(&socket, &Message::Totals(build_counts(&state, true)), &peers);
             send_limits(&state, &socket, true, &peers);
+            send_demand(&state, &socket, true, &peers);
         } else if let Some(planner) = planner_address(&state) {
             send(&socket, &Message::Counts(build_counts(&state, false)), &[planner]);
             send_limits(&state, &socket, false, &[planner]);
+            send_demand(&state, &socket, false, &[planner]);
             state.view.borrow_mut().loads.mark_reported();
         }
         if is_planner && let Some(heads) = closed_heads(&state) {
@@ -277,6 +286,14 @@
     }
 }
 
+/// Tells of the streams that compete for the models' groups, if any do.
+fn send_demand(state: &AppState, socket: &UdpSocket, are_totals: bool, to: &[SocketAddr]) {
+    if let Some(report) = state.demand_to_tell(are_totals) {
+        let from = Arc::clone(&state.vm.name);
+        send(socket, &Message::Demand { from, are_totals, report }, to);
+    }
+}
+
 /// Returns the open heads that no longer serve, if there are any.
 fn closed_heads(state: &AppState) -> Option<Vec<VmId>> {
     let view = state.view.borrow();
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -323,7 +323,7 @@
 fn explain(obstacle: Obstacle) -> &'static str {
     match obstacle {
         Obstacle::NoServer | Obstacle::NoUsableServer => "no server of the service answers",
-        Obstacle::NoRoom => "the servers take no more requests for now",
+        Obstacle::NoRoom | Obstacle::NotAdmitted => "the servers take no more requests for now",
         Obstacle::NoRetryLeft => "retry budget used up",
         Obstacle::Refused => "server is full or has gone",
         Obstacle::Unreachable => "servers cannot be reached",
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -13,6 +13,7 @@
 use mangocross_platform::SettingsBounds;
 use mangocross_serving::BackendServer;
 use mangocross_serving::BootClock;
+use mangocross_serving::Competition;
 use mangocross_serving::CompleteView;
 use mangocross_serving::ConfigurationFreshness;
 use mangocross_serving::CrashBlame;
@@ -113,6 +114,8 @@
     pub(crate) limits: ServerLimits,
     /// Requests of the other entry VMs, while servers are limited.
     pub(crate) shares: RequestShares,
+    /// Streams of all entry VMs, and which of them are admitted while capacity is short.
+    pub(crate) competition: Competition,
     /// Whether this VM and the others reach the servers.
     pub(crate) reach: ServerReach,
     suspects: HashMap<VmId, Moment>,
@@ -506,6 +509,7 @@
         self.to_recheck.retain(|_, it| now.since(*it) < PEER_NOTICE_DURATION);
         self.avoided.retain(|_, it| now < *it);
         self.shares.expire(now);
+        self.competition.expire(now);
         self.reach.expire(now);
         let Self { failures, servers, slowdowns, notices, limits, .. } = self;
         notices.expire(now, |vm| servers.contains_key(vm));
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -74,6 +74,12 @@
     call: &'a Call,
     heads: RefCell<Vec<HeadLoad>>,
     full: RefCell<Option<FullGroups>>,
+    /// Whether the stream was judged against the demand of all; it is once, before its first attempt.
+    is_judged: Cell<bool>,
+    /// Time after which the caller is to come back if the stream is refused while capacity is short.
+    return_after: Cell<Option<Duration>>,
+    /// When the group of the latest attempt was chosen, and the time to its first event predicted then.
+    predicted: Cell<Option<(Moment, Duration)>>,
     /// Whether a server has sent the head of its answer, so that the stream counts as resumed.
     has_head: Cell<bool>,
     /// Since when another server is looked for after that.
@@ -86,6 +92,9 @@
             call,
             heads: RefCell::default(),
             full: RefCell::default(),
+            is_judged: Cell::new(false),
+            return_after: Cell::new(None),
+            predicted: Cell::new(None),
             has_head: Cell::new(false),
             resumed_since: Cell::new(None),
         }
@@ -97,7 +106,12 @@
         let search = ServerSearch::new(self.limits());
         let mut search = StreamSearch::new(self.call, Goal::Start(self), search);
         match search.run().await {
-            Ok(it) => Ok((it, search.runs())),
+            Ok(it) => {
+                // Without a first event, only the head of the answer has come.
+                let is_only = it.1.is_some() && search.runs() == 1;
+                self.call.state.record_begin(self.call, self.predicted.get().filter(|_| is_only));
+                Ok((it, search.runs()))
+            }
             Err(SearchEnd::NotRun(_)) if self.call.needs_peer() => Err(NoAnswer::NeedsPeer),
             Err(end) => {
                 let refused = self.end(end, search.take_failure()).await;
@@ -138,9 +152,21 @@
         let Some(heads) = heads::find_heads(call, &search.excluded(now)) else {
             return Err(heads::no_head(call, search));
         };
+        if !self.is_judged.replace(true)
+            && let Some(return_after) = call.state.refuse_start(call, &heads)
+        {
+            self.return_after.set(Some(return_after));
+            return Err(Obstacle::NotAdmitted);
+        }
         let chosen = match heads::choose_head(call, &heads, self.queue_slots()) {
-            Admission::Send(vm) => Ok(vm),
+            Admission::Send(vm) => {
+                let load = heads.iter().find(|it| it.vm == vm);
+                let predicted = load.and_then(|it| call.state.predict_first_event(call, it));
+                self.predicted.set(predicted.map(|it| (now, it)));
+                Ok(vm)
+            }
             Admission::Refuse { free_slot_in, best, first_event_in } => {
+                self.return_after.set(call.state.return_after_shortage(call));
                 *self.full.borrow_mut() = Some(FullGroups { free_slot_in, best, first_event_in });
                 Err(Obstacle::NoRoom)
             }
@@ -219,7 +245,7 @@
         let paused = call.state.return_after(&call.service, call.caller_head.model.as_ref());
         let (code, reason, after) = match paused {
             Some(after) => (ResultCode::BackendRefused, PAUSED_REASON, after),
-            None => (code, reason, self.retry_after(after_min)),
+            None => (code, reason, self.return_after(obstacle, after_min)),
         };
         call.record.refuse(&Refusal::not_run(code, reason).retry_after(after), reason)
     }
@@ -243,6 +269,9 @@
                 heads::log_refused(self.call, &full.best, full.first_event_in, groups);
                 return (ResultCode::Overloaded, reason, full.free_slot_in);
             }
+            Obstacle::NotAdmitted => {
+                (ResultCode::Overloaded, "other streams need the groups' capacity")
+            }
             Obstacle::NoRetryLeft => (ResultCode::RetryBudget, "retry budget used up"),
             Obstacle::Unreachable => (ResultCode::NoCompleteGroup, "heads cannot be reached"),
             Obstacle::Quarantined => {
@@ -257,6 +286,15 @@
         (code, reason, RETRY_AFTER_MIN)
     }
 
+    /// Returns the Retry-After of a stream that is refused because of an obstacle.
+    fn return_after(&self, obstacle: Obstacle, min: Duration) -> Duration {
+        let is_shortage = matches!(obstacle, Obstacle::NotAdmitted | Obstacle::NoRoom);
+        match self.return_after.get().filter(|_| is_shortage) {
+            Some(it) => it,
+            None => self.retry_after(min),
+        }
+    }
+
     fn retry_after(&self, min: Duration) -> Duration {
         let spread = RETRY_AFTER_SPREAD.mul_f64(fastrand::f64());
         (min.max(RETRY_AFTER_MIN) + spread).min(self.call.time_left() / 3)
--- a/bins/mangocross-front/src/stream/successor.rs
+++ b/bins/mangocross-front/src/stream/successor.rs
@@ -78,6 +78,7 @@
             Obstacle::NoServer
             | Obstacle::NoUsableServer
             | Obstacle::NoRoom
+            | Obstacle::NotAdmitted
             | Obstacle::Unreachable => "no group had room in time",
             Obstacle::NoRetryLeft => "retry budget used up",
             Obstacle::Refused => "too many servers refused the stream",
--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -106,6 +106,23 @@
     }
 }
 
+impl GroupTimes {
+    /// Returns the requests that a group completes each second while so many are in progress.
+    pub fn completions_per_s(&self, in_progress: f64) -> f64 {
+        let step_ms = self.step_ms + in_progress * self.step_per_request_ms;
+        let read_ms = self.prompt_tokens * self.read_per_token_ms;
+        1000.0 / (self.answer_tokens * step_ms / in_progress.max(0.1) + read_ms)
+    }
+
+    /// Predicts the time to the first event at an idle group.
+    pub fn first_event_min(&self, prompt_tokens: u32) -> Duration {
+        let pass_ms = self.stride * self.token_step_ms(0);
+        let read_ms = self.read_per_token_ms * f64::from(prompt_tokens);
+        FIRST_EVENT_BASE
+            + Duration::from_secs_f64((FIRST_EVENT_PASSES * pass_ms + read_ms) / 1000.0)
+    }
+}
+
 /// Result of the admission of a stream.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Admission {
--- a/crates/mangocross-serving/src/load_table.rs
+++ b/crates/mangocross-serving/src/load_table.rs
@@ -128,6 +128,12 @@
         self.peers.len()
     }
 
+    /// Returns the age of the totals, if they are recent.
+    pub fn totals_age(&self, now: Moment) -> Option<Duration> {
+        let age = self.totals.as_ref().map(|it| now.since(it.received_at));
+        age.filter(|it| *it < COUNTS_AGE_MAX)
+    }
+
     /// Returns the load of a server, from the totals if they are recent, else from the counts of
     /// the individual entry VMs.
     pub fn load(&self, vm: &VmId, now: Moment) -> Load {
--- a/crates/mangocross-serving/src/server_search.rs
+++ b/crates/mangocross-serving/src/server_search.rs
@@ -307,6 +307,7 @@
                 | Obstacle::MayNotMove
                 | Obstacle::Unreachable
                 | Obstacle::Quarantined
+                | Obstacle::NotAdmitted
         );
         if is_bound || now >= window.send_until {
             return false;
--- a/crates/mangocross-serving/src/server_search/ends.rs
+++ b/crates/mangocross-serving/src/server_search/ends.rs
@@ -9,6 +9,8 @@
     NoUsableServer,
     /// All servers are full.
     NoRoom,
+    /// Other requests need what the servers can take.
+    NotAdmitted,
     /// The retry budget allows no attempt at the moment.
     NoRetryLeft,
     /// Too many servers did not run the request.
--- a/crates/mangocross-serving/src/traffic.rs
+++ b/crates/mangocross-serving/src/traffic.rs
@@ -224,6 +224,17 @@
         slashes.filter_map(|(at, _)| of_host.get(&path[..=at])).next()
     }
 
+    /// Returns whether streams for a service come from routes with different priorities.
+    pub fn has_stream_priorities(&self, service: &ServiceId) -> bool {
+        let leads = |it: &&Arc<RouteRule>| {
+            it.retry_policy.is_stream() && it.targets.iter().any(|it| it.service == *service)
+        };
+        let routes = self.routes.values().flat_map(HashMap::values).filter(leads);
+        let mut priorities = routes.map(|it| it.priority);
+        let first = priorities.next();
+        priorities.any(|it| Some(it) != first)
+    }
+
     /// Returns the engine services and their specifications.
     pub fn engines(&self) -> impl Iterator<Item = (&ServiceId, &EngineSpec)> {
         self.services.iter().filter_map(|(id, it)| Some((id, it.engine.as_ref()?)))
