--- a/crates/mangocross-serving/tests/competing_fleet/mod.rs
+++ b/crates/mangocross-serving/tests/competing_fleet/mod.rs
@@ -5,9 +5,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use mangocross_serving::Admission;
+use mangocross_serving::Candidates;
 use mangocross_serving::Competition;
 use mangocross_serving::CompetitionRules;
 use mangocross_serving::DemandSource;
+use mangocross_serving::Draws;
 use mangocross_serving::EngineSpec;
 use mangocross_serving::FirstEventTimes;
 use mangocross_serving::GroupTimes;
@@ -19,7 +22,9 @@
 use mangocross_serving::Moment;
 use mangocross_serving::NewStream;
 use mangocross_serving::StreamClass;
+use mangocross_serving::StreamDemand;
 use mangocross_serving::Timing;
+use mangocross_serving::admit;
 use mangocross_serving::stream_cost;
 use mangocross_types::CustomerId;
 use mangocross_types::VmId;
@@ -335,16 +340,10 @@
         };
         let refusal = competition.refusal(&new, self.rules, self.rng.f64());
         let returns = competition.expected_returns();
-        // As the choice among heads does it: by what each can take until newer counts arrive.
-        let horizon = 0.3;
-        let completed = horizon / self.times.completion_interval().as_secs_f64();
-        let room =
-            |it: &HeadLoad| (f64::from(SLOTS) + completed - f64::from(it.in_flight)).max(0.0);
-        let mut draw = self.rng.f64() * heads.iter().map(room).sum::<f64>();
-        let chosen = heads.iter().find(|it| {
-            draw -= room(it);
-            draw < 0.0
-        });
+        let demand = StreamDemand { target_latency: target, waited, prompt_tokens: PROMPT };
+        let draws = Draws { first: self.rng.f64(), second: self.rng.f64() };
+        let admission = admit(&self.times, &heads, &demand, 0, Candidates::Sampled(draws));
+        let chosen = heads.iter().find(|it| admission == Admission::Send(it.vm.clone()));
         let Some(chosen) = chosen.filter(|_| refusal.is_none()) else {
             if stream.attempts == 1 {
                 vm.competition.demand.record_refusal(&self.model, now);
