--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -8,6 +8,7 @@
 mod command_line;
 mod connection;
 mod control;
+mod demand;
 mod dispatch;
 mod entry_vm_list;
 mod first_answer;
--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -24,9 +24,6 @@
 /// Time until a stream that is sent shows in the counts of all entry VMs: half of two report
 /// intervals, and the way.
 const COUNT_HORIZON: Duration = Duration::from_millis(350);
-/// Share of all slots in use above which two groups are no longer compared: with stale counts the
-/// emptier one gets up to twice the streams that it has room for.
-const COMPARED_LOAD_MAX: f64 = 0.6;
 /// Share of a group's slots up to which streams are planned with stale counts. The rest takes up the
 /// scatter of arrivals, which would otherwise wait in the engine's queue.
 const PLANNED_SLOTS_SHARE: f64 = 0.95;
@@ -115,6 +112,23 @@
     }
 }
 
+impl GroupTimes {
+    /// Returns the requests that a group completes each second while so many are in progress.
+    pub fn completions_per_s(&self, in_progress: f64) -> f64 {
+        let step_ms = self.step_ms + in_progress * self.step_per_request_ms;
+        let read_ms = self.prompt_tokens * self.read_per_token_ms;
+        1000.0 / (self.answer_tokens * step_ms / in_progress.max(0.1) + read_ms)
+    }
+
+    /// Predicts the time to the first event at an idle group.
+    pub fn first_event_min(&self, prompt_tokens: u32) -> Duration {
+        let pass_ms = self.stride * self.token_step_ms(0);
+        let read_ms = self.read_per_token_ms * f64::from(prompt_tokens);
+        FIRST_EVENT_BASE
+            + Duration::from_secs_f64((FIRST_EVENT_PASSES * pass_ms + read_ms) / 1000.0)
+    }
+}
+
 /// Result of the admission of a stream.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Admission {
@@ -138,7 +152,7 @@
 pub enum Candidates {
     /// All groups; suitable if counts are recent.
     All,
-    /// The better of two random groups while few slots are in use, else one random group, in
+    /// The better of two random groups while there are free slots enough, else one random group, in
     /// proportion to what each can take until the counts show it.
     ///
     /// With stale counts, all entry VMs would otherwise send to the same group until updated counts
@@ -231,15 +245,31 @@
     /// Returns how many streams a group can take until the counts show them: its free slots and the
     /// requests that it completes meanwhile.
     fn room(&self, head: &HeadLoad) -> f64 {
-        let slots = f64::from(self.times.slots);
+        self.free(head) + self.completed(head)
+    }
+
+    /// Returns the free slots among those that streams are planned for, negative if more are in use.
+    fn free(&self, head: &HeadLoad) -> f64 {
+        f64::from(self.times.slots) * PLANNED_SLOTS_SHARE - f64::from(head.in_flight)
+    }
+
+    /// Returns the requests that a group completes until the counts show it.
+    fn completed(&self, head: &HeadLoad) -> f64 {
         let interval = self.times.completion_interval().mul_f64(head.slowdown.max(1.0));
         let at_full_load = COUNT_HORIZON.as_secs_f64() / interval.as_secs_f64().max(f64::EPSILON);
-        let completed = at_full_load * (f64::from(head.in_flight) / slots).min(1.0);
-        slots * PLANNED_SLOTS_SHARE - f64::from(head.in_flight) + completed
+        at_full_load * (f64::from(head.in_flight) / f64::from(self.times.slots)).min(1.0)
+    }
+
+    /// Returns whether two groups may be compared. The better one of two gets up to twice the streams
+    /// of its share, about as many as it completes, which need a free slot until the counts show them.
+    fn may_compare(&self, heads: &[HeadLoad]) -> bool {
+        let free: f64 = heads.iter().map(|it| self.free(it).max(0.0)).sum();
+        let completed: f64 = heads.iter().map(|it| self.completed(it)).sum();
+        completed <= free
     }
 
-    /// Chooses a group in proportion to the room of each, the better one of two while few slots are
-    /// in use.
+    /// Chooses a group in proportion to the room of each, the better one of two if they may be
+    /// compared.
     fn sample(&self, heads: &[HeadLoad], draws: Draws) -> Option<VmId> {
         let (slow, normal): (Vec<&HeadLoad>, Vec<&HeadLoad>) = heads
             .iter()
@@ -256,9 +286,7 @@
             });
             accepting.get(position.unwrap_or(rooms.len().saturating_sub(1))).copied()
         };
-        let in_flight: u32 = heads.iter().map(|it| it.in_flight).sum();
-        let load = f64::from(in_flight) / (heads.len().max(1) as f64 * f64::from(self.times.slots));
-        let second = (load <= COMPARED_LOAD_MAX).then_some(draws.second);
+        let second = self.may_compare(heads).then_some(draws.second);
         let drawn = [Some(draws.first), second].into_iter().flatten().filter_map(at);
         let cost = |it: &&HeadLoad| self.times.first_event(it, self.demand.prompt_tokens);
         drawn.min_by_key(cost).map(|it| it.vm.clone())
