feat(front): operators evacuate a zone with a key (rule EVAC)

Cause: there was no way to take a zone out of use.

Change: `op/evacuate/ZONE` is read with the other keys of operators, passed on by relays (their form stays) and told to all entry VMs by those that follow the store (message `Evacuations`, appended), and repeated. `Evacuations` (pure) keeps the last change of each zone with its revision: an evacuation outlasts a store that is down, and one that lost the key, until a write or removal is seen in the new era. `ClusterView::is_usable` refuses the servers of the zone on all paths; the zone is asked about again before a request is sent on a connection that took time. The planner leaves domains there as they are and counts their groups no longer, so that others are formed elsewhere.

Ruled out: treating the servers as leaving. The planner would close and dissolve their groups: orders after the bound, and all weights to load again when the zone is taken back.

--- a/bins/mangocross-front/src/command_line.rs
+++ b/bins/mangocross-front/src/command_line.rs
@@ -28,6 +28,7 @@
 use crate::story;
 use crate::story::Format;
 use crate::watching;
+use crate::zone_evacuation;
 
 /// Serves callers on an entry VM and keeps model groups whole.
 #[derive(Debug, Clone, Bpaf)]
@@ -122,6 +123,7 @@
     planning::spawn(&state);
     control::spawn(&state);
     server_limits::spawn(&state);
+    zone_evacuation::spawn(&state);
     server_reach::spawn(&state);
     settings::spawn(&state, file);
     stopping::shut_down_on_sigterm(&state, callers).await;
--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -42,6 +42,7 @@
 mod story;
 mod stream;
 mod watching;
+mod zone_evacuation;
 
 use std::process::ExitCode;
 
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -48,6 +48,7 @@
     held_servers: Gauge<f64>,
     groups: Gauge<f64>,
     entry_vms: Gauge<f64>,
+    evacuated_zones: Gauge<f64>,
     follows_store: Gauge<f64>,
     cut_off: Gauge<f64>,
     quarantined_parts: Gauge<f64>,
@@ -168,6 +169,10 @@
             ),
             groups: metrics.gauge("front_groups", "groups by the state that their heads tell"),
             entry_vms: metrics.gauge("front_entry_vms", "entry VMs listed, this one included"),
+            evacuated_zones: metrics.gauge(
+                "front_evacuated_zone",
+                "1 if the servers of the zone get no requests since it is evacuated, else 0",
+            ),
             follows_store: metrics.gauge(
                 "front_follows_store",
                 "1 if this VM follows the store itself and may relay its changes, else 0",
@@ -207,6 +212,10 @@
         for (phase, count) in view.groups_by_phase() {
             self.groups.record(count as f64, &[KeyValue::new("state", phase)]);
         }
+        for (zone, is_evacuated) in view.zones() {
+            let labels = [KeyValue::new("zone", zone.to_string())];
+            self.evacuated_zones.record(f64::from(u8::from(is_evacuated)), &labels);
+        }
         self.entry_vms.record(view.entry_vms.len() as f64, &[]);
         let follows_store = state.relay.is_following.get();
         self.follows_store.record(f64::from(u8::from(follows_store)), &[]);
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -15,6 +15,7 @@
 use mangocross_serving::ColdReport;
 use mangocross_serving::ConfigurationNotice;
 use mangocross_serving::CrashReport;
+use mangocross_serving::EvacuationMark;
 use mangocross_serving::LimitReport;
 use mangocross_serving::Load;
 use mangocross_serving::PartCrashReport;
@@ -89,6 +90,8 @@
     Reach(Vec<ReachNotice>),
     /// Servers that have said that they are cold.
     Cold(Vec<ColdReport>),
+    /// Zones that are evacuated or were taken back.
+    Evacuations(Vec<EvacuationMark>),
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -162,6 +165,7 @@
             Ok(Message::Limits { from, reports, counts }) => {
                 state.apply_limits(from, &reports, counts);
             }
+            Ok(Message::Evacuations(marks)) => state.apply_evacuation_marks(&marks),
             Ok(Message::Cold(reports)) => state.apply_cold_reports(&reports),
             Err(error) => {
                 if state.log_rate.allow("message ignored", state.now()).is_some() {
@@ -338,6 +342,11 @@
         if notice.shown_version.max(notice.former_version).is_some() {
             send(&socket, &Message::Configuration(notice), &some_peer_addresses(&state));
         }
+        // Reaches entry VMs whose relay lags, and those that missed the first message.
+        let evacuations = state.view.borrow().evacuations.marks();
+        if !evacuations.is_empty() {
+            send(&socket, &Message::Evacuations(evacuations), &some_peer_addresses(&state));
+        }
         tokio::time::sleep(UPDATE_INTERVAL_MIN).await;
     }
 }
@@ -366,6 +375,11 @@
             (view.local_suspects(now), view.to_recheck(now), entries, view.cold.take_reports())
         };
         let peers = peer_addresses(&state);
+        let is_first_source = state.relay.is_recording();
+        let evacuations = state.view.borrow_mut().evacuation_news(is_first_source);
+        if !evacuations.is_empty() {
+            send(&socket, &Message::Evacuations(evacuations), &peers);
+        }
         // Before the entries, so that a cold head is known to be cold when it is first used.
         for chunk in cold.chunks(MESSAGE_COLD_MAX) {
             send(&socket, &Message::Cold(chunk.to_vec()), &peers);
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -207,6 +207,11 @@
         if !self.search.may_send(now, &self.window()) {
             return None;
         }
+        // The zone may have been evacuated while the connection was opened.
+        if call.state.is_evacuated(&server.vm) {
+            self.search.connect_failed(server.vm);
+            return None;
+        }
         // Another request may have spent the last retry while this one connected.
         if is_paid && !call.state.try_spend_retry(&call.service) {
             self.search.cannot_send(Obstacle::NoRetryLeft, now);
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -154,6 +154,7 @@
         let progress = view.progress.latest(now).filter(|(_, age)| *age < PROGRESS_AGE_MAX);
         planner.set_progressing_heads(progress.map(|(vm, _)| vm.clone()).collect());
         planner.set_paused_servers(view.paused_servers(now).cloned().collect());
+        planner.set_evacuated_zones(view.evacuations.evacuated().map(|it| it.0.clone()).collect());
         for (head, at) in view.suspects(now) {
             planner.mark_suspect(head, at);
         }
--- a/bins/mangocross-front/src/server_notices.rs
+++ b/bins/mangocross-front/src/server_notices.rs
@@ -120,6 +120,7 @@
                 && model.is_none_or(|model| it.serves(model))
                 && !self.missing.is_gone(&it.vm, now)
                 && !self.closed_heads.contains(&it.vm, now)
+                && self.is_in_use(it)
         };
         self.notices.first_return(self.servers.values().filter(is_candidate), now)
     }
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -17,6 +17,7 @@
 use mangocross_serving::CompleteView;
 use mangocross_serving::ConfigurationFreshness;
 use mangocross_serving::CrashBlame;
+use mangocross_serving::Evacuations;
 use mangocross_serving::FailureTable;
 use mangocross_serving::HeadLoad;
 use mangocross_serving::ListedEntryVm;
@@ -114,6 +115,8 @@
     pub(crate) limits: ServerLimits,
     /// Servers that take few requests after their start.
     pub(crate) cold: ColdServers,
+    /// Zones whose servers get no requests.
+    pub(crate) evacuations: Evacuations,
     /// Requests of the other entry VMs, while servers are limited.
     pub(crate) shares: RequestShares,
     /// Whether this VM and the others reach the servers.
@@ -468,6 +471,7 @@
             && !self.missing.is_gone(vm, now)
             && !self.closed_heads.contains(vm, now)
             && self.notices.allows_requests(server, now)
+            && self.is_in_use(server)
     }
 
     /// Forgets which servers could not be reached.
--- a/bins/mangocross-front/src/store_changes.rs
+++ b/bins/mangocross-front/src/store_changes.rs
@@ -5,6 +5,7 @@
 
 use log::kv::Value;
 use mangocross_platform::CONFIGURATION_KEY;
+use mangocross_platform::EVACUATIONS_PREFIX;
 use mangocross_platform::SERVERS_PREFIX;
 use mangocross_platform::StoreChange;
 use mangocross_platform::StoreItem;
@@ -25,6 +26,7 @@
 use crate::state::ClusterView;
 use crate::state::StoredValue;
 use crate::store_following::ENTRY_VM_KEYS_PREFIX;
+use crate::store_following::OPERATORS_PREFIX;
 
 /// Applies all keys of a range, and removes known keys that are not in it.
 ///
@@ -54,6 +56,9 @@
             );
         }
     }
+    if prefix == OPERATORS_PREFIX {
+        state.apply_all_evacuations(&items, as_of);
+    }
     if prefix == ENTRY_VM_KEYS_PREFIX {
         let mut view = state.view.borrow_mut();
         let is_removed = |key: &Arc<str>| !keys.contains(key.as_ref());
@@ -98,6 +103,10 @@
         StoreChange::Written(item) if item.key.starts_with(ENTRY_VM_KEYS_PREFIX) => {
             apply_entry_vm_key(state, item)
         }
+        StoreChange::Written(item) if item.key.starts_with(EVACUATIONS_PREFIX) => {
+            state.relay.record(&item.key, item.value.as_ref(), item.revision, state.now());
+            state.apply_evacuation(&item.key, item.revision, true);
+        }
         StoreChange::Written(_) => {}
         StoreChange::Removed { key, revision } => remove(state, &key, revision),
     }
@@ -246,6 +255,10 @@
 fn remove(state: &AppState, key: &str, revision: StoreRevision) {
     let now = state.now();
     state.relay.record(key, None, revision, now);
+    if key.starts_with(EVACUATIONS_PREFIX) {
+        state.apply_evacuation(key, revision, false);
+        return;
+    }
     let mut view = state.view.borrow_mut();
     if key.starts_with(SERVERS_PREFIX) {
         let Ok(vm) = server_id(key) else { return };
--- a/bins/mangocross-front/src/stream/search.rs
+++ b/bins/mangocross-front/src/stream/search.rs
@@ -154,6 +154,11 @@
         if !self.search.may_send(now, &goal.window()) {
             return None;
         }
+        // The zone may have been evacuated while the connection was opened.
+        if call.state.is_evacuated(&vm) {
+            self.search.connect_failed(vm);
+            return None;
+        }
         // Another request may have spent the last retry while this one connected.
         if is_paid && !call.state.try_spend_retry(&call.service) {
             self.search.cannot_send(Obstacle::NoRetryLeft, now);
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -30,3 +30,4 @@
 mod store_era;
 mod successors;
 mod whole_path;
+mod zone_evacuation;
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -79,6 +79,8 @@
     named_limit: Option<String>,
     /// For how long and how the server says that it is cold.
     cold: cold::Coldness,
+    /// Availability zone; `zone-a` if it is empty.
+    zone: String,
     /// `Retry-After` with which requests are refused.
     retry_after: Option<String>,
     /// Whether orders and questions for reports are turned away like requests.
@@ -344,7 +346,8 @@
     fn status(&self, state: &State) -> Value {
         let models: Vec<Value> =
             state.model.iter().map(|it| json!({"name": it, "version": 1})).collect();
-        let mut status = json!({"service": self.service, "address": self.advertised, "zone": "zone-a", "slots": 4,
+        let zone = if state.zone.is_empty() { "zone-a" } else { &state.zone };
+        let mut status = json!({"service": self.service, "address": self.advertised, "zone": zone, "slots": 4,
             "state": "ready", "seq": state.orders, "born": FIRST_START_UNIX_MS + state.starts,
             "models": models,
             "domain": if self.service == "models" { json!("d0") } else { Value::Null },
--- a/bins/mangocross-front/tests/front/platform/servers/cold.rs
+++ b/bins/mangocross-front/tests/front/platform/servers/cold.rs
@@ -1,4 +1,4 @@
-//! Servers that say that they are cold.
+//! Servers that say that they are cold, and servers of other zones.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -65,4 +65,10 @@
         state.cold.born_unix_ms = Some(unix_time.as_millis() as u64);
         self.publish_state(&state);
     }
+    /// Moves the server to another zone.
+    pub(crate) fn set_zone(&self, zone: &str) {
+        let mut state = lock(&self.state);
+        zone.clone_into(&mut state.zone);
+        self.publish_state(&state);
+    }
 }
--- a/bins/mangocross-front/tests/front/relays.rs
+++ b/bins/mangocross-front/tests/front/relays.rs
@@ -54,12 +54,12 @@
     fronts.iter().map(lines).collect()
 }
 
-fn follows_store(front: &Front) -> bool {
+pub(crate) fn follows_store(front: &Front) -> bool {
     has_metric(front, "front_follows_store 1")
 }
 
 /// Starts a store, two servers of a plain service and a fleet whose relays have been chosen.
-fn start_fleet() -> (Store, Vec<Server>, Vec<Front>) {
+pub(crate) fn start_fleet() -> (Store, Vec<Server>, Vec<Front>) {
     let store = Store::spawn();
     store.configure(3, &["k1"]);
     let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records")).into();
--- a/crates/mangocross-serving/src/planner/forming.rs
+++ b/crates/mangocross-serving/src/planner/forming.rs
@@ -41,7 +41,8 @@
     /// Counts the VMs in groups of each model, over all domains, with these updates applied.
     pub(super) fn count_vms_by_model(&self, updates: &[PlanUpdate]) -> HashMap<ModelId, usize> {
         let is_updated = |domain: &FabricDomain| updates.iter().any(|it| it.domain == *domain);
-        let others = self.plans.iter().filter(|(domain, _)| !is_updated(domain));
+        let counts = |domain: &FabricDomain| !is_updated(domain) && !self.is_evacuated(domain);
+        let others = self.plans.iter().filter(|(domain, _)| counts(domain));
         count_members_by_model(
             others.map(|(_, it)| &it.plan).chain(updates.iter().map(|it| &it.plan)),
         )
@@ -184,10 +185,12 @@
         free.map(|it| it.server.vm.clone()).collect()
     }
 
-    /// Returns whether a VM may become a member: listed, reachable, not leaving and not slow.
+    /// Returns whether a VM may become a member: listed, reachable, not leaving, not slow
+    /// and not in an evacuated zone.
     pub(super) fn is_usable(&self, tracked: &TrackedServer) -> bool {
         tracked.unlisted_at.is_none()
             && tracked.leaving_at.is_none()
+            && !self.evacuated_zones.contains(&tracked.server.zone)
             && !tracked.health.is_unresponsive()
             && !tracked.health.is_slow()
     }
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -3,6 +3,7 @@
 mod adoption;
 mod closed_heads;
 mod donors;
+mod evacuation;
 mod forming;
 mod orders;
 mod packing;
@@ -19,6 +20,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mangocross_types::AvailabilityZone;
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupId;
 use mangocross_types::Incarnation;
@@ -175,6 +177,8 @@
     progressing: HashSet<VmId>,
     /// Servers that want no requests for now.
     paused: HashSet<VmId>,
+    /// Zones whose groups serve nothing until operators take them back.
+    evacuated_zones: HashSet<AvailabilityZone>,
     /// When the newest server of each fabric domain appeared.
     newest_server_at: HashMap<FabricDomain, Moment>,
     /// The servers of each fabric domain as of the last decision, in order of their ids.
@@ -199,6 +203,7 @@
             weight_load_limiter: WeightLoadLimiter::default(),
             progressing: HashSet::new(),
             paused: HashSet::new(),
+            evacuated_zones: HashSet::new(),
             newest_server_at: HashMap::new(),
             by_domain: HashMap::new(),
             decided_at: None,
@@ -411,6 +416,9 @@
             if stored.is_writing || stored.retry_at.is_some_and(|it| now < it) {
                 continue;
             }
+            if self.is_evacuated(&domain) {
+                continue;
+            }
             updates.push(self.maintain_groups(&domain, now, &mut actions));
         }
         let mut vm_counts = self.count_vms_by_model(&updates);
