--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -12,6 +12,7 @@
 mod entry_vm_list;
 mod first_answer;
 mod held_entries;
+mod home_regions;
 mod ingress;
 mod leases;
 mod log_rate;
--- a/bins/mangocross-front/src/peer_forwarding.rs
+++ b/bins/mangocross-front/src/peer_forwarding.rs
@@ -33,7 +33,6 @@
 use crate::outcome::RequestRecord;
 use crate::pool;
 use crate::pool::Connection;
-use crate::state::AppState;
 
 /// Names the entry VM that passed a request on.
 pub(crate) const PASSED_ON_BY: HeaderName = HeaderName::from_static("mangocross-passed-on-by");
@@ -72,7 +71,7 @@
 
 /// Serves a request by way of another entry VM.
 pub(crate) async fn serve(call: Call) -> (Response<AnswerBody>, Option<RequestRecord>) {
-    for (name, address) in candidates(&call.state) {
+    for (name, address) in candidates(&call) {
         if call.time_left().is_zero() {
             break;
         }
@@ -116,13 +115,15 @@
 }
 
 /// Returns entry VMs that may reach servers: first one of this availability zone, then others.
-fn candidates(state: &AppState) -> Vec<(Arc<str>, SocketAddr)> {
+fn candidates(call: &Call) -> Vec<(Arc<str>, SocketAddr)> {
+    let state = &call.state;
     let now = state.now();
     let view = state.view.borrow();
     let mut peers: Vec<_> = view
         .entry_vms
         .iter()
         .filter(|(name, _)| **name != state.vm.name && !view.reach.is_peer_cut_off(name, now))
+        .filter(|(_, it)| call.allows_entry_vm(it))
         .collect();
     fastrand::shuffle(&mut peers);
     let is_near = |it: &(&Arc<str>, &ListedEntryVm)| it.1.zone.as_ref() == Some(&state.vm.zone);
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -350,8 +350,10 @@
     let now = call.state.now();
     let excluded = search.excluded(now);
     let view = call.state.view.borrow();
-    let servers =
-        || view.servers.values().filter(|it| it.service == call.service && !it.is_leaving);
+    let is_candidate = |it: &&BackendServer| {
+        it.service == call.service && !it.is_leaving && call.allows_server(it)
+    };
+    let servers = || view.servers.values().filter(is_candidate);
     let loads: Vec<ServerLoad> = servers()
         .filter(|it| {
             !excluded.contains(&it.vm) && view.is_usable(it, now) && view.has_room(it, now)
--- a/bins/mangocross-front/src/stream/heads.rs
+++ b/bins/mangocross-front/src/stream/heads.rs
@@ -19,7 +19,8 @@
 
 /// Returns the heads that accept requests for the model, or `None` if there are none.
 pub(super) fn find_heads(call: &Call, tried: &[VmId]) -> Option<Vec<HeadLoad>> {
-    let heads = call.state.heads(&call.service, call.caller_head.model.as_ref(), tried);
+    let mut heads = call.state.heads(&call.service, call.caller_head.model.as_ref(), tried);
+    call.retain_allowed(&mut heads);
     (!heads.is_empty()).then_some(heads)
 }
 
@@ -32,6 +33,7 @@
             && it.accepts_requests()
             && model.is_none_or(|model| it.serves(model))
             && !search.has_tried(&it.vm)
+            && call.allows_server(it)
     };
     let view = call.state.view.borrow();
     view.obstacle(view.servers.values().filter(is_left), call.state.now())
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -9,6 +9,7 @@
 mod cut_entry_vms;
 mod fleet;
 mod held_servers;
+mod home_regions;
 mod idle_connections;
 mod late_copies;
 mod log_points;
--- a/crates/mangocross-serving/src/traffic.rs
+++ b/crates/mangocross-serving/src/traffic.rs
@@ -8,6 +8,8 @@
 use mangocross_types::ModelId;
 use mangocross_types::ServiceId;
 
+use crate::HomeRegions;
+
 /// Whether requests on a route may be retried, and whether responses are event streams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryPolicy {
@@ -69,6 +71,8 @@
     pub attempts_max: u32,
     /// Whether requests are accepted without an API key.
     pub is_public: bool,
+    /// Regions in which requests may be served.
+    pub homes: HomeRegions,
 }
 
 impl RouteRule {
@@ -189,6 +193,8 @@
     pub customer: CustomerId,
     /// Priority of the customer's requests, if it overrides the route's.
     pub priority: Option<u8>,
+    /// Regions in which the customer's requests may be served.
+    pub homes: HomeRegions,
 }
 
 /// One version of the operators' configuration.
--- a/crates/mangocross-types/src/ids.rs
+++ b/crates/mangocross-types/src/ids.rs
@@ -86,6 +86,11 @@
     AvailabilityZone,
     "availability zone"
 );
+text_id!(
+    /// Name of a region: a set of availability zones.
+    Region,
+    "region"
+);
 text_id!(
     /// Name of a fabric domain: a set of VMs that share a fast fabric.
     FabricDomain,
--- a/crates/mangocross-types/src/lib.rs
+++ b/crates/mangocross-types/src/lib.rs
@@ -49,6 +49,7 @@
 pub use ids::ModelId;
 pub use ids::ModelVersion;
 pub use ids::OperatorId;
+pub use ids::Region;
 pub use ids::RequestId;
 pub use ids::RequestKind;
 pub use ids::ServiceId;
