--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -13,6 +13,7 @@
 mod entry_vm_list;
 mod first_answer;
 mod held_entries;
+mod home_regions;
 mod ingress;
 mod leases;
 mod log_rate;
@@ -43,6 +44,7 @@
 mod story;
 mod stream;
 mod watching;
+mod zone_evacuation;
 
 use std::process::ExitCode;
 
