fix(planner): a member of a group that is not in the plan is not free

Root cause: a VM counted as free because the plan at hand does not name it, although the VM itself reports a group. After a return of the store to a copy a group whose plan was lost was adopted only if every member reported it, so the loss of one more member hid it, and another member was ordered into a second group while the head stood still. Class: absence from an older record is taken for proof against what a process says of itself.

Change: - A group without a plan is adopted with the members that report it. Members that report it later are added, by the next planner too. A lacking one gets the grace of a member without an entry (1 s), then the group finishes its requests and is formed again at its full size. - A VM that reports an incarnation which the plan has not allocated, or a planned group that does not name the VM, is foreign (`planner/foreign.rs`). Where no head is listed, its members are ordered to leave after 1 s. The stored plan keeps its format.

The same cause elsewhere: - forming.rs `free_vms`, `form_groups`, preparing.rs `load_spares`: mended by the same function. - forming.rs `stop_orphaned_heads`: kept; an active head of a known incarnation is one that the plan ended. - repair.rs `evaluate_group`: a member that does not report a group whose plan lacks members was ordered to join with an incomplete list: mended, the group is formed again. - closed_heads.rs `is_replaced`: right already, it leaves unknown incarnations alone. - a spare that loads weights heads a group of its own that is never opened: stays free.

Decided: a model's larger `group_size` takes effect when a group is formed again (before: never).

--- a/crates/mangocross-serving/src/planner/adoption.rs
+++ b/crates/mangocross-serving/src/planner/adoption.rs
@@ -1,6 +1,7 @@
 //! Adopts groups whose plan the store has lost.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 
 use mangocross_types::GroupId;
 use mangocross_types::Incarnation;
@@ -29,10 +30,11 @@
     /// allocated, with the members that report them.
     ///
     /// A plan is written before the first order, so the store has lost the one that formed such a
-    /// group. Planned groups that it replaced or took members from are dissolved. Returns whether
-    /// there are such groups.
-    pub(super) fn adopt_groups(&self, update: &mut PlanUpdate) -> bool {
-        let mut has_adopted = false;
+    /// group. Planned groups that it replaced or took members from are dissolved. A member that does
+    /// not report the group may have ended, or its entry is late; it is added when it reports it.
+    /// Returns whether there are such groups.
+    pub(super) fn adopt_groups(&mut self, update: &mut PlanUpdate) -> bool {
+        let mut has_adopted = self.complete_groups(update);
         let next_incarnation = update.plan.next_incarnation;
         let mut heads: BTreeMap<GroupId, Vec<(Incarnation, PlannedMember)>> = BTreeMap::new();
         for (vm, tracked) in self.in_domain(&update.domain) {
@@ -46,9 +48,12 @@
         for (group, mut heads) in heads {
             heads.sort_by_key(|(incarnation, _)| *incarnation);
             let Some((incarnation, _)) = heads.pop() else { continue };
-            let Some(mut adopted) = self.reported_group(update, &group, incarnation) else {
+            let Some((mut adopted, is_whole)) = self.reported_group(update, &group, incarnation)
+            else {
                 continue;
             };
+            let key = (group.clone(), incarnation);
+            self.group_states.entry(key).or_default().lacks_members = !is_whole;
             let former = heads.into_iter();
             adopted.former_heads =
                 former.map(|(incarnation, member)| FormerHead { member, incarnation }).collect();
@@ -60,13 +65,65 @@
         has_adopted
     }
 
-    /// Returns a group as its members report it, if all of them do.
+    /// Adds members to groups that were adopted before all of them had reported it. Returns whether
+    /// there are such members.
+    fn complete_groups(&mut self, update: &mut PlanUpdate) -> bool {
+        let mut completed = Vec::new();
+        let unplanned: HashSet<(&GroupId, Incarnation)> = self
+            .in_domain(&update.domain)
+            .filter(|(vm, _)| !update.plan.contains(vm))
+            .filter_map(|(_, it)| it.server.engine.membership.as_ref())
+            .map(|it| (&it.group, it.incarnation))
+            .collect();
+        let planned = update.plan.groups.iter().filter(|it| !it.is_dissolving);
+        for group in planned.filter(|it| unplanned.contains(&(&it.group, it.incarnation))) {
+            let reported = self.reported_group(update, &group.group, group.incarnation);
+            let Some((reported, is_whole)) = reported else { continue };
+            let has_all = group.members.iter().all(|it| reported.members.contains(it));
+            if has_all && reported.members.len() > group.members.len() {
+                completed.push((reported, is_whole));
+            }
+        }
+        let has_completed = !completed.is_empty();
+        for (reported, is_whole) in completed {
+            let key = (reported.group.clone(), reported.incarnation);
+            self.group_states.entry(key).or_default().lacks_members = !is_whole;
+            update.reasons.push(format!("{} completed", reported.group));
+            let planned = update.plan.groups.iter_mut().find(|it| it.group == reported.group);
+            if let Some(planned) = planned {
+                planned.members = reported.members;
+            }
+        }
+        has_completed
+    }
+
+    /// Returns the size of a group with the members that the plan does not name.
+    pub(super) fn full_size(&self, group: &PlannedGroup) -> usize {
+        let size = self.engine_spec.model(&group.model).map_or(0, |it| it.group_size);
+        size.max(group.members.len())
+    }
+
+    /// Returns whether a planned group has a member that the plan does not name.
+    pub(super) fn lacks_members(&self, group: &PlannedGroup) -> bool {
+        let state = self.group_states.get(&(group.group.clone(), group.incarnation));
+        let has_other_rank = |(rank, member): (usize, &PlannedMember)| {
+            self.membership(&member.vm).is_some_and(|it| {
+                it.group == group.group
+                    && it.incarnation == group.incarnation
+                    && usize::from(it.rank.0) != rank
+            })
+        };
+        state.is_some_and(|it| it.lacks_members)
+            || group.members.iter().enumerate().any(has_other_rank)
+    }
+
+    /// Returns a group as its head and other members report it, and whether all of them do.
     fn reported_group(
         &self,
         update: &PlanUpdate,
         group: &GroupId,
         incarnation: Incarnation,
-    ) -> Option<PlannedGroup> {
+    ) -> Option<(PlannedGroup, bool)> {
         let mut members: Vec<(Rank, PlannedMember)> = Vec::new();
         let mut model = None;
         for (vm, tracked) in self.in_domain(&update.domain) {
@@ -84,14 +141,15 @@
         let model = model?;
         let ranks = members.iter().map(|(rank, _)| usize::from(rank.0));
         let is_whole = ranks.eq(0..model.group_size);
-        is_whole.then(|| PlannedGroup {
+        let group = PlannedGroup {
             group: group.clone(),
             incarnation,
             model: model.model.clone(),
             members: members.into_iter().map(|(_, it)| it).collect(),
             former_heads: Vec::new(),
             is_dissolving: false,
-        })
+        };
+        Some((group, is_whole))
     }
 }
 
--- a/crates/mangocross-serving/src/planner/donors.rs
+++ b/crates/mangocross-serving/src/planner/donors.rs
@@ -25,7 +25,9 @@
     ) -> Option<usize> {
         let groups = &update.plan.groups;
         let recipient = groups.iter().find(|it| it.group == *recipient)?;
-        let lacking = recipient.members.iter().filter(|it| !self.is_usable_member(it)).count();
+        let size = self.full_size(recipient);
+        let usable = recipient.members.iter().filter(|it| self.is_usable_member(it)).count();
+        let lacking = size - usable;
         let vm_counts = self.count_vms_by_model(std::slice::from_ref(update));
         let candidates = groups.iter().enumerate().filter(|(_, it)| {
             it.group != recipient.group
@@ -34,7 +36,6 @@
                 && self.has_reachable_head(it)
                 && self.prepared_members(it, &recipient.model) >= lacking
         });
-        let size = recipient.members.len();
         let useful = candidates.filter(|(_, it)| {
             (it.members.len() <= size && self.awaits_weight_load(it))
                 || (it.members.len() < size && self.is_dispensable(it, recipient, &vm_counts))
--- /dev/null
+++ b/crates/mangocross-serving/src/planner/foreign.rs
@@ -0,0 +1,134 @@
+//! VMs that are members of groups that the plan does not contain.
+
+use std::collections::BTreeSet;
+
+use mangocross_types::FabricDomain;
+use mangocross_types::Rank;
+use mangocross_types::VmId;
+
+use super::DomainPlan;
+use super::FormerHead;
+use super::GroupKey;
+use super::GroupPlanner;
+use super::PlannedMember;
+use super::PlannerAction;
+use super::TrackedServer;
+use super::repair::LIST_TIMEOUT;
+use crate::Moment;
+
+/// A member of a group that the plan does not contain.
+#[derive(Debug, Clone)]
+pub(super) struct ForeignMember {
+    /// Start time of the server process, in milliseconds of Unix time.
+    born_unix_ms: u64,
+    group: GroupKey,
+}
+
+impl GroupPlanner {
+    /// Ends the groups of a domain that its plan does not contain and that were not adopted, because
+    /// no open head reports them. Their members are not free until then.
+    ///
+    /// The store has lost the plan of such a group, or the entry of its head is missing.
+    pub(super) fn end_foreign_groups(
+        &mut self,
+        domain: &FabricDomain,
+        plan: &DomainPlan,
+        now: Moment,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let reported: Vec<(VmId, ForeignMember)> = self
+            .in_domain(domain)
+            .filter_map(|(vm, it)| Some((vm.clone(), self.foreign_member(it, plan)?)))
+            .collect();
+        self.foreign.extend(reported);
+        let in_domain: Vec<&VmId> = self.in_domain(domain).map(|(vm, _)| vm).collect();
+        let known = |(vm, _): &(&VmId, &ForeignMember)| in_domain.contains(vm);
+        let groups: BTreeSet<GroupKey> =
+            self.foreign.iter().filter(known).map(|(_, it)| it.group.clone()).collect();
+        let serves = |(group, incarnation): &GroupKey| {
+            let mut planned = plan.groups.iter().filter(|it| !it.is_dissolving);
+            planned.any(|it| it.group == *group && it.incarnation == *incarnation)
+        };
+        for key in groups.into_iter().filter(|it| !serves(it)) {
+            if self.try_end_foreign_group(domain, &key, now, actions) {
+                self.group_states.entry(key.clone()).or_default().head_has_left = true;
+                self.foreign.retain(|_, it| it.group != key);
+            }
+        }
+        let servers = &self.servers;
+        self.foreign.retain(|vm, it| {
+            servers.get(vm).is_some_and(|tracked| tracked.has_started_at(it.born_unix_ms))
+        });
+    }
+
+    /// Returns whether a group has ended. If it may not have, orders its head, or its members if the
+    /// head is unknown, to leave.
+    fn try_end_foreign_group(
+        &mut self,
+        domain: &FabricDomain,
+        key: &GroupKey,
+        now: Moment,
+        actions: &mut Vec<PlannerAction>,
+    ) -> bool {
+        let (group, incarnation) = key;
+        let is_head = |it: &TrackedServer| {
+            it.server.engine.membership.as_ref().is_some_and(|it| {
+                it.rank == Rank(0) && it.group == *group && it.incarnation == *incarnation
+            })
+        };
+        let head = self.in_domain(domain).find(|(_, it)| is_head(it)).map(|(vm, it)| {
+            let born_unix_ms = it.server.engine.born_unix_ms;
+            PlannedMember { vm: vm.clone(), born_unix_ms }
+        });
+        if let Some(member) = head {
+            let head = FormerHead { member, incarnation: *incarnation };
+            return self.try_stop_head(group, &head, now, actions);
+        }
+        if self.must_have_stopped(group, *incarnation, now) {
+            return true;
+        }
+        // The entry of the head may only be late.
+        let state = self.group_states.entry(key.clone()).or_default();
+        if now.since(*state.seen_at.get_or_insert(now)) >= LIST_TIMEOUT {
+            self.order_members_to_leave(group, *incarnation, None, now, actions);
+        }
+        false
+    }
+
+    /// Returns whether a VM is a member of a group that is not in the plan and may not have ended.
+    pub(super) fn is_foreign(&self, tracked: &TrackedServer, plan: &DomainPlan) -> bool {
+        let has_left = || {
+            let left = self.foreign.get(&tracked.server.vm);
+            left.is_some_and(|it| tracked.has_started_at(it.born_unix_ms))
+        };
+        self.foreign_member(tracked, plan).is_some() || has_left()
+    }
+
+    /// Returns the group that a VM reports, if it has not ended and the plan does not have the VM and
+    /// either has not allocated the group's incarnation, or has the group without the VM.
+    ///
+    /// A VM that heads a group that is not open is in no group that may serve.
+    fn foreign_member(&self, tracked: &TrackedServer, plan: &DomainPlan) -> Option<ForeignMember> {
+        let engine = &tracked.server.engine;
+        let membership = engine.membership.as_ref().filter(|it| it.rank != Rank(0))?;
+        let incarnation = membership.incarnation;
+        let is_current = plan
+            .groups
+            .iter()
+            .any(|it| it.group == membership.group && it.incarnation == incarnation);
+        let is_unknown = incarnation.0 >= plan.next_incarnation || is_current;
+        if !is_unknown || plan.contains(&tracked.server.vm) {
+            return None;
+        }
+        let group = (membership.group.clone(), incarnation);
+        let has_ended = self.group_states.get(&group).is_some_and(|it| it.head_has_left);
+        let born_unix_ms = engine.born_unix_ms;
+        (!has_ended).then_some(ForeignMember { born_unix_ms, group })
+    }
+}
+
+impl TrackedServer {
+    fn has_started_at(&self, born_unix_ms: u64) -> bool {
+        self.server.engine.born_unix_ms == born_unix_ms
+    }
+}
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -3,6 +3,7 @@
 mod adoption;
 mod closed_heads;
 mod donors;
+mod foreign;
 mod forming;
 mod orders;
 mod packing;
@@ -27,6 +28,7 @@
 use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
 
+use self::foreign::ForeignMember;
 use self::forming::PlanUpdate;
 pub use self::plan::DomainPlan;
 pub use self::plan::FormerHead;
@@ -112,16 +114,6 @@
     staging: Option<StageOrder>,
 }
 
-impl TrackedServer {
-    /// Returns whether the server process has ended: it refuses connections, and the platform has
-    /// removed its entry, as it does after three heartbeats of silence.
-    ///
-    /// A refused connection alone may come from anything between this VM and the server.
-    fn has_ended(&self) -> bool {
-        self.unlisted_at.is_some() && self.health.refuses_connections()
-    }
-}
-
 /// The latest order to a server.
 #[derive(Debug)]
 struct SentOrder {
@@ -161,10 +153,12 @@
     slow_since: Option<Moment>,
     /// When the group was first found to be dissolving.
     dissolving_at: Option<Moment>,
-    /// Whether the head has accepted an order to leave.
+    /// Whether the head has accepted an order to leave, or has stopped otherwise.
     head_has_left: bool,
     /// When the head was first known to lack a member; it becomes broken `stall_timeout` later.
     incomplete_since: Option<Moment>,
+    /// Whether the group was adopted while not all of its members reported it.
+    lacks_members: bool,
 }
 
 /// Plans the groups of one engine service.
@@ -190,6 +184,8 @@
     /// The servers of each fabric domain as of the last decision, in order of their ids.
     by_domain: HashMap<FabricDomain, Vec<VmId>>,
     decided_at: Option<Moment>,
+    /// VMs that report or have left a group that is not in the plan, until it has ended.
+    foreign: HashMap<VmId, ForeignMember>,
     /// Era of the store in which the plans are written.
     era: StoreEra,
 }
@@ -212,6 +208,7 @@
             newest_server_at: HashMap::new(),
             by_domain: HashMap::new(),
             decided_at: None,
+            foreign: HashMap::new(),
             era: StoreEra::default(),
         }
     }
--- a/crates/mangocross-serving/src/planner/release.rs
+++ b/crates/mangocross-serving/src/planner/release.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use mangocross_types::GroupId;
+use mangocross_types::Incarnation;
 use mangocross_types::VmId;
 
 use super::FormerHead;
@@ -18,6 +20,16 @@
 /// Added to the time after which a head that lacks a member is broken.
 const STALL_MARGIN: Duration = Duration::from_millis(500);
 
+impl TrackedServer {
+    /// Returns whether the server process has ended: it refuses connections, and the platform has
+    /// removed its entry, as it does after three heartbeats of silence.
+    ///
+    /// A refused connection alone may come from anything between this VM and the server.
+    fn has_ended(&self) -> bool {
+        self.unlisted_at.is_some() && self.health.refuses_connections()
+    }
+}
+
 impl GroupPlanner {
     /// Orders the head and the former heads of a dissolving group to leave.
     ///
@@ -37,7 +49,7 @@
         }
         let mut are_stopped = true;
         for head in &heads {
-            are_stopped &= self.try_stop_head(group, head, now, actions);
+            are_stopped &= self.try_stop_head(&group.group, head, now, actions);
         }
         are_stopped
     }
@@ -82,32 +94,26 @@
     /// members if it is unreachable.
     pub(super) fn try_stop_head(
         &mut self,
-        group: &PlannedGroup,
+        group: &GroupId,
         head: &FormerHead,
         now: Moment,
         actions: &mut Vec<PlannerAction>,
     ) -> bool {
         let vm = &head.member.vm;
-        let key = (group.group.clone(), head.incarnation);
-        let leave =
-            EngineOrder::Leave { group: group.group.clone(), incarnation: head.incarnation };
-        let state = self.group_states.entry(key).or_default();
-        if state.head_has_left {
-            return true;
-        }
-        let incomplete_for = state.incomplete_since.map(|it| now.since(it));
-        if incomplete_for.is_some_and(|it| it > self.stall_timeout + STALL_MARGIN) {
+        let incarnation = head.incarnation;
+        if self.must_have_stopped(group, incarnation, now) {
             return true;
         }
         let Some(tracked) = self.servers.get(vm) else {
-            return self.order_members_to_leave(group, head, &leave, now, actions);
+            self.order_members_to_leave(group, incarnation, Some(vm), now, actions);
+            return false;
         };
         let was_restarted = tracked.server.engine.born_unix_ms != head.member.born_unix_ms;
         if was_restarted || tracked.has_ended() {
             return true;
         }
         let phase = tracked.server.engine.membership.as_ref().and_then(|it| {
-            let is_same = it.group == group.group && it.incarnation == head.incarnation;
+            let is_same = it.group == *group && it.incarnation == incarnation;
             is_same.then_some(it.phase)
         });
         // A membership that has ended is never restored under the same incarnation.
@@ -115,32 +121,50 @@
             return true;
         }
         if tracked.health.is_unresponsive() {
-            return self.order_members_to_leave(group, head, &leave, now, actions);
+            self.order_members_to_leave(group, incarnation, Some(vm), now, actions);
+            return false;
         }
+        let leave = EngineOrder::Leave { group: group.clone(), incarnation };
         self.send_order(vm, leave, now, actions);
         false
     }
 
-    /// Orders the other members of an incarnation whose head is unreachable to leave, so that the
-    /// head lacks a member and becomes broken.
-    ///
-    /// Always returns false, because the head has not stopped yet.
+    /// Returns whether the head of an incarnation has left, or has lacked a member for so long that it
+    /// must be broken.
+    pub(super) fn must_have_stopped(
+        &self,
+        group: &GroupId,
+        incarnation: Incarnation,
+        now: Moment,
+    ) -> bool {
+        let state = self.group_states.get(&(group.clone(), incarnation));
+        state.is_some_and(|it| {
+            let incomplete_for = it.incomplete_since.map(|it| now.since(it));
+            it.head_has_left
+                || incomplete_for.is_some_and(|it| it > self.stall_timeout + STALL_MARGIN)
+        })
+    }
+
+    /// Orders the other members of an incarnation whose head is unreachable or unknown to leave, so
+    /// that the head lacks a member and becomes broken.
     pub(super) fn order_members_to_leave(
         &mut self,
-        group: &PlannedGroup,
-        head: &FormerHead,
-        leave: &EngineOrder,
+        group: &GroupId,
+        incarnation: Incarnation,
+        head: Option<&VmId>,
         now: Moment,
         actions: &mut Vec<PlannerAction>,
-    ) -> bool {
-        let key = (group.group.clone(), head.incarnation);
-        let is_in_incarnation =
-            |it: &&TrackedServer| {
-                it.server.vm != head.member.vm
-                    && it.server.engine.membership.as_ref().is_some_and(|it| {
-                        it.group == group.group && it.incarnation == head.incarnation
-                    })
-            };
+    ) {
+        let key = (group.clone(), incarnation);
+        let is_in_incarnation = |it: &&TrackedServer| {
+            Some(&it.server.vm) != head
+                && it
+                    .server
+                    .engine
+                    .membership
+                    .as_ref()
+                    .is_some_and(|it| it.group == *group && it.incarnation == incarnation)
+        };
         let members: Vec<&TrackedServer> =
             self.servers.values().filter(is_in_incarnation).collect();
         let reachable: Vec<VmId> = members
@@ -159,9 +183,9 @@
             state.incomplete_since = state.incomplete_since.or(Some(now));
         }
         for vm in reachable {
-            self.send_order(&vm, leave.clone(), now, actions);
+            let leave = EngineOrder::Leave { group: group.clone(), incarnation };
+            self.send_order(&vm, leave, now, actions);
         }
-        false
     }
 
     /// Removes the former heads of a group that have stopped.
@@ -172,7 +196,7 @@
         actions: &mut Vec<PlannerAction>,
     ) {
         for head in std::mem::take(&mut group.former_heads) {
-            if !self.try_stop_head(group, &head, now, actions) {
+            if !self.try_stop_head(&group.group, &head, now, actions) {
                 group.former_heads.push(head);
             }
         }
--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -28,7 +28,7 @@
 /// ten seconds at most while the head has work.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(9);
 /// Time after which a new planner has the list of servers.
-const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+pub(super) const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Added to four times the model's load time to get the time limit for forming a group.
 const FORMING_MARGIN: Duration = Duration::from_secs(8);
 /// Time after which a suspect group is re-formed even though all members respond.
@@ -71,7 +71,7 @@
         if self.adopt_groups(&mut update) {
             return update;
         }
-        let mut remaining = stored.plan.clone();
+        let mut remaining = self.plans[domain].plan.clone();
         let groups = std::mem::take(&mut update.plan.groups);
         let (dissolving, groups): (Vec<_>, Vec<_>) =
             groups.into_iter().partition(|it| it.is_dissolving);
@@ -84,6 +84,7 @@
                 update.plan.groups.push(group);
             }
         }
+        self.end_foreign_groups(domain, &remaining, now, actions);
         let mut spares = self.free_vms(domain, &remaining);
         let mut awaited_spares = 0;
         let mut unrepaired = Vec::new();
@@ -208,9 +209,9 @@
         // A member that is no longer listed but responds has only lost its connection to the store.
         // It still works, but must not be the head.
         let unlisted = members().filter(|it| is_kept(it, &responds)).cloned();
-        let lacking = group.members.len() - survivors.len();
-        survivors.extend(unlisted.take(lacking));
-        let missing = group.members.len() - survivors.len();
+        let size = self.full_size(group);
+        survivors.extend(unlisted.take(size - survivors.len()));
+        let missing = size - survivors.len();
         if missing > usable_spares.len() {
             return false;
         }
@@ -256,6 +257,7 @@
         // A server that leaves, with or without notice, goes on for a while.
         let mut leaving_at: Option<Moment> = None;
         let mut leaving_reason = Cow::Borrowed("a member is leaving");
+        let lacks_members = self.lacks_members(group);
         let mut state = self.group_states.remove(&key).unwrap_or_default();
         let seen_at = *state.seen_at.get_or_insert(now);
         let slow_since = state.slow_since.take();
@@ -295,7 +297,7 @@
                         ready += 1;
                         state.ready.insert(member.vm.clone());
                     }
-                    None if state.ready.contains(&member.vm) => {
+                    None if state.ready.contains(&member.vm) || lacks_members => {
                         break 'evaluation GroupAction::Reform(format!("{} has left", member.vm));
                     }
                     None => {
@@ -309,6 +311,10 @@
                     }
                 }
             }
+            if lacks_members && now.since(seen_at) >= LIST_TIMEOUT {
+                leaving_at = leaving_at.max(Some(seen_at + LIST_TIMEOUT));
+                leaving_reason = Cow::Borrowed("a member is unknown");
+            }
             let is_whole = ready == group.members.len();
             let head_phase = group.head().and_then(|it| self.phase_in(&it.vm, group));
             if let Some(leaving_at) = leaving_at {
--- a/crates/mangocross-serving/tests/lost_plans.rs
+++ b/crates/mangocross-serving/tests/lost_plans.rs
@@ -290,3 +290,24 @@
         assert!(heads(&simulation).len() >= 3, "seed {seed}: groups serve again");
     }
 }
+
+/// Guards against a serving group that is told to leave by a planner that started after it was
+/// adopted without its last member, when that member's entry is written again.
+#[test]
+fn next_planner_completes_a_group_that_was_adopted_without_a_member() {
+    let (mut simulation, copy, heads) = repaired_since_the_copy();
+    let late = simulation.engines[&heads[1]].members[2].clone();
+    let before = simulation.engines[&heads[1]].server.engine.membership.clone();
+    simulation.engines.get_mut(&late).expect("an engine").is_listed = false;
+    lose_plans(&mut simulation, 1, copy);
+    simulation.run(ms(300));
+    simulation.new_planner();
+    simulation.planner.set_era(StoreEra(1));
+    simulation.run(ms(300));
+    simulation.engines.get_mut(&late).expect("an engine").is_listed = true;
+    simulation.run(ms(5_000));
+    assert_eq!(simulation.engines[&heads[1]].server.engine.membership, before);
+    assert!(simulation.serving("small").contains(&heads[1]));
+    let planned = simulation.plans.values().any(|(it, _)| it.contains(&late));
+    assert!(planned, "the member is planned");
+}
