test(front): late copies that break off in their status line

Three existing tests play copies that end in the reason phrase, and one also those that end before it; nothing is taken from them.

Seen red: failure_after_a_part_of_a_late_copy_is_no_success (InReason: 200 with the failure's body).

--- a/bins/mangocross-front/tests/front/late_copies.rs
+++ b/bins/mangocross-front/tests/front/late_copies.rs
@@ -40,7 +40,7 @@
 #[test]
 fn nobody_gets_a_late_copy_of_another_answer() {
     for time in [CopyTime::Idle, CopyTime::BeforeOwn, CopyTime::AfterOwn] {
-        for part in [CopyPart::Whole, CopyPart::InBody, CopyPart::InHeader] {
+        for part in [CopyPart::Whole, CopyPart::InBody, CopyPart::InHeader, CopyPart::InReason] {
             let (_store, [copying, other], front) = start_plain();
             let copy = LateCopy { time, part };
             copying.set_late_copy(Some(copy));
@@ -66,14 +66,20 @@
 /// of a late copy of one.
 #[test]
 fn failure_after_a_part_of_a_late_copy_is_no_success() {
+    for part in [CopyPart::InHeader, CopyPart::InReason, CopyPart::BeforeReason] {
+        assert_failure_after_a_part_is_no_success(part);
+    }
+}
+
+fn assert_failure_after_a_part_is_no_success(part: CopyPart) {
     let (_store, [copying, other], front) = start_plain();
     assert_eq!(front.call("POST", "/lookup/x", &headers("first"), "{}").0, 200);
-    copying.set_late_copy(Some(LateCopy { time: CopyTime::BeforeOwn, part: CopyPart::InHeader }));
+    copying.set_late_copy(Some(LateCopy { time: CopyTime::BeforeOwn, part }));
     copying.set_failing(true);
     other.set_refusing(true);
     let before = copying.copies();
     let (status, _, body) = front.call("POST", "/lookup/x", &headers("third"), "{}");
-    assert!(status >= 500 && !body.contains("not run"), "{status} {body}");
+    assert!(status >= 500 && !body.contains("not run"), "{part:?}: {status} {body}");
     assert!(copying.copies() > before, "the copy was not played");
 }
 
@@ -81,7 +87,7 @@
 #[test]
 fn stream_with_a_late_copy_inside_is_resumed() {
     for time in [CopyTime::BeforeOwn, CopyTime::InsideOwn] {
-        for part in [CopyPart::Whole, CopyPart::InBody, CopyPart::InHeader] {
+        for part in [CopyPart::Whole, CopyPart::InBody, CopyPart::InHeader, CopyPart::InReason] {
             let (_store, engines, front) = start_engines();
             let head = engines.iter().find(|it| !it.arrived().is_empty()).expect("a head");
             head.set_late_copy(Some(LateCopy { time, part }));
--- a/bins/mangocross-front/tests/front/platform/servers/copies.rs
+++ b/bins/mangocross-front/tests/front/platform/servers/copies.rs
@@ -34,6 +34,10 @@
     InBody,
     /// Up to the middle of its first header's value.
     InHeader,
+    /// Up to the middle of its reason phrase.
+    InReason,
+    /// Up to the space before its reason phrase.
+    BeforeReason,
 }
 
 /// Second copies of answers.
@@ -151,6 +155,8 @@
                 CopyPart::Whole => last.len(),
                 CopyPart::InBody => last.len() - 4,
                 CopyPart::InHeader => first_value + 4,
+                CopyPart::InReason => "HTTP/1.1 200 St".len(),
+                CopyPart::BeforeReason => "HTTP/1.1 200 ".len(),
             };
             let copy = last[..end].to_owned();
             state.sent.copies += 1;
