test(front): addresses that a late write or a removal unlists

The stand-in of the store carries out writes late without an answer, tells the present state on a conflict, and binds a key to the lease of its latest write only.

--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -10,6 +10,7 @@
 mod held_servers;
 mod idle_connections;
 mod late_copies;
+mod listed_addresses;
 mod log_points;
 mod metrics;
 mod odd_entries;
--- a/bins/mangocross-front/tests/front/platform/store.rs
+++ b/bins/mangocross-front/tests/front/platform/store.rs
@@ -56,6 +56,15 @@
     memberships: BTreeSet<(String, String)>,
     /// Servers whose process does not run, whatever their entries say.
     down: BTreeSet<String>,
+    late_writes: LateWrites,
+}
+
+/// Writes that are carried out late and not answered.
+#[derive(Debug, Default)]
+struct LateWrites {
+    prefix: String,
+    count: usize,
+    delay: Duration,
 }
 
 /// A change of a key, from which an older copy is made.
@@ -283,6 +292,19 @@
         lock(&self.state).era
     }
 
+    /// Carries out the next writes of keys with a prefix late, and does not answer them.
+    pub(crate) fn delay_writes(&self, prefix: &str, count: usize, delay: Duration) {
+        lock(&self.state).late_writes = LateWrites { prefix: prefix.to_owned(), count, delay };
+    }
+
+    /// Ends the lease that a key is bound to.
+    pub(crate) fn end_lease_of(&self, key: &str) {
+        let mut state = lock(&self.state);
+        let is_bound = |it: &Lease| it.keys.iter().any(|it| it == key);
+        let lease = state.leases.iter().find(|(_, it)| is_bound(it)).map(|(id, _)| *id);
+        state.end(lease.expect("a lease"));
+    }
+
     /// Sets whether the store leaves all calls unanswered.
     pub(crate) fn set_silent(&self, is_silent: bool) {
         lock(&self.state).is_silent = is_silent;
@@ -454,7 +476,17 @@
             answer_in(era, stream, 200, &body.to_string());
         }
         "/-/kv-watch" => watch(state, request, stream, links),
-        "/-/kv-txn" => write(state, request, stream),
+        "/-/kv-txn" => match take_delay(state, request) {
+            Some(delay) => {
+                thread::sleep(delay);
+                write(&mut lock(state), request);
+            }
+            None => {
+                let mut state = lock(state);
+                let (status, body) = write(&mut state, request);
+                answer_in(state.era, stream, status, &body);
+            }
+        },
         "/-/kv-lease" => {
             let body: Value = serde_json::from_slice(&request.body).expect("JSON");
             let ttl_ms = body["ttl_ms"].as_u64().unwrap_or(1000);
@@ -509,23 +541,42 @@
     }
 }
 
-fn write(state: &Mutex<State>, request: &Request, stream: &mut TcpStream) {
+/// Returns the delay after which a write is carried out without an answer.
+fn take_delay(state: &Mutex<State>, request: &Request) -> Option<Duration> {
     let body: Value = serde_json::from_slice(&request.body).expect("JSON");
+    let puts = body["puts"].as_array()?;
     let mut state = lock(state);
+    let late = &mut state.late_writes;
+    let is_late = |it: &Value| it["key"].as_str().is_some_and(|it| it.starts_with(&late.prefix));
+    if late.count == 0 || !puts.iter().any(is_late) {
+        return None;
+    }
+    late.count -= 1;
+    Some(late.delay)
+}
+
+/// Carries out a write; returns the status and body of its answer.
+fn write(state: &mut State, request: &Request) -> (u16, String) {
+    let body: Value = serde_json::from_slice(&request.body).expect("JSON");
+    state.expire();
     let rows = body["expected"].as_array().cloned().unwrap_or_default();
     let has_expected_revision = |row: &Value| {
         let key = row["key"].as_str().unwrap_or_default();
         state.items.get(key).map_or(0, |it| it.1) == row["revision"].as_u64().unwrap_or_default()
     };
     if !rows.iter().all(has_expected_revision) {
-        answer_in(state.era, stream, 412, "{\"entries\":[]}");
-        return;
+        let present = |row: &Value| {
+            let key = row["key"].as_str().unwrap_or_default();
+            let found = state.items.get(key);
+            found.map_or(json!({"key": key, "revision": 0}), |it| item(key, &it.0, it.1))
+        };
+        let entries: Vec<Value> = rows.iter().map(present).collect();
+        return (412, json!({"entries": entries}).to_string());
     }
     let puts = body["puts"].as_array().cloned().unwrap_or_default();
     let mut leases = puts.iter().filter_map(|it| it["lease"].as_u64()).filter(|it| *it != 0);
     if leases.any(|it| !state.leases.contains_key(&it)) {
-        answer_in(state.era, stream, 404, "{}");
-        return;
+        return (404, "{}".to_owned());
     }
     for key in body["delete_keys"].as_array().into_iter().flatten() {
         state.remove(key.as_str().unwrap_or_default());
@@ -535,10 +586,12 @@
         let key = put["key"].as_str().unwrap_or_default();
         state.put(key, value);
         let State { leases, journal, .. } = &mut *state;
+        // A key is bound to the lease of its latest write.
+        leases.values_mut().for_each(|it| it.keys.retain(|it| it != key));
         if let Some(lease) = put["lease"].as_u64().and_then(|it| leases.get_mut(&it)) {
             lease.keys.push(key.to_owned());
             journal.iter_mut().last().expect("the change").has_lease = true;
         }
     }
-    answer_in(state.era, stream, 200, &json!({"revision": state.revision}).to_string());
+    (200, json!({"revision": state.revision}).to_string())
 }
