--- a/bins/mangocross-front/tests/front/store_era.rs
+++ b/bins/mangocross-front/tests/front/store_era.rs
@@ -199,6 +199,41 @@
     }
 }
 
+/// Guards against a process that starts after the return, takes the copy for the newest state and
+/// accepts a key that was taken away long before.
+#[test]
+fn revoked_key_is_refused_by_a_process_that_starts_after_a_return() {
+    let revoke = Duration::from_millis(4000);
+    let store = Store::spawn();
+    store.configure(3, &["k1", "k2"]);
+    let _servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let informed = Front::spawn(&store, 4000, Stdio::null());
+    let mut starting = Front::spawn(&store, 4000, Stdio::null());
+    for front in [&informed, &starting] {
+        front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+        wait_until("both are listed", || has_metric(front, "front_entry_vms 2"));
+    }
+    thread::sleep(CALM);
+    store.configure(4, &["k2"]);
+    let revoked_at = Instant::now();
+    informed.wait_for_status(401, "/lookup/x", CALLER_HEADERS);
+    thread::sleep(revoke + Duration::from_millis(100));
+    starting.kill();
+    let copy_age = revoked_at.elapsed() + Duration::from_millis(500);
+    store.return_to_copy(copy_age, SILENCE, Duration::from_millis(1800));
+    starting.restart(Stdio::null());
+    let started_at = Instant::now();
+    while started_at.elapsed() < Duration::from_secs(3) {
+        let (status, _, body) = starting.call("POST", "/lookup/x", CALLER_HEADERS, "{}");
+        assert!(status != 200, "accepted after {:?}: {body}", revoked_at.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+    for front in [&informed, &starting] {
+        front.wait_for_status(200, "/lookup/x", &headers("k2"));
+        front.wait_for_status(401, "/lookup/x", CALLER_HEADERS);
+    }
+}
+
 /// The planner's lease is gone, or belongs to another VM that got the same number: it went on
 /// renewing it, and nobody planned.
 #[test]
