--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -12,6 +12,7 @@
 mod home_regions;
 mod idle_connections;
 mod late_copies;
+mod listed_addresses;
 mod log_points;
 mod metrics;
 mod odd_entries;
