feat(serving): less urgent priorities keep 0.6 of the ratio of all

Cause: in the burst of the most urgent class the others started at 0.36 to 0.42, the urgent one at 0.64 to 0.70, although they are a tenth of the streams. Change: the floor is 0.6 instead of 0.5. The tests of mangocross-serving for admission ratios and the played fleet pass (16).

--- a/crates/mangocross-serving/src/competition/ratios.rs
+++ b/crates/mangocross-serving/src/competition/ratios.rs
@@ -18,7 +18,7 @@
 const LATE_FLOOR: f64 = 0.1;
 /// Least ratio of a priority in time, as a share of the ratio of all streams. Callers need a quarter,
 /// and none to be far behind another; the rest covers streams that are refused when they return.
-const PRIORITY_FLOOR: f64 = 0.5;
+const PRIORITY_FLOOR: f64 = 0.6;
 /// Least ratio of a customer, as a share of the ratio of all streams. Callers need a quarter; the rest
 /// covers streams that are refused when they return.
 const CUSTOMER_FLOOR: f64 = 0.4;
