test(front): streams are refused by the demand at another entry VM

Two entry VMs and one group: a crowd at the first one makes the second one refuse streams at once, as not run, with a Retry-After within a third of the deadline, and with log fields and metric; without different priorities nothing is refused in favour of others.

--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -3,6 +3,7 @@
 mod answer_ends;
 mod answers_meanwhile;
 mod attempts_left;
+mod competing_streams;
 mod crashing_parts;
 mod crashing_requests;
 mod cut_entry_vms;
