--- a/bins/mangocross-front/src/entry_vm_list.rs
+++ b/bins/mangocross-front/src/entry_vm_list.rs
@@ -6,6 +6,7 @@
 use mangocross_serving::Moment;
 use mangocross_serving::RelayPlan;
 
+use crate::peers::FULL_MESH_PEERS_MAX;
 use crate::state::ClusterView;
 
 impl ClusterView {
@@ -48,6 +49,12 @@
         gone.iter().for_each(|it| self.remove_entry_vm(it, now));
     }
 
+    /// Returns whether entry VMs exchange their counts through the planner.
+    pub(crate) fn gets_counts_via_planner(&self, own_name: &str) -> bool {
+        let others = self.entry_vms.keys().filter(|it| ***it != *own_name);
+        others.count() > FULL_MESH_PEERS_MAX
+    }
+
     pub(crate) fn entry_vm_count(&self) -> usize {
         self.entry_vms.len().max(self.loads.peer_count() + 1)
     }
--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod entry_vm_list;
 mod first_answer;
+mod head_candidates;
 mod held_entries;
 mod ingress;
 mod leases;
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -372,6 +372,7 @@
     let response = match connection.send(request).await {
         Ok(it) => it,
         Err(error) => {
+            call.state.pool.record_broken(&connection);
             call.record_failed_exchange(&server.vm, &error).await;
             return AttemptResult::Failed("connection broke", ResultCode::BackendBroken, None);
         }
@@ -405,7 +406,7 @@
         }
     };
     if !answer_head.closes {
-        call.state.recycle(connection, answer_head.idle_timeout);
+        call.state.recycle(connection, answer_head.idle_timeout, false);
     }
     let answer = complete_response(call, status, headers, body);
     if status.is_server_error() {
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -393,6 +393,6 @@
     let status = response.status();
     let pause = server_notice(status, response.headers()).pause.filter(|it| !it.is_zero());
     let body = Limited::new(response.into_body(), REPORT_BYTES_MAX).collect().await.ok()?;
-    state.pool.put(connection, None).await;
+    state.pool.put(connection, None, false).await;
     Some(Answer { status, pause, body: body.to_bytes() })
 }
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -17,11 +17,15 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use mangocross_platform::ConnectionUse;
+use mangocross_serving::BootClock;
 use mangocross_serving::ConnectTimes;
+use mangocross_serving::IdleLimits;
+use mangocross_serving::IdleServer;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::clock::SystemBootClock;
 use crate::state::AppState;
 
 /// TCP_USER_TIMEOUT of connections to servers and entry VMs: time without acknowledgement after
@@ -30,8 +34,6 @@
 /// TCP_USER_TIMEOUT of callers' connections. It also counts while a caller does not read and its
 /// window is closed, so it leaves time for a pause.
 pub(crate) const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum idle time of a connection that is reused; servers close idle ones without notice.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Maximum number of idle connections per address.
 const IDLE_CONNECTIONS_MAX: usize = 16;
 
@@ -101,6 +103,7 @@
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
     /// Times of connections to servers.
     connect_times: Cell<ConnectTimes>,
+    idle_limits: RefCell<IdleLimits>,
 }
 
 impl Pool {
@@ -109,11 +112,16 @@
         let now = Instant::now();
         loop {
             let idle = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop)?;
-            if idle.until > now && idle.connection.sender.is_ready() {
-                let mut connection = idle.connection;
-                connection.is_reused = true;
-                return Some(connection);
+            if idle.until <= now {
+                continue;
             }
+            if !idle.connection.sender.is_ready() {
+                self.record_early_close(address);
+                continue;
+            }
+            let mut connection = idle.connection;
+            connection.is_reused = true;
+            return Some(connection);
         }
     }
 
@@ -134,25 +142,45 @@
 
     /// Returns a connection to the pool once its answer has been read completely.
     ///
-    /// `keep_alive_timeout` is the one that the server announced, if any.
+    /// `keep_alive_timeout` is the one that the server announced, if any; `is_warm` tells whether this
+    /// VM often sends to the server.
     pub(crate) async fn put(
         &self,
         mut connection: Connection,
         keep_alive_timeout: Option<Duration>,
+        is_warm: bool,
     ) {
         // The connection can be reused only after its task has processed the end of the answer.
         let ready = tokio::time::timeout(Duration::from_millis(50), connection.sender.ready());
         if !matches!(ready.await, Ok(Ok(()))) {
             return;
         }
-        let idle_timeout = keep_alive_timeout.map_or(IDLE_TIMEOUT, |it| IDLE_TIMEOUT.min(it / 2));
         let mut idle = self.idle.borrow_mut();
         let for_address = idle.entry(connection.address).or_default();
+        let server = IdleServer {
+            address: connection.address,
+            keep_alive: keep_alive_timeout,
+            is_warm,
+            idle_connections: for_address.len(),
+        };
+        let idle_timeout = self.idle_limits.borrow().idle_time(&server, SystemBootClock.now());
         if for_address.len() < IDLE_CONNECTIONS_MAX && !idle_timeout.is_zero() {
             for_address.push(IdleConnection { connection, until: Instant::now() + idle_timeout });
         }
     }
 
+    /// Records that a connection broke before an answer. A server that closes idle connections early
+    /// breaks reused ones.
+    pub(crate) fn record_broken(&self, connection: &Connection) {
+        if connection.is_reused {
+            self.record_early_close(connection.address);
+        }
+    }
+
+    fn record_early_close(&self, address: SocketAddr) {
+        self.idle_limits.borrow_mut().record_early_close(address, SystemBootClock.now());
+    }
+
     /// Closes the idle connections to an address.
     pub(crate) fn close_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
@@ -167,10 +195,15 @@
     pub(crate) fn expire(&self) {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        for for_address in idle.values_mut() {
+        for (address, for_address) in idle.iter_mut() {
             for_address.retain(|it| it.until > now);
+            if for_address.iter().any(|it| !it.connection.sender.is_ready()) {
+                self.record_early_close(*address);
+                for_address.retain(|it| it.connection.sender.is_ready());
+            }
         }
         idle.retain(|_, it| !it.is_empty());
+        self.idle_limits.borrow_mut().expire(SystemBootClock.now());
     }
 }
 
@@ -181,10 +214,11 @@
         self: &Rc<Self>,
         connection: Connection,
         keep_alive_timeout: Option<Duration>,
+        is_warm: bool,
     ) {
         let state = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            state.pool.put(connection, keep_alive_timeout).await;
+            state.pool.put(connection, keep_alive_timeout, is_warm).await;
         });
     }
 }
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -40,6 +40,7 @@
 
 use crate::clock::SystemBootClock;
 use crate::closed_heads::ClosedHeads;
+use crate::head_candidates::HeadCandidates;
 use crate::held_entries::DepartedServer;
 use crate::leases::PlannerTerm;
 use crate::log_rate::LogRate;
@@ -103,6 +104,8 @@
     pub(crate) slowdowns: HashMap<VmId, f64>,
     /// Open heads that no longer serve, as the planner last told, and when.
     pub(crate) closed_heads: ClosedHeads,
+    /// This VM's subsets of the heads.
+    pub(crate) candidates: HeadCandidates,
     /// Requests and parts of prompts that crash servers.
     pub(crate) blame: CrashBlame,
     /// Broken answers whose servers may have crashed.
@@ -356,6 +359,7 @@
             let load = view.loads.load(&it.vm, now);
             HeadLoad {
                 vm: it.vm.clone(),
+                zone: it.zone.clone(),
                 in_flight: load.in_flight,
                 waiting: load.waiting,
                 slowdown: view.slowdowns.get(&it.vm).copied().unwrap_or(1.0),
--- a/bins/mangocross-front/src/stream/attempt.rs
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -68,6 +68,7 @@
     let response = match tokio::time::timeout_at(call.ends_at, connection.send(request)).await {
         Ok(Ok(it)) => it,
         Ok(Err(_)) => {
+            call.state.pool.record_broken(&connection);
             if !is_reused {
                 call.state.request_recheck(vm);
             }
--- a/bins/mangocross-front/src/stream/heads.rs
+++ b/bins/mangocross-front/src/stream/heads.rs
@@ -14,6 +14,9 @@
 use mangocross_types::VmId;
 
 use crate::dispatch::Call;
+use crate::head_candidates::HeadTiers;
+use crate::head_candidates::OwnVm;
+use crate::head_candidates::TierKind;
 use crate::plain;
 use crate::pool::Connection;
 
@@ -57,7 +60,29 @@
         true => Candidates::RandomTwo(fastrand::f64(), fastrand::f64()),
         false => Candidates::All,
     };
-    admit(&GroupTimes::new(engine, model), heads, &demand, queue_slots, comparison)
+    let times = GroupTimes::new(engine, model);
+    let judge =
+        |heads: &[HeadLoad], queue_slots| admit(&times, heads, &demand, queue_slots, comparison);
+    // A place in a queue is taken only where no tier has a slot.
+    let tiers = find_tiers(call, heads);
+    for (kind, tier) in tiers.iter().flat_map(HeadTiers::iter) {
+        if let Admission::Send(vm) = judge(tier, 0) {
+            if kind == TierKind::Subset {
+                call.state.view.borrow_mut().candidates.record_chosen(&vm, call.state.now());
+            }
+            return Admission::Send(vm);
+        }
+    }
+    judge(heads, queue_slots)
+}
+
+/// Returns the tiers that are tried before all heads, if this entry VM keeps to a subset.
+fn find_tiers(call: &Call, heads: &[HeadLoad]) -> Option<HeadTiers> {
+    let own = OwnVm { name: &call.state.vm.name, zone: &call.state.vm.zone };
+    let view = &mut *call.state.view.borrow_mut();
+    view.gets_counts_via_planner(own.name).then(|| {
+        view.candidates.tiers(own, &view.entry_vms, view.entry_vms_changed_at, heads.to_vec())
+    })
 }
 
 /// Connects to a head; `failures` is the number of failed connections of the same request.
@@ -93,7 +118,7 @@
 
 /// Logs the load for which a stream was refused.
 pub(super) fn log_refused(call: &Call, best: &HeadLoad, first_event_in: Duration, groups: usize) {
-    let HeadLoad { vm, in_flight, waiting, slowdown } = best;
+    let HeadLoad { vm, in_flight, waiting, slowdown, .. } = best;
     let (first_ms, target_ms) = (first_event_in.as_millis(), call.route.target_latency.as_millis());
     let detail = format!(
         "{in_flight} in flight, {waiting} waiting, slowdown {slowdown:.1}, first event in {first_ms} ms, \
--- a/bins/mangocross-front/src/stream/source.rs
+++ b/bins/mangocross-front/src/stream/source.rs
@@ -78,7 +78,8 @@
     /// Returns the connection of a complete answer to the pool, unless the server closes it.
     pub(super) fn finish(self, state: &Rc<AppState>) {
         if !self.answer_head.closes {
-            state.recycle(self.connection, self.answer_head.idle_timeout);
+            let is_warm = state.view.borrow().candidates.is_warm(&self.vm, state.now());
+            state.recycle(self.connection, self.answer_head.idle_timeout, is_warm);
         }
     }
 }
--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use mangocross_types::AvailabilityZone;
 use mangocross_types::VmId;
 
 use crate::EngineSpec;
@@ -29,6 +30,8 @@
 pub struct HeadLoad {
     /// VM of the head.
     pub vm: VmId,
+    /// Availability zone of the VM.
+    pub zone: AvailabilityZone,
     /// Requests in progress, over all entry VMs.
     pub in_flight: u32,
     /// Requests in progress whose first event has not arrived; their prompts are read first.
--- a/crates/mangocross-serving/tests/admission.rs
+++ b/crates/mangocross-serving/tests/admission.rs
@@ -22,7 +22,13 @@
 }
 
 fn head(name: &str, in_flight: u32) -> HeadLoad {
-    HeadLoad { vm: name.parse().expect("a valid id"), in_flight, waiting: 0, slowdown: 1.0 }
+    HeadLoad {
+        vm: name.parse().expect("a valid id"),
+        zone: "z1".parse().expect("a valid zone"),
+        in_flight,
+        waiting: 0,
+        slowdown: 1.0,
+    }
 }
 
 fn demand(waited_ms: u64) -> StreamDemand {
