--- a/crates/mangocross-serving/src/server_choice.rs
+++ b/crates/mangocross-serving/src/server_choice.rs
@@ -59,11 +59,16 @@
         self.servers.retain(|vm, _| is_listed(vm));
     }
 
+    /// Returns the load of a server in requests in progress, to which failures add.
+    pub fn load(&self, server: &ServerLoad, now: Moment) -> f64 {
+        f64::from(server.in_flight) + FAILURE_SHARE_COST * self.share(&server.vm, now)
+    }
+
     /// Chooses the server with the lowest cost of load, distance and failures.
     pub fn choose<'a>(&self, servers: &'a [ServerLoad], now: Moment) -> Option<&'a ServerLoad> {
         let cost = |it: &ServerLoad| {
             let distance = if it.is_same_zone { 0.0 } else { OTHER_ZONE_COST };
-            f64::from(it.in_flight) + distance + FAILURE_SHARE_COST * self.share(&it.vm, now)
+            self.load(it, now) + distance
         };
         servers.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
--- a/crates/mangocross-serving/src/traffic.rs
+++ b/crates/mangocross-serving/src/traffic.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mangocross_types::AvailabilityZone;
 use mangocross_types::CustomerId;
 use mangocross_types::ModelId;
 use mangocross_types::ServiceId;
@@ -180,6 +181,37 @@
     pub priority: Option<u8>,
 }
 
+/// One-way delays of the paths between zones.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ZoneDelays {
+    delays: HashMap<(AvailabilityZone, AvailabilityZone), Duration>,
+}
+
+impl ZoneDelays {
+    /// Records the delay of the path from one zone to another.
+    pub fn insert(&mut self, from: AvailabilityZone, to: AvailabilityZone, delay: Duration) {
+        self.delays.insert((from, to), delay);
+    }
+
+    /// Returns whether no delay is known.
+    pub fn is_empty(&self) -> bool {
+        self.delays.is_empty()
+    }
+
+    /// Returns the delay of the path from one zone to another: that of the path back, or the longest
+    /// one, if its own is not known.
+    pub fn delay(&self, from: &AvailabilityZone, to: &AvailabilityZone) -> Duration {
+        if from == to {
+            return Duration::ZERO;
+        }
+        let of = |from: &AvailabilityZone, to: &AvailabilityZone| {
+            self.delays.get(&(from.clone(), to.clone())).copied()
+        };
+        let longest = || self.delays.values().max().copied().unwrap_or_default();
+        of(from, to).or_else(|| of(to, from)).unwrap_or_else(longest)
+    }
+}
+
 /// One version of the operators' configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct TrafficConfiguration {
@@ -193,6 +225,8 @@
     pub keys: HashMap<Arc<str>, KeyHolder>,
     /// Whether requests on routes that are not public need an API key.
     pub needs_keys: bool,
+    /// One-way delays of the paths between zones.
+    pub zone_delays: ZoneDelays,
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteRule>>>,
 }
 
