--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -34,6 +34,7 @@
 use crate::plain;
 use crate::state::AppState;
 use crate::stream;
+use crate::zone_routing::RequestZone;
 
 /// Retry-After while this VM has no recent configuration to check keys with.
 const NOT_FRESH_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -66,6 +67,8 @@
     pub(crate) waited_before: Duration,
     /// Whether another entry VM passed the request on to this one.
     pub(crate) is_passed_on: bool,
+    /// Whether the request is among those that leave the zone.
+    pub(crate) zone: RequestZone,
     pub(crate) record: RequestRecord,
 }
 
@@ -259,6 +262,7 @@
         ends_at,
         waited_before,
         is_passed_on: sender == RequestSender::EntryVm,
+        zone: RequestZone::new(fastrand::f64()),
         record,
     })
 }
--- a/bins/mangocross-front/src/head_candidates.rs
+++ b/bins/mangocross-front/src/head_candidates.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
 use mangocross_serving::HeadLoad;
 use mangocross_serving::HeadRank;
+use mangocross_serving::LeaveReason;
 use mangocross_serving::ListedEntryVm;
 use mangocross_serving::Moment;
 use mangocross_serving::select_subset;
@@ -15,6 +15,8 @@
 use mangocross_types::AvailabilityZone;
 use mangocross_types::VmId;
 
+use crate::zone_routing::ZoneChoice;
+
 /// Time after its last choice for which a head of the subset counts as often used.
 const WARM_TIME: Duration = Duration::from_secs(30);
 
@@ -25,30 +27,27 @@
     pub(crate) zone: &'a AvailabilityZone,
 }
 
-/// Why the heads of a tier are candidates.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum TierKind {
-    /// They are this entry VM's subset of the heads in its zone.
-    Subset,
-    /// They are in the zone of this entry VM.
-    OwnZone,
+/// What decides on the tiers of a stream.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TierRules<'a> {
+    pub(crate) own: OwnVm<'a>,
+    /// Whether this entry VM keeps to a subset of the heads.
+    pub(crate) uses_subset: bool,
+    /// Where the stream may be sent, if zones are told apart.
+    pub(crate) zones: Option<&'a ZoneChoice>,
 }
 
-/// Heads in the order of their tiers, of which a later one may include the earlier ones.
+/// Heads among which one is chosen before the next tier is tried.
 #[derive(Debug)]
-pub(crate) struct HeadTiers {
-    heads: Vec<HeadLoad>,
-    tiers: Vec<(TierKind, Range<usize>)>,
-}
-
-impl HeadTiers {
-    /// Returns the tiers in the order in which they are tried.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (TierKind, &[HeadLoad])> {
-        self.tiers.iter().map(|(kind, range)| (*kind, &self.heads[range.clone()]))
-    }
+pub(crate) struct HeadTier {
+    pub(crate) heads: Vec<HeadLoad>,
+    /// Whether the heads are a subset to which connections are kept.
+    pub(crate) is_subset: bool,
+    /// Why the stream leaves its zone if it is sent to a head of another one.
+    pub(crate) leave_reason: LeaveReason,
 }
 
-/// This entry VM's ranks of the heads in its zone, and the heads that it often sends to.
+/// This entry VM's ranks of heads, and the heads that it often sends to.
 #[derive(Debug, Default)]
 pub(crate) struct HeadCandidates {
     /// Ranks of the heads, which change only with the list of entry VMs.
@@ -61,29 +60,62 @@
 }
 
 impl HeadCandidates {
-    /// Returns the tiers of a model's usable heads that are tried before all of them: this entry VM's
-    /// subset, and its zone.
-    pub(crate) fn tiers(
+    /// Returns the tiers of a model's usable heads in the order in which they are tried: the zone that
+    /// the stream is to leave for, its own zone, and all heads that it may be sent to. The first heads
+    /// of a zone are this entry VM's subset.
+    pub(crate) fn tiers(&mut self, rules: &TierRules<'_>, heads: Vec<HeadLoad>) -> Vec<HeadTier> {
+        let own_zone = rules.own.zone;
+        let is_large = heads.len() > subset_size(self.zone_vms.len(), heads.len());
+        let uses_subset = rules.uses_subset && is_large;
+        let rules = &TierRules { uses_subset, ..*rules };
+        let in_zone = |zone: &AvailabilityZone| -> Vec<HeadLoad> {
+            heads.iter().filter(|it| it.zone == *zone).cloned().collect()
+        };
+        let own_heads = in_zone(own_zone);
+        let rest_reason = match rules.zones {
+            None => LeaveReason::AnyZone,
+            Some(_) if own_heads.is_empty() => LeaveReason::NoServer,
+            Some(_) => LeaveReason::NoRoom,
+        };
+        let mut tiers = Vec::new();
+        if let Some((zone, reason)) = rules.zones.and_then(|it| it.first.as_ref()) {
+            self.push_zone(&mut tiers, rules, in_zone(zone), *reason);
+        }
+        if uses_subset || rules.zones.is_some() {
+            self.push_zone(&mut tiers, rules, own_heads, rest_reason);
+        }
+        let is_allowed = |it: &&HeadLoad| {
+            it.zone == *own_zone || rules.zones.is_none_or(|zones| zones.allows(&it.zone))
+        };
+        let allowed: Vec<HeadLoad> = heads.iter().filter(is_allowed).cloned().collect();
+        // Without any zone that is known to have room, the heads themselves decide.
+        let rest = if allowed.is_empty() { heads } else { allowed };
+        tiers.push(HeadTier { heads: rest, is_subset: false, leave_reason: rest_reason });
+        tiers
+    }
+
+    /// Adds the heads of a zone, this entry VM's subset of them first.
+    fn push_zone(
         &mut self,
-        own: OwnVm<'_>,
-        entry_vms: &BTreeMap<Arc<str>, ListedEntryVm>,
-        listed_at: Moment,
+        tiers: &mut Vec<HeadTier>,
+        rules: &TierRules<'_>,
         mut heads: Vec<HeadLoad>,
-    ) -> HeadTiers {
-        self.refresh(own, entry_vms, listed_at);
-        heads.sort_by_key(|it| it.zone != *own.zone);
-        let own_count = heads.partition_point(|it| it.zone == *own.zone);
-        let size = subset_size(self.zone_vms.len(), own_count);
-        let rank = |it: &HeadLoad| self.rank(own, &it.vm);
-        let subset = select_subset(&mut heads[..own_count], size, rank);
-        let mut tiers = Vec::new();
-        if (1..heads.len()).contains(&subset) {
-            tiers.push((TierKind::Subset, 0..subset));
+        leave_reason: LeaveReason,
+    ) {
+        if heads.is_empty() {
+            return;
         }
-        if (subset + 1..heads.len()).contains(&own_count) {
-            tiers.push((TierKind::OwnZone, 0..own_count));
+        let mut is_subset = false;
+        if rules.uses_subset {
+            let size = subset_size(self.zone_vms.len(), heads.len());
+            let count = select_subset(&mut heads, size, |it| self.rank(rules.own, &it.vm));
+            is_subset = count == heads.len();
+            if !is_subset {
+                let heads = heads[..count].to_vec();
+                tiers.push(HeadTier { heads, is_subset: true, leave_reason });
+            }
         }
-        HeadTiers { heads, tiers }
+        tiers.push(HeadTier { heads, is_subset, leave_reason });
     }
 
     /// Records that a stream is sent to a head of the subset.
@@ -102,7 +134,8 @@
         self.chosen_at.get(head).is_some_and(|it| now.since(*it) < WARM_TIME)
     }
 
-    fn refresh(
+    /// Applies a change of the list of entry VMs.
+    pub(crate) fn refresh(
         &mut self,
         own: OwnVm<'_>,
         entry_vms: &BTreeMap<Arc<str>, ListedEntryVm>,
--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -42,6 +42,9 @@
 mod story;
 mod stream;
 mod watching;
+mod zone_figures;
+mod zone_routing;
+mod zone_traffic;
 
 use std::process::ExitCode;
 
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -14,6 +14,7 @@
 
 use crate::state::AppState;
 use crate::state::ClusterView;
+use crate::zone_traffic::ZoneTraffic;
 
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 12] =
@@ -30,6 +31,8 @@
     resumes: Counter<u64>,
     quarantined: Counter<u64>,
     passed_on: Counter<u64>,
+    connections: Counter<u64>,
+    pub(crate) zone_traffic: ZoneTraffic,
     store_eras: Counter<u64>,
     probes: Counter<u64>,
     orders: Counter<u64>,
@@ -54,6 +57,7 @@
     quarantined_requests: Gauge<f64>,
     requests_in_progress: Gauge<f64>,
     requests_waiting: Gauge<f64>,
+    leaving_share: Gauge<f64>,
     retries_left: Gauge<f64>,
 }
 
@@ -69,6 +73,10 @@
                 "requests not sent since they or a part of their prompt crash servers",
             ),
             passed_on: metrics.counter("front_passed_on", "requests passed on to other entry VMs"),
+            connections: metrics.counter(
+                "front_connections",
+                "connections to backend servers that were opened or used again",
+            ),
             store_eras: metrics
                 .counter("front_store_eras", "returns of the store to an older copy of itself"),
             probes: metrics.counter("front_probes", "questions for a server's state"),
@@ -88,6 +96,7 @@
                 "calls of the store; a watch waits for changes",
                 &BUCKET_BOUNDS_SECONDS,
             ),
+            zone_traffic: ZoneTraffic::open(&metrics),
             gauges: Gauges::open(&metrics),
             metrics,
         }
@@ -115,6 +124,12 @@
         self.passed_on.add(1, &[]);
     }
 
+    /// Counts a connection to a server, opened or used again.
+    pub(crate) fn count_connection(&self, is_reused: bool) {
+        let kind = if is_reused { "reused" } else { "new" };
+        self.connections.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     pub(crate) fn count_new_era(&self) {
         self.store_eras.add(1, &[]);
     }
@@ -183,6 +198,10 @@
                 "front_requests_waiting",
                 "requests sent from this VM that wait for their first byte",
             ),
+            leaving_share: metrics.gauge(
+                "front_leaving_share",
+                "share of the zone's requests that is sent to another zone, by service, model and zone",
+            ),
             retries_left: metrics
                 .gauge("front_retries_left", "repeats that this VM may still make, by service"),
         }
@@ -194,6 +213,15 @@
             self.retries_left.record(left, &[KeyValue::new("service", service.to_string())]);
         }
         let view = state.view.borrow();
+        for (key, zone, share) in view.zones.shares() {
+            let model = key.model.as_ref().map(ToString::to_string).unwrap_or_default();
+            let labels = [
+                KeyValue::new("service", key.service.to_string()),
+                KeyValue::new("model", model),
+                KeyValue::new("zone", zone.to_string()),
+            ];
+            self.leaving_share.record(share, &labels);
+        }
         if let Some(age) = view.freshness.age(now) {
             self.configuration_age.record(age.as_secs_f64(), &[]);
         }
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -19,6 +19,7 @@
 use mangocross_serving::PartCrashReport;
 use mangocross_serving::ReachNotice;
 use mangocross_serving::RequestCounts;
+use mangocross_serving::ZoneReport;
 use mangocross_types::Revision;
 use mangocross_types::StoreEra;
 use mangocross_types::StoreRevision;
@@ -36,6 +37,8 @@
 const COUNTS_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two messages with counts via the planner, which gets one from each entry VM.
 const COUNTS_INTERVAL_VIA_PLANNER: Duration = Duration::from_millis(250);
+/// Minimum time between two messages on the demand of zones, which are sent with the counts.
+const ZONE_DEMAND_INTERVAL: Duration = Duration::from_millis(400);
 /// Number of other entry VMs up to which each sends its counts to all others.
 pub(crate) const FULL_MESH_PEERS_MAX: usize = 16;
 /// Time between two reports of crashes, so that an entry VM that starts learns of them.
@@ -84,6 +87,8 @@
     Limits { from: Arc<str>, reports: Vec<LimitReport>, counts: RequestCounts },
     /// Whether the sending entry VM and others reach servers.
     Reach(Vec<ReachNotice>),
+    /// Demand by zone: of the sending entry VM, or the sums over all, sent by the planner.
+    ZoneDemand { from: Arc<str>, are_sums: bool, reports: Vec<ZoneReport> },
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -157,6 +162,9 @@
             Ok(Message::Limits { from, reports, counts }) => {
                 state.apply_limits(from, &reports, counts);
             }
+            Ok(Message::ZoneDemand { from, are_sums, reports }) => {
+                state.apply_zone_reports(from, are_sums, reports);
+            }
             Err(error) => {
                 if state.log_rate.allow("message ignored", state.now()).is_some() {
                     log::warn!(from:% = from, error:% = error; "peer message ignored");
@@ -246,6 +254,7 @@
 }
 
 async fn send_counts(state: Rc<AppState>, socket: Rc<UdpSocket>) {
+    let mut demand_sent_at = state.now();
     loop {
         let peers = peer_addresses(&state);
         let is_via_planner = peers.len() > FULL_MESH_PEERS_MAX;
@@ -263,6 +272,15 @@
             send_limits(&state, &socket, false, &[planner]);
             state.view.borrow_mut().loads.mark_reported();
         }
+        if state.now().since(demand_sent_at) >= ZONE_DEMAND_INTERVAL {
+            demand_sent_at = state.now();
+            match is_via_planner && !is_planner {
+                true => {
+                    send_zone_demand(&state, &socket, false, planner_address(&state).as_slice())
+                }
+                false => send_zone_demand(&state, &socket, is_via_planner, &peers),
+            }
+        }
         if is_planner && let Some(heads) = closed_heads(&state) {
             send(&socket, &Message::ClosedHeads(heads), &peers);
         }
@@ -277,6 +295,14 @@
     }
 }
 
+/// Tells of the demand by zone, where the configuration names the paths between zones.
+fn send_zone_demand(state: &AppState, socket: &UdpSocket, are_sums: bool, to: &[SocketAddr]) {
+    if let Some(reports) = state.zone_reports(are_sums) {
+        let from = Arc::clone(&state.vm.name);
+        send(socket, &Message::ZoneDemand { from, are_sums, reports }, to);
+    }
+}
+
 /// Returns the open heads that no longer serve, if there are any.
 fn closed_heads(state: &AppState) -> Option<Vec<VmId>> {
     let view = state.view.borrow();
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -96,6 +96,7 @@
 
 /// Serves a request from a plain service.
 pub(crate) async fn serve(call: Call) -> (Response<AnswerBody>, Option<RequestRecord>) {
+    call.record_demand();
     match PlainExchange::new(&call).run().await {
         Some(response) => (response, Some(call.record)),
         None => peer_forwarding::serve(call).await,
@@ -343,7 +344,8 @@
     }
     let now = call.state.now();
     let excluded = search.excluded(now);
-    let view = call.state.view.borrow();
+    let state = &call.state;
+    let view = state.view.borrow();
     let servers =
         || view.servers.values().filter(|it| it.service == call.service && !it.is_leaving);
     let loads: Vec<ServerLoad> = servers()
@@ -356,8 +358,9 @@
             is_same_zone: it.zone == call.state.vm.zone,
         })
         .collect();
-    let chosen = view.failures.choose(&loads, now).and_then(|it| view.servers.get(&it.vm).cloned());
-    chosen.ok_or_else(|| view.obstacle(servers().filter(|it| !search.has_tried(&it.vm)), now))
+    let obstacle = view.obstacle(servers().filter(|it| !search.has_tried(&it.vm)), now);
+    drop(view);
+    call.choose_plain(&loads, now).ok_or(obstacle)
 }
 
 async fn exchange(
@@ -366,6 +369,8 @@
     mut connection: Connection,
 ) -> AttemptResult {
     call.state.metrics.count_attempt();
+    let left_zone = call.count_left_zone(&server.vm);
+    let sent_at = call.state.now();
     let _in_flight = call.state.track_in_flight(&server.vm, false);
     let request = call.backend_request(&server.vm, None, None);
     let process = call.state.server_process(&server.vm);
@@ -408,11 +413,13 @@
     if !answer_head.closes {
         call.state.recycle(connection, answer_head.idle_timeout, false);
     }
+    left_zone.iter().for_each(|it| it.add(body.len()));
     let answer = complete_response(call, status, headers, body);
     if status.is_server_error() {
         return AttemptResult::Failed("server failed", ResultCode::BackendBroken, Some(answer));
     }
     call.record_whole_answer();
+    call.record_answer_time(sent_at);
     AttemptResult::Answered(answer)
 }
 
--- a/bins/mangocross-front/src/server_reach.rs
+++ b/bins/mangocross-front/src/server_reach.rs
@@ -43,7 +43,10 @@
         failures: u32,
     ) -> Result<Connection, ConnectError> {
         match self.pool.take_idle(server) {
-            Some(it) => Ok(it),
+            Some(it) => {
+                self.metrics.count_connection(true);
+                Ok(it)
+            }
             None => self.connect_to(server, failures).await,
         }
     }
@@ -55,6 +58,7 @@
         failures: u32,
     ) -> Result<Connection, ConnectError> {
         let connected = self.pool.open(server, failures).await;
+        self.metrics.count_connection(false);
         self.record_reached(server, connected.is_ok());
         connected
     }
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -49,6 +49,7 @@
 use crate::pool::Pool;
 use crate::relay_state::RelayState;
 use crate::store::StoreClient;
+use crate::zone_routing::ZoneRouting;
 
 /// Time for which a server gets no requests after a failed connection.
 pub(crate) const UNREACHABLE_PAUSE: Duration = Duration::from_millis(600);
@@ -106,6 +107,8 @@
     pub(crate) closed_heads: ClosedHeads,
     /// This VM's subsets of the heads.
     pub(crate) candidates: HeadCandidates,
+    /// Demand of the zones, and the shares of requests that leave this one.
+    pub(crate) zones: ZoneRouting,
     /// Requests and parts of prompts that crash servers.
     pub(crate) blame: CrashBlame,
     /// Broken answers whose servers may have crashed.
@@ -511,6 +514,7 @@
         self.avoided.retain(|_, it| now < *it);
         self.shares.expire(now);
         self.reach.expire(now);
+        self.zones.expire(now);
         let Self { failures, servers, slowdowns, notices, limits, .. } = self;
         notices.expire(now, |vm| servers.contains_key(vm));
         limits.expire(now, |vm| servers.contains_key(vm));
--- a/bins/mangocross-front/src/stream.rs
+++ b/bins/mangocross-front/src/stream.rs
@@ -20,6 +20,7 @@
 
 /// Serves an event stream.
 pub(crate) async fn serve(call: Call) -> (Response<AnswerBody>, Option<RequestRecord>) {
+    call.record_demand();
     let started = StreamStart::new(&call).run().await;
     match started {
         Ok((answer, runs)) => (forwarder::spawn(call, answer, runs), None),
--- a/bins/mangocross-front/src/stream/attempt.rs
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -15,6 +15,7 @@
 use crate::pool::Connection;
 use crate::state::InFlightGuard;
 use crate::state::NOT_RUN_PAUSE;
+use crate::zone_traffic::LeftZoneBytes;
 
 /// Maximum size of a server's error, which is buffered until it is complete.
 const FAILURE_BYTES_MAX: usize = 1 << 20;
@@ -26,6 +27,8 @@
     pub(super) in_flight: InFlightGuard,
     pub(super) response: Response<Incoming>,
     pub(super) answer_head: AnswerHead,
+    /// Counts the bytes of an answer from another zone.
+    pub(super) left_zone: Option<LeftZoneBytes>,
 }
 
 /// Why a server did not start a stream.
@@ -61,6 +64,7 @@
     priority: u8,
 ) -> Result<StartedStream, StartError> {
     call.state.metrics.count_attempt();
+    let left_zone = call.count_left_zone(vm);
     let in_flight = call.state.track_in_flight(vm, true);
     let request = call.backend_request(vm, last_event_id, Some(priority));
     let process = call.state.server_process(vm);
@@ -91,7 +95,8 @@
         call.state.avoid(vm, NOT_RUN_PAUSE);
         return Err(StartError::NotRun("group is full, broken or no longer there"));
     }
-    let started = StartedStream { vm: vm.clone(), connection, in_flight, response, answer_head };
+    let vm = vm.clone();
+    let started = StartedStream { vm, connection, in_flight, response, answer_head, left_zone };
     if started.response.status() == StatusCode::OK && started.answer_head.is_signed {
         Ok(started)
     } else {
--- a/bins/mangocross-front/src/stream/heads.rs
+++ b/bins/mangocross-front/src/stream/heads.rs
@@ -14,9 +14,9 @@
 use mangocross_types::VmId;
 
 use crate::dispatch::Call;
-use crate::head_candidates::HeadTiers;
+use crate::head_candidates::HeadTier;
 use crate::head_candidates::OwnVm;
-use crate::head_candidates::TierKind;
+use crate::head_candidates::TierRules;
 use crate::plain;
 use crate::pool::Connection;
 
@@ -63,26 +63,43 @@
     let times = GroupTimes::new(engine, model);
     let judge =
         |heads: &[HeadLoad], queue_slots| admit(&times, heads, &demand, queue_slots, comparison);
+    let mut tiers = find_tiers(call, heads);
+    let last = tiers.pop();
     // A place in a queue is taken only where no tier has a slot.
-    let tiers = find_tiers(call, heads);
-    for (kind, tier) in tiers.iter().flat_map(HeadTiers::iter) {
-        if let Admission::Send(vm) = judge(tier, 0) {
-            if kind == TierKind::Subset {
-                call.state.view.borrow_mut().candidates.record_chosen(&vm, call.state.now());
-            }
+    for tier in &tiers {
+        if let Admission::Send(vm) = judge(&tier.heads, 0) {
+            record_choice(call, tier, &vm);
             return Admission::Send(vm);
         }
     }
-    judge(heads, queue_slots)
+    let Some(last) = last else { return judge(heads, queue_slots) };
+    let admission = judge(&last.heads, queue_slots);
+    if let Admission::Send(vm) = &admission {
+        record_choice(call, &last, vm);
+    }
+    admission
 }
 
-/// Returns the tiers that are tried before all heads, if this entry VM keeps to a subset.
-fn find_tiers(call: &Call, heads: &[HeadLoad]) -> Option<HeadTiers> {
+/// Records why a stream is sent to a head.
+fn record_choice(call: &Call, tier: &HeadTier, vm: &VmId) {
+    if tier.is_subset {
+        call.state.view.borrow_mut().candidates.record_chosen(vm, call.state.now());
+    }
+    call.zone.left.set(Some(tier.leave_reason));
+}
+
+/// Returns the tiers that are tried one after the other; none if all heads are candidates at once.
+fn find_tiers(call: &Call, heads: &[HeadLoad]) -> Vec<HeadTier> {
+    let zones = call.zone_choice();
     let own = OwnVm { name: &call.state.vm.name, zone: &call.state.vm.zone };
     let view = &mut *call.state.view.borrow_mut();
-    view.gets_counts_via_planner(own.name).then(|| {
-        view.candidates.tiers(own, &view.entry_vms, view.entry_vms_changed_at, heads.to_vec())
-    })
+    let uses_subset = view.gets_counts_via_planner(own.name);
+    if !uses_subset && zones.is_none() {
+        return Vec::new();
+    }
+    view.candidates.refresh(own, &view.entry_vms, view.entry_vms_changed_at);
+    let rules = TierRules { own, uses_subset, zones: zones.as_ref() };
+    view.candidates.tiers(&rules, heads.to_vec())
 }
 
 /// Connects to a head; `failures` is the number of failed connections of the same request.
--- a/bins/mangocross-front/src/stream/source.rs
+++ b/bins/mangocross-front/src/stream/source.rs
@@ -15,6 +15,7 @@
 use crate::pool::Connection;
 use crate::state::AppState;
 use crate::state::InFlightGuard;
+use crate::zone_traffic::LeftZoneBytes;
 
 /// What a server sent next.
 pub(super) enum Received {
@@ -37,18 +38,19 @@
     in_flight: InFlightGuard,
     body: Incoming,
     answer_head: AnswerHead,
+    left_zone: Option<LeftZoneBytes>,
     splitter: EventSplitter,
 }
 
 impl Source {
     /// Reads a started stream, which resumes after the event `last_id` if it is not new.
     pub(super) fn new(started: StartedStream, last_id: Option<u64>) -> Self {
-        let StartedStream { vm, connection, in_flight, response, answer_head } = started;
+        let StartedStream { vm, connection, in_flight, response, answer_head, left_zone } = started;
         let splitter = EventSplitter::resuming_after(last_id);
         let start = AnswerStart::new(response.headers());
         let headers = AnswerHead::forwarded_headers(response.headers());
         let body = response.into_body();
-        Self { vm, start, headers, connection, in_flight, body, answer_head, splitter }
+        Self { vm, start, headers, connection, in_flight, body, answer_head, left_zone, splitter }
     }
 
     /// Returns the id of the last complete event.
@@ -66,6 +68,7 @@
             }
             None => return Received::End,
         };
+        self.left_zone.iter().for_each(|it| it.add(data.len()));
         let Ok(events) = self.splitter.push(&data) else {
             return Received::Broken("event too long");
         };
