feat(mangoctl): check a configuration for the front before it is sent

Cause: a configuration with a misspelled service, a hidden route or a deadline below its target is noticed only once it is in force.

`--in-force` tells the differences to another version in words, without keys. Exit codes 0, 1 (errors) and 2; `--json`.

Left out: quotas of customers, since the configuration that is decoded has no field for them; the checks of the coordinators' own configuration are as before.

--- a/bins/mangoctl/src/main.rs
+++ b/bins/mangoctl/src/main.rs
@@ -18,11 +18,13 @@
 use mangocross_types::Configuration;
 use mangocross_types::Revision;
 
+mod check;
 mod client;
 mod completion;
 mod outcome;
 mod table;
 
+use crate::check::CheckedFiles;
 use crate::completion::complete_word;
 use crate::outcome::ExitStatus;
 use crate::outcome::Outcome;
@@ -32,7 +34,7 @@
 #[bpaf(options, version)]
 struct Arguments {
     /// Address of a coordinator; give several, and they are tried in turn
-    #[bpaf(argument("ADDRESS"), some("name a coordinator: --coordinator ADDRESS"))]
+    #[bpaf(argument("ADDRESS"), many)]
     coordinator: Vec<SocketAddr>,
     /// Revision that the command is based on; the newest if left out
     #[bpaf(argument("REVISION"), optional)]
@@ -44,9 +46,15 @@
     dry_run: bool,
     /// Print JSON
     json: bool,
-    /// Configuration file for `replace config`, JSON with comments
+    /// Configuration file for `replace config`, JSON with comments, or for `check traffic`, JSON
     #[bpaf(argument("FILE"), optional)]
     file: Option<PathBuf>,
+    /// For `check traffic`: the configuration in force, to tell the differences
+    #[bpaf(argument("FILE"), optional)]
+    in_force: Option<PathBuf>,
+    /// For `check traffic`: settings of an entry VM, which name the region of each zone
+    #[bpaf(argument("FILE"), optional)]
+    settings: Option<PathBuf>,
     /// File with your key, if the coordinators ask for one
     #[bpaf(env("MANGOCTL_KEY_FILE"), argument("FILE"), optional)]
     key_file: Option<PathBuf>,
@@ -70,6 +78,13 @@
             };
         }
     };
+    if arguments.words == CHECK_WORDS {
+        return check_file(&arguments).into();
+    }
+    if arguments.coordinator.is_empty() {
+        eprintln!("name a coordinator: --coordinator ADDRESS");
+        return ExitStatus::UsageError.into();
+    }
     let request = match request(&arguments) {
         Ok(request) => request,
         Err(message) => {
@@ -95,6 +110,29 @@
     outcome.exit_status().into()
 }
 
+/// The line that checks a configuration of the users' platform; it is carried out here.
+const CHECK_WORDS: [&str; 2] = ["check", "traffic"];
+
+/// Checks a configuration file without contacting a coordinator.
+fn check_file(arguments: &Arguments) -> ExitStatus {
+    let Some(configuration) = arguments.file.as_deref() else {
+        eprintln!("`check traffic` needs a configuration: --file FILE");
+        return ExitStatus::UsageError;
+    };
+    let in_force = arguments.in_force.as_deref();
+    let files = CheckedFiles { configuration, in_force, settings: arguments.settings.as_deref() };
+    match check::check(&files) {
+        Ok(report) => {
+            print!("{}", if arguments.json { report.to_json() } else { report.to_text() });
+            report.exit_status()
+        }
+        Err(message) => {
+            eprintln!("{message}");
+            ExitStatus::UsageError
+        }
+    }
+}
+
 /// Width of help texts, in characters.
 const LINE_WIDTH: usize = 100;
 
