fix(front): servers that close idle connections early cost few requests

Cause: each pair of entry VM and head learns by a lost request that the head closes idle connections early; with 450 pairs on deployment C and 30 s of memory that is up to 15 requests a second. Idle connections beside the broken one stay and break the next requests.

Ruled out: TCP keep-alive on idle connections (with the user timeout it also ends streams in progress when a link is cut for 2 s).

Change: after a break of a reused connection the idle ones to that server are closed; while more than two servers close early, none gets long idle connections.

Test: server_that_closes_early_gets_no_long_idle_connections, extended.

--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -170,10 +170,11 @@
     }
 
     /// Records that a connection broke before an answer. A server that closes idle connections early
-    /// breaks reused ones.
+    /// breaks reused ones, and those that are still idle would break the next requests.
     pub(crate) fn record_broken(&self, connection: &Connection) {
         if connection.is_reused {
             self.record_early_close(connection.address);
+            self.close_idle(connection.address);
         }
     }
 
--- a/crates/mangocross-serving/src/idle_limits.rs
+++ b/crates/mangocross-serving/src/idle_limits.rs
@@ -18,6 +18,10 @@
 /// Time for which a server is not trusted to keep idle connections after it closed one early.
 const EARLY_CLOSE_RETENTION: Duration = Duration::from_secs(30);
 
+/// Servers that close connections early beyond which none is trusted: whatever makes them close early,
+/// or a path that loses connections, concerns the others too. Fewer may merely have restarted.
+const EARLY_CLOSERS_MAX: usize = 2;
+
 /// What is known of a server when a connection to it becomes idle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct IdleServer {
@@ -61,7 +65,8 @@
     }
 
     fn has_closed_early(&self, address: &SocketAddr, now: Moment) -> bool {
-        let closed_at = self.closed_early.get(address);
-        closed_at.is_some_and(|it| now.since(*it) < EARLY_CLOSE_RETENTION)
+        let is_recent = |at: &&Moment| now.since(**at) < EARLY_CLOSE_RETENTION;
+        self.closed_early.get(address).filter(is_recent).is_some()
+            || self.closed_early.values().filter(is_recent).count() > EARLY_CLOSERS_MAX
     }
 }
--- a/crates/mangocross-serving/tests/head_subset.rs
+++ b/crates/mangocross-serving/tests/head_subset.rs
@@ -184,6 +184,10 @@
     assert_eq!(limits.idle_time(&server, now), Duration::from_millis(1200));
     let other = IdleServer { address: "127.0.0.1:81".parse().expect("an address"), ..server };
     assert_eq!(limits.idle_time(&other, now), Duration::from_secs(4));
+    for port in 82..84 {
+        limits.record_early_close(([127, 0, 0, 1], port).into(), now);
+    }
+    assert_eq!(limits.idle_time(&other, now), Duration::from_millis(1200), "many close early");
     let later = now + Duration::from_secs(31);
     limits.expire(later);
     assert_eq!(limits.idle_time(&server, later), Duration::from_secs(4));
