--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -12,6 +12,7 @@
 mod dispatch;
 mod entry_vm_list;
 mod first_answer;
+mod head_candidates;
 mod held_entries;
 mod home_regions;
 mod ingress;
@@ -45,6 +46,9 @@
 mod stream;
 mod watching;
 mod zone_evacuation;
+mod zone_figures;
+mod zone_routing;
+mod zone_traffic;
 
 use std::process::ExitCode;
 
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -15,6 +15,7 @@
 
 use crate::state::AppState;
 use crate::state::ClusterView;
+use crate::zone_traffic::ZoneTraffic;
 
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 12] =
@@ -32,6 +33,8 @@
     quarantined: Counter<u64>,
     passed_on: Counter<u64>,
     not_admitted: Counter<u64>,
+    connections: Counter<u64>,
+    pub(crate) zone_traffic: ZoneTraffic,
     store_eras: Counter<u64>,
     probes: Counter<u64>,
     orders: Counter<u64>,
@@ -57,6 +60,7 @@
     quarantined_requests: Gauge<f64>,
     requests_in_progress: Gauge<f64>,
     requests_waiting: Gauge<f64>,
+    leaving_share: Gauge<f64>,
     retries_left: Gauge<f64>,
     capacity_short: Gauge<f64>,
     admission_ratio: Gauge<f64>,
@@ -77,6 +81,9 @@
             not_admitted: metrics.counter(
                 "front_not_admitted",
                 "streams refused at once since other streams need the capacity",
+            connections: metrics.counter(
+                "front_connections",
+                "connections to backend servers that were opened or used again",
             ),
             store_eras: metrics
                 .counter("front_store_eras", "returns of the store to an older copy of itself"),
@@ -97,6 +104,7 @@
                 "calls of the store; a watch waits for changes",
                 &BUCKET_BOUNDS_SECONDS,
             ),
+            zone_traffic: ZoneTraffic::open(&metrics),
             gauges: Gauges::open(&metrics),
             metrics,
         }
@@ -131,6 +139,10 @@
             KeyValue::new("reason", reason),
         ];
         self.not_admitted.add(1, &labels);
+    /// Counts a connection to a server, opened or used again.
+    pub(crate) fn count_connection(&self, is_reused: bool) {
+        let kind = if is_reused { "reused" } else { "new" };
+        self.connections.add(1, &[KeyValue::new("kind", kind)]);
     }
 
     pub(crate) fn count_new_era(&self) {
@@ -205,6 +217,10 @@
                 "front_requests_waiting",
                 "requests sent from this VM that wait for their first byte",
             ),
+            leaving_share: metrics.gauge(
+                "front_leaving_share",
+                "share of the zone's requests that is sent to another zone, by service, model and zone",
+            ),
             retries_left: metrics
                 .gauge("front_retries_left", "repeats that this VM may still make, by service"),
             capacity_short: metrics.gauge(
@@ -222,6 +238,15 @@
             self.retries_left.record(left, &[KeyValue::new("service", service.to_string())]);
         }
         let view = state.view.borrow();
+        for (key, zone, share) in view.zones.shares() {
+            let model = key.model.as_ref().map(ToString::to_string).unwrap_or_default();
+            let labels = [
+                KeyValue::new("service", key.service.to_string()),
+                KeyValue::new("model", model),
+                KeyValue::new("zone", zone.to_string()),
+            ];
+            self.leaving_share.record(share, &labels);
+        }
         if let Some(age) = view.freshness.age(now) {
             self.configuration_age.record(age.as_secs_f64(), &[]);
         }
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -96,6 +96,7 @@
 
 /// Serves a request from a plain service.
 pub(crate) async fn serve(call: Call) -> (Response<AnswerBody>, Option<RequestRecord>) {
+    call.record_demand();
     match PlainExchange::new(&call).run().await {
         Some(response) => (response, Some(call.record)),
         None => peer_forwarding::serve(call).await,
@@ -354,6 +355,10 @@
         it.service == call.service && !it.is_leaving && call.allows_server(it)
     };
     let servers = || view.servers.values().filter(is_candidate);
+    let state = &call.state;
+    let view = state.view.borrow();
+    let servers =
+        || view.servers.values().filter(|it| it.service == call.service && !it.is_leaving);
     let loads: Vec<ServerLoad> = servers()
         .filter(|it| {
             !excluded.contains(&it.vm) && view.is_usable(it, now) && view.has_room(it, now)
@@ -364,8 +369,9 @@
             is_same_zone: it.zone == call.state.vm.zone,
         })
         .collect();
-    let chosen = view.failures.choose(&loads, now).and_then(|it| view.servers.get(&it.vm).cloned());
-    chosen.ok_or_else(|| view.obstacle(servers().filter(|it| !search.has_tried(&it.vm)), now))
+    let obstacle = view.obstacle(servers().filter(|it| !search.has_tried(&it.vm)), now);
+    drop(view);
+    call.choose_plain(&loads, now).ok_or(obstacle)
 }
 
 async fn exchange(
@@ -374,12 +380,15 @@
     mut connection: Connection,
 ) -> AttemptResult {
     call.state.metrics.count_attempt();
+    let left_zone = call.count_left_zone(&server.vm);
+    let sent_at = call.state.now();
     let _in_flight = call.state.track_in_flight(&server.vm, false);
     let request = call.backend_request(&server.vm, None, None);
     let process = call.state.server_process(&server.vm);
     let response = match connection.send(request).await {
         Ok(it) => it,
         Err(error) => {
+            call.state.pool.record_broken(&connection);
             call.record_failed_exchange(&server.vm, &error).await;
             return AttemptResult::Failed("connection broke", ResultCode::BackendBroken, None);
         }
@@ -413,13 +422,15 @@
         }
     };
     if !answer_head.closes {
-        call.state.recycle(connection, answer_head.idle_timeout);
+        call.state.recycle(connection, answer_head.idle_timeout, false);
     }
+    left_zone.iter().for_each(|it| it.add(body.len()));
     let answer = complete_response(call, status, headers, body);
     if status.is_server_error() {
         return AttemptResult::Failed("server failed", ResultCode::BackendBroken, Some(answer));
     }
     call.record_whole_answer();
+    call.record_answer_time(sent_at);
     AttemptResult::Answered(answer)
 }
 
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -43,6 +43,7 @@
 
 use crate::clock::SystemBootClock;
 use crate::closed_heads::ClosedHeads;
+use crate::head_candidates::HeadCandidates;
 use crate::held_entries::DepartedServer;
 use crate::leases::PlannerTerm;
 use crate::log_rate::LogRate;
@@ -51,6 +52,7 @@
 use crate::pool::Pool;
 use crate::relay_state::RelayState;
 use crate::store::StoreClient;
+use crate::zone_routing::ZoneRouting;
 
 /// Time for which a server gets no requests after a failed connection.
 pub(crate) const UNREACHABLE_PAUSE: Duration = Duration::from_millis(600);
@@ -106,6 +108,10 @@
     pub(crate) slowdowns: HashMap<VmId, f64>,
     /// Open heads that no longer serve, as the planner last told, and when.
     pub(crate) closed_heads: ClosedHeads,
+    /// This VM's subsets of the heads.
+    pub(crate) candidates: HeadCandidates,
+    /// Demand of the zones, and the shares of requests that leave this one.
+    pub(crate) zones: ZoneRouting,
     /// Requests and parts of prompts that crash servers.
     pub(crate) blame: CrashBlame,
     /// Broken answers whose servers may have crashed.
@@ -365,6 +371,7 @@
             let load = view.loads.load(&it.vm, now);
             HeadLoad {
                 vm: it.vm.clone(),
+                zone: it.zone.clone(),
                 in_flight: load.in_flight,
                 waiting: load.waiting,
                 slowdown: view.slowdowns.get(&it.vm).copied().unwrap_or(1.0),
@@ -519,6 +526,7 @@
         self.competition.expire(now);
         self.reach.expire(now);
         self.cold.expire(now);
+        self.zones.expire(now);
         let Self { failures, servers, slowdowns, notices, limits, .. } = self;
         notices.expire(now, |vm| servers.contains_key(vm));
         limits.expire(now, |vm| servers.contains_key(vm));
