--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -81,6 +81,7 @@
             not_admitted: metrics.counter(
                 "front_not_admitted",
                 "streams refused at once since other streams need the capacity",
+            ),
             connections: metrics.counter(
                 "front_connections",
                 "connections to backend servers that were opened or used again",
@@ -139,6 +140,8 @@
             KeyValue::new("reason", reason),
         ];
         self.not_admitted.add(1, &labels);
+    }
+
     /// Counts a connection to a server, opened or used again.
     pub(crate) fn count_connection(&self, is_reused: bool) {
         let kind = if is_reused { "reused" } else { "new" };
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -177,6 +177,7 @@
             Ok(Message::Cold(reports)) => state.apply_cold_reports(&reports),
             Ok(Message::Demand { from, are_totals, report }) => {
                 state.apply_demand(from, are_totals, report);
+            }
             Ok(Message::ZoneDemand { from, are_sums, reports }) => {
                 state.apply_zone_reports(from, are_sums, reports);
             }
@@ -318,6 +319,9 @@
     if let Some(report) = state.demand_to_tell(are_totals) {
         let from = Arc::clone(&state.vm.name);
         send(socket, &Message::Demand { from, are_totals, report }, to);
+    }
+}
+
 /// Tells of the demand by zone, where the configuration names the paths between zones.
 fn send_zone_demand(state: &AppState, socket: &UdpSocket, are_sums: bool, to: &[SocketAddr]) {
     if let Some(reports) = state.zone_reports(are_sums) {
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -355,10 +355,6 @@
         it.service == call.service && !it.is_leaving && call.allows_server(it)
     };
     let servers = || view.servers.values().filter(is_candidate);
-    let state = &call.state;
-    let view = state.view.borrow();
-    let servers =
-        || view.servers.values().filter(|it| it.service == call.service && !it.is_leaving);
     let loads: Vec<ServerLoad> = servers()
         .filter(|it| {
             !excluded.contains(&it.vm) && view.is_usable(it, now) && view.has_room(it, now)
