fix(planner): ids of one process do not enlarge a group

Cause: a server that starts again under another id at its address answers the probes of its former entry, which stays listed for three heartbeats. Both ids then report the same membership, and the completion of adopted groups added the former id to a group that already had all members.

Change: only groups with fewer members than their model needs are completed, and two reports of one rank count once.

--- a/crates/mangocross-serving/src/planner/adoption.rs
+++ b/crates/mangocross-serving/src/planner/adoption.rs
@@ -75,7 +75,9 @@
             .filter_map(|(_, it)| it.server.engine.membership.as_ref())
             .map(|it| (&it.group, it.incarnation))
             .collect();
-        let planned = update.plan.groups.iter().filter(|it| !it.is_dissolving);
+        let incomplete =
+            |it: &&PlannedGroup| !it.is_dissolving && it.members.len() < self.full_size(it);
+        let planned = update.plan.groups.iter().filter(incomplete);
         for group in planned.filter(|it| unplanned.contains(&(&it.group, it.incarnation))) {
             let reported = self.reported_group(update, &group.group, group.incarnation);
             let Some((reported, is_whole)) = reported else { continue };
@@ -138,6 +140,9 @@
             }
         }
         members.sort_by_key(|(rank, _)| *rank);
+        // A server that has started again answers at the address of its former entry, too, so two ids
+        // may report the same rank.
+        members.dedup_by_key(|(rank, _)| *rank);
         let model = model?;
         let ranks = members.iter().map(|(rank, _)| usize::from(rank.0));
         let is_whole = ranks.eq(0..model.group_size);
--- a/crates/mangocross-serving/tests/lost_plans.rs
+++ b/crates/mangocross-serving/tests/lost_plans.rs
@@ -311,3 +311,23 @@
     let planned = simulation.plans.values().any(|(it, _)| it.contains(&late));
     assert!(planned, "the member is planned");
 }
+
+/// Guards against a group with more members than its model needs: a server that has started again under
+/// another id answers at the address of its former entry, so two ids report the same membership.
+#[test]
+fn former_id_of_a_member_does_not_enlarge_its_group() {
+    let mut simulation = formed();
+    let head = simulation.serving("small")[0].clone();
+    let members = simulation.engines[&head].members.clone();
+    let former: VmId = "former".parse().expect("a valid id");
+    let mut same_process = simulation.engines[&members[1]].clone();
+    same_process.server.vm = former.clone();
+    simulation.engines.insert(former.clone(), same_process);
+    for _ in 0..60 {
+        simulation.run(ms(50));
+        let planned = simulation.plans.values().flat_map(|(it, _)| &it.groups);
+        let largest = planned.filter(|it| it.model.as_str() == "small").map(|it| it.members.len());
+        assert_eq!(largest.max(), Some(members.len()));
+    }
+    assert!(simulation.serving("small").contains(&head), "the group serves on");
+}
