--- a/bins/mangocross-front/src/cold_servers.rs
+++ b/bins/mangocross-front/src/cold_servers.rs
@@ -62,10 +62,18 @@
         reports.iter().for_each(|it| view.cold.record_report(it, now));
     }
 
-    /// Records that a request goes to a server now; connecting to it may have taken long.
-    pub(crate) fn record_sent_to_cold(&self, vm: &VmId) {
+    /// Returns whether a request may be sent to a server that was chosen a while ago, and records it.
+    ///
+    /// Connecting may have taken long, and the server may have become cold meanwhile.
+    pub(crate) fn try_send_to_cold(&self, vm: &VmId, chosen_at: Moment) -> bool {
         let now = self.now();
-        self.view.borrow_mut().cold.record_request(vm, now);
+        let mut view = self.view.borrow_mut();
+        let ClusterView { cold, servers, .. } = &mut *view;
+        if servers.get(vm).is_some_and(|it| !cold.may_send(it, chosen_at, now)) {
+            return false;
+        }
+        cold.record_request(vm, now);
+        true
     }
 
     /// Adapts to the configuration, to the list of entry VMs and to servers that have become cold.
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -179,7 +179,7 @@
     /// before.
     async fn send(&mut self) -> Option<Response<AnswerBody>> {
         let call = self.call;
-        let now = call.state.now();
+        let chosen_at = call.state.now();
         let is_paid = self.search.needs_retry();
         let chosen = match is_paid && !call.state.may_retry(&call.service) {
             true => Err(Obstacle::NoRetryLeft),
@@ -188,7 +188,7 @@
         let server = match chosen {
             Ok(it) => it,
             Err(obstacle) => {
-                self.search.cannot_send(obstacle, now);
+                self.search.cannot_send(obstacle, chosen_at);
                 return None;
             }
         };
@@ -212,12 +212,15 @@
             self.search.connect_failed(server.vm);
             return None;
         }
+        if !call.state.try_send_to_cold(&server.vm, chosen_at) {
+            self.search.cannot_send(Obstacle::NoRoom, now);
+            return None;
+        }
         // Another request may have spent the last retry while this one connected.
         if is_paid && !call.state.try_spend_retry(&call.service) {
             self.search.cannot_send(Obstacle::NoRetryLeft, now);
             return None;
         }
-        call.state.record_sent_to_cold(&server.vm);
         let id = self.search.sent(server.vm.clone(), now);
         call.record.add_sent_to(&server.vm);
         call.record.log_step("request sent", &server.vm, "plain service");
--- a/bins/mangocross-front/src/stream/search.rs
+++ b/bins/mangocross-front/src/stream/search.rs
@@ -127,16 +127,16 @@
     /// Sends the stream to the next server; returns the answer of an earlier attempt if it comes before.
     async fn send(&mut self) -> Option<Answer> {
         let (call, goal) = (self.call, self.goal);
-        let now = call.state.now();
+        let chosen_at = call.state.now();
         let is_paid = self.search.needs_retry();
         let chosen = match is_paid && !call.state.may_retry(&call.service) {
             true => Err(Obstacle::NoRetryLeft),
-            false => goal.choose(&self.search, now),
+            false => goal.choose(&self.search, chosen_at),
         };
         let vm = match chosen {
             Ok(it) => it,
             Err(obstacle) => {
-                self.search.cannot_send(obstacle, now);
+                self.search.cannot_send(obstacle, chosen_at);
                 return None;
             }
         };
@@ -159,12 +159,15 @@
             self.search.connect_failed(vm);
             return None;
         }
+        if !call.state.try_send_to_cold(&vm, chosen_at) {
+            self.search.cannot_send(Obstacle::NoRoom, now);
+            return None;
+        }
         // Another request may have spent the last retry while this one connected.
         if is_paid && !call.state.try_spend_retry(&call.service) {
             self.search.cannot_send(Obstacle::NoRetryLeft, now);
             return None;
         }
-        call.state.record_sent_to_cold(&vm);
         let id = self.search.sent(vm.clone(), now);
         call.record.add_sent_to(&vm);
         goal.record_sent(&vm, self.search.runs());
--- a/bins/mangocross-front/src/zone_evacuation.rs
+++ b/bins/mangocross-front/src/zone_evacuation.rs
@@ -124,6 +124,7 @@
             }
         }
         drop(view);
+        self.view.borrow_mut().expect_cold_servers(zone, now);
         self.planner_inputs_changed.notify_one();
         self.peer_updates.notify_one();
     }
@@ -135,6 +136,16 @@
         !self.evacuations.is_evacuated(&server.zone)
     }
 
+    /// Takes the servers of a zone that was taken back for cold.
+    fn expect_cold_servers(&mut self, zone: &AvailabilityZone, now: Moment) {
+        if self.evacuations.is_evacuated(zone) {
+            return;
+        }
+        let Self { cold, servers, .. } = self;
+        let of_zone = servers.values().filter(|it| it.zone == *zone);
+        of_zone.for_each(|it| cold.record_taken_back(it, now));
+    }
+
     /// Returns the zones that have servers or are evacuated, and whether each is evacuated.
     pub(crate) fn zones(&self) -> BTreeMap<AvailabilityZone, bool> {
         let with_servers = self.servers.values().map(|it| it.zone.clone());
--- a/bins/mangocross-front/tests/front/cold_servers.rs
+++ b/bins/mangocross-front/tests/front/cold_servers.rs
@@ -61,13 +61,15 @@
 }
 
 /// Starts entry VMs and two plain servers, one of which becomes cold while requests are sent.
-fn check(make_cold: impl FnOnce(&Server)) {
+fn check(make_cold: impl FnOnce(&Store, &Server)) {
     let store = Store::spawn();
     store.configure_with(3, &["k1"], |it| {
         it["services"][1]["cold_start_s"] = json!(COLD_TIME.as_secs());
         it["services"][1]["cold_per_s"] = json!(COLD_PER_S);
     });
     let [cold, other] = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    // The entry VMs prefer the cold one, which is in their zone.
+    other.set_zone("zone-b");
     let fronts: Vec<Front> =
         (0..FRONT_COUNT).map(|_| Front::spawn_logged(store.address, 60_000, 1.0)).collect();
     for it in &fronts {
@@ -75,7 +77,7 @@
         wait_for_metric(it, "front_backend_servers 2");
     }
     thread::sleep(SETTLING_TIME);
-    make_cold(&cold);
+    make_cold(&store, &cold);
     let began = Instant::now();
     let statuses = send_until(&fronts, began + COLD_TIME + Duration::from_secs(2));
     assert!(statuses.iter().all(|it| *it == 200), "the other server takes the rest");
@@ -91,17 +93,28 @@
 /// Guards against a burst at a server whose entry says that it is cold.
 #[test]
 fn cold_server_by_its_entry_gets_few_requests() {
-    check(|it| it.set_cold_in_entry(COLD_TIME));
+    check(|_, it| it.set_cold_in_entry(COLD_TIME));
 }
 
 /// Guards against a burst at a server that says in its answers only that it is cold again.
 #[test]
 fn cold_server_by_its_answers_gets_few_requests() {
-    check(|it| it.set_cold_in_answers(COLD_TIME));
+    check(|_, it| it.set_cold_in_answers(COLD_TIME));
 }
 
 /// Guards against a burst at a process that has just started and does not say that it is cold.
 #[test]
 fn new_process_gets_few_requests() {
-    check(Server::start_now);
+    check(|_, it| it.start_now());
+}
+
+/// Guards against a burst at the servers of a zone that is taken back, which do not say that they are
+/// cold.
+#[test]
+fn zone_that_is_taken_back_gets_few_requests() {
+    check(|store, _| {
+        store.put("op/evacuate/zone-a", &json!({}));
+        thread::sleep(NOTICE_TIME);
+        store.remove("op/evacuate/zone-a");
+    });
 }
--- a/crates/mangocross-serving/src/cold_servers/mod.rs
+++ b/crates/mangocross-serving/src/cold_servers/mod.rs
@@ -155,6 +155,21 @@
         is_news
     }
 
+    /// Records that a server gets requests again after its zone was evacuated; it may be cold.
+    pub fn record_taken_back(&mut self, server: &BackendServer, now: Moment) {
+        if let Some(start) = self.rules.get(&server.service).map(|it| it.start) {
+            self.record_told((&server.vm, server.engine.born_unix_ms), start, now);
+        }
+    }
+
+    /// Returns whether a request that was meant for a server since `chosen_at` may be sent to it: the
+    /// server is not cold, or a turn was taken since then, or there is one now.
+    pub fn may_send(&self, server: &BackendServer, chosen_at: Moment, now: Moment) -> bool {
+        self.cold(server, now).is_none_or(|it| {
+            it.turns.as_ref().is_some_and(|it| it.was_taken_since(chosen_at) || it.is_open(now))
+        })
+    }
+
     /// Queues what a process said for the other entry VMs.
     pub fn tell(&mut self, vm: &VmId, born_unix_ms: u64, left: Duration) {
         let left_ms = u32::try_from(left.min(COLD_TIME_MAX).as_millis()).unwrap_or(u32::MAX);
--- a/crates/mangocross-serving/src/cold_servers/turns.rs
+++ b/crates/mangocross-serving/src/cold_servers/turns.rs
@@ -57,6 +57,10 @@
         self.next_at <= now && is_held
     }
 
+    pub(super) fn was_taken_since(&self, moment: Moment) -> bool {
+        self.sent_at.is_some_and(|it| it >= moment)
+    }
+
     pub(super) fn take(&mut self, now: Moment) {
         self.sent_at = Some(now);
         self.next_at = now + self.pace.interval();
--- a/crates/mangocross-serving/tests/cold_servers.rs
+++ b/crates/mangocross-serving/tests/cold_servers.rs
@@ -271,6 +271,34 @@
     assert!(!cold.is_cold(&server(8), at(203_000)));
 }
 
+/// A connection took long, and the server became cold meanwhile or has had a turn since.
+#[test]
+fn request_is_sent_late_only_with_a_turn() {
+    let mut cold = cold_servers(RULE);
+    let (listed, own) = (server(7), Arc::<str>::from("front-1"));
+    let refresh = |cold: &mut ColdServers, now| {
+        cold.refresh(&own, std::iter::once(&own), std::iter::once(&listed), now, || 0.0);
+    };
+    refresh(&mut cold, at(0));
+    assert!(cold.may_send(&listed, at(3_900), at(4_000)), "it is not cold");
+    cold.record_told((&listed.vm, 7), Duration::from_secs(3), at(4_000));
+    assert!(!cold.may_send(&listed, at(3_900), at(4_000)), "there are no turns yet");
+    refresh(&mut cold, at(4_000));
+    assert!(cold.may_send(&listed, at(3_900), at(4_000)), "there is a turn");
+    cold.record_request(&listed.vm, at(4_000));
+    assert!(!cold.may_send(&listed, at(4_010), at(4_020)));
+    assert!(cold.may_send(&listed, at(4_000), at(4_020)), "the turn was taken for it");
+}
+
+#[test]
+fn server_is_cold_when_its_zone_is_taken_back() {
+    let mut cold = cold_servers(RULE);
+    let listed = server(7);
+    cold.record_listed(&listed.vm, 7, Duration::from_secs(60), at(0));
+    cold.record_taken_back(&listed, at(1_000));
+    assert!(cold.is_cold(&listed, at(3_900)) && !cold.is_cold(&listed, at(4_000)));
+}
+
 /// Without `cold_start_s` and `cold_per_s` nothing is limited.
 #[test]
 fn service_without_rule_is_not_limited() {
