--- a/bins/mangocross-front/tests/front/listed_addresses.rs
+++ b/bins/mangocross-front/tests/front/listed_addresses.rs
@@ -7,9 +7,11 @@
 
 use crate::platform::Front;
 use crate::platform::Store;
+use crate::platform::start_engines;
 use crate::platform::wait_until;
 
 const ADDRESSES: &str = "mangocross/entry/";
+const PLANNER_KEY: &str = "mangocross/planner";
 /// Time within which the lease of the first write ends, and more.
 const OBSERVED: Duration = Duration::from_secs(15);
 
@@ -44,3 +46,13 @@
     store.remove(&key(&front));
     wait_until("it is listed again", || store.contains_key(&key(&front)));
 }
+
+/// Guards against a planner that goes on without its listing when the lease of its address has ended.
+#[test]
+fn planner_whose_address_lease_has_ended_is_listed_again() {
+    let (store, _engines, front) = start_engines();
+    wait_until("it plans", || store.text(PLANNER_KEY).is_some_and(|it| it == front.name()));
+    store.end_lease_of(&key(&front));
+    wait_until("it is listed again", || store.contains_key(&key(&front)));
+    assert_eq!(store.text(PLANNER_KEY), Some(front.name()), "it plans on");
+}
