fix(platform): bytes of no request before an answer end the connection

Root cause: only the values of headers were searched for the start of another head, and only where answers to callers' requests were read. A copy that breaks off in its status line gives its status to the next answer, whose headers name the attempt and are signed: 200 with the body of a failure. Class: bytes that belong to no request are joined with an answer, and the check covers one place of the joint.

Change: `Connection::send`, through which all answers of servers, the store and entry VMs come, fails if the reason phrase holds a status line, or a header's value on a reused connection does. The connection ends, and what became of the request is unknown. The HTTP library rejects what is odd before the status line and the other cuts (inside version, status, line end, header name); the reason phrase and header values are the two places where any bytes are allowed.

Chunked bodies: a joint is no valid chunk.

Ruled out: any reason phrase but the usual one as odd; servers may use others, and the tests' do.

--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -15,8 +15,10 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use hyper::ext::ReasonPhrase;
 use hyper_util::rt::TokioIo;
 use mangocross_platform::ConnectionUse;
+use mangocross_platform::begins_as_another;
 use mangocross_serving::ConnectTimes;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -80,12 +82,22 @@
     }
 
     /// Sends a request and returns the head of its answer.
+    ///
+    /// Fails if the head is joined with bytes that belong to no request: its status and headers may be
+    /// those of different answers, so what became of the request is unknown.
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let sent = self.sender.send_request(request).await;
-        sent.map_err(|it| ExchangeError { reason: it.to_string(), is_unsent: it.is_canceled() })
+        let response = sent
+            .map_err(|it| ExchangeError { reason: it.to_string(), is_unsent: it.is_canceled() })?;
+        let reason = response.extensions().get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
+        if begins_as_another(reason, response.headers(), self.connection_use()) {
+            let reason = "the answer is joined with a part of another one".to_owned();
+            return Err(ExchangeError { reason, is_unsent: false });
+        }
+        Ok(response)
     }
 }
 
