fix(front): a late write of an address undoes no newer one

Root cause: the write of a VM's address had no condition, so the store could carry it out after a newer one and bind the address to a lease that nobody renews; and no VM looked whether it is still listed. An unlisted VM is told of no crashes and sends on what crashes servers. Class: an unconditional write that may come late undoes a newer one, and what must persist isn't watched.

Change: each write of the address is conditional on the revision that is known of the key; a conflict tells the present one. `PublishedAddress` compares the list of this VM's view with what was written, every 600 ms, and writes the address again if it is missing or of another write. A VM whose view lacks the key asks at most every 4 s while the store confirms it. Log line `address written again`.

The same cause elsewhere (all writes of the store client): - planning.rs `write_plan`: conditional on the plan and on the planner's key. - leases.rs `try_become_planner`: conditional on an absent key; a late one is bound to a lease of 2 s. - leases.rs deletion of a planner's key of another era: conditional on its revision. - leases.rs `renew_lease`, `grant_lease`: late ones prolong or grant a lease of this VM only. - leases.rs `end_lease`: a late one may end another VM's lease after a return to a copy, which gives numbers out again; that VM's renewal then fails and it lists itself again. - the planner's key: its removal is watched since long (`lease_wakeup`).

--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -26,6 +26,8 @@
 const ADDRESS_LEASE_TTL: Duration = Duration::from_millis(12_000);
 /// Time between renewals of the address lease; two may be lost.
 const ADDRESS_RENEW_INTERVAL: Duration = Duration::from_millis(4000);
+/// Attempts to write the address while its key has other revisions than expected.
+const ADDRESS_WRITES_MAX: usize = 3;
 /// TTL of the planner's lease; limits the time without a planner after a crash.
 const PLANNER_LEASE_TTL: Duration = Duration::from_millis(2000);
 /// Time after the last renewal in which the planner's lease may have survived an outage of the store.
@@ -109,38 +111,87 @@
     }
 }
 
-/// Publishes this VM's address, renews its lease and becomes the planner if there is none; fails
-/// when a lease is lost.
+/// Publishes this VM's address, keeps it listed and becomes the planner if there is none; fails when a
+/// lease is lost.
 async fn maintain_leases(state: &AppState) -> Result<(), StoreError> {
-    let address_lease = grant_lease(state, ADDRESS_LEASE_TTL).await?;
-    publish_address(state, address_lease).await?;
+    let mut address = PublishedAddress::publish(state).await?;
     loop {
+        if state.is_stopping() {
+            address.lease.check(state)?;
+            end_lease(state, address.lease).await?;
+            std::future::pending::<()>().await;
+        }
+        address.maintain(state).await?;
+        let planner_lease = try_become_planner(state).await?;
+        if let Some(lease) = planner_lease {
+            maintain_planner_lease(state, lease, &mut address).await?;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(PLANNER_RENEW_INTERVAL) => {}
+            () = state.lease_wakeup.notified() => {}
+        }
+    }
+}
+
+/// This VM's address as it was last written.
+#[derive(Debug, Clone, Copy)]
+struct PublishedAddress {
+    lease: Lease,
+    revision: StoreRevision,
+    renewed_at: Moment,
+    /// When the store last told that the address is listed although this VM's view lacks it.
+    confirmed_at: Option<Moment>,
+}
+
+impl PublishedAddress {
+    /// Publishes this VM's address under a new lease.
+    async fn publish(state: &AppState) -> Result<Self, StoreError> {
         let renewed_at = state.now();
-        match renew_lease(state, address_lease).await {
-            Ok(()) => {}
-            Err(error) if has_ended(&error) => return Err(error),
-            // The lease goes on if the store does not answer; it is renewed next time.
-            Err(error) => {
-                if state.log_rate.allow("address lease not renewed", renewed_at).is_some() {
-                    log::info!(error:% = error; "address lease not renewed");
+        let lease = grant_lease(state, ADDRESS_LEASE_TTL).await?;
+        let revision = write_address(state, lease, None).await?;
+        Ok(Self { lease, revision, renewed_at, confirmed_at: None })
+    }
+
+    /// Renews the lease if that is due, and writes the address again if it is no longer listed as it
+    /// was written; fails if the lease has ended.
+    async fn maintain(&mut self, state: &AppState) -> Result<(), StoreError> {
+        self.lease.check(state)?;
+        let now = state.now();
+        if now.since(self.renewed_at) >= ADDRESS_RENEW_INTERVAL {
+            self.renewed_at = now;
+            match renew_lease(state, self.lease).await {
+                Ok(()) => {}
+                Err(error) if has_ended(&error) => return Err(error),
+                // The lease goes on if the store does not answer; it is renewed next time.
+                Err(error) => {
+                    if state.log_rate.allow("address lease not renewed", now).is_some() {
+                        log::info!(error:% = error; "address lease not renewed");
+                    }
                 }
             }
         }
-        while state.now().since(renewed_at) < ADDRESS_RENEW_INTERVAL {
-            address_lease.check(state)?;
-            if state.is_stopping() {
-                end_lease(state, address_lease).await?;
-                std::future::pending::<()>().await;
-            }
-            let planner_lease = try_become_planner(state).await?;
-            if let Some(lease) = planner_lease {
-                maintain_planner_lease(state, lease, address_lease).await?;
-            }
-            tokio::select! {
-                () = tokio::time::sleep(PLANNER_RENEW_INTERVAL) => {}
-                () = state.lease_wakeup.notified() => {}
-            }
+        let is_confirmed =
+            self.confirmed_at.is_some_and(|it| now.since(it) < ADDRESS_RENEW_INTERVAL);
+        if is_confirmed || self.is_listed(state) || state.is_store_lost.get() {
+            return Ok(());
+        }
+        let former = self.revision;
+        self.revision = write_address(state, self.lease, Some(former)).await?;
+        if self.revision == former {
+            self.confirmed_at = Some(now);
+        } else {
+            let (former, revision) = (former.revision.0, self.revision.revision.0);
+            log::warn!(former, revision; "address written again");
         }
+        Ok(())
+    }
+
+    /// Returns whether the address is listed as it was written, unless the view of this VM is older.
+    fn is_listed(&self, state: &AppState) -> bool {
+        let view = state.view.borrow();
+        let is_recent = view.latest_revision.is_some_and(|it| it >= self.revision);
+        let listed = view.entry_vm_keys.get(address_key(state).as_str());
+        !is_recent || listed.is_some_and(|it| it.revision == self.revision)
     }
 }
 
@@ -176,28 +227,21 @@
     matches!(error, StoreError::Refused { status: StatusCode::NOT_FOUND } | StoreError::EraChanged)
 }
 
-/// Renews the planner's lease and the address lease until the former ends, this VM no longer follows
+/// Renews the planner's lease and keeps the address listed until the former ends, this VM no longer follows
 /// the store or the process stops.
 async fn maintain_planner_lease(
     state: &AppState,
     lease: Lease,
-    address_lease: Lease,
+    address: &mut PublishedAddress,
 ) -> Result<(), StoreError> {
     let mut renewed_at = state.now();
     let mut renewed_since = Some(renewed_at);
-    let mut address_renewed_at = renewed_at;
     while !state.is_stopping() {
         tokio::select! {
             () = tokio::time::sleep(PLANNER_RENEW_INTERVAL) => {}
             () = state.lease_wakeup.notified() => {}
         }
         let asked_at = state.now();
-        if asked_at.since(address_renewed_at) > ADDRESS_RENEW_INTERVAL {
-            match renew_lease(state, address_lease).await {
-                Ok(()) => address_renewed_at = asked_at,
-                Err(error) => log::warn!(error:% = error; "address lease not renewed"),
-            }
-        }
         match renew_lease(state, lease).await {
             Ok(()) => {
                 renewed_at = asked_at;
@@ -215,6 +259,11 @@
         let term = state.planner_term.get();
         let confirmed = term.map(|it| PlannerTerm { confirmed_at: renewed_at, ..it });
         state.planner_term.set(confirmed);
+        if let Err(error) = address.maintain(state).await
+            && state.log_rate.allow("planner's address not maintained", state.now()).is_some()
+        {
+            log::warn!(error:% = error; "planner's address not maintained");
+        }
         let is_useless = state.is_cut_off_for(CUT_OFF_TERM_MAX);
         if is_useless || state.store_view.borrow().must_give_up_term(state.now(), renewed_since) {
             return give_up_term(state, lease).await;
@@ -241,16 +290,44 @@
     Ok(())
 }
 
-async fn publish_address(state: &AppState, lease: Lease) -> Result<(), StoreError> {
-    let key = format!("{ENTRY_VMS_PREFIX}{}", state.vm.name);
-    let value = state.listing().to_string().into_bytes();
-    let put = StorePut { key, value, lease: Some(lease.id) };
-    let answer = state.store.call(StoreCall::write(&[], &[put], &[]), CALL_TIMEOUT).await?;
-    lease.check(state)?;
-    match WriteOutcome::decode(answer.status, &answer.body, answer.era)? {
-        WriteOutcome::Written(_) => Ok(()),
-        _ => Err(StoreError::Refused { status: answer.status }),
+fn address_key(state: &AppState) -> String {
+    format!("{ENTRY_VMS_PREFIX}{}", state.vm.name)
+}
+
+/// Writes this VM's address unless the key has the revision `own`; returns the key's revision.
+///
+/// The store may carry out a write seconds later. Each one has the condition that the key is still as
+/// it was known, so that it cannot undo a later one and bind the address to a lease of the past.
+async fn write_address(
+    state: &AppState,
+    lease: Lease,
+    own: Option<StoreRevision>,
+) -> Result<StoreRevision, StoreError> {
+    let key = address_key(state);
+    let known = state.view.borrow().entry_vm_keys.get(key.as_str()).map(|it| it.revision);
+    let known = known.filter(|it| it.era == lease.era);
+    let mut expected = known.map_or(Revision(0), |it| it.revision);
+    for _ in 0..ADDRESS_WRITES_MAX {
+        let value = state.listing().to_string().into_bytes();
+        let put = StorePut { key: key.clone(), value, lease: Some(lease.id) };
+        let call = StoreCall::write(&[(&key, expected)], &[put], &[]);
+        let answer = state.store.call(call, CALL_TIMEOUT).await?;
+        lease.check(state)?;
+        match WriteOutcome::decode(answer.status, &answer.body, answer.era)? {
+            WriteOutcome::Written(revision) => return Ok(revision),
+            WriteOutcome::Conflict(items) => {
+                let present = items.into_iter().find(|it| it.key == key).map(|it| it.revision);
+                if let Some(present) = present.filter(|it| Some(*it) == own) {
+                    return Ok(present);
+                }
+                expected = present.map_or(Revision(0), |it| it.revision);
+            }
+            WriteOutcome::NoLease | WriteOutcome::Unavailable => {
+                return Err(StoreError::Refused { status: answer.status });
+            }
+        }
     }
+    Err(StoreError::Refused { status: StatusCode::PRECONDITION_FAILED })
 }
 
 /// Returns the delay before this VM tries to become the planner; longer the less capacity it has.
