fix(front): gauges of admission return to 1 when streams end

Cause: a gauge keeps its last value, so a model whose streams ended while capacity was short, or a class that came no more, stayed at its last ratio. Nor did a shortage of more than a second ago end without streams. Change: all classes seen are recorded, with 1 once the ratios are a second old; the capacity known to an entry VM is derived in one place for the front and the played fleet, whose engine is now the one of the other tests.

--- a/bins/mangocross-front/src/demand.rs
+++ b/bins/mangocross-front/src/demand.rs
@@ -6,7 +6,6 @@
 use log::kv::Value;
 use mangocross_serving::CompetitionRules;
 use mangocross_serving::DemandReport;
-use mangocross_serving::DemandSource;
 use mangocross_serving::FirstEventTimes;
 use mangocross_serving::GroupTimes;
 use mangocross_serving::HeadLoad;
@@ -64,17 +63,8 @@
         view.competition.demand.record(&target.key, class, customer, cost, now);
         let entry_vms = view.entry_vm_count();
         let ClusterView { competition, loads, .. } = &mut *view;
-        let counts_age = loads.totals_age(now);
-        let capacity = |source| {
-            let capacity = ModelCapacity::new(&target.times, heads, counts_age.unwrap_or_default());
-            match (source, counts_age) {
-                (DemandSource::OwnStreams, None) => {
-                    let own = heads.iter().filter_map(|it| loads.local().get(&it.vm));
-                    capacity.with_own_counts(own.map(|it| it.in_flight).sum(), entry_vms)
-                }
-                _ => capacity,
-            }
-        };
+        let capacity =
+            |source| ModelCapacity::known(&target.times, heads, loads, (source, entry_vms), now);
         let (competition, has_changed) =
             competition.update(&target.key, entry_vms, rules, now, capacity);
         if has_changed && self.log_rate.allow("capacity short", now).is_some() {
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -239,14 +239,15 @@
             view.blame.quarantined().partition(CrashCause::is_request);
         self.quarantined_parts.record(parts.len() as f64, &[]);
         self.quarantined_requests.record(requests.len() as f64, &[]);
-        for (model, it) in view.competition.recent(now) {
-            let model = KeyValue::new("model", model.model.to_string());
-            let is_short = f64::from(u8::from(it.ratios().is_short));
-            self.capacity_short.record(is_short, std::slice::from_ref(&model));
-            for (class, ratio) in it.ratios().classes() {
+        for (key, it) in view.competition.models() {
+            let model = KeyValue::new("model", key.model.to_string());
+            let labels = [model, KeyValue::new("service", key.service.to_string())];
+            self.capacity_short.record(f64::from(u8::from(it.is_short(now))), &labels);
+            for (class, ratio) in it.class_ratios(now) {
+                let [model, service] = labels.clone();
                 let priority = KeyValue::new("priority", i64::from(class.priority));
                 let timing = KeyValue::new("timing", class.timing.name());
-                self.admission_ratio.record(ratio, &[model.clone(), priority, timing]);
+                self.admission_ratio.record(ratio, &[model, service, priority, timing]);
             }
         }
         let waiting: u32 = view.loads.local().values().map(|it| it.waiting).sum();
--- a/crates/mangocross-serving/src/competition.rs
+++ b/crates/mangocross-serving/src/competition.rs
@@ -12,6 +12,7 @@
 mod ratios;
 mod return_time;
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -40,7 +41,7 @@
 /// Time for which ratios are used before they are derived anew.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(25);
 /// Age at which the ratios of a model without streams are dropped.
-const COMPETITION_AGE_MAX: Duration = Duration::from_secs(10);
+const COMPETITION_AGE_MAX: Duration = Duration::from_secs(60);
 
 /// Which rules apply to a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,12 +89,13 @@
 /// The competition for one model's groups.
 #[derive(Debug, Default)]
 pub struct ModelCompetition {
-    short_since: Option<Moment>,
     error: FirstEventError,
     error_known_at: Option<Moment>,
     ratios: AdmissionRatios,
     updated_at: Moment,
     inputs: RatioInputs,
+    /// Classes of which there were streams.
+    classes: BTreeSet<StreamClass>,
 }
 
 /// What the ratios are based on, for logs.
@@ -138,7 +140,7 @@
             in_flight: capacity.in_flight(),
             slots: capacity.slots(),
         };
-        let was_short = self.short_since.is_some();
+        let was_short = self.is_short(now);
         let reduction = match rules.ranks_late && was_short {
             true => self.error.capacity_reduction(now),
             false => 0.0,
@@ -148,11 +150,8 @@
             capacity = capacity.with_begun(f64::from(demand.begun) / WINDOW.as_secs_f64());
         }
         self.ratios = admission_ratios(demand, &capacity, rules, was_short);
+        self.classes.extend(demand.classes.iter().map(|it| it.class));
         self.updated_at = now;
-        self.short_since = match self.ratios.is_short {
-            true => self.short_since.or(Some(now)),
-            false => None,
-        };
         was_short != self.ratios.is_short
     }
 
@@ -161,6 +160,19 @@
         &self.ratios
     }
 
+    /// Returns whether the capacity is short, by ratios that are recent.
+    pub fn is_short(&self, now: Moment) -> bool {
+        self.ratios.is_short && now.since(self.updated_at) < WINDOW
+    }
+
+    /// Returns all classes of which there were streams, and the shares that are admitted of the streams
+    /// of customers that are not limited.
+    pub fn class_ratios(&self, now: Moment) -> impl Iterator<Item = (StreamClass, f64)> {
+        let is_short = self.is_short(now);
+        let ratio = move |it| if is_short { self.ratios.ratio(it, None) } else { 1.0 };
+        self.classes.iter().map(move |it| (*it, ratio(*it)))
+    }
+
     /// Returns what the ratios are based on.
     pub fn inputs(&self) -> RatioInputs {
         self.inputs
@@ -235,9 +247,9 @@
         self.models.get(model)
     }
 
-    /// Returns the competitions that were updated within a second.
-    pub fn recent(&self, now: Moment) -> impl Iterator<Item = (&ModelKey, &ModelCompetition)> {
-        self.models.iter().filter(move |(_, it)| now.since(it.updated_at) < WINDOW)
+    /// Returns the competitions for the models that got streams.
+    pub fn models(&self) -> impl Iterator<Item = (&ModelKey, &ModelCompetition)> {
+        self.models.iter()
     }
 
     /// Removes what has expired.
--- a/crates/mangocross-serving/src/competition/capacity.rs
+++ b/crates/mangocross-serving/src/competition/capacity.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use super::fleet_demand::likely_total;
+use crate::DemandSource;
 use crate::GroupTimes;
 use crate::HeadLoad;
+use crate::LoadTable;
+use crate::Moment;
 
 /// Time in which free slots are to be filled. A shorter time overshoots with counts that are 0.25 to
 /// 0.5 s old.
@@ -36,6 +39,26 @@
 }
 
 impl ModelCapacity {
+    /// Derives the capacity of the usable heads as an entry VM knows it, of which there are
+    /// `entry_vms`; `source` tells how it knows the demand.
+    ///
+    /// Without contact to the others, its own requests in progress are all that it knows.
+    pub fn known(
+        times: &GroupTimes,
+        heads: &[HeadLoad],
+        loads: &LoadTable,
+        (source, entry_vms): (DemandSource, usize),
+        now: Moment,
+    ) -> Self {
+        let totals_age = loads.totals_age(now);
+        let this = Self::new(times, heads, totals_age.unwrap_or_default());
+        if source != DemandSource::OwnStreams || totals_age.is_some() {
+            return this;
+        }
+        let own = heads.iter().filter_map(|it| loads.local().get(&it.vm));
+        this.with_own_counts(own.map(|it| it.in_flight).sum(), entry_vms)
+    }
+
     /// Derives the capacity of the usable heads from counts of an age.
     pub fn new(times: &GroupTimes, heads: &[HeadLoad], counts_age: Duration) -> Self {
         let head = |it: &HeadLoad| HeadCapacity {
@@ -55,8 +78,7 @@
     }
 
     /// Replaces the requests in progress by those of one entry VM, times the number of entry VMs.
-    #[must_use]
-    pub fn with_own_counts(mut self, own_in_flight: u32, entry_vms: usize) -> Self {
+    fn with_own_counts(mut self, own_in_flight: u32, entry_vms: usize) -> Self {
         let total = likely_total(f64::from(own_in_flight), entry_vms);
         let mean = total / self.heads.len().max(1) as f64;
         self.heads.iter_mut().for_each(|it| it.in_flight = mean);
--- a/crates/mangocross-serving/src/competition/ratios.rs
+++ b/crates/mangocross-serving/src/competition/ratios.rs
@@ -74,12 +74,6 @@
         of_customer.map_or(found.customers.common, |(_, ratio)| *ratio)
     }
 
-    /// Returns the classes and the shares that are admitted of the streams of customers that are not
-    /// limited.
-    pub fn classes(&self) -> impl Iterator<Item = (StreamClass, f64)> {
-        self.classes.iter().map(|it| (it.class, it.customers.common))
-    }
-
     /// Returns the streams each second for which the others leave capacity.
     pub(super) fn free_per_s(&self) -> f64 {
         let late = self.classes.iter().filter(|it| it.class.timing != Timing::InTime);
--- a/crates/mangocross-serving/tests/competing_fleet/mod.rs
+++ b/crates/mangocross-serving/tests/competing_fleet/mod.rs
@@ -9,7 +9,6 @@
 use mangocross_serving::Candidates;
 use mangocross_serving::Competition;
 use mangocross_serving::CompetitionRules;
-use mangocross_serving::DemandSource;
 use mangocross_serving::Draws;
 use mangocross_serving::EngineSpec;
 use mangocross_serving::FirstEventTimes;
@@ -18,7 +17,6 @@
 use mangocross_serving::LoadTable;
 use mangocross_serving::ModelCapacity;
 use mangocross_serving::ModelKey;
-use mangocross_serving::ModelSpec;
 use mangocross_serving::Moment;
 use mangocross_serving::NewStream;
 use mangocross_serving::StreamClass;
@@ -29,6 +27,8 @@
 use mangocross_types::CustomerId;
 use mangocross_types::VmId;
 
+use crate::figures::engine_spec;
+
 const STEP_MS: u64 = 5;
 const REPORT_INTERVAL_MS: u64 = 250;
 const DEADLINE: Duration = Duration::from_secs(6);
@@ -123,27 +123,14 @@
         rules: CompetitionRules,
         seed: u64,
     ) -> Self {
-        let model = ModelSpec {
-            model: "m".parse().expect("a valid id"),
-            group_size: 2,
-            share: 1.0,
-            slowdown: 1.0,
-            load_time: Duration::ZERO,
-            staged_load_time: Duration::ZERO,
-        };
         let engine = EngineSpec {
-            models: vec![model.clone()],
             slots: SLOTS,
             stride: STRIDE,
-            step_ms: 6.0,
-            step_per_request_ms: 0.1,
-            read_tokens_per_s: 60_000.0,
             usual_prompt_tokens: f64::from(PROMPT),
             usual_answer_tokens: f64::from(TOKENS),
-            loads_per_s: 1.0,
-            loads_at_once: 1,
-            forming_time: Duration::ZERO,
+            ..engine_spec()
         };
+        let model = engine.models[0].clone();
         let id = |it: usize| format!("i-{it}").parse().expect("a valid id");
         let customer = |it: usize| format!("c-{it}").parse().expect("a valid id");
         let customers = loads.iter().map(|it| it.customers.len()).max().unwrap_or(0);
@@ -156,11 +143,8 @@
             now_ms: 10_000,
             loads,
             seconds: HashMap::new(),
-            model: ModelKey {
-                service: "s".parse().expect("a valid id"),
-                model: model.model.clone(),
-            },
             times: GroupTimes::new(&engine, &model),
+            model: ModelKey { service: "s".parse().expect("a valid id"), model: model.model },
             engine,
             names: (0..heads).map(id).collect(),
             customers: (0..customers).map(customer).collect(),
@@ -321,15 +305,9 @@
             .collect();
         let demand = &mut vm.competition.demand;
         demand.record(&self.model, class, Some(&customer), stream_cost(PROMPT, TOKENS), now);
-        let age = vm.loads.totals_age(now);
-        let own: u32 = vm.loads.local().values().map(|it| it.in_flight).sum();
-        let capacity = |source| {
-            let capacity = ModelCapacity::new(&self.times, &heads, age.unwrap_or_default());
-            match (source, age) {
-                (DemandSource::OwnStreams, None) => capacity.with_own_counts(own, entry_vms),
-                _ => capacity,
-            }
-        };
+        let (times, loads) = (&self.times, &vm.loads);
+        let capacity =
+            |source| ModelCapacity::known(times, &heads, loads, (source, entry_vms), now);
         let (competition, _) =
             vm.competition.update(&self.model, entry_vms, self.rules, now, capacity);
         let new = NewStream {
--- a/crates/mangocross-serving/tests/competition.rs
+++ b/crates/mangocross-serving/tests/competition.rs
@@ -1,6 +1,7 @@
 //! Bursts, lost groups and lost contact on a fleet whose streams compete for a model's groups.
 
 mod competing_fleet;
+mod figures;
 
 use std::time::Duration;
 
