fix(serving): shares of requests that leave a zone don't flap where all zones are about as full

Cause: beside a zone with little to spare, shares below a step began and ended with each variation of the demand: 40 begins in 100 s at 0.90 of the capacity beside a zone at 0.88.

Change: a zone begins to send only where the shares come to a step or more.

Test: amounts_do_not_flap has cases with fuller other zones; red before. Its bounds (one begin, 20 changes) are as before; the other zone's demand varies by the same amount around 40 in place of 38 to 42.

--- a/crates/mangocross-serving/src/zone_balance.rs
+++ b/crates/mangocross-serving/src/zone_balance.rs
@@ -164,7 +164,12 @@
             (_, None) => false,
         };
         let targets: Vec<&ZoneFigures> = accepting.iter().filter(pays).copied().collect();
-        let shares = distribute(own, others, &targets, wanted.share, level);
+        let mut shares = distribute(own, others, &targets, wanted.share, level);
+        // Less than a step is not worth a begin, which its end would soon follow.
+        let total: f64 = shares.iter().map(|it| it.1).sum();
+        if self.shares.is_empty() && total < SHARE_STEP {
+            shares.clear();
+        }
         self.apply(shares, reason, wanted.share, now)
     }
 
--- a/crates/mangocross-serving/tests/zone_balance.rs
+++ b/crates/mangocross-serving/tests/zone_balance.rs
@@ -219,21 +219,25 @@
     assert!((to_b - to_c).abs() < 4.0, "{to_b} {to_c}");
 }
 
-/// Guards against amounts that flap while demand varies around the limits.
+/// Guards against amounts that flap while demand varies around the limits, beside a zone with much to
+/// spare and beside one that is about as full.
 #[test]
 fn amounts_do_not_flap() {
     for mean in [75.0, 80.0, 85.0, 90.0, 95.0, 120.0] {
-        let mut rng = Rng::with_seed(11);
-        let mut balance = ZoneBalance::default();
-        let (mut changes, mut begins) = (0, 0);
-        for tick in 0..400 {
-            let was_leaving = !balance.shares().is_empty();
-            let own = figures("a", mean + 4.0 * (rng.f64() - 0.5), 10);
-            let others = [figures("b", 38.0 + 4.0 * rng.f64(), 10)];
-            changes += u32::from(update(&mut balance, tick * 250, &own, &others));
-            begins += u32::from(!was_leaving && !balance.shares().is_empty());
+        for other_mean in [40.0, 78.0, 88.0, 95.0] {
+            let mut rng = Rng::with_seed(11);
+            let mut balance = ZoneBalance::default();
+            let (mut changes, mut begins) = (0, 0);
+            for tick in 0..400 {
+                let was_leaving = !balance.shares().is_empty();
+                let own = figures("a", mean + 4.0 * (rng.f64() - 0.5), 10);
+                let others = [figures("b", other_mean + 4.0 * (rng.f64() - 0.5), 10)];
+                changes += u32::from(update(&mut balance, tick * 250, &own, &others));
+                begins += u32::from(!was_leaving && !balance.shares().is_empty());
+            }
+            let case = format!("demand {mean} beside {other_mean}");
+            assert!(begins <= 1, "{case}: {begins} begins in 100 s");
+            assert!(changes <= 20, "{case}: {changes} changes in 100 s");
         }
-        assert!(begins <= 1, "demand {mean}: {begins} begins");
-        assert!(changes <= 20, "demand {mean}: {changes} changes in 100 s");
     }
 }
