fix(serving): streams of equal priority queue rather than be refused

Cause: where a service's streams have equal priorities, customers above their fair shares were limited as soon as more than 0.85 of the slots were needed.

Change: without priorities the capacity counts a tenth of the slots as queue.

--- a/crates/mangocross-serving/src/competition/ratios.rs
+++ b/crates/mangocross-serving/src/competition/ratios.rs
@@ -29,6 +29,9 @@
 /// Share of the slots that may be in use, so that the groups' queues stay empty although their loads
 /// differ.
 const USED_SLOTS: f64 = 0.85;
+/// The same where streams have equal priorities: a refused stream costs its caller more than one that
+/// waits in a group's queue, so customers are limited only beyond that.
+const QUEUED_SLOTS: f64 = 1.1;
 /// Time in which streams of a less urgent priority cannot be held back yet, since it takes as long
 /// to learn of them.
 const REPORT_HORIZON: Duration = Duration::from_millis(500);
@@ -190,11 +193,15 @@
 ) -> AdmissionRatios {
     let mut rates = rates(demand);
     let demand_per_s: f64 = rates.iter().map(|(_, per_s)| per_s).sum();
-    let capacity_per_s = capacity.streams_per_s(USED_SLOTS);
+    let used_slots = if rules.has_priorities { USED_SLOTS } else { QUEUED_SLOTS };
+    let capacity_per_s = capacity.streams_per_s(used_slots);
     let slots = capacity.slots();
     let ceiling_per_s: Vec<f64> = rates
         .iter()
-        .map(|(it, _)| capacity.streams_per_s(slot_ceiling(it.class, &rates, slots)))
+        .map(|(it, _)| {
+            let ceiling = slot_ceiling(it.class, &rates, slots) + used_slots - USED_SLOTS;
+            capacity.streams_per_s(ceiling)
+        })
         .collect();
     let sufficient_share = if was_short { SUFFICIENT_SHARE } else { 1.0 };
     let mut sum = 0.0;
--- a/crates/mangocross-serving/tests/competing_fleet/mod.rs
+++ b/crates/mangocross-serving/tests/competing_fleet/mod.rs
@@ -300,7 +300,8 @@
             .map(|(name, _)| {
                 let load = vm.loads.load(name, now);
                 let (in_flight, waiting) = (load.in_flight, load.waiting);
-                HeadLoad { vm: name.clone(), in_flight, waiting, slowdown: 1.0 }
+                let (vm, zone) = (name.clone(), "z1".parse().expect("a valid zone"));
+                HeadLoad { vm, zone, in_flight, waiting, slowdown: 1.0 }
             })
             .collect();
         let demand = &mut vm.competition.demand;
