fix(front): all groups are candidates where no zone is known to have room

Cause: the last tier of groups was the own zone alone as long as no other zone was known to have room.

--- a/bins/mangocross-front/src/head_candidates.rs
+++ b/bins/mangocross-front/src/head_candidates.rs
@@ -88,8 +88,10 @@
             it.zone == *own_zone || rules.zones.is_none_or(|zones| zones.allows(&it.zone))
         };
         let allowed: Vec<HeadLoad> = heads.iter().filter(is_allowed).cloned().collect();
-        // Without any zone that is known to have room, the heads themselves decide.
-        let rest = if allowed.is_empty() { heads } else { allowed };
+        // Without another zone that is known to have room, the heads themselves decide. If all zones
+        // are short, each would otherwise queue what another one has room for by chance.
+        let has_other_zone = allowed.iter().any(|it| it.zone != *own_zone);
+        let rest = if has_other_zone { allowed } else { heads };
         tiers.push(HeadTier { heads: rest, is_subset: false, leave_reason: rest_reason });
         tiers
     }
--- a/crates/mangocross-serving/tests/admission_ratios.rs
+++ b/crates/mangocross-serving/tests/admission_ratios.rs
@@ -65,6 +65,7 @@
     let engine = engine_spec();
     let head = |it: usize| HeadLoad {
         vm: format!("i-{it}").parse().expect("a valid id"),
+        zone: "z1".parse().expect("a valid zone"),
         in_flight,
         waiting: 0,
         slowdown: 1.0,
