fix(front): servers that are listed again are cold; a fleet's burst at a new server is tested

Cause: a zone that was cut off comes back with the same processes, which started long ago; if the message that tells of their coldness is lost, an entry VM takes them for warm until their entries arrive.

Change: a process that is listed again after 5 s counts as cold for `cold_start_s`.

--- a/bins/mangocross-front/tests/front/cold_servers.rs
+++ b/bins/mangocross-front/tests/front/cold_servers.rs
@@ -11,6 +11,7 @@
 use crate::platform::Server;
 use crate::platform::Store;
 use crate::platform::wait_for_metric;
+use crate::relays::start_fleet_of;
 
 /// Entry VMs that send to the same servers.
 const FRONT_COUNT: usize = 3;
@@ -118,3 +119,33 @@
         store.remove("op/evacuate/zone-a");
     });
 }
+
+/// Guards against a burst at a server that appears, of a fleet whose entry VMs learn of it in several
+/// ways: from the store, from relays and from the planner.
+#[test]
+fn cold_server_that_appears_gets_few_requests_of_a_fleet() {
+    let (store, servers, fronts) = start_fleet_of(|it| Front::spawn_logged(it, 60_000, 1.0));
+    // The entry VMs prefer the server that appears, which is in their zone.
+    servers.iter().for_each(|it| it.set_zone("zone-b"));
+    store.configure_with(4, &["k1"], |it| {
+        it["services"][1]["cold_start_s"] = json!(COLD_TIME.as_secs());
+        it["services"][1]["cold_per_s"] = json!(COLD_PER_S);
+    });
+    for it in &fronts {
+        wait_for_metric(it, "front_configuration_version 4");
+    }
+    thread::sleep(SETTLING_TIME);
+    let cold = thread::scope(|scope| {
+        let sending = scope.spawn(|| send_until(&fronts, Instant::now() + COLD_TIME));
+        thread::sleep(NOTICE_TIME);
+        let began = Instant::now();
+        let cold = Server::spawn_cold(&store, "r3", "records", COLD_TIME);
+        let statuses = sending.join().expect("callers");
+        assert!(statuses.iter().all(|it| *it == 200), "the other servers take the rest");
+        (cold, began)
+    });
+    let (cold, began) = cold;
+    let busiest = busiest_second(&cold, began, began + COLD_TIME);
+    assert!(busiest <= ALLOWED, "{busiest} requests in a second at a cold server");
+    assert!(busiest > 0, "the cold server is used");
+}
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -160,7 +160,17 @@
         service: &str,
         advertise: impl FnOnce(SocketAddr) -> SocketAddr,
     ) -> Self {
-        let state = Arc::new(Mutex::new(State::default()));
+        Self::spawn_in_state(store, id, service, advertise, State::default())
+    }
+
+    fn spawn_in_state(
+        store: &Store,
+        id: &str,
+        service: &str,
+        advertise: impl FnOnce(SocketAddr) -> SocketAddr,
+        state: State,
+    ) -> Self {
+        let state = Arc::new(Mutex::new(state));
         let server_cell = Arc::new(Mutex::new(None::<Self>));
         let served_cell = Arc::clone(&server_cell);
         let machine = Arc::new(Machine::default());
--- a/bins/mangocross-front/tests/front/platform/servers/cold.rs
+++ b/bins/mangocross-front/tests/front/platform/servers/cold.rs
@@ -8,8 +8,10 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::super::Store;
 use super::super::lock;
 use super::Server;
+use super::State;
 
 /// How a server says that it is cold.
 #[derive(Debug, Default)]
@@ -45,6 +47,13 @@
 }
 
 impl Server {
+    /// Starts a server that is cold for a while, which its first entry says.
+    pub(crate) fn spawn_cold(store: &Store, id: &str, service: &str, time: Duration) -> Self {
+        let mut state = State::default();
+        (state.cold.until, state.cold.is_in_entry) = (Some(Instant::now() + time), true);
+        Self::spawn_in_state(store, id, service, |it| it, state)
+    }
+
     /// Makes the server cold for a while, which its entry says.
     pub(crate) fn set_cold_in_entry(&self, time: Duration) {
         let mut state = lock(&self.state);
--- a/crates/mangocross-serving/src/cold_servers/mod.rs
+++ b/crates/mangocross-serving/src/cold_servers/mod.rs
@@ -28,8 +28,10 @@
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(2);
 /// Time by which a server has to be cold for longer than is known for other entry VMs to be told.
 const NEWS_MIN: Duration = Duration::from_millis(300);
+/// Time after which a server that is listed again has been away; it may have lost what made it warm.
+const AWAY_MIN: Duration = Duration::from_secs(5);
 /// Time for which a process is remembered after its server was last listed.
-const RETENTION: Duration = Duration::from_secs(60);
+const RETENTION: Duration = Duration::from_secs(600);
 
 /// What an entry VM tells the others of a cold server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,6 +64,8 @@
     seen_at: Moment,
     /// Age of the process when it was first seen.
     age: Duration,
+    /// When it was listed again after it had been away.
+    back_at: Option<Moment>,
     /// Revision of the last entry that said for how long it is cold.
     entry: Option<StoreRevision>,
     /// Until when it was said to be cold.
@@ -77,12 +81,23 @@
         let (seen_at, listed_at) = (now, now);
         let (entry, told_until) = (None, Moment::default());
         let (turns, turns_of) = (None, None);
-        Self { born_unix_ms, seen_at, age, entry, told_until, listed_at, turns, turns_of }
+        Self {
+            born_unix_ms,
+            seen_at,
+            age,
+            back_at: None,
+            entry,
+            told_until,
+            listed_at,
+            turns,
+            turns_of,
+        }
     }
 
     fn cold_until(&self, rule: &ColdRule) -> Moment {
         let since_start = (rule.start + CLOCK_TOLERANCE).saturating_sub(self.age);
-        self.told_until.max(self.seen_at + since_start.min(rule.start))
+        let back_until = self.back_at.map_or(Moment::default(), |it| it + rule.start);
+        self.told_until.max(self.seen_at + since_start.min(rule.start)).max(back_until)
     }
 }
 
@@ -101,9 +116,16 @@
 
 impl ColdServers {
     /// Records that a process is listed, and its age by the wall clock.
+    ///
+    /// `refresh` records that it still is.
     pub fn record_listed(&mut self, vm: &VmId, born_unix_ms: u64, age: Duration, now: Moment) {
         match self.processes.get_mut(vm).filter(|it| it.born_unix_ms >= born_unix_ms) {
-            Some(known) => known.listed_at = now,
+            Some(known) => {
+                if now.since(known.listed_at) >= AWAY_MIN {
+                    known.back_at = Some(now);
+                }
+                known.listed_at = now;
+            }
             None => {
                 self.processes.insert(vm.clone(), Process::new(born_unix_ms, age, now));
             }
--- a/crates/mangocross-serving/tests/cold_servers.rs
+++ b/crates/mangocross-serving/tests/cold_servers.rs
@@ -299,6 +299,22 @@
     assert!(cold.is_cold(&listed, at(3_900)) && !cold.is_cold(&listed, at(4_000)));
 }
 
+/// A zone's servers are cut off for a while and listed again with the same processes.
+#[test]
+fn server_is_cold_when_it_is_listed_again() {
+    let mut cold = cold_servers(RULE);
+    let (listed, own) = (server(7), Arc::<str>::from("front-1"));
+    let an_hour = Duration::from_secs(3_600);
+    cold.record_listed(&listed.vm, 7, an_hour, at(0));
+    for now in (0..20_000).step_by(1_000) {
+        cold.refresh(&own, std::iter::empty(), std::iter::once(&listed), at(now), || 0.0);
+    }
+    cold.record_listed(&listed.vm, 7, an_hour, at(20_000));
+    assert!(!cold.is_cold(&listed, at(20_000)), "it was listed all the time");
+    cold.record_listed(&listed.vm, 7, an_hour, at(26_000));
+    assert!(cold.is_cold(&listed, at(28_900)) && !cold.is_cold(&listed, at(29_000)));
+}
+
 /// Without `cold_start_s` and `cold_per_s` nothing is limited.
 #[test]
 fn service_without_rule_is_not_limited() {
