fix(serving): a process that starts after a return of the store trusts no copy

Root cause: the first answer that a process gets counted as the newest state. The header `Store-Era` rises by one with each return of the store to an older copy, but a process took the first era that it saw for one without a return, and ran requests with a key that had been taken away. Class: a process that starts takes what the store says now for the newest state.

Change: if the first era is above 1, the store's answers confirm nothing until another entry VM says, in the notice that exists already, that the store shows the newest version seen before, or until two seconds after the first answer. Versions that others tell of in that time have to be shown, as before. A deployment whose store never came back from a copy, or tells no era, starts as before; a process that starts long after a return waits for a notice (0.8 s apart, from each VM to some others).

Decided: two seconds without a notice suffice. Waiting for a confirmation without a bound would keep a fleet that started anew after a return from serving until the operator writes. A later write of the operator's own isn't told from an older one that a relay shows late, so it does not end the wait.

version_of_an_earlier_era_has_to_be_shown_again began in era 2 as its first; it tests a VM that lived through the return, so it begins in era 1 now and confirms after the two seconds, with the same checks.

--- a/bins/mangocross-front/src/store_era.rs
+++ b/bins/mangocross-front/src/store_era.rs
@@ -14,7 +14,8 @@
 
     /// Records the revision of an answer, of the store or of a relay, before what it says is applied.
     ///
-    /// In a new era all that is known is kept until others have had the time to write it again.
+    /// In a new era all that is known is kept until others have had the time to write it again. A
+    /// process that starts in a later era may have missed its beginning by moments.
     pub(crate) fn observe_revision(&self, revision: StoreRevision) {
         let now = self.now();
         let leave_within = self.bounds().leave_within;
@@ -23,7 +24,9 @@
         view.latest_revision = former.max(Some(revision));
         let era = revision.era;
         let Some(former) = former else {
-            view.freshness.set_first_era(era);
+            if view.freshness.set_first_era(era, now) {
+                self.store_view.borrow_mut().record_missed_return(now);
+            }
             return;
         };
         if former.era >= era {
--- a/crates/mangocross-serving/src/freshness.rs
+++ b/crates/mangocross-serving/src/freshness.rs
@@ -12,6 +12,9 @@
 /// Subtracted from the time within which a revoked API key must be refused.
 const KEY_REVOCATION_MARGIN: Duration = Duration::from_millis(250);
 
+/// The era of a store that has never come back from an older copy.
+const FIRST_ERA: StoreEra = StoreEra(1);
+
 /// Tracks when the configuration in use was last confirmed to be the newest.
 ///
 /// A linearizable read or a watch confirms it as of the time of the request,
@@ -20,11 +23,18 @@
 /// A store that came back from an older copy may lack the newest version. Its answers confirm
 /// nothing until operators have had the time to write it again, nor while it shows a version older
 /// than one that any entry VM saw in an earlier era.
+///
+/// A process that starts after such a return does not know when it was, nor what was seen before. The
+/// store's answers confirm nothing to it until another entry VM says that the store shows the newest
+/// version that was seen before, or the time to write again has passed since the process's first answer:
+/// no VM may have lived through the return.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ConfigurationFreshness {
     requested_at: Option<Moment>,
     /// Requests before this moment confirm nothing.
     settled_at: Option<Moment>,
+    /// Whether this process started after the return with which the present era began.
+    has_missed_return: bool,
     /// Era of the store that the view of this VM is from.
     era: StoreEra,
     /// Newest version that the store has shown in this era.
@@ -73,14 +83,29 @@
         self.shown_version = self.shown_version.max(Some(version));
     }
 
-    /// Records the era of the first answer of the store.
-    pub fn set_first_era(&mut self, era: StoreEra) {
+    /// Records the era of the first answer of the store, which came at `now`; returns whether the store
+    /// has come back from an older copy before.
+    pub fn set_first_era(&mut self, era: StoreEra, now: Moment) -> bool {
         self.era = era;
+        self.has_missed_return = era > FIRST_ERA;
+        if self.has_missed_return {
+            self.settled_at = Some(now + REAPPEARANCE_TIME);
+        }
+        self.has_missed_return
+    }
+
+    /// Lets the store's answers confirm again if this process only waited because it missed the
+    /// return.
+    fn end_wait_for_return(&mut self) {
+        if std::mem::take(&mut self.has_missed_return) {
+            self.settled_at = None;
+        }
     }
 
     /// Records that the store came back from an older copy, as noticed at `now`.
     pub fn begin_era(&mut self, era: StoreEra, now: Moment) {
         self.era = era;
+        self.has_missed_return = false;
         self.settled_at = Some(now + REAPPEARANCE_TIME);
         self.former_version = self.former_version.max(self.shown_version.take());
     }
@@ -100,6 +125,11 @@
         if notice.era < self.era {
             self.former_version = self.former_version.max(notice.shown_version);
         }
+        let is_confirmed =
+            notice.former_version.is_some() && notice.shown_version >= notice.former_version;
+        if notice.era == self.era && is_confirmed {
+            self.end_wait_for_return();
+        }
         self.former_version != known
     }
 
--- a/crates/mangocross-serving/src/relays/store_view.rs
+++ b/crates/mangocross-serving/src/relays/store_view.rs
@@ -89,6 +89,12 @@
         *self = Self { settled_at: Some(now + REAPPEARANCE_TIME), ..Self::default() };
     }
 
+    /// Records that this process started after the store came back from an older copy, and got its
+    /// first answer at `now`.
+    pub fn record_missed_return(&mut self, now: Moment) {
+        self.settled_at = Some(now + REAPPEARANCE_TIME);
+    }
+
     fn is_settled(&self, now: Moment) -> bool {
         self.settled_at.is_none_or(|it| now >= it)
     }
--- a/crates/mangocross-serving/tests/store_eras.rs
+++ b/crates/mangocross-serving/tests/store_eras.rs
@@ -20,6 +20,8 @@
 const STEPS: u64 = 800;
 const VM_COUNT: usize = 4;
 const NOTICE_INTERVAL_MS: u64 = 800;
+/// Minimum time between two starts of VMs.
+const RESTART_INTERVAL_MS: u64 = 3_500;
 
 fn at(ms: u64) -> Moment {
     Moment::after_boot(Duration::from_millis(100_000 + ms))
@@ -68,7 +70,7 @@
             return;
         }
         match self.era {
-            None => self.freshness.set_first_era(StoreEra(era)),
+            None => drop(self.freshness.set_first_era(StoreEra(era), at(now_ms))),
             Some(known) if known < era => self.freshness.begin_era(StoreEra(era), at(now_ms)),
             Some(_) => {}
         }
@@ -83,8 +85,10 @@
 ///
 /// The store returns to copies at random, also twice within seconds; answers take up to 400 ms and
 /// may be of the era before. The operator writes again what was lost: within the time that others
-/// have for it, or, if an entry VM saw the lost version, much later.
-fn play(random: &mut Rng) -> Option<String> {
+/// have for it, or, if an entry VM saw the lost version, much later. With `restarts`, one VM after the
+/// other starts anew, unless it is the only one that knows the newest version.
+fn play(random: &mut Rng, restarts: bool) -> Option<String> {
+    let mut restarted_at_ms = 0;
     let mut store = Store { era: 1, ..Store::default() };
     store.write(0);
     let mut vms: Vec<EntryVm> = (0..VM_COUNT).map(|_| EntryVm::default()).collect();
@@ -108,6 +112,14 @@
             store.version = store.newest();
             store.rewrite_at_ms = None;
         }
+        if restarts && now_ms >= restarted_at_ms + RESTART_INTERVAL_MS && random.u8(0..20) == 0 {
+            let number = random.usize(0..VM_COUNT);
+            let mut others = vms.iter().enumerate().filter(|(other, _)| *other != number);
+            if others.any(|(_, it)| it.version >= vms[number].version) {
+                vms[number] = EntryVm::default();
+                restarted_at_ms = now_ms;
+            }
+        }
         let mut notices = Vec::new();
         for (number, vm) in vms.iter_mut().enumerate() {
             match vm.question {
@@ -164,15 +176,67 @@
 #[test]
 fn no_revoked_key_is_accepted_past_its_bound_when_the_store_returns_to_copies() {
     for seed in 0..400 {
-        assert_eq!(play(&mut Rng::with_seed(seed)), None, "seed {seed}");
+        assert_eq!(play(&mut Rng::with_seed(seed), false), None, "seed {seed}");
+    }
+}
+
+/// Guards against a process that starts just after a return and takes the copy for the newest state.
+#[test]
+fn no_revoked_key_is_accepted_past_its_bound_by_processes_that_start_after_a_return() {
+    for seed in 0..400 {
+        assert_eq!(play(&mut Rng::with_seed(seed), true), None, "seed {seed}");
     }
 }
 
+fn notice(era: u64, shown: u64, former: Option<u64>) -> ConfigurationNotice {
+    ConfigurationNotice { era: StoreEra(era), shown_version: Some(shown), former_version: former }
+}
+
+fn started_in(era: u64) -> ConfigurationFreshness {
+    let mut freshness = ConfigurationFreshness::default();
+    freshness.set_first_era(StoreEra(era), at(0));
+    freshness.record_shown(7);
+    freshness.confirm(at(0));
+    freshness
+}
+
+/// A process that starts after a return waits until others have had the time to write again, and for
+/// the version that they tell of; before any return it does not wait.
+#[test]
+fn process_that_starts_after_a_return_takes_no_copy_for_the_newest_state() {
+    assert_eq!(started_in(1).age(at(0)), Some(Duration::ZERO));
+    let mut alone = started_in(2);
+    alone.confirm(at(1999));
+    assert_eq!(alone.age(at(1999)), None);
+    alone.confirm(at(2000));
+    assert_eq!(alone.age(at(2000)), Some(Duration::ZERO));
+    let mut told = started_in(2);
+    assert!(told.record_notice(notice(2, 7, Some(9))));
+    told.confirm(at(5000));
+    assert_eq!(told.age(at(5000)), None);
+    told.record_shown(9);
+    told.confirm(at(5100));
+    assert_eq!(told.age(at(5100)), Some(Duration::ZERO));
+}
+
+/// Guards against each start of a process long after a return costing two seconds: another VM says
+/// that the store shows what was seen before.
+#[test]
+fn other_vm_confirms_that_the_store_shows_what_it_showed_before() {
+    let mut freshness = started_in(2);
+    freshness.record_notice(notice(2, 7, None));
+    freshness.confirm(at(100));
+    assert_eq!(freshness.age(at(100)), None, "that VM has missed the return as well");
+    freshness.record_notice(notice(2, 7, Some(7)));
+    freshness.confirm(at(200));
+    assert_eq!(freshness.age(at(200)), Some(Duration::ZERO));
+}
+
 /// Answers count again once others had the time to write again, if nothing newer was seen.
 #[test]
 fn configuration_is_fresh_again_after_a_return() {
     let mut freshness = ConfigurationFreshness::default();
-    freshness.set_first_era(StoreEra(1));
+    freshness.set_first_era(StoreEra(1), at(0));
     freshness.record_shown(18);
     freshness.confirm(at(0));
     freshness.begin_era(StoreEra(2), at(1000));
@@ -188,22 +252,18 @@
 #[test]
 fn version_of_an_earlier_era_has_to_be_shown_again() {
     let mut freshness = ConfigurationFreshness::default();
-    freshness.set_first_era(StoreEra(2));
+    freshness.set_first_era(StoreEra(1), at(0));
+    freshness.begin_era(StoreEra(2), at(0));
     freshness.record_shown(18);
-    let notice = |era: u64, shown: u64| ConfigurationNotice {
-        era: StoreEra(era),
-        shown_version: Some(shown),
-        former_version: None,
-    };
-    assert!(!freshness.record_notice(notice(2, 20)));
-    freshness.confirm(at(0));
-    assert_eq!(freshness.age(at(0)), Some(Duration::ZERO));
-    assert!(freshness.record_notice(notice(1, 19)));
-    freshness.confirm(at(500));
-    assert_eq!(freshness.age(at(500)), Some(Duration::from_millis(500)));
+    assert!(!freshness.record_notice(notice(2, 20, None)));
+    freshness.confirm(at(2000));
+    assert_eq!(freshness.age(at(2000)), Some(Duration::ZERO));
+    assert!(freshness.record_notice(notice(1, 19, None)));
+    freshness.confirm(at(2500));
+    assert_eq!(freshness.age(at(2500)), Some(Duration::from_millis(500)));
     freshness.record_shown(19);
-    freshness.confirm(at(600));
-    assert_eq!(freshness.age(at(600)), Some(Duration::ZERO));
+    freshness.confirm(at(2600));
+    assert_eq!(freshness.age(at(2600)), Some(Duration::ZERO));
 }
 
 /// Nothing is planned from a copy that lacks what others have not written again.
@@ -222,6 +282,18 @@
     assert!(view.may_take_term(settled));
 }
 
+/// Guards against a process that starts after a return and plans from the copy.
+#[test]
+fn nothing_is_planned_by_a_process_that_has_just_started_after_a_return() {
+    let mut view = StoreView::default();
+    view.begin_reading();
+    view.record_missed_return(at(0));
+    view.record_all_keys(at(100));
+    assert!(view.complete(at(1900)).is_none() && !view.may_take_term(at(1900)));
+    view.record_changes(at(1950), false);
+    assert!(view.complete(at(2000)).is_some() && view.may_take_term(at(2000)));
+}
+
 /// A return too short for its silence to be noticed.
 #[test]
 fn servers_that_a_copy_lacks_are_missing_for_a_while() {
