fix(front): the planner lists itself again when its address lease has ended

Root cause: while it holds the planner's key, a VM only logged that the lease of its address had ended, and went on without its listing: the others told it nothing and passed nothing on to it.

Change: `PublishedAddress::maintain` takes a new lease and writes the address again, in both loops that call it.

The same cause elsewhere: the planner's key itself; its end ends the term, and any VM takes it anew (right).

--- a/bins/mangocross-front/src/leases.rs
+++ b/bins/mangocross-front/src/leases.rs
@@ -153,9 +153,20 @@
     }
 
     /// Renews the lease if that is due, and writes the address again if it is no longer listed as it
-    /// was written; fails if the lease has ended.
+    /// was written; under a new lease if the present one has ended in its era.
     async fn maintain(&mut self, state: &AppState) -> Result<(), StoreError> {
         self.lease.check(state)?;
+        match self.maintain_under_lease(state).await {
+            Err(StoreError::Refused { status: StatusCode::NOT_FOUND }) => {
+                *self = Self::publish(state).await?;
+                log::warn!(revision = self.revision.revision.0; "address lease ended, address written again");
+                Ok(())
+            }
+            it => it,
+        }
+    }
+
+    async fn maintain_under_lease(&mut self, state: &AppState) -> Result<(), StoreError> {
         let now = state.now();
         if now.since(self.renewed_at) >= ADDRESS_RENEW_INTERVAL {
             self.renewed_at = now;
