--- a/crates/mangocross-serving/tests/store_eras.rs
+++ b/crates/mangocross-serving/tests/store_eras.rs
@@ -266,6 +266,35 @@
     assert_eq!(freshness.age(at(2600)), Some(Duration::ZERO));
 }
 
+/// Guards against a confirmation that stays in force although another VM tells of a later version that
+/// the store had shown before it came back from the copy.
+#[test]
+fn notice_of_a_later_version_withdraws_a_confirmation_by_the_copy() {
+    let mut freshness = ConfigurationFreshness::default();
+    freshness.set_first_era(StoreEra(1), at(0));
+    freshness.begin_era(StoreEra(2), at(0));
+    freshness.record_shown(18);
+    freshness.confirm(at(2000));
+    assert!(freshness.record_notice(notice(2, 18, Some(19))));
+    assert!(!freshness.is_fresh_at(at(2100), REVOKE_WITHIN));
+    freshness.record_shown(19);
+    freshness.confirm(at(2200));
+    assert!(freshness.is_fresh_at(at(2300), REVOKE_WITHIN));
+}
+
+/// A confirmation of an earlier era was true when it was given, and lasts as long as any other.
+#[test]
+fn notice_withdraws_no_confirmation_of_an_earlier_era() {
+    let mut freshness = ConfigurationFreshness::default();
+    freshness.set_first_era(StoreEra(1), at(0));
+    freshness.record_shown(18);
+    freshness.confirm(at(900));
+    freshness.begin_era(StoreEra(2), at(1000));
+    freshness.record_shown(17);
+    assert!(freshness.record_notice(notice(2, 17, Some(19))));
+    assert_eq!(freshness.age(at(1000)), Some(Duration::from_millis(100)));
+}
+
 /// Nothing is planned from a copy that lacks what others have not written again.
 #[test]
 fn nothing_is_planned_until_others_have_written_again() {
