fix(serving): a notice of a later version withdraws a confirmation by a copy

Root cause: a notice of another entry VM stopped further confirmations, but left the one in force, which lasts nearly `revoke_ms`. Class: what was inferred from a copy stays in force after it is disproved.

Change: a confirmation that the store gave in its present era is withdrawn when another VM tells of a later version than the store has shown in this era. One of an earlier era stays: the store had not come back from a copy when it was given.

The same cause elsewhere: relay_following.rs passes confirmations on with their age; a follower gets the notices itself and withdraws by the same function. The planner's view (`StoreView`) waits for two seconds and has no notices: nothing to withdraw.

--- a/crates/mangocross-serving/src/freshness.rs
+++ b/crates/mangocross-serving/src/freshness.rs
@@ -31,6 +31,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ConfigurationFreshness {
     requested_at: Option<Moment>,
+    /// Era of the store that gave the latest confirmation.
+    confirmed_era: StoreEra,
     /// Requests before this moment confirm nothing.
     settled_at: Option<Moment>,
     /// Whether this process started after the return with which the present era began.
@@ -63,6 +65,7 @@
             return;
         }
         self.requested_at = self.requested_at.max(Some(requested_at));
+        self.confirmed_era = self.era;
     }
 
     /// Records a confirmation that another entry VM passed on in answer to a question asked at
@@ -118,6 +121,9 @@
 
     /// Records what another entry VM tells; returns whether the newest version of an earlier era
     /// changed, so that the others need to know.
+    ///
+    /// If the store has shown an older version in this era, its confirmations were of a copy and are
+    /// withdrawn. One of an earlier era was true when it was given.
     pub fn record_notice(&mut self, notice: ConfigurationNotice) -> bool {
         let known = self.former_version;
         self.former_version = known.max(notice.former_version);
@@ -130,6 +136,9 @@
         if notice.era == self.era && is_confirmed {
             self.end_wait_for_return();
         }
+        if self.confirmed_era == self.era && self.shown_version < self.former_version {
+            self.requested_at = None;
+        }
         self.former_version != known
     }
 
