fix(serving): followers find the store within a second when the relays have lost it

Root cause: a follower whose relays had lost the store asked it only after four relays, and then with the chance 12 / number of VMs at each try, up to a second apart. The time of the search grew with the number of VMs, while the bound on an old configuration does not: 1.9 s until a relay tells, and 3.0 s are allowed. Class: a limit on load takes the place of a bound on time.

Change: two relays that have lost the store suffice for a try (about twelve VMs at a time, as before). Whoever reaches the store tells all others, unless it was told itself; they ask within 0.3 s. A store that is away for all is asked as little as before, and a failed call ends the effect of another VM's word.

Ruled out: every follower asking by itself within a second (295 calls to a store that is away, each loss); a shorter wait of the relays' watches, which would cost calls all the time.

The same cause elsewhere: `prepare_for_store` (a tenth of the VMs without a relay reads all keys, so that one can plan): the time to a new planner depends on a draw, too, but each VM draws again at each change of source; kept. Relays that are unreachable: all followers ask the store at once already.

--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -84,6 +84,8 @@
     Limits { from: Arc<str>, reports: Vec<LimitReport>, counts: RequestCounts },
     /// Whether the sending entry VM and others reach servers.
     Reach(Vec<ReachNotice>),
+    /// The sending entry VM has reached the store, which its relays had lost.
+    StoreReached,
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -111,6 +113,7 @@
     tokio::task::spawn_local(send_crashes(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_configuration_notices(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_reach(Rc::clone(state), Rc::clone(&socket)));
+    tokio::task::spawn_local(send_store_reached(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_updates(Rc::clone(state), socket));
     Ok(())
 }
@@ -154,6 +157,7 @@
                 let mut view = state.view.borrow_mut();
                 notices.iter().for_each(|it| view.reach.record_peer(it, now));
             }
+            Ok(Message::StoreReached) => state.relay.record_store_reached(state.now()),
             Ok(Message::Limits { from, reports, counts }) => {
                 state.apply_limits(from, &reports, counts);
             }
@@ -349,6 +353,14 @@
     }
 }
 
+/// Tells all others that this VM has reached the store, which relays had lost.
+async fn send_store_reached(state: Rc<AppState>, socket: Rc<UdpSocket>) {
+    loop {
+        state.relay.reached.notified().await;
+        send(&socket, &Message::StoreReached, &peer_addresses(&state));
+    }
+}
+
 /// Sends urgent updates, which don't wait for the next counts.
 async fn send_updates(state: Rc<AppState>, socket: Rc<UdpSocket>) {
     loop {
--- a/bins/mangocross-front/src/relay_state.rs
+++ b/bins/mangocross-front/src/relay_state.rs
@@ -23,6 +23,12 @@
     is_recording: Cell<bool>,
     /// Wakes the tasks that hold questions.
     pub(crate) changed: Notify,
+    /// When another entry VM told that it has reached the store, which relays had lost.
+    told_reached_at: Cell<Option<Moment>>,
+    /// Wakes the task that waits to search for a source again.
+    pub(crate) told_reached: Notify,
+    /// Wakes the task that tells the other entry VMs that this one has reached the store.
+    pub(crate) reached: Notify,
 }
 
 impl RelayState {
@@ -42,6 +48,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Records that another entry VM has reached the store, which relays had lost.
+    pub(crate) fn record_store_reached(&self, now: Moment) {
+        self.told_reached_at.set(Some(now));
+        self.told_reached.notify_waiters();
+    }
+
+    /// Returns when another entry VM told so, once.
+    pub(crate) fn take_store_reached(&self) -> Option<Moment> {
+        self.told_reached_at.take()
+    }
+
     /// Returns whether this VM follows the store itself, or reads it.
     pub(crate) fn is_recording(&self) -> bool {
         self.is_recording.get()
--- a/bins/mangocross-front/src/store_following.rs
+++ b/bins/mangocross-front/src/store_following.rs
@@ -121,6 +121,9 @@
         }
         state.record_store_answer();
         position.mark_regained(state);
+        if position.choice.is_answer_news() {
+            state.relay.reached.notify_one();
+        }
         position.choice.record_store_answer(asked_at);
         let answer = StoreChanges::decode(&answer.body, answer.era)?;
         state.observe_revision(answer.revision);
--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -27,6 +27,8 @@
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(1000);
 /// Delay before the next relay is asked after one failed.
 const NEXT_RELAY_DELAY: Duration = Duration::from_millis(60);
+/// Maximum delay before the store is asked after another entry VM told that it can be reached.
+const STORE_REACHED_SPREAD: Duration = Duration::from_millis(300);
 /// Time after the start in which relays may still be starting themselves.
 const STARTUP_PATIENCE: Duration = Duration::from_millis(700);
 /// Longest delay of the very first start of a VM with little capacity; the relays come first.
@@ -70,11 +72,12 @@
                 Ok(FollowEnd::RelayLostStore) if !position.choice.is_store_away() => {}
                 Ok(FollowEnd::RelayLostStore) => {
                     position.mark_lost(&state, "relays have lost the store");
-                    tokio::time::sleep(position.next_retry_delay()).await;
+                    position.wait_for_retry(&state).await;
                 }
                 Err(error) => {
+                    position.choice.record_store_failure();
                     position.mark_lost(&state, &error.to_string());
-                    tokio::time::sleep(position.next_retry_delay()).await;
+                    position.wait_for_retry(&state).await;
                 }
             }
         }
@@ -149,6 +152,9 @@
 
     /// Returns the source to use now.
     pub(crate) fn choose_source(&mut self, state: &AppState) -> Source {
+        if let Some(told_at) = state.relay.take_store_reached() {
+            self.choice.record_store_reached(told_at);
+        }
         let view = state.view.borrow();
         let plan = view.relay_plan();
         let role =
@@ -191,6 +197,17 @@
         longest.mul_f64(0.5 + 0.5 * fastrand::f64())
     }
 
+    /// Waits before the next attempt, for a short time only once another entry VM has reached the
+    /// store.
+    async fn wait_for_retry(&mut self, state: &AppState) {
+        tokio::select! {
+            () = tokio::time::sleep(self.next_retry_delay()) => {}
+            () = state.relay.told_reached.notified() => {
+                tokio::time::sleep(STORE_REACHED_SPREAD.mul_f64(fastrand::f64())).await;
+            }
+        }
+    }
+
     fn mark_lost(&mut self, state: &AppState, reason: &str) {
         if self.lost_since.is_none() {
             self.lost_since = Some(state.now());
--- a/crates/mangocross-serving/src/relays/source_choice.rs
+++ b/crates/mangocross-serving/src/relays/source_choice.rs
@@ -22,6 +22,9 @@
 /// at any time.
 const LOST_STORE_ASKERS: f64 = 12.0;
 
+/// Time for which another entry VM's word that it has reached the store counts.
+const REACHED_NOTICE_AGE_MAX: Duration = Duration::from_secs(3);
+
 /// From where an entry VM learns of the store's changes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
@@ -50,7 +53,8 @@
 /// Chooses between the relays and the store, and remembers which relays failed.
 ///
 /// A VM that reaches no relay follows the store itself for a while. If relays answer that
-/// they have lost the store, it is probably away for all VMs, so only a few others ask it.
+/// they have lost the store, it is probably away for all VMs, so only a few others ask it. Those that
+/// reach it tell the rest, so that the time of the search does not depend on the number of VMs.
 #[derive(Debug, Default)]
 pub struct SourceChoice {
     /// When relays failed, or answered that they do not follow the store.
@@ -60,6 +64,8 @@
     /// Relays that had lost the store since the last good answer.
     store_lost: usize,
     store_until: Option<Moment>,
+    /// When another entry VM told that it has reached the store, which relays had lost.
+    told_reached_at: Option<Moment>,
 }
 
 impl SourceChoice {
@@ -83,11 +89,12 @@
         let next = candidates.iter().find(|(name, _)| !self.failed.contains_key(name));
         let tried = self.unreached + self.store_lost;
         let is_exhausted = next.is_none() || tried >= RELAYS_TRIED_MAX;
+        let is_told = self.told_reached_at.is_some_and(|it| now.since(it) < REACHED_NOTICE_AGE_MAX);
         let asks_store = match self.store_lost {
             0 => true,
-            _ => draw < LOST_STORE_ASKERS / entry_vms.max(1) as f64,
+            _ => is_told || draw < LOST_STORE_ASKERS / entry_vms.max(1) as f64,
         };
-        if is_exhausted && asks_store {
+        if (is_exhausted || self.is_store_away()) && asks_store {
             return Source::Store;
         }
         match next.or(candidates.first()) {
@@ -122,6 +129,12 @@
         self.store_lost >= LOST_ANSWERS_MIN
     }
 
+    /// Returns whether an answer of the store is news to the other entry VMs: relays had lost it, and
+    /// none has told that it can be reached.
+    pub fn is_answer_news(&self) -> bool {
+        self.store_lost > 0 && self.told_reached_at.is_none()
+    }
+
     /// Records that the store answered this VM although no relay could be used.
     pub fn record_store_answer(&mut self, now: Moment) {
         if self.unreached + self.store_lost > 0 {
@@ -129,5 +142,17 @@
             self.record_following();
             self.failed.clear();
         }
+        self.told_reached_at = None;
+    }
+
+    /// Records that the store did not answer this VM.
+    pub fn record_store_failure(&mut self) {
+        self.told_reached_at = None;
+    }
+
+    /// Records that another entry VM told at a moment that it has reached the store, which relays had
+    /// lost.
+    pub fn record_store_reached(&mut self, told_at: Moment) {
+        self.told_reached_at = Some(told_at);
     }
 }
--- a/crates/mangocross-serving/tests/relays.rs
+++ b/crates/mangocross-serving/tests/relays.rs
@@ -215,7 +215,12 @@
 }
 
 /// Delivers the word of a VM that has reached the store.
-fn notify(_searchers: &mut [Searcher], _at_ms: u64, _random: &mut Rng) {}
+fn notify(searchers: &mut [Searcher], at_ms: u64, random: &mut Rng) {
+    for it in searchers.iter_mut().filter(|it| it.reached_at_ms.is_none()) {
+        it.choice.record_store_reached(at(at_ms));
+        it.next_at_ms = it.next_at_ms.min(at_ms + random.u64(0..300));
+    }
+}
 
 /// Guards against followers that serve an old configuration for seconds after all relays lost the
 /// store: a relay tells within 1.9 s, and 3.0 s are allowed, whatever the number of VMs.
