feat(serving): 0.92 of the slots are planned instead of 0.85

Cause: at 1.2 times the usual load of the most urgent class, which all groups together can take, the others started at 0.75 and 0.83 in time; without the ratios 0.99 and 1.00. The test of hysteresis takes the capacity from the ratios instead of repeating the constant; its bounds are the same.

--- a/crates/mangocross-serving/src/competition/ratios.rs
+++ b/crates/mangocross-serving/src/competition/ratios.rs
@@ -28,7 +28,7 @@
 const SUFFICIENT_SHARE: f64 = 0.9;
 /// Share of the slots that may be in use, so that the groups' queues stay empty although their loads
 /// differ.
-const USED_SLOTS: f64 = 0.85;
+const USED_SLOTS: f64 = 0.92;
 /// Time in which streams of a less urgent priority cannot be held back yet, since it takes as long
 /// to learn of them.
 const REPORT_HORIZON: Duration = Duration::from_millis(500);
--- a/crates/mangocross-serving/tests/admission_ratios.rs
+++ b/crates/mangocross-serving/tests/admission_ratios.rs
@@ -99,8 +99,9 @@
 fn demand_close_to_the_capacity_does_not_flap() {
     let urgent = class(Timing::InTime, 0);
     let capacity = capacity(10, 22, 0);
+    let none = admission_ratios(&demand(&[]), &capacity, BY_PRIORITY, false);
     let at_share = |share: f64, was_short| {
-        let per_s = capacity.streams_per_s(0.85) * share;
+        let per_s = none.capacity_per_s * share;
         let demand = demand(&[(urgent, &[per_s as u32], 1)]);
         admission_ratios(&demand, &capacity, BY_PRIORITY, was_short)
     };
