--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -13,6 +13,7 @@
 use mangocross_platform::SettingsBounds;
 use mangocross_serving::BackendServer;
 use mangocross_serving::BootClock;
+use mangocross_serving::ColdServers;
 use mangocross_serving::Competition;
 use mangocross_serving::CompleteView;
 use mangocross_serving::ConfigurationFreshness;
@@ -112,6 +113,8 @@
     pub(crate) notices: ServerNotices,
     /// Limits that servers have named.
     pub(crate) limits: ServerLimits,
+    /// Servers that take few requests after their start.
+    pub(crate) cold: ColdServers,
     /// Requests of the other entry VMs, while servers are limited.
     pub(crate) shares: RequestShares,
     /// Streams of all entry VMs, and which of them are admitted while capacity is short.
@@ -511,6 +514,7 @@
         self.shares.expire(now);
         self.competition.expire(now);
         self.reach.expire(now);
+        self.cold.expire(now);
         let Self { failures, servers, slowdowns, notices, limits, .. } = self;
         notices.expire(now, |vm| servers.contains_key(vm));
         limits.expire(now, |vm| servers.contains_key(vm));
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod backend_server;
+mod cold_servers;
 mod competition;
 mod connect_times;
 mod crash_blame;
@@ -48,6 +49,10 @@
 pub use backend_server::MemberPhase;
 pub use backend_server::Membership;
 pub use backend_server::OrderOutcome;
+pub use cold_servers::ColdReport;
+pub use cold_servers::ColdRule;
+pub use cold_servers::ColdServer;
+pub use cold_servers::ColdServers;
 pub use competition::AdmissionRatios;
 pub use competition::ClassDemand;
 pub use competition::Competition;
@@ -146,6 +151,7 @@
 pub use silence_checks::SilenceChecks;
 pub use traffic::BackendService;
 pub use traffic::CallerLimits;
+pub use traffic::ColdStart;
 pub use traffic::EngineSpec;
 pub use traffic::KeyHolder;
 pub use traffic::ModelSpec;
