fix(front): cold and limited groups count in the capacity

Cause: groups that a VM may send nothing to at the moment are left out of its list of heads. Of a zone that comes back cold each VM may use a few groups at a time, so that all would refuse streams for lack of groups that others use. Change: they count with what they complete at the planned load; their free slots do not. New test: the capacity lies between that without them and that with them open.

--- a/bins/mangocross-front/src/demand.rs
+++ b/bins/mangocross-front/src/demand.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use log::kv::Value;
+use mangocross_serving::BackendServer;
 use mangocross_serving::CompetitionRules;
 use mangocross_serving::DemandReport;
 use mangocross_serving::FirstEventTimes;
@@ -62,9 +63,12 @@
         let mut view = self.view.borrow_mut();
         view.competition.demand.record(&target.key, class, customer, cost, now);
         let entry_vms = view.entry_vm_count();
+        let closed = view.closed_to_this_vm(&target.key, now);
         let ClusterView { competition, loads, .. } = &mut *view;
-        let capacity =
-            |source| ModelCapacity::known(&target.times, heads, loads, (source, entry_vms), now);
+        let capacity = |source| {
+            ModelCapacity::known(&target.times, heads, loads, (source, entry_vms), now)
+                .with_closed(&closed)
+        };
         let (competition, has_changed) =
             competition.update(&target.key, entry_vms, rules, now, capacity);
         if has_changed && self.log_rate.allow("capacity short", now).is_some() {
@@ -168,6 +172,27 @@
     }
 }
 
+impl ClusterView {
+    /// Returns the loads of the heads that serve a model and take requests of other entry VMs, but none
+    /// of this one now: they are limited, or cold after their start.
+    fn closed_to_this_vm(&self, key: &ModelKey, now: Moment) -> Vec<HeadLoad> {
+        let is_closed = |it: &&BackendServer| {
+            it.service == key.service
+                && it.serves(&key.model)
+                && self.is_usable(it, now)
+                && !self.has_room(it, now)
+                && self.suspects(now).all(|(suspect, _)| *suspect != it.vm)
+        };
+        let load = |it: &BackendServer| {
+            let load = self.loads.load(&it.vm, now);
+            let slowdown = self.slowdowns.get(&it.vm).copied().unwrap_or(1.0);
+            let (in_flight, waiting) = (load.in_flight, load.waiting);
+            HeadLoad { vm: it.vm.clone(), in_flight, waiting, slowdown }
+        };
+        self.servers.values().filter(is_closed).map(load).collect()
+    }
+}
+
 fn class(call: &Call, times: &GroupTimes, rules: CompetitionRules) -> StreamClass {
     let timing = match rules.ranks_late {
         true => Timing::new(
--- a/crates/mangocross-serving/src/competition/capacity.rs
+++ b/crates/mangocross-serving/src/competition/capacity.rs
@@ -25,6 +25,8 @@
 struct HeadCapacity {
     slowdown: f64,
     in_flight: f64,
+    /// Whether this entry VM may send to it now.
+    is_open: bool,
 }
 
 /// Requests in progress at a model's groups, and the rates at which these complete them.
@@ -64,6 +66,7 @@
         let head = |it: &HeadLoad| HeadCapacity {
             slowdown: it.slowdown.max(1.0),
             in_flight: f64::from(it.in_flight),
+            is_open: true,
         };
         let excess_age = counts_age.saturating_sub(COUNTS_AGE_USUAL).as_secs_f64();
         let fade = (COUNTS_AGE_MAX - COUNTS_AGE_USUAL).as_secs_f64();
@@ -92,6 +95,18 @@
         self
     }
 
+    /// Adds heads that take requests of other entry VMs, but none of this one at the moment: how many of
+    /// their free slots may be used is not known.
+    #[must_use]
+    pub fn with_closed(mut self, heads: &[HeadLoad]) -> Self {
+        self.heads.extend(heads.iter().map(|it| HeadCapacity {
+            slowdown: it.slowdown.max(1.0),
+            in_flight: f64::from(it.in_flight),
+            is_open: false,
+        }));
+        self
+    }
+
     /// Sets the rate at which answers begin; full groups begin as many as they complete.
     #[must_use]
     pub fn with_begun(mut self, begun_per_s: f64) -> Self {
@@ -128,7 +143,11 @@
         let completions_per_s = self.times.completions_per_s(self.slots * slot_share) * speed;
         let of_head = |it: &HeadCapacity| {
             let free = self.slots * slot_share - it.in_flight;
-            let weight = if free > 0.0 { self.free_slot_weight } else { 1.0 };
+            let weight = match (free > 0.0, it.is_open) {
+                (true, true) => self.free_slot_weight,
+                (true, false) => 0.0,
+                (false, _) => 1.0,
+            };
             let filled_per_s = free * weight / FILL_TIME.as_secs_f64();
             (completions_per_s / it.slowdown + filled_per_s).max(0.0)
         };
--- a/crates/mangocross-serving/tests/admission_ratios.rs
+++ b/crates/mangocross-serving/tests/admission_ratios.rs
@@ -139,6 +139,23 @@
     assert!((full[0] - full[1]).abs() < 1e-9, "what exceeds the slots counts at any age: {full:?}");
 }
 
+/// A zone comes back cold: its groups take requests, of each entry VM few, so their free slots are not
+/// filled, and the capacity does not fall by what they complete.
+#[test]
+fn groups_closed_to_an_entry_vm_count_with_what_they_complete() {
+    let open = capacity(10, 10, 0);
+    let head = |it| HeadLoad {
+        vm: format!("i-{it}").parse().expect("a valid id"),
+        in_flight: 0,
+        waiting: 0,
+        slowdown: 1.0,
+    };
+    let closed: Vec<HeadLoad> = (10..15).map(head).collect();
+    let with_closed = open.clone().with_closed(&closed).streams_per_s(0.9);
+    let (without, as_open) = (open.streams_per_s(0.9), open.streams_per_s(0.9) * 1.5);
+    assert!(with_closed > without && with_closed < as_open, "{without} {with_closed} {as_open}");
+}
+
 /// A queue stands at the engines and is gone a moment later.
 #[test]
 fn error_of_predictions_is_bounded_and_fades() {
