--- a/crates/mangocross-serving/src/competition/ratios.rs
+++ b/crates/mangocross-serving/src/competition/ratios.rs
@@ -28,7 +28,7 @@
 const SUFFICIENT_SHARE: f64 = 0.9;
 /// Share of the slots that may be in use, so that the groups' queues stay empty although their loads
 /// differ.
-const USED_SLOTS: f64 = 0.85;
+const USED_SLOTS: f64 = 0.92;
 /// The same where streams have equal priorities: a refused stream costs its caller more than one that
 /// waits in a group's queue, so customers are limited only beyond that.
 const QUEUED_SLOTS: f64 = 1.1;
