fix(front): a wrong wall clock makes no server cold; streams at a cold head are tested

Cause: with a wall clock that is far behind, an entry VM that starts would take all servers for new. The gauge of a zone without servers stayed at 1 after its evacuation ended.

Change: a start more than 2 s ahead of the VM's clock tells nothing; zones that were evacuated are shown with 0. A test sends streams of three entry VMs to the head of a group that is cold.

--- a/bins/mangocross-front/src/cold_servers.rs
+++ b/bins/mangocross-front/src/cold_servers.rs
@@ -11,6 +11,7 @@
 use mangocross_serving::ColdReport;
 use mangocross_serving::ColdRule;
 use mangocross_serving::Moment;
+use mangocross_serving::process_age;
 use mangocross_types::ServiceId;
 use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
@@ -112,7 +113,7 @@
     /// Records that a server process is listed.
     pub(crate) fn record_listed_process(&mut self, vm: &VmId, born_unix_ms: u64, now: Moment) {
         let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let age = unix_time.saturating_sub(Duration::from_millis(born_unix_ms));
+        let age = process_age(Duration::from_millis(born_unix_ms), unix_time);
         self.cold.record_listed(vm, born_unix_ms, age, now);
     }
 
--- a/bins/mangocross-front/src/zone_evacuation.rs
+++ b/bins/mangocross-front/src/zone_evacuation.rs
@@ -146,11 +146,11 @@
         of_zone.for_each(|it| cold.record_taken_back(it, now));
     }
 
-    /// Returns the zones that have servers or are evacuated, and whether each is evacuated.
+    /// Returns the zones that have servers or are or were evacuated, and whether each is evacuated.
     pub(crate) fn zones(&self) -> BTreeMap<AvailabilityZone, bool> {
         let with_servers = self.servers.values().map(|it| it.zone.clone());
-        let evacuated = self.evacuations.evacuated().map(|(zone, ..)| zone.clone());
-        let zones = with_servers.chain(evacuated);
+        let marked = self.evacuations.marks().into_iter().map(|it| it.zone);
+        let zones = with_servers.chain(marked);
         zones.map(|it| (it.clone(), self.evacuations.is_evacuated(&it))).collect()
     }
 
--- a/bins/mangocross-front/tests/front/cold_servers.rs
+++ b/bins/mangocross-front/tests/front/cold_servers.rs
@@ -40,7 +40,7 @@
 }
 
 /// Sends requests to each entry VM until a moment; returns the statuses.
-fn send_until(fronts: &[Front], end: Instant) -> Vec<u16> {
+fn send_until(fronts: &[Front], path: &str, end: Instant) -> Vec<u16> {
     thread::scope(|scope| {
         let callers: Vec<_> = fronts
             .iter()
@@ -50,7 +50,7 @@
                     while Instant::now() < end {
                         let attempt = format!("a-{}-{}", front.name(), statuses.len());
                         let headers = CALLER_HEADERS.replace("a1", &attempt);
-                        statuses.push(front.call("POST", "/lookup/x", &headers, "{}").0);
+                        statuses.push(front.call("POST", path, &headers, "{}").0);
                         thread::sleep(CALLER_PAUSE);
                     }
                     statuses
@@ -80,7 +80,7 @@
     thread::sleep(SETTLING_TIME);
     make_cold(&store, &cold);
     let began = Instant::now();
-    let statuses = send_until(&fronts, began + COLD_TIME + Duration::from_secs(2));
+    let statuses = send_until(&fronts, "/lookup/x", began + COLD_TIME + Duration::from_secs(2));
     assert!(statuses.iter().all(|it| *it == 200), "the other server takes the rest");
     let (known, end) = (began + NOTICE_TIME, began + COLD_TIME);
     let busiest = busiest_second(&cold, known, end);
@@ -136,7 +136,7 @@
     }
     thread::sleep(SETTLING_TIME);
     let cold = thread::scope(|scope| {
-        let sending = scope.spawn(|| send_until(&fronts, Instant::now() + COLD_TIME));
+        let sending = scope.spawn(|| send_until(&fronts, "/lookup/x", Instant::now() + COLD_TIME));
         thread::sleep(NOTICE_TIME);
         let began = Instant::now();
         let cold = Server::spawn_cold(&store, "r3", "records", COLD_TIME);
@@ -149,3 +149,33 @@
     assert!(busiest <= ALLOWED, "{busiest} requests in a second at a cold server");
     assert!(busiest > 0, "the cold server is used");
 }
+
+/// Guards against a burst of streams at the head of a group that is cold.
+#[test]
+fn cold_head_gets_few_streams() {
+    let store = Store::spawn();
+    store.configure_with(3, &["k1"], |it| {
+        it["services"][0]["cold_start_s"] = json!(COLD_TIME.as_secs());
+        it["services"][0]["cold_per_s"] = json!(COLD_PER_S);
+    });
+    let engines: Vec<Server> =
+        (1..=4).map(|it| Server::spawn(&store, &format!("e{it}"), "models")).collect();
+    let fronts: Vec<Front> =
+        (0..FRONT_COUNT).map(|_| Front::spawn_logged(store.address, 60_000, 1.0)).collect();
+    for it in &fronts {
+        wait_for_metric(it, &format!("front_entry_vms {FRONT_COUNT}"));
+        wait_for_metric(it, r#"front_groups{state="open"} 2"#);
+    }
+    thread::sleep(SETTLING_TIME);
+    let heads: Vec<&Server> = engines.iter().filter(|it| it.is_open()).collect();
+    heads[0].set_cold_in_entry(COLD_TIME);
+    let began = Instant::now();
+    let statuses = send_until(&fronts, "/stream/x", began + COLD_TIME);
+    let busiest = busiest_second(heads[0], began + NOTICE_TIME, began + COLD_TIME);
+    assert!(busiest <= ALLOWED, "{busiest} streams in a second at a cold head");
+    assert!(busiest > 0, "the cold head is used");
+    let served = statuses.iter().filter(|it| **it == 200).count();
+    assert!(served > statuses.len() / 2, "{served} of {} streams are served", statuses.len());
+    let warm = busiest_second(heads[1], began, began + COLD_TIME);
+    assert!(warm > ALLOWED, "{warm} streams in a second at the other head");
+}
--- a/crates/mangocross-serving/src/cold_servers/mod.rs
+++ b/crates/mangocross-serving/src/cold_servers/mod.rs
@@ -57,6 +57,15 @@
     pub entry_vms: usize,
 }
 
+/// Returns the age of a process that was born at a time since the epoch; the longest one if wall clocks
+/// differ so much that they tell nothing.
+pub fn process_age(born: Duration, now: Duration) -> Duration {
+    match born > now + CLOCK_TOLERANCE {
+        true => Duration::MAX,
+        false => now.saturating_sub(born),
+    }
+}
+
 /// What is known of one life of a server.
 #[derive(Debug, Clone)]
 struct Process {
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -52,6 +52,7 @@
 pub use cold_servers::ColdRule;
 pub use cold_servers::ColdServer;
 pub use cold_servers::ColdServers;
+pub use cold_servers::process_age;
 pub use connect_times::ConnectTimes;
 pub use crash_blame::AttemptSpan;
 pub use crash_blame::CrashBlame;
--- a/crates/mangocross-serving/tests/cold_servers.rs
+++ b/crates/mangocross-serving/tests/cold_servers.rs
@@ -10,6 +10,7 @@
 use mangocross_serving::ColdServers;
 use mangocross_serving::EngineStatus;
 use mangocross_serving::Moment;
+use mangocross_serving::process_age;
 use mangocross_types::Revision;
 use mangocross_types::ServiceId;
 use mangocross_types::StoreRevision;
@@ -271,6 +272,15 @@
     assert!(!cold.is_cold(&server(8), at(203_000)));
 }
 
+/// An entry VM whose wall clock is far behind would take all servers for cold when it starts.
+#[test]
+fn age_of_a_process_by_a_clock_that_is_wrong_tells_nothing() {
+    let s = Duration::from_secs;
+    assert_eq!(process_age(s(100), s(103)), s(3));
+    assert_eq!(process_age(s(101), s(100)), Duration::ZERO);
+    assert_eq!(process_age(s(103), s(100)), Duration::MAX);
+}
+
 /// A connection took long, and the server became cold meanwhile or has had a turn since.
 #[test]
 fn request_is_sent_late_only_with_a_turn() {
