--- a/bins/mangocross-front/tests/front/zone_evacuation.rs
+++ b/bins/mangocross-front/tests/front/zone_evacuation.rs
@@ -12,6 +12,7 @@
 use crate::platform::Front;
 use crate::platform::Server;
 use crate::platform::Store;
+use crate::platform::start_engines;
 use crate::platform::wait_for_metric;
 use crate::platform::wait_until;
 use crate::relays::follows_store;
@@ -167,6 +168,32 @@
     assert_evacuated(&front, &servers[0]);
 }
 
+/// Guards against streams that begin in an evacuated zone, and against ones that are resumed there when
+/// their server breaks them off.
+#[test]
+fn streams_are_neither_begun_nor_resumed_in_an_evacuated_zone() {
+    let (store, engines, front) = start_engines();
+    let heads: Vec<&Server> = engines.iter().filter(|it| it.is_open()).collect();
+    heads[0].set_zone("zone-b");
+    store.put("op/evacuate/zone-b", &json!({}));
+    wait_for_metric(&front, r#"front_evacuated_zone{zone="zone-b"} 1"#);
+    let before = heads[0].arrivals().len();
+    let others = heads[1].arrivals().len();
+    for _ in 0..3 {
+        heads[1].break_streams(1);
+        // A head gets nothing for a moment after a break.
+        front.wait_for_status(200, "/stream/x", CALLER_HEADERS);
+    }
+    assert_eq!(heads[0].arrivals().len(), before, "a stream reached the evacuated zone");
+    assert!(heads[1].arrivals().len() >= others + 3, "streams were begun and broken off");
+    store.remove("op/evacuate/zone-b");
+    wait_until("streams are resumed there again", || {
+        heads[1].break_streams(1);
+        front.call("POST", "/stream/x", CALLER_HEADERS, "{}");
+        heads[0].arrivals().len() > before
+    });
+}
+
 /// Makes all relays unable to pass an evacuation on as it is written, and asserts that no other entry VM
 /// sends a request to the zone too late.
 fn check_followers(disable: impl Fn(&mut Front)) {
