--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -81,6 +81,7 @@
 pub use competition::Timing;
 pub use competition::admission_ratios;
 pub use competition::stream_cost;
+pub use cold_servers::process_age;
 pub use connect_times::ConnectTimes;
 pub use crash_blame::AttemptSpan;
 pub use crash_blame::CrashBlame;
