test(front): connections that keep an old limit on headers

Seen red: after the limit is lowered, a kept connection takes headers of 40 kB, which a new one answers with 431; after it is raised, a kept connection is not ended.

--- a/bins/mangocross-front/tests/front/idle_connections.rs
+++ b/bins/mangocross-front/tests/front/idle_connections.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::Duration;
 
+use serde_json::json;
+
 use crate::platform::CALLER_HEADERS;
 use crate::platform::Client;
 use crate::platform::Front;
@@ -126,3 +128,66 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     }
 }
+
+/// Opens a connection under one limit on headers, sets another one and sends requests of two sizes, on
+/// this connection and on a new one; returns the heads of the answers.
+fn answers_after_a_change(before: usize, after: usize) -> [String; 3] {
+    let store = Store::spawn();
+    let configure = |version, keys: &[&str], bytes_max: usize| {
+        store.configure_with(version, keys, |it| {
+            it["limits"] = json!({
+                "max_header_bytes": bytes_max, "max_body_bytes": 65536,
+                "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+            });
+        });
+    };
+    configure(3, &["k1"], before);
+    let _servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let front = Front::spawn(&store, 60_000, Stdio::null());
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    let mut kept = TcpStream::connect(front.address).expect("a connection");
+    assert!(exchange(&mut kept, 0).starts_with("http/1.1 200"));
+    configure(4, &["k1", "k2"], after);
+    front.wait_for_status(200, "/lookup/x", &CALLER_HEADERS.replace("k1", "k2"));
+    let small = exchange(&mut kept, 0);
+    let large = exchange(&mut kept, 40_000);
+    let mut new = TcpStream::connect(front.address).expect("a connection");
+    [small, large, exchange(&mut new, 40_000)]
+}
+
+/// Sends a request with a header of a size; returns the head of its answer, empty without one.
+fn exchange(connection: &mut TcpStream, bytes: usize) -> String {
+    let filler = "x".repeat(bytes);
+    let head = format!(
+        "GET /lookup/x HTTP/1.1\r\nHost: a.example\r\nFiller: {filler}\r\n{CALLER_HEADERS}\r\n"
+    );
+    let _ = connection.write_all(head.as_bytes());
+    let _ = connection.set_read_timeout(Some(Duration::from_secs(5)));
+    let mut answer = Vec::new();
+    let mut buffer = [0; 4096];
+    while !answer.ends_with(b"the whole body") {
+        match connection.read(&mut buffer) {
+            Ok(length) if length > 0 => answer.extend_from_slice(&buffer[..length]),
+            Ok(_) | Err(_) => break,
+        }
+    }
+    String::from_utf8_lossy(&answer).to_ascii_lowercase()
+}
+
+/// Guards against connections that keep the limit on headers that was in force when they were accepted:
+/// a lower one applies at once.
+#[test]
+fn lower_limit_on_headers_applies_to_kept_connections() {
+    let [small, kept, new] = answers_after_a_change(65_536, 16_384);
+    assert!(small.starts_with("http/1.1 200"), "{small}");
+    assert!(new.starts_with("http/1.1 431"), "{new}");
+    assert!(kept.starts_with("http/1.1 431"), "{kept}");
+}
+
+/// A higher limit needs a new connection, so the next answer on a kept one ends it.
+#[test]
+fn kept_connection_ends_with_the_next_answer_after_a_higher_limit_on_headers() {
+    let [small, _, new] = answers_after_a_change(16_384, 65_536);
+    assert!(small.starts_with("http/1.1 200") && small.contains("connection: close"), "{small}");
+    assert!(new.starts_with("http/1.1 200"), "{new}");
+}
