fix(front): connections keep no old limit on headers

Root cause: the limit on a request's head is the size of the connection's buffer, which is set when the connection is accepted; a caller that keeps its connection kept the limit of that time. Class: a value of the configuration that is copied at the start of something long-lived.

Change: each request's head is compared with the limit in force (with the same 8 KB on top as the buffer has), and answered with 431 as on a new connection. The buffer cannot grow later, so after a raise the next answer on an older connection ends it: at most one request meets the lower limit.

Ruled out: a buffer of the largest possible size for all connections (memory of the smallest VMs); closing idle connections on a change (requests that are on their way would be lost).

The same cause elsewhere: time limits of connections (`ConnectionState::set_limits`) and the limit on bodies (read for each request) follow the configuration; relays' and the ready port's limits are constants.

--- a/bins/mangocross-front/src/ingress.rs
+++ b/bins/mangocross-front/src/ingress.rs
@@ -6,6 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::answer_body::AnswerBody;
 use crate::connection::ConnectionState;
 use crate::connection::Overdue;
 use crate::connection::TimeLimits;
@@ -149,19 +156,30 @@
     let key = callers.connections.borrow_mut().insert(Rc::clone(&connection_state));
     async move {
         let socket = TrackedSocket::new(stream, Rc::clone(&connection_state));
+        let buffer_bytes = header_buffer_bytes(&limits);
         let service = service_fn(|request: http::Request<Incoming>| {
             let in_progress = connection_state.begin_request();
             let state = Rc::clone(&state);
             async move {
+                let present = state.configuration().map_or(limits, |it| it.limits);
+                let present = header_buffer_bytes(&present);
+                if head_bytes(&request) > present {
+                    drop(in_progress);
+                    return Ok::<_, Infallible>(headers_too_large());
+                }
                 let sender = RequestSender::Caller;
                 let served = dispatch::serve_request(state, request, in_progress, sender);
-                Ok::<_, Infallible>(served.await)
+                let mut response = served.await;
+                if present > buffer_bytes {
+                    // Only a new connection takes what is allowed now.
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                Ok(response)
             }
         });
-        // The buffer must hold a complete request head and have at least hyper's minimum size.
-        let connection = http1::Builder::new()
-            .max_buf_size((limits.header_bytes_max + (8 << 10)).max(16 << 10))
-            .serve_connection(socket, service);
+        let connection =
+            http1::Builder::new().max_buf_size(buffer_bytes).serve_connection(socket, service);
         tokio::pin!(connection);
         let ended = loop {
             // The connection is polled first, so that a request that has arrived is read before the
@@ -186,6 +204,31 @@
     }
 }
 
+/// Returns the size of the buffer that has to hold a complete request head; hyper has a minimum.
+fn header_buffer_bytes(limits: &CallerLimits) -> usize {
+    (limits.header_bytes_max + (8 << 10)).max(16 << 10)
+}
+
+/// Returns the size of a request's head, as sent with the usual separators.
+fn head_bytes(request: &http::Request<Incoming>) -> usize {
+    let line = request.method().as_str().len()
+        + request.uri().path_and_query().map_or(0, |it| it.as_str().len())
+        + " HTTP/1.1\r\n".len();
+    let field = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + ": \r\n".len()
+    };
+    line + request.headers().iter().map(field).sum::<usize>()
+}
+
+/// Returns the answer that hyper gives on a connection whose buffer cannot hold a head.
+fn headers_too_large() -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
 /// Closes connections that are idle, or receive headers, for longer than allowed.
 async fn close_overdue(state: Rc<AppState>, callers: Rc<CallerConnections>) {
     loop {
