--- a/crates/mangocross-serving/tests/server_search/steps.rs
+++ b/crates/mangocross-serving/tests/server_search/steps.rs
@@ -84,6 +84,10 @@
     let mut search = search(SearchPolicy::StreamStart, 2);
     search.cannot_send(Obstacle::NoRoom, at(0));
     assert_eq!(search.next(at(0), &window()), SearchStep::Wait(at(12)));
+    let mut refused = search.clone();
+    refused.cannot_send(Obstacle::NotAdmitted, at(0));
+    let end = SearchStep::End(SearchEnd::NotRun(Obstacle::NotAdmitted));
+    assert_eq!(refused.next(at(0), &window()), end);
     search.cannot_send(Obstacle::NoRoom, at(51));
     let end = SearchStep::End(SearchEnd::NotRun(Obstacle::NoRoom));
     assert_eq!(search.next(at(51), &window()), end);
