test(serving): all entry VMs lose contact

Cause: with a third of the entry VMs cut off the test passed also without the deduction for chance in a VM's own streams. Change: it also cuts off all of them, with the same bounds. Without the deduction it fails (56 of 4,996 refused twice, 0.88 in target); with it, it passes. Not bounded: with 32 and 30 groups instead of 36 it fails with the deduction too (0.84 and 0.70 in target, before 0.94 and 0.90), since nothing balances the groups without counts.

--- a/crates/mangocross-serving/tests/competition.rs
+++ b/crates/mangocross-serving/tests/competition.rs
@@ -156,14 +156,18 @@
     assert!(share(returned, starts) >= 0.1, "{returned} of {starts}; {during:?}");
 }
 
-/// Guards against entry VMs that refuse streams, or start too many, since they hear of no other.
+/// Guards against entry VMs that hear of no other and take chance in their few streams for a burst: a
+/// third of them, or all since there is no planner.
 #[test]
 fn entry_vms_without_contact_change_little() {
-    let mut fleet = fleet(36, 75, usual_loads(), BY_PRIORITY);
-    fleet.cut_off(50..75);
-    fleet.run(Duration::from_secs(10));
-    let before = fleet.sum(BEGIN - 6, BEGIN, None);
-    let during = fleet.sum(BEGIN, BEGIN + 10, None);
-    assert!(in_time_share(during) >= 0.9 * in_time_share(before), "{during:?}, before {before:?}");
-    assert!(share(during.refused_for_ever, during.received) < 0.01, "{during:?}");
+    for cut_off in [50..75, 0..75] {
+        let mut fleet = fleet(36, 75, usual_loads(), BY_PRIORITY);
+        fleet.cut_off(cut_off);
+        fleet.run(Duration::from_secs(10));
+        let before = fleet.sum(BEGIN - 6, BEGIN, None);
+        let during = fleet.sum(BEGIN, BEGIN + 10, None);
+        let least = 0.9 * in_time_share(before);
+        assert!(in_time_share(during) >= least, "{during:?}, before {before:?}");
+        assert!(share(during.refused_for_ever, during.received) < 0.01, "{during:?}");
+    }
 }
