--- a/bins/mangocross-front/src/cold_servers.rs
+++ b/bins/mangocross-front/src/cold_servers.rs
@@ -11,6 +11,7 @@
 use mangocross_serving::ColdReport;
 use mangocross_serving::ColdRule;
 use mangocross_serving::Moment;
+use mangocross_serving::process_age;
 use mangocross_types::ServiceId;
 use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
@@ -62,10 +63,18 @@
         reports.iter().for_each(|it| view.cold.record_report(it, now));
     }
 
-    /// Records that a request goes to a server now; connecting to it may have taken long.
-    pub(crate) fn record_sent_to_cold(&self, vm: &VmId) {
+    /// Returns whether a request may be sent to a server that was chosen a while ago, and records it.
+    ///
+    /// Connecting may have taken long, and the server may have become cold meanwhile.
+    pub(crate) fn try_send_to_cold(&self, vm: &VmId, chosen_at: Moment) -> bool {
         let now = self.now();
-        self.view.borrow_mut().cold.record_request(vm, now);
+        let mut view = self.view.borrow_mut();
+        let ClusterView { cold, servers, .. } = &mut *view;
+        if servers.get(vm).is_some_and(|it| !cold.may_send(it, chosen_at, now)) {
+            return false;
+        }
+        cold.record_request(vm, now);
+        true
     }
 
     /// Adapts to the configuration, to the list of entry VMs and to servers that have become cold.
@@ -104,7 +113,7 @@
     /// Records that a server process is listed.
     pub(crate) fn record_listed_process(&mut self, vm: &VmId, born_unix_ms: u64, now: Moment) {
         let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let age = unix_time.saturating_sub(Duration::from_millis(born_unix_ms));
+        let age = process_age(Duration::from_millis(born_unix_ms), unix_time);
         self.cold.record_listed(vm, born_unix_ms, age, now);
     }
 
--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -8,10 +8,13 @@
 mod command_line;
 mod connection;
 mod control;
+mod demand;
 mod dispatch;
 mod entry_vm_list;
 mod first_answer;
+mod head_candidates;
 mod held_entries;
+mod home_regions;
 mod ingress;
 mod leases;
 mod log_rate;
@@ -42,6 +45,10 @@
 mod story;
 mod stream;
 mod watching;
+mod zone_evacuation;
+mod zone_figures;
+mod zone_routing;
+mod zone_traffic;
 
 use std::process::ExitCode;
 
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -5,6 +5,7 @@
 
 use mangocross_serving::CrashCause;
 use mangocross_serving::MemberPhase;
+use mangocross_serving::StreamClass;
 use mangocross_telemetry::Metrics;
 use mangocross_types::Rank;
 use opentelemetry::KeyValue;
@@ -14,6 +15,7 @@
 
 use crate::state::AppState;
 use crate::state::ClusterView;
+use crate::zone_traffic::ZoneTraffic;
 
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 12] =
@@ -30,6 +32,9 @@
     resumes: Counter<u64>,
     quarantined: Counter<u64>,
     passed_on: Counter<u64>,
+    not_admitted: Counter<u64>,
+    connections: Counter<u64>,
+    pub(crate) zone_traffic: ZoneTraffic,
     store_eras: Counter<u64>,
     probes: Counter<u64>,
     orders: Counter<u64>,
@@ -48,13 +53,17 @@
     held_servers: Gauge<f64>,
     groups: Gauge<f64>,
     entry_vms: Gauge<f64>,
+    evacuated_zones: Gauge<f64>,
     follows_store: Gauge<f64>,
     cut_off: Gauge<f64>,
     quarantined_parts: Gauge<f64>,
     quarantined_requests: Gauge<f64>,
     requests_in_progress: Gauge<f64>,
     requests_waiting: Gauge<f64>,
+    leaving_share: Gauge<f64>,
     retries_left: Gauge<f64>,
+    capacity_short: Gauge<f64>,
+    admission_ratio: Gauge<f64>,
 }
 
 impl FrontMetrics {
@@ -69,6 +78,14 @@
                 "requests not sent since they or a part of their prompt crash servers",
             ),
             passed_on: metrics.counter("front_passed_on", "requests passed on to other entry VMs"),
+            not_admitted: metrics.counter(
+                "front_not_admitted",
+                "streams refused at once since other streams need the capacity",
+            ),
+            connections: metrics.counter(
+                "front_connections",
+                "connections to backend servers that were opened or used again",
+            ),
             store_eras: metrics
                 .counter("front_store_eras", "returns of the store to an older copy of itself"),
             probes: metrics.counter("front_probes", "questions for a server's state"),
@@ -88,6 +105,7 @@
                 "calls of the store; a watch waits for changes",
                 &BUCKET_BOUNDS_SECONDS,
             ),
+            zone_traffic: ZoneTraffic::open(&metrics),
             gauges: Gauges::open(&metrics),
             metrics,
         }
@@ -115,6 +133,21 @@
         self.passed_on.add(1, &[]);
     }
 
+    pub(crate) fn count_not_admitted(&self, class: StreamClass, reason: &'static str) {
+        let labels = [
+            KeyValue::new("priority", i64::from(class.priority)),
+            KeyValue::new("timing", class.timing.name()),
+            KeyValue::new("reason", reason),
+        ];
+        self.not_admitted.add(1, &labels);
+    }
+
+    /// Counts a connection to a server, opened or used again.
+    pub(crate) fn count_connection(&self, is_reused: bool) {
+        let kind = if is_reused { "reused" } else { "new" };
+        self.connections.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     pub(crate) fn count_new_era(&self) {
         self.store_eras.add(1, &[]);
     }
@@ -168,6 +201,10 @@
             ),
             groups: metrics.gauge("front_groups", "groups by the state that their heads tell"),
             entry_vms: metrics.gauge("front_entry_vms", "entry VMs listed, this one included"),
+            evacuated_zones: metrics.gauge(
+                "front_evacuated_zone",
+                "1 if the servers of the zone get no requests since it is evacuated, else 0",
+            ),
             follows_store: metrics.gauge(
                 "front_follows_store",
                 "1 if this VM follows the store itself and may relay its changes, else 0",
@@ -183,8 +220,18 @@
                 "front_requests_waiting",
                 "requests sent from this VM that wait for their first byte",
             ),
+            leaving_share: metrics.gauge(
+                "front_leaving_share",
+                "share of the zone's requests that is sent to another zone, by service, model and zone",
+            ),
             retries_left: metrics
                 .gauge("front_retries_left", "repeats that this VM may still make, by service"),
+            capacity_short: metrics.gauge(
+                "front_capacity_short",
+                "1 if the streams for a model exceed the capacity of its groups, else 0",
+            ),
+            admission_ratio: metrics
+                .gauge("front_admission_ratio", "share of a class's streams that is admitted"),
         }
     }
 
@@ -194,6 +241,15 @@
             self.retries_left.record(left, &[KeyValue::new("service", service.to_string())]);
         }
         let view = state.view.borrow();
+        for (key, zone, share) in view.zones.shares() {
+            let model = key.model.as_ref().map(ToString::to_string).unwrap_or_default();
+            let labels = [
+                KeyValue::new("service", key.service.to_string()),
+                KeyValue::new("model", model),
+                KeyValue::new("zone", zone.to_string()),
+            ];
+            self.leaving_share.record(share, &labels);
+        }
         if let Some(age) = view.freshness.age(now) {
             self.configuration_age.record(age.as_secs_f64(), &[]);
         }
@@ -207,6 +263,10 @@
         for (phase, count) in view.groups_by_phase() {
             self.groups.record(count as f64, &[KeyValue::new("state", phase)]);
         }
+        for (zone, is_evacuated) in view.zones() {
+            let labels = [KeyValue::new("zone", zone.to_string())];
+            self.evacuated_zones.record(f64::from(u8::from(is_evacuated)), &labels);
+        }
         self.entry_vms.record(view.entry_vms.len() as f64, &[]);
         let follows_store = state.relay.is_following.get();
         self.follows_store.record(f64::from(u8::from(follows_store)), &[]);
@@ -216,6 +276,17 @@
             view.blame.quarantined().partition(CrashCause::is_request);
         self.quarantined_parts.record(parts.len() as f64, &[]);
         self.quarantined_requests.record(requests.len() as f64, &[]);
+        for (key, it) in view.competition.models() {
+            let model = KeyValue::new("model", key.model.to_string());
+            let labels = [model, KeyValue::new("service", key.service.to_string())];
+            self.capacity_short.record(f64::from(u8::from(it.is_short(now))), &labels);
+            for (class, ratio) in it.class_ratios(now) {
+                let [model, service] = labels.clone();
+                let priority = KeyValue::new("priority", i64::from(class.priority));
+                let timing = KeyValue::new("timing", class.timing.name());
+                self.admission_ratio.record(ratio, &[model, service, priority, timing]);
+            }
+        }
         let waiting: u32 = view.loads.local().values().map(|it| it.waiting).sum();
         self.requests_waiting.record(f64::from(waiting), &[]);
     }
--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -15,11 +15,14 @@
 use mangocross_serving::ColdReport;
 use mangocross_serving::ConfigurationNotice;
 use mangocross_serving::CrashReport;
+use mangocross_serving::DemandReport;
+use mangocross_serving::EvacuationMark;
 use mangocross_serving::LimitReport;
 use mangocross_serving::Load;
 use mangocross_serving::PartCrashReport;
 use mangocross_serving::ReachNotice;
 use mangocross_serving::RequestCounts;
+use mangocross_serving::ZoneReport;
 use mangocross_types::Revision;
 use mangocross_types::StoreEra;
 use mangocross_types::StoreRevision;
@@ -37,6 +40,8 @@
 const COUNTS_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two messages with counts via the planner, which gets one from each entry VM.
 const COUNTS_INTERVAL_VIA_PLANNER: Duration = Duration::from_millis(250);
+/// Minimum time between two messages on the demand of zones, which are sent with the counts.
+const ZONE_DEMAND_INTERVAL: Duration = Duration::from_millis(400);
 /// Number of other entry VMs up to which each sends its counts to all others.
 pub(crate) const FULL_MESH_PEERS_MAX: usize = 16;
 /// Time between two reports of crashes, so that an entry VM that starts learns of them.
@@ -89,6 +94,14 @@
     Reach(Vec<ReachNotice>),
     /// Servers that have said that they are cold.
     Cold(Vec<ColdReport>),
+    /// Streams by model, class and customer: those of the sending entry VM, or of all.
+    Demand { from: Arc<str>, are_totals: bool, report: DemandReport },
+    /// Zones that are evacuated or were taken back.
+    Evacuations(Vec<EvacuationMark>),
+    /// Demand by zone: of the sending entry VM, or the sums over all, sent by the planner.
+    ZoneDemand { from: Arc<str>, are_sums: bool, reports: Vec<ZoneReport> },
+    /// The sending entry VM has reached the store, which its relays had lost.
+    StoreReached,
 }
 
 /// Load of each server, progress of streams, slowdowns of engines, and whether requests arrived.
@@ -116,6 +129,7 @@
     tokio::task::spawn_local(send_crashes(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_configuration_notices(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_reach(Rc::clone(state), Rc::clone(&socket)));
+    tokio::task::spawn_local(send_store_reached(Rc::clone(state), Rc::clone(&socket)));
     tokio::task::spawn_local(send_updates(Rc::clone(state), socket));
     Ok(())
 }
@@ -159,10 +173,18 @@
                 let mut view = state.view.borrow_mut();
                 notices.iter().for_each(|it| view.reach.record_peer(it, now));
             }
+            Ok(Message::StoreReached) => state.relay.record_store_reached(state.now()),
             Ok(Message::Limits { from, reports, counts }) => {
                 state.apply_limits(from, &reports, counts);
             }
+            Ok(Message::Evacuations(marks)) => state.apply_evacuation_marks(&marks),
             Ok(Message::Cold(reports)) => state.apply_cold_reports(&reports),
+            Ok(Message::Demand { from, are_totals, report }) => {
+                state.apply_demand(from, are_totals, report);
+            }
+            Ok(Message::ZoneDemand { from, are_sums, reports }) => {
+                state.apply_zone_reports(from, are_sums, reports);
+            }
             Err(error) => {
                 if state.log_rate.allow("message ignored", state.now()).is_some() {
                     log::warn!(from:% = from, error:% = error; "peer message ignored");
@@ -252,6 +274,7 @@
 }
 
 async fn send_counts(state: Rc<AppState>, socket: Rc<UdpSocket>) {
+    let mut demand_sent_at = state.now();
     loop {
         let peers = peer_addresses(&state);
         let is_via_planner = peers.len() > FULL_MESH_PEERS_MAX;
@@ -261,14 +284,26 @@
         if !is_via_planner {
             send(&socket, &Message::Counts(build_counts(&state, false)), &peers);
             send_limits(&state, &socket, false, &peers);
+            send_demand(&state, &socket, false, &peers);
         } else if is_planner {
             send(&socket, &Message::Totals(build_counts(&state, true)), &peers);
             send_limits(&state, &socket, true, &peers);
+            send_demand(&state, &socket, true, &peers);
         } else if let Some(planner) = planner_address(&state) {
             send(&socket, &Message::Counts(build_counts(&state, false)), &[planner]);
             send_limits(&state, &socket, false, &[planner]);
+            send_demand(&state, &socket, false, &[planner]);
             state.view.borrow_mut().loads.mark_reported();
         }
+        if state.now().since(demand_sent_at) >= ZONE_DEMAND_INTERVAL {
+            demand_sent_at = state.now();
+            match is_via_planner && !is_planner {
+                true => {
+                    send_zone_demand(&state, &socket, false, planner_address(&state).as_slice())
+                }
+                false => send_zone_demand(&state, &socket, is_via_planner, &peers),
+            }
+        }
         if is_planner && let Some(heads) = closed_heads(&state) {
             send(&socket, &Message::ClosedHeads(heads), &peers);
         }
@@ -283,6 +318,22 @@
     }
 }
 
+/// Tells of the streams that compete for the models' groups, if any do.
+fn send_demand(state: &AppState, socket: &UdpSocket, are_totals: bool, to: &[SocketAddr]) {
+    if let Some(report) = state.demand_to_tell(are_totals) {
+        let from = Arc::clone(&state.vm.name);
+        send(socket, &Message::Demand { from, are_totals, report }, to);
+    }
+}
+
+/// Tells of the demand by zone, where the configuration names the paths between zones.
+fn send_zone_demand(state: &AppState, socket: &UdpSocket, are_sums: bool, to: &[SocketAddr]) {
+    if let Some(reports) = state.zone_reports(are_sums) {
+        let from = Arc::clone(&state.vm.name);
+        send(socket, &Message::ZoneDemand { from, are_sums, reports }, to);
+    }
+}
+
 /// Returns the open heads that no longer serve, if there are any.
 fn closed_heads(state: &AppState) -> Option<Vec<VmId>> {
     let view = state.view.borrow();
@@ -338,6 +389,11 @@
         if notice.shown_version.max(notice.former_version).is_some() {
             send(&socket, &Message::Configuration(notice), &some_peer_addresses(&state));
         }
+        // Reaches entry VMs whose relay lags, and those that missed the first message.
+        let evacuations = state.view.borrow().evacuations.marks();
+        if !evacuations.is_empty() {
+            send(&socket, &Message::Evacuations(evacuations), &some_peer_addresses(&state));
+        }
         tokio::time::sleep(UPDATE_INTERVAL_MIN).await;
     }
 }
@@ -355,6 +411,14 @@
     }
 }
 
+/// Tells all others that this VM has reached the store, which relays had lost.
+async fn send_store_reached(state: Rc<AppState>, socket: Rc<UdpSocket>) {
+    loop {
+        state.relay.reached.notified().await;
+        send(&socket, &Message::StoreReached, &peer_addresses(&state));
+    }
+}
+
 /// Sends urgent updates, which don't wait for the next counts.
 async fn send_updates(state: Rc<AppState>, socket: Rc<UdpSocket>) {
     loop {
@@ -366,6 +430,10 @@
             (view.local_suspects(now), view.to_recheck(now), entries, view.cold.take_reports())
         };
         let peers = peer_addresses(&state);
+        let evacuations = state.view.borrow_mut().evacuation_news();
+        if !evacuations.is_empty() {
+            send(&socket, &Message::Evacuations(evacuations), &peers);
+        }
         // Before the entries, so that a cold head is known to be cold when it is first used.
         for chunk in cold.chunks(MESSAGE_COLD_MAX) {
             send(&socket, &Message::Cold(chunk.to_vec()), &peers);
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -96,6 +96,7 @@
 
 /// Serves a request from a plain service.
 pub(crate) async fn serve(call: Call) -> (Response<AnswerBody>, Option<RequestRecord>) {
+    call.record_demand();
     match PlainExchange::new(&call).run().await {
         Some(response) => (response, Some(call.record)),
         None => peer_forwarding::serve(call).await,
@@ -179,7 +180,7 @@
     /// before.
     async fn send(&mut self) -> Option<Response<AnswerBody>> {
         let call = self.call;
-        let now = call.state.now();
+        let chosen_at = call.state.now();
         let is_paid = self.search.needs_retry();
         let chosen = match is_paid && !call.state.may_retry(&call.service) {
             true => Err(Obstacle::NoRetryLeft),
@@ -188,7 +189,7 @@
         let server = match chosen {
             Ok(it) => it,
             Err(obstacle) => {
-                self.search.cannot_send(obstacle, now);
+                self.search.cannot_send(obstacle, chosen_at);
                 return None;
             }
         };
@@ -207,12 +208,20 @@
         if !self.search.may_send(now, &self.window()) {
             return None;
         }
+        // The zone may have been evacuated while the connection was opened.
+        if call.state.is_evacuated(&server.vm) {
+            self.search.connect_failed(server.vm);
+            return None;
+        }
+        if !call.state.try_send_to_cold(&server.vm, chosen_at) {
+            self.search.cannot_send(Obstacle::NoRoom, now);
+            return None;
+        }
         // Another request may have spent the last retry while this one connected.
         if is_paid && !call.state.try_spend_retry(&call.service) {
             self.search.cannot_send(Obstacle::NoRetryLeft, now);
             return None;
         }
-        call.state.record_sent_to_cold(&server.vm);
         let id = self.search.sent(server.vm.clone(), now);
         call.record.add_sent_to(&server.vm);
         call.record.log_step("request sent", &server.vm, "plain service");
@@ -324,7 +333,7 @@
 fn explain(obstacle: Obstacle) -> &'static str {
     match obstacle {
         Obstacle::NoServer | Obstacle::NoUsableServer => "no server of the service answers",
-        Obstacle::NoRoom => "the servers take no more requests for now",
+        Obstacle::NoRoom | Obstacle::NotAdmitted => "the servers take no more requests for now",
         Obstacle::NoRetryLeft => "retry budget used up",
         Obstacle::Refused => "server is full or has gone",
         Obstacle::Unreachable => "servers cannot be reached",
@@ -345,8 +354,10 @@
     let now = call.state.now();
     let excluded = search.excluded(now);
     let view = call.state.view.borrow();
-    let servers =
-        || view.servers.values().filter(|it| it.service == call.service && !it.is_leaving);
+    let is_candidate = |it: &&BackendServer| {
+        it.service == call.service && !it.is_leaving && call.allows_server(it)
+    };
+    let servers = || view.servers.values().filter(is_candidate);
     let loads: Vec<ServerLoad> = servers()
         .filter(|it| {
             !excluded.contains(&it.vm) && view.is_usable(it, now) && view.has_room(it, now)
@@ -357,8 +368,9 @@
             is_same_zone: it.zone == call.state.vm.zone,
         })
         .collect();
-    let chosen = view.failures.choose(&loads, now).and_then(|it| view.servers.get(&it.vm).cloned());
-    chosen.ok_or_else(|| view.obstacle(servers().filter(|it| !search.has_tried(&it.vm)), now))
+    let obstacle = view.obstacle(servers().filter(|it| !search.has_tried(&it.vm)), now);
+    drop(view);
+    call.choose_plain(&loads, now).ok_or(obstacle)
 }
 
 async fn exchange(
@@ -367,12 +379,15 @@
     mut connection: Connection,
 ) -> AttemptResult {
     call.state.metrics.count_attempt();
+    let left_zone = call.count_left_zone(&server.vm);
+    let sent_at = call.state.now();
     let _in_flight = call.state.track_in_flight(&server.vm, false);
     let request = call.backend_request(&server.vm, None, None);
     let process = call.state.server_process(&server.vm);
     let response = match connection.send(request).await {
         Ok(it) => it,
         Err(error) => {
+            call.state.pool.record_broken(&connection);
             call.record_failed_exchange(&server.vm, &error).await;
             return AttemptResult::Failed("connection broke", ResultCode::BackendBroken, None);
         }
@@ -406,13 +421,15 @@
         }
     };
     if !answer_head.closes {
-        call.state.recycle(connection, answer_head.idle_timeout);
+        call.state.recycle(connection, answer_head.idle_timeout, false);
     }
+    left_zone.iter().for_each(|it| it.add(body.len()));
     let answer = complete_response(call, status, headers, body);
     if status.is_server_error() {
         return AttemptResult::Failed("server failed", ResultCode::BackendBroken, Some(answer));
     }
     call.record_whole_answer();
+    call.record_answer_time(sent_at);
     AttemptResult::Answered(answer)
 }
 
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -14,9 +14,11 @@
 use mangocross_serving::BackendServer;
 use mangocross_serving::BootClock;
 use mangocross_serving::ColdServers;
+use mangocross_serving::Competition;
 use mangocross_serving::CompleteView;
 use mangocross_serving::ConfigurationFreshness;
 use mangocross_serving::CrashBlame;
+use mangocross_serving::Evacuations;
 use mangocross_serving::FailureTable;
 use mangocross_serving::HeadLoad;
 use mangocross_serving::ListedEntryVm;
@@ -41,6 +43,7 @@
 
 use crate::clock::SystemBootClock;
 use crate::closed_heads::ClosedHeads;
+use crate::head_candidates::HeadCandidates;
 use crate::held_entries::DepartedServer;
 use crate::leases::PlannerTerm;
 use crate::log_rate::LogRate;
@@ -49,6 +52,7 @@
 use crate::pool::Pool;
 use crate::relay_state::RelayState;
 use crate::store::StoreClient;
+use crate::zone_routing::ZoneRouting;
 
 /// Time for which a server gets no requests after a failed connection.
 pub(crate) const UNREACHABLE_PAUSE: Duration = Duration::from_millis(600);
@@ -104,6 +108,10 @@
     pub(crate) slowdowns: HashMap<VmId, f64>,
     /// Open heads that no longer serve, as the planner last told, and when.
     pub(crate) closed_heads: ClosedHeads,
+    /// This VM's subsets of the heads.
+    pub(crate) candidates: HeadCandidates,
+    /// Demand of the zones, and the shares of requests that leave this one.
+    pub(crate) zones: ZoneRouting,
     /// Requests and parts of prompts that crash servers.
     pub(crate) blame: CrashBlame,
     /// Broken answers whose servers may have crashed.
@@ -114,8 +122,12 @@
     pub(crate) limits: ServerLimits,
     /// Servers that take few requests after their start.
     pub(crate) cold: ColdServers,
+    /// Zones whose servers get no requests.
+    pub(crate) evacuations: Evacuations,
     /// Requests of the other entry VMs, while servers are limited.
     pub(crate) shares: RequestShares,
+    /// Streams of all entry VMs, and which of them are admitted while capacity is short.
+    pub(crate) competition: Competition,
     /// Whether this VM and the others reach the servers.
     pub(crate) reach: ServerReach,
     suspects: HashMap<VmId, Moment>,
@@ -359,6 +371,7 @@
             let load = view.loads.load(&it.vm, now);
             HeadLoad {
                 vm: it.vm.clone(),
+                zone: it.zone.clone(),
                 in_flight: load.in_flight,
                 waiting: load.waiting,
                 slowdown: view.slowdowns.get(&it.vm).copied().unwrap_or(1.0),
@@ -468,6 +481,7 @@
             && !self.missing.is_gone(vm, now)
             && !self.closed_heads.contains(vm, now)
             && self.notices.allows_requests(server, now)
+            && self.is_in_use(server)
     }
 
     /// Forgets which servers could not be reached.
@@ -509,8 +523,10 @@
         self.to_recheck.retain(|_, it| now.since(*it) < PEER_NOTICE_DURATION);
         self.avoided.retain(|_, it| now < *it);
         self.shares.expire(now);
+        self.competition.expire(now);
         self.reach.expire(now);
         self.cold.expire(now);
+        self.zones.expire(now);
         let Self { failures, servers, slowdowns, notices, limits, .. } = self;
         notices.expire(now, |vm| servers.contains_key(vm));
         limits.expire(now, |vm| servers.contains_key(vm));
--- a/bins/mangocross-front/src/stream/heads.rs
+++ b/bins/mangocross-front/src/stream/heads.rs
@@ -15,12 +15,16 @@
 use mangocross_types::VmId;
 
 use crate::dispatch::Call;
+use crate::head_candidates::HeadTier;
+use crate::head_candidates::OwnVm;
+use crate::head_candidates::TierRules;
 use crate::plain;
 use crate::pool::Connection;
 
 /// Returns the heads that accept requests for the model, or `None` if there are none.
 pub(super) fn find_heads(call: &Call, tried: &[VmId]) -> Option<Vec<HeadLoad>> {
-    let heads = call.state.heads(&call.service, call.caller_head.model.as_ref(), tried);
+    let mut heads = call.state.heads(&call.service, call.caller_head.model.as_ref(), tried);
+    call.retain_allowed(&mut heads);
     (!heads.is_empty()).then_some(heads)
 }
 
@@ -33,6 +37,7 @@
             && it.accepts_requests()
             && model.is_none_or(|model| it.serves(model))
             && !search.has_tried(&it.vm)
+            && call.allows_server(it)
     };
     let view = call.state.view.borrow();
     view.obstacle(view.servers.values().filter(is_left), call.state.now())
@@ -58,7 +63,46 @@
         true => Candidates::Sampled(Draws { first: fastrand::f64(), second: fastrand::f64() }),
         false => Candidates::All,
     };
-    admit(&GroupTimes::new(engine, model), heads, &demand, queue_slots, comparison)
+    let times = GroupTimes::new(engine, model);
+    let judge =
+        |heads: &[HeadLoad], queue_slots| admit(&times, heads, &demand, queue_slots, comparison);
+    let mut tiers = find_tiers(call, heads);
+    let last = tiers.pop();
+    // A place in a queue is taken only where no tier has a slot.
+    for tier in &tiers {
+        if let Admission::Send(vm) = judge(&tier.heads, 0) {
+            record_choice(call, tier, &vm);
+            return Admission::Send(vm);
+        }
+    }
+    let Some(last) = last else { return judge(heads, queue_slots) };
+    let admission = judge(&last.heads, queue_slots);
+    if let Admission::Send(vm) = &admission {
+        record_choice(call, &last, vm);
+    }
+    admission
+}
+
+/// Records why a stream is sent to a head.
+fn record_choice(call: &Call, tier: &HeadTier, vm: &VmId) {
+    if tier.is_subset {
+        call.state.view.borrow_mut().candidates.record_chosen(vm, call.state.now());
+    }
+    call.zone.left.set(Some(tier.leave_reason));
+}
+
+/// Returns the tiers that are tried one after the other; none if all heads are candidates at once.
+fn find_tiers(call: &Call, heads: &[HeadLoad]) -> Vec<HeadTier> {
+    let zones = call.zone_choice();
+    let own = OwnVm { name: &call.state.vm.name, zone: &call.state.vm.zone };
+    let view = &mut *call.state.view.borrow_mut();
+    let uses_subset = view.gets_counts_via_planner(own.name);
+    if !uses_subset && zones.is_none() {
+        return Vec::new();
+    }
+    view.candidates.refresh(own, &view.entry_vms, view.entry_vms_changed_at);
+    let rules = TierRules { own, uses_subset, zones: zones.as_ref() };
+    view.candidates.tiers(&rules, heads.to_vec())
 }
 
 /// Connects to a head; `failures` is the number of failed connections of the same request.
@@ -94,7 +138,7 @@
 
 /// Logs the load for which a stream was refused.
 pub(super) fn log_refused(call: &Call, best: &HeadLoad, first_event_in: Duration, groups: usize) {
-    let HeadLoad { vm, in_flight, waiting, slowdown } = best;
+    let HeadLoad { vm, in_flight, waiting, slowdown, .. } = best;
     let (first_ms, target_ms) = (first_event_in.as_millis(), call.route.target_latency.as_millis());
     let detail = format!(
         "{in_flight} in flight, {waiting} waiting, slowdown {slowdown:.1}, first event in {first_ms} ms, \
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -3,6 +3,8 @@
 mod adoption;
 mod closed_heads;
 mod donors;
+mod evacuation;
+mod foreign;
 mod forming;
 mod orders;
 mod packing;
@@ -19,6 +21,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mangocross_types::AvailabilityZone;
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupId;
 use mangocross_types::Incarnation;
@@ -27,6 +30,7 @@
 use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
 
+use self::foreign::ForeignMember;
 use self::forming::PlanUpdate;
 pub use self::plan::DomainPlan;
 pub use self::plan::FormerHead;
@@ -112,16 +116,6 @@
     staging: Option<StageOrder>,
 }
 
-impl TrackedServer {
-    /// Returns whether the server process has ended: it refuses connections, and the platform has
-    /// removed its entry, as it does after three heartbeats of silence.
-    ///
-    /// A refused connection alone may come from anything between this VM and the server.
-    fn has_ended(&self) -> bool {
-        self.unlisted_at.is_some() && self.health.refuses_connections()
-    }
-}
-
 /// The latest order to a server.
 #[derive(Debug)]
 struct SentOrder {
@@ -161,10 +155,12 @@
     slow_since: Option<Moment>,
     /// When the group was first found to be dissolving.
     dissolving_at: Option<Moment>,
-    /// Whether the head has accepted an order to leave.
+    /// Whether the head has accepted an order to leave, or has stopped otherwise.
     head_has_left: bool,
     /// When the head was first known to lack a member; it becomes broken `stall_timeout` later.
     incomplete_since: Option<Moment>,
+    /// Whether the group was adopted while not all of its members reported it.
+    lacks_members: bool,
 }
 
 /// Plans the groups of one engine service.
@@ -185,11 +181,15 @@
     progressing: HashSet<VmId>,
     /// Servers that want no requests for now.
     paused: HashSet<VmId>,
+    /// Zones whose groups serve nothing until operators take them back.
+    evacuated_zones: HashSet<AvailabilityZone>,
     /// When the newest server of each fabric domain appeared.
     newest_server_at: HashMap<FabricDomain, Moment>,
     /// The servers of each fabric domain as of the last decision, in order of their ids.
     by_domain: HashMap<FabricDomain, Vec<VmId>>,
     decided_at: Option<Moment>,
+    /// VMs that report or have left a group that is not in the plan, until it has ended.
+    foreign: HashMap<VmId, ForeignMember>,
     /// Era of the store in which the plans are written.
     era: StoreEra,
 }
@@ -209,9 +209,11 @@
             weight_load_limiter: WeightLoadLimiter::default(),
             progressing: HashSet::new(),
             paused: HashSet::new(),
+            evacuated_zones: HashSet::new(),
             newest_server_at: HashMap::new(),
             by_domain: HashMap::new(),
             decided_at: None,
+            foreign: HashMap::new(),
             era: StoreEra::default(),
         }
     }
@@ -423,6 +425,9 @@
             if stored.is_writing || stored.retry_at.is_some_and(|it| now < it) {
                 continue;
             }
+            if self.is_evacuated(&domain) {
+                continue;
+            }
             updates.push(self.maintain_groups(&domain, now, &mut actions));
         }
         let mut vm_counts = self.count_vms_by_model(&updates);
--- a/crates/mangocross-serving/src/traffic.rs
+++ b/crates/mangocross-serving/src/traffic.rs
@@ -4,10 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mangocross_types::AvailabilityZone;
 use mangocross_types::CustomerId;
 use mangocross_types::ModelId;
 use mangocross_types::ServiceId;
 
+use crate::HomeRegions;
+
 /// Whether requests on a route may be retried, and whether responses are event streams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryPolicy {
@@ -69,6 +72,8 @@
     pub attempts_max: u32,
     /// Whether requests are accepted without an API key.
     pub is_public: bool,
+    /// Regions in which requests may be served.
+    pub homes: HomeRegions,
 }
 
 impl RouteRule {
@@ -189,6 +194,39 @@
     pub customer: CustomerId,
     /// Priority of the customer's requests, if it overrides the route's.
     pub priority: Option<u8>,
+    /// Regions in which the customer's requests may be served.
+    pub homes: HomeRegions,
+}
+
+/// One-way delays of the paths between zones.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ZoneDelays {
+    delays: HashMap<(AvailabilityZone, AvailabilityZone), Duration>,
+}
+
+impl ZoneDelays {
+    /// Records the delay of the path from one zone to another.
+    pub fn insert(&mut self, from: AvailabilityZone, to: AvailabilityZone, delay: Duration) {
+        self.delays.insert((from, to), delay);
+    }
+
+    /// Returns whether no delay is known.
+    pub fn is_empty(&self) -> bool {
+        self.delays.is_empty()
+    }
+
+    /// Returns the delay of the path from one zone to another: that of the path back, or the longest
+    /// one, if its own is not known.
+    pub fn delay(&self, from: &AvailabilityZone, to: &AvailabilityZone) -> Duration {
+        if from == to {
+            return Duration::ZERO;
+        }
+        let of = |from: &AvailabilityZone, to: &AvailabilityZone| {
+            self.delays.get(&(from.clone(), to.clone())).copied()
+        };
+        let longest = || self.delays.values().max().copied().unwrap_or_default();
+        of(from, to).or_else(|| of(to, from)).unwrap_or_else(longest)
+    }
 }
 
 /// One version of the operators' configuration.
@@ -204,6 +242,8 @@
     pub keys: HashMap<Arc<str>, KeyHolder>,
     /// Whether requests on routes that are not public need an API key.
     pub needs_keys: bool,
+    /// One-way delays of the paths between zones.
+    pub zone_delays: ZoneDelays,
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteRule>>>,
 }
 
@@ -235,6 +275,17 @@
         slashes.filter_map(|(at, _)| of_host.get(&path[..=at])).next()
     }
 
+    /// Returns whether streams for a service come from routes with different priorities.
+    pub fn has_stream_priorities(&self, service: &ServiceId) -> bool {
+        let leads = |it: &&Arc<RouteRule>| {
+            it.retry_policy.is_stream() && it.targets.iter().any(|it| it.service == *service)
+        };
+        let routes = self.routes.values().flat_map(HashMap::values).filter(leads);
+        let mut priorities = routes.map(|it| it.priority);
+        let first = priorities.next();
+        priorities.any(|it| Some(it) != first)
+    }
+
     /// Returns the engine services and their specifications.
     pub fn engines(&self) -> impl Iterator<Item = (&ServiceId, &EngineSpec)> {
         self.services.iter().filter_map(|(id, it)| Some((id, it.engine.as_ref()?)))
--- a/crates/mangocross-serving/tests/cold_servers.rs
+++ b/crates/mangocross-serving/tests/cold_servers.rs
@@ -10,6 +10,7 @@
 use mangocross_serving::ColdServers;
 use mangocross_serving::EngineStatus;
 use mangocross_serving::Moment;
+use mangocross_serving::process_age;
 use mangocross_types::Revision;
 use mangocross_types::ServiceId;
 use mangocross_types::StoreRevision;
@@ -271,6 +272,59 @@
     assert!(!cold.is_cold(&server(8), at(203_000)));
 }
 
+/// An entry VM whose wall clock is far behind would take all servers for cold when it starts.
+#[test]
+fn age_of_a_process_by_a_clock_that_is_wrong_tells_nothing() {
+    let s = Duration::from_secs;
+    assert_eq!(process_age(s(100), s(103)), s(3));
+    assert_eq!(process_age(s(101), s(100)), Duration::ZERO);
+    assert_eq!(process_age(s(103), s(100)), Duration::MAX);
+}
+
+/// A connection took long, and the server became cold meanwhile or has had a turn since.
+#[test]
+fn request_is_sent_late_only_with_a_turn() {
+    let mut cold = cold_servers(RULE);
+    let (listed, own) = (server(7), Arc::<str>::from("front-1"));
+    let refresh = |cold: &mut ColdServers, now| {
+        cold.refresh(&own, std::iter::once(&own), std::iter::once(&listed), now, || 0.0);
+    };
+    refresh(&mut cold, at(0));
+    assert!(cold.may_send(&listed, at(3_900), at(4_000)), "it is not cold");
+    cold.record_told((&listed.vm, 7), Duration::from_secs(3), at(4_000));
+    assert!(!cold.may_send(&listed, at(3_900), at(4_000)), "there are no turns yet");
+    refresh(&mut cold, at(4_000));
+    assert!(cold.may_send(&listed, at(3_900), at(4_000)), "there is a turn");
+    cold.record_request(&listed.vm, at(4_000));
+    assert!(!cold.may_send(&listed, at(4_010), at(4_020)));
+    assert!(cold.may_send(&listed, at(4_000), at(4_020)), "the turn was taken for it");
+}
+
+#[test]
+fn server_is_cold_when_its_zone_is_taken_back() {
+    let mut cold = cold_servers(RULE);
+    let listed = server(7);
+    cold.record_listed(&listed.vm, 7, Duration::from_secs(60), at(0));
+    cold.record_taken_back(&listed, at(1_000));
+    assert!(cold.is_cold(&listed, at(3_900)) && !cold.is_cold(&listed, at(4_000)));
+}
+
+/// A zone's servers are cut off for a while and listed again with the same processes.
+#[test]
+fn server_is_cold_when_it_is_listed_again() {
+    let mut cold = cold_servers(RULE);
+    let (listed, own) = (server(7), Arc::<str>::from("front-1"));
+    let an_hour = Duration::from_secs(3_600);
+    cold.record_listed(&listed.vm, 7, an_hour, at(0));
+    for now in (0..20_000).step_by(1_000) {
+        cold.refresh(&own, std::iter::empty(), std::iter::once(&listed), at(now), || 0.0);
+    }
+    cold.record_listed(&listed.vm, 7, an_hour, at(20_000));
+    assert!(!cold.is_cold(&listed, at(20_000)), "it was listed all the time");
+    cold.record_listed(&listed.vm, 7, an_hour, at(26_000));
+    assert!(cold.is_cold(&listed, at(28_900)) && !cold.is_cold(&listed, at(29_000)));
+}
+
 /// Without `cold_start_s` and `cold_per_s` nothing is limited.
 #[test]
 fn service_without_rule_is_not_limited() {
