fix(front): small fleets choose streams' groups among all zones

Cause: where the configuration names path delays, zone tiers were also used with at most 16 other entry VMs, which know the loads of all heads as they are.

--- a/bins/mangocross-front/src/stream/heads.rs
+++ b/bins/mangocross-front/src/stream/heads.rs
@@ -93,13 +93,14 @@
 
 /// Returns the tiers that are tried one after the other; none if all heads are candidates at once.
 fn find_tiers(call: &Call, heads: &[HeadLoad]) -> Vec<HeadTier> {
-    let zones = call.zone_choice();
     let own = OwnVm { name: &call.state.vm.name, zone: &call.state.vm.zone };
-    let view = &mut *call.state.view.borrow_mut();
-    let uses_subset = view.gets_counts_via_planner(own.name);
-    if !uses_subset && zones.is_none() {
+    // Few entry VMs know the loads of all heads as they are, so the best of all is the best choice.
+    let uses_subset = call.state.view.borrow().gets_counts_via_planner(own.name);
+    if !uses_subset {
         return Vec::new();
     }
+    let zones = call.zone_choice();
+    let view = &mut *call.state.view.borrow_mut();
     view.candidates.refresh(own, &view.entry_vms, view.entry_vms_changed_at);
     let rules = TierRules { own, uses_subset, zones: zones.as_ref() };
     view.candidates.tiers(&rules, heads.to_vec())
