test(front): crowds of clients outside the limits, one test a shape

Callers that nobody controls reach every port of an entry VM, and nothing bounds the memory and descriptors that they use. The tests start the program with 64 MB and 512 descriptors, send a crowd to a route, to a path without a route, to the ready path, to the metrics port and to the TCP port between entry VMs (as a passed-on request and as a question for changes), and check that resident memory (VmRSS, VmHWM) and descriptors stay within these settings and that an ordinary request is answered afterwards. Bounds come from the settings.

The stand-in gets answers with padding and endless streams of events; `Front::spawn_limited` starts the program with these settings.

--- a/bins/mangocross-front/tests/front/platform/front.rs
+++ b/bins/mangocross-front/tests/front/platform/front.rs
@@ -73,12 +73,21 @@
         stdout: Stdio,
         cpu_share: f64,
     ) -> Self {
-        Self::spawn_with(store, revoke_ms, Some(stdout), cpu_share)
+        Self::spawn_with(store, revoke_ms, Some(stdout), cpu_share, |_| {})
     }
 
     /// Like `spawn_sized`, with the log kept for the message of a failure.
     pub(crate) fn spawn_logged(store: SocketAddr, revoke_ms: u64, cpu_share: f64) -> Self {
-        Self::spawn_with(store, revoke_ms, None, cpu_share)
+        Self::spawn_with(store, revoke_ms, None, cpu_share, |_| {})
+    }
+
+    /// Like `spawn_logged`, on a VM with this memory and this number of descriptors.
+    #[allow(dead_code, reason = "used by tests/clients")]
+    pub(crate) fn spawn_limited(store: SocketAddr, memory_mb: u64, max_fds: u64) -> Self {
+        Self::spawn_with(store, 60_000, None, 1.0, |settings| {
+            settings["limits"]["memory_mb"] = memory_mb.into();
+            settings["limits"]["max_fds"] = max_fds.into();
+        })
     }
 
     fn spawn_with(
@@ -86,12 +95,13 @@
         revoke_ms: u64,
         stdout: Option<Stdio>,
         cpu_share: f64,
+        change: impl FnOnce(&mut Value),
     ) -> Self {
         let (ip, claim) = claim_address();
         let host = ip.octets()[3];
         let address = SocketAddr::from((ip, CALLERS_PORT));
         let ready = SocketAddr::from((ip, READY_PORT));
-        let settings = json!({
+        let mut settings = json!({
             "node": name_of(address), "ip": IpAddr::V4(ip), "zone": "zone-a",
             "listen": {"front": address, "ready": ready},
             "internal_ports": [PEERS_PORT, PEERS_PORT], "first_start": true,
@@ -99,6 +109,7 @@
             "bounds": {"revoke_ms": revoke_ms, "strict_revoke": true, "grace_s": 8, "stall_ms": 6000, "retry_slack": 50},
             "platform": {"address": store},
         });
+        change(&mut settings);
         let name = format!("mangocross-front-{}-{host}.json", std::process::id());
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, settings.to_string()).expect("a settings file");
@@ -180,9 +191,14 @@
         call(self.address, method, path, headers, body)
     }
 
+    /// Returns the address of the metrics.
+    pub(crate) fn metrics_address(&self) -> SocketAddr {
+        SocketAddr::new(self.address.ip(), METRICS_PORT)
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub(crate) fn metrics(&self) -> String {
-        call(SocketAddr::new(self.address.ip(), METRICS_PORT), "GET", "/metrics", "", "").2
+        call(self.metrics_address(), "GET", "/metrics", "", "").2
     }
 
     /// Repeats a request until its answer has the given status; returns the body.
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -51,6 +51,9 @@
     EndlessFailure,
     /// The connection ends after the head of the answer, before any event.
     HeadOnly,
+    /// Events come without a pause until the connection ends.
+    #[allow(dead_code, reason = "used by tests/clients")]
+    EndlessEvents,
 }
 
 /// A request that reached a server.
@@ -68,6 +71,8 @@
 pub(super) struct State {
     stream_fault: StreamFault,
     answer_end: AnswerEnd,
+    /// Number of bytes that are added to the answers of a plain service.
+    answer_padding: usize,
     /// Whether all answers say that the server is leaving.
     is_leaving: bool,
     /// Refusals of streams that are to be resumed, by attempt, if the first one of each is refused.
@@ -234,6 +239,12 @@
         lock(&self.state).reports
     }
 
+    /// Sets the number of bytes that are added to the answers of a plain service.
+    #[allow(dead_code, reason = "used by tests/clients")]
+    pub(crate) fn set_answer_padding(&self, bytes: usize) {
+        lock(&self.state).answer_padding = bytes;
+    }
+
     /// Sets how answers to requests end.
     pub(crate) fn set_answer_end(&self, end: AnswerEnd) {
         lock(&self.state).answer_end = end;
@@ -457,7 +468,9 @@
         if self.service != "models" {
             match end {
                 AnswerEnd::Length => {
-                    self.send(stream, self.plain_status(), &headers, &self.plain_body(&attempt));
+                    let mut body = self.plain_body(&attempt);
+                    body.extend(std::iter::repeat_n('x', lock(&self.state).answer_padding));
+                    self.send(stream, self.plain_status(), &headers, &body);
                 }
                 _ => answer_without_length(stream, &headers, &["the whole", " body"], end),
             }
@@ -505,6 +518,9 @@
                 StreamFault::EndlessEvent if id == 3 => {
                     return write_until_closed(stream, "data: x\n", Duration::from_millis(1));
                 }
+                StreamFault::EndlessEvents if id == 3 => {
+                    return write_endless_events(stream);
+                }
                 _ => {}
             }
             // The lock must not be held meanwhile: reports would wait for it.
@@ -551,3 +567,14 @@
         thread::sleep(pause);
     }
 }
+
+/// Writes events of 8 KiB until the connection ends.
+fn write_endless_events(stream: &mut TcpStream) {
+    for id in 3_u64.. {
+        let event = format!("id: {id}\ndata: {}\n\n", "x".repeat(8 << 10));
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        if stream.write_all(chunk.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
