feat(http): a byte budget for what a process buffers for its clients

Bodies were kept until their deadline, up to the number of requests in flight times the largest body: 1 GiB at a gateway. `ByteBudget` charges what is allocated to the client (the connection) and gives it back when the guard is dropped. When it runs short, clients that the process waits for are closed: those without a byte for a second first, then by the lowest rate, and only if that makes room. `BodyBuffer` keeps a body in parts of equal size. Gateway and coordinator get the setting `memory_mb` (256), metrics `held_bytes` and `closed_connections`, and a log line a second at most.

`bodies_that_stop_short_stay_within_the_byte_budget` was seen red with the charge of a body made unconditional.

--- a/bins/mangocross-coordinator/src/coordinator.rs
+++ b/bins/mangocross-coordinator/src/coordinator.rs
@@ -64,13 +64,14 @@
     // dropped.
     metrics::register(&state, responder, poller);
     let operating = Arc::clone(&state);
-    let _operators = HttpServer::bind(
+    let operators = HttpServer::bind(
         settings.operator_listen,
-        ServerLimits::default(),
+        ServerLimits::default().memory_bytes_max(settings.memory_mb << 20),
         move |it| operators::serve_operator_request(&operating, it),
         refuse,
     )
     .map_err(cannot_bind)?;
+    metrics::register_budget(&state, operators.budget());
 
     for (name, work) in [
         ("configuration", configuration::run as fn(&Arc<CoordinatorState>)),
--- a/bins/mangocross-coordinator/src/metrics.rs
+++ b/bins/mangocross-coordinator/src/metrics.rs
@@ -8,6 +8,7 @@
 use mangocross_coordination::Completeness;
 use mangocross_coordination::OrderAuthority;
 use mangocross_coordination::incomplete_groups;
+use mangocross_http::ByteBudget;
 use mangocross_telemetry::Metrics;
 use mangocross_telemetry::Sample;
 use mangocross_types::DomainAssignment;
@@ -160,6 +161,21 @@
     metrics.observable_counter("frames_dropped", text, move || dropped_frames(&responder, &poller));
 }
 
+/// Registers the metrics of the budget of bytes that are buffered for operators.
+pub(crate) fn register_budget(state: &CoordinatorState, budget: &ByteBudget) {
+    let metrics = &state.metrics.metrics;
+    let held = budget.clone();
+    metrics.observable_gauge("held_bytes", "Bytes charged to operators", move || {
+        vec![Sample::new(held.used() as u64)]
+    });
+    let budget = budget.clone();
+    metrics.observable_counter(
+        "closed_connections",
+        "Connections closed by this process, by exceeded limit",
+        move || vec![Sample::new(budget.closed()).label("reason", "memory")],
+    );
+}
+
 fn dropped_frames(responder: &PollResponder, poller: &Poller) -> Vec<Sample> {
     let dropped = |of: &'static str, count: &dyn Fn(DropReason) -> u64| {
         let sample = |it: DropReason| Sample::new(count(it)).label("of", of);
--- a/bins/mangocross-gateway/src/gateway.rs
+++ b/bins/mangocross-gateway/src/gateway.rs
@@ -53,6 +53,7 @@
     metrics::register(&state, &poller);
     let limits = ServerLimits::default()
         .body_bytes_max(settings.body_bytes_max)
+        .memory_bytes_max(settings.memory_mb << 20)
         .in_flight_max(settings.in_flight_max);
     let (serving, refusing) = (Arc::clone(&state), Arc::clone(&state));
     let server = HttpServer::bind(
@@ -62,6 +63,7 @@
         move |it| refuse(&refusing, it),
     )
     .map_err(|it| format!("failed to bind {}: {it}", settings.listen))?;
+    metrics::register_budget(&state, server.budget());
     log::info!("gateway is listening for callers at {}", server.address());
     signals.forever().next();
     stop(&state, &server);
--- a/bins/mangocross-gateway/src/handler.rs
+++ b/bins/mangocross-gateway/src/handler.rs
@@ -202,6 +202,7 @@
     let code = match error {
         BodyError::TooLarge { .. } => ResultCode::BodyTooLarge,
         BodyError::TooSlow { .. } => ResultCode::SlowSender,
+        BodyError::NoMemory => ResultCode::Overloaded,
         BodyError::Broken { .. } => ResultCode::MalformedRequest,
     };
     Refusal::not_run(code, error.to_string())
--- a/bins/mangocross-gateway/src/metrics.rs
+++ b/bins/mangocross-gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mangocross_claims::ClaimCounts;
+use mangocross_http::ByteBudget;
 use mangocross_policy::PrefixResidency;
 use mangocross_telemetry::Metrics;
 use mangocross_telemetry::Sample;
@@ -178,6 +179,21 @@
     });
 }
 
+/// Registers the metrics of the budget of bytes that are buffered for callers.
+pub(crate) fn register_budget(state: &GatewayState, budget: &ByteBudget) {
+    let metrics = &state.metrics.metrics;
+    let held = budget.clone();
+    metrics.observable_gauge("held_bytes", "Bytes charged to callers", move || {
+        vec![Sample::new(held.used() as u64)]
+    });
+    let budget = budget.clone();
+    metrics.observable_counter(
+        "closed_connections",
+        "Connections closed by this process, by exceeded limit",
+        move || vec![Sample::new(budget.closed()).label("reason", "memory")],
+    );
+}
+
 fn claim_store_calls(counts: &ClaimCounts) -> Vec<Sample> {
     let written = counts.swaps.saturating_sub(counts.conflicts);
     vec![
--- a/crates/mangocross-http/src/connection.rs
+++ b/crates/mangocross-http/src/connection.rs
@@ -6,9 +6,14 @@
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::task::Context;
 use std::task::Poll;
+use std::task::Wake;
 use std::task::Waker;
+use std::thread;
+use std::thread::Thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,6 +26,10 @@
 use snafu::Snafu;
 use socket2::SockRef;
 
+use crate::BodyBuffer;
+use crate::BudgetClient;
+use crate::BudgetExhausted;
+use crate::HeldBytes;
 use crate::ServerLimits;
 use crate::exchange::Exchange;
 use crate::exchange::ReadEnd;
@@ -38,6 +47,14 @@
 const HEADER_BYTES_MIN: usize = 8 * 1024;
 /// Polls after which a response that hyper has not written is abandoned.
 const WRITE_POLLS_MAX: usize = 16;
+/// Charge of a connection to the byte budget: its buffers, its state and the used part of its stack.
+const CONNECTION_BYTES: usize = 32 * 1024;
+/// Time after which a thread that waits for room in the byte budget looks again.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest time between two log lines about connections that are closed to make room.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// When the last such line was written.
+static LAST_LOGGED: Mutex<Option<Instant>> = Mutex::new(None);
 /// Replaces a request whose header cannot be read, so that hyper writes the refusal.
 const PLACEHOLDER_REQUEST: &[u8] = b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n";
 
@@ -82,6 +99,9 @@
     exchange: Exchange,
     stream: Arc<TcpStream>,
     limits: ServerLimits,
+    client: BudgetClient,
+    /// Charge of the connection.
+    held: Arc<HeldBytes>,
     /// Result of hyper's connection future, once it has completed.
     ended: Option<Result<(), hyper::Error>>,
     /// Whether the connection must end with a reset.
@@ -90,38 +110,69 @@
 
 impl Connection {
     /// Wraps an accepted socket.
-    pub(crate) fn new(stream: TcpStream, limits: ServerLimits) -> Self {
-        Self::with_prefix(Arc::new(stream), limits, &[])
+    pub(crate) fn new(stream: TcpStream, limits: ServerLimits, client: BudgetClient) -> Self {
+        let stream = Arc::new(stream);
+        let closer = Waker::from(Arc::new(Closer(Arc::clone(&stream))));
+        // The waker stays registered until the client is to be closed.
+        if client.poll_closed(&Context::from_waker(&closer)).is_ready() {
+            closer.wake();
+        }
+        let held = Arc::new(client.hold(CONNECTION_BYTES));
+        Self::with_prefix(stream, limits, client, held, &[])
     }
 
     /// Starts a new connection state on the same socket with [`PLACEHOLDER_REQUEST`] as its request.
     ///
     /// The response to that request ends the connection.
     pub(crate) fn into_placeholder(self) -> Option<(Self, Request<Incoming>)> {
-        let mut placeholder = Self::with_prefix(self.stream, self.limits, PLACEHOLDER_REQUEST);
+        let mut placeholder = Self::with_prefix(
+            self.stream,
+            self.limits,
+            self.client,
+            self.held,
+            PLACEHOLDER_REQUEST,
+        );
         match placeholder.next() {
             NextRequest::Request(request) => Some((placeholder, *request)),
             NextRequest::Unreadable(_) | NextRequest::Closed => None,
         }
     }
 
-    fn with_prefix(stream: Arc<TcpStream>, limits: ServerLimits, prefix: &'static [u8]) -> Self {
+    fn with_prefix(
+        stream: Arc<TcpStream>,
+        limits: ServerLimits,
+        client: BudgetClient,
+        held: Arc<HeldBytes>,
+        prefix: &'static [u8],
+    ) -> Self {
         let exchange = Exchange::new();
-        let socket = Socket::new(Arc::clone(&stream), exchange.clone(), limits, prefix);
+        let socket =
+            Socket::new(Arc::clone(&stream), exchange.clone(), limits, client.clone(), prefix);
         let http1 = http1::Builder::new()
             .header_read_timeout(None)
             .max_buf_size(limits.header_bytes_max.max(HEADER_BYTES_MIN))
             .serve_connection(socket, exchange.clone());
-        Self { http1: Box::pin(http1), exchange, stream, limits, ended: None, reset: false }
+        Self {
+            http1: Box::pin(http1),
+            exchange,
+            stream,
+            limits,
+            client,
+            held,
+            ended: None,
+            reset: false,
+        }
     }
 
     /// Waits for the next request.
     pub(crate) fn next(&mut self) -> NextRequest {
         self.exchange.lock().begin_header();
+        self.client.begin(true);
         let mut may_read = false;
         loop {
             self.poll(may_read);
             if let Some(request) = self.exchange.lock().take_request() {
+                self.client.set_awaited(false);
                 return NextRequest::Request(Box::new(request));
             }
             // If hyper did not use the permission to read, no further request will be received.
@@ -178,9 +229,69 @@
         }
     }
 
-    /// Sets the deadline for the complete body.
-    pub(crate) fn set_body_deadline(&self, deadline: Instant) {
+    /// Sets the deadline for the complete body, which is awaited from now on.
+    pub(crate) fn begin_body(&self, deadline: Instant) {
         self.exchange.lock().deadline = Some(deadline);
+        self.client.begin(true);
+    }
+
+    /// Records that the body is complete or that no more of it is read.
+    pub(crate) fn end_body(&self) {
+        self.client.set_awaited(false);
+    }
+
+    /// Returns a buffer that is charged to the caller.
+    pub(crate) fn body_buffer(&self) -> BodyBuffer {
+        BodyBuffer::new(self.client.clone())
+    }
+
+    /// Moves a part of the body into its buffer, as soon as there is room for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`BudgetClient::poll_hold`] does, and at the body's deadline.
+    pub(crate) fn extend(
+        &self,
+        buffer: &mut BodyBuffer,
+        mut part: Bytes,
+    ) -> Result<(), BudgetExhausted> {
+        self.wait_for_room(|context| buffer.poll_extend(context, &mut part))
+    }
+
+    /// Charges bytes, as soon as there is room for them.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`BudgetClient::poll_hold`] does, and at the body's deadline.
+    pub(crate) fn hold(&self, bytes: usize) -> Result<HeldBytes, BudgetExhausted> {
+        self.wait_for_room(|context| self.client.poll_hold(context, bytes))
+    }
+
+    fn wait_for_room<T>(
+        &self,
+        mut poll: impl FnMut(&Context<'_>) -> Poll<Result<T, BudgetExhausted>>,
+    ) -> Result<T, BudgetExhausted> {
+        let waker = Waker::from(Arc::new(Unpark(thread::current())));
+        let context = Context::from_waker(&waker);
+        let deadline = self.exchange.lock().deadline;
+        // The sender is not to blame for the time until there is room.
+        self.client.set_awaited(false);
+        let result = loop {
+            match poll(&context) {
+                Poll::Ready(result) => break result,
+                Poll::Pending if deadline.is_some_and(|it| it <= Instant::now()) => {
+                    break Err(BudgetExhausted);
+                }
+                Poll::Pending => thread::park_timeout(ROOM_CHECK_INTERVAL),
+            }
+        };
+        self.client.set_awaited(true);
+        result
+    }
+
+    /// Records bytes of the body.
+    pub(crate) fn record_received(&self, bytes: usize) {
+        self.client.record_progress(bytes);
     }
 
     /// Starts the response and writes the part of it that is available.
@@ -189,8 +300,13 @@
     ///
     /// Fails if the caller has disconnected or takes longer than the write time limit.
     pub(crate) fn respond(&mut self, response: Response<ResponseBody>) -> io::Result<()> {
+        let length = usize::try_from(response.body().size_hint().lower()).unwrap_or(usize::MAX);
+        let _held = self.client.hold(length);
+        self.client.begin(true);
         self.exchange.lock().response = Some(response);
-        self.write()
+        let written = self.write();
+        self.client.set_awaited(false);
+        written
     }
 
     /// Returns a response body that is written in chunks.
@@ -293,6 +409,32 @@
     }
 }
 
+/// Closes the socket of a client when it is woken, so that the thread which reads or writes it goes on.
+struct Closer(Arc<TcpStream>);
+
+impl Wake for Closer {
+    fn wake(self: Arc<Self>) {
+        let now = Instant::now();
+        let mut last_logged = LAST_LOGGED.lock().unwrap_or_else(PoisonError::into_inner);
+        if last_logged.is_none_or(|it| now.duration_since(it) >= LOG_INTERVAL) {
+            *last_logged = Some(now);
+            log::warn!(
+                "closed connections: the byte budget is used up and others make more progress"
+            );
+        }
+        let _ = self.0.shutdown(Shutdown::Both);
+    }
+}
+
+/// Wakes a thread.
+struct Unpark(Thread);
+
+impl Wake for Unpark {
+    fn wake(self: Arc<Self>) {
+        self.0.unpark();
+    }
+}
+
 fn poll_data(body: &mut Incoming) -> Poll<io::Result<Option<Bytes>>> {
     let mut context = Context::from_waker(Waker::noop());
     match Pin::new(body).poll_frame(&mut context) {
--- a/crates/mangocross-http/src/held.rs
+++ b/crates/mangocross-http/src/held.rs
@@ -11,6 +11,9 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 
+use crate::BodyBuffer;
+use crate::BudgetExhausted;
+use crate::HeldBytes;
 use crate::connection::Connection;
 use crate::exchange::ResponseBody;
 
@@ -43,8 +46,32 @@
         (Self { connection: Some(connection), return_to, progress }, returned)
     }
 
-    pub(crate) fn set_body_deadline(&mut self, deadline: Instant) {
-        self.connection().set_body_deadline(deadline);
+    pub(crate) fn begin_body(&mut self, deadline: Instant) {
+        self.connection().begin_body(deadline);
+    }
+
+    pub(crate) fn end_body(&mut self) {
+        self.connection().end_body();
+    }
+
+    pub(crate) fn body_buffer(&mut self) -> BodyBuffer {
+        self.connection().body_buffer()
+    }
+
+    pub(crate) fn extend(
+        &mut self,
+        buffer: &mut BodyBuffer,
+        part: Bytes,
+    ) -> Result<(), BudgetExhausted> {
+        self.connection().extend(buffer, part)
+    }
+
+    pub(crate) fn hold(&mut self, bytes: usize) -> Result<HeldBytes, BudgetExhausted> {
+        self.connection().hold(bytes)
+    }
+
+    pub(crate) fn record_received(&mut self, bytes: usize) {
+        self.connection().record_received(bytes);
     }
 
     pub(crate) fn read_body(&mut self, body: &mut Incoming) -> io::Result<Option<Bytes>> {
--- a/crates/mangocross-http/src/lib.rs
+++ b/crates/mangocross-http/src/lib.rs
@@ -6,7 +6,9 @@
 //! deliver the response of another request, and the error of a failed call tells reliably whether
 //! the server can have received anything.
 
+mod body_buffer;
 mod body_stream;
+mod budget;
 mod call;
 mod client;
 mod connection;
@@ -23,7 +25,13 @@
 mod timeouts;
 mod tracker;
 
+pub use body_buffer::BodyBuffer;
+pub use body_buffer::BodyParts;
 pub use body_stream::BodyStream;
+pub use budget::BudgetClient;
+pub use budget::BudgetExhausted;
+pub use budget::ByteBudget;
+pub use budget::HeldBytes;
 pub use call::HttpCall;
 pub use call::HttpMethod;
 pub use client::HttpClient;
--- a/crates/mangocross-http/src/limits.rs
+++ b/crates/mangocross-http/src/limits.rs
@@ -16,6 +16,8 @@
 const BODY_BYTES_MAX: usize = 1024 * 1024;
 /// Default limit of requests handled concurrently.
 const IN_FLIGHT_MAX: usize = 1024;
+/// Default memory of the process, in bytes.
+const MEMORY_BYTES_MAX: u64 = 256 << 20;
 /// Default of [`ServerLimits::spare_connections`].
 const SPARE_CONNECTIONS: usize = 1024;
 
@@ -41,6 +43,8 @@
     /// Connections that are served beyond `in_flight_max`. As many again are accepted, and the first
     /// request on each of these is refused; further connections are closed.
     pub spare_connections: usize,
+    /// Memory of the process in bytes; a quarter of it is the byte budget.
+    pub memory_bytes_max: u64,
 }
 
 impl ServerLimits {
@@ -85,6 +89,13 @@
         self.spare_connections = limit;
         self
     }
+
+    /// Sets the memory of the process in bytes.
+    #[must_use]
+    pub fn memory_bytes_max(mut self, limit: u64) -> Self {
+        self.memory_bytes_max = limit;
+        self
+    }
 }
 
 impl Default for ServerLimits {
@@ -98,6 +109,7 @@
             body_bytes_max: BODY_BYTES_MAX,
             in_flight_max: IN_FLIGHT_MAX,
             spare_connections: SPARE_CONNECTIONS,
+            memory_bytes_max: MEMORY_BYTES_MAX,
         }
     }
 }
--- a/crates/mangocross-http/src/request.rs
+++ b/crates/mangocross-http/src/request.rs
@@ -19,6 +19,7 @@
 
 use crate::BodyStream;
 use crate::HeaderError;
+use crate::HeldBytes;
 use crate::HttpMethod;
 use crate::ServerLimits;
 use crate::exchange::ResponseBody;
@@ -39,6 +40,9 @@
         /// The limit in milliseconds.
         limit_ms: u128,
     },
+    /// The byte budget of the process has no room for it.
+    #[snafu(display("no memory is left for the body; send it again later"))]
+    NoMemory,
     /// The connection broke, the body does not match its headers, or it is not the expected JSON.
     #[snafu(display("the body broke off: {message}"))]
     Broken {
@@ -60,6 +64,8 @@
     body: Incoming,
     connection: ConnectionGuard,
     limits: ServerLimits,
+    /// Charge of the body, which the handler has until it responds.
+    held: Option<HeldBytes>,
 }
 
 impl ServerRequest {
@@ -79,6 +85,7 @@
             body,
             connection,
             limits,
+            held: None,
         }
     }
 
@@ -130,22 +137,42 @@
         if self.body.size_hint().lower() > bytes_max as u64 {
             return Err(BodyError::TooLarge { bytes_max });
         }
+        self.connection.begin_body(Instant::now() + self.limits.body_timeout);
+        let body = self.receive_body(bytes_max);
+        self.connection.end_body();
+        body
+    }
+
+    /// Receives a body in parts of equal size, since buffers that grow leave gaps in the allocator's
+    /// arenas, and joins them once it is complete.
+    fn receive_body(&mut self, bytes_max: usize) -> Result<Vec<u8>, BodyError> {
         let limit = self.limits.body_timeout;
-        let mut body = Vec::new();
-        self.connection.set_body_deadline(Instant::now() + limit);
+        let mut buffer = self.connection.body_buffer();
         loop {
             match self.connection.read_body(&mut self.body) {
-                Ok(None) => return Ok(body),
-                Ok(Some(part)) => body.extend_from_slice(&part),
+                Ok(None) => break,
+                Ok(Some(part)) => {
+                    self.connection.record_received(part.len());
+                    let extended = self.connection.extend(&mut buffer, part);
+                    extended.map_err(|_| BodyError::NoMemory)?;
+                }
                 Err(error) if error.kind() == io::ErrorKind::TimedOut => {
                     return Err(BodyError::TooSlow { limit_ms: limit.as_millis() });
                 }
                 Err(error) => return Err(BodyError::Broken { message: error.to_string() }),
             }
-            if body.len() > bytes_max {
+            if buffer.length() > bytes_max {
                 return Err(BodyError::TooLarge { bytes_max });
             }
         }
+        let mut parts = buffer.finish();
+        let held = self.connection.hold(parts.length()).map_err(|_| BodyError::NoMemory)?;
+        self.held = Some(held);
+        let mut body = Vec::with_capacity(parts.length());
+        while let Some(part) = parts.next_part() {
+            body.extend_from_slice(&part);
+        }
+        Ok(body)
     }
 
     /// Reads the whole body as JSON.
--- a/crates/mangocross-http/src/server.rs
+++ b/crates/mangocross-http/src/server.rs
@@ -21,6 +21,7 @@
 use socket2::TcpKeepalive;
 use socket2::Type;
 
+use crate::ByteBudget;
 use crate::HeaderError;
 use crate::ServerLimits;
 use crate::ServerRequest;
@@ -36,6 +37,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which a connection with unacknowledged data is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Divisor of the memory that the byte budget is derived from. The allocator gives threads arenas of
+/// their own, which keep what is freed in them.
+const ARENA_DIVISOR: u64 = 2;
 /// Pause after an error of `accept`.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(10);
 
@@ -55,6 +59,7 @@
 
 struct Shared {
     limits: ServerLimits,
+    budget: ByteBudget,
     handler: Box<Handler>,
     refuse: Box<Handler>,
     in_flight: AtomicUsize,
@@ -82,6 +87,7 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             limits,
+            budget: ByteBudget::of_memory(limits.memory_bytes_max / ARENA_DIVISOR),
             handler: Box::new(handler),
             refuse: Box::new(refuse),
             in_flight: AtomicUsize::new(0),
@@ -103,6 +109,11 @@
     pub fn in_flight(&self) -> usize {
         self.shared.in_flight.load(Ordering::SeqCst)
     }
+
+    /// Returns the budget of the bytes that the server buffers for its clients.
+    pub fn budget(&self) -> &ByteBudget {
+        &self.shared.budget
+    }
 }
 
 impl Drop for HttpServer {
@@ -147,7 +158,8 @@
         return;
     }
     let spawned = thread::Builder::new().name("http-connection".into()).spawn(move || {
-        serve(&guard.shared, Connection::new(stream, guard.shared.limits), admission);
+        let client = guard.shared.budget.enter();
+        serve(&guard.shared, Connection::new(stream, guard.shared.limits, client), admission);
     });
     if let Err(error) = spawned {
         log::error!("failed to start a thread for a connection: {error}");
--- a/crates/mangocross-http/src/socket.rs
+++ b/crates/mangocross-http/src/socket.rs
@@ -15,6 +15,7 @@
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
 
+use crate::BudgetClient;
 use crate::ServerLimits;
 use crate::exchange::Exchange;
 use crate::exchange::ReadEnd;
@@ -32,6 +33,7 @@
     stream: Arc<TcpStream>,
     exchange: Exchange,
     limits: ServerLimits,
+    client: BudgetClient,
     /// Bytes that are read before those from the socket.
     prefix: &'static [u8],
 }
@@ -41,9 +43,10 @@
         stream: Arc<TcpStream>,
         exchange: Exchange,
         limits: ServerLimits,
+        client: BudgetClient,
         prefix: &'static [u8],
     ) -> Self {
-        Self { stream, exchange, limits, prefix }
+        Self { stream, exchange, limits, client, prefix }
     }
 
     /// Reads some bytes within the time limits; `None` on a timeout.
@@ -122,7 +125,10 @@
                 Err(error) if is_timeout(&error) => {
                     return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
                 }
-                written => return Poll::Ready(written),
+                written => {
+                    self.client.record_progress(*written.as_ref().unwrap_or(&0));
+                    return Poll::Ready(written);
+                }
             }
         }
     }
--- a/crates/mangocross-http/tests/server.rs
+++ b/crates/mangocross-http/tests/server.rs
@@ -289,3 +289,30 @@
     let call = HttpCall::new(HttpMethod::Post, server.address(), "/x").body(b"hi".to_vec());
     assert_eq!(HttpClient::open().call(call).unwrap().status(), 200);
 }
+
+/// Guards against a process that ends for lack of memory since many bodies of legal size stop just
+/// short of their end and are kept until their deadline.
+#[test]
+fn bodies_that_stop_short_stay_within_the_byte_budget() {
+    let memory_bytes = 4 << 20;
+    let server = serve(ServerLimits::default().memory_bytes_max(memory_bytes));
+    let head = "POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: 1048576\r\n\r\n";
+    let body = vec![b'x'; (1 << 20) - 1];
+    let crowd: Vec<TcpStream> = (0..16)
+        .map(|_| {
+            let mut stream = TcpStream::connect(server.address()).unwrap();
+            stream.set_write_timeout(Some(Duration::from_millis(500))).unwrap();
+            // The server may close the connection, or stop reading.
+            let _ = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body));
+            stream
+        })
+        .collect();
+    for _ in 0..50 {
+        assert!(server.budget().used() <= server.budget().bytes_max());
+        thread::sleep(Duration::from_millis(10));
+    }
+    let call = HttpCall::new(HttpMethod::Post, server.address(), "/x").body(b"hi".to_vec());
+    assert_eq!(HttpClient::open().call(call).unwrap().status(), 200);
+    drop(crowd);
+    wait_until(|| server.budget().used() < 1 << 20);
+}
--- a/crates/mangocross-settings/src/coordinator.rs
+++ b/crates/mangocross-settings/src/coordinator.rs
@@ -33,6 +33,9 @@
     pub poll_from: SocketAddr,
     /// Address for operators.
     pub operator_listen: SocketAddr,
+    /// Memory of the process in megabytes; bodies of operators' requests are charged to a share of it.
+    #[serde(default = "memory_mb")]
+    pub memory_mb: u64,
     /// Keys of the operators; commands without a valid key are refused. If the list is empty,
     /// anyone who can reach the address may give commands.
     #[serde(default)]
@@ -102,6 +105,10 @@
     }
 }
 
+fn memory_mb() -> u64 {
+    256
+}
+
 fn poll_interval_ms() -> u64 {
     750
 }
--- a/crates/mangocross-settings/src/gateway.rs
+++ b/crates/mangocross-settings/src/gateway.rs
@@ -62,6 +62,9 @@
     /// Largest request body in bytes.
     #[serde(default = "body_bytes_max")]
     pub body_bytes_max: usize,
+    /// Memory of the process in megabytes; callers' bodies are charged to a share of it.
+    #[serde(default = "memory_mb")]
+    pub memory_mb: u64,
     /// Most requests handled concurrently.
     #[serde(default = "in_flight_max")]
     pub in_flight_max: usize,
@@ -143,6 +146,10 @@
     1024 * 1024
 }
 
+fn memory_mb() -> u64 {
+    256
+}
+
 fn in_flight_max() -> usize {
     1024
 }
