feat(front): callers and entry VMs are held to a byte budget

Nothing bounded what callers make an entry VM buffer: `memory_mb` was read and unused. Bodies were collected from pieces that each keep the buffer they were read into, before the answer; whole plain answers were kept, and copied once more by hyper, for callers that do not read; the ready, metrics and inter-VM ports took any number of connections and heads of 400 KiB, and an accept that failed was repeated without a pause.

Connections, requests, bodies, plain answers and unread events are charged to the budget of mangocross-http (half of `memory_mb`). Bodies below 512 bytes a second after 3 s get 408, those without room 503, both not run since nothing was sent. An answer without room ends with 502 and an unknown outcome. The three other ports have limits on connections, heads and idle time; beyond a limit on connections, also the callers', the one that was waited for longest makes way. Memory of the later stages of a request is allocated once its body is there. Metrics `front_held_bytes`, `front_closed_connections`, log lines `connection closed` and `[2102]`.

Ruled out: streaming bodies to servers (a request could not be sent again), a limit for each connection (34 KB each on the smallest VM).

Processor time was not measured.

--- a/bins/mangocross-front/src/answer_body.rs
+++ b/bins/mangocross-front/src/answer_body.rs
@@ -9,6 +9,8 @@
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
+use mangocross_http::BodyParts;
+use mangocross_http::HeldBytes;
 use tokio::sync::mpsc::Receiver;
 use tokio::task::AbortHandle;
 
@@ -30,15 +32,15 @@
 /// A part of a streamed answer.
 #[derive(Debug)]
 pub(crate) enum Chunk {
-    /// Complete events.
-    Data(Bytes),
+    /// Complete events, and their charge to the byte budget.
+    Data(Bytes, HeldBytes),
     /// The answer is complete.
     End,
 }
 
 #[derive(Debug)]
 enum Content {
-    Whole(Option<Bytes>),
+    Whole(BodyParts),
     Chunks(Receiver<Chunk>, AbortHandle),
     Ended,
 }
@@ -47,19 +49,25 @@
 #[derive(Debug)]
 pub(crate) struct AnswerBody {
     content: Content,
+    /// Charge of the chunk that the connection has taken last, until it takes the next one.
+    held: Option<HeldBytes>,
     record: Option<RequestRecord>,
     request_guard: Option<RequestGuard>,
 }
 
 impl AnswerBody {
     /// Returns a body that is already complete.
-    pub(crate) fn whole(data: Bytes) -> Self {
-        Self { content: Content::Whole(Some(data)), record: None, request_guard: None }
+    pub(crate) fn whole(data: impl Into<BodyParts>) -> Self {
+        Self::new(Content::Whole(data.into()))
     }
 
     /// Returns a body that a task produces in chunks.
     pub(crate) fn chunks(chunks: Receiver<Chunk>, task: AbortHandle) -> Self {
-        Self { content: Content::Chunks(chunks, task), record: None, request_guard: None }
+        Self::new(Content::Chunks(chunks, task))
+    }
+
+    fn new(content: Content) -> Self {
+        Self { content, held: None, record: None, request_guard: None }
     }
 
     /// Attaches guards that are released when the body has been sent.
@@ -68,6 +76,7 @@
         record: Option<RequestRecord>,
         request_guard: RequestGuard,
     ) -> Self {
+        request_guard.begin_answer();
         self.record = record;
         self.request_guard = Some(request_guard);
         self
@@ -90,16 +99,16 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
-        match &mut self.content {
-            Content::Whole(data) => {
-                let data = data.take();
-                self.content = Content::Ended;
-                Poll::Ready(data.map(|it| Ok(Frame::data(it))))
-            }
+        let this = &mut *self;
+        match &mut this.content {
+            Content::Whole(parts) => Poll::Ready(parts.next_part().map(|it| Ok(Frame::data(it)))),
             Content::Chunks(chunks, _) => match chunks.poll_recv(cx) {
-                Poll::Ready(Some(Chunk::Data(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
+                Poll::Ready(Some(Chunk::Data(data, held))) => {
+                    this.held = Some(held);
+                    Poll::Ready(Some(Ok(Frame::data(data))))
+                }
                 Poll::Ready(Some(Chunk::End)) => {
-                    self.content = Content::Ended;
+                    this.content = Content::Ended;
                     Poll::Ready(None)
                 }
                 Poll::Ready(None) => Poll::Ready(Some(Err(BrokenAnswer))),
@@ -110,13 +119,17 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self.content, Content::Ended | Content::Whole(None))
+        match &self.content {
+            Content::Whole(parts) => parts.length() == 0,
+            Content::Ended => true,
+            Content::Chunks(..) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.content {
-            Content::Whole(Some(data)) => SizeHint::with_exact(data.len() as u64),
-            Content::Whole(None) | Content::Ended => SizeHint::with_exact(0),
+            Content::Whole(parts) => SizeHint::with_exact(parts.length() as u64),
+            Content::Ended => SizeHint::with_exact(0),
             Content::Chunks(..) => SizeHint::default(),
         }
     }
--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
+use mangocross_http::BodyParts;
+use mangocross_http::BudgetClient;
 use mangocross_platform::CallerHead;
 use mangocross_platform::ForwardHead;
 use mangocross_serving::CrashCause;
@@ -27,6 +26,9 @@
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
+use crate::body_reader;
+use crate::body_reader::BodyError;
+use crate::body_reader::NO_MEMORY_REASON;
 use crate::connection::RequestGuard;
 use crate::outcome::RequestRecord;
 use crate::peer_forwarding;
@@ -41,6 +43,9 @@
 /// Retry-After during shutdown; the caller reaches another entry VM.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Retry-After of a request for whose body no memory is left; by then other bodies have ended.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Multiple of its target latency that a plain request takes at the most, with hardly an exception.
 const PLAIN_TARGETS_MAX: u32 = 4;
 
@@ -57,7 +62,9 @@
     pub(crate) holder: Option<KeyHolder>,
     pub(crate) caller_head: CallerHead,
     pub(crate) parts: Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: BodyParts,
+    /// Whom the body and the answer are charged to.
+    pub(crate) client: BudgetClient,
     /// What may crash servers: the request, and the shared parts of its prompt.
     pub(crate) crash_causes: Vec<CrashCause>,
     /// When the caller's deadline or the route's timeout ends.
@@ -104,7 +111,7 @@
         server: &VmId,
         last_event_id: Option<u64>,
         priority: Option<u8>,
-    ) -> Request<http_body_util::Full<Bytes>> {
+    ) -> Request<BodyParts> {
         let forward_head = ForwardHead {
             time_left: self.time_left(),
             server: server.clone(),
@@ -112,7 +119,7 @@
             last_event_id,
             priority,
         };
-        let mut request = Request::new(http_body_util::Full::new(self.body.clone()));
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.parts.method.clone();
         *request.uri_mut() = self.parts.uri.clone();
         *request.headers_mut() = forward_head.headers(&self.parts.headers);
@@ -140,15 +147,17 @@
     request.headers_mut().remove(&PASSED_ON_BY);
     let record = RequestRecord::new(&state, state.now());
     let is_stopping = state.is_stopping();
-    let (mut response, record) = match authorize_request(state, request, record, sender).await {
-        Ok(call) if call.is_passed_on && call.state.is_cut_off() => {
-            (peer_forwarding::refuse_passed_on(&call.record), Some(call.record))
-        }
-        Ok(call) if call.needs_peer() => peer_forwarding::serve(call).await,
-        Ok(call) if call.route.retry_policy.is_stream() => stream::serve(call).await,
-        Ok(call) => plain::serve(call).await,
-        Err(refused) => (refused.0, Some(refused.1)),
-    };
+    let (mut response, record) =
+        match authorize_request(state, request, record, sender, request_guard.client()).await {
+            Ok(call) if call.is_passed_on && call.state.is_cut_off() => {
+                (peer_forwarding::refuse_passed_on(&call.record), Some(call.record))
+            }
+            // Their memory is allocated only once a body is complete, since bodies may be many and slow.
+            Ok(call) if call.needs_peer() => Box::pin(peer_forwarding::serve(call)).await,
+            Ok(call) if call.route.retry_policy.is_stream() => Box::pin(stream::serve(call)).await,
+            Ok(call) => Box::pin(plain::serve(call)).await,
+            Err(refused) => (refused.0, Some(refused.1)),
+        };
     if is_stopping {
         response
             .headers_mut()
@@ -165,6 +174,7 @@
     request: Request<Incoming>,
     mut record: RequestRecord,
     sender: RequestSender,
+    client: &BudgetClient,
 ) -> Result<Call, Refused> {
     let (parts, body) = request.into_parts();
     let caller_head = CallerHead::read(&parts.headers);
@@ -224,25 +234,30 @@
         Some(it) => state.view.borrow_mut().deadlines.record_and_estimate_elapsed(&route.name, it),
         None => Duration::ZERO,
     };
-    let limited = Limited::new(body, configuration.limits.body_bytes_max).collect();
-    let body = match tokio::time::timeout_at(ends_at, limited).await {
-        Ok(Ok(it)) => it.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+    let body_bytes_max = configuration.limits.body_bytes_max;
+    let body = match body_reader::read_request(body, body_bytes_max, client, ends_at).await {
+        Ok(it) => it,
+        Err(BodyError::TooLarge) => {
             let refusal = Refusal::not_run(ResultCode::BodyTooLarge, "the body is too large");
             return refuse(record, refusal, "body too large");
         }
-        Ok(Err(_)) => {
+        Err(BodyError::Broken) => {
             let refusal = Refusal::not_run(ResultCode::MalformedRequest, "the body broke off");
             return refuse(record, refusal, "body broke off");
         }
-        Err(_) => {
+        Err(BodyError::NoMemory) => {
+            let refusal = Refusal::not_run(ResultCode::Overloaded, NO_MEMORY_REASON);
+            return refuse(record, refusal.retry_after(NO_MEMORY_RETRY_AFTER), NO_MEMORY_REASON);
+        }
+        Err(BodyError::TooSlow) => {
             let refusal = Refusal::not_run(ResultCode::SlowSender, "the body came too slowly");
             return refuse(record, refusal, "body too slow");
         }
     };
     let target = parts.uri.path_and_query().map_or("", |it| it.as_str());
     let customer = record.customer.as_ref();
-    let identity = RequestIdentity::new(parts.method.as_str(), host, target, customer, &body);
+    let identity =
+        RequestIdentity::of_parts(parts.method.as_str(), host, target, customer, body.parts());
     record.identity = Some(identity);
     let parts_of_prompt = caller_head.shared_parts.iter().copied().map(CrashCause::Part);
     let crash_causes = parts_of_prompt.chain([CrashCause::Request(identity)]).collect();
@@ -255,6 +270,7 @@
         caller_head,
         parts,
         body,
+        client: client.clone(),
         crash_causes,
         ends_at,
         waited_before,
--- a/bins/mangocross-front/src/ingress.rs
+++ b/bins/mangocross-front/src/ingress.rs
@@ -12,17 +12,20 @@
 use mangocross_serving::CallerLimits;
 use mangocross_serving::Moment;
 use mangocross_serving::RecentMaximum;
-use slab::Slab;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::connection;
 use crate::connection::ConnectionState;
+use crate::connection::Ended;
 use crate::connection::Overdue;
 use crate::connection::TimeLimits;
 use crate::connection::TrackedSocket;
 use crate::dispatch;
 use crate::dispatch::RequestSender;
+use crate::exposed_port;
+use crate::exposed_port::Connections;
 use crate::pool;
 use crate::state::AppState;
 
@@ -32,7 +35,16 @@
 const LIMIT_NOTICE_TIME: Duration = Duration::from_secs(4);
 /// Delay after a failed accept, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Fraction of the process's sockets that callers may use; the rest is for backend servers.
+/// Bytes beyond the limit on headers that are read ahead of a request's end, of its body or of the next
+/// request.
+pub(crate) const READ_AHEAD_BYTES: usize = 8 << 10;
+/// Smallest limit on a connection's buffer that hyper accepts, rounded up.
+pub(crate) const BUFFER_BYTES_MIN: usize = 16 << 10;
+/// Time for which a connection has been waited for before another one may take its place: a caller that
+/// sends its next request on it at once is not cut off.
+const REPLACED_WAIT_MIN: Duration = Duration::from_secs(1);
+/// Fraction of the process's sockets that callers may use; the rest is for backend servers, other
+/// entry VMs and operators.
 const CALLER_SOCKET_RATIO: f64 = 0.6;
 
 /// The longest time limits that callers may go by.
@@ -61,7 +73,7 @@
 
 #[derive(Debug)]
 pub(crate) struct CallerConnections {
-    connections: RefCell<Slab<Rc<ConnectionState>>>,
+    connections: Rc<Connections>,
     limits: RefCell<RecentLimits>,
     accepting: RefCell<Option<JoinHandle<()>>>,
 }
@@ -69,9 +81,7 @@
 impl CallerConnections {
     /// Closes connections as soon as they are idle.
     pub(crate) fn close_idle(&self) {
-        for (_, it) in self.connections.borrow().iter() {
-            it.close.notify_one();
-        }
+        self.connections.for_each(|it| it.close.notify_one());
     }
 
     /// Stops listening. Connections that were accepted before are counted from then on.
@@ -85,7 +95,7 @@
 
     /// Returns the number of open connections.
     pub(crate) fn count(&self) -> usize {
-        self.connections.borrow().len()
+        self.connections.count()
     }
 }
 
@@ -96,7 +106,7 @@
         .await
         .map_err(|it| format!("[8102] {address} cannot be bound for callers: {it}"))?;
     let callers = Rc::new(CallerConnections {
-        connections: RefCell::default(),
+        connections: Rc::default(),
         limits: RefCell::new(RecentLimits::new()),
         accepting: RefCell::default(),
     });
@@ -111,7 +121,7 @@
     let connections_max = (state.vm.sockets_max as f64 * CALLER_SOCKET_RATIO) as usize;
     loop {
         match listener.accept().await {
-            Ok(_) if callers.count() >= connections_max => {
+            Ok(_) if !makes_room(&state, &callers, connections_max).await => {
                 if state.log_rate.allow("connection refused", state.now()).is_some() {
                     log::warn!(connections_max; "[2101] caller's connection refused: too many");
                 }
@@ -129,6 +139,16 @@
     }
 }
 
+/// Returns whether there is room for another connection, after closing one that has been idle, or whose
+/// request has been awaited, for a while.
+async fn makes_room(state: &AppState, callers: &CallerConnections, connections_max: usize) -> bool {
+    if callers.count() < connections_max {
+        return true;
+    }
+    exposed_port::record_closed(state, "callers", "too_many");
+    callers.connections.replace_one(connections_max, state.now(), REPLACED_WAIT_MIN).await
+}
+
 /// Counts an accepted connection at once, and returns what serves it.
 fn serve(
     state: Rc<AppState>,
@@ -145,13 +165,16 @@
         Some(_) => callers.limits.borrow_mut().record(&limits, state.now()),
         None => TimeLimits::new(&limits),
     };
-    let connection_state = ConnectionState::new(state.clock, time_limits);
-    let key = callers.connections.borrow_mut().insert(Rc::clone(&connection_state));
+    let client = state.budget.enter();
+    let connection_state = ConnectionState::new(state.clock, time_limits, client);
+    let entry = callers.connections.add(Rc::clone(&connection_state));
     async move {
+        let _entry = entry;
+        let request_state = Rc::clone(&state);
         let socket = TrackedSocket::new(stream, Rc::clone(&connection_state));
         let service = service_fn(|request: http::Request<Incoming>| {
             let in_progress = connection_state.begin_request();
-            let state = Rc::clone(&state);
+            let state = Rc::clone(&request_state);
             async move {
                 let sender = RequestSender::Caller;
                 let served = dispatch::serve_request(state, request, in_progress, sender);
@@ -160,29 +183,11 @@
         });
         // The buffer must hold a complete request head and have at least hyper's minimum size.
         let connection = http1::Builder::new()
-            .max_buf_size((limits.header_bytes_max + (8 << 10)).max(16 << 10))
+            .max_buf_size((limits.header_bytes_max + READ_AHEAD_BYTES).max(BUFFER_BYTES_MIN))
             .serve_connection(socket, service);
-        tokio::pin!(connection);
-        let ended = loop {
-            // The connection is polled first, so that a request that has arrived is read before the
-            // connection counts as idle.
-            tokio::select! {
-                biased;
-                it = &mut connection => break it,
-                () = connection_state.close.notified() => {}
-            }
-            if !connection_state.receives_headers() {
-                connection.as_mut().graceful_shutdown();
-                break connection.await;
-            }
-            if connection_state.overdue(state.now()) == Overdue::Headers {
-                break Ok(());
-            }
-        };
-        if let Err(error) = ended {
-            log::debug!(error:% = error; "caller's connection ended");
+        if connection::serve(connection, &connection_state).await == Ended::ForMemory {
+            state.record_closed_for_memory("callers");
         }
-        callers.connections.borrow_mut().remove(key);
     }
 }
 
@@ -193,12 +198,13 @@
         let Some(configuration) = state.configuration() else { continue };
         let now = state.now();
         let limits = callers.limits.borrow_mut().record(&configuration.limits, now);
-        for (_, it) in callers.connections.borrow().iter() {
+        callers.connections.for_each(|it| {
             it.set_limits(limits);
             let overdue = it.overdue(now);
             match overdue {
                 Overdue::No => {}
-                Overdue::Idle | Overdue::Headers => {
+                Overdue::Idle | Overdue::Headers | Overdue::Reader => {
+                    state.metrics.count_closed_connection("callers", overdue.name());
                     if let Some(left_out) = state.log_rate.allow("caller's connection closed", now)
                     {
                         log::info!(
@@ -209,6 +215,6 @@
                     it.close.notify_one();
                 }
             }
-        }
+        });
     }
 }
--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -2,6 +2,7 @@
 
 mod answer_body;
 mod blame;
+mod body_reader;
 mod clock;
 mod closed_heads;
 mod command_line;
@@ -9,6 +10,7 @@
 mod control;
 mod dispatch;
 mod entry_vm_list;
+mod exposed_port;
 mod first_answer;
 mod held_entries;
 mod ingress;
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -30,6 +30,7 @@
     resumes: Counter<u64>,
     quarantined: Counter<u64>,
     passed_on: Counter<u64>,
+    closed_connections: Counter<u64>,
     store_eras: Counter<u64>,
     probes: Counter<u64>,
     orders: Counter<u64>,
@@ -55,6 +56,7 @@
     requests_in_progress: Gauge<f64>,
     requests_waiting: Gauge<f64>,
     retries_left: Gauge<f64>,
+    held_bytes: Gauge<f64>,
 }
 
 impl FrontMetrics {
@@ -69,6 +71,10 @@
                 "requests not sent since they or a part of their prompt crash servers",
             ),
             passed_on: metrics.counter("front_passed_on", "requests passed on to other entry VMs"),
+            closed_connections: metrics.counter(
+                "front_closed_connections",
+                "connections closed by this VM by port and exceeded limit",
+            ),
             store_eras: metrics
                 .counter("front_store_eras", "returns of the store to an older copy of itself"),
             probes: metrics.counter("front_probes", "questions for a server's state"),
@@ -115,6 +121,11 @@
         self.passed_on.add(1, &[]);
     }
 
+    pub(crate) fn count_closed_connection(&self, port: &'static str, reason: &'static str) {
+        let labels = [KeyValue::new("port", port), KeyValue::new("reason", reason)];
+        self.closed_connections.add(1, &labels);
+    }
+
     pub(crate) fn count_new_era(&self) {
         self.store_eras.add(1, &[]);
     }
@@ -185,6 +196,10 @@
             ),
             retries_left: metrics
                 .gauge("front_retries_left", "repeats that this VM may still make, by service"),
+            held_bytes: metrics.gauge(
+                "front_held_bytes",
+                "bytes charged to callers and entry VMs, of the byte budget",
+            ),
         }
     }
 
@@ -193,6 +208,7 @@
         for (service, left) in state.retries_left() {
             self.retries_left.record(left, &[KeyValue::new("service", service.to_string())]);
         }
+        self.held_bytes.record(state.budget.used() as f64, &[]);
         let view = state.view.borrow();
         if let Some(age) = view.freshness.age(now) {
             self.configuration_age.record(age.as_secs_f64(), &[]);
--- a/bins/mangocross-front/src/peer_forwarding.rs
+++ b/bins/mangocross-front/src/peer_forwarding.rs
@@ -14,10 +14,10 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use mangocross_http::BodyParts;
+use mangocross_http::BudgetClient;
 use mangocross_platform::AnswerHead;
 use mangocross_platform::passed_on_headers;
 use mangocross_serving::ListedEntryVm;
@@ -29,6 +29,7 @@
 
 use crate::answer_body::AnswerBody;
 use crate::answer_body::Chunk;
+use crate::body_reader::hold;
 use crate::dispatch::Call;
 use crate::outcome::RequestRecord;
 use crate::pool;
@@ -164,12 +165,12 @@
     AnswerHead::is_signed(response.headers())
 }
 
-fn request(call: &Call) -> Request<Full<bytes::Bytes>> {
+fn request(call: &Call) -> Request<BodyParts> {
     let mut headers = passed_on_headers(&call.parts.headers, call.time_left());
     if let Ok(name) = HeaderValue::from_str(&call.state.vm.name) {
         headers.insert(PASSED_ON_BY, name);
     }
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(call.body.clone());
     *request.method_mut() = call.parts.method.clone();
     *request.uri_mut() = call.parts.uri.clone();
     *request.headers_mut() = headers;
@@ -185,12 +186,12 @@
     let status = response.status();
     let headers = AnswerHead::forwarded_headers(response.headers());
     if response.body().size_hint().exact().is_some_and(|it| it <= WHOLE_BYTES_MAX) {
-        let body = Limited::new(response.into_body(), WHOLE_BYTES_MAX as usize).collect();
+        let body = call.read_answer(response.into_body(), WHOLE_BYTES_MAX as usize);
         return match tokio::time::timeout_at(call.ends_at + ANSWER_SLACK, body).await {
             Ok(Ok(it)) => {
                 call.record.answer_started(status);
                 call.record.answered_by_peer(PEER_REASON);
-                let body = AnswerBody::whole(it.to_bytes());
+                let body = AnswerBody::whole(it);
                 (with_head(Response::new(body), status, headers), Some(call.record))
             }
             Ok(Err(_)) | Err(_) => {
@@ -205,7 +206,7 @@
     let task = tokio::task::spawn_local(async move {
         // Dropping the connection ends the other VM's work for a caller that has left.
         let _connection = connection;
-        let forwarding = forward_chunks(response.into_body(), &chunks);
+        let forwarding = forward_chunks(response.into_body(), &call.client, &chunks);
         match tokio::time::timeout_at(call.ends_at + ANSWER_SLACK, forwarding).await {
             Ok(true) => {
                 call.record.answered_by_peer(PEER_REASON);
@@ -222,12 +223,12 @@
 }
 
 /// Forwards a body as it comes; returns whether it came to its end.
-async fn forward_chunks(mut body: Incoming, chunks: &Sender<Chunk>) -> bool {
+async fn forward_chunks(mut body: Incoming, client: &BudgetClient, chunks: &Sender<Chunk>) -> bool {
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return false };
-        if let Ok(data) = frame.into_data()
-            && chunks.send(Chunk::Data(data)).await.is_err()
-        {
+        let Ok(data) = frame.into_data() else { continue };
+        let Ok(held) = hold(client, data.len()).await else { return false };
+        if chunks.send(Chunk::Data(data, held)).await.is_err() {
             return false;
         }
     }
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -4,11 +4,9 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
+use mangocross_http::BodyParts;
 use mangocross_platform::AnswerHead;
 use mangocross_serving::AttemptFailure;
 use mangocross_serving::AttemptId;
@@ -29,6 +27,8 @@
 use crate::answer_body::AnswerBody;
 use crate::blame::AnswerStart;
 use crate::blame::QUARANTINED_REASON;
+use crate::body_reader::BodyError;
+use crate::body_reader::NO_MEMORY_REASON;
 use crate::dispatch::Call;
 use crate::first_answer::first_of;
 use crate::outcome::RequestRecord;
@@ -67,6 +67,8 @@
     Answered(Response<AnswerBody>),
     /// The server did not run the request.
     NotRun(&'static str),
+    /// The server answered, but its answer does not fit into the memory.
+    NoMemory,
     /// The request may have run; the response is the server's error, if it sent one.
     Failed(&'static str, ResultCode, Option<Response<AnswerBody>>),
 }
@@ -273,6 +275,10 @@
                 call.record.answer_completed();
                 return Some(response);
             }
+            AttemptResult::NoMemory => {
+                let refusal = Refusal::unknown(ResultCode::BackendBroken, NO_MEMORY_REASON);
+                return Some(call.record.refuse(&refusal, NO_MEMORY_REASON));
+            }
             AttemptResult::NotRun(reason) => {
                 call.record.log_step("not run", vm, reason);
                 self.search.refused(id, call.state.now());
@@ -397,8 +403,9 @@
         return AttemptResult::Failed(reason, ResultCode::BackendMismatch, None);
     }
     let headers = AnswerHead::forwarded_headers(response.headers());
-    let body = match Limited::new(response.into_body(), ANSWER_BYTES_MAX).collect().await {
-        Ok(it) => it.to_bytes(),
+    let body = match call.read_answer(response.into_body(), ANSWER_BYTES_MAX).await {
+        Ok(it) => it,
+        Err(BodyError::NoMemory) => return AttemptResult::NoMemory,
         Err(_) => {
             call.record_break(&server.vm, AnswerStart::default()).await;
             return AttemptResult::Failed("answer broke off", ResultCode::BackendBroken, None);
@@ -419,7 +426,7 @@
     call: &Call,
     status: StatusCode,
     headers: http::HeaderMap,
-    body: Bytes,
+    body: BodyParts,
 ) -> Response<AnswerBody> {
     call.record.answer_started(status);
     let mut response = Response::new(AnswerBody::whole(body));
--- a/bins/mangocross-front/src/planning.rs
+++ b/bins/mangocross-front/src/planning.rs
@@ -11,9 +11,9 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use log::kv::Value;
+use mangocross_http::BodyParts;
 use mangocross_platform::ForwardHead;
 use mangocross_platform::StoreCall;
 use mangocross_platform::StorePut;
@@ -380,7 +380,7 @@
     path: &str,
     body: Bytes,
 ) -> Option<Answer> {
-    let mut request = Request::new(Full::new(body));
+    let mut request = Request::new(BodyParts::from(body));
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().ok()?;
     *request.headers_mut() = ForwardHead::control_headers(vm, address);
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -8,14 +8,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use mangocross_http::BodyParts;
 use mangocross_platform::ConnectionUse;
 use mangocross_serving::ConnectTimes;
 use tokio::net::TcpStream;
@@ -32,6 +31,9 @@
 pub(crate) const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum idle time of a connection that is reused; servers close idle ones without notice.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Maximum size of the read buffer of a connection, which grows while an answer comes fast; the heads
+/// of answers must fit into it.
+const READ_BUFFER_BYTES_MAX: usize = 64 << 10;
 /// Maximum number of idle connections per address.
 const IDLE_CONNECTIONS_MAX: usize = 16;
 
@@ -56,7 +58,7 @@
 /// A connection; dropping it closes it at once, which stops the server's work on the request.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<BodyParts>,
     driver: AbortHandle,
     address: SocketAddr,
     is_reused: bool,
@@ -82,7 +84,7 @@
     /// Sends a request and returns the head of its answer.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<BodyParts>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let sent = self.sender.send_request(request).await;
         sent.map_err(|it| ExchangeError { reason: it.to_string(), is_unsent: it.is_canceled() })
@@ -205,7 +207,9 @@
     if let Err(error) = set_options(&stream, SERVER_USER_TIMEOUT) {
         log::debug!(error:% = error, address:% = address; "socket options are not available");
     }
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(READ_BUFFER_BYTES_MAX);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, driver) = handshake.map_err(|_| ConnectError::Unreachable)?;
     let driver = tokio::task::spawn_local(async move {
         if let Err(error) = driver.await {
--- a/bins/mangocross-front/src/ready.rs
+++ b/bins/mangocross-front/src/ready.rs
@@ -9,53 +9,75 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use mangocross_http::ByteBudget;
 use mangocross_platform::READY_PATH;
-use tokio::net::TcpListener;
 
+use crate::answer_body::AnswerBody;
+use crate::connection;
+use crate::connection::ConnectionState;
+use crate::connection::TrackedSocket;
+use crate::exposed_port::ExposedPort;
+use crate::ingress::BUFFER_BYTES_MIN;
 use crate::state::AppState;
 
 /// Port and path of the metrics, as in deploy/system.toml.
 const METRICS_PORT: u16 = 9464;
 const METRICS_PATH: &str = "/metrics";
 
+/// Connections to the port of readiness checks; a balancer has a few.
+const READY_CONNECTIONS_MAX: usize = 32;
+/// Connections to the port of the metrics; one scraper and a few operators.
+const METRICS_CONNECTIONS_MAX: usize = 16;
+/// Memory of all connections to these ports, apart from the byte budget of callers, so that a crowd of
+/// callers leaves them alive.
+const RESERVED_MEMORY_BYTES: u64 = 4 << 20;
+
 /// Listens for readiness checks and for scrapes of the metrics.
 pub(crate) async fn bind(state: &Rc<AppState>) -> Result<(), String> {
-    listen(state, state.vm.ready_listen).await?;
-    listen(state, SocketAddr::new(state.vm.ip, METRICS_PORT)).await
+    let ready = ExposedPort {
+        name: "ready",
+        address: state.vm.ready_listen,
+        connections_max: READY_CONNECTIONS_MAX,
+    };
+    listen(state, ready).await?;
+    let metrics = ExposedPort {
+        name: "metrics",
+        address: SocketAddr::new(state.vm.ip, METRICS_PORT),
+        connections_max: METRICS_CONNECTIONS_MAX,
+    };
+    listen(state, metrics).await
 }
 
-async fn listen(state: &Rc<AppState>, address: SocketAddr) -> Result<(), String> {
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|it| format!("[8102] {address} cannot be bound: {it}"))?;
-    let state = Rc::clone(state);
-    tokio::task::spawn_local(async move {
-        let was_ready = Rc::new(Cell::new(None));
-        loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
-            let state = Rc::clone(&state);
-            let was_ready = Rc::clone(&was_ready);
-            tokio::task::spawn_local(async move {
-                let service = service_fn(|request: Request<Incoming>| {
-                    let response = respond(&state, &was_ready, request.uri().path());
-                    async move { Ok::<_, Infallible>(response) }
-                });
-                let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-                if let Err(error) = serving.await {
-                    log::debug!(error:% = error; "readiness connection ended");
+async fn listen(state: &Rc<AppState>, port: ExposedPort) -> Result<(), String> {
+    let was_ready = Rc::new(Cell::new(None));
+    let budget = ByteBudget::of_memory(RESERVED_MEMORY_BYTES);
+    let respond_state = Rc::clone(state);
+    let serve = move |stream, connection_state: Rc<ConnectionState>| {
+        let state = Rc::clone(&respond_state);
+        let was_ready = Rc::clone(&was_ready);
+        async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let in_progress = connection_state.begin_request();
+                let response = respond(&state, &was_ready, request.uri().path());
+                async move {
+                    let response = response.map(AnswerBody::whole);
+                    Ok::<_, Infallible>(response.map(|it| it.with_guards(None, in_progress)))
                 }
             });
+            let socket = TrackedSocket::new(stream, Rc::clone(&connection_state));
+            let serving = http1::Builder::new()
+                .max_buf_size(BUFFER_BYTES_MIN)
+                .serve_connection(socket, service);
+            connection::serve(serving, &connection_state).await
         }
-    });
-    Ok(())
+    };
+    port.listen(state, move || budget.enter(), serve).await
 }
 
-fn respond(state: &AppState, was_ready: &Cell<Option<bool>>, path: &str) -> Response<Full<Bytes>> {
+fn respond(state: &AppState, was_ready: &Cell<Option<bool>>, path: &str) -> Response<Bytes> {
     let (status, body) = match path {
         READY_PATH => {
             let reason = state.not_ready_reason();
@@ -71,7 +93,7 @@
         METRICS_PATH => (StatusCode::OK, state.metrics.text(state)),
         _ => (StatusCode::NOT_FOUND, String::new()),
     };
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(Bytes::from(body));
     *response.status_mut() = status;
     response
 }
--- a/bins/mangocross-front/src/relay_client.rs
+++ b/bins/mangocross-front/src/relay_client.rs
@@ -10,8 +10,8 @@
 use http::Uri;
 use http::header;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
+use mangocross_http::BodyParts;
 use mangocross_types::StoreRevision;
 use snafu::Snafu;
 
@@ -79,7 +79,7 @@
             .method(Method::POST)
             .uri(Uri::from_static(CHANGES_PATH))
             .header(header::HOST, self.address.to_string())
-            .body(Full::new(Bytes::from(body)))
+            .body(BodyParts::from(Bytes::from(body)))
             .map_err(|it| malformed(it.to_string()))?;
         let response = self.connection.send(request).await.map_err(|it| malformed(it.reason))?;
         let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX).collect().await;
--- a/bins/mangocross-front/src/relay_server.rs
+++ b/bins/mangocross-front/src/relay_server.rs
@@ -15,19 +15,21 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use mangocross_serving::Moment;
 use mangocross_serving::RelayedOutage;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
 use crate::answer_body::AnswerBody;
+use crate::connection;
 use crate::connection::ConnectionState;
-use crate::connection::TimeLimits;
+use crate::connection::Ended;
+use crate::connection::TrackedSocket;
 use crate::dispatch;
 use crate::dispatch::RequestSender;
+use crate::exposed_port::ExposedPort;
+use crate::ingress::BUFFER_BYTES_MIN;
+use crate::ingress::READ_AHEAD_BYTES;
 use crate::peer_forwarding::PASSED_ON_BY;
-use crate::pool;
 use crate::relay_messages::CHANGES_PATH;
 use crate::relay_messages::QUESTION_BYTES_MAX;
 use crate::relay_messages::RelayAnswer;
@@ -41,38 +43,31 @@
 const STORE_LOST_AGE: Duration = Duration::from_millis(2000);
 /// Maximum time in which a question must arrive on a new connection.
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
-/// Delay after a failed accept, for example for lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Smallest number of connections of other entry VMs that are accepted.
+const CONNECTIONS_MIN: usize = 64;
+/// Share of the process's sockets that other entry VMs may use, if that is more.
+const SOCKETS_DIVISOR: usize = 10;
+/// Bytes beyond the limit on callers' headers that an entry VM adds to those of a request.
+const ADDED_HEADER_BYTES: usize = 4 << 10;
 
 /// Listens for questions and requests of other entry VMs.
 pub(crate) async fn bind(state: &Rc<AppState>) -> Result<(), String> {
-    let address = SocketAddr::new(state.vm.ip, state.vm.peer_port);
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|it| format!("[8102] {address} cannot be bound for relaying: {it}"))?;
-    let state = Rc::clone(state);
-    tokio::task::spawn_local(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => drop(tokio::task::spawn_local(serve(Rc::clone(&state), stream))),
-                Err(error) => {
-                    if state.log_rate.allow("relay accept failed", state.now()).is_some() {
-                        log::warn!(error:% = error; "entry VM's connection not accepted");
-                    }
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
-        }
-    });
-    Ok(())
+    let port = ExposedPort {
+        name: "entry_vms",
+        address: SocketAddr::new(state.vm.ip, state.vm.peer_port),
+        connections_max: CONNECTIONS_MIN.max(state.vm.sockets_max / SOCKETS_DIVISOR),
+    };
+    let (serving_state, budget) = (Rc::clone(state), state.budget.clone());
+    let serve = move |stream, connection| serve(Rc::clone(&serving_state), stream, connection);
+    port.listen(state, move || budget.enter(), serve).await
 }
 
-async fn serve(state: Rc<AppState>, stream: TcpStream) {
-    if let Err(error) = pool::set_options(&stream, pool::SERVER_USER_TIMEOUT) {
-        log::debug!(error:% = error; "socket options are not available");
-    }
+async fn serve(
+    state: Rc<AppState>,
+    stream: TcpStream,
+    connection_state: Rc<ConnectionState>,
+) -> Ended {
     let limits = state.configuration().map(|it| it.limits).unwrap_or_default();
-    let connection_state = ConnectionState::new(state.clock, TimeLimits::new(&limits));
     let service = service_fn(|request: Request<Incoming>| {
         let state = Rc::clone(&state);
         let in_progress = connection_state.begin_request();
@@ -82,15 +77,20 @@
                     let sender = RequestSender::EntryVm;
                     dispatch::serve_request(state, request, in_progress, sender).await
                 }
-                false => respond(&state, request).await.map(AnswerBody::whole),
+                false => {
+                    let response = respond(&state, request).await.map(AnswerBody::whole);
+                    response.map(|it| it.with_guards(None, in_progress))
+                }
             };
             Ok::<_, Infallible>(response)
         }
     });
-    if let Err(error) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await
-    {
-        log::debug!(error:% = error; "entry VM's connection ended");
-    }
+    let socket = TrackedSocket::new(stream, Rc::clone(&connection_state));
+    let buffer_bytes = limits.header_bytes_max + ADDED_HEADER_BYTES + READ_AHEAD_BYTES;
+    let serving = http1::Builder::new()
+        .max_buf_size(buffer_bytes.max(BUFFER_BYTES_MIN))
+        .serve_connection(socket, service);
+    connection::serve(serving, &connection_state).await
 }
 
 async fn respond(state: &AppState, request: Request<Incoming>) -> Response<Bytes> {
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mangocross_http::ByteBudget;
 use mangocross_platform::EntryVmSettings;
 use mangocross_platform::SettingsBounds;
 use mangocross_serving::BackendServer;
@@ -138,6 +139,8 @@
     pub(crate) relay: RelayState,
     pub(crate) metrics: FrontMetrics,
     pub(crate) log_rate: LogRate,
+    /// Bytes that are buffered for callers and other entry VMs.
+    pub(crate) budget: ByteBudget,
     /// Wakes streams when a group becomes suspect.
     pub(crate) suspect_added: Notify,
     /// Wakes the planner when its input has changed.
@@ -182,6 +185,7 @@
             relay: RelayState::default(),
             metrics,
             log_rate: LogRate::default(),
+            budget: ByteBudget::of_memory(vm.memory_bytes_max),
             suspect_added: Notify::new(),
             planner_inputs_changed: Notify::new(),
             blame_changed: Notify::new(),
--- a/bins/mangocross-front/src/store.rs
+++ b/bins/mangocross-front/src/store.rs
@@ -12,8 +12,8 @@
 use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
+use mangocross_http::BodyParts;
 use mangocross_platform::DecodeError;
 use mangocross_platform::StoreCall;
 use mangocross_platform::store_era;
@@ -146,7 +146,7 @@
             .uri(call.path)
             .header(header::HOST, self.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(call.body))
+            .body(BodyParts::from(call.body))
             .map_err(|it| StoreError::Broken { reason: it.to_string() })?;
         let broken = |reason: String| StoreError::Broken { reason };
         let response = connection.send(request).await.map_err(|it| broken(it.reason))?;
--- a/bins/mangocross-front/src/stream/attempt.rs
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -2,8 +2,6 @@
 
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use mangocross_platform::AnswerHead;
 use mangocross_types::Refusal;
@@ -102,12 +100,12 @@
 pub(super) async fn forward_failure(call: &Call, started: StartedStream) -> Response<AnswerBody> {
     let status = started.response.status();
     let headers = AnswerHead::forwarded_headers(started.response.headers());
-    let body = Limited::new(started.response.into_body(), FAILURE_BYTES_MAX).collect();
+    let body = call.read_answer(started.response.into_body(), FAILURE_BYTES_MAX);
     match tokio::time::timeout_at(call.ends_at, body).await {
         Ok(Ok(body)) => {
             call.record.answer_started(status);
             call.record.answer_failed(ResultCode::BackendBroken, "server failed");
-            let mut response = Response::new(AnswerBody::whole(body.to_bytes()));
+            let mut response = Response::new(AnswerBody::whole(body));
             *response.status_mut() = status;
             *response.headers_mut() = headers;
             response
--- a/bins/mangocross-front/src/stream/forwarder.rs
+++ b/bins/mangocross-front/src/stream/forwarder.rs
@@ -19,6 +19,8 @@
 use super::successor::media_type;
 use crate::answer_body::AnswerBody;
 use crate::answer_body::Chunk;
+use crate::body_reader::NO_MEMORY_REASON;
+use crate::body_reader::hold;
 use crate::dispatch::Call;
 use crate::silence::wait_for_silence;
 
@@ -283,10 +285,15 @@
         let now = Instant::now();
         let gap = now.duration_since(self.last_event_at.replace(now));
         self.call.state.metrics.record_event_gap(gap);
-        let sending = self.chunks.send(Chunk::Data(events.data));
+        let sending = async {
+            let held = hold(&self.call.client, events.data.len()).await;
+            let held = held.map_err(|_| End::Broken(NO_MEMORY_REASON))?;
+            let sent = self.chunks.send(Chunk::Data(events.data, held)).await;
+            sent.map_err(|_| End::CallerLeft)
+        };
         match tokio::time::timeout_at(self.call.ends_at, sending).await {
             Ok(Ok(())) => None,
-            Ok(Err(_)) => Some(End::CallerLeft),
+            Ok(Err(end)) => Some(end),
             Err(_) => Some(End::TimeOver),
         }
     }
--- a/crates/mangocross-serving/src/request_identity.rs
+++ b/crates/mangocross-serving/src/request_identity.rs
@@ -35,6 +35,17 @@
         target: &str,
         customer: Option<&CustomerId>,
         body: &[u8],
+    ) -> Self {
+        Self::of_parts(method, host, target, customer, std::iter::once(body))
+    }
+
+    /// Like `new`, with the body in parts.
+    pub fn of_parts<'a>(
+        method: &str,
+        host: &str,
+        target: &str,
+        customer: Option<&CustomerId>,
+        body: impl Iterator<Item = &'a [u8]>,
     ) -> Self {
         let customer = customer.map_or("", CustomerId::as_str);
         let mut hasher = blake3::Hasher::new();
@@ -42,7 +53,9 @@
             hasher.update(&(field.len() as u64).to_le_bytes());
             hasher.update(field.as_bytes());
         }
-        hasher.update(body);
+        for part in body {
+            hasher.update(part);
+        }
         let mut identity = [0; IDENTITY_BYTES];
         hasher.finalize_xof().fill(&mut identity);
         Self(identity)
