--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -2,6 +2,7 @@
 
 mod answer_body;
 mod blame;
+mod body_reader;
 mod clock;
 mod closed_heads;
 mod cold_servers;
@@ -11,6 +12,7 @@
 mod demand;
 mod dispatch;
 mod entry_vm_list;
+mod exposed_port;
 mod first_answer;
 mod head_candidates;
 mod held_entries;
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -35,6 +35,7 @@
     not_admitted: Counter<u64>,
     connections: Counter<u64>,
     pub(crate) zone_traffic: ZoneTraffic,
+    closed_connections: Counter<u64>,
     store_eras: Counter<u64>,
     probes: Counter<u64>,
     orders: Counter<u64>,
@@ -64,6 +65,7 @@
     retries_left: Gauge<f64>,
     capacity_short: Gauge<f64>,
     admission_ratio: Gauge<f64>,
+    held_bytes: Gauge<f64>,
 }
 
 impl FrontMetrics {
@@ -86,6 +88,10 @@
                 "front_connections",
                 "connections to backend servers that were opened or used again",
             ),
+            closed_connections: metrics.counter(
+                "front_closed_connections",
+                "connections closed by this VM by port and exceeded limit",
+            ),
             store_eras: metrics
                 .counter("front_store_eras", "returns of the store to an older copy of itself"),
             probes: metrics.counter("front_probes", "questions for a server's state"),
@@ -148,6 +154,11 @@
         self.connections.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    pub(crate) fn count_closed_connection(&self, port: &'static str, reason: &'static str) {
+        let labels = [KeyValue::new("port", port), KeyValue::new("reason", reason)];
+        self.closed_connections.add(1, &labels);
+    }
+
     pub(crate) fn count_new_era(&self) {
         self.store_eras.add(1, &[]);
     }
@@ -232,6 +243,10 @@
             ),
             admission_ratio: metrics
                 .gauge("front_admission_ratio", "share of a class's streams that is admitted"),
+            held_bytes: metrics.gauge(
+                "front_held_bytes",
+                "bytes charged to callers and entry VMs, of the byte budget",
+            ),
         }
     }
 
@@ -240,6 +255,7 @@
         for (service, left) in state.retries_left() {
             self.retries_left.record(left, &[KeyValue::new("service", service.to_string())]);
         }
+        self.held_bytes.record(state.budget.used() as f64, &[]);
         let view = state.view.borrow();
         for (key, zone, share) in view.zones.shares() {
             let model = key.model.as_ref().map(ToString::to_string).unwrap_or_default();
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -8,15 +8,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper::ext::ReasonPhrase;
 use hyper_util::rt::TokioIo;
+use mangocross_http::BodyParts;
 use mangocross_platform::ConnectionUse;
 use mangocross_platform::begins_as_another;
 use mangocross_serving::BootClock;
@@ -36,6 +35,9 @@
 /// TCP_USER_TIMEOUT of callers' connections. It also counts while a caller does not read and its
 /// window is closed, so it leaves time for a pause.
 pub(crate) const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of the read buffer of a connection, which grows while an answer comes fast; the heads
+/// of answers must fit into it.
+const READ_BUFFER_BYTES_MAX: usize = 64 << 10;
 /// Maximum number of idle connections per address.
 const IDLE_CONNECTIONS_MAX: usize = 16;
 
@@ -60,7 +62,7 @@
 /// A connection; dropping it closes it at once, which stops the server's work on the request.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<BodyParts>,
     driver: AbortHandle,
     address: SocketAddr,
     is_reused: bool,
@@ -89,7 +91,7 @@
     /// those of different answers, so what became of the request is unknown.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<BodyParts>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let sent = self.sender.send_request(request).await;
         let response = sent
@@ -252,7 +254,9 @@
     if let Err(error) = set_options(&stream, SERVER_USER_TIMEOUT) {
         log::debug!(error:% = error, address:% = address; "socket options are not available");
     }
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(READ_BUFFER_BYTES_MAX);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, driver) = handshake.map_err(|_| ConnectError::Unreachable)?;
     let driver = tokio::task::spawn_local(async move {
         if let Err(error) = driver.await {
--- a/bins/mangocross-front/src/zone_figures.rs
+++ b/bins/mangocross-front/src/zone_figures.rs
@@ -81,7 +81,7 @@
         }
         let reason = self.zone.left.get().unwrap_or(LeaveReason::AnyZone);
         let bytes = self.state.metrics.zone_traffic.count(reason);
-        bytes.add(self.body.len());
+        bytes.add(self.body.length());
         Some(bytes)
     }
 
--- a/bins/mangocross-front/tests/front/platform/front.rs
+++ b/bins/mangocross-front/tests/front/platform/front.rs
@@ -86,6 +86,15 @@
         Self::spawn_with(store, 60_000, None, 1.0, change)
     }
 
+    /// Like `spawn_logged`, on a VM with this memory and this number of descriptors.
+    #[allow(dead_code, reason = "used by tests/clients")]
+    pub(crate) fn spawn_limited(store: SocketAddr, memory_mb: u64, max_fds: u64) -> Self {
+        Self::spawn_with(store, 60_000, None, 1.0, |settings| {
+            settings["limits"]["memory_mb"] = memory_mb.into();
+            settings["limits"]["max_fds"] = max_fds.into();
+        })
+    }
+
     fn spawn_with(
         store: SocketAddr,
         revoke_ms: u64,
@@ -187,9 +196,14 @@
         call(self.address, method, path, headers, body)
     }
 
+    /// Returns the address of the metrics.
+    pub(crate) fn metrics_address(&self) -> SocketAddr {
+        SocketAddr::new(self.address.ip(), METRICS_PORT)
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub(crate) fn metrics(&self) -> String {
-        call(SocketAddr::new(self.address.ip(), METRICS_PORT), "GET", "/metrics", "", "").2
+        call(self.metrics_address(), "GET", "/metrics", "", "").2
     }
 
     /// Repeats a request until its answer has the given status; returns the body.
