fix(planner): a foreign member that its group's plan has by now is not waited for

Cause: a VM stayed foreign in the planner's memory after its group had been adopted and formed again, so that it could not be a spare for up to 6.5 s after that group let it go. Found by reading. Change: an entry ends when the plan has the VM.

--- a/crates/mangocross-serving/src/planner/foreign.rs
+++ b/crates/mangocross-serving/src/planner/foreign.rs
@@ -57,7 +57,9 @@
         }
         let servers = &self.servers;
         self.foreign.retain(|vm, it| {
-            servers.get(vm).is_some_and(|tracked| tracked.has_started_at(it.born_unix_ms))
+            // A member that the plan has by now is released with its group.
+            !plan.contains(vm)
+                && servers.get(vm).is_some_and(|tracked| tracked.has_started_at(it.born_unix_ms))
         });
     }
 
