--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -113,6 +113,24 @@
         let time = Duration::from_secs_f64(time_ms / 1000.0) + self.completion_interval() * queued;
         FIRST_EVENT_BASE + time.mul_f64(head.slowdown.max(1.0))
     }
+
+    /// Returns how many streams a group can take until the counts show them: its free slots and the
+    /// requests that it completes meanwhile.
+    fn room(&self, head: &HeadLoad) -> f64 {
+        self.free(head) + self.completed(head)
+    }
+
+    /// Returns the free slots among those that streams are planned for, negative if more are in use.
+    fn free(&self, head: &HeadLoad) -> f64 {
+        f64::from(self.slots) * PLANNED_SLOTS_SHARE - f64::from(head.in_flight)
+    }
+
+    /// Returns the requests that a group completes until the counts show it.
+    fn completed(&self, head: &HeadLoad) -> f64 {
+        let interval = self.completion_interval().mul_f64(head.slowdown.max(1.0));
+        let at_full_load = COUNT_HORIZON.as_secs_f64() / interval.as_secs_f64().max(f64::EPSILON);
+        at_full_load * (f64::from(head.in_flight) / f64::from(self.slots)).min(1.0)
+    }
 }
 
 impl GroupTimes {
@@ -203,6 +221,11 @@
     }
 }
 
+/// Returns how many streams a group of these can take on average until the counts show them.
+pub fn mean_room(times: &GroupTimes, heads: &[HeadLoad]) -> f64 {
+    heads.iter().map(|it| times.room(it).max(0.0)).sum::<f64>() / heads.len().max(1) as f64
+}
+
 /// What decides whether a group may take a stream.
 struct Rules<'a> {
     times: &'a GroupTimes,
@@ -242,32 +265,15 @@
         let is_on_time = waited + predicted <= target.mul_f64(TARGET_LATENCY_SHARE);
         let reserved = f64::from(self.times.slots) * RESERVED_FROM_LATE_SHARE;
         is_on_time
-            || (self.room(head) > reserved && predicted <= target.mul_f64(LATE_LATENCY_FACTOR))
-    }
-
-    /// Returns how many streams a group can take until the counts show them: its free slots and the
-    /// requests that it completes meanwhile.
-    fn room(&self, head: &HeadLoad) -> f64 {
-        self.free(head) + self.completed(head)
-    }
-
-    /// Returns the free slots among those that streams are planned for, negative if more are in use.
-    fn free(&self, head: &HeadLoad) -> f64 {
-        f64::from(self.times.slots) * PLANNED_SLOTS_SHARE - f64::from(head.in_flight)
-    }
-
-    /// Returns the requests that a group completes until the counts show it.
-    fn completed(&self, head: &HeadLoad) -> f64 {
-        let interval = self.times.completion_interval().mul_f64(head.slowdown.max(1.0));
-        let at_full_load = COUNT_HORIZON.as_secs_f64() / interval.as_secs_f64().max(f64::EPSILON);
-        at_full_load * (f64::from(head.in_flight) / f64::from(self.times.slots)).min(1.0)
+            || (self.times.room(head) > reserved
+                && predicted <= target.mul_f64(LATE_LATENCY_FACTOR))
     }
 
     /// Returns whether two groups may be compared. The better one of two gets up to twice the streams
     /// of its share, about as many as it completes, which need a free slot until the counts show them.
     fn may_compare(&self, heads: &[HeadLoad]) -> bool {
-        let free: f64 = heads.iter().map(|it| self.free(it).max(0.0)).sum();
-        let completed: f64 = heads.iter().map(|it| self.completed(it)).sum();
+        let free: f64 = heads.iter().map(|it| self.times.free(it).max(0.0)).sum();
+        let completed: f64 = heads.iter().map(|it| self.times.completed(it)).sum();
         completed <= free
     }
 
@@ -276,10 +282,10 @@
     fn sample(&self, heads: &[HeadLoad], draws: Draws) -> Option<VmId> {
         let (slow, normal): (Vec<&HeadLoad>, Vec<&HeadLoad>) = heads
             .iter()
-            .filter(|it| self.room(it) > 0.0 && self.starts_with_free_slot(it))
+            .filter(|it| self.times.room(it) > 0.0 && self.starts_with_free_slot(it))
             .partition(|it| is_slow(it));
         let accepting = if normal.is_empty() { slow } else { normal };
-        let rooms: Vec<f64> = accepting.iter().map(|it| self.room(it)).collect();
+        let rooms: Vec<f64> = accepting.iter().map(|it| self.times.room(it)).collect();
         let total: f64 = rooms.iter().sum();
         let at = |draw: f64| {
             let mut left = draw * total;
