refactor(front): body_reader imports no other file of the front

`read_answer` was a method of `Call`, so that dispatch and body_reader imported each other and body_reader joined the import circle of dispatch.

--- a/bins/mangocross-front/src/body_reader.rs
+++ b/bins/mangocross-front/src/body_reader.rs
@@ -17,8 +17,6 @@
 use mangocross_http::HeldBytes;
 use tokio::time::Instant;
 
-use crate::dispatch::Call;
-
 /// Minimum rate of a body, from the end of its head on. A link of 20 Mbit/s that 2,300 connections
 /// share, the most that the smallest entry VM accepts, leaves twice as much for each.
 const BODY_BYTES_PER_SECOND_MIN: u64 = 512;
@@ -138,15 +136,13 @@
     poll_fn(|cx| client.poll_hold(cx, bytes)).await
 }
 
-impl Call {
-    /// Reads the body of an answer, charged to the caller.
-    pub(crate) async fn read_answer(
-        &self,
-        body: Incoming,
-        bytes_max: usize,
-    ) -> Result<BodyParts, BodyError> {
-        let mut reading = Reading::new(body, bytes_max, &self.client)?;
-        poll_fn(|cx| reading.poll(cx)).await?;
-        Ok(reading.buffer.finish())
-    }
+/// Reads the body of an answer, charged to the caller.
+pub(crate) async fn read_answer(
+    body: Incoming,
+    bytes_max: usize,
+    client: &BudgetClient,
+) -> Result<BodyParts, BodyError> {
+    let mut reading = Reading::new(body, bytes_max, client)?;
+    poll_fn(|cx| reading.poll(cx)).await?;
+    Ok(reading.buffer.finish())
 }
--- a/bins/mangocross-front/src/peer_forwarding.rs
+++ b/bins/mangocross-front/src/peer_forwarding.rs
@@ -30,6 +30,7 @@
 use crate::answer_body::AnswerBody;
 use crate::answer_body::Chunk;
 use crate::body_reader::hold;
+use crate::body_reader::read_answer;
 use crate::dispatch::Call;
 use crate::outcome::RequestRecord;
 use crate::pool;
@@ -186,7 +187,7 @@
     let status = response.status();
     let headers = AnswerHead::forwarded_headers(response.headers());
     if response.body().size_hint().exact().is_some_and(|it| it <= WHOLE_BYTES_MAX) {
-        let body = call.read_answer(response.into_body(), WHOLE_BYTES_MAX as usize);
+        let body = read_answer(response.into_body(), WHOLE_BYTES_MAX as usize, &call.client);
         return match tokio::time::timeout_at(call.ends_at + ANSWER_SLACK, body).await {
             Ok(Ok(it)) => {
                 call.record.answer_started(status);
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -29,6 +29,7 @@
 use crate::blame::QUARANTINED_REASON;
 use crate::body_reader::BodyError;
 use crate::body_reader::NO_MEMORY_REASON;
+use crate::body_reader::read_answer;
 use crate::dispatch::Call;
 use crate::first_answer::first_of;
 use crate::outcome::RequestRecord;
@@ -403,7 +404,7 @@
         return AttemptResult::Failed(reason, ResultCode::BackendMismatch, None);
     }
     let headers = AnswerHead::forwarded_headers(response.headers());
-    let body = match call.read_answer(response.into_body(), ANSWER_BYTES_MAX).await {
+    let body = match read_answer(response.into_body(), ANSWER_BYTES_MAX, &call.client).await {
         Ok(it) => it,
         Err(BodyError::NoMemory) => return AttemptResult::NoMemory,
         Err(_) => {
--- a/bins/mangocross-front/src/stream/attempt.rs
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -9,6 +9,7 @@
 use mangocross_types::VmId;
 
 use crate::answer_body::AnswerBody;
+use crate::body_reader::read_answer;
 use crate::dispatch::Call;
 use crate::pool::Connection;
 use crate::state::InFlightGuard;
@@ -100,7 +101,7 @@
 pub(super) async fn forward_failure(call: &Call, started: StartedStream) -> Response<AnswerBody> {
     let status = started.response.status();
     let headers = AnswerHead::forwarded_headers(started.response.headers());
-    let body = call.read_answer(started.response.into_body(), FAILURE_BYTES_MAX);
+    let body = read_answer(started.response.into_body(), FAILURE_BYTES_MAX, &call.client);
     match tokio::time::timeout_at(call.ends_at, body).await {
         Ok(Ok(body)) => {
             call.record.answer_started(status);
