--- a/bins/mangocross-front/src/peers.rs
+++ b/bins/mangocross-front/src/peers.rs
@@ -456,3 +456,7 @@
         tokio::time::sleep(UPDATE_INTERVAL_MIN).await;
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/builds/recorded.rs"]
+mod recorded;
