test(front): a process test with entry VMs of two builds

Cause: recorded bytes show that forms are the same, not that a fleet of two builds works.

Without the variable nothing changes; no check of a test did.

--- a/bins/mangocross-front/tests/front/platform/front.rs
+++ b/bins/mangocross-front/tests/front/platform/front.rs
@@ -12,6 +12,7 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -40,8 +41,13 @@
 /// Maximum length of a shown line, in bytes.
 const SHOWN_LINE_BYTES_MAX: usize = 600;
 
+/// Variable with the path of the program that every second entry VM runs; `scripts/mixed-builds` sets it.
+const SECOND_PROGRAM_VARIABLE: &str = "MANGOCROSS_SECOND_FRONT";
+
 /// Last octet of the next loopback address to try.
 static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+/// Number of entry VMs that have been started.
+static SPAWNED: AtomicUsize = AtomicUsize::new(0);
 
 /// The program under test.
 ///
@@ -49,6 +55,7 @@
 #[derive(Debug)]
 pub(crate) struct Front {
     child: Child,
+    program: PathBuf,
     pub(crate) address: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) settings: PathBuf,
@@ -110,8 +117,9 @@
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, settings.to_string()).expect("a settings file");
         let stdout = stdout.unwrap_or_else(|| Stdio::from(create(&log_path(&path))));
-        let child = start(&path, stdout);
-        Self { child, address, ready, settings: path, _claim: claim }
+        let program = next_program();
+        let child = start(&program, &path, stdout);
+        Self { child, program, address, ready, settings: path, _claim: claim }
     }
 
     /// Returns the name of the VM.
@@ -158,7 +166,7 @@
         let settings = std::fs::read_to_string(&self.settings).expect("settings");
         let settings = settings.replace("\"first_start\":true", "\"first_start\":false");
         std::fs::write(&self.settings, settings).expect("settings");
-        self.child = start(&self.settings, stdout);
+        self.child = start(&self.program, &self.settings, stdout);
     }
 
     /// Kills the program and starts it again with changed settings.
@@ -276,8 +284,15 @@
     settings.with_extension("errors")
 }
 
-fn start(settings: &Path, stdout: Stdio) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_mangocross-front"))
+/// Returns the program that the next entry VM runs, also when it is started again.
+fn next_program() -> PathBuf {
+    let is_second = SPAWNED.fetch_add(1, Ordering::Relaxed) % 2 == 1;
+    let second = std::env::var_os(SECOND_PROGRAM_VARIABLE).filter(|_| is_second);
+    second.map_or_else(|| env!("CARGO_BIN_EXE_mangocross-front").into(), PathBuf::from)
+}
+
+fn start(program: &Path, settings: &Path, stdout: Stdio) -> Child {
+    Command::new(program)
         .arg("--settings")
         .arg(settings)
         .stdout(stdout)
