--- a/crates/mangocross-serving/src/cold_servers/mod.rs
+++ b/crates/mangocross-serving/src/cold_servers/mod.rs
@@ -14,14 +14,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::cold_rule::ColdRule;
 use self::quotas::Quotas;
 use self::turns::Pace;
 use self::turns::Turns;
 use crate::BackendServer;
 use crate::Moment;
 
-pub use self::cold_rule::ColdRule;
-
 /// Longest time for which a server is taken to be cold after it was said to be.
 const COLD_TIME_MAX: Duration = Duration::from_secs(60);
 /// Largest difference between the wall clocks of a server and an entry VM that does not matter.
