--- a/crates/mangocross-serving/tests/cold_servers.rs
+++ b/crates/mangocross-serving/tests/cold_servers.rs
@@ -17,7 +17,7 @@
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
-/// Rule of the users' deployment C.
+/// Rule of a deployment of 75 entry VMs.
 const RULE: ColdRule =
     ColdRule { start: Duration::from_secs(3), per_s: 14.0, overshoot: 1.5, slack: 5.0 };
 const STEP_MS: u64 = 10;
@@ -134,7 +134,7 @@
     }
 }
 
-/// The users' deployment C: 33 requests in a second arrived where 26 are allowed.
+/// On a deployment of 75 entry VMs 33 requests in a second arrived where 26 are allowed.
 #[test]
 fn fleet_keeps_to_rule_whatever_the_demand() {
     fn holds(entry_vms: u8, per_s: u8, slack: u8, kind: u8, seed: u64) -> bool {
--- a/crates/mangocross-serving/tests/head_subset.rs
+++ b/crates/mangocross-serving/tests/head_subset.rs
@@ -97,7 +97,7 @@
 /// When a connection becomes idle, and until when it is kept.
 type IdlePeriod = (Moment, Moment);
 
-/// Plays streams as deployment C sends them (444 a second through 75 entry VMs to 36 heads) and
+/// Plays streams of a large deployment (444 a second through 75 entry VMs to 36 heads) and
 /// returns the share that finds an idle connection.
 fn reused_share(is_with_subsets: bool, keep_alive: Duration) -> f64 {
     const STREAMS: usize = 60_000;
