--- a/bins/mangocross-front/src/stream/heads.rs
+++ b/bins/mangocross-front/src/stream/heads.rs
@@ -12,7 +12,7 @@
 use mangocross_serving::ServerSearch;
 use mangocross_serving::StreamDemand;
 use mangocross_serving::admit;
-use mangocross_serving::mean_room;
+use mangocross_serving::mean_headroom;
 use mangocross_types::VmId;
 
 use crate::dispatch::Call;
@@ -22,9 +22,9 @@
 use crate::plain;
 use crate::pool::Connection;
 
-/// Mean room of the preferred heads, as a share of that of all heads, below which all are candidates: a
-/// preference must not make a stream wait while others have room.
-const PREFERRED_ROOM_SHARE: f64 = 0.85;
+/// Mean headroom of the preferred heads, as a share of that of all heads, below which all are candidates: a
+/// preference must not make a stream wait while others have free slots.
+const PREFERRED_HEADROOM_SHARE: f64 = 0.85;
 
 /// Returns the heads that accept requests for the model, or `None` if there are none.
 pub(super) fn find_heads(call: &Call, tried: &[VmId]) -> Option<Vec<HeadLoad>> {
@@ -74,8 +74,8 @@
     let mut tiers = find_tiers(call, heads);
     let last = tiers.pop();
     // A place in a queue is taken only where no tier has a slot.
-    let room_min = mean_room(&times, heads) * PREFERRED_ROOM_SHARE;
-    for tier in tiers.iter().filter(|it| mean_room(&times, &it.heads) >= room_min) {
+    let headroom_min = mean_headroom(&times, heads) * PREFERRED_HEADROOM_SHARE;
+    for tier in tiers.iter().filter(|it| mean_headroom(&times, &it.heads) >= headroom_min) {
         if let Admission::Send(vm) = judge(&tier.heads, 0) {
             record_choice(call, tier, &vm);
             return Admission::Send(vm);
--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -116,7 +116,7 @@
 
     /// Returns how many streams a group can take until the counts show them: its free slots and the
     /// requests that it completes meanwhile.
-    fn room(&self, head: &HeadLoad) -> f64 {
+    fn headroom(&self, head: &HeadLoad) -> f64 {
         self.free(head) + self.completed(head)
     }
 
@@ -184,7 +184,7 @@
 /// Random numbers in `0.0..1.0` for one choice of a group.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Draws {
-    /// Position of the group among the room of all groups.
+    /// Position of the group in the headroom of all groups.
     pub first: f64,
     /// Position of the group that it is compared with.
     pub second: f64,
@@ -222,8 +222,8 @@
 }
 
 /// Returns how many streams a group of these can take on average until the counts show them.
-pub fn mean_room(times: &GroupTimes, heads: &[HeadLoad]) -> f64 {
-    heads.iter().map(|it| times.room(it).max(0.0)).sum::<f64>() / heads.len().max(1) as f64
+pub fn mean_headroom(times: &GroupTimes, heads: &[HeadLoad]) -> f64 {
+    heads.iter().map(|it| times.headroom(it).max(0.0)).sum::<f64>() / heads.len().max(1) as f64
 }
 
 /// What decides whether a group may take a stream.
@@ -265,7 +265,7 @@
         let is_on_time = waited + predicted <= target.mul_f64(TARGET_LATENCY_SHARE);
         let reserved = f64::from(self.times.slots) * RESERVED_FROM_LATE_SHARE;
         is_on_time
-            || (self.times.room(head) > reserved
+            || (self.times.headroom(head) > reserved
                 && predicted <= target.mul_f64(LATE_LATENCY_FACTOR))
     }
 
@@ -277,23 +277,23 @@
         completed <= free
     }
 
-    /// Chooses a group in proportion to the room of each, the better one of two if they may be
+    /// Chooses a group in proportion to the headroom of each, the better one of two if they may be
     /// compared.
     fn sample(&self, heads: &[HeadLoad], draws: Draws) -> Option<VmId> {
         let (slow, normal): (Vec<&HeadLoad>, Vec<&HeadLoad>) = heads
             .iter()
-            .filter(|it| self.times.room(it) > 0.0 && self.starts_with_free_slot(it))
+            .filter(|it| self.times.headroom(it) > 0.0 && self.starts_with_free_slot(it))
             .partition(|it| is_slow(it));
         let accepting = if normal.is_empty() { slow } else { normal };
-        let rooms: Vec<f64> = accepting.iter().map(|it| self.times.room(it)).collect();
-        let total: f64 = rooms.iter().sum();
+        let headrooms: Vec<f64> = accepting.iter().map(|it| self.times.headroom(it)).collect();
+        let total: f64 = headrooms.iter().sum();
         let at = |draw: f64| {
             let mut left = draw * total;
-            let position = rooms.iter().position(|room| {
-                left -= room;
+            let position = headrooms.iter().position(|headroom| {
+                left -= headroom;
                 left < 0.0
             });
-            accepting.get(position.unwrap_or(rooms.len().saturating_sub(1))).copied()
+            accepting.get(position.unwrap_or(headrooms.len().saturating_sub(1))).copied()
         };
         let second = self.may_compare(heads).then_some(draws.second);
         let drawn = [Some(draws.first), second].into_iter().flatten().filter_map(at);
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -48,7 +48,7 @@
 pub use admission::HeadLoad;
 pub use admission::StreamDemand;
 pub use admission::admit;
-pub use admission::mean_room;
+pub use admission::mean_headroom;
 pub use backend_server::BackendServer;
 pub use backend_server::EngineOrder;
 pub use backend_server::EngineReport;
--- a/crates/mangocross-serving/tests/admission.rs
+++ b/crates/mangocross-serving/tests/admission.rs
@@ -12,6 +12,7 @@
 use mangocross_serving::LongestDeadlines;
 use mangocross_serving::StreamDemand;
 use mangocross_serving::admit;
+use mangocross_serving::mean_headroom;
 
 use crate::figures::engine_spec;
 
@@ -192,3 +193,14 @@
     let heads = [reading, head("read", 14)];
     assert_eq!(sent_to(&admit(&times(), &heads, &demand(0), 0, Candidates::All)), Some("read"));
 }
+
+/// Guards against a zone that keeps its streams while it has lost a part of its groups: the groups that
+/// are left have less headroom than all, so all are candidates.
+#[test]
+fn loaded_groups_have_less_headroom_than_all() {
+    let own_zone: Vec<HeadLoad> = (0..6).map(|it| head(&format!("own{it}"), 20)).collect();
+    let others = (0..12).map(|it| head(&format!("other{it}"), 12));
+    let all: Vec<HeadLoad> = own_zone.iter().cloned().chain(others).collect();
+    assert!(mean_headroom(&times(), &own_zone) < 0.85 * mean_headroom(&times(), &all));
+    assert_eq!(mean_headroom(&times(), &[]), 0.0);
+}
