--- a/crates/mangocross-serving/src/admission.rs
+++ b/crates/mangocross-serving/src/admission.rs
@@ -25,6 +25,8 @@
 /// Time until a stream that is sent shows in the counts of all entry VMs: half of two report
 /// intervals, and the way.
 const COUNT_HORIZON: Duration = Duration::from_millis(350);
+/// Share of all slots in use above which two groups are no longer compared.
+const COMPARED_LOAD_MAX: f64 = 0.6;
 /// Share of a group's slots up to which streams are planned with stale counts. The rest takes up the
 /// scatter of arrivals, which would otherwise wait in the engine's queue.
 const PLANNED_SLOTS_SHARE: f64 = 0.95;
@@ -173,7 +175,7 @@
 pub enum Candidates {
     /// All groups; suitable if counts are recent.
     All,
-    /// The better of two random groups while there are free slots enough, else one random group, in
+    /// The better of two random groups while few slots are in use, else one random group, in
     /// proportion to what each can take until the counts show it.
     ///
     /// With stale counts, all entry VMs would otherwise send to the same group until updated counts
@@ -269,12 +271,12 @@
                 && predicted <= target.mul_f64(LATE_LATENCY_FACTOR))
     }
 
-    /// Returns whether two groups may be compared. The better one of two gets up to twice the streams
-    /// of its share, about as many as it completes, which need a free slot until the counts show them.
+    /// Returns whether two groups may be compared: the better one gets up to twice the streams that
+    /// counts of some tenths of a second ago leave it headroom for.
     fn may_compare(&self, heads: &[HeadLoad]) -> bool {
-        let free: f64 = heads.iter().map(|it| self.times.free(it).max(0.0)).sum();
-        let completed: f64 = heads.iter().map(|it| self.times.completed(it)).sum();
-        completed <= free
+        let in_flight: u32 = heads.iter().map(|it| it.in_flight).sum();
+        let slots = f64::from(self.times.slots) * heads.len() as f64;
+        f64::from(in_flight) <= COMPARED_LOAD_MAX * slots
     }
 
     /// Chooses a group in proportion to the headroom of each, the better one of two if they may be
--- a/crates/mangocross-serving/src/competition/ratios.rs
+++ b/crates/mangocross-serving/src/competition/ratios.rs
@@ -30,8 +30,9 @@
 /// differ.
 const USED_SLOTS: f64 = 0.92;
 /// The same where streams have equal priorities: a refused stream costs its caller more than one that
-/// waits in a group's queue, so customers are limited only beyond that.
-const QUEUED_SLOTS: f64 = 1.1;
+/// waits a little. With all slots planned, one customer of 7.5 times its usual load takes over a tenth
+/// of the streams in time of the others.
+const QUEUED_SLOTS: f64 = 0.96;
 /// Time in which streams of a less urgent priority cannot be held back yet, since it takes as long
 /// to learn of them.
 const REPORT_HORIZON: Duration = Duration::from_millis(500);
