fix(front): entry VMs that start do not all read the store at another's word

Cause: the message StoreReached makes followers ask the store within 0.3 s. An entry VM that starts has no revision to go on from and reads all keys, so a fleet of 300 that was killed together read 300 pages each at the word of the first one, far beyond the store's rate.

Change: the word counts only for an entry VM that has a revision to go on from, whose question is one call.

--- a/bins/mangocross-front/src/watching.rs
+++ b/bins/mangocross-front/src/watching.rs
@@ -152,7 +152,9 @@
 
     /// Returns the source to use now.
     pub(crate) fn choose_source(&mut self, state: &AppState) -> Source {
-        if let Some(told_at) = state.relay.take_store_reached() {
+        // Without a revision to go on from, the store would have to be read as a whole, which a fleet
+        // that starts together must not do.
+        if let Some(told_at) = state.relay.take_store_reached().filter(|_| self.after.is_some()) {
             self.choice.record_store_reached(told_at);
         }
         let view = state.view.borrow();
@@ -202,7 +204,7 @@
     async fn wait_for_retry(&mut self, state: &AppState) {
         tokio::select! {
             () = tokio::time::sleep(self.next_retry_delay()) => {}
-            () = state.relay.told_reached.notified() => {
+            () = state.relay.told_reached.notified(), if self.after.is_some() => {
                 tokio::time::sleep(STORE_REACHED_SPREAD.mul_f64(fastrand::f64())).await;
             }
         }
