fix(front): read buffers are bounded for backend servers only

Cause: the bound of 64 KiB on read buffers, which limits what servers can make an entry VM hold, also applied to the store and to relays.

Change: connections to the store and to other entry VMs have hyper's limit.

--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -35,7 +35,7 @@
 /// TCP_USER_TIMEOUT of callers' connections. It also counts while a caller does not read and its
 /// window is closed, so it leaves time for a pause.
 pub(crate) const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum size of the read buffer of a connection, which grows while an answer comes fast; the heads
+/// Maximum size of the read buffer of a connection to a server, which grows while an answer comes fast; the heads
 /// of answers must fit into it.
 const READ_BUFFER_BYTES_MAX: usize = 64 << 10;
 /// Maximum number of idle connections per address.
@@ -148,7 +148,9 @@
     ) -> Result<Connection, ConnectError> {
         let mut times = self.connect_times.get();
         let began_at = Instant::now();
-        let connection = connect(address, times.limit(failures)).await?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES_MAX);
+        let connection = connect_with(&builder, address, times.limit(failures)).await?;
         times.record(began_at.elapsed());
         self.connect_times.set(times);
         Ok(connection)
@@ -238,10 +240,21 @@
     }
 }
 
-/// Opens a new connection.
+/// Opens a new connection to the store, another entry VM or a server that is only asked for its state.
+///
+/// Its read buffer has hyper's limit: with 64 KiB a fleet of 300 entry VMs that starts together reads
+/// the lists of the store and of relays too slowly.
 pub(crate) async fn connect(
     address: SocketAddr,
     timeout: Duration,
+) -> Result<Connection, ConnectError> {
+    connect_with(&http1::Builder::new(), address, timeout).await
+}
+
+async fn connect_with(
+    builder: &http1::Builder,
+    address: SocketAddr,
+    timeout: Duration,
 ) -> Result<Connection, ConnectError> {
     let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
     let stream = match connecting.await {
@@ -254,8 +267,6 @@
     if let Err(error) = set_options(&stream, SERVER_USER_TIMEOUT) {
         log::debug!(error:% = error, address:% = address; "socket options are not available");
     }
-    let mut builder = http1::Builder::new();
-    builder.max_buf_size(READ_BUFFER_BYTES_MAX);
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, driver) = handshake.map_err(|_| ConnectError::Unreachable)?;
     let driver = tokio::task::spawn_local(async move {
