refactor(front): the platform's names stay in the adapter and the stand-in

The error for the evacuation of all zones spelled the store key; it names the adapter's prefix in a field now. The tests' keys and fields of evacuations and home regions move to the stand-in of the platform, as does `send_until`, which two test files had with the same lines. No check or bound is changed.

--- a/bins/mangocross-front/src/zone_evacuation.rs
+++ b/bins/mangocross-front/src/zone_evacuation.rs
@@ -216,7 +216,7 @@
     let (last, revision) =
         last.map_or(("", 0), |(zone, revision, _)| (zone.as_str(), revision.revision.0));
     log::error!(
-        zones:? = zones, last, revision, servers = view.servers.len();
-        "[2102] all zones that have servers are evacuated: requests are refused; remove op/evacuate/ZONE of one"
+        zones:? = zones, last, revision, servers = view.servers.len(), key_prefix = EVACUATIONS_PREFIX;
+        "[2102] all zones that have servers are evacuated: requests are refused; remove the key of one"
     );
 }
--- a/bins/mangocross-front/tests/front/cold_servers.rs
+++ b/bins/mangocross-front/tests/front/cold_servers.rs
@@ -6,10 +6,11 @@
 
 use serde_json::json;
 
-use crate::platform::CALLER_HEADERS;
 use crate::platform::Front;
 use crate::platform::Server;
 use crate::platform::Store;
+use crate::platform::evacuation_key;
+use crate::platform::send_until;
 use crate::platform::wait_for_metric;
 use crate::relays::start_fleet_of;
 
@@ -25,8 +26,6 @@
 const NOTICE_TIME: Duration = Duration::from_millis(500);
 /// Time after which entry VMs that start have quotas of the requests to cold servers.
 const SETTLING_TIME: Duration = Duration::from_millis(3500);
-/// Time between two requests of a caller.
-const CALLER_PAUSE: Duration = Duration::from_millis(20);
 
 /// Returns the highest number of requests in any second within a span.
 fn busiest_second(server: &Server, begin: Instant, end: Instant) -> usize {
@@ -39,28 +38,6 @@
     counts.max().unwrap_or_default()
 }
 
-/// Sends requests to each entry VM until a moment; returns the statuses.
-fn send_until(fronts: &[Front], path: &str, end: Instant) -> Vec<u16> {
-    thread::scope(|scope| {
-        let callers: Vec<_> = fronts
-            .iter()
-            .map(|front| {
-                scope.spawn(move || {
-                    let mut statuses = Vec::new();
-                    while Instant::now() < end {
-                        let attempt = format!("a-{}-{}", front.name(), statuses.len());
-                        let headers = CALLER_HEADERS.replace("a1", &attempt);
-                        statuses.push(front.call("POST", path, &headers, "{}").0);
-                        thread::sleep(CALLER_PAUSE);
-                    }
-                    statuses
-                })
-            })
-            .collect();
-        callers.into_iter().flat_map(|it| it.join().expect("a caller")).collect()
-    })
-}
-
 /// Starts entry VMs and two plain servers, one of which becomes cold while requests are sent.
 fn check(make_cold: impl FnOnce(&Store, &Server)) {
     let store = Store::spawn();
@@ -114,9 +91,10 @@
 #[test]
 fn zone_that_is_taken_back_gets_few_requests() {
     check(|store, _| {
-        store.put("op/evacuate/zone-a", &json!({}));
+        let key = evacuation_key("zone-a");
+        store.put(&key, &json!({}));
         thread::sleep(NOTICE_TIME);
-        store.remove("op/evacuate/zone-a");
+        store.remove(&key);
     });
 }
 
--- a/bins/mangocross-front/tests/front/home_regions.rs
+++ b/bins/mangocross-front/tests/front/home_regions.rs
@@ -6,6 +6,7 @@
 use crate::platform::Front;
 use crate::platform::Server;
 use crate::platform::Store;
+use crate::platform::restrict_to;
 use crate::platform::wait_for_metric;
 
 /// Number of requests that are sent to find that none reaches another region.
@@ -33,8 +34,7 @@
 /// Guards against requests of a restricted route in another region, also when none is left at home.
 #[test]
 fn requests_of_a_restricted_route_stay_in_their_region() {
-    let (_store, [other, home], front) =
-        start(|it| it["routes"][1]["allowed_regions"] = json!(["south"]));
+    let (_store, [other, home], front) = start(|it| restrict_to(&mut it["routes"][1], &["south"]));
     let (at_home, elsewhere) = (home.arrivals().len(), other.arrivals().len());
     assert_eq!(send(&front), [200; REQUESTS]);
     assert_eq!(other.arrivals().len(), elsewhere);
@@ -51,8 +51,8 @@
 #[test]
 fn restrictions_of_customer_and_route_both_apply() {
     let (_store, [other, _home], front) = start(|it| {
-        it["routes"][1]["allowed_regions"] = json!(["north", "south"]);
-        it["tenants"][0]["allowed_regions"] = json!(["south"]);
+        restrict_to(&mut it["routes"][1], &["north", "south"]);
+        restrict_to(&mut it["tenants"][0], &["south"]);
     });
     assert_eq!(send(&front), [200; REQUESTS]);
     assert!(other.arrivals().is_empty(), "a request left its region");
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -1,11 +1,13 @@
 //! A small stand-in of the platform: its store and backend servers of two services.
 
 mod answers;
+mod callers;
 mod client;
 mod front;
 mod link;
 mod log_file;
 mod machine;
+mod operators;
 mod servers;
 mod silence;
 mod start;
@@ -31,6 +33,7 @@
 pub(crate) use self::answers::OddAnswer;
 pub(crate) use self::answers::answer_early;
 pub(crate) use self::answers::answer_without_length;
+pub(crate) use self::callers::send_until;
 pub(crate) use self::client::Client;
 pub(crate) use self::client::Outcome;
 pub(crate) use self::client::RequestKind;
@@ -38,6 +41,8 @@
 pub(crate) use self::link::Cut;
 pub(crate) use self::link::Link;
 pub(crate) use self::log_file::LogFile;
+pub(crate) use self::operators::evacuation_key;
+pub(crate) use self::operators::restrict_to;
 pub(crate) use self::servers::Arrival;
 pub(crate) use self::servers::CopyPart;
 pub(crate) use self::servers::CopyTime;
--- /dev/null
+++ b/bins/mangocross-front/tests/front/platform/operators.rs
@@ -0,0 +1,14 @@
+//! What operators write to the store.
+
+use serde_json::Value;
+use serde_json::json;
+
+/// Returns the store key that evacuates a zone.
+pub(crate) fn evacuation_key(zone: &str) -> String {
+    format!("op/evacuate/{zone}")
+}
+
+/// Restricts a route or a customer of the configuration to regions.
+pub(crate) fn restrict_to(entry: &mut Value, regions: &[&str]) {
+    entry["allowed_regions"] = json!(regions);
+}
--- a/bins/mangocross-front/tests/front/server_limits.rs
+++ b/bins/mangocross-front/tests/front/server_limits.rs
@@ -1,6 +1,5 @@
 //! Tests with servers that name the rate of requests that they take from all entry VMs together.
 
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -8,6 +7,7 @@
 use crate::platform::Front;
 use crate::platform::Server;
 use crate::platform::Store;
+use crate::platform::send_until;
 use crate::platform::wait_for_metric;
 
 /// Entry VMs that send to the same servers.
@@ -20,8 +20,6 @@
 const EXCESS_MAX: f64 = 5.0;
 /// Time after which each entry VM knows of a limit.
 const NOTICE_TIME: Duration = Duration::from_millis(500);
-/// Time between two requests of a caller.
-const CALLER_PAUSE: Duration = Duration::from_millis(20);
 
 /// Returns the highest number of requests in any window that begins after a moment.
 fn busiest_window(server: &Server, after: Instant) -> usize {
@@ -33,28 +31,6 @@
     counts.max().unwrap_or_default()
 }
 
-/// Sends requests to each entry VM until a moment; returns the statuses.
-fn send_until(fronts: &[Front], path: &str, end: Instant) -> Vec<u16> {
-    thread::scope(|scope| {
-        let callers: Vec<_> = fronts
-            .iter()
-            .map(|front| {
-                scope.spawn(move || {
-                    let mut statuses = Vec::new();
-                    while Instant::now() < end {
-                        let attempt = format!("a-{}-{}", front.name(), statuses.len());
-                        let headers = CALLER_HEADERS.replace("a1", &attempt);
-                        statuses.push(front.call("POST", path, &headers, "{}").0);
-                        thread::sleep(CALLER_PAUSE);
-                    }
-                    statuses
-                })
-            })
-            .collect();
-        callers.into_iter().flat_map(|it| it.join().expect("a caller")).collect()
-    })
-}
-
 fn spawn_fronts(store: &Store) -> Vec<Front> {
     let fronts: Vec<Front> =
         (0..FRONT_COUNT).map(|_| Front::spawn_logged(store.address, 60_000, 1.0)).collect();
--- a/bins/mangocross-front/tests/front/zone_evacuation.rs
+++ b/bins/mangocross-front/tests/front/zone_evacuation.rs
@@ -12,6 +12,7 @@
 use crate::platform::Front;
 use crate::platform::Server;
 use crate::platform::Store;
+use crate::platform::evacuation_key;
 use crate::platform::start_engines;
 use crate::platform::wait_for_metric;
 use crate::platform::wait_until;
@@ -22,7 +23,6 @@
 const EVACUATED_WITHIN: Duration = Duration::from_secs(5);
 /// Time for which requests are sent to find that none reaches the zone.
 const OBSERVED: Duration = Duration::from_secs(2);
-const KEY: &str = "op/evacuate/zone-a";
 const EVACUATED: &str = r#"front_evacuated_zone{zone="zone-a"} 1"#;
 const IN_USE: &str = r#"front_evacuated_zone{zone="zone-a"} 0"#;
 
@@ -57,6 +57,11 @@
     statuses
 }
 
+/// Returns the key that evacuates the zone of the first server.
+fn key() -> String {
+    evacuation_key("zone-a")
+}
+
 /// Asserts that requests are served and none reaches the evacuated server.
 fn assert_evacuated(front: &Front, evacuated: &Server) {
     let before = evacuated.arrivals().len();
@@ -79,14 +84,14 @@
 fn evacuated_zone_gets_nothing_until_it_is_taken_back() {
     let (store, [evacuated, _kept], front) = start();
     assert_in_use(&front, &evacuated);
-    store.put(KEY, &json!({}));
+    store.put(&key(), &json!({}));
     let acknowledged = Instant::now();
     send(&front, EVACUATED_WITHIN);
     let late = |it: Instant| it > acknowledged + EVACUATED_WITHIN;
     assert_evacuated(&front, &evacuated);
     assert!(evacuated.arrivals().iter().all(|it| !late(it.at)));
     assert!(has_metric(&front, EVACUATED));
-    store.remove(KEY);
+    store.remove(&key());
     assert_in_use(&front, &evacuated);
     assert!(has_metric(&front, IN_USE));
 }
@@ -95,7 +100,7 @@
 #[test]
 fn evacuation_lasts_while_the_store_is_down() {
     let (store, [evacuated, _kept], front) = start();
-    store.put(KEY, &json!({}));
+    store.put(&key(), &json!({}));
     wait_for_metric(&front, EVACUATED);
     store.set_refusing(true);
     thread::sleep(Duration::from_secs(2));
@@ -103,7 +108,7 @@
     store.set_refusing(false);
     thread::sleep(Duration::from_secs(1));
     assert_evacuated(&front, &evacuated);
-    store.remove(KEY);
+    store.remove(&key());
     assert_in_use(&front, &evacuated);
 }
 
@@ -112,18 +117,18 @@
 fn evacuation_outlasts_a_store_that_lost_it() {
     let (store, [evacuated, _kept], front) = start();
     thread::sleep(Duration::from_secs(3));
-    store.put(KEY, &json!({}));
+    store.put(&key(), &json!({}));
     wait_for_metric(&front, EVACUATED);
     let (age, rewritten_after) = (Duration::from_secs(2), Duration::from_secs(8));
     store.return_to_copy(age, Duration::from_millis(300), rewritten_after);
     let returned = Instant::now();
     wait_for_metric(&front, "front_store_eras_total 1");
-    assert!(!store.contains_key(KEY), "the copy is older than the evacuation");
+    assert!(!store.contains_key(&key()), "the copy is older than the evacuation");
     while returned.elapsed() < rewritten_after + Duration::from_secs(1) {
         assert_evacuated(&front, &evacuated);
     }
-    assert!(store.contains_key(KEY), "it was written again");
-    store.remove(KEY);
+    assert!(store.contains_key(&key()), "it was written again");
+    store.remove(&key());
     assert_in_use(&front, &evacuated);
 }
 
@@ -131,7 +136,7 @@
 #[test]
 fn entry_vm_that_starts_sends_nothing_to_an_evacuated_zone() {
     let (store, [evacuated, _kept]) = start_zones();
-    store.put(KEY, &json!({}));
+    store.put(&key(), &json!({}));
     let mut front = Front::spawn_logged(store.address, 60_000, 1.0);
     front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
     assert_evacuated(&front, &evacuated);
@@ -146,10 +151,10 @@
 #[test]
 fn requests_are_refused_when_all_zones_are_evacuated() {
     let (store, servers, front) = start();
-    store.put(KEY, &json!({}));
-    store.put("op/evacuate/zone-x", &json!({}));
+    store.put(&key(), &json!({}));
+    store.put(&evacuation_key("zone-x"), &json!({}));
     wait_for_metric(&front, EVACUATED);
-    store.put("op/evacuate/zone-b", &json!({}));
+    store.put(&evacuation_key("zone-b"), &json!({}));
     wait_for_metric(&front, r#"front_evacuated_zone{zone="zone-b"} 1"#);
     let before: Vec<usize> = servers.iter().map(|it| it.arrivals().len()).collect();
     let (status, _, body) = front.call("POST", "/lookup/x", CALLER_HEADERS, "{}");
@@ -163,7 +168,7 @@
     };
     wait_until("the error is logged", || has_line("[2102]"));
     wait_until("the warning is logged", || has_line("evacuated zone has no servers"));
-    store.remove("op/evacuate/zone-b");
+    store.remove(&evacuation_key("zone-b"));
     front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
     assert_evacuated(&front, &servers[0]);
 }
@@ -175,7 +180,7 @@
     let (store, engines, front) = start_engines();
     let heads: Vec<&Server> = engines.iter().filter(|it| it.is_open()).collect();
     heads[0].set_zone("zone-b");
-    store.put("op/evacuate/zone-b", &json!({}));
+    store.put(&evacuation_key("zone-b"), &json!({}));
     wait_for_metric(&front, r#"front_evacuated_zone{zone="zone-b"} 1"#);
     let before = heads[0].arrivals().len();
     let others = heads[1].arrivals().len();
@@ -186,7 +191,7 @@
     }
     assert_eq!(heads[0].arrivals().len(), before, "a stream reached the evacuated zone");
     assert!(heads[1].arrivals().len() >= others + 3, "streams were begun and broken off");
-    store.remove("op/evacuate/zone-b");
+    store.remove(&evacuation_key("zone-b"));
     wait_until("streams are resumed there again", || {
         heads[1].break_streams(1);
         front.call("POST", "/stream/x", CALLER_HEADERS, "{}");
@@ -203,7 +208,7 @@
     wait_until("the zone is known", || fronts.iter().all(|it| has_metric(it, IN_USE)));
     let (mut relays, rest): (Vec<Front>, Vec<Front>) = fronts.drain(..).partition(follows_store);
     relays.iter_mut().for_each(disable);
-    store.put(KEY, &json!({}));
+    store.put(&key(), &json!({}));
     let acknowledged = Instant::now();
     while acknowledged.elapsed() < EVACUATED_WITHIN + OBSERVED {
         for front in &rest {
