--- a/review/standins-2/http.rs
+++ b/review/standins-2/platform/http.rs
@@ -200,11 +200,16 @@
     });
 }
 
+/// Sends a signal to a process that this one has started.
+pub fn send_signal(id: u32, name: &str) {
+    let _ = std::process::Command::new("sh").arg("-c").arg(format!("kill -{name} {id}")).status();
+}
+
 /// Ends the process and those that it has started because the case could not run.
 pub fn quit(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
     for id in children().iter() {
-        let _ = std::process::Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+        send_signal(*id, "KILL");
     }
     std::process::exit(2);
 }
