--- a/crates/mangocross-serving/src/traffic.rs
+++ b/crates/mangocross-serving/src/traffic.rs
@@ -79,8 +79,8 @@
 impl RouteRule {
     /// Chooses a target by weight; `draw` is a random number below 1.
     pub fn choose_target(&self, draw: f64) -> Option<&ServiceId> {
-        let total: u32 = self.targets.iter().map(|it| it.weight).sum();
-        let mut remaining = draw * f64::from(total);
+        let total: f64 = self.targets.iter().map(|it| f64::from(it.weight)).sum();
+        let mut remaining = draw * total;
         for it in &self.targets {
             remaining -= f64::from(it.weight);
             if remaining < 0.0 {
