fix(front): a version that cannot be read confirms no older one

Cause: a version that could not be decoded was logged and dropped, and whoever had asked, the watch, the list of all keys, the deferred reads or a relay, confirmed the version in use as the newest all the same.

Change: such a version counts as a newer one, in the state that all confirmations pass (ConfigurationFreshness). Nothing confirms the version in use until a later one can be read; a copy of the store with an older version ends that no more than an answer that was overtaken.

--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -36,6 +36,7 @@
 use crate::plain;
 use crate::state::AppState;
 use crate::stream;
+use crate::unread_configuration::UNREAD_REASON;
 use crate::zone_routing::RequestZone;
 
 /// Retry-After while this VM has no recent configuration to check keys with.
@@ -196,6 +197,9 @@
         return refuse(record, refusal.retry_after(NOT_FRESH_RETRY_AFTER), "no configuration");
     };
     record.configuration_version = configuration.version;
+    if let Some(refusal) = state.unread_refusal() {
+        return refuse(record, refusal, UNREAD_REASON);
+    }
     let is_fresh = state.is_fresh(record.received_at);
     let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok()).unwrap_or_default();
     let found = configuration.find_route(host, parts.uri.path()).cloned();
--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -46,6 +46,7 @@
 mod store_following;
 mod story;
 mod stream;
+mod unread_configuration;
 mod watching;
 mod zone_evacuation;
 mod zone_figures;
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -50,6 +50,7 @@
 struct Gauges {
     configuration_age: Gauge<f64>,
     configuration_version: Gauge<f64>,
+    configuration_unread: Gauge<f64>,
     backend_servers: Gauge<f64>,
     held_servers: Gauge<f64>,
     groups: Gauge<f64>,
@@ -205,6 +206,10 @@
             ),
             configuration_version: metrics
                 .gauge("front_configuration_version", "version of the configuration in force"),
+            configuration_unread: metrics.gauge(
+                "front_configuration_unread",
+                "1 if the newest configuration cannot be read and requests are refused, else 0",
+            ),
             backend_servers: metrics.gauge("front_backend_servers", "backend servers listed"),
             held_servers: metrics.gauge(
                 "front_held_servers",
@@ -272,6 +277,8 @@
         if let Some(configuration) = &view.configuration {
             self.configuration_version.record(configuration.version as f64, &[]);
         }
+        let is_unread = view.freshness.lacks_newest();
+        self.configuration_unread.record(f64::from(u8::from(is_unread)), &[]);
         self.backend_servers.record(view.servers.len() as f64, &[]);
         for (reason, count) in view.held_servers(now) {
             self.held_servers.record(count as f64, &[KeyValue::new("reason", reason)]);
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -53,6 +53,7 @@
 use crate::pool::Pool;
 use crate::relay_state::RelayState;
 use crate::store::StoreClient;
+use crate::unread_configuration::UNREAD_REASON;
 use crate::zone_routing::ZoneRouting;
 
 /// Time for which a server gets no requests after a failed connection.
@@ -296,6 +297,9 @@
         if view.configuration.is_none() {
             return Some("no configuration");
         }
+        if view.freshness.lacks_newest() {
+            return Some(UNREAD_REASON);
+        }
         if view.servers.is_empty() {
             return Some("no backend servers");
         }
--- a/bins/mangocross-front/src/store_changes.rs
+++ b/bins/mangocross-front/src/store_changes.rs
@@ -140,7 +140,7 @@
     let value = item.value.as_deref().unwrap_or_default();
     match decode_configuration(value) {
         Ok(new) => {
-            state.view.borrow_mut().freshness.record_shown(new.version);
+            state.view.borrow_mut().freshness.record_read(new.version, item.revision);
             let old = state.configuration().map(|it| it.version);
             if old.is_some_and(|it| it >= new.version) {
                 return;
@@ -156,9 +156,7 @@
             drop(view);
             state.refresh_cold();
         }
-        Err(error) => {
-            log::error!(error:% = error, revision = item.revision.revision.0; "configuration ignored");
-        }
+        Err(error) => state.record_unread_configuration(value, item.revision, &error),
     }
 }
 
--- /dev/null
+++ b/bins/mangocross-front/tests/front/unread_configuration.rs
@@ -0,0 +1,131 @@
+//! Tests with versions of the configuration that cannot be read.
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::fleet::has_metric;
+use crate::platform::CALLER_HEADERS;
+use crate::platform::Front;
+use crate::platform::Server;
+use crate::platform::Store;
+use crate::platform::call;
+use crate::platform::start_plain;
+use crate::platform::wait_until;
+use crate::relays::follows_store;
+use crate::relays::start_fleet_of;
+
+const UNREAD: &str = "front_configuration_unread 1";
+const READ: &str = "front_configuration_unread 0";
+const CONFIG: &str = "op/config";
+
+fn headers(key: &str) -> String {
+    CALLER_HEADERS.replace("k1", key)
+}
+
+/// Returns bytes that are no configuration; all but the first two name a version.
+fn unreadable(version: u64) -> Vec<Vec<u8>> {
+    let without = |field: &str| {
+        let mut document = json!({"version": version, "routes": [], "services": [], "tenants": []});
+        document[field] = json!("another type");
+        document
+    };
+    vec![
+        vec![0xff; 64],
+        b"{\"version\": 4, \"routes\": [".to_vec(),
+        without("routes").to_string().into_bytes(),
+        without("services").to_string().into_bytes(),
+    ]
+}
+
+/// Checks that requests are refused as not run, with and without a key, on known and unknown routes.
+fn assert_refused(front: &Front, servers: &[Server]) {
+    let runs = || servers.iter().map(|it| it.ran().len()).sum::<usize>();
+    let before = runs();
+    for path in ["/lookup/x", "/booking/x", "/stream/x", "/public/x", "/new/x"] {
+        let (status, head, body) = front.call("POST", path, &headers("k1"), "{}");
+        assert_eq!(status, 503, "{path}: {body}");
+        assert!(body.contains("not run") && head.contains("retry-after"), "{path}: {head} {body}");
+    }
+    assert_eq!(runs(), before, "a request has run");
+    assert_eq!(call(front.ready, "GET", "/-/ready", "", "").0, 503, "it says that it is ready");
+}
+
+/// Adds a route that needs no key.
+fn add_public_route(configuration: &mut Value) {
+    let mut route = configuration["routes"][1].clone();
+    (route["name"], route["path_prefix"]) = (json!("public"), json!("/public/"));
+    route["public"] = json!(true);
+    configuration["routes"].as_array_mut().expect("routes").push(route);
+}
+
+/// Guards against a key that stays in force since the version that takes it away cannot be read.
+#[test]
+fn version_that_cannot_be_read_confirms_no_older_one() {
+    let (store, servers, front) = start_plain();
+    for (number, text) in unreadable(5).into_iter().enumerate() {
+        let version = 10 * (number as u64 + 1);
+        store.configure_with(version, &["k1"], add_public_route);
+        let in_use = format!("front_configuration_version {version}");
+        wait_until("it is read", || has_metric(&front, READ) && has_metric(&front, &in_use));
+        assert_eq!(front.call("POST", "/lookup/x", &headers("k1"), "{}").0, 200);
+        store.put_bytes(CONFIG, text);
+        wait_until("it is not read", || has_metric(&front, UNREAD));
+        assert_refused(&front, &servers);
+        // Later reads of all keys change nothing.
+        store.compact();
+        thread::sleep(Duration::from_millis(300));
+        assert_refused(&front, &servers);
+        store.configure_with(version + 1, &["k2"], add_public_route);
+        front.wait_for_status(200, "/lookup/x", &headers("k2"));
+        assert_eq!(front.call("POST", "/lookup/x", &headers("k1"), "{}").0, 401);
+    }
+}
+
+/// Guards against entry VMs that learn of such a version from a relay and serve on.
+#[test]
+fn followers_of_relays_serve_no_older_version_either() {
+    let (store, servers, fronts) = start_fleet_of(|it| Front::spawn_logged(it, 60_000, 1.0));
+    assert!(fronts.iter().any(|it| !follows_store(it)));
+    store.put_bytes(CONFIG, b"{".to_vec());
+    wait_until("none can read it", || fronts.iter().all(|it| has_metric(it, UNREAD)));
+    for front in &fronts {
+        assert_refused(front, &servers);
+    }
+    store.configure(9, &["k1"]);
+    for front in &fronts {
+        front.wait_for_status(200, "/lookup/x", &headers("k1"));
+    }
+}
+
+/// Guards against a process that starts beside such a version and takes its lack for an empty list.
+#[test]
+fn process_that_starts_beside_such_a_version_refuses() {
+    let store = Store::spawn();
+    store.put_bytes(CONFIG, b"{}".to_vec());
+    let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    let front = Front::spawn_logged(store.address, 60_000, 1.0);
+    wait_until("it is not read", || has_metric(&front, UNREAD));
+    assert_refused(&front, &servers);
+    store.configure(3, &["k1"]);
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+}
+
+/// Guards against an older version that is confirmed since the store came back from a copy with it.
+#[test]
+fn copy_of_the_store_with_an_older_version_confirms_nothing() {
+    let (store, servers, front) = start_plain();
+    thread::sleep(Duration::from_millis(1600));
+    let text = unreadable(5).pop().expect("a text");
+    store.put_bytes(CONFIG, text);
+    wait_until("it is not read", || has_metric(&front, UNREAD));
+    let never = Duration::from_secs(3600);
+    store.return_to_copy(Duration::from_millis(1500), Duration::from_millis(300), never);
+    assert_eq!(store.era(), 2);
+    thread::sleep(Duration::from_millis(3000));
+    assert_refused(&front, &servers);
+    store.configure(6, &["k1"]);
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+}
--- a/crates/mangocross-serving/src/freshness.rs
+++ b/crates/mangocross-serving/src/freshness.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mangocross_types::StoreEra;
+use mangocross_types::StoreRevision;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -28,6 +29,9 @@
 /// store's answers confirm nothing to it until another entry VM says that the store shows the newest
 /// version that was seen before, or the time to write again has passed since the process's first answer:
 /// no VM may have lived through the return.
+///
+/// A version that this VM cannot read is a newer version all the same. Until a later one can be read,
+/// nothing confirms the configuration in use, and the VM knows that it lacks the newest one.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ConfigurationFreshness {
     requested_at: Option<Moment>,
@@ -43,6 +47,21 @@
     shown_version: Option<u64>,
     /// Newest version that any entry VM saw in an earlier era.
     former_version: Option<u64>,
+    /// Latest revision at which the store showed a version that this VM can read.
+    read_at: Option<StoreRevision>,
+    /// The newest version, if this VM cannot read it.
+    unread: Option<UnreadVersion>,
+}
+
+/// A version of the configuration that this VM cannot read.
+#[derive(Debug, Clone, Copy)]
+struct UnreadVersion {
+    /// Revision at which the store showed it.
+    revision: StoreRevision,
+    /// Its number, or the least that it can have.
+    version_min: u64,
+    /// Era in which that number became known.
+    known_in: StoreEra,
 }
 
 /// What an entry VM tells the others of the versions of the configuration that exist.
@@ -61,7 +80,7 @@
     /// `requested_at`.
     pub fn confirm(&mut self, requested_at: Moment) {
         let is_settled = self.settled_at.is_none_or(|it| requested_at >= it);
-        if !is_settled || self.shown_version < self.former_version {
+        if !is_settled || self.lacks_newest() || self.shown_version < self.former_version {
             return;
         }
         self.requested_at = self.requested_at.max(Some(requested_at));
@@ -86,6 +105,47 @@
         self.shown_version = self.shown_version.max(Some(version));
     }
 
+    /// Records that the store showed a version at `revision` that this VM can read.
+    ///
+    /// In a later era it ends the lack of a newer version only if it is as new: the store may have come
+    /// back from a copy that is older than the version that cannot be read.
+    pub fn record_read(&mut self, version: u64, revision: StoreRevision) {
+        self.record_shown(version);
+        self.read_at = self.read_at.max(Some(revision));
+        self.unread = self.unread.filter(|it| {
+            let is_replaced = it.known_in == revision.era || version >= it.version_min;
+            revision <= it.revision || !is_replaced
+        });
+    }
+
+    /// Records that the store showed a version at `revision` that this VM cannot read, with its number
+    /// if that can be read; `in_use` is the version that the VM uses. An answer that was overtaken
+    /// changes nothing. Returns whether it is news.
+    pub fn record_unread(
+        &mut self,
+        version: Option<u64>,
+        revision: StoreRevision,
+        in_use: Option<u64>,
+    ) -> bool {
+        let known = self.read_at.max(self.unread.map(|it| it.revision));
+        if known >= Some(revision) {
+            return false;
+        }
+        // Versions increase.
+        let version_min = version.unwrap_or_else(|| in_use.map_or(0, |it| it.saturating_add(1)));
+        self.record_shown(version_min);
+        let former = self.unread.filter(|it| it.version_min >= version_min);
+        let known_in = former.map_or(revision.era, |it| it.known_in);
+        let version_min = former.map_or(version_min, |it| it.version_min);
+        self.unread = Some(UnreadVersion { revision, version_min, known_in });
+        true
+    }
+
+    /// Returns whether there is a newer version than the one in use, which this VM cannot read.
+    pub fn lacks_newest(&self) -> bool {
+        self.unread.is_some()
+    }
+
     /// Records the era of the first answer of the store, which came at `now`; returns whether the store
     /// has come back from an older copy before.
     pub fn set_first_era(&mut self, era: StoreEra, now: Moment) -> bool {
