fix(front): one part that cannot be read costs no other

Callers saw: with one word in one route that the entry VMs do not know, no request at all would be served until the next version, since the whole version counts as unread.

Cause: a configuration was decoded as one document.

Change: if that fails, routes, services and customers are read one by one. Requests on a route or for a service that cannot be read get 503, not run; while a customer cannot be read, an unknown key gets 503 in place of 401.

--- a/bins/mangocross-front/src/dispatch.rs
+++ b/bins/mangocross-front/src/dispatch.rs
@@ -16,6 +16,7 @@
 use mangocross_serving::CrashCause;
 use mangocross_serving::KeyHolder;
 use mangocross_serving::RequestIdentity;
+use mangocross_serving::RouteMatch;
 use mangocross_serving::RouteRule;
 use mangocross_serving::TrafficConfiguration;
 use mangocross_types::PromptPartId;
@@ -37,6 +38,7 @@
 use crate::state::AppState;
 use crate::stream;
 use crate::unread_configuration::UNREAD_REASON;
+use crate::unread_configuration::unread_part_refusal;
 use crate::zone_routing::RequestZone;
 
 /// Retry-After while this VM has no recent configuration to check keys with.
@@ -202,13 +204,17 @@
     }
     let is_fresh = state.is_fresh(record.received_at);
     let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok()).unwrap_or_default();
-    let found = configuration.find_route(host, parts.uri.path()).cloned();
-    let Some(route) = found else {
-        if !is_fresh {
+    let route = match configuration.match_route(host, parts.uri.path()) {
+        RouteMatch::Route(it) => Arc::clone(it),
+        RouteMatch::Unread => return refuse(record, unread_part_refusal(), "route not readable"),
+        RouteMatch::None if !is_fresh => {
             return refuse(record, not_fresh_refusal(), "configuration not proved fresh");
         }
-        let refusal = Refusal::not_run(ResultCode::UnknownRoute, "no route has this host and path");
-        return refuse(record, refusal, "no route");
+        RouteMatch::None => {
+            let refusal =
+                Refusal::not_run(ResultCode::UnknownRoute, "no route has this host and path");
+            return refuse(record, refusal, "no route");
+        }
     };
     record.route = Some(Arc::clone(&route.name));
     let holder = match key_holder(&configuration, &route, &caller_head, is_fresh) {
@@ -220,6 +226,9 @@
         let refusal = Refusal::not_run(ResultCode::NoCompleteGroup, "the route has no service");
         return refuse(record, refusal.retry_after(NOT_FRESH_RETRY_AFTER), "no service");
     };
+    if configuration.unread.services.contains(&service) {
+        return refuse(record, unread_part_refusal(), "service not readable");
+    }
     let wait = caller_head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let wait = wait.saturating_sub(record.age());
     let longest = match route.retry_policy.is_stream() {
@@ -306,6 +315,10 @@
         return Err((not_fresh_refusal(), "configuration not proved fresh"));
     }
     let found = caller_head.key.as_ref().and_then(|it| configuration.keys.get(it));
+    // The key may be that of a customer who cannot be read.
+    if found.is_none() && caller_head.key.is_some() && configuration.unread.has_customers {
+        return Err((unread_part_refusal(), "customers not readable"));
+    }
     let refusal = || Refusal::not_run(ResultCode::CustomerKeyUnknown, "the key is not known");
     found.cloned().map(Some).ok_or_else(|| (refusal(), "key not known"))
 }
--- a/bins/mangocross-front/src/metrics.rs
+++ b/bins/mangocross-front/src/metrics.rs
@@ -51,6 +51,7 @@
     configuration_age: Gauge<f64>,
     configuration_version: Gauge<f64>,
     configuration_unread: Gauge<f64>,
+    configuration_unread_parts: Gauge<f64>,
     backend_servers: Gauge<f64>,
     held_servers: Gauge<f64>,
     groups: Gauge<f64>,
@@ -210,6 +211,10 @@
                 "front_configuration_unread",
                 "1 if the newest configuration cannot be read and requests are refused, else 0",
             ),
+            configuration_unread_parts: metrics.gauge(
+                "front_configuration_unread_parts",
+                "parts of the configuration in force that cannot be read",
+            ),
             backend_servers: metrics.gauge("front_backend_servers", "backend servers listed"),
             held_servers: metrics.gauge(
                 "front_held_servers",
@@ -276,6 +281,8 @@
         }
         if let Some(configuration) = &view.configuration {
             self.configuration_version.record(configuration.version as f64, &[]);
+            let unread_parts = configuration.unread.reasons.len();
+            self.configuration_unread_parts.record(unread_parts as f64, &[]);
         }
         let is_unread = view.freshness.lacks_newest();
         self.configuration_unread.record(f64::from(u8::from(is_unread)), &[]);
--- a/bins/mangocross-front/src/store_changes.rs
+++ b/bins/mangocross-front/src/store_changes.rs
@@ -27,6 +27,7 @@
 use crate::state::StoredValue;
 use crate::store_following::ENTRY_VM_KEYS_PREFIX;
 use crate::store_following::OPERATORS_PREFIX;
+use crate::unread_configuration::log_unread_parts;
 
 /// Applies all keys of a range, and removes known keys that are not in it.
 ///
@@ -150,6 +151,7 @@
                 routes = new.route_count(), keys = new.keys.len();
                 "configuration in force"
             );
+            log_unread_parts(&new);
             let mut view = state.view.borrow_mut();
             view.deadlines.retain(|it| new.has_route(it));
             view.configuration = Some(Arc::new(new));
--- a/bins/mangocross-front/src/unread_configuration.rs
+++ b/bins/mangocross-front/src/unread_configuration.rs
@@ -5,6 +5,7 @@
 use log::kv::Value;
 use mangocross_platform::DecodeError;
 use mangocross_platform::configuration_version;
+use mangocross_serving::TrafficConfiguration;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use mangocross_types::StoreRevision;
@@ -16,6 +17,27 @@
 /// Reason of refusals, and of not being ready, meanwhile.
 pub(crate) const UNREAD_REASON: &str = "the newest configuration cannot be read";
 
+/// Maximum number of unread parts of one version that are logged.
+const LOGGED_PARTS_MAX: usize = 8;
+
+/// Returns how to refuse a request that a part of the configuration is about which cannot be read.
+pub(crate) fn unread_part_refusal() -> Refusal {
+    let message = "a part of the configuration cannot be read";
+    Refusal::not_run(ResultCode::NotFresh, message).retry_after(UNREAD_RETRY_AFTER)
+}
+
+/// Logs the parts of a version that cannot be read; the others are in force.
+pub(crate) fn log_unread_parts(configuration: &TrafficConfiguration) {
+    let reasons = &configuration.unread.reasons;
+    for (part, error) in reasons.iter().take(LOGGED_PARTS_MAX) {
+        log::error!(
+            version = configuration.version, part = part.as_str(), error = error.as_str(),
+            parts = reasons.len();
+            "[8104] a part of the configuration cannot be read: its requests are refused"
+        );
+    }
+}
+
 impl AppState {
     /// Records that the store or a relay showed a version that cannot be decoded.
     pub(crate) fn record_unread_configuration(
--- a/bins/mangocross-front/tests/front/unread_configuration.rs
+++ b/bins/mangocross-front/tests/front/unread_configuration.rs
@@ -19,7 +19,6 @@
 
 const UNREAD: &str = "front_configuration_unread 1";
 const READ: &str = "front_configuration_unread 0";
-const CONFIG: &str = "op/config";
 
 fn headers(key: &str) -> String {
     CALLER_HEADERS.replace("k1", key)
@@ -71,7 +70,7 @@
         let in_use = format!("front_configuration_version {version}");
         wait_until("it is read", || has_metric(&front, READ) && has_metric(&front, &in_use));
         assert_eq!(front.call("POST", "/lookup/x", &headers("k1"), "{}").0, 200);
-        store.put_bytes(CONFIG, text);
+        store.configure_bytes(text);
         wait_until("it is not read", || has_metric(&front, UNREAD));
         assert_refused(&front, &servers);
         // Later reads of all keys change nothing.
@@ -89,7 +88,7 @@
 fn followers_of_relays_serve_no_older_version_either() {
     let (store, servers, fronts) = start_fleet_of(|it| Front::spawn_logged(it, 60_000, 1.0));
     assert!(fronts.iter().any(|it| !follows_store(it)));
-    store.put_bytes(CONFIG, b"{".to_vec());
+    store.configure_bytes(b"{".to_vec());
     wait_until("none can read it", || fronts.iter().all(|it| has_metric(it, UNREAD)));
     for front in &fronts {
         assert_refused(front, &servers);
@@ -104,7 +103,7 @@
 #[test]
 fn process_that_starts_beside_such_a_version_refuses() {
     let store = Store::spawn();
-    store.put_bytes(CONFIG, b"{}".to_vec());
+    store.configure_bytes(b"{}".to_vec());
     let servers = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
     let front = Front::spawn_logged(store.address, 60_000, 1.0);
     wait_until("it is not read", || has_metric(&front, UNREAD));
@@ -119,7 +118,7 @@
     let (store, servers, front) = start_plain();
     thread::sleep(Duration::from_millis(1600));
     let text = unreadable(5).pop().expect("a text");
-    store.put_bytes(CONFIG, text);
+    store.configure_bytes(text);
     wait_until("it is not read", || has_metric(&front, UNREAD));
     let never = Duration::from_secs(3600);
     store.return_to_copy(Duration::from_millis(1500), Duration::from_millis(300), never);
@@ -129,3 +128,44 @@
     store.configure(6, &["k1"]);
     front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
 }
+
+/// Returns the statuses of requests on all routes with a key.
+fn statuses(front: &Front, key: &str) -> [u16; 2] {
+    ["/lookup/x", "/booking/x"].map(|path| front.call("POST", path, &headers(key), "{}").0)
+}
+
+/// Guards against the loss of all service over one part that cannot be read, and against a refusal that
+/// says that the part does not exist.
+#[test]
+fn part_that_cannot_be_read_costs_no_other() {
+    type Change = fn(&mut Value);
+    let unread_route: Change = |it| it["routes"][2]["kind"] = json!("exactly_once");
+    let unread_service: Change = |it| {
+        it["routes"][2]["service"] = json!("archive");
+        it["services"][0] = json!({"name": "archive", "max_conns": "many"});
+    };
+    let unread_customer: Change = |it| {
+        let other = json!({"name": "t2", "api_keys": ["k2"], "priority": "first"});
+        it["tenants"].as_array_mut().expect("customers").push(other);
+    };
+    let unread_limits: Change = |it| it["limits"] = json!({"max_body_bytes": "few"});
+    let cases = [
+        (unread_route, [200, 503], [401, 503]),
+        (unread_service, [200, 503], [401, 401]),
+        (unread_customer, [200, 200], [503, 503]),
+        (unread_limits, [200, 200], [401, 401]),
+    ];
+    let (store, _servers, front) = start_plain();
+    for (number, (change, with_key, with_other_key)) in cases.into_iter().enumerate() {
+        let version = 10 + number as u64;
+        store.configure_with(version, &["k1"], change);
+        let in_use = format!("front_configuration_version {version}");
+        wait_until("it is in force", || has_metric(&front, &in_use));
+        assert!(has_metric(&front, "front_configuration_unread_parts 1"), "{number}");
+        assert_eq!(statuses(&front, "k1"), with_key, "{number}");
+        assert_eq!(statuses(&front, "k2"), with_other_key, "{number}");
+        let (status, _, _) = front.call("POST", "/other/x", &headers("k1"), "{}");
+        assert_eq!(status, 404, "{number}");
+        assert_eq!(call(front.ready, "GET", "/-/ready", "", "").0, 200, "{number}");
+    }
+}
--- a/crates/mangocross-serving/src/traffic.rs
+++ b/crates/mangocross-serving/src/traffic.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration in the form that the front uses.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -229,6 +230,31 @@
     }
 }
 
+/// Parts of a configuration that this VM cannot read. What they are about is not served, and nobody is
+/// told that it does not exist.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct UnreadParts {
+    /// Host and path prefix of each route.
+    pub routes: HashSet<(Arc<str>, Arc<str>)>,
+    /// Services.
+    pub services: HashSet<ServiceId>,
+    /// Whether keys of customers may be missing.
+    pub has_customers: bool,
+    /// Path of each part, such as `routes[2]`, and why it cannot be read.
+    pub reasons: Vec<(String, String)>,
+}
+
+/// What a configuration says of a host and a path.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum RouteMatch<'a> {
+    /// The route that requests go by.
+    Route(&'a Arc<RouteRule>),
+    /// A route that this VM cannot read.
+    Unread,
+    /// No route matches.
+    None,
+}
+
 /// One version of the operators' configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct TrafficConfiguration {
@@ -244,9 +270,17 @@
     pub needs_keys: bool,
     /// One-way delays of the paths between zones.
     pub zone_delays: ZoneDelays,
+    /// What this VM cannot read of it.
+    pub unread: UnreadParts,
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteRule>>>,
 }
 
+impl UnreadParts {
+    fn has_route(&self, host: &str, prefix: &str) -> bool {
+        self.routes.iter().any(|(of_host, it)| **of_host == *host && **it == *prefix)
+    }
+}
+
 impl TrafficConfiguration {
     /// Creates a configuration that contains only these routes.
     pub fn with_routes(version: u64, routes: impl IntoIterator<Item = RouteRule>) -> Self {
@@ -268,11 +302,27 @@
         self.routes.values().flat_map(HashMap::values).any(|it| it.name.as_ref() == name)
     }
 
-    /// Finds the route of the host with the longest path prefix that matches.
+    /// Finds the route of the host with the longest path prefix that matches, if it can be read.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
-        let of_host = self.routes.get(host)?;
-        let slashes = path.match_indices('/').rev();
-        slashes.filter_map(|(at, _)| of_host.get(&path[..=at])).next()
+        match self.match_route(host, path) {
+            RouteMatch::Route(it) => Some(it),
+            RouteMatch::Unread | RouteMatch::None => None,
+        }
+    }
+
+    /// Matches a request with the route of the host with the longest path prefix.
+    pub fn match_route(&self, host: &str, path: &str) -> RouteMatch<'_> {
+        let of_host = self.routes.get(host);
+        for (at, _) in path.match_indices('/').rev() {
+            let prefix = &path[..=at];
+            if let Some(it) = of_host.and_then(|it| it.get(prefix)) {
+                return RouteMatch::Route(it);
+            }
+            if self.unread.has_route(host, prefix) {
+                return RouteMatch::Unread;
+            }
+        }
+        RouteMatch::None
     }
 
     /// Returns whether streams for a service come from routes with different priorities.
