fix(front): only a mark tells an entry VM's own answer from a server's

Cause: 401 and 404 without a seal were taken for the other entry VM's own word that it knows another configuration, so the next one was asked; after the last one the request counted as not run. Seals are asked for on successes only. The header by which an entry VM says that it is cut off could be sent by a server, too. Ruled out: a connection that broke unsent.

Change: an entry VM that passes a request on sends a random number with its name; the other one repeats it with the author of its answer: a server, or itself, and then whether the request has run. The number reaches no server and no caller. A pure table (answer_verdict.rs, peer_answer.rs in mangocross-serving) says what an answer may become. Headers that begin with mangocross- are removed from servers' answers.

Evidence: answer_of_a_server_is_not_taken_for_that_of_the_entry_vm_which_passes_it_on fails before with two runs of the first claim and the log line 'another configuration'; it walks 18 answers, plain and streams by way of the other VM. The table test walks all statuses with all marks.

--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -23,6 +23,7 @@
 mod metrics;
 mod outcome;
 mod peer_forwarding;
+mod peer_mark;
 mod peers;
 mod plain;
 mod planning;
--- a/bins/mangocross-front/src/outcome.rs
+++ b/bins/mangocross-front/src/outcome.rs
@@ -27,6 +27,10 @@
 /// Reason logged if the caller disconnected before the answer was complete or had failed.
 const CALLER_LEFT: &str = "caller left";
 
+/// Marks an answer of this VM's own, with what became of the request; an answer without it is a server's.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OwnAnswer(pub(crate) RunOutcome);
+
 /// Tracks one request from its HTTP head to the end of its answer.
 ///
 /// Dropping it writes the request's last log line, also if the caller disconnected.
@@ -174,6 +178,7 @@
         *response.status_mut() =
             StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         *response.headers_mut() = refusal_headers(self.id.as_deref(), refusal.retry_after);
+        response.extensions_mut().insert(OwnAnswer(refusal.outcome));
         response
     }
 }
--- a/bins/mangocross-front/src/peer_forwarding.rs
+++ b/bins/mangocross-front/src/peer_forwarding.rs
@@ -20,7 +20,9 @@
 use mangocross_http::BudgetClient;
 use mangocross_platform::AnswerHead;
 use mangocross_platform::passed_on_headers;
+use mangocross_platform::peer_answer_facts;
 use mangocross_serving::ListedEntryVm;
+use mangocross_serving::PeerVerdict;
 use mangocross_serving::ReachNotice;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
@@ -33,12 +35,13 @@
 use crate::body_reader::read_answer;
 use crate::dispatch::Call;
 use crate::outcome::RequestRecord;
+use crate::peer_mark::PeerMark;
 use crate::pool;
 use crate::pool::Connection;
 
-/// Names the entry VM that passed a request on.
+/// Names the entry VM that passed a request on, and holds its mark.
 pub(crate) const PASSED_ON_BY: HeaderName = HeaderName::from_static("mangocross-passed-on-by");
-/// Present if the entry VM that answers reaches no servers either.
+/// Present if the entry VM that answers reaches no servers either; earlier builds go by it.
 pub(crate) const CUT_OFF: HeaderName = HeaderName::from_static("mangocross-cut-off");
 
 /// Maximum number of entry VMs that a request is passed on to, of which the earlier ones did not
@@ -145,33 +148,26 @@
         return PassedOn::NotTaken("not reached");
     };
     call.state.metrics.count_passed_on();
-    let answer =
-        tokio::time::timeout_at(call.ends_at + ANSWER_SLACK, connection.send(request(call)));
-    let response = match answer.await {
+    let mark = PeerMark::new();
+    let answer = connection.send(request(call, &mark));
+    let response = match tokio::time::timeout_at(call.ends_at + ANSWER_SLACK, answer).await {
         Ok(Ok(it)) => it,
         Ok(Err(error)) if error.is_unsent => return PassedOn::NotTaken("nothing was sent"),
         Ok(Err(_)) => return PassedOn::Broken("connection to another entry VM broke"),
         Err(_) => return PassedOn::Broken("no answer of another entry VM in time"),
     };
-    match response.status() {
-        _ if response.headers().contains_key(&CUT_OFF) => PassedOn::CutOff,
-        // This VM has found the route and the key, so the other one knows an older configuration.
-        StatusCode::UNAUTHORIZED | StatusCode::NOT_FOUND if !is_signed(&response) => {
-            PassedOn::NotTaken("another configuration")
-        }
-        _ => PassedOn::Answered(Box::new((response, connection))),
+    let author = mark.author(response.headers());
+    match peer_answer_facts(response.status(), response.headers()).peer_verdict(author) {
+        PeerVerdict::Answer => PassedOn::Answered(Box::new((response, connection))),
+        PeerVerdict::CutOff => PassedOn::CutOff,
+        PeerVerdict::OtherConfiguration => PassedOn::NotTaken("another configuration"),
+        PeerVerdict::Unusable(it) => PassedOn::Broken(it.reason()),
     }
 }
 
-fn is_signed(response: &Response<Incoming>) -> bool {
-    AnswerHead::is_signed(response.headers())
-}
-
-fn request(call: &Call) -> Request<BodyParts> {
+fn request(call: &Call, mark: &PeerMark) -> Request<BodyParts> {
     let mut headers = passed_on_headers(&call.parts.headers, call.time_left());
-    if let Ok(name) = HeaderValue::from_str(&call.state.vm.name) {
-        headers.insert(PASSED_ON_BY, name);
-    }
+    headers.insert(PASSED_ON_BY, mark.requested_by(&call.state.vm.name));
     let mut request = Request::new(call.body.clone());
     *request.method_mut() = call.parts.method.clone();
     *request.uri_mut() = call.parts.uri.clone();
--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -405,17 +405,17 @@
     let attempt_id = call.caller_head.attempt_id.as_deref().unwrap_or_default();
     let answer_head =
         AnswerHead::read(status, response.headers(), attempt_id, connection.connection_use());
-    if !answer_head.matches_attempt {
+    if !answer_head.facts.matches_attempt {
         return AttemptResult::Failed(
             "answer to another request",
             ResultCode::BackendMismatch,
             None,
         );
     }
-    if answer_head.is_not_run {
+    if answer_head.facts.states_not_run {
         return AttemptResult::NotRun("server is full or has gone");
     }
-    if status.is_success() && !answer_head.is_signed {
+    if status.is_success() && !answer_head.facts.is_signed {
         let reason = "success without the server's signature";
         return AttemptResult::Failed(reason, ResultCode::BackendMismatch, None);
     }
--- a/bins/mangocross-front/src/stream/attempt.rs
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -86,17 +86,17 @@
     let connection_use = connection.connection_use();
     let answer_head =
         AnswerHead::read(response.status(), response.headers(), attempt_id, connection_use);
-    if !answer_head.matches_attempt {
+    if !answer_head.facts.matches_attempt {
         let reason = "answer to another request";
         return Err(StartError::MayHaveRun(reason, ResultCode::BackendMismatch));
     }
-    if answer_head.is_not_run {
+    if answer_head.facts.states_not_run {
         call.state.avoid(vm, NOT_RUN_PAUSE);
         return Err(StartError::NotRun("group is full, broken or no longer there"));
     }
     let vm = vm.clone();
     let started = StartedStream { vm, connection, in_flight, response, answer_head, left_zone };
-    if started.response.status() == StatusCode::OK && started.answer_head.is_signed {
+    if started.response.status() == StatusCode::OK && started.answer_head.facts.is_signed {
         Ok(started)
     } else {
         Err(StartError::Failure(Box::new(started)))
--- a/bins/mangocross-front/tests/front/cut_entry_vms.rs
+++ b/bins/mangocross-front/tests/front/cut_entry_vms.rs
@@ -14,6 +14,7 @@
 use crate::platform::Front;
 use crate::platform::Link;
 use crate::platform::Links;
+use crate::platform::OddAnswer;
 use crate::platform::Server;
 use crate::platform::Store;
 use crate::platform::call;
@@ -243,3 +244,58 @@
     let none_in_progress = |it: &Front| it.metrics().contains("front_requests_in_progress 0");
     wait_until("no entry VM is at work", || deployment.others.iter().all(none_in_progress));
 }
+
+/// Returns answers of servers to requests that ran which could be taken for an entry VM's own.
+fn answers_like_an_entry_vms() -> Vec<OddAnswer> {
+    let statuses = ["404 None", "401 Who", "403 No", "503 Full", "429 Many", "408 Slow", "502 Bad"];
+    let mut answers: Vec<OddAnswer> = statuses
+        .into_iter()
+        .flat_map(|it| [false, true].map(|is_signed| OddAnswer::with_status(it, is_signed)))
+        .collect();
+    let marks = ["Mangocross-Cut-Off: 1\r\n", "Mangocross-Answer-Of: 0 cut-off\r\n"];
+    let marked = |headers| OddAnswer { headers, ..OddAnswer::with_status("503 Full", false) };
+    answers.extend(marks.map(marked));
+    let marked = |headers| OddAnswer { headers, ..OddAnswer::with_status("404 None", false) };
+    answers.extend(marks.map(marked));
+    answers
+}
+
+/// Guards against a server's answer that is taken for the word of the entry VM that passes it on: the
+/// request ran again at the next one, and its caller was told that it had not run.
+#[test]
+fn answer_of_a_server_is_not_taken_for_that_of_the_entry_vm_which_passes_it_on() {
+    let deployment = Deployment::start();
+    deployment.cut_and_wait();
+    for (number, answer) in answers_like_an_entry_vms().into_iter().enumerate() {
+        deployment.servers.iter().for_each(|it| it.set_answer(Some(answer)));
+        let attempt = format!("claim-{number}");
+        let answered = deployment.send("/booking/x", &attempt);
+        let case = format!("{answer:?}: {answered:?}");
+        let ran: Vec<String> = deployment.servers.iter().flat_map(Server::ran).collect();
+        assert_eq!(ran.iter().filter(|it| **it == attempt).count(), 1, "{case}");
+        let status = answer.status.and_then(|it| it[..3].parse().ok()).unwrap_or(0);
+        let expected = if [408, 429, 503].contains(&status) { 502 } else { status };
+        assert_eq!(answered.status, expected, "{case}");
+        let is_own = expected != status;
+        assert_eq!(is_signed(&answered.head), answer.is_signed && !is_own, "{case}");
+        assert!(!answered.head.to_ascii_lowercase().contains("mangocross-"), "{case}");
+        // Streams take the same way.
+        let attempt = format!("stream-{number}");
+        let answered = deployment.send("/stream/x", &attempt);
+        assert!(![408, 421, 429, 503].contains(&answered.status), "{answer:?}: {answered:?}");
+    }
+}
+
+/// Guards against an entry VM's own refusal that is not told from a server's failure, so that the caller
+/// does not learn that its request has not run.
+#[test]
+fn refusal_of_the_entry_vm_that_a_request_is_passed_on_to_is_the_callers() {
+    let deployment = Deployment::start();
+    deployment.cut_and_wait();
+    deployment.servers.iter().for_each(|it| it.set_refusing(true));
+    for path in PATHS {
+        let answered = deployment.send(path, "refused");
+        assert_eq!(answered.status, 503, "{path}: {answered:?}");
+        assert!(answered.body.contains("not run"), "{path}: {answered:?}");
+    }
+}
--- a/bins/mangocross-front/tests/front/platform/answers.rs
+++ b/bins/mangocross-front/tests/front/platform/answers.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// An answer that is none to a stream.
+/// An answer that is not the usual one.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct OddAnswer {
     /// Status line; without one, only the body is sent.
@@ -96,10 +96,28 @@
     pub(crate) is_signed: bool,
     pub(crate) is_not_run: bool,
     pub(crate) has_length: bool,
+    /// Length that the answer names in place of its body's.
+    pub(crate) named_length: Option<usize>,
+    /// Further header lines.
+    pub(crate) headers: &'static str,
     pub(crate) body: &'static str,
 }
 
 impl OddAnswer {
+    /// Returns an answer with a length and a text.
+    pub(crate) fn with_status(status: &'static str, is_signed: bool) -> Self {
+        Self {
+            status: Some(status),
+            content_type: Some("text/plain"),
+            is_signed,
+            is_not_run: false,
+            has_length: true,
+            named_length: None,
+            headers: "",
+            body: "odd",
+        }
+    }
+
     /// Returns the bytes of the answer to an attempt.
     pub(crate) fn text(&self, attempt: &str) -> String {
         let Some(status) = self.status else { return self.body.to_owned() };
@@ -114,9 +132,12 @@
             head.push_str("Not-Executed: 1\r\n");
         }
         match self.has_length {
-            true => head.push_str(&format!("Content-Length: {}\r\n", self.body.len())),
+            true => {
+                let length = self.named_length.unwrap_or(self.body.len());
+                head.push_str(&format!("Content-Length: {length}\r\n"));
+            }
             false => head.push_str("Connection: close\r\n"),
         }
-        format!("{head}\r\n{}", self.body)
+        format!("{head}{}\r\n{}", self.headers, self.body)
     }
 }
--- a/bins/mangocross-front/tests/front/platform/servers.rs
+++ b/bins/mangocross-front/tests/front/platform/servers.rs
@@ -78,6 +78,8 @@
     is_leaving: bool,
     /// Refusals of streams that are to be resumed, by attempt, if the first one of each is refused.
     resumption_refusals: Option<BTreeMap<String, String>>,
+    /// What first attempts that run are answered with; the connection is closed after it.
+    odd_answer: Option<OddAnswer>,
     /// What a stream is answered with that is to be resumed; the connection is closed after it.
     resumption_answer: Option<OddAnswer>,
     /// Requests a second that all answers name as the server's limit.
@@ -229,6 +231,11 @@
         lock(&self.state).resumption_refusals = Some(BTreeMap::new());
     }
 
+    /// Answers requests that run, but not resumptions, with this, and closes the connection.
+    pub(crate) fn set_answer(&self, answer: Option<OddAnswer>) {
+        lock(&self.state).odd_answer = answer;
+    }
+
     /// Answers streams that are to be resumed with this, and closes the connection.
     pub(crate) fn set_resumption_answer(&self, answer: OddAnswer) {
         lock(&self.state).resumption_answer = Some(answer);
@@ -470,6 +477,12 @@
             let _ = stream.shutdown(std::net::Shutdown::Both);
             return;
         }
+        let odd_answer = lock(&self.state).odd_answer;
+        if let Some(it) = odd_answer.filter(|_| !is_resumption) {
+            let _ = stream.write_all(it.text(&attempt).as_bytes());
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+            return;
+        }
         assert_eq!(request.header("Tenant"), Some("t1"));
         assert_eq!(request.header("Authorization"), None);
         let life = self.life(&lock(&self.state));
--- a/bins/mangocross-front/tests/front/successors.rs
+++ b/bins/mangocross-front/tests/front/successors.rs
@@ -297,6 +297,8 @@
         is_signed: true,
         is_not_run: false,
         has_length: true,
+        named_length: None,
+        headers: "",
         body: "error: overloaded\n\nid: 9\ndata: error\n\n",
     };
     let full = OddAnswer { status: Some("503 Full"), ..plain };
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -4,6 +4,7 @@
 //! The crate is pure: it does no I/O, reads no clock and starts no thread.
 
 mod admission;
+mod answer_verdict;
 mod backend_server;
 mod cold_servers;
 mod competition;
@@ -22,6 +23,7 @@
 mod load_table;
 mod missing_servers;
 mod moment;
+mod peer_answer;
 mod planner;
 mod progress;
 mod recent_maximum;
@@ -49,6 +51,10 @@
 pub use admission::StreamDemand;
 pub use admission::admit;
 pub use admission::mean_headroom;
+pub use answer_verdict::AnswerFacts;
+pub use answer_verdict::AnswerVerdict;
+pub use answer_verdict::UnusableAnswer;
+pub use answer_verdict::promises_not_run;
 pub use backend_server::BackendServer;
 pub use backend_server::EngineOrder;
 pub use backend_server::EngineReport;
@@ -116,6 +122,10 @@
 pub use missing_servers::Removal;
 pub use moment::BootClock;
 pub use moment::Moment;
+pub use peer_answer::AnswerAuthor;
+pub use peer_answer::ENTRY_VM_HEADER_PREFIX;
+pub use peer_answer::PeerVerdict;
+pub use peer_answer::UnknownAuthor;
 pub use planner::DomainPlan;
 pub use planner::FormerHead;
 pub use planner::GroupPlanner;
