fix(front): a stream is passed on without a length

Cause: Content-Length of the first server's answer was passed on for a body whose rest came from another run; the HTTP library ends the body there. Ruled out: a continuation at the wrong event, the ids follow each other.

Change: streams are passed on in chunks, without a length.

--- a/bins/mangocross-front/src/stream/source.rs
+++ b/bins/mangocross-front/src/stream/source.rs
@@ -48,7 +48,7 @@
         let StartedStream { vm, connection, in_flight, response, answer_head, left_zone } = started;
         let splitter = EventSplitter::resuming_after(last_id);
         let start = AnswerStart::new(response.headers());
-        let headers = AnswerHead::forwarded_headers(response.headers());
+        let headers = AnswerHead::forwarded_stream_headers(response.headers());
         let body = response.into_body();
         Self { vm, start, headers, connection, in_flight, body, answer_head, left_zone, splitter }
     }
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -5,6 +5,7 @@
 mod attempts_left;
 mod cold_servers;
 mod competing_streams;
+mod counted_streams;
 mod crashing_parts;
 mod crashing_requests;
 mod cut_entry_vms;
