fix(front): a status that promises 'not run' is passed on only where it is true

Callers saw: a claim that a server had run and failed with 503 of its own, without Not-Executed, was answered with that 503.

Cause: failures of servers were passed on with their status, whatever it means to callers. Ruled out: a refusal by the entry VM after the claim was sent.

Change: plain requests and the start of a stream ask the table. 408, 429 and 503 without the server's statement that it has not run the request make the outcome unknown: another attempt where it may be repeated, else 502 of our own without the seal.

Evidence: the two tests status_of_a_server_that_ran_..._promises_nothing fail before (503 passed on, plain and stream); 408, 429 and 503, sealed or not, on plain routes, on streams that may be resumed and that may not. Failures that promise nothing are still passed on as they are.

--- a/bins/mangocross-front/src/plain.rs
+++ b/bins/mangocross-front/src/plain.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use mangocross_http::BodyParts;
 use mangocross_platform::AnswerHead;
+use mangocross_serving::AnswerVerdict;
 use mangocross_serving::AttemptFailure;
 use mangocross_serving::AttemptId;
 use mangocross_serving::BackendServer;
@@ -405,19 +406,12 @@
     let attempt_id = call.caller_head.attempt_id.as_deref().unwrap_or_default();
     let answer_head =
         AnswerHead::read(status, response.headers(), attempt_id, connection.connection_use());
-    if !answer_head.facts.matches_attempt {
-        return AttemptResult::Failed(
-            "answer to another request",
-            ResultCode::BackendMismatch,
-            None,
-        );
-    }
-    if answer_head.facts.states_not_run {
-        return AttemptResult::NotRun("server is full or has gone");
-    }
-    if status.is_success() && !answer_head.facts.is_signed {
-        let reason = "success without the server's signature";
-        return AttemptResult::Failed(reason, ResultCode::BackendMismatch, None);
+    match answer_head.facts.verdict() {
+        AnswerVerdict::Success | AnswerVerdict::Failure => {}
+        AnswerVerdict::NotRun => return AttemptResult::NotRun("server is full or has gone"),
+        AnswerVerdict::Unusable(it) => {
+            return AttemptResult::Failed(it.reason(), it.code(), None);
+        }
     }
     let headers = AnswerHead::forwarded_headers(response.headers());
     let body = match read_answer(response.into_body(), ANSWER_BYTES_MAX, &call.client).await {
--- a/bins/mangocross-front/src/stream/attempt.rs
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -4,6 +4,8 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 use mangocross_platform::AnswerHead;
+use mangocross_serving::AnswerVerdict;
+use mangocross_serving::UnusableAnswer;
 use mangocross_types::Refusal;
 use mangocross_types::ResultCode;
 use mangocross_types::VmId;
@@ -37,8 +39,10 @@
     /// The attempt failed after sending began, for this reason; the caller gets the code if the
     /// request is not repeated.
     MayHaveRun(&'static str, ResultCode),
-    /// The server answered with an error.
+    /// The server answered with an error, or with another success than that of a stream.
     Failure(Box<StartedStream>),
+    /// The server answered, the request may have run, and nothing of the answer is passed on.
+    Unusable(UnusableAnswer),
     /// The deadline has passed.
     TimeOver,
 }
@@ -49,6 +53,7 @@
         match self {
             Self::NotRun(reason) | Self::MayHaveRun(reason, _) => reason,
             Self::Failure(_) => "server answered with a failure",
+            Self::Unusable(it) => it.reason(),
             Self::TimeOver => "time is over",
         }
     }
@@ -86,20 +91,23 @@
     let connection_use = connection.connection_use();
     let answer_head =
         AnswerHead::read(response.status(), response.headers(), attempt_id, connection_use);
-    if !answer_head.facts.matches_attempt {
-        let reason = "answer to another request";
-        return Err(StartError::MayHaveRun(reason, ResultCode::BackendMismatch));
-    }
-    if answer_head.facts.states_not_run {
-        call.state.avoid(vm, NOT_RUN_PAUSE);
-        return Err(StartError::NotRun("group is full, broken or no longer there"));
-    }
+    let verdict = answer_head.facts.verdict();
     let vm = vm.clone();
     let started = StartedStream { vm, connection, in_flight, response, answer_head, left_zone };
-    if started.response.status() == StatusCode::OK && started.answer_head.facts.is_signed {
-        Ok(started)
-    } else {
-        Err(StartError::Failure(Box::new(started)))
+    match verdict {
+        AnswerVerdict::Success if started.response.status() == StatusCode::OK => Ok(started),
+        AnswerVerdict::Success | AnswerVerdict::Failure => {
+            Err(StartError::Failure(Box::new(started)))
+        }
+        AnswerVerdict::NotRun => {
+            call.state.avoid(&started.vm, NOT_RUN_PAUSE);
+            Err(StartError::NotRun("group is full, broken or no longer there"))
+        }
+        AnswerVerdict::Unusable(it @ UnusableAnswer::OtherRequest) => {
+            Err(StartError::MayHaveRun(it.reason(), it.code()))
+        }
+        AnswerVerdict::Unusable(it @ UnusableAnswer::EmptyPromise) => Err(StartError::Unusable(it)),
+        AnswerVerdict::Unusable(_) => Err(StartError::Failure(Box::new(started))),
     }
 }
 
--- a/bins/mangocross-front/src/stream/search.rs
+++ b/bins/mangocross-front/src/stream/search.rs
@@ -249,7 +249,7 @@
         }
         match &error {
             StartError::NotRun(_) => self.search.refused(id, call.state.now()),
-            StartError::MayHaveRun(..) | StartError::TimeOver => {
+            StartError::MayHaveRun(..) | StartError::Unusable(_) | StartError::TimeOver => {
                 self.search.failed(id, AttemptFailure::Broke);
             }
             StartError::Failure(_) => self.search.failed(id, AttemptFailure::Answered),
@@ -272,7 +272,8 @@
             call.record.log_step("attempt failed", vm, &detail);
             call.record_break(vm, start).await;
         }
-        StartError::Failure(_) | StartError::TimeOver => {
+        // A server that answers has not crashed.
+        StartError::Failure(_) | StartError::Unusable(_) | StartError::TimeOver => {
             call.record.log_step("attempt failed", vm, error.reason());
         }
     }
--- a/bins/mangocross-front/src/stream/start.rs
+++ b/bins/mangocross-front/src/stream/start.rs
@@ -228,6 +228,9 @@
                     Some(StartError::MayHaveRun(reason, code)),
                     Obstacle::AttemptsUsed | Obstacle::MayNotMove,
                 ) => call.record.refuse(&Refusal::unknown(code, reason), reason),
+                (Some(StartError::Unusable(it)), Obstacle::AttemptsUsed | Obstacle::MayNotMove) => {
+                    call.record.refuse(&Refusal::unknown(it.code(), it.reason()), it.reason())
+                }
                 (failure, obstacle) => {
                     let (_, reason, after_min) = self.explain(obstacle, failure);
                     let refusal = Refusal::unknown(ResultCode::BackendBroken, reason);
--- /dev/null
+++ b/bins/mangocross-front/tests/front/failed_answers.rs
@@ -0,0 +1,96 @@
+//! Tests with servers that run a request and answer with what is no success.
+
+use serde_json::json;
+
+use crate::platform::CALLER_HEADERS;
+use crate::platform::Front;
+use crate::platform::OddAnswer;
+use crate::platform::Server;
+use crate::platform::Store;
+use crate::platform::is_signed;
+use crate::platform::start_groups;
+use crate::platform::start_plain;
+use crate::platform::wait_until;
+
+/// Statuses by which a caller is told that its request has not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Starts two groups whose streams may run only once.
+fn start_single_streams() -> (Store, Vec<Server>, Front) {
+    let (store, engines, front) = start_groups(2, 2);
+    store.configure_with(4, &["k1"], |it| it["routes"][0]["resumable"] = json!(false));
+    wait_until("it is in force", || front.metrics().contains("front_configuration_version 4"));
+    (store, engines, front)
+}
+
+/// Sends a request whose servers answer with this; returns the answer and how often it ran.
+fn answer_to(
+    front: &Front,
+    servers: &[Server],
+    path: &str,
+    answer: OddAnswer,
+    number: usize,
+) -> (u16, String, String, usize) {
+    servers.iter().for_each(|it| it.set_answer(Some(answer)));
+    let attempt = format!("a{number}{path}");
+    let headers = CALLER_HEADERS.replace("a1", &attempt);
+    let (status, head, body) = front.call("POST", path, &headers, "{}");
+    let runs = servers.iter().flat_map(Server::ran).filter(|it| *it == attempt).count();
+    (status, head, body, runs)
+}
+
+fn promises() -> Vec<OddAnswer> {
+    let statuses = ["503 Failed", "429 Too Many", "408 Timeout"];
+    statuses
+        .into_iter()
+        .flat_map(|it| [false, true].map(|is_signed| OddAnswer::with_status(it, is_signed)))
+        .collect()
+}
+
+/// Guards against a caller that is told that its request has not run, since a server failed it with a
+/// status that says so, and who sends it again.
+#[test]
+fn status_of_a_server_that_ran_a_plain_request_promises_nothing() {
+    let (_store, servers, front) = start_plain();
+    for (number, answer) in promises().into_iter().enumerate() {
+        for (path, runs_max) in [("/booking/x", 1), ("/lookup/x", 2)] {
+            let (status, head, body, runs) = answer_to(&front, &servers, path, answer, number);
+            let case = format!("{path} {answer:?}: {head} {body}");
+            assert!(runs >= 1 && runs <= runs_max, "{runs} runs, {case}");
+            assert!(status == 502 && !is_signed(&head) && body.contains("unknown"), "{case}");
+        }
+    }
+}
+
+/// Guards against the same on streams, those that may be resumed and those that may run only once.
+#[test]
+fn status_of_a_server_that_ran_a_stream_promises_nothing() {
+    for (start, runs_max) in [(start_single_streams as fn() -> _, 1), (|| start_groups(2, 2), 2)] {
+        let (_store, engines, front) = start();
+        for (number, answer) in promises().into_iter().enumerate() {
+            let (status, head, body, runs) =
+                answer_to(&front, &engines, "/stream/x", answer, number);
+            let case = format!("{answer:?}: {head} {body}");
+            assert!(runs <= runs_max, "{runs} runs, {case}");
+            assert!(!PROMISES.contains(&status) || runs == 0, "{case}");
+            assert!(!is_signed(&head) && status >= 500, "{case}");
+        }
+    }
+}
+
+/// Guards against failures of servers that do not reach their callers as they are.
+#[test]
+fn failures_that_promise_nothing_are_passed_on_as_they_are() {
+    let (_store, servers, front) = start_plain();
+    let statuses = ["404 None", "409 Conflict", "500 Failed", "504 Late", "301 Moved"];
+    for (number, status) in statuses.into_iter().enumerate() {
+        for is_sealed in [false, true] {
+            let answer = OddAnswer::with_status(status, is_sealed);
+            let attempt = 2 * number + usize::from(is_sealed);
+            let (got, head, body, runs) =
+                answer_to(&front, &servers, "/booking/x", answer, attempt);
+            assert_eq!((got.to_string().as_str(), runs), (&status[..3], 1), "{head} {body}");
+            assert_eq!((is_signed(&head), body.as_str()), (is_sealed, "odd"), "{head}");
+        }
+    }
+}
