fix(front): a spoiled success of a stream reaches no caller

Cause: the start of a stream knew a stream and 'anything else', and passed anything else on with its status once no other attempt was left. Ruled out: a seal that is lost inside.

Change: streams ask the same table as plain requests. A success without a seal, with an empty one or two, with an encoded body or with a statement that it has not run is never passed on, nor a status below 200 or above 599: another attempt, or 502.

Evidence: spoiled_success_of_a_stream_reaches_no_caller, spoiled_success_reaches_no_caller and status_that_is_none_reaches_no_caller fail before (200 without a seal; two seals; 101 passed on). An answer with status 000 reached no caller before either: the HTTP library does not read it; the test keeps it so.

--- a/bins/mangocross-front/src/stream/attempt.rs
+++ b/bins/mangocross-front/src/stream/attempt.rs
@@ -106,8 +106,7 @@
         AnswerVerdict::Unusable(it @ UnusableAnswer::OtherRequest) => {
             Err(StartError::MayHaveRun(it.reason(), it.code()))
         }
-        AnswerVerdict::Unusable(it @ UnusableAnswer::EmptyPromise) => Err(StartError::Unusable(it)),
-        AnswerVerdict::Unusable(_) => Err(StartError::Failure(Box::new(started))),
+        AnswerVerdict::Unusable(it) => Err(StartError::Unusable(it)),
     }
 }
 
--- a/bins/mangocross-front/tests/front/failed_answers.rs
+++ b/bins/mangocross-front/tests/front/failed_answers.rs
@@ -14,6 +14,7 @@
 
 /// Statuses by which a caller is told that its request has not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
+const EVENTS_TYPE: Option<&str> = Some("text/event-stream");
 
 /// Starts two groups whose streams may run only once.
 fn start_single_streams() -> (Store, Vec<Server>, Front) {
@@ -94,3 +95,92 @@
         }
     }
 }
+
+/// Returns successes that no server has signed, or that are not the server's body.
+fn spoiled_successes() -> Vec<OddAnswer> {
+    let events = |status, is_signed| OddAnswer {
+        content_type: EVENTS_TYPE,
+        body: "id: 1\ndata: t@ke\n\n",
+        ..OddAnswer::with_status(status, is_signed)
+    };
+    vec![
+        events("200 OK", false),
+        events("201 Created", false),
+        events("206 Partial", false),
+        OddAnswer { has_length: false, ..events("200 OK", false) },
+        OddAnswer { headers: "Server-Seal: \r\n", ..events("200 OK", false) },
+        OddAnswer { headers: "Server-Seal: e.2\r\n", ..events("200 OK", true) },
+        OddAnswer { headers: "Content-Encoding: gzip\r\n", ..events("200 OK", true) },
+        OddAnswer { is_not_run: true, ..events("200 OK", true) },
+    ]
+}
+
+/// Guards against successes without a server's signature, or with a body that is not the server's.
+#[test]
+fn spoiled_success_reaches_no_caller() {
+    let (_store, servers, front) = start_plain();
+    for (number, answer) in spoiled_successes().into_iter().enumerate() {
+        for (path, runs_max) in [("/booking/x", 1), ("/lookup/x", 2)] {
+            let (status, head, body, runs) = answer_to(&front, &servers, path, answer, number);
+            let case = format!("{path} {answer:?}: {head} {body}");
+            assert!(runs >= 1 && runs <= runs_max, "{runs} runs, {case}");
+            assert!(status == 502 && !is_signed(&head) && body.contains("unknown"), "{case}");
+        }
+    }
+}
+
+/// Guards against the same on streams: one that may run only once, and one whose attempts are used up.
+#[test]
+fn spoiled_success_of_a_stream_reaches_no_caller() {
+    for (start, runs_max) in [(start_single_streams as fn() -> _, 1), (|| start_groups(2, 2), 2)] {
+        let (_store, engines, front) = start();
+        for (number, answer) in spoiled_successes().into_iter().enumerate() {
+            let (status, head, body, runs) =
+                answer_to(&front, &engines, "/stream/x", answer, number);
+            let case = format!("{answer:?}: {head} {body}");
+            assert!(runs >= 1 && runs <= runs_max, "{runs} runs, {case}");
+            assert!(status == 502 && !is_signed(&head) && !body.contains("t@ke"), "{case}");
+        }
+    }
+}
+
+/// Guards against a stream that is refused since its success has another status than 200.
+#[test]
+fn other_successes_of_streams_are_passed_on() {
+    let (_store, engines, front) = start_single_streams();
+    for (number, status) in ["200 OK", "201 Created", "206 Partial"].into_iter().enumerate() {
+        let answer = OddAnswer {
+            content_type: EVENTS_TYPE,
+            body: "id: 1\ndata: token\n\n",
+            ..OddAnswer::with_status(status, true)
+        };
+        let (got, head, body, runs) = answer_to(&front, &engines, "/stream/x", answer, number);
+        assert_eq!((got.to_string().as_str(), runs), (&status[..3], 1), "{head} {body}");
+        assert!(is_signed(&head) && body.contains("data: token"), "{head} {body}");
+    }
+}
+
+/// Guards against an answer with a status that is none, which a server in trouble sent and a caller got.
+#[test]
+fn status_that_is_none_reaches_no_caller() {
+    let statuses =
+        ["000 None", "000", "099 Low", "100 Continue", "101 Switching", "600 High", "999 End"];
+    let (_store, servers, front) = start_plain();
+    let (_other_store, engines, streams) = start_single_streams();
+    for (number, status) in statuses.into_iter().enumerate() {
+        for is_sealed in [false, true] {
+            let answer = OddAnswer::with_status(status, is_sealed);
+            let attempt = 2 * number + usize::from(is_sealed);
+            for (front, servers, path) in [
+                (&front, &servers[..], "/booking/x"),
+                (&front, &servers[..], "/lookup/x"),
+                (&streams, &engines[..], "/stream/x"),
+            ] {
+                let (got, head, body, runs) = answer_to(front, servers, path, answer, attempt);
+                let case = format!("{path} {answer:?}: {head} {body}");
+                assert!(got == 502 && !is_signed(&head) && !body.contains("odd"), "{case}");
+                assert!((1..=2).contains(&runs), "{runs} runs, {case}");
+            }
+        }
+    }
+}
