--- a/bins/mangocross-front/tests/front/failed_answers.rs
+++ b/bins/mangocross-front/tests/front/failed_answers.rs
@@ -3,8 +3,10 @@
 use serde_json::json;
 
 use crate::platform::CALLER_HEADERS;
+use crate::platform::EMPTY_SIGNATURE;
 use crate::platform::Front;
 use crate::platform::OddAnswer;
+use crate::platform::SECOND_SIGNATURE;
 use crate::platform::Server;
 use crate::platform::Store;
 use crate::platform::is_signed;
@@ -108,8 +110,8 @@
         events("201 Created", false),
         events("206 Partial", false),
         OddAnswer { has_length: false, ..events("200 OK", false) },
-        OddAnswer { headers: "Server-Seal: \r\n", ..events("200 OK", false) },
-        OddAnswer { headers: "Server-Seal: e.2\r\n", ..events("200 OK", true) },
+        OddAnswer { headers: EMPTY_SIGNATURE, ..events("200 OK", false) },
+        OddAnswer { headers: SECOND_SIGNATURE, ..events("200 OK", true) },
         OddAnswer { headers: "Content-Encoding: gzip\r\n", ..events("200 OK", true) },
         OddAnswer { is_not_run: true, ..events("200 OK", true) },
     ]
--- a/bins/mangocross-front/tests/front/platform/answers.rs
+++ b/bins/mangocross-front/tests/front/platform/answers.rs
@@ -87,6 +87,11 @@
     }
 }
 
+/// Header of a signature whose value was lost.
+pub(crate) const EMPTY_SIGNATURE: &str = "Server-Seal: \r\n";
+/// Header of a signature that belongs to another answer.
+pub(crate) const SECOND_SIGNATURE: &str = "Server-Seal: e.2\r\n";
+
 /// An answer that is not the usual one.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct OddAnswer {
