fix: an answer whose status ends no exchange is none

Reported from other systems (MIXED): a server in trouble sent status 000, and a caller got it as an answer. Here 000 is not read by either HTTP library. 101 and, at the gateway, 600 to 999 were answers: the gateway passed them on and kept them for repeats of the key, and 101 to an order counted as its refusal, after which it might still be carried out.

Cause: each client took for an answer whatever its library could parse.

Change: the front's connections (servers, orders, reports, store, relays, other entry VMs) and the shared HttpClient (gateway, coordinator) fail an exchange whose status is not from 200 to 599. Of the answers to an order only 4xx refuses it.

--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -22,6 +22,7 @@
 use mangocross_serving::ConnectTimes;
 use mangocross_serving::IdleLimits;
 use mangocross_serving::IdleServer;
+use mangocross_serving::ends_exchange;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -88,7 +89,8 @@
     /// Sends a request and returns the head of its answer.
     ///
     /// Fails if the head is joined with bytes that belong to no request: its status and headers may be
-    /// those of different answers, so what became of the request is unknown.
+    /// those of different answers, so what became of the request is unknown. It is the same with a
+    /// status that ends no exchange.
     pub(crate) async fn send(
         &mut self,
         request: Request<BodyParts>,
@@ -101,6 +103,11 @@
             let reason = "the answer is joined with a part of another one".to_owned();
             return Err(ExchangeError { reason, is_unsent: false });
         }
+        let status = response.status();
+        if !ends_exchange(status.as_u16()) {
+            let reason = format!("the status {} ends no exchange", status.as_u16());
+            return Err(ExchangeError { reason, is_unsent: false });
+        }
         Ok(response)
     }
 }
--- a/crates/mangocross-http/src/client.rs
+++ b/crates/mangocross-http/src/client.rs
@@ -1,5 +1,7 @@
 //! The HTTP client.
 
+use std::ops::Range;
+
 use ureq::Agent;
 use ureq::http::Request;
 use ureq::unversioned::resolver::DefaultResolver;
@@ -19,6 +21,9 @@
 /// Buffer for each direction of a connection, in bytes.
 const BUFFER_BYTES: usize = 8 * 1024;
 
+/// Statuses that end an exchange.
+const STATUSES: Range<u16> = 200..600;
+
 /// Makes HTTP calls, each on its own connection.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
@@ -49,7 +54,7 @@
     /// # Errors
     ///
     /// Fails if the connection cannot be opened, breaks or stalls; the error tells whether any
-    /// byte was sent. No status code is an error.
+    /// byte was sent. No status code from 200 to 599 is an error; others are no answer.
     pub fn call(&self, call: HttpCall) -> Result<HttpResponse, CallError> {
         let keep_waiting = call.keep_waiting.clone();
         let request = self.request(call)?;
@@ -59,6 +64,11 @@
         let response =
             response.map_err(|it| CallError::from_call(&it, tracker::any_byte_sent()))?;
         let (parts, body) = response.into_parts();
+        let status = parts.status.as_u16();
+        if !STATUSES.contains(&status) {
+            let text = format!("the status {status} ends no exchange");
+            return Err(CallError::after_send(CallErrorKind::Malformed, text));
+        }
         let headers = parts
             .headers
             .iter()
@@ -66,8 +76,7 @@
                 Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
             })
             .collect();
-        let (status, body) = (parts.status.as_u16(), body.into_reader());
-        Ok(HttpResponse { status, headers, body, read_limit })
+        Ok(HttpResponse { status, headers, body: body.into_reader(), read_limit })
     }
 
     fn request(&self, call: HttpCall) -> Result<Request<ureq::SendBody<'static>>, CallError> {
--- a/crates/mangocross-serving/src/answer_verdict.rs
+++ b/crates/mangocross-serving/src/answer_verdict.rs
@@ -84,6 +84,11 @@
     Unusable(UnusableAnswer),
 }
 
+/// Returns whether a status is one of an answer that ends an exchange.
+pub fn ends_exchange(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// Returns whether a status promises the caller that its request has not run and never will.
 pub fn promises_not_run(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
@@ -99,7 +104,7 @@
         let is_success = (200..300).contains(&self.status);
         match self.status {
             _ if !self.matches_attempt => AnswerVerdict::Unusable(UnusableAnswer::OtherRequest),
-            0..200 | 600.. => AnswerVerdict::Unusable(UnusableAnswer::NoStatus),
+            it if !ends_exchange(it) => AnswerVerdict::Unusable(UnusableAnswer::NoStatus),
             _ if is_success && self.states_not_run => {
                 AnswerVerdict::Unusable(UnusableAnswer::Contradictory)
             }
--- a/crates/mangocross-serving/src/lib.rs
+++ b/crates/mangocross-serving/src/lib.rs
@@ -54,6 +54,7 @@
 pub use answer_verdict::AnswerFacts;
 pub use answer_verdict::AnswerVerdict;
 pub use answer_verdict::UnusableAnswer;
+pub use answer_verdict::ends_exchange;
 pub use answer_verdict::promises_not_run;
 pub use backend_server::BackendServer;
 pub use backend_server::EngineOrder;
