test(front): answers without end cost neither memory nor other requests

Reported from other systems: a faulty server sent bytes without end, the machine kept them all, ran out of memory, and other callers' requests ended with it (LOST). Not so here: 14 kinds (interim heads, lines, reason, values, empty lines, bodies with a length, without one, in chunks, chunk sizes, extensions, trailers) from one server of three, which also answers reports and orders so; the process stays below 64 MB and each caller gets an answer.

--- /dev/null
+++ b/bins/mangocross-front/tests/front/endless_answers.rs
@@ -0,0 +1,136 @@
+//! Tests with servers that send bytes without end, until the entry VM closes.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use serde_json::json;
+
+use crate::platform::CALLER_HEADERS;
+use crate::platform::Front;
+use crate::platform::SIGNATURE;
+use crate::platform::start_plain;
+use crate::platform::wait_for_metric;
+
+/// Memory that the process may use, of the 256 MB of its VM.
+const MEMORY_MAX_KB: u64 = 64 << 10;
+/// Time that callers wait.
+const DEADLINE_MS: u32 = 500;
+/// Requests that are sent beside each other.
+const REQUESTS: usize = 12;
+/// Maximum number of requests until the faulty server gets one.
+const REQUESTS_MAX: usize = 20_000;
+
+/// What is sent once, and what follows it without end.
+const KINDS: [(&str, &str); 14] = [
+    ("", "x"),
+    ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+    ("", "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n"),
+    ("", "\r\n"),
+    ("HTTP/1.1 200 ", "O"),
+    ("HTTP/1.1 200 OK\r\n", "X-Line: text\r\n"),
+    ("HTTP/1.1 200 OK\r\nX-Long: ", "text"),
+    ("NAMED\r\nContent-Length: 99999999999\r\n\r\n", "text"),
+    ("NAMED\r\n\r\n", "text"),
+    ("NAMED\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"),
+    ("NAMED\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
+    ("NAMED\r\nTransfer-Encoding: chunked\r\n\r\n4;", "extension"),
+    ("NAMED\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: text\r\n"),
+    ("HTTP/1.1 500 Failed\r\n\r\n", "text"),
+];
+
+/// A server that answers each request, question and order without end; returns its address and the
+/// number of connections on which it has done so.
+fn spawn_endless(kind: Arc<AtomicUsize>) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let played = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&played);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (kind, count) = (Arc::clone(&kind), Arc::clone(&count));
+            thread::spawn(move || {
+                let mut request = [0; 4096];
+                let length = stream.read(&mut request).unwrap_or(0);
+                let request = String::from_utf8_lossy(&request[..length]).into_owned();
+                let id = request.lines().find_map(|it| it.strip_prefix("attempt-id: "));
+                let named =
+                    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\n{SIGNATURE}", id.unwrap_or(""));
+                let (begin, rest) = KINDS[kind.load(Ordering::SeqCst)];
+                let begin = begin.replace("NAMED\r\n", &named);
+                let rest = rest.repeat((16 << 10) / rest.len());
+                count.fetch_add(1, Ordering::SeqCst);
+                if stream.write_all(begin.as_bytes()).is_ok() {
+                    while stream.write_all(rest.as_bytes()).is_ok() {}
+                }
+            });
+        }
+    });
+    (address, played)
+}
+
+/// Returns the largest memory that the process has used so far, in kB.
+fn peak_kb(front: &Front) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", front.pid()));
+    let status = status.expect("the process lives");
+    let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:")).expect("a line");
+    line.split_whitespace().next().and_then(|it| it.parse().ok()).expect("a number")
+}
+
+/// Sends requests beside each other; returns their statuses, zero without a complete answer.
+fn send_round(front: &Front, name: &str) -> Vec<u16> {
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..REQUESTS)
+            .map(|number| {
+                let path = ["/booking/x", "/lookup/x"][number % 2];
+                let headers = CALLER_HEADERS.replace("a1", &format!("{name}-{number}"));
+                let headers = format!("{headers}Deadline-Ms: {DEADLINE_MS}\r\n");
+                scope.spawn(move || front.call("POST", path, &headers, "{}").0)
+            })
+            .collect();
+        callers.into_iter().map(|it| it.join().expect("a caller")).collect()
+    })
+}
+
+/// Guards against a process that keeps all bytes of an answer without end: it ran out of memory, and the
+/// requests of other callers ended with it.
+#[test]
+fn answers_without_end_cost_neither_memory_nor_other_requests() {
+    let (store, servers, front) = start_plain();
+    let kind = Arc::new(AtomicUsize::new(0));
+    let (address, played) = spawn_endless(Arc::clone(&kind));
+    for (id, service) in [("endless-1", "records"), ("endless-2", "models")] {
+        let entry = json!({"service": service, "zone": "zone-a", "slots": 4, "state": "ready",
+            "address": address, "seq": 1, "born": 7, "domain": "d0", "models": [], "staged": []});
+        store.put(&format!("servers/{id}"), &entry);
+    }
+    wait_for_metric(&front, "front_backend_servers 4");
+    for (number, (begin, rest)) in KINDS.iter().enumerate() {
+        kind.store(number, Ordering::SeqCst);
+        let before = played.load(Ordering::SeqCst);
+        let mut statuses = Vec::new();
+        // The faulty server gets few requests once it has failed some.
+        while played.load(Ordering::SeqCst) == before {
+            assert!(statuses.len() < REQUESTS_MAX, "not played: {begin:?} {rest:?}");
+            statuses.extend(send_round(&front, &format!("a{number}-{}", statuses.len())));
+        }
+        let case = format!("{begin:?} {rest:?}: {statuses:?}");
+        // Each caller gets an answer; bookings may run once only, so the faulty server's have none.
+        assert!(statuses.iter().all(|it| [200, 500, 502, 503, 504].contains(it)), "{case}");
+        assert!(statuses.contains(&200), "{case}");
+        let peak_kb = peak_kb(&front);
+        assert!(peak_kb < MEMORY_MAX_KB, "{peak_kb} kB, {case}");
+    }
+    store.remove("servers/endless-1");
+    wait_for_metric(&front, "front_backend_servers 3");
+    for path in ["/booking/x", "/lookup/x"] {
+        front.wait_for_status(200, path, CALLER_HEADERS);
+    }
+    assert!(servers.iter().all(|it| !it.ran().is_empty()));
+}
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -9,6 +9,7 @@
 mod crashing_parts;
 mod crashing_requests;
 mod cut_entry_vms;
+mod endless_answers;
 mod failed_answers;
 mod fleet;
 mod head_subsets;
--- a/bins/mangocross-front/tests/front/platform/answers.rs
+++ b/bins/mangocross-front/tests/front/platform/answers.rs
@@ -87,6 +87,8 @@
     }
 }
 
+/// Header of a server's signature.
+pub(crate) const SIGNATURE: &str = "Server-Seal: e.1\r\n";
 /// Header of a signature whose value was lost.
 pub(crate) const EMPTY_SIGNATURE: &str = "Server-Seal: \r\n";
 /// Header of a signature that belongs to another answer.
@@ -131,7 +133,7 @@
             head.push_str(&format!("Content-Type: {it}\r\n"));
         }
         if self.is_signed {
-            head.push_str("Server-Seal: e.1\r\n");
+            head.push_str(SIGNATURE);
         }
         if self.is_not_run {
             head.push_str("Not-Executed: 1\r\n");
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -33,6 +33,7 @@
 pub(crate) use self::answers::EMPTY_SIGNATURE;
 pub(crate) use self::answers::OddAnswer;
 pub(crate) use self::answers::SECOND_SIGNATURE;
+pub(crate) use self::answers::SIGNATURE;
 pub(crate) use self::answers::answer_early;
 pub(crate) use self::answers::answer_without_length;
 pub(crate) use self::callers::send_until;
