fix(front): a planned stop waits for requests that were passed on

Callers of an entry VM that reaches no servers saw: a stream without its end, since the VM that served it for them stopped.

Change: the stop waits for all requests in progress, up to the same end.

Evidence: planned_stop_waits_for_requests_that_were_passed_on fails before (the last events are missing) and passes now.

--- a/bins/mangocross-front/src/stopping.rs
+++ b/bins/mangocross-front/src/stopping.rs
@@ -86,9 +86,11 @@
     );
 }
 
-/// Closes connections as they become idle until none is left, or the process must exit.
+/// Closes connections as they become idle until none is left and the requests that other entry VMs
+/// passed on are answered, or the process must exit.
 async fn drain(state: &AppState, callers: &CallerConnections, began_at: Moment) {
-    while callers.count() > 0 && state.now().since(began_at) < exit_after(state) {
+    let is_in_use = || callers.count() > 0 || state.requests_in_progress.get() > 0;
+    while is_in_use() && state.now().since(began_at) < exit_after(state) {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         callers.close_idle();
     }
--- a/bins/mangocross-front/tests/front/cut_entry_vms.rs
+++ b/bins/mangocross-front/tests/front/cut_entry_vms.rs
@@ -30,6 +30,8 @@
 const CALLER_PAUSE: Duration = Duration::from_millis(20);
 /// Time in which a request is refused that cannot be served.
 const REFUSED_WITHIN: Duration = Duration::from_secs(1);
+/// Time between two events of a stream that is longer than the time for which a VM without callers stops.
+const PASSED_ON_EVENT_PAUSE: Duration = Duration::from_millis(1200);
 const PATHS: [&str; 3] = ["/stream/x", "/lookup/x", "/booking/x"];
 
 /// Servers, two entry VMs that reach them and one whose links to them can be cut.
@@ -299,3 +301,25 @@
         assert!(answered.body.contains("not run"), "{path}: {answered:?}");
     }
 }
+
+/// Guards against a stream that is cut since the entry VM that serves it for another one stops: it has no
+/// callers of its own that it would wait for.
+#[test]
+fn planned_stop_waits_for_requests_that_were_passed_on() {
+    let deployment = Deployment::start();
+    deployment.servers.iter().for_each(|it| it.set_event_pause(PASSED_ON_EVENT_PAUSE));
+    deployment.cut_and_wait();
+    let address = deployment.front.address;
+    let caller = thread::spawn(move || {
+        let headers = CALLER_HEADERS.replace("a1", "passed-on");
+        call(address, "POST", "/stream/x", &headers, "{}")
+    });
+    let has_begun =
+        || deployment.servers.iter().any(|it| it.ran().contains(&"passed-on".to_owned()));
+    wait_until("the stream runs", has_begun);
+    deployment.others.iter().for_each(Front::terminate);
+    let (status, _, body) = caller.join().expect("an answer");
+    let events: Vec<&str> = body.lines().filter_map(|it| it.strip_prefix("id: ")).collect();
+    assert_eq!((status, events), (200, vec!["1", "2", "3", "4", "5"]), "{body}");
+    assert!(body.ends_with("0\r\n\r\n"), "{body}");
+}
