--- a/bins/mangocross-front/tests/front/endless_answers.rs
+++ b/bins/mangocross-front/tests/front/endless_answers.rs
@@ -15,6 +15,7 @@
 use crate::platform::CALLER_HEADERS;
 use crate::platform::Front;
 use crate::platform::SIGNATURE;
+use crate::platform::attempt_header;
 use crate::platform::start_plain;
 use crate::platform::wait_for_metric;
 
@@ -60,8 +61,8 @@
                 let length = stream.read(&mut request).unwrap_or(0);
                 let request = String::from_utf8_lossy(&request[..length]).into_owned();
                 let id = request.lines().find_map(|it| it.strip_prefix("attempt-id: "));
-                let named =
-                    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\n{SIGNATURE}", id.unwrap_or(""));
+                let attempt = attempt_header(id.unwrap_or(""));
+                let named = format!("HTTP/1.1 200 OK\r\n{attempt}{SIGNATURE}");
                 let (begin, rest) = KINDS[kind.load(Ordering::SeqCst)];
                 let begin = begin.replace("NAMED\r\n", &named);
                 let rest = rest.repeat((16 << 10) / rest.len());
--- a/bins/mangocross-front/tests/front/main.rs
+++ b/bins/mangocross-front/tests/front/main.rs
@@ -8,6 +8,7 @@
 mod counted_streams;
 mod crashing_parts;
 mod crashing_requests;
+mod cut_answers;
 mod cut_entry_vms;
 mod endless_answers;
 mod failed_answers;
--- a/bins/mangocross-front/tests/front/platform/answers.rs
+++ b/bins/mangocross-front/tests/front/platform/answers.rs
@@ -87,6 +87,11 @@
     }
 }
 
+/// Returns the header that names an attempt.
+pub(crate) fn attempt_header(attempt: &str) -> String {
+    format!("Attempt-Id: {attempt}\r\n")
+}
+
 /// Header of a server's signature.
 pub(crate) const SIGNATURE: &str = "Server-Seal: e.1\r\n";
 /// Header of a signature whose value was lost.
--- a/bins/mangocross-front/tests/front/platform/mod.rs
+++ b/bins/mangocross-front/tests/front/platform/mod.rs
@@ -36,6 +36,7 @@
 pub(crate) use self::answers::SIGNATURE;
 pub(crate) use self::answers::answer_early;
 pub(crate) use self::answers::answer_without_length;
+pub(crate) use self::answers::attempt_header;
 pub(crate) use self::callers::send_until;
 pub(crate) use self::client::Client;
 pub(crate) use self::client::Outcome;
