--- a/bins/mangocross-front/tests/front/unread_configuration.rs
+++ b/bins/mangocross-front/tests/front/unread_configuration.rs
@@ -12,6 +12,7 @@
 use crate::platform::Server;
 use crate::platform::Store;
 use crate::platform::call;
+use crate::platform::start_engines;
 use crate::platform::start_plain;
 use crate::platform::wait_until;
 use crate::relays::follows_store;
@@ -169,3 +170,69 @@
         assert_eq!(call(front.ready, "GET", "/-/ready", "", "").0, 200, "{number}");
     }
 }
+
+/// Returns the paths of all numbers in a document, but for its version.
+fn numbers(document: &Value, path: &str) -> Vec<String> {
+    match document {
+        Value::Number(_) if path != "/version" => vec![path.to_owned()],
+        Value::Array(items) => {
+            let items = items.iter().enumerate();
+            items.flat_map(|(at, it)| numbers(it, &format!("{path}/{at}"))).collect()
+        }
+        Value::Object(fields) => {
+            fields.iter().flat_map(|(name, it)| numbers(it, &format!("{path}/{name}"))).collect()
+        }
+        _ => Vec::new(),
+    }
+}
+
+/// Adds the numbers that the usual configuration of the tests lacks.
+fn add_numbers(configuration: &mut Value) {
+    configuration["limits"] = json!({"max_header_bytes": 16384, "max_body_bytes": 65536,
+        "header_timeout_ms": 3000, "idle_timeout_ms": 15000});
+    configuration["tenants"][0]["priority"] = json!(1);
+    configuration["services"][1] =
+        json!({"name": "records", "max_conns": 96, "cold_start_s": 2, "cold_per_s": 500.0});
+    configuration["services"][0]["engine"]["per_seq_ms"] = json!(0.1);
+    configuration["services"][0]["engine"]["models"][0]["pace"] = json!(1.0);
+    let split = json!([{"service": "records", "weight": 9}, {"service": "records", "weight": 1}]);
+    configuration["routes"][1]["traffic_split"] = split;
+}
+
+/// Guards against a process that ends since a number of the configuration is far from the usual.
+#[test]
+fn no_number_of_the_configuration_ends_the_process() {
+    let (store, _engines, front) = start_engines();
+    let _plain = ["r1", "r2"].map(|it| Server::spawn(&store, it, "records"));
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    let mut version = 10;
+    let mut paths = Vec::new();
+    store.configure_with(version, &["k1"], |it| {
+        add_numbers(it);
+        paths = numbers(it, "");
+    });
+    assert!(paths.len() > 30, "{paths:?}");
+    for path in &paths {
+        for number in [json!(0), json!(u64::MAX), json!(1e300), json!(1e-300), json!(1e9)] {
+            version += 1;
+            store.configure_with(version, &["k1"], |it| {
+                add_numbers(it);
+                *it.pointer_mut(path).expect("a number") = number.clone();
+            });
+            let in_use = format!("front_configuration_version {version}");
+            wait_until(&format!("{path}: {number} is in force"), || has_metric(&front, &in_use));
+            let case = format!("{path}: {number}");
+            assert!(has_metric(&front, "front_configuration_unread_parts 0"), "{case}");
+            for request in ["/stream/x", "/lookup/x", "/booking/x"] {
+                // Some are refused, such as with a timeout of zero.
+                let headers = format!("{CALLER_HEADERS}Deadline-Ms: 300\r\n");
+                let (status, _, _) = front.call("POST", request, &headers, "{}");
+                assert!(status != 0, "{case}: no answer on {request}");
+            }
+        }
+    }
+    store.configure(version + 1, &["k1"]);
+    for request in ["/stream/x", "/lookup/x", "/booking/x"] {
+        front.wait_for_status(200, request, CALLER_HEADERS);
+    }
+}
