--- a/bins/mangocross-front/tests/front/failed_answers.rs
+++ b/bins/mangocross-front/tests/front/failed_answers.rs
@@ -47,6 +47,8 @@
     statuses
         .into_iter()
         .flat_map(|it| [false, true].map(|is_signed| OddAnswer::with_status(it, is_signed)))
+        // Without a signature it states that the request was not run.
+        .chain([OddAnswer::with_status("421 Misdirected", true)])
         .collect()
 }
 
