--- a/bins/mangocross-front/src/ready.rs
+++ b/bins/mangocross-front/src/ready.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
@@ -22,6 +23,7 @@
 use crate::exposed_port::ExposedPort;
 use crate::ingress::BUFFER_BYTES_MIN;
 use crate::state::AppState;
+use crate::unread_configuration::UNREAD_REASON;
 
 /// Port and path of the metrics, as in deploy/system.toml.
 const METRICS_PORT: u16 = 9464;
@@ -34,6 +36,9 @@
 /// Memory of all connections to these ports, apart from the byte budget of callers, so that a crowd of
 /// callers leaves them alive.
 const RESERVED_MEMORY_BYTES: u64 = 4 << 20;
+/// Fraction of revoke_within after which this VM is not ready unless its configuration has been
+/// confirmed again.
+const READY_AGE_RATIO: f64 = 0.7;
 
 /// Listens for readiness checks and for scrapes of the metrics.
 pub(crate) async fn bind(state: &Rc<AppState>) -> Result<(), String> {
@@ -97,3 +102,25 @@
     *response.status_mut() = status;
     response
 }
+
+impl AppState {
+    /// Returns why this VM is not ready for new callers, or `None` if it is.
+    pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
+        if self.is_stopping() {
+            return Some("stopping");
+        }
+        let view = self.view.borrow();
+        if view.configuration.is_none() {
+            return Some("no configuration");
+        }
+        if view.freshness.lacks_newest() {
+            return Some(UNREAD_REASON);
+        }
+        if view.servers.is_empty() {
+            return Some("no backend servers");
+        }
+        let age = view.freshness.age(self.now()).unwrap_or(Duration::MAX);
+        let bound = self.bounds().revoke_within?.mul_f64(READY_AGE_RATIO);
+        (age > bound).then_some("the configuration is not proved fresh")
+    }
+}
--- a/bins/mangocross-front/src/state.rs
+++ b/bins/mangocross-front/src/state.rs
@@ -53,7 +53,6 @@
 use crate::pool::Pool;
 use crate::relay_state::RelayState;
 use crate::store::StoreClient;
-use crate::unread_configuration::UNREAD_REASON;
 use crate::zone_routing::ZoneRouting;
 
 /// Time for which a server gets no requests after a failed connection.
@@ -65,10 +64,6 @@
 const PEER_NOTICE_DURATION: Duration = Duration::from_millis(400);
 /// Time for which a suspect group gets no new streams.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(700);
-/// Fraction of revoke_within after which this VM is not ready unless its configuration has been
-/// confirmed again.
-const READY_AGE_RATIO: f64 = 0.7;
-
 /// Value and revision of a store key under mangocross/.
 #[derive(Debug, Clone)]
 pub(crate) struct StoredValue {
@@ -288,26 +283,6 @@
         self.view.borrow_mut().missing.record_store_answer(self.now(), leave_within);
     }
 
-    /// Returns why this VM is not ready for new callers, or `None` if it is.
-    pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
-        if self.is_stopping() {
-            return Some("stopping");
-        }
-        let view = self.view.borrow();
-        if view.configuration.is_none() {
-            return Some("no configuration");
-        }
-        if view.freshness.lacks_newest() {
-            return Some(UNREAD_REASON);
-        }
-        if view.servers.is_empty() {
-            return Some("no backend servers");
-        }
-        let age = view.freshness.age(self.now()).unwrap_or(Duration::MAX);
-        let bound = self.bounds().revoke_within?.mul_f64(READY_AGE_RATIO);
-        (age > bound).then_some("the configuration is not proved fresh")
-    }
-
     /// Returns whether this VM's share of a service's retry budget allows a retry.
     pub(crate) fn may_retry(&self, service: &ServiceId) -> bool {
         let now = self.now();
--- a/crates/mangocross-serving/src/answer_verdict.rs
+++ b/crates/mangocross-serving/src/answer_verdict.rs
@@ -1,7 +1,5 @@
 //! What a backend server's answer may become for the caller.
 
-use std::fmt;
-
 use mangocross_types::ResultCode;
 
 /// What the head of an answer to an attempt says.
@@ -65,12 +63,6 @@
     }
 }
 
-impl fmt::Display for UnusableAnswer {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.reason())
-    }
-}
-
 /// What an answer may become for the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerVerdict {
