test(front): many answers without end fit into the memory of a small VM

96 requests at a time to servers that all answer without end, 15 kinds, one byte a chunk among them: the process stays within the 160 MB of its VM, each caller gets an answer, and a sound server is used afterwards.

--- a/bins/mangocross-front/tests/front/endless_answers.rs
+++ b/bins/mangocross-front/tests/front/endless_answers.rs
@@ -15,6 +15,8 @@
 use crate::platform::CALLER_HEADERS;
 use crate::platform::Front;
 use crate::platform::SIGNATURE;
+use crate::platform::Server;
+use crate::platform::Store;
 use crate::platform::attempt_header;
 use crate::platform::start_plain;
 use crate::platform::wait_for_metric;
@@ -25,11 +27,17 @@
 const DEADLINE_MS: u32 = 500;
 /// Requests that are sent beside each other.
 const REQUESTS: usize = 12;
+/// Requests that are sent beside each other while all servers are faulty, and the slots of each server.
+const CROWD: usize = 96;
+const SLOTS: usize = 4;
+/// Memory and descriptors of a small VM.
+const SMALL_VM_MB: u64 = 160;
+const DESCRIPTORS_MAX: u64 = 1024;
 /// Maximum number of requests until the faulty server gets one.
 const REQUESTS_MAX: usize = 20_000;
 
 /// What is sent once, and what follows it without end.
-const KINDS: [(&str, &str); 14] = [
+const KINDS: [(&str, &str); 15] = [
     ("", "x"),
     ("", "HTTP/1.1 100 Continue\r\n\r\n"),
     ("", "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n"),
@@ -40,6 +48,7 @@
     ("NAMED\r\nContent-Length: 99999999999\r\n\r\n", "text"),
     ("NAMED\r\n\r\n", "text"),
     ("NAMED\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"),
+    ("NAMED\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
     ("NAMED\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
     ("NAMED\r\nTransfer-Encoding: chunked\r\n\r\n4;", "extension"),
     ("NAMED\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: text\r\n"),
@@ -85,9 +94,9 @@
 }
 
 /// Sends requests beside each other; returns their statuses, zero without a complete answer.
-fn send_round(front: &Front, name: &str) -> Vec<u16> {
+fn send_round(front: &Front, name: &str, requests: usize) -> Vec<u16> {
     thread::scope(|scope| {
-        let callers: Vec<_> = (0..REQUESTS)
+        let callers: Vec<_> = (0..requests)
             .map(|number| {
                 let path = ["/booking/x", "/lookup/x"][number % 2];
                 let headers = CALLER_HEADERS.replace("a1", &format!("{name}-{number}"));
@@ -119,7 +128,8 @@
         // The faulty server gets few requests once it has failed some.
         while played.load(Ordering::SeqCst) == before {
             assert!(statuses.len() < REQUESTS_MAX, "not played: {begin:?} {rest:?}");
-            statuses.extend(send_round(&front, &format!("a{number}-{}", statuses.len())));
+            let name = format!("a{number}-{}", statuses.len());
+            statuses.extend(send_round(&front, &name, REQUESTS));
         }
         let case = format!("{begin:?} {rest:?}: {statuses:?}");
         // Each caller gets an answer; bookings may run once only, so the faulty server's have none.
@@ -135,3 +145,35 @@
     }
     assert!(servers.iter().all(|it| !it.ran().is_empty()));
 }
+
+/// Guards against a process that keeps some of each answer without end, and for which many of them are
+/// too much.
+#[test]
+fn many_answers_without_end_fit_into_the_memory() {
+    let store = Store::spawn();
+    store.configure(3, &["k1"]);
+    let sound = Server::spawn(&store, "r1", "records");
+    let front = Front::spawn_limited(store.address, SMALL_VM_MB, DESCRIPTORS_MAX);
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+    let kind = Arc::new(AtomicUsize::new(0));
+    let (address, played) = spawn_endless(Arc::clone(&kind));
+    sound.unlist();
+    for number in 0..CROWD / SLOTS {
+        let entry = json!({"service": "records", "zone": "zone-a", "slots": SLOTS, "state": "ready",
+            "address": address, "seq": 1, "born": 7});
+        store.put(&format!("servers/endless-{number}"), &entry);
+    }
+    wait_for_metric(&front, &format!("front_backend_servers {}", CROWD / SLOTS));
+    for (number, (begin, rest)) in KINDS.iter().enumerate() {
+        kind.store(number, Ordering::SeqCst);
+        let statuses = send_round(&front, &format!("a{number}"), CROWD);
+        let case = format!("{begin:?} {rest:?}: {statuses:?}");
+        assert!(statuses.iter().all(|it| [500, 502, 503, 504].contains(it)), "{case}");
+        let peak_kb = peak_kb(&front);
+        assert!(peak_kb < SMALL_VM_MB << 10, "{peak_kb} kB, {case}");
+    }
+    assert!(played.load(Ordering::SeqCst) > CROWD, "few were played");
+    sound.publish_again();
+    (0..CROWD / SLOTS).for_each(|it| store.remove(&format!("servers/endless-{it}")));
+    front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
+}
