fix(front): a head without end ends its exchange

Cause: the HTTP library limits one head, not the number of interim ones.

Not covered: chunk sizes without end.

--- a/bins/mangocross-front/src/main.rs
+++ b/bins/mangocross-front/src/main.rs
@@ -15,6 +15,7 @@
 mod exposed_port;
 mod first_answer;
 mod head_candidates;
+mod head_limit;
 mod held_entries;
 mod home_regions;
 mod ingress;
--- a/bins/mangocross-front/src/pool.rs
+++ b/bins/mangocross-front/src/pool.rs
@@ -28,6 +28,8 @@
 use tokio::time::Instant;
 
 use crate::clock::SystemBootClock;
+use crate::head_limit::HeadLimit;
+use crate::head_limit::HeadLimitedSocket;
 use crate::state::AppState;
 
 /// TCP_USER_TIMEOUT of connections to servers and entry VMs: time without acknowledgement after
@@ -67,6 +69,7 @@
     driver: AbortHandle,
     address: SocketAddr,
     is_reused: bool,
+    head_limit: HeadLimit,
 }
 
 impl Drop for Connection {
@@ -95,7 +98,9 @@
         &mut self,
         request: Request<BodyParts>,
     ) -> Result<Response<Incoming>, ExchangeError> {
+        let awaiting_head = self.head_limit.begin();
         let sent = self.sender.send_request(request).await;
+        drop(awaiting_head);
         let response = sent
             .map_err(|it| ExchangeError { reason: it.to_string(), is_unsent: it.is_canceled() })?;
         let reason = response.extensions().get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
@@ -274,14 +279,17 @@
     if let Err(error) = set_options(&stream, SERVER_USER_TIMEOUT) {
         log::debug!(error:% = error, address:% = address; "socket options are not available");
     }
-    let handshake = builder.handshake(TokioIo::new(stream)).await;
+    let head_limit = HeadLimit::default();
+    let socket = HeadLimitedSocket::new(stream, head_limit.clone());
+    let handshake = builder.handshake(TokioIo::new(socket)).await;
     let (sender, driver) = handshake.map_err(|_| ConnectError::Unreachable)?;
     let driver = tokio::task::spawn_local(async move {
         if let Err(error) = driver.await {
             log::debug!(error:% = error, address:% = address; "connection ended");
         }
     });
-    Ok(Connection { sender, driver: driver.abort_handle(), address, is_reused: false })
+    let driver = driver.abort_handle();
+    Ok(Connection { sender, driver, address, is_reused: false, head_limit })
 }
 
 /// Sets the socket options of an accepted or opened connection.
--- a/bins/mangocross-front/tests/front/endless_answers.rs
+++ b/bins/mangocross-front/tests/front/endless_answers.rs
@@ -177,3 +177,25 @@
     (0..CROWD / SLOTS).for_each(|it| store.remove(&format!("servers/endless-{it}")));
     front.wait_for_status(200, "/lookup/x", CALLER_HEADERS);
 }
+
+/// Guards against a head without end that keeps the process busy until its caller's deadline.
+#[test]
+fn head_without_end_ends_its_exchange_before_the_deadline() {
+    let (store, servers, front) = start_plain();
+    let kind = Arc::new(AtomicUsize::new(0));
+    let (address, _) = spawn_endless(Arc::clone(&kind));
+    let entry = json!({"service": "records", "zone": "zone-a", "slots": 4, "state": "ready",
+        "address": address, "seq": 1, "born": 7});
+    servers.iter().for_each(Server::unlist);
+    store.put("servers/endless", &entry);
+    wait_for_metric(&front, "front_backend_servers 1");
+    let heads = KINDS.iter().enumerate().filter(|(_, it)| !it.0.contains("\r\n\r\n"));
+    for (number, (begin, rest)) in heads.filter(|(_, it)| !it.0.starts_with("NAMED")) {
+        kind.store(number, Ordering::SeqCst);
+        for path in ["/booking/x", "/lookup/x"] {
+            // At the deadline, which is that of the route, the status would be 504.
+            let (status, _, body) = front.call("POST", path, CALLER_HEADERS, "{}");
+            assert!(status == 502 && body.contains("unknown"), "{begin:?} {rest:?}: {status}");
+        }
+    }
+}
