refactor(front): tests of odd answers share their checks

Two bodies of failed_answers.rs differed in the answers only, and two tests of passed-on streams began alike. Checks and expectations are the same.

--- a/bins/mangocross-front/tests/front/cut_entry_vms.rs
+++ b/bins/mangocross-front/tests/front/cut_entry_vms.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -123,6 +124,18 @@
         Answered { attempt: attempt.to_owned(), status, head, body, time }
     }
 
+    /// Sends a stream to the cut entry VM, and returns once a server runs it.
+    fn begin_stream(&self, attempt: &'static str) -> JoinHandle<(u16, String, String)> {
+        let address = self.front.address;
+        let caller = thread::spawn(move || {
+            let headers = CALLER_HEADERS.replace("a1", attempt);
+            call(address, "POST", "/stream/x", &headers, "{}")
+        });
+        let has_begun = || self.servers.iter().any(|it| it.ran().contains(&attempt.to_owned()));
+        wait_until("the stream runs", has_begun);
+        caller
+    }
+
     /// Checks that bookings ran at most once, and that none ran that was answered as not run.
     fn assert_truthful(&self, answers: &[(&str, Answered)]) {
         let ran: Vec<String> = self.servers.iter().flat_map(Server::ran).collect();
@@ -213,14 +226,7 @@
     let mut deployment = Deployment::start();
     deployment.servers.iter().for_each(|it| it.set_event_pause(Duration::from_millis(300)));
     deployment.cut_and_wait();
-    let address = deployment.front.address;
-    let caller = thread::spawn(move || {
-        let headers = CALLER_HEADERS.replace("a1", "passed-on");
-        call(address, "POST", "/stream/x", &headers, "{}")
-    });
-    let has_begun =
-        || deployment.servers.iter().any(|it| it.ran().contains(&"passed-on".to_owned()));
-    wait_until("the stream runs", has_begun);
+    let caller = deployment.begin_stream("passed-on");
     thread::sleep(Duration::from_millis(500));
     deployment.others.iter_mut().for_each(Front::kill);
     let (status, _, body) = caller.join().expect("an answer");
@@ -309,14 +315,7 @@
     let deployment = Deployment::start();
     deployment.servers.iter().for_each(|it| it.set_event_pause(PASSED_ON_EVENT_PAUSE));
     deployment.cut_and_wait();
-    let address = deployment.front.address;
-    let caller = thread::spawn(move || {
-        let headers = CALLER_HEADERS.replace("a1", "passed-on");
-        call(address, "POST", "/stream/x", &headers, "{}")
-    });
-    let has_begun =
-        || deployment.servers.iter().any(|it| it.ran().contains(&"passed-on".to_owned()));
-    wait_until("the stream runs", has_begun);
+    let caller = deployment.begin_stream("passed-on");
     deployment.others.iter().for_each(Front::terminate);
     let (status, _, body) = caller.join().expect("an answer");
     let events: Vec<&str> = body.lines().filter_map(|it| it.strip_prefix("id: ")).collect();
--- a/bins/mangocross-front/tests/front/failed_answers.rs
+++ b/bins/mangocross-front/tests/front/failed_answers.rs
@@ -42,6 +42,19 @@
     (status, head, body, runs)
 }
 
+/// Checks that plain requests that run and get these answers end as unknown, without a signature.
+fn assert_unknown_on_plain_routes(answers: Vec<OddAnswer>) {
+    let (_store, servers, front) = start_plain();
+    for (number, answer) in answers.into_iter().enumerate() {
+        for (path, runs_max) in [("/booking/x", 1), ("/lookup/x", 2)] {
+            let (status, head, body, runs) = answer_to(&front, &servers, path, answer, number);
+            let case = format!("{path} {answer:?}: {head} {body}");
+            assert!(runs >= 1 && runs <= runs_max, "{runs} runs, {case}");
+            assert!(status == 502 && !is_signed(&head) && body.contains("unknown"), "{case}");
+        }
+    }
+}
+
 fn promises() -> Vec<OddAnswer> {
     let statuses = ["503 Failed", "429 Too Many", "408 Timeout"];
     statuses
@@ -56,15 +69,7 @@
 /// status that says so, and who sends it again.
 #[test]
 fn status_of_a_server_that_ran_a_plain_request_promises_nothing() {
-    let (_store, servers, front) = start_plain();
-    for (number, answer) in promises().into_iter().enumerate() {
-        for (path, runs_max) in [("/booking/x", 1), ("/lookup/x", 2)] {
-            let (status, head, body, runs) = answer_to(&front, &servers, path, answer, number);
-            let case = format!("{path} {answer:?}: {head} {body}");
-            assert!(runs >= 1 && runs <= runs_max, "{runs} runs, {case}");
-            assert!(status == 502 && !is_signed(&head) && body.contains("unknown"), "{case}");
-        }
-    }
+    assert_unknown_on_plain_routes(promises());
 }
 
 /// Guards against the same on streams, those that may be resumed and those that may run only once.
@@ -122,15 +127,7 @@
 /// Guards against successes without a server's signature, or with a body that is not the server's.
 #[test]
 fn spoiled_success_reaches_no_caller() {
-    let (_store, servers, front) = start_plain();
-    for (number, answer) in spoiled_successes().into_iter().enumerate() {
-        for (path, runs_max) in [("/booking/x", 1), ("/lookup/x", 2)] {
-            let (status, head, body, runs) = answer_to(&front, &servers, path, answer, number);
-            let case = format!("{path} {answer:?}: {head} {body}");
-            assert!(runs >= 1 && runs <= runs_max, "{runs} runs, {case}");
-            assert!(status == 502 && !is_signed(&head) && body.contains("unknown"), "{case}");
-        }
-    }
+    assert_unknown_on_plain_routes(spoiled_successes());
 }
 
 /// Guards against the same on streams: one that may run only once, and one whose attempts are used up.
