--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-rustc --edition 2021 -O -o target/review-3/cases review/standins-3/main.rs
+rustc --edition 2021 -O -o target/review-3/cases review/standins-3/platform/main.rs
