--- a/crates/mangocross-serving/src/planner/foreign.rs
+++ b/crates/mangocross-serving/src/planner/foreign.rs
@@ -15,6 +15,7 @@
 use super::TrackedServer;
 use super::repair::LIST_TIMEOUT;
 use crate::Moment;
+use crate::StopProof;
 
 /// A member of a group that the plan does not contain.
 #[derive(Debug, Clone)]
@@ -50,8 +51,8 @@
             planned.any(|it| it.group == *group && it.incarnation == *incarnation)
         };
         for key in groups.into_iter().filter(|it| !serves(it)) {
-            if self.try_end_foreign_group(domain, &key, now, actions) {
-                self.group_states.entry(key.clone()).or_default().head_has_left = true;
+            if let Some(proof) = self.try_end_foreign_group(domain, &key, now, actions) {
+                self.group_states.entry(key.clone()).or_default().stop_proof = Some(proof);
                 self.foreign.retain(|_, it| it.group != key);
             }
         }
@@ -63,15 +64,15 @@
         });
     }
 
-    /// Returns whether a group has ended. If it may not have, orders its head, or its members if the
-    /// head is unknown, to leave.
+    /// Returns what shows that the head of a group has stopped. If nothing does, orders the head, or the
+    /// members if it is unknown, to leave.
     fn try_end_foreign_group(
         &mut self,
         domain: &FabricDomain,
         key: &GroupKey,
         now: Moment,
         actions: &mut Vec<PlannerAction>,
-    ) -> bool {
+    ) -> Option<StopProof> {
         let (group, incarnation) = key;
         let is_head = |it: &TrackedServer| {
             it.server.engine.membership.as_ref().is_some_and(|it| {
@@ -86,15 +87,16 @@
             let head = FormerHead { member, incarnation: *incarnation };
             return self.try_stop_head(group, &head, now, actions);
         }
-        if self.must_have_stopped(group, *incarnation, now) {
-            return true;
+        let proof = self.stop_proof(group, *incarnation, now);
+        if proof.is_some() {
+            return proof;
         }
         // The entry of the head may only be late.
         let state = self.group_states.entry(key.clone()).or_default();
         if now.since(*state.seen_at.get_or_insert(now)) >= LIST_TIMEOUT {
             self.order_members_to_leave(group, *incarnation, None, now, actions);
         }
-        false
+        None
     }
 
     /// Returns whether a VM is a member of a group that is not in the plan and may not have ended.
@@ -123,7 +125,7 @@
             return None;
         }
         let group = (membership.group.clone(), incarnation);
-        let has_ended = self.group_states.get(&group).is_some_and(|it| it.head_has_left);
+        let has_ended = self.group_states.get(&group).is_some_and(|it| it.stop_proof.is_some());
         let born_unix_ms = engine.born_unix_ms;
         (!has_ended).then_some(ForeignMember { born_unix_ms, group })
     }
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -48,6 +48,7 @@
 use crate::Membership;
 use crate::Moment;
 use crate::OrderOutcome;
+use crate::StopProof;
 
 /// Time without a new suspicion after which a group is no longer suspect.
 const SUSPICION_EXPIRY: Duration = Duration::from_millis(900);
@@ -155,10 +156,12 @@
     slow_since: Option<Moment>,
     /// When the group was first found to be dissolving.
     dissolving_at: Option<Moment>,
-    /// Whether the head has accepted an order to leave, or has stopped otherwise.
-    head_has_left: bool,
+    /// What showed that the head has stopped.
+    stop_proof: Option<StopProof>,
     /// When the head was first known to lack a member; it becomes broken `stall_timeout` later.
     incomplete_since: Option<Moment>,
+    /// Whether a member was seen to be out, rather than none being listed or responding.
+    is_absence_seen: bool,
     /// Whether the group was adopted while not all of its members reported it.
     lacks_members: bool,
 }
@@ -318,12 +321,15 @@
             let key = (group.clone(), *incarnation);
             let state = self.group_states.entry(key).or_default();
             state.incomplete_since = state.incomplete_since.or(Some(now));
+            state.is_absence_seen = true;
             let is_head = self.servers.get(vm).is_some_and(|it| {
                 it.server.engine.membership.as_ref().is_some_and(|it| {
                     it.group == *group && it.incarnation == *incarnation && it.rank == Rank(0)
                 })
             });
-            state.head_has_left |= is_head;
+            if is_head {
+                state.stop_proof = Some(StopProof::Left);
+            }
         }
         let staging = staged.map(|model| {
             let retry_at = self.staging_retry_at(&model, outcome, now);
--- a/crates/mangocross-serving/src/planner/release.rs
+++ b/crates/mangocross-serving/src/planner/release.rs
@@ -16,6 +16,7 @@
 use crate::EngineOrder;
 use crate::MemberPhase;
 use crate::Moment;
+use crate::StopProof;
 
 /// Added to the time after which a head that lacks a member is broken.
 const STALL_MARGIN: Duration = Duration::from_millis(500);
@@ -33,25 +34,26 @@
 impl GroupPlanner {
     /// Orders the head and the former heads of a dissolving group to leave.
     ///
-    /// Returns whether all of them have stopped, so that the members are free.
+    /// Returns what shows that the last of them has stopped if all have, so that the members are free.
     pub(super) fn try_release(
         &mut self,
         group: &PlannedGroup,
         now: Moment,
         actions: &mut Vec<PlannerAction>,
-    ) -> bool {
+    ) -> Option<StopProof> {
         let mut heads = group.former_heads.clone();
         if let Some(head) = group.head().cloned() {
             if self.finishes_answers(group, &head.vm, now, actions) {
-                return false;
+                return None;
             }
             heads.push(FormerHead { member: head, incarnation: group.incarnation });
         }
-        let mut are_stopped = true;
+        let mut proof = Some(StopProof::Left);
         for head in &heads {
-            are_stopped &= self.try_stop_head(&group.group, head, now, actions);
+            let of_head = self.try_stop_head(&group.group, head, now, actions);
+            proof = proof.and(of_head);
         }
-        are_stopped
+        proof
     }
 
     /// Returns whether the head of a dissolving group may finish its requests. Closes it first.
@@ -90,59 +92,64 @@
         }
     }
 
-    /// Returns whether a head can no longer accept requests. If it may, orders it to leave, or its
-    /// members if it is unreachable.
+    /// Returns what shows that a head has stopped. If nothing does, orders it to leave, or its members
+    /// if it is unreachable.
     pub(super) fn try_stop_head(
         &mut self,
         group: &GroupId,
         head: &FormerHead,
         now: Moment,
         actions: &mut Vec<PlannerAction>,
-    ) -> bool {
+    ) -> Option<StopProof> {
         let vm = &head.member.vm;
         let incarnation = head.incarnation;
-        if self.must_have_stopped(group, incarnation, now) {
-            return true;
+        let proof = self.stop_proof(group, incarnation, now);
+        if proof.is_some() {
+            return proof;
         }
         let Some(tracked) = self.servers.get(vm) else {
             self.order_members_to_leave(group, incarnation, Some(vm), now, actions);
-            return false;
+            return None;
         };
-        let was_restarted = tracked.server.engine.born_unix_ms != head.member.born_unix_ms;
-        if was_restarted || tracked.has_ended() {
-            return true;
+        if tracked.server.engine.born_unix_ms != head.member.born_unix_ms {
+            return Some(StopProof::Restarted);
+        }
+        if tracked.has_ended() {
+            return Some(StopProof::UnlistedAndRefusing);
         }
         let phase = tracked.server.engine.membership.as_ref().and_then(|it| {
             let is_same = it.group == *group && it.incarnation == incarnation;
             is_same.then_some(it.phase)
         });
         // A membership that has ended is never restored under the same incarnation.
-        if matches!(phase, None | Some(MemberPhase::Broken)) {
-            return true;
+        match phase {
+            None => return Some(StopProof::Elsewhere),
+            Some(MemberPhase::Broken) => return Some(StopProof::Broken),
+            Some(_) => {}
         }
         if tracked.health.is_unresponsive() {
             self.order_members_to_leave(group, incarnation, Some(vm), now, actions);
-            return false;
+            return None;
         }
         let leave = EngineOrder::Leave { group: group.clone(), incarnation };
         self.send_order(vm, leave, now, actions);
-        false
+        None
     }
 
-    /// Returns whether the head of an incarnation has left, or has lacked a member for so long that it
-    /// must be broken.
-    pub(super) fn must_have_stopped(
+    /// Returns what showed that the head of an incarnation has stopped: that it left, or that it has
+    /// lacked a member for so long that it must be broken.
+    pub(super) fn stop_proof(
         &self,
         group: &GroupId,
         incarnation: Incarnation,
         now: Moment,
-    ) -> bool {
-        let state = self.group_states.get(&(group.clone(), incarnation));
-        state.is_some_and(|it| {
-            let incomplete_for = it.incomplete_since.map(|it| now.since(it));
-            it.head_has_left
-                || incomplete_for.is_some_and(|it| it > self.stall_timeout + STALL_MARGIN)
-        })
+    ) -> Option<StopProof> {
+        let state = self.group_states.get(&(group.clone(), incarnation))?;
+        let is_overdue = |it: Moment| now.since(it) > self.stall_timeout + STALL_MARGIN;
+        let stalled = state.incomplete_since.filter(|it| is_overdue(*it)).map(|_| {
+            if state.is_absence_seen { StopProof::Stalled } else { StopProof::NoMemberKnown }
+        });
+        state.stop_proof.or(stalled)
     }
 
     /// Orders the other members of an incarnation whose head is unreachable or unknown to leave, so
@@ -196,7 +203,7 @@
         actions: &mut Vec<PlannerAction>,
     ) {
         for head in std::mem::take(&mut group.former_heads) {
-            if !self.try_stop_head(&group.group, &head, now, actions) {
+            if self.try_stop_head(&group.group, &head, now, actions).is_none() {
                 group.former_heads.push(head);
             }
         }
--- a/crates/mangocross-serving/src/planner/repair.rs
+++ b/crates/mangocross-serving/src/planner/repair.rs
@@ -76,8 +76,8 @@
         let (dissolving, groups): (Vec<_>, Vec<_>) =
             groups.into_iter().partition(|it| it.is_dissolving);
         for group in dissolving {
-            if self.try_release(&group, now, actions) {
-                update.reasons.push(format!("{} released", group.group));
+            if let Some(proof) = self.try_release(&group, now, actions) {
+                update.reasons.push(format!("{} released: {proof}", group.group));
                 self.group_states.remove(&(group.group.clone(), group.incarnation));
                 remaining.groups.retain(|it| it.group != group.group);
             } else {
