fix(planner): a refused connection does not prove that an unlisted head has stopped

Cause: `TrackedServer::has_ended` took 'not listed and refuses connections' for the end of the process. A rack behind a switch that rejects connections, whose servers have lost the store, shows just that while all of them run.

An answer from before an accepted order does not replace what that order did.

The test members_of_a_crashed_head_serve_again_once_it_is_not_listed asked for service after the entry has expired, 3.6 s after a crash: that is what a live head shows, too. It is replaced by members_of_a_crashed_head_serve_again_after_the_stall with the same margin after the stall, and also asks that no member joins early.

Red before: members_of_an_unlisted_head_behind_refusals_join_no_other_group, members_of_an_unlisted_rack_behind_refusals_join_no_other_group.

--- a/crates/mangocross-serving/src/planner/foreign.rs
+++ b/crates/mangocross-serving/src/planner/foreign.rs
@@ -87,7 +87,7 @@
             let head = FormerHead { member, incarnation: *incarnation };
             return self.try_stop_head(group, &head, now, actions);
         }
-        let proof = self.stop_proof(group, *incarnation, now);
+        let proof = self.known_stop_proof(group, *incarnation, now);
         if proof.is_some() {
             return proof;
         }
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -13,6 +13,7 @@
 mod release;
 mod repair;
 mod server_health;
+mod tracked_server;
 mod weight_load_limiter;
 
 use std::collections::BTreeMap;
@@ -25,7 +26,6 @@
 use mangocross_types::FabricDomain;
 use mangocross_types::GroupId;
 use mangocross_types::Incarnation;
-use mangocross_types::Rank;
 use mangocross_types::StoreEra;
 use mangocross_types::StoreRevision;
 use mangocross_types::VmId;
@@ -36,13 +36,11 @@
 pub use self::plan::FormerHead;
 pub use self::plan::PlannedGroup;
 pub use self::plan::PlannedMember;
-use self::preparing::StageOrder;
 pub use self::server_health::ProbeFailure;
-use self::server_health::ServerHealth;
+use self::tracked_server::TrackedServer;
 use self::weight_load_limiter::WeightLoadLimiter;
 use crate::BackendServer;
 use crate::EngineOrder;
-use crate::EngineReport;
 use crate::EngineSpec;
 use crate::MemberPhase;
 use crate::Membership;
@@ -102,21 +100,6 @@
     },
 }
 
-/// State that the planner keeps for a server.
-#[derive(Debug)]
-struct TrackedServer {
-    server: BackendServer,
-    /// When the platform stopped listing the server.
-    unlisted_at: Option<Moment>,
-    /// When the server was first listed as leaving.
-    leaving_at: Option<Moment>,
-    /// Orders that the server process has accepted; unknown until a probe is answered.
-    orders_accepted: Option<u64>,
-    health: ServerHealth,
-    /// The latest order to the server process to stage a model.
-    staging: Option<StageOrder>,
-}
-
 /// The latest order to a server.
 #[derive(Debug)]
 struct SentOrder {
@@ -277,22 +260,6 @@
         }
     }
 
-    /// Records a server's response to a probe.
-    pub fn record_probe_answer(&mut self, vm: &VmId, report: EngineReport) {
-        let Some(tracked) = self.servers.get_mut(vm) else { return };
-        tracked.health.record_answer(report.slowdown);
-        let is_same_process = report.status.born_unix_ms == tracked.server.engine.born_unix_ms;
-        tracked.orders_accepted = Some(report.orders_accepted);
-        if !is_same_process {
-            let domain = tracked.server.engine.domain.clone();
-            tracked.server.engine = report.status;
-            tracked.leaving_at = None;
-            tracked.server.engine.domain = tracked.server.engine.domain.take().or(domain);
-        } else if tracked.unlisted_at.is_some() {
-            tracked.server.engine.membership = report.status.membership;
-        }
-    }
-
     /// Records a probe that failed.
     pub fn record_probe_failure(&mut self, vm: &VmId, failure: ProbeFailure) {
         if let Some(tracked) = self.servers.get_mut(vm) {
@@ -300,57 +267,6 @@
         }
     }
 
-    /// Records the outcome of the latest order to a server.
-    ///
-    /// Unless the order was begun or the connection was refused, the number of orders that the
-    /// server has accepted is unknown until the next probe.
-    pub fn record_order_outcome(&mut self, vm: &VmId, outcome: OrderOutcome, now: Moment) {
-        let Some(sent) = self.orders.get_mut(vm) else { return };
-        sent.outcome = Some(outcome);
-        sent.updated_at = now;
-        let is_accepted = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Done);
-        let orders_accepted = sent.orders_accepted;
-        let staged = match &sent.order {
-            EngineOrder::Stage { model } => Some(model.clone()),
-            EngineOrder::Join { .. }
-            | EngineOrder::Open { .. }
-            | EngineOrder::Close { .. }
-            | EngineOrder::Leave { .. } => None,
-        };
-        if is_accepted && let EngineOrder::Leave { group, incarnation } = &sent.order {
-            let key = (group.clone(), *incarnation);
-            let state = self.group_states.entry(key).or_default();
-            state.incomplete_since = state.incomplete_since.or(Some(now));
-            state.is_absence_seen = true;
-            let is_head = self.servers.get(vm).is_some_and(|it| {
-                it.server.engine.membership.as_ref().is_some_and(|it| {
-                    it.group == *group && it.incarnation == *incarnation && it.rank == Rank(0)
-                })
-            });
-            if is_head {
-                state.stop_proof = Some(StopProof::Left);
-            }
-        }
-        let staging = staged.map(|model| {
-            let retry_at = self.staging_retry_at(&model, outcome, now);
-            StageOrder { model, retry_at }
-        });
-        let Some(tracked) = self.servers.get_mut(vm) else { return };
-        if staging.is_some() {
-            tracked.staging = staging;
-        }
-        match outcome {
-            OrderOutcome::Begun => tracked.orders_accepted = Some(orders_accepted + 1),
-            OrderOutcome::ConnectionRefused => {
-                tracked.health.record_failure(ProbeFailure::ConnectionRefused)
-            }
-            OrderOutcome::Done
-            | OrderOutcome::Refused
-            | OrderOutcome::WrongServer
-            | OrderOutcome::Unknown => tracked.orders_accepted = None,
-        }
-    }
-
     /// Replaces the set of heads whose streams progressed within the last few token steps.
     ///
     /// A group makes progress only while all its members work, so members of these
@@ -465,34 +381,13 @@
                 self.plans.entry(domain.clone()).or_default();
             }
             let Some(tracked) = self.servers.get_mut(&server.vm) else {
-                let tracked = TrackedServer {
-                    server: server.clone(),
-                    unlisted_at: None,
-                    leaving_at: server.is_leaving.then_some(now),
-                    orders_accepted: None,
-                    health: ServerHealth::default(),
-                    staging: None,
-                };
-                self.servers.insert(server.vm.clone(), tracked);
+                self.servers.insert(server.vm.clone(), TrackedServer::new(server, now));
                 if let Some(domain) = &server.engine.domain {
                     self.newest_server_at.insert(domain.clone(), now);
                 }
                 continue;
             };
-            tracked.unlisted_at = None;
-            if server.is_leaving {
-                tracked.leaving_at = tracked.leaving_at.or(Some(now));
-            }
-            let (old, new) = (&tracked.server.engine, &server.engine);
-            if old.born_unix_ms != new.born_unix_ms {
-                tracked.health = ServerHealth::default();
-                tracked.orders_accepted = None;
-                tracked.staging = None;
-                tracked.leaving_at = server.is_leaving.then_some(now);
-                tracked.server = server.clone();
-            } else if tracked.server != *server {
-                tracked.server = server.clone();
-            }
+            tracked.record_entry(server, now);
         }
         for (vm, tracked) in &mut self.servers {
             if tracked.unlisted_at.is_none() && !seen.contains(vm) {
--- a/crates/mangocross-serving/src/planner/orders.rs
+++ b/crates/mangocross-serving/src/planner/orders.rs
@@ -2,18 +2,22 @@
 
 use std::time::Duration;
 
+use mangocross_types::Rank;
 use mangocross_types::VmId;
 
 use super::GroupPlanner;
 use super::PlannerAction;
 use super::Probe;
+use super::ProbeFailure;
 use super::SentOrder;
+use super::preparing::StageOrder;
 use super::server_health::PAUSED_PROBE_INTERVAL;
 use super::server_health::PROBE_INTERVAL;
 use crate::BackendServer;
 use crate::EngineOrder;
 use crate::Moment;
 use crate::OrderOutcome;
+use crate::StopProof;
 
 /// Time after which an accepted order without a visible effect is sent again.
 const EFFECT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -68,6 +72,62 @@
         self.orders.insert(vm.clone(), sent);
     }
 
+    /// Records the outcome of the latest order to a server.
+    ///
+    /// Unless the order was begun or the connection was refused, the number of orders that the
+    /// server has accepted is unknown until the next probe.
+    pub fn record_order_outcome(&mut self, vm: &VmId, outcome: OrderOutcome, now: Moment) {
+        let Some(sent) = self.orders.get_mut(vm) else { return };
+        sent.outcome = Some(outcome);
+        sent.updated_at = now;
+        let is_accepted = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Done);
+        let orders_accepted = sent.orders_accepted;
+        let staged = match &sent.order {
+            EngineOrder::Stage { model } => Some(model.clone()),
+            EngineOrder::Join { .. }
+            | EngineOrder::Open { .. }
+            | EngineOrder::Close { .. }
+            | EngineOrder::Leave { .. } => None,
+        };
+        if is_accepted && let EngineOrder::Leave { group, incarnation } = &sent.order {
+            let key = (group.clone(), *incarnation);
+            let state = self.group_states.entry(key).or_default();
+            state.incomplete_since = state.incomplete_since.or(Some(now));
+            state.is_absence_seen = true;
+            let is_head = self.servers.get(vm).is_some_and(|it| {
+                it.server.engine.membership.as_ref().is_some_and(|it| {
+                    it.group == *group && it.incarnation == *incarnation && it.rank == Rank(0)
+                })
+            });
+            if is_head {
+                state.stop_proof = Some(StopProof::Left);
+            }
+        }
+        let staging = staged.map(|model| {
+            let retry_at = self.staging_retry_at(&model, outcome, now);
+            StageOrder { model, retry_at }
+        });
+        let (Some(tracked), Some(sent)) = (self.servers.get_mut(vm), self.orders.get(vm)) else {
+            return;
+        };
+        if staging.is_some() {
+            tracked.staging = staging;
+        }
+        match outcome {
+            OrderOutcome::Begun => {
+                tracked.orders_accepted = Some(orders_accepted + 1);
+                tracked.record_begun(&sent.order);
+            }
+            OrderOutcome::ConnectionRefused => {
+                tracked.health.record_failure(ProbeFailure::ConnectionRefused)
+            }
+            OrderOutcome::Done
+            | OrderOutcome::Refused
+            | OrderOutcome::WrongServer
+            | OrderOutcome::Unknown => tracked.orders_accepted = None,
+        }
+    }
+
     /// Returns whether an order was sent so recently that its effect may not be visible yet.
     pub(super) fn has_recent_order(&self, vm: &VmId, now: Moment) -> bool {
         self.orders
--- a/crates/mangocross-serving/src/planner/release.rs
+++ b/crates/mangocross-serving/src/planner/release.rs
@@ -1,7 +1,5 @@
 //! Ensures that dissolved groups and earlier incarnations of re-formed groups stop serving.
 
-use std::time::Duration;
-
 use mangocross_types::GroupId;
 use mangocross_types::Incarnation;
 use mangocross_types::VmId;
@@ -13,23 +11,12 @@
 use super::PlannerAction;
 use super::TrackedServer;
 use super::repair::CLOSE_TIMEOUT;
+use crate::Attendance;
 use crate::EngineOrder;
 use crate::MemberPhase;
 use crate::Moment;
 use crate::StopProof;
-
-/// Added to the time after which a head that lacks a member is broken.
-const STALL_MARGIN: Duration = Duration::from_millis(500);
-
-impl TrackedServer {
-    /// Returns whether the server process has ended: it refuses connections, and the platform has
-    /// removed its entry, as it does after three heartbeats of silence.
-    ///
-    /// A refused connection alone may come from anything between this VM and the server.
-    fn has_ended(&self) -> bool {
-        self.unlisted_at.is_some() && self.health.refuses_connections()
-    }
-}
+use crate::stop_proof;
 
 impl GroupPlanner {
     /// Orders the head and the former heads of a dissolving group to leave.
@@ -103,31 +90,16 @@
     ) -> Option<StopProof> {
         let vm = &head.member.vm;
         let incarnation = head.incarnation;
-        let proof = self.stop_proof(group, incarnation, now);
+        let proof = self.known_stop_proof(group, incarnation, now);
         if proof.is_some() {
             return proof;
         }
-        let Some(tracked) = self.servers.get(vm) else {
-            self.order_members_to_leave(group, incarnation, Some(vm), now, actions);
-            return None;
-        };
-        if tracked.server.engine.born_unix_ms != head.member.born_unix_ms {
-            return Some(StopProof::Restarted);
-        }
-        if tracked.has_ended() {
-            return Some(StopProof::UnlistedAndRefusing);
-        }
-        let phase = tracked.server.engine.membership.as_ref().and_then(|it| {
-            let is_same = it.group == *group && it.incarnation == incarnation;
-            is_same.then_some(it.phase)
-        });
-        // A membership that has ended is never restored under the same incarnation.
-        match phase {
-            None => return Some(StopProof::Elsewhere),
-            Some(MemberPhase::Broken) => return Some(StopProof::Broken),
-            Some(_) => {}
+        let attendance = self.attendance(&head.member, group, incarnation);
+        let proof = stop_proof(attendance, None, self.stall_timeout, now);
+        if proof.is_some() {
+            return proof;
         }
-        if tracked.health.is_unresponsive() {
+        if self.servers.get(vm).is_none_or(|it| it.health.is_unresponsive()) {
             self.order_members_to_leave(group, incarnation, Some(vm), now, actions);
             return None;
         }
@@ -136,19 +108,31 @@
         None
     }
 
-    /// Returns what showed that the head of an incarnation has stopped: that it left, or that it has
-    /// lacked a member for so long that it must be broken.
-    pub(super) fn stop_proof(
+    /// Returns where the process of a member of an incarnation is.
+    fn attendance(
+        &self,
+        member: &PlannedMember,
+        group: &GroupId,
+        incarnation: Incarnation,
+    ) -> Attendance {
+        let tracked = self.servers.get(&member.vm);
+        let reports = tracked.map(TrackedServer::reports).unwrap_or_default();
+        reports.attendance(member.born_unix_ms, group, incarnation)
+    }
+
+    /// Returns what proved before that the head of an incarnation has stopped, or that it has lacked a
+    /// member for so long that it must be broken.
+    pub(super) fn known_stop_proof(
         &self,
         group: &GroupId,
         incarnation: Incarnation,
         now: Moment,
     ) -> Option<StopProof> {
         let state = self.group_states.get(&(group.clone(), incarnation))?;
-        let is_overdue = |it: Moment| now.since(it) > self.stall_timeout + STALL_MARGIN;
-        let stalled = state.incomplete_since.filter(|it| is_overdue(*it)).map(|_| {
-            if state.is_absence_seen { StopProof::Stalled } else { StopProof::NoMemberKnown }
-        });
+        let absent_since = state.incomplete_since;
+        let stalled = stop_proof(Attendance::Unknown, absent_since, self.stall_timeout, now);
+        let stalled =
+            stalled.map(|it| if state.is_absence_seen { it } else { StopProof::NoMemberKnown });
         state.stop_proof.or(stalled)
     }
 
