fix(planner): a server that reports a group without a plan is free once its head has stopped

What callers saw: TWO again where the plan of a group had ended by whichever way: its members came back, still reported the group, and joined others at once.

Cause: `foreign_member` asked for incarnations that the plan has not allocated. One that the plan had allocated and dropped counted as free, so this last check before a join let through whatever the release had concluded.

Change: what a server reports counts, not whether the plan has had the group. Members of groups whose heads are proved to have stopped are told to leave, so that the next planner, which has no proof, does not hold spares that still report them.

--- a/crates/mangocross-serving/src/backend_server.rs
+++ b/crates/mangocross-serving/src/backend_server.rs
@@ -54,6 +54,13 @@
     pub phase: MemberPhase,
 }
 
+impl Membership {
+    /// Returns whether the server is a head that is open or closing.
+    pub fn is_active_head(&self) -> bool {
+        self.rank == Rank(0) && matches!(self.phase, MemberPhase::Open | MemberPhase::Closing)
+    }
+}
+
 /// State of a backend server's engine.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineStatus {
--- a/crates/mangocross-serving/src/planner/adoption.rs
+++ b/crates/mangocross-serving/src/planner/adoption.rs
@@ -39,8 +39,9 @@
         let mut heads: BTreeMap<GroupId, Vec<(Incarnation, PlannedMember)>> = BTreeMap::new();
         for (vm, tracked) in self.in_domain(&update.domain) {
             let engine = &tracked.server.engine;
-            let Some(Membership { group, incarnation, .. }) = &engine.membership else { continue };
-            if self.is_active_head(tracked) && incarnation.0 >= next_incarnation {
+            let Some(membership) = &engine.membership else { continue };
+            let Membership { group, incarnation, .. } = membership;
+            if membership.is_active_head() && incarnation.0 >= next_incarnation {
                 let head = PlannedMember { vm: vm.clone(), born_unix_ms: engine.born_unix_ms };
                 heads.entry(group.clone()).or_default().push((*incarnation, head));
             }
--- a/crates/mangocross-serving/src/planner/foreign.rs
+++ b/crates/mangocross-serving/src/planner/foreign.rs
@@ -14,6 +14,7 @@
 use super::PlannerAction;
 use super::TrackedServer;
 use super::repair::LIST_TIMEOUT;
+use crate::Membership;
 use crate::Moment;
 use crate::StopProof;
 
@@ -74,14 +75,12 @@
         actions: &mut Vec<PlannerAction>,
     ) -> Option<StopProof> {
         let (group, incarnation) = key;
-        let is_head = |it: &TrackedServer| {
-            it.server.engine.membership.as_ref().is_some_and(|it| {
+        let head = self.in_domain(domain).find_map(|(vm, it)| {
+            let is_head = |(_, it): &(u64, &Membership)| {
                 it.rank == Rank(0) && it.group == *group && it.incarnation == *incarnation
-            })
-        };
-        let head = self.in_domain(domain).find(|(_, it)| is_head(it)).map(|(vm, it)| {
-            let born_unix_ms = it.server.engine.born_unix_ms;
-            PlannedMember { vm: vm.clone(), born_unix_ms }
+            };
+            let (born_unix_ms, _) = it.memberships().find(is_head)?;
+            Some(PlannedMember { vm: vm.clone(), born_unix_ms })
         });
         if let Some(member) = head {
             let head = FormerHead { member, incarnation: *incarnation };
@@ -108,26 +107,23 @@
         self.foreign_member(tracked, plan).is_some() || has_left()
     }
 
-    /// Returns the group that a VM reports, if it has not ended and the plan does not have the VM and
-    /// either has not allocated the group's incarnation, or has the group without the VM.
+    /// Returns the group that a VM reports, if the plan does not have the VM and the group's head is not
+    /// proved to have stopped, whether or not the plan has had the group.
     ///
     /// A VM that heads a group that is not open is in no group that may serve.
     fn foreign_member(&self, tracked: &TrackedServer, plan: &DomainPlan) -> Option<ForeignMember> {
-        let engine = &tracked.server.engine;
-        let membership = engine.membership.as_ref().filter(|it| it.rank != Rank(0))?;
-        let incarnation = membership.incarnation;
-        let is_current = plan
-            .groups
-            .iter()
-            .any(|it| it.group == membership.group && it.incarnation == incarnation);
-        let is_unknown = incarnation.0 >= plan.next_incarnation || is_current;
-        if !is_unknown || plan.contains(&tracked.server.vm) {
+        if plan.contains(&tracked.server.vm) {
             return None;
         }
-        let group = (membership.group.clone(), incarnation);
-        let has_ended = self.group_states.get(&group).is_some_and(|it| it.stop_proof.is_some());
-        let born_unix_ms = engine.born_unix_ms;
-        (!has_ended).then_some(ForeignMember { born_unix_ms, group })
+        let member = tracked.memberships().filter(|(_, it)| it.rank != Rank(0));
+        let mut members = member.map(|(born_unix_ms, it)| ForeignMember {
+            born_unix_ms,
+            group: (it.group.clone(), it.incarnation),
+        });
+        let is_proved = |it: &ForeignMember| {
+            self.group_states.get(&it.group).is_some_and(|it| it.stop_proof.is_some())
+        };
+        members.find(|it| !is_proved(it))
     }
 }
 
--- a/crates/mangocross-serving/src/planner/forming.rs
+++ b/crates/mangocross-serving/src/planner/forming.rs
@@ -19,7 +19,6 @@
 use super::TrackedServer;
 use super::packing;
 use crate::EngineOrder;
-use crate::MemberPhase;
 use crate::Moment;
 
 /// Time without new servers in a domain before groups are formed in it.
@@ -126,8 +125,8 @@
         seen.map(|it| it.incarnation.0).max().unwrap_or_default()
     }
 
-    /// Writes the plan if it changed; otherwise orders orphaned heads to leave and returns the
-    /// update.
+    /// Writes the plan if it changed; otherwise orders VMs to leave groups that the plan does not have
+    /// and returns the update.
     pub(super) fn submit_update(
         &mut self,
         update: PlanUpdate,
@@ -145,29 +144,33 @@
             });
             return None;
         }
-        self.stop_orphaned_heads(&update, now, actions);
+        self.order_unplanned_to_leave(&update, now, actions);
         Some(update)
     }
 
-    /// Orders orphaned heads to leave: active heads that the plan does not contain.
-    pub(super) fn stop_orphaned_heads(
+    /// Orders VMs that the plan does not contain to leave their groups: active heads, and members of
+    /// groups whose heads have stopped.
+    ///
+    /// To the next planner, a member that still reports such a group would not be free.
+    pub(super) fn order_unplanned_to_leave(
         &mut self,
         update: &PlanUpdate,
         now: Moment,
         actions: &mut Vec<PlannerAction>,
     ) {
         let in_domain = self.in_domain(&update.domain).map(|(_, it)| it);
-        let orphaned = in_domain.filter(|it| {
+        let is_member = |it: &TrackedServer| it.memberships().any(|(_, it)| it.rank != Rank(0));
+        let unplanned = in_domain.filter(|it| {
             !update.plan.contains(&it.server.vm)
                 && it.unlisted_at.is_none()
-                && self.is_active_head(it)
+                && (is_active_head(it) || (is_member(it) && !self.is_foreign(it, &update.plan)))
         });
         let leave = |it: &TrackedServer| {
-            let membership = it.server.engine.membership.as_ref()?;
+            let (_, membership) = it.memberships().last()?;
             let (group, incarnation) = (membership.group.clone(), membership.incarnation);
             Some((it.server.vm.clone(), EngineOrder::Leave { group, incarnation }))
         };
-        let orders: Vec<(VmId, EngineOrder)> = orphaned.filter_map(leave).collect();
+        let orders: Vec<(VmId, EngineOrder)> = unplanned.filter_map(leave).collect();
         for (vm, order) in orders {
             self.send_order(&vm, order, now, actions);
         }
@@ -179,7 +182,7 @@
         let usable = self.in_domain(domain).map(|(_, it)| it).filter(|it| self.is_usable(it));
         let free = usable.filter(|it| {
             !plan.contains(&it.server.vm)
-                && !self.is_active_head(it)
+                && !is_active_head(it)
                 && !may_serve_former_head(it, plan)
                 && !self.is_foreign(it, plan)
         });
@@ -195,13 +198,6 @@
             && !tracked.health.is_unresponsive()
             && !tracked.health.is_slow()
     }
-
-    /// Returns whether a server reports that it is an open or closing head.
-    pub(super) fn is_active_head(&self, tracked: &TrackedServer) -> bool {
-        tracked.server.engine.membership.as_ref().is_some_and(|it| {
-            it.rank == Rank(0) && matches!(it.phase, MemberPhase::Open | MemberPhase::Closing)
-        })
-    }
 }
 
 /// Counts the members of all groups of each model, without groups that are being dissolved.
@@ -215,6 +211,11 @@
     vm_counts
 }
 
+/// Returns whether a server reports that it is an open or closing head.
+fn is_active_head(tracked: &TrackedServer) -> bool {
+    tracked.memberships().any(|(_, it)| it.is_active_head())
+}
+
 /// Returns whether a server belongs to a group of which a former head may still be open.
 fn may_serve_former_head(tracked: &TrackedServer, plan: &DomainPlan) -> bool {
     tracked.server.engine.membership.as_ref().is_some_and(|membership| {
--- a/crates/mangocross-serving/src/planner/tracked_server.rs
+++ b/crates/mangocross-serving/src/planner/tracked_server.rs
@@ -107,10 +107,12 @@
 
     /// Returns whether the entry or the last answer of the server has it in an incarnation of a group.
     pub(super) fn reports_incarnation(&self, group: &GroupId, incarnation: Incarnation) -> bool {
-        let reports = self.reports();
-        let memberships = [reports.entry, reports.answer].into_iter().flatten();
-        let mut memberships = memberships.filter_map(|it| it.membership);
-        memberships.any(|it| it.group == *group && it.incarnation == incarnation)
+        self.memberships().any(|(_, it)| it.group == *group && it.incarnation == incarnation)
+    }
+
+    /// Returns the membership that the entry of the server reports, with the start time of the process.
+    pub(super) fn memberships(&self) -> impl Iterator<Item = (u64, &Membership)> {
+        self.reports().entry.into_iter().filter_map(|it| Some((it.born_unix_ms, it.membership?)))
     }
 
     /// Returns the reports of the server that decide where it is.
@@ -124,7 +126,10 @@
             born_unix_ms: it.born_unix_ms,
             membership: it.membership.as_ref(),
         });
-        ServerReports { entry: Some(entry), answer }
+        let is_latest = |it: &ProcessReport<'_>| {
+            answer.is_none_or(|answer| it.born_unix_ms >= answer.born_unix_ms)
+        };
+        ServerReports { entry: Some(entry).filter(is_latest), answer }
     }
 }
 
--- a/crates/mangocross-serving/tests/silent_partitions.rs
+++ b/crates/mangocross-serving/tests/silent_partitions.rs
@@ -152,3 +152,39 @@
     simulation.run(ms(6_000));
     assert_sound(&simulation);
 }
+
+/// Guards against servers whose group the plan no longer has, and which count as free for that reason
+/// when they are back: their head may be open or stand still.
+#[test]
+fn servers_of_a_forgotten_group_are_free_once_its_head_has_stopped() {
+    for changes_planner in [false, true] {
+        let (mut simulation, group) = formed("large");
+        isolate(&mut simulation, &group);
+        simulation.run(FORGOTTEN_AFTER);
+        assert!(!simulation.plans.values().any(|(it, _)| group.iter().any(|vm| it.contains(vm))));
+        if changes_planner {
+            simulation.new_planner();
+        }
+        reconnect(&mut simulation, &group[1..]);
+        simulation.run(STALL_TIMEOUT);
+        reconnect(&mut simulation, &group[..1]);
+        simulation.run(ms(8_000));
+        assert_sound(&simulation);
+    }
+}
+
+/// Guards against spares that the next planner holds because they still report a group whose head has
+/// stopped.
+#[test]
+fn spares_of_a_dissolved_group_are_free_to_the_next_planner() {
+    let (mut simulation, group) = formed("large");
+    let all: Vec<VmId> = simulation.engines.keys().cloned().collect();
+    let left: Vec<VmId> = vec![group[0].clone(), group[5].clone()];
+    let crashed: Vec<VmId> = all.into_iter().filter(|it| !left.contains(it)).collect();
+    simulation.crash(&crashed);
+    simulation.run(ms(12_000));
+    for vm in left {
+        let membership = simulation.engines[&vm].server.engine.membership.as_ref();
+        assert!(membership.is_none_or(|it| it.rank.0 == 0), "{membership:?}");
+    }
+}
