fix(planner): a server whose answer contradicts its entry is not free

An entry can be older than the state of its server: the store has come back from a copy, or the server has lost the store since. Orders go by the count of an answer, which is always of now, but the membership in the same answer was left out while the server was listed. So a plan made from old entries joined members whose heads were open.

Change: what the last answer says, with the orders accepted since, counts beside the entry, and a server that has not answered this planner yet is not free.

Red before: servers_with_old_entries_join_no_other_group.

--- a/crates/mangocross-serving/src/planner/forming.rs
+++ b/crates/mangocross-serving/src/planner/forming.rs
@@ -178,10 +178,13 @@
 
     /// Returns the usable VMs of a domain that may join a group: no planned group, no head that may
     /// still be open and no group that is not in the plan has them as members.
+    ///
+    /// An entry may be older than the state of its server, so the server must have answered as well.
     pub(super) fn free_vms(&self, domain: &FabricDomain, plan: &DomainPlan) -> Vec<VmId> {
         let usable = self.in_domain(domain).map(|(_, it)| it).filter(|it| self.is_usable(it));
         let free = usable.filter(|it| {
             !plan.contains(&it.server.vm)
+                && it.answer.is_some()
                 && !is_active_head(it)
                 && !may_serve_former_head(it, plan)
                 && !self.is_foreign(it, plan)
--- a/crates/mangocross-serving/src/planner/tracked_server.rs
+++ b/crates/mangocross-serving/src/planner/tracked_server.rs
@@ -110,9 +110,12 @@
         self.memberships().any(|(_, it)| it.group == *group && it.incarnation == incarnation)
     }
 
-    /// Returns the membership that the entry of the server reports, with the start time of the process.
+    /// Returns the memberships that the entry and the last answer of the server report, with the start
+    /// time of the process.
     pub(super) fn memberships(&self) -> impl Iterator<Item = (u64, &Membership)> {
-        self.reports().entry.into_iter().filter_map(|it| Some((it.born_unix_ms, it.membership?)))
+        let ServerReports { entry, answer } = self.reports();
+        let reports = [entry, answer].into_iter().flatten();
+        reports.filter_map(|it| Some((it.born_unix_ms, it.membership?)))
     }
 
     /// Returns the reports of the server that decide where it is.
--- a/crates/mangocross-serving/tests/silent_partitions.rs
+++ b/crates/mangocross-serving/tests/silent_partitions.rs
@@ -188,3 +188,22 @@
         assert!(membership.is_none_or(|it| it.rank.0 == 0), "{membership:?}");
     }
 }
+
+/// Guards against a plan from entries that are older than the state of their servers, which report
+/// another group when they are asked.
+#[test]
+fn servers_with_old_entries_join_no_other_group() {
+    let (mut simulation, group) = formed("large");
+    let now = simulation.now;
+    simulation.update(&group, |it| {
+        let mut entry = it.server.clone();
+        entry.engine.membership = None;
+        it.last_entry = Some((entry, now));
+    });
+    simulation.plans.clear();
+    simulation.new_planner();
+    simulation.run(ms(2_000));
+    reconnect(&mut simulation, &group);
+    simulation.run(ms(20_000));
+    assert!(simulation.early_joins.is_empty(), "{:?}", simulation.early_joins);
+}
