fix(planner): a group that the plan lacks is not waited for once a member has joined another one

Of the 800 rows of the new table (role and fate of a server, listed or not, as the planner reaches it, alone or with its group, for a planner that saw the group and for one that came later) one held a server for ever: it had reported a group that no plan has, had joined a planned one since, and nobody was left who could be ordered to leave the first. What it reports shows that it is out, so the head of that group is broken after the stall.

--- a/crates/mangocross-serving/src/planner/foreign.rs
+++ b/crates/mangocross-serving/src/planner/foreign.rs
@@ -43,6 +43,7 @@
             .filter_map(|(vm, it)| Some((vm.clone(), self.foreign_member(it, plan)?)))
             .collect();
         self.foreign.extend(reported);
+        self.record_foreign_absences(now);
         let in_domain: Vec<&VmId> = self.in_domain(domain).map(|(vm, _)| vm).collect();
         let known = |(vm, _): &(&VmId, &ForeignMember)| in_domain.contains(vm);
         let groups: BTreeSet<GroupKey> =
@@ -65,6 +66,18 @@
         });
     }
 
+    /// Records which groups lack a member that has left them, by an order or for another group.
+    fn record_foreign_absences(&mut self, now: Moment) {
+        let absences = self.foreign.iter().filter(|(vm, it)| {
+            let member = PlannedMember { vm: (*vm).clone(), born_unix_ms: it.born_unix_ms };
+            self.is_out(&member, &it.group.0, it.group.1)
+        });
+        let groups: BTreeSet<GroupKey> = absences.map(|(_, it)| it.group.clone()).collect();
+        for key in groups {
+            self.group_states.entry(key).or_default().absent_since.get_or_insert(now);
+        }
+    }
+
     /// Returns what shows that the head of a group has stopped. If nothing does, orders the head, or the
     /// members if it is unknown, to leave.
     fn try_end_foreign_group(
--- a/crates/mangocross-serving/src/planner/release.rs
+++ b/crates/mangocross-serving/src/planner/release.rs
@@ -155,10 +155,18 @@
             born_unix_ms: *born_unix_ms,
         });
         let mut others = members.iter().cloned().chain(ready).filter(|it| it.vm != head.member.vm);
-        others.any(|it| {
-            let attendance = self.attendance(&it, group, head.incarnation);
-            matches!(attendance, Attendance::Elsewhere | Attendance::Restarted)
-        })
+        others.any(|it| self.is_out(&it, group, head.incarnation))
+    }
+
+    /// Returns whether a member of an incarnation is known to be out of it.
+    pub(super) fn is_out(
+        &self,
+        member: &PlannedMember,
+        group: &GroupId,
+        incarnation: Incarnation,
+    ) -> bool {
+        let attendance = self.attendance(member, group, incarnation);
+        matches!(attendance, Attendance::Elsewhere | Attendance::Restarted)
     }
 
     /// Returns whether all servers that may be in a head's incarnation have been unknown for so long
