refactor(planner): observations of groups that nobody names any more are dropped

What is proved of an incarnation is kept beyond its release, so that its members are free when they come back; without an end the table would grow with each group that is re-formed. What no plan and no server names goes with the next written plan. A proof that is lost costs one stall.

--- a/crates/mangocross-serving/src/planner/foreign.rs
+++ b/crates/mangocross-serving/src/planner/foreign.rs
@@ -23,7 +23,7 @@
 pub(super) struct ForeignMember {
     /// Start time of the server process, in milliseconds of Unix time.
     born_unix_ms: u64,
-    group: GroupKey,
+    pub(super) group: GroupKey,
 }
 
 impl GroupPlanner {
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Returns what shows that the head of a group has stopped. If nothing does, orders the head, or the
+    /// Returns what proves that the head of a group has stopped. If nothing does, orders the head, or the
     /// members if it is unknown, to leave.
     fn try_end_foreign_group(
         &mut self,
--- a/crates/mangocross-serving/src/planner/mod.rs
+++ b/crates/mangocross-serving/src/planner/mod.rs
@@ -140,7 +140,7 @@
     slow_since: Option<Moment>,
     /// When the group was first found to be dissolving.
     dissolving_at: Option<Moment>,
-    /// What showed that the head has stopped.
+    /// What proves that the head has stopped.
     stop_proof: Option<StopProof>,
     /// When a member was first seen to be out; the head becomes broken `stall_timeout` later.
     absent_since: Option<Moment>,
@@ -256,6 +256,7 @@
             Some((plan, revision)) => {
                 stored.plan = plan;
                 stored.revision = revision;
+                self.prune_group_states();
             }
             None => stored.retry_at = Some(now + WRITE_RETRY_DELAY),
         }
--- a/crates/mangocross-serving/src/planner/orders.rs
+++ b/crates/mangocross-serving/src/planner/orders.rs
@@ -94,7 +94,7 @@
             let state = self.group_states.entry(key).or_default();
             state.absent_since = state.absent_since.or(Some(now));
             let is_head = self.servers.get(vm).is_some_and(|it| {
-                it.server.engine.membership.as_ref().is_some_and(|it| {
+                it.memberships().any(|(_, it)| {
                     it.group == *group && it.incarnation == *incarnation && it.rank == Rank(0)
                 })
             });
--- a/crates/mangocross-serving/src/planner/release.rs
+++ b/crates/mangocross-serving/src/planner/release.rs
@@ -1,5 +1,6 @@
 //! Ensures that dissolved groups and earlier incarnations of re-formed groups stop serving.
 
+use std::collections::HashSet;
 use std::fmt;
 
 use mangocross_types::GroupId;
@@ -7,6 +8,7 @@
 use mangocross_types::VmId;
 
 use super::FormerHead;
+use super::GroupKey;
 use super::GroupPlanner;
 use super::PlannedGroup;
 use super::PlannedMember;
@@ -27,14 +29,14 @@
     /// Its heads have stopped, so that its members are free.
     Stopped(StopProof),
     /// None of its servers is known any more; one that comes back is free once its head has stopped.
-    Unknown,
+    Forgotten,
 }
 
 impl fmt::Display for ReleaseReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Stopped(proof) => proof.fmt(f),
-            Self::Unknown => f.write_str("none of its servers is known any more"),
+            Self::Forgotten => f.write_str("none of its servers is known any more"),
         }
     }
 }
@@ -50,15 +52,16 @@
         actions: &mut Vec<PlannerAction>,
     ) -> Option<ReleaseReason> {
         let mut heads = group.former_heads.clone();
-        // An adopted group may have taken the head, which then is a former one.
-        let is_head_known = heads.iter().any(|it| it.incarnation == group.incarnation);
-        if let Some(head) = group.head().cloned().filter(|_| !is_head_known) {
+        // If an adopted group has taken over the head, it is a former one, and the first member that is
+        // left is no head.
+        let has_lost_head = heads.iter().any(|it| it.incarnation == group.incarnation);
+        if let Some(head) = group.head().cloned().filter(|_| !has_lost_head) {
             if self.finishes_answers(group, &head.vm, now, actions) {
                 return None;
             }
             heads.push(FormerHead { member: head, incarnation: group.incarnation });
         }
-        let mut reason = Some(ReleaseReason::Unknown);
+        let mut reason = Some(ReleaseReason::Forgotten);
         for head in &heads {
             let is_current = head.incarnation == group.incarnation;
             let members = if is_current { group.members.as_slice() } else { &[] };
@@ -66,7 +69,7 @@
                 Some(proof) => Some(ReleaseReason::Stopped(proof)),
                 None => self
                     .is_forgotten(&group.group, head, members, now)
-                    .then_some(ReleaseReason::Unknown),
+                    .then_some(ReleaseReason::Forgotten),
             };
             reason = reason.and(of_head);
         }
@@ -236,6 +239,20 @@
         }
     }
 
+    /// Removes the observations of incarnations that neither a plan nor a server names any more.
+    pub(super) fn prune_group_states(&mut self) {
+        let planned = self.plans.values().flat_map(|it| &it.plan.groups).flat_map(|group| {
+            let former = group.former_heads.iter().map(|it| it.incarnation);
+            let incarnations = former.chain([group.incarnation]);
+            incarnations.map(|it| (group.group.clone(), it))
+        });
+        let reported = self.servers.values().flat_map(TrackedServer::memberships);
+        let reported = reported.map(|(_, it)| (it.group.clone(), it.incarnation));
+        let foreign = self.foreign.values().map(|it| it.group.clone());
+        let named: HashSet<GroupKey> = planned.chain(reported).chain(foreign).collect();
+        self.group_states.retain(|key, _| named.contains(key));
+    }
+
     /// Removes the former heads of a group that have stopped, and those that are forgotten.
     pub(super) fn prune_former_heads(
         &mut self,
