--- a/crates/mangocross-serving/tests/stop_histories.rs
+++ b/crates/mangocross-serving/tests/stop_histories.rs
@@ -54,13 +54,13 @@
 
 /// The copy of the plans from which the store may come back, and its era.
 #[derive(Debug)]
-struct Copy {
+struct StoreCopy {
     plans: Plans,
     era: u64,
 }
 
 impl Step {
-    fn apply(self, simulation: &mut Simulation, copy: &mut Copy) {
+    fn apply(self, simulation: &mut Simulation, copy: &mut StoreCopy) {
         let is_running = |simulation: &Simulation, vms: Vec<VmId>| -> Vec<VmId> {
             vms.into_iter().filter(|it| simulation.engines[it].is_running()).collect()
         };
@@ -182,7 +182,7 @@
     }
     steps.sort_by_key(|(at, _)| *at);
     let began_at = simulation.now;
-    let mut copy = Copy { plans: simulation.plans.clone(), era: 0 };
+    let mut copy = StoreCopy { plans: simulation.plans.clone(), era: 0 };
     for (at, step) in steps {
         let elapsed = simulation.now.since(began_at);
         simulation.run(at.saturating_sub(elapsed));
