fix(front): crashes of a part do not count against a request that was answered

The request had been answered seconds before.

Cause: streams of a caller may all be one request that differ by the parts of their prompts. The request had been at two crashes of other causes and at one of the part, the part at three. `decide` excused an answered request only where another cause had the very same set of crashes, broke the tie in favour of the request, and let it explain the part's third crash, which released the part.

Change: the rule is asked of each crash. One at which there was a part without an answer, or another suspect request, does not count against a request that was answered lately. Two branches for equal sets went.

--- a/crates/mangocross-serving/src/crash_blame.rs
+++ b/crates/mangocross-serving/src/crash_blame.rs
@@ -362,51 +362,51 @@
         }
     }
 
-    /// Returns whether a cause is a request that was answered lately, which is blamed only if nothing
-    /// else was at the same crashes.
-    fn is_answered_request(&self, cause: &CrashCause) -> bool {
-        cause.is_request() && self.sound.contains(cause)
+    /// Returns the processes whose crashes do not count against a request that was answered lately: a
+    /// part of a prompt was there of which there is no answer, or another request that is suspect.
+    fn crashes_of_others(&self, own: &Arc<str>) -> BTreeSet<&ServerProcess> {
+        let is_other = |cause: &CrashCause, crashes: &[Crash]| {
+            let is_suspect = || count_crashes(crashes, &BTreeSet::new(), own).0 >= SUSPECT_CRASHES;
+            let is_repeated = crashes.len() >= SUSPECT_CRASHES;
+            !cause.is_request() || is_repeated && !self.sound.contains(cause) && is_suspect()
+        };
+        let others = self.blamed.iter().filter(|(cause, crashes)| is_other(cause, crashes));
+        others.flat_map(|(_, crashes)| processes(crashes)).collect()
     }
 
     /// Decides which causes are suspect or quarantined: those with the most crashes first, so that
     /// they explain those at which others were candidates too. Causes with the same crashes are
     /// quarantined together.
     fn decide(&mut self, own: &Arc<str>) {
-        self.quarantined.clear();
-        self.suspects.clear();
+        let is_answered = |it: &CrashCause| it.is_request() && self.sound.contains(it);
+        let mut quarantined: Vec<BTreeSet<CrashCause>> = Vec::new();
         let mut explained: BTreeSet<&ServerProcess> = BTreeSet::new();
         let repeated = self.blamed.iter().filter(|(_, it)| it.len() >= SUSPECT_CRASHES);
         let mut left: Vec<CrashCause> = repeated.map(|(cause, _)| *cause).collect();
-        loop {
+        let others = match left.iter().any(is_answered) {
+            true => self.crashes_of_others(own),
+            false => BTreeSet::new(),
+        };
+        let suspects = loop {
+            let explained_or_others = explained.union(&others).copied().collect();
             let counts = left.iter().map(|cause| {
-                let (apart, all) = count_crashes(&self.blamed[cause], &explained, own);
+                let left_out = if is_answered(cause) { &explained_or_others } else { &explained };
+                let (apart, all) = count_crashes(&self.blamed[cause], left_out, own);
                 (apart, all, *cause)
             });
             let counts: Vec<_> = counts.filter(|it| it.0 >= SUSPECT_CRASHES).collect();
-            let Some((apart, _, cause)) = counts.iter().max() else { return };
-            if *apart < QUARANTINE_CRASHES {
-                let (answered, others): (Vec<CrashCause>, Vec<CrashCause>) =
-                    counts.iter().map(|it| it.2).partition(|it| self.is_answered_request(it));
-                let all_at_another = |it: &CrashCause| {
-                    let processes = processes(&self.blamed[it]);
-                    let is_at_all =
-                        |it: &CrashCause| self::processes(&self.blamed[it]).is_superset(&processes);
-                    others.iter().any(is_at_all)
-                };
-                let answered = answered.into_iter().filter(|it| !all_at_another(it));
-                self.suspects.extend(answered.collect::<Vec<_>>());
-                self.suspects.extend(others);
-                return;
-            }
-            let processes = processes(&self.blamed[cause]);
-            let mut alike: BTreeSet<CrashCause> =
-                left.extract_if(.., |it| self::processes(&self.blamed[it]) == processes).collect();
-            if !alike.iter().all(|it| self.is_answered_request(it)) {
-                alike.retain(|it| !self.is_answered_request(it));
-            }
-            self.quarantined.push(alike);
+            let Some((QUARANTINE_CRASHES.., _, worst)) = counts.iter().max() else {
+                break counts.iter().map(|it| it.2).collect();
+            };
+            let processes = processes(&self.blamed[worst]);
+            let is_alike = |it: &mut CrashCause| {
+                self::processes(&self.blamed[it]) == processes
+                    && is_answered(it) == is_answered(worst)
+            };
+            quarantined.push(left.extract_if(.., is_alike).collect());
             explained.extend(processes);
-        }
+        };
+        (self.quarantined, self.suspects) = (quarantined, suspects);
     }
 }
 
--- a/crates/mangocross-serving/tests/request_crashes.rs
+++ b/crates/mangocross-serving/tests/request_crashes.rs
@@ -132,6 +132,84 @@
     assert_eq!(blame.verdict(&[part(1), request(1)]), CrashVerdict::Sound);
 }
 
+/// Two of a part's three crashes were cleared by an answer, two other engines ended for other reasons:
+/// the request of all streams had as many crashes as the part, and was refused in place of it.
+#[test]
+fn crash_of_a_part_does_not_count_against_an_answered_request() {
+    let mut blame = CrashBlame::default();
+    crash_in_turn(&mut blame, &[part(9), request(1)], 0..2);
+    blame.record_sound(&[request(1)], &own(), at(2 * REPEAT_MS));
+    crash_in_turn(&mut blame, &[request(1)], 3..4);
+    crash_in_turn(&mut blame, &[part(9), request(1)], 4..5);
+    assert!(is_quarantined(&blame, part(9)));
+    assert_eq!(blame.verdict(&[request(1)]), CrashVerdict::Sound);
+    crash_in_turn(&mut blame, &[request(1)], 5..6);
+    assert!(is_quarantined(&blame, part(9)));
+    assert_eq!(blame.verdict(&[request(1)]), CrashVerdict::Suspect(request(1)));
+}
+
+/// The same while the part has only two crashes, so that it is suspect and not yet refused.
+#[test]
+fn crash_of_a_suspect_part_does_not_count_against_an_answered_request() {
+    let mut blame = CrashBlame::default();
+    blame.record_sound(&[request(1)], &own(), at(0));
+    crash_in_turn(&mut blame, &[part(9)], 1..2);
+    crash_in_turn(&mut blame, &[part(9), request(1)], 2..3);
+    crash_in_turn(&mut blame, &[request(1)], 3..5);
+    assert_eq!(blame.verdict(&[part(9)]), CrashVerdict::Suspect(part(9)));
+    assert_eq!(blame.verdict(&[request(1)]), CrashVerdict::Suspect(request(1)));
+}
+
+/// Requests that come once are at no second crash, and excuse no request that was answered.
+#[test]
+fn answered_request_that_crashes_servers_beside_others_is_refused() {
+    let mut blame = CrashBlame::default();
+    blame.record_sound(&[request(1)], &own(), at(0));
+    for number in 1..=3 {
+        for cause in [request(1), request(10 + number)] {
+            let number = u64::from(number);
+            blame.record_crash(&[cause], &server(number), &own(), broke_at(number * 1000));
+        }
+    }
+    assert!(is_quarantined(&blame, request(1)));
+}
+
+/// Generated histories of a part that crashes engines, of engines that end for other reasons, twice at
+/// most between two answers, and of streams that are all the same request but for their parts.
+#[test]
+fn answered_request_of_all_streams_outlasts_a_part_and_two_other_crashes() {
+    for seed in 0..400 {
+        let mut rng = Rng::with_seed(seed);
+        let mut blame = CrashBlame::default();
+        blame.record_sound(&[request(1)], &own(), at(0));
+        let mut other_crashes = 0;
+        let mut part_crashes = 0;
+        for number in 1..=40 {
+            let ms = number * REPEAT_MS;
+            match rng.u32(0..3) {
+                0 => {
+                    blame.record_sound(&[request(1)], &own(), at(ms));
+                    other_crashes = 0;
+                }
+                1 if other_crashes < 2 => {
+                    other_crashes += 1;
+                    blame.record_crash(&[request(1)], &server(number), &own(), broke_at(ms));
+                }
+                _ if blame.verdict(&[part(9), request(1)])
+                    != CrashVerdict::Quarantined(part(9)) =>
+                {
+                    part_crashes += 1;
+                    let causes = [part(9), request(1)];
+                    blame.record_crash(&causes, &server(number), &own(), broke_at(ms));
+                }
+                _ => {}
+            }
+            assert!(!is_quarantined(&blame, request(1)), "seed {seed}, crash {number}");
+            assert_eq!(is_quarantined(&blame, part(9)), part_crashes >= 3, "seed {seed}");
+        }
+    }
+}
+
 /// Two requests that were never answered were at the same crashes; the next crash tells them apart.
 #[test]
 fn equally_suspect_requests_are_told_apart_by_a_further_crash() {
