fix(front): an entry VM that starts learns which blamed requests were answered

Cause: entry VMs tell of an answer only where it clears crashes. A VM that starts learned of three crashes beside the request and not of its answers, so the rule for answered requests did not hold there.

Change: a report names, beside the crashes, the requests among them that the reporter itself answered within two minutes. Crashes after that answer count as before; times are not told on, since they grow younger with each hop. The message's form is unchanged.

--- a/crates/mangocross-serving/src/crash_blame.rs
+++ b/crates/mangocross-serving/src/crash_blame.rs
@@ -222,6 +222,14 @@
     /// Records that a request with these causes was answered, or that its stream got past its start.
     /// Returns whether crashes counted against any of them.
     pub fn record_sound(&mut self, causes: &[CrashCause], own: &Arc<str>, now: Moment) -> bool {
+        let is_news = self.settle(causes, own, now);
+        causes.iter().for_each(|it| self.sound.record_own(it, now));
+        is_news
+    }
+
+    /// Lets the crashes until an answer no longer count against its causes. Returns whether there
+    /// were any.
+    fn settle(&mut self, causes: &[CrashCause], own: &Arc<str>, now: Moment) -> bool {
         let mut is_news = false;
         for cause in causes {
             let crashes = self.blamed.remove(cause).unwrap_or_default();
@@ -249,10 +257,13 @@
     pub fn apply(&mut self, report: CrashReport, own: &Arc<str>, now: Moment) -> bool {
         let mut is_news = false;
         let at = |age_us: u64| now.before(Duration::from_micros(age_us));
+        let reported: BTreeSet<CrashCause> = report.crashes.iter().map(|it| it.cause).collect();
         for (cause, age_us) in report.sound.into_iter().take(REPORTED_MAX) {
             let is_recent = SoundCauses::is_recent(Duration::from_micros(age_us));
-            if is_recent && self.blamed.contains_key(&cause) {
-                is_news |= self.record_sound(&[cause], own, at(age_us));
+            let is_blamed = self.blamed.contains_key(&cause) || reported.contains(&cause);
+            if is_recent && is_blamed {
+                is_news |= !self.sound.contains(&cause);
+                is_news |= self.settle(&[cause], own, at(age_us));
             }
         }
         for reported in report.crashes.into_iter().take(REPORTED_MAX) {
@@ -320,7 +331,7 @@
     }
 
     /// Returns what to tell the other entry VMs: the causes that most crashes count against first,
-    /// the latest ones of equals.
+    /// the latest ones of equals, and which of the requests among them this VM saw answered.
     pub fn take_report(&mut self, now: Moment) -> CrashReport {
         let age_us = |at: Moment| u64::try_from(now.since(at).as_micros()).unwrap_or(u64::MAX);
         let last_at = |it: &[Crash]| it.iter().map(|it| it.span.broke_at).max();
@@ -340,11 +351,16 @@
                 confirmers: it.confirmers.clone(),
             })
         });
-        let crashes = crashes.take(REPORTED_MAX).collect();
+        let crashes: Vec<ReportedCrash> = crashes.take(REPORTED_MAX).collect();
         let to_clear = std::mem::take(&mut self.to_clear);
-        let sound =
-            to_clear.into_iter().filter_map(|it| Some((it, age_us(self.sound.proved_at(&it)?))));
-        CrashReport { crashes, sound: sound.take(REPORTED_MAX).collect() }
+        let cleared = to_clear.iter().filter_map(|it| Some((*it, self.sound.proved_at(it)?)));
+        // An answer of another VM is not told on, since its time grows younger with each hop.
+        let blamed: BTreeSet<CrashCause> = crashes.iter().map(|it| it.cause).collect();
+        let blamed = blamed.into_iter().filter(|it| it.is_request() && !to_clear.contains(it));
+        let answered = blamed.filter_map(|it| Some((it, self.sound.answered_at(&it)?)));
+        let sound = cleared.chain(answered).map(|(cause, at)| (cause, age_us(at)));
+        let sound = sound.take(REPORTED_MAX).collect();
+        CrashReport { crashes, sound }
     }
 
     /// Forgets what is too old.
--- a/crates/mangocross-serving/src/crash_report.rs
+++ b/crates/mangocross-serving/src/crash_report.rs
@@ -31,7 +31,8 @@
 pub struct CrashReport {
     /// Crashes and what they count against.
     pub crashes: Vec<ReportedCrash>,
-    /// Causes that others blame and that are sound, and the microseconds since they proved so.
+    /// Causes that others blame and that are sound, and requests among `crashes` that the reporter saw
+    /// answered; with the microseconds since that.
     pub sound: Vec<(CrashCause, u64)>,
 }
 
--- a/crates/mangocross-serving/src/sound_causes.rs
+++ b/crates/mangocross-serving/src/sound_causes.rs
@@ -17,6 +17,8 @@
 #[derive(Debug, Clone)]
 struct Proof {
     at: Moment,
+    /// When this VM last had an answer itself.
+    own_at: Option<Moment>,
     /// Processes whose crashes no longer count, also if a late message tells of them.
     cleared: Vec<ServerProcess>,
 }
@@ -37,6 +39,11 @@
         Some(self.proofs.get(cause)?.at)
     }
 
+    /// Returns when an answer that this VM had itself last proved a cause sound.
+    pub(crate) fn answered_at(&self, cause: &CrashCause) -> Option<Moment> {
+        self.proofs.get(cause)?.own_at
+    }
+
     /// Returns whether the crash of a process says nothing of a cause. A part is sound for a while; a
     /// whole request may be answered and crash servers later, so only earlier crashes are settled.
     pub(crate) fn settles(&self, cause: &CrashCause, server: &ServerProcess, at: Moment) -> bool {
@@ -56,13 +63,21 @@
         if self.proofs.len() >= CAUSES_MAX && !self.proofs.contains_key(&cause) {
             self.forget_oldest_half();
         }
-        let proof = self.proofs.entry(cause).or_insert(Proof { at, cleared: Vec::new() });
+        let proof =
+            self.proofs.entry(cause).or_insert(Proof { at, own_at: None, cleared: Vec::new() });
         proof.at = proof.at.max(at);
         proof.cleared.extend(cleared);
         let surplus = proof.cleared.len().saturating_sub(CLEARED_MAX);
         proof.cleared.drain(..surplus);
     }
 
+    /// Records that a proof is an answer that this VM had itself.
+    pub(crate) fn record_own(&mut self, cause: &CrashCause, at: Moment) {
+        if let Some(proof) = self.proofs.get_mut(cause) {
+            proof.own_at = Some(at);
+        }
+    }
+
     /// Returns whether a proof of this age still counts.
     pub(crate) fn is_recent(age: Duration) -> bool {
         age < SOUND_KEPT
--- a/crates/mangocross-serving/tests/request_crashes.rs
+++ b/crates/mangocross-serving/tests/request_crashes.rs
@@ -329,6 +329,58 @@
     assert!(is_quarantined(&restarted, request(1)));
 }
 
+/// A restarted entry VM learned of three crashes at which a request had been, and not that it had been
+/// answered before: it refused the request, which the others served.
+#[test]
+fn restarted_entry_vm_learns_that_a_blamed_request_was_answered() {
+    let mut first = CrashBlame::default();
+    first.record_sound(&[request(1)], &own(), at(0));
+    crash_in_turn(&mut first, &[part(9), request(1)], 1..3);
+    crash_in_turn(&mut first, &[request(1)], 3..4);
+    assert_eq!(first.verdict(&[request(1)]), CrashVerdict::Sound);
+    let report = first.take_report(at(1000));
+    let without_answers = CrashReport { sound: Vec::new(), ..report.clone() };
+    for reports in [vec![&report], vec![&without_answers, &report]] {
+        let mut restarted = CrashBlame::default();
+        for report in reports {
+            restarted.apply(report.clone(), &other(), at(1000));
+            for process in restarted.take_checks(at(1000)) {
+                restarted.record_state(&process, ProcessState::Ended, &other());
+            }
+        }
+        assert_eq!(restarted.verdict(&[request(1)]), CrashVerdict::Sound);
+        assert_eq!(restarted.verdict(&[part(9)]), CrashVerdict::Suspect(part(9)));
+    }
+}
+
+/// Each VM tells of its own answers only: times that are told on would grow younger on the way, until
+/// an answer seems to be later than the crashes after it.
+#[test]
+fn answers_at_another_entry_vm_are_not_told_on() {
+    let mut first = CrashBlame::default();
+    first.record_sound(&[request(1)], &own(), at(0));
+    crash_in_turn(&mut first, &[request(1)], 1..3);
+    let mut second = CrashBlame::default();
+    second.apply(first.take_report(at(1000)), &other(), at(1000));
+    assert_eq!(first.take_report(at(1000)).sound.len(), 1);
+    assert_eq!(second.take_report(at(1100)).sound, []);
+}
+
+/// An answer that is told with the crashes after it clears none of them.
+#[test]
+fn answer_before_the_crashes_that_a_report_tells_of_clears_none() {
+    let mut first = CrashBlame::default();
+    first.record_sound(&[request(1)], &own(), at(0));
+    crash_in_turn(&mut first, &[request(1)], 1..4);
+    assert!(is_quarantined(&first, request(1)));
+    let mut second = CrashBlame::default();
+    second.apply(first.take_report(at(1000)), &other(), at(1000));
+    for process in second.take_checks(at(1000)) {
+        second.record_state(&process, ProcessState::Ended, &other());
+    }
+    assert!(is_quarantined(&second, request(1)));
+}
+
 /// A late message tells of crashes that an answer has settled since; an answer elsewhere clears a
 /// request that is blamed here.
 #[test]
