refactor(serving): one crash and its witnesses have a module of their own

What is known of one crash, and how crashes are counted, moved to `crash.rs`; no change of behaviour.

--- a/crates/mangocross-serving/src/crash_blame.rs
+++ b/crates/mangocross-serving/src/crash_blame.rs
@@ -6,23 +6,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mangocross_types::VmId;
-use serde::Deserialize;
-use serde::Serialize;
-
+use crate::AttemptSpan;
 use crate::CrashCause;
 use crate::CrashReport;
 use crate::Moment;
+use crate::ProcessState;
 use crate::ReportedCrash;
+use crate::ServerProcess;
+use crate::crash::Crash;
+use crate::crash::count_crashes;
+use crate::crash::processes;
 use crate::sound_causes::SoundCauses;
 
 /// Number of crashes, apart in time, after which a cause is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
 /// Number of crashes after which a broken request with the cause is not sent to another server.
 const SUSPECT_CRASHES: usize = 2;
-/// Crashes closer to each other than this may have one cause, such as the loss of a rack, unless the
-/// request was sent after the earlier one.
-const COMMON_CAUSE_TIME: Duration = Duration::from_millis(150);
 /// Time for which a crash counts against a cause.
 const CRASH_KEPT: Duration = Duration::from_secs(30 * 60);
 /// Time for which other entry VMs are told of a cause that few crashes count against.
@@ -33,10 +32,6 @@
 const BLAMED_REQUESTS_MAX: usize = 512;
 /// Maximum number of crashes kept for a cause.
 const CRASHES_PER_CAUSE_MAX: usize = 12;
-/// Maximum number of reporters, and of confirmers, kept for a crash.
-const WITNESSES_MAX: usize = 3;
-/// Number of entry VMs whose word suffices where a VM knows nothing itself.
-const WITNESSES_NEEDED: usize = 2;
 /// Maximum number of crashes, and of sound causes, in a report.
 const REPORTED_MAX: usize = 40;
 /// Maximum number of crashes of one cause in a report.
@@ -51,42 +46,6 @@
 /// Maximum number of processes that are checked at a time.
 const CHECKS_MAX: usize = 8;
 
-/// A process of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct ServerProcess {
-    /// VM of the server.
-    pub vm: VmId,
-    /// Start time of the process, in milliseconds of Unix time.
-    pub born_unix_ms: u64,
-}
-
-/// What an entry VM knows itself of a process that others report as crashed.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum ProcessState {
-    /// Nothing.
-    #[default]
-    Unknown,
-    /// Its entry is there, and its address is not a later process's.
-    Listed,
-    /// It has ended.
-    Ended,
-}
-
-/// The time from sending a request to a server until the answer broke.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AttemptSpan {
-    /// When the request was sent.
-    pub sent_at: Moment,
-    /// When its answer broke.
-    pub broke_at: Moment,
-}
-
-impl AttemptSpan {
-    fn duration(self) -> Duration {
-        self.broke_at.since(self.sent_at)
-    }
-}
-
 /// What crashes say of a request with certain causes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashVerdict {
@@ -98,49 +57,6 @@
     Quarantined(CrashCause),
 }
 
-#[derive(Debug, Clone)]
-struct Crash {
-    server: ServerProcess,
-    span: AttemptSpan,
-    reporters: Vec<Arc<str>>,
-    confirmers: Vec<Arc<str>>,
-    state: ProcessState,
-    /// When it was last checked whether the process has ended.
-    checked_at: Option<Moment>,
-}
-
-impl Crash {
-    fn new(server: ServerProcess, span: AttemptSpan) -> Self {
-        let (reporters, confirmers) = (Vec::new(), Vec::new());
-        Self { server, span, reporters, confirmers, state: ProcessState::Unknown, checked_at: None }
-    }
-
-    /// Returns whether the crash counts; `has_witnesses` tells whether this VM or several others
-    /// observed a crash that counts against the same cause.
-    fn counts(&self, has_witnesses: bool) -> bool {
-        let witnesses: BTreeSet<_> = self.reporters.iter().chain(&self.confirmers).collect();
-        match self.state {
-            ProcessState::Ended => true,
-            ProcessState::Listed => false,
-            ProcessState::Unknown => has_witnesses || witnesses.len() >= WITNESSES_NEEDED,
-        }
-    }
-
-    /// Adds what else is known of the same crash. Returns whether there is a new witness.
-    fn merge(&mut self, other: Self) -> bool {
-        // A report that was delayed makes all of it seem later than it was.
-        let duration = self.span.duration().min(other.span.duration());
-        let broke_at = self.span.broke_at.min(other.span.broke_at);
-        self.span = AttemptSpan { sent_at: broke_at.before(duration), broke_at };
-        let has_ended = other.state == ProcessState::Ended && self.state != other.state;
-        if has_ended {
-            self.state = ProcessState::Ended;
-        }
-        let has_reporter = add_names(&mut self.reporters, other.reporters);
-        add_names(&mut self.confirmers, other.confirmers) || has_reporter || has_ended
-    }
-}
-
 /// Crashes of servers and the requests and parts of prompts that may have caused them.
 ///
 /// When a server crashes, all requests whose answers were not complete, or had hardly begun in the
@@ -320,8 +236,8 @@
             }
             crash.state = state;
             is_changed = true;
-            if state == ProcessState::Ended && !crash.reporters.contains(own) {
-                add_names(&mut crash.confirmers, vec![Arc::clone(own)]);
+            if state == ProcessState::Ended {
+                crash.confirm(own);
             }
         }
         if is_changed {
@@ -414,46 +330,17 @@
             let Some((QUARANTINE_CRASHES.., _, worst)) = counts.iter().max() else {
                 break counts.iter().map(|it| it.2).collect();
             };
-            let processes = processes(&self.blamed[worst]);
+            let at_worst = processes(&self.blamed[worst]);
             let is_alike = |it: &mut CrashCause| {
-                self::processes(&self.blamed[it]) == processes
-                    && is_answered(it) == is_answered(worst)
+                processes(&self.blamed[it]) == at_worst && is_answered(it) == is_answered(worst)
             };
             quarantined.push(left.extract_if(.., is_alike).collect());
-            explained.extend(processes);
+            explained.extend(at_worst);
         };
         (self.quarantined, self.suspects) = (quarantined, suspects);
     }
 }
 
-fn processes(crashes: &[Crash]) -> BTreeSet<&ServerProcess> {
-    crashes.iter().map(|it| &it.server).collect()
-}
-
-/// Counts the crashes that are not explained, first those that no common cause explains, then all.
-fn count_crashes(
-    crashes: &[Crash],
-    explained: &BTreeSet<&ServerProcess>,
-    own: &Arc<str>,
-) -> (usize, usize) {
-    let open = || crashes.iter().filter(|it| !explained.contains(&it.server));
-    let reporters: BTreeSet<&Arc<str>> = open().flat_map(|it| &it.reporters).collect();
-    let has_witnesses = reporters.len() >= WITNESSES_NEEDED || reporters.contains(own);
-    let mut open: Vec<&Crash> = open().filter(|it| it.counts(has_witnesses)).collect();
-    open.sort_by_key(|it| it.span.broke_at);
-    let mut apart = 0;
-    let mut last_at = None;
-    for crash in &open {
-        let AttemptSpan { sent_at, broke_at } = crash.span;
-        let is_apart = |it: Moment| broke_at.since(it) >= COMMON_CAUSE_TIME || sent_at > it;
-        if last_at.is_none_or(is_apart) {
-            apart += 1;
-            last_at = Some(broke_at);
-        }
-    }
-    (apart, open.len())
-}
-
 /// Adds a crash that counts against a cause, or its witnesses if the crash is known. Returns
 /// whether that is news.
 fn add(
@@ -475,8 +362,7 @@
     if !all.contains_key(&cause) && all.keys().filter(is_alike).count() >= most {
         forget_least_blamed(all, cause.is_request());
     }
-    crash.reporters.truncate(WITNESSES_MAX);
-    crash.confirmers.truncate(WITNESSES_MAX);
+    crash.limit_witnesses();
     let known = all.entry(cause).or_default();
     let has_room = known.len() < CRASHES_PER_CAUSE_MAX;
     if has_room {
@@ -485,17 +371,6 @@
     has_room
 }
 
-/// Adds names up to the maximum number. Returns whether there is a new one.
-fn add_names(names: &mut Vec<Arc<str>>, others: Vec<Arc<str>>) -> bool {
-    let before = names.len();
-    for name in others {
-        if names.len() < WITNESSES_MAX && !names.contains(&name) {
-            names.push(name);
-        }
-    }
-    names.len() > before
-}
-
 /// Forgets the request or the part that the fewest crashes count against, the one blamed longest ago
 /// among equals.
 fn forget_least_blamed(all: &mut HashMap<CrashCause, Vec<Crash>>, are_requests: bool) {
