--- a/crates/mangocross-serving/src/crash_blame.rs
+++ b/crates/mangocross-serving/src/crash_blame.rs
@@ -63,7 +63,9 @@
 /// case of streams, and the shared parts of their prompts are candidates. A cause is quarantined if it
 /// was a candidate at several crashes of different processes, without an answer that proves it
 /// sound; the crashes lie apart in time, or the request was sent again after the earlier one. A crash
-/// at which a quarantined cause was a candidate is explained by it and counts against no other.
+/// at which a quarantined cause was a candidate is explained by it and counts against no other; one
+/// at which there was another possible cause does not count against a request that was answered
+/// lately.
 /// Of causes that were candidates at the same crashes any may be the one: requests with all of them
 /// are refused, and one with some of them shows which it is.
 ///
